--- /dev/null
+++ b/cmd/dooryard-load/main.go
@@ -0,0 +1,11 @@
+// Command dooryard-load sends load to a fleet and checks every answer.
+package main
+
+import (
+	"os"
+
+	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/cmd/loadcmd"
+)
+
+func main() { exit.Main(loadcmd.New(os.Stdout)) }
--- /dev/null
+++ b/internal/box/box.go
@@ -0,0 +1,391 @@
+// Package box wires one router process: its listeners, the steps of a request,
+// and the box's part of control.
+package box
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/callers"
+	"dooryard.example/dooryard/internal/claim"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/limit"
+	"dooryard.example/dooryard/internal/logstream"
+	"dooryard.example/dooryard/internal/membership"
+	"dooryard.example/dooryard/internal/metrics"
+	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/pipe/admit"
+	claimpipe "dooryard.example/dooryard/internal/pipe/claim"
+	"dooryard.example/dooryard/internal/pipe/forward"
+	"dooryard.example/dooryard/internal/pipe/identify"
+	routepipe "dooryard.example/dooryard/internal/pipe/route"
+	"dooryard.example/dooryard/internal/pipe/settle"
+	"dooryard.example/dooryard/internal/pipeline"
+	"dooryard.example/dooryard/internal/platform"
+	"dooryard.example/dooryard/internal/pool"
+	"dooryard.example/dooryard/internal/secret"
+	"dooryard.example/dooryard/internal/server"
+	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/tablestore"
+	"dooryard.example/dooryard/internal/trace"
+	"dooryard.example/dooryard/internal/transport"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// ErrKilled is what Run returns after Kill.
+var ErrKilled = errors.New("killed")
+
+// Box is one router process. Build it with New, then call Run once.
+type Box struct {
+	settings config.Router
+	clock    clock.Clock
+	logger   *zap.Logger
+	listen   server.Listen
+	packets  ListenPackets
+	dial     transport.Dial
+	spans    io.Writer
+
+	metrics *metrics.Metrics
+	tracer  *trace.Tracer
+	keys    keys
+	log     platform.Log
+
+	store         *tablestore.Store
+	pools         *pool.Manager
+	organisations *limit.Organisations
+	claims        *claim.Service
+	admit         *admit.Pipe
+	pipeline      *pipeline.Pipeline
+	follower      *logstream.Follower
+	callers       *callers.Handler
+
+	boxList platform.BoxList
+	gossip  *membership.Gossip
+	fleet   *fleetView
+
+	servers  servers
+	draining atomic.Bool
+	drain    chan struct{}
+	drainOne sync.Once
+	killed   chan struct{}
+	killOne  sync.Once
+	running  sync.WaitGroup
+}
+
+type keys struct {
+	peers     *secret.Keys
+	operators *secret.Keys
+}
+
+type servers struct {
+	callers, peers, operators *server.Server
+}
+
+// Option changes a Box under construction.
+type Option func(*Box)
+
+// WithClock replaces the system clock.
+func WithClock(c clock.Clock) Option { return func(b *Box) { b.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(logger *zap.Logger) Option { return func(b *Box) { b.logger = logger } }
+
+// WithListen replaces the opening of listeners.
+func WithListen(listen server.Listen) Option { return func(b *Box) { b.listen = listen } }
+
+// WithListenPackets replaces the opening of the UDP socket.
+func WithListenPackets(packets ListenPackets) Option { return func(b *Box) { b.packets = packets } }
+
+// WithDial replaces the opening of connections.
+func WithDial(dial transport.Dial) Option { return func(b *Box) { b.dial = dial } }
+
+// WithSpans sets where the stdout exporter writes spans.
+func WithSpans(w io.Writer) Option { return func(b *Box) { b.spans = w } }
+
+// New opens the listeners and builds the box. Nothing is answered until Run.
+func New(ctx context.Context, settings config.Router, options ...Option) (*Box, error) {
+	b := &Box{
+		settings: settings, clock: clock.New(), logger: zap.NewNop(), listen: net.Listen, packets: net.ListenPacket,
+		spans: io.Discard, metrics: metrics.New(), drain: make(chan struct{}), killed: make(chan struct{}),
+	}
+	for _, option := range options {
+		option(b)
+	}
+	for _, step := range []func(context.Context) error{
+		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.openListeners, b.openGossip,
+	} {
+		if err := step(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+func (b *Box) openKeys(context.Context) error {
+	var err error
+	if b.keys.peers, err = secret.Load(b.settings.Peers.KeyFile, b.clock.Now); err != nil {
+		return fmt.Errorf("peers.key_file: %w", err)
+	}
+	if b.keys.operators, err = secret.Load(b.settings.Operators.KeyFile, b.clock.Now); err != nil {
+		return fmt.Errorf("operators.key_file: %w", err)
+	}
+	return nil
+}
+
+func (b *Box) openTracer(ctx context.Context) error {
+	var err error
+	b.tracer, err = trace.New(ctx, b.settings.Traces, b.settings.Box, b.settings.FailureDomain, b.spans)
+	return err
+}
+
+// controlTimeoutMs bounds calls to the platform, above the log's long polls.
+const (
+	defaultPlatformTimeoutMs = 3000
+	longPollMarginMs         = 30 * clock.Second
+)
+
+// buildState builds what the steps share: the table, the pools, the limits and
+// the claims.
+func (b *Box) buildState(context.Context) error {
+	config.Fill(&b.settings.Platform.TimeoutMs, defaultPlatformTimeoutMs)
+	client := b.platformClient()
+	b.log = platform.Log{URL: b.settings.Platform.LogURL, Client: client}
+	b.boxList = platform.BoxList{URL: b.settings.Platform.BoxListURL, Client: client}
+	b.fleet = newFleetView()
+	b.store = tablestore.New(b.append,
+		tablestore.WithClock(b.clock), tablestore.WithLogger(b.logger), tablestore.WithVerdicts(b.countVerdict))
+	b.organisations = limit.NewOrganisations(b.share, b.clock.Now)
+	b.follower = logstream.NewFollower(b.tableSources, b.store.Record,
+		logstream.WithClock(b.clock), logstream.WithLogger(b.logger))
+	return nil
+}
+
+func (b *Box) platformClient() *http.Client {
+	return &http.Client{Transport: transport.New(transport.Settings{
+		ConnectTimeoutMs: clock.Millis(b.settings.Platform.TimeoutMs),
+		IdleTimeoutMs:    clock.Second * 60,
+		MaxIdlePerHost:   8,
+		Dial:             b.dial,
+	}), Timeout: longPollMarginMs.Duration()}
+}
+
+// append bounds one append by the platform's timeout.
+func (b *Box) append(ctx context.Context, stream string, records ...jsonRecord) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, clock.Millis(b.settings.Platform.TimeoutMs).Duration())
+	defer cancel()
+	return b.log.Append(ctx, stream, records...)
+}
+
+func (b *Box) countVerdict(verdict table.Verdict) {
+	if verdict.Result == table.Accepted {
+		b.metrics.EditsAccepted.Add(1)
+		return
+	}
+	b.metrics.EditsRejected.Add(1)
+}
+
+func (b *Box) tableSources() []logstream.Source {
+	return []logstream.Source{{Name: "platform", Read: func(
+		ctx context.Context, from int64, limit int, waitMs clock.Millis,
+	) (platform.Page, error) {
+		return b.log.Read(ctx, tablestore.Stream, from, limit, waitMs)
+	}}}
+}
+
+func (b *Box) buildSteps(context.Context) error {
+	upstreams := &deferredTransport{}
+	steps := pipeline.Steps{
+		Identify: identify.New(b.store.State, b.clock.Now),
+		Claim: claimpipe.New(claimpipe.Claims{
+			Claim:  func(ctx context.Context, r claim.Record) (claim.Verdict, error) { return b.claims.Claim(ctx, r) },
+			Submit: func(r claim.Record) { b.claims.Submit(r) },
+		}, b.metrics, b.clock.Now),
+		Settle: settle.New(b.metrics, b.logger, b.clock.Now),
+	}
+	steps.Route = routepipe.New(b.acquire, b.remote)
+	steps.Route.Default(&b.settings)
+	poolSettings, err := routepipe.PoolSettings(b.settings.Route)
+	if err != nil {
+		return err
+	}
+	b.pools = pool.New(poolSettings, b.settings.FailureDomain, b.settings.Box, b.clock.Now)
+	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Now)
+	steps.Forward = forward.New(forward.Dependencies{
+		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report,
+		Metrics: b.metrics, Tracer: b.tracer, Logger: b.logger, Clock: b.clock,
+	})
+	b.admit = steps.Admit
+	b.pipeline = pipeline.New(steps, &b.settings, b.logger)
+	upstreams.RoundTripper = b.upstreamTransport()
+	b.claims = claim.NewService(claim.Log{Append: b.append, Read: b.log.Read}, claim.Settings{
+		BatchMs: clock.Millis(b.settings.Claim.BatchMs), WindowMs: clock.Millis(b.settings.Claim.WindowMs),
+	}, b.remoteClaim, b.clock, b.logger)
+	b.store.OnChange(func(state *table.State) {
+		b.pools.SetTable(state)
+		b.admit.Poke()
+	})
+	return nil
+}
+
+// deferredTransport is filled in once the steps have set the defaults that the
+// transport is built from.
+type deferredTransport struct{ http.RoundTripper }
+
+const maxIdlePerUpstream = 256
+
+func (b *Box) upstreamTransport() *http.Transport {
+	return transport.New(transport.Settings{
+		ConnectTimeoutMs:   clock.Millis(b.settings.Retry.ConnectTimeoutMs),
+		FirstByteTimeoutMs: clock.Millis(b.settings.Retry.FirstByteTimeoutMs),
+		IdleTimeoutMs:      60 * clock.Second,
+		MaxIdlePerHost:     maxIdlePerUpstream,
+		MaxHeaderBytes:     int64(b.settings.Request.MaxHeaderBytes),
+		Dial:               b.dial,
+	})
+}
+
+func (b *Box) remoteClaim(context.Context, int, claim.Record) (claim.Verdict, bool) {
+	return claim.Verdict{}, false
+}
+
+func (b *Box) openListeners(context.Context) error {
+	limits := server.LimitsOf(&b.settings)
+	b.callers = callers.New(callers.Dependencies{
+		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
+	})
+	peers := http.NewServeMux()
+	b.callers.PeerRoutes(peers)
+	operatorsHandler := operators.New(operators.Dependencies{
+		Store: b.store, Pools: b.pools, Status: func() any { return b.Status() }, Drain: b.Drain, Metrics: b.metrics,
+	})
+	opened := []struct {
+		name     string
+		settings config.Listener
+		handler  http.Handler
+		target   **server.Server
+	}{
+		{"callers", b.settings.Callers, b.callers, &b.servers.callers},
+		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, peers), &b.servers.peers},
+		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
+	}
+	for _, o := range opened {
+		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listen)
+		if err != nil {
+			b.closeListeners()
+			return err
+		}
+		*o.target = opened
+	}
+	return nil
+}
+
+func (b *Box) serve(x *exchange.Exchange) { b.pipeline.Serve(x) }
+
+// Addresses are the addresses that a box's listeners got.
+type Addresses struct {
+	Callers, Peers, Operators, Gossip string
+}
+
+// Addresses returns where the box listens.
+func (b *Box) Addresses() Addresses {
+	return Addresses{
+		Callers:   b.servers.callers.Address(),
+		Peers:     b.servers.peers.Address(),
+		Operators: b.servers.operators.Address(),
+		Gossip:    b.gossip.Address(),
+	}
+}
+
+// Metrics returns the box's counters.
+func (b *Box) Metrics() *metrics.Metrics { return b.metrics }
+
+// Store returns the box's table.
+func (b *Box) Store() *tablestore.Store { return b.store }
+
+// Ready tells whether the box takes new requests: it has a table and is not
+// about to stop.
+func (b *Box) Ready() bool { return b.store.State().Offset() > 0 && !b.draining.Load() }
+
+func (b *Box) all() []*server.Server {
+	return []*server.Server{b.servers.callers, b.servers.peers, b.servers.operators}
+}
+
+func (b *Box) closeListeners() {
+	for _, s := range b.all() {
+		if s != nil {
+			s.Close()
+		}
+	}
+}
+
+// Run answers requests until the context ends or Drain was called, and then
+// stops as planned: running requests finish first. A listener that fails ends
+// it with an error.
+func (b *Box) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	b.startBackground(background)
+	failed := make(chan error, len(b.all()))
+	for _, s := range b.all() {
+		b.running.Go(func() {
+			if err := s.Serve(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	b.logger.Info("box started", zap.String("box", b.settings.Box),
+		zap.String("failure_domain", b.settings.FailureDomain), zap.Any("addresses", b.Addresses()))
+	err := b.untilStop(ctx, failed)
+	if !errors.Is(err, ErrKilled) {
+		err = errors.Join(err, b.stop(background))
+	}
+	stopBackground()
+	b.running.Wait()
+	return err
+}
+
+func (b *Box) untilStop(ctx context.Context, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-b.drain:
+		return nil
+	case <-b.killed:
+		return ErrKilled
+	case err := <-failed:
+		return err
+	}
+}
+
+func (b *Box) startBackground(ctx context.Context) {
+	b.running.Go(func() { b.follower.Run(ctx) })
+	b.running.Go(func() { b.claims.Run(ctx) })
+	b.running.Go(func() { b.gossip.Run(ctx) })
+	b.running.Go(func() { b.pollLists(ctx) })
+	b.running.Go(func() { b.bridgeLoop(ctx) })
+	b.gossip.Join(b.settings.Peers.Contacts)
+	b.running.Go(func() {
+		b.clock.Every(ctx, clock.Second, func(clock.Millis) {
+			b.updateDemand()
+			b.updateShares()
+			b.pools.Refresh()
+			b.admit.Poke()
+		})
+	})
+}
+
+// Kill ends the box at once, as a crash would: connections break and nothing is
+// settled. Run returns ErrKilled.
+func (b *Box) Kill() {
+	b.killOne.Do(func() { close(b.killed) })
+	b.closeListeners()
+}
--- /dev/null
+++ b/internal/box/fleet.go
@@ -0,0 +1,250 @@
+package box
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/membership"
+	"dooryard.example/dooryard/internal/platform"
+	"dooryard.example/dooryard/internal/pool"
+	"dooryard.example/dooryard/internal/route"
+	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// ListenPackets opens a UDP socket; tests replace it.
+type ListenPackets func(network, address string) (net.PacketConn, error)
+
+// Times of this box's part in membership.
+const (
+	defaultPeriodMs = 300
+	listPollMs      = 2 * clock.Second
+	// otherDomainEvery is how many polls pass between two of other domains.
+	otherDomainEvery = 5
+	bridgeMs         = 2 * clock.Second
+	domainFactsMs    = 20 * clock.Second
+	peerFailMs       = 5 * clock.Second
+)
+
+// fleetView is what this box knows of other boxes and of leaving upstreams. It
+// is safe for concurrent use.
+type fleetView struct {
+	mu      sync.Mutex
+	lists   map[string]platform.DatedList
+	polls   int
+	failed  map[string]clock.Millis
+	leaving map[string]bool
+	demand  map[string]float64
+	// shares are this box's parts of fleet-wide limits, by organisation.
+	shares    map[string]float64
+	evenShare float64
+}
+
+func newFleetView() *fleetView {
+	return &fleetView{
+		lists: map[string]platform.DatedList{}, failed: map[string]clock.Millis{},
+		leaving: map[string]bool{}, demand: map[string]float64{}, shares: map[string]float64{}, evenShare: 1,
+	}
+}
+
+func (b *Box) openGossip(context.Context) error {
+	config.Fill(&b.settings.Peers.PeriodMs, defaultPeriodMs)
+	conn, err := b.packets("udp", b.settings.Peers.GossipAddress)
+	if err != nil {
+		return fmt.Errorf("peers.gossip_address: %w", err)
+	}
+	self := membership.Box{
+		Name: b.settings.Box, GossipAddress: conn.LocalAddr().String(), PeerAddress: b.servers.peers.Address(),
+	}
+	times := membership.DefaultSettings()
+	times.PeriodMs = clock.Millis(b.settings.Peers.PeriodMs)
+	node := membership.NewNode(self, uint32(b.clock.Now()/clock.Second), b.keys.peers.All,
+		membership.WithSettings(times))
+	b.gossip = membership.NewGossip(node, conn, membership.Counters{
+		Sent: b.metrics.GossipSent, Received: b.metrics.GossipReceived, Rejected: b.metrics.GossipRejected,
+	},
+		membership.WithClock(b.clock), membership.WithLogger(b.logger),
+		membership.WithOnChange(func([]string) { b.applyFleet() }), membership.WithFacts(b.facts))
+	return nil
+}
+
+// applyFleet hands the newest view of membership to the pools.
+func (b *Box) applyFleet() {
+	b.fleet.mu.Lock()
+	leaving := b.fleet.leaving
+	b.fleet.mu.Unlock()
+	b.pools.SetFleet(pool.Fleet{Boxes: b.gossip.Live(), Leaving: leaving})
+	b.admit.Poke()
+}
+
+// facts is what this box tells of itself.
+func (b *Box) facts() membership.Facts {
+	running, _ := b.admit.Lengths()
+	return membership.Facts{
+		TableOffset: b.store.State().Offset(),
+		InFlight:    uint32(running),
+		Demand:      b.heaviestDemand(),
+	}
+}
+
+// pollLists follows the platform's list: this domain's each time, the others in
+// turn. While the platform is cut off the last lists stay in force.
+func (b *Box) pollLists(ctx context.Context) {
+	if b.settings.Platform.BoxListURL == "" {
+		return
+	}
+	b.pollOnce(ctx)
+	b.clock.Every(ctx, listPollMs, func(clock.Millis) { b.pollOnce(ctx) })
+}
+
+func (b *Box) pollOnce(ctx context.Context) {
+	b.pollList(ctx, b.settings.FailureDomain)
+	b.fleet.mu.Lock()
+	turn := b.fleet.polls
+	b.fleet.polls++
+	b.fleet.mu.Unlock()
+	domains := b.otherDomains()
+	if len(domains) > 0 && turn%otherDomainEvery == 0 {
+		b.pollList(ctx, domains[turn/otherDomainEvery%len(domains)])
+	}
+	b.applyList()
+}
+
+func (b *Box) pollList(ctx context.Context, domain string) {
+	ctx, cancel := context.WithTimeout(ctx, clock.Millis(b.settings.Platform.TimeoutMs).Duration())
+	defer cancel()
+	b.fleet.mu.Lock()
+	known := b.fleet.lists[domain]
+	b.fleet.mu.Unlock()
+	list, err := b.boxList.Get(ctx, domain, known)
+	if err != nil {
+		b.logger.Debug("list of boxes unavailable", zap.String("failure_domain", domain), zap.Error(err))
+		return
+	}
+	b.fleet.mu.Lock()
+	b.fleet.lists[domain] = list
+	b.fleet.mu.Unlock()
+}
+
+// applyList takes over what the list of this domain says.
+func (b *Box) applyList() {
+	b.fleet.mu.Lock()
+	list := b.fleet.lists[b.settings.FailureDomain]
+	addresses := map[string]string{}
+	for _, listed := range list.Boxes {
+		if listed.State == platform.BoxLive {
+			addresses[listed.Name] = listed.GossipAddress
+		}
+	}
+	leaving := map[string]bool{}
+	for _, listed := range list.Upstreams {
+		if listed.State == platform.BoxLeaving {
+			leaving[listed.Name] = true
+		}
+	}
+	changed := len(leaving) != len(b.fleet.leaving)
+	for name := range leaving {
+		changed = changed || !b.fleet.leaving[name]
+	}
+	b.fleet.leaving = leaving
+	b.fleet.mu.Unlock()
+	b.gossip.SetListed(addresses)
+	if changed {
+		b.applyFleet()
+	}
+}
+
+// otherDomains are the failure domains that the table names, without this one.
+func (b *Box) otherDomains() []string {
+	domains := []string{}
+	for _, upstream := range b.store.State().Upstreams() {
+		if upstream.FailureDomain != b.settings.FailureDomain {
+			domains = append(domains, upstream.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
+// listedElsewhere returns the live boxes of other failure domains that did not
+// fail lately, by domain.
+func (b *Box) listedElsewhere() []platform.ListedBox {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	found := []platform.ListedBox{}
+	for domain, list := range b.fleet.lists {
+		if domain == b.settings.FailureDomain {
+			continue
+		}
+		for _, listed := range list.Boxes {
+			usable := listed.State == platform.BoxLive && listed.PeerAddress != ""
+			if usable && b.clock.Now()-b.fleet.failed[listed.Name] > peerFailMs {
+				found = append(found, listed)
+			}
+		}
+	}
+	slices.SortFunc(found, func(x, y platform.ListedBox) int { return strings.Compare(x.Name, y.Name) })
+	return found
+}
+
+func (b *Box) peerFailed(name string) {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	b.fleet.failed[name] = b.clock.Now()
+}
+
+// remote picks a box of another failure domain that serves what a request asks
+// for. A session goes to the same one each time, where it is warm.
+func (b *Box) remote(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, bool) {
+	serving := domainsServing(x)
+	candidates := slices.DeleteFunc(b.listedElsewhere(), func(listed platform.ListedBox) bool {
+		return !serving[listed.FailureDomain] || slices.Contains(tried, listed.Name)
+	})
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	hashes := make([]uint64, len(candidates))
+	for i, candidate := range candidates {
+		hashes[i] = route.HashName(candidate.Name)
+	}
+	chosen := candidates[route.Rank(x.Key, hashes)[0]]
+	return pool.NewRemoteLease(chosen.Name, chosen.PeerAddress, func(header http.Header) {
+		header.Set("Authorization", "Bearer "+b.keys.peers.Current())
+		header.Set(exchange.HeaderHop, "1")
+		header.Set(exchange.HeaderOrganisation, x.Organisation.Name)
+		header.Set(exchange.HeaderSession, x.Session)
+		header.Set(exchange.HeaderDeadline, strconv.FormatInt(int64(x.RemainingMs(b.clock.Now())), 10))
+	}, func(failed bool) {
+		if failed {
+			b.peerFailed(chosen.Name)
+		}
+	}), true
+}
+
+func domainsServing(x *exchange.Exchange) map[string]bool {
+	kind := table.KindEngine
+	if x.Kind == exchange.Service {
+		kind = table.KindService
+	}
+	serving := map[string]bool{}
+	for _, upstream := range x.State.Upstreams() {
+		if upstream.Kind == kind && !upstream.Draining && slices.Contains(upstream.Serves, x.Target) {
+			serving[upstream.FailureDomain] = true
+		}
+	}
+	return serving
+}
+
+// errNoPeer means that no peer could be asked.
+var errNoPeer = errors.New("no peer to ask")
--- /dev/null
+++ b/internal/callers/callers.go
@@ -0,0 +1,118 @@
+// Package callers is the interface that callers see: chats, plain services,
+// models and health.
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/oklog/ulid/v2"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"dooryard.example/dooryard/internal/apierror"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/table"
+)
+
+// Handler answers callers.
+type Handler struct {
+	serve  func(x *exchange.Exchange)
+	state  func() *table.State
+	ready  func() bool
+	tracer trace.Tracer
+	now    func() clock.Millis
+	mux    *http.ServeMux
+}
+
+// Dependencies are what the handler needs of its box.
+type Dependencies struct {
+	// Serve takes a request through the steps.
+	Serve func(x *exchange.Exchange)
+	// State returns the table in force.
+	State func() *table.State
+	// Ready tells whether the box takes new requests.
+	Ready  func() bool
+	Tracer trace.Tracer
+	Now    func() clock.Millis
+}
+
+// New returns the callers' interface.
+func New(d Dependencies) *Handler {
+	h := &Handler{serve: d.Serve, state: d.State, ready: d.Ready, tracer: d.Tracer, now: d.Now, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /v1/chat/completions", h.work(exchange.Chat, false))
+	h.mux.HandleFunc("/services/{service}/{path...}", h.work(exchange.Service, false))
+	h.mux.HandleFunc("GET /v1/models", h.models)
+	h.mux.HandleFunc("GET /healthz", h.health)
+	h.mux.HandleFunc("GET /readyz", h.readiness)
+	h.mux.HandleFunc("/", notFound)
+	return h
+}
+
+// PeerRoutes adds the calls of boxes that pass a request on to this one.
+func (h *Handler) PeerRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/chat/completions", h.work(exchange.Chat, true))
+	mux.HandleFunc("/services/{service}/{path...}", h.work(exchange.Service, true))
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func (h *Handler) work(kind exchange.Kind, fromPeer bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := ulid.Make().String()
+		if fromPeer {
+			id = r.Header.Get(headerRequestID)
+		}
+		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := h.tracer.Start(ctx, "router "+string(kind), trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		x := exchange.New(ctx, id, w, r, kind, h.now())
+		x.FromPeer = fromPeer
+		if fromPeer {
+			w.Header().Set(headerRequestID, id)
+		}
+		h.serve(x)
+	}
+}
+
+// headerRequestID carries the request's id between boxes as to upstreams.
+const headerRequestID = "X-Request-Id"
+
+// Models is the answer to GET /v1/models.
+type Models struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// Model is one entry of Models.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (h *Handler) models(w http.ResponseWriter, _ *http.Request) {
+	reply := Models{Object: "list", Data: []Model{}}
+	for _, name := range h.state().ModelNames() {
+		reply.Data = append(reply.Data, Model{ID: name, Object: "model", OwnedBy: "operators"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that is gone can't be told.
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func (*Handler) health(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (h *Handler) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !h.ready() {
+		apierror.New(http.StatusServiceUnavailable, "not_ready", "this box takes no new requests").Write(w)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	apierror.New(http.StatusNotFound, "not_found", "no such path or method").Write(w)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,180 @@
+// Package engine knows the wire form of the model engines: chat completions
+// over server-sent events, resume and cancel of streams, load reports, cache
+// events and fenced orders. No other package does.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// Headers of the engines' wire form.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderPriority  = "X-Priority"
+	HeaderDeadline  = "X-Deadline-Ms"
+	// HeaderNotRun is set to "true" by an upstream that refused a request and
+	// ran nothing of it.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderInFlight and HeaderQueued carry the load back on each answer.
+	HeaderInFlight = "X-Engine-In-Flight"
+	HeaderQueued   = "X-Engine-Queued"
+)
+
+// Done is the data of the event that closes a whole stream.
+const Done = "[DONE]"
+
+// Sentinel errors of the engines.
+var (
+	// ErrUnavailable means that the engine gave no usable answer.
+	ErrUnavailable = errors.New("engine unavailable")
+	// ErrStaleToken means that the engine has seen a newer fencing token.
+	ErrStaleToken = errors.New("stale fencing token")
+	// ErrBusy means that the engine is carrying out another order.
+	ErrBusy = errors.New("engine has an order outstanding")
+)
+
+const maxReplyBytes = 1 << 20
+
+// Load is an engine's lagged report of itself.
+type Load struct {
+	InFlight int          `json:"in_flight"`
+	Queued   int          `json:"queued"`
+	Slots    int          `json:"slots"`
+	Models   []string     `json:"models"`
+	Leaving  bool         `json:"leaving"`
+	AtMs     clock.Millis `json:"at_ms"`
+}
+
+// UnmarshalJSON decodes and checks a report.
+func (l *Load) UnmarshalJSON(data []byte) error {
+	type wire Load
+	var decoded wire
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fmt.Errorf("load report: %w", err)
+	}
+	if decoded.InFlight < 0 || decoded.Queued < 0 || decoded.Slots < 0 {
+		return errors.New("load report: negative count")
+	}
+	*l = Load(decoded)
+	return nil
+}
+
+// CacheEvent says that an engine stored or evicted a prompt prefix. Events come
+// late and with gaps in their sequence numbers.
+type CacheEvent struct {
+	Sequence int64  `json:"sequence"`
+	Prefix   uint64 `json:"prefix"`
+	Stored   bool   `json:"stored"`
+	Tokens   int    `json:"tokens"`
+}
+
+// Action is what an order asks for.
+type Action string
+
+// Actions of an order.
+const (
+	ActionLoad   Action = "load"
+	ActionUnload Action = "unload"
+)
+
+// Order asks an engine to load or unload a model. An engine that checks tokens
+// refuses one that is older than the newest it has seen.
+type Order struct {
+	ID     string `json:"id"`
+	Token  int64  `json:"token"`
+	Action Action `json:"action"`
+	Model  string `json:"model"`
+}
+
+// OrderState is what an engine says of its orders.
+type OrderState struct {
+	Models      []string `json:"models"`
+	NewestToken int64    `json:"newest_token"`
+	// Outstanding is the id of the order that is being carried out, or "".
+	Outstanding string `json:"outstanding"`
+}
+
+// Client calls one engine's side interface. The chat path is the forward step's.
+type Client struct {
+	URL    string
+	Client *http.Client
+}
+
+// Load returns the engine's newest load report.
+func (c Client) Load(ctx context.Context) (Load, error) {
+	var load Load
+	_, err := c.call(ctx, http.MethodGet, "/v1/load", nil, &load)
+	return load, err
+}
+
+// CacheEvents returns events from a sequence number on.
+func (c Client) CacheEvents(ctx context.Context, from int64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	_, err := c.call(ctx, http.MethodGet, "/v1/cache/events?from="+strconv.FormatInt(from, 10), nil, &events)
+	return events, err
+}
+
+// Orders returns the state of the engine's orders.
+func (c Client) Orders(ctx context.Context) (OrderState, error) {
+	var state OrderState
+	_, err := c.call(ctx, http.MethodGet, "/v1/orders", nil, &state)
+	return state, err
+}
+
+// Order gives an order. ErrStaleToken and ErrBusy mean that it was not taken;
+// ErrUnavailable leaves that open.
+func (c Client) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	status, err := c.call(ctx, http.MethodPost, "/v1/orders", body, nil)
+	switch status {
+	case http.StatusConflict:
+		return ErrStaleToken
+	case http.StatusTooEarly:
+		return ErrBusy
+	}
+	return err
+}
+
+// Cancel stops a stream and frees its slot.
+func (c Client) Cancel(ctx context.Context, requestID string) error {
+	_, err := c.call(ctx, http.MethodDelete, "/v1/streams/"+requestID, nil, nil)
+	return err
+}
+
+func (c Client) call(ctx context.Context, method, path string, body []byte, reply any) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("engine request: %w", err)
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return response.StatusCode, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return response.StatusCode, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	}
+	if reply == nil {
+		return response.StatusCode, nil
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return response.StatusCode, fmt.Errorf("%w: reply: %w", ErrUnavailable, err)
+	}
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/internal/load/caller.go
@@ -0,0 +1,302 @@
+// Package load sends chats and unrepeatable calls to a fleet as its users do,
+// checks every answer against the promises, and measures.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/engine"
+	"dooryard.example/dooryard/internal/exchange"
+)
+
+// Caller sends requests and checks the answers.
+type Caller struct {
+	Client *http.Client
+	Clock  clock.Clock
+}
+
+// Verdict says how an answer stands to the promises.
+type Verdict string
+
+// Verdicts of an answer. The last four are broken promises.
+const (
+	Whole Verdict = "whole"
+	// Refused is a clear error before any part of an answer.
+	Refused Verdict = "refused"
+	// Incomplete is an answer that ended in an explicit error event.
+	Incomplete Verdict = "incomplete"
+	// Broken is a connection that ended without any end of the answer.
+	Broken Verdict = "broken"
+	// CutAsWhole is an incomplete answer that looked complete.
+	CutAsWhole Verdict = "cut-as-whole"
+	// Crossed is an answer with parts of another request's.
+	Crossed Verdict = "crossed"
+	// Doubled is an answer with a part twice.
+	Doubled Verdict = "doubled"
+	// Late is an answer after the deadline.
+	Late Verdict = "late"
+)
+
+// Result is one request's end as its caller saw it.
+type Result struct {
+	Verdict      Verdict
+	Status       int
+	Outcome      exchange.Outcome
+	Upstream     string
+	RetryAfter   string
+	Attempts     int
+	FirstMs      clock.Millis
+	TookMs       clock.Millis
+	MaxGapMs     clock.Millis
+	Tokens       int
+	PromptTokens int
+	CachedTokens int
+	Err          error
+}
+
+// ChatRequest is one chat to send.
+type ChatRequest struct {
+	URL     string
+	Key     string
+	Session string
+	// Mark is a word that the stand-in engines repeat with each token.
+	Mark       string
+	Chat       engine.Chat
+	DeadlineMs clock.Millis
+	// Headers are more headers to set.
+	Headers map[string]string
+}
+
+var errNotWhole = errors.New("answer is not whole")
+
+// Chat sends a chat and checks its answer.
+func (c Caller) Chat(ctx context.Context, r ChatRequest) Result {
+	began := c.Clock.Now()
+	request, err := chatRequest(ctx, r)
+	if err != nil {
+		return Result{Verdict: Broken, Err: err}
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Result{Verdict: Broken, Err: err, TookMs: c.Clock.Now() - began}
+	}
+	defer func() { _ = response.Body.Close() }()
+	result := head(response)
+	switch {
+	case response.StatusCode != http.StatusOK:
+		result.Verdict = Refused
+		_, result.Err = io.Copy(io.Discard, response.Body)
+	case r.Chat.Stream:
+		c.readStream(response.Body, r, began, &result)
+	default:
+		readWhole(response.Body, r, &result)
+	}
+	result.TookMs = c.Clock.Now() - began
+	if result.Verdict == Whole && r.DeadlineMs > 0 && result.TookMs > r.DeadlineMs+lateMarginMs {
+		result.Verdict = Late
+	}
+	return result
+}
+
+// lateMarginMs allows for the way between router and caller.
+const lateMarginMs = 100
+
+func chatRequest(ctx context.Context, r ChatRequest) (*http.Request, error) {
+	body, err := json.Marshal(r.Chat)
+	if err != nil {
+		return nil, fmt.Errorf("encode chat: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.URL+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("chat request: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+r.Key)
+	request.Header.Set("Content-Type", "application/json")
+	if r.Session != "" {
+		request.Header.Set(exchange.HeaderSession, r.Session)
+	}
+	if r.DeadlineMs > 0 {
+		request.Header.Set(exchange.HeaderDeadline, strconv.FormatInt(int64(r.DeadlineMs), 10))
+	}
+	for name, value := range r.Headers {
+		request.Header.Set(name, value)
+	}
+	return request, nil
+}
+
+func head(response *http.Response) Result {
+	attempts, _ := strconv.Atoi(response.Header.Get(exchange.HeaderAttempts))
+	return Result{
+		Status:     response.StatusCode,
+		Outcome:    exchange.Outcome(response.Header.Get(exchange.HeaderOutcome)),
+		Upstream:   response.Header.Get(exchange.HeaderUpstream),
+		RetryAfter: response.Header.Get("Retry-After"),
+		Attempts:   attempts,
+	}
+}
+
+func readWhole(body io.Reader, r ChatRequest, result *Result) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		result.Verdict, result.Err = Broken, err
+		return
+	}
+	var completion engine.Completion
+	if err := json.Unmarshal(data, &completion); err != nil || len(completion.Choices) == 0 || completion.Usage == nil {
+		result.Verdict, result.Err = CutAsWhole, errors.Join(errNotWhole, err)
+		return
+	}
+	check := newTokenCheck(r.Mark)
+	check.add(completion.Choices[0].Message.Content)
+	result.finish(check, completion.Usage)
+}
+
+// readStream reads events up to the closing one.
+func (c Caller) readStream(body io.Reader, r ChatRequest, began clock.Millis, result *Result) {
+	check := newTokenCheck(r.Mark)
+	var usage *engine.Usage
+	last := began
+	for event, err := range engine.Events(body) {
+		if err != nil {
+			result.Verdict, result.Err = Broken, err
+			return
+		}
+		now := c.Clock.Now()
+		if result.FirstMs == 0 {
+			result.FirstMs = max(1, now-began)
+		} else {
+			result.MaxGapMs = max(result.MaxGapMs, now-last)
+		}
+		last = now
+		if event.Done() {
+			result.finish(check, usage)
+			return
+		}
+		var part chunk
+		if err := json.Unmarshal([]byte(event.Data), &part); err != nil || part.Error != nil {
+			result.Verdict, result.Err = Incomplete, errors.Join(errNotWhole, err)
+			return
+		}
+		if part.Usage != nil {
+			usage = part.Usage
+		}
+		if len(part.Choices) > 0 && part.Choices[0].Delta != nil {
+			check.add(part.Choices[0].Delta.Content)
+		}
+	}
+}
+
+// chunk is one part of a streamed answer, or its error event.
+type chunk struct {
+	engine.Completion
+	Error *struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+func (r *Result) finish(check *tokenCheck, usage *engine.Usage) {
+	r.Tokens = check.next
+	if usage != nil {
+		r.PromptTokens = usage.PromptTokens
+		r.CachedTokens = usage.Details.CachedTokens
+	}
+	r.Verdict = check.verdict
+	if r.Verdict == Whole && (usage == nil || usage.CompletionTokens != check.next) {
+		r.Verdict = CutAsWhole
+	}
+}
+
+// tokenCheck follows the numbered and marked tokens of a stand-in's answer.
+type tokenCheck struct {
+	mark    string
+	next    int
+	verdict Verdict
+}
+
+func newTokenCheck(mark string) *tokenCheck { return &tokenCheck{mark: mark, verdict: Whole} }
+
+func (t *tokenCheck) add(content string) {
+	for token := range strings.FieldsSeq(content) {
+		mark, number, _ := strings.Cut(token, ":")
+		index, err := strconv.Atoi(number)
+		switch {
+		case t.verdict != Whole:
+			return
+		case err != nil || mark != t.mark:
+			t.verdict = Crossed
+		case index < t.next:
+			t.verdict = Doubled
+		case index > t.next:
+			t.verdict = CutAsWhole
+		default:
+			t.next++
+		}
+	}
+}
+
+// Filing is one unrepeatable call of a plain service.
+type Filing struct {
+	URL        string
+	Key        string
+	Service    string
+	Path       string
+	Idempotent string
+	Body       string
+	DeadlineMs clock.Millis
+}
+
+// File sends an unrepeatable call.
+func (c Caller) File(ctx context.Context, f Filing) Result {
+	began := c.Clock.Now()
+	url := f.URL + "/services/" + f.Service + f.Path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(f.Body))
+	if err != nil {
+		return Result{Verdict: Broken, Err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+f.Key)
+	if f.Idempotent != "" {
+		request.Header.Set(exchange.HeaderIdempotencyKey, f.Idempotent)
+	}
+	if f.DeadlineMs > 0 {
+		request.Header.Set(exchange.HeaderDeadline, strconv.FormatInt(int64(f.DeadlineMs), 10))
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Result{Verdict: Broken, Err: err, TookMs: c.Clock.Now() - began}
+	}
+	defer func() { _ = response.Body.Close() }()
+	result := head(response)
+	data, err := io.ReadAll(response.Body)
+	result.TookMs = c.Clock.Now() - began
+	result.Verdict, result.Err = judgeFiling(f, response.StatusCode, data, err)
+	return result
+}
+
+func judgeFiling(f Filing, status int, data []byte, err error) (Verdict, error) {
+	if err != nil {
+		return Broken, err
+	}
+	if status >= http.StatusBadRequest {
+		return Refused, nil
+	}
+	var reply struct {
+		Key  string `json:"key"`
+		Body string `json:"body"`
+	}
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return CutAsWhole, err
+	}
+	if reply.Key != f.Idempotent || reply.Body != f.Body {
+		return Crossed, nil
+	}
+	return Whole, nil
+}
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,201 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// Counter counts bytes.
+type Counter interface{ Add(delta int64) }
+
+// Counters are the bytes on the socket and the datagrams that were dropped.
+type Counters struct {
+	Sent, Received, Rejected Counter
+}
+
+// Gossip runs a Node on a UDP socket. It is safe for concurrent use.
+type Gossip struct {
+	conn     net.PacketConn
+	clock    clock.Clock
+	logger   *zap.Logger
+	counters Counters
+	period   clock.Millis
+	onChange func(live []string)
+	facts    func() Facts
+
+	mu   sync.Mutex
+	node *Node
+}
+
+// GossipOption changes a Gossip under construction.
+type GossipOption func(*Gossip)
+
+// WithClock replaces the system clock.
+func WithClock(c clock.Clock) GossipOption { return func(g *Gossip) { g.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(logger *zap.Logger) GossipOption { return func(g *Gossip) { g.logger = logger } }
+
+// WithOnChange has a function called with the live boxes when they change.
+func WithOnChange(onChange func(live []string)) GossipOption {
+	return func(g *Gossip) { g.onChange = onChange }
+}
+
+// WithFacts sets the source of what this box tells of itself.
+func WithFacts(facts func() Facts) GossipOption { return func(g *Gossip) { g.facts = facts } }
+
+// NewGossip returns a gossip around a node and its socket.
+func NewGossip(node *Node, conn net.PacketConn, counters Counters, options ...GossipOption) *Gossip {
+	g := &Gossip{
+		conn: conn, clock: clock.New(), logger: zap.NewNop(), counters: counters, node: node,
+		period: node.settings.PeriodMs, onChange: func([]string) {}, facts: func() Facts { return Facts{} },
+	}
+	for _, option := range options {
+		option(g)
+	}
+	return g
+}
+
+// Address returns the address of the socket.
+func (g *Gossip) Address() string { return g.conn.LocalAddr().String() }
+
+// Run speaks the protocol until the context ends; then it closes the socket.
+func (g *Gossip) Run(ctx context.Context) {
+	group := sync.WaitGroup{}
+	group.Go(func() { g.receiveLoop(ctx) })
+	g.clock.Every(ctx, g.period, g.tick)
+	_ = g.conn.Close()
+	group.Wait()
+}
+
+// factsEvery is how many periods pass between two versions of this box's facts.
+const factsEvery = 4
+
+func (g *Gossip) tick(now clock.Millis) {
+	g.mu.Lock()
+	if g.node.period%factsEvery == 0 {
+		g.node.SetFacts(g.facts())
+	}
+	out := g.node.Tick(now)
+	g.mu.Unlock()
+	g.send(out)
+	g.report()
+}
+
+func (g *Gossip) receiveLoop(ctx context.Context) {
+	buffer := make([]byte, maxPacketBytes+1)
+	for ctx.Err() == nil {
+		length, from, err := g.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		g.counters.Received.Add(int64(length))
+		g.receive(from.String(), buffer[:length])
+	}
+}
+
+func (g *Gossip) receive(from string, data []byte) {
+	g.mu.Lock()
+	out, err := g.node.Receive(g.clock.Now(), from, data)
+	g.mu.Unlock()
+	if err != nil {
+		g.counters.Rejected.Add(1)
+		g.logger.Debug("datagram dropped", zap.String("from", from), zap.Error(err))
+		return
+	}
+	g.send(out)
+	g.report()
+}
+
+func (g *Gossip) send(out []Outgoing) {
+	for _, o := range out {
+		address, err := net.ResolveUDPAddr("udp", o.Address)
+		if err != nil {
+			continue
+		}
+		if _, err := g.conn.WriteTo(o.Data, address); err == nil {
+			g.counters.Sent.Add(int64(len(o.Data)))
+		}
+	}
+}
+
+func (g *Gossip) report() {
+	g.mu.Lock()
+	changed := g.node.TakeChanged()
+	live := g.node.Live()
+	g.mu.Unlock()
+	if changed {
+		g.logger.Info("live boxes changed", zap.Strings("live", live))
+		g.onChange(live)
+	}
+}
+
+// Join asks the boxes at these addresses to let this one in.
+func (g *Gossip) Join(addresses []string) {
+	for _, address := range addresses {
+		g.mu.Lock()
+		out := g.node.Join(address)
+		g.mu.Unlock()
+		g.send(out)
+	}
+}
+
+// SetListed takes over the platform's list of this failure domain.
+func (g *Gossip) SetListed(addresses map[string]string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.SetListed(addresses)
+}
+
+// Leave tells other boxes that this one stops as planned.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	out := g.node.Leave()
+	g.mu.Unlock()
+	g.send(out)
+}
+
+// Members returns the other boxes.
+func (g *Gossip) Members() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Members()
+}
+
+// Live returns the names of the live boxes, this one included.
+func (g *Gossip) Live() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Live()
+}
+
+// FactsOf returns what each other live box last told of itself.
+func (g *Gossip) FactsOf() map[string]Facts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.FactsOf()
+}
+
+// DomainFacts returns the sums of other failure domains heard within a span.
+func (g *Gossip) DomainFacts(span clock.Millis) map[ID]Facts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.DomainFacts(g.clock.Now(), span)
+}
+
+// Bridge tells a box of another failure domain the sums of this one.
+func (g *Gossip) Bridge(address string, domain ID, sums Facts) {
+	g.mu.Lock()
+	out := g.node.Bridge(address, domain, g.clock.Now(), sums)
+	g.mu.Unlock()
+	g.send(out)
+}
--- /dev/null
+++ b/internal/membership/node.go
@@ -0,0 +1,442 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// Settings are the times of the protocol.
+type Settings struct {
+	// PeriodMs is the time between two pings of one box.
+	PeriodMs clock.Millis
+	// RemoveMs is how long a box may be silent, from its first unanswered ping
+	// on, before it is removed. It is above the longest pause that a healthy
+	// box may make.
+	RemoveMs clock.Millis
+	// ForgetMs is how long a box that is gone is remembered.
+	ForgetMs clock.Millis
+}
+
+// DefaultSettings notice a dead box in under 5 s and keep one that pauses 3 s.
+func DefaultSettings() Settings {
+	return Settings{PeriodMs: 300, RemoveMs: 3900, ForgetMs: 10 * 60 * clock.Second}
+}
+
+// Outgoing is a datagram to send.
+type Outgoing struct {
+	Address string
+	Data    []byte
+}
+
+// Node is one box's part of the protocol. It belongs to one goroutine at a time.
+type Node struct {
+	settings Settings
+	self     Box
+	id       ID
+	random   *rand.Rand
+	keys     func() []string
+
+	incarnation uint32
+	leaving     bool
+	members     map[ID]*member
+	sequence    uint32
+	period      uint64
+	ring        []ID
+	probes      map[uint32]*probe
+	relays      map[uint32]relay
+	news        *news
+	facts       *factBook
+	listed      map[string]string
+	changed     bool
+	alive       int
+}
+
+// member is what this box knows of another one.
+type member struct {
+	box         Box
+	incarnation uint32
+	status      Status
+	// silentSince is the instant of the first unanswered ping of a suspect.
+	silentSince clock.Millis
+	goneMs      clock.Millis
+}
+
+// probe is a ping that waits for its answer.
+type probe struct {
+	target  ID
+	sentMs  clock.Millis
+	relayed bool
+}
+
+// relay is a ping made for another box.
+type relay struct {
+	origin   ID
+	sequence uint32
+	sentMs   clock.Millis
+}
+
+// Option changes a Node under construction.
+type Option func(*Node)
+
+// WithRandom sets the source of random choices.
+func WithRandom(random *rand.Rand) Option { return func(n *Node) { n.random = random } }
+
+// WithSettings sets the times of the protocol.
+func WithSettings(settings Settings) Option { return func(n *Node) { n.settings = settings } }
+
+// NewNode returns a box that knows nobody. The incarnation must be higher than
+// that of an earlier process under the same name; the start time in seconds is.
+func NewNode(self Box, incarnation uint32, keys func() []string, options ...Option) *Node {
+	n := &Node{
+		settings: DefaultSettings(), self: self, id: NewID(self.Name), keys: keys, incarnation: incarnation,
+		random:  rand.New(rand.NewPCG(uint64(NewID(self.Name)), uint64(incarnation))),
+		members: map[ID]*member{}, probes: map[uint32]*probe{}, relays: map[uint32]relay{},
+		news: newNews(), facts: newFactBook(incarnation), listed: map[string]string{},
+	}
+	for _, option := range options {
+		option(n)
+	}
+	n.announce()
+	return n
+}
+
+// announce spreads that this box lives.
+func (n *Node) announce() {
+	n.news.add(update{ID: n.id, Incarnation: n.incarnation, Status: Alive, Box: &n.self}, n.size())
+}
+
+// Member is a box as others see it.
+type Member struct {
+	Box
+	Status      Status
+	Incarnation uint32
+}
+
+// Members returns the other boxes that were ever heard of and not yet forgotten,
+// by name.
+func (n *Node) Members() []Member {
+	members := make([]Member, 0, len(n.members))
+	for _, m := range n.members {
+		members = append(members, Member{Box: m.box, Status: m.status, Incarnation: m.incarnation})
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// Live returns the names of the live boxes, this one included, sorted. A suspect
+// lives until it is removed.
+func (n *Node) Live() []string {
+	names := []string{}
+	if !n.leaving {
+		names = append(names, n.self.Name)
+	}
+	for _, m := range n.members {
+		if m.status <= Suspect {
+			names = append(names, m.box.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TakeChanged tells whether the live boxes changed since the last call.
+func (n *Node) TakeChanged() bool {
+	changed := n.changed
+	n.changed = false
+	return changed
+}
+
+// SetListed takes over the platform's list: gossip addresses by name. Listed
+// boxes that are not known are asked to let this box in.
+func (n *Node) SetListed(addresses map[string]string) { n.listed = addresses }
+
+// SetFacts sets what this box tells of itself.
+func (n *Node) SetFacts(facts Facts) { n.facts.setOwn(n.id, facts) }
+
+// FactsOf returns what each other live box last told, by name.
+func (n *Node) FactsOf() map[string]Facts {
+	found := map[string]Facts{}
+	for id, m := range n.members {
+		if entry, known := n.facts.entries[id]; known && m.status <= Suspect {
+			found[m.box.Name] = entry.Facts
+		}
+	}
+	return found
+}
+
+// DomainFacts returns the sums of other failure domains that were heard within
+// a span, by the id of their name.
+func (n *Node) DomainFacts(now, span clock.Millis) map[ID]Facts {
+	found := map[ID]Facts{}
+	for id, entry := range n.facts.entries {
+		if entry.Facts.Boxes > 0 && now-entry.heardMs <= span {
+			found[id] = entry.Facts
+		}
+	}
+	return found
+}
+
+// Bridge tells the box at an address, of another failure domain, the sums of
+// this one. The version is the time in seconds, so that any box may tell them.
+func (n *Node) Bridge(address string, domain ID, now clock.Millis, sums Facts) []Outgoing {
+	n.sequence++
+	p := n.packet(kindBridge, n.sequence)
+	p.Facts = []factEntry{{ID: domain, Version: uint32(now / clock.Second), Facts: sums}}
+	return n.send(address, p)
+}
+
+func (n *Node) size() int { return n.alive + 1 }
+
+// Leave tells some boxes that this one stops as planned.
+func (n *Node) Leave() []Outgoing {
+	n.leaving = true
+	n.changed = true
+	n.news.add(update{ID: n.id, Incarnation: n.incarnation, Status: Left}, n.size())
+	return n.pingSome(leaveFanout)
+}
+
+const (
+	leaveFanout  = 8
+	refuteFanout = 8
+	relayFanout  = 3
+	joinFanout   = 3
+	// rejoinEvery is how many periods pass between two tries to reach boxes
+	// that are listed, or were removed, and don't answer.
+	rejoinEvery = 16
+)
+
+func (n *Node) pingSome(count int) []Outgoing {
+	out := []Outgoing{}
+	for _, id := range n.randomLive(count) {
+		out = append(out, n.ping(id, 0)...)
+	}
+	return out
+}
+
+// Tick does a period's work: it judges unanswered pings, removes silent boxes
+// and sends this period's ping.
+func (n *Node) Tick(now clock.Millis) []Outgoing {
+	n.period++
+	out := n.judgeProbes(now)
+	n.removeSilent(now)
+	if target, found := n.nextTarget(); found {
+		out = append(out, n.ping(target, now)...)
+	}
+	if n.period%rejoinEvery == 1 || n.alive == 0 {
+		out = append(out, n.rejoin()...)
+	}
+	return out
+}
+
+// judgeProbes asks others to try a box that left a ping unanswered for a period
+// and, when that brought nothing in two more, makes it a suspect.
+func (n *Node) judgeProbes(now clock.Millis) []Outgoing {
+	out := []Outgoing{}
+	for _, sequence := range n.probeOrder() {
+		p := n.probes[sequence]
+		age := now - p.sentMs
+		if !p.relayed && age >= n.settings.PeriodMs {
+			p.relayed = true
+			out = append(out, n.askRelays(sequence, p.target)...)
+		}
+		if age >= suspectPeriods*n.settings.PeriodMs {
+			delete(n.probes, sequence)
+			n.suspect(p.target, p.sentMs, now)
+		}
+	}
+	for sequence, r := range n.relays {
+		if now-r.sentMs > suspectPeriods*n.settings.PeriodMs {
+			delete(n.relays, sequence)
+		}
+	}
+	return out
+}
+
+const suspectPeriods = 3
+
+// probeOrder keeps runs with the same seed the same.
+func (n *Node) probeOrder() []uint32 {
+	sequences := make([]uint32, 0, len(n.probes))
+	for sequence := range n.probes {
+		sequences = append(sequences, sequence)
+	}
+	slices.Sort(sequences)
+	return sequences
+}
+
+func (n *Node) suspect(id ID, since, now clock.Millis) {
+	m := n.members[id]
+	if m == nil || m.status != Alive {
+		return
+	}
+	m.status = Suspect
+	m.silentSince = since
+	n.news.add(update{ID: id, Incarnation: m.incarnation, Status: Suspect, SilentMs: uint32(now - since)}, n.size())
+}
+
+func (n *Node) removeSilent(now clock.Millis) {
+	for id, m := range n.members {
+		switch {
+		case m.status == Suspect && now-m.silentSince >= n.settings.RemoveMs:
+			n.remove(id, m, Dead, now)
+			n.news.add(update{ID: id, Incarnation: m.incarnation, Status: Dead}, n.size())
+		case m.status > Suspect && now-m.goneMs >= n.settings.ForgetMs:
+			delete(n.members, id)
+		}
+	}
+}
+
+func (n *Node) remove(id ID, m *member, status Status, now clock.Millis) {
+	if m.status <= Suspect {
+		n.alive--
+		n.changed = true
+	}
+	m.status = status
+	m.goneMs = now
+	n.facts.forget(id)
+}
+
+// nextTarget alternates between the next live box in the order of ids, which
+// every box does, so that each is pinged every other period by its predecessor,
+// and a walk through all in random order.
+func (n *Node) nextTarget() (ID, bool) {
+	if n.period%2 == 0 {
+		if id, found := n.successor(); found {
+			return id, true
+		}
+	}
+	return n.nextInRing()
+}
+
+func (n *Node) successor() (ID, bool) {
+	best, lowest := ID(0), ID(0)
+	foundBest, foundAny := false, false
+	for id, m := range n.members {
+		if m.status != Alive {
+			continue
+		}
+		if !foundAny || id < lowest {
+			lowest, foundAny = id, true
+		}
+		if id > n.id && (!foundBest || id < best) {
+			best, foundBest = id, true
+		}
+	}
+	if foundBest {
+		return best, true
+	}
+	return lowest, foundAny
+}
+
+func (n *Node) nextInRing() (ID, bool) {
+	for range 2 {
+		for len(n.ring) > 0 {
+			id := n.ring[0]
+			n.ring = n.ring[1:]
+			if m := n.members[id]; m != nil && m.status <= Suspect {
+				return id, true
+			}
+		}
+		n.ring = n.randomLive(len(n.members))
+	}
+	return 0, false
+}
+
+// randomLive returns up to count live boxes in random order.
+func (n *Node) randomLive(count int) []ID {
+	ids := make([]ID, 0, len(n.members))
+	for id, m := range n.members {
+		if m.status <= Suspect {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	n.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(count, len(ids))]
+}
+
+func (n *Node) ping(target ID, now clock.Millis) []Outgoing {
+	m := n.members[target]
+	n.sequence++
+	if now > 0 {
+		n.probes[n.sequence] = &probe{target: target, sentMs: now}
+	}
+	p := n.packet(kindPing, n.sequence)
+	if m.status != Alive {
+		// A suspect has to hear of it to contradict.
+		p.Updates = append(p.Updates, update{ID: target, Incarnation: m.incarnation, Status: m.status})
+	}
+	return n.send(m.box.GossipAddress, p)
+}
+
+func (n *Node) askRelays(sequence uint32, target ID) []Outgoing {
+	out := []Outgoing{}
+	for _, id := range n.randomLive(relayFanout + 1) {
+		if id == target || len(out) == relayFanout {
+			continue
+		}
+		p := n.packet(kindRelay, sequence)
+		p.Target = target
+		out = append(out, n.send(n.members[id].box.GossipAddress, p)...)
+	}
+	return out
+}
+
+// rejoin tries a few boxes that should live and are not known to.
+func (n *Node) rejoin() []Outgoing {
+	addresses := []string{}
+	for name, address := range n.listed {
+		m := n.members[NewID(name)]
+		if name != n.self.Name && (m == nil || m.status == Dead) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, m := range n.members {
+		if m.status == Dead {
+			addresses = append(addresses, m.box.GossipAddress)
+		}
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	n.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	out := []Outgoing{}
+	for _, address := range addresses[:min(joinFanout, len(addresses))] {
+		out = append(out, n.Join(address)...)
+	}
+	return out
+}
+
+// Join asks the box at an address for all members.
+func (n *Node) Join(address string) []Outgoing {
+	n.sequence++
+	p := n.packet(kindJoin, n.sequence)
+	if !n.leaving {
+		p.Updates = append(p.Updates, update{ID: n.id, Incarnation: n.incarnation, Status: Alive, Box: &n.self})
+	}
+	return n.send(address, p)
+}
+
+func (n *Node) packet(k kind, sequence uint32) *packet {
+	return &packet{Kind: k, Sequence: sequence, From: n.id, Incarnation: n.incarnation}
+}
+
+// send fills a packet with news and facts and seals it.
+func (n *Node) send(address string, p *packet) []Outgoing {
+	if p.Kind == kindPing || p.Kind == kindAck {
+		p.Updates = append(p.Updates, n.news.take(maxUpdates)...)
+		p.Facts = n.facts.take(maxFacts)
+	}
+	data, err := seal(n.keys()[0], p)
+	if err != nil || len(data) > maxPacketBytes {
+		return nil
+	}
+	return []Outgoing{{Address: address, Data: data}}
+}
+
+const (
+	maxUpdates = 6
+	maxFacts   = 2
+)
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,91 @@
+// Package metrics holds the counters that a box publishes through expvar.
+package metrics
+
+import (
+	"expvar"
+	"net/http"
+)
+
+// Metrics are the counters of one box. Names end in their unit where they have
+// one; counters count since the start of the process.
+type Metrics struct {
+	all *expvar.Map
+
+	Requests        *expvar.Int
+	Ran             *expvar.Int
+	NotRun          *expvar.Int
+	Unknown         *expvar.Int
+	Attempts        *expvar.Int
+	Retries         *expvar.Int
+	RetriesDenied   *expvar.Int
+	Resumes         *expvar.Int
+	CutStreams      *expvar.Int
+	CrossedAnswers  *expvar.Int
+	CallerGone      *expvar.Int
+	Queued          *expvar.Int
+	QueueRejected   *expvar.Int
+	LimitRejected   *expvar.Int
+	RemoteForwarded *expvar.Int
+	ClaimsWon       *expvar.Int
+	ClaimsLost      *expvar.Int
+	ClaimsRefused   *expvar.Int
+	EditsAccepted   *expvar.Int
+	EditsRejected   *expvar.Int
+	GossipSent      *expvar.Int
+	GossipReceived  *expvar.Int
+	GossipRejected  *expvar.Int
+	PeerSent        *expvar.Int
+	PeerReceived    *expvar.Int
+	OrdersGiven     *expvar.Int
+	OrdersRefused   *expvar.Int
+	SnapshotsMade   *expvar.Int
+	SnapshotAlarms  *expvar.Int
+}
+
+// New returns a set of counters at zero.
+func New() *Metrics {
+	m := &Metrics{all: new(expvar.Map).Init()}
+	for name, target := range map[string]**expvar.Int{
+		"requests": &m.Requests, "outcome_ran": &m.Ran, "outcome_not_run": &m.NotRun,
+		"outcome_unknown": &m.Unknown, "upstream_attempts": &m.Attempts,
+		"retries": &m.Retries, "retries_denied": &m.RetriesDenied,
+		"stream_resumes": &m.Resumes, "streams_cut": &m.CutStreams,
+		"answers_crossed": &m.CrossedAnswers, "callers_gone": &m.CallerGone,
+		"queued": &m.Queued, "queue_rejected": &m.QueueRejected,
+		"limit_rejected": &m.LimitRejected, "remote_forwarded": &m.RemoteForwarded,
+		"claims_won": &m.ClaimsWon, "claims_lost": &m.ClaimsLost,
+		"claims_refused": &m.ClaimsRefused, "edits_accepted": &m.EditsAccepted,
+		"edits_rejected": &m.EditsRejected, "gossip_sent_bytes": &m.GossipSent,
+		"gossip_received_bytes": &m.GossipReceived, "gossip_rejected": &m.GossipRejected,
+		"peer_sent_bytes": &m.PeerSent, "peer_received_bytes": &m.PeerReceived,
+		"orders_given": &m.OrdersGiven, "orders_refused": &m.OrdersRefused,
+		"snapshots_made": &m.SnapshotsMade, "snapshot_alarms": &m.SnapshotAlarms,
+	} {
+		*target = new(expvar.Int)
+		m.all.Set(name, *target)
+	}
+	return m
+}
+
+// Publish adds a value that is computed when it is read.
+func (m *Metrics) Publish(name string, value func() any) {
+	m.all.Set(name, expvar.Func(value))
+}
+
+// Values returns all counters by name; computed values are left out.
+func (m *Metrics) Values() map[string]int64 {
+	values := map[string]int64{}
+	m.all.Do(func(entry expvar.KeyValue) {
+		if counter, ok := entry.Value.(*expvar.Int); ok {
+			values[entry.Key] = counter.Value()
+		}
+	})
+	return values
+}
+
+// ServeHTTP answers with all values as JSON, in expvar's form.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	// A reader that is gone can't be told.
+	_, _ = w.Write([]byte(m.all.String()))
+}
--- /dev/null
+++ b/internal/operators/operators.go
@@ -0,0 +1,214 @@
+// Package operators is the interface that operators see: the table, the fleet's
+// status and why a request goes where it goes.
+package operators
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"dooryard.example/dooryard/internal/apierror"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/pool"
+	"dooryard.example/dooryard/internal/route"
+	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/tablestore"
+)
+
+// Bounds of a call.
+const (
+	maxEditBytes                 = 4 << 20
+	submitTimeoutMs              = 15 * clock.Second
+	maxWaitOffsetMs clock.Millis = 30_000
+)
+
+// Dependencies are what the handler needs of its box.
+type Dependencies struct {
+	Store   *tablestore.Store
+	Pools   *pool.Manager
+	Status  func() any
+	Drain   func()
+	Metrics http.Handler
+}
+
+// Handler answers operators.
+type Handler struct {
+	d   Dependencies
+	mux *http.ServeMux
+}
+
+// New returns the operators' interface.
+func New(d Dependencies) *Handler {
+	h := &Handler{d: d, mux: http.NewServeMux()}
+	h.mux.HandleFunc("GET /v1/table", h.table)
+	h.mux.HandleFunc("GET /v1/table/history", h.history)
+	h.mux.HandleFunc("POST /v1/table/edits", h.edit)
+	h.mux.HandleFunc("GET /v1/table/edits/{id}", h.verdict)
+	h.mux.HandleFunc("GET /v1/table/wait", h.wait)
+	h.mux.HandleFunc("GET /v1/status", h.status)
+	h.mux.HandleFunc("GET /v1/explain", h.explain)
+	h.mux.HandleFunc("POST /v1/drain", h.drain)
+	h.mux.Handle("GET /debug/vars", d.Metrics)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// TableReply is the whole table as operators see it.
+type TableReply struct {
+	Offset int64   `json:"offset"`
+	Sheets []Sheet `json:"sheets"`
+}
+
+// Sheet is one sheet of TableReply.
+type Sheet struct {
+	Name    string   `json:"name"`
+	Columns []string `json:"columns"`
+	Rows    []Row    `json:"rows"`
+}
+
+// Row is one row of Sheet; Cells are in the order of its columns.
+type Row struct {
+	Name  string       `json:"name"`
+	Cells []table.Cell `json:"cells"`
+}
+
+// NewTableReply returns the operators' form of a state.
+func NewTableReply(state *table.State) TableReply {
+	reply := TableReply{Offset: state.Offset(), Sheets: []Sheet{}}
+	for _, name := range table.SheetNames() {
+		sheet := Sheet{Name: name, Columns: table.Columns(name), Rows: []Row{}}
+		for _, row := range state.RowNames(name) {
+			sheet.Rows = append(sheet.Rows, Row{Name: row, Cells: state.Row(name, row)})
+		}
+		reply.Sheets = append(reply.Sheets, sheet)
+	}
+	return reply
+}
+
+func (h *Handler) table(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, NewTableReply(h.d.Store.State()))
+}
+
+func (h *Handler) history(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, append([]table.HistoryEntry{}, h.d.Store.State().History()...))
+}
+
+// edit answers with the verdict: 200 accepted, 409 conflict, 422 invalid, 202
+// when the verdict is unknown and the id must be asked for again, 503 when the
+// edit will never take hold.
+func (h *Handler) edit(w http.ResponseWriter, r *http.Request) {
+	edit, err := readEdit(w, r)
+	if err != nil {
+		apierror.New(http.StatusBadRequest, "bad_edit", err.Error()).Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeoutMs.Duration())
+	defer cancel()
+	verdict, err := h.d.Store.Submit(ctx, edit)
+	switch {
+	case errors.Is(err, tablestore.ErrVerdictUnknown):
+		writeStatusJSON(w, http.StatusAccepted, table.Verdict{ID: edit.ID})
+	case err != nil:
+		apierror.New(http.StatusServiceUnavailable, "not_appended",
+			"the edit was not taken: the log can't be written", apierror.WithRetryAfter(clock.Second)).Write(w)
+	default:
+		writeVerdict(w, verdict)
+	}
+}
+
+func readEdit(w http.ResponseWriter, r *http.Request) (table.Edit, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEditBytes))
+	if err != nil {
+		return table.Edit{}, err
+	}
+	var edit table.Edit
+	err = json.Unmarshal(data, &edit)
+	return edit, err
+}
+
+func writeVerdict(w http.ResponseWriter, verdict table.Verdict) {
+	status := http.StatusOK
+	switch verdict.Result {
+	case table.Conflict:
+		status = http.StatusConflict
+	case table.Invalid:
+		status = http.StatusUnprocessableEntity
+	case table.Accepted:
+	}
+	writeStatusJSON(w, status, verdict)
+}
+
+func (h *Handler) verdict(w http.ResponseWriter, r *http.Request) {
+	verdict, known := h.d.Store.State().Verdict(r.PathValue("id"))
+	if !known {
+		apierror.New(http.StatusNotFound, "unknown_edit", "no verdict on this edit is known here").Write(w)
+		return
+	}
+	writeVerdict(w, verdict)
+}
+
+// wait answers when the table in force has reached an offset.
+func (h *Handler) wait(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.ParseInt(r.URL.Query().Get("offset"), 10, 64)
+	if err != nil {
+		apierror.New(http.StatusBadRequest, "bad_offset", "offset: must be a whole number").Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), maxWaitOffsetMs.Duration())
+	defer cancel()
+	if err := h.d.Store.WaitFor(ctx, offset); err != nil {
+		apierror.New(http.StatusGatewayTimeout, "not_reached", err.Error()).Write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.d.Status()) }
+
+// ExplainReply says how a session's upstreams rank on this box now.
+type ExplainReply struct {
+	Organisation string              `json:"organisation"`
+	Session      string              `json:"session"`
+	Pool         string              `json:"pool"`
+	Ranking      []route.Explanation `json:"ranking"`
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	reply := ExplainReply{Organisation: query.Get("organisation"), Session: query.Get("session")}
+	reply.Pool = pool.PoolName(table.KindEngine, query.Get("model"))
+	if service := query.Get("service"); service != "" {
+		reply.Pool = pool.PoolName(table.KindService, service)
+	}
+	ranking, err := h.d.Pools.Explain(reply.Pool, route.NewKey(reply.Organisation, reply.Session))
+	if err != nil {
+		apierror.New(http.StatusNotFound, "no_upstream", err.Error()).Write(w)
+		return
+	}
+	reply.Ranking = ranking
+	writeJSON(w, reply)
+}
+
+func (h *Handler) drain(w http.ResponseWriter, _ *http.Request) {
+	h.d.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func writeJSON[T any](w http.ResponseWriter, value T) { writeStatusJSON(w, http.StatusOK, value) }
+
+func writeStatusJSON[T any](w http.ResponseWriter, status int, value T) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		apierror.New(http.StatusInternalServerError, "internal", "internal error").Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A reader that is gone can't be told.
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/pipe/settle/settle.go
@@ -0,0 +1,66 @@
+// Package settle is the last step of every request: it gives back what the
+// request held, counts its outcome and writes its log line.
+package settle
+
+import (
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/metrics"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// Pipe settles requests.
+type Pipe struct {
+	metrics *metrics.Metrics
+	logger  *zap.Logger
+	now     func() clock.Millis
+}
+
+// New returns the step.
+func New(m *metrics.Metrics, logger *zap.Logger, now func() clock.Millis) *Pipe {
+	return &Pipe{metrics: m, logger: logger, now: now}
+}
+
+// String names the step in logs.
+func (*Pipe) String() string { return "settle" }
+
+// Default has nothing to fill in.
+func (*Pipe) Default(*config.Router) {}
+
+// Run settles the exchange.
+func (p *Pipe) Run(x *exchange.Exchange) error {
+	x.Settle()
+	p.metrics.Requests.Add(1)
+	switch x.Outcome {
+	case exchange.Ran:
+		p.metrics.Ran.Add(1)
+	case exchange.NotRun:
+		p.metrics.NotRun.Add(1)
+	case exchange.Unknown:
+		p.metrics.Unknown.Add(1)
+	}
+	p.log(x)
+	return nil
+}
+
+func (p *Pipe) log(x *exchange.Exchange) {
+	if !p.logger.Core().Enabled(zap.InfoLevel) {
+		return
+	}
+	organisation, upstream := "", ""
+	if x.Organisation != nil {
+		organisation = x.Organisation.Name
+	}
+	if x.Lease != nil {
+		upstream = x.Lease.Row.Name
+	}
+	p.logger.Info("request",
+		zap.String("request", x.ID), zap.String("organisation", organisation),
+		zap.String("target", x.Target), zap.String("upstream", upstream),
+		zap.String("outcome", string(x.Outcome)), zap.Int("status", x.Writer.Status()),
+		zap.Int("attempts", x.Attempts), zap.Int64("bytes", x.Writer.Written()),
+		zap.Int64("took_ms", int64(p.now()-x.Arrived)),
+	)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,415 @@
+// Package pool holds the upstreams of this failure domain as this box sees
+// them, one pool for each model or service, and counts what runs on each.
+package pool
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/health"
+	"dooryard.example/dooryard/internal/route"
+	"dooryard.example/dooryard/internal/table"
+)
+
+// Settings are the limits of a Manager.
+type Settings struct {
+	Policy       route.Policy
+	BoundPercent int
+	SlowStartMs  clock.Millis
+	PanicPercent int
+	Health       health.Limits
+}
+
+// Fleet is what membership says, as far as pools depend on it.
+type Fleet struct {
+	// Boxes are the live boxes of this failure domain, this one included.
+	Boxes []string
+	// Leaving are upstreams that are about to go, by name.
+	Leaving map[string]bool
+}
+
+// Result is how an attempt on an upstream ended, for its health.
+type Result int
+
+// Results of an attempt.
+const (
+	// Neutral says nothing about the upstream's health.
+	Neutral Result = iota
+	Succeeded
+	Failed
+)
+
+// upstream is the state of one upstream, shared by all pools it is in.
+type upstream struct {
+	row      *table.Upstream
+	joinedMs clock.Millis
+	health   health.Health
+	used     int
+	reported int
+	places   []place
+}
+
+// place is a position in a pool's view.
+type place struct {
+	pool     *pool
+	position int
+}
+
+type pool struct {
+	name     string
+	view     *route.View
+	members  []*upstream
+	inFlight map[string]int
+}
+
+// Manager holds all pools of a box. It is safe for concurrent use.
+type Manager struct {
+	settings Settings
+	domain   string
+	box      string
+	now      func() clock.Millis
+
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+	pools     map[string]*pool
+	fleet     Fleet
+	state     *table.State
+	started   bool
+}
+
+// New returns a manager without upstreams.
+func New(settings Settings, domain, box string, now func() clock.Millis) *Manager {
+	return &Manager{
+		settings: settings, domain: domain, box: box, now: now,
+		upstreams: map[string]*upstream{}, pools: map[string]*pool{},
+		fleet: Fleet{Boxes: []string{box}}, state: table.New(),
+	}
+}
+
+// PoolName is the name of the pool for a target of a kind.
+func PoolName(kind, target string) string { return kind + "/" + target }
+
+// SetTable takes a newer table into force.
+func (m *Manager) SetTable(state *table.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = state
+	m.rebuild()
+}
+
+// SetFleet takes a newer view of membership into force.
+func (m *Manager) SetFleet(fleet Fleet) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleet = fleet
+	m.rebuild()
+}
+
+// rebuild makes the pools anew, keeping counts and health by name.
+func (m *Manager) rebuild() {
+	now := m.now()
+	counts := map[string]map[string]int{}
+	for name, p := range m.pools {
+		counts[name] = p.counts()
+	}
+	members := m.collect(now)
+	m.pools = map[string]*pool{}
+	for name, list := range members {
+		m.pools[name] = m.newPool(name, list, counts[name])
+	}
+	m.started = m.started || len(m.upstreams) > 0
+}
+
+func (p *pool) counts() map[string]int {
+	counts := p.inFlight
+	for i := range p.view.Members {
+		counts[p.members[i].row.Name] = p.view.Members[i].InFlight
+	}
+	return counts
+}
+
+// collect refreshes the upstreams from the table and returns them by pool.
+func (m *Manager) collect(now clock.Millis) map[string][]*upstream {
+	kept := map[string]*upstream{}
+	byPool := map[string][]*upstream{}
+	for _, row := range m.state.Upstreams() {
+		if row.FailureDomain != m.domain {
+			continue
+		}
+		u := m.keep(row, now)
+		u.places = nil
+		kept[row.Name] = u
+		for _, target := range row.Serves {
+			name := PoolName(row.Kind, target)
+			byPool[name] = append(byPool[name], u)
+		}
+	}
+	m.upstreams = kept
+	return byPool
+}
+
+// keep returns the state of an upstream that is in the table. One that joins
+// after the first table starts slowly; one at a new address is a new one.
+func (m *Manager) keep(row *table.Upstream, now clock.Millis) *upstream {
+	old := m.upstreams[row.Name]
+	if old == nil || old.row.Address != row.Address {
+		joined := now
+		if !m.started {
+			joined = now - m.settings.SlowStartMs
+		}
+		return &upstream{row: row, joinedMs: joined}
+	}
+	if old.row.Draining && !row.Draining {
+		old.joinedMs = now
+	}
+	old.row = row
+	return old
+}
+
+func (m *Manager) newPool(name string, list []*upstream, counts map[string]int) *pool {
+	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.row.Name, b.row.Name) })
+	p := &pool{name: name, members: list, inFlight: map[string]int{}}
+	members := make([]route.Member, len(list))
+	for i, u := range list {
+		members[i] = m.member(u, counts[u.row.Name])
+		u.places = append(u.places, place{pool: p, position: i})
+	}
+	for name, count := range counts {
+		if count > 0 {
+			p.inFlight[name] = count
+		}
+	}
+	p.view = route.NewView(members, m.boundPercent(name), m.fleet.Boxes, m.box)
+	return p
+}
+
+func (m *Manager) boundPercent(poolName string) int {
+	for _, name := range m.state.ModelNames() {
+		if PoolName(table.KindEngine, name) != poolName {
+			continue
+		}
+		if bound := m.state.Model(name).LoadBoundPercent; bound > 0 {
+			return bound
+		}
+	}
+	return m.settings.BoundPercent
+}
+
+func (m *Manager) member(u *upstream, inFlight int) route.Member {
+	now := m.now()
+	return route.Member{
+		Name:     u.row.Name,
+		Weight:   route.SlowStartWeight(u.row.Weight, u.joinedMs, now, m.settings.SlowStartMs),
+		InFlight: inFlight,
+		Used:     u.used,
+		Reported: u.reported,
+		Slots:    u.row.Slots,
+		Ejected:  u.health.Ejected(now),
+		Leaving:  u.row.Draining || m.fleet.Leaving[u.row.Name],
+	}
+}
+
+// Lease is the right to send one attempt to an upstream. Release it once.
+type Lease struct {
+	// Row is the upstream as the table had it when the lease was given.
+	Row *table.Upstream
+	// Remote is set when the upstream is a box of another failure domain; it
+	// adds what the peers' listener asks for.
+	Remote func(header http.Header)
+
+	manager  *Manager
+	judged   func(failed bool)
+	poolName string
+	released bool
+}
+
+// NewRemoteLease returns a lease on a box of another failure domain, which no
+// pool counts. Judged hears how its attempt ended.
+func NewRemoteLease(box, address string, remote func(header http.Header), judged func(failed bool)) *Lease {
+	return &Lease{Row: &table.Upstream{Name: box, Address: address}, Remote: remote, judged: judged}
+}
+
+// Tried names the upstreams that one request has had a lease on.
+type Tried []string
+
+// Acquire picks an upstream for a key. It wraps route.ErrNoUpstream or
+// route.ErrSaturated when there is none.
+func (m *Manager) Acquire(poolName string, key route.Key, tried Tried) (*Lease, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pools[poolName]
+	if p == nil {
+		return nil, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
+	}
+	position, err := m.settings.Policy.Pick(p.view, key, p.positions(tried))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s", err, poolName)
+	}
+	u := p.members[position]
+	p.view.Add(position, 1)
+	u.addUsed(1)
+	return &Lease{Row: u.row, manager: m, poolName: poolName}, nil
+}
+
+func (p *pool) positions(names Tried) route.Tried {
+	tried := route.Tried{}
+	for _, name := range names {
+		if at := p.position(name); at >= 0 {
+			tried = tried.With(at)
+		}
+	}
+	return tried
+}
+
+func (p *pool) position(name string) int {
+	at, found := slices.BinarySearchFunc(p.members, name, func(u *upstream, name string) int {
+		return strings.Compare(u.row.Name, name)
+	})
+	if !found {
+		return -1
+	}
+	return at
+}
+
+func (u *upstream) addUsed(change int) {
+	u.used += change
+	for _, place := range u.places {
+		place.pool.view.Members[place.position].Used = u.used
+	}
+}
+
+// Release gives the lease back and counts the result for the upstream's health.
+func (l *Lease) Release(result Result) {
+	m := l.manager
+	if m == nil {
+		l.judged(result == Failed)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.released {
+		return
+	}
+	l.released = true
+	m.release(l)
+	m.judge(l.Row.Name, result)
+}
+
+func (m *Manager) release(l *Lease) {
+	if u := m.upstreams[l.Row.Name]; u != nil && u.used > 0 {
+		u.addUsed(-1)
+	}
+	p := m.pools[l.poolName]
+	if p == nil {
+		return
+	}
+	if at := p.position(l.Row.Name); at >= 0 {
+		p.view.Add(at, -1)
+		return
+	}
+	p.inFlight[l.Row.Name]--
+}
+
+func (m *Manager) judge(name string, result Result) {
+	u := m.upstreams[name]
+	if u == nil {
+		return
+	}
+	switch result {
+	case Succeeded:
+		u.health = u.health.WithSuccess(m.now(), m.settings.Health)
+	case Failed:
+		u.health = u.health.WithFailure(m.now(), m.settings.Health)
+	case Neutral:
+		return
+	}
+	m.refresh(u, m.now())
+}
+
+// Refresh brings slow starts and ended ejections up to date; call it each
+// second.
+func (m *Manager) Refresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	for _, u := range m.upstreams {
+		m.refresh(u, now)
+	}
+}
+
+func (m *Manager) refresh(u *upstream, now clock.Millis) {
+	weight := route.SlowStartWeight(u.row.Weight, u.joinedMs, now, m.settings.SlowStartMs)
+	ejected := u.health.Ejected(now)
+	for _, place := range u.places {
+		place.pool.view.SetWeight(place.position, weight)
+		place.pool.view.SetEjected(place.position, ejected, m.settings.PanicPercent)
+	}
+}
+
+// Report takes in an upstream's own count of what it runs.
+func (m *Manager) Report(name string, inFlight int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.upstreams[name]
+	if u == nil {
+		return
+	}
+	u.reported = inFlight
+	for _, place := range u.places {
+		place.pool.view.Members[place.position].Reported = inFlight
+	}
+}
+
+// Load is what this box has in flight on one upstream.
+type Load struct {
+	Name     string `json:"name"`
+	Address  string `json:"address"`
+	InFlight int    `json:"in_flight"`
+	Reported int    `json:"reported"`
+	Weight   int    `json:"weight"`
+	Ejected  bool   `json:"ejected"`
+	Leaving  bool   `json:"leaving"`
+}
+
+// Loads returns the state of all upstreams, by name.
+func (m *Manager) Loads() []Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	loads := make([]Load, 0, len(m.upstreams))
+	for _, u := range m.upstreams {
+		member := m.member(u, u.used)
+		loads = append(loads, Load{
+			Name: u.row.Name, Address: u.row.Address, InFlight: u.used, Reported: u.reported,
+			Weight: member.Weight, Ejected: u.health.Ejected(now), Leaving: member.Leaving,
+		})
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return strings.Compare(a.Name, b.Name) })
+	return loads
+}
+
+// Explain returns how the pool ranks its members for a key now.
+func (m *Manager) Explain(poolName string, key route.Key) ([]route.Explanation, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pools[poolName]
+	if p == nil {
+		return nil, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
+	}
+	return m.settings.Policy.Explain(p.view, key), nil
+}
+
+// Capacity returns this box's part of a pool's slots, for the queue in front.
+func (m *Manager) Capacity(poolName string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pools[poolName]
+	if p == nil {
+		return 0
+	}
+	return p.view.Capacity()
+}
--- /dev/null
+++ b/internal/route/explain.go
@@ -0,0 +1,72 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Explanation says how one member stands for a key.
+type Explanation struct {
+	Rank     int    `json:"rank"`
+	Name     string `json:"name"`
+	Picked   bool   `json:"picked"`
+	Reason   string `json:"reason"`
+	InFlight int    `json:"in_flight"`
+	// Bound is what this box may have there now.
+	Bound    int `json:"bound"`
+	Reported int `json:"reported"`
+	Weight   int `json:"weight"`
+}
+
+// Reasons of an explanation.
+const (
+	ReasonOpen     = "open"
+	ReasonLeaving  = "leaving"
+	ReasonEjected  = "ejected"
+	ReasonNoWeight = "weight is 0"
+	ReasonSlots    = "at this box's part of its slots"
+	ReasonBound    = "at this box's part of the load bound"
+)
+
+// Explain returns the members as they rank for a key, first choice first, and
+// which one the policy takes now.
+func (p Policy) Explain(v *View, key Key) []Explanation {
+	order := make([]int, len(v.Members))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		x, y := &v.Members[a], &v.Members[b]
+		return cmp.Compare(score(key, x.ID, x.inverseWeight), score(key, y.ID, y.inverseWeight))
+	})
+	copied := *v
+	picked, err := p.Pick(&copied, key, Tried{})
+	explanations := make([]Explanation, 0, len(order))
+	for rank, position := range order {
+		m := &v.Members[position]
+		explanations = append(explanations, Explanation{
+			Rank: rank + 1, Name: m.Name, Picked: err == nil && position == picked,
+			Reason: v.reason(position), InFlight: m.InFlight,
+			Bound: int(v.boundShare(m)), Reported: m.Reported, Weight: m.Weight / weightUnit,
+		})
+	}
+	return explanations
+}
+
+func (v *View) reason(position int) string {
+	m := &v.Members[position]
+	switch {
+	case m.Leaving:
+		return ReasonLeaving
+	case m.Ejected:
+		return ReasonEjected
+	case m.Weight <= 0:
+		return ReasonNoWeight
+	case m.Used >= v.slotShare(m):
+		return ReasonSlots
+	case !v.withinOwnBound(position):
+		return ReasonBound
+	default:
+		return ReasonOpen
+	}
+}
--- /dev/null
+++ b/internal/route/policies.go
@@ -0,0 +1,94 @@
+package route
+
+// Names of the policies.
+const (
+	PolicyRandom          = "random"
+	PolicyRoundRobin      = "round-robin"
+	PolicyLeastReported   = "least-reported"
+	PolicyTwoChoices      = "two-choices"
+	PolicyRendezvous      = "rendezvous"
+	PolicyRendezvousBound = "rendezvous-own-bound"
+)
+
+// DefaultPolicy is the policy of a box whose settings name none.
+const DefaultPolicy = PolicyRendezvousBound
+
+// Policies returns every policy; the first ones are baselines to measure by.
+func Policies() []Policy {
+	return []Policy{
+		{Name: PolicyRandom, pick: pickRandom},
+		{Name: PolicyRoundRobin, pick: pickRoundRobin},
+		{Name: PolicyLeastReported, pick: pickLeastReported},
+		{Name: PolicyTwoChoices, pick: pickTwoChoices},
+		{Name: PolicyRendezvous, pick: pickRendezvous},
+		{Name: PolicyRendezvousBound, pick: pickRendezvousOwnBound},
+	}
+}
+
+// next returns a number that is different for each call, spread over 64 bits.
+func (v *View) next(key Key) uint64 {
+	v.sequence++
+	return mix(uint64(key) ^ v.sequence*0x9e3779b97f4a7c15)
+}
+
+// openFrom returns the first open member from a position on, in a circle.
+func (v *View) openFrom(start int, tried *Tried) int {
+	for i := range v.Members {
+		position := (start + i) % len(v.Members)
+		if v.open(position, tried) {
+			return position
+		}
+	}
+	return none
+}
+
+func pickRandom(v *View, key Key, tried *Tried) int {
+	if len(v.Members) == 0 {
+		return none
+	}
+	return v.openFrom(int(v.next(key)%uint64(len(v.Members))), tried)
+}
+
+func pickRoundRobin(v *View, _ Key, tried *Tried) int {
+	if len(v.Members) == 0 {
+		return none
+	}
+	v.sequence++
+	return v.openFrom(int(v.sequence%uint64(len(v.Members))), tried)
+}
+
+func reportedLoad(m *Member) int { return m.Reported }
+
+func pickLeastReported(v *View, _ Key, tried *Tried) int {
+	return v.leastBy(tried, reportedLoad)
+}
+
+func pickTwoChoices(v *View, key Key, tried *Tried) int {
+	first := pickRandom(v, key, tried)
+	second := pickRandom(v, key, tried)
+	if first == none || v.lessLoaded(second, first) {
+		return second
+	}
+	return first
+}
+
+func (v *View) lessLoaded(a, b int) bool {
+	x, y := &v.Members[a], &v.Members[b]
+	return (x.Reported+x.InFlight)*y.Weight < (y.Reported+y.InFlight)*x.Weight
+}
+
+func always(*View, int) bool { return true }
+
+func pickRendezvous(v *View, key Key, tried *Tried) int {
+	return v.firstByScore(key, tried, always)
+}
+
+func pickRendezvousOwnBound(v *View, key Key, tried *Tried) int {
+	position := v.firstByScore(key, tried, (*View).withinOwnBound)
+	if position != none {
+		return position
+	}
+	return v.leastBy(tried, ownLoad)
+}
+
+func ownLoad(m *Member) int { return m.InFlight }
--- /dev/null
+++ b/internal/route/score.go
@@ -0,0 +1,89 @@
+package route
+
+import (
+	"math"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key names a session within an organisation and a model for hashing.
+type Key uint64
+
+// NewKey returns the key of an organisation's session.
+func NewKey(organisation, session string) Key {
+	digest := xxhash.New()
+	// Writes to a digest never fail.
+	_, _ = digest.WriteString(organisation)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(session)
+	return Key(digest.Sum64())
+}
+
+// HashName returns the hash by which an upstream or a box takes part in
+// rendezvous hashing.
+func HashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Fixed-point forms: a logarithm has logBits fraction bits, an inverse weight is
+// inverseOne divided by the weight.
+const (
+	logBits    = 20
+	tableBits  = 8
+	inverseOne = 1 << 34
+	// MaxWeight is the largest effective weight; slow start needs fractions, so
+	// weights are counted in 1/weightUnit.
+	weightUnit = 100
+)
+
+// logTable holds log2(1+i/256) in fixed point, with one entry more for
+// interpolation. Integers keep the order of engines the same on every processor.
+var logTable = newLogTable()
+
+func newLogTable() [1<<tableBits + 1]uint32 {
+	var table [1<<tableBits + 1]uint32
+	for i := range table {
+		table[i] = uint32(math.Round(math.Log2(1+float64(i)/(1<<tableBits)) * (1 << logBits)))
+	}
+	return table
+}
+
+// negativeLog returns -log2(h/2^64) in fixed point, for h > 0.
+func negativeLog(h uint64) uint64 {
+	zeros := bits.LeadingZeros64(h)
+	fraction := h << (zeros + 1)
+	index := fraction >> (64 - tableBits)
+	rest := (fraction << tableBits) >> (64 - logBits)
+	low, high := uint64(logTable[index]), uint64(logTable[index+1])
+	logarithm := low + (high-low)*rest>>logBits
+	return uint64(zeros+1)<<logBits - logarithm
+}
+
+// mix spreads the bits of a combined hash (the finalizer of splitmix64).
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// score ranks a member for a key by weighted rendezvous hashing: the smallest
+// score is first, and a member is first for a part of all keys that is
+// proportional to its weight.
+func score(key Key, member, inverseWeight uint64) uint64 {
+	h := mix(uint64(key) ^ member)
+	return negativeLog(h|1) * inverseWeight
+}
+
+// Rank orders equally weighted members for a key, most preferred first, and
+// returns their positions.
+func Rank(key Key, members []uint64) []int {
+	order := make([]int, len(members))
+	scores := make([]uint64, len(members))
+	for i, member := range members {
+		order[i] = i
+		scores[i] = mix(uint64(key) ^ member)
+	}
+	sortByScore(order, scores, members)
+	return order
+}
--- /dev/null
+++ b/internal/route/view.go
@@ -0,0 +1,179 @@
+// Package route decides which engine takes a request. Decisions are pure
+// functions of a View: no clock, no I/O, no allocation.
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// Member is one upstream as a decision sees it.
+type Member struct {
+	Name string
+	// ID is the hash of the name.
+	ID uint64
+	// Weight is the effective weight in 1/100 of the table's; 0 takes nothing.
+	Weight int
+	// InFlight is what this box has running there for this model.
+	InFlight int
+	// Used is what this box has running there for all models.
+	Used int
+	// Reported is the newest known load from all boxes, which lags.
+	Reported int
+	// Slots is how many requests the upstream runs at once, from all boxes.
+	Slots int
+	// Ejected is set while the upstream is out for failures.
+	Ejected bool
+	// Leaving is set when the upstream takes no new work.
+	Leaving bool
+
+	inverseWeight uint64
+	// offset is this box's place in the split of the upstream's slots, 0 to 1.
+	offset float64
+}
+
+// usable tells whether new work may go to the member.
+func (m *Member) usable() bool { return !m.Leaving && !m.Ejected && m.Weight > 0 }
+
+// View is all that a decision depends on. It belongs to one goroutine at a time.
+type View struct {
+	Members []Member
+	// BoundPercent is the set multiple of the mean load.
+	BoundPercent int
+
+	total       int
+	totalWeight int
+	boxes       int
+	sequence    uint64
+}
+
+// NewView returns a view on the members with this box's place among the boxes
+// of the failure domain. The members' order must not matter to callers: it is
+// by name.
+func NewView(members []Member, boundPercent int, boxes []string, self string) *View {
+	v := &View{Members: slices.Clone(members), BoundPercent: boundPercent}
+	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range v.Members {
+		m := &v.Members[i]
+		m.ID = HashName(m.Name)
+		v.total += m.InFlight
+	}
+	v.refreshWeights()
+	v.placeBoxes(boxes, self)
+	return v
+}
+
+// refreshWeights recomputes what depends on the members' weights and health.
+func (v *View) refreshWeights() {
+	v.totalWeight = 0
+	for i := range v.Members {
+		m := &v.Members[i]
+		m.inverseWeight = 0
+		if m.Weight > 0 {
+			m.inverseWeight = inverseOne / uint64(m.Weight)
+		}
+		if m.usable() {
+			v.totalWeight += m.Weight
+		}
+	}
+}
+
+// placeBoxes gives this box a place among the boxes for each member, so that
+// the boxes round their parts of one bound up and down in turn.
+func (v *View) placeBoxes(boxes []string, self string) {
+	hashes := make([]uint64, len(boxes))
+	for i, box := range boxes {
+		hashes[i] = HashName(box)
+	}
+	v.boxes = max(1, len(boxes))
+	selfHash := HashName(self)
+	for i := range v.Members {
+		m := &v.Members[i]
+		place := 0
+		own := mix(m.ID ^ selfHash)
+		for _, h := range hashes {
+			if h != selfHash && mix(m.ID^h) < own {
+				place++
+			}
+		}
+		m.offset = (float64(place) + half) / float64(v.boxes)
+	}
+}
+
+const half = 0.5
+
+// Total returns what this box has in flight on all members.
+func (v *View) Total() int { return v.total }
+
+// Boxes returns how many boxes share the members.
+func (v *View) Boxes() int { return v.boxes }
+
+// Capacity returns this box's part of the slots of all usable members.
+func (v *View) Capacity() int {
+	capacity := 0
+	for i := range v.Members {
+		if v.Members[i].usable() {
+			capacity += v.slotShare(&v.Members[i])
+		}
+	}
+	return capacity
+}
+
+// Add changes this box's count in flight on a member.
+func (v *View) Add(index, change int) {
+	v.Members[index].InFlight += change
+	v.total += change
+}
+
+// SetWeight changes the effective weight of a member.
+func (v *View) SetWeight(index, weight int) {
+	if v.Members[index].Weight == weight {
+		return
+	}
+	v.Members[index].Weight = weight
+	v.refreshWeights()
+}
+
+// SetEjected changes whether a member is out for failures. At most panicPercent
+// of the members may be out at once; the call has no effect beyond that.
+func (v *View) SetEjected(index int, ejected bool, panicPercent int) {
+	if v.Members[index].Ejected == ejected {
+		return
+	}
+	if ejected && !v.mayEject(panicPercent) {
+		return
+	}
+	v.Members[index].Ejected = ejected
+	v.refreshWeights()
+}
+
+func (v *View) mayEject(panicPercent int) bool {
+	out, all := 1, 0
+	for i := range v.Members {
+		if v.Members[i].Leaving {
+			continue
+		}
+		all++
+		if v.Members[i].Ejected {
+			out++
+		}
+	}
+	return out*percent <= all*panicPercent
+}
+
+const percent = 100
+
+// SlowStartWeight returns the effective weight of an upstream that joined at an
+// instant: it grows from a tenth to the whole of the table's weight.
+func SlowStartWeight(weight int, joinedMs, now, slowStartMs clock.Millis) int {
+	age := now - joinedMs
+	if age >= slowStartMs || weight <= 0 {
+		return weight * weightUnit
+	}
+	least := max(1, weight*weightUnit/slowStartFloor)
+	return max(least, int(int64(weight)*weightUnit*int64(max(0, age))/int64(slowStartMs)))
+}
+
+const slowStartFloor = 10
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/platform"
+)
+
+// LogFaults are the faults of the log. All fields may be changed at any time
+// through Log.SetFaults.
+type LogFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// AppendsDown refuses appends only.
+	AppendsDown bool `json:"appends_down"`
+	// LoseReplies is how many of the next appends take effect and then lose
+	// their reply.
+	LoseReplies int `json:"lose_replies"`
+	// DelayMs is added to every call.
+	DelayMs clock.Millis `json:"delay_ms"`
+	// DownFor lists callers, by the X-Box header, that are cut off.
+	DownFor []string `json:"down_for"`
+}
+
+// HeaderBox names the calling box, for faults that cut off single boxes.
+const HeaderBox = "X-Box"
+
+// Log is an append-only log with numbered records, limited retention and a
+// limited rate of appends.
+type Log struct {
+	clock       clock.Clock
+	retentionMs clock.Millis
+	limiter     *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  LogFaults
+	appends int
+	reads   int
+}
+
+type stream struct {
+	first   int64
+	records []platform.Record
+	grown   chan struct{}
+}
+
+// LogOption changes a Log under construction.
+type LogOption func(*Log)
+
+// WithLogClock replaces the system clock.
+func WithLogClock(c clock.Clock) LogOption { return func(l *Log) { l.clock = c } }
+
+// WithRetention sets how long records are kept.
+func WithRetention(span clock.Millis) LogOption { return func(l *Log) { l.retentionMs = span } }
+
+// WithAppendRate limits appends a second.
+func WithAppendRate(perSecond int) LogOption {
+	return func(l *Log) { l.limiter = rate.NewLimiter(rate.Limit(perSecond), perSecond) }
+}
+
+const (
+	defaultAppendRate  = 400
+	defaultRetentionMs = 24 * 60 * 60 * clock.Second
+	maxWaitMs          = 30 * clock.Second
+	maxPageRecords     = 10_000
+	throttleStatus     = http.StatusTooManyRequests
+	downStatus         = http.StatusServiceUnavailable
+	lostStatus         = http.StatusGatewayTimeout
+	pathStream         = "stream"
+)
+
+// NewLog returns an empty log.
+func NewLog(options ...LogOption) *Log {
+	l := &Log{clock: clock.New(), retentionMs: defaultRetentionMs, streams: map[string]*stream{}}
+	WithAppendRate(defaultAppendRate)(l)
+	for _, option := range options {
+		option(l)
+	}
+	return l
+}
+
+// SetFaults changes the log's faults.
+func (l *Log) SetFaults(change func(*LogFaults)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.faults)
+}
+
+// Counts returns how many appends were taken and reads answered.
+func (l *Log) Counts() (appends, reads int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.reads
+}
+
+// Routes adds the log's calls to a mux.
+func (l *Log) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/logs/{stream}/records", l.serveAppend)
+	mux.HandleFunc("GET /v1/logs/{stream}/records", l.serveRead)
+	mux.HandleFunc("POST /standin/log/faults", l.serveFaults)
+}
+
+func (l *Log) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults LogFaults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	l.SetFaults(func(current *LogFaults) { *current = faults })
+	writeJSON(w, faults)
+}
+
+// begin applies delays and outages and tells whether the call goes on.
+func (l *Log) begin(w http.ResponseWriter, r *http.Request, isAppend bool) bool {
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	if faults.DelayMs > 0 && l.clock.Sleep(r.Context(), faults.DelayMs) != nil {
+		return false
+	}
+	if faults.Down || isAppend && faults.AppendsDown || slices.Contains(faults.DownFor, r.Header.Get(HeaderBox)) {
+		http.Error(w, "log is down", downStatus)
+		return false
+	}
+	return true
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var request platform.AppendRequest
+	if !readJSON(w, r, &request) || !l.begin(w, r, true) {
+		return
+	}
+	if !l.limiter.AllowN(l.clock.Now().Time(), 1) {
+		http.Error(w, "too many appends", throttleStatus)
+		return
+	}
+	offset, lost := l.take(r.PathValue(pathStream), request.Records)
+	if lost {
+		http.Error(w, "reply lost", lostStatus)
+		return
+	}
+	writeJSON(w, platform.AppendReply{Offset: offset})
+}
+
+func (l *Log) take(name string, records []json.RawMessage) (offset int64, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	offset = l.append(name, records)
+	if l.faults.LoseReplies > 0 {
+		l.faults.LoseReplies--
+		return offset, true
+	}
+	return offset, false
+}
+
+// Append adds records without going through the network.
+func (l *Log) Append(name string, records ...json.RawMessage) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.append(name, records)
+}
+
+func (l *Log) append(name string, records []json.RawMessage) int64 {
+	s := l.stream(name)
+	offset := s.first + int64(len(s.records))
+	now := l.clock.Now()
+	for i, data := range records {
+		s.records = append(s.records, platform.Record{Offset: offset + int64(i), TimeMs: now, Data: data})
+	}
+	l.expire(s, now)
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) expire(s *stream, now clock.Millis) {
+	done := 0
+	for done < len(s.records) && s.records[done].TimeMs+l.retentionMs <= now {
+		done++
+	}
+	s.records = s.records[done:]
+	s.first += int64(done)
+}
+
+// Expire forgets all records of a stream before an offset, as retention would.
+func (l *Log) Expire(name string, before int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	count := min(max(0, before-s.first), int64(len(s.records)))
+	s.records = s.records[count:]
+	s.first += count
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	if !l.begin(w, r, false) {
+		return
+	}
+	query := r.URL.Query()
+	from, fromErr := strconv.ParseInt(query.Get("from"), 10, 64)
+	limit, limitErr := strconv.Atoi(query.Get("limit"))
+	wait, waitErr := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if fromErr != nil || limitErr != nil || waitErr != nil || from < 0 || limit < 1 || wait < 0 {
+		http.Error(w, "from, limit and wait_ms must be whole numbers", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, l.Read(r, from, min(limit, maxPageRecords), min(clock.Millis(wait), maxWaitMs)))
+}
+
+// Read returns the records of the stream that a request names, after waiting
+// for the first one.
+func (l *Log) Read(r *http.Request, from int64, limit int, waitMs clock.Millis) platform.Page {
+	name := r.PathValue(pathStream)
+	until := l.clock.Now() + waitMs
+	for {
+		page, grown := l.page(name, from, limit)
+		remaining := until - l.clock.Now()
+		if len(page.Records) > 0 || from < page.FirstOffset || remaining <= 0 {
+			return page
+		}
+		if !l.wait(r, grown, remaining) {
+			return page
+		}
+	}
+}
+
+// wait returns true when the stream has grown within the span.
+func (l *Log) wait(r *http.Request, grown <-chan struct{}, span clock.Millis) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), span.Duration())
+	defer cancel()
+	select {
+	case <-grown:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Log) page(name string, from int64, limit int) (platform.Page, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	s := l.stream(name)
+	page := platform.Page{Records: []platform.Record{}, FirstOffset: s.first, EndOffset: s.first + int64(len(s.records))}
+	if from >= s.first && from < page.EndOffset {
+		rest := s.records[from-s.first:]
+		page.Records = rest[:min(limit, len(rest))]
+	}
+	return page, s.grown
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/engine"
+)
+
+// Server stands in for one server of a plain service. It counts how often each
+// key ran.
+type Server struct {
+	name   string
+	clock  clock.Clock
+	ledger *RunLedger
+
+	mu     sync.Mutex
+	faults ServerFaults
+}
+
+// ServerFaults are the faults of a plain service's server.
+type ServerFaults struct {
+	// DelayMs is the time a call takes.
+	DelayMs clock.Millis `json:"delay_ms"`
+	// DropAnswer runs the call and breaks the connection instead of answering.
+	DropAnswer bool `json:"drop_answer"`
+	// Fail answers with status 500 after the call ran.
+	Fail bool `json:"fail"`
+	// NoEcho leaves out the request's id.
+	NoEcho bool `json:"no_echo"`
+}
+
+// RunLedger counts the runs of each key over all servers of a service.
+type RunLedger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewRunLedger returns an empty ledger.
+func NewRunLedger() *RunLedger { return &RunLedger{runs: map[string]int{}} }
+
+// Add counts a run.
+func (l *RunLedger) Add(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[key]++
+}
+
+// Runs returns the runs of a key.
+func (l *RunLedger) Runs(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[key]
+}
+
+// All returns a copy of all runs by key.
+func (l *RunLedger) All() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := make(map[string]int, len(l.runs))
+	for key, count := range l.runs {
+		runs[key] = count
+	}
+	return runs
+}
+
+// NewServer returns a server that counts its runs in a ledger.
+func NewServer(name string, ledger *RunLedger, c clock.Clock) *Server {
+	return &Server{name: name, ledger: ledger, clock: c}
+}
+
+// SetFaults changes the server's faults.
+func (s *Server) SetFaults(change func(*ServerFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// ServiceReply is what a call answers.
+type ServiceReply struct {
+	Server string `json:"server"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key,omitempty"`
+	Body   string `json:"body,omitempty"`
+	Run    int    `json:"run"`
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost && r.URL.Path == "/standin/server/faults" {
+		s.serveFaults(w, r)
+		return
+	}
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.ledger.Add(key)
+	if s.clock.Sleep(r.Context(), faults.DelayMs) != nil || faults.DropAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if !faults.NoEcho {
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+	}
+	if faults.Fail {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	writeJSON(w, ServiceReply{
+		Server: s.name, Method: r.Method, Path: r.URL.Path, Key: key, Body: string(body), Run: s.ledger.Runs(key),
+	})
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults ServerFaults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	s.SetFaults(func(current *ServerFaults) { *current = faults })
+	writeJSON(w, faults)
+}
--- /dev/null
+++ b/internal/table/rows.go
@@ -0,0 +1,144 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// Values of the upstreams' columns.
+const (
+	KindEngine    = "engine"
+	KindService   = "service"
+	StateActive   = "active"
+	StateDraining = "draining"
+)
+
+// Defaults of empty cells.
+const (
+	defaultWeight = 100
+	defaultSlots  = 256
+)
+
+// Organisation is one row of the organisations sheet. Zero limits are none.
+type Organisation struct {
+	Name        string
+	KeyHash     string
+	Weight      int
+	RatePerS    int
+	MaxInFlight int
+	Priority    int
+}
+
+// Model is one row of the models sheet. Zero fields take the box's settings.
+type Model struct {
+	Name             string
+	DeadlineMs       clock.Millis
+	LoadBoundPercent int
+}
+
+// Upstream is one row of the upstreams sheet: an engine or a plain service's
+// server.
+type Upstream struct {
+	Name          string
+	Kind          string
+	Address       string
+	FailureDomain string
+	// Serves lists the models of an engine, or the services of a server.
+	Serves       []string
+	Weight       int
+	Draining     bool
+	Slots        int
+	ChecksTokens bool
+}
+
+// Service is one row of the services sheet.
+type Service struct {
+	Name       string
+	Repeatable []Rule
+	DeadlineMs clock.Millis
+}
+
+// Rule names calls of a service by method and path prefix; "*" is any method.
+type Rule struct {
+	Method string
+	Prefix string
+}
+
+// MayRepeat tells whether a call of the service may run more than once.
+func (s *Service) MayRepeat(method, path string) bool {
+	return slices.ContainsFunc(s.Repeatable, func(r Rule) bool {
+		return (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, r.Prefix)
+	})
+}
+
+// parseRules reads "GET /; POST /search".
+func parseRules(value string) ([]Rule, error) {
+	rules := []Rule{}
+	for _, part := range splitList(value) {
+		method, prefix, found := strings.Cut(part, " ")
+		if !found || !strings.HasPrefix(prefix, "/") || strings.ToUpper(method) != method {
+			return nil, fmt.Errorf("%q is not a method and a path prefix such as \"GET /\"", part)
+		}
+		rules = append(rules, Rule{Method: method, Prefix: prefix})
+	}
+	return rules, nil
+}
+
+func (r *row) text(name string) string {
+	at := r.columns.index(name)
+	return r.cells[at].Value
+}
+
+func (r *row) number(name string, otherwise int) int {
+	number, err := strconv.Atoi(r.text(name))
+	if err != nil {
+		return otherwise
+	}
+	return number
+}
+
+func (r *row) organisation(name string) *Organisation {
+	return &Organisation{
+		Name:        name,
+		KeyHash:     strings.ToLower(r.text("key_sha256")),
+		Weight:      r.number("weight", defaultWeight),
+		RatePerS:    r.number("rate_per_s", 0),
+		MaxInFlight: r.number("max_in_flight", 0),
+		Priority:    r.number("priority", 0),
+	}
+}
+
+func (r *row) model(name string) *Model {
+	return &Model{
+		Name:             name,
+		DeadlineMs:       clock.Millis(r.number("deadline_ms", 0)),
+		LoadBoundPercent: r.number("load_bound_percent", 0),
+	}
+}
+
+func (r *row) upstream(name string) *Upstream {
+	return &Upstream{
+		Name:          name,
+		Kind:          r.text("kind"),
+		Address:       r.text("address"),
+		FailureDomain: r.text("failure_domain"),
+		Serves:        splitList(r.text("serves")),
+		Weight:        r.number("weight", defaultWeight),
+		Draining:      r.text("state") == StateDraining,
+		Slots:         r.number("slots", defaultSlots),
+		ChecksTokens:  r.text("checks_tokens") == "true",
+	}
+}
+
+func (r *row) service(name string) *Service {
+	rules := []Rule{}
+	if value := r.text("repeatable"); value != "" {
+		// The cell was checked when it was accepted.
+		rules, _ = parseRules(value)
+	}
+	return &Service{Name: name, Repeatable: rules, DeadlineMs: clock.Millis(r.number("deadline_ms", 0))}
+}
--- /dev/null
+++ b/pkg/config/load.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// ErrInvalid marks every error that a settings file itself caused.
+var ErrInvalid = errors.New("invalid settings")
+
+// FieldError names the key of a settings file that has an unusable value. Key
+// is dotted, with list positions in brackets: "peers.contacts[1]".
+type FieldError struct {
+	Key    string
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return fmt.Sprintf("%s: %s", e.Key, e.Reason) }
+
+// Unwrap makes errors.Is(err, ErrInvalid) hold.
+func (e *FieldError) Unwrap() error { return ErrInvalid }
+
+// Checker is a settings type that checks its own values. Check returns
+// FieldErrors joined by errors.Join.
+type Checker interface {
+	Check() error
+}
+
+// LoadRouter reads and checks a router's settings file. Errors name the file,
+// the line and the key.
+func LoadRouter(path string) (Router, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Router{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return ParseRouter(path, data)
+}
+
+// ParseRouter decodes and checks the content of a router's settings file. The
+// name stands in errors.
+func ParseRouter(name string, data []byte) (Router, error) {
+	var settings Router
+	err := parse(name, data, &settings)
+	return settings, err
+}
+
+func parse(name string, data []byte, target Checker) error {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	err := decoder.Decode(target)
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: %s: the file is empty", ErrInvalid, name)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrInvalid, name, err)
+	}
+	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: %s: more than one YAML document", ErrInvalid, name)
+	}
+	return locate(name, data, target.Check())
+}
+
+// locate prefixes each FieldError with the file and the line of its key.
+func locate(name string, data []byte, err error) error {
+	if err == nil {
+		return nil
+	}
+	var document yaml.Node
+	if parseErr := yaml.Unmarshal(data, &document); parseErr != nil {
+		return fmt.Errorf("%w: %s: %w", ErrInvalid, name, parseErr)
+	}
+	located := []error{}
+	for _, field := range fieldErrors(err) {
+		line := lineOf(&document, field.Key)
+		located = append(located, fmt.Errorf("%s:%d: %w", name, line, field))
+	}
+	return errors.Join(located...)
+}
+
+func fieldErrors(err error) []*FieldError {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		fields := []*FieldError{}
+		for _, part := range joined.Unwrap() {
+			fields = append(fields, fieldErrors(part)...)
+		}
+		return fields
+	}
+	var field *FieldError
+	if errors.As(err, &field) {
+		return []*FieldError{field}
+	}
+	return []*FieldError{{Key: "(file)", Reason: err.Error()}}
+}
+
+// lineOf returns the line of the deepest part of the key that the file has.
+func lineOf(document *yaml.Node, key string) int {
+	node := document
+	if node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
+		node = node.Content[0]
+	}
+	line := node.Line
+	for part := range strings.SplitSeq(strings.ReplaceAll(key, "[", ".["), ".") {
+		next, at := child(node, part)
+		if next == nil {
+			return line
+		}
+		node, line = next, at
+	}
+	return line
+}
+
+// child returns the value under a mapping's key or at a sequence's position,
+// and the line where it is introduced.
+func child(node *yaml.Node, part string) (*yaml.Node, int) {
+	if node.Kind == yaml.SequenceNode {
+		var index int
+		if _, err := fmt.Sscanf(part, "[%d]", &index); err != nil || index < 0 || index >= len(node.Content) {
+			return nil, 0
+		}
+		return node.Content[index], node.Content[index].Line
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == part {
+			return node.Content[i+1], node.Content[i].Line
+		}
+	}
+	return nil, 0
+}
