--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -12,7 +12,6 @@
 
 // Times of the exchange of demand.
 const (
-	demandPeriodMs = clock.Second
 	// demandSmoothing is the part of an old estimate that stays each period.
 	demandSmoothing = 0.5
 	// forgetDemand is the rate below which an organisation is not heavy.
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -245,6 +244,3 @@
 	}
 	return serving
 }
-
-// errNoPeer means that no peer could be asked.
-var errNoPeer = errors.New("no peer to ask")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -99,7 +99,9 @@
 }
 
 // New returns an exchange for a request that arrived now.
-func New(ctx context.Context, id string, w http.ResponseWriter, r *http.Request, kind Kind, now clock.Millis) *Exchange {
+func New(
+	ctx context.Context, id string, w http.ResponseWriter, r *http.Request, kind Kind, now clock.Millis,
+) *Exchange {
 	return &Exchange{
 		ID: id, Writer: NewWriter(w), Request: r, Kind: kind, Arrived: now,
 		Outcome: NotRun, ctx: ctx,
@@ -127,9 +129,9 @@
 // PoolName returns the name of the pool that the request goes to.
 func (x *Exchange) PoolName() string {
 	if x.Kind == Chat {
-		return pool.PoolName(table.KindEngine, x.Target)
+		return pool.Name(table.KindEngine, x.Target)
 	}
-	return pool.PoolName(table.KindService, x.Target)
+	return pool.Name(table.KindService, x.Target)
 }
 
 // RemainingMs returns the time left before the deadline.
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -162,39 +162,55 @@
 
 // readStream reads events up to the closing one.
 func (c Caller) readStream(body io.Reader, r ChatRequest, began clock.Millis, result *Result) {
-	check := newTokenCheck(r.Mark)
-	var usage *engine.Usage
-	last := began
+	reading := &streamReading{check: newTokenCheck(r.Mark), lastMs: began, beganMs: began, result: result}
 	for event, err := range engine.Events(body) {
 		if err != nil {
 			result.Verdict, result.Err = Broken, err
 			return
 		}
-		now := c.Clock.Now()
-		if result.FirstMs == 0 {
-			result.FirstMs = max(1, now-began)
-		} else {
-			result.MaxGapMs = max(result.MaxGapMs, now-last)
-		}
-		last = now
+		reading.time(c.Clock.Now())
 		if event.Done() {
-			result.finish(check, usage)
+			result.finish(reading.check, reading.usage)
 			return
 		}
-		var part chunk
-		if err := json.Unmarshal([]byte(event.Data), &part); err != nil || part.Error != nil {
-			result.Verdict, result.Err = Incomplete, errors.Join(errNotWhole, err)
+		if err := reading.take(event); err != nil {
+			result.Verdict, result.Err = Incomplete, err
 			return
 		}
-		if part.Usage != nil {
-			usage = part.Usage
-		}
-		if len(part.Choices) > 0 && part.Choices[0].Delta != nil {
-			check.add(part.Choices[0].Delta.Content)
-		}
 	}
 }
 
+// streamReading is a streamed answer so far.
+type streamReading struct {
+	check           *tokenCheck
+	usage           *engine.Usage
+	beganMs, lastMs clock.Millis
+	result          *Result
+}
+
+func (s *streamReading) time(now clock.Millis) {
+	if s.result.FirstMs == 0 {
+		s.result.FirstMs = max(1, now-s.beganMs)
+	} else {
+		s.result.MaxGapMs = max(s.result.MaxGapMs, now-s.lastMs)
+	}
+	s.lastMs = now
+}
+
+func (s *streamReading) take(event engine.Event) error {
+	var part chunk
+	if err := json.Unmarshal([]byte(event.Data), &part); err != nil || part.Error != nil {
+		return errors.Join(errNotWhole, err)
+	}
+	if part.Usage != nil {
+		s.usage = part.Usage
+	}
+	if len(part.Choices) > 0 && part.Choices[0].Delta != nil {
+		s.check.add(part.Choices[0].Delta.Content)
+	}
+	return nil
+}
+
 // chunk is one part of a streamed answer, or its error event.
 type chunk struct {
 	engine.Completion
--- a/internal/load/demo.go
+++ b/internal/load/demo.go
@@ -45,7 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &demo{fleet: fleet, chats: NewTally(), filings: NewTally(), caller: Caller{Client: fleet.Client(), Clock: clock.New()}}
+	d := &demo{
+		fleet: fleet, chats: NewTally(), filings: NewTally(),
+		caller: Caller{Client: fleet.Client(), Clock: clock.New()},
+	}
 	err = d.run(ctx)
 	report := d.report()
 	if stopErr := fleet.Stop(); err == nil {
@@ -65,7 +68,8 @@
 		Domains: []string{"alfama", "belem"}, BoxesPerDomain: 2, EnginesPerDomain: 3, ServersPerDomain: 1,
 		Organisations: []localfleet.Organisation{
 			{Name: "federation", Columns: map[string]string{"weight": "300"}},
-			{Name: "choir"}, {Name: "band"},
+			{Name: "choir"},
+			{Name: "band"},
 		},
 		Speed: speed,
 	}
@@ -289,7 +293,10 @@
 	gossip, boxes := d.gossipBytes()
 	r.lines = [][2]string{
 		{"chats sent, answered whole", fmt.Sprintf("%d, %d", r.chats.Requests, r.chats.Verdicts[Whole])},
-		{"chats refused, ended by an error event", fmt.Sprintf("%d, %d", r.chats.Verdicts[Refused], r.chats.Verdicts[Incomplete])},
+		{
+			"chats refused, ended by an error event",
+			fmt.Sprintf("%d, %d", r.chats.Verdicts[Refused], r.chats.Verdicts[Incomplete]),
+		},
 		{"first token p50, p99 ms", fmt.Sprintf("%d, %d", r.chats.First.P50, r.chats.First.P99)},
 		{"prompt tokens found warm", fmt.Sprintf("%.3f", r.chats.Reuse)},
 		{"filings sent, keys, keys run once", fmt.Sprintf("%d, %d, %d", r.filings.Requests, demoFilings, runs)},
@@ -359,7 +366,8 @@
 		fmt.Fprintf(w, "%s\t%s\n", line[0], line[1])
 	}
 	for _, outcome := range []exchange.Outcome{exchange.Ran, exchange.NotRun, exchange.Unknown} {
-		fmt.Fprintf(w, "outcome %s\t%d chats, %d filings\n", outcome, r.chats.Outcomes[outcome], r.filings.Outcomes[outcome])
+		chats, filings := r.chats.Outcomes[outcome], r.filings.Outcomes[outcome]
+		fmt.Fprintf(w, "outcome %s\t%d chats, %d filings\n", outcome, chats, filings)
 	}
 	// The output is a terminal or a buffer.
 	_ = w.Flush()
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -19,16 +19,16 @@
 
 // Tally counts results. It is safe for concurrent use.
 type Tally struct {
-	mu       sync.Mutex
-	verdicts map[Verdict]int
-	outcomes map[exchange.Outcome]int
-	statuses map[int]int
-	first    *hdrhistogram.Histogram
-	gap      *hdrhistogram.Histogram
-	took     *hdrhistogram.Histogram
-	prompt   int
-	cached   int
-	attempts int
+	mu        sync.Mutex
+	verdicts  map[Verdict]int
+	outcomes  map[exchange.Outcome]int
+	statuses  map[int]int
+	first     *hdrhistogram.Histogram
+	gap       *hdrhistogram.Histogram
+	took      *hdrhistogram.Histogram
+	prompt    int
+	cached    int
+	attempts  int
 	upstreams map[string]int
 }
 
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -364,13 +365,10 @@
 func (f *Fleet) list(p *BoxProcess, state platform.BoxState) {
 	addresses := p.Addresses()
 	f.Platform.Boxes.Set(func(list *platform.BoxListReply) {
-		kept := list.Boxes[:0]
-		for _, listed := range list.Boxes {
-			if listed.Name != p.Name {
-				kept = append(kept, listed)
-			}
-		}
-		list.Boxes = append(kept, platform.ListedBox{
+		list.Boxes = slices.DeleteFunc(list.Boxes, func(listed platform.ListedBox) bool {
+			return listed.Name == p.Name
+		})
+		list.Boxes = append(list.Boxes, platform.ListedBox{
 			Name: p.Name, FailureDomain: p.Domain, State: state,
 			GossipAddress: addresses.Gossip, PeerAddress: addresses.Peers,
 		})
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -181,9 +181,9 @@
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	reply := ExplainReply{Organisation: query.Get("organisation"), Session: query.Get("session")}
-	reply.Pool = pool.PoolName(table.KindEngine, query.Get("model"))
+	reply.Pool = pool.Name(table.KindEngine, query.Get("model"))
 	if service := query.Get("service"); service != "" {
-		reply.Pool = pool.PoolName(table.KindService, service)
+		reply.Pool = pool.Name(table.KindService, service)
 	}
 	ranking, err := h.d.Pools.Explain(reply.Pool, route.NewKey(reply.Organisation, reply.Session))
 	if err != nil {
--- a/internal/pipe/admit/admit.go
+++ b/internal/pipe/admit/admit.go
@@ -97,13 +97,17 @@
 
 func (p *Pipe) refusal(x *exchange.Exchange, queue *limit.Queue, flow limit.Flow, err error) error {
 	retry := apierror.WithRetryAfter(max(leastRetryMs, queue.ExpectedWaitMs(flow)))
+	cause := apierror.WithCause(err)
 	switch {
 	case errors.Is(err, limit.ErrQueueFull):
-		return apierror.New(http.StatusTooManyRequests, "queue_full", "too many requests are waiting", retry, apierror.WithCause(err))
+		return apierror.New(http.StatusTooManyRequests, "queue_full", "too many requests are waiting", retry, cause)
 	case errors.Is(err, context.Canceled):
-		return apierror.New(exchange.StatusCallerGone, "caller_gone", "the caller left", apierror.WithCause(err))
-	case errors.Is(err, limit.ErrWaitedTooLong), errors.Is(err, limit.ErrHopeless), errors.Is(err, context.DeadlineExceeded):
-		return apierror.New(http.StatusServiceUnavailable, "no_capacity", "no capacity before the deadline", retry, apierror.WithCause(err))
+		return apierror.New(exchange.StatusCallerGone, "caller_gone", "the caller left", cause)
+	case errors.Is(err, limit.ErrWaitedTooLong),
+		errors.Is(err, limit.ErrHopeless),
+		errors.Is(err, context.DeadlineExceeded):
+		return apierror.New(http.StatusServiceUnavailable, "no_capacity",
+			"no capacity before the deadline", retry, cause)
 	default:
 		return fmt.Errorf("queue of %s: %w", x.Target, err)
 	}
--- a/internal/pipe/claim/claim.go
+++ b/internal/pipe/claim/claim.go
@@ -76,7 +76,8 @@
 	if err != nil {
 		p.metrics.ClaimsRefused.Add(1)
 		return apierror.New(http.StatusServiceUnavailable, "claim_unavailable",
-			"the request was not run: its key could not be recorded", apierror.WithRetryAfter(logRetryMs), apierror.WithCause(err))
+			"the request was not run: its key could not be recorded",
+			apierror.WithRetryAfter(logRetryMs), apierror.WithCause(err))
 	}
 	return p.follow(x, record, verdict, began)
 }
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -64,7 +64,8 @@
 	if lease.Remote != nil {
 		target.Path = x.Request.URL.Path
 	}
-	request, err := http.NewRequestWithContext(ctx, x.Request.Method, target.String(), &onceReader{bytes.NewReader(x.Body)})
+	body := &onceReader{bytes.NewReader(x.Body)}
+	request, err := http.NewRequestWithContext(ctx, x.Request.Method, target.String(), body)
 	if err != nil {
 		return nil, fmt.Errorf("upstream request: %w", err)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// PoolName is the name of the pool for a target of a kind.
-func PoolName(kind, target string) string { return kind + "/" + target }
+// Name is the name of the pool for a target of a kind.
+func Name(kind, target string) string { return kind + "/" + target }
 
 // SetTable takes a newer table into force.
 func (m *Manager) SetTable(state *table.State) {
@@ -144,7 +144,7 @@
 		u.places = nil
 		kept[row.Name] = u
 		for _, target := range row.Serves {
-			name := PoolName(row.Kind, target)
+			name := Name(row.Kind, target)
 			byPool[name] = append(byPool[name], u)
 		}
 	}
@@ -189,7 +189,7 @@
 
 func (m *Manager) boundPercent(poolName string) int {
 	for _, name := range m.state.ModelNames() {
-		if PoolName(table.KindEngine, name) != poolName {
+		if Name(table.KindEngine, name) != poolName {
 			continue
 		}
 		if bound := m.state.Model(name).LoadBoundPercent; bound > 0 {
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -40,7 +40,9 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
-	g := &generation{id: r.Header.Get(engine.HeaderRequestID), model: chat.Model, grown: make(chan struct{}), cancel: cancel}
+	g := &generation{
+		id: r.Header.Get(engine.HeaderRequestID), model: chat.Model, grown: make(chan struct{}), cancel: cancel,
+	}
 	hashes, promptTokens := chain(chat.Prompt())
 	e.mu.Lock()
 	cached := e.cache.use(hashes)
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -173,6 +173,7 @@
 		r.Callers.check("callers"),
 		r.Peers.check("peers"),
 		r.Operators.check("operators"),
+		r.checkOperatorsKey(),
 		r.Platform.check("platform"),
 		r.checkNumbers(),
 		checkOneOf("traces.exporter", r.Traces.Exporter, "", "none", "stdout", "otlp"),
@@ -181,6 +182,13 @@
 	)
 }
 
+func (r *Router) checkOperatorsKey() error {
+	if r.Operators.KeyFile == "" {
+		return &FieldError{Key: "operators.key_file", Reason: "is missing: operators authenticate by a key"}
+	}
+	return nil
+}
+
 func (r *Router) checkTraces() error {
 	if r.Traces.Exporter == "otlp" {
 		return checkURL("traces.endpoint", r.Traces.Endpoint)
@@ -270,7 +278,8 @@
 func (p Peers) check(key string) error {
 	checks := []error{p.Listener.check(key), checkAddress(key+".gossip_address", p.GossipAddress)}
 	if p.KeyFile == "" {
-		checks = append(checks, &FieldError{Key: key + ".key_file", Reason: "is missing: peers authenticate by a shared key"})
+		missing := &FieldError{Key: key + ".key_file", Reason: "is missing: peers authenticate by a shared key"}
+		checks = append(checks, missing)
 	}
 	for i, contact := range p.Contacts {
 		checks = append(checks, checkAddress(fmt.Sprintf("%s.contacts[%d]", key, i), contact))
