feat(grant): engines' owners count slots and remember where sessions are warm

Cause: each box sees a sliver of the traffic. Change: each engine has an owner box by rendezvous hashing; boxes ask it for a slot over UDP and tell it absolute counts; the owner of a session's first choice remembers where else it is warm; a session without a home settles only below the mean; ranks come from the table's weights, so that churn does not move them. Conclusion: grants become the default policy; the others stay to measure by.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -17,12 +17,15 @@
 	"dooryard.example/dooryard/internal/callers"
 	"dooryard.example/dooryard/internal/claim"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/datagram"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/limit"
 	"dooryard.example/dooryard/internal/logstream"
 	"dooryard.example/dooryard/internal/membership"
 	"dooryard.example/dooryard/internal/metrics"
 	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/picker"
 	"dooryard.example/dooryard/internal/pipe/admit"
 	claimpipe "dooryard.example/dooryard/internal/pipe/claim"
 	"dooryard.example/dooryard/internal/pipe/forward"
@@ -69,7 +72,10 @@
 	callers       *callers.Handler
 
 	boxList platform.BoxList
+	socket  *datagram.Socket
 	gossip  *membership.Gossip
+	agent   *grant.Agent
+	picker  *picker.Picker
 	fleet   *fleetView
 
 	servers  servers
@@ -121,7 +127,7 @@
 		option(b)
 	}
 	for _, step := range []func(context.Context) error{
-		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.openListeners, b.openGossip,
+		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.openListeners, b.openPeering,
 	} {
 		if err := step(ctx); err != nil {
 			return nil, err
@@ -301,7 +307,7 @@
 		Callers:   b.servers.callers.Address(),
 		Peers:     b.servers.peers.Address(),
 		Operators: b.servers.operators.Address(),
-		Gossip:    b.gossip.Address(),
+		Gossip:    b.socket.Address(),
 	}
 }
 
@@ -369,6 +375,7 @@
 func (b *Box) startBackground(ctx context.Context) {
 	b.running.Go(func() { b.follower.Run(ctx) })
 	b.running.Go(func() { b.claims.Run(ctx) })
+	b.running.Go(func() { b.socket.Run(ctx) })
 	b.running.Go(func() { b.gossip.Run(ctx) })
 	b.running.Go(func() { b.pollLists(ctx) })
 	b.running.Go(func() { b.bridgeLoop(ctx) })
@@ -378,6 +385,7 @@
 			b.updateDemand()
 			b.updateShares()
 			b.pools.Refresh()
+			b.picker.Refresh()
 			b.admit.Poke()
 		})
 	})
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -13,8 +13,11 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/datagram"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/membership"
+	"dooryard.example/dooryard/internal/picker"
 	"dooryard.example/dooryard/internal/platform"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/route"
@@ -39,12 +42,14 @@
 // fleetView is what this box knows of other boxes and of leaving upstreams. It
 // is safe for concurrent use.
 type fleetView struct {
-	mu      sync.Mutex
-	lists   map[string]platform.DatedList
-	polls   int
-	failed  map[string]clock.Millis
-	leaving map[string]bool
-	demand  map[string]float64
+	mu     sync.Mutex
+	lists  map[string]platform.DatedList
+	polls  int
+	failed map[string]clock.Millis
+	// addresses are the live boxes of this domain by name.
+	addresses map[string]string
+	leaving   map[string]bool
+	demand    map[string]float64
 	// shares are this box's parts of fleet-wide limits, by organisation.
 	shares    map[string]float64
 	evenShare float64
@@ -57,25 +62,65 @@
 	}
 }
 
-func (b *Box) openGossip(context.Context) error {
+// openPeering opens the UDP socket on which the boxes of a failure domain tell
+// each other who lives and ask each other for slots.
+func (b *Box) openPeering(context.Context) error {
 	config.Fill(&b.settings.Peers.PeriodMs, defaultPeriodMs)
 	conn, err := b.packets("udp", b.settings.Peers.GossipAddress)
 	if err != nil {
 		return fmt.Errorf("peers.gossip_address: %w", err)
 	}
+	b.socket = datagram.New(conn, b.keys.peers.All, b.metrics.GossipRejected, b.logger)
+	b.openGossip()
+	b.openGrants()
+	return nil
+}
+
+func (b *Box) openGossip() {
 	self := membership.Box{
-		Name: b.settings.Box, GossipAddress: conn.LocalAddr().String(), PeerAddress: b.servers.peers.Address(),
+		Name: b.settings.Box, GossipAddress: b.socket.Address(), PeerAddress: b.servers.peers.Address(),
 	}
 	times := membership.DefaultSettings()
 	times.PeriodMs = clock.Millis(b.settings.Peers.PeriodMs)
-	node := membership.NewNode(self, uint32(b.clock.Now()/clock.Second), b.keys.peers.All,
-		membership.WithSettings(times))
-	b.gossip = membership.NewGossip(node, conn, membership.Counters{
-		Sent: b.metrics.GossipSent, Received: b.metrics.GossipReceived, Rejected: b.metrics.GossipRejected,
-	},
+	node := membership.NewNode(self, uint32(b.clock.Now()/clock.Second), membership.WithSettings(times))
+	b.gossip = membership.NewGossip(node, b.socket,
 		membership.WithClock(b.clock), membership.WithLogger(b.logger),
 		membership.WithOnChange(func([]string) { b.applyFleet() }), membership.WithFacts(b.facts))
-	return nil
+	b.socket.Open(datagram.Channel{
+		Name: membership.ChannelName, CodeBytes: membership.CodeBytes, Handle: b.gossip.Receive,
+		Sent: b.metrics.GossipSent, Received: b.metrics.GossipReceived,
+	})
+}
+
+func (b *Box) openGrants() {
+	b.agent = grant.NewAgent(membership.NewID(b.settings.Box), func(address string, body []byte) {
+		b.socket.Send(grant.ChannelName, address, body)
+	}, b.pools.Standing, b.clock, b.logger)
+	b.socket.Open(datagram.Channel{
+		Name: grant.ChannelName, CodeBytes: grant.CodeBytes, Handle: b.agent.Receive,
+		Sent: b.metrics.GrantsSent, Received: b.metrics.GrantsReceived,
+	})
+	b.picker = picker.New(b.pools, b.agent, b.ownerNamed, b.clock.Now)
+}
+
+// ownerNamed tells how to reach the box that owns a place.
+func (b *Box) ownerNamed(name string) grant.Owner {
+	if name == b.settings.Box || name == "" {
+		return grant.Owner{Name: name, Self: true}
+	}
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	return grant.Owner{Name: name, Address: b.fleet.addresses[name]}
+}
+
+// acquire picks the upstream of a request.
+func (b *Box) acquire(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error) {
+	if x.Kind != exchange.Chat || b.settings.Route.Policy != route.PolicyGrants {
+		return b.pools.Acquire(x.PoolName(), x.Key, tried)
+	}
+	return b.picker.Acquire(x.Context(), picker.Request{
+		Pool: x.PoolName(), Key: x.Key, Fresh: x.Fresh, Tried: tried,
+	})
 }
 
 // applyFleet hands the newest view of membership to the pools.
@@ -83,10 +128,28 @@
 	b.fleet.mu.Lock()
 	leaving := b.fleet.leaving
 	b.fleet.mu.Unlock()
+	b.learnMembers()
 	b.pools.SetFleet(pool.Fleet{Boxes: b.gossip.Live(), Leaving: leaving})
+	b.picker.Refresh()
 	b.admit.Poke()
 }
 
+// learnMembers keeps the addresses of the other boxes, and frees what boxes that
+// are gone held on engines.
+func (b *Box) learnMembers() {
+	addresses := map[string]string{}
+	for _, member := range b.gossip.Members() {
+		if member.Status <= membership.Suspect {
+			addresses[member.Name] = member.GossipAddress
+			continue
+		}
+		b.agent.Forget(membership.NewID(member.Name))
+	}
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	b.fleet.addresses = addresses
+}
+
 // facts is what this box tells of itself.
 func (b *Box) facts() membership.Facts {
 	running, _ := b.admit.Lengths()
--- a/internal/box/status.go
+++ b/internal/box/status.go
@@ -5,7 +5,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/pool"
-	"dooryard.example/dooryard/internal/route"
 )
 
 type jsonRecord = json.RawMessage
@@ -36,7 +35,3 @@
 		Running: running, Waiting: waiting, Upstreams: b.pools.Loads(),
 	}
 }
-
-func (b *Box) acquire(poolName string, key route.Key, tried pool.Tried) (*pool.Lease, error) {
-	return b.pools.Acquire(poolName, key, tried)
-}
--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -77,6 +77,9 @@
 	return opening.Bytes()
 }
 
+// Fresh tells whether no answer stands among the messages yet.
+func (c *ChatRequest) Fresh() bool { return len(c.Messages) <= openingMessages }
+
 // checkDepth bounds the nesting before the decoder recurses into it.
 func checkDepth(body []byte, maxDepth int) error {
 	depth, inString, escaped := 0, false, false
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,10 +74,12 @@
 	Session      string
 	Key          route.Key
 	// Target is the model of a chat or the name of a service.
-	Target         string
-	Path           string
-	Body           []byte
-	Streamed       bool
+	Target   string
+	Path     string
+	Body     []byte
+	Streamed bool
+	// Fresh is set for a chat's first turn, which can't be warm anywhere.
+	Fresh          bool
 	Repeatable     bool
 	IdempotencyKey string
 	Deadline       clock.Millis
--- /dev/null
+++ b/internal/grant/agent.go
@@ -0,0 +1,292 @@
+package grant
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// ErrNoAnswer means that an owner did not answer in time, or does not know the
+// place; the asking box decides by itself.
+var ErrNoAnswer = errors.New("owner gave no answer")
+
+// Times of asking, for boxes of one failure domain.
+const (
+	// resendMs is when a question is sent a second time.
+	resendMs clock.Millis = 12
+	// askTimeoutMs is when a question is given up.
+	askTimeoutMs clock.Millis = 30
+	// restMs is how long an owner that did not answer is not asked.
+	restMs = clock.Second
+)
+
+// Owner is the box that owns a place.
+type Owner struct {
+	Name    string
+	Address string
+	// Self is set when it is this box.
+	Self bool
+}
+
+// Agent is a box's part in grants: it answers for the places that it owns and
+// asks the owners of others. It is safe for concurrent use.
+type Agent struct {
+	box      Box
+	send     func(address string, body []byte)
+	standing func(place Place) (Standing, bool)
+	clock    clock.Clock
+	logger   *zap.Logger
+
+	mu        sync.Mutex
+	ledger    *Ledger
+	directory *Directory
+	sequence  uint32
+	waiting   map[uint32]chan replyMessage
+	resting   map[string]clock.Millis
+}
+
+// NewAgent returns an agent. Send sends a body on the channel; standing tells
+// how a place stands in its pool.
+func NewAgent(
+	box Box, send func(address string, body []byte), standing func(place Place) (Standing, bool),
+	c clock.Clock, logger *zap.Logger,
+) *Agent {
+	return &Agent{
+		box: box, send: send, standing: standing, clock: c, logger: logger,
+		ledger: NewLedger(DefaultSettings()), directory: NewDirectory(),
+		waiting: map[uint32]chan replyMessage{}, resting: map[string]clock.Millis{},
+	}
+}
+
+// Asking is one question with what the asking box runs.
+type Asking struct {
+	Question
+	Session Session
+	// First is set when the place is the session's first choice.
+	First bool
+	Held  int
+	Total int
+}
+
+// Ask puts a question to a place's owner.
+func (a *Agent) Ask(ctx context.Context, owner Owner, q Asking) (Reply, error) {
+	message := askMessage{
+		Box: a.box, Place: q.Place, Session: q.Session, Flags: q.flags(),
+		Held: clamp(q.Held), Total: clamp(q.Total),
+	}
+	if owner.Self {
+		return decodeReply(a.answer(message))
+	}
+	if owner.Address == "" || a.rests(owner.Name) {
+		return Reply{}, ErrNoAnswer
+	}
+	return a.askRemote(ctx, owner, message)
+}
+
+func (q Asking) flags() byte {
+	flags := byte(0)
+	for _, f := range []struct {
+		set  bool
+		flag byte
+	}{{q.Lookup, flagLookup}, {q.Want, flagWant}, {q.Settle, flagSettle}, {q.First, flagFirst}} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	return flags
+}
+
+func clamp(count int) uint16 { return uint16(min(max(0, count), math.MaxUint16)) }
+
+func decodeReply(r replyMessage) (Reply, error) {
+	if r.Flags&flagUnknown != 0 {
+		return Reply{}, ErrNoAnswer
+	}
+	return Reply{Granted: r.Flags&flagGranted != 0, Over: int(r.Over), Hint: r.Hint}, nil
+}
+
+// askRemote sends the question, once more when no answer comes soon. A second
+// copy does no harm: counts are absolute.
+func (a *Agent) askRemote(ctx context.Context, owner Owner, message askMessage) (Reply, error) {
+	answers := a.expect(&message)
+	defer a.unexpect(message.Sequence)
+	body := encodeMessage(kindAsk, message)
+	for _, waitMs := range []clock.Millis{resendMs, askTimeoutMs - resendMs} {
+		a.send(owner.Address, body)
+		wait, cancel := context.WithTimeout(ctx, waitMs.Duration())
+		select {
+		case answer := <-answers:
+			cancel()
+			return decodeReply(answer)
+		case <-wait.Done():
+			cancel()
+		}
+	}
+	if ctx.Err() == nil {
+		a.rest(owner.Name)
+		a.logger.Debug("owner gave no answer", zap.String("owner", owner.Name))
+	}
+	return Reply{}, ErrNoAnswer
+}
+
+func (a *Agent) expect(message *askMessage) <-chan replyMessage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	message.Sequence = a.sequence
+	answers := make(chan replyMessage, 1)
+	a.waiting[message.Sequence] = answers
+	return answers
+}
+
+func (a *Agent) unexpect(sequence uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.waiting, sequence)
+}
+
+func (a *Agent) rests(owner string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.clock.Now() < a.resting[owner]
+}
+
+func (a *Agent) rest(owner string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.resting[owner] = a.clock.Now() + restMs
+}
+
+// Hold tells a place's owner what this box runs there.
+func (a *Agent) Hold(owner Owner, place Place, held int) {
+	message := holdMessage{Box: a.box, Place: place, Held: clamp(held)}
+	if owner.Self {
+		a.hold(message)
+		return
+	}
+	if owner.Address != "" {
+		a.send(owner.Address, encodeMessage(kindHold, message))
+	}
+}
+
+// News tells the owner of a session's first choice where the session went.
+func (a *Agent) News(owner Owner, session Session, place Place) {
+	message := newsMessage{Session: session, Place: place}
+	if owner.Self {
+		a.news(message)
+		return
+	}
+	if owner.Address != "" {
+		a.send(owner.Address, encodeMessage(kindNews, message))
+	}
+}
+
+// Forget frees what a box held that is gone.
+func (a *Agent) Forget(box Box) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Forget(box)
+}
+
+// Sessions returns how many sessions this box remembers the place of.
+func (a *Agent) Sessions() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.directory.Len()
+}
+
+// Receive takes in a message of the channel.
+func (a *Agent) Receive(from string, body []byte) {
+	if err := a.receive(from, body); err != nil {
+		a.logger.Debug("message dropped", zap.String("from", from), zap.Error(err))
+	}
+}
+
+func (a *Agent) receive(from string, body []byte) error {
+	if len(body) == 0 {
+		return ErrMalformed
+	}
+	switch body[0] {
+	case kindAsk:
+		return handle(body, func(m askMessage) { a.send(from, encodeMessage(kindReply, a.answer(m))) })
+	case kindReply:
+		return handle(body, a.deliver)
+	case kindHold:
+		return handle(body, a.hold)
+	case kindNews:
+		return handle(body, a.news)
+	default:
+		return ErrMalformed
+	}
+}
+
+// handle decodes a message and hands it on.
+func handle[T any](body []byte, take func(T)) error {
+	message, err := decodeMessage[T](body)
+	if err != nil {
+		return err
+	}
+	take(message)
+	return nil
+}
+
+func (a *Agent) deliver(r replyMessage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answers := a.waiting[r.Sequence]; answers != nil {
+		select {
+		case answers <- r:
+		default:
+			// The second copy of an answer.
+		}
+	}
+}
+
+func (a *Agent) hold(m holdMessage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Hold(m.Place, m.Box, int(m.Held), a.clock.Now())
+}
+
+func (a *Agent) news(m newsMessage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.directory.Set(m.Session, m.Place)
+}
+
+// answer decides on a question as the place's owner.
+func (a *Agent) answer(m askMessage) replyMessage {
+	reply := replyMessage{Sequence: m.Sequence}
+	standing, known := a.standing(m.Place)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if m.Flags&flagLookup != 0 {
+		if hint, found := a.directory.Find(m.Session); found && hint != m.Place {
+			reply.Hint = hint
+			return reply
+		}
+	}
+	if m.Flags&flagWant == 0 {
+		return reply
+	}
+	if !known {
+		reply.Flags = flagUnknown
+		return reply
+	}
+	granted, over := a.ledger.Ask(Ask{
+		Place: m.Place, Box: m.Box, Held: int(m.Held), Total: int(m.Total), Settle: m.Flags&flagSettle != 0,
+	}, standing, a.clock.Now())
+	reply.Over = int16(min(max(over, math.MinInt16), math.MaxInt16))
+	if granted {
+		reply.Flags = flagGranted
+		if m.Flags&flagFirst != 0 {
+			a.directory.Remove(m.Session)
+		}
+	}
+	return reply
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -2,29 +2,25 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
 
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/datagram"
 )
 
-// Counter counts bytes.
-type Counter interface{ Add(delta int64) }
+// ChannelName is the first byte of membership's datagrams.
+const ChannelName = 'm'
 
-// Counters are the bytes on the socket and the datagrams that were dropped.
-type Counters struct {
-	Sent, Received, Rejected Counter
-}
+// CodeBytes is how much of the authentication code membership's datagrams carry.
+const CodeBytes = 8
 
-// Gossip runs a Node on a UDP socket. It is safe for concurrent use.
+// Gossip runs a Node on a socket. It is safe for concurrent use.
 type Gossip struct {
-	conn     net.PacketConn
+	socket   *datagram.Socket
 	clock    clock.Clock
 	logger   *zap.Logger
-	counters Counters
 	period   clock.Millis
 	onChange func(live []string)
 	facts    func() Facts
@@ -50,10 +46,11 @@
 // WithFacts sets the source of what this box tells of itself.
 func WithFacts(facts func() Facts) GossipOption { return func(g *Gossip) { g.facts = facts } }
 
-// NewGossip returns a gossip around a node and its socket.
-func NewGossip(node *Node, conn net.PacketConn, counters Counters, options ...GossipOption) *Gossip {
+// NewGossip returns a gossip around a node. The caller opens the channel, with
+// Receive as its handler.
+func NewGossip(node *Node, socket *datagram.Socket, options ...GossipOption) *Gossip {
 	g := &Gossip{
-		conn: conn, clock: clock.New(), logger: zap.NewNop(), counters: counters, node: node,
+		socket: socket, clock: clock.New(), logger: zap.NewNop(), node: node,
 		period: node.settings.PeriodMs, onChange: func([]string) {}, facts: func() Facts { return Facts{} },
 	}
 	for _, option := range options {
@@ -62,17 +59,8 @@
 	return g
 }
 
-// Address returns the address of the socket.
-func (g *Gossip) Address() string { return g.conn.LocalAddr().String() }
-
-// Run speaks the protocol until the context ends; then it closes the socket.
-func (g *Gossip) Run(ctx context.Context) {
-	group := sync.WaitGroup{}
-	group.Go(func() { g.receiveLoop(ctx) })
-	g.clock.Every(ctx, g.period, g.tick)
-	_ = g.conn.Close()
-	group.Wait()
-}
+// Run pings other boxes until the context ends.
+func (g *Gossip) Run(ctx context.Context) { g.clock.Every(ctx, g.period, g.tick) }
 
 // factsEvery is how many periods pass between two versions of this box's facts.
 const factsEvery = 4
@@ -88,28 +76,13 @@
 	g.report()
 }
 
-func (g *Gossip) receiveLoop(ctx context.Context) {
-	buffer := make([]byte, maxPacketBytes+1)
-	for ctx.Err() == nil {
-		length, from, err := g.conn.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		g.counters.Received.Add(int64(length))
-		g.receive(from.String(), buffer[:length])
-	}
-}
-
-func (g *Gossip) receive(from string, data []byte) {
+// Receive takes in a message.
+func (g *Gossip) Receive(from string, body []byte) {
 	g.mu.Lock()
-	out, err := g.node.Receive(g.clock.Now(), from, data)
+	out, err := g.node.Receive(g.clock.Now(), from, body)
 	g.mu.Unlock()
 	if err != nil {
-		g.counters.Rejected.Add(1)
-		g.logger.Debug("datagram dropped", zap.String("from", from), zap.Error(err))
+		g.logger.Debug("message dropped", zap.String("from", from), zap.Error(err))
 		return
 	}
 	g.send(out)
@@ -118,13 +91,7 @@
 
 func (g *Gossip) send(out []Outgoing) {
 	for _, o := range out {
-		address, err := net.ResolveUDPAddr("udp", o.Address)
-		if err != nil {
-			continue
-		}
-		if _, err := g.conn.WriteTo(o.Data, address); err == nil {
-			g.counters.Sent.Add(int64(len(o.Data)))
-		}
+		g.socket.Send(ChannelName, o.Address, o.Body)
 	}
 }
 
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -25,10 +25,10 @@
 	return Settings{PeriodMs: 300, RemoveMs: 3900, ForgetMs: 10 * 60 * clock.Second}
 }
 
-// Outgoing is a datagram to send.
+// Outgoing is a message to send.
 type Outgoing struct {
 	Address string
-	Data    []byte
+	Body    []byte
 }
 
 // Node is one box's part of the protocol. It belongs to one goroutine at a time.
@@ -37,7 +37,6 @@
 	self     Box
 	id       ID
 	random   *rand.Rand
-	keys     func() []string
 
 	incarnation uint32
 	leaving     bool
@@ -89,9 +88,9 @@
 
 // NewNode returns a box that knows nobody. The incarnation must be higher than
 // that of an earlier process under the same name; the start time in seconds is.
-func NewNode(self Box, incarnation uint32, keys func() []string, options ...Option) *Node {
+func NewNode(self Box, incarnation uint32, options ...Option) *Node {
 	n := &Node{
-		settings: DefaultSettings(), self: self, id: NewID(self.Name), keys: keys, incarnation: incarnation,
+		settings: DefaultSettings(), self: self, id: NewID(self.Name), incarnation: incarnation,
 		random:  rand.New(rand.NewPCG(uint64(NewID(self.Name)), uint64(incarnation))),
 		members: map[ID]*member{}, probes: map[uint32]*probe{}, relays: map[uint32]relay{},
 		news: newNews(), facts: newFactBook(incarnation), listed: map[string]string{},
@@ -423,17 +422,17 @@
 	return &packet{Kind: k, Sequence: sequence, From: n.id, Incarnation: n.incarnation}
 }
 
-// send fills a packet with news and facts and seals it.
+// send fills a packet with news and facts and encodes it.
 func (n *Node) send(address string, p *packet) []Outgoing {
 	if p.Kind == kindPing || p.Kind == kindAck {
 		p.Updates = append(p.Updates, n.news.take(maxUpdates)...)
 		p.Facts = n.facts.take(maxFacts)
 	}
-	data, err := seal(n.keys()[0], p)
-	if err != nil || len(data) > maxPacketBytes {
+	body, err := encode(p)
+	if err != nil {
 		return nil
 	}
-	return []Outgoing{{Address: address, Data: data}}
+	return []Outgoing{{Address: address, Body: body}}
 }
 
 const (
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -4,10 +4,10 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// Receive takes in a datagram and returns the answers to it. An error means that
-// the datagram was dropped.
-func (n *Node) Receive(now clock.Millis, from string, data []byte) ([]Outgoing, error) {
-	p, err := open(n.keys(), data)
+// Receive takes in a message and returns the answers to it. An error means that
+// the message was dropped.
+func (n *Node) Receive(now clock.Millis, from string, body []byte) ([]Outgoing, error) {
+	p, err := decode(body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -5,8 +5,6 @@
 package membership
 
 import (
-	"crypto/hmac"
-	"crypto/sha256"
 	"errors"
 	"fmt"
 
@@ -14,13 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Sentinel errors of packets.
-var (
-	// ErrUnauthentic means that no fleet key fits a packet.
-	ErrUnauthentic = errors.New("packet not authentic")
-	// ErrMalformed means that a packet could not be decoded.
-	ErrMalformed = errors.New("malformed packet")
-)
+// ErrMalformed means that a packet could not be decoded.
+var ErrMalformed = errors.New("malformed packet")
 
 // ID names a box on the wire: a short hash of its name.
 type ID uint32
@@ -137,12 +130,9 @@
 }
 
 const (
-	macBytes = 8
-	// maxPacketBytes keeps a datagram within one frame of any network.
-	maxPacketBytes = 1200
-	maxNameBytes   = 64
-	maxListed      = 128
-	maxDemand      = 16
+	maxNameBytes = 64
+	maxListed    = 128
+	maxDemand    = 16
 )
 
 var decoding = mustDecMode()
@@ -158,31 +148,17 @@
 	return mode
 }
 
-// seal encodes a packet and puts its authentication code in front.
-func seal(key string, p *packet) ([]byte, error) {
+// encode returns a packet's bytes.
+func encode(p *packet) ([]byte, error) {
 	body, err := cbor.Marshal(p)
 	if err != nil {
 		return nil, fmt.Errorf("encode packet: %w", err)
 	}
-	return append(code(key, body), body...), nil
-}
-
-func code(key string, body []byte) []byte {
-	mac := hmac.New(sha256.New, []byte(key))
-	// Writes to a hash never fail.
-	_, _ = mac.Write(body)
-	return mac.Sum(nil)[:macBytes]
+	return body, nil
 }
 
-// open checks a datagram against the fleet's keys and decodes it.
-func open(keys []string, data []byte) (packet, error) {
-	if len(data) <= macBytes || len(data) > maxPacketBytes {
-		return packet{}, ErrMalformed
-	}
-	body := data[macBytes:]
-	if !authentic(keys, data[:macBytes], body) {
-		return packet{}, ErrUnauthentic
-	}
+// decode reads and checks a packet.
+func decode(body []byte) (packet, error) {
 	var p packet
 	if err := decoding.Unmarshal(body, &p); err != nil {
 		return packet{}, fmt.Errorf("%w: %w", ErrMalformed, err)
@@ -190,15 +166,6 @@
 	return p, p.check()
 }
 
-func authentic(keys []string, mac, body []byte) bool {
-	for _, key := range keys {
-		if hmac.Equal(mac, code(key, body)) {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *packet) check() error {
 	if p.Kind < kindPing || p.Kind > kindBridge {
 		return fmt.Errorf("%w: kind %d", ErrMalformed, p.Kind)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,6 +34,8 @@
 	GossipSent      *expvar.Int
 	GossipReceived  *expvar.Int
 	GossipRejected  *expvar.Int
+	GrantsSent      *expvar.Int
+	GrantsReceived  *expvar.Int
 	PeerSent        *expvar.Int
 	PeerReceived    *expvar.Int
 	OrdersGiven     *expvar.Int
@@ -56,7 +58,8 @@
 		"claims_won": &m.ClaimsWon, "claims_lost": &m.ClaimsLost,
 		"claims_refused": &m.ClaimsRefused, "edits_accepted": &m.EditsAccepted,
 		"edits_rejected": &m.EditsRejected, "gossip_sent_bytes": &m.GossipSent,
-		"gossip_received_bytes": &m.GossipReceived, "gossip_rejected": &m.GossipRejected,
+		"gossip_received_bytes": &m.GossipReceived, "grants_sent_bytes": &m.GrantsSent,
+		"grants_received_bytes": &m.GrantsReceived, "gossip_rejected": &m.GossipRejected,
 		"peer_sent_bytes": &m.PeerSent, "peer_received_bytes": &m.PeerReceived,
 		"orders_given": &m.OrdersGiven, "orders_refused": &m.OrdersRefused,
 		"snapshots_made": &m.SnapshotsMade, "snapshot_alarms": &m.SnapshotAlarms,
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -167,6 +167,7 @@
 	x.Target = chat.Model
 	x.Path = x.Request.URL.Path
 	x.Streamed = chat.Stream
+	x.Fresh = chat.Fresh()
 	x.Repeatable = x.Request.Header.Get(exchange.HeaderIdempotencyKey) == ""
 	x.Session = chatSession(x, &chat)
 	x.Key = route.NewKey(x.Organisation.Name, x.Session)
--- a/internal/pipe/route/route.go
+++ b/internal/pipe/route/route.go
@@ -27,13 +27,13 @@
 
 // Pipe picks upstreams.
 type Pipe struct {
-	acquire func(poolName string, key route.Key, tried pool.Tried) (*pool.Lease, error)
+	acquire func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
 	remote  func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, bool)
 }
 
 // New returns the step. Remote picks a box of another failure domain, if any.
 func New(
-	acquire func(poolName string, key route.Key, tried pool.Tried) (*pool.Lease, error),
+	acquire func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error),
 	remote func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, bool),
 ) *Pipe {
 	return &Pipe{acquire: acquire, remote: remote}
@@ -55,7 +55,12 @@
 
 // PoolSettings returns the settings of the pools, after the defaults.
 func PoolSettings(settings config.Route) (pool.Settings, error) {
-	policy, err := route.PolicyByName(settings.Policy)
+	name := settings.Policy
+	if name == route.PolicyGrants {
+		// What the picker falls back to, and what plain services need.
+		name = route.PolicyRendezvousBound
+	}
+	policy, err := route.PolicyByName(name)
 	if err != nil {
 		return pool.Settings{}, &config.FieldError{Key: "route.policy", Reason: err.Error()}
 	}
@@ -83,7 +88,7 @@
 
 // Next picks an upstream that the request has not tried.
 func (p *Pipe) Next(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error) {
-	lease, err := p.acquire(x.PoolName(), x.Key, tried)
+	lease, err := p.acquire(x, tried)
 	if err == nil {
 		return lease, nil
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,12 +4,12 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/table"
@@ -61,8 +61,10 @@
 
 type pool struct {
 	name     string
+	id       uint32
 	view     *route.View
 	members  []*upstream
+	spots    []Spot
 	inFlight map[string]int
 }
 
@@ -76,6 +78,7 @@
 	mu        sync.Mutex
 	upstreams map[string]*upstream
 	pools     map[string]*pool
+	places    map[grant.Place]place
 	fleet     Fleet
 	state     *table.State
 	started   bool
@@ -118,6 +121,7 @@
 	}
 	members := m.collect(now)
 	m.pools = map[string]*pool{}
+	m.places = map[grant.Place]place{}
 	for name, list := range members {
 		m.pools[name] = m.newPool(name, list, counts[name])
 	}
@@ -184,6 +188,8 @@
 		}
 	}
 	p.view = route.NewView(members, m.boundPercent(name), m.fleet.Boxes, m.box)
+	p.id = uint32(route.HashName(name))
+	p.spots = m.spots(p)
 	return p
 }
 
@@ -202,59 +208,18 @@
 func (m *Manager) member(u *upstream, inFlight int) route.Member {
 	now := m.now()
 	return route.Member{
-		Name:     u.row.Name,
-		Weight:   route.SlowStartWeight(u.row.Weight, u.joinedMs, now, m.settings.SlowStartMs),
-		InFlight: inFlight,
-		Used:     u.used,
-		Reported: u.reported,
-		Slots:    u.row.Slots,
-		Ejected:  u.health.Ejected(now),
-		Leaving:  u.row.Draining || m.fleet.Leaving[u.row.Name],
+		Name:        u.row.Name,
+		Weight:      route.SlowStartWeight(u.row.Weight, u.joinedMs, now, m.settings.SlowStartMs),
+		TableWeight: u.row.Weight,
+		InFlight:    inFlight,
+		Used:        u.used,
+		Reported:    u.reported,
+		Slots:       u.row.Slots,
+		Ejected:     u.health.Ejected(now),
+		Leaving:     u.row.Draining || m.fleet.Leaving[u.row.Name],
 	}
 }
 
-// Lease is the right to send one attempt to an upstream. Release it once.
-type Lease struct {
-	// Row is the upstream as the table had it when the lease was given.
-	Row *table.Upstream
-	// Remote is set when the upstream is a box of another failure domain; it
-	// adds what the peers' listener asks for.
-	Remote func(header http.Header)
-
-	manager  *Manager
-	judged   func(failed bool)
-	poolName string
-	released bool
-}
-
-// NewRemoteLease returns a lease on a box of another failure domain, which no
-// pool counts. Judged hears how its attempt ended.
-func NewRemoteLease(box, address string, remote func(header http.Header), judged func(failed bool)) *Lease {
-	return &Lease{Row: &table.Upstream{Name: box, Address: address}, Remote: remote, judged: judged}
-}
-
-// Tried names the upstreams that one request has had a lease on.
-type Tried []string
-
-// Acquire picks an upstream for a key. It wraps route.ErrNoUpstream or
-// route.ErrSaturated when there is none.
-func (m *Manager) Acquire(poolName string, key route.Key, tried Tried) (*Lease, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.pools[poolName]
-	if p == nil {
-		return nil, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
-	}
-	position, err := m.settings.Policy.Pick(p.view, key, p.positions(tried))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s", err, poolName)
-	}
-	u := p.members[position]
-	p.view.Add(position, 1)
-	u.addUsed(1)
-	return &Lease{Row: u.row, manager: m, poolName: poolName}, nil
-}
-
 func (p *pool) positions(names Tried) route.Tried {
 	tried := route.Tried{}
 	for _, name := range names {
@@ -282,38 +247,6 @@
 	}
 }
 
-// Release gives the lease back and counts the result for the upstream's health.
-func (l *Lease) Release(result Result) {
-	m := l.manager
-	if m == nil {
-		l.judged(result == Failed)
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if l.released {
-		return
-	}
-	l.released = true
-	m.release(l)
-	m.judge(l.Row.Name, result)
-}
-
-func (m *Manager) release(l *Lease) {
-	if u := m.upstreams[l.Row.Name]; u != nil && u.used > 0 {
-		u.addUsed(-1)
-	}
-	p := m.pools[l.poolName]
-	if p == nil {
-		return
-	}
-	if at := p.position(l.Row.Name); at >= 0 {
-		p.view.Add(at, -1)
-		return
-	}
-	p.inFlight[l.Row.Name]--
-}
-
 func (m *Manager) judge(name string, result Result) {
 	u := m.upstreams[name]
 	if u == nil {
--- /dev/null
+++ b/internal/pool/spot.go
@@ -0,0 +1,163 @@
+package pool
+
+import (
+	"fmt"
+
+	"dooryard.example/dooryard/internal/grant"
+	"dooryard.example/dooryard/internal/route"
+)
+
+// Spot is one upstream in one pool, with the box that counts what runs there.
+type Spot struct {
+	Name  string
+	Place grant.Place
+	// Owner is the name of the box that owns the place.
+	Owner string
+}
+
+// spots names a pool's members on the wire and picks their owners: each box that
+// sees the same live boxes picks the same.
+func (m *Manager) spots(p *pool) []Spot {
+	hashes := make([]uint64, len(m.fleet.Boxes))
+	for i, box := range m.fleet.Boxes {
+		hashes[i] = route.HashName(box)
+	}
+	spots := make([]Spot, len(p.members))
+	for i, u := range p.members {
+		hash := route.HashName(p.name + "/" + u.row.Name)
+		spots[i] = Spot{Name: u.row.Name, Place: grant.Place(hash)}
+		if len(hashes) > 0 {
+			spots[i].Owner = m.fleet.Boxes[route.Rank(route.Key(hash), hashes)[0]]
+		}
+		m.places[spots[i].Place] = place{pool: p, position: i}
+	}
+	return spots
+}
+
+// Ranking is a pool's upstreams in the order of their rank for a key.
+type Ranking struct {
+	// First is the first choice, even if it takes nothing now.
+	First Spot
+	// Open are the first ranks that take new work.
+	Open []Spot
+}
+
+// Rank returns a pool's first ranks for a key, without those that were tried.
+// It wraps route.ErrNoUpstream when none takes new work.
+func (m *Manager) Rank(poolName string, key route.Key, tried Tried) (Ranking, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pools[poolName]
+	if p == nil {
+		return Ranking{}, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
+	}
+	positions := [route.MaxTried]int{}
+	ranking := Ranking{Open: make([]Spot, 0, len(positions))}
+	excluded := p.positions(tried)
+	for i, position := range p.view.Ranked(key, positions[:0]) {
+		if i == 0 {
+			ranking.First = p.spots[position]
+		}
+		if p.view.Usable(position, excluded) {
+			ranking.Open = append(ranking.Open, p.spots[position])
+		}
+	}
+	if len(ranking.Open) == 0 {
+		return ranking, m.anyOpen(p, excluded, &ranking)
+	}
+	return ranking, nil
+}
+
+// anyOpen fills a ranking whose first ranks are all closed.
+func (m *Manager) anyOpen(p *pool, excluded route.Tried, ranking *Ranking) error {
+	for position := range p.members {
+		if p.view.Usable(position, excluded) {
+			ranking.Open = append(ranking.Open, p.spots[position])
+		}
+	}
+	if len(ranking.Open) == 0 {
+		return fmt.Errorf("%w: %s", route.ErrNoUpstream, p.name)
+	}
+	return nil
+}
+
+// Reservation is a lease that counts already, with what this box then runs.
+type Reservation struct {
+	Lease *Lease
+	// Held is what this box has on the upstream for this pool.
+	Held int
+	// Total is what it has on the whole pool.
+	Total int
+	// WithinOwnBound tells whether this box's part of the load bound holds.
+	WithinOwnBound bool
+}
+
+// Reserve takes a lease on an upstream by name. It returns false when the
+// upstream is gone from the pool.
+func (m *Manager) Reserve(poolName, name string) (Reservation, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pools[poolName]
+	if p == nil {
+		return Reservation{}, false
+	}
+	at := p.position(name)
+	if at < 0 {
+		return Reservation{}, false
+	}
+	within := p.view.WithinOwnBound(at)
+	lease := m.lease(p, at)
+	return Reservation{
+		Lease: lease, Held: p.view.Members[at].InFlight, Total: p.view.Total(), WithinOwnBound: within,
+	}, true
+}
+
+// AfterRelease has a function called when the lease is given back, with what
+// this box still has on the upstream.
+func (l *Lease) AfterRelease(after func(held int)) { l.after = after }
+
+// Standing returns how a place stands in its pool, for its owner.
+func (m *Manager) Standing(wanted grant.Place) (grant.Standing, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	found, known := m.places[wanted]
+	if !known {
+		return grant.Standing{}, false
+	}
+	view := found.pool.view
+	return grant.Standing{
+		Pool: found.pool.id, Part: view.Part(found.position), Boxes: view.Boxes(),
+		BoundPercent: view.BoundPercent, Slots: view.Members[found.position].Slots,
+	}, true
+}
+
+// Owner returns the box that owns a place now, or "".
+func (m *Manager) Owner(wanted grant.Place) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if found, known := m.places[wanted]; known {
+		return found.pool.spots[found.position].Owner
+	}
+	return ""
+}
+
+// Use is what this box runs on one spot.
+type Use struct {
+	Spot Spot
+	Held int
+}
+
+// InUse returns the spots on which this box runs anything.
+func (m *Manager) InUse() []Use {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	uses := []Use{}
+	for _, p := range m.pools {
+		for position, spot := range p.spots {
+			if held := p.view.Members[position].InFlight; held > 0 {
+				uses = append(uses, Use{Spot: spot, Held: held})
+			}
+		}
+	}
+	return uses
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -103,6 +103,16 @@
 	return m.InFlight+1 <= int(v.boundShare(m))
 }
 
+// Usable tells whether new work may go to a member that was not tried, its slots
+// and load left aside.
+func (v *View) Usable(position int, tried Tried) bool {
+	return v.Members[position].usable() && !tried.has(position)
+}
+
+// WithinOwnBound tells whether one more request on a member keeps this box's
+// part of the load bound.
+func (v *View) WithinOwnBound(position int) bool { return v.withinOwnBound(position) }
+
 // firstByScore returns the best ranked member among those that the filter takes.
 func (v *View) firstByScore(key Key, tried *Tried, within func(v *View, position int) bool) int {
 	best, bestScore := none, uint64(math.MaxUint64)
@@ -117,6 +127,32 @@
 	return best
 }
 
+// Ranked appends the positions of the first members in the order of their rank
+// for a key, as many as the slice has room for. Members that take nothing now
+// are among them.
+func (v *View) Ranked(key Key, ranked []int) []int {
+	var scores [MaxTried]uint64
+	room := min(cap(ranked), len(scores))
+	ranked = ranked[:0]
+	for i := range v.Members {
+		m := &v.Members[i]
+		s := score(key, m.ID, m.inverseWeight)
+		if m.TableWeight <= 0 || len(ranked) == room && s >= scores[room-1] {
+			continue
+		}
+		if len(ranked) < room {
+			ranked = append(ranked, i)
+		}
+		at := len(ranked) - 1
+		for at > 0 && scores[at-1] > s {
+			ranked[at], scores[at] = ranked[at-1], scores[at-1]
+			at--
+		}
+		ranked[at], scores[at] = i, s
+	}
+	return ranked
+}
+
 // leastBy returns the open member with the least load per weight.
 func (v *View) leastBy(tried *Tried, load func(m *Member) int) int {
 	best, bestLoad := none, math.Inf(1)
--- a/internal/route/policies.go
+++ b/internal/route/policies.go
@@ -8,12 +8,16 @@
 	PolicyTwoChoices      = "two-choices"
 	PolicyRendezvous      = "rendezvous"
 	PolicyRendezvousBound = "rendezvous-own-bound"
+	// PolicyGrants asks the boxes that own the engines; package picker carries
+	// it out. Plain services keep to PolicyRendezvousBound under it.
+	PolicyGrants = "grants"
 )
 
 // DefaultPolicy is the policy of a box whose settings name none.
-const DefaultPolicy = PolicyRendezvousBound
+const DefaultPolicy = PolicyGrants
 
-// Policies returns every policy; the first ones are baselines to measure by.
+// Policies returns the policies that need only a box's own view; the first ones
+// are baselines to measure by.
 func Policies() []Policy {
 	return []Policy{
 		{Name: PolicyRandom, pick: pickRandom},
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -14,7 +14,11 @@
 	Name string
 	// ID is the hash of the name.
 	ID uint64
-	// Weight is the effective weight in 1/100 of the table's; 0 takes nothing.
+	// TableWeight is the weight that ranks the member for keys. It does not
+	// change while the member warms up or is out, so that ranks stay.
+	TableWeight int
+	// Weight is the effective weight in 1/100 of the table's, which sets the
+	// member's part of the load; 0 takes nothing.
 	Weight int
 	// InFlight is what this box has running there for this model.
 	InFlight int
@@ -22,6 +26,8 @@
 	Used int
 	// Reported is the newest known load from all boxes, which lags.
 	Reported int
+	// OwnThen is what this box had running there when Reported was true.
+	OwnThen int
 	// Slots is how many requests the upstream runs at once, from all boxes.
 	Slots int
 	// Ejected is set while the upstream is out for failures.
@@ -71,8 +77,8 @@
 	for i := range v.Members {
 		m := &v.Members[i]
 		m.inverseWeight = 0
-		if m.Weight > 0 {
-			m.inverseWeight = inverseOne / uint64(m.Weight)
+		if m.TableWeight > 0 {
+			m.inverseWeight = inverseOne / uint64(m.TableWeight)
 		}
 		if m.usable() {
 			v.totalWeight += m.Weight
@@ -107,6 +113,11 @@
 // Total returns what this box has in flight on all members.
 func (v *View) Total() int { return v.total }
 
+// Part returns a member's part of the pool's weight, 0 to 1.
+func (v *View) Part(index int) float64 {
+	return float64(v.Members[index].Weight) / float64(max(1, v.totalWeight))
+}
+
 // Boxes returns how many boxes share the members.
 func (v *View) Boxes() int { return v.boxes }
 
@@ -127,6 +138,19 @@
 	v.total += change
 }
 
+// Report takes in a member's load from all boxes as it was some time ago, and
+// what this box had running there at that time.
+func (v *View) Report(index, inFlight, ownThen int) {
+	v.Members[index].Reported = inFlight
+	v.Members[index].OwnThen = ownThen
+}
+
+// SetLeaving changes whether a member takes new work.
+func (v *View) SetLeaving(index int, leaving bool) {
+	v.Members[index].Leaving = leaving
+	v.refreshWeights()
+}
+
 // SetWeight changes the effective weight of a member.
 func (v *View) SetWeight(index, weight int) {
 	if v.Members[index].Weight == weight {
