--- /dev/null
+++ b/cmd/dooryard-router/main.go
@@ -0,0 +1,11 @@
+// Command dooryard-router is the daemon of an entry box.
+package main
+
+import (
+	"os"
+
+	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/cmd/routercmd"
+)
+
+func main() { exit.Main(routercmd.New(os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/dooryard/main.go
@@ -0,0 +1,11 @@
+// Command dooryard is the operators' client.
+package main
+
+import (
+	"os"
+
+	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/cmd/operatorcmd"
+)
+
+func main() { exit.Main(operatorcmd.New(os.Stdin, os.Stdout)) }
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -25,6 +25,7 @@
 	"dooryard.example/dooryard/internal/membership"
 	"dooryard.example/dooryard/internal/metrics"
 	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/peers"
 	"dooryard.example/dooryard/internal/picker"
 	"dooryard.example/dooryard/internal/pipe/admit"
 	claimpipe "dooryard.example/dooryard/internal/pipe/claim"
@@ -71,12 +72,14 @@
 	follower      *logstream.Follower
 	callers       *callers.Handler
 
-	boxList platform.BoxList
-	socket  *datagram.Socket
-	gossip  *membership.Gossip
-	agent   *grant.Agent
-	picker  *picker.Picker
-	fleet   *fleetView
+	boxList     platform.BoxList
+	peers       peers.Client
+	snapshotted atomic.Int64
+	socket      *datagram.Socket
+	gossip      *membership.Gossip
+	agent       *grant.Agent
+	picker      *picker.Picker
+	fleet       *fleetView
 
 	servers  servers
 	draining atomic.Bool
@@ -153,17 +156,16 @@
 	return err
 }
 
-// controlTimeoutMs bounds calls to the platform, above the log's long polls.
-const (
-	defaultPlatformTimeoutMs = 3000
-	longPollMarginMs         = 30 * clock.Second
-)
+// defaultPlatformTimeoutMs bounds calls to the platform, on top of waits that are
+// asked for.
+const defaultPlatformTimeoutMs = 3000
 
 // buildState builds what the steps share: the table, the pools, the limits and
 // the claims.
 func (b *Box) buildState(context.Context) error {
 	config.Fill(&b.settings.Platform.TimeoutMs, defaultPlatformTimeoutMs)
-	client := b.platformClient()
+	client := b.controlClient(func() string { return "" })
+	b.peers = peers.Client{Client: b.controlClient(b.keys.peers.Current)}
 	b.log = platform.Log{URL: b.settings.Platform.LogURL, Client: client}
 	b.boxList = platform.BoxList{URL: b.settings.Platform.BoxListURL, Client: client}
 	b.fleet = newFleetView()
@@ -171,17 +173,18 @@
 		tablestore.WithClock(b.clock), tablestore.WithLogger(b.logger), tablestore.WithVerdicts(b.countVerdict))
 	b.organisations = limit.NewOrganisations(b.share, b.clock.Now)
 	b.follower = logstream.NewFollower(b.tableSources, b.store.Record,
-		logstream.WithClock(b.clock), logstream.WithLogger(b.logger))
+		logstream.WithClock(b.clock), logstream.WithLogger(b.logger), logstream.WithExpired(b.recoverTable))
 	return nil
 }
 
-func (b *Box) platformClient() *http.Client {
-	return &http.Client{Transport: transport.New(transport.Settings{
+// controlClient makes the HTTP client for the platform or for peers.
+func (b *Box) controlClient(key func() string) *http.Client {
+	return transport.Control(transport.Settings{
 		ConnectTimeoutMs: clock.Millis(b.settings.Platform.TimeoutMs),
-		IdleTimeoutMs:    clock.Second * 60,
+		IdleTimeoutMs:    60 * clock.Second,
 		MaxIdlePerHost:   8,
 		Dial:             b.dial,
-	}), Timeout: longPollMarginMs.Duration()}
+	}, key, b.metrics.PeerSent, b.metrics.PeerReceived)
 }
 
 // append bounds one append by the platform's timeout.
@@ -199,14 +202,6 @@
 	b.metrics.EditsRejected.Add(1)
 }
 
-func (b *Box) tableSources() []logstream.Source {
-	return []logstream.Source{{Name: "platform", Read: func(
-		ctx context.Context, from int64, limit int, waitMs clock.Millis,
-	) (platform.Page, error) {
-		return b.log.Read(ctx, tablestore.Stream, from, limit, waitMs)
-	}}}
-}
-
 func (b *Box) buildSteps(context.Context) error {
 	upstreams := &deferredTransport{}
 	steps := pipeline.Steps{
@@ -232,7 +227,7 @@
 	b.admit = steps.Admit
 	b.pipeline = pipeline.New(steps, &b.settings, b.logger)
 	upstreams.RoundTripper = b.upstreamTransport()
-	b.claims = claim.NewService(claim.Log{Append: b.append, Read: b.log.Read}, claim.Settings{
+	b.claims = claim.NewService(claim.Log{Append: b.append, Read: b.readLog}, claim.Settings{
 		BatchMs: clock.Millis(b.settings.Claim.BatchMs), WindowMs: clock.Millis(b.settings.Claim.WindowMs),
 	}, b.remoteClaim, b.clock, b.logger)
 	b.store.OnChange(func(state *table.State) {
@@ -259,17 +254,14 @@
 	})
 }
 
-func (b *Box) remoteClaim(context.Context, int, claim.Record) (claim.Verdict, bool) {
-	return claim.Verdict{}, false
-}
-
 func (b *Box) openListeners(context.Context) error {
 	limits := server.LimitsOf(&b.settings)
 	b.callers = callers.New(callers.Dependencies{
 		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
 	})
-	peers := http.NewServeMux()
-	b.callers.PeerRoutes(peers)
+	peersHandler := http.NewServeMux()
+	b.callers.PeerRoutes(peersHandler)
+	peers.Routes(peersHandler, peers.Dependencies{Store: b.store, Claim: b.claims.ClaimHere, Submit: b.claims.SubmitHere})
 	operatorsHandler := operators.New(operators.Dependencies{
 		Store: b.store, Pools: b.pools, Status: func() any { return b.Status() }, Drain: b.Drain, Metrics: b.metrics,
 	})
@@ -280,7 +272,7 @@
 		target   **server.Server
 	}{
 		{"callers", b.settings.Callers, b.callers, &b.servers.callers},
-		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, peers), &b.servers.peers},
+		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, peersHandler), &b.servers.peers},
 		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
 	}
 	for _, o := range opened {
@@ -373,13 +365,14 @@
 }
 
 func (b *Box) startBackground(ctx context.Context) {
-	b.running.Go(func() { b.follower.Run(ctx) })
+	b.running.Go(func() { b.followTable(ctx) })
+	b.running.Go(func() { b.catchUp(ctx) })
+	b.running.Go(func() { b.snapshotLoop(ctx) })
 	b.running.Go(func() { b.claims.Run(ctx) })
 	b.running.Go(func() { b.socket.Run(ctx) })
 	b.running.Go(func() { b.gossip.Run(ctx) })
 	b.running.Go(func() { b.pollLists(ctx) })
 	b.running.Go(func() { b.bridgeLoop(ctx) })
-	b.gossip.Join(b.settings.Peers.Contacts)
 	b.running.Go(func() {
 		b.clock.Every(ctx, clock.Second, func(clock.Millis) {
 			b.updateDemand()
--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -137,16 +138,19 @@
 	return 0
 }
 
-// bridgeLoop tells the other failure domains the sums of this one. One box does
-// it at a time: the first by name.
+// bridgeLoop tells the other failure domains the sums of this one. The boxes take
+// turns, so that each spends little on it.
 func (b *Box) bridgeLoop(ctx context.Context) {
-	b.clock.Every(ctx, bridgeMs, func(clock.Millis) {
-		if live := b.gossip.Live(); len(live) == 0 || live[0] != b.settings.Box {
+	b.clock.Every(ctx, bridgeMs, func(now clock.Millis) {
+		live := b.gossip.Live()
+		if len(live) == 0 || live[int(now/bridgeMs)%len(live)] != b.settings.Box {
 			return
 		}
 		sums := b.domainSums()
 		told := map[string]int{}
-		for _, listed := range b.listedElsewhere() {
+		elsewhere := b.listedElsewhere()
+		rand.Shuffle(len(elsewhere), func(i, j int) { elsewhere[i], elsewhere[j] = elsewhere[j], elsewhere[i] })
+		for _, listed := range elsewhere {
 			if told[listed.FailureDomain] < bridgeFanout {
 				told[listed.FailureDomain]++
 				b.gossip.Bridge(listed.GossipAddress, membership.NewID(b.settings.FailureDomain), sums)
@@ -169,7 +173,8 @@
 	for _, facts := range b.gossip.FactsOf() {
 		sums.Boxes++
 		sums.InFlight += facts.InFlight
-		sums.TableOffset = min(sums.TableOffset, facts.TableOffset)
+		// The furthest: other domains learn from it that they are behind.
+		sums.TableOffset = max(sums.TableOffset, facts.TableOffset)
 		for _, demand := range facts.Demand {
 			rates[demand.Organisation] += demand.PerSecond
 		}
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -34,9 +34,11 @@
 	listPollMs      = 2 * clock.Second
 	// otherDomainEvery is how many polls pass between two of other domains.
 	otherDomainEvery = 5
-	bridgeMs         = 2 * clock.Second
+	bridgeMs         = clock.Second
 	domainFactsMs    = 20 * clock.Second
 	peerFailMs       = 5 * clock.Second
+	// foreignMs is how long a box of another domain counts after it was in touch.
+	foreignMs = 60 * clock.Second
 )
 
 // fleetView is what this box knows of other boxes and of leaving upstreams. It
@@ -72,13 +74,14 @@
 	}
 	b.socket = datagram.New(conn, b.keys.peers.All, b.metrics.GossipRejected, b.logger)
 	b.openGossip()
+	b.gossip.SetContacts(b.settings.Peers.Contacts)
 	b.openGrants()
 	return nil
 }
 
 func (b *Box) openGossip() {
 	self := membership.Box{
-		Name: b.settings.Box, GossipAddress: b.socket.Address(), PeerAddress: b.servers.peers.Address(),
+		Name: b.settings.Box, Domain: b.settings.FailureDomain, GossipAddress: b.socket.Address(), PeerAddress: b.servers.peers.Address(),
 	}
 	times := membership.DefaultSettings()
 	times.PeriodMs = clock.Millis(b.settings.Peers.PeriodMs)
@@ -240,22 +243,37 @@
 }
 
 // listedElsewhere returns the live boxes of other failure domains that did not
-// fail lately, by domain.
+// fail lately: those of the platform's list, and those that were in touch.
 func (b *Box) listedElsewhere() []platform.ListedBox {
+	inTouch := b.gossip.Foreign(foreignMs)
 	b.fleet.mu.Lock()
 	defer b.fleet.mu.Unlock()
-	found := []platform.ListedBox{}
-	for domain, list := range b.fleet.lists {
-		if domain == b.settings.FailureDomain {
-			continue
+	byName := map[string]platform.ListedBox{}
+	for _, foreign := range inTouch {
+		byName[foreign.Name] = platform.ListedBox{
+			Name: foreign.Name, FailureDomain: foreign.Domain, State: platform.BoxLive,
+			GossipAddress: foreign.GossipAddress, PeerAddress: foreign.PeerAddress,
 		}
+	}
+	for domain, list := range b.fleet.lists {
 		for _, listed := range list.Boxes {
-			usable := listed.State == platform.BoxLive && listed.PeerAddress != ""
-			if usable && b.clock.Now()-b.fleet.failed[listed.Name] > peerFailMs {
-				found = append(found, listed)
+			if domain != b.settings.FailureDomain {
+				byName[listed.Name] = listed
 			}
 		}
 	}
+	return b.usableElsewhere(byName)
+}
+
+// usableElsewhere drops boxes that stop or failed lately, and sorts the others.
+func (b *Box) usableElsewhere(byName map[string]platform.ListedBox) []platform.ListedBox {
+	found := []platform.ListedBox{}
+	for _, listed := range byName {
+		usable := listed.State == platform.BoxLive && listed.PeerAddress != ""
+		if usable && b.clock.Now()-b.fleet.failed[listed.Name] > peerFailMs {
+			found = append(found, listed)
+		}
+	}
 	slices.SortFunc(found, func(x, y platform.ListedBox) int { return strings.Compare(x.Name, y.Name) })
 	return found
 }
--- a/internal/box/status.go
+++ b/internal/box/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/membership"
 	"dooryard.example/dooryard/internal/pool"
 )
 
@@ -24,14 +25,46 @@
 	Running   int          `json:"running"`
 	Waiting   int          `json:"waiting"`
 	Upstreams []pool.Load  `json:"upstreams"`
+	Peers     []PeerStatus `json:"peers"`
+	// Lowest is the box of this failure domain whose table is furthest behind.
+	Lowest LowestOffset `json:"lowest"`
+}
+
+// PeerStatus is another box of the failure domain as this one sees it.
+type PeerStatus struct {
+	Name        string `json:"name"`
+	Status      string `json:"status"`
+	TableOffset int64  `json:"table_offset"`
+	InFlight    uint32 `json:"in_flight"`
+}
+
+// LowestOffset names the box whose table is furthest behind.
+type LowestOffset struct {
+	Box         string `json:"box"`
+	TableOffset int64  `json:"table_offset"`
 }
 
 // Status returns the box's state now.
 func (b *Box) Status() Status {
 	running, waiting := b.admit.Lengths()
-	return Status{
+	status := Status{
 		Box: b.settings.Box, FailureDomain: b.settings.FailureDomain, Ready: b.Ready(), NowMs: b.clock.Now(),
 		TableOffset: b.store.State().Offset(), LogSource: b.follower.Source(), LogReadMs: b.follower.LastReadMs(),
 		Running: running, Waiting: waiting, Upstreams: b.pools.Loads(),
 	}
+	status.addPeers(b.gossip.Members(), b.gossip.FactsOf())
+	return status
+}
+
+func (s *Status) addPeers(members []membership.Member, facts map[string]membership.Facts) {
+	s.Lowest = LowestOffset{Box: s.Box, TableOffset: s.TableOffset}
+	for _, member := range members {
+		told, known := facts[member.Name]
+		s.Peers = append(s.Peers, PeerStatus{
+			Name: member.Name, Status: member.Status.String(), TableOffset: told.TableOffset, InFlight: told.InFlight,
+		})
+		if known && told.TableOffset < s.Lowest.TableOffset {
+			s.Lowest = LowestOffset{Box: member.Name, TableOffset: told.TableOffset}
+		}
+	}
 }
--- a/internal/claim/registry.go
+++ b/internal/claim/registry.go
@@ -100,19 +100,31 @@
 	r.changed = make(chan struct{})
 }
 
-// Claim asks for a key and waits for the verdict, which is never Absent.
-// ErrUnavailable means that none came before the context ended; the claim may
-// still win later, so the claimant has to Release it.
+// Claim asks for a key and waits for the verdict. While another request holds
+// the key it waits for that one's end, as long as the context lives: then the
+// verdict is Held. ErrUnavailable means that no verdict came before the context
+// ended; the claim may still win later, so the claimant has to release it.
 func (r *Registry) Claim(ctx context.Context, record Record) (Verdict, error) {
 	r.enqueue(record)
+	held := false
 	for {
 		verdict, changed := r.verdict(record)
-		if verdict.State != Absent {
+		switch {
+		case verdict.State == Absent && held:
+			// The holder has released the key; the first claim folded to nothing.
+			r.enqueue(record)
+			held = false
+		case verdict.State == Held:
+			held = true
+		case verdict.State != Absent:
 			return verdict, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			if held {
+				return verdict, nil
+			}
 			return Verdict{}, fmt.Errorf("%w: %w", ErrUnavailable, context.Cause(ctx))
 		}
 	}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -23,6 +23,7 @@
 	mu         sync.Mutex
 	registries map[int]*Registry
 	running    context.Context
+	handing    int
 	group      sync.WaitGroup
 }
 
@@ -87,8 +88,27 @@
 	return s.registry(Shard(record.Key)).Claim(ctx, record)
 }
 
-// Submit hands a settle or release record on without waiting for its effect.
+// Submit hands a settle or release record on without waiting for its effect: to
+// the box that gathers the shard, or to this box's own registry.
 func (s *Service) Submit(record Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil || s.running.Err() != nil {
+		return
+	}
+	s.handing++
+	s.group.Go(func() {
+		if _, taken := s.remote(s.running, Shard(record.Key), record); !taken {
+			s.SubmitHere(record)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.handing--
+	})
+}
+
+// SubmitHere hands a record to this box's own registry, also for other boxes.
+func (s *Service) SubmitHere(record Record) {
 	s.registry(Shard(record.Key)).Submit(record)
 }
 
@@ -101,5 +121,5 @@
 			return false
 		}
 	}
-	return true
+	return s.handing == 0
 }
--- /dev/null
+++ b/internal/cmd/operatorcmd/table.go
@@ -0,0 +1,411 @@
+package operatorcmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/urfave/cli/v3"
+
+	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/opclient"
+	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/tablefile"
+)
+
+func (p *program) tableCommand() *cli.Command {
+	editFlags := []cli.Flag{
+		&cli.StringFlag{Name: flagID, Usage: "id of the edit; give the same one again after an unknown verdict"},
+		&cli.StringFlag{
+			Name: flagOperator, Sources: cli.EnvVars("DOORYARD_OPERATOR", "USER"), Usage: "who makes the edit",
+		},
+	}
+	fileFlags := []cli.Flag{
+		&cli.StringFlag{Name: "sheet", Usage: "the sheet that a CSV file holds"},
+		&cli.BoolFlag{Name: "prune", Usage: "remove rows that the file lacks"},
+	}
+	return &cli.Command{
+		Name:  "table",
+		Usage: "show and edit the table",
+		Commands: []*cli.Command{
+			{
+				Name: "get", Usage: "show a sheet, a row or a cell", ArgsUsage: "SHEET[/ROW[/COLUMN]]",
+				Action: p.action(p.tableGet),
+			},
+			{
+				Name: "set", Usage: "set cells, all or none", ArgsUsage: "SHEET/ROW/COLUMN=VALUE ...",
+				Flags: editFlags, Action: p.action(p.tableSet),
+			},
+			{
+				Name: "remove", Usage: "remove rows", ArgsUsage: "SHEET/ROW ...",
+				Flags: editFlags, Action: p.action(p.tableRemove),
+			},
+			{
+				Name: "diff", Usage: "show what import would change", ArgsUsage: "FILE",
+				Flags: fileFlags, Action: p.action(p.tableDiff),
+			},
+			{
+				Name: "import", Usage: "make the table as a file says, as one edit", ArgsUsage: "FILE",
+				Flags: append(editFlags, fileFlags...), Action: p.action(p.tableImport),
+			},
+			{
+				Name: "export", Usage: "print the table as YAML, or one sheet as CSV",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "sheet", Usage: "print this sheet as CSV"}},
+				Action: p.action(p.tableExport),
+			},
+			{Name: "history", Usage: "list the newest accepted edits", Action: p.action(p.tableHistory)},
+			{
+				Name: "undo", Usage: "take an accepted edit back", ArgsUsage: "EDIT-ID",
+				Flags: editFlags, Action: p.action(p.tableUndo),
+			},
+			{
+				Name: "verdict", Usage: "ask for the verdict on an edit", ArgsUsage: "EDIT-ID",
+				Action: p.action(p.tableVerdict),
+			},
+		},
+	}
+}
+
+func (p *program) tableGet(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	path, err := oneArgument(c, "SHEET[/ROW[/COLUMN]]")
+	if err != nil {
+		return err
+	}
+	parts := strings.SplitN(path, "/", 3)
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	sheet, err := sheetOf(reply, parts[0])
+	if err != nil {
+		return err
+	}
+	if len(parts) > 1 {
+		return p.printRow(sheet, parts[1:])
+	}
+	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "row\t"+strings.Join(sheet.Columns, "\t"))
+	for _, row := range sheet.Rows {
+		values := make([]string, len(row.Cells))
+		for i, cell := range row.Cells {
+			values[i] = cell.Value
+		}
+		fmt.Fprintln(w, row.Name+"\t"+strings.Join(values, "\t"))
+	}
+	return w.Flush()
+}
+
+func sheetOf(reply operators.TableReply, name string) (operators.Sheet, error) {
+	for _, sheet := range reply.Sheets {
+		if sheet.Name == name {
+			return sheet, nil
+		}
+	}
+	return operators.Sheet{}, fmt.Errorf("%w: sheet %q: unknown, have %v", exit.ErrUsage, name, table.SheetNames())
+}
+
+// printRow prints a row's cells with their revisions, or one cell's value alone.
+func (p *program) printRow(sheet operators.Sheet, path []string) error {
+	for _, row := range sheet.Rows {
+		if row.Name != path[0] {
+			continue
+		}
+		w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+		for i, cell := range row.Cells {
+			switch {
+			case len(path) == 1:
+				fmt.Fprintf(w, "%s\t%s\trevision %d\n", sheet.Columns[i], cell.Value, cell.Revision)
+			case sheet.Columns[i] == path[1]:
+				fmt.Fprintln(w, cell.Value)
+			}
+		}
+		return w.Flush()
+	}
+	return fmt.Errorf("%w: row %q: unknown in %s", exit.ErrUsage, path[0], sheet.Name)
+}
+
+func (p *program) tableSet(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	if c.Args().Len() == 0 {
+		return fmt.Errorf("%w: set: needs SHEET/ROW/COLUMN=VALUE", exit.ErrUsage)
+	}
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	changes := []table.Change{}
+	for _, argument := range c.Args().Slice() {
+		address, value, found := strings.Cut(argument, "=")
+		parts := strings.SplitN(address, "/", 3)
+		if !found || len(parts) != 3 {
+			return fmt.Errorf("%w: %q: must be SHEET/ROW/COLUMN=VALUE", exit.ErrUsage, argument)
+		}
+		if err := table.CheckCell(parts[0], parts[1], parts[2], value); err != nil {
+			return fmt.Errorf("%w: %w", exit.ErrUsage, err)
+		}
+		changes = append(changes, table.Change{
+			Sheet: parts[0], Row: parts[1], Column: parts[2], Value: value,
+			BasedOn: cellOf(reply, parts).Revision,
+		})
+	}
+	return p.submit(ctx, c, client, changes)
+}
+
+// cellOf returns the cell at sheet, row and column; the zero cell if none is.
+func cellOf(reply operators.TableReply, parts []string) table.Cell {
+	sheet, err := sheetOf(reply, parts[0])
+	if err != nil {
+		return table.Cell{}
+	}
+	for _, row := range sheet.Rows {
+		if row.Name != parts[1] {
+			continue
+		}
+		for i, cell := range row.Cells {
+			if sheet.Columns[i] == parts[2] {
+				return cell
+			}
+		}
+	}
+	return table.Cell{}
+}
+
+func (p *program) tableRemove(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	changes := []table.Change{}
+	for _, address := range c.Args().Slice() {
+		sheetName, rowName, _ := strings.Cut(address, "/")
+		sheet, err := sheetOf(reply, sheetName)
+		if err != nil {
+			return err
+		}
+		newest, found := newestOf(sheet, rowName)
+		if !found {
+			return fmt.Errorf("%w: row %q: unknown in %s", exit.ErrUsage, rowName, sheetName)
+		}
+		changes = append(changes, table.Change{Sheet: sheetName, Row: rowName, Remove: true, BasedOn: newest})
+	}
+	return p.submit(ctx, c, client, changes)
+}
+
+func newestOf(sheet operators.Sheet, rowName string) (newest int64, found bool) {
+	for _, row := range sheet.Rows {
+		if row.Name != rowName {
+			continue
+		}
+		for _, cell := range row.Cells {
+			newest = max(newest, cell.Revision)
+		}
+		return newest, true
+	}
+	return 0, false
+}
+
+// submit hands in an edit and prints its verdict. An unknown verdict names the
+// id under which to ask again.
+func (p *program) submit(ctx context.Context, c *cli.Command, client opclient.Client, changes []table.Change) error {
+	if len(changes) == 0 {
+		fmt.Fprintln(p.out, "nothing to change")
+		return nil
+	}
+	edit := table.Edit{ID: c.String(flagID), Operator: c.String(flagOperator), Changes: changes}
+	if edit.ID == "" {
+		edit.ID = ulid.Make().String()
+	}
+	verdict, err := client.Submit(ctx, edit)
+	if errors.Is(err, opclient.ErrVerdictUnknown) {
+		return cli.Exit(fmt.Sprintf("the verdict on edit %s is not known yet: it may still take hold.\n"+
+			"Ask with: dooryard table verdict %s\nOr repeat the command with: --id %s", edit.ID, edit.ID, edit.ID),
+			exitUnknown)
+	}
+	if err != nil {
+		return err
+	}
+	return p.printVerdict(verdict)
+}
+
+// exitUnknown is the exit code of an edit whose verdict is not known.
+const exitUnknown = 3
+
+func (p *program) printVerdict(verdict table.Verdict) error {
+	fmt.Fprintf(p.out, "edit %s at offset %d: %s\n", verdict.ID, verdict.Offset, verdict.Result)
+	for _, issue := range verdict.Issues {
+		fmt.Fprintf(p.out, "  %s: %s\n", issue.Address, issue.Reason)
+		if verdict.Result == table.Conflict {
+			fmt.Fprintf(p.out, "    yours: %q, in the table: %q (revision %d)\n",
+				issue.Wanted, issue.Current, issue.CurrentRevision)
+		}
+	}
+	if verdict.Result != table.Accepted {
+		return errRefused
+	}
+	return nil
+}
+
+func readFile(path, sheet string) (tablefile.File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return tablefile.File{}, fmt.Errorf("%w: %w", exit.ErrUsage, err)
+	}
+	file, err := decodeFile(path, sheet, data)
+	if err != nil {
+		return tablefile.File{}, errors.Join(exit.ErrUsage, err)
+	}
+	return file, nil
+}
+
+func decodeFile(path, sheet string, data []byte) (tablefile.File, error) {
+	if filepath.Ext(path) == ".csv" {
+		return decodeCSV(path, sheet, data)
+	}
+	return tablefile.DecodeYAML(path, data)
+}
+
+// fileChanges returns what a file would change now.
+func fileChanges(ctx context.Context, c *cli.Command, client opclient.Client) ([]table.Change, error) {
+	path, err := oneArgument(c, "FILE")
+	if err != nil {
+		return nil, err
+	}
+	file, err := readFile(path, c.String("sheet"))
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return nil, err
+	}
+	history, err := client.History(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return tablefile.Changes(file, tablefile.Current{Table: reply, History: history}, c.Bool("prune")), nil
+}
+
+func (p *program) tableDiff(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	changes, err := fileChanges(ctx, c, client)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	for _, change := range changes {
+		if change.Remove {
+			fmt.Fprintf(p.out, "- %s\n", change.Address())
+			continue
+		}
+		current := cellOf(reply, []string{change.Sheet, change.Row, change.Column})
+		fmt.Fprintf(p.out, "~ %s: %q -> %q\n", change.Address(), current.Value, change.Value)
+	}
+	return nil
+}
+
+func (p *program) tableImport(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	changes, err := fileChanges(ctx, c, client)
+	if err != nil {
+		return err
+	}
+	return p.submit(ctx, c, client, changes)
+}
+
+func (p *program) tableExport(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	file := tablefile.FromTable(reply)
+	encode := file.EncodeYAML
+	if sheet := c.String("sheet"); sheet != "" {
+		encode = func() ([]byte, error) { return file.EncodeCSV(sheet) }
+	}
+	data, err := encode()
+	if err != nil {
+		return fmt.Errorf("%w: %w", exit.ErrUsage, err)
+	}
+	_, err = p.out.Write(data)
+	return err
+}
+
+func (p *program) tableHistory(ctx context.Context, _ *cli.Command, client opclient.Client) error {
+	history, err := client.History(ctx)
+	if err != nil {
+		return err
+	}
+	for _, entry := range history {
+		fmt.Fprintf(p.out, "%d %s by %s\n", entry.Offset, entry.ID, entry.Operator)
+		for i, change := range entry.Changes {
+			if change.Remove {
+				fmt.Fprintf(p.out, "  - %s\n", change.Address())
+				continue
+			}
+			fmt.Fprintf(p.out, "  %s: %q -> %q\n", change.Address(), entry.Before[i], change.Value)
+		}
+	}
+	return nil
+}
+
+func (p *program) tableUndo(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	id, err := oneArgument(c, "EDIT-ID")
+	if err != nil {
+		return err
+	}
+	history, err := client.History(ctx)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	for _, entry := range history {
+		if entry.ID == id {
+			return p.submit(ctx, c, client, tablefile.Undo(entry, reply))
+		}
+	}
+	return fmt.Errorf("%w: edit %s: not among the newest accepted edits", exit.ErrUsage, id)
+}
+
+func (p *program) tableVerdict(ctx context.Context, c *cli.Command, client opclient.Client) error {
+	id, err := oneArgument(c, "EDIT-ID")
+	if err != nil {
+		return err
+	}
+	verdict, err := client.Verdict(ctx, id)
+	if err != nil {
+		return err
+	}
+	return p.printVerdict(verdict)
+}
+
+// keyCommand turns a caller's key into what the table keeps of it.
+func (p *program) keyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "key",
+		Usage: "read a caller's key from standard input and print what the table keeps of it",
+		Action: func(context.Context, *cli.Command) error {
+			data, err := io.ReadAll(io.LimitReader(p.in, maxKeyBytes))
+			if err != nil {
+				return fmt.Errorf("read key: %w", err)
+			}
+			key := strings.TrimSpace(string(data))
+			if key == "" {
+				return fmt.Errorf("%w: standard input holds no key", exit.ErrUsage)
+			}
+			fmt.Fprintln(p.out, table.HashKey(key))
+			return nil
+		},
+	}
+}
+
+const maxKeyBytes = 4096
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -265,8 +264,7 @@
 	set(table.Models, Model, "deadline_ms", "60000")
 	set(table.Services, ServiceName, "repeatable", "GET /")
 	for _, organisation := range f.plan.Organisations {
-		digest := sha256.Sum256([]byte(CallerKey(organisation.Name)))
-		set(table.Organisations, organisation.Name, "key_sha256", hex.EncodeToString(digest[:]))
+		set(table.Organisations, organisation.Name, "key_sha256", table.HashKey(CallerKey(organisation.Name)))
 		for column, value := range organisation.Columns {
 			set(table.Organisations, organisation.Name, column, value)
 		}
--- a/internal/logstream/follower.go
+++ b/internal/logstream/follower.go
@@ -15,7 +15,7 @@
 // Bounds of one read and of the waits between failed ones.
 const (
 	pageLimit                 = 1000
-	longPollMs   clock.Millis = 20_000
+	longPollMs   clock.Millis = 10_000
 	firstDelayMs clock.Millis = 50
 	lastDelayMs  clock.Millis = 1000
 )
@@ -80,6 +80,16 @@
 // Next returns the offset that will be read next.
 func (f *Follower) Next() int64 { return f.next.Load() }
 
+// Advance skips records that the caller has got on another way.
+func (f *Follower) Advance(offset int64) {
+	for {
+		next := f.next.Load()
+		if offset <= next || f.next.CompareAndSwap(next, offset) {
+			return
+		}
+	}
+}
+
 // LastReadMs returns the instant of the last read that a source answered.
 func (f *Follower) LastReadMs() clock.Millis { return clock.Millis(f.lastOK.Load()) }
 
@@ -140,7 +150,7 @@
 			return fmt.Errorf("%w: wanted %d, got %d", ErrGap, f.Next(), record.Offset)
 		}
 		f.record(record)
-		f.next.Store(record.Offset + 1)
+		f.Advance(record.Offset + 1)
 	}
 	return nil
 }
@@ -154,6 +164,6 @@
 	if next <= from {
 		return fmt.Errorf("%w: offset %d, and nothing newer to start from", platform.ErrExpired, from)
 	}
-	f.next.Store(next)
+	f.Advance(next)
 	return nil
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -106,14 +106,12 @@
 	}
 }
 
-// Join asks the boxes at these addresses to let this one in.
-func (g *Gossip) Join(addresses []string) {
-	for _, address := range addresses {
-		g.mu.Lock()
-		out := g.node.Join(address)
-		g.mu.Unlock()
-		g.send(out)
-	}
+// SetContacts sets the addresses that are asked while this box knows no other
+// box of its failure domain, or none of another one.
+func (g *Gossip) SetContacts(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.SetContacts(addresses)
 }
 
 // SetListed takes over the platform's list of this failure domain.
@@ -159,6 +157,13 @@
 	return g.node.DomainFacts(g.clock.Now(), span)
 }
 
+// Foreign returns the boxes of other failure domains in touch within a span.
+func (g *Gossip) Foreign(span clock.Millis) []Box {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Foreign(g.clock.Now(), span)
+}
+
 // Bridge tells a box of another failure domain the sums of this one.
 func (g *Gossip) Bridge(address string, domain ID, sums Facts) {
 	g.mu.Lock()
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -49,6 +49,8 @@
 	news        *news
 	facts       *factBook
 	listed      map[string]string
+	contacts    []string
+	foreign     map[string]foreignBox
 	changed     bool
 	alive       int
 }
@@ -94,6 +96,7 @@
 		random:  rand.New(rand.NewPCG(uint64(NewID(self.Name)), uint64(incarnation))),
 		members: map[ID]*member{}, probes: map[uint32]*probe{}, relays: map[uint32]relay{},
 		news: newNews(), facts: newFactBook(incarnation), listed: map[string]string{},
+		foreign: map[string]foreignBox{},
 	}
 	for _, option := range options {
 		option(n)
@@ -125,6 +128,34 @@
 	return members
 }
 
+// foreignBox is a box of another failure domain that was in touch.
+type foreignBox struct {
+	Box
+	heardMs clock.Millis
+}
+
+// Foreign returns the boxes of other failure domains that were in touch within a
+// span, by name. They are no members here.
+func (n *Node) Foreign(now, span clock.Millis) []Box {
+	boxes := []Box{}
+	for _, f := range n.foreign {
+		if now-f.heardMs <= span {
+			boxes = append(boxes, f.Box)
+		}
+	}
+	slices.SortFunc(boxes, func(a, b Box) int { return cmp.Compare(a.Name, b.Name) })
+	return boxes
+}
+
+// maxForeign bounds the boxes of other failure domains that are remembered.
+const maxForeign = 1000
+
+func (n *Node) meetForeign(box Box, now clock.Millis) {
+	if _, known := n.foreign[box.Name]; known || len(n.foreign) < maxForeign {
+		n.foreign[box.Name] = foreignBox{Box: box, heardMs: now}
+	}
+}
+
 // Live returns the names of the live boxes, this one included, sorted. A suspect
 // lives until it is removed.
 func (n *Node) Live() []string {
@@ -152,6 +183,10 @@
 // boxes that are not known are asked to let this box in.
 func (n *Node) SetListed(addresses map[string]string) { n.listed = addresses }
 
+// SetContacts sets the addresses that are asked while this box knows no other
+// box of its failure domain, or none of another one.
+func (n *Node) SetContacts(addresses []string) { n.contacts = addresses }
+
 // SetFacts sets what this box tells of itself.
 func (n *Node) SetFacts(facts Facts) { n.facts.setOwn(n.id, facts) }
 
@@ -183,6 +218,7 @@
 func (n *Node) Bridge(address string, domain ID, now clock.Millis, sums Facts) []Outgoing {
 	n.sequence++
 	p := n.packet(kindBridge, n.sequence)
+	p.Updates = []update{{ID: n.id, Incarnation: n.incarnation, Status: Alive, Box: &n.self}}
 	p.Facts = []factEntry{{ID: domain, Version: uint32(now / clock.Second), Facts: sums}}
 	return n.send(address, p)
 }
@@ -398,6 +434,9 @@
 			addresses = append(addresses, m.box.GossipAddress)
 		}
 	}
+	if n.alive == 0 || len(n.foreign) == 0 {
+		addresses = append(addresses, n.contacts...)
+	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	n.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -120,6 +120,10 @@
 	if u.ID == n.id {
 		return n.contradict(u)
 	}
+	if u.Box != nil && u.Box.Domain != n.self.Domain {
+		n.meetForeign(*u.Box, now)
+		return nil
+	}
 	m := n.members[u.ID]
 	if m == nil {
 		n.meet(u, now)
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -94,6 +94,7 @@
 type Box struct {
 	_             struct{} `cbor:",toarray"`
 	Name          string
+	Domain        string
 	GossipAddress string
 	PeerAddress   string
 }
@@ -166,6 +167,11 @@
 	return p, p.check()
 }
 
+// fits tells whether a box's names can be used, and whether the id is its own.
+func (b *Box) fits(id ID) bool {
+	return b.Name != "" && len(b.Name) <= maxNameBytes && len(b.Domain) <= maxNameBytes && NewID(b.Name) == id
+}
+
 func (p *packet) check() error {
 	if p.Kind < kindPing || p.Kind > kindBridge {
 		return fmt.Errorf("%w: kind %d", ErrMalformed, p.Kind)
@@ -174,7 +180,7 @@
 		if u.Status < Alive || u.Status > Left {
 			return fmt.Errorf("%w: status %d", ErrMalformed, u.Status)
 		}
-		if u.Box != nil && (u.Box.Name == "" || len(u.Box.Name) > maxNameBytes || NewID(u.Box.Name) != u.ID) {
+		if u.Box != nil && !u.Box.fits(u.ID) {
 			return fmt.Errorf("%w: name of box", ErrMalformed)
 		}
 	}
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -110,8 +110,7 @@
 	if !found || key == "" {
 		return apierror.New(http.StatusUnauthorized, "missing_key", "Authorization: a bearer key is needed")
 	}
-	digest := sha256.Sum256([]byte(key))
-	x.Organisation = x.State.OrganisationByKeyHash(hex.EncodeToString(digest[:]))
+	x.Organisation = x.State.OrganisationByKeyHash(table.HashKey(key))
 	if x.Organisation == nil {
 		return apierror.New(http.StatusUnauthorized, "unknown_key", "Authorization: no organisation has this key")
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -333,7 +333,11 @@
 	if p == nil {
 		return nil, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
 	}
-	return m.settings.Policy.Explain(p.view, key), nil
+	ranking := m.settings.Policy.Explain(p.view, key)
+	for i := range ranking {
+		ranking[i].Owner = p.spots[p.position(ranking[i].Name)].Owner
+	}
+	return ranking, nil
 }
 
 // Capacity returns this box's part of a pool's slots, for the queue in front.
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -16,6 +16,8 @@
 	Bound    int `json:"bound"`
 	Reported int `json:"reported"`
 	Weight   int `json:"weight"`
+	// Owner is the box that counts what all boxes run there.
+	Owner string `json:"owner,omitempty"`
 }
 
 // Reasons of an explanation.
--- a/internal/routebench/grants.go
+++ b/internal/routebench/grants.go
@@ -82,7 +82,9 @@
 		return grant.Reply{}
 	}
 	v := r.views[box]
-	standing := grant.Standing{Part: v.Part(position), Boxes: r.scenario.Boxes, BoundPercent: BoundPercent, Slots: engineSlots}
+	standing := grant.Standing{
+		Part: v.Part(position), Boxes: r.scenario.Boxes, BoundPercent: BoundPercent, Slots: engineSlots,
+	}
 	granted, over := r.owners.ledgers[owner].Ask(grant.Ask{
 		Place: q.Place, Box: grant.Box(box + 1), Held: v.Members[position].InFlight + 1, Total: v.Total() + 1,
 		Settle: q.Settle,
--- a/internal/table/rows.go
+++ b/internal/table/rows.go
@@ -1,6 +1,8 @@
 package table
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"slices"
 	"strconv"
@@ -88,6 +90,12 @@
 	return rules, nil
 }
 
+// HashKey returns what the table keeps of a caller's key.
+func HashKey(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
 func (r *row) text(name string) string {
 	at := r.columns.index(name)
 	return r.cells[at].Value
--- a/internal/table/state.go
+++ b/internal/table/state.go
@@ -48,6 +48,8 @@
 	Changes  []Change `json:"changes"`
 	// Before are the replaced values, in the order of Changes.
 	Before []string `json:"before"`
+	// Removed are the cells of removed rows in column order, by "sheet/row".
+	Removed map[string][]string `json:"removed,omitempty"`
 }
 
 // maxHistory bounds the accepted edits kept for history and undo.
@@ -310,11 +312,25 @@
 	entry := HistoryEntry{Offset: offset, ID: edit.ID, Operator: edit.Operator, Changes: edit.Changes}
 	for _, change := range edit.Changes {
 		entry.Before = append(entry.Before, before.current(change).Value)
+		if change.Remove {
+			entry.keepRemoved(change.Address(), before.Row(change.Sheet, change.Row))
+		}
 	}
 	start := max(0, len(before.history)-maxHistory+1)
 	s.history = append(slices.Clone(before.history[start:]), entry)
 }
 
+func (h *HistoryEntry) keepRemoved(address string, cells []Cell) {
+	if h.Removed == nil {
+		h.Removed = map[string][]string{}
+	}
+	values := make([]string, len(cells))
+	for i, cell := range cells {
+		values[i] = cell.Value
+	}
+	h.Removed[address] = values
+}
+
 // retype rebuilds the typed form of the touched rows.
 func (s *State) retype(before *State, rows map[string]map[string]bool) {
 	if names, touched := rows[Organisations]; touched {
--- /dev/null
+++ b/internal/tablefile/diff.go
@@ -0,0 +1,107 @@
+package tablefile
+
+import (
+	"maps"
+	"slices"
+
+	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/table"
+)
+
+// Current is the table and its history, to which a file is compared.
+type Current struct {
+	Table   operators.TableReply
+	History []table.HistoryEntry
+}
+
+// Changes returns the changes that turn the current table into the file's. A
+// cell that others changed since the file was written, and that the file leaves
+// as it was then, is left alone; one that both changed becomes a change based on
+// the file's time, which the table answers with a conflict and both values. Rows
+// that the file lacks are removed only when prune is set.
+func Changes(file File, current Current, prune bool) []table.Change {
+	changes := []table.Change{}
+	for _, sheet := range current.Table.Sheets {
+		wanted, present := file.Sheets[sheet.Name]
+		if !present {
+			continue
+		}
+		changes = append(changes, sheetChanges(file, wanted, sheet, current.History)...)
+		if prune {
+			changes = append(changes, removals(wanted, sheet)...)
+		}
+	}
+	return changes
+}
+
+func sheetChanges(file File, wanted Rows, sheet operators.Sheet, history []table.HistoryEntry) []table.Change {
+	cells := map[string]map[string]table.Cell{}
+	for _, row := range sheet.Rows {
+		cells[row.Name] = map[string]table.Cell{}
+		for i, cell := range row.Cells {
+			cells[row.Name][sheet.Columns[i]] = cell
+		}
+	}
+	changes := []table.Change{}
+	for _, row := range slices.Sorted(maps.Keys(wanted)) {
+		for _, column := range sheet.Columns {
+			value, named := wanted[row][column]
+			cell := cells[row][column]
+			if !named || value == cell.Value {
+				continue
+			}
+			change := table.Change{Sheet: sheet.Name, Row: row, Column: column, Value: value, BasedOn: cell.Revision}
+			if !basedOnFile(&change, file.Offset, cell, history) {
+				continue
+			}
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// basedOnFile sets the revision that the file's writer saw. It returns false for
+// a cell that the writer left as it was.
+func basedOnFile(change *table.Change, offset int64, cell table.Cell, history []table.HistoryEntry) bool {
+	if offset == 0 || cell.Revision <= offset {
+		return true
+	}
+	if valueAt(change.Address(), offset, history) == change.Value {
+		return false
+	}
+	change.BasedOn = unknownRevision
+	return true
+}
+
+// unknownRevision is one that no cell has, so that the table finds a conflict.
+const unknownRevision = -1
+
+// valueAt returns what a cell held when the table had reached an offset.
+func valueAt(address string, offset int64, history []table.HistoryEntry) string {
+	for _, entry := range history {
+		if entry.Offset < offset {
+			continue
+		}
+		for i, change := range entry.Changes {
+			if change.Address() == address {
+				return entry.Before[i]
+			}
+		}
+	}
+	return ""
+}
+
+func removals(wanted Rows, sheet operators.Sheet) []table.Change {
+	changes := []table.Change{}
+	for _, row := range sheet.Rows {
+		if _, kept := wanted[row.Name]; kept {
+			continue
+		}
+		newest := int64(0)
+		for _, cell := range row.Cells {
+			newest = max(newest, cell.Revision)
+		}
+		changes = append(changes, table.Change{Sheet: sheet.Name, Row: row.Name, Remove: true, BasedOn: newest})
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/tablefile/undo.go
@@ -0,0 +1,69 @@
+package tablefile
+
+import (
+	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/table"
+)
+
+// Undo returns the changes that take back an accepted edit. They conflict where
+// a cell was changed again since. A row that the edit made is removed, one that
+// it removed is set again.
+func Undo(entry table.HistoryEntry, current operators.TableReply) []table.Change {
+	changes := []table.Change{}
+	removed := map[string]bool{}
+	for i, change := range entry.Changes {
+		row := change.Sheet + "/" + change.Row
+		switch {
+		case change.Remove:
+			changes = append(changes, restored(change, entry.Removed[row])...)
+		case removed[row]:
+		case madeBy(entry, change, current):
+			removed[row] = true
+			changes = append(changes, table.Change{
+				Sheet: change.Sheet, Row: change.Row, Remove: true, BasedOn: entry.Offset + 1,
+			})
+		default:
+			changes = append(changes, table.Change{
+				Sheet: change.Sheet, Row: change.Row, Column: change.Column,
+				Value: entry.Before[i], BasedOn: entry.Offset + 1,
+			})
+		}
+	}
+	return changes
+}
+
+func restored(change table.Change, values []string) []table.Change {
+	changes := []table.Change{}
+	for i, column := range table.Columns(change.Sheet) {
+		if i < len(values) && values[i] != "" {
+			changes = append(changes, table.Change{
+				Sheet: change.Sheet, Row: change.Row, Column: column, Value: values[i],
+			})
+		}
+	}
+	return changes
+}
+
+// madeBy tells whether all that the row holds now came with the edit.
+func madeBy(entry table.HistoryEntry, change table.Change, current operators.TableReply) bool {
+	for _, sheet := range current.Sheets {
+		if sheet.Name != change.Sheet {
+			continue
+		}
+		for _, row := range sheet.Rows {
+			if row.Name == change.Row {
+				return allFrom(row.Cells, entry.Offset+1)
+			}
+		}
+	}
+	return false
+}
+
+func allFrom(cells []table.Cell, revision int64) bool {
+	for _, cell := range cells {
+		if cell.Revision != 0 && cell.Revision != revision {
+			return false
+		}
+	}
+	return true
+}
