feat: engines' own word on leaving, orders under a lease, slots by demand

Cause: a leaving engine was known from the table and the list only; models were never loaded; an idle box had an even part of the slots whatever it needed. Connections look at the clock right before each write, so that a paused holder sends nothing late.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -20,6 +20,7 @@
 	"dooryard.example/dooryard/internal/datagram"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/grant"
+	"dooryard.example/dooryard/internal/lease"
 	"dooryard.example/dooryard/internal/limit"
 	"dooryard.example/dooryard/internal/logstream"
 	"dooryard.example/dooryard/internal/membership"
@@ -79,6 +80,9 @@
 	gossip      *membership.Gossip
 	agent       *grant.Agent
 	picker      *picker.Picker
+	lease       *lease.Keeper
+	weights     platform.WeightStore
+	engineHTTP  *http.Client
 	fleet       *fleetView
 
 	servers  servers
@@ -130,7 +134,7 @@
 		option(b)
 	}
 	for _, step := range []func(context.Context) error{
-		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.openListeners, b.openPeering,
+		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.openListeners, b.openPeering, b.buildLease,
 	} {
 		if err := step(ctx); err != nil {
 			return nil, err
@@ -168,6 +172,8 @@
 	b.peers = peers.Client{Client: b.controlClient(b.keys.peers.Current)}
 	b.log = platform.Log{URL: b.settings.Platform.LogURL, Client: client}
 	b.boxList = platform.BoxList{URL: b.settings.Platform.BoxListURL, Client: client}
+	b.weights = platform.WeightStore{URL: b.settings.Platform.WeightStoreURL, Client: client}
+	b.engineHTTP = b.newEngineHTTP()
 	b.fleet = newFleetView()
 	b.store = tablestore.New(b.append,
 		tablestore.WithClock(b.clock), tablestore.WithLogger(b.logger), tablestore.WithVerdicts(b.countVerdict))
@@ -373,10 +379,14 @@
 	b.running.Go(func() { b.gossip.Run(ctx) })
 	b.running.Go(func() { b.pollLists(ctx) })
 	b.running.Go(func() { b.bridgeLoop(ctx) })
+	b.running.Go(func() { b.lease.Run(ctx) })
+	b.running.Go(func() { b.watchEngines(ctx) })
+	b.running.Go(func() { b.giveOrders(ctx) })
 	b.running.Go(func() {
 		b.clock.Every(ctx, clock.Second, func(clock.Millis) {
 			b.updateDemand()
 			b.updateShares()
+			b.updateSlots()
 			b.pools.Refresh()
 			b.picker.Refresh()
 			b.admit.Poke()
--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// updateSlots works out this box's part of the engines' slots from how much the
+// boxes of this failure domain run and keep waiting.
+func (b *Box) updateSlots() {
+	running, waiting := b.admit.Lengths()
+	slots := limit.Slots{Own: float64(running + waiting), Boxes: len(b.gossip.Live())}
+	for _, facts := range b.gossip.FactsOf() {
+		slots.Heard++
+		slots.Others += float64(facts.InFlight)
+	}
+	b.pools.SetSlots(slots)
+}
+
 // heardDemand counts the boxes that share limits and returns what was heard from
 // them: each box of this domain by itself, other domains in sum.
 func (b *Box) heardDemand() (base limit.Demand, sources []membership.Facts) {
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -81,7 +81,8 @@
 
 func (b *Box) openGossip() {
 	self := membership.Box{
-		Name: b.settings.Box, Domain: b.settings.FailureDomain, GossipAddress: b.socket.Address(), PeerAddress: b.servers.peers.Address(),
+		Name: b.settings.Box, Domain: b.settings.FailureDomain,
+		GossipAddress: b.socket.Address(), PeerAddress: b.servers.peers.Address(),
 	}
 	times := membership.DefaultSettings()
 	times.PeriodMs = clock.Millis(b.settings.Peers.PeriodMs)
@@ -155,10 +156,10 @@
 
 // facts is what this box tells of itself.
 func (b *Box) facts() membership.Facts {
-	running, _ := b.admit.Lengths()
+	running, waiting := b.admit.Lengths()
 	return membership.Facts{
 		TableOffset: b.store.State().Offset(),
-		InFlight:    uint32(running),
+		InFlight:    uint32(running + waiting),
 		Demand:      b.heaviestDemand(),
 	}
 }
--- a/internal/grant/agent.go
+++ b/internal/grant/agent.go
@@ -107,7 +107,9 @@
 	if r.Flags&flagUnknown != 0 {
 		return Reply{}, ErrNoAnswer
 	}
-	return Reply{Granted: r.Flags&flagGranted != 0, Over: int(r.Over), Hint: r.Hint}, nil
+	return Reply{
+		Granted: r.Flags&flagGranted != 0, Closed: r.Flags&flagClosed != 0, Over: int(r.Over), Hint: r.Hint,
+	}, nil
 }
 
 // askRemote sends the question, once more when no answer comes soon. A second
@@ -278,6 +280,10 @@
 		reply.Flags = flagUnknown
 		return reply
 	}
+	if standing.Closed {
+		reply.Flags = flagClosed
+		return reply
+	}
 	granted, over := a.ledger.Ask(Ask{
 		Place: m.Place, Box: m.Box, Held: int(m.Held), Total: int(m.Total), Settle: m.Flags&flagSettle != 0,
 	}, standing, a.clock.Now())
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -87,6 +87,8 @@
 	BoundPercent int
 	// Slots is how many requests the upstream runs at once.
 	Slots int
+	// Closed is set when the upstream takes no new work.
+	Closed bool
 }
 
 // Ask grants a slot when the upstream stays within the bound with it. Over is by
--- a/internal/grant/search.go
+++ b/internal/grant/search.go
@@ -10,6 +10,8 @@
 	Granted bool
 	// Over is by how many requests the upstream would be above its bound.
 	Over int
+	// Closed is set when the upstream takes no new work.
+	Closed bool
 	// Hint is where the session is warm instead, or 0.
 	Hint Place
 }
@@ -113,7 +115,9 @@
 		s.asks = MaxAsks
 		return false
 	}
-	s.denied = append(s.denied, denial{place: q.Place, over: r.Over})
+	if !r.Closed {
+		s.denied = append(s.denied, denial{place: q.Place, over: r.Over})
+	}
 	s.at++
 	s.home = false
 	return false
--- a/internal/grant/wire.go
+++ b/internal/grant/wire.go
@@ -33,6 +33,7 @@
 	flagFirst
 	flagGranted
 	flagUnknown
+	flagClosed
 )
 
 // askMessage is a question on the wire, in fixed fields.
--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,172 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/logstream"
+	"dooryard.example/dooryard/internal/platform"
+)
+
+// Times of a lease.
+const (
+	// SpanMs is how long a lease lasts without renewal.
+	SpanMs = 15 * clock.Second
+	// renewMs is when a holder renews.
+	renewMs = 5 * clock.Second
+	// marginMs is how much earlier a holder takes its own lease for ended: clocks
+	// run differently, by less than this over one span.
+	marginMs = 2 * clock.Second
+)
+
+// Log is what a keeper needs of the platform's log.
+type Log struct {
+	Append func(ctx context.Context, stream string, records ...json.RawMessage) (int64, error)
+	Read   func(ctx context.Context, stream string, from int64, limit int, waitMs clock.Millis) (platform.Page, error)
+}
+
+// Keeper follows one lease and holds it when it may. It is safe for concurrent
+// use.
+type Keeper struct {
+	stream string
+	holder string
+	log    Log
+	wants  func() bool
+	clock  clock.Clock
+	logger *zap.Logger
+
+	mu    sync.Mutex
+	state State
+	// heldUntil is the end of this box's lease by its own clock, counted from
+	// before the append that took or renewed it.
+	heldUntil clock.Millis
+	// askedMs is the instant of the newest append.
+	askedMs clock.Millis
+	// sinceMs is when this box first held the lease under the present token.
+	sinceMs clock.Millis
+}
+
+// NewKeeper returns a keeper for a holder. Wants tells whether this box should
+// try to hold the lease.
+func NewKeeper(stream, holder string, log Log, wants func() bool, c clock.Clock, logger *zap.Logger) *Keeper {
+	return &Keeper{stream: stream, holder: holder, log: log, wants: wants, clock: c, logger: logger}
+}
+
+// Run follows the lease and renews it until the context ends; then it releases
+// it.
+func (k *Keeper) Run(ctx context.Context) {
+	group := sync.WaitGroup{}
+	group.Go(func() { k.follow(ctx) })
+	group.Go(func() { k.clock.Every(ctx, clock.Second, func(clock.Millis) { k.tend(ctx) }) })
+	group.Wait()
+}
+
+func (k *Keeper) follow(ctx context.Context) {
+	read := func(ctx context.Context, from int64, limit int, waitMs clock.Millis) (platform.Page, error) {
+		return k.log.Read(ctx, k.stream, from, limit, waitMs)
+	}
+	sources := []logstream.Source{{Name: "platform", Read: read}}
+	follower := logstream.NewFollower(func() []logstream.Source { return sources }, k.fold,
+		logstream.WithClock(k.clock), logstream.WithLogger(k.logger), logstream.WithExpired(k.skipExpired))
+	follower.Run(ctx)
+}
+
+// skipExpired goes on from the oldest record: leases before it have ended.
+func (k *Keeper) skipExpired(ctx context.Context, from int64) (int64, error) {
+	page, err := k.log.Read(ctx, k.stream, from, 1, 0)
+	if page.FirstOffset > from {
+		return page.FirstOffset, nil
+	}
+	return 0, err
+}
+
+func (k *Keeper) fold(record platform.Record) {
+	var r Record
+	if err := json.Unmarshal(record.Data, &r); err != nil {
+		k.logger.Warn("lease record skipped", zap.Int64("offset", record.Offset), zap.Error(err))
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.state
+	k.state = k.state.Apply(record.Offset, record.TimeMs, r)
+	if k.state.holder != k.holder || k.state.untilMs == before.untilMs {
+		return
+	}
+	if k.state.token != before.token {
+		k.sinceMs = k.clock.Now()
+	}
+	k.heldUntil = r.AskedMs + SpanMs - marginMs
+}
+
+// tend takes a free lease, and renews one that is held.
+func (k *Keeper) tend(ctx context.Context) {
+	action, due := k.due()
+	if !due {
+		return
+	}
+	asked := k.clock.Now()
+	k.mu.Lock()
+	k.askedMs = asked
+	k.mu.Unlock()
+	data, err := json.Marshal(Record{Action: action, Holder: k.holder, SpanMs: SpanMs, AskedMs: asked})
+	if err != nil {
+		return
+	}
+	if _, err := k.log.Append(ctx, k.stream, data); err != nil {
+		k.logger.Debug("lease not appended", zap.Error(err))
+	}
+}
+
+// due returns what to append now. The log's time is taken for this box's: a take
+// that comes early folds to nothing.
+func (k *Keeper) due() (Action, bool) {
+	now := k.clock.Now()
+	wants := k.wants()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	mine := k.state.holder == k.holder && now < k.heldUntil
+	switch {
+	case mine && !wants:
+		k.heldUntil = 0
+		return Release, true
+	case mine:
+		return Renew, now >= k.askedMs+renewMs
+	case wants && now >= k.state.untilMs:
+		return Take, now >= k.askedMs+renewMs
+	default:
+		return "", false
+	}
+}
+
+// Held is a lease that this box holds.
+type Held struct {
+	// Token is the fencing token.
+	Token int64
+	// UntilMs is the instant, by this box's clock, after which nothing may be
+	// done under the lease.
+	UntilMs clock.Millis
+	// SinceMs is when this box first held it.
+	SinceMs clock.Millis
+}
+
+// Held returns this box's lease, and false when it holds none.
+func (k *Keeper) Held() (Held, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.state.holder != k.holder || k.clock.Now() >= k.heldUntil {
+		return Held{}, false
+	}
+	return Held{Token: k.state.token, UntilMs: k.heldUntil, SinceMs: k.sinceMs}, true
+}
+
+// State returns the lease as this box sees it.
+func (k *Keeper) State() State {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state
+}
--- a/internal/limit/split.go
+++ b/internal/limit/split.go
@@ -31,3 +31,30 @@
 	}
 	return even
 }
+
+// Slots is what is known of who uses the slots of engines.
+type Slots struct {
+	// Own is how many requests this box runs and keeps waiting.
+	Own float64
+	// Others is the sum of the boxes that were heard from.
+	Others float64
+	// Boxes is how many boxes share the slots, this one included.
+	Boxes int
+	// Heard is how many of the others were heard from.
+	Heard int
+}
+
+// Part returns how many of the slots a box may use, so that the parts of boxes
+// that know the same add up to all. While there is room a box has what it uses
+// and an even part of the rest, so that a burst finds room at once; when there
+// is none each has a part by its demand. Boxes that were not heard from are
+// taken to use their even part.
+func (s Slots) Part(slots float64) float64 {
+	boxes := float64(max(1, s.Boxes))
+	unheard := float64(max(0, s.Boxes-1-s.Heard))
+	demand := s.Own + s.Others + unheard*slots/boxes
+	if demand <= slots {
+		return s.Own + (slots-demand)/boxes
+	}
+	return slots * s.Own / demand
+}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -68,9 +68,7 @@
 	plan    Plan
 	clock   clock.Clock
 	logger  *zap.Logger
-	listen  server.Listen
-	packets box.ListenPackets
-	dial    transport.Dial
+	network func(host string) Network
 	keyDir  string
 	client  *http.Client
 
@@ -127,28 +125,45 @@
 // WithLogger sets the logger of the boxes.
 func WithLogger(logger *zap.Logger) Option { return func(f *Fleet) { f.logger = logger } }
 
-// WithNetwork replaces the network.
-func WithNetwork(listen server.Listen, packets box.ListenPackets, dial transport.Dial) Option {
-	return func(f *Fleet) {
-		f.listen = listen
-		f.packets = packets
-		f.dial = dial
-	}
+// Network is one host's way to the others.
+type Network struct {
+	Listen  server.Listen
+	Packets box.ListenPackets
+	Dial    transport.Dial
 }
 
-const keyBytes = 32
+// Names of hosts that are neither boxes nor upstreams.
+const (
+	HostPlatform = "platform"
+	HostCallers  = "callers"
+)
+
+// WithNetwork replaces the network; the function is asked once for each host.
+func WithNetwork(network func(host string) Network) Option {
+	return func(f *Fleet) { f.network = network }
+}
+
+func loopback(string) Network {
+	return Network{Listen: net.Listen, Packets: net.ListenPacket, Dial: (&net.Dialer{}).DialContext}
+}
+
+const (
+	keyBytes       = 32
+	maxIdlePerHost = 256
+)
 
 // Start starts a fleet and waits until every box has the table. Stop ends it.
 func Start(ctx context.Context, plan Plan, options ...Option) (*Fleet, error) {
 	f := &Fleet{
-		Ledger: standin.NewRunLedger(), plan: plan, clock: clock.New(), logger: zap.NewNop(),
-		listen: net.Listen, packets: net.ListenPacket, dial: (&net.Dialer{}).DialContext,
+		Ledger: standin.NewRunLedger(), plan: plan, clock: clock.New(), logger: zap.NewNop(), network: loopback,
 	}
 	for _, option := range options {
 		option(f)
 	}
 	f.ctx, f.cancel = context.WithCancel(ctx)
-	f.client = &http.Client{Transport: &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 256}}
+	f.client = &http.Client{Transport: &http.Transport{
+		DialContext: f.network(HostCallers).Dial, MaxIdleConnsPerHost: maxIdlePerHost,
+	}}
 	for _, step := range []func() error{f.makeKeys, f.startPlatform, f.startUpstreams, f.writeTable, f.startBoxes} {
 		if err := step(); err != nil {
 			return nil, errors.Join(err, f.Stop())
@@ -186,8 +201,8 @@
 }
 
 // serve starts an HTTP server and returns its address.
-func (f *Fleet) serve(handler http.Handler) (*http.Server, string, error) {
-	listener, err := f.listen("tcp", "127.0.0.1:0")
+func (f *Fleet) serve(host string, handler http.Handler) (*http.Server, string, error) {
+	listener, err := f.network(host).Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, "", fmt.Errorf("listen: %w", err)
 	}
@@ -211,7 +226,7 @@
 		standin.NewBoxes(f.clock, f.plan.BoxListLagMs),
 	)
 	var err error
-	_, f.address, err = f.serve(f.Platform)
+	_, f.address, err = f.serve(HostPlatform, f.Platform)
 	return err
 }
 
@@ -233,7 +248,7 @@
 
 func (f *Fleet) startEngine(domain, name string) error {
 	fake := standin.NewEngine(name, []string{Model}, standin.WithEngineClock(f.clock), standin.WithSpeed(f.plan.Speed))
-	httpServer, address, err := f.serve(fake)
+	httpServer, address, err := f.serve(name, fake)
 	if err != nil {
 		return err
 	}
@@ -245,7 +260,7 @@
 
 func (f *Fleet) startService(domain, name string) error {
 	fake := standin.NewServer(name, f.Ledger, f.clock)
-	httpServer, address, err := f.serve(fake)
+	httpServer, address, err := f.serve(name, fake)
 	if err != nil {
 		return err
 	}
@@ -342,9 +357,10 @@
 }
 
 func (f *Fleet) startBox(settings config.Router) (*BoxProcess, error) {
+	network := f.network(settings.Box)
 	b, err := box.New(f.ctx, settings,
 		box.WithClock(f.clock), box.WithLogger(f.logger.With(zap.String("box", settings.Box))),
-		box.WithListen(f.listen), box.WithListenPackets(f.packets), box.WithDial(f.dial))
+		box.WithListen(network.Listen), box.WithListenPackets(network.Packets), box.WithDial(network.Dial))
 	if err != nil {
 		return nil, fmt.Errorf("box %s: %w", settings.Box, err)
 	}
@@ -389,9 +405,6 @@
 // Client returns an HTTP client on the fleet's network.
 func (f *Fleet) Client() *http.Client { return f.client }
 
-// Dial returns the fleet's way to open connections.
-func (f *Fleet) Dial() transport.Dial { return f.dial }
-
 // PlatformURL returns the URL of the platform.
 func (f *Fleet) PlatformURL() string { return "http://" + f.address }
 
@@ -406,6 +419,9 @@
 		_ = s.Close()
 	}
 	f.mu.Unlock()
+	for _, e := range f.engines {
+		e.Close()
+	}
 	f.running.Wait()
 	f.client.CloseIdleConnections()
 	if f.keyDir == "" {
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -104,7 +104,7 @@
 	_ struct{} `cbor:",toarray"`
 	// TableOffset is the offset that its table has reached.
 	TableOffset int64
-	// InFlight is how many requests it runs.
+	// InFlight is how many requests it runs and keeps waiting.
 	InFlight uint32
 	// Demand is how much its heaviest limited organisations ask for.
 	Demand []Demand
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -210,7 +210,6 @@
 // Errors of an answer.
 var (
 	errCrossed  = errors.New("answer belongs to another request")
-	errTooLate  = errors.New("the claim is too old to send the request")
 	errNotRun   = errors.New("the upstream ran nothing of the request")
 	errTooLarge = errors.New("answer too large")
 	errNoLength = errors.New("answer without a length can't be known to be whole")
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -24,15 +24,15 @@
 // send makes one attempt. It returns nil when the caller has the whole answer.
 func (p *Pipe) send(ctx context.Context, x *exchange.Exchange, lease *pool.Lease) *failure {
 	watch := &transport.Watch{}
+	if x.SendBefore > 0 {
+		watch.Late = func() bool { return p.clock.Now() > x.SendBefore }
+	}
 	ctx, cancel := context.WithCancel(watch.Context(ctx))
 	defer cancel()
 	request, err := p.request(ctx, x, lease)
 	if err != nil {
 		return &failure{cause: err, notRun: true}
 	}
-	if x.SendBefore > 0 && p.clock.Now() > x.SendBefore {
-		return &failure{cause: errTooLate, notRun: true}
-	}
 	response, err := p.client.Do(request)
 	if err != nil {
 		callerFault := x.Context().Err() != nil
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,6 +11,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/health"
+	"dooryard.example/dooryard/internal/limit"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/table"
 )
@@ -51,6 +52,10 @@
 	used     int
 	reported int
 	places   []place
+	// leaving and models are what the upstream last said of itself; models is
+	// nil until it did.
+	leaving bool
+	models  []string
 }
 
 // place is a position in a pool's view.
@@ -59,6 +64,16 @@
 	position int
 }
 
+// closed tells whether the upstream said that it takes no new work of the pool.
+func (p place) closed() bool {
+	u := p.pool.members[p.position]
+	if u.leaving || u.row.Draining {
+		return true
+	}
+	_, target, _ := strings.Cut(p.pool.name, "/")
+	return u.models != nil && !slices.Contains(u.models, target)
+}
+
 type pool struct {
 	name     string
 	id       uint32
@@ -79,6 +94,7 @@
 	upstreams map[string]*upstream
 	pools     map[string]*pool
 	places    map[grant.Place]place
+	slots     limit.Slots
 	fleet     Fleet
 	state     *table.State
 	started   bool
@@ -89,7 +105,7 @@
 	return &Manager{
 		settings: settings, domain: domain, box: box, now: now,
 		upstreams: map[string]*upstream{}, pools: map[string]*pool{},
-		fleet: Fleet{Boxes: []string{box}}, state: table.New(),
+		slots: limit.Slots{Boxes: 1}, fleet: Fleet{Boxes: []string{box}}, state: table.New(),
 	}
 }
 
@@ -297,6 +313,18 @@
 	}
 }
 
+// ReportState takes in whether an engine leaves and which models it has loaded.
+func (m *Manager) ReportState(name string, leaving bool, models []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.upstreams[name]
+	if u == nil {
+		return
+	}
+	u.leaving = leaving
+	u.models = append([]string{}, models...)
+}
+
 // Load is what this box has in flight on one upstream.
 type Load struct {
 	Name     string `json:"name"`
@@ -348,5 +376,18 @@
 	if p == nil {
 		return 0
 	}
-	return p.view.Capacity()
+	slots := float64(p.view.Slots())
+	if slots == 0 {
+		return 0
+	}
+	return max(1, int(m.slots.Part(slots)+half))
+}
+
+const half = 0.5
+
+// SetSlots takes in who uses the slots of this failure domain's engines.
+func (m *Manager) SetSlots(slots limit.Slots) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.slots = slots
 }
--- a/internal/pool/spot.go
+++ b/internal/pool/spot.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/route"
+	"dooryard.example/dooryard/internal/table"
 )
 
 // Spot is one upstream in one pool, with the box that counts what runs there.
@@ -128,9 +132,27 @@
 	return grant.Standing{
 		Pool: found.pool.id, Part: view.Part(found.position), Boxes: view.Boxes(),
 		BoundPercent: view.BoundPercent, Slots: view.Members[found.position].Slots,
+		Closed: found.closed(),
 	}, true
 }
 
+// Owned returns the engines in the table that this box owns in any pool.
+func (m *Manager) Owned() []*table.Upstream {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owned := map[string]*table.Upstream{}
+	for _, p := range m.pools {
+		for position, spot := range p.spots {
+			if row := p.members[position].row; spot.Owner == m.box && row.Kind == table.KindEngine {
+				owned[row.Name] = row
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(owned), func(a, b *table.Upstream) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
 // Owner returns the box that owns a place now, or "".
 func (m *Manager) Owner(wanted grant.Place) string {
 	m.mu.Lock()
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -121,15 +121,15 @@
 // Boxes returns how many boxes share the members.
 func (v *View) Boxes() int { return v.boxes }
 
-// Capacity returns this box's part of the slots of all usable members.
-func (v *View) Capacity() int {
-	capacity := 0
+// Slots returns the slots of all usable members.
+func (v *View) Slots() int {
+	slots := 0
 	for i := range v.Members {
 		if v.Members[i].usable() {
-			capacity += v.slotShare(&v.Members[i])
+			slots += v.Members[i].Slots
 		}
 	}
-	return capacity
+	return slots
 }
 
 // Add changes this box's count in flight on a member.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -63,6 +63,10 @@
 	tracer       trace.Tracer
 	mux          *http.ServeMux
 	onRun        func(requestID string)
+	// ctx ends with Close, which waits for what runs in the background.
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
 
 	mu       sync.Mutex
 	models   []string
@@ -128,6 +132,7 @@
 		tracer: noop.NewTracerProvider().Tracer(""), mux: http.NewServeMux(), onRun: func(string) {},
 		streams: map[string]*generation{}, runs: map[string]int{},
 	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(e)
 	}
@@ -143,6 +148,12 @@
 	return e
 }
 
+// Close stops all that runs in the background and waits for it.
+func (e *Engine) Close() {
+	e.cancel()
+	e.background.Wait()
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -39,7 +39,7 @@
 	if !e.enter(r.Context(), priority) {
 		return nil
 	}
-	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	ctx, cancel := context.WithCancel(e.ctx)
 	g := &generation{
 		id: r.Header.Get(engine.HeaderRequestID), model: chat.Model, grown: make(chan struct{}), cancel: cancel,
 	}
@@ -60,7 +60,7 @@
 		PromptTokens: promptTokens, CompletionTokens: count, TotalTokens: promptTokens + count,
 		Details: engine.UsageDetails{CachedTokens: cached},
 	}
-	go e.run(ctx, g, answerTokens(chat, count))
+	e.background.Go(func() { e.run(ctx, g, answerTokens(chat, count)) })
 	return g
 }
 
@@ -97,12 +97,12 @@
 func (e *Engine) end(g *generation) {
 	e.leave()
 	g.cancel()
-	go func() {
-		_ = e.clock.Sleep(context.Background(), abandonedMs)
+	e.background.Go(func() {
+		_ = e.clock.Sleep(e.ctx, abandonedMs)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		delete(e.streams, g.id)
-	}()
+	})
 }
 
 func (g *generation) add(token string) {
@@ -233,12 +233,12 @@
 	if g.addReader(-1) > 0 {
 		return
 	}
-	go func() {
-		_ = e.clock.Sleep(context.Background(), abandonedMs)
+	e.background.Go(func() {
+		_ = e.clock.Sleep(e.ctx, abandonedMs)
 		if g.addReader(0) == 0 {
 			g.stop()
 		}
-	}()
+	})
 }
 
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"net/http"
 	"slices"
 
@@ -53,11 +52,11 @@
 	if !readJSON(w, r, &order) {
 		return
 	}
-	status := e.takeOrder(r.Context(), order)
+	status := e.takeOrder(order)
 	w.WriteHeader(status)
 }
 
-func (e *Engine) takeOrder(ctx context.Context, order engine.Order) int {
+func (e *Engine) takeOrder(order engine.Order) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if order.Token < e.orders.newestToken {
@@ -73,12 +72,12 @@
 	e.orders.newestToken = max(e.orders.newestToken, order.Token)
 	e.orders.outstanding = order.ID
 	e.orders.taken = append(e.orders.taken, order)
-	go e.carryOut(context.WithoutCancel(ctx), order)
+	e.background.Go(func() { e.carryOut(order) })
 	return http.StatusAccepted
 }
 
-func (e *Engine) carryOut(ctx context.Context, order engine.Order) {
-	_ = e.clock.Sleep(ctx, e.speed.OrderMs)
+func (e *Engine) carryOut(order engine.Order) {
+	_ = e.clock.Sleep(e.ctx, e.speed.OrderMs)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders.outstanding = ""
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -67,6 +67,8 @@
 	mu     sync.Mutex
 	handed int64
 	sealed bool
+	// late tells, if set, that nothing may be written any more.
+	late func() bool
 }
 
 // Write implements net.Conn.
@@ -80,7 +82,7 @@
 func (c *watchedConn) hand(count int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sealed {
+	if c.sealed || c.late != nil && c.late() {
 		return errSealed
 	}
 	c.handed += int64(count)
@@ -93,6 +95,12 @@
 	return c.handed
 }
 
+func (c *watchedConn) setLate(late func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late = late
+}
+
 // seal refuses further writes and returns the final count.
 func (c *watchedConn) seal() int64 {
 	c.mu.Lock()
@@ -103,6 +111,10 @@
 
 // Watch follows the connections that one attempt uses.
 type Watch struct {
+	// Late is looked at right before each write; when it returns true the write
+	// fails. It may be nil.
+	Late func() bool
+
 	mu    sync.Mutex
 	used  []usedConn
 	blind bool
@@ -126,9 +138,18 @@
 		w.blind = true
 		return
 	}
+	conn.setLate(w.Late)
 	w.used = append(w.used, usedConn{conn: conn, before: conn.count()})
 }
 
+// SendBefore returns a context whose requests write nothing from an instant on.
+// The clock is looked at right before each write, so that a process which was
+// paused after all other checks sends nothing late.
+func SendBefore(ctx context.Context, c clock.Clock, instant clock.Millis) context.Context {
+	watch := &Watch{Late: func() bool { return c.Now() >= instant }}
+	return watch.Context(ctx)
+}
+
 // GiveUp ends an attempt that failed and tells whether it is proved that no
 // byte of it left. After the call none can leave any more. Only an attempt that
 // got no answer may be given up.
