--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -465,7 +465,7 @@
 func (n *Node) send(address string, p *packet) []Outgoing {
 	if p.Kind == kindPing || p.Kind == kindAck {
 		p.Updates = append(p.Updates, n.news.take(maxUpdates)...)
-		p.Facts = n.facts.take(maxFacts)
+		p.Facts = n.takeFacts(p.Kind)
 	}
 	body, err := encode(p)
 	if err != nil {
@@ -474,7 +474,18 @@
 	return []Outgoing{{Address: address, Body: body}}
 }
 
+// takeFacts lets pings carry this box's facts and acks those of others, more of
+// them in a larger failure domain.
+func (n *Node) takeFacts(k kind) []factEntry {
+	others := min(maxFacts, 1+n.size()/boxesPerFact)
+	if k == kindPing {
+		return n.facts.take(true, others-1)
+	}
+	return n.facts.take(false, others)
+}
+
 const (
-	maxUpdates = 6
-	maxFacts   = 2
+	maxUpdates   = 4
+	maxFacts     = 3
+	boxesPerFact = 32
 )
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -16,7 +16,7 @@
 	}
 	out := []Outgoing{}
 	for _, u := range p.Updates {
-		out = append(out, n.hear(u, now)...)
+		out = append(out, n.hear(u, now, p.Kind != kindMembers)...)
 	}
 	n.hearFrom(&p)
 	n.hearFacts(&p, now)
@@ -114,9 +114,9 @@
 	return out
 }
 
-// hear takes in news about a box. Higher incarnations win; within one, the
-// later status does.
-func (n *Node) hear(u update, now clock.Millis) []Outgoing {
+// hear takes in news about a box, and spreads it unless all know it. Higher
+// incarnations win; within one, the later status does.
+func (n *Node) hear(u update, now clock.Millis, spread bool) []Outgoing {
 	if u.ID == n.id {
 		return n.contradict(u)
 	}
@@ -125,15 +125,19 @@
 		return nil
 	}
 	m := n.members[u.ID]
-	if m == nil {
-		n.meet(u, now)
+	if m == nil && u.Box == nil {
 		return nil
 	}
-	if u.Incarnation < m.incarnation || u.Incarnation == m.incarnation && u.Status <= m.status {
+	if m == nil {
+		m = &member{box: *u.Box, status: Dead}
+		n.members[u.ID] = m
+	} else if u.Incarnation < m.incarnation || u.Incarnation == m.incarnation && u.Status <= m.status {
 		return nil
 	}
 	n.change(u, m, now)
-	n.news.add(u, n.size())
+	if spread {
+		n.news.add(u, n.size())
+	}
 	return nil
 }
 
@@ -148,16 +152,6 @@
 	return n.pingSome(refuteFanout)
 }
 
-func (n *Node) meet(u update, now clock.Millis) {
-	if u.Box == nil {
-		return
-	}
-	m := &member{box: *u.Box, incarnation: u.Incarnation, status: Dead}
-	n.members[u.ID] = m
-	n.change(u, m, now)
-	n.news.add(u, n.size())
-}
-
 func (n *Node) change(u update, m *member, now clock.Millis) {
 	wasLive := m.status <= Suspect
 	isLive := u.Status <= Suspect
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -18,14 +18,14 @@
 	left   int
 }
 
-const spreadFactor = 4
+const spreadFactor = 2
 
 func newNews() *news { return &news{} }
 
 // add spreads an update in place of older ones about the same box.
 func (s *news) add(u update, boxes int) {
 	s.items = slices.DeleteFunc(s.items, func(item newsItem) bool { return item.update.ID == u.ID })
-	s.items = append(s.items, newsItem{update: u, left: spreadFactor * (bits.Len(uint(boxes)) + 1)})
+	s.items = append(s.items, newsItem{update: u, left: spreadFactor * bits.Len(uint(boxes))})
 }
 
 // take returns the updates that were sent least so far and counts them as sent.
@@ -82,10 +82,10 @@
 	b.turns = slices.DeleteFunc(b.turns, func(other ID) bool { return other == id })
 }
 
-// take returns the own entry and the next others in turn.
-func (b *factBook) take(count int) []factEntry {
+// take returns the own entry, when it is asked for, and the next others in turn.
+func (b *factBook) take(own bool, count int) []factEntry {
 	taken := []factEntry{}
-	if b.own.ID != 0 {
+	if own && b.own.ID != 0 {
 		taken = append(taken, b.own)
 	}
 	others := min(count, len(b.turns))
--- /dev/null
+++ b/internal/table/table_test.go
@@ -0,0 +1,216 @@
+package table_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"dooryard.example/dooryard/internal/table"
+)
+
+func set(row, column, value string, basedOn int64) table.Change {
+	return table.Change{Sheet: table.Organisations, Row: row, Column: column, Value: value, BasedOn: basedOn}
+}
+
+func hash(digit string) string { return strings.Repeat(digit, 64) }
+
+// fold applies edits in order and returns the last state and verdict.
+func fold(t require.TestingT, state *table.State, edits ...table.Edit) (*table.State, table.Verdict) {
+	verdict := table.Verdict{}
+	for _, edit := range edits {
+		data, err := json.Marshal(edit)
+		require.NoError(t, err)
+		state, verdict = state.Apply(state.Offset(), data)
+	}
+	return state, verdict
+}
+
+func edit(id string, changes ...table.Change) table.Edit {
+	return table.Edit{ID: id, Operator: "test", Changes: changes}
+}
+
+// withChoir is a table with one organisation, at offset 1.
+func withChoir(t require.TestingT) *table.State {
+	state, verdict := fold(t, table.New(), edit("first", set("choir", "key_sha256", hash("a"), 0)))
+	require.Equal(t, table.Accepted, verdict.Result)
+	return state
+}
+
+func assertRefused(t *testing.T, verdict table.Verdict, result table.Result, address, reason string) {
+	t.Helper()
+	assert.Equal(t, result, verdict.Result)
+	require.NotEmpty(t, verdict.Issues)
+	assert.Equal(t, address, verdict.Issues[0].Address)
+	assert.Contains(t, verdict.Issues[0].Reason, reason)
+}
+
+func TestFold(t *testing.T) {
+	t.Run("takes an edit and its typed form", func(t *testing.T) {
+		state, verdict := fold(t, withChoir(t), edit("e", set("choir", "weight", "7", 0)))
+		assert.Equal(t, table.Accepted, verdict.Result)
+		assert.Equal(t, 7, state.Organisation("choir").Weight)
+		assert.Equal(t, "choir", state.OrganisationByKeyHash(hash("a")).Name)
+	})
+	t.Run("lets one of two edits of a cell win and tells the other both values", func(t *testing.T) {
+		state, _ := fold(t, withChoir(t), edit("one", set("choir", "weight", "7", 0)))
+		state, verdict := fold(t, state, edit("two", set("choir", "weight", "8", 0)))
+		assertRefused(t, verdict, table.Conflict, "organisations/choir/weight", "changed since")
+		assert.Equal(t, "8", verdict.Issues[0].Wanted)
+		assert.Equal(t, "7", verdict.Issues[0].Current)
+		assert.Equal(t, 7, state.Organisation("choir").Weight)
+	})
+	t.Run("takes both of two edits of different cells", func(t *testing.T) {
+		state, verdict := fold(t, withChoir(t),
+			edit("one", set("choir", "weight", "7", 0)), edit("two", set("choir", "priority", "3", 0)))
+		assert.Equal(t, table.Accepted, verdict.Result)
+		assert.Equal(t, 7, state.Organisation("choir").Weight)
+		assert.Equal(t, 3, state.Organisation("choir").Priority)
+	})
+	t.Run("takes several cells together or not at all", func(t *testing.T) {
+		state, _ := fold(t, withChoir(t), edit("one", set("choir", "weight", "7", 0)))
+		state, verdict := fold(t, state, edit("two", set("choir", "priority", "3", 0), set("choir", "weight", "8", 0)))
+		assert.Equal(t, table.Conflict, verdict.Result)
+		assert.Zero(t, state.Organisation("choir").Priority)
+	})
+	t.Run("takes a second copy for nothing", func(t *testing.T) {
+		one := edit("one", set("choir", "weight", "7", 0))
+		state, verdict := fold(t, withChoir(t), one, one)
+		assert.Empty(t, verdict.ID)
+		known, found := state.Verdict("one")
+		assert.True(t, found)
+		assert.Equal(t, table.Accepted, known.Result)
+	})
+	t.Run("names row, column and reason of a value it refuses", func(t *testing.T) {
+		_, verdict := fold(t, withChoir(t), edit("e", set("choir", "weight", "many", 0)))
+		assertRefused(t, verdict, table.Invalid, "organisations/choir/weight", `"many" is not a whole number`)
+	})
+	t.Run("refuses a row without what it needs", func(t *testing.T) {
+		_, verdict := fold(t, table.New(), edit("e", set("band", "weight", "1", 0)))
+		assertRefused(t, verdict, table.Invalid, "organisations/band/key_sha256", "required")
+	})
+	t.Run("refuses a key that another organisation has", func(t *testing.T) {
+		_, verdict := fold(t, withChoir(t), edit("e", set("band", "key_sha256", hash("a"), 0)))
+		assertRefused(t, verdict, table.Invalid, "organisations/band/key_sha256", "another organisation")
+	})
+	t.Run("removes a row only as it was seen", func(t *testing.T) {
+		remove := table.Change{Sheet: table.Organisations, Row: "choir", Remove: true, BasedOn: 1}
+		changed, _ := fold(t, withChoir(t), edit("w", set("choir", "weight", "7", 0)))
+		_, verdict := fold(t, changed, edit("r", remove))
+		assert.Equal(t, table.Conflict, verdict.Result)
+		state, verdict := fold(t, withChoir(t), edit("r", remove))
+		assert.Equal(t, table.Accepted, verdict.Result)
+		assert.Nil(t, state.Organisation("choir"))
+		assert.Nil(t, state.OrganisationByKeyHash(hash("a")))
+	})
+	t.Run("skips what is no edit", func(t *testing.T) {
+		state, verdict := withChoir(t).Apply(1, []byte(`{"id":""}`))
+		assert.Empty(t, verdict.ID)
+		assert.EqualValues(t, 2, state.Offset())
+	})
+}
+
+// drawEdit draws an edit of a few cells, often with outdated revisions.
+func drawEdit(t *rapid.T, state *table.State, number int) table.Edit {
+	drawn := table.Edit{ID: fmt.Sprint("e", rapid.IntRange(max(0, number-3), number).Draw(t, "id")), Operator: "o"}
+	for range rapid.IntRange(1, 3).Draw(t, "changes") {
+		row := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "row")
+		column := rapid.SampledFrom([]string{"key_sha256", "weight", "priority"}).Draw(t, "column")
+		value := rapid.SampledFrom([]string{"", "1", "9", "x", hash("a"), hash("b")}).Draw(t, "value")
+		change := set(row, column, value, state.Cell(table.Organisations, row, column).Revision)
+		if rapid.IntRange(0, 3).Draw(t, "outdated") == 0 {
+			change.BasedOn = 0
+		}
+		if rapid.IntRange(0, 9).Draw(t, "remove") == 0 {
+			change = table.Change{Sheet: table.Organisations, Row: row, Remove: true, BasedOn: change.BasedOn}
+		}
+		drawn.Changes = append(drawn.Changes, change)
+	}
+	return drawn
+}
+
+// TestFoldOfRandomHistories checks that every box reaches the same state and
+// verdicts, whether it folds the whole log or starts from a state in between,
+// and that a refused edit changes nothing.
+func TestFoldOfRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, late := table.New(), table.New()
+		start := rapid.IntRange(0, 20).Draw(t, "start")
+		for number := range 25 {
+			if number == start {
+				encoded, err := whole.Encode()
+				require.NoError(t, err)
+				late, err = table.Decode(encoded)
+				require.NoError(t, err)
+			}
+			drawn := drawEdit(t, whole, number)
+			before, err := whole.Encode()
+			require.NoError(t, err)
+			var verdict table.Verdict
+			whole, verdict = fold(t, whole, drawn)
+			if verdict.Result != table.Accepted {
+				requireSameCells(t, before, whole)
+			}
+			if number >= start {
+				var other table.Verdict
+				late, other = fold(t, late, drawn)
+				require.Equal(t, verdict, other)
+			}
+		}
+		one, err := whole.Encode()
+		require.NoError(t, err)
+		two, err := late.Encode()
+		require.NoError(t, err)
+		require.Equal(t, string(one), string(two))
+	})
+}
+
+func requireSameCells(t require.TestingT, before []byte, after *table.State) {
+	old, err := table.Decode(before)
+	require.NoError(t, err)
+	for _, row := range old.RowNames(table.Organisations) {
+		require.Equal(t, old.Row(table.Organisations, row), after.Row(table.Organisations, row))
+	}
+	require.Equal(t, old.RowNames(table.Organisations), after.RowNames(table.Organisations))
+}
+
+func TestDecode(t *testing.T) {
+	t.Run("refuses a column that this version does not know", func(t *testing.T) {
+		encoded, err := withChoir(t).Encode()
+		require.NoError(t, err)
+		changed := strings.Replace(string(encoded), `"rate_per_s"`, `"rate_per_h"`, 1)
+		_, err = table.Decode([]byte(changed))
+		assert.ErrorIs(t, err, table.ErrMalformed)
+	})
+}
+
+func FuzzEdit(f *testing.F) {
+	f.Add([]byte(`{"id":"a","operator":"o","changes":[{"sheet":"organisations","row":"r","column":"weight","value":"1"}]}`))
+	f.Add([]byte(`{"id":"a","changes":[{"sheet":"upstreams","row":"r","remove":true}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		state, _ := table.New().Apply(0, data)
+		if state.Offset() != 1 {
+			t.Fatal("a record must move the offset by one")
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	encoded, err := withChoir(f).Encode()
+	require.NoError(f, err)
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		state, err := table.Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := state.Encode()
+		require.NoError(t, err)
+		_, err = table.Decode(again)
+		require.NoError(t, err)
+	})
+}
