--- a/internal/pool/spot.go
+++ b/internal/pool/spot.go
@@ -46,6 +46,9 @@
 	Open []Spot
 }
 
+// rankedChoices is how many of the first ranks a request may ask for.
+const rankedChoices = 6
+
 // Rank returns a pool's first ranks for a key, without those that were tried.
 // It wraps route.ErrNoUpstream when none takes new work.
 func (m *Manager) Rank(poolName string, key route.Key, tried Tried) (Ranking, error) {
@@ -55,7 +58,7 @@
 	if p == nil {
 		return Ranking{}, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
 	}
-	positions := [route.MaxTried]int{}
+	positions := [rankedChoices]int{}
 	ranking := Ranking{Open: make([]Spot, 0, len(positions))}
 	excluded := p.positions(tried)
 	for i, position := range p.view.Ranked(key, positions[:0]) {
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -33,13 +33,15 @@
 // Explain returns the members as they rank for a key, first choice first, and
 // which one the policy takes now.
 func (p Policy) Explain(v *View, key Key) []Explanation {
-	order := make([]int, len(v.Members))
-	for i := range order {
-		order[i] = i
+	order := []int{}
+	for i := range v.Members {
+		if v.Members[i].TableWeight > 0 {
+			order = append(order, i)
+		}
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		x, y := &v.Members[a], &v.Members[b]
-		return cmp.Compare(score(key, x.ID, x.inverseWeight), score(key, y.ID, y.inverseWeight))
+		return cmp.Compare(score(key, x.ID, x.TableWeight), score(key, y.ID, y.TableWeight))
 	})
 	copied := *v
 	picked, err := p.Pick(&copied, key, Tried{})
@@ -64,7 +66,7 @@
 		return ReasonEjected
 	case m.Weight <= 0:
 		return ReasonNoWeight
-	case m.Used >= v.slotShare(m):
+	case m.Used >= m.slotShare:
 		return ReasonSlots
 	case !v.withinOwnBound(position):
 		return ReasonBound
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -38,7 +38,7 @@
 	return t
 }
 
-func (t *Tried) has(position int) bool {
+func (t Tried) has(position int) bool {
 	return slices.Contains(t.positions[:t.count], position)
 }
 
@@ -46,7 +46,7 @@
 type Policy struct {
 	Name string
 	// pick returns a position, or none. It may change the view's sequence.
-	pick func(v *View, key Key, tried *Tried) int
+	pick func(v *View, key Key, tried Tried) int
 }
 
 // PolicyByName returns a policy that Policies lists.
@@ -62,7 +62,7 @@
 // Pick returns the position of the member that takes a request.
 // ErrNoUpstream and ErrSaturated tell why there is none.
 func (p Policy) Pick(v *View, key Key, tried Tried) (int, error) {
-	if position := p.pick(v, key, &tried); position != none {
+	if position := p.pick(v, key, tried); position != none {
 		return position, nil
 	}
 	for i := range v.Members {
@@ -75,9 +75,9 @@
 
 // open tells whether a member may take one more request from this box as far as
 // its slots go. A box alone can't see the others' use, so it keeps to its part.
-func (v *View) open(position int, tried *Tried) bool {
+func (v *View) open(position int, tried Tried) bool {
 	m := &v.Members[position]
-	return m.usable() && m.Used < v.slotShare(m) && !tried.has(position)
+	return m.usable() && m.Used < m.slotShare && !tried.has(position)
 }
 
 // slotShare is this box's part of a member's slots. The boxes' parts add up to
@@ -92,8 +92,7 @@
 // box is above the multiple of its own mean, their sum is not above the multiple
 // of the common mean. Boxes round by their places, so the sum is rounded once.
 func (v *View) boundShare(m *Member) float64 {
-	mean := float64(v.total+1) * float64(m.Weight) / float64(max(1, v.totalWeight))
-	return mean*float64(v.BoundPercent)/percent + m.offset
+	return float64(v.total+1)*m.boundPart + m.offset
 }
 
 // withinOwnBound tells whether one more request on a member keeps this box's
@@ -114,47 +113,98 @@
 func (v *View) WithinOwnBound(position int) bool { return v.withinOwnBound(position) }
 
 // firstByScore returns the best ranked member among those that the filter takes.
-func (v *View) firstByScore(key Key, tried *Tried, within func(v *View, position int) bool) int {
+func (v *View) firstByScore(key Key, tried Tried, within func(v *View, position int) bool) int {
 	best, bestScore := none, uint64(math.MaxUint64)
-	for i := range v.Members {
-		m := &v.Members[i]
-		s := score(key, m.ID, m.inverseWeight)
-		if s >= bestScore || !v.open(i, tried) || !within(v, i) {
+	for _, g := range v.groups {
+		position, hash := v.firstOfGroup(g, key, tried, within)
+		if position == none {
 			continue
 		}
-		best, bestScore = i, s
+		if s := negativeLog(hash) * g.inverseWeight; s < bestScore {
+			best, bestScore = position, s
+		}
 	}
 	return best
 }
 
+// firstOfGroup finds the best of equally weighted members: their scores order
+// them as their hashes do, so that no logarithm is needed.
+func (v *View) firstOfGroup(
+	g group, key Key, tried Tried, within func(v *View, position int) bool,
+) (position int, hash uint64) {
+	position = none
+	for i, id := range g.ids {
+		h := mix(uint64(key)^id) | 1
+		if h <= hash || !v.open(g.positions[i], tried) || !within(v, g.positions[i]) {
+			continue
+		}
+		position, hash = g.positions[i], h
+	}
+	return position, hash
+}
+
 // Ranked appends the positions of the first members in the order of their rank
 // for a key, as many as the slice has room for. Members that take nothing now
 // are among them.
 func (v *View) Ranked(key Key, ranked []int) []int {
-	var scores [MaxTried]uint64
-	room := min(cap(ranked), len(scores))
-	ranked = ranked[:0]
-	for i := range v.Members {
-		m := &v.Members[i]
-		s := score(key, m.ID, m.inverseWeight)
-		if m.TableWeight <= 0 || len(ranked) == room && s >= scores[room-1] {
+	top := topRanks{limit: min(cap(ranked), MaxTried)}
+	for _, g := range v.groups {
+		top.addGroup(g, key)
+	}
+	return append(ranked[:0], top.positions[:top.count]...)
+}
+
+// topRanks is the best ranked members so far, best first.
+type topRanks struct {
+	positions [MaxTried]int
+	scores    [MaxTried]uint64
+	count     int
+	limit     int
+}
+
+// addGroup takes in the best of a group. Within the group a member can only be
+// among them when its hash is among the group's highest.
+func (t *topRanks) addGroup(g group, key Key) {
+	var hashes [MaxTried]uint64
+	var positions [MaxTried]int
+	count := 0
+	for i, id := range g.ids {
+		h := mix(uint64(key)^id) | 1
+		if count == t.limit && h <= hashes[count-1] {
 			continue
 		}
-		if len(ranked) < room {
-			ranked = append(ranked, i)
+		if count < t.limit {
+			count++
 		}
-		at := len(ranked) - 1
-		for at > 0 && scores[at-1] > s {
-			ranked[at], scores[at] = ranked[at-1], scores[at-1]
+		at := count - 1
+		for at > 0 && hashes[at-1] < h {
+			hashes[at], positions[at] = hashes[at-1], positions[at-1]
 			at--
 		}
-		ranked[at], scores[at] = i, s
+		hashes[at], positions[at] = h, g.positions[i]
+	}
+	for i := range count {
+		t.add(positions[i], negativeLog(hashes[i])*g.inverseWeight)
+	}
+}
+
+func (t *topRanks) add(position int, s uint64) {
+	if t.count == t.limit && s >= t.scores[t.count-1] {
+		return
+	}
+	if t.count < t.limit {
+		t.count++
+	}
+	at := t.count - 1
+	for at > 0 && t.scores[at-1] > s {
+		t.scores[at], t.positions[at] = t.scores[at-1], t.positions[at-1]
+		at--
 	}
-	return ranked
+	t.scores[at], t.positions[at] = s, position
 }
 
 // leastBy returns the open member with the least load per weight.
-func (v *View) leastBy(tried *Tried, load func(m *Member) int) int {
+func (v *View) leastBy(tried Tried, load func(m *Member) int) int {
 	best, bestLoad := none, math.Inf(1)
 	for i := range v.Members {
 		if !v.open(i, tried) {
--- a/internal/route/policies.go
+++ b/internal/route/policies.go
@@ -36,7 +36,7 @@
 }
 
 // openFrom returns the first open member from a position on, in a circle.
-func (v *View) openFrom(start int, tried *Tried) int {
+func (v *View) openFrom(start int, tried Tried) int {
 	for i := range v.Members {
 		position := (start + i) % len(v.Members)
 		if v.open(position, tried) {
@@ -46,14 +46,14 @@
 	return none
 }
 
-func pickRandom(v *View, key Key, tried *Tried) int {
+func pickRandom(v *View, key Key, tried Tried) int {
 	if len(v.Members) == 0 {
 		return none
 	}
 	return v.openFrom(int(v.next(key)%uint64(len(v.Members))), tried)
 }
 
-func pickRoundRobin(v *View, _ Key, tried *Tried) int {
+func pickRoundRobin(v *View, _ Key, tried Tried) int {
 	if len(v.Members) == 0 {
 		return none
 	}
@@ -63,11 +63,11 @@
 
 func reportedLoad(m *Member) int { return m.Reported }
 
-func pickLeastReported(v *View, _ Key, tried *Tried) int {
+func pickLeastReported(v *View, _ Key, tried Tried) int {
 	return v.leastBy(tried, reportedLoad)
 }
 
-func pickTwoChoices(v *View, key Key, tried *Tried) int {
+func pickTwoChoices(v *View, key Key, tried Tried) int {
 	first := pickRandom(v, key, tried)
 	second := pickRandom(v, key, tried)
 	if first == none || v.lessLoaded(second, first) {
@@ -83,11 +83,11 @@
 
 func always(*View, int) bool { return true }
 
-func pickRendezvous(v *View, key Key, tried *Tried) int {
+func pickRendezvous(v *View, key Key, tried Tried) int {
 	return v.firstByScore(key, tried, always)
 }
 
-func pickRendezvousOwnBound(v *View, key Key, tried *Tried) int {
+func pickRendezvousOwnBound(v *View, key Key, tried Tried) int {
 	position := v.firstByScore(key, tried, (*View).withinOwnBound)
 	if position != none {
 		return position
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -69,10 +69,9 @@
 
 // score ranks a member for a key by weighted rendezvous hashing: the smallest
 // score is first, and a member is first for a part of all keys that is
-// proportional to its weight.
-func score(key Key, member, inverseWeight uint64) uint64 {
-	h := mix(uint64(key) ^ member)
-	return negativeLog(h|1) * inverseWeight
+// proportional to its weight. The weight is not 0.
+func score(key Key, member uint64, weight int) uint64 {
+	return negativeLog(mix(uint64(key)^member)|1) * (inverseOne / uint64(weight))
 }
 
 // Rank orders equally weighted members for a key, most preferred first, and
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -35,9 +35,12 @@
 	// Leaving is set when the upstream takes no new work.
 	Leaving bool
 
-	inverseWeight uint64
 	// offset is this box's place in the split of the upstream's slots, 0 to 1.
 	offset float64
+	// boundPart is the set multiple of the member's part of the pool's weight.
+	boundPart float64
+	// slotShare is this box's part of the slots.
+	slotShare int
 }
 
 // usable tells whether new work may go to the member.
@@ -49,6 +52,8 @@
 	// BoundPercent is the set multiple of the mean load.
 	BoundPercent int
 
+	// groups are the members by their weight in the table, for fast ranking.
+	groups      []group
 	total       int
 	totalWeight int
 	boxes       int
@@ -66,24 +71,57 @@
 		m.ID = HashName(m.Name)
 		v.total += m.InFlight
 	}
-	v.refreshWeights()
+	v.buildGroups()
 	v.placeBoxes(boxes, self)
+	v.refreshWeights()
 	return v
 }
 
+// group is members of one weight, laid out for a scan over their ids.
+type group struct {
+	inverseWeight uint64
+	ids           []uint64
+	positions     []int
+}
+
+// buildGroups gathers the members that take part in ranking.
+func (v *View) buildGroups() {
+	byWeight := map[int]*group{}
+	weights := []int{}
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.TableWeight <= 0 {
+			continue
+		}
+		g := byWeight[m.TableWeight]
+		if g == nil {
+			g = &group{inverseWeight: inverseOne / uint64(m.TableWeight)}
+			byWeight[m.TableWeight] = g
+			weights = append(weights, m.TableWeight)
+		}
+		g.ids = append(g.ids, m.ID)
+		g.positions = append(g.positions, i)
+	}
+	slices.Sort(weights)
+	for _, weight := range weights {
+		v.groups = append(v.groups, *byWeight[weight])
+	}
+}
+
 // refreshWeights recomputes what depends on the members' weights and health.
 func (v *View) refreshWeights() {
 	v.totalWeight = 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		m.inverseWeight = 0
-		if m.TableWeight > 0 {
-			m.inverseWeight = inverseOne / uint64(m.TableWeight)
-		}
 		if m.usable() {
 			v.totalWeight += m.Weight
 		}
 	}
+	for i := range v.Members {
+		m := &v.Members[i]
+		m.boundPart = v.Part(i) * float64(v.BoundPercent) / percent
+		m.slotShare = v.slotShare(m)
+	}
 }
 
 // placeBoxes gives this box a place among the boxes for each member, so that
--- a/internal/routebench/grants.go
+++ b/internal/routebench/grants.go
@@ -54,9 +54,12 @@
 	return positionOf(place)
 }
 
+// rankedChoices is as many ranks as a box asks for.
+const rankedChoices = 6
+
 // ranked returns the first choice and the open places in the order of rank.
 func (r *run) ranked(box int, s *session) (first grant.Place, open []grant.Place) {
-	positions := [route.MaxTried]int{}
+	positions := [rankedChoices]int{}
 	v := r.views[box]
 	for i, position := range v.Ranked(s.key, positions[:0]) {
 		if i == 0 {
