test: failures of the platform, domains, engines and keys

Cause: promises were shown by the demo only. Figures: undo of a one-cell edit removed its row; a cut answer of the stand-in was never seen cut, because it was still buffered; both mended.

--- /dev/null
+++ b/internal/datagram/datagram_test.go
@@ -0,0 +1,36 @@
+package datagram
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	oldKey = "the-old-key-of-the-fleet"
+	newKey = "the-new-key-of-the-fleet"
+)
+
+func TestSealing(t *testing.T) {
+	channel := Channel{Name: 'm', CodeBytes: 8}
+	t.Run("opens under any of the keys", func(t *testing.T) {
+		body, err := open([]string{newKey, oldKey}, channel, seal(oldKey, channel, []byte("x")))
+		require.NoError(t, err)
+		assert.Equal(t, "x", string(body))
+	})
+	t.Run("refuses another key, channel or body", func(t *testing.T) {
+		data := seal(oldKey, channel, []byte("x"))
+		_, err := open([]string{newKey}, channel, data)
+		require.ErrorIs(t, err, ErrUnauthentic)
+		_, err = open([]string{oldKey}, Channel{Name: 'g', CodeBytes: 8}, data)
+		require.ErrorIs(t, err, ErrUnauthentic)
+		data[len(data)-1]++
+		_, err = open([]string{oldKey}, channel, data)
+		require.ErrorIs(t, err, ErrUnauthentic)
+	})
+	t.Run("refuses what is too short", func(t *testing.T) {
+		_, err := open([]string{oldKey}, channel, []byte("m12345678"))
+		assert.ErrorIs(t, err, ErrMalformed)
+	})
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func events(text string) (data []string, last error) {
+	for event, err := range Events(strings.NewReader(text)) {
+		if err != nil {
+			return data, err
+		}
+		data = append(data, event.Data)
+	}
+	return data, nil
+}
+
+func TestEvents(t *testing.T) {
+	t.Run("end with the closing one", func(t *testing.T) {
+		data, err := events("id: 0\ndata: a\n\nid: 1\ndata: [DONE]\n\nid: 2\ndata: more\n\n")
+		require.NoError(t, err)
+		assert.Equal(t, []string{"a", Done}, data)
+	})
+	t.Run("that end without it are cut", func(t *testing.T) {
+		_, err := events("id: 0\ndata: a\n\n")
+		assert.ErrorIs(t, err, ErrCut)
+	})
+	t.Run("that break within one are cut", func(t *testing.T) {
+		data, err := events("id: 0\ndata: a\n\nid: 1\ndata: [DO")
+		require.ErrorIs(t, err, ErrCut)
+		assert.Equal(t, []string{"a"}, data)
+	})
+	t.Run("with a wrong id are refused", func(t *testing.T) {
+		_, err := events("id: x\ndata: a\n\n")
+		assert.ErrorIs(t, err, ErrBadEvent)
+	})
+}
+
+func TestChatRequest(t *testing.T) {
+	const good = `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+	t.Run("names a session by its opening", func(t *testing.T) {
+		one, err := ParseChatRequest([]byte(good), 10)
+		require.NoError(t, err)
+		two, err := ParseChatRequest([]byte(strings.ReplaceAll(good, ":", " : ")), 10)
+		require.NoError(t, err)
+		assert.Equal(t, one.Opening(), two.Opening())
+	})
+	for name, c := range map[string]struct{ body, want string }{
+		"model":       {`{"messages":[1]}`, "model: is missing"},
+		"messages":    {`{"model":"m"}`, "messages: must have at least one"},
+		"wrong type":  {`{"model":5}`, "model: must not be a number"},
+		"not JSON":    {`{"model":`, "body: not JSON"},
+		"too deep":    {strings.Repeat("[", 20), "nested deeper than 10"},
+		"not a list":  {`[]`, "must not be a array"},
+		"long a name": {`{"model":"` + strings.Repeat("m", 300) + `","messages":[1]}`, "model: longer"},
+	} {
+		t.Run("names what is wrong: "+name, func(t *testing.T) {
+			_, err := ParseChatRequest([]byte(c.body), 10)
+			require.ErrorIs(t, err, ErrBadRequest)
+			assert.Contains(t, err.Error(), c.want)
+		})
+	}
+}
+
+func FuzzParseChatRequest(f *testing.F) {
+	f.Add([]byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"\"x\\"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		chat, err := ParseChatRequest(body, 16)
+		if err != nil {
+			require.ErrorIs(t, err, ErrBadRequest)
+			return
+		}
+		chat.Opening()
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 0\ndata: a\n\ndata: [DONE]\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := events(text); err != nil && !errors.Is(err, ErrCut) && !errors.Is(err, ErrBadEvent) {
+			t.Fatalf("unexpected error %v", err)
+		}
+	})
+}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -271,10 +271,15 @@
 }
 
 // File sends an unrepeatable call.
-func (c Caller) File(ctx context.Context, f Filing) Result {
+func (c Caller) File(ctx context.Context, f Filing) Result { return c.callService(ctx, http.MethodPost, f) }
+
+// Get sends a call that may be repeated.
+func (c Caller) Get(ctx context.Context, f Filing) Result { return c.callService(ctx, http.MethodGet, f) }
+
+func (c Caller) callService(ctx context.Context, method string, f Filing) Result {
 	began := c.Clock.Now()
 	url := f.URL + "/services/" + f.Service + f.Path
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(f.Body))
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(f.Body))
 	if err != nil {
 		return Result{Verdict: Broken, Err: err}
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
 
 	"github.com/klauspost/compress/zstd"
 
@@ -158,28 +157,24 @@
 	return state, nil
 }
 
-// coders are shared: both are safe for concurrent use of their one-shot calls.
-var coders = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	if err != nil {
-		panic(err)
-	}
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxStateBytes))
+// Compress returns data in zstd's form.
+func Compress(data []byte) []byte {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
 	if err != nil {
+		// Only wrong options fail.
 		panic(err)
 	}
-	return encoder, decoder
-})
-
-// Compress returns data in zstd's form.
-func Compress(data []byte) []byte {
-	encoder, _ := coders()
+	defer func() { _ = encoder.Close() }()
 	return encoder.EncodeAll(data, nil)
 }
 
 // Decompress undoes Compress.
 func Decompress(data []byte) ([]byte, error) {
-	_, decoder := coders()
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxStateBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	defer decoder.Close()
 	decoded, err := decoder.DecodeAll(data, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -383,6 +383,8 @@
 	if cut {
 		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 		_, _ = w.Write(data[:len(data)/2])
+		// What is still buffered would never be seen.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(data)
--- /dev/null
+++ b/internal/tablefile/tablefile_test.go
@@ -0,0 +1,149 @@
+package tablefile
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/operators"
+	"dooryard.example/dooryard/internal/table"
+)
+
+// edited folds edits, each a list of changes, and returns what operators see.
+func edited(t *testing.T, edits ...[]table.Change) (*table.State, Current) {
+	t.Helper()
+	state := table.New()
+	for i, changes := range edits {
+		data, err := json.Marshal(table.Edit{ID: string(rune('a' + i)), Changes: changes})
+		require.NoError(t, err)
+		var verdict table.Verdict
+		state, verdict = state.Apply(state.Offset(), data)
+		require.Equal(t, table.Accepted, verdict.Result, "%+v", verdict)
+	}
+	return state, Current{Table: operators.NewTableReply(state), History: state.History()}
+}
+
+func change(row, column, value string, basedOn int64) table.Change {
+	return table.Change{Sheet: table.Models, Row: row, Column: column, Value: value, BasedOn: basedOn}
+}
+
+func first() []table.Change {
+	return []table.Change{change("m", "deadline_ms", "100", 0), change("n", "deadline_ms", "200", 0)}
+}
+
+func TestRoundTrip(t *testing.T) {
+	_, current := edited(t, first())
+	file := FromTable(current.Table)
+	t.Run("through YAML changes nothing", func(t *testing.T) {
+		data, err := file.EncodeYAML()
+		require.NoError(t, err)
+		decoded, err := DecodeYAML("f", data)
+		require.NoError(t, err)
+		assert.Empty(t, Changes(decoded, current, true))
+	})
+	t.Run("through CSV changes nothing", func(t *testing.T) {
+		data, err := file.EncodeCSV(table.Models)
+		require.NoError(t, err)
+		decoded, err := DecodeCSV("f", table.Models, data)
+		require.NoError(t, err)
+		assert.Empty(t, Changes(decoded, current, true))
+	})
+	t.Run("through a spreadsheet becomes the cells that were edited", func(t *testing.T) {
+		data, err := file.EncodeCSV(table.Models)
+		require.NoError(t, err)
+		decoded, err := DecodeCSV("f", table.Models, []byte(strings.Replace(string(data), "n,200", "n,300", 1)))
+		require.NoError(t, err)
+		assert.Equal(t, []table.Change{change("n", "deadline_ms", "300", 1)}, Changes(decoded, current, true))
+	})
+	t.Run("of the example table holds", func(t *testing.T) {
+		data, err := os.ReadFile("../../examples/three-boxes/table.yaml")
+		require.NoError(t, err)
+		decoded, err := DecodeYAML("table.yaml", data)
+		require.NoError(t, err)
+		assert.Len(t, decoded.Sheets[table.Upstreams], 4)
+	})
+}
+
+func TestImportAfterOthersEdited(t *testing.T) {
+	_, old := edited(t, first())
+	file := FromTable(old.Table)
+	_, now := edited(t, first(), []table.Change{change("m", "deadline_ms", "150", 1)})
+	t.Run("leaves their cells alone", func(t *testing.T) {
+		assert.Empty(t, Changes(file, now, false))
+	})
+	t.Run("conflicts where both edited", func(t *testing.T) {
+		file := FromTable(old.Table)
+		file.Sheets[table.Models]["m"]["deadline_ms"] = "111"
+		changes := Changes(file, now, false)
+		require.Len(t, changes, 1)
+		state, _ := edited(t, first(), []table.Change{change("m", "deadline_ms", "150", 1)})
+		data, err := json.Marshal(table.Edit{ID: "z", Changes: changes})
+		require.NoError(t, err)
+		_, verdict := state.Apply(state.Offset(), data)
+		assert.Equal(t, table.Conflict, verdict.Result)
+		assert.Equal(t, "150", verdict.Issues[0].Current)
+	})
+	t.Run("removes rows only when asked", func(t *testing.T) {
+		file := FromTable(old.Table)
+		delete(file.Sheets[table.Models], "n")
+		assert.Empty(t, Changes(file, old, false))
+		changes := Changes(file, old, true)
+		require.Len(t, changes, 1)
+		assert.True(t, changes[0].Remove)
+	})
+}
+
+func TestUndo(t *testing.T) {
+	undo := func(t *testing.T, edits ...[]table.Change) *table.State {
+		t.Helper()
+		state, current := edited(t, edits...)
+		changes := Undo(state.History()[len(state.History())-1], current.Table)
+		state, _ = edited(t, append(edits, changes)...)
+		return state
+	}
+	t.Run("sets cells as they were", func(t *testing.T) {
+		state := undo(t, first(), []table.Change{change("m", "deadline_ms", "150", 1)})
+		assert.EqualValues(t, 100, state.Model("m").DeadlineMs)
+	})
+	t.Run("removes rows that the edit made", func(t *testing.T) {
+		assert.Nil(t, undo(t, first()).Model("m"))
+	})
+	t.Run("restores rows that the edit removed", func(t *testing.T) {
+		state := undo(t, first(), []table.Change{{Sheet: table.Models, Row: "m", Remove: true, BasedOn: 1}})
+		assert.EqualValues(t, 100, state.Model("m").DeadlineMs)
+	})
+}
+
+func TestErrorsNameTheLine(t *testing.T) {
+	t.Run("in YAML", func(t *testing.T) {
+		_, err := DecodeYAML("f.yaml", []byte("models:\n  m:\n    deadline_ms: soon\n"))
+		require.ErrorIs(t, err, ErrMalformed)
+		assert.Contains(t, err.Error(), "f.yaml:3: ")
+	})
+	t.Run("in CSV", func(t *testing.T) {
+		_, err := DecodeCSV("f.csv", table.Models, []byte("row,deadline_ms\nm,1\nm,2\n"))
+		require.ErrorIs(t, err, ErrMalformed)
+		assert.Contains(t, err.Error(), "f.csv:3: row \"m\": stands twice")
+	})
+	t.Run("of an unknown sheet", func(t *testing.T) {
+		_, err := DecodeYAML("f.yaml", []byte("modles:\n  m:\n    deadline_ms: 1\n"))
+		assert.ErrorIs(t, err, ErrMalformed)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte("models:\n  m:\n    deadline_ms: 1\n"))
+	f.Add([]byte("row,deadline_ms,offset\nm,1,4\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := DecodeYAML("f", data); err != nil {
+			require.ErrorIs(t, err, ErrMalformed)
+		}
+		if _, err := DecodeCSV("f", table.Models, data); err != nil {
+			require.ErrorIs(t, err, ErrMalformed)
+		}
+	})
+}
--- a/internal/tablefile/undo.go
+++ b/internal/tablefile/undo.go
@@ -17,7 +17,7 @@
 		case change.Remove:
 			changes = append(changes, restored(change, entry.Removed[row])...)
 		case removed[row]:
-		case madeBy(entry, change, current):
+		case wasEmpty(entry, row) && madeBy(entry, change, current):
 			removed[row] = true
 			changes = append(changes, table.Change{
 				Sheet: change.Sheet, Row: change.Row, Remove: true, BasedOn: entry.Offset + 1,
@@ -44,6 +44,16 @@
 	return changes
 }
 
+// wasEmpty tells whether the edit's cells of a row held nothing before.
+func wasEmpty(entry table.HistoryEntry, row string) bool {
+	for i, change := range entry.Changes {
+		if change.Sheet+"/"+change.Row == row && entry.Before[i] != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // madeBy tells whether all that the row holds now came with the edit.
 func madeBy(entry table.HistoryEntry, change table.Change, current operators.TableReply) bool {
 	for _, sheet := range current.Sheets {
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+func newClient() *http.Client {
+	return &http.Client{Transport: New(Settings{ConnectTimeoutMs: 1000, MaxIdlePerHost: 4})}
+}
+
+func post(ctx context.Context, t *testing.T, client *http.Client, url string) error {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body"))
+	require.NoError(t, err)
+	response, err := client.Do(request)
+	if err == nil {
+		err = response.Body.Close()
+	}
+	return err
+}
+
+func TestWatch(t *testing.T) {
+	t.Run("proves that nothing left when no connection opened", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		watch := &Watch{}
+		require.Error(t, post(watch.Context(t.Context()), t, newClient(), "http://"+listener.Addr().String()))
+		assert.True(t, watch.GiveUp())
+	})
+	t.Run("does not claim it once bytes were handed on", func(t *testing.T) {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			panic(http.ErrAbortHandler)
+		}))
+		defer server.Close()
+		watch := &Watch{}
+		require.Error(t, post(watch.Context(t.Context()), t, newClient(), server.URL))
+		assert.False(t, watch.GiveUp())
+	})
+	t.Run("lets nothing leave after an instant", func(t *testing.T) {
+		asked := 0
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked++ }))
+		defer server.Close()
+		now := clock.Millis(0)
+		// The clock jumps after the connection opened, as in a pause.
+		c := clock.New(clock.WithNow(func() clock.Millis { return now }))
+		client := newClient()
+		require.NoError(t, post(SendBefore(t.Context(), c, 10), t, client, server.URL))
+		now = 10
+		require.Error(t, post(SendBefore(t.Context(), c, 10), t, client, server.URL))
+		assert.Equal(t, 1, asked)
+	})
+}
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
@@ -59,7 +61,7 @@
 		return fmt.Errorf("%w: %s: the file is empty", ErrInvalid, name)
 	}
 	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrInvalid, name, err)
+		return locateDecoding(name, data, err)
 	}
 	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
 		return fmt.Errorf("%w: %s: more than one YAML document", ErrInvalid, name)
@@ -67,6 +69,59 @@
 	return locate(name, data, target.Check())
 }
 
+var linePattern = regexp.MustCompile(`^line (\d+): (.*)$`)
+
+// locateDecoding names the key that stands on each line that the decoder could
+// not use.
+func locateDecoding(name string, data []byte, err error) error {
+	var typeErr *yaml.TypeError
+	var document yaml.Node
+	if !errors.As(err, &typeErr) || yaml.Unmarshal(data, &document) != nil {
+		return fmt.Errorf("%w: %s: %w", ErrInvalid, name, err)
+	}
+	located := []error{}
+	for _, text := range typeErr.Errors {
+		parts := linePattern.FindStringSubmatch(text)
+		if parts == nil {
+			located = append(located, fmt.Errorf("%w: %s: %s", ErrInvalid, name, text))
+			continue
+		}
+		line, _ := strconv.Atoi(parts[1])
+		field := &FieldError{Key: keyAt(&document, line, ""), Reason: parts[2]}
+		located = append(located, fmt.Errorf("%s:%d: %w", name, line, field))
+	}
+	return errors.Join(located...)
+}
+
+// keyAt returns the dotted key whose value stands on a line, or the deepest key
+// above it.
+func keyAt(node *yaml.Node, line int, path string) string {
+	found := path
+	for i, next := range node.Content {
+		key := path
+		switch {
+		case node.Kind == yaml.MappingNode && i%2 == 0:
+			continue
+		case node.Kind == yaml.MappingNode:
+			key = strings.TrimPrefix(path+"."+node.Content[i-1].Value, ".")
+		case node.Kind == yaml.SequenceNode:
+			key = fmt.Sprintf("%s[%d]", path, i)
+		}
+		if begins := firstLine(node, i); begins <= line {
+			found = keyAt(next, line, key)
+		}
+	}
+	return found
+}
+
+// firstLine is the line where an entry begins: that of its key, if it has one.
+func firstLine(node *yaml.Node, i int) int {
+	if node.Kind == yaml.MappingNode {
+		return node.Content[i-1].Line
+	}
+	return node.Content[i].Line
+}
+
 // locate prefixes each FieldError with the file and the line of its key.
 func locate(name string, data []byte, err error) error {
 	if err == nil {
