feat(capacity): slopes and a node's budget at the target size

Cause: no figure told what control costs at 2,500 boxes. Change: dooryard-load capacity measures costs against boxes, engines, organisations, sessions and keys, fits lines and adds up a node's budget; policies compares routing. What the first run showed was changed: owners are found without sorting all boxes, relays form a tree of 4, only a box that wants the lease reads it, grant messages are shorter, facts ride on every other ping.

--- a/cmd/dooryard-load/main.go
+++ b/cmd/dooryard-load/main.go
@@ -8,4 +8,4 @@
 	"dooryard.example/dooryard/internal/cmd/loadcmd"
 )
 
-func main() { exit.Main(loadcmd.New(os.Stdout)) }
+func main() { exit.Main(loadcmd.New(os.Stdout, os.Stderr)) }
--- a/internal/box/claims.go
+++ b/internal/box/claims.go
@@ -34,7 +34,7 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
-	first := candidates[route.Rank(route.NewKey("", claim.StreamName(shard)), hashes)[0]]
+	first := candidates[route.First(route.NewKey("", claim.StreamName(shard)), hashes)]
 	return first.address, first.name != b.settings.Box && first.address != ""
 }
 
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -299,7 +299,7 @@
 	for i, candidate := range candidates {
 		hashes[i] = route.HashName(candidate.Name)
 	}
-	chosen := candidates[route.Rank(x.Key, hashes)[0]]
+	chosen := candidates[route.First(x.Key, hashes)]
 	return pool.NewRemoteLease(chosen.Name, chosen.PeerAddress, func(header http.Header) {
 		header.Set("Authorization", "Bearer "+b.keys.peers.Current())
 		header.Set(exchange.HeaderHop, "1")
--- a/internal/box/table.go
+++ b/internal/box/table.go
@@ -24,6 +24,8 @@
 	// readers is how many boxes of a failure domain read the table from the
 	// platform; the others take it from them.
 	readers = 2
+	// relayFanout is how many boxes take records from one, at first choice.
+	relayFanout = 4
 	// catchUpMs is how often a box looks whether others are ahead of it.
 	catchUpMs = 500 * clock.Millis(1)
 	// relaysTried bounds the peers that one read tries.
@@ -39,25 +41,33 @@
 	snapshotTurnMs = 30 * clock.Second
 )
 
-// relays are the boxes of this domain that read the platform's log, without
-// this box, and whether this box is one.
-func (b *Box) relays() (addresses []string, self bool) {
+// relays are the boxes of this domain from which this one takes the table's
+// records, and whether this box reads them from the platform itself. The boxes
+// form a tree by rank, so that each serves a few others only.
+func (b *Box) relays() (addresses []string, reads bool) {
 	live := b.gossip.Live()
 	hashes := make([]uint64, len(live))
 	for i, name := range live {
 		hashes[i] = route.HashName(name)
 	}
 	order := route.Rank(route.NewKey("", tablestore.Stream), hashes)
-	for rank, at := range order {
-		if live[at] == b.settings.Box {
-			self = self || rank < readers
-			continue
-		}
-		if rank < readers {
-			addresses = append(addresses, b.peerAddress(live[at]))
+	own := slices.IndexFunc(order, func(at int) bool { return live[at] == b.settings.Box })
+	for _, rank := range parents(own) {
+		if address := b.peerAddress(live[order[rank]]); address != "" {
+			addresses = append(addresses, address)
 		}
 	}
-	return slices.DeleteFunc(addresses, func(address string) bool { return address == "" }), self
+	return addresses, own < readers
+}
+
+// parents are the ranks that a rank takes records from: none for a reader, else
+// two further up the tree.
+func parents(rank int) []int {
+	if rank < readers {
+		return nil
+	}
+	first := (rank - readers) / relayFanout
+	return []int{first, first + 1}
 }
 
 // peerAddress is the peers' listener of a live box of this domain, or "".
@@ -72,16 +82,16 @@
 
 // tableSources are the ways to the table's records, the best first.
 func (b *Box) tableSources() []logstream.Source {
-	addresses, self := b.relays()
+	addresses, reads := b.relays()
 	direct := logstream.Source{Name: "platform", Read: b.readPlatform}
 	sources := []logstream.Source{}
-	if self || len(addresses) == 0 {
+	if reads || len(addresses) == 0 {
 		sources = append(sources, direct)
 	}
 	for _, address := range addresses {
 		sources = append(sources, b.peerSource(address))
 	}
-	if !self && len(addresses) > 0 {
+	if !reads && len(addresses) > 0 {
 		sources = append(sources, direct)
 	}
 	elsewhere := b.listedElsewhere()
--- /dev/null
+++ b/internal/capacity/gossip.go
@@ -0,0 +1,126 @@
+package capacity
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/membership"
+)
+
+// Times of a run of membership.
+const (
+	gossipWarmup  = 120 * clock.Second
+	gossipMeasure = 30 * clock.Second
+	factsPeriods  = 4
+	envelope      = 1 + membership.CodeBytes
+)
+
+// gossipCost is what membership costs one box.
+type gossipCost struct {
+	bytesPerSecond    float64
+	messagesPerSecond float64
+	// corePart is the part of one core.
+	corePart  float64
+	heapBytes float64
+}
+
+// gossipRun is the boxes of one failure domain in one process. Datagrams arrive
+// at once.
+type gossipRun struct {
+	now      clock.Millis
+	nodes    []*membership.Node
+	queue    []queued
+	bytes    int
+	messages int
+}
+
+type queued struct {
+	from, to int
+	body     []byte
+}
+
+func runGossip(boxes int) gossipCost {
+	r := &gossipRun{now: 1_000_000}
+	heap := heapBytes(func() *gossipRun {
+		r.build(boxes)
+		r.run(gossipWarmup)
+		return r
+	})
+	r.bytes, r.messages = 0, 0
+	began := time.Now()
+	r.run(gossipMeasure)
+	took := time.Since(began)
+	seconds := float64(gossipMeasure) / float64(clock.Second) * float64(boxes)
+	// A byte is sent by one box and received by another.
+	const bothWays = 2
+	return gossipCost{
+		bytesPerSecond:    bothWays * float64(r.bytes) / seconds,
+		messagesPerSecond: bothWays * float64(r.messages) / seconds,
+		corePart:          took.Seconds() / seconds,
+		heapBytes:         heap / float64(boxes),
+	}
+}
+
+func (r *gossipRun) build(boxes int) {
+	listed := map[string]string{}
+	for i := range boxes {
+		listed[fmt.Sprintf("north-box-%03d", i)] = strconv.Itoa(i)
+	}
+	for i := range boxes {
+		node := membership.NewNode(membership.Box{
+			Name: fmt.Sprintf("north-box-%03d", i), Domain: "north",
+			GossipAddress: strconv.Itoa(i), PeerAddress: "10.11.12.13:8021",
+		}, uint32(r.now/clock.Second))
+		node.SetListed(listed)
+		r.nodes = append(r.nodes, node)
+	}
+}
+
+func (r *gossipRun) run(span clock.Millis) {
+	period := membership.DefaultSettings().PeriodMs
+	for end := r.now + span; r.now < end; r.now += period {
+		for i, node := range r.nodes {
+			if (int(r.now/period)+i)%factsPeriods == 0 {
+				node.SetFacts(targetFacts())
+			}
+			r.send(i, node.Tick(r.now))
+			r.deliver()
+		}
+	}
+}
+
+// targetFacts are what a box of the target size tells.
+func targetFacts() membership.Facts {
+	facts := membership.Facts{TableOffset: 5_000_000, InFlight: 240}
+	for i := range 4 {
+		facts.Demand = append(facts.Demand, membership.Demand{
+			Organisation: membership.OrganisationID(strconv.Itoa(i)), PerSecond: 400,
+		})
+	}
+	return facts
+}
+
+func (r *gossipRun) send(from int, out []membership.Outgoing) {
+	for _, o := range out {
+		to, err := strconv.Atoi(o.Address)
+		if err != nil || to >= len(r.nodes) {
+			continue
+		}
+		r.bytes += len(o.Body) + envelope
+		r.messages++
+		r.queue = append(r.queue, queued{from: from, to: to, body: o.Body})
+	}
+}
+
+func (r *gossipRun) deliver() {
+	for len(r.queue) > 0 {
+		next := r.queue[0]
+		r.queue = r.queue[1:]
+		out, err := r.nodes[next.to].Receive(r.now, strconv.Itoa(next.from), next.body)
+		if err == nil {
+			r.send(next.to, out)
+		}
+	}
+}
--- a/internal/cmd/loadcmd/loadcmd.go
+++ b/internal/cmd/loadcmd/loadcmd.go
@@ -15,14 +15,17 @@
 // ErrPromiseBroken means that a run showed a broken promise.
 var ErrPromiseBroken = errors.New("a promise was broken")
 
-// New returns the command; its tables go to out.
-func New(out io.Writer) *cli.Command {
+// New returns the command; its tables go to out, its progress to
+// progress.
+func New(out, progress io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:                  "dooryard-load",
 		Usage:                 "send returning chats and unrepeatable calls to a fleet and check every answer",
 		Version:               version.String(),
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(out)},
+		Commands: []*cli.Command{
+			demoCommand(out), policiesCommand(out, progress), capacityCommand(out, progress),
+		},
 	}
 }
 
--- a/internal/grant/agent.go
+++ b/internal/grant/agent.go
@@ -45,8 +45,8 @@
 	mu        sync.Mutex
 	ledger    *Ledger
 	directory *Directory
-	sequence  uint32
-	waiting   map[uint32]chan replyMessage
+	sequence  uint16
+	waiting   map[uint16]chan Reply
 	resting   map[string]clock.Millis
 }
 
@@ -59,7 +59,7 @@
 	return &Agent{
 		box: box, send: send, standing: standing, clock: c, logger: logger,
 		ledger: NewLedger(DefaultSettings()), directory: NewDirectory(),
-		waiting: map[uint32]chan replyMessage{}, resting: map[string]clock.Millis{},
+		waiting: map[uint16]chan Reply{}, resting: map[string]clock.Millis{},
 	}
 }
 
@@ -80,7 +80,7 @@
 		Held: clamp(q.Held), Total: clamp(q.Total),
 	}
 	if owner.Self {
-		return decodeReply(a.answer(message))
+		return usable(a.answer(message))
 	}
 	if owner.Address == "" || a.rests(owner.Name) {
 		return Reply{}, ErrNoAnswer
@@ -103,13 +103,37 @@
 
 func clamp(count int) uint16 { return uint16(min(max(0, count), math.MaxUint16)) }
 
-func decodeReply(r replyMessage) (Reply, error) {
-	if r.Flags&flagUnknown != 0 {
+// usable makes an error of the answer of an owner that does not know the place.
+func usable(r Reply) (Reply, error) {
+	if r.unknown {
 		return Reply{}, ErrNoAnswer
 	}
+	return r, nil
+}
+
+// encode returns the answer's datagram.
+func (r Reply) encode(sequence uint16) []byte {
+	if r.Hint != 0 {
+		return encodeMessage(kindHint, hintMessage{Sequence: sequence, Hint: r.Hint})
+	}
+	flags := byte(0)
+	for _, f := range []struct {
+		set  bool
+		flag byte
+	}{{r.Granted, flagGranted}, {r.Closed, flagClosed}, {r.unknown, flagUnknown}} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	over := int8(min(max(r.Over, math.MinInt8), math.MaxInt8))
+	return encodeMessage(kindReply, replyMessage{Sequence: sequence, Flags: flags, Over: over})
+}
+
+func (m replyMessage) reply() Reply {
 	return Reply{
-		Granted: r.Flags&flagGranted != 0, Closed: r.Flags&flagClosed != 0, Over: int(r.Over), Hint: r.Hint,
-	}, nil
+		Granted: m.Flags&flagGranted != 0, Closed: m.Flags&flagClosed != 0,
+		unknown: m.Flags&flagUnknown != 0, Over: int(m.Over),
+	}
 }
 
 // askRemote sends the question, once more when no answer comes soon. A second
@@ -124,7 +148,7 @@
 		select {
 		case answer := <-answers:
 			cancel()
-			return decodeReply(answer)
+			return usable(answer)
 		case <-wait.Done():
 			cancel()
 		}
@@ -136,17 +160,17 @@
 	return Reply{}, ErrNoAnswer
 }
 
-func (a *Agent) expect(message *askMessage) <-chan replyMessage {
+func (a *Agent) expect(message *askMessage) <-chan Reply {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
 	message.Sequence = a.sequence
-	answers := make(chan replyMessage, 1)
+	answers := make(chan Reply, 1)
 	a.waiting[message.Sequence] = answers
 	return answers
 }
 
-func (a *Agent) unexpect(sequence uint32) {
+func (a *Agent) unexpect(sequence uint16) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.waiting, sequence)
@@ -215,9 +239,11 @@
 	}
 	switch body[0] {
 	case kindAsk:
-		return handle(body, func(m askMessage) { a.send(from, encodeMessage(kindReply, a.answer(m))) })
+		return handle(body, func(m askMessage) { a.send(from, a.answer(m).encode(m.Sequence)) })
 	case kindReply:
-		return handle(body, a.deliver)
+		return handle(body, func(m replyMessage) { a.deliver(m.Sequence, m.reply()) })
+	case kindHint:
+		return handle(body, func(m hintMessage) { a.deliver(m.Sequence, Reply{Hint: m.Hint}) })
 	case kindHold:
 		return handle(body, a.hold)
 	case kindNews:
@@ -237,10 +263,10 @@
 	return nil
 }
 
-func (a *Agent) deliver(r replyMessage) {
+func (a *Agent) deliver(sequence uint16, r Reply) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if answers := a.waiting[r.Sequence]; answers != nil {
+	if answers := a.waiting[sequence]; answers != nil {
 		select {
 		case answers <- r:
 		default:
@@ -262,37 +288,28 @@
 }
 
 // answer decides on a question as the place's owner.
-func (a *Agent) answer(m askMessage) replyMessage {
-	reply := replyMessage{Sequence: m.Sequence}
+func (a *Agent) answer(m askMessage) Reply {
 	standing, known := a.standing(m.Place)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if m.Flags&flagLookup != 0 {
 		if hint, found := a.directory.Find(m.Session); found && hint != m.Place {
-			reply.Hint = hint
-			return reply
+			return Reply{Hint: hint}
 		}
 	}
-	if m.Flags&flagWant == 0 {
-		return reply
-	}
-	if !known {
-		reply.Flags = flagUnknown
-		return reply
-	}
-	if standing.Closed {
-		reply.Flags = flagClosed
-		return reply
+	switch {
+	case m.Flags&flagWant == 0:
+		return Reply{}
+	case !known:
+		return Reply{unknown: true}
+	case standing.Closed:
+		return Reply{Closed: true}
 	}
 	granted, over := a.ledger.Ask(Ask{
 		Place: m.Place, Box: m.Box, Held: int(m.Held), Total: int(m.Total), Settle: m.Flags&flagSettle != 0,
 	}, standing, a.clock.Now())
-	reply.Over = int16(min(max(over, math.MinInt16), math.MaxInt16))
-	if granted {
-		reply.Flags = flagGranted
-		if m.Flags&flagFirst != 0 {
-			a.directory.Remove(m.Session)
-		}
+	if granted && m.Flags&flagFirst != 0 {
+		a.directory.Remove(m.Session)
 	}
-	return reply
+	return Reply{Granted: granted, Over: over}
 }
--- a/internal/grant/search.go
+++ b/internal/grant/search.go
@@ -14,6 +14,8 @@
 	Closed bool
 	// Hint is where the session is warm instead, or 0.
 	Hint Place
+	// unknown is set when the owner does not know the place.
+	unknown bool
 }
 
 // Question is whom to ask next, and what.
--- a/internal/grant/wire.go
+++ b/internal/grant/wire.go
@@ -21,6 +21,7 @@
 const (
 	kindAsk byte = iota + 1
 	kindReply
+	kindHint
 	kindHold
 	kindNews
 )
@@ -38,7 +39,7 @@
 
 // askMessage is a question on the wire, in fixed fields.
 type askMessage struct {
-	Sequence uint32
+	Sequence uint16
 	Box      Box
 	Place    Place
 	Session  Session
@@ -49,9 +50,14 @@
 
 // replyMessage is its answer.
 type replyMessage struct {
-	Sequence uint32
+	Sequence uint16
 	Flags    byte
-	Over     int16
+	Over     int8
+}
+
+// hintMessage is the answer that names where a session is warm.
+type hintMessage struct {
+	Sequence uint16
 	Hint     Place
 }
 
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -21,6 +21,8 @@
 	// marginMs is how much earlier a holder takes its own lease for ended: clocks
 	// run differently, by less than this over one span.
 	marginMs = 2 * clock.Second
+	// pollMs is how long one read of the stream waits for news.
+	pollMs = 5 * clock.Second
 )
 
 // Log is what a keeper needs of the platform's log.
@@ -72,7 +74,12 @@
 	sources := []logstream.Source{{Name: "platform", Read: read}}
 	follower := logstream.NewFollower(func() []logstream.Source { return sources }, k.fold,
 		logstream.WithClock(k.clock), logstream.WithLogger(k.logger), logstream.WithExpired(k.skipExpired))
-	follower.Run(ctx)
+	for ctx.Err() == nil {
+		// A box that does not want the lease need not know who holds it.
+		if !k.wants() || follower.Poll(ctx, pollMs) != nil {
+			_ = k.clock.Sleep(ctx, clock.Second)
+		}
+	}
 }
 
 // skipExpired goes on from the oldest record: leases before it have ended.
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -271,10 +271,14 @@
 }
 
 // File sends an unrepeatable call.
-func (c Caller) File(ctx context.Context, f Filing) Result { return c.callService(ctx, http.MethodPost, f) }
+func (c Caller) File(ctx context.Context, f Filing) Result {
+	return c.callService(ctx, http.MethodPost, f)
+}
 
 // Get sends a call that may be repeated.
-func (c Caller) Get(ctx context.Context, f Filing) Result { return c.callService(ctx, http.MethodGet, f) }
+func (c Caller) Get(ctx context.Context, f Filing) Result {
+	return c.callService(ctx, http.MethodGet, f)
+}
 
 func (c Caller) callService(ctx context.Context, method string, f Filing) Result {
 	began := c.Clock.Now()
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -474,18 +474,22 @@
 	return []Outgoing{{Address: address, Body: body}}
 }
 
-// takeFacts lets pings carry this box's facts and acks those of others, more of
-// them in a larger failure domain.
+// takeFacts lets every other ping carry this box's facts and acks those of
+// others, more of them in a larger failure domain.
 func (n *Node) takeFacts(k kind) []factEntry {
 	others := min(maxFacts, 1+n.size()/boxesPerFact)
 	if k == kindPing {
-		return n.facts.take(true, others-1)
+		return n.facts.take(n.period%ownFactsEvery == 1, others-1)
 	}
 	return n.facts.take(false, others)
 }
 
+// ownFactsEvery is how many pings pass between two that carry this box's facts:
+// those of the walk through all boxes, not those to the successor.
+const ownFactsEvery = 2
+
 const (
 	maxUpdates   = 4
-	maxFacts     = 3
+	maxFacts     = 2
 	boxesPerFact = 32
 )
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -46,7 +46,9 @@
 	entries map[ID]heardFacts
 	// turns orders the entries: those not sent for longest first.
 	turns []ID
-	own   factEntry
+	// newest is what was heard last and not yet sent on.
+	newest ID
+	own    factEntry
 }
 
 type heardFacts struct {
@@ -65,16 +67,18 @@
 	b.own = factEntry{ID: id, Version: b.own.Version + 1, Facts: facts}
 }
 
-// hear takes in an entry that is newer than the known one, and sends it on
-// before older ones.
+// hear takes in an entry that is newer than the known one. The newest is sent on
+// next, the others in turn: fresh facts travel fast and none is left out.
 func (b *factBook) hear(entry factEntry, now clock.Millis) {
 	known, found := b.entries[entry.ID]
 	if found && int32(entry.Version-known.Version) <= 0 {
 		return
 	}
 	b.entries[entry.ID] = heardFacts{factEntry: entry, heardMs: now}
-	b.turns = slices.DeleteFunc(b.turns, func(id ID) bool { return id == entry.ID })
-	b.turns = slices.Insert(b.turns, 0, entry.ID)
+	b.newest = entry.ID
+	if !found {
+		b.turns = append(b.turns, entry.ID)
+	}
 }
 
 func (b *factBook) forget(id ID) {
@@ -88,6 +92,11 @@
 	if own && b.own.ID != 0 {
 		taken = append(taken, b.own)
 	}
+	if newest, known := b.entries[b.newest]; known && count > 1 {
+		taken = append(taken, newest.factEntry)
+		count--
+	}
+	b.newest = 0
 	others := min(count, len(b.turns))
 	for _, id := range b.turns[:others] {
 		taken = append(taken, b.entries[id].factEntry)
--- a/internal/pool/spot.go
+++ b/internal/pool/spot.go
@@ -30,8 +30,8 @@
 	for i, u := range p.members {
 		hash := route.HashName(p.name + "/" + u.row.Name)
 		spots[i] = Spot{Name: u.row.Name, Place: grant.Place(hash)}
-		if len(hashes) > 0 {
-			spots[i].Owner = m.fleet.Boxes[route.Rank(route.Key(hash), hashes)[0]]
+		if first := route.First(route.Key(hash), hashes); first >= 0 {
+			spots[i].Owner = m.fleet.Boxes[first]
 		}
 		m.places[spots[i].Place] = place{pool: p, position: i}
 	}
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -74,6 +74,19 @@
 	return negativeLog(mix(uint64(key)^member)|1) * (inverseOne / uint64(weight))
 }
 
+// First returns the position of the most preferred of equally weighted members
+// for a key, or -1 when there are none.
+func First(key Key, members []uint64) int {
+	first, best := -1, uint64(0)
+	for i, member := range members {
+		s := mix(uint64(key) ^ member)
+		if first < 0 || s < best || s == best && member < members[first] {
+			first, best = i, s
+		}
+	}
+	return first
+}
+
 // Rank orders equally weighted members for a key, most preferred first, and
 // returns their positions.
 func Rank(key Key, members []uint64) []int {
