--- a/internal/capacity/gossip.go
+++ b/internal/capacity/gossip.go
@@ -124,3 +124,13 @@
 		}
 	}
 }
+
+// GossipBytes returns what membership costs a box in bytes a second, both ways,
+// by the size of its failure domain.
+func GossipBytes() map[string]float64 {
+	figures := map[string]float64{}
+	for _, boxes := range []int{9, 90} {
+		figures[fmt.Sprintf("bytes a second at %d boxes", boxes)] = runGossip(boxes).bytesPerSecond
+	}
+	return figures
+}
--- a/internal/claim/ledger_test.go
+++ b/internal/claim/ledger_test.go
@@ -157,7 +157,7 @@
 
 func FuzzRecord(f *testing.F) {
 	f.Add([]byte(`{"t":"claim","k":"` + NewKey("o", "k") + `","o":"a","d":"x"}`))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		var batch Batch
 		if json.Unmarshal(data, &batch) == nil {
 			NewLedger(testWindowMs).Apply(batch.Records, 1)
--- a/internal/cmd/loadcmd/loadcmd.go
+++ b/internal/cmd/loadcmd/loadcmd.go
@@ -24,7 +24,8 @@
 		Version:               version.String(),
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			demoCommand(out), policiesCommand(out, progress), capacityCommand(out, progress),
+			demoCommand(out), runCommand(out, progress), latencyCommand(out),
+			policiesCommand(out, progress), capacityCommand(out, progress),
 		},
 	}
 }
--- /dev/null
+++ b/internal/cmd/loadcmd/run.go
@@ -0,0 +1,122 @@
+package loadcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/load"
+	"dooryard.example/dooryard/internal/route"
+)
+
+func runCommand(out, progress io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "run",
+		Usage: "send returning chats and unrepeatable calls to a fleet of its own and compare policies",
+		Flags: []cli.Flag{
+			jsonFlag(),
+			&cli.StringFlag{Name: "deployment", Value: "mares", Usage: "mares or intake"},
+			&cli.StringFlag{Name: "policies", Value: route.PolicyGrants, Usage: "policies to compare, separated by commas"},
+			&cli.FloatFlag{Name: "rate", Value: 120, Usage: "requests a second"},
+			&cli.IntFlag{Name: "seconds", Value: 20, Usage: "length of each run"},
+			&cli.IntFlag{Name: "sessions", Value: 600, Usage: "sessions that return"},
+			&cli.FloatFlag{Name: "surge", Value: 1, Usage: "factor of arrivals in the middle third, by one organisation"},
+			&cli.BoolFlag{Name: "churn", Usage: "let engines leave and come back"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals and sessions"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			results, err := runPolicies(ctx, c, progress)
+			if err != nil {
+				return err
+			}
+			if c.Bool(flagJSON) {
+				err = printJSON(out, results)
+			} else {
+				err = printRuns(out, results)
+			}
+			if err != nil {
+				return err
+			}
+			for _, r := range results {
+				if len(r.Breaches) > 0 {
+					return ErrPromiseBroken
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func runPolicies(ctx context.Context, c *cli.Command, progress io.Writer) ([]load.RunResult, error) {
+	deployment, err := deploymentNamed(c.String("deployment"))
+	if err != nil {
+		return nil, err
+	}
+	results := []load.RunResult{}
+	for policy := range strings.SplitSeq(c.String("policies"), ",") {
+		result, err := load.Run(ctx, load.RunPlan{
+			Deployment: deployment, Policy: policy, Seed: c.Uint64("seed"), PerSecond: c.Float("rate"),
+			LengthMs: clock.Millis(c.Int("seconds")) * clock.Second, Sessions: c.Int("sessions"),
+			Surge: c.Float("surge"), Churn: c.Bool("churn"),
+		}, progress)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func deploymentNamed(name string) (load.Deployment, error) {
+	for _, deployment := range load.Deployments() {
+		if deployment.Name == name {
+			return deployment, nil
+		}
+	}
+	return load.Deployment{}, fmt.Errorf("%w: --deployment: %q is none of mares, intake", exit.ErrUsage, name)
+}
+
+func printRuns(out io.Writer, results []load.RunResult) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "policy\tchats\twhole\treuse\tfirst token p50/p95/p99 ms\tskew\tabove bound\tfilings\twhole"+
+		"\tcontrol B/s\tgossip B/s\tgrants B/s\tpromises broken")
+	for _, r := range results {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.3f\t%d/%d/%d\t%.2f\t%.1f\t%d\t%d\t%.0f\t%.0f\t%.0f\t%v\n", r.Policy,
+			r.Chats.Requests, r.Chats.Verdicts[load.Whole], r.Chats.Reuse, r.Chats.First.P50, r.Chats.First.P95,
+			r.Chats.First.P99, r.Skew, r.Excess, r.Filings.Requests, r.Filings.Verdicts[load.Whole],
+			r.ControlBytes, r.GossipBytes, r.GrantBytes, r.Breaches)
+	}
+	return w.Flush()
+}
+
+func latencyCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "latency",
+		Usage: "measure what a router adds to the time to the first byte, over direct, in one run",
+		Flags: []cli.Flag{
+			jsonFlag(), &cli.FloatFlag{Name: "rate", Usage: "requests a second; half of what is held when not set"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := load.Latency(ctx, c.Float("rate"))
+			if err != nil {
+				return err
+			}
+			if c.Bool(flagJSON) {
+				return printJSON(out, r)
+			}
+			fmt.Fprintf(out, "held: %.0f small answers a second, %.0f streams of 50 tokens a second (router, callers and "+
+				"stand-ins on %d cores), %.0f allocations a request in all\n",
+				r.HeldPerSecond, r.StreamsPerHeld, r.Cores, r.AllocsPerHeld)
+			fmt.Fprintf(out, "at %.0f a second: direct p50 %d µs, p99 %d µs; routed p50 %d µs, p99 %d µs; added %d and %d µs\n",
+				r.PerSecond, r.DirectP50Us, r.DirectP99Us, r.RoutedP50Us, r.RoutedP99Us,
+				r.RoutedP50Us-r.DirectP50Us, r.RoutedP99Us-r.DirectP99Us)
+			return nil
+		},
+	}
+}
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -113,7 +113,7 @@
 	t.Run("asks the first choice's owner though it takes nothing", func(t *testing.T) {
 		s := NewSearch(1, []Place{2, 3}, false)
 		asked, _ := search(s, func(q Question) Reply {
-			assert.Equal(t, q.Place != 1, q.Want)
+			assert.Equal(t, q.Want, q.Place != 1)
 			return Reply{Granted: q.Want}
 		})
 		assert.Equal(t, []Place{1, 2}, asked)
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"testing/synctest"
 
@@ -92,7 +91,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			q := NewQueue(settings(), func() int { return 0 }, clock.New().Now)
 			began := clock.New().Now()
-			assert.ErrorIs(t, enter(t.Context(), q, "a"), ErrWaitedTooLong)
+			require.ErrorIs(t, enter(t.Context(), q, "a"), ErrWaitedTooLong)
 			assert.Equal(t, 60*clock.Second, clock.New().Now()-began)
 			_, waiting := q.Lengths()
 			assert.Zero(t, waiting)
@@ -109,7 +108,7 @@
 		}
 		require.NoError(t, enter(t.Context(), q, "a"))
 		_, err := q.Enter(t.Context(), flow("b"), now+100)
-		assert.ErrorIs(t, err, ErrHopeless)
+		require.ErrorIs(t, err, ErrHopeless)
 		assert.Positive(t, q.ExpectedWaitMs(flow("b")))
 	})
 	t.Run("lets waiting ones in when room grows", func(t *testing.T) {
@@ -203,6 +202,6 @@
 		require.ErrorIs(t, err, ErrConcurrency)
 		o.Leave("choir")
 		_, err = o.Enter(row)
-		assert.False(t, errors.Is(err, ErrConcurrency))
+		assert.NotErrorIs(t, err, ErrConcurrency)
 	})
 }
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,382 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/engine"
+	"dooryard.example/dooryard/internal/localfleet"
+	"dooryard.example/dooryard/internal/standin"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// Deployment is one users' deployment at today's size.
+type Deployment struct {
+	Name             string
+	Domains          []string
+	BoxesPerDomain   int
+	EnginesPerDomain int
+	ServersPerDomain int
+	Organisations    []localfleet.Organisation
+	// FilingPart is the part of requests that may not be repeated.
+	FilingPart float64
+}
+
+// Deployments returns the users' deployments.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name: "mares", Domains: []string{"alvalade", "belem", "chiado"}, BoxesPerDomain: 3,
+			EnginesPerDomain: 13, ServersPerDomain: 1, Organisations: tenOrganisations("choir"), FilingPart: 0.05,
+		},
+		{
+			Name: "intake", Domains: []string{"hall-1", "hall-2", "hall-3"}, BoxesPerDomain: 3,
+			EnginesPerDomain: 13, ServersPerDomain: 1, Organisations: tenOrganisations("county"), FilingPart: 0.2,
+		},
+	}
+}
+
+// tenOrganisations are ten organisations, a few of them large.
+func tenOrganisations(name string) []localfleet.Organisation {
+	const all, large = 10, 3
+	list := []localfleet.Organisation{}
+	for i := range all {
+		weight := "100"
+		if i < large {
+			weight = "400"
+		}
+		list = append(list, localfleet.Organisation{
+			Name: fmt.Sprintf("%s-%d", name, i), Columns: map[string]string{"weight": weight},
+		})
+	}
+	return list
+}
+
+// RunPlan is one run of the load tool.
+type RunPlan struct {
+	Deployment Deployment
+	Policy     string
+	Seed       uint64
+	// PerSecond is how many requests arrive a second, answered or not.
+	PerSecond float64
+	LengthMs  clock.Millis
+	// Sessions is how many sessions return.
+	Sessions int
+	// Surge multiplies arrivals in the middle third, by one organisation.
+	Surge float64
+	// Churn drains and returns an engine of each failure domain meanwhile.
+	Churn bool
+}
+
+// RunResult is what a run measured.
+type RunResult struct {
+	Deployment string  `json:"deployment"`
+	Policy     string  `json:"policy"`
+	Chats      Summary `json:"chats"`
+	Filings    Summary `json:"filings"`
+	// Skew is the busiest engine over the mean of its failure domain, in the
+	// worst window of a second, and Excess by how many requests it was above
+	// 1.25 times the mean.
+	Skew   float64 `json:"skew"`
+	Excess float64 `json:"excess"`
+	// ControlBytes are the busiest box's a second on control sockets, both ways.
+	ControlBytes float64  `json:"control_bytes_per_second"`
+	GossipBytes  float64  `json:"gossip_bytes_per_second"`
+	GrantBytes   float64  `json:"grant_bytes_per_second"`
+	Breaches     []Breach `json:"breaches"`
+}
+
+// Shape of the load's chats.
+const (
+	runTokens     = 24
+	runWords      = 400
+	runTurnWords  = 60
+	runTurns      = 8
+	runDeadlineMs = 30_000
+	runTries      = 6
+	thirds        = 3
+)
+
+// Run runs a plan against a fleet of its own and tells progress each second.
+func Run(ctx context.Context, plan RunPlan, progress io.Writer) (RunResult, error) {
+	fleet, err := localfleet.Start(ctx, localfleet.Plan{
+		Domains: plan.Deployment.Domains, BoxesPerDomain: plan.Deployment.BoxesPerDomain,
+		EnginesPerDomain: plan.Deployment.EnginesPerDomain, ServersPerDomain: plan.Deployment.ServersPerDomain,
+		Organisations: plan.Deployment.Organisations, Speed: runSpeed(),
+		Settings: func(s *config.Router) { s.Route.Policy = plan.Policy },
+	})
+	if err != nil {
+		return RunResult{}, err
+	}
+	r := newRunner(plan, fleet)
+	r.run(ctx, progress)
+	result := r.result()
+	return result, fleet.Stop()
+}
+
+func runSpeed() standin.EngineSpeed {
+	speed := standin.DefaultSpeed()
+	speed.TokenMs = 32
+	speed.PrefillTokensPerMs = 4
+	speed.CacheTokens = 30_000
+	return speed
+}
+
+type runner struct {
+	plan    RunPlan
+	fleet   *localfleet.Fleet
+	caller  Caller
+	random  *rand.Rand
+	chats   *Tally
+	filings *Tally
+	skew    *skewMeter
+
+	mu       sync.Mutex
+	sessions []*runSession
+	keys     []string
+	group    sync.WaitGroup
+	began    clock.Millis
+	took     clock.Millis
+	before   map[string]controlBytes
+}
+
+// runSession is one chat that returns. It sends one request at a time.
+type runSession struct {
+	id           string
+	organisation string
+	messages     []engine.Message
+	turn         int
+	busy         bool
+}
+
+func newRunner(plan RunPlan, fleet *localfleet.Fleet) *runner {
+	r := &runner{
+		plan: plan, fleet: fleet, random: rand.New(rand.NewPCG(plan.Seed, plan.Seed)),
+		caller: Caller{Client: fleet.Client(), Clock: clock.New()}, chats: NewTally(), filings: NewTally(),
+		skew: newSkewMeter(fleet.Engines()),
+	}
+	for i := range plan.Sessions {
+		r.sessions = append(r.sessions, r.newSession(i))
+	}
+	return r
+}
+
+func (r *runner) newSession(i int) *runSession {
+	return &runSession{
+		id:           fmt.Sprintf("session-%d-%d", i, r.random.IntN(1_000_000)),
+		organisation: r.plan.Deployment.Organisations[i%len(r.plan.Deployment.Organisations)].Name,
+		messages:     []engine.Message{{Role: "system", Content: words(r.random, runWords)}},
+	}
+}
+
+// run sends requests when they are due, whether or not earlier ones were
+// answered, and counts a wait from the instant it was due.
+func (r *runner) run(ctx context.Context, progress io.Writer) {
+	_ = r.caller.Clock.Sleep(ctx, settleMs)
+	r.before = r.controlBytes()
+	r.began = r.caller.Clock.Now()
+	stop := make(chan struct{})
+	r.group.Go(func() { r.watch(ctx, stop, progress) })
+	if r.plan.Churn {
+		r.group.Go(func() { r.churn(ctx, stop) })
+	}
+	due := 0.0
+	for number := 0; ; number++ {
+		due += r.random.ExpFloat64() / r.rate(clock.Millis(due)) * float64(clock.Second)
+		if clock.Millis(due) >= r.plan.LengthMs || ctx.Err() != nil {
+			break
+		}
+		_ = r.caller.Clock.Sleep(ctx, r.began+clock.Millis(due)-r.caller.Clock.Now())
+		r.send(ctx, number, r.began+clock.Millis(due))
+	}
+	close(stop)
+	r.took = r.caller.Clock.Now() - r.began
+	r.group.Wait()
+}
+
+// settleMs lets the boxes find each other first.
+const settleMs = 3 * clock.Second
+
+func (r *runner) surging(at clock.Millis) bool {
+	third := r.plan.LengthMs / thirds
+	return r.plan.Surge > 1 && at >= third && at < 2*third
+}
+
+func (r *runner) rate(at clock.Millis) float64 {
+	if r.surging(at) {
+		return r.plan.PerSecond * r.plan.Surge
+	}
+	return r.plan.PerSecond
+}
+
+func (r *runner) send(ctx context.Context, number int, due clock.Millis) {
+	box := r.random.IntN(len(r.fleet.Boxes()))
+	if r.random.Float64() < r.plan.Deployment.FilingPart {
+		key := fmt.Sprintf("filing-%d", number)
+		r.mu.Lock()
+		r.keys = append(r.keys, key)
+		r.mu.Unlock()
+		r.group.Go(func() { r.file(ctx, box, key, due) })
+		return
+	}
+	session := r.idleSession(due)
+	if session != nil {
+		r.group.Go(func() { r.chat(ctx, box, session, due) })
+	}
+}
+
+func (r *runner) idleSession(due clock.Millis) *runSession {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	surge := r.surging(due-r.began) && r.random.Float64() < 1-1/r.plan.Surge
+	const tries = 50
+	for range tries {
+		i := r.random.IntN(len(r.sessions))
+		if surge {
+			// Sessions of the first organisation only.
+			i -= i % len(r.plan.Deployment.Organisations)
+		}
+		if s := r.sessions[i]; !s.busy {
+			s.busy = true
+			if s.turn == runTurns {
+				*s = *r.newSession(i)
+				s.busy = true
+			}
+			s.turn++
+			mark := fmt.Sprintf("m%dx%d", i, s.turn)
+			s.messages = append(s.messages, engine.Message{Role: "user", Content: mark + " " + words(r.random, runTurnWords)})
+			return s
+		}
+	}
+	return nil
+}
+
+func (r *runner) boxURL(box int) string {
+	boxes := r.fleet.Boxes()
+	return "http://" + boxes[box%len(boxes)].Addresses().Callers
+}
+
+func (r *runner) chat(ctx context.Context, box int, s *runSession, due clock.Millis) {
+	mark, _, _ := cutWord(s.messages[len(s.messages)-1].Content)
+	for try := range runTries {
+		late := r.caller.Clock.Now() - due
+		result := r.caller.Chat(ctx, ChatRequest{
+			URL: r.boxURL(box + try), Key: localfleet.CallerKey(s.organisation), Session: s.id, Mark: mark,
+			DeadlineMs: runDeadlineMs,
+			Chat:       engine.Chat{Model: localfleet.Model, Messages: s.messages, Stream: true, MaxTokens: runTokens},
+		})
+		r.chats.AddLate(result, max(0, late))
+		if result.Verdict == Whole || ctx.Err() != nil {
+			break
+		}
+		_ = r.caller.Clock.Sleep(ctx, demoRetryMs)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.messages = append(s.messages, engine.Message{Role: "assistant", Content: words(r.random, runTokens)})
+	s.busy = false
+}
+
+func (r *runner) file(ctx context.Context, box int, key string, due clock.Millis) {
+	for try := range runTries {
+		late := r.caller.Clock.Now() - due
+		result := r.caller.File(ctx, Filing{
+			URL: r.boxURL(box + try), Key: localfleet.CallerKey(r.plan.Deployment.Organisations[0].Name),
+			Service: localfleet.ServiceName, Path: "/filings", Idempotent: key, Body: "report " + key,
+			DeadlineMs: runDeadlineMs,
+		})
+		r.filings.AddLate(result, max(0, late))
+		if result.Verdict == Whole || ctx.Err() != nil {
+			return
+		}
+		_ = r.caller.Clock.Sleep(ctx, demoRetryMs)
+	}
+}
+
+// watch samples the engines and tells progress.
+func (r *runner) watch(ctx context.Context, stop <-chan struct{}, progress io.Writer) {
+	for tick := 1; ; tick++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if r.caller.Clock.Sleep(ctx, skewSampleMs) != nil {
+			return
+		}
+		r.skew.sample()
+		if tick%(5*skewWindowSamples) == 0 {
+			fmt.Fprintf(progress, "%s: %d s, %d chats\n", r.plan.Policy,
+				(r.caller.Clock.Now()-r.began)/clock.Second, r.chats.Summary().Requests)
+		}
+	}
+}
+
+// churn lets one engine of each failure domain leave by its own word, and come
+// back, in turn.
+func (r *runner) churn(ctx context.Context, stop <-chan struct{}) {
+	const awayMs = 4 * clock.Second
+	engines := r.fleet.Engines()
+	for i := 0; ; i++ {
+		e := engines[i*7%len(engines)]
+		e.SetLeaving(true)
+		_ = r.caller.Clock.Sleep(ctx, awayMs)
+		e.SetLeaving(false)
+		select {
+		case <-stop:
+			return
+		case <-ctx.Done():
+			return
+		default:
+		}
+	}
+}
+
+func (r *runner) result() RunResult {
+	result := RunResult{
+		Deployment: r.plan.Deployment.Name, Policy: r.plan.Policy,
+		Chats: r.chats.Summary(), Filings: r.filings.Summary(), Skew: r.skew.worst, Excess: r.skew.excess,
+	}
+	seconds := float64(r.took) / float64(clock.Second)
+	for name, after := range r.controlBytes() {
+		spent := after.minus(r.before[name])
+		result.ControlBytes = max(result.ControlBytes, float64(spent.gossip+spent.grants+spent.peer)/seconds)
+		result.GossipBytes = max(result.GossipBytes, float64(spent.gossip)/seconds)
+		result.GrantBytes = max(result.GrantBytes, float64(spent.grants)/seconds)
+	}
+	result.Breaches = append(result.Chats.Breaches(), result.Filings.Breaches()...)
+	doubled := 0
+	for _, key := range r.keys {
+		if r.fleet.Ledger.Runs(key) > 1 {
+			doubled++
+		}
+	}
+	if doubled > 0 {
+		result.Breaches = append(result.Breaches, Breach{Promise: "an unrepeatable call ran more than once", Count: doubled})
+	}
+	return result
+}
+
+// controlBytes are a box's bytes on its control sockets, both ways.
+type controlBytes struct{ gossip, grants, peer int64 }
+
+func (c controlBytes) minus(o controlBytes) controlBytes {
+	return controlBytes{gossip: c.gossip - o.gossip, grants: c.grants - o.grants, peer: c.peer - o.peer}
+}
+
+func (r *runner) controlBytes() map[string]controlBytes {
+	all := map[string]controlBytes{}
+	for _, b := range r.fleet.Boxes() {
+		v := b.Metrics().Values()
+		all[b.Name] = controlBytes{
+			gossip: v["gossip_sent_bytes"] + v["gossip_received_bytes"],
+			grants: v["grants_sent_bytes"] + v["grants_received_bytes"],
+			peer:   v["peer_sent_bytes"] + v["peer_received_bytes"],
+		}
+	}
+	return all
+}
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -40,10 +40,10 @@
 
 func boxName(i int) string { return fmt.Sprintf("box-%03d", i) }
 
-func newDomain(t testing.TB, count int) *domain {
-	t.Helper()
+func newDomain(tb testing.TB, count int) *domain {
+	tb.Helper()
 	d := &domain{
-		t: t, now: 1_000_000, random: rand.New(rand.NewPCG(1, uint64(count))),
+		t: tb, now: 1_000_000, random: rand.New(rand.NewPCG(1, uint64(count))),
 		frozen: map[int]bool{}, dead: map[int]bool{}, bytes: make([]int, count),
 	}
 	listed := map[string]string{}
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -24,10 +24,10 @@
 }
 
 // good is the first example, which each case changes.
-func good(t testing.TB) string {
-	t.Helper()
+func good(tb testing.TB) string {
+	tb.Helper()
 	data, err := os.ReadFile("../../examples/three-boxes/box-1.yaml")
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	return string(data)
 }
 
