--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -96,8 +96,9 @@
 	return Role{
 		Name: "membership and exchanged facts", Package: "internal/membership",
 		BytesPerSecond: b.at("membership: bytes both ways", b.domainBoxes),
-		CorePercent:    b.at("membership: processor", b.domainBoxes) + perSecondPercent(messages, b.t.ProcessorPerDatagramUs),
-		MB:             b.at("membership: memory", b.domainBoxes) / 1000,
+		CorePercent: b.at("membership: processor", b.domainBoxes) +
+			perSecondPercent(messages, b.t.ProcessorPerDatagramUs),
+		MB: b.at("membership: memory", b.domainBoxes) / 1000,
 	}
 }
 
--- a/internal/cmd/loadcmd/measure.go
+++ b/internal/cmd/loadcmd/measure.go
@@ -114,7 +114,8 @@
 	}
 	fmt.Fprintln(w, "\nrole at the target size\tpackage\tB/s\t% of a core\tMB")
 	for _, role := range append(r.Roles, r.Sum) {
-		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.3f\t%.2f\n", role.Name, role.Package, role.BytesPerSecond, role.CorePercent, role.MB)
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.3f\t%.2f\n", role.Name, role.Package,
+			role.BytesPerSecond, role.CorePercent, role.MB)
 	}
 	fmt.Fprintf(w, "limit\t\t%d\t%.3f\t%d\n", capacity.LimitBytesPerSecond, capacity.LimitCorePercent, capacity.LimitMB)
 	return w.Flush()
--- a/internal/cmd/operatorcmd/fleet.go
+++ b/internal/cmd/operatorcmd/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dooryard.example/dooryard/internal/box"
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/exit"
 	"dooryard.example/dooryard/internal/opclient"
 	"dooryard.example/dooryard/internal/table"
@@ -18,9 +19,13 @@
 
 func (p *program) statusCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "status",
-		Usage:  "show the boxes, the offsets of the table in force, and the log's health",
-		Flags:  []cli.Flag{&cli.BoolFlag{Name: flagJSON, Usage: "print JSON"}},
+		Name:  "status",
+		Usage: "show the boxes, the offsets of the table in force, and the log's health",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagJSON, Usage: "print JSON"},
+			&cli.IntFlag{Name: "wait", Usage: "wait up to this many seconds until all boxes are ready"},
+			&cli.BoolFlag{Name: "reachable", Usage: "be content with boxes that answer, though not ready"},
+		},
 		Action: p.action(p.status),
 	}
 }
@@ -29,7 +34,7 @@
 var errUnhealthy = errors.New("not all boxes are ready")
 
 func (p *program) status(ctx context.Context, c *cli.Command, client opclient.Client) error {
-	statuses := client.Statuses(ctx)
+	statuses := p.await(ctx, client, clock.Millis(c.Int("wait"))*clock.Second, c.Bool("reachable"))
 	if c.Bool(flagJSON) {
 		return p.statusJSON(statuses)
 	}
@@ -43,7 +48,7 @@
 			continue
 		}
 		b := s.Status
-		healthy = healthy && b.Ready
+		healthy = healthy && (b.Ready || c.Bool("reachable"))
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%s\t%d\t%d\t%d\n", b.Box, b.FailureDomain, b.Ready, b.TableOffset,
 			b.LogSource, b.NowMs-b.LogReadMs, b.Running, b.Waiting)
 	}
@@ -57,6 +62,26 @@
 	return nil
 }
 
+// await asks the boxes again until all are ready, or answer at all, or the span
+// has passed.
+func (p *program) await(
+	ctx context.Context, client opclient.Client, span clock.Millis, reachable bool,
+) []opclient.BoxStatus {
+	const pollMs = 200
+	for waited := clock.Millis(0); ; waited += pollMs {
+		statuses := client.Statuses(ctx)
+		if waited >= span || allFine(statuses, reachable) || p.clock.Sleep(ctx, pollMs) != nil {
+			return statuses
+		}
+	}
+}
+
+func allFine(statuses []opclient.BoxStatus, reachable bool) bool {
+	return !slices.ContainsFunc(statuses, func(s opclient.BoxStatus) bool {
+		return s.Err != nil || !s.Status.Ready && !reachable
+	})
+}
+
 // printFleet prints what the boxes say of others.
 func (p *program) printFleet(statuses []opclient.BoxStatus) {
 	peers := map[string]box.PeerStatus{}
--- a/internal/cmd/operatorcmd/operatorcmd.go
+++ b/internal/cmd/operatorcmd/operatorcmd.go
@@ -33,11 +33,12 @@
 	in     io.Reader
 	out    io.Writer
 	client *http.Client
+	clock  clock.Clock
 }
 
 // New returns the command.
 func New(in io.Reader, out io.Writer) *cli.Command {
-	p := &program{in: in, out: out, client: &http.Client{Timeout: callTimeout.Duration()}}
+	p := &program{in: in, out: out, client: &http.Client{Timeout: callTimeout.Duration()}, clock: clock.New()}
 	return &cli.Command{
 		Name:                  "dooryard",
 		Usage:                 "show and edit the table, and look after the boxes of a fleet",
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -44,7 +44,9 @@
 
 // NewQueue returns a queue in front of a pool whose room the function tells.
 func NewQueue(settings QueueSettings, capacity func() int, now func() clock.Millis) *Queue {
-	return &Queue{settings: settings, capacity: capacity, now: now, flows: map[string]*flowCount{}, waiting: newFairQueue()}
+	return &Queue{
+		settings: settings, capacity: capacity, now: now, flows: map[string]*flowCount{}, waiting: newFairQueue(),
+	}
 }
 
 // flowCount is what one organisation runs.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -356,7 +356,8 @@
 		}
 	}
 	if doubled > 0 {
-		result.Breaches = append(result.Breaches, Breach{Promise: "an unrepeatable call ran more than once", Count: doubled})
+		breach := Breach{Promise: "an unrepeatable call ran more than once", Count: doubled}
+		result.Breaches = append(result.Breaches, breach)
 	}
 	return result
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -130,6 +130,7 @@
 // certificate is a key pair that is read again when its files change.
 type certificate struct {
 	settings config.TLS
+	now      func() time.Time
 
 	mu     sync.Mutex
 	pair   *tls.Certificate
@@ -139,7 +140,7 @@
 const certificateCheck = 10 * time.Second
 
 func newCertificate(settings config.TLS) (*certificate, error) {
-	c := &certificate{settings: settings}
+	c := &certificate{settings: settings, now: time.Now}
 	return c, c.read()
 }
 
@@ -149,7 +150,7 @@
 		return fmt.Errorf("certificate: %w", err)
 	}
 	c.pair = &pair
-	c.readAt = time.Now()
+	c.readAt = c.now()
 	return nil
 }
 
@@ -158,9 +159,9 @@
 func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.readAt) > certificateCheck {
+	if c.now().Sub(c.readAt) > certificateCheck {
 		_ = c.read()
-		c.readAt = time.Now()
+		c.readAt = c.now()
 	}
 	return c.pair, nil
 }
