fix(table): one key for two organisations of one edit made boxes disagree

Cause: random histories, run four times, failed once and did not repeat: an edit that gave two organisations the same key hash was accepted, which of them had the key then hung on the order of a map, and later verdicts with it. Handing a key on from one organisation to another in one edit could lose it the same way. Change: keys are compared among all organisations as the edit leaves them; old keys are forgotten before new ones are set.

--- a/internal/cmd/loadcmd/run.go
+++ b/internal/cmd/loadcmd/run.go
@@ -114,7 +114,8 @@
 				"stand-ins on %d cores), %.0f allocations a request in all\n",
 				r.HeldPerSecond, r.StreamsPerHeld, r.Cores, r.AllocsPerHeld)
 			fmt.Fprintf(out, "at %.0f a second: direct p50 %d µs, p99 %d µs; "+
-				"routed p50 %d µs, p99 %d µs; added %d and %d µs\n", r.PerSecond, r.DirectP50Us, r.DirectP99Us, r.RoutedP50Us, r.RoutedP99Us,
+				"routed p50 %d µs, p99 %d µs; added %d and %d µs\n", r.PerSecond,
+				r.DirectP50Us, r.DirectP99Us, r.RoutedP50Us, r.RoutedP99Us,
 				r.RoutedP50Us-r.DirectP50Us, r.RoutedP99Us-r.DirectP99Us)
 			return nil
 		},
--- /dev/null
+++ b/internal/table/main_test.go
@@ -0,0 +1,13 @@
+package table_test
+
+import (
+	"os"
+	"testing"
+
+	"dooryard.example/dooryard/internal/testlib"
+)
+
+func TestMain(m *testing.M) {
+	testlib.SeedRapid()
+	os.Exit(m.Run())
+}
--- a/internal/table/state.go
+++ b/internal/table/state.go
@@ -210,21 +210,33 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(after)) {
 		issues = append(issues, after[name].missing(name)...)
-		issues = append(issues, s.sharedKey(name, after[name])...)
 	}
-	return issues
+	return append(issues, s.sharedKeys(after)...)
 }
 
-// sharedKey refuses a key hash that another organisation already has.
-func (s *State) sharedKey(address string, r *row) []Issue {
-	if r.cells == nil || !strings.HasPrefix(address, Organisations+"/") {
-		return nil
-	}
-	holder := s.OrganisationByKeyHash(strings.ToLower(r.text("key_sha256")))
-	if holder == nil || Organisations+"/"+holder.Name == address {
-		return nil
+// sharedKeys refuses a key hash that two organisations would have after an edit,
+// whether the edit gives it to both or one has it already.
+func (s *State) sharedKeys(after map[string]*row) []Issue {
+	holders := map[string]string{}
+	issues := []Issue{}
+	for _, address := range slices.Sorted(maps.Keys(after)) {
+		r := after[address]
+		name, isOrganisation := strings.CutPrefix(address, Organisations+"/")
+		if r.cells == nil || !isOrganisation {
+			continue
+		}
+		hash := strings.ToLower(r.text("key_sha256"))
+		other := holders[hash]
+		if old := s.OrganisationByKeyHash(hash); old != nil && after[Organisations+"/"+old.Name] == nil {
+			other = old.Name
+		}
+		if other != "" && hash != "" {
+			reason := "another organisation has this key: " + other
+			issues = append(issues, Issue{Address: address + "/key_sha256", Reason: reason})
+		}
+		holders[hash] = name
 	}
-	return []Issue{{Address: address + "/key_sha256", Reason: "another organisation has this key: " + holder.Name}}
+	return issues
 }
 
 func (r *row) missing(address string) []Issue {
@@ -336,9 +348,7 @@
 	if names, touched := rows[Organisations]; touched {
 		s.typed.organisations = maps.Clone(before.typed.organisations)
 		s.typed.byKeyHash = maps.Clone(before.typed.byKeyHash)
-		for name := range names {
-			s.retypeOrganisation(name)
-		}
+		s.retypeOrganisations(names)
 	}
 	if names, touched := rows[Models]; touched {
 		s.typed.models = retyped(before.typed.models, names, s.sheets[Models], (*row).model)
@@ -351,18 +361,24 @@
 	}
 }
 
-func (s *State) retypeOrganisation(name string) {
-	if old := s.typed.organisations[name]; old != nil {
-		delete(s.typed.byKeyHash, old.KeyHash)
-		delete(s.typed.organisations, name)
+// retypeOrganisations first forgets all old keys: an edit may hand one on from
+// one organisation to another.
+func (s *State) retypeOrganisations(names map[string]bool) {
+	for name := range names {
+		if old := s.typed.organisations[name]; old != nil {
+			delete(s.typed.byKeyHash, old.KeyHash)
+			delete(s.typed.organisations, name)
+		}
 	}
-	r := s.sheets[Organisations][name]
-	if r == nil {
-		return
+	for name := range names {
+		r := s.sheets[Organisations][name]
+		if r == nil {
+			continue
+		}
+		organisation := r.organisation(name)
+		s.typed.organisations[name] = organisation
+		s.typed.byKeyHash[organisation.KeyHash] = organisation
 	}
-	organisation := r.organisation(name)
-	s.typed.organisations[name] = organisation
-	s.typed.byKeyHash[organisation.KeyHash] = organisation
 }
 
 // retyped returns a copy of a typed sheet with the named rows built again.
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -97,6 +97,19 @@
 		_, verdict := fold(t, withChoir(t), edit("e", set("band", "key_sha256", hash("a"), 0)))
 		assertRefused(t, verdict, table.Invalid, "organisations/band/key_sha256", "another organisation")
 	})
+	t.Run("refuses one key for two organisations of one edit", func(t *testing.T) {
+		_, verdict := fold(t, table.New(), edit("e",
+			set("choir", "key_sha256", hash("a"), 0), set("band", "key_sha256", hash("a"), 0)))
+		assertRefused(t, verdict, table.Invalid, "organisations/choir/key_sha256", "another organisation")
+	})
+	t.Run("lets two organisations swap their keys", func(t *testing.T) {
+		state, _ := fold(t, withChoir(t), edit("b", set("band", "key_sha256", hash("b"), 0)))
+		state, verdict := fold(t, state, edit("e",
+			set("choir", "key_sha256", hash("b"), 1), set("band", "key_sha256", hash("a"), 2)))
+		assert.Equal(t, table.Accepted, verdict.Result)
+		assert.Equal(t, "band", state.OrganisationByKeyHash(hash("a")).Name)
+		assert.Equal(t, "choir", state.OrganisationByKeyHash(hash("b")).Name)
+	})
 	t.Run("removes a row only as it was seen", func(t *testing.T) {
 		remove := table.Change{Sheet: table.Organisations, Row: "choir", Remove: true, BasedOn: 1}
 		changed, _ := fold(t, withChoir(t), edit("w", set("choir", "weight", "7", 0)))
