--- a/internal/box/table.go
+++ b/internal/box/table.go
@@ -177,6 +177,8 @@
 			addresses = append(addresses, member.PeerAddress)
 		}
 	}
+	// Boxes that start together must not all ask the same ones.
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, listed := range b.listedElsewhere() {
 		addresses = append(addresses, listed.PeerAddress)
 	}
--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -26,9 +26,9 @@
 	BridgeMessagesPerDomain float64
 	BytesPerClaimToGatherer float64
 	BytesPerClaimAtGatherer float64
-	ProcessorPerDatagramUs  float64
-	ProcessorPerHTTPCallUs  float64
-	ProcessorPerClaimUs     float64
+	// HTTPCallsPerClaim are those of a claim and its end: to the gatherer, and
+	// the gatherer's append and read.
+	HTTPCallsPerClaim float64
 }
 
 // LetterTarget is the size of the users' letter, with the costs of single calls
@@ -43,7 +43,7 @@
 		BytesPerEngineReport: 420, BytesPerListPoll: 330, BytesPerTableRead: 1000, TableReadsPerSecondIdle: 0.1,
 		BytesPerBridgeMessage: 150, BridgeMessagesPerDomain: 2,
 		BytesPerClaimToGatherer: 1500, BytesPerClaimAtGatherer: 2600,
-		ProcessorPerDatagramUs: 12, ProcessorPerHTTPCallUs: 120, ProcessorPerClaimUs: 600,
+		HTTPCallsPerClaim: 6,
 	}
 }
 
@@ -74,6 +74,9 @@
 		return 0
 	}
 	b := budget{t: t, at: at, domainBoxes: t.Boxes / t.Domains, domainEngines: t.Engines / t.Domains}
+	const ends = 2
+	b.datagram = perCall(slopes, DatagramCost) / ends
+	b.call = perCall(slopes, HTTPCallCost) / ends
 	return []Role{b.membership(), b.bridge(), b.grants(), b.reports(), b.list(), b.table(), b.claims(), b.routing()}
 }
 
@@ -81,6 +84,18 @@
 	t                          Target
 	at                         func(name string, size float64) float64
 	domainBoxes, domainEngines float64
+	// datagram and call are microseconds of one end.
+	datagram, call float64
+}
+
+// perCall is the cost of one more call.
+func perCall(slopes []Slope, name string) float64 {
+	for _, s := range slopes {
+		if s.Name == name {
+			return s.PerUnit
+		}
+	}
+	return 0
 }
 
 // perSecondPercent turns a rate and microseconds a call into a part of a core.
@@ -97,7 +112,7 @@
 		Name: "membership and exchanged facts", Package: "internal/membership",
 		BytesPerSecond: b.at("membership: bytes both ways", b.domainBoxes),
 		CorePercent: b.at("membership: processor", b.domainBoxes) +
-			perSecondPercent(messages, b.t.ProcessorPerDatagramUs),
+			perSecondPercent(messages, b.datagram),
 		MB: b.at("membership: memory", b.domainBoxes) / 1000,
 	}
 }
@@ -108,7 +123,7 @@
 	return Role{
 		Name: "sums between failure domains", Package: "internal/box (bridge)",
 		BytesPerSecond: messages * b.t.BytesPerBridgeMessage,
-		CorePercent:    perSecondPercent(messages, b.t.ProcessorPerDatagramUs),
+		CorePercent:    perSecondPercent(messages, b.datagram),
 	}
 }
 
@@ -123,7 +138,7 @@
 	return Role{
 		Name: "grants and remembered sessions", Package: "internal/grant, internal/picker",
 		BytesPerSecond: 2 * requests * perRequest,
-		CorePercent: perSecondPercent(messages, b.t.ProcessorPerDatagramUs) +
+		CorePercent: perSecondPercent(messages, b.datagram) +
 			perSecondPercent(requests*b.t.AsksPerRequest, b.at("grants: answer an ask", b.domainBoxes)),
 		MB: b.at("grants: memory of remembered sessions", sessions),
 	}
@@ -134,7 +149,7 @@
 	return Role{
 		Name: "engines' reports", Package: "internal/box (engines)",
 		BytesPerSecond: perSecond * b.t.BytesPerEngineReport,
-		CorePercent:    perSecondPercent(perSecond, b.t.ProcessorPerHTTPCallUs),
+		CorePercent:    perSecondPercent(perSecond, b.call),
 	}
 }
 
@@ -142,7 +157,7 @@
 	return Role{
 		Name: "platform's list of boxes", Package: "internal/box (fleet)",
 		BytesPerSecond: b.t.ListPollsPerSecond * b.t.BytesPerListPoll,
-		CorePercent:    perSecondPercent(b.t.ListPollsPerSecond, b.t.ProcessorPerHTTPCallUs),
+		CorePercent:    perSecondPercent(b.t.ListPollsPerSecond, b.call),
 		MB:             0.1 * b.domainBoxes / 100 * b.t.Domains,
 	}
 }
@@ -158,7 +173,7 @@
 	return Role{
 		Name: "table: read, relay, cold start", Package: "internal/tablestore, internal/logstream, internal/snapshot",
 		BytesPerSecond: 2*reads*b.t.BytesPerTableRead + 2*restarts*state,
-		CorePercent: perSecondPercent(2*reads, b.t.ProcessorPerHTTPCallUs) + perSecondPercent(1, fold) +
+		CorePercent: perSecondPercent(2*reads, b.call) + perSecondPercent(1, fold) +
 			perSecondPercent(restarts, kilo*b.at("cold start: read a snapshot", b.t.Organisations)),
 		MB: 2*b.at("table: memory", b.t.Organisations) + state/mega,
 	}
@@ -170,8 +185,8 @@
 	return Role{
 		Name: "claims", Package: "internal/claim",
 		BytesPerSecond: perSecond * (b.t.BytesPerClaimToGatherer + b.t.BytesPerClaimAtGatherer),
-		CorePercent:    perSecondPercent(perSecond, b.t.ProcessorPerClaimUs),
-		MB:             b.at("claims: memory of remembered keys", perSecond*b.t.ClaimWindowSeconds),
+		CorePercent:    perSecondPercent(perSecond*b.t.HTTPCallsPerClaim, 2*b.call),
+		MB:             max(0, b.at("claims: memory of remembered keys", perSecond*b.t.ClaimWindowSeconds)),
 	}
 }
 
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -36,6 +36,7 @@
 		{"grants", measureGrants},
 		{"table", measureTable},
 		{"claims", measureClaims},
+		{"calls", measureCalls},
 	} {
 		progress(group.name)
 		slopes = append(slopes, group.do()...)
