feat: TLS between boxes, unreachable upstreams ejected at once

Cause: TLS on the peers' listener cut boxes off, since peers were called in the clear; with half the engines dead some chats were refused though others lived.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 
@@ -61,6 +64,7 @@
 
 	metrics *metrics.Metrics
 	tracer  *trace.Tracer
+	peerTLS *tls.Config
 	keys    keys
 	log     platform.Log
 
@@ -146,12 +150,38 @@
 func (b *Box) openKeys(context.Context) error {
 	var err error
 	if b.keys.peers, err = secret.Load(b.settings.Peers.KeyFile, b.clock.Now); err != nil {
-		return fmt.Errorf("peers.key_file: %w", err)
+		return fmt.Errorf("%w: peers.key_file: %w", config.ErrInvalid, err)
 	}
 	if b.keys.operators, err = secret.Load(b.settings.Operators.KeyFile, b.clock.Now); err != nil {
-		return fmt.Errorf("operators.key_file: %w", err)
+		return fmt.Errorf("%w: operators.key_file: %w", config.ErrInvalid, err)
 	}
-	return nil
+	b.peerTLS, err = peerTLS(b.settings.Peers.TLS)
+	return err
+}
+
+// peerTLS is what this box asks of its peers' certificates.
+func peerTLS(settings config.TLS) (*tls.Config, error) {
+	answer := &tls.Config{MinVersion: tls.VersionTLS12}
+	if settings.CAFile == "" {
+		return answer, nil
+	}
+	data, err := os.ReadFile(settings.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("%w: peers.tls.ca_file: %w", config.ErrInvalid, err)
+	}
+	answer.RootCAs = x509.NewCertPool()
+	if !answer.RootCAs.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("%w: peers.tls.ca_file: holds no certificate", config.ErrInvalid)
+	}
+	return answer, nil
+}
+
+// peerScheme is how peers are reached: all boxes of a fleet do it alike.
+func (b *Box) peerScheme() string {
+	if b.settings.Peers.TLS.Enabled() {
+		return "https"
+	}
+	return "http"
 }
 
 func (b *Box) openTracer(ctx context.Context) error {
@@ -169,7 +199,7 @@
 func (b *Box) buildState(context.Context) error {
 	config.Fill(&b.settings.Platform.TimeoutMs, defaultPlatformTimeoutMs)
 	client := b.controlClient(func() string { return "" })
-	b.peers = peers.Client{Client: b.controlClient(b.keys.peers.Current)}
+	b.peers = peers.Client{Client: b.controlClient(b.keys.peers.Current), Scheme: b.peerScheme()}
 	b.log = platform.Log{URL: b.settings.Platform.LogURL, Client: client}
 	b.boxList = platform.BoxList{URL: b.settings.Platform.BoxListURL, Client: client}
 	b.weights = platform.WeightStore{URL: b.settings.Platform.WeightStoreURL, Client: client}
@@ -190,6 +220,7 @@
 		IdleTimeoutMs:    60 * clock.Second,
 		MaxIdlePerHost:   8,
 		Dial:             b.dial,
+		TLS:              b.peerTLS,
 	}, key, b.metrics.PeerSent, b.metrics.PeerReceived)
 }
 
@@ -257,6 +288,7 @@
 		MaxIdlePerHost:     maxIdlePerUpstream,
 		MaxHeaderBytes:     int64(b.settings.Request.MaxHeaderBytes),
 		Dial:               b.dial,
+		TLS:                b.peerTLS,
 	})
 }
 
@@ -354,7 +386,7 @@
 	}
 	stopBackground()
 	b.running.Wait()
-	return err
+	return errors.Join(err, b.flushTraces(context.WithoutCancel(ctx)))
 }
 
 func (b *Box) untilStop(ctx context.Context, failed <-chan error) error {
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -300,7 +300,7 @@
 		hashes[i] = route.HashName(candidate.Name)
 	}
 	chosen := candidates[route.First(x.Key, hashes)]
-	return pool.NewRemoteLease(chosen.Name, chosen.PeerAddress, func(header http.Header) {
+	lease := pool.NewRemoteLease(chosen.Name, chosen.PeerAddress, func(header http.Header) {
 		header.Set("Authorization", "Bearer "+b.keys.peers.Current())
 		header.Set(exchange.HeaderHop, "1")
 		header.Set(exchange.HeaderOrganisation, x.Organisation.Name)
@@ -310,7 +310,9 @@
 		if failed {
 			b.peerFailed(chosen.Name)
 		}
-	}), true
+	})
+	lease.Scheme = b.peerScheme()
+	return lease, true
 }
 
 func domainsServing(x *exchange.Exchange) map[string]bool {
--- a/internal/box/stop.go
+++ b/internal/box/stop.go
@@ -35,14 +35,18 @@
 	defer cancel()
 	err := errors.Join(b.servers.callers.Shutdown(ctx), b.servers.peers.Shutdown(ctx))
 	err = errors.Join(err, b.flushClaims(ctx))
-	flush, cancelFlush := context.WithTimeout(context.WithoutCancel(ctx), traceFlushMs.Duration())
-	defer cancelFlush()
-	err = errors.Join(err, b.tracer.Shutdown(flush))
 	b.closeListeners()
 	b.logger.Info("stopped", zap.String("box", b.settings.Box), zap.Error(err))
 	return err
 }
 
+// flushTraces sends what is left of the spans.
+func (b *Box) flushTraces(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, traceFlushMs.Duration())
+	defer cancel()
+	return b.tracer.Shutdown(ctx)
+}
+
 // flushClaims waits until the ends of this box's claims are on the log.
 func (b *Box) flushClaims(ctx context.Context) error {
 	for !b.claims.Flushed() {
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -13,6 +13,7 @@
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/pipe/identify"
 	"dooryard.example/dooryard/internal/table"
 )
 
@@ -93,7 +94,11 @@
 	OwnedBy string `json:"owned_by"`
 }
 
-func (h *Handler) models(w http.ResponseWriter, _ *http.Request) {
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	if _, err := identify.Caller(h.state(), r); err != nil {
+		apierror.From(err).Write(w)
+		return
+	}
 	reply := Models{Object: "list", Data: []Model{}}
 	for _, name := range h.state().ModelNames() {
 		reply.Data = append(reply.Data, Model{ID: name, Object: "model", OwnedBy: "operators"})
--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -85,7 +85,7 @@
 }
 
 func openSocket() *datagram.Socket {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	conn, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
@@ -94,7 +94,7 @@
 
 // httpCalls makes calls on one kept connection, as boxes do between each other.
 func httpCalls(count int) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -43,6 +43,16 @@
 	return h
 }
 
+// WithUnreachable ejects an upstream to which no connection opens: there is no
+// need to try again to know.
+func (h Health) WithUnreachable(now clock.Millis, limits Limits) Health {
+	if h.Ejected(now) {
+		return h
+	}
+	h.failures = failuresToEject - 1
+	return h.WithFailure(now, limits)
+}
+
 // WithFailure counts a failure and ejects the upstream after a few in a row, or
 // at once when the first request after an ejection fails.
 func (h Health) WithFailure(now clock.Millis, limits Limits) Health {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -35,6 +35,9 @@
 			assert.Equal(t, now+span, h.UntilMs())
 		}
 	})
+	t.Run("ejects one that can't be reached at once", func(t *testing.T) {
+		assert.True(t, Health{}.WithUnreachable(0, limits).Ejected(1999))
+	})
 	t.Run("starts from the base after a long time well", func(t *testing.T) {
 		h := failing(Health{}, 0, 3).WithSuccess(100_000, limits)
 		assert.EqualValues(t, 102_000, failing(h, 100_000, 3).UntilMs())
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -132,13 +132,15 @@
 // Client calls other boxes. Its HTTP client adds the fleet's key.
 type Client struct {
 	Client *http.Client
+	// Scheme is http, or https when the peers' listeners speak TLS.
+	Scheme string
 }
 
 // Read returns records of the table's stream from a peer.
 func (c Client) Read(
 	ctx context.Context, address string, from int64, limit int, waitMs clock.Millis,
 ) (platform.Page, error) {
-	return platform.Log{URL: "http://" + address, Client: c.Client}.Read(ctx, tablestore.Stream, from, limit, waitMs)
+	return platform.Log{URL: c.Scheme + "://" + address, Client: c.Client}.Read(ctx, tablestore.Stream, from, limit, waitMs)
 }
 
 // State returns the table that is in force on a peer.
@@ -172,7 +174,7 @@
 }
 
 func (c Client) call(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.Scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("peer request: %w", err)
 	}
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -134,6 +134,8 @@
 	switch {
 	case failed == nil:
 		return pool.Succeeded
+	case failed.unreachable:
+		return pool.Unreachable
 	case failed.upstreamFault:
 		return pool.Failed
 	default:
@@ -153,7 +155,7 @@
 		return p.final(x, failed)
 	case !x.Repeatable && !failed.notRun:
 		return p.final(x, failed)
-	case x.Attempts >= p.settings.MaxAttempts:
+	case x.Attempts >= p.attempts(x):
 		return p.final(x, failed)
 	case !p.budget.Take():
 		p.metrics.RetriesDenied.Add(1)
@@ -163,6 +165,17 @@
 	}
 }
 
+// attempts is how many a request may make: more while it is proved that none of
+// them ran, since those cost little and the next engine may live.
+func (p *Pipe) attempts(x *exchange.Exchange) int {
+	if x.Sent {
+		return p.settings.MaxAttempts
+	}
+	return notRunFactor * p.settings.MaxAttempts
+}
+
+const notRunFactor = 2
+
 // final is the answer to a request whose last attempt failed.
 func (p *Pipe) final(x *exchange.Exchange, failed *failure) error {
 	x.Outcome = exchange.NotRun
@@ -192,6 +205,8 @@
 	notRun bool
 	// upstreamFault is set when the upstream, and not the caller, is to blame.
 	upstreamFault bool
+	// unreachable is set when no connection to the upstream opened.
+	unreachable bool
 	// answered is set when the caller has got a part, or an end, of an answer.
 	answered bool
 }
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -36,7 +36,11 @@
 	response, err := p.client.Do(request)
 	if err != nil {
 		callerFault := x.Context().Err() != nil
-		return &failure{cause: err, notRun: watch.GiveUp(), upstreamFault: !callerFault}
+		nothingSent := watch.GiveUp()
+		return &failure{
+			cause: err, notRun: nothingSent, upstreamFault: !callerFault,
+			unreachable: nothingSent && !callerFault && !watch.Connected(),
+		}
 	}
 	defer func() { _ = response.Body.Close() }()
 	failed := p.receive(ctx, x, lease, response)
@@ -60,7 +64,7 @@
 // request builds the upstream's request. Its body can't be read a second time,
 // so that the HTTP client never repeats it by itself.
 func (p *Pipe) request(ctx context.Context, x *exchange.Exchange, lease *pool.Lease) (*http.Request, error) {
-	target := url.URL{Scheme: "http", Host: lease.Row.Address, Path: x.Path, RawQuery: x.Request.URL.RawQuery}
+	target := url.URL{Scheme: lease.Scheme, Host: lease.Row.Address, Path: x.Path, RawQuery: x.Request.URL.RawQuery}
 	if lease.Remote != nil {
 		target.Path = x.Request.URL.Path
 	}
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -106,15 +106,22 @@
 	if x.FromPeer {
 		return p.identifyFromPeer(x)
 	}
-	key, found := strings.CutPrefix(x.Request.Header.Get("Authorization"), "Bearer ")
+	organisation, err := Caller(x.State, x.Request)
+	x.Organisation = organisation
+	return err
+}
+
+// Caller returns the organisation whose key a request carries.
+func Caller(state *table.State, r *http.Request) (*table.Organisation, error) {
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !found || key == "" {
-		return apierror.New(http.StatusUnauthorized, "missing_key", "Authorization: a bearer key is needed")
+		return nil, apierror.New(http.StatusUnauthorized, "missing_key", "Authorization: a bearer key is needed")
 	}
-	x.Organisation = x.State.OrganisationByKeyHash(table.HashKey(key))
-	if x.Organisation == nil {
-		return apierror.New(http.StatusUnauthorized, "unknown_key", "Authorization: no organisation has this key")
+	organisation := state.OrganisationByKeyHash(table.HashKey(key))
+	if organisation == nil {
+		return nil, apierror.New(http.StatusUnauthorized, "unknown_key", "Authorization: no organisation has this key")
 	}
-	return nil
+	return organisation, nil
 }
 
 // identifyFromPeer trusts the box that took the request in: it has checked the
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -15,6 +15,8 @@
 	// Remote is set when the upstream is a box of another failure domain; it
 	// adds what the peers' listener asks for.
 	Remote func(header http.Header)
+	// Scheme is http, or https to a box whose peers' listener speaks TLS.
+	Scheme string
 
 	// after is called after the release with what this box still has there.
 	after    func(held int)
@@ -27,7 +29,9 @@
 // NewRemoteLease returns a lease on a box of another failure domain, which no
 // pool counts. Judged hears how its attempt ended.
 func NewRemoteLease(box, address string, remote func(header http.Header), judged func(failed bool)) *Lease {
-	return &Lease{Row: &table.Upstream{Name: box, Address: address}, Remote: remote, judged: judged}
+	return &Lease{
+		Row: &table.Upstream{Name: box, Address: address}, Remote: remote, judged: judged, Scheme: "http",
+	}
 }
 
 // Tried names the upstreams that one request has had a lease on.
@@ -53,13 +57,13 @@
 	u := p.members[position]
 	p.view.Add(position, 1)
 	u.addUsed(1)
-	return &Lease{Row: u.row, manager: m, poolName: p.name}
+	return &Lease{Row: u.row, manager: m, poolName: p.name, Scheme: "http"}
 }
 
 // Release gives the lease back and counts the result for the upstream's health.
 func (l *Lease) Release(result Result) {
 	if l.manager == nil {
-		l.judged(result == Failed)
+		l.judged(result == Failed || result == Unreachable)
 		return
 	}
 	if held, first := l.manager.giveBack(l, result); first && l.after != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -42,6 +42,8 @@
 	Neutral Result = iota
 	Succeeded
 	Failed
+	// Unreachable is a failure to open a connection.
+	Unreachable
 )
 
 // upstream is the state of one upstream, shared by all pools it is in.
@@ -273,6 +275,8 @@
 		u.health = u.health.WithSuccess(m.now(), m.settings.Health)
 	case Failed:
 		u.health = u.health.WithFailure(m.now(), m.settings.Health)
+	case Unreachable:
+		u.health = u.health.WithUnreachable(m.now(), m.settings.Health)
 	case Neutral:
 		return
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -1,16 +1,9 @@
 package server
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -133,30 +126,10 @@
 
 func (*statusWriter) Write(data []byte) (int, error) { return len(data), nil }
 
-// writePair writes a certificate for 127.0.0.1 with a serial number.
-func writePair(t *testing.T, files config.TLS, serial int64) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "box"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	encoded, err := x509.MarshalECPrivateKey(key)
-	require.NoError(t, err)
-	require.NoError(t, os.WriteFile(files.CertificateFile,
-		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate}), 0o600))
-	require.NoError(t, os.WriteFile(files.KeyFile,
-		pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encoded}), 0o600))
-}
-
 func TestTLS(t *testing.T) {
 	dir := t.TempDir()
 	files := config.TLS{CertificateFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key")}
-	writePair(t, files, 1)
+	testlib.WriteCertificate(t, files, 1)
 	now := time.Now()
 	pair, err := newCertificate(files)
 	require.NoError(t, err)
@@ -170,7 +143,7 @@
 	}
 	t.Run("serves the pair of the files", func(t *testing.T) { assert.EqualValues(t, 1, serial()) })
 	t.Run("serves a new pair without a restart", func(t *testing.T) {
-		writePair(t, files, 2)
+		testlib.WriteCertificate(t, files, 2)
 		now = now.Add(2 * certificateCheck)
 		assert.EqualValues(t, 2, serial())
 	})
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -84,6 +84,7 @@
 	maxLoad  int
 	prompt   int
 	cached   int
+	trace    string
 }
 
 type queued struct {
@@ -164,6 +165,13 @@
 	change(&e.faults)
 }
 
+// LastTraceparent returns the trace header of the newest chat.
+func (e *Engine) LastTraceparent() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.trace
+}
+
 // SetLeaving makes the engine report that it is about to go.
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
@@ -213,6 +221,9 @@
 	if !readJSON(w, r, &chat) {
 		return
 	}
+	e.mu.Lock()
+	e.trace = r.Header.Get("Traceparent")
+	e.mu.Unlock()
 	if e.refuse(w, r, &chat) {
 		return
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -29,6 +30,8 @@
 	MaxHeaderBytes int64
 	// Dial is the standard dialer when nil.
 	Dial Dial
+	// TLS is used for https URLs.
+	TLS *tls.Config
 }
 
 // New returns a transport whose attempts Watch can follow. It speaks HTTP/1.1,
@@ -46,6 +49,7 @@
 		MaxIdleConnsPerHost:    settings.MaxIdlePerHost,
 		MaxResponseHeaderBytes: settings.MaxHeaderBytes,
 		DisableCompression:     true,
+		TLSClientConfig:        settings.TLS,
 	}
 }
 
@@ -133,7 +137,11 @@
 func (w *Watch) gotConn(info httptrace.GotConnInfo) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	conn, ok := info.Conn.(*watchedConn)
+	below := info.Conn
+	if secured, isTLS := below.(*tls.Conn); isTLS {
+		below = secured.NetConn()
+	}
+	conn, ok := below.(*watchedConn)
 	if !ok {
 		w.blind = true
 		return
@@ -142,6 +150,13 @@
 	w.used = append(w.used, usedConn{conn: conn, before: conn.count()})
 }
 
+// Connected tells whether the attempt got a connection.
+func (w *Watch) Connected() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.blind || len(w.used) > 0
+}
+
 // SendBefore returns a context whose requests write nothing from an instant on.
 // The clock is looked at right before each write, so that a process which was
 // paused after all other checks sends nothing late.
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -46,6 +46,9 @@
 type TLS struct {
 	CertificateFile string `yaml:"certificate_file"`
 	KeyFile         string `yaml:"key_file"`
+	// CAFile holds the certificates that signed the peers', on the peers'
+	// listener only; empty is the system's.
+	CAFile string `yaml:"ca_file"`
 }
 
 // Enabled tells whether the listener speaks TLS.
