--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -5,13 +5,10 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 
@@ -28,21 +25,14 @@
 	"dooryard.example/dooryard/internal/logstream"
 	"dooryard.example/dooryard/internal/membership"
 	"dooryard.example/dooryard/internal/metrics"
-	"dooryard.example/dooryard/internal/operators"
 	"dooryard.example/dooryard/internal/peers"
 	"dooryard.example/dooryard/internal/picker"
 	"dooryard.example/dooryard/internal/pipe/admit"
-	claimpipe "dooryard.example/dooryard/internal/pipe/claim"
-	"dooryard.example/dooryard/internal/pipe/forward"
-	"dooryard.example/dooryard/internal/pipe/identify"
-	routepipe "dooryard.example/dooryard/internal/pipe/route"
-	"dooryard.example/dooryard/internal/pipe/settle"
 	"dooryard.example/dooryard/internal/pipeline"
 	"dooryard.example/dooryard/internal/platform"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/secret"
 	"dooryard.example/dooryard/internal/server"
-	"dooryard.example/dooryard/internal/table"
 	"dooryard.example/dooryard/internal/tablestore"
 	"dooryard.example/dooryard/internal/trace"
 	"dooryard.example/dooryard/internal/transport"
@@ -147,183 +137,6 @@
 	return b, nil
 }
 
-func (b *Box) openKeys(context.Context) error {
-	var err error
-	if b.keys.peers, err = secret.Load(b.settings.Peers.KeyFile, b.clock.Now); err != nil {
-		return fmt.Errorf("%w: peers.key_file: %w", config.ErrInvalid, err)
-	}
-	if b.keys.operators, err = secret.Load(b.settings.Operators.KeyFile, b.clock.Now); err != nil {
-		return fmt.Errorf("%w: operators.key_file: %w", config.ErrInvalid, err)
-	}
-	b.peerTLS, err = peerTLS(b.settings.Peers.TLS)
-	return err
-}
-
-// peerTLS is what this box asks of its peers' certificates.
-func peerTLS(settings config.TLS) (*tls.Config, error) {
-	answer := &tls.Config{MinVersion: tls.VersionTLS12}
-	if settings.CAFile == "" {
-		return answer, nil
-	}
-	data, err := os.ReadFile(settings.CAFile)
-	if err != nil {
-		return nil, fmt.Errorf("%w: peers.tls.ca_file: %w", config.ErrInvalid, err)
-	}
-	answer.RootCAs = x509.NewCertPool()
-	if !answer.RootCAs.AppendCertsFromPEM(data) {
-		return nil, fmt.Errorf("%w: peers.tls.ca_file: holds no certificate", config.ErrInvalid)
-	}
-	return answer, nil
-}
-
-// peerScheme is how peers are reached: all boxes of a fleet do it alike.
-func (b *Box) peerScheme() string {
-	if b.settings.Peers.TLS.Enabled() {
-		return "https"
-	}
-	return "http"
-}
-
-func (b *Box) openTracer(ctx context.Context) error {
-	var err error
-	b.tracer, err = trace.New(ctx, b.settings.Traces, b.settings.Box, b.settings.FailureDomain, b.spans)
-	return err
-}
-
-// defaultPlatformTimeoutMs bounds calls to the platform, on top of waits that are
-// asked for.
-const defaultPlatformTimeoutMs = 3000
-
-// buildState builds what the steps share: the table, the pools, the limits and
-// the claims.
-func (b *Box) buildState(context.Context) error {
-	config.Fill(&b.settings.Platform.TimeoutMs, defaultPlatformTimeoutMs)
-	client := b.controlClient(func() string { return "" })
-	b.peers = peers.Client{Client: b.controlClient(b.keys.peers.Current), Scheme: b.peerScheme()}
-	b.log = platform.Log{URL: b.settings.Platform.LogURL, Client: client}
-	b.boxList = platform.BoxList{URL: b.settings.Platform.BoxListURL, Client: client}
-	b.weights = platform.WeightStore{URL: b.settings.Platform.WeightStoreURL, Client: client}
-	b.engineHTTP = b.newEngineHTTP()
-	b.fleet = newFleetView()
-	b.store = tablestore.New(b.append,
-		tablestore.WithClock(b.clock), tablestore.WithLogger(b.logger), tablestore.WithVerdicts(b.countVerdict))
-	b.organisations = limit.NewOrganisations(b.share, b.clock.Now)
-	b.follower = logstream.NewFollower(b.tableSources, b.store.Record,
-		logstream.WithClock(b.clock), logstream.WithLogger(b.logger), logstream.WithExpired(b.recoverTable))
-	return nil
-}
-
-// controlClient makes the HTTP client for the platform or for peers.
-func (b *Box) controlClient(key func() string) *http.Client {
-	return transport.Control(transport.Settings{
-		ConnectTimeoutMs: clock.Millis(b.settings.Platform.TimeoutMs),
-		IdleTimeoutMs:    60 * clock.Second,
-		MaxIdlePerHost:   8,
-		Dial:             b.dial,
-		TLS:              b.peerTLS,
-	}, key, b.metrics.PeerSent, b.metrics.PeerReceived)
-}
-
-// append bounds one append by the platform's timeout.
-func (b *Box) append(ctx context.Context, stream string, records ...jsonRecord) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, clock.Millis(b.settings.Platform.TimeoutMs).Duration())
-	defer cancel()
-	return b.log.Append(ctx, stream, records...)
-}
-
-func (b *Box) countVerdict(verdict table.Verdict) {
-	if verdict.Result == table.Accepted {
-		b.metrics.EditsAccepted.Add(1)
-		return
-	}
-	b.metrics.EditsRejected.Add(1)
-}
-
-func (b *Box) buildSteps(context.Context) error {
-	upstreams := &deferredTransport{}
-	steps := pipeline.Steps{
-		Identify: identify.New(b.store.State, b.clock.Now),
-		Claim: claimpipe.New(claimpipe.Claims{
-			Claim:  func(ctx context.Context, r claim.Record) (claim.Verdict, error) { return b.claims.Claim(ctx, r) },
-			Submit: func(r claim.Record) { b.claims.Submit(r) },
-		}, b.metrics, b.clock.Now),
-		Settle: settle.New(b.metrics, b.logger, b.clock.Now),
-	}
-	steps.Route = routepipe.New(b.acquire, b.remote)
-	steps.Route.Default(&b.settings)
-	poolSettings, err := routepipe.PoolSettings(b.settings.Route)
-	if err != nil {
-		return err
-	}
-	b.pools = pool.New(poolSettings, b.settings.FailureDomain, b.settings.Box, b.clock.Now)
-	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Now)
-	steps.Forward = forward.New(forward.Dependencies{
-		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report,
-		Metrics: b.metrics, Tracer: b.tracer, Logger: b.logger, Clock: b.clock,
-	})
-	b.admit = steps.Admit
-	b.pipeline = pipeline.New(steps, &b.settings, b.logger)
-	upstreams.RoundTripper = b.upstreamTransport()
-	b.claims = claim.NewService(claim.Log{Append: b.append, Read: b.readLog}, claim.Settings{
-		BatchMs: clock.Millis(b.settings.Claim.BatchMs), WindowMs: clock.Millis(b.settings.Claim.WindowMs),
-	}, b.remoteClaim, b.clock, b.logger)
-	b.store.OnChange(func(state *table.State) {
-		b.pools.SetTable(state)
-		b.admit.Poke()
-	})
-	return nil
-}
-
-// deferredTransport is filled in once the steps have set the defaults that the
-// transport is built from.
-type deferredTransport struct{ http.RoundTripper }
-
-const maxIdlePerUpstream = 256
-
-func (b *Box) upstreamTransport() *http.Transport {
-	return transport.New(transport.Settings{
-		ConnectTimeoutMs:   clock.Millis(b.settings.Retry.ConnectTimeoutMs),
-		FirstByteTimeoutMs: clock.Millis(b.settings.Retry.FirstByteTimeoutMs),
-		IdleTimeoutMs:      60 * clock.Second,
-		MaxIdlePerHost:     maxIdlePerUpstream,
-		MaxHeaderBytes:     int64(b.settings.Request.MaxHeaderBytes),
-		Dial:               b.dial,
-		TLS:                b.peerTLS,
-	})
-}
-
-func (b *Box) openListeners(context.Context) error {
-	limits := server.LimitsOf(&b.settings)
-	b.callers = callers.New(callers.Dependencies{
-		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
-	})
-	peersHandler := http.NewServeMux()
-	b.callers.PeerRoutes(peersHandler)
-	peers.Routes(peersHandler, peers.Dependencies{Store: b.store, Claim: b.claims.ClaimHere, Submit: b.claims.SubmitHere})
-	operatorsHandler := operators.New(operators.Dependencies{
-		Store: b.store, Pools: b.pools, Status: func() any { return b.Status() }, Drain: b.Drain, Metrics: b.metrics,
-	})
-	opened := []struct {
-		name     string
-		settings config.Listener
-		handler  http.Handler
-		target   **server.Server
-	}{
-		{"callers", b.settings.Callers, b.callers, &b.servers.callers},
-		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, peersHandler), &b.servers.peers},
-		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
-	}
-	for _, o := range opened {
-		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listen)
-		if err != nil {
-			b.closeListeners()
-			return err
-		}
-		*o.target = opened
-	}
-	return nil
-}
-
 func (b *Box) serve(x *exchange.Exchange) { b.pipeline.Serve(x) }
 
 // Addresses are the addresses that a box's listeners got.
--- a/internal/box/engines.go
+++ b/internal/box/engines.go
@@ -13,6 +13,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/lease"
+	"dooryard.example/dooryard/internal/logstream"
 	"dooryard.example/dooryard/internal/placement"
 	"dooryard.example/dooryard/internal/platform"
 	"dooryard.example/dooryard/internal/table"
@@ -34,7 +35,7 @@
 func (b *Box) buildLease(context.Context) error {
 	holder := fmt.Sprintf("%s@%d", b.settings.Box, b.clock.Now())
 	b.lease = lease.NewKeeper(leaseStream(b.settings.FailureDomain), holder,
-		lease.Log{Append: b.append, Read: b.readLog}, b.wantsOrders, b.clock, b.logger)
+		logstream.Log{Append: b.append, Read: b.readLog}, b.wantsOrders, b.clock, b.logger)
 	return nil
 }
 
--- a/internal/box/status.go
+++ b/internal/box/status.go
@@ -25,11 +25,19 @@
 	Running   int          `json:"running"`
 	Waiting   int          `json:"waiting"`
 	Upstreams []pool.Load  `json:"upstreams"`
-	Peers     []PeerStatus `json:"peers"`
+	// Orders is the lease to give orders, when this box holds it.
+	Orders *OrdersStatus `json:"orders,omitempty"`
+	Peers  []PeerStatus  `json:"peers"`
 	// Lowest is the box of this failure domain whose table is furthest behind.
 	Lowest LowestOffset `json:"lowest"`
 }
 
+// OrdersStatus is the lease to give orders to a failure domain's engines.
+type OrdersStatus struct {
+	Token   int64        `json:"token"`
+	UntilMs clock.Millis `json:"until_ms"`
+}
+
 // PeerStatus is another box of the failure domain as this one sees it.
 type PeerStatus struct {
 	Name        string `json:"name"`
@@ -52,6 +60,9 @@
 		TableOffset: b.store.State().Offset(), LogSource: b.follower.Source(), LogReadMs: b.follower.LastReadMs(),
 		Running: running, Waiting: waiting, Upstreams: b.pools.Loads(),
 	}
+	if held, holds := b.lease.Held(); holds {
+		status.Orders = &OrdersStatus{Token: held.Token, UntilMs: held.UntilMs}
+	}
 	status.addPeers(b.gossip.Members(), b.gossip.FactsOf())
 	return status
 }
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -20,6 +20,7 @@
 	boxSizes          = []int{3, 9, 30, 90, 180, 360}
 	engineSizes       = []int{40, 120, 360, 750, 1500}
 	organisationSizes = []int{10, 100, 1000, 10_000, 37_000}
+	editRates         = []int{1, 5, 20, 50}
 	keySizes          = []int{1000, 5000, 20_000, 60_000}
 	sessionSizes      = []int{1000, 10_000, 50_000, 90_000}
 )
@@ -127,6 +128,10 @@
 				number++
 			}) / kilo
 		}),
+		measure(Slope{
+			Name: "table: processor of edits, 1,000 organisations and 360 engines", Against: "edits a second",
+			Unit: "% of a core",
+		}, editRates, editsPerSecond),
 		measure(Slope{Name: "table: memory", Against: against, Unit: "MB"}, organisationSizes, func(n int) float64 {
 			return heapBytes(func() *table.State { return tableWith(n, 0) }) / mega
 		}),
@@ -147,6 +152,21 @@
 	}
 }
 
+// editsPerSecond is the part of a core that a second's edits take, each folded
+// and brought into the pools.
+func editsPerSecond(edits int) float64 {
+	state, number := tableWith(organisationSizes[2], engineSizes[2]), 0
+	manager := newManager(state)
+	const toPercent = 100.0 / 1_000_000_000
+	return toPercent * nanoseconds(func() {
+		for range edits {
+			state, _ = state.Apply(state.Offset(), weightEdit(state, number))
+			manager.SetTable(state)
+			number++
+		}
+	})
+}
+
 // snapshotBytes is what a snapshot's records take on the log.
 func snapshotBytes(state *table.State) float64 {
 	chunks, err := snapshot.Make(state)
@@ -166,16 +186,7 @@
 
 func measureRouting() []Slope {
 	const kilo = 1000
-	settings := pool.Settings{
-		BoundPercent: 125, SlowStartMs: 30_000, PanicPercent: 50,
-		Health: health.Limits{BaseMs: 2000, MaxMs: 60_000},
-	}
-	settings.Policy, _ = route.PolicyByName(route.PolicyRendezvousBound)
-	manager := func(engines int) *pool.Manager {
-		m := pool.New(settings, "north", "box-1", clock.New().Now)
-		m.SetTable(tableWith(10, engines))
-		return m
-	}
+	manager := func(engines int) *pool.Manager { return newManager(tableWith(10, engines)) }
 	name := pool.Name(table.KindEngine, "planner")
 	return []Slope{
 		measure(Slope{Name: "routing: rank engines for a request", Against: "engines", Unit: "µs"}, engineSizes,
@@ -195,15 +206,23 @@
 			}),
 		measure(Slope{Name: "routing: memory of pools", Against: "engines", Unit: "kB"}, engineSizes, func(n int) float64 {
 			state := tableWith(10, n)
-			return heapBytes(func() *pool.Manager {
-				m := pool.New(settings, "north", "box-1", clock.New().Now)
-				m.SetTable(state)
-				return m
-			}) / kilo
+			return heapBytes(func() *pool.Manager { return newManager(state) }) / kilo
 		}),
 	}
 }
 
+// newManager returns the pools of a box with a table in force.
+func newManager(state *table.State) *pool.Manager {
+	settings := pool.Settings{
+		BoundPercent: 125, SlowStartMs: 30_000, PanicPercent: 50,
+		Health: health.Limits{BaseMs: 2000, MaxMs: 60_000},
+	}
+	settings.Policy, _ = route.PolicyByName(route.PolicyRendezvousBound)
+	m := pool.New(settings, "north", "box-1", clock.New().Now)
+	m.SetTable(state)
+	return m
+}
+
 func boxNames(count int) []string {
 	names := make([]string, max(1, count))
 	for i := range names {
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -6,12 +6,13 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dooryard.example/dooryard/internal/codec"
 )
 
 // Sentinel errors of claims.
@@ -75,9 +76,9 @@
 // UnmarshalJSON decodes and checks a record.
 func (r *Record) UnmarshalJSON(data []byte) error {
 	type wire Record
-	var decoded wire
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	decoded, err := codec.Decode[wire](data, ErrMalformed)
+	if err != nil {
+		return err
 	}
 	*r = Record(decoded)
 	switch {
--- a/internal/claim/registry.go
+++ b/internal/claim/registry.go
@@ -13,12 +13,6 @@
 	"dooryard.example/dooryard/internal/platform"
 )
 
-// Log is what a registry needs of the platform's log.
-type Log struct {
-	Append func(ctx context.Context, stream string, records ...json.RawMessage) (int64, error)
-	Read   func(ctx context.Context, stream string, from int64, limit int, waitMs clock.Millis) (platform.Page, error)
-}
-
 // Settings bound a registry.
 type Settings struct {
 	// BatchMs is the time records gather before one append.
@@ -31,7 +25,7 @@
 // batches. It is safe for concurrent use.
 type Registry struct {
 	stream   string
-	log      Log
+	log      logstream.Log
 	settings Settings
 	clock    clock.Clock
 	logger   *zap.Logger
@@ -45,7 +39,7 @@
 }
 
 // NewRegistry returns a registry; Run must be called for it to do anything.
-func NewRegistry(stream string, log Log, settings Settings, c clock.Clock, logger *zap.Logger) *Registry {
+func NewRegistry(stream string, log logstream.Log, settings Settings, c clock.Clock, logger *zap.Logger) *Registry {
 	return &Registry{
 		stream: stream, log: log, settings: settings, clock: c, logger: logger,
 		ledger: NewLedger(settings.WindowMs), changed: make(chan struct{}), wake: make(chan struct{}, 1),
@@ -61,30 +55,11 @@
 	group.Wait()
 }
 
+// follow needs nothing older than the log keeps: what is past retention is past
+// the window too.
 func (r *Registry) follow(ctx context.Context) {
-	sources := []logstream.Source{{Name: "platform", Read: r.read}}
-	follower := logstream.NewFollower(
-		func() []logstream.Source { return sources },
-		r.fold,
-		logstream.WithClock(r.clock),
-		logstream.WithLogger(r.logger),
-		logstream.WithExpired(r.skipExpired),
-	)
-	follower.Run(ctx)
-}
-
-func (r *Registry) read(ctx context.Context, from int64, limit int, waitMs clock.Millis) (platform.Page, error) {
-	return r.log.Read(ctx, r.stream, from, limit, waitMs)
-}
-
-// skipExpired goes on from the oldest record that the log keeps. What stood
-// before it is past the window, which is inside the log's retention.
-func (r *Registry) skipExpired(ctx context.Context, from int64) (int64, error) {
-	page, err := r.log.Read(ctx, r.stream, from, 1, 0)
-	if page.FirstOffset > from {
-		return page.FirstOffset, nil
-	}
-	return 0, err
+	logstream.NewLogFollower(r.log, r.stream, r.fold,
+		logstream.WithClock(r.clock), logstream.WithLogger(r.logger)).Run(ctx)
 }
 
 func (r *Registry) fold(record platform.Record) {
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -7,12 +7,13 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/logstream"
 )
 
 // Service is a box's way to claims: one registry for each shard that this box
 // has been asked for.
 type Service struct {
-	log      Log
+	log      logstream.Log
 	settings Settings
 	clock    clock.Clock
 	logger   *zap.Logger
@@ -32,7 +33,7 @@
 type Remote func(ctx context.Context, shard int, record Record) (Verdict, bool)
 
 // NewService returns a service; Run must be called for it to do anything.
-func NewService(log Log, settings Settings, remote Remote, c clock.Clock, logger *zap.Logger) *Service {
+func NewService(log logstream.Log, settings Settings, remote Remote, c clock.Clock, logger *zap.Logger) *Service {
 	return &Service{
 		log: log, settings: settings, remote: remote, clock: c, logger: logger,
 		registries: map[int]*Registry{},
--- a/internal/cmd/operatorcmd/fleet.go
+++ b/internal/cmd/operatorcmd/fleet.go
@@ -103,11 +103,20 @@
 		fmt.Fprintf(p.out, "  %s: %s, table offset %d\n", name, peers[name].Status, peers[name].TableOffset)
 	}
 	for _, s := range statuses {
-		for _, u := range s.Status.Upstreams {
-			if u.Ejected || u.Leaving {
-				fmt.Fprintf(p.out, "  %s sees upstream %s: ejected %t, leaving %t, in flight %d\n",
-					s.Status.Box, u.Name, u.Ejected, u.Leaving, u.InFlight)
-			}
+		p.printWork(s.Status)
+	}
+}
+
+// printWork prints the orders that a box gives and the upstreams it leaves out.
+func (p *program) printWork(status box.Status) {
+	if orders := status.Orders; orders != nil {
+		fmt.Fprintf(p.out, "  %s gives the orders of %s, token %d, for %d ms more\n",
+			status.Box, status.FailureDomain, orders.Token, orders.UntilMs-status.NowMs)
+	}
+	for _, u := range status.Upstreams {
+		if u.Ejected || u.Leaving {
+			fmt.Fprintf(p.out, "  %s sees upstream %s: ejected %t, leaving %t, in flight %d\n",
+				status.Box, u.Name, u.Ejected, u.Leaving, u.InFlight)
 		}
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,16 +4,16 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/codec"
+	"dooryard.example/dooryard/internal/jsonhttp"
 )
 
 // Headers of the engines' wire form.
@@ -38,6 +38,8 @@
 	ErrUnavailable = errors.New("engine unavailable")
 	// ErrStaleToken means that the engine has seen a newer fencing token.
 	ErrStaleToken = errors.New("stale fencing token")
+	// ErrBadReport means that a load report could not be used.
+	ErrBadReport = errors.New("bad load report")
 	// ErrBusy means that the engine is carrying out another order.
 	ErrBusy = errors.New("engine has an order outstanding")
 )
@@ -57,12 +59,12 @@
 // UnmarshalJSON decodes and checks a report.
 func (l *Load) UnmarshalJSON(data []byte) error {
 	type wire Load
-	var decoded wire
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("load report: %w", err)
+	decoded, err := codec.Decode[wire](data, ErrBadReport)
+	if err != nil {
+		return err
 	}
 	if decoded.InFlight < 0 || decoded.Queued < 0 || decoded.Slots < 0 {
-		return errors.New("load report: negative count")
+		return fmt.Errorf("%w: negative count", ErrBadReport)
 	}
 	*l = Load(decoded)
 	return nil
@@ -153,28 +155,21 @@
 	return err
 }
 
-func (c Client) call(ctx context.Context, method, path string, body []byte, reply any) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, fmt.Errorf("engine request: %w", err)
-	}
-	response, err := c.Client.Do(request)
+func (c Client) call(ctx context.Context, method, path string, body []byte, value any) (int, error) {
+	reply, err := jsonhttp.Call{
+		Client: c.Client, Method: method, URL: c.URL + path, Body: body, Limit: maxReplyBytes,
+	}.Do(ctx)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
-	if err != nil {
-		return response.StatusCode, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return response.StatusCode, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	if reply.Status >= http.StatusMultipleChoices {
+		return reply.Status, fmt.Errorf("%w: status %d", ErrUnavailable, reply.Status)
 	}
-	if reply == nil {
-		return response.StatusCode, nil
+	if value == nil {
+		return reply.Status, nil
 	}
-	if err := json.Unmarshal(data, reply); err != nil {
-		return response.StatusCode, fmt.Errorf("%w: reply: %w", ErrUnavailable, err)
+	if err := json.Unmarshal(reply.Body, value); err != nil {
+		return reply.Status, fmt.Errorf("%w: reply: %w", ErrUnavailable, err)
 	}
-	return response.StatusCode, nil
+	return reply.Status, nil
 }
--- /dev/null
+++ b/internal/jsonhttp/jsonhttp.go
@@ -0,0 +1,90 @@
+// Package jsonhttp holds what handlers and clients of JSON over HTTP share.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"dooryard.example/dooryard/internal/apierror"
+)
+
+// ErrTooLong means that a body is longer than its reader takes.
+var ErrTooLong = errors.New("body too long")
+
+// Write answers 200 with a value.
+func Write[T any](w http.ResponseWriter, value T) { WriteStatus(w, http.StatusOK, value) }
+
+// WriteStatus answers with a status and a value.
+func WriteStatus[T any](w http.ResponseWriter, status int, value T) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		apierror.New(http.StatusInternalServerError, "internal", "internal error").Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A reader that is gone can't be told.
+	_, _ = w.Write(data)
+}
+
+// Read decodes a request's body of at most limit bytes.
+func Read[T any](w http.ResponseWriter, r *http.Request, limit int64) (T, error) {
+	var value T
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return value, fmt.Errorf("body: %w", err)
+	}
+	return value, json.Unmarshal(data, &value)
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call is one call to make.
+type Call struct {
+	Client *http.Client
+	Method string
+	URL    string
+	Body   []byte
+	// Header is added to the request's; it may be nil.
+	Header http.Header
+	// Limit is the longest answer that is taken, in bytes.
+	Limit int64
+}
+
+// Do makes the call and reads the whole answer. Statuses are the caller's to
+// judge.
+func (c Call) Do(ctx context.Context) (Reply, error) {
+	request, err := http.NewRequestWithContext(ctx, c.Method, c.URL, bytes.NewReader(c.Body))
+	if err != nil {
+		return Reply{}, fmt.Errorf("request: %w", err)
+	}
+	for name, values := range c.Header {
+		request.Header[name] = values
+	}
+	if len(c.Body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, c.Limit+1))
+	if err != nil {
+		return Reply{}, fmt.Errorf("answer: %w", err)
+	}
+	if int64(len(data)) > c.Limit {
+		return Reply{}, fmt.Errorf("answer: %w", ErrTooLong)
+	}
+	return Reply{Status: response.StatusCode, Header: response.Header, Body: data}, nil
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -25,18 +25,12 @@
 	pollMs = 5 * clock.Second
 )
 
-// Log is what a keeper needs of the platform's log.
-type Log struct {
-	Append func(ctx context.Context, stream string, records ...json.RawMessage) (int64, error)
-	Read   func(ctx context.Context, stream string, from int64, limit int, waitMs clock.Millis) (platform.Page, error)
-}
-
 // Keeper follows one lease and holds it when it may. It is safe for concurrent
 // use.
 type Keeper struct {
 	stream string
 	holder string
-	log    Log
+	log    logstream.Log
 	wants  func() bool
 	clock  clock.Clock
 	logger *zap.Logger
@@ -54,7 +48,7 @@
 
 // NewKeeper returns a keeper for a holder. Wants tells whether this box should
 // try to hold the lease.
-func NewKeeper(stream, holder string, log Log, wants func() bool, c clock.Clock, logger *zap.Logger) *Keeper {
+func NewKeeper(stream, holder string, log logstream.Log, wants func() bool, c clock.Clock, logger *zap.Logger) *Keeper {
 	return &Keeper{stream: stream, holder: holder, log: log, wants: wants, clock: c, logger: logger}
 }
 
@@ -67,13 +61,10 @@
 	group.Wait()
 }
 
+// follow needs nothing older than the log keeps: leases before it have ended.
 func (k *Keeper) follow(ctx context.Context) {
-	read := func(ctx context.Context, from int64, limit int, waitMs clock.Millis) (platform.Page, error) {
-		return k.log.Read(ctx, k.stream, from, limit, waitMs)
-	}
-	sources := []logstream.Source{{Name: "platform", Read: read}}
-	follower := logstream.NewFollower(func() []logstream.Source { return sources }, k.fold,
-		logstream.WithClock(k.clock), logstream.WithLogger(k.logger), logstream.WithExpired(k.skipExpired))
+	follower := logstream.NewLogFollower(k.log, k.stream, k.fold,
+		logstream.WithClock(k.clock), logstream.WithLogger(k.logger))
 	for ctx.Err() == nil {
 		// A box that does not want the lease need not know who holds it.
 		if !k.wants() || follower.Poll(ctx, pollMs) != nil {
@@ -82,15 +73,6 @@
 	}
 }
 
-// skipExpired goes on from the oldest record: leases before it have ended.
-func (k *Keeper) skipExpired(ctx context.Context, from int64) (int64, error) {
-	page, err := k.log.Read(ctx, k.stream, from, 1, 0)
-	if page.FirstOffset > from {
-		return page.FirstOffset, nil
-	}
-	return 0, err
-}
-
 func (k *Keeper) fold(record platform.Record) {
 	var r Record
 	if err := json.Unmarshal(record.Data, &r); err != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -5,11 +5,11 @@
 package lease
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/codec"
 )
 
 // ErrMalformed means that a record could not be decoded.
@@ -45,9 +45,9 @@
 // UnmarshalJSON decodes and checks a record.
 func (r *Record) UnmarshalJSON(data []byte) error {
 	type wire Record
-	var decoded wire
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	decoded, err := codec.Decode[wire](data, ErrMalformed)
+	if err != nil {
+		return err
 	}
 	*r = Record(decoded)
 	switch {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -65,20 +65,6 @@
 	goneMs      clock.Millis
 }
 
-// probe is a ping that waits for its answer.
-type probe struct {
-	target  ID
-	sentMs  clock.Millis
-	relayed bool
-}
-
-// relay is a ping made for another box.
-type relay struct {
-	origin   ID
-	sequence uint32
-	sentMs   clock.Millis
-}
-
 // Option changes a Node under construction.
 type Option func(*Node)
 
@@ -128,34 +114,6 @@
 	return members
 }
 
-// foreignBox is a box of another failure domain that was in touch.
-type foreignBox struct {
-	Box
-	heardMs clock.Millis
-}
-
-// Foreign returns the boxes of other failure domains that were in touch within a
-// span, by name. They are no members here.
-func (n *Node) Foreign(now, span clock.Millis) []Box {
-	boxes := []Box{}
-	for _, f := range n.foreign {
-		if now-f.heardMs <= span {
-			boxes = append(boxes, f.Box)
-		}
-	}
-	slices.SortFunc(boxes, func(a, b Box) int { return cmp.Compare(a.Name, b.Name) })
-	return boxes
-}
-
-// maxForeign bounds the boxes of other failure domains that are remembered.
-const maxForeign = 1000
-
-func (n *Node) meetForeign(box Box, now clock.Millis) {
-	if _, known := n.foreign[box.Name]; known || len(n.foreign) < maxForeign {
-		n.foreign[box.Name] = foreignBox{Box: box, heardMs: now}
-	}
-}
-
 // Live returns the names of the live boxes, this one included, sorted. A suspect
 // lives until it is removed.
 func (n *Node) Live() []string {
@@ -187,42 +145,6 @@
 // box of its failure domain, or none of another one.
 func (n *Node) SetContacts(addresses []string) { n.contacts = addresses }
 
-// SetFacts sets what this box tells of itself.
-func (n *Node) SetFacts(facts Facts) { n.facts.setOwn(n.id, facts) }
-
-// FactsOf returns what each other live box last told, by name.
-func (n *Node) FactsOf() map[string]Facts {
-	found := map[string]Facts{}
-	for id, m := range n.members {
-		if entry, known := n.facts.entries[id]; known && m.status <= Suspect {
-			found[m.box.Name] = entry.Facts
-		}
-	}
-	return found
-}
-
-// DomainFacts returns the sums of other failure domains that were heard within
-// a span, by the id of their name.
-func (n *Node) DomainFacts(now, span clock.Millis) map[ID]Facts {
-	found := map[ID]Facts{}
-	for id, entry := range n.facts.entries {
-		if entry.Facts.Boxes > 0 && now-entry.heardMs <= span {
-			found[id] = entry.Facts
-		}
-	}
-	return found
-}
-
-// Bridge tells the box at an address, of another failure domain, the sums of
-// this one. The version is the time in seconds, so that any box may tell them.
-func (n *Node) Bridge(address string, domain ID, now clock.Millis, sums Facts) []Outgoing {
-	n.sequence++
-	p := n.packet(kindBridge, n.sequence)
-	p.Updates = []update{{ID: n.id, Incarnation: n.incarnation, Status: Alive, Box: &n.self}}
-	p.Facts = []factEntry{{ID: domain, Version: uint32(now / clock.Second), Facts: sums}}
-	return n.send(address, p)
-}
-
 func (n *Node) size() int { return n.alive + 1 }
 
 // Leave tells some boxes that this one stops as planned.
@@ -266,74 +188,6 @@
 	return out
 }
 
-// judgeProbes asks others to try a box that left a ping unanswered for a period
-// and, when that brought nothing in two more, makes it a suspect.
-func (n *Node) judgeProbes(now clock.Millis) []Outgoing {
-	out := []Outgoing{}
-	for _, sequence := range n.probeOrder() {
-		p := n.probes[sequence]
-		age := now - p.sentMs
-		if !p.relayed && age >= n.settings.PeriodMs {
-			p.relayed = true
-			out = append(out, n.askRelays(sequence, p.target)...)
-		}
-		if age >= suspectPeriods*n.settings.PeriodMs {
-			delete(n.probes, sequence)
-			n.suspect(p.target, p.sentMs, now)
-		}
-	}
-	for sequence, r := range n.relays {
-		if now-r.sentMs > suspectPeriods*n.settings.PeriodMs {
-			delete(n.relays, sequence)
-		}
-	}
-	return out
-}
-
-const suspectPeriods = 3
-
-// probeOrder keeps runs with the same seed the same.
-func (n *Node) probeOrder() []uint32 {
-	sequences := make([]uint32, 0, len(n.probes))
-	for sequence := range n.probes {
-		sequences = append(sequences, sequence)
-	}
-	slices.Sort(sequences)
-	return sequences
-}
-
-func (n *Node) suspect(id ID, since, now clock.Millis) {
-	m := n.members[id]
-	if m == nil || m.status != Alive {
-		return
-	}
-	m.status = Suspect
-	m.silentSince = since
-	n.news.add(update{ID: id, Incarnation: m.incarnation, Status: Suspect, SilentMs: uint32(now - since)}, n.size())
-}
-
-func (n *Node) removeSilent(now clock.Millis) {
-	for id, m := range n.members {
-		switch {
-		case m.status == Suspect && now-m.silentSince >= n.settings.RemoveMs:
-			n.remove(id, m, Dead, now)
-			n.news.add(update{ID: id, Incarnation: m.incarnation, Status: Dead}, n.size())
-		case m.status > Suspect && now-m.goneMs >= n.settings.ForgetMs:
-			delete(n.members, id)
-		}
-	}
-}
-
-func (n *Node) remove(id ID, m *member, status Status, now clock.Millis) {
-	if m.status <= Suspect {
-		n.alive--
-		n.changed = true
-	}
-	m.status = status
-	m.goneMs = now
-	n.facts.forget(id)
-}
-
 // nextTarget alternates between the next live box in the order of ids, which
 // every box does, so that each is pinged every other period by its predecessor,
 // and a walk through all in random order.
@@ -407,19 +261,6 @@
 	return n.send(m.box.GossipAddress, p)
 }
 
-func (n *Node) askRelays(sequence uint32, target ID) []Outgoing {
-	out := []Outgoing{}
-	for _, id := range n.randomLive(relayFanout + 1) {
-		if id == target || len(out) == relayFanout {
-			continue
-		}
-		p := n.packet(kindRelay, sequence)
-		p.Target = target
-		out = append(out, n.send(n.members[id].box.GossipAddress, p)...)
-	}
-	return out
-}
-
 // rejoin tries a few boxes that should live and are not known to.
 func (n *Node) rejoin() []Outgoing {
 	addresses := []string{}
--- a/internal/opclient/opclient.go
+++ b/internal/opclient/opclient.go
@@ -2,18 +2,17 @@
 package opclient
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/box"
+	"dooryard.example/dooryard/internal/jsonhttp"
 	"dooryard.example/dooryard/internal/operators"
 	"dooryard.example/dooryard/internal/table"
 )
@@ -155,21 +154,14 @@
 }
 
 func (c Client) callOne(ctx context.Context, method, boxURL, path string, body []byte) (answer, error) {
-	request, err := http.NewRequestWithContext(ctx, method, boxURL+path, bytes.NewReader(body))
-	if err != nil {
-		return answer{}, fmt.Errorf("request: %w", err)
-	}
-	request.Header.Set("Authorization", "Bearer "+c.Key)
-	response, err := c.Client.Do(request)
-	if err != nil {
-		return answer{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	reply, err := jsonhttp.Call{
+		Client: c.Client, Method: method, URL: boxURL + path, Body: body, Limit: maxReplyBytes,
+		Header: http.Header{"Authorization": {"Bearer " + c.Key}},
+	}.Do(ctx)
 	if err != nil {
 		return answer{}, err
 	}
-	a := answer{status: response.StatusCode, body: data, url: boxURL}
+	a := answer{status: reply.Status, body: reply.Body, url: boxURL}
 	verdict := a.status == http.StatusConflict || a.status == http.StatusUnprocessableEntity
 	if a.status < http.StatusMultipleChoices || verdict {
 		return a, nil
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -4,14 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/jsonhttp"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/table"
@@ -91,18 +90,18 @@
 }
 
 func (h *Handler) table(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, NewTableReply(h.d.Store.State()))
+	jsonhttp.Write(w, NewTableReply(h.d.Store.State()))
 }
 
 func (h *Handler) history(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, append([]table.HistoryEntry{}, h.d.Store.State().History()...))
+	jsonhttp.Write(w, append([]table.HistoryEntry{}, h.d.Store.State().History()...))
 }
 
 // edit answers with the verdict: 200 accepted, 409 conflict, 422 invalid, 202
 // when the verdict is unknown and the id must be asked for again, 503 when the
 // edit will never take hold.
 func (h *Handler) edit(w http.ResponseWriter, r *http.Request) {
-	edit, err := readEdit(w, r)
+	edit, err := jsonhttp.Read[table.Edit](w, r, maxEditBytes)
 	if err != nil {
 		apierror.New(http.StatusBadRequest, "bad_edit", err.Error()).Write(w)
 		return
@@ -112,7 +111,7 @@
 	verdict, err := h.d.Store.Submit(ctx, edit)
 	switch {
 	case errors.Is(err, tablestore.ErrVerdictUnknown):
-		writeStatusJSON(w, http.StatusAccepted, table.Verdict{ID: edit.ID})
+		jsonhttp.WriteStatus(w, http.StatusAccepted, table.Verdict{ID: edit.ID})
 	case err != nil:
 		apierror.New(http.StatusServiceUnavailable, "not_appended",
 			"the edit was not taken: the log can't be written", apierror.WithRetryAfter(clock.Second)).Write(w)
@@ -121,16 +120,6 @@
 	}
 }
 
-func readEdit(w http.ResponseWriter, r *http.Request) (table.Edit, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEditBytes))
-	if err != nil {
-		return table.Edit{}, err
-	}
-	var edit table.Edit
-	err = json.Unmarshal(data, &edit)
-	return edit, err
-}
-
 func writeVerdict(w http.ResponseWriter, verdict table.Verdict) {
 	status := http.StatusOK
 	switch verdict.Result {
@@ -140,7 +129,7 @@
 		status = http.StatusUnprocessableEntity
 	case table.Accepted:
 	}
-	writeStatusJSON(w, status, verdict)
+	jsonhttp.WriteStatus(w, status, verdict)
 }
 
 func (h *Handler) verdict(w http.ResponseWriter, r *http.Request) {
@@ -168,7 +157,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (h *Handler) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.d.Status()) }
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) { jsonhttp.Write(w, h.d.Status()) }
 
 // ExplainReply says how a session's upstreams rank on this box now.
 type ExplainReply struct {
@@ -191,24 +180,10 @@
 		return
 	}
 	reply.Ranking = ranking
-	writeJSON(w, reply)
+	jsonhttp.Write(w, reply)
 }
 
 func (h *Handler) drain(w http.ResponseWriter, _ *http.Request) {
 	h.d.Drain()
 	w.WriteHeader(http.StatusAccepted)
 }
-
-func writeJSON[T any](w http.ResponseWriter, value T) { writeStatusJSON(w, http.StatusOK, value) }
-
-func writeStatusJSON[T any](w http.ResponseWriter, status int, value T) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		apierror.New(http.StatusInternalServerError, "internal", "internal error").Write(w)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// A reader that is gone can't be told.
-	_, _ = w.Write(data)
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -3,18 +3,17 @@
 package peers
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/claim"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/jsonhttp"
 	"dooryard.example/dooryard/internal/platform"
 	"dooryard.example/dooryard/internal/snapshot"
 	"dooryard.example/dooryard/internal/table"
@@ -70,7 +69,7 @@
 	if page.Records == nil {
 		page.Records = []platform.Record{}
 	}
-	writeJSON(w, page)
+	jsonhttp.Write(w, page)
 }
 
 // state answers with the compressed encoding of the table in force.
@@ -96,18 +95,14 @@
 }
 
 func (h *handler) claim(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
-	var record claim.Record
-	if err == nil {
-		err = json.Unmarshal(data, &record)
-	}
+	record, err := jsonhttp.Read[claim.Record](w, r, maxRecordBytes)
 	if err != nil {
 		apierror.New(http.StatusBadRequest, "bad_claim", err.Error()).Write(w)
 		return
 	}
 	if record.Type != claim.TypeClaim {
 		h.d.Submit(record)
-		writeJSON(w, ClaimReply{})
+		jsonhttp.Write(w, ClaimReply{})
 		return
 	}
 	verdict, err := h.d.Claim(r.Context(), record)
@@ -115,18 +110,7 @@
 		apierror.New(http.StatusServiceUnavailable, "claim_unavailable", "no verdict in time").Write(w)
 		return
 	}
-	writeJSON(w, ClaimReply{Verdict: verdict})
-}
-
-func writeJSON[T any](w http.ResponseWriter, value T) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		apierror.New(http.StatusInternalServerError, "internal", "internal error").Write(w)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// A peer that is gone can't be told.
-	_, _ = w.Write(data)
+	jsonhttp.Write(w, ClaimReply{Verdict: verdict})
 }
 
 // Client calls other boxes. Its HTTP client adds the fleet's key.
@@ -140,7 +124,8 @@
 func (c Client) Read(
 	ctx context.Context, address string, from int64, limit int, waitMs clock.Millis,
 ) (platform.Page, error) {
-	return platform.Log{URL: c.Scheme + "://" + address, Client: c.Client}.Read(ctx, tablestore.Stream, from, limit, waitMs)
+	log := platform.Log{URL: c.Scheme + "://" + address, Client: c.Client}
+	return log.Read(ctx, tablestore.Stream, from, limit, waitMs)
 }
 
 // State returns the table that is in force on a peer.
@@ -174,21 +159,14 @@
 }
 
 func (c Client) call(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, c.Scheme+"://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, fmt.Errorf("peer request: %w", err)
-	}
-	response, err := c.Client.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	reply, err := jsonhttp.Call{
+		Client: c.Client, Method: method, URL: c.Scheme + "://" + address + path, Body: body, Limit: maxStateBytes,
+	}.Do(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	if reply.Status != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, reply.Status)
 	}
-	return data, nil
+	return reply.Body, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,16 +4,15 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/jsonhttp"
 )
 
 // Sentinel errors of the platform.
@@ -130,23 +129,21 @@
 // as the platform sees it now, which may lag by seconds. When nothing has
 // changed since the known list, that one comes back and costs few bytes.
 func (b BoxList) Get(ctx context.Context, domain string, known DatedList) (DatedList, error) {
-	url := b.URL + "/v1/boxes?failure_domain=" + domain
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return known, fmt.Errorf("platform request: %w", err)
-	}
+	header := http.Header{}
 	if known.version != "" {
-		request.Header.Set("If-None-Match", known.version)
+		header.Set("If-None-Match", known.version)
 	}
 	var list DatedList
-	header, status, err := exchange(b.Client, request, &list.BoxListReply)
+	reply, err := exchange(ctx, jsonhttp.Call{
+		Client: b.Client, Method: http.MethodGet, URL: b.URL + "/v1/boxes?failure_domain=" + domain, Header: header,
+	}, &list.BoxListReply)
 	if err != nil {
 		return known, err
 	}
-	if status == http.StatusNotModified {
+	if reply.Status == http.StatusNotModified {
 		return known, nil
 	}
-	list.version = header.Get("Etag")
+	list.version = reply.Header.Get("Etag")
 	return list, nil
 }
 
@@ -163,36 +160,27 @@
 }
 
 func call(ctx context.Context, client *http.Client, method, url string, body []byte, reply any) error {
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("platform request: %w", err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	_, _, err = exchange(client, request, reply)
+	_, err := exchange(ctx, jsonhttp.Call{Client: client, Method: method, URL: url, Body: body}, reply)
 	return err
 }
 
-// exchange sends a request and decodes its answer, if it has one to decode.
-func exchange(client *http.Client, request *http.Request, reply any) (http.Header, int, error) {
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
+// exchange makes a call and decodes its answer, if it has one to decode.
+func exchange(ctx context.Context, c jsonhttp.Call, value any) (jsonhttp.Reply, error) {
+	c.Limit = maxPageBytes
+	reply, err := c.Do(ctx)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return jsonhttp.Reply{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	if err := statusError(response.StatusCode); err != nil {
-		return nil, 0, err
+	if err := statusError(reply.Status); err != nil {
+		return jsonhttp.Reply{}, err
 	}
-	if reply == nil || response.StatusCode == http.StatusNotModified {
-		return response.Header, response.StatusCode, nil
+	if value == nil || reply.Status == http.StatusNotModified {
+		return reply, nil
 	}
-	if err := json.Unmarshal(data, reply); err != nil {
-		return nil, 0, fmt.Errorf("%w: reply: %w", ErrUnavailable, err)
+	if err := json.Unmarshal(reply.Body, value); err != nil {
+		return jsonhttp.Reply{}, fmt.Errorf("%w: reply: %w", ErrUnavailable, err)
 	}
-	return response.Header, response.StatusCode, nil
+	return reply, nil
 }
 
 func statusError(status int) error {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -6,12 +6,12 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 
 	"github.com/klauspost/compress/zstd"
 
+	"dooryard.example/dooryard/internal/codec"
 	"dooryard.example/dooryard/internal/table"
 )
 
@@ -48,9 +48,9 @@
 // UnmarshalJSON decodes and checks a chunk.
 func (c *Chunk) UnmarshalJSON(data []byte) error {
 	type wire Chunk
-	var decoded wire
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	decoded, err := codec.Decode[wire](data, ErrMalformed)
+	if err != nil {
+		return err
 	}
 	*c = Chunk(decoded)
 	if c.Offset < 0 || c.Count < 1 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count {
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -4,34 +4,20 @@
 package standin
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
+
+	"dooryard.example/dooryard/internal/jsonhttp"
 )
 
 const maxBodyBytes = 64 << 20
 
 // readJSON decodes a request's body, and answers 400 when it can't.
 func readJSON[T any](w http.ResponseWriter, r *http.Request, target *T) bool {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err == nil {
-		err = json.Unmarshal(data, target)
-	}
+	value, err := jsonhttp.Read[T](w, r, maxBodyBytes)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
+	*target = value
 	return true
 }
-
-// writeJSON answers with a value.
-func writeJSON[T any](w http.ResponseWriter, value T) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// A reader that is gone can't be told.
-	_, _ = w.Write(data)
-}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -15,6 +15,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
+	"dooryard.example/dooryard/internal/jsonhttp"
 )
 
 // EngineSpeed is how an engine's time goes.
@@ -210,7 +211,7 @@
 		return
 	}
 	e.SetFaults(func(current *EngineFaults) { *current = faults })
-	writeJSON(w, faults)
+	jsonhttp.Write(w, faults)
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -354,7 +355,7 @@
 	}
 	shown.AtMs -= e.speed.ReportLagMs
 	e.mu.Unlock()
-	writeJSON(w, shown)
+	jsonhttp.Write(w, shown)
 }
 
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
@@ -366,7 +367,7 @@
 	e.mu.Lock()
 	events := e.events.from(from)
 	e.mu.Unlock()
-	writeJSON(w, events)
+	jsonhttp.Write(w, events)
 }
 
 // answerWhole waits for the whole answer and sends it as one.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/jsonhttp"
 	"dooryard.example/dooryard/internal/platform"
 )
 
@@ -115,7 +116,7 @@
 		return
 	}
 	l.SetFaults(func(current *LogFaults) { *current = faults })
-	writeJSON(w, faults)
+	jsonhttp.Write(w, faults)
 }
 
 // begin applies delays and outages and tells whether the call goes on.
@@ -147,7 +148,7 @@
 		http.Error(w, "reply lost", lostStatus)
 		return
 	}
-	writeJSON(w, platform.AppendReply{Offset: offset})
+	jsonhttp.Write(w, platform.AppendReply{Offset: offset})
 }
 
 func (l *Log) take(name string, records []json.RawMessage) (offset int64, lost bool) {
@@ -222,7 +223,7 @@
 		http.Error(w, "from, limit and wait_ms must be whole numbers", http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, l.Read(r, from, min(limit, maxPageRecords), min(clock.Millis(wait), maxWaitMs)))
+	jsonhttp.Write(w, l.Read(r, from, min(limit, maxPageRecords), min(clock.Millis(wait), maxWaitMs)))
 }
 
 // Read returns the records of the stream that a request names, after waiting
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dooryard.example/dooryard/internal/engine"
+	"dooryard.example/dooryard/internal/jsonhttp"
 )
 
 // orderState is what an engine knows of its orders.
@@ -44,7 +45,7 @@
 		Models: slices.Clone(e.models), NewestToken: e.orders.newestToken, Outstanding: e.orders.outstanding,
 	}
 	e.mu.Unlock()
-	writeJSON(w, state)
+	jsonhttp.Write(w, state)
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/jsonhttp"
 	"dooryard.example/dooryard/internal/platform"
 )
 
@@ -71,7 +72,7 @@
 		return
 	}
 	s.reserved++
-	writeJSON(w, struct{}{})
+	jsonhttp.Write(w, struct{}{})
 }
 
 // Boxes is a list of boxes and upstreams that lags behind the truth.
@@ -149,7 +150,7 @@
 		return
 	}
 	w.Header().Set("Etag", version)
-	writeJSON(w, list)
+	jsonhttp.Write(w, list)
 }
 
 func (b *Boxes) serveSet(w http.ResponseWriter, r *http.Request) {
@@ -158,7 +159,7 @@
 		return
 	}
 	b.Set(func(actual *platform.BoxListReply) { *actual = list })
-	writeJSON(w, list)
+	jsonhttp.Write(w, list)
 }
 
 // ofDomain returns the part of a list that stands in a failure domain; all of it
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,6 +7,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
+	"dooryard.example/dooryard/internal/jsonhttp"
 )
 
 // Server stands in for one server of a plain service. It counts how often each
@@ -113,7 +114,7 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	writeJSON(w, ServiceReply{
+	jsonhttp.Write(w, ServiceReply{
 		Server: s.name, Method: r.Method, Path: r.URL.Path, Key: key, Body: string(body), Run: s.ledger.Runs(key),
 	})
 }
@@ -124,5 +125,5 @@
 		return
 	}
 	s.SetFaults(func(current *ServerFaults) { *current = faults })
-	writeJSON(w, faults)
+	jsonhttp.Write(w, faults)
 }
--- a/internal/table/edit.go
+++ b/internal/table/edit.go
@@ -4,10 +4,11 @@
 package table
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
+
+	"dooryard.example/dooryard/internal/codec"
 )
 
 // Sentinel errors of edits.
@@ -57,9 +58,9 @@
 // the table is the fold's decision.
 func (e *Edit) UnmarshalJSON(data []byte) error {
 	type wire Edit
-	var decoded wire
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	decoded, err := codec.Decode[wire](data, ErrMalformed)
+	if err != nil {
+		return err
 	}
 	*e = Edit(decoded)
 	return e.check()
