fix(forward): a box of another domain keeps the first box's word on repeating

Cause: the second box of a hop asked its own table whether a call may be repeated; an older table could let it try twice. Change: the hop carries the first box's decision; both must agree to repeat.

--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -303,6 +303,7 @@
 	lease := pool.NewRemoteLease(chosen.Name, chosen.PeerAddress, func(header http.Header) {
 		header.Set("Authorization", "Bearer "+b.keys.peers.Current())
 		header.Set(exchange.HeaderHop, "1")
+		header.Set(exchange.HeaderRepeatable, strconv.FormatBool(x.Repeatable))
 		header.Set(exchange.HeaderOrganisation, x.Organisation.Name)
 		header.Set(exchange.HeaderSession, x.Session)
 		header.Set(exchange.HeaderDeadline, strconv.FormatInt(int64(x.RemainingMs(b.clock.Now())), 10))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,7 +28,9 @@
 const (
 	HeaderHop          = "Dooryard-Hop"
 	HeaderOrganisation = "Dooryard-Organisation"
-	HeaderClaimed      = "Dooryard-Claimed"
+	// HeaderRepeatable tells whether the request may be repeated, as the box that
+	// took it in decided: the other's table may be older.
+	HeaderRepeatable = "Dooryard-Repeatable"
 )
 
 // Outcome says whether a request ran.
--- a/internal/localfleet/control_test.go
+++ b/internal/localfleet/control_test.go
@@ -213,6 +213,28 @@
 	})
 }
 
+func TestUnrepeatableCallsOfAnotherDomain(t *testing.T) {
+	t.Run("are sent once though its server drops answers", func(t *testing.T) {
+		run(t, func(tr *trial) {
+			tr.wait(10_000)
+			for _, s := range tr.Services() {
+				s.SetFaults(func(f *standin.ServerFaults) { f.DropAnswer = true })
+			}
+			ctx, cancel := context.WithTimeout(tr.t.Context(), (5 * clock.Second).Duration())
+			defer cancel()
+			// The server of the south leaves; requests there go to the north.
+			_, err := tr.Boxes()[0].Store().Submit(ctx, table.Edit{ID: "drain", Changes: []table.Change{{
+				Sheet: table.Upstreams, Row: tr.Services()[1].Name, Column: "state", Value: table.StateDraining,
+			}}})
+			require.NoError(tr.t, err)
+			tr.wait(1000)
+			result := tr.file(2, "k")
+			assert.EqualValues(tr.t, "unknown", result.Outcome)
+			assert.Equal(tr.t, 1, tr.Ledger.Runs("k"))
+		}, withDomains("north", "south"))
+	})
+}
+
 func TestLeavingEngine(t *testing.T) {
 	// assertNoNewWork waits the promised time and counts what still arrives.
 	assertNoNewWork := func(tr *trial, e *localfleet.EngineProcess) {
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -111,7 +111,7 @@
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Authorization": true, "Accept-Encoding": true, "Expect": true,
 	exchange.HeaderIdempotencyKey: true, exchange.HeaderHop: true, exchange.HeaderOrganisation: true,
-	exchange.HeaderClaimed: true, exchange.HeaderRequest: true, exchange.HeaderOutcome: true,
+	exchange.HeaderRepeatable: true, exchange.HeaderRequest: true, exchange.HeaderOutcome: true,
 	exchange.HeaderUpstream: true, exchange.HeaderAttempts: true,
 	"Traceparent": true, "Tracestate": true,
 }
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -80,6 +80,9 @@
 	if err := p.readTarget(x); err != nil {
 		return err
 	}
+	if x.FromPeer {
+		x.Repeatable = x.Repeatable && x.Request.Header.Get(exchange.HeaderRepeatable) == "true"
+	}
 	x.IdempotencyKey = x.Request.Header.Get(exchange.HeaderIdempotencyKey)
 	return p.readDeadline(x)
 }
