feat(load): run and latency against a running fleet

Cause: in one process callers, router and engines measured each other: added p99 came out between 7 and 460 ms.

--- a/internal/cmd/loadcmd/run.go
+++ b/internal/cmd/loadcmd/run.go
@@ -20,7 +20,8 @@
 		Name:  "run",
 		Usage: "send returning chats and unrepeatable calls to a fleet of its own and compare policies",
 		Flags: []cli.Flag{
-			jsonFlag(),
+			jsonFlag(), boxesFlag(), keyFlag(), modelFlag(),
+			&cli.StringFlag{Name: "service", Usage: "plain service of a running fleet, for unrepeatable calls"},
 			&cli.StringFlag{Name: "deployment", Value: "mares", Usage: "mares or intake"},
 			&cli.StringFlag{Name: "policies", Value: route.PolicyGrants, Usage: "policies to compare, separated by commas"},
 			&cli.FloatFlag{Name: "rate", Value: 120, Usage: "requests a second"},
@@ -59,11 +60,12 @@
 		return nil, err
 	}
 	results := []load.RunResult{}
+	target := givenTarget(c)
 	for policy := range strings.SplitSeq(c.String("policies"), ",") {
 		result, err := load.Run(ctx, load.RunPlan{
 			Deployment: deployment, Policy: policy, Seed: c.Uint64("seed"), PerSecond: c.Float("rate"),
 			LengthMs: clock.Millis(c.Int("seconds")) * clock.Second, Sessions: c.Int("sessions"),
-			Surge: c.Float("surge"), Churn: c.Bool("churn"),
+			Surge: c.Float("surge"), Churn: c.Bool("churn"), Target: target,
 		}, progress)
 		if err != nil {
 			return nil, err
@@ -73,6 +75,26 @@
 	return results, nil
 }
 
+func boxesFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "box", Usage: "callers' URL of a box of a running fleet; repeat"}
+}
+
+func keyFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "key", Sources: cli.EnvVars("DOORYARD_CALLER_KEY"), Usage: "caller's key for a running fleet",
+	}
+}
+
+func modelFlag() cli.Flag {
+	return &cli.StringFlag{Name: "model", Value: "planner", Usage: "model of a running fleet"}
+}
+
+func givenTarget(c *cli.Command) load.Target {
+	return load.Target{
+		Boxes: c.StringSlice("box"), Key: c.String("key"), Model: c.String("model"), Service: c.String("service"),
+	}
+}
+
 func deploymentNamed(name string) (load.Deployment, error) {
 	for _, deployment := range load.Deployments() {
 		if deployment.Name == name {
@@ -100,10 +122,12 @@
 		Name:  "latency",
 		Usage: "measure what a router adds to the time to the first byte, over direct, in one run",
 		Flags: []cli.Flag{
-			jsonFlag(), &cli.FloatFlag{Name: "rate", Usage: "requests a second; half of what is held when not set"},
+			jsonFlag(), boxesFlag(), keyFlag(), modelFlag(),
+			&cli.StringSliceFlag{Name: "engine", Usage: "URL of an engine of the running fleet; repeat"},
+			&cli.FloatFlag{Name: "rate", Usage: "requests a second; half of what is held when not set"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			r, err := load.Latency(ctx, c.Float("rate"))
+			r, err := load.Latency(ctx, c.Float("rate"), givenTarget(c), c.StringSlice("engine"))
 			if err != nil {
 				return err
 			}
--- a/internal/cmd/standincmd/standincmd.go
+++ b/internal/cmd/standincmd/standincmd.go
@@ -47,6 +47,8 @@
 					address, name,
 					&cli.StringSliceFlag{Name: "model", Required: true, Usage: "a model that it serves; repeat"},
 					&cli.BoolFlag{Name: "check-tokens", Usage: "refuse orders with stale fencing tokens"},
+					&cli.IntFlag{Name: "token-ms", Value: 5, Usage: "time between two tokens"},
+					&cli.IntFlag{Name: "slots", Value: 64, Usage: "requests that run at once"},
 				},
 				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c, out, newEngine(c)) },
 			},
@@ -72,7 +74,10 @@
 }
 
 func newEngine(c *cli.Command) http.Handler {
-	options := []standin.EngineOption{}
+	speed := standin.DefaultSpeed()
+	speed.TokenMs = clock.Millis(c.Int("token-ms"))
+	speed.Slots = c.Int("slots")
+	options := []standin.EngineOption{standin.WithSpeed(speed)}
 	if c.Bool("check-tokens") {
 		options = append(options, standin.WithTokenChecks())
 	}
--- a/internal/load/latency.go
+++ b/internal/load/latency.go
@@ -50,7 +50,12 @@
 
 // Latency measures the time to the first byte of small answers at a rate a
 // second, or at half of what the process holds when it is 0.
-func Latency(ctx context.Context, perSecond float64) (LatencyResult, error) {
+func Latency(ctx context.Context, perSecond float64, target Target, engineURLs []string) (LatencyResult, error) {
+	if target.Given() {
+		l := &latencyRun{aim: aimAtTarget(target), engines: engineURLs}
+		l.caller = Caller{Client: l.aim.client, Clock: clock.New()}
+		return l.measure(ctx, perSecond), nil
+	}
 	speed := standin.DefaultSpeed()
 	speed.TokenMs, speed.PrefillTokensPerMs, speed.Slots = 0, 1_000_000, 100_000
 	fleet, err := localfleet.Start(ctx, localfleet.Plan{
@@ -60,7 +65,15 @@
 	if err != nil {
 		return LatencyResult{}, err
 	}
-	l := &latencyRun{fleet: fleet, caller: Caller{Client: fleet.Client(), Clock: clock.New()}}
+	l := &latencyRun{aim: aimAtFleet(fleet), caller: Caller{Client: fleet.Client(), Clock: clock.New()}}
+	for _, e := range fleet.Engines() {
+		l.engines = append(l.engines, "http://"+e.Address)
+	}
+	result := l.measure(ctx, perSecond)
+	return result, fleet.Stop()
+}
+
+func (l *latencyRun) measure(ctx context.Context, perSecond float64) LatencyResult {
 	result := LatencyResult{Cores: runtime.NumCPU()}
 	result.HeldPerSecond, result.AllocsPerHeld = l.hold(ctx, false)
 	result.StreamsPerHeld, _ = l.hold(ctx, true)
@@ -73,30 +86,31 @@
 	const median, most = 50, 99
 	result.DirectP50Us, result.DirectP99Us = direct.ValueAtQuantile(median), direct.ValueAtQuantile(most)
 	result.RoutedP50Us, result.RoutedP99Us = routed.ValueAtQuantile(median), routed.ValueAtQuantile(most)
-	return result, fleet.Stop()
+	return result
 }
 
 type latencyRun struct {
-	fleet  *localfleet.Fleet
-	caller Caller
-	number atomic.Int64
+	aim     aim
+	engines []string
+	caller  Caller
+	number  atomic.Int64
 }
 
 func (l *latencyRun) chat(ctx context.Context, direct, stream bool) Result {
 	n := l.number.Add(1)
-	url := "http://" + l.fleet.Boxes()[0].Addresses().Callers
+	url := l.aim.urls[n%int64(len(l.aim.urls))]
 	if direct {
-		url = "http://" + l.fleet.Engines()[n%int64(len(l.fleet.Engines()))].Address
+		url = l.engines[n%int64(len(l.engines))]
 	}
 	tokens := 1
 	if stream {
 		tokens = streamedTokens
 	}
 	return l.caller.Chat(ctx, ChatRequest{
-		URL: url, Key: localfleet.CallerKey("choir"), Session: fmt.Sprint(n % 1000), Mark: "m",
+		URL: url, Key: l.aim.key("choir"), Session: fmt.Sprint(n % 1000), Mark: "m",
 		Headers: map[string]string{engine.HeaderRequestID: fmt.Sprint("direct-", n)},
 		Chat: engine.Chat{
-			Model: localfleet.Model, MaxTokens: tokens, Stream: stream,
+			Model: l.aim.model, MaxTokens: tokens, Stream: stream,
 			Messages: []engine.Message{{Role: "user", Content: "m " + fixedWords(latencyPromptLen)}},
 		},
 	})
--- /dev/null
+++ b/internal/load/target.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"net/http"
+
+	"dooryard.example/dooryard/internal/localfleet"
+)
+
+// Target is a running fleet that the load tool did not start.
+type Target struct {
+	// Boxes are the callers' URLs.
+	Boxes []string
+	// Key is the bearer key that every request carries.
+	Key string
+	// Model and Service are what requests ask for.
+	Model, Service string
+}
+
+// Given tells whether a fleet is given.
+func (t Target) Given() bool { return len(t.Boxes) > 0 }
+
+// aim is where a run's requests go.
+type aim struct {
+	urls           []string
+	key            func(organisation string) string
+	model, service string
+	client         *http.Client
+	// fleet is nil when the run did not start one.
+	fleet *localfleet.Fleet
+}
+
+const aimConnections = 512
+
+func aimAtTarget(t Target) aim {
+	return aim{
+		urls: t.Boxes, key: func(string) string { return t.Key }, model: t.Model, service: t.Service,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: aimConnections}},
+	}
+}
+
+func aimAtFleet(fleet *localfleet.Fleet) aim {
+	a := aim{
+		key: localfleet.CallerKey, model: localfleet.Model, service: localfleet.ServiceName,
+		client: fleet.Client(), fleet: fleet,
+	}
+	for _, b := range fleet.Boxes() {
+		a.urls = append(a.urls, "http://"+b.Addresses().Callers)
+	}
+	return a
+}
+
+// engines are the stand-ins of a fleet of the run's own.
+func (a aim) engines() []*localfleet.EngineProcess {
+	if a.fleet == nil {
+		return nil
+	}
+	return a.fleet.Engines()
+}
