feat(grant): sessions settle below 0.9 of the mean, among six ranks

Change: new homes only below 0.9 of the mean, six tries instead of four; the first choice of a returning session may go up to the bound.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -38,7 +38,7 @@
 	return Target{
 		Boxes: 2500, Domains: 28, Engines: 10_000, RequestsPerSecond: 59_000,
 		Sessions: 22_000_000, Organisations: 37_000, EditsPerDay: 14_000, RestartsPerDay: 3500,
-		AsksPerRequest: 1.45, NewsPerRequest: 0.15, UnrepeatablePart: 0.002, ClaimWindowSeconds: 3600,
+		AsksPerRequest: 2.0, NewsPerRequest: 0.15, UnrepeatablePart: 0.002, ClaimWindowSeconds: 3600,
 		HeldOutsideFirstChoice: 0.6, EngineReportsPerSecond: 0.5, ListPollsPerSecond: 0.6,
 		BytesPerEngineReport: 420, BytesPerListPoll: 330, BytesPerTableRead: 1000, TableReadsPerSecondIdle: 0.1,
 		BytesPerBridgeMessage: 150, BridgeMessagesPerDomain: 2,
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -75,7 +75,7 @@
 	Held int
 	// Total is what the box runs on the whole pool if it gets the slot.
 	Total int
-	// Settle asks for a slot only where the load is not above the mean.
+	// Settle asks for a slot only where the load is below the mean.
 	Settle bool
 }
 
@@ -103,7 +103,7 @@
 	l.expire(h, now)
 	mean := l.mean(s, now)
 	over = h.sum - min(Limit(mean, s.BoundPercent), s.Slots)
-	if over <= 0 && (!a.Settle || float64(h.sum) <= math.Ceil(mean)) {
+	if over <= 0 && (!a.Settle || float64(h.sum) <= math.Ceil(settlePart*mean)) {
 		return true, over
 	}
 	h.set(a.Box, a.Held-1, now)
@@ -164,6 +164,11 @@
 	return load * s.Part
 }
 
+// settlePart is how full, as a part of the mean, an upstream may be for a session
+// that gets a new home there. Below the mean, later turns of the sessions that are
+// already there find room.
+const settlePart = 0.9
+
 // smallMean is the mean below which the bound is rounded up: there a whole
 // request is more than an eighth of the mean, and rounding down would leave
 // upstreams no room above the mean at all.
--- a/internal/grant/search.go
+++ b/internal/grant/search.go
@@ -26,8 +26,8 @@
 	// Want is not set when the place itself takes nothing now, so that only its
 	// owner's memory is asked for.
 	Want bool
-	// Settle asks for a slot only where the load is not above the mean: a
-	// session that gets a new home should not be moved off it soon.
+	// Settle asks for a slot only where the load is below the mean: a session
+	// that gets a new home should not be moved off it soon.
 	Settle bool
 }
 
@@ -41,7 +41,9 @@
 	lookup bool
 	// home is set while the place to ask next is one where the session may be
 	// warm.
-	home   bool
+	home bool
+	// fresh is set for a session that can't be warm anywhere.
+	fresh  bool
 	at     int
 	denied []denial
 	asks   int
@@ -58,14 +60,14 @@
 	MaxAsks = 8
 	// settleTries is how many places a session without a home tries below the
 	// mean before it takes any within the bound.
-	settleTries = 4
+	settleTries = 6
 )
 
 // NewSearch begins a search for a session through the open places in the order of
 // their rank. First is the first choice even if it is not open: its owner
 // remembers the session. Fresh is set for a session that can't be warm anywhere.
 func NewSearch(first Place, open []Place, fresh bool) *Search {
-	s := &Search{order: slices.Clone(open), first: first, lookup: !fresh}
+	s := &Search{order: slices.Clone(open), first: first, lookup: !fresh, fresh: fresh}
 	s.home = !fresh && s.firstIsOpen()
 	return s
 }
@@ -84,11 +86,16 @@
 		return Question{Place: s.first, Lookup: true, Want: s.home}, true
 	}
 	if s.at < min(settleTries, len(s.order)) {
-		return Question{Place: s.order[s.at], Want: true, Settle: !s.home}, true
+		place := s.order[s.at]
+		return Question{Place: place, Want: true, Settle: !s.mayBeWarm(place)}, true
 	}
 	return s.nextDenied()
 }
 
+// mayBeWarm tells whether a place holds the session's newest prefix, or, as the
+// first choice of a returning one, maybe an older.
+func (s *Search) mayBeWarm(place Place) bool { return s.home || place == s.first && !s.fresh }
+
 // nextDenied goes through the places again, the least loaded first, now taking
 // any that stays within the bound.
 func (s *Search) nextDenied() (Question, bool) {
