test: a claimant that wakes after its key was forgotten sends nothing

Cause: the pause past a claim's window was tested at the connection only. Change: connections of one host may open late in the test network; a box whose connection opens after its key's window must not send.

--- a/internal/localfleet/edges_test.go
+++ b/internal/localfleet/edges_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -70,6 +71,32 @@
 	})
 }
 
+func TestPausedClaimant(t *testing.T) {
+	t.Run("that wakes after its key was forgotten sends nothing", func(t *testing.T) {
+		run(t, func(tr *trial) {
+			tr.wait(3000)
+			paused, server := tr.Boxes()[0].Name, tr.Services()[0].Name
+			tr.network.SetDialDelay(func(from, to string) time.Duration {
+				if from == paused && to == server {
+					return (6 * clock.Second).Duration()
+				}
+				return 0
+			})
+			results := make(chan load.Result, 1)
+			go func() { results <- tr.file(0, "k") }()
+			// The key's window of 2 s passes; the second request wins it anew.
+			tr.wait(4000)
+			assert.Equal(tr.t, load.Whole, tr.file(1, "k").Verdict)
+			first := <-results
+			assert.EqualValues(tr.t, "not-run", first.Outcome, "%+v", first)
+			assert.Equal(tr.t, 1, tr.Ledger.Runs("k"))
+		}, withSettings(func(s *config.Router) {
+			s.Claim.WindowMs = 2000
+			s.Retry.ConnectTimeoutMs = 10_000
+		}))
+	})
+}
+
 func TestTLSBetweenBoxes(t *testing.T) {
 	dir := t.TempDir()
 	files := config.TLS{CertificateFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key")}
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -27,6 +27,7 @@
 	packets   map[string]*packetConn
 	owners    map[string]string
 	cut       func(from, to string) bool
+	delay     func(from, to string) time.Duration
 	lose      func() bool
 	conns     map[*conn]struct{}
 }
@@ -36,7 +37,8 @@
 	return &Network{
 		port: firstPort, listeners: map[string]*listener{}, packets: map[string]*packetConn{},
 		owners: map[string]string{}, conns: map[*conn]struct{}{},
-		cut: func(string, string) bool { return false }, lose: func() bool { return false },
+		delay: func(string, string) time.Duration { return 0 },
+		cut:   func(string, string) bool { return false }, lose: func() bool { return false },
 	}
 }
 
@@ -59,6 +61,14 @@
 	}
 }
 
+// SetDialDelay lets connections from one host to another open only after a span,
+// whatever the caller's patience, as a host that is paused meanwhile would see it.
+func (n *Network) SetDialDelay(delay func(from, to string) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
 // SetLoss loses datagrams for which the function returns true.
 func (n *Network) SetLoss(lose func() bool) {
 	n.mu.Lock()
@@ -99,8 +109,11 @@
 func (h Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n := h.network
 	n.mu.Lock()
-	l, owner, cut := n.listeners[address], n.owners[address], n.cut
+	l, owner, cut, delay := n.listeners[address], n.owners[address], n.cut, n.delay
 	n.mu.Unlock()
+	if span := delay(h.name, owner); span > 0 {
+		time.Sleep(span)
+	}
 	if cut(h.name, owner) {
 		return nil, errCut
 	}
