--- a/internal/cmd/operatorcmd/fleet.go
+++ b/internal/cmd/operatorcmd/fleet.go
@@ -222,19 +222,16 @@
 func (p *program) setUpstreamState(
 	ctx context.Context, c *cli.Command, client opclient.Client, name, state string,
 ) error {
-	reply, err := client.Table(ctx)
-	if err != nil {
-		return err
-	}
-	sheet, err := sheetOf(reply, table.Upstreams)
+	sheet, err := client.Rows(ctx, table.Upstreams, name)
 	if err != nil {
 		return err
 	}
 	if _, found := newestOf(sheet, name); !found {
 		return fmt.Errorf("%w: upstream %q: not in the table", exit.ErrUsage, name)
 	}
-	current := cellOf(reply, []string{table.Upstreams, name, "state"})
-	return p.submit(ctx, c, client, []table.Change{{
-		Sheet: table.Upstreams, Row: name, Column: "state", Value: state, BasedOn: current.Revision,
-	}})
+	changes := []table.Change{{Sheet: table.Upstreams, Row: name, Column: "state", Value: state}}
+	if err := baseOnCurrent(ctx, client, changes); err != nil {
+		return err
+	}
+	return p.submit(ctx, c, client, changes)
 }
--- a/internal/cmd/operatorcmd/table.go
+++ b/internal/cmd/operatorcmd/table.go
@@ -79,11 +79,10 @@
 		return err
 	}
 	parts := strings.SplitN(path, "/", 3)
-	reply, err := client.Table(ctx)
-	if err != nil {
+	if err := checkSheet(parts[0]); err != nil {
 		return err
 	}
-	sheet, err := sheetOf(reply, parts[0])
+	sheet, err := client.Rows(ctx, parts[0], parts[1:min(2, len(parts))]...)
 	if err != nil {
 		return err
 	}
@@ -102,13 +101,20 @@
 	return w.Flush()
 }
 
+func checkSheet(name string) error {
+	if len(table.Columns(name)) == 0 {
+		return fmt.Errorf("%w: sheet %q: unknown, have %v", exit.ErrUsage, name, table.SheetNames())
+	}
+	return nil
+}
+
 func sheetOf(reply operators.TableReply, name string) (operators.Sheet, error) {
 	for _, sheet := range reply.Sheets {
 		if sheet.Name == name {
 			return sheet, nil
 		}
 	}
-	return operators.Sheet{}, fmt.Errorf("%w: sheet %q: unknown, have %v", exit.ErrUsage, name, table.SheetNames())
+	return operators.Sheet{}, checkSheet(name)
 }
 
 // printRow prints a row's cells with their revisions, or one cell's value alone.
@@ -135,10 +141,6 @@
 	if c.Args().Len() == 0 {
 		return fmt.Errorf("%w: set: needs SHEET/ROW/COLUMN=VALUE", exit.ErrUsage)
 	}
-	reply, err := client.Table(ctx)
-	if err != nil {
-		return err
-	}
 	changes := []table.Change{}
 	for _, argument := range c.Args().Slice() {
 		address, value, found := strings.Cut(argument, "=")
@@ -149,14 +151,34 @@
 		if err := table.CheckCell(parts[0], parts[1], parts[2], value); err != nil {
 			return fmt.Errorf("%w: %w", exit.ErrUsage, err)
 		}
-		changes = append(changes, table.Change{
-			Sheet: parts[0], Row: parts[1], Column: parts[2], Value: value,
-			BasedOn: cellOf(reply, parts).Revision,
-		})
+		changes = append(changes, table.Change{Sheet: parts[0], Row: parts[1], Column: parts[2], Value: value})
+	}
+	if err := baseOnCurrent(ctx, client, changes); err != nil {
+		return err
 	}
 	return p.submit(ctx, c, client, changes)
 }
 
+// baseOnCurrent bases changes of cells on the revisions that they have now.
+func baseOnCurrent(ctx context.Context, client opclient.Client, changes []table.Change) error {
+	rows := map[string][]string{}
+	for _, change := range changes {
+		rows[change.Sheet] = append(rows[change.Sheet], change.Row)
+	}
+	reply := operators.TableReply{}
+	for name, names := range rows {
+		sheet, err := client.Rows(ctx, name, names...)
+		if err != nil {
+			return err
+		}
+		reply.Sheets = append(reply.Sheets, sheet)
+	}
+	for i, change := range changes {
+		changes[i].BasedOn = cellOf(reply, []string{change.Sheet, change.Row, change.Column}).Revision
+	}
+	return nil
+}
+
 // cellOf returns the cell at sheet, row and column; the zero cell if none is.
 func cellOf(reply operators.TableReply, parts []string) table.Cell {
 	sheet, err := sheetOf(reply, parts[0])
@@ -177,14 +199,13 @@
 }
 
 func (p *program) tableRemove(ctx context.Context, c *cli.Command, client opclient.Client) error {
-	reply, err := client.Table(ctx)
-	if err != nil {
-		return err
-	}
 	changes := []table.Change{}
 	for _, address := range c.Args().Slice() {
 		sheetName, rowName, _ := strings.Cut(address, "/")
-		sheet, err := sheetOf(reply, sheetName)
+		if err := checkSheet(sheetName); err != nil {
+			return err
+		}
+		sheet, err := client.Rows(ctx, sheetName, rowName)
 		if err != nil {
 			return err
 		}
--- a/internal/opclient/opclient.go
+++ b/internal/opclient/opclient.go
@@ -50,6 +50,19 @@
 	return get[operators.TableReply](ctx, c, "/v1/table")
 }
 
+// Rows returns the named rows of a sheet, those that there are; all without names.
+func (c Client) Rows(ctx context.Context, sheet string, rows ...string) (operators.Sheet, error) {
+	query := url.Values{"sheet": {sheet}, "row": rows}
+	reply, err := get[operators.TableReply](ctx, c, "/v1/table?"+query.Encode())
+	if err != nil {
+		return operators.Sheet{}, err
+	}
+	if len(reply.Sheets) != 1 {
+		return operators.Sheet{}, fmt.Errorf("%w: reply holds %d sheets", ErrUnreachable, len(reply.Sheets))
+	}
+	return reply.Sheets[0], nil
+}
+
 // History returns the newest accepted edits, oldest first.
 func (c Client) History(ctx context.Context) ([]table.HistoryEntry, error) {
 	return get[[]table.HistoryEntry](ctx, c, "/v1/table/history")
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -76,21 +76,43 @@
 	Cells []table.Cell `json:"cells"`
 }
 
-// NewTableReply returns the operators' form of a state.
+// NewTableReply returns the operators' form of a whole state.
 func NewTableReply(state *table.State) TableReply {
 	reply := TableReply{Offset: state.Offset(), Sheets: []Sheet{}}
 	for _, name := range table.SheetNames() {
-		sheet := Sheet{Name: name, Columns: table.Columns(name), Rows: []Row{}}
-		for _, row := range state.RowNames(name) {
-			sheet.Rows = append(sheet.Rows, Row{Name: row, Cells: state.Row(name, row)})
-		}
-		reply.Sheets = append(reply.Sheets, sheet)
+		reply.Sheets = append(reply.Sheets, newSheet(state, name, state.RowNames(name)))
 	}
 	return reply
 }
 
-func (h *Handler) table(w http.ResponseWriter, _ *http.Request) {
-	jsonhttp.Write(w, NewTableReply(h.d.Store.State()))
+func newSheet(state *table.State, name string, rows []string) Sheet {
+	sheet := Sheet{Name: name, Columns: table.Columns(name), Rows: []Row{}}
+	for _, row := range rows {
+		if cells := state.Row(name, row); cells != nil {
+			sheet.Rows = append(sheet.Rows, Row{Name: row, Cells: cells})
+		}
+	}
+	return sheet
+}
+
+// table answers with all sheets, or with the sheet and rows that the query names:
+// a large table takes megabytes.
+func (h *Handler) table(w http.ResponseWriter, r *http.Request) {
+	state, query := h.d.Store.State(), r.URL.Query()
+	name := query.Get("sheet")
+	if name == "" {
+		jsonhttp.Write(w, NewTableReply(state))
+		return
+	}
+	if len(table.Columns(name)) == 0 {
+		apierror.New(http.StatusNotFound, "unknown_sheet", "sheet: unknown").Write(w)
+		return
+	}
+	rows := query["row"]
+	if len(rows) == 0 {
+		rows = state.RowNames(name)
+	}
+	jsonhttp.Write(w, TableReply{Offset: state.Offset(), Sheets: []Sheet{newSheet(state, name, rows)}})
 }
 
 func (h *Handler) history(w http.ResponseWriter, _ *http.Request) {
