refactor: the field's names for members, sums, back-off and destinations

Cause: spot, bridge, resting and aim were words of our own. Change: pool.Member, TellSums and sumsLoop, back-off, destination; the platform's exchange is roundTrip. Conclusion: no behaviour changed.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -223,7 +223,7 @@
 	b.running.Go(func() { b.socket.Run(ctx) })
 	b.running.Go(func() { b.gossip.Run(ctx) })
 	b.running.Go(func() { b.pollLists(ctx) })
-	b.running.Go(func() { b.bridgeLoop(ctx) })
+	b.running.Go(func() { b.sumsLoop(ctx) })
 	b.running.Go(func() { b.lease.Run(ctx) })
 	b.running.Go(func() { b.watchEngines(ctx) })
 	b.running.Go(func() { b.giveOrders(ctx) })
--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -150,12 +150,12 @@
 	return 0
 }
 
-// bridgeLoop tells the other failure domains the sums of this one. The boxes take
+// sumsLoop tells the other failure domains the sums of this one. The boxes take
 // turns, so that each spends little on it.
-func (b *Box) bridgeLoop(ctx context.Context) {
-	b.clock.Every(ctx, bridgeMs, func(now clock.Millis) {
+func (b *Box) sumsLoop(ctx context.Context) {
+	b.clock.Every(ctx, sumsMs, func(now clock.Millis) {
 		live := b.gossip.Live()
-		if len(live) == 0 || live[int(now/bridgeMs)%len(live)] != b.settings.Box {
+		if len(live) == 0 || live[int(now/sumsMs)%len(live)] != b.settings.Box {
 			return
 		}
 		sums := b.domainSums()
@@ -163,16 +163,16 @@
 		elsewhere := b.listedElsewhere()
 		rand.Shuffle(len(elsewhere), func(i, j int) { elsewhere[i], elsewhere[j] = elsewhere[j], elsewhere[i] })
 		for _, listed := range elsewhere {
-			if told[listed.FailureDomain] < bridgeFanout {
+			if told[listed.FailureDomain] < sumsFanout {
 				told[listed.FailureDomain]++
-				b.gossip.Bridge(listed.GossipAddress, membership.NewID(b.settings.FailureDomain), sums)
+				b.gossip.TellSums(listed.GossipAddress, membership.NewID(b.settings.FailureDomain), sums)
 			}
 		}
 	})
 }
 
-// bridgeFanout is how many boxes of another domain hear the sums directly.
-const bridgeFanout = 2
+// sumsFanout is how many boxes of another domain hear the sums directly.
+const sumsFanout = 2
 
 // domainSums adds up what the boxes of this domain tell.
 func (b *Box) domainSums() membership.Facts {
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -34,7 +34,7 @@
 	listPollMs      = 2 * clock.Second
 	// otherDomainEvery is how many polls pass between two of other domains.
 	otherDomainEvery = 5
-	bridgeMs         = clock.Second
+	sumsMs           = clock.Second
 	domainFactsMs    = 20 * clock.Second
 	peerFailMs       = 5 * clock.Second
 	// foreignMs is how long a box of another domain counts after it was in touch.
--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -22,8 +22,8 @@
 	BytesPerListPoll        float64
 	BytesPerTableRead       float64
 	TableReadsPerSecondIdle float64
-	BytesPerBridgeMessage   float64
-	BridgeMessagesPerDomain float64
+	BytesPerSumsMessage     float64
+	SumsMessagesPerDomain   float64
 	BytesPerClaimToGatherer float64
 	BytesPerClaimAtGatherer float64
 	// HTTPCallsPerClaim are those of a claim and its end: to the gatherer, and
@@ -41,7 +41,7 @@
 		AsksPerRequest: 2.0, NewsPerRequest: 0.15, UnrepeatablePart: 0.002, ClaimWindowSeconds: 3600,
 		HeldOutsideFirstChoice: 0.6, EngineReportsPerSecond: 0.5, ListPollsPerSecond: 0.6,
 		BytesPerEngineReport: 420, BytesPerListPoll: 330, BytesPerTableRead: 1000, TableReadsPerSecondIdle: 0.1,
-		BytesPerBridgeMessage: 150, BridgeMessagesPerDomain: 2,
+		BytesPerSumsMessage: 150, SumsMessagesPerDomain: 2,
 		BytesPerClaimToGatherer: 1500, BytesPerClaimAtGatherer: 2600,
 		HTTPCallsPerClaim: 6,
 	}
@@ -77,7 +77,7 @@
 	const ends = 2
 	b.datagram = perCall(slopes, DatagramCost) / ends
 	b.call = perCall(slopes, HTTPCallCost) / ends
-	return []Role{b.membership(), b.bridge(), b.grants(), b.reports(), b.list(), b.table(), b.claims(), b.routing()}
+	return []Role{b.membership(), b.sums(), b.grants(), b.reports(), b.list(), b.table(), b.claims(), b.routing()}
 }
 
 type budget struct {
@@ -117,12 +117,12 @@
 	}
 }
 
-// bridge is the sums that failure domains tell each other, over all boxes.
-func (b budget) bridge() Role {
-	messages := 2 * b.t.BridgeMessagesPerDomain * (b.t.Domains - 1) / b.domainBoxes
+// sums are the sums that failure domains tell each other, over all boxes.
+func (b budget) sums() Role {
+	messages := 2 * b.t.SumsMessagesPerDomain * (b.t.Domains - 1) / b.domainBoxes
 	return Role{
-		Name: "sums between failure domains", Package: "internal/box (bridge)",
-		BytesPerSecond: messages * b.t.BytesPerBridgeMessage,
+		Name: "sums between failure domains", Package: "internal/box (sumsLoop)",
+		BytesPerSecond: messages * b.t.BytesPerSumsMessage,
 		CorePercent:    perSecondPercent(messages, b.datagram),
 	}
 }
--- a/internal/grant/agent.go
+++ b/internal/grant/agent.go
@@ -21,8 +21,8 @@
 	resendMs clock.Millis = 12
 	// askTimeoutMs is when a question is given up.
 	askTimeoutMs clock.Millis = 30
-	// restMs is how long an owner that did not answer is not asked.
-	restMs = clock.Second
+	// backoffMs is how long an owner that did not answer is not asked.
+	backoffMs = clock.Second
 )
 
 // Owner is the box that owns a place.
@@ -47,7 +47,7 @@
 	directory *Directory
 	sequence  uint16
 	waiting   map[uint16]chan Reply
-	resting   map[string]clock.Millis
+	backoff   map[string]clock.Millis
 }
 
 // NewAgent returns an agent. Send sends a body on the channel; standing tells
@@ -59,7 +59,7 @@
 	return &Agent{
 		box: box, send: send, standing: standing, clock: c, logger: logger,
 		ledger: NewLedger(DefaultSettings()), directory: NewDirectory(),
-		waiting: map[uint16]chan Reply{}, resting: map[string]clock.Millis{},
+		waiting: map[uint16]chan Reply{}, backoff: map[string]clock.Millis{},
 	}
 }
 
@@ -82,7 +82,7 @@
 	if owner.Self {
 		return usable(a.answer(message))
 	}
-	if owner.Address == "" || a.rests(owner.Name) {
+	if owner.Address == "" || a.backsOff(owner.Name) {
 		return Reply{}, ErrNoAnswer
 	}
 	return a.askRemote(ctx, owner, message)
@@ -154,7 +154,7 @@
 		}
 	}
 	if ctx.Err() == nil {
-		a.rest(owner.Name)
+		a.backOff(owner.Name)
 		a.logger.Debug("owner gave no answer", zap.String("owner", owner.Name))
 	}
 	return Reply{}, ErrNoAnswer
@@ -176,16 +176,16 @@
 	delete(a.waiting, sequence)
 }
 
-func (a *Agent) rests(owner string) bool {
+func (a *Agent) backsOff(owner string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.clock.Now() < a.resting[owner]
+	return a.clock.Now() < a.backoff[owner]
 }
 
-func (a *Agent) rest(owner string) {
+func (a *Agent) backOff(owner string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.resting[owner] = a.clock.Now() + restMs
+	a.backoff[owner] = a.clock.Now() + backoffMs
 }
 
 // Hold tells a place's owner what this box runs there.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -108,7 +108,7 @@
 		}
 		require.NoError(t, enter(t.Context(), q, "a"))
 		_, err := q.Enter(t.Context(), flow("b"), now+100)
-		require.ErrorIs(t, err, ErrHopeless)
+		require.ErrorIs(t, err, ErrDeadline)
 		assert.Positive(t, q.ExpectedWaitMs(flow("b")))
 	})
 	t.Run("lets waiting ones in when room grows", func(t *testing.T) {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -16,8 +16,8 @@
 	ErrQueueFull = errors.New("queue full")
 	// ErrWaitedTooLong means that the longest wait passed.
 	ErrWaitedTooLong = errors.New("waited too long")
-	// ErrHopeless means that the deadline would pass before the turn comes.
-	ErrHopeless = errors.New("deadline would pass in the queue")
+	// ErrDeadline means that the deadline would pass before the turn comes.
+	ErrDeadline = errors.New("deadline would pass in the queue")
 )
 
 // QueueSettings bound a queue.
@@ -101,7 +101,7 @@
 		return nil, ErrQueueFull
 	}
 	if wait := q.expectedWait(flow); q.now()+wait > deadline {
-		return nil, ErrHopeless
+		return nil, ErrDeadline
 	}
 	q.waiting.push(w)
 	q.admit()
--- a/internal/load/latency.go
+++ b/internal/load/latency.go
@@ -52,8 +52,8 @@
 // second, or at half of what the process holds when it is 0.
 func Latency(ctx context.Context, perSecond float64, target Target, engineURLs []string) (LatencyResult, error) {
 	if target.Given() {
-		l := &latencyRun{aim: aimAtTarget(target), engines: engineURLs}
-		l.caller = Caller{Client: l.aim.client, Clock: clock.New()}
+		l := &latencyRun{to: destinationOf(target), engines: engineURLs}
+		l.caller = Caller{Client: l.to.client, Clock: clock.New()}
 		return l.measure(ctx, perSecond), nil
 	}
 	speed := standin.DefaultSpeed()
@@ -65,7 +65,7 @@
 	if err != nil {
 		return LatencyResult{}, err
 	}
-	l := &latencyRun{aim: aimAtFleet(fleet), caller: Caller{Client: fleet.Client(), Clock: clock.New()}}
+	l := &latencyRun{to: fleetDestination(fleet), caller: Caller{Client: fleet.Client(), Clock: clock.New()}}
 	for _, e := range fleet.Engines() {
 		l.engines = append(l.engines, "http://"+e.Address)
 	}
@@ -90,7 +90,7 @@
 }
 
 type latencyRun struct {
-	aim     aim
+	to      destination
 	engines []string
 	caller  Caller
 	number  atomic.Int64
@@ -98,7 +98,7 @@
 
 func (l *latencyRun) chat(ctx context.Context, direct, stream bool) Result {
 	n := l.number.Add(1)
-	url := l.aim.urls[n%int64(len(l.aim.urls))]
+	url := l.to.urls[n%int64(len(l.to.urls))]
 	if direct {
 		url = l.engines[n%int64(len(l.engines))]
 	}
@@ -107,10 +107,10 @@
 		tokens = streamedTokens
 	}
 	return l.caller.Chat(ctx, ChatRequest{
-		URL: url, Key: l.aim.key("choir"), Session: fmt.Sprint(n % 1000), Mark: "m",
+		URL: url, Key: l.to.key("choir"), Session: fmt.Sprint(n % 1000), Mark: "m",
 		Headers: map[string]string{engine.HeaderRequestID: fmt.Sprint("direct-", n)},
 		Chat: engine.Chat{
-			Model: l.aim.model, MaxTokens: tokens, Stream: stream,
+			Model: l.to.model, MaxTokens: tokens, Stream: stream,
 			Messages: []engine.Message{{Role: "user", Content: "m " + fixedWords(latencyPromptLen)}},
 		},
 	})
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -106,7 +106,7 @@
 // Run runs a plan against a fleet of its own and tells progress each second.
 func Run(ctx context.Context, plan RunPlan, progress io.Writer) (RunResult, error) {
 	if plan.Target.Given() {
-		r := newRunner(plan, aimAtTarget(plan.Target))
+		r := newRunner(plan, destinationOf(plan.Target))
 		r.run(ctx, progress)
 		return r.result(), nil
 	}
@@ -119,7 +119,7 @@
 	if err != nil {
 		return RunResult{}, err
 	}
-	r := newRunner(plan, aimAtFleet(fleet))
+	r := newRunner(plan, fleetDestination(fleet))
 	r.run(ctx, progress)
 	result := r.result()
 	return result, fleet.Stop()
@@ -135,7 +135,7 @@
 
 type runner struct {
 	plan    RunPlan
-	aim     aim
+	to      destination
 	caller  Caller
 	random  *rand.Rand
 	chats   *Tally
@@ -160,9 +160,9 @@
 	busy         bool
 }
 
-func newRunner(plan RunPlan, a aim) *runner {
+func newRunner(plan RunPlan, a destination) *runner {
 	r := &runner{
-		plan: plan, aim: a, random: rand.New(rand.NewPCG(plan.Seed, plan.Seed)),
+		plan: plan, to: a, random: rand.New(rand.NewPCG(plan.Seed, plan.Seed)),
 		caller: Caller{Client: a.client, Clock: clock.New()}, chats: NewTally(), filings: NewTally(),
 		skew: newSkewMeter(a.engines()),
 	}
@@ -188,7 +188,7 @@
 	r.began = r.caller.Clock.Now()
 	stop := make(chan struct{})
 	r.group.Go(func() { r.watch(ctx, stop, progress) })
-	if r.plan.Churn && r.aim.fleet != nil {
+	if r.plan.Churn && r.to.fleet != nil {
 		r.group.Go(func() { r.churn(ctx, stop) })
 	}
 	due := 0.0
@@ -221,8 +221,8 @@
 }
 
 func (r *runner) send(ctx context.Context, number int, due clock.Millis) {
-	box := r.random.IntN(len(r.aim.urls))
-	if r.aim.service != "" && r.random.Float64() < r.plan.Deployment.FilingPart {
+	box := r.random.IntN(len(r.to.urls))
+	if r.to.service != "" && r.random.Float64() < r.plan.Deployment.FilingPart {
 		key := fmt.Sprintf("filing-%d", number)
 		r.mu.Lock()
 		r.keys = append(r.keys, key)
@@ -263,7 +263,7 @@
 }
 
 func (r *runner) boxURL(box int) string {
-	return r.aim.urls[box%len(r.aim.urls)]
+	return r.to.urls[box%len(r.to.urls)]
 }
 
 func (r *runner) chat(ctx context.Context, box int, s *runSession, due clock.Millis) {
@@ -271,9 +271,9 @@
 	for try := range runTries {
 		late := r.caller.Clock.Now() - due
 		result := r.caller.Chat(ctx, ChatRequest{
-			URL: r.boxURL(box + try), Key: r.aim.key(s.organisation), Session: s.id, Mark: mark,
+			URL: r.boxURL(box + try), Key: r.to.key(s.organisation), Session: s.id, Mark: mark,
 			DeadlineMs: runDeadlineMs,
-			Chat:       engine.Chat{Model: r.aim.model, Messages: s.messages, Stream: true, MaxTokens: runTokens},
+			Chat:       engine.Chat{Model: r.to.model, Messages: s.messages, Stream: true, MaxTokens: runTokens},
 		})
 		r.chats.AddLate(result, max(0, late))
 		if result.Verdict == Whole || ctx.Err() != nil {
@@ -291,8 +291,8 @@
 	for try := range runTries {
 		late := r.caller.Clock.Now() - due
 		result := r.caller.File(ctx, Filing{
-			URL: r.boxURL(box + try), Key: r.aim.key(r.plan.Deployment.Organisations[0].Name),
-			Service: r.aim.service, Path: "/filings", Idempotent: key, Body: "report " + key,
+			URL: r.boxURL(box + try), Key: r.to.key(r.plan.Deployment.Organisations[0].Name),
+			Service: r.to.service, Path: "/filings", Idempotent: key, Body: "report " + key,
 			DeadlineMs: runDeadlineMs,
 		})
 		r.filings.AddLate(result, max(0, late))
@@ -326,7 +326,7 @@
 // back, in turn.
 func (r *runner) churn(ctx context.Context, stop <-chan struct{}) {
 	const awayMs = 4 * clock.Second
-	engines := r.aim.engines()
+	engines := r.to.engines()
 	for i := 0; ; i++ {
 		e := engines[i*7%len(engines)]
 		e.SetLeaving(true)
@@ -357,7 +357,7 @@
 	result.Breaches = append(result.Chats.Breaches(), result.Filings.Breaches()...)
 	doubled := 0
 	for _, key := range r.keys {
-		if r.aim.fleet != nil && r.aim.fleet.Ledger.Runs(key) > 1 {
+		if r.to.fleet != nil && r.to.fleet.Ledger.Runs(key) > 1 {
 			doubled++
 		}
 	}
@@ -377,10 +377,10 @@
 
 func (r *runner) controlBytes() map[string]controlBytes {
 	all := map[string]controlBytes{}
-	if r.aim.fleet == nil {
+	if r.to.fleet == nil {
 		return all
 	}
-	for _, b := range r.aim.fleet.Boxes() {
+	for _, b := range r.to.fleet.Boxes() {
 		v := b.Metrics().Values()
 		all[b.Name] = controlBytes{
 			gossip: v["gossip_sent_bytes"] + v["gossip_received_bytes"],
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -19,8 +19,8 @@
 // Given tells whether a fleet is given.
 func (t Target) Given() bool { return len(t.Boxes) > 0 }
 
-// aim is where a run's requests go.
-type aim struct {
+// destination is where a run's requests go.
+type destination struct {
 	urls           []string
 	key            func(organisation string) string
 	model, service string
@@ -29,17 +29,17 @@
 	fleet *localfleet.Fleet
 }
 
-const aimConnections = 512
+const destinationConnections = 512
 
-func aimAtTarget(t Target) aim {
-	return aim{
+func destinationOf(t Target) destination {
+	return destination{
 		urls: t.Boxes, key: func(string) string { return t.Key }, model: t.Model, service: t.Service,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: aimConnections}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: destinationConnections}},
 	}
 }
 
-func aimAtFleet(fleet *localfleet.Fleet) aim {
-	a := aim{
+func fleetDestination(fleet *localfleet.Fleet) destination {
+	a := destination{
 		key: localfleet.CallerKey, model: localfleet.Model, service: localfleet.ServiceName,
 		client: fleet.Client(), fleet: fleet,
 	}
@@ -50,7 +50,7 @@
 }
 
 // engines are the stand-ins of a fleet of the run's own.
-func (a aim) engines() []*localfleet.EngineProcess {
+func (a destination) engines() []*localfleet.EngineProcess {
 	if a.fleet == nil {
 		return nil
 	}
--- a/internal/membership/beyond.go
+++ b/internal/membership/domains.go
@@ -61,11 +61,11 @@
 	return found
 }
 
-// Bridge tells the box at an address, of another failure domain, the sums of
+// TellSums tells the box at an address, of another failure domain, the sums of
 // this one. The version is the time in seconds, so that any box may tell them.
-func (n *Node) Bridge(address string, domain ID, now clock.Millis, sums Facts) []Outgoing {
+func (n *Node) TellSums(address string, domain ID, now clock.Millis, sums Facts) []Outgoing {
 	n.sequence++
-	p := n.packet(kindBridge, n.sequence)
+	p := n.packet(kindSums, n.sequence)
 	p.Updates = []update{{ID: n.id, Incarnation: n.incarnation, Status: Alive, Box: &n.self}}
 	p.Facts = []factEntry{{ID: domain, Version: uint32(now / clock.Second), Facts: sums}}
 	return n.send(address, p)
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -164,10 +164,10 @@
 	return g.node.Foreign(g.clock.Now(), span)
 }
 
-// Bridge tells a box of another failure domain the sums of this one.
-func (g *Gossip) Bridge(address string, domain ID, sums Facts) {
+// TellSums tells a box of another failure domain the sums of this one.
+func (g *Gossip) TellSums(address string, domain ID, sums Facts) {
 	g.mu.Lock()
-	out := g.node.Bridge(address, domain, g.clock.Now(), sums)
+	out := g.node.TellSums(address, domain, g.clock.Now(), sums)
 	g.mu.Unlock()
 	g.send(out)
 }
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -257,7 +257,7 @@
 	t.Run("of another domain are kept for a while", func(t *testing.T) {
 		d := newDomain(t, 2)
 		far := NewNode(Box{Name: "far", Domain: "south"}, 1)
-		out := far.Bridge(address(0), NewID("south"), d.now, Facts{TableOffset: 5, Boxes: 3})
+		out := far.TellSums(address(0), NewID("south"), d.now, Facts{TableOffset: 5, Boxes: 3})
 		_, err := d.nodes[0].Receive(d.now, "far", out[0].Body)
 		require.NoError(t, err)
 		assert.EqualValues(t, 3, d.nodes[0].DomainFacts(d.now, 1000)[NewID("south")].Boxes)
@@ -269,7 +269,7 @@
 
 func FuzzReceive(f *testing.F) {
 	node := NewNode(Box{Name: "a", Domain: "north"}, 1)
-	for _, out := range [][]Outgoing{node.Join("x"), node.Bridge("x", 1, 1, Facts{Boxes: 1})} {
+	for _, out := range [][]Outgoing{node.Join("x"), node.TellSums("x", 1, 1, Facts{Boxes: 1})} {
 		f.Add(out[0].Body)
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -54,7 +54,7 @@
 		return n.relay(now, p)
 	case kindJoin:
 		return n.sendMembers(from, p)
-	case kindMembers, kindBridge:
+	case kindMembers, kindSums:
 		return nil
 	default:
 		return nil
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -32,8 +32,8 @@
 	// kindJoin asks for all members; kindMembers answers it.
 	kindJoin
 	kindMembers
-	// kindBridge tells another failure domain the sums of this one.
-	kindBridge
+	// kindSums tells another failure domain the sums of this one.
+	kindSums
 )
 
 // Status is where a box stands.
@@ -173,7 +173,7 @@
 }
 
 func (p *packet) check() error {
-	if p.Kind < kindPing || p.Kind > kindBridge {
+	if p.Kind < kindPing || p.Kind > kindSums {
 		return fmt.Errorf("%w: kind %d", ErrMalformed, p.Kind)
 	}
 	for _, u := range p.Updates {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -54,9 +54,9 @@
 type pick struct {
 	p       *Picker
 	request Request
-	spots   map[grant.Place]pool.Spot
+	members map[grant.Place]pool.Member
 	search  *grant.Search
-	first   pool.Spot
+	first   pool.Member
 }
 
 // Acquire takes a lease on an upstream. It wraps route.ErrNoUpstream when none
@@ -66,12 +66,12 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &pick{p: p, request: r, spots: map[grant.Place]pool.Spot{}, first: ranking.First}
+	k := &pick{p: p, request: r, members: map[grant.Place]pool.Member{}, first: ranking.First}
 	open := make([]grant.Place, 0, len(ranking.Open))
-	k.spots[ranking.First.Place] = ranking.First
-	for _, spot := range ranking.Open {
-		k.spots[spot.Place] = spot
-		open = append(open, spot.Place)
+	k.members[ranking.First.Place] = ranking.First
+	for _, member := range ranking.Open {
+		k.members[member.Place] = member
+		open = append(open, member.Place)
 	}
 	k.search = grant.NewSearch(ranking.First.Place, open, r.Fresh)
 	return k.run(ctx)
@@ -95,15 +95,15 @@
 // granted. Where the owner gives no answer this box's own part of the bound
 // decides.
 func (k *pick) ask(ctx context.Context, q grant.Question) (*pool.Lease, grant.Reply) {
-	spot := k.spots[q.Place]
-	owner := k.p.owner(spot.Owner)
+	member := k.members[q.Place]
+	owner := k.p.owner(member.Owner)
 	asking := grant.Asking{Question: q, Session: k.session(), First: q.Place == k.first.Place}
 	if !q.Want {
 		// Without an answer the session is taken for one without a home.
 		reply, _ := k.p.agent.Ask(ctx, owner, asking)
 		return nil, reply
 	}
-	reserved, found := k.p.pools.Reserve(k.request.Pool, spot.Name)
+	reserved, found := k.p.pools.Reserve(k.request.Pool, member.Name)
 	if !found {
 		return nil, grant.Reply{Over: 1}
 	}
@@ -116,7 +116,7 @@
 		reserved.Lease.Release(pool.Neutral)
 		return nil, reply
 	}
-	k.p.keepTold(spot, reserved.Lease)
+	k.p.keepTold(member, reserved.Lease)
 	return reserved.Lease, reply
 }
 
@@ -136,31 +136,31 @@
 	if !found {
 		return nil, fmt.Errorf("%w: %s", route.ErrSaturated, k.request.Pool)
 	}
-	spot := k.spots[place]
-	reserved, found := k.p.pools.Reserve(k.request.Pool, spot.Name)
+	member := k.members[place]
+	reserved, found := k.p.pools.Reserve(k.request.Pool, member.Name)
 	if !found {
 		return nil, fmt.Errorf("%w: %s", route.ErrNoUpstream, k.request.Pool)
 	}
-	k.p.agent.Hold(k.p.owner(spot.Owner), place, reserved.Held)
-	k.p.keepTold(spot, reserved.Lease)
+	k.p.agent.Hold(k.p.owner(member.Owner), place, reserved.Held)
+	k.p.keepTold(member, reserved.Lease)
 	return reserved.Lease, nil
 }
 
 // keepTold lets the place's owner hear of the lease's end.
-func (p *Picker) keepTold(spot pool.Spot, lease *pool.Lease) {
-	p.remember(spot)
+func (p *Picker) keepTold(member pool.Member, lease *pool.Lease) {
+	p.remember(member)
 	lease.AfterRelease(func(held int) {
 		// The owner may have changed since.
-		spot.Owner = p.pools.Owner(spot.Place)
-		p.remember(spot)
-		p.agent.Hold(p.owner(spot.Owner), spot.Place, held)
+		member.Owner = p.pools.Owner(member.Place)
+		p.remember(member)
+		p.agent.Hold(p.owner(member.Owner), member.Place, held)
 	})
 }
 
-func (p *Picker) remember(spot pool.Spot) {
+func (p *Picker) remember(member pool.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.told[spot.Place] = telling{owner: spot.Owner, atMs: p.now()}
+	p.told[member.Place] = telling{owner: member.Owner, atMs: p.now()}
 }
 
 // Refresh tells owners what this box runs on their places: new owners at once,
@@ -170,13 +170,13 @@
 	now := p.now()
 	for _, use := range p.pools.InUse() {
 		p.mu.Lock()
-		last := p.told[use.Spot.Place]
+		last := p.told[use.Member.Place]
 		p.mu.Unlock()
-		if last.owner == use.Spot.Owner && now-last.atMs < tellAgainMs {
+		if last.owner == use.Member.Owner && now-last.atMs < tellAgainMs {
 			continue
 		}
-		p.remember(use.Spot)
-		p.agent.Hold(p.owner(use.Spot.Owner), use.Spot.Place, use.Held)
+		p.remember(use.Member)
+		p.agent.Hold(p.owner(use.Member.Owner), use.Member.Place, use.Held)
 	}
 	p.forgetOld(now)
 }
--- a/internal/pipe/admit/admit.go
+++ b/internal/pipe/admit/admit.go
@@ -104,7 +104,7 @@
 	case errors.Is(err, context.Canceled):
 		return apierror.New(exchange.StatusCallerGone, "caller_gone", "the caller left", cause)
 	case errors.Is(err, limit.ErrWaitedTooLong),
-		errors.Is(err, limit.ErrHopeless),
+		errors.Is(err, limit.ErrDeadline),
 		errors.Is(err, context.DeadlineExceeded):
 		return apierror.New(http.StatusServiceUnavailable, "no_capacity",
 			"no capacity before the deadline", retry, cause)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -134,7 +134,7 @@
 		header.Set("If-None-Match", known.version)
 	}
 	var list DatedList
-	reply, err := exchange(ctx, jsonhttp.Call{
+	reply, err := roundTrip(ctx, jsonhttp.Call{
 		Client: b.Client, Method: http.MethodGet, URL: b.URL + "/v1/boxes?failure_domain=" + domain, Header: header,
 	}, &list.BoxListReply)
 	if err != nil {
@@ -160,12 +160,12 @@
 }
 
 func call(ctx context.Context, client *http.Client, method, url string, body []byte, reply any) error {
-	_, err := exchange(ctx, jsonhttp.Call{Client: client, Method: method, URL: url, Body: body}, reply)
+	_, err := roundTrip(ctx, jsonhttp.Call{Client: client, Method: method, URL: url, Body: body}, reply)
 	return err
 }
 
-// exchange makes a call and decodes its answer, if it has one to decode.
-func exchange(ctx context.Context, c jsonhttp.Call, value any) (jsonhttp.Reply, error) {
+// roundTrip makes a call and decodes its answer, if it has one to decode.
+func roundTrip(ctx context.Context, c jsonhttp.Call, value any) (jsonhttp.Reply, error) {
 	c.Limit = maxPageBytes
 	reply, err := c.Do(ctx)
 	if err != nil {
--- a/internal/pool/spot.go
+++ b/internal/pool/member.go
@@ -11,39 +11,39 @@
 	"dooryard.example/dooryard/internal/table"
 )
 
-// Spot is one upstream in one pool, with the box that counts what runs there.
-type Spot struct {
+// Member is one upstream in one pool, with the box that counts what runs there.
+type Member struct {
 	Name  string
 	Place grant.Place
 	// Owner is the name of the box that owns the place.
 	Owner string
 }
 
-// spots names a pool's members on the wire and picks their owners: each box that
+// entries names a pool's members on the wire and picks their owners: each box that
 // sees the same live boxes picks the same.
-func (m *Manager) spots(p *pool) []Spot {
+func (m *Manager) entries(p *pool) []Member {
 	hashes := make([]uint64, len(m.fleet.Boxes))
 	for i, box := range m.fleet.Boxes {
 		hashes[i] = route.HashName(box)
 	}
-	spots := make([]Spot, len(p.members))
+	entries := make([]Member, len(p.members))
 	for i, u := range p.members {
 		hash := route.HashName(p.name + "/" + u.row.Name)
-		spots[i] = Spot{Name: u.row.Name, Place: grant.Place(hash)}
+		entries[i] = Member{Name: u.row.Name, Place: grant.Place(hash)}
 		if first := route.First(route.Key(hash), hashes); first >= 0 {
-			spots[i].Owner = m.fleet.Boxes[first]
+			entries[i].Owner = m.fleet.Boxes[first]
 		}
-		m.places[spots[i].Place] = place{pool: p, position: i}
+		m.places[entries[i].Place] = place{pool: p, position: i}
 	}
-	return spots
+	return entries
 }
 
 // Ranking is a pool's upstreams in the order of their rank for a key.
 type Ranking struct {
 	// First is the first choice, even if it takes nothing now.
-	First Spot
+	First Member
 	// Open are the first ranks that take new work.
-	Open []Spot
+	Open []Member
 }
 
 // rankedChoices is how many of the first ranks a request may ask for.
@@ -59,14 +59,14 @@
 		return Ranking{}, fmt.Errorf("%w: %s", route.ErrNoUpstream, poolName)
 	}
 	positions := [rankedChoices]int{}
-	ranking := Ranking{Open: make([]Spot, 0, len(positions))}
+	ranking := Ranking{Open: make([]Member, 0, len(positions))}
 	excluded := p.positions(tried)
 	for i, position := range p.view.Ranked(key, positions[:0]) {
 		if i == 0 {
-			ranking.First = p.spots[position]
+			ranking.First = p.entries[position]
 		}
 		if p.view.Usable(position, excluded) {
-			ranking.Open = append(ranking.Open, p.spots[position])
+			ranking.Open = append(ranking.Open, p.entries[position])
 		}
 	}
 	if len(ranking.Open) == 0 {
@@ -79,7 +79,7 @@
 func (m *Manager) anyOpen(p *pool, excluded route.Tried, ranking *Ranking) error {
 	for position := range p.members {
 		if p.view.Usable(position, excluded) {
-			ranking.Open = append(ranking.Open, p.spots[position])
+			ranking.Open = append(ranking.Open, p.entries[position])
 		}
 	}
 	if len(ranking.Open) == 0 {
@@ -145,8 +145,8 @@
 	defer m.mu.Unlock()
 	owned := map[string]*table.Upstream{}
 	for _, p := range m.pools {
-		for position, spot := range p.spots {
-			if row := p.members[position].row; spot.Owner == m.box && row.Kind == table.KindEngine {
+		for position, member := range p.entries {
+			if row := p.members[position].row; member.Owner == m.box && row.Kind == table.KindEngine {
 				owned[row.Name] = row
 			}
 		}
@@ -161,26 +161,26 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if found, known := m.places[wanted]; known {
-		return found.pool.spots[found.position].Owner
+		return found.pool.entries[found.position].Owner
 	}
 	return ""
 }
 
-// Use is what this box runs on one spot.
+// Use is what this box runs on one member.
 type Use struct {
-	Spot Spot
-	Held int
+	Member Member
+	Held   int
 }
 
-// InUse returns the spots on which this box runs anything.
+// InUse returns the entries on which this box runs anything.
 func (m *Manager) InUse() []Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	uses := []Use{}
 	for _, p := range m.pools {
-		for position, spot := range p.spots {
+		for position, member := range p.entries {
 			if held := p.view.Members[position].InFlight; held > 0 {
-				uses = append(uses, Use{Spot: spot, Held: held})
+				uses = append(uses, Use{Member: member, Held: held})
 			}
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -81,7 +81,7 @@
 	id       uint32
 	view     *route.View
 	members  []*upstream
-	spots    []Spot
+	entries  []Member
 	inFlight map[string]int
 }
 
@@ -207,7 +207,7 @@
 	}
 	p.view = route.NewView(members, m.boundPercent(name), m.fleet.Boxes, m.box)
 	p.id = uint32(route.HashName(name))
-	p.spots = m.spots(p)
+	p.entries = m.entries(p)
 	return p
 }
 
@@ -367,7 +367,7 @@
 	}
 	ranking := m.settings.Policy.Explain(p.view, key)
 	for i := range ranking {
-		ranking[i].Owner = p.spots[p.position(ranking[i].Name)].Owner
+		ranking[i].Owner = p.entries[p.position(ranking[i].Name)].Owner
 	}
 	return ranking, nil
 }
