test: the race of two edits starts from one revision

Change: both edits are based on the revision that was read before the race. Conclusion: as strict as before, and the same on every run.

--- a/internal/localfleet/control_test.go
+++ b/internal/localfleet/control_test.go
@@ -22,12 +22,20 @@
 
 // submit hands an edit of one model's deadline in at a box.
 func (tr *trial) submit(box int, id, value string) (table.Verdict, error) {
+	return tr.submitBasedOn(box, id, value, tr.revision(box))
+}
+
+// revision is the one of the deadline's cell, as a box sees it.
+func (tr *trial) revision(box int) int64 {
+	return tr.Boxes()[box].Store().State().Cell(table.Models, localfleet.Model, "deadline_ms").Revision
+}
+
+func (tr *trial) submitBasedOn(box int, id, value string, revision int64) (table.Verdict, error) {
 	store := tr.Boxes()[box].Store()
-	current := store.State().Cell(table.Models, localfleet.Model, "deadline_ms")
 	ctx, cancel := context.WithTimeout(tr.t.Context(), (15 * clock.Second).Duration())
 	defer cancel()
 	return store.Submit(ctx, table.Edit{ID: id, Operator: "test", Changes: []table.Change{{
-		Sheet: table.Models, Row: localfleet.Model, Column: "deadline_ms", Value: value, BasedOn: current.Revision,
+		Sheet: table.Models, Row: localfleet.Model, Column: "deadline_ms", Value: value, BasedOn: revision,
 	}}})
 }
 
@@ -94,9 +102,11 @@
 	t.Run("that race on one cell are decided alike on all boxes", func(t *testing.T) {
 		run(t, func(tr *trial) {
 			results := make(chan table.Result, 2)
+			// Both operators saw the same cell.
+			revision := tr.revision(0)
 			for box := range 2 {
 				go func() {
-					verdict, err := tr.submit(box, fmt.Sprint("edit-", box), fmt.Sprint(1000+box))
+					verdict, err := tr.submitBasedOn(box, fmt.Sprint("edit-", box), fmt.Sprint(1000+box), revision)
 					assert.NoError(tr.t, err)
 					results <- verdict.Result
 				}()
