fix(claim): nothing starts while a service or stand-in waits for its end

Cause: on a fresh clone with empty caches the tests failed once: a stand-in engine took a request while it was closing, and its wait group was used again. The claim service had the same gap at a box's stop. Change: both refuse to start anything once their end has begun.

--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -49,12 +49,16 @@
 	}
 	s.mu.Unlock()
 	<-ctx.Done()
+	// From here on nothing new starts, so that the wait ends.
+	s.mu.Lock()
+	s.running = nil
+	s.mu.Unlock()
 	s.group.Wait()
 }
 
 func (s *Service) start(registry *Registry) {
-	if s.running != nil {
-		s.group.Go(func() { registry.Run(s.running) })
+	if ctx := s.running; ctx != nil {
+		s.group.Go(func() { registry.Run(ctx) })
 	}
 }
 
@@ -94,12 +98,13 @@
 func (s *Service) Submit(record Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running == nil || s.running.Err() != nil {
+	ctx := s.running
+	if ctx == nil {
 		return
 	}
 	s.handing++
 	s.group.Go(func() {
-		if _, taken := s.remote(s.running, Shard(record.Key), record); !taken {
+		if _, taken := s.remote(ctx, Shard(record.Key), record); !taken {
 			s.SubmitHere(record)
 		}
 		s.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -68,6 +68,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
+	// lifeMu guards closed: nothing may start in the background after Close.
+	lifeMu sync.Mutex
+	closed bool
 
 	mu       sync.Mutex
 	models   []string
@@ -152,10 +155,22 @@
 
 // Close stops all that runs in the background and waits for it.
 func (e *Engine) Close() {
+	e.lifeMu.Lock()
+	e.closed = true
+	e.lifeMu.Unlock()
 	e.cancel()
 	e.background.Wait()
 }
 
+// spawn runs a function in the background, unless the engine is closed.
+func (e *Engine) spawn(do func()) {
+	e.lifeMu.Lock()
+	defer e.lifeMu.Unlock()
+	if !e.closed {
+		e.background.Go(do)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -60,7 +60,7 @@
 		PromptTokens: promptTokens, CompletionTokens: count, TotalTokens: promptTokens + count,
 		Details: engine.UsageDetails{CachedTokens: cached},
 	}
-	e.background.Go(func() { e.run(ctx, g, answerTokens(chat, count)) })
+	e.spawn(func() { e.run(ctx, g, answerTokens(chat, count)) })
 	return g
 }
 
@@ -97,7 +97,7 @@
 func (e *Engine) end(g *generation) {
 	e.leave()
 	g.cancel()
-	e.background.Go(func() {
+	e.spawn(func() {
 		_ = e.clock.Sleep(e.ctx, abandonedMs)
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -233,7 +233,7 @@
 	if g.addReader(-1) > 0 {
 		return
 	}
-	e.background.Go(func() {
+	e.spawn(func() {
 		_ = e.clock.Sleep(e.ctx, abandonedMs)
 		if g.addReader(0) == 0 {
 			g.stop()
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -73,7 +73,7 @@
 	e.orders.newestToken = max(e.orders.newestToken, order.Token)
 	e.orders.outstanding = order.ID
 	e.orders.taken = append(e.orders.taken, order)
-	e.background.Go(func() { e.carryOut(order) })
+	e.spawn(func() { e.carryOut(order) })
 	return http.StatusAccepted
 }
 
