--- a/internal/datagram/datagram_test.go
+++ b/internal/datagram/datagram_test.go
@@ -34,3 +34,14 @@
 		assert.ErrorIs(t, err, ErrMalformed)
 	})
 }
+
+func FuzzOpen(f *testing.F) {
+	channel := Channel{Name: 'm', CodeBytes: 8}
+	f.Add(seal(oldKey, channel, []byte("x")))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body, err := open([]string{oldKey}, channel, data)
+		if err == nil {
+			assert.Equal(t, data, seal(oldKey, channel, body))
+		}
+	})
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
@@ -86,3 +87,13 @@
 		}
 	})
 }
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte(`{"in_flight":1,"slots":4,"models":["m"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var load Load
+		if err := json.Unmarshal(data, &load); err == nil && load.InFlight < 0 {
+			t.Fatal("a negative load")
+		}
+	})
+}
