fix(capacity): bytes of single calls are counted, not assumed

Cause: the capacity page called the bytes of single HTTP calls measured; they were estimates (420, 330, 1,000, 1,500, 2,600). The stand-in engine's cache events had gaps but were not late.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -18,32 +18,27 @@
 	HeldOutsideFirstChoice  float64
 	EngineReportsPerSecond  float64
 	ListPollsPerSecond      float64
-	BytesPerEngineReport    float64
-	BytesPerListPoll        float64
-	BytesPerTableRead       float64
 	TableReadsPerSecondIdle float64
-	BytesPerSumsMessage     float64
 	SumsMessagesPerDomain   float64
-	BytesPerClaimToGatherer float64
-	BytesPerClaimAtGatherer float64
 	// HTTPCallsPerClaim are those of a claim and its end: to the gatherer, and
 	// the gatherer's append and read.
 	HTTPCallsPerClaim float64
+	// Calls are the bytes of single calls.
+	Calls CallBytes
 }
 
-// LetterTarget is the size of the users' letter, with the costs of single calls
-// as they were measured on loopback sockets. A claim costs two calls to the
-// gatherer, for itself and its end.
+// LetterTarget is the size of the users' letter, with the bytes of single calls as
+// they are counted now. A claim costs two calls to the gatherer, for itself and its
+// end.
 func LetterTarget() Target {
 	return Target{
 		Boxes: 2500, Domains: 28, Engines: 10_000, RequestsPerSecond: 59_000,
 		Sessions: 22_000_000, Organisations: 37_000, EditsPerDay: 14_000, RestartsPerDay: 3500,
 		AsksPerRequest: 2.0, NewsPerRequest: 0.15, UnrepeatablePart: 0.002, ClaimWindowSeconds: 3600,
 		HeldOutsideFirstChoice: 0.6, EngineReportsPerSecond: 0.5, ListPollsPerSecond: 0.6,
-		BytesPerEngineReport: 420, BytesPerListPoll: 330, BytesPerTableRead: 1000, TableReadsPerSecondIdle: 0.1,
-		BytesPerSumsMessage: 150, SumsMessagesPerDomain: 2,
-		BytesPerClaimToGatherer: 1500, BytesPerClaimAtGatherer: 2600,
-		HTTPCallsPerClaim: 6,
+		TableReadsPerSecondIdle: 0.1,
+		SumsMessagesPerDomain:   2,
+		HTTPCallsPerClaim:       6, Calls: MeasureCallBytes(),
 	}
 }
 
@@ -122,7 +117,7 @@
 	messages := 2 * b.t.SumsMessagesPerDomain * (b.t.Domains - 1) / b.domainBoxes
 	return Role{
 		Name: "sums between failure domains", Package: "internal/box (sumsLoop)",
-		BytesPerSecond: messages * b.t.BytesPerSumsMessage,
+		BytesPerSecond: messages * b.t.Calls.Sums,
 		CorePercent:    perSecondPercent(messages, b.datagram),
 	}
 }
@@ -148,7 +143,7 @@
 	perSecond := b.t.EngineReportsPerSecond * b.domainEngines / b.domainBoxes
 	return Role{
 		Name: "engines' reports", Package: "internal/box (engines)",
-		BytesPerSecond: perSecond * b.t.BytesPerEngineReport,
+		BytesPerSecond: perSecond * b.t.Calls.EngineReport,
 		CorePercent:    perSecondPercent(perSecond, b.call),
 	}
 }
@@ -156,7 +151,7 @@
 func (b budget) list() Role {
 	return Role{
 		Name: "platform's list of boxes", Package: "internal/box (fleet)",
-		BytesPerSecond: b.t.ListPollsPerSecond * b.t.BytesPerListPoll,
+		BytesPerSecond: b.t.ListPollsPerSecond * b.t.Calls.ListPoll,
 		CorePercent:    perSecondPercent(b.t.ListPollsPerSecond, b.call),
 		MB:             0.1 * b.domainBoxes / 100 * b.t.Domains,
 	}
@@ -172,7 +167,7 @@
 	fold := b.at("table: fold one edit", b.t.Organisations) * b.t.EditsPerDay / secondsPerDay
 	return Role{
 		Name: "table: read, relay, cold start", Package: "internal/tablestore, internal/logstream, internal/snapshot",
-		BytesPerSecond: 2*reads*b.t.BytesPerTableRead + 2*restarts*state,
+		BytesPerSecond: 2*reads*b.t.Calls.TableRead + 2*restarts*state,
 		CorePercent: perSecondPercent(2*reads, b.call) + perSecondPercent(1, fold) +
 			perSecondPercent(restarts, kilo*b.at("cold start: read a snapshot", b.t.Organisations)),
 		MB: 2*b.at("table: memory", b.t.Organisations) + state/mega,
@@ -184,7 +179,7 @@
 	perSecond := b.t.RequestsPerSecond * b.t.UnrepeatablePart / b.t.Boxes
 	return Role{
 		Name: "claims", Package: "internal/claim",
-		BytesPerSecond: perSecond * (b.t.BytesPerClaimToGatherer + b.t.BytesPerClaimAtGatherer),
+		BytesPerSecond: perSecond * (b.t.Calls.ClaimToGatherer + b.t.Calls.ClaimAtGatherer),
 		CorePercent:    perSecondPercent(perSecond*b.t.HTTPCallsPerClaim, 2*b.call),
 		MB:             max(0, b.at("claims: memory of remembered keys", perSecond*b.t.ClaimWindowSeconds)),
 	}
--- a/internal/cmd/loadcmd/measure.go
+++ b/internal/cmd/loadcmd/measure.go
@@ -112,6 +112,7 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.4g + %.4g x\t%.0f%%\n", s.Name, s.Unit, s.Against, points,
 			s.Intercept, s.PerUnit, 100*s.Residual)
 	}
+	fmt.Fprintf(w, "\nbytes of single calls, both ways: %+v\n", capacity.MeasureCallBytes())
 	fmt.Fprintln(w, "\nrole at the target size\tpackage\tB/s\t% of a core\tMB")
 	for _, role := range append(r.Roles, r.Sum) {
 		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.3f\t%.2f\n", role.Name, role.Package,
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
 )
 
@@ -72,11 +73,16 @@
 	}
 }
 
-// cacheEvents is the engine's list of cache events, with gaps: of every few
-// events one is left out, its sequence number included.
+// cacheEvents is the engine's list of cache events, late and with gaps: of every
+// few events one is left out, its sequence number included.
 type cacheEvents struct {
 	sequence int64
-	events   []engine.CacheEvent
+	events   []datedEvent
+}
+
+type datedEvent struct {
+	engine.CacheEvent
+	atMs clock.Millis
 }
 
 const (
@@ -84,24 +90,24 @@
 	gapEvery       = 10
 )
 
-func (c *cacheEvents) add(prefix uint64, stored bool) {
+func (c *cacheEvents) add(prefix uint64, stored bool, now clock.Millis) {
 	c.sequence++
 	if c.sequence%gapEvery == 0 {
 		return
 	}
-	c.events = append(c.events, engine.CacheEvent{
-		Sequence: c.sequence, Prefix: prefix, Stored: stored, Tokens: blockTokens,
-	})
+	event := engine.CacheEvent{Sequence: c.sequence, Prefix: prefix, Stored: stored, Tokens: blockTokens}
+	c.events = append(c.events, datedEvent{CacheEvent: event, atMs: now})
 	if len(c.events) > maxCacheEvents {
 		c.events = c.events[len(c.events)-maxCacheEvents:]
 	}
 }
 
-func (c *cacheEvents) from(sequence int64) []engine.CacheEvent {
+// from returns the events from a sequence number on that were there at an instant.
+func (c *cacheEvents) from(sequence int64, visible clock.Millis) []engine.CacheEvent {
 	found := []engine.CacheEvent{}
 	for _, event := range c.events {
-		if event.Sequence >= sequence {
-			found = append(found, event)
+		if event.Sequence >= sequence && event.atMs <= visible {
+			found = append(found, event.CacheEvent)
 		}
 	}
 	return found
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -141,7 +141,9 @@
 	for _, option := range options {
 		option(e)
 	}
-	e.cache = newPrefixCache(e.speed.CacheTokens, e.events.add)
+	e.cache = newPrefixCache(e.speed.CacheTokens, func(prefix uint64, stored bool) {
+		e.events.add(prefix, stored, e.clock.Now())
+	})
 	e.mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	e.mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
 	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
@@ -380,7 +382,7 @@
 		return
 	}
 	e.mu.Lock()
-	events := e.events.from(from)
+	events := e.events.from(from, e.clock.Now()-e.speed.ReportLagMs)
 	e.mu.Unlock()
 	jsonhttp.Write(w, events)
 }
