perf(relay): replies between boxes are compressed and encoded once

Cause: after a change of the configuration the source of a failure domain encoded the whole state, about 85 KB at 330 routes, for each box anew, on a link of 10 Mbit/s at worst.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,7 @@
 // Handler answers other boxes.
 func Handler(belief *routing.Belief, upstreams *registry.Registry) http.Handler {
 	mux := http.NewServeMux()
+	encoded := &encoder{}
 	long := make(chan struct{}, maxLong)
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
 		version, versionErr := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
@@ -69,7 +70,16 @@
 				return
 			}
 		}
-		jsonhttp.Write(w, out)
+		q := question{version: version, revision: revision, ownVersion: out.Version, ownRevision: out.Upstreams.Revision}
+		data, err := encoded.encode(q, out)
+		if err != nil {
+			apierror.New(http.StatusInternalServerError, "internal", err.Error()).Write(w)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Encoding", "gzip")
+		// An asker that is gone can't be told.
+		_, _ = w.Write(data)
 	})
 	return mux
 }
@@ -97,7 +107,7 @@
 		dial = (&net.Dialer{Timeout: connectMs * time.Millisecond}).DialContext
 	}
 	return &Client{client: &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: keepIdle, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: keepIdle,
 	}}}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -42,6 +42,36 @@
 		assert.Equal(t, int64(7), reply.State.Version)
 		assert.Len(t, reply.Upstreams.Changes, 2)
 	})
+	t.Run("gets newer states and upstreams as they come", func(t *testing.T) {
+		belief, r := full(t, 3)
+		server := httptest.NewServer(Handler(belief, r))
+		defer server.Close()
+		address := strings.TrimPrefix(server.URL, "http://")
+		for version := range int64(3 * maxEncoded) {
+			state, err := routing.New(routing.Content{Version: 10 + version})
+			require.NoError(t, err)
+			belief.Adopt(state)
+			r.Apply([]registry.Change{{Upstream: registry.Upstream{ID: fmt.Sprint("later", version)}, Revision: 10 + version}})
+			for range 2 {
+				reply, err := c.Fetch(t.Context(), address, 0, 3)
+				require.NoError(t, err)
+				assert.Equal(t, 10+version, reply.State.Version)
+				assert.Len(t, reply.Upstreams.Changes, int(version)+1)
+			}
+		}
+	})
+	t.Run("a state of many routes takes few bytes", func(t *testing.T) {
+		content := routing.Content{Version: 9}
+		for i := range 300 {
+			content.Routes = append(content.Routes, routing.Route{
+				Name: fmt.Sprint("r", i*7919), Host: fmt.Sprint("h", i%20), PathPrefix: fmt.Sprint("/p", i*104_729, "/"),
+				Kind: routing.Safe, Attempts: 2, TimeoutMs: 1500, Splits: []routing.Split{{Pool: "p", Weight: 1}},
+			})
+		}
+		data, err := compressed(Reply{State: &content})
+		require.NoError(t, err)
+		assert.Less(t, len(data), 10_000)
+	})
 	t.Run("gets nothing that it has", func(t *testing.T) {
 		reply, err := c.Fetch(t.Context(), address, 7, 3)
 		require.NoError(t, err)
