perf(platform): fewer reads of the store, and nobody hears late of a leaving

Cause, one: a read that waited in vain for a second proved what held when it was sent, so proofs were up to two seconds old, and a box read by itself only when its proof was 2.6 s old. Sources whose reads get no answer at all thus left the others without news of a leaving upstream for up to 2.6 s; two are allowed. TestSourceUnanswered failed.

Boxes read by themselves 0.4 s before a leaving must be known (freshness.leave_ms, from the platform's bound), but never at the proof's usual age. One that was turned away and is told all by others looks every 5 s. An empty list of upstreams counts as read.

Ruled out: one reader for the whole fleet (a cut of its domain would leave the others with old proofs); longer waits for the configuration (a silent source would be noticed too late).

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -42,10 +42,13 @@
 	state   *routing.State
 	changes []registry.Change
 	away    map[string]bool
+	silent  map[string]bool
 	reads   map[string]int
 }
 
-func newStore() *store { return &store{away: map[string]bool{}, reads: map[string]int{}} }
+func newStore() *store {
+	return &store{away: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}}
+}
 
 func (s *store) setState(t *testing.T, c routing.Content) {
 	t.Helper()
@@ -69,29 +72,63 @@
 	s.away[box] = away
 }
 
-const pollMs clock.Millis = 500
+// setSilent has the store leave a box's reads without an answer.
+func (s *store) setSilent(box string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[box] = silent
+}
+
+// readsOf is how often some boxes have read so far.
+func (s *store) readsOf(boxes []*running) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, b := range boxes {
+		sum += s.reads[b.settings.Box]
+	}
+	return sum
+}
+
+const (
+	pollMs clock.Millis = 500
+	// lookMs is how often a box looks whether it should read.
+	lookMs clock.Millis = 100
+	// silenceMs is how long a read without an answer lasts.
+	silenceMs clock.Millis = 2200
+)
 
 func (s *store) source(box string, c clock.Clock) Source {
 	return Source{Name: "store", Run: func(ctx context.Context, sink Sink) {
-		s.poll(box, c, sink)
-		c.Every(ctx, pollMs, func(clock.Millis) { s.poll(box, c, sink) })
+		nextMs := c.Steady()
+		look := func(clock.Millis) {
+			if c.Steady() >= nextMs && sink.Wanted("all") {
+				s.poll(ctx, box, c, sink)
+				nextMs = c.Steady() + pollMs
+			}
+		}
+		look(nextMs)
+		c.Every(ctx, lookMs, look)
 	}}
 }
 
-func (s *store) poll(box string, c clock.Clock, sink Sink) {
-	if !sink.Wanted("all") {
-		return
-	}
+func (s *store) poll(ctx context.Context, box string, c clock.Clock, sink Sink) {
 	s.mu.Lock()
 	state, changes, away := s.state, append([]registry.Change(nil), s.changes...), s.away[box]
+	silent := s.silent[box]
 	s.reads[box]++
 	s.mu.Unlock()
+	if silent {
+		// The end of the context shows at the next poll.
+		_ = c.Sleep(ctx, silenceMs)
+		away = true
+	}
 	if away {
 		sink.Reached("all", errStoreAway)
 		return
 	}
 	sink.Reached("all", nil)
-	sink.Upstreams(changes, 0)
+	sink.AllUpstreams(changes, int64(len(changes)))
 	if state != nil {
 		sink.Adopt(state)
 		sink.Prove(c.Steady())
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -115,3 +115,67 @@
 		}
 	})
 }
+
+// TestSourceUnanswered has the store leave the reads of just the box that reads for
+// the others without an answer, so that it does not know for a while. The others must
+// hear within two seconds of an upstream that leaves in the same instant.
+func TestSourceUnanswered(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", answer("done"))
+		first := f.box(1)
+		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		pass(t, 3*time.Second)
+		for _, b := range boxes {
+			if b.peering.mesh.IsSource() {
+				f.store.setSilent(b.settings.Box, true)
+			}
+		}
+		f.store.put(registry.Upstream{ID: "u1", Pool: "p", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 8, Draining: true})
+		pass(t, 1900*time.Millisecond)
+		for _, b := range boxes {
+			assert.True(t, b.registry.All()[0].Draining, "%s knows that the upstream leaves", b.settings.Box)
+		}
+	})
+}
+
+// TestStoreTurnsBoxesAway has the store turn away boxes that others can tell all they
+// need: they look only now and then whether it takes them again.
+func TestStoreTurnsBoxesAway(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", answer("done"))
+		first := f.box(1)
+		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		for _, b := range boxes[1:] {
+			f.store.setAway(b.settings.Box, true)
+		}
+		// The store is away for all for a while, so that all have tried it.
+		f.store.setAway(first.settings.Box, true)
+		pass(t, 4*time.Second)
+		f.store.setAway(first.settings.Box, false)
+		pass(t, 6*time.Second)
+		before := f.store.readsOf(boxes[1:])
+		pass(t, 20*time.Second)
+		assert.LessOrEqual(t, f.store.readsOf(boxes[1:])-before, 10)
+		assertStatus(t, boxes[1], "/safe/", http.StatusOK)
+	})
+}
+
+// TestStartWithoutUpstreams has a fleet start before any upstream does.
+func TestStartWithoutUpstreams(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		t := f.t
+		first := f.box(1)
+		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		pass(t, 3*time.Second)
+		before := f.store.readsOf(boxes)
+		pass(t, 10*time.Second)
+		assert.LessOrEqual(t, f.store.readsOf(boxes)-before, 25, "one box reads for all")
+		f.upstream("u1", answer("done"))
+		pass(t, 2*time.Second)
+		for _, b := range boxes {
+			assertStatus(t, b, "/safe/", http.StatusOK)
+		}
+	})
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -20,6 +20,8 @@
 	// for which keys are trusted, also when one read fails: it is up to twice
 	// this old.
 	defaultPollMs = 1000
+	// defaultLeaveMs is about the time that a caller notices.
+	defaultLeaveMs = 2000
 	// defaultLoadCap is a usual set multiple of the mean load.
 	defaultLoadCap = 2
 	// boundOfCap is the part of the cap at which a box stops sending to an
@@ -51,6 +53,7 @@
 
 func defaults(g config.Gateway) config.Gateway {
 	config.Fill(&g.Store.PollMs, defaultPollMs)
+	config.Fill(&g.Freshness.LeaveMs, defaultLeaveMs)
 	config.Fill(&g.Balance.LoadCap, defaultLoadCap)
 	config.Fill(&g.Balance.BoundPercent, max(percent+1, int(g.Balance.LoadCap*percent*boundOfCap)))
 	config.Fill(&g.Balance.EjectBaseMs, defaultEjectBaseMs)
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -20,10 +20,24 @@
 // than come in a few rounds.
 const waitingAnswers = 64
 
-// ownReadAgeMs is the age of the proof beyond which a box reads the store by
-// itself. It is more than the age that a source's proof reaches between two
-// reads, and leaves time for a read of its own before keys are refused.
-const ownReadAgeMs clock.Millis = 2600
+const (
+	// ownReadMarginMs is how much older than usual a proof must be at least before a
+	// box reads the store by itself: about the way of one answer.
+	ownReadMarginMs clock.Millis = 100
+	// ownReadLeadMs is how long a box needs to look, to read the store and to act on
+	// it, when the store is slow by some ten times.
+	ownReadLeadMs clock.Millis = 400
+)
+
+// ownReadAgeMs is the age of the proof beyond which a box reads the store by itself.
+// Sources whose reads get no answer hear of no upstream that leaves, so it ends in time
+// for that. It is never less than the age that a proof usually reaches: a source proves
+// its state once a poll and is asked once a period of the mesh; one answer may be lost.
+func (p *peering) ownReadAgeMs() clock.Millis {
+	settings := p.box.settings.Load()
+	usual := clock.Millis(settings.Store.PollMs) + 2*p.mesh.Period() + ownReadMarginMs
+	return max(usual, clock.Millis(settings.Freshness.LeaveMs)-ownReadLeadMs)
+}
 
 // peering is the box's part in the fleet.
 type peering struct {
@@ -144,15 +158,14 @@
 // boxes that read for others: a few rounds.
 const settleMs clock.Millis = 700
 
-// wantsStore tells whether this box should read its store by itself now.
-func (p *peering) wantsStore() bool {
-	if !p.box.hasLearnt() {
+// needsStore tells whether this box must read a stream of its store by itself now. A
+// stream that was read waits at first: the box reads the others or hears of them.
+func (p *peering) needsStore(wasRead bool) bool {
+	if !wasRead && (p.box.belief.State() == nil || !p.box.registry.Filled()) {
 		return true
 	}
 	if p.box.clock.Steady()-p.startedMs < settleMs {
 		return false
 	}
-	// A box that has lost the store goes on trying: it may be the one to read for
-	// others again.
-	return p.box.storeLost.Load() || p.box.belief.AgeMs() > ownReadAgeMs || p.mesh.IsSource()
+	return p.box.belief.AgeMs() > p.ownReadAgeMs() || p.mesh.IsSource()
 }
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -22,9 +22,10 @@
 	// Prove says that the newest state that this source ever handed over was
 	// the newest there is at an instant.
 	Prove func(atMs clock.Millis)
-	// Upstreams takes in changes. They are all upstreams there are, as of a
-	// revision, when whole is above 0.
-	Upstreams func(changes []registry.Change, whole int64)
+	// Upstreams takes in changes.
+	Upstreams func(changes []registry.Change)
+	// AllUpstreams takes in all upstreams there are, as of a revision.
+	AllUpstreams func(all []registry.Change, revision int64)
 	// Revision returns the newest revision of the upstreams that is known.
 	Revision func() int64
 	// Reached tells whether a read of some stream worked.
@@ -51,33 +52,41 @@
 	version int64
 	lost    map[string]clock.Millis
 	backMs  clock.Millis
+	// read are the streams that were read at least once.
+	read map[string]bool
+	// failedMs is when a read last failed.
+	failedMs clock.Millis
 }
 
 func (b *Box) newStoreSink(source string) Sink {
-	s := &storeSink{box: b, source: source, lost: map[string]clock.Millis{}}
+	s := &storeSink{box: b, source: source, lost: map[string]clock.Millis{}, read: map[string]bool{}}
 	return Sink{
 		Wanted: s.wanted, ReadsForOthers: b.peering.mesh.IsSource, Adopt: s.adopt, Prove: s.prove, Upstreams: s.upstreams,
-		Revision: b.registry.Revision, Reached: s.reached, Ignored: b.Ignored,
+		AllUpstreams: s.allUpstreams,
+		Revision:     b.registry.Revision, Reached: s.reached, Ignored: b.Ignored,
 	}
 }
 
+// lostLookMs is how often a box that has lost the store, and that others tell all it
+// needs, looks whether it could read for them again: each refused read is paid for.
+const lostLookMs = 5 * clock.Second
+
 // wanted tells whether a stream is to be read. A box that reads for nobody else and
 // has lost the store tries one stream only until it is back.
 func (s *storeSink) wanted(stream string) bool {
-	if !s.box.peering.wantsStore() {
-		return false
-	}
-	if s.box.peering.mesh.IsSource() {
-		return true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	needed := s.box.peering.needsStore(s.read[stream])
+	if needed && s.box.peering.mesh.IsSource() {
+		return true
+	}
 	for lost := range s.lost {
 		if lost < stream {
 			return false
 		}
 	}
-	return true
+	_, lost := s.lost[stream]
+	return needed || lost && s.box.clock.Steady()-s.failedMs >= lostLookMs
 }
 
 func (s *storeSink) adopt(state *routing.State) {
@@ -94,18 +103,16 @@
 	s.box.belief.Prove(version, atMs)
 }
 
-func (s *storeSink) upstreams(changes []registry.Change, whole int64) {
+func (s *storeSink) upstreams(changes []registry.Change) {
 	span := s.lapseSpan()
 	for i := range changes {
 		changes[i].LapseMs = span
 	}
-	var news []registry.Change
-	if whole > 0 {
-		news = s.box.registry.Replace(changes, whole, span)
-	} else {
-		news = s.box.registry.Apply(changes)
-	}
-	s.box.tellUpstreams(news, s.source)
+	s.box.tellUpstreams(s.box.registry.Apply(changes), s.source)
+}
+
+func (s *storeSink) allUpstreams(all []registry.Change, revision int64) {
+	s.box.tellUpstreams(s.box.registry.Replace(all, revision, s.lapseSpan()), s.source)
 }
 
 // lapseSpan is how long an entry that disappears now may come back: only the
@@ -126,6 +133,11 @@
 func (s *storeSink) reached(stream string, err error) {
 	now := s.box.clock.Steady()
 	s.mu.Lock()
+	if err != nil {
+		s.failedMs = now
+	} else {
+		s.read[stream] = true
+	}
 	since, away := s.lost[stream]
 	event := decision.Dependency{Dependency: s.source, ID: stream}
 	switch {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -116,7 +116,7 @@
 	running.Go(m.receive)
 	for {
 		m.round()
-		if m.clock.Sleep(ctx, m.period()) != nil {
+		if m.clock.Sleep(ctx, m.Period()) != nil {
 			break
 		}
 	}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -107,8 +107,8 @@
 	return max(leastFanout, (len(m.peers)+roundsPerCycle-1)/roundsPerCycle)
 }
 
-// period returns the time between two rounds.
-func (m *Mesh) period() clock.Millis {
+// Period returns the time between two rounds.
+func (m *Mesh) Period() clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.periodLocked()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -54,9 +54,11 @@
 type Registry struct {
 	steady func() clock.Millis
 
-	mu       sync.Mutex
-	entries  map[string]entry
-	journal  journal
+	mu      sync.Mutex
+	entries map[string]entry
+	journal journal
+	// filled is set once all upstreams there are were taken in as a whole.
+	filled   bool
 	onChange func()
 }
 
@@ -123,10 +125,18 @@
 	news := r.Apply(all)
 	r.mu.Lock()
 	r.journal.reach(revision)
+	r.filled = true
 	r.mu.Unlock()
 	return news
 }
 
+// Filled tells whether all upstreams there are were taken in, be it none.
+func (r *Registry) Filled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.filled
+}
+
 // Expire removes entries whose time to come back is over.
 func (r *Registry) Expire() {
 	now := r.steady()
@@ -200,7 +210,7 @@
 	for i := range u.Changes {
 		u.Changes[i].LapseMs = min(u.Changes[i].LapseMs, maxRelayedLapseMs)
 	}
-	if u.Whole {
+	if u.Whole || u.Revision > 0 && r.Revision() == 0 {
 		return r.Replace(u.Changes, u.Revision, 0)
 	}
 	return r.Apply(u.Changes)
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -49,6 +49,9 @@
 	// MaxAgeMs is how old the proof may be by which keys are accepted; 0 accepts
 	// them without bound.
 	MaxAgeMs int64 `yaml:"max_age_ms"`
+	// LeaveMs is how long after an upstream said that it leaves a box may still send
+	// it work.
+	LeaveMs int64 `yaml:"leave_ms"`
 }
 
 // Balance sets how upstreams are chosen.
@@ -135,6 +138,7 @@
 	for _, rule := range []numberRule{
 		{"store.poll_ms", g.Store.PollMs, 50, 30_000},
 		{"freshness.max_age_ms", g.Freshness.MaxAgeMs, 500, dayMs},
+		{"freshness.leave_ms", g.Freshness.LeaveMs, 500, dayMs},
 		{"balance.bound_percent", int64(g.Balance.BoundPercent), 101, 1000},
 		{"balance.eject_base_ms", g.Balance.EjectBaseMs, 1, dayMs},
 		{"balance.eject_max_ms", g.Balance.EjectMaxMs, 1, dayMs},
