perf(mesh): datagrams of half the size

Cause: each datagram named three other boxes, 70 bytes each, for newcomers' sake, and loads by upstreams' whole IDs.

Change: only a box that was first heard within three seconds is named others (six), the rest one with a reply; loads go by four-byte keys (internal/namekey, which parts of prompts use too).

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -9,6 +9,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/health"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/upstream"
@@ -73,7 +74,7 @@
 		f := newFixture(t, 3)
 		first := f.pick(t, sticky("s"))
 		first.Release(Succeeded)
-		f.SetOthers(map[string]int{first.ID: 30})
+		f.SetOthers(map[namekey.Key]int{namekey.Of(first.ID): 30})
 		assert.NotEqual(t, first.ID, f.pick(t, sticky("s")).ID)
 	})
 	t.Run("an engine's own word counts while it is fresh", func(t *testing.T) {
@@ -93,7 +94,7 @@
 		a.Transfers = true
 		first := f.pick(t, a)
 		assert.Empty(t, first.FetchFrom)
-		f.SetOthers(map[string]int{first.ID: 30})
+		f.SetOthers(map[namekey.Key]int{namekey.Of(first.ID): 30})
 		assert.Equal(t, first.Address, f.pick(t, a).FetchFrom)
 	})
 }
@@ -206,7 +207,7 @@
 		usual.Release(Succeeded)
 		// As if another box had sent it there.
 		clear(usual.parts)
-		f.SetOthers(map[string]int{usual.ID: 30})
+		f.SetOthers(map[namekey.Key]int{namekey.Of(usual.ID): 30})
 		assert.Equal(t, usual.Address, f.pick(t, ask("s")).FetchFrom)
 	})
 	t.Run("a session that is new takes its head from an engine that keeps it", func(t *testing.T) {
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -10,7 +10,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/health"
-	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/upstream"
 )
@@ -37,7 +37,7 @@
 	mu   sync.Mutex
 	byID map[string]*Member
 	// byKey are the same upstreams as other boxes name them.
-	byKey map[prompt.Key]*Member
+	byKey map[namekey.Key]*Member
 	kept  keptLog
 	// startedMs is the end of the time in which this box learnt of the
 	// upstreams that were there before it.
@@ -68,7 +68,7 @@
 	defer m.mu.Unlock()
 	old := m.byID
 	m.byID = make(map[string]*Member, len(list))
-	m.byKey = make(map[prompt.Key]*Member, len(list))
+	m.byKey = make(map[namekey.Key]*Member, len(list))
 	m.pools = map[string][]*Member{}
 	for _, u := range list {
 		member := m.keep(old[u.ID], u)
@@ -95,22 +95,22 @@
 }
 
 // SetOthers takes in what the other boxes have in flight, by upstream.
-func (m *Manager) SetOthers(others map[string]int) {
+func (m *Manager) SetOthers(others map[namekey.Key]int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, member := range m.byID {
-		member.others = others[id]
+	for _, member := range m.byID {
+		member.others = others[member.key]
 	}
 }
 
 // InFlight returns what this box has in flight, by upstream, without zeros.
-func (m *Manager) InFlight() map[string]int {
+func (m *Manager) InFlight() map[namekey.Key]int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	counts := map[string]int{}
-	for id, member := range m.byID {
+	counts := map[namekey.Key]int{}
+	for _, member := range m.byID {
 		if member.inFlight > 0 {
-			counts[id] = member.inFlight
+			counts[member.key] = member.inFlight
 		}
 	}
 	return counts
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -2,7 +2,7 @@
 
 import (
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/upstream"
@@ -15,7 +15,7 @@
 	client *upstream.Client
 	hash   uint64
 	// key names the upstream among boxes.
-	key    prompt.Key
+	key    namekey.Key
 	joined clock.Millis
 
 	// inFlight is what this box has running there.
@@ -50,5 +50,5 @@
 }
 
 func newMember(u registry.Upstream, client *upstream.Client, now clock.Millis) *Member {
-	return &Member{Upstream: u, client: client, hash: route.HashName(u.ID), key: prompt.KeyOf(u.ID), joined: now, parts: partMemory{}}
+	return &Member{Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), joined: now, parts: partMemory{}}
 }
--- a/internal/balance/parts.go
+++ b/internal/balance/parts.go
@@ -4,13 +4,14 @@
 	"maps"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 )
 
 // partMemory tells when an engine was last known to read a part, from this box's
 // requests and from what other boxes tell. It is a hint: the engine may have dropped
 // the part since.
-type partMemory map[prompt.Key]clock.Millis
+type partMemory map[namekey.Key]clock.Millis
 
 const (
 	// maxParts bounds a memory; beyond it the oldest half goes.
@@ -22,7 +23,7 @@
 	retellMs = 5 * clock.Second
 )
 
-func (p partMemory) note(key prompt.Key, now clock.Millis) {
+func (p partMemory) note(key namekey.Key, now clock.Millis) {
 	p[key] = now
 	if len(p) > maxParts {
 		p.shrink(now)
@@ -35,11 +36,11 @@
 		oldest = min(oldest, at)
 	}
 	middle := (oldest + now) / 2
-	maps.DeleteFunc(p, func(_ prompt.Key, at clock.Millis) bool { return at <= middle })
+	maps.DeleteFunc(p, func(_ namekey.Key, at clock.Millis) bool { return at <= middle })
 }
 
 // knows tells whether a part was read within a span.
-func (p partMemory) knows(key prompt.Key, now, span clock.Millis) bool {
+func (p partMemory) knows(key namekey.Key, now, span clock.Millis) bool {
 	at, known := p[key]
 	return known && now-at <= span
 }
--- a/internal/balance/parts_test.go
+++ b/internal/balance/parts_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 )
 
@@ -14,7 +15,7 @@
 	t.Helper()
 	want := make([]prompt.Kept, 0, len(parts))
 	for _, part := range parts {
-		want = append(want, prompt.Kept{Part: prompt.KeyOf(part), Upstream: prompt.KeyOf(engine)})
+		want = append(want, prompt.Kept{Part: namekey.Of(part), Upstream: namekey.Of(engine)})
 	}
 	told, _ := f.KeptSince(0, maxKept)
 	assert.ElementsMatch(t, want, told)
@@ -31,7 +32,7 @@
 			if u.ID != f.pick(t, ask).ID {
 				holder = u.Address
 				f.forget()
-				f.LearnKept([]prompt.Kept{{Part: prompt.KeyOf("s"), Upstream: prompt.KeyOf(u.ID)}})
+				f.LearnKept([]prompt.Kept{{Part: namekey.Of("s"), Upstream: namekey.Of(u.ID)}})
 				break
 			}
 		}
@@ -41,7 +42,7 @@
 		f := newFixture(t, 6)
 		first := f.pick(t, ask)
 		f.forget()
-		f.LearnKept([]prompt.Kept{{Part: prompt.KeyOf("s"), Upstream: prompt.KeyOf(first.ID)}})
+		f.LearnKept([]prompt.Kept{{Part: namekey.Of("s"), Upstream: namekey.Of(first.ID)}})
 		assert.Empty(t, f.pick(t, ask).FetchFrom)
 	})
 	t.Run("others are told once the engine answers", func(t *testing.T) {
@@ -77,13 +78,13 @@
 	})
 	t.Run("an engine that is not known is passed over", func(t *testing.T) {
 		f := newFixture(t, 2)
-		f.LearnKept([]prompt.Kept{{Part: 1, Upstream: prompt.KeyOf("gone")}})
+		f.LearnKept([]prompt.Kept{{Part: 1, Upstream: namekey.Of("gone")}})
 		f.pick(t, ask)
 	})
 	t.Run("a reader far behind gets the newest, in pieces", func(t *testing.T) {
 		log := keptLog{}
 		for i := range 5 * maxKept {
-			log.add(prompt.Kept{Part: prompt.Key(i)})
+			log.add(prompt.Kept{Part: namekey.Key(i)})
 		}
 		read := []prompt.Kept{}
 		from := int64(0)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/route"
 )
@@ -38,7 +39,7 @@
 
 	// news are the shared parts that the engine is to read and other boxes may not
 	// know of.
-	news     []prompt.Key
+	news     []namekey.Key
 	manager  *Manager
 	released bool
 }
--- a/internal/mesh/bytes_test.go
+++ b/internal/mesh/bytes_test.go
@@ -23,7 +23,7 @@
 		t.Run(fmt.Sprintf("at %d boxes", c.boxes), func(t *testing.T) {
 			bubble(t, func(f *fixture) {
 				for i := range c.boxes {
-					counts := map[string]int{}
+					counts := loads{}
 					for j := range 10 {
 						counts[fmt.Sprint("i-0123456789", j)] = 2
 					}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 )
 
@@ -24,6 +25,8 @@
 	// forgetMs is how long the address of a silent box is kept: long enough for
 	// a cut to heal.
 	forgetMs clock.Millis = 60_000
+	// newcomerMs is how long a box counts as one that knows few others: a few rounds.
+	newcomerMs clock.Millis = 3000
 	// aliveMs is how long a box counts as there after it was last heard, or
 	// aliveCycles times the time in which every box is asked, if that is more.
 	aliveMs clock.Millis = 2500
@@ -38,13 +41,15 @@
 	// sources; a larger fleet is asked in roundsPerCycle rounds.
 	leastFanout    = 6
 	roundsPerCycle = 10
-	// knownSample is how many boxes a datagram names; in a large fleet it is
-	// largeSample, and loads are left out: heard once in minutes, they say nothing.
-	knownSample = 3
+	// newcomerSample is how many boxes a datagram names to a box that was first heard
+	// within newcomerMs, or that is not known yet. Others need no more than one now and
+	// then, after a cut has healed. In a large fleet loads are left out: heard once in
+	// minutes, they say nothing.
+	newcomerSample = 6
+	settledSample  = 1
 	// maxKept bounds the parts of prompts that a datagram names, at 11 bytes each:
 	// more than a box has engines read while it misses a cycle.
-	maxKept     = 64
-	largeSample = 1
+	maxKept = 64
 	// sources is how many boxes of a failure domain read the store for it. Boxes
 	// of other domains are asked too, so that one silent source costs nothing.
 	sources = 1
@@ -65,7 +70,7 @@
 	conn      net.PacketConn
 	contacts  func() []string
 	knowledge func() Knowledge
-	inFlight  func() map[string]int
+	inFlight  func() map[namekey.Key]int
 	kept      func(from int64, most int) ([]prompt.Kept, int64)
 	learnKept func(list []prompt.Kept)
 	answered  func(a Answer)
@@ -91,7 +96,7 @@
 	// Knowledge returns what this box knows now.
 	Knowledge func() Knowledge
 	// InFlight returns what this box has running, by upstream.
-	InFlight func() map[string]int
+	InFlight func() map[namekey.Key]int
 	// KeptSince returns what this box had engines read since a number, at most so
 	// much, and the number to go on from; LearnKept takes what other boxes had.
 	KeptSince func(from int64, most int) ([]prompt.Kept, int64)
@@ -154,7 +159,7 @@
 	}
 	switch p.Type {
 	case typeAsk:
-		m.send(from.String(), m.withKept(m.packet(typeReply, p.AskedMs), p.From.Box))
+		m.send(from.String(), m.addressed(m.packet(typeReply, p.AskedMs), p.From.Box))
 	case typeReply:
 		m.answered(Answer{From: p.From, Knowledge: p.Knowledge, AskedMs: p.AskedMs})
 	case typeNews:
@@ -167,7 +172,7 @@
 	now := m.clock.Steady()
 	p := m.packet(typeAsk, now)
 	for _, target := range m.targets(now) {
-		m.send(target.address, m.withKept(p, target.box))
+		m.send(target.address, m.addressed(p, target.box))
 	}
 }
 
@@ -176,24 +181,29 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.Leaving = m.leaving
-	p.Known = m.sampleLocked(knownSample)
 	if m.largeLocked() {
-		p.Known, p.InFlight = m.sampleLocked(largeSample), nil
+		p.InFlight = nil
 	}
 	return p
 }
 
-// withKept adds to a datagram what its receiver was not told yet of parts that
-// engines keep. In a large fleet it says nothing: bytes bind there.
-func (m *Mesh) withKept(p *packet, box string) *packet {
+// addressed adds to a datagram what is for one receiver: boxes that it may not know,
+// and parts that engines keep as far as it was not told. In a large fleet it is not
+// told of parts: bytes bind there.
+func (m *Mesh) addressed(p *packet, box string) *packet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	with := *p
 	receiver := m.peers[box]
-	if receiver == nil || m.largeLocked() {
-		return p
+	switch {
+	case receiver == nil || m.clock.Steady()-receiver.firstMs < newcomerMs:
+		with.Known = m.sampleLocked(newcomerSample)
+	case p.Type == typeReply:
+		with.Known = m.sampleLocked(settledSample)
+	}
+	if receiver != nil && !m.largeLocked() {
+		with.Kept, receiver.toldKept = m.kept(receiver.toldKept, maxKept)
 	}
-	with := *p
-	with.Kept, receiver.toldKept = m.kept(receiver.toldKept, maxKept)
 	return &with
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/testlib"
 )
@@ -22,17 +23,28 @@
 	*Mesh
 	mu        sync.Mutex
 	knowledge Knowledge
-	inFlight  map[string]int
+	inFlight  map[namekey.Key]int
 	answers   []Answer
 	kept      []prompt.Kept
 	learnt    []prompt.Kept
 	stop      context.CancelFunc
 }
 
-func (b *box) setInFlight(counts map[string]int) {
+// loads are requests in flight by the IDs of upstreams.
+type loads map[string]int
+
+func (l loads) keyed() map[namekey.Key]int {
+	keyed := map[namekey.Key]int{}
+	for id, count := range l {
+		keyed[namekey.Of(id)] = count
+	}
+	return keyed
+}
+
+func (b *box) setInFlight(counts loads) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.inFlight = counts
+	b.inFlight = counts.keyed()
 }
 
 type fixture struct {
@@ -48,7 +60,7 @@
 	address := "127.0.0." + strconv.Itoa(len(f.boxes)+1) + ":7000"
 	conn, err := f.network.Host(name).ListenPackets("udp", address)
 	require.NoError(f.t, err)
-	b := &box{inFlight: map[string]int{}}
+	b := &box{inFlight: map[namekey.Key]int{}}
 	b.Mesh = New(Dependencies{
 		Self:  Identity{Box: name, FailureDomain: domain, Address: address, Incarnation: 1},
 		Clock: clock.New(), Conn: conn, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
@@ -57,7 +69,7 @@
 			defer b.mu.Unlock()
 			return b.knowledge
 		},
-		InFlight: func() map[string]int {
+		InFlight: func() map[namekey.Key]int {
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			return maps.Clone(b.inFlight)
@@ -177,16 +189,16 @@
 		bubble(t, func(f *fixture) {
 			t := f.t
 			one, two, three := f.start("d"), f.start("d"), f.start("e")
-			two.setInFlight(map[string]int{"u": 2})
-			three.setInFlight(map[string]int{"u": 3, "v": 1})
+			two.setInFlight(loads{"u": 2})
+			three.setInFlight(loads{"u": 3, "v": 1})
 			pass(f.t, time.Second)
-			assert.Equal(t, map[string]int{"u": 5, "v": 1}, one.Others())
+			assert.Equal(t, loads{"u": 5, "v": 1}.keyed(), one.Others())
 			three.Leave()
 			pass(f.t, time.Second)
-			assert.Equal(t, map[string]int{"u": 5, "v": 1}, one.Others(), "a box that leaves finishes what it has")
+			assert.Equal(t, loads{"u": 5, "v": 1}.keyed(), one.Others(), "a box that leaves finishes what it has")
 			three.stop()
 			pass(f.t, aliveMs.Duration())
-			assert.Equal(t, map[string]int{"u": 2}, one.Others())
+			assert.Equal(t, loads{"u": 2}.keyed(), one.Others())
 		})
 	})
 	t.Run("what a box had engines read is told once to each other box", func(t *testing.T) {
@@ -195,7 +207,7 @@
 			one, two, three := f.start("d"), f.start("d"), f.start("e")
 			want := []prompt.Kept{}
 			for i := range 3 * maxKept {
-				want = append(want, prompt.Kept{Part: prompt.Key(i), Upstream: 7})
+				want = append(want, prompt.Kept{Part: namekey.Key(i), Upstream: 7})
 			}
 			one.mu.Lock()
 			one.kept = want
@@ -266,7 +278,7 @@
 		require.ErrorIs(t, err, ErrInvalid)
 	})
 	t.Run("takes what it encodes", func(t *testing.T) {
-		p := packet{Type: typeReply, From: whole, AskedMs: 7, Knowledge: Knowledge{Version: 3, AgeMs: -1}, InFlight: map[string]int{"u": 2}}
+		p := packet{Type: typeReply, From: whole, AskedMs: 7, Knowledge: Knowledge{Version: 3, AgeMs: -1}, InFlight: loads{"u": 2}.keyed()}
 		data, err := p.encode()
 		require.NoError(t, err)
 		back, err := decode(data)
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 )
 
@@ -61,7 +62,7 @@
 	AskedMs   clock.Millis `cbor:"3,keyasint,omitempty"`
 	Knowledge Knowledge    `cbor:"4,keyasint"`
 	// InFlight is what the sender has running, by upstream.
-	InFlight map[string]int `cbor:"5,keyasint,omitempty"`
+	InFlight map[namekey.Key]int `cbor:"5,keyasint,omitempty"`
 	// Leaving is set once the sender is about to stop.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Known are a few other boxes.
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -6,15 +6,18 @@
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/route"
 )
 
 // peer is another box as this one knows it.
 type peer struct {
 	Identity
-	heardMs   clock.Millis
+	heardMs clock.Millis
+	// firstMs is when this incarnation was first heard.
+	firstMs   clock.Millis
 	knowledge Knowledge
-	inFlight  map[string]int
+	inFlight  map[namekey.Key]int
 	leaving   bool
 	// toldKept is the number from which on it was not told yet of parts that engines
 	// keep.
@@ -31,10 +34,10 @@
 		return
 	}
 	heard := &peer{
-		Identity: p.From, heardMs: now, knowledge: p.Knowledge, inFlight: p.InFlight, leaving: p.Leaving,
+		Identity: p.From, heardMs: now, firstMs: now, knowledge: p.Knowledge, inFlight: p.InFlight, leaving: p.Leaving,
 	}
-	if known != nil && known.Incarnation == p.From.Incarnation {
-		heard.toldKept = known.toldKept
+	if known != nil && known.Incarnation == p.From.Incarnation && known.firstMs > 0 {
+		heard.firstMs, heard.toldKept = known.firstMs, known.toldKept
 	}
 	m.peers[p.From.Box] = heard
 	for _, other := range p.Known {
@@ -161,11 +164,11 @@
 func (m *Mesh) largeLocked() bool { return len(m.peers) > largeFleet }
 
 // Others returns what the other boxes have in flight, by upstream.
-func (m *Mesh) Others() map[string]int {
+func (m *Mesh) Others() map[namekey.Key]int {
 	now := m.clock.Steady()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sum := map[string]int{}
+	sum := map[namekey.Key]int{}
 	life := m.lifeLocked()
 	for _, p := range m.peers {
 		// A box that leaves still runs what it has.
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -2,7 +2,7 @@
 // its caller names, and what boxes tell each other of engines that keep them.
 package prompt
 
-import "dooryard.example/dooryard/internal/route"
+import "dooryard.example/dooryard/internal/namekey"
 
 // Part is one piece of a prompt. Parts that come first are shared with other
 // requests; an engine that keeps a part and all before it need not read it again.
@@ -35,16 +35,9 @@
 	return p[:len(p)-1]
 }
 
-// Key stands for a name among boxes: the ID of a part or of an upstream. Two names
-// with one key are rare, and cost no more than a wrong hint.
-type Key uint32
-
-// KeyOf returns a name's key.
-func KeyOf(name string) Key { return Key(route.HashName(name)) }
-
 // Keyed is a part by its key.
 type Keyed struct {
-	Key    Key
+	Key    namekey.Key
 	Tokens int
 }
 
@@ -52,15 +45,15 @@
 func (p Prompt) Keyed() []Keyed {
 	keyed := make([]Keyed, len(p))
 	for i, part := range p {
-		keyed[i] = Keyed{Key: KeyOf(part.ID), Tokens: part.Tokens}
+		keyed[i] = Keyed{Key: namekey.Of(part.ID), Tokens: part.Tokens}
 	}
 	return keyed
 }
 
 // Kept says that an engine keeps a part of a prompt and all parts before it. It is a
-// hint: the engine may have dropped the part since.
+// hint: the engine may have dropped the part since, or two names have one key.
 type Kept struct {
 	_        struct{} `cbor:",toarray"`
-	Part     Key
-	Upstream Key
+	Part     namekey.Key
+	Upstream namekey.Key
 }
--- a/internal/prompt/prompt_test.go
+++ b/internal/prompt/prompt_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/namekey"
 )
 
 func TestPrompt(t *testing.T) {
@@ -21,6 +23,6 @@
 		assert.Empty(t, Prompt{}.Shared())
 	})
 	t.Run("keys keep the order", func(t *testing.T) {
-		assert.Equal(t, []Keyed{{KeyOf("head"), 2000}, {KeyOf("session"), 500}}, Prompt{head, session}.Keyed())
+		assert.Equal(t, []Keyed{{namekey.Of("head"), 2000}, {namekey.Of("session"), 500}}, Prompt{head, session}.Keyed())
 	})
 }
