perf(balance): an upstream whose entry has just gone is still a source

Cause: some upstreams never say that they leave; their entry goes and they serve on for the span of a drain. Sessions that moved then were read again.

Change: for two seconds after its entry went, an upstream that was not ejected may be named as source.

--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -46,8 +46,8 @@
 
 // knownHolder is the address of the engine that this box had read the most of the
 // prompt, and how many tokens that was.
-func (*Manager) knownHolder(lease *Lease, order []*Member, shared []prompt.Keyed, now clock.Millis) (address string, held int) {
-	for _, member := range order {
+func (m *Manager) knownHolder(lease *Lease, order []*Member, shared []prompt.Keyed, now clock.Millis) (address string, held int) {
+	for _, member := range append(order, m.departed[lease.Pool]...) {
 		if member == lease.Member || member.health.Ejected(now) {
 			continue
 		}
@@ -58,12 +58,18 @@
 	return address, held
 }
 
+// settled tells whether an engine has been there for so long that most sessions that
+// it is first for have been sent to it.
+func (m *Manager) settled(member *Member, now clock.Millis) bool {
+	return member.joined <= m.startedMs || now-member.joined > settledMs
+}
+
 // usualHolder is the address of the engine that other boxes have most likely sent
 // the session to: the first in its order, or the second when the first has only
 // just joined.
 func (m *Manager) usualHolder(lease *Lease, order []*Member, now clock.Millis) string {
 	for _, member := range order {
-		settled := member.joined <= m.startedMs || now-member.joined > settledMs
+		settled := m.settled(member, now)
 		if member == lease.Member {
 			if settled {
 				return ""
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -44,6 +44,8 @@
 	startedMs clock.Millis
 	pools     map[string][]*Member
 	domains   map[string]*domain
+	// departed are the upstreams of a pool that have just gone.
+	departed map[string][]*Member
 }
 
 // New returns a manager without upstreams. Connect makes the client of an
@@ -55,6 +57,7 @@
 		settings: settings, steady: steady, connect: connect, random: random,
 		startedMs: steady() + learningMs,
 		byID:      map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*domain{},
+		departed: map[string][]*Member{},
 	}
 }
 
@@ -79,6 +82,7 @@
 	for id, member := range old {
 		if m.byID[id] != member {
 			member.client.Close()
+			m.depart(member)
 		}
 	}
 	for _, members := range m.pools {
@@ -86,6 +90,22 @@
 	}
 }
 
+// lingerMs is how long an upstream usually serves on after its entry has gone.
+const lingerMs = 2 * clock.Second
+
+// depart keeps an upstream that is gone for a while as a source of what it read.
+func (m *Manager) depart(member *Member) {
+	member.goneMs = m.steady()
+	m.departed[member.Pool] = append(m.departed[member.Pool], member)
+}
+
+// forgetDeparted drops upstreams that have been gone for long.
+func (m *Manager) forgetDeparted(now clock.Millis) {
+	for pool, members := range m.departed {
+		m.departed[pool] = slices.DeleteFunc(members, func(member *Member) bool { return now-member.goneMs > lingerMs })
+	}
+}
+
 func (m *Manager) keep(old *Member, u registry.Upstream) *Member {
 	if old == nil || old.Address != u.Address {
 		return newMember(u, m.connect(u.Address), m.steady())
@@ -130,6 +150,7 @@
 // Refresh closes idle connections whose time is over; call it each second.
 func (m *Manager) Refresh() {
 	m.mu.Lock()
+	m.forgetDeparted(m.steady())
 	members := make([]*Member, 0, len(m.byID))
 	for _, member := range m.byID {
 		members = append(members, member)
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -17,6 +17,8 @@
 	// key names the upstream among boxes.
 	key    namekey.Key
 	joined clock.Millis
+	// goneMs is when its entry disappeared.
+	goneMs clock.Millis
 
 	// inFlight is what this box has running there.
 	inFlight int
--- a/internal/balance/parts_test.go
+++ b/internal/balance/parts_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/registry"
 )
 
 // assertTold checks which parts a box tells others of, and that they name an engine.
@@ -45,6 +47,17 @@
 		f.LearnKept([]prompt.Kept{{Part: namekey.Of("s"), Upstream: namekey.Of(first.ID)}})
 		assert.Empty(t, f.pick(t, ask).FetchFrom)
 	})
+	t.Run("an engine whose entry has just gone is still a source, for a while", func(t *testing.T) {
+		f := newFixture(t, 6)
+		left := f.pick(t, ask)
+		left.Release(Succeeded)
+		f.SetUpstreams(slices.DeleteFunc(slices.Clone(f.list), func(u registry.Upstream) bool { return u.ID == left.ID }))
+		assert.Equal(t, left.Address, f.pick(t, ask).FetchFrom)
+		f.forget()
+		f.now += lingerMs + 1
+		f.Refresh()
+		assert.NotEqual(t, left.Address, f.pick(t, ask).FetchFrom)
+	})
 	t.Run("others are told once the engine answers", func(t *testing.T) {
 		f := newFixture(t, 6)
 		l := f.pick(t, ask)
