test(soak): no new work after leaving, for boxes that nothing strikes

The soak did not check draining. Servers that leave serve on for four seconds, so that such work shows.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,49 +15,82 @@
 	name string
 	// begin starts it and returns what ends it.
 	begin func(f *fleet) (end func(f *fleet) error, err error)
+	// fleetWide is set when it strikes all boxes at once.
+	fleetWide bool
 }
 
 func nothing(*fleet) error { return nil }
 
 // faults are all that a run may draw. Planned work is among them: stops, changes
-// of the configuration, servers that leave.
-func faults() []fault {
+// of the configuration, servers that leave. Without those that strike all boxes at once,
+// bounds in time hold for some box most of the time.
+func faults(withFleetWide bool) []fault {
 	list := []fault{
-		{"kill a box", killBox},
-		{"pause a box", pauseBox},
-		{"stop a box as planned", stopBox},
-		{"change settings and hang up", hangUp},
-		{"kill all boxes", killAll},
-		{"forget the store's history", func(f *fleet) (func(*fleet) error, error) {
+		{name: "kill a box", begin: killBox},
+		{name: "pause a box", begin: pauseBox},
+		{name: "stop a box as planned", begin: stopBox},
+		{name: "change settings and hang up", begin: hangUp},
+		{name: "kill all boxes", begin: killAll, fleetWide: true},
+		{name: "forget the store's history", begin: func(f *fleet) (func(*fleet) error, error) {
 			f.store.Compact()
 			return nothing, nil
 		}},
-		{"lapse all entries", lapse},
-		{"take a key away", revoke},
-		{"change the configuration", change},
-		{"crash a server", crashServer},
-		{"a server leaves", leaveServer},
+		{name: "lapse all entries", begin: lapse, fleetWide: true},
+		{name: "take a key away", begin: revoke},
+		{name: "change the configuration", begin: change},
+		{name: "crash a server", begin: crashServer},
+		{name: "a server leaves", begin: leaveServer},
 	}
+	list = append(list, storeFaults()...)
+	list = append(list, linkFaults()...)
+	list = append(list, serverFaults()...)
+	if withFleetWide {
+		return list
+	}
+	return slices.DeleteFunc(list, func(one fault) bool { return one.fleetWide })
+}
+
+func storeFaults() []fault {
+	list := []fault{}
 	for _, kind := range []standin.StoreFault{
 		standin.StoreBusy, standin.StoreSilent, standin.StoreSlow, standin.StoreReset,
 	} {
-		list = append(list, fault{"store " + string(kind), func(f *fleet) (func(*fleet) error, error) {
+		list = append(list, fault{name: "store " + string(kind), fleetWide: true, begin: func(f *fleet) (func(*fleet) error, error) {
 			f.store.SetFault(kind)
-			return func(f *fleet) error { f.store.SetFault(standin.StoreWell); return nil }, nil
+			return disturbing(f, everywhere, func(f *fleet) error { f.store.SetFault(standin.StoreWell); return nil }, nil)
 		}})
 	}
+	return list
+}
+
+func linkFaults() []fault {
+	list := []fault{}
 	for _, kind := range []linkFault{linkDelayed, linkReset, linkSilent, linkNoAnswers} {
 		list = append(list,
-			linkOf("a box's store "+string(kind), kind, func(f *fleet) *link { return f.anyBox().store }),
-			linkOf("a box's callers "+string(kind), kind, func(f *fleet) *link { return f.anyBox().callers }),
-			linkOf("a server's link "+string(kind), kind, func(f *fleet) *link { return f.anyServer().link }),
+			linkOf("a box's store "+string(kind), kind, func(f *fleet) (*link, string) {
+				b := f.anyBox()
+				return b.store, b.name
+			}),
+			linkOf("a box's callers "+string(kind), kind, func(f *fleet) (*link, string) {
+				b := f.anyBox()
+				return b.callers, b.name
+			}),
+			linkOf("a server's link "+string(kind), kind, func(f *fleet) (*link, string) {
+				s := f.anyServer()
+				return s.link, s.id()
+			}),
 		)
 	}
+	return list
+}
+
+func serverFaults() []fault {
+	list := []fault{}
 	for _, kind := range []standin.ServerFault{
 		standin.ServerErrors, standin.ServerShed, standin.ServerLost,
 		standin.ServerTorn, standin.ServerExtra, standin.ServerSlow,
 	} {
-		list = append(list, fault{"server " + string(kind), func(f *fleet) (func(*fleet) error, error) {
+		list = append(list, fault{name: "server " + string(kind), begin: func(f *fleet) (func(*fleet) error, error) {
 			s := f.anyServer()
 			s.mu.Lock()
 			current := s.current
@@ -68,11 +102,12 @@
 	return list
 }
 
-func linkOf(name string, kind linkFault, pick func(f *fleet) *link) fault {
-	return fault{name, func(f *fleet) (func(*fleet) error, error) {
-		l := pick(f)
+// linkOf is a fault of a link that belongs to a box or a server of some name.
+func linkOf(name string, kind linkFault, pick func(f *fleet) (*link, string)) fault {
+	return fault{name: name, begin: func(f *fleet) (func(*fleet) error, error) {
+		l, owner := pick(f)
 		l.set(kind)
-		return func(*fleet) error { l.set(linkWell); return nil }, nil
+		return disturbing(f, owner, func(*fleet) error { l.set(linkWell); return nil }, nil)
 	}}
 }
 
@@ -82,7 +117,7 @@
 
 func killBox(f *fleet) (func(*fleet) error, error) {
 	b := f.anyBox()
-	return func(*fleet) error { return b.process.start() }, b.process.kill()
+	return disturbing(f, b.name, func(*fleet) error { return b.process.start() }, b.process.kill())
 }
 
 func killAll(f *fleet) (func(*fleet) error, error) {
@@ -90,32 +125,33 @@
 	for _, b := range f.boxes {
 		errs = append(errs, b.process.kill())
 	}
-	return func(f *fleet) error {
+	return disturbing(f, everywhere, func(f *fleet) error {
 		errs := []error{}
 		for _, b := range f.boxes {
 			errs = append(errs, b.process.start())
 		}
 		return errors.Join(errs...)
-	}, errors.Join(errs...)
+	}, errors.Join(errs...))
 }
 
 func pauseBox(f *fleet) (func(*fleet) error, error) {
 	b := f.anyBox()
-	return func(*fleet) error { return b.process.signal(syscall.SIGCONT) }, b.process.signal(syscall.SIGSTOP)
+	goOn := func(*fleet) error { return b.process.signal(syscall.SIGCONT) }
+	return disturbing(f, b.name, goOn, b.process.signal(syscall.SIGSTOP))
 }
 
 // stopBox sends the signal of a planned stop and starts the box again once it has
 // ended, or kills it after its grace.
 func stopBox(f *fleet) (func(*fleet) error, error) {
 	b := f.anyBox()
-	return func(*fleet) error {
+	return disturbing(f, b.name, func(*fleet) error {
 		if !b.process.wait(graceS * time.Second) {
 			if err := b.process.kill(); err != nil {
 				return err
 			}
 		}
 		return b.process.start()
-	}, b.process.signal(syscall.SIGTERM)
+	}, b.process.signal(syscall.SIGTERM))
 }
 
 func hangUp(f *fleet) (func(*fleet) error, error) {
@@ -123,6 +159,7 @@
 }
 
 func lapse(f *fleet) (func(*fleet) error, error) {
+	undisturb := f.disturb(everywhere)
 	f.store.SetFault(standin.StoreBusy)
 	for _, s := range f.servers {
 		s.mu.Lock()
@@ -130,6 +167,7 @@
 		s.mu.Unlock()
 	}
 	return func(f *fleet) error {
+		defer undisturb()
 		f.store.SetFault(standin.StoreWell)
 		for _, s := range f.servers {
 			s.mu.Lock()
@@ -174,6 +212,13 @@
 	f.store.PutConfig(f.config)
 }
 
+// id is the name of the current incarnation.
+func (s *server) id() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current.ID
+}
+
 // crashServer breaks what is open at a server; a new incarnation follows at the
 // same address.
 func crashServer(f *fleet) (func(*fleet) error, error) {
@@ -193,13 +238,18 @@
 
 func leaveServer(f *fleet) (func(*fleet) error, error) {
 	s := f.anyServer()
-	s.mu.Lock()
-	old := s.current.ID
-	s.mu.Unlock()
+	old := s.id()
 	f.store.PutServer(old, standin.Service, s.link.address(), s.zone, true)
+	f.ledger.noteLeft(old)
+	began := time.Now()
 	return func(f *fleet) error {
+		// It serves on for longer than boxes may send it work, so that such work shows.
+		time.Sleep(time.Until(began.Add(lingerSpan)))
 		f.store.RemoveServer(old)
 		f.incarnate(s)
 		return nil
 	}, nil
 }
+
+// lingerSpan is how long a server serves on that said that it leaves.
+const lingerSpan = 4 * time.Second
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -38,6 +38,9 @@
 	Servers int
 	Clients int
 	Span    time.Duration
+	// Timed has bounds in time checked, too, with faults that leave most boxes alone. It
+	// wants a machine that does little else.
+	Timed bool
 }
 
 // box is one process with the links to it and to its store.
@@ -96,6 +99,7 @@
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)), store: standin.NewStore(), ledger: newLedger(),
 		config: standin.Config{Version: 1, Keys: map[string][]string{}},
 	}
+	f.ledger.timed = settings.Timed
 	for i := range tenantCount {
 		tenant := "tenant-" + strconv.Itoa(i)
 		for range keysEach {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -32,12 +32,17 @@
 	revoked map[string]time.Time
 	// served counts successes by kind.
 	served map[string]int
+	// left is when a server's word that it leaves was acknowledged.
+	left  map[string]time.Time
+	touch touch
+	// timed is set when bounds in time are checked, too.
+	timed bool
 }
 
 func newLedger() *ledger {
 	return &ledger{
 		runs: map[string][]standin.Run{}, tenants: map[string]string{}, revoked: map[string]time.Time{},
-		served: map[string]int{},
+		served: map[string]int{}, left: map[string]time.Time{}, touch: touch{},
 	}
 }
 
@@ -65,6 +70,12 @@
 	l.revoked[key] = time.Now()
 }
 
+func (l *ledger) noteLeft(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left[server] = time.Now()
+}
+
 // check returns the promises that were broken. It is called when nothing runs any
 // more, so that what never ran never will.
 func (l *ledger) check(revokeMs int) []finding {
@@ -129,9 +140,37 @@
 	if run.DeadlineMs > o.DeadlineMs {
 		broken("deadline", "the server got %d ms of %d", run.DeadlineMs, o.DeadlineMs)
 	}
+	if late := l.lateAfterLeaving(o, run); late > 0 {
+		broken("no new work after leaving", "%s ran it %s after it had said that it leaves", run.Server, late)
+	}
 	return findings
 }
 
+const (
+	// leaveSpan is how long boxes may send new work to a server that leaves.
+	leaveSpan = 2 * time.Second
+	// contactSpan is how long a box must have been undisturbed to be held to that.
+	contactSpan = 3 * time.Second
+	// lateSlack is for the machine that the soak runs on.
+	lateSlack = 300 * time.Millisecond
+)
+
+// lateAfterLeaving is how long after a server's word that it leaves a box that was
+// undisturbed sent it a request, if that is too long.
+func (l *ledger) lateAfterLeaving(o standin.Outcome, run standin.Run) time.Duration {
+	at, left := l.left[run.Server]
+	late := run.Began.Sub(at)
+	if !l.timed || !left || late <= leaveSpan+lateSlack {
+		return 0
+	}
+	for _, name := range []string{everywhere, o.Box, run.Server} {
+		if !l.touch.calm(name, at.Add(-contactSpan), run.Began) {
+			return 0
+		}
+	}
+	return late
+}
+
 func promisesNotRun(status int) bool {
 	return slices.Contains([]int{
 		http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -79,6 +79,12 @@
 			"a longer deadline", "deadline", standin.Safe,
 			func(_ *ledger, _ *standin.Outcome, run *standin.Run) { run.DeadlineMs = 1001 },
 		},
+		{
+			"work for a server that leaves", "no new work after leaving", standin.Safe,
+			func(l *ledger, _ *standin.Outcome, run *standin.Run) {
+				leaves(l, run, leaveSpan+lateSlack+time.Millisecond)
+			},
+		},
 	} {
 		t.Run("finds "+c.name, func(t *testing.T) {
 			l, o, run := sound(c.kind)
@@ -89,3 +95,47 @@
 		})
 	}
 }
+
+// leaves has a run begin some time after its server said that it leaves.
+func leaves(l *ledger, run *standin.Run, after time.Duration) {
+	l.timed = true
+	l.left[run.Server] = time.Now().Add(-after)
+	run.Began = time.Now()
+}
+
+func TestLeavingBoundHoldsForCalmBoxes(t *testing.T) {
+	const late = leaveSpan + time.Second
+	for _, c := range []struct {
+		name string
+		// struck is what was disturbed, and how long before the run that ended.
+		struck string
+		before time.Duration
+		found  int
+	}{
+		{"a calm box", "other", 0, 1},
+		{"a box that is disturbed", "b", 0, 0},
+		{"a box that was disturbed until the server left", "b", late, 0},
+		{"a box that was disturbed long before", "b", late + contactSpan + time.Second, 1},
+		{"a fleet that is disturbed", everywhere, 0, 0},
+		{"a server that is disturbed", "s", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, o, run := sound(standin.Safe)
+			o.Box = "b"
+			leaves(l, run, late)
+			s := l.touch.begin(c.struck, run.Began.Add(-c.before-time.Second))
+			s.to = run.Began.Add(-c.before)
+			l.noteRun(*run)
+			l.noteOutcome(*o)
+			assert.Len(t, l.check(revokeMs), c.found)
+		})
+	}
+	t.Run("is not checked where the machine may be slow", func(t *testing.T) {
+		l, o, run := sound(standin.Safe)
+		leaves(l, run, late)
+		l.timed = false
+		l.noteRun(*run)
+		l.noteOutcome(*o)
+		assert.Empty(t, l.check(revokeMs))
+	})
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -77,7 +77,7 @@
 // strike begins faults one after the other and ends each after a while.
 func (f *fleet) strike(ctx context.Context, counts map[string]int) error {
 	random := rand.New(rand.NewPCG(f.settings.Seed, 2))
-	list := faults()
+	list := faults(!f.settings.Timed)
 	until := time.Now().Add(f.settings.Span)
 	var ends sync.WaitGroup
 	errs := make(chan error, endsAtMost)
