fix(gateway): the entry's first question waits for a box that starts

Cause: a box that is asked within some 40 ms of its start said that it is not ready, and got no new connections until it was asked again, a second later.

Change: the answer waits up to 400 ms for what the box is about to learn, as requests do.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -219,7 +219,10 @@
 	return bound == 0 || b.belief.AgeMs() < bound
 }
 
-func (b *Box) readiness(w http.ResponseWriter, _ *http.Request) {
+// readiness answers the entry. A box that has just started answers once it has learnt
+// where to send requests: after a "no" it would get none until it is asked again.
+func (b *Box) readiness(w http.ResponseWriter, r *http.Request) {
+	b.awaitState(r.Context())
 	if !b.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -313,6 +314,13 @@
 	return client.Do(request)
 }
 
+// askReadiness asks the box as the entry does.
+func (r *running) askReadiness() int {
+	w := httptest.NewRecorder()
+	r.readiness(w, httptest.NewRequest(http.MethodGet, r.readinessPath, nil))
+	return w.Code
+}
+
 type reader struct{ data string }
 
 func (r *reader) Read(part []byte) (int, error) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -125,6 +125,26 @@
 			assertStatus(t, b, "/safe/", http.StatusOK)
 		})
 	})
+	t.Run("a box that has just started is asked once whether it is ready, and answers when it is", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			t := f.t
+			f.upstream("u1", answer("done"))
+			f.store.setSlow(startWaitMs / 2)
+			b := f.box(1)
+			assert.Equal(t, http.StatusOK, b.askReadiness())
+		})
+	})
+	t.Run("a box that learns too late is not ready", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			t := f.t
+			f.upstream("u1", answer("done"))
+			f.store.setSlow(2 * startWaitMs)
+			b := f.box(1)
+			began := time.Now()
+			assert.Equal(t, http.StatusServiceUnavailable, b.askReadiness())
+			assert.Equal(t, startWaitMs.Duration(), time.Since(began))
+		})
+	})
 	t.Run("a box that knows no upstream yet is not ready", func(t *testing.T) {
 		bubble(t, func(f *fleet) {
 			b := f.box(1)
