--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -13,37 +12,22 @@
 	"github.com/urfave/cli/v3"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/gateway"
-	"dooryard.example/dooryard/internal/version"
 	"dooryard.example/dooryard/pkg/config"
 )
 
 // New returns the command. Log lines go to out.
 func New(out io.Writer, adapter gateway.Adapter) *cli.Command {
-	return &cli.Command{
-		Name:    "dooryard-gateway",
-		Usage:   "route opaque requests on an entry box until a termination signal",
-		Version: version.String(),
-		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name: "settings", Aliases: []string{"s"}, Sources: cli.EnvVars(adapter.EnvSettings),
-				Usage: "settings file of this box, YAML",
-			},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
-		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			path := c.String("settings")
-			if path == "" {
-				return fmt.Errorf("%w: --settings: is missing", exit.ErrUsage)
-			}
-			settings, err := config.LoadGateway(path)
-			if err != nil || c.Bool("check") {
-				return err
-			}
+	return daemon.Daemon[config.Gateway]{
+		Name:        "dooryard-gateway",
+		Usage:       "route opaque requests on an entry box until a termination signal",
+		EnvSettings: adapter.EnvSettings,
+		Load:        config.LoadGateway,
+		Run: func(ctx context.Context, path string, settings config.Gateway) error {
 			return run(ctx, path, settings, out, adapter)
 		},
-	}
+	}.Command()
 }
 
 func run(ctx context.Context, path string, settings config.Gateway, out io.Writer, adapter gateway.Adapter) error {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -283,6 +283,17 @@
 	return r
 }
 
+// boxes starts boxes of one failure domain that find each other.
+func (f *fleet) boxes(count int) []*running {
+	f.t.Helper()
+	first := f.box(1)
+	all := []*running{first}
+	for i := 2; i <= count; i++ {
+		all = append(all, f.box(i, func(g *config.Gateway) { g.Contacts = []string{first.settings.PeersAddress} }))
+	}
+	return all
+}
+
 // call is one request of a caller.
 type call struct {
 	method, path, id, key, body string
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -10,7 +10,6 @@
 
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
-	"dooryard.example/dooryard/pkg/config"
 )
 
 func TestFreshness(t *testing.T) {
@@ -35,8 +34,7 @@
 		bubble(t, func(f *fleet) {
 			t := f.t
 			f.upstream("u1", answer("done"))
-			first := f.box(1)
-			second := f.box(2, contact(first))
+			second := f.boxes(2)[1]
 			pass(f.t, time.Second)
 			f.store.setAway("box-2", true)
 			pass(f.t, 3*maxAgeMs*time.Millisecond)
@@ -47,8 +45,7 @@
 		bubble(t, func(f *fleet) {
 			t := f.t
 			f.upstream("u1", answer("done"))
-			first := f.box(1)
-			second := f.box(2, contact(first))
+			second := f.boxes(2)[1]
 			pass(f.t, time.Second)
 			f.store.setAway("box-2", true)
 			without := content(2)
@@ -62,8 +59,7 @@
 		bubble(t, func(f *fleet) {
 			t := f.t
 			f.upstream("u1", answer("done"))
-			first := f.box(1)
-			second := f.box(2, contact(first))
+			second := f.boxes(2)[1]
 			pass(f.t, time.Second)
 			f.store.setAway("box-2", true)
 			f.network.SetCut(func(from, to string) bool { return from == "box-1" || to == "box-1" })
@@ -73,11 +69,6 @@
 	})
 }
 
-// contact lets a box find another one.
-func contact(other *running) func(g *config.Gateway) {
-	return func(g *config.Gateway) { g.Contacts = []string{other.settings.PeersAddress} }
-}
-
 func assertStatus(t *testing.T, b *running, path string, want int) {
 	t.Helper()
 	status, _, err := b.get(path)
@@ -91,8 +82,7 @@
 	bubble(t, func(f *fleet) {
 		t := f.t
 		f.upstream("u1", answer("done"))
-		first := f.box(1)
-		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		boxes := f.boxes(3)
 		pass(t, 3*time.Second)
 		for _, b := range boxes {
 			if b.peering.mesh.IsSource() {
@@ -123,8 +113,7 @@
 	bubble(t, func(f *fleet) {
 		t := f.t
 		f.upstream("u1", answer("done"))
-		first := f.box(1)
-		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		boxes := f.boxes(3)
 		pass(t, 3*time.Second)
 		for _, b := range boxes {
 			if b.peering.mesh.IsSource() {
@@ -145,15 +134,14 @@
 	bubble(t, func(f *fleet) {
 		t := f.t
 		f.upstream("u1", answer("done"))
-		first := f.box(1)
-		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		boxes := f.boxes(3)
 		for _, b := range boxes[1:] {
 			f.store.setAway(b.settings.Box, true)
 		}
 		// The store is away for all for a while, so that all have tried it.
-		f.store.setAway(first.settings.Box, true)
+		f.store.setAway(boxes[0].settings.Box, true)
 		pass(t, 4*time.Second)
-		f.store.setAway(first.settings.Box, false)
+		f.store.setAway(boxes[0].settings.Box, false)
 		pass(t, 6*time.Second)
 		before := f.store.readsOf(boxes[1:])
 		pass(t, 20*time.Second)
@@ -166,8 +154,7 @@
 func TestStartWithoutUpstreams(t *testing.T) {
 	bubble(t, func(f *fleet) {
 		t := f.t
-		first := f.box(1)
-		boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+		boxes := f.boxes(3)
 		pass(t, 3*time.Second)
 		before := f.store.readsOf(boxes)
 		pass(t, 10*time.Second)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -49,8 +49,7 @@
 	t.Run("a storm of versions ends with the last on all boxes, and none goes back", func(t *testing.T) {
 		bubble(t, func(f *fleet) {
 			t := f.t
-			first := f.box(1)
-			boxes := []*running{first, f.box(2, contact(first)), f.box(3, contact(first))}
+			boxes := f.boxes(3)
 			pass(t, 2*time.Second)
 			seen := map[*running]int64{}
 			const versions = 40
@@ -73,8 +72,7 @@
 		bubble(t, func(f *fleet) {
 			t := f.t
 			f.upstream("u1", answer("done"))
-			first := f.box(1)
-			second := f.box(2, contact(first))
+			second := f.boxes(2)[1]
 			pass(t, time.Second)
 			f.store.setAway("box-2", true)
 			grown := content(2)
@@ -95,9 +93,8 @@
 			t := f.t
 			f.upstream("u1", answer("done"))
 			f.store.setSlow(2 * clock.Second)
-			first := f.box(1)
-			second := f.box(2, contact(first))
-			for _, b := range []*running{first, second} {
+			boxes := f.boxes(2)
+			for _, b := range boxes {
 				response, err := b.send(t.Context(), call{method: http.MethodGet, path: "/safe/", id: "1", key: key})
 				require.NoError(t, err)
 				_, err = io.Copy(io.Discard, response.Body)
@@ -107,7 +104,7 @@
 				assert.False(t, b.Ready())
 			}
 			pass(t, 3*time.Second)
-			for _, b := range []*running{first, second} {
+			for _, b := range boxes {
 				assertStatus(t, b, "/safe/", http.StatusOK)
 				assert.True(t, b.Ready())
 			}
@@ -142,8 +139,7 @@
 			bubble(t, func(f *fleet) {
 				t := f.t
 				f.upstream("u1", answer("done"))
-				first := f.box(1)
-				second := f.box(2, contact(first))
+				second := f.boxes(2)[1]
 				pass(t, time.Second)
 				f.stepNow(step)
 				pass(t, time.Second)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -47,7 +47,7 @@
 	headerTimeout = 15 * time.Second
 	// idleTimeout is more than operators usually let a caller rest, so that no
 	// request crosses the close of its connection.
-	idleTimeout      = 60 * time.Second
+	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is more than operators usually allow; what they allow is a limit of
 	// the routing state, and the step that receives requests keeps it.
 	maxHeaderBytes   = 256 << 10
