--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -46,7 +46,9 @@
 
 // knownHolder is the address of the engine that this box had read the most of the
 // prompt, and how many tokens that was.
-func (m *Manager) knownHolder(lease *Lease, order []*Member, shared []prompt.Keyed, now clock.Millis) (address string, held int) {
+func (m *Manager) knownHolder(
+	lease *Lease, order []*Member, shared []prompt.Keyed, now clock.Millis,
+) (address string, held int) {
 	for _, member := range append(order, m.departed[lease.Pool]...) {
 		if member == lease.Member || member.health.Ejected(now) {
 			continue
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -52,5 +52,7 @@
 }
 
 func newMember(u registry.Upstream, client *upstream.Client, now clock.Millis) *Member {
-	return &Member{Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), joined: now, parts: partMemory{}}
+	return &Member{
+		Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), joined: now, parts: partMemory{},
+	}
 }
--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -39,7 +39,10 @@
 			&cli.DurationFlag{Name: "span", Value: defaultSeconds * 1e9, Usage: "how long faults go on, a seed"},
 			&cli.IntFlag{Name: "boxes", Value: defaultBoxes, Usage: "processes"},
 			&cli.IntFlag{Name: "servers", Value: defaultServers, Usage: "servers, in this process"},
-			&cli.BoolFlag{Name: "timed", Usage: "check bounds in time, too, with faults that leave most boxes alone; wants an idle machine"},
+			&cli.BoolFlag{
+				Name:  "timed",
+				Usage: "check bounds in time, too, with faults that leave most boxes alone; wants an idle machine",
+			},
 			&cli.IntFlag{Name: "clients", Value: defaultClients, Usage: "clients, in this process"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -74,7 +77,8 @@
 	}
 	report, runErr := soak.Run(ctx, soak.Settings{
 		Program: program, Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
-		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"), Timed: c.Bool("timed"),
+		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
+		Timed: c.Bool("timed"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -55,10 +55,11 @@
 	for _, kind := range []standin.StoreFault{
 		standin.StoreBusy, standin.StoreSilent, standin.StoreSlow, standin.StoreReset,
 	} {
-		list = append(list, fault{name: "store " + string(kind), fleetWide: true, begin: func(f *fleet) (func(*fleet) error, error) {
+		begin := func(f *fleet) (func(*fleet) error, error) {
 			f.store.SetFault(kind)
 			return disturbing(f, everywhere, func(f *fleet) error { f.store.SetFault(standin.StoreWell); return nil }, nil)
-		}})
+		}
+		list = append(list, fault{name: "store " + string(kind), fleetWide: true, begin: begin})
 	}
 	return list
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -78,14 +78,14 @@
 
 // check returns the promises that were broken. It is called when nothing runs any
 // more, so that what never ran never will.
-func (l *ledger) check(revokeMs int) []finding {
+func (l *ledger) check() []finding {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	findings := []finding{}
 	known := map[string]bool{}
 	for _, o := range l.outcomes {
 		known[o.ID] = true
-		findings = append(findings, l.checkOutcome(o, revokeMs)...)
+		findings = append(findings, l.checkOutcome(o)...)
 	}
 	for id := range l.runs {
 		if !known[id] {
@@ -95,7 +95,7 @@
 	return findings
 }
 
-func (l *ledger) checkOutcome(o standin.Outcome, revokeMs int) []finding {
+func (l *ledger) checkOutcome(o standin.Outcome) []finding {
 	runs := l.runs[o.ID]
 	findings := []finding{}
 	broken := func(promise, format string, arguments ...any) {
@@ -118,12 +118,12 @@
 		}
 	}
 	for _, run := range runs {
-		findings = append(findings, l.checkRun(o, run, revokeMs)...)
+		findings = append(findings, l.checkRun(o, run)...)
 	}
 	return findings
 }
 
-func (l *ledger) checkRun(o standin.Outcome, run standin.Run, revokeMs int) []finding {
+func (l *ledger) checkRun(o standin.Outcome, run standin.Run) []finding {
 	findings := []finding{}
 	broken := func(promise, format string, arguments ...any) {
 		findings = append(findings, finding{promise, o.ID, fmt.Sprintf(format, arguments...)})
@@ -134,7 +134,7 @@
 	if want, known := l.tenants[o.Key]; !known || run.Tenant != want {
 		broken("tenant of the key", "ran as %q with a key of %q", run.Tenant, want)
 	}
-	if at, gone := l.revoked[o.Key]; gone && o.Sent.Sub(at) > time.Duration(revokeMs)*time.Millisecond {
+	if at, gone := l.revoked[o.Key]; gone && o.Sent.Sub(at) > RevokeMs*time.Millisecond {
 		broken("revocation", "ran, though sent %s after its key's removal", o.Sent.Sub(at))
 	}
 	if run.DeadlineMs > o.DeadlineMs {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -10,8 +10,6 @@
 	"dooryard.example/dooryard/platform/standin"
 )
 
-const revokeMs = 5000
-
 // sound is a ledger with one request that went well.
 func sound(kind string) (*ledger, *standin.Outcome, *standin.Run) {
 	l := newLedger()
@@ -25,7 +23,7 @@
 
 func assertFinds(t *testing.T, l *ledger, promise string) {
 	t.Helper()
-	found := l.check(revokeMs)
+	found := l.check()
 	if assert.NotEmpty(t, found) {
 		assert.Equal(t, promise, found[0].Promise)
 	}
@@ -37,7 +35,7 @@
 		l, o, run := sound(standin.Unsafe)
 		l.noteRun(*run)
 		l.noteOutcome(*o)
-		assert.Empty(t, l.check(revokeMs))
+		assert.Empty(t, l.check())
 	})
 	for _, c := range []struct {
 		name    string
@@ -65,7 +63,7 @@
 		},
 		{"a key that is gone", "revocation", standin.Safe, func(l *ledger, o *standin.Outcome, _ *standin.Run) {
 			l.noteRevoked("k")
-			o.Sent = time.Now().Add(2 * revokeMs * time.Millisecond)
+			o.Sent = time.Now().Add(2 * RevokeMs * time.Millisecond)
 		}},
 		{
 			"another tenant", "tenant of the key", standin.Safe,
@@ -127,7 +125,7 @@
 			s.to = run.Began.Add(-c.before)
 			l.noteRun(*run)
 			l.noteOutcome(*o)
-			assert.Len(t, l.check(revokeMs), c.found)
+			assert.Len(t, l.check(), c.found)
 		})
 	}
 	t.Run("is not checked where the machine may be slow", func(t *testing.T) {
@@ -136,6 +134,6 @@
 		l.timed = false
 		l.noteRun(*run)
 		l.noteOutcome(*o)
-		assert.Empty(t, l.check(revokeMs))
+		assert.Empty(t, l.check())
 	})
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -64,7 +64,7 @@
 	running.Wait()
 	// What was refused must not run later either.
 	time.Sleep(settleSpan)
-	for _, found := range f.ledger.check(RevokeMs) {
+	for _, found := range f.ledger.check() {
 		report.Findings = append(report.Findings, found.String())
 	}
 	report.Requests, report.Served, report.Calls = len(f.ledger.outcomes), f.ledger.served, f.store.Calls()
