perf(mesh): a reply names just its box

Cause: every datagram named its sender in full and every reply another box, for the few receivers that don't know them.

Change: a reply to a box that was heard for three seconds names its box and incarnation only, and one in sixteen names another box. Asks name their sender in full, so that all come to know each other.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -42,11 +42,11 @@
 	leastFanout    = 6
 	roundsPerCycle = 10
 	// newcomerSample is how many boxes a datagram names to a box that was first heard
-	// within newcomerMs, or that is not known yet. Others need no more than one now and
-	// then, after a cut has healed. In a large fleet loads are left out: heard once in
+	// within newcomerMs, or that is not known yet. To others one reply in settledOneIn
+	// names a box, for those that forgot each other in a long cut. In a large fleet loads are left out: heard once in
 	// minutes, they say nothing.
 	newcomerSample = 6
-	settledSample  = 1
+	settledOneIn   = 16
 	// maxKept bounds the parts of prompts that a datagram names, at 11 bytes each:
 	// more than a box has engines read while it misses a cycle.
 	maxKept = 64
@@ -150,7 +150,7 @@
 
 // take handles one datagram.
 func (m *Mesh) take(p *packet, from net.Addr) {
-	if p.From.Box == m.self.Box {
+	if p.From.Box == m.self.Box || !m.complete(p) {
 		return
 	}
 	m.hear(p)
@@ -167,6 +167,23 @@
 	}
 }
 
+// complete fills in what a reply leaves out of its sender, and tells whether the sender
+// is known. Asks name their sender in full, so one that is not will be.
+func (m *Mesh) complete(p *packet) bool {
+	if p.From.Address != "" {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.peers[p.From.Box]
+	if known == nil {
+		m.ignored++
+		return false
+	}
+	p.From.FailureDomain, p.From.Address = known.FailureDomain, known.Address
+	return true
+}
+
 // round asks this box's sources and a few other boxes.
 func (m *Mesh) round() {
 	now := m.clock.Steady()
@@ -187,8 +204,9 @@
 	return p
 }
 
-// addressed adds to a datagram what is for one receiver: boxes that it may not know,
-// and parts that engines keep as far as it was not told. In a large fleet it is not
+// addressed makes a datagram fit one receiver: it adds boxes that it may not know, and
+// parts that engines keep as far as it was not told, and leaves out who the sender is as
+// far as it knows. In a large fleet it is not
 // told of parts: bytes bind there.
 func (m *Mesh) addressed(p *packet, box string) *packet {
 	m.mu.Lock()
@@ -199,7 +217,10 @@
 	case receiver == nil || m.clock.Steady()-receiver.firstMs < newcomerMs:
 		with.Known = m.sampleLocked(newcomerSample)
 	case p.Type == typeReply:
-		with.Known = m.sampleLocked(settledSample)
+		if m.random.IntN(settledOneIn) == 0 {
+			with.Known = m.sampleLocked(1)
+		}
+		with.From = Identity{Box: m.self.Box, Incarnation: m.self.Incarnation}
 	}
 	if receiver != nil && !m.largeLocked() {
 		with.Kept, receiver.toldKept = m.kept(receiver.toldKept, maxKept)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -239,6 +239,26 @@
 			assert.LessOrEqual(t, last.AskedMs, one.clock.Steady())
 		})
 	})
+	t.Run("a reply of a box that is not known is ignored", func(t *testing.T) {
+		bubble(t, func(f *fixture) {
+			one := f.start("d")
+			one.take(&packet{Type: typeReply, From: Identity{Box: "stranger"}, AskedMs: 1}, nil)
+			assert.Equal(t, Sizes{Boxes: 1, Ignored: 1, Unsent: one.Sizes().Unsent, SentBytes: one.Sizes().SentBytes}, one.Sizes())
+		})
+	})
+	t.Run("a box that starts again is known by its replies", func(t *testing.T) {
+		bubble(t, func(f *fixture) {
+			one, two := f.start("d"), f.start("d")
+			pass(f.t, 2*newcomerMs.Duration())
+			two.stop()
+			pass(f.t, time.Second)
+			f.boxes = f.boxes[:1]
+			again := f.start("d")
+			pass(f.t, time.Second)
+			assert.Equal(t, 2, one.Boxes())
+			assert.Equal(t, 2, again.Boxes())
+		})
+	})
 	t.Run("a fifth of all datagrams lost removes nobody", func(t *testing.T) {
 		bubble(t, func(f *fixture) {
 			t := f.t
@@ -277,6 +297,12 @@
 		_, err := decode([]byte("{"))
 		require.ErrorIs(t, err, ErrInvalid)
 	})
+	t.Run("takes a reply that names just its sender's box", func(t *testing.T) {
+		data, err := (&packet{Type: typeReply, From: Identity{Box: "a", Incarnation: 1}}).encode()
+		require.NoError(t, err)
+		_, err = decode(data)
+		require.NoError(t, err)
+	})
 	t.Run("takes what it encodes", func(t *testing.T) {
 		p := packet{Type: typeReply, From: whole, AskedMs: 7, Knowledge: Knowledge{Version: 3, AgeMs: -1}, InFlight: loads{"u": 2}.keyed()}
 		data, err := p.encode()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -90,7 +90,7 @@
 	if err := cbor.Unmarshal(data, &p); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if err := p.From.check(); err != nil {
+	if err := p.checkFrom(); err != nil {
 		return nil, err
 	}
 	for _, known := range p.Known {
@@ -101,6 +101,14 @@
 	return &p, nil
 }
 
+// checkFrom checks the sender. A reply may name just the box and its incarnation.
+func (p *packet) checkFrom() error {
+	if p.Type == typeReply && p.From.Box != "" && p.From.FailureDomain == "" && p.From.Address == "" {
+		return nil
+	}
+	return p.From.check()
+}
+
 func (i Identity) check() error {
 	if i.Box == "" || i.FailureDomain == "" {
 		return fmt.Errorf("%w: box and failure domain are needed", ErrInvalid)
