--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -43,8 +43,7 @@
 	roundsPerCycle = 10
 	// newcomerSample is how many boxes a datagram names to a box that was first heard
 	// within newcomerMs, or that is not known yet. To others one reply in settledOneIn
-	// names a box, for those that forgot each other in a long cut. In a large fleet loads are left out: heard once in
-	// minutes, they say nothing.
+	// names a box, for those that forgot each other in a long cut.
 	newcomerSample = 6
 	settledOneIn   = 16
 	// maxKept bounds the parts of prompts that a datagram names, at 11 bytes each:
@@ -199,6 +198,7 @@
 	defer m.mu.Unlock()
 	p.Leaving = m.leaving
 	if m.largeLocked() {
+		// Heard once in minutes, loads say nothing.
 		p.InFlight = nil
 	}
 	return p
@@ -206,8 +206,7 @@
 
 // addressed makes a datagram fit one receiver: it adds boxes that it may not know, and
 // parts that engines keep as far as it was not told, and leaves out who the sender is as
-// far as it knows. In a large fleet it is not
-// told of parts: bytes bind there.
+// far as it knows. In a large fleet it is not told of parts: bytes bind there.
 func (m *Mesh) addressed(p *packet, box string) *packet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
