feat(balance): lines say which engine was passed over and why

On call, 'why did this session not go to its engine' needed the lines of the seconds before: the picked line now names the engine that comes first for a session and why it was not taken.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -36,6 +36,8 @@
 	MeanPercent int
 	// FetchFrom is the address of an engine to take cached parts from, or "".
 	FetchFrom string
+	// Passed is the engine that the session would have gone to.
+	Passed Passed
 
 	// news are the shared parts that the engine is to read and other boxes may not
 	// know of.
@@ -79,6 +81,7 @@
 	if a.Sticky && len(a.Prompt) > 0 {
 		m.pickSticky(lease, members, a, total, now)
 		m.chooseSource(lease, a, shared, now)
+		lease.Passed = m.passedOver(lease.Member, a, now)
 	} else {
 		m.pickLeast(lease, members, now)
 	}
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -35,6 +35,10 @@
 	// the pool's mean in percent of a request.
 	Load        int
 	MeanPercent int
+	// PassedOver is the engine that comes first for the session, if another one was
+	// taken, and PassedWhy says why.
+	PassedOver string
+	PassedWhy  string
 	// FetchFrom is the engine to take cached parts from.
 	FetchFrom string
 	// ResumeAfter is the last event that the caller has, on a resumed stream.
@@ -59,6 +63,8 @@
 	o.AddInt("rank", e.Rank)
 	o.AddInt("load", e.Load)
 	o.AddInt("mean_load_percent", e.MeanPercent)
+	addIfSet(o, "passed_over", e.PassedOver)
+	addIfSet(o, "passed_why", e.PassedWhy)
 	addIfSet(o, "fetch_from", e.FetchFrom)
 	addIfSet(o, "resume_after", e.ResumeAfter)
 	return nil
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/pkg/config"
 )
 
 func TestHeaderLimit(t *testing.T) {
@@ -154,6 +156,30 @@
 	})
 }
 
+// TestBodiesHeld has a body arrive that does not fit into the part of the box's memory
+// that bodies may take.
+func TestBodiesHeld(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		t := f.t
+		var arrivals atomic.Int32
+		f.upstream("u1", counted(&arrivals, answer("done")))
+		b := f.box(1, func(g *config.Gateway) { g.Capacity.MemoryMb = 1 })
+		pass(t, time.Second)
+		send := func(bytes int) *http.Response {
+			response, err := b.send(t.Context(), call{
+				method: http.MethodPost, path: "/unsafe/", id: "1", key: key, body: strings.Repeat("x", bytes),
+			})
+			require.NoError(t, err)
+			return response
+		}
+		refused := send(int(b.heldBytes()) + 1)
+		assert.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+		assert.NotEmpty(t, refused.Header.Get("Retry-After"))
+		assert.Zero(t, arrivals.Load(), "nothing ran")
+		assert.Equal(t, http.StatusOK, send(int(b.heldBytes())/2).StatusCode)
+	})
+}
+
 // TestConnectionLimit has more callers connect than a box has files for.
 func TestConnectionLimit(t *testing.T) {
 	bubble(t, func(f *fleet) {
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -109,7 +109,8 @@
 	s.pipe.tell(decision.Picked{
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.ageMs(),
 		Upstream: lease.ID, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
-		MeanPercent: lease.MeanPercent, FetchFrom: lease.FetchFrom, ResumeAfter: s.stream.lastEvent(),
+		MeanPercent: lease.MeanPercent, PassedOver: lease.Passed.Upstream, PassedWhy: string(lease.Passed.Why),
+		FetchFrom: lease.FetchFrom, ResumeAfter: s.stream.lastEvent(),
 	})
 }
 
