--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -85,6 +85,7 @@
 			return false
 		}
 	}
+	// A box that was turned away looks now and then, though it needs nothing.
 	_, lost := s.lost[stream]
 	return needed || lost && s.box.clock.Steady()-s.failedMs >= lostLookMs
 }
