--- a/internal/localfleet/control_test.go
+++ b/internal/localfleet/control_test.go
@@ -211,14 +211,16 @@
 				}
 			}
 			whole := 0
+			results := []load.Result{}
 			for i := range 20 {
 				result := tr.chat(3, fmt.Sprint(i), "a")
+				results = append(results, result)
 				assert.NotEqual(tr.t, load.CutAsWhole, result.Verdict)
 				if result.Verdict == load.Whole {
 					whole++
 				}
 			}
-			assert.Positive(tr.t, whole)
+			assert.Positive(tr.t, whole, "%+v", results)
 		}, withDomains("north", "south"))
 	})
 }
