--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -165,18 +166,23 @@
 		f.upstream("u1", counted(&arrivals, answer("done")))
 		b := f.box(1, func(g *config.Gateway) { g.Capacity.MemoryMb = 1 })
 		pass(t, time.Second)
-		send := func(bytes int) *http.Response {
-			response, err := b.send(t.Context(), call{
-				method: http.MethodPost, path: "/unsafe/", id: "1", key: key, body: strings.Repeat("x", bytes),
-			})
-			require.NoError(t, err)
-			return response
-		}
-		refused := send(int(b.heldBytes()) + 1)
+		// Only the head is sent: a refusal may close the connection on a body under way.
+		conn, err := f.network.Host("caller").Dial(t.Context(), "tcp", b.settings.CallersAddress)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "POST /unsafe/ HTTP/1.1\r\nHost: %s\r\nAuthorization: %s\r\nContent-Length: %d\r\n\r\n",
+			host, key, b.heldBytes()+1)
+		require.NoError(t, err)
+		refused, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
 		assert.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
 		assert.NotEmpty(t, refused.Header.Get("Retry-After"))
 		assert.Zero(t, arrivals.Load(), "nothing ran")
-		assert.Equal(t, http.StatusOK, send(int(b.heldBytes())/2).StatusCode)
+		require.NoError(t, conn.Close())
+		response, err := b.send(t.Context(), call{
+			method: http.MethodPost, path: "/unsafe/", id: "1", key: key, body: strings.Repeat("x", int(b.heldBytes())/2),
+		})
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, response.StatusCode)
 	})
 }
 
