fix(box): other failure domains are polled as soon as the table names them

Cause of the known red TestCutOffDomain/without_engines_is_served_by_another: a box polls the platform's list for another domain at its first poll and at each fifth (10 s) after, and counted polls from its start. When the first poll came before the box had read the table, no domain was named yet; the box knew no box elsewhere until 10 s after its start, the very instant at which the test kills the engines. If no box of the domain had read the table by its first poll, none knew another domain, and all 20 chats were refused.

Ruled out: the panic limit and retries (no attempt was made), sums between domains (they need a listed box on one side).

Polls of other domains now count from the first at which the table names one.

--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -44,8 +44,9 @@
 // fleetView is what this box knows of other boxes and of leaving upstreams. It
 // is safe for concurrent use.
 type fleetView struct {
-	mu     sync.Mutex
-	lists  map[string]backing.DatedList
+	mu    sync.Mutex
+	lists map[string]backing.DatedList
+	// polls counts those at which another failure domain could be polled.
 	polls  int
 	failed map[string]clock.Millis
 	// addresses are the live boxes of this domain by name.
@@ -176,15 +177,26 @@
 
 func (b *Box) pollOnce(ctx context.Context) {
 	b.pollList(ctx, b.settings.FailureDomain)
+	if domain, due := b.nextOtherDomain(); due {
+		b.pollList(ctx, domain)
+	}
+	b.applyList()
+}
+
+// nextOtherDomain tells which other failure domain's list is to be polled now, if any.
+// Polls count from the first one at which the table names another domain: counted from
+// the box's start, a box that could not read the table at once knew no box of another
+// domain for otherDomainEvery polls, 10 s.
+func (b *Box) nextOtherDomain() (domain string, due bool) {
+	domains := b.otherDomains()
+	if len(domains) == 0 {
+		return "", false
+	}
 	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
 	turn := b.fleet.polls
 	b.fleet.polls++
-	b.fleet.mu.Unlock()
-	domains := b.otherDomains()
-	if len(domains) > 0 && turn%otherDomainEvery == 0 {
-		b.pollList(ctx, domains[turn/otherDomainEvery%len(domains)])
-	}
-	b.applyList()
+	return domains[turn/otherDomainEvery%len(domains)], turn%otherDomainEvery == 0
 }
 
 func (b *Box) pollList(ctx context.Context, domain string) {
--- a/internal/localfleet/control_test.go
+++ b/internal/localfleet/control_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -202,29 +203,51 @@
 			}
 		}, withDomains("north", "south"))
 	})
+	t.Run("is known to boxes that started before they could read the table", func(t *testing.T) {
+		runAfter(t, awayFor(clock.Second), func(tr *trial) {
+			tr.wait(5000)
+			assertServedElsewhere(tr)
+		}, withDomains("north", "south"))
+	})
 	t.Run("without engines is served by another, one hop away", func(t *testing.T) {
 		run(t, func(tr *trial) {
 			tr.wait(10_000)
-			for _, e := range tr.Engines() {
-				if e.Domain == "south" {
-					e.Kill()
-				}
-			}
-			whole := 0
-			results := []load.Result{}
-			for i := range 20 {
-				result := tr.chat(3, fmt.Sprint(i), "a")
-				results = append(results, result)
-				assert.NotEqual(tr.t, load.CutAsWhole, result.Verdict)
-				if result.Verdict == load.Whole {
-					whole++
-				}
-			}
-			assert.Positive(tr.t, whole, "%+v", results)
+			assertServedElsewhere(tr)
 		}, withDomains("north", "south"))
 	})
 }
 
+// awayFor has the platform's log down while the boxes start.
+func awayFor(span clock.Millis) func(f *localfleet.Fleet) {
+	return func(f *localfleet.Fleet) {
+		f.Platform.Log.SetFaults(func(faults *standin.LogFaults) { faults.Down = true })
+		time.AfterFunc(span.Duration(), func() {
+			f.Platform.Log.SetFaults(func(faults *standin.LogFaults) { faults.Down = false })
+		})
+	}
+}
+
+// assertServedElsewhere kills the engines of the south and has its boxes answer.
+func assertServedElsewhere(tr *trial) {
+	tr.t.Helper()
+	for _, e := range tr.Engines() {
+		if e.Domain == "south" {
+			e.Kill()
+		}
+	}
+	whole := 0
+	results := []load.Result{}
+	for i := range 20 {
+		result := tr.chat(3, fmt.Sprint(i), "a")
+		results = append(results, result)
+		assert.NotEqual(tr.t, load.CutAsWhole, result.Verdict)
+		if result.Verdict == load.Whole {
+			whole++
+		}
+	}
+	assert.Positive(tr.t, whole, "%+v", results)
+}
+
 func TestUnrepeatableCallsOfAnotherDomain(t *testing.T) {
 	t.Run("are sent once though its server drops answers", func(t *testing.T) {
 		run(t, func(tr *trial) {
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -69,8 +69,10 @@
 	clock   clock.Clock
 	logger  *zap.Logger
 	network func(host string) Network
-	keyDir  string
-	client  *http.Client
+	// beforeBoxes runs once the platform and the upstreams are there.
+	beforeBoxes func(f *Fleet)
+	keyDir      string
+	client      *http.Client
 
 	mu       sync.Mutex
 	servers  []*http.Server
@@ -143,6 +145,10 @@
 	return func(f *Fleet) { f.network = network }
 }
 
+// WithBeforeBoxes sets a function that runs before the first box starts, as to have the
+// platform away then.
+func WithBeforeBoxes(call func(f *Fleet)) Option { return func(f *Fleet) { f.beforeBoxes = call } }
+
 func loopback(string) Network {
 	return Network{Listen: net.Listen, Packets: net.ListenPacket, Dial: (&net.Dialer{}).DialContext}
 }
@@ -156,6 +162,7 @@
 func Start(ctx context.Context, plan Plan, options ...Option) (*Fleet, error) {
 	f := &Fleet{
 		Ledger: standin.NewRunLedger(), plan: plan, clock: clock.New(), logger: zap.NewNop(), network: loopback,
+		beforeBoxes: func(*Fleet) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -308,6 +315,7 @@
 }
 
 func (f *Fleet) startBoxes() error {
+	f.beforeBoxes(f)
 	for _, domain := range f.plan.Domains {
 		for i := range f.plan.BoxesPerDomain {
 			if _, err := f.StartBox(domain, fmt.Sprintf("%s-box-%d", domain, i)); err != nil {
--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -45,6 +45,14 @@
 // run starts a fleet of one failure domain with two boxes, two engines and a
 // server, on a fake clock, and calls the test.
 func run(t *testing.T, test func(tr *trial), options ...planOption) {
+	t.Helper()
+	runAfter(t, func(*localfleet.Fleet) {}, test, options...)
+}
+
+// runAfter is run with a step before the first box starts.
+func runAfter(
+	t *testing.T, before func(f *localfleet.Fleet), test func(tr *trial), options ...planOption,
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		plan := localfleet.Plan{
@@ -58,7 +66,7 @@
 		fleet, err := localfleet.Start(t.Context(), plan, localfleet.WithNetwork(func(host string) localfleet.Network {
 			h := network.Host(host)
 			return localfleet.Network{Listen: h.Listen, Packets: h.ListenPackets, Dial: h.Dial}
-		}))
+		}), localfleet.WithBeforeBoxes(before))
 		require.NoError(t, err)
 		tr := &trial{Fleet: fleet, t: t, network: network}
 		tr.caller = load.Caller{Client: fleet.Client(), Clock: clock.New()}
