feat(balance): lines and counters tell why engines read shared parts

Change: a pick's line says how many tokens of shared parts the chosen engine likely reads and why no copy serves: new, engine gone, engine unreachable, read elsewhere at once, not fetched. The metrics count the same. Computed from what boxes tell each other; at most one pass over the pool's members for a prompt.

No change of policy.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -46,6 +46,8 @@
 	domains   map[string]*domain
 	// departed are the upstreams of a pool that have just gone.
 	departed map[string][]*Member
+	// lost are the parts that upstreams kept which have gone.
+	lost partMemory
 }
 
 // New returns a manager without upstreams. Connect makes the client of an
@@ -57,7 +59,7 @@
 		settings: settings, steady: steady, connect: connect, random: random,
 		startedMs: steady() + learningMs,
 		byID:      map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*domain{},
-		departed: map[string][]*Member{},
+		departed: map[string][]*Member{}, lost: partMemory{},
 	}
 }
 
@@ -97,6 +99,11 @@
 func (m *Manager) depart(member *Member) {
 	member.goneMs = m.steady()
 	m.departed[member.Pool] = append(m.departed[member.Pool], member)
+	for key, at := range member.parts {
+		if at > m.lost[key] {
+			m.lost.note(key, at)
+		}
+	}
 }
 
 // forgetDeparted drops upstreams that have been gone for long.
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -33,6 +33,8 @@
 	trial
 	failures failureRate
 	parts    partMemory
+	// pending counts the requests by which the engine is reading a part, until it answers.
+	pending map[namekey.Key]int
 }
 
 // Client returns the connections to the upstream.
@@ -54,5 +56,6 @@
 func newMember(u registry.Upstream, client *upstream.Client, now clock.Millis) *Member {
 	return &Member{
 		Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), joined: now, parts: partMemory{},
+		pending: map[namekey.Key]int{},
 	}
 }
--- a/internal/balance/parts.go
+++ b/internal/balance/parts.go
@@ -113,6 +113,7 @@
 	for _, part := range shared {
 		if !l.parts.knows(part.Key, now, retellMs) {
 			l.news = append(l.news, part.Key)
+			l.pending[part.Key]++
 		}
 		l.parts.note(part.Key, now)
 	}
@@ -121,14 +122,31 @@
 // tellNews notes for other boxes what the engine has read by the time it answers.
 func (l *Lease) tellNews() {
 	for _, key := range l.news {
+		l.read(key)
 		l.manager.kept.add(prompt.Kept{Part: key, Upstream: l.key})
 	}
 	l.news = nil
 }
 
+// read notes that the engine is not reading a part for this request any longer.
+func (l *Lease) read(key namekey.Key) {
+	if l.pending[key]--; l.pending[key] <= 0 {
+		delete(l.pending, key)
+	}
+}
+
+// settleNews ends what is left of the reading of a request that has ended without an answer.
+func (l *Lease) settleNews() {
+	for _, key := range l.news {
+		l.read(key)
+	}
+	l.news = nil
+}
+
 // forgetNews takes back what the engine was to read, as it may not have.
 func (l *Lease) forgetNews() {
 	for _, key := range l.news {
+		l.read(key)
 		delete(l.parts, key)
 	}
 	l.news = nil
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -36,6 +36,8 @@
 	MeanPercent int
 	// FetchFrom is the address of an engine to take cached parts from, or "".
 	FetchFrom string
+	// Reading is what the engine reads of the shared parts.
+	Reading Reading
 	// Passed is the engine that the session would have gone to.
 	Passed Passed
 
@@ -82,6 +84,7 @@
 	if a.Sticky && len(a.Prompt) > 0 {
 		m.pickSticky(lease, members, a, total, now)
 		m.chooseSource(lease, a, shared, now)
+		lease.Reading = m.reading(lease, a, shared, now)
 		lease.Passed = m.passedOver(lease.Member, a, now)
 	} else {
 		m.pickLeast(lease, members, now)
@@ -200,6 +203,7 @@
 	if result == Unreachable || result == Broken {
 		l.forgetNews()
 	}
+	l.settleNews()
 	l.manager.judge(l.Member, result)
 }
 
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -41,6 +41,10 @@
 	PassedWhy  string
 	// FetchFrom is the engine to take cached parts from.
 	FetchFrom string
+	// ReadTokens is how many tokens of shared parts the engine likely reads, ReadWhy why
+	// no engine's copy serves.
+	ReadTokens int
+	ReadWhy    string
 	// ResumeAfter is the last event that the caller has, on a resumed stream.
 	ResumeAfter string
 }
@@ -66,6 +70,10 @@
 	addIfSet(o, "passed_over", e.PassedOver)
 	addIfSet(o, "passed_why", e.PassedWhy)
 	addIfSet(o, "fetch_from", e.FetchFrom)
+	if e.ReadTokens > 0 {
+		o.AddInt("read_tokens", e.ReadTokens)
+		o.AddString("read_why", e.ReadWhy)
+	}
 	addIfSet(o, "resume_after", e.ResumeAfter)
 	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -36,6 +37,11 @@
 // Dialled counts a connection to an upstream.
 func (m *Metrics) Dialled() { m.dials.Add(1) }
 
+// Reads counts tokens of shared parts of prompts that an engine likely reads, by reason.
+func (m *Metrics) Reads(why string, tokens int) {
+	m.all.Add("prompt_tokens_read_"+strings.ReplaceAll(why, " ", "_"), int64(tokens))
+}
+
 // End counts the end of a request.
 func (m *Metrics) End(kind, end string, tookMs clock.Millis) {
 	name := "requests_" + kind + "_" + end
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -106,11 +106,15 @@
 
 func (s *sending) tellPicked(lease *balance.Lease) {
 	r := s.request
+	if lease.Reading.Tokens > 0 {
+		s.pipe.reads(string(lease.Reading.Why), lease.Reading.Tokens)
+	}
 	s.pipe.tell(decision.Picked{
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.ageMs(),
 		Upstream: lease.ID, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
 		MeanPercent: lease.MeanPercent, PassedOver: lease.Passed.Upstream, PassedWhy: string(lease.Passed.Why),
-		FetchFrom: lease.FetchFrom, ResumeAfter: s.stream.lastEvent(),
+		FetchFrom: lease.FetchFrom, ReadTokens: lease.Reading.Tokens, ReadWhy: string(lease.Reading.Why),
+		ResumeAfter: s.stream.lastEvent(),
 	})
 }
 
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	firstSend func(pool string)
 	ageMs     func() clock.Millis
 	tell      func(e decision.Event)
+	reads     func(why string, tokens int)
 	steady    func() clock.Millis
 }
 
@@ -43,8 +44,10 @@
 	MayRetry  func(pool string) bool
 	FirstSend func(pool string)
 	// AgeMs is how old the proof of the routing state is, for log lines.
-	AgeMs  func() clock.Millis
-	Tell   func(e decision.Event)
+	AgeMs func() clock.Millis
+	Tell  func(e decision.Event)
+	// Reads counts tokens of shared parts that an engine likely reads, and why.
+	Reads  func(why string, tokens int)
 	Steady func() clock.Millis
 }
 
@@ -52,7 +55,7 @@
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		pick: d.Pick, report: d.Report, mayRetry: d.MayRetry, firstSend: d.FirstSend,
-		ageMs: d.AgeMs, tell: d.Tell, steady: d.Steady,
+		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, steady: d.Steady,
 	}
 }
 
