feat(gateway): waits and rounds follow from the operators' bounds

Traced from the lines of boxes: each time the entry had disappeared within 2.3 s of the store's return, and was given a fixed 1.7 s to come back. Beside that, a box read the store by itself at a proof's age of 1.6 s at the earliest, whatever leave_ms said.

Ruled out: the 0.25 s in which entries gather (hearing took 0.17 s to 0.25 s in all cases).

Change: the period of the mesh, the wait of a read, the age at which a box reads by itself, the time that an entry may stay away, and the notice of a planned stop are derived from leave_ms, in_force_ms (was deny_age_ms, now also bounds how late a version may be heard), max_age_ms and grace_s. With the bounds of the earlier sites they stay as they were (1.0 s, 0.25 s, 1.6 s, 1.7 s, 2.6 s); with 3 s a read waits 2 s. Bounds under 0.65 s can't be kept and are an error that names the field.

TestLeavingBounds: with 1,000 ms both subtests fail under fixed times and pass now.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -170,7 +170,7 @@
 // missed a version: then it can't tell that a route or a key does not exist. Callers take
 // 401 and 404 as final and would not come back (TestFreshness).
 func (b *Box) missed() bool {
-	return b.belief.AgeMs() > clock.Millis(b.settings.Load().Freshness.DenyAgeMs)
+	return b.belief.AgeMs() > clock.Millis(b.settings.Load().Freshness.InForceMs)
 }
 
 func (b *Box) heldBytes() int64 { return b.settings.Load().Capacity.MemoryMb * mebibyte / bodyPart }
@@ -293,9 +293,6 @@
 
 // Timing of a planned stop.
 const (
-	// noticeMs is how long the entry may take to miss two answers and send no
-	// new connections.
-	noticeMs clock.Millis = 2600
 	// leaveMs is kept of the grace for the end of the process itself.
 	leaveMs clock.Millis = 250
 	// defaultGraceS is a usual span between the two signals of a stop.
@@ -309,8 +306,8 @@
 	b.stopping.Store(true)
 	b.log.Tell(decision.Process{What: "stopping"})
 	b.peering.mesh.Leave()
-	_ = b.clock.Sleep(ctx, noticeMs)
-	grace := clock.Millis(b.settings.Load().Shutdown.GraceS * float64(clock.Second))
+	_ = b.clock.Sleep(ctx, timingOf(b.Settings()).noticeMs)
+	grace := graceOf(b.Settings())
 	ctx, cancel := context.WithTimeout(ctx, max(1, grace-leaveMs-(b.clock.Steady()-beganMs)).Duration())
 	defer cancel()
 	errs := []error{}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -43,9 +44,11 @@
 	mu      sync.Mutex
 	state   *routing.State
 	changes []registry.Change
-	away    map[string]bool
-	silent  map[string]bool
-	reads   map[string]int
+	// revision counts the changes so far.
+	revision int64
+	away     map[string]bool
+	silent   map[string]bool
+	reads    map[string]int
 	// slowMs is how long each read takes.
 	slowMs clock.Millis
 }
@@ -66,7 +69,16 @@
 func (s *store) put(u registry.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changes = append(s.changes, registry.Change{Upstream: u, Revision: int64(len(s.changes) + 1)})
+	s.revision++
+	s.changes = append(s.changes, registry.Change{Upstream: u, Revision: s.revision})
+}
+
+// remove takes an upstream's entry away.
+func (s *store) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changes = slices.DeleteFunc(s.changes, func(c registry.Change) bool { return c.Upstream.ID == id })
 }
 
 // setAway cuts the store off from a box.
@@ -126,6 +138,7 @@
 func (s *store) poll(ctx context.Context, box string, c clock.Clock, sink Sink) {
 	s.mu.Lock()
 	state, changes, away := s.state, append([]registry.Change(nil), s.changes...), s.away[box]
+	revision := s.revision
 	silent, slowMs := s.silent[box], s.slowMs
 	s.reads[box]++
 	s.mu.Unlock()
@@ -144,7 +157,7 @@
 		return
 	}
 	sink.Reached("all", nil)
-	sink.AllUpstreams(changes, int64(len(changes)))
+	sink.AllUpstreams(changes, revision)
 	if state != nil {
 		sink.Adopt(state)
 		sink.Prove(sentMs)
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -50,7 +50,7 @@
 			assertRefused(t, b, call{path: "/safe/", key: "newer"}, http.StatusUnauthorized)
 			assertRefused(t, b, call{path: "/newer/", key: key}, http.StatusNotFound)
 			f.store.setAway("box-1", true)
-			pass(f.t, 2*defaultDenyAgeMs*time.Millisecond)
+			pass(f.t, 2*defaultInForceMs*time.Millisecond)
 			assertRefused(t, b, call{path: "/safe/", key: "newer"}, http.StatusServiceUnavailable)
 			assertRefused(t, b, call{path: "/newer/", key: key}, http.StatusServiceUnavailable)
 		})
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -16,13 +16,9 @@
 
 // Defaults of the settings and limits of listeners.
 const (
-	// defaultPollMs keeps the proof of the state in force well under the time
-	// for which keys are trusted, also when one read fails: it is up to twice
-	// this old.
-	defaultPollMs = 1000
-	// defaultDenyAgeMs is about the time in which a new version comes into force: an
-	// older proof may have missed the one that added a caller's route or key.
-	defaultDenyAgeMs = 2000
+	// defaultInForceMs is about the time in which operators expect a new version to be
+	// in force.
+	defaultInForceMs = 2000
 	// defaultLeaveMs is about the time that a caller notices.
 	defaultLeaveMs = 2000
 	// defaultLoadCap is a usual set multiple of the mean load.
@@ -59,8 +55,7 @@
 )
 
 func defaults(g config.Gateway) config.Gateway {
-	config.Fill(&g.Store.PollMs, defaultPollMs)
-	config.Fill(&g.Freshness.DenyAgeMs, defaultDenyAgeMs)
+	config.Fill(&g.Freshness.InForceMs, defaultInForceMs)
 	config.Fill(&g.Freshness.LeaveMs, defaultLeaveMs)
 	config.Fill(&g.Balance.LoadCap, defaultLoadCap)
 	config.Fill(&g.Balance.BoundPercent, max(percent+1, int(g.Balance.LoadCap*percent*boundOfCap)))
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -20,23 +20,13 @@
 // than come in a few rounds.
 const waitingAnswers = 64
 
-const (
-	// ownReadMarginMs is how much older than usual a proof must be at least before a
-	// box reads the store by itself: about the way of one answer.
-	ownReadMarginMs clock.Millis = 100
-	// ownReadLeadMs is how long a box needs to look, to read the store and to act on
-	// it, when the store is slow by some ten times.
-	ownReadLeadMs clock.Millis = 400
-)
-
 // ownReadAgeMs is the age of the proof beyond which a box reads the store by itself.
 // Sources whose reads get no answer hear of no upstream that leaves, so it ends in time
 // for that. It is never less than the age that a proof usually reaches: a source proves
 // its state once a poll and is asked once a period of the mesh; one answer may be lost.
 func (p *peering) ownReadAgeMs() clock.Millis {
-	settings := p.box.settings.Load()
-	usual := clock.Millis(settings.Store.PollMs) + 2*p.mesh.Period() + ownReadMarginMs
-	return max(usual, clock.Millis(settings.Freshness.LeaveMs)-ownReadLeadMs)
+	settings := p.box.Settings()
+	return timingOf(settings).ownReadAgeMs(settings, p.mesh.Period())
 }
 
 // peering is the box's part in the fleet.
@@ -65,7 +55,7 @@
 			Box: settings.Box, FailureDomain: settings.FailureDomain, Address: settings.PeersAddress,
 			Incarnation: int64(b.clock.Now()),
 		},
-		Clock: b.clock, Conn: conn, Contacts: p.contacts, Knowledge: b.knowledge, InFlight: b.balance.InFlight,
+		Clock: b.clock, PeriodMs: timingOf(*settings).periodMs, Conn: conn, Contacts: p.contacts, Knowledge: b.knowledge, InFlight: b.balance.InFlight,
 		KeptSince: b.balance.KeptSince, LearnKept: b.balance.LearnKept,
 		Answered: p.take, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -34,11 +34,6 @@
 	Ignored func(input string, err error)
 }
 
-// lapseMs is how long an entry may stay away after its store was lost for a
-// while: upstreams write theirs anew within about two seconds of its return. An
-// upstream that has really left must get no new work after two seconds.
-const lapseMs clock.Millis = 1700
-
 // afterReturnMs is how long after a store's return entries may still lapse for
 // no other reason than its absence: upstreams write theirs within two seconds.
 const afterReturnMs clock.Millis = 2300
@@ -121,6 +116,7 @@
 func (s *storeSink) lapseSpan() clock.Millis {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lapseMs := timingOf(s.box.Settings()).lapseMs
 	if len(s.lost) > 0 {
 		return lapseMs
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,9 +15,6 @@
 
 // Timing of the mesh.
 const (
-	// periodMs is the time between two rounds of asks: a load that is this old
-	// on top of a round trip is about as fresh as an upstream's own report.
-	periodMs clock.Millis = 250
 	// largePeriodMs is the period of a fleet of more than largeFleet boxes, where
 	// a box may spend 3 KB a second on control: an ask and a reply of 180 bytes, to
 	// and from four boxes.
@@ -66,6 +63,7 @@
 type Mesh struct {
 	self      Identity
 	clock     clock.Clock
+	period    clock.Millis
 	conn      net.PacketConn
 	contacts  func() []string
 	knowledge func() Knowledge
@@ -89,7 +87,9 @@
 type Dependencies struct {
 	Self  Identity
 	Clock clock.Clock
-	Conn  net.PacketConn
+	// PeriodMs is the time between two rounds of asks, in a fleet that is not large.
+	PeriodMs clock.Millis
+	Conn     net.PacketConn
 	// Contacts are addresses to ask while few boxes are known.
 	Contacts func() []string
 	// Knowledge returns what this box knows now.
@@ -108,7 +108,7 @@
 // New returns a mesh of one box.
 func New(d Dependencies) *Mesh {
 	return &Mesh{
-		self: d.Self, clock: d.Clock, conn: d.Conn, contacts: d.Contacts, knowledge: d.Knowledge,
+		self: d.Self, clock: d.Clock, period: d.PeriodMs, conn: d.Conn, contacts: d.Contacts, knowledge: d.Knowledge,
 		inFlight: d.InFlight, kept: d.KeptSince, learnKept: d.LearnKept, answered: d.Answered,
 		random: d.Random, peers: map[string]*peer{},
 	}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -121,7 +121,7 @@
 	if m.largeLocked() {
 		return largePeriodMs
 	}
-	return periodMs
+	return m.period
 }
 
 // lifeLocked returns how long a box counts as there after it was last heard.
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -40,10 +40,14 @@
 	// Address is an IP number and port.
 	Address string `yaml:"address"`
 	// PollMs is how long one read waits for news; the state in force is proved
-	// anew each time.
+	// anew each time. It follows from the bounds on freshness unless it is set.
 	PollMs int64 `yaml:"poll_ms"`
 }
 
+// leastBoundMs is the shortest bound on freshness that a box can keep: 0.4 s to read a slow
+// store and act on it, and 0.25 s for its read's wait and two rounds of asks.
+const leastBoundMs = 650
+
 // Freshness bounds how long a routing state is trusted.
 type Freshness struct {
 	// MaxAgeMs is how old the proof may be by which keys are accepted; 0 accepts
@@ -51,9 +55,10 @@
 	// 8 s of it 0.840 of the worth is earned, 0.755 with a bound of 5 s (means of three
 	// paired days, standard error 0.005).
 	MaxAgeMs int64 `yaml:"max_age_ms"`
-	// DenyAgeMs is how old the proof may be by which a caller is told that its route or
-	// key does not exist; with an older one it is told to come back.
-	DenyAgeMs int64 `yaml:"deny_age_ms"`
+	// InForceMs is how long after the store has taken a version it must be in force.
+	// With an older proof a box may have missed one: a caller whose route or key it does
+	// not know is told to come back.
+	InForceMs int64 `yaml:"in_force_ms"`
 	// LeaveMs is how long after an upstream said that it leaves a box may still send
 	// it work.
 	LeaveMs int64 `yaml:"leave_ms"`
@@ -143,8 +148,8 @@
 	for _, rule := range []numberRule{
 		{"store.poll_ms", g.Store.PollMs, 50, 30_000},
 		{"freshness.max_age_ms", g.Freshness.MaxAgeMs, 500, dayMs},
-		{"freshness.deny_age_ms", g.Freshness.DenyAgeMs, 500, dayMs},
-		{"freshness.leave_ms", g.Freshness.LeaveMs, 500, dayMs},
+		{"freshness.in_force_ms", g.Freshness.InForceMs, leastBoundMs, dayMs},
+		{"freshness.leave_ms", g.Freshness.LeaveMs, leastBoundMs, dayMs},
 		{"balance.bound_percent", int64(g.Balance.BoundPercent), 101, 1000},
 		{"balance.eject_base_ms", g.Balance.EjectBaseMs, 1, dayMs},
 		{"balance.eject_max_ms", g.Balance.EjectMaxMs, 1, dayMs},
