--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -239,12 +239,18 @@
 
 // upstream starts a server and puts it on the list.
 func (f *fleet) upstream(id string, handler http.HandlerFunc) {
+	f.t.Helper()
+	f.upstreamIn(id, "d", handler)
+}
+
+// upstreamIn starts a server of a failure domain and puts it on the list.
+func (f *fleet) upstreamIn(id, domain string, handler http.HandlerFunc) {
 	f.t.Helper()
 	address := f.server(id, func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["X-Id"] = r.Header["X-Id"]
 		handler(w, r)
 	})
-	f.store.put(registry.Upstream{ID: id, Pool: "p", Address: address, FailureDomain: "d", Slots: 8})
+	f.store.put(registry.Upstream{ID: id, Pool: "p", Address: address, FailureDomain: domain, Slots: 8})
 }
 
 func (f *fleet) server(name string, handler http.HandlerFunc) string {
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/pkg/config"
 )
 
 // events writes numbered events and then does something else.
@@ -71,6 +73,39 @@
 			assert.Equal(t, fiveEvents, body)
 		})
 	})
+	t.Run("a resumable stream behind a way that falls silent goes on elsewhere within 0.5 s", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			t := f.t
+			began := make(chan struct{})
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") == "3" {
+					events(4, 5, ends)(w, r)
+					return
+				}
+				events(1, 3, func(http.ResponseWriter, *http.Request) {})(w, r)
+				_ = http.NewResponseController(w).Flush()
+				close(began)
+				<-r.Context().Done()
+			}
+			f.upstreamIn("near", "d", handler)
+			f.upstreamIn("far", "e", handler)
+			b := f.box(1)
+			f.box(2, func(g *config.Gateway) { g.Contacts = []string{b.settings.PeersAddress} })
+			pass(t, time.Second)
+			silentSince := make(chan time.Time, 1)
+			go func() {
+				<-began
+				silentSince <- time.Now()
+				f.network.SetSilent(func(from, to string) bool {
+					return (from == "near" || from == "box-2") != (to == "near" || to == "box-2")
+				})
+			}()
+			_, body, err := b.get("/resumable/")
+			require.NoError(t, err)
+			assert.Equal(t, fiveEvents, body)
+			assert.Less(t, time.Since(<-silentSince), 500*time.Millisecond)
+		})
+	})
 	t.Run("a resumable stream goes on elsewhere when its events stop coming", func(t *testing.T) {
 		bubble(t, func(f *fleet) {
 			t := f.t
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -31,6 +31,7 @@
 	delay     func(from, to string) time.Duration
 	lag       func(from, to string) time.Duration
 	lose      func() bool
+	silent    func(from, to string) bool
 	conns     map[*conn]struct{}
 }
 
@@ -39,9 +40,10 @@
 	return &Network{
 		port: firstPort, listeners: map[string]*listener{}, packets: map[string]*packetConn{},
 		owners: map[string]string{}, conns: map[*conn]struct{}{},
-		delay: func(string, string) time.Duration { return 0 },
-		lag:   func(string, string) time.Duration { return 0 },
-		cut:   func(string, string) bool { return false }, lose: func() bool { return false },
+		delay:  func(string, string) time.Duration { return 0 },
+		lag:    func(string, string) time.Duration { return 0 },
+		silent: func(string, string) bool { return false },
+		cut:    func(string, string) bool { return false }, lose: func() bool { return false },
 	}
 }
 
@@ -64,6 +66,21 @@
 	}
 }
 
+// SetSilent loses without a word what one host sends to another: writes seem to work,
+// connections don't open, datagrams are lost.
+func (n *Network) SetSilent(silent func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent = silent
+}
+
+func (n *Network) isSilent(from, to string) bool {
+	n.mu.Lock()
+	silent := n.silent
+	n.mu.Unlock()
+	return silent(from, to)
+}
+
 // SetDialDelay lets connections from one host to another open only after a span,
 // whatever the caller's patience, as a host that is paused meanwhile would see it.
 func (n *Network) SetDialDelay(delay func(from, to string) time.Duration) {
@@ -125,6 +142,10 @@
 	if span := delay(h.name, owner); span > 0 {
 		time.Sleep(span)
 	}
+	if n.isSilent(h.name, owner) || n.isSilent(owner, h.name) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if cut(h.name, owner) {
 		return nil, errCut
 	}
@@ -209,6 +230,13 @@
 
 func (c *conn) RemoteAddr() net.Addr { return c.remote }
 
+func (c *conn) Write(data []byte) (int, error) {
+	if c.network.isSilent(c.from, c.to) {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
 func (c *conn) Close() error {
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
@@ -243,7 +271,7 @@
 	n := p.network
 	n.mu.Lock()
 	target := n.packets[to.String()]
-	lost := target == nil || n.cut(p.host, target.host) || n.lose()
+	lost := target == nil || n.cut(p.host, target.host) || n.silent(p.host, target.host) || n.lose()
 	lag := n.lag
 	n.mu.Unlock()
 	if lost {
