feat(retry): budgets hold a bank for bursts

Change: 0.6 of the usable ratio fills the balance as before, and the balance may hold 0.4 of it for each first attempt of the last window (retry_budget.window_s, from the operators' bounds) beside the reserve.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -124,7 +124,9 @@
 		},
 	}, b.clock.Steady, b.connect, rand.IntN)
 	b.registry.OnChange(func() { b.balance.SetUpstreams(b.registry.All()) })
-	b.budgets = retry.NewBudgets(int(settings.Budget.Ratio*percent*budgetPart), reserve(settings.Budget.Slack))
+	usable := settings.Budget.Ratio * percent * budgetPart
+	b.budgets = retry.NewBudgets(int(usable*steadyPart), reserve(settings.Budget.Slack),
+		retry.WithBank(int(usable*(1-steadyPart)), clock.Millis(settings.Budget.WindowS*float64(clock.Second)), b.clock.Steady))
 	b.metrics.Publish("routing_state", func() any { return b.knowledge() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.buildSteps()
@@ -148,6 +150,10 @@
 // less than all, since boxes count in windows that differ.
 const budgetPart = 0.8
 
+// steadyPart is how much of that requests may use all the time; the rest is for bursts, of
+// the size that a window's requests allow.
+const steadyPart = 0.6
+
 // reserve is this box's part of the slack, before it knows how many boxes share
 // it.
 func reserve(slack int) int { return max(1, slack/assumedBoxes) }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -38,6 +38,7 @@
 	defaultOpenFiles    = 4096
 	defaultRatio        = 0.2
 	defaultSlack        = 50
+	defaultWindowS      = 10
 	// waitingLines is about a second of lines at the default bound.
 	waitingLines = 512
 
@@ -67,6 +68,7 @@
 	config.Fill(&g.Capacity.OpenFiles, defaultOpenFiles)
 	config.Fill(&g.Budget.Ratio, defaultRatio)
 	config.Fill(&g.Budget.Slack, defaultSlack)
+	config.Fill(&g.Budget.WindowS, defaultWindowS)
 	config.Fill(&g.Shutdown.GraceS, defaultGraceS)
 	return g
 }
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -6,15 +6,16 @@
 type Budgets struct {
 	partPercent int
 	reserve     int
+	options     []Option
 
 	mu    sync.Mutex
 	pools map[string]*Budget
 }
 
 // NewBudgets returns budgets that each allow this part of first attempts, and a
-// reserve of retries beside.
-func NewBudgets(partPercent, reserve int) *Budgets {
-	return &Budgets{partPercent: partPercent, reserve: reserve, pools: map[string]*Budget{}}
+// reserve of retries beside. The options hold for each.
+func NewBudgets(partPercent, reserve int, options ...Option) *Budgets {
+	return &Budgets{partPercent: partPercent, reserve: reserve, options: options, pools: map[string]*Budget{}}
 }
 
 // First counts a first attempt at a pool.
@@ -39,7 +40,7 @@
 	defer b.mu.Unlock()
 	budget := b.pools[pool]
 	if budget == nil {
-		budget = NewBudget(b.partPercent, WithReserve(b.reserve))
+		budget = NewBudget(b.partPercent, append([]Option{WithReserve(b.reserve)}, b.options...)...)
 		b.pools[pool] = budget
 	}
 	return budget
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -85,6 +85,8 @@
 	Ratio float64 `yaml:"ratio"`
 	// Slack is how many more may be repeated in a burst.
 	Slack int `yaml:"slack"`
+	// WindowS is the span over which repeats are counted, in seconds.
+	WindowS float64 `yaml:"window_s"`
 }
 
 // Shutdown sets how a planned stop goes.
@@ -164,6 +166,9 @@
 	if g.Budget.Ratio < 0 || g.Budget.Ratio > 1 {
 		checks = append(checks, &FieldError{Key: "retry_budget.ratio", Reason: "is outside 0 to 1"})
 	}
+	if g.Budget.WindowS < 0 {
+		checks = append(checks, &FieldError{Key: "retry_budget.window_s", Reason: "is negative"})
+	}
 	if g.Balance.LoadCap < 0 || g.Balance.LoadCap > 0 && g.Balance.LoadCap <= 1 {
 		checks = append(checks, &FieldError{Key: "balance.load_cap", Reason: "is not above 1"})
 	}
