feat(dispatch): refused callers are told when there is a place, each its own time

A box whose store is away held each request for 0.4 s before it refused it.

Change: a refusal says when the first upstream of the pool may take work again (the end of an ejection, the next look at a cut way, or the time in which a new one shows up), and from there on gives each caller a time of its own, as far apart as requests of the pool end at this box, urgent ones first, and at least 60 ms. A request that comes later than 0.4 s after a box's start is not held for a routing state.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -48,6 +48,8 @@
 	departed map[string][]*Member
 	// lost are the parts that upstreams kept which have gone.
 	lost partMemory
+	// returning is what refused callers were told, by pool.
+	returning map[string]*returns
 }
 
 // New returns a manager without upstreams. Connect makes the client of an
@@ -59,7 +61,7 @@
 		settings: settings, steady: steady, connect: connect, random: random,
 		startedMs: steady() + learningMs,
 		byID:      map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*domain{},
-		departed: map[string][]*Member{}, lost: partMemory{},
+		departed: map[string][]*Member{}, lost: partMemory{}, returning: map[string]*returns{},
 	}
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -203,6 +203,7 @@
 	l.released = true
 	l.inFlight--
 	delete(l.way.onCut, l)
+	l.manager.returnsTo(l.Pool).ended(l.manager.steady())
 	if l.answering {
 		l.way.answering--
 	}
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -188,7 +188,8 @@
 )
 
 // startWaitMs is how long a request may wait for a box that has just started to
-// learn where to send it: many times as long as a store that is well takes.
+// learn where to send it: many times as long as a store that is well takes. One that comes
+// later than that after the start does not wait: the store is away.
 const startWaitMs clock.Millis = 400
 
 // awaitState returns the routing state in force. A request that was sent to a
@@ -197,6 +198,9 @@
 	if b.hasLearnt() {
 		return b.belief.State()
 	}
+	if b.clock.Steady()-b.peering.startedMs >= startWaitMs {
+		return b.belief.State()
+	}
 	ctx, cancel := context.WithTimeout(ctx, startWaitMs.Duration())
 	defer cancel()
 	select {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -49,7 +49,8 @@
 		receive:   receive.New(b.heldBytes(), b.clock.Steady),
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.balance.Pick, Report: b.balance.Report, MayRetry: b.budgets.Take, FirstSend: b.budgets.First,
-			AgeMs: b.belief.AgeMs, Tell: b.log.Tell, Reads: b.metrics.Reads, Steady: b.clock.Steady,
+			AgeMs: b.belief.AgeMs, Tell: b.log.Tell, Reads: b.metrics.Reads,
+			ComeBack: b.balance.ComeBackMs, Steady: b.clock.Steady,
 		}),
 		record: record.New(b.log.Tell, b.metrics.End, b.belief.AgeMs, b.clock.Steady),
 	}
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -14,15 +14,6 @@
 	"dooryard.example/dooryard/internal/opaque"
 )
 
-// Spans that callers are told to wait. They are short against any deadline, so
-// that a second try still finds time.
-const (
-	// noUpstreamRetryMs is about the time that a new upstream takes to show up.
-	noUpstreamRetryMs clock.Millis = 250
-	// shedRetryMs lets an upstream finish some of what it holds.
-	shedRetryMs clock.Millis = 60
-)
-
 // Pipe dispatches requests.
 type Pipe struct {
 	pick   func(a balance.Ask) (*balance.Lease, error)
@@ -34,6 +25,7 @@
 	ageMs     func() clock.Millis
 	tell      func(e decision.Event)
 	reads     func(why string, tokens int)
+	comeBack  func(pool string, priority int) clock.Millis
 	steady    func() clock.Millis
 }
 
@@ -47,15 +39,17 @@
 	AgeMs func() clock.Millis
 	Tell  func(e decision.Event)
 	// Reads counts tokens of shared parts that an engine likely reads, and why.
-	Reads  func(why string, tokens int)
-	Steady func() clock.Millis
+	Reads func(why string, tokens int)
+	// ComeBack is after which span a refused caller should come back.
+	ComeBack func(pool string, priority int) clock.Millis
+	Steady   func() clock.Millis
 }
 
 // New returns the step.
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		pick: d.Pick, report: d.Report, mayRetry: d.MayRetry, firstSend: d.FirstSend,
-		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, steady: d.Steady,
+		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, comeBack: d.ComeBack, steady: d.Steady,
 	}
 }
 
@@ -175,14 +169,19 @@
 	case s.stream != nil:
 		return s.stream.abort(failed.err)
 	case failed.answer != nil && failed.answer.passable(r):
-		return failed.answer.pass(r)
+		return failed.answer.pass(r, s.comeBackMs)
 	case r.MayHaveRun && s.ctx.Err() != nil:
 		return opaque.NewRefusal(http.StatusGatewayTimeout, opaque.DeadlineSpent, 0, failed.err)
 	case r.MayHaveRun:
 		return opaque.NewRefusal(http.StatusBadGateway, opaque.UpstreamLost, 0, failed.err)
 	case errors.Is(failed.err, balance.ErrNoUpstream) || failed.proof == notSent:
-		return opaque.NewRefusal(opaque.NotRunStatus, opaque.NoUpstream, noUpstreamRetryMs, failed.err)
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.NoUpstream, s.comeBackMs(), failed.err)
 	default:
-		return opaque.NewRefusal(opaque.NotRunStatus, opaque.Shed, shedRetryMs, failed.err)
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.Shed, s.comeBackMs(), failed.err)
 	}
 }
+
+// comeBackMs is after which span the caller should come back.
+func (s *sending) comeBackMs() clock.Millis {
+	return s.pipe.comeBack(s.request.Pool, s.request.Priority())
+}
--- a/internal/pipe/dispatch/whole.go
+++ b/internal/pipe/dispatch/whole.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/upstream"
 )
@@ -75,9 +76,9 @@
 }
 
 // pass answers the caller with the upstream's failure.
-func (w *wholeAnswer) pass(r *opaque.Request) error {
+func (w *wholeAnswer) pass(r *opaque.Request, comeBack func() clock.Millis) error {
 	if promises(w.status) && w.header.Get("Retry-After") == "" {
-		w.header.Set("Retry-After", r.Dialect.RetryAfter(shedRetryMs))
+		w.header.Set("Retry-After", r.Dialect.RetryAfter(comeBack()))
 	}
 	w.write(r)
 	return fmt.Errorf("%w: upstream's status %d", opaque.ErrAnswered, w.status)
