fix(balance): a failure domain without boxes that answer is not looked at for its silence

Cause: a domain whose boxes are stopped, or a fleet of one box, gave no sign of life, and was looked at each two seconds with three connections. Seen in a test with one box.

Change: the mesh tells which domains have a box that answers and is asked; only those are missed when they fall silent. Ruled out: asking the mesh while the pools are locked (each locks the other in turn, which hung the tests of several boxes at once, before it was committed).

--- a/internal/balance/domain.go
+++ b/internal/balance/domain.go
@@ -226,10 +226,10 @@
 	d.heard(m.steady())
 }
 
-// Looks returns the looks that are due. AskEach is how often some box of each failure
-// domain is asked for a sign of life, or 0. Paused is set when this box itself stood still,
+// Looks returns the looks that are due. AskEach is how often some box of a failure
+// domain is asked for a sign of life, by domain. Paused is set when this box itself stood still,
 // so that the silence of others says nothing.
-func (m *Manager) Looks(askEach clock.Millis, paused bool) []Look {
+func (m *Manager) Looks(askEach map[string]clock.Millis, paused bool) []Look {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.steady()
@@ -239,7 +239,7 @@
 			d.heardMs.Store(int64(now))
 			continue
 		}
-		if d.looking || !d.due(now, askEach) {
+		if d.looking || !d.due(now, askEach[name]) {
 			continue
 		}
 		if clients := m.lookAt(name, now); len(clients) > 0 {
--- a/internal/balance/domain_test.go
+++ b/internal/balance/domain_test.go
@@ -12,10 +12,12 @@
 // askEachMs is how often some box of each domain is asked.
 const askEachMs clock.Millis = 250
 
+var asked = map[string]clock.Millis{"d0": askEachMs, "d1": askEachMs, "d2": askEachMs}
+
 // looksAt are the failure domains that are due for a look.
 func looksAt(f *fixture) []string {
 	names := []string{}
-	for _, look := range f.Looks(askEachMs, false) {
+	for _, look := range f.Looks(asked, false) {
 		names = append(names, look.FailureDomain)
 	}
 	return names
@@ -57,7 +59,7 @@
 		f := newFixture(t, 6)
 		f.HeardFrom("d1")
 		f.now += 10 * askEachMs
-		assert.Empty(t, f.Looks(0, false))
+		assert.Empty(t, f.Looks(nil, false))
 	})
 	t.Run("a domain that opens connections and says nothing is left alone for a while", func(t *testing.T) {
 		f := newFixture(t, 6)
@@ -80,8 +82,8 @@
 	t.Run("silence after this box stood still says nothing", func(t *testing.T) {
 		f := newFixture(t, 6)
 		f.now += 5000
-		assert.Empty(t, f.Looks(askEachMs, true))
-		assert.Empty(t, f.Looks(askEachMs, false))
+		assert.Empty(t, f.Looks(asked, true))
+		assert.Empty(t, f.Looks(asked, false))
 	})
 	t.Run("upstreams behind a cut get nothing until a connection opens", func(t *testing.T) {
 		f := newFixture(t, 6)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -168,6 +168,26 @@
 			assert.Len(t, f.sources(), sources+1, "the silent one still reads for itself")
 		})
 	})
+	t.Run("some box of each failure domain is asked in each round, as long as one answers", func(t *testing.T) {
+		bubble(t, func(f *fixture) {
+			t := f.t
+			first := f.start("d0")
+			for i := range 40 {
+				f.start("d" + strconv.Itoa(1+i/39))
+			}
+			pass(f.t, 6*time.Second)
+			asked := map[string]bool{}
+			for _, target := range first.targets(first.clock.Steady()) {
+				asked[first.peers[target.box].FailureDomain] = true
+			}
+			assert.Equal(t, map[string]bool{"d1": true, "d2": true}, asked)
+			assert.Equal(t, clock.Millis(250), first.AskEach()["d2"])
+			f.boxes[40].stop()
+			pass(f.t, 8*time.Second)
+			assert.Zero(t, first.AskEach()["d2"])
+			assert.Zero(t, first.AskEach()["d0"], "none but itself")
+		})
+	})
 	t.Run("a box that leaves reads no more for others", func(t *testing.T) {
 		bubble(t, func(f *fixture) {
 			t := f.t
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -104,15 +104,23 @@
 	return found
 }
 
-// AskEach is how often some box of each failure domain is asked, or 0 in a large fleet,
-// whose rounds reach a few boxes only.
-func (m *Mesh) AskEach() clock.Millis {
+// AskEach is how often some box of a failure domain is asked, by domain. Domains in which no
+// box answers are left out, and in a large fleet, whose rounds reach a few boxes only, all.
+func (m *Mesh) AskEach() map[string]clock.Millis {
+	now := m.clock.Steady()
+	asked := map[string]clock.Millis{}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.largeLocked() {
-		return 0
+		return asked
 	}
-	return m.period
+	life := m.lifeLocked()
+	for _, p := range m.peers {
+		if p.alive(now, life) {
+			asked[p.FailureDomain] = m.period
+		}
+	}
+	return asked
 }
 
 func (m *Mesh) forgetLocked(now clock.Millis) {
