--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -156,34 +156,3 @@
 		assert.Greater(t, repeats, firsts/10, "and some are repeated")
 	})
 }
-
-// TestSourceTurnedAwayUnheard has the store turn away the box that reads for the others,
-// while datagrams from it are lost and those to it arrive, so that they don't hear of it. An
-// upstream that leaves in the same instant must be known in the time that operators allow.
-func TestSourceTurnedAwayUnheard(t *testing.T) {
-	bubble(t, func(f *fleet) {
-		t := f.t
-		f.upstream("u1", answer("done"))
-		boxes := f.boxes(3)
-		pass(t, 3*time.Second)
-		source := ""
-		for _, b := range boxes {
-			if b.peering.mesh.IsSource() {
-				source = b.settings.Box
-			}
-		}
-		require.NotEmpty(t, source)
-		f.store.setAway(source, true)
-		f.network.SetSilent(func(from, to string) bool { return from == source && strings.HasPrefix(to, "box-") })
-		f.store.put(registry.Upstream{ID: "u1", Pool: "p", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 8, Draining: true})
-		pass(t, defaultLeaveMs*time.Millisecond)
-		for _, b := range boxes {
-			if b.settings.Box != source {
-				assert.True(t, b.registry.All()[0].Draining, "%s knows that the upstream leaves", b.settings.Box)
-			}
-		}
-		// Connections that hang end before the test does.
-		f.network.SetSilent(func(string, string) bool { return false })
-		pass(t, 3*time.Second)
-	})
-}
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -123,17 +123,12 @@
 		f.upstream("u1", answer("done"))
 		boxes := f.boxes(3)
 		pass(t, 3*time.Second)
-		for _, b := range boxes {
-			if b.peering.mesh.IsSource() {
-				f.store.setAway(b.settings.Box, true)
-			}
-		}
+		f.store.setAway(sourceOf(boxes).settings.Box, true)
 		pass(t, 4*time.Second)
-		leaving := registry.Upstream{ID: "u1", Pool: "p", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 8, Draining: true}
-		f.store.put(leaving)
+		f.leaves("u1")
 		pass(t, time.Second)
 		for _, b := range boxes {
-			assert.True(t, b.registry.All()[0].Draining, "%s knows that the upstream leaves", b.settings.Box)
+			assertLeaving(t, b)
 		}
 		for _, b := range boxes {
 			f.store.setAway(b.settings.Box, false)
@@ -154,15 +149,11 @@
 		f.upstream("u1", answer("done"))
 		boxes := f.boxes(3)
 		pass(t, 3*time.Second)
-		for _, b := range boxes {
-			if b.peering.mesh.IsSource() {
-				f.store.setSilent(b.settings.Box, true)
-			}
-		}
-		f.store.put(registry.Upstream{ID: "u1", Pool: "p", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 8, Draining: true})
+		f.store.setSilent(sourceOf(boxes).settings.Box, true)
+		f.leaves("u1")
 		pass(t, 1900*time.Millisecond)
 		for _, b := range boxes {
-			assert.True(t, b.registry.All()[0].Draining, "%s knows that the upstream leaves", b.settings.Box)
+			assertLeaving(t, b)
 		}
 	})
 }
@@ -205,3 +196,28 @@
 		}
 	})
 }
+
+// TestSourceTurnedAwayUnheard has the store turn away the box that reads for the others,
+// while datagrams from it are lost and those to it arrive, so that they don't hear of it. An
+// upstream that leaves in the same instant must be known in the time that operators allow.
+func TestSourceTurnedAwayUnheard(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", answer("done"))
+		boxes := f.boxes(3)
+		pass(t, 3*time.Second)
+		source := sourceOf(boxes).settings.Box
+		f.store.setAway(source, true)
+		f.network.SetSilent(func(from, to string) bool { return from == source && strings.HasPrefix(to, "box-") })
+		f.leaves("u1")
+		pass(t, defaultLeaveMs*time.Millisecond)
+		for _, b := range boxes {
+			if b.settings.Box != source {
+				assertLeaving(t, b)
+			}
+		}
+		// Connections that hang end before the test does.
+		f.network.SetSilent(func(string, string) bool { return false })
+		pass(t, 3*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/gateway/store_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/registry"
+	"dooryard.example/dooryard/internal/routing"
+)
+
+// errStoreAway is what reads of a store that was cut off get.
+var errStoreAway = errors.New("store away")
+
+// store is the tests' source of routing state. Boxes poll it.
+type store struct {
+	mu      sync.Mutex
+	state   *routing.State
+	changes []registry.Change
+	// revision counts the changes so far.
+	revision int64
+	away     map[string]bool
+	silent   map[string]bool
+	reads    map[string]int
+	// slowMs is how long each read takes.
+	slowMs clock.Millis
+}
+
+func newStore() *store {
+	return &store{away: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}}
+}
+
+func (s *store) setState(t *testing.T, c routing.Content) {
+	t.Helper()
+	state, err := routing.New(c)
+	require.NoError(t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+}
+
+func (s *store) put(u registry.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changes = append(s.changes, registry.Change{Upstream: u, Revision: s.revision})
+}
+
+// remove takes an upstream's entry away.
+func (s *store) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changes = slices.DeleteFunc(s.changes, func(c registry.Change) bool { return c.Upstream.ID == id })
+}
+
+// setAway cuts the store off from a box.
+func (s *store) setAway(box string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[box] = away
+}
+
+// setSlow has each read take a while.
+func (s *store) setSlow(span clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowMs = span
+}
+
+// setSilent has the store leave a box's reads without an answer.
+func (s *store) setSilent(box string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[box] = silent
+}
+
+// readsOf is how often some boxes have read so far.
+func (s *store) readsOf(boxes []*running) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, b := range boxes {
+		sum += s.reads[b.settings.Box]
+	}
+	return sum
+}
+
+const (
+	pollMs clock.Millis = 500
+	// lookMs is how often a box looks whether it should read.
+	lookMs clock.Millis = 100
+	// silenceMs is how long a read without an answer lasts.
+	silenceMs clock.Millis = 2200
+)
+
+func (s *store) source(box string, c clock.Clock) Source {
+	return Source{Name: "store", Run: func(ctx context.Context, sink Sink) {
+		nextMs := c.Steady()
+		look := func(clock.Millis) {
+			if c.Steady() >= nextMs && sink.Wanted("all") {
+				s.poll(ctx, box, c, sink)
+				nextMs = c.Steady() + pollMs
+			}
+		}
+		look(nextMs)
+		c.Every(ctx, lookMs, look)
+	}}
+}
+
+func (s *store) poll(ctx context.Context, box string, c clock.Clock, sink Sink) {
+	s.mu.Lock()
+	state, changes, away := s.state, append([]registry.Change(nil), s.changes...), s.away[box]
+	revision := s.revision
+	silent, slowMs := s.silent[box], s.slowMs
+	s.reads[box]++
+	s.mu.Unlock()
+	sentMs := c.Steady()
+	if slowMs > 0 {
+		// The end of the context shows at the next poll.
+		_ = c.Sleep(ctx, slowMs)
+	}
+	if silent {
+		// The end of the context shows at the next poll.
+		_ = c.Sleep(ctx, silenceMs)
+		away = true
+	}
+	if away {
+		sink.Reached("all", errStoreAway)
+		return
+	}
+	sink.Reached("all", nil)
+	sink.AllUpstreams(changes, revision)
+	if state != nil {
+		sink.Adopt(state)
+		sink.Prove(sentMs)
+	}
+}
--- a/internal/gateway/timing_test.go
+++ b/internal/gateway/timing_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -86,12 +85,8 @@
 					boxes = append(boxes, f.box(i, bound, func(g *config.Gateway) { g.Contacts = []string{first.settings.PeersAddress} }))
 				}
 				pass(f.t, 3*time.Second)
-				for _, b := range boxes {
-					if b.peering.mesh.IsSource() {
-						f.store.setSilent(b.settings.Box, true)
-					}
-				}
-				f.store.put(registry.Upstream{ID: "u1", Pool: "p", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 8, Draining: true})
+				f.store.setSilent(sourceOf(boxes).settings.Box, true)
+				f.leaves("u1")
 				pass(f.t, clock.Millis(leaveMs).Duration())
 				for _, b := range boxes {
 					assertStatus(f.t, b, "/safe/", http.StatusServiceUnavailable)
