refactor(balance): no guess at the engine that other boxes sent a session to

It dates from when a box knew a sixth of the fleet's prompts; boxes tell each other now what engines keep. It keeps no rule.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -37,13 +37,10 @@
 	mu   sync.Mutex
 	byID map[string]*Member
 	// byKey are the same upstreams as other boxes name them.
-	byKey map[namekey.Key]*Member
-	kept  keptLog
-	// startedMs is the end of the time in which this box learnt of the
-	// upstreams that were there before it.
-	startedMs clock.Millis
-	pools     map[string][]*Member
-	domains   map[string]*domain
+	byKey   map[namekey.Key]*Member
+	kept    keptLog
+	pools   map[string][]*Member
+	domains map[string]*domain
 	// departed are the upstreams of a pool that have just gone.
 	departed map[string][]*Member
 	// lost are the parts that upstreams kept which have gone.
@@ -59,15 +56,11 @@
 ) *Manager {
 	return &Manager{
 		settings: settings, steady: steady, connect: connect, random: random,
-		startedMs: steady() + learningMs,
-		byID:      map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*domain{},
+		byID: map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*domain{},
 		departed: map[string][]*Member{}, lost: partMemory{}, returning: map[string]*returns{},
 	}
 }
 
-// learningMs is how long a box that starts takes to learn of all upstreams.
-const learningMs = 2 * clock.Second
-
 // SetUpstreams takes a newer list into force. Upstreams that stay keep what is
 // known of them.
 func (m *Manager) SetUpstreams(list []registry.Upstream) {
@@ -117,7 +110,7 @@
 
 func (m *Manager) keep(old *Member, u registry.Upstream) *Member {
 	if old == nil || old.Address != u.Address {
-		return newMember(u, m.connect(u.Address), m.steady())
+		return newMember(u, m.connect(u.Address))
 	}
 	old.Upstream = u
 	return old
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -15,8 +15,7 @@
 	client *upstream.Client
 	hash   uint64
 	// key names the upstream among boxes.
-	key    namekey.Key
-	joined clock.Millis
+	key namekey.Key
 	// goneMs is when its entry disappeared.
 	goneMs clock.Millis
 
@@ -53,9 +52,9 @@
 	return known
 }
 
-func newMember(u registry.Upstream, client *upstream.Client, now clock.Millis) *Member {
+func newMember(u registry.Upstream, client *upstream.Client) *Member {
 	return &Member{
-		Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), joined: now, parts: partMemory{},
+		Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), parts: partMemory{},
 		pending: map[namekey.Key]int{},
 	}
 }
