--- a/internal/balance/looks.go
+++ b/internal/balance/looks.go
@@ -18,7 +18,7 @@
 	// or more come from there: several times the pause between two events of one, and more
 	// than an engine's other streams wait while it reads a long prompt.
 	answeringSilenceMs clock.Millis = 100
-	answeringCount                  = 4
+	answeringCount     int          = 4
 	// askSilenceMs is how much longer than the time between two asks of its boxes a domain
 	// may be silent otherwise: some ten round trips.
 	askSilenceMs clock.Millis = 50
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -125,8 +125,9 @@
 	}, b.clock.Steady, b.connect, rand.IntN)
 	b.registry.OnChange(func() { b.balance.SetUpstreams(b.registry.All()) })
 	usable := settings.Budget.Ratio * percent * budgetPart
+	window := clock.Millis(settings.Budget.WindowS * float64(clock.Second))
 	b.budgets = retry.NewBudgets(int(usable*steadyPart), reserve(settings.Budget.Slack),
-		retry.WithBank(int(usable*(1-steadyPart)), clock.Millis(settings.Budget.WindowS*float64(clock.Second)), b.clock.Steady))
+		retry.WithBank(int(usable*(1-steadyPart)), window, b.clock.Steady))
 	b.metrics.Publish("routing_state", func() any { return b.knowledge() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.buildSteps()
--- a/internal/gateway/figures_test.go
+++ b/internal/gateway/figures_test.go
@@ -16,6 +16,7 @@
 // servedWhileSilent is the part of keyed requests, one each 100 ms, that a box serves in
 // 8 s in which nobody in reach can prove its routing state.
 func servedWhileSilent(t *testing.T, change func(g *config.Gateway)) float64 {
+	t.Helper()
 	const seconds, perSecond = 8, 10
 	served := 0
 	bubble(t, func(f *fleet) {
@@ -47,6 +48,7 @@
 // delayedByCut is how many of 60 requests, one each 50 ms, take over 150 ms while a
 // failure domain with four of six upstreams is cut off and connections there hang.
 func delayedByCut(t *testing.T) int {
+	t.Helper()
 	delayed := 0
 	bubble(t, func(f *fleet) {
 		domains := map[string]string{"u0": "d", "u1": "d", "u2": "e", "u3": "e", "u4": "e", "u5": "e"}
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -55,7 +55,8 @@
 			Box: settings.Box, FailureDomain: settings.FailureDomain, Address: settings.PeersAddress,
 			Incarnation: int64(b.clock.Now()),
 		},
-		Clock: b.clock, PeriodMs: timingOf(*settings).periodMs, Conn: conn, Contacts: p.contacts, Knowledge: b.knowledge, InFlight: b.balance.InFlight,
+		Clock: b.clock, PeriodMs: timingOf(*settings).periodMs, Conn: conn,
+		Contacts: p.contacts, Knowledge: b.knowledge, InFlight: b.balance.InFlight,
 		KeptSince: b.balance.KeptSince, LearnKept: b.balance.LearnKept,
 		Answered: p.take, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
--- a/internal/gateway/timing_test.go
+++ b/internal/gateway/timing_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/pkg/config"
@@ -71,7 +72,7 @@
 				pass(f.t, clock.Millis(leaveMs).Duration())
 				for range 20 {
 					_, body, err := b.get("/safe/")
-					assert.NoError(f.t, err)
+					require.NoError(f.t, err)
 					assert.Equal(f.t, "two", body)
 				}
 			})
