--- a/internal/cmd/loadcmd/loadcmd.go
+++ b/internal/cmd/loadcmd/loadcmd.go
@@ -25,7 +25,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			demoCommand(out), runCommand(out, progress), latencyCommand(out),
-			policiesCommand(out, progress), capacityCommand(out, progress),
+			policiesCommand(out, progress), capacityCommand(out, progress), experimentCommand(out),
 		},
 	}
 }
