test(soak): connections that go silent for good while new ones work

A link fault that the soak's proxy did not have: what open connections carry is lost from one moment on, for good, and new connections work.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -66,7 +66,7 @@
 
 func linkFaults() []fault {
 	list := []fault{}
-	for _, kind := range []linkFault{linkDelayed, linkReset, linkSilent, linkNoAnswers} {
+	for _, kind := range []linkFault{linkDelayed, linkReset, linkSilent, linkNoAnswers, linkStale} {
 		list = append(list,
 			linkOf("a box's store "+string(kind), kind, func(f *fleet) (*link, string) {
 				b := f.anyBox()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	if s.link, err = newLink("127.0.0.1:0", func() string { return address }); err != nil {
+	if s.link, err = newLink(func() string { return address }); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, s.link.close)
@@ -178,12 +178,12 @@
 	ip := fmt.Sprintf("127.0.%d.%d", f.settings.Seed%200+1, i+1)
 	b := &box{name: "box-" + strconv.Itoa(i)}
 	var err error
-	if b.store, err = newLink("127.0.0.1:0", func() string { return storeAddress }); err != nil {
+	if b.store, err = newLink(func() string { return storeAddress }); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, b.store.close)
 	own := net.JoinHostPort(ip, strconv.Itoa(callersPort))
-	if b.callers, err = newLink("127.0.0.1:0", func() string { return own }); err != nil {
+	if b.callers, err = newLink(func() string { return own }); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, b.callers.close)
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	linkSilent linkFault = "silent"
 	// linkNoAnswers passes on what the caller sends, and nothing back.
 	linkNoAnswers linkFault = "no answers"
+	// linkStale loses for good what the connections carry that are open when it begins.
+	// New ones work.
+	linkStale linkFault = "stale"
 )
 
 const (
@@ -41,16 +45,18 @@
 	mu    sync.Mutex
 	fault linkFault
 	conns map[net.Conn]struct{}
+	// stale are those of them whose bytes are lost.
+	stale map[net.Conn]struct{}
 }
 
-// newLink listens on an address and passes connections on to a target, which may
+// newLink listens on a free port and passes connections on to a target, which may
 // change.
-func newLink(address string, target func() string) (*link, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+func newLink(target func() string) (*link, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	l := &link{listener: listener, target: target, conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}}
 	go l.run()
 	return l, nil
 }
@@ -61,6 +67,9 @@
 	l.mu.Lock()
 	l.fault = fault
 	conns := l.conns
+	if fault == linkStale {
+		maps.Copy(l.stale, conns)
+	}
 	if fault == linkReset {
 		l.conns = map[net.Conn]struct{}{}
 	} else {
@@ -116,8 +125,10 @@
 	both.Go(func() { l.pass(far, near, false) })
 	both.Wait()
 	l.mu.Lock()
-	delete(l.conns, near)
-	delete(l.conns, far)
+	for _, c := range []net.Conn{near, far} {
+		delete(l.conns, c)
+		delete(l.stale, c)
+	}
 	l.mu.Unlock()
 }
 
@@ -127,7 +138,7 @@
 	for {
 		n, err := from.Read(buffer)
 		l.hold(forward)
-		if n > 0 {
+		if n > 0 && !l.isStale(from) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				reset(from)
 				return
@@ -140,6 +151,13 @@
 	}
 }
 
+func (l *link) isStale(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, stale := l.stale[c]
+	return stale
+}
+
 // hold waits while the direction is held up.
 func (l *link) hold(forward bool) {
 	for {
--- /dev/null
+++ b/internal/soak/link_test.go
@@ -0,0 +1,66 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers each connection with what it sends.
+func echo(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener
+}
+
+func assertEchoes(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(conn, "hello")
+	require.NoError(t, err)
+	got := make([]byte, len("hello"))
+	_, err = io.ReadFull(conn, got)
+	require.NoError(t, err)
+	assert.Equal(t, "hello", string(got))
+}
+
+func TestStaleLink(t *testing.T) {
+	target := echo(t)
+	l, err := newLink(func() string { return target.Addr().String() })
+	require.NoError(t, err)
+	defer l.close()
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", l.address())
+		require.NoError(t, err)
+		return conn
+	}
+	old := open()
+	assertEchoes(t, old)
+	l.set(linkStale)
+	_, err = io.WriteString(old, "lost")
+	require.NoError(t, err)
+	assertEchoes(t, open())
+	l.set(linkWell)
+	assertEchoes(t, open())
+	// What the stale connection carried never arrives: its end comes first.
+	require.NoError(t, old.(*net.TCPConn).CloseWrite()) //nolint:forcetypeassert // Dialled as TCP.
+	rest, err := io.ReadAll(old)
+	require.NoError(t, err)
+	assert.Empty(t, rest)
+}
