fix(balance): lines of ways that are back say how long they were away

Found in reading the change: a way's "dependency back" said away_ms 0; an answer that was still under way ended a cut without a line; and a box that stands still while it looks took its own time-outs for a cut.

--- a/internal/balance/domain.go
+++ b/internal/balance/domain.go
@@ -6,12 +6,9 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// Times of failures.
-const (
-	// togetherMs is how close in time the failures of several upstreams count as
-	// one failure of what they share: a few round trips and connect time-outs.
-	togetherMs clock.Millis = 800
-)
+// togetherMs is how close in time the failures of several upstreams count as
+// one failure of what they share: a few round trips and connect time-outs.
+const togetherMs clock.Millis = 800
 
 // togetherCount is how many upstreams of a failure domain must fail at about the same
 // time for the way to them to be in question.
@@ -31,8 +28,9 @@
 
 	// answering is how many answers come from there now.
 	answering int
-	// cut is set while no connection to the domain opens.
-	cut bool
+	// cut is set while no connection to the domain opens, since cutMs.
+	cut   bool
+	cutMs clock.Millis
 	// asked is set when a look was asked for, whatever was heard.
 	asked   bool
 	looking bool
@@ -119,12 +117,11 @@
 	}
 }
 
-// answered notes that the upstream began to answer: it and the way to it are well.
+// answered notes that the upstream began to answer: it is well, and the way gave a sign of
+// life. Whether a way that is cut is well again, the next look says.
 func (m *Manager) answered(member *Member) {
 	member.probation = false
-	d := m.wayTo(member.FailureDomain)
-	d.heard(m.steady())
-	d.cut = false
+	m.wayTo(member.FailureDomain).heard(m.steady())
 }
 
 // closeIdle ends the idle connections to a failure domain: a request on a new
--- a/internal/balance/domain_test.go
+++ b/internal/balance/domain_test.go
@@ -87,14 +87,18 @@
 	})
 	t.Run("upstreams behind a cut get nothing until a connection opens", func(t *testing.T) {
 		f := newFixture(t, 6)
-		require.True(t, f.Looked("d0", false))
-		require.False(t, f.Looked("d0", false), "no news")
+		_, news := f.Looked("d0", false)
+		require.True(t, news)
+		_, news = f.Looked("d0", false)
+		require.False(t, news)
 		for range 20 {
 			assert.NotEqual(t, "d0", f.pick(t, Ask{Pool: "p"}).FailureDomain)
 		}
 		f.now += lookAgainMs
 		assert.Contains(t, looksAt(f), "d0")
-		require.True(t, f.Looked("d0", true))
+		away, news := f.Looked("d0", true)
+		require.True(t, news)
+		assert.Equal(t, lookAgainMs, away)
 		assert.Equal(t, "d0", f.pick(t, Ask{Pool: "p"}).FailureDomain)
 	})
 	t.Run("requests behind a cut hear of it once, and none that has ended", func(t *testing.T) {
--- a/internal/balance/looks.go
+++ b/internal/balance/looks.go
@@ -87,18 +87,18 @@
 }
 
 // Looked takes in whether any of a look's connections opened, or was refused by a host
-// that is there. It returns whether that is news.
-func (m *Manager) Looked(name string, opened bool) (news bool) {
-	news, calls := m.takeLook(name, opened)
+// that is there. It returns whether that is news, and how long the way was cut.
+func (m *Manager) Looked(name string, opened bool) (awayMs clock.Millis, news bool) {
+	awayMs, news, calls := m.takeLook(name, opened)
 	for _, call := range calls {
 		call()
 	}
-	return news
+	return awayMs, news
 }
 
 // takeLook takes in a look, and returns what to call for the requests behind a way that
 // turns out to be cut.
-func (m *Manager) takeLook(name string, opened bool) (news bool, calls []func()) {
+func (m *Manager) takeLook(name string, opened bool) (awayMs clock.Millis, news bool, calls []func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.steady()
@@ -106,16 +106,17 @@
 	news = d.cut == opened
 	d.looking, d.cut = false, !opened
 	d.lookedMs = now
-	if opened {
+	switch {
+	case opened:
 		d.heardMs.Store(int64(now))
-		return news, nil
-	}
-	if news {
+		awayMs = now - d.cutMs
+	case news:
+		d.cutMs = now
 		m.closeIdle(name)
 		calls = slices.Collect(maps.Values(d.onCut))
 		clear(d.onCut)
 	}
-	return news, calls
+	return awayMs, news, calls
 }
 
 // due tells whether the way is to be looked at now.
--- a/internal/gateway/ways.go
+++ b/internal/gateway/ways.go
@@ -33,20 +33,31 @@
 	})
 }
 
-// look opens connections to some upstreams of a failure domain at once.
+// look finds out whether connections to a failure domain open, and tells if that is news.
 func (b *Box) look(ctx context.Context, look balance.Look) {
-	reached := make(chan bool, len(look.Clients))
-	for _, client := range look.Clients {
+	beganMs := b.clock.Steady()
+	opened := reaches(ctx, look.Clients)
+	if !opened && b.clock.Steady()-beganMs > upstream.ReachMs+pauseMs {
+		// This box stood still meanwhile: the time-outs say nothing.
+		opened = reaches(ctx, look.Clients)
+	}
+	if awayMs, news := b.balance.Looked(look.FailureDomain, opened); news {
+		b.log.Tell(decision.Dependency{
+			Dependency: "way to a failure domain", ID: look.FailureDomain, Lost: !opened, AwayMs: awayMs,
+		})
+	}
+}
+
+// reaches opens connections to some upstreams at once, and tells whether any opened.
+func reaches(ctx context.Context, clients []*upstream.Client) bool {
+	reached := make(chan bool, len(clients))
+	for _, client := range clients {
 		go func(c *upstream.Client) { reached <- c.Reach(ctx) }(client)
 	}
-	opened := false
-	for range look.Clients {
-		opened = <-reached || opened
-		if opened {
-			break
+	for range clients {
+		if <-reached {
+			return true
 		}
 	}
-	if b.balance.Looked(look.FailureDomain, opened) {
-		b.log.Tell(decision.Dependency{Dependency: "way to a failure domain", ID: look.FailureDomain, Lost: !opened})
-	}
+	return false
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -203,14 +203,14 @@
 	return newConn(raw), nil
 }
 
-// lookMs is how long Reach waits for a connection: some thirty round trips between
+// ReachMs is how long Reach waits for a connection: some thirty round trips between
 // failure domains.
-const lookMs clock.Millis = 100
+const ReachMs clock.Millis = 100
 
 // Reach tells whether the upstream's host answers. A connection that opens is kept for
 // the next request; one that is refused shows that the host is there.
 func (c *Client) Reach(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, lookMs.Duration())
+	ctx, cancel := context.WithTimeout(ctx, ReachMs.Duration())
 	defer cancel()
 	raw, err := c.dial(ctx, "tcp", c.address)
 	if err != nil {
