--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/registry"
 )
 
@@ -106,7 +107,7 @@
 						return
 					}
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"))
-					time.Sleep(time.Second)
+					_ = clock.New().Sleep(t.Context(), clock.Second)
 					late, _ := io.ReadAll(reader)
 					rest <- late
 				}()
