--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -152,7 +152,8 @@
 const budgetPart = 0.8
 
 // steadyPart is how much of that requests may use all the time; the rest is for bursts, of
-// the size that a window's requests allow.
+// the size that a window's requests allow. On a day with 45 of 112 engines crashed that gains
+// 0.0032 of the worth, 0.0000 on another (one paired run each, 87 boxes).
 const steadyPart = 0.6
 
 // reserve is this box's part of the slack, before it knows how many boxes share
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -26,7 +26,8 @@
 )
 
 // patience is how many times the objective an upstream may take for the head of
-// its answer while the request may still go elsewhere.
+// its answer while the request may still go elsewhere. Without such attempts days with
+// upstreams that hang lose 0.0024 of the worth (six paired runs, standard error 0.0012).
 const patience = 2
 
 // attempt sends the request to one upstream. It returns nil when the caller has
