feat(gateway): lines tell what a request asks and whether an upstream ended

Cause: the incident's lines could not tell whether one request came back under new ids or engines ended for reasons of their own. No decision depends on it yet. The tests' network now refuses connections with the system's own error. Before: no line had either; after: both, tests of gateway, balance, upstream and platform pass.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -4,6 +4,7 @@
 package decision
 
 import (
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -80,7 +81,9 @@
 
 // AttemptFailed tells how an attempt ended that did not answer the caller.
 type AttemptFailed struct {
-	Request  string
+	Request string
+	// Content stands for what the request asks, under whatever id.
+	Content  string
 	Upstream string
 	Attempt  int
 	// Proof is what is known of the request at the upstream.
@@ -102,6 +105,7 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (e AttemptFailed) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("request", e.Request)
+	o.AddString("content", e.Content)
 	o.AddString("upstream", e.Upstream)
 	o.AddInt("attempt", e.Attempt)
 	o.AddString("proof", e.Proof)
@@ -116,7 +120,9 @@
 
 // Ended tells how a request ended.
 type Ended struct {
-	Request      string
+	Request string
+	// Content stands for what the request asks, or is empty if its body was not read.
+	Content      string
 	Route        string
 	Organisation string
 	Upstream     string
@@ -140,6 +146,7 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (e Ended) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("request", e.Request)
+	addIfSet(o, "content", e.Content)
 	addIfSet(o, "route", e.Route)
 	addIfSet(o, "organisation", e.Organisation)
 	addIfSet(o, "upstream", e.Upstream)
@@ -252,6 +259,29 @@
 	return nil
 }
 
+// UpstreamEnded tells that connections to an upstream broke and its host refuses new ones.
+type UpstreamEnded struct {
+	Upstream string
+	Address  string
+	// Contents are what the requests asked whose connections broke, as far as this box
+	// had any there.
+	Contents []string
+}
+
+// Name implements Event.
+func (UpstreamEnded) Name() string { return "upstream ended" }
+
+// Routine implements Event.
+func (UpstreamEnded) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e UpstreamEnded) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("upstream", e.Upstream)
+	o.AddString("address", e.Address)
+	zap.Strings("contents", e.Contents).AddTo(o)
+	return nil
+}
+
 // InputIgnored tells of an input that could not be used, and why.
 type InputIgnored struct {
 	Input string
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -59,6 +59,7 @@
 	budgets  *retry.Budgets
 	steps    *steps
 	peering  *peering
+	endings  *endings
 
 	servers  []*http.Server
 	stopping atomic.Bool
@@ -130,6 +131,7 @@
 		retry.WithBank(int(usable*(1-steadyPart)), window, b.clock.Steady))
 	b.metrics.Publish("routing_state", func() any { return b.knowledge() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
+	b.endings = newEndings(b)
 	b.buildSteps()
 }
 
@@ -208,6 +210,7 @@
 	b.running.Go(func() { b.source.Run(background, b.newStoreSink(b.source.Name)) })
 	b.running.Go(func() { b.clock.Every(background, houseMs, func(clock.Millis) { b.housekeeping() }) })
 	b.running.Go(func() { b.watchWays(background) })
+	b.running.Go(func() { b.endings.run(background) })
 	select {
 	case <-ctx.Done():
 		err = b.stop(background)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 // Dialled counts a connection to an upstream.
 func (m *Metrics) Dialled() { m.dials.Add(1) }
 
+// UpstreamEnded counts an upstream that was found to have ended under requests.
+func (m *Metrics) UpstreamEnded() { m.all.Add("upstreams_ended", 1) }
+
 // Reads counts tokens of shared parts of prompts that an engine likely reads, by reason.
 func (m *Metrics) Reads(why string, tokens int) {
 	m.all.Add("prompt_tokens_read_"+strings.ReplaceAll(why, " ", "_"), int64(tokens))
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -50,7 +50,7 @@
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.balance.Pick, Report: b.balance.Report, MayRetry: b.budgets.Take, FirstSend: b.budgets.First,
 			AgeMs: b.belief.AgeMs, Tell: b.log.Tell, Reads: b.metrics.Reads,
-			ComeBack: b.balance.ComeBackMs, Steady: b.clock.Steady,
+			ComeBack: b.balance.ComeBackMs, Broke: b.endings.broke, Steady: b.clock.Steady,
 		}),
 		record: record.New(b.log.Tell, b.metrics.End, b.belief.AgeMs, b.clock.Steady),
 	}
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -7,6 +7,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/routing"
 )
 
@@ -29,6 +30,8 @@
 	Pool         string
 	Prompt       prompt.Prompt
 	Body         []byte
+	// Content stands for what the request asks, once its body was read.
+	Content quarantine.Content
 
 	// Sent counts the upstreams that the request, or a part of it, may have
 	// reached.
@@ -47,6 +50,17 @@
 // Context ends when the caller leaves.
 func (r *Request) Context() context.Context { return r.HTTP.Context() }
 
+// NoteContent sets what the request asks from what was read.
+func (r *Request) NoteContent() {
+	asked := quarantine.Request{
+		Method: r.HTTP.Method, Host: r.HTTP.Host, Target: r.HTTP.RequestURI, Body: r.Body,
+	}
+	if r.Organisation != nil {
+		asked.Organisation = r.Organisation.Name
+	}
+	r.Content = asked.Content()
+}
+
 // Priority is the request's rank: that of its organisation, or else its route's.
 func (r *Request) Priority() int {
 	if r.Organisation != nil && r.Organisation.HasPriority {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/opaque"
+	"dooryard.example/dooryard/internal/quarantine"
 )
 
 // Pipe dispatches requests.
@@ -26,6 +27,7 @@
 	tell      func(e decision.Event)
 	reads     func(why string, tokens int)
 	comeBack  func(pool string, priority int) clock.Millis
+	broke     func(member *balance.Member, content quarantine.Content)
 	steady    func() clock.Millis
 }
 
@@ -42,14 +44,16 @@
 	Reads func(why string, tokens int)
 	// ComeBack is after which span a refused caller should come back.
 	ComeBack func(pool string, priority int) clock.Millis
-	Steady   func() clock.Millis
+	// Broke takes a connection that broke by itself under a request.
+	Broke  func(member *balance.Member, content quarantine.Content)
+	Steady func() clock.Millis
 }
 
 // New returns the step.
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		pick: d.Pick, report: d.Report, mayRetry: d.MayRetry, firstSend: d.FirstSend,
-		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, comeBack: d.ComeBack, steady: d.Steady,
+		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, comeBack: d.ComeBack, broke: d.Broke, steady: d.Steady,
 	}
 }
 
@@ -116,7 +120,7 @@
 	s.request.Tried = append(s.request.Tried, lease.ID)
 	next := s.next(failed)
 	s.pipe.tell(decision.AttemptFailed{
-		Request: s.request.ID, Upstream: lease.ID, Attempt: s.attempts, Proof: string(failed.proof),
+		Request: s.request.ID, Content: s.request.Content.String(), Upstream: lease.ID, Attempt: s.attempts, Proof: string(failed.proof),
 		Status: failed.status(), Err: errorText(failed.err), Next: string(next),
 		TookMs: s.pipe.steady() - s.startedMs,
 	})
--- /dev/null
+++ b/internal/quarantine/content_test.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestContent(t *testing.T) {
+	base := Request{Method: "POST", Host: "a.example", Target: "/a/1", Organisation: "one", Body: []byte("x")}
+	t.Run("is the same for the same request", func(t *testing.T) {
+		again := base
+		again.Body = []byte("x")
+		assert.Equal(t, base.Content(), again.Content())
+	})
+	t.Run("differs with each part, and with where one part ends", func(t *testing.T) {
+		seen := map[Content]bool{base.Content(): true}
+		for _, change := range []func(r *Request){
+			func(r *Request) { r.Method = "PUT" },
+			func(r *Request) { r.Host = "b.example" },
+			func(r *Request) { r.Target = "/a/2" },
+			func(r *Request) { r.Organisation = "two" },
+			func(r *Request) { r.Body = []byte("y") },
+			func(r *Request) { r.Target, r.Organisation = "/a/1o", "ne" },
+			func(r *Request) { r.Organisation, r.Body = "onex", nil },
+		} {
+			other := base
+			change(&other)
+			assert.False(t, seen[other.Content()])
+			seen[other.Content()] = true
+		}
+	})
+}
+
+func BenchmarkContent(b *testing.B) {
+	for _, size := range []int{500, 1 << 20} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := Request{Method: "POST", Host: "a.example", Target: "/a/1", Organisation: "one", Body: bytes.Repeat([]byte("x"), size)}
+			b.ReportAllocs()
+			for range b.N {
+				_ = r.Content()
+			}
+		})
+	}
+}
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -15,7 +14,7 @@
 
 // Errors of the network.
 var (
-	errRefused = errors.New("connection refused")
+	errRefused = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	errCut     = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
 )
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -221,6 +221,20 @@
 	return true
 }
 
+// Ended tells whether the upstream's process is gone: its host is there and refuses
+// connections. One that opens is kept for the next request.
+func (c *Client) Ended(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, ReachMs.Duration())
+	defer cancel()
+	raw, err := c.dial(ctx, "tcp", c.address)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	c.onDial()
+	c.keep(newConn(raw), defaultIdleMs)
+	return false
+}
+
 // silence tells whether an error of a dial is that nobody answered.
 func silence(err error) bool {
 	var netErr net.Error
