test: servers that start again under their id

The registry's upstreams have a start beside their id (no adapter fills it yet), and a name and key of the incarnation. An upstream's word on its load is now taken by the lease, not by the id, so that the former's can't reach the new one.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -81,7 +81,7 @@
 		f := newFixture(t, 3)
 		first := f.pick(t, sticky("s"))
 		first.Release(Succeeded)
-		f.Report(first.ID, 30)
+		first.Report(30)
 		second := f.pick(t, sticky("s"))
 		second.Release(Succeeded)
 		assert.NotEqual(t, first.ID, second.ID)
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -138,17 +138,6 @@
 	return counts
 }
 
-// Report takes in an upstream's own count of the requests it holds.
-func (m *Manager) Report(id string, holds int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if member := m.byID[id]; member != nil {
-		member.reported = holds
-		member.ownThen = member.inFlight
-		member.reportedMs = m.steady()
-	}
-}
-
 // Refresh closes idle connections whose time is over; call it each second.
 func (m *Manager) Refresh() {
 	m.mu.Lock()
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -222,6 +222,15 @@
 	l.way.onCut[l] = call
 }
 
+// Report takes in the upstream's own count of the requests it holds.
+func (l *Lease) Report(holds int) {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	l.reported = holds
+	l.ownThen = l.inFlight
+	l.reportedMs = l.manager.steady()
+}
+
 // Heard notes that a part of the answer came: the way to the upstream is well.
 func (l *Lease) Heard() { l.way.heard(l.manager.steady()) }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -42,6 +42,8 @@
 // fatalities counts what upstreams end under.
 type fatalities struct {
 	fleet *fleet
+	// keepIDs has upstreams start again under the ids that they had.
+	keepIDs bool
 
 	mu sync.Mutex
 	// endsMs are when upstreams ended, and sendsMs when they got the fatal request.
@@ -56,6 +58,9 @@
 	a.mu.Lock()
 	a.started++
 	id := fmt.Sprintf("u%d-%d", slot, a.started)
+	if a.keepIDs {
+		id = fmt.Sprint("u", slot)
+	}
 	a.mu.Unlock()
 	listener, err := f.network.Host(id).Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
@@ -77,7 +82,11 @@
 	})
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
-	f.store.put(registry.Upstream{ID: id, Pool: "p", Address: listener.Addr().String(), FailureDomain: "d", Slots: 8})
+	u := registry.Upstream{ID: id, Pool: "p", Address: listener.Addr().String(), FailureDomain: "d", Slots: 8}
+	if a.keepIDs {
+		u.StartedMs = f.clock.Now()
+	}
+	f.store.put(u)
 }
 
 func (a *fatalities) noteSend() {
@@ -132,8 +141,11 @@
 	return statuses
 }
 
-func newFatalities(f *fleet, upstreams int) *fatalities {
+func newFatalities(f *fleet, upstreams int, change ...func(a *fatalities)) *fatalities {
 	a := &fatalities{fleet: f}
+	for _, one := range change {
+		one(a)
+	}
 	for slot := range upstreams {
 		a.startUpstream(slot)
 	}
@@ -215,6 +227,16 @@
 	})
 }
 
+// TestFatalRequestKeptIDs has upstreams start again under their ids: two of them end three
+// times, and more.
+func TestFatalRequestKeptIDs(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		a := newFatalities(f, 2, func(a *fatalities) { a.keepIDs = true })
+		a.comeBack(f.boxes(2), "/stream/", 40, 500*time.Millisecond)
+		assert.LessOrEqual(f.t, a.sendsTooLate(), mostAfter)
+	})
+}
+
 // TestFatalRequestBehindCut has the fatal request come to two boxes that can't hear each
 // other and reach the store, where the one knows of it first.
 func TestFatalRequestBehindCut(t *testing.T) {
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -172,7 +172,7 @@
 func (s *sending) receive(lease *balance.Lease, answer *upstream.Answer, cancel context.CancelCauseFunc) *failure {
 	d := s.request.Dialect
 	if holds, ok := opaque.ParseLoad(answer.Header.Get(d.Load)); ok {
-		s.pipe.report(lease.ID, holds)
+		lease.Report(holds)
 	}
 	if answer.StatusCode == http.StatusOK && isEventStream(answer.Header) {
 		return s.passStream(lease, answer, cancel)
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -17,8 +17,7 @@
 
 // Pipe dispatches requests.
 type Pipe struct {
-	pick   func(a balance.Ask) (*balance.Lease, error)
-	report func(id string, holds int)
+	pick func(a balance.Ask) (*balance.Lease, error)
 	// mayRetry asks the retry budget of a pool.
 	mayRetry func(pool string) bool
 	// firstSend tells the retry budget of a pool of a request.
@@ -36,7 +35,6 @@
 // Dependencies are what the step needs of its box.
 type Dependencies struct {
 	Pick      func(a balance.Ask) (*balance.Lease, error)
-	Report    func(id string, holds int)
 	MayRetry  func(pool string) bool
 	FirstSend func(pool string)
 	// AgeMs is how old the proof of the routing state is, for log lines.
@@ -58,7 +56,7 @@
 // New returns the step.
 func New(d Dependencies) *Pipe {
 	return &Pipe{
-		pick: d.Pick, report: d.Report, mayRetry: d.MayRetry, firstSend: d.FirstSend,
+		pick: d.Pick, mayRetry: d.MayRetry, firstSend: d.FirstSend,
 		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, comeBack: d.ComeBack, observe: d.Observe,
 		whole: d.Whole, heldMs: d.HeldMs, steady: d.Steady,
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,16 +4,22 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 )
 
 // Upstream is one incarnation of a server.
 type Upstream struct {
-	// ID names the incarnation.
+	// ID names the server. One that starts again may keep it.
 	ID string `json:"id"`
+	// StartedMs is the time of day of the server's start by its own clock, or 0 if it does not
+	// tell. With the ID it names the incarnation, and orders those of one server; it is never
+	// compared with a box's clock.
+	StartedMs clock.Millis `json:"started_ms,omitempty"`
 	// Pool is the name of the pool that the upstream belongs to.
 	Pool string `json:"pool"`
 	// Address is an IP number and port.
@@ -26,6 +32,17 @@
 	Draining bool `json:"draining,omitempty"`
 }
 
+// Incarnation names one life of a server.
+func (u Upstream) Incarnation() string {
+	if u.StartedMs == 0 {
+		return u.ID
+	}
+	return u.ID + "@" + strconv.FormatInt(int64(u.StartedMs), 10)
+}
+
+// Key names the incarnation in what boxes tell each other often.
+func (u Upstream) Key() namekey.Key { return namekey.Of(u.Incarnation()) }
+
 // Change is what a source learnt about one upstream.
 type Change struct {
 	Upstream Upstream `json:"upstream"`
