fix(registry,balance): a server's id and start name an incarnation

Cause (class: identity by a name that is used again): boxes went by a server's id, which they took for one life. Ruled out: telling lives apart by address (servers come back at their own) or by counts that start anew (reports are some hundred ms old and may cross a start).

Change: an upstream's name towards other boxes, what it keeps, its load, ejection, trial, drain and connections go by id and start; an older start is void whatever its revision, also after the newer one is gone; nothing is fetched from a former life. Attempts under way at a former life end with their connections: the reason stands at the place. Fields of an upstream that requests read without the manager's lock no longer change in its life.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -79,7 +79,7 @@
 	for id, member := range old {
 		if m.byID[id] != member {
 			member.client.Close()
-			m.depart(member)
+			m.depart(member, m.byID[id])
 		}
 	}
 	for _, members := range m.pools {
@@ -90,10 +90,13 @@
 // lingerMs is how long an upstream usually serves on after its entry has gone.
 const lingerMs = 2 * clock.Second
 
-// depart keeps an upstream that is gone for a while as a source of what it read.
-func (m *Manager) depart(member *Member) {
-	member.goneMs = m.steady()
-	m.departed[member.Pool] = append(m.departed[member.Pool], member)
+// depart keeps an upstream that is gone for a while as a source of what it read, unless its
+// server has started again: that keeps nothing.
+func (m *Manager) depart(member, successor *Member) {
+	if successor == nil || successor.StartedMs == member.StartedMs {
+		member.goneMs = m.steady()
+		m.departed[member.Pool] = append(m.departed[member.Pool], member)
+	}
 	for key, at := range member.parts {
 		if at > m.lost[key] {
 			m.lost.note(key, at)
@@ -108,11 +111,16 @@
 	}
 }
 
+// keep returns what is known of an upstream. Of a server that has started again nothing is:
+// what it ran and kept is gone. Attempts at its former life end with their connections, which
+// its host resets at the next keep-alive, within a second; they are not ended here, since those
+// that were sent after the start and before its news run at the new one.
 func (m *Manager) keep(old *Member, u registry.Upstream) *Member {
-	if old == nil || old.Address != u.Address {
+	if old == nil || old.identity != identityOf(u) {
 		return newMember(u, m.connect(u.Address))
 	}
-	old.Upstream = u
+	// Requests read the other fields without the lock; they are the same.
+	old.Draining, old.Slots = u.Draining, u.Slots
 	return old
 }
 
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -13,7 +13,9 @@
 type Member struct {
 	registry.Upstream
 	client *upstream.Client
-	hash   uint64
+	// identity is the upstream without what may change in its life; it needs no lock.
+	identity registry.Upstream
+	hash     uint64
 	// key names the upstream among boxes.
 	key namekey.Key
 	// goneMs is when its entry disappeared.
@@ -36,6 +38,14 @@
 	pending map[namekey.Key]int
 }
 
+// Identity returns the upstream without what may change in its life.
+func (m *Member) Identity() registry.Upstream { return m.identity }
+
+func identityOf(u registry.Upstream) registry.Upstream {
+	u.Draining, u.Slots = false, 0
+	return u
+}
+
 // Client returns the connections to the upstream.
 func (m *Member) Client() *upstream.Client { return m.client }
 
@@ -54,7 +64,7 @@
 
 func newMember(u registry.Upstream, client *upstream.Client) *Member {
 	return &Member{
-		Upstream: u, client: client, hash: route.HashName(u.ID), key: namekey.Of(u.ID), parts: partMemory{},
+		Upstream: u, identity: identityOf(u), client: client, hash: route.HashName(u.ID), key: u.Key(), parts: partMemory{},
 		pending: map[namekey.Key]int{},
 	}
 }
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -7,7 +7,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
-	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/pipe/dispatch"
 	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/registry"
@@ -35,8 +34,9 @@
 
 // suspect is a request that an upstream may have ended under.
 type suspect struct {
-	content quarantine.Content
-	atMs    clock.Millis
+	content  quarantine.Content
+	upstream registry.Upstream
+	atMs     clock.Millis
 	// givenUp is set when the box had closed the connection before.
 	givenUp bool
 }
@@ -56,13 +56,13 @@
 	observed chan dispatch.Observation
 
 	mu sync.Mutex
-	// byUpstream are the suspects of the last silentEndMs, by upstream.
-	byUpstream map[string]*suspects
+	// byID are the suspects of the last silentEndMs, by the ID of the upstream.
+	byID map[string]*suspects
 }
 
 func newEndings(b *Box) *endings {
 	return &endings{
-		box: b, observed: make(chan dispatch.Observation, waitingObservations), byUpstream: map[string]*suspects{},
+		box: b, observed: make(chan dispatch.Observation, waitingObservations), byID: map[string]*suspects{},
 	}
 }
 
@@ -83,7 +83,7 @@
 		case o := <-e.observed:
 			switch {
 			case o.Sign == dispatch.Refused:
-				e.ended(o.Member.ID, true)
+				e.ended(o.Member.ID, "", true)
 			case e.note(o):
 				looking.Go(func() { e.look(ctx, o) })
 			}
@@ -97,14 +97,16 @@
 func (e *endings) note(o dispatch.Observation) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	known := e.byUpstream[o.Member.ID]
+	known := e.byID[o.Member.ID]
 	if known == nil {
 		known = &suspects{}
-		e.byUpstream[o.Member.ID] = known
+		e.byID[o.Member.ID] = known
 	}
 	givenUp := o.Sign == dispatch.GivenUp
 	if len(known.list) < maxSuspects {
-		known.list = append(known.list, suspect{content: o.Content, atMs: e.box.clock.Steady(), givenUp: givenUp})
+		known.list = append(known.list, suspect{
+			content: o.Content, upstream: o.Member.Identity(), atMs: e.box.clock.Steady(), givenUp: givenUp,
+		})
 	}
 	first := !known.looking
 	known.looking = true
@@ -121,63 +123,70 @@
 	_ = e.box.clock.Sleep(ctx, wait)
 	refused := member.Client().Ended(ctx)
 	e.mu.Lock()
-	if known := e.byUpstream[member.ID]; known != nil {
+	if known := e.byID[member.ID]; known != nil {
 		known.looking = false
 	}
 	e.mu.Unlock()
-	if refused || !e.box.registry.Has(member.ID) {
-		e.ended(member.ID, refused)
+	if refused || !e.box.registry.Has(member.Identity()) {
+		e.ended(member.ID, "", refused)
 	}
 }
 
-// gone takes in that an upstream's entry has disappeared.
-func (e *endings) gone(changes []registry.Change) {
+// changed takes in changes of the upstreams: an entry that has disappeared, and one whose
+// server has started again, show that what ran there before has ended.
+func (e *endings) changed(changes []registry.Change) {
 	for _, c := range changes {
+		successor := c.Upstream.Incarnation()
 		if c.Gone {
-			e.ended(c.Upstream.ID, false)
+			successor = ""
 		}
+		e.ended(c.Upstream.ID, successor, false)
 	}
 }
 
-// ended takes in that an upstream has ended; justNow is set when it did a short while ago.
-func (e *endings) ended(upstream string, justNow bool) {
-	contents := e.take(upstream, justNow)
-	if len(contents) == 0 {
+// ended takes in that the lives of an upstream have ended, but for its successor, or all when
+// that is empty; justNow is set when they did a short while ago.
+func (e *endings) ended(id, successor string, justNow bool) {
+	list := e.take(id, successor, justNow)
+	if len(list) == 0 {
 		return
 	}
-	names, held := make([]string, 0, len(contents)), false
-	for _, content := range contents {
-		names = append(names, content.String())
-		if e.box.quarantine.Ended(content, namekey.Of(upstream)) {
+	names, held := make([]string, 0, len(list)), false
+	for _, s := range list {
+		names = append(names, s.content.String())
+		if e.box.quarantine.Ended(s.content, s.upstream.Key()) {
 			held = true
-			e.tellHeld(content, "this box")
+			e.tellHeld(s.content, "this box")
 		}
 	}
 	e.box.metrics.UpstreamEnded()
-	e.box.log.Tell(decision.UpstreamEnded{Upstream: upstream, Contents: names})
+	e.box.log.Tell(decision.UpstreamEnded{Upstream: list[0].upstream.Incarnation(), Contents: names})
 	if held {
 		e.box.peering.mesh.TellEndings()
 	}
 }
 
-// take returns the contents that the upstream has ended under, and forgets them. Of those
-// that were given up these are the newest, if it ended just now.
-func (e *endings) take(upstream string, justNow bool) []quarantine.Content {
+// take returns the suspects of an upstream's lives but its successor's, and forgets them. Of
+// those that were given up these are the newest, if it ended just now.
+func (e *endings) take(id, successor string, justNow bool) []suspect {
 	now := e.box.clock.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	known := e.byUpstream[upstream]
+	known := e.byID[id]
 	if known == nil {
 		return nil
 	}
-	delete(e.byUpstream, upstream)
-	contents := []quarantine.Content{}
+	taken, kept := []suspect{}, []suspect{}
 	for _, s := range known.list {
-		if !s.givenUp || justNow && now-s.atMs <= givenUpMs {
-			contents = append(contents, s.content)
+		switch {
+		case successor != "" && s.upstream.Incarnation() == successor:
+			kept = append(kept, s)
+		case !s.givenUp || justNow && now-s.atMs <= givenUpMs:
+			taken = append(taken, s)
 		}
 	}
-	return contents
+	known.list = kept
+	return taken
 }
 
 // answered takes in that an upstream answered a content whole.
@@ -208,10 +217,10 @@
 	oldest := e.box.clock.Steady() - silentEndMs
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for upstream, known := range e.byUpstream {
+	for upstream, known := range e.byID {
 		known.list = slices.DeleteFunc(known.list, func(s suspect) bool { return s.atMs < oldest })
 		if len(known.list) == 0 && !known.looking {
-			delete(e.byUpstream, upstream)
+			delete(e.byID, upstream)
 		}
 	}
 }
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -176,7 +176,7 @@
 			State: stateOf(c), Source: source,
 		})
 	}
-	b.endings.gone(news)
+	b.endings.changed(news)
 	if len(news) > 0 {
 		b.noteLearnt()
 		b.peering.mesh.Tell()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry holds the upstreams that a box knows of. An upstream is one
-// incarnation, known by an id that is never used again; its address may be.
+// incarnation, known by its server's id and start; ids and addresses may be used again.
 package registry
 
 import (
@@ -65,6 +65,8 @@
 	// gone is set on what is only kept to know that older changes are void.
 	gone     bool
 	revision int64
+	// startedMs is the newest start of the server that was heard.
+	startedMs clock.Millis
 }
 
 // Registry is the set of upstreams. It is safe for concurrent use.
@@ -107,23 +109,35 @@
 func (r *Registry) apply(c Change) bool {
 	id := c.Upstream.ID
 	old, known := r.entries[id]
+	next := entry{revision: c.Revision, startedMs: max(old.startedMs, c.Upstream.StartedMs)}
 	switch {
 	case known && c.Revision <= old.revision:
 		return false
+	case c.Upstream.formerOf(old.startedMs):
+		// A word of a former life, written late: it says nothing of this one.
+		old.revision = c.Revision
+		r.entries[id] = old
+		return false
 	case !c.Gone:
-		r.entries[id] = entry{upstream: c.Upstream, revision: c.Revision}
+		next.upstream = c.Upstream
 	case !known || old.gone:
-		r.entries[id] = entry{gone: true, revision: c.Revision}
+		next.gone = true
+		r.entries[id] = next
 		return !known
 	case c.LapseMs == 0 || old.upstream.Draining:
-		r.entries[id] = entry{gone: true, revision: c.Revision}
+		next.gone = true
 	default:
-		old.goneMs, old.revision = r.steady()+c.LapseMs, c.Revision
-		r.entries[id] = old
+		next.upstream, next.goneMs = old.upstream, r.steady()+c.LapseMs
 	}
+	r.entries[id] = next
 	return true
 }
 
+// formerOf tells whether the upstream is an earlier life of a server that has started again.
+func (u Upstream) formerOf(newestMs clock.Millis) bool {
+	return u.StartedMs > 0 && u.StartedMs < newestMs
+}
+
 // Replace takes in all upstreams as they were at a revision, and returns what
 // was news: upstreams that are not among them have disappeared, and may come back
 // within lapseMs.
@@ -161,7 +175,7 @@
 	r.mu.Lock()
 	for id, e := range r.entries {
 		if e.goneMs > 0 && now >= e.goneMs {
-			r.entries[id] = entry{gone: true, revision: e.revision}
+			r.entries[id] = entry{gone: true, revision: e.revision, startedMs: e.startedMs}
 			changed = true
 		}
 	}
@@ -185,12 +199,12 @@
 	return all
 }
 
-// Has tells whether an upstream is there.
-func (r *Registry) Has(id string) bool {
+// Has tells whether an incarnation is there.
+func (r *Registry) Has(u Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, known := r.entries[id]
-	return known && !e.gone
+	e, known := r.entries[u.ID]
+	return known && !e.gone && e.upstream.StartedMs == u.StartedMs
 }
 
 // Revision returns the newest revision that was taken in.
