fix(platform): entries of other writers name no server to use

Cause (class: decoding that fills in what is not there): entries were decoded into fields with zero values, numbers were cast, and one record or item that could not be read failed its whole page and each try after it. Ruled out: checking after decoding (null, lists and missing fields look like zeros then).

Change: every field that servers write has to be there and of its type, within bounds; ids go into a header and are checked; the start is read. An entry that can't be read takes the upstream out of new work at once, also while entries may come back with their store; requests that run there go on, the reason stands at the place. Items and records are decoded one by one. Numbers of the configuration are bounded; an unreadable one stays ignored. Each such input is counted (inputs_ignored) and told once in 10 s.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -63,6 +63,7 @@
 	steps      *steps
 	peering    *peering
 	endings    *endings
+	ignored    *ignoredInputs
 	quarantine *quarantine.Ledger
 
 	servers  []*http.Server
@@ -138,6 +139,7 @@
 	b.quarantine = quarantine.New(b.clock.Steady, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
 	b.endings = newEndings(b)
+	b.ignored = &ignoredInputs{box: b, told: map[string]clock.Millis{}}
 	b.buildSteps()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 // Dialled counts a connection to an upstream.
 func (m *Metrics) Dialled() { m.dials.Add(1) }
 
+// InputIgnored counts an input that could not be used.
+func (m *Metrics) InputIgnored() { m.all.Add("inputs_ignored", 1) }
+
 // UpstreamEnded counts an upstream that was found to have ended under requests.
 func (m *Metrics) UpstreamEnded() { m.all.Add("upstreams_ended", 1) }
 
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -102,7 +102,9 @@
 func (s *storeSink) upstreams(changes []registry.Change) {
 	span := s.lapseSpan()
 	for i := range changes {
-		changes[i].LapseMs = span
+		if !changes[i].Unusable {
+			changes[i].LapseMs = span
+		}
 	}
 	s.box.tellUpstreams(s.box.registry.Apply(changes), s.source)
 }
@@ -154,11 +156,6 @@
 	s.box.log.Tell(event)
 }
 
-// Ignored tells the log of an input that can't be used.
-func (b *Box) Ignored(input string, err error) {
-	b.log.Tell(decision.InputIgnored{Input: input, Err: err.Error()})
-}
-
 func (b *Box) adopt(state *routing.State, source string) {
 	if !b.belief.Adopt(state) {
 		return
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -48,6 +48,9 @@
 	Upstream Upstream `json:"upstream"`
 	// Gone is set when the upstream's entry disappeared; only the ID counts then.
 	Gone bool `json:"gone,omitempty"`
+	// Unusable is set with Gone when there is an entry that names no upstream to use: it does
+	// not come back with the store that holds it.
+	Unusable bool `json:"-"`
 	// Revision orders the changes of all upstreams: every source gives the same
 	// change the same number.
 	Revision int64 `json:"revision"`
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -171,9 +171,7 @@
 		defer undisturb()
 		f.store.SetFault(standin.StoreWell)
 		for _, s := range f.servers {
-			s.mu.Lock()
-			f.store.PutServer(s.current.ID, standin.Service, s.link.address(), s.zone, false)
-			s.mu.Unlock()
+			f.announce(s, false)
 		}
 		return nil
 	}, nil
@@ -240,7 +238,7 @@
 func leaveServer(f *fleet) (func(*fleet) error, error) {
 	s := f.anyServer()
 	old := s.id()
-	f.store.PutServer(old, standin.Service, s.link.address(), s.zone, true)
+	f.announce(s, true)
 	f.ledger.noteLeft(old)
 	began := time.Now()
 	return func(f *fleet) error {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -171,7 +171,18 @@
 	s.mu.Lock()
 	s.current, s.down = standin.NewServer(id, f.draw, f.ledger.noteRun), false
 	s.mu.Unlock()
-	f.store.PutServer(id, standin.Service, s.link.address(), s.zone, false)
+	f.announce(s, false)
+}
+
+// announce writes the entry of a server's current incarnation.
+func (f *fleet) announce(s *server, draining bool) {
+	s.mu.Lock()
+	current := s.current
+	s.mu.Unlock()
+	f.store.PutServer(standin.Entry{
+		ID: current.ID, Service: standin.Service, Address: s.link.address(), Zone: s.zone,
+		BornMs: current.BornMs, Draining: draining,
+	})
 }
 
 func (f *fleet) addBox(i int, storeAddress string) error {
