--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -190,13 +190,18 @@
 	header                      http.Header
 }
 
-// send sends a request to a box on a connection of its own.
-func (r *running) send(ctx context.Context, c call) (*http.Response, error) {
-	client := &http.Client{Transport: &http.Transport{
+// client opens a connection of its own for each request.
+func (r *running) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			return r.fleet.network.Host("caller").Dial(ctx, network, r.settings.CallersAddress)
 		}, DisableKeepAlives: true, DisableCompression: true,
 	}}
+}
+
+// send sends a request to a box on a connection of its own.
+func (r *running) send(ctx context.Context, c call) (*http.Response, error) {
+	client := r.client()
 	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+host+c.path, nil)
 	if err != nil {
 		return nil, err
