test(soak): requests that end servers, kept ids, entries of other writers, boxes stopped in series

Servers that crash now refuse connections, as a host does whose process has ended, and start again under their id or another one; another writer replaces entries and adds some; boxes are stopped and go on three times in a row; one client sends the same request under new ids, and each server that begins to run it ends.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,7 +38,11 @@
 		{name: "lapse all entries", begin: lapse, fleetWide: true},
 		{name: "take a key away", begin: revoke},
 		{name: "change the configuration", begin: change},
-		{name: "crash a server", begin: crashServer},
+		{name: "pause a box again and again", begin: pauseBoxInRow},
+		{name: "crash a server", begin: func(f *fleet) (func(*fleet) error, error) { return crashServer(f, false) }},
+		{name: "crash a server that keeps its id", begin: func(f *fleet) (func(*fleet) error, error) { return crashServer(f, true) }},
+		{name: "another writer replaces an entry", begin: replaceEntry},
+		{name: "another writer writes entries", begin: writeEntries},
 		{name: "a server leaves", begin: leaveServer},
 	}
 	list = append(list, storeFaults()...)
@@ -218,23 +222,75 @@
 	return s.current.ID
 }
 
-// crashServer breaks what is open at a server; a new incarnation follows at the
-// same address.
-func crashServer(f *fleet) (func(*fleet) error, error) {
+// pauseBoxInRow stops a box and lets it go on, several times, for a while each.
+func pauseBoxInRow(f *fleet) (func(*fleet) error, error) {
+	b := f.anyBox()
+	undisturb := f.disturb(b.name)
+	return func(f *fleet) error {
+		defer undisturb()
+		errs := []error{}
+		for range 3 {
+			errs = append(errs, b.process.signal(syscall.SIGSTOP))
+			time.Sleep(time.Duration(leastMs+f.draw(faultGapMs)) * time.Millisecond)
+			errs = append(errs, b.process.signal(syscall.SIGCONT))
+			time.Sleep(time.Duration(leastMs+f.draw(leastMs)) * time.Millisecond)
+		}
+		return errors.Join(errs...)
+	}, nil
+}
+
+// crashServer breaks what is open at a server and refuses what comes; a new incarnation
+// follows at the same address, under its id or another.
+func crashServer(f *fleet, keepID bool) (func(*fleet) error, error) {
 	s := f.anyServer()
 	s.mu.Lock()
-	old := s.current.ID
+	again := !s.down
 	s.down = true
 	s.mu.Unlock()
-	s.link.set(linkReset)
+	if !again {
+		return nothing, nil
+	}
+	s.link.set(linkRefused)
 	return func(f *fleet) error {
-		f.store.RemoveServer(old)
 		s.link.set(linkWell)
-		f.incarnate(s)
+		f.startAgain(s, keepID)
 		return nil
 	}, nil
 }
 
+// foreignEntries are entries of other writers.
+var foreignEntries = [][]byte{
+	[]byte("{"), []byte("null"), []byte("[]"), []byte("{}"), []byte("\x00\xff"),
+	[]byte(`{"service":7,"address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"sequence":1}`),
+	[]byte(`{"service":"pool","address":"nonsense","zone":"zone-0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"sequence":1}`),
+	[]byte(`{"service":"pool","address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":-4,"state":"ready","coldLeftMs":0,"sequence":1}`),
+	[]byte(`{"service":"pool","address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":8,"state":"paused","coldLeftMs":0,"sequence":1}`),
+}
+
+// replaceEntry has another writer replace a server's entry until the server writes its own.
+func replaceEntry(f *fleet) (func(*fleet) error, error) {
+	s := f.anyServer()
+	id := s.id()
+	f.store.PutForeign(id, foreignEntries[f.draw(len(foreignEntries))])
+	named := f.ledger.noteUnnamed(id)
+	return func(f *fleet) error {
+		named()
+		if s.id() == id {
+			f.announce(s, false)
+		}
+		return nil
+	}, nil
+}
+
+// writeEntries has another writer add entries that are no server's.
+func writeEntries(f *fleet) (func(*fleet) error, error) {
+	for i, value := range foreignEntries {
+		f.store.PutForeign(fmt.Sprint("foreign-", i), value)
+	}
+	f.store.PutForeign("a key with blanks", foreignEntries[0])
+	return nothing, nil
+}
+
 func leaveServer(f *fleet) (func(*fleet) error, error) {
 	s := f.anyServer()
 	old := s.id()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -82,6 +82,9 @@
 	servers  []*server
 	closers  []func()
 
+	// ends are servers that start again.
+	ends sync.WaitGroup
+
 	mu           sync.Mutex
 	config       standin.Config
 	incarnations int
@@ -169,11 +172,18 @@
 	id := "server-" + strconv.Itoa(f.incarnations)
 	f.mu.Unlock()
 	s.mu.Lock()
-	s.current, s.down = standin.NewServer(id, f.draw, f.ledger.noteRun), false
+	s.current, s.down = f.newServer(s, id), false
 	s.mu.Unlock()
 	f.announce(s, false)
 }
 
+// newServer is an incarnation at a server's place, which ends under fatal requests.
+func (f *fleet) newServer(s *server, id string) *standin.Server {
+	current := standin.NewServer(id, f.draw, f.ledger.noteRun)
+	current.OnFatal(func(ended *standin.Server) { f.endUnder(s, ended) })
+	return current
+}
+
 // announce writes the entry of a server's current incarnation.
 func (f *fleet) announce(s *server, draining bool) {
 	s.mu.Lock()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -35,6 +35,11 @@
 	// left is when a server's word that it leaves was acknowledged.
 	left  map[string]time.Time
 	touch touch
+	// unnamed is when another writer's entry took a server's place, and when it wrote its own
+	// again.
+	unnamed map[string][]*span
+	// ends are when servers ended under the fatal request.
+	ends []time.Time
 	// timed is set when bounds in time are checked, too.
 	timed bool
 }
@@ -42,7 +47,7 @@
 func newLedger() *ledger {
 	return &ledger{
 		runs: map[string][]standin.Run{}, tenants: map[string]string{}, revoked: map[string]time.Time{},
-		served: map[string]int{}, left: map[string]time.Time{}, touch: touch{},
+		served: map[string]int{}, left: map[string]time.Time{}, touch: touch{}, unnamed: map[string][]*span{},
 	}
 }
 
@@ -92,7 +97,7 @@
 			findings = append(findings, finding{"nobody asked for it", id, "a server ran it"})
 		}
 	}
-	return findings
+	return append(findings, l.checkFatal()...)
 }
 
 func (l *ledger) checkOutcome(o standin.Outcome) []finding {
@@ -111,7 +116,7 @@
 	if o.Status == http.StatusOK && o.Whole {
 		l.served[o.Kind]++
 		if !o.Sound() {
-			broken("whole answer to its own request", "%s got %q, seal %q", o.Kind, o.Body, o.Seal)
+			broken("whole answer to its own request", "%s got %q, seal %q", o.Kind, o.Answer, o.Seal)
 		}
 		if len(runs) == 0 {
 			broken("whole answer to its own request", "no server ran it")
@@ -140,6 +145,9 @@
 	if run.DeadlineMs > o.DeadlineMs {
 		broken("deadline", "the server got %d ms of %d", run.DeadlineMs, o.DeadlineMs)
 	}
+	if late := l.lateAfterForeign(o, run); late > 0 {
+		broken("no new work by another writer's entry", "%s ran it %s after its entry was replaced", run.Server, late)
+	}
 	if late := l.lateAfterLeaving(o, run); late > 0 {
 		broken("no new work after leaving", "%s ran it %s after it had said that it leaves", run.Server, late)
 	}
@@ -171,6 +179,39 @@
 	return late
 }
 
+// lateAfterForeign is how long after another writer replaced a server's entry a box that was
+// undisturbed sent it a request, if that is too long.
+func (l *ledger) lateAfterForeign(o standin.Outcome, run standin.Run) time.Duration {
+	for _, s := range l.unnamed[run.Server] {
+		late := run.Began.Sub(s.from)
+		if !l.timed || late <= leaveSpan+lateSlack || !s.to.IsZero() && run.Began.After(s.to) {
+			continue
+		}
+		calm := true
+		for _, name := range []string{everywhere, o.Box, run.Server} {
+			calm = calm && l.touch.calm(name, s.from.Add(-contactSpan), run.Began)
+		}
+		if calm {
+			return late
+		}
+	}
+	return 0
+}
+
+// noteUnnamed notes that another writer replaced a server's entry, and returns what notes that
+// the server wrote its own again.
+func (l *ledger) noteUnnamed(server string) (end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &span{from: time.Now()}
+	l.unnamed[server] = append(l.unnamed[server], s)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		s.to = time.Now()
+	}
+}
+
 func promisesNotRun(status int) bool {
 	return slices.Contains([]int{
 		http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -16,7 +16,7 @@
 	l.noteKey("k", "t")
 	o := &standin.Outcome{
 		Call: standin.Call{ID: "1", Kind: kind, Key: "k", DeadlineMs: 1000}, Sent: time.Now(), Status: http.StatusOK,
-		Whole: true, Body: standin.Body("1"), Seal: "seal-1", Echo: "1",
+		Whole: true, Answer: standin.Body("1"), Seal: "seal-1", Echo: "1",
 	}
 	return l, o, &standin.Run{RequestID: "1", Server: "s", Kind: kind, Tenant: "t", DeadlineMs: 900}
 }
@@ -51,11 +51,11 @@
 		}},
 		{
 			"an answer to another request", "whole answer to its own request", standin.Safe,
-			func(_ *ledger, o *standin.Outcome, _ *standin.Run) { o.Body = standin.Body("2") },
+			func(_ *ledger, o *standin.Outcome, _ *standin.Run) { o.Answer = standin.Body("2") },
 		},
 		{
 			"a cut stream passed off as whole", "whole answer to its own request", standin.Stream,
-			func(_ *ledger, o *standin.Outcome, _ *standin.Run) { o.Body = standin.Event("1", 1) },
+			func(_ *ledger, o *standin.Outcome, _ *standin.Run) { o.Answer = standin.Event("1", 1) },
 		},
 		{
 			"a success without a run", "whole answer to its own request", standin.Safe,
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -28,6 +28,9 @@
 	// linkStale loses for good what the connections carry that are open when it begins.
 	// New ones work.
 	linkStale linkFault = "stale"
+	// linkRefused resets what is open and refuses what comes, as a host does whose process has
+	// ended.
+	linkRefused linkFault = "refused"
 )
 
 const (
@@ -39,12 +42,13 @@
 
 // link is a loopback proxy between two processes.
 type link struct {
-	listener net.Listener
-	target   func() string
+	target func() string
+	port   string
 
-	mu    sync.Mutex
-	fault linkFault
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	fault    linkFault
+	conns    map[net.Conn]struct{}
 	// stale are those of them whose bytes are lost.
 	stale map[net.Conn]struct{}
 }
@@ -56,21 +60,40 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}}
-	go l.run()
+	l := &link{
+		listener: listener, port: listener.Addr().String(), target: target, conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{},
+	}
+	go l.run(listener)
 	return l, nil
 }
 
-func (l *link) address() string { return l.listener.Addr().String() }
+func (l *link) address() string { return l.port }
+
+// listenAgain opens the listener that linkRefused had closed. Something else may hold the port
+// for an instant; then it is tried at the next change.
+func (l *link) listenAgain() {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.port)
+	if err != nil {
+		return
+	}
+	l.listener = listener
+	go l.run(listener)
+}
 
 func (l *link) set(fault linkFault) {
 	l.mu.Lock()
+	switch {
+	case fault == linkRefused && l.fault != linkRefused:
+		_ = l.listener.Close()
+	case fault != linkRefused && l.fault == linkRefused:
+		l.listenAgain()
+	}
 	l.fault = fault
 	conns := l.conns
 	if fault == linkStale {
 		maps.Copy(l.stale, conns)
 	}
-	if fault == linkReset {
+	if fault == linkReset || fault == linkRefused {
 		l.conns = map[net.Conn]struct{}{}
 	} else {
 		conns = nil
@@ -95,9 +118,9 @@
 	_ = c.Close()
 }
 
-func (l *link) run() {
+func (l *link) run(listener net.Listener) {
 	for {
-		near, err := l.listener.Accept()
+		near, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -106,7 +129,7 @@
 }
 
 func (l *link) serve(near net.Conn) {
-	if l.now() == linkReset {
+	if now := l.now(); now == linkReset || now == linkRefused {
 		reset(near)
 		return
 	}
@@ -185,6 +208,6 @@
 }
 
 func (l *link) close() {
-	_ = l.listener.Close()
 	l.set(linkReset)
+	_ = l.listener.Close()
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,9 +59,11 @@
 	for i := range settings.Clients {
 		running.Go(func() { f.client(clients, i) })
 	}
+	running.Go(func() { f.fatalClient(clients) })
 	err = f.strike(ctx, report.Faults)
 	stopClients()
 	running.Wait()
+	f.ends.Wait()
 	// What was refused must not run later either.
 	time.Sleep(settleSpan)
 	for _, found := range f.ledger.check() {
