refactor(quarantine): a request's content is called its fingerprint

The field's word. Lines: fingerprint, request quarantined, request released. No change of behaviour; tests of quarantine, gateway, mesh and decision pass.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -82,10 +82,10 @@
 // AttemptFailed tells how an attempt ended that did not answer the caller.
 type AttemptFailed struct {
 	Request string
-	// Content stands for what the request asks, under whatever id.
-	Content  string
-	Upstream string
-	Attempt  int
+	// Fingerprint stands for what the request asks, under whatever id.
+	Fingerprint string
+	Upstream    string
+	Attempt     int
 	// Proof is what is known of the request at the upstream.
 	Proof string
 	// Status is the upstream's, or 0.
@@ -105,7 +105,7 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (e AttemptFailed) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("request", e.Request)
-	o.AddString("content", e.Content)
+	o.AddString("fingerprint", e.Fingerprint)
 	o.AddString("upstream", e.Upstream)
 	o.AddInt("attempt", e.Attempt)
 	o.AddString("proof", e.Proof)
@@ -121,8 +121,8 @@
 // Ended tells how a request ended.
 type Ended struct {
 	Request string
-	// Content stands for what the request asks, or is empty if its body was not read.
-	Content      string
+	// Fingerprint stands for what the request asks, or is empty if its body was not read.
+	Fingerprint  string
 	Route        string
 	Organisation string
 	Upstream     string
@@ -146,7 +146,7 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (e Ended) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("request", e.Request)
-	addIfSet(o, "content", e.Content)
+	addIfSet(o, "fingerprint", e.Fingerprint)
 	addIfSet(o, "route", e.Route)
 	addIfSet(o, "organisation", e.Organisation)
 	addIfSet(o, "upstream", e.Upstream)
@@ -262,9 +262,9 @@
 // UpstreamEnded tells that connections to an upstream broke and its host refuses new ones.
 type UpstreamEnded struct {
 	Upstream string
-	// Contents are what the requests asked whose connections broke, as far as this box
+	// Fingerprints are what the requests asked whose connections broke, as far as this box
 	// had any there.
-	Contents []string
+	Fingerprints []string
 }
 
 // Name implements Event.
@@ -276,13 +276,13 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (e UpstreamEnded) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("upstream", e.Upstream)
-	zap.Strings("contents", e.Contents).AddTo(o)
+	zap.Strings("fingerprints", e.Fingerprints).AddTo(o)
 	return nil
 }
 
-// ContentHeld tells that requests of a content are held back from now on, or no longer.
-type ContentHeld struct {
-	Content string
+// Quarantined tells that requests with a fingerprint are quarantined from now on, or no longer.
+type Quarantined struct {
+	Fingerprint string
 	// Upstreams is how many ended under it.
 	Upstreams int
 	// HoldMs is for how long, or 0 when it is let go since an upstream answered it.
@@ -292,19 +292,19 @@
 }
 
 // Name implements Event.
-func (e ContentHeld) Name() string {
+func (e Quarantined) Name() string {
 	if e.HoldMs > 0 {
-		return "content held back"
+		return "request quarantined"
 	}
-	return "content let go"
+	return "request released"
 }
 
 // Routine implements Event.
-func (ContentHeld) Routine() bool { return false }
+func (Quarantined) Routine() bool { return false }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
-func (e ContentHeld) MarshalLogObject(o zapcore.ObjectEncoder) error {
-	o.AddString("content", e.Content)
+func (e Quarantined) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("fingerprint", e.Fingerprint)
 	o.AddString("source", e.Source)
 	if e.HoldMs > 0 {
 		o.AddInt("upstreams_ended", e.Upstreams)
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -34,9 +34,9 @@
 
 // suspect is a request that an upstream may have ended under.
 type suspect struct {
-	content  quarantine.Content
-	upstream registry.Upstream
-	atMs     clock.Millis
+	fingerprint quarantine.Fingerprint
+	upstream    registry.Upstream
+	atMs        clock.Millis
 	// givenUp is set when the box had closed the connection before.
 	givenUp bool
 }
@@ -105,7 +105,7 @@
 	givenUp := o.Sign == dispatch.GivenUp
 	if len(known.list) < maxSuspects {
 		known.list = append(known.list, suspect{
-			content: o.Content, upstream: o.Member.Identity(), atMs: e.box.clock.Steady(), givenUp: givenUp,
+			fingerprint: o.Fingerprint, upstream: o.Member.Identity(), atMs: e.box.clock.Steady(), givenUp: givenUp,
 		})
 	}
 	first := !known.looking
@@ -153,14 +153,14 @@
 	}
 	names, held := make([]string, 0, len(list)), false
 	for _, s := range list {
-		names = append(names, s.content.String())
-		if e.box.quarantine.Ended(s.content, s.upstream.Key()) {
+		names = append(names, s.fingerprint.String())
+		if e.box.quarantine.Ended(s.fingerprint, s.upstream.Key()) {
 			held = true
-			e.tellHeld(s.content, "this box")
+			e.tellHeld(s.fingerprint, "this box")
 		}
 	}
 	e.box.metrics.UpstreamEnded()
-	e.box.log.Tell(decision.UpstreamEnded{Upstream: list[0].upstream.Incarnation(), Contents: names})
+	e.box.log.Tell(decision.UpstreamEnded{Upstream: list[0].upstream.Incarnation(), Fingerprints: names})
 	if held {
 		e.box.peering.mesh.TellEndings()
 	}
@@ -189,10 +189,10 @@
 	return taken
 }
 
-// answered takes in that an upstream answered a content whole.
-func (e *endings) answered(content quarantine.Content) {
-	if e.box.quarantine.Answered(content) {
-		e.box.log.Tell(decision.ContentHeld{Content: content.String(), Source: "this box"})
+// answered takes in that an upstream answered a fingerprint whole.
+func (e *endings) answered(fingerprint quarantine.Fingerprint) {
+	if e.box.quarantine.Answered(fingerprint) {
+		e.box.log.Tell(decision.Quarantined{Fingerprint: fingerprint.String(), Source: "this box"})
 	}
 }
 
@@ -200,15 +200,15 @@
 func (e *endings) learn(list []quarantine.Ending) { e.learnFrom("another box", list) }
 
 func (e *endings) learnFrom(source string, list []quarantine.Ending) {
-	for _, content := range e.box.quarantine.Learn(list) {
-		e.tellHeld(content, source)
+	for _, fingerprint := range e.box.quarantine.Learn(list) {
+		e.tellHeld(fingerprint, source)
 	}
 }
 
-func (e *endings) tellHeld(content quarantine.Content, source string) {
-	e.box.log.Tell(decision.ContentHeld{
-		Content: content.String(), Upstreams: e.box.quarantine.Settings().Ends,
-		HoldMs: e.box.quarantine.HeldMs(content), Source: source,
+func (e *endings) tellHeld(fingerprint quarantine.Fingerprint, source string) {
+	e.box.log.Tell(decision.Quarantined{
+		Fingerprint: fingerprint.String(), Upstreams: e.box.quarantine.Settings().Ends,
+		HoldMs: e.box.quarantine.HeldMs(fingerprint), Source: source,
 	})
 }
 
--- a/internal/gateway/notes.go
+++ b/internal/gateway/notes.go
@@ -21,11 +21,11 @@
 }
 
 const (
-	// keepEachMs is how often a box looks for contents to note: a short part of the time
+	// keepEachMs is how often a box looks for fingerprints to note: a short part of the time
 	// in which all boxes may be killed after an end.
 	keepEachMs clock.Millis = 250
 	// readNotesMs is how often a box that reads for others, and misses one that was there,
-	// reads the notes again: on both sides of a cut contents may come to be held back.
+	// reads the notes again: on both sides of a cut fingerprints may come to be held back.
 	readNotesMs clock.Millis = 2500
 	// firstNotesRetryMs and lastNotesRetryMs bound the growing waits after calls that
 	// failed, each of which is paid for.
@@ -36,7 +36,7 @@
 // errNote marks a note that can't be read.
 var errNote = errors.New("invalid note")
 
-// heldNote is what the store keeps of a content that is held back; its name is the content.
+// heldNote is what the store keeps of a fingerprint that is held back; its name is the fingerprint.
 type heldNote struct {
 	// Upstreams are the incarnations that ended under it.
 	Upstreams []namekey.Key `json:"upstreams"`
@@ -45,9 +45,9 @@
 	EndedMs clock.Millis `json:"ended_ms"`
 }
 
-func parseNote(name string, note []byte) (quarantine.Content, heldNote, error) {
+func parseNote(name string, note []byte) (quarantine.Fingerprint, heldNote, error) {
 	const hex, bits = 16, 64
-	content, err := strconv.ParseUint(name, hex, bits)
+	fingerprint, err := strconv.ParseUint(name, hex, bits)
 	if err != nil {
 		return 0, heldNote{}, fmt.Errorf("%w: name: %w", errNote, err)
 	}
@@ -58,19 +58,19 @@
 	if len(held.Upstreams) == 0 {
 		return 0, heldNote{}, fmt.Errorf("%w: %s: upstreams: none", errNote, name)
 	}
-	return quarantine.Content(content), held, nil
+	return quarantine.Fingerprint(fingerprint), held, nil
 }
 
 // endings returns what the note says.
-func (n heldNote) endings(content quarantine.Content, now clock.Millis) []quarantine.Ending {
+func (n heldNote) endings(fingerprint quarantine.Fingerprint, now clock.Millis) []quarantine.Ending {
 	list := make([]quarantine.Ending, 0, len(n.Upstreams))
 	for _, upstream := range n.Upstreams {
-		list = append(list, quarantine.Ending{Content: content, Upstream: upstream, AgeMs: max(0, now-n.EndedMs)})
+		list = append(list, quarantine.Ending{Fingerprint: fingerprint, Upstream: upstream, AgeMs: max(0, now-n.EndedMs)})
 	}
 	return list
 }
 
-// noteKeeper reads the notes of contents that are held back, and keeps them up to date while
+// noteKeeper reads the notes of fingerprints that are held back, and keeps them up to date while
 // this box reads the store for others. Without notes upstreams end anew after all boxes were
 // killed: 11 of 20 tries later than 3 s after the third end are sent on, none with them
 // (TestFatalRequest).
@@ -78,7 +78,7 @@
 	box   *Box
 	notes Notes
 	// written is how many ends each note tells of, as far as this box knows.
-	written map[quarantine.Content]int
+	written map[quarantine.Fingerprint]int
 	// read is set once the notes were read, at readMs.
 	read     bool
 	readMs   clock.Millis
@@ -86,7 +86,7 @@
 }
 
 func (b *Box) keepNotes(ctx context.Context) {
-	k := &noteKeeper{box: b, notes: b.source.Notes, written: map[quarantine.Content]int{}}
+	k := &noteKeeper{box: b, notes: b.source.Notes, written: map[quarantine.Fingerprint]int{}}
 	if k.notes.Keep == nil {
 		return
 	}
@@ -129,41 +129,41 @@
 	}
 	k.read, k.readMs = true, now
 	for name, note := range all {
-		content, held, err := parseNote(name, note)
+		fingerprint, held, err := parseNote(name, note)
 		if err != nil {
 			k.box.Ignored("note in the store", err)
 			continue
 		}
-		k.written[content] = len(held.Upstreams)
-		k.box.endings.learnFrom("store", held.endings(content, k.box.clock.Now()))
+		k.written[fingerprint] = len(held.Upstreams)
+		k.box.endings.learnFrom("store", held.endings(fingerprint, k.box.clock.Now()))
 	}
 	return nil
 }
 
-// writeIfDue writes notes of contents that are held back, and drops those of others.
+// writeIfDue writes notes of fingerprints that are held back, and drops those of others.
 func (k *noteKeeper) writeIfDue(ctx context.Context) error {
 	if !k.box.peering.mesh.IsSource() {
 		return nil
 	}
 	now := k.box.clock.Now()
-	held := map[quarantine.Content]bool{}
+	held := map[quarantine.Fingerprint]bool{}
 	for _, one := range k.box.quarantine.Held() {
-		held[one.Content] = true
-		if k.written[one.Content] >= k.box.quarantine.Settings().Ends {
+		held[one.Fingerprint] = true
+		if k.written[one.Fingerprint] >= k.box.quarantine.Settings().Ends {
 			continue
 		}
 		if err := k.write(ctx, one, now); err != nil {
 			return err
 		}
 	}
-	for content := range k.written {
-		if held[content] {
+	for fingerprint := range k.written {
+		if held[fingerprint] {
 			continue
 		}
-		if err := k.notes.Keep(ctx, content.String(), nil); err != nil {
+		if err := k.notes.Keep(ctx, fingerprint.String(), nil); err != nil {
 			return err
 		}
-		delete(k.written, content)
+		delete(k.written, fingerprint)
 	}
 	return nil
 }
@@ -171,9 +171,9 @@
 func (k *noteKeeper) write(ctx context.Context, one quarantine.Held, now clock.Millis) error {
 	// Numbers always encode.
 	data, _ := json.Marshal(heldNote{Upstreams: one.Upstreams, EndedMs: now - one.AgeMs})
-	if err := k.notes.Keep(ctx, one.Content.String(), data); err != nil {
+	if err := k.notes.Keep(ctx, one.Fingerprint.String(), data); err != nil {
 		return err
 	}
-	k.written[one.Content] = len(one.Upstreams)
+	k.written[one.Fingerprint] = len(one.Upstreams)
 	return nil
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -24,8 +24,8 @@
 // seconds, and ended again under the same request. 19 engines ended so within 20 s.
 //
 // Cause: a box knew of a request only until its answer broke, and no box heard of it from
-// another. Evidence: lines with the content of requests (the same for the same method, path,
-// organisation and body) show one content at each end, under different ids and at different
+// another. Evidence: lines with the fingerprint of requests (the same for the same method, path,
+// organisation and body) show one fingerprint at each end, under different ids and at different
 // boxes, and none of them was sent on by a box itself.
 
 const (
@@ -271,7 +271,7 @@
 				assert.Equal(f.t, http.StatusBadGateway, status)
 				pass(f.t, 10*time.Second)
 			}
-			assert.Zero(f.t, b.quarantine.Sizes().Contents)
+			assert.Zero(f.t, b.quarantine.Sizes().Fingerprints)
 		})
 	})
 	t.Run("a request that callers ask again and again, at each end", func(t *testing.T) {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -32,18 +32,18 @@
 	ledger    *quarantine.Ledger
 }
 
-// newLedger holds a content back after three ends.
+// newLedger holds a fingerprint back after three ends.
 func newLedger() *quarantine.Ledger {
 	c := clock.New()
 	settings := quarantine.Settings{Ends: 3, HoldMs: 600 * clock.Second}
 	return quarantine.New(c.Steady, func() quarantine.Settings { return settings }, int64(c.Now()))
 }
 
-// holding is how many boxes hold a content back.
-func (f *fixture) holding(content quarantine.Content) int {
+// holding is how many boxes hold a fingerprint back.
+func (f *fixture) holding(fingerprint quarantine.Fingerprint) int {
 	count := 0
 	for _, b := range f.boxes {
-		if b.ledger.HeldMs(content) > 0 {
+		if b.ledger.HeldMs(fingerprint) > 0 {
 			count++
 		}
 	}
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -30,8 +30,8 @@
 	Pool         string
 	Prompt       prompt.Prompt
 	Body         []byte
-	// Content stands for what the request asks, once its body was read.
-	Content quarantine.Content
+	// Fingerprint stands for what the request asks, once its body was read.
+	Fingerprint quarantine.Fingerprint
 
 	// Sent counts the upstreams that the request, or a part of it, may have
 	// reached.
@@ -50,15 +50,15 @@
 // Context ends when the caller leaves.
 func (r *Request) Context() context.Context { return r.HTTP.Context() }
 
-// NoteContent sets what the request asks from what was read.
-func (r *Request) NoteContent() {
+// NoteFingerprint sets what the request asks from what was read.
+func (r *Request) NoteFingerprint() {
 	asked := quarantine.Request{
 		Method: r.HTTP.Method, Host: r.HTTP.Host, Target: r.HTTP.RequestURI, Body: r.Body,
 	}
 	if r.Organisation != nil {
 		asked.Organisation = r.Organisation.Name
 	}
-	r.Content = asked.Content()
+	r.Fingerprint = asked.Fingerprint()
 }
 
 // Priority is the request's rank: that of its organisation, or else its route's.
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -57,7 +57,7 @@
 	case failed != nil:
 		s.observe(ctx, lease, failed.err)
 	default:
-		s.pipe.whole(s.request.Content)
+		s.pipe.whole(s.request.Fingerprint)
 	}
 	lease.Release(judge(failed))
 	return failed
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -27,8 +27,8 @@
 	reads     func(why string, tokens int)
 	comeBack  func(pool string, priority int) clock.Millis
 	observe   func(o Observation)
-	whole     func(content quarantine.Content)
-	heldMs    func(content quarantine.Content) clock.Millis
+	whole     func(fingerprint quarantine.Fingerprint)
+	heldMs    func(fingerprint quarantine.Fingerprint) clock.Millis
 	vouch     func(r *opaque.Request) error
 	clock     clock.Clock
 }
@@ -47,10 +47,10 @@
 	ComeBack func(pool string, priority int) clock.Millis
 	// Observe takes what attempts show of an upstream's end.
 	Observe func(o Observation)
-	// Whole takes that an upstream answered a content whole.
-	Whole func(content quarantine.Content)
-	// HeldMs is how much longer a content is held back.
-	HeldMs func(content quarantine.Content) clock.Millis
+	// Whole takes that an upstream answered a fingerprint whole.
+	Whole func(fingerprint quarantine.Fingerprint)
+	// HeldMs is how much longer a fingerprint is held back.
+	HeldMs func(fingerprint quarantine.Fingerprint) clock.Millis
 	// Vouch tells whether the box may send a request now.
 	Vouch func(r *opaque.Request) error
 	Clock clock.Clock
@@ -139,7 +139,7 @@
 	s.request.Tried = append(s.request.Tried, lease.ID)
 	next := s.next(failed)
 	s.pipe.tell(decision.AttemptFailed{
-		Request: s.request.ID, Content: s.request.Content.String(), Upstream: lease.ID, Attempt: s.attempts, Proof: string(failed.proof),
+		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID, Attempt: s.attempts, Proof: string(failed.proof),
 		Status: failed.status(), Err: errorText(failed.err), Next: string(next),
 		TookMs: s.pipe.clock.Steady() - s.startedMs,
 	})
@@ -165,7 +165,7 @@
 		return nextBegun
 	case !failed.proof.permits(r.Route.Repeatable()):
 		return nextMayHaveRun
-	case s.pipe.heldMs(r.Content) > 0:
+	case s.pipe.heldMs(r.Fingerprint) > 0:
 		return nextHeld
 	case s.attempts >= maxConnects:
 		return nextAttempts
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -26,14 +26,14 @@
 
 // Observation is what one attempt showed.
 type Observation struct {
-	Sign    Sign
-	Member  *balance.Member
-	Content quarantine.Content
+	Sign        Sign
+	Member      *balance.Member
+	Fingerprint quarantine.Fingerprint
 }
 
 // observe tells the box what a failed attempt shows of an upstream's end.
 func (s *sending) observe(ctx context.Context, lease *balance.Lease, err error) {
-	o := Observation{Member: lease.Member, Content: s.request.Content}
+	o := Observation{Member: lease.Member, Fingerprint: s.request.Fingerprint}
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		o.Sign = Refused
--- a/internal/pipe/receive/receive.go
+++ b/internal/pipe/receive/receive.go
@@ -52,7 +52,7 @@
 	}
 	r.Writer.BoundRead(0)
 	r.Body = body
-	r.NoteContent()
+	r.NoteFingerprint()
 	p.held.Add(int64(len(body)))
 	return nil
 }
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -36,8 +36,8 @@
 		Request: r.ID, Upstream: r.Upstream, AgeMs: p.ageMs(), Status: r.Writer.Status(),
 		Attempts: len(r.Tried), Bytes: r.Writer.Written(), TookMs: took,
 	}
-	if r.Content != 0 {
-		e.Content = r.Content.String()
+	if r.Fingerprint != 0 {
+		e.Fingerprint = r.Fingerprint.String()
 	}
 	if r.State != nil {
 		e.Version = r.State.Version()
--- a/internal/pipe/screen/screen.go
+++ b/internal/pipe/screen/screen.go
@@ -10,11 +10,13 @@
 
 // Pipe screens requests.
 type Pipe struct {
-	heldMs func(content quarantine.Content) clock.Millis
+	heldMs func(fingerprint quarantine.Fingerprint) clock.Millis
 }
 
-// New returns the step. HeldMs tells how much longer a content is held back.
-func New(heldMs func(content quarantine.Content) clock.Millis) *Pipe { return &Pipe{heldMs: heldMs} }
+// New returns the step. HeldMs tells how much longer a fingerprint is held back.
+func New(heldMs func(fingerprint quarantine.Fingerprint) clock.Millis) *Pipe {
+	return &Pipe{heldMs: heldMs}
+}
 
 // String names the step in logs.
 func (*Pipe) String() string { return "screen" }
@@ -22,7 +24,7 @@
 // Run refuses what is held back at once: nothing ran, and the caller hears when it may
 // come again.
 func (p *Pipe) Run(r *opaque.Request) error {
-	if held := p.heldMs(r.Content); held > 0 {
+	if held := p.heldMs(r.Fingerprint); held > 0 {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.Quarantined, held, nil)
 	}
 	return nil
--- a/internal/quarantine/content.go
+++ b/internal/quarantine/fingerprint.go
@@ -9,14 +9,14 @@
 	"hash"
 )
 
-// Content stands for what a request asks. A caller that sends the same again under
-// another request id sends the same content.
-type Content uint64
+// Fingerprint stands for what a request asks. A caller that sends the same again under
+// another request id has the same fingerprint.
+type Fingerprint uint64
 
-// String is the content as lines write it.
-func (c Content) String() string { return fmt.Sprintf("%016x", uint64(c)) }
+// String is the fingerprint as lines write it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// Request is what a content is made of.
+// Request is what a fingerprint is made of.
 type Request struct {
 	Method       string
 	Host         string
@@ -25,17 +25,17 @@
 	Body         []byte
 }
 
-// Content returns the request's content. The hash is a cryptographic one, so that no
+// Fingerprint returns the request's fingerprint. The hash is a cryptographic one, so that no
 // organisation can make a request that stands for another's: 0.7 µs for a body of 500 bytes,
-// 0.8 ms for one of 1 MiB (BenchmarkContent).
-func (r Request) Content() Content {
+// 0.8 ms for one of 1 MiB (BenchmarkFingerprint).
+func (r Request) Fingerprint() Fingerprint {
 	h := sha256.New()
 	for _, part := range []string{r.Method, r.Host, r.Target, r.Organisation} {
 		writeLength(h, len(part))
 		h.Write([]byte(part))
 	}
 	h.Write(r.Body)
-	return Content(binary.BigEndian.Uint64(h.Sum(nil)))
+	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
 // writeLength keeps parts apart, so that no two requests share their bytes.
--- a/internal/quarantine/content_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -8,15 +8,15 @@
 	"github.com/stretchr/testify/assert"
 )
 
-func TestContent(t *testing.T) {
+func TestFingerprint(t *testing.T) {
 	base := Request{Method: "POST", Host: "a.example", Target: "/a/1", Organisation: "one", Body: []byte("x")}
 	t.Run("is the same for the same request", func(t *testing.T) {
 		again := base
 		again.Body = []byte("x")
-		assert.Equal(t, base.Content(), again.Content())
+		assert.Equal(t, base.Fingerprint(), again.Fingerprint())
 	})
 	t.Run("differs with each part, and with where one part ends", func(t *testing.T) {
-		seen := map[Content]bool{base.Content(): true}
+		seen := map[Fingerprint]bool{base.Fingerprint(): true}
 		for _, change := range []func(r *Request){
 			func(r *Request) { r.Method = "PUT" },
 			func(r *Request) { r.Host = "b.example" },
@@ -28,19 +28,19 @@
 		} {
 			other := base
 			change(&other)
-			assert.False(t, seen[other.Content()])
-			seen[other.Content()] = true
+			assert.False(t, seen[other.Fingerprint()])
+			seen[other.Fingerprint()] = true
 		}
 	})
 }
 
-func BenchmarkContent(b *testing.B) {
+func BenchmarkFingerprint(b *testing.B) {
 	for _, size := range []int{500, 1 << 20} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			r := Request{Method: "POST", Host: "a.example", Target: "/a/1", Organisation: "one", Body: bytes.Repeat([]byte("x"), size)}
 			b.ReportAllocs()
 			for range b.N {
-				_ = r.Content()
+				_ = r.Fingerprint()
 			}
 		})
 	}
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -10,7 +10,7 @@
 	"dooryard.example/dooryard/internal/namekey"
 )
 
-const content Content = 7
+const fingerprint Fingerprint = 7
 
 // fixture is a ledger with its clock and settings.
 type fixture struct {
@@ -25,40 +25,40 @@
 	return f
 }
 
-// end has upstreams end under the content, a second apart.
+// end has upstreams end under the fingerprint, a second apart.
 func (f *fixture) end(upstreams ...string) (held bool) {
 	for _, upstream := range upstreams {
 		f.now += clock.Second
-		held = f.Ended(content, namekey.Of(upstream)) || held
+		held = f.Ended(fingerprint, namekey.Of(upstream)) || held
 	}
 	return held
 }
 
 func TestLedger(t *testing.T) {
-	t.Run("holds a content back under which three upstreams ended", func(t *testing.T) {
+	t.Run("holds a fingerprint back under which three upstreams ended", func(t *testing.T) {
 		f := newFixture()
 		assert.False(t, f.end("a", "b"))
-		assert.Zero(t, f.HeldMs(content))
+		assert.Zero(t, f.HeldMs(fingerprint))
 		assert.True(t, f.end("c"))
-		assert.Equal(t, 60*clock.Second, f.HeldMs(content))
-		assert.Zero(t, f.HeldMs(content+1))
+		assert.Equal(t, 60*clock.Second, f.HeldMs(fingerprint))
+		assert.Zero(t, f.HeldMs(fingerprint+1))
 	})
 	t.Run("counts the end of an upstream once, whoever tells", func(t *testing.T) {
 		f := newFixture()
 		f.end("a", "a", "b")
-		assert.Empty(t, f.Learn([]Ending{{Content: content, Upstream: namekey.Of("a")}}))
-		assert.Zero(t, f.HeldMs(content))
-		assert.Equal(t, []Content{content}, f.Learn([]Ending{{Content: content, Upstream: namekey.Of("c")}}))
+		assert.Empty(t, f.Learn([]Ending{{Fingerprint: fingerprint, Upstream: namekey.Of("a")}}))
+		assert.Zero(t, f.HeldMs(fingerprint))
+		assert.Equal(t, []Fingerprint{fingerprint}, f.Learn([]Ending{{Fingerprint: fingerprint, Upstream: namekey.Of("c")}}))
 	})
 	t.Run("begins anew with an answer", func(t *testing.T) {
 		f := newFixture()
 		f.end("a", "b", "c")
-		assert.True(t, f.Answered(content))
-		assert.Zero(t, f.HeldMs(content))
+		assert.True(t, f.Answered(fingerprint))
+		assert.Zero(t, f.HeldMs(fingerprint))
 	})
-	t.Run("takes no content for fatal that was answered a short while ago", func(t *testing.T) {
+	t.Run("takes no fingerprint for fatal that was answered a short while ago", func(t *testing.T) {
 		f := newFixture()
-		f.Answered(content)
+		f.Answered(fingerprint)
 		assert.False(t, f.end("a", "b", "c"))
 		f.now += answeredMs
 		assert.True(t, f.end("d", "e", "f"))
@@ -67,7 +67,7 @@
 		f := newFixture()
 		f.end("a", "b", "c")
 		f.now += 60 * clock.Second
-		assert.Zero(t, f.HeldMs(content))
+		assert.Zero(t, f.HeldMs(fingerprint))
 		assert.True(t, f.end("d"))
 	})
 	t.Run("forgets", func(t *testing.T) {
@@ -79,24 +79,24 @@
 	})
 	t.Run("takes no word that is too old, so that boxes don't remind each other for ever", func(t *testing.T) {
 		f := newFixture()
-		f.Learn([]Ending{{Content: content, Upstream: 1, AgeMs: 120 * clock.Second}})
+		f.Learn([]Ending{{Fingerprint: fingerprint, Upstream: 1, AgeMs: 120 * clock.Second}})
 		assert.Equal(t, Sizes{}, f.Sizes())
 	})
 	t.Run("holds nothing back when it is switched off", func(t *testing.T) {
 		f := newFixture()
 		f.end("a", "b", "c")
 		f.settings.Ends = 0
-		assert.Zero(t, f.HeldMs(content))
+		assert.Zero(t, f.HeldMs(fingerprint))
 		assert.Empty(t, f.Held())
 	})
 	t.Run("stays within its bound, and what is held back stays", func(t *testing.T) {
 		f := newFixture()
 		f.end("a", "b", "c")
-		for i := range 3 * maxContents {
-			f.Ended(Content(1000+i), 1)
+		for i := range 3 * maxFingerprints {
+			f.Ended(Fingerprint(1000+i), 1)
 		}
-		assert.LessOrEqual(t, f.Sizes().Contents, maxContents)
-		assert.NotZero(t, f.HeldMs(content))
+		assert.LessOrEqual(t, f.Sizes().Fingerprints, maxFingerprints)
+		assert.NotZero(t, f.HeldMs(fingerprint))
 	})
 }
 
@@ -104,20 +104,20 @@
 	t.Run("are told from a number on, with their ages", func(t *testing.T) {
 		f := newFixture()
 		f.end("a", "b")
-		f.Answered(content)
+		f.Answered(fingerprint)
 		list, to := f.Since(0, 2)
 		assert.Equal(t, []Ending{
-			{Content: content, Upstream: namekey.Of("a"), AgeMs: clock.Second},
-			{Content: content, Upstream: namekey.Of("b")},
+			{Fingerprint: fingerprint, Upstream: namekey.Of("a"), AgeMs: clock.Second},
+			{Fingerprint: fingerprint, Upstream: namekey.Of("b")},
 		}, list)
 		list, to = f.Since(to, 2)
-		assert.Equal(t, []Ending{{Content: content, Answered: true}}, list)
+		assert.Equal(t, []Ending{{Fingerprint: fingerprint, Answered: true}}, list)
 		list, _ = f.Since(to, 2)
 		assert.Empty(t, list)
 	})
 	t.Run("of others are passed on once", func(t *testing.T) {
 		f := newFixture()
-		heard := []Ending{{Content: content, Upstream: 1}}
+		heard := []Ending{{Fingerprint: fingerprint, Upstream: 1}}
 		f.Learn(heard)
 		f.Learn(heard)
 		list, _ := f.Since(0, 9)
@@ -132,7 +132,7 @@
 	t.Run("are bounded", func(t *testing.T) {
 		f := newFixture()
 		for i := range 4 * journalLength {
-			f.Ended(Content(i), namekey.Of(strconv.Itoa(i)))
+			f.Ended(Fingerprint(i), namekey.Of(strconv.Itoa(i)))
 		}
 		list, _ := f.Since(0, 4*journalLength)
 		assert.Less(t, len(list), 2*journalLength)
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -2,31 +2,31 @@
 
 import "dooryard.example/dooryard/internal/clock"
 
-// maxRecent bounds the contents of one generation: of 40 requests a second that are
+// maxRecent bounds the fingerprints of one generation: of 40 requests a second that are
 // answered, those of the last minute.
 const maxRecent = 2400
 
-// recent remembers when contents were last seen, the newest of them, in two generations.
+// recent remembers when fingerprints were last seen, the newest of them, in two generations.
 type recent struct {
-	young, old map[Content]clock.Millis
+	young, old map[Fingerprint]clock.Millis
 }
 
 func newRecent() recent {
-	return recent{young: map[Content]clock.Millis{}, old: map[Content]clock.Millis{}}
+	return recent{young: map[Fingerprint]clock.Millis{}, old: map[Fingerprint]clock.Millis{}}
 }
 
-func (r *recent) note(content Content, at clock.Millis) {
+func (r *recent) note(fingerprint Fingerprint, at clock.Millis) {
 	if len(r.young) >= maxRecent {
-		r.old, r.young = r.young, make(map[Content]clock.Millis, maxRecent)
+		r.old, r.young = r.young, make(map[Fingerprint]clock.Millis, maxRecent)
 	}
-	r.young[content] = max(at, r.young[content])
+	r.young[fingerprint] = max(at, r.young[fingerprint])
 }
 
-// since tells whether a content was seen after an instant.
-func (r *recent) since(content Content, after clock.Millis) bool {
-	at, known := r.young[content]
+// since tells whether a fingerprint was seen after an instant.
+func (r *recent) since(fingerprint Fingerprint, after clock.Millis) bool {
+	at, known := r.young[fingerprint]
 	if !known {
-		at, known = r.old[content]
+		at, known = r.old[fingerprint]
 	}
 	return known && at > after
 }
