fix(gateway): boxes that can't hear each other share suspects by the store

Cause: notes were written only of requests that were held back, one for all failure domains, so three domains cut off from each other each had to see three ends, and a source could write over another's note. Ruled out: sharing all ends by the store (an engine's end leaves some ten, of which one in ten meets a second). Change: while a box is missing the source notes requests from the second end on, under its own failure domain's name; the longest wait between failed reads is 2 s (8 s), shorter than the time in which boxes are held to what the store tells.

TestFatalRequestBetweenCutDomains, one try each 1.5 s at three boxes in turn: fewer than 7 sends in all; a hold alone would take 7 and what is sent until it is read.

--- a/internal/gateway/notes.go
+++ b/internal/gateway/notes.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
+	"maps"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
@@ -25,19 +25,24 @@
 	// in which all boxes may be killed after an end.
 	keepEachMs clock.Millis = 250
 	// readNotesMs is how often a box that reads for others, and misses one that was there,
-	// reads the notes again: on both sides of a cut fingerprints may come to be held back.
+	// reads the notes again: on both sides of a cut upstreams may end under a request.
 	readNotesMs clock.Millis = 2500
 	// firstNotesRetryMs and lastNotesRetryMs bound the growing waits after calls that
-	// failed, each of which is paid for.
+	// failed, each of which is paid for. The last one is shorter than the time after which
+	// boxes are held to what the store has told.
 	firstNotesRetryMs clock.Millis = 500
-	lastNotesRetryMs  clock.Millis = 8000
+	lastNotesRetryMs  clock.Millis = 2000
+	// notedEnds is how many upstreams must have ended under a request for a note while a box
+	// is missing: requests that only stood beside one rarely meet a second end.
+	notedEnds = 2
 )
 
 // errNote marks a note that can't be read.
 var errNote = errors.New("invalid note")
 
-// heldNote is what the store keeps of a fingerprint that is held back; its name is the fingerprint.
-type heldNote struct {
+// suspectNote is what the store keeps of a fingerprint under which upstreams ended.
+type suspectNote struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
 	// Upstreams are the incarnations that ended under it.
 	Upstreams []namekey.Key `json:"upstreams"`
 	// EndedMs is the time of day of the newest end, by the box that wrote the note. It only
@@ -45,40 +50,42 @@
 	EndedMs clock.Millis `json:"ended_ms"`
 }
 
-func parseNote(name string, note []byte) (quarantine.Fingerprint, heldNote, error) {
-	const hex, bits = 16, 64
-	fingerprint, err := strconv.ParseUint(name, hex, bits)
-	if err != nil {
-		return 0, heldNote{}, fmt.Errorf("%w: name: %w", errNote, err)
-	}
-	var held heldNote
-	if err := json.Unmarshal(note, &held); err != nil {
-		return 0, heldNote{}, fmt.Errorf("%w: %s: %w", errNote, name, err)
-	}
-	if len(held.Upstreams) == 0 {
-		return 0, heldNote{}, fmt.Errorf("%w: %s: upstreams: none", errNote, name)
+// UnmarshalJSON implements json.Unmarshaler.
+func (n *suspectNote) UnmarshalJSON(data []byte) error {
+	type plain suspectNote
+	if err := json.Unmarshal(data, (*plain)(n)); err != nil {
+		return fmt.Errorf("%w: %w", errNote, err)
+	}
+	switch {
+	case n.Fingerprint == 0:
+		return fmt.Errorf("%w: fingerprint: none", errNote)
+	case len(n.Upstreams) == 0:
+		return fmt.Errorf("%w: upstreams: none", errNote)
+	default:
+		return nil
 	}
-	return quarantine.Fingerprint(fingerprint), held, nil
 }
 
 // endings returns what the note says.
-func (n heldNote) endings(fingerprint quarantine.Fingerprint, now clock.Millis) []quarantine.Ending {
+func (n *suspectNote) endings(now clock.Millis) []quarantine.Ending {
 	list := make([]quarantine.Ending, 0, len(n.Upstreams))
 	for _, upstream := range n.Upstreams {
-		list = append(list, quarantine.Ending{Fingerprint: fingerprint, Upstream: upstream, AgeMs: max(0, now-n.EndedMs)})
+		list = append(list, quarantine.Ending{
+			Fingerprint: n.Fingerprint, Upstream: upstream, AgeMs: max(0, now-n.EndedMs),
+		})
 	}
 	return list
 }
 
-// noteKeeper reads the notes of fingerprints that are held back, and keeps them up to date while
-// this box reads the store for others. Without notes upstreams end anew after all boxes were
-// killed: 11 of 20 tries later than 3 s after the third end are sent on, none with them
+// noteKeeper reads the notes, and keeps those of its failure domain up to date while this box
+// reads the store for others. Without notes upstreams end anew after all boxes were killed: 11
+// of 20 tries later than 3 s after the third end are sent on, none with them
 // (TestFatalRequest).
 type noteKeeper struct {
 	box   *Box
 	notes Notes
-	// written is how many ends each note tells of, as far as this box knows.
-	written map[quarantine.Fingerprint]int
+	// written is how many ends each note tells of, by name, as far as this box knows.
+	written map[string]int
 	// read is set once the notes were read, at readMs.
 	read     bool
 	readMs   clock.Millis
@@ -86,7 +93,7 @@
 }
 
 func (b *Box) keepNotes(ctx context.Context) {
-	k := &noteKeeper{box: b, notes: b.source.Notes, written: map[quarantine.Fingerprint]int{}}
+	k := &noteKeeper{box: b, notes: b.source.Notes, written: map[string]int{}}
 	if k.notes.Keep == nil {
 		return
 	}
@@ -119,8 +126,7 @@
 
 func (k *noteKeeper) readIfDue(ctx context.Context) error {
 	now := k.box.clock.Steady()
-	again := k.box.peering.mesh.IsSource() && k.box.peering.mesh.Missing() && now-k.readMs >= readNotesMs
-	if k.read && !again {
+	if k.read && !(k.missing() && now-k.readMs >= readNotesMs) {
 		return nil
 	}
 	all, err := k.notes.All(ctx)
@@ -128,52 +134,85 @@
 		return err
 	}
 	k.read, k.readMs = true, now
-	for name, note := range all {
-		fingerprint, held, err := parseNote(name, note)
-		if err != nil {
-			k.box.Ignored("note in the store", err)
-			continue
-		}
-		k.written[fingerprint] = len(held.Upstreams)
-		k.box.endings.learnFrom("store", held.endings(fingerprint, k.box.clock.Now()))
+	for name, data := range all {
+		k.learn(name, data)
 	}
 	return nil
 }
 
-// writeIfDue writes notes of fingerprints that are held back, and drops those of others.
+// missing tells whether this box reads for others and can't hear all of them.
+func (k *noteKeeper) missing() bool {
+	return k.box.peering.mesh.IsSource() && k.box.peering.mesh.Missing()
+}
+
+func (k *noteKeeper) learn(name string, data []byte) {
+	var note suspectNote
+	if err := json.Unmarshal(data, &note); err != nil {
+		k.box.Ignored("note "+name+" in the store", err)
+		return
+	}
+	k.written[name] = len(note.Upstreams)
+	k.box.endings.learnFrom("store", note.endings(k.box.clock.Now()))
+}
+
+// nameOf is the name of this failure domain's note: sources on two sides of a cut must not
+// write over each other's.
+func (k *noteKeeper) nameOf(s quarantine.Suspect) string {
+	return fmt.Sprintf("%v-%08x", s.Fingerprint, uint32(namekey.Of(k.box.Settings().FailureDomain)))
+}
+
+// writeIfDue writes the notes that there should be, and drops those of fingerprints that are
+// suspects no longer, of all failure domains: some may be gone.
 func (k *noteKeeper) writeIfDue(ctx context.Context) error {
 	if !k.box.peering.mesh.IsSource() {
 		return nil
 	}
-	now := k.box.clock.Now()
-	held := map[quarantine.Fingerprint]bool{}
-	for _, one := range k.box.quarantine.Held() {
-		held[one.Fingerprint] = true
-		if k.written[one.Fingerprint] >= k.box.quarantine.Settings().Ends {
-			continue
-		}
-		if err := k.write(ctx, one, now); err != nil {
+	ledger := k.box.quarantine
+	for _, s := range k.due() {
+		if err := k.write(ctx, s); err != nil {
 			return err
 		}
 	}
-	for fingerprint := range k.written {
-		if held[fingerprint] {
+	known := map[string]bool{}
+	for _, s := range ledger.Suspects(1) {
+		known[s.Fingerprint.String()] = true
+	}
+	for name := range maps.Clone(k.written) {
+		if fingerprint := name[:min(len(name), fingerprintDigits)]; known[fingerprint] {
 			continue
 		}
-		if err := k.notes.Keep(ctx, fingerprint.String(), nil); err != nil {
+		if err := k.notes.Keep(ctx, name, nil); err != nil {
 			return err
 		}
-		delete(k.written, fingerprint)
+		delete(k.written, name)
 	}
 	return nil
 }
 
-func (k *noteKeeper) write(ctx context.Context, one quarantine.Held, now clock.Millis) error {
+// fingerprintDigits is the length of a fingerprint at the beginning of a note's name.
+const fingerprintDigits = 16
+
+// due are the fingerprints that should be noted: those that are held back, and while a box is
+// missing those that are about to be.
+func (k *noteKeeper) due() []quarantine.Suspect {
+	if k.missing() {
+		return k.box.quarantine.Suspects(min(notedEnds, max(1, k.box.quarantine.Settings().Ends)))
+	}
+	return k.box.quarantine.Held()
+}
+
+func (k *noteKeeper) write(ctx context.Context, s quarantine.Suspect) error {
+	name := k.nameOf(s)
+	if k.written[name] >= min(len(s.Upstreams), k.box.quarantine.Settings().Ends) {
+		return nil
+	}
 	// Numbers always encode.
-	data, _ := json.Marshal(heldNote{Upstreams: one.Upstreams, EndedMs: now - one.AgeMs})
-	if err := k.notes.Keep(ctx, one.Fingerprint.String(), data); err != nil {
+	data, _ := json.Marshal(suspectNote{
+		Fingerprint: s.Fingerprint, Upstreams: s.Upstreams, EndedMs: k.box.clock.Now() - s.AgeMs,
+	})
+	if err := k.notes.Keep(ctx, name, data); err != nil {
 		return err
 	}
-	k.written[one.Fingerprint] = len(one.Upstreams)
+	k.written[name] = len(s.Upstreams)
 	return nil
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -292,3 +292,24 @@
 		})
 	})
 }
+
+// TestFatalRequestBetweenCutDomains has the fatal request come in turn to three boxes that
+// can't hear each other, from the first try on: none of them sees three ends soon.
+func TestFatalRequestBetweenCutDomains(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		a := newFatalities(f, 8)
+		first := f.box(1, func(g *config.Gateway) { g.FailureDomain = "a" })
+		boxes := []*running{first}
+		for i, domain := range []string{"b", "c"} {
+			boxes = append(boxes, f.box(i+2, func(g *config.Gateway) {
+				g.FailureDomain, g.Contacts = domain, []string{first.settings.PeersAddress}
+			}))
+		}
+		pass(f.t, 3*time.Second)
+		f.network.SetCut(func(from, to string) bool { return from != to && isBox(from) && isBox(to) })
+		pass(f.t, 4*time.Second)
+		a.comeBack(boxes, "/stream/", 30, 1500*time.Millisecond)
+		assert.LessOrEqual(f.t, a.sendsTooLate(), mostAfter)
+		assert.Less(f.t, len(a.sendsMs), 7)
+	})
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -167,8 +167,8 @@
 	return l.news.since(from, most, l.steady())
 }
 
-// Held is a fingerprint that is held back.
-type Held struct {
+// Suspect is a fingerprint under which upstreams ended.
+type Suspect struct {
 	Fingerprint Fingerprint
 	// Upstreams are the incarnations that ended under it.
 	Upstreams []namekey.Key
@@ -176,21 +176,31 @@
 	AgeMs clock.Millis
 }
 
-// Held returns all fingerprints that are held back, by fingerprint.
-func (l *Ledger) Held() []Held {
+// Held returns all fingerprints that are held back, in order.
+func (l *Ledger) Held() []Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := []Held{}
+	return l.suspects(func(known ends) bool { return l.heldMs(known) > 0 })
+}
+
+// Suspects returns all fingerprints under which so many upstreams ended at least, in order.
+func (l *Ledger) Suspects(least int) []Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.suspects(func(known ends) bool { return len(known) >= least })
+}
+
+func (l *Ledger) suspects(wanted func(known ends) bool) []Suspect {
+	list := []Suspect{}
 	now := l.steady()
 	for fingerprint, known := range l.fingerprints {
-		if l.heldMs(known) == 0 {
-			continue
+		if wanted(known) {
+			list = append(list, Suspect{
+				Fingerprint: fingerprint, Upstreams: slices.Sorted(maps.Keys(known)), AgeMs: now - known.newest(),
+			})
 		}
-		list = append(list, Held{
-			Fingerprint: fingerprint, Upstreams: slices.Sorted(maps.Keys(known)), AgeMs: now - known.newest(),
-		})
 	}
-	slices.SortFunc(list, func(a, b Held) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(list, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return list
 }
 
