fix(gateway): a box that woke asks the others at once, and only in doubt

Cause: after any pause of over 0.5 s requests waited for the next round of the mesh, up to 0.4 s, also while the proof was still as young as it must be. Change: only a proof older than it may be puts the box in doubt, and meanwhile it asks each 50 ms.

--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -12,9 +12,11 @@
 	// longPauseMs is how long a box must have stood still for what it believes to be in doubt:
 	// longer than a busy machine keeps a process waiting, short against the operators' bounds.
 	longPauseMs clock.Millis = 500
-	// firstLookMs is how long requests wait after that for the box to hear anew: a round of the
-	// mesh and a read of the store, with room. Where nobody answers they go on, as they do while
-	// the store is lost.
+	// firstLookMs is how long requests wait after that for the box to hear anew, if its proof
+	// has become older than it may be: a few rounds and a read of the store, with room. Where
+	// nobody answers they go on, as they do while the store is lost. The box asks each 50 ms
+	// meanwhile, in place of each round: on a day with all boxes stopped for 2.5 s the worst
+	// windows earn 0.54 of their worth, 0.23 when they ask with the rounds (one pair).
 	firstLookMs clock.Millis = 400
 	// lookStepMs is how often a request that waits looks whether the box has.
 	lookStepMs clock.Millis = 20
@@ -61,13 +63,21 @@
 	}
 }
 
-// inDoubt tells whether the box woke a short while ago and has heard nothing since.
+// inDoubt tells whether the box woke a short while ago, and has heard nothing since though its
+// proof is older than it may be.
 func (p *pauses) inDoubt() bool {
 	woke := clock.Millis(p.wokeMs.Load())
 	if woke == 0 || p.box.clock.Steady()-woke >= firstLookMs {
 		return false
 	}
-	return !p.box.lookedSince(woke)
+	return p.box.belief.AgeMs() > p.box.peering.ownReadAgeMs() && !p.box.lookedSince(woke)
+}
+
+// hurry asks the other boxes at once while the box is in doubt.
+func (p *pauses) hurry() {
+	if p.inDoubt() {
+		p.box.peering.mesh.Ask()
+	}
 }
 
 // lookedSince tells whether the box has heard what is in force since an instant: from
--- a/internal/gateway/ways.go
+++ b/internal/gateway/ways.go
@@ -25,6 +25,7 @@
 	lastMs := b.clock.Steady()
 	b.clock.Every(ctx, watchMs, func(clock.Millis) {
 		b.pauses.look()
+		b.pauses.hurry()
 		now := b.clock.Steady()
 		paused := now-lastMs > watchMs+pauseMs
 		lastMs = now
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -199,6 +199,9 @@
 	return true
 }
 
+// Ask asks other boxes now, beside the rounds.
+func (m *Mesh) Ask() { m.round() }
+
 // round asks this box's sources and a few other boxes.
 func (m *Mesh) round() {
 	now := m.clock.Steady()
