--- a/internal/balance/comeback.go
+++ b/internal/balance/comeback.go
@@ -94,11 +94,11 @@
 func (m *Manager) takesWorkIn(pool string, now clock.Millis) clock.Millis {
 	span := showUpMs
 	for _, member := range m.pools[pool] {
-		d := m.wayTo(member.FailureDomain)
+		d := m.pathTo(member.FailureDomain)
 		switch {
 		case member.Draining:
 		case d.cut:
-			span = min(span, max(0, d.lookedMs+lookAgainMs-now))
+			span = min(span, max(0, d.probeEndedMs+probeAgainMs-now))
 		case member.health.Ejected(now):
 			span = min(span, member.health.UntilMs()-now)
 		default:
--- a/internal/balance/comeback_test.go
+++ b/internal/balance/comeback_test.go
@@ -53,12 +53,12 @@
 		f.now += 900
 		assert.InDelta(t, 110, int(f.ComeBackMs("p", 0)), 5)
 	})
-	t.Run("behind a cut, after the next look", func(t *testing.T) {
+	t.Run("behind a cut, after the next probe", func(t *testing.T) {
 		f := newFixture(t, 1)
 		busy(t, f, 10)
-		f.Looked("d0", false)
+		f.Probed("d0", false)
 		f.now += 50
-		assert.InDelta(t, int(lookAgainMs)-50+10, int(f.ComeBackMs("p", 0)), 1)
+		assert.InDelta(t, int(probeAgainMs)-50+10, int(f.ComeBackMs("p", 0)), 1)
 	})
 	t.Run("without any, after the time in which one shows up", func(t *testing.T) {
 		f := newFixture(t, 1)
--- a/internal/balance/domain.go
+++ b/internal/balance/domain.go
@@ -11,10 +11,10 @@
 const togetherMs clock.Millis = 800
 
 // togetherCount is how many upstreams of a failure domain must fail at about the same
-// time for the way to them to be in question.
+// time for the path to them to be in question.
 const togetherCount = 2
 
-// domain is what this box knows of its way to a failure domain. A cut shows as silence
+// domain is what this box knows of its path to a failure domain. A cut shows as silence
 // of all that is there; the box then opens connections by itself, so that no request has
 // to find out.
 //
@@ -31,12 +31,12 @@
 	// cut is set while no connection to the domain opens, since cutMs.
 	cut   bool
 	cutMs clock.Millis
-	// asked is set when a look was asked for, whatever was heard.
+	// asked is set when a probe was asked for, whatever was heard.
 	asked   bool
-	looking bool
-	// lookedMs is when a look at the way last ended.
-	lookedMs clock.Millis
-	// onCut are what to do with requests behind the way once it is cut, by lease.
+	probing bool
+	// probeEndedMs is when a probe at the path last ended.
+	probeEndedMs clock.Millis
+	// onCut are what to do with requests behind the path once it is cut, by lease.
 	onCut map[*Lease]func()
 	// unreachable and broken are when connections to an upstream last did not
 	// open, and last broke, by ID.
@@ -78,8 +78,8 @@
 	return count >= togetherCount
 }
 
-// wayTo returns what is known of the way to a failure domain.
-func (m *Manager) wayTo(name string) *domain {
+// pathTo returns what is known of the path to a failure domain.
+func (m *Manager) pathTo(name string) *domain {
 	d := m.domains[name]
 	if d == nil {
 		d = newDomain(m.steady())
@@ -91,7 +91,7 @@
 // judge takes in how an attempt at an upstream ended.
 func (m *Manager) judge(member *Member, result Result) {
 	now, limits := m.steady(), m.settings.Health
-	d := m.wayTo(member.FailureDomain)
+	d := m.pathTo(member.FailureDomain)
 	switch result {
 	case Succeeded:
 		member.failures.note(false)
@@ -117,15 +117,15 @@
 	}
 }
 
-// answered notes that the upstream began to answer: it is well, and the way gave a sign of
-// life. Whether a way that is cut is well again, the next look says.
+// answered notes that the upstream began to answer: it is well, and the path gave a sign of
+// life. Whether a path that is cut is well again, the next probe says.
 func (m *Manager) answered(member *Member) {
 	member.probation = false
-	m.wayTo(member.FailureDomain).heard(m.steady())
+	m.pathTo(member.FailureDomain).heard(m.steady())
 }
 
 // closeIdle ends the idle connections to a failure domain: a request on a new
-// one proves that nothing was sent when the way is cut.
+// one proves that nothing was sent when the path is cut.
 func (m *Manager) closeIdle(name string) {
 	for _, member := range m.byID {
 		if member.FailureDomain == name {
@@ -136,5 +136,5 @@
 
 // usable tells whether a member may take new work.
 func (m *Manager) usable(member *Member, now clock.Millis) bool {
-	return !member.Draining && member.open(now) && !m.wayTo(member.FailureDomain).cut
+	return !member.Draining && member.open(now) && !m.pathTo(member.FailureDomain).cut
 }
--- a/internal/balance/passed.go
+++ b/internal/balance/passed.go
@@ -25,7 +25,7 @@
 	// PassedEjected means that the engine failed, and is out of its pool or tried by
 	// single requests only.
 	PassedEjected PassedWhy = "ejected"
-	// PassedDomain means that the way to its failure domain is cut.
+	// PassedDomain means that the path to its failure domain is cut.
 	PassedDomain PassedWhy = "failure domain unreachable"
 	// PassedLoad means that the engine holds as much as it may.
 	PassedLoad PassedWhy = "over the load bound"
@@ -47,7 +47,7 @@
 		return PassedTried
 	case member.Draining:
 		return PassedLeaving
-	case m.wayTo(member.FailureDomain).cut:
+	case m.pathTo(member.FailureDomain).cut:
 		return PassedDomain
 	case !member.open(now):
 		return PassedEjected
--- a/internal/balance/passed_test.go
+++ b/internal/balance/passed_test.go
@@ -22,7 +22,7 @@
 		}},
 		{PassedEjected, func(_ *fixture, first *Lease) { first.Release(Unreachable) }},
 		{PassedDomain, func(f *fixture, first *Lease) {
-			f.Looked(first.FailureDomain, false)
+			f.Probed(first.FailureDomain, false)
 		}},
 		{PassedLoad, func(f *fixture, first *Lease) {
 			f.SetOthers(map[namekey.Key]int{namekey.Of(first.ID): 30})
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -45,7 +45,7 @@
 	// know of.
 	news    []namekey.Key
 	manager *Manager
-	way     *domain
+	path    *domain
 	// answering is set while the answer comes.
 	answering bool
 	released  bool
@@ -91,7 +91,7 @@
 	} else {
 		m.pickLeast(lease, members, now)
 	}
-	lease.way = m.wayTo(lease.FailureDomain)
+	lease.path = m.pathTo(lease.FailureDomain)
 	lease.Load = lease.load(now)
 	lease.inFlight++
 	lease.sent(now)
@@ -102,11 +102,11 @@
 const percent = 100
 
 // candidates returns the members that may take the request. Ejections count only
-// while enough members stay; members behind a way that is cut can't be reached at all.
+// while enough members stay; members behind a path that is cut can't be reached at all.
 func (m *Manager) candidates(a Ask, now clock.Millis) []*Member {
 	healthy, all := []*Member{}, []*Member{}
 	for _, member := range m.pools[a.Pool] {
-		if member.Draining || m.wayTo(member.FailureDomain).cut || slices.Contains(a.Tried, member.ID) {
+		if member.Draining || m.pathTo(member.FailureDomain).cut || slices.Contains(a.Tried, member.ID) {
 			continue
 		}
 		all = append(all, member)
@@ -202,10 +202,10 @@
 	}
 	l.released = true
 	l.inFlight--
-	delete(l.way.onCut, l)
+	delete(l.path.onCut, l)
 	l.manager.returnsTo(l.Pool).ended(l.manager.steady())
 	if l.answering {
-		l.way.answering--
+		l.path.answering--
 	}
 	if result == Unreachable || result == Broken {
 		l.forgetNews()
@@ -214,12 +214,12 @@
 	l.manager.judge(l.Member, result)
 }
 
-// OnCut sets what is called once if the way to the upstream turns out to be cut before
+// OnCut sets what is called once if the path to the upstream turns out to be cut before
 // the lease ends.
 func (l *Lease) OnCut(call func()) {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
-	l.way.onCut[l] = call
+	l.path.onCut[l] = call
 }
 
 // Report takes in the upstream's own count of the requests it holds.
@@ -231,8 +231,8 @@
 	l.reportedMs = l.manager.steady()
 }
 
-// Heard notes that a part of the answer came: the way to the upstream is well.
-func (l *Lease) Heard() { l.way.heard(l.manager.steady()) }
+// Heard notes that a part of the answer came: the path to the upstream is well.
+func (l *Lease) Heard() { l.path.heard(l.manager.steady()) }
 
 // Answered notes that the answer has begun.
 func (l *Lease) Answered() {
@@ -242,6 +242,6 @@
 	l.tellNews()
 	if !l.answering && !l.released {
 		l.answering = true
-		l.way.answering++
+		l.path.answering++
 	}
 }
--- a/internal/balance/looks.go
+++ b/internal/balance/probes.go
@@ -8,10 +8,10 @@
 	"dooryard.example/dooryard/internal/upstream"
 )
 
-// Silence of a failure domain. Nothing heard from it says that the way to it may be cut,
+// Silence of a failure domain. Nothing heard from it says that the path to it may be cut,
 // and connections that don't open say that it is.
 const (
-	// A silence that says nothing costs a look: with shorter spans 87 boxes opened 58,000
+	// A silence that says nothing costs a probe: with shorter spans 87 boxes opened 58,000
 	// connections on a day that takes 22,000.
 	//
 	// answeringSilenceMs is how long a domain may be silent while answeringCount answers
@@ -22,18 +22,18 @@
 	// askSilenceMs is how much longer than the time between two asks of its boxes a domain
 	// may be silent otherwise: some ten round trips.
 	askSilenceMs clock.Millis = 50
-	// probesAtOnce is how many upstreams are tried for one look at the way: one alone
+	// probesAtOnce is how many upstreams are tried for one probe at the path: one alone
 	// may be dead.
 	probesAtOnce = 3
-	// lookAgainMs is the least time between two looks at a way, and calmMs that between
+	// probeAgainMs is the least time between two probes at a path, and calmMs that between
 	// two at one that opens connections, but from which nothing else was heard since.
-	lookAgainMs clock.Millis = 250
-	calmMs      clock.Millis = 2000
+	probeAgainMs clock.Millis = 250
+	calmMs       clock.Millis = 2000
 )
 
-// Look is a look at the way to a failure domain: connections to some upstreams there are
-// to be opened, and what comes of it told by Looked.
-type Look struct {
+// Probe is a probe at the path to a failure domain: connections to some upstreams there are
+// to be opened, and what comes of it told by Probed.
+type Probe struct {
 	FailureDomain string
 	Clients       []*upstream.Client
 }
@@ -41,37 +41,37 @@
 // HeardFrom notes that another box of a failure domain was heard.
 func (m *Manager) HeardFrom(failureDomain string) {
 	m.mu.Lock()
-	d := m.wayTo(failureDomain)
+	d := m.pathTo(failureDomain)
 	m.mu.Unlock()
 	d.heard(m.steady())
 }
 
-// Looks returns the looks that are due. AskEach is how often some box of a failure
+// Probes returns the probes that are due. AskEach is how often some box of a failure
 // domain is asked for a sign of life, by domain. Paused is set when this box itself stood still,
 // so that the silence of others says nothing.
-func (m *Manager) Looks(askEach map[string]clock.Millis, paused bool) []Look {
+func (m *Manager) Probes(askEach map[string]clock.Millis, paused bool) []Probe {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.steady()
-	looks := []Look{}
+	probes := []Probe{}
 	for name, d := range m.domains {
 		if paused {
 			d.heardMs.Store(int64(now))
 			continue
 		}
-		if d.looking || !d.due(now, askEach[name]) {
+		if d.probing || !d.due(now, askEach[name]) {
 			continue
 		}
-		if clients := m.lookAt(name, now); len(clients) > 0 {
-			d.looking, d.asked = true, false
-			looks = append(looks, Look{FailureDomain: name, Clients: clients})
+		if clients := m.probeTargets(name, now); len(clients) > 0 {
+			d.probing, d.asked = true, false
+			probes = append(probes, Probe{FailureDomain: name, Clients: clients})
 		}
 	}
-	return looks
+	return probes
 }
 
-// lookAt chooses upstreams to open connections to, those that seem well first.
-func (m *Manager) lookAt(name string, now clock.Millis) []*upstream.Client {
+// probeTargets chooses upstreams to open connections to, those that seem well first.
+func (m *Manager) probeTargets(name string, now clock.Millis) []*upstream.Client {
 	well, ill := []*upstream.Client{}, []*upstream.Client{}
 	for _, member := range m.byID {
 		switch {
@@ -86,26 +86,26 @@
 	return all[:min(probesAtOnce, len(all))]
 }
 
-// Looked takes in whether any of a look's connections opened, or was refused by a host
-// that is there. It returns whether that is news, and how long the way was cut.
-func (m *Manager) Looked(name string, opened bool) (awayMs clock.Millis, news bool) {
-	awayMs, news, calls := m.takeLook(name, opened)
+// Probed takes in whether any of a probe's connections opened, or was refused by a host
+// that is there. It returns whether that is news, and how long the path was cut.
+func (m *Manager) Probed(name string, opened bool) (awayMs clock.Millis, news bool) {
+	awayMs, news, calls := m.takeProbe(name, opened)
 	for _, call := range calls {
 		call()
 	}
 	return awayMs, news
 }
 
-// takeLook takes in a look, and returns what to call for the requests behind a way that
+// takeProbe takes in a probe, and returns what to call for the requests behind a path that
 // turns out to be cut.
-func (m *Manager) takeLook(name string, opened bool) (awayMs clock.Millis, news bool, calls []func()) {
+func (m *Manager) takeProbe(name string, opened bool) (awayMs clock.Millis, news bool, calls []func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.steady()
-	d := m.wayTo(name)
+	d := m.pathTo(name)
 	news = d.cut == opened
-	d.looking, d.cut = false, !opened
-	d.lookedMs = now
+	d.probing, d.cut = false, !opened
+	d.probeEndedMs = now
 	switch {
 	case opened:
 		d.heardMs.Store(int64(now))
@@ -119,16 +119,16 @@
 	return awayMs, news, calls
 }
 
-// due tells whether the way is to be looked at now.
+// due tells whether the path is to be probed now.
 func (d *domain) due(now, askEach clock.Millis) bool {
-	since := now - d.lookedMs
+	since := now - d.probeEndedMs
 	switch {
-	case since < lookAgainMs:
+	case since < probeAgainMs:
 		return false
 	case d.cut || d.asked:
 		return true
 	default:
-		heardSince := clock.Millis(d.heardMs.Load()) > d.lookedMs
+		heardSince := clock.Millis(d.heardMs.Load()) > d.probeEndedMs
 		return d.silent(now, askEach) && (heardSince || since >= calmMs)
 	}
 }
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -41,7 +41,7 @@
 		case member.Address == lease.FetchFrom:
 			had = max(had, held)
 			atOnce = max(atOnce, held-member.answeredParts(shared, now))
-		case member.health.Ejected(now) || m.wayTo(member.FailureDomain).cut:
+		case member.health.Ejected(now) || m.pathTo(member.FailureDomain).cut:
 			behind = max(behind, held)
 		default:
 			reachable = max(reachable, held)
--- a/internal/balance/reading_test.go
+++ b/internal/balance/reading_test.go
@@ -44,7 +44,7 @@
 		assert.Equal(t, Reading{Tokens: 1000, Why: ReadAtOnce}, got)
 	})
 	t.Run("it is read when the engine that keeps it is behind a cut", func(t *testing.T) {
-		got := elsewhere(t, sticky("s"), func(f *fixture, first *Lease) { f.Looked(first.FailureDomain, false) })
+		got := elsewhere(t, sticky("s"), func(f *fixture, first *Lease) { f.Probed(first.FailureDomain, false) })
 		assert.Equal(t, Reading{Tokens: 1000, Why: ReadBehind}, got)
 	})
 	t.Run("it is read when the engine that kept it has gone", func(t *testing.T) {
--- a/internal/experiment/day.go
+++ b/internal/experiment/day.go
@@ -169,11 +169,11 @@
 		d.replaceEngines()
 	case d.has(Cut) && d.now == cutAtMs:
 		d.cut = "d0"
-	case d.has(Cut) && d.now == cutAtMs+noticeMs && d.off != Ways:
+	case d.has(Cut) && d.now == cutAtMs+noticeMs && d.off != Paths:
 		d.look(false)
 	case d.has(Cut) && d.now == cutAtMs+cutMs:
 		d.cut = ""
-	case d.has(Cut) && d.now == cutAtMs+cutMs+noticeMs && d.off != Ways:
+	case d.has(Cut) && d.now == cutAtMs+cutMs+noticeMs && d.off != Paths:
 		d.look(true)
 	}
 }
@@ -198,13 +198,13 @@
 	for _, b := range d.boxes {
 		for i := range domains {
 			if name := fmt.Sprint("d", i); (name == "d0") != (b.domain == "d0") {
-				b.Looked(name, opened)
+				b.Probed(name, opened)
 			}
 		}
 	}
 }
 
-// reaches tells whether there is a way between two failure domains.
+// reaches tells whether there is a path between two failure domains.
 func (d *day) reaches(one, other string) bool {
 	return d.cut == "" || (one == d.cut) == (other == d.cut)
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -29,15 +29,15 @@
 	OthersLoads Mechanism = "others-loads"
 	// Ejection leaves out engines that can't be reached.
 	Ejection Mechanism = "ejection"
-	// Ways watches the ways to failure domains.
-	Ways Mechanism = "ways"
+	// Paths watches the paths to failure domains.
+	Paths Mechanism = "paths"
 	// Retry sends a request that failed to another engine.
 	Retry Mechanism = "retry"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Sticky, Fetch, SharedCaches, OthersLoads, Ejection, Ways, Retry}
+	return []Mechanism{Sticky, Fetch, SharedCaches, OthersLoads, Ejection, Paths, Retry}
 }
 
 // Fault is a kind of trouble that a day may have.
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -42,7 +42,7 @@
 		assertWorse(t, of(t, Ejection, Crash, Cut).InTime, -1)
 	})
 	t.Run("without a watch on ways, requests behind a cut are late", func(t *testing.T) {
-		assertWorse(t, of(t, Ways, Cut).InTime, -1)
+		assertWorse(t, of(t, Paths, Cut).InTime, -1)
 	})
 	t.Run("without a second attempt, fewer are served", func(t *testing.T) {
 		assertWorse(t, of(t, Retry, Errors).Served, -1)
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -227,7 +227,7 @@
 	b.log.Tell(decision.Process{What: "started"})
 	b.running.Go(func() { b.source.Run(background, b.sink.asSink()) })
 	b.running.Go(func() { b.clock.Every(background, houseMs, func(clock.Millis) { b.housekeeping() }) })
-	b.running.Go(func() { b.watchWays(background) })
+	b.running.Go(func() { b.watchPaths(background) })
 	b.running.Go(func() { b.endings.run(background) })
 	b.running.Go(func() { b.keepNotes(background) })
 	select {
@@ -251,7 +251,7 @@
 const houseMs clock.Millis = 100
 
 func (b *Box) housekeeping() {
-	b.pauses.look()
+	b.pauses.check()
 	b.registry.Expire()
 	b.balance.SetOthers(b.peering.mesh.Others())
 	b.balance.Refresh()
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// waitingObservations is how many observations wait to be looked into: more than one
+	// waitingObservations is how many observations wait to be taken in: more than one
 	// upstream carries for a box. Beyond that they are left out.
 	waitingObservations = 256
 	// maxSuspects bounds the suspects of one upstream, likewise.
@@ -44,8 +44,8 @@
 // suspects are the requests that an upstream may have ended under.
 type suspects struct {
 	list []suspect
-	// looking is set while the box finds out whether the upstream has ended.
-	looking bool
+	// probing is set while the box finds out whether the upstream has ended.
+	probing bool
 }
 
 // endings finds out which upstreams have ended under requests. A host that refuses
@@ -76,8 +76,8 @@
 
 // run takes in what attempts show until the context ends.
 func (e *endings) run(ctx context.Context) {
-	var looking sync.WaitGroup
-	defer looking.Wait()
+	var probing sync.WaitGroup
+	defer probing.Wait()
 	for {
 		select {
 		case o := <-e.observed:
@@ -85,7 +85,7 @@
 			case o.Sign == dispatch.Refused:
 				e.ended(o.Member.ID, "", true)
 			case e.note(o):
-				looking.Go(func() { e.look(ctx, o) })
+				probing.Go(func() { e.probe(ctx, o) })
 			}
 		case <-ctx.Done():
 			return
@@ -93,7 +93,7 @@
 	}
 }
 
-// note notes a suspect and tells whether the upstream must be looked at.
+// note notes a suspect and tells whether the upstream must be probed.
 func (e *endings) note(o dispatch.Observation) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -108,13 +108,13 @@
 			fingerprint: o.Fingerprint, upstream: o.Member.Identity(), atMs: e.box.clock.Steady(), givenUp: givenUp,
 		})
 	}
-	first := !known.looking
-	known.looking = true
+	first := !known.probing
+	known.probing = true
 	return first
 }
 
-// look finds out whether an upstream has ended.
-func (e *endings) look(ctx context.Context, o dispatch.Observation) {
+// probe finds out whether an upstream has ended.
+func (e *endings) probe(ctx context.Context, o dispatch.Observation) {
 	member, wait := o.Member, gatherBreaksMs
 	if o.Sign == dispatch.GivenUp {
 		wait = endAfterMs
@@ -124,7 +124,7 @@
 	refused := member.Client().Ended(ctx)
 	e.mu.Lock()
 	if known := e.byID[member.ID]; known != nil {
-		known.looking = false
+		known.probing = false
 	}
 	e.mu.Unlock()
 	if refused || !e.box.registry.Has(member.Identity()) {
@@ -219,7 +219,7 @@
 	defer e.mu.Unlock()
 	for upstream, known := range e.byID {
 		known.list = slices.DeleteFunc(known.list, func(s suspect) bool { return s.atMs < oldest })
-		if len(known.list) == 0 && !known.looking {
+		if len(known.list) == 0 && !known.probing {
 			delete(e.byID, upstream)
 		}
 	}
--- a/internal/gateway/ways.go
+++ b/internal/gateway/paths.go
@@ -11,41 +11,41 @@
 )
 
 const (
-	// watchMs is how often the ways to failure domains are watched: half of the
+	// watchMs is how often the paths to failure domains are watched: half of the
 	// shortest silence that counts.
 	watchMs clock.Millis = 50
 	// pauseMs is how late a watch may be before this box itself stood still.
 	pauseMs clock.Millis = 100
 )
 
-// watchWays looks at the ways to failure domains that have fallen silent.
-func (b *Box) watchWays(ctx context.Context) {
-	var looking sync.WaitGroup
-	defer looking.Wait()
+// watchPaths probes the paths to failure domains that have fallen silent.
+func (b *Box) watchPaths(ctx context.Context) {
+	var probing sync.WaitGroup
+	defer probing.Wait()
 	lastMs := b.clock.Steady()
 	b.clock.Every(ctx, watchMs, func(clock.Millis) {
-		b.pauses.look()
+		b.pauses.check()
 		b.pauses.hurry()
 		now := b.clock.Steady()
 		paused := now-lastMs > watchMs+pauseMs
 		lastMs = now
-		for _, look := range b.balance.Looks(b.peering.mesh.AskEach(), paused) {
-			looking.Go(func() { b.look(ctx, look) })
+		for _, probe := range b.balance.Probes(b.peering.mesh.AskEach(), paused) {
+			probing.Go(func() { b.probe(ctx, probe) })
 		}
 	})
 }
 
-// look finds out whether connections to a failure domain open, and tells if that is news.
-func (b *Box) look(ctx context.Context, look balance.Look) {
+// probe finds out whether connections to a failure domain open, and tells if that is news.
+func (b *Box) probe(ctx context.Context, probe balance.Probe) {
 	beganMs := b.clock.Steady()
-	opened := reaches(ctx, look.Clients)
+	opened := reaches(ctx, probe.Clients)
 	if !opened && b.clock.Steady()-beganMs > upstream.ReachMs+pauseMs {
 		// This box stood still meanwhile: the time-outs say nothing.
-		opened = reaches(ctx, look.Clients)
+		opened = reaches(ctx, probe.Clients)
 	}
-	if awayMs, news := b.balance.Looked(look.FailureDomain, opened); news {
+	if awayMs, news := b.balance.Probed(probe.FailureDomain, opened); news {
 		b.log.Tell(decision.Dependency{
-			Dependency: "way to a failure domain", ID: look.FailureDomain, Lost: !opened, AwayMs: awayMs,
+			Dependency: "path to a failure domain", ID: probe.FailureDomain, Lost: !opened, AwayMs: awayMs,
 		})
 	}
 }
--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -27,7 +27,7 @@
 // keys that had been taken away, after the request's time (TestSuspended).
 type pauses struct {
 	box *Box
-	// lastMs is when the box last looked, wokeMs when it noticed the newest long pause.
+	// lastMs is when the box last checked, wokeMs when it noticed the newest long pause.
 	lastMs, wokeMs atomic.Int64
 }
 
@@ -37,9 +37,9 @@
 	return p
 }
 
-// look notices a pause since the last look, and sets right what counts time: timers that slept
+// check notices a pause since the last check, and sets right what counts time: timers that slept
 // through run, and the silence of other boxes meanwhile says nothing.
-func (p *pauses) look() {
+func (p *pauses) check() {
 	now := p.box.clock.Steady()
 	pause := now - clock.Millis(p.lastMs.Swap(int64(now)))
 	if pause <= watchMs+pauseMs {
@@ -55,7 +55,7 @@
 // await waits, after a long pause, until the box has heard anew, for a while.
 func (p *pauses) await(ctx context.Context) {
 	if p.box.clock.Steady()-clock.Millis(p.lastMs.Load()) > longPauseMs {
-		p.look()
+		p.check()
 	}
 	for p.inDoubt() && ctx.Err() == nil {
 		// The context's end shows at the head of the loop.
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -91,7 +91,6 @@
 	return targets
 }
 
-// forgetLocked drops boxes that were silent for long.
 // unaskedDomainsLocked returns a box of each failure domain that no target is of, so that
 // each domain gives a sign of life in each round.
 func (m *Mesh) unaskedDomainsLocked(now clock.Millis, targets []target) []*peer {
@@ -130,6 +129,7 @@
 	return asked
 }
 
+// forgetLocked drops boxes that were silent for long.
 func (m *Mesh) forgetLocked(now clock.Millis) {
 	for box, p := range m.peers {
 		if now-p.heardMs > forgetMs {
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -22,7 +22,7 @@
 	errFailed    = errors.New("the upstream failed")
 	errTooLong   = errors.New("answer too long")
 	errSilent    = errors.New("no answer in time for another attempt")
-	errWayCut    = errors.New("the way to the failure domain is cut")
+	errPathCut   = errors.New("the path to the failure domain is cut")
 )
 
 // patience is how many times the objective an upstream may take for the head of
@@ -39,7 +39,7 @@
 	s.tellPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
-	s.watchWay(lease, cancel)
+	s.watchPath(lease, cancel)
 	stopTimer := s.watchSilence(cancel)
 	answer, err := lease.Client().Do(ctx, s.build(lease))
 	stopTimer()
@@ -75,21 +75,21 @@
 	return func() { timer.Stop() }
 }
 
-// watchWay ends an attempt behind a way that turns out to be cut, if the request may go
+// watchPath ends an attempt behind a path that turns out to be cut, if the request may go
 // elsewhere: a stream that may be resumed pauses for 0.2 s to 0.4 s in place of three of its
 // longest good pauses. On days with a cut that is 0.0010 of the worth (twelve paired runs,
 // standard error 0.0005).
-func (s *sending) watchWay(lease *balance.Lease, cancel context.CancelCauseFunc) {
+func (s *sending) watchPath(lease *balance.Lease, cancel context.CancelCauseFunc) {
 	r := s.request
 	if r.Route.Repeatable() && r.Sent+1 < r.Route.Attempts {
-		lease.OnCut(func() { cancel(errWayCut) })
+		lease.OnCut(func() { cancel(errPathCut) })
 	}
 }
 
 // unanswered judges an attempt without an answer.
 func (s *sending) unanswered(lease *balance.Lease, err, cause error) *failure {
 	failed := &failure{err: err, proof: mayHaveRun}
-	if errors.Is(cause, errSilent) || errors.Is(cause, errWayCut) {
+	if errors.Is(cause, errSilent) || errors.Is(cause, errPathCut) {
 		failed.err = fmt.Errorf("%w: %w", cause, err)
 	}
 	if upstream.NothingSent(err) {
