--- a/internal/clock/boot.go
+++ b/internal/clock/boot.go
@@ -1,15 +1,16 @@
 package clock
 
 /*
+#include <stdint.h>
 #include <time.h>
 
 // boot_ns reads the clock that goes on while the machine is suspended, or returns -1.
-static long long boot_ns(void) {
+static int64_t boot_ns(void) {
 	struct timespec t;
 	if (clock_gettime(CLOCK_BOOTTIME, &t) != 0) {
 		return -1;
 	}
-	return t.tv_sec * 1000000000LL + t.tv_nsec;
+	return (int64_t)t.tv_sec * 1000000000 + t.tv_nsec;
 }
 */
 import "C"
--- a/internal/gateway/notes.go
+++ b/internal/gateway/notes.go
@@ -126,7 +126,8 @@
 
 func (k *noteKeeper) readIfDue(ctx context.Context) error {
 	now := k.box.clock.Steady()
-	if k.read && !(k.missing() && now-k.readMs >= readNotesMs) {
+	again := k.missing() && now-k.readMs >= readNotesMs
+	if k.read && !again {
 		return nil
 	}
 	all, err := k.notes.All(ctx)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -36,7 +36,7 @@
 	// knownMs is how long after the third end boxes may still send the request on, and
 	// mostAfter how often after that: what operators allow.
 	knownMs   clock.Millis = 3000
-	mostAfter              = 3
+	mostAfter int          = 3
 )
 
 // fatalities counts what upstreams end under.
@@ -214,7 +214,7 @@
 			sends := len(a.sendsMs)
 			pass(f.t, 25*time.Second)
 			a.comeBack([]*running{b}, "/stream/", 3, time.Second)
-			assert.Equal(f.t, sends+1, len(a.sendsMs))
+			assert.Len(f.t, a.sendsMs, sends+1)
 		})
 	})
 	t.Run("is sent on where operators switched that off", func(t *testing.T) {
@@ -222,7 +222,7 @@
 			a := newFatalities(f, 8)
 			b := f.box(1, func(g *config.Gateway) { g.Quarantine.AfterEnds = new(int) })
 			a.comeBack([]*running{b}, "/stream/", 20, time.Second)
-			assert.Equal(f.t, 20, len(a.sendsMs))
+			assert.Len(f.t, a.sendsMs, 20)
 		})
 	})
 }
@@ -250,7 +250,7 @@
 		pass(f.t, 3*time.Second)
 		sends := len(a.sendsMs)
 		a.comeBack(boxes[1:], "/stream/", 10, 500*time.Millisecond)
-		assert.Equal(f.t, sends, len(a.sendsMs))
+		assert.Len(f.t, a.sendsMs, sends)
 	})
 }
 
--- a/internal/mesh/bytes_test.go
+++ b/internal/mesh/bytes_test.go
@@ -1,13 +1,14 @@
 package mesh
 
 import (
-	"dooryard.example/dooryard/internal/namekey"
-	"dooryard.example/dooryard/internal/quarantine"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/quarantine"
 )
 
 // TestBytes bounds what a box sends on average, and prints that and the most, which
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -139,7 +139,8 @@
 	s.request.Tried = append(s.request.Tried, lease.ID)
 	next := s.next(failed)
 	s.pipe.tell(decision.AttemptFailed{
-		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID, Attempt: s.attempts, Proof: string(failed.proof),
+		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID,
+		Attempt: s.attempts, Proof: string(failed.proof),
 		Status: failed.status(), Err: errorText(failed.err), Next: string(next),
 		TookMs: s.pipe.clock.Steady() - s.startedMs,
 	})
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -36,7 +36,7 @@
 		f.mu.Unlock()
 		call := standin.Call{
 			ID: fmt.Sprintf("%d-fatal-%d", f.settings.Seed, sequence), Kind: standin.Stream, Key: key,
-			DeadlineMs: fatalDeadlineM, Body: standin.FatalBody,
+			DeadlineMs: fatalDeadlineM, Sends: standin.FatalBody,
 		}
 		f.ledger.noteOutcome(clients[random.IntN(len(clients))].Do(context.WithoutCancel(ctx), call))
 		time.Sleep(time.Duration(leastMs+random.IntN(fatalGapMs)) * time.Millisecond)
@@ -92,7 +92,7 @@
 	from := l.ends[fatalEnds-1].Add(contactSpan + lateSlack)
 	late, last := 0, ""
 	for _, o := range l.outcomes {
-		if o.Call.Body != standin.FatalBody {
+		if o.Sends != standin.FatalBody {
 			continue
 		}
 		for _, run := range l.runs[o.ID] {
--- a/internal/soak/fatal_test.go
+++ b/internal/soak/fatal_test.go
@@ -25,7 +25,7 @@
 		id := fmt.Sprint("f", i)
 		at := began.Add(time.Duration(i) * time.Second)
 		l.noteOutcome(standin.Outcome{
-			Call: standin.Call{ID: id, Kind: standin.Stream, Key: "k", DeadlineMs: 1000, Body: standin.FatalBody}, Sent: at, Box: "b",
+			Call: standin.Call{ID: id, Kind: standin.Stream, Key: "k", DeadlineMs: 1000, Sends: standin.FatalBody}, Sent: at, Box: "b",
 		})
 		l.noteRun(standin.Run{RequestID: id, Server: "s", Kind: standin.Stream, Tenant: "t", Began: at})
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,8 +39,8 @@
 		{name: "take a key away", begin: revoke},
 		{name: "change the configuration", begin: change},
 		{name: "pause a box again and again", begin: pauseBoxInRow},
-		{name: "crash a server", begin: func(f *fleet) (func(*fleet) error, error) { return crashServer(f, false) }},
-		{name: "crash a server that keeps its id", begin: func(f *fleet) (func(*fleet) error, error) { return crashServer(f, true) }},
+		{name: "crash a server", begin: crashServer(false)},
+		{name: "crash a server that keeps its id", begin: crashServer(true)},
 		{name: "another writer replaces an entry", begin: replaceEntry},
 		{name: "another writer writes entries", begin: writeEntries},
 		{name: "a server leaves", begin: leaveServer},
@@ -241,30 +241,37 @@
 
 // crashServer breaks what is open at a server and refuses what comes; a new incarnation
 // follows at the same address, under its id or another.
-func crashServer(f *fleet, keepID bool) (func(*fleet) error, error) {
-	s := f.anyServer()
-	s.mu.Lock()
-	again := !s.down
-	s.down = true
-	s.mu.Unlock()
-	if !again {
-		return nothing, nil
+func crashServer(keepID bool) func(f *fleet) (func(*fleet) error, error) {
+	return func(f *fleet) (func(*fleet) error, error) {
+		s := f.anyServer()
+		s.mu.Lock()
+		again := !s.down
+		s.down = true
+		s.mu.Unlock()
+		if !again {
+			return nothing, nil
+		}
+		s.link.set(linkRefused)
+		return func(f *fleet) error {
+			s.link.set(linkWell)
+			f.startAgain(s, keepID)
+			return nil
+		}, nil
 	}
-	s.link.set(linkRefused)
-	return func(f *fleet) error {
-		s.link.set(linkWell)
-		f.startAgain(s, keepID)
-		return nil
-	}, nil
 }
 
 // foreignEntries are entries of other writers.
 var foreignEntries = [][]byte{
 	[]byte("{"), []byte("null"), []byte("[]"), []byte("{}"), []byte("\x00\xff"),
-	[]byte(`{"service":7,"address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"sequence":1}`),
-	[]byte(`{"service":"pool","address":"nonsense","zone":"zone-0","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"sequence":1}`),
-	[]byte(`{"service":"pool","address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":-4,"state":"ready","coldLeftMs":0,"sequence":1}`),
-	[]byte(`{"service":"pool","address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":8,"state":"paused","coldLeftMs":0,"sequence":1}`),
+	foreignEntry(`"service":7,"address":"127.0.0.1:9","slots":8,"state":"ready"`),
+	foreignEntry(`"service":"p","address":"nonsense","slots":8,"state":"ready"`),
+	foreignEntry(`"service":"p","address":"127.0.0.1:9","slots":-4,"state":"ready"`),
+	foreignEntry(`"service":"p","address":"127.0.0.1:9","slots":8,"state":"paused"`),
+}
+
+// foreignEntry is one that is whole but for what is wrong in some fields.
+func foreignEntry(fields string) []byte {
+	return []byte("{" + fields + `,"zone":"zone-0","version":"v1","coldLeftMs":0,"sequence":1}`)
 }
 
 // replaceEntry has another writer replace a server's entry until the server writes its own.
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -61,7 +61,8 @@
 		return nil, err
 	}
 	l := &link{
-		listener: listener, port: listener.Addr().String(), target: target, conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{},
+		listener: listener, port: listener.Addr().String(), target: target,
+		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{},
 	}
 	go l.run(listener)
 	return l, nil
