fix(gateway): upstreams that go silent under a request have ended, too

Cause: what was given up counted only for a second, so an upstream whose host says nothing (it lost power) was never laid to the request that a caller or the box had given up for its silence; and a connection that was only reset counted when the upstream left within 10 s. Ruled out: longer memory alone (it would hold bystanders back). Change: the probe tells alive, ended and silent apart; what stood at a silent host counts when its entry disappears, what broke at one that lives counts for nothing.

--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -10,6 +10,7 @@
 	"dooryard.example/dooryard/internal/pipe/dispatch"
 	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/registry"
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 const (
@@ -121,14 +122,32 @@
 	}
 	// The context's end shows at the connection.
 	_ = e.box.clock.Sleep(ctx, wait)
-	refused := member.Client().Ended(ctx)
+	found := member.Client().Liveness(ctx)
+	e.probed(member.ID, found)
+	if found == upstream.Ended || !e.box.registry.Has(member.Identity()) {
+		e.ended(member.ID, "", found == upstream.Ended)
+	}
+}
+
+// probed takes in what a probe of an upstream found. One that lives has not ended under the
+// requests whose connections broke; one that says nothing may have ended under those that were
+// given up for its silence.
+func (e *endings) probed(id string, found upstream.Liveness) {
 	e.mu.Lock()
-	if known := e.byID[member.ID]; known != nil {
-		known.probing = false
+	defer e.mu.Unlock()
+	known := e.byID[id]
+	if known == nil {
+		return
 	}
-	e.mu.Unlock()
-	if refused || !e.box.registry.Has(member.Identity()) {
-		e.ended(member.ID, "", refused)
+	known.probing = false
+	switch found {
+	case upstream.Alive:
+		known.list = slices.DeleteFunc(known.list, func(s suspect) bool { return !s.givenUp })
+	case upstream.Silent:
+		for i := range known.list {
+			known.list[i].givenUp = false
+		}
+	case upstream.Ended:
 	}
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -256,6 +257,52 @@
 
 func isBox(host string) bool { return strings.HasPrefix(host, "box-") }
 
+// TestFatalRequestSilent has upstreams go silent under the request, as hosts do that lose power:
+// their entries disappear after a while, and callers may have left before.
+func TestFatalRequestSilent(t *testing.T) {
+	for name, patience := range map[string]time.Duration{
+		"callers who wait": 6 * time.Second, "callers who leave before": 2 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(f *fleet) {
+				var dark sync.Map
+				f.network.SetSilent(func(from, to string) bool {
+					_, one := dark.Load(from)
+					_, other := dark.Load(to)
+					return one || other
+				})
+				var sends atomic.Int32
+				for i := range 8 {
+					id := fmt.Sprint("u", i)
+					f.upstream(id, func(http.ResponseWriter, *http.Request) {
+						sends.Add(1)
+						dark.Store(id, true)
+						go func() {
+							if f.clock.Sleep(f.t.Context(), backMs) == nil {
+								f.store.remove(id)
+							}
+						}()
+						<-f.t.Context().Done()
+					})
+				}
+				boxes := f.boxes(2)
+				for i := range 8 {
+					ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+					response, err := boxes[i%2].send(ctx, call{
+						method: http.MethodPost, path: "/stream/", id: fmt.Sprint(i), key: key, body: fatalBody,
+					})
+					if err == nil {
+						_ = response.Body.Close()
+					}
+					cancel()
+					pass(f.t, 2*time.Second)
+				}
+				assert.LessOrEqual(f.t, sends.Load(), int32(3))
+			})
+		})
+	}
+}
+
 // TestNotFatal has requests whose connections break without an upstream's end, or beside
 // one, and that must go on being served.
 func TestNotFatal(t *testing.T) {
@@ -274,6 +321,21 @@
 			assert.Zero(f.t, b.quarantine.Sizes().Fingerprints)
 		})
 	})
+	t.Run("connections that are reset shortly before their upstreams leave", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			for i := range 4 {
+				f.upstream(fmt.Sprint("u", i), broken)
+			}
+			b := f.box(1)
+			_, _, err := b.get("/safe/")
+			require.NoError(f.t, err)
+			for i := range 4 {
+				f.store.remove(fmt.Sprint("u", i))
+			}
+			pass(f.t, 3*time.Second)
+			assert.Zero(f.t, b.quarantine.Sizes().Fingerprints)
+		})
+	})
 	t.Run("a request that callers ask again and again, at each end", func(t *testing.T) {
 		bubble(t, func(f *fleet) {
 			a := newFatalities(f, 4)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -221,23 +221,38 @@
 	return true
 }
 
-// Ended tells whether the upstream's process is gone: its host is there and refuses
-// connections. One that opens is kept for the next request, and none is opened while an idle
-// one is well.
-func (c *Client) Ended(ctx context.Context) bool {
+// Liveness is what a connection shows of an upstream's process.
+type Liveness int
+
+// Findings on an upstream's process.
+const (
+	// Alive takes connections.
+	Alive Liveness = iota
+	// Ended has a host that refuses them.
+	Ended
+	// Silent says nothing.
+	Silent
+)
+
+// Liveness finds out whether the upstream's process is there. A connection that opens is kept
+// for the next request, and none is opened while an idle one is well.
+func (c *Client) Liveness(ctx context.Context) Liveness {
 	if one := c.take(); one != nil {
 		c.keep(one, one.idleUntilMs-c.steady())
-		return false
+		return Alive
 	}
 	ctx, cancel := context.WithTimeout(ctx, ReachMs.Duration())
 	defer cancel()
 	raw, err := c.dial(ctx, "tcp", c.address)
-	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		return Ended
+	case err != nil:
+		return Silent
 	}
 	c.onDial()
 	c.keep(newConn(raw), defaultIdleMs)
-	return false
+	return Alive
 }
 
 // silence tells whether an error of a dial is that nobody answered.
