--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -120,35 +120,41 @@
 	if o.Sign == dispatch.GivenUp {
 		wait = endAfterMs
 	}
-	// The context's end shows at the connection.
-	_ = e.box.clock.Sleep(ctx, wait)
-	found := member.Client().Liveness(ctx)
-	e.probed(member.ID, found)
-	if found == upstream.Ended || !e.box.registry.Has(member.Identity()) {
-		e.ended(member.ID, "", found == upstream.Ended)
+	for again := true; again; {
+		// The context's end shows at the connection.
+		_ = e.box.clock.Sleep(ctx, wait)
+		beganMs := e.box.clock.Steady()
+		found := member.Client().Liveness(ctx)
+		again = e.probed(member.ID, found, beganMs) && ctx.Err() == nil
+		if found == upstream.Ended || !e.box.registry.Has(member.Identity()) {
+			e.ended(member.ID, "", found == upstream.Ended)
+		}
 	}
 }
 
 // probed takes in what a probe of an upstream found. One that lives has not ended under the
-// requests whose connections broke; one that says nothing may have ended under those that were
-// given up for its silence.
-func (e *endings) probed(id string, found upstream.Liveness) {
+// requests whose connections broke before; one that says nothing may have ended under those
+// that were given up for its silence. It tells whether connections have broken since, so that
+// the upstream must be probed again.
+func (e *endings) probed(id string, found upstream.Liveness, beganMs clock.Millis) (again bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known := e.byID[id]
 	if known == nil {
-		return
+		return false
 	}
-	known.probing = false
 	switch found {
 	case upstream.Alive:
-		known.list = slices.DeleteFunc(known.list, func(s suspect) bool { return !s.givenUp })
+		known.list = slices.DeleteFunc(known.list, func(s suspect) bool { return !s.givenUp && s.atMs < beganMs })
+		again = slices.ContainsFunc(known.list, func(s suspect) bool { return !s.givenUp })
 	case upstream.Silent:
 		for i := range known.list {
 			known.list[i].givenUp = false
 		}
 	case upstream.Ended:
 	}
+	known.probing = again
+	return again
 }
 
 // changed takes in changes of the upstreams: an entry that has disappeared, and one whose
@@ -202,6 +208,9 @@
 			kept = append(kept, s)
 		case !s.givenUp || justNow && now-s.atMs <= givenUpMs:
 			taken = append(taken, s)
+		case known.probing:
+			// The probe tells whether the host is silent.
+			kept = append(kept, s)
 		}
 	}
 	known.list = kept
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -156,6 +157,8 @@
 			f.skipSteady(suspendedMs)
 			for range 20 {
 				pass(f.t, 50*time.Millisecond)
+				// What else is due at this instant runs first.
+				synctest.Wait()
 				for _, b := range boxes {
 					assert.Equal(f.t, 5, b.peering.mesh.Boxes())
 				}
