fix(gateway): a caller who left before the send is not served on

Cause: between letting a request in and sending it the box may wait, after a pause up to 0.4 s, and a caller who had left meanwhile was still sent for: the connection to the upstream closes only once the send has begun. Change: the box looks for that right before each send.

--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -90,9 +90,12 @@
 }
 
 // vouch tells, right before a request is sent, whether the box may send it: it may have stood
-// still since the request was let in.
+// still since the request was let in, and the caller may have left meanwhile.
 func (b *Box) vouch(r *opaque.Request) error {
 	b.pauses.await(r.Context())
+	if err := r.Context().Err(); err != nil {
+		return opaque.NewRefusal(opaque.StatusCallerGone, opaque.CallerGone, 0, err)
+	}
 	if r.RemainingMs(b.clock.Steady()) <= 0 {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.TimeOver, 0, nil)
 	}
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -136,6 +138,17 @@
 			assert.Zero(f.t, arrivals.Load(), "before the box has heard anew")
 		})
 	})
+	t.Run("a request whose caller left meanwhile is not sent", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			b := f.box(1)
+			ctx, leave := context.WithCancel(f.t.Context())
+			request := &opaque.Request{HTTP: httptest.NewRequestWithContext(ctx, http.MethodGet, "/unsafe/", nil)}
+			leave()
+			var refusal *opaque.RefusalError
+			require.ErrorAs(f.t, b.vouch(request), &refusal)
+			assert.Equal(f.t, opaque.CallerGone, refusal.Cause)
+		})
+	})
 	t.Run("requests don't wait for long where nobody can be heard", func(t *testing.T) {
 		bubble(t, func(f *fleet) {
 			f.upstream("u1", answer("done"))
