fix(soak): each run has IP numbers and server ids of its own

Cause: a link that refuses connections closes its port, which a link of the other run took on the same IP number, and servers of both runs had the same ids, so that the expected id let it pass. Change: links listen on the run's own IP number and server ids carry the seed.

--- a/internal/soak/fatal_test.go
+++ b/internal/soak/fatal_test.go
@@ -58,7 +58,7 @@
 
 func TestRefusedLink(t *testing.T) {
 	target := echo(t)
-	l, err := newLink(func() string { return target.Addr().String() })
+	l, err := newLink("127.0.0.1", func() string { return target.Addr().String() })
 	require.NoError(t, err)
 	defer l.close()
 	conn, err := net.Dial("tcp", l.address())
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	if s.link, err = newLink(func() string { return address }); err != nil {
+	if s.link, err = newLink(f.ip(linksHost), func() string { return address }); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, s.link.close)
@@ -169,7 +169,7 @@
 func (f *fleet) incarnate(s *server) {
 	f.mu.Lock()
 	f.incarnations++
-	id := "server-" + strconv.Itoa(f.incarnations)
+	id := fmt.Sprintf("server-%d-%d", f.settings.Seed, f.incarnations)
 	f.mu.Unlock()
 	s.mu.Lock()
 	s.current, s.down = f.newServer(s, id), false
@@ -195,20 +195,26 @@
 	})
 }
 
+// linksHost is the host number of the run's links, above those of its boxes.
+const linksHost = 250
+
+// ip is an IP number of the run's own: runs of seeds that are not 200 apart share none.
+func (f *fleet) ip(host int) string { return fmt.Sprintf("127.0.%d.%d", f.settings.Seed%200+1, host) }
+
 func (f *fleet) addBox(i int, storeAddress string) error {
-	ip := fmt.Sprintf("127.0.%d.%d", f.settings.Seed%200+1, i+1)
+	ip := f.ip(i + 1)
 	b := &box{name: "box-" + strconv.Itoa(i)}
 	var err error
-	if b.store, err = newLink(func() string { return storeAddress }); err != nil {
+	if b.store, err = newLink(f.ip(linksHost), func() string { return storeAddress }); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, b.store.close)
 	own := net.JoinHostPort(ip, strconv.Itoa(callersPort))
-	if b.callers, err = newLink(func() string { return own }); err != nil {
+	if b.callers, err = newLink(f.ip(linksHost), func() string { return own }); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, b.callers.close)
-	contact := fmt.Sprintf("127.0.%d.1:%d", f.settings.Seed%200+1, peersPort)
+	contact := net.JoinHostPort(f.ip(1), strconv.Itoa(peersPort))
 	settings := fmt.Sprintf("box: %s\nfailure_domain: zone-%d\ncallers_address: %s\nreadiness_address: %s:%d\n"+
 		"peers_address: %s:%d\ncontacts: [%q]\nstore: {address: %q}\nfreshness: {max_age_ms: %d}\n"+
 		"retry_budget: {ratio: 0.2, slack: %d}\nshutdown: {grace_s: %d}\n",
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -53,10 +53,11 @@
 	stale map[net.Conn]struct{}
 }
 
-// newLink listens on a free port and passes connections on to a target, which may
-// change.
-func newLink(target func() string) (*link, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+// newLink listens on a free port of an IP number and passes connections on to a target, which
+// may change. While connections are refused something else on that number may take the port, so
+// it belongs to one run.
+func newLink(ip string, target func() string) (*link, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -42,7 +42,7 @@
 
 func TestStaleLink(t *testing.T) {
 	target := echo(t)
-	l, err := newLink(func() string { return target.Addr().String() })
+	l, err := newLink("127.0.0.1", func() string { return target.Addr().String() })
 	require.NoError(t, err)
 	defer l.close()
 	open := func() net.Conn {
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -18,5 +18,10 @@
 			Cause: "the soak's own: two faults that overlapped started a box twice; the first process was never " +
 				"ended and called ports that a later run used",
 		},
+		{
+			Seeds: []uint64{614, 664},
+			Cause: "the soak's own: two runs at once; while a server refused connections its port was taken by a " +
+				"server of the other run under the same id, which ran its requests",
+		},
 	}
 }
