fix(gateway): a box that is slow all the time still finds others gone

Cause: each look that came more than 0.1 s late counted as a pause, for which the silence of others was forgiven; on a box that is late all the time boxes that were gone counted for ever, and with them its part of the slack of retries. Found by reading. Change: only pauses of more than 0.5 s are forgiven. TestSlowBox before: 2 boxes after 25 s of silence; after: 1. TestSuspended passes.

--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -37,17 +37,16 @@
 	return p
 }
 
-// check notices a pause since the last check, and sets right what counts time: timers that slept
-// through run, and the silence of other boxes meanwhile says nothing.
+// check notices a long pause since the last check, and sets right what counts time: timers that
+// slept through run, and the silence of other boxes meanwhile says nothing. A box that is only
+// slow is late all the time; others that are gone would count for ever (TestSlowBox).
 func (p *pauses) check() {
 	now := p.box.clock.Steady()
 	pause := now - clock.Millis(p.lastMs.Swap(int64(now)))
-	if pause <= watchMs+pauseMs {
+	if pause <= longPauseMs {
 		return
 	}
-	if pause > longPauseMs {
-		p.wokeMs.Store(int64(now))
-	}
+	p.wokeMs.Store(int64(now))
 	p.box.peering.mesh.Resumed(pause)
 	p.box.clock.Resumed()
 }
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -180,6 +180,22 @@
 	})
 }
 
+// TestSlowBox has a box run late all the time, as on a machine that is slowed: the others that
+// are gone must not count for ever because each of its looks comes late.
+func TestSlowBox(t *testing.T) {
+	bubble(t, func(f *fleet) {
+		first := f.boxes(2)[0]
+		pass(f.t, 2*time.Second)
+		f.network.SetCut(func(from, to string) bool { return from != to && isBox(from) && isBox(to) })
+		for range 100 {
+			f.skipSteady(200)
+			pass(f.t, 50*time.Millisecond)
+		}
+		synctest.Wait()
+		assert.Equal(f.t, 1, first.peering.mesh.Boxes())
+	})
+}
+
 // TestSuspendedSessions has sessions, one of them usual at the upstream that left, come in
 // the first instant after a suspension.
 func TestSuspendedSessions(t *testing.T) {
