--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -34,7 +34,7 @@
 // the whole answer.
 func (s *sending) attempt(lease *balance.Lease) *failure {
 	s.attempts++
-	s.startedMs = s.pipe.clock.Steady()
+	s.startedMs = s.pipe.deps.Clock.Steady()
 	s.request.Upstream = lease.ID
 	s.tellPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
@@ -57,7 +57,7 @@
 	case failed != nil:
 		s.observe(ctx, lease, failed.err)
 	default:
-		s.pipe.whole(s.request.Fingerprint)
+		s.pipe.deps.Whole(s.request.Fingerprint)
 	}
 	lease.Release(judge(failed))
 	return failed
@@ -71,7 +71,7 @@
 	if !r.Route.Repeatable() || r.Sent+1 >= r.Route.Attempts || span <= 0 {
 		return func() {}
 	}
-	timer := s.pipe.clock.AfterFunc(span, func() { cancel(errSilent) })
+	timer := s.pipe.deps.Clock.AfterFunc(span, func() { cancel(errSilent) })
 	return func() { timer.Stop() }
 }
 
@@ -124,10 +124,10 @@
 func (s *sending) tellPicked(lease *balance.Lease) {
 	r := s.request
 	if lease.Reading.Tokens > 0 {
-		s.pipe.reads(string(lease.Reading.Why), lease.Reading.Tokens)
+		s.pipe.deps.Reads(string(lease.Reading.Why), lease.Reading.Tokens)
 	}
-	s.pipe.tell(decision.Picked{
-		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.ageMs(),
+	s.pipe.deps.Tell(decision.Picked{
+		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.deps.AgeMs(),
 		Upstream: lease.ID, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
 		MeanPercent: lease.MeanPercent, PassedOver: lease.Passed.Upstream, PassedWhy: string(lease.Passed.Why),
 		FetchFrom: lease.FetchFrom, ReadTokens: lease.Reading.Tokens, ReadWhy: string(lease.Reading.Why),
@@ -144,7 +144,7 @@
 			header.Set(name, value)
 		}
 	}
-	remaining := max(1, r.RemainingMs(s.pipe.clock.Steady()))
+	remaining := max(1, r.RemainingMs(s.pipe.deps.Clock.Steady()))
 	set(d.DeadlineMs, strconv.FormatInt(int64(remaining), 10))
 	set(d.ExpectUpstream, lease.ID)
 	set(d.FetchFrom, lease.FetchFrom)
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -15,28 +15,13 @@
 	"dooryard.example/dooryard/internal/quarantine"
 )
 
-// Pipe dispatches requests.
-type Pipe struct {
-	pick func(a balance.Ask) (*balance.Lease, error)
-	// mayRetry asks the retry budget of a pool.
-	mayRetry func(pool string) bool
-	// firstSend tells the retry budget of a pool of a request.
-	firstSend func(pool string)
-	ageMs     func() clock.Millis
-	tell      func(e decision.Event)
-	reads     func(why string, tokens int)
-	comeBack  func(pool string, priority int) clock.Millis
-	observe   func(o Observation)
-	whole     func(fingerprint quarantine.Fingerprint)
-	heldMs    func(fingerprint quarantine.Fingerprint) clock.Millis
-	vouch     func(r *opaque.Request) error
-	clock     clock.Clock
-}
-
 // Dependencies are what the step needs of its box.
 type Dependencies struct {
-	Pick      func(a balance.Ask) (*balance.Lease, error)
-	MayRetry  func(pool string) bool
+	// Pick chooses an upstream and counts the request there.
+	Pick func(a balance.Ask) (*balance.Lease, error)
+	// MayRetry asks the retry budget of a pool.
+	MayRetry func(pool string) bool
+	// FirstSend tells the retry budget of a pool of a request.
 	FirstSend func(pool string)
 	// AgeMs is how old the proof of the routing state is, for log lines.
 	AgeMs func() clock.Millis
@@ -56,30 +41,29 @@
 	Clock clock.Clock
 }
 
-// New returns the step.
-func New(d Dependencies) *Pipe {
-	return &Pipe{
-		pick: d.Pick, mayRetry: d.MayRetry, firstSend: d.FirstSend,
-		ageMs: d.AgeMs, tell: d.Tell, reads: d.Reads, comeBack: d.ComeBack, observe: d.Observe,
-		whole: d.Whole, heldMs: d.HeldMs, vouch: d.Vouch, clock: d.Clock,
-	}
+// Pipe dispatches requests.
+type Pipe struct {
+	deps Dependencies
 }
 
+// New returns the step.
+func New(d Dependencies) *Pipe { return &Pipe{deps: d} }
+
 // String names the step in logs.
 func (*Pipe) String() string { return "dispatch" }
 
 // Run sends the request until the caller has an answer or nothing more may be
 // tried.
 func (p *Pipe) Run(r *opaque.Request) error {
-	ctx, cancel := p.clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.clock.Steady())))
+	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Steady())))
 	defer cancel()
-	p.firstSend(r.Pool)
+	p.deps.FirstSend(r.Pool)
 	s := &sending{pipe: p, request: r, ctx: ctx}
 	for {
-		if err := p.vouch(r); err != nil {
+		if err := p.deps.Vouch(r); err != nil {
 			return s.unvouched(err)
 		}
-		lease, err := p.pick(s.ask())
+		lease, err := p.deps.Pick(s.ask())
 		if err != nil {
 			return s.final(s.orElse(&failure{err: err, proof: notSent}))
 		}
@@ -138,11 +122,11 @@
 	s.last = failed
 	s.request.Tried = append(s.request.Tried, lease.ID)
 	next := s.next(failed)
-	s.pipe.tell(decision.AttemptFailed{
+	s.pipe.deps.Tell(decision.AttemptFailed{
 		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID,
 		Attempt: s.attempts, Proof: string(failed.proof),
 		Status: failed.status(), Err: errorText(failed.err), Next: string(next),
-		TookMs: s.pipe.clock.Steady() - s.startedMs,
+		TookMs: s.pipe.deps.Clock.Steady() - s.startedMs,
 	})
 	return next == nextAttempt
 }
@@ -160,13 +144,13 @@
 	switch {
 	case r.Context().Err() != nil:
 		return nextCallerGone
-	case s.ctx.Err() != nil || r.RemainingMs(s.pipe.clock.Steady()) <= 0:
+	case s.ctx.Err() != nil || r.RemainingMs(s.pipe.deps.Clock.Steady()) <= 0:
 		return nextDeadline
 	case s.stream != nil && !s.stream.resumable():
 		return nextBegun
 	case !failed.proof.permits(r.Route.Repeatable()):
 		return nextMayHaveRun
-	case s.pipe.heldMs(r.Fingerprint) > 0:
+	case s.pipe.deps.HeldMs(r.Fingerprint) > 0:
 		return nextHeld
 	case s.attempts >= maxConnects:
 		return nextAttempts
@@ -174,7 +158,7 @@
 		return nextAttempt
 	case failed.proof != wrongUpstream && r.Sent >= r.Route.Attempts:
 		return nextAttempts
-	case !s.pipe.mayRetry(r.Pool):
+	case !s.pipe.deps.MayRetry(r.Pool):
 		return nextBudget
 	default:
 		return nextAttempt
@@ -209,5 +193,5 @@
 
 // comeBackMs is after which span the caller should come back.
 func (s *sending) comeBackMs() clock.Millis {
-	return s.pipe.comeBack(s.request.Pool, s.request.Priority())
+	return s.pipe.deps.ComeBack(s.request.Pool, s.request.Priority())
 }
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -46,5 +46,5 @@
 	default:
 		return
 	}
-	s.pipe.observe(o)
+	s.pipe.deps.Observe(o)
 }
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -51,7 +51,7 @@
 	if !r.Route.Resumable || r.Sent >= r.Route.Attempts || span <= 0 {
 		return func() {}, func() {}
 	}
-	timer := s.pipe.clock.AfterFunc(span, func() { cancel(errSilent) })
+	timer := s.pipe.deps.Clock.AfterFunc(span, func() { cancel(errSilent) })
 	return func() { timer.Reset(span) }, func() { timer.Stop() }
 }
 
