feat(platform,dispatch): what upstreams say of themselves is decoded once, and told in lines

Change: the adapter decodes the head of an answer into one typed word (rest in ms, leaving, load); a failed attempt's line says asked_rest_ms and leaving. A 421 speaks of another server: its word is passed over. Ruled out: reading the header in the step (platform/ alone knows names).

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -92,8 +92,12 @@
 	Status int
 	Err    string
 	// Next says what is done now: another attempt, or why there is none.
-	Next   string
-	TookMs clock.Millis
+	Next string
+	// AskedRestMs is for how long the upstream wants no request from this box, or 0.
+	AskedRestMs clock.Millis
+	// Leaving is set when the upstream said that it is about to end.
+	Leaving bool
+	TookMs  clock.Millis
 }
 
 // Name implements Event.
@@ -114,6 +118,12 @@
 	}
 	addIfSet(o, "error", e.Err)
 	o.AddString("next", e.Next)
+	if e.AskedRestMs > 0 {
+		o.AddInt64("asked_rest_ms", int64(e.AskedRestMs))
+	}
+	if e.Leaving {
+		o.AddBool("leaving", true)
+	}
 	o.AddInt64("took_ms", int64(e.TookMs))
 	return nil
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -27,13 +27,27 @@
 func dialect() *opaque.Dialect {
 	return &opaque.Dialect{
 		RequestID: "X-Id", DeadlineMs: "X-Deadline", Organisation: "X-Organisation", ExpectUpstream: "X-Expect",
-		NotRun: "X-Not-Run", Load: "X-Load", Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id",
+		NotRun: "X-Not-Run", Word: word, ToBox: []string{"X-Load", "X-Not-Run"}, Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id",
 		FetchFrom: "X-Fetch", Reserved: []string{"X-Reserved"},
 		Key:        func(h http.Header) string { return h.Get("Authorization") },
 		RetryAfter: func(span clock.Millis) string { return strconv.FormatInt(int64(span), 10) + "ms" },
 	}
 }
 
+// Headers by which the tests' upstreams speak of themselves.
+const (
+	headerRestMs  = "X-Rest-Ms"
+	headerLeaving = "X-Leaving"
+)
+
+func word(_ int, header http.Header) opaque.Word {
+	restMs, _ := strconv.Atoi(header.Get(headerRestMs))
+	holds, err := strconv.Atoi(header.Get("X-Load"))
+	return opaque.Word{
+		RestMs: clock.Millis(restMs), Leaving: header.Get(headerLeaving) != "", Holds: holds, TellsLoad: err == nil,
+	}
+}
+
 // fleet is a network with a store, upstreams and boxes.
 type fleet struct {
 	t       *testing.T
--- a/internal/opaque/dialect.go
+++ b/internal/opaque/dialect.go
@@ -24,8 +24,10 @@
 	ExpectUpstream string
 	// NotRun is set in answers of upstreams that ran nothing of the request.
 	NotRun string
-	// Load is an upstream's count of what it runs, what waits, and its slots.
-	Load string
+	// Word decodes what an upstream says of itself in the head of an answer.
+	Word func(status int, header http.Header) Word
+	// ToBox are the headers of answers that speak to the box and aren't passed on.
+	ToBox []string
 	// Urgency ranks requests at engines; 0 comes first.
 	Urgency string
 	// Prompt holds a prompt's parts as ID:TOKENS, with commas between.
@@ -67,10 +69,8 @@
 // Returned returns the headers that pass from an upstream to a caller.
 func (d *Dialect) Returned(header http.Header) http.Header {
 	out := endToEnd(header)
-	for _, name := range []string{d.Load, d.NotRun} {
-		if name != "" {
-			out.Del(name)
-		}
+	for _, name := range d.ToBox {
+		out.Del(name)
 	}
 	return out
 }
@@ -105,12 +105,3 @@
 	}
 	return parts
 }
-
-// ParseLoad reads an upstream's word on its load: what it runs and what waits.
-func ParseLoad(value string) (holds int, ok bool) {
-	running, rest, _ := strings.Cut(value, ",")
-	waiting, _, _ := strings.Cut(rest, ",")
-	r, runErr := strconv.Atoi(strings.TrimSpace(running))
-	w, waitErr := strconv.Atoi(strings.TrimSpace(waiting))
-	return r + w, runErr == nil && waitErr == nil
-}
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -35,6 +35,7 @@
 func (s *sending) attempt(lease *balance.Lease) *failure {
 	s.attempts++
 	s.startedMs = s.pipe.deps.Clock.Steady()
+	s.word = opaque.Word{}
 	s.request.Upstream = lease.ID
 	s.tellPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
@@ -49,6 +50,7 @@
 	}
 	defer answer.Close()
 	s.request.Sent++
+	s.hear(lease, answer)
 	if answer.StatusCode < http.StatusInternalServerError {
 		lease.Answered()
 	}
@@ -63,6 +65,18 @@
 	return failed
 }
 
+// hear takes what the upstream says of itself. An upstream that has the address of another one
+// speaks of itself, not of the one that was picked.
+func (s *sending) hear(lease *balance.Lease, answer *upstream.Answer) {
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	s.word = s.request.Dialect.Word(answer.StatusCode, answer.Header)
+	if s.word.TellsLoad {
+		lease.Report(s.word.Holds)
+	}
+}
+
 // watchSilence ends an attempt whose answer does not begin while the request
 // could still be answered in time elsewhere.
 func (s *sending) watchSilence(cancel context.CancelCauseFunc) (stop func()) {
@@ -166,10 +180,6 @@
 
 // receive takes an answer whose head has come.
 func (s *sending) receive(lease *balance.Lease, answer *upstream.Answer, cancel context.CancelCauseFunc) *failure {
-	d := s.request.Dialect
-	if holds, ok := opaque.ParseLoad(answer.Header.Get(d.Load)); ok {
-		lease.Report(holds)
-	}
 	if answer.StatusCode == http.StatusOK && isEventStream(answer.Header) {
 		return s.passStream(lease, answer, cancel)
 	}
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -98,6 +98,8 @@
 	last *failure
 	// startedMs is when the newest attempt began.
 	startedMs clock.Millis
+	// word is what the upstream of the newest attempt said of itself.
+	word opaque.Word
 }
 
 // orElse returns the newest failure, or another one if there is none.
@@ -126,7 +128,7 @@
 		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID,
 		Attempt: s.attempts, Proof: string(failed.proof),
 		Status: failed.status(), Err: errorText(failed.err), Next: string(next),
-		TookMs: s.pipe.deps.Clock.Steady() - s.startedMs,
+		AskedRestMs: s.word.RestMs, Leaving: s.word.Leaving, TookMs: s.pipe.deps.Clock.Steady() - s.startedMs,
 	})
 	return next == nextAttempt
 }
