--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -169,3 +169,15 @@
 		sink.Prove(sentMs)
 	}
 }
+
+// entry returns an upstream's newest entry.
+func (s *store) entry(id string) registry.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range slices.Backward(s.changes) {
+		if c.Upstream.ID == id && !c.Gone {
+			return c.Upstream
+		}
+	}
+	return registry.Upstream{}
+}
