--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -41,11 +41,14 @@
 )
 
 func word(_ int, header http.Header) opaque.Word {
-	restMs, _ := strconv.Atoi(header.Get(headerRestMs))
 	holds, err := strconv.Atoi(header.Get("X-Load"))
-	return opaque.Word{
-		RestMs: clock.Millis(restMs), Leaving: header.Get(headerLeaving) != "", Holds: holds, TellsLoad: err == nil,
+	w := opaque.Word{Leaving: header.Get(headerLeaving) != "", Holds: holds, TellsLoad: err == nil}
+	if value := header.Get(headerRestMs); value != "" {
+		var restMs int
+		restMs, w.Err = strconv.Atoi(value)
+		w.RestMs = clock.Millis(restMs)
 	}
+	return w
 }
 
 // fleet is a network with a store, upstreams and boxes.
@@ -57,6 +60,8 @@
 	// skippedMs and steppedMs are how far the boxes' steady clock and time of day are
 	// off the bubble's.
 	skippedMs, steppedMs atomic.Int64
+	// out takes the boxes' log lines.
+	out io.Writer
 }
 
 // skipSteady moves the boxes' steady clock on.
@@ -81,7 +86,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, network: testlib.NewNetwork(), store: newStore()}
+	f := &fleet{t: t, network: testlib.NewNetwork(), store: newStore(), out: io.Discard}
 	bubbles := clock.New()
 	f.clock = clock.New(
 		clock.WithSteady(func() clock.Millis { return bubbles.Steady() + clock.Millis(f.skippedMs.Load()) }),
@@ -173,7 +178,7 @@
 	adapter := Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
 		return f.store.source(name, c)
 	}}
-	b, err := New(settings, adapter, io.Discard, WithClock(f.clock), WithListen(h.Listen),
+	b, err := New(settings, adapter, f.out, WithClock(f.clock), WithListen(h.Listen),
 		WithListenPackets(h.ListenPackets), WithDial(h.Dial))
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(f.t.Context())
--- /dev/null
+++ b/internal/gateway/words_test.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/why"
+)
+
+// asksRest refuses a request and asks for rest.
+func asksRest(span string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRestMs, span)
+		refuses(w, r)
+	}
+}
+
+// lines is a log in memory.
+type lines struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(part []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.data.Write(part)
+}
+
+// read returns the lines so far.
+func (l *lines) read(t *testing.T) []why.Line {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all, err := why.Read(nil, bytes.NewReader(l.data.Bytes()))
+	require.NoError(t, err)
+	return all
+}
+
+// named returns the lines with a message.
+func named(all []why.Line, message string) []why.Line {
+	found := []why.Line{}
+	for _, line := range all {
+		if line.Message == message {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func TestWords(t *testing.T) {
+	t.Run("a stream is not resumed at an upstream that asked for rest", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			var resting atomic.Int32
+			f.upstream("u1", counted(&resting, asksRest("5000")))
+			b := f.box(1)
+			pass(f.t, time.Second)
+			_, _, err := b.get("/unsafe/")
+			require.NoError(f.t, err)
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") == "3" {
+					events(4, 5, ends)(w, r)
+					return
+				}
+				events(1, 3, torn)(w, r)
+			}
+			f.upstream("u2", handler)
+			f.upstream("u3", handler)
+			pass(f.t, time.Second)
+			for range 10 {
+				_, body, err := b.get("/resumable/")
+				require.NoError(f.t, err)
+				assert.Equal(f.t, fiveEvents, body)
+			}
+			assert.EqualValues(f.t, 1, resting.Load())
+		})
+	})
+	t.Run("a word that can't be read is no rest, is counted, and told once", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			var arrivals atomic.Int32
+			log := &lines{}
+			f.out = log
+			f.upstream("u1", counted(&arrivals, asksRest("soon")))
+			b := f.box(1)
+			pass(f.t, time.Second)
+			for range 5 {
+				_, _, err := b.get("/unsafe/")
+				require.NoError(f.t, err)
+			}
+			pass(f.t, time.Second)
+			assert.EqualValues(f.t, 5, arrivals.Load())
+			assert.Equal(f.t, "5", b.metrics.all.Get("inputs_ignored").String())
+			assert.Len(f.t, named(log.read(f.t), "input ignored"), 1)
+		})
+	})
+	t.Run("lines lead from a refused request to the rest that caused it", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			log := &lines{}
+			f.out = log
+			f.upstream("u1", asksRest("60000"))
+			b := f.box(1)
+			pass(f.t, time.Second)
+			_, _, err := b.get("/unsafe/")
+			require.NoError(f.t, err)
+			pass(f.t, 30*time.Second)
+			response, err := b.send(f.t.Context(), call{method: http.MethodGet, path: "/unsafe/", id: "refused", key: key})
+			require.NoError(f.t, err)
+			require.NoError(f.t, response.Body.Close())
+			assert.Equal(f.t, http.StatusServiceUnavailable, response.StatusCode)
+			pass(f.t, time.Second)
+			story := why.Story(log.read(f.t), "refused", 0)
+			require.Len(f.t, named(story, "upstream asks for rest"), 1)
+			rest := named(story, "upstream asks for rest")[0]
+			assert.JSONEq(f.t, `"1"`, string(rest.Fields["answer_to"]))
+			assert.EqualValues(f.t, 60_000, rest.RestMs)
+			ended := named(story, "request ended")
+			require.Len(f.t, ended, 1)
+			assert.JSONEq(f.t, `"upstreams_at_rest"`, string(ended[0].Fields["cause"]))
+			assert.Contains(f.t, string(ended[0].Fields["error"]), "request 1")
+			assert.Contains(f.t, b.metrics.all.Get("upstreams_at_rest").String(), `"p":1`)
+			assert.Equal(f.t, "1", b.metrics.all.Get("upstream_rests_heard").String())
+		})
+	})
+	t.Run("a word of another upstream at the address is not about the one that was picked", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			var arrivals atomic.Int32
+			f.upstream("u1", counted(&arrivals, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(headerRestMs, "5000")
+				w.Header().Set(headerLeaving, "1")
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			}))
+			b := f.box(1)
+			pass(f.t, time.Second)
+			for range 2 {
+				_, _, err := b.get("/unsafe/")
+				require.NoError(f.t, err)
+				pass(f.t, 4*time.Second)
+			}
+			assert.EqualValues(f.t, 2, arrivals.Load())
+		})
+	})
+	t.Run("a request under way at an upstream that leaves ends undisturbed", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerLeaving, "1")
+				events(1, 3, func(w http.ResponseWriter, r *http.Request) {
+					_ = http.NewResponseController(w).Flush()
+					if f.clock.Sleep(r.Context(), 250) == nil {
+						_, _ = w.Write([]byte("id: 4\ndata: 4\n\nid: 5\ndata: 5\n\n"))
+					}
+				})(w, r)
+			})
+			_, body, err := f.box(1).get("/stream/")
+			require.NoError(f.t, err)
+			assert.Equal(f.t, fiveEvents, body)
+		})
+	})
+}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -108,6 +108,21 @@
 		}
 		assert.Len(t, s.conns, 1)
 	})
+	t.Run("sends nothing that may not be sent any more, and keeps the connection", func(t *testing.T) {
+		s := serve(t, each(whole("2", "two")))
+		c := s.client()
+		late := request("1")
+		errLate := errors.New("late")
+		late.MaySend = func() error { return errLate }
+		_, err := readAll(t, c, late)
+		require.ErrorIs(t, err, errLate)
+		assert.True(t, NothingSent(err))
+		body, err := readAll(t, c, request("2"))
+		require.NoError(t, err)
+		assert.Equal(t, "two", body)
+		assert.Len(t, s.conns, 1)
+		assert.Empty(t, s.requests)
+	})
 	t.Run("passes over provisional answers", func(t *testing.T) {
 		s := serve(t, each("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+whole("1", "one")))
 		body, err := readAll(t, s.client(), request("1"))
--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -20,6 +20,8 @@
 	Box      string    `json:"box"`
 	Request  string    `json:"request"`
 	Upstream string    `json:"upstream"`
+	// RestMs is for how long what the line tells of holds, if it does for a span.
+	RestMs int64 `json:"rest_ms"`
 	// Fields are all others, as they stand in the line.
 	Fields map[string]json.RawMessage `json:"-"`
 	raw    []byte
@@ -59,8 +61,12 @@
 	return line, true
 }
 
+// lastsUntil is when what the line tells of is over.
+func (l Line) lastsUntil() time.Time { return l.Time.Add(time.Duration(l.RestMs) * time.Millisecond) }
+
 // Story returns the lines of a request in the order of their times, and those by
-// which its boxes changed what they believe in the span before its end.
+// which its boxes changed what they believe in the span before its end, or earlier if that
+// lasts for a span which had not ended, as the rest of an upstream.
 func Story(lines []Line, request string, before time.Duration) []Line {
 	own := []Line{}
 	boxes := map[string]bool{}
@@ -77,7 +83,7 @@
 	first, last := own[0].Time.Add(-before), own[len(own)-1].Time
 	story := own
 	for _, line := range lines {
-		if line.Request == "" && boxes[line.Box] && !line.Time.Before(first) && !line.Time.After(last) {
+		if line.Request == "" && boxes[line.Box] && !line.lastsUntil().Before(first) && !line.Time.After(last) {
 			story = append(story, line)
 		}
 	}
--- a/internal/why/why_test.go
+++ b/internal/why/why_test.go
@@ -33,6 +33,14 @@
 		story := Story(lines, "r1", 5*time.Second)
 		assert.Equal(t, []string{"a dependency lost", "a upstream picked", "a attempt failed"}, messages(story))
 	})
+	t.Run("has the rest of an upstream that had not ended", func(t *testing.T) {
+		rest := `{"time":"2026-01-01T00:00:00Z","msg":"upstream asks for rest","box":"a","upstream":"u1","rest_ms":%s}`
+		for restMs, want := range map[string]int{"1900": 0, "2000": 1} {
+			more, err := Read(nil, strings.NewReader(log+strings.Replace(rest, "%s", restMs, 1)))
+			require.NoError(t, err)
+			assert.Len(t, Story(more, "r1", 0), 2+want, restMs)
+		}
+	})
 	t.Run("is empty for a request that no line names", func(t *testing.T) {
 		assert.Empty(t, Story(lines, "r9", time.Hour))
 	})
