test(soak): servers that ask for rest, and that say in answers that they leave

Cause: neither the stand-ins nor the soak had a server that speaks of itself in its answers, so the incident's fault could not show there. A box or link that was struck meanwhile is excused.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -126,12 +126,16 @@
 }
 
 func killAll(f *fleet) (func(*fleet) error, error) {
-	errs := []error{}
+	errs, undisturb := []error{}, []func(){}
 	for _, b := range f.boxes {
+		undisturb = append(undisturb, f.disturb(b.name))
 		errs = append(errs, b.process.kill())
 	}
 	return disturbing(f, everywhere, func(f *fleet) error {
 		errs := []error{}
+		for _, end := range undisturb {
+			defer end()
+		}
 		for _, b := range f.boxes {
 			errs = append(errs, b.process.start())
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -180,6 +180,7 @@
 // newServer is an incarnation at a server's place, which ends under fatal requests.
 func (f *fleet) newServer(s *server, id string) *standin.Server {
 	current := standin.NewServer(id, f.draw, f.ledger.noteRun)
+	current.OnArrival(f.ledger.noteArrival)
 	current.OnFatal(func(ended *standin.Server) { f.endUnder(s, ended) })
 	return current
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -38,6 +38,8 @@
 	// unnamed is when another writer's entry took a server's place, and when it wrote its own
 	// again.
 	unnamed map[string][]*span
+	// arrivals are the requests that reached the server they were meant for.
+	arrivals []standin.Arrival
 	// ends are when servers ended under the fatal request.
 	ends []time.Time
 	// timed is set when bounds in time are checked, too.
@@ -97,7 +99,8 @@
 			findings = append(findings, finding{"nobody asked for it", id, "a server ran it"})
 		}
 	}
-	return append(findings, l.checkFatal()...)
+	findings = append(findings, l.checkFatal()...)
+	return append(findings, l.checkWords()...)
 }
 
 func (l *ledger) checkOutcome(o standin.Outcome) []finding {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -60,6 +60,7 @@
 		running.Go(func() { f.client(clients, i) })
 	}
 	running.Go(func() { f.fatalClient(clients) })
+	running.Go(func() { f.strikeWords(clients) })
 	err = f.strike(ctx, report.Faults)
 	stopClients()
 	running.Wait()
