fix(balance): engines keep their bound where boxes hear late of each other's loads

Besides, one session in 12% of the requests overfills its engine before boxes hear. Change: the bound leaves room for what is unheard, the root of the load, by how old the words are; a session that needs more engines than one has room for begins with any of as many as it needs.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -48,6 +48,10 @@
 	lost partMemory
 	// returning is what refused callers were told, by pool.
 	returning map[string]*returns
+	// popular is how often sessions are asked for, by pool.
+	popular map[string]*popularity
+	// othersAgeMs is how old what other boxes said of their loads is, on average.
+	othersAgeMs clock.Millis
 	// unseen is what upstreams said whose entries are gone, by incarnation.
 	unseen map[string]*word
 }
@@ -61,7 +65,7 @@
 		settings: settings, steady: steady, connect: connect, random: random,
 		byID: map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*domain{},
 		departed: map[string][]*Member{}, lost: partMemory{}, returning: map[string]*returns{},
-		unseen: map[string]*word{},
+		unseen: map[string]*word{}, popular: map[string]*popularity{},
 	}
 }
 
@@ -142,6 +146,13 @@
 	}
 }
 
+// SetOthersAge takes in how old, on average, what the other boxes said is.
+func (m *Manager) SetOthersAge(age clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.othersAgeMs = age
+}
+
 // InFlight returns what this box has in flight, by upstream, without zeros.
 func (m *Manager) InFlight() map[namekey.Key]int {
 	m.mu.Lock()
--- a/internal/balance/passed.go
+++ b/internal/balance/passed.go
@@ -29,18 +29,24 @@
 	PassedEjected PassedWhy = "ejected"
 	// PassedDomain means that the path to its failure domain is cut.
 	PassedDomain PassedWhy = "failure domain unreachable"
+	// PassedSpread means that the session needs several engines, of which one was drawn.
+	PassedSpread PassedWhy = "one of several for a popular session"
 	// PassedLoad means that the engine holds as much as it may.
 	PassedLoad PassedWhy = "over the load bound"
 )
 
 // passedOver is the first engine in the session's order of all, unless it is the one
 // that was taken.
-func (m *Manager) passedOver(taken *Member, a Ask, now clock.Millis) Passed {
+func (m *Manager) passedOver(taken *Lease, a Ask, now clock.Millis) Passed {
 	first := rank(a.Prompt.Session(), m.pools[a.Pool])[0]
-	if first == taken {
+	if first == taken.Member {
 		return Passed{}
 	}
-	return Passed{Upstream: first.ID, Why: m.whyPassed(first, a, now)}
+	why := m.whyPassed(first, a, now)
+	if why == PassedLoad && taken.Spread > 1 {
+		why = PassedSpread
+	}
+	return Passed{Upstream: first.ID, Why: why}
 }
 
 func (m *Manager) whyPassed(member *Member, a Ask, now clock.Millis) PassedWhy {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -32,6 +33,8 @@
 	Rank int
 	// Load is how many requests the upstream was thought to hold, before this one.
 	Load int
+	// Spread is over how many engines the session goes; 0 for requests without one.
+	Spread int
 	// MeanPercent is the pool's mean load then, in percent of a request.
 	MeanPercent int
 	// FetchFrom is the address of an engine to take cached parts from, or "".
@@ -87,7 +90,7 @@
 		m.pickSticky(lease, members, a, total, now)
 		m.chooseSource(lease, a, shared, now)
 		lease.Reading = m.reading(lease, a, shared, now)
-		lease.Passed = m.passedOver(lease.Member, a, now)
+		lease.Passed = m.passedOver(lease, a, now)
 	} else {
 		m.pickLeast(lease, members, now)
 	}
@@ -122,29 +125,60 @@
 }
 
 // pickSticky takes the first engine in the session's order that is under the
-// bound, or else the least loaded one.
+// bound, or else the least loaded one. A session that one engine has no room for begins with
+// any of as many as it needs.
 func (m *Manager) pickSticky(lease *Lease, members []*Member, a Ask, total int, now clock.Millis) {
-	order := rank(a.Prompt.Session(), members)
+	ranked := rank(a.Prompt.Session(), members)
 	bound := m.bound(total, len(members))
-	least := 0
-	for i, member := range order {
+	lease.Spread = spread(m.shareOf(a, now), total, len(members), bound)
+	order := ranked
+	if lease.Spread > 1 {
+		order = startAt(ranked, m.random(lease.Spread), lease.Spread)
+	}
+	lease.Member = order[0]
+	for _, member := range order {
 		load := member.load(now)
 		if load+1 <= bound {
-			lease.Member, lease.Rank = member, i
-			return
+			lease.Member = member
+			break
 		}
-		if load < order[least].load(now) {
-			least = i
+		if load < lease.load(now) {
+			lease.Member = member
 		}
 	}
-	lease.Member, lease.Rank = order[least], least
+	lease.Rank = slices.Index(ranked, lease.Member)
+}
+
+// shareOf counts a request, and returns its session's part of the pool's newest requests.
+func (m *Manager) shareOf(a Ask, now clock.Millis) float64 {
+	p := m.popular[a.Pool]
+	if p == nil {
+		p = newPopularity(now)
+		m.popular[a.Pool] = p
+	}
+	p.note(a.Prompt.Session(), now)
+	return p.share(a.Prompt.Session())
 }
 
 // bound is the largest load that an engine may reach: the set multiple of the
 // mean with this request counted, rounded up, and a slack that matters while the mean
 // is small.
 func (m *Manager) bound(total, members int) int {
-	return ((total+1)*m.settings.BoundPercent+members*percent-1)/(members*percent) + boundSlack
+	bound := ((total+1)*m.settings.BoundPercent+members*percent-1)/(members*percent) + boundSlack
+	return max(bound-m.unheard(bound), (total+members)/members)
+}
+
+// unheard is how much of a load may be unknown, as other boxes' words on theirs are old: the
+// standard deviation of a count that is as large, if they are as old as requests usually take.
+//
+// Without it engines fill up unseen where boxes hear of each other each 1.25 s: on three days of
+// clients that press, at 87 boxes, 4.2 to 4.7% of the requests of some 5 s went to engines over
+// twice the mean, with it under 3% (three days each, no more than 3% allowed); worth there
+// 0.873, 0.894, 0.889 before and 0.872, 0.891, 0.879 with it, as more prompts are read again. Six
+// boxes hear of each other each 0.25 s and keep their bound as it was.
+func (m *Manager) unheard(load int) int {
+	late := min(1, float64(m.othersAgeMs)/float64(reportLifeMs))
+	return int(math.Sqrt(float64(load)) * late)
 }
 
 // boundSlack is how many requests an engine may hold above the multiple: one less
--- a/internal/balance/surge_test.go
+++ b/internal/balance/surge_test.go
@@ -21,6 +21,8 @@
 // each other's loads each 1.25 s on average, so each sends the one session to the engine that
 // comes first for it until it hears of the others. The code of the landing before does the
 // same (290 of 5,792). With nine boxes, who hear each other each 0.25 s, it keeps the bound.
+// Lines of that day show some twenty engines that held 15 to 22 requests while boxes took them
+// for 6 to 11, most of them the first of their sessions: what isn't heard of yet, not one session.
 
 // surge is many boxes before engines, with loads that boxes hear of each other in turns.
 type surge struct {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -255,6 +255,7 @@
 	b.pauses.check()
 	b.registry.Expire()
 	b.balance.SetOthers(b.peering.mesh.Others())
+	b.balance.SetOthersAge(b.peering.mesh.OthersAgeMs())
 	b.balance.Refresh()
 	b.quarantine.Expire()
 	b.endings.expire()
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -239,6 +239,26 @@
 	return sum
 }
 
+// OthersAgeMs is how old, on average, what Others returns is. In a large fleet boxes don't tell
+// their loads, and it is as old as can be.
+func (m *Mesh) OthersAgeMs() clock.Millis {
+	now := m.clock.Steady()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	life := m.lifeLocked()
+	if m.largeLocked() {
+		return life
+	}
+	sum, count := clock.Millis(0), clock.Millis(0)
+	for _, p := range m.peers {
+		if now-p.heardMs < life {
+			sum += now - p.heardMs
+			count++
+		}
+	}
+	return sum / max(1, count)
+}
+
 // Resumed is to be called when this box has stood still for a span: that nobody was heard
 // meanwhile says nothing of the others.
 func (m *Mesh) Resumed(span clock.Millis) {
