test(balance): a rest told while the entry is away, known red

Found by reading: an answer that comes while its upstream's entry has lapsed, or after it came back, is noted on what was known before and lost with the return. Ruled out: rests told before the lapse, which hold.

--- a/internal/balance/words_test.go
+++ b/internal/balance/words_test.go
@@ -133,6 +133,18 @@
 		trial.Answered()
 		assert.Equal(t, first.ID, f.pick(t, sticky("s")).ID)
 	})
+	t.Run("an answer that comes while the entry is gone, or after, counts", func(t *testing.T) {
+		f := newFixture(t, 3).started()
+		one, two := f.pick(t, sticky("s")), f.pick(t, sticky("s"))
+		require.Equal(t, one.ID, two.ID)
+		f.SetUpstreams(nil)
+		one.Rest(restMs, "r")
+		f.SetUpstreams(f.list)
+		assertTakes(t, f, one.ID, false)
+		f.now += restMs
+		two.Rest(restMs, "r")
+		assertTakes(t, f, one.ID, false)
+	})
 	t.Run("words of upstreams that are gone are forgotten in time", func(t *testing.T) {
 		f, first := rested(t, 3)
 		f.pick(t, Ask{Pool: "p"}).Leave()
