fix(balance): what an upstream says while its entry is away holds when the entry is back

Cause: the word of an upstream whose entry lapsed was kept only if it said something at that instant; an answer that came later was noted on a word that nobody kept. Change: words of upstreams that are gone are kept for ten minutes, whatever they say; the same word goes on when the entry is back. Ruled out: merging on return (answers of attempts from before the lapse come after it, too). The soak's report tells how the fatal request went.

--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -55,15 +55,16 @@
 	goneMs clock.Millis
 }
 
-// leavingMemoryMs is how long a box remembers that an upstream leaves whose entry is gone: many
-// times as long as one takes to end, and as a store is away.
-const leavingMemoryMs = 10 * 60 * clock.Second
+// wordMemoryMs is how long a box keeps the word of an upstream whose entry is gone, and
+// whatever its answers add to it: many times as long as an upstream takes to end, and as a
+// store is away.
+const wordMemoryMs = 10 * 60 * clock.Second
 
 func (w *word) resting(now clock.Millis) bool { return now < w.restUntilMs }
 
 // over tells whether the word of an upstream that is out of sight says nothing any more.
 func (w *word) over(now clock.Millis) bool {
-	return !w.resting(now) && (!w.leaving || now-w.goneMs > leavingMemoryMs)
+	return !w.resting(now) && now-w.goneMs > wordMemoryMs
 }
 
 // leaves tells whether the upstream is about to end, by its entry or its answers: whichever
@@ -126,7 +127,7 @@
 	return counts
 }
 
-// said returns what an incarnation said before its entry was gone for a while, if anything.
+// saidBefore returns the word of an incarnation whose entry was gone for a while, or a new one.
 func (m *Manager) saidBefore(incarnation string) *word {
 	if before := m.unseen[incarnation]; before != nil {
 		delete(m.unseen, incarnation)
@@ -135,13 +136,11 @@
 	return &word{}
 }
 
-// keepWord keeps what an upstream said whose entry is gone: entries lapse while the store that
+// keepWord keeps the word of an upstream whose entry is gone: entries lapse while the store that
 // holds them is away, and come back.
 func (m *Manager) keepWord(member *Member) {
 	member.said.goneMs = m.steady()
-	if !member.said.over(member.said.goneMs) {
-		m.unseen[member.Incarnation()] = member.said
-	}
+	m.unseen[member.Incarnation()] = member.said
 }
 
 // noUpstream says why no upstream of a pool takes a request.
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -83,6 +83,32 @@
 	l.ends = append(l.ends, time.Now())
 }
 
+// fatalFigures are the servers that ended under the fatal request, how often it ran after the
+// third end, disturbed boxes included, and how long after that it last did.
+type fatalFigures struct{ Ends, After, LastMs int }
+
+func (l *ledger) fatalFigures() fatalFigures {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	figures := fatalFigures{Ends: len(l.ends)}
+	if len(l.ends) < fatalEnds {
+		return figures
+	}
+	third := l.ends[fatalEnds-1]
+	for _, o := range l.outcomes {
+		if o.Sends != standin.FatalBody {
+			continue
+		}
+		for _, run := range l.runs[o.ID] {
+			if run.Began.After(third) {
+				figures.After++
+				figures.LastMs = max(figures.LastMs, int(run.Began.Sub(third).Milliseconds()))
+			}
+		}
+	}
+	return figures
+}
+
 // checkFatal looks how often boxes that were in touch sent the fatal request later than they
 // may.
 func (l *ledger) checkFatal() []finding {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,6 +24,8 @@
 	Faults   map[string]int
 	Findings []string
 	Calls    int
+	// Fatal is how the request went under which servers end.
+	Fatal fatalFigures
 }
 
 // Timing of a run.
@@ -71,6 +73,7 @@
 		report.Findings = append(report.Findings, found.String())
 	}
 	report.Requests, report.Served, report.Calls = len(f.ledger.outcomes), f.ledger.served, f.store.Calls()
+	report.Fatal = f.ledger.fatalFigures()
 	if err == nil && len(report.Findings) > 0 {
 		err = fmt.Errorf("%w: seed %d: %s", ErrBroken, settings.Seed, report.Findings[0])
 	}
