--- a/internal/gateway/words_test.go
+++ b/internal/gateway/words_test.go
@@ -147,6 +147,32 @@
 			assert.EqualValues(f.t, 2, arrivals.Load())
 		})
 	})
+	t.Run("after a rest asked for with 429 single requests try the upstream, too", func(t *testing.T) {
+		bubble(t, func(f *fleet) {
+			var arrivals atomic.Int32
+			f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+				if arrivals.Add(1) > 1 {
+					_ = f.clock.Sleep(r.Context(), 200)
+					return
+				}
+				w.Header().Set(headerRestMs, "1000")
+				w.Header().Set("X-Not-Run", "1")
+				w.WriteHeader(http.StatusTooManyRequests)
+			})
+			b := f.box(1)
+			pass(f.t, time.Second)
+			_, _, err := b.get("/unsafe/")
+			require.NoError(f.t, err)
+			f.upstream("u2", answer("done"))
+			pass(f.t, 2*time.Second)
+			var sent sync.WaitGroup
+			for range 8 {
+				sent.Go(func() { _, _, _ = b.get("/unsafe/") })
+			}
+			sent.Wait()
+			assert.LessOrEqual(f.t, arrivals.Load(), int32(2), "one tries it until it is answered")
+		})
+	})
 	t.Run("a request under way at an upstream that leaves ends undisturbed", func(t *testing.T) {
 		bubble(t, func(f *fleet) {
 			f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -123,6 +123,22 @@
 		assert.Len(t, s.conns, 1)
 		assert.Empty(t, s.requests)
 	})
+	t.Run("keeps a connection that it did not use no longer than the upstream promised", func(t *testing.T) {
+		promising := strings.Replace(whole("1", "one"), "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1)
+		s := serve(t, each(promising, whole("1", "two")))
+		now := clock.Millis(1)
+		c := New(s.listener.Addr().String(), func() clock.Millis { return now })
+		_, err := readAll(t, c, request("1"))
+		require.NoError(t, err)
+		unsent := request("9")
+		unsent.MaySend = func() error { return errors.New("late") }
+		_, err = readAll(t, c, unsent)
+		require.Error(t, err)
+		now += clock.Second
+		_, err = readAll(t, c, request("1"))
+		require.NoError(t, err)
+		assert.Len(t, s.conns, 2, "the first one is about to be closed by the upstream")
+	})
 	t.Run("passes over provisional answers", func(t *testing.T) {
 		s := serve(t, each("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+whole("1", "one")))
 		body, err := readAll(t, s.client(), request("1"))
