fix(upstream,dispatch): unsent requests leave their connection as it was; no refusal ends a trial

Change: a connection that was not used is kept as long as it would have been (one function, which the probe of a process uses, too); an answer that asks for rest is no answer that ends the trial, whatever its status. Ruled out: closing the connection (a new one costs the upstream a slot).

--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -51,7 +51,7 @@
 	defer answer.Close()
 	s.request.Sent++
 	s.hear(lease, answer)
-	if answer.StatusCode < http.StatusInternalServerError {
+	if answer.StatusCode < http.StatusInternalServerError && s.word.RestMs == 0 {
 		lease.Answered()
 	}
 	failed := s.receive(lease, answer, cancel)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -177,6 +177,15 @@
 	c.keep(one, span-idleMarginMs)
 }
 
+// giveBack keeps a connection that was not used as long as it would have been kept.
+func (c *Client) giveBack(one *conn) {
+	if one.idleUntilMs == 0 {
+		c.keep(one, defaultIdleMs)
+		return
+	}
+	c.keep(one, one.idleUntilMs-c.steady())
+}
+
 // keep keeps a connection for a span.
 func (c *Client) keep(one *conn, span clock.Millis) {
 	one.idleUntilMs = c.steady() + span
@@ -238,7 +247,7 @@
 // for the next request, and none is opened while an idle one is well.
 func (c *Client) Liveness(ctx context.Context) Liveness {
 	if one := c.take(); one != nil {
-		c.keep(one, one.idleUntilMs-c.steady())
+		c.giveBack(one)
 		return Alive
 	}
 	ctx, cancel := context.WithTimeout(ctx, ReachMs.Duration())
@@ -271,7 +280,7 @@
 		return nil, err
 	}
 	if err := r.maySend(); err != nil {
-		c.keep(one, max(one.idleUntilMs-c.steady(), defaultIdleMs))
+		c.giveBack(one)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	x := &flight{client: c, conn: one, request: r}
