--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -48,6 +48,10 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			errs := []error{}
 			for _, seed := range seeds(c) {
+				// A run that is ended plays no more seeds: without faults they would show nothing.
+				if ctx.Err() != nil {
+					return errors.Join(append(errs, ctx.Err())...)
+				}
 				errs = append(errs, play(ctx, c, out, seed))
 			}
 			return errors.Join(errs...)
