fix(balance): a rest asked for by a server's next life goes on when its start is told

Change: rests heard after a connection to the upstream broke or did not open are kept for the next life; a new start still ends those of boxes that met no such sign.

--- a/internal/balance/domain.go
+++ b/internal/balance/domain.go
@@ -99,6 +99,7 @@
 	case Failed:
 		m.judgeFailure(member, now)
 	case Broken:
+		member.lost = true
 		m.judgeFailure(member, now)
 		member.set(member.health.WithFailure(now, limits), now)
 		member.client.CloseIdle()
@@ -107,6 +108,7 @@
 			d.asked = true
 		}
 	case Unreachable:
+		member.lost = true
 		member.set(member.health.WithUnreachable(now, limits), now)
 		member.client.CloseIdle()
 		if together(d.unreachable, member.ID, now) {
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -127,7 +127,7 @@
 // that were sent after the start and before its news run at the new one.
 func (m *Manager) keep(old *Member, u registry.Upstream) *Member {
 	if old == nil || old.Incarnation() != u.Incarnation() {
-		return newMember(u, m.connect(u.Address), m.saidBefore(u.Incarnation()))
+		return newMember(u, m.connect(u.Address), m.wordOfNext(old, u.Incarnation()))
 	}
 	if old.identity != identityOf(u) {
 		return newMember(u, m.connect(u.Address), old.said)
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -33,7 +33,9 @@
 
 	trial
 	// said is what it said of itself in answers.
-	said     *word
+	said *word
+	// lost is set once a connection to it broke or did not open.
+	lost     bool
 	failures failureRate
 	parts    partMemory
 	// pending counts the requests by which the engine is reading a part, until it answers.
--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -51,6 +51,9 @@
 	// request is the one to whose refusal the upstream asked for its rest.
 	request string
 	leaving bool
+	// nextUntilMs is the end of the longest rest that was asked for after a connection broke or
+	// did not open: perhaps by the server's next life.
+	nextUntilMs clock.Millis
 	// goneMs is when the upstream was lost sight of.
 	goneMs clock.Millis
 }
@@ -83,9 +86,13 @@
 	defer l.manager.mu.Unlock()
 	now := l.manager.steady()
 	news := !l.said.resting(now)
-	if until := now + span; until > l.said.restUntilMs {
+	until := now + span
+	if until > l.said.restUntilMs {
 		l.said.restUntilMs, l.said.request = until, request
 	}
+	if l.lost {
+		l.said.nextUntilMs = max(l.said.nextUntilMs, until)
+	}
 	l.probation = true
 	return news
 }
@@ -127,6 +134,18 @@
 	return counts
 }
 
+// wordOfNext returns the word of a server's next life, whose start was told. A rest that was
+// heard after connections to the former one broke, or were refused, was most likely asked for by
+// the next one, before its start was told: six boxes lost such a rest, and sent 4 to 8 requests
+// each into it. In doubt the upstream rests, which costs a box some seconds of it.
+func (m *Manager) wordOfNext(former *Member, incarnation string) *word {
+	next := m.saidBefore(incarnation)
+	if former != nil && former.said.nextUntilMs > next.restUntilMs {
+		next.restUntilMs, next.request = former.said.nextUntilMs, former.said.request
+	}
+	return next
+}
+
 // saidBefore returns the word of an incarnation whose entry was gone for a while, or a new one.
 func (m *Manager) saidBefore(incarnation string) *word {
 	if before := m.unseen[incarnation]; before != nil {
