fix(balance): a rest of a server's next life outlasts the former life's entry

Change: words of upstreams that are gone are kept by the server's id, and one function says what a new one goes on with. Ruled out: the entry's age (the rest was heard 0.8 s before).

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -52,7 +52,7 @@
 	popular map[string]*popularity
 	// othersAgeMs is how old what other boxes said of their loads is, on average.
 	othersAgeMs clock.Millis
-	// unseen is what upstreams said whose entries are gone, by incarnation.
+	// unseen is what upstreams said whose entries are gone, by ID.
 	unseen map[string]*word
 }
 
@@ -126,11 +126,11 @@
 // its host resets at the next keep-alive, within a second; they are not ended here, since those
 // that were sent after the start and before its news run at the new one.
 func (m *Manager) keep(old *Member, u registry.Upstream) *Member {
-	if old == nil || old.Incarnation() != u.Incarnation() {
-		return newMember(u, m.connect(u.Address), m.wordOfNext(old, u.Incarnation()))
+	if old == nil {
+		return newMember(u, m.connect(u.Address), m.wordFor(u, nil))
 	}
 	if old.identity != identityOf(u) {
-		return newMember(u, m.connect(u.Address), old.said)
+		return newMember(u, m.connect(u.Address), m.wordFor(u, old.said))
 	}
 	// Requests read the other fields without the lock; they are the same.
 	old.Draining, old.Slots = u.Draining, u.Slots
--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/registry"
 )
 
 // Errors of a check right before a send.
@@ -47,6 +48,7 @@
 // A word speaks to the box that it was said to. Other boxes aren't told: an upstream that wants
 // rest from all of them says so to each.
 type word struct {
+	incarnation string
 	restUntilMs clock.Millis
 	// request is the one to whose refusal the upstream asked for its rest.
 	request string
@@ -134,32 +136,36 @@
 	return counts
 }
 
-// wordOfNext returns the word of a server's next life, whose start was told. A rest that was
-// heard after connections to the former one broke, or were refused, was most likely asked for by
-// the next one, before its start was told: six boxes lost such a rest, and sent 4 to 8 requests
-// each into it. In doubt the upstream rests, which costs a box some seconds of it.
-func (m *Manager) wordOfNext(former *Member, incarnation string) *word {
-	next := m.saidBefore(incarnation)
-	if former != nil && former.said.nextUntilMs > next.restUntilMs {
-		next.restUntilMs, next.request = former.said.nextUntilMs, former.said.request
+// wordFor returns the word of an upstream that is new to the list; former is what is known of
+// its server, if anything. An incarnation whose entry was gone for a while goes on with its word.
+//
+// A rest that was heard after connections to a former life broke, or were refused, was most
+// likely asked for by the next one, before its start was told: six boxes lost such a rest, and
+// sent 4 to 8 requests each into it. In doubt the upstream rests, which costs a box some seconds
+// of it.
+func (m *Manager) wordFor(u registry.Upstream, former *word) *word {
+	if before := m.unseen[u.ID]; before != nil {
+		delete(m.unseen, u.ID)
+		former = before
 	}
-	return next
-}
-
-// saidBefore returns the word of an incarnation whose entry was gone for a while, or a new one.
-func (m *Manager) saidBefore(incarnation string) *word {
-	if before := m.unseen[incarnation]; before != nil {
-		delete(m.unseen, incarnation)
-		return before
+	switch {
+	case former == nil:
+		return &word{incarnation: u.Incarnation()}
+	case former.incarnation == u.Incarnation():
+		return former
+	default:
+		return &word{
+			incarnation: u.Incarnation(), restUntilMs: former.nextUntilMs, request: former.request,
+			nextUntilMs: former.nextUntilMs,
+		}
 	}
-	return &word{}
 }
 
 // keepWord keeps the word of an upstream whose entry is gone: entries lapse while the store that
 // holds them is away, and come back.
 func (m *Manager) keepWord(member *Member) {
 	member.said.goneMs = m.steady()
-	m.unseen[member.Incarnation()] = member.said
+	m.unseen[member.ID] = member.said
 }
 
 // noUpstream says why no upstream of a pool takes a request.
--- a/internal/balance/words_test.go
+++ b/internal/balance/words_test.go
@@ -145,6 +145,19 @@
 		two.Rest(restMs, "r")
 		assertTakes(t, f, one.ID, false)
 	})
+	t.Run("one that its next life asked for before the former's entry was gone goes on", func(t *testing.T) {
+		f := newFixture(t, 3).started()
+		first := f.pick(t, sticky("s"))
+		first.Release(Unreachable)
+		f.now += clock.Second
+		first.Rest(restMs, "r")
+		f.SetUpstreams(nil)
+		f.now += clock.Second
+		f.restart(first.ID)
+		assertTakes(t, f, first.ID, false)
+		f.now += restMs - clock.Second
+		assertTakes(t, f, first.ID, true)
+	})
 	t.Run("one that its next life asked for before the news of its start goes on", func(t *testing.T) {
 		// A server crashed, was back under its id within a second, and asked six boxes for rest before
 		// they heard of its start: the rest was laid to the former life, and 4 to 8 requests came in it.
