fix(balance): in doubt a rest goes on for a server's next life

Change: a rest that was heard within 3 s before the news goes on, too. Ruled out: to compare the start with the box's clock. Left: a rest heard earlier than that while the store is away, without a broken connection.

--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -53,6 +53,8 @@
 	// request is the one to whose refusal the upstream asked for its rest.
 	request string
 	leaving bool
+	// heardMs is when it was last asked for.
+	heardMs clock.Millis
 	// nextUntilMs is the end of the longest rest that was asked for after a connection broke or
 	// did not open: perhaps by the server's next life.
 	nextUntilMs clock.Millis
@@ -89,6 +91,7 @@
 	now := l.manager.steady()
 	news := !l.said.resting(now)
 	until := now + span
+	l.said.heardMs = now
 	if until > l.said.restUntilMs {
 		l.said.restUntilMs, l.said.request = until, request
 	}
@@ -139,10 +142,10 @@
 // wordFor returns the word of an upstream that is new to the list; former is what is known of
 // its server, if anything. An incarnation whose entry was gone for a while goes on with its word.
 //
-// A rest that was heard after connections to a former life broke, or were refused, was most
-// likely asked for by the next one, before its start was told: six boxes lost such a rest, and
-// sent 4 to 8 requests each into it. In doubt the upstream rests, which costs a box some seconds
-// of it.
+// A rest that was heard after connections to a former life broke, or were refused, or a short
+// while before the next one was told of, may have been asked for by the next one: six boxes lost
+// such a rest, and sent 4 to 8 requests each into it, and a box that had met no such sign 4. In
+// doubt the upstream rests, which costs a box some seconds of it.
 func (m *Manager) wordFor(u registry.Upstream, former *word) *word {
 	if before := m.unseen[u.ID]; before != nil {
 		delete(m.unseen, u.ID)
@@ -154,13 +157,26 @@
 	case former.incarnation == u.Incarnation():
 		return former
 	default:
+		until := m.nextUntil(former)
 		return &word{
-			incarnation: u.Incarnation(), restUntilMs: former.nextUntilMs, request: former.request,
-			nextUntilMs: former.nextUntilMs,
+			incarnation: u.Incarnation(), restUntilMs: until, request: former.request, heardMs: former.heardMs,
+			nextUntilMs: until,
 		}
 	}
 }
 
+// newsLateMs is how long after a server's start boxes usually hear of it at the latest: a
+// heartbeat, a poll of the store and as much again.
+const newsLateMs = 3 * clock.Second
+
+// nextUntil is the end of the rest that a former life's word leaves to the next one.
+func (m *Manager) nextUntil(former *word) clock.Millis {
+	if m.steady()-former.heardMs <= newsLateMs {
+		return former.restUntilMs
+	}
+	return former.nextUntilMs
+}
+
 // keepWord keeps the word of an upstream whose entry is gone: entries lapse while the store that
 // holds them is away, and come back.
 func (m *Manager) keepWord(member *Member) {
