feat(registry,platform): positions are ordered by the store's era before their offset

Cause: a position in the store's log was taken for a position in time; a store that comes back from an older copy gives offsets out again. An answer of an era that is over is void, pages of two eras make no whole, and a box that meets a later era reads whole. What a server itself wrote last holds against the copy's older record (by its start, then its sequence), until it writes again; what the copy lacks may come back for the span in which servers write. Boxes that stand where their source stood get the difference, not the whole list. Ruled out: 410 as the only sign; the log may have grown past the old end meanwhile. Wire between boxes changed: position for revision.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/position"
 )
 
 // Event is one log line.
@@ -222,6 +223,35 @@
 	return nil
 }
 
+// StoreRestored tells that the store has come back from an older copy: what was written there
+// since is lost until it is written again.
+type StoreRestored struct {
+	// Before and Era are the eras before and now.
+	Before, Era int64
+	// Source is who told it.
+	Source string
+	// Position is the newest of the upstreams' records that the box knew then, and Version that
+	// of the routing state in force.
+	Position position.Position
+	Version  int64
+}
+
+// Name implements Event.
+func (StoreRestored) Name() string { return "store restored" }
+
+// Routine implements Event.
+func (StoreRestored) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e StoreRestored) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddInt64("era_before", e.Before)
+	o.AddInt64("era", e.Era)
+	o.AddString("source", e.Source)
+	o.AddString("position", e.Position.String())
+	o.AddInt64("version", e.Version)
+	return nil
+}
+
 // StateAdopted tells that a newer routing state is in force.
 type StateAdopted struct {
 	Version int64
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -72,6 +72,9 @@
 	stopping atomic.Bool
 	// storeLost is set while a stream of the store can't be read.
 	storeLost atomic.Bool
+	// restored is when this box last met a store that had come back from an older copy, 0 for
+	// never.
+	restored atomic.Int64
 	// learnt is closed once the box has a routing state and knows upstreams.
 	learnt    chan struct{}
 	learntOne sync.Once
@@ -150,12 +153,12 @@
 
 // knowledge is what the box knows now, for other boxes and for metrics.
 func (b *Box) knowledge() mesh.Knowledge {
-	k := mesh.Knowledge{Revision: b.registry.Revision(), AgeMs: -1, StoreLost: b.storeLost.Load()}
+	k := mesh.Knowledge{Position: b.registry.Position(), AgeMs: -1, StoreLost: b.storeLost.Load()}
 	if state := b.belief.State(); state != nil {
 		k.Version = state.Version()
 	}
-	if b.belief.ProvedMs() > 0 {
-		k.AgeMs = b.belief.AgeMs()
+	if proof, ok := b.belief.Proved(); ok {
+		k.AgeMs, k.Era = b.clock.Steady()-proof.AtMs, proof.Era
 	}
 	return k
 }
--- a/internal/gateway/ignored_test.go
+++ b/internal/gateway/ignored_test.go
@@ -47,10 +47,10 @@
 		b := f.box(1)
 		sink := b.newStoreSink("store").asSink()
 		sink.Reached("all", errStoreAway)
-		revision := b.registry.Revision()
+		at := b.registry.Position()
 		goneFor := func(id string, unusable bool) registry.Change {
-			revision++
-			return registry.Change{Upstream: registry.Upstream{ID: id}, Gone: true, Unusable: unusable, Revision: revision}
+			at.Offset++
+			return registry.Change{Upstream: registry.Upstream{ID: id}, Gone: true, Unusable: unusable, Position: at}
 		}
 		sink.Upstreams([]registry.Change{goneFor("u1", true), goneFor("u2", false)})
 		ids := []string{}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,9 @@
 // UpstreamEnded counts an upstream that was found to have ended under requests.
 func (m *Metrics) UpstreamEnded() { m.all.Add("upstreams_ended", 1) }
 
+// StoreRestored counts that the store came back from an older copy.
+func (m *Metrics) StoreRestored() { m.all.Add("store_restored", 1) }
+
 // RestHeard counts a rest that an upstream asked for.
 func (m *Metrics) RestHeard() { m.all.Add("upstream_rests_heard", 1) }
 
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -106,17 +106,22 @@
 // from the instant at which this box asked for it.
 func (p *peering) learn(ctx context.Context, a mesh.Answer) {
 	own := p.box.knowledge()
-	if own.Revision == 0 && p.readsFirst() {
+	if own.Position.IsZero() && p.readsFirst() {
 		return
 	}
-	if a.Knowledge.Version > own.Version || a.Knowledge.Revision > own.Revision {
+	if !a.Knowledge.Position.IsZero() {
+		p.box.meetEra(max(a.Knowledge.Era, a.Knowledge.Position.Era), "box "+a.From.Box)
+	}
+	if a.Knowledge.Version > own.Version || own.Position.Before(a.Knowledge.Position) {
 		if err := p.fetch(ctx, a.From, own); err != nil {
 			p.box.log.Tell(decision.InputIgnored{Input: "news of box " + a.From.Box, Err: err.Error()})
 			return
 		}
 	}
 	if a.AskedMs > 0 && a.Knowledge.AgeMs >= 0 {
-		p.box.belief.Prove(a.Knowledge.Version, a.AskedMs-a.Knowledge.AgeMs)
+		p.box.belief.Prove(routing.Proof{
+			Version: a.Knowledge.Version, Era: a.Knowledge.Era, AtMs: a.AskedMs - a.Knowledge.AgeMs,
+		})
 	}
 }
 
@@ -131,7 +136,7 @@
 }
 
 func (p *peering) fetch(ctx context.Context, from mesh.Identity, own mesh.Knowledge) error {
-	reply, err := p.client.Fetch(ctx, from.Address, own.Version, own.Revision)
+	reply, err := p.client.Fetch(ctx, from.Address, own.Version, own.Position)
 	if err != nil {
 		return err
 	}
@@ -141,7 +146,7 @@
 		if err != nil {
 			return err
 		}
-		p.box.adopt(state, source)
+		p.box.adopt(state, reply.Era, source)
 	}
 	p.box.tellUpstreams(p.box.registry.Merge(reply.Upstreams), source)
 	return nil
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -43,7 +43,7 @@
 
 // noteLearnt looks whether the box has learnt enough to serve.
 func (b *Box) noteLearnt() {
-	if b.belief.State() != nil && b.registry.Revision() > 0 {
+	if b.belief.State() != nil && !b.registry.Position().IsZero() {
 		b.learntOne.Do(func() { close(b.learnt) })
 	}
 }
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -5,6 +5,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 )
@@ -17,17 +18,19 @@
 	Wanted func(stream string) bool
 	// ReadsForOthers tells whether other boxes depend on what the source reads.
 	ReadsForOthers func() bool
-	// Adopt takes a routing state into force if it is newer.
-	Adopt func(s *routing.State)
-	// Prove says that the newest state that this source ever handed over was
-	// the newest there is at an instant.
-	Prove func(atMs clock.Millis)
+	// Met tells of which era an answer of the store was.
+	Met func(era int64)
+	// Adopt takes a routing state, told in an era, into force if it is newer.
+	Adopt func(s *routing.State, era int64)
+	// Prove says that the newest state that this source handed over last was the newest
+	// there is at an instant, by an answer of an era.
+	Prove func(atMs clock.Millis, era int64)
 	// Upstreams takes in changes.
 	Upstreams func(changes []registry.Change)
-	// AllUpstreams takes in all upstreams there are, as of a revision.
-	AllUpstreams func(all []registry.Change, revision int64)
-	// Revision returns the newest revision of the upstreams that is known.
-	Revision func() int64
+	// AllUpstreams takes in all upstreams there are, as of a position.
+	AllUpstreams func(all []registry.Change, at position.Position)
+	// Position returns the newest position of the upstreams that is known.
+	Position func() position.Position
 	// Reached tells whether a read of some stream worked.
 	Reached func(stream string, err error)
 	// Ignored tells of an input that can't be used.
@@ -59,9 +62,9 @@
 
 func (s *storeSink) asSink() Sink {
 	return Sink{
-		Wanted: s.wanted, ReadsForOthers: s.box.peering.mesh.IsSource, Adopt: s.adopt, Prove: s.prove,
+		Wanted: s.wanted, ReadsForOthers: s.box.peering.mesh.IsSource, Met: s.met, Adopt: s.adopt, Prove: s.prove,
 		Upstreams: s.upstreams, AllUpstreams: s.allUpstreams,
-		Revision: s.box.registry.Revision, Reached: s.reached, Ignored: s.box.Ignored,
+		Position: s.box.registry.Position, Reached: s.reached, Ignored: s.box.Ignored,
 	}
 }
 
@@ -100,18 +103,20 @@
 	return needed || lost && s.box.clock.Steady()-s.failedMs >= lostLookMs
 }
 
-func (s *storeSink) adopt(state *routing.State) {
+func (s *storeSink) met(era int64) { s.box.meetEra(era, s.source) }
+
+func (s *storeSink) adopt(state *routing.State, era int64) {
 	s.mu.Lock()
 	s.version = state.Version()
 	s.mu.Unlock()
-	s.box.adopt(state, s.source)
+	s.box.adopt(state, era, s.source)
 }
 
-func (s *storeSink) prove(atMs clock.Millis) {
+func (s *storeSink) prove(atMs clock.Millis, era int64) {
 	s.mu.Lock()
 	version := s.version
 	s.mu.Unlock()
-	s.box.belief.Prove(version, atMs)
+	s.box.belief.Prove(routing.Proof{Version: version, Era: era, AtMs: atMs})
 }
 
 func (s *storeSink) upstreams(changes []registry.Change) {
@@ -124,8 +129,8 @@
 	s.box.tellUpstreams(s.box.registry.Apply(changes), s.source)
 }
 
-func (s *storeSink) allUpstreams(all []registry.Change, revision int64) {
-	s.box.tellUpstreams(s.box.registry.Replace(all, revision, s.lapseSpan()), s.source)
+func (s *storeSink) allUpstreams(all []registry.Change, at position.Position) {
+	s.box.tellUpstreams(s.box.registry.Replace(all, at, s.lapseSpan()), s.source)
 }
 
 // lapseSpan is how long an entry that disappears now may come back: only the
@@ -137,10 +142,11 @@
 	if len(s.lost) > 0 {
 		return lapseMs
 	}
-	if s.backMs == 0 {
+	backMs := max(s.backMs, s.box.restoredMs())
+	if backMs == 0 {
 		return 0
 	}
-	return max(0, min(lapseMs, s.backMs+afterReturnMs-s.box.clock.Steady()))
+	return max(0, min(lapseMs, backMs+afterReturnMs-s.box.clock.Steady()))
 }
 
 // reached notes when a stream of the store is lost and when it is back.
@@ -171,8 +177,8 @@
 	s.box.log.Tell(event)
 }
 
-func (b *Box) adopt(state *routing.State, source string) {
-	if !b.belief.Adopt(state) {
+func (b *Box) adopt(state *routing.State, era int64, source string) {
+	if !b.belief.Adopt(state, era) {
 		return
 	}
 	b.log.Tell(decision.StateAdopted{Version: state.Version(), Source: source, Routes: state.RouteCount()})
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 )
@@ -23,8 +24,9 @@
 	mu      sync.Mutex
 	state   *routing.State
 	changes []registry.Change
-	// revision counts the changes so far.
+	// revision counts the changes so far, in an era.
 	revision int64
+	era      int64
 	away     map[string]bool
 	silent   map[string]bool
 	reads    map[string]int
@@ -50,7 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.changes = append(s.changes, registry.Change{Upstream: u, Revision: s.revision})
+	s.changes = append(s.changes, registry.Change{Upstream: u, Position: position.At(s.era, s.revision)})
 }
 
 // remove takes an upstream's entry away.
@@ -144,7 +146,7 @@
 func (s *store) poll(ctx context.Context, box string, c clock.Clock, sink Sink) {
 	s.mu.Lock()
 	state, changes, away := s.state, append([]registry.Change(nil), s.changes...), s.away[box]
-	revision := s.revision
+	at := position.At(s.era, s.revision)
 	silent, slowMs := s.silent[box], s.slowMs
 	s.reads[box]++
 	s.mu.Unlock()
@@ -163,10 +165,11 @@
 		return
 	}
 	sink.Reached("all", nil)
-	sink.AllUpstreams(changes, revision)
+	sink.Met(at.Era)
+	sink.AllUpstreams(changes, at)
 	if state != nil {
-		sink.Adopt(state)
-		sink.Prove(sentMs)
+		sink.Adopt(state, at.Era)
+		sink.Prove(sentMs, at.Era)
 	}
 }
 
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -12,6 +12,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
 )
@@ -33,13 +34,15 @@
 type Knowledge struct {
 	// Version is that of the routing state in force, 0 for none.
 	Version int64 `cbor:"1,keyasint" json:"version"`
-	// Revision is that of the newest change of the upstreams.
-	Revision int64 `cbor:"2,keyasint" json:"revision"`
+	// Position is that of the newest change of the upstreams.
+	Position position.Position `cbor:"2,keyasint" json:"position"`
 	// AgeMs is how long ago Version was proved to be the newest, below 0 if
 	// never.
 	AgeMs clock.Millis `cbor:"3,keyasint" json:"age_ms"`
 	// StoreLost is set while the box can't read its store.
 	StoreLost bool `cbor:"4,keyasint,omitempty" json:"store_lost"`
+	// Era is that of the store's answer which proved Version.
+	Era int64 `cbor:"5,keyasint,omitempty" json:"era"`
 }
 
 // packetType tells datagrams apart.
--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/position"
 )
 
 // Servers may start again under the id that they had. Boxes that took an id for one life
@@ -51,7 +52,7 @@
 	t.Run("also among all entries", func(t *testing.T) {
 		f := newFixture()
 		f.Apply([]Change{started("a", 200, 1)})
-		f.Replace([]Change{started("a", 100, 2)}, 3, 0)
+		f.Replace([]Change{started("a", 100, 2)}, position.At(0, 3), 0)
 		assertStarted(t, f, 200)
 	})
 	t.Run("the former's leaving is not the new one's", func(t *testing.T) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/position"
 )
 
 // Upstream is one incarnation of a server.
@@ -51,9 +52,14 @@
 	// Unusable is set with Gone when there is an entry that names no upstream to use: it does
 	// not come back with the store that holds it.
 	Unusable bool `json:"-"`
-	// Revision orders the changes of all upstreams: every source gives the same
-	// change the same number.
-	Revision int64 `json:"revision"`
+	// Position orders the changes of all upstreams: every source gives the same change the
+	// same one.
+	Position position.Position `json:"position"`
+	// Sequence counts what the upstream wrote of itself since it started, 0 if it does not tell.
+	Sequence int64 `json:"sequence,omitempty"`
+	// Copied is set when the record may be older than the era of its position: it was read as
+	// part of a whole, not as it was written.
+	Copied bool `json:"copied,omitempty"`
 	// LapseMs is how long an entry that disappeared may come back: entries lapse
 	// while the store that holds them is away, although their upstreams live.
 	// Zero gives it up at once.
@@ -66,10 +72,18 @@
 	// goneMs is the steady instant at which a lapsed entry is given up, or 0.
 	goneMs clock.Millis
 	// gone is set on what is only kept to know that older changes are void.
-	gone     bool
-	revision int64
+	gone bool
+	// unusable is set on a gone entry that another writer replaced.
+	unusable bool
+	position position.Position
 	// startedMs is the newest start of the server that was heard.
 	startedMs clock.Millis
+	// sequence is that of the newest record which this life wrote.
+	sequence int64
+	// copied is Change.Copied of the newest record.
+	copied bool
+	// listed is an older record that the store still holds of an upstream known to be gone.
+	listed *listing
 }
 
 // Registry is the set of upstreams. It is safe for concurrent use.
@@ -112,23 +126,28 @@
 func (r *Registry) apply(c Change) bool {
 	id := c.Upstream.ID
 	old, known := r.entries[id]
-	next := entry{revision: c.Revision, startedMs: max(old.startedMs, c.Upstream.StartedMs)}
+	next := entry{
+		position: c.Position, startedMs: max(old.startedMs, c.Upstream.StartedMs), sequence: old.sequence, copied: c.Copied,
+	}
 	switch {
-	case known && c.Revision <= old.revision:
+	case c.Position.Era < r.journal.position.Era || known && !old.position.Before(c.Position):
 		return false
 	case c.Upstream.formerOf(old.startedMs):
 		// A word of a former life, written late: it says nothing of this one.
-		old.revision = c.Revision
+		old.position = c.Position
 		r.entries[id] = old
 		return false
+	case known && old.outdates(c):
+		r.entries[id] = old.keptOver(c, r.steady())
+		return false
 	case !c.Gone:
-		next.upstream = c.Upstream
+		next.upstream, next.sequence = c.Upstream, c.Sequence
 	case !known || old.gone:
 		next.gone = true
 		r.entries[id] = next
 		return !known
 	case c.LapseMs == 0 || old.upstream.Draining:
-		next.gone = true
+		next.gone, next.unusable = true, c.Unusable
 	default:
 		next.upstream, next.goneMs = old.upstream, r.steady()+c.LapseMs
 	}
@@ -141,29 +160,43 @@
 	return u.StartedMs > 0 && u.StartedMs < newestMs
 }
 
-// Replace takes in all upstreams as they were at a revision, and returns what
+// Replace takes in all upstreams as they were at a position, and returns what
 // was news: upstreams that are not among them have disappeared, and may come back
 // within lapseMs.
-func (r *Registry) Replace(all []Change, revision int64, lapseMs clock.Millis) []Change {
-	listed := make(map[string]bool, len(all))
-	for _, c := range all {
-		listed[c.Upstream.ID] = true
-	}
+func (r *Registry) Replace(all []Change, at position.Position, lapseMs clock.Millis) []Change {
 	r.mu.Lock()
-	for id, e := range r.entries {
-		if !listed[id] && !e.gone && e.goneMs == 0 && e.revision < revision {
-			all = append(all, Change{Upstream: Upstream{ID: id}, Gone: true, Revision: revision, LapseMs: lapseMs})
-		}
+	before := r.journal.position
+	if at.Era < before.Era {
+		r.mu.Unlock()
+		return nil
 	}
+	// What is missing goes first: an outdated record of an upstream that is missing says nothing.
+	all = append(r.missing(all, at, lapseMs), r.listable(all, at, lapseMs)...)
 	r.mu.Unlock()
 	news := r.Apply(all)
 	r.mu.Lock()
-	r.journal.reach(revision)
+	r.journal.reach(before, at)
 	r.filled = true
 	r.mu.Unlock()
 	return news
 }
 
+// missing returns what a list of all upstreams at a position lacks, as gone.
+func (r *Registry) missing(all []Change, at position.Position, lapseMs clock.Millis) []Change {
+	listed := make(map[string]bool, len(all))
+	for _, c := range all {
+		former := r.restored(at) && c.Upstream.formerOf(r.entries[c.Upstream.ID].startedMs)
+		listed[c.Upstream.ID] = !former
+	}
+	gone := []Change{}
+	for id, e := range r.entries {
+		if !listed[id] && !e.gone && e.goneMs == 0 && e.position.Before(at) {
+			gone = append(gone, Change{Upstream: Upstream{ID: id}, Gone: true, Position: at, LapseMs: lapseMs})
+		}
+	}
+	return gone
+}
+
 // Filled tells whether all upstreams there are were taken in, be it none.
 func (r *Registry) Filled() bool {
 	r.mu.Lock()
@@ -171,14 +204,16 @@
 	return r.filled
 }
 
-// Expire removes entries whose time to come back is over.
+// Expire removes entries whose time to come back is over, and takes back upstreams that the
+// store goes on listing.
 func (r *Registry) Expire() {
 	now := r.steady()
 	changed := false
 	r.mu.Lock()
 	for id, e := range r.entries {
-		if e.goneMs > 0 && now >= e.goneMs {
-			r.entries[id] = entry{gone: true, revision: e.revision, startedMs: e.startedMs}
+		next, news := e.expired(now)
+		if news {
+			r.entries[id] = next
 			changed = true
 		}
 	}
@@ -188,6 +223,20 @@
 	}
 }
 
+// expired returns what follows from an entry's own time-outs by an instant.
+func (e entry) expired(now clock.Millis) (next entry, changed bool) {
+	switch {
+	case e.goneMs > 0 && now >= e.goneMs:
+		return entry{gone: true, position: e.position, startedMs: e.startedMs, sequence: e.sequence}, true
+	case e.listed != nil && now >= e.listed.untilMs:
+		return entry{
+			upstream: e.listed.upstream, position: e.position, startedMs: e.startedMs, sequence: e.listed.sequence, copied: true,
+		}, true
+	default:
+		return e, false
+	}
+}
+
 // All returns the upstreams by ID.
 func (r *Registry) All() []Upstream {
 	r.mu.Lock()
@@ -210,39 +259,52 @@
 	return known && !e.gone && e.upstream.StartedMs == u.StartedMs
 }
 
-// Revision returns the newest revision that was taken in.
-func (r *Registry) Revision() int64 {
+// Position returns the newest position that was taken in.
+func (r *Registry) Position() position.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.journal.revision
+	return r.journal.position
 }
 
-// Update is what changed after some revision.
+// Update is what changed after some position.
 type Update struct {
-	// Revision is the newest one that the update covers.
-	Revision int64 `json:"revision"`
+	// Position is the newest one that the update covers.
+	Position position.Position `json:"position"`
 	// Whole is set when Changes are all upstreams there are.
 	Whole   bool     `json:"whole,omitempty"`
 	Changes []Change `json:"changes,omitempty"`
 }
 
-// Since returns what changed after a revision, or all upstreams when the journal
+// Since returns what changed after a position, or all upstreams when the journal
 // does not reach back so far.
-func (r *Registry) Since(revision int64) Update {
+func (r *Registry) Since(after position.Position) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if changes, ok := r.journal.since(revision); ok {
-		return Update{Revision: r.journal.revision, Changes: changes}
+	if changes, ok := r.journal.since(after); ok {
+		return Update{Position: r.journal.position, Changes: changes}
 	}
-	u := Update{Revision: r.journal.revision, Whole: true}
+	u := Update{Position: r.journal.position, Whole: true}
 	for _, e := range r.entries {
-		if !e.gone && e.goneMs == 0 {
-			u.Changes = append(u.Changes, Change{Upstream: e.upstream, Revision: e.revision})
+		if !e.gone {
+			u.Changes = append(u.Changes, e.change(r.journal.position.Era, r.steady()))
 		}
 	}
 	return u
 }
 
+// change returns what the entry says in an era. What was last read in an era before has no
+// position in this one but the beginning.
+func (e entry) change(era int64, now clock.Millis) Change {
+	c := Change{Upstream: e.upstream, Position: e.position, Sequence: e.sequence, Copied: e.copied}
+	if e.position.Era < era {
+		c.Position, c.Copied = position.At(era, 0), true
+	}
+	if e.goneMs > 0 {
+		c.Gone, c.LapseMs = true, max(1, e.goneMs-now)
+	}
+	return c
+}
+
 // maxRelayedLapseMs bounds how long an entry may come back that another box told
 // of: its word has been under way for a while.
 const maxRelayedLapseMs clock.Millis = 1200
@@ -252,8 +314,17 @@
 	for i := range u.Changes {
 		u.Changes[i].LapseMs = min(u.Changes[i].LapseMs, maxRelayedLapseMs)
 	}
-	if u.Whole || u.Revision > 0 && r.Revision() == 0 {
-		return r.Replace(u.Changes, u.Revision, 0)
+	own := r.Position()
+	switch {
+	case u.Whole || !u.Position.IsZero() && own.IsZero():
+		return r.Replace(u.Changes, u.Position, r.relayedLapse(u.Position))
+	case own.Era < u.Position.Era:
+		news := r.Apply(u.Changes)
+		r.mu.Lock()
+		r.journal.reach(own, u.Position)
+		r.mu.Unlock()
+		return news
+	default:
+		return r.Apply(u.Changes)
 	}
-	return r.Apply(u.Changes)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/position"
 )
 
 type fixture struct {
@@ -20,11 +21,11 @@
 }
 
 func put(id string, revision int64) Change {
-	return Change{Upstream: Upstream{ID: id, Pool: "p", Address: "127.0.0.1:1"}, Revision: revision}
+	return Change{Upstream: Upstream{ID: id, Pool: "p", Address: "127.0.0.1:1"}, Position: position.At(0, revision)}
 }
 
 func gone(id string, revision int64, lapse clock.Millis) Change {
-	return Change{Upstream: Upstream{ID: id}, Gone: true, Revision: revision, LapseMs: lapse}
+	return Change{Upstream: Upstream{ID: id}, Gone: true, Position: position.At(0, revision), LapseMs: lapse}
 }
 
 func assertIDs(t *testing.T, r *Registry, want ...string) {
@@ -71,14 +72,14 @@
 	t.Run("what is not listed has disappeared", func(t *testing.T) {
 		f := newFixture()
 		f.Apply([]Change{put("a", 1), put("b", 2)})
-		f.Replace([]Change{put("b", 2), put("c", 3)}, 9, 0)
+		f.Replace([]Change{put("b", 2), put("c", 3)}, position.At(0, 9), 0)
 		assertIDs(t, f.Registry, "b", "c")
-		assert.Equal(t, int64(9), f.Revision())
+		assert.Equal(t, position.At(0, 9), f.Position())
 	})
 	t.Run("what is newer than the list stays", func(t *testing.T) {
 		f := newFixture()
 		f.Apply([]Change{put("a", 12)})
-		f.Replace([]Change{put("b", 2)}, 9, 0)
+		f.Replace([]Change{put("b", 2)}, position.At(0, 9), 0)
 		assertIDs(t, f.Registry, "a", "b")
 	})
 }
@@ -87,20 +88,20 @@
 	t.Run("tells single changes while it knows them all", func(t *testing.T) {
 		from, to := newFixture(), newFixture()
 		from.Apply([]Change{put("a", 1), put("b", 2)})
-		to.Merge(from.Since(0))
+		to.Merge(from.Since(position.Position{}))
 		from.Apply([]Change{gone("a", 3, 0)})
-		update := from.Since(to.Revision())
+		update := from.Since(to.Position())
 		assert.False(t, update.Whole)
 		assert.Len(t, update.Changes, 1)
 		to.Merge(update)
 		assertIDs(t, to.Registry, "b")
-		assert.Equal(t, from.Revision(), to.Revision())
+		assert.Equal(t, from.Position(), to.Position())
 	})
 	t.Run("tells the whole when its journal begins later", func(t *testing.T) {
 		from, to := newFixture(), newFixture()
-		from.Replace([]Change{put("a", 4)}, 7, 0)
+		from.Replace([]Change{put("a", 4)}, position.At(0, 7), 0)
 		to.Apply([]Change{put("old", 1)})
-		update := from.Since(to.Revision())
+		update := from.Since(to.Position())
 		assert.True(t, update.Whole)
 		to.Merge(update)
 		assertIDs(t, to.Registry, "a")
@@ -110,8 +111,8 @@
 		for i := range int64(4 * journalLength) {
 			from.Apply([]Change{put("a", i+1)})
 		}
-		assert.True(t, from.Since(1).Whole)
-		to.Merge(from.Since(1))
+		assert.True(t, from.Since(position.At(0, 1)).Whole)
+		to.Merge(from.Since(position.At(0, 1)))
 		assertIDs(t, to.Registry, "a")
 	})
 }
--- a/internal/relay/encode.go
+++ b/internal/relay/encode.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/klauspost/compress/gzip"
+
+	"dooryard.example/dooryard/internal/position"
 )
 
 // maxEncoded is how many encoded replies are kept: those to boxes that are one or two
@@ -15,8 +17,8 @@
 
 // question is what decides a reply: what the asker has and what this box has.
 type question struct {
-	version, revision       int64
-	ownVersion, ownRevision int64
+	version, ownVersion   int64
+	position, ownPosition position.Position
 }
 
 // encoder encodes replies and keeps the newest. After a change all boxes of a failure
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/jsonhttp"
+	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 )
@@ -41,8 +42,10 @@
 type Reply struct {
 	Version int64 `json:"version"`
 	// State is set when it is newer than what the asker has.
-	State     *routing.Content `json:"state,omitempty"`
-	Upstreams registry.Update  `json:"upstreams"`
+	State *routing.Content `json:"state,omitempty"`
+	// Era is the newest era of the store in which it told of Version.
+	Era       int64           `json:"era,omitempty"`
+	Upstreams registry.Update `json:"upstreams"`
 }
 
 // errBusy means that a box gives enough long replies already.
@@ -55,12 +58,13 @@
 	long := make(chan struct{}, maxLong)
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
 		version, versionErr := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
-		revision, revisionErr := strconv.ParseInt(r.URL.Query().Get("revision"), 10, 64)
-		if err := errors.Join(versionErr, revisionErr); err != nil {
-			apierror.New(http.StatusBadRequest, "bad_query", "version and revision must be whole numbers").Write(w)
+		var at position.Position
+		positionErr := at.UnmarshalText([]byte(r.URL.Query().Get("position")))
+		if err := errors.Join(versionErr, positionErr); err != nil {
+			apierror.New(http.StatusBadRequest, "bad_query", err.Error()).Write(w)
 			return
 		}
-		out := reply(belief, upstreams, version, revision)
+		out := reply(belief, upstreams, version, at)
 		if len(out.Upstreams.Changes) > longChanges {
 			select {
 			case long <- struct{}{}:
@@ -70,7 +74,7 @@
 				return
 			}
 		}
-		q := question{version: version, revision: revision, ownVersion: out.Version, ownRevision: out.Upstreams.Revision}
+		q := question{version: version, position: at, ownVersion: out.Version, ownPosition: out.Upstreams.Position}
 		data, err := encoded.encode(q, out)
 		if err != nil {
 			apierror.New(http.StatusInternalServerError, "internal", err.Error()).Write(w)
@@ -84,10 +88,10 @@
 	return mux
 }
 
-func reply(belief *routing.Belief, upstreams *registry.Registry, version, revision int64) Reply {
-	out := Reply{Upstreams: upstreams.Since(revision)}
+func reply(belief *routing.Belief, upstreams *registry.Registry, version int64, at position.Position) Reply {
+	out := Reply{Upstreams: upstreams.Since(at)}
 	if state := belief.State(); state != nil {
-		out.Version = state.Version()
+		out.Version, out.Era = state.Version(), belief.StateEra()
 		if state.Version() > version {
 			content := state.Content()
 			out.State = &content
@@ -112,13 +116,13 @@
 }
 
 // Fetch asks the box at an address for what is newer than a version and a
-// revision.
-func (c *Client) Fetch(ctx context.Context, address string, version, revision int64) (Reply, error) {
+// position.
+func (c *Client) Fetch(ctx context.Context, address string, version int64, at position.Position) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, clock.Millis(callMs).Duration())
 	defer cancel()
 	answer, err := jsonhttp.Call{
 		Client: c.client, Method: http.MethodGet, Limit: maxReplyBytes,
-		URL: fmt.Sprintf("http://%s%s?version=%d&revision=%d", address, path, version, revision),
+		URL: fmt.Sprintf("http://%s%s?version=%d&position=%s", address, path, version, at),
 	}.Do(ctx)
 	if err != nil {
 		return Reply{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 )
@@ -23,9 +24,9 @@
 	state, err := routing.New(routing.Content{Version: 7})
 	require.NoError(t, err)
 	belief, r := routing.NewBelief(steady), registry.New(steady)
-	belief.Adopt(state)
+	belief.Adopt(state, 0)
 	for i := range upstreams {
-		r.Apply([]registry.Change{{Upstream: registry.Upstream{ID: fmt.Sprint("u", i)}, Revision: int64(i + 1)}})
+		r.Apply([]registry.Change{{Upstream: registry.Upstream{ID: fmt.Sprint("u", i)}, Position: position.At(0, int64(i+1))}})
 	}
 	return belief, r
 }
@@ -37,7 +38,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	c := NewClient(nil)
 	t.Run("gets what it does not have", func(t *testing.T) {
-		reply, err := c.Fetch(t.Context(), address, 0, 1)
+		reply, err := c.Fetch(t.Context(), address, 0, position.At(0, 1))
 		require.NoError(t, err)
 		assert.Equal(t, int64(7), reply.State.Version)
 		assert.Len(t, reply.Upstreams.Changes, 2)
@@ -50,10 +51,10 @@
 		for version := range int64(3 * maxEncoded) {
 			state, err := routing.New(routing.Content{Version: 10 + version})
 			require.NoError(t, err)
-			belief.Adopt(state)
-			r.Apply([]registry.Change{{Upstream: registry.Upstream{ID: fmt.Sprint("later", version)}, Revision: 10 + version}})
+			belief.Adopt(state, 0)
+			r.Apply([]registry.Change{{Upstream: registry.Upstream{ID: fmt.Sprint("later", version)}, Position: position.At(0, 10+version)}})
 			for range 2 {
-				reply, err := c.Fetch(t.Context(), address, 0, 3)
+				reply, err := c.Fetch(t.Context(), address, 0, position.At(0, 3))
 				require.NoError(t, err)
 				assert.Equal(t, 10+version, reply.State.Version)
 				assert.Len(t, reply.Upstreams.Changes, int(version)+1)
@@ -73,7 +74,7 @@
 		assert.Less(t, len(data), 10_000)
 	})
 	t.Run("gets nothing that it has", func(t *testing.T) {
-		reply, err := c.Fetch(t.Context(), address, 7, 3)
+		reply, err := c.Fetch(t.Context(), address, 7, position.At(0, 3))
 		require.NoError(t, err)
 		assert.Nil(t, reply.State)
 		assert.Empty(t, reply.Upstreams.Changes)
@@ -86,7 +87,7 @@
 	})
 	t.Run("a box that is gone gives an error", func(t *testing.T) {
 		server.Close()
-		_, err := c.Fetch(t.Context(), address, 0, 0)
+		_, err := c.Fetch(t.Context(), address, 0, position.Position{})
 		require.ErrorIs(t, err, ErrUnavailable)
 	})
 }
@@ -105,8 +106,8 @@
 
 func TestLongReplies(t *testing.T) {
 	handler := Handler(full(t, longChanges+1))
-	ask := func(w http.ResponseWriter, revision int) {
-		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?version=7&revision=%d", path, revision), nil))
+	ask := func(w http.ResponseWriter, offset int) {
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?version=7&position=0:%d", path, offset), nil))
 	}
 	s := stalled{ResponseRecorder: httptest.NewRecorder(), begun: make(chan struct{}), let: make(chan struct{})}
 	done := make(chan struct{})
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -76,20 +76,20 @@
 	now := clock.Millis(1000)
 	b := NewBelief(func() clock.Millis { return now })
 	t.Run("never goes back", func(t *testing.T) {
-		assert.True(t, b.Adopt(mustNew(t, content(7))))
-		assert.False(t, b.Adopt(mustNew(t, content(6))))
+		assert.True(t, b.Adopt(mustNew(t, content(7)), 0))
+		assert.False(t, b.Adopt(mustNew(t, content(6)), 0))
 		assert.Equal(t, int64(7), b.State().Version())
 	})
 	t.Run("is proved by what was newest at an instant", func(t *testing.T) {
-		b.Prove(7, 900)
+		b.Prove(Proof{Version: 7, AtMs: 900})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 	t.Run("is not proved by a version that it does not have yet", func(t *testing.T) {
-		b.Prove(8, 990)
+		b.Prove(Proof{Version: 8, AtMs: 990})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 	t.Run("an older proof changes nothing", func(t *testing.T) {
-		b.Prove(7, 500)
+		b.Prove(Proof{Version: 7, AtMs: 500})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 }
