--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -57,6 +57,7 @@
 		},
 		Clock: b.clock, PeriodMs: timingOf(*settings).periodMs, Conn: conn,
 		Contacts: p.contacts, Knowledge: b.knowledge, InFlight: b.balance.InFlight,
+		Running:   b.balance.Running,
 		KeptSince: b.balance.KeptSince, LearnKept: b.balance.LearnKept,
 		EndingsSince: b.quarantine.Since, LearnEndings: b.endings.learn,
 		Answered: p.take, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -112,6 +113,7 @@
 	if !a.Knowledge.Position.IsZero() {
 		p.box.meetEra(max(a.Knowledge.Era, a.Knowledge.Position.Era), "box "+a.From.Box)
 	}
+	p.box.registry.Confirm(a.Knowledge.Position)
 	if a.Knowledge.Version > own.Version || own.Position.Before(a.Knowledge.Position) {
 		if err := p.fetch(ctx, a.From, own); err != nil {
 			p.box.log.Tell(decision.InputIgnored{Input: "news of box " + a.From.Box, Err: err.Error()})
--- a/internal/registry/journal.go
+++ b/internal/registry/journal.go
@@ -16,16 +16,8 @@
 	// from is the position after which no change is missing.
 	from    position.Position
 	changes []Change
-	// former is the stretch of the era before from within which no change is missing either:
-	// a box that stands there needs no whole list when the store comes back from a copy.
-	former stretch
 }
 
-// stretch is the positions from one to another, both included.
-type stretch struct{ from, to position.Position }
-
-func (s stretch) holds(p position.Position) bool { return !p.Before(s.from) && !s.to.Before(p) }
-
 func (j *journal) add(c Change) {
 	j.changes = append(j.changes, c)
 	j.position = position.Max(j.position, c.Position)
@@ -37,23 +29,20 @@
 	for _, dropped := range j.changes[:excess] {
 		j.from = position.Max(j.from, dropped.Position)
 	}
-	j.former = stretch{}
 	j.changes = slices.Clone(j.changes[excess:])
 }
 
-// reach notes that everything up to a position was taken in as a whole, when the journal stood
-// at another one, so that single changes between the two may be missing.
-func (j *journal) reach(before, upTo position.Position) {
-	if before.Era < upTo.Era {
-		j.former = stretch{from: j.from, to: before}
-	}
+// reach notes that everything up to a position was taken in as a whole, so that
+// single changes before it may be missing.
+func (j *journal) reach(upTo position.Position) {
 	j.position = position.Max(j.position, upTo)
 	j.from = position.Max(j.from, upTo)
 }
 
-// since returns the changes after a position, or false when some are missing.
+// since returns the changes after a position, or false when some are missing. Boxes that stand in
+// an era before may have known what the store has lost.
 func (j *journal) since(after position.Position) ([]Change, bool) {
-	if after.Before(j.from) && (after.IsZero() || !j.former.holds(after)) {
+	if after.Before(j.from) || !after.IsZero() && after.Era < j.position.Era {
 		return nil, false
 	}
 	changes := []Change{}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -94,7 +94,10 @@
 	entries map[string]entry
 	journal journal
 	// filled is set once all upstreams there are were taken in as a whole.
-	filled   bool
+	filled bool
+	// heardMs is when this box last heard that nothing newer than its position was there, or
+	// took in what was.
+	heardMs  clock.Millis
 	onChange func()
 }
 
@@ -110,6 +113,7 @@
 func (r *Registry) Apply(changes []Change) []Change {
 	news := []Change{}
 	r.mu.Lock()
+	r.heardMs = r.steady()
 	for _, c := range changes {
 		if r.apply(c) {
 			news = append(news, c)
@@ -144,8 +148,9 @@
 		next.upstream, next.sequence = c.Upstream, c.Sequence
 	case !known || old.gone:
 		next.gone = true
+		// Other boxes may believe a record that this one held for outdated.
 		r.entries[id] = next
-		return !known
+		return true
 	case c.LapseMs == 0 || old.upstream.Draining:
 		next.gone, next.unusable = true, c.Unusable
 	default:
@@ -165,8 +170,7 @@
 // within lapseMs.
 func (r *Registry) Replace(all []Change, at position.Position, lapseMs clock.Millis) []Change {
 	r.mu.Lock()
-	before := r.journal.position
-	if at.Era < before.Era {
+	if at.Era < r.journal.position.Era {
 		r.mu.Unlock()
 		return nil
 	}
@@ -175,7 +179,7 @@
 	r.mu.Unlock()
 	news := r.Apply(all)
 	r.mu.Lock()
-	r.journal.reach(before, at)
+	r.journal.reach(at)
 	r.filled = true
 	r.mu.Unlock()
 	return news
@@ -190,13 +194,28 @@
 	}
 	gone := []Change{}
 	for id, e := range r.entries {
-		if !listed[id] && !e.gone && e.goneMs == 0 && e.position.Before(at) {
+		switch {
+		case listed[id] || e.gone || !e.position.Before(at):
+		case e.goneMs > 0:
+			// It is missing still: its time to come back goes on.
+			e.position = at
+			r.entries[id] = e
+		default:
 			gone = append(gone, Change{Upstream: Upstream{ID: id}, Gone: true, Position: at, LapseMs: lapseMs})
 		}
 	}
 	return gone
 }
 
+// Confirm takes in that another box knew nothing newer than a position.
+func (r *Registry) Confirm(at position.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at == r.journal.position {
+		r.heardMs = r.steady()
+	}
+}
+
 // Filled tells whether all upstreams there are were taken in, be it none.
 func (r *Registry) Filled() bool {
 	r.mu.Lock()
@@ -211,7 +230,7 @@
 	changed := false
 	r.mu.Lock()
 	for id, e := range r.entries {
-		next, news := e.expired(now)
+		next, news := e.expired(now, r.heardMs)
 		if news {
 			r.entries[id] = next
 			changed = true
@@ -223,12 +242,13 @@
 	}
 }
 
-// expired returns what follows from an entry's own time-outs by an instant.
-func (e entry) expired(now clock.Millis) (next entry, changed bool) {
+// expired returns what follows from an entry's own time-outs by an instant, when the store was last
+// heard at another one.
+func (e entry) expired(now, heardMs clock.Millis) (next entry, changed bool) {
 	switch {
 	case e.goneMs > 0 && now >= e.goneMs:
 		return entry{gone: true, position: e.position, startedMs: e.startedMs, sequence: e.sequence}, true
-	case e.listed != nil && now >= e.listed.untilMs:
+	case e.listed != nil && heardMs >= e.listed.untilMs:
 		return entry{
 			upstream: e.listed.upstream, position: e.position, startedMs: e.startedMs, sequence: e.listed.sequence, copied: true,
 		}, true
@@ -286,20 +306,18 @@
 	u := Update{Position: r.journal.position, Whole: true}
 	for _, e := range r.entries {
 		if !e.gone {
-			u.Changes = append(u.Changes, e.change(r.journal.position.Era, r.steady()))
+			u.Changes = append(u.Changes, e.change(r.steady()))
 		}
 	}
 	return u
 }
 
-// change returns what the entry says in an era. What was last read in an era before has no
-// position in this one but the beginning.
-func (e entry) change(era int64, now clock.Millis) Change {
+// change returns what the entry says.
+func (e entry) change(now clock.Millis) Change {
 	c := Change{Upstream: e.upstream, Position: e.position, Sequence: e.sequence, Copied: e.copied}
-	if e.position.Era < era {
-		c.Position, c.Copied = position.At(era, 0), true
-	}
 	if e.goneMs > 0 {
+		// That the entry has gone holds for every life of the server.
+		c.Upstream = Upstream{ID: e.upstream.ID}
 		c.Gone, c.LapseMs = true, max(1, e.goneMs-now)
 	}
 	return c
@@ -314,17 +332,8 @@
 	for i := range u.Changes {
 		u.Changes[i].LapseMs = min(u.Changes[i].LapseMs, maxRelayedLapseMs)
 	}
-	own := r.Position()
-	switch {
-	case u.Whole || !u.Position.IsZero() && own.IsZero():
+	if u.Whole || !u.Position.IsZero() && r.Position().IsZero() {
 		return r.Replace(u.Changes, u.Position, r.relayedLapse(u.Position))
-	case own.Era < u.Position.Era:
-		news := r.Apply(u.Changes)
-		r.mu.Lock()
-		r.journal.reach(own, u.Position)
-		r.mu.Unlock()
-		return news
-	default:
-		return r.Apply(u.Changes)
 	}
+	return r.Apply(u.Changes)
 }
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -28,20 +28,16 @@
 // same life wrote it, and nothing in it is later. What ended by another writer's entry has not
 // ended by its own word.
 func (e entry) outdates(c Change) bool {
-	if c.Gone || !c.Copied || e.readIn(c.Position.Era) || c.Upstream.StartedMs != e.startedMs || e.unusable {
+	if c.Gone || !c.Copied || e.position.Era == c.Position.Era || c.Upstream.StartedMs != e.startedMs || e.unusable {
 		return false
 	}
 	return c.Sequence < e.sequence || c.Sequence == e.sequence && (e.gone || e.upstream.Draining)
 }
 
-// readIn reports whether a record of the entry was read in an era. No record stands at an era's
-// beginning.
-func (e entry) readIn(era int64) bool { return e.position.Era == era && e.position.Offset > 0 }
-
 // keptOver returns the entry after an older record was read at a new position. An upstream that
 // was gone and stays listed is alive: it writes only what changes.
 func (e entry) keptOver(c Change, now clock.Millis) entry {
-	e.position = c.Position
+	e.position, e.copied = c.Position, true
 	if e.gone {
 		e.listed = &listing{upstream: c.Upstream, sequence: c.Sequence, untilMs: now + listedMs}
 	}
--- /dev/null
+++ b/internal/registry/restored_test.go
@@ -0,0 +1,194 @@
+package registry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/position"
+)
+
+// A store that comes back from a copy lists what was outdated before: servers that leave are
+// ready again, servers that are gone are there. What a server itself wrote last has to hold.
+
+// record is what a server wrote of itself.
+type record struct {
+	id       string
+	started  clock.Millis
+	sequence int64
+	draining bool
+}
+
+// at returns the change that reading a record at a position makes.
+func (r record) at(era, offset int64) Change {
+	return Change{
+		Upstream: Upstream{ID: r.id, StartedMs: r.started, Pool: "p", Address: "127.0.0.1:1", Draining: r.draining},
+		Position: position.At(era, offset), Sequence: r.sequence,
+	}
+}
+
+// copied returns the change that a record read as part of a whole makes.
+func (r record) copied(era, offset int64) Change {
+	c := r.at(era, offset)
+	c.Copied = true
+	return c
+}
+
+func goneAt(id string, era, offset int64) Change {
+	return Change{Upstream: Upstream{ID: id}, Gone: true, Position: position.At(era, offset)}
+}
+
+const reappearMs clock.Millis = 1700
+
+func assertDraining(t *testing.T, f *fixture, id string, want bool) {
+	t.Helper()
+	for _, u := range f.All() {
+		if u.ID == id {
+			assert.Equal(t, want, u.Draining)
+			return
+		}
+	}
+	assert.Fail(t, "no upstream "+id)
+}
+
+func TestRestored(t *testing.T) {
+	ready := record{id: "a", started: 100, sequence: 3}
+	leaves := record{id: "a", started: 100, sequence: 7, draining: true}
+	t.Run("an upstream that leaves is not back for an older record", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{leaves.at(1, 9)})
+		f.Replace([]Change{ready.copied(2, 4)}, position.At(2, 5), reappearMs)
+		assertDraining(t, f, "a", true)
+	})
+	t.Run("it is ready once it has written so", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{leaves.at(1, 9)})
+		f.Replace([]Change{ready.copied(2, 4)}, position.At(2, 5), reappearMs)
+		f.Apply([]Change{{Upstream: ready.at(0, 0).Upstream, Position: position.At(2, 6), Sequence: 9}})
+		assertDraining(t, f, "a", false)
+	})
+	t.Run("a later record of its own in the copy is believed", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{ready.at(1, 9)})
+		f.Replace([]Change{leaves.copied(2, 4)}, position.At(2, 5), reappearMs)
+		assertDraining(t, f, "a", true)
+	})
+	t.Run("an upstream that is gone is not back for an older record", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{ready.at(1, 4), goneAt("a", 1, 9)})
+		f.Replace([]Change{ready.copied(2, 4)}, position.At(2, 5), reappearMs)
+		assertIDs(t, f.Registry)
+		f.Apply([]Change{goneAt("a", 2, 6)})
+		f.now += listedMs
+		f.Expire()
+		assertIDs(t, f.Registry)
+	})
+	t.Run("it is back if the store is known to go on listing it", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{ready.at(1, 4), goneAt("a", 1, 9)})
+		f.Replace([]Change{ready.copied(2, 4)}, position.At(2, 5), reappearMs)
+		f.now += listedMs
+		f.Expire()
+		assertIDs(t, f.Registry)
+		f.Confirm(position.At(2, 5))
+		f.Expire()
+		assertIDs(t, f.Registry, "a")
+	})
+	t.Run("what the copy lacks may come back for a while", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{ready.at(1, 9), record{id: "b"}.at(1, 10)})
+		f.Replace(nil, position.At(2, 5), reappearMs)
+		assertIDs(t, f.Registry, "a", "b")
+		f.Apply([]Change{ready.at(2, 6)})
+		f.now += reappearMs
+		f.Expire()
+		assertIDs(t, f.Registry, "a")
+	})
+	t.Run("a former life in the copy keeps no upstream", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{record{id: "a", started: 200}.at(1, 9)})
+		f.Replace([]Change{ready.copied(2, 5)}, position.At(2, 5), reappearMs)
+		assertIDs(t, f.Registry, "a")
+		f.now += reappearMs
+		f.Expire()
+		assertIDs(t, f.Registry)
+	})
+	t.Run("another writer's entry in the copy may stand where the upstream wrote its own", func(t *testing.T) {
+		f := newFixture()
+		f.Apply([]Change{ready.at(1, 9)})
+		foreign := goneAt("a", 2, 4)
+		foreign.Unusable, foreign.Copied = true, true
+		f.Replace([]Change{foreign}, position.At(2, 5), reappearMs)
+		assertIDs(t, f.Registry, "a")
+		f.now += reappearMs
+		f.Expire()
+		assertIDs(t, f.Registry)
+	})
+	t.Run("an upstream that another writer replaced is back with its own record", func(t *testing.T) {
+		f := newFixture()
+		foreign := goneAt("a", 1, 9)
+		foreign.Unusable = true
+		f.Apply([]Change{ready.at(1, 4), foreign})
+		f.Replace([]Change{ready.copied(2, 4)}, position.At(2, 5), reappearMs)
+		assertIDs(t, f.Registry, "a")
+	})
+	t.Run("what comes late of an era that is over is void", func(t *testing.T) {
+		f := newFixture()
+		f.Replace([]Change{ready.copied(2, 4)}, position.At(2, 5), 0)
+		assert.Empty(t, f.Apply([]Change{goneAt("a", 1, 99)}))
+		assert.Empty(t, f.Replace(nil, position.At(1, 99), 0))
+		assertIDs(t, f.Registry, "a")
+	})
+}
+
+func TestRelayRestored(t *testing.T) {
+	one, two := record{id: "a", sequence: 1}, record{id: "b", sequence: 1}
+	// source returns a box that has read both upstreams in one era and the first one's leaving in
+	// the next.
+	source := func() *fixture {
+		f := newFixture()
+		f.Replace([]Change{one.copied(1, 1), two.copied(1, 2)}, position.At(1, 2), 0)
+		f.Replace([]Change{record{id: "a", sequence: 5, draining: true}.copied(2, 1)}, position.At(2, 1), reappearMs)
+		return f
+	}
+	t.Run("a box that stands in the era before gets the whole, and what may come back", func(t *testing.T) {
+		from, to := source(), newFixture()
+		to.Replace([]Change{one.copied(1, 1), two.copied(1, 2)}, position.At(1, 2), 0)
+		update := from.Since(to.Position())
+		assert.True(t, update.Whole)
+		to.Merge(update)
+		assertDraining(t, to, "a", true)
+		assertIDs(t, to.Registry, "a", "b")
+		assert.Equal(t, from.Position(), to.Position())
+		to.now += reappearMs
+		to.Expire()
+		assertIDs(t, to.Registry, "a")
+	})
+	t.Run("a box that knew more than the source gets the whole", func(t *testing.T) {
+		from, to := source(), newFixture()
+		to.Apply([]Change{one.at(1, 1), two.at(1, 2), record{id: "c"}.at(1, 3)})
+		update := from.Since(to.Position())
+		assert.True(t, update.Whole)
+		to.Merge(update)
+		to.now += reappearMs
+		to.Expire()
+		assertIDs(t, to.Registry, "a")
+	})
+	t.Run("a box that starts is not told of upstreams that the store lacks", func(t *testing.T) {
+		from, to := newFixture(), newFixture()
+		from.Replace([]Change{one.copied(1, 1), two.copied(1, 2)}, position.At(1, 2), 0)
+		from.Merge(Update{Position: position.At(2, 4), Whole: true, Changes: []Change{record{id: "c"}.at(2, 4)}})
+		to.Merge(from.Since(position.Position{}))
+		assertIDs(t, to.Registry, "c")
+		assertIDs(t, from.Registry, "a", "b", "c")
+	})
+	t.Run("a box told that an upstream leaves does not believe the copy's older record", func(t *testing.T) {
+		from, to := newFixture(), newFixture()
+		from.Apply([]Change{record{id: "a", sequence: 5, draining: true}.at(1, 9)})
+		from.Replace([]Change{one.copied(2, 1)}, position.At(2, 1), 0)
+		to.Merge(from.Since(position.Position{}))
+		to.Replace([]Change{one.copied(2, 1), record{id: "c"}.copied(2, 4)}, position.At(2, 4), 0)
+		assertDraining(t, to, "a", true)
+	})
+}
