--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -192,13 +192,18 @@
 	return r
 }
 
+// contactOf lets a box find the fleet by another one.
+func contactOf(other *running) func(g *config.Gateway) {
+	return func(g *config.Gateway) { g.Contacts = []string{other.settings.PeersAddress} }
+}
+
 // boxes starts boxes of one failure domain that find each other.
 func (f *fleet) boxes(count int) []*running {
 	f.t.Helper()
 	first := f.box(1)
 	all := []*running{first}
 	for i := 2; i <= count; i++ {
-		all = append(all, f.box(i, func(g *config.Gateway) { g.Contacts = []string{first.settings.PeersAddress} }))
+		all = append(all, f.box(i, contactOf(first)))
 	}
 	return all
 }
--- a/internal/gateway/notes.go
+++ b/internal/gateway/notes.go
@@ -18,6 +18,8 @@
 	Keep func(ctx context.Context, name string, note []byte) error
 	// All returns all notes by their names.
 	All func(ctx context.Context) (map[string][]byte, error)
+	// Era is the newest era of the store that was met. In a later one notes may be lost.
+	Era func() int64
 }
 
 const (
@@ -86,8 +88,9 @@
 	notes Notes
 	// written is how many ends each note tells of, by name, as far as this box knows.
 	written map[string]int
-	// read is set once the notes were read, at readMs.
+	// read is set once the notes were read in an era, at readMs.
 	read     bool
+	era      int64
 	readMs   clock.Millis
 	failures int
 }
@@ -126,6 +129,11 @@
 
 func (k *noteKeeper) readIfDue(ctx context.Context) error {
 	now := k.box.clock.Steady()
+	if era := k.notes.Era(); era != k.era {
+		// What was written since the store's copy is written again.
+		k.read, k.era = false, era
+		clear(k.written)
+	}
 	again := k.missing() && now-k.readMs >= readNotesMs
 	if k.read && !again {
 		return nil
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -63,6 +63,33 @@
 	s.changes = slices.DeleteFunc(s.changes, func(c registry.Change) bool { return c.Upstream.ID == id })
 }
 
+// copied is what a store comes back with.
+type copied struct {
+	state    *routing.State
+	changes  []registry.Change
+	revision int64
+	notes    map[string][]byte
+}
+
+// copy keeps what the store holds now.
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{state: s.state, changes: slices.Clone(s.changes), revision: s.revision, notes: maps.Clone(s.notes)}
+}
+
+// restore lets the store come back from a copy. Its positions are of a new era then.
+func (s *store) restore(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.state, s.revision, s.notes = c.state, c.revision, maps.Clone(c.notes)
+	s.changes = slices.Clone(c.changes)
+	for i := range s.changes {
+		s.changes[i].Position.Era = s.era
+	}
+}
+
 // setAway cuts the store off from a box.
 func (s *store) setAway(box string, away bool) {
 	s.mu.Lock()
@@ -132,6 +159,11 @@
 			}
 			return nil
 		},
+		Era: func() int64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.era
+		},
 		All: func(context.Context) (map[string][]byte, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -165,6 +197,9 @@
 		return
 	}
 	sink.Reached("all", nil)
+	for i := range changes {
+		changes[i].Copied = true
+	}
 	sink.Met(at.Era)
 	sink.AllUpstreams(changes, at)
 	if state != nil {
