fix(mesh): a source of a large fleet that leaves three asks without an answer is passed over

Change: asks are counted until the box is heard; in a fleet of over 128 boxes a source with three unanswered ones is none, and the next box by hash reads the store for the domain. Small fleets go by silence as before. Ruled out: shorter lives for all boxes (each is asked once in a minute or two there).

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -226,10 +226,20 @@
 	now := m.clock.Steady()
 	p := m.packet(typeAsk, now)
 	for _, target := range m.targets(now) {
+		m.noteAsked(target.box)
 		m.send(target.address, m.addressed(p, target.box))
 	}
 }
 
+// noteAsked counts an ask that the box has not answered yet.
+func (m *Mesh) noteAsked(box string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[box]; p != nil {
+		p.unanswered++
+	}
+}
+
 func (m *Mesh) packet(t packetType, askedMs clock.Millis) *packet {
 	p := &packet{Type: t, From: m.self, AskedMs: askedMs, Knowledge: m.knowledge(), InFlight: m.inFlight()}
 	m.mu.Lock()
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -20,6 +20,8 @@
 	inFlight  map[namekey.Key]int
 	running   map[namekey.Key]int
 	leaving   bool
+	// unanswered is how many asks were sent since it was last heard.
+	unanswered int
 	// toldKept is the number from which on it was not told yet of parts that engines
 	// keep.
 	toldKept int64
@@ -367,6 +369,14 @@
 	return false
 }
 
+// maxUnanswered is how many asks in a row a source may leave without an answer: two datagrams may be
+// lost.
+const maxUnanswered = 3
+
+// silentLocked reports whether a box of a large fleet, where one counts as there for minutes, answers no
+// asks.
+func (m *Mesh) silentLocked(p *peer) bool { return m.largeLocked() && p.unanswered >= maxUnanswered }
+
 // sourcesLocked are the first boxes of this failure domain by the hash of their
 // names, among those that are there and can read the store; among all, when none
 // of them can.
@@ -377,7 +387,7 @@
 	}
 	life := m.lifeLocked()
 	for _, p := range m.peers {
-		if !p.alive(now, life) || p.FailureDomain != m.self.FailureDomain {
+		if !p.alive(now, life) || p.FailureDomain != m.self.FailureDomain || m.silentLocked(p) {
 			continue
 		}
 		all = append(all, p.Identity)
