--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -35,7 +35,7 @@
 	// Version is that of the routing state in force, 0 for none.
 	Version int64 `cbor:"1,keyasint" json:"version"`
 	// Position is that of the newest change of the upstreams.
-	Position position.Position `cbor:"2,keyasint" json:"position"`
+	Position position.Position `cbor:"6,keyasint" json:"position"`
 	// AgeMs is how long ago Version was proved to be the newest, below 0 if
 	// never.
 	AgeMs clock.Millis `cbor:"3,keyasint" json:"age_ms"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,8 +58,7 @@
 	long := make(chan struct{}, maxLong)
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
 		version, versionErr := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
-		var at position.Position
-		positionErr := at.UnmarshalText([]byte(r.URL.Query().Get("position")))
+		at, positionErr := positionOf(r)
 		if err := errors.Join(versionErr, positionErr); err != nil {
 			apierror.New(http.StatusBadRequest, "bad_query", err.Error()).Write(w)
 			return
@@ -88,6 +87,14 @@
 	return mux
 }
 
+// positionOf returns where the asker stands; one that does not say gets everything.
+func positionOf(r *http.Request) (at position.Position, err error) {
+	if text := r.URL.Query().Get("position"); text != "" {
+		err = at.UnmarshalText([]byte(text))
+	}
+	return at, err
+}
+
 func reply(belief *routing.Belief, upstreams *registry.Registry, version int64, at position.Position) Reply {
 	out := Reply{Upstreams: upstreams.Since(at)}
 	if state := belief.State(); state != nil {
