fix(balance): a pick that got no place leaves what is known of the engine

Cause, found in reading: a refused pick took back the parts of the prompt that it had noted; what was known before from a request over 5 s ago went with it, and the next box's fetch had no source. Parts are noted once a place is granted. Ruled out: restoring the times noted before (two writers of one memory). Test: a refused pick leaves 1,000 tokens known.

--- a/internal/balance/parts.go
+++ b/internal/balance/parts.go
@@ -109,8 +109,8 @@
 
 // notePrompt notes that the engine is about to read a prompt's shared parts, and
 // which of them are news.
-func (l *Lease) notePrompt(shared []prompt.Keyed, now clock.Millis) {
-	for _, part := range shared {
+func (l *Lease) notePrompt(now clock.Millis) {
+	for _, part := range l.shared {
 		if !l.parts.knows(part.Key, now, retellMs) {
 			l.news = append(l.news, part.Key)
 			l.pending[part.Key]++
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -51,6 +51,8 @@
 	news    []namekey.Key
 	manager *Manager
 	path    *domain
+	// shared are the shared parts of the prompt.
+	shared []prompt.Keyed
 	// bound is the largest load of an engine that has an owner, 0 for others.
 	bound int
 	// onRelease gives a place back to the engine's owner, if it is set.
@@ -101,7 +103,10 @@
 	lease.Load = lease.load(now)
 	lease.inFlight++
 	lease.sent(now)
-	lease.notePrompt(shared, now)
+	lease.shared = shared
+	if lease.bound == 0 {
+		lease.notePrompt(now)
+	}
 	return lease, nil
 }
 
--- a/internal/balance/places.go
+++ b/internal/balance/places.go
@@ -38,7 +38,7 @@
 		}
 		p := takePlace(lease, bound)
 		if p.Granted {
-			lease.onRelease = p.Release
+			lease.place(p.Release)
 			return lease, nil
 		}
 		lease.cancel()
@@ -46,14 +46,20 @@
 	}
 }
 
-// cancel undoes a pick.
+// place takes in that the lease has a place, given back by a call if that is not nil.
+func (l *Lease) place(release func()) {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	l.onRelease = release
+	l.notePrompt(l.manager.steady())
+}
+
+// cancel undoes a pick that got no place.
 func (l *Lease) cancel() {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	l.released = true
 	l.inFlight--
-	l.forgetNews()
-	l.settleNews()
 }
 
 // SetRunning takes in how many requests all boxes together run, by pool. Nil means that
--- a/internal/balance/places_test.go
+++ b/internal/balance/places_test.go
@@ -62,6 +62,19 @@
 		require.NoError(t, err)
 		assert.Equal(t, f.byID[a.upstreams[0]].Address, lease.FetchFrom)
 	})
+	t.Run("a refused pick leaves what is known of the engine", func(t *testing.T) {
+		f, a := inLargeFleet(t, 120), &asks{}
+		lease, err := f.PickPlace(sticky("s"), a.take)
+		require.NoError(t, err)
+		first := lease.Member
+		lease.Release(Succeeded)
+		f.now += 2 * retellMs
+		refused := &asks{refuse: 1}
+		lease, err = f.PickPlace(sticky("s"), refused.take)
+		require.NoError(t, err)
+		assert.NotEqual(t, first, lease.Member)
+		assert.Equal(t, 1000, first.parts.held(lease.shared, f.now))
+	})
 	t.Run("asks a few only, and then takes the engine that comes next", func(t *testing.T) {
 		f, a := inLargeFleet(t, 120), &asks{refuse: maxFull}
 		_, err := f.PickPlace(sticky("s"), a.take)
