--- a/internal/balance/domain.go
+++ b/internal/balance/domain.go
@@ -53,7 +53,7 @@
 // heard notes a sign of life. It takes no lock: streams bring many.
 func (d *domain) heard(now clock.Millis) { d.heardMs.Store(int64(now)) }
 
-// silent tells whether the domain has been silent for longer than it should be, if some
+// silent reports whether the domain has been silent for longer than it should be, if some
 // box there is asked each so often; 0 if none is.
 func (d *domain) silent(now, askEach clock.Millis) bool {
 	span := now - clock.Millis(d.heardMs.Load())
@@ -63,7 +63,7 @@
 	return askEach > 0 && span > askEach+askSilenceMs
 }
 
-// together notes a failure and tells whether several upstreams have failed by
+// together notes a failure and reports whether several upstreams have failed by
 // now at about the same time.
 func together(failures map[string]clock.Millis, id string, now clock.Millis) bool {
 	failures[id] = now
@@ -136,7 +136,7 @@
 	}
 }
 
-// usable tells whether a member may take new work.
+// usable reports whether a member may take new work.
 func (m *Manager) usable(member *Member, now clock.Millis) bool {
 	return !member.wantsNothing(now) && member.open(now) && !m.pathTo(member.FailureDomain).cut
 }
--- a/internal/balance/parts.go
+++ b/internal/balance/parts.go
@@ -39,7 +39,7 @@
 	maps.DeleteFunc(p, func(_ namekey.Key, at clock.Millis) bool { return at <= middle })
 }
 
-// knows tells whether a part was read within a span.
+// knows reports whether a part was read within a span.
 func (p partMemory) knows(key namekey.Key, now, span clock.Millis) bool {
 	at, known := p[key]
 	return known && now-at <= span
--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -119,7 +119,7 @@
 	return awayMs, news, calls
 }
 
-// due tells whether the path is to be probed now.
+// due reports whether the path is to be probed now.
 func (d *domain) due(now, askEach clock.Millis) bool {
 	since := now - d.probeEndedMs
 	switch {
--- a/internal/balance/trial.go
+++ b/internal/balance/trial.go
@@ -17,7 +17,7 @@
 	probedMs  clock.Millis
 }
 
-// open tells whether a request may be sent.
+// open reports whether a request may be sent.
 func (t *trial) open(now clock.Millis) bool {
 	if t.health.Ejected(now) {
 		return false
--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -69,16 +69,16 @@
 
 func (w *word) resting(now clock.Millis) bool { return now < w.restUntilMs }
 
-// over tells whether the word of an upstream that is out of sight says nothing any more.
+// over reports whether the word of an upstream that is out of sight says nothing any more.
 func (w *word) over(now clock.Millis) bool {
 	return !w.resting(now) && now-w.goneMs > wordMemoryMs
 }
 
-// leaves tells whether the upstream is about to end, by its entry or its answers: whichever
+// leaves reports whether the upstream is about to end, by its entry or its answers: whichever
 // says so first.
 func (m *Member) leaves() bool { return m.Draining || m.said.leaving }
 
-// wantsNothing tells whether the upstream wants no new request from this box.
+// wantsNothing reports whether the upstream wants no new request from this box.
 func (m *Member) wantsNothing(now clock.Millis) bool { return m.leaves() || m.said.resting(now) }
 
 // Rest notes that the upstream wants nothing from this box for a span, as it said in the
--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -45,7 +45,7 @@
 	HigherIsBetter bool `json:"higher_is_better,omitempty"`
 }
 
-// worse tells whether a new value breaks the bound.
+// worse reports whether a new value breaks the bound.
 func (b Bound) worse(value float64) bool {
 	if b.HigherIsBetter {
 		return value < b.Value*(1-b.Part)
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -160,7 +160,7 @@
 // Store returns the box's table.
 func (b *Box) Store() *tablestore.Store { return b.store }
 
-// Ready tells whether the box takes new requests: it has a table and is not
+// Ready reports whether the box takes new requests: it has a table and is not
 // about to stop.
 func (b *Box) Ready() bool { return b.store.State().Offset() > 0 && !b.draining.Load() }
 
--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// limited tells whether an organisation has a limit that boxes share. Others
+// limited reports whether an organisation has a limit that boxes share. Others
 // need no exchange.
 func (b *Box) limited(name string) bool {
 	row := b.store.State().Organisation(name)
--- a/internal/box/engines.go
+++ b/internal/box/engines.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-// wantsOrders tells whether this box should give the orders of its failure
+// wantsOrders reports whether this box should give the orders of its failure
 // domain: the first live box by name does, so that boxes don't race.
 func (b *Box) wantsOrders() bool {
 	live := b.gossip.Live()
--- a/internal/box/table.go
+++ b/internal/box/table.go
@@ -291,7 +291,7 @@
 	})
 }
 
-// snapshotDue tells whether the table has grown enough since the newest one.
+// snapshotDue reports whether the table has grown enough since the newest one.
 func (b *Box) snapshotDue(ctx context.Context) bool {
 	offset := b.store.State().Offset()
 	if offset < b.snapshotted.Load()+snapshotRecords {
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -33,7 +33,7 @@
 	Serve func(x *exchange.Exchange)
 	// State returns the table in force.
 	State func() *table.State
-	// Ready tells whether the box takes new requests.
+	// Ready reports whether the box takes new requests.
 	Ready  func() bool
 	Tracer trace.Tracer
 	Now    func() clock.Millis
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -118,7 +118,7 @@
 	s.registry(Shard(record.Key)).Submit(record)
 }
 
-// Flushed tells whether no record waits to be appended.
+// Flushed reports whether no record waits to be appended.
 func (s *Service) Flushed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/clock/timer.go
+++ b/internal/clock/timer.go
@@ -17,7 +17,7 @@
 	done   bool
 }
 
-// Stop keeps the function from being called, and tells whether it did.
+// Stop keeps the function from being called, and reports whether it did.
 func (t *Timer) Stop() bool {
 	t.timers.mu.Lock()
 	defer t.timers.mu.Unlock()
--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -77,7 +77,7 @@
 	return opening.Bytes()
 }
 
-// Fresh tells whether no answer stands among the messages yet.
+// Fresh reports whether no answer stands among the messages yet.
 func (c *ChatRequest) Fresh() bool { return len(c.Messages) <= openingMessages }
 
 // checkDepth bounds the nesting before the decoder recurses into it.
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -30,7 +30,7 @@
 	Data string
 }
 
-// Done tells whether the event closes the stream.
+// Done reports whether the event closes the stream.
 func (e Event) Done() bool { return e.Data == Done }
 
 // Events yields the server-sent events of an engine's answer up to the closing
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,7 +28,7 @@
 const (
 	HeaderHop          = "Dooryard-Hop"
 	HeaderOrganisation = "Dooryard-Organisation"
-	// HeaderRepeatable tells whether the request may be repeated, as the box that
+	// HeaderRepeatable reports whether the request may be repeated, as the box that
 	// took it in decided: the other's table may be older.
 	HeaderRepeatable = "Dooryard-Repeatable"
 )
--- a/internal/exchange/writer.go
+++ b/internal/exchange/writer.go
@@ -60,7 +60,7 @@
 	_ = w.controller.SetReadDeadline(deadline)
 }
 
-// Started tells whether any part of the answer was handed to the caller.
+// Started reports whether any part of the answer was handed to the caller.
 func (w *Writer) Started() bool { return w.status != 0 }
 
 // Status returns the status of the answer, or 0 before it began.
--- a/internal/experiment/day.go
+++ b/internal/experiment/day.go
@@ -204,7 +204,7 @@
 	}
 }
 
-// reaches tells whether there is a path between two failure domains.
+// reaches reports whether there is a path between two failure domains.
 func (d *day) reaches(one, other string) bool {
 	return d.cut == "" || (one == d.cut) == (other == d.cut)
 }
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -52,7 +52,7 @@
 	return nil
 }
 
-// unreachable tells whether no connection to an engine opens, and after which span that
+// unreachable reports whether no connection to an engine opens, and after which span that
 // shows: a host that is there refuses at once.
 func (d *day) unreachable(b *box, e *engine) (clock.Millis, bool) {
 	switch {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -191,7 +191,7 @@
 
 func (b *Box) maxAgeMs() clock.Millis { return clock.Millis(b.settings.Load().Freshness.MaxAgeMs) }
 
-// missed tells whether the proof of the state in force is so old that the box may have
+// missed reports whether the proof of the state in force is so old that the box may have
 // missed a version: then it can't tell that a route or a key does not exist. Callers take
 // 401 and 404 as final and would not come back (TestFreshness).
 func (b *Box) missed() bool {
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// note notes a suspect and tells whether the upstream must be probed.
+// note notes a suspect and reports whether the upstream must be probed.
 func (e *endings) note(o dispatch.Observation) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -134,7 +134,7 @@
 
 // probed takes in what a probe of an upstream found. One that lives has not ended under the
 // requests whose connections broke before; one that says nothing may have ended under those
-// that were given up for its silence. It tells whether connections have broken since, so that
+// that were given up for its silence. It reports whether connections have broken since, so that
 // the upstream must be probed again.
 func (e *endings) probed(id string, found upstream.Liveness, beganMs clock.Millis) (again bool) {
 	e.mu.Lock()
@@ -209,7 +209,7 @@
 		case !s.givenUp || justNow && now-s.atMs <= givenUpMs:
 			taken = append(taken, s)
 		case known.probing:
-			// The probe tells whether the host is silent.
+			// The probe reports whether the host is silent.
 			kept = append(kept, s)
 		}
 	}
--- a/internal/gateway/notes.go
+++ b/internal/gateway/notes.go
@@ -149,7 +149,7 @@
 	return nil
 }
 
-// missing tells whether this box reads for others and can't hear all of them.
+// missing reports whether this box reads for others and can't hear all of them.
 func (k *noteKeeper) missing() bool {
 	return k.box.peering.mesh.IsSource() && k.box.peering.mesh.Missing()
 }
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// reaches opens connections to some upstreams at once, and tells whether any opened.
+// reaches opens connections to some upstreams at once, and reports whether any opened.
 func reaches(ctx context.Context, clients []*upstream.Client) bool {
 	reached := make(chan bool, len(clients))
 	for _, client := range clients {
--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// inDoubt tells whether the box woke a short while ago, and has heard nothing since though its
+// inDoubt reports whether the box woke a short while ago, and has heard nothing since though its
 // proof is older than it may be.
 func (p *pauses) inDoubt() bool {
 	woke := clock.Millis(p.wokeMs.Load())
@@ -79,7 +79,7 @@
 	}
 }
 
-// lookedSince tells whether the box has heard what is in force since an instant: from
+// lookedSince reports whether the box has heard what is in force since an instant: from
 // another box, or from the store if it reads that by itself.
 func (b *Box) lookedSince(atMs clock.Millis) bool {
 	if b.belief.ProvedMs() < atMs {
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -131,7 +131,7 @@
 // reads everything from its store: the store's link is wider than another box's.
 const ownReadMs clock.Millis = 500
 
-// readsFirst tells whether the box is still at its first read of the store, which
+// readsFirst reports whether the box is still at its first read of the store, which
 // has not failed.
 func (p *peering) readsFirst() bool {
 	return !p.box.storeLost.Load() && p.box.clock.Steady()-p.startedMs < ownReadMs
@@ -158,7 +158,7 @@
 // boxes that read for others: a few rounds.
 const settleMs clock.Millis = 700
 
-// needsStore tells whether this box must read a stream of its store by itself now. A
+// needsStore reports whether this box must read a stream of its store by itself now. A
 // stream that was read waits at first: the box reads the others or hears of them.
 func (p *peering) needsStore(wasRead bool) bool {
 	if !wasRead && (p.box.belief.State() == nil || !p.box.registry.Filled()) {
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// Ready tells whether the box takes new callers: it has a routing state whose
+// Ready reports whether the box takes new callers: it has a routing state whose
 // keys it may trust, knows upstreams, and is not about to stop.
 func (b *Box) Ready() bool {
 	if b.stopping.Load() || !b.hasLearnt() {
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -13,10 +13,10 @@
 // Sink is where a source of routing state puts what it learns. Spans and
 // instants are on the steady clock.
 type Sink struct {
-	// Wanted tells whether the source should read a stream now: other boxes may
+	// Wanted reports whether the source should read a stream now: other boxes may
 	// read for this one.
 	Wanted func(stream string) bool
-	// ReadsForOthers tells whether other boxes depend on what the source reads.
+	// ReadsForOthers reports whether other boxes depend on what the source reads.
 	ReadsForOthers func() bool
 	// Met tells of which era an answer of the store was.
 	Met func(era int64)
@@ -31,7 +31,7 @@
 	AllUpstreams func(all []registry.Change, at position.Position)
 	// Position returns the newest position of the upstreams that is known.
 	Position func() position.Position
-	// Reached tells whether a read of some stream worked.
+	// Reached reports whether a read of some stream worked.
 	Reached func(stream string, err error)
 	// Ignored tells of an input that can't be used.
 	Ignored func(input string, err error)
@@ -68,7 +68,7 @@
 	}
 }
 
-// readSince tells whether all streams were read since an instant.
+// readSince reports whether all streams were read since an instant.
 func (s *storeSink) readSince(atMs clock.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,7 +84,7 @@
 // needs, looks whether it could read for them again: each refused read is paid for.
 const lostLookMs = 5 * clock.Second
 
-// wanted tells whether a stream is to be read. A box that reads for nobody else and
+// wanted reports whether a stream is to be read. A box that reads for nobody else and
 // has lost the store tries one stream only until it is back.
 func (s *storeSink) wanted(stream string) bool {
 	s.mu.Lock()
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// cut tells whether the caller's connection must break.
+// cut reports whether the caller's connection must break.
 func cut(err error) bool {
 	var refusal *opaque.RefusalError
 	return errors.Is(err, opaque.ErrCut) || errors.As(err, &refusal) && refusal.Cause == opaque.CallerGone
--- a/internal/grant/search.go
+++ b/internal/grant/search.go
@@ -92,7 +92,7 @@
 	return s.nextDenied()
 }
 
-// mayBeWarm tells whether a place holds the session's newest prefix, or, as the
+// mayBeWarm reports whether a place holds the session's newest prefix, or, as the
 // first choice of a returning one, maybe an older.
 func (s *Search) mayBeWarm(place Place) bool { return s.home || place == s.first && !s.fresh }
 
@@ -154,6 +154,6 @@
 	return s.denied[0].place, true
 }
 
-// News tells whether the owner of the first choice has to hear that the session
+// News reports whether the owner of the first choice has to hear that the session
 // went to a place. A grant at the first choice itself tells it already.
 func (s *Search) News(place Place) bool { return place != s.first && place != s.hinted }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -26,7 +26,7 @@
 	untilMs   clock.Millis
 }
 
-// Ejected tells whether the upstream is out of its pool at an instant.
+// Ejected reports whether the upstream is out of its pool at an instant.
 func (h Health) Ejected(now clock.Millis) bool { return now < h.untilMs }
 
 // UntilMs returns the end of the newest ejection, or 0.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -46,7 +46,7 @@
 	sinceMs clock.Millis
 }
 
-// NewKeeper returns a keeper for a holder. Wants tells whether this box should
+// NewKeeper returns a keeper for a holder. Wants reports whether this box should
 // try to hold the lease.
 func NewKeeper(stream, holder string, log logstream.Log, wants func() bool, c clock.Clock, logger *zap.Logger) *Keeper {
 	return &Keeper{stream: stream, holder: holder, log: log, wants: wants, clock: c, logger: logger}
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -108,7 +108,7 @@
 	return w, nil
 }
 
-// mayRun tells whether an organisation's next request may take a free slot. One
+// mayRun reports whether an organisation's next request may take a free slot. One
 // that surges leaves some free for the others, unless it runs less than its
 // share: however fair the order, a request of the others that finds all slots
 // taken would wait for one to end.
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -16,7 +16,7 @@
 	Model, Service string
 }
 
-// Given tells whether a fleet is given.
+// Given reports whether a fleet is given.
 func (t Target) Given() bool { return len(t.Boxes) > 0 }
 
 // destination is where a run's requests go.
--- a/internal/localfleet/control_test.go
+++ b/internal/localfleet/control_test.go
@@ -428,7 +428,7 @@
 	return 0
 }
 
-// get sends a repeatable call and tells whether it was let in.
+// get sends a repeatable call and reports whether it was let in.
 func (tr *trial) get(box int) bool {
 	result := tr.caller.Get(tr.t.Context(), load.Filing{
 		URL: tr.url(box), Key: localfleet.CallerKey("choir"), Service: localfleet.ServiceName, Path: "/rota",
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -130,7 +130,7 @@
 	return names
 }
 
-// TakeChanged tells whether the live boxes changed since the last call.
+// TakeChanged reports whether the live boxes changed since the last call.
 func (n *Node) TakeChanged() bool {
 	changed := n.changed
 	n.changed = false
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -167,7 +167,7 @@
 	return p, p.check()
 }
 
-// fits tells whether a box's names can be used, and whether the id is its own.
+// fits reports whether a box's names can be used, and whether the id is its own.
 func (b *Box) fits(id ID) bool {
 	return b.Name != "" && len(b.Name) <= maxNameBytes && len(b.Domain) <= maxNameBytes && NewID(b.Name) == id
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// complete fills in what a reply leaves out of its sender, and tells whether the sender
+// complete fills in what a reply leaves out of its sender, and reports whether the sender
 // is known. Asks name their sender in full, so one that is not will be.
 func (m *Mesh) complete(p *packet) bool {
 	if p.From.Address != "" {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -203,7 +203,7 @@
 	return count
 }
 
-// alive tells whether the box is there to stay.
+// alive reports whether the box is there to stay.
 func (p *peer) alive(now, life clock.Millis) bool {
 	return p.firstMs > 0 && !p.leaving && now-p.heardMs < life
 }
@@ -227,14 +227,14 @@
 	return known
 }
 
-// Large tells whether the fleet is so large that a box tells and asks a few others only.
+// Large reports whether the fleet is so large that a box tells and asks a few others only.
 func (m *Mesh) Large() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.largeLocked()
 }
 
-// largeLocked tells whether the fleet is so large that bytes bind.
+// largeLocked reports whether the fleet is so large that bytes bind.
 func (m *Mesh) largeLocked() bool { return m.heard > largeFleet }
 
 // Others returns what the other boxes have in flight, by upstream.
@@ -334,7 +334,7 @@
 	}
 }
 
-// Missing tells whether a box that was there a short while ago is not heard now and did
+// Missing reports whether a box that was there a short while ago is not heard now and did
 // not say that it leaves.
 func (m *Mesh) Missing() bool {
 	now := m.clock.Steady()
@@ -356,7 +356,7 @@
 	return 1 + m.aliveCount(m.clock.Steady())
 }
 
-// IsSource tells whether this box is one that reads the store for its failure
+// IsSource reports whether this box is one that reads the store for its failure
 // domain, as far as it knows.
 func (m *Mesh) IsSource() bool {
 	m.mu.Lock()
--- a/internal/pipe/authorise/authorise.go
+++ b/internal/pipe/authorise/authorise.go
@@ -22,7 +22,7 @@
 
 // New returns the step. AgeMs is how long ago the state in force was proved to
 // be the newest, maxAgeMs how old the proof may be by which keys are accepted; 0 sets no
-// bound. Missed tells whether the box may have missed a newer state.
+// bound. Missed reports whether the box may have missed a newer state.
 func New(ageMs, maxAgeMs func() clock.Millis, missed func() bool) *Pipe {
 	return &Pipe{ageMs: ageMs, maxAgeMs: maxAgeMs, missed: missed}
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 	Whole func(fingerprint quarantine.Fingerprint)
 	// HeldMs is how much longer a fingerprint is held back.
 	HeldMs func(fingerprint quarantine.Fingerprint) clock.Millis
-	// Vouch tells whether the box may send a request now.
+	// Vouch reports whether the box may send a request now.
 	Vouch func(r *opaque.Request) error
 	Clock clock.Clock
 }
@@ -197,7 +197,7 @@
 	}
 }
 
-// allRest tells whether upstreams would have taken the request, but for the rest they asked for.
+// allRest reports whether upstreams would have taken the request, but for the rest they asked for.
 // The caller is refused at once and not kept waiting for the first end: rests are seconds long,
 // beyond the objective of most requests.
 func allRest(err error) bool {
--- a/internal/pipe/dispatch/proof.go
+++ b/internal/pipe/dispatch/proof.go
@@ -19,7 +19,7 @@
 	ran proof = "ran"
 )
 
-// permits tells whether another upstream may get the request after this.
+// permits reports whether another upstream may get the request after this.
 func (p proof) permits(repeatable bool) bool {
 	return repeatable || p == notSent || p == wrongUpstream || p == notRun
 }
@@ -54,7 +54,7 @@
 	return f.answer.status
 }
 
-// promises tells whether a status promises the caller that nothing ran.
+// promises reports whether a status promises the caller that nothing ran.
 func promises(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests,
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -36,7 +36,7 @@
 	return t.lastID
 }
 
-// resumable tells whether another upstream may go on with the stream.
+// resumable reports whether another upstream may go on with the stream.
 func (t *stream) resumable() bool { return t.whole && (t.lastID != "" || !t.passed) }
 
 // pausePatience is how many times the longest good pause a stream may be silent
--- a/internal/pipe/dispatch/whole.go
+++ b/internal/pipe/dispatch/whole.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// passable tells whether the upstream's failure may be the caller's answer: one
+// passable reports whether the upstream's failure may be the caller's answer: one
 // that promises that nothing ran must be true of the whole request.
 func (w *wholeAnswer) passable(r *opaque.Request) bool {
 	if !promises(w.status) {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// proceed answers a step's error and tells whether the next step comes.
+// proceed answers a step's error and reports whether the next step comes.
 func (p *Pipeline) proceed(x *exchange.Exchange, step Step, err error) bool {
 	switch {
 	case err == nil:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -44,7 +44,7 @@
 	return engine.Order{}, false
 }
 
-// Settled tells whether an engine's models are as the table says and nothing is
+// Settled reports whether an engine's models are as the table says and nothing is
 // under way.
 func Settled(row *table.Upstream, state engine.OrderState) bool {
 	_, missing := firstMissing(row.Serves, state.Models)
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -95,7 +95,7 @@
 	Held int
 	// Total is what it has on the whole pool.
 	Total int
-	// WithinOwnBound tells whether this box's part of the load bound holds.
+	// WithinOwnBound reports whether this box's part of the load bound holds.
 	WithinOwnBound bool
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -66,7 +66,7 @@
 	position int
 }
 
-// closed tells whether the upstream said that it takes no new work of the pool.
+// closed reports whether the upstream said that it takes no new work of the pool.
 func (p place) closed() bool {
 	u := p.pool.members[p.position]
 	if u.leaving || u.row.Draining {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -87,7 +87,7 @@
 // Settings returns the settings in force.
 func (l *Ledger) Settings() Settings { return l.settings() }
 
-// Ended takes in that an upstream ended under a fingerprint. It tells whether the fingerprint
+// Ended takes in that an upstream ended under a fingerprint. It reports whether the fingerprint
 // is held back from now on.
 func (l *Ledger) Ended(fingerprint Fingerprint, upstream namekey.Key) (held bool) {
 	l.mu.Lock()
@@ -134,7 +134,7 @@
 	}
 }
 
-// Answered takes in that an upstream answered a fingerprint whole. It tells whether the
+// Answered takes in that an upstream answered a fingerprint whole. It reports whether the
 // fingerprint was held back until now.
 func (l *Ledger) Answered(fingerprint Fingerprint) (released bool) {
 	l.mu.Lock()
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -22,7 +22,7 @@
 	r.young[fingerprint] = max(at, r.young[fingerprint])
 }
 
-// since tells whether a fingerprint was seen after an instant.
+// since reports whether a fingerprint was seen after an instant.
 func (r *recent) since(fingerprint Fingerprint, after clock.Millis) bool {
 	at, known := r.young[fingerprint]
 	if !known {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -160,7 +160,7 @@
 	return true
 }
 
-// formerOf tells whether the upstream is an earlier life of a server that has started again.
+// formerOf reports whether the upstream is an earlier life of a server that has started again.
 func (u Upstream) formerOf(newestMs clock.Millis) bool {
 	return u.StartedMs > 0 && u.StartedMs < newestMs
 }
@@ -216,7 +216,7 @@
 	}
 }
 
-// Filled tells whether all upstreams there are were taken in, be it none.
+// Filled reports whether all upstreams there are were taken in, be it none.
 func (r *Registry) Filled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -272,7 +272,7 @@
 	return all
 }
 
-// Has tells whether an incarnation is there.
+// Has reports whether an incarnation is there.
 func (r *Registry) Has(u Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -73,7 +73,7 @@
 	return none, ErrNoUpstream
 }
 
-// open tells whether a member may take one more request from this box as far as
+// open reports whether a member may take one more request from this box as far as
 // its slots go. A box alone can't see the others' use, so it keeps to its part.
 func (v *View) open(position int, tried Tried) bool {
 	m := &v.Members[position]
@@ -95,20 +95,20 @@
 	return float64(v.total+1)*m.boundPart + m.offset
 }
 
-// withinOwnBound tells whether one more request on a member keeps this box's
+// withinOwnBound reports whether one more request on a member keeps this box's
 // part of the load bound.
 func (v *View) withinOwnBound(position int) bool {
 	m := &v.Members[position]
 	return m.InFlight+1 <= int(v.boundShare(m))
 }
 
-// Usable tells whether new work may go to a member that was not tried, its slots
+// Usable reports whether new work may go to a member that was not tried, its slots
 // and load left aside.
 func (v *View) Usable(position int, tried Tried) bool {
 	return v.Members[position].usable() && !tried.has(position)
 }
 
-// WithinOwnBound tells whether one more request on a member keeps this box's
+// WithinOwnBound reports whether one more request on a member keeps this box's
 // part of the load bound.
 func (v *View) WithinOwnBound(position int) bool { return v.withinOwnBound(position) }
 
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -43,7 +43,7 @@
 	slotShare int
 }
 
-// usable tells whether new work may go to the member.
+// usable reports whether new work may go to the member.
 func (m *Member) usable() bool { return !m.Leaving && !m.Ejected && m.Weight > 0 }
 
 // View is all that a decision depends on. It belongs to one goroutine at a time.
--- a/internal/routebench/run.go
+++ b/internal/routebench/run.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// surging tells whether the middle third runs.
+// surging reports whether the middle third runs.
 func (r *run) surging() bool {
 	third := r.scenario.LengthMs / thirds
 	return r.scenario.Surge > 1 && r.now >= third && r.now < 2*third
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -62,7 +62,7 @@
 	Splits []Split `json:"splits"`
 }
 
-// Repeatable tells whether a request of the route may run more than once.
+// Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
@@ -193,7 +193,7 @@
 // Limits returns what a caller may send.
 func (s *State) Limits() Limits { return s.limits }
 
-// Keyed tells whether requests need a key at all.
+// Keyed reports whether requests need a key at all.
 func (s *State) Keyed() bool { return s.keyed }
 
 // Pool returns a pool by name, or nil.
--- a/internal/secret/secret.go
+++ b/internal/secret/secret.go
@@ -101,7 +101,7 @@
 	return append([]string(nil), k.keys...)
 }
 
-// Accept tells whether a key is one of them, in constant time for each.
+// Accept reports whether a key is one of them, in constant time for each.
 func (k *Keys) Accept(key string) bool {
 	accepted := 0
 	for _, known := range k.All() {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// running tells whether the process that was started last has not ended.
+// running reports whether the process that was started last has not ended.
 func (p *process) running() bool {
 	if p.command == nil {
 		return false
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// wait waits for the end of the process and tells whether it came in time.
+// wait waits for the end of the process and reports whether it came in time.
 func (p *process) wait(span time.Duration) bool {
 	p.mu.Lock()
 	exited := p.exited
--- a/internal/soak/touch.go
+++ b/internal/soak/touch.go
@@ -20,7 +20,7 @@
 	return s
 }
 
-// calm tells whether a name was undisturbed throughout a time.
+// calm reports whether a name was undisturbed throughout a time.
 func (t touch) calm(name string, from, to time.Time) bool {
 	for _, s := range t[name] {
 		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
--- a/internal/soak/words.go
+++ b/internal/soak/words.go
@@ -173,7 +173,7 @@
 	return ""
 }
 
-// undisturbed tells whether nothing struck a box, or a server's link, in a span.
+// undisturbed reports whether nothing struck a box, or a server's link, in a span.
 func (l *ledger) undisturbed(at place, from, to time.Time) bool {
 	return l.touch.calm(at.box, from, to) && l.touch.calm(idOf(at.server), from, to)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -256,7 +256,7 @@
 	e.answerWhole(ctx, w, g)
 }
 
-// refuse answers a chat that does not run and tells whether it did so.
+// refuse answers a chat that does not run and reports whether it did so.
 func (e *Engine) refuse(w http.ResponseWriter, r *http.Request, chat *engine.Chat) bool {
 	e.mu.Lock()
 	faults, known := e.faults, slices.Contains(e.models, chat.Model)
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -119,7 +119,7 @@
 	jsonhttp.Write(w, faults)
 }
 
-// begin applies delays and outages and tells whether the call goes on.
+// begin applies delays and outages and reports whether the call goes on.
 func (l *Log) begin(w http.ResponseWriter, r *http.Request, isAppend bool) bool {
 	l.mu.Lock()
 	faults := l.faults
--- a/internal/table/rows.go
+++ b/internal/table/rows.go
@@ -70,7 +70,7 @@
 	Prefix string
 }
 
-// MayRepeat tells whether a call of the service may run more than once.
+// MayRepeat reports whether a call of the service may run more than once.
 func (s *Service) MayRepeat(method, path string) bool {
 	return slices.ContainsFunc(s.Repeatable, func(r Rule) bool {
 		return (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, r.Prefix)
--- a/internal/table/schema.go
+++ b/internal/table/schema.go
@@ -86,7 +86,7 @@
 	return slices.IndexFunc(s, func(c column) bool { return c.name == name })
 }
 
-// CheckCell tells whether a value fits a cell; an empty value clears it.
+// CheckCell reports whether a value fits a cell; an empty value clears it.
 func CheckCell(sheetName, row, columnName, value string) error {
 	columns, known := schema[sheetName]
 	if !known {
--- a/internal/tablefile/undo.go
+++ b/internal/tablefile/undo.go
@@ -44,7 +44,7 @@
 	return changes
 }
 
-// wasEmpty tells whether the edit's cells of a row held nothing before.
+// wasEmpty reports whether the edit's cells of a row held nothing before.
 func wasEmpty(entry table.HistoryEntry, row string) bool {
 	for i, change := range entry.Changes {
 		if change.Sheet+"/"+change.Row == row && entry.Before[i] != "" {
@@ -54,7 +54,7 @@
 	return true
 }
 
-// madeBy tells whether all that the row holds now came with the edit.
+// madeBy reports whether all that the row holds now came with the edit.
 func madeBy(entry table.HistoryEntry, change table.Change, current operators.TableReply) bool {
 	for _, sheet := range current.Sheets {
 		if sheet.Name != change.Sheet {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -150,7 +150,7 @@
 	w.used = append(w.used, usedConn{conn: conn, before: conn.count()})
 }
 
-// Connected tells whether the attempt got a connection.
+// Connected reports whether the attempt got a connection.
 func (w *Watch) Connected() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -165,7 +165,7 @@
 	return watch.Context(ctx)
 }
 
-// GiveUp ends an attempt that failed and tells whether it is proved that no
+// GiveUp ends an attempt that failed and reports whether it is proved that no
 // byte of it left. After the call none can leave any more. Only an attempt that
 // got no answer may be given up.
 func (w *Watch) GiveUp() (nothingSent bool) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -31,7 +31,7 @@
 	ErrForeignAnswer = errors.New("answer belongs to another request")
 )
 
-// NothingSent tells whether an error of Do proves that no byte of the request
+// NothingSent reports whether an error of Do proves that no byte of the request
 // reached the upstream.
 func NothingSent(err error) bool {
 	return errors.Is(err, ErrUnreachable) || errors.Is(err, ErrNotSent)
@@ -216,7 +216,7 @@
 // failure domains.
 const ReachMs clock.Millis = 100
 
-// Reach tells whether the upstream's host answers. A connection that opens is kept for
+// Reach reports whether the upstream's host answers. A connection that opens is kept for
 // the next request; one that is refused shows that the host is there.
 func (c *Client) Reach(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, ReachMs.Duration())
@@ -264,7 +264,7 @@
 	return Alive
 }
 
-// silence tells whether an error of a dial is that nobody answered.
+// silence reports whether an error of a dial is that nobody answered.
 func silence(err error) bool {
 	var netErr net.Error
 	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout() ||
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,7 +27,7 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readerBytes)}
 }
 
-// clean tells whether an idle connection is open and has nothing to read. Bytes
+// clean reports whether an idle connection is open and has nothing to read. Bytes
 // that came unasked belong to no request, so such a connection is not used again.
 func (c *conn) clean() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/upstream/flight.go
+++ b/internal/upstream/flight.go
@@ -26,7 +26,7 @@
 	// MaySend is asked once a connection is there, right before the first byte; an error
 	// leaves the request unsent. Nil asks nobody.
 	MaySend func() error
-	// Mine tells whether an answer belongs to this request, from its head.
+	// Mine reports whether an answer belongs to this request, from its head.
 	Mine func(header http.Header) bool
 }
 
@@ -137,7 +137,7 @@
 	return http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 }
 
-// framed tells whether the answer's end shows without the connection's end.
+// framed reports whether the answer's end shows without the connection's end.
 func framed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -51,7 +51,7 @@
 	CAFile string `yaml:"ca_file"`
 }
 
-// Enabled tells whether the listener speaks TLS.
+// Enabled reports whether the listener speaks TLS.
 func (t TLS) Enabled() bool { return t.CertificateFile != "" || t.KeyFile != "" }
 
 // Peers says how this box meets the fleet's other boxes.
