refactor(routing,gateway): a state's freshness is confirmed, not proved

Cause: STYLE.md: Prove and proof for what the field calls confirming freshness. Conclusion: the words proof and not-run stay where a request is meant (dispatch).

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -157,7 +157,7 @@
 	if state := b.belief.State(); state != nil {
 		k.Version = state.Version()
 	}
-	if proof, ok := b.belief.Proved(); ok {
+	if proof, ok := b.belief.Confirmed(); ok {
 		k.AgeMs, k.Era = b.clock.Steady()-proof.AtMs, proof.Era
 	}
 	return k
--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -82,7 +82,7 @@
 // lookedSince reports whether the box has heard what is in force since an instant: from
 // another box, or from the store if it reads that by itself.
 func (b *Box) lookedSince(atMs clock.Millis) bool {
-	if b.belief.ProvedMs() < atMs {
+	if b.belief.ConfirmedMs() < atMs {
 		return false
 	}
 	return !b.peering.mesh.IsSource() || b.sink.readSince(atMs)
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -121,7 +121,7 @@
 		}
 	}
 	if a.AskedMs > 0 && a.Knowledge.AgeMs >= 0 {
-		p.box.belief.Prove(routing.Proof{
+		p.box.belief.Confirm(routing.Confirmation{
 			Version: a.Knowledge.Version, Era: a.Knowledge.Era, AtMs: a.AskedMs - a.Knowledge.AgeMs,
 		})
 	}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -22,9 +22,9 @@
 	Met func(era int64)
 	// Adopt takes a routing state, told in an era, into force if it is newer.
 	Adopt func(s *routing.State, era int64)
-	// Prove says that the newest state that this source handed over last was the newest
+	// Confirm says that the newest state that this source handed over last was the newest
 	// there is at an instant, by an answer of an era.
-	Prove func(atMs clock.Millis, era int64)
+	Confirm func(atMs clock.Millis, era int64)
 	// Upstreams takes in changes.
 	Upstreams func(changes []registry.Change)
 	// AllUpstreams takes in all upstreams there are, as of a position.
@@ -62,7 +62,7 @@
 
 func (s *storeSink) asSink() Sink {
 	return Sink{
-		Wanted: s.wanted, ReadsForOthers: s.box.peering.mesh.IsSource, Met: s.met, Adopt: s.adopt, Prove: s.prove,
+		Wanted: s.wanted, ReadsForOthers: s.box.peering.mesh.IsSource, Met: s.met, Adopt: s.adopt, Confirm: s.confirm,
 		Upstreams: s.upstreams, AllUpstreams: s.allUpstreams,
 		Position: s.box.registry.Position, Reached: s.reached, Ignored: s.box.Ignored,
 	}
@@ -112,11 +112,11 @@
 	s.box.adopt(state, era, s.source)
 }
 
-func (s *storeSink) prove(atMs clock.Millis, era int64) {
+func (s *storeSink) confirm(atMs clock.Millis, era int64) {
 	s.mu.Lock()
 	version := s.version
 	s.mu.Unlock()
-	s.box.belief.Prove(routing.Proof{Version: version, Era: era, AtMs: atMs})
+	s.box.belief.Confirm(routing.Confirmation{Version: version, Era: era, AtMs: atMs})
 }
 
 func (s *storeSink) upstreams(changes []registry.Change) {
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -204,7 +204,7 @@
 	sink.AllUpstreams(changes, at)
 	if state != nil {
 		sink.Adopt(state, at.Era)
-		sink.Prove(sentMs, at.Era)
+		sink.Confirm(sentMs, at.Era)
 	}
 }
 
--- a/internal/routing/belief.go
+++ b/internal/routing/belief.go
@@ -11,13 +11,13 @@
 // again what they had written since.
 const settleMs clock.Millis = 2300
 
-// Proof says that nothing newer than a version existed at an instant.
-type Proof struct {
+// Confirmation says that nothing newer than a version existed at an instant.
+type Confirmation struct {
 	Version int64
 	// Era is that of the store's answer. A store that comes back from an older copy knows
 	// nothing of what was written since.
 	Era int64
-	// AtMs is on the steady clock of the box that holds the proof.
+	// AtMs is on the steady clock of the box that holds the confirmation.
 	AtMs clock.Millis
 }
 
@@ -26,9 +26,9 @@
 type Belief struct {
 	steady func() clock.Millis
 	held   atomic.Pointer[held]
-	// proved is the newest proof that the state in force was still the newest that the
+	// confirmed is the newest confirmation that the state in force was still the newest that the
 	// operators had written.
-	proved atomic.Pointer[Proof]
+	confirmed atomic.Pointer[Confirmation]
 
 	mu sync.Mutex
 	// era is the newest era of the store that was met, and met is set once one was.
@@ -108,9 +108,9 @@
 	return era >= b.era && atMs < b.settledMs
 }
 
-// Prove takes in a proof. One of a lower version than that in force counts only if it is of
+// Confirm takes in a confirmation. One of a lower version than that in force counts only if it is of
 // no later era: a store's copy may hold a lower one.
-func (b *Belief) Prove(p Proof) {
+func (b *Belief) Confirm(p Confirmation) {
 	h := b.held.Load()
 	switch {
 	case h == nil || h.state.version < p.Version:
@@ -121,26 +121,26 @@
 		return
 	}
 	for {
-		old := b.proved.Load()
-		if old != nil && p.AtMs <= old.AtMs || b.proved.CompareAndSwap(old, &p) {
+		old := b.confirmed.Load()
+		if old != nil && p.AtMs <= old.AtMs || b.confirmed.CompareAndSwap(old, &p) {
 			return
 		}
 	}
 }
 
-// Proved returns the newest proof, if there is one.
-func (b *Belief) Proved() (p Proof, ok bool) {
-	if newest := b.proved.Load(); newest != nil {
+// Confirmed returns the newest confirmation, if there is one.
+func (b *Belief) Confirmed() (p Confirmation, ok bool) {
+	if newest := b.confirmed.Load(); newest != nil {
 		return *newest, true
 	}
-	return Proof{}, false
+	return Confirmation{}, false
 }
 
-// ProvedMs returns the steady instant of the newest proof, or 0.
-func (b *Belief) ProvedMs() clock.Millis {
-	p, _ := b.Proved()
+// ConfirmedMs returns the steady instant of the newest confirmation, or 0.
+func (b *Belief) ConfirmedMs() clock.Millis {
+	p, _ := b.Confirmed()
 	return p.AtMs
 }
 
-// AgeMs returns how long ago the state in force was proved to be the newest.
-func (b *Belief) AgeMs() clock.Millis { return b.steady() - b.ProvedMs() }
+// AgeMs returns how long ago the state in force was confirmed to be the newest.
+func (b *Belief) AgeMs() clock.Millis { return b.steady() - b.ConfirmedMs() }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -81,15 +81,15 @@
 		assert.Equal(t, int64(7), b.State().Version())
 	})
 	t.Run("is proved by what was newest at an instant", func(t *testing.T) {
-		b.Prove(Proof{Version: 7, AtMs: 900})
+		b.Confirm(Confirmation{Version: 7, AtMs: 900})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 	t.Run("is not proved by a version that it does not have yet", func(t *testing.T) {
-		b.Prove(Proof{Version: 8, AtMs: 990})
+		b.Confirm(Confirmation{Version: 8, AtMs: 990})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 	t.Run("an older proof changes nothing", func(t *testing.T) {
-		b.Prove(Proof{Version: 7, AtMs: 500})
+		b.Confirm(Confirmation{Version: 7, AtMs: 500})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 }
