--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -187,7 +187,7 @@
 	e.box.metrics.UpstreamEnded()
 	e.box.log.Tell(decision.UpstreamEnded{Upstream: list[0].upstream.Incarnation(), Fingerprints: names})
 	if held {
-		e.box.peering.mesh.TellEndings()
+		e.box.peering.mesh.BroadcastEndings()
 	}
 }
 
--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -75,7 +75,7 @@
 // hurry asks the other boxes at once while the box is in doubt.
 func (p *pauses) hurry() {
 	if p.inDoubt() {
-		p.box.peering.mesh.Ask()
+		p.box.peering.mesh.Ping()
 	}
 }
 
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -60,7 +60,7 @@
 		Running:   b.balance.Running,
 		KeptSince: b.balance.KeptSince, LearnKept: b.balance.LearnKept,
 		EndingsSince: b.quarantine.Since, LearnEndings: b.endings.learn,
-		Answered: p.take, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Answered: p.handle, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	b.peering = p
 	b.metrics.Publish("mesh", func() any { return p.mesh.Sizes() })
@@ -83,8 +83,8 @@
 	return addresses
 }
 
-// take hands an answer on; when too many wait, a later one will tell the same.
-func (p *peering) take(a mesh.Answer) {
+// handle hands an answer on; when too many wait, a later one will tell the same.
+func (p *peering) handle(a mesh.Answer) {
 	p.box.balance.HeardFrom(a.From.FailureDomain)
 	select {
 	case p.answers <- a:
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -183,7 +183,7 @@
 	}
 	b.log.Tell(decision.StateAdopted{Version: state.Version(), Source: source, Routes: state.RouteCount()})
 	b.noteLearnt()
-	b.peering.mesh.Tell()
+	b.peering.mesh.Broadcast()
 }
 
 // tellUpstreams tells the log and the other boxes of changes that were news.
@@ -197,7 +197,7 @@
 	b.endings.changed(news)
 	if len(news) > 0 {
 		b.noteLearnt()
-		b.peering.mesh.Tell()
+		b.peering.mesh.Broadcast()
 	}
 }
 
--- a/internal/mesh/endings_test.go
+++ b/internal/mesh/endings_test.go
@@ -103,7 +103,7 @@
 			three(f)
 			pass(f.t, 2*time.Second)
 			first := f.boxes[0]
-			p := first.addressed(first.packet(typeAsk, 0), "box-1")
+			p := first.addressed(first.packet(typePing, 0), "box-1")
 			assert.Empty(f.t, p.Endings)
 		})
 	})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -36,9 +36,9 @@
 	largeFleet  = 128
 	largeFanout = 3
 	aliveCycles = 3
-	// leastFanout is how many boxes are asked in a round, beside this box's
+	// minFanout is how many boxes are asked in a round, beside this box's
 	// sources; a larger fleet is asked in roundsPerCycle rounds, maxFanout at the most.
-	leastFanout    = 6
+	minFanout    = 6
 	maxFanout      = 32
 	roundsPerCycle = 10
 	// newcomerSample is how many boxes a datagram names to a box that was first heard
@@ -165,7 +165,7 @@
 			return
 		}
 		if isPlaceMessage(buffer[:n]) {
-			m.takePlaceMessage(buffer[:n], from)
+			m.handlePlace(buffer[:n], from)
 			continue
 		}
 		p, err := decode(buffer[:n])
@@ -175,16 +175,16 @@
 			m.mu.Unlock()
 			continue
 		}
-		m.take(p, from)
+		m.handle(p, from)
 	}
 }
 
-// take handles one datagram.
-func (m *Mesh) take(p *packet, from net.Addr) {
+// handle handles one datagram.
+func (m *Mesh) handle(p *packet, from net.Addr) {
 	if p.From.Box == m.self.Box || !m.complete(p) {
 		return
 	}
-	m.hear(p)
+	m.record(p)
 	if len(p.Kept) > 0 {
 		m.learnKept(p.Kept)
 	}
@@ -192,11 +192,11 @@
 		m.learnEnds(p.Endings)
 	}
 	switch p.Type {
-	case typeAsk:
+	case typePing:
 		m.send(from.String(), m.addressed(m.packet(typeReply, p.AskedMs), p.From.Box))
 	case typeReply:
 		m.answered(Answer{From: p.From, Knowledge: p.Knowledge, AskedMs: p.AskedMs})
-	case typeNews:
+	case typeUpdate:
 		m.answered(Answer{From: p.From, Knowledge: p.Knowledge})
 	}
 }
@@ -218,13 +218,13 @@
 	return true
 }
 
-// Ask asks other boxes now, beside the rounds.
-func (m *Mesh) Ask() { m.round() }
+// Ping asks other boxes now, beside the rounds.
+func (m *Mesh) Ping() { m.round() }
 
 // round asks this box's sources and a few other boxes.
 func (m *Mesh) round() {
 	now := m.clock.Steady()
-	p := m.packet(typeAsk, now)
+	p := m.packet(typePing, now)
 	for _, target := range m.targets(now) {
 		m.noteAsked(target.box)
 		m.send(target.address, m.addressed(p, target.box))
@@ -318,15 +318,15 @@
 	return m.conn.WriteTo(data, net.UDPAddrFromAddrPort(target))
 }
 
-// Tell tells the other boxes of the failure domain that what this one knows has
+// Broadcast tells the other boxes of the failure domain that what this one knows has
 // changed.
-func (m *Mesh) Tell() {
+func (m *Mesh) Broadcast() {
 	m.broadcast(func(p *peer) bool { return p.FailureDomain == m.self.FailureDomain })
 }
 
-// TellEndings tells all boxes at once that this one has news of ended upstreams. In a large
+// BroadcastEndings tells all boxes at once that this one has news of ended upstreams. In a large
 // fleet they go from box to box with the rounds.
-func (m *Mesh) TellEndings() {
+func (m *Mesh) BroadcastEndings() {
 	m.broadcast(func(*peer) bool { return !m.largeLocked() })
 }
 
@@ -339,7 +339,7 @@
 }
 
 func (m *Mesh) broadcast(to func(p *peer) bool) {
-	p := m.packet(typeNews, 0)
+	p := m.packet(typeUpdate, 0)
 	now := m.clock.Steady()
 	m.mu.Lock()
 	life := m.lifeLocked()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -287,7 +287,7 @@
 	t.Run("a reply of a box that is not known is ignored", func(t *testing.T) {
 		bubble(t, func(f *fixture) {
 			one := f.start("d")
-			one.take(&packet{Type: typeReply, From: Identity{Box: "stranger"}, AskedMs: 1}, nil)
+			one.handle(&packet{Type: typeReply, From: Identity{Box: "stranger"}, AskedMs: 1}, nil)
 			assert.Equal(t, Sizes{Boxes: 1, Ignored: 1, Unsent: one.Sizes().Unsent, SentBytes: one.Sizes().SentBytes}, one.Sizes())
 		})
 	})
@@ -326,10 +326,10 @@
 func TestDecode(t *testing.T) {
 	whole := Identity{Box: "a", FailureDomain: "d", Address: "127.0.0.1:1"}
 	for name, p := range map[string]packet{
-		"without a sender":            {Type: typeAsk},
-		"without the sender's domain": {Type: typeAsk, From: Identity{Box: "a", Address: "127.0.0.1:1"}},
-		"with a host by its name":     {Type: typeAsk, From: Identity{Box: "a", FailureDomain: "d", Address: "host:1"}},
-		"that names an empty box":     {Type: typeAsk, From: whole, Known: []Identity{{}}},
+		"without a sender":            {Type: typePing},
+		"without the sender's domain": {Type: typePing, From: Identity{Box: "a", Address: "127.0.0.1:1"}},
+		"with a host by its name":     {Type: typePing, From: Identity{Box: "a", FailureDomain: "d", Address: "host:1"}},
+		"that names an empty box":     {Type: typePing, From: whole, Known: []Identity{{}}},
 	} {
 		t.Run("refuses a datagram "+name, func(t *testing.T) {
 			data, err := p.encode()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -50,12 +50,12 @@
 
 // Types of datagrams.
 const (
-	// typeAsk wants a reply.
-	typeAsk packetType = 1
-	// typeReply answers an ask and returns its time.
+	// typePing wants a reply.
+	typePing packetType = 1
+	// typeReply answers a ping and returns its time.
 	typeReply packetType = 2
-	// typeNews tells that the sender's knowledge has changed.
-	typeNews packetType = 3
+	// typeUpdate says that the sender's knowledge has changed.
+	typeUpdate packetType = 3
 )
 
 // packet is one datagram.
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -31,8 +31,8 @@
 	ackedEndings int64
 }
 
-// hear notes the sender and the boxes that it names.
-func (m *Mesh) hear(p *packet) {
+// record notes the sender and the boxes that it names.
+func (m *Mesh) record(p *packet) {
 	now := m.clock.Steady()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -90,7 +90,7 @@
 			add(p.Box, p.Address)
 		}
 	}
-	if m.aliveCount(now) < leastFanout {
+	if m.aliveCount(now) < minFanout {
 		for _, contact := range m.contacts() {
 			add("", contact)
 		}
@@ -168,7 +168,7 @@
 	if m.largeLocked() {
 		return largeFanout
 	}
-	return min(maxFanout, max(leastFanout, (len(m.peers)+roundsPerCycle-1)/roundsPerCycle))
+	return min(maxFanout, max(minFanout, (len(m.peers)+roundsPerCycle-1)/roundsPerCycle))
 }
 
 // Period returns the time between two rounds.
--- a/internal/mesh/places.go
+++ b/internal/mesh/places.go
@@ -198,8 +198,8 @@
 	return all[:min(count, len(all))]
 }
 
-// takePlaceMessage handles a datagram about a place.
-func (m *Mesh) takePlaceMessage(data []byte, from net.Addr) {
+// handlePlace handles a datagram about a place.
+func (m *Mesh) handlePlace(data []byte, from net.Addr) {
 	p, err := decodePlace(data)
 	if err != nil {
 		m.mu.Lock()
--- a/internal/mesh/places_test.go
+++ b/internal/mesh/places_test.go
@@ -137,7 +137,7 @@
 		}
 	})
 	t.Run("are told from other datagrams", func(t *testing.T) {
-		data, err := (&packet{Type: typeAsk}).encode()
+		data, err := (&packet{Type: typePing}).encode()
 		require.NoError(t, err)
 		assert.False(t, isPlaceMessage(data))
 		assert.False(t, isPlaceMessage(nil))
