--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -38,7 +38,7 @@
 	aliveCycles = 3
 	// minFanout is how many boxes are asked in a round, beside this box's
 	// sources; a larger fleet is asked in roundsPerCycle rounds, maxFanout at the most.
-	minFanout    = 6
+	minFanout      = 6
 	maxFanout      = 32
 	roundsPerCycle = 10
 	// newcomerSample is how many boxes a datagram names to a box that was first heard
