--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -65,6 +65,8 @@
 
 // startAgain starts a server's next incarnation, under its id or another.
 func (f *fleet) startAgain(s *server, keepID bool) {
+	f.entries.Lock()
+	defer f.entries.Unlock()
 	if !keepID {
 		f.store.RemoveServer(s.id())
 		f.incarnate(s)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,7 +36,7 @@
 			return nothing, nil
 		}},
 		{name: "lapse all entries", begin: lapse, fleetWide: true},
-		{name: "the store comes back from a copy", begin: restoreStore, fleetWide: true},
+		{name: "the store comes back from a copy", begin: restoreStore},
 		{name: "take a key away", begin: revoke},
 		{name: "change the configuration", begin: change},
 		{name: "pause a box again and again", begin: pauseBoxInRow},
@@ -315,6 +315,8 @@
 	return func(f *fleet) error {
 		// It serves on for longer than boxes may send it work, so that such work shows.
 		time.Sleep(time.Until(began.Add(lingerSpan)))
+		f.entries.Lock()
+		defer f.entries.Unlock()
 		f.store.RemoveServer(old)
 		s.setLeaving(false)
 		f.incarnate(s)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -85,6 +85,8 @@
 	servers  []*server
 	closers  []func()
 
+	// entries is held while a server's entry is written again, or replaced by another one's.
+	entries sync.Mutex
 	// ends are servers that start again.
 	ends sync.WaitGroup
 
--- a/internal/soak/restored.go
+++ b/internal/soak/restored.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"time"
 
 	"dooryard.example/dooryard/platform/standin"
@@ -28,7 +29,11 @@
 			f.store.PutConfig(f.config)
 		})
 		for _, s := range f.servers {
-			f.later(func() { f.announceAgain(s) })
+			f.later(func() {
+				f.entries.Lock()
+				defer f.entries.Unlock()
+				f.announceAgain(s)
+			})
 		}
 		f.ends.Go(func() {
 			time.Sleep(writtenAgainMs * time.Millisecond)
@@ -57,6 +62,30 @@
 	}
 }
 
+// heartbeatMs is how often servers write their entries, so that a copy lacks many of them.
+const heartbeatMs = 400
+
+// heartbeats lets servers write their entries while the store takes them.
+func (f *fleet) heartbeats(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatMs * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if f.store.Fault() != standin.StoreWell {
+			continue
+		}
+		for _, s := range f.servers {
+			f.entries.Lock()
+			f.announceAgain(s)
+			f.entries.Unlock()
+		}
+	}
+}
+
 func (s *server) setLeaving(leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,6 +63,7 @@
 	}
 	running.Go(func() { f.fatalClient(clients) })
 	running.Go(func() { f.strikeWords(clients) })
+	running.Go(func() { f.heartbeats(clients) })
 	err = f.strike(ctx, report.Faults)
 	stopClients()
 	running.Wait()
--- a/internal/soak/words.go
+++ b/internal/soak/words.go
@@ -80,6 +80,8 @@
 	if s.incarnation() != current {
 		return
 	}
+	f.entries.Lock()
+	defer f.entries.Unlock()
 	f.store.RemoveServer(current.ID)
 	f.incarnate(s)
 }
