--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -175,7 +175,7 @@
 		return nil
 	}
 	// What is missing goes first: an outdated record of an upstream that is missing says nothing.
-	all = append(r.missing(all, at, lapseMs), r.listable(all, at, lapseMs)...)
+	all = append(r.missing(all, at, lapseMs), r.lapseForeign(all, at, lapseMs)...)
 	r.mu.Unlock()
 	news := r.Apply(all)
 	r.mu.Lock()
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -44,9 +44,9 @@
 	return e
 }
 
-// listable returns a list of all upstreams as it is to be applied. Another writer's entry in a
-// copy may stand where an upstream has written its own since: that upstream may come back.
-func (r *Registry) listable(all []Change, at position.Position, lapseMs clock.Millis) []Change {
+// lapseForeign gives upstreams in whose place a copy has another writer's entry the time to come
+// back: they may have written their own since.
+func (r *Registry) lapseForeign(all []Change, at position.Position, lapseMs clock.Millis) []Change {
 	if !r.restored(at) {
 		return all
 	}
