--- a/internal/balance/largefleet_test.go
+++ b/internal/balance/largefleet_test.go
@@ -16,9 +16,9 @@
 )
 
 // Hundreds of boxes see about five requests a second each before hundreds of engines, and in a
-// fleet of that size they told each other no loads. On its first day 182 of 5,267 requests
+// fleet of that size they told each other no loads. At the start 182 of 5,267 requests
 // within 5 s went to engines over twice the mean and three, where 3 in 100 are allowed, and the
-// first two seconds had a 99th percentile of 1.2 s. Lines show why: of some 340 such picks 330
+// first two seconds had a 99th percentile of 1.2 s. Lines of the boxes show the cause: of some 340 such picks 330
 // were at engines that the box took for idle, 54 engines of 240 got them all, and a third of
 // them went to four: those with more sessions than others, and slow ones, while prompts are
 // read for the first time.
--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -69,7 +69,7 @@
 
 func (w *word) resting(now clock.Millis) bool { return now < w.restUntilMs }
 
-// over reports whether the word of an upstream that is out of sight says nothing any more.
+// over reports whether what an upstream without an entry said of itself no longer counts.
 func (w *word) over(now clock.Millis) bool {
 	return !w.resting(now) && now-w.goneMs > wordMemoryMs
 }
