fix(upstream): the liveness probe always opens a connection

Cause: ProbeLiveness took an idle connection as proof that the upstream was alive and opened none. A crash that left an idle connection behind cleared the requests that had caused it, so a fatal request was sent 5 times before its third crash counted.

A connection is opened for each probe now, one for each upstream on which connections broke.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -244,13 +244,10 @@
 	Unresponsive
 )
 
-// ProbeLiveness determines whether the upstream's process is running. If a connection opens, it is
-// kept for the next request. No connection is opened while a usable idle one exists.
+// ProbeLiveness determines whether the upstream's process is running. It always opens a connection,
+// because idle ones look usable after the upstream's host lost power. If the connection opens, it is
+// kept for the next request.
 func (c *Client) ProbeLiveness(ctx context.Context) Liveness {
-	if cn := c.popIdle(); cn != nil {
-		c.putUnused(cn)
-		return Alive
-	}
 	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
 	defer cancel()
 	raw, err := c.dial(ctx, "tcp", c.address)
