feat(evacuation): upstreams of evacuated failure domains get no new requests

The balancer leaves the upstreams out of each pick (retries, resumed streams, trial requests, permits follow from it) and checks again before the first byte. Paths to an evacuated failure domain are not probed. For the first half of the bound other engines may still fetch cached parts from there.

Ruled out: evacuations as part of a routing state (its version doesn't change with them) or of the registry (another log's positions).

--- /dev/null
+++ b/internal/balance/evacuation_test.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/evacuation"
+)
+
+// evacuated returns evacuations that started ageMs ago.
+func evacuated(ageMs clock.Millis, domains ...string) []evacuation.Evacuation {
+	list := []evacuation.Evacuation{}
+	for _, domain := range domains {
+		list = append(list, evacuation.Evacuation{FailureDomain: domain, AgeMs: ageMs})
+	}
+	return list
+}
+
+// TestEvacuations guards against work for an evacuated failure domain by any way on which requests are sent.
+func TestEvacuations(t *testing.T) {
+	t.Run("no session is sent there", func(t *testing.T) {
+		f := newFixture(t, 12)
+		f.SetEvacuations(evacuated(0, "d0", "d1"))
+		for i := range 100 {
+			l := f.pick(t, sticky(string(rune('a'+i))))
+			assert.Equal(t, "d2", l.FailureDomain)
+		}
+	})
+	t.Run("neither is a request that was picked before and is not sent yet", func(t *testing.T) {
+		f := newFixture(t, 1)
+		l := f.pick(t, sticky("s"))
+		f.SetEvacuations(evacuated(0, "d0"))
+		require.ErrorIs(t, l.CheckBeforeSend(), ErrEvacuated)
+	})
+	t.Run("an upstream that is new to the list is evacuated, too", func(t *testing.T) {
+		f := newFixture(t, 0)
+		f.SetEvacuations(evacuated(0, "d0"))
+		f.SetUpstreams(newFixture(t, 1).list)
+		_, err := f.Pick(sticky("s"))
+		require.ErrorIs(t, err, ErrAllEvacuated)
+		assert.GreaterOrEqual(t, f.RetryAfterMs("p", 0), evacuationRetryMs)
+	})
+	t.Run("ejected engines elsewhere don't bring it back", func(t *testing.T) {
+		f := newFixture(t, 6)
+		for _, member := range f.byID {
+			if member.FailureDomain != "d0" {
+				member.setHealth(member.health.WithUnreachable(f.now, f.settings.Health), f.now)
+			}
+		}
+		f.SetEvacuations(evacuated(0, "d0"))
+		l := f.pick(t, sticky("s"))
+		assert.NotEqual(t, "d0", l.FailureDomain)
+	})
+	t.Run("engines fetch cached parts from there for half of the time in which it must take effect", func(t *testing.T) {
+		for ageMs, fetches := range map[clock.Millis]bool{0: true, 999: true, 1000: false, -1: false} {
+			f := newFixture(t, 2)
+			f.settings.EvacuationMs = 2000
+			request := sticky("s")
+			request.Transfers = true
+			first := f.pick(t, request)
+			first.RecordResponseStart()
+			first.Release(Succeeded)
+			f.SetEvacuations(evacuated(ageMs, first.FailureDomain))
+			assert.Equal(t, fetches, f.pick(t, request).FetchFrom == first.Address, "evacuated %d ms ago", ageMs)
+		}
+	})
+	t.Run("the path to it is not probed", func(t *testing.T) {
+		f := newFixture(t, 3)
+		f.pathTo("d0")
+		f.now += 10_000
+		require.NotEmpty(t, f.Probes(map[string]clock.Millis{"d0": 250}, false))
+		g := newFixture(t, 3)
+		g.pathTo("d0")
+		g.SetEvacuations(evacuated(0, "d0"))
+		g.now += 10_000
+		assert.Empty(t, g.Probes(map[string]clock.Millis{"d0": 250}, false))
+	})
+}
--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -54,12 +54,13 @@
 
 // knownHolder returns the address of the engine that is known to cache the most of the prompt, and
 // the number of tokens it caches. It considers the engines in order and the recently departed ones,
-// but not the chosen engine or those that are ejected or backing off.
+// but not the chosen engine or those that are ejected, backing off, or evacuated for a while.
 func (m *Manager) knownHolder(
 	lease *Lease, order []*Member, shared []prompt.KeyedPart, now clock.Millis,
 ) (address string, cached int) {
 	for _, member := range append(order, m.departed[lease.Pool]...) {
-		if member == lease.Member || member.health.Ejected(now) || member.signals.backingOff(now) {
+		if member == lease.Member || member.health.Ejected(now) || member.signals.backingOff(now) ||
+			!m.mayFetchFrom(member, now) {
 			continue
 		}
 		if tokens := member.parts.cachedTokens(shared, now); tokens > cached {
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -28,6 +28,8 @@
 	// PanicPercent is the maximum percentage of a pool's otherwise available upstreams that may be
 	// excluded as ejected or on probation. If there are more, none of them is excluded.
 	PanicPercent int
+	// EvacuationMs is the time within which an evacuated failure domain must get no new work.
+	EvacuationMs clock.Millis
 }
 
 // Manager holds the pools and their upstreams. It is safe for concurrent use.
@@ -57,6 +59,8 @@
 	fleetInFlightByPool map[namekey.Key]int
 	// othersAgeMs is the average age of the load reports from other boxes.
 	othersAgeMs clock.Millis
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]evacuatedDomain
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
 	departedSignals map[string]*upstreamSignals
 }
@@ -85,6 +89,7 @@
 	m.pools = map[string][]*Member{}
 	for _, u := range list {
 		member := m.memberFor(old[u.ID], u)
+		_, member.evacuated = m.evacuated[member.FailureDomain]
 		m.byID[u.ID] = member
 		m.byKey[member.key] = member
 		m.pools[u.Pool] = append(m.pools[u.Pool], member)
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -35,6 +35,8 @@
 	ejection
 	// signals are the backoff and draining signals from its responses.
 	signals *upstreamSignals
+	// evacuated is set while the upstream's failure domain is evacuated.
+	evacuated bool
 	// connectionLost is set once a connection to it broke or could not be opened.
 	connectionLost bool
 	failures       failureRate
--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -64,6 +64,9 @@
 		if p.probing || !p.probeDue(now, heartbeatMs[name]) {
 			continue
 		}
+		if _, evacuated := m.evacuated[name]; evacuated {
+			continue
+		}
 		if clients := m.probeTargets(name, now); len(clients) > 0 {
 			p.probing, p.probeRequested = true, false
 			probes = append(probes, Probe{FailureDomain: name, Clients: clients})
--- a/internal/balance/retryafter.go
+++ b/internal/balance/retryafter.go
@@ -29,6 +29,9 @@
 	// upstreams may appear in the meantime, and one refused retry a minute costs a caller only some
 	// milliseconds.
 	maxAvailabilityDelayMs = 60 * clock.Second
+	// evacuationRetryMs is the delay if all upstreams are evacuated. The end of an evacuation is not known
+	// in advance, and most last for seconds or longer.
+	evacuationRetryMs = clock.Second
 	// maxScheduledRetries bounds the number of callers that are remembered.
 	maxScheduledRetries = 256
 )
@@ -117,6 +120,8 @@
 	backoff := max(0, member.signals.backoffUntilMs-now)
 	p := m.pathTo(member.FailureDomain)
 	switch {
+	case member.evacuated:
+		return max(backoff, evacuationRetryMs)
 	case p.partitioned:
 		return max(backoff, min(discoveryMs, max(0, p.probeEndedMs+probeIntervalMs-now)))
 	case member.health.Ejected(now):
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -14,6 +14,8 @@
 	ErrBackingOff = errors.New("the upstream asked this box to back off")
 	// ErrDraining means that the upstream has announced that it will shut down.
 	ErrDraining = errors.New("the upstream is draining")
+	// ErrEvacuated means that operators have evacuated the upstream's failure domain.
+	ErrEvacuated = errors.New("the upstream's failure domain is evacuated")
 )
 
 // AllBackingOffError means that upstreams would accept the request, but all of them are backing off. It
@@ -81,7 +83,9 @@
 func (m *Member) draining() bool { return m.Draining || m.signals.shuttingDown }
 
 // unavailable reports whether the upstream accepts no new requests from this box.
-func (m *Member) unavailable(now clock.Millis) bool { return m.draining() || m.signals.backingOff(now) }
+func (m *Member) unavailable(now clock.Millis) bool {
+	return m.draining() || m.evacuated || m.signals.backingOff(now)
+}
 
 // BackOff records that the upstream refused a request and asked this box to back off for a duration.
 // It reports whether the upstream was not backing off before. If several backoffs overlap, the one
@@ -123,6 +127,8 @@
 	switch {
 	case l.draining():
 		return ErrDraining
+	case l.evacuated:
+		return ErrEvacuated
 	case l.signals.backingOff(l.manager.monotonic()):
 		return ErrBackingOff
 	default:
@@ -194,9 +200,16 @@
 
 // noUpstreamError returns the reason for which no upstream of a pool accepts a request.
 func (m *Manager) noUpstreamError(pool string, now clock.Millis) error {
-	e := &AllBackingOffError{}
+	e, evacuated, others := &AllBackingOffError{}, 0, 0
 	for _, member := range m.pools[pool] {
-		if member.draining() || !member.signals.backingOff(now) {
+		switch {
+		case member.draining():
+			continue
+		case member.evacuated:
+			evacuated++
+			continue
+		case !member.signals.backingOff(now):
+			others++
 			continue
 		}
 		e.Upstreams++
@@ -204,8 +217,12 @@
 			e.NextUpstream, e.RetryInMs, e.RefusedRequest = member.ID, remaining, member.signals.refusedRequest
 		}
 	}
-	if e.Upstreams == 0 {
+	switch {
+	case e.Upstreams > 0:
+		return e
+	case evacuated > 0 && others == 0:
+		return ErrAllEvacuated
+	default:
 		return ErrNoUpstream
 	}
-	return e
 }
--- a/internal/balance/skipped.go
+++ b/internal/balance/skipped.go
@@ -22,6 +22,8 @@
 	SkipTried SkipReason = "tried before"
 	// SkipDraining means that the engine is draining.
 	SkipDraining SkipReason = "leaving"
+	// SkipEvacuated means that its failure domain is evacuated.
+	SkipEvacuated SkipReason = "failure domain evacuated"
 	// SkipBackoff means that the engine asked this box to back off.
 	SkipBackoff SkipReason = "at rest"
 	// SkipEjected means that the engine failed, and is ejected or receives only single trial
@@ -56,6 +58,8 @@
 		return SkipTried
 	case member.draining():
 		return SkipDraining
+	case member.evacuated:
+		return SkipEvacuated
 	case member.signals.backingOff(now):
 		return SkipBackoff
 	case m.pathTo(member.FailureDomain).partitioned:
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -274,6 +274,32 @@
 	return nil
 }
 
+// DomainEvacuated records that the evacuation of a failure domain started or ended.
+type DomainEvacuated struct {
+	FailureDomain string
+	Ended         bool
+	// Position is the position of the change in the store's log.
+	Position position.Position
+}
+
+// Name implements Event.
+func (e DomainEvacuated) Name() string {
+	if e.Ended {
+		return "evacuation ended"
+	}
+	return "failure domain evacuated"
+}
+
+// Routine implements Event.
+func (DomainEvacuated) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e DomainEvacuated) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("failure_domain", e.FailureDomain)
+	o.AddString("position", e.Position.String())
+	return nil
+}
+
 // UpstreamChanged records a change of an upstream's state.
 type UpstreamChanged struct {
 	Upstream string
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -18,6 +18,7 @@
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/logging"
 	"dooryard.example/dooryard/internal/mesh"
@@ -59,6 +60,7 @@
 	routingState  *routing.StateTracker
 	registry      *registry.Registry
 	balance       *balance.Manager
+	evacuations   *evacuation.Tracker
 	budgets       *retry.Budgets
 	steps         *steps
 	peering       *peering
@@ -70,6 +72,8 @@
 
 	servers  []*http.Server
 	stopping atomic.Bool
+	// applyingEvacuations orders the updates of the balancer's evacuations.
+	applyingEvacuations sync.Mutex
 	// storeUnavailable is set while any stream of the store can't be read.
 	storeUnavailable atomic.Bool
 	// storeRestoredMs is when this box last found the store restored from an older snapshot, 0 if never.
@@ -128,17 +132,19 @@
 	b.registry = registry.New(b.clock.Monotonic)
 	b.balance = balance.New(balance.Settings{
 		FailureDomain: settings.FailureDomain, BoundPercent: settings.Balance.BoundPercent,
-		PanicPercent: settings.Balance.PanicPercent,
+		PanicPercent: settings.Balance.PanicPercent, EvacuationMs: clock.Millis(settings.Freshness.MaxEvacuationMs),
 		Health: health.Limits{
 			BaseMs: clock.Millis(settings.Balance.EjectBaseMs), MaxMs: clock.Millis(settings.Balance.EjectMaxMs),
 		},
 	}, b.clock.Monotonic, b.connect, rand.IntN)
+	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation)
 	b.registry.OnChange(func() { b.balance.SetUpstreams(b.registry.All()) })
 	usablePercent := settings.Budget.Ratio * percent * localBudgetShare
 	window := clock.Millis(settings.Budget.WindowS * float64(clock.Second))
 	b.budgets = retry.NewBudgets(int(usablePercent*sustainedShare), retryReserve(settings.Budget.Slack),
 		retry.WithBurst(int(usablePercent*(1-sustainedShare)), window, b.clock.Monotonic))
 	b.metrics.Publish("routing_state", func() any { return b.stateSummary() })
+	b.metrics.Publish("evacuations", func() any { return b.evacuations.Active() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
@@ -152,7 +158,10 @@
 
 // stateSummary returns what the box currently knows, for other boxes and for metrics.
 func (b *Box) stateSummary() mesh.StateSummary {
-	k := mesh.StateSummary{Position: b.registry.Position(), AgeMs: -1, StoreUnavailable: b.storeUnavailable.Load()}
+	k := mesh.StateSummary{
+		Position: b.registry.Position(), AgeMs: -1, StoreUnavailable: b.storeUnavailable.Load(),
+		Evacuations: b.evacuations.Summary(),
+	}
 	if state := b.routingState.State(); state != nil {
 		k.Version = state.Version()
 	}
@@ -258,6 +267,7 @@
 func (b *Box) housekeeping() {
 	b.pauseDetector.check()
 	b.registry.Expire()
+	b.evacuations.Expire()
 	b.balance.SetOthersInFlight(b.peering.mesh.OthersInFlight())
 	b.balance.SetFleetInFlightByPool(b.peering.mesh.FleetInFlightByPool())
 	b.balance.SetOthersInFlightAge(b.peering.mesh.OthersInFlightAgeMs())
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -98,7 +98,7 @@
 	}{
 		{"readiness", settings.ReadinessAddress, ready},
 		{"callers", settings.CallersAddress, b},
-		{"peers", settings.PeersAddress, relay.Handler(b.routingState, b.registry)},
+		{"peers", settings.PeersAddress, relay.Handler(b.routingState, b.registry, b.evacuations)},
 		{"metrics", settings.MetricsAddress, metrics},
 	} {
 		if l.address == "" {
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -116,7 +116,8 @@
 		p.box.observeEra(max(a.StateSummary.Era, a.StateSummary.Position.Era), "box "+a.From.Box)
 	}
 	p.box.registry.Confirm(a.StateSummary.Position)
-	if a.StateSummary.Version > local.Version || local.Position.Before(a.StateSummary.Position) {
+	if a.StateSummary.Version > local.Version || local.Position.Before(a.StateSummary.Position) ||
+		!p.box.evacuations.Advance(a.StateSummary.Evacuations) {
 		if err := p.fetch(ctx, a.From, local); err != nil {
 			p.box.log.Record(decision.InputIgnored{Input: "news of box " + a.From.Box, Err: err.Error()})
 			return
@@ -151,6 +152,7 @@
 		}
 		p.box.adopt(state, reply.Era, source)
 	}
+	p.box.evacuations.Merge(reply.Evacuations)
 	p.box.announceUpstreams(p.box.registry.Merge(reply.Upstreams), source)
 	return nil
 }
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -5,6 +5,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
@@ -28,6 +29,10 @@
 	Upstreams func(changes []registry.Change)
 	// AllUpstreams replaces the list of upstreams with the complete list as of a position.
 	AllUpstreams func(all []registry.Change, at position.Position)
+	// Evacuations applies changes of the evacuated failure domains.
+	Evacuations func(changes []evacuation.Change)
+	// AllEvacuations replaces the evacuated failure domains with the complete list as of a position.
+	AllEvacuations func(all evacuation.Update)
 	// Position returns the position of the newest known change of the upstreams.
 	Position func() position.Position
 	// ReportRead reports the result of a read of a stream; the error is nil if it succeeded.
@@ -67,6 +72,7 @@
 		ShouldRead: s.shouldRead, RelaysReads: s.box.peering.mesh.IsStoreReader, ObserveEra: s.observeEra,
 		Adopt: s.adopt, Confirm: s.confirm,
 		Upstreams: s.upstreams, AllUpstreams: s.allUpstreams,
+		Evacuations: s.box.evacuations.Apply, AllEvacuations: s.box.evacuations.Merge,
 		Position: s.box.registry.Position, ReportRead: s.reportRead, ReportInvalidInput: s.box.ReportInvalidInput,
 	}
 }
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
@@ -24,6 +25,8 @@
 	mu      sync.Mutex
 	state   *routing.State
 	changes []registry.Change
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
 	// revision counts the changes in the current era.
 	revision     int64
 	era          int64
@@ -36,7 +39,7 @@
 }
 
 func newStore() *store {
-	return &store{unavailable: map[string]bool{}, unresponsive: map[string]bool{}, reads: map[string]int{}, notes: map[string][]byte{}}
+	return &store{evacuated: map[string]bool{}, unavailable: map[string]bool{}, unresponsive: map[string]bool{}, reads: map[string]int{}, notes: map[string][]byte{}}
 }
 
 func (s *store) setState(t *testing.T, c routing.Content) {
@@ -55,6 +58,14 @@
 	s.changes = append(s.changes, registry.Change{Upstream: u, Position: position.At(s.era, s.revision)})
 }
 
+// setEvacuated starts or ends the evacuation of a failure domain.
+func (s *store) setEvacuated(domain string, evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.evacuated[domain] = evacuated
+}
+
 // remove removes an upstream's entry.
 func (s *store) remove(id string) {
 	s.mu.Lock()
@@ -65,17 +76,21 @@
 
 // storeSnapshot is a snapshot of the store.
 type storeSnapshot struct {
-	state    *routing.State
-	changes  []registry.Change
-	revision int64
-	notes    map[string][]byte
+	state     *routing.State
+	changes   []registry.Change
+	evacuated map[string]bool
+	revision  int64
+	notes     map[string][]byte
 }
 
 // copy returns a snapshot of the current contents.
 func (s *store) copy() storeSnapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return storeSnapshot{state: s.state, changes: slices.Clone(s.changes), revision: s.revision, notes: maps.Clone(s.notes)}
+	return storeSnapshot{
+		state: s.state, changes: slices.Clone(s.changes), evacuated: maps.Clone(s.evacuated), revision: s.revision,
+		notes: maps.Clone(s.notes),
+	}
 }
 
 // restore restores the store from a snapshot and starts a new era.
@@ -83,7 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.state, s.revision, s.notes = c.state, c.revision, maps.Clone(c.notes)
+	s.state, s.revision, s.notes, s.evacuated = c.state, c.revision, maps.Clone(c.notes), maps.Clone(c.evacuated)
 	s.changes = slices.Clone(c.changes)
 	for i := range s.changes {
 		s.changes[i].Position.Era = s.era
@@ -179,6 +194,12 @@
 	s.mu.Lock()
 	state, changes, unavailable := s.state, append([]registry.Change(nil), s.changes...), s.unavailable[box]
 	at := position.At(s.era, s.revision)
+	evacuations := evacuation.Update{Position: at}
+	for domain, evacuated := range s.evacuated {
+		if evacuated {
+			evacuations.Evacuations = append(evacuations.Evacuations, evacuation.Evacuation{FailureDomain: domain, AgeMs: -1})
+		}
+	}
 	unresponsive, readDelayMs := s.unresponsive[box], s.readDelayMs
 	s.reads[box]++
 	s.mu.Unlock()
@@ -201,6 +222,7 @@
 		changes[i].Copied = true
 	}
 	sink.ObserveEra(at.Era)
+	sink.AllEvacuations(evacuations)
 	sink.AllUpstreams(changes, at)
 	if state != nil {
 		sink.Adopt(state, at.Era)
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -59,7 +59,7 @@
 // that they are draining.
 func timingOf(g config.Gateway) timing {
 	leave := clock.Millis(g.Freshness.MaxDrainNoticeMs)
-	slack := max(0, min(leave, clock.Millis(g.Freshness.MaxPropagationMs))-directReadLeadMs)
+	slack := max(0, shortestBoundMs(g)-directReadLeadMs)
 	t := timing{
 		periodMs:       max(1, min(maxPeriodMs, slack/periodsInSlack)),
 		removalGraceMs: max(0, min(maxRemovalGraceMs, leave-removalLeadMs)),
@@ -83,7 +83,16 @@
 // for it. Period is the current gossip period.
 func (t timing) directReadAgeMs(g config.Gateway, period clock.Millis) clock.Millis {
 	typicalMs := t.pollMs + 2*period + directReadMarginMs
-	return max(typicalMs, clock.Millis(min(g.Freshness.MaxDrainNoticeMs, g.Freshness.MaxPropagationMs))-directReadLeadMs)
+	return max(typicalMs, shortestBoundMs(g)-directReadLeadMs)
+}
+
+// shortestBoundMs returns the shortest time within which a change in the store must take effect.
+func shortestBoundMs(g config.Gateway) clock.Millis {
+	bound := min(g.Freshness.MaxDrainNoticeMs, g.Freshness.MaxPropagationMs)
+	if g.Freshness.MaxEvacuationMs > 0 {
+		bound = min(bound, g.Freshness.MaxEvacuationMs)
+	}
+	return clock.Millis(bound)
 }
 
 // shutdownGrace returns the time that a graceful shutdown may take.
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/prompt"
@@ -43,6 +44,8 @@
 	StoreUnavailable bool `cbor:"4,keyasint,omitempty" json:"store_lost"`
 	// Era is the store era of the response that confirmed Version.
 	Era int64 `cbor:"5,keyasint,omitempty" json:"era"`
+	// Evacuations summarizes the evacuated failure domains.
+	Evacuations evacuation.Summary `cbor:"7,keyasint" json:"evacuations"`
 }
 
 // packetType distinguishes the kinds of datagrams.
--- a/internal/opaque/refusal.go
+++ b/internal/opaque/refusal.go
@@ -34,6 +34,7 @@
 	BoxFull                    Cause = "box_full"
 	NoUpstream                 Cause = "no_upstream"
 	UpstreamsBackingOff        Cause = "upstreams_at_rest"
+	UpstreamsEvacuated         Cause = "upstreams_evacuated"
 	Shed                       Cause = "upstreams_refused"
 	Quarantined                Cause = "quarantined"
 	ResponseLost               Cause = "upstream_lost"
@@ -94,6 +95,7 @@
 	BoxFull:                    "this box holds as many requests as it can",
 	NoUpstream:                 "no upstream serves this now; nothing ran",
 	UpstreamsBackingOff:        "the upstreams asked for rest; nothing ran",
+	UpstreamsEvacuated:         "operators evacuated the failure domains of the upstreams; nothing ran",
 	Shed:                       "the upstreams refused; nothing ran",
 	Quarantined:                "upstreams ended under this request each time it came; it is held back, nothing ran",
 	ResponseLost:               "the upstream's answer was lost; the request may have run",
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -113,7 +113,8 @@
 		s.request.MayHaveRun = true
 	}
 	switch {
-	case s.ctx.Err() != nil || errors.Is(err, balance.ErrBackingOff) || errors.Is(err, balance.ErrDraining):
+	case s.ctx.Err() != nil || errors.Is(err, balance.ErrBackingOff) || errors.Is(err, balance.ErrDraining) ||
+		errors.Is(err, balance.ErrEvacuated):
 		lease.Release(balance.Neutral)
 	case errors.Is(err, upstream.ErrUnreachable):
 		lease.Release(balance.Unreachable)
--- a/internal/relay/encode.go
+++ b/internal/relay/encode.go
@@ -8,6 +8,7 @@
 
 	"github.com/klauspost/compress/gzip"
 
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/position"
 )
 
@@ -20,6 +21,7 @@
 type cacheKey struct {
 	version, ownVersion   int64
 	position, ownPosition position.Position
+	evacuations           evacuation.Summary
 }
 
 // replyCache encodes replies and caches the newest ones. After a change all boxes of a failure
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/jsonhttp"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
@@ -46,13 +47,17 @@
 	// Era is the newest store era in which the store returned Version.
 	Era       int64           `json:"era,omitempty"`
 	Upstreams registry.Update `json:"upstreams"`
+	// Evacuations is complete, because there are few.
+	Evacuations evacuation.Update `json:"evacuations"`
 }
 
 // errBusy is returned while the maximum number of long replies is being sent.
 var errBusy = apierror.New(http.StatusServiceUnavailable, "busy", "too many long replies at once")
 
-// Handler serves the routing state and the upstreams to other boxes.
-func Handler(tracker *routing.StateTracker, upstreams *registry.Registry) http.Handler {
+// Handler serves the routing state, the upstreams and the evacuations to other boxes.
+func Handler(
+	tracker *routing.StateTracker, upstreams *registry.Registry, evacuations *evacuation.Tracker,
+) http.Handler {
 	mux := http.NewServeMux()
 	cache := &replyCache{}
 	longReplies := make(chan struct{}, maxLongReplies)
@@ -64,6 +69,7 @@
 			return
 		}
 		out := reply(tracker, upstreams, version, after)
+		out.Evacuations = evacuations.Update()
 		if len(out.Upstreams.Changes) > longReplyChanges {
 			select {
 			case longReplies <- struct{}{}:
@@ -73,7 +79,10 @@
 				return
 			}
 		}
-		key := cacheKey{version: version, position: after, ownVersion: out.Version, ownPosition: out.Upstreams.Position}
+		key := cacheKey{
+			version: version, position: after, ownVersion: out.Version, ownPosition: out.Upstreams.Position,
+			evacuations: evacuations.Summary(),
+		}
 		data, err := cache.encode(key, out)
 		if err != nil {
 			apierror.New(http.StatusInternalServerError, "internal", err.Error()).Write(w)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
@@ -18,8 +19,8 @@
 
 func monotonic() clock.Millis { return 1000 }
 
-// newState returns a routing state and a registry with a number of upstreams.
-func newState(t *testing.T, upstreams int) (*routing.StateTracker, *registry.Registry) {
+// newState returns a routing state, a registry with a number of upstreams, and no evacuations.
+func newState(t *testing.T, upstreams int) (*routing.StateTracker, *registry.Registry, *evacuation.Tracker) {
 	t.Helper()
 	state, err := routing.New(routing.Content{Version: 7})
 	require.NoError(t, err)
@@ -28,12 +29,12 @@
 	for i := range upstreams {
 		r.Apply([]registry.Change{{Upstream: registry.Upstream{ID: fmt.Sprint("u", i)}, Position: position.At(0, int64(i+1))}})
 	}
-	return tracker, r
+	return tracker, r, evacuation.New(monotonic, func(evacuation.Change) {})
 }
 
 func TestFetch(t *testing.T) {
-	tracker, r := newState(t, 3)
-	server := httptest.NewServer(Handler(tracker, r))
+	tracker, r, evacuations := newState(t, 3)
+	server := httptest.NewServer(Handler(tracker, r, evacuations))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	c := NewClient(nil)
@@ -44,8 +45,8 @@
 		assert.Len(t, reply.Upstreams.Changes, 2)
 	})
 	t.Run("returns each new state and upstream", func(t *testing.T) {
-		tracker, r := newState(t, 3)
-		server := httptest.NewServer(Handler(tracker, r))
+		tracker, r, evacuations := newState(t, 3)
+		server := httptest.NewServer(Handler(tracker, r, evacuations))
 		defer server.Close()
 		address := strings.TrimPrefix(server.URL, "http://")
 		for version := range int64(3 * maxCachedReplies) {
@@ -61,6 +62,15 @@
 			}
 		}
 	})
+	t.Run("returns each change of the evacuations", func(t *testing.T) {
+		for i, want := range []int{1, 0} {
+			evacuations.Apply([]evacuation.Change{{FailureDomain: "d", Ended: want == 0, Position: position.At(0, int64(i+1))}})
+			reply, err := c.Fetch(t.Context(), address, 7, position.At(0, 3))
+			require.NoError(t, err)
+			assert.Equal(t, position.At(0, int64(i+1)), reply.Evacuations.Position)
+			assert.Len(t, reply.Evacuations.Evacuations, want)
+		}
+	})
 	t.Run("compresses a state with many routes", func(t *testing.T) {
 		content := routing.Content{Version: 9}
 		for i := range 300 {
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -66,6 +66,9 @@
 	// MaxDrainNoticeMs is how long a box may still send requests to an upstream that has announced
 	// its shutdown.
 	MaxDrainNoticeMs int64 `yaml:"leave_ms"`
+	// MaxEvacuationMs is the time within which the upstreams of an evacuated failure domain must get
+	// no new requests. 0 sets no bound.
+	MaxEvacuationMs int64 `yaml:"evacuate_ms"`
 }
 
 // Balance configures load balancing.
@@ -167,6 +170,7 @@
 		{"freshness.max_age_ms", g.Freshness.MaxAgeMs, 500, dayMs},
 		{"freshness.in_force_ms", g.Freshness.MaxPropagationMs, minFreshnessBoundMs, dayMs},
 		{"freshness.leave_ms", g.Freshness.MaxDrainNoticeMs, minFreshnessBoundMs, dayMs},
+		{"freshness.evacuate_ms", g.Freshness.MaxEvacuationMs, minFreshnessBoundMs, dayMs},
 		{"balance.bound_percent", int64(g.Balance.BoundPercent), 101, 1000},
 		{"balance.eject_base_ms", g.Balance.EjectBaseMs, 1, dayMs},
 		{"balance.eject_max_ms", g.Balance.EjectMaxMs, 1, dayMs},
