feat(balance): cold upstreams get no more requests than they bear

Change: entries carry the rest of the cold time, the configuration the rate a cold upstream bears, the settings how far it may be exceeded. Each box limits itself by the number of boxes alone, so nothing is exchanged and partitions change nothing: its whole share a second where that is one or more, else one request in a short slot of its own. Slots are so far apart that the requests of one second stay seven standard deviations below the limit even if each slot is used. Boxes that can't know the others yet assume 128. When an evacuation ends, its upstreams count as cold until their entries must have arrived. What finds no slot in a pool that is cold as a whole is refused at once, with a Retry-After that ends with the next slot or the cold time.

Ruled out: a fixed share of the rate for each box with tokens that last (78 tokens may be used in one second); permits from one owner (in a partition each side has one; a datagram for each request).

--- a/internal/balance/evacuation.go
+++ b/internal/balance/evacuation.go
@@ -24,7 +24,7 @@
 func (m *Manager) SetEvacuations(list []evacuation.Evacuation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.monotonic()
+	now, before := m.monotonic(), m.evacuated
 	m.evacuated = make(map[string]evacuatedDomain, len(list))
 	for _, e := range list {
 		domain := evacuatedDomain{}
@@ -36,6 +36,11 @@
 	for _, member := range m.byID {
 		_, member.evacuated = m.evacuated[member.FailureDomain]
 	}
+	for domain := range before {
+		if _, evacuated := m.evacuated[domain]; !evacuated {
+			m.assumeCold(domain, now)
+		}
+	}
 }
 
 // mayFetchFrom reports whether an evacuation allows engines to fetch cached parts from an engine.
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -30,6 +30,10 @@
 	PanicPercent int
 	// EvacuationMs is the time within which an evacuated failure domain must get no new work.
 	EvacuationMs clock.Millis
+	// Box is the name of this box.
+	Box string
+	// ColdTolerance is how far requests may exceed the rate of a cold upstream.
+	ColdTolerance ColdTolerance
 }
 
 // Manager holds the pools and their upstreams. It is safe for concurrent use.
@@ -61,6 +65,10 @@
 	othersAgeMs clock.Millis
 	// evacuated holds the evacuated failure domains.
 	evacuated map[string]evacuatedDomain
+	// coldStarts holds the cold starts of the pools.
+	coldStarts map[string]ColdStart
+	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
+	fleetSize int
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
 	departedSignals map[string]*upstreamSignals
 }
@@ -90,6 +98,7 @@
 	for _, u := range list {
 		member := m.memberFor(old[u.ID], u)
 		_, member.evacuated = m.evacuated[member.FailureDomain]
+		member.cold.entryUntilMs = m.monotonic() + u.ColdMs
 		m.byID[u.ID] = member
 		m.byKey[member.key] = member
 		m.pools[u.Pool] = append(m.pools[u.Pool], member)
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -35,6 +35,7 @@
 	ejection
 	// signals are the backoff and draining signals from its responses.
 	signals *upstreamSignals
+	cold    coldState
 	// evacuated is set while the upstream's failure domain is evacuated.
 	evacuated bool
 	// connectionLost is set once a connection to it broke or could not be opened.
@@ -50,7 +51,7 @@
 func (m *Member) Identity() registry.Upstream { return m.identity }
 
 func identityOf(u registry.Upstream) registry.Upstream {
-	u.Draining, u.Slots = false, 0
+	u.Draining, u.Slots, u.ColdMs = false, 0, 0
 	return u
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -105,6 +105,7 @@
 	lease.Load = lease.load(now)
 	lease.inFlight++
 	lease.recordSend(now)
+	m.recordColdSend(lease.Member, now)
 	lease.shared = shared
 	if lease.bound == 0 {
 		lease.recordPrompt(now)
@@ -115,14 +116,15 @@
 const percent = 100
 
 // candidates returns the members that may receive the request. It first excludes members that were
-// tried, are behind a partitioned path, are draining or are backing off. Of the others it also excludes
+// tried, are behind a partitioned path, are draining, evacuated or backing off, or are cold and may get no
+// request from this box now. Of the others it also excludes
 // those that are ejected or were sent a trial request recently, unless these are more than PanicPercent
 // of the others.
 func (m *Manager) candidates(request PickRequest, now clock.Millis) []*Member {
 	healthy, all := []*Member{}, []*Member{}
 	for _, member := range m.pools[request.Pool] {
 		if member.unavailable(now) || m.pathTo(member.FailureDomain).partitioned ||
-			slices.Contains(request.Tried, member.ID) {
+			slices.Contains(request.Tried, member.ID) || m.coldDelayMs(member, now) > 0 {
 			continue
 		}
 		all = append(all, member)
--- a/internal/balance/retryafter.go
+++ b/internal/balance/retryafter.go
@@ -117,7 +117,7 @@
 
 // memberAvailableIn returns the delay until an upstream that is not draining may accept requests.
 func (m *Manager) memberAvailableIn(member *Member, now clock.Millis) clock.Millis {
-	backoff := max(0, member.signals.backoffUntilMs-now)
+	backoff := max(0, member.signals.backoffUntilMs-now, m.coldDelayMs(member, now))
 	p := m.pathTo(member.FailureDomain)
 	switch {
 	case member.evacuated:
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -200,7 +200,7 @@
 
 // noUpstreamError returns the reason for which no upstream of a pool accepts a request.
 func (m *Manager) noUpstreamError(pool string, now clock.Millis) error {
-	e, evacuated, others := &AllBackingOffError{}, 0, 0
+	e, evacuated, cold, others := &AllBackingOffError{}, 0, 0, 0
 	for _, member := range m.pools[pool] {
 		switch {
 		case member.draining():
@@ -208,6 +208,9 @@
 		case member.evacuated:
 			evacuated++
 			continue
+		case !member.signals.backingOff(now) && m.coldDelayMs(member, now) > 0:
+			cold++
+			continue
 		case !member.signals.backingOff(now):
 			others++
 			continue
@@ -220,6 +223,8 @@
 	switch {
 	case e.Upstreams > 0:
 		return e
+	case cold > 0 && others == 0:
+		return ErrAllCold
 	case evacuated > 0 && others == 0:
 		return ErrAllEvacuated
 	default:
--- a/internal/balance/skipped.go
+++ b/internal/balance/skipped.go
@@ -26,6 +26,9 @@
 	SkipEvacuated SkipReason = "failure domain evacuated"
 	// SkipBackoff means that the engine asked this box to back off.
 	SkipBackoff SkipReason = "at rest"
+	// SkipCold means that the engine is cold and this box has used up its share of the rate that the
+	// engine bears.
+	SkipCold SkipReason = "cold"
 	// SkipEjected means that the engine failed, and is ejected or receives only single trial
 	// requests.
 	SkipEjected SkipReason = "ejected"
@@ -64,6 +67,8 @@
 		return SkipBackoff
 	case m.pathTo(member.FailureDomain).partitioned:
 		return SkipDomainUnreachable
+	case m.coldDelayMs(member, now) > 0:
+		return SkipCold
 	case !member.acceptsRequest(now):
 		return SkipEjected
 	default:
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -305,8 +305,10 @@
 	Upstream string
 	Pool     string
 	Address  string
-	// State is "joined", "draining" or "gone".
-	State  string
+	// State is "taking work", "draining" or "gone".
+	State string
+	// ColdMs is how much longer the upstream is cold.
+	ColdMs clock.Millis
 	Source string
 }
 
@@ -322,6 +324,9 @@
 	addIfSet(o, "pool", e.Pool)
 	addIfSet(o, "address", e.Address)
 	o.AddString("state", e.State)
+	if e.ColdMs > 0 {
+		o.AddInt64("cold_ms", int64(e.ColdMs))
+	}
 	addIfSet(o, "source", e.Source)
 	return nil
 }
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -147,7 +147,6 @@
 				f.Merge(other.Update())
 				assert.True(t, f.Advance(other.Summary()))
 			}
-
 		})
 	}
 }
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -133,10 +133,13 @@
 	b.balance = balance.New(balance.Settings{
 		FailureDomain: settings.FailureDomain, BoundPercent: settings.Balance.BoundPercent,
 		PanicPercent: settings.Balance.PanicPercent, EvacuationMs: clock.Millis(settings.Freshness.MaxEvacuationMs),
+		Box:           settings.Box,
+		ColdTolerance: balance.ColdTolerance{Factor: settings.Balance.ColdFactor, Slack: settings.Balance.ColdSlack},
 		Health: health.Limits{
 			BaseMs: clock.Millis(settings.Balance.EjectBaseMs), MaxMs: clock.Millis(settings.Balance.EjectMaxMs),
 		},
 	}, b.clock.Monotonic, b.connect, rand.IntN)
+	b.balance.SetFleetSize(minAssumedFleet)
 	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation)
 	b.registry.OnChange(func() { b.balance.SetUpstreams(b.registry.All()) })
 	usablePercent := settings.Budget.Ratio * percent * localBudgetShare
@@ -148,6 +151,7 @@
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
+	b.metrics.Publish("upstreams_cold", func() any { return b.balance.Cold() })
 	b.metrics.Publish("upstreams_at_rest", func() any { return b.balance.BackingOff() })
 	b.pauseDetector = newPauseDetector(b)
 	b.sink = b.newStoreSink(b.source.Name)
@@ -271,6 +275,7 @@
 	b.balance.SetOthersInFlight(b.peering.mesh.OthersInFlight())
 	b.balance.SetFleetInFlightByPool(b.peering.mesh.FleetInFlightByPool())
 	b.balance.SetOthersInFlightAge(b.peering.mesh.OthersInFlightAgeMs())
+	b.balance.SetFleetSize(b.peering.fleetSizeBound())
 	b.balance.Refresh()
 	b.peering.mesh.ExpirePermits()
 	b.quarantine.Expire()
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
@@ -157,6 +158,25 @@
 	return nil
 }
 
+const (
+	// minAssumedFleet is the number of boxes that a box assumes while it can't know them: the largest fleet in which
+	// each box knows all others.
+	minAssumedFleet = 128
+	// fleetSettleMs is how long after its start a box may not know all others.
+	fleetSettleMs = 5 * clock.Second
+)
+
+// fleetSizeBound returns an upper bound of the number of boxes. It includes those that have been silent for a while,
+// because they may run on the other side of a network partition.
+func (p *peering) fleetSizeBound() int {
+	known := p.mesh.KnownBoxes()
+	others := slices.ContainsFunc(p.contacts(), func(c string) bool { return c != p.box.settings.Load().PeersAddress })
+	if known == 1 && others || p.box.clock.Monotonic()-p.startedMs < fleetSettleMs {
+		return max(known, minAssumedFleet)
+	}
+	return known
+}
+
 // startupSettleMs is how long a box that has just received its state waits for states of the boxes that read the store
 // for others: a few gossip rounds.
 const startupSettleMs clock.Millis = 700
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -191,6 +191,7 @@
 	if !b.routingState.Adopt(state, era) {
 		return
 	}
+	b.balance.SetColdStarts(coldStarts(b.routingState.State()))
 	b.log.Record(decision.StateAdopted{Version: state.Version(), Source: source, Routes: state.RouteCount()})
 	b.updateSynced()
 	b.peering.mesh.Broadcast()
@@ -202,7 +203,7 @@
 	for _, c := range changes {
 		b.log.Record(decision.UpstreamChanged{
 			Upstream: c.Upstream.ID, Pool: c.Upstream.Pool, Address: c.Upstream.Address,
-			State: upstreamState(c), Source: source,
+			State: upstreamState(c), ColdMs: c.Upstream.ColdMs, Source: source,
 		})
 	}
 	b.crashDetector.handleChanges(changes)
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -359,6 +359,14 @@
 	return 1 + m.aliveCountLocked(m.clock.Monotonic())
 }
 
+// KnownBoxes returns the number of boxes that were live within the last minute or that others named, including this
+// one.
+func (m *Mesh) KnownBoxes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return 1 + len(m.peers)
+}
+
 // IsStoreReader reports whether this box, according to its own view, reads the store on behalf of its
 // failure domain.
 func (m *Mesh) IsStoreReader() bool {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -201,6 +201,8 @@
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsBackingOff, s.retryAfterMs(), failed.err)
 	case errors.Is(failed.err, balance.ErrAllEvacuated):
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsEvacuated, s.retryAfterMs(), failed.err)
+	case errors.Is(failed.err, balance.ErrAllCold):
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsCold, s.retryAfterMs(), failed.err)
 	case errors.Is(failed.err, balance.ErrNoUpstream) || failed.execution == notSent:
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.NoUpstream, s.retryAfterMs(), failed.err)
 	default:
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -32,6 +32,9 @@
 	Slots int `json:"slots"`
 	// Draining is set once the upstream has announced that it is shutting down.
 	Draining bool `json:"draining,omitempty"`
+	// ColdMs is how much longer the upstream is cold: slow, and unable to bear its usual load. It counts from
+	// when the record was written, or from when the registry returned it.
+	ColdMs clock.Millis `json:"cold_ms,omitempty"`
 }
 
 // Incarnation returns a name for this incarnation of the server.
@@ -73,6 +76,9 @@
 // entry is an upstream together with the state of its store entry.
 type entry struct {
 	upstream Upstream
+	// coldUntilMs is the monotonic time until which the upstream is cold, at the latest: a record counts from its
+	// arrival.
+	coldUntilMs clock.Millis
 	// removeAtMs is the monotonic time at which the grace period of a removed entry ends, or 0.
 	removeAtMs clock.Millis
 	// tombstone is set on an entry that is kept only to reject older changes.
@@ -150,6 +156,7 @@
 		return false
 	case !c.Removed:
 		next.upstream, next.sequence = c.Upstream, c.Sequence
+		next.coldUntilMs = r.monotonic() + c.Upstream.ColdMs
 	case !known || old.tombstone:
 		next.tombstone = true
 		// This is reported as a change because other boxes may hold a record that this box
@@ -160,6 +167,7 @@
 		next.tombstone, next.unusable = true, c.Unusable
 	default:
 		next.upstream, next.removeAtMs = old.upstream, r.monotonic()+c.GraceMs
+		next.coldUntilMs = old.coldUntilMs
 	}
 	r.entries[id] = next
 	return true
@@ -269,10 +277,10 @@
 func (r *Registry) All() []Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := make([]Upstream, 0, len(r.entries))
+	all, now := make([]Upstream, 0, len(r.entries)), r.monotonic()
 	for _, e := range r.entries {
 		if !e.tombstone {
-			all = append(all, e.upstream)
+			all = append(all, e.current(now))
 		}
 	}
 	slices.SortFunc(all, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
@@ -322,7 +330,7 @@
 
 // change returns the change that describes the entry.
 func (e entry) change(now clock.Millis) Change {
-	c := Change{Upstream: e.upstream, Position: e.position, Sequence: e.sequence, Copied: e.copied}
+	c := Change{Upstream: e.current(now), Position: e.position, Sequence: e.sequence, Copied: e.copied}
 	if e.removeAtMs > 0 {
 		// The removal applies to every incarnation of the server.
 		c.Upstream = Upstream{ID: e.upstream.ID}
@@ -331,6 +339,13 @@
 	return c
 }
 
+// current returns the upstream with the rest of its cold time.
+func (e entry) current(now clock.Millis) Upstream {
+	u := e.upstream
+	u.ColdMs = max(0, e.coldUntilMs-now)
+	return u
+}
+
 // maxRelayedGraceMs bounds the grace period of a removal relayed by another box, because part
 // of it has already passed in transit.
 const maxRelayedGraceMs clock.Millis = 1200
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -116,3 +116,41 @@
 		assertIDs(t, to.Registry, "a")
 	})
 }
+
+// TestColdTime guards against a cold time that starts anew, or is lost, when a box passes the upstream on.
+func TestColdTime(t *testing.T) {
+	now := clock.Millis(1000)
+	monotonic := func() clock.Millis { return now }
+	reader, other, late := New(monotonic), New(monotonic), New(monotonic)
+	cold := Upstream{ID: "u", Pool: "p", ColdMs: 3000}
+	reader.Apply([]Change{{Upstream: cold, Position: position.At(0, 1)}})
+	now += 500
+	other.Merge(reader.Since(position.Position{}))
+	now += 1000
+	late.ApplySnapshot(reader.snapshot(), position.At(0, 1), 0)
+	assertColdMs := func(t *testing.T, r *Registry, want clock.Millis) {
+		t.Helper()
+		assert.Equal(t, want, r.All()[0].ColdMs)
+	}
+	t.Run("it runs out", func(t *testing.T) { assertColdMs(t, reader, 1500) })
+	t.Run("a journaled change counts from its arrival", func(t *testing.T) { assertColdMs(t, other, 2000) })
+	t.Run("a complete list carries the rest", func(t *testing.T) { assertColdMs(t, late, 1500) })
+	t.Run("an entry that is missing for a while keeps it", func(t *testing.T) {
+		reader.Apply([]Change{{Upstream: Upstream{ID: "u"}, Removed: true, GraceMs: 500, Position: position.At(0, 2)}})
+		assertColdMs(t, reader, 1500)
+	})
+	t.Run("a warm record ends it", func(t *testing.T) {
+		cold.ColdMs = 0
+		reader.Apply([]Change{{Upstream: cold, Position: position.At(0, 3)}})
+		assertColdMs(t, reader, 0)
+	})
+}
+
+// snapshot returns the changes of a complete list.
+func (r *Registry) snapshot() []Change {
+	list := []Change{}
+	for _, e := range r.entries {
+		list = append(list, e.change(r.monotonic()))
+	}
+	return list
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -115,6 +115,10 @@
 	// MaxConnections is the maximum number of connections that one upstream accepts from all
 	// boxes together.
 	MaxConnections int `json:"max_connections"`
+	// ColdStartMs is how long an upstream is cold after its start.
+	ColdStartMs clock.Millis `json:"cold_start_ms,omitempty"`
+	// ColdPerSecond is the number of requests a second that a cold upstream bears. 0 sets no limit.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
 	// Engine is nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -83,6 +83,10 @@
 	EjectMaxMs  int64 `yaml:"eject_max_ms"`
 	// PanicPercent is the maximum percentage of a pool's upstreams that may be ejected.
 	PanicPercent int `yaml:"panic_percent"`
+	// ColdFactor and ColdSlack are how far the requests in one second may exceed the rate that a cold upstream
+	// bears: ColdFactor times as many, and ColdSlack more.
+	ColdFactor float64 `yaml:"cold_factor"`
+	ColdSlack  float64 `yaml:"cold_slack"`
 }
 
 // Budget is the retry budget of each pool, shared by all boxes.
@@ -192,6 +196,12 @@
 	if g.Balance.LoadCap < 0 || g.Balance.LoadCap > 0 && g.Balance.LoadCap <= 1 {
 		errs = append(errs, &FieldError{Key: "balance.load_cap", Reason: "is not above 1"})
 	}
+	if g.Balance.ColdFactor < 0 {
+		errs = append(errs, &FieldError{Key: "balance.cold_factor", Reason: "is negative"})
+	}
+	if g.Balance.ColdSlack < 0 {
+		errs = append(errs, &FieldError{Key: "balance.cold_slack", Reason: "is negative"})
+	}
 	if g.Quarantine.MinCrashes != nil && *g.Quarantine.MinCrashes < 0 {
 		errs = append(errs, &FieldError{Key: "quarantine.after_ends", Reason: "is negative"})
 	}
