feat(occupancy): owners of plain upstreams grant permits by the expected wait

Each box sees 1/78 of the load and sends whatever it gets; the server's queue stands at its end (24), so what gets in is late. A refused caller was told to return after 0.3 s and more (the box's own gap between completions), by when it is late whatever happens.

Change: a request to a plain service with an objective needs a permit of the upstream's owner, who knows what all boxes have there and how long a slot takes (measured from requests that found a free slot, and from the gaps between ends while others wait). It grants one if a slot is free, if one was free within the objective (short bursts drain), or if the wait and three service times fit into what is left of the objective. If all owners refuse, the caller gets 503 at once and an eighth of the objective as Retry-After, so that it can still be in time. An owner that didn't answer is not asked for 0.5 s. A permit counts for four objectives at most, so lost releases don't block an upstream.

--- a/internal/balance/largefleet_test.go
+++ b/internal/balance/largefleet_test.go
@@ -129,9 +129,9 @@
 	lost := func() bool { return f.random.IntN(percent) < messageLossPercent }
 	f.permitRequests++
 	h := occupancy.PermitID{Number: f.permitRequests}
-	release := func() {
+	release := func(served bool) {
 		if !lost() {
-			f.ledger.Release(h)
+			f.ledger.Release(h, served)
 		}
 	}
 	if lost() {
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -21,8 +21,8 @@
 type PermitReply struct {
 	// Granted is set unless the engine has reached its bound.
 	Granted bool
-	// Release returns the permit; nil if there is none to return.
-	Release func()
+	// Release returns the permit, and tells whether the upstream served the request; nil if there is none to return.
+	Release func(served bool)
 }
 
 // PickWithPermit picks like Pick. If the engine has an owner, it also requests a permit; if the owner
@@ -37,8 +37,8 @@
 			return lease, err
 		}
 		bound := lease.bound
-		if len(request.Full) >= maxPermitRefusals {
-			bound = math.MaxInt16
+		if len(request.Full) >= maxPermitRefusals && lease.withinMs == 0 {
+			bound = maxPermits
 		}
 		permit := acquire(lease, bound)
 		if permit.Granted {
@@ -51,7 +51,7 @@
 }
 
 // attachPermit records that the lease holds a permit. Release returns the permit and may be nil.
-func (l *Lease) attachPermit(release func()) {
+func (l *Lease) attachPermit(release func(served bool)) {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	l.onRelease = release
--- a/internal/balance/permits_test.go
+++ b/internal/balance/permits_test.go
@@ -25,7 +25,7 @@
 	if len(owner.upstreams) <= owner.refusals {
 		return PermitReply{}
 	}
-	return PermitReply{Granted: true, Release: func() { owner.released++ }}
+	return PermitReply{Granted: true, Release: func(bool) { owner.released++ }}
 }
 
 // inLargeFleet returns a fixture whose box knows how many requests all boxes run in the pool.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -27,6 +27,9 @@
 	Full []string
 	// Transfers is set if an engine may fetch cached parts from another one.
 	Transfers bool
+	// ObjectiveMs is the latency objective, or 0. ElapsedMs is the time since the request arrived.
+	ObjectiveMs clock.Millis
+	ElapsedMs   clock.Millis
 }
 
 // Lease counts a request at an upstream until Release.
@@ -55,10 +58,13 @@
 	path     *netPath
 	// shared are the shared parts of the prompt.
 	shared []prompt.KeyedPart
-	// bound is the maximum load of an engine that has an owner, or 0 for others.
+	// bound is the maximum load of an upstream whose owner must grant a permit, or 0 for others.
 	bound int
+	// withinMs is the time within which the response should start, if the owner must be asked whether this is
+	// likely, or 0. The bound is then the number of the upstream's slots.
+	withinMs clock.Millis
 	// onRelease returns the permit to the engine's owner; nil if there is none.
-	onRelease func()
+	onRelease func(served bool)
 	// responding is set while the response is being received.
 	responding bool
 	released   bool
@@ -99,7 +105,9 @@
 		lease.Prefill = m.estimatePrefill(lease, request, shared, now)
 		lease.Skipped = m.skippedEngine(lease, request, now)
 	} else {
-		m.pickLeastLoaded(lease, members, now)
+		if err := m.pickPlain(lease, members, request, now); err != nil {
+			return nil, err
+		}
 	}
 	lease.path = m.pathTo(lease.FailureDomain)
 	lease.Load = lease.load(now)
@@ -262,7 +270,7 @@
 // once; only the first call has an effect.
 func (l *Lease) Release(result Result) {
 	if l.release(result) && l.onRelease != nil {
-		l.onRelease()
+		l.onRelease(result == Succeeded)
 	}
 }
 
--- a/internal/balance/retryafter.go
+++ b/internal/balance/retryafter.go
@@ -98,6 +98,17 @@
 	return m.retryScheduleFor(pool).schedule(now, earliest, priority)
 }
 
+// returnsPerObjective is how often a caller could return within its latency objective.
+const returnsPerObjective = 8
+
+// RetryWithinObjectiveMs returns how long a caller should wait whose request would be late now, because all upstreams
+// have too long queues, but which can still be in time when it returns: a part of its latency objective, varied by a
+// quarter so that callers that were refused together return apart.
+func (m *Manager) RetryWithinObjectiveMs(objective clock.Millis) clock.Millis {
+	span := objective / returnsPerObjective
+	return max(1, span-span/4+clock.Millis(m.random(int(max(1, span/2))))) //nolint:mnd // A quarter either way.
+}
+
 // availableIn returns the delay until the first upstream of the pool may accept requests. The delay of
 // an upstream that is backing off is at least the rest of its backoff. If all upstreams are draining
 // or the pool has none, the delay is discoveryMs.
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -54,7 +54,8 @@
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
 			StateAgeMs: b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
-			RetryAfter: b.balance.RetryAfterMs, OnSignals: b.handleSignals, Observe: b.crashDetector.observe,
+			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
+			OnSignals: b.handleSignals, Observe: b.crashDetector.observe,
 			OnCompleted: b.crashDetector.handleCompleted, QuarantineRemainingMs: b.quarantine.QuarantineRemainingMs,
 			CheckBeforeSend: b.checkBeforeSend, Clock: b.clock,
 		}),
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -29,6 +29,8 @@
 	// acknowledged this box's reports.
 	receivedCrashEvents int64
 	ackedCrashEvents    int64
+	// permitTimeoutMs is when this box as an owner last did not answer a permit request in time.
+	permitTimeoutMs clock.Millis
 }
 
 // recordPeer stores the sender of a datagram and the boxes that it names.
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -34,8 +34,9 @@
 	// permitGranted and permitDenied answer a permitAcquire message.
 	permitGranted permitMessageKind = 2
 	permitDenied  permitMessageKind = 3
-	// permitRelease releases a permit.
-	permitRelease permitMessageKind = 4
+	// permitRelease and permitReleaseServed release a permit. The latter tells that the upstream served the request.
+	permitRelease       permitMessageKind = 4
+	permitReleaseServed permitMessageKind = 5
 )
 
 // permitMessage is one datagram about a permit.
@@ -46,6 +47,8 @@
 	Number   uint32
 	Upstream namekey.Key
 	Bound    int
+	// WithinMs is PermitRequest.WithinMs.
+	WithinMs clock.Millis
 }
 
 // cborArray is the major type of an encoded array, found in the first byte. Permit messages are
@@ -61,8 +64,8 @@
 	if err := cbor.Unmarshal(data, &p); err != nil {
 		return p, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if p.Kind < permitAcquire || p.Kind > permitRelease || p.Bound < 0 {
-		return p, fmt.Errorf("%w: permit message: kind %d, bound %d", ErrInvalid, p.Kind, p.Bound)
+	if p.Kind < permitAcquire || p.Kind > permitReleaseServed || p.Bound < 0 || p.WithinMs < 0 {
+		return p, fmt.Errorf("%w: permit message: kind %d, bound %d, within %d", ErrInvalid, p.Kind, p.Bound, p.WithinMs)
 	}
 	return p, nil
 }
@@ -99,24 +102,36 @@
 	}
 }
 
-// AcquirePermit requests a permit at an upstream, subject to a bound, from the owner of the
-// upstream in a failure domain. The permit is also granted when no owner answers in time. The
-// returned function releases the permit.
-func (m *Mesh) AcquirePermit(
-	ctx context.Context, upstream namekey.Key, failureDomain string, bound int,
-) (granted bool, release func()) {
-	owner, known := m.owner(upstream, failureDomain)
+// PermitRequest describes a permit.
+type PermitRequest struct {
+	Upstream      namekey.Key
+	FailureDomain string
+	// Bound is the maximum number of requests at the upstream, or its number of slots if WithinMs is set.
+	Bound int
+	// WithinMs is the time within which the response should start. If it is set, the permit is granted if this is
+	// likely, regardless of how many requests are there.
+	WithinMs clock.Millis
+}
+
+// AcquirePermit requests a permit from the owner of the upstream. The permit is also granted when no owner answers in
+// time. The returned function releases the permit; its argument tells whether the upstream served the request. It is
+// nil if there is no owner to release the permit to.
+func (m *Mesh) AcquirePermit(ctx context.Context, r PermitRequest) (granted bool, release func(served bool)) {
+	owner, known := m.owner(r.Upstream, r.FailureDomain)
 	if !known {
 		return true, nil
 	}
 	if owner.Box == m.self.Box {
-		return m.acquireLocalPermit(upstream, bound)
+		return m.acquireLocalPermit(r)
+	}
+	if m.ownerUnresponsive(owner.Box) {
+		return true, nil
 	}
 	number, answer := m.pendingPermits.start()
 	defer m.pendingPermits.finish(number)
 	m.sendPermitMessage(owner.Address, permitMessage{
 		Kind: permitAcquire, Number: number,
-		Upstream: upstream, Bound: bound,
+		Upstream: r.Upstream, Bound: r.Bound, WithinMs: r.WithinMs,
 	})
 	timedOut := make(chan struct{})
 	timer := m.clock.AfterFunc(permitTimeoutMs, func() { close(timedOut) })
@@ -125,25 +140,39 @@
 	select {
 	case granted = <-answer:
 	case <-timedOut:
-		m.recordPermitTimeout()
+		m.recordPermitTimeout(owner.Box)
 	case <-ctx.Done():
 	}
 	if !granted {
 		return false, nil
 	}
 	// Even without an answer the owner may have received the request and counted the permit.
-	return true, func() { m.sendPermitMessage(owner.Address, permitMessage{Kind: permitRelease, Number: number}) }
+	return true, func(served bool) {
+		release := permitMessage{Kind: permitRelease, Number: number}
+		if served {
+			release.Kind = permitReleaseServed
+		}
+		m.sendPermitMessage(owner.Address, release)
+	}
 }
 
 // acquireLocalPermit acquires a permit at an upstream that this box owns.
-func (m *Mesh) acquireLocalPermit(upstream namekey.Key, bound int) (granted bool, release func()) {
+func (m *Mesh) acquireLocalPermit(r PermitRequest) (granted bool, release func(served bool)) {
 	number, _ := m.pendingPermits.start()
 	m.pendingPermits.finish(number)
 	h := occupancy.PermitID{Box: m.self.Address, Number: number}
-	if !m.ledger.Acquire(h, upstream, bound) {
+	if !m.grant(h, r) {
 		return false, nil
 	}
-	return true, func() { m.ledger.Release(h) }
+	return true, func(served bool) { m.ledger.Release(h, served) }
+}
+
+// grant decides, as the owner of an upstream, whether to grant a permit.
+func (m *Mesh) grant(id occupancy.PermitID, r PermitRequest) bool {
+	if r.WithinMs > 0 {
+		return m.ledger.AcquireWithin(id, r.Upstream, r.Bound, r.WithinMs)
+	}
+	return m.ledger.Acquire(id, r.Upstream, r.Bound)
 }
 
 // ownersPerDomain is how many boxes of a failure domain own upstreams. Their number is small
@@ -219,14 +248,14 @@
 	switch p.Kind {
 	case permitAcquire:
 		answer := permitMessage{Kind: permitDenied, Number: p.Number}
-		if m.ledger.Acquire(h, p.Upstream, p.Bound) {
+		if m.grant(h, PermitRequest{Upstream: p.Upstream, Bound: p.Bound, WithinMs: p.WithinMs}) {
 			answer.Kind = permitGranted
 		}
 		m.sendPermitMessage(from.String(), answer)
 	case permitGranted, permitDenied:
 		m.pendingPermits.resolve(p.Number, p.Kind == permitGranted)
-	case permitRelease:
-		m.ledger.Release(h)
+	case permitRelease, permitReleaseServed:
+		m.ledger.Release(h, p.Kind == permitReleaseServed)
 	}
 }
 
@@ -241,10 +270,24 @@
 	m.recordSent(sent, err)
 }
 
-func (m *Mesh) recordPermitTimeout() {
+// ownerRetryMs is how long an owner that did not answer in time is not asked again.
+const ownerRetryMs clock.Millis = 500
+
+func (m *Mesh) recordPermitTimeout(owner string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.permitTimeouts++
+	if p := m.peers[owner]; p != nil {
+		p.permitTimeoutMs = m.clock.Monotonic()
+	}
+}
+
+// ownerUnresponsive reports whether an owner did not answer a permit request within the last ownerRetryMs.
+func (m *Mesh) ownerUnresponsive(owner string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[owner]
+	return p != nil && p.permitTimeoutMs > 0 && m.clock.Monotonic()-p.permitTimeoutMs < ownerRetryMs
 }
 
 // ExpirePermits removes permits whose release message was lost. It must be called at least once a
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -42,12 +42,17 @@
 	})
 }
 
+// permitAt returns the request for a permit under a bound.
+func permitAt(upstream, failureDomain string, bound int) PermitRequest {
+	return PermitRequest{Upstream: namekey.Of(upstream), FailureDomain: failureDomain, Bound: bound}
+}
+
 // acquireAll lets each box request a permit at an upstream. It returns the number of granted permits
 // and a function that releases them.
 func (f *fixture) acquireAll(upstream string, bound int) (granted int, release func()) {
-	releases := []func(){}
+	releases := []func(served bool){}
 	for _, b := range f.boxes {
-		ok, releaseSlot := b.AcquirePermit(f.t.Context(), namekey.Of(upstream), "d1", bound)
+		ok, releaseSlot := b.AcquirePermit(f.t.Context(), permitAt(upstream, "d1", bound))
 		if ok {
 			granted++
 			releases = append(releases, releaseSlot)
@@ -55,7 +60,7 @@
 	}
 	return granted, func() {
 		for _, releaseOne := range releases {
-			releaseOne()
+			releaseOne(true)
 		}
 	}
 }
@@ -83,9 +88,9 @@
 		advance(t, time.Minute)
 		assert.Zero(t, f.permits(), "an owner expires permits whose release message was lost")
 
-		ok, release := f.boxes[0].AcquirePermit(t.Context(), namekey.Of("u"), "nowhere", 0)
+		ok, releaseOne := f.boxes[0].AcquirePermit(t.Context(), permitAt("u", "nowhere", 0))
 		assert.True(t, ok, "permits are granted in a failure domain without boxes")
-		assert.Nil(t, release)
+		assert.Nil(t, releaseOne)
 		sum := 0
 		for _, b := range f.boxes {
 			sum += b.FleetInFlightByPool()[namekey.Of("p")]
@@ -95,11 +100,18 @@
 		requester := f.boxes[0]
 		f.network.SetPartition(func(from, to string) bool { return from == requester.self.Box || to == requester.self.Box })
 		start := time.Now()
-		ok, release = requester.AcquirePermit(t.Context(), namekey.Of("u"), "d1", 0)
+		ok, releaseOne = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
 		assert.True(t, ok, "a box whose request is not answered gets a permit")
 		assert.LessOrEqual(t, time.Since(start), 2*permitTimeoutMs.Duration(), "within the timeout")
-		release()
+		releaseOne(true)
 		assert.Equal(t, int64(1), requester.Sizes().PermitTimeouts)
+		start = time.Now()
+		ok, _ = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
+		assert.True(t, ok)
+		assert.Equal(t, start, time.Now(), "a box doesn't wait again for an owner that has just not answered")
+		advance(t, ownerRetryMs.Duration())
+		_, _ = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
+		assert.Equal(t, int64(2), requester.Sizes().PermitTimeouts, "it asks again later")
 	})
 }
 
@@ -144,7 +156,7 @@
 		assert.False(t, isPermitMessage(nil))
 	})
 	for name, data := range map[string][]byte{
-		"truncated after one element": {0x84, 1}, "of an unknown kind": {0x84, 9, 1, 1, 1}, "with a negative bound": {0x84, 1, 1, 1, 0x20},
+		"truncated after one element": {0x85, 1}, "of an unknown kind": {0x85, 9, 1, 1, 1, 1}, "with a negative bound": {0x85, 1, 1, 1, 0x20, 1},
 	} {
 		t.Run("a message "+name+" is rejected", func(t *testing.T) {
 			_, err := decodePermitMessage(data)
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -1,7 +1,7 @@
-// Package occupancy counts the requests of all boxes of a large fleet at the upstreams that one box
-// owns. In such a fleet a box sees a small fraction of the traffic and receives load reports too
-// seldom to bound an upstream's load by itself. An upstream's owner can bound the load, because it
-// grants a permit for each request.
+// Package occupancy counts the requests of all boxes at the upstreams that one box owns. A box sees a
+// part of the traffic, in a large fleet a small fraction, and receives load reports too seldom to bound an
+// upstream's load by itself. An upstream's owner can bound the load, because it grants a permit for each
+// request.
 package occupancy
 
 import (
@@ -12,9 +12,16 @@
 	"dooryard.example/dooryard/internal/namekey"
 )
 
-// permitTTLMs is the maximum time for which a permit counts. It outlasts most requests, and bounds
-// the effect of a lost release message.
-const permitTTLMs = 20 * clock.Second
+const (
+	// permitTTLMs is the maximum time for which a permit counts. It outlasts most requests, and bounds
+	// the effect of a lost release message.
+	permitTTLMs = 20 * clock.Second
+	// queuedTTLFactor and minQueuedTTLMs are the maximum time for which a permit of AcquireWithin counts, as a
+	// multiple of the time within which the response should start. Few such requests take longer, and a permit whose
+	// release was lost takes capacity from other requests.
+	queuedTTLFactor              = 4
+	minQueuedTTLMs  clock.Millis = 500
+)
 
 // PermitID identifies a permit: the box that requested it, and a number that the box assigned.
 type PermitID struct {
@@ -23,41 +30,79 @@
 }
 
 type permit struct {
-	upstream namekey.Key
-	atMs     clock.Millis
+	upstream  namekey.Key
+	grantedMs clock.Millis
+	untilMs   clock.Millis
+	// slots is the number of slots of the upstream, or 0 for a permit of Acquire.
+	slots int
+	// immediate is set if a slot was free when the permit was granted.
+	immediate bool
 }
 
 // Ledger counts permits. It is safe for concurrent use.
 type Ledger struct {
 	monotonic func() clock.Millis
 
-	mu      sync.Mutex
-	permits map[PermitID]permit
-	counts  map[namekey.Key]int
+	mu        sync.Mutex
+	permits   map[PermitID]permit
+	upstreams map[namekey.Key]*load
 }
 
 // New returns an empty ledger.
 func New(monotonic func() clock.Millis) *Ledger {
-	return &Ledger{monotonic: monotonic, permits: map[PermitID]permit{}, counts: map[namekey.Key]int{}}
+	return &Ledger{monotonic: monotonic, permits: map[PermitID]permit{}, upstreams: map[namekey.Key]*load{}}
 }
 
 // Acquire grants a permit at an upstream unless the bound is reached, and reports whether it did.
 func (l *Ledger) Acquire(id PermitID, upstream namekey.Key, bound int) bool {
+	return l.acquire(id, upstream, func(u *load) (permit, bool) {
+		return permit{untilMs: l.monotonic() + permitTTLMs}, u.inUse < bound
+	})
+}
+
+// AcquireWithin grants a permit at an upstream with a number of slots if the response can likely start within a
+// time, and reports whether it did.
+func (l *Ledger) AcquireWithin(id PermitID, upstream namekey.Key, slots int, within clock.Millis) bool {
+	return l.acquire(id, upstream, func(u *load) (permit, bool) {
+		p := permit{
+			slots: slots, immediate: u.inUse < slots,
+			untilMs: l.monotonic() + min(permitTTLMs, max(minQueuedTTLMs, queuedTTLFactor*within)),
+		}
+		return p, u.accepts(slots, within, l.monotonic())
+	})
+}
+
+func (l *Ledger) acquire(id PermitID, upstream namekey.Key, decide func(u *load) (permit, bool)) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.remove(id)
-	if l.counts[upstream] >= bound {
+	u := l.upstreams[upstream]
+	if u == nil {
+		u = &load{}
+		l.upstreams[upstream] = u
+	}
+	u.usedMs = l.monotonic()
+	p, granted := decide(u)
+	if !granted {
 		return false
 	}
-	l.permits[id] = permit{upstream: upstream, atMs: l.monotonic()}
-	l.counts[upstream]++
+	p.upstream, p.grantedMs = upstream, u.usedMs
+	l.permits[id] = p
+	u.inUse++
+	if p.slots > 0 && u.inUse == p.slots {
+		u.fullSinceMs = u.usedMs
+	}
 	return true
 }
 
-// Release returns a permit, if it is held.
-func (l *Ledger) Release(id PermitID) {
+// Release returns a permit, if it is held, because its request has ended. The flag served is set if the upstream
+// served the request.
+func (l *Ledger) Release(id PermitID, served bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if p, held := l.permits[id]; held && served && p.slots > 0 {
+		l.upstreams[p.upstream].recordEnd(p, l.monotonic())
+	}
 	l.remove(id)
 }
 
@@ -67,28 +112,33 @@
 		return
 	}
 	delete(l.permits, id)
-	if l.counts[p.upstream]--; l.counts[p.upstream] == 0 {
-		delete(l.counts, p.upstream)
-	}
+	l.upstreams[p.upstream].inUse--
 }
 
-// Expire removes permits whose release was never received.
+// idleTTLMs is how long an upstream without requests is remembered.
+const idleTTLMs = 60 * clock.Second
+
+// Expire removes permits whose release was never received, and upstreams that are no longer used.
 func (l *Ledger) Expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	oldest := l.monotonic() - permitTTLMs
+	now := l.monotonic()
 	for id, p := range maps.Clone(l.permits) {
-		if p.atMs <= oldest {
+		if p.untilMs <= now {
 			l.remove(id)
 		}
 	}
+	maps.DeleteFunc(l.upstreams, func(_ namekey.Key, u *load) bool { return u.inUse == 0 && now-u.usedMs >= idleTTLMs })
 }
 
 // InUse returns the number of permits that are held at an upstream.
 func (l *Ledger) InUse(upstream namekey.Key) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.counts[upstream]
+	if u := l.upstreams[upstream]; u != nil {
+		return u.inUse
+	}
+	return 0
 }
 
 // Sizes holds counts for metrics.
@@ -101,5 +151,11 @@
 func (l *Ledger) Sizes() Sizes {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Sizes{Upstreams: len(l.counts), Permits: len(l.permits)}
+	sizes := Sizes{Permits: len(l.permits)}
+	for _, u := range l.upstreams {
+		if u.inUse > 0 {
+			sizes.Upstreams++
+		}
+	}
+	return sizes
 }
--- a/internal/opaque/refusal.go
+++ b/internal/opaque/refusal.go
@@ -36,6 +36,7 @@
 	UpstreamsBackingOff        Cause = "upstreams_at_rest"
 	UpstreamsEvacuated         Cause = "upstreams_evacuated"
 	UpstreamsCold              Cause = "upstreams_cold"
+	UpstreamsFull              Cause = "upstreams_full"
 	Shed                       Cause = "upstreams_refused"
 	Quarantined                Cause = "quarantined"
 	ResponseLost               Cause = "upstream_lost"
@@ -98,6 +99,7 @@
 	UpstreamsBackingOff:        "the upstreams asked for rest; nothing ran",
 	UpstreamsEvacuated:         "operators evacuated the failure domains of the upstreams; nothing ran",
 	UpstreamsCold:              "the upstreams have just started and get as many requests as they bear; nothing ran",
+	UpstreamsFull:              "no upstream can respond in time; nothing ran",
 	Shed:                       "the upstreams refused; nothing ran",
 	Quarantined:                "upstreams ended under this request each time it came; it is held back, nothing ran",
 	ResponseLost:               "the upstream's answer was lost; the request may have run",
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -34,6 +34,8 @@
 	OnPrefill func(reason string, tokens int)
 	// RetryAfter returns the Retry-After of a refused request.
 	RetryAfter func(pool string, priority int) clock.Millis
+	// RetryWithinObjective returns the Retry-After of a request that was refused because it would be late.
+	RetryWithinObjective func(objective clock.Millis) clock.Millis
 	// OnSignals handles the backoff, draining and load signals in the headers of an upstream's
 	// response.
 	OnSignals func(request string, lease *balance.Lease, signals opaque.Signals)
@@ -123,6 +125,7 @@
 	pool := r.State.Pool(r.Pool)
 	return balance.PickRequest{
 		Pool: r.Pool, Sticky: r.Route.Sticky, Prompt: r.Prompt, Tried: r.Tried,
+		ObjectiveMs: r.Route.ObjectiveMs, ElapsedMs: s.pipe.deps.Clock.Monotonic() - r.ArrivedMs,
 		Transfers: pool != nil && pool.Engine != nil && pool.Engine.Transfers && r.Dialect.FetchFrom != "",
 	}
 }
@@ -201,6 +204,9 @@
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsBackingOff, s.retryAfterMs(), failed.err)
 	case errors.Is(failed.err, balance.ErrAllEvacuated):
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsEvacuated, s.retryAfterMs(), failed.err)
+	case errors.Is(failed.err, balance.ErrAllFull):
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsFull,
+			s.pipe.deps.RetryWithinObjective(r.Route.ObjectiveMs), failed.err)
 	case errors.Is(failed.err, balance.ErrAllCold):
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsCold, s.retryAfterMs(), failed.err)
 	case errors.Is(failed.err, balance.ErrNoUpstream) || failed.execution == notSent:
