feat(gateway): fewer calls of the store at starts and in outages

Change: notes on crashes are read by the box that reads the store for its failure domain, which passes them on. At the first start of the fleet (a setting) the contacts read and the others take the state from them, or read after 1.5 s.

Ruled out: waiting for others at later starts (callers are waiting then).

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -230,11 +230,12 @@
 
 // recordFromPeer processes crashes that another box reported.
 func (d *crashDetector) recordFromPeer(list []quarantine.CrashEvent) {
-	d.recordFrom("another box", list)
+	d.recordFrom("another box", list, d.box.peering.mesh.IsLarge())
 }
 
-func (d *crashDetector) recordFrom(source string, list []quarantine.CrashEvent) {
-	for _, fingerprint := range d.box.quarantine.RecordEvents(list, d.box.peering.mesh.IsLarge()) {
+// recordFrom processes crashes from a source. If relay is set, this box passes each of them on to others.
+func (d *crashDetector) recordFrom(source string, list []quarantine.CrashEvent, relay bool) {
+	for _, fingerprint := range d.box.quarantine.RecordEvents(list, relay) {
 		d.logQuarantined(fingerprint, source)
 	}
 }
--- a/internal/gateway/notes_sync.go
+++ b/internal/gateway/notes_sync.go
@@ -138,7 +138,7 @@
 		clear(n.written)
 	}
 	reread := n.readerMissesPeer() && now-n.readMs >= noteRereadIntervalMs
-	if n.read && !reread {
+	if n.read && !reread || !n.mayRead() {
 		return nil
 	}
 	all, era, err := n.notes.List(ctx)
@@ -152,6 +152,17 @@
 	return nil
 }
 
+// noteSettleMs is how long a box that starts waits until it knows which box of its failure domain reads the store: a
+// gossip round and a round trip.
+const noteSettleMs clock.Millis = 400
+
+// mayRead reports whether this box reads the notes itself. The others learn of the crashes in them from the box that
+// reads the store for their failure domain.
+func (n *noteSyncer) mayRead() bool {
+	p := n.box.peering
+	return n.box.clock.Monotonic()-p.startedMs >= noteSettleMs && p.mesh.IsStoreReader()
+}
+
 // readerMissesPeer reports whether this box reads the store for others and a known box is unreachable.
 func (n *noteSyncer) readerMissesPeer() bool {
 	return n.box.peering.mesh.IsStoreReader() && n.box.peering.mesh.HasMissingBox()
@@ -165,7 +176,7 @@
 		return
 	}
 	n.written[name] = len(note.Upstreams)
-	n.box.crashDetector.recordFrom("store", note.crashEvents(n.box.clock.Now()))
+	n.box.crashDetector.recordFrom("store", note.crashEvents(n.box.clock.Now()), true)
 }
 
 // noteName returns the name of this failure domain's note on a suspect. The failure domain is part of it because
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -137,7 +137,7 @@
 
 // inInitialRead reports whether the box may still be in its first read of the store, which has not failed.
 func (p *peering) inInitialRead() bool {
-	return !p.box.storeUnavailable.Load() && p.box.clock.Monotonic()-p.startedMs < initialReadMs
+	return !p.box.storeUnavailable.Load() && p.box.clock.Monotonic()-p.startedMs < initialReadMs && p.readsAtStart()
 }
 
 func (p *peering) fetch(ctx context.Context, from mesh.Identity, local mesh.StateSummary) error {
@@ -181,11 +181,24 @@
 // for others: a few gossip rounds.
 const startupSettleMs clock.Millis = 700
 
+// firstStartWaitMs is how long a box waits for the state of another box when the whole fleet starts for the first time.
+// No callers are waiting then, and each read of the store is charged for.
+const firstStartWaitMs clock.Millis = 1500
+
+// readsAtStart reports whether a box that has no state reads it from the store. At the first start of the fleet only
+// the contacts do so at once.
+func (p *peering) readsAtStart() bool {
+	settings := p.box.settings.Load()
+	contacts := p.contacts()
+	return !settings.FirstStart || len(contacts) == 0 || slices.Contains(contacts, settings.PeersAddress) ||
+		p.box.clock.Monotonic()-p.startedMs >= firstStartWaitMs
+}
+
 // needsStoreRead reports whether this box must read a stream of its store itself now. After a stream was read once,
 // the box first reads the other streams or receives them from other boxes.
 func (p *peering) needsStoreRead(wasRead bool) bool {
 	if !wasRead && (p.box.routingState.State() == nil || !p.box.registry.Synced()) {
-		return true
+		return p.readsAtStart()
 	}
 	if p.box.clock.Monotonic()-p.startedMs < startupSettleMs {
 		return false
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -18,6 +19,8 @@
 	ShouldRead func(stream string) bool
 	// RelaysReads reports whether other boxes depend on what the source reads.
 	RelaysReads func() bool
+	// MaxRetryMs returns the longest delay between two failed reads of a box on which no other box depends.
+	MaxRetryMs func() clock.Millis
 	// ObserveEra reports the era of a response of the store.
 	ObserveEra func(era int64)
 	// Adopt applies a routing state that was read in an era, if it is newer than the current one.
@@ -69,8 +72,9 @@
 
 func (s *storeSink) asSink() Sink {
 	return Sink{
-		ShouldRead: s.shouldRead, RelaysReads: s.box.peering.mesh.IsStoreReader, ObserveEra: s.observeEra,
-		Adopt: s.adopt, Confirm: s.confirm,
+		ShouldRead: s.shouldRead, RelaysReads: s.box.peering.mesh.IsStoreReader, MaxRetryMs: s.maxRetryMs,
+		ObserveEra: s.observeEra,
+		Adopt:      s.adopt, Confirm: s.confirm,
 		Upstreams: s.upstreams, AllUpstreams: s.allUpstreams,
 		Evacuations: s.box.evacuations.Apply, AllEvacuations: s.box.evacuations.Merge,
 		Position: s.box.registry.Position, ReportRead: s.reportRead, ReportInvalidInput: s.box.ReportInvalidInput,
@@ -112,6 +116,21 @@
 	return needed || unavailable && s.box.clock.Monotonic()-s.lastFailureMs >= unavailableStoreRetryMs
 }
 
+const (
+	// minRetryDelayLimitMs is the least value of maxRetryMs.
+	minRetryDelayLimitMs clock.Millis = 2000
+	// retrySpacingMs is the mean time between two failed reads by the boxes of a failure domain together. When the
+	// store accepts some of them again, one that it accepts finds out within about this time and reads for the others.
+	retrySpacingMs clock.Millis = 250
+)
+
+// maxRetryMs returns the longest delay between two failed reads of a box on which no other box depends. It grows with
+// the failure domain, since each failed read is charged for, and varies, since all boxes lose the store at once.
+func (s *storeSink) maxRetryMs() clock.Millis {
+	spreadMs := retrySpacingMs * clock.Millis(s.box.peering.mesh.DomainBoxes())
+	return max(minRetryDelayLimitMs, spreadMs/2+rand.N(spreadMs))
+}
+
 func (s *storeSink) observeEra(era int64) { s.box.observeEra(era, s.source) }
 
 func (s *storeSink) adopt(state *routing.State, era int64) {
--- /dev/null
+++ b/internal/gateway/start_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// TestFirstStart guards against reads of the store by each box when the whole fleet starts, and against boxes that get
+// no state because their contacts are down.
+func TestFirstStart(t *testing.T) {
+	first := func(contacts ...string) func(g *config.Gateway) {
+		return func(g *config.Gateway) { g.FirstStart, g.Contacts = true, contacts }
+	}
+	assertServes := func(t *testing.T, boxes []*running) {
+		t.Helper()
+		for _, b := range boxes {
+			status, _, err := b.get("/safe/")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, status, b.settings.Box)
+		}
+	}
+	t.Run("the contact reads for all", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.upstream("u", respondWith("done"))
+			contact := "127.0.0.1:1020"
+			boxes := []*running{}
+			for i := range 6 {
+				boxes = append(boxes, f.box(i+1, first(contact)))
+			}
+			advance(f.t, time.Second)
+			assertServes(f.t, boxes)
+			reader := storeReaderOf(boxes)
+			others := slices.DeleteFunc(slices.Clone(boxes[1:]), func(b *running) bool { return b == reader })
+			assert.Zero(f.t, f.store.readCount(others), "reads of boxes that are neither the contact nor the store reader")
+		})
+	})
+	t.Run("a box whose contacts are down reads by itself", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.upstream("u", respondWith("done"))
+			b := f.box(2, first("127.0.0.1:1020"))
+			advance(f.t, time.Second)
+			assert.Zero(f.t, f.store.readCount([]*running{b}))
+			advance(f.t, time.Second)
+			assertServes(f.t, []*running{b})
+		})
+	})
+	t.Run("a box that starts later reads at once", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.upstream("u", respondWith("done"))
+			b := f.box(2)
+			assertServes(f.t, []*running{b})
+		})
+	})
+}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -361,6 +361,19 @@
 	return 1 + m.aliveCountLocked(m.clock.Monotonic())
 }
 
+// DomainBoxes returns the number of live boxes of this failure domain, including this one.
+func (m *Mesh) DomainBoxes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, aliveTimeout, count := m.clock.Monotonic(), m.aliveTimeoutLocked(), 1
+	for _, p := range m.peers {
+		if p.alive(now, aliveTimeout) && p.FailureDomain == m.self.FailureDomain {
+			count++
+		}
+	}
+	return count
+}
+
 // KnownBoxes returns the number of boxes that were live within the last minute or that others named, including this
 // one.
 func (m *Mesh) KnownBoxes() int {
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -27,6 +27,9 @@
 	// addresses are used: all boxes use the same peers' port.
 	Contacts []string `yaml:"contacts"`
 
+	// FirstStart is set at the first start of the whole fleet, before there are callers.
+	FirstStart bool `yaml:"first_start"`
+
 	Store     Store     `yaml:"store"`
 	Freshness Freshness `yaml:"freshness"`
 	Balance   Balance   `yaml:"balance"`
