fix(balance): evacuated and cold engines count as idle in the mean of the load bound

The bound followed the mean of the engines that a pick may choose; with a third of the pool evacuated that is 1.5 times the mean of the pool.

Change: engines that are well but get no requests count as idle in the mean. The bound stays above the mean of the candidates, since the load has to go somewhere.

TestBoundDuringEvacuation fails on the code before (17 and 23 requests where 16 are allowed).

--- a/internal/balance/evacuation_test.go
+++ b/internal/balance/evacuation_test.go
@@ -79,3 +79,23 @@
 		assert.Empty(t, g.Probes(map[string]clock.Millis{"d0": 250}, false))
 	})
 }
+
+// TestBoundDuringEvacuation guards against engines above the multiple of their pool's mean load while a part of the
+// pool is idle because it is evacuated.
+func TestBoundDuringEvacuation(t *testing.T) {
+	f := newFixture(t, 12)
+	f.SetEvacuations(evacuated(0, "d0"))
+	for i := range 120 {
+		f.pick(t, sticky(string(rune('a'+i%3))))
+	}
+	total := 0
+	for _, member := range f.byID {
+		total += member.inFlight
+	}
+	// The mean of all twelve engines counts, rounded up.
+	limit := (total*f.settings.BoundPercent+12*percent-1)/(12*percent) + boundSlack
+	mean := (total + 7) / 8
+	for _, member := range f.byID {
+		assert.LessOrEqual(t, member.inFlight, max(limit, mean+1), "requests at %s in %s", member.ID, member.FailureDomain)
+	}
+}
--- a/internal/balance/hotsessions_test.go
+++ b/internal/balance/hotsessions_test.go
@@ -60,10 +60,10 @@
 
 func TestUnreportedLoad(t *testing.T) {
 	f := newFixture(t, 12)
-	fresh := f.bound(240, 12)
+	fresh := f.bound(240, 12, 0)
 	f.SetOthersInFlightAge(100)
-	assert.Equal(t, fresh, f.bound(240, 12), "reports that are 0.1 s old don't change the bound")
+	assert.Equal(t, fresh, f.bound(240, 12, 0), "reports that are 0.1 s old don't change the bound")
 	f.SetOthersInFlightAge(reportTTLMs)
-	assert.Equal(t, fresh-5, f.bound(240, 12), "old reports reduce it by the root of 30")
-	assert.GreaterOrEqual(t, f.bound(0, 12), 1, "an idle engine accepts a request")
+	assert.Equal(t, fresh-5, f.bound(240, 12, 0), "old reports reduce it by the root of 30")
+	assert.GreaterOrEqual(t, f.bound(0, 12, 0), 1, "an idle engine accepts a request")
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -152,7 +152,7 @@
 // of several engines (lease.Spread), the search starts at a random one of that many first engines.
 func (m *Manager) pickSticky(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) {
 	ranked := rank(request.Prompt.Session(), members)
-	bound := m.bound(total, len(members))
+	bound := m.bound(total, len(members), m.spared(request.Pool, now))
 	lease.Spread = spreadWidth(m.sessionShare(request, now), total, len(members), bound)
 	order := ranked
 	if lease.Spread > 1 {
@@ -192,11 +192,25 @@
 	return h.share(request.Prompt.Session())
 }
 
+// spared returns the number of members that get no requests, although they are well, because they are evacuated or
+// cold.
+func (m *Manager) spared(pool string, now clock.Millis) int {
+	count := 0
+	for _, member := range m.pools[pool] {
+		if !member.draining() && (member.evacuated || m.coldDelayMs(member, now) > 0) {
+			count++
+		}
+	}
+	return count
+}
+
 // bound returns the maximum load of an engine. It is the configured multiple of the mean load (which
-// includes this request), rounded up, plus boundSlack, minus the load that may be unreported. The
-// slack matters while the mean is small. The bound is always above the mean.
-func (m *Manager) bound(total, members int) int {
-	bound := ((total+1)*m.settings.BoundPercent+members*percent-1)/(members*percent) + boundSlack
+// includes this request), rounded up, plus boundSlack, minus the load that may be unreported. The mean
+// is that of the candidates and of spared members, which count as idle. The slack matters while the
+// mean is small. The bound is always above the mean of the candidates.
+func (m *Manager) bound(total, members, spared int) int {
+	all := members + spared
+	bound := ((total+1)*m.settings.BoundPercent+all*percent-1)/(all*percent) + boundSlack
 	return max(bound-m.unreportedLoad(bound), (total+members)/members)
 }
 
