--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -12,10 +12,6 @@
 // chooseFetchSource selects the engine from which the chosen engine fetches cached parts. This is the
 // engine that is known to cache the most of the prompt, if it caches at least minFetchTokens more than
 // the chosen engine. Otherwise it is the engine that likelyHolder returns, if any.
-//
-// Fetching raises the value score by 0.029 on days with crashes and partitions (ten paired runs,
-// standard error 0.002). Of this, 0.005 (standard error 0.001) is due to the announcements of other
-// boxes about what engines cache.
 func (m *Manager) chooseFetchSource(lease *Lease, request PickRequest, shared []prompt.KeyedPart, now clock.Millis) {
 	if !request.Transfers || len(shared) == 0 {
 		return
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -43,11 +43,6 @@
 // responses. They belong to its incarnation: changes of its registry entry, its health and its load
 // don't affect them.
 //
-// Six boxes that received 90 requests a second and ignored these signals sent up to 7 requests during a
-// backoff while half of twelve upstreams shed load; in 38 to 44 of 189 to 203 backoffs they sent more
-// than 2. They sent 136 to 145 requests to four upstreams that had announced 2 s before that they were
-// draining. Boxes that apply the signals sent none in either case (one run each).
-//
 // A signal applies to the box that received it and is not shared with others. An upstream that
 // wants all boxes to back off signals each of them.
 type upstreamSignals struct {
@@ -155,10 +150,8 @@
 //
 // A backoff that is attributed to the previous incarnation may have been requested by the next one, if
 // it was received after connections to the previous one broke or were refused, or shortly before the
-// restart was noticed. Boxes that dropped such a backoff kept sending requests during it: six boxes
-// sent 4 to 8 requests each, and a box that had seen no connection fail sent 4. A backoff whose
-// incarnation is uncertain is therefore kept. If it was the previous one's, the box does without the
-// upstream's capacity for some seconds.
+// restart was noticed. A backoff whose incarnation is uncertain is therefore kept. If it was the
+// previous one's, the box does without the upstream's capacity for some seconds.
 func (m *Manager) signalsFor(u registry.Upstream, previous *upstreamSignals) *upstreamSignals {
 	if stored := m.departedSignals[u.ID]; stored != nil {
 		delete(m.departedSignals, u.ID)
--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -43,6 +43,7 @@
 				Name:  "timed",
 				Usage: "check time bounds, too, with faults that leave most boxes unaffected; requires an idle machine",
 			},
+			&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
 			&cli.IntFlag{Name: "clients", Value: defaultClients, Usage: "number of clients, in this process"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -82,7 +83,7 @@
 	report, runErr := soak.Run(ctx, soak.Settings{
 		Program: program, Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
-		Timed: c.Bool("timed"),
+		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -182,8 +182,7 @@
 const localBudgetShare = 0.8
 
 // sustainedShare is the part of localBudgetShare that retries may use continuously. The rest accumulates for bursts, up
-// to the amount that the requests of one window add. On a day with 87 boxes on which 45 of 112 engines crashed, this
-// split raised the value score by 0.0032; on another day it changed nothing (one paired run each).
+// to the amount that the requests of one window add, because many upstreams may crash at once.
 const sustainedShare = 0.6
 
 // retryReserve returns the part of the fleet's retry slack that this box may use until it knows how many boxes share
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -26,8 +26,7 @@
 )
 
 // firstByteTimeoutFactor is the time limit for response headers as a multiple of the route's latency
-// objective, while the request may still be retried. Without these retries, the value score of days
-// with hanging upstreams is lower by 0.0024 of its maximum (six paired runs, standard error 0.0012).
+// objective, while the request may still be retried, because an upstream may hang.
 const firstByteTimeoutFactor = 2
 
 // attempt sends the request to one upstream. It returns nil if the caller has the complete
@@ -90,9 +89,7 @@
 
 // cancelOnPathLoss cancels an attempt when the network path to the upstream's failure domain is
 // found to be down, if the request may be retried. A resumable stream then pauses for 0.2 s to 0.4 s
-// instead of the full idle timeout of three times its longest acceptable pause. On days with a
-// network partition this raises the value score by 0.0010 of its maximum (twelve paired runs,
-// standard error 0.0005).
+// instead of the full idle timeout of three times its longest acceptable pause.
 func (s *retryLoop) cancelOnPathLoss(lease *balance.Lease, cancel context.CancelCauseFunc) {
 	r := s.request
 	if r.Route.Repeatable() && r.Sent+1 < r.Route.Attempts {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -181,8 +181,7 @@
 
 // maxConnectAttempts limits all attempts of one request, including those that could not connect. A
 // refused connection costs a few milliseconds, so a request can try many upstreams when a large
-// part of a pool is down. With 45 of 112 upstreams down, 178 of 47,600 requests failed with a limit
-// of 6, and none failed with a limit of 24.
+// part of a pool is down.
 const maxConnectAttempts = 24
 
 // finish ends a request whose last attempt failed: it relays the upstream's error response, aborts
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -41,6 +41,8 @@
 	// Timed also checks time bounds. It omits the faults that are marked fleetWide, so that most
 	// boxes are undisturbed most of the time. It needs a machine that is otherwise idle.
 	Timed bool
+	// Evacuations also evacuates zones.
+	Evacuations bool
 }
 
 // box is a box process, its link from the callers and its link to the store.
@@ -94,8 +96,13 @@
 	mu           sync.Mutex
 	config       standin.Config
 	incarnations int
+	// evacuated holds the zones that were ever evacuated, and whether they are now.
+	evacuated map[string]bool
 }
 
+// zoneName returns the name of a zone.
+func zoneName(index int) string { return "zone-" + strconv.Itoa(index%domainCount) }
+
 // draw returns a random number in [0,n). It is safe for concurrent use.
 func (f *fleet) draw(n int) int {
 	f.mu.Lock()
@@ -106,8 +113,9 @@
 func newFleet(settings Settings) (*fleet, error) {
 	f := &fleet{
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)), store: standin.NewStore(),
-		history: newHistory(),
-		config:  standin.Config{Version: 1, Keys: map[string][]string{}},
+		history:   newHistory(),
+		config:    standin.Config{Version: 1, Keys: map[string][]string{}},
+		evacuated: map[string]bool{},
 	}
 	f.history.timed = settings.Timed
 	for i := range tenantCount {
@@ -158,7 +166,7 @@
 }
 
 func (f *fleet) addServer(i int) error {
-	s := &server{zone: "zone-" + strconv.Itoa(i%domainCount)}
+	s := &server{zone: zoneName(i)}
 	address, err := f.serve("127.0.0.1:0", s)
 	if err != nil {
 		return err
@@ -178,6 +186,7 @@
 	f.incarnations++
 	id := fmt.Sprintf("server-%d-%d", f.settings.Seed, f.incarnations)
 	f.mu.Unlock()
+	f.history.recordZone(id, s.zone)
 	s.mu.Lock()
 	s.current, s.down = f.newServer(s, id), false
 	s.mu.Unlock()
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -38,6 +38,9 @@
 	// replacements are the intervals from the replacement of a server's entry by another
 	// writer until the server rewrote its own.
 	replacements map[string][]*interval
+	// zones maps each server to its zone, and evacuations holds by zone when it was evacuated.
+	zones       map[string]string
+	evacuations map[string][]*interval
 	// arrivals are the requests that reached the server they were addressed to.
 	arrivals []standin.Arrival
 	// crashes are the times at which servers crashed under the fatal request.
@@ -50,7 +53,7 @@
 	return &history{
 		runs: map[string][]standin.Run{}, tenants: map[string]string{}, revoked: map[string]time.Time{},
 		served: map[string]int{}, draining: map[string]time.Time{}, disturbances: disturbances{},
-		replacements: map[string][]*interval{},
+		replacements: map[string][]*interval{}, zones: map[string]string{}, evacuations: map[string][]*interval{},
 	}
 }
 
@@ -78,6 +81,12 @@
 	h.revoked[key] = time.Now()
 }
 
+func (h *history) recordZone(server, zone string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.zones[server] = zone
+}
+
 func (h *history) recordDraining(server string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -149,9 +158,12 @@
 	if run.DeadlineMs > o.DeadlineMs {
 		violated("deadline", "the server got %d ms of %d", run.DeadlineMs, o.DeadlineMs)
 	}
-	if late := h.lateAfterReplacement(o, run); late > 0 {
+	if late := h.lateInIntervals(h.replacements[run.Server], o, run); late > 0 {
 		violated("no new work after entry replacement", "%s ran it %s after its entry was replaced", run.Server, late)
 	}
+	if late := h.lateInIntervals(h.evacuations[h.zones[run.Server]], o, run); late > 0 {
+		violated("no new work after evacuation", "%s ran it %s after its zone was evacuated", run.Server, late)
+	}
 	if late := h.lateAfterDraining(o, run); late > 0 {
 		violated("no new work after draining entry", "%s ran it %s after its draining entry", run.Server, late)
 	}
@@ -159,8 +171,8 @@
 }
 
 const (
-	// maxPropagation is how long boxes may still send new work to a server that drains, or
-	// whose entry was replaced.
+	// maxPropagation is how long boxes may still send new work to a server that drains, whose
+	// entry was replaced or whose zone was evacuated.
 	maxPropagation = 2 * time.Second
 	// undisturbedSpan is how long a box must have been undisturbed for that bound to apply.
 	undisturbedSpan = 3 * time.Second
@@ -184,10 +196,10 @@
 	return late
 }
 
-// lateAfterReplacement returns how long after another writer replaced a server's entry an
-// undisturbed box sent the server a request, or 0 if that is within the bound.
-func (h *history) lateAfterReplacement(o standin.Outcome, run standin.Run) time.Duration {
-	for _, s := range h.replacements[run.Server] {
+// lateInIntervals returns how long after the start of an interval, in which a server was to get no
+// requests, an undisturbed box sent it one, or 0 if that is within the bound.
+func (h *history) lateInIntervals(intervals []*interval, o standin.Outcome, run standin.Run) time.Duration {
+	for _, s := range intervals {
 		late := run.StartedAt.Sub(s.from)
 		if !h.timed || late <= maxPropagation+timingSlack || !s.to.IsZero() && run.StartedAt.After(s.to) {
 			continue
@@ -206,10 +218,20 @@
 // recordReplacement records that another writer replaced a server's entry. The returned function
 // records that the server rewrote its own.
 func (h *history) recordReplacement(server string) (end func()) {
+	return h.beginInterval(h.replacements, server)
+}
+
+// recordEvacuation records that a zone was evacuated. The returned function records the end.
+func (h *history) recordEvacuation(zone string) (end func()) {
+	return h.beginInterval(h.evacuations, zone)
+}
+
+// beginInterval adds an interval that begins now. The returned function records its end.
+func (h *history) beginInterval(all map[string][]*interval, name string) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := &interval{from: time.Now()}
-	h.replacements[server] = append(h.replacements[server], s)
+	all[name] = append(all[name], s)
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -139,3 +139,33 @@
 		assert.Empty(t, h.check())
 	})
 }
+
+// TestCheckEvacuation violates the bound of an evacuation once, as a faulty router would.
+func TestCheckEvacuation(t *testing.T) {
+	start := time.Now()
+	check := func(ranAfter, endAfter time.Duration, disturbed bool) []violation {
+		h := newHistory()
+		h.timed = true
+		h.recordZone("server", "zone")
+		h.evacuations["zone"] = []*interval{{from: start, to: start.Add(endAfter)}}
+		if disturbed {
+			h.disturbances["box"] = []*interval{{from: start}}
+		}
+		h.recordKey("key", "tenant")
+		h.recordRun(standin.Run{RequestID: "r", Server: "server", Tenant: "tenant", StartedAt: start.Add(ranAfter)})
+		h.recordOutcome(standin.Outcome{Call: standin.Call{ID: "r", Key: "key", Kind: standin.Safe}, Box: "box"})
+		return h.check()
+	}
+	t.Run("work after the bound is a violation", func(t *testing.T) {
+		assert.Len(t, check(maxPropagation+2*timingSlack, time.Minute, false), 1)
+	})
+	t.Run("work within the bound is none", func(t *testing.T) {
+		assert.Empty(t, check(maxPropagation, time.Minute, false))
+	})
+	t.Run("work after the end is none", func(t *testing.T) {
+		assert.Empty(t, check(maxPropagation+2*timingSlack, maxPropagation, false))
+	})
+	t.Run("work of a disturbed box is none", func(t *testing.T) {
+		assert.Empty(t, check(maxPropagation+2*timingSlack, time.Minute, true))
+	})
+}
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -29,6 +29,7 @@
 			defer f.mu.Unlock()
 			f.store.PutConfig(f.config)
 		})
+		f.runLater(f.rewriteEvacuations)
 		for _, s := range f.servers {
 			f.runLater(func() {
 				f.entriesMu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,6 +63,9 @@
 	}
 	workers.Go(func() { f.runFatalClient(clients) })
 	workers.Go(func() { f.injectSignals(clients) })
+	if f.settings.Evacuations {
+		workers.Go(func() { f.injectEvacuations(clients) })
+	}
 	workers.Go(func() { f.writeHeartbeats(clients) })
 	err = f.injectFaults(ctx, report.Faults)
 	stopClients()
