--- a/internal/balance/coldstart.go
+++ b/internal/balance/coldstart.go
@@ -42,8 +42,8 @@
 	// coldSendDelayMs is how much later than it was picked a request may arrive: the timeout for opening a
 	// connection.
 	coldSendDelayMs clock.Millis = 200
-	// coldDeviations is how many standard deviations the number of slots in one second stays below the limit.
-	// Counts of this kind exceed seven once in ten million seconds.
+	// coldDeviations is how many standard deviations the mean number of slots in one second stays below the limit. Of
+	// ten million seconds about one exceeds seven.
 	coldDeviations = 7
 )
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -152,7 +152,7 @@
 // of several engines (lease.Spread), the search starts at a random one of that many first engines.
 func (m *Manager) pickSticky(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) {
 	ranked := rank(request.Prompt.Session(), members)
-	bound := m.bound(total, len(members), m.spared(request.Pool, now))
+	bound := m.bound(total, len(members), m.excluded(request.Pool, now))
 	lease.Spread = spreadWidth(m.sessionShare(request, now), total, len(members), bound)
 	order := ranked
 	if lease.Spread > 1 {
@@ -192,9 +192,9 @@
 	return h.share(request.Prompt.Session())
 }
 
-// spared returns the number of members that get no requests, although they are well, because they are evacuated or
+// excluded returns the number of members that get no requests, although they are well, because they are evacuated or
 // cold.
-func (m *Manager) spared(pool string, now clock.Millis) int {
+func (m *Manager) excluded(pool string, now clock.Millis) int {
 	count := 0
 	for _, member := range m.pools[pool] {
 		if !member.draining() && (member.evacuated || m.coldDelayMs(member, now) > 0) {
@@ -206,12 +206,12 @@
 
 // bound returns the maximum load of an engine. It is the configured multiple of the mean load (which
 // includes this request), rounded up, plus boundSlack, minus the load that may be unreported. The mean
-// is that of the candidates and of spared members, which count as idle, unless the candidates can't
+// is that of the candidates and of excluded members, which count as idle, unless the candidates can't
 // hold the load under that bound. The slack matters while the mean is small. The bound is always above
 // the mean of the candidates.
-func (m *Manager) bound(total, members, spared int) int {
-	bound := m.multipleOfMean(total, members+spared)
-	if spared > 0 && bound < minBoundPercent*(total+1)/(percent*members) {
+func (m *Manager) bound(total, members, excluded int) int {
+	bound := m.multipleOfMean(total, members+excluded)
+	if excluded > 0 && bound < minBoundPercent*(total+1)/(percent*members) {
 		bound = m.multipleOfMean(total, members)
 	}
 	bound += boundSlack
