test(gateway): a box that has just started lets no fatal request through

Six copies at once on: 13 failures in 900 runs. Lines of a failing run: box-6 takes the fatal request 194 ms after its start and sends it to two upstreams; it learns of the quarantine 306 ms later, from the notes in the store. box-7 does the same. Their first datagrams were lost (one in five is, in this test). Ruled out: a crash that a box didn't recognise (each suspect was found dead by its probe 5 ms later), a late event between running boxes (the others had it within 172 ms).

Cause: since a box reads the notes 400 ms after its start, and only if it reads the store for its failure domain.

The new test plays it without chance: all datagrams are lost, reads take 0 ms or 50 ms.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -301,6 +301,49 @@
 	}
 }
 
+// TestFatalRequestAtStart guards against a box that has just started and serves a fatal request before it knows the
+// quarantines of the fleet. Each replaced box let the request crash two more upstreams.
+func TestFatalRequestAtStart(t *testing.T) {
+	assertRejected := func(t *testing.T, f *fleet, a *crashRecorder, change ...func(g *config.Gateway)) {
+		t.Helper()
+		sends := len(a.sendsMs)
+		statuses := a.resend([]*running{f.box(7, change...)}, "/safe/", 1, 0)
+		assert.Equal(t, []int{http.StatusServiceUnavailable}, statuses)
+		assert.Len(t, a.sendsMs, sends, "sends by the box that has just started")
+	}
+	run := func(t *testing.T, readDelayMs clock.Millis, check func(f *fleet, a *crashRecorder, first *running)) {
+		t.Helper()
+		runWithFleet(t, func(f *fleet) {
+			a := newCrashRecorder(f, 8)
+			b := f.box(1)
+			a.resend([]*running{b}, "/safe/", 4, 4*time.Second)
+			f.store.setReadDelay(readDelayMs)
+			check(f, a, b)
+		})
+	}
+	for _, readDelayMs := range []clock.Millis{0, 50} {
+		t.Run(fmt.Sprintf("while datagrams are lost and reads of the store take %d ms", readDelayMs), func(t *testing.T) {
+			run(t, readDelayMs, func(f *fleet, a *crashRecorder, _ *running) {
+				f.network.SetPacketLoss(func() bool { return true })
+				assertRejected(f.t, f, a)
+			})
+		})
+	}
+	t.Run("while datagrams arrive", func(t *testing.T) {
+		run(t, 50, func(f *fleet, a *crashRecorder, first *running) { assertRejected(f.t, f, a, withContact(first)) })
+	})
+	t.Run("other requests are served while the notes can't be read", func(t *testing.T) {
+		run(t, 0, func(f *fleet, _ *crashRecorder, first *running) {
+			f.store.setUnavailable("box-7", true)
+			b := f.box(7, withContact(first))
+			advance(f.t, time.Second)
+			status, _, err := b.get("/safe/")
+			require.NoError(f.t, err)
+			assert.Equal(f.t, http.StatusOK, status)
+		})
+	})
+}
+
 // TestNotFatal guards against quarantining harmless requests, whose connections break without a crash or because of a
 // crash that another request caused. They must still be served.
 func TestNotFatal(t *testing.T) {
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -179,7 +179,13 @@
 			defer s.mu.Unlock()
 			return s.era
 		},
-		List: func(context.Context) (map[string][]byte, int64, error) {
+		List: func(ctx context.Context) (map[string][]byte, int64, error) {
+			s.mu.Lock()
+			readDelayMs := s.readDelayMs
+			s.mu.Unlock()
+			if err := clock.New().Sleep(ctx, readDelayMs); err != nil {
+				return nil, 0, err
+			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.unavailable[box] || s.unresponsive[box] {
