fix(gateway): a box that starts reads the notes before its first request

Change: at a later start than the first of the fleet each box tries once to read the notes, at once, and requests in its first 400 ms wait for that try as they wait for the routing state. After that the store reader of its failure domain reads for it, as before; a failed try isn't repeated, so an outage costs no further calls. At the first start there are no notes and nothing is read.

Ruled out: to wait for another box's datagrams (they may be lost, or come from boxes that started at the same moment); to read only if no other box has answered (boxes that start together answer each other and know nothing).

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -81,6 +81,8 @@
 	// synced is closed once the box has a routing state and a list of upstreams.
 	synced     chan struct{}
 	syncedOnce sync.Once
+	// notesRead is closed once the box has tried to read the notes, or knows that there are none.
+	notesRead  chan struct{}
 	goroutines sync.WaitGroup
 }
 
@@ -104,7 +106,7 @@
 	b := &Box{
 		dialect: adapter.Dialect, readinessPath: adapter.ReadinessPath,
 		clock: clock.New(), out: out, listen: net.Listen, packets: net.ListenPacket,
-		metrics: NewMetrics(), synced: make(chan struct{}),
+		metrics: NewMetrics(), synced: make(chan struct{}), notesRead: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(b)
--- a/internal/gateway/notes_sync.go
+++ b/internal/gateway/notes_sync.go
@@ -94,14 +94,21 @@
 	era      int64
 	readMs   clock.Millis
 	failures int
+	// attempted is set once this process has tried to read the notes.
+	attempted bool
 }
 
 // syncNotes synchronises the notes with the store until the context ends.
 func (b *Box) syncNotes(ctx context.Context) {
 	n := &noteSyncer{box: b, notes: b.source.Notes, written: map[string]int{}}
 	if n.notes.Put == nil {
+		close(b.notesRead)
 		return
 	}
+	if b.settings.Load().FirstStart {
+		// There are no notes yet.
+		n.markAttempted()
+	}
 	for ctx.Err() == nil {
 		// The loop condition handles the end of the context.
 		_ = b.clock.Sleep(ctx, n.syncOnce(ctx))
@@ -142,6 +149,7 @@
 		return nil
 	}
 	all, era, err := n.notes.List(ctx)
+	defer n.markAttempted()
 	if err != nil {
 		return err
 	}
@@ -156,11 +164,20 @@
 // gossip round and a round trip.
 const noteSettleMs clock.Millis = 400
 
-// mayRead reports whether this box reads the notes itself. The others learn of the crashes in them from the box that
-// reads the store for their failure domain.
+// markAttempted releases the requests that wait for the first read of the notes, whether it succeeded or not.
+func (n *noteSyncer) markAttempted() {
+	if !n.attempted {
+		n.attempted = true
+		close(n.box.notesRead)
+	}
+}
+
+// mayRead reports whether this box reads the notes itself. A box that starts tries once, because it may be sent a fatal
+// request before another box reaches it. After that, it learns of the crashes in the notes from the box that reads the
+// store for its failure domain.
 func (n *noteSyncer) mayRead() bool {
 	p := n.box.peering
-	return n.box.clock.Monotonic()-p.startedMs >= noteSettleMs && p.mesh.IsStoreReader()
+	return !n.attempted || n.box.clock.Monotonic()-p.startedMs >= noteSettleMs && p.mesh.IsStoreReader()
 }
 
 // readerMissesPeer reports whether this box reads the store for others and a known box is unreachable.
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -14,10 +14,10 @@
 const startupWaitMs clock.Millis = 400
 
 // awaitState returns the current routing state. If the box has just started or resumed from a pause, it waits a short
-// time for the state.
+// time for the state and for the notes, which tell which requests are quarantined.
 func (b *Box) awaitState(ctx context.Context) *routing.State {
 	b.pauseDetector.awaitRefresh(ctx)
-	if b.isSynced() {
+	if b.isSynced() && isClosed(b.notesRead) {
 		return b.routingState.State()
 	}
 	if b.clock.Monotonic()-b.peering.startedMs >= startupWaitMs {
@@ -25,17 +25,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startupWaitMs.Duration())
 	defer cancel()
-	select {
-	case <-b.synced:
-	case <-ctx.Done():
+	for _, awaited := range []chan struct{}{b.synced, b.notesRead} {
+		select {
+		case <-awaited:
+		case <-ctx.Done():
+		}
 	}
 	return b.routingState.State()
 }
 
 // isSynced reports whether the box has received a routing state and a list of upstreams.
-func (b *Box) isSynced() bool {
+func (b *Box) isSynced() bool { return isClosed(b.synced) }
+
+func isClosed(c chan struct{}) bool {
 	select {
-	case <-b.synced:
+	case <-c:
 		return true
 	default:
 		return false
