feat(balance): owners grant permits for engines in fleets of dozens of boxes

While a failure domain is evacuated the bound is lower, and boxes send to engines that others have filled meanwhile.

Change: above 32 boxes an engine's owner counts the requests of all boxes and grants a permit, as it does above 128. The bound then has no allowance for unreported loads, and a box leaves the choice to the owner: its own estimate decides only if no owner answers, and its own requests count at once. The reply of a permit is one type in internal/occupancy.

Ruled out: a larger allowance for unreported loads (moves more sessions). Cost: a round trip of about 1 ms and three datagrams of some 16 bytes a prompt.

--- a/internal/balance/largefleet_test.go
+++ b/internal/balance/largefleet_test.go
@@ -66,13 +66,19 @@
 	// ledger represents the ledgers of all owners.
 	ledger         *occupancy.Ledger
 	permitRequests uint32
+	kinds          []requestKind
+	// gossip exchanges what boxes tell each other; it is called each millisecond.
+	gossip func()
+	// atFirst counts the requests that went to the engine that ranks first for their session.
+	atFirst, sent int
 }
 
 func newLargeFleet(boxes, engines int) *largeFleet {
 	f := &largeFleet{
 		simulation: newSimulation(boxes, engines), models: map[string]*engineModel{},
-		responseStarts: map[clock.Millis][]*Lease{},
+		responseStarts: map[clock.Millis][]*Lease{}, kinds: kinds,
 	}
+	f.gossip = f.gossipRunning
 	f.ledger = occupancy.New(func() clock.Millis { return f.now })
 	f.random = rand.New(rand.NewPCG(3, 4))
 	for _, u := range f.engines {
@@ -91,6 +97,10 @@
 	overBound = f.engineLoad[lease.ID]*len(f.engines) > 2*f.running+3*len(f.engines)
 	f.engineLoad[lease.ID]++
 	f.running++
+	f.sent++
+	if lease.Skipped.Upstream == "" {
+		f.atFirst++
+	}
 	e := f.models[lease.ID]
 	tokens := 300.0
 	if !e.cached[session] {
@@ -125,7 +135,7 @@
 
 // acquirePermit requests a permit as a box does: if the request or the reply is lost, the box
 // continues as if the permit were granted.
-func (f *largeFleet) acquirePermit(lease *Lease, bound int) PermitReply {
+func (f *largeFleet) acquirePermit(lease *Lease, bound int) occupancy.Reply {
 	lost := func() bool { return f.random.IntN(percent) < messageLossPercent }
 	f.permitRequests++
 	h := occupancy.PermitID{Number: f.permitRequests}
@@ -135,10 +145,10 @@
 		}
 	}
 	if lost() {
-		return PermitReply{Granted: true, Release: release}
+		return occupancy.Reply{Granted: true, Release: release}
 	}
 	granted := f.ledger.Acquire(h, lease.Key(), bound)
-	return PermitReply{Granted: granted || lost(), Release: release}
+	return occupancy.Reply{Granted: granted || lost(), Release: release}
 }
 
 // gossipRunning sends each box once a second the approximate number of requests that all boxes
@@ -147,6 +157,7 @@
 	for i, m := range f.boxes {
 		if int(f.now)%msPerSecond == i*msPerSecond/len(f.boxes) {
 			m.SetFleetInFlightByPool(map[namekey.Key]int{namekey.Of("p"): f.approximate(f.running)})
+			m.SetEnginePermits(true)
 		}
 	}
 }
@@ -163,9 +174,9 @@
 	for range seconds {
 		overBound, total := 0, 0
 		for end := f.now + msPerSecond; f.now < end; f.now++ {
-			f.gossipRunning()
+			f.gossip()
 			f.completeDue()
-			for i, k := range kinds {
+			for i, k := range f.kinds {
 				for range k.arrivals(f.random) {
 					total++
 					if f.send(t, k, fmt.Sprint(i, "-", f.random.IntN(k.sessions))) {
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -61,6 +61,8 @@
 	// fleetInFlightByPool is the number of requests that all boxes run, by pool, in a fleet so
 	// large that boxes don't share their loads by upstream. It is nil in smaller fleets.
 	fleetInFlightByPool map[namekey.Key]int
+	// enginePermits is set if the owners of engines count the requests of all boxes there.
+	enginePermits bool
 	// othersAgeMs is the average age of the load reports from other boxes.
 	othersAgeMs clock.Millis
 	// evacuated holds the evacuated failure domains.
--- a/internal/balance/overload_test.go
+++ b/internal/balance/overload_test.go
@@ -164,11 +164,11 @@
 		return m.Pick(request)
 	}
 	request.ObjectiveMs = simObjective
-	return m.PickWithPermit(request, func(lease *Lease, bound int) PermitReply {
+	return m.PickWithPermit(request, func(lease *Lease, bound int) occupancy.Reply {
 		o.permits++
 		id := occupancy.PermitID{Number: o.permits}
 		granted := o.ledger.AcquireWithin(id, lease.Key(), bound, lease.WithinMs())
-		return PermitReply{Granted: granted, Release: func(served bool) { o.ledger.Release(id, served) }}
+		return occupancy.Reply{Granted: granted, Release: func(served bool) { o.ledger.Release(id, served) }}
 	})
 }
 
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -5,31 +5,25 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/occupancy"
 )
 
-// In a fleet of hundreds of boxes, a box sees a small fraction of the traffic, and sharing all
-// loads between boxes would exceed the byte limit for control messages. In such a fleet each engine
-// has an owner, a box that counts the requests of all boxes at the engine and grants a permit
-// before a request is sent. This handles uneven load: engines that are slow, that have more
-// sessions than others, or that prefill prompts for the first time.
+// In a fleet of dozens of boxes, the boxes' reports of their loads are older than most requests, and
+// in one of hundreds, sharing all loads would exceed the byte limit for control messages. In such a
+// fleet each engine has an owner, a box that counts the requests of all boxes at the engine and grants
+// a permit before a request is sent. This handles uneven load: engines that are slow, that have more
+// sessions than others, or that prefill prompts for the first time, and pools of which a part is
+// evacuated or cold.
 
 // maxPermitRefusals is how many engines may refuse a permit before a request goes to the next one
 // regardless of its load.
 const maxPermitRefusals = 4
 
-// PermitReply is an owner's response to a permit request.
-type PermitReply struct {
-	// Granted is set unless the engine has reached its bound.
-	Granted bool
-	// Release returns the permit, and tells whether the upstream served the request; nil if there is none to return.
-	Release func(served bool)
-}
-
 // PickWithPermit picks like Pick. If the engine has an owner, it also requests a permit; if the owner
 // refuses, it picks another engine, until a permit is granted. The function acquire requests a permit
 // from the owner of the lease's engine, who grants it while the engine's load is below the bound.
 func (m *Manager) PickWithPermit(
-	request PickRequest, acquire func(lease *Lease, bound int) PermitReply,
+	request PickRequest, acquire func(lease *Lease, bound int) occupancy.Reply,
 ) (*Lease, error) {
 	for {
 		lease, err := m.Pick(request)
@@ -41,15 +35,24 @@
 			bound = maxPermits
 		}
 		permit := acquire(lease, bound)
-		if permit.Granted {
+		if permit.Granted && !(permit.Unanswered && lease.exceedsBound(bound)) {
 			lease.attachPermit(permit.Release)
 			return lease, nil
 		}
+		if permit.Release != nil {
+			permit.Release(false)
+		}
 		lease.cancel()
 		request.Full = append(request.Full, lease.ID)
 	}
 }
 
+// exceedsBound reports whether the load of an engine, as this box estimates it, exceeds a bound. Load includes this
+// request.
+func (l *Lease) exceedsBound(bound int) bool {
+	return l.withinMs == 0 && l.Load+1 > bound
+}
+
 // attachPermit records that the lease holds a permit. Release returns the permit and may be nil.
 func (l *Lease) attachPermit(release func(served bool)) {
 	l.manager.mu.Lock()
@@ -74,6 +77,14 @@
 	m.fleetInFlightByPool = running
 }
 
+// SetEnginePermits sets whether the owners of engines count the requests of all boxes there. A request to an engine
+// then needs a permit.
+func (m *Manager) SetEnginePermits(enginePermits bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.enginePermits = enginePermits
+}
+
 // InFlightByPool returns the number of requests that this box runs, by pool. Zeros are omitted.
 func (m *Manager) InFlightByPool() map[namekey.Key]int {
 	m.mu.Lock()
--- a/internal/balance/permits_test.go
+++ b/internal/balance/permits_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/occupancy"
 )
 
 // fakeOwner records the permits that a box requested from owners.
@@ -19,13 +20,13 @@
 	released int
 }
 
-func (owner *fakeOwner) acquire(lease *Lease, bound int) PermitReply {
+func (owner *fakeOwner) acquire(lease *Lease, bound int) occupancy.Reply {
 	owner.upstreams = append(owner.upstreams, lease.ID)
 	owner.bounds = append(owner.bounds, bound)
 	if len(owner.upstreams) <= owner.refusals {
-		return PermitReply{}
+		return occupancy.Reply{}
 	}
-	return PermitReply{Granted: true, Release: func(bool) { owner.released++ }}
+	return occupancy.Reply{Granted: true, Release: func(bool) { owner.released++ }}
 }
 
 // inLargeFleet returns a fixture whose box knows how many requests all boxes run in the pool.
@@ -33,6 +34,7 @@
 	t.Helper()
 	f := newFixture(t, 12)
 	f.SetFleetInFlightByPool(map[namekey.Key]int{namekey.Of("p"): running})
+	f.SetEnginePermits(true)
 	return f
 }
 
@@ -97,6 +99,53 @@
 	})
 }
 
+// TestPickWithPermitInMidSizeFleet guards against moving sessions away from engines that have room, because reports of
+// other boxes are old, and against overloading engines whose owners don't answer.
+func TestPickWithPermitInMidSizeFleet(t *testing.T) {
+	const othersAtFirst = 30
+	inMidSizeFleet := func(t *testing.T) (f *fixture, first string) {
+		t.Helper()
+		f = newFixture(t, 12)
+		f.SetEnginePermits(true)
+		first = f.pick(t, sticky("s")).ID
+		f.SetOthersInFlight(map[namekey.Key]int{namekey.Of(first): othersAtFirst})
+		return f, first
+	}
+	t.Run("the owner decides whether the session's first engine has room", func(t *testing.T) {
+		f, first := inMidSizeFleet(t)
+		lease, err := f.PickWithPermit(sticky("s"), (&fakeOwner{}).acquire)
+		require.NoError(t, err)
+		assert.Equal(t, first, lease.ID)
+	})
+	t.Run("the box's own estimate decides if no owner answers", func(t *testing.T) {
+		f, first := inMidSizeFleet(t)
+		released := 0
+		lease, err := f.PickWithPermit(sticky("s"), func(*Lease, int) occupancy.Reply {
+			return occupancy.Reply{Granted: true, Unanswered: true, Release: func(bool) { released++ }}
+		})
+		require.NoError(t, err)
+		assert.NotEqual(t, first, lease.ID)
+		assert.Equal(t, 1, released, "the owner may have counted the request that was sent elsewhere")
+	})
+	t.Run("requests of this box alone can fill an engine", func(t *testing.T) {
+		f, owner := newFixture(t, 12), &fakeOwner{}
+		f.SetEnginePermits(true)
+		used := map[string]bool{}
+		for range 20 {
+			lease, err := f.PickWithPermit(sticky("s"), owner.acquire)
+			require.NoError(t, err)
+			used[lease.ID] = true
+		}
+		assert.Greater(t, len(used), 1)
+	})
+	t.Run("no permit is requested without owners", func(t *testing.T) {
+		f, owner := newFixture(t, 12), &fakeOwner{}
+		_, err := f.PickWithPermit(sticky("s"), owner.acquire)
+		require.NoError(t, err)
+		assert.Empty(t, owner.upstreams)
+	})
+}
+
 func TestInFlightByPool(t *testing.T) {
 	f := newFixture(t, 12)
 	for range 3 {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -150,6 +150,9 @@
 // least loaded one. It passes over engines in request.Full, except that the first engine in the order
 // is chosen if no other one is below the bound or less loaded than it. If a session needs the capacity
 // of several engines (lease.Spread), the search starts at a random one of that many first engines.
+//
+// If an owner decides on the engine next, only the requests of this box count here: its estimate of the
+// load is older than the owner's count, and would move sessions away from engines that have room.
 func (m *Manager) pickSticky(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) {
 	ranked := rank(request.Prompt.Session(), members)
 	bound := m.bound(total, len(members), m.excluded(request.Pool, now))
@@ -164,7 +167,7 @@
 			continue
 		}
 		load := member.load(now)
-		if load+1 <= bound {
+		if load+1 <= bound || m.ownerDecides(request) && member.inFlight < bound {
 			lease.Member = member
 			break
 		}
@@ -173,11 +176,18 @@
 		}
 	}
 	lease.Rank = slices.Index(ranked, lease.Member)
-	if m.fleetInFlightByPool != nil {
+	if m.enginePermits {
 		lease.bound = bound
 	}
 }
 
+// ownerDecides reports whether the owner of the engine decides if it has room for the request. In a fleet so large that
+// boxes don't report their loads by engine, the estimate consists of what engines report in responses, which is recent,
+// and saves requests for permits.
+func (m *Manager) ownerDecides(request PickRequest) bool {
+	return m.enginePermits && m.fleetInFlightByPool == nil && len(request.Full) < maxPermitRefusals
+}
+
 // sessionShare returns the session's share of the pool's recent requests. It counts the request,
 // unless this is a further pick after an owner refused a permit.
 func (m *Manager) sessionShare(request PickRequest, now clock.Millis) float64 {
@@ -234,7 +244,7 @@
 // Without this correction, boxes that exchange loads only every second or so overload engines without
 // noticing. A few boxes exchange loads several times a second, and it does not change their bound.
 func (m *Manager) unreportedLoad(load int) int {
-	if m.fleetInFlightByPool != nil {
+	if m.enginePermits {
 		// Owners count the load that boxes don't report to each other.
 		return 0
 	}
--- a/internal/balance/surge_test.go
+++ b/internal/balance/surge_test.go
@@ -38,6 +38,9 @@
 	completions map[clock.Millis][]*Lease
 }
 
+// simDomains is the number of failure domains of the simulation.
+const simDomains = 3
+
 func newSimulation(boxes, engines int) *simulation {
 	s := &simulation{
 		now: 1000, random: rand.New(rand.NewPCG(1, 2)), engineLoad: map[string]int{},
@@ -46,12 +49,13 @@
 	monotonic := func() clock.Millis { return s.now }
 	for i := range engines {
 		s.engines = append(s.engines, registry.Upstream{
-			ID: fmt.Sprint("engine-", i), Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), FailureDomain: "d", Slots: 48,
+			ID: fmt.Sprint("engine-", i), Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), Slots: 48,
+			FailureDomain: fmt.Sprint("d", i%simDomains),
 		})
 	}
 	for range boxes {
 		m := New(
-			Settings{FailureDomain: "d", BoundPercent: 180, PanicPercent: 85, Health: health.Limits{BaseMs: 1000, MaxMs: 8000}},
+			Settings{FailureDomain: "d0", BoundPercent: 180, PanicPercent: 85, Health: health.Limits{BaseMs: 1000, MaxMs: 8000}},
 			monotonic, func(address string) *upstream.Client { return upstream.New(address, monotonic) }, s.random.IntN,
 		)
 		m.SetUpstreams(s.engines)
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -275,6 +275,7 @@
 	b.evacuations.Expire()
 	b.balance.SetOthersInFlight(b.peering.mesh.OthersInFlight())
 	b.balance.SetFleetInFlightByPool(b.peering.mesh.FleetInFlightByPool())
+	b.balance.SetEnginePermits(b.peering.mesh.EnginePermits())
 	b.balance.SetOthersInFlightAge(b.peering.mesh.OthersInFlightAgeMs())
 	b.balance.SetFleetSize(b.peering.fleetSizeBound())
 	b.balance.Refresh()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -35,6 +35,9 @@
 // Limits of rounds and datagrams.
 const (
 	largeFleetBoxes = 128
+	// smallFleetBoxes is the size up to which boxes bound the load of engines by what they report to
+	// each other. They hear from each other every second or sooner there.
+	smallFleetBoxes = 32
 	largeFanout     = 3
 	aliveCycles     = 3
 	// minFanout is how many boxes are pinged per round, in addition to the store readers of the failure
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -238,6 +238,14 @@
 	return m.largeLocked()
 }
 
+// EnginePermits reports whether the fleet is so large that the boxes' reports are too old to bound the load of an
+// engine, so that the engine's owner has to count the requests there.
+func (m *Mesh) EnginePermits() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.directPeers > smallFleetBoxes
+}
+
 // largeLocked reports whether the fleet is so large that bandwidth is the limit.
 func (m *Mesh) largeLocked() bool { return m.directPeers > largeFleetBoxes }
 
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -113,19 +113,17 @@
 	WithinMs clock.Millis
 }
 
-// AcquirePermit requests a permit from the owner of the upstream. The permit is also granted when no owner answers in
-// time. The returned function releases the permit; its argument tells whether the upstream served the request. It is
-// nil if there is no owner to release the permit to.
-func (m *Mesh) AcquirePermit(ctx context.Context, r PermitRequest) (granted bool, release func(served bool)) {
+// AcquirePermit requests a permit from the owner of the upstream.
+func (m *Mesh) AcquirePermit(ctx context.Context, r PermitRequest) occupancy.Reply {
 	owner, known := m.owner(r.Upstream, r.FailureDomain)
 	if !known {
-		return true, nil
+		return occupancy.Reply{Granted: true, Unanswered: true}
 	}
 	if owner.Box == m.self.Box {
 		return m.acquireLocalPermit(r)
 	}
 	if m.ownerUnresponsive(owner.Box) {
-		return true, nil
+		return occupancy.Reply{Granted: true, Unanswered: true}
 	}
 	number, answer := m.pendingPermits.start()
 	defer m.pendingPermits.finish(number)
@@ -136,35 +134,36 @@
 	timedOut := make(chan struct{})
 	timer := m.clock.AfterFunc(permitTimeoutMs, func() { close(timedOut) })
 	defer timer.Stop()
-	granted = true
-	select {
-	case granted = <-answer:
-	case <-timedOut:
-		m.recordPermitTimeout(owner.Box)
-	case <-ctx.Done():
-	}
-	if !granted {
-		return false, nil
-	}
 	// Even without an answer the owner may have received the request and counted the permit.
-	return true, func(served bool) {
+	reply := occupancy.Reply{Granted: true, Unanswered: true, Release: func(served bool) {
 		release := permitMessage{Kind: permitRelease, Number: number}
 		if served {
 			release.Kind = permitReleaseServed
 		}
 		m.sendPermitMessage(owner.Address, release)
+	}}
+	select {
+	case granted := <-answer:
+		if !granted {
+			return occupancy.Reply{}
+		}
+		reply.Unanswered = false
+	case <-timedOut:
+		m.recordPermitTimeout(owner.Box)
+	case <-ctx.Done():
 	}
+	return reply
 }
 
 // acquireLocalPermit acquires a permit at an upstream that this box owns.
-func (m *Mesh) acquireLocalPermit(r PermitRequest) (granted bool, release func(served bool)) {
+func (m *Mesh) acquireLocalPermit(r PermitRequest) occupancy.Reply {
 	number, _ := m.pendingPermits.start()
 	m.pendingPermits.finish(number)
 	h := occupancy.PermitID{Box: m.self.Address, Number: number}
 	if !m.grant(h, r) {
-		return false, nil
+		return occupancy.Reply{}
 	}
-	return true, func(served bool) { m.ledger.Release(h, served) }
+	return occupancy.Reply{Granted: true, Release: func(served bool) { m.ledger.Release(h, served) }}
 }
 
 // grant decides, as the owner of an upstream, whether to grant a permit.
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/occupancy"
 )
 
 // ownInFlightByPool returns the box's requests in flight. All upstreams of the tests belong to one
@@ -52,10 +53,10 @@
 func (f *fixture) acquireAll(upstream string, bound int) (granted int, release func()) {
 	releases := []func(served bool){}
 	for _, b := range f.boxes {
-		ok, releaseSlot := b.AcquirePermit(f.t.Context(), permitAt(upstream, "d1", bound))
-		if ok {
+		reply := b.AcquirePermit(f.t.Context(), permitAt(upstream, "d1", bound))
+		if reply.Granted {
 			granted++
-			releases = append(releases, releaseSlot)
+			releases = append(releases, reply.Release)
 		}
 	}
 	return granted, func() {
@@ -88,9 +89,8 @@
 		advance(t, time.Minute)
 		assert.Zero(t, f.permits(), "an owner expires permits whose release message was lost")
 
-		ok, releaseOne := f.boxes[0].AcquirePermit(t.Context(), permitAt("u", "nowhere", 0))
-		assert.True(t, ok, "permits are granted in a failure domain without boxes")
-		assert.Nil(t, releaseOne)
+		reply := f.boxes[0].AcquirePermit(t.Context(), permitAt("u", "nowhere", 0))
+		assert.Equal(t, occupancy.Reply{Granted: true, Unanswered: true}, reply, "in a failure domain without boxes")
 		sum := 0
 		for _, b := range f.boxes {
 			sum += b.FleetInFlightByPool()[namekey.Of("p")]
@@ -100,17 +100,17 @@
 		requester := f.boxes[0]
 		f.network.SetPartition(func(from, to string) bool { return from == requester.self.Box || to == requester.self.Box })
 		start := time.Now()
-		ok, releaseOne = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
-		assert.True(t, ok, "a box whose request is not answered gets a permit")
+		reply = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
+		assert.True(t, reply.Granted && reply.Unanswered, "a box whose request is not answered gets a permit")
 		assert.LessOrEqual(t, time.Since(start), 2*permitTimeoutMs.Duration(), "within the timeout")
-		releaseOne(true)
+		reply.Release(true)
 		assert.Equal(t, int64(1), requester.Sizes().PermitTimeouts)
 		start = time.Now()
-		ok, _ = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
-		assert.True(t, ok)
+		reply = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
+		assert.True(t, reply.Granted && reply.Unanswered)
 		assert.Equal(t, start, time.Now(), "a box doesn't wait again for an owner that has just not answered")
 		advance(t, ownerRetryMs.Duration())
-		_, _ = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
+		_ = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
 		assert.Equal(t, int64(2), requester.Sizes().PermitTimeouts, "it asks again later")
 	})
 }
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -29,6 +29,17 @@
 	Number uint32
 }
 
+// Reply is the answer to a request for a permit.
+type Reply struct {
+	// Granted is set unless the upstream has reached its bound.
+	Granted bool
+	// Unanswered is set if no owner answered. The permit then counts as granted, and the box must go by its own
+	// estimate of the load.
+	Unanswered bool
+	// Release returns the permit, and tells whether the upstream served the request; nil if there is none to return.
+	Release func(served bool)
+}
+
 type permit struct {
 	upstream  namekey.Key
 	grantedMs clock.Millis
