fix(occupancy): permits are provisional until the owner's count is complete

Change: an owner that has counted an upstream's requests for less than 3 s grants provisionally (a new kind of answer). The asking box then also goes by its own estimate, with the allowance for unreported loads, as if no owner had answered.

--- a/internal/balance/enginepermits_test.go
+++ b/internal/balance/enginepermits_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/occupancy"
 )
 
 // midSizeFleet is a fleet of dozens of boxes, in which each box learns the load of each other one about once per cycle.
@@ -46,6 +47,12 @@
 		t.Logf("requests to engines above the bound without permits: %.4f", worst(false))
 		assert.LessOrEqual(t, worst(true), 0.03)
 	})
+	t.Run("engines keep the bound after all owners restarted", func(t *testing.T) {
+		f := midSizeFleet(2500, true)
+		f.run(t, 6)
+		f.ledger = occupancy.New(func() clock.Millis { return f.now })
+		assert.LessOrEqual(t, mean(f.run(t, 5)), 0.03)
+	})
 	t.Run("more sessions stay at their first engine", func(t *testing.T) {
 		atFirst := func(permits bool) float64 {
 			f := midSizeFleet(2500, permits)
--- a/internal/balance/hotsessions_test.go
+++ b/internal/balance/hotsessions_test.go
@@ -60,10 +60,12 @@
 
 func TestUnreportedLoad(t *testing.T) {
 	f := newFixture(t, 12)
-	fresh := f.bound(240, 12, 0)
+	bound := func(total int) int { return f.withoutUnreported(f.bound(total, 12, 0), total, 12) }
+	fresh := bound(240)
+	assert.Equal(t, f.bound(240, 12, 0), fresh)
 	f.SetOthersInFlightAge(100)
-	assert.Equal(t, fresh, f.bound(240, 12, 0), "reports that are 0.1 s old don't change the bound")
+	assert.Equal(t, fresh, bound(240), "reports that are 0.1 s old don't change the bound")
 	f.SetOthersInFlightAge(reportTTLMs)
-	assert.Equal(t, fresh-5, f.bound(240, 12, 0), "old reports reduce it by the root of 30")
-	assert.GreaterOrEqual(t, f.bound(0, 12, 0), 1, "an idle engine accepts a request")
+	assert.Equal(t, fresh-5, bound(240), "old reports reduce it by the root of 30")
+	assert.GreaterOrEqual(t, bound(0), 1, "an idle engine accepts a request")
 }
--- a/internal/balance/largefleet_test.go
+++ b/internal/balance/largefleet_test.go
@@ -145,10 +145,13 @@
 		}
 	}
 	if lost() {
-		return occupancy.Reply{Granted: true, Release: release}
+		return occupancy.Reply{Granted: true, Provisional: true, Release: release}
 	}
 	granted := f.ledger.Acquire(h, lease.Key(), bound)
-	return occupancy.Reply{Granted: granted || lost(), Release: release}
+	if lost() {
+		return occupancy.Reply{Granted: true, Provisional: true, Release: release}
+	}
+	return occupancy.Reply{Granted: granted, Provisional: !f.ledger.Settled(lease.Key()), Release: release}
 }
 
 // gossipRunning sends each box once a second the approximate number of requests that all boxes
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -35,7 +35,7 @@
 			bound = maxPermits
 		}
 		permit := acquire(lease, bound)
-		if permit.Granted && !(permit.Unanswered && lease.exceedsBound(bound)) {
+		if permit.Granted && !(permit.Provisional && lease.exceedsOwnBound(bound)) {
 			lease.attachPermit(permit.Release)
 			return lease, nil
 		}
@@ -47,10 +47,10 @@
 	}
 }
 
-// exceedsBound reports whether the load of an engine, as this box estimates it, exceeds a bound. Load includes this
-// request.
-func (l *Lease) exceedsBound(bound int) bool {
-	return l.withinMs == 0 && l.Load+1 > bound
+// exceedsOwnBound reports whether the load of an engine, as this box estimates it, would exceed the bound. The bound that
+// was requested is maxPermits if the request must be sent anyway.
+func (l *Lease) exceedsOwnBound(requested int) bool {
+	return l.withinMs == 0 && requested != maxPermits && l.Load+1 > l.ownBound
 }
 
 // attachPermit records that the lease holds a permit. Release returns the permit and may be nil.
--- a/internal/balance/permits_test.go
+++ b/internal/balance/permits_test.go
@@ -121,7 +121,7 @@
 		f, first := inMidSizeFleet(t)
 		released := 0
 		lease, err := f.PickWithPermit(sticky("s"), func(*Lease, int) occupancy.Reply {
-			return occupancy.Reply{Granted: true, Unanswered: true, Release: func(bool) { released++ }}
+			return occupancy.Reply{Granted: true, Provisional: true, Release: func(bool) { released++ }}
 		})
 		require.NoError(t, err)
 		assert.NotEqual(t, first, lease.ID)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -60,6 +60,8 @@
 	shared []prompt.KeyedPart
 	// bound is the maximum load of an upstream whose owner must grant a permit, or 0 for others.
 	bound int
+	// ownBound is the maximum load as this box estimates it. It counts while no owner has a complete count.
+	ownBound int
 	// withinMs is the time within which the response should start, if the owner must be asked whether this is
 	// likely, or 0. The bound is then the number of the upstream's slots.
 	withinMs clock.Millis
@@ -156,6 +158,11 @@
 func (m *Manager) pickSticky(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) {
 	ranked := rank(request.Prompt.Session(), members)
 	bound := m.bound(total, len(members), m.excluded(request.Pool, now))
+	// Owners count the load that boxes don't report to each other.
+	ownBound := m.withoutUnreported(bound, total, len(members))
+	if !m.enginePermits {
+		bound = ownBound
+	}
 	lease.Spread = spreadWidth(m.sessionShare(request, now), total, len(members), bound)
 	order := ranked
 	if lease.Spread > 1 {
@@ -177,7 +184,7 @@
 	}
 	lease.Rank = slices.Index(ranked, lease.Member)
 	if m.enginePermits {
-		lease.bound = bound
+		lease.bound, lease.ownBound = bound, ownBound
 	}
 }
 
@@ -215,19 +222,25 @@
 }
 
 // bound returns the maximum load of an engine. It is the configured multiple of the mean load (which
-// includes this request), rounded up, plus boundSlack, minus the load that may be unreported. The mean
-// is that of the candidates and of excluded members, which count as idle, unless the candidates can't
-// hold the load under that bound. The slack matters while the mean is small. The bound is always above
-// the mean of the candidates.
+// includes this request), rounded up, plus boundSlack. The mean is that of the candidates and of excluded
+// members, which count as idle, unless the candidates can't hold the load under that bound. The slack
+// matters while the mean is small. The bound is always above the mean of the candidates.
 func (m *Manager) bound(total, members, excluded int) int {
 	bound := m.multipleOfMean(total, members+excluded)
 	if excluded > 0 && bound < minBoundPercent*(total+1)/(percent*members) {
 		bound = m.multipleOfMean(total, members)
 	}
-	bound += boundSlack
-	return max(bound-m.unreportedLoad(bound), (total+members)/members)
+	return max(bound+boundSlack, aboveMean(total, members))
+}
+
+// withoutUnreported reduces a bound by the load that may be unreported.
+func (m *Manager) withoutUnreported(bound, total, members int) int {
+	return max(bound-m.unreportedLoad(bound), aboveMean(total, members))
 }
 
+// aboveMean returns the least bound that is above the mean load.
+func aboveMean(total, members int) int { return (total + members) / members }
+
 // minBoundPercent is the bound, in percent of the mean load of the candidates, below which it would move most sessions
 // away from their engines.
 const minBoundPercent = 110
@@ -244,8 +257,8 @@
 // Without this correction, boxes that exchange loads only every second or so overload engines without
 // noticing. A few boxes exchange loads several times a second, and it does not change their bound.
 func (m *Manager) unreportedLoad(load int) int {
-	if m.enginePermits {
-		// Owners count the load that boxes don't report to each other.
+	if m.fleetInFlightByPool != nil {
+		// Boxes go by what engines report.
 		return 0
 	}
 	staleness := min(1, float64(m.othersAgeMs)/float64(reportTTLMs))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -145,7 +145,7 @@
 		announcementsSince: d.AnnouncementsSince, recordAnnouncements: d.RecordAnnouncements,
 		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents, onPeerState: d.OnPeerState,
 		random: d.Random, peers: map[string]*peer{},
-		pendingPermits: permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan bool{}},
+		pendingPermits: permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
 	}
 }
 
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -37,6 +37,8 @@
 	// permitRelease and permitReleaseServed release a permit. The latter tells that the upstream served the request.
 	permitRelease       permitMessageKind = 4
 	permitReleaseServed permitMessageKind = 5
+	// permitGrantedProvisionally answers a permitAcquire message of an owner whose count is not complete yet.
+	permitGrantedProvisionally permitMessageKind = 6
 )
 
 // permitMessage is one datagram about a permit.
@@ -64,7 +66,7 @@
 	if err := cbor.Unmarshal(data, &p); err != nil {
 		return p, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if p.Kind < permitAcquire || p.Kind > permitReleaseServed || p.Bound < 0 || p.WithinMs < 0 {
+	if p.Kind < permitAcquire || p.Kind > permitGrantedProvisionally || p.Bound < 0 || p.WithinMs < 0 {
 		return p, fmt.Errorf("%w: permit message: kind %d, bound %d, within %d", ErrInvalid, p.Kind, p.Bound, p.WithinMs)
 	}
 	return p, nil
@@ -74,14 +76,14 @@
 type permitRequests struct {
 	mu         sync.Mutex
 	nextNumber uint32
-	pending    map[uint32]chan bool
+	pending    map[uint32]chan permitMessageKind
 }
 
-func (r *permitRequests) start() (number uint32, answer chan bool) {
+func (r *permitRequests) start() (number uint32, answer chan permitMessageKind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nextNumber++
-	answer = make(chan bool, 1)
+	answer = make(chan permitMessageKind, 1)
 	r.pending[r.nextNumber] = answer
 	return r.nextNumber, answer
 }
@@ -93,11 +95,11 @@
 }
 
 // resolve delivers an answer to the waiting request. Late answers are discarded.
-func (r *permitRequests) resolve(number uint32, granted bool) {
+func (r *permitRequests) resolve(number uint32, kind permitMessageKind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answer := r.pending[number]; answer != nil {
-		answer <- granted
+		answer <- kind
 		delete(r.pending, number)
 	}
 }
@@ -117,13 +119,13 @@
 func (m *Mesh) AcquirePermit(ctx context.Context, r PermitRequest) occupancy.Reply {
 	owner, known := m.owner(r.Upstream, r.FailureDomain)
 	if !known {
-		return occupancy.Reply{Granted: true, Unanswered: true}
+		return occupancy.Reply{Granted: true, Provisional: true}
 	}
 	if owner.Box == m.self.Box {
 		return m.acquireLocalPermit(r)
 	}
 	if m.ownerUnresponsive(owner.Box) {
-		return occupancy.Reply{Granted: true, Unanswered: true}
+		return occupancy.Reply{Granted: true, Provisional: true}
 	}
 	number, answer := m.pendingPermits.start()
 	defer m.pendingPermits.finish(number)
@@ -135,7 +137,7 @@
 	timer := m.clock.AfterFunc(permitTimeoutMs, func() { close(timedOut) })
 	defer timer.Stop()
 	// Even without an answer the owner may have received the request and counted the permit.
-	reply := occupancy.Reply{Granted: true, Unanswered: true, Release: func(served bool) {
+	reply := occupancy.Reply{Granted: true, Provisional: true, Release: func(served bool) {
 		release := permitMessage{Kind: permitRelease, Number: number}
 		if served {
 			release.Kind = permitReleaseServed
@@ -143,11 +145,11 @@
 		m.sendPermitMessage(owner.Address, release)
 	}}
 	select {
-	case granted := <-answer:
-		if !granted {
+	case kind := <-answer:
+		if kind == permitDenied {
 			return occupancy.Reply{}
 		}
-		reply.Unanswered = false
+		reply.Provisional = kind == permitGrantedProvisionally
 	case <-timedOut:
 		m.recordPermitTimeout(owner.Box)
 	case <-ctx.Done():
@@ -160,18 +162,28 @@
 	number, _ := m.pendingPermits.start()
 	m.pendingPermits.finish(number)
 	h := occupancy.PermitID{Box: m.self.Address, Number: number}
-	if !m.grant(h, r) {
+	kind := m.grant(h, r)
+	if kind == permitDenied {
 		return occupancy.Reply{}
 	}
-	return occupancy.Reply{Granted: true, Release: func(served bool) { m.ledger.Release(h, served) }}
+	return occupancy.Reply{
+		Granted: true, Provisional: kind == permitGrantedProvisionally,
+		Release: func(served bool) { m.ledger.Release(h, served) },
+	}
 }
 
-// grant decides, as the owner of an upstream, whether to grant a permit.
-func (m *Mesh) grant(id occupancy.PermitID, r PermitRequest) bool {
-	if r.WithinMs > 0 {
-		return m.ledger.AcquireWithin(id, r.Upstream, r.Bound, r.WithinMs)
+// grant decides, as the owner of an upstream, whether to grant a permit, and returns the kind of the answer.
+func (m *Mesh) grant(id occupancy.PermitID, r PermitRequest) permitMessageKind {
+	switch {
+	case r.WithinMs > 0 && m.ledger.AcquireWithin(id, r.Upstream, r.Bound, r.WithinMs):
+		return permitGranted
+	case r.WithinMs > 0 || !m.ledger.Acquire(id, r.Upstream, r.Bound):
+		return permitDenied
+	case m.ledger.Settled(r.Upstream):
+		return permitGranted
+	default:
+		return permitGrantedProvisionally
 	}
-	return m.ledger.Acquire(id, r.Upstream, r.Bound)
 }
 
 // ownersPerDomain is how many boxes of a failure domain own upstreams. Their number is small
@@ -246,13 +258,10 @@
 	h := occupancy.PermitID{Box: from.String(), Number: p.Number}
 	switch p.Kind {
 	case permitAcquire:
-		answer := permitMessage{Kind: permitDenied, Number: p.Number}
-		if m.grant(h, PermitRequest{Upstream: p.Upstream, Bound: p.Bound, WithinMs: p.WithinMs}) {
-			answer.Kind = permitGranted
-		}
-		m.sendPermitMessage(from.String(), answer)
-	case permitGranted, permitDenied:
-		m.pendingPermits.resolve(p.Number, p.Kind == permitGranted)
+		kind := m.grant(h, PermitRequest{Upstream: p.Upstream, Bound: p.Bound, WithinMs: p.WithinMs})
+		m.sendPermitMessage(from.String(), permitMessage{Kind: kind, Number: p.Number})
+	case permitGranted, permitDenied, permitGrantedProvisionally:
+		m.pendingPermits.resolve(p.Number, p.Kind)
 	case permitRelease, permitReleaseServed:
 		m.ledger.Release(h, p.Kind == permitReleaseServed)
 	}
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -90,7 +90,7 @@
 		assert.Zero(t, f.permits(), "an owner expires permits whose release message was lost")
 
 		reply := f.boxes[0].AcquirePermit(t.Context(), permitAt("u", "nowhere", 0))
-		assert.Equal(t, occupancy.Reply{Granted: true, Unanswered: true}, reply, "in a failure domain without boxes")
+		assert.Equal(t, occupancy.Reply{Granted: true, Provisional: true}, reply, "in a failure domain without boxes")
 		sum := 0
 		for _, b := range f.boxes {
 			sum += b.FleetInFlightByPool()[namekey.Of("p")]
@@ -101,13 +101,13 @@
 		f.network.SetPartition(func(from, to string) bool { return from == requester.self.Box || to == requester.self.Box })
 		start := time.Now()
 		reply = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
-		assert.True(t, reply.Granted && reply.Unanswered, "a box whose request is not answered gets a permit")
+		assert.True(t, reply.Granted && reply.Provisional, "a box whose request is not answered gets a permit")
 		assert.LessOrEqual(t, time.Since(start), 2*permitTimeoutMs.Duration(), "within the timeout")
 		reply.Release(true)
 		assert.Equal(t, int64(1), requester.Sizes().PermitTimeouts)
 		start = time.Now()
 		reply = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
-		assert.True(t, reply.Granted && reply.Unanswered)
+		assert.True(t, reply.Granted && reply.Provisional)
 		assert.Equal(t, start, time.Now(), "a box doesn't wait again for an owner that has just not answered")
 		advance(t, ownerRetryMs.Duration())
 		_ = requester.AcquirePermit(t.Context(), permitAt("u", "d1", 0))
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -33,9 +33,9 @@
 type Reply struct {
 	// Granted is set unless the upstream has reached its bound.
 	Granted bool
-	// Unanswered is set if no owner answered. The permit then counts as granted, and the box must go by its own
-	// estimate of the load.
-	Unanswered bool
+	// Provisional is set if no owner answered, or only one that has counted the requests there for a short time. The
+	// box must then also go by its own estimate of the load.
+	Provisional bool
 	// Release returns the permit, and tells whether the upstream served the request; nil if there is none to return.
 	Release func(served bool)
 }
@@ -64,6 +64,18 @@
 	return &Ledger{monotonic: monotonic, permits: map[PermitID]permit{}, upstreams: map[namekey.Key]*load{}}
 }
 
+// settleMs is how long an owner counts the requests at an upstream before most of the requests there have its permit.
+// Until then others may run that an earlier owner has counted.
+const settleMs = 3 * clock.Second
+
+// Settled reports whether this box has counted the requests at an upstream for so long that its count is complete.
+func (l *Ledger) Settled(upstream namekey.Key) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.upstreams[upstream]
+	return u != nil && l.monotonic()-u.sinceMs >= settleMs
+}
+
 // Acquire grants a permit at an upstream unless the bound is reached, and reports whether it did.
 func (l *Ledger) Acquire(id PermitID, upstream namekey.Key, bound int) bool {
 	return l.acquire(id, upstream, func(u *load) (permit, bool) {
@@ -89,7 +101,7 @@
 	l.remove(id)
 	u := l.upstreams[upstream]
 	if u == nil {
-		u = &load{}
+		u = &load{sinceMs: l.monotonic()}
 		l.upstreams[upstream] = u
 	}
 	u.usedMs = l.monotonic()
--- a/internal/occupancy/occupancy_test.go
+++ b/internal/occupancy/occupancy_test.go
@@ -4,11 +4,25 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
 )
 
+// TestSettled guards against trusting the count of an owner that has just taken over an upstream.
+func TestSettled(t *testing.T) {
+	now := clock.Millis(1000)
+	l := New(func() clock.Millis { return now })
+	assert.False(t, l.Settled(1), "no permit was requested")
+	require.True(t, l.Acquire(PermitID{Number: 1}, 1, 10))
+	now += settleMs - 1
+	assert.False(t, l.Settled(1))
+	now++
+	assert.True(t, l.Settled(1))
+	assert.False(t, l.Settled(2))
+}
+
 func TestLedger(t *testing.T) {
 	now := clock.Millis(1000)
 	upstream := namekey.Of("u")
--- a/internal/occupancy/queuelimit.go
+++ b/internal/occupancy/queuelimit.go
@@ -4,8 +4,10 @@
 
 // load is the load on one upstream.
 type load struct {
-	inUse  int
-	usedMs clock.Millis
+	inUse int
+	// sinceMs is when the first permit was requested, and usedMs when the last one was.
+	sinceMs clock.Millis
+	usedMs  clock.Millis
 	// serviceMs is the mean time for which a request occupies a slot, or 0 if unknown.
 	serviceMs float64
 	// lastEndMs is when a request last ended while others waited for a slot, or 0.
