feat(mesh): count permits that are granted provisionally

An operator who sees sessions move after boxes restarted could not tell owners that begin to count from engines that are full. mesh.places_provisional counts the requests of a box whose owner's count was not complete. No decision depends on it. TestPermits checks that the count rises while an owner is new and stops after that.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -105,6 +105,8 @@
 	pendingPermits permitRequests
 	// permitTimeouts counts permit requests that no owner answered in time.
 	permitTimeouts int64
+	// provisionalPermits counts permits that an owner without a complete count granted.
+	provisionalPermits int64
 }
 
 // Dependencies are what a Mesh needs from its box.
@@ -369,9 +371,11 @@
 	SendErrors int64 `json:"datagrams_unsent"`
 	SentBytes  int64 `json:"datagram_bytes_sent"`
 	// Permits are the permits that this box counts as an owner. PermitTimeouts counts this box's permit
-	// requests that no owner answered in time.
-	Permits        occupancy.Sizes `json:"places"`
-	PermitTimeouts int64           `json:"places_unanswered"`
+	// requests that no owner answered in time, and ProvisionalPermits those that an owner without a
+	// complete count granted.
+	Permits            occupancy.Sizes `json:"places"`
+	PermitTimeouts     int64           `json:"places_unanswered"`
+	ProvisionalPermits int64           `json:"places_provisional"`
 }
 
 // Sizes returns counts for metrics.
@@ -381,6 +385,6 @@
 	return Sizes{
 		Boxes: 1 + m.aliveCountLocked(m.clock.Monotonic()), Ignored: m.ignored,
 		SendErrors: m.sendErrors, SentBytes: m.sentBytes,
-		Permits: m.ledger.Sizes(), PermitTimeouts: m.permitTimeouts,
+		Permits: m.ledger.Sizes(), PermitTimeouts: m.permitTimeouts, ProvisionalPermits: m.provisionalPermits,
 	}
 }
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -149,7 +149,9 @@
 		if kind == permitDenied {
 			return occupancy.Reply{}
 		}
-		reply.Provisional = kind == permitGrantedProvisionally
+		if reply.Provisional = kind == permitGrantedProvisionally; reply.Provisional {
+			m.recordProvisionalPermit()
+		}
 	case <-timedOut:
 		m.recordPermitTimeout(owner.Box)
 	case <-ctx.Done():
@@ -290,6 +292,12 @@
 	}
 }
 
+func (m *Mesh) recordProvisionalPermit() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.provisionalPermits++
+}
+
 // ownerUnresponsive reports whether an owner did not answer a permit request within the last ownerRetryMs.
 func (m *Mesh) ownerUnresponsive(owner string) bool {
 	m.mu.Lock()
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -76,16 +76,28 @@
 	return sum
 }
 
+// provisionalPermits returns how many permits were granted provisionally.
+func (f *fixture) provisionalPermits() int64 {
+	sum := int64(0)
+	for _, b := range f.boxes {
+		sum += b.Sizes().ProvisionalPermits
+	}
+	return sum
+}
+
 func TestPermits(t *testing.T) {
 	runLargeFleet(t, func(f *fixture) {
 		t := f.t
 		granted, release := f.acquireAll("u", 9)
 		assert.Equal(t, 9, granted, "all boxes together get as many permits as the bound allows")
+		assert.Equal(t, int64(9), f.provisionalPermits(), "the owner has just begun to count")
 		release()
 		advance(t, time.Second)
 		assert.Zero(t, f.permits())
+		advance(t, 2*time.Second)
 		granted, _ = f.acquireAll("u", 7)
 		assert.Equal(t, 7, granted, "released permits are available again")
+		assert.Equal(t, int64(9), f.provisionalPermits(), "the owner's count is complete")
 		advance(t, time.Minute)
 		assert.Zero(t, f.permits(), "an owner expires permits whose release message was lost")
 
