--- a/internal/balance/hotsessions.go
+++ b/internal/balance/hotsessions.go
@@ -25,12 +25,10 @@
 
 // sessionCounts counts how often the recent requests of a pool at this box used each session.
 //
-// A box learns what other boxes have in flight with a delay, which is up to 1.25 s in a large fleet.
-// Until then each box sends a hot session to the engine that ranks first for it. With 87 boxes, 100
-// engines and one session in 12% of the requests, 6.2% of the requests went to engines above twice
-// the mean load (TestSurgeLargeFleet). Each box can measure the session's share of the requests by
-// itself; multiplied by the total load, it gives the number of engines that the session needs. With
-// sessions spread accordingly, 2.6% of the requests go to engines above twice the mean load.
+// A box learns what other boxes have in flight with a delay of up to a second or more. Until then each
+// box would send a hot session to the engine that ranks first for it, and overload that engine
+// (TestSurgeLargeFleet). But each box can measure the session's share of the requests by itself;
+// multiplied by the total load, it gives the number of engines that the session needs.
 type sessionCounts struct {
 	counts    map[string]float64
 	total     float64
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -49,7 +49,7 @@
 	byKey         map[namekey.Key]*Member
 	announcements announceLog
 	pools         map[string][]*Member
-	domains       map[string]*netPath
+	paths         map[string]*netPath
 	// departed holds the upstreams whose entries disappeared recently, by pool.
 	departed map[string][]*Member
 	// lostParts are the parts that were cached by upstreams which are gone.
@@ -83,7 +83,7 @@
 ) *Manager {
 	return &Manager{
 		settings: settings, monotonic: monotonic, connect: connect, random: random,
-		byID: map[string]*Member{}, pools: map[string][]*Member{}, domains: map[string]*netPath{},
+		byID: map[string]*Member{}, pools: map[string][]*Member{}, paths: map[string]*netPath{},
 		departed: map[string][]*Member{}, lostParts: partIndex{}, retries: map[string]*retrySchedule{},
 		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
 	}
--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -86,10 +86,10 @@
 
 // pathTo returns the state of the path to a failure domain.
 func (m *Manager) pathTo(name string) *netPath {
-	p := m.domains[name]
+	p := m.paths[name]
 	if p == nil {
 		p = newNetPath(m.monotonic())
-		m.domains[name] = p
+		m.paths[name] = p
 	}
 	return p
 }
--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -11,8 +11,7 @@
 // Thresholds for probing a failure domain. Silence suggests that the path to it is partitioned;
 // connections that can't be opened prove it.
 const (
-	// Shorter thresholds than these cause many additional probes of paths that work: 87 boxes opened
-	// 58,000 connections on a day on which 22,000 suffice.
+	// Shorter thresholds than these cause many additional probes of paths that work.
 	//
 	// maxResponseSilenceMs is how long a domain may be silent while at least minResponding
 	// responses are being received from it. It is several times the pause between two events of a
@@ -56,7 +55,7 @@
 	defer m.mu.Unlock()
 	now := m.monotonic()
 	probes := []Probe{}
-	for name, p := range m.domains {
+	for name, p := range m.paths {
 		if paused {
 			p.lastContactMs.Store(int64(now))
 			continue
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -49,8 +49,8 @@
 	incarnation    string
 	backoffUntilMs clock.Millis
 	// refusedRequest is the request that the upstream refused when it asked for the backoff.
-	refusedRequest string
-	shuttingDown   bool
+	refusedRequest    string
+	announcedDraining bool
 	// backoffSetMs is when the upstream last asked for a backoff.
 	backoffSetMs clock.Millis
 	// successorUntilMs is the end of the longest backoff that was requested after a connection broke
@@ -75,7 +75,7 @@
 
 // draining reports whether the upstream is draining, according to its entry or its
 // responses, whichever says so first.
-func (m *Member) draining() bool { return m.Draining || m.signals.shuttingDown }
+func (m *Member) draining() bool { return m.Draining || m.signals.announcedDraining }
 
 // unavailable reports whether the upstream accepts no new requests from this box.
 func (m *Member) unavailable(now clock.Millis) bool {
@@ -110,7 +110,7 @@
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	changed := !l.draining()
-	l.signals.shuttingDown = true
+	l.signals.announcedDraining = true
 	return changed
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,9 +55,9 @@
 // ErrAnswered stops the processing of a request that already has a response.
 var ErrAnswered = errors.New("already answered")
 
-// StatusCallerGone is the status in logs and metrics for a request whose caller disconnected before
+// StatusCallerDisconnected is the status in logs and metrics for a request whose caller disconnected before
 // the response. It is never sent.
-const StatusCallerGone = 499
+const StatusCallerDisconnected = 499
 
 // Exchange is a request in the pipeline. The steps set its fields in their order. It must only be
 // used by one goroutine.
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -219,13 +219,15 @@
 }
 
 // bodyMemory returns how many bytes of memory buffered request bodies may use.
-func (b *Box) bodyMemory() int64 { return b.settings.Load().Capacity.MemoryMb * mebibyte / bodyDiv }
+func (b *Box) bodyMemory() int64 {
+	return b.settings.Load().Capacity.MemoryMb * mebibyte / bodyMemoryDivisor
+}
 
 const (
 	mebibyte = 1 << 20
-	// bodyDiv is the divisor of the configured memory that yields the part for request bodies. The rest is left to
-	// connections and other buffers.
-	bodyDiv = 4
+	// bodyMemoryDivisor is the divisor of the configured memory that yields the part for request bodies. The rest is
+	// left to connections and other buffers.
+	bodyMemoryDivisor = 4
 )
 
 // Run serves requests until the context ends, and then shuts down gracefully.
--- a/internal/gateway/notes_sync.go
+++ b/internal/gateway/notes_sync.go
@@ -82,8 +82,8 @@
 }
 
 // noteSyncer reads the notes and, while this box reads the store for others, keeps the notes of its failure domain up
-// to date. Without notes a request crashes more upstreams after all boxes were killed: of 20 attempts made later than
-// 3 s after the third crash, 11 were sent without notes and none with them (TestFatalRequest).
+// to date. Without notes a request that is quarantined would crash more upstreams after all boxes were killed
+// (TestFatalRequest).
 type noteSyncer struct {
 	box   *Box
 	notes Notes
--- a/internal/grant/agent.go
+++ b/internal/grant/agent.go
@@ -193,7 +193,7 @@
 func (a *Agent) ReportInFlight(owner Owner, memberID MemberID, inFlight int) {
 	message := inFlightMessage{Box: a.box, MemberID: memberID, InFlight: clamp(inFlight)}
 	if owner.Self {
-		a.applyHold(message)
+		a.applyInFlight(message)
 		return
 	}
 	if owner.Address != "" {
@@ -206,7 +206,7 @@
 func (a *Agent) NotifyPlacement(owner Owner, session Session, memberID MemberID) {
 	message := placementMessage{Session: session, MemberID: memberID}
 	if owner.Self {
-		a.applyNews(message)
+		a.applyPlacement(message)
 		return
 	}
 	if owner.Address != "" {
@@ -247,9 +247,9 @@
 	case kindHint:
 		return handle(body, func(m hintMessage) { a.deliver(m.Sequence, Reply{Hint: m.Hint}) })
 	case kindInFlight:
-		return handle(body, a.applyHold)
+		return handle(body, a.applyInFlight)
 	case kindPlacement:
-		return handle(body, a.applyNews)
+		return handle(body, a.applyPlacement)
 	default:
 		return ErrMalformed
 	}
@@ -277,13 +277,13 @@
 	}
 }
 
-func (a *Agent) applyHold(m inFlightMessage) {
+func (a *Agent) applyInFlight(m inFlightMessage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ledger.SetInFlight(m.MemberID, m.Box, int(m.InFlight), a.clock.Now())
 }
 
-func (a *Agent) applyNews(m placementMessage) {
+func (a *Agent) applyPlacement(m placementMessage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.directory.Set(m.Session, m.MemberID)
--- a/internal/pipe/admit/admit.go
+++ b/internal/pipe/admit/admit.go
@@ -104,7 +104,7 @@
 	case errors.Is(err, limit.ErrQueueFull):
 		return apierror.New(http.StatusTooManyRequests, "queue_full", "too many requests are waiting", retryAfter, cause)
 	case errors.Is(err, context.Canceled):
-		return apierror.New(exchange.StatusCallerGone, "caller_gone", "the caller left", cause)
+		return apierror.New(exchange.StatusCallerDisconnected, "caller_gone", "the caller left", cause)
 	case errors.Is(err, limit.ErrWaitedTooLong),
 		errors.Is(err, limit.ErrDeadline),
 		errors.Is(err, context.DeadlineExceeded):
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -190,7 +190,7 @@
 	}
 	if errors.Is(x.Context().Err(), context.Canceled) {
 		p.metrics.CallerDisconnects.Add(1)
-		return apierror.New(exchange.StatusCallerGone, "caller_gone", "the caller left", apierror.WithCause(failed))
+		return apierror.New(exchange.StatusCallerDisconnected, "caller_gone", "the caller left", apierror.WithCause(failed))
 	}
 	if x.RemainingMs(p.clock.Now()) <= 0 || x.Context().Err() != nil {
 		return apierror.New(http.StatusGatewayTimeout, "deadline_passed",
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -39,8 +39,7 @@
 // Limits of a ledger.
 const (
 	// maxFingerprints limits the number of fingerprints, which take about 0.2 KB each. A crashed
-	// upstream adds one fingerprint for each request that it ran; a series of 45 crashes among
-	// 112 engines added 540.
+	// upstream adds one fingerprint for each request that it ran.
 	maxFingerprints = 4096
 	// retentionHolds is how long crashes are kept, as a multiple of the hold time.
 	retentionHolds = 2
@@ -55,10 +54,8 @@
 // An answer clears the crashes of its fingerprint that precede it. A Ledger is safe for
 // concurrent use.
 //
-// Without the ledger, a request that crashes every upstream that starts to run it and is retried
-// again and again is forwarded on each retry (20 of 20). With it, 3 of 40 retries are forwarded when
-// they go to three boxes in turn (TestFatalRequest). Each crash also breaks all other requests
-// on that upstream, up to eleven streams in the logs of six boxes.
+// Without the ledger, a request that crashes every upstream that starts to run it would be forwarded
+// on each retry (TestFatalRequest). Each crash also breaks all other requests on that upstream.
 type Ledger struct {
 	monotonic func() clock.Millis
 	settings  func() Settings
@@ -69,15 +66,15 @@
 	events       eventLog
 }
 
-// record describes the crash of one upstream while it ran a request with a fingerprint.
-type record struct {
+// crashRecord describes the crash of one upstream while it ran a request with a fingerprint.
+type crashRecord struct {
 	atMs clock.Millis
 	// published is set once the crash is in this box's event log.
 	published bool
 }
 
 // crashes holds the crashes of one fingerprint by upstream incarnation.
-type crashes map[namekey.Key]record
+type crashes map[namekey.Key]crashRecord
 
 // New returns an empty ledger. firstSeq is the sequence number of its first event. It must be
 // greater than those that earlier processes of the box assigned.
@@ -115,7 +112,7 @@
 		l.fingerprints[fingerprint] = known
 	}
 	before := l.remainingMs(known)
-	known[upstream] = record{atMs: at}
+	known[upstream] = crashRecord{atMs: at}
 	if publish || len(known) >= minRelayedCrashes {
 		l.publish(fingerprint, known)
 	}
@@ -124,7 +121,7 @@
 
 // minRelayedCrashes is the number of crashes of a fingerprint at which a box starts to relay the
 // crashes that it learned from other boxes. Below it, only the boxes that observed a crash publish
-// it: relaying every crash cost each of 64 boxes 1,735 bytes per crash instead of 84
+// it, because relaying every crash takes twenty times as many bytes in a fleet of dozens of boxes
 // (TestCrashEventBytes).
 const minRelayedCrashes = 2
 
@@ -136,7 +133,7 @@
 			continue
 		}
 		l.events.add(CrashEvent{Fingerprint: fingerprint, Upstream: upstream}, r.atMs)
-		known[upstream] = record{atMs: r.atMs, published: true}
+		known[upstream] = crashRecord{atMs: r.atMs, published: true}
 	}
 }
 
@@ -154,7 +151,7 @@
 	known := l.fingerprints[fingerprint]
 	before := l.remainingMs(known)
 	count := len(known)
-	maps.DeleteFunc(known, func(_ namekey.Key, r record) bool { return r.atMs <= at })
+	maps.DeleteFunc(known, func(_ namekey.Key, r crashRecord) bool { return r.atMs <= at })
 	if len(known) == count {
 		return false
 	}
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -27,9 +27,9 @@
 	Used int
 	// Reported is the last reported load from all boxes, which lags behind the actual load.
 	Reported int
-	// OwnAtReport is the number of requests that this box had in flight on the member when Reported
+	// InFlightAtReport is the number of requests that this box had in flight on the member when Reported
 	// was measured.
-	OwnAtReport int
+	InFlightAtReport int
 	// Slots is the number of requests from all boxes that the upstream runs concurrently.
 	Slots int
 	// Ejected is set while the upstream is ejected because of failures.
@@ -180,9 +180,9 @@
 
 // Report records a lagging report of a member's load from all boxes, and the number of requests
 // that this box had in flight there at the time of the report.
-func (v *View) Report(index, inFlight, ownAtReport int) {
+func (v *View) Report(index, inFlight, inFlightAtReport int) {
 	v.Members[index].Reported = inFlight
-	v.Members[index].OwnAtReport = ownAtReport
+	v.Members[index].InFlightAtReport = inFlightAtReport
 }
 
 // SetDraining sets whether a member is draining and accepts no new work.
