--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// exceedsOwnBound reports whether the load of an engine, as this box estimates it, would exceed the bound. The bound that
-// was requested is maxPermits if the request must be sent anyway.
+// exceedsOwnBound reports whether the load of an engine, as this box estimates it, would exceed the bound. The
+// requested bound is maxPermits if the request must be sent anyway.
 func (l *Lease) exceedsOwnBound(requested int) bool {
 	return l.withinMs == 0 && requested != maxPermits && l.Load+1 > l.ownBound
 }
