test(mesh): the permits of a restarted box end with its process

When 30% or 50% of the boxes are killed, their permits count for up to 20 s, so engines seem full and sessions leave them. The test fails: 4 permits for 1.

--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -136,6 +137,28 @@
 	return sum
 }
 
+// TestPermitsOfRestartedBox guards against engines that seem full after many boxes were killed, because the permits of
+// their requests count until they expire.
+func TestPermitsOfRestartedBox(t *testing.T) {
+	runInBubble(t, func(f *fixture) {
+		owner, other := f.start("d1"), f.start("d2")
+		advance(f.t, 3*time.Second)
+		for range 3 {
+			require.True(f.t, other.AcquirePermit(f.t.Context(), permitAt("u", "d1", 9)).Granted)
+		}
+		require.True(f.t, owner.AcquirePermit(f.t.Context(), permitAt("u", "d1", 9)).Granted)
+		ping := func(incarnation int64) {
+			from := other.self
+			from.Incarnation = incarnation
+			owner.handle(&packet{Type: typePing, From: from}, &net.UDPAddr{})
+		}
+		ping(other.self.Incarnation)
+		assert.Equal(f.t, 4, owner.Sizes().Permits.Permits, "the same process")
+		ping(other.self.Incarnation + 1)
+		assert.Equal(f.t, 1, owner.Sizes().Permits.Permits, "the next process; the owner's own permit stays")
+	})
+}
+
 func TestInFlightByPoolOfSmallFleet(t *testing.T) {
 	runInBubble(t, func(f *fixture) {
 		f.start("d")
