fix(mesh): owners return the permits of a box that restarted

Change: when an owner hears from the next process of a box, it drops the permits of the last one. Boxes that don't come back keep them until they expire, as before.

TestPermitsOfRestartedBox failed before.

Ruled out: a shorter life of permits (a stream may last its route's 15 s).

--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -55,6 +55,9 @@
 	if known == nil || known.firstSeenMs == 0 {
 		m.directPeers++
 	}
+	if known != nil && known.Incarnation < p.From.Incarnation && known.firstSeenMs > 0 {
+		m.ledger.ReleaseBox(known.Address)
+	}
 	m.peers[p.From.Box] = updated
 	for _, other := range p.Known {
 		if other.Box != m.self.Box && m.peers[other.Box] == nil {
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -138,6 +138,17 @@
 	l.upstreams[p.upstream].inUse--
 }
 
+// ReleaseBox returns all permits of a box that has restarted: its requests ended with its last process.
+func (l *Ledger) ReleaseBox(box string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range maps.Clone(l.permits) {
+		if id.Box == box {
+			l.remove(id)
+		}
+	}
+}
+
 // idleTTLMs is how long an upstream without requests is remembered.
 const idleTTLMs = 60 * clock.Second
 
