--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -34,19 +34,27 @@
 		if len(request.Full) >= maxPermitRefusals && lease.withinMs == 0 {
 			bound = maxPermits
 		}
-		permit := acquire(lease, bound)
-		if permit.Granted && !(permit.Provisional && lease.exceedsOwnBound(bound)) {
-			lease.attachPermit(permit.Release)
+		reply := acquire(lease, bound)
+		if lease.mayBeSent(reply, bound) {
+			lease.attachPermit(reply.Release)
 			return lease, nil
 		}
-		if permit.Release != nil {
-			permit.Release(false)
+		if reply.Release != nil {
+			reply.Release(false)
 		}
 		lease.cancel()
 		request.Full = append(request.Full, lease.ID)
 	}
 }
 
+// mayBeSent reports whether the request may be sent after an owner replied to the request for a permit under a bound.
+func (l *Lease) mayBeSent(reply occupancy.Reply, bound int) bool {
+	if reply.Provisional && l.exceedsOwnBound(bound) {
+		return false
+	}
+	return reply.Granted
+}
+
 // exceedsOwnBound reports whether the load of an engine, as this box estimates it, would exceed the bound. The
 // requested bound is maxPermits if the request must be sent anyway.
 func (l *Lease) exceedsOwnBound(requested int) bool {
