feat(decision): lines tell how the end of a response is marked

Change: request ended and attempt failed carry framing (length, chunks, connection). Ruled out: a line of its own for each response, twice the lines for the same fact. Figures: tests of upstream, dispatch, decision and gateway pass; no change of what is sent. Conclusion: the next broken stream names its framing.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -91,7 +91,9 @@
 	Proof string
 	// Status is the HTTP status of the upstream's response, or 0.
 	Status int
-	Err    string
+	// Framing is how the end of the upstream's response is marked; empty if none has arrived.
+	Framing string
+	Err     string
 	// Next is the next step: another attempt, or the reason why there is none.
 	Next string
 	// BackoffMs is the backoff that the upstream asked of this box, or 0.
@@ -117,6 +119,7 @@
 	if e.Status != 0 {
 		o.AddInt("upstream_status", e.Status)
 	}
+	addIfSet(o, "framing", e.Framing)
 	addIfSet(o, "error", e.Err)
 	o.AddString("next", e.Next)
 	if e.BackoffMs > 0 {
@@ -140,6 +143,8 @@
 	Version      int64
 	AgeMs        clock.Millis
 	Status       int
+	// Framing is how the end of the upstream's last response is marked; empty if none has arrived.
+	Framing string
 	// Cause is set when the router generated the response or the response was cut off.
 	Cause    string
 	Err      string
@@ -164,6 +169,7 @@
 	o.AddInt64("version", e.Version)
 	o.AddInt64("version_age_ms", int64(e.AgeMs))
 	o.AddInt("status", e.Status)
+	addIfSet(o, "framing", e.Framing)
 	addIfSet(o, "cause", e.Cause)
 	addIfSet(o, "error", e.Err)
 	o.AddInt("attempts", e.Attempts)
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -42,6 +42,8 @@
 	Tried []string
 	// Upstream is the upstream that responded, or else the last one tried.
 	Upstream string
+	// Framing is how the end of the upstream's last response is marked, for the log.
+	Framing string
 	// Cause is the reason why the request ended without an upstream's response.
 	Cause string
 }
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -35,7 +35,7 @@
 	s.attempts++
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
 	s.signals = opaque.Signals{}
-	s.request.Upstream = lease.ID
+	s.request.Upstream, s.request.Framing = lease.ID, ""
 	s.logPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
@@ -49,6 +49,7 @@
 	}
 	defer resp.Close()
 	s.request.Sent++
+	s.request.Framing = string(resp.Framing())
 	s.handleSignals(lease, resp)
 	if resp.StatusCode < http.StatusInternalServerError && s.signals.BackoffMs == 0 {
 		lease.RecordResponseStart()
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -138,7 +138,7 @@
 	s.pipe.deps.RecordEvent(decision.AttemptFailed{
 		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID,
 		Attempt: s.attempts, Proof: string(failed.execution),
-		Status: failed.status(), Err: errorText(failed.err), Next: string(verdict),
+		Status: failed.status(), Framing: s.request.Framing, Err: errorText(failed.err), Next: string(verdict),
 		BackoffMs: s.signals.BackoffMs, Draining: s.signals.Draining,
 		TookMs: s.pipe.deps.Clock.Monotonic() - s.attemptStartedMs,
 	})
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -123,7 +123,7 @@
 		case response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols:
 		case rt.request.Matches(response.Header):
 			return &Response{Response: response, roundTrip: rt}, nil
-		case mismatched == maxMismatched || !selfDelimited(response):
+		case mismatched == maxMismatched || framing(response) == ByConnection:
 			return nil, fmt.Errorf("%w: status %d", ErrResponseMismatch, response.StatusCode)
 		default:
 			mismatched++
@@ -139,10 +139,27 @@
 	return http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
 }
 
-// selfDelimited reports whether the end of the response is known without the connection being
-// closed.
-func selfDelimited(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+// Framing is how the end of a response's body is marked.
+type Framing string
+
+// Framings of a response.
+const (
+	ByLength Framing = "length"
+	ByChunks Framing = "chunks"
+	// ByConnection means that the body ends with the connection. An orderly close then looks the same
+	// whether the upstream finished the body or crashed.
+	ByConnection Framing = "connection"
+)
+
+func framing(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return ByLength
+	case len(response.TransferEncoding) > 0:
+		return ByChunks
+	default:
+		return ByConnection
+	}
 }
 
 // abort closes the connection.
@@ -160,6 +177,9 @@
 	closed    bool
 }
 
+// Framing returns how the end of the body is marked.
+func (a *Response) Framing() Framing { return framing(a.Response) }
+
 // Read reads from the body. It returns io.EOF at the end of a complete body and an error that wraps
 // ErrBroken if the body was truncated.
 func (a *Response) Read(part []byte) (int, error) {
@@ -184,7 +204,7 @@
 	a.closed = true
 	rt := a.roundTrip
 	stopped := rt.stopAfterFunc()
-	reusable := stopped && a.eof && !a.failed && selfDelimited(a.Response) && !a.Response.Close &&
+	reusable := stopped && a.eof && !a.failed && a.Framing() != ByConnection && !a.Response.Close &&
 		rt.written.Load() && rt.conn.reader.Buffered() == 0
 	if !reusable {
 		_ = rt.conn.Close()
