--- /dev/null
+++ b/internal/gateway/unframed_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/registry"
+)
+
+// ending is how an upstream ends a response that has neither a length nor chunks.
+type ending int
+
+const (
+	closed ending = iota
+	reset
+	// crashed closes the upstream's listener and then the connection, as the kernel does for a process that is gone.
+	crashed
+)
+
+// unframedServer is an upstream whose responses have neither a length nor chunks.
+type unframedServer struct {
+	listener net.Listener
+	arrivals atomic.Int32
+}
+
+// unframed starts an upstream that answers the first request of the fleet with this body and ending, and all others
+// with whole, closed in order.
+func (f *fleet) unframed(id string, answered *atomic.Bool, contentType, body, whole string, end ending) *unframedServer {
+	f.t.Helper()
+	listener, err := f.network.Host(id).Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	u := &unframedServer{listener: listener}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
+		u.arrivals.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		require.NoError(f.t, err)
+		part, how := whole, closed
+		if !answered.Swap(true) {
+			part, how = body, end
+		}
+		if resumeAfter := r.Header.Get("Last-Event-Id"); resumeAfter != "" {
+			_, part, _ = strings.Cut(part, "data: "+resumeAfter+"\n\n")
+		}
+		u.respond(conn, r.Header.Get("X-Id"), contentType, part, how)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+	f.store.put(registry.Upstream{ID: id, Pool: "p", Address: listener.Addr().String(), FailureDomain: "d", Slots: 8})
+	return u
+}
+
+func (u *unframedServer) respond(conn net.Conn, request, contentType, body string, end ending) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request+"\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+	switch end {
+	case reset:
+		_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
+	case crashed:
+		_ = u.listener.Close()
+	case closed:
+	}
+	_ = conn.Close()
+}
+
+// TestUnframedResponses guards against taking the end of a connection for the end of a response.
+func TestUnframedResponses(t *testing.T) {
+	const (
+		events      = "text/event-stream"
+		plain       = "text/plain"
+		threeEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+		cutEvent    = threeEvents + "id: 4\nda"
+		crlfEvents  = "id: 1\r\ndata: 1\r\n\r\nid: 2\r\ndata: 2\r\n\r\n"
+	)
+	type outcome struct {
+		body     string
+		status   int
+		broken   bool
+		arrivals int32
+	}
+	whole := func(body string, arrivals int32) outcome { return outcome{body: body, status: 200, arrivals: arrivals} }
+	broken := outcome{status: 200, broken: true, arrivals: 1}
+	lost := outcome{status: http.StatusBadGateway, arrivals: 1}
+	for _, c := range []struct {
+		name, path, contentType, body, whole string
+		end                                  ending
+		want                                 outcome
+	}{
+		{"a stream that is whole", "/stream/", events, fiveEvents, fiveEvents, closed, whole(fiveEvents, 1)},
+		{"a stream that is whole, with CRLF", "/stream/", events, crlfEvents, "", closed, whole(crlfEvents, 1)},
+		{"a stream that ends inside an event", "/stream/", events, cutEvent, fiveEvents, closed, broken},
+		{"a stream that ends before the blank line", "/stream/", events, strings.TrimSuffix(threeEvents, "\n"), fiveEvents, closed, broken},
+		{"a stream that is reset inside an event", "/stream/", events, cutEvent, fiveEvents, reset, broken},
+		{"a stream that is reset between events", "/stream/", events, threeEvents, fiveEvents, reset, broken},
+		{"a stream whose server crashes inside an event", "/stream/", events, cutEvent, fiveEvents, crashed, broken},
+		{"a stream whose server crashes between events", "/stream/", events, threeEvents, fiveEvents, crashed, broken},
+		{"a resumable stream that is whole", "/resumable/", events, fiveEvents, fiveEvents, closed, whole(fiveEvents, 1)},
+		{"a resumable stream that is whole, with CRLF", "/resumable/", events, crlfEvents, "", closed, whole(crlfEvents, 1)},
+		{"a resumable stream that ends inside an event", "/resumable/", events, cutEvent, fiveEvents, closed, whole(fiveEvents, 2)},
+		{"a resumable stream that is reset between events", "/resumable/", events, threeEvents, fiveEvents, reset, whole(fiveEvents, 2)},
+		{"a resumable stream whose server crashes between events", "/resumable/", events, threeEvents, fiveEvents, crashed, whole(fiveEvents, 2)},
+		{"a safe response that is whole", "/safe/", plain, "done", "done", closed, whole("done", 1)},
+		{"a safe response that is reset", "/safe/", plain, "do", "done", reset, whole("done", 2)},
+		{"a safe response whose server crashes", "/safe/", plain, "do", "done", crashed, whole("done", 2)},
+		{"an unsafe response that is whole", "/unsafe2/", plain, "done", "done", closed, whole("done", 1)},
+		{"an unsafe response that is reset", "/unsafe2/", plain, "do", "done", reset, lost},
+		{"an unsafe response whose server crashes", "/unsafe2/", plain, "do", "done", crashed, lost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				var answered atomic.Bool
+				u1 := f.unframed("u1", &answered, c.contentType, c.body, c.whole, c.end)
+				u2 := f.unframed("u2", &answered, c.contentType, c.body, c.whole, c.end)
+				status, body, err := f.box(1).get(c.path)
+				assert.Equal(t, c.want.status, status)
+				assert.Equal(t, c.want.broken, err != nil, "the caller sees that the response is broken: %v", err)
+				if c.want.body != "" {
+					assert.Equal(t, c.want.body, body)
+				}
+				assert.Equal(t, c.want.arrivals, u1.arrivals.Load()+u2.arrivals.Load())
+			})
+		})
+	}
+}
+
+// TestUnframedResponsesToHTTP10 guards against a broken stream that a caller over HTTP/1.0 takes for a complete one:
+// for such a caller, too, the end of the connection is the end of the response.
+func TestUnframedResponsesToHTTP10(t *testing.T) {
+	const cutEvent = "id: 1\ndata: 1\n\nid: 2\nda"
+	for _, c := range []struct {
+		name, body string
+		broken     bool
+	}{
+		{"a whole stream is closed in order", fiveEvents, false},
+		{"a broken stream is reset", cutEvent, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				var answered atomic.Bool
+				f.unframed("u1", &answered, "text/event-stream", c.body, fiveEvents, closed)
+				conn := f.box(1).sendRaw("GET /stream/ HTTP/1.0\r\nHost: " + host + "\r\nX-Id: 1\r\nAuthorization: " + key + "\r\n\r\n")
+				defer func() { _ = conn.Close() }()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				body, err := io.ReadAll(response.Body)
+				assert.Equal(t, c.body, string(body))
+				assert.Equal(t, c.broken, err != nil, "the caller sees that the response is broken: %v", err)
+			})
+		})
+	}
+}
+
+// TestUnframedResponseOfCrashedUpstream guards against a request that crashes each upstream while its response ends
+// with the connection: a whole response would exempt it from quarantine.
+func TestUnframedResponseOfCrashedUpstream(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		var arrivals int32
+		servers := []*unframedServer{}
+		for _, id := range []string{"u1", "u2", "u3", "u4", "u5"} {
+			servers = append(servers, f.unframed(id, &atomic.Bool{}, "text/event-stream", "id: 1\ndata: 1\n\n", "", crashed))
+		}
+		b := f.box(1)
+		for range 5 {
+			_, _, _ = b.get("/stream/")
+			require.NoError(t, f.clock.Sleep(context.Background(), 500))
+		}
+		for _, u := range servers {
+			arrivals += u.arrivals.Load()
+		}
+		assert.EqualValues(t, defaultMinCrashes, arrivals, "the request is held back after the third crash")
+	})
+}
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -4,17 +4,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// Dial errors of the network.
+// Errors of dials and reads.
 var (
 	errRefused     = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	errReset       = &net.OpError{Op: "read", Err: syscall.ECONNRESET}
 	errUnreachable = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
 )
 
@@ -151,13 +155,13 @@
 		return nil, errRefused
 	}
 	near, far := net.Pipe()
-	local := addr("127.0.0.1:1")
-	wrapped := &conn{Conn: near, network: n, from: h.name, to: owner, local: local, remote: l.address}
+	local, reset := addr("127.0.0.1:1"), &atomic.Bool{}
+	wrapped := &conn{Conn: near, network: n, from: h.name, to: owner, local: local, remote: l.address, reset: reset}
 	n.mu.Lock()
 	n.conns[wrapped] = struct{}{}
 	n.mu.Unlock()
 	select {
-	case l.accept <- &conn{Conn: far, network: n, from: owner, to: h.name, local: l.address, remote: local}:
+	case l.accept <- &conn{Conn: far, network: n, from: owner, to: h.name, local: l.address, remote: local, reset: reset}:
 		return wrapped, nil
 	case <-l.closed:
 		return nil, errRefused
@@ -235,6 +239,22 @@
 	network       *Network
 	from, to      string
 	local, remote addr
+	// reset is shared by both ends. It is set once either end resets the connection.
+	reset *atomic.Bool
+}
+
+// SetLinger makes Close reset the connection if seconds is 0, like the method of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	c.reset.Store(seconds == 0)
+	return nil
+}
+
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) && c.reset.Load() {
+		return n, errReset
+	}
+	return n, err
 }
 
 func (c *conn) LocalAddr() net.Addr { return c.local }
