fix(dispatch): a stream that ends inside an event is broken, resumable or not

Cause: the end of the connection was taken for the end of the response. Only resumable streams kept the beginning of an event, so only for them the end inside one was noticed; a response without length or chunks ends with its connection, and a crashed process closes it in order. Evidence: TestUnframedResponses, three of its cases failed before (ends inside an event, before the blank line, crash inside an event). A resumable stream with CRLF lost all events; it passes. Ruled out: the abort towards callers over HTTP/1.1 (TestStreams passed before). Change: internal/eventstream finds the ends of events (LF, CR, CRLF) as the bytes pass; both kinds of streams use it, and no stream ends well inside an event, however it is framed. Figures: failing cases of TestUnframedResponses 8 before, 4 after: those of crashes that leave no trace in the bytes.

--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/eventstream"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/upstream"
 )
@@ -21,7 +22,9 @@
 	completeOnly bool
 	// dataSent is set once any event data was sent to the caller.
 	dataSent bool
-	// partial is the beginning of an incomplete event.
+	// events finds the ends of events in the response of the current upstream.
+	events eventstream.Scanner
+	// partial is the beginning of an incomplete event, if completeOnly is set.
 	partial []byte
 	// lastID is the ID of the last event sent to the caller, or "".
 	lastID string
@@ -62,6 +65,7 @@
 	if s.stream == nil {
 		s.startStream(res)
 	}
+	s.stream.events, s.stream.partial = eventstream.Scanner{}, nil
 	event, stop := s.startIdleTimeout(cancel)
 	defer stop()
 	buffer := make([]byte, streamBufferBytes)
@@ -78,7 +82,6 @@
 		case errors.Is(err, io.EOF):
 			return s.finishStream()
 		case err != nil:
-			s.stream.partial = nil
 			s.request.MayHaveRun = true
 			return &failure{err: err, execution: mayHaveRun}
 		}
@@ -97,10 +100,10 @@
 }
 
 // finishStream ends a stream that the upstream ended. The attempt fails if the last event is
-// incomplete.
+// incomplete, however the response is framed.
 func (s *retryLoop) finishStream() *failure {
-	if len(s.stream.partial) > 0 {
-		s.stream.partial = nil
+	if s.stream.events.InEvent() {
+		s.request.MayHaveRun = true
 		return &failure{err: fmt.Errorf("%w: last event is incomplete", upstream.ErrBroken), execution: mayHaveRun}
 	}
 	return nil
@@ -108,8 +111,9 @@
 
 // write sends received data to the caller.
 func (t *stream) write(part []byte) error {
+	end := t.events.Scan(part)
 	if t.completeOnly {
-		part = t.completeEvents(part)
+		part = t.completeEvents(part, end)
 	}
 	if len(part) == 0 {
 		return nil
@@ -124,33 +128,33 @@
 	return nil
 }
 
-var eventSeparator = []byte("\n\n")
-
-// completeEvents returns the complete events received so far and keeps the rest for the next call.
-func (t *stream) completeEvents(part []byte) []byte {
-	t.partial = append(t.partial, part...)
-	data := t.partial
-	end := bytes.LastIndex(data, eventSeparator)
-	if end < 0 {
+// completeEvents returns the complete events received so far, of which the last one ends at an offset of
+// part, and keeps the rest for the next call.
+func (t *stream) completeEvents(part []byte, end int) []byte {
+	if end == 0 {
+		t.partial = append(t.partial, part...)
 		return nil
 	}
-	end += len(eventSeparator)
-	t.partial = bytes.Clone(data[end:])
-	t.recordLastID(data[:end])
-	return data[:end]
+	complete := append(t.partial, part[:end]...)
+	t.partial = bytes.Clone(part[end:])
+	t.recordLastID(complete)
+	return complete
 }
 
 // recordLastID sets lastID to the ID of the last event that has one.
 func (t *stream) recordLastID(events []byte) {
 	start := bytes.LastIndex(events, []byte("id:"))
-	for start > 0 && events[start-1] != '\n' {
+	for start > 0 && events[start-1] != '\n' && events[start-1] != '\r' {
 		start = bytes.LastIndex(events[:start], []byte("id:"))
 	}
 	if start < 0 {
 		return
 	}
-	line, _, _ := bytes.Cut(events[start+len("id:"):], []byte("\n"))
-	t.lastID = string(bytes.TrimSpace(line))
+	value := events[start+len("id:"):]
+	if end := bytes.IndexAny(value, "\r\n"); end >= 0 {
+		value = value[:end]
+	}
+	t.lastID = string(bytes.TrimSpace(value))
 }
 
 // abort returns an error that closes the caller's connection, so that an incomplete response does
