fix(dispatch): an upstream that crashed ended no response, whatever its bytes look like

What callers saw: a stream that was cut between two events, or a plain response cut anywhere, arrived as complete when it had neither length nor chunks and its server had crashed. For the quarantine, such a request had even been answered whole, so that it was never held back. Ruled out: waiting for the registry (an entry outlives its server by seconds); taking every response without length for broken, since whole ones must arrive; judging a draining upstream, which may end right after its last response. Change: at the end of a response that only its connection marks the box opens a connection to the upstream. A refusal means that it crashed, unless other upstreams refuse, too: then the box is partitioned (TestUnframedResponseAtPartitionedBox). The connection is kept for the next request, which had to open one anyway: the cost is a round trip at the end of such responses.

--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -74,12 +74,17 @@
 	return probes
 }
 
-// probeTargets selects upstreams to connect to, healthy ones first.
+// probeTargets selects upstreams of a failure domain to connect to.
 func (m *Manager) probeTargets(name string, now clock.Millis) []*upstream.Client {
+	return m.selectTargets(now, func(member *Member) bool { return member.FailureDomain == name })
+}
+
+// selectTargets selects up to maxProbeTargets of the upstreams that match, healthy ones first.
+func (m *Manager) selectTargets(now clock.Millis, matches func(member *Member) bool) []*upstream.Client {
 	healthy, unhealthy := []*upstream.Client{}, []*upstream.Client{}
 	for _, member := range m.byID {
 		switch {
-		case member.FailureDomain != name:
+		case !matches(member):
 		case member.health.Ejected(now) || member.unavailable(now):
 			unhealthy = append(unhealthy, member.client)
 		default:
@@ -90,6 +95,15 @@
 	return all[:min(maxProbeTargets, len(all))]
 }
 
+// ProbeTargetsExcept selects other upstreams to connect to, to learn whether a failure concerns only one.
+// It returns none if there is no other.
+func (m *Manager) ProbeTargetsExcept(member *Member) []*upstream.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	return m.selectTargets(now, func(other *Member) bool { return other.ID != member.ID })
+}
+
 // RecordProbe records the result of a probe: opened is set if any connection was opened, or was refused
 // by a reachable host. It reports whether the state of the path changed. If a partition has ended,
 // partitionMs is its duration; it has no meaning if the state did not change.
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -114,6 +114,13 @@
 	return changed
 }
 
+// IsDraining reports whether the upstream is known to be draining.
+func (l *Lease) IsDraining() bool {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	return l.draining()
+}
+
 // CheckBeforeSend returns an error if the request must not be sent once its connection is open: the
 // upstream may have asked for a backoff, or announced that it is draining, since it was picked.
 func (l *Lease) CheckBeforeSend() error {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -52,9 +52,14 @@
 
 // anyReachable opens connections to some upstreams in parallel, and reports whether any of them opened.
 func anyReachable(ctx context.Context, clients []*upstream.Client) bool {
+	return anyOf(clients, func(c *upstream.Client) bool { return c.HostReachable(ctx) })
+}
+
+// anyOf checks some upstreams in parallel, and reports as soon as one check succeeds.
+func anyOf(clients []*upstream.Client, check func(c *upstream.Client) bool) bool {
 	results := make(chan bool, len(clients))
 	for _, client := range clients {
-		go func(c *upstream.Client) { results <- c.HostReachable(ctx) }(client)
+		go func() { results <- check(client) }()
 	}
 	for range clients {
 		if <-results {
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -131,6 +131,27 @@
 	}
 }
 
+// TestUnframedResponseAtPartitionedBox guards against a whole response that is lost because the box takes its own
+// partition, in which all upstreams refuse new connections, for a crash of the upstream.
+func TestUnframedResponseAtPartitionedBox(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		responding := func(w http.ResponseWriter, r *http.Request) {
+			f.network.SetRefusal(func(from, _ string) bool { return from == "box-1" })
+			conn, _, err := http.NewResponseController(w).Hijack()
+			require.NoError(t, err)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\ndone")
+			_ = conn.Close()
+		}
+		f.upstream("u1", responding)
+		f.upstream("u2", responding)
+		status, body, err := f.box(1).get("/unsafe/")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, status)
+		assert.Equal(t, "done", body)
+	})
+}
+
 // TestUnframedResponsesToHTTP10 guards against a broken stream that a caller over HTTP/1.0 takes for a complete one:
 // for such a caller, too, the end of the connection is the end of the response.
 func TestUnframedResponsesToHTTP10(t *testing.T) {
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -188,7 +188,17 @@
 	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
 		return s.relayStream(lease, resp, cancel)
 	}
-	return s.relayBuffered(resp)
+	return s.relayBuffered(lease, resp)
+}
+
+// checkEnd returns an error if a body that was read to its end is not known to be complete. A crashed
+// upstream closes its connections in order, which looks the same as the end of a body that has neither
+// a length nor chunks.
+func (s *retryLoop) checkEnd(lease *balance.Lease, resp *upstream.Response) error {
+	if resp.Framing() != upstream.ByConnection || !s.pipe.deps.HasCrashed(s.ctx, lease) {
+		return nil
+	}
+	return fmt.Errorf("%w: upstream crashed at the end of a response without length or chunks", upstream.ErrBroken)
 }
 
 func isEventStream(header http.Header) bool {
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/upstream"
@@ -27,12 +28,15 @@
 
 // relayBuffered reads a complete response and sends it to the caller, unless it is a failure after
 // which the request may be retried.
-func (s *retryLoop) relayBuffered(resp *upstream.Response) *failure {
+func (s *retryLoop) relayBuffered(lease *balance.Lease, resp *upstream.Response) *failure {
 	r := s.request
 	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errTooLarge
 	}
+	if err == nil {
+		err = s.checkEnd(lease, resp)
+	}
 	if err != nil {
 		r.MayHaveRun = true
 		return &failure{err: err, execution: mayHaveRun}
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -80,7 +80,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return s.finishStream()
+			return s.finishStream(lease, res)
 		case err != nil:
 			s.request.MayHaveRun = true
 			return &failure{err: err, execution: mayHaveRun}
@@ -100,13 +100,19 @@
 }
 
 // finishStream ends a stream that the upstream ended. The attempt fails if the last event is
-// incomplete, however the response is framed.
-func (s *retryLoop) finishStream() *failure {
+// incomplete, however the response is framed, or if the upstream crashed.
+func (s *retryLoop) finishStream(lease *balance.Lease, res *upstream.Response) *failure {
+	var err error
 	if s.stream.events.InEvent() {
-		s.request.MayHaveRun = true
-		return &failure{err: fmt.Errorf("%w: last event is incomplete", upstream.ErrBroken), execution: mayHaveRun}
+		err = fmt.Errorf("%w: last event is incomplete", upstream.ErrBroken)
+	} else {
+		err = s.checkEnd(lease, res)
 	}
-	return nil
+	if err == nil {
+		return nil
+	}
+	s.request.MayHaveRun = true
+	return &failure{err: err, execution: mayHaveRun}
 }
 
 // write sends received data to the caller.
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -35,6 +35,7 @@
 	packetDelay   func(from, to string) time.Duration
 	dropPacket    func() bool
 	blackholed    func(from, to string) bool
+	refused       func(from, to string) bool
 	conns         map[*conn]struct{}
 }
 
@@ -46,6 +47,7 @@
 		dialDelay:   func(string, string) time.Duration { return 0 },
 		packetDelay: func(string, string) time.Duration { return 0 },
 		blackholed:  func(string, string) bool { return false },
+		refused:     func(string, string) bool { return false },
 		partitioned: func(string, string) bool { return false }, dropPacket: func() bool { return false },
 	}
 }
@@ -77,6 +79,14 @@
 	n.blackholed = blackholed
 }
 
+// SetRefusal refuses new connections in the directions for which the function returns true. Existing connections
+// continue to work.
+func (n *Network) SetRefusal(refused func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused = refused
+}
+
 func (n *Network) isBlackholed(from, to string) bool {
 	n.mu.Lock()
 	blackholed := n.blackholed
@@ -141,6 +151,7 @@
 	n := h.network
 	n.mu.Lock()
 	l, owner, partitioned, dialDelay := n.listeners[address], n.hostByAddress[address], n.partitioned, n.dialDelay
+	refused := n.refused(h.name, owner)
 	n.mu.Unlock()
 	if wait := dialDelay(h.name, owner); wait > 0 {
 		time.Sleep(wait)
@@ -151,7 +162,7 @@
 	if partitioned(h.name, owner) {
 		return nil, errUnreachable
 	}
-	if l == nil {
+	if l == nil || refused {
 		return nil, errRefused
 	}
 	near, far := net.Pipe()
