fix(gateway): a broken response to an HTTP/1.0 caller ends with a reset

What callers saw: a stream that broke off reached a caller over HTTP/1.0 as complete. The server closes the connection in order to abort a response; HTTP/1.0 has no chunks, so that close is the end of the response. Evidence: TestUnframedResponsesToHTTP10 failed before (the body ended without an error) and passes now; TestCallerConn shows the reset on a real socket. Ruled out: resets for callers over HTTP/1.1, which see the missing last chunk; a reset would drop events that they have not read yet. Change: the listener keeps its connections in a type of its own, which also limits their number (netutil's hides the socket), and Close resets one whose response was broken off.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"dooryard.example/dooryard/internal/relay"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -120,10 +118,10 @@
 		return fmt.Errorf("%s listener: %w", name, err)
 	}
 	files := b.settings.Load().Capacity.OpenFiles
-	listener = netutil.LimitListener(listener, max(1, (files-reservedFiles)/connectionsDivisor))
+	listener = newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor))
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn,
 	}
 	b.servers = append(b.servers, s)
 	b.goroutines.Go(func() {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -76,6 +76,10 @@
 	b.steps.receive.Done(r)
 	b.steps.record.Run(r, err)
 	if abortsConnection(err) {
+		if !hr.ProtoAtLeast(1, 1) {
+			// Without chunks, only a reset tells the caller that the response is not complete.
+			resetCallerConn(hr.Context())
+		}
 		// The server closes the connection, so that the response can't be mistaken for a complete one.
 		panic(http.ErrAbortHandler)
 	}
