fix(forward): whole responses without length or chunks are delivered, by dooryard-router too

What callers saw: dooryard-router answered 502, outcome unknown, for any call or chat whose upstream marks the end of its answer with its connection only; no caller of it could ever get a whole one. A broken one was never taken for complete. Evidence: TestUnframedResponses of the forward step: with the old condition the whole call and the whole chat fail, the six broken or streamed cases pass. Change: the step reads to the end of the connection and asks whether the upstream has crashed, as dooryard-gateway does (upstream.ProbeAddress). Boxes always frame their responses, so one that doesn't is still refused. Figures: failing cases 2 of 8 before, 0 after.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 
@@ -30,6 +31,7 @@
 	"dooryard.example/dooryard/internal/tablestore"
 	"dooryard.example/dooryard/internal/trace"
 	"dooryard.example/dooryard/internal/transport"
+	"dooryard.example/dooryard/internal/upstream"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -145,7 +147,7 @@
 	b.pools = pool.New(poolSettings, b.settings.FailureDomain, b.settings.Box, b.clock.Now)
 	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Now)
 	steps.Forward = forward.New(forward.Dependencies{
-		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report,
+		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report, HasCrashed: b.hasCrashed,
 		Metrics: b.metrics, Tracer: b.tracer, Logger: b.logger, Clock: b.clock,
 	})
 	b.admit = steps.Admit
@@ -161,6 +163,20 @@
 	return nil
 }
 
+// hasCrashed reports whether the host of an upstream refuses connections.
+func (b *Box) hasCrashed(ctx context.Context, address string) bool {
+	dial := b.dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	conn, found := upstream.ProbeAddress(ctx, upstream.Dial(dial), address)
+	if conn != nil {
+		// Nothing was sent on it.
+		_ = conn.Close()
+	}
+	return found == upstream.Dead
+}
+
 // deferredTransport is set after the pipeline steps have applied the defaults from which the
 // transport is built.
 type deferredTransport struct{ http.RoundTripper }
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -42,6 +42,7 @@
 	client       *http.Client
 	nextUpstream func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
 	reportLoad   func(upstream string, inFlight int)
+	hasCrashed   func(ctx context.Context, address string) bool
 	budget       *retry.Budget
 	metrics      *metrics.Metrics
 	tracer       trace.Tracer
@@ -56,18 +57,21 @@
 	// Next selects an upstream that the request has not tried yet.
 	Next func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
 	// Report records the load that an upstream reports in a response.
-	Report  func(upstream string, inFlight int)
-	Metrics *metrics.Metrics
-	Tracer  trace.Tracer
-	Logger  *zap.Logger
-	Clock   clock.Clock
+	Report func(upstream string, inFlight int)
+	// HasCrashed reports whether the upstream at an address has crashed that has just closed a
+	// connection in order.
+	HasCrashed func(ctx context.Context, address string) bool
+	Metrics    *metrics.Metrics
+	Tracer     trace.Tracer
+	Logger     *zap.Logger
+	Clock      clock.Clock
 }
 
 // New returns the step.
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		client:       &http.Client{Transport: d.Transport, CheckRedirect: noRedirect},
-		nextUpstream: d.Next, reportLoad: d.Report, metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
+		nextUpstream: d.Next, reportLoad: d.Report, hasCrashed: d.HasCrashed, metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
 	}
 }
 
@@ -230,7 +234,8 @@
 	errMismatched = errors.New("response belongs to another request")
 	errNotRun     = errors.New("upstream did not run the request")
 	errTooLarge   = errors.New("response too large")
-	errNoLength   = errors.New("response has no length, so truncation can't be detected")
+	errNoLength   = errors.New("response of a box has neither a length nor chunks")
+	errCrashed    = errors.New("upstream crashed at the end of a response without length or chunks")
 	errStatus     = errors.New("upstream returned status")
 )
 
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -59,7 +59,7 @@
 	if x.Kind == exchange.Chat && isEventStream(response) {
 		return p.stream(ctx, x, lease, response)
 	}
-	return p.relayBuffered(x, lease, response)
+	return p.relayBuffered(ctx, x, lease, response)
 }
 
 // request builds the request to the upstream. Its body can be read only once, so that the HTTP
@@ -167,8 +167,12 @@
 }
 
 // relayBuffered relays a response that is not streamed. It buffers the complete response first.
-func (p *Pipe) relayBuffered(x *exchange.Exchange, lease *pool.Lease, response *http.Response) *failure {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && x.Request.Method != http.MethodHead {
+func (p *Pipe) relayBuffered(
+	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response,
+) *failure {
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
+		x.Request.Method != http.MethodHead
+	if endsWithConnection && lease.AddPeerHeaders != nil {
 		return &failure{cause: errNoLength, upstreamFault: true}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
@@ -178,6 +182,9 @@
 	if len(body) > maxResponseBytes {
 		return &failure{cause: errTooLarge, upstreamFault: true}
 	}
+	if endsWithConnection && p.hasCrashed(ctx, lease.Row.Address) {
+		return &failure{cause: errCrashed, upstreamFault: true}
+	}
 	x.Outcome = exchange.Ran
 	if response.StatusCode >= http.StatusInternalServerError {
 		x.Outcome = exchange.Unknown
--- /dev/null
+++ b/internal/pipe/forward/unframed_test.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/engine"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/metrics"
+	"dooryard.example/dooryard/internal/pool"
+	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// unframedTransport answers each request with a body that has neither a length nor chunks.
+type unframedTransport struct {
+	contentType string
+	body        io.Reader
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t unframedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	header := http.Header{"Content-Type": {t.contentType}}
+	header.Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: -1, Body: io.NopCloser(t.body), Request: r}, nil
+}
+
+// resetReader ends a body with a reset of its connection.
+type resetReader struct{}
+
+var errConnReset = errors.New("connection reset by peer")
+
+func (resetReader) Read([]byte) (int, error) { return 0, errConnReset }
+
+// TestUnframedResponses guards against a response that its connection cut off and that is delivered, and recorded under
+// its key, as complete; and against one that is complete and is not delivered.
+func TestUnframedResponses(t *testing.T) {
+	const finalEvent = "data: [DONE]\n\n"
+	for _, c := range []struct {
+		name    string
+		kind    exchange.Kind
+		events  bool
+		body    io.Reader
+		crashed bool
+		outcome exchange.Outcome
+		status  int
+	}{
+		{"a whole call", exchange.Service, false, strings.NewReader("done"), false, exchange.Ran, 200},
+		{"a call that is reset", exchange.Service, false, io.MultiReader(strings.NewReader("do"), resetReader{}), false, exchange.Unknown, 0},
+		{"a call whose server crashes", exchange.Service, false, strings.NewReader("do"), true, exchange.Unknown, 0},
+		{"a whole chat", exchange.Chat, false, strings.NewReader("{}"), false, exchange.Ran, 200},
+		{"a chat whose engine crashes", exchange.Chat, false, strings.NewReader("{"), true, exchange.Unknown, 0},
+		{"a whole stream", exchange.Chat, true, strings.NewReader("data: a\n\n" + finalEvent), false, exchange.Ran, 200},
+		{"a stream without its final event", exchange.Chat, true, strings.NewReader("data: a\n\n"), false, exchange.Unknown, 200},
+		{"a stream that ends inside its final event", exchange.Chat, true, strings.NewReader("data: a\n\ndata: [DO"), false, exchange.Unknown, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			contentType := "application/json"
+			if c.events {
+				contentType = "text/event-stream"
+			}
+			pipe := New(Dependencies{
+				Transport: unframedTransport{contentType: contentType, body: c.body}, Report: func(string, int) {},
+				HasCrashed: func(context.Context, string) bool { return c.crashed }, Metrics: metrics.New(),
+				Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(), Clock: clock.New(),
+				Next: func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) { return nil, errNotRun },
+			})
+			pipe.Default(&config.Router{})
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
+			x := exchange.New(t.Context(), "id", httptest.NewRecorder(), request, c.kind, 0)
+			x.Organisation, x.Deadline = &table.Organisation{Name: "o"}, 1<<60
+			x.Lease = pool.NewRemoteLease("u", "127.0.0.1:1", nil, func(bool) {})
+			_ = pipe.Run(x)
+			assert.Equal(t, c.outcome, x.Outcome)
+			assert.Equal(t, c.status, x.Writer.Status())
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -248,18 +248,28 @@
 // because idle ones look usable after the upstream's host lost power. If the connection opens, it is
 // kept for the next request.
 func (c *Client) ProbeLiveness(ctx context.Context) Liveness {
+	raw, found := ProbeAddress(ctx, c.dial, c.address)
+	if raw != nil {
+		c.onDial()
+		c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
+	}
+	return found
+}
+
+// ProbeAddress determines whether a process accepts connections at an address. It returns the connection
+// that it opened, or nil.
+func ProbeAddress(ctx context.Context, dial Dial, address string) (net.Conn, Liveness) {
 	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
 	defer cancel()
-	raw, err := c.dial(ctx, "tcp", c.address)
+	raw, err := dial(ctx, "tcp", address)
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
-		return Dead
+		return nil, Dead
 	case err != nil:
-		return Unresponsive
+		return nil, Unresponsive
+	default:
+		return raw, Alive
 	}
-	c.onDial()
-	c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
-	return Alive
 }
 
 // noResponse reports whether a dial error means that the host did not respond.
