fix(gateway): other boxes serve the requests of a box that can't reach the upstreams

Cause: a box could only use upstreams that it reached itself. And it did not even notice: a refused connection counted as a sign that the path works, and messages of other boxes hid that the upstreams beside them were silent. The class: what is true of one's own path is taken for the state of the other end. Ruled out: calling itself not ready (a box that is ready and takes no connections breaks a rule, and no other box gets the callers whose connections are open); waiting for the partition's end; rejecting at once with Retry-After (callers' first tries fail all the same). Change: a pool whose upstreams have all failed the latest dial, or are behind a partitioned path, is unreachable; boxes dial the rest once half of them failed, and dial on until one opens. A path is also probed if requests are in flight and its upstreams send nothing for 0.5 s. Boxes name unreachable pools in their datagrams (5 bytes each while that lasts). A request for one is forwarded to a box that doesn't name it: the less loaded of two random ones, three at most, on the listener for boxes. It carries what was sent and elapsed so far and the version; the other box checks key, route, version, quarantine and attempts anew, never forwards it again, counts no second first try in the retry budget, and ends it when the caller leaves. The request names the box as the only one that may run it, so that an upstream that took over the address refuses. A refusal names its cause; only those that depend on the box lead to another box. Found on the way by its own test: the time elapsed at the first box was counted twice.

--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -27,6 +27,12 @@
 	// lastContactMs is when anything was last received from the domain.
 	lastContactMs atomic.Int64
 
+	// lastResponseMs is when a part of a response was last received from an upstream of the domain. Messages
+	// of boxes there don't count: the path to them may work while the one to the upstreams does not.
+	lastResponseMs atomic.Int64
+	// inFlight is the number of requests at upstreams of the domain; it is positive since inFlightSinceMs.
+	inFlight        int
+	inFlightSinceMs clock.Millis
 	// responding is the number of requests whose responses are being received from the domain.
 	responding int
 	// partitioned is set, since partitionedAtMs, while no connection to the domain can be opened.
@@ -69,6 +75,29 @@
 	return heartbeatMs > 0 && silence > heartbeatMs+heartbeatGraceMs
 }
 
+// recordResponse records that a part of a response was received from an upstream of the domain.
+func (p *netPath) recordResponse(now clock.Millis) {
+	p.recordContact(now)
+	p.lastResponseMs.Store(int64(now))
+}
+
+// recordSend counts a request that is sent to the domain until recordEnd.
+func (p *netPath) recordSend(now clock.Millis) {
+	if p.inFlight == 0 {
+		p.inFlightSinceMs = now
+	}
+	p.inFlight++
+}
+
+func (p *netPath) recordEnd() { p.inFlight-- }
+
+// upstreamsSilent reports whether no upstream of the domain has sent anything for maxUpstreamSilenceMs
+// while requests were in flight there.
+func (p *netPath) upstreamsSilent(now clock.Millis) bool {
+	lastMs := max(p.inFlightSinceMs, clock.Millis(p.lastResponseMs.Load()))
+	return p.inFlight > 0 && now-lastMs > maxUpstreamSilenceMs
+}
+
 // correlated records a failure and reports whether at least minCorrelatedFailures upstreams failed
 // within the correlation window.
 func correlated(failures map[string]clock.Millis, id string, now clock.Millis) bool {
@@ -130,7 +159,7 @@
 // partitioned path has recovered.
 func (m *Manager) recordResponseStart(member *Member) {
 	member.probation = false
-	m.pathTo(member.FailureDomain).recordContact(m.monotonic())
+	m.pathTo(member.FailureDomain).recordResponse(m.monotonic())
 }
 
 // closeIdleConnections closes the idle connections to a failure domain, so that further requests open
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -75,6 +75,7 @@
 	defer l.manager.mu.Unlock()
 	l.released = true
 	l.inFlight--
+	l.path.recordEnd()
 }
 
 // SetFleetInFlightByPool sets the number of requests that all boxes run, by pool. Nil means that
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -89,11 +89,15 @@
 	Unreachable
 )
 
-// Pick chooses an upstream and counts the request there.
+// Pick chooses an upstream and counts the request there. The error is ErrPartitioned if there is none and
+// another box may reach one that this box can't.
 func (m *Manager) Pick(request PickRequest) (*Lease, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.monotonic()
+	if m.unreachable(request.Pool, now) {
+		return nil, ErrPartitioned
+	}
 	members := m.candidates(request, now)
 	if len(members) == 0 {
 		return nil, m.noUpstreamError(request.Pool, now)
@@ -114,6 +118,7 @@
 	lease.path = m.pathTo(lease.FailureDomain)
 	lease.Load = lease.load(now)
 	lease.inFlight++
+	lease.path.recordSend(now)
 	lease.recordSend(now)
 	m.recordColdSend(lease.Member, now)
 	lease.shared = shared
@@ -329,6 +334,7 @@
 	}
 	l.released = true
 	l.inFlight--
+	l.path.recordEnd()
 	delete(l.path.onPartition, l)
 	l.manager.retryScheduleFor(l.Pool).recordCompletion(l.manager.monotonic())
 	if l.responding {
@@ -361,7 +367,7 @@
 
 // RecordContact records that a part of the response arrived, which shows that the path to the upstream
 // works.
-func (l *Lease) RecordContact() { l.path.recordContact(l.manager.monotonic()) }
+func (l *Lease) RecordContact() { l.path.recordResponse(l.manager.monotonic()) }
 
 // RecordResponseStart records that the response has started.
 func (l *Lease) RecordResponseStart() {
--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -19,6 +19,10 @@
 	// prefills a long prompt.
 	maxResponseSilenceMs clock.Millis = 100
 	minResponding        int          = 4
+	// maxUpstreamSilenceMs is how long all upstreams of a domain together may be silent while requests
+	// are in flight there, whatever the boxes of the domain send. It is longer than most requests to a
+	// plain service and most prefills take.
+	maxUpstreamSilenceMs clock.Millis = 500
 	// heartbeatGraceMs is how much longer than the heartbeat interval a domain may be silent,
 	// regardless of the responses being received: about ten round trips.
 	heartbeatGraceMs clock.Millis = 50
@@ -148,6 +152,8 @@
 		return true
 	default:
 		contactSince := clock.Millis(p.lastContactMs.Load()) > p.probeEndedMs
-		return p.silent(now, heartbeatMs) && (contactSince || since >= quietProbeIntervalMs)
+		responseSince := clock.Millis(p.lastResponseMs.Load()) > p.probeEndedMs
+		return p.silent(now, heartbeatMs) && (contactSince || since >= quietProbeIntervalMs) ||
+			p.upstreamsSilent(now) && (responseSince || since >= quietProbeIntervalMs)
 	}
 }
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -200,7 +200,7 @@
 
 // noUpstreamError returns the reason for which no upstream of a pool accepts a request.
 func (m *Manager) noUpstreamError(pool string, now clock.Millis) error {
-	e, evacuated, cold, others := &AllBackingOffError{}, 0, 0, 0
+	e, evacuated, cold, others, partitioned := &AllBackingOffError{}, 0, 0, 0, false
 	for _, member := range m.pools[pool] {
 		switch {
 		case member.draining():
@@ -213,6 +213,7 @@
 			continue
 		case !member.signals.backingOff(now):
 			others++
+			partitioned = partitioned || m.failing(member)
 			continue
 		}
 		e.Upstreams++
@@ -221,6 +222,8 @@
 		}
 	}
 	switch {
+	case partitioned:
+		return ErrPartitioned
 	case e.Upstreams > 0:
 		return e
 	case cold > 0 && others == 0:
--- /dev/null
+++ b/internal/balance/unreachable.go
@@ -0,0 +1,127 @@
+package balance
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/upstream"
+)
+
+// ErrPartitioned means that this box can't reach the upstreams of the pool. Other boxes may reach them. It
+// wraps ErrNoUpstream.
+var ErrPartitioned = fmt.Errorf("%w: none can be reached from this box", ErrNoUpstream)
+
+const (
+	// failedDialTTLMs is how long a failed dial is a reason to check the other upstreams of the pool.
+	failedDialTTLMs clock.Millis = 1500
+	// openedDialTTLMs is how long an opened connection is a reason not to check its upstream.
+	openedDialTTLMs clock.Millis = 1000
+	// maxReachabilityProbes is how many upstreams of a pool are dialed at once to learn whether the pool can be
+	// reached.
+	maxReachabilityProbes = 8
+)
+
+// failing reports whether the latest dial to a member has failed, or would fail because the path to it is
+// known to be partitioned.
+func (m *Manager) failing(member *Member) bool {
+	return m.pathTo(member.FailureDomain).partitioned || member.client.Dials().Failing()
+}
+
+// unreachable reports whether this box can't reach any upstream of the pool that takes requests. That is so
+// during a partition, or when all of them have crashed. Connections from before may still work: a partition
+// may refuse only new ones.
+func (m *Manager) unreachable(pool string, now clock.Millis) bool {
+	available := 0
+	for _, member := range m.pools[pool] {
+		if member.unavailable(now) {
+			continue
+		}
+		if !m.failing(member) {
+			return false
+		}
+		available++
+	}
+	return available > 0
+}
+
+// Unreachable returns the names of the pools whose upstreams this box can't reach, in order.
+func (m *Manager) Unreachable() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	pools := []string{}
+	for pool := range m.pools {
+		if m.unreachable(pool, now) {
+			pools = append(pools, pool)
+		}
+	}
+	slices.Sort(pools)
+	return pools
+}
+
+// UnreachableKeys returns the keys of the pools whose upstreams this box can't reach.
+func (m *Manager) UnreachableKeys() []namekey.Key {
+	keys := []namekey.Key{}
+	for _, pool := range m.Unreachable() {
+		keys = append(keys, namekey.Of(pool))
+	}
+	return keys
+}
+
+// ReachabilityProbes returns upstreams to dial, of pools that this box can't reach or of which the latest
+// dials to at least half of the upstreams failed. So the box soon knows all upstreams of a partition, and
+// notices its end although it sends nothing there.
+func (m *Manager) ReachabilityProbes() []*upstream.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	targets := []*upstream.Client{}
+	for pool, members := range m.pools {
+		if m.unreachable(pool, now) || m.mostlyFailing(members, now) {
+			targets = append(targets, m.reachabilityTargets(members, now)...)
+		}
+	}
+	return targets
+}
+
+// mostlyFailing reports whether dials to at least half of the members have failed recently.
+func (m *Manager) mostlyFailing(members []*Member, now clock.Millis) bool {
+	available, failed := 0, 0
+	for _, member := range members {
+		if member.unavailable(now) {
+			continue
+		}
+		available++
+		if dials := member.client.Dials(); dials.Failing() && now-dials.FailedMs < failedDialTTLMs {
+			failed++
+		}
+	}
+	return failed > 0 && 2*failed >= available
+}
+
+// reachabilityTargets selects the members that were not dialed for the longest time. It leaves out those
+// behind a partitioned path, which is probed as a whole.
+func (m *Manager) reachabilityTargets(members []*Member, now clock.Millis) []*upstream.Client {
+	type candidate struct {
+		client   *upstream.Client
+		dialedMs clock.Millis
+	}
+	candidates := []candidate{}
+	for _, member := range members {
+		dials := member.client.Dials()
+		fresh := !dials.Failing() && dials.OpenedMs > 0 && now-dials.OpenedMs < openedDialTTLMs
+		if member.unavailable(now) || fresh || m.pathTo(member.FailureDomain).partitioned {
+			continue
+		}
+		candidates = append(candidates, candidate{client: member.client, dialedMs: max(dials.OpenedMs, dials.FailedMs)})
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.dialedMs, b.dialedMs) })
+	targets := []*upstream.Client{}
+	for _, c := range candidates[:min(maxReachabilityProbes, len(candidates))] {
+		targets = append(targets, c.client)
+	}
+	return targets
+}
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -80,6 +80,43 @@
 	return nil
 }
 
+// RequestForwarded records that a request is forwarded to another box, because this one can't reach the
+// upstreams.
+type RequestForwarded struct {
+	Request string
+	Route   string
+	Pool    string
+	// Box is the other box.
+	Box string
+	// Attempt counts from 1, including the attempts at upstreams.
+	Attempt int
+	// Sent is how many upstreams may have received the request before.
+	Sent int
+	// ResumeAfter is the last event that the caller has received, on a resumed stream.
+	ResumeAfter string
+	// UnreachableMs is for how long the upstreams of the pool have been known to be unreachable.
+	UnreachableMs clock.Millis
+}
+
+// Name implements Event.
+func (RequestForwarded) Name() string { return "request forwarded" }
+
+// Routine implements Event.
+func (e RequestForwarded) Routine() bool { return e.Attempt == 1 }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e RequestForwarded) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("request", e.Request)
+	o.AddString("route", e.Route)
+	o.AddString("pool", e.Pool)
+	o.AddString("to_box", e.Box)
+	o.AddInt("attempt", e.Attempt)
+	o.AddInt("sent", e.Sent)
+	addIfSet(o, "resume_after", e.ResumeAfter)
+	o.AddInt64("unreachable_ms", int64(e.UnreachableMs))
+	return nil
+}
+
 // AttemptFailed records an attempt that produced no response for the caller.
 type AttemptFailed struct {
 	Request string
@@ -146,8 +183,10 @@
 	// Framing is how the end of the upstream's last response is marked; empty if none has arrived.
 	Framing string
 	// Cause is set when the router generated the response or the response was cut off.
-	Cause    string
-	Err      string
+	Cause string
+	Err   string
+	// FromBox is the box that forwarded the request, if any.
+	FromBox  string
 	Attempts int
 	Bytes    int64
 	TookMs   clock.Millis
@@ -172,6 +211,7 @@
 	addIfSet(o, "framing", e.Framing)
 	addIfSet(o, "cause", e.Cause)
 	addIfSet(o, "error", e.Err)
+	addIfSet(o, "from_box", e.FromBox)
 	o.AddInt("attempts", e.Attempts)
 	o.AddInt64("bytes", e.Bytes)
 	o.AddInt64("took_ms", int64(e.TookMs))
@@ -198,7 +238,7 @@
 
 // Dependency records that the box lost or regained access to a dependency.
 type Dependency struct {
-	// Dependency is "store" or "path to a failure domain".
+	// Dependency is "store", "path to a failure domain" or "upstreams of a pool".
 	Dependency  string
 	ID          string
 	Unavailable bool
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -67,6 +67,7 @@
 	crashDetector *crashDetector
 	ignoredInputs *ignoredInputLog
 	pauseDetector *pauseDetector
+	forwarding    *forwarding
 	sink          *storeSink
 	quarantine    *quarantine.Ledger
 
@@ -159,6 +160,7 @@
 	b.sink = b.newStoreSink(b.source.Name)
 	b.crashDetector = newCrashDetector(b)
 	b.ignoredInputs = &ignoredInputLog{box: b, lastLogged: map[string]clock.Millis{}}
+	b.forwarding = newForwarding(b)
 	b.buildSteps()
 }
 
@@ -195,8 +197,13 @@
 // boxes in a small fleet.
 const assumedBoxes = 12
 
+// connect returns the client of an upstream.
 func (b *Box) connect(address string) *upstream.Client {
-	options := []upstream.Option{upstream.WithOnDial(b.metrics.ConnectionOpened)}
+	return b.newClient(address, upstream.WithOnDial(b.metrics.ConnectionOpened))
+}
+
+// newClient returns a client of an upstream or of another box.
+func (b *Box) newClient(address string, options ...upstream.Option) *upstream.Client {
 	if b.dial != nil {
 		options = append(options, upstream.WithDial(b.dial))
 	}
@@ -249,6 +256,7 @@
 	b.goroutines.Go(func() { b.source.Run(background, b.sink.asSink()) })
 	b.goroutines.Go(func() { b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() }) })
 	b.goroutines.Go(func() { b.watchPaths(background) })
+	b.goroutines.Go(func() { b.forwarding.run(background) })
 	b.goroutines.Go(func() { b.crashDetector.run(background) })
 	b.goroutines.Go(func() { b.syncNotes(background) })
 	select {
@@ -281,6 +289,7 @@
 	b.balance.SetOthersInFlightAge(b.peering.mesh.OthersInFlightAgeMs())
 	b.balance.SetFleetSize(b.peering.fleetSizeBound())
 	b.balance.Refresh()
+	b.forwarding.expire()
 	b.peering.mesh.ExpirePermits()
 	b.quarantine.Expire()
 	b.crashDetector.expire()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"dooryard.example/dooryard/internal/relay"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -96,7 +95,7 @@
 	}{
 		{"readiness", settings.ReadinessAddress, ready},
 		{"callers", settings.CallersAddress, b},
-		{"peers", settings.PeersAddress, relay.Handler(b.routingState, b.registry, b.evacuations)},
+		{"peers", settings.PeersAddress, b.peersHandler()},
 		{"metrics", settings.MetricsAddress, metrics},
 	} {
 		if l.address == "" {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,6 +52,12 @@
 // DrainingAnnounced counts an upstream that announced in a response that it is draining.
 func (m *Metrics) DrainingAnnounced() { m.all.Add("upstream_leavings_heard", 1) }
 
+// RequestForwarded counts a request that was forwarded to another box.
+func (m *Metrics) RequestForwarded() { m.all.Add("requests_forwarded", 1) }
+
+// RequestFromBox counts a request that another box forwarded.
+func (m *Metrics) RequestFromBox() { m.all.Add("requests_from_boxes", 1) }
+
 // PromptTokensPrefilled counts the tokens of shared prompt parts that an engine probably
 // has to prefill, by reason.
 func (m *Metrics) PromptTokensPrefilled(reason string, tokens int) {
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -60,6 +60,7 @@
 		Clock: b.clock, PeriodMs: timingOf(*settings).periodMs, Conn: conn,
 		Contacts: p.contacts, StateSummary: b.stateSummary, InFlight: b.balance.InFlight,
 		InFlightByPool:     b.balance.InFlightByPool,
+		Unreachable:        b.balance.UnreachableKeys,
 		AnnouncementsSince: b.balance.AnnouncementsSince, RecordAnnouncements: b.balance.RecordAnnouncements,
 		CrashEventsSince: b.quarantine.EventsSince, RecordCrashEvents: b.crashDetector.recordFromPeer,
 		OnPeerState: p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -52,7 +52,8 @@
 		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic),
 		screen:    screen.New(b.quarantine.QuarantineRemainingMs),
 		dispatch: dispatch.New(dispatch.Dependencies{
-			Pick: b.pick, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
+			Pick: b.pick, NextBox: b.forwarding.next, UnreachableMs: b.forwarding.unreachableMs,
+			OnForward: b.metrics.RequestForwarded, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
 			StateAgeMs: b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, Observe: b.crashDetector.observe, HasCrashed: b.hasCrashed,
@@ -64,21 +65,28 @@
 }
 
 // ServeHTTP runs a caller's request through the pipeline.
-func (b *Box) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	r := &opaque.Request{
+func (b *Box) ServeHTTP(w http.ResponseWriter, hr *http.Request) { b.serve(b.newRequest(w, hr)) }
+
+func (b *Box) newRequest(w http.ResponseWriter, hr *http.Request) *opaque.Request {
+	now := b.clock.Monotonic()
+	return &opaque.Request{
 		ID: hr.Header.Get(b.dialect.RequestID), HTTP: hr, Writer: exchange.NewWriter(w), Dialect: b.dialect,
-		ArrivedMs: b.clock.Monotonic(),
+		Box: b.settings.Load().Box, ArrivedMs: now, ReceivedMs: now,
 	}
+}
+
+// serve runs a request through the pipeline.
+func (b *Box) serve(r *opaque.Request) {
 	if b.stopping.Load() {
-		w.Header().Set("Connection", "close")
+		r.Writer.Header().Set("Connection", "close")
 	}
 	err := b.run(r)
 	b.steps.receive.Done(r)
 	b.steps.record.Run(r, err)
 	if abortsConnection(err) {
-		if !hr.ProtoAtLeast(1, 1) {
+		if !r.HTTP.ProtoAtLeast(1, 1) {
 			// Without chunks, only a reset tells the caller that the response is not complete.
-			resetCallerConn(hr.Context())
+			resetCallerConn(r.Context())
 		}
 		// The server closes the connection, so that the response can't be mistaken for a complete one.
 		panic(http.ErrAbortHandler)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -82,6 +82,7 @@
 	stateSummary        func() StateSummary
 	inFlight            func() map[namekey.Key]int
 	inFlightByPool      func() map[namekey.Key]int
+	unreachable         func() []namekey.Key
 	ledger              *occupancy.Ledger
 	announcementsSince  func(from int64, limit int) ([]prompt.CachedPart, int64)
 	recordAnnouncements func(list []prompt.CachedPart)
@@ -125,6 +126,8 @@
 	// InFlightByPool returns this box's requests in flight, by pool. Large fleets exchange it
 	// instead of InFlight.
 	InFlightByPool func() map[namekey.Key]int
+	// Unreachable returns the pools whose upstreams this box can't reach.
+	Unreachable func() []namekey.Key
 	// AnnouncementsSince returns the prompt parts that this box's requests put into engine caches
 	// from a sequence number on, up to a limit, and the sequence number to continue from.
 	// RecordAnnouncements receives the parts that other boxes report.
@@ -143,7 +146,7 @@
 func New(d Dependencies) *Mesh {
 	return &Mesh{
 		self: d.Self, clock: d.Clock, period: d.PeriodMs, conn: d.Conn, contacts: d.Contacts, stateSummary: d.StateSummary,
-		inFlight: d.InFlight, inFlightByPool: d.InFlightByPool, ledger: occupancy.New(d.Clock.Monotonic),
+		inFlight: d.InFlight, inFlightByPool: d.InFlightByPool, unreachable: d.Unreachable, ledger: occupancy.New(d.Clock.Monotonic),
 		announcementsSince: d.AnnouncementsSince, recordAnnouncements: d.RecordAnnouncements,
 		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents, onPeerState: d.OnPeerState,
 		random: d.Random, peers: map[string]*peer{},
@@ -250,7 +253,10 @@
 }
 
 func (m *Mesh) packet(t packetType, pingedMs clock.Millis) *packet {
-	p := &packet{Type: t, From: m.self, PingedMs: pingedMs, StateSummary: m.stateSummary(), InFlight: m.inFlight()}
+	p := &packet{
+		Type: t, From: m.self, PingedMs: pingedMs, StateSummary: m.stateSummary(), InFlight: m.inFlight(),
+		Unreachable: m.unreachable(),
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.Draining = m.draining
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -22,14 +22,15 @@
 
 type box struct {
 	*Mesh
-	mu            sync.Mutex
-	stateSummary  StateSummary
-	inFlight      map[namekey.Key]int
-	answers       []PeerState
-	announcements []prompt.CachedPart
-	received      []prompt.CachedPart
-	stop          context.CancelFunc
-	ledger        *quarantine.Ledger
+	mu               sync.Mutex
+	unreachablePools []namekey.Key
+	stateSummary     StateSummary
+	inFlight         map[namekey.Key]int
+	answers          []PeerState
+	announcements    []prompt.CachedPart
+	received         []prompt.CachedPart
+	stop             context.CancelFunc
+	ledger           *quarantine.Ledger
 }
 
 // newLedger returns a ledger that quarantines a fingerprint after three crashes.
@@ -96,7 +97,11 @@
 			defer b.mu.Unlock()
 			return maps.Clone(b.inFlight)
 		},
-		InFlightByPool: b.ownInFlightByPool,
+		InFlightByPool: b.ownInFlightByPool, Unreachable: func() []namekey.Key {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.unreachablePools
+		},
 		OnPeerState: func(a PeerState) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -86,6 +86,8 @@
 	// InFlightByPool is the sender's requests in flight, by pool. A large fleet uses it instead of
 	// InFlight.
 	InFlightByPool map[namekey.Key]int `cbor:"12,keyasint,omitempty"`
+	// Unreachable are the pools whose upstreams the sender can't reach.
+	Unreachable []namekey.Key `cbor:"13,keyasint,omitempty"`
 }
 
 // maxPacketBytes is the size of the receive buffer. The limits on cached parts, crash reports and
--- a/internal/opaque/refusal.go
+++ b/internal/opaque/refusal.go
@@ -80,6 +80,10 @@
 	body := apierror.New(e.Status, string(e.Cause), messages[e.Cause]).JSON()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	r.SetHopHeaders()
+	if r.FromBox != "" {
+		e.setHopHeaders(header)
+	}
 	r.Writer.WriteHeader(e.Status)
 	// The error is ignored because it means that the caller has disconnected.
 	_, _ = r.Writer.Write(body)
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -19,8 +19,11 @@
 	Writer  *exchange.Writer
 	Dialect *Dialect
 
-	// ArrivedMs is the monotonic time at which the header of the request was read.
+	// ArrivedMs is the monotonic time at which the header of the caller's request was read.
 	ArrivedMs clock.Millis
+	// ReceivedMs is when this box read the header. It is later than ArrivedMs if another box forwarded the
+	// request.
+	ReceivedMs clock.Millis
 	// DeadlineMs is the monotonic time by which the final response is due.
 	DeadlineMs clock.Millis
 
@@ -33,6 +36,16 @@
 	// Fingerprint identifies the content of the request. It is set once the body was read.
 	Fingerprint quarantine.Fingerprint
 
+	// Box is the name of this box.
+	Box string
+	// FromBox is the box that forwarded the request to this one because it can't reach the upstreams, or "".
+	FromBox string
+	// MinVersion is the version of the routing state that the forwarding box matched the request against.
+	MinVersion int64
+	// SentBefore is how many upstreams may have received the request from the forwarding box. Sent
+	// includes them.
+	SentBefore int
+
 	// Sent counts the upstreams that may have received the request or a part of it.
 	Sent int
 	// MayHaveRun is set while an upstream may have run the request and no response has confirmed or
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
@@ -40,7 +41,7 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	s.cancelOnPathLoss(lease, cancel)
-	stopTimer := s.startFirstByteTimeout(cancel)
+	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, cancel)
 	resp, err := lease.Client().Do(ctx, s.buildRequest(lease))
 	stopTimer()
 	if err != nil {
@@ -54,7 +55,7 @@
 	if resp.StatusCode < http.StatusInternalServerError && s.signals.BackoffMs == 0 {
 		lease.RecordResponseStart()
 	}
-	failed := s.relay(lease, resp, cancel)
+	failed := s.relay(upstreamSource(s, lease), resp, cancel)
 	switch {
 	case failed != nil:
 		s.observeFailure(ctx, lease, failed.err)
@@ -75,12 +76,12 @@
 	s.pipe.deps.OnSignals(s.request.ID, lease, s.signals)
 }
 
-// startFirstByteTimeout cancels the attempt if no response headers arrive within
-// firstByteTimeoutFactor times the route's latency objective, so that another upstream can still
-// respond in time. It does nothing if the request can't be retried.
-func (s *retryLoop) startFirstByteTimeout(cancel context.CancelCauseFunc) (stop func()) {
+// startFirstByteTimeout cancels the attempt if no response headers arrive within a multiple of the route's
+// latency objective, so that another upstream can still respond in time. It does nothing if the request
+// can't be retried.
+func (s *retryLoop) startFirstByteTimeout(factor clock.Millis, cancel context.CancelCauseFunc) (stop func()) {
 	r := s.request
-	timeout := firstByteTimeoutFactor * r.Route.ObjectiveMs
+	timeout := factor * r.Route.ObjectiveMs
 	if !r.Route.Repeatable() || r.Sent+1 >= r.Route.Attempts || timeout <= 0 {
 		return func() {}
 	}
@@ -115,6 +116,7 @@
 		errors.Is(err, balance.ErrEvacuated):
 		lease.Release(balance.Neutral)
 	case errors.Is(err, upstream.ErrUnreachable):
+		s.failedDials++
 		lease.Release(balance.Unreachable)
 	default:
 		lease.Release(balance.Broken)
@@ -156,46 +158,73 @@
 // buildRequest returns the request to the upstream.
 func (s *retryLoop) buildRequest(lease *balance.Lease) *upstream.Request {
 	r, d := s.request, s.request.Dialect
-	header := d.RequestHeader(r.HTTP.Header)
-	set := func(name, value string) {
-		if name != "" && value != "" {
-			header.Set(name, value)
-		}
-	}
-	remaining := max(1, r.RemainingMs(s.pipe.deps.Clock.Monotonic()))
-	set(d.DeadlineMs, strconv.FormatInt(int64(remaining), 10))
+	out := s.newRequest()
+	set := func(name, value string) { setHeader(out.Header, name, value) }
 	set(d.ExpectUpstream, lease.ID)
 	set(d.FetchFrom, lease.FetchFrom)
-	set(d.LastEventID, s.stream.lastEventID())
 	if r.Organisation != nil {
 		set(d.Organisation, r.Organisation.Name)
 	}
 	if r.Route.Kind == routing.Stream {
 		set(d.Urgency, strconv.Itoa(min(r.Priority(), maxUrgency)))
 	}
+	out.BeforeSend = lease.CheckBeforeSend
+	return out
+}
+
+// setHeader sets a header of the dialect, unless the dialect does not use it or it has no value.
+func setHeader(header http.Header, name, value string) {
+	if name != "" && value != "" {
+		header.Set(name, value)
+	}
+}
+
+// newRequest returns the part of the request that is the same for each upstream and for other boxes.
+func (s *retryLoop) newRequest() *upstream.Request {
+	r, d := s.request, s.request.Dialect
+	header := d.RequestHeader(r.HTTP.Header)
+	remaining := max(1, r.RemainingMs(s.pipe.deps.Clock.Monotonic()))
+	setHeader(header, d.DeadlineMs, strconv.FormatInt(int64(remaining), 10))
+	setHeader(header, d.LastEventID, s.stream.lastEventID())
 	return &upstream.Request{
 		Method: r.HTTP.Method, Target: r.HTTP.RequestURI, Host: r.HTTP.Host, Header: header, Body: r.Body,
-		BeforeSend: lease.CheckBeforeSend,
-		Matches:    func(resp http.Header) bool { return resp.Get(d.RequestID) == r.ID },
+		Matches: func(resp http.Header) bool { return resp.Get(d.RequestID) == r.ID },
 	}
 }
 
 // maxUrgency is the least urgent rank that engines accept; 0 is the most urgent.
 const maxUrgency = 9
 
+// responseSource is the upstream or the box that a response comes from.
+type responseSource struct {
+	// onPart is called for each part of a stream.
+	onPart func()
+	// hasCrashed reports whether the source has crashed that has just closed a connection in order.
+	hasCrashed func() bool
+	// isFinal is set if no failure in a response may be retried, because the source has done so.
+	isFinal bool
+}
+
+func upstreamSource(s *retryLoop, lease *balance.Lease) responseSource {
+	return responseSource{
+		onPart:     lease.RecordContact,
+		hasCrashed: func() bool { return s.pipe.deps.HasCrashed(s.ctx, lease) },
+	}
+}
+
 // relay relays a response whose headers have arrived.
-func (s *retryLoop) relay(lease *balance.Lease, resp *upstream.Response, cancel context.CancelCauseFunc) *failure {
+func (s *retryLoop) relay(from responseSource, resp *upstream.Response, cancel context.CancelCauseFunc) *failure {
 	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
-		return s.relayStream(lease, resp, cancel)
+		return s.relayStream(from, resp, cancel)
 	}
-	return s.relayBuffered(lease, resp)
+	return s.relayBuffered(from, resp)
 }
 
 // checkEnd returns an error if a body that was read to its end is not known to be complete. A crashed
 // upstream closes its connections in order, which looks the same as the end of a body that has neither
 // a length nor chunks.
-func (s *retryLoop) checkEnd(lease *balance.Lease, resp *upstream.Response) error {
-	if resp.Framing() != upstream.ByConnection || !s.pipe.deps.HasCrashed(s.ctx, lease) {
+func (s *retryLoop) checkEnd(from responseSource, resp *upstream.Response) error {
+	if resp.Framing() != upstream.ByConnection || !from.hasCrashed() {
 		return nil
 	}
 	return fmt.Errorf("%w: upstream crashed at the end of a response without length or chunks", upstream.ErrBroken)
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 
-	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/upstream"
@@ -28,14 +27,14 @@
 
 // relayBuffered reads a complete response and sends it to the caller, unless it is a failure after
 // which the request may be retried.
-func (s *retryLoop) relayBuffered(lease *balance.Lease, resp *upstream.Response) *failure {
+func (s *retryLoop) relayBuffered(from responseSource, resp *upstream.Response) *failure {
 	r := s.request
 	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errTooLarge
 	}
 	if err == nil {
-		err = s.checkEnd(lease, resp)
+		err = s.checkEnd(from, resp)
 	}
 	if err != nil {
 		r.MayHaveRun = true
@@ -45,7 +44,7 @@
 		status: resp.StatusCode, header: r.Dialect.ResponseHeader(resp.Header), body: body,
 		notRun: resp.Header.Get(r.Dialect.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 	}
-	if failed := s.classify(w); failed != nil {
+	if failed := s.classify(w); failed != nil && !from.isFinal {
 		return failed
 	}
 	if s.stream != nil {
@@ -95,6 +94,7 @@
 
 func (w *bufferedResponse) write(r *opaque.Request) {
 	setResponseHeader(r.Writer.Header(), w.header)
+	r.SetHopHeaders()
 	if r.HTTP.Method != http.MethodHead {
 		r.Writer.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
 	}
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -19,6 +19,14 @@
 type Dependencies struct {
 	// Pick selects an upstream and counts the request in its load.
 	Pick func(ctx context.Context, pickRequest balance.PickRequest) (*balance.Lease, error)
+	// NextBox chooses another box to forward the request to, except those tried. It returns false if
+	// there is none.
+	NextBox func(r *opaque.Request, tried []string) (Box, bool)
+	// OnForward counts a request that is forwarded to another box.
+	OnForward func()
+	// UnreachableMs returns for how long the box has known that it can't reach the upstreams of a pool,
+	// for logs.
+	UnreachableMs func(pool string) clock.Millis
 	// MayRetry takes one retry from the pool's retry budget. It returns false if the budget is used
 	// up.
 	MayRetry func(pool string) bool
@@ -67,13 +75,22 @@
 func (p *Pipe) Run(r *opaque.Request) error {
 	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Monotonic())))
 	defer cancel()
-	p.deps.OnFirstSend(r.Pool)
+	if r.FromBox == "" {
+		// The forwarding box has counted the request.
+		p.deps.OnFirstSend(r.Pool)
+	}
 	s := &retryLoop{pipe: p, request: r, ctx: ctx}
 	for {
 		if err := p.deps.CheckBeforeSend(r); err != nil {
 			return s.refuseSend(err)
 		}
+		if s.failedDials >= maxFailedDials && s.canForward() {
+			return s.forward(s.lastFailure)
+		}
 		lease, err := p.deps.Pick(ctx, s.pickRequest())
+		if errors.Is(err, balance.ErrPartitioned) && s.canForward() {
+			return s.forward(s.lastFailureOr(&failure{err: err, execution: notSent}))
+		}
 		if err != nil {
 			return s.finish(s.lastFailureOr(&failure{err: err, execution: notSent}))
 		}
@@ -81,7 +98,8 @@
 		if failed == nil {
 			return nil
 		}
-		if !s.recordFailure(lease, failed) {
+		s.request.Tried = append(s.request.Tried, lease.ID)
+		if !s.recordFailure(lease.ID, failed) {
 			return s.finish(failed)
 		}
 	}
@@ -103,6 +121,10 @@
 	ctx     context.Context
 	// attempts counts all attempts, including those that sent nothing.
 	attempts int
+	// failedDials counts the upstreams that could not be connected to.
+	failedDials int
+	// boxesTried are the names of the boxes that the request was forwarded to.
+	boxesTried []string
 	// stream is the response stream to the caller, or nil before it starts.
 	stream *stream
 	// lastFailure is the failure of the latest failed attempt.
@@ -133,12 +155,11 @@
 }
 
 // recordFailure logs a failed attempt and reports whether another attempt follows.
-func (s *retryLoop) recordFailure(lease *balance.Lease, failed *failure) bool {
+func (s *retryLoop) recordFailure(target string, failed *failure) bool {
 	s.lastFailure = failed
-	s.request.Tried = append(s.request.Tried, lease.ID)
 	verdict := s.retryDecision(failed)
 	s.pipe.deps.RecordEvent(decision.AttemptFailed{
-		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: lease.ID,
+		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: target,
 		Attempt: s.attempts, Proof: string(failed.execution),
 		Status: failed.status(), Framing: s.request.Framing, Err: errorText(failed.err), Next: string(verdict),
 		BackoffMs: s.signals.BackoffMs, Draining: s.signals.Draining,
@@ -195,6 +216,8 @@
 		return opaque.NewRefusal(opaque.StatusCallerDisconnected, opaque.CallerDisconnected, 0, failed.err)
 	case s.stream != nil:
 		return s.stream.abort(failed.err)
+	case failed.refusal != nil:
+		return failed.refusal
 	case failed.response != nil && failed.response.mayRelay(r):
 		return failed.response.relay(r, s.retryAfterMs)
 	case r.MayHaveRun && s.ctx.Err() != nil:
--- a/internal/pipe/dispatch/failure.go
+++ b/internal/pipe/dispatch/failure.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "net/http"
+import (
+	"net/http"
+
+	"dooryard.example/dooryard/internal/opaque"
+)
 
 // execution is the proven state of the request at the upstream after a failed attempt.
 type execution string
@@ -46,6 +50,8 @@
 	execution execution
 	// response is the upstream's error response, if it arrived completely.
 	response *bufferedResponse
+	// refusal is the refusal by another box that the request was forwarded to.
+	refusal *opaque.RefusalError
 }
 
 func (f *failure) status() int {
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 
-	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/eventstream"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/upstream"
@@ -61,7 +60,7 @@
 }
 
 // relayStream relays events as they arrive.
-func (s *retryLoop) relayStream(lease *balance.Lease, res *upstream.Response, cancel context.CancelCauseFunc) *failure {
+func (s *retryLoop) relayStream(from responseSource, res *upstream.Response, cancel context.CancelCauseFunc) *failure {
 	if s.stream == nil {
 		s.startStream(res)
 	}
@@ -73,14 +72,14 @@
 		n, err := res.Read(buffer)
 		event()
 		if n > 0 {
-			lease.RecordContact()
+			from.onPart()
 		}
 		if writeErr := s.stream.write(buffer[:n]); writeErr != nil {
 			return &failure{err: writeErr, execution: mayHaveRun}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return s.finishStream(lease, res)
+			return s.finishStream(from, res)
 		case err != nil:
 			s.request.MayHaveRun = true
 			return &failure{err: err, execution: mayHaveRun}
@@ -94,6 +93,7 @@
 	r := s.request
 	s.stream = &stream{request: r, completeOnly: r.Route.Resumable}
 	setResponseHeader(r.Writer.Header(), r.Dialect.ResponseHeader(resp.Header))
+	r.SetHopHeaders()
 	r.Writer.WriteHeader(http.StatusOK)
 	// If the caller has disconnected, writing the first event fails.
 	_ = r.Writer.FlushNow()
@@ -101,12 +101,12 @@
 
 // finishStream ends a stream that the upstream ended. The attempt fails if the last event is
 // incomplete, however the response is framed, or if the upstream crashed.
-func (s *retryLoop) finishStream(lease *balance.Lease, res *upstream.Response) *failure {
+func (s *retryLoop) finishStream(from responseSource, res *upstream.Response) *failure {
 	var err error
 	if s.stream.events.InEvent() {
 		err = fmt.Errorf("%w: last event is incomplete", upstream.ErrBroken)
 	} else {
-		err = s.checkEnd(lease, res)
+		err = s.checkEnd(from, res)
 	}
 	if err == nil {
 		return nil
--- a/internal/pipe/match/match.go
+++ b/internal/pipe/match/match.go
@@ -39,6 +39,9 @@
 	if r.State == nil {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.NoState, noStateRetryMs, nil)
 	}
+	if r.State.Version() < r.MinVersion {
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.StaleState, noStateRetryMs, nil)
+	}
 	r.Route = r.State.Match(r.HTTP.Host, r.HTTP.URL.Path)
 	switch {
 	case r.Route == nil && p.mayBeStale():
@@ -49,7 +52,7 @@
 	}
 	r.Prompt = opaque.ParsePrompt(r.HTTP.Header.Get(r.Dialect.Prompt))
 	r.Pool = r.Route.PoolFor(splitHash(r))
-	r.DeadlineMs = r.ArrivedMs + timeoutMs(r)
+	r.DeadlineMs = deadlineMs(r)
 	return nil
 }
 
@@ -63,12 +66,13 @@
 	return route.HashName(r.ID)
 }
 
-// timeoutMs returns the request timeout: that of the route, or the one in the caller's
-// deadline header if it is shorter.
-func timeoutMs(r *opaque.Request) clock.Millis {
+// deadlineMs returns the deadline of the request: that of the route, or the one in the deadline header if it
+// is earlier. The header counts from when this box received the request.
+func deadlineMs(r *opaque.Request) clock.Millis {
+	latestMs := r.ArrivedMs + r.Route.TimeoutMs
 	requestedMs, err := strconv.ParseInt(r.HTTP.Header.Get(r.Dialect.DeadlineMs), 10, 64)
 	if err != nil || requestedMs <= 0 {
-		return r.Route.TimeoutMs
+		return latestMs
 	}
-	return min(r.Route.TimeoutMs, clock.Millis(requestedMs))
+	return min(latestMs, r.ReceivedMs+clock.Millis(requestedMs))
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -71,6 +71,8 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	// dials are the outcomes of the latest dials.
+	dials  Dials
 	onDial func()
 }
 
@@ -205,14 +207,53 @@
 	if cn := c.popIdle(); cn != nil {
 		return cn, nil
 	}
-	raw, err := c.dial(ctx, "tcp", c.address)
+	raw, err := c.dialUpstream(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	c.onDial()
 	return newConn(raw), nil
 }
 
+// Dials are the monotonic times of the latest dials to an upstream that opened a connection and that
+// failed, or 0 if there was none.
+type Dials struct {
+	OpenedMs clock.Millis
+	FailedMs clock.Millis
+}
+
+// Failing reports whether the latest dial failed.
+func (d Dials) Failing() bool { return d.FailedMs > d.OpenedMs }
+
+// Dials returns the outcomes of the latest dials.
+func (c *Client) Dials() Dials {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dials
+}
+
+// dialUpstream opens a connection and records the outcome, unless the caller gave up.
+func (c *Client) dialUpstream(ctx context.Context) (net.Conn, error) {
+	raw, err := c.dial(ctx, "tcp", c.address)
+	c.recordDial(err)
+	if err == nil {
+		c.onDial()
+	}
+	return raw, err
+}
+
+func (c *Client) recordDial(err error) {
+	now := c.monotonic()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		c.dials.OpenedMs = now
+	case !errors.Is(err, context.Canceled):
+		// A failure within the same millisecond is later than the connection that was opened.
+		c.dials.FailedMs = max(now, c.dials.OpenedMs+1)
+	}
+}
+
 // HostReachableTimeoutMs is how long HostReachable waits for a connection, about thirty round trips
 // between failure domains.
 const HostReachableTimeoutMs clock.Millis = 100
@@ -222,11 +263,10 @@
 func (c *Client) HostReachable(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
 	defer cancel()
-	raw, err := c.dial(ctx, "tcp", c.address)
+	raw, err := c.dialUpstream(ctx)
 	if err != nil {
 		return !noResponse(err)
 	}
-	c.onDial()
 	c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
 	return true
 }
@@ -248,9 +288,9 @@
 // because idle ones look usable after the upstream's host lost power. If the connection opens, it is
 // kept for the next request.
 func (c *Client) ProbeLiveness(ctx context.Context) Liveness {
-	raw, found := ProbeAddress(ctx, c.dial, c.address)
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return c.dialUpstream(ctx) }
+	raw, found := ProbeAddress(ctx, dial, c.address)
 	if raw != nil {
-		c.onDial()
 		c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
 	}
 	return found
