fix(gateway): refusals at a partitioned box are no crashes

What callers saw: after a few partitions that reset a box's connections and refuse new ones, a request that was under way each time was held back for ten minutes, at every box. Evidence: TestRefusalsAtPartitionedBox failed before (503, quarantined, at both boxes). Ruled out: ignoring refusals as evidence (TestFatalRequest needs them).

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -51,7 +51,8 @@
 }
 
 // crashDetector detects upstreams that crashed while they ran requests. If the host refuses new connections right after
-// some broke, the upstream has crashed. If the host does not respond, the crash is detected when the upstream's
+// some broke, the upstream has crashed, unless other upstreams refuse them too: then this box is partitioned from them.
+// If the host does not respond, the crash is detected when the upstream's
 // registry entry disappears. If new connections open, the broken ones were only reset and the upstream has not crashed.
 type crashDetector struct {
 	box      *Box
@@ -84,8 +85,13 @@
 		select {
 		case o := <-d.observed:
 			switch {
+			case o.Evidence == dispatch.ConnectionRefused && d.hasSuspects(o.Member.ID):
+				probing.Go(func() {
+					if !d.box.refusedByOthers(ctx, o.Member) {
+						d.handleCrash(o.Member.ID, "", true)
+					}
+				})
 			case o.Evidence == dispatch.ConnectionRefused:
-				d.handleCrash(o.Member.ID, "", true)
 			case d.addSuspect(o):
 				probing.Go(func() { d.probeUpstream(ctx, o) })
 			}
@@ -95,6 +101,14 @@
 	}
 }
 
+// hasSuspects reports whether requests may have crashed an upstream.
+func (d *crashDetector) hasSuspects(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry := d.byID[id]
+	return entry != nil && len(entry.list) > 0
+}
+
 // addSuspect records a suspect and reports whether the upstream must be probed.
 func (d *crashDetector) addSuspect(o dispatch.Observation) bool {
 	d.mu.Lock()
@@ -126,6 +140,9 @@
 		_ = d.box.clock.Sleep(ctx, wait)
 		startMs := d.box.clock.Monotonic()
 		found := member.Client().ProbeLiveness(ctx)
+		if found == upstream.Dead && d.box.refusedByOthers(ctx, member) {
+			found = upstream.Unresponsive
+		}
 		again = d.handleProbeResult(member.ID, found, startMs) && ctx.Err() == nil
 		if found == upstream.Dead || !d.box.registry.Has(member.Identity()) {
 			d.handleCrash(member.ID, "", found == upstream.Dead)
--- a/internal/gateway/partitioned_test.go
+++ b/internal/gateway/partitioned_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +200,37 @@
 		})
 	}
 }
+
+// TestRefusalsAtPartitionedBox guards against a request that is quarantined on all boxes because the connections of a
+// partitioned box broke and its upstreams refuse new ones, which looks like crashes.
+func TestRefusalsAtPartitionedBox(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		var partitioning atomic.Bool
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			if partitioning.Load() {
+				f.network.SetRefusal(fromUpstreams("box-1"))
+				abortConnection(w, r)
+			}
+			respondWith("done")(w, r)
+		}
+		for i := range 6 {
+			f.upstream(fmt.Sprint("u", i), handler)
+		}
+		boxes := f.boxes(2)
+		advance(t, time.Second)
+		for range 2 * defaultMinCrashes {
+			partitioning.Store(true)
+			_, _, _ = boxes[0].get("/unsafe/")
+			partitioning.Store(false)
+			advance(t, time.Second)
+			f.network.SetRefusal(func(string, string) bool { return false })
+			advance(t, time.Second)
+		}
+		for i, b := range boxes {
+			status, _, err := b.get("/unsafe/")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, status, "box %d", i+1)
+		}
+	})
+}
