test(gateway): boxes together make brittle upstreams fall over

Cause: nothing reads that upstreams say how many rejections in a second they bear (LIMIT, new on the users' pages), and no box knows what all boxes cause.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -38,12 +38,14 @@
 const (
 	headerBackoffMs = "X-Rest-Ms"
 	headerDraining  = "X-Leaving"
+	headerBrittle   = "X-Brittle"
 )
 
 // decodeSignals decodes what an upstream reports about itself in response headers.
 func decodeSignals(_ int, header http.Header) opaque.Signals {
 	holds, err := strconv.Atoi(header.Get("X-Load"))
 	w := opaque.Signals{Draining: header.Get(headerDraining) != "", InFlight: holds, HasLoad: err == nil}
+	w.MaxRejections, _ = strconv.Atoi(header.Get(headerBrittle))
 	if value := header.Get(headerBackoffMs); value != "" {
 		var backoffMs int
 		backoffMs, w.Err = strconv.Atoi(value)
--- a/internal/opaque/signals.go
+++ b/internal/opaque/signals.go
@@ -9,6 +9,9 @@
 	BackoffMs clock.Millis
 	// Draining is set when the upstream is draining: it is about to shut down.
 	Draining bool
+	// MaxRejections is the number of requests that the upstream can reject in a second for want of room
+	// without falling over, or 0 if it bears any number.
+	MaxRejections int
 	// InFlight is the number of requests that the upstream runs or has queued. It is valid if HasLoad
 	// is set.
 	InFlight int
