fix(balance): boxes together stay below the rejections that brittle upstreams bear

Cause: the signal was read nowhere, and a rejection cost nothing: it was retried at the next upstream at once, by each box for itself, and counted towards an ejection. Ruled out: a box's share of the rejections alone (in a fleet of more boxes than rejections the share is below one, and all boxes may meet at once); knowing the queue's length, which may change; ejection (it grows, and all boxes would leave the upstream at once). While a pool is brittle each of its requests needs a permit of the upstream's owner, who grants no more than there are slots, or than the upstream had room for when a box reported its last rejection (one permit more each 0.5 s after that). What gets no permit is refused at once. A box that was rejected pauses there for 1 s, or longer where its share of the rejections is smaller. What is observed decides; nothing is configured.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -69,6 +69,8 @@
 	evacuated map[string]evacuatedDomain
 	// coldStarts holds the cold starts of the pools.
 	coldStarts map[string]ColdStart
+	// brittle holds the pools whose upstreams are brittle.
+	brittle map[string]brittlePool
 	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
 	fleetSize int
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
@@ -85,7 +87,7 @@
 		settings: settings, monotonic: monotonic, connect: connect, random: random,
 		byID: map[string]*Member{}, pools: map[string][]*Member{}, paths: map[string]*netPath{},
 		departed: map[string][]*Member{}, lostParts: partIndex{}, retries: map[string]*retrySchedule{},
-		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
+		departedSignals: map[string]*upstreamSignals{}, brittle: map[string]brittlePool{}, hotSessions: map[string]*sessionCounts{},
 	}
 }
 
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -38,6 +38,8 @@
 	cold    coldState
 	// evacuated is set while the upstream's failure domain is evacuated.
 	evacuated bool
+	// rejectedUntilMs is until when the upstream gets nothing because it is brittle and rejected a request.
+	rejectedUntilMs clock.Millis
 	// connectionLost is set once a connection to it broke or could not be opened.
 	connectionLost bool
 	failures       failureRate
--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -150,7 +150,7 @@
 			m.closeIdleConnections(member.FailureDomain)
 			p.probeRequested = true
 		}
-	case Neutral:
+	case Neutral, Rejected:
 	}
 }
 
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -31,7 +31,7 @@
 			return lease, err
 		}
 		bound := lease.bound
-		if len(request.Full) >= maxPermitRefusals && lease.withinMs == 0 {
+		if len(request.Full) >= maxPermitRefusals && lease.withinMs == 0 && !lease.strict {
 			bound = maxPermits
 		}
 		reply := acquire(lease, bound)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -62,6 +62,8 @@
 	bound int
 	// ownBound is the maximum load as this box estimates it. It counts while no owner has a complete count.
 	ownBound int
+	// strict is set if a request that gets no permit must not be sent.
+	strict bool
 	// withinMs is the time within which the response should start, if the owner must be asked whether this is
 	// likely, or 0. The bound is then the number of the upstream's slots.
 	withinMs clock.Millis
@@ -87,6 +89,8 @@
 	Broken
 	// Unreachable is a connection that could not be opened.
 	Unreachable
+	// Rejected is a rejection for want of room by a brittle upstream.
+	Rejected
 )
 
 // Pick chooses an upstream and counts the request there. The error is ErrPartitioned if there is none and
@@ -105,12 +109,20 @@
 	total := m.total(request.Pool, members, now)
 	shared := request.Prompt.Shared().KeyedParts()
 	lease := &Lease{manager: m, MeanPercent: percent * total / len(members)}
+	brittle := m.maxRejections(request.Pool, now) > 0
+	if brittle {
+		if err := m.pickBrittle(lease, members, request, now); err != nil {
+			return nil, err
+		}
+	}
 	if request.Sticky && len(request.Prompt) > 0 {
-		m.pickSticky(lease, members, request, total, now)
+		if !brittle {
+			m.pickSticky(lease, members, request, total, now)
+		}
 		m.chooseFetchSource(lease, request, shared, now)
 		lease.Prefill = m.estimatePrefill(lease, request, shared, now)
 		lease.Skipped = m.skippedEngine(lease, request, now)
-	} else {
+	} else if !brittle {
 		if err := m.pickPlain(lease, members, request, now); err != nil {
 			return nil, err
 		}
@@ -131,15 +143,15 @@
 const percent = 100
 
 // candidates returns the members that may receive the request. It first excludes members that were
-// tried, are behind a partitioned path, are draining, evacuated or backing off, or are cold and may get no
-// request from this box now. Of the others it also excludes
+// tried, are behind a partitioned path, are draining, evacuated or backing off, are cold and may get no
+// request from this box now, or are brittle and rejected one. Of the others it also excludes
 // those that are ejected or were sent a trial request recently, unless these are more than PanicPercent
 // of the others.
 func (m *Manager) candidates(request PickRequest, now clock.Millis) []*Member {
 	healthy, all := []*Member{}, []*Member{}
 	for _, member := range m.pools[request.Pool] {
 		if member.unavailable(now) || m.pathTo(member.FailureDomain).partitioned ||
-			slices.Contains(request.Tried, member.ID) || m.coldDelayMs(member, now) > 0 {
+			slices.Contains(request.Tried, member.ID) || m.coldDelayMs(member, now) > 0 || now < member.rejectedUntilMs {
 			continue
 		}
 		all = append(all, member)
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -200,7 +200,7 @@
 
 // noUpstreamError returns the reason for which no upstream of a pool accepts a request.
 func (m *Manager) noUpstreamError(pool string, now clock.Millis) error {
-	e, evacuated, cold, others, partitioned := &AllBackingOffError{}, 0, 0, 0, false
+	e, evacuated, cold, rejected, others, partitioned := &AllBackingOffError{}, 0, 0, 0, 0, false
 	for _, member := range m.pools[pool] {
 		switch {
 		case member.draining():
@@ -211,6 +211,9 @@
 		case !member.signals.backingOff(now) && m.coldDelayMs(member, now) > 0:
 			cold++
 			continue
+		case !member.signals.backingOff(now) && now < member.rejectedUntilMs:
+			rejected++
+			continue
 		case !member.signals.backingOff(now):
 			others++
 			partitioned = partitioned || m.failing(member)
@@ -228,6 +231,8 @@
 		return e
 	case cold > 0 && others == 0:
 		return ErrAllCold
+	case rejected > 0 && others == 0:
+		return ErrAllFull
 	case evacuated > 0 && others == 0:
 		return ErrAllEvacuated
 	default:
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -410,6 +410,28 @@
 	return nil
 }
 
+// UpstreamRejected records that a brittle upstream rejected a request of this box for want of room.
+type UpstreamRejected struct {
+	Upstream string
+	Pool     string
+	// Request is the id of the request.
+	Request string
+}
+
+// Name implements Event.
+func (UpstreamRejected) Name() string { return "brittle upstream rejected" }
+
+// Routine implements Event.
+func (UpstreamRejected) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e UpstreamRejected) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("upstream", e.Upstream)
+	o.AddString("pool", e.Pool)
+	o.AddString("request", e.Request)
+	return nil
+}
+
 // UpstreamCrashed records that an upstream's connections broke and its host refuses new ones.
 type UpstreamCrashed struct {
 	Upstream string
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -154,6 +154,7 @@
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
+	b.metrics.Publish("upstreams_brittle", func() any { return b.balance.Brittle() })
 	b.metrics.Publish("upstreams_cold", func() any { return b.balance.Cold() })
 	b.metrics.Publish("upstreams_at_rest", func() any { return b.balance.BackingOff() })
 	b.pauseDetector = newPauseDetector(b)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,9 @@
 // RequestFromBox counts a request that another box forwarded.
 func (m *Metrics) RequestFromBox() { m.all.Add("requests_from_boxes", 1) }
 
+// BrittleRejection counts a rejection by an upstream that is brittle.
+func (m *Metrics) BrittleRejection() { m.all.Add("brittle_rejections", 1) }
+
 // PromptTokensPrefilled counts the tokens of shared prompt parts that an engine probably
 // has to prefill, by reason.
 func (m *Metrics) PromptTokensPrefilled(reason string, tokens int) {
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -16,6 +16,7 @@
 	if signals.Err != nil {
 		b.ReportInvalidInput("response headers of upstream "+lease.ID, signals.Err)
 	}
+	lease.RecordBrittleness(signals.MaxRejections)
 	event := decision.UpstreamSignaled{Upstream: lease.Incarnation(), Pool: lease.Pool, Request: request}
 	if signals.Draining && lease.MarkDraining() {
 		b.metrics.DrainingAnnounced()
@@ -27,3 +28,15 @@
 		b.log.Record(event)
 	}
 }
+
+// handleRejection processes a rejection for want of room, and reports whether the upstream is brittle. The owner of a
+// brittle upstream then grants fewer permits there.
+func (b *Box) handleRejection(request string, lease *balance.Lease) bool {
+	if !lease.RecordRejection() {
+		return false
+	}
+	b.metrics.BrittleRejection()
+	b.log.Record(decision.UpstreamRejected{Upstream: lease.Incarnation(), Pool: lease.Pool, Request: request})
+	b.peering.mesh.ReportRejection(lease.Key(), lease.FailureDomain)
+	return true
+}
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -39,6 +39,8 @@
 	permitReleaseServed permitMessageKind = 5
 	// permitGrantedProvisionally answers a permitAcquire message of an owner whose count is not complete yet.
 	permitGrantedProvisionally permitMessageKind = 6
+	// permitRejected tells that the upstream rejected a request for want of room.
+	permitRejected permitMessageKind = 7
 )
 
 // permitMessage is one datagram about a permit.
@@ -66,7 +68,7 @@
 	if err := cbor.Unmarshal(data, &p); err != nil {
 		return p, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if p.Kind < permitAcquire || p.Kind > permitGrantedProvisionally || p.Bound < 0 || p.WithinMs < 0 {
+	if p.Kind < permitAcquire || p.Kind > permitRejected || p.Bound < 0 || p.WithinMs < 0 {
 		return p, fmt.Errorf("%w: permit message: kind %d, bound %d, within %d", ErrInvalid, p.Kind, p.Bound, p.WithinMs)
 	}
 	return p, nil
@@ -159,6 +161,18 @@
 	return reply
 }
 
+// ReportRejection tells the owner of an upstream that the upstream rejected a request for want of room.
+func (m *Mesh) ReportRejection(upstream namekey.Key, failureDomain string) {
+	owner, known := m.owner(upstream, failureDomain)
+	switch {
+	case !known:
+	case owner.Box == m.self.Box:
+		m.ledger.RecordRejection(upstream)
+	default:
+		m.sendPermitMessage(owner.Address, permitMessage{Kind: permitRejected, Upstream: upstream})
+	}
+}
+
 // acquireLocalPermit acquires a permit at an upstream that this box owns.
 func (m *Mesh) acquireLocalPermit(r PermitRequest) occupancy.Reply {
 	number, _ := m.pendingPermits.start()
@@ -266,6 +280,8 @@
 		m.pendingPermits.resolve(p.Number, p.Kind)
 	case permitRelease, permitReleaseServed:
 		m.ledger.Release(h, p.Kind == permitReleaseServed)
+	case permitRejected:
+		m.ledger.RecordRejection(p.Upstream)
 	}
 }
 
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -199,3 +199,22 @@
 		})
 	}
 }
+
+// TestReportRejection guards against boxes that go on getting permits at an upstream that rejected another box's request.
+func TestReportRejection(t *testing.T) {
+	runInBubble(t, func(f *fixture) {
+		for range 3 {
+			f.start("d")
+		}
+		advance(f.t, 2*time.Second)
+		request := PermitRequest{Upstream: namekey.Of("u"), FailureDomain: "d", Bound: 8}
+		for i := range 3 {
+			assert.True(f.t, f.boxes[i].AcquirePermit(f.t.Context(), request).Granted)
+		}
+		f.boxes[1].ReportRejection(request.Upstream, request.FailureDomain)
+		advance(f.t, permitTimeoutMs.Duration())
+		for i := range 3 {
+			assert.False(f.t, f.boxes[i].AcquirePermit(f.t.Context(), request).Granted)
+		}
+	})
+}
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -79,7 +79,8 @@
 // Acquire grants a permit at an upstream unless the bound is reached, and reports whether it did.
 func (l *Ledger) Acquire(id PermitID, upstream namekey.Key, bound int) bool {
 	return l.acquire(id, upstream, func(u *load) (permit, bool) {
-		return permit{untilMs: l.monotonic() + permitTTLMs}, u.inUse < bound
+		now := l.monotonic()
+		return permit{untilMs: now + permitTTLMs}, u.inUse < u.room(bound, now)
 	})
 }
 
@@ -118,6 +119,16 @@
 	return true
 }
 
+// RecordRejection records that an upstream rejected a request for want of room, although its permit was granted. Until
+// it turns out to have more room, it gets no more permits than were held besides that of the request.
+func (l *Ledger) RecordRejection(upstream namekey.Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u := l.upstreams[upstream]; u != nil {
+		u.limit, u.limitedMs = max(1, u.inUse-1), l.monotonic()
+	}
+}
+
 // Release returns a permit, if it is held, because its request has ended. The flag served is set if the upstream
 // served the request.
 func (l *Ledger) Release(id PermitID, served bool) {
--- a/internal/occupancy/occupancy_test.go
+++ b/internal/occupancy/occupancy_test.go
@@ -56,3 +56,26 @@
 		assert.Zero(t, l.InUse(upstream))
 	})
 }
+
+// TestRejection guards against an owner that grants permits up to the slots of an upstream that has less room.
+func TestRejection(t *testing.T) {
+	now := clock.Millis(1000)
+	l := New(func() clock.Millis { return now })
+	const upstream, slots = namekey.Key(1), 8
+	grant := func(number uint32) bool { return l.Acquire(PermitID{Number: number}, upstream, slots) }
+	for i := range uint32(5) {
+		require.True(t, grant(i))
+	}
+	l.RecordRejection(upstream)
+	l.Release(PermitID{Number: 4}, false)
+	assert.False(t, grant(5), "four requests fill the upstream")
+	l.Release(PermitID{Number: 3}, true)
+	assert.True(t, grant(6))
+	now += roomGrowthMs
+	assert.True(t, grant(7))
+	assert.False(t, grant(8))
+	now += 10 * roomGrowthMs
+	assert.True(t, grant(9))
+	l.RecordRejection(2)
+	assert.True(t, l.Acquire(PermitID{Number: 10}, 2, slots), "an upstream without permits has no limit")
+}
--- a/internal/occupancy/queuelimit.go
+++ b/internal/occupancy/queuelimit.go
@@ -14,6 +14,21 @@
 	lastEndMs clock.Millis
 	// fullSinceMs is since when no slot has been free. It is only valid while none is.
 	fullSinceMs clock.Millis
+	// limit is how many requests the upstream had room for when it last rejected one, at limitedMs, or 0.
+	limit     int
+	limitedMs clock.Millis
+}
+
+// roomGrowthMs is the time in which the room of an upstream that rejected a request is assumed to grow by one request.
+// An upstream that rejects each time its room is tried again rejects no more than a few requests in a second.
+const roomGrowthMs clock.Millis = 500
+
+// room returns how many permits are granted, up to a bound.
+func (u *load) room(bound int, now clock.Millis) int {
+	if u.limit == 0 {
+		return bound
+	}
+	return min(bound, u.limit+int((now-u.limitedMs)/roomGrowthMs))
 }
 
 const (
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -62,7 +62,7 @@
 	default:
 		s.pipe.deps.OnCompleted(s.request.Fingerprint)
 	}
-	lease.Release(s.healthResult(failed))
+	lease.Release(s.healthResult(lease, failed))
 	return failed
 }
 
@@ -127,10 +127,12 @@
 // healthResult returns the result of an attempt that got a response, for the upstream's health. An
 // upstream that asks for backoff is healthy: it gets requests again when the requested backoff is
 // over and is not ejected for growing periods.
-func (s *retryLoop) healthResult(failed *failure) balance.Result {
+func (s *retryLoop) healthResult(lease *balance.Lease, failed *failure) balance.Result {
 	switch {
 	case failed == nil:
 		return balance.Succeeded
+	case failed.execution == notRun && s.pipe.deps.OnRejected(s.request.ID, lease):
+		return balance.Rejected
 	case s.signals.BackoffMs > 0:
 		return balance.Neutral
 	case failed.execution == wrongUpstream:
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -47,6 +47,8 @@
 	// OnSignals handles the backoff, draining and load signals in the headers of an upstream's
 	// response.
 	OnSignals func(request string, lease *balance.Lease, signals opaque.Signals)
+	// OnRejected handles a rejection by an upstream, and reports whether the upstream is brittle.
+	OnRejected func(request string, lease *balance.Lease) bool
 	// Observe handles evidence that an upstream may have crashed.
 	Observe func(o Observation)
 	// HasCrashed reports whether an upstream has crashed that has just closed a connection in order.
