fix(upstream): a sound upstream may be silent for a second

What callers saw: nothing was reported. A request at a sound server that fell silent for a second was lost after 0.7 s (502, or a second run elsewhere). Cause: TCP_USER_TIMEOUT of 0.7 s, which also decides when keep-alive probes give up. Evidence: TestSilentUpstream of internal/upstream failed before (0.7 s, 2 s wanted). Ruled out: the longer timeout alone. An upstream that sends nothing for 0.4 s while requests are in flight there is dialed; without a response to that it gets nothing new until a dial opens, each 0.25 s. What is in flight there stays. Conclusion: a silence of a second breaks nothing off (TestSilentUpstream of the gateway).

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"sync/atomic"
+
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/registry"
@@ -24,6 +26,12 @@
 
 	// inFlight is the number of requests that this box has in flight there.
 	inFlight int
+	// inFlightSinceMs is since when inFlight has been positive.
+	inFlightSinceMs clock.Millis
+	// lastResponseMs is when a part of a response to this box was last received.
+	lastResponseMs atomic.Int64
+	// probedMs is when it was last dialed to learn whether it can be reached.
+	probedMs clock.Millis
 	// othersInFlight is the number of requests that the other boxes reported to have in flight there.
 	othersInFlight int
 	// reportedLoad is the number of requests from all boxes that the upstream last reported, and
--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -159,6 +159,7 @@
 // partitioned path has recovered.
 func (m *Manager) recordResponseStart(member *Member) {
 	member.probation = false
+	member.lastResponseMs.Store(int64(m.monotonic()))
 	m.pathTo(member.FailureDomain).recordResponse(m.monotonic())
 }
 
@@ -175,5 +176,6 @@
 
 // usable reports whether a member may receive new requests.
 func (m *Manager) usable(member *Member, now clock.Millis) bool {
-	return !member.unavailable(now) && member.acceptsRequest(now) && !m.pathTo(member.FailureDomain).partitioned
+	return !member.unavailable(now) && member.acceptsRequest(now) && !member.unresponsive() &&
+		!m.pathTo(member.FailureDomain).partitioned
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -129,6 +129,9 @@
 	}
 	lease.path = m.pathTo(lease.FailureDomain)
 	lease.Load = lease.load(now)
+	if lease.inFlight == 0 {
+		lease.inFlightSinceMs = now
+	}
 	lease.inFlight++
 	lease.path.recordSend(now)
 	lease.recordSend(now)
@@ -379,7 +382,11 @@
 
 // RecordContact records that a part of the response arrived, which shows that the path to the upstream
 // works.
-func (l *Lease) RecordContact() { l.path.recordResponse(l.manager.monotonic()) }
+func (l *Lease) RecordContact() {
+	now := l.manager.monotonic()
+	l.lastResponseMs.Store(int64(now))
+	l.path.recordResponse(now)
+}
 
 // RecordResponseStart records that the response has started.
 func (l *Lease) RecordResponseStart() {
--- a/internal/balance/unreachable.go
+++ b/internal/balance/unreachable.go
@@ -19,6 +19,9 @@
 	failedDialTTLMs clock.Millis = 1500
 	// openedDialTTLMs is how long an opened connection is a reason not to check its upstream.
 	openedDialTTLMs clock.Millis = 1000
+	// maxMemberSilenceMs is how long an upstream may be silent while requests are in flight there before it is
+	// dialed. Most requests to a plain service and most prefills take less.
+	maxMemberSilenceMs clock.Millis = 400
 	// maxReachabilityProbes is how many upstreams of a pool are dialed at once to learn whether the pool can be
 	// reached.
 	maxReachabilityProbes = 8
@@ -71,9 +74,12 @@
 	return keys
 }
 
-// ReachabilityProbes returns upstreams to dial, of pools that this box can't reach or of which the latest
-// dials to at least half of the upstreams failed. So the box soon knows all upstreams of a partition, and
-// notices its end although it sends nothing there.
+// ReachabilityProbes returns upstreams to dial:
+//
+//   - Of pools that this box can't reach or of which the latest dials to at least half of the upstreams failed. So the
+//     box soon knows all upstreams of a partition, and notices its end although it sends nothing there.
+//   - Upstreams that send nothing while requests are in flight there, and those that did not respond to such a dial. They
+//     get no new requests until one opens. Requests in flight stay, since a sound upstream may be silent for a while.
 func (m *Manager) ReachabilityProbes() []*upstream.Client {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -82,11 +88,39 @@
 	for pool, members := range m.pools {
 		if m.unreachable(pool, now) || m.mostlyFailing(members, now) {
 			targets = append(targets, m.reachabilityTargets(members, now)...)
+			continue
+		}
+		for _, member := range members {
+			if (member.unresponsive() || member.silent(now)) && member.probeDue(now) {
+				targets = append(targets, member.client)
+			}
 		}
 	}
 	return targets
 }
 
+// probeDue reports whether an upstream may be dialed again, and if so records that it is.
+func (m *Member) probeDue(now clock.Millis) bool {
+	if now-m.probedMs < probeIntervalMs {
+		return false
+	}
+	m.probedMs = now
+	return true
+}
+
+// silent reports whether an upstream has sent nothing for maxMemberSilenceMs while requests of this box were in flight,
+// and was not dialed recently.
+func (m *Member) silent(now clock.Millis) bool {
+	lastMs := max(m.inFlightSinceMs, clock.Millis(m.lastResponseMs.Load()))
+	return m.inFlight > 0 && now-lastMs > maxMemberSilenceMs && !openedWithin(m.client.Dials(), now)
+}
+
+// unresponsive reports whether the host of an upstream did not respond to the latest dial.
+func (m *Member) unresponsive() bool {
+	dials := m.client.Dials()
+	return dials.Failing() && dials.Unresponsive
+}
+
 // mostlyFailing reports whether dials to at least half of the members have failed recently.
 func (m *Manager) mostlyFailing(members []*Member, now clock.Millis) bool {
 	available, failed := 0, 0
@@ -102,26 +136,32 @@
 	return failed > 0 && 2*failed >= available
 }
 
+// openedWithin reports whether the latest dial opened a connection less than openedDialTTLMs ago.
+func openedWithin(dials upstream.Dials, now clock.Millis) bool {
+	return !dials.Failing() && dials.OpenedMs > 0 && now-dials.OpenedMs < openedDialTTLMs
+}
+
 // reachabilityTargets selects the members that were not dialed for the longest time. It leaves out those
 // behind a partitioned path, which is probed as a whole.
 func (m *Manager) reachabilityTargets(members []*Member, now clock.Millis) []*upstream.Client {
 	type candidate struct {
-		client   *upstream.Client
+		member   *Member
 		dialedMs clock.Millis
 	}
 	candidates := []candidate{}
 	for _, member := range members {
 		dials := member.client.Dials()
-		fresh := !dials.Failing() && dials.OpenedMs > 0 && now-dials.OpenedMs < openedDialTTLMs
-		if member.unavailable(now) || fresh || m.pathTo(member.FailureDomain).partitioned {
+		if member.unavailable(now) || openedWithin(dials, now) || m.pathTo(member.FailureDomain).partitioned {
 			continue
 		}
-		candidates = append(candidates, candidate{client: member.client, dialedMs: max(dials.OpenedMs, dials.FailedMs)})
+		candidates = append(candidates, candidate{member: member, dialedMs: max(dials.OpenedMs, dials.FailedMs)})
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.dialedMs, b.dialedMs) })
 	targets := []*upstream.Client{}
 	for _, c := range candidates[:min(maxReachabilityProbes, len(candidates))] {
-		targets = append(targets, c.client)
+		if c.member.probeDue(now) {
+			targets = append(targets, c.member.client)
+		}
 	}
 	return targets
 }
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// reachabilityIntervalMs is how often a box checks which pools it can reach, and dials upstreams of those that it
-	// can't.
-	reachabilityIntervalMs clock.Millis = 250
+	// reachabilityIntervalMs is how often a box checks which upstreams it can reach, and dials those that it may not
+	// reach. A dial that gets no response takes as long.
+	reachabilityIntervalMs clock.Millis = 100
 	// boxClientTTLMs is how long the connections to another box are kept after the last request.
 	boxClientTTLMs = 30 * clock.Second
 )
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -42,9 +42,9 @@
 	// connectTimeoutMs is the timeout for opening a connection. It lasts about fifty round trips
 	// between failure domains, and is too short for callers to notice.
 	connectTimeoutMs = 200
-	// unackedTimeoutMs is how long sent bytes may remain unacknowledged. It tolerates the loss of
-	// two consecutive packets.
-	unackedTimeoutMs = 700
+	// unackedTimeoutMs is how long sent bytes, or keep-alive probes, may remain unacknowledged. A sound
+	// upstream may be silent for a second or so.
+	unackedTimeoutMs = 2500
 	// defaultIdleTimeoutMs is how long an idle connection is kept if the upstream announces no
 	// timeout.
 	defaultIdleTimeoutMs = 4000
@@ -219,6 +219,8 @@
 type Dials struct {
 	OpenedMs clock.Millis
 	FailedMs clock.Millis
+	// Unresponsive is set if the latest failed dial got no response from the host.
+	Unresponsive bool
 }
 
 // Failing reports whether the latest dial failed.
@@ -251,6 +253,7 @@
 	case !errors.Is(err, context.Canceled):
 		// A failure within the same millisecond is later than the connection that was opened.
 		c.dials.FailedMs = max(now, c.dials.OpenedMs+1)
+		c.dials.Unresponsive = noResponse(err)
 	}
 }
 
