test(gateway): connections that open and are reset hide a partition

Cause: an opened connection counts as a reachable upstream, also if it is reset right after, as by a proxy or a kernel that accepts for a process behind a partition.

--- a/internal/gateway/partitioned_test.go
+++ b/internal/gateway/partitioned_test.go
@@ -31,6 +31,7 @@
 	return []partition{
 		{"hang", (*testlib.Network).SetBlackhole},
 		{"are reset", (*testlib.Network).SetPartition},
+		{"are reset once they are open", (*testlib.Network).SetReset},
 		{"live on while new ones are refused", (*testlib.Network).SetRefusal},
 	}
 }
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -36,6 +36,7 @@
 	dropPacket    func() bool
 	blackholed    func(from, to string) bool
 	refused       func(from, to string) bool
+	resetOpen     func(from, to string) bool
 	conns         map[*conn]struct{}
 }
 
@@ -48,6 +49,7 @@
 		packetDelay: func(string, string) time.Duration { return 0 },
 		blackholed:  func(string, string) bool { return false },
 		refused:     func(string, string) bool { return false },
+		resetOpen:   func(string, string) bool { return false },
 		partitioned: func(string, string) bool { return false }, dropPacket: func() bool { return false },
 	}
 }
@@ -59,9 +61,16 @@
 func (n *Network) SetPartition(partitioned func(from, to string) bool) {
 	n.mu.Lock()
 	n.partitioned = partitioned
+	n.mu.Unlock()
+	n.sever(partitioned)
+}
+
+// sever closes the connections of which either direction is cut.
+func (n *Network) sever(cut func(from, to string) bool) {
+	n.mu.Lock()
 	severed := []*conn{}
 	for c := range n.conns {
-		if partitioned(c.from, c.to) || partitioned(c.to, c.from) {
+		if cut(c.from, c.to) || cut(c.to, c.from) {
 			severed = append(severed, c)
 		}
 	}
@@ -71,6 +80,15 @@
 	}
 }
 
+// SetReset resets connections in the directions for which the function returns true: existing ones, and new ones as
+// soon as they are open.
+func (n *Network) SetReset(resetOpen func(from, to string) bool) {
+	n.mu.Lock()
+	n.resetOpen = resetOpen
+	n.mu.Unlock()
+	n.sever(resetOpen)
+}
+
 // SetBlackhole silently drops traffic in the directions for which the function returns true: writes appear to succeed,
 // and datagrams are dropped. Connections don't open if either direction is dropped.
 func (n *Network) SetBlackhole(blackholed func(from, to string) bool) {
@@ -151,7 +169,7 @@
 	n := h.network
 	n.mu.Lock()
 	l, owner, partitioned, dialDelay := n.listeners[address], n.hostByAddress[address], n.partitioned, n.dialDelay
-	refused := n.refused(h.name, owner)
+	refused, resetOpen := n.refused(h.name, owner), n.resetOpen(h.name, owner)
 	n.mu.Unlock()
 	if wait := dialDelay(h.name, owner); wait > 0 {
 		time.Sleep(wait)
@@ -173,6 +191,10 @@
 	n.mu.Unlock()
 	select {
 	case l.accept <- &conn{Conn: far, network: n, from: owner, to: h.name, local: l.address, remote: local, reset: reset}:
+		if resetOpen {
+			_ = wrapped.SetLinger(0)
+			_ = wrapped.Conn.Close()
+		}
 		return wrapped, nil
 	case <-l.closed:
 		return nil, errRefused
