fix(upstream): a connection that is reset as soon as it is open is a failed dial

What callers would see: at a box whose connections to all upstreams open and are reset, each request that may not be repeated ended in 502, for as long as that lasted. Ruled out: forwarding after each broken connection (the request may have run). Change: probes of reachability keep a connection open for 20 ms before it counts; one that breaks within 0.1 s under the request it was opened for counts as a failed dial; other probes record no success.

--- a/internal/balance/unreachable_test.go
+++ b/internal/balance/unreachable_test.go
@@ -55,7 +55,7 @@
 	t.Helper()
 	targets := d.ReachabilityProbes()
 	for _, c := range targets {
-		c.ProbeLiveness(t.Context())
+		c.ProbeReachable(t.Context())
 	}
 	return len(targets)
 }
@@ -63,7 +63,7 @@
 // try dials an upstream as a request does.
 func (d *dialed) try(t *testing.T, id string) {
 	t.Helper()
-	d.byID[id].client.ProbeLiveness(t.Context())
+	d.byID[id].client.ProbeReachable(t.Context())
 }
 
 // TestUnreachable guards against requests that try upstreams one by one while all are out of reach, and against a
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -90,7 +90,7 @@
 	defer probing.Wait()
 	f.box.clock.Every(ctx, reachabilityIntervalMs, func(clock.Millis) {
 		for _, client := range f.box.balance.ReachabilityProbes() {
-			probing.Go(func() { client.ProbeLiveness(ctx) })
+			probing.Go(func() { client.ProbeReachable(ctx) })
 		}
 		f.recordUnreachable(f.box.balance.Unreachable())
 	})
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -215,7 +215,8 @@
 }
 
 // Dials are the monotonic times of the latest dials to an upstream that opened a connection and that
-// failed, or 0 if there was none.
+// failed, or 0 if there was none. Those of HostReachable and ProbeLiveness don't count if they opened one, since
+// that may not stay open.
 type Dials struct {
 	OpenedMs clock.Millis
 	FailedMs clock.Millis
@@ -266,10 +267,12 @@
 func (c *Client) HostReachable(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
 	defer cancel()
-	raw, err := c.dialUpstream(ctx)
+	raw, err := c.dial(ctx, "tcp", c.address)
 	if err != nil {
+		c.recordDial(err)
 		return !noResponse(err)
 	}
+	c.onDial()
 	c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
 	return true
 }
@@ -291,9 +294,9 @@
 // because idle ones look usable after the upstream's host lost power. If the connection opens, it is
 // kept for the next request.
 func (c *Client) ProbeLiveness(ctx context.Context) Liveness {
-	dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return c.dialUpstream(ctx) }
-	raw, found := ProbeAddress(ctx, dial, c.address)
+	raw, found := ProbeAddress(ctx, c.dial, c.address)
 	if raw != nil {
+		c.onDial()
 		c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
 	}
 	return found
@@ -315,6 +318,32 @@
 	}
 }
 
+// probeSettleMs is how long a probed connection must stay open, about five round trips between failure domains.
+const probeSettleMs = 20
+
+// errNotKept means that a connection was closed as soon as it was open.
+var errNotKept = errors.New("connection was closed as soon as it was open")
+
+// ProbeReachable opens a connection and records whether it opened and stayed open for a moment. A proxy, or the
+// kernel of a host whose process can't be reached, may accept connections only to reset them. If the connection
+// stays open, it is kept for the next request.
+func (c *Client) ProbeReachable(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
+	defer cancel()
+	raw, err := c.dialUpstream(ctx)
+	if err != nil {
+		// The outcome is recorded.
+		return
+	}
+	cn := newConn(raw)
+	if !cn.staysOpen(probeSettleMs * time.Millisecond) {
+		c.recordDial(errNotKept)
+		_ = cn.Close()
+		return
+	}
+	c.keepIdle(cn, defaultIdleTimeoutMs)
+}
+
 // noResponse reports whether a dial error means that the host did not respond.
 func noResponse(err error) bool {
 	var netErr net.Error
@@ -336,8 +365,12 @@
 	}
 	rt := &roundTrip{client: c, conn: cn, request: r}
 	rt.stopAfterFunc = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	startMs := c.monotonic()
 	answer, err := rt.run()
 	if err != nil {
+		if cn.idleUntilMs == 0 && ctx.Err() == nil && c.monotonic()-startMs < HostReachableTimeoutMs {
+			c.recordDial(errNotKept)
+		}
 		rt.abort()
 		return nil, err
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,9 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"dooryard.example/dooryard/internal/clock"
 )
@@ -50,6 +52,15 @@
 	return err == nil && empty
 }
 
+// staysOpen reports whether a connection on which nothing was sent stays open and silent for a duration.
+func (c *conn) staysOpen(duration time.Duration) bool {
+	if err := c.SetReadDeadline(time.Now().Add(duration)); err != nil {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // keepAliveTimeout returns how long the upstream promises to keep an idle connection open, according
 // to the Keep-Alive header of its response.
 func keepAliveTimeout(header http.Header) (clock.Millis, bool) {
