fix(gateway): a response that may be broken is not passed on as whole at a partitioned box

Cause: at the end of a response without length or chunks a refusal of its upstream counted for nothing if three others refused, too, so that a whole response would not be lost at a partitioned box. But the box can't tell: when most servers crash at once, a broken one passed for whole. Change: a refusal always makes such a response broken. Requests that may be repeated are served by another upstream or box; others end in 502, and streams break. Conclusion: lost are whole answers in flight on living connections as a partition begins.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -7,11 +7,12 @@
 	"dooryard.example/dooryard/internal/upstream"
 )
 
-// hasCrashed reports whether an upstream has crashed that has just closed a connection in order, as the kernel does for
-// a process that is gone. Its host refuses new connections then. An upstream that is draining may end at any time once
-// it has sent its last response, so a refusal proves nothing about it.
-func (b *Box) hasCrashed(ctx context.Context, lease *balance.Lease) bool {
-	return !lease.IsDraining() && lease.Client().ProbeLiveness(ctx) == upstream.Dead && !b.refusedByOthers(ctx, lease.Member)
+// mayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order, as the kernel
+// does for a process that is gone. Its host refuses new connections then. So do the hosts of all upstreams while this box
+// is partitioned from them; that the response was whole is not known then either. An upstream that is draining may end
+// at any time once it has sent its last response, so a refusal proves nothing about it.
+func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease) bool {
+	return !lease.IsDraining() && lease.Client().ProbeLiveness(ctx) == upstream.Dead
 }
 
 // refusedByOthers reports whether none of some other upstreams accepts connections. A refusal by all of them shows that
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -56,7 +56,7 @@
 			OnForward: b.metrics.RequestForwarded, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
 			StateAgeMs: b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
-			OnSignals: b.handleSignals, OnRejected: b.handleRejection, Observe: b.crashDetector.observe, HasCrashed: b.hasCrashed,
+			OnSignals: b.handleSignals, OnRejected: b.handleRejection, Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
 			OnCompleted: b.crashDetector.handleCompleted, QuarantineRemainingMs: b.quarantine.QuarantineRemainingMs,
 			CheckBeforeSend: b.checkBeforeSend, Clock: b.clock,
 		}),
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -51,8 +51,8 @@
 	OnRejected func(request string, lease *balance.Lease) bool
 	// Observe handles evidence that an upstream may have crashed.
 	Observe func(o Observation)
-	// HasCrashed reports whether an upstream has crashed that has just closed a connection in order.
-	HasCrashed func(ctx context.Context, lease *balance.Lease) bool
+	// MayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order.
+	MayHaveCrashed func(ctx context.Context, lease *balance.Lease) bool
 	// OnCompleted records that a request with this fingerprint got a complete response.
 	OnCompleted func(fingerprint quarantine.Fingerprint)
 	// QuarantineRemainingMs returns the remaining quarantine time of a fingerprint, or 0.
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -95,7 +95,7 @@
 	if hop.Refusal != nil {
 		return s.refusedBy(box, hop)
 	}
-	return s.relay(responseSource{onPart: func() {}, hasCrashed: func() bool { return false }, isFinal: true}, resp, cancel)
+	return s.relay(responseSource{onPart: func() {}, mayHaveCrashed: func() bool { return false }, isFinal: true}, resp, cancel)
 }
 
 // buildForward returns the request to another box. It names the box as the only one that may run it, so
