fix(gateway): a box that crashed gets no forwarded requests for a second; soak partitions

What callers would see: for up to 2.5 s after a crash a box is taken for alive, and a partitioned box forwarded request after request there; each lost a try, and some were refused. Cause: a connection that fails told nothing to the next request. Change: a box to which a connection failed gets nothing for 1 s (TestForwardingToCrashedBox). Who opened a connection is looked up in /proc, as all boxes connect from one address; so arrivals name the box that sent them.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -44,6 +44,10 @@
 				Usage: "check time bounds, too, with faults that leave most boxes unaffected; requires an idle machine",
 			},
 			&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
+			&cli.BoolFlag{
+				Name:  "partitions",
+				Usage: "also separate boxes from all servers; servers also end responses with connections, are brittle or silent",
+			},
 			&cli.IntFlag{Name: "clients", Value: defaultClients, Usage: "number of clients, in this process"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -83,7 +87,7 @@
 	report, runErr := soak.Run(ctx, soak.Settings{
 		Program: program, Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
-		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"),
+		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -21,6 +21,9 @@
 	// reachabilityIntervalMs is how often a box checks which upstreams it can reach, and dials those that it may not
 	// reach. A dial that gets no response takes as long.
 	reachabilityIntervalMs clock.Millis = 100
+	// avoidBoxMs is how long a box gets no requests after a connection to it failed. A box that crashed counts as alive
+	// for longer.
+	avoidBoxMs = clock.Second
 	// boxClientTTLMs is how long the connections to another box are kept after the last request.
 	boxClientTTLMs = 30 * clock.Second
 )
@@ -32,6 +35,8 @@
 	mu sync.Mutex
 	// clients are the connections to other boxes, by address.
 	clients map[string]*boxClient
+	// avoidUntilMs is until when a box gets no requests because a connection to it failed, by name.
+	avoidUntilMs map[string]clock.Millis
 	// unreachableSinceMs is since when this box has known that it can't reach the upstreams of a pool, by pool.
 	unreachableSinceMs map[string]clock.Millis
 }
@@ -43,13 +48,13 @@
 }
 
 func newForwarding(b *Box) *forwarding {
-	return &forwarding{box: b, clients: map[string]*boxClient{}, unreachableSinceMs: map[string]clock.Millis{}}
+	return &forwarding{box: b, clients: map[string]*boxClient{}, avoidUntilMs: map[string]clock.Millis{}, unreachableSinceMs: map[string]clock.Millis{}}
 }
 
 // next chooses a box to forward a request to, except those tried.
 func (f *forwarding) next(r *opaque.Request, tried []string) (dispatch.Box, bool) {
 	to, found := f.box.peering.mesh.ForwardTarget(mesh.ForwardRequest{
-		Pool: namekey.Of(r.Pool), Version: r.State.Version(), Tried: tried,
+		Pool: namekey.Of(r.Pool), Version: r.State.Version(), Tried: slices.Concat(tried, f.avoided()),
 	})
 	if !found {
 		return dispatch.Box{}, false
@@ -57,6 +62,22 @@
 	return dispatch.Box{Name: to.Box, Client: f.client(to.Address)}, true
 }
 
+// avoid records that a connection to a box failed.
+func (f *forwarding) avoid(box string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoidUntilMs[box] = f.box.clock.Monotonic() + avoidBoxMs
+}
+
+// avoided returns the boxes that get no requests now.
+func (f *forwarding) avoided() []string {
+	now := f.box.clock.Monotonic()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.avoidUntilMs, func(_ string, untilMs clock.Millis) bool { return now >= untilMs })
+	return slices.Collect(maps.Keys(f.avoidUntilMs))
+}
+
 // client returns the client of the box at an address.
 func (f *forwarding) client(address string) *upstream.Client {
 	f.mu.Lock()
--- a/internal/gateway/forwarding_test.go
+++ b/internal/gateway/forwarding_test.go
@@ -351,3 +351,25 @@
 		})
 	})
 }
+
+// TestForwardingToCrashedBox guards against requests that are forwarded to a box that crashed, one after the other, until
+// it no longer counts as alive.
+func TestForwardingToCrashedBox(t *testing.T) {
+	runForwarding(t, 3, func(f *forwardingFleet) {
+		dials := 0
+		f.network.SetDialDelay(func(from, to string) time.Duration {
+			if from == "box-1" && to == "box-2" {
+				dials++
+			}
+			return 0
+		})
+		f.network.SetRefusal(func(from, to string) bool { return from == "box-1" && to == "box-2" })
+		f.boxes[0].forwarding.client(f.boxes[1].settings.PeersAddress).CloseIdle()
+		for range 40 {
+			status, _, err := f.boxes[0].get("/unsafe/")
+			require.NoError(f.t, err)
+			assert.Equal(f.t, http.StatusOK, status)
+		}
+		assert.LessOrEqual(f.t, dials, 1)
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -53,7 +53,7 @@
 		screen:    screen.New(b.quarantine.QuarantineRemainingMs),
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, NextBox: b.forwarding.next, UnreachableMs: b.forwarding.unreachableMs,
-			OnForward: b.metrics.RequestForwarded, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
+			OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
 			StateAgeMs: b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection, Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 	NextBox func(r *opaque.Request, tried []string) (Box, bool)
 	// OnForward counts a request that is forwarded to another box.
 	OnForward func()
+	// OnBoxFailed records that a connection to another box failed.
+	OnBoxFailed func(box string)
 	// UnreachableMs returns for how long the box has known that it can't reach the upstreams of a pool,
 	// for logs.
 	UnreachableMs func(pool string) clock.Millis
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -79,6 +79,9 @@
 	resp, err := box.Client.Do(ctx, s.buildForward(box))
 	stopTimer()
 	if err != nil {
+		if s.ctx.Err() == nil {
+			s.pipe.deps.OnBoxFailed(box.Name)
+		}
 		return s.failForward(err)
 	}
 	defer resp.Close()
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -127,8 +127,11 @@
 			continue
 		}
 		for _, run := range h.runs[o.ID] {
-			wasUndisturbed := h.disturbances.undisturbed(allBoxes, run.StartedAt.Add(-undisturbedSpan), run.StartedAt) &&
-				h.disturbances.undisturbed(o.Box, run.StartedAt.Add(-undisturbedSpan), run.StartedAt)
+			wasUndisturbed := true
+			for _, name := range append(h.senders(o), allBoxes) {
+				wasUndisturbed = wasUndisturbed &&
+					h.disturbances.undisturbed(name, run.StartedAt.Add(-undisturbedSpan), run.StartedAt)
+			}
 			if run.StartedAt.After(from) && wasUndisturbed {
 				late, lastID = late+1, o.ID
 			}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -43,6 +43,9 @@
 	Timed bool
 	// Evacuations also evacuates zones.
 	Evacuations bool
+	// Partitions also separates boxes from all servers, and makes servers brittle, silent for a second, or end
+	// responses with their connections.
+	Partitions bool
 }
 
 // box is a box process, its link from the callers and its link to the store.
@@ -174,6 +177,7 @@
 	if s.link, err = newLink(f.ip(linksHost), func() string { return address }); err != nil {
 		return err
 	}
+	s.link.ownerOf = f.boxOf
 	f.closers = append(f.closers, s.link.close)
 	f.servers = append(f.servers, s)
 	f.startIncarnation(s)
@@ -196,7 +200,10 @@
 // newServer returns an incarnation of a server, which crashes under fatal requests.
 func (f *fleet) newServer(s *server, id string) *standin.Server {
 	current := standin.NewServer(id, f.draw, f.history.recordRun)
-	current.OnArrival(f.history.recordArrival)
+	current.OnArrival(func(a standin.Arrival) {
+		a.Box = s.link.ownerAt(a.Remote)
+		f.history.recordArrival(a)
+	})
 	current.OnFatal(func(crashed *standin.Server) { f.crashOnFatal(s, crashed) })
 	return current
 }
@@ -241,7 +248,9 @@
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
+	f.mu.Lock()
 	f.boxes = append(f.boxes, b)
+	f.mu.Unlock()
 	return b.process.start()
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -42,9 +42,14 @@
 	zones       map[string]string
 	evacuations map[string][]*interval
 	// arrivals are the requests that reached the server they were addressed to.
-	arrivals []standin.Arrival
+	arrivals          []standin.Arrival
+	arrivalsByRequest map[string][]standin.Arrival
 	// crashes are the times at which servers crashed under the fatal request.
 	crashes []time.Time
+	// partitions are the intervals in which some boxes were separated from all servers.
+	partitions []*partitionOf
+	// falls counts the brittle servers that fell over.
+	falls int
 	// timed is set if time bounds are checked too.
 	timed bool
 }
@@ -53,7 +58,7 @@
 	return &history{
 		runs: map[string][]standin.Run{}, tenants: map[string]string{}, revoked: map[string]time.Time{},
 		served: map[string]int{}, draining: map[string]time.Time{}, disturbances: disturbances{},
-		replacements: map[string][]*interval{}, zones: map[string]string{}, evacuations: map[string][]*interval{},
+		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{}, zones: map[string]string{}, evacuations: map[string][]*interval{},
 	}
 }
 
@@ -110,6 +115,7 @@
 		}
 	}
 	violations = append(violations, h.checkFatal()...)
+	violations = append(violations, h.checkPartitions()...)
 	return append(violations, h.checkSignals()...)
 }
 
@@ -188,7 +194,7 @@
 	if !h.timed || !draining || late <= maxPropagation+timingSlack {
 		return 0
 	}
-	for _, name := range []string{allBoxes, o.Box, run.Server} {
+	for _, name := range append(h.senders(o), allBoxes, run.Server) {
 		if !h.disturbances.undisturbed(name, at.Add(-undisturbedSpan), run.StartedAt) {
 			return 0
 		}
@@ -205,7 +211,7 @@
 			continue
 		}
 		undisturbed := true
-		for _, name := range []string{allBoxes, o.Box, run.Server} {
+		for _, name := range append(h.senders(o), allBoxes, run.Server) {
 			undisturbed = undisturbed && h.disturbances.undisturbed(name, s.from.Add(-undisturbedSpan), run.StartedAt)
 		}
 		if undisturbed {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -31,6 +32,9 @@
 	// linkRefused resets open connections and refuses new ones, like a host whose process has
 	// exited.
 	linkRefused linkFault = "refused"
+	// linkClosed closes open connections in order and refuses new ones, like a host whose process
+	// has exited with nothing left to read.
+	linkClosed linkFault = "closed"
 )
 
 const (
@@ -51,6 +55,49 @@
 	conns    map[net.Conn]struct{}
 	// stale are the members of conns whose bytes are dropped.
 	stale map[net.Conn]struct{}
+	// ownerOf returns the box that opened a connection. It may be nil.
+	ownerOf func(inbound net.Conn) string
+	// owners maps connections to the boxes that opened them, and separated holds the boxes whose connections are
+	// reset.
+	owners    map[net.Conn]string
+	separated []string
+	// ownersByAddress maps the local addresses of outbound connections to the boxes that opened the inbound ones.
+	ownersByAddress map[string]string
+}
+
+// ownerAt returns the box whose connection arrives at the target from an address, or "".
+func (l *link) ownerAt(address string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ownersByAddress[address]
+}
+
+// separate resets the open and new connections of some boxes, until it is called again.
+func (l *link) separate(boxes []string) {
+	l.mu.Lock()
+	l.separated = boxes
+	conns := []net.Conn{}
+	for c, owner := range l.owners {
+		if slices.Contains(boxes, owner) {
+			conns = append(conns, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		reset(c)
+	}
+}
+
+// admit records the box that opened a connection, and reports whether the box is not separated.
+func (l *link) admit(inbound net.Conn) bool {
+	if l.ownerOf == nil {
+		return true
+	}
+	owner := l.ownerOf(inbound)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owners[inbound] = owner
+	return !slices.Contains(l.separated, owner)
 }
 
 // newLink listens on a free port of an IP address and forwards connections to a target, which
@@ -63,7 +110,8 @@
 	}
 	l := &link{
 		listener: listener, addr: listener.Addr().String(), target: target,
-		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{},
+		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}, owners: map[net.Conn]string{},
+		ownersByAddress: map[string]string{},
 	}
 	go l.acceptLoop(listener)
 	return l, nil
@@ -85,9 +133,9 @@
 func (l *link) set(fault linkFault) {
 	l.mu.Lock()
 	switch {
-	case fault == linkRefused && l.fault != linkRefused:
+	case fault.refuses() && !l.fault.refuses():
 		_ = l.listener.Close()
-	case fault != linkRefused && l.fault == linkRefused:
+	case !fault.refuses() && l.fault.refuses():
 		l.reopenListener()
 	}
 	l.fault = fault
@@ -95,17 +143,24 @@
 	if fault == linkStale {
 		maps.Copy(l.stale, conns)
 	}
-	if fault == linkReset || fault == linkRefused {
+	if fault == linkReset || fault.refuses() {
 		l.conns = map[net.Conn]struct{}{}
 	} else {
 		conns = nil
 	}
 	l.mu.Unlock()
 	for c := range conns {
+		if fault == linkClosed {
+			_ = c.Close()
+			continue
+		}
 		reset(c)
 	}
 }
 
+// refuses reports whether new connections are refused.
+func (f linkFault) refuses() bool { return f == linkRefused || f == linkClosed }
+
 func (l *link) currentFault() linkFault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,7 +186,8 @@
 }
 
 func (l *link) serve(inbound net.Conn) {
-	if currentFault := l.currentFault(); currentFault == linkReset || currentFault == linkRefused {
+	defer l.forget(inbound)
+	if currentFault := l.currentFault(); currentFault == linkReset || currentFault.refuses() || !l.admit(inbound) {
 		reset(inbound)
 		return
 	}
@@ -144,17 +200,23 @@
 	}
 	l.mu.Lock()
 	l.conns[inbound], l.conns[outbound] = struct{}{}, struct{}{}
+	l.ownersByAddress[outbound.LocalAddr().String()] = l.owners[inbound]
 	l.mu.Unlock()
 	var directions sync.WaitGroup
 	directions.Go(func() { l.copyDirection(inbound, outbound, true) })
 	directions.Go(func() { l.copyDirection(outbound, inbound, false) })
 	directions.Wait()
+	l.forget(outbound)
+}
+
+// forget removes a connection that has ended.
+func (l *link) forget(c net.Conn) {
 	l.mu.Lock()
-	for _, c := range []net.Conn{inbound, outbound} {
-		delete(l.conns, c)
-		delete(l.stale, c)
-	}
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	delete(l.stale, c)
+	delete(l.owners, c)
+	delete(l.ownersByAddress, c.LocalAddr().String())
 }
 
 // copyDirection forwards the bytes of one direction. A fault may hold bytes back; they are
--- /dev/null
+++ b/internal/soak/owner.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// boxOf returns the name of the box that opened a connection, or "". All boxes connect from the same IP address, so it
+// looks up whose socket has the remote port.
+func (f *fleet) boxOf(inbound net.Conn) string {
+	remote, ok := inbound.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return ""
+	}
+	inode := socketInode(remote.Port)
+	if inode == "" {
+		return ""
+	}
+	f.mu.Lock()
+	boxes := f.boxes
+	f.mu.Unlock()
+	for _, b := range boxes {
+		if b.process.hasSocket(inode) {
+			return b.name
+		}
+	}
+	return ""
+}
+
+// Columns of /proc/net/tcp.
+const (
+	columnLocal = 1
+	columnInode = 9
+)
+
+// socketInode returns the inode of the socket with a local port that is connected, or "".
+func socketInode(port int) string {
+	table, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = table.Close() }()
+	suffix := fmt.Sprintf(":%04X", port)
+	for lines := bufio.NewScanner(table); lines.Scan(); {
+		columns := strings.Fields(lines.Text())
+		if len(columns) > columnInode && strings.HasSuffix(columns[columnLocal], suffix) && columns[columnInode] != "0" {
+			return columns[columnInode]
+		}
+	}
+	return ""
+}
+
+// hasSocket reports whether the process holds a socket.
+func (p *process) hasSocket(inode string) bool {
+	p.mu.Lock()
+	running, pid := p.running(), 0
+	if running {
+		pid = p.command.Process.Pid
+	}
+	p.mu.Unlock()
+	if !running {
+		return false
+	}
+	folder := filepath.Join("/proc", strconv.Itoa(pid), "fd")
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return false
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(filepath.Join(folder, file.Name())); err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/partitions_test.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/platform/standin"
+)
+
+// TestCheckPartitions checks that a box that serves worse than the others during its partition is found, and no other.
+func TestCheckPartitions(t *testing.T) {
+	start := time.Now().Add(-time.Minute)
+	const requests = 60
+	for _, c := range []struct {
+		name                string
+		served, othersServe int
+		disturbed           bool
+		found               int
+	}{
+		{"as well as the others", 60, 60, false, 0},
+		{"two thirds as often", 40, 60, false, 0},
+		{"less than that", 39, 60, false, 1},
+		{"nothing", 0, 60, false, 1},
+		{"nothing, while the box is disturbed", 0, 60, true, 0},
+		{"nothing, as the others", 0, 0, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			h.timed = true
+			h.partitions = []*partitionOf{{boxes: []string{"a"}, interval: interval{from: start, to: start.Add(5 * time.Second)}}}
+			if c.disturbed {
+				h.disturbances.begin("a", start.Add(time.Second))
+			}
+			sent := start.Add(partitionNoticeSpan + time.Millisecond)
+			for i := range requests {
+				h.recordOutcome(outcomeAt("a", sent, i < c.served))
+				h.recordOutcome(outcomeAt("b", sent, i < c.othersServe))
+			}
+			assert.Len(t, h.checkPartitions(), c.found)
+		})
+	}
+}
+
+func outcomeAt(box string, sent time.Time, served bool) standin.Outcome {
+	o := standin.Outcome{Box: box, Sent: sent, Ended: sent.Add(time.Millisecond), Status: 503}
+	if served {
+		o.Status, o.Complete = 200, true
+	}
+	return o
+}
+
+func TestLinkPartitions(t *testing.T) {
+	listener := echo(t)
+	l, err := newLink("127.0.0.1", func() string { return listener.Addr().String() })
+	require.NoError(t, err)
+	t.Cleanup(l.close)
+	var owner atomic.Value
+	owner.Store("a")
+	l.ownerOf = func(net.Conn) string { return owner.Load().(string) } //nolint:forcetypeassert // Only strings are stored.
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	separated := dial()
+	assertEchoes(t, separated)
+	owner.Store("b")
+	other := dial()
+	assertEchoes(t, other)
+	l.separate([]string{"a"})
+	t.Run("the connections of a separated box are reset", func(t *testing.T) { assertBroken(t, separated) })
+	t.Run("those of another box are not", func(t *testing.T) { assertEchoes(t, other) })
+	owner.Store("a")
+	t.Run("new connections of a separated box are reset", func(t *testing.T) { assertBroken(t, dial()) })
+	l.separate(nil)
+	t.Run("until it is separated no more", func(t *testing.T) { assertEchoes(t, dial()) })
+	t.Run("a closed link ends connections in order and refuses new ones", func(t *testing.T) {
+		open := dial()
+		assertEchoes(t, open)
+		l.set(linkClosed)
+		_, err := open.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		_, err = net.Dial("tcp", l.address())
+		require.Error(t, err)
+	})
+}
+
+func assertBroken(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := conn.Read(make([]byte, 1))
+	require.Error(t, err)
+}
--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -92,6 +93,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.arrivals = append(h.arrivals, a)
+	h.arrivalsByRequest[a.RequestID] = append(h.arrivalsByRequest[a.RequestID], a)
+}
+
+// senders returns the box that got a request from its client, and the boxes that sent it to servers.
+func (h *history) senders(o standin.Outcome) []string {
+	boxes := []string{o.Box}
+	for _, a := range h.arrivalsByRequest[o.ID] {
+		if a.Box != "" && !slices.Contains(boxes, a.Box) {
+			boxes = append(boxes, a.Box)
+		}
+	}
+	return boxes
 }
 
 // boxServer is a pair of a box and an incarnation of a server.
@@ -112,7 +125,7 @@
 	all := map[boxServer][]delivery{}
 	for _, a := range h.arrivals {
 		o := outcomes[a.RequestID]
-		pair := boxServer{box: o.Box, server: a.Server}
+		pair := boxServer{box: cmp.Or(a.Box, o.Box), server: a.Server}
 		all[pair] = append(all[pair], delivery{Arrival: a, outcome: o})
 	}
 	for _, list := range all {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,9 @@
 	Calls    int
 	// Fatal holds the figures of the fatal request, which crashes servers.
 	Fatal fatalStats
+	// Partitions holds the requests during partitions of some boxes, and Falls how many brittle servers fell over.
+	Partitions partitionStats
+	Falls      int
 }
 
 // Timing of a run.
@@ -66,6 +69,9 @@
 	if f.settings.Evacuations {
 		workers.Go(func() { f.injectEvacuations(clients) })
 	}
+	if f.settings.Partitions {
+		workers.Go(func() { f.injectPartitions(clients) })
+	}
 	workers.Go(func() { f.writeHeartbeats(clients) })
 	err = f.injectFaults(ctx, report.Faults)
 	stopClients()
@@ -78,6 +84,7 @@
 	}
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
 	report.Fatal = f.history.fatalStats()
+	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
 	if err == nil && len(report.Findings) > 0 {
 		err = fmt.Errorf("%w: seed %d: %s", ErrGuaranteeViolated, settings.Seed, report.Findings[0])
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -318,8 +318,9 @@
 	}
 }
 
-// probeSettleMs is how long a probed connection must stay open, about five round trips between failure domains.
-const probeSettleMs = 20
+// probeSettleMs is how long a probed connection must stay open: long enough for a proxy to find out that it can't
+// reach the upstream.
+const probeSettleMs = 80
 
 // errNotKept means that a connection was closed as soon as it was open.
 var errNotKept = errors.New("connection was closed as soon as it was open")
@@ -330,17 +331,19 @@
 func (c *Client) ProbeReachable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
 	defer cancel()
-	raw, err := c.dialUpstream(ctx)
+	raw, err := c.dial(ctx, "tcp", c.address)
 	if err != nil {
-		// The outcome is recorded.
+		c.recordDial(err)
 		return
 	}
+	c.onDial()
 	cn := newConn(raw)
 	if !cn.staysOpen(probeSettleMs * time.Millisecond) {
 		c.recordDial(errNotKept)
 		_ = cn.Close()
 		return
 	}
+	c.recordDial(nil)
 	c.keepIdle(cn, defaultIdleTimeoutMs)
 }
 
