--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -10,9 +10,9 @@
 // over, whichever boxes sent them. All boxes together must stay below that number, so while the upstreams of a pool
 // say that they are brittle:
 //
-//   - A request needs a permit from the owner of the upstream, who counts the requests of all boxes there and grants no
-//     more than it has slots, or had room for when it last rejected one. Without an answer of the owner, the box goes by
-//     its own estimate of the load.
+//   - A request needs a permit from the owner of the upstream, who counts the requests of all boxes there and
+//     grants no more than it has slots, or had room for when it last rejected one. Without an answer of the owner,
+//     the box goes by its own estimate of the load.
 //   - A box sends nothing to an upstream that rejected one of its requests, until its share of the rejections of that
 //     upstream allows another one.
 //   - A request that gets no permit is refused at once.
@@ -61,8 +61,8 @@
 	return true
 }
 
-// rejectionPauseMs returns for how long one of a number of boxes sends nothing to an upstream after a rejection, so that
-// all of them together cause at most maxRejections in a second.
+// rejectionPauseMs returns for how long one of a number of boxes sends nothing to an upstream after a rejection,
+// so that all of them together cause at most maxRejections in a second.
 func rejectionPauseMs(boxes, maxRejections int) clock.Millis {
 	shareMs := clock.Second * clock.Millis(boxes) / clock.Millis(maxRejections)
 	return min(maxRejectionPauseMs, max(minRejectionPauseMs, shareMs))
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -87,7 +87,8 @@
 		settings: settings, monotonic: monotonic, connect: connect, random: random,
 		byID: map[string]*Member{}, pools: map[string][]*Member{}, paths: map[string]*netPath{},
 		departed: map[string][]*Member{}, lostParts: partIndex{}, retries: map[string]*retrySchedule{},
-		departedSignals: map[string]*upstreamSignals{}, brittle: map[string]brittlePool{}, hotSessions: map[string]*sessionCounts{},
+		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
+		brittle: map[string]brittlePool{},
 	}
 }
 
--- a/internal/balance/unreachable.go
+++ b/internal/balance/unreachable.go
@@ -78,8 +78,9 @@
 //
 //   - Of pools that this box can't reach or of which the latest dials to at least half of the upstreams failed. So the
 //     box soon knows all upstreams of a partition, and notices its end although it sends nothing there.
-//   - Upstreams that send nothing while requests are in flight there, and those that did not respond to such a dial. They
-//     get no new requests until one opens. Requests in flight stay, since a sound upstream may be silent for a while.
+//   - Upstreams that send nothing while requests are in flight there, and those that did not respond to such a
+//     dial. They get no new requests until one opens. Requests in flight stay, since a sound upstream may be silent
+//     for a while.
 func (m *Manager) ReachabilityProbes() []*upstream.Client {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -45,8 +45,9 @@
 			},
 			&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
 			&cli.BoolFlag{
-				Name:  "partitions",
-				Usage: "also separate boxes from all servers; servers also end responses with connections, are brittle or silent",
+				Name: "partitions",
+				Usage: "also separate boxes from all servers; servers also end responses with their connections, " +
+					"are brittle or silent",
 			},
 			&cli.IntFlag{Name: "clients", Value: defaultClients, Usage: "number of clients, in this process"},
 		},
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -7,10 +7,10 @@
 	"dooryard.example/dooryard/internal/upstream"
 )
 
-// mayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order, as the kernel
-// does for a process that is gone. Its host refuses new connections then. So do the hosts of all upstreams while this box
-// is partitioned from them; that the response was whole is not known then either. An upstream that is draining may end
-// at any time once it has sent its last response, so a refusal proves nothing about it.
+// mayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order, as the
+// kernel does for a process that is gone. Its host refuses new connections then. So do the hosts of all upstreams
+// while this box is partitioned from them; that the response was whole is not known then either. An upstream that is
+// draining may end at any time once it has sent its last response, so a refusal proves nothing about it.
 func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease) bool {
 	return !lease.IsDraining() && lease.Client().ProbeLiveness(ctx) == upstream.Dead
 }
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -48,7 +48,10 @@
 }
 
 func newForwarding(b *Box) *forwarding {
-	return &forwarding{box: b, clients: map[string]*boxClient{}, avoidUntilMs: map[string]clock.Millis{}, unreachableSinceMs: map[string]clock.Millis{}}
+	return &forwarding{
+		box: b, clients: map[string]*boxClient{}, avoidUntilMs: map[string]clock.Millis{},
+		unreachableSinceMs: map[string]clock.Millis{},
+	}
 }
 
 // next chooses a box to forward a request to, except those tried.
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -43,7 +43,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
 		u.arrivals.Add(1)
 		conn, _, err := http.NewResponseController(w).Hijack()
-		require.NoError(f.t, err)
+		assert.NoError(f.t, err)
 		part, how := whole, closed
 		if !answered.Swap(true) {
 			part, how = body, end
@@ -63,7 +63,9 @@
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request+"\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
 	switch end {
 	case reset:
-		_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
+		if c, ok := conn.(lingerer); ok {
+			_ = c.SetLinger(0)
+		}
 	case crashed:
 		_ = u.listener.Close()
 	case closed:
@@ -145,7 +147,7 @@
 				responding := func(w http.ResponseWriter, r *http.Request) {
 					f.network.SetRefusal(fromUpstreams("box-1"))
 					conn, _, err := http.NewResponseController(w).Hijack()
-					require.NoError(t, err)
+					assert.NoError(t, err)
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\ndone")
 					_ = conn.Close()
 				}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -146,7 +146,8 @@
 func New(d Dependencies) *Mesh {
 	return &Mesh{
 		self: d.Self, clock: d.Clock, period: d.PeriodMs, conn: d.Conn, contacts: d.Contacts, stateSummary: d.StateSummary,
-		inFlight: d.InFlight, inFlightByPool: d.InFlightByPool, unreachable: d.Unreachable, ledger: occupancy.New(d.Clock.Monotonic),
+		inFlight: d.InFlight, inFlightByPool: d.InFlightByPool, unreachable: d.Unreachable,
+		ledger:             occupancy.New(d.Clock.Monotonic),
 		announcementsSince: d.AnnouncementsSince, recordAnnouncements: d.RecordAnnouncements,
 		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents, onPeerState: d.OnPeerState,
 		random: d.Random, peers: map[string]*peer{},
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -229,7 +229,8 @@
 	if resp.Framing() != upstream.ByConnection || !from.mayHaveCrashed() {
 		return nil
 	}
-	return fmt.Errorf("%w: upstream may have crashed at the end of a response without length or chunks", upstream.ErrBroken)
+	return fmt.Errorf("%w: upstream may have crashed: its response has no length and its host refuses connections",
+		upstream.ErrBroken)
 }
 
 func isEventStream(header http.Header) bool {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -88,10 +88,7 @@
 		if err := p.deps.CheckBeforeSend(r); err != nil {
 			return s.refuseSend(err)
 		}
-		if s.failedDials >= maxFailedDials && s.canForward() {
-			return s.forward(s.lastFailure)
-		}
-		lease, err := p.deps.Pick(ctx, s.pickRequest())
+		lease, err := s.pick()
 		if errors.Is(err, balance.ErrPartitioned) && s.canForward() {
 			return s.forward(s.lastFailureOr(&failure{err: err, execution: notSent}))
 		}
@@ -109,6 +106,14 @@
 	}
 }
 
+// pick selects an upstream. After some failed dials it assumes that this box can't reach the others either.
+func (s *retryLoop) pick() (*balance.Lease, error) {
+	if s.failedDials >= maxFailedDials && s.canForward() {
+		return nil, balance.ErrPartitioned
+	}
+	return s.pipe.deps.Pick(s.ctx, s.pickRequest())
+}
+
 // refuseSend ends a request that the box may not send now. If an attempt has failed before, its
 // failure determines the response.
 func (s *retryLoop) refuseSend(err error) error {
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -54,7 +54,8 @@
 		if failed = s.attemptForward(box); failed == nil {
 			return nil
 		}
-		if !s.recordFailure("box "+box.Name, failed) || failed.refusal != nil && !failed.refusal.Cause.AnotherBoxMayServe() {
+		retry := s.recordFailure("box "+box.Name, failed)
+		if !retry || failed.refusal != nil && !failed.refusal.Cause.AnotherBoxMayServe() {
 			break
 		}
 	}
@@ -98,7 +99,12 @@
 	if hop.Refusal != nil {
 		return s.refusedBy(box, hop)
 	}
-	return s.relay(responseSource{onPart: func() {}, mayHaveCrashed: func() bool { return false }, isFinal: true}, resp, cancel)
+	return s.relay(boxSource(), resp, cancel)
+}
+
+// boxSource is the source of a response from another box, which frames each response and makes the retries.
+func boxSource() responseSource {
+	return responseSource{onPart: func() {}, mayHaveCrashed: func() bool { return false }, isFinal: true}
 }
 
 // buildForward returns the request to another box. It names the box as the only one that may run it, so
@@ -112,7 +118,8 @@
 		request.Header[headerAuthorization] = key
 	}
 	setHeader(request.Header, r.Dialect.ExpectUpstream, box.Name)
-	opaque.Hop{Box: r.Box, Sent: r.Sent, ElapsedMs: now - r.ArrivedMs, Version: r.State.Version()}.SetHeader(request.Header)
+	hop := opaque.Hop{Box: r.Box, Sent: r.Sent, ElapsedMs: now - r.ArrivedMs, Version: r.State.Version()}
+	hop.SetHeader(request.Header)
 	request.BeforeSend = func() error { return s.pipe.deps.CheckBeforeSend(r) }
 	return request
 }
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 
 	"dooryard.example/dooryard/internal/eventstream"
 	"dooryard.example/dooryard/internal/opaque"
@@ -141,7 +142,7 @@
 		t.partial = append(t.partial, part...)
 		return nil
 	}
-	complete := append(t.partial, part[:end]...)
+	complete := slices.Concat(t.partial, part[:end])
 	t.partial = bytes.Clone(part[end:])
 	t.recordLastID(complete)
 	return complete
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -71,7 +71,8 @@
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		client:       &http.Client{Transport: d.Transport, CheckRedirect: noRedirect},
-		nextUpstream: d.Next, reportLoad: d.Report, hasCrashed: d.HasCrashed, metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
+		nextUpstream: d.Next, reportLoad: d.Report, hasCrashed: d.HasCrashed,
+		metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -174,10 +174,9 @@
 	if err != nil {
 		return err
 	}
-	if s.link, err = newLink(f.ip(linksHost), func() string { return address }); err != nil {
+	if s.link, err = newLink(f.ip(linksHost), func() string { return address }, withOwners(f.boxOf)); err != nil {
 		return err
 	}
-	s.link.ownerOf = f.boxOf
 	f.closers = append(f.closers, s.link.close)
 	f.servers = append(f.servers, s)
 	f.startIncarnation(s)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -58,7 +58,8 @@
 	return &history{
 		runs: map[string][]standin.Run{}, tenants: map[string]string{}, revoked: map[string]time.Time{},
 		served: map[string]int{}, draining: map[string]time.Time{}, disturbances: disturbances{},
-		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{}, zones: map[string]string{}, evacuations: map[string][]*interval{},
+		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{},
+		zones: map[string]string{}, evacuations: map[string][]*interval{},
 	}
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -103,7 +103,7 @@
 // newLink listens on a free port of an IP address and forwards connections to a target, which
 // may change. While the link refuses connections, another listener on that address may take the
 // port, so the address must not be shared between runs.
-func newLink(ip string, target func() string) (*link, error) {
+func newLink(ip string, target func() string, options ...linkOption) (*link, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
@@ -113,10 +113,21 @@
 		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}, owners: map[net.Conn]string{},
 		ownersByAddress: map[string]string{},
 	}
+	for _, option := range options {
+		option(l)
+	}
 	go l.acceptLoop(listener)
 	return l, nil
 }
 
+// linkOption configures a link.
+type linkOption func(l *link)
+
+// withOwners makes a link know which box opened each connection.
+func withOwners(ownerOf func(inbound net.Conn) string) linkOption {
+	return func(l *link) { l.ownerOf = ownerOf }
+}
+
 func (l *link) address() string { return l.addr }
 
 // reopenListener reopens the listener that linkRefused closed. If another socket holds the port
--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -248,7 +248,8 @@
 		if 3*s.SeparatedServed*s.Others < 2*s.OthersServed*s.Separated {
 			violations = append(violations, violation{
 				"boxes without servers serve through others", "-",
-				fmt.Sprintf("%v served %d of %d, the others %d of %d", p.boxes, s.SeparatedServed, s.Separated, s.OthersServed, s.Others),
+				fmt.Sprintf("%v served %d of %d, the others %d of %d",
+					p.boxes, s.SeparatedServed, s.Separated, s.OthersServed, s.Others),
 			})
 		}
 	}
--- a/internal/soak/partitions_test.go
+++ b/internal/soak/partitions_test.go
@@ -57,12 +57,12 @@
 
 func TestLinkPartitions(t *testing.T) {
 	listener := echo(t)
-	l, err := newLink("127.0.0.1", func() string { return listener.Addr().String() })
-	require.NoError(t, err)
-	t.Cleanup(l.close)
 	var owner atomic.Value
 	owner.Store("a")
-	l.ownerOf = func(net.Conn) string { return owner.Load().(string) } //nolint:forcetypeassert // Only strings are stored.
+	ownerOf := func(net.Conn) string { return owner.Load().(string) } //nolint:forcetypeassert // Only strings are stored.
+	l, err := newLink("127.0.0.1", func() string { return listener.Addr().String() }, withOwners(ownerOf))
+	require.NoError(t, err)
+	t.Cleanup(l.close)
 	dial := func() net.Conn {
 		conn, err := net.Dial("tcp", l.address())
 		require.NoError(t, err)
