--- a/internal/mesh/forward_targets.go
+++ b/internal/mesh/forward_targets.go
@@ -22,9 +22,10 @@
 	Tried []string
 }
 
-// ForwardTarget chooses the box that serves a request for this one, among the live boxes that don't report that they
-// can't reach the pool either. It returns false if there is none. Of two random candidates it chooses the less loaded
-// one, because reports of loads are old enough for all boxes to choose the same least loaded one.
+// ForwardTarget chooses the box that serves a request for this one, among the live boxes that serve forwarded
+// requests and don't report that they can't reach the pool either. It returns false if there is none. Of two
+// random candidates it chooses the less loaded one: reports of loads are so old that all boxes would choose the
+// same least loaded one.
 func (m *Mesh) ForwardTarget(request ForwardRequest) (Identity, bool) {
 	now := m.clock.Monotonic()
 	m.mu.Lock()
@@ -45,7 +46,7 @@
 	aliveTimeout := m.aliveTimeoutLocked()
 	for _, p := range m.peers {
 		switch {
-		case !p.alive(now, aliveTimeout) || m.unresponsiveLocked(p) ||
+		case !p.alive(now, aliveTimeout) || !p.takesForwarded || m.unresponsiveLocked(p) ||
 			slices.Contains(p.unreachable, request.Pool) || slices.Contains(request.Tried, p.Box):
 		case p.stateSummary.Version < request.Version:
 			outdated = append(outdated, p)
--- a/internal/mesh/forward_targets_test.go
+++ b/internal/mesh/forward_targets_test.go
@@ -40,6 +40,19 @@
 			assert.Empty(f.t, chosen(f.boxes[0], ForwardRequest{Pool: pool, Tried: []string{"box-4", "box-5"}}))
 		})
 	})
+	t.Run("is no box of a release that does not serve forwarded requests", func(t *testing.T) {
+		runInBubble(t, func(f *fixture) {
+			for range 2 {
+				f.start("d")
+			}
+			advance(f.t, 2*time.Second)
+			m := f.boxes[0].Mesh
+			m.mu.Lock()
+			m.peers["box-1"].takesForwarded = false
+			m.mu.Unlock()
+			assert.Empty(f.t, chosen(f.boxes[0], ForwardRequest{Pool: pool}))
+		})
+	})
 	t.Run("has the routing state of the request, if any box has", func(t *testing.T) {
 		runInBubble(t, func(f *fixture) {
 			for range 3 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -256,7 +256,7 @@
 func (m *Mesh) packet(t packetType, pingedMs clock.Millis) *packet {
 	p := &packet{
 		Type: t, From: m.self, PingedMs: pingedMs, StateSummary: m.stateSummary(), InFlight: m.inFlight(),
-		Unreachable: m.unreachable(),
+		Unreachable: m.unreachable(), TakesForwarded: true,
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -88,6 +88,8 @@
 	InFlightByPool map[namekey.Key]int `cbor:"12,keyasint,omitempty"`
 	// Unreachable are the pools whose upstreams the sender can't reach.
 	Unreachable []namekey.Key `cbor:"13,keyasint,omitempty"`
+	// TakesForwarded is set by boxes that serve requests which other boxes forward. Those of earlier releases don't.
+	TakesForwarded bool `cbor:"14,keyasint,omitempty"`
 }
 
 // maxPacketBytes is the size of the receive buffer. The limits on cached parts, crash reports and
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -20,6 +20,7 @@
 	inFlight       map[namekey.Key]int
 	inFlightByPool map[namekey.Key]int
 	unreachable    []namekey.Key
+	takesForwarded bool
 	draining       bool
 	// unacked is the number of pings sent since the box's last message.
 	unacked int
@@ -45,7 +46,8 @@
 	}
 	updated := &peer{
 		Identity: p.From, lastSeenMs: now, firstSeenMs: now, stateSummary: p.StateSummary, inFlight: p.InFlight,
-		inFlightByPool: p.InFlightByPool, unreachable: p.Unreachable, draining: p.Draining,
+		inFlightByPool: p.InFlightByPool, draining: p.Draining,
+		unreachable: p.Unreachable, takesForwarded: p.TakesForwarded,
 	}
 	if known != nil && known.Incarnation == p.From.Incarnation && known.firstSeenMs > 0 {
 		updated.firstSeenMs, updated.sentAnnouncements = known.firstSeenMs, known.sentAnnouncements
