fix(dispatch): a stream that another box broke reaches no more upstreams than its route allows

Cause: found by reading. The first box counts the upstreams that the other box names in the header of its response; those at which that box resumed the stream later were counted nowhere, and the first box resumed it through a third one. Evidence: TestForwardedRetries for a resumable route of two attempts: three runs before, two after. Ruled out: trailers (a box that crashes sends none). Change: once a response of another box breaks, the route's attempts count as used up.

--- a/internal/gateway/forwarding_test.go
+++ b/internal/gateway/forwarding_test.go
@@ -257,18 +257,23 @@
 
 // TestForwardedRetries guards against a forwarded request that escapes the limits of attempts and the retry budget.
 func TestForwardedRetries(t *testing.T) {
-	t.Run("a request reaches no more upstreams than its route allows", func(t *testing.T) {
-		runForwarding(t, 3, func(f *forwardingFleet) {
-			f.respond(abortConnection)
-			for i := range 20 {
-				id := fmt.Sprint("r", i)
-				response, err := f.boxes[0].send(f.t.Context(), call{method: http.MethodGet, path: "/safe/", id: id, key: key})
-				require.NoError(f.t, err)
-				_ = response.Body.Close()
-				assert.LessOrEqual(f.t, f.runs.of(id), 2)
-			}
+	for path, handler := range map[string]http.HandlerFunc{
+		"/safe/": abortConnection, "/resumable/": writeEvents(1, 3, abortMidEvent),
+	} {
+		t.Run("a request to "+path+" reaches no more upstreams than its route allows", func(t *testing.T) {
+			runForwarding(t, 3, func(f *forwardingFleet) {
+				f.respond(handler)
+				for i := range 20 {
+					id := fmt.Sprint("r", i)
+					response, err := f.boxes[0].send(f.t.Context(), call{method: http.MethodGet, path: path, id: id, key: key})
+					require.NoError(f.t, err)
+					_, _ = io.ReadAll(response.Body)
+					_ = response.Body.Close()
+					assert.LessOrEqual(f.t, f.runs.of(id), 2)
+				}
+			})
 		})
-	})
+	}
 	t.Run("arrivals past the first of each request stay within the budget of all boxes", func(t *testing.T) {
 		runForwarding(t, 3, func(f *forwardingFleet) {
 			f.respond(abortConnection)
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -99,7 +99,12 @@
 	if hop.Refusal != nil {
 		return s.refusedBy(box, hop)
 	}
-	return s.relay(boxSource(), resp, cancel)
+	failed := s.relay(boxSource(), resp, cancel)
+	if failed != nil {
+		// The other box may have retried since it sent the header.
+		r.Sent = max(r.Sent, r.Route.Attempts)
+	}
+	return failed
 }
 
 // boxSource is the source of a response from another box, which frames each response and makes the retries.
