fix(balance): upstreams that respond are reachable, also if they reset new connections

Cause: found by reading. An upstream that has as many connections as it accepts resets new ones and serves the others. If all of a pool do, in an overload, the pool counted as unreachable and its requests went to other boxes. Evidence: a new case of TestUnreachable. Change: a failed dial counts only until something is received from the upstream. Conclusion: a partition that refuses new connections is known once the old ones are idle.

--- a/internal/balance/unreachable.go
+++ b/internal/balance/unreachable.go
@@ -30,12 +30,19 @@
 // failing reports whether the latest dial to a member has failed, or would fail because the path to it is
 // known to be partitioned.
 func (m *Manager) failing(member *Member) bool {
-	return m.pathTo(member.FailureDomain).partitioned || member.client.Dials().Failing()
+	return m.pathTo(member.FailureDomain).partitioned || member.dialFailing()
+}
+
+// dialFailing reports whether the latest dial to an upstream has failed and nothing was received from it since. An
+// upstream that has as many connections as it accepts resets new ones and responds on the others.
+func (m *Member) dialFailing() bool {
+	dials := m.client.Dials()
+	return dials.Failing() && clock.Millis(m.lastResponseMs.Load()) <= dials.FailedMs
 }
 
 // unreachable reports whether this box can't reach any upstream of the pool that takes requests. That is so
-// during a partition, or when all of them have crashed. Connections from before may still work: a partition
-// may refuse only new ones.
+// during a partition, or when all of them have crashed. Connections from before may still work, but have been idle
+// since: a partition may refuse only new ones.
 func (m *Manager) unreachable(pool string, now clock.Millis) bool {
 	available := 0
 	for _, member := range m.pools[pool] {
@@ -116,11 +123,8 @@
 	return m.inFlight > 0 && now-lastMs > maxMemberSilenceMs && !openedWithin(m.client.Dials(), now)
 }
 
-// unresponsive reports whether the host of an upstream did not respond to the latest dial.
-func (m *Member) unresponsive() bool {
-	dials := m.client.Dials()
-	return dials.Failing() && dials.Unresponsive
-}
+// unresponsive reports whether the host of an upstream did not respond to the latest dial, nor sent anything since.
+func (m *Member) unresponsive() bool { return m.dialFailing() && m.client.Dials().Unresponsive }
 
 // mostlyFailing reports whether dials to at least half of the members have failed recently.
 func (m *Manager) mostlyFailing(members []*Member, now clock.Millis) bool {
@@ -130,7 +134,7 @@
 			continue
 		}
 		available++
-		if dials := member.client.Dials(); dials.Failing() && now-dials.FailedMs < failedDialTTLMs {
+		if member.dialFailing() && now-member.client.Dials().FailedMs < failedDialTTLMs {
 			failed++
 		}
 	}
--- a/internal/balance/unreachable_test.go
+++ b/internal/balance/unreachable_test.go
@@ -138,6 +138,22 @@
 		require.NoError(t, err)
 		assert.NotEmpty(t, lease.ID)
 	})
+	t.Run("upstreams that respond on connections from before are reachable, also if they reset new ones", func(t *testing.T) {
+		d := newDialed(2)
+		lease, err := d.Pick(PickRequest{Pool: "p"})
+		require.NoError(t, err)
+		for _, id := range []string{"u0", "u1"} {
+			d.down[id] = true
+			d.try(t, id)
+		}
+		assert.Equal(t, []string{"p"}, d.Unreachable())
+		d.now++
+		lease.RecordContact()
+		assert.Empty(t, d.Unreachable())
+		d.now++
+		d.try(t, lease.ID)
+		assert.Equal(t, []string{"p"}, d.Unreachable())
+	})
 	t.Run("a request that all upstreams failed is not partitioned", func(t *testing.T) {
 		d := newDialed(2)
 		_, err := d.Pick(PickRequest{Pool: "p", Tried: []string{"u0", "u1"}})
