fix(balance): the load bound holds for brittle engines, too

Cause: found by reading. A request to a brittle pool went to the first engine of its session with a free slot, whatever the mean: a hot session could exceed the operators' multiple of it. Evidence: a new case of TestBrittle (12 requests of one session, bound 7 by the mean). Change: engines are chosen as in any pool, among those with free slots; the permit is for no more than the bound by the mean and the slots. Conclusion: both bounds hold.

--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -91,21 +91,23 @@
 	return pools
 }
 
-// pickBrittle chooses an upstream of a brittle pool: the first in the session's order, or for other requests the least
-// loaded one, that has a free slot as far as this box knows and whose owner has not refused a permit.
-func (m *Manager) pickBrittle(lease *Lease, members []*Member, request PickRequest, now clock.Millis) error {
+// pickBrittle chooses an upstream of a brittle pool as from any other, among those that have a free slot as far as this
+// box knows and whose owner has not refused a permit. The bound of the load of engines holds as well.
+func (m *Manager) pickBrittle(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) error {
 	members = slices.DeleteFunc(slices.Clone(members), func(member *Member) bool {
 		return slices.Contains(request.Full, member.ID) || member.load(now) >= max(1, member.Slots)
 	})
 	if len(members) == 0 || len(request.Full) >= maxBrittleRefusals {
 		return ErrAllFull
 	}
+	bound := maxPermits
 	if request.Sticky && len(request.Prompt) > 0 {
-		lease.Member = rank(request.Prompt.Session(), members)[0]
+		m.pickSticky(lease, members, request, total, now)
+		bound = m.withoutUnreported(m.bound(total, len(members), m.excluded(request.Pool, now)), total, len(members))
 	} else {
 		m.pickLeastLoaded(lease, members, now)
 	}
-	lease.bound = max(1, lease.Slots)
+	lease.bound = max(1, min(lease.Slots, bound))
 	lease.ownBound, lease.strict = lease.bound, true
 	return nil
 }
--- a/internal/balance/brittle_test.go
+++ b/internal/balance/brittle_test.go
@@ -79,6 +79,16 @@
 		}
 		assert.Empty(t, f.InFlight())
 	})
+	t.Run("an engine gets no more than the load bound allows, below its slots", func(t *testing.T) {
+		f := brittle(t, 6, 3, 6)
+		for range 12 {
+			_, err := f.PickWithPermit(sticky("s"), grantAll)
+			require.NoError(t, err)
+		}
+		for _, count := range f.InFlight() {
+			assert.LessOrEqual(t, count, 2*12/6+3)
+		}
+	})
 	t.Run("a session stays with its engine", func(t *testing.T) {
 		f, g := brittle(t, 12, 3, 6), newFixture(t, 12)
 		assert.Equal(t, g.pick(t, sticky("s")).ID, f.pick(t, sticky("s")).ID)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -111,7 +111,7 @@
 	lease := &Lease{manager: m, MeanPercent: percent * total / len(members)}
 	brittle := m.maxRejections(request.Pool, now) > 0
 	if brittle {
-		if err := m.pickBrittle(lease, members, request, now); err != nil {
+		if err := m.pickBrittle(lease, members, request, total, now); err != nil {
 			return nil, err
 		}
 	}
