--- a/internal/localfleet/control_test.go
+++ b/internal/localfleet/control_test.go
@@ -460,3 +460,29 @@
 		}))
 	})
 }
+
+// TestPartitionedBox guards against callers that are refused by a box without upstreams while a box of the same failure
+// domain could serve them.
+func TestPartitionedBox(t *testing.T) {
+	run(t, func(tf *testFleet) {
+		tf.wait(5000)
+		separated := tf.Boxes()[0].Name
+		upstreams := map[string]bool{}
+		for _, e := range tf.Engines() {
+			upstreams[e.Name] = true
+		}
+		for _, s := range tf.Services() {
+			upstreams[s.Name] = true
+		}
+		tf.network.SetPartition(func(from, to string) bool {
+			return from == separated && upstreams[to] || to == separated && upstreams[from]
+		})
+		for i := range 5 {
+			result := tf.chat(0, fmt.Sprint(i), "a")
+			assert.Equal(tf.t, load.Complete, result.Verdict, "%+v", result)
+			key := fmt.Sprint("k", i)
+			assert.Equal(tf.t, load.Complete, tf.file(0, key).Verdict)
+			assert.Equal(tf.t, 1, tf.Ledger.Runs(key))
+		}
+	})
+}
