fix(box): a router without upstreams has a box of its failure domain serve its callers

What callers saw: 503 from a router that alone had lost its upstreams, where its fleet has one failure domain or the others have no box to ask. Ruled out: asking boxes of the own domain first (their engines are the same, and all of them may be down: the hop would be wasted before another domain is asked). Change: boxes of the own domain are asked last; a request from a box is not passed on, as before.

--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -281,6 +281,19 @@
 	return b.usableRemoteBoxes(byName)
 }
 
+// domainBoxes returns the other live boxes of this failure domain that have not failed recently.
+func (b *Box) domainBoxes() []backing.ListedBox {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	byName := map[string]backing.ListedBox{}
+	for _, listed := range b.fleet.lists[b.settings.FailureDomain].Boxes {
+		if listed.Name != b.settings.Box {
+			byName[listed.Name] = listed
+		}
+	}
+	return b.usableRemoteBoxes(byName)
+}
+
 // usableRemoteBoxes drops boxes that are draining or failed recently, and sorts the rest by
 // name.
 func (b *Box) usableRemoteBoxes(byName map[string]backing.ListedBox) []backing.ListedBox {
@@ -301,13 +314,17 @@
 	b.fleet.failed[name] = b.clock.Now()
 }
 
-// acquireRemote picks a box of another failure domain that serves the request's target.
-// Requests of a session go to the same box, whose caches are warm.
+// acquireRemote picks a box that serves the request's target: one of another failure domain, or else of this one, which
+// may reach upstreams that this box can't. Requests of a session go to the same box, whose caches are warm.
 func (b *Box) acquireRemote(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, bool) {
 	serving := domainsServing(x)
-	candidates := slices.DeleteFunc(b.remoteBoxes(), func(listed backing.ListedBox) bool {
+	unsuitable := func(listed backing.ListedBox) bool {
 		return !serving[listed.FailureDomain] || slices.Contains(tried, listed.Name)
-	})
+	}
+	candidates := slices.DeleteFunc(b.remoteBoxes(), unsuitable)
+	if len(candidates) == 0 {
+		candidates = slices.DeleteFunc(b.domainBoxes(), unsuitable)
+	}
 	if len(candidates) == 0 {
 		return nil, false
 	}
