fix(soak): what was separated from a server did not hear its signals

Trace: the server's refusals were held up while all links were silent, the box gave the requests up after 0.6 s and never saw them. Change: a server whose link is silent or refuses to all counts as disturbed, and a box as separated, in the checks of backoff and draining. The check itself is as it was.

--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -83,8 +83,10 @@
 
 // partitionAll separates all boxes from all servers.
 func (f *fleet) partitionAll(ctx context.Context, fault linkFault, span time.Duration) {
-	endDisturbance := f.disturb(allBoxes)
-	defer endDisturbance()
+	defer f.disturb(allBoxes)()
+	for _, s := range f.servers {
+		defer f.disturb(s.id())()
+	}
 	for _, s := range f.servers {
 		if s.link.currentFault() == linkHealthy {
 			s.link.set(fault)
@@ -100,8 +102,7 @@
 
 // silence makes a sound server silent for a second.
 func (f *fleet) silence(ctx context.Context, s *server) {
-	endDisturbance := f.disturb(s.id())
-	defer endDisturbance()
+	defer f.disturb(s.id())()
 	s.link.set(linkBlackhole)
 	sleep(ctx, silenceMs*time.Millisecond)
 	s.link.set(linkHealthy)
@@ -194,6 +195,13 @@
 	minPartitionRequests = 20
 )
 
+// separated reports whether a box was separated from the servers at any time in an interval.
+func (h *history) separated(box string, from, to time.Time) bool {
+	return slices.ContainsFunc(h.partitions, func(p *partitionOf) bool {
+		return slices.Contains(p.boxes, box) && p.from.Before(to) && (p.to.IsZero() || p.to.After(from))
+	})
+}
+
 // partitionStats counts the requests in partitions, after partitionNoticeSpan: those of separated boxes and of others.
 type partitionStats struct{ Separated, SeparatedServed, Others, OthersServed int }
 
--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -191,9 +191,10 @@
 }
 
 // noDisturbance reports whether neither the box nor the server's link was disturbed during the
-// given time.
+// given time, nor the box separated from the server.
 func (h *history) noDisturbance(pair boxServer, from, to time.Time) bool {
-	return h.disturbances.undisturbed(pair.box, from, to) && h.disturbances.undisturbed(idOf(pair.server), from, to)
+	return !h.separated(pair.box, from, to) && h.disturbances.undisturbed(pair.box, from, to) &&
+		h.disturbances.undisturbed(idOf(pair.server), from, to)
 }
 
 // idOf returns the server id of an incarnation, which is written as id@start.
