fix(soak): a client that left takes the refusal of its request with it

Trace: the client left 11 ms after it sent the request, the box closed the connection at once, and the refusal, 64 ms after the request on the busy machine, reached nobody. Figures: TestCheckSignals has both cases; what it found before it finds.

--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -28,5 +28,10 @@
 			Cause: "fault in the soak: two runs at the same time; while a server refused connections, a server of " +
 				"the other run with the same id took its port and ran its requests",
 		},
+		{
+			Seeds: []uint64{9000, 9112},
+			Cause: "fault in the soak: boxes were to respect a backoff that they never received, because the server's " +
+				"link was silent (9000, with partitions) or the client had left (9112)",
+		},
 	}
 }
--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -156,8 +156,12 @@
 }
 
 // sendsInBackoff counts the requests that arrived during the backoff that a server requested in
-// its refusal. It returns 0 if the box or the server's link was disturbed meanwhile.
+// its refusal. It returns 0 if the box or the server's link was disturbed meanwhile, or if the client left: the box
+// closes its connection then, and may not receive the refusal.
 func (h *history) sendsInBackoff(pair boxServer, list []delivery, refusal delivery) int {
+	if cancelled(refusal.outcome) {
+		return 0
+	}
 	from := refusal.At.Add(backoffGrace + timingSlack)
 	until := refusal.At.Add(time.Duration(refusal.BackoffMs) * time.Millisecond)
 	if !until.After(from) || !h.noDisturbance(pair, refusal.At, until) {
--- a/internal/soak/response_signals_test.go
+++ b/internal/soak/response_signals_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -54,6 +55,14 @@
 		h.disturbances.begin("s", time.Now())
 		assert.Empty(t, h.check())
 	})
+	t.Run("does not apply to a refusal whose client left, nor while the box was separated from the servers", func(t *testing.T) {
+		h := historyWithSignal(8, backoff)
+		h.outcomes[0].Err = context.Canceled.Error()
+		assert.Empty(t, h.check())
+		h = historyWithSignal(8, backoff)
+		h.partitions = []*partitionOf{{boxes: []string{"b"}, interval: interval{from: time.Now()}}}
+		assert.Empty(t, h.check())
+	})
 	t.Run("finds a request sent too late after a Server-Leaving answer", func(t *testing.T) {
 		assertFinds(t, historyWithSignal(13, drains), "no new work after a Server-Leaving answer")
 		assert.Empty(t, historyWithSignal(12, drains).check())
