--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -35,8 +35,8 @@
 	untilMs       clock.Millis
 }
 
-// RecordBrittleness records how many rejections in a second the upstream bears according to its response, or 0 if it
-// did not say that it is brittle. All upstreams of a pool are brittle at the same times.
+// RecordBrittleness records that the upstream says it bears no more than a number of rejections in a second. It does
+// nothing if the number is 0, which means any number. It holds for the pool, whose upstreams are brittle together.
 func (l *Lease) RecordBrittleness(maxRejections int) {
 	m := l.manager
 	m.mu.Lock()
--- a/internal/mesh/forward_targets.go
+++ b/internal/mesh/forward_targets.go
@@ -9,14 +9,14 @@
 )
 
 // crossDomainPenalty is by how many requests in flight a box of this failure domain may exceed one of another
-// domain before the other one is chosen to serve a request.
+// domain before the other one is preferred.
 const crossDomainPenalty = 4
 
 // ForwardRequest describes a request that this box can't serve itself.
 type ForwardRequest struct {
 	Pool namekey.Key
 	// Version is the version of the routing state that the request was matched against. Boxes that reported an
-	// older one are chosen last: they refuse the request unless they have a newer one by now.
+	// older one come last: they refuse the request unless they have a newer one by now.
 	Version int64
 	// Tried are the names of the boxes to exclude.
 	Tried []string
