fix(soak): a connection is ascribed to the box whose socket has its address and port

Trace: box-3 sent that server nothing for 3.29 s of a backoff of 3.2 s; other boxes sent requests that box-3 had forwarded. The lookup of a connection's owner took the first socket with the same port, whatever its address, found no box, and fell back to the box that the client had asked.

--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return ""
 	}
-	inode := socketInode(remote.Port)
+	inode := socketInode(remote)
 	if inode == "" {
 		return ""
 	}
@@ -38,17 +38,22 @@
 	columnInode = 9
 )
 
-// socketInode returns the inode of the socket with a local port that is connected, or "".
-func socketInode(port int) string {
+// socketInode returns the inode of the connected socket with a local IPv4 address and port, or "".
+func socketInode(local *net.TCPAddr) string {
+	ip := local.IP.To4()
+	if ip == nil {
+		return ""
+	}
+	// The kernel prints the address as a number in the byte order of the machine, which is little-endian.
+	wanted := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], local.Port)
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer func() { _ = table.Close() }()
-	suffix := fmt.Sprintf(":%04X", port)
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		columns := strings.Fields(lines.Text())
-		if len(columns) > columnInode && strings.HasSuffix(columns[columnLocal], suffix) && columns[columnInode] != "0" {
+		if len(columns) > columnInode && columns[columnLocal] == wanted && columns[columnInode] != "0" {
 			return columns[columnInode]
 		}
 	}
