test(balance): a backoff is lost if the restart is told before the response arrives

Trace: sent at 27.034 s, the new start was told at 27.047 s, its refusal with a backoff of 1.6 s came at 27.048 s and was kept for the former incarnation only; six requests followed. Evidence: the test fails.

--- a/internal/balance/incarnation_test.go
+++ b/internal/balance/incarnation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
@@ -104,3 +105,21 @@
 		assert.Equal(t, previous.ID, f.pick(t, ask).ID)
 	})
 }
+
+// TestBackoffHeardAfterRestart guards against a backoff that is lost because the upstream's restart was told while the
+// response was on its way: the new incarnation may have sent it.
+func TestBackoffHeardAfterRestart(t *testing.T) {
+	f := newFixture(t, 1)
+	lease := f.pick(t, PickRequest{Pool: "p"})
+	restarted := f.list[0]
+	restarted.StartedMs = 7
+	f.SetUpstreams([]registry.Upstream{restarted})
+	lease.BackOff(2000, "r")
+	lease.Release(Neutral)
+	_, err := f.Pick(PickRequest{Pool: "p"})
+	var backingOff *AllBackingOffError
+	require.ErrorAs(t, err, &backingOff)
+	f.now += 2000
+	_, err = f.Pick(PickRequest{Pool: "p"})
+	require.NoError(t, err)
+}
