fix(balance): a backoff holds for the next incarnation, too, if its restart was told in between

What upstreams saw: up to six requests in a backoff that a server asked for right after its restart. Ruled out: attributing it to the new incarnation alone (the former one may have sent it). Change: a backoff that is heard under an incarnation that was replaced counts for both. Conclusion: in doubt the box backs off, as before a restart is told.

--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -92,18 +92,26 @@
 	defer l.manager.mu.Unlock()
 	now := l.manager.monotonic()
 	changed := !l.signals.backingOff(now)
-	until := now + duration
-	l.signals.backoffSetMs = now
-	if until > l.signals.backoffUntilMs {
-		l.signals.backoffUntilMs, l.signals.refusedRequest = until, request
+	l.backOff(now, now+duration, request)
+	if successor := l.manager.byID[l.ID]; successor != nil && successor != l.Member {
+		// The restart was noticed while the response was on its way, so that either incarnation may have sent it.
+		successor.backOff(now, now+duration, request)
 	}
-	if l.connectionLost {
-		l.signals.successorUntilMs = max(l.signals.successorUntilMs, until)
-	}
-	l.probation = true
 	return changed
 }
 
+// backOff records a backoff until a time, requested now.
+func (m *Member) backOff(now, until clock.Millis, request string) {
+	m.signals.backoffSetMs = now
+	if until > m.signals.backoffUntilMs {
+		m.signals.backoffUntilMs, m.signals.refusedRequest = until, request
+	}
+	if m.connectionLost {
+		m.signals.successorUntilMs = max(m.signals.successorUntilMs, until)
+	}
+	m.probation = true
+}
+
 // MarkDraining records that the upstream announced that it is draining, and reports whether that
 // was not known before.
 func (l *Lease) MarkDraining() bool {
