--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -159,7 +159,7 @@
 // its refusal. It returns 0 if the box or the server's link was disturbed meanwhile, or if the client left: the box
 // closes its connection then, and may not receive the refusal.
 func (h *history) sendsInBackoff(pair boxServer, list []delivery, refusal delivery) int {
-	if cancelled(refusal.outcome) {
+	if cancelled(refusal.outcome) || strings.Contains(refusal.outcome.Err, context.DeadlineExceeded.Error()) {
 		return 0
 	}
 	from := refusal.At.Add(backoffGrace + timingSlack)
