fix(soak): a closed link ends connections in order, not by a reset

Cause: TestLinkPartitions, when it's run beside others, sees a reset where a closed link should end connections in order. A closed link closes both sides of each connection. The goroutine that copies one direction then finds its own side closed, and reset the other side, if that wasn't closed yet.

Ruled out: unread bytes at the side that closes. The echoed bytes were read.

Change: while the link is closed, the other side is closed in order, too.

Conclusion: the soak's `closed` fault does now what its name says.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -239,7 +239,7 @@
 		l.applyFault(forward)
 		if n > 0 && !l.isStale(from) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
-				reset(from)
+				l.abort(from)
 				return
 			}
 		}
@@ -272,6 +272,16 @@
 	}
 }
 
+// abort resets a connection whose other side is gone. A closed link ends it in order: the other side may be gone
+// because the link closed it.
+func (l *link) abort(c net.Conn) {
+	if l.currentFault() == linkClosed {
+		_ = c.Close()
+		return
+	}
+	reset(c)
+}
+
 // closeDirection forwards the end of a direction in kind: a half-close or a reset.
 func (l *link) closeDirection(to net.Conn, err error) {
 	tcp, ok := to.(*net.TCPConn)
@@ -280,7 +290,7 @@
 		_ = tcp.CloseWrite()
 		return
 	}
-	reset(to)
+	l.abort(to)
 }
 
 func (l *link) close() {
