fix(balance): the identity of an upstream is apart from the fields that change

Cause: Member embedded the upstream's entry. Requests call its Key and Incarnation without the lock, which copy the whole entry, while SetUpstreams writes whether it is draining and its slots.

Ruled out: a lock around Key. Requests read other fields of the identity in the same way, and nothing kept the next method from copying the entry.

Change: Member embeds the identity alone, which is never written; slots and draining are fields under the lock.

--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -95,7 +95,7 @@
 // box knows and whose owner has not refused a permit. The bound of the load of engines holds as well.
 func (m *Manager) pickBrittle(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) error {
 	members = slices.DeleteFunc(slices.Clone(members), func(member *Member) bool {
-		return slices.Contains(request.Full, member.ID) || member.load(now) >= max(1, member.Slots)
+		return slices.Contains(request.Full, member.ID) || member.load(now) >= max(1, member.slots)
 	})
 	if len(members) == 0 || len(request.Full) >= maxBrittleRefusals {
 		return ErrAllFull
@@ -107,7 +107,7 @@
 	} else {
 		m.pickLeastLoaded(lease, members, now)
 	}
-	lease.bound = max(1, min(lease.Slots, bound))
+	lease.bound = max(1, min(lease.slots, bound))
 	lease.ownBound, lease.strict = lease.bound, true
 	return nil
 }
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -156,12 +156,10 @@
 	if old == nil {
 		return newMember(u, m.connect(u.Address), m.signalsFor(u, nil))
 	}
-	if old.identity != identityOf(u) {
+	if old.Upstream != identityOf(u) {
 		return newMember(u, m.connect(u.Address), m.signalsFor(u, old.signals))
 	}
-	// Requests read the other fields without the lock. Those are the same in the new entry, so they
-	// are not written here.
-	old.Draining, old.Slots = u.Draining, u.Slots
+	old.slots, old.drainingEntry = u.Slots, u.Draining
 	return old
 }
 
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -11,14 +11,15 @@
 )
 
 // Member is an upstream with the state that this box keeps of it. Its fields are guarded by the
-// manager's lock.
+// manager's lock, except for the embedded identity, which never changes.
 type Member struct {
+	// Upstream is the upstream's identity: its entry without the fields that may change during its lifetime.
 	registry.Upstream
 	client *upstream.Client
-	// identity is the upstream without the fields that may change during its lifetime; it needs no
-	// lock.
-	identity registry.Upstream
-	hash     uint64
+	hash   uint64
+	// slots is the number of its slots, and drainingEntry is set if its entry says that it is draining.
+	slots         int
+	drainingEntry bool
 	// key identifies the upstream in messages between boxes.
 	key namekey.Key
 	// departedMs is when its entry disappeared.
@@ -58,8 +59,9 @@
 }
 
 // Identity returns the upstream without the fields that may change during its lifetime.
-func (m *Member) Identity() registry.Upstream { return m.identity }
+func (m *Member) Identity() registry.Upstream { return m.Upstream }
 
+// identityOf returns an upstream without the fields that may change during its lifetime.
 func identityOf(u registry.Upstream) registry.Upstream {
 	u.Draining, u.Slots, u.ColdMs = false, 0, 0
 	return u
@@ -82,7 +84,8 @@
 
 func newMember(u registry.Upstream, client *upstream.Client, signals *upstreamSignals) *Member {
 	return &Member{
-		Upstream: u, identity: identityOf(u), client: client, hash: route.HashName(u.ID), key: u.Key(), parts: partIndex{},
-		prefilling: map[namekey.Key]int{}, signals: signals, ejection: ejection{probation: signals.backoffUntilMs > 0},
+		Upstream: identityOf(u), slots: u.Slots, drainingEntry: u.Draining, client: client, hash: route.HashName(u.ID),
+		key: u.Key(), parts: partIndex{}, prefilling: map[namekey.Key]int{}, signals: signals,
+		ejection: ejection{probation: signals.backoffUntilMs > 0},
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -321,7 +321,7 @@
 // cost returns a member's load in percent of its slots, plus a surcharge for members of another
 // failure domain.
 func (m *Manager) cost(member *Member, now clock.Millis) int {
-	cost := percent * member.load(now) / max(1, member.Slots)
+	cost := percent * member.load(now) / max(1, member.slots)
 	if member.FailureDomain != m.settings.FailureDomain {
 		cost += crossDomainPercent
 	}
--- a/internal/balance/queuelimit.go
+++ b/internal/balance/queuelimit.go
@@ -32,7 +32,7 @@
 	}
 	m.pickLeastLoaded(lease, members, now)
 	if request.ObjectiveMs > 0 {
-		lease.bound = lease.Slots
+		lease.bound = lease.slots
 		// A request that is late already still gets a free slot.
 		lease.withinMs = max(1, request.ObjectiveMs-request.ElapsedMs)
 	}
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -75,7 +75,7 @@
 
 // draining reports whether the upstream is draining, according to its entry or its
 // responses, whichever says so first.
-func (m *Member) draining() bool { return m.Draining || m.signals.announcedDraining }
+func (m *Member) draining() bool { return m.drainingEntry || m.signals.announcedDraining }
 
 // unavailable reports whether the upstream accepts no new requests from this box.
 func (m *Member) unavailable(now clock.Millis) bool {
--- a/internal/balance/unreachable_test.go
+++ b/internal/balance/unreachable_test.go
@@ -118,11 +118,11 @@
 	})
 	t.Run("an upstream that is draining neither helps nor counts", func(t *testing.T) {
 		d := newDialed(2)
-		d.byID["u1"].Draining = true
+		d.byID["u1"].drainingEntry = true
 		d.down["u0"] = true
 		d.try(t, "u0")
 		assert.Equal(t, []string{"p"}, d.Unreachable())
-		d.byID["u0"].Draining = true
+		d.byID["u0"].drainingEntry = true
 		assert.Empty(t, d.Unreachable(), "nothing is left that another box could reach")
 	})
 	t.Run("a pool is reachable again with the first probe that opens", func(t *testing.T) {
