test(mesh): a report that arrives may undo what TestForwardTarget sets

Cause: one of four race runs of the whole tree failed in TestForwardTarget (is no box of a release that does not serve forwarded requests): the test clears the flag of a peer at the moment at which the peer's next report arrives, and the report sets it again.

Ruled out: a fault of the mesh. The report of a box that does serve forwarded requests is to set the flag.

Change: the test waits until nothing else runs, before it clears the flag.

Conclusion: no other test of the mesh or the gateway writes to a peer.

--- a/internal/mesh/forward_targets_test.go
+++ b/internal/mesh/forward_targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -46,6 +47,8 @@
 				f.start("d")
 			}
 			advance(f.t, 2*time.Second)
+			// A report that arrives now would set the flag again.
+			synctest.Wait()
 			m := f.boxes[0].Mesh
 			m.mu.Lock()
 			m.peers["box-1"].takesForwarded = false
