fix(balance): evacuated engines take what the others can't hold, for half of the evacuation's bound

Cause: a failure domain that was taken back counts as cold for up to 3 s. If the next one is evacuated in that time, the third gets the whole load at once, and boxes give up the load bound.

A shorter cold time: entries of servers that were restarted take up to 3 s. More requests to cold engines: the rule binds boxes out of touch.

Change: an evacuation must take effect within the bound that the operators set. In its first half, in which other engines may fetch from the evacuated ones already, these take requests if the others can't hold the load under the bound, after two engines of the session's order. Nothing changes where the others can. "upstream picked" says so (`reserve`).

--- a/internal/balance/evacuation.go
+++ b/internal/balance/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/evacuation"
@@ -13,14 +14,17 @@
 
 // evacuatedDomain is an evacuated failure domain.
 type evacuatedDomain struct {
-	// fetchUntilMs is until when engines of other failure domains may fetch cached parts from its engines.
-	fetchUntilMs clock.Millis
+	// graceUntilMs is until when engines of other failure domains may fetch cached parts from its engines, and its
+	// engines may take requests that the others can't hold.
+	graceUntilMs clock.Millis
 }
 
-// SetEvacuations sets the evacuated failure domains. Their upstreams get no new requests from now on.
+// SetEvacuations sets the evacuated failure domains. Their upstreams get no new requests from now on, except
+// for those that the other engines can't hold.
 //
 // For the first half of the time in which the evacuation must take effect, sessions that move to other
-// engines may still fetch their cached parts. The other half is left for the fetches to arrive.
+// engines may still fetch their cached parts, and the evacuated engines are a reserve. The other half is left
+// for the fetches and requests to arrive.
 func (m *Manager) SetEvacuations(list []evacuation.Evacuation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -29,7 +33,7 @@
 	for _, e := range list {
 		domain := evacuatedDomain{}
 		if e.AgeMs >= 0 {
-			domain.fetchUntilMs = now - e.AgeMs + m.settings.EvacuationMs/2
+			domain.graceUntilMs = now - e.AgeMs + m.settings.EvacuationMs/2
 		}
 		m.evacuated[e.FailureDomain] = domain
 	}
@@ -43,8 +47,35 @@
 	}
 }
 
-// mayFetchFrom reports whether an evacuation allows engines to fetch cached parts from an engine.
-func (m *Manager) mayFetchFrom(member *Member, now clock.Millis) bool {
+// mayUse reports whether no evacuation forbids fetching cached parts from an engine, or using it as a reserve.
+func (m *Manager) mayUse(member *Member, now clock.Millis) bool {
 	domain, evacuated := m.evacuated[member.FailureDomain]
-	return !evacuated || now < domain.fetchUntilMs
+	return !evacuated || now < domain.graceUntilMs
+}
+
+// reserve returns the engines of failure domains that were evacuated a short time ago. They may take requests while the
+// others can't hold the load, because further engines are evacuated, too, or are cold for some seconds.
+func (m *Manager) reserve(request PickRequest, now clock.Millis) []*Member {
+	list := []*Member{}
+	for _, member := range m.pools[request.Pool] {
+		if member.evacuated && m.mayUse(member, now) && !member.draining() && !member.signals.backingOff(now) &&
+			!m.pathTo(member.FailureDomain).partitioned && !slices.Contains(request.Tried, member.ID) &&
+			m.coldDelayMs(member, now) == 0 && member.acceptsRequest(now) {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+// mayUseReserve reports whether the request was given to the reserve and may still be sent there.
+func (l *Lease) mayUseReserve() bool {
+	return l.FromReserve && l.manager.mayUse(l.Member, l.manager.monotonic())
+}
+
+// reserveRank is how many engines of a session's order are tried before those of the reserve.
+const reserveRank = 2
+
+// withReserve inserts the reserve into a session's order of engines.
+func withReserve(order, reserve []*Member) []*Member {
+	return slices.Insert(slices.Clone(order), min(reserveRank, len(order)), reserve...)
 }
--- a/internal/balance/evacuation_test.go
+++ b/internal/balance/evacuation_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -109,3 +110,61 @@
 	assert.Less(t, f.bound(120, 8, 4), f.bound(120, 8, 0), "one of three is")
 	assert.Greater(t, f.bound(120, 8, 1), 120/8)
 }
+
+// TestReserve guards against requests for an evacuated failure domain that the other engines can hold, and against any
+// after half of the time in which the evacuation must take effect.
+func TestReserve(t *testing.T) {
+	const loaded = 120
+	// mostEvacuated returns a fixture whose engines outside of d0 are evacuated, those of d2 as given.
+	mostEvacuated := func(t *testing.T, d2 evacuation.Evacuation) *fixture {
+		t.Helper()
+		f := newFixture(t, 12)
+		f.settings.EvacuationMs = 2000
+		f.SetEvacuations(append(evacuated(-1, "d1"), d2))
+		return f
+	}
+	// domains sends requests, and returns how many went to each failure domain.
+	domains := func(t *testing.T, f *fixture, requests int) map[string]int {
+		t.Helper()
+		counts := map[string]int{}
+		for i := range requests {
+			counts[f.pick(t, sticky(fmt.Sprint(i))).FailureDomain]++
+		}
+		return counts
+	}
+	t.Run("its engines take what the others can't hold", func(t *testing.T) {
+		counts := domains(t, mostEvacuated(t, evacuated(0, "d2")[0]), loaded)
+		assert.Positive(t, counts["d2"])
+		assert.Greater(t, counts["d0"], counts["d2"])
+		assert.Zero(t, counts["d1"], "no box saw when its evacuation began")
+	})
+	t.Run("nothing if the others can hold the load", func(t *testing.T) {
+		f := newFixture(t, 12)
+		f.settings.EvacuationMs, f.settings.BoundPercent = 2000, 180
+		f.SetEvacuations(evacuated(0, "d2"))
+		assert.Zero(t, domains(t, f, loaded)["d2"])
+	})
+	t.Run("nothing after half of the time in which the evacuation must take effect", func(t *testing.T) {
+		assert.Zero(t, domains(t, mostEvacuated(t, evacuated(1000, "d2")[0]), loaded)["d2"])
+	})
+	t.Run("nothing if they are draining, backing off or were tried", func(t *testing.T) {
+		f := mostEvacuated(t, evacuated(0, "d2")[0])
+		request := sticky("s")
+		f.byID["u2"].drainingEntry = true
+		f.byID["u5"].backOff(f.now, f.now+1000, "r")
+		request.Tried = []string{"u8", "u11"}
+		for range loaded {
+			assert.Equal(t, "d0", f.pick(t, request).FailureDomain)
+		}
+	})
+	t.Run("a request that was picked in time is sent in time", func(t *testing.T) {
+		f := mostEvacuated(t, evacuated(0, "d2")[0])
+		var lease *Lease
+		for i := 0; lease == nil || lease.FailureDomain != "d2"; i++ {
+			lease = f.pick(t, sticky(fmt.Sprint(i)))
+		}
+		require.NoError(t, lease.CheckBeforeSend())
+		f.now += 1000
+		require.ErrorIs(t, lease.CheckBeforeSend(), ErrEvacuated)
+	})
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -51,6 +51,8 @@
 	Prefill Prefill
 	// Skipped is the engine that ranks first for the session, if it was skipped.
 	Skipped Skipped
+	// FromReserve is set if the engine is in an evacuated failure domain, because the others can't hold the load.
+	FromReserve bool
 
 	// newParts are the shared parts that the engine is to prefill and other boxes may not know of.
 	newParts []namekey.Key
@@ -176,8 +178,15 @@
 // If an owner decides on the engine next, only the requests of this box count here: its estimate of the
 // load is older than the owner's count, and would move sessions away from engines that have room.
 func (m *Manager) pickSticky(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) {
+	excluded := m.excluded(request.Pool, now)
 	ranked := rank(request.Prompt.Session(), members)
-	bound := m.bound(total, len(members), m.excluded(request.Pool, now))
+	if !m.canHold(total, len(members), excluded) {
+		reserve := m.reserve(request, now)
+		total += m.total(request.Pool, reserve, now)
+		members, excluded = slices.Concat(members, reserve), excluded-len(reserve)
+		ranked = withReserve(ranked, rank(request.Prompt.Session(), reserve))
+	}
+	bound := m.bound(total, len(members), excluded)
 	// Owners count the load that boxes don't report to each other.
 	ownBound := m.withoutUnreported(bound, total, len(members))
 	if !m.enginePermits {
@@ -203,6 +212,7 @@
 		}
 	}
 	lease.Rank = slices.Index(ranked, lease.Member)
+	lease.FromReserve = lease.evacuated
 	if m.enginePermits {
 		lease.bound, lease.ownBound = bound, ownBound
 	}
@@ -247,12 +257,17 @@
 // matters while the mean is small. The bound is always above the mean of the candidates.
 func (m *Manager) bound(total, members, excluded int) int {
 	bound := m.multipleOfMean(total, members+excluded)
-	if excluded > 0 && bound < minBoundPercent*(total+1)/(percent*members) {
+	if !m.canHold(total, members, excluded) {
 		bound = m.multipleOfMean(total, members)
 	}
 	return max(bound+boundSlack, aboveMean(total, members))
 }
 
+// canHold reports whether the candidates can hold the load under the bound if excluded members count as idle.
+func (m *Manager) canHold(total, members, excluded int) bool {
+	return excluded == 0 || m.multipleOfMean(total, members+excluded) >= minBoundPercent*(total+1)/(percent*members)
+}
+
 // withoutUnreported reduces a bound by the load that may be unreported.
 func (m *Manager) withoutUnreported(bound, total, members int) int {
 	return max(bound-m.unreportedLoad(bound), aboveMean(total, members))
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -137,7 +137,7 @@
 	switch {
 	case l.draining():
 		return ErrDraining
-	case l.evacuated:
+	case l.evacuated && !l.mayUseReserve():
 		return ErrEvacuated
 	case l.signals.backingOff(l.manager.monotonic()):
 		return ErrBackingOff
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -40,6 +40,8 @@
 	// SkipReason is the reason.
 	SkippedUpstream string
 	SkipReason      string
+	// FromReserve is set if the upstream is in an evacuated failure domain, because the others can't hold the load.
+	FromReserve bool
 	// FetchFrom is the engine from which to fetch cached prefixes.
 	FetchFrom string
 	// PrefillTokens is the estimated number of tokens of shared prefixes that the engine has
@@ -70,6 +72,9 @@
 	o.AddInt("mean_load_percent", e.MeanPercent)
 	addIfSet(o, "passed_over", e.SkippedUpstream)
 	addIfSet(o, "passed_why", e.SkipReason)
+	if e.FromReserve {
+		o.AddBool("reserve", true)
+	}
 	addIfSet(o, "fetch_from", e.FetchFrom)
 	if e.PrefillTokens > 0 {
 		o.AddInt("read_tokens", e.PrefillTokens)
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -152,7 +152,8 @@
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.deps.StateAgeMs(),
 		Upstream: lease.ID, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
 		MeanPercent: lease.MeanPercent, SkippedUpstream: lease.Skipped.Upstream, SkipReason: string(lease.Skipped.Reason),
-		FetchFrom: lease.FetchFrom, PrefillTokens: lease.Prefill.Tokens, PrefillReason: string(lease.Prefill.Reason),
+		FromReserve: lease.FromReserve,
+		FetchFrom:   lease.FetchFrom, PrefillTokens: lease.Prefill.Tokens, PrefillReason: string(lease.Prefill.Reason),
 		ResumeAfter: s.stream.lastEventID(),
 	})
 }
