refactor(balance): the load bound in a file of its own; why evacuated engines count as idle

Ruled out: counting what boxes report of evacuated engines.

The bound moves to bound.go with its inputs in one value; a brittle pool uses the bound that the pick used, and has no reserve.

Conclusion: no behaviour changes but for brittle pools during an evacuation, which would have got engines of the reserve without room.

--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -102,8 +102,7 @@
 	}
 	bound := maxPermits
 	if request.Sticky && len(request.Prompt) > 0 {
-		m.pickSticky(lease, members, request, total, now)
-		bound = m.withoutUnreported(m.bound(total, len(members), m.excluded(request.Pool, now)), total, len(members))
+		bound = m.pickSticky(lease, members, request, total, now)
 	} else {
 		m.pickLeastLoaded(lease, members, now)
 	}
--- a/internal/balance/evacuation.go
+++ b/internal/balance/evacuation.go
@@ -54,9 +54,13 @@
 }
 
 // reserve returns the engines of failure domains that were evacuated a short time ago. They may take requests while the
-// others can't hold the load, because further engines are evacuated, too, or are cold for some seconds.
+// others can't hold the load, because further engines are evacuated, too, or are cold for some seconds. Brittle engines
+// are no reserve: those that have room aren't known.
 func (m *Manager) reserve(request PickRequest, now clock.Millis) []*Member {
 	list := []*Member{}
+	if m.maxRejections(request.Pool, now) > 0 {
+		return list
+	}
 	for _, member := range m.pools[request.Pool] {
 		if member.evacuated && m.mayUse(member, now) && !member.draining() && !member.signals.backingOff(now) &&
 			!m.pathTo(member.FailureDomain).partitioned && !slices.Contains(request.Tried, member.ID) &&
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -177,22 +176,25 @@
 //
 // If an owner decides on the engine next, only the requests of this box count here: its estimate of the
 // load is older than the owner's count, and would move sessions away from engines that have room.
-func (m *Manager) pickSticky(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) {
-	excluded := m.excluded(request.Pool, now)
+//
+// It returns the bound as this box estimates it.
+func (m *Manager) pickSticky(
+	lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis,
+) (ownBound int) {
+	load := poolLoad{candidates: len(members), running: total, excluded: m.excluded(request.Pool, now)}
 	ranked := rank(request.Prompt.Session(), members)
-	if !m.canHold(total, len(members), excluded) {
+	if !m.canHold(load) {
 		reserve := m.reserve(request, now)
-		total += m.total(request.Pool, reserve, now)
-		members, excluded = slices.Concat(members, reserve), excluded-len(reserve)
+		load = load.withReserve(len(reserve), m.total(request.Pool, reserve, now))
 		ranked = withReserve(ranked, rank(request.Prompt.Session(), reserve))
 	}
-	bound := m.bound(total, len(members), excluded)
+	bound := m.bound(load)
 	// Owners count the load that boxes don't report to each other.
-	ownBound := m.withoutUnreported(bound, total, len(members))
+	ownBound = m.withoutUnreported(bound, load)
 	if !m.enginePermits {
 		bound = ownBound
 	}
-	lease.Spread = spreadWidth(m.sessionShare(request, now), total, len(members), bound)
+	lease.Spread = spreadWidth(m.sessionShare(request, now), load.running, load.candidates, bound)
 	order := ranked
 	if lease.Spread > 1 {
 		order = rotateFirst(ranked, m.random(lease.Spread), lease.Spread)
@@ -202,12 +204,12 @@
 		if slices.Contains(request.Full, member.ID) {
 			continue
 		}
-		load := member.load(now)
-		if load+1 <= bound || m.ownerDecides(request) && member.inFlight < bound {
+		memberLoad := member.load(now)
+		if memberLoad+1 <= bound || m.ownerDecides(request) && member.inFlight < bound {
 			lease.Member = member
 			break
 		}
-		if load < lease.load(now) {
+		if memberLoad < lease.load(now) {
 			lease.Member = member
 		}
 	}
@@ -216,6 +218,7 @@
 	if m.enginePermits {
 		lease.bound, lease.ownBound = bound, ownBound
 	}
+	return ownBound
 }
 
 // ownerDecides reports whether the owner of the engine decides if it has room for the request. In a fleet so large that
@@ -239,72 +242,6 @@
 	return h.share(request.Prompt.Session())
 }
 
-// excluded returns the number of members that get no requests, although they are well, because they are evacuated or
-// cold.
-func (m *Manager) excluded(pool string, now clock.Millis) int {
-	count := 0
-	for _, member := range m.pools[pool] {
-		if !member.draining() && (member.evacuated || m.coldDelayMs(member, now) > 0) {
-			count++
-		}
-	}
-	return count
-}
-
-// bound returns the maximum load of an engine. It is the configured multiple of the mean load (which
-// includes this request), rounded up, plus boundSlack. The mean is that of the candidates and of excluded
-// members, which count as idle, unless the candidates can't hold the load under that bound. The slack
-// matters while the mean is small. The bound is always above the mean of the candidates.
-func (m *Manager) bound(total, members, excluded int) int {
-	bound := m.multipleOfMean(total, members+excluded)
-	if !m.canHold(total, members, excluded) {
-		bound = m.multipleOfMean(total, members)
-	}
-	return max(bound+boundSlack, aboveMean(total, members))
-}
-
-// canHold reports whether the candidates can hold the load under the bound if excluded members count as idle.
-func (m *Manager) canHold(total, members, excluded int) bool {
-	return excluded == 0 || m.multipleOfMean(total, members+excluded) >= minBoundPercent*(total+1)/(percent*members)
-}
-
-// withoutUnreported reduces a bound by the load that may be unreported.
-func (m *Manager) withoutUnreported(bound, total, members int) int {
-	return max(bound-m.unreportedLoad(bound), aboveMean(total, members))
-}
-
-// aboveMean returns the least bound that is above the mean load.
-func aboveMean(total, members int) int { return (total + members) / members }
-
-// minBoundPercent is the bound, in percent of the mean load of the candidates, below which it would move most sessions
-// away from their engines.
-const minBoundPercent = 110
-
-// multipleOfMean returns the configured multiple of the mean load of a number of members, rounded up.
-func (m *Manager) multipleOfMean(total, members int) int {
-	return ((total+1)*m.settings.BoundPercent + members*percent - 1) / (members * percent)
-}
-
-// unreportedLoad returns how much of a load may be unknown to this box because the load reports of
-// other boxes are old. If the reports are at least as old as requests usually take, this is the
-// standard deviation of a count of that size. It is proportionally less for newer reports.
-//
-// Without this correction, boxes that exchange loads only every second or so overload engines without
-// noticing. A few boxes exchange loads several times a second, and it does not change their bound.
-func (m *Manager) unreportedLoad(load int) int {
-	if m.fleetInFlightByPool != nil {
-		// Boxes go by what engines report.
-		return 0
-	}
-	staleness := min(1, float64(m.othersAgeMs)/float64(reportTTLMs))
-	return int(math.Sqrt(float64(load)) * staleness)
-}
-
-// boundSlack is how many requests an engine may hold in addition to the multiple of the mean, because
-// boxes don't know of each other's newest requests yet. It is one less than the number that operators
-// allow in addition to the multiple.
-const boundSlack = 2
-
 // rank orders members for a session by rendezvous hashing.
 func rank(session string, members []*Member) []*Member {
 	hashes := make([]uint64, len(members))
