test(gateway): an evacuation that a box learns of late counts as new

Engines of an evacuated failure domain may be fetched from, and take what others can't hold, for half of the operators' bound. The time counts from when the first box learned of the evacuation. If no box could read the store, the evacuation is older, up to the bound less the lead of a direct read.

Ruled out: boxes that learn from another box; they get the age from it.

--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/evacuation"
+	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -241,3 +243,18 @@
 		})
 	})
 }
+
+// TestEvacuationLearnedLate guards against sending requests to an evacuated failure domain after the operators' bound,
+// because a box could not read the store when the evacuation started.
+func TestEvacuationLearnedLate(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.upstream("u", respondWith("done"))
+		b := f.box(1)
+		advance(f.t, time.Second)
+		f.store.setUnavailable("box-1", true)
+		advance(f.t, 2*time.Second)
+		b.evacuations.Apply([]evacuation.Change{{FailureDomain: "d", Position: position.At(0, 100)}})
+		require.Len(f.t, b.evacuations.Active(), 1)
+		assert.GreaterOrEqual(f.t, b.evacuations.Active()[0].AgeMs, 2*clock.Second)
+	})
+}
