fix(evacuation): the age of an evacuation counts from the confirmation before it

Cause: an evacuation counted from when a box read it. It may have started right after the read before, which is as old as the last confirmation.

Ruled out: the time of the operators' write; it comes from another clock.

Change: the tracker takes the age of the last confirmation as that of the changes that it applies. Fetches from evacuated engines and their use as a reserve end that much earlier.

Conclusion: the age is an upper bound now, so what is allowed during the bound ends within it.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -28,7 +28,7 @@
 // Evacuation is the evacuation of one failure domain.
 type Evacuation struct {
 	FailureDomain string `json:"failure_domain"`
-	// AgeMs is the time since a box learned that the evacuation started, or negative if no box saw it
+	// AgeMs is the longest time for which the evacuation may have been in effect, or negative if no box saw it
 	// start.
 	AgeMs clock.Millis `json:"age_ms"`
 }
@@ -50,7 +50,7 @@
 
 // status is what is known of an evacuation that is in effect.
 type status struct {
-	// startedMs is the monotonic time at which a box learned of its start, or unknownStart.
+	// startedMs is the earliest monotonic time at which it may have started, or unknownStart.
 	startedMs clock.Millis
 	// endsMs is the monotonic time at which the evacuation ends because a restored store doesn't list
 	// it, or 0.
@@ -59,8 +59,9 @@
 
 // Tracker holds the evacuations that are in effect. It is safe for concurrent use.
 type Tracker struct {
-	monotonic func() clock.Millis
-	onChange  func(event Change)
+	monotonic       func() clock.Millis
+	confirmationAge func() clock.Millis
+	onChange        func(event Change)
 
 	mu       sync.Mutex
 	active   map[string]status
@@ -71,14 +72,31 @@
 
 // New returns a tracker without evacuations. Monotonic is a monotonic clock. The function onChange is
 // called, without locks held, for each evacuation that starts or ends.
-func New(monotonic func() clock.Millis, onChange func(event Change)) *Tracker {
-	return &Tracker{monotonic: monotonic, onChange: onChange, active: map[string]status{}}
+func New(monotonic func() clock.Millis, onChange func(event Change), options ...Option) *Tracker {
+	t := &Tracker{
+		monotonic: monotonic, confirmationAge: func() clock.Millis { return 0 }, onChange: onChange,
+		active: map[string]status{},
+	}
+	for _, option := range options {
+		option(t)
+	}
+	return t
+}
+
+// Option configures a tracker.
+type Option func(t *Tracker)
+
+// WithConfirmationAge makes a tracker ask how long ago the known evacuations were last confirmed to be the newest. A
+// change that it applies may be as old. Without it, changes are new.
+func WithConfirmationAge(age func() clock.Millis) Option {
+	return func(t *Tracker) { t.confirmationAge = age }
 }
 
 // Apply applies changes in the order of their positions. Changes that are not after the newest known
 // position have no effect.
 func (t *Tracker) Apply(changes []Change) {
 	events := []Change{}
+	startedMs := max(0, t.monotonic()-t.confirmationAge())
 	t.mu.Lock()
 	for _, c := range changes {
 		if !t.position.Before(c.Position) {
@@ -88,7 +106,7 @@
 		if c.Ended {
 			events = t.endLocked(events, c.FailureDomain)
 		} else {
-			events = t.startLocked(events, c.FailureDomain, t.monotonic())
+			events = t.startLocked(events, c.FailureDomain, startedMs)
 		}
 	}
 	t.mu.Unlock()
