fix(balance): the reserve lasts until a second before the evacuation's bound

Cause: the reserve ended after half of the operators' bound, half a second or more before the cold time of the failure domain that was taken back.

Change: fetches end after half of the bound as before, because they wait for prompts at an engine. A request that is sent arrives at once, so the reserve ends a second before the bound.

--- a/internal/balance/evacuation.go
+++ b/internal/balance/evacuation.go
@@ -14,17 +14,22 @@
 
 // evacuatedDomain is an evacuated failure domain.
 type evacuatedDomain struct {
-	// graceUntilMs is until when engines of other failure domains may fetch cached parts from its engines, and its
-	// engines may take requests that the others can't hold.
-	graceUntilMs clock.Millis
+	// fetchUntilMs is until when engines of other failure domains may fetch cached parts from its engines.
+	fetchUntilMs clock.Millis
+	// reserveUntilMs is until when its engines may take requests that the others can't hold.
+	reserveUntilMs clock.Millis
 }
 
+// reserveMarginMs is how long before an evacuation must have taken effect the last request is sent to its engines. A
+// request that has been sent arrives much sooner.
+const reserveMarginMs = clock.Second
+
 // SetEvacuations sets the evacuated failure domains. Their upstreams get no new requests from now on, except
 // for those that the other engines can't hold.
 //
 // For the first half of the time in which the evacuation must take effect, sessions that move to other
-// engines may still fetch their cached parts, and the evacuated engines are a reserve. The other half is left
-// for the fetches and requests to arrive.
+// engines may still fetch their cached parts. The other half is left for the fetches to arrive, since prompts
+// wait for each other at an engine.
 func (m *Manager) SetEvacuations(list []evacuation.Evacuation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -33,7 +38,9 @@
 	for _, e := range list {
 		domain := evacuatedDomain{}
 		if e.AgeMs >= 0 {
-			domain.graceUntilMs = now - e.AgeMs + m.settings.EvacuationMs/2
+			startedMs := now - e.AgeMs
+			domain.fetchUntilMs = startedMs + m.settings.EvacuationMs/2
+			domain.reserveUntilMs = startedMs + m.settings.EvacuationMs - reserveMarginMs
 		}
 		m.evacuated[e.FailureDomain] = domain
 	}
@@ -47,10 +54,16 @@
 	}
 }
 
-// mayUse reports whether no evacuation forbids fetching cached parts from an engine, or using it as a reserve.
-func (m *Manager) mayUse(member *Member, now clock.Millis) bool {
+// mayFetchFrom reports whether an evacuation allows engines to fetch cached parts from an engine.
+func (m *Manager) mayFetchFrom(member *Member, now clock.Millis) bool {
+	domain, evacuated := m.evacuated[member.FailureDomain]
+	return !evacuated || now < domain.fetchUntilMs
+}
+
+// inReserve reports whether an engine is evacuated and may take requests that the others can't hold.
+func (m *Manager) inReserve(member *Member, now clock.Millis) bool {
 	domain, evacuated := m.evacuated[member.FailureDomain]
-	return !evacuated || now < domain.graceUntilMs
+	return evacuated && now < domain.reserveUntilMs
 }
 
 // reserve returns the engines of failure domains that were evacuated a short time ago. They may take requests while the
@@ -62,7 +75,7 @@
 		return list
 	}
 	for _, member := range m.pools[request.Pool] {
-		if member.evacuated && m.mayUse(member, now) && !member.draining() && !member.signals.backingOff(now) &&
+		if m.inReserve(member, now) && !member.draining() && !member.signals.backingOff(now) &&
 			!m.pathTo(member.FailureDomain).partitioned && !slices.Contains(request.Tried, member.ID) &&
 			m.coldDelayMs(member, now) == 0 && member.acceptsRequest(now) {
 			list = append(list, member)
@@ -73,7 +86,7 @@
 
 // mayUseReserve reports whether the request was given to the reserve and may still be sent there.
 func (l *Lease) mayUseReserve() bool {
-	return l.FromReserve && l.manager.mayUse(l.Member, l.manager.monotonic())
+	return l.FromReserve && l.manager.inReserve(l.Member, l.manager.monotonic())
 }
 
 // reserveRank is how many engines of a session's order are tried before those of the reserve.
--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -56,7 +56,7 @@
 ) (address string, cached int) {
 	for _, member := range append(order, m.departed[lease.Pool]...) {
 		if member == lease.Member || member.health.Ejected(now) || member.signals.backingOff(now) ||
-			!m.mayUse(member, now) {
+			!m.mayFetchFrom(member, now) {
 			continue
 		}
 		if tokens := member.parts.cachedTokens(shared, now); tokens > cached {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -143,7 +143,8 @@
 		},
 	}, b.clock.Monotonic, b.connect, rand.IntN)
 	b.balance.SetFleetSize(minAssumedFleet)
-	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation, evacuation.WithConfirmationAge(b.routingState.AgeMs))
+	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation,
+		evacuation.WithConfirmationAge(b.routingState.AgeMs))
 	b.registry.OnChange(func() { b.balance.SetUpstreams(b.registry.All()) })
 	usablePercent := settings.Budget.Ratio * percent * localBudgetShare
 	window := clock.Millis(settings.Budget.WindowS * float64(clock.Second))
