test(gateway): crashes of upstreams that end a moment after the connection are not recognised

Cause: a box opens a connection 5 ms after one broke. If the upstream accepts it, the box takes the break for a reset and forgets the request. A process that ends some milliseconds later, such as a server whose worker process crashed first, still accepts then.

--- /dev/null
+++ b/internal/gateway/fatal_restart_test.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/registry"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+const (
+	restartUpstreams                 = 12
+	restartBoxes                     = 6
+	restartDomains                   = 3
+	restartSpan                      = 20 * time.Second
+	ordinaryPerSecond                = 60
+	ordinaryBodies                   = 40
+	fatalInterval                    = 500 * time.Millisecond
+	upstreamRestartMs   clock.Millis = 3000
+	maxSendsAfterThird               = 3
+	restartDefaultSeeds              = 3
+)
+
+// restarts is a run in which two fatal requests crash upstreams among ordinary ones. An upstream that crashed restarts
+// later at the same address under the same ID, and its entry stays as it is until then.
+type restarts struct {
+	fleet *fleet
+	// exitDelayMs is the longest time between the break of the fatal request's connection and the end of the process.
+	exitDelayMs int
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// sendsMs holds, by fatal body, when upstreams received it. Each of these upstreams crashed.
+	sendsMs map[string][]clock.Millis
+}
+
+func (r *restarts) intn(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.IntN(n)
+}
+
+// start starts an upstream at an address, whose port may be 0.
+func (r *restarts) start(number int, address string) {
+	f := r.fleet
+	id := fmt.Sprint("u", number)
+	listener, err := f.network.Host(id).Listen("tcp", address)
+	require.NoError(f.t, err)
+	server := &http.Server{} //nolint:gosec // No network that could stall it.
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		data, _ := io.ReadAll(request.Body)
+		w.Header()["X-Id"] = request.Header["X-Id"]
+		if !strings.HasPrefix(string(data), fatalBody) {
+			_ = f.clock.Sleep(request.Context(), clock.Millis(20+r.intn(200)))
+			respondWith("done")(w, request)
+			return
+		}
+		r.crash(server, number, listener.Addr().String(), string(data))
+		panic(http.ErrAbortHandler)
+	})
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+	f.store.put(registry.Upstream{
+		ID: id, Pool: "p", Address: listener.Addr().String(), FailureDomain: fmt.Sprint("d", number%restartDomains),
+		Slots: 8, StartedMs: f.clock.Now(),
+	})
+}
+
+// crash ends an upstream that received a fatal body, and restarts it later.
+func (r *restarts) crash(server *http.Server, number int, address, body string) {
+	r.mu.Lock()
+	r.sendsMs[body] = append(r.sendsMs[body], r.fleet.clock.Monotonic())
+	r.mu.Unlock()
+	if r.exitDelayMs == 0 {
+		_ = server.Close()
+	}
+	go func() {
+		if r.exitDelayMs > 0 {
+			_ = r.fleet.clock.Sleep(r.fleet.t.Context(), clock.Millis(r.intn(r.exitDelayMs)))
+			_ = server.Close()
+		}
+		if r.fleet.clock.Sleep(r.fleet.t.Context(), upstreamRestartMs) == nil {
+			r.start(number, address)
+		}
+	}()
+}
+
+// afterThird returns how often upstreams received a body after the third crash, and how long after it the last time.
+func (r *restarts) afterThird(body string) (sends int, last clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	const crashes = 3
+	list := r.sendsMs[body]
+	if len(list) <= crashes {
+		return 0, 0
+	}
+	return len(list) - crashes, list[len(list)-1] - list[crashes-1]
+}
+
+// repeat sends requests to random boxes until the span ends, each in the background.
+func (r *restarts) repeat(boxes []*running, interval func() time.Duration, request func(number int) call) {
+	t := r.fleet.t
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	end := r.fleet.clock.Monotonic() + clock.FromDuration(restartSpan)
+	for number := 0; r.fleet.clock.Monotonic() < end; number++ {
+		advance(t, interval())
+		b := boxes[r.intn(len(boxes))]
+		sending.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), timeoutMs*time.Millisecond)
+			defer cancel()
+			response, err := b.send(ctx, request(number))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		})
+	}
+}
+
+// startFleet starts the upstreams and boxes.
+func (r *restarts) startFleet() []*running {
+	for number := range restartUpstreams {
+		r.start(number, "127.0.0.1:0")
+	}
+	boxes := []*running{}
+	for number := range restartBoxes {
+		change := []func(g *config.Gateway){func(g *config.Gateway) { g.FailureDomain = fmt.Sprint("d", number%restartDomains) }}
+		if number > 0 {
+			change = append(change, withContact(boxes[0]))
+		}
+		boxes = append(boxes, r.fleet.box(number+1, change...))
+	}
+	advance(r.fleet.t, 3*time.Second)
+	return boxes
+}
+
+// run sends the two fatal requests among ordinary ones, which repeat a number of bodies.
+func (r *restarts) run(boxes []*running, fatalPaths []string) {
+	var callers sync.WaitGroup
+	ordinaryPaths := []string{"/safe/", "/unsafe/", "/stream/"}
+	callers.Go(func() {
+		r.repeat(boxes, func() time.Duration { return time.Duration(1+r.intn(2*1000/ordinaryPerSecond)) * time.Millisecond },
+			func(number int) call {
+				return call{
+					method: http.MethodPost, path: ordinaryPaths[number%len(ordinaryPaths)], id: fmt.Sprint("o", number), key: key,
+					body: fmt.Sprint("ordinary", number%ordinaryBodies),
+				}
+			})
+	})
+	for _, path := range fatalPaths {
+		advance(r.fleet.t, time.Duration(r.intn(500))*time.Millisecond)
+		callers.Go(func() {
+			r.repeat(boxes, func() time.Duration { return fatalInterval }, func(number int) call {
+				return call{method: http.MethodPost, path: path, id: fmt.Sprint(path, number), key: key, body: fatalBody + path}
+			})
+		})
+	}
+	callers.Wait()
+}
+
+// quarantined returns the number of fingerprints that any box holds back.
+func quarantined(boxes []*running) int {
+	all := map[string]bool{}
+	for _, b := range boxes {
+		for _, s := range b.quarantine.Quarantined() {
+			all[s.Fingerprint.String()] = true
+		}
+	}
+	return len(all)
+}
+
+// TestFatalRequestAtRestartingUpstreams guards against a fatal request that reaches upstreams long after three of them
+// crashed, because the crash of one that ends late, or restarts at its address, is not recognised.
+func TestFatalRequestAtRestartingUpstreams(t *testing.T) {
+	fatalPaths := []string{"/safe/", "/stream/"}
+	for name, exitDelayMs := range map[string]int{"that end at once": 0, "that end after their connections broke": 60} {
+		for seed := range historyCount() * restartDefaultSeeds / histories {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				runWithFleet(t, func(f *fleet) {
+					r := &restarts{
+						fleet: f, random: rand.New(rand.NewPCG(seed, 49)), exitDelayMs: exitDelayMs, sendsMs: map[string][]clock.Millis{},
+					}
+					boxes := r.startFleet()
+					r.run(boxes, fatalPaths)
+					for _, path := range fatalPaths {
+						sends, last := r.afterThird(fatalBody + path)
+						t.Logf("%s: %d sends after the third crash, the last %d ms after it", path, sends, last)
+						assert.LessOrEqual(t, sends, maxSendsAfterThird, path)
+						assert.LessOrEqual(t, last, detectionBoundMs, path)
+					}
+					assert.LessOrEqual(t, quarantined(boxes), len(fatalPaths), "ordinary requests are not quarantined")
+				})
+			})
+		}
+	}
+}
