fix(gateway): a crash is recognised if the process ends a moment after the connection broke

Cause: the first probe, 5 ms after a connection broke, found the upstream alive, and the requests whose connections broke were forgotten. The process ended some milliseconds later, and nothing connected its end with the request.

Ruled out: a longer wait before the first probe. It would delay every crash that is recognised today, and has to be as long as the longest exit.

Change: if the first probe finds the upstream alive, the requests become uncertain, as abandoned ones are, and a second probe follows after 100 ms. A crash that it or a refused connection shows within a second is attributed to them. It costs one more connection for a break that was only a reset.

A response without length or chunks of such a process still passes for whole: nothing tells it from one of a server that lives on.

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -26,12 +26,13 @@
 	// suspectRetentionMs is the longest time between a broken connection and the removal of the upstream's registry
 	// entry for both to be attributed to one crash. An entry outlives its upstream by about a third of this time.
 	suspectRetentionMs = 10 * clock.Second
-	// abandonedProbeDelayMs is the delay between abandoning a request and probing whether the upstream crashed while
-	// running it. Upstreams crashed 3 ms to 65 ms after they had started to run such a request.
-	abandonedProbeDelayMs clock.Millis = 100
-	// maxAbandonedAgeMs is the maximum time between abandoning a request and detecting a crash for the crash to be
-	// attributed to that request. It applies whether a probe or another request detected the crash.
-	maxAbandonedAgeMs = clock.Second
+	// lateProbeDelayMs is the delay between abandoning a request, or a probe that found the upstream alive, and probing
+	// whether the upstream crashed while running the request. Upstreams crashed 3 ms to 65 ms after they had started to
+	// run such a request.
+	lateProbeDelayMs clock.Millis = 100
+	// maxUncertainAgeMs is the maximum time between the end of an uncertain suspect's attempt and detecting a crash for
+	// the crash to be attributed to that request. It applies whether a probe or another request detected the crash.
+	maxUncertainAgeMs = clock.Second
 )
 
 // suspect is a request that may have crashed an upstream.
@@ -39,8 +40,9 @@
 	fingerprint quarantine.Fingerprint
 	upstream    registry.Upstream
 	atMs        clock.Millis
-	// abandoned is set if this box closed the connection first.
-	abandoned bool
+	// uncertain is set if this box closed the connection first, or if the upstream accepted a connection after this one
+	// broke. Its process may end a moment later.
+	uncertain bool
 }
 
 // suspects holds the requests that may have crashed one upstream.
@@ -53,7 +55,8 @@
 // crashDetector detects upstreams that crashed while they ran requests. If the host refuses new connections right after
 // some broke, the upstream has crashed, unless other upstreams refuse them too: then this box is partitioned from them.
 // If the host does not respond, the crash is detected when the upstream's
-// registry entry disappears. If new connections open, the broken ones were only reset and the upstream has not crashed.
+// registry entry disappears. If new connections open twice, the broken ones were only reset and the upstream has not
+// crashed.
 type crashDetector struct {
 	box      *Box
 	observed chan dispatch.Observation
@@ -118,10 +121,10 @@
 		entry = &suspects{}
 		d.byID[o.Member.ID] = entry
 	}
-	abandoned := o.Evidence == dispatch.RequestAbandoned
+	uncertain := o.Evidence == dispatch.RequestAbandoned
 	if len(entry.list) < maxSuspectsPerUpstream {
 		entry.list = append(entry.list, suspect{
-			fingerprint: o.Fingerprint, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(), abandoned: abandoned,
+			fingerprint: o.Fingerprint, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(), uncertain: uncertain,
 		})
 	}
 	first := !entry.probing
@@ -133,29 +136,28 @@
 func (d *crashDetector) probeUpstream(ctx context.Context, o dispatch.Observation) {
 	member, wait := o.Member, breakSettleMs
 	if o.Evidence == dispatch.RequestAbandoned {
-		wait = abandonedProbeDelayMs
+		wait = lateProbeDelayMs
 	}
-	for again := true; again; {
+	for again := true; again; wait = lateProbeDelayMs {
 		// The error is ignored because the probe below fails too if the context has ended.
 		_ = d.box.clock.Sleep(ctx, wait)
-		startMs := d.box.clock.Monotonic()
 		found := member.Client().ProbeLiveness(ctx)
 		if found == upstream.Dead && d.box.refusedByOthers(ctx, member) {
 			found = upstream.Unresponsive
 		}
-		again = d.handleProbeResult(member.ID, found, startMs) && ctx.Err() == nil
+		again = d.handleProbeResult(member.ID, found) && ctx.Err() == nil
 		if found == upstream.Dead || !d.box.registry.Has(member.Identity()) {
 			d.handleCrash(member.ID, "", found == upstream.Dead)
 		}
 	}
 }
 
-// handleProbeResult processes the result of a probe that started at startMs. If the upstream is alive, the requests
-// whose connections broke before the probe did not crash it and are removed from the suspects. If the upstream does not
-// respond, requests may have been abandoned because it had already stopped responding, so any abandoned request may
-// have crashed it, and all are treated like requests whose connections broke. handleProbeResult reports whether more
-// connections have broken since the start of the probe, so that the upstream must be probed again.
-func (d *crashDetector) handleProbeResult(id string, found upstream.Liveness, startMs clock.Millis) (again bool) {
+// handleProbeResult processes the result of a probe. If the upstream is alive, the suspects whose connections broke
+// become uncertain, and the upstream must be probed again, since its process may end a moment later. If the upstream
+// does not respond, requests may have been abandoned because it had already stopped responding, so any uncertain
+// request may have crashed it, and all are treated like requests whose connections broke. handleProbeResult reports
+// whether the upstream must be probed again.
+func (d *crashDetector) handleProbeResult(id string, found upstream.Liveness) (again bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry := d.byID[id]
@@ -164,11 +166,14 @@
 	}
 	switch found {
 	case upstream.Alive:
-		entry.list = slices.DeleteFunc(entry.list, func(s suspect) bool { return !s.abandoned && s.atMs < startMs })
-		again = slices.ContainsFunc(entry.list, func(s suspect) bool { return !s.abandoned })
+		for i, s := range entry.list {
+			if !s.uncertain {
+				entry.list[i].uncertain, again = true, true
+			}
+		}
 	case upstream.Unresponsive:
 		for i := range entry.list {
-			entry.list[i].abandoned = false
+			entry.list[i].uncertain = false
 		}
 	case upstream.Dead:
 	}
@@ -211,8 +216,8 @@
 }
 
 // removeSuspects removes and returns the suspects of all incarnations of an upstream except successor, whose suspects
-// are kept. Of the abandoned requests it returns only those of the last maxAbandonedAgeMs, and only if the crash is
-// recent. It keeps the other abandoned requests while a probe runs, and drops them otherwise.
+// are kept. Of the uncertain suspects it returns only those of the last maxUncertainAgeMs, and only if the crash is
+// recent. It keeps the other uncertain suspects while a probe runs, and drops them otherwise.
 func (d *crashDetector) removeSuspects(id, successor string, recent bool) []suspect {
 	now := d.box.clock.Monotonic()
 	d.mu.Lock()
@@ -226,7 +231,7 @@
 		switch {
 		case successor != "" && s.upstream.Incarnation() == successor:
 			kept = append(kept, s)
-		case !s.abandoned || recent && now-s.atMs <= maxAbandonedAgeMs:
+		case !s.uncertain || recent && now-s.atMs <= maxUncertainAgeMs:
 			taken = append(taken, s)
 		case entry.probing:
 			// The running probe will show whether the host responds.
--- a/internal/gateway/fatal_restart_test.go
+++ b/internal/gateway/fatal_restart_test.go
@@ -43,6 +43,15 @@
 	random *rand.Rand
 	// sendsMs holds, by fatal body, when upstreams received it. Each of these upstreams crashed.
 	sendsMs map[string][]clock.Millis
+	// crashes holds functions that crash the running upstreams, by number.
+	crashes map[int]func()
+}
+
+func newRestarts(f *fleet, seed uint64, exitDelayMs int) *restarts {
+	return &restarts{
+		fleet: f, random: rand.New(rand.NewPCG(seed, 49)), exitDelayMs: exitDelayMs, sendsMs: map[string][]clock.Millis{},
+		crashes: map[int]func(){},
+	}
 }
 
 func (r *restarts) intn(n int) int {
@@ -66,9 +75,15 @@
 			respondWith("done")(w, request)
 			return
 		}
-		r.crash(server, number, listener.Addr().String(), string(data))
+		r.mu.Lock()
+		r.sendsMs[string(data)] = append(r.sendsMs[string(data)], f.clock.Monotonic())
+		r.mu.Unlock()
+		r.crash(server, number, listener.Addr().String())
 		panic(http.ErrAbortHandler)
 	})
+	r.mu.Lock()
+	r.crashes[number] = func() { r.crash(server, number, listener.Addr().String()) }
+	r.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
 	f.store.put(registry.Upstream{
@@ -77,11 +92,15 @@
 	})
 }
 
-// crash ends an upstream that received a fatal body, and restarts it later.
-func (r *restarts) crash(server *http.Server, number int, address, body string) {
+// crash ends an upstream and restarts it later. It has no effect on one that is ending.
+func (r *restarts) crash(server *http.Server, number int, address string) {
 	r.mu.Lock()
-	r.sendsMs[body] = append(r.sendsMs[body], r.fleet.clock.Monotonic())
+	running := r.crashes[number] != nil
+	delete(r.crashes, number)
 	r.mu.Unlock()
+	if !running {
+		return
+	}
 	if r.exitDelayMs == 0 {
 		_ = server.Close()
 	}
@@ -190,20 +209,51 @@
 		for seed := range historyCount() * restartDefaultSeeds / histories {
 			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
 				runWithFleet(t, func(f *fleet) {
-					r := &restarts{
-						fleet: f, random: rand.New(rand.NewPCG(seed, 49)), exitDelayMs: exitDelayMs, sendsMs: map[string][]clock.Millis{},
-					}
+					r := newRestarts(f, seed, exitDelayMs)
 					boxes := r.startFleet()
 					r.run(boxes, fatalPaths)
 					for _, path := range fatalPaths {
 						sends, last := r.afterThird(fatalBody + path)
-						t.Logf("%s: %d sends after the third crash, the last %d ms after it", path, sends, last)
-						assert.LessOrEqual(t, sends, maxSendsAfterThird, path)
-						assert.LessOrEqual(t, last, detectionBoundMs, path)
+						f.t.Logf("%s: %d sends after the third crash, the last %d ms after it", path, sends, last)
+						assert.LessOrEqual(f.t, sends, maxSendsAfterThird, path)
+						assert.LessOrEqual(f.t, last, detectionBoundMs, path)
 					}
-					assert.LessOrEqual(t, quarantined(boxes), len(fatalPaths), "ordinary requests are not quarantined")
+					assert.LessOrEqual(f.t, quarantined(boxes), len(fatalPaths), "ordinary requests are not quarantined")
 				})
 			})
 		}
 	}
 }
+
+// TestCrashesWithoutFatalRequest guards against holding back ordinary requests that ran on upstreams that crash for
+// other reasons.
+func TestCrashesWithoutFatalRequest(t *testing.T) {
+	const crashInterval = 400 * time.Millisecond
+	for seed := range historyCount() * restartDefaultSeeds / histories {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				r := newRestarts(f, seed, 0)
+				boxes := r.startFleet()
+				held, crashed := 0, 0
+				var watching sync.WaitGroup
+				watching.Go(func() {
+					for range restartSpan / crashInterval {
+						advance(f.t, crashInterval)
+						held = max(held, quarantined(boxes))
+						r.mu.Lock()
+						crash := r.crashes[r.random.IntN(restartUpstreams)]
+						r.mu.Unlock()
+						if crash != nil {
+							crashed++
+							crash()
+						}
+					}
+				})
+				r.run(boxes, nil)
+				watching.Wait()
+				f.t.Logf("%d crashes, %d ordinary requests held back", crashed, held)
+				assert.Zero(f.t, held)
+			})
+		})
+	}
+}
