test(soak): a connection is ascribed to another box that has the same port

The soak looks up whose socket has the port of a connection. The kernel gives the same port to connections to different addresses, so another box may have it, too.

--- a/internal/soak/owner_test.go
+++ b/internal/soak/owner_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"os"
 	"strconv"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -33,3 +35,35 @@
 	require.NoError(t, conn.Close())
 	require.NoError(t, same.Close())
 }
+
+// TestSocketInodeOfSharedPort guards against a request that is ascribed to another box because the kernel gave the same
+// port to connections of both.
+func TestSocketInodeOfSharedPort(t *testing.T) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}, Control: reuseAddress}
+	inodes := map[string]bool{}
+	for range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		conn, err := dialer.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		inbound, err := listener.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = inbound.Close() })
+		dialer.LocalAddr = conn.LocalAddr()
+		remote, ok := inbound.RemoteAddr().(*net.TCPAddr)
+		require.True(t, ok)
+		inodes[socketInode(remote)] = true
+	}
+	assert.Len(t, inodes, 2)
+}
+
+// reuseAddress lets connections to different addresses share a local port.
+func reuseAddress(_, _ string, c syscall.RawConn) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	})
+	return errors.Join(err, optionErr)
+}
