fix(soak): both addresses of a connection say which box opened it

Cause: the lookup in /proc/net/tcp compared the local address of the box's socket alone, and connections to different addresses may share a port.

Ruled out: the second address of the loopback network that TestSocketInode plays; it was compared.

Change: the remote address is compared as well.

--- a/internal/soak/owner_test.go
+++ b/internal/soak/owner_test.go
@@ -15,14 +15,17 @@
 // TestSocketInode guards against a request that is ascribed to another box because sockets of several addresses have the
 // same port.
 func TestSocketInode(t *testing.T) {
-	listener := echo(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	local, ok := conn.LocalAddr().(*net.TCPAddr)
 	require.True(t, ok)
 	same, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 9), Port: local.Port})
 	require.NoError(t, err)
-	inode := socketInode(local)
+	inbound, err := listener.Accept()
+	require.NoError(t, err)
+	inode := socketInode(inbound)
 	require.NotEmpty(t, inode)
 	raw, ok := conn.(*net.TCPConn)
 	require.True(t, ok)
@@ -34,6 +37,8 @@
 	require.NoError(t, file.Close())
 	require.NoError(t, conn.Close())
 	require.NoError(t, same.Close())
+	require.NoError(t, inbound.Close())
+	require.NoError(t, listener.Close())
 }
 
 // TestSocketInodeOfSharedPort guards against a request that is ascribed to another box because the kernel gave the same
@@ -52,9 +57,7 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = inbound.Close() })
 		dialer.LocalAddr = conn.LocalAddr()
-		remote, ok := inbound.RemoteAddr().(*net.TCPAddr)
-		require.True(t, ok)
-		inodes[socketInode(remote)] = true
+		inodes[socketInode(inbound)] = true
 	}
 	assert.Len(t, inodes, 2)
 }
