fix(soak): lookups of connections' owners share scans

A link looks up which box opened a connection before it forwards anything. Each lookup read the whole table of sockets and the files of all boxes; hundreds ran at once when a run starts, and the box gave up its attempt after 0.6 s, before the server saw it.

Ruled out: the boxes.

Change: lookups that wait for each other share one scan.

TestOwnersShareScans: 100 lookups, at most two scans.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -89,6 +89,7 @@
 	boxes    []*box
 	servers  []*server
 	closers  []func()
+	owners   *owners
 
 	// entriesMu is held while a server's entry is rewritten, or replaced by a new
 	// incarnation's entry.
@@ -120,6 +121,7 @@
 		config:    standin.Config{Version: 1, Keys: map[string][]string{}},
 		evacuated: map[string]bool{},
 	}
+	f.owners = newOwners(f.connectionOwners)
 	f.history.timed = settings.Timed
 	for i := range tenantCount {
 		tenant := "tenant-" + strconv.Itoa(i)
@@ -174,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	if s.link, err = newLink(f.ip(linksHost), func() string { return address }, withOwners(f.boxOf)); err != nil {
+	if s.link, err = newLink(f.ip(linksHost), func() string { return address }, withOwners(f.owners.boxOf)); err != nil {
 		return err
 	}
 	f.closers = append(f.closers, s.link.close)
--- a/internal/soak/owner_test.go
+++ b/internal/soak/owner_test.go
@@ -5,8 +5,11 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -25,7 +28,7 @@
 	require.NoError(t, err)
 	inbound, err := listener.Accept()
 	require.NoError(t, err)
-	inode := socketInode(inbound)
+	inode := socketInodes()[endpointsOf(inbound)]
 	require.NotEmpty(t, inode)
 	raw, ok := conn.(*net.TCPConn)
 	require.True(t, ok)
@@ -57,7 +60,7 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = inbound.Close() })
 		dialer.LocalAddr = conn.LocalAddr()
-		inodes[socketInode(inbound)] = true
+		inodes[socketInodes()[endpointsOf(inbound)]] = true
 	}
 	assert.Len(t, inodes, 2)
 }
@@ -70,3 +73,25 @@
 	})
 	return errors.Join(err, optionErr)
 }
+
+// TestOwnersShareScans guards against links that hold back connections for a second because each looks for its owner.
+func TestOwnersShareScans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const connections = 100
+		scans := 0
+		o := newOwners(func() map[endpoints]string {
+			scans++
+			time.Sleep(time.Second)
+			return map[endpoints]string{{}: "box"}
+		})
+		var waiting sync.WaitGroup
+		for range connections {
+			waiting.Go(func() {
+				conn, _ := net.Pipe()
+				assert.Equal(t, "box", o.boxOf(conn))
+			})
+		}
+		waiting.Wait()
+		assert.LessOrEqual(t, scans, 2)
+	})
+}
