test(balance): the first evacuation of TestEvacuationsInSeries is as old as it is

Cause: read as a newcomer: the overlapping case told boxes that the first evacuation had just begun, so its engines were a reserve, too.

Change: its age counts from the start of the simulation, as in a fleet.

Conclusion: the test is stricter.

--- a/internal/balance/series_test.go
+++ b/internal/balance/series_test.go
@@ -18,7 +18,8 @@
 
 func newSeriesFleet(t *testing.T) *seriesFleet {
 	t.Helper()
-	f := &seriesFleet{midSizeFleet(2500, true), map[string]clock.Millis{}}
+	f := &seriesFleet{largeFleet: midSizeFleet(2500, true)}
+	f.startedMs = map[string]clock.Millis{"d1": f.now}
 	for _, m := range f.boxes {
 		m.settings.EvacuationMs = 5 * clock.Second
 		m.settings.ColdTolerance = ColdTolerance{Factor: 1.5, Slack: 5}
