feat(decision): lines tell the software version of upstreams and which stream a request takes up

No line told hypotheses of the incident apart: whether a box continues a stream at another software version, or whether the caller's next try does. The entry's version is decoded now and part of the upstream's identity; 'upstream picked' and 'upstream changed' tell software_version, 'upstream picked' and 'request ended' tell resumes. No choice depends on it yet.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -28,6 +28,8 @@
 	Version  int64
 	AgeMs    clock.Millis
 	Upstream string
+	// SoftwareVersion is the version of the upstream's software, if known.
+	SoftwareVersion string
 	// Attempt counts from 1.
 	Attempt int
 	// Rank is the upstream's position in the order of preference, from 0.
@@ -50,6 +52,8 @@
 	PrefillReason string
 	// ResumeAfter is the last event that the caller has received, on a resumed stream.
 	ResumeAfter string
+	// Resumes is the request that began the stream, if the caller takes up a stream with this one.
+	Resumes string
 }
 
 // Name implements Event.
@@ -66,6 +70,7 @@
 	o.AddInt64("version", e.Version)
 	o.AddInt64("version_age_ms", int64(e.AgeMs))
 	o.AddString("upstream", e.Upstream)
+	addIfSet(o, "software_version", e.SoftwareVersion)
 	o.AddInt("attempt", e.Attempt)
 	o.AddInt("rank", e.Rank)
 	o.AddInt("load", e.Load)
@@ -81,6 +86,7 @@
 		o.AddString("read_why", e.PrefillReason)
 	}
 	addIfSet(o, "resume_after", e.ResumeAfter)
+	addIfSet(o, "resumes", e.Resumes)
 	return nil
 }
 
@@ -181,9 +187,11 @@
 	Route        string
 	Organisation string
 	Upstream     string
-	Version      int64
-	AgeMs        clock.Millis
-	Status       int
+	// Resumes is the request that began the stream, if the caller takes up a stream with this one.
+	Resumes string
+	Version int64
+	AgeMs   clock.Millis
+	Status  int
 	// Framing is how the end of the upstream's last response is marked; empty if none has arrived.
 	Framing string
 	// Cause is set when the router generated the response or the response was cut off.
@@ -209,6 +217,7 @@
 	addIfSet(o, "route", e.Route)
 	addIfSet(o, "organisation", e.Organisation)
 	addIfSet(o, "upstream", e.Upstream)
+	addIfSet(o, "resumes", e.Resumes)
 	o.AddInt64("version", e.Version)
 	o.AddInt64("version_age_ms", int64(e.AgeMs))
 	o.AddInt("status", e.Status)
--- a/internal/decision/upstreams.go
+++ b/internal/decision/upstreams.go
@@ -12,6 +12,8 @@
 	Upstream string
 	Pool     string
 	Address  string
+	// SoftwareVersion is the version of the upstream's software, if known.
+	SoftwareVersion string
 	// State is "taking work", "draining" or "gone".
 	State string
 	// ColdMs is how much longer the upstream is cold.
@@ -30,6 +32,7 @@
 	o.AddString("upstream", e.Upstream)
 	addIfSet(o, "pool", e.Pool)
 	addIfSet(o, "address", e.Address)
+	addIfSet(o, "software_version", e.SoftwareVersion)
 	o.AddString("state", e.State)
 	if e.ColdMs > 0 {
 		o.AddInt64("cold_ms", int64(e.ColdMs))
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -222,7 +222,8 @@
 	for _, c := range changes {
 		b.log.Record(decision.UpstreamChanged{
 			Upstream: c.Upstream.ID, Pool: c.Upstream.Pool, Address: c.Upstream.Address,
-			State: upstreamState(c), ColdMs: c.Upstream.ColdMs, Source: source,
+			SoftwareVersion: c.Upstream.SoftwareVersion,
+			State:           upstreamState(c), ColdMs: c.Upstream.ColdMs, Source: source,
 		})
 	}
 	b.crashDetector.handleChanges(changes)
--- a/internal/opaque/dialect.go
+++ b/internal/opaque/dialect.go
@@ -35,6 +35,9 @@
 	Prompt string
 	// LastEventID carries the ID of the last event received, from which a stream resumes.
 	LastEventID string
+	// ResumedID carries the ID of the request that brought the first event of a stream, from a caller that
+	// takes up the stream with another request.
+	ResumedID string
 	// FetchFrom carries the address of an engine that has parts of the prompt cached.
 	FetchFrom string
 	// Reserved lists further headers that only the system may set. They are removed from callers'
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -64,6 +64,9 @@
 // Context returns a context that is canceled when the caller disconnects.
 func (r *Request) Context() context.Context { return r.HTTP.Context() }
 
+// ResumedID returns the ID of the request that began the stream which the caller takes up with this one, or "".
+func (r *Request) ResumedID() string { return r.HTTP.Header.Get(r.Dialect.ResumedID) }
+
 // ComputeFingerprint computes the fingerprint from the parts of the request that were read.
 func (r *Request) ComputeFingerprint() {
 	request := quarantine.Request{
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -150,11 +150,11 @@
 	}
 	s.pipe.deps.RecordEvent(decision.UpstreamPicked{
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.deps.StateAgeMs(),
-		Upstream: lease.ID, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
+		Upstream: lease.ID, SoftwareVersion: lease.SoftwareVersion, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
 		MeanPercent: lease.MeanPercent, SkippedUpstream: lease.Skipped.Upstream, SkipReason: string(lease.Skipped.Reason),
 		FromReserve: lease.FromReserve,
 		FetchFrom:   lease.FetchFrom, PrefillTokens: lease.Prefill.Tokens, PrefillReason: string(lease.Prefill.Reason),
-		ResumeAfter: s.stream.lastEventID(),
+		ResumeAfter: s.lastEventID(), Resumes: r.ResumedID(),
 	})
 }
 
@@ -188,7 +188,7 @@
 	header := d.RequestHeader(r.HTTP.Header)
 	remaining := max(1, r.RemainingMs(s.pipe.deps.Clock.Monotonic()))
 	setHeader(header, d.DeadlineMs, strconv.FormatInt(int64(remaining), 10))
-	setHeader(header, d.LastEventID, s.stream.lastEventID())
+	setHeader(header, d.LastEventID, s.lastEventID())
 	return &upstream.Request{
 		Method: r.HTTP.Method, Target: r.HTTP.RequestURI, Host: r.HTTP.Host, Header: header, Body: r.Body,
 		Matches: func(resp http.Header) bool { return resp.Get(d.RequestID) == r.ID },
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -72,7 +72,7 @@
 	s.pipe.deps.OnForward()
 	s.pipe.deps.RecordEvent(decision.RequestForwarded{
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Box: box.Name, Attempt: s.attempts, Sent: r.Sent,
-		ResumeAfter: s.stream.lastEventID(), UnreachableMs: s.pipe.deps.UnreachableMs(r.Pool),
+		ResumeAfter: s.lastEventID(), UnreachableMs: s.pipe.deps.UnreachableMs(r.Pool),
 	})
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -32,12 +32,13 @@
 
 const streamBufferBytes = 4 << 10
 
-// lastEventID returns the ID of the last event sent to the caller, or "".
-func (t *stream) lastEventID() string {
-	if t == nil {
-		return ""
+// lastEventID returns the ID of the last event that the caller has: of this response, or else the one that the
+// caller sent to take up a stream. It returns "" if there is none.
+func (s *retryLoop) lastEventID() string {
+	if s.stream != nil && s.stream.lastID != "" {
+		return s.stream.lastID
 	}
-	return t.lastID
+	return s.request.HTTP.Header.Get(s.request.Dialect.LastEventID)
 }
 
 // resumable reports whether another upstream may continue the stream.
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -34,7 +34,7 @@
 func (p *Pipe) Run(r *opaque.Request, err error) {
 	elapsed := p.monotonic() - r.ArrivedMs
 	e := decision.RequestEnded{
-		Request: r.ID, Upstream: r.Upstream, AgeMs: p.stateAgeMs(), Status: r.Writer.Status(),
+		Request: r.ID, Upstream: r.Upstream, Resumes: r.ResumedID(), AgeMs: p.stateAgeMs(), Status: r.Writer.Status(),
 		Framing: r.Framing, FromBox: r.FromBox, Attempts: len(r.Tried), Bytes: r.Writer.Written(), TookMs: elapsed,
 	}
 	if r.Fingerprint != 0 {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -28,6 +28,9 @@
 	Address string `json:"address"`
 	// FailureDomain is the failure domain in which the upstream runs.
 	FailureDomain string `json:"failure_domain"`
+	// SoftwareVersion is the version of the upstream's software, or "" if the source does not report it.
+	// Streams of two versions don't fit together.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Slots is the maximum number of requests that the upstream runs concurrently.
 	Slots int `json:"slots"`
 	// Draining is set once the upstream has announced that it is shutting down.
