test(gateway): streams go on at another software version

Callers got events of two software versions in one stream, within one response and over their tries.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -27,7 +27,7 @@
 func dialect() *opaque.Dialect {
 	return &opaque.Dialect{
 		RequestID: "X-Id", DeadlineMs: "X-Deadline", Organisation: "X-Organisation", ExpectUpstream: "X-Expect",
-		NotRun: "X-Not-Run", DecodeSignals: decodeSignals, BoxResponseHeaders: []string{"X-Load", "X-Not-Run"}, Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id",
+		NotRun: "X-Not-Run", DecodeSignals: decodeSignals, BoxResponseHeaders: []string{"X-Load", "X-Not-Run"}, Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id", ResumedID: "X-Resumes",
 		FetchFrom: "X-Fetch", Reserved: []string{"X-Reserved"},
 		Key:        func(h http.Header) string { return h.Get("Authorization") },
 		RetryAfter: func(span clock.Millis) string { return strconv.FormatInt(int64(span), 10) + "ms" },
