test(gateway): stand-ins of streams with versions: retries for each stream, a restart at a newer version

Two stand-ins were wrong. Twelve streams that break used up the box's retry budget, so that later ones ended for another reason than their version; the boxes get a budget for each. The upstream that is back at a newer version went on writing events of the old one; it is a new server now. The checks are the same.

--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -150,6 +150,9 @@
 	return slices.DeleteFunc(slices.Clone(streams), func(s begun) bool { return s.version != version })
 }
 
+// withManyRetries gives a box a budget for each stream that breaks.
+func withManyRetries(g *config.Gateway) { g.Budget.Slack = 100 * sampleStreams }
+
 // sampleStreams is enough for streams of both versions, whichever upstreams are picked at random.
 const sampleStreams = 12
 
@@ -161,7 +164,7 @@
 			for _, id := range []string{"ua-v1", "ub-v2", "uc-v1", "ud-v2"} {
 				f.upstreamVersion(id, "d", id[3:], breaking(id[3:]))
 			}
-			b := f.box(1)
+			b := f.box(1, withManyRetries)
 			for range sampleStreams {
 				_, body, err := b.get("/resumable/")
 				require.NoError(f.t, err)
@@ -176,7 +179,7 @@
 			for _, id := range []string{"ua-v1", "ub-v2"} {
 				f.upstreamVersion(id, "d", id[3:], breaking(id[3:]))
 			}
-			b := f.box(1)
+			b := f.box(1, withManyRetries)
 			for range sampleStreams {
 				start := time.Now()
 				_, body, err := b.get("/resumable/")
@@ -192,7 +195,7 @@
 			f.upstreamVersion("ub-v2", "d", "v2", streamOf("v2", func(w http.ResponseWriter, r *http.Request) {
 				writeEvents(4, 5, endStream)(w, r)
 			}))
-			b := f.box(1)
+			b := f.box(1, withManyRetries)
 			for range sampleStreams {
 				_, _, err := b.get("/resumable/")
 				require.NoError(f.t, err)
@@ -311,9 +314,7 @@
 		},
 		"gone": func(f *fleet, id string) { f.store.remove(id) },
 		"back at a newer version": func(f *fleet, id string) {
-			u := f.store.entry(id)
-			u.SoftwareVersion = "v2"
-			f.store.put(u)
+			f.upstreamVersion(id, "d", "v2", streamOf("v2", pause))
 		},
 	}
 	for name, leaves := range leave {
