--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -334,6 +334,17 @@
 			})
 		})
 	}
+	t.Run("a caller that names no stream goes on while one version serves", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.pausingUpstreams("ua-v1", "ub-v1")
+			b := f.box(1)
+			unnamed := begun{version: "v1"}
+			assertGoOn(f.t, b, []begun{unnamed})
+			f.pausingUpstreams("uc-v2")
+			advance(f.t, 2*time.Second)
+			assertStreamsRefused(f.t, b, []begun{unnamed})
+		})
+	})
 	t.Run("an unknown stream is refused while two versions serve", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			f.pausingUpstreams("ua-v1", "ub-v2")
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -132,21 +132,19 @@
 	return a
 }
 
-// find returns the origin of the stream that a request takes up, or streams.Unknown. It asks other boxes unless this
-// box knows it.
+// find returns the origin of the stream that a request takes up, or streams.Unknown.
 func (o *streamOrigins) find(ctx context.Context, r *opaque.Request) streams.OriginKey {
-	id, startMs := streams.IDOf(r.StreamID()), o.box.clock.Monotonic()
-	event := decision.StreamTakenUp{Request: r.ID, Resumes: r.StreamID(), Pool: r.Pool, After: r.LastEventID()}
-	key := o.ledger.Origin(id)
-	if key != streams.Unknown {
+	startMs := o.box.clock.Monotonic()
+	event := decision.StreamTakenUp{Request: r.ID, Resumes: r.ResumedID(), Pool: r.Pool, After: r.LastEventID()}
+	key := o.ledger.Origin(streams.IDOf(r.ResumedID()))
+	switch {
+	case r.ResumedID() == "":
+		// Callers that name no stream expect that one version serves.
+		key = o.view(r.Pool).Sole
+	case key != streams.Unknown:
 		event.Known = true
-	} else {
-		inquiry := streams.Inquiry{Own: o.view(r.Pool)}
-		inquiry.Answers, inquiry.AllDomains = o.box.peering.mesh.AskOrigin(ctx, id, namekey.Of(r.Pool))
-		if len(r.Route.Splits) > 1 {
-			// The stream may have begun in any of the pools.
-			inquiry.Own = streams.View{}
-		}
+	default:
+		inquiry := o.inquire(ctx, r)
 		key = inquiry.Origin()
 		event.Answers, event.AllDomains = len(inquiry.Answers), inquiry.AllDomains
 		event.OneVersion, event.Fresh = inquiry.Own.Sole != streams.Unknown, inquiry.Own.Fresh
@@ -158,3 +156,14 @@
 	o.box.log.Record(event)
 	return key
 }
+
+// inquire asks other boxes for the origin of the stream that a request takes up.
+func (o *streamOrigins) inquire(ctx context.Context, r *opaque.Request) streams.Inquiry {
+	i := streams.Inquiry{}
+	i.Answers, i.AllDomains = o.box.peering.mesh.AskOrigin(ctx, streams.IDOf(r.ResumedID()), namekey.Of(r.Pool))
+	if len(r.Route.Splits) == 1 {
+		// On a split route, the stream may have begun in any of the pools.
+		i.Own = o.view(r.Pool)
+	}
+	return i
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -17,6 +17,7 @@
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
+	"dooryard.example/dooryard/internal/streams"
 	"dooryard.example/dooryard/internal/testlib"
 )
 
@@ -31,8 +32,12 @@
 	received         []prompt.CachedPart
 	stop             context.CancelFunc
 	ledger           *quarantine.Ledger
+	origins          *streams.Ledger
 }
 
+// recorded returns the number of streams whose origins the box was told.
+func (b *box) recorded() int { return b.origins.Size() }
+
 // newLedger returns a ledger that quarantines a fingerprint after three crashes.
 func newLedger() *quarantine.Ledger {
 	c := clock.New()
@@ -83,7 +88,7 @@
 	address := "127.0." + strconv.Itoa(number/hosts) + "." + strconv.Itoa(number%hosts+1) + ":7000"
 	conn, err := f.network.Host(name).ListenPackets("udp", address)
 	require.NoError(f.t, err)
-	b := &box{inFlight: map[namekey.Key]int{}, ledger: newLedger()}
+	b := &box{inFlight: map[namekey.Key]int{}, ledger: newLedger(), origins: streams.NewLedger(clock.New().Monotonic)}
 	b.Mesh = New(Dependencies{
 		Self:     Identity{Box: name, FailureDomain: domain, Address: address, Incarnation: 1},
 		PeriodMs: 250, Clock: clock.New(), Conn: conn, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
@@ -120,6 +125,10 @@
 			defer b.mu.Unlock()
 			b.received = append(b.received, list...)
 		},
+		RecordOrigins: func(list []streams.Record) { b.origins.Add(list...) },
+		AnswerOrigin: func(id streams.ID, _ namekey.Key) streams.Answer {
+			return streams.Answer{Origin: b.origins.Origin(id)}
+		},
 		Random: rand.New(rand.NewPCG(1, uint64(len(f.boxes)))),
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -1,9 +1,7 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -12,7 +10,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
-	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/streams"
 )
 
@@ -22,9 +19,10 @@
 
 const (
 	// streamOwners is how many other boxes are told of a stream. One of them may be cut off, and another one may have
-	// crashed.
-	streamOwners = 3
-	// maxOriginRecords limits the records of a datagram, at up to 20 bytes each.
+	// crashed. In a large fleet, where bytes are scarce, it is streamOwnersLarge.
+	streamOwners      = 3
+	streamOwnersLarge = 2
+	// maxOriginRecords limits the records of a datagram, at up to 15 bytes each.
 	maxOriginRecords = 64
 	// originTimeoutMs is how long a box waits for answers about a stream. It covers a few round trips between failure
 	// domains and is short enough for a refusal at once.
@@ -44,41 +42,37 @@
 	originAnswer originMessageKind = 18
 )
 
-// originMessage is one datagram about streams. It has as many fields as a permitMessage, and boxes of earlier releases
-// ignore it because the types differ.
-type originMessage struct {
-	_    struct{} `cbor:",toarray"`
-	Kind originMessageKind
-	// Number is the number of the question that the asking box chose.
-	Number uint32
-	Pool   namekey.Key
-	// Records are the streams with their origins. Of a question, the origin is unknown.
-	Records []streams.Record
-	// View is what the answering box knows about the pool.
-	View streams.View
-}
-
-// isOriginMessage reports whether a datagram that is an array is about streams. The second byte is the kind.
-func isOriginMessage(data []byte) bool {
-	return isPermitMessage(data) && len(data) > 1 && data[1] >= byte(originTell)
-}
-
-func decodeOriginMessage(data []byte) (originMessage, error) {
-	var o originMessage
-	if err := cbor.Unmarshal(data, &o); err != nil {
-		return o, fmt.Errorf("%w: %w", ErrInvalid, err)
+// Datagrams about streams are arrays like those about permits, but of other lengths, so that boxes of earlier releases
+// ignore them. The second byte is the kind.
+type (
+	// originTold tells the origins of streams.
+	originTold struct {
+		_       struct{} `cbor:",toarray"`
+		Kind    originMessageKind
+		Records []streams.Record
 	}
-	wrongCount := o.Kind != originTell && len(o.Records) != 1
-	if o.Kind < originTell || o.Kind > originAnswer || wrongCount {
-		return o, fmt.Errorf("%w: message about streams: kind %d, %d records", ErrInvalid, o.Kind, len(o.Records))
+	// originQuestion asks for the origin of a stream.
+	originQuestion struct {
+		_    struct{} `cbor:",toarray"`
+		Kind originMessageKind
+		// Number is chosen by the asking box.
+		Number uint32
+		Stream streams.ID
+		Pool   namekey.Key
 	}
-	return o, nil
-}
+	// originReply answers a question.
+	originReply struct {
+		_      struct{} `cbor:",toarray"`
+		Kind   originMessageKind
+		Number uint32
+		streams.Answer
+		// from is the address of the box that answered.
+		from string
+	}
+)
 
-// originReply is an answer with the box that sent it.
-type originReply struct {
-	address string
-	streams.Answer
+func isOriginMessage(data []byte) bool {
+	return isPermitMessage(data) && len(data) > 1 && data[1] >= byte(originTell)
 }
 
 // inquiries are this box's questions that wait for answers.
@@ -106,11 +100,11 @@
 }
 
 // resolve delivers an answer to the waiting question. Late and surplus answers are discarded.
-func (q *inquiries) resolve(number uint32, reply originReply) {
+func (q *inquiries) resolve(reply originReply) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
-	case q.pending[number] <- reply:
+	case q.pending[reply.Number] <- reply:
 	default:
 	}
 }
@@ -120,14 +114,14 @@
 	byOwner := map[string][]streams.Record{}
 	m.mu.Lock()
 	for _, r := range records {
-		for _, owner := range m.streamOwnersLocked(r.ID, streamOwners) {
+		for _, owner := range m.streamOwnersLocked(r.ID, m.ownersPerStreamLocked()) {
 			byOwner[owner.Address] = append(byOwner[owner.Address], r)
 		}
 	}
 	m.mu.Unlock()
 	for address, list := range byOwner {
 		for part := range slices.Chunk(list, maxOriginRecords) {
-			m.sendOriginMessage(address, originMessage{Kind: originTell, Records: part})
+			m.sendOriginMessage(address, originTold{Kind: originTell, Records: part})
 		}
 	}
 }
@@ -160,7 +154,7 @@
 // inquiry is a question about one stream.
 type inquiry struct {
 	mesh     *Mesh
-	question originMessage
+	question originQuestion
 	replies  chan originReply
 	// waiting holds the failure domains of the boxes that have not answered, by address.
 	waiting map[string]string
@@ -175,7 +169,7 @@
 	q := &inquiry{
 		mesh: m, waiting: m.originTargets(id), answers: []streams.Answer{},
 		domains:  map[string]bool{m.self.FailureDomain: true},
-		question: originMessage{Kind: originAsk, Pool: pool, Records: []streams.Record{{ID: id}}},
+		question: originQuestion{Kind: originAsk, Stream: id, Pool: pool},
 	}
 	q.question.Number, q.replies = m.inquiries.start(len(q.waiting))
 	return q
@@ -190,11 +184,11 @@
 
 // add adds an answer, unless the box was not asked or has answered before.
 func (q *inquiry) add(reply originReply) {
-	domain, expected := q.waiting[reply.address]
+	domain, expected := q.waiting[reply.from]
 	if !expected {
 		return
 	}
-	delete(q.waiting, reply.address)
+	delete(q.waiting, reply.from)
 	q.domains[domain] = true
 	q.answers = append(q.answers, reply.Answer)
 	q.known = q.known || reply.Origin != streams.Unknown
@@ -208,7 +202,8 @@
 	targets := map[string]string{}
 	if m.directPeers > smallFleetBoxes {
 		// The box that began the stream may be among the first, and is not one of those that it told.
-		for _, owner := range m.streamOwnersLocked(id, max(streamOwners+1, len(m.domainsLocked()))) {
+		count := max(m.ownersPerStreamLocked()+1, len(m.domainsLocked()))
+		for _, owner := range m.streamOwnersLocked(id, count) {
 			targets[owner.Address] = owner.FailureDomain
 		}
 		return targets
@@ -229,93 +224,40 @@
 	return !slices.ContainsFunc(m.domainsLocked(), func(domain string) bool { return !domains[domain] })
 }
 
-// domainsLocked returns the failure domains of all known boxes.
-func (m *Mesh) domainsLocked() []string {
-	domains := []string{m.self.FailureDomain}
-	for _, p := range m.peers {
-		if !slices.Contains(domains, p.FailureDomain) {
-			domains = append(domains, p.FailureDomain)
+// handleOriginMessage processes a datagram about streams.
+func (m *Mesh) handleOriginMessage(data []byte, from net.Addr) {
+	var err error
+	switch originMessageKind(data[1]) {
+	case originTell:
+		var told originTold
+		if err = cbor.Unmarshal(data, &told); err == nil {
+			m.recordOrigins(told.Records)
 		}
-	}
-	return domains
-}
-
-// streamOwnersLocked returns a number of other boxes that own a stream, by rendezvous hashing: the first box of each
-// failure domain, then the second one of each, and so on.
-func (m *Mesh) streamOwnersLocked(id streams.ID, count int) []Identity {
-	names := m.domainsLocked()
-	hashes := make([]uint64, len(names))
-	for i, name := range names {
-		hashes[i] = route.HashName(name)
-	}
-	ranked := make([][]Identity, len(names))
-	for i, at := range route.Rank(route.Key(id), hashes) {
-		ranked[i] = m.rankedInDomainLocked(id, names[at])
-	}
-	owners := []Identity{}
-	for rank := 0; len(owners) < count; rank++ {
-		found := false
-		for _, list := range ranked {
-			if rank >= len(list) {
-				continue
-			}
-			found = true
-			if len(owners) < count && list[rank].Box != m.self.Box {
-				owners = append(owners, list[rank])
-			}
+	case originAsk:
+		var question originQuestion
+		if err = cbor.Unmarshal(data, &question); err == nil {
+			m.sendOriginMessage(from.String(), originReply{
+				Kind: originAnswer, Number: question.Number, Answer: m.answerOrigin(question.Stream, question.Pool),
+			})
 		}
-		if !found {
-			break
+	case originAnswer:
+		reply := originReply{from: from.String()}
+		if err = cbor.Unmarshal(data, &reply); err == nil {
+			m.inquiries.resolve(reply)
 		}
+	default:
+		err = ErrInvalid
 	}
-	return owners
-}
-
-// rankedInDomainLocked returns the boxes of a failure domain that may own streams, in the order for a stream.
-func (m *Mesh) rankedInDomainLocked(id streams.ID, domain string) []Identity {
-	boxes := slices.DeleteFunc(m.ownersLocked(domain), func(i hashedIdentity) bool {
-		p := m.peers[i.Box]
-		return p != nil && p.firstSeenMs > 0 && !p.keepsStreams
-	})
-	slices.SortFunc(boxes, func(a, b hashedIdentity) int {
-		return cmp.Compare(route.Score(route.Key(id), a.hash), route.Score(route.Key(id), b.hash))
-	})
-	list := make([]Identity, len(boxes))
-	for i, b := range boxes {
-		list[i] = b.Identity
-	}
-	return list
-}
-
-// handleOriginMessage processes a datagram about streams.
-func (m *Mesh) handleOriginMessage(data []byte, from net.Addr) {
-	o, err := decodeOriginMessage(data)
 	if err != nil {
 		m.mu.Lock()
 		m.ignored++
 		m.mu.Unlock()
-		return
-	}
-	switch o.Kind {
-	case originTell:
-		m.recordOrigins(o.Records)
-	case originAsk:
-		id := o.Records[0].ID
-		answer := m.answerOrigin(id, o.Pool)
-		m.sendOriginMessage(from.String(), originMessage{
-			Kind: originAnswer, Number: o.Number, View: answer.View,
-			Records: []streams.Record{{ID: id, Origin: answer.Origin}},
-		})
-	case originAnswer:
-		m.inquiries.resolve(o.Number, originReply{
-			address: from.String(), Answer: streams.Answer{Origin: o.Records[0].Origin, View: o.View},
-		})
 	}
 }
 
 // sendOriginMessage sends a datagram about streams. A failure is counted and otherwise treated like packet loss.
-func (m *Mesh) sendOriginMessage(address string, o originMessage) {
-	data, err := cbor.Marshal(o)
+func (m *Mesh) sendOriginMessage(address string, message any) {
+	data, err := cbor.Marshal(message)
 	sent := 0
 	if err == nil {
 		sent, err = m.write(address, data)
--- a/internal/opaque/hop.go
+++ b/internal/opaque/hop.go
@@ -73,7 +73,7 @@
 	}
 	h.Sent, h.ElapsedMs, h.Version = int(values[0]), clock.Millis(values[1]), values[2]
 	if value := header.Get(headerOrigin); value != "" {
-		origin, err := strconv.ParseUint(value, originBase, 64)
+		origin, err := strconv.ParseUint(value, originBase, 32)
 		if err != nil {
 			return Hop{}, fmt.Errorf("%s: %q is not a key", headerOrigin, value)
 		}
--- a/internal/streams/decide.go
+++ b/internal/streams/decide.go
@@ -14,6 +14,7 @@
 
 // Answer is what another box tells about a stream.
 type Answer struct {
+	_ struct{} `cbor:",toarray"`
 	// Origin is the origin of the stream, or Unknown if the box has no record of it.
 	Origin OriginKey
 	View   View
--- a/internal/streams/origin.go
+++ b/internal/streams/origin.go
@@ -12,15 +12,16 @@
 	Version string
 }
 
-// OriginKey is the hash of an origin. Boxes exchange it instead of the origin.
-type OriginKey uint64
+// OriginKey is the hash of an origin. Boxes exchange it instead of the origin. It is short since it only has to tell
+// apart the few versions that the pools of a route run.
+type OriginKey uint32
 
 // Unknown is the key of an unknown origin.
 const Unknown OriginKey = 0
 
 // Key returns the key of the origin. It is never Unknown.
 func (o Origin) Key() OriginKey {
-	return OriginKey(max(1, xxhash.Sum64String(o.Pool+"\x00"+o.Version)))
+	return max(1, OriginKey(xxhash.Sum64String(o.Pool+"\x00"+o.Version)))
 }
 
 // ID identifies a stream: the hash of the ID of the request that brought its first event.
