test(gateway): streams of an upstream that restarts under its id at a newer version

Until its entry tells the restart, boxes take the upstream for the older version: its streams go on at the older one, and streams of the older one go on there.

--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -8,7 +8,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -53,16 +55,20 @@
 	return versions
 }
 
-// upstreamVersion starts an upstream that runs a software version, and registers it.
-func (f *fleet) upstreamVersion(id, domain, version string, handler http.HandlerFunc) {
+// upstreamVersion starts an upstream that runs a software version, and registers it. The returned function replaces
+// its handler, as a restart does.
+func (f *fleet) upstreamVersion(id, domain, version string, handler http.HandlerFunc) (restart func(http.HandlerFunc)) {
 	f.t.Helper()
+	var current atomic.Pointer[http.HandlerFunc]
+	current.Store(&handler)
 	address := f.server(id, func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["X-Id"] = r.Header["X-Id"]
-		handler(w, r)
+		(*current.Load())(w, r)
 	})
 	f.store.put(registry.Upstream{
 		ID: id, Pool: "p", Address: address, FailureDomain: domain, SoftwareVersion: version, Slots: 64,
 	})
+	return func(next http.HandlerFunc) { current.Store(&next) }
 }
 
 // pausingUpstreams starts upstreams whose streams pause after the third event. The names tell the versions: "ua-v1"
@@ -432,3 +438,75 @@
 		}
 	})
 }
+
+// tellRestart writes the entry of an upstream that has restarted under its ID at a newer version.
+func (f *fleet) tellRestart(id, version string) {
+	f.t.Helper()
+	u := f.store.entry(id)
+	u.SoftwareVersion, u.StartedMs = version, 1+u.StartedMs
+	f.store.put(u)
+}
+
+// TestStreamVersionOfRestartedUpstream guards against a stream that began at an upstream whose entry did not tell its
+// newer version yet.
+func TestStreamVersionOfRestartedUpstream(t *testing.T) {
+	t.Run("is not taken up at the older version", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			restart := f.upstreamVersion("ua", "d", "v1", streamOf("v1", pause))
+			f.pausingUpstreams("ub-v1", "uc-v2")
+			restart(streamOf("v2", pause))
+			boxes := f.boxes(3)
+			advance(f.t, time.Second)
+			streams := boxes[0].beginEach("s", 2*sampleStreams)
+			f.tellRestart("ua", "v2")
+			advance(f.t, time.Second)
+			for _, s := range streams {
+				_, versions := boxes[1].takeUp(s)
+				assert.NotContains(f.t, versions, map[string]string{"v1": "v2", "v2": "v1"}[s.version])
+			}
+		})
+	})
+	t.Run("does not go on at the older version within its response", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			told := make(chan struct{})
+			breakOnceTold := func(w http.ResponseWriter, r *http.Request) {
+				<-told
+				abortMidEvent(w, r)
+			}
+			f.upstreamVersion("ua", "d", "v1", streamOf("v2", breakOnceTold))
+			b := f.box(1, withManyRetries)
+			result := make(chan string, 1)
+			go func() {
+				_, body, err := b.get("/resumable/")
+				assert.Error(f.t, err)
+				result <- body
+			}()
+			synctest.Wait()
+			f.upstreamVersion("ub", "d", "v1", streamOf("v1", endStream))
+			f.tellRestart("ua", "v2")
+			advance(f.t, 800*time.Millisecond)
+			close(told)
+			assert.Equal(f.t, []string{"v2"}, slices.Compact(versionsIn(<-result)))
+		})
+	})
+	t.Run("upstreams whose connections broke come last for streams of their version", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			restart := f.upstreamVersion("ua", "d", "v1", streamOf("v1", abortMidEvent))
+			f.pausingUpstreams("ub-v1", "uc-v2")
+			b := f.box(1, withManyRetries)
+			streams := []begun{}
+			for i := 0; len(streams) < sampleStreams; i++ {
+				response, err := b.send(context.Background(), call{method: http.MethodGet, path: "/resumable/", id: strconv.Itoa(i), key: key})
+				require.NoError(f.t, err)
+				body := make([]byte, lastBeforePause*len("id: 1\ndata: v1\n\n"))
+				_, err = io.ReadFull(response.Body, body)
+				require.NoError(f.t, err)
+				_ = response.Body.Close()
+				streams = append(streams, begun{id: strconv.Itoa(i), version: versionsIn(string(body))[0]})
+			}
+			restart(streamOf("v2", pause))
+			advance(f.t, time.Second)
+			assertGoOn(f.t, b, ofVersion("v1", streams))
+		})
+	})
+}
--- a/internal/mesh/origins_test.go
+++ b/internal/mesh/origins_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/streams"
@@ -120,7 +121,7 @@
 			for _, data := range [][]byte{{0x82, 16, 3}, {0x81, 17}, {0x84, 18, 1, 1, 1}, {0x80}, {0x82, 19, 0x80}} {
 				before := f.boxes[0].Sizes().Ignored
 				_, err := f.boxes[1].write(f.boxes[0].self.Address, data)
-				assert.NoError(f.t, err)
+				require.NoError(f.t, err)
 				advance(f.t, 10*time.Millisecond)
 				assert.Equal(f.t, before+1, f.boxes[0].Sizes().Ignored, "%x", data)
 			}
