fix(gateway): streams of an upstream whose entry was outdated go on nowhere

An upstream that restarts under its id at a newer version is taken for the older one until its entry tells so. Streams that it began then went on at the older version, and streams of the older version went on there.

A box that learns that an upstream runs another version retracts the origins of the streams that it began there in the 5 s before, also at the boxes that it told, and continues none of them itself. Upstreams whose connections to this box broke come last for streams that go on. What remains: a box that had no connection to the upstream and is asked to continue a stream there before the entry tells the restart.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -51,8 +51,10 @@
 	rejectedUntilMs clock.Millis
 	// connectionLost is set once a connection to it broke or could not be opened.
 	connectionLost bool
-	failures       failureRate
-	parts          partIndex
+	// streamBroken is set once a stream from it broke.
+	streamBroken bool
+	failures     failureRate
+	parts        partIndex
 	// prefilling holds, by part, the number of this box's requests for which the engine is prefilling
 	// the part, until it responds to them.
 	prefilling map[namekey.Key]int
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -159,6 +159,9 @@
 	if len(members) == 0 {
 		return nil, m.noUpstreamError(eligible, now)
 	}
+	if request.Version != nil {
+		members = lessDoubtful(members)
+	}
 	return members, nil
 }
 
--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -25,3 +25,22 @@
 	serves := func(member *Member) bool { return !member.draining() }
 	return request.Version != nil && !slices.ContainsFunc(members, serves)
 }
+
+// lessDoubtful returns the members of which no connection to this box has broken, or all if there are none. One that
+// broke may have restarted at another version, which its entry does not tell yet.
+func lessDoubtful(members []*Member) []*Member {
+	sound := slices.DeleteFunc(slices.Clone(members), func(member *Member) bool {
+		return member.connectionLost || member.streamBroken
+	})
+	if len(sound) == 0 {
+		return members
+	}
+	return sound
+}
+
+// RecordBrokenStream records that a stream from the upstream broke.
+func (l *Lease) RecordBrokenStream() {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	l.streamBroken = true
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -36,9 +36,13 @@
 }
 
 // observeUpstreams records the versions of the upstreams. If a pool has got a second version, the box tells the origins
-// of its recent streams.
+// of its recent streams. If an upstream has restarted at another version, it retracts those that may be of either.
 func (o *streamOrigins) observeUpstreams(list []registry.Upstream) {
-	for _, pool := range o.versions.Observe(list) {
+	changes := o.versions.Observe(list)
+	for _, upstream := range changes.Replaced {
+		o.tell(o.ledger.Retract(upstream))
+	}
+	for _, pool := range changes.Mixed {
 		o.tellUntold(pool)
 	}
 }
@@ -71,8 +75,10 @@
 }
 
 // tellUntold tells the origins of this box's streams of a pool that it has not told yet.
-func (o *streamOrigins) tellUntold(pool string) {
-	if records := o.ledger.TakeUntold(pool); len(records) > 0 {
+func (o *streamOrigins) tellUntold(pool string) { o.tell(o.ledger.TakeUntold(pool)) }
+
+func (o *streamOrigins) tell(records []streams.Record) {
+	if len(records) > 0 {
 		o.box.peering.mesh.TellOrigins(records)
 	}
 }
@@ -89,17 +95,20 @@
 // record keeps the origin of a stream of this box, and tells it unless others can find it out.
 func (o *streamOrigins) record(r *opaque.Request) {
 	id, origin := streams.IDOf(r.StreamID()), *r.Origin
-	if len(r.Route.Splits) == 1 && o.isEvident(origin) {
-		o.ledger.AddUntold(id, origin)
-		if !o.isEvident(origin) {
-			// A second version appeared meanwhile, and the record may have been added too late to be told.
-			o.tellUntold(origin.Pool)
-		}
-		return
+	evident := len(r.Route.Splits) == 1 && o.isEvident(origin)
+	switch {
+	case !o.ledger.AddOwn(id, origin, r.Upstream, !evident):
+	case !evident:
+		o.tell([]streams.Record{{ID: id, Origin: origin.Key()}})
+	case !o.isEvident(origin):
+		// A second version appeared meanwhile, and the record may have been added too late to be told.
+		o.tellUntold(origin.Pool)
 	}
-	record := streams.Record{ID: id, Origin: origin.Key()}
-	o.ledger.Add(record)
-	o.box.peering.mesh.TellOrigins([]streams.Record{record})
+}
+
+// retracted reports whether the origin of the stream of a request turned out to be doubtful.
+func (o *streamOrigins) retracted(r *opaque.Request) bool {
+	return o.ledger.Retracted(streams.IDOf(r.StreamID()))
 }
 
 // isEvident reports whether the pool has had no other origin for the whole window.
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -205,6 +205,8 @@
 	origin *streams.Origin
 	// onPart is called for each part of a stream.
 	onPart func()
+	// onBroken is called when a stream breaks.
+	onBroken func()
 	// mayHaveCrashed reports whether the source may have crashed that has just closed a connection in order.
 	mayHaveCrashed func() bool
 	// isFinal is set if no failure in a response may be retried, because the source has done so.
@@ -215,6 +217,7 @@
 	return responseSource{
 		origin:         &streams.Origin{Pool: lease.Pool, Version: lease.SoftwareVersion},
 		onPart:         lease.RecordContact,
+		onBroken:       lease.RecordBrokenStream,
 		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease) },
 	}
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -62,6 +62,9 @@
 	// OnStreamOrigin records the origin of a resumable stream, before its first event is sent to the caller and when the
 	// response breaks.
 	OnStreamOrigin func(r *opaque.Request)
+	// OriginRetracted reports whether the recorded origin of a stream turned out to be doubtful. Nothing may continue it
+	// then.
+	OriginRetracted func(r *opaque.Request) bool
 	// CheckBeforeSend returns an error if the box may not send the request now.
 	CheckBeforeSend func(r *opaque.Request) error
 	Clock           clock.Clock
@@ -199,7 +202,7 @@
 		return stopCallerDisconnected
 	case s.ctx.Err() != nil || r.RemainingMs(s.pipe.deps.Clock.Monotonic()) <= 0:
 		return stopDeadline
-	case s.stream != nil && !s.stream.resumable():
+	case s.stream != nil && !s.mayResume():
 		return stopResponseStarted
 	case !failed.execution.allowsRetry(r.Route.Repeatable()):
 		return stopMayHaveRun
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -51,6 +51,11 @@
 	return t.completeOnly && (!t.dataSent || t.lastID != "" && t.request.Origin != nil)
 }
 
+// mayResume reports whether another upstream may continue the stream now.
+func (s *retryLoop) mayResume() bool {
+	return s.stream.resumable() && !(s.stream.dataSent && s.pipe.deps.OriginRetracted(s.request))
+}
+
 // streamIdleTimeoutFactor is the idle time after which another upstream continues a stream, as a
 // multiple of the route's longest acceptable pause.
 const streamIdleTimeoutFactor = 3
@@ -91,6 +96,9 @@
 		case errors.Is(err, io.EOF):
 			return s.finishStream(from, res)
 		case err != nil:
+			if s.ctx.Err() == nil {
+				from.onBroken()
+			}
 			s.request.MayHaveRun = true
 			return &failure{err: err, execution: mayHaveRun}
 		}
@@ -121,6 +129,7 @@
 	if err == nil {
 		return nil
 	}
+	from.onBroken()
 	s.request.MayHaveRun = true
 	return &failure{err: err, execution: mayHaveRun}
 }
--- a/internal/streams/ledger.go
+++ b/internal/streams/ledger.go
@@ -10,6 +10,10 @@
 // within seconds. The origin of older streams may be unknown.
 const WindowMs = 30 * clock.Second
 
+// doubtMs is how long before a box learns that an upstream has restarted its entry may have been outdated: a
+// heartbeat of the upstream and the way through the store.
+const doubtMs = 5 * clock.Second
+
 // maxRecords limits the streams of one generation, at some 40 bytes each.
 const maxRecords = 32 << 10
 
@@ -24,15 +28,25 @@
 	sinceMs    clock.Millis
 }
 
-// generation holds the records of one window.
+// generation holds the records of one window. An origin that was retracted is Unknown.
 type generation struct {
 	origins map[ID]OriginKey
-	// untold holds the streams of this box whose origin it has told no other box.
-	untold map[ID]Origin
+	// own holds the streams that this box has begun.
+	own map[ID]ownStream
+}
+
+// ownStream is a stream that this box has begun.
+type ownStream struct {
+	origin Origin
+	// upstream is the ID of the upstream that sent the first event, at beganMs.
+	upstream string
+	beganMs  clock.Millis
+	// told is set once other boxes were told the origin.
+	told bool
 }
 
 func newGeneration() generation {
-	return generation{origins: map[ID]OriginKey{}, untold: map[ID]Origin{}}
+	return generation{origins: map[ID]OriginKey{}, own: map[ID]ownStream{}}
 }
 
 // NewLedger returns an empty ledger.
@@ -42,7 +56,7 @@
 	}
 }
 
-// Add records the origins of streams that other boxes have told, or that this box has told them.
+// Add records the origins of streams that other boxes have told.
 func (l *Ledger) Add(records ...Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,13 +66,51 @@
 	}
 }
 
-// AddUntold records the origin of a stream of this box that it has told no other box.
-func (l *Ledger) AddUntold(id ID, origin Origin) {
+// AddOwn records a stream that this box has begun at an upstream, or continued, and whether it tells other boxes the
+// origin. It returns false if the origin was retracted.
+func (l *Ledger) AddOwn(id ID, origin Origin, upstream string, told bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rotateLocked()
-	l.generation.origins[id] = origin.Key()
-	l.generation.untold[id] = origin
+	key, known := l.originLocked(id)
+	if known && key == Unknown {
+		return false
+	}
+	own, began := l.ownLocked(id)
+	if !began {
+		own = ownStream{origin: origin, upstream: upstream, beganMs: l.monotonic()}
+	}
+	own.told = own.told || told
+	l.generation.origins[id], l.generation.own[id] = origin.Key(), own
+	delete(l.previous.own, id)
+	return true
+}
+
+// Retract makes the origins of streams unknown that began at an upstream shortly before this box learned that the
+// upstream runs another version. It returns the records to tell other boxes.
+func (l *Ledger) Retract(upstream string) []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rotateLocked()
+	records := []Record{}
+	for _, g := range []generation{l.previous, l.generation} {
+		for id, own := range g.own {
+			if own.upstream == upstream && l.monotonic()-own.beganMs < doubtMs {
+				records = append(records, Record{ID: id, Origin: Unknown})
+				l.generation.origins[id] = Unknown
+				delete(g.own, id)
+			}
+		}
+	}
+	return records
+}
+
+// Retracted reports whether the origin of a stream was retracted.
+func (l *Ledger) Retracted(id ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key, known := l.originLocked(id)
+	return known && key == Unknown
 }
 
 // TakeUntold returns the records of a pool's streams that this box has told no other box, and forgets that it has not.
@@ -68,10 +120,11 @@
 	l.rotateLocked()
 	records := []Record{}
 	for _, g := range []generation{l.previous, l.generation} {
-		for id, origin := range g.untold {
-			if origin.Pool == pool {
-				records = append(records, Record{ID: id, Origin: origin.Key()})
-				delete(g.untold, id)
+		for id, own := range g.own {
+			if own.origin.Pool == pool && !own.told {
+				records = append(records, Record{ID: id, Origin: own.origin.Key()})
+				own.told = true
+				g.own[id] = own
 			}
 		}
 	}
@@ -83,10 +136,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rotateLocked()
+	origin, _ := l.originLocked(id)
+	return origin
+}
+
+func (l *Ledger) originLocked(id ID) (OriginKey, bool) {
 	if origin, known := l.generation.origins[id]; known {
-		return origin
+		return origin, true
+	}
+	origin, known := l.previous.origins[id]
+	return origin, known
+}
+
+func (l *Ledger) ownLocked(id ID) (ownStream, bool) {
+	if own, known := l.generation.own[id]; known {
+		return own, true
 	}
-	return l.previous.origins[id]
+	own, known := l.previous.own[id]
+	return own, known
 }
 
 // Size returns the number of streams whose origins are kept.
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -16,6 +16,8 @@
 
 	mu    sync.Mutex
 	pools map[string]map[string]*versionState
+	// byUpstream holds the version of each upstream, by ID.
+	byUpstream map[string]string
 	// sinceMs is when the first list of upstreams was observed, or 0.
 	sinceMs clock.Millis
 }
@@ -33,9 +35,16 @@
 	return &Versions{monotonic: monotonic, pools: map[string]map[string]*versionState{}}
 }
 
-// Observe records the current list of upstreams. It returns the pools that run a version which was not in the
-// history, besides another one.
-func (v *Versions) Observe(list []registry.Upstream) (mixed []string) {
+// Changes are the changes that a list of upstreams brings.
+type Changes struct {
+	// Mixed are the pools that run a version which was not in the history, besides another one.
+	Mixed []string
+	// Replaced are the IDs of upstreams that run another version than before.
+	Replaced []string
+}
+
+// Observe records the current list of upstreams.
+func (v *Versions) Observe(list []registry.Upstream) Changes {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.monotonic()
@@ -48,12 +57,18 @@
 			state.present = false
 		}
 	}
+	changes, before := Changes{}, v.byUpstream
+	v.byUpstream = make(map[string]string, len(list))
 	for _, u := range list {
-		if v.observeLocked(u, now) && !slices.Contains(mixed, u.Pool) {
-			mixed = append(mixed, u.Pool)
+		if v.observeLocked(u, now) && !slices.Contains(changes.Mixed, u.Pool) {
+			changes.Mixed = append(changes.Mixed, u.Pool)
+		}
+		v.byUpstream[u.ID] = u.SoftwareVersion
+		if version, known := before[u.ID]; known && version != u.SoftwareVersion {
+			changes.Replaced = append(changes.Replaced, u.ID)
 		}
 	}
-	return mixed
+	return changes
 }
 
 // observeLocked records one upstream and reports whether its version is new in a pool that runs another one.
