test(soak): servers of two software versions, clients that take up broken streams

Servers that restart run one of two versions, events tell which, and clients take up broken streams at other boxes with Resumes, at once or within a second, in chains. The new check finds streams with events of two versions.

--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -502,6 +502,27 @@
 			assert.Equal(f.t, []string{"v2"}, slices.Compact(versionsIn(<-result)))
 		})
 	})
+	t.Run("its version is doubtful after its host refused connections, until the entry is confirmed", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			restart := f.upstreamVersion("ua", "d", "v1", streamOf("v1", pause))
+			f.pausingUpstreams("ub-v1", "uc-v2")
+			boxes := f.boxes(2)
+			advance(f.t, time.Second)
+			f.network.SetRefusal(func(_, to string) bool { return to == "ua" })
+			before := boxes[0].beginEach("before", 2*sampleStreams)
+			restart(streamOf("w2", pause))
+			f.network.SetRefusal(func(string, string) bool { return false })
+			advance(f.t, 1500*time.Millisecond)
+			restarted := ofVersion("w2", boxes[0].beginEach("after", 4*sampleStreams))
+			require.NotEmpty(f.t, restarted)
+			assertStreamsRefused(f.t, boxes[0], restarted)
+			assertStreamsRefused(f.t, boxes[1], restarted)
+			assertGoOn(f.t, boxes[0], before)
+			restart(streamOf("v1", pause))
+			advance(f.t, 10*time.Second)
+			assertGoOn(f.t, boxes[0], boxes[0].beginEach("much-later", 2*sampleStreams))
+		})
+	})
 	t.Run("upstreams whose connections broke come last for streams of their version", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			restart := f.upstreamVersion("ua", "d", "v1", streamOf("v1", abortMidEvent))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -100,6 +100,8 @@
 	mu           sync.Mutex
 	config       standin.Config
 	incarnations int
+	// starts counts all starts of servers.
+	starts int
 	// evacuated holds the zones that were ever evacuated, and whether they are now.
 	evacuated map[string]bool
 }
@@ -200,7 +202,7 @@
 
 // newServer returns an incarnation of a server, which crashes under fatal requests.
 func (f *fleet) newServer(s *server, id string) *standin.Server {
-	current := standin.NewServer(id, f.draw, f.history.recordRun)
+	current := standin.NewServer(id, f.nextVersion(), f.draw, f.history.recordRun)
 	current.OnArrival(func(a standin.Arrival) {
 		a.Box = s.link.ownerAt(a.Remote)
 		f.history.recordArrival(a)
@@ -216,7 +218,7 @@
 	s.mu.Unlock()
 	f.store.PutServer(standin.Entry{
 		ID: current.ID, Service: standin.Service, Address: s.link.address(), Zone: s.zone,
-		BornMs: current.BornMs, Draining: draining,
+		BornMs: current.BornMs, Version: current.Version, Draining: draining,
 	})
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -116,6 +116,7 @@
 		}
 	}
 	violations = append(violations, h.checkFatal()...)
+	violations = append(violations, h.checkStreams()...)
 	violations = append(violations, h.checkPartitions()...)
 	return append(violations, h.checkSignals()...)
 }
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -56,7 +56,7 @@
 		},
 		{
 			"a cut stream reported as complete", "complete answer to its own request", standin.Stream,
-			func(_ *history, o *standin.Outcome, _ *standin.Run) { o.Answer = standin.Event("1", 1) },
+			func(_ *history, o *standin.Outcome, _ *standin.Run) { o.Answer = standin.Event("1", "v1", 1) },
 		},
 		{
 			"a success without a run", "complete answer to its own request", standin.Safe,
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,8 @@
 	// Partitions holds the requests during partitions of some boxes, and Falls how many brittle servers fell over.
 	Partitions partitionStats
 	Falls      int
+	// Streams holds the streams that clients took up after they broke.
+	Streams streamStats
 }
 
 // Timing of a run.
@@ -85,6 +87,7 @@
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
 	report.Fatal = f.history.fatalStats()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
+	report.Streams = f.history.streamStats()
 	if err == nil && len(report.Findings) > 0 {
 		err = fmt.Errorf("%w: seed %d: %s", ErrGuaranteeViolated, settings.Seed, report.Findings[0])
 	}
@@ -142,8 +145,10 @@
 		if random.IntN(cancelOneIn) == 0 {
 			time.AfterFunc(time.Duration(random.IntN(cancelWithinMs))*time.Millisecond, cancel)
 		}
-		f.history.recordOutcome(clients[random.IntN(len(clients))].Do(callCtx, call))
+		outcome := clients[random.IntN(len(clients))].Do(callCtx, call)
 		cancel()
+		f.history.recordOutcome(outcome)
+		f.takeUp(ctx, random, clients, outcome)
 		time.Sleep(time.Duration(random.IntN(callGapMs)) * time.Millisecond)
 	}
 }
