fix(gateway): an upstream whose host refused connections has a doubtful version until its entry is confirmed

Found by the soak: servers restarted under their ids at another version while the store was away.

Once a dial to an upstream has failed, its version counts as doubtful until the registry was confirmed 3 s after it responds again. No stream goes on there, and those that begin there are recorded as unknown. Servers that get a new id with each start never respond under the old one, so that this costs them nothing.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -71,6 +71,8 @@
 	coldStarts map[string]ColdStart
 	// brittle holds the pools whose upstreams are brittle.
 	brittle map[string]brittlePool
+	// confirmedMs is when the entries of the upstreams were last known to be the newest.
+	confirmedMs clock.Millis
 	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
 	fleetSize int
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -51,6 +51,8 @@
 	rejectedUntilMs clock.Millis
 	// connectionLost is set once a connection to it broke or could not be opened.
 	connectionLost bool
+	// respondedMs is when it first responded after its host had refused a connection at respondedAfterMs, or 0.
+	respondedMs, respondedAfterMs clock.Millis
 	// streamBroken is set once a stream from it broke.
 	streamBroken bool
 	failures     failureRate
--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -158,6 +158,7 @@
 // as contact with its failure domain. It does not end a partition: only a probe decides whether a
 // partitioned path has recovered.
 func (m *Manager) recordResponseStart(member *Member) {
+	m.recordRespondedAgain(member)
 	member.probation = false
 	member.lastResponseMs.Store(int64(m.monotonic()))
 	m.pathTo(member.FailureDomain).recordResponse(m.monotonic())
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -156,12 +156,12 @@
 		return nil, ErrPartitioned
 	}
 	members := m.candidates(request, eligible, now)
+	if request.Version != nil {
+		members = lessDoubtful(m.certain(members))
+	}
 	if len(members) == 0 {
 		return nil, m.noUpstreamError(eligible, now)
 	}
-	if request.Version != nil {
-		members = lessDoubtful(members)
-	}
 	return members, nil
 }
 
--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 // ErrVersionGone means that a stream can't go on because all upstreams of the pool that run its software version
@@ -26,6 +28,46 @@
 	return request.Version != nil && !slices.ContainsFunc(members, serves)
 }
 
+// versionDoubtMs is how long after an upstream responds again its entry may be outdated, if it has restarted under its
+// ID at another version: until it has written the entry and boxes have read it.
+const versionDoubtMs = 3 * clock.Second
+
+// versionDoubtful reports whether the upstream may run another version than its entry tells. Its host has refused a
+// connection, so it may have restarted, and the entry was not confirmed since it responds again.
+func (m *Manager) versionDoubtful(member *Member) bool {
+	failedMs := member.client.Dials().FailedMs
+	if failedMs == 0 {
+		return false
+	}
+	return member.respondedAfterMs < failedMs || m.confirmedMs < member.respondedMs+versionDoubtMs
+}
+
+// recordRespondedAgain records the first response of an upstream after its host refused a connection.
+func (m *Manager) recordRespondedAgain(member *Member) {
+	if failedMs := member.client.Dials().FailedMs; failedMs > member.respondedAfterMs {
+		member.respondedAfterMs, member.respondedMs = failedMs, m.monotonic()
+	}
+}
+
+// VersionDoubtful reports whether the upstream may run another version than its entry tells.
+func (l *Lease) VersionDoubtful() bool {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	return l.manager.versionDoubtful(l.Member)
+}
+
+// SetConfirmed sets when the entries of the upstreams were last known to be the newest.
+func (m *Manager) SetConfirmed(atMs clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmedMs = atMs
+}
+
+// certain returns the members whose version is not doubtful.
+func (m *Manager) certain(members []*Member) []*Member {
+	return slices.DeleteFunc(slices.Clone(members), m.versionDoubtful)
+}
+
 // lessDoubtful returns the members of which no connection to this box has broken, or all if there are none. One that
 // broke may have restarted at another version, which its entry does not tell yet.
 func lessDoubtful(members []*Member) []*Member {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -295,6 +295,7 @@
 	b.pauseDetector.check()
 	b.registry.Expire()
 	b.evacuations.Expire()
+	b.balance.SetConfirmed(b.registry.ConfirmedMs())
 	b.balance.SetOthersInFlight(b.peering.mesh.OthersInFlight())
 	b.balance.SetFleetInFlightByPool(b.peering.mesh.FleetInFlightByPool())
 	b.balance.SetEnginePermits(b.peering.mesh.EnginePermits())
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -64,7 +64,8 @@
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
 			Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
 			OnCompleted: b.crashDetector.handleCompleted, QuarantineRemainingMs: b.quarantine.QuarantineRemainingMs,
-			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend, Clock: b.clock,
+			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
+			Clock: b.clock,
 		}),
 		record: record.New(b.log.Record, b.metrics.RequestEnded, b.routingState.AgeMs, b.clock.Monotonic),
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -92,9 +92,17 @@
 	}
 }
 
-// record keeps the origin of a stream of this box, and tells it unless others can find it out.
+// record keeps the origin of a stream of this box, and tells it unless others can find it out. If it is doubtful, the
+// request has none.
 func (o *streamOrigins) record(r *opaque.Request) {
-	id, origin := streams.IDOf(r.StreamID()), *r.Origin
+	id := streams.IDOf(r.StreamID())
+	if r.Origin == nil {
+		doubtful := streams.Record{ID: id, Origin: streams.Unknown}
+		o.ledger.Add(doubtful)
+		o.tell([]streams.Record{doubtful})
+		return
+	}
+	origin := *r.Origin
 	evident := len(r.Route.Splits) == 1 && o.isEvident(origin)
 	switch {
 	case !o.ledger.AddOwn(id, origin, r.Upstream, !evident):
@@ -128,7 +136,7 @@
 	stable := b.clock.Monotonic()-clock.Millis(o.routesChangedMs.Load()) >= streams.WindowMs
 	return streams.View{
 		Sole: sole.Key(), Complete: complete && stable,
-		Fresh: !b.stateMayBeOutdated() && b.registry.AgeMs() <= maxAge,
+		Fresh: !b.stateMayBeOutdated() && b.clock.Monotonic()-b.registry.ConfirmedMs() <= maxAge,
 	}
 }
 
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -201,8 +201,10 @@
 
 // responseSource is the upstream or the box that a response comes from.
 type responseSource struct {
-	// origin is where the events of a stream come from, or nil if another box chooses it.
+	// origin is where the events of a stream come from, or nil if it is doubtful or another box chooses it.
 	origin *streams.Origin
+	// recordsOrigin is set if this box, not another one, records the origin.
+	recordsOrigin bool
 	// onPart is called for each part of a stream.
 	onPart func()
 	// onBroken is called when a stream breaks.
@@ -213,9 +215,19 @@
 	isFinal bool
 }
 
+// originOf returns the origin of streams from an upstream, or nil if the upstream may run another version than its
+// entry tells.
+func originOf(lease *balance.Lease) *streams.Origin {
+	if lease.VersionDoubtful() {
+		return nil
+	}
+	return &streams.Origin{Pool: lease.Pool, Version: lease.SoftwareVersion}
+}
+
 func upstreamSource(s *retryLoop, lease *balance.Lease) responseSource {
 	return responseSource{
-		origin:         &streams.Origin{Pool: lease.Pool, Version: lease.SoftwareVersion},
+		origin:         originOf(lease),
+		recordsOrigin:  true,
 		onPart:         lease.RecordContact,
 		onBroken:       lease.RecordBrokenStream,
 		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease) },
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -109,7 +109,8 @@
 
 // boxSource is the source of a response from another box, which frames each response and makes the retries.
 func boxSource() responseSource {
-	return responseSource{onPart: func() {}, onBroken: func() {}, mayHaveCrashed: func() bool { return false }, isFinal: true}
+	ignore, never := func() {}, func() bool { return false }
+	return responseSource{onPart: ignore, onBroken: ignore, mayHaveCrashed: never, isFinal: true}
 }
 
 // buildForward returns the request to another box. It names the box as the only one that may run it, so
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -29,8 +29,10 @@
 	partial []byte
 	// lastID is the ID of the last event sent to the caller, or "".
 	lastID string
-	// origin is the origin of the current upstream, or nil if another box chose it.
-	origin *streams.Origin
+	// origin is the origin of the current upstream, or nil if it is doubtful or another box chose the upstream, which
+	// then records it.
+	origin        *streams.Origin
+	recordsOrigin bool
 	// onOrigin records the origin of a stream that the caller may take up.
 	onOrigin func(r *opaque.Request)
 }
@@ -53,7 +55,7 @@
 
 // mayResume reports whether another upstream may continue the stream now.
 func (s *retryLoop) mayResume() bool {
-	return s.stream.resumable() && !(s.stream.dataSent && s.pipe.deps.OriginRetracted(s.request))
+	return s.stream.resumable() && (!s.stream.dataSent || !s.pipe.deps.OriginRetracted(s.request))
 }
 
 // streamIdleTimeoutFactor is the idle time after which another upstream continues a stream, as a
@@ -79,7 +81,7 @@
 		s.startStream(res)
 	}
 	s.stream.events, s.stream.partial = eventstream.Scanner{}, nil
-	s.stream.origin = from.origin
+	s.stream.origin, s.stream.recordsOrigin = from.origin, from.recordsOrigin
 	event, stop := s.startIdleTimeout(cancel)
 	defer stop()
 	buffer := make([]byte, streamBufferBytes)
@@ -159,10 +161,10 @@
 	return nil
 }
 
-// recordOrigin records the origin of the stream if the caller may take it up. A box that forwards the request leaves
-// this to the other box.
+// recordOrigin records the origin of the stream, or that it is doubtful, if the caller may take the stream up. A box
+// that forwards the request leaves this to the other box.
 func (t *stream) recordOrigin() {
-	if t.completeOnly && t.request.Origin != nil && t.origin != nil {
+	if t.completeOnly && t.recordsOrigin {
 		t.onOrigin(t.request)
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -234,11 +234,11 @@
 	}
 }
 
-// AgeMs returns the time since the registry was last known to hold all changes.
-func (r *Registry) AgeMs() clock.Millis {
+// ConfirmedMs returns the monotonic time at which the registry was last known to hold all changes.
+func (r *Registry) ConfirmedMs() clock.Millis {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.monotonic() - r.upToDateMs
+	return r.upToDateMs
 }
 
 // Synced reports whether a complete list of the upstreams has been applied, even an empty one.
