--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/pkg/config"
@@ -541,3 +542,25 @@
 		})
 	})
 }
+
+// TestUpstreamsWithoutVersions guards against upstreams whose versions a box of an earlier release did not tell.
+func TestUpstreamsWithoutVersions(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.network.SetPacketLoss(func() bool { return true })
+		f.store.setUnavailable("box-1", true)
+		f.upstreamVersion("u1", "d", "v1", streamOf("v1", pause))
+		b, other := f.box(1), f.box(2)
+		advance(f.t, time.Second)
+		report := mesh.PeerState{
+			From:         mesh.Identity{Box: "box-2", FailureDomain: "d", Address: other.settings.PeersAddress, Incarnation: 1},
+			StateSummary: other.stateSummary(),
+		}
+		b.peering.applyPeerState(f.t.Context(), report)
+		assert.NotNil(f.t, b.routingState.State(), "the routing state is taken")
+		assert.Empty(f.t, b.registry.All())
+		report.TellsVersions = true
+		b.peering.applyPeerState(f.t.Context(), report)
+		require.Len(f.t, b.registry.All(), 1)
+		assert.Equal(f.t, "v1", b.registry.All()[0].SoftwareVersion)
+	})
+}
