--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -157,7 +157,9 @@
 	switch {
 	case r.ResumedID() == "":
 		// Callers that name no stream expect that one version serves.
-		key = o.view(r.Pool).Sole
+		own := o.view(r.Pool)
+		key = own.Sole
+		event.OneVersion, event.Fresh = own.Sole != streams.Unknown, own.Fresh
 	case key != streams.Unknown:
 		event.Known = true
 	default:
--- a/internal/streams/ledger.go
+++ b/internal/streams/ledger.go
@@ -14,7 +14,7 @@
 // heartbeat of the upstream and the way through the store.
 const doubtMs = 5 * clock.Second
 
-// maxRecords limits the streams of one generation, at some 40 bytes each.
+// maxRecords limits the streams of one generation, at some 60 bytes each.
 const maxRecords = 32 << 10
 
 // Ledger keeps the origins of streams for WindowMs to twice as long: records move from one generation to the next.
