fix(upstream): connections of requests that are given up are reset

A request that was given up during a partition reached its server seconds later, once the partition had ended: after the server had said that it leaves (DRAIN), and it would have run there a second time. The connection was closed in order, so the network still delivered its bytes. It is reset now, for requests given up and for responses that broke, so that what is held up is dropped.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -367,7 +367,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	rt := &roundTrip{client: c, conn: cn, request: r}
-	rt.stopAfterFunc = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	rt.stopAfterFunc = context.AfterFunc(ctx, cn.abort)
 	startMs := c.monotonic()
 	answer, err := rt.run()
 	if err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,6 +28,21 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
 }
 
+// lingerer is a connection that Close resets if its linger time is 0.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// abort resets the connection. After an orderly close, bytes that a partition holds up would still reach the upstream
+// once it ends, and a request that was given up would run.
+func (c *conn) abort() {
+	if l, ok := c.Conn.(lingerer); ok {
+		// If it fails, the connection is closed in order.
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // reusable reports whether an idle connection is open and has no data to read. Unsolicited bytes
 // belong to no request, so a connection that received some is not reused.
 func (c *conn) reusable() bool {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -162,10 +162,10 @@
 	}
 }
 
-// abort closes the connection.
+// abort resets the connection.
 func (rt *roundTrip) abort() {
 	rt.stopAfterFunc()
-	_ = rt.conn.Close()
+	rt.conn.abort()
 }
 
 // Response is a response whose body is streamed.
@@ -206,7 +206,11 @@
 	stopped := rt.stopAfterFunc()
 	reusable := stopped && a.eof && !a.failed && a.Framing() != ByConnection && !a.Response.Close &&
 		rt.written.Load() && rt.conn.reader.Buffered() == 0
-	if !reusable {
+	switch {
+	case !reusable && !a.eof:
+		rt.conn.abort()
+		return
+	case !reusable:
 		_ = rt.conn.Close()
 		return
 	}
