--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -19,6 +19,7 @@
 	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/internal/why"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -365,12 +366,25 @@
 			assertStreamsRefused(f.t, b, []begun{unnamed})
 		})
 	})
-	t.Run("an unknown stream is refused while two versions serve", func(t *testing.T) {
+	t.Run("an unknown stream is refused while two versions serve, and lines tell why", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
+			log := &logBuffer{}
+			f.out = log
 			f.pausingUpstreams("ua-v1", "ub-v2")
 			boxes := f.boxes(2)
 			advance(f.t, time.Minute)
 			assertStreamsRefused(f.t, boxes[1], []begun{{id: "never-begun"}})
+			advance(f.t, time.Second)
+			story := why.RequestLines(log.read(f.t), "never-begun-again", 0)
+			require.Len(f.t, withMessage(story, "stream taken up"), 1)
+			fields := withMessage(story, "stream taken up")[0].Fields
+			for name, want := range map[string]string{
+				"resumes": `"never-begun"`, "unknown": "true", "answers": "1", "one_version": "false", "own_record": "false",
+			} {
+				assert.Equal(f.t, want, string(fields[name]), name)
+			}
+			assert.Equal(f.t, `"stream_unknown"`, string(withMessage(story, "request ended")[0].Fields["cause"]))
+			assert.Equal(f.t, "1", boxes[1].metrics.all.Get("requests_stream_stream_unknown").String())
 		})
 	})
 	t.Run("a stream whose version all upstreams have left is refused", func(t *testing.T) {
