--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 // callerListener accepts at most a fixed number of connections at a time.
@@ -52,17 +54,11 @@
 	broken atomic.Bool
 }
 
-// lingerer is a connection that Close resets if its linger time is 0.
-type lingerer interface {
-	SetLinger(seconds int) error
-}
-
 // Close closes the connection, or resets it if a response on it was broken off.
 func (c *callerConn) Close() error {
 	defer c.release()
-	if conn, ok := c.Conn.(lingerer); ok && c.broken.Load() {
-		// If it fails, the connection is closed in order, as it would be without it.
-		_ = conn.SetLinger(0)
+	if c.broken.Load() {
+		upstream.ResetOnClose(c.Conn)
 	}
 	return c.Conn.Close()
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,18 +28,18 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
 }
 
-// lingerer is a connection that Close resets if its linger time is 0.
-type lingerer interface {
-	SetLinger(seconds int) error
+// ResetOnClose makes Close reset a connection. If it fails, the connection is closed in order, as it would be without
+// it.
+func ResetOnClose(c net.Conn) {
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
+	}
 }
 
 // abort resets the connection. After an orderly close, bytes that a partition holds up would still reach the upstream
 // once it ends, and a request that was given up would run.
 func (c *conn) abort() {
-	if l, ok := c.Conn.(lingerer); ok {
-		// If it fails, the connection is closed in order.
-		_ = l.SetLinger(0)
-	}
+	ResetOnClose(c.Conn)
 	_ = c.Close()
 }
 
