--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/registry"
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 // ending is how an upstream ends a response that has neither a length nor chunks.
@@ -63,9 +64,7 @@
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request+"\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
 	switch end {
 	case reset:
-		if c, ok := conn.(lingerer); ok {
-			_ = c.SetLinger(0)
-		}
+		upstream.ResetOnClose(conn)
 	case crashed:
 		_ = u.listener.Close()
 	case closed:
