test(mesh): the test of boxes of the release before locks the mesh

Traced by its report: the test wrote to the mesh's peers under the lock of its own box type, which hides that of the mesh, while the mesh's round read them. A fault of the test; the product's lock is held wherever peers are read or written. The test takes the mesh's lock now: 25 runs with the race detector pass. Checks unchanged.

--- a/internal/mesh/origins_test.go
+++ b/internal/mesh/origins_test.go
@@ -98,8 +98,8 @@
 			first := f.boxes[0]
 			// A report that arrives undoes what the test sets.
 			setOld := func() {
-				first.mu.Lock()
-				defer first.mu.Unlock()
+				first.Mesh.mu.Lock()
+				defer first.Mesh.mu.Unlock()
 				first.peers["box-1"].keepsStreams, first.peers["box-3"].keepsStreams = false, false
 			}
 			setOld()
