feat(decision): upstream ended names the prompt parts of the requests there

Change: a key for each shared part of a prompt (a hash, independent of organisation and pool; the last part is the request's own), kept with the suspects of a crash and written as parts. No decision changed.

--- a/internal/decision/upstreams.go
+++ b/internal/decision/upstreams.go
@@ -102,6 +102,8 @@
 	// Fingerprints identify the content of this box's requests whose connections to the
 	// upstream broke.
 	Fingerprints []string
+	// Parts are the keys of the prompt parts that these requests share with others.
+	Parts []string
 }
 
 // Name implements Event.
@@ -114,5 +116,8 @@
 func (e UpstreamCrashed) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("upstream", e.Upstream)
 	zap.Strings("fingerprints", e.Fingerprints).AddTo(o)
+	if len(e.Parts) > 0 {
+		zap.Strings("parts", e.Parts).AddTo(o)
+	}
 	return nil
 }
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -38,6 +38,7 @@
 // suspect is a request that may have crashed an upstream.
 type suspect struct {
 	fingerprint quarantine.Fingerprint
+	parts       quarantine.Parts
 	upstream    registry.Upstream
 	atMs        clock.Millis
 	// uncertain is set if this box closed the connection first, or if the upstream accepted a connection after this one
@@ -124,7 +125,8 @@
 	uncertain := o.Evidence == dispatch.RequestAbandoned
 	if len(entry.list) < maxSuspectsPerUpstream {
 		entry.list = append(entry.list, suspect{
-			fingerprint: o.Fingerprint, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(), uncertain: uncertain,
+			fingerprint: o.Fingerprint, parts: o.Parts, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(),
+			uncertain: uncertain,
 		})
 	}
 	first := !entry.probing
@@ -209,12 +211,30 @@
 		}
 	}
 	d.box.metrics.UpstreamCrashed()
-	d.box.log.Record(decision.UpstreamCrashed{Upstream: list[0].upstream.Incarnation(), Fingerprints: fingerprints})
+	d.box.log.Record(decision.UpstreamCrashed{
+		Upstream: list[0].upstream.Incarnation(), Fingerprints: fingerprints, Parts: partNames(list),
+	})
 	if quarantined {
 		d.box.peering.mesh.BroadcastCrashEvents()
 	}
 }
 
+// maxLoggedParts bounds the length of a log line that names parts of prompts.
+const maxLoggedParts = 64
+
+// partNames returns the keys of the distinct prompt parts of some suspects, for logs.
+func partNames(list []suspect) []string {
+	names := []string{}
+	for _, s := range list {
+		for _, key := range s.parts.Keys {
+			if name := key.String(); len(names) < maxLoggedParts && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
 // removeSuspects removes and returns the suspects of all incarnations of an upstream except successor, whose suspects
 // are kept. Of the uncertain suspects it returns only those of the last maxUncertainAgeMs, and only if the crash is
 // recent. It keeps the other uncertain suspects while a probe runs, and drops them otherwise.
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -38,6 +38,9 @@
 	// Fingerprint identifies the content of the request. It is set once the body was read.
 	Fingerprint quarantine.Fingerprint
 
+	// Parts are the shared parts of the prompt, by which crashes of upstreams are attributed. It is set with Fingerprint.
+	Parts quarantine.Parts
+
 	// Box is the name of this box.
 	Box string
 	// FromBox is the box that forwarded the request to this one because it can't reach the upstreams, or "".
@@ -95,7 +98,7 @@
 	return pools
 }
 
-// ComputeFingerprint computes the fingerprint from the parts of the request that were read.
+// ComputeFingerprint computes the fingerprint and the keys of the prompt's parts from what was read of the request.
 func (r *Request) ComputeFingerprint() {
 	request := quarantine.Request{
 		Method: r.HTTP.Method, Host: r.HTTP.Host, Target: r.HTTP.RequestURI, Body: r.Body,
@@ -104,6 +107,7 @@
 		request.Organisation = r.Organisation.Name
 	}
 	r.Fingerprint = request.Fingerprint()
+	r.Parts = quarantine.PartsOf(r.Pool, r.Prompt)
 }
 
 // Priority returns the priority of the organisation if it has one, and otherwise that of the route.
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -29,11 +29,13 @@
 	Evidence    Evidence
 	Member      *balance.Member
 	Fingerprint quarantine.Fingerprint
+	// Parts are the shared parts of the request's prompt.
+	Parts quarantine.Parts
 }
 
 // observeFailure reports evidence of an upstream crash from a failed attempt, if there is any.
 func (s *retryLoop) observeFailure(ctx context.Context, lease *balance.Lease, err error) {
-	o := Observation{Member: lease.Member, Fingerprint: s.request.Fingerprint}
+	o := Observation{Member: lease.Member, Fingerprint: s.request.Fingerprint, Parts: s.request.Parts}
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		o.Evidence = ConnectionRefused
