--- a/internal/quarantine/partkey.go
+++ b/internal/quarantine/partkey.go
@@ -23,7 +23,7 @@
 	return PartKey(binary.BigEndian.Uint64(sum[:]))
 }
 
-// maxPartsPerRequest limits the parts of a prompt that are judged. Hashing as many takes 20 µs.
+// maxPartsPerRequest limits the parts of a prompt that are judged. Hashing as many takes 40 µs.
 const maxPartsPerRequest = 256
 
 // Parts are the parts of a request's prompt that other requests may share, and the pool that the request is sent to.
