feat(quarantine): crashes are counted by parts of prompts

Cause: the quarantine knows a request by its whole content; no two requests with a fatal part are alike, so none was ever counted twice. Change: a ledger of its own counts crashes by the shared parts of the prompts that the crashed upstream ran. An unframed response clears nobody until its upstream has outlived it by 100 ms. The check is repeated right before a request is written. Ruled out: counting by pool alone (a fatal part that comes at several pools would need three crashes in each), marking parts in the fingerprints of the existing exchange (old boxes would not tell them apart). Open: boxes that are all killed at once, next.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -227,7 +227,9 @@
 type RequestEnded struct {
 	Request string
 	// Fingerprint identifies the content of the request; it is empty if the body was not read.
-	Fingerprint  string
+	Fingerprint string
+	// Part is the key of the prompt's part for which the request was refused, or which it tried after a quarantine.
+	Part         string
 	Route        string
 	Organisation string
 	Upstream     string
@@ -258,6 +260,7 @@
 func (e RequestEnded) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("request", e.Request)
 	addIfSet(o, "fingerprint", e.Fingerprint)
+	addIfSet(o, "part", e.Part)
 	addIfSet(o, "route", e.Route)
 	addIfSet(o, "organisation", e.Organisation)
 	addIfSet(o, "upstream", e.Upstream)
@@ -437,6 +440,40 @@
 	return nil
 }
 
+// PartQuarantined records that requests with a part of a prompt are quarantined or released.
+type PartQuarantined struct {
+	// Part is the key of the part.
+	Part string
+	// Upstreams is the number of upstreams that crashed while running requests with the part.
+	Upstreams int
+	// HoldMs is the duration of the first hold, or 0 on release because an upstream answered such a request.
+	HoldMs clock.Millis
+	// Source is where the information came from: this box, another one or the store.
+	Source string
+}
+
+// Name implements Event.
+func (e PartQuarantined) Name() string {
+	if e.HoldMs > 0 {
+		return "prompt part quarantined"
+	}
+	return "prompt part released"
+}
+
+// Routine implements Event.
+func (PartQuarantined) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e PartQuarantined) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("part", e.Part)
+	o.AddString("source", e.Source)
+	if e.HoldMs > 0 {
+		o.AddInt("upstreams_ended", e.Upstreams)
+		o.AddInt64("hold_ms", int64(e.HoldMs))
+	}
+	return nil
+}
+
 // InputIgnored records an input that could not be used, and why.
 type InputIgnored struct {
 	Input string
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -70,6 +70,7 @@
 	forwarding    *forwarding
 	sink          *storeSink
 	quarantine    *quarantine.Ledger
+	parts         *quarantine.PartLedger
 	origins       *streamOrigins
 
 	servers  []*http.Server
@@ -158,6 +159,9 @@
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
+	b.parts = quarantine.NewPartLedger(b.clock.Monotonic, b.quarantineSettings,
+		func(part quarantine.PartKey) bool { return b.peering.mesh.SendsTrials(part) }, int64(b.clock.Now()))
+	b.metrics.Publish("quarantine_parts", func() any { return b.parts.Sizes() })
 	b.metrics.Publish("upstreams_brittle", func() any { return b.balance.Brittle() })
 	b.metrics.Publish("upstreams_cold", func() any { return b.balance.Cold() })
 	b.metrics.Publish("upstreams_at_rest", func() any { return b.balance.BackingOff() })
@@ -305,6 +309,7 @@
 	b.forwarding.expire()
 	b.peering.mesh.ExpirePermits()
 	b.quarantine.Expire()
+	b.parts.Expire()
 	b.crashDetector.expire()
 	b.budgets.SetReserve(max(1, int(float64(b.settings.Load().Budget.Slack)*localBudgetShare)/b.peering.mesh.Boxes()))
 }
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/pipe/dispatch"
 	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/registry"
@@ -41,9 +44,13 @@
 	parts       quarantine.Parts
 	upstream    registry.Upstream
 	atMs        clock.Millis
+	// sentMs is when the request was sent.
+	sentMs clock.Millis
 	// uncertain is set if this box closed the connection first, or if the upstream accepted a connection after this one
 	// broke. Its process may end a moment later.
 	uncertain bool
+	// answeredStatus is the status of an unframed response that looks complete, or 0.
+	answeredStatus int
 }
 
 // suspects holds the requests that may have crashed one upstream.
@@ -122,11 +129,11 @@
 		entry = &suspects{}
 		d.byID[o.Member.ID] = entry
 	}
-	uncertain := o.Evidence == dispatch.RequestAbandoned
+	uncertain := mayEndLater(o.Evidence)
 	if len(entry.list) < maxSuspectsPerUpstream {
 		entry.list = append(entry.list, suspect{
 			fingerprint: o.Fingerprint, parts: o.Parts, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(),
-			uncertain: uncertain,
+			sentMs: o.SentMs, uncertain: uncertain, answeredStatus: o.Status,
 		})
 	}
 	first := !entry.probing
@@ -134,10 +141,15 @@
 	return first
 }
 
+// mayEndLater reports whether the process of an upstream may end some time after the evidence of its crash.
+func mayEndLater(e dispatch.Evidence) bool {
+	return e == dispatch.RequestAbandoned || e == dispatch.ResponseUnframed
+}
+
 // probeUpstream checks whether an upstream has crashed.
 func (d *crashDetector) probeUpstream(ctx context.Context, o dispatch.Observation) {
 	member, wait := o.Member, breakSettleMs
-	if o.Evidence == dispatch.RequestAbandoned {
+	if mayEndLater(o.Evidence) {
 		wait = lateProbeDelayMs
 	}
 	for again := true; again; wait = lateProbeDelayMs {
@@ -147,7 +159,11 @@
 		if found == upstream.Dead && d.box.refusedByOthers(ctx, member) {
 			found = upstream.Unresponsive
 		}
-		again = d.handleProbeResult(member.ID, found) && ctx.Err() == nil
+		answered, probeAgain := d.handleProbeResult(member.ID, found)
+		for _, s := range answered {
+			d.handleAnswer(s.fingerprint, s.parts, s.answeredStatus)
+		}
+		again = probeAgain && ctx.Err() == nil
 		if found == upstream.Dead || !d.box.registry.Has(member.Identity()) {
 			d.handleCrash(member.ID, "", found == upstream.Dead)
 		}
@@ -157,19 +173,27 @@
 // handleProbeResult processes the result of a probe. If the upstream is alive, the suspects whose connections broke
 // become uncertain, and the upstream must be probed again, since its process may end a moment later. If the upstream
 // does not respond, requests may have been abandoned because it had already stopped responding, so any uncertain
-// request may have crashed it, and all are treated like requests whose connections broke. handleProbeResult reports
-// whether the upstream must be probed again.
-func (d *crashDetector) handleProbeResult(id string, found upstream.Liveness) (again bool) {
+// request may have crashed it, and all are treated like requests whose connections broke. handleProbeResult returns
+// the suspects whose unframed responses were complete, and whether the upstream must be probed again.
+func (d *crashDetector) handleProbeResult(id string, found upstream.Liveness) (answered []suspect, again bool) {
+	now := d.box.clock.Monotonic()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry := d.byID[id]
 	if entry == nil {
-		return false
+		return nil, false
 	}
 	switch found {
 	case upstream.Alive:
+		entry.list = slices.DeleteFunc(entry.list, func(s suspect) bool {
+			outlived := s.answeredStatus > 0 && now-s.atMs >= lateProbeDelayMs
+			if outlived {
+				answered = append(answered, s)
+			}
+			return outlived
+		})
 		for i, s := range entry.list {
-			if !s.uncertain {
+			if !s.uncertain || s.answeredStatus > 0 {
 				entry.list[i].uncertain, again = true, true
 			}
 		}
@@ -180,7 +204,7 @@
 	case upstream.Dead:
 	}
 	entry.probing = again
-	return again
+	return answered, again
 }
 
 // handleChanges processes registry changes. If an entry has disappeared or its server has restarted, the previous
@@ -202,19 +226,26 @@
 	if len(list) == 0 {
 		return
 	}
-	fingerprints, quarantined := make([]string, 0, len(list)), false
+	fingerprints, urgent := make([]string, 0, len(list)), false
+	uses := map[namekey.Key][]quarantine.PartUse{}
 	for _, s := range list {
 		fingerprints = append(fingerprints, s.fingerprint.String())
+		uses[s.upstream.Key()] = append(uses[s.upstream.Key()], quarantine.PartUse{Parts: s.parts, SentMs: s.sentMs})
 		if d.box.quarantine.RecordCrash(s.fingerprint, s.upstream.Key()) {
-			quarantined = true
+			urgent = true
 			d.logQuarantined(s.fingerprint, "this box")
 		}
 	}
+	for crashed, list := range uses {
+		quarantined, partUrgent := d.box.parts.RecordCrash(crashed, list)
+		urgent = urgent || partUrgent
+		d.logPartsQuarantined(quarantined, "this box")
+	}
 	d.box.metrics.UpstreamCrashed()
 	d.box.log.Record(decision.UpstreamCrashed{
 		Upstream: list[0].upstream.Incarnation(), Fingerprints: fingerprints, Parts: partNames(list),
 	})
-	if quarantined {
+	if urgent {
 		d.box.peering.mesh.BroadcastCrashEvents()
 	}
 }
@@ -262,12 +293,46 @@
 	return taken
 }
 
-// handleCompleted processes a complete response to a request with this fingerprint. If this ends a quarantine, it logs
-// the release.
-func (d *crashDetector) handleCompleted(fingerprint quarantine.Fingerprint) {
+// handleCompleted processes a complete response to a request.
+func (d *crashDetector) handleCompleted(r *opaque.Request, status int) {
+	d.handleAnswer(r.Fingerprint, r.Parts, status)
+}
+
+// handleAnswer processes a complete response to a request. If this ends a quarantine, it logs the release. Only a success
+// shows that an upstream has begun to write a response on the parts of the prompt.
+func (d *crashDetector) handleAnswer(fingerprint quarantine.Fingerprint, parts quarantine.Parts, status int) {
 	if d.box.quarantine.RecordAnswer(fingerprint) {
 		d.box.log.Record(decision.Quarantined{Fingerprint: fingerprint.String(), Source: "this box"})
 	}
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		return
+	}
+	released := d.box.parts.RecordAnswer(parts)
+	for _, key := range released {
+		d.box.log.Record(decision.PartQuarantined{Part: key.String(), Source: "this box"})
+	}
+	if len(released) > 0 {
+		d.box.peering.mesh.BroadcastCrashEvents()
+	}
+}
+
+// recordPartsFromPeer processes crashes by parts of prompts that another box reported.
+func (d *crashDetector) recordPartsFromPeer(list []quarantine.PartEvent) {
+	d.recordPartsFrom("another box", list, d.box.peering.mesh.IsLarge())
+}
+
+// recordPartsFrom processes crashes by parts of prompts. If relay is set, this box passes each of them on to others.
+func (d *crashDetector) recordPartsFrom(source string, list []quarantine.PartEvent, relay bool) {
+	d.logPartsQuarantined(d.box.parts.RecordEvents(list, relay), source)
+}
+
+func (d *crashDetector) logPartsQuarantined(parts []quarantine.PartKey, source string) {
+	settings := d.box.quarantine.Settings()
+	for _, key := range parts {
+		d.box.log.Record(decision.PartQuarantined{
+			Part: key.String(), Upstreams: settings.MinCrashes, HoldMs: settings.FirstPartHoldMs(), Source: source,
+		})
+	}
 }
 
 // recordFromPeer processes crashes that another box reported.
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -65,6 +65,7 @@
 		Unreachable:        b.balance.UnreachableKeys,
 		AnnouncementsSince: b.balance.AnnouncementsSince, RecordAnnouncements: b.balance.RecordAnnouncements,
 		CrashEventsSince: b.quarantine.EventsSince, RecordCrashEvents: b.crashDetector.recordFromPeer,
+		PartEventsSince: b.parts.EventsSince, RecordPartEvents: b.crashDetector.recordPartsFromPeer,
 		RecordOrigins: func(list []streams.Record) { b.origins.ledger.Add(list...) }, AnswerOrigin: b.origins.answer,
 		OnPeerState: p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -53,8 +53,10 @@
 		match:     match.New(b.awaitState, b.stateMayBeOutdated),
 		authorise: authorise.New(b.routingState.AgeMs, b.maxAgeMs, b.stateMayBeOutdated),
 		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic),
-		screen:    screen.New(b.quarantine.QuarantineRemainingMs),
-		resume:    resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
+		screen: screen.New(screen.Dependencies{
+			RemainingMs: b.quarantine.QuarantineRemainingMs, ScreenParts: b.parts.Screen, RescreenParts: b.parts.Recheck,
+		}),
+		resume: resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
@@ -63,7 +65,8 @@
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
 			Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
-			OnCompleted: b.crashDetector.handleCompleted, QuarantineRemainingMs: b.quarantine.QuarantineRemainingMs,
+			OnCompleted:    b.crashDetector.handleCompleted,
+			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
 			Clock: b.clock,
 		}),
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -55,7 +55,8 @@
 	// maxAnnouncements limits the prompt parts that a datagram names, at 11 bytes each. It exceeds the
 	// number of parts that one box's requests put into engine caches during a missed cycle.
 	maxAnnouncements = 64
-	// maxCrashEvents limits the upstream crashes that a datagram reports, at 16 bytes each.
+	// maxCrashEvents limits the upstream crashes that a datagram reports, at 16 bytes each, and those by parts of
+	// prompts, at 26 bytes each.
 	// maxCrashEventsLarge applies in a large fleet, where a box sends and answers about seven datagrams
 	// a second.
 	maxCrashEvents      = 64
@@ -91,6 +92,8 @@
 	recordAnnouncements func(list []prompt.CachedPart)
 	crashEventsSince    func(from int64, limit int) ([]quarantine.CrashEvent, int64)
 	recordCrashEvents   func(list []quarantine.CrashEvent)
+	partEventsSince     func(from int64, limit int) ([]quarantine.PartEvent, int64)
+	recordPartEvents    func(list []quarantine.PartEvent)
 	recordOrigins       func(list []streams.Record)
 	answerOrigin        func(id streams.ID, pool namekey.Key) streams.Answer
 	onPeerState         func(a PeerState)
@@ -145,6 +148,9 @@
 	// AnnouncementsSince does. RecordCrashEvents receives the reports of other boxes.
 	CrashEventsSince  func(from int64, limit int) ([]quarantine.CrashEvent, int64)
 	RecordCrashEvents func(list []quarantine.CrashEvent)
+	// PartEventsSince and RecordPartEvents do the same for the reports by parts of prompts.
+	PartEventsSince  func(from int64, limit int) ([]quarantine.PartEvent, int64)
+	RecordPartEvents func(list []quarantine.PartEvent)
 	// RecordOrigins receives the origins of streams that other boxes have begun. AnswerOrigin returns what this box
 	// knows about a stream and the versions of its pool.
 	RecordOrigins func(list []streams.Record)
@@ -161,7 +167,8 @@
 		inFlight: d.InFlight, inFlightByPool: d.InFlightByPool, unreachable: d.Unreachable,
 		ledger:             occupancy.New(d.Clock.Monotonic),
 		announcementsSince: d.AnnouncementsSince, recordAnnouncements: d.RecordAnnouncements,
-		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents, onPeerState: d.OnPeerState,
+		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents,
+		partEventsSince: d.PartEventsSince, recordPartEvents: d.RecordPartEvents, onPeerState: d.OnPeerState,
 		recordOrigins: d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		random: d.Random, peers: map[string]*peer{},
 		pendingPermits: permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
@@ -222,6 +229,9 @@
 	if len(p.CrashEvents) > 0 {
 		m.recordCrashEvents(p.CrashEvents)
 	}
+	if len(p.PartEvents) > 0 {
+		m.recordPartEvents(p.PartEvents)
+	}
 	switch p.Type {
 	case typePing:
 		m.send(from.String(), m.forReceiver(m.packet(typeReply, p.PingedMs), p.From.Box))
@@ -326,6 +336,10 @@
 	if list, to := m.crashEventsSince(receiver.ackedCrashEvents, limit); len(list) > 0 {
 		p.CrashEvents, p.CrashEventsNext = list, to
 	}
+	p.PartEventsAcked = receiver.receivedPartEvents
+	if list, to := m.partEventsSince(receiver.ackedPartEvents, limit); len(list) > 0 {
+		p.PartEvents, p.PartEventsNext = list, to
+	}
 }
 
 // send sends a datagram. A failure is counted and otherwise treated like packet loss.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -32,6 +32,7 @@
 	received         []prompt.CachedPart
 	stop             context.CancelFunc
 	ledger           *quarantine.Ledger
+	parts            *quarantine.PartLedger
 	origins          *streams.Ledger
 }
 
@@ -45,6 +46,13 @@
 	return quarantine.New(c.Monotonic, func() quarantine.Settings { return settings }, int64(c.Now()))
 }
 
+// newPartLedger returns a ledger that quarantines a part after three crashes.
+func newPartLedger(sendsTrials func(part quarantine.PartKey) bool) *quarantine.PartLedger {
+	c := clock.New()
+	settings := quarantine.Settings{MinCrashes: 3, HoldMs: 600 * clock.Second}
+	return quarantine.NewPartLedger(c.Monotonic, func() quarantine.Settings { return settings }, sendsTrials, int64(c.Now()))
+}
+
 // quarantining returns the number of boxes that quarantine a fingerprint.
 func (f *fixture) quarantining(fingerprint quarantine.Fingerprint) int {
 	count := 0
@@ -89,6 +97,7 @@
 	conn, err := f.network.Host(name).ListenPackets("udp", address)
 	require.NoError(f.t, err)
 	b := &box{inFlight: map[namekey.Key]int{}, ledger: newLedger(), origins: streams.NewLedger(clock.New().Monotonic)}
+	b.parts = newPartLedger(func(part quarantine.PartKey) bool { return b.SendsTrials(part) })
 	b.Mesh = New(Dependencies{
 		Self:     Identity{Box: name, FailureDomain: domain, Address: address, Incarnation: 1},
 		PeriodMs: 250, Clock: clock.New(), Conn: conn, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
@@ -114,6 +123,8 @@
 		},
 		CrashEventsSince:  b.ledger.EventsSince,
 		RecordCrashEvents: func(list []quarantine.CrashEvent) { b.ledger.RecordEvents(list, b.IsLarge()) },
+		PartEventsSince:   b.parts.EventsSince,
+		RecordPartEvents:  func(list []quarantine.PartEvent) { b.parts.RecordEvents(list, b.IsLarge()) },
 		AnnouncementsSince: func(from int64, limit int) ([]prompt.CachedPart, int64) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -32,6 +32,9 @@
 	// acknowledged this box's reports.
 	receivedCrashEvents int64
 	ackedCrashEvents    int64
+	// receivedPartEvents and ackedPartEvents are the same for reports by parts of prompts.
+	receivedPartEvents int64
+	ackedPartEvents    int64
 	// permitTimeoutMs is when this box as an owner last did not answer a permit request in time.
 	permitTimeoutMs clock.Millis
 }
@@ -53,9 +56,12 @@
 	if known != nil && known.Incarnation == p.From.Incarnation && known.firstSeenMs > 0 {
 		updated.firstSeenMs, updated.sentAnnouncements = known.firstSeenMs, known.sentAnnouncements
 		updated.receivedCrashEvents, updated.ackedCrashEvents = known.receivedCrashEvents, known.ackedCrashEvents
+		updated.receivedPartEvents, updated.ackedPartEvents = known.receivedPartEvents, known.ackedPartEvents
 	}
 	updated.receivedCrashEvents = max(updated.receivedCrashEvents, p.CrashEventsNext)
 	updated.ackedCrashEvents = max(updated.ackedCrashEvents, p.CrashEventsAcked)
+	updated.receivedPartEvents = max(updated.receivedPartEvents, p.PartEventsNext)
+	updated.ackedPartEvents = max(updated.ackedPartEvents, p.PartEventsAcked)
 	if known == nil || known.firstSeenMs == 0 {
 		m.directPeers++
 	}
--- a/internal/opaque/refusal.go
+++ b/internal/opaque/refusal.go
@@ -39,6 +39,7 @@
 	UpstreamsFull              Cause = "upstreams_full"
 	Shed                       Cause = "upstreams_refused"
 	Quarantined                Cause = "quarantined"
+	PartQuarantined            Cause = "part_quarantined"
 	StreamUnknown              Cause = "stream_unknown"
 	StreamVersionGone          Cause = "stream_version_gone"
 	ResponseLost               Cause = "upstream_lost"
@@ -108,6 +109,7 @@
 	UpstreamsFull:              "no upstream can respond in time; nothing ran",
 	Shed:                       "the upstreams refused; nothing ran",
 	Quarantined:                "upstreams ended under this request each time it came; it is held back, nothing ran",
+	PartQuarantined:            "upstreams ended under requests with a part of this prompt; it is held back, nothing ran",
 	StreamUnknown:              "no box knows which software version began this stream; it can't go on, nothing ran",
 	StreamVersionGone:          "no upstream runs the version that began this stream; it can't go on, nothing ran",
 	ResponseLost:               "the upstream's answer was lost; the request may have run",
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -40,6 +40,10 @@
 
 	// Parts are the shared parts of the prompt, by which crashes of upstreams are attributed. It is set with Fingerprint.
 	Parts quarantine.Parts
+	// HeldPart is the part of the prompt for which the request was refused, or which it tries, or 0.
+	HeldPart quarantine.PartKey
+	// Trial is set if the request shows whether HeldPart still crashes upstreams. It is sent once.
+	Trial bool
 
 	// Box is the name of this box.
 	Box string
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -61,7 +61,7 @@
 	case failed != nil:
 		s.observeFailure(ctx, lease, failed.err)
 	default:
-		s.pipe.deps.OnCompleted(s.request.Fingerprint)
+		s.observeSuccess(lease, resp)
 	}
 	lease.Release(s.healthResult(lease, failed))
 	return failed
@@ -112,7 +112,12 @@
 		s.request.Sent++
 		s.request.MayHaveRun = true
 	}
+	if refusal := (*opaque.RefusalError)(nil); errors.As(err, &refusal) && !s.request.MayHaveRun {
+		failed.refusal = refusal
+	}
 	switch {
+	case failed.refusal != nil:
+		lease.Release(balance.Neutral)
 	case s.ctx.Err() != nil || errors.Is(err, balance.ErrBackingOff) || errors.Is(err, balance.ErrDraining) ||
 		errors.Is(err, balance.ErrEvacuated):
 		lease.Release(balance.Neutral)
@@ -172,7 +177,12 @@
 	if r.Route.Kind == routing.Stream {
 		set(d.Urgency, strconv.Itoa(min(r.Priority(), maxUrgency)))
 	}
-	out.BeforeSend = lease.CheckBeforeSend
+	out.BeforeSend = func() error {
+		if err := s.pipe.deps.Rescreen(r); err != nil {
+			return err
+		}
+		return lease.CheckBeforeSend()
+	}
 	return out
 }
 
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -12,7 +12,6 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/opaque"
-	"dooryard.example/dooryard/internal/quarantine"
 )
 
 // Dependencies are the parts of the box that the step uses.
@@ -55,10 +54,10 @@
 	Observe func(o Observation)
 	// MayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order.
 	MayHaveCrashed func(ctx context.Context, lease *balance.Lease) bool
-	// OnCompleted records that a request with this fingerprint got a complete response.
-	OnCompleted func(fingerprint quarantine.Fingerprint)
-	// QuarantineRemainingMs returns the remaining quarantine time of a fingerprint, or 0.
-	QuarantineRemainingMs func(fingerprint quarantine.Fingerprint) clock.Millis
+	// OnCompleted records that a request got a complete response.
+	OnCompleted func(r *opaque.Request, status int)
+	// Rescreen returns a refusal if the request is quarantined by now.
+	Rescreen func(r *opaque.Request) error
 	// OnStreamOrigin records the origin of a resumable stream, before its first event is sent to the caller and when the
 	// response breaks.
 	OnStreamOrigin func(r *opaque.Request)
@@ -206,7 +205,7 @@
 		return stopResponseStarted
 	case !failed.execution.allowsRetry(r.Route.Repeatable()):
 		return stopMayHaveRun
-	case s.pipe.deps.QuarantineRemainingMs(r.Fingerprint) > 0:
+	case s.pipe.deps.Rescreen(r) != nil:
 		return stopQuarantined
 	case s.attempts >= maxConnectAttempts:
 		return stopMaxAttempts
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/upstream"
 )
@@ -22,6 +23,9 @@
 	RequestAbandoned
 	// ConnectionRefused is a connection refused by the host of the upstream.
 	ConnectionRefused
+	// ResponseUnframed is a response that looks complete, but has neither a length nor chunks. Its upstream may have
+	// crashed in the middle of it.
+	ResponseUnframed
 )
 
 // Observation is the evidence from one attempt.
@@ -31,11 +35,15 @@
 	Fingerprint quarantine.Fingerprint
 	// Parts are the shared parts of the request's prompt.
 	Parts quarantine.Parts
+	// SentMs is the monotonic time at which the attempt began.
+	SentMs clock.Millis
+	// Status is the status of an unframed response.
+	Status int
 }
 
 // observeFailure reports evidence of an upstream crash from a failed attempt, if there is any.
 func (s *retryLoop) observeFailure(ctx context.Context, lease *balance.Lease, err error) {
-	o := Observation{Member: lease.Member, Fingerprint: s.request.Fingerprint, Parts: s.request.Parts}
+	o := s.observation(lease)
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		o.Evidence = ConnectionRefused
@@ -50,3 +58,24 @@
 	}
 	s.pipe.deps.Observe(o)
 }
+
+// observation returns an observation of the current attempt without evidence.
+func (s *retryLoop) observation(lease *balance.Lease) Observation {
+	return Observation{
+		Member: lease.Member, Fingerprint: s.request.Fingerprint, Parts: s.request.Parts, SentMs: s.attemptStartedMs,
+	}
+}
+
+// observeSuccess reports a complete response, which shows that the request doesn't crash upstreams. A response without
+// length or chunks shows that only if its upstream lives on. An upstream that is draining may end at any time after it,
+// so such a response from there shows nothing.
+func (s *retryLoop) observeSuccess(lease *balance.Lease, resp *upstream.Response) {
+	switch {
+	case resp.Framing() != upstream.ByConnection:
+		s.pipe.deps.OnCompleted(s.request, resp.StatusCode)
+	case !lease.IsDraining():
+		o := s.observation(lease)
+		o.Evidence, o.Status = ResponseUnframed, resp.StatusCode
+		s.pipe.deps.Observe(o)
+	}
+}
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -40,6 +40,9 @@
 	if r.Fingerprint != 0 {
 		e.Fingerprint = r.Fingerprint.String()
 	}
+	if r.HeldPart != 0 {
+		e.Part = r.HeldPart.String()
+	}
 	if r.State != nil {
 		e.Version = r.State.Version()
 	}
--- a/internal/quarantine/event_log.go
+++ b/internal/quarantine/event_log.go
@@ -10,21 +10,27 @@
 // exceeds the number of events that occur while a box misses a few gossip rounds.
 const minEventLogLength = 1024
 
+// event is an event that boxes exchange.
+type event[E any] interface {
+	// withAge returns the event with the time since it occurred.
+	withAge(age clock.Millis) E
+}
+
 // eventLog holds the most recent events in the order in which this box learned of them. Events have
 // consecutive sequence numbers.
-type eventLog struct {
+type eventLog[E event[E]] struct {
 	nextSeq int64
-	events  []loggedEvent
+	events  []loggedEvent[E]
 }
 
 // loggedEvent is an event with the time at which it occurred.
-type loggedEvent struct {
-	event CrashEvent
+type loggedEvent[E any] struct {
+	event E
 	atMs  clock.Millis
 }
 
-func (l *eventLog) add(e CrashEvent, at clock.Millis) {
-	l.events = append(l.events, loggedEvent{event: e, atMs: at})
+func (l *eventLog[E]) add(e E, at clock.Millis) {
+	l.events = append(l.events, loggedEvent[E]{event: e, atMs: at})
 	l.nextSeq++
 	if len(l.events) >= 2*minEventLogLength {
 		// The older half is dropped at once, which keeps the amortised cost of an addition low.
@@ -35,17 +41,15 @@
 // since returns at most limit events from a sequence number on, with their ages, and the sequence
 // number to continue from. If the sequence number is outside the log's range, it starts at the
 // oldest event.
-func (l *eventLog) since(from int64, limit int, now clock.Millis) ([]CrashEvent, int64) {
+func (l *eventLog[E]) since(from int64, limit int, now clock.Millis) ([]E, int64) {
 	oldest := l.nextSeq - int64(len(l.events))
 	if from < oldest || from > l.nextSeq {
 		from = oldest
 	}
 	to := min(l.nextSeq, from+int64(limit))
-	events := []CrashEvent{}
+	events := []E{}
 	for _, logged := range l.events[from-oldest : to-oldest] {
-		e := logged.event
-		e.AgeMs = now - logged.atMs
-		events = append(events, e)
+		events = append(events, logged.event.withAge(now-logged.atMs))
 	}
 	return events, to
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -36,6 +36,11 @@
 	AgeMs clock.Millis
 }
 
+func (e CrashEvent) withAge(age clock.Millis) CrashEvent {
+	e.AgeMs = age
+	return e
+}
+
 // Limits of a ledger.
 const (
 	// maxFingerprints limits the number of fingerprints, which take about 0.2 KB each. A crashed
@@ -62,8 +67,8 @@
 
 	mu           sync.Mutex
 	fingerprints map[Fingerprint]crashes
-	answered     recent
-	events       eventLog
+	answered     recent[Fingerprint]
+	events       eventLog[CrashEvent]
 }
 
 // crashRecord describes the crash of one upstream while it ran a request with a fingerprint.
@@ -80,8 +85,8 @@
 // greater than those that earlier processes of the box assigned.
 func New(monotonic func() clock.Millis, settings func() Settings, firstSeq int64) *Ledger {
 	return &Ledger{
-		monotonic: monotonic, settings: settings, fingerprints: map[Fingerprint]crashes{}, answered: newRecent(),
-		events: eventLog{nextSeq: firstSeq},
+		monotonic: monotonic, settings: settings, fingerprints: map[Fingerprint]crashes{}, answered: newRecent[Fingerprint](maxGenerationSize),
+		events: eventLog[CrashEvent]{nextSeq: firstSeq},
 	}
 }
 
--- /dev/null
+++ b/internal/quarantine/part_ledger.go
@@ -0,0 +1,329 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+)
+
+// Limits of a part ledger.
+const (
+	// maxParts limits the parts with crashes, which take about 0.3 KB each.
+	maxParts = 4096
+	// maxCrashesPerPart limits the crashes that are kept of a part. Further ones change nothing.
+	maxCrashesPerPart = 64
+	// maxPartsPerCrash limits the parts to which one box attributes a crash, so that long prompts can't flood the event
+	// log. Parts with earlier crashes go first.
+	maxPartsPerCrash = 128
+	// maxAnsweredParts limits the parts in each of two generations of answered ones, at about 40 bytes each.
+	maxAnsweredParts = 4096
+)
+
+// PartLedger records the upstreams that crashed, by the prompt parts of the requests that they ran. A part under which
+// upstreams crash and no request is answered is fatal, whatever else its requests hold; a Ledger can't recognise it,
+// because the requests differ. Each crash is attributed to all parts of all requests on the upstream. Those that are
+// not at fault are told apart by requests with them that are answered, or that don't have the fatal part. A PartLedger
+// is safe for concurrent use.
+type PartLedger struct {
+	monotonic func() clock.Millis
+	settings  func() Settings
+	// sendsTrials reports whether this box is the one of the fleet that sends trial requests with a part.
+	sendsTrials func(part PartKey) bool
+
+	mu       sync.Mutex
+	parts    map[PartKey]*suspectPart
+	answered recent[answeredPart]
+	events   eventLog[PartEvent]
+}
+
+// suspectPart is a part with crashes that no answer has cleared.
+type suspectPart struct {
+	crashes map[namekey.Key]partCrash
+	// triedMs is when this box last sent a trial request.
+	triedMs clock.Millis
+	tried   bool
+}
+
+// partCrash is the crash of one upstream.
+type partCrash struct {
+	pool namekey.Key
+	atMs clock.Millis
+	// published is set once the crash is in this box's event log.
+	published bool
+}
+
+// answeredPart is a part that upstreams of a pool have answered.
+type answeredPart struct {
+	part PartKey
+	pool namekey.Key
+}
+
+// PartUse is a request that an upstream ran when it crashed.
+type PartUse struct {
+	Parts Parts
+	// SentMs is the monotonic time at which the request was sent.
+	SentMs clock.Millis
+}
+
+// NewPartLedger returns an empty ledger. firstSeq is the sequence number of its first event. It must be greater than
+// those that earlier processes of the box assigned.
+func NewPartLedger(
+	monotonic func() clock.Millis, settings func() Settings, sendsTrials func(part PartKey) bool, firstSeq int64,
+) *PartLedger {
+	return &PartLedger{
+		monotonic: monotonic, settings: settings, sendsTrials: sendsTrials, parts: map[PartKey]*suspectPart{},
+		answered: newRecent[answeredPart](maxAnsweredParts), events: eventLog[PartEvent]{nextSeq: firstSeq},
+	}
+}
+
+// RecordCrash records that an upstream crashed while it ran some requests. It returns the parts that are quarantined by
+// this, and whether other boxes should learn of the crash at once, because it is not the first one of a part.
+func (l *PartLedger) RecordCrash(upstream namekey.Key, uses []PartUse) (quarantined []PartKey, urgent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.monotonic()
+	for _, a := range l.attribute(uses) {
+		if l.record(a, upstream, now, true) {
+			quarantined = append(quarantined, a.part)
+		}
+		if s := l.parts[a.part]; s != nil && len(s.crashes) > 1 {
+			urgent = true
+		}
+	}
+	return quarantined, urgent
+}
+
+// attribute returns the parts to which a crash is attributed, those with earlier crashes first. A part that was answered
+// since its request was sent is not at fault.
+func (l *PartLedger) attribute(uses []PartUse) []answeredPart {
+	seen := map[answeredPart]bool{}
+	list := []answeredPart{}
+	for _, use := range uses {
+		for _, key := range use.Parts.Keys {
+			a := answeredPart{part: key, pool: use.Parts.Pool}
+			if seen[a] || l.answered.seenAfter(a, use.SentMs) {
+				continue
+			}
+			seen[a] = true
+			list = append(list, a)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b answeredPart) int {
+		return cmp.Compare(l.crashCount(b.part), l.crashCount(a.part))
+	})
+	return list[:min(len(list), maxPartsPerCrash)]
+}
+
+func (l *PartLedger) crashCount(part PartKey) int {
+	if s := l.parts[part]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
+}
+
+// record records a crash, and reports whether this starts a quarantine. If publish is set, the crash is added to this
+// box's event log at once, and otherwise once the part has minRelayedCrashes.
+func (l *PartLedger) record(a answeredPart, upstream namekey.Key, at clock.Millis, publish bool) (started bool) {
+	if l.answered.seenAfter(a, at) {
+		return false
+	}
+	s := l.parts[a.part]
+	if s == nil {
+		l.evict()
+		s = &suspectPart{crashes: map[namekey.Key]partCrash{}}
+		l.parts[a.part] = s
+	}
+	if _, again := s.crashes[upstream]; again || len(s.crashes) >= maxCrashesPerPart {
+		return false
+	}
+	s.crashes[upstream] = partCrash{pool: a.pool, atMs: at}
+	if publish || len(s.crashes) >= minRelayedCrashes {
+		l.publish(a.part, s)
+	}
+	if len(s.crashes) == minRelayedCrashes {
+		l.publishAnswer(a)
+	}
+	return len(s.crashes) == l.settings().MinCrashes
+}
+
+// publish adds the crashes that are not yet published to this box's event log.
+func (l *PartLedger) publish(part PartKey, s *suspectPart) {
+	for _, upstream := range slices.Sorted(maps.Keys(s.crashes)) {
+		c := s.crashes[upstream]
+		if c.published {
+			continue
+		}
+		l.events.add(PartEvent{Part: part, Pool: c.pool, Upstream: upstream}, c.atMs)
+		c.published = true
+		s.crashes[upstream] = c
+	}
+}
+
+// publishAnswer adds to this box's event log that a part was answered before its crashes. Boxes that have never seen it
+// answered would take it for a fatal one.
+func (l *PartLedger) publishAnswer(a answeredPart) {
+	if at, known := l.answered.last(a); known {
+		l.events.add(PartEvent{Part: a.part, Pool: a.pool, Answered: true}, at)
+	}
+}
+
+// RecordAnswer records that an upstream answered a request completely. It returns the parts whose quarantine ends by this.
+func (l *PartLedger) RecordAnswer(parts Parts) (released []PartKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.monotonic()
+	for _, key := range parts.Keys {
+		if l.clear(answeredPart{part: key, pool: parts.Pool}, now) {
+			released = append(released, key)
+		}
+	}
+	return released
+}
+
+// clear removes the crashes in a pool up to the time of an answer there. It reports whether this ends a quarantine.
+func (l *PartLedger) clear(a answeredPart, at clock.Millis) (released bool) {
+	isNew := l.answered.mark(a, at)
+	s := l.parts[a.part]
+	if s == nil {
+		return false
+	}
+	before := len(s.crashes)
+	maps.DeleteFunc(s.crashes, func(_ namekey.Key, c partCrash) bool { return c.pool == a.pool && c.atMs <= at })
+	if len(s.crashes) < before || isNew {
+		l.events.add(PartEvent{Part: a.part, Pool: a.pool, Answered: true}, at)
+	}
+	if len(s.crashes) == 0 {
+		delete(l.parts, a.part)
+	}
+	minCrashes := l.settings().MinCrashes
+	return before >= minCrashes && len(s.crashes) < minCrashes
+}
+
+// RecordEvents merges events received from another box. If relay is set, crashes are relayed even below
+// minRelayedCrashes, as needed in a fleet that is too large for each box to reach all others. It returns the parts
+// whose quarantine was started by the events.
+func (l *PartLedger) RecordEvents(list []PartEvent, relay bool) (quarantined []PartKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, retention := l.monotonic(), l.settings().retentionMs()
+	for _, e := range list {
+		a, at := answeredPart{part: e.Part, pool: e.Pool}, now-max(0, e.AgeMs)
+		switch {
+		case e.AgeMs >= retention:
+		case e.Answered:
+			l.clear(a, at)
+		case l.record(a, e.Upstream, at, relay):
+			quarantined = append(quarantined, e.Part)
+		}
+	}
+	return quarantined
+}
+
+// EventsSince returns at most limit events from a sequence number on, and the sequence number to continue from.
+func (l *PartLedger) EventsSince(from int64, limit int) ([]PartEvent, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.events.since(from, limit, l.monotonic())
+}
+
+// SuspectPart is a part with the crashes of upstreams that ran requests with it.
+type SuspectPart struct {
+	Part PartKey
+	// Crashes lists the crashes as events, by upstream.
+	Crashes []PartEvent
+}
+
+// Suspects returns all parts with at least minUpstreams crashes in ascending order.
+func (l *PartLedger) Suspects(minUpstreams int) []SuspectPart {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.monotonic()
+	list := []SuspectPart{}
+	for _, key := range slices.Sorted(maps.Keys(l.parts)) {
+		s := l.parts[key]
+		if len(s.crashes) < minUpstreams {
+			continue
+		}
+		suspect := SuspectPart{Part: key}
+		for _, upstream := range slices.Sorted(maps.Keys(s.crashes)) {
+			c := s.crashes[upstream]
+			suspect.Crashes = append(suspect.Crashes, PartEvent{Part: key, Pool: c.pool, Upstream: upstream, AgeMs: now - c.atMs})
+		}
+		list = append(list, suspect)
+	}
+	return list
+}
+
+// Expire removes parts that have been quiet for the retention time since their latest crash or the end of their hold.
+func (l *PartLedger) Expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	settings := l.settings()
+	oldest := l.monotonic() - settings.retentionMs()
+	maps.DeleteFunc(l.parts, func(_ PartKey, s *suspectPart) bool {
+		return s.newest() <= oldest && holdEnd(s.times(), settings.MinCrashes, firstHoldMs(settings, false)) <= oldest
+	})
+}
+
+// PartSizes holds the sizes of a part ledger for metrics.
+type PartSizes struct {
+	// Parts is the number of parts with crashes, Quarantined the number of those in quarantine.
+	Parts       int `json:"parts"`
+	Quarantined int `json:"held"`
+}
+
+// Sizes returns the sizes of the ledger for metrics.
+func (l *PartLedger) Sizes() PartSizes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sizes := PartSizes{Parts: len(l.parts)}
+	for _, s := range l.parts {
+		if l.isHeld(s) {
+			sizes.Quarantined++
+		}
+	}
+	return sizes
+}
+
+// isHeld reports whether a part has enough crashes for a quarantine.
+func (l *PartLedger) isHeld(s *suspectPart) bool {
+	minCrashes := l.settings().MinCrashes
+	return minCrashes > 0 && len(s.crashes) >= minCrashes
+}
+
+// evict keeps the ledger within its limit. It removes parts with the fewest crashes first and, among those, the oldest.
+func (l *PartLedger) evict() {
+	if len(l.parts) < maxParts {
+		return
+	}
+	evictionOrder := slices.SortedFunc(maps.Keys(l.parts), func(a, b PartKey) int {
+		x, y := l.parts[a], l.parts[b]
+		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), cmp.Compare(x.newest(), y.newest()))
+	})
+	// Half of the entries are removed at once, so that a long series of crashes rarely needs sorting.
+	for _, key := range evictionOrder[:maxParts/2] {
+		delete(l.parts, key)
+	}
+}
+
+func (s *suspectPart) newest() clock.Millis {
+	newest := clock.Millis(0)
+	for _, c := range s.crashes {
+		newest = max(newest, c.atMs)
+	}
+	return newest
+}
+
+// times returns the times of all crashes in ascending order.
+func (s *suspectPart) times() []clock.Millis {
+	times := make([]clock.Millis, 0, len(s.crashes))
+	for _, c := range s.crashes {
+		times = append(times, c.atMs)
+	}
+	slices.Sort(times)
+	return times
+}
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -6,28 +6,38 @@
 // second, a generation holds the fingerprints of one minute.
 const maxGenerationSize = 2400
 
-// recent records when fingerprints were last seen. It keeps them in two generations: when the current
-// one is full it becomes the previous one, and the older previous one is dropped.
-type recent struct {
-	current, previous map[Fingerprint]clock.Millis
+// recent records when keys were last seen. It keeps them in two generations: when the current one is full it becomes
+// the previous one, and the older previous one is dropped.
+type recent[K comparable] struct {
+	current, previous map[K]clock.Millis
+	maxSize           int
 }
 
-func newRecent() recent {
-	return recent{current: map[Fingerprint]clock.Millis{}, previous: map[Fingerprint]clock.Millis{}}
+func newRecent[K comparable](maxSize int) recent[K] {
+	return recent[K]{current: map[K]clock.Millis{}, previous: map[K]clock.Millis{}, maxSize: maxSize}
 }
 
-func (r *recent) mark(fingerprint Fingerprint, at clock.Millis) {
-	if len(r.current) >= maxGenerationSize {
-		r.previous, r.current = r.current, make(map[Fingerprint]clock.Millis, maxGenerationSize)
+// mark records that a key was seen. It reports whether the key was not known before.
+func (r *recent[K]) mark(key K, at clock.Millis) (isNew bool) {
+	last, known := r.last(key)
+	if len(r.current) >= r.maxSize {
+		r.previous, r.current = r.current, make(map[K]clock.Millis, r.maxSize)
 	}
-	r.current[fingerprint] = max(at, r.current[fingerprint])
+	r.current[key] = max(at, last)
+	return !known
 }
 
-// seenAfter reports whether a fingerprint was seen after the given time.
-func (r *recent) seenAfter(fingerprint Fingerprint, after clock.Millis) bool {
-	at, known := r.current[fingerprint]
-	if !known {
-		at, known = r.previous[fingerprint]
+// last returns when a key was last seen.
+func (r *recent[K]) last(key K) (at clock.Millis, known bool) {
+	if at, known = r.current[key]; known {
+		return at, true
 	}
+	at, known = r.previous[key]
+	return at, known
+}
+
+// seenAfter reports whether a key was seen after the given time.
+func (r *recent[K]) seenAfter(key K, after clock.Millis) bool {
+	at, known := r.last(key)
 	return known && at > after
 }
