--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -80,6 +81,10 @@
 	started   int
 	calls     map[string]*soundCall
 	refused   int
+	// heldBack is how many sound requests were refused as quarantined.
+	heldBack int
+	// calmMs is when a disruption of all boxes ended. Sound requests are counted from then on.
+	calmMs clock.Millis
 	// refusalsMs holds how long refused fatal requests waited.
 	refusalsMs []clock.Millis
 }
@@ -298,7 +303,11 @@
 		d.mu.Lock()
 		d.calls[id] = &soundCall{sentMs: d.fleet.clock.Monotonic()}
 		d.mu.Unlock()
-		d.send(i, id, d.soundPath, d.sound(i))
+		if d.send(i, id, d.soundPath, d.sound(i)) == statusHeldBack {
+			d.mu.Lock()
+			d.heldBack++
+			d.mu.Unlock()
+		}
 	})
 }
 
@@ -307,7 +316,7 @@
 		for again := range d.returns + 1 {
 			start := d.fleet.clock.Monotonic()
 			status := d.send(i+again, fmt.Sprint("fatal", i, "-", again), d.fatalPath(i), d.fatal(i))
-			if status != http.StatusServiceUnavailable {
+			if status != statusHeldBack {
 				return
 			}
 			d.mu.Lock()
@@ -332,7 +341,7 @@
 	})
 }
 
-// send sends a request to one of the boxes and returns its status, or 0 if the response broke.
+// send sends a request to one of the boxes and returns its status, 0 if the response broke, or statusHeldBack.
 func (d *partDay) send(number int, id, path, prompt string) int {
 	d.mu.Lock()
 	b := d.boxes[number%len(d.boxes)]
@@ -347,12 +356,20 @@
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.ReadAll(response.Body); err != nil {
+	body, err := io.ReadAll(response.Body)
+	switch {
+	case err != nil:
 		return 0
+	case strings.Contains(string(body), string(opaque.PartQuarantined)):
+		return statusHeldBack
+	default:
+		return response.StatusCode
 	}
-	return response.StatusCode
 }
 
+// statusHeldBack stands for a refusal because of a quarantined part.
+const statusHeldBack = -1
+
 // knownMs returns when the fifth upstream crashed, or the last one if there are fewer.
 func (d *partDay) knownMs() clock.Millis {
 	if len(d.crashesMs) == 0 {
@@ -373,6 +390,17 @@
 	return count
 }
 
+// sendsAfter returns how many fatal requests reached upstreams after a time.
+func (d *partDay) sendsAfter(ms clock.Millis) int {
+	count := 0
+	for _, s := range d.sent {
+		if s.atMs > ms {
+			count++
+		}
+	}
+	return count
+}
+
 // soundShare returns the share of sound requests that began among those sent in a span.
 func (d *partDay) soundShare(from, to clock.Millis) float64 {
 	sent, begun := 0, 0
@@ -417,11 +445,11 @@
 	if len(d.crashesMs) > 0 {
 		first = d.crashesMs[0]
 	}
-	return d.soundShare(0, first), d.soundShare(d.knownMs()+2*partContactMs, d.fleet.clock.Monotonic()-clock.Second)
+	return d.soundShare(0, first), d.soundShare(max(d.calmMs, d.knownMs()+2*partContactMs), d.fleet.clock.Monotonic()-clock.Second)
 }
 
 func (d *partDay) logFigures() {
 	before, after := d.soundShares()
-	d.fleet.t.Logf("%d crashes, %d fatal requests sent, %d of them late, %d refused; sound requests begin %.3f before, %.3f after",
-		len(d.crashesMs), len(d.sent), d.lateSends(), d.refused, before, after)
+	d.fleet.t.Logf("%d crashes, %d fatal requests sent, %d of them late, %d refused; sound requests begin %.3f before, %.3f after, %d of %d held back",
+		len(d.crashesMs), len(d.sent), d.lateSends(), d.refused, before, after, d.heldBack, len(d.calls))
 }
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -171,25 +171,32 @@
 		t.Run(c.name, func(t *testing.T) { runPartDay(t, func(d *partDay) { d.during = c.during }) })
 	}
 	t.Run("all boxes are killed and started again", func(t *testing.T) {
-		runPartDay(t, func(d *partDay) {
-			d.span = 20 * time.Second
-			d.during = func(d *partDay) {
-				advance(d.fleet.t, 6*time.Second)
-				for _, b := range d.boxes {
-					b.stop()
-				}
-				list := []*running{d.fleet.box(11, withDomain("d0"))}
-				for i := 12; i < 12+partBoxes-1; i++ {
-					list = append(list, d.fleet.box(i, withContact(list[0]), withDomain(fmt.Sprint("d", i%restartDomains))))
-				}
-				d.mu.Lock()
-				d.boxes = list
-				d.mu.Unlock()
-			}
+		runWithFleet(t, func(f *fleet) {
+			d := newPartDay(func(d *partDay) { d.span, d.during = 30*time.Second, replaceAllBoxes })
+			d.run(f)
+			d.assertContained()
+			assert.Zero(t, d.sendsAfter(d.calmMs), "fatal requests sent by boxes that have just started")
 		})
 	})
 }
 
+// replaceAllBoxes stops all boxes, and starts others once they have ended.
+func replaceAllBoxes(d *partDay) {
+	t := d.fleet.t
+	advance(t, 6*time.Second)
+	for _, b := range d.boxes {
+		b.stop()
+	}
+	advance(t, 9*time.Second)
+	list := []*running{d.fleet.box(11, withDomain("d0"))}
+	for i := 12; i < 12+partBoxes-1; i++ {
+		list = append(list, d.fleet.box(i, withContact(list[0]), withDomain(fmt.Sprint("d", i%restartDomains))))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.boxes, d.calmMs = list, d.fleet.clock.Monotonic()
+}
+
 // addBox lets callers use another box.
 func (d *partDay) addBox(b *running) {
 	d.mu.Lock()
@@ -234,7 +241,8 @@
 				defer d.mu.Unlock()
 				before, after := d.soundShares()
 				during := d.soundShare(d.crashesMs[0], f.clock.Monotonic()-clock.Second)
-				f.t.Logf("%d crashes; sound requests begin %.3f before, %.3f after the fifth, %.3f in all", len(d.crashesMs), before, after, during)
+				f.t.Logf("%d crashes; sound requests begin %.3f before, %.3f after the fifth, %.3f in all, %d of %d held back",
+					len(d.crashesMs), before, after, during, d.heldBack, len(d.calls))
 				assert.GreaterOrEqual(f.t, during, minSoundShare*before)
 			})
 		})
