feat(gateway): notes in the store on parts of prompts

Callers saw: after all boxes were killed at once, a fatal part ended three more servers, as no box knew of it any more. Cause: only fingerprints were noted in the store. Change: notes on parts, under the same names as those on fingerprints; a list of pools tells the two kinds apart. Boxes of the last release take them for fingerprints, which match no request, and keep them. Evidence: the subtest of TestFatalPartAcrossBoxes that stops all boxes failed with 3 sends by boxes that had just started, and passes with none.

--- a/internal/gateway/notes_sync.go
+++ b/internal/gateway/notes_sync.go
@@ -44,11 +44,14 @@
 // errInvalidNote marks a note that can't be decoded.
 var errInvalidNote = errors.New("invalid note")
 
-// suspectNote is the stored form of a fingerprint whose requests crashed upstreams.
+// suspectNote is the stored form of a fingerprint, or of a part of prompts, whose requests crashed upstreams.
 type suspectNote struct {
-	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	// Fingerprint is the fingerprint or the key of the part. Boxes of earlier releases take both for fingerprints.
+	Fingerprint uint64 `json:"fingerprint"`
 	// Upstreams are the incarnations that crashed while running such a request.
 	Upstreams []namekey.Key `json:"upstreams"`
+	// Pools are the pools of these upstreams if the note is about a part, and otherwise empty.
+	Pools []namekey.Key `json:"pools,omitempty"`
 	// CrashedMs is the wall-clock time of the newest crash, by the clock of the box that wrote the note. It only
 	// bounds an age of minutes, so a clock skew of some seconds does no harm.
 	CrashedMs clock.Millis `json:"ended_ms"`
@@ -65,22 +68,53 @@
 		return fmt.Errorf("%w: fingerprint is missing", errInvalidNote)
 	case len(n.Upstreams) == 0:
 		return fmt.Errorf("%w: upstreams are missing", errInvalidNote)
+	case len(n.Pools) != 0 && len(n.Pools) != len(n.Upstreams):
+		return fmt.Errorf("%w: %d pools for %d upstreams", errInvalidNote, len(n.Pools), len(n.Upstreams))
 	default:
 		return nil
 	}
 }
 
-// crashEvents returns the crashes that the note records.
+// isPart reports whether the note is about a part of prompts.
+func (n *suspectNote) isPart() bool { return len(n.Pools) > 0 }
+
+// crashEvents returns the crashes that a note about a fingerprint records.
 func (n *suspectNote) crashEvents(now clock.Millis) []quarantine.CrashEvent {
 	list := make([]quarantine.CrashEvent, 0, len(n.Upstreams))
 	for _, upstream := range n.Upstreams {
 		list = append(list, quarantine.CrashEvent{
-			Fingerprint: n.Fingerprint, Upstream: upstream, AgeMs: max(0, now-n.CrashedMs),
+			Fingerprint: quarantine.Fingerprint(n.Fingerprint), Upstream: upstream, AgeMs: max(0, now-n.CrashedMs),
 		})
 	}
 	return list
 }
 
+// partEvents returns the crashes that a note about a part records.
+func (n *suspectNote) partEvents(now clock.Millis) []quarantine.PartEvent {
+	list := make([]quarantine.PartEvent, 0, len(n.Upstreams))
+	for i, upstream := range n.Upstreams {
+		list = append(list, quarantine.PartEvent{
+			Part: quarantine.PartKey(n.Fingerprint), Pool: n.Pools[i], Upstream: upstream, AgeMs: max(0, now-n.CrashedMs),
+		})
+	}
+	return list
+}
+
+// noteOf returns the note on a fingerprint.
+func noteOf(s quarantine.Suspect, now clock.Millis) suspectNote {
+	return suspectNote{Fingerprint: uint64(s.Fingerprint), Upstreams: s.Upstreams, CrashedMs: now - s.AgeMs}
+}
+
+// noteOfPart returns the note on a part.
+func noteOfPart(s quarantine.SuspectPart, now clock.Millis) suspectNote {
+	n := suspectNote{Fingerprint: uint64(s.Part)}
+	for _, c := range s.Crashes {
+		n.Upstreams, n.Pools = append(n.Upstreams, c.Upstream), append(n.Pools, c.Pool)
+		n.CrashedMs = max(n.CrashedMs, now-c.AgeMs)
+	}
+	return n
+}
+
 // noteSyncer reads the notes and, while this box reads the store for others, keeps the notes of its failure domain up
 // to date. Without notes a request that is quarantined would crash more upstreams after all boxes were killed
 // (TestFatalRequest).
@@ -193,33 +227,37 @@
 		return
 	}
 	n.written[name] = len(note.Upstreams)
-	n.box.crashDetector.recordFrom("store", note.crashEvents(n.box.clock.Now()), true)
+	now := n.box.clock.Now()
+	if note.isPart() {
+		n.box.crashDetector.recordPartsFrom("store", note.partEvents(now), true)
+		return
+	}
+	n.box.crashDetector.recordFrom("store", note.crashEvents(now), true)
 }
 
+// noteKey returns the start of the names of the notes on a fingerprint or a part.
+func noteKey(fingerprint uint64) string { return fmt.Sprintf("%0*x", fingerprintDigits, fingerprint) }
+
 // noteName returns the name of this failure domain's note on a suspect. The failure domain is part of it because
 // boxes on two sides of a partition must not overwrite each other's notes.
-func (n *noteSyncer) noteName(s quarantine.Suspect) string {
-	return fmt.Sprintf("%v-%08x", s.Fingerprint, uint32(namekey.Of(n.box.Settings().FailureDomain)))
+func (n *noteSyncer) noteName(note suspectNote) string {
+	return fmt.Sprintf("%s-%08x", noteKey(note.Fingerprint), uint32(namekey.Of(n.box.Settings().FailureDomain)))
 }
 
-// writeIfDue writes missing and outdated notes, and deletes the notes of fingerprints that are no longer suspects.
-// It deletes the notes of all failure domains, since some domains may no longer exist.
+// writeIfDue writes missing and outdated notes, and deletes the notes of fingerprints and parts that are no longer
+// suspects. It deletes the notes of all failure domains, since some domains may no longer exist.
 func (n *noteSyncer) writeIfDue(ctx context.Context) error {
 	if !n.box.peering.mesh.IsStoreReader() {
 		return nil
 	}
-	ledger := n.box.quarantine
-	for _, s := range n.fingerprintsToNote() {
-		if err := n.write(ctx, s); err != nil {
+	for _, note := range n.dueNotes() {
+		if err := n.write(ctx, note); err != nil {
 			return err
 		}
 	}
-	known := map[string]bool{}
-	for _, s := range ledger.Suspects(1) {
-		known[s.Fingerprint.String()] = true
-	}
+	known := n.knownKeys()
 	for name := range maps.Clone(n.written) {
-		if fingerprint := name[:min(len(name), fingerprintDigits)]; known[fingerprint] {
+		if known[name[:min(len(name), fingerprintDigits)]] {
 			continue
 		}
 		if err := n.notes.Put(ctx, name, nil); err != nil {
@@ -233,27 +271,49 @@
 // fingerprintDigits is the length of the fingerprint at the start of a note's name.
 const fingerprintDigits = 16
 
-// fingerprintsToNote returns the fingerprints that should be noted: the quarantined ones and, while a known box is
-// unreachable, those that are about to be quarantined.
-func (n *noteSyncer) fingerprintsToNote() []quarantine.Suspect {
+// knownKeys returns the fingerprints and parts that have crashes, in the form in which the names of notes begin.
+func (n *noteSyncer) knownKeys() map[string]bool {
+	known := map[string]bool{}
+	for _, s := range n.box.quarantine.Suspects(1) {
+		known[noteKey(uint64(s.Fingerprint))] = true
+	}
+	for _, s := range n.box.parts.Suspects(1) {
+		known[noteKey(uint64(s.Part))] = true
+	}
+	return known
+}
+
+// dueNotes returns the notes on all that is quarantined and, while a known box is unreachable, on what is about to be.
+func (n *noteSyncer) dueNotes() []suspectNote {
+	now, minCrashes := n.box.clock.Now(), n.box.quarantine.Settings().MinCrashes
+	if minCrashes < 1 {
+		return nil
+	}
+	suspects := n.box.quarantine.Quarantined()
 	if n.readerMissesPeer() {
-		return n.box.quarantine.Suspects(min(minNotedCrashes, max(1, n.box.quarantine.Settings().MinCrashes)))
+		minCrashes = min(minNotedCrashes, minCrashes)
+		suspects = n.box.quarantine.Suspects(minCrashes)
+	}
+	list := []suspectNote{}
+	for _, s := range suspects {
+		list = append(list, noteOf(s, now))
 	}
-	return n.box.quarantine.Quarantined()
+	for _, s := range n.box.parts.Suspects(minCrashes) {
+		list = append(list, noteOfPart(s, now))
+	}
+	return list
 }
 
-func (n *noteSyncer) write(ctx context.Context, s quarantine.Suspect) error {
-	name := n.noteName(s)
-	if n.written[name] >= min(len(s.Upstreams), n.box.quarantine.Settings().MinCrashes) {
+func (n *noteSyncer) write(ctx context.Context, note suspectNote) error {
+	name := n.noteName(note)
+	if n.written[name] >= min(len(note.Upstreams), n.box.quarantine.Settings().MinCrashes) {
 		return nil
 	}
 	// A suspectNote consists of numbers, which always encode.
-	data, _ := json.Marshal(suspectNote{
-		Fingerprint: s.Fingerprint, Upstreams: s.Upstreams, CrashedMs: n.box.clock.Now() - s.AgeMs,
-	})
+	data, _ := json.Marshal(note)
 	if err := n.notes.Put(ctx, name, data); err != nil {
 		return err
 	}
-	n.written[name] = len(s.Upstreams)
+	n.written[name] = len(note.Upstreams)
 	return nil
 }
