--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -74,13 +74,14 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	// sent holds the fatal requests that reached upstreams, and crashes when upstreams crashed while running them.
-	sent      []partSend
-	crashesMs []clock.Millis
-	running   map[string]func()
-	started   int
-	calls     map[string]*soundCall
-	refused   int
+	// sent holds the fatal requests that reached upstreams, and crashesMs when they crashed upstreams. othersMs holds when
+	// upstreams crashed for other reasons.
+	sent                []partSend
+	crashesMs, othersMs []clock.Millis
+	running             map[string]func()
+	started             int
+	calls               map[string]*soundCall
+	refused             int
 	// heldBack is how many sound requests were refused as quarantined.
 	heldBack int
 	// calmMs is when a disruption of all boxes ended. Sound requests are counted from then on.
@@ -135,10 +136,11 @@
 	listener, err := f.network.Host(id).Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	server := &http.Server{} //nolint:gosec // No network that could stall it.
-	crash := func() { d.crash(id, slot, server, listener) }
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.respond(w, r, crash, listener) })
+	crash := func(crashesMs *[]clock.Millis) { d.crash(id, slot, server, listener, crashesMs) }
+	fatal := func() { crash(&d.crashesMs) }
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.respond(w, r, fatal, listener) })
 	d.mu.Lock()
-	d.running[id] = crash
+	d.running[id] = func() { crash(&d.othersMs) }
 	d.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
@@ -212,14 +214,15 @@
 	}
 }
 
-// crash crashes an upstream, and starts another one in its slot later. It has no effect on one that has crashed.
-func (d *partDay) crash(id string, slot int, server *http.Server, listener net.Listener) {
+// crash crashes an upstream, records the time, and starts another one in its slot later. It has no effect on one that has
+// crashed.
+func (d *partDay) crash(id string, slot int, server *http.Server, listener net.Listener, crashesMs *[]clock.Millis) {
 	f := d.fleet
 	d.mu.Lock()
 	_, running := d.running[id]
 	delete(d.running, id)
 	if running {
-		d.crashesMs = append(d.crashesMs, f.clock.Monotonic())
+		*crashesMs = append(*crashesMs, f.clock.Monotonic())
 	}
 	d.mu.Unlock()
 	if !running {
@@ -335,7 +338,10 @@
 			ids = append(ids, id)
 		}
 		slices.Sort(ids)
-		crash := d.running[ids[d.random.IntN(len(ids))]]
+		crash := func() {}
+		if len(ids) > 0 {
+			crash = d.running[ids[d.random.IntN(len(ids))]]
+		}
 		d.mu.Unlock()
 		crash()
 	})
@@ -450,6 +456,6 @@
 
 func (d *partDay) logFigures() {
 	before, after := d.soundShares()
-	d.fleet.t.Logf("%d crashes, %d fatal requests sent, %d of them late, %d refused; sound requests begin %.3f before, %.3f after, %d of %d held back",
-		len(d.crashesMs), len(d.sent), d.lateSends(), d.refused, before, after, d.heldBack, len(d.calls))
+	d.fleet.t.Logf("%d crashes and %d others, %d fatal requests sent, %d of them late, %d refused; sound requests begin %.3f before, %.3f after, %d of %d held back",
+		len(d.crashesMs), len(d.othersMs), len(d.sent), d.lateSends(), d.refused, before, after, d.heldBack, len(d.calls))
 }
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -135,38 +135,10 @@
 			advance(d.fleet.t, 5*time.Second)
 			d.addBox(d.box(partBoxes + 1))
 		}},
-		{"boxes are killed and replaced", func(d *partDay) {
-			for i := range 3 {
-				advance(d.fleet.t, 2500*time.Millisecond)
-				b := d.box(partBoxes + 1 + i)
-				d.mu.Lock()
-				old := d.boxes[i]
-				d.boxes[i] = b
-				d.mu.Unlock()
-				old.stop()
-			}
-		}},
-		{"two boxes are cut off from the others for some seconds", func(d *partDay) {
-			left := map[string]bool{"box-1": true, "box-2": true}
-			advance(d.fleet.t, time.Second)
-			d.fleet.network.SetPartition(func(from, to string) bool {
-				return isBox(from) && isBox(to) && left[from] != left[to]
-			})
-			advance(d.fleet.t, 4*time.Second)
-			d.fleet.network.SetPartition(func(string, string) bool { return false })
-		}},
-		{"two boxes can't reach the upstreams", func(d *partDay) {
-			d.fleet.network.SetBlackhole(fromUpstreams("box-1", "box-2"))
-		}},
-		{"the store is away", func(d *partDay) {
-			for i := range partBoxes {
-				d.fleet.store.setUnavailable(fmt.Sprint("box-", i+1), true)
-			}
-			advance(d.fleet.t, 4*time.Second)
-			for i := range partBoxes {
-				d.fleet.store.setUnavailable(fmt.Sprint("box-", i+1), false)
-			}
-		}},
+		{"boxes are killed and replaced", replaceBoxes},
+		{"two boxes are cut off from the others for some seconds", cutBoxes},
+		{"two boxes can't reach the upstreams for some seconds", loseUpstreams},
+		{"the store is away", storeAway},
 	} {
 		t.Run(c.name, func(t *testing.T) { runPartDay(t, func(d *partDay) { d.during = c.during }) })
 	}
@@ -239,10 +211,10 @@
 				d.run(f)
 				d.mu.Lock()
 				defer d.mu.Unlock()
-				before, after := d.soundShares()
-				during := d.soundShare(d.crashesMs[0], f.clock.Monotonic()-clock.Second)
-				f.t.Logf("%d crashes; sound requests begin %.3f before, %.3f after the fifth, %.3f in all, %d of %d held back",
-					len(d.crashesMs), before, after, during, d.heldBack, len(d.calls))
+				const calmEndsMs = 6 * clock.Second
+				before, during := d.soundShare(0, calmEndsMs), d.soundShare(calmEndsMs, f.clock.Monotonic()-clock.Second)
+				f.t.Logf("%d crashes; sound requests begin %.3f before, %.3f meanwhile, %d of %d held back",
+					len(d.othersMs), before, during, d.heldBack, len(d.calls))
 				assert.GreaterOrEqual(f.t, during, minSoundShare*before)
 			})
 		})
