--- a/internal/gateway/fatal_part_histories_test.go
+++ b/internal/gateway/fatal_part_histories_test.go
@@ -21,6 +21,7 @@
 func (h *partHistory) apply(d *partDay) {
 	d.random = rand.New(rand.NewPCG(h.random.Uint64(), 57))
 	d.interval = pick[time.Duration](h, 100, 300, 300, 700, 1200) * time.Millisecond
+	d.soundInterval = pick[time.Duration](h, 25, 25, 150, 400) * time.Millisecond
 	d.span = max(12*time.Second, 14*d.interval) + 4*time.Second
 	d.end = pick(h, crashBeforeHead, crashAfterHead, crashUnframed, crashUnframedFirst)
 	d.unframed = h.random.IntN(4) == 0
@@ -35,7 +36,11 @@
 	}
 	h.applyPrompts(d)
 	if h.random.IntN(3) == 0 {
-		d.crashEvery = pick[time.Duration](h, 700, 1500) * time.Millisecond
+		d.crashEvery = pick[time.Duration](h, 700, 1500, 4000) * time.Millisecond
+		if d.crashEvery > 3*time.Second {
+			// The upstreams are back before the next ones crash.
+			d.crashCount = 5
+		}
 	}
 	h.troubles = []func(d *partDay){nil, loseDatagrams, cutBoxes, replaceBoxes, storeAway, loseUpstreams}
 	d.during = pick(h, h.troubles...)
--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -31,7 +32,6 @@
 	crashesUntilKnown              = 5
 	// minSoundShare is how often sound requests must begin, relative to the time before the crashes.
 	minSoundShare = 0.5
-	soundInterval = 25 * time.Millisecond
 )
 
 // crashEnd is what the connection shows of a crash while an upstream writes a response.
@@ -60,12 +60,14 @@
 	end          crashEnd
 	// unframed is set if sound responses have neither a length nor chunks, too.
 	unframed bool
-	interval time.Duration
-	span     time.Duration
+	// interval is the time between fatal requests, soundInterval that between sound ones.
+	interval, soundInterval time.Duration
+	span                    time.Duration
 	// returns is how often the caller of a fatal request comes again at once when it was refused.
 	returns int
-	// crashEvery is the interval of crashes for other reasons, if it is set.
+	// crashEvery is the interval of crashes for other reasons, if it is set, and crashCount how many upstreams crash at once.
 	crashEvery time.Duration
+	crashCount int
 	// during runs beside the requests.
 	during func(d *partDay)
 
@@ -114,8 +116,9 @@
 		fatal:     func(i int) string { return fmt.Sprintf("head:100,fatal:50,own%d:10", i) },
 		sound:     func(i int) string { return fmt.Sprintf("head:100,subject%d:50,own%d:10", i%8, i) },
 		fatalPath: func(int) string { return "/sticky/" }, soundPath: "/sticky/",
-		end: crashAfterHead, interval: 300 * time.Millisecond, span: 12 * time.Second,
-		random: rand.New(rand.NewPCG(1, 56)), running: map[string]func(){}, calls: map[string]*soundCall{},
+		end: crashAfterHead, interval: 300 * time.Millisecond, soundInterval: 25 * time.Millisecond, span: 12 * time.Second,
+		crashCount: 1,
+		random:     rand.New(rand.NewPCG(1, 56)), running: map[string]func(){}, calls: map[string]*soundCall{},
 	}
 	for _, one := range change {
 		one(d)
@@ -301,7 +304,7 @@
 }
 
 func (d *partDay) sendSound(stop chan struct{}) {
-	d.every(soundInterval, stop, func(i int) {
+	d.every(d.soundInterval, stop, func(i int) {
 		id := fmt.Sprint("sound", i)
 		d.mu.Lock()
 		d.calls[id] = &soundCall{sentMs: d.fleet.clock.Monotonic()}
@@ -333,17 +336,16 @@
 func (d *partDay) crashOthers(stop chan struct{}) {
 	d.every(d.crashEvery, stop, func(int) {
 		d.mu.Lock()
-		ids := make([]string, 0, len(d.running))
-		for id := range d.running {
-			ids = append(ids, id)
-		}
-		slices.Sort(ids)
-		crash := func() {}
-		if len(ids) > 0 {
-			crash = d.running[ids[d.random.IntN(len(ids))]]
+		ids := slices.Sorted(maps.Keys(d.running))
+		d.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+		crashes := []func(){}
+		for _, id := range ids[:min(len(ids), d.crashCount)] {
+			crashes = append(crashes, d.running[id])
 		}
 		d.mu.Unlock()
-		crash()
+		for _, crash := range crashes {
+			crash()
+		}
 	})
 }
 
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -194,18 +194,22 @@
 	for _, c := range []struct {
 		name     string
 		every    time.Duration
+		count    int
 		subjects int
 		path     string
 		unframed bool
 	}{
-		{"three in a second", 300 * time.Millisecond, 8, "/sticky/", false},
-		{"three in a second, rare subjects", 300 * time.Millisecond, 400, "/stream/", false},
-		{"one in a second, unframed responses", time.Second, 20, "/stream/", true},
+		{"three in a second", 300 * time.Millisecond, 1, 8, "/sticky/", false},
+		{"three in a second, rare subjects", 300 * time.Millisecond, 1, 400, "/stream/", false},
+		{"one in a second, unframed responses", time.Second, 1, 20, "/stream/", true},
+		{"half of them at once, each 5 s", 5 * time.Second, partUpstreams / 2, 40, "/safe/", false},
+		{"nearly all at once, each 5 s", 5 * time.Second, partUpstreams - 2, 4, "/unsafe/", false},
+		{"nearly all at once, each 5 s, unframed responses", 5 * time.Second, partUpstreams - 2, 40, "/resumable/", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				d := newPartDay(onPath(c.path), func(d *partDay) {
-					d.fatal, d.crashEvery, d.unframed, d.span = nil, c.every, c.unframed, 20*time.Second
+					d.fatal, d.crashEvery, d.crashCount, d.unframed, d.span = nil, c.every, c.count, c.unframed, 20*time.Second
 					d.sound = func(i int) string { return fmt.Sprintf("head:100,subject%d:50,own%d:10", i%c.subjects, i) }
 				})
 				d.run(f)
