feat(soak): clients whose requests share a fatal part of their prompts

Change: every second fatal request has a body of its own and shares an inner part with the others; the stand-in server crashes under both kinds; each kind is checked by itself (3 and 5 crashes, at most three sends by undisturbed boxes later), and sound requests that are held back are counted.

--- a/internal/soak/fatal_test.go
+++ b/internal/soak/fatal_test.go
@@ -12,38 +12,43 @@
 	"dooryard.example/dooryard/platform/standin"
 )
 
-// fatalRuns returns a history in which a server crashed under the fatal request each second, and
-// the request was sent each second.
-func fatalRuns(crashes, sends int) *history {
+// fatalRuns returns a history in which a server crashed under a fatal request each second, and such a
+// request was sent each second.
+func fatalRuns(by standin.Fatal, crashes, sends int) *history {
 	h := newHistory()
 	h.recordKey("k", "t")
 	began := time.Now()
 	for i := range crashes {
-		h.crashes = append(h.crashes, began.Add(time.Duration(i)*time.Second))
+		h.crashes[by] = append(h.crashes[by], began.Add(time.Duration(i)*time.Second))
 	}
 	for i := range sends {
-		id := fmt.Sprint("f", i)
+		call := standin.Call{
+			ID: fmt.Sprint("f", i), Kind: standin.Stream, Key: "k", DeadlineMs: 1000, HasFatalPart: by == standin.FatalPart,
+		}
+		if by == standin.FatalContent {
+			call.Sends = standin.FatalBody
+		}
 		at := began.Add(time.Duration(i) * time.Second)
-		h.recordOutcome(standin.Outcome{
-			Call: standin.Call{ID: id, Kind: standin.Stream, Key: "k", DeadlineMs: 1000, Sends: standin.FatalBody}, Sent: at, Box: "b",
-		})
-		h.recordRun(standin.Run{RequestID: id, Server: "s", Kind: standin.Stream, Tenant: "t", StartedAt: at})
+		h.recordOutcome(standin.Outcome{Call: call, Sent: at, Box: "b"})
+		h.recordRun(standin.Run{RequestID: call.ID, Server: "s", Kind: standin.Stream, Tenant: "t", StartedAt: at})
 	}
 	return h
 }
 
 func TestCheckFatal(t *testing.T) {
-	t.Run("finds a request that is sent without end", func(t *testing.T) {
-		assertFinds(t, fatalRuns(20, 20), "quarantine after three crashes")
-	})
-	t.Run("accepts sends shortly after the third crash", func(t *testing.T) {
-		assert.Empty(t, fatalRuns(6, 6).check())
-	})
-	t.Run("does not apply to a disturbed box", func(t *testing.T) {
-		h := fatalRuns(20, 20)
-		h.disturbances.begin("b", time.Now())
-		assert.Empty(t, h.check())
-	})
+	for by, limit := range fatalCrashLimits() {
+		t.Run("finds requests that are sent without end, by "+string(by), func(t *testing.T) {
+			assertFinds(t, fatalRuns(by, 20, 20), fmt.Sprintf("quarantine by %s after %d crashes", by, limit))
+		})
+		t.Run("accepts sends shortly after the last crash that is allowed, by "+string(by), func(t *testing.T) {
+			assert.Empty(t, fatalRuns(by, limit+3, limit+3).check())
+		})
+		t.Run("does not apply to a disturbed box, by "+string(by), func(t *testing.T) {
+			h := fatalRuns(by, 20, 20)
+			h.disturbances.begin("b", time.Now())
+			assert.Empty(t, h.check())
+		})
+	}
 }
 
 func TestCheckForeign(t *testing.T) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -209,7 +209,7 @@
 		a.Box = s.link.ownerAt(a.Remote)
 		f.history.recordArrival(a)
 	})
-	current.OnFatal(func(crashed *standin.Server) { f.crashOnFatal(s, crashed) })
+	current.OnFatal(func(crashed *standin.Server, by standin.Fatal) { f.crashOnFatal(s, crashed, by) })
 	return current
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -44,8 +44,8 @@
 	// arrivals are the requests that reached the server they were addressed to.
 	arrivals          []standin.Arrival
 	arrivalsByRequest map[string][]standin.Arrival
-	// crashes are the times at which servers crashed under the fatal request.
-	crashes []time.Time
+	// crashes are the times at which servers crashed under fatal requests, by kind.
+	crashes map[standin.Fatal][]time.Time
 	// partitions are the intervals in which some boxes were separated from all servers.
 	partitions []*partitionOf
 	// falls counts the brittle servers that fell over.
@@ -59,7 +59,7 @@
 		runs: map[string][]standin.Run{}, tenants: map[string]string{}, revoked: map[string]time.Time{},
 		served: map[string]int{}, draining: map[string]time.Time{}, disturbances: disturbances{},
 		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{},
-		zones: map[string]string{}, evacuations: map[string][]*interval{},
+		zones: map[string]string{}, evacuations: map[string][]*interval{}, crashes: map[standin.Fatal][]time.Time{},
 	}
 }
 
--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -210,7 +210,7 @@
 	stats := partitionStats{}
 	from := p.from.Add(partitionNoticeSpan)
 	for _, o := range h.outcomes {
-		if o.Sends == standin.FatalBody || o.Sent.Before(from) || !o.Sent.Before(p.to) || cancelled(o) ||
+		if o.Fatal() != standin.NotFatal || o.Sent.Before(from) || !o.Sent.Before(p.to) || cancelled(o) ||
 			!h.disturbances.undisturbed(allBoxes, p.from.Add(-undisturbedSpan), o.Ended) ||
 			!h.disturbances.undisturbed(o.Box, p.from.Add(-undisturbedSpan), o.Ended) {
 			continue
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,8 +24,10 @@
 	Faults   map[string]int
 	Findings []string
 	Calls    int
-	// Fatal holds the figures of the fatal request, which crashes servers.
-	Fatal fatalStats
+	// Fatal holds the figures of the fatal requests, which crash servers, by kind.
+	Fatal map[standin.Fatal]fatalStats
+	// HeldBack is the number of sound requests that were refused because of a part of their prompts.
+	HeldBack int
 	// Partitions holds the requests during partitions of some boxes, and Falls how many brittle servers fell over.
 	Partitions partitionStats
 	Falls      int
@@ -85,7 +87,7 @@
 		report.Findings = append(report.Findings, found.String())
 	}
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
-	report.Fatal = f.history.fatalStats()
+	report.Fatal, report.HeldBack = f.history.fatalStats(), f.history.heldBack()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
 	report.Streams = f.history.streamStats()
 	if err == nil && len(report.Findings) > 0 {
