fix(gateway): a new connection takes the place of one that is kept idle

Callers saw: a box whose connections were all kept by other callers accepted theirs into its backlog and read nothing for up to 60 s (the idle timeout). Cause: the listener waits for a free slot, and kept connections hold theirs. Change: a connection is accepted first; if no slot is free, the connection that has been idle for longest is closed, or the next one that becomes idle. Data on a connection ends its idle state before a request can be passed on, so none is closed with a request under way. Ruled out: closing at accept (the connection limit would turn callers away while idle ones stay).

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -121,6 +121,7 @@
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn,
+		ConnState: trackIdle(b.clock.Monotonic),
 	}
 	b.servers = append(b.servers, s)
 	b.goroutines.Go(func() {
