feat(mesh): first crashes of parts are told to the parts' owners

At 74 boxes crashes 0.3 s apart are seen by different boxes before a round brings them together. Change: the box that sees the first crash of a part tells the part's two owners (those of streams) at once, in a datagram that old boxes ignore. An owner that knows of two crashes relays them. In a fleet of over 128 boxes first crashes go to the owners only.

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -237,9 +237,10 @@
 		}
 	}
 	for crashed, list := range uses {
-		quarantined, partUrgent := d.box.parts.RecordCrash(crashed, list)
-		urgent = urgent || partUrgent
-		d.logPartsQuarantined(quarantined, "this box")
+		report := d.box.parts.RecordCrash(crashed, list, d.box.peering.mesh.IsLarge())
+		d.box.peering.mesh.TellPartOwners(report.First)
+		urgent = urgent || report.Urgent
+		d.logPartsQuarantined(report.Quarantined, "this box")
 	}
 	d.box.metrics.UpstreamCrashed()
 	d.box.log.Record(decision.UpstreamCrashed{
@@ -316,14 +317,17 @@
 	}
 }
 
-// recordPartsFromPeer processes crashes by parts of prompts that another box reported.
-func (d *crashDetector) recordPartsFromPeer(list []quarantine.PartEvent) {
-	d.recordPartsFrom("another box", list, d.box.peering.mesh.IsLarge())
+// recordPartsFromPeer processes crashes by parts of prompts that another box reported. It reports whether this box relays
+// any of them.
+func (d *crashDetector) recordPartsFromPeer(list []quarantine.PartEvent) (relays bool) {
+	return d.recordPartsFrom("another box", list)
 }
 
-// recordPartsFrom processes crashes by parts of prompts. If relay is set, this box passes each of them on to others.
-func (d *crashDetector) recordPartsFrom(source string, list []quarantine.PartEvent, relay bool) {
-	d.logPartsQuarantined(d.box.parts.RecordEvents(list, relay), source)
+// recordPartsFrom processes crashes by parts of prompts from a source. It reports whether this box relays any of them.
+func (d *crashDetector) recordPartsFrom(source string, list []quarantine.PartEvent) (relays bool) {
+	quarantined, relays := d.box.parts.RecordEvents(list)
+	d.logPartsQuarantined(quarantined, source)
+	return relays
 }
 
 func (d *crashDetector) logPartsQuarantined(parts []quarantine.PartKey, source string) {
--- a/internal/gateway/notes_sync.go
+++ b/internal/gateway/notes_sync.go
@@ -229,7 +229,7 @@
 	n.written[name] = len(note.Upstreams)
 	now := n.box.clock.Now()
 	if note.isPart() {
-		n.box.crashDetector.recordPartsFrom("store", note.partEvents(now), true)
+		n.box.crashDetector.recordPartsFrom("store", note.partEvents(now))
 		return
 	}
 	n.box.crashDetector.recordFrom("store", note.crashEvents(now), true)
--- a/internal/mesh/bytes_test.go
+++ b/internal/mesh/bytes_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
 )
 
@@ -88,6 +89,53 @@
 	}
 }
 
+// TestPartEventBytes bounds how many bytes each box sends while a part of prompts crashes an upstream each second. Each
+// crash is seen by three boxes, by the fatal part, the first part that all requests share, and four parts of few requests
+// each; the first part is answered at all boxes.
+func TestPartEventBytes(t *testing.T) {
+	const (
+		seconds = 10
+		// limit is what may be added in the target fleet to the 1,500 bytes a second that a box sends, while upstreams crash.
+		limit = 1500
+	)
+	for _, c := range []struct{ boxes, limit int }{{9, 0}, {64, 0}, {200, limit}} {
+		t.Run(fmt.Sprintf("at %d boxes", c.boxes), func(t *testing.T) {
+			runInBubble(t, func(f *fixture) {
+				for i := range c.boxes {
+					f.start(fmt.Sprint("d", i%3))
+				}
+				advance(f.t, 20*time.Second)
+				baseline := f.sentIn(seconds, func(int) {})
+				withEvents := f.sentIn(seconds, func(second int) {
+					for _, b := range f.boxes {
+						b.parts.RecordAnswer(partsOf("head"))
+					}
+					for seen := range 3 {
+						observer := f.boxes[(second*31+seen*7)%c.boxes]
+						observer.recordPartCrash(fmt.Sprint("u", second), partsOf("head", "fatal"),
+							partsOf("head", fmt.Sprint("a", second, seen), fmt.Sprint("b", second, seen)),
+							partsOf("head", fmt.Sprint("c", second, seen), fmt.Sprint("d", second, seen)))
+					}
+				})
+				each := (withEvents - baseline) / c.boxes / seconds
+				f.t.Logf("%d boxes: %d bytes a second sent per box for one crash a second", c.boxes, each)
+				if c.limit > 0 {
+					assert.LessOrEqual(f.t, each, c.limit)
+				}
+			})
+		})
+	}
+}
+
+// partsOf returns the shared parts of a request to pool p.
+func partsOf(ids ...string) quarantine.Parts {
+	p := prompt.Prompt{}
+	for _, id := range append(ids, "own") {
+		p = append(p, prompt.Part{ID: id, Tokens: 1})
+	}
+	return quarantine.PartsOf("p", p)
+}
+
 // sentIn returns the bytes that all boxes send within a number of seconds. It calls eachSecond at
 // the start of each second.
 func (f *fixture) sentIn(seconds int, eachSecond func(second int)) int {
--- a/internal/mesh/crash_events_test.go
+++ b/internal/mesh/crash_events_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/quarantine"
@@ -108,3 +110,70 @@
 		})
 	})
 }
+
+// TestPartEvents checks how soon all boxes know a fatal part when each crash is observed by a different box, that one box
+// of the fleet sends trial requests, and that boxes of the last release ignore the reports.
+func TestPartEvents(t *testing.T) {
+	// crash lets three boxes record one crash each.
+	crash := func(f *fixture) {
+		for i := range 3 {
+			f.boxes[i].recordPartCrash("u"+strconv.Itoa(i), partsOf("fatal"))
+		}
+	}
+	holding := func(f *fixture) int {
+		count := 0
+		for _, b := range f.boxes {
+			if b.parts.Recheck(partsOf("fatal")).Refused() {
+				count++
+			}
+		}
+		return count
+	}
+	for _, c := range []struct {
+		boxes  int
+		within time.Duration
+	}{{6, 100 * time.Millisecond}, {74, 100 * time.Millisecond}, {150, 6 * time.Second}} {
+		t.Run("reach "+strconv.Itoa(c.boxes)+" boxes within "+c.within.String(), func(t *testing.T) {
+			runInBubble(t, func(f *fixture) {
+				for i := range c.boxes {
+					f.start("d" + strconv.Itoa(i%3))
+				}
+				advance(f.t, 6*time.Second)
+				crash(f)
+				advance(f.t, c.within)
+				assert.Equal(f.t, c.boxes, holding(f))
+			})
+		})
+	}
+	t.Run("one box sends the trial requests with a part", func(t *testing.T) {
+		runInBubble(t, func(f *fixture) {
+			for i := range 9 {
+				f.start("d" + strconv.Itoa(i%3))
+			}
+			advance(f.t, 6*time.Second)
+			for part := range quarantine.PartKey(50) {
+				count := 0
+				for _, b := range f.boxes {
+					if b.SendsTrials(part) {
+						count++
+					}
+				}
+				assert.Equal(f.t, 1, count)
+			}
+		})
+	})
+	t.Run("are ignored by boxes of the last release", func(t *testing.T) {
+		p := packet{
+			Type: typePing, From: Identity{Box: "b", FailureDomain: "d", Address: "127.0.0.1:1"},
+			PartEvents: []quarantine.PartEvent{{Part: 1, Pool: 2, Upstream: 3}}, PartEventsNext: 4,
+		}
+		data, err := p.encode()
+		require.NoError(t, err)
+		var earlier struct {
+			Type packetType `cbor:"1,keyasint"`
+			From Identity   `cbor:"2,keyasint"`
+		}
+		require.NoError(t, cbor.Unmarshal(data, &earlier))
+		assert.Equal(t, p.From, earlier.From)
+	})
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -93,7 +93,7 @@
 	crashEventsSince    func(from int64, limit int) ([]quarantine.CrashEvent, int64)
 	recordCrashEvents   func(list []quarantine.CrashEvent)
 	partEventsSince     func(from int64, limit int) ([]quarantine.PartEvent, int64)
-	recordPartEvents    func(list []quarantine.PartEvent)
+	recordPartEvents    func(list []quarantine.PartEvent) (relays bool)
 	recordOrigins       func(list []streams.Record)
 	answerOrigin        func(id streams.ID, pool namekey.Key) streams.Answer
 	onPeerState         func(a PeerState)
@@ -148,9 +148,10 @@
 	// AnnouncementsSince does. RecordCrashEvents receives the reports of other boxes.
 	CrashEventsSince  func(from int64, limit int) ([]quarantine.CrashEvent, int64)
 	RecordCrashEvents func(list []quarantine.CrashEvent)
-	// PartEventsSince and RecordPartEvents do the same for the reports by parts of prompts.
+	// PartEventsSince and RecordPartEvents do the same for the reports by parts of prompts. RecordPartEvents reports
+	// whether this box relays any of them.
 	PartEventsSince  func(from int64, limit int) ([]quarantine.PartEvent, int64)
-	RecordPartEvents func(list []quarantine.PartEvent)
+	RecordPartEvents func(list []quarantine.PartEvent) (relays bool)
 	// RecordOrigins receives the origins of streams that other boxes have begun. AnswerOrigin returns what this box
 	// knows about a stream and the versions of its pool.
 	RecordOrigins func(list []streams.Record)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -53,6 +53,19 @@
 	return quarantine.NewPartLedger(c.Monotonic, func() quarantine.Settings { return settings }, sendsTrials, int64(c.Now()))
 }
 
+// recordPartCrash records a crash of an upstream under requests with these lists of parts, as a box does.
+func (b *box) recordPartCrash(upstream string, uses ...quarantine.Parts) {
+	list := []quarantine.PartUse{}
+	for _, parts := range uses {
+		list = append(list, quarantine.PartUse{Parts: parts, SentMs: clock.New().Monotonic()})
+	}
+	report := b.parts.RecordCrash(namekey.Of(upstream), list, b.IsLarge())
+	b.TellPartOwners(report.First)
+	if report.Urgent {
+		b.BroadcastCrashEvents()
+	}
+}
+
 // quarantining returns the number of boxes that quarantine a fingerprint.
 func (f *fixture) quarantining(fingerprint quarantine.Fingerprint) int {
 	count := 0
@@ -124,7 +137,10 @@
 		CrashEventsSince:  b.ledger.EventsSince,
 		RecordCrashEvents: func(list []quarantine.CrashEvent) { b.ledger.RecordEvents(list, b.IsLarge()) },
 		PartEventsSince:   b.parts.EventsSince,
-		RecordPartEvents:  func(list []quarantine.PartEvent) { b.parts.RecordEvents(list, b.IsLarge()) },
+		RecordPartEvents: func(list []quarantine.PartEvent) (relays bool) {
+			_, relays = b.parts.RecordEvents(list)
+			return relays
+		},
 		AnnouncementsSince: func(from int64, limit int) ([]prompt.CachedPart, int64) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -245,6 +245,11 @@
 		if err = cbor.Unmarshal(data, &reply); err == nil {
 			m.inquiries.resolve(reply)
 		}
+	case partTell:
+		var told partsTold
+		if err = cbor.Unmarshal(data, &told); err == nil && m.recordPartEvents(told.Events) {
+			m.BroadcastCrashEvents()
+		}
 	default:
 		err = ErrInvalid
 	}
--- a/internal/mesh/stream_owners.go
+++ b/internal/mesh/stream_owners.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/streams"
 )
@@ -123,14 +122,3 @@
 func (p *peer) mayKeepStreams(now, aliveTimeout clock.Millis) bool {
 	return !p.draining && now-p.lastSeenMs < aliveTimeout && (p.keepsStreams || p.firstSeenMs == 0)
 }
-
-// SendsTrials reports whether this box is the one of the fleet that sends trial requests with a part of a prompt, by
-// rendezvous hashing over the failure domains and then over the boxes of the first one.
-func (m *Mesh) SendsTrials(part quarantine.PartKey) bool {
-	key := route.Key(part)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	domains := m.streamDomainsLocked()
-	first := domains[route.Rank(key, m.streamDomains.hashes)[0]]
-	return first.first(key, 1)[0].Box == m.self.Box
-}
--- a/internal/quarantine/part_ledger.go
+++ b/internal/quarantine/part_ledger.go
@@ -80,21 +80,37 @@
 	}
 }
 
-// RecordCrash records that an upstream crashed while it ran some requests. It returns the parts that are quarantined by
-// this, and whether other boxes should learn of the crash at once, because it is not the first one of a part.
-func (l *PartLedger) RecordCrash(upstream namekey.Key, uses []PartUse) (quarantined []PartKey, urgent bool) {
+// CrashReport is what a crash changes.
+type CrashReport struct {
+	// Quarantined are the parts that are quarantined by the crash.
+	Quarantined []PartKey
+	// Urgent is set if other boxes should learn of the crash at once, because it is not the first one of a part.
+	Urgent bool
+	// First holds the first crashes of parts, of which their owners should learn at once. In a large fleet they are not
+	// in the event log.
+	First []PartEvent
+}
+
+// RecordCrash records that an upstream crashed while it ran some requests. In a large fleet, first crashes of parts are
+// left out of the event log.
+func (l *PartLedger) RecordCrash(upstream namekey.Key, uses []PartUse, largeFleet bool) CrashReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.monotonic()
+	report := CrashReport{}
 	for _, a := range l.attribute(uses) {
-		if l.record(a, upstream, now, true) {
-			quarantined = append(quarantined, a.part)
+		if l.record(a, upstream, now, !largeFleet) {
+			report.Quarantined = append(report.Quarantined, a.part)
 		}
-		if s := l.parts[a.part]; s != nil && len(s.crashes) > 1 {
-			urgent = true
+		switch l.crashCount(a.part) {
+		case 0:
+		case 1:
+			report.First = append(report.First, PartEvent{Part: a.part, Pool: a.pool, Upstream: upstream})
+		default:
+			report.Urgent = true
 		}
 	}
-	return quarantined, urgent
+	return report
 }
 
 // attribute returns the parts to which a crash is attributed, those with earlier crashes first. A part that was answered
@@ -203,24 +219,24 @@
 	return before >= minCrashes && len(s.crashes) < minCrashes
 }
 
-// RecordEvents merges events received from another box. If relay is set, crashes are relayed even below
-// minRelayedCrashes, as needed in a fleet that is too large for each box to reach all others. It returns the parts
-// whose quarantine was started by the events.
-func (l *PartLedger) RecordEvents(list []PartEvent, relay bool) (quarantined []PartKey) {
+// RecordEvents merges events received from another box or from the store. It relays the crashes of parts that have
+// minRelayedCrashes. It returns the parts whose quarantine was started by the events, and whether there are crashes to
+// relay.
+func (l *PartLedger) RecordEvents(list []PartEvent) (quarantined []PartKey, relays bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, retention := l.monotonic(), l.settings().retentionMs()
+	now, retention, seq := l.monotonic(), l.settings().retentionMs(), l.events.nextSeq
 	for _, e := range list {
 		a, at := answeredPart{part: e.Part, pool: e.Pool}, now-max(0, e.AgeMs)
 		switch {
 		case e.AgeMs >= retention:
 		case e.Answered:
 			l.clear(a, at)
-		case l.record(a, e.Upstream, at, relay):
+		case l.record(a, e.Upstream, at, false):
 			quarantined = append(quarantined, e.Part)
 		}
 	}
-	return quarantined
+	return quarantined, l.events.nextSeq > seq
 }
 
 // EventsSince returns at most limit events from a sequence number on, and the sequence number to continue from.
--- a/internal/quarantine/part_ledger_test.go
+++ b/internal/quarantine/part_ledger_test.go
@@ -17,6 +17,7 @@
 	now         clock.Millis
 	settings    Settings
 	sendsTrials bool
+	largeFleet  bool
 	crashed     int
 }
 
@@ -34,15 +35,14 @@
 func partsIn(pool string, ids ...string) Parts { return PartsOf(pool, promptOf(append(ids, "own")...)) }
 
 // crash records the crash of an upstream of pool p under requests with these parts, one second after the last event.
-func (f *partFixture) crash(requests ...[]string) (quarantined []PartKey) {
+func (f *partFixture) crash(requests ...[]string) []PartKey {
 	f.now += clock.Second
 	f.crashed++
 	uses := []PartUse{}
 	for _, ids := range requests {
 		uses = append(uses, PartUse{Parts: partsIn("p", ids...), SentMs: f.now - 100})
 	}
-	quarantined, _ = f.RecordCrash(namekey.Of(fmt.Sprint("u", f.crashed)), uses)
-	return quarantined
+	return f.RecordCrash(namekey.Of(fmt.Sprint("u", f.crashed)), uses, f.largeFleet).Quarantined
 }
 
 // crashes records a number of crashes under one request each.
@@ -147,13 +147,13 @@
 		f.now += 100
 		f.crash([]string{"turns"})
 		f.crashed++
-		f.RecordCrash(namekey.Of("other"), []PartUse{{Parts: partsIn("p", "turns"), SentMs: f.now - 100}})
+		f.RecordCrash(namekey.Of("other"), []PartUse{{Parts: partsIn("p", "turns"), SentMs: f.now - 100}}, false)
 		f.assertRefused("turns")
 	})
 	t.Run("counts the crash of an upstream once", func(t *testing.T) {
 		f := newPartFixture(t)
 		f.crash([]string{"fatal"}, []string{"fatal", "beside"})
-		f.RecordEvents([]PartEvent{{Part: PartKeyOf("fatal"), Pool: namekey.Of("p"), Upstream: namekey.Of("u1")}}, false)
+		f.RecordEvents([]PartEvent{{Part: PartKeyOf("fatal"), Pool: namekey.Of("p"), Upstream: namekey.Of("u1")}})
 		assert.Len(t, f.Suspects(1)[0].Crashes, 1)
 	})
 	t.Run("quarantines nothing when it is disabled", func(t *testing.T) {
@@ -206,7 +206,7 @@
 	// exchange delivers all events of one ledger to another.
 	exchange := func(from, to *partFixture) {
 		list, _ := from.EventsSince(0, 1000)
-		to.RecordEvents(list, false)
+		to.RecordEvents(list)
 	}
 	t.Run("let other boxes know what was answered before", func(t *testing.T) {
 		one, other := newPartFixture(t), newPartFixture(t)
@@ -228,6 +228,16 @@
 		exchange(one, other)
 		other.assertPasses("rare", "rare2")
 	})
+	t.Run("of first crashes stay with the owners in a large fleet", func(t *testing.T) {
+		f := newPartFixture(t)
+		f.largeFleet = true
+		f.crashes(1, "fatal")
+		list, _ := f.EventsSince(0, 10)
+		assert.Empty(t, list)
+		f.crashes(1, "fatal")
+		list, _ = f.EventsSince(0, 10)
+		assert.Len(t, list, 2)
+	})
 	t.Run("of a crash with long prompts are bounded", func(t *testing.T) {
 		f := newPartFixture(t)
 		requests := [][]string{}
@@ -246,7 +256,7 @@
 	})
 	t.Run("that are too old are ignored", func(t *testing.T) {
 		f := newPartFixture(t)
-		f.RecordEvents([]PartEvent{{Part: 1, Upstream: 1, AgeMs: f.settings.retentionMs()}}, false)
+		f.RecordEvents([]PartEvent{{Part: 1, Upstream: 1, AgeMs: f.settings.retentionMs()}})
 		assert.Zero(t, f.Sizes())
 	})
 }
