feat(why): shows the crashes and quarantines by which a request was held back

Cause: dooryard why showed state changes of the last seconds at the request's boxes only; the crashes under a part lie minutes back, at other boxes. Change: lines of any box that name the request's fingerprint or the part for which it was held back are included, whatever their age.

--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -20,6 +20,12 @@
 	Box      string    `json:"box"`
 	Request  string    `json:"request"`
 	Upstream string    `json:"upstream"`
+	// Part is the key of a prompt's part that is held back, and Parts are those of the requests on a crashed upstream.
+	Part  string   `json:"part"`
+	Parts []string `json:"parts"`
+	// Fingerprint is that of a request, and Fingerprints are those of the requests on a crashed upstream.
+	Fingerprint  string   `json:"fingerprint"`
+	Fingerprints []string `json:"fingerprints"`
 	// BackoffMs is how long the logged backoff stays in effect, or 0 if the line logs none.
 	BackoffMs int64 `json:"rest_ms"`
 	// Fields holds the remaining fields as raw JSON. Upstream and BackoffMs are in it, too.
@@ -66,18 +72,28 @@
 	return l.Time.Add(time.Duration(l.BackoffMs) * time.Millisecond)
 }
 
+// concerns reports whether the line tells of a crash or a quarantine by one of some parts or fingerprints.
+func (l Line) concerns(held map[string]bool) bool {
+	isHeld := func(key string) bool { return held[key] }
+	return isHeld(l.Part) || isHeld(l.Fingerprint) || slices.ContainsFunc(l.Parts, isHeld) ||
+		slices.ContainsFunc(l.Fingerprints, isHeld)
+}
+
 // RequestLines returns the lines of a request and the state changes that its boxes logged from the
 // span before its first line up to its last line, ordered by time. Earlier state changes are
-// included if they were still in effect, such as the backoff of an upstream.
+// included if they were still in effect, such as the backoff of an upstream, and, of all boxes, the
+// crashes and quarantines of the request's fingerprint or of the part for which it was held back.
 func RequestLines(lines []Line, request string, before time.Duration) []Line {
 	own := []Line{}
-	boxes := map[string]bool{}
+	boxes, held := map[string]bool{}, map[string]bool{}
 	for _, line := range lines {
 		if line.Request == request {
 			own = append(own, line)
 			boxes[line.Box] = true
+			held[line.Part], held[line.Fingerprint] = true, true
 		}
 	}
+	delete(held, "")
 	if len(own) == 0 {
 		return nil
 	}
@@ -85,7 +101,10 @@
 	first, last := own[0].Time.Add(-before), own[len(own)-1].Time
 	story := own
 	for _, line := range lines {
-		if line.Request == "" && boxes[line.Box] && !line.validUntil().Before(first) && !line.Time.After(last) {
+		if line.Request != "" || line.Time.After(last) {
+			continue
+		}
+		if boxes[line.Box] && !line.validUntil().Before(first) || line.concerns(held) {
 			story = append(story, line)
 		}
 	}
--- a/internal/why/why_test.go
+++ b/internal/why/why_test.go
@@ -41,6 +41,18 @@
 			assert.Len(t, RequestLines(more, "r1", 0), 2+want, restMs)
 		}
 	})
+	t.Run("includes the crashes and the quarantine by which a request was held back, however old", func(t *testing.T) {
+		more, err := Read(nil, strings.NewReader(log+
+			`{"time":"2025-12-31T22:00:00Z","msg":"upstream ended","box":"b","upstream":"u1","fingerprints":["f1"],"parts":["p1","p2"]}
+{"time":"2025-12-31T22:00:00Z","msg":"upstream ended","box":"b","upstream":"u2","fingerprints":["f2"],"parts":["p1"]}
+{"time":"2025-12-31T22:00:01Z","msg":"prompt part quarantined","box":"a","part":"p2","hold_ms":60000}
+{"time":"2026-01-01T00:00:04Z","msg":"request ended","box":"a","request":"r3","cause":"part_quarantined","part":"p2","fingerprint":"f3"}
+{"time":"2026-01-01T00:00:05Z","msg":"request ended","box":"a","request":"r4","cause":"quarantined","fingerprint":"f2"}
+`))
+		require.NoError(t, err)
+		assert.Equal(t, []string{"b upstream ended", "a prompt part quarantined", "a request ended"}, messages(RequestLines(more, "r3", 0)))
+		assert.Equal(t, []string{"b upstream ended", "a request ended"}, messages(RequestLines(more, "r4", 0)))
+	})
 	t.Run("returns nothing for an unknown request", func(t *testing.T) {
 		assert.Empty(t, RequestLines(lines, "r9", time.Hour))
 	})
