--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -45,6 +45,8 @@
 	crashUnframed
 	// crashUnframedFirst closes the connection of such a response in order before the host refuses new ones.
 	crashUnframedFirst
+	// crashSilent closes no connection, as when a host loses power. The entry of the upstream disappears later.
+	crashSilent
 )
 
 // exitDelayMs is how long a process lives on after it has closed the connection of an unframed response.
@@ -74,6 +76,9 @@
 	fleet *fleet
 	boxes []*running
 
+	// dark holds the upstreams whose hosts have lost power.
+	dark sync.Map
+
 	mu     sync.Mutex
 	random *rand.Rand
 	// sent holds the fatal requests that reached upstreams, and crashesMs when they crashed upstreams. othersMs holds when
@@ -177,6 +182,9 @@
 		_ = f.clock.Sleep(r.Context(), clock.Millis(d.intn(100)))
 		crash()
 		panic(http.ErrAbortHandler)
+	case crashSilent:
+		crash()
+		<-f.t.Context().Done()
 	case crashUnframed:
 		d.respondUnframed(w, r, func() { _ = listener.Close() })
 		crash()
@@ -231,8 +239,12 @@
 	if !running {
 		return
 	}
-	_ = listener.Close()
-	_ = server.Close()
+	if d.end == crashSilent {
+		d.dark.Store(id, true)
+	} else {
+		_ = listener.Close()
+		_ = server.Close()
+	}
 	go func() {
 		if f.clock.Sleep(f.t.Context(), upstreamRestartMs) == nil {
 			f.store.remove(id)
@@ -252,6 +264,13 @@
 
 func (d *partDay) begin(f *fleet) {
 	d.fleet = f
+	if d.end == crashSilent {
+		f.network.SetBlackhole(func(from, to string) bool {
+			_, one := d.dark.Load(from)
+			_, other := d.dark.Load(to)
+			return one || other
+		})
+	}
 	for slot := range partUpstreams {
 		d.start(slot)
 	}
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -112,7 +112,7 @@
 		end  crashEnd
 	}{
 		{"before the head", crashBeforeHead}, {"after the head", crashAfterHead},
-		{"without length or chunks", crashUnframed},
+		{"without length or chunks", crashUnframed}, {"without a sign", crashSilent},
 		{"without length or chunks, before the host refuses connections", crashUnframedFirst},
 	} {
 		for _, path := range []string{"/stream/", "/sticky/"} {
