fix(quarantine): a box tells of an answer when others report a crash after it

Cause, one of two: an answer protects a request for 60 s, but only at the box that got it; others counted crashes of a request that was answered between them. Change: a box that has such an answer tells it when another one reports a crash, at most once in 30 s for a request. Evidence: the new case of TestLedger failed before. Remains: three sends that meet three crashes, never answered.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -53,6 +53,9 @@
 	// often, such as a status poll, runs on nearly every upstream that crashes, and must not be
 	// quarantined for that.
 	answeredGraceMs = 60 * clock.Second
+	// answerRepeatMs is the minimum time between two answers of which a box tells others when they report crashes. It is
+	// shorter than answeredGraceMs, so that a frequent request stays protected.
+	answerRepeatMs = answeredGraceMs / 2
 )
 
 // Ledger records the upstreams that crashed, by the fingerprints of the requests that they ran.
@@ -68,7 +71,9 @@
 	mu           sync.Mutex
 	fingerprints map[Fingerprint]crashes
 	answered     recent[Fingerprint]
-	events       eventLog[CrashEvent]
+	// told holds the answers of which this box has told others that reported crashes.
+	told   recent[Fingerprint]
+	events eventLog[CrashEvent]
 }
 
 // crashRecord describes the crash of one upstream while it ran a request with a fingerprint.
@@ -85,7 +90,7 @@
 // greater than those that earlier processes of the box assigned.
 func New(monotonic func() clock.Millis, settings func() Settings, firstSeq int64) *Ledger {
 	return &Ledger{
-		monotonic: monotonic, settings: settings, fingerprints: map[Fingerprint]crashes{}, answered: newRecent[Fingerprint](maxGenerationSize),
+		monotonic: monotonic, settings: settings, fingerprints: map[Fingerprint]crashes{}, answered: newRecent[Fingerprint](maxGenerationSize), told: newRecent[Fingerprint](maxGenerationSize),
 		events: eventLog[CrashEvent]{nextSeq: firstSeq},
 	}
 }
@@ -105,6 +110,9 @@
 // added to this box's event log at once, and otherwise once the fingerprint has minRelayedCrashes.
 func (l *Ledger) record(fingerprint Fingerprint, upstream namekey.Key, at clock.Millis, publish bool) (started bool) {
 	if l.answered.seenAfter(fingerprint, at-answeredGraceMs) {
+		if !publish {
+			l.tellAnswer(fingerprint)
+		}
 		return false
 	}
 	known := l.fingerprints[fingerprint]
@@ -124,6 +132,17 @@
 	return before == 0 && l.remainingMs(known) > 0
 }
 
+// tellAnswer adds to this box's event log that an upstream answered a request, for the boxes that report crashes under it.
+// They have not seen the answer and would take it for a fatal one.
+func (l *Ledger) tellAnswer(fingerprint Fingerprint) {
+	at, _ := l.answered.last(fingerprint)
+	if l.told.seenAfter(fingerprint, at-answerRepeatMs) {
+		return
+	}
+	l.told.mark(fingerprint, at)
+	l.events.add(CrashEvent{Fingerprint: fingerprint, Answered: true}, at)
+}
+
 // minRelayedCrashes is the number of crashes of a fingerprint at which a box starts to relay the
 // crashes that it learned from other boxes. Below it, only the boxes that observed a crash publish
 // it, because relaying every crash takes twenty times as many bytes in a fleet of dozens of boxes
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -34,6 +34,13 @@
 	return quarantined
 }
 
+// exchange delivers all events of one ledger to another.
+func exchange(from, to *fixture) {
+	list, _ := from.EventsSince(0, 2*minEventLogLength)
+	to.now = from.now
+	to.RecordEvents(list, false)
+}
+
 func TestLedger(t *testing.T) {
 	t.Run("quarantines a fingerprint after three crashes", func(t *testing.T) {
 		f := newFixture()
@@ -69,6 +76,15 @@
 		f.now += answeredGraceMs
 		assert.True(t, f.crash("d", "e", "f"))
 	})
+	t.Run("tells other boxes of an answer when they report a crash shortly after it", func(t *testing.T) {
+		f, other := newFixture(), newFixture()
+		f.RecordAnswer(fingerprint)
+		other.crash("a")
+		exchange(other, f)
+		exchange(f, other)
+		assert.False(t, other.crash("b", "c", "d"))
+		assert.Zero(t, other.QuarantineRemainingMs(fingerprint))
+	})
 	t.Run("ends the quarantine after the hold time and starts it again after one more crash", func(t *testing.T) {
 		f := newFixture()
 		f.crash("a", "b", "c")
