fix(gateway): attempts at an upstream whose entry disappears are probed at once

Cause: a crash is attributed to attempts that have ended. At a silent host they end with the caller's patience, a second or more after the entry disappears. Change: attempts under way are known by upstream; when its entry disappears or names another incarnation, they count as uncertain suspects, and the upstream is probed. One that serves on after its entry has gone is found alive. Ruled out: probing slow attempts while the entry stands (a suspended process can't be told from a crashed one).

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -72,11 +73,48 @@
 	mu sync.Mutex
 	// byID holds the suspects of the last suspectRetentionMs, by upstream ID.
 	byID map[string]*suspects
+	// inFlight holds the attempts that have not ended, by upstream ID.
+	inFlight map[string]map[*dispatch.Observation]struct{}
 }
 
 func newCrashDetector(b *Box) *crashDetector {
 	return &crashDetector{
 		box: b, observed: make(chan dispatch.Observation, observationQueueSize), byID: map[string]*suspects{},
+		inFlight: map[string]map[*dispatch.Observation]struct{}{},
+	}
+}
+
+// track records an attempt until the returned function is called.
+func (d *crashDetector) track(o dispatch.Observation) (done func()) {
+	id, attempt := o.Member.ID, &o
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inFlight[id] == nil {
+		d.inFlight[id] = map[*dispatch.Observation]struct{}{}
+	}
+	d.inFlight[id][attempt] = struct{}{}
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.inFlight[id], attempt)
+		if len(d.inFlight[id]) == 0 {
+			delete(d.inFlight, id)
+		}
+	}
+}
+
+// observeRemoval queues observations of the attempts at an upstream whose entry was removed, except those at its
+// successor. A host that went silent closes no connection, so this is the first sign of its crash.
+func (d *crashDetector) observeRemoval(id, successor string) {
+	d.mu.Lock()
+	attempts := slices.Collect(maps.Keys(d.inFlight[id]))
+	d.mu.Unlock()
+	for _, attempt := range attempts {
+		if successor == "" || attempt.Member.Identity().Incarnation() != successor {
+			o := *attempt
+			o.Evidence = dispatch.UpstreamRemoved
+			d.observe(o)
+		}
 	}
 }
 
@@ -129,7 +167,7 @@
 		entry = &suspects{}
 		d.byID[o.Member.ID] = entry
 	}
-	uncertain := mayEndLater(o.Evidence)
+	uncertain := o.Evidence == dispatch.UpstreamRemoved || mayEndLater(o.Evidence)
 	if len(entry.list) < maxSuspectsPerUpstream {
 		entry.list = append(entry.list, suspect{
 			fingerprint: o.Fingerprint, parts: o.Parts, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(),
@@ -216,6 +254,7 @@
 			successor = ""
 		}
 		d.handleCrash(c.Upstream.ID, successor, false)
+		d.observeRemoval(c.Upstream.ID, successor)
 	}
 }
 
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -64,7 +64,7 @@
 			StateAgeMs:    b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
-			Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
+			Track: b.crashDetector.track, Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
 			OnCompleted:    b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -43,6 +43,7 @@
 	defer cancel(nil)
 	s.cancelOnPathLoss(lease, cancel)
 	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, cancel)
+	defer s.pipe.deps.Track(s.observation(lease))()
 	resp, err := lease.Client().Do(ctx, s.buildRequest(lease))
 	stopTimer()
 	if err != nil {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	OnSignals func(request string, lease *balance.Lease, signals opaque.Signals)
 	// OnRejected handles a rejection by an upstream, and reports whether the upstream is brittle.
 	OnRejected func(request string, lease *balance.Lease) bool
+	// Track records an attempt until the returned function is called.
+	Track func(o Observation) (done func())
 	// Observe handles evidence that an upstream may have crashed.
 	Observe func(o Observation)
 	// MayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order.
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -26,6 +26,8 @@
 	// ResponseUnframed is a response that looks complete, but has neither a length nor chunks. Its upstream may have
 	// crashed in the middle of it.
 	ResponseUnframed
+	// UpstreamRemoved is the removal of an upstream's entry while the request is at the upstream.
+	UpstreamRemoved
 )
 
 // Observation is the evidence from one attempt.
