fix(quarantine): holds after many crashes, and trials whose outcome is not known yet

A part with 64 crashes recorded no further one, so its hold was never prolonged: after it, a trial request a second. A trial at an upstream that crashes without closing connections has no outcome for some seconds; the next one came after one. A part that was answered less than 2 s ago is not held back, and no longer logged as quarantined.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Accept implements net.Listener. The connection is a *callerConn. It is accepted before there is a slot for it, so that
-// no idle connection is closed without need.
+// Accept implements net.Listener. The connection is a *callerConn. It is accepted before there is a slot for it, so
+// that no idle connection is closed without need.
 func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -9,7 +9,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
-	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/pipe/dispatch"
 	"dooryard.example/dooryard/internal/quarantine"
@@ -265,22 +264,15 @@
 	if len(list) == 0 {
 		return
 	}
-	fingerprints, urgent := make([]string, 0, len(list)), false
-	uses := map[namekey.Key][]quarantine.PartUse{}
+	fingerprints := make([]string, 0, len(list))
+	urgent := d.recordPartCrashes(list)
 	for _, s := range list {
 		fingerprints = append(fingerprints, s.fingerprint.String())
-		uses[s.upstream.Key()] = append(uses[s.upstream.Key()], quarantine.PartUse{Parts: s.parts, SentMs: s.sentMs})
 		if d.box.quarantine.RecordCrash(s.fingerprint, s.upstream.Key()) {
 			urgent = true
 			d.logQuarantined(s.fingerprint, "this box")
 		}
 	}
-	for crashed, list := range uses {
-		report := d.box.parts.RecordCrash(crashed, list, d.box.peering.mesh.IsLarge())
-		d.box.peering.mesh.TellPartOwners(report.First)
-		urgent = urgent || report.Urgent
-		d.logPartsQuarantined(report.Quarantined, "this box")
-	}
 	d.box.metrics.UpstreamCrashed()
 	d.box.log.Record(decision.UpstreamCrashed{
 		Upstream: list[0].upstream.Incarnation(), Fingerprints: fingerprints, Parts: partNames(list),
@@ -290,22 +282,6 @@
 	}
 }
 
-// maxLoggedParts bounds the length of a log line that names parts of prompts.
-const maxLoggedParts = 64
-
-// partNames returns the keys of the distinct prompt parts of some suspects, for logs.
-func partNames(list []suspect) []string {
-	names := []string{}
-	for _, s := range list {
-		for _, key := range s.parts.Keys {
-			if name := key.String(); len(names) < maxLoggedParts && !slices.Contains(names, name) {
-				names = append(names, name)
-			}
-		}
-	}
-	return names
-}
-
 // removeSuspects removes and returns the suspects of all incarnations of an upstream except successor, whose suspects
 // are kept. Of the uncertain suspects it returns only those of the last maxUncertainAgeMs, and only if the crash is
 // recent. It keeps the other uncertain suspects while a probe runs, and drops them otherwise.
@@ -338,43 +314,14 @@
 	d.handleAnswer(r.Fingerprint, r.Parts, status)
 }
 
-// handleAnswer processes a complete response to a request. If this ends a quarantine, it logs the release. Only a success
-// shows that an upstream has begun to write a response on the parts of the prompt.
+// handleAnswer processes a complete response to a request. If this ends a quarantine, it logs the release. Only a
+// success shows that an upstream has begun to write a response on the parts of the prompt.
 func (d *crashDetector) handleAnswer(fingerprint quarantine.Fingerprint, parts quarantine.Parts, status int) {
 	if d.box.quarantine.RecordAnswer(fingerprint) {
 		d.box.log.Record(decision.Quarantined{Fingerprint: fingerprint.String(), Source: "this box"})
 	}
-	if status < http.StatusOK || status >= http.StatusMultipleChoices {
-		return
-	}
-	released := d.box.parts.RecordAnswer(parts)
-	for _, key := range released {
-		d.box.log.Record(decision.PartQuarantined{Part: key.String(), Source: "this box"})
-	}
-	if len(released) > 0 {
-		d.box.peering.mesh.BroadcastCrashEvents()
-	}
-}
-
-// recordPartsFromPeer processes crashes by parts of prompts that another box reported. It reports whether this box relays
-// any of them.
-func (d *crashDetector) recordPartsFromPeer(list []quarantine.PartEvent) (relays bool) {
-	return d.recordPartsFrom("another box", list)
-}
-
-// recordPartsFrom processes crashes by parts of prompts from a source. It reports whether this box relays any of them.
-func (d *crashDetector) recordPartsFrom(source string, list []quarantine.PartEvent) (relays bool) {
-	quarantined, relays := d.box.parts.RecordEvents(list)
-	d.logPartsQuarantined(quarantined, source)
-	return relays
-}
-
-func (d *crashDetector) logPartsQuarantined(parts []quarantine.PartKey, source string) {
-	settings := d.box.quarantine.Settings()
-	for _, key := range parts {
-		d.box.log.Record(decision.PartQuarantined{
-			Part: key.String(), Upstreams: settings.MinCrashes, HoldMs: settings.FirstPartHoldMs(), Source: source,
-		})
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		d.recordPartAnswer(parts)
 	}
 }
 
--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -23,13 +23,13 @@
 )
 
 const (
-	partUpstreams = 12
-	partBoxes     = 6
-	// partContactMs is how long after the fifth crash a box in touch may still send requests with a fatal part.
-	// Operators set it; maxLatePartSends sends later are allowed.
-	partContactMs     clock.Millis = 1500
-	maxLatePartSends               = 3
-	crashesUntilKnown              = 5
+	partUpstreams     = 12
+	partBoxes         = 6
+	crashesUntilKnown = 5
+	// maxLatePartSends is how often boxes in touch may send fatal requests later than partContactMs after the fifth
+	// crash. Operators set both.
+	maxLatePartSends              = 3
+	partContactMs    clock.Millis = 1500
 	// minSoundShare is how often sound requests must begin, relative to the time before the crashes.
 	minSoundShare = 0.5
 )
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -93,8 +93,8 @@
 	// KeepsStreams is set by boxes that let a stream go on only at its software version, tell the versions of
 	// upstreams, and answer questions about streams. Those of earlier releases don't.
 	KeepsStreams bool `cbor:"15,keyasint,omitempty"`
-	// PartEvents, PartEventsNext and PartEventsAcked are what CrashEvents and the fields after it are, for crashes by parts
-	// of prompts. Boxes of earlier releases ignore them.
+	// PartEvents, PartEventsNext and PartEventsAcked are what CrashEvents and the fields after it are, for crashes by
+	// parts of prompts. Boxes of earlier releases ignore them.
 	PartEvents      []quarantine.PartEvent `cbor:"16,keyasint,omitempty"`
 	PartEventsNext  int64                  `cbor:"17,keyasint,omitempty"`
 	PartEventsAcked int64                  `cbor:"18,keyasint,omitempty"`
--- a/internal/mesh/part_owners.go
+++ b/internal/mesh/part_owners.go
@@ -8,9 +8,10 @@
 	"dooryard.example/dooryard/internal/streams"
 )
 
-// Hardly any two crashes under a part are seen by the same box, and most parts come with one crash only. Boxes therefore
-// tell the first crash of a part at once to its owners, the boxes that would own a stream of that key. An owner that
-// knows of more crashes relays them to all boxes. In a large fleet, boxes tell first crashes to the owners only.
+// Hardly any two crashes under a part are seen by the same box, and most parts come with one crash only. Boxes
+// therefore tell the first crash of a part at once to its owners, the boxes that would own a stream of that key. An
+// owner that knows of more crashes relays them to all boxes. In a large fleet, boxes tell first crashes to the owners
+// only.
 
 // partTell is the kind of a datagram that tells the owners of parts about crashes. Its value differs from those of
 // originMessageKind.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -90,7 +90,8 @@
 // greater than those that earlier processes of the box assigned.
 func New(monotonic func() clock.Millis, settings func() Settings, firstSeq int64) *Ledger {
 	return &Ledger{
-		monotonic: monotonic, settings: settings, fingerprints: map[Fingerprint]crashes{}, answered: newRecent[Fingerprint](maxGenerationSize), told: newRecent[Fingerprint](maxGenerationSize),
+		monotonic: monotonic, settings: settings, fingerprints: map[Fingerprint]crashes{},
+		answered: newRecent[Fingerprint](maxGenerationSize), told: newRecent[Fingerprint](maxGenerationSize),
 		events: eventLog[CrashEvent]{nextSeq: firstSeq},
 	}
 }
@@ -132,8 +133,8 @@
 	return before == 0 && l.remainingMs(known) > 0
 }
 
-// tellAnswer adds to this box's event log that an upstream answered a request, for the boxes that report crashes under it.
-// They have not seen the answer and would take it for a fatal one.
+// tellAnswer adds to this box's event log that an upstream answered a request, for the boxes that report crashes under
+// it. They have not seen the answer and would take it for a fatal one.
 func (l *Ledger) tellAnswer(fingerprint Fingerprint) {
 	at, _ := l.answered.last(fingerprint)
 	if l.told.seenAfter(fingerprint, at-answerRepeatMs) {
--- a/internal/quarantine/part_ledger.go
+++ b/internal/quarantine/part_ledger.go
@@ -14,7 +14,7 @@
 const (
 	// maxParts limits the parts with crashes, which take about 0.3 KB each.
 	maxParts = 4096
-	// maxCrashesPerPart limits the crashes that are kept of a part. Further ones change nothing.
+	// maxCrashesPerPart limits the crashes that are kept of a part. The oldest one makes room for another.
 	maxCrashesPerPart = 64
 	// maxPartsPerCrash limits the parts to which one box attributes a crash, so that long prompts can't flood the event
 	// log. Parts with earlier crashes go first.
@@ -43,9 +43,8 @@
 // suspectPart is a part with crashes that no answer has cleared.
 type suspectPart struct {
 	crashes map[namekey.Key]partCrash
-	// triedMs is when this box last sent a trial request.
-	triedMs clock.Millis
-	tried   bool
+	// nextTrialMs is when this box may send the next trial request.
+	nextTrialMs clock.Millis
 }
 
 // partCrash is the crash of one upstream.
@@ -113,8 +112,8 @@
 	return report
 }
 
-// attribute returns the parts to which a crash is attributed, those with earlier crashes first. A part that was answered
-// since its request was sent is not at fault.
+// attribute returns the parts to which a crash is attributed, those with earlier crashes first. A part that was
+// answered since its request was sent is not at fault.
 func (l *PartLedger) attribute(uses []PartUse) []answeredPart {
 	seen := map[answeredPart]bool{}
 	list := []answeredPart{}
@@ -153,9 +152,12 @@
 		s = &suspectPart{crashes: map[namekey.Key]partCrash{}}
 		l.parts[a.part] = s
 	}
-	if _, again := s.crashes[upstream]; again || len(s.crashes) >= maxCrashesPerPart {
+	if _, again := s.crashes[upstream]; again {
 		return false
 	}
+	if len(s.crashes) >= maxCrashesPerPart {
+		s.dropOldest()
+	}
 	s.crashes[upstream] = partCrash{pool: a.pool, atMs: at}
 	if publish || len(s.crashes) >= minRelayedCrashes {
 		l.publish(a.part, s)
@@ -163,7 +165,7 @@
 	if len(s.crashes) == minRelayedCrashes {
 		l.publishAnswer(a)
 	}
-	return len(s.crashes) == l.settings().MinCrashes
+	return len(s.crashes) == l.settings().MinCrashes && !l.answered.seenAfter(a, l.monotonic()-answeredSilenceMs)
 }
 
 // publish adds the crashes that are not yet published to this box's event log.
@@ -187,7 +189,8 @@
 	}
 }
 
-// RecordAnswer records that an upstream answered a request completely. It returns the parts whose quarantine ends by this.
+// RecordAnswer records that an upstream answered a request completely. It returns the parts whose quarantine ends by
+// this.
 func (l *PartLedger) RecordAnswer(parts Parts) (released []PartKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -267,7 +270,8 @@
 		suspect := SuspectPart{Part: key}
 		for _, upstream := range slices.Sorted(maps.Keys(s.crashes)) {
 			c := s.crashes[upstream]
-			suspect.Crashes = append(suspect.Crashes, PartEvent{Part: key, Pool: c.pool, Upstream: upstream, AgeMs: now - c.atMs})
+			e := PartEvent{Part: key, Pool: c.pool, Upstream: upstream}
+			suspect.Crashes = append(suspect.Crashes, e.withAge(now-c.atMs))
 		}
 		list = append(list, suspect)
 	}
@@ -334,6 +338,13 @@
 	return newest
 }
 
+func (s *suspectPart) dropOldest() {
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(s.crashes)), func(a, b namekey.Key) int {
+		return cmp.Compare(s.crashes[a].atMs, s.crashes[b].atMs)
+	})
+	delete(s.crashes, oldest)
+}
+
 // times returns the times of all crashes in ascending order.
 func (s *suspectPart) times() []clock.Millis {
 	times := make([]clock.Millis, 0, len(s.crashes))
--- a/internal/quarantine/part_screen.go
+++ b/internal/quarantine/part_screen.go
@@ -9,9 +9,12 @@
 	// answeredSilenceMs is how long upstreams must not have answered a part that they answered before for it to count as
 	// fatal. Requests on sound upstreams are answered meanwhile, and other boxes tell of it.
 	answeredSilenceMs = 2 * clock.Second
-	// trialIntervalMs is the time between two trial requests of a box with a part. The outcome of the first one is known
-	// by then.
-	trialIntervalMs = clock.Second
+	// companionTrialMs is the time between two trial requests with a part that only ever came with a quarantined one. It
+	// is likely to be sound, and other requests with it wait for the outcome.
+	companionTrialMs = clock.Second
+	// trialIntervalMs is the time between two trial requests after the hold of a part. By then the outcome of the first
+	// one is known, also if its upstream crashed without closing connections.
+	trialIntervalMs = 5 * clock.Second
 )
 
 // Verdict is the decision on a request by the parts of its prompt. The zero value lets it pass.
@@ -22,6 +25,8 @@
 	RemainingMs clock.Millis
 	// Trial is set if the request shows whether its part is still fatal.
 	Trial bool
+	// trialIntervalMs is the time until the next trial request with the part.
+	trialIntervalMs clock.Millis
 }
 
 // Refused reports whether the request is refused.
@@ -31,21 +36,22 @@
 func (l *PartLedger) Screen(parts Parts) Verdict {
 	v := l.screen(parts, true)
 	// The mesh is asked without the lock, because it reads the ledger's events under its own lock.
-	if v.Trial && (!l.sendsTrials(v.Part) || !l.beginTrial(v.Part)) {
+	if v.Trial && (!l.sendsTrials(v.Part) || !l.beginTrial(v.Part, v.trialIntervalMs)) {
 		return l.screen(parts, false)
 	}
 	return v
 }
 
 // beginTrial records a trial request with a part. It returns false if another one was sent a short time ago.
-func (l *PartLedger) beginTrial(part PartKey) bool {
+func (l *PartLedger) beginTrial(part PartKey, interval clock.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.parts[part]
-	if s == nil || !s.mayTry(l.monotonic()) {
+	now := l.monotonic()
+	if s == nil || now < s.nextTrialMs {
 		return false
 	}
-	s.triedMs, s.tried = l.monotonic(), true
+	s.nextTrialMs = now + interval
 	return true
 }
 
@@ -85,23 +91,22 @@
 	crashes := s.crashesIn(a.pool, presumed)
 	unexplained := l.unexplained(crashes, parts)
 	end := holdEnd(crashes.times(), settings.MinCrashes, firstHoldMs(settings, presumed))
+	interval := trialIntervalMs
+	if unexplained == 0 {
+		interval = companionTrialMs
+	}
 	switch {
 	case end == 0, presumed && unexplained < settings.MinCrashes:
 		return Verdict{}
 	case unexplained > 0 && now < end:
 		return Verdict{Part: a.part, RemainingMs: end - now}
-	case mayTry && s.mayTry(now):
-		return Verdict{Part: a.part, Trial: true}
+	case mayTry && now >= s.nextTrialMs:
+		return Verdict{Part: a.part, Trial: true, trialIntervalMs: interval}
 	default:
-		return Verdict{Part: a.part, RemainingMs: trialIntervalMs}
+		return Verdict{Part: a.part, RemainingMs: interval}
 	}
 }
 
-// mayTry reports whether the outcome of the last trial request with a part must be known by now.
-func (s *suspectPart) mayTry(now clock.Millis) bool {
-	return !s.tried || now-s.triedMs >= trialIntervalMs
-}
-
 // crashesIn returns the crashes that count for requests to a pool. Those of other pools count as long as the pool has
 // not answered the part.
 func (s *suspectPart) crashesIn(pool namekey.Key, answeredThere bool) *suspectPart {
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -140,7 +140,8 @@
 	defer h.mu.Unlock()
 	count := 0
 	for _, o := range h.outcomes {
-		if o.Fatal() == standin.NotFatal && o.Status == opaque.NotRunStatus && strings.Contains(o.Answer, string(opaque.PartQuarantined)) {
+		isHeldBack := o.Status == opaque.NotRunStatus && strings.Contains(o.Answer, string(opaque.PartQuarantined))
+		if isHeldBack && o.Fatal() == standin.NotFatal {
 			count++
 		}
 	}
