--- a/internal/quarantine/part_ledger.go
+++ b/internal/quarantine/part_ledger.go
@@ -36,7 +36,8 @@
 
 	mu       sync.Mutex
 	parts    map[PartKey]*suspectPart
-	answered recent[answeredPart]
+	// answered holds when upstreams last answered requests with a part.
+	answered recent[poolPart]
 	events   eventLog[PartEvent]
 }
 
@@ -55,8 +56,8 @@
 	published bool
 }
 
-// answeredPart is a part that upstreams of a pool have answered.
-type answeredPart struct {
+// poolPart is a part in requests to one pool.
+type poolPart struct {
 	part PartKey
 	pool namekey.Key
 }
@@ -75,7 +76,7 @@
 ) *PartLedger {
 	return &PartLedger{
 		monotonic: monotonic, settings: settings, sendsTrials: sendsTrials, parts: map[PartKey]*suspectPart{},
-		answered: newRecent[answeredPart](maxAnsweredParts), events: eventLog[PartEvent]{nextSeq: firstSeq},
+		answered: newRecent[poolPart](maxAnsweredParts), events: eventLog[PartEvent]{nextSeq: firstSeq},
 	}
 }
 
@@ -114,12 +115,12 @@
 
 // attribute returns the parts to which a crash is attributed, those with earlier crashes first. A part that was
 // answered since its request was sent is not at fault.
-func (l *PartLedger) attribute(uses []PartUse) []answeredPart {
-	seen := map[answeredPart]bool{}
-	list := []answeredPart{}
+func (l *PartLedger) attribute(uses []PartUse) []poolPart {
+	seen := map[poolPart]bool{}
+	list := []poolPart{}
 	for _, use := range uses {
 		for _, key := range use.Parts.Keys {
-			a := answeredPart{part: key, pool: use.Parts.Pool}
+			a := poolPart{part: key, pool: use.Parts.Pool}
 			if seen[a] || l.answered.seenAfter(a, use.SentMs) {
 				continue
 			}
@@ -127,7 +128,7 @@
 			list = append(list, a)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b answeredPart) int {
+	slices.SortStableFunc(list, func(a, b poolPart) int {
 		return cmp.Compare(l.crashCount(b.part), l.crashCount(a.part))
 	})
 	return list[:min(len(list), maxPartsPerCrash)]
@@ -142,7 +143,7 @@
 
 // record records a crash, and reports whether this starts a quarantine. If publish is set, the crash is added to this
 // box's event log at once, and otherwise once the part has minRelayedCrashes.
-func (l *PartLedger) record(a answeredPart, upstream namekey.Key, at clock.Millis, publish bool) (started bool) {
+func (l *PartLedger) record(a poolPart, upstream namekey.Key, at clock.Millis, publish bool) (started bool) {
 	if l.answered.seenAfter(a, at) {
 		return false
 	}
@@ -183,7 +184,7 @@
 
 // publishAnswer adds to this box's event log that a part was answered before its crashes. Boxes that have never seen it
 // answered would take it for a fatal one.
-func (l *PartLedger) publishAnswer(a answeredPart) {
+func (l *PartLedger) publishAnswer(a poolPart) {
 	if at, known := l.answered.last(a); known {
 		l.events.add(PartEvent{Part: a.part, Pool: a.pool, Answered: true}, at)
 	}
@@ -196,7 +197,7 @@
 	defer l.mu.Unlock()
 	now := l.monotonic()
 	for _, key := range parts.Keys {
-		if l.clear(answeredPart{part: key, pool: parts.Pool}, now) {
+		if l.clear(poolPart{part: key, pool: parts.Pool}, now) {
 			released = append(released, key)
 		}
 	}
@@ -204,7 +205,7 @@
 }
 
 // clear removes the crashes in a pool up to the time of an answer there. It reports whether this ends a quarantine.
-func (l *PartLedger) clear(a answeredPart, at clock.Millis) (released bool) {
+func (l *PartLedger) clear(a poolPart, at clock.Millis) (released bool) {
 	isNew := l.answered.mark(a, at)
 	s := l.parts[a.part]
 	if s == nil {
@@ -230,7 +231,7 @@
 	defer l.mu.Unlock()
 	now, retention, seq := l.monotonic(), l.settings().retentionMs(), l.events.nextSeq
 	for _, e := range list {
-		a, at := answeredPart{part: e.Part, pool: e.Pool}, now-max(0, e.AgeMs)
+		a, at := poolPart{part: e.Part, pool: e.Pool}, now-max(0, e.AgeMs)
 		switch {
 		case e.AgeMs >= retention:
 		case e.Answered:
--- a/internal/quarantine/part_screen.go
+++ b/internal/quarantine/part_screen.go
@@ -70,7 +70,7 @@
 		if s == nil || !l.isHeld(s) {
 			continue
 		}
-		v := l.screenPart(s, answeredPart{part: key, pool: parts.Pool}, parts, mayTry)
+		v := l.screenPart(s, poolPart{part: key, pool: parts.Pool}, parts, mayTry)
 		if v.Refused() {
 			return v
 		}
@@ -82,7 +82,7 @@
 }
 
 // screenPart decides on a request by one part of its prompt.
-func (l *PartLedger) screenPart(s *suspectPart, a answeredPart, parts Parts, mayTry bool) Verdict {
+func (l *PartLedger) screenPart(s *suspectPart, a poolPart, parts Parts, mayTry bool) Verdict {
 	now, settings := l.monotonic(), l.settings()
 	answeredMs, presumed := l.answered.last(a)
 	if presumed && now-answeredMs < answeredSilenceMs {
