--- a/internal/quarantine/part_ledger.go
+++ b/internal/quarantine/part_ledger.go
@@ -34,8 +34,8 @@
 	// sendsTrials reports whether this box is the one of the fleet that sends trial requests with a part.
 	sendsTrials func(part PartKey) bool
 
-	mu       sync.Mutex
-	parts    map[PartKey]*suspectPart
+	mu    sync.Mutex
+	parts map[PartKey]*suspectPart
 	// answered holds when upstreams last answered requests with a part.
 	answered recent[poolPart]
 	events   eventLog[PartEvent]
