fix(gateway): a host that goes silent counts as crashed before its entry disappears

Callers saw: fatal requests went on to further upstreams for seconds where hosts go silent (power loss) rather than close connections; and requests that waited for a connection when their part was quarantined were told no_upstream.

Cause: a crash without a sign was recognised only when the registry entry disappeared, 3 s later, although the box had probed the host 1 s after it had sent the request and found it unresponsive. The box could not tell the host from its own path, so it waited.

Change: - A probe that gets no response is a crash if another upstream of the same failure domain accepts a connection. A probe during which this process was paused proves nothing. - Requests that may not be retried (streams) are not canceled after twice the objective; their upstream is probed then. If it is alive, they are no suspects. - A request that was never sent, and is quarantined by the time it fails, gets the true refusal.

--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -108,6 +108,16 @@
 	return m.selectTargets(now, func(other *Member) bool { return other.ID != member.ID })
 }
 
+// ProbeTargetsBeside selects other upstreams in the failure domain of one to connect to, to learn whether a host or the
+// path to its failure domain has failed. It returns none if there is no other.
+func (m *Manager) ProbeTargetsBeside(member *Member) []*upstream.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.selectTargets(m.monotonic(), func(other *Member) bool {
+		return other.ID != member.ID && other.FailureDomain == member.FailureDomain
+	})
+}
+
 // RecordProbe records the result of a probe: opened is set if any connection was opened, or was refused
 // by a reachable host. It reports whether the state of the path changed. If a partition has ended,
 // partitionMs is its duration; it has no meaning if the state did not change.
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -15,6 +15,27 @@
 	return !lease.IsDraining() && lease.Client().ProbeLiveness(ctx) == upstream.Dead
 }
 
+// probeCrash determines whether an upstream's process is running, and whether it has crashed. A crash shows if its host
+// refuses connections or doesn't respond while other upstreams accept them. Otherwise this box is partitioned from the
+// upstreams, which is reported as Unresponsive.
+func (b *Box) probeCrash(ctx context.Context, member *balance.Member) (found upstream.Liveness, crashed bool) {
+	startMs := b.clock.Monotonic()
+	found = member.Client().ProbeLiveness(ctx)
+	switch {
+	case found == upstream.Alive || ctx.Err() != nil:
+		return found, false
+	case found == upstream.Dead && b.refusedByOthers(ctx, member):
+		return upstream.Unresponsive, false
+	case found == upstream.Dead:
+		return found, true
+	case b.clock.Monotonic()-startMs > upstream.HostReachableTimeoutMs+checkDelayThresholdMs:
+		// This process was paused during the probe, so its timeout proves nothing.
+		return found, false
+	default:
+		return found, anyAlive(ctx, b.balance.ProbeTargetsBeside(member))
+	}
+}
+
 // refusedByOthers reports whether none of some other upstreams accepts connections. A refusal by all of them shows that
 // this box is partitioned from the upstreams, rather than that each of them has crashed.
 func (b *Box) refusedByOthers(ctx context.Context, member *balance.Member) bool {
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -49,6 +49,8 @@
 	// uncertain is set if this box closed the connection first, or if the upstream accepted a connection after this one
 	// broke. Its process may end a moment later.
 	uncertain bool
+	// inProgress is set if the request is still at the upstream, which has not begun to respond.
+	inProgress bool
 	// answeredStatus is the status of an unframed response that looks complete, or 0.
 	answeredStatus int
 }
@@ -60,11 +62,10 @@
 	probing bool
 }
 
-// crashDetector detects upstreams that crashed while they ran requests. If the host refuses new connections right after
-// some broke, the upstream has crashed, unless other upstreams refuse them too: then this box is partitioned from them.
-// If the host does not respond, the crash is detected when the upstream's
-// registry entry disappears. If new connections open twice, the broken ones were only reset and the upstream has not
-// crashed.
+// crashDetector detects upstreams that crashed while they ran requests. If the host refuses new connections or doesn't
+// respond right after some broke or timed out, the upstream has crashed, unless other upstreams don't accept them
+// either: then this box is partitioned from them. A crash is also detected when the upstream's registry entry
+// disappears. If new connections open twice, the broken ones were only reset and the upstream has not crashed.
 type crashDetector struct {
 	box      *Box
 	observed chan dispatch.Observation
@@ -170,7 +171,8 @@
 	if len(entry.list) < maxSuspectsPerUpstream {
 		entry.list = append(entry.list, suspect{
 			fingerprint: o.Fingerprint, parts: o.Parts, upstream: o.Member.Identity(), atMs: d.box.clock.Monotonic(),
-			sentMs: o.SentMs, uncertain: uncertain, answeredStatus: o.Status,
+			sentMs: o.SentMs, uncertain: uncertain, inProgress: o.Evidence == dispatch.UpstreamSilent,
+			answeredStatus: o.Status,
 		})
 	}
 	first := !entry.probing
@@ -192,26 +194,24 @@
 	for again := true; again; wait = lateProbeDelayMs {
 		// The error is ignored because the probe below fails too if the context has ended.
 		_ = d.box.clock.Sleep(ctx, wait)
-		found := member.Client().ProbeLiveness(ctx)
-		if found == upstream.Dead && d.box.refusedByOthers(ctx, member) {
-			found = upstream.Unresponsive
-		}
+		found, crashed := d.box.probeCrash(ctx, member)
 		answered, probeAgain := d.handleProbeResult(member.ID, found)
 		for _, s := range answered {
 			d.handleAnswer(s.fingerprint, s.parts, s.answeredStatus)
 		}
 		again = probeAgain && ctx.Err() == nil
-		if found == upstream.Dead || !d.box.registry.Has(member.Identity()) {
-			d.handleCrash(member.ID, "", found == upstream.Dead)
+		if crashed || !d.box.registry.Has(member.Identity()) {
+			d.handleCrash(member.ID, "", crashed)
 		}
 	}
 }
 
 // handleProbeResult processes the result of a probe. If the upstream is alive, the suspects whose connections broke
-// become uncertain, and the upstream must be probed again, since its process may end a moment later. If the upstream
-// does not respond, requests may have been abandoned because it had already stopped responding, so any uncertain
-// request may have crashed it, and all are treated like requests whose connections broke. handleProbeResult returns
-// the suspects whose unframed responses were complete, and whether the upstream must be probed again.
+// become uncertain, and the upstream must be probed again, since its process may end a moment later. Requests that it
+// still runs are no suspects then. If the upstream does not respond, requests may have been abandoned because it had
+// already stopped responding, so any uncertain request may have crashed it, and all are treated like requests whose
+// connections broke. handleProbeResult returns the suspects whose unframed responses were complete, and whether the
+// upstream must be probed again.
 func (d *crashDetector) handleProbeResult(id string, found upstream.Liveness) (answered []suspect, again bool) {
 	now := d.box.clock.Monotonic()
 	d.mu.Lock()
@@ -227,7 +227,7 @@
 			if outlived {
 				answered = append(answered, s)
 			}
-			return outlived
+			return outlived || s.inProgress
 		})
 		for i, s := range entry.list {
 			if !s.uncertain || s.answeredStatus > 0 {
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -215,18 +215,23 @@
 		subjects int
 		path     string
 		unframed bool
+		end      crashEnd
 	}{
-		{"three in a second", 300 * time.Millisecond, 1, 8, "/sticky/", false},
-		{"three in a second, rare subjects", 300 * time.Millisecond, 1, 400, "/stream/", false},
-		{"one in a second, unframed responses", time.Second, 1, 20, "/stream/", true},
-		{"half of them at once, each 5 s", 5 * time.Second, partUpstreams / 2, 40, "/safe/", false},
-		{"nearly all at once, each 5 s", 5 * time.Second, partUpstreams - 2, 4, "/unsafe/", false},
-		{"nearly all at once, each 5 s, unframed responses", 5 * time.Second, partUpstreams - 2, 40, "/resumable/", true},
+		{"three in a second", 300 * time.Millisecond, 1, 8, "/sticky/", false, crashAfterHead},
+		{"three in a second, rare subjects", 300 * time.Millisecond, 1, 400, "/stream/", false, crashAfterHead},
+		{"one in a second, unframed responses", time.Second, 1, 20, "/stream/", true, crashAfterHead},
+		{"half of them at once, each 5 s", 5 * time.Second, partUpstreams / 2, 40, "/safe/", false, crashAfterHead},
+		{"nearly all at once, each 5 s", 5 * time.Second, partUpstreams - 2, 4, "/unsafe/", false, crashAfterHead},
+		{"nearly all at once, each 5 s, unframed responses", 5 * time.Second, partUpstreams - 2, 40, "/resumable/", true, crashAfterHead},
+		{"two in a second, silent hosts", 500 * time.Millisecond, 1, 8, "/sticky/", false, crashSilent},
+		{"two in a second, silent hosts, rare subjects", 500 * time.Millisecond, 1, 400, "/stream/", false, crashSilent},
+		{"half of them at once, each 5 s, silent hosts", 5 * time.Second, partUpstreams / 2, 40, "/safe/", false, crashSilent},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				d := newPartDay(onPath(c.path), func(d *partDay) {
 					d.fatal, d.crashEvery, d.crashCount, d.unframed, d.span = nil, c.every, c.count, c.unframed, 20*time.Second
+					d.end = c.end
 					d.sound = func(i int) string { return fmt.Sprintf("head:100,subject%d:50,own%d:10", i%c.subjects, i) }
 				})
 				d.run(f)
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -43,9 +43,11 @@
 	defer cancel(nil)
 	s.cancelOnPathLoss(lease, cancel)
 	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, cancel)
+	stopSilenceTimer := s.startSilenceTimer(lease)
 	defer s.pipe.deps.Track(s.observation(lease))()
 	resp, err := lease.Client().Do(ctx, s.buildRequest(lease))
 	stopTimer()
+	stopSilenceTimer()
 	if err != nil {
 		s.observeFailure(ctx, lease, err)
 		return s.failWithoutResponse(lease, err, context.Cause(ctx))
@@ -84,19 +86,37 @@
 func (s *retryLoop) startFirstByteTimeout(factor clock.Millis, cancel context.CancelCauseFunc) (stop func()) {
 	r := s.request
 	timeout := factor * r.Route.ObjectiveMs
-	if !r.Route.Repeatable() || r.Sent+1 >= r.Route.Attempts || timeout <= 0 {
+	if !s.mayRetryAfterAttempt() || timeout <= 0 {
 		return func() {}
 	}
 	timer := s.pipe.deps.Clock.AfterFunc(timeout, func() { cancel(errTimeout) })
 	return func() { timer.Stop() }
 }
 
+// mayRetryAfterAttempt reports whether the route allows another attempt if the current one is sent and fails.
+func (s *retryLoop) mayRetryAfterAttempt() bool {
+	r := s.request
+	return r.Route.Repeatable() && r.Sent+1 < r.Route.Attempts
+}
+
+// startSilenceTimer reports that an upstream is silent if no response headers arrive within the time after which other
+// requests are retried. It does nothing if the request may be retried, since its attempt is canceled then.
+func (s *retryLoop) startSilenceTimer(lease *balance.Lease) (stop func()) {
+	timeout := firstByteTimeoutFactor * s.request.Route.ObjectiveMs
+	if s.mayRetryAfterAttempt() || timeout <= 0 {
+		return func() {}
+	}
+	o := s.observation(lease)
+	o.Evidence = UpstreamSilent
+	timer := s.pipe.deps.Clock.AfterFunc(timeout, func() { s.pipe.deps.Observe(o) })
+	return func() { timer.Stop() }
+}
+
 // cancelOnPathLoss cancels an attempt when the network path to the upstream's failure domain is
 // found to be down, if the request may be retried. A resumable stream then pauses for 0.2 s to 0.4 s
 // instead of the full idle timeout of three times its longest acceptable pause.
 func (s *retryLoop) cancelOnPathLoss(lease *balance.Lease, cancel context.CancelCauseFunc) {
-	r := s.request
-	if r.Route.Repeatable() && r.Sent+1 < r.Route.Attempts {
+	if s.mayRetryAfterAttempt() {
 		lease.OnPartition(func() { cancel(errPathDown) })
 	}
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -232,6 +232,9 @@
 func (s *retryLoop) finish(failed *failure) error {
 	r := s.request
 	s.recordBrokenStream()
+	if err := s.pipe.deps.Rescreen(r); err != nil && failed.execution == notSent && s.mayRefuse() {
+		return err
+	}
 	switch {
 	case r.Context().Err() != nil:
 		return opaque.NewRefusal(opaque.StatusCallerDisconnected, opaque.CallerDisconnected, 0, failed.err)
@@ -263,6 +266,11 @@
 	}
 }
 
+// mayRefuse reports whether the request can be refused as not run.
+func (s *retryLoop) mayRefuse() bool {
+	return s.request.Context().Err() == nil && s.stream == nil && !s.request.MayHaveRun
+}
+
 // recordBrokenStream records the origin of a stream again that ends before its last event. Its first record may be lost
 // or about to expire, and the caller may take up the stream.
 func (s *retryLoop) recordBrokenStream() {
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -28,6 +28,8 @@
 	ResponseUnframed
 	// UpstreamRemoved is the removal of an upstream's entry while the request is at the upstream.
 	UpstreamRemoved
+	// UpstreamSilent is an upstream that hasn't begun to respond for some time, while the request stays there.
+	UpstreamSilent
 )
 
 // Observation is the evidence from one attempt.
