fix(mesh): a question about a stream is repeated until its time is over

If one datagram in four is lost, in some orders a question or its answer was lost both times at all boxes that knew the stream.

Change: it is repeated every 10 ms, a round trip between failure domains and more, so four times in all. Only boxes that have not answered are asked again, so a fleet without loss sends nothing more.

--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -27,8 +27,9 @@
 	// originTimeoutMs is how long a box waits for answers about a stream. It covers a few round trips between failure
 	// domains and is short enough for a refusal at once.
 	originTimeoutMs clock.Millis = 40
-	// originResendMs is when a question is repeated, as datagrams may get lost.
-	originResendMs clock.Millis = 15
+	// originResendMs is the interval at which a question is repeated, as datagrams may get lost. It covers a round trip
+	// between failure domains.
+	originResendMs clock.Millis = 10
 )
 
 // originMessageKind distinguishes messages about streams. Its values differ from those of permitMessageKind.
@@ -134,15 +135,18 @@
 	q := m.newInquiry(id, pool)
 	defer m.inquiries.finish(q.question.Number)
 	resend := make(chan struct{})
-	timer := m.clock.AfterFunc(originResendMs, func() { close(resend) })
-	defer timer.Stop()
+	go m.clock.Every(ctx, originResendMs, func(clock.Millis) {
+		select {
+		case resend <- struct{}{}:
+		case <-ctx.Done():
+		}
+	})
 	q.ask()
 	for len(q.waiting) > 0 && !q.known {
 		select {
 		case reply := <-q.replies:
 			q.add(reply)
 		case <-resend:
-			resend = nil
 			q.ask()
 		case <-ctx.Done():
 			return q.answers, m.coversDomains(q.domains)
