fix(gateway): a crash makes the version of an upstream doubtful, at all boxes

Cause: the version of an upstream was doubtful only after a request of the same box had failed to connect.

Change: the crash detector and the crash events of other boxes make the version doubtful until the entry is confirmed. While a pool runs several versions, a box tells the others of each crash at once, not from the second one of a request on.

A box that had no connection to the upstream and is told nothing (no request was there when it crashed) still can't know.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -51,7 +51,9 @@
 	rejectedUntilMs clock.Millis
 	// connectionLost is set once a connection to it broke or could not be opened.
 	connectionLost bool
-	// respondedMs is when it first responded after its host had refused a connection at respondedAfterMs, or 0.
+	// crashedMs is when a box last found it to have crashed, or 0.
+	crashedMs clock.Millis
+	// respondedMs is when it first responded after the failure at respondedAfterMs (see lastFailureMs), or 0.
 	respondedMs, respondedAfterMs clock.Millis
 	// streamBroken is set once a stream from it broke.
 	streamBroken bool
--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 )
 
 // ErrVersionGone means that a stream can't go on because all upstreams of the pool that run its software version
@@ -32,19 +33,32 @@
 // ID at another version: until it has written the entry and boxes have read it.
 const versionDoubtMs = 3 * clock.Second
 
-// versionDoubtful reports whether the upstream may run another version than its entry tells. Its host has refused a
-// connection, so it may have restarted, and the entry was not confirmed since it responds again.
+// RecordCrash records that an incarnation of an upstream crashed. Another one may run under the same entry from then on.
+func (m *Manager) RecordCrash(upstream namekey.Key, at clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if member := m.byKey[upstream]; member != nil {
+		member.crashedMs = max(member.crashedMs, at)
+	}
+}
+
+// lastFailureMs returns when the host of the upstream last refused a connection or a box found the upstream to have
+// crashed, or 0.
+func (m *Member) lastFailureMs() clock.Millis { return max(m.client.Dials().FailedMs, m.crashedMs) }
+
+// versionDoubtful reports whether the upstream may run another version than its entry tells. It has failed, so it may
+// have restarted, and the entry was not confirmed since it responds again.
 func (m *Manager) versionDoubtful(member *Member) bool {
-	failedMs := member.client.Dials().FailedMs
+	failedMs := member.lastFailureMs()
 	if failedMs == 0 {
 		return false
 	}
 	return member.respondedAfterMs < failedMs || m.confirmedMs < member.respondedMs+versionDoubtMs
 }
 
-// recordRespondedAgain records the first response of an upstream after its host refused a connection.
+// recordRespondedAgain records the first response of an upstream after it failed.
 func (m *Manager) recordRespondedAgain(member *Member) {
-	if failedMs := member.client.Dials().FailedMs; failedMs > member.respondedAfterMs {
+	if failedMs := member.lastFailureMs(); failedMs > member.respondedAfterMs {
 		member.respondedAfterMs, member.respondedMs = failedMs, m.monotonic()
 	}
 }
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -266,8 +266,12 @@
 	}
 	fingerprints := make([]string, 0, len(list))
 	urgent := d.recordPartCrashes(list)
+	now := d.box.clock.Monotonic()
 	for _, s := range list {
 		fingerprints = append(fingerprints, s.fingerprint.String())
+		d.box.balance.RecordCrash(s.upstream.Key(), now)
+		// Other boxes must not take up streams there, where another version may run from now on.
+		urgent = urgent || d.box.origins.isMixed(s.upstream.Pool)
 		if d.box.quarantine.RecordCrash(s.fingerprint, s.upstream.Key()) {
 			urgent = true
 			d.logQuarantined(s.fingerprint, "this box")
@@ -332,6 +336,10 @@
 
 // recordFrom processes crashes from a source. If relay is set, this box passes each of them on to others.
 func (d *crashDetector) recordFrom(source string, list []quarantine.CrashEvent, relay bool) {
+	now := d.box.clock.Monotonic()
+	for _, e := range list {
+		d.box.balance.RecordCrash(e.Upstream, now-e.AgeMs)
+	}
 	for _, fingerprint := range d.box.quarantine.RecordEvents(list, relay) {
 		d.logQuarantined(fingerprint, source)
 	}
--- a/internal/gateway/stream_restarts_test.go
+++ b/internal/gateway/stream_restarts_test.go
@@ -85,6 +85,31 @@
 			assertGoOn(f.t, boxes[0], boxes[0].beginEach("much-later", 2*sampleStreams))
 		})
 	})
+	for name, takesUp := range map[string]int{"the same box": 0, "another box": 1} {
+		t.Run("its version is doubtful after it crashed, until the entry is confirmed: "+name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				crash := func(w http.ResponseWriter, r *http.Request) {
+					f.network.SetRefusal(func(_, to string) bool { return to == "ua" })
+					abortMidEvent(w, r)
+				}
+				restart := f.upstreamVersion("ua", "d", "v1", streamOf("v1", crash))
+				f.pausingUpstreams("uc-v2")
+				boxes := f.boxes(2)
+				advance(f.t, time.Second)
+				for _, b := range boxes {
+					f.store.setUnavailable(b.settings.Box, true)
+				}
+				broken := begun{version: "v2"}
+				for i := 0; broken.version != "v1"; i++ {
+					broken, _ = boxes[0].beginWhole(strconv.Itoa(i))
+				}
+				advance(f.t, 20*time.Millisecond)
+				restart(streamOf("v2", pause))
+				f.network.SetRefusal(func(string, string) bool { return false })
+				assertStreamsRefused(f.t, boxes[takesUp], []begun{broken})
+			})
+		})
+	}
 	t.Run("upstreams whose connections broke come last for streams of their version", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			restart := f.upstreamVersion("ua", "d", "v1", streamOf("v1", abortMidEvent))
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// isMixed reports whether a pool runs several software versions, or did so a short time ago.
+func (o *streamOrigins) isMixed(pool string) bool {
+	_, _, sole := o.versions.Sole(pool)
+	return !sole
+}
+
 // record keeps the origin of a stream of this box, and tells it unless others can find it out. If it is doubtful, the
 // request has none.
 func (o *streamOrigins) record(r *opaque.Request) {
