--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -33,7 +33,8 @@
 // ID at another version: until it has written the entry and boxes have read it.
 const versionDoubtMs = 3 * clock.Second
 
-// RecordCrash records that an incarnation of an upstream crashed. Another one may run under the same entry from then on.
+// RecordCrash records that an incarnation of an upstream crashed. Another one may run under the same entry from then
+// on.
 func (m *Manager) RecordCrash(upstream namekey.Key, at clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
