test(gateway): boxes whose connections to upstreams open and pass nothing on

From second 4 to 16 the data between one, two or four boxes and all upstreams is dropped, while connections open (testlib: SetStall).

--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -35,9 +35,11 @@
 	packetDelay   func(from, to string) time.Duration
 	dropPacket    func() bool
 	blackholed    func(from, to string) bool
-	refused       func(from, to string) bool
-	resetOpen     func(from, to string) bool
-	conns         map[*conn]struct{}
+	// stalled drops the data of connections like blackholed, but lets them open.
+	stalled   func(from, to string) bool
+	refused   func(from, to string) bool
+	resetOpen func(from, to string) bool
+	conns     map[*conn]struct{}
 }
 
 // NewNetwork returns a network without hosts.
@@ -48,6 +50,7 @@
 		dialDelay:   func(string, string) time.Duration { return 0 },
 		packetDelay: func(string, string) time.Duration { return 0 },
 		blackholed:  func(string, string) bool { return false },
+		stalled:     func(string, string) bool { return false },
 		refused:     func(string, string) bool { return false },
 		resetOpen:   func(string, string) bool { return false },
 		partitioned: func(string, string) bool { return false }, dropPacket: func() bool { return false },
@@ -97,6 +100,14 @@
 	n.blackholed = blackholed
 }
 
+// SetStall silently drops the data of connections in the directions for which the function returns true, as if a proxy
+// between the hosts accepted connections and passed nothing on. Connections open, and datagrams arrive.
+func (n *Network) SetStall(stalled func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled = stalled
+}
+
 // SetRefusal refuses new connections in the directions for which the function returns true. Existing connections
 // continue to work.
 func (n *Network) SetRefusal(refused func(from, to string) bool) {
@@ -112,6 +123,14 @@
 	return blackholed(from, to)
 }
 
+// drops reports whether the data of connections is dropped.
+func (n *Network) drops(from, to string) bool {
+	n.mu.Lock()
+	stalled := n.stalled
+	n.mu.Unlock()
+	return stalled(from, to) || n.isBlackholed(from, to)
+}
+
 // SetDialDelay delays the opening of connections from one host to another. The delay ignores the caller's deadline, as
 // if the dialing host were paused.
 func (n *Network) SetDialDelay(delay func(from, to string) time.Duration) {
@@ -295,7 +314,7 @@
 func (c *conn) RemoteAddr() net.Addr { return c.remote }
 
 func (c *conn) Write(data []byte) (int, error) {
-	if c.network.isBlackholed(c.from, c.to) {
+	if c.network.drops(c.from, c.to) {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
