fix(gateway): a box whose paths to a pool are stalled has other boxes serve its requests

Cause: an opened connection counted as a reachable upstream, whatever followed. Silence alone can't be told from a slow pool at one box.

Change: - A box counts its attempts by the time at which they began. If at least three at several upstreams got no response for 0.5, 1 or 2 s, and nothing was received from the pool since, it asks up to three boxes how their attempts of the same span went. - If four fifths of another box's (five or more) got a response, the pool is stalled for this box: it counts as unreachable, so other boxes serve its requests; those that may be retried leave at once. Requests that may have run and can't be retried stay. - Health checks of two upstreams each 0.25 s tell the end; so does any response. Pools without a health path are tried again after 2 s. - `pool stalled` tells both counts.

Ruled out: a health check as the first sign, since it waits for a slot like a request and is as slow as a full pool; a verdict by one box's silence alone (TestSlowPools).

All upstreams slow (1.5 s, 3 s, up to 3 s, one response in five 3 s) or one stopped: never taken for stalled, no request forwarded.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -71,6 +71,10 @@
 	coldStarts map[string]ColdStart
 	// brittle holds the pools whose upstreams are brittle.
 	brittle map[string]brittlePool
+	// attempts counts this box's attempts, by pool. stalledSinceMs is since when pools have been stalled, and
+	// respondingMs when stalled ones were last found to respond.
+	attempts                     map[string]*attemptCounts
+	stalledSinceMs, respondingMs map[string]clock.Millis
 	// confirmedMs is when the entries of the upstreams were last known to be the newest.
 	confirmedMs clock.Millis
 	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
@@ -90,7 +94,8 @@
 		byID: map[string]*Member{}, pools: map[string][]*Member{}, paths: map[string]*netPath{},
 		departed: map[string][]*Member{}, lostParts: partIndex{}, retries: map[string]*retrySchedule{},
 		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
-		brittle: map[string]brittlePool{},
+		brittle: map[string]brittlePool{}, attempts: map[string]*attemptCounts{},
+		stalledSinceMs: map[string]clock.Millis{}, respondingMs: map[string]clock.Millis{},
 	}
 }
 
@@ -119,6 +124,9 @@
 	for _, members := range m.pools {
 		slices.SortFunc(members, func(a, b *Member) int { return strings.Compare(a.ID, b.ID) })
 	}
+	maps.DeleteFunc(m.attempts, func(pool string, _ *attemptCounts) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.stalledSinceMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.respondingMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 }
 
 // departedTTLMs is how long an upstream usually continues to serve after its entry has gone.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -73,6 +73,8 @@
 	withinMs clock.Millis
 	// onRelease returns the permit to the engine's owner; nil if there is none.
 	onRelease func(served bool)
+	// sentMs is when the request was sent, or 0.
+	sentMs clock.Millis
 	// responding is set while the response is being received.
 	responding bool
 	released   bool
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -130,7 +130,8 @@
 }
 
 // CheckBeforeSend returns an error if the request must not be sent once its connection is open: the
-// upstream may have asked for a backoff, or announced that it is draining, since it was picked.
+// upstream may have asked for a backoff, or announced that it is draining, since it was picked. Otherwise it counts the
+// request as sent.
 func (l *Lease) CheckBeforeSend() error {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
@@ -142,6 +143,7 @@
 	case l.signals.backingOff(l.manager.monotonic()):
 		return ErrBackingOff
 	default:
+		l.recordSent(l.manager.monotonic())
 		return nil
 	}
 }
--- /dev/null
+++ b/internal/balance/stalled.go
@@ -0,0 +1,249 @@
+package balance
+
+import (
+	"maps"
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/upstream"
+)
+
+// A path may be stalled: connections to the upstreams of a pool open, but nothing comes back. A slow pool looks the
+// same to one box. So a box that gets no response from a pool for some time asks others how many of their attempts got
+// one that began in the same span. If most did, the pool is stalled for this box, and other boxes serve its requests.
+
+const (
+	// attemptBucketMs and attemptBuckets are the resolution and the length of the counts of attempts.
+	attemptBucketMs clock.Millis = 100
+	attemptBuckets  int64        = 40
+	// minSilentAttempts is how many attempts must have got no response before a box asks others about the pool.
+	minSilentAttempts int = 3
+	// maxStalledProbes is how many upstreams of a stalled pool are probed at once.
+	maxStalledProbes int = 2
+)
+
+// silenceAgesMs are the ages of attempts from which on they should have got a response, for pools of different speeds.
+func silenceAgesMs() []clock.Millis { return []clock.Millis{2000, 1000, maxUpstreamSilenceMs} }
+
+// attemptBucket counts the attempts that began within attemptBucketMs.
+type attemptBucket struct {
+	number            int64
+	started, answered int
+	// upstream is the first upstream that got one, and several is set if others did, too.
+	upstream string
+	several  bool
+}
+
+// attemptCounts counts the attempts at the upstreams of a pool by the time at which they began.
+type attemptCounts struct {
+	buckets [attemptBuckets]attemptBucket
+}
+
+func (c *attemptCounts) bucket(at clock.Millis) *attemptBucket {
+	number := int64(at / attemptBucketMs)
+	b := &c.buckets[number%attemptBuckets]
+	if b.number != number {
+		*b = attemptBucket{number: number}
+	}
+	return b
+}
+
+func (c *attemptCounts) recordStart(id string, at clock.Millis) {
+	b := c.bucket(at)
+	if b.started == 0 {
+		b.upstream = id
+	}
+	b.started++
+	b.several = b.several || b.upstream != id
+}
+
+// recordAnswer counts the response to an attempt that began at a time, unless that is too long ago.
+func (c *attemptCounts) recordAnswer(startedMs clock.Millis) {
+	number := int64(startedMs / attemptBucketMs)
+	if b := &c.buckets[number%attemptBuckets]; b.number == number {
+		b.answered++
+	}
+}
+
+// attemptSpan is the sum of the buckets of a span.
+type attemptSpan struct {
+	firstMs           clock.Millis
+	started, answered int
+	several           bool
+}
+
+// between sums the attempts of the buckets that lie within a span.
+func (c *attemptCounts) between(from, to clock.Millis) attemptSpan {
+	sum, upstream := attemptSpan{}, ""
+	for _, b := range c.buckets {
+		at := clock.Millis(b.number) * attemptBucketMs
+		if b.started == 0 || at < from || at+attemptBucketMs > to {
+			continue
+		}
+		if sum.started == 0 || at < sum.firstMs {
+			sum.firstMs = at
+		}
+		sum.several = sum.several || b.several || upstream != "" && upstream != b.upstream
+		upstream = b.upstream
+		sum.started += b.started
+		sum.answered += b.answered
+	}
+	return sum
+}
+
+// recordSent counts an attempt that is about to be sent.
+func (l *Lease) recordSent(now clock.Millis) {
+	if l.sentMs > 0 {
+		return
+	}
+	l.sentMs = now
+	l.manager.attemptsOf(l.Pool).recordStart(l.ID, now)
+}
+
+// RecordAnswered records that the attempt got a response, whatever its status.
+func (l *Lease) RecordAnswered() {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	if l.sentMs > 0 {
+		l.manager.attemptsOf(l.Pool).recordAnswer(l.sentMs)
+	}
+}
+
+func (m *Manager) attemptsOf(pool string) *attemptCounts {
+	c := m.attempts[pool]
+	if c == nil {
+		c = &attemptCounts{}
+		m.attempts[pool] = c
+	}
+	return c
+}
+
+// SilentPool is a pool that has not responded to any of this box's attempts of a span.
+type SilentPool struct {
+	Pool string
+	// FromMs and ToMs are the ages of the oldest and of the newest attempts.
+	FromMs, ToMs clock.Millis
+	// Attempts is the number of attempts.
+	Attempts int
+}
+
+// SilentPools returns the pools that may be stalled for this box.
+func (m *Manager) SilentPools() []SilentPool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	list := []SilentPool{}
+	for pool, counts := range m.attempts {
+		if _, stalled := m.stalledSinceMs[pool]; stalled || m.unreachable(m.pools[pool], now) {
+			continue
+		}
+		if s, silent := m.silentPool(pool, counts, now); silent {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (m *Manager) silentPool(pool string, counts *attemptCounts, now clock.Millis) (SilentPool, bool) {
+	oldest := now - clock.Millis(attemptBuckets-1)*attemptBucketMs
+	if counts.between(oldest, now).started < minSilentAttempts {
+		return SilentPool{}, false
+	}
+	// An attempt within the bucket of the last response may have begun before it.
+	since := max(oldest, m.lastResponseMs(pool)+attemptBucketMs)
+	for _, age := range silenceAgesMs() {
+		sum := counts.between(since, now-age)
+		if sum.answered == 0 && sum.started >= minSilentAttempts && (sum.several || len(m.pools[pool]) == 1) {
+			return SilentPool{Pool: pool, FromMs: now - sum.firstMs, ToMs: age, Attempts: sum.started}, true
+		}
+	}
+	return SilentPool{}, false
+}
+
+// lastResponseMs returns when this box last received something from an upstream of a pool, or found that the pool
+// responds.
+func (m *Manager) lastResponseMs(pool string) clock.Millis {
+	last := m.respondingMs[pool]
+	for _, member := range m.pools[pool] {
+		last = max(last, clock.Millis(member.lastResponseMs.Load()))
+	}
+	return last
+}
+
+// AttemptsBetween returns how many attempts at a pool's upstreams began within a span of ages, and how many of them
+// have got a response.
+func (m *Manager) AttemptsBetween(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	for name, counts := range m.attempts {
+		if namekey.Of(name) == pool {
+			sum := counts.between(now-fromMs, now-toMs)
+			return sum.started, sum.answered
+		}
+	}
+	return 0, 0
+}
+
+// SetStalled records that a pool is stalled for this box. Requests that may be retried leave it.
+func (m *Manager) SetStalled(pool string) {
+	for _, callback := range m.setStalled(pool) {
+		callback()
+	}
+}
+
+func (m *Manager) setStalled(pool string) (callbacks []func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stalledSinceMs[pool] = m.monotonic()
+	for _, member := range m.pools[pool] {
+		member.client.CloseIdle()
+	}
+	for _, p := range m.paths {
+		for lease, callback := range p.onPartition {
+			if lease.Pool == pool {
+				callbacks = append(callbacks, callback)
+				delete(p.onPartition, lease)
+			}
+		}
+	}
+	return callbacks
+}
+
+// SetResponding records that a pool responds to this box, and reports whether it was stalled.
+func (m *Manager) SetResponding(pool string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, stalled := m.stalledSinceMs[pool]
+	delete(m.stalledSinceMs, pool)
+	m.respondingMs[pool] = m.monotonic()
+	return stalled
+}
+
+// StalledPools returns the pools that are stalled for this box, and since when. A pool that has responded since is not.
+func (m *Manager) StalledPools() map[string]clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.stalledSinceMs, func(pool string, since clock.Millis) bool {
+		return m.lastResponseMs(pool) > since
+	})
+	return maps.Clone(m.stalledSinceMs)
+}
+
+// StalledTargets selects upstreams of a stalled pool to probe.
+func (m *Manager) StalledTargets(pool string) []*upstream.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	members := slices.DeleteFunc(slices.Clone(m.pools[pool]), func(member *Member) bool {
+		return member.unavailable(now)
+	})
+	targets := []*upstream.Client{}
+	for range min(maxStalledProbes, len(members)) {
+		at := m.random(len(members))
+		targets = append(targets, members[at].client)
+		members = slices.Delete(members, at, at+1)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/balance/stalled_test.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+)
+
+// sendTo sends a request to each of some upstreams, and returns the leases.
+func (d *dialed) sendTo(t *testing.T, upstreams int) []*Lease {
+	t.Helper()
+	leases := []*Lease{}
+	tried := []string{}
+	for range upstreams {
+		lease, err := d.Pick(PickRequest{Pool: "p", Tried: tried})
+		require.NoError(t, err)
+		require.NoError(t, lease.CheckBeforeSend())
+		tried = append(tried, lease.ID)
+		leases = append(leases, lease)
+	}
+	return leases
+}
+
+// TestSilentPools guards against taking a pool for silent, or for responding, by other attempts than those of the span.
+func TestSilentPools(t *testing.T) {
+	t.Run("enough attempts at several upstreams got no response for a while", func(t *testing.T) {
+		d := newDialed(6)
+		leases := d.sendTo(t, minSilentAttempts)
+		d.now += maxUpstreamSilenceMs
+		assert.Empty(t, d.SilentPools(), "too early")
+		d.now += 2 * attemptBucketMs
+		want := []SilentPool{{Pool: "p", FromMs: d.now - 1000, ToMs: maxUpstreamSilenceMs, Attempts: minSilentAttempts}}
+		assert.Equal(t, want, d.SilentPools())
+		started, answered := d.AttemptsBetween(namekey.Of("p"), want[0].FromMs, want[0].ToMs)
+		assert.Equal(t, []int{minSilentAttempts, 0}, []int{started, answered})
+		leases[0].RecordAnswered()
+		_, answered = d.AttemptsBetween(namekey.Of("p"), want[0].FromMs, want[0].ToMs)
+		assert.Equal(t, 1, answered)
+		assert.Empty(t, d.SilentPools())
+	})
+	t.Run("attempts at one upstream of several show nothing", func(t *testing.T) {
+		d := newDialed(2)
+		for range minSilentAttempts {
+			lease, err := d.Pick(PickRequest{Pool: "p", Tried: []string{"u0"}})
+			require.NoError(t, err)
+			require.NoError(t, lease.CheckBeforeSend())
+		}
+		d.now += clock.Second
+		assert.Empty(t, d.SilentPools())
+	})
+	t.Run("attempts before a response show nothing", func(t *testing.T) {
+		d := newDialed(6)
+		d.sendTo(t, minSilentAttempts)
+		d.now += attemptBucketMs
+		d.sendTo(t, 1)[0].RecordContact()
+		d.now += clock.Second
+		assert.Empty(t, d.SilentPools())
+	})
+	t.Run("a stalled pool is unreachable until it responds", func(t *testing.T) {
+		d := newDialed(6)
+		leases := d.sendTo(t, minSilentAttempts)
+		left := 0
+		leases[0].OnPartition(func() { left++ })
+		d.now += clock.Second
+		d.SetStalled("p")
+		assert.Equal(t, 1, left, "requests that may be retried leave it")
+		assert.Equal(t, []string{"p"}, d.Unreachable())
+		_, err := d.Pick(PickRequest{Pool: "p"})
+		require.ErrorIs(t, err, ErrPartitioned)
+		assert.Len(t, d.StalledTargets("p"), maxStalledProbes)
+		assert.Empty(t, d.SilentPools(), "it is known to be stalled")
+		d.SetResponding("p")
+		assert.Empty(t, d.Unreachable())
+		assert.Empty(t, d.SilentPools(), "the attempts from before show nothing")
+	})
+	t.Run("a late response ends the stall", func(t *testing.T) {
+		d := newDialed(6)
+		leases := d.sendTo(t, 1)
+		d.SetStalled("p")
+		assert.Len(t, d.StalledPools(), 1)
+		d.now++
+		leases[0].RecordContact()
+		assert.Empty(t, d.StalledPools())
+	})
+	t.Run("attempts are forgotten", func(t *testing.T) {
+		d := newDialed(6)
+		d.sendTo(t, minSilentAttempts)
+		d.now += clock.Millis(attemptBuckets+1) * attemptBucketMs
+		assert.Empty(t, d.SilentPools())
+	})
+}
--- a/internal/balance/unreachable.go
+++ b/internal/balance/unreachable.go
@@ -41,15 +41,15 @@
 }
 
 // unreachable reports whether this box can't reach any of the members that take requests. That is so
-// during a partition, or when all of them have crashed. Connections from before may still work, but have been idle
-// since: a partition may refuse only new ones.
+// during a partition, while their pool is stalled, or when all of them have crashed. Connections from before may still
+// work, but have been idle since: a partition may refuse only new ones.
 func (m *Manager) unreachable(members []*Member, now clock.Millis) bool {
 	available := 0
 	for _, member := range members {
 		if member.unavailable(now) {
 			continue
 		}
-		if !m.failing(member) {
+		if _, stalled := m.stalledSinceMs[member.Pool]; !stalled && !m.failing(member) {
 			return false
 		}
 		available++
--- /dev/null
+++ b/internal/decision/stalled.go
@@ -0,0 +1,34 @@
+package decision
+
+import (
+	"go.uber.org/zap/zapcore"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// PoolStalled is the decision that a pool is stalled for this box: connections open, and nothing comes back.
+type PoolStalled struct {
+	Pool string
+	// Attempts are those of this box that got no response. The oldest began FromMs ago, the newest ToMs.
+	Attempts     int
+	FromMs, ToMs clock.Millis
+	// OthersStarted and OthersAnswered are the attempts of another box in that span, and those that got a response.
+	OthersStarted, OthersAnswered int
+}
+
+// Name implements Event.
+func (PoolStalled) Name() string { return "pool stalled" }
+
+// Routine implements Event.
+func (PoolStalled) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e PoolStalled) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("pool", e.Pool)
+	o.AddInt("unanswered", e.Attempts)
+	o.AddInt64("from_age_ms", int64(e.FromMs))
+	o.AddInt64("to_age_ms", int64(e.ToMs))
+	o.AddInt("others_started", e.OthersStarted)
+	o.AddInt("others_answered", e.OthersAnswered)
+	return nil
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -123,7 +123,7 @@
 			route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 1),
 			route("unsafe2", routing.Unsafe, 2), route("stream", routing.Stream, 1), resumable, public, sticky,
 		},
-		Pools:         []routing.Pool{{Name: "p"}},
+		Pools:         []routing.Pool{{Name: "p", HealthPath: "/health"}},
 		Organisations: []routing.Organisation{{Name: "one", Keys: []string{key}}},
 		Limits:        routing.Limits{MaxBodyBytes: 1 << 20},
 	}
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -30,7 +30,8 @@
 
 // forwarding has other boxes serve the requests whose upstreams this box can't reach.
 type forwarding struct {
-	box *Box
+	box     *Box
+	stalled *stalledPools
 
 	mu sync.Mutex
 	// clients are the connections to other boxes, by address.
@@ -49,7 +50,7 @@
 
 func newForwarding(b *Box) *forwarding {
 	return &forwarding{
-		box: b, clients: map[string]*boxClient{}, avoidUntilMs: map[string]clock.Millis{},
+		box: b, stalled: newStalledPools(b), clients: map[string]*boxClient{}, avoidUntilMs: map[string]clock.Millis{},
 		unreachableSinceMs: map[string]clock.Millis{},
 	}
 }
@@ -117,6 +118,7 @@
 		for _, client := range f.box.balance.ReachabilityProbes() {
 			probing.Go(func() { client.ProbeReachable(ctx) })
 		}
+		f.stalled.check(ctx, &probing)
 		f.recordUnreachable(f.box.balance.Unreachable())
 	})
 }
--- /dev/null
+++ b/internal/gateway/stalled_pools.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/mesh"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/upstream"
+)
+
+const (
+	// stalledCheckIntervalMs is the time between two questions to other boxes about a pool, and between two probes of a
+	// stalled one.
+	stalledCheckIntervalMs clock.Millis = 250
+	// minWitnessAttempts is how many attempts another box must have made, and minWitnessPercent how many of them must
+	// have got a response, for a pool to be stalled for this box only.
+	minWitnessAttempts = 5
+	minWitnessPercent  = 80
+	// unprobedStallMs is how long a pool without health checks counts as stalled. Then requests try it again.
+	unprobedStallMs = 2 * clock.Second
+)
+
+// stalledPools finds the pools to which connections open although nothing comes back. Other boxes tell such a pool from
+// a slow one; health checks tell when it responds again.
+type stalledPools struct {
+	box *Box
+
+	mu sync.Mutex
+	// checkedMs is when a pool was last asked about or probed.
+	checkedMs map[string]clock.Millis
+}
+
+func newStalledPools(b *Box) *stalledPools {
+	return &stalledPools{box: b, checkedMs: map[string]clock.Millis{}}
+}
+
+// check starts the questions and probes that are due.
+func (s *stalledPools) check(ctx context.Context, running *sync.WaitGroup) {
+	for _, silent := range s.box.balance.SilentPools() {
+		if s.isDue(silent.Pool) {
+			running.Go(func() { s.ask(ctx, silent) })
+		}
+	}
+	for pool, since := range s.box.balance.StalledPools() {
+		if s.isDue(pool) {
+			running.Go(func() { s.probe(ctx, pool, since) })
+		}
+	}
+}
+
+func (s *stalledPools) isDue(pool string) bool {
+	now := s.box.clock.Monotonic()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, known := s.checkedMs[pool]; known && now-at < stalledCheckIntervalMs {
+		return false
+	}
+	s.checkedMs[pool] = now
+	return true
+}
+
+// ask asks other boxes about a silent pool, and records that it is stalled if one of them got responses.
+func (s *stalledPools) ask(ctx context.Context, silent balance.SilentPool) {
+	answers := s.box.peering.mesh.AskAttempts(ctx, namekey.Of(silent.Pool), silent.FromMs, silent.ToMs)
+	at := slices.IndexFunc(answers, isWitness)
+	if at < 0 {
+		return
+	}
+	s.box.balance.SetStalled(silent.Pool)
+	s.box.log.Record(decision.PoolStalled{
+		Pool: silent.Pool, Attempts: silent.Attempts, FromMs: silent.FromMs, ToMs: silent.ToMs,
+		OthersStarted: answers[at].Started, OthersAnswered: answers[at].Answered,
+	})
+}
+
+// isWitness reports whether the attempts of another box show that a pool responds.
+func isWitness(a mesh.Attempts) bool {
+	return a.Started >= minWitnessAttempts && percent*a.Answered >= minWitnessPercent*a.Started
+}
+
+// probe sends health checks to upstreams of a stalled pool, and records whether it responds again.
+func (s *stalledPools) probe(ctx context.Context, pool string, since clock.Millis) {
+	path := s.healthPath(pool)
+	if path == "" {
+		if s.box.clock.Monotonic()-since >= unprobedStallMs {
+			s.box.balance.SetResponding(pool)
+		}
+		return
+	}
+	responds := func(c *upstream.Client) bool { return s.responds(ctx, c, path) }
+	if anyOf(s.box.balance.StalledTargets(pool), responds) {
+		s.box.balance.SetResponding(pool)
+	}
+}
+
+func (s *stalledPools) healthPath(pool string) string {
+	if state := s.box.routingState.State(); state != nil {
+		if p := state.Pool(pool); p != nil {
+			return p.HealthPath
+		}
+	}
+	return ""
+}
+
+// responds reports whether an upstream responds to a health check, whatever it says.
+func (s *stalledPools) responds(ctx context.Context, c *upstream.Client, path string) bool {
+	ctx, cancel := s.box.clock.WithTimeout(ctx, stalledCheckIntervalMs)
+	defer cancel()
+	response, err := c.Do(ctx, &upstream.Request{
+		Method: http.MethodGet, Target: path, Host: c.Address(), Header: http.Header{},
+		Matches: func(http.Header) bool { return true },
+	})
+	if err != nil {
+		return false
+	}
+	response.Close()
+	return true
+}
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,38 +121,45 @@
 
 // TestStalledPaths guards against callers that wait at a box whose connections to upstreams open, but pass nothing on.
 func TestStalledPaths(t *testing.T) {
+	all := func(to string) bool { return strings.HasPrefix(to, "u") }
 	for _, c := range []struct {
-		name  string
-		boxes int
-		span  time.Duration
+		name       string
+		boxes      []int
+		upstreams  func(id string) bool
+		healthPath string
+		minSettled float64
 	}{
-		{"of one box", 1, 12 * time.Second},
-		{"of two boxes", 2, 12 * time.Second},
-		{"of most boxes", 4, 12 * time.Second},
+		{"of one box", []int{0}, all, "/health", minSettledShare},
+		{"of two boxes", []int{0, 1}, all, "/health", minSettledShare},
+		{"of a failure domain", []int{0, 3}, all, "/health", minSettledShare},
+		{"of most boxes", []int{0, 1, 2, 3}, all, "/health", minSettledShare},
+		{"of one box, no health checks", []int{0}, all, "", minStalledShare},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
+				state := content(1)
+				state.Pools[0].HealthPath = c.healthPath
+				f.store.setState(t, state)
 				d := newStallDay(f, respondAfter(30))
-				stalled := func(box int) bool { return box < c.boxes }
 				d.sendFor(4 * time.Second)
-				names := []string{}
-				for i := range c.boxes {
-					names = append(names, d.boxes[i].settings.Box)
+				names := map[string]bool{}
+				for _, i := range c.boxes {
+					names[d.boxes[i].settings.Box] = true
 				}
-				f.network.SetStall(fromUpstreams(names...))
-				start := d.sendFor(c.span)
+				f.network.SetStall(func(from, to string) bool { return names[from] && c.upstreams(to) || names[to] && c.upstreams(from) })
+				start := d.sendFor(12 * time.Second)
 				f.network.SetStall(func(string, string) bool { return false })
 				end := d.sendFor(4 * time.Second)
+				stalled := func(box int) bool { return slices.Contains(c.boxes, box) }
 				others := d.share(func(box int) bool { return !stalled(box) }, start, end)
-				all := d.share(stalled, start, end)
-				settled := d.share(stalled, start+stallSettleMs, end)
+				whole, settled := d.share(stalled, start, end), d.share(stalled, start+stallSettleMs, end)
 				after := d.share(stalled, end+clock.Second, end+4*clock.Second)
-				t.Logf("served meanwhile: %.3f at stalled boxes, %.3f from 4 s on, %.3f at others; %.3f after", all, settled, others, after)
-				assert.GreaterOrEqual(t, all, minStalledShare*others)
-				assert.GreaterOrEqual(t, settled, minSettledShare)
+				t.Logf("served meanwhile: %.3f at stalled boxes, %.3f from 4 s on, %.3f at others; %.3f after", whole, settled, others, after)
+				assert.GreaterOrEqual(t, whole, minStalledShare*others)
+				assert.GreaterOrEqual(t, settled, c.minSettled)
 				assert.GreaterOrEqual(t, others, 0.95)
 				assert.GreaterOrEqual(t, after, 0.99)
-				for i := range c.boxes {
+				for _, i := range c.boxes {
 					assert.Empty(t, d.boxes[i].balance.Unreachable(), "box %d serves by itself again", i+1)
 				}
 			})
@@ -158,6 +167,62 @@
 	}
 }
 
+// TestSlowPools guards against taking a slow pool, or a stopped upstream, for a stalled path.
+func TestSlowPools(t *testing.T) {
+	random := rand.New(rand.NewPCG(53, 2))
+	var mu sync.Mutex
+	between := func(from, to int) clock.Millis {
+		mu.Lock()
+		defer mu.Unlock()
+		return clock.Millis(from + random.IntN(to-from))
+	}
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		// stopped is the upstream that accepts connections and answers nobody.
+		stopped string
+	}{
+		{"all responses take 1.5 s", respondAfter(1500), ""},
+		{"all responses take 3 s", respondAfter(3000), ""},
+		{"responses take up to 3 s", func(w http.ResponseWriter, r *http.Request) { respondAfter(between(0, 3000))(w, r) }, ""},
+		{"one in five responses takes 3 s", func(w http.ResponseWriter, r *http.Request) {
+			respondAfter(map[bool]clock.Millis{true: 3000}[between(0, 5) == 0])(w, r)
+		}, ""},
+		{"one upstream is stopped", respondAfter(30), "u1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				log := &logBuffer{}
+				f.out = log
+				d := newStallDay(f, c.handler)
+				f.network.SetStall(func(from, to string) bool { return c.stopped != "" && (from == c.stopped || to == c.stopped) })
+				start := d.sendFor(12 * time.Second)
+				share := d.share(func(int) bool { return true }, start, f.clock.Monotonic())
+				t.Logf("%.3f served", share)
+				assert.Empty(t, withMessage(log.read(t), "pool stalled"))
+				assert.Empty(t, withMessage(log.read(t), "request forwarded"))
+			})
+		})
+	}
+}
+
+// TestAllPathsStalled guards against requests that go from box to box when all boxes have lost their paths.
+func TestAllPathsStalled(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		log := &logBuffer{}
+		f.out = log
+		d := newStallDay(f, respondAfter(30))
+		d.sendFor(2 * time.Second)
+		f.network.SetStall(fromUpstreams("box-1", "box-2", "box-3", "box-4", "box-5", "box-6"))
+		d.sendFor(8 * time.Second)
+		f.network.SetStall(func(string, string) bool { return false })
+		end := d.sendFor(4 * time.Second)
+		after := d.share(func(int) bool { return true }, end+clock.Second, end+4*clock.Second)
+		assert.GreaterOrEqual(t, after, 0.99)
+		t.Logf("%d requests forwarded, %.3f served after", len(withMessage(log.read(t), "request forwarded")), after)
+	})
+}
+
 // respondAfter responds after some milliseconds.
 func respondAfter(ms clock.Millis) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -96,6 +96,7 @@
 	recordPartEvents    func(list []quarantine.PartEvent) (relays bool)
 	recordOrigins       func(list []streams.Record)
 	answerOrigin        func(id streams.ID, pool namekey.Key) streams.Answer
+	attemptsBetween     func(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int)
 	onPeerState         func(a PeerState)
 	random              *rand.Rand
 
@@ -114,7 +115,9 @@
 	sendErrors int64
 
 	pendingPermits permitRequests
-	inquiries      inquiries
+	inquiries      *inquiries[originReply]
+	// attemptInquiries are the questions about pools that may be stalled.
+	attemptInquiries *inquiries[attemptsReply]
 	// permitTimeouts counts permit requests that no owner answered in time.
 	permitTimeouts int64
 	// provisionalPermits counts permits that an owner without a complete count granted.
@@ -156,6 +159,9 @@
 	// knows about a stream and the versions of its pool.
 	RecordOrigins func(list []streams.Record)
 	AnswerOrigin  func(id streams.ID, pool namekey.Key) streams.Answer
+	// AttemptsBetween returns how many attempts of this box at a pool began within a span of ages, and how many of them
+	// have got a response.
+	AttemptsBetween func(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int)
 	// OnPeerState receives the state summary of another box. It must not block.
 	OnPeerState func(a PeerState)
 	Random      *rand.Rand
@@ -172,8 +178,9 @@
 		partEventsSince: d.PartEventsSince, recordPartEvents: d.RecordPartEvents, onPeerState: d.OnPeerState,
 		recordOrigins: d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		random: d.Random, peers: map[string]*peer{},
-		pendingPermits: permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
-		inquiries:      inquiries{nextNumber: d.Random.Uint32(), pending: map[uint32]chan originReply{}},
+		pendingPermits:  permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
+		inquiries:       newInquiries[originReply](d.Random.Uint32()),
+		attemptsBetween: d.AttemptsBetween, attemptInquiries: newInquiries[attemptsReply](d.Random.Uint32()),
 	}
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -25,15 +25,17 @@
 	*Mesh
 	mu               sync.Mutex
 	unreachablePools []namekey.Key
-	stateSummary     StateSummary
-	inFlight         map[namekey.Key]int
-	answers          []PeerState
-	announcements    []prompt.CachedPart
-	received         []prompt.CachedPart
-	stop             context.CancelFunc
-	ledger           *quarantine.Ledger
-	parts            *quarantine.PartLedger
-	origins          *streams.Ledger
+	// questions counts the questions about attempts.
+	questions     int
+	stateSummary  StateSummary
+	inFlight      map[namekey.Key]int
+	answers       []PeerState
+	announcements []prompt.CachedPart
+	received      []prompt.CachedPart
+	stop          context.CancelFunc
+	ledger        *quarantine.Ledger
+	parts         *quarantine.PartLedger
+	origins       *streams.Ledger
 }
 
 // recorded returns the number of streams whose origins the box was told.
@@ -156,6 +158,12 @@
 		AnswerOrigin: func(id streams.ID, _ namekey.Key) streams.Answer {
 			return streams.Answer{Origin: b.origins.Origin(id)}
 		},
+		AttemptsBetween: func(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.questions++
+			return int(fromMs), int(toMs)
+		},
 		Random: rand.New(rand.NewPCG(1, uint64(len(f.boxes)))),
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -30,6 +30,8 @@
 	// originResendMs is the interval at which a question is repeated, as datagrams may get lost. It covers a round trip
 	// between failure domains.
 	originResendMs clock.Millis = 10
+	// maxAsks is how often a box is asked at most.
+	maxAsks = int(originTimeoutMs / originResendMs)
 )
 
 // originMessageKind distinguishes messages about streams. Its values differ from those of permitMessageKind.
@@ -76,36 +78,39 @@
 	return isPermitMessage(data) && len(data) > 1 && data[1] >= byte(originTell)
 }
 
-// inquiries are this box's questions that wait for answers.
-type inquiries struct {
+// inquiries are this box's questions of one kind that wait for answers.
+type inquiries[R any] struct {
 	mu         sync.Mutex
 	nextNumber uint32
-	pending    map[uint32]chan originReply
+	pending    map[uint32]chan R
+}
+
+func newInquiries[R any](firstNumber uint32) *inquiries[R] {
+	return &inquiries[R]{nextNumber: firstNumber, pending: map[uint32]chan R{}}
 }
 
 // start begins a question to a number of boxes.
-func (q *inquiries) start(boxes int) (number uint32, replies chan originReply) {
+func (q *inquiries[R]) start(boxes int) (number uint32, replies chan R) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.nextNumber++
-	// Each box may answer twice, as the question is repeated.
-	replies = make(chan originReply, 2*boxes) //nolint:mnd // See above.
+	replies = make(chan R, maxAsks*boxes)
 	q.pending[q.nextNumber] = replies
 	return q.nextNumber, replies
 }
 
-func (q *inquiries) finish(number uint32) {
+func (q *inquiries[R]) finish(number uint32) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.pending, number)
 }
 
 // resolve delivers an answer to the waiting question. Late and surplus answers are discarded.
-func (q *inquiries) resolve(reply originReply) {
+func (q *inquiries[R]) resolve(number uint32, reply R) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
-	case q.pending[reply.Number] <- reply:
+	case q.pending[number] <- reply:
 	default:
 	}
 }
@@ -134,13 +139,7 @@
 	defer cancel()
 	q := m.newInquiry(id, pool)
 	defer m.inquiries.finish(q.question.Number)
-	resend := make(chan struct{})
-	go m.clock.Every(ctx, originResendMs, func(clock.Millis) {
-		select {
-		case resend <- struct{}{}:
-		case <-ctx.Done():
-		}
-	})
+	resend := m.resends(ctx)
 	q.ask()
 	for len(q.waiting) > 0 && !q.known {
 		select {
@@ -155,6 +154,18 @@
 	return q.answers, m.coversDomains(q.domains)
 }
 
+// resends returns a channel that gets a value each time a question is to be repeated, until the context ends.
+func (m *Mesh) resends(ctx context.Context) <-chan struct{} {
+	resend := make(chan struct{})
+	go m.clock.Every(ctx, originResendMs, func(clock.Millis) {
+		select {
+		case resend <- struct{}{}:
+		case <-ctx.Done():
+		}
+	})
+	return resend
+}
+
 // inquiry is a question about one stream.
 type inquiry struct {
 	mesh     *Mesh
@@ -247,13 +258,15 @@
 	case originAnswer:
 		reply := originReply{from: from.String()}
 		if err = cbor.Unmarshal(data, &reply); err == nil {
-			m.inquiries.resolve(reply)
+			m.inquiries.resolve(reply.Number, reply)
 		}
 	case partTell:
 		var told partsTold
 		if err = cbor.Unmarshal(data, &told); err == nil && m.recordPartEvents(told.Events) {
 			m.BroadcastCrashEvents()
 		}
+	case attemptsAsk, attemptsAnswer:
+		err = m.handleAttemptsMessage(data, from)
 	default:
 		err = ErrInvalid
 	}
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -53,6 +53,7 @@
 		return s.failWithoutResponse(lease, err, context.Cause(ctx))
 	}
 	defer resp.Close()
+	lease.RecordAnswered()
 	s.request.Sent++
 	s.request.Framing = string(resp.Framing())
 	s.handleSignals(lease, resp)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -115,6 +115,8 @@
 	// MaxConnections is the maximum number of connections that one upstream accepts from all
 	// boxes together.
 	MaxConnections int `json:"max_connections"`
+	// HealthPath is the path of health checks, which upstreams answer like other requests, or empty.
+	HealthPath string `json:"health_path,omitempty"`
 	// ColdStartMs is how long an upstream is cold after its start.
 	ColdStartMs clock.Millis `json:"cold_start_ms,omitempty"`
 	// ColdPerSecond is the number of requests a second that a cold upstream bears. 0 sets no limit.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -94,6 +94,9 @@
 	return c
 }
 
+// Address returns the address of the upstream.
+func (c *Client) Address() string { return c.address }
+
 // systemDial opens connections that time out when the peer stops acknowledging data, because a peer
 // that lost power or is behind a network partition never closes them.
 func systemDial(ctx context.Context, network, address string) (net.Conn, error) {
