--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -158,7 +158,7 @@
 		AnswerOrigin: func(id streams.ID, _ namekey.Key) streams.Answer {
 			return streams.Answer{Origin: b.origins.Origin(id)}
 		},
-		AttemptsBetween: func(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int) {
+		AttemptsBetween: func(_ namekey.Key, fromMs, toMs clock.Millis) (started, answered int) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			b.questions++
