fix(balance): an upstream that responds to nothing gets no requests

Change: an upstream with three attempts without a response, the first 0.5 s ago, while four fifths of the attempts at the others got one, is sent a health check. If that gets no response within 0.25 s, it gets no new requests until a later one does. The interval doubles from 0.25 s to 4 s, since many boxes may check the same upstream.

--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -178,5 +178,5 @@
 // usable reports whether a member may receive new requests.
 func (m *Manager) usable(member *Member, now clock.Millis) bool {
 	return !member.unavailable(now) && member.acceptsRequest(now) && !member.unresponsive() &&
-		!m.pathTo(member.FailureDomain).partitioned
+		!member.silence.stalled && !m.pathTo(member.FailureDomain).partitioned
 }
--- a/internal/balance/skipped.go
+++ b/internal/balance/skipped.go
@@ -36,6 +36,8 @@
 	SkipEjected SkipReason = "ejected"
 	// SkipDomainUnreachable means that the path to its failure domain is partitioned.
 	SkipDomainUnreachable SkipReason = "failure domain unreachable"
+	// SkipStalled means that the engine accepts connections and does not respond.
+	SkipStalled SkipReason = "stalled"
 	// SkipSpread means that the session is spread over several engines and another one of them was
 	// chosen.
 	SkipSpread SkipReason = "one of several for a popular session"
@@ -73,6 +75,8 @@
 		return SkipDomainUnreachable
 	case m.coldDelayMs(member, now) > 0:
 		return SkipCold
+	case member.silence.stalled:
+		return SkipStalled
 	case !member.acceptsRequest(now):
 		return SkipEjected
 	default:
--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -98,6 +98,7 @@
 		return
 	}
 	l.sentMs = now
+	l.silence.recordSent(now)
 	l.manager.attemptsOf(l.Pool).recordStart(l.ID, now)
 }
 
@@ -105,6 +106,7 @@
 func (l *Lease) RecordAnswered() {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
+	l.silence = memberSilence{}
 	if l.sentMs > 0 {
 		l.manager.attemptsOf(l.Pool).recordAnswer(l.sentMs)
 	}
--- a/internal/balance/stalled_test.go
+++ b/internal/balance/stalled_test.go
@@ -93,3 +93,73 @@
 		assert.Empty(t, d.SilentPools())
 	})
 }
+
+// TestSilentMembers guards against requests that wait at an upstream which responds to nothing, and against leaving out
+// one that is only slow.
+func TestSilentMembers(t *testing.T) {
+	// silent sends requests to u0, which responds to none, and to the others, which respond if othersRespond is set.
+	silent := func(t *testing.T, othersRespond bool) *dialed {
+		t.Helper()
+		d := newDialed(6)
+		for range 2 * minAnsweredByOthers {
+			for _, lease := range d.sendTo(t, 6) {
+				if lease.ID != "u0" && othersRespond {
+					lease.RecordAnswered()
+				}
+				lease.Release(Neutral)
+			}
+			d.now += attemptBucketMs
+		}
+		return d
+	}
+	ids := func(list []SilentMember) []string {
+		names := []string{}
+		for _, s := range list {
+			names = append(names, s.ID)
+		}
+		return names
+	}
+	t.Run("one that does not respond to a health check gets no requests until it does", func(t *testing.T) {
+		d := silent(t, true)
+		due := d.SilentMembers()
+		require.Equal(t, []string{"u0"}, ids(due))
+		assert.Empty(t, d.SilentMembers(), "one check at a time")
+		assert.Contains(t, firstPicks(t, d), "u0", "it may be slow")
+		assert.True(t, d.RecordHealthCheck(due[0], false))
+		assert.NotContains(t, firstPicks(t, d), "u0")
+		d.now += memberCheckIntervalMs
+		assert.Empty(t, d.SilentMembers(), "the interval doubles")
+		d.now += memberCheckIntervalMs
+		due = d.SilentMembers()
+		require.Equal(t, []string{"u0"}, ids(due))
+		assert.False(t, d.RecordHealthCheck(due[0], false))
+		assert.True(t, d.RecordHealthCheck(due[0], true))
+		assert.Contains(t, firstPicks(t, d), "u0")
+	})
+	t.Run("one that responds to the health check stays", func(t *testing.T) {
+		d := silent(t, true)
+		assert.False(t, d.RecordHealthCheck(d.SilentMembers()[0], true))
+		assert.Contains(t, firstPicks(t, d), "u0")
+		assert.Empty(t, d.SilentMembers())
+	})
+	t.Run("no upstream of a pool that is slow is checked", func(t *testing.T) {
+		assert.Empty(t, silent(t, false).SilentMembers())
+	})
+}
+
+// firstPicks returns the upstreams that requests are sent to while all have the same load.
+func firstPicks(t *testing.T, d *dialed) []string {
+	t.Helper()
+	picked := []string{}
+	leases := []*Lease{}
+	for range 6 {
+		lease, err := d.Pick(PickRequest{Pool: "p"})
+		require.NoError(t, err)
+		picked = append(picked, lease.ID)
+		leases = append(leases, lease)
+	}
+	for _, lease := range leases {
+		lease.Release(Neutral)
+	}
+	return picked
+}
--- a/internal/decision/stalled.go
+++ b/internal/decision/stalled.go
@@ -32,3 +32,35 @@
 	o.AddInt("others_answered", e.OthersAnswered)
 	return nil
 }
+
+// UpstreamStalled records that an upstream gets no new requests because it responds neither to some nor to a health
+// check, or that it responds again.
+type UpstreamStalled struct {
+	Upstream string
+	Pool     string
+	// Unanswered is the number of attempts that got no response, the first one SilentMs ago.
+	Unanswered int
+	SilentMs   clock.Millis
+	// Responds is set if it responds again.
+	Responds bool
+}
+
+// Name implements Event.
+func (e UpstreamStalled) Name() string {
+	if e.Responds {
+		return "upstream responds again"
+	}
+	return "upstream stalled"
+}
+
+// Routine implements Event.
+func (UpstreamStalled) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e UpstreamStalled) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("upstream", e.Upstream)
+	o.AddString("pool", e.Pool)
+	o.AddInt("unanswered", e.Unanswered)
+	o.AddInt64("silent_ms", int64(e.SilentMs))
+	return nil
+}
--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -26,8 +26,9 @@
 	unprobedStallMs = 2 * clock.Second
 )
 
-// stalledPools finds the pools to which connections open although nothing comes back. Other boxes tell such a pool from
-// a slow one; health checks tell when it responds again.
+// stalledPools finds the pools and single upstreams to which connections open although nothing comes back. Other boxes
+// tell such a pool from a slow one, and a health check such an upstream. Health checks also tell when they respond
+// again.
 type stalledPools struct {
 	box *Box
 
@@ -47,6 +48,11 @@
 			running.Go(func() { s.ask(ctx, silent) })
 		}
 	}
+	for _, silent := range s.box.balance.SilentMembers() {
+		if path := s.healthPath(silent.Pool); path != "" {
+			running.Go(func() { s.checkMember(ctx, silent, path) })
+		}
+	}
 	for pool, since := range s.box.balance.StalledPools() {
 		if s.isDue(pool) {
 			running.Go(func() { s.probe(ctx, pool, since) })
@@ -108,6 +114,17 @@
 	return ""
 }
 
+// checkMember sends a health check to an upstream that doesn't respond, and records whether it is stalled.
+func (s *stalledPools) checkMember(ctx context.Context, silent balance.SilentMember, path string) {
+	responded := s.responds(ctx, silent.Client, path)
+	if ctx.Err() == nil && s.box.balance.RecordHealthCheck(silent, responded) {
+		s.box.log.Record(decision.UpstreamStalled{
+			Upstream: silent.ID, Pool: silent.Pool, Unanswered: silent.Unanswered, SilentMs: silent.SinceMs,
+			Responds: responded,
+		})
+	}
+}
+
 // responds reports whether an upstream responds to a health check, whatever it says.
 func (s *stalledPools) responds(ctx context.Context, c *upstream.Client, path string) bool {
 	ctx, cancel := s.box.clock.WithTimeout(ctx, stalledCheckIntervalMs)
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -121,6 +121,7 @@
 
 // TestStalledPaths guards against callers that wait at a box whose connections to upstreams open, but pass nothing on.
 func TestStalledPaths(t *testing.T) {
+	half := func(to string) bool { return slices.Contains([]string{"u0", "u3", "u5", "u6", "u8", "u10"}, to) }
 	all := func(to string) bool { return strings.HasPrefix(to, "u") }
 	for _, c := range []struct {
 		name       string
@@ -133,6 +134,7 @@
 		{"of two boxes", []int{0, 1}, all, "/health", minSettledShare},
 		{"of a failure domain", []int{0, 3}, all, "/health", minSettledShare},
 		{"of most boxes", []int{0, 1, 2, 3}, all, "/health", minSettledShare},
+		{"of one box to half of the upstreams", []int{0}, half, "/health", minSettledShare},
 		{"of one box, no health checks", []int{0}, all, "", minStalledShare},
 	} {
 		t.Run(c.name, func(t *testing.T) {
