fix(forward): headers that Connection lists stay on their connection, both ways

Cause: each Connection line was taken for one name, and responses were not looked at.

Responses with status 0 or as streams relayed none of them before either.

--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"go.opentelemetry.io/otel/propagation"
 
@@ -117,11 +119,14 @@
 	"Traceparent": true, "Tracestate": true,
 }
 
-// copyHeader copies all headers except droppedHeaders and those that Connection lists as hop-by-hop.
+// copyHeader copies the headers of a request or response except droppedHeaders and those that Connection lists as
+// hop-by-hop.
 func copyHeader(target, source http.Header) {
 	hopByHop := map[string]bool{}
-	for _, value := range source.Values("Connection") {
-		hopByHop[http.CanonicalHeaderKey(value)] = true
+	for _, list := range source.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			hopByHop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
 	}
 	for name, values := range source {
 		if !droppedHeaders[name] && !hopByHop[name] {
@@ -210,12 +215,9 @@
 
 // setResponseHeaders sets the headers of the response to the caller.
 func (p *Pipe) setResponseHeaders(x *exchange.Exchange, lease *pool.Lease, response *http.Response) {
-	header := x.Writer.Header()
-	for name, values := range response.Header {
-		if !droppedHeaders[name] && !internalHeaders[name] {
-			header[name] = values
-		}
-	}
+	header, relayed := x.Writer.Header(), response.Header.Clone()
+	maps.DeleteFunc(relayed, func(name string, _ []string) bool { return internalHeaders[name] })
+	copyHeader(header, relayed)
 	header.Set(exchange.HeaderUpstream, lease.Row.Name)
 	header.Set(exchange.HeaderAttempts, strconv.Itoa(x.Attempts))
 	x.SetOutcomeHeaders()
--- a/internal/pipe/forward/unframed_test.go
+++ b/internal/pipe/forward/unframed_test.go
@@ -30,7 +30,9 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t unframedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	header := http.Header{"Content-Type": {t.contentType}}
+	header := http.Header{
+		"Content-Type": {t.contentType}, "Connection": {"close, x-for-this-hop"}, "X-For-This-Hop": {"1"},
+	}
 	header.Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: -1, Body: io.NopCloser(t.body), Request: r}, nil
 }
@@ -77,12 +79,14 @@
 			})
 			pipe.Default(&config.Router{})
 			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
-			x := exchange.New(t.Context(), "id", httptest.NewRecorder(), request, c.kind, 0)
+			caller := httptest.NewRecorder()
+			x := exchange.New(t.Context(), "id", caller, request, c.kind, 0)
 			x.Organisation, x.Deadline = &table.Organisation{Name: "o"}, 1<<60
 			x.Lease = pool.NewRemoteLease("u", "127.0.0.1:1", nil, func(bool) {})
 			_ = pipe.Run(x)
 			assert.Equal(t, c.outcome, x.Outcome)
 			assert.Equal(t, c.status, x.Writer.Status())
+			assert.NotContains(t, caller.Header(), "X-For-This-Hop")
 		})
 	}
 }
