fix(lease): a released lease stays released

What could happen: a box that had given up the lease acted under it again for up to a second, beside its successor.

Cause: the keeper took each record of its own that changed the end of the lease for a renewal, also its release, and a renewal that it had appended before the release and read after it.

Change: from the decision to release on, nothing but a new acquisition (another fencing token) makes the keeper hold the lease.

TestKeeperRelease fails twice before (held after a late renewal, and after the release), and passes now. Orders under the lease carry the token, so an order of the old holder was refused at the table; that part was not at risk and is unchanged.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -41,6 +41,8 @@
 	// heldUntilMs is the end of this box's lease by its own clock. It is counted from before the
 	// append that acquired or renewed the lease, and reduced by clockMarginMs.
 	heldUntilMs clock.Millis
+	// released is set once this box has decided to release the lease. Renewals from before must not prolong it.
+	released bool
 	// lastAppendMs is the time of the latest attempt to append a record.
 	lastAppendMs clock.Millis
 	// sinceMs is when this box first held the lease under the current token.
@@ -89,7 +91,10 @@
 		return
 	}
 	if k.state.token != before.token {
-		k.sinceMs = k.clock.Now()
+		k.sinceMs, k.released = k.clock.Now(), false
+	}
+	if k.released || r.Action == Release {
+		return
 	}
 	k.heldUntilMs = r.RequestedMs + DurationMs - clockMarginMs
 }
@@ -124,7 +129,7 @@
 	holds := k.state.holder == k.holder && now < k.heldUntilMs
 	switch {
 	case holds && !wants:
-		k.heldUntilMs = 0
+		k.heldUntilMs, k.released = 0, true
 		return Release, true
 	case holds:
 		return Renew, now >= k.lastAppendMs+renewIntervalMs
