fix(forward): the HTTP client never resends a request without a body

What could happen at dooryard-router: a GET, HEAD, OPTIONS or TRACE ran twice, out of sight of the retry budget, the count of attempts and the lines.

Cause: net/http sends a request again when a connection that it reuses breaks, if the request has no body and such a method. The body of other requests is hidden from it (onceReader), but an empty one was replaced by http.NoBody.

Change: requests with these methods keep the reader that can't be rewound; the client finds it empty and sends no header for a body. TRACE, for which it would send one, gets a connection of its own.

TestRequestIsSentOnce: GET, HEAD, OPTIONS and TRACE reached the server twice before, each request reaches it once now, and none has a framing header.

--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -78,7 +78,7 @@
 	}
 	request.ContentLength = int64(len(x.Body))
 	if len(x.Body) == 0 {
-		request.Body = http.NoBody
+		withoutBody(request)
 	}
 	copyHeader(request.Header, x.Request.Header)
 	p.setRouterHeaders(ctx, request.Header, x)
@@ -88,6 +88,19 @@
 	return request, nil
 }
 
+// withoutBody marks a request as having no body, and prevents the HTTP client from resending it. The client resends
+// requests of some methods with http.NoBody when a reused connection breaks.
+func withoutBody(request *http.Request) {
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		// For these methods the client finds out that the body is empty, and sends no header for it.
+	case http.MethodTrace:
+		request.Body, request.Close = http.NoBody, true
+	default:
+		request.Body = http.NoBody
+	}
+}
+
 // onceReader hides the type of the reader, so that the HTTP client can't rewind it.
 type onceReader struct{ io.Reader }
 
--- a/internal/pipe/forward/send_test.go
+++ b/internal/pipe/forward/send_test.go
@@ -1,10 +1,21 @@
 package forward
 
 import (
+	"bytes"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/pool"
+	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/transport"
 )
 
 // TestCopyHeader guards against forwarding headers that the sender meant for this connection only.
@@ -23,3 +34,54 @@
 		})
 	}
 }
+
+// TestRequestIsSentOnce guards against a request that the HTTP client sends again when a connection that it reuses breaks.
+func TestRequestIsSentOnce(t *testing.T) {
+	for _, c := range []struct{ method, body string }{
+		{http.MethodGet, ""},
+		{http.MethodHead, ""},
+		{http.MethodOptions, ""},
+		{http.MethodTrace, ""},
+		{http.MethodDelete, ""},
+		{http.MethodPost, ""},
+		{http.MethodPost, "x"},
+	} {
+		t.Run(c.method+" "+c.body, func(t *testing.T) {
+			var breaks atomic.Bool
+			var received atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !breaks.Load() {
+					return
+				}
+				received.Add(1)
+				assert.Empty(t, r.TransferEncoding, "the framing of the body")
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if assert.NoError(t, err) {
+					_ = conn.Close()
+				}
+			}))
+			defer server.Close()
+			p := New(Dependencies{
+				Transport: transport.New(transport.Settings{ConnectTimeoutMs: 1000, MaxIdlePerHost: 1}),
+				Tracer:    noop.NewTracerProvider().Tracer(""), Clock: clock.New(),
+			})
+			send := func() error {
+				incoming := httptest.NewRequestWithContext(t.Context(), c.method, "/", bytes.NewBufferString(c.body))
+				x := exchange.New(t.Context(), "id", httptest.NewRecorder(), incoming, exchange.Service, 0)
+				x.Organisation, x.Body, x.IdempotencyKey = &table.Organisation{Name: "o"}, []byte(c.body), "key"
+				lease := pool.NewRemoteLease("u", server.Listener.Addr().String(), nil, func(bool) {})
+				request, err := p.request(t.Context(), x, lease)
+				require.NoError(t, err)
+				response, err := p.client.Do(request)
+				if err == nil {
+					err = response.Body.Close()
+				}
+				return err
+			}
+			require.NoError(t, send())
+			breaks.Store(true)
+			require.Error(t, send())
+			assert.EqualValues(t, 1, received.Load())
+		})
+	}
+}
