fix(upstream): a response is read although the request was written in part

Cause: an error of a write that had sent some bytes ended the attempt as broken, although a response may have arrived before.

Change: after such an error the response is read; without one the attempt is broken as before, with the error of the write.

TestPartialWrite fails in its three subtests before (short and long requests, long header) and passes now.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -222,6 +224,48 @@
 	})
 }
 
+// TestPartialWrite guards against a response that is lost because the upstream sent it before it had read the whole
+// request.
+func TestPartialWrite(t *testing.T) {
+	reset := errors.New("connection reset")
+	for name, size := range map[string]int{"a short request": 10, "a long request": 3 * maxInlineBytes, "a long header": 0} {
+		t.Run(name, func(t *testing.T) {
+			send := func(response string) (string, error) {
+				conn := partialConn{response: strings.NewReader(response), err: reset}
+				c := New("127.0.0.1:1", clock.New().Monotonic, WithDial(
+					func(context.Context, string, string) (net.Conn, error) { return conn, nil }))
+				r := request("1")
+				r.Body = bytes.Repeat([]byte("x"), size)
+				if size == 0 {
+					r.Header.Set("X-Long", strings.Repeat("x", 2*maxInlineBytes))
+				}
+				return readAll(t, c, r)
+			}
+			body, err := send(okResponse("1", "one"))
+			require.NoError(t, err)
+			assert.Equal(t, "one", body)
+			_, err = send("")
+			require.ErrorIs(t, err, ErrBroken)
+			assert.False(t, NothingSent(err))
+		})
+	}
+}
+
+// partialConn sends a part of each write, and has received a response.
+type partialConn struct {
+	net.Conn
+	response *strings.Reader
+	err      error
+}
+
+func (c partialConn) Write(data []byte) (int, error) { return len(data) / 2, c.err }
+
+func (c partialConn) Read(part []byte) (int, error) { return c.response.Read(part) }
+
+func (partialConn) Close() error { return nil }
+
+func (partialConn) SetDeadline(time.Time) error { return nil }
+
 // brokenConn fails each write before any byte is sent.
 type brokenConn struct {
 	net.Conn
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -70,10 +70,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if err := rt.send(head); err != nil {
-		return nil, err
+	sendErr := rt.send(head)
+	if errors.Is(sendErr, ErrNotSent) {
+		return nil, sendErr
 	}
-	return rt.receive()
+	// After a partial write there may be a response, from an upstream that has not read the whole request.
+	response, err := rt.receive()
+	if err != nil && sendErr != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBroken, sendErr)
+	}
+	return response, err
 }
 
 // send writes the request. A long body is written concurrently with reading the response, because
@@ -82,10 +88,10 @@
 	if len(head)+len(rt.request.Body) <= maxInlineBytes {
 		n, err := rt.conn.Write(append(head, rt.request.Body...))
 		rt.written.Store(err == nil)
-		return rt.sendError(n, err)
+		return sendError(n, err)
 	}
 	if n, err := rt.conn.Write(head); err != nil {
-		return rt.sendError(n, err)
+		return sendError(n, err)
 	}
 	go func() {
 		_, err := rt.conn.Write(rt.request.Body)
@@ -96,18 +102,13 @@
 	return nil
 }
 
-// sendError classifies a write error. Only a write of zero bytes proves that nothing was sent.
-// After a partial write the error wraps ErrBroken, because the upstream may have run the request or
-// even responded before it closed the connection.
-func (rt *roundTrip) sendError(n int, err error) error {
-	switch {
-	case err == nil:
-		return nil
-	case n == 0:
+// sendError classifies a write error. Only a write of zero bytes proves that nothing was sent, so the error wraps
+// ErrNotSent then.
+func sendError(n int, err error) error {
+	if err != nil && n == 0 {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
-	default:
-		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	return err
 }
 
 // receive reads the header of the response. It skips interim (1xx) responses except 101, and at most
