fix(receive): bodies count against the memory limit while they are read

What could happen at dooryard-gateway: callers that declare long bodies and send them slowly held memory that nothing counted: 4,000 connections times the operators' longest body, of which a buffer was allocated before its first byte came, on a box of some hundred MB.

Cause: the limit was checked before a body was read and the body counted after it, and a buffer of the declared length was allocated at once.

Change: a buffer's bytes count before it is allocated. A request longer than what is left is refused before it is read, as before.

--- a/internal/pipe/receive/receive.go
+++ b/internal/pipe/receive/receive.go
@@ -3,10 +3,7 @@
 package receive
 
 import (
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -24,9 +21,8 @@
 	bufferedBytes    atomic.Int64
 }
 
-// New returns the step. The maxBufferedBytes argument limits the total size of the bodies that the box
-// buffers at once. The limit is checked before a body is read, and the body is counted only after
-// that, so bodies that are still being read are not part of the total. The clock is monotonic.
+// New returns the step. The maxBufferedBytes argument limits the total size of the buffers of all bodies that the box
+// holds or reads. The clock is monotonic.
 func New(maxBufferedBytes int64, monotonic func() clock.Millis) *Pipe {
 	return &Pipe{maxBufferedBytes: maxBufferedBytes, monotonic: monotonic}
 }
@@ -47,7 +43,7 @@
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxFull, boxFullRetryMs, nil)
 	}
 	r.Writer.SetReadTimeout(max(1, r.RemainingMs(p.monotonic())).Duration())
-	body, err := readBody(r, limit)
+	body, err := p.readBody(r, limit)
 	if err != nil {
 		// The read deadline stays in place, so that the server does not wait for the rest of the body.
 		return err
@@ -55,7 +51,6 @@
 	r.Writer.SetReadTimeout(0)
 	r.Body = body
 	r.ComputeFingerprint()
-	p.bufferedBytes.Add(int64(len(body)))
 	return nil
 }
 
@@ -74,33 +69,4 @@
 }
 
 // Done subtracts the body, which Run counted, from the total of the buffered bodies.
-func (p *Pipe) Done(r *opaque.Request) { p.bufferedBytes.Add(-int64(len(r.Body))) }
-
-func readBody(r *opaque.Request, limit int64) ([]byte, error) {
-	if r.HTTP.ContentLength == 0 {
-		return nil, nil
-	}
-	source := io.Reader(r.HTTP.Body)
-	if limit > 0 {
-		source = http.MaxBytesReader(r.Writer, r.HTTP.Body, limit)
-	}
-	var body []byte
-	var err error
-	if length := r.HTTP.ContentLength; length > 0 {
-		body = make([]byte, length)
-		_, err = io.ReadFull(source, body)
-	} else {
-		body, err = io.ReadAll(source)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, opaque.NewRefusal(http.StatusRequestEntityTooLarge, opaque.BodyTooLarge, 0, err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, opaque.NewRefusal(http.StatusRequestTimeout, opaque.BodyTimeout, 0, err)
-	default:
-		return nil, opaque.NewRefusal(http.StatusBadRequest, opaque.BodyIncomplete, 0, err)
-	}
-}
+func (p *Pipe) Done(r *opaque.Request) { p.release(r.Body) }
