refactor(decision): quarantine events share their form, in a file of their own

The names of the sources stand once. No line changes: the tests that read them (internal/why, internal/gateway) pass unchanged. A comment in routebench names the simulation for what it is.

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -38,6 +38,12 @@
 	maxUncertainAgeMs = clock.Second
 )
 
+// Sources of crash reports, in logs.
+const (
+	thisBox    = "this box"
+	anotherBox = "another box"
+)
+
 // suspect is a request that may have crashed an upstream.
 type suspect struct {
 	fingerprint quarantine.Fingerprint
@@ -274,7 +280,7 @@
 		urgent = urgent || d.box.origins.isMixed(s.upstream.Pool)
 		if d.box.quarantine.RecordCrash(s.fingerprint, s.upstream.Key()) {
 			urgent = true
-			d.logQuarantined(s.fingerprint, "this box")
+			d.logQuarantined(s.fingerprint, thisBox)
 		}
 	}
 	d.box.metrics.UpstreamCrashed()
@@ -322,7 +328,9 @@
 // success shows that an upstream has begun to write a response on the parts of the prompt.
 func (d *crashDetector) handleAnswer(fingerprint quarantine.Fingerprint, parts quarantine.Parts, status int) {
 	if d.box.quarantine.RecordAnswer(fingerprint) {
-		d.box.log.Record(decision.Quarantined{Fingerprint: fingerprint.String(), Source: "this box"})
+		d.box.log.Record(decision.Quarantined{
+			Fingerprint: fingerprint.String(), Quarantine: decision.Quarantine{Source: thisBox},
+		})
 	}
 	if status >= http.StatusOK && status < http.StatusMultipleChoices {
 		d.recordPartAnswer(parts)
@@ -331,7 +339,7 @@
 
 // recordFromPeer processes crashes that another box reported.
 func (d *crashDetector) recordFromPeer(list []quarantine.CrashEvent) {
-	d.recordFrom("another box", list, d.box.peering.mesh.IsLarge())
+	d.recordFrom(anotherBox, list, d.box.peering.mesh.IsLarge())
 }
 
 // recordFrom processes crashes from a source. If relay is set, this box passes each of them on to others.
@@ -347,8 +355,10 @@
 
 func (d *crashDetector) logQuarantined(fingerprint quarantine.Fingerprint, source string) {
 	d.box.log.Record(decision.Quarantined{
-		Fingerprint: fingerprint.String(), Upstreams: d.box.quarantine.Settings().MinCrashes,
-		HoldMs: d.box.quarantine.QuarantineRemainingMs(fingerprint), Source: source,
+		Fingerprint: fingerprint.String(), Quarantine: decision.Quarantine{
+			Upstreams: d.box.quarantine.Settings().MinCrashes, HoldMs: d.box.quarantine.QuarantineRemainingMs(fingerprint),
+			Source: source,
+		},
 	})
 }
 
--- a/internal/gateway/part_crashes.go
+++ b/internal/gateway/part_crashes.go
@@ -20,7 +20,7 @@
 	for crashed, requests := range uses {
 		report := d.box.parts.RecordCrash(crashed, requests, m.IsLarge())
 		m.TellPartOwners(report.First)
-		d.logPartsQuarantined(report.Quarantined, "this box")
+		d.logPartsQuarantined(report.Quarantined, thisBox)
 		urgent = urgent || report.Urgent
 	}
 	return urgent
@@ -31,7 +31,9 @@
 func (d *crashDetector) recordPartAnswer(parts quarantine.Parts) {
 	released := d.box.parts.RecordAnswer(parts)
 	for _, key := range released {
-		d.box.log.Record(decision.PartQuarantined{Part: key.String(), Source: "this box"})
+		d.box.log.Record(decision.PartQuarantined{
+			Part: key.String(), Quarantine: decision.Quarantine{Source: thisBox},
+		})
 	}
 	if len(released) > 0 {
 		d.box.peering.mesh.BroadcastCrashEvents()
@@ -41,7 +43,7 @@
 // recordPartsFromPeer processes crashes by parts of prompts that another box reported. It reports whether this box
 // relays any of them.
 func (d *crashDetector) recordPartsFromPeer(list []quarantine.PartEvent) (relays bool) {
-	return d.recordPartsFrom("another box", list)
+	return d.recordPartsFrom(anotherBox, list)
 }
 
 // recordPartsFrom processes crashes by parts of prompts from a source. It reports whether this box relays any of them.
@@ -55,7 +57,9 @@
 	settings := d.box.quarantine.Settings()
 	for _, key := range parts {
 		d.box.log.Record(decision.PartQuarantined{
-			Part: key.String(), Upstreams: settings.MinCrashes, HoldMs: settings.FirstPartHoldMs(), Source: source,
+			Part: key.String(), Quarantine: decision.Quarantine{
+				Upstreams: settings.MinCrashes, HoldMs: settings.FirstPartHoldMs(), Source: source,
+			},
 		})
 	}
 }
--- a/internal/routebench/scenarios.go
+++ b/internal/routebench/scenarios.go
@@ -2,7 +2,7 @@
 
 import "dooryard.example/dooryard/internal/clock"
 
-// Scenarios returns the benchmark scenarios with the given seed.
+// Scenarios returns the scenarios of the simulation with the given seed.
 func Scenarios(seed uint64) []Scenario {
 	base := Scenario{
 		Seed: seed, Boxes: 9, Engines: 40, Mean: 8, SessionsPerEngine: 120, CacheSessions: 100,
