fix(gateway): witnesses of a stalled pool count together, and a suspension isn't silence

And a box that was suspended took its pool for stalled when it resumed (20.093 s: 15 attempts of the 3.7 s of its suspension).

Cause: one box alone had to show five attempts; at three requests a second none had. And attempts of before a suspension counted.

Change: the attempts of the asked boxes that got any response add up; those that got none may be stalled themselves. When the process resumes it forgets what it knew about silence.

Slow pools: still never taken for stalled.

--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -223,6 +223,20 @@
 	return stalled
 }
 
+// ForgetSilence discards what this box knows about silent pools and upstreams. Call it when the process resumes after a
+// suspension, in which it could receive nothing.
+func (m *Manager) ForgetSilence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	for pool := range m.attempts {
+		m.respondingMs[pool] = now
+	}
+	for _, member := range m.byID {
+		member.silence.unanswered = 0
+	}
+}
+
 // StalledPools returns the pools that are stalled for this box, and since when. A pool that has responded since is not.
 func (m *Manager) StalledPools() map[string]clock.Millis {
 	m.mu.Lock()
--- a/internal/balance/stalled_test.go
+++ b/internal/balance/stalled_test.go
@@ -86,6 +86,13 @@
 		leases[0].RecordContact()
 		assert.Empty(t, d.StalledPools())
 	})
+	t.Run("attempts before a suspension of this process show nothing", func(t *testing.T) {
+		d := newDialed(6)
+		d.sendTo(t, minSilentAttempts)
+		d.now += clock.Second
+		d.ForgetSilence()
+		assert.Empty(t, d.SilentPools())
+	})
 	t.Run("attempts are forgotten", func(t *testing.T) {
 		d := newDialed(6)
 		d.sendTo(t, minSilentAttempts)
@@ -142,6 +149,11 @@
 		assert.Contains(t, firstPicks(t, d), "u0")
 		assert.Empty(t, d.SilentMembers())
 	})
+	t.Run("none is checked for attempts before a suspension of this process", func(t *testing.T) {
+		d := silent(t, true)
+		d.ForgetSilence()
+		assert.Empty(t, d.SilentMembers())
+	})
 	t.Run("no upstream of a pool that is slow is checked", func(t *testing.T) {
 		assert.Empty(t, silent(t, false).SilentMembers())
 	})
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -115,6 +115,7 @@
 	var probing sync.WaitGroup
 	defer probing.Wait()
 	f.box.clock.Every(ctx, reachabilityIntervalMs, func(clock.Millis) {
+		f.box.pauseDetector.check()
 		for _, client := range f.box.balance.ReachabilityProbes() {
 			probing.Go(func() { client.ProbeReachable(ctx) })
 		}
--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -48,6 +48,7 @@
 		return
 	}
 	p.resumedMs.Store(int64(now))
+	p.box.balance.ForgetSilence()
 	p.box.peering.mesh.AddPause(pause)
 	p.box.clock.Resumed()
 }
--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 
 	"dooryard.example/dooryard/internal/balance"
@@ -18,8 +17,8 @@
 	// stalledCheckIntervalMs is the time between two questions to other boxes about a pool, and between two probes of a
 	// stalled one.
 	stalledCheckIntervalMs clock.Millis = 250
-	// minWitnessAttempts is how many attempts another box must have made, and minWitnessPercent how many of them must
-	// have got a response, for a pool to be stalled for this box only.
+	// minWitnessAttempts is how many attempts other boxes must have made, and minWitnessPercent how many of them must
+	// have got a response, for a pool to be stalled for this box.
 	minWitnessAttempts = 5
 	minWitnessPercent  = 80
 	// unprobedStallMs is how long a pool without health checks counts as stalled. Then requests try it again.
@@ -71,23 +70,29 @@
 	return true
 }
 
-// ask asks other boxes about a silent pool, and records that it is stalled if one of them got responses.
+// ask asks other boxes about a silent pool, and records that it is stalled if they got responses.
 func (s *stalledPools) ask(ctx context.Context, silent balance.SilentPool) {
-	answers := s.box.peering.mesh.AskAttempts(ctx, namekey.Of(silent.Pool), silent.FromMs, silent.ToMs)
-	at := slices.IndexFunc(answers, isWitness)
-	if at < 0 {
+	others := sumOfWitnesses(s.box.peering.mesh.AskAttempts(ctx, namekey.Of(silent.Pool), silent.FromMs, silent.ToMs))
+	if others.Started < minWitnessAttempts || percent*others.Answered < minWitnessPercent*others.Started {
 		return
 	}
 	s.box.balance.SetStalled(silent.Pool)
 	s.box.log.Record(decision.PoolStalled{
 		Pool: silent.Pool, Attempts: silent.Attempts, FromMs: silent.FromMs, ToMs: silent.ToMs,
-		OthersStarted: answers[at].Started, OthersAnswered: answers[at].Answered,
+		OthersStarted: others.Started, OthersAnswered: others.Answered,
 	})
 }
 
-// isWitness reports whether the attempts of another box show that a pool responds.
-func isWitness(a mesh.Attempts) bool {
-	return a.Started >= minWitnessAttempts && percent*a.Answered >= minWitnessPercent*a.Started
+// sumOfWitnesses adds up the attempts of the boxes that got responses. The pool may be stalled for the others, too.
+func sumOfWitnesses(answers []mesh.Attempts) mesh.Attempts {
+	sum := mesh.Attempts{}
+	for _, a := range answers {
+		if a.Answered > 0 {
+			sum.Started += a.Started
+			sum.Answered += a.Answered
+		}
+	}
+	return sum
 }
 
 // probe sends health checks to upstreams of a stalled pool, and records whether it responds again.
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -24,9 +24,11 @@
 	// minStalledShare is how often boxes whose paths stall must serve first tries, relative to other boxes.
 	minStalledShare = 2.0 / 3
 	// minSettledShare is the share that they must serve from stallSettleMs after the stall began.
-	minSettledShare               = 0.9
-	stallSettleMs    clock.Millis = 4000
-	stallRequestStep              = 12 * time.Millisecond
+	minSettledShare                   = 0.9
+	stallSettleMs        clock.Millis = 4000
+	stallRequestInterval              = 12 * time.Millisecond
+	// rareRequestInterval leaves each box three requests a second.
+	rareRequestInterval = 60 * time.Millisecond
 )
 
 // stallDay is a run in which the data between some boxes and some upstreams gets lost for a while, although connections
@@ -34,6 +36,8 @@
 type stallDay struct {
 	fleet *fleet
 	boxes []*running
+	// interval is the time between two requests.
+	interval time.Duration
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -52,7 +56,7 @@
 func (c stallCall) served() bool { return c.status == http.StatusOK && c.hasBody }
 
 func newStallDay(f *fleet, handler http.HandlerFunc) *stallDay {
-	d := &stallDay{fleet: f, random: rand.New(rand.NewPCG(53, 1))}
+	d := &stallDay{fleet: f, interval: stallRequestInterval, random: rand.New(rand.NewPCG(53, 1))}
 	for i := range stalledUpstreams {
 		f.upstreamIn(fmt.Sprint("u", i), fmt.Sprint("d", i%restartDomains), handler)
 	}
@@ -72,9 +76,9 @@
 	startMs = d.fleet.clock.Monotonic()
 	var sending sync.WaitGroup
 	defer sending.Wait()
-	for i := range int(span / stallRequestStep) {
+	for i := range int(span / d.interval) {
 		sending.Go(func() { d.send(i) })
-		advance(d.fleet.t, stallRequestStep)
+		advance(d.fleet.t, d.interval)
 	}
 	return startMs
 }
@@ -129,13 +133,15 @@
 		upstreams  func(id string) bool
 		healthPath string
 		minSettled float64
+		interval   time.Duration
 	}{
-		{"of one box", []int{0}, all, "/health", minSettledShare},
-		{"of two boxes", []int{0, 1}, all, "/health", minSettledShare},
-		{"of a failure domain", []int{0, 3}, all, "/health", minSettledShare},
-		{"of most boxes", []int{0, 1, 2, 3}, all, "/health", minSettledShare},
-		{"of one box to half of the upstreams", []int{0}, half, "/health", minSettledShare},
-		{"of one box, no health checks", []int{0}, all, "", minStalledShare},
+		{"of one box", []int{0}, all, "/health", minSettledShare, stallRequestInterval},
+		{"of two boxes", []int{0, 1}, all, "/health", minSettledShare, stallRequestInterval},
+		{"of a failure domain", []int{0, 3}, all, "/health", minSettledShare, stallRequestInterval},
+		{"of most boxes", []int{0, 1, 2, 3}, all, "/health", minSettledShare, stallRequestInterval},
+		{"of two boxes, few requests", []int{0, 1}, all, "/health", minSettledShare, rareRequestInterval},
+		{"of one box to half of the upstreams", []int{0}, half, "/health", minSettledShare, stallRequestInterval},
+		{"of one box, no health checks", []int{0}, all, "", minStalledShare, stallRequestInterval},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
@@ -143,6 +149,7 @@
 				state.Pools[0].HealthPath = c.healthPath
 				f.store.setState(t, state)
 				d := newStallDay(f, respondAfter(30))
+				d.interval = c.interval
 				d.sendFor(4 * time.Second)
 				names := map[string]bool{}
 				for _, i := range c.boxes {
