--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -46,6 +46,8 @@
 	// Partitions also separates boxes from all servers, and makes servers brittle, silent for a second, or end
 	// responses with their connections.
 	Partitions bool
+	// Stalls also holds back the data between some boxes and all servers for some time, while connections open.
+	Stalls bool
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -61,6 +61,8 @@
 	// reset.
 	owners    map[net.Conn]string
 	separated []string
+	// stalled holds the boxes whose connections open and pass nothing on.
+	stalled []string
 	// ownersByAddress maps the local addresses of outbound connections to the boxes that opened the inbound ones.
 	ownersByAddress map[string]string
 }
@@ -88,6 +90,20 @@
 	}
 }
 
+// stall holds back the data of some boxes, until it is called again.
+func (l *link) stall(boxes []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stalled = boxes
+}
+
+// isStalled reports whether the data of a box is held back.
+func (l *link) isStalled(owner string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.stalled, owner)
+}
+
 // admit records the box that opened a connection, and reports whether the box is not separated.
 func (l *link) admit(inbound net.Conn) bool {
 	if l.ownerOf == nil {
@@ -211,11 +227,12 @@
 	}
 	l.mu.Lock()
 	l.conns[inbound], l.conns[outbound] = struct{}{}, struct{}{}
-	l.ownersByAddress[outbound.LocalAddr().String()] = l.owners[inbound]
+	owner := l.owners[inbound]
+	l.ownersByAddress[outbound.LocalAddr().String()] = owner
 	l.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyDirection(inbound, outbound, true) })
-	directions.Go(func() { l.copyDirection(outbound, inbound, false) })
+	directions.Go(func() { l.copyDirection(inbound, outbound, owner, true) })
+	directions.Go(func() { l.copyDirection(outbound, inbound, owner, false) })
 	directions.Wait()
 	l.forget(outbound)
 }
@@ -232,11 +249,11 @@
 
 // copyDirection forwards the bytes of one direction. A fault may hold bytes back; they are
 // forwarded when it ends.
-func (l *link) copyDirection(from, to net.Conn, forward bool) {
+func (l *link) copyDirection(from, to net.Conn, owner string, forward bool) {
 	buffer := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(buffer)
-		l.applyFault(forward)
+		l.applyFault(owner, forward)
 		if n > 0 && !l.isStale(from) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				l.abort(from)
@@ -257,11 +274,11 @@
 	return stale
 }
 
-// applyFault delays or blocks a direction as the current fault requires.
-func (l *link) applyFault(forward bool) {
+// applyFault delays or blocks a direction of a box's connection as the current fault requires.
+func (l *link) applyFault(owner string, forward bool) {
 	for {
 		switch fault := l.currentFault(); {
-		case fault == linkBlackhole, fault == linkNoAnswers && !forward:
+		case fault == linkBlackhole, fault == linkNoAnswers && !forward, l.isStalled(owner):
 			time.Sleep(linkPollInterval)
 		case fault == linkDelayed:
 			time.Sleep(linkDelay)
--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// injectStalls stalls the paths of some boxes to all servers, one time after the other until ctx ends.
+func (f *fleet) injectStalls(ctx context.Context) {
+	random := rand.New(rand.NewPCG(f.settings.Seed, 7))
+	for ctx.Err() == nil {
+		boxes := []*box{f.boxes[random.IntN(len(f.boxes))]}
+		if random.IntN(2) == 0 {
+			boxes = f.boxesOf(zoneName(random.IntN(domainCount)))
+		}
+		span := time.Duration(partitionMinMs+random.IntN(partitionRangeMs)) * time.Millisecond
+		f.withoutServers(ctx, boxes, (*link).stall, span)
+		sleep(ctx, time.Duration(minDelayMs+random.IntN(faultGapMs))*time.Millisecond)
+	}
+}
+
 // boxesOf returns the boxes of a zone.
 func (f *fleet) boxesOf(zone string) []*box {
 	list := []*box{}
@@ -66,17 +80,24 @@
 // partition separates boxes from all servers for a time: their connections are reset, and new ones as soon as they are
 // open.
 func (f *fleet) partition(ctx context.Context, boxes []*box, span time.Duration) {
+	f.withoutServers(ctx, boxes, (*link).separate, span)
+}
+
+// withoutServers takes the paths to all servers from boxes for a time, in one way.
+func (f *fleet) withoutServers(
+	ctx context.Context, boxes []*box, way func(l *link, boxes []string), span time.Duration,
+) {
 	names := []string{}
 	for _, b := range boxes {
 		names = append(names, b.name)
 	}
 	end := f.history.recordPartition(names)
 	for _, s := range f.servers {
-		s.link.separate(names)
+		way(s.link, names)
 	}
 	sleep(ctx, span)
 	for _, s := range f.servers {
-		s.link.separate(nil)
+		way(s.link, nil)
 	}
 	end()
 }
--- a/internal/soak/partitions_test.go
+++ b/internal/soak/partitions_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -88,6 +89,23 @@
 	})
 	l.separate(nil)
 	t.Run("until it is separated no more", func(t *testing.T) { assertEchoes(t, dial(t)) })
+	t.Run("the data of a stalled box is held back, and that of another box is not", func(t *testing.T) {
+		stalled := dial(t)
+		assertEchoes(t, stalled)
+		l.stall([]string{"a"})
+		_, err := stalled.Write([]byte("x"))
+		require.NoError(t, err)
+		owner.Store("b")
+		assertEchoes(t, dial(t))
+		owner.Store("a")
+		require.NoError(t, stalled.SetReadDeadline(time.Now().Add(10*linkPollInterval)))
+		_, err = stalled.Read(make([]byte, 1))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.NoError(t, stalled.SetReadDeadline(time.Time{}))
+		l.stall(nil)
+		_, err = stalled.Read(make([]byte, 1))
+		require.NoError(t, err)
+	})
 	t.Run("a closed link ends connections in order and refuses new ones", func(t *testing.T) {
 		open := dial(t)
 		assertEchoes(t, open)
--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -157,14 +157,15 @@
 
 // sendsInBackoff counts the requests that arrived during the backoff that a server requested in
 // its refusal. It returns 0 if the box or the server's link was disturbed meanwhile, or if the client left: the box
-// closes its connection then, and may not receive the refusal.
+// closes its connection then, and may not receive the refusal. So it does with a request that was held back on its way.
 func (h *history) sendsInBackoff(pair boxServer, list []delivery, refusal delivery) int {
 	if cancelled(refusal.outcome) || strings.Contains(refusal.outcome.Err, context.DeadlineExceeded.Error()) {
 		return 0
 	}
 	from := refusal.At.Add(backoffGrace + timingSlack)
 	until := refusal.At.Add(time.Duration(refusal.BackoffMs) * time.Millisecond)
-	if !until.After(from) || !h.noDisturbance(pair, refusal.At, until) {
+	if !until.After(from) || !h.noDisturbance(pair, refusal.At, until) ||
+		h.separated(pair.box, refusal.outcome.Sent, refusal.At) {
 		return 0
 	}
 	count := 0
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -73,6 +73,9 @@
 	if f.settings.Evacuations {
 		workers.Go(func() { f.injectEvacuations(clients) })
 	}
+	if f.settings.Stalls {
+		workers.Go(func() { f.injectStalls(clients) })
+	}
 	if f.settings.Partitions {
 		workers.Go(func() { f.injectPartitions(clients) })
 	}
