fix(balance): a late response of a stalled upstream leads to a health check

Found by reading: a late response ended the stall of an upstream without a line, so an operator who follows `upstream stalled` saw no end. It now shortens the interval to the next health check, which ends the stall and logs it. Also by reading: a crash report with a negative age from another box would have set a crash in the future; SetResponding returned a value that nobody read; the comment on kinds of datagrams named streams only.

TestSilentMembers has the case (three failed checks, then a late response: the next check is due at once).

--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -106,7 +106,7 @@
 func (l *Lease) RecordAnswered() {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
-	l.silence = memberSilence{}
+	l.silence.recordAnswer()
 	if l.sentMs > 0 {
 		l.manager.attemptsOf(l.Pool).recordAnswer(l.sentMs)
 	}
@@ -213,14 +213,12 @@
 	return callbacks
 }
 
-// SetResponding records that a pool responds to this box, and reports whether it was stalled.
-func (m *Manager) SetResponding(pool string) bool {
+// SetResponding records that a pool responds to this box.
+func (m *Manager) SetResponding(pool string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	_, stalled := m.stalledSinceMs[pool]
 	delete(m.stalledSinceMs, pool)
 	m.respondingMs[pool] = m.monotonic()
-	return stalled
 }
 
 // ForgetSilence discards what this box knows about silent pools and upstreams. Call it when the process resumes after a
--- a/internal/balance/stalled_member.go
+++ b/internal/balance/stalled_member.go
@@ -39,6 +39,15 @@
 	s.unanswered++
 }
 
+// recordAnswer records a response. A stalled upstream is checked soon, since the response may be a late one.
+func (s *memberSilence) recordAnswer() {
+	if s.stalled {
+		s.failedChecks = 0
+		return
+	}
+	*s = memberSilence{}
+}
+
 // checkDue reports whether another health check may be sent.
 func (s *memberSilence) checkDue(now clock.Millis) bool {
 	return now-s.checkedMs >= memberCheckIntervalMs<<min(s.failedChecks, maxMemberCheckDoublings)
--- a/internal/balance/stalled_test.go
+++ b/internal/balance/stalled_test.go
@@ -143,6 +143,22 @@
 		assert.True(t, d.RecordHealthCheck(due[0], true))
 		assert.Contains(t, firstPicks(t, d), "u0")
 	})
+	t.Run("one that responds late is checked soon", func(t *testing.T) {
+		d := silent(t, true)
+		late := d.sendTo(t, 6)
+		for range 3 {
+			d.now += 10 * memberCheckIntervalMs
+			assert.Len(t, d.SilentMembers(), 1)
+			d.RecordHealthCheck(SilentMember{member: d.byID["u0"]}, false)
+		}
+		d.now += memberCheckIntervalMs
+		require.Empty(t, d.SilentMembers())
+		for _, lease := range late {
+			lease.RecordAnswered()
+		}
+		assert.Equal(t, []string{"u0"}, ids(d.SilentMembers()))
+		assert.NotContains(t, firstPicks(t, d), "u0")
+	})
 	t.Run("one that responds to the health check stays", func(t *testing.T) {
 		d := silent(t, true)
 		assert.False(t, d.RecordHealthCheck(d.SilentMembers()[0], true))
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -346,7 +346,7 @@
 func (d *crashDetector) recordFrom(source string, list []quarantine.CrashEvent, relay bool) {
 	now := d.box.clock.Monotonic()
 	for _, e := range list {
-		d.box.balance.RecordCrash(e.Upstream, now-e.AgeMs)
+		d.box.balance.RecordCrash(e.Upstream, now-max(0, e.AgeMs))
 	}
 	for _, fingerprint := range d.box.quarantine.RecordEvents(list, relay) {
 		d.logQuarantined(fingerprint, source)
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -34,7 +34,8 @@
 	maxAsks = int(originTimeoutMs / originResendMs)
 )
 
-// originMessageKind distinguishes messages about streams. Its values differ from those of permitMessageKind.
+// originMessageKind distinguishes messages about streams, and those about fatal parts and about attempts that share
+// their form. Its values differ from those of permitMessageKind.
 type originMessageKind uint8
 
 const (
