--- a/internal/gateway/fatal_histories_test.go
+++ b/internal/gateway/fatal_histories_test.go
@@ -130,7 +130,7 @@
 func TestFatalHistories(t *testing.T) {
 	for seed := range historyCount() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runWithFleet(t, func(f *fleet) { runHistory(f, seed) })
+			runBesideOthers(t, func(f *fleet) { runHistory(f, seed) })
 		})
 	}
 }
--- a/internal/gateway/fatal_part_histories_test.go
+++ b/internal/gateway/fatal_part_histories_test.go
@@ -112,7 +112,7 @@
 func TestFatalPartHistories(t *testing.T) {
 	for seed := range historyCount() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runWithFleet(t, func(f *fleet) {
+			runBesideOthers(t, func(f *fleet) {
 				h := &partHistory{random: rand.New(rand.NewPCG(seed, 56))}
 				d := newPartDay(h.apply)
 				d.run(f)
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -15,7 +15,7 @@
 // runPartDay plays a day and checks that fatal requests are held back and sound ones are not.
 func runPartDay(t *testing.T, change ...func(d *partDay)) {
 	t.Helper()
-	runWithFleet(t, func(f *fleet) {
+	runBesideOthers(t, func(f *fleet) {
 		d := newPartDay(change...)
 		d.run(f)
 		d.assertContained()
@@ -228,7 +228,7 @@
 		{"half of them at once, each 5 s, silent hosts", 5 * time.Second, partUpstreams / 2, 40, "/safe/", false, crashSilent},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			runWithFleet(t, func(f *fleet) {
+			runBesideOthers(t, func(f *fleet) {
 				d := newPartDay(onPath(c.path), func(d *partDay) {
 					d.fatal, d.crashEvery, d.crashCount, d.unframed, d.span = nil, c.every, c.count, c.unframed, 20*time.Second
 					d.end = c.end
--- a/internal/gateway/fatal_restart_test.go
+++ b/internal/gateway/fatal_restart_test.go
@@ -208,7 +208,7 @@
 	for name, exitDelayMs := range map[string]int{"that end at once": 0, "that end after their connections broke": 60} {
 		for seed := range historyCount() * restartDefaultSeeds / histories {
 			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
-				runWithFleet(t, func(f *fleet) {
+				runBesideOthers(t, func(f *fleet) {
 					r := newRestarts(f, seed, exitDelayMs)
 					boxes := r.startFleet()
 					r.run(boxes, fatalPaths)
@@ -231,7 +231,7 @@
 	const crashInterval = 400 * time.Millisecond
 	for seed := range historyCount() * restartDefaultSeeds / histories {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runWithFleet(t, func(f *fleet) {
+			runBesideOthers(t, func(f *fleet) {
 				r := newRestarts(f, seed, 0)
 				boxes := r.startFleet()
 				held, crashed := 0, 0
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -282,6 +282,13 @@
 	synctest.Test(t, func(t *testing.T) { test(newFleet(t)) })
 }
 
+// runBesideOthers runs a subtest with a fleet on a fake clock beside other subtests.
+func runBesideOthers(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	t.Parallel()
+	runWithFleet(t, test)
+}
+
 // advance waits for a duration on the fake clock.
 func advance(t *testing.T, span time.Duration) {
 	t.Helper()
--- a/internal/gateway/short_outage_test.go
+++ b/internal/gateway/short_outage_test.go
@@ -21,7 +21,7 @@
 		for _, outage := range []time.Duration{time.Second, 1500 * time.Millisecond} {
 			for offset := time.Duration(0); offset < pollMs.Duration(); offset += 100 * time.Millisecond {
 				t.Run(fmt.Sprintf("%s for %v, %v after the start", name, outage, offset), func(t *testing.T) {
-					runWithFleet(t, func(f *fleet) {
+					runBesideOthers(t, func(f *fleet) {
 						f.upstream("u1", respondWith("done"))
 						inForce := func(g *config.Gateway) { g.Freshness.MaxPropagationMs = 2000 }
 						boxes := []*running{f.box(1, withDomain("d0"), inForce)}
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -144,7 +144,7 @@
 		{"of one box, no health checks", []int{0}, all, "", minStalledShare, stallRequestInterval},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			runWithFleet(t, func(f *fleet) {
+			runBesideOthers(t, func(f *fleet) {
 				state := content(1)
 				state.Pools[0].HealthPath = c.healthPath
 				f.store.setState(t, state)
@@ -200,7 +200,7 @@
 		{"one upstream is stopped", respondAfter(30), "u1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			runWithFleet(t, func(f *fleet) {
+			runBesideOthers(t, func(f *fleet) {
 				log := &logBuffer{}
 				f.out = log
 				d := newStallDay(f, c.handler)
