--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -98,12 +97,6 @@
 	quarantinesMs map[string][]clock.Millis
 }
 
-// partRefusal is a fatal request that a box refused.
-type partRefusal struct {
-	box                string
-	startMs, refusedMs clock.Millis
-}
-
 // partSend is a fatal request that reached an upstream.
 type partSend struct {
 	atMs clock.Millis
@@ -472,42 +465,6 @@
 	}
 }
 
-const (
-	// partRefusalMs bounds how long a refusal may take: it waits for nothing but another box.
-	partRefusalMs clock.Millis = 100
-	// partDialMs bounds how long a request may wait for a connection while its part is quarantined.
-	partDialMs clock.Millis = 200
-)
-
-// maxRefusalMs bounds how long a refused request may wait. One that was under way when its box quarantined a part may
-// wait for the connection that it was opening then.
-func (d *partDay) maxRefusalMs(r partRefusal) clock.Millis {
-	for _, at := range slices.Backward(d.quarantinesMs[r.box]) {
-		if at >= r.startMs && at <= r.refusedMs {
-			return at - r.startMs + partDialMs + partRefusalMs
-		}
-	}
-	return partRefusalMs
-}
-
-// Write receives the log lines of the boxes. It records when they quarantine parts.
-func (d *partDay) Write(line []byte) (int, error) {
-	var entry struct {
-		Message string       `json:"msg"`
-		Box     string       `json:"box"`
-		HoldMs  clock.Millis `json:"hold_ms"`
-	}
-	if err := json.Unmarshal(line, &entry); err != nil {
-		return 0, fmt.Errorf("decode log line %q: %w", line, err)
-	}
-	if entry.Message == "prompt part quarantined" && entry.HoldMs > 0 {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.quarantinesMs[entry.Box] = append(d.quarantinesMs[entry.Box], d.fleet.clock.Monotonic())
-	}
-	return len(line), nil
-}
-
 // assertSoundBegin checks that sound requests begin half as often as before the first crash.
 func (d *partDay) assertSoundBegin() {
 	before, after := d.soundShares()
