--- a/internal/opaque/signals.go
+++ b/internal/opaque/signals.go
@@ -16,6 +16,11 @@
 	// is set.
 	InFlight int
 	HasLoad  bool
+	// Waiting is the number of those requests that have not begun to respond. It is valid if HasLoad is set.
+	Waiting int
+	// SlowPercent is how long work takes at the upstream at this moment in percent of the usual time, or 0 if it is not
+	// reported.
+	SlowPercent int
 	// Err describes the malformed status headers, if any.
 	Err error
 }
--- /dev/null
+++ b/internal/work/demand.go
@@ -0,0 +1,13 @@
+// Package work estimates how many tokens a request makes an engine prefill and hold.
+package work
+
+// Demand is what a caller tells of the size of a request.
+type Demand struct {
+	// PromptTokens is the length of the prompt, and SharedTokens the length of its parts but the last one.
+	PromptTokens int
+	SharedTokens int
+	// MaxOutputTokens is the maximum length of the output, or 0 if it is unknown.
+	MaxOutputTokens int
+	// HintTokens is the caller's guess of the length of the output, or 0. It is right in the median and often far off.
+	HintTokens int
+}
