fix(balance): one request at a time tries a stalled pool without health checks

Cause: after 2 s a stalled pool without a health path counted as responding, and all callers' requests went there until it was found silent again, half a second or more later. Ruled out: a longer time between such tries, which delays the return to the box's own upstreams.

Change: while the pool is stalled, one request each 2 s is sent there, one that can be retried if there is any; other boxes serve the rest. A response ends the stall, as before.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -75,6 +75,8 @@
 	// respondingMs when stalled ones were last found to respond.
 	attempts                     map[string]*attemptCounts
 	stalledSinceMs, respondingMs map[string]clock.Millis
+	// stalledTrials holds the latest trial requests of stalled pools without health checks.
+	stalledTrials map[string]*stalledTrial
 	// confirmedMs is when the entries of the upstreams were last known to be the newest.
 	confirmedMs clock.Millis
 	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
@@ -96,6 +98,7 @@
 		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
 		brittle: map[string]brittlePool{}, attempts: map[string]*attemptCounts{},
 		stalledSinceMs: map[string]clock.Millis{}, respondingMs: map[string]clock.Millis{},
+		stalledTrials: map[string]*stalledTrial{},
 	}
 }
 
@@ -126,6 +129,7 @@
 	}
 	maps.DeleteFunc(m.attempts, func(pool string, _ *attemptCounts) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.stalledSinceMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.stalledTrials, func(pool string, _ *stalledTrial) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.respondingMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -32,6 +32,8 @@
 	// ObjectiveMs is the latency objective, or 0. ElapsedMs is the time since the request arrived.
 	ObjectiveMs clock.Millis
 	ElapsedMs   clock.Millis
+	// MayRetry is set if another attempt may follow when this one gets no response.
+	MayRetry bool
 }
 
 // Lease counts a request at an upstream until Release.
@@ -154,7 +156,7 @@
 	switch {
 	case versionGone(request, eligible):
 		return nil, ErrVersionGone
-	case m.unreachable(eligible, now):
+	case m.unreachable(eligible, now) && !m.takeStalledTrial(request, eligible, now):
 		return nil, ErrPartitioned
 	}
 	members := m.candidates(request, eligible, now)
--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -21,8 +21,6 @@
 	// have got a response, for a pool to be stalled for this box.
 	minWitnessAttempts = 5
 	minWitnessPercent  = 80
-	// unprobedStallMs is how long a pool without health checks counts as stalled. Then requests try it again.
-	unprobedStallMs = 2 * clock.Second
 )
 
 // stalledPools finds the pools and single upstreams to which connections open although nothing comes back. Other boxes
@@ -52,9 +50,9 @@
 			running.Go(func() { s.checkMember(ctx, silent, path) })
 		}
 	}
-	for pool, since := range s.box.balance.StalledPools() {
+	for pool := range s.box.balance.StalledPools() {
 		if s.isDue(pool) {
-			running.Go(func() { s.probe(ctx, pool, since) })
+			running.Go(func() { s.probe(ctx, pool) })
 		}
 	}
 }
@@ -95,13 +93,12 @@
 	return sum
 }
 
-// probe sends health checks to upstreams of a stalled pool, and records whether it responds again.
-func (s *stalledPools) probe(ctx context.Context, pool string, since clock.Millis) {
+// probe sends health checks to upstreams of a stalled pool, and records whether it responds again. If the pool has no
+// health checks, one of the callers' requests is sent there now and then.
+func (s *stalledPools) probe(ctx context.Context, pool string) {
 	path := s.healthPath(pool)
 	if path == "" {
-		if s.box.clock.Monotonic()-since >= unprobedStallMs {
-			s.box.balance.SetResponding(pool)
-		}
+		s.box.balance.AllowStalledTrial(pool)
 		return
 	}
 	responds := func(c *upstream.Client) bool { return s.responds(ctx, c, path) }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -166,6 +166,7 @@
 	request := balance.PickRequest{
 		Pool: r.Pool, Sticky: r.Route.Sticky, Prompt: r.Prompt, Tried: r.Tried,
 		ObjectiveMs: r.Route.ObjectiveMs, ElapsedMs: s.pipe.deps.Clock.Monotonic() - r.ArrivedMs,
+		MayRetry:  s.mayRetryAfterAttempt(),
 		Transfers: pool != nil && pool.Engine != nil && pool.Engine.Transfers && r.Dialect.FetchFrom != "",
 	}
 	if r.Origin != nil {
