fix(dispatch): an attempt is canceled only if a retry would help

Cause: attempts that may be repeated were canceled after twice the latency objective without a first byte, and streams after three of their longest pauses, whether or not a retry could follow. In an overload all engines respond later than that: the canceled attempts were lost, their retries used up the budget, and the rest ended with 502.

Ruled out: a longer timeout, which keeps requests at an upstream that hangs; a check of the budget alone, since retries then still double the work until it is used up.

A box to which the request was forwarded is left as before if the budget allows it.

--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -38,6 +38,8 @@
 // attemptCounts counts the attempts at the upstreams of a pool by the time at which they began.
 type attemptCounts struct {
 	buckets [attemptBuckets]attemptBucket
+	// firstByteMs is the mean time to the first byte of a response.
+	firstByteMs float64
 }
 
 func (c *attemptCounts) bucket(at clock.Millis) *attemptBucket {
@@ -108,7 +110,9 @@
 	defer l.manager.mu.Unlock()
 	l.silence.recordAnswer()
 	if l.sentMs > 0 {
-		l.manager.attemptsOf(l.Pool).recordAnswer(l.sentMs)
+		counts := l.manager.attemptsOf(l.Pool)
+		counts.recordAnswer(l.sentMs)
+		counts.recordFirstByte(l.manager.monotonic() - l.sentMs)
 	}
 }
 
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -58,7 +58,8 @@
 		}),
 		resume: resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
 		dispatch: dispatch.New(dispatch.Dependencies{
-			Pick: b.pick, MayRetry: b.budgets.TryRetry, OnFirstSend: b.budgets.RecordAttempt,
+			Pick: b.pick, MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
+			RespondsWithin: b.balance.RespondsWithin, OnFirstSend: b.budgets.RecordAttempt,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
 			StateAgeMs:    b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	s.cancelOnPathLoss(lease, cancel)
-	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, cancel)
+	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, s.retryHelps, cancel)
 	stopSilenceTimer := s.startSilenceTimer(lease)
 	defer s.pipe.deps.Track(s.observation(lease))()
 	resp, err := lease.Client().Do(ctx, s.buildRequest(lease))
@@ -82,18 +82,33 @@
 }
 
 // startFirstByteTimeout cancels the attempt if no response headers arrive within a multiple of the route's
-// latency objective, so that another upstream can still respond in time. It does nothing if the request
-// can't be retried.
-func (s *retryLoop) startFirstByteTimeout(factor clock.Millis, cancel context.CancelCauseFunc) (stop func()) {
+// latency objective, once a retry would help. It does nothing if the request can't be retried.
+func (s *retryLoop) startFirstByteTimeout(
+	factor clock.Millis, helps func(span clock.Millis) bool, cancel context.CancelCauseFunc,
+) (stop func()) {
 	r := s.request
 	timeout := factor * r.Route.ObjectiveMs
 	if !s.mayRetryAfterAttempt() || timeout <= 0 {
 		return func() {}
 	}
-	timer := s.pipe.deps.Clock.AfterFunc(timeout, func() { cancel(errTimeout) })
-	return func() { timer.Stop() }
+	return s.startRetryTimer(timeout, helps, cancel).stop
+}
+
+// startRetryTimer cancels an attempt that makes no progress for a span, once a retry would help.
+func (s *retryLoop) startRetryTimer(
+	span clock.Millis, helps func(span clock.Millis) bool, cancel context.CancelCauseFunc,
+) *retryTimer {
+	return startRetryTimer(s.pipe.deps.Clock, span, func() bool { return helps(span) }, func() { cancel(errTimeout) })
 }
 
+// retryHelps reports whether another upstream would likely respond within a span to a retry, and the retry budget allows
+// one.
+func (s *retryLoop) retryHelps(span clock.Millis) bool {
+	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span)
+}
+
+func (s *retryLoop) budgetAllowsRetry(clock.Millis) bool { return s.pipe.deps.CanRetry(s.request.Pool) }
+
 // mayRetryAfterAttempt reports whether the route allows another attempt if the current one is sent and fails.
 func (s *retryLoop) mayRetryAfterAttempt() bool {
 	r := s.request
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -31,6 +31,10 @@
 	// MayRetry takes one retry from the pool's retry budget. It returns false if the budget is used
 	// up.
 	MayRetry func(pool string) bool
+	// CanRetry reports whether MayRetry would return true, without taking a retry.
+	CanRetry func(pool string) bool
+	// RespondsWithin reports whether another upstream of the pool would likely respond within a time.
+	RespondsWithin func(pool string, within clock.Millis) bool
 	// OnFirstSend counts the first attempt of a request in the retry budget of a pool.
 	OnFirstSend func(pool string)
 	// StateAgeMs returns the time since the routing state was last confirmed to be the newest, for
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -76,7 +76,7 @@
 	})
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
-	stopTimer := s.startFirstByteTimeout(forwardTimeoutFactor, cancel)
+	stopTimer := s.startFirstByteTimeout(forwardTimeoutFactor, s.budgetAllowsRetry, cancel)
 	resp, err := box.Client.Do(ctx, s.buildForward(box))
 	stopTimer()
 	if err != nil {
--- /dev/null
+++ b/internal/pipe/dispatch/retrytimer_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// TestRetryTimer guards against an attempt that is canceled too early, twice, or although no retry would help.
+func TestRetryTimer(t *testing.T) {
+	const span clock.Millis = 400
+	run := func(t *testing.T, test func(t *testing.T, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			helps, expired := &atomic.Bool{}, &atomic.Int64{}
+			timer := startRetryTimer(clock.New(), span, helps.Load, func() { expired.Add(1) })
+			defer timer.stop()
+			test(t, timer, helps, expired)
+		})
+	}
+	wait := func(ms clock.Millis) {
+		time.Sleep(ms.Duration())
+		synctest.Wait()
+	}
+	t.Run("a retry helps at once", func(t *testing.T) {
+		run(t, func(t *testing.T, _ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+			helps.Store(true)
+			wait(span - 1)
+			assert.Zero(t, expired.Load())
+			wait(3 * span)
+			assert.EqualValues(t, 1, expired.Load())
+		})
+	})
+	t.Run("a retry helps later", func(t *testing.T) {
+		run(t, func(t *testing.T, _ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+			wait(5 * span)
+			assert.Zero(t, expired.Load())
+			helps.Store(true)
+			wait(span)
+			assert.EqualValues(t, 1, expired.Load())
+		})
+	})
+	t.Run("progress starts the span anew", func(t *testing.T) {
+		run(t, func(t *testing.T, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+			helps.Store(true)
+			wait(span - 1)
+			timer.recordProgress()
+			wait(span - 1)
+			assert.Zero(t, expired.Load())
+		})
+	})
+	t.Run("none after the end", func(t *testing.T) {
+		run(t, func(t *testing.T, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+			wait(2 * span)
+			timer.stop()
+			helps.Store(true)
+			wait(2 * span)
+			assert.Zero(t, expired.Load())
+		})
+	})
+}
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -71,8 +71,8 @@
 	if !r.Route.Resumable || r.Sent >= r.Route.Attempts || timeout <= 0 {
 		return func() {}, func() {}
 	}
-	timer := s.pipe.deps.Clock.AfterFunc(timeout, func() { cancel(errTimeout) })
-	return func() { timer.Reset(timeout) }, func() { timer.Stop() }
+	timer := s.startRetryTimer(timeout, s.retryHelps, cancel)
+	return timer.recordProgress, timer.stop
 }
 
 // relayStream relays events as they arrive.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -93,6 +93,13 @@
 	return true
 }
 
+// CanRetry reports whether the balance allows a retry now, without spending it.
+func (b *Budget) CanRetry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balance >= retryCost
+}
+
 func (b *Budget) setReserve(retries int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
