feat(admission): the owner queues, denies and learns by the work that is owed

Cause: an owner that only counts requests under a bound lets engines build backlogs of seconds, in which urgent prompts wait as long as others.

Change: the ledger accounts for tokens to prefill and to hold, learns prefill times per pool, grants up to a target, and queues, accepts late or denies by the expected time to the first event.

--- /dev/null
+++ b/internal/admission/failures_test.go
@@ -0,0 +1,110 @@
+package admission
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/namekey"
+)
+
+const (
+	loadMs    = 12_000
+	failureMs = 4000
+)
+
+// TestFailures guards against single failures that cost more than the requests that they hit.
+func TestFailures(t *testing.T) {
+	// play runs a load of 0.8 in which a failure happens, and checks that no ledger keeps anything of it.
+	play := func(t *testing.T, load float64, prepare func(f *fleet), fail func(f *fleet)) (short, long *result, f *fleet) {
+		t.Helper()
+		f = newFleet(6, 12, 1)
+		f.warm(shortKind, longKind)
+		prepare(f)
+		f.after(failureMs, func() { fail(f) })
+		f.run(loadMs, func(float64) float64 { return load }, shortKind, longKind)
+		f.report(t)
+		f.now += float64(permitTTLMs)
+		for _, l := range f.ledgers {
+			l.Expire()
+			assert.Zero(t, l.Sizes().Permits+l.Sizes().Queued)
+		}
+		return f.results["short"], f.results["long"], f
+	}
+	none := func(*fleet) {}
+	assertInTime := func(t *testing.T, r *result, least float64) {
+		t.Helper()
+		assert.GreaterOrEqual(t, r.part(r.inTime), least, r)
+	}
+	t.Run("the owner of two engines dies and another one starts counting", func(t *testing.T) {
+		short, long, _ := play(t, 0.8, none, func(f *fleet) {
+			f.ledgers[0] = f.newLedger()
+			for _, c := range f.waiting {
+				if f.owner(c.engine) == f.ledgers[0] {
+					f.after(100, func() { f.repeatWaiting(c) })
+				}
+			}
+		})
+		assertInTime(t, short, 0.95)
+		assertInTime(t, long, 0.9)
+		assert.Zero(t, short.failed+long.failed)
+	})
+	t.Run("a third of the engines crashes", func(t *testing.T) {
+		hit := 0
+		short, long, _ := play(t, 0.8, none, func(f *fleet) {
+			for _, e := range f.engines[:4] {
+				e.down = true
+			}
+			for _, c := range f.calls {
+				if c.engine != nil && c.engine.down && !c.released {
+					f.fail(c)
+				}
+			}
+			hit = f.results["short"].failed + f.results["long"].failed
+		})
+		assert.Equal(t, hit, short.failed+long.failed)
+		assertInTime(t, short, 0.95)
+		assertInTime(t, long, 0.75)
+	})
+	t.Run("an asking box dies", func(t *testing.T) {
+		short, long, _ := play(t, 1, none, func(f *fleet) {
+			for _, c := range f.waiting {
+				if c.id.Box == "box3" {
+					c.ended = true
+				}
+			}
+			f.after(1000, func() {
+				for _, l := range f.ledgers {
+					f.deliver(l.ReleaseBox("box3"))
+				}
+			})
+		})
+		assertInTime(t, short, 0.95)
+		assertInTime(t, long, 0.75)
+	})
+	t.Run("an organisation sends ten times its usual load", func(t *testing.T) {
+		_, _, f := play(t, 1.7, func(f *fleet) {
+			f.orgOf = func() namekey.Key { return namekey.Key(min(1, f.random.IntN(11))) }
+		}, func(*fleet) {})
+		t.Logf("usual %v; tenfold %v", f.byOrg[0], f.byOrg[1])
+		assertInTime(t, f.byOrg[0], 0.9)
+	})
+	t.Run("callers leave early", func(t *testing.T) {
+		short, long, _ := play(t, 1.2, func(f *fleet) { f.leaveAfter = 300 }, none)
+		assertInTime(t, short, 0.8)
+		assertInTime(t, long, 0.6)
+	})
+	t.Run("one in twenty starts and releases is lost", func(t *testing.T) {
+		short, long, _ := play(t, 0.8, func(f *fleet) { f.lose = 0.05 }, none)
+		assertInTime(t, short, 0.95)
+		assertInTime(t, long, 0.8)
+	})
+	t.Run("an engine reports a tenth of its pace, and another one is four times slower than it reports", func(t *testing.T) {
+		short, long, f := play(t, 0.7, func(f *fleet) {
+			f.engines[0].reported, f.engines[1].slow = 1000, 4
+		}, none)
+		t.Log(f.ledgers[1].upstreams[1].pace, f.ledgers[2].upstreams[2].pace)
+		assertInTime(t, short, 0.95)
+		assertInTime(t, long, 0.85)
+	})
+}
--- /dev/null
+++ b/internal/admission/fleet_test.go
@@ -0,0 +1,435 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+)
+
+// event is something that happens at an instant of a simulated fleet.
+type event struct {
+	at     float64
+	number int
+	do     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// callerKind is a kind of request with the fraction of prefill work that it makes up.
+type callerKind struct {
+	name                string
+	urgency             int
+	objective, limit    clock.Millis
+	shared, own, output int
+	holdMs, share       float64
+}
+
+var (
+	shortKind = callerKind{"short", 0, 500, 10_000, 699, 130, 20, 300, 0.15}
+	longKind  = callerKind{"long", 1, 2000, 12_000, 10_512, 1300, 300, 3000, 0.85}
+)
+
+// simEngine prefills prompts one after the other and holds requests while they run.
+type simEngine struct {
+	key             namekey.Key
+	slots, memory   int
+	held, inUse     int
+	slow            float64
+	reported        int
+	queue           []*call
+	reading, down   bool
+	cached          []namekey.Key
+	readMs, spareMs float64
+}
+
+type call struct {
+	kind                    callerKind
+	id                      ID
+	session, org            namekey.Key
+	arrived, attempt, leave float64
+	engine                  *simEngine
+	returns                 int
+	ended, sent, released   bool
+}
+
+const (
+	simFixedMs, simPerToken = 10.0, 0.05
+	simCached               = 8
+	messageMs               = 1
+)
+
+// fleet plays callers, boxes, ledgers and engines. Fields are set before run.
+type fleet struct {
+	now     float64
+	events  events
+	random  *rand.Rand
+	ledgers []*Ledger
+	engines []*simEngine
+	number  int
+	waiting map[ID]*call
+	calls   []*call
+
+	urgentFirst bool
+	sessions    int
+	lose        float64
+	leaveAfter  float64
+	orgOf       func() namekey.Key
+	results     map[string]*result
+	byOrg       map[namekey.Key]*result
+}
+
+// result counts outcomes of callers of a kind, and times from an attempt to its refusal.
+type result struct {
+	all, inTime, late, refused, failed int
+	refusals                           []float64
+}
+
+func (r *result) String() string {
+	return fmt.Sprintf("%d: in time %.3f late %.3f refused %.3f failed %.3f; %d refusals, %.2f within 200 ms",
+		r.all, r.part(r.inTime), r.part(r.late), r.part(r.refused), r.part(r.failed), len(r.refusals), r.promptly())
+}
+
+func (r *result) add(other *result) {
+	r.all, r.inTime, r.late = r.all+other.all, r.inTime+other.inTime, r.late+other.late
+	r.refused, r.failed = r.refused+other.refused, r.failed+other.failed
+	r.refusals = append(r.refusals, other.refusals...)
+}
+
+func (r *result) part(n int) float64 { return float64(n) / float64(max(1, r.all)) }
+
+func (r *result) promptly() float64 {
+	within := 0
+	for _, ms := range r.refusals {
+		if ms <= 200 {
+			within++
+		}
+	}
+	return float64(within) / float64(max(1, len(r.refusals)))
+}
+
+func newFleet(owners, engines int, seed uint64) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 2)), waiting: map[ID]*call{}, sessions: 1_000_000,
+		orgOf: func() namekey.Key { return 1 },
+	}
+	f.now = 1000
+	f.forget()
+	for range owners {
+		f.ledgers = append(f.ledgers, f.newLedger())
+	}
+	for i := range engines {
+		f.engines = append(f.engines, &simEngine{key: namekey.Key(i + 1), slots: 64, memory: 425_013, slow: 1})
+	}
+	return f
+}
+
+// forget drops the results so far.
+func (f *fleet) forget() {
+	f.results, f.byOrg = map[string]*result{"short": {}, "long": {}}, map[namekey.Key]*result{}
+	f.calls = nil
+}
+
+// warm lets the ledgers learn under a light load.
+func (f *fleet) warm(kinds ...callerKind) {
+	f.run(6000, func(float64) float64 { return 0.5 }, kinds...)
+	f.forget()
+}
+
+func (f *fleet) newLedger() *Ledger { return New(func() clock.Millis { return clock.Millis(f.now) }) }
+
+func (f *fleet) after(ms float64, do func()) {
+	f.number++
+	heap.Push(&f.events, event{f.now + ms, f.number, do})
+}
+
+func (f *fleet) owner(e *simEngine) *Ledger { return f.ledgers[int(e.key)%len(f.ledgers)] }
+
+// run plays arrivals of a span with a load, as a factor of what engines can prefill, and then lets calls end.
+func (f *fleet) run(spanMs float64, load func(ms float64) float64, kinds ...callerKind) {
+	begin := f.now
+	for _, k := range kinds {
+		work := simFixedMs + simPerToken*float64(k.shared+k.own)
+		var arrive func()
+		arrive = func() {
+			elapsed := f.now - begin
+			if elapsed >= spanMs {
+				return
+			}
+			rate := load(elapsed) * float64(len(f.engines)) * k.share / work
+			if f.random.Float64() < rate/2 {
+				f.arrive(k)
+			}
+			f.after(0.5, arrive)
+		}
+		f.after(0, arrive)
+	}
+	var expire func()
+	expire = func() {
+		for _, l := range f.ledgers {
+			f.deliver(l.Expire())
+		}
+		if f.now < begin+spanMs+20_000 {
+			f.after(50, expire)
+		}
+	}
+	f.after(0, expire)
+	for len(f.events) > 0 {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+}
+
+func (f *fleet) arrive(k callerKind) {
+	session := namekey.Key(f.random.IntN(f.sessions))
+	c := &call{kind: k, session: session + namekey.Key(k.urgency)<<24, org: f.orgOf(), arrived: f.now, leave: f.now + float64(k.limit)}
+	if f.leaveAfter > 0 && f.random.IntN(3) == 0 {
+		c.leave = f.now + f.leaveAfter
+	}
+	f.calls = append(f.calls, c)
+	f.count(c, func(r *result) { r.all++ })
+	f.after(c.leave-f.now, func() { f.end(c, func(r *result) { r.failed++ }) })
+	f.try(c)
+}
+
+func (f *fleet) count(c *call, add func(r *result)) {
+	add(f.results[c.kind.name])
+	if f.byOrg[c.org] == nil {
+		f.byOrg[c.org] = &result{}
+	}
+	add(f.byOrg[c.org])
+}
+
+// end records the outcome of a caller and releases what it holds.
+func (f *fleet) end(c *call, outcome func(r *result)) {
+	if !c.ended {
+		c.ended = true
+		f.count(c, outcome)
+		if !c.sent {
+			f.release(c, false)
+		}
+	}
+}
+
+func (f *fleet) release(c *call, served bool) {
+	delete(f.waiting, c.id)
+	c.released = true
+	if c.engine != nil && f.random.Float64() >= f.lose {
+		l, id := f.owner(c.engine), c.id
+		f.after(messageMs, func() { f.deliver(l.Release(id, served)) })
+	}
+}
+
+// ask makes an ask at the engine's owner.
+func (f *fleet) ask(c *call, e *simEngine, mayQueue bool) Answer {
+	f.number++
+	c.id, c.engine = ID{Box: fmt.Sprint("box", f.number%6), Number: uint32(f.number)}, e
+	return f.repeat(c, mayQueue)
+}
+
+func (f *fleet) repeat(c *call, mayQueue bool) Answer {
+	e, tokens := c.engine, c.kind.shared+c.kind.own
+	if slices.Contains(e.cached, c.session) {
+		tokens = c.kind.own
+	}
+	left := clock.Millis(c.arrived - f.now)
+	answer, grants := f.owner(e).Ask(Ask{
+		ID: c.id, Pool: 1, Upstream: e.key, Organisation: c.org, Session: c.session, Urgency: c.kind.urgency,
+		PrefillTokens: tokens, OwnTokens: c.kind.own + c.kind.output, SharedTokens: c.kind.shared,
+		Slots: e.slots, MemoryTokens: e.memory, InTimeMs: left + c.kind.objective, PatienceMs: left + c.kind.limit,
+		SlowPercent: e.reported, MayQueue: mayQueue,
+	})
+	f.deliver(grants)
+	return answer
+}
+
+// try asks up to four engines, as the balancer does, and then the best one with leave to queue.
+func (f *fleet) try(c *call) {
+	c.attempt = f.now
+	candidates := slices.DeleteFunc(slices.Clone(f.engines), func(e *simEngine) bool { return e.down })
+	home := func(e *simEngine) uint32 {
+		return (uint32(c.session)*2654435761 ^ uint32(e.key)*40503*65537) * 2246822519
+	}
+	slices.SortFunc(candidates, func(a, b *simEngine) int { return int(home(a)>>1) - int(home(b)>>1) })
+	slices.SortStableFunc(candidates[1:], func(a, b *simEngine) int {
+		return f.hasCached(b, c) - f.hasCached(a, c)
+	})
+	best, drain := candidates[0], clock.Millis(1<<40)
+	var chosen Answer
+	for i, e := range candidates[:min(4, len(candidates))] {
+		answer := f.ask(c, e, false)
+		if answer.Verdict == Granted {
+			f.send(c)
+			return
+		}
+		drain = min(drain, answer.DrainMs)
+		if i == 0 || answer.StartInMs < chosen.StartInMs {
+			best, chosen = e, answer
+		}
+	}
+	if left := c.arrived + float64(c.kind.objective) - f.now; chosen.Late || float64(chosen.StartInMs) <= left {
+		answer := f.ask(c, best, true)
+		switch answer.Verdict {
+		case Granted:
+			f.send(c)
+			return
+		case Queued:
+			f.waiting[c.id] = c
+			return
+		}
+		drain = min(drain, answer.DrainMs)
+	}
+	f.refuse(c, drain, chosen.StartInMs)
+}
+
+// repeatWaiting repeats the ask of a caller that still waits, as boxes do.
+func (f *fleet) repeatWaiting(c *call) {
+	if c.ended || f.waiting[c.id] == nil {
+		return
+	}
+	if answer := f.repeat(c, true); answer.Verdict != Queued {
+		f.deliver([]Grant{{c.id, answer}})
+	}
+}
+
+func (f *fleet) hasCached(e *simEngine, c *call) int {
+	if slices.Contains(e.cached, c.session) {
+		return 1
+	}
+	return 0
+}
+
+// refuse ends an attempt. The caller returns once, if it is told when.
+func (f *fleet) refuse(c *call, drain, startIn clock.Millis) {
+	c.engine = nil
+	f.count(c, func(r *result) { r.refusals = append(r.refusals, f.now-c.attempt) })
+	wait := max(60, float64(drain)*(0.75+f.random.Float64()/2))
+	if c.returns > 0 || f.now+wait+float64(startIn) > c.leave {
+		f.end(c, func(r *result) { r.refused++ })
+		return
+	}
+	c.returns++
+	f.after(wait, func() {
+		if !c.ended {
+			f.try(c)
+		}
+	})
+}
+
+// deliver passes on the later answers to queued asks.
+func (f *fleet) deliver(grants []Grant) {
+	for _, g := range grants {
+		if c := f.waiting[g.ID]; c != nil {
+			delete(f.waiting, g.ID)
+			f.after(messageMs, func() {
+				switch {
+				case c.ended || c.id != g.ID:
+				case g.Answer.Verdict == Granted:
+					f.send(c)
+				default:
+					f.refuse(c, g.Answer.DrainMs, g.Answer.StartInMs)
+				}
+			})
+		}
+	}
+}
+
+func (f *fleet) send(c *call) {
+	c.sent = true
+	if c.engine.down {
+		f.fail(c)
+		return
+	}
+	c.engine.queue = append(c.engine.queue, c)
+	f.read(c.engine)
+}
+
+func (f *fleet) fail(c *call) {
+	f.release(c, false)
+	f.end(c, func(r *result) { r.failed++ })
+}
+
+func (c *call) memory() int { return c.kind.shared + c.kind.own + c.kind.output }
+
+// read lets an engine prefill its next prompt if it isn't busy and has room.
+func (f *fleet) read(e *simEngine) {
+	if e.reading || len(e.queue) == 0 || e.down {
+		return
+	}
+	next := 0
+	for i, c := range e.queue {
+		if f.urgentFirst && c.kind.urgency < e.queue[next].kind.urgency {
+			next = i
+		}
+	}
+	c := e.queue[next]
+	if e.inUse > 0 && (e.inUse >= e.slots || e.held+c.memory() > e.memory) {
+		return
+	}
+	e.queue = slices.Delete(e.queue, next, next+1)
+	e.reading = true
+	e.inUse++
+	e.held += c.memory()
+	tokens := c.kind.shared + c.kind.own
+	if at := slices.Index(e.cached, c.session); at >= 0 {
+		tokens, e.cached = c.kind.own, slices.Delete(e.cached, at, at+1)
+	}
+	f.after((simFixedMs+simPerToken*float64(tokens))*e.slow, func() {
+		e.reading = false
+		if !e.down {
+			e.cached = append(e.cached, c.session)
+			e.cached = e.cached[max(0, len(e.cached)-simCached):]
+			f.start(c)
+			f.read(e)
+		}
+	})
+}
+
+// start is the first event of a response, which then runs for a while.
+func (f *fleet) start(c *call) {
+	e := c.engine
+	if f.random.Float64() >= f.lose {
+		l, id := f.owner(e), c.id
+		f.after(messageMs, func() { f.deliver(l.Started(id)) })
+	}
+	elapsed := f.now - c.arrived
+	f.end(c, func(r *result) {
+		if elapsed <= float64(c.kind.objective) {
+			r.inTime++
+		} else {
+			r.late++
+		}
+	})
+	f.after(c.kind.holdMs, func() {
+		if !c.released {
+			e.inUse--
+			e.held -= c.memory()
+			f.release(c, true)
+			f.read(e)
+		}
+	})
+}
+
+func (f *fleet) report(t *testing.T) {
+	t.Helper()
+	for _, name := range []string{"short", "long"} {
+		t.Logf("%s %v", name, f.results[name])
+	}
+}
--- /dev/null
+++ b/internal/admission/late.go
@@ -0,0 +1,140 @@
+package admission
+
+import "dooryard.example/dooryard/internal/clock"
+
+// observe records since when more has been owed than the target, for each urgency. Nothing but waiting asks of the same
+// or a greater urgency and the engine's backlog delays a request. It is called before and after each change.
+func (u *upstream) observe(now clock.Millis) {
+	owed := u.backlogMs(now) > u.pool.objectives.targetMs(now)
+	for _, c := range u.queue.classes {
+		owed = owed || c.waiting.requests > 0
+		switch {
+		case !owed:
+			c.aboveMs = 0
+		case c.aboveMs == 0:
+			c.aboveMs = now
+		}
+	}
+}
+
+// inTime reports whether a request that is expected to start after a time is in time.
+func (r *request) inTime(startIn, now clock.Millis) bool { return now+startIn <= r.inTimeMs }
+
+// waitMargin is the inverse of the margin by which a request that waits must be expected in time. More urgent work comes
+// unevenly: without a margin, a tenth of the queued asks were denied after a wait.
+const waitMargin = 6
+
+// lateTolerance is the inverse of the part of an objective by which a queued ask may become late before it is
+// reconsidered. The estimate varies by about as much, and a denial after a wait costs its caller more than a late event.
+const lateTolerance = 16
+
+// safelyInTime reports whether a request that waits can be in time even if more urgent work comes than of late.
+func (r *request) safelyInTime(startIn, now clock.Millis) bool {
+	return r.inTime(startIn+startIn/waitMargin, now)
+}
+
+// acceptsLate reports whether a request is accepted although it can't be in time: while its upstream has been behind
+// for less than one objective, since a short burst drains by itself and a late response is better than none, and if its
+// caller still waits then. While times are unknown, nothing is denied because of them.
+func (u *upstream) acceptsLate(r *request, startIn, now clock.Millis) bool {
+	if !u.pool.times.mayDeny() {
+		return true
+	}
+	above := u.queue.class(r.ask.Urgency).aboveMs
+	return (above == 0 || now-above < r.objectiveMs) && now+startIn < r.giveUpMs && !u.deniedMoreUrgent(r, now)
+}
+
+// deniedMoreUrgent reports whether a more urgent request was denied within the last objective, so that a less urgent
+// kind is not denied less often.
+func (u *upstream) deniedMoreUrgent(r *request, now clock.Millis) bool {
+	for urgency, deniedMs := range u.pool.deniedMs {
+		if urgency < r.ask.Urgency && now-deniedMs < r.objectiveMs {
+			return true
+		}
+	}
+	return false
+}
+
+// drainMs returns the time after which a request like this one can be granted: until the work ahead of it fits
+// into the target together with it, or is done.
+func (u *upstream) drainMs(r *request, startIn, now clock.Millis) clock.Millis {
+	own := u.prefillMs(prefillOf(r))
+	return max(0, startIn-clock.Millis(max(own, u.pool.objectives.targetMs(now))))
+}
+
+// displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of a
+// caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of other
+// organisations don't count: what is fair between organisations takes precedence.
+func (u *upstream) displaces(r *request, now clock.Millis) bool {
+	organisation := u.queue.class(r.ask.Urgency).organisations.flows[r.ask.Organisation]
+	if organisation == nil {
+		return false
+	}
+	own := clock.Millis(u.prefillMs(prefillOf(r)))
+	for _, session := range organisation.sessions.active {
+		for _, other := range session.asks {
+			if other.late || compareDeadlines(other, r) < 0 {
+				continue
+			}
+			if startIn := u.startInWith(other, 0, now); other.inTime(startIn, now) && !other.inTime(startIn+own, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not accepted
+// late. Longest-waiting asks are looked at first: without those, later ones may be in time.
+func (u *upstream) denyHopeless(now clock.Millis) []Grant {
+	grants := []Grant{}
+	for _, r := range u.queue.all() {
+		if now >= r.giveUpMs || !u.reconsider(r, now) {
+			if r.ask.Urgency == 1 {
+			}
+			grants = append(grants, u.denyQueued(r, now))
+		}
+	}
+	return grants
+}
+
+// reconsider reports whether a queued ask is kept. Unlike at the ask, more urgent work that may yet come does not count,
+// so that a queued ask isn't denied because of a rate that varies. One that was accepted late is kept while its caller
+// waits: denying it at the end of the burst would refuse it after seconds.
+func (u *upstream) reconsider(r *request, now clock.Millis) bool {
+	startIn := u.startInWith(r, 0, now)
+	switch {
+	case r.late:
+		return now+startIn < r.giveUpMs || !u.pool.times.mayDeny()
+	case r.inTime(startIn-r.objectiveMs/lateTolerance, now):
+		return true
+	case !u.acceptsLate(r, startIn, now):
+		return false
+	}
+	u.queue.remove(r, now)
+	r.late = true
+	u.queue.push(r)
+	return true
+}
+
+func (u *upstream) denyQueued(r *request, now clock.Millis) Grant {
+	answer := u.deny(r, u.startIn(r, now), now)
+	u.remove(r, now)
+	return Grant{ID: r.ask.ID, Answer: answer}
+}
+
+func (u *upstream) deny(r *request, startIn, now clock.Millis) Answer {
+	if r.ask.MayQueue {
+		u.pool.recordDenial(r.ask.Urgency, now)
+	}
+	return Answer{StartInMs: startIn, DrainMs: u.drainMs(r, startIn, now), Provisional: u.provisional(now)}
+}
+
+func (p *pool) recordDenial(urgency int, now clock.Millis) {
+	if p.deniedMs == nil {
+		p.deniedMs = map[int]clock.Millis{}
+	}
+	if _, found := p.deniedMs[urgency]; found || len(p.deniedMs) < maxClasses {
+		p.deniedMs[urgency] = now
+	}
+}
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -14,6 +15,8 @@
 	permitTTLMs = 20 * clock.Second
 	// settleMs is how long an owner counts before its count is complete.
 	settleMs = 3 * clock.Second
+	// idleTTLMs is how long an upstream or a pool without asks is remembered.
+	idleTTLMs = 60 * clock.Second
 )
 
 // Ledger counts the work at the upstreams that one box owns. It is safe for concurrent use.
@@ -21,20 +24,20 @@
 	monotonic func() clock.Millis
 
 	mu        sync.Mutex
-	permits   map[ID]permit
+	requests  map[ID]*request
 	upstreams map[namekey.Key]*upstream
+	pools     map[namekey.Key]*pool
+	asks      uint64
 }
 
-// permit is a granted request.
-type permit struct {
-	upstream namekey.Key
-	untilMs  clock.Millis
-}
-
-// upstream is the state of one upstream.
-type upstream struct {
-	inUse   int
-	sinceMs clock.Millis
+// pool is what is common to the upstreams of a pool.
+type pool struct {
+	times      readTimes
+	holds      holdTimes
+	objectives objectives
+	// deniedMs is when an ask of an urgency was last denied.
+	deniedMs map[int]clock.Millis
+	usedMs   clock.Millis
 }
 
 // Option configures a Ledger.
@@ -42,7 +45,10 @@
 
 // New returns an empty ledger. The clock is monotonic.
 func New(monotonic func() clock.Millis, options ...Option) *Ledger {
-	l := &Ledger{monotonic: monotonic, permits: map[ID]permit{}, upstreams: map[namekey.Key]*upstream{}}
+	l := &Ledger{
+		monotonic: monotonic,
+		requests:  map[ID]*request{}, upstreams: map[namekey.Key]*upstream{}, pools: map[namekey.Key]*pool{},
+	}
 	for _, option := range options {
 		option(l)
 	}
@@ -53,64 +59,156 @@
 func (l *Ledger) Ask(a Ask) (Answer, []Grant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.remove(a.ID)
 	now := l.monotonic()
+	if r := l.requests[a.ID]; r != nil {
+		if r.ask.Upstream == a.Upstream {
+			return r.repeatedAnswer(now), nil
+		}
+		l.remove(r, now)
+	}
+	u := l.upstream(a, now)
+	l.asks++
+	r := &request{
+		ask: a, upstream: u, number: l.asks,
+		askedMs: now, inTimeMs: now + a.InTimeMs, giveUpMs: now + a.PatienceMs,
+		objectiveMs: u.pool.objectives.observe(a, now),
+	}
+	u.observe(now)
+	answer, grants := u.decide(r, now)
+	l.apply(grants)
+	if answer.Verdict != Denied {
+		l.requests[a.ID] = r
+	}
+	u.observe(now)
+	return answer, grants
+}
+
+// upstream returns the state of the upstream of an ask, with the capacity and the pace that the ask tells.
+func (l *Ledger) upstream(a Ask, now clock.Millis) *upstream {
+	p := l.pools[a.Pool]
+	if p == nil {
+		p = &pool{}
+		l.pools[a.Pool] = p
+	}
 	u := l.upstreams[a.Upstream]
 	if u == nil {
-		u = &upstream{sinceMs: now}
+		u = newUpstream(p, now)
 		l.upstreams[a.Upstream] = u
 	}
-	answer := Answer{Provisional: now-u.sinceMs < settleMs}
-	if !a.Force && a.Bound > 0 && u.inUse >= a.Bound {
-		return answer, nil
-	}
-	u.inUse++
-	l.permits[a.ID] = permit{upstream: a.Upstream, untilMs: now + permitTTLMs}
-	answer.Verdict = Granted
-	return answer, nil
+	p.usedMs, u.usedMs = now, now
+	u.slots, u.memory.capacity = a.Slots, a.MemoryTokens
+	u.pace.report(a.SlowPercent)
+	return u
 }
 
 // Started records that the first event of a request has come, and returns the grants that are due.
-func (*Ledger) Started(ID) []Grant { return nil }
-
-// Release records that a request has ended, or withdraws a queued ask, and returns the grants that are due.
-func (l *Ledger) Release(id ID, _ bool) []Grant {
+func (l *Ledger) Started(id ID) []Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.remove(id)
-	return nil
+	r := l.requests[id]
+	if r == nil || r.phase != backlogged {
+		return nil
+	}
+	now := l.monotonic()
+	r.upstream.observe(now)
+	r.upstream.start(r, now)
+	return l.dispatch(r.upstream, now)
 }
 
-func (l *Ledger) remove(id ID) {
-	if p, found := l.permits[id]; found {
-		delete(l.permits, id)
-		l.upstreams[p.upstream].inUse--
+// Release records that a request has ended, or withdraws a queued ask, and returns the grants that are due.
+func (l *Ledger) Release(id ID, served bool) []Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	if r == nil {
+		return nil
+	}
+	now := l.monotonic()
+	r.upstream.observe(now)
+	if served {
+		r.upstream.pool.holds.observe(r, now)
 	}
+	l.remove(r, now)
+	return l.dispatch(r.upstream, now)
 }
 
 // ReleaseBox ends all requests of a box that has restarted, and returns the grants that are due.
 func (l *Ledger) ReleaseBox(box string) []Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range maps.Clone(l.permits) {
+	now := l.monotonic()
+	for id, r := range maps.Clone(l.requests) {
 		if id.Box == box {
-			l.remove(id)
+			l.remove(r, now)
 		}
 	}
-	return nil
+	return l.dispatchAll(now)
 }
 
-// Expire removes requests whose release was never received, and returns the grants that are due.
+// Expire removes requests whose release was never received, denies queued asks that can't be served any more, and
+// returns the grants that are due.
 func (l *Ledger) Expire() []Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.monotonic()
-	for id, p := range maps.Clone(l.permits) {
-		if p.untilMs <= now {
-			l.remove(id)
+	for _, r := range maps.Clone(l.requests) {
+		if r.phase != waiting && now >= r.untilMs {
+			l.remove(r, now)
+		}
+	}
+	grants := []Grant{}
+	for _, u := range l.inOrder() {
+		u.observe(now)
+		u.expireBacklog(now)
+		denied := u.denyHopeless(now)
+		l.apply(denied)
+		grants = append(grants, denied...)
+		u.queue.forgetIdle(now)
+	}
+	grants = append(grants, l.dispatchAll(now)...)
+	maps.DeleteFunc(l.upstreams, func(_ namekey.Key, u *upstream) bool {
+		return u.unused() && now-u.usedMs >= idleTTLMs
+	})
+	maps.DeleteFunc(l.pools, func(_ namekey.Key, p *pool) bool { return now-p.usedMs >= 2*idleTTLMs })
+	return grants
+}
+
+// inOrder returns the upstreams in the order of their keys, so that equal histories give equal grants.
+func (l *Ledger) inOrder() []*upstream {
+	all := make([]*upstream, 0, len(l.upstreams))
+	for _, key := range slices.Sorted(maps.Keys(l.upstreams)) {
+		all = append(all, l.upstreams[key])
+	}
+	return all
+}
+
+func (l *Ledger) remove(r *request, now clock.Millis) {
+	delete(l.requests, r.ask.ID)
+	r.upstream.remove(r, now)
+}
+
+func (l *Ledger) dispatchAll(now clock.Millis) []Grant {
+	grants := []Grant{}
+	for _, u := range l.inOrder() {
+		grants = append(grants, l.dispatch(u, now)...)
+	}
+	return grants
+}
+
+func (l *Ledger) dispatch(u *upstream, now clock.Millis) []Grant {
+	grants := u.dispatch(now)
+	l.apply(grants)
+	u.observe(now)
+	return grants
+}
+
+// apply forgets the queued asks that were denied.
+func (l *Ledger) apply(grants []Grant) {
+	for _, g := range grants {
+		if g.Answer.Verdict == Denied {
+			delete(l.requests, g.ID)
 		}
 	}
-	return nil
 }
 
 // Sizes holds counts for metrics.
@@ -124,5 +222,13 @@
 func (l *Ledger) Sizes() Sizes {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Sizes{Upstreams: len(l.upstreams), Permits: len(l.permits)}
+	sizes := Sizes{Upstreams: len(l.upstreams)}
+	for _, r := range l.requests {
+		if r.phase == waiting {
+			sizes.Queued++
+		} else {
+			sizes.Permits++
+		}
+	}
+	return sizes
 }
--- /dev/null
+++ b/internal/admission/pace.go
@@ -0,0 +1,36 @@
+package admission
+
+const (
+	usualPercent = 100
+	// ratioWeight makes the correction of an upstream's pace follow its last 8 starts.
+	ratioWeight = 1.0 / 8
+	// maxRatio bounds the correction either way, to the factor by which reports are bounded.
+	maxRatio = 10
+)
+
+// pace is how long work takes at one upstream, as a factor of what is usual in its pool: the reported percentage,
+// corrected by what was observed, since reports can be wrong.
+type pace struct {
+	percent int
+	ratio   float64
+}
+
+func (p *pace) report(percent int) {
+	p.percent = usualPercent
+	if percent > usualPercent {
+		p.percent = percent
+	}
+}
+
+func (p *pace) reported() float64 { return float64(p.percent) / usualPercent }
+
+func (p *pace) factor() float64 { return p.reported() * p.ratio }
+
+// observe compares an interval with what was expected at the reported pace.
+func (p *pace) observe(ms, expected float64) {
+	if expected <= 0 {
+		return
+	}
+	observed := min(maxRatio, max(1.0/maxRatio, ms/expected))
+	p.ratio += ratioWeight * (observed - p.ratio)
+}
--- /dev/null
+++ b/internal/admission/request.go
@@ -0,0 +1,78 @@
+package admission
+
+import "dooryard.example/dooryard/internal/clock"
+
+// phase is how far a request has come.
+type phase int
+
+const (
+	waiting phase = iota
+	// backlogged requests were granted, and their first event has not come.
+	backlogged
+	running
+)
+
+// request is an ask that was queued or granted.
+type request struct {
+	ask      Ask
+	upstream *upstream
+	phase    phase
+	// number orders requests by their first ask.
+	number uint64
+	// askedMs, inTimeMs and giveUpMs are the instants of the ask, at which the first event is late, and at which the
+	// caller gives up.
+	askedMs, inTimeMs, giveUpMs clock.Millis
+	// objectiveMs is the time to the first event that callers of this kind need.
+	objectiveMs clock.Millis
+	// late is set if the request was accepted although it is expected to be late.
+	late bool
+	// overtaken counts the requests of the same urgency that were granted while this one lacked memory.
+	overtaken int
+	// session is the flow in which the request waits, and passed the dispatch that found that it lacks memory.
+	session *flow
+	passed  uint64
+	// waitingLoad is what the request counts for in the queue.
+	waitingLoad load
+	// startInMs is the time to the first event that was expected when the request was granted.
+	startInMs clock.Millis
+	// startedMs and endMs are when the first event came and when the request is expected to end.
+	startedMs, endMs clock.Millis
+	// lostMs is when a backlogged request counts as started, since its start was lost, and untilMs when a granted one
+	// counts as ended.
+	lostMs, untilMs clock.Millis
+}
+
+// load returns what the request adds to its upstream.
+func (r *request) load() load {
+	return load{
+		requests: 1, prefill: float64(r.ask.PrefillTokens), memory: float64(r.upstream.memory.need(r)), cost: r.cost(),
+	}
+}
+
+// cost is what fairness counts of the request: the tokens that it makes the upstream prefill and hold.
+func (r *request) cost() float64 { return float64(max(1, r.ask.PrefillTokens+r.ask.OwnTokens)) }
+
+// repeatedAnswer answers an ask that was made before.
+func (r *request) repeatedAnswer(now clock.Millis) Answer {
+	u := r.upstream
+	answer := Answer{Verdict: Granted, StartInMs: r.startInMs, Late: r.late, Provisional: u.provisional(now)}
+	if r.phase == waiting {
+		answer.Verdict, answer.StartInMs = Queued, u.startIn(r, now)
+	}
+	return answer
+}
+
+// load is the work of some requests. Its fields are fractions where a part of the requests is meant.
+type load struct {
+	requests, prefill, memory, cost float64
+}
+
+func (w load) plus(other load) load {
+	return load{w.requests + other.requests, w.prefill + other.prefill, w.memory + other.memory, w.cost + other.cost}
+}
+
+func (w load) minus(other load) load { return w.plus(other.times(-1)) }
+
+func (w load) times(factor float64) load {
+	return load{w.requests * factor, w.prefill * factor, w.memory * factor, w.cost * factor}
+}
--- /dev/null
+++ b/internal/admission/turns.go
@@ -0,0 +1,125 @@
+package admission
+
+import "dooryard.example/dooryard/internal/clock"
+
+const (
+	// turnEvery is the number of grants of which one goes to the longest-waiting ask while several urgencies wait.
+	turnEvery = 8
+	// maxOvertaken is how many requests of its urgency may be granted before one that lacks memory.
+	maxOvertaken = 16
+)
+
+// turns counts grants, so that no urgency starves.
+type turns struct {
+	// grants counts those to more urgent asks since the urgency of the longest-waiting ask last had one.
+	grants int
+	// sinceMs is since when the longest-waiting ask has had its turn and lacked memory, or 0.
+	sinceMs clock.Millis
+}
+
+// dueTurn returns the longest-waiting ask if the next grant is for it.
+func (u *upstream) dueTurn() *request {
+	if u.turns.grants < turnEvery-1 || !u.queue.several() {
+		return nil
+	}
+	return u.queue.longestWaiting()
+}
+
+// turnAhead returns the longest-waiting ask if that is less urgent than a request and will have its turn before the
+// request, which waits behind others. Engines are also chosen by this, and a turn of a long prompt delays urgent ones
+// by more than all other rules.
+func (u *upstream) turnAhead(r *request, ahead load) load {
+	if u.turns.grants+int(ahead.requests) < turnEvery-1 {
+		return load{}
+	}
+	if turn := u.queue.longestWaiting(); turn != nil && turn.ask.Urgency > r.ask.Urgency {
+		return turn.waitingLoad
+	}
+	return load{}
+}
+
+// dispatch grants queued asks while they can be.
+func (u *upstream) dispatch(now clock.Millis) []Grant {
+	var grants []Grant
+	for r := u.next(now); r != nil; r = u.next(now) {
+		if !r.fresh(now) && !u.reconsider(r, now) {
+			grants = append(grants, u.denyQueued(r, now))
+			continue
+		}
+		u.countTurn(r)
+		startIn := clock.Millis(u.backlogMs(now) + u.prefillMs(prefillOf(r)))
+		u.queue.charge(r)
+		u.queue.remove(r, now)
+		u.grant(r, startIn, now)
+		r.late = !r.inTime(startIn, now)
+		answer := Answer{Verdict: Granted, StartInMs: startIn, Late: r.late, Provisional: u.provisional(now)}
+		grants = append(grants, Grant{ID: r.ask.ID, Answer: answer})
+	}
+	return grants
+}
+
+// fresh reports whether an ask has just come, so that it has been decided on at this instant.
+func (r *request) fresh(now clock.Millis) bool { return r.askedMs == now }
+
+// countTurn counts the grant of a queued ask.
+func (u *upstream) countTurn(r *request) {
+	if r.ask.Urgency >= u.queue.longestWaiting().ask.Urgency {
+		u.turns = turns{}
+		return
+	}
+	u.turns.grants++
+}
+
+// next returns the queued ask that can be granted now, or nil. Only those of the most urgent class are looked at, so
+// that a less urgent one doesn't take memory for which a more urgent one waits.
+func (u *upstream) next(now clock.Millis) *request {
+	if r := u.dueTurn(); r != nil && u.holdsTurn(r, now) {
+		if u.obstacle(r, now) != none {
+			return nil
+		}
+		return r
+	}
+	c := u.queue.first()
+	if c == nil {
+		return nil
+	}
+	u.dispatches++
+	passed := [maxOvertaken]*request{}
+	for i := range passed {
+		r := c.organisations.next(u.dispatches)
+		if r == nil {
+			return nil
+		}
+		switch u.obstacle(r, now) {
+		case none:
+			for _, larger := range passed[:i] {
+				larger.overtaken++
+			}
+			return r
+		case lacksMemory:
+			if r.overtaken >= maxOvertaken {
+				return nil
+			}
+			r.passed, passed[i] = u.dispatches, r
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+// holdsTurn reports whether others wait for the longest-waiting ask. While that lacks memory they do so for at most the
+// target: the ends of running requests may take seconds, and urgent ones would be late.
+func (u *upstream) holdsTurn(r *request, now clock.Millis) bool {
+	if u.obstacle(r, now) != lacksMemory {
+		return true
+	}
+	if u.turns.sinceMs == 0 {
+		u.turns.sinceMs = now
+	}
+	if float64(now-u.turns.sinceMs) < u.pool.objectives.targetMs(now) {
+		return true
+	}
+	u.turns = turns{}
+	return false
+}
--- /dev/null
+++ b/internal/admission/upstream.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+)
+
+// upstream is the state of one upstream.
+type upstream struct {
+	pool *pool
+	// sinceMs is when the first ask came, and usedMs when the last one did.
+	sinceMs, usedMs clock.Millis
+	// slots is 0 if it is unknown. inUse counts granted requests.
+	slots, inUse int
+	pace         pace
+	memory       memory
+	backlog      backlog
+	holders      holders
+	queue        queue
+	// arrivals is the work of granted requests of late.
+	arrivals arrivals
+	turns    turns
+	// dispatches numbers the dispatches.
+	dispatches uint64
+}
+
+func newUpstream(p *pool, now clock.Millis) *upstream {
+	return &upstream{
+		pool: p, sinceMs: now, pace: pace{percent: usualPercent, ratio: 1},
+		memory: memory{sessions: map[namekey.Key]sharedParts{}},
+	}
+}
+
+func (u *upstream) provisional(now clock.Millis) bool { return now-u.sinceMs < settleMs }
+
+func (u *upstream) unused() bool { return u.inUse == 0 && u.queue.length == 0 }
+
+// decide answers a new ask, and returns the grants to other asks that are due.
+func (u *upstream) decide(r *request, now clock.Millis) (Answer, []Grant) {
+	startIn := u.startIn(r, now)
+	answer := Answer{Verdict: Granted, StartInMs: startIn, Late: !r.inTime(startIn, now), Provisional: u.provisional(now)}
+	r.late = answer.Late
+	if r.ask.Force {
+		u.grant(r, startIn, now)
+		return answer, nil
+	}
+	if r.ask.Bound > 0 && u.inUse >= r.ask.Bound {
+		return u.deny(r, startIn, now), nil
+	}
+	var grants []Grant
+	if !answer.Late || !u.queue.waitsUpTo(r.ask.Urgency) {
+		u.queue.push(r)
+		grants = u.dispatch(now)
+		for i, g := range grants {
+			if g.ID == r.ask.ID {
+				return g.Answer, slices.Delete(grants, i, i+1)
+			}
+		}
+		u.queue.remove(r, now)
+	}
+	accepted := u.queue.length < max(minQueueLength, queuePerSlot*u.slots) &&
+		(r.safelyInTime(startIn, now) || u.acceptsLate(r, startIn, now))
+	if !accepted || !r.ask.MayQueue || u.pool.times.mayDeny() && u.displaces(r, now) {
+		denial := u.deny(r, startIn, now)
+		denial.Late = accepted && answer.Late
+		return denial, grants
+	}
+	u.queue.push(r)
+	answer.Verdict = Queued
+	return answer, grants
+}
+
+// grant counts a request as sent.
+func (u *upstream) grant(r *request, startIn, now clock.Millis) {
+	r.phase, r.startInMs = backlogged, startIn
+	r.lostMs = now + max(minLostMs, lostFactor*startIn)
+	r.untilMs = now + permitTTLMs
+	u.inUse++
+	u.memory.add(r)
+	u.backlog.add(r, now)
+	u.hold(r, now+startIn)
+	u.arrivals.add(r.ask.Urgency, u.prefillMs(prefillOf(r)), now)
+}
+
+// remove takes back what a request counts for.
+func (u *upstream) remove(r *request, now clock.Millis) {
+	if r.phase == waiting {
+		u.queue.remove(r, now)
+		return
+	}
+	if r.phase == backlogged {
+		u.backlog.remove(r, now)
+	}
+	u.holders.remove(r)
+	u.inUse--
+	u.memory.remove(r)
+}
+
+// unknownBacklog is the backlog in requests up to which requests are granted while prefill times are unknown. Without
+// it, an overloaded engine has a backlog of seconds before the first times are learnt.
+const unknownBacklog = 2
+
+// obstacle is why a request can't be granted now.
+type obstacle int
+
+const (
+	none obstacle = iota
+	lacksTime
+	lacksSlot
+	lacksMemory
+)
+
+// obstacle returns what prevents the grant of a request: the backlog with it exceeds the target, or slots or memory
+// can't hold it. An idle engine accepts any request.
+func (u *upstream) obstacle(r *request, now clock.Millis) obstacle {
+	bounded := r.ask.Bound > 0 && u.inUse >= r.ask.Bound
+	switch {
+	case bounded || u.slots > 0 && u.inUse >= u.slots:
+		return lacksSlot
+	case !u.memory.fits(r, u.inUse == 0):
+		return lacksMemory
+	case len(u.backlog.requests) == 0:
+		return none
+	case !u.pool.times.known():
+		if len(u.backlog.requests) >= unknownBacklog {
+			return lacksTime
+		}
+	case u.backlogMs(now)+u.prefillMs(prefillOf(r)) > u.pool.objectives.targetMs(now):
+		return lacksTime
+	}
+	return none
+}
