--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -41,7 +41,8 @@
 		return true
 	}
 	above := u.queue.class(r.ask.Urgency).aboveMs
-	return (above == 0 || now-above < r.objectiveMs) && now+startIn < r.giveUpMs && !u.deniedMoreUrgent(r, now)
+	burst := above == 0 || now-above < r.objectiveMs
+	return burst && now+startIn < min(r.giveUpMs, r.inTimeMs+r.objectiveMs) && !u.deniedMoreUrgent(r, now)
 }
 
 // deniedMoreUrgent reports whether a more urgent request was denied within the last objective, so that a less urgent
@@ -64,24 +65,34 @@
 
 // displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of a
 // caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of other
-// organisations don't count: what is fair between organisations takes precedence.
+// organisations don't count: what is fair between organisations takes precedence. Only the first and the last of those
+// behind are looked at, since each expected start takes time in proportion to the queue.
 func (u *upstream) displaces(r *request, now clock.Millis) bool {
 	organisation := u.queue.class(r.ask.Urgency).organisations.flows[r.ask.Organisation]
 	if organisation == nil {
 		return false
 	}
-	own := clock.Millis(u.prefillMs(prefillOf(r)))
+	var first, last *request
 	for _, session := range organisation.sessions.active {
 		for _, other := range session.asks {
 			if other.late || compareDeadlines(other, r) < 0 {
 				continue
 			}
-			if startIn := u.startInWith(other, 0, now); other.inTime(startIn, now) && !other.inTime(startIn+own, now) {
-				return true
+			if first == nil || compareDeadlines(other, first) < 0 {
+				first = other
+			}
+			if last == nil || compareDeadlines(other, last) > 0 {
+				last = other
 			}
 		}
 	}
-	return false
+	return first != nil && (u.delays(r, first, now) || u.delays(r, last, now))
+}
+
+// delays reports whether a queued ask is late only if a request goes ahead of it.
+func (u *upstream) delays(r, other *request, now clock.Millis) bool {
+	startIn := u.startInWith(other, 0, now)
+	return other.inTime(startIn, now) && !other.inTime(startIn+clock.Millis(u.prefillMs(prefillOf(r))), now)
 }
 
 // denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not accepted
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -61,7 +61,7 @@
 	defer l.mu.Unlock()
 	now := l.monotonic()
 	if r := l.requests[a.ID]; r != nil {
-		if r.ask.Upstream == a.Upstream {
+		if r.isRepeatedBy(a) {
 			return r.repeatedAnswer(now), nil
 		}
 		l.remove(r, now)
@@ -96,7 +96,12 @@
 		l.upstreams[a.Upstream] = u
 	}
 	p.usedMs, u.usedMs = now, now
-	u.slots, u.memory.capacity = a.Slots, a.MemoryTokens
+	if a.Slots > 0 {
+		u.slots = a.Slots
+	}
+	if a.MemoryTokens > 0 {
+		u.memory.capacity = a.MemoryTokens
+	}
 	u.pace.report(a.SlowPercent)
 	return u
 }
--- /dev/null
+++ b/internal/admission/loads_test.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const loadMs = 12_000
+
+// TestLoads guards against a fleet that answers an overload of prompts with late responses instead of prompt refusals.
+func TestLoads(t *testing.T) {
+	steady := func(load float64) func(float64) float64 { return func(float64) float64 { return load } }
+	byTurns := func(ms float64) float64 {
+		if int(ms/3000)%2 == 0 {
+			return 1.7
+		}
+		return 0.3
+	}
+	// memoryShort is a load for which engines would need 1.3 times their memory.
+	memoryShort := func(memory int, k callerKind) func(float64) float64 {
+		perMs := float64(memory) / float64(k.memory()) / (k.holdMs + k.prefillMs())
+		return steady(1.3 * perMs * k.prefillMs() / k.share)
+	}
+	slow, cached := longKind, longKind
+	slow.holdMs, cached.cached = 5400, true
+	for _, load := range []struct {
+		name    string
+		load    func(float64) float64
+		memory  int
+		long    callerKind
+		longAim float64
+	}{
+		{"prompts owed are 1.7 times what engines prefill", steady(1.7), 425_013, longKind, 0.45},
+		{"the same by turns with a light load", byTurns, 425_013, longKind, 0.6},
+		{"memory is short, few large prompts", memoryShort(64_000, slow), 64_000, slow, 0.6},
+		{"memory is short, shared parts are cached", memoryShort(200_000, cached), 200_000, cached, 0.6},
+	} {
+		for order, urgentFirst := range map[string]bool{"in order": false, "urgent first": true} {
+			t.Run(load.name+", engines serve "+order, func(t *testing.T) {
+				short, long := &result{}, &result{}
+				for seed := range uint64(4) {
+					f := newFleet(6, 12, seed)
+					f.urgentFirst = urgentFirst
+					for _, e := range f.engines {
+						e.memory = load.memory
+					}
+					f.warm(shortKind, load.long)
+					f.run(loadMs, load.load, shortKind, load.long)
+					short.add(f.results["short"])
+					long.add(f.results["long"])
+				}
+				t.Logf("all short %v; long %v", short, long)
+				assert.GreaterOrEqual(t, short.part(short.inTime), 0.95)
+				assert.GreaterOrEqual(t, long.part(long.inTime), load.longAim)
+				assert.Zero(t, short.failed+long.failed)
+				assert.GreaterOrEqual(t, long.promptly(), 0.9)
+			})
+		}
+	}
+}
