feat(mesh): boxes ask an upstream's owner to admit prompts

Cause: permits count requests and are granted or denied at once. A prompt that has to wait needs a queue at the owner, which survives lost and duplicated datagrams, restarts, partitions and callers that leave.

Change: Mesh.Admit asks the owner in one round trip, or without a datagram if the box itself is the owner. A queued ask is repeated every 100 ms under its number; after two unanswered repeats the reply is Unknown. An answer to a number that is not in use is returned with a release. A draining owner denies the queued asks of other boxes. The owner expires its ledger every 50 ms while that is not empty. An owner that has not answered is not asked for 500 ms, unless it has answered another ask since; this is kept apart from permits, which owners of earlier releases grant.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -268,6 +268,7 @@
 	}
 	b.goroutines.Go(func() { b.peering.mesh.Run(background) })
 	b.goroutines.Go(func() { b.peering.run(background) })
+	b.goroutines.Go(func() { b.peering.expireAdmissions(background) })
 	b.log.Record(decision.Process{What: "started"})
 	b.goroutines.Go(func() { b.source.Run(background, b.sink.asSink()) })
 	b.goroutines.Go(func() { b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() }) })
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -112,6 +112,26 @@
 	}
 }
 
+// admissionIntervalMs is the period at which queued prompts are looked at. It is a tenth of the shortest usual objective.
+const admissionIntervalMs clock.Millis = 50
+
+// expireAdmissions removes what has expired from the upstreams that this box owns, and sends the grants that are due. It
+// runs only while the box counts or queues requests there, as most boxes do not.
+func (p *peering) expireAdmissions(ctx context.Context) {
+	for {
+		select {
+		case <-p.mesh.AdmissionsChanged():
+		case <-ctx.Done():
+			return
+		}
+		for more := true; more; more = p.mesh.ExpireAdmissions() {
+			if p.box.clock.Sleep(ctx, admissionIntervalMs) != nil {
+				return
+			}
+		}
+	}
+}
+
 // applyPeerState processes the state summary of another box: it fetches the state if that of the other box is newer,
 // and records the confirmation. The age in the summary is counted back from the time at which this box sent the ping.
 func (p *peering) applyPeerState(ctx context.Context, a mesh.PeerState) {
--- /dev/null
+++ b/internal/mesh/admission_owner.go
@@ -0,0 +1,204 @@
+package mesh
+
+import (
+	"net"
+	"sync"
+
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// admissionLedger holds the methods of an admission.Ledger. Tests replace them.
+type admissionLedger struct {
+	ask        func(a admission.Ask) (admission.Answer, []admission.Grant)
+	started    func(id admission.ID) []admission.Grant
+	release    func(id admission.ID, served bool) []admission.Grant
+	releaseBox func(box string) []admission.Grant
+	expire     func() []admission.Grant
+	sizes      func() admission.Sizes
+}
+
+func newAdmissionLedger(l *admission.Ledger) admissionLedger {
+	return admissionLedger{
+		ask: l.Ask, started: l.Started, release: l.Release, releaseBox: l.ReleaseBox, expire: l.Expire, sizes: l.Sizes,
+	}
+}
+
+// admissionOwner decides on asks at the upstreams that this box owns.
+type admissionOwner struct {
+	self      string
+	monotonic func() clock.Millis
+	// changed gets a value when the ledger may have got something that expires.
+	changed chan struct{}
+
+	// mu is held during calls of the ledger, so that queued holds what the ledger has queued.
+	mu     sync.Mutex
+	ledger admissionLedger
+	// queued holds the queued asks of other boxes, with the time at which their callers give up.
+	queued   map[admission.ID]clock.Millis
+	draining bool
+}
+
+func newAdmissionOwner(self string, monotonic func() clock.Millis) *admissionOwner {
+	return &admissionOwner{
+		self: self, monotonic: monotonic, changed: make(chan struct{}, 1),
+		ledger: newAdmissionLedger(admission.New(monotonic)), queued: map[admission.ID]clock.Millis{},
+	}
+}
+
+// ask decides on an ask. It also returns the grants that are due. A draining box queues no asks of other boxes.
+func (o *admissionOwner) ask(a admission.Ask) (admission.Answer, []admission.Grant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	answer, grants := o.ledger.ask(a)
+	delete(o.queued, a.ID)
+	if answer.Verdict == admission.Queued && a.ID.Box != o.self {
+		if o.draining {
+			answer.Verdict = admission.Denied
+			grants = append(grants, o.ledger.release(a.ID, false)...)
+		} else {
+			o.queued[a.ID] = o.monotonic() + a.PatienceMs
+		}
+	}
+	o.recordLocked(grants)
+	select {
+	case o.changed <- struct{}{}:
+	default:
+	}
+	return answer, grants
+}
+
+// update calls the ledger and returns the grants that are due.
+func (o *admissionOwner) update(call func(l admissionLedger) []admission.Grant) []admission.Grant {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	grants := call(o.ledger)
+	o.recordLocked(grants)
+	return grants
+}
+
+func (o *admissionOwner) recordLocked(grants []admission.Grant) {
+	for _, g := range grants {
+		delete(o.queued, g.ID)
+	}
+}
+
+// release ends a request or withdraws a queued ask, and returns the grants that are due.
+func (o *admissionOwner) release(id admission.ID, served bool) []admission.Grant {
+	return o.update(func(l admissionLedger) []admission.Grant {
+		delete(o.queued, id)
+		return l.release(id, served)
+	})
+}
+
+// started records the first event of a request, and returns the grants that are due.
+func (o *admissionOwner) started(id admission.ID) []admission.Grant {
+	return o.update(func(l admissionLedger) []admission.Grant { return l.started(id) })
+}
+
+// releaseBox ends the requests of a box that has restarted, and returns the grants that are due.
+func (o *admissionOwner) releaseBox(box string) []admission.Grant {
+	return o.update(func(l admissionLedger) []admission.Grant {
+		for id := range o.queued {
+			if id.Box == box {
+				delete(o.queued, id)
+			}
+		}
+		return l.releaseBox(box)
+	})
+}
+
+// expire removes what has expired. It returns the grants that are due, and whether anything may expire later.
+func (o *admissionOwner) expire() (grants []admission.Grant, more bool) {
+	grants = o.update(func(l admissionLedger) []admission.Grant {
+		now := o.monotonic()
+		for id, untilMs := range o.queued {
+			if untilMs <= now {
+				delete(o.queued, id)
+			}
+		}
+		return l.expire()
+	})
+	sizes := o.ledger.sizes()
+	return grants, sizes.Permits+sizes.Queued > 0
+}
+
+// drain denies the queued asks of other boxes, which would be lost when this process ends. Asks of this box stay, as the
+// process ends after its own requests.
+func (o *admissionOwner) drain() []admission.Grant {
+	return o.update(func(l admissionLedger) []admission.Grant {
+		o.draining = true
+		due := []admission.Grant{}
+		for id := range o.queued {
+			delete(o.queued, id)
+			// The ledger may grant another queued ask, which is then not denied.
+			more := l.release(id, false)
+			o.recordLocked(more)
+			due = append(append(due, admission.Grant{ID: id}), more...)
+		}
+		return due
+	})
+}
+
+// handleAdmissionMessage processes a datagram about admission.
+func (m *Mesh) handleAdmissionMessage(data []byte, from net.Addr) {
+	var err error
+	switch permitMessageKind(data[1]) {
+	case admissionAsk:
+		var p askMessage
+		if p, err = decodeAdmission[askMessage](data); err == nil {
+			answer := m.decide(p.ask(from.String()))
+			m.sendMessage(from.String(), newAnswerMessage(p.Number, answer))
+		}
+	case admissionAnswer:
+		err = m.handleAdmissionAnswer(data, from.String())
+	default:
+		var p endMessage
+		if p, err = decodeAdmission[endMessage](data); err == nil {
+			m.recordEnd(p.Kind, admission.ID{Box: from.String(), Number: p.Number})
+		}
+	}
+	if err != nil {
+		m.mu.Lock()
+		m.ignored++
+		m.mu.Unlock()
+	}
+}
+
+// decide decides on an ask as the owner of the upstream, and sends the grants that are due.
+func (m *Mesh) decide(a admission.Ask) admission.Answer {
+	answer, grants := m.admissionOwner.ask(a)
+	m.sendGrants(grants)
+	return answer
+}
+
+// recordEnd records the start or end of a request as the owner of its upstream, and sends the grants that are due.
+func (m *Mesh) recordEnd(kind permitMessageKind, id admission.ID) {
+	if kind == admissionStarted {
+		m.sendGrants(m.admissionOwner.started(id))
+		return
+	}
+	m.sendGrants(m.admissionOwner.release(id, kind == admissionReleaseServed))
+}
+
+// sendGrants sends grants and denials of queued asks to the boxes that asked.
+func (m *Mesh) sendGrants(grants []admission.Grant) {
+	for _, g := range grants {
+		if g.ID.Box == m.self.Address {
+			m.resolveAdmission(g.ID.Number, g.ID.Box, g.Answer)
+			continue
+		}
+		m.sendMessage(g.ID.Box, newAnswerMessage(g.ID.Number, g.Answer))
+	}
+}
+
+// ExpireAdmissions removes requests whose release was lost and sends the grants that are due. It must be called every
+// 50 ms while it returns true, and after a receive from AdmissionsChanged.
+func (m *Mesh) ExpireAdmissions() (more bool) {
+	grants, more := m.admissionOwner.expire()
+	m.sendGrants(grants)
+	return more
+}
+
+// AdmissionsChanged returns a channel that gets a value when ExpireAdmissions has to be called again.
+func (m *Mesh) AdmissionsChanged() <-chan struct{} { return m.admissionOwner.changed }
--- /dev/null
+++ b/internal/mesh/admissions_test.go
@@ -0,0 +1,484 @@
+package mesh
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+)
+
+// filteredConn loses or duplicates datagrams.
+type filteredConn struct {
+	net.PacketConn
+	copies *atomic.Pointer[func(data []byte) int]
+}
+
+func (c *filteredConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	count := 1
+	if copies := c.copies.Load(); copies != nil {
+		count = (*copies)(data)
+	}
+	for range count {
+		_, _ = c.PacketConn.WriteTo(data, to)
+	}
+	return len(data), nil
+}
+
+// lose loses a number of messages about admission, or all if the number is negative: those of a kind, or of every kind
+// if it is 0.
+func (f *fixture) lose(kind permitMessageKind, number int64) {
+	var lost atomic.Int64
+	copies := func(data []byte) int {
+		if isAdmissionMessage(data) && (kind == 0 || data[1] == byte(kind)) && (number < 0 || lost.Add(1) <= number) {
+			return 0
+		}
+		return 1
+	}
+	f.copies.Store(&copies)
+}
+
+// fifoLedger grants a fixed number of requests and queues the others in the order of their arrival.
+type fifoLedger struct {
+	mu      sync.Mutex
+	slots   int
+	running []admission.ID
+	starts  int
+	queue   []admission.Ask
+}
+
+func (l *fifoLedger) ask(a admission.Ask) (admission.Answer, []admission.Grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	queued := slices.ContainsFunc(l.queue, func(q admission.Ask) bool { return q.ID == a.ID })
+	switch {
+	case slices.Contains(l.running, a.ID):
+	case !queued && (a.Force || len(l.running) < l.slots):
+		l.running = append(l.running, a.ID)
+	case a.MayQueue:
+		if !queued {
+			l.queue = append(l.queue, a)
+		}
+		return admission.Answer{Verdict: admission.Queued, DrainMs: 70}, nil
+	default:
+		return admission.Answer{DrainMs: 70}, nil
+	}
+	return admission.Answer{Verdict: admission.Granted}, nil
+}
+
+// remove ends requests and grants the first queued ones.
+func (l *fifoLedger) remove(ends func(id admission.ID) bool) (grants []admission.Grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running = slices.DeleteFunc(l.running, ends)
+	l.queue = slices.DeleteFunc(l.queue, func(a admission.Ask) bool { return ends(a.ID) })
+	for len(l.queue) > 0 && len(l.running) < l.slots {
+		id := l.queue[0].ID
+		l.running, l.queue = append(l.running, id), l.queue[1:]
+		grants = append(grants, admission.Grant{ID: id, Answer: admission.Answer{Verdict: admission.Granted}})
+	}
+	return grants
+}
+
+func (l *fifoLedger) functions() admissionLedger {
+	return admissionLedger{
+		ask: l.ask,
+		started: func(admission.ID) []admission.Grant {
+			l.starts++
+			return nil
+		},
+		release: func(id admission.ID, _ bool) []admission.Grant {
+			return l.remove(func(other admission.ID) bool { return id == other })
+		},
+		releaseBox: func(box string) []admission.Grant {
+			return l.remove(func(id admission.ID) bool { return id.Box == box })
+		},
+		expire: func() []admission.Grant { return nil },
+		sizes: func() admission.Sizes {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return admission.Sizes{Permits: len(l.running), Queued: len(l.queue)}
+		},
+	}
+}
+
+// admissions is a fleet of two boxes, of which one owns upstreams with one slot.
+type admissions struct {
+	*fixture
+	owner, asker *box
+	ledger       *fifoLedger
+}
+
+// runAdmissions runs a test after the boxes have met.
+func runAdmissions(t *testing.T, test func(f *admissions)) {
+	t.Helper()
+	runInBubble(t, func(base *fixture) {
+		f := &admissions{fixture: base, ledger: &fifoLedger{slots: 1}}
+		f.owner, f.asker = f.start("d1"), f.start("d2")
+		f.owner.admissionOwner.ledger = f.ledger.functions()
+		// Tests begin between two rounds.
+		advance(f.t, 1100*time.Millisecond)
+		test(f)
+	})
+}
+
+// askOf returns an ask of a caller that waits for 10 s.
+func askOf(mayQueue bool) admission.Ask {
+	return admission.Ask{Upstream: namekey.Of("u"), Bound: 1, MayQueue: mayQueue, InTimeMs: 500, PatienceMs: 10_000}
+}
+
+// admit returns the reply to an ask that may not be queued.
+func (f *admissions) admit(b *box) admission.Reply { return b.Admit(f.t.Context(), "d1", askOf(false)) }
+
+// waiting is a box that waits for a grant.
+type waiting struct {
+	reply admission.Reply
+	took  time.Duration
+	leave context.CancelFunc
+}
+
+// enqueue lets a box wait. The reply is there after a synctest.Wait.
+func (f *admissions) enqueue(b *box) *waiting {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	w := &waiting{leave: cancel}
+	go func() {
+		begun := time.Now()
+		w.reply = b.Admit(ctx, "d1", askOf(true))
+		w.took = time.Since(begun)
+	}()
+	synctest.Wait()
+	return w
+}
+
+// assertSizes asserts how many requests the owner counts and queues after a round trip.
+func (f *admissions) assertSizes(permits, queued int) {
+	f.t.Helper()
+	synctest.Wait()
+	assert.Equal(f.t, admission.Sizes{Permits: permits, Queued: queued}, f.owner.Sizes().Admissions)
+}
+
+func assertVerdict(t *testing.T, want admission.Verdict, r admission.Reply) {
+	t.Helper()
+	assert.False(t, r.Unknown)
+	assert.Equal(t, want, r.Answer.Verdict)
+}
+
+// assertUnknown asserts that no owner answered within a time.
+func assertUnknown(t *testing.T, r admission.Reply, took, limit time.Duration) {
+	t.Helper()
+	assert.True(t, r.Unknown)
+	assert.LessOrEqual(t, took, limit)
+}
+
+// TestAdmit guards against prompts that are lost in a queue, that run uncounted, or that are counted for longer than
+// they run, when messages, boxes or callers vanish.
+func TestAdmit(t *testing.T) {
+	for name, test := range map[string]func(t *testing.T, f *admissions){
+		"an immediate answer takes one round trip, and none at the owner": func(t *testing.T, f *admissions) {
+			begun, sent := time.Now(), f.owner.Sizes().SentBytes
+			own := f.admit(f.owner)
+			assertVerdict(t, admission.Granted, own)
+			assertVerdict(t, admission.Denied, f.admit(f.owner))
+			own.Release(true)
+			assert.Equal(t, sent, f.owner.Sizes().SentBytes)
+			assertVerdict(t, admission.Granted, f.admit(f.asker))
+			assertVerdict(t, admission.Denied, f.admit(f.asker))
+			assert.Equal(t, begun, time.Now())
+			assert.Len(t, f.asker.admissions.open, 1)
+		},
+		"a queued ask is granted": func(t *testing.T, f *admissions) {
+			first, remote, local := f.admit(f.asker), f.enqueue(f.asker), f.enqueue(f.owner)
+			advance(t, time.Second)
+			f.assertSizes(1, 2)
+			first.Started()
+			first.Release(true)
+			f.assertSizes(1, 1)
+			assertVerdict(t, admission.Granted, remote.reply)
+			remote.reply.Release(true)
+			f.assertSizes(1, 0)
+			assertVerdict(t, admission.Granted, local.reply)
+			assert.Equal(t, int64(1), f.asker.Sizes().AdmissionsQueued)
+			assert.Equal(t, int64(2), f.asker.Sizes().AdmissionAsks)
+		},
+		"a lost ask": func(t *testing.T, f *admissions) {
+			f.lose(admissionAsk, 1)
+			begun := time.Now()
+			reply := f.admit(f.asker)
+			assertUnknown(t, reply, time.Since(begun), admissionTimeoutMs.Duration())
+			assert.Equal(t, neverAnswered, reply.OwnerAgeMs)
+			begun = time.Now()
+			assertUnknown(t, f.admit(f.asker), time.Since(begun), 0)
+			advance(t, ownerRetryMs.Duration())
+			assertVerdict(t, admission.Granted, f.admit(f.asker))
+			assert.Equal(t, int64(1), f.asker.Sizes().AdmissionTimeouts)
+		},
+		"a lost ask among others": func(t *testing.T, f *admissions) {
+			f.lose(admissionAsk, 1)
+			lost := f.enqueue(f.asker)
+			assertVerdict(t, admission.Granted, f.admit(f.asker))
+			advance(t, admissionTimeoutMs.Duration())
+			synctest.Wait()
+			assertUnknown(t, lost.reply, lost.took, admissionTimeoutMs.Duration())
+			assertVerdict(t, admission.Denied, f.admit(f.asker))
+		},
+		"a lost answer": func(t *testing.T, f *admissions) {
+			f.lose(admissionAnswer, 1)
+			reply := f.admit(f.asker)
+			assertUnknown(t, reply, 0, 0)
+			f.assertSizes(1, 0)
+			reply.Release(true)
+			f.assertSizes(0, 0)
+		},
+		"a lost grant": func(t *testing.T, f *admissions) {
+			first, next := f.admit(f.asker), f.enqueue(f.asker)
+			f.lose(admissionAnswer, 1)
+			first.Release(true)
+			advance(t, admissionRepeatMs.Duration())
+			f.assertSizes(1, 0)
+			assertVerdict(t, admission.Granted, next.reply)
+		},
+		"a lost start": func(t *testing.T, f *admissions) {
+			reply := f.admit(f.asker)
+			f.lose(admissionStarted, 1)
+			reply.Started()
+			reply.Release(true)
+			f.assertSizes(0, 0)
+			reply.Started()
+			reply.Release(true)
+			synctest.Wait()
+			assert.Zero(t, f.ledger.starts, "nothing is told after the end")
+		},
+		"a lost release": func(t *testing.T, f *admissions) {
+			f.owner.admissionOwner.ledger = newAdmissionLedger(admission.New(f.owner.clock.Monotonic))
+			reply := f.admit(f.asker)
+			assert.True(t, reply.Answer.Provisional, "the owner has just begun to count")
+			<-f.owner.AdmissionsChanged()
+			f.lose(admissionRelease+1, 1)
+			reply.Release(true)
+			assert.True(t, f.owner.ExpireAdmissions())
+			advance(t, 21*time.Second)
+			assert.False(t, f.owner.ExpireAdmissions(), "the tick may stop")
+			assertVerdict(t, admission.Granted, f.admit(f.asker))
+		},
+		"the owner dies while an ask is queued": func(t *testing.T, f *admissions) {
+			f.admit(f.asker)
+			next := f.enqueue(f.asker)
+			advance(t, time.Second)
+			f.owner.stop()
+			advance(t, time.Second)
+			synctest.Wait()
+			assertUnknown(t, next.reply, next.took, 1250*time.Millisecond)
+			assert.Positive(t, next.reply.OwnerAgeMs)
+		},
+		"the owner restarts while an ask is queued": func(t *testing.T, f *admissions) {
+			f.admit(f.asker)
+			next := f.enqueue(f.asker)
+			f.owner.stop()
+			synctest.Wait()
+			asker := f.boxes[1]
+			f.boxes, f.restarts = f.boxes[:0], 1
+			f.owner = f.start("d1")
+			f.boxes = append(f.boxes, asker)
+			advance(t, 2*admissionRepeatMs.Duration())
+			synctest.Wait()
+			assertVerdict(t, admission.Granted, next.reply)
+			assert.Equal(t, 1, f.owner.Sizes().Admissions.Permits)
+		},
+		"the asking box restarts": func(t *testing.T, f *admissions) {
+			f.admit(f.asker)
+			f.enqueue(f.asker)
+			next := f.enqueue(f.owner)
+			from := f.asker.self
+			from.Incarnation++
+			f.owner.handle(&packet{Type: typePing, From: from}, &net.UDPAddr{})
+			f.assertSizes(1, 0)
+			assertVerdict(t, admission.Granted, next.reply)
+		},
+		"a grant for an earlier process is returned": func(t *testing.T, f *admissions) {
+			first := f.admit(f.owner)
+			f.ledger.ask(admission.Ask{ID: admission.ID{Box: f.asker.self.Address, Number: 7}, MayQueue: true})
+			first.Release(true)
+			f.assertSizes(0, 0)
+		},
+		"a partition": func(t *testing.T, f *admissions) {
+			second := f.start("d1")
+			second.admissionOwner.ledger = (&fifoLedger{slots: 1}).functions()
+			advance(t, time.Second)
+			owner, other := f.owner, second
+			if first, _ := f.asker.ownerForAdmission(namekey.Of("u"), "d1"); first.Box == second.self.Box {
+				owner, other = second, f.owner
+			}
+			f.admit(f.asker)
+			next := f.enqueue(f.asker)
+			f.network.SetPartition(func(from, to string) bool { return (from == owner.self.Box) != (to == owner.self.Box) })
+			advance(t, minAliveMs.Duration()+time.Second)
+			synctest.Wait()
+			assertUnknown(t, next.reply, next.took, 3*admissionRepeatMs.Duration())
+			assertVerdict(t, admission.Granted, f.admit(f.asker))
+			assert.Equal(t, 1, other.Sizes().Admissions.Permits)
+			assertVerdict(t, admission.Denied, f.admit(owner))
+		},
+		"a draining owner": func(t *testing.T, f *admissions) {
+			first, local, remote := f.admit(f.asker), f.enqueue(f.owner), f.enqueue(f.asker)
+			f.owner.BroadcastDraining()
+			f.assertSizes(1, 1)
+			assertVerdict(t, admission.Denied, remote.reply)
+			answer := f.owner.decide(admission.Ask{ID: admission.ID{Box: f.asker.self.Address}, MayQueue: true})
+			assert.Equal(t, admission.Denied, answer.Verdict, "asks of boxes that don't know yet")
+			f.assertSizes(1, 1)
+			first.Release(true)
+			synctest.Wait()
+			assertVerdict(t, admission.Granted, local.reply)
+			second := f.start("d1")
+			advance(t, time.Second)
+			assertVerdict(t, admission.Granted, f.admit(f.asker))
+			assertVerdict(t, admission.Denied, f.admit(f.owner))
+			assert.Equal(t, 1, second.Sizes().Admissions.Permits, "the next owner is asked, also by the draining box")
+		},
+		"an owner of an earlier release": func(t *testing.T, f *admissions) {
+			f.lose(0, -1)
+			for range 3 {
+				reply := f.admit(f.asker)
+				assertUnknown(t, reply, 0, 0)
+				advance(t, 450*time.Millisecond)
+				begun := time.Now()
+				assertUnknown(t, f.admit(f.asker), time.Since(begun), 0)
+				advance(t, 50*time.Millisecond)
+			}
+			assert.Equal(t, int64(3), f.asker.Sizes().AdmissionTimeouts)
+			assert.True(t, f.asker.AcquirePermit(t.Context(), permitAt("u", "d1", 1)).Granted)
+			assert.False(t, f.asker.AcquirePermit(t.Context(), permitAt("u", "d1", 1)).Granted, "its permits still count")
+		},
+		"a caller that leaves": func(t *testing.T, f *admissions) {
+			f.admit(f.asker)
+			remote, local := f.enqueue(f.asker), f.enqueue(f.owner)
+			f.assertSizes(1, 2)
+			remote.leave()
+			local.leave()
+			f.assertSizes(1, 0)
+			assertVerdict(t, admission.Denied, remote.reply)
+			assertVerdict(t, admission.Denied, local.reply)
+		},
+		"a caller that gives up": func(t *testing.T, f *admissions) {
+			f.admit(f.asker)
+			next := f.enqueue(f.asker)
+			advance(t, 10*time.Second)
+			f.assertSizes(1, 0)
+			assertVerdict(t, admission.Denied, next.reply)
+			assert.Equal(t, 10*time.Second, next.took)
+			assert.Equal(t, clock.Millis(70), next.reply.Answer.DrainMs)
+		},
+		"a grant after the withdrawal": func(t *testing.T, f *admissions) {
+			first, next := f.admit(f.asker), f.enqueue(f.asker)
+			f.lose(admissionRelease, 1)
+			next.leave()
+			f.assertSizes(1, 1)
+			first.Release(true)
+			f.assertSizes(0, 0)
+		},
+		"duplicate datagrams": func(t *testing.T, f *admissions) {
+			twice := func([]byte) int { return 2 }
+			f.copies.Store(&twice)
+			first, next := f.admit(f.asker), f.enqueue(f.asker)
+			f.assertSizes(1, 1)
+			first.Release(true)
+			f.assertSizes(1, 0)
+			next.reply.Release(true)
+			f.assertSizes(0, 0)
+		},
+		"every fifth datagram lost or sent twice": func(t *testing.T, f *admissions) {
+			var mu sync.Mutex
+			random := rand.New(rand.NewPCG(1, 2))
+			f.ledger.slots = 4
+			copies := func(data []byte) int {
+				mu.Lock()
+				defer mu.Unlock()
+				if isAdmissionMessage(data) && data[1] >= byte(admissionRelease) {
+					return 1 // The ledger of this test doesn't expire.
+				}
+				return []int{0, 2, 1, 1, 1, 1, 1, 1, 1, 1}[random.IntN(10)]
+			}
+			f.copies.Store(&copies)
+			var running sync.WaitGroup
+			for i := range 100 {
+				running.Go(func() {
+					reply := f.asker.Admit(t.Context(), "d1", askOf(true))
+					advance(t, time.Duration(i%7)*10*time.Millisecond)
+					reply.Started()
+					reply.Release(true)
+				})
+			}
+			running.Wait()
+			advance(t, time.Second)
+			f.assertSizes(0, 0)
+			assert.Empty(t, f.asker.admissions.open)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runAdmissions(t, func(f *admissions) { test(f.t, f) })
+		})
+	}
+}
+
+func TestAdmissionMessages(t *testing.T) {
+	largest := admission.Ask{
+		ID: admission.ID{Box: "b", Number: math.MaxUint32}, Pool: math.MaxUint32, Upstream: math.MaxUint32, Organisation: math.MaxUint32,
+		Session: math.MaxUint32, Urgency: maxUrgency, PrefillTokens: math.MaxUint32, OwnTokens: math.MaxUint32, SharedTokens: math.MaxUint32,
+		MemoryTokens: math.MaxUint32, Slots: math.MaxUint16, Bound: math.MaxUint16, InTimeMs: -math.MaxUint16, PatienceMs: math.MaxUint16,
+		SlowPercent: math.MaxUint16, MayQueue: true, Force: true,
+	}
+	answer := admission.Answer{Verdict: admission.Queued, StartInMs: math.MaxUint32, DrainMs: math.MaxUint32, Late: true, Provisional: true}
+	larger := largest
+	larger.Urgency, larger.OwnTokens, larger.Slots, larger.InTimeMs, larger.PatienceMs = 900, 1<<40, 1<<40, -1<<40, 1<<40
+	for name, c := range map[string]struct {
+		message any
+		limit   int
+	}{
+		"an ask":    {newAskMessage(larger), 64},
+		"a prompt":  {newAskMessage(admission.Ask{Pool: 1 << 31, Upstream: 1 << 31, Organisation: 1 << 31, Session: 1 << 31, PrefillTokens: 1300, OwnTokens: 1500, SharedTokens: 10_512, MemoryTokens: 425_013, Slots: 64, Bound: 80, InTimeMs: 2000, PatienceMs: 12_000, ID: admission.ID{Number: 1 << 31}}), 56},
+		"an answer": {newAnswerMessage(math.MaxUint32, answer), 18},
+		"an end":    {endMessage{Kind: admissionReleaseServed, Number: math.MaxUint32}, 7},
+	} {
+		t.Run(name+" is small and ignored by boxes of earlier releases", func(t *testing.T) {
+			data, err := cbor.Marshal(c.message)
+			require.NoError(t, err)
+			t.Logf("%d bytes", len(data))
+			assert.LessOrEqual(t, len(data), c.limit)
+			assert.True(t, isAdmissionMessage(data))
+			assert.False(t, isOriginMessage(data))
+			_, err = decodePermitMessage(data)
+			require.ErrorIs(t, err, ErrInvalid)
+		})
+	}
+	t.Run("values arrive, limited to their ranges", func(t *testing.T) {
+		data, err := cbor.Marshal(newAskMessage(larger))
+		require.NoError(t, err)
+		p, err := decodeAdmission[askMessage](data)
+		require.NoError(t, err)
+		assert.Equal(t, largest, p.ask("b"))
+		got, err := newAnswerMessage(1, answer).answer()
+		require.NoError(t, err)
+		assert.Equal(t, answer, got)
+	})
+	t.Run("malformed messages are ignored", func(t *testing.T) {
+		runAdmissions(t, func(f *admissions) {
+			for i, data := range [][]byte{{0x85, 8, 1, 1, 1, 1}, {0x85, 9, 1, 1, 1, 3}, {0x82, 10, 0x20}} {
+				f.owner.handleAdmissionMessage(data, &net.UDPAddr{})
+				assert.Equal(f.t, int64(i+1), f.owner.Sizes().Ignored)
+			}
+		})
+	})
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 
+	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/occupancy"
@@ -114,6 +115,8 @@
 	sentBytes  int64
 	sendErrors int64
 
+	admissionOwner *admissionOwner
+	admissions     admissionRequests
 	pendingPermits permitRequests
 	inquiries      *inquiries[originReply]
 	// attemptInquiries are the questions about pools that may be stalled.
@@ -178,6 +181,8 @@
 		partEventsSince: d.PartEventsSince, recordPartEvents: d.RecordPartEvents, onPeerState: d.OnPeerState,
 		recordOrigins: d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		random: d.Random, peers: map[string]*peer{},
+		admissionOwner:  newAdmissionOwner(d.Self.Address, d.Clock.Monotonic),
+		admissions:      admissionRequests{nextNumber: d.Random.Uint32(), open: map[uint32]*admissionRequest{}},
 		pendingPermits:  permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
 		inquiries:       newInquiries[originReply](d.Random.Uint32()),
 		attemptsBetween: d.AttemptsBetween, attemptInquiries: newInquiries[attemptsReply](d.Random.Uint32()),
@@ -210,6 +215,10 @@
 			m.handleOriginMessage(buffer[:n], from)
 			continue
 		}
+		if isAdmissionMessage(buffer[:n]) {
+			m.handleAdmissionMessage(buffer[:n], from)
+			continue
+		}
 		if isPermitMessage(buffer[:n]) {
 			m.handlePermitMessage(buffer[:n], from)
 			continue
@@ -230,7 +239,9 @@
 	if p.From.Box == m.self.Box || !m.fillSender(p) {
 		return
 	}
-	m.recordPeer(p)
+	if restarted := m.recordPeer(p); restarted != "" {
+		m.sendGrants(m.admissionOwner.releaseBox(restarted))
+	}
 	if len(p.Announcements) > 0 {
 		m.recordAnnouncements(p.Announcements)
 	}
@@ -388,12 +399,14 @@
 	m.broadcast(func(*peer) bool { return !m.largeLocked() })
 }
 
-// BroadcastDraining notifies all boxes that this box is about to stop. The box continues to answer.
+// BroadcastDraining notifies all boxes that this box is about to stop, and denies their queued asks. The box continues
+// to answer.
 func (m *Mesh) BroadcastDraining() {
 	m.mu.Lock()
 	m.draining = true
 	m.mu.Unlock()
 	m.broadcast(func(*peer) bool { return true })
+	m.sendGrants(m.admissionOwner.drain())
 }
 
 func (m *Mesh) broadcast(to func(p *peer) bool) {
@@ -425,15 +438,25 @@
 	Permits            occupancy.Sizes `json:"places"`
 	PermitTimeouts     int64           `json:"places_unanswered"`
 	ProvisionalPermits int64           `json:"places_provisional"`
+	// Admissions is the work that this box counts as an owner. AdmissionAsks counts this box's requests for which it
+	// asked an owner, AdmissionsQueued those that were queued, and AdmissionTimeouts those that no owner answered.
+	Admissions        admission.Sizes `json:"admissions"`
+	AdmissionAsks     int64           `json:"admissions_asked"`
+	AdmissionsQueued  int64           `json:"admissions_queued"`
+	AdmissionTimeouts int64           `json:"admissions_unanswered"`
 }
 
 // Sizes returns counts for metrics.
 func (m *Mesh) Sizes() Sizes {
+	var admissions admissionCounts
+	m.admissions.count(func(c *admissionCounts) { admissions = *c })
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return Sizes{
 		Boxes: 1 + m.aliveCountLocked(m.clock.Monotonic()), Ignored: m.ignored,
 		SendErrors: m.sendErrors, SentBytes: m.sentBytes,
 		Permits: m.ledger.Sizes(), PermitTimeouts: m.permitTimeouts, ProvisionalPermits: m.provisionalPermits,
+		Admissions: m.admissionOwner.ledger.sizes(), AdmissionAsks: admissions.asked,
+		AdmissionsQueued: admissions.queued, AdmissionTimeouts: admissions.unanswered,
 	}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +101,10 @@
 	t       *testing.T
 	network *testlib.Network
 	boxes   []*box
+	// copies returns how often a datagram is sent, 1 if it is nil.
+	copies atomic.Pointer[func(data []byte) int]
+	// restarts is added to the incarnation of boxes that start.
+	restarts int64
 }
 
 // start starts a box that knows only the address of the first box.
@@ -114,8 +119,8 @@
 	b := &box{inFlight: map[namekey.Key]int{}, ledger: newLedger(), origins: streams.NewLedger(clock.New().Monotonic)}
 	b.parts = newPartLedger(func(part quarantine.PartKey) bool { return b.SendsTrials(part) })
 	b.Mesh = New(Dependencies{
-		Self:     Identity{Box: name, FailureDomain: domain, Address: address, Incarnation: 1},
-		PeriodMs: 250, Clock: clock.New(), Conn: conn, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
+		Self:     Identity{Box: name, FailureDomain: domain, Address: address, Incarnation: 1 + f.restarts},
+		PeriodMs: 250, Clock: clock.New(), Conn: &filteredConn{PacketConn: conn, copies: &f.copies}, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
 		StateSummary: func() StateSummary {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -278,12 +278,5 @@
 	}
 }
 
-// sendOriginMessage sends a datagram about streams. A failure is counted and otherwise treated like packet loss.
-func (m *Mesh) sendOriginMessage(address string, message any) {
-	data, err := cbor.Marshal(message)
-	sent := 0
-	if err == nil {
-		sent, err = m.write(address, data)
-	}
-	m.recordSent(sent, err)
-}
+// sendOriginMessage sends a datagram about streams.
+func (m *Mesh) sendOriginMessage(address string, message any) { m.sendMessage(address, message) }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -37,16 +37,20 @@
 	ackedPartEvents    int64
 	// permitTimeoutMs is when this box as an owner last did not answer a permit request in time.
 	permitTimeoutMs clock.Millis
+	// admissionAnswerMs is when this box as an owner last answered an ask. admissionTimeoutMs is when it last did not
+	// answer one in time, unless it has answered one since. Both are 0 if there was none.
+	admissionAnswerMs, admissionTimeoutMs clock.Millis
 }
 
-// recordPeer stores the sender of a datagram and the boxes that it names.
-func (m *Mesh) recordPeer(p *packet) {
+// recordPeer stores the sender of a datagram and the boxes that it names. If the sender has restarted, it returns the
+// address of its earlier process, otherwise an empty string.
+func (m *Mesh) recordPeer(p *packet) (restarted string) {
 	now := m.clock.Monotonic()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := m.peers[p.From.Box]
 	if known != nil && known.Incarnation > p.From.Incarnation {
-		return
+		return ""
 	}
 	updated := &peer{
 		Identity: p.From, lastSeenMs: now, firstSeenMs: now, stateSummary: p.StateSummary, inFlight: p.InFlight,
@@ -58,6 +62,9 @@
 		updated.receivedCrashEvents, updated.ackedCrashEvents = known.receivedCrashEvents, known.ackedCrashEvents
 		updated.receivedPartEvents, updated.ackedPartEvents = known.receivedPartEvents, known.ackedPartEvents
 	}
+	if known != nil && known.Incarnation == p.From.Incarnation {
+		updated.admissionAnswerMs, updated.admissionTimeoutMs = known.admissionAnswerMs, known.admissionTimeoutMs
+	}
 	updated.receivedCrashEvents = max(updated.receivedCrashEvents, p.CrashEventsNext)
 	updated.ackedCrashEvents = max(updated.ackedCrashEvents, p.CrashEventsAcked)
 	updated.receivedPartEvents = max(updated.receivedPartEvents, p.PartEventsNext)
@@ -66,7 +73,8 @@
 		m.directPeers++
 	}
 	if known != nil && known.Incarnation < p.From.Incarnation && known.firstSeenMs > 0 {
-		m.ledger.ReleaseBox(known.Address)
+		restarted = known.Address
+		m.ledger.ReleaseBox(restarted)
 	}
 	m.peers[p.From.Box] = updated
 	for _, other := range p.Known {
@@ -75,6 +83,7 @@
 			m.peers[other.Box] = &peer{Identity: other, lastSeenMs: now}
 		}
 	}
+	return restarted
 }
 
 // target is a box to ping. Its name is empty when only its address is known.
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -212,9 +212,14 @@
 func (m *Mesh) owner(upstream namekey.Key, failureDomain string) (owner Identity, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return firstOwner(m.ownersLocked(failureDomain), upstream, failureDomain)
+}
+
+// firstOwner returns the owner of an upstream among a list of boxes.
+func firstOwner(list []hashedIdentity, upstream namekey.Key, failureDomain string) (owner Identity, known bool) {
 	key := route.Key(route.HashName(failureDomain) ^ uint64(upstream))
 	best := uint64(0)
-	for _, i := range m.ownersLocked(failureDomain) {
+	for _, i := range list {
 		if score := route.Score(key, i.hash); !known || score > best {
 			owner, best, known = i.Identity, score, true
 		}
@@ -285,10 +290,13 @@
 	}
 }
 
-// sendPermitMessage sends a datagram about a permit. A failure is counted and otherwise treated like
-// packet loss.
-func (m *Mesh) sendPermitMessage(address string, p permitMessage) {
-	data, err := cbor.Marshal(p)
+// sendPermitMessage sends a datagram about a permit.
+func (m *Mesh) sendPermitMessage(address string, p permitMessage) { m.sendMessage(address, p) }
+
+// sendMessage sends a datagram that is encoded as an array. A failure is counted and otherwise treated
+// like packet loss.
+func (m *Mesh) sendMessage(address string, message any) {
+	data, err := cbor.Marshal(message)
 	sent := 0
 	if err == nil {
 		sent, err = m.write(address, data)
