refactor(mesh): a type of their own for kinds of messages about admission

Cause: a switch over permitMessageKind no longer covers all of its values (exhaustive). Change: admissionMessageKind; an owner's restart is also tested with an ask that is queued again.

--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -112,11 +112,12 @@
 	}
 }
 
-// admissionIntervalMs is the period at which queued prompts are looked at. It is a tenth of the shortest usual objective.
+// admissionIntervalMs is the period at which queued prompts are checked. It is small compared to the objectives of
+// prompts, half a second or more.
 const admissionIntervalMs clock.Millis = 50
 
-// expireAdmissions removes what has expired from the upstreams that this box owns, and sends the grants that are due. It
-// runs only while the box counts or queues requests there, as most boxes do not.
+// expireAdmissions removes what has expired at the upstreams that this box owns, and sends the grants that are due. It
+// is idle while the box counts and queues no requests there.
 func (p *peering) expireAdmissions(ctx context.Context) {
 	for {
 		select {
--- a/internal/mesh/admission_messages.go
+++ b/internal/mesh/admission_messages.go
@@ -11,24 +11,28 @@
 	"dooryard.example/dooryard/internal/namekey"
 )
 
-// Kinds of messages about admission. Their forms differ from permitMessage, so boxes of earlier releases ignore them.
+// admissionMessageKind distinguishes messages about admission. Its values differ from those of permitMessageKind and
+// originMessageKind, so boxes of earlier releases ignore these messages.
+type admissionMessageKind uint8
+
+// Kinds of messages about admission.
 const (
 	// admissionAsk asks an owner to admit a request. It is repeated under its number while the ask is queued.
-	admissionAsk permitMessageKind = 8
+	admissionAsk admissionMessageKind = 8
 	// admissionAnswer answers an ask, and later grants or denies a queued one.
-	admissionAnswer permitMessageKind = 9
+	admissionAnswer admissionMessageKind = 9
 	// admissionStarted tells that the first event of a request has come.
-	admissionStarted permitMessageKind = 10
+	admissionStarted admissionMessageKind = 10
 	// admissionRelease and admissionReleaseServed end a request. The former also withdraws a queued ask.
-	admissionRelease       permitMessageKind = 11
-	admissionReleaseServed permitMessageKind = 12
+	admissionRelease       admissionMessageKind = 11
+	admissionReleaseServed admissionMessageKind = 12
 )
 
 type (
 	// askMessage is an admission.Ask in at most 64 bytes.
 	askMessage struct {
 		_    struct{} `cbor:",toarray"`
-		Kind permitMessageKind
+		Kind admissionMessageKind
 		// Number is chosen by the asking box.
 		Number                                               uint32
 		Pool, Upstream, Organisation, Session                namekey.Key
@@ -44,7 +48,7 @@
 	// answerMessage is an admission.Answer in at most 18 bytes.
 	answerMessage struct {
 		_                  struct{} `cbor:",toarray"`
-		Kind               permitMessageKind
+		Kind               admissionMessageKind
 		Number             uint32
 		StartInMs, DrainMs uint32
 		// Flags holds the verdict in the lowest answerFlagBits bits.
@@ -53,7 +57,7 @@
 	// endMessage tells of a start or an end in at most 7 bytes.
 	endMessage struct {
 		_      struct{} `cbor:",toarray"`
-		Kind   permitMessageKind
+		Kind   admissionMessageKind
 		Number uint32
 	}
 )
@@ -81,7 +85,8 @@
 		Slots: saturate[uint16](a.Slots), Bound: saturate[uint16](a.Bound),
 		InTimeMs:   min(max(a.InTimeMs, -math.MaxUint16), math.MaxUint16),
 		PatienceMs: saturate[uint16](a.PatienceMs), SlowPercent: saturate[uint16](a.SlowPercent),
-		Flags: uint8(min(max(a.Urgency, 0), maxUrgency))<<askFlagBits | flag(a.MayQueue, askMayQueue) | flag(a.Force, askForce),
+		Flags: uint8(min(max(a.Urgency, 0), maxUrgency))<<askFlagBits |
+			flag(a.MayQueue, askMayQueue) | flag(a.Force, askForce),
 	}
 }
 
--- a/internal/mesh/admission_owner.go
+++ b/internal/mesh/admission_owner.go
@@ -123,8 +123,8 @@
 	return grants, sizes.Permits+sizes.Queued > 0
 }
 
-// drain denies the queued asks of other boxes, which would be lost when this process ends. Asks of this box stay, as the
-// process ends after its own requests.
+// drain denies the queued asks of other boxes, which would be lost when this process ends. Asks of this box stay, as
+// the process ends after its own requests.
 func (o *admissionOwner) drain() []admission.Grant {
 	return o.update(func(l admissionLedger) []admission.Grant {
 		o.draining = true
@@ -143,7 +143,7 @@
 // handleAdmissionMessage processes a datagram about admission.
 func (m *Mesh) handleAdmissionMessage(data []byte, from net.Addr) {
 	var err error
-	switch permitMessageKind(data[1]) {
+	switch admissionMessageKind(data[1]) {
 	case admissionAsk:
 		var p askMessage
 		if p, err = decodeAdmission[askMessage](data); err == nil {
@@ -173,7 +173,7 @@
 }
 
 // recordEnd records the start or end of a request as the owner of its upstream, and sends the grants that are due.
-func (m *Mesh) recordEnd(kind permitMessageKind, id admission.ID) {
+func (m *Mesh) recordEnd(kind admissionMessageKind, id admission.ID) {
 	if kind == admissionStarted {
 		m.sendGrants(m.admissionOwner.started(id))
 		return
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -12,9 +12,9 @@
 )
 
 // With admission, the owner of an upstream decides when a prompt may be sent there, and queues prompts that have to
-// wait. Only the ask waits there; the request stays in the box that asked. Datagrams may be lost or duplicated: a queued
-// ask is repeated under its number, which counts once, and an answer to a number that is not in use is returned with a
-// release. Lost starts and releases expire in the ledger.
+// wait. Only the ask waits there; the request stays in the box that asked. Datagrams may be lost or duplicated: a
+// queued ask is repeated under its number, which counts once, and an answer to a number that is not in use is returned
+// with a release. Lost starts and releases expire in the ledger.
 
 const (
 	// admissionTimeoutMs is how long a box waits for an owner's answer. It covers many round trips between failure
@@ -113,8 +113,8 @@
 
 // Admit asks the owner of the upstream to admit a prompt. The mesh sets the ID of the ask. Without MayQueue it returns
 // within admissionTimeoutMs. With MayQueue it blocks until a queued ask is granted or denied, or withdraws it when the
-// context ends or PatienceMs has elapsed; the verdict is then Denied. Unless the verdict is Denied, the caller must call
-// the Release of the reply, also if the reply is Unknown.
+// context ends or PatienceMs has elapsed; the verdict is then Denied. The caller must call the Release of the reply if
+// the verdict is Granted or the reply is Unknown.
 func (m *Mesh) Admit(ctx context.Context, failureDomain string, a admission.Ask) admission.Reply {
 	owner, known := m.ownerForAdmission(a.Upstream, failureDomain)
 	if !known {
@@ -139,7 +139,8 @@
 	}
 }
 
-// ownerForAdmission returns the owner of an upstream. A draining box asks another box if there is one, as all others do.
+// ownerForAdmission returns the owner of an upstream. A draining box asks another box if there is one, as all other
+// boxes do.
 func (m *Mesh) ownerForAdmission(upstream namekey.Key, failureDomain string) (owner Identity, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -271,7 +272,7 @@
 	q.tell(admissionRelease)
 }
 
-func (q *admissionRequest) tell(kind permitMessageKind) {
+func (q *admissionRequest) tell(kind admissionMessageKind) {
 	if q.owner.Box == q.mesh.self.Box {
 		q.mesh.recordEnd(kind, q.ask.ID)
 		return
@@ -317,8 +318,9 @@
 	}
 }
 
-// recordAdmissionTimeout records that an owner has not answered an ask that was sent at an instant, and returns how long
-// ago it last answered. If it has answered another ask since then, one message was lost, and the owner is still asked.
+// recordAdmissionTimeout records that an owner has not answered an ask that was sent at an instant, and returns how
+// long ago it last answered. If it has answered another ask since then, one message was lost, and the owner is still
+// asked.
 func (m *Mesh) recordAdmissionTimeout(owner string, sentMs clock.Millis) clock.Millis {
 	m.admissions.count(func(c *admissionCounts) { c.unanswered++ })
 	m.mu.Lock()
--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -40,7 +40,7 @@
 
 // lose loses a number of messages about admission, or all if the number is negative: those of a kind, or of every kind
 // if it is 0.
-func (f *fixture) lose(kind permitMessageKind, number int64) {
+func (f *fixture) lose(kind admissionMessageKind, number int64) {
 	var lost atomic.Int64
 	copies := func(data []byte) int {
 		if isAdmissionMessage(data) && (kind == 0 || data[1] == byte(kind)) && (number < 0 || lost.Add(1) <= number) {
@@ -186,71 +186,71 @@
 // TestAdmit guards against prompts that are lost in a queue, that run uncounted, or that are counted for longer than
 // they run, when messages, boxes or callers vanish.
 func TestAdmit(t *testing.T) {
-	for name, test := range map[string]func(t *testing.T, f *admissions){
-		"an immediate answer takes one round trip, and none at the owner": func(t *testing.T, f *admissions) {
+	for name, test := range map[string]func(f *admissions){
+		"an immediate answer takes one round trip, and none at the owner": func(f *admissions) {
 			begun, sent := time.Now(), f.owner.Sizes().SentBytes
 			own := f.admit(f.owner)
-			assertVerdict(t, admission.Granted, own)
-			assertVerdict(t, admission.Denied, f.admit(f.owner))
+			assertVerdict(f.t, admission.Granted, own)
+			assertVerdict(f.t, admission.Denied, f.admit(f.owner))
 			own.Release(true)
-			assert.Equal(t, sent, f.owner.Sizes().SentBytes)
-			assertVerdict(t, admission.Granted, f.admit(f.asker))
-			assertVerdict(t, admission.Denied, f.admit(f.asker))
-			assert.Equal(t, begun, time.Now())
-			assert.Len(t, f.asker.admissions.open, 1)
+			assert.Equal(f.t, sent, f.owner.Sizes().SentBytes)
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+			assertVerdict(f.t, admission.Denied, f.admit(f.asker))
+			assert.Equal(f.t, begun, time.Now())
+			assert.Len(f.t, f.asker.admissions.open, 1)
 		},
-		"a queued ask is granted": func(t *testing.T, f *admissions) {
+		"a queued ask is granted": func(f *admissions) {
 			first, remote, local := f.admit(f.asker), f.enqueue(f.asker), f.enqueue(f.owner)
-			advance(t, time.Second)
+			advance(f.t, time.Second)
 			f.assertSizes(1, 2)
 			first.Started()
 			first.Release(true)
 			f.assertSizes(1, 1)
-			assertVerdict(t, admission.Granted, remote.reply)
+			assertVerdict(f.t, admission.Granted, remote.reply)
 			remote.reply.Release(true)
 			f.assertSizes(1, 0)
-			assertVerdict(t, admission.Granted, local.reply)
-			assert.Equal(t, int64(1), f.asker.Sizes().AdmissionsQueued)
-			assert.Equal(t, int64(2), f.asker.Sizes().AdmissionAsks)
+			assertVerdict(f.t, admission.Granted, local.reply)
+			assert.Equal(f.t, int64(1), f.asker.Sizes().AdmissionsQueued)
+			assert.Equal(f.t, int64(2), f.asker.Sizes().AdmissionAsks)
 		},
-		"a lost ask": func(t *testing.T, f *admissions) {
+		"a lost ask": func(f *admissions) {
 			f.lose(admissionAsk, 1)
 			begun := time.Now()
 			reply := f.admit(f.asker)
-			assertUnknown(t, reply, time.Since(begun), admissionTimeoutMs.Duration())
-			assert.Equal(t, neverAnswered, reply.OwnerAgeMs)
+			assertUnknown(f.t, reply, time.Since(begun), admissionTimeoutMs.Duration())
+			assert.Equal(f.t, neverAnswered, reply.OwnerAgeMs)
 			begun = time.Now()
-			assertUnknown(t, f.admit(f.asker), time.Since(begun), 0)
-			advance(t, ownerRetryMs.Duration())
-			assertVerdict(t, admission.Granted, f.admit(f.asker))
-			assert.Equal(t, int64(1), f.asker.Sizes().AdmissionTimeouts)
+			assertUnknown(f.t, f.admit(f.asker), time.Since(begun), 0)
+			advance(f.t, ownerRetryMs.Duration())
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+			assert.Equal(f.t, int64(1), f.asker.Sizes().AdmissionTimeouts)
 		},
-		"a lost ask among others": func(t *testing.T, f *admissions) {
+		"a lost ask among others": func(f *admissions) {
 			f.lose(admissionAsk, 1)
 			lost := f.enqueue(f.asker)
-			assertVerdict(t, admission.Granted, f.admit(f.asker))
-			advance(t, admissionTimeoutMs.Duration())
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+			advance(f.t, admissionTimeoutMs.Duration())
 			synctest.Wait()
-			assertUnknown(t, lost.reply, lost.took, admissionTimeoutMs.Duration())
-			assertVerdict(t, admission.Denied, f.admit(f.asker))
+			assertUnknown(f.t, lost.reply, lost.took, admissionTimeoutMs.Duration())
+			assertVerdict(f.t, admission.Denied, f.admit(f.asker))
 		},
-		"a lost answer": func(t *testing.T, f *admissions) {
+		"a lost answer": func(f *admissions) {
 			f.lose(admissionAnswer, 1)
 			reply := f.admit(f.asker)
-			assertUnknown(t, reply, 0, 0)
+			assertUnknown(f.t, reply, 0, 0)
 			f.assertSizes(1, 0)
 			reply.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"a lost grant": func(t *testing.T, f *admissions) {
+		"a lost grant": func(f *admissions) {
 			first, next := f.admit(f.asker), f.enqueue(f.asker)
 			f.lose(admissionAnswer, 1)
 			first.Release(true)
-			advance(t, admissionRepeatMs.Duration())
+			advance(f.t, admissionRepeatMs.Duration())
 			f.assertSizes(1, 0)
-			assertVerdict(t, admission.Granted, next.reply)
+			assertVerdict(f.t, admission.Granted, next.reply)
 		},
-		"a lost start": func(t *testing.T, f *admissions) {
+		"a lost start": func(f *admissions) {
 			reply := f.admit(f.asker)
 			f.lose(admissionStarted, 1)
 			reply.Started()
@@ -259,45 +259,48 @@
 			reply.Started()
 			reply.Release(true)
 			synctest.Wait()
-			assert.Zero(t, f.ledger.starts, "nothing is told after the end")
+			assert.Zero(f.t, f.ledger.starts, "nothing is told after the end")
 		},
-		"a lost release": func(t *testing.T, f *admissions) {
+		"a lost release": func(f *admissions) {
 			f.owner.admissionOwner.ledger = newAdmissionLedger(admission.New(f.owner.clock.Monotonic))
 			reply := f.admit(f.asker)
-			assert.True(t, reply.Answer.Provisional, "the owner has just begun to count")
+			assert.True(f.t, reply.Answer.Provisional, "the owner has just begun to count")
 			<-f.owner.AdmissionsChanged()
 			f.lose(admissionRelease+1, 1)
 			reply.Release(true)
-			assert.True(t, f.owner.ExpireAdmissions())
-			advance(t, 21*time.Second)
-			assert.False(t, f.owner.ExpireAdmissions(), "the tick may stop")
-			assertVerdict(t, admission.Granted, f.admit(f.asker))
+			assert.True(f.t, f.owner.ExpireAdmissions())
+			advance(f.t, 21*time.Second)
+			assert.False(f.t, f.owner.ExpireAdmissions(), "the tick may stop")
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
 		},
-		"the owner dies while an ask is queued": func(t *testing.T, f *admissions) {
+		"the owner dies while an ask is queued": func(f *admissions) {
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
-			advance(t, time.Second)
+			advance(f.t, time.Second)
 			f.owner.stop()
-			advance(t, time.Second)
+			advance(f.t, time.Second)
 			synctest.Wait()
-			assertUnknown(t, next.reply, next.took, 1250*time.Millisecond)
-			assert.Positive(t, next.reply.OwnerAgeMs)
+			assertUnknown(f.t, next.reply, next.took, 1250*time.Millisecond)
+			assert.Positive(f.t, next.reply.OwnerAgeMs)
 		},
-		"the owner restarts while an ask is queued": func(t *testing.T, f *admissions) {
+		"the owner restarts while an ask is queued": func(f *admissions) {
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
 			f.owner.stop()
 			synctest.Wait()
 			asker := f.boxes[1]
 			f.boxes, f.restarts = f.boxes[:0], 1
-			f.owner = f.start("d1")
+			f.owner, f.ledger = f.start("d1"), &fifoLedger{running: []admission.ID{{}}, slots: 1}
+			f.owner.admissionOwner.ledger = f.ledger.functions()
 			f.boxes = append(f.boxes, asker)
-			advance(t, 2*admissionRepeatMs.Duration())
+			advance(f.t, admissionRepeatMs.Duration())
+			f.assertSizes(1, 1)
+			assert.Equal(f.t, 10_000-admissionRepeatMs, f.ledger.queue[0].PatienceMs)
+			f.owner.recordEnd(admissionRelease, admission.ID{})
 			synctest.Wait()
-			assertVerdict(t, admission.Granted, next.reply)
-			assert.Equal(t, 1, f.owner.Sizes().Admissions.Permits)
+			assertVerdict(f.t, admission.Granted, next.reply)
 		},
-		"the asking box restarts": func(t *testing.T, f *admissions) {
+		"the asking box restarts": func(f *admissions) {
 			f.admit(f.asker)
 			f.enqueue(f.asker)
 			next := f.enqueue(f.owner)
@@ -305,18 +308,18 @@
 			from.Incarnation++
 			f.owner.handle(&packet{Type: typePing, From: from}, &net.UDPAddr{})
 			f.assertSizes(1, 0)
-			assertVerdict(t, admission.Granted, next.reply)
+			assertVerdict(f.t, admission.Granted, next.reply)
 		},
-		"a grant for an earlier process is returned": func(t *testing.T, f *admissions) {
+		"a grant for an earlier process is returned": func(f *admissions) {
 			first := f.admit(f.owner)
 			f.ledger.ask(admission.Ask{ID: admission.ID{Box: f.asker.self.Address, Number: 7}, MayQueue: true})
 			first.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"a partition": func(t *testing.T, f *admissions) {
+		"a partition": func(f *admissions) {
 			second := f.start("d1")
 			second.admissionOwner.ledger = (&fifoLedger{slots: 1}).functions()
-			advance(t, time.Second)
+			advance(f.t, time.Second)
 			owner, other := f.owner, second
 			if first, _ := f.asker.ownerForAdmission(namekey.Of("u"), "d1"); first.Box == second.self.Box {
 				owner, other = second, f.owner
@@ -324,64 +327,64 @@
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
 			f.network.SetPartition(func(from, to string) bool { return (from == owner.self.Box) != (to == owner.self.Box) })
-			advance(t, minAliveMs.Duration()+time.Second)
+			advance(f.t, minAliveMs.Duration()+time.Second)
 			synctest.Wait()
-			assertUnknown(t, next.reply, next.took, 3*admissionRepeatMs.Duration())
-			assertVerdict(t, admission.Granted, f.admit(f.asker))
-			assert.Equal(t, 1, other.Sizes().Admissions.Permits)
-			assertVerdict(t, admission.Denied, f.admit(owner))
+			assertUnknown(f.t, next.reply, next.took, 3*admissionRepeatMs.Duration())
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+			assert.Equal(f.t, 1, other.Sizes().Admissions.Permits)
+			assertVerdict(f.t, admission.Denied, f.admit(owner))
 		},
-		"a draining owner": func(t *testing.T, f *admissions) {
+		"a draining owner": func(f *admissions) {
 			first, local, remote := f.admit(f.asker), f.enqueue(f.owner), f.enqueue(f.asker)
 			f.owner.BroadcastDraining()
 			f.assertSizes(1, 1)
-			assertVerdict(t, admission.Denied, remote.reply)
+			assertVerdict(f.t, admission.Denied, remote.reply)
 			answer := f.owner.decide(admission.Ask{ID: admission.ID{Box: f.asker.self.Address}, MayQueue: true})
-			assert.Equal(t, admission.Denied, answer.Verdict, "asks of boxes that don't know yet")
+			assert.Equal(f.t, admission.Denied, answer.Verdict, "asks of boxes that don't know yet")
 			f.assertSizes(1, 1)
 			first.Release(true)
 			synctest.Wait()
-			assertVerdict(t, admission.Granted, local.reply)
+			assertVerdict(f.t, admission.Granted, local.reply)
 			second := f.start("d1")
-			advance(t, time.Second)
-			assertVerdict(t, admission.Granted, f.admit(f.asker))
-			assertVerdict(t, admission.Denied, f.admit(f.owner))
-			assert.Equal(t, 1, second.Sizes().Admissions.Permits, "the next owner is asked, also by the draining box")
+			advance(f.t, time.Second)
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+			assertVerdict(f.t, admission.Denied, f.admit(f.owner))
+			assert.Equal(f.t, 1, second.Sizes().Admissions.Permits, "the next owner is asked, also by the draining box")
 		},
-		"an owner of an earlier release": func(t *testing.T, f *admissions) {
+		"an owner of an earlier release": func(f *admissions) {
 			f.lose(0, -1)
 			for range 3 {
 				reply := f.admit(f.asker)
-				assertUnknown(t, reply, 0, 0)
-				advance(t, 450*time.Millisecond)
+				assertUnknown(f.t, reply, 0, 0)
+				advance(f.t, 450*time.Millisecond)
 				begun := time.Now()
-				assertUnknown(t, f.admit(f.asker), time.Since(begun), 0)
-				advance(t, 50*time.Millisecond)
+				assertUnknown(f.t, f.admit(f.asker), time.Since(begun), 0)
+				advance(f.t, 50*time.Millisecond)
 			}
-			assert.Equal(t, int64(3), f.asker.Sizes().AdmissionTimeouts)
-			assert.True(t, f.asker.AcquirePermit(t.Context(), permitAt("u", "d1", 1)).Granted)
-			assert.False(t, f.asker.AcquirePermit(t.Context(), permitAt("u", "d1", 1)).Granted, "its permits still count")
+			assert.Equal(f.t, int64(3), f.asker.Sizes().AdmissionTimeouts)
+			assert.True(f.t, f.asker.AcquirePermit(f.t.Context(), permitAt("u", "d1", 1)).Granted)
+			assert.False(f.t, f.asker.AcquirePermit(f.t.Context(), permitAt("u", "d1", 1)).Granted, "its permits still count")
 		},
-		"a caller that leaves": func(t *testing.T, f *admissions) {
+		"a caller that leaves": func(f *admissions) {
 			f.admit(f.asker)
 			remote, local := f.enqueue(f.asker), f.enqueue(f.owner)
 			f.assertSizes(1, 2)
 			remote.leave()
 			local.leave()
 			f.assertSizes(1, 0)
-			assertVerdict(t, admission.Denied, remote.reply)
-			assertVerdict(t, admission.Denied, local.reply)
+			assertVerdict(f.t, admission.Denied, remote.reply)
+			assertVerdict(f.t, admission.Denied, local.reply)
 		},
-		"a caller that gives up": func(t *testing.T, f *admissions) {
+		"a caller that gives up": func(f *admissions) {
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
-			advance(t, 10*time.Second)
+			advance(f.t, 10*time.Second)
 			f.assertSizes(1, 0)
-			assertVerdict(t, admission.Denied, next.reply)
-			assert.Equal(t, 10*time.Second, next.took)
-			assert.Equal(t, clock.Millis(70), next.reply.Answer.DrainMs)
+			assertVerdict(f.t, admission.Denied, next.reply)
+			assert.Equal(f.t, 10*time.Second, next.took)
+			assert.Equal(f.t, clock.Millis(70), next.reply.Answer.DrainMs)
 		},
-		"a grant after the withdrawal": func(t *testing.T, f *admissions) {
+		"a grant after the withdrawal": func(f *admissions) {
 			first, next := f.admit(f.asker), f.enqueue(f.asker)
 			f.lose(admissionRelease, 1)
 			next.leave()
@@ -389,7 +392,7 @@
 			first.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"duplicate datagrams": func(t *testing.T, f *admissions) {
+		"duplicate datagrams": func(f *admissions) {
 			twice := func([]byte) int { return 2 }
 			f.copies.Store(&twice)
 			first, next := f.admit(f.asker), f.enqueue(f.asker)
@@ -399,7 +402,7 @@
 			next.reply.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"every fifth datagram lost or sent twice": func(t *testing.T, f *admissions) {
+		"every fifth datagram lost or sent twice": func(f *admissions) {
 			var mu sync.Mutex
 			random := rand.New(rand.NewPCG(1, 2))
 			f.ledger.slots = 4
@@ -415,20 +418,20 @@
 			var running sync.WaitGroup
 			for i := range 100 {
 				running.Go(func() {
-					reply := f.asker.Admit(t.Context(), "d1", askOf(true))
-					advance(t, time.Duration(i%7)*10*time.Millisecond)
+					reply := f.asker.Admit(f.t.Context(), "d1", askOf(true))
+					advance(f.t, time.Duration(i%7)*10*time.Millisecond)
 					reply.Started()
 					reply.Release(true)
 				})
 			}
 			running.Wait()
-			advance(t, time.Second)
+			advance(f.t, time.Second)
 			f.assertSizes(0, 0)
-			assert.Empty(t, f.asker.admissions.open)
+			assert.Empty(f.t, f.asker.admissions.open)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runAdmissions(t, func(f *admissions) { test(f.t, f) })
+			runAdmissions(t, test)
 		})
 	}
 }
