fix(mesh): an owner drops queued asks that are not repeated

Cause: a queued ask of a box that has died, or whose withdrawal was lost, kept its place for as long as its caller would have waited, and was then granted capacity that nobody used until the grant expired. Change: an owner withdraws an ask after ten checks, one each 50 ms, without a repeat. Checks are counted instead of time, so a pause of the owner's process drops nothing. A box that is alive queues again with its next repeat.

--- a/internal/mesh/admission_owner.go
+++ b/internal/mesh/admission_owner.go
@@ -8,6 +8,12 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
+// maxUnrepeated is the number of calls of ExpireAdmissions, one each 50 ms, for which a queued ask of another box waits
+// without being repeated. The box has then died, is partitioned from this one, or has withdrawn the ask with a message
+// that was lost. Four lost repeats are tolerated. Calls are counted instead of time, so that a pause of this process,
+// in which it receives no repeats, doesn't count.
+const maxUnrepeated = 10
+
 // admissionLedger holds the methods of an admission.Ledger. Tests replace them.
 type admissionLedger struct {
 	ask        func(a admission.Ask) (admission.Answer, []admission.Grant)
@@ -26,23 +32,22 @@
 
 // admissionOwner decides on asks at the upstreams that this box owns.
 type admissionOwner struct {
-	self      string
-	monotonic func() clock.Millis
+	self string
 	// changed gets a value when the ledger may have got something that expires.
 	changed chan struct{}
 
 	// mu is held during calls of the ledger, so that queued holds what the ledger has queued.
 	mu     sync.Mutex
 	ledger admissionLedger
-	// queued holds the queued asks of other boxes, with the time at which their callers give up.
-	queued   map[admission.ID]clock.Millis
+	// queued holds the queued asks of other boxes, with the number of calls of expire since they were last repeated.
+	queued   map[admission.ID]int
 	draining bool
 }
 
 func newAdmissionOwner(self string, monotonic func() clock.Millis) *admissionOwner {
 	return &admissionOwner{
-		self: self, monotonic: monotonic, changed: make(chan struct{}, 1),
-		ledger: newAdmissionLedger(admission.New(monotonic)), queued: map[admission.ID]clock.Millis{},
+		self: self, changed: make(chan struct{}, 1),
+		ledger: newAdmissionLedger(admission.New(monotonic)), queued: map[admission.ID]int{},
 	}
 }
 
@@ -57,7 +62,7 @@
 			answer.Verdict = admission.Denied
 			grants = append(grants, o.ledger.release(a.ID, false)...)
 		} else {
-			o.queued[a.ID] = o.monotonic() + a.PatienceMs
+			o.queued[a.ID] = 0
 		}
 	}
 	o.recordLocked(grants)
@@ -83,6 +88,14 @@
 	}
 }
 
+// withdrawLocked withdraws a queued ask. The ledger may grant other ones, which are then not queued any more.
+func (o *admissionOwner) withdrawLocked(id admission.ID) []admission.Grant {
+	delete(o.queued, id)
+	grants := o.ledger.release(id, false)
+	o.recordLocked(grants)
+	return grants
+}
+
 // release ends a request or withdraws a queued ask, and returns the grants that are due.
 func (o *admissionOwner) release(id admission.ID, served bool) []admission.Grant {
 	return o.update(func(l admissionLedger) []admission.Grant {
@@ -108,33 +121,31 @@
 	})
 }
 
-// expire removes what has expired. It returns the grants that are due, and whether anything may expire later.
+// expire removes what has expired, and asks that are not repeated any more, so that no capacity is granted to boxes
+// that don't use it. It returns the grants that are due, and whether anything may expire later.
 func (o *admissionOwner) expire() (grants []admission.Grant, more bool) {
 	grants = o.update(func(l admissionLedger) []admission.Grant {
-		now := o.monotonic()
-		for id, untilMs := range o.queued {
-			if untilMs <= now {
-				delete(o.queued, id)
+		for id := range o.queued {
+			if o.queued[id]++; o.queued[id] > maxUnrepeated {
+				grants = append(grants, o.withdrawLocked(id)...)
 			}
 		}
-		return l.expire()
+		grants = append(grants, l.expire()...)
+		sizes := l.sizes()
+		more = sizes.Permits+sizes.Queued > 0
+		return grants
 	})
-	sizes := o.ledger.sizes()
-	return grants, sizes.Permits+sizes.Queued > 0
+	return grants, more
 }
 
 // drain denies the queued asks of other boxes, which would be lost when this process ends. Asks of this box stay, as
 // the process ends after its own requests.
 func (o *admissionOwner) drain() []admission.Grant {
-	return o.update(func(l admissionLedger) []admission.Grant {
+	return o.update(func(admissionLedger) []admission.Grant {
 		o.draining = true
 		due := []admission.Grant{}
 		for id := range o.queued {
-			delete(o.queued, id)
-			// The ledger may grant another queued ask, which is then not denied.
-			more := l.release(id, false)
-			o.recordLocked(more)
-			due = append(append(due, admission.Grant{ID: id}), more...)
+			due = append(append(due, admission.Grant{ID: id}), o.withdrawLocked(id)...)
 		}
 		return due
 	})
--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -310,6 +310,23 @@
 			f.assertSizes(1, 0)
 			assertVerdict(f.t, admission.Granted, next.reply)
 		},
+		"the asking box dies while an ask is queued": func(f *admissions) {
+			first, next := f.admit(f.owner), f.enqueue(f.asker)
+			expire := func() {
+				for range 2 * maxUnrepeated {
+					assert.True(f.t, f.owner.ExpireAdmissions())
+					advance(f.t, 50*time.Millisecond)
+				}
+			}
+			expire()
+			f.assertSizes(1, 1)
+			f.asker.stop()
+			next.leave()
+			expire()
+			f.assertSizes(1, 0)
+			first.Release(true)
+			assert.False(f.t, f.owner.ExpireAdmissions())
+		},
 		"a grant for an earlier process is returned": func(f *admissions) {
 			first := f.admit(f.owner)
 			f.ledger.ask(admission.Ask{ID: admission.ID{Box: f.asker.self.Address, Number: 7}, MayQueue: true})
