feat(work): decode the size of requests, learn output lengths, settings of admission

Cause: owners of engines are to account for prompts by their work, which needs the tokens that a request makes an engine prefill and hold.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -14,6 +14,14 @@
 	ReadinessPath string
 	// Dialect defines the HTTP headers of the platform.
 	Dialect *opaque.Dialect
+	// Features returns the features that the terms of the platform ask for. If it is nil, there are none.
+	Features func(terms []string) Features
 	// Source creates the source of routing state and upstreams.
 	Source func(c clock.Clock, settings func() config.Gateway) Source
 }
+
+// Features are the features that a platform asks for.
+type Features struct {
+	// Admission has the owners of engines admit prompts by the work that is due there.
+	Admission bool
+}
--- a/internal/opaque/dialect.go
+++ b/internal/opaque/dialect.go
@@ -9,6 +9,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/work"
 )
 
 // Dialect holds the names of the headers that callers, boxes and upstreams exchange. A header with
@@ -33,6 +34,8 @@
 	Urgency string
 	// Prompt carries the parts of a prompt as a comma-separated list of ID:TOKENS.
 	Prompt string
+	// DecodeDemand decodes what a caller tells of the size of a request. It is nil if the dialect has no such headers.
+	DecodeDemand func(header http.Header) work.Demand
 	// LastEventID carries the ID of the last event received, from which a stream resumes.
 	LastEventID string
 	// ResumedID carries the ID of the request that brought the first event of a stream, from a caller that
--- /dev/null
+++ b/internal/work/lengths.go
@@ -0,0 +1,130 @@
+package work
+
+import (
+	"slices"
+	"sync"
+)
+
+const (
+	// lengthWeight makes an average cover about the last 64 outputs of a route. Lengths vary by a factor of several, so
+	// that fewer would not give a stable mean.
+	lengthWeight = 1.0 / 64
+	// minLengths is the number of outputs after which an average is used.
+	minLengths = 16
+	// maxHintFactor limits what one output contributes to the average, since hints are often far off.
+	maxHintFactor = 8
+	// maxLengthRoutes limits the number of routes of which lengths are kept.
+	maxLengthRoutes = 1024
+	// eventRatios is the number of streams whose median gives the tokens per event.
+	eventRatios = 33
+)
+
+// Lengths learns how the lengths of outputs relate to callers' hints and maxima, by route. It is safe for concurrent
+// use.
+//
+// This answers loads that fill the memory of engines: callers set maxima far above what they get.
+type Lengths struct {
+	mu     sync.Mutex
+	routes map[string]*routeLengths
+}
+
+// routeLengths is what is known of one route.
+type routeLengths struct {
+	// perHint and perMaximum are the lengths of outputs as multiples of the hint, or of the maximum without one.
+	perHint, perMaximum average
+	// perEvent holds the latest ratios of a hint to a number of events. Hints are right in the median, and so the median
+	// of the ratios is the number of tokens per event.
+	perEvent []float64
+}
+
+// average is a moving average.
+type average struct {
+	value   float64
+	samples int
+}
+
+func (a *average) record(value float64) {
+	a.samples++
+	a.value += max(lengthWeight, 1/float64(a.samples)) * (value - a.value)
+}
+
+// or returns the average, or a value while there are too few samples.
+func (a *average) or(value float64) float64 {
+	if a.samples < minLengths {
+		return value
+	}
+	return a.value
+}
+
+// NewLengths returns a Lengths without observations.
+func NewLengths() *Lengths { return &Lengths{routes: map[string]*routeLengths{}} }
+
+// Expect returns the expected length of the output in tokens, at most the maximum. Without observations this is the
+// hint, or half of the maximum without one.
+func (l *Lengths) Expect(route string, d Demand) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.routes[route]
+	if known == nil {
+		known = &routeLengths{}
+	}
+	expected := 0.0
+	if d.HintTokens > 0 {
+		expected = known.perHint.or(1) * float64(d.HintTokens)
+	} else {
+		const half = 0.5
+		expected = known.perMaximum.or(half) * float64(d.MaxOutputTokens)
+	}
+	if d.MaxOutputTokens > 0 {
+		expected = min(expected, float64(d.MaxOutputTokens))
+	}
+	return int(expected)
+}
+
+// Observe records the length of an output in tokens.
+func (l *Lengths) Observe(route string, d Demand, outputTokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.route(route); known != nil {
+		known.observe(d, float64(outputTokens))
+	}
+}
+
+// ObserveEvents records the number of events of a complete stream. While the number of tokens per event is unknown,
+// only that is learnt.
+func (l *Lengths) ObserveEvents(route string, d Demand, events int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.route(route)
+	if known == nil || events <= 0 {
+		return
+	}
+	if d.HintTokens > 0 {
+		known.perEvent = append(known.perEvent, float64(d.HintTokens)/float64(events))
+		known.perEvent = known.perEvent[max(0, len(known.perEvent)-eventRatios):]
+	}
+	if len(known.perEvent) < minLengths {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(known.perEvent))
+	known.observe(d, sorted[len(sorted)/2]*float64(events))
+}
+
+func (r *routeLengths) observe(d Demand, outputTokens float64) {
+	switch {
+	case d.HintTokens > 0:
+		r.perHint.record(min(maxHintFactor, outputTokens/float64(d.HintTokens)))
+	case d.MaxOutputTokens > 0:
+		r.perMaximum.record(min(1, outputTokens/float64(d.MaxOutputTokens)))
+	}
+}
+
+// route returns what is known of a route, or nil if there are too many.
+func (l *Lengths) route(name string) *routeLengths {
+	known := l.routes[name]
+	if known == nil && len(l.routes) < maxLengthRoutes {
+		known = &routeLengths{}
+		l.routes[name] = known
+	}
+	return known
+}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -39,6 +39,15 @@
 	Shutdown   Shutdown   `yaml:"shutdown"`
 	Capacity   Capacity   `yaml:"capacity"`
 	LogLimits  LogLimits  `yaml:"lines"`
+	Admission  Admission  `yaml:"admission"`
+	// PlatformTerms are terms of the platform, some of which ask for features. Terms that the adapter doesn't know have no
+	// effect.
+	PlatformTerms []string `yaml:"platform_terms"`
+}
+
+// Admission configures the admission of prompts by the work that is due at engines.
+type Admission struct {
+	Enabled bool `yaml:"enabled"`
 }
 
 // Store is the store from which the routing state and the upstreams are read.
@@ -167,6 +176,11 @@
 	for i, contact := range g.Contacts {
 		errs = append(errs, checkAddress(fmt.Sprintf("contacts[%d]", i), contact))
 	}
+	for i, term := range g.PlatformTerms {
+		if term == "" {
+			errs = append(errs, &FieldError{Key: fmt.Sprintf("platform_terms[%d]", i), Reason: "is empty"})
+		}
+	}
 	return errors.Join(append(errs, g.checkNumbers()...)...)
 }
 
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -25,12 +25,27 @@
 		_, err := ParseGateway("f", []byte(gatewayFile+"freshness:\n  max_age_ms: \n"))
 		require.NoError(t, err)
 	})
+	t.Run("admission is off unless it is enabled", func(t *testing.T) {
+		settings, err := ParseGateway("f", []byte(gatewayFile+"platform_terms: []\nadmission: {}\n"))
+		require.NoError(t, err)
+		assert.False(t, settings.Admission.Enabled)
+		assert.Empty(t, settings.PlatformTerms)
+		settings, err = ParseGateway("f", []byte(gatewayFile+"platform_terms: [\"a\", \"b\"]\nadmission: {enabled: true}\n"))
+		require.NoError(t, err)
+		assert.True(t, settings.Admission.Enabled)
+		assert.Equal(t, []string{"a", "b"}, settings.PlatformTerms)
+	})
 	for name, c := range map[string]struct{ line, want string }{
 		"unknown key":      {"speed: 1\n", "speed"},
 		"number too large": {"balance: {bound_percent: 5000}\n", "f:7: balance.bound_percent: 5000 is outside"},
 		"ratio":            {"retry_budget: {ratio: 2}\n", "f:7: retry_budget.ratio"},
 		"contact":          {"contacts: [\"127.0.0.1:1\", \"host:1\"]\n", "contacts[1]"},
 		"load cap":         {"balance: {load_cap: 0.5}\n", "f:7: balance.load_cap"},
+		"admission":        {"admission: {enabled: often}\n", "f:7"},
+		"admission key":    {"admission: {speed: 1}\n", "speed"},
+		"empty term":       {"platform_terms: [\"a\", \"\"]\n", "f:7: platform_terms[1]: is empty"},
+		"list of terms":    {"platform_terms: a\n", "f:7"},
+		"nested term":      {"platform_terms: [{a: b}]\n", "f:7"},
 		"negative grace":   {"shutdown: {grace_s: -1}\n", "f:7: shutdown.grace_s"},
 	} {
 		t.Run("reports the key and the line of an invalid "+name, func(t *testing.T) {
