feat(balance): prompts are admitted by the owners of engines

Cause: under more prompts than engines can prefill, boxes fill the engines' queues, and callers are refused when their time is over.

Change: with admission enabled, a prompt with an objective asks up to four engines whether it may be sent there, waits at the owner of the one that starts it first, and is otherwise refused at once (503, upstreams_overloaded). The engine's state is checked again after the asks and the wait; if it became unusable, the permit is returned and others are asked. Without an answer the box goes by its own prompts there. Owners are told of the first event and of the end.

No figures of loads yet.

--- /dev/null
+++ b/internal/balance/admission.go
@@ -0,0 +1,501 @@
+package balance
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/work"
+)
+
+// With admission, the owner of an engine decides when a prompt may be sent there, by the work that is due at the engine.
+// A prompt asks the engines of its session's order one after another, and waits at the owner of one of them if all
+// would have it wait. If none can serve it in time, it is refused at once, so that its caller can return while it still
+// has time, and engines spend none on prompts that come too late.
+//
+// This answers loads of prompts above what engines can prefill or hold, for seconds or minutes.
+
+const (
+	// maxAdmissionAsks is how many engines a prompt asks whether it may be sent there at once.
+	maxAdmissionAsks = 4
+	// maxAdmissionRounds is how often a prompt asks again after an engine that had admitted it became unusable.
+	maxAdmissionRounds = 4
+)
+
+// ErrOverloaded means that no engine that would accept the prompt can serve it in time. It wraps ErrNoUpstream.
+var ErrOverloaded = fmt.Errorf("%w: they have too much work", ErrNoUpstream)
+
+// OverloadedError tells what the owners of engines answered to a prompt that none of them can serve in time. It wraps
+// ErrOverloaded.
+type OverloadedError struct {
+	Admission
+	// FirstEventMs is the expected time to the first event once the prompt is sent.
+	FirstEventMs clock.Millis
+}
+
+// Error implements error.
+func (e *OverloadedError) Error() string {
+	return fmt.Sprintf("%v: %d asked, drained in %d ms at the earliest", ErrOverloaded, len(e.Asked), e.DrainMs())
+}
+
+// Unwrap returns ErrOverloaded.
+func (*OverloadedError) Unwrap() error { return ErrOverloaded }
+
+// DrainMs returns the least time after which an owner expects to grant a prompt like this one, or 0 if none told it.
+func (e *OverloadedError) DrainMs() clock.Millis {
+	least := clock.Millis(0)
+	for _, asked := range e.Asked {
+		if drainMs := asked.Answer.DrainMs; drainMs > 0 && (least == 0 || drainMs < least) {
+			least = drainMs
+		}
+	}
+	return least
+}
+
+// AdmissionRequest holds what the owner of an engine needs to know of a prompt.
+type AdmissionRequest struct {
+	Demand work.Demand
+	// OutputTokens is the expected length of the output.
+	OutputTokens int
+	Organisation string
+	// Urgency is the priority; 0 is the most urgent.
+	Urgency int
+	// MemoryTokens is the memory of an engine, or 0 if it is unknown.
+	MemoryTokens int
+	// PatienceMs is the time left until the caller gives up.
+	PatienceMs clock.Millis
+	// Force is set if the request is sent whatever the load is.
+	Force bool
+}
+
+// forced reports whether the request is sent whatever the load is.
+func (r *PickRequest) forced() bool { return r.Admission != nil && r.Admission.Force }
+
+// Admission is how a prompt was admitted or denied.
+type Admission struct {
+	// Asked are the engines whose owners were asked, in this order. One that was asked again has its last answer.
+	Asked []AskedUpstream
+	// Tokens are what the last engine asked would prefill and hold for the prompt.
+	Tokens AdmissionTokens
+	// WaitedMs is how long the prompt waited at an owner.
+	WaitedMs clock.Millis
+	// Rechecked is the number of engines that became unusable after they had admitted the prompt.
+	Rechecked int
+	Force     bool
+}
+
+// AskedUpstream is an engine that was asked, with its owner's answer.
+type AskedUpstream struct {
+	Upstream string
+	Answer   admission.Answer
+	// Unknown is set if no owner answered. StartInMs of the answer is then this box's estimate, and OwnerAgeMs is the
+	// time since the owner last answered, or -1.
+	Unknown    bool
+	OwnerAgeMs clock.Millis
+}
+
+// AdmissionTokens are the tokens that an engine would prefill and hold.
+type AdmissionTokens struct{ Prefill, Own, Shared int }
+
+// admitted is the state of an admitted prompt.
+type admitted struct {
+	Admission
+	started func()
+	// prefillTokens count at the engine until the first event. aheadTokens are those that all boxes were estimated to
+	// have there when the prompt was sent, this one included.
+	prefillTokens int
+	aheadTokens   float64
+	sentMs        clock.Millis
+	done          atomic.Bool
+}
+
+// Admission returns how the prompt was admitted, or false if it needed no admission.
+func (l *Lease) Admission() (a Admission, ok bool) {
+	if l.admitted == nil {
+		return Admission{}, false
+	}
+	return l.admitted.Admission, true
+}
+
+// AdmitFunc asks the owner of the lease's engine.
+type AdmitFunc func(ctx context.Context, lease *Lease, ask admission.Ask) admission.Reply
+
+// PickWithAdmission picks an engine like Pick for a request whose Admission is set, and has its owner admit the prompt.
+// It may wait until the context ends. The error is an OverloadedError if no engine can serve the prompt in time.
+func (m *Manager) PickWithAdmission(ctx context.Context, request PickRequest, admit AdmitFunc) (*Lease, error) {
+	w := &admissionWalk{manager: m, request: request, admit: admit, startMs: m.monotonic()}
+	w.record.Force = request.Admission.Force
+	for range maxAdmissionRounds {
+		lease, err := w.round(ctx)
+		switch {
+		case errors.Is(err, errNotUsable):
+			w.record.Rechecked++
+		case err != nil && ctx.Err() != nil:
+			return nil, fmt.Errorf("%w: %w", context.Cause(ctx), err)
+		default:
+			return lease, err
+		}
+		w.request.again = true
+	}
+	return nil, w.overloaded()
+}
+
+// errNotUsable means that an engine became unusable after it had admitted the prompt.
+var errNotUsable = errors.New("the engine became unusable")
+
+// admissionWalk is the search of one prompt for an engine that admits it.
+type admissionWalk struct {
+	manager *Manager
+	request PickRequest
+	admit   AdmitFunc
+	startMs clock.Millis
+	record  Admission
+	// asked are the engines asked in this round that have not admitted the prompt.
+	asked []*askedEngine
+}
+
+// askedEngine is an engine that has not admitted the prompt.
+type askedEngine struct {
+	lease  *Lease
+	ask    admission.Ask
+	reply  admission.Reply
+	record int
+	// doubtful is set if no owner that has counted for long enough answered. startInMs is then this box's estimate, and
+	// otherwise the owner's.
+	doubtful  bool
+	startInMs clock.Millis
+	// onProbation is set if the engine gets only single trial requests, which don't wait.
+	onProbation bool
+}
+
+// round asks engines until one admits the prompt. If none does, it waits at the one that can start it first.
+func (w *admissionWalk) round(ctx context.Context) (*Lease, error) {
+	w.asked, w.request.Full = nil, nil
+	defer w.releaseDoubtful()
+	for len(w.asked) < maxAdmissionAsks {
+		engine, err := w.choose()
+		if err != nil && len(w.asked) == 0 {
+			return nil, err
+		}
+		if err != nil || slices.Contains(w.request.Full, engine.lease.ID) {
+			break
+		}
+		if ctx.Err() != nil {
+			return nil, w.overloaded()
+		}
+		w.ask(ctx, engine)
+		if w.accepts(engine) {
+			return w.commit(ctx, engine)
+		}
+		w.asked = append(w.asked, engine)
+		w.request.Full = append(w.request.Full, engine.lease.ID)
+	}
+	return w.wait(ctx)
+}
+
+// wait has the prompt wait at the owner that would start it first. It returns an OverloadedError if none would start it
+// before its caller gives up. The owner decides whether the prompt may wait although it will be late.
+func (w *admissionWalk) wait(ctx context.Context) (*Lease, error) {
+	if !slices.ContainsFunc(w.asked, func(e *askedEngine) bool { return !e.doubtful }) {
+		// Nothing is known of the engines, so that the prompt is sent to the least loaded one instead of being refused.
+		return w.commit(ctx, w.first(func(*askedEngine) bool { return true }))
+	}
+	queue := w.first(func(e *askedEngine) bool {
+		return !e.doubtful && !e.onProbation && e.startInMs <= e.ask.PatienceMs
+	})
+	if queue != nil {
+		queue.ask.MayQueue = true
+		sinceMs := w.manager.monotonic()
+		w.ask(ctx, queue)
+		w.record.WaitedMs += w.manager.monotonic() - sinceMs
+		if w.accepts(queue) {
+			return w.commit(ctx, queue)
+		}
+	}
+	// Of an engine that could start the prompt in time, only an estimated load above the bound is known.
+	idle := w.first(func(e *askedEngine) bool { return e.doubtful && e.startInMs <= e.ask.InTimeMs })
+	if idle != nil {
+		return w.commit(ctx, idle)
+	}
+	return nil, w.overloaded()
+}
+
+// first returns the matching engine that would start the prompt first, the least loaded one of several, or nil.
+func (w *admissionWalk) first(matches func(e *askedEngine) bool) *askedEngine {
+	var best *askedEngine
+	for _, e := range w.asked {
+		if matches(e) && (best == nil || cmp.Or(cmp.Compare(e.startInMs, best.startInMs),
+			cmp.Compare(e.lease.Load, best.lease.Load)) < 0) {
+			best = e
+		}
+	}
+	return best
+}
+
+// choose chooses the next engine to ask.
+func (w *admissionWalk) choose() (*askedEngine, error) {
+	m := w.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lease, err := m.choose(w.request, m.monotonic())
+	if err != nil {
+		return nil, err
+	}
+	engine := &askedEngine{lease: lease, ask: m.askFor(lease, w.request), onProbation: lease.probation}
+	engine.ask.Force = w.request.Admission.Force || lease.stalledTrial
+	return engine, nil
+}
+
+// ask asks the owner of an engine, with the time that is left now.
+func (w *admissionWalk) ask(ctx context.Context, e *askedEngine) {
+	m := w.manager
+	elapsed := m.monotonic() - w.startMs
+	e.ask.InTimeMs = w.request.ObjectiveMs - w.request.ElapsedMs - elapsed
+	e.ask.PatienceMs = w.request.Admission.PatienceMs - elapsed
+	e.reply = w.admit(ctx, e.lease, e.ask)
+	e.doubtful = e.reply.Unknown || e.reply.Answer.Verdict == admission.Granted && e.reply.Answer.Provisional
+	e.startInMs = e.reply.Answer.StartInMs
+	if e.doubtful {
+		e.startInMs = max(e.startInMs, m.estimateStartMs(e.lease.Member, e.ask.PrefillTokens))
+	}
+	record := AskedUpstream{
+		Upstream: e.lease.ID, Answer: e.reply.Answer, Unknown: e.reply.Unknown, OwnerAgeMs: e.reply.OwnerAgeMs,
+	}
+	if record.Unknown {
+		record.Answer.StartInMs = e.startInMs
+	}
+	w.record.Tokens = AdmissionTokens{Prefill: e.ask.PrefillTokens, Own: e.ask.OwnTokens, Shared: e.ask.SharedTokens}
+	if e.ask.MayQueue {
+		w.record.Asked[e.record] = record
+		return
+	}
+	e.record = len(w.record.Asked)
+	w.record.Asked = append(w.record.Asked, record)
+}
+
+// accepts reports whether the prompt may be sent to an engine after its owner's reply.
+func (*admissionWalk) accepts(e *askedEngine) bool {
+	switch {
+	case e.ask.Force:
+		return true
+	case e.doubtful:
+		return e.startInMs <= e.ask.InTimeMs && !(e.lease.bound > 0 && e.lease.exceedsOwnBound(e.lease.bound))
+	default:
+		return e.reply.Answer.Verdict == admission.Granted
+	}
+}
+
+// commit counts the request at an engine that admitted it, if the engine is still a candidate and the caller still
+// waits. Otherwise it returns the permit.
+func (w *admissionWalk) commit(ctx context.Context, e *askedEngine) (*Lease, error) {
+	reply := e.reply
+	e.reply.Release = nil
+	if ctx.Err() != nil {
+		reply.Release(false)
+		return nil, w.overloaded()
+	}
+	m, l := w.manager, e.lease
+	m.mu.Lock()
+	now := m.monotonic()
+	usable := m.isCandidate(l, w.request, now)
+	if usable {
+		l.count(now)
+		l.recordPrompt(now)
+		l.onRelease = reply.Release
+		l.admitted = &admitted{
+			Admission: w.record, started: reply.Started, prefillTokens: e.ask.PrefillTokens, sentMs: now,
+		}
+		l.unstartedTokens += e.ask.PrefillTokens
+		l.admitted.aheadTokens = float64(l.unstartedTokens) * m.boxesPerReport()
+	}
+	m.mu.Unlock()
+	if !usable {
+		reply.Release(false)
+		return nil, errNotUsable
+	}
+	return l, nil
+}
+
+// releaseDoubtful returns the permits that owners may have counted for engines to which the prompt was not sent.
+func (w *admissionWalk) releaseDoubtful() {
+	for _, e := range w.asked {
+		if e.doubtful && e.reply.Release != nil {
+			e.reply.Release(false)
+		}
+	}
+}
+
+func (w *admissionWalk) overloaded() error {
+	m := w.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	firstEventMs := w.request.ObjectiveMs
+	if rate := m.prefillRates[w.request.Pool]; rate.known() {
+		firstEventMs = rate.forTokens(float64(w.record.Tokens.Prefill))
+	}
+	return &OverloadedError{Admission: w.record, FirstEventMs: firstEventMs}
+}
+
+// askFor returns the ask for a prompt at the chosen engine, without the times.
+func (m *Manager) askFor(l *Lease, request PickRequest) admission.Ask {
+	a, now := request.Admission, m.monotonic()
+	cached := max(l.parts.cachedTokens(l.shared, now), m.fetchableTokens(l, now))
+	return admission.Ask{
+		Pool: namekey.Of(l.Pool), Upstream: l.key,
+		Organisation: namekey.Of(a.Organisation), Session: namekey.Of(request.Prompt.Session()),
+		Urgency:       a.Urgency,
+		PrefillTokens: max(0, a.Demand.PromptTokens-cached),
+		OwnTokens:     max(0, a.Demand.PromptTokens-a.Demand.SharedTokens) + a.OutputTokens,
+		SharedTokens:  a.Demand.SharedTokens,
+		Slots:         l.slots, MemoryTokens: a.MemoryTokens, Bound: l.bound,
+	}
+}
+
+// fetchableTokens returns how many tokens at the beginning of the prompt the engine is to fetch.
+func (m *Manager) fetchableTokens(l *Lease, now clock.Millis) int {
+	if l.FetchFrom == "" {
+		return 0
+	}
+	for _, members := range [][]*Member{m.pools[l.Pool], m.departed[l.Pool]} {
+		for _, member := range members {
+			if member.Address == l.FetchFrom {
+				return member.parts.cachedTokens(l.shared, now)
+			}
+		}
+	}
+	return 0
+}
+
+// holdersFirst moves the engines that likely cache shared parts of the prompt to the front, those that cache the most
+// first.
+func (*Manager) holdersFirst(order []*Member, request PickRequest, now clock.Millis) []*Member {
+	shared := request.Prompt.Shared().KeyedParts()
+	cached := make(map[*Member]int, len(order))
+	for _, member := range order {
+		cached[member] = member.parts.cachedTokens(shared, now)
+	}
+	return slices.SortedStableFunc(slices.Values(order), func(a, b *Member) int { return cached[b] - cached[a] })
+}
+
+// isCandidate reports whether the chosen upstream may still receive the request.
+func (m *Manager) isCandidate(l *Lease, request PickRequest, now clock.Millis) bool {
+	eligible := m.members(request)
+	if !l.stalledTrial && m.unreachable(eligible, now) {
+		return false
+	}
+	return slices.Contains(m.candidates(request, eligible, now), l.Member) ||
+		l.FromReserve && slices.Contains(m.reserve(request, now), l.Member)
+}
+
+// RecordFirstEvent records that the first event, or the first byte of the body, of a successful response has come.
+// Only the first call has an effect.
+func (l *Lease) RecordFirstEvent() {
+	if l.admitted == nil || l.admitted.done.Load() {
+		return
+	}
+	l.manager.mu.Lock()
+	first := l.endPrefill(true)
+	l.manager.mu.Unlock()
+	if first {
+		l.admitted.started()
+	}
+}
+
+// endPrefill ends the prefill of an admitted prompt, and reports whether it had not ended before. If it has come to its
+// end, its duration is learnt.
+func (l *Lease) endPrefill(finished bool) bool {
+	a := l.admitted
+	if a == nil || a.done.Swap(true) {
+		return false
+	}
+	l.unstartedTokens -= a.prefillTokens
+	if finished {
+		l.manager.prefillRateOf(l.Pool).record(l.manager.monotonic()-a.sentMs, a.aheadTokens)
+	}
+	return true
+}
+
+// estimateStartMs estimates the time to the first event of a prompt at an engine by the prompts of this box there. It
+// is 0 while nothing is known of the time that prefills take.
+func (m *Manager) estimateStartMs(member *Member, prefillTokens int) clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rate := m.prefillRates[member.Pool]
+	if !rate.known() {
+		return 0
+	}
+	return rate.forTokens(float64(member.unstartedTokens)*m.boxesPerReport() + float64(prefillTokens))
+}
+
+func (m *Manager) prefillRateOf(pool string) *prefillRate {
+	rate := m.prefillRates[pool]
+	if rate == nil {
+		rate = &prefillRate{}
+		m.prefillRates[pool] = rate
+	}
+	return rate
+}
+
+const (
+	// prefillDecay makes sums cover about the last 32 prefills.
+	prefillDecay = 1 - 1.0/32
+	// minPrefills is the number of prefills after which their time is known.
+	minPrefills = 8
+)
+
+// prefillRate is the time that prefills take by the number of tokens. The sums are weighted by age, and long prompts
+// count more than short ones, whose time depends less on their length.
+type prefillRate struct {
+	tookMs, tokens float64
+	samples        int
+}
+
+func (r *prefillRate) record(tookMs clock.Millis, tokens float64) {
+	r.samples++
+	r.tookMs = prefillDecay*r.tookMs + float64(tookMs)
+	r.tokens = prefillDecay*r.tokens + tokens
+}
+
+// known reports whether enough prefills were seen. A nil rate has seen none.
+func (r *prefillRate) known() bool { return r != nil && r.samples >= minPrefills && r.tokens > 0 }
+
+func (r *prefillRate) forTokens(tokens float64) clock.Millis {
+	return clock.Millis(r.tookMs / r.tokens * tokens)
+}
+
+// RetryAfterOverload returns how long a caller whose prompt no engine can serve in time should wait before it returns:
+// until an owner expects to grant a prompt like it, varied by a quarter so that callers that were refused together
+// return apart. It is 0 if the caller would then have no time to be served.
+func (m *Manager) RetryAfterOverload(e *OverloadedError, remainingMs clock.Millis) clock.Millis {
+	span := e.DrainMs()
+	span += clock.Millis(m.random(int(span/2)+1)) - span/4 //nolint:mnd // A quarter either way.
+	span = max(minRetryAfterMs, span)
+	if span+e.FirstEventMs > remainingMs {
+		return 0
+	}
+	return span
+}
+
+// DemandOf completes what a caller tells of the size of a request from the parts of its prompt.
+func DemandOf(told work.Demand, p prompt.Prompt) work.Demand {
+	shared, all := boundedTokens(p.Shared()), boundedTokens(p)
+	told.SharedTokens = max(told.SharedTokens, shared)
+	told.PromptTokens = max(told.PromptTokens, told.SharedTokens, all)
+	return told
+}
+
+// boundedTokens returns the length of some parts, at most work.MaxTokens.
+func boundedTokens(parts prompt.Prompt) int {
+	sum := 0
+	for _, part := range parts {
+		sum = min(work.MaxTokens, sum+min(work.MaxTokens, part.Tokens))
+	}
+	return sum
+}
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -91,6 +91,13 @@
 	return pools
 }
 
+// IsBrittle reports whether the upstreams of a pool are brittle.
+func (m *Manager) IsBrittle(pool string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.maxRejections(pool, m.monotonic()) > 0
+}
+
 // pickBrittle chooses an upstream of a brittle pool as from any other, among those that have a free slot as far as this
 // box knows and whose owner has not refused a permit. The bound of the load of engines holds as well.
 func (m *Manager) pickBrittle(lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis) error {
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -81,6 +81,10 @@
 	confirmedMs clock.Millis
 	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
 	fleetSize int
+	// prefillRates holds what this box has learnt of the time that prefills take, by pool.
+	prefillRates map[string]*prefillRate
+	// boxesPerReport is the number of boxes for each one whose unstarted prompts this box knows.
+	boxesPerReport func() float64
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
 	departedSignals map[string]*upstreamSignals
 }
@@ -98,10 +102,15 @@
 		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
 		brittle: map[string]brittlePool{}, attempts: map[string]*attemptCounts{},
 		stalledSinceMs: map[string]clock.Millis{}, respondingMs: map[string]clock.Millis{},
-		stalledTrials: map[string]*stalledTrial{},
+		stalledTrials: map[string]*stalledTrial{}, prefillRates: map[string]*prefillRate{},
+		boxesPerReport: func() float64 { return 1 },
 	}
 }
 
+// SetBoxesPerReport sets the function that returns the number of boxes for each one whose unstarted prompts this box
+// knows. Call it before the manager is used.
+func (m *Manager) SetBoxesPerReport(boxesPerReport func() float64) { m.boxesPerReport = boxesPerReport }
+
 // SetUpstreams applies a newer list. Upstreams that stay keep their state.
 func (m *Manager) SetUpstreams(list []registry.Upstream) {
 	m.mu.Lock()
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -63,6 +63,8 @@
 	// prefilling holds, by part, the number of this box's requests for which the engine is prefilling
 	// the part, until it responds to them.
 	prefilling map[namekey.Key]int
+	// unstartedTokens are to be prefilled for the admitted prompts of this box whose first event has not come.
+	unstartedTokens int
 }
 
 // Identity returns the upstream without the fields that may change during its lifetime.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -34,6 +34,11 @@
 	ElapsedMs   clock.Millis
 	// MayRetry is set if another attempt may follow when this one gets no response.
 	MayRetry bool
+	// Admission is set if the owner of an engine must admit the prompt. It has no effect in Pick.
+	Admission *AdmissionRequest
+
+	// again is set if the request was counted in the recent requests of its session.
+	again bool
 }
 
 // Lease counts a request at an upstream until Release.
@@ -80,6 +85,10 @@
 	// responding is set while the response is being received.
 	responding bool
 	released   bool
+	// stalledTrial is set for the trial request of a stalled pool.
+	stalledTrial bool
+	// admitted is set if the engine's owner, or this box in its place, has admitted the prompt.
+	admitted *admitted
 }
 
 // Result is the outcome of an attempt, for the upstream's health.
@@ -107,13 +116,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.monotonic()
+	lease, err := m.choose(request, now)
+	if err != nil {
+		return nil, err
+	}
+	lease.count(now)
+	if lease.bound == 0 {
+		lease.recordPrompt(now)
+	}
+	return lease, nil
+}
+
+// choose chooses an upstream and does not count the request there.
+func (m *Manager) choose(request PickRequest, now clock.Millis) (*Lease, error) {
 	members, err := m.candidatesOrError(request, now)
 	if err != nil {
 		return nil, err
 	}
 	total := m.total(request.Pool, members, now)
 	shared := request.Prompt.Shared().KeyedParts()
-	lease := &Lease{manager: m, MeanPercent: percent * total / len(members)}
+	lease := &Lease{manager: m, MeanPercent: percent * total / len(members), shared: shared}
+	_, lease.stalledTrial = m.stalledSinceMs[request.Pool]
 	brittle := m.maxRejections(request.Pool, now) > 0
 	if brittle {
 		if err := m.pickBrittle(lease, members, request, total, now); err != nil {
@@ -134,20 +157,21 @@
 	}
 	lease.path = m.pathTo(lease.FailureDomain)
 	lease.Load = lease.load(now)
-	if lease.inFlight == 0 {
-		lease.inFlightSinceMs = now
-	}
-	lease.inFlight++
-	lease.path.recordSend(now)
-	lease.recordSend(now)
-	m.recordColdSend(lease.Member, now)
-	lease.shared = shared
-	if lease.bound == 0 {
-		lease.recordPrompt(now)
-	}
 	return lease, nil
 }
 
+// count counts the request at the chosen upstream, to which it is about to be sent.
+func (l *Lease) count(now clock.Millis) {
+	l.Load = l.load(now)
+	if l.inFlight == 0 {
+		l.inFlightSinceMs = now
+	}
+	l.inFlight++
+	l.path.recordSend(now)
+	l.recordSend(now)
+	l.manager.recordColdSend(l.Member, now)
+}
+
 const percent = 100
 
 // candidatesOrError returns the members that may receive the request, or the reason why there are none.
@@ -222,6 +246,9 @@
 	if lease.Spread > 1 {
 		order = rotateFirst(ranked, m.random(lease.Spread), lease.Spread)
 	}
+	if request.Admission != nil && len(request.Full) > 0 {
+		order = m.holdersFirst(order, request, now)
+	}
 	lease.Member = order[0]
 	for _, member := range order {
 		if slices.Contains(request.Full, member.ID) {
@@ -248,7 +275,8 @@
 // boxes don't report their loads by engine, the estimate consists of what engines report in responses, which is recent,
 // and saves requests for permits.
 func (m *Manager) ownerDecides(request PickRequest) bool {
-	return m.enginePermits && m.fleetInFlightByPool == nil && len(request.Full) < maxPermitRefusals
+	return m.enginePermits && m.fleetInFlightByPool == nil && len(request.Full) < maxPermitRefusals &&
+		!request.forced()
 }
 
 // sessionShare returns the session's share of the pool's recent requests. It counts the request,
@@ -259,7 +287,7 @@
 		h = newSessionCounts(now)
 		m.hotSessions[request.Pool] = h
 	}
-	if len(request.Full) == 0 {
+	if len(request.Full) == 0 && !request.again {
 		h.record(request.Prompt.Session(), now)
 	}
 	return h.share(request.Prompt.Session())
@@ -334,6 +362,7 @@
 		l.discardNewParts()
 	}
 	l.clearNewParts()
+	l.endPrefill(false)
 	l.manager.recordResult(l.Member, result)
 	return true
 }
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -247,6 +247,8 @@
 	FromBox  string
 	Attempts int
 	Bytes    int64
+	// WaitedMs is how long the request waited to be admitted to an engine.
+	WaitedMs clock.Millis
 	TookMs   clock.Millis
 }
 
@@ -274,6 +276,9 @@
 	addIfSet(o, "from_box", e.FromBox)
 	o.AddInt("attempts", e.Attempts)
 	o.AddInt64("bytes", e.Bytes)
+	if e.WaitedMs > 0 {
+		o.AddInt64("waited_ms", int64(e.WaitedMs))
+	}
 	o.AddInt64("took_ms", int64(e.TookMs))
 	return nil
 }
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -10,6 +10,7 @@
 	inEvent bool
 	// afterCR is set if the last byte was a CR, whose line a LF may still belong to.
 	afterCR bool
+	events  int
 }
 
 // Scan reads the next part of the stream. It returns the offset in the part right after the last event that has ended,
@@ -26,6 +27,9 @@
 		case s.inLine:
 			s.inLine = false
 		default:
+			if s.inEvent {
+				s.events++
+			}
 			s.inEvent = false
 			end = i + 1
 		}
@@ -35,3 +39,6 @@
 
 // InEvent reports whether the stream is inside an event: a stream that ends there has been broken off.
 func (s *Scanner) InEvent() bool { return s.inEvent }
+
+// Events returns the number of events that have ended, without those that consist of nothing.
+func (s *Scanner) Events() int { return s.events }
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -29,6 +29,7 @@
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/internal/upstream"
+	"dooryard.example/dooryard/internal/work"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -72,6 +73,10 @@
 	quarantine    *quarantine.Ledger
 	parts         *quarantine.PartLedger
 	origins       *streamOrigins
+	lengths       *work.Lengths
+	features      func(terms []string) Features
+	// askAdmission asks the owner of an engine to admit a prompt.
+	askAdmission admitFunc
 
 	servers  []*http.Server
 	stopping atomic.Bool
@@ -109,6 +114,7 @@
 	b := &Box{
 		dialect: adapter.Dialect, readinessPath: adapter.ReadinessPath,
 		clock: clock.New(), out: out, listen: net.Listen, packets: net.ListenPacket,
+		features: adapter.Features, lengths: work.NewLengths(),
 		metrics: NewMetrics(), synced: make(chan struct{}), notesRead: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -145,6 +151,7 @@
 		},
 	}, b.clock.Monotonic, b.connect, rand.IntN)
 	b.balance.SetFleetSize(minAssumedFleet)
+	b.balance.SetBoxesPerReport(b.boxesPerReport)
 	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation,
 		evacuation.WithConfirmationAge(b.routingState.AgeMs))
 	b.origins = newStreamOrigins(b)
@@ -262,6 +269,9 @@
 	if err := b.openPeering(); err != nil {
 		return err
 	}
+	if b.askAdmission == nil {
+		b.askAdmission = b.askOwner()
+	}
 	failed, err := b.openListeners()
 	if err != nil {
 		return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -71,6 +71,25 @@
 func (m *Metrics) RequestEnded(kind, outcome string, tookMs clock.Millis) {
 	name := "requests_" + kind + "_" + outcome
 	m.all.Add(name, 1)
+	m.recordTook(name, tookMs)
+}
+
+// AdmissionDecided counts a decision on the admission of a prompt by its verdict, and records how long the prompt
+// waited, if it did.
+func (m *Metrics) AdmissionDecided(verdict string, waitedMs clock.Millis) {
+	name := "admission_" + verdict
+	m.all.Add(name, 1)
+	if waitedMs > 0 {
+		m.all.Add("admission_waited", 1)
+		m.recordTook(name+"_wait", waitedMs)
+	}
+}
+
+// AdmissionWaiting changes the number of prompts of this box that wait at owners.
+func (m *Metrics) AdmissionWaiting(change int64) { m.all.Add("admission_waiting", change) }
+
+// recordTook records a duration in a histogram.
+func (m *Metrics) recordTook(name string, tookMs clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h := m.histograms[name]
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -68,7 +68,7 @@
 			OnCompleted:    b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
-			Clock: b.clock,
+			Admission: b.admission(), Clock: b.clock,
 		}),
 		record: record.New(b.log.Record, b.metrics.RequestEnded, b.routingState.AgeMs, b.clock.Monotonic),
 	}
--- a/internal/opaque/refusal.go
+++ b/internal/opaque/refusal.go
@@ -37,6 +37,7 @@
 	UpstreamsEvacuated         Cause = "upstreams_evacuated"
 	UpstreamsCold              Cause = "upstreams_cold"
 	UpstreamsFull              Cause = "upstreams_full"
+	UpstreamsOverloaded        Cause = "upstreams_overloaded"
 	Shed                       Cause = "upstreams_refused"
 	Quarantined                Cause = "quarantined"
 	PartQuarantined            Cause = "part_quarantined"
@@ -107,6 +108,7 @@
 	UpstreamsEvacuated:         "operators evacuated the failure domains of the upstreams; nothing ran",
 	UpstreamsCold:              "the upstreams have just started and get as many requests as they bear; nothing ran",
 	UpstreamsFull:              "no upstream can respond in time; nothing ran",
+	UpstreamsOverloaded:        "the upstreams have too much work to respond in time; nothing ran",
 	Shed:                       "the upstreams refused; nothing ran",
 	Quarantined:                "upstreams ended under this request each time it came; it is held back, nothing ran",
 	PartQuarantined:            "upstreams ended under requests with a part of this prompt; it is held back, nothing ran",
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -66,6 +66,8 @@
 	// MayHaveRun is set while an upstream may have run the request and no response has confirmed or
 	// ruled it out.
 	MayHaveRun bool
+	// WaitedMs is how long the request waited to be admitted to an engine.
+	WaitedMs clock.Millis
 	// Tried lists the upstreams that must not be tried again.
 	Tried []string
 	// Upstream is the upstream that responded, or else the last one tried.
--- /dev/null
+++ b/internal/pipe/dispatch/admission.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/opaque"
+	"dooryard.example/dooryard/internal/work"
+)
+
+// Admission holds the functions by which prompts are admitted to engines. The zero value admits all of them.
+type Admission struct {
+	// Enabled reports whether the owners of engines admit prompts. Nil means that they don't.
+	Enabled func() bool
+	// ExpectOutput returns the expected length of an output in tokens.
+	ExpectOutput func(route string, d work.Demand) int
+	// ObserveEvents records the number of events of a complete stream.
+	ObserveEvents func(route string, d work.Demand, events int)
+	// OnDecided counts a decision by its verdict, with the time that the request waited.
+	OnDecided func(verdict string, waitedMs clock.Millis)
+	// RetryAfter returns the Retry-After of a request that no engine can serve in time, or 0 to give none.
+	RetryAfter func(e *balance.OverloadedError, remainingMs clock.Millis) clock.Millis
+}
+
+// Verdicts in log lines and metrics, beside those of the owners.
+const (
+	verdictLate    = "late"
+	verdictUnknown = "unknown"
+	verdictForced  = "forced"
+	// verdictAbandoned is that on a prompt whose caller left before the decision.
+	verdictAbandoned = "abandoned"
+)
+
+// needsAdmission reports whether an engine's owner must admit the request: it is a prompt with a latency objective.
+func (p *Pipe) needsAdmission(r *opaque.Request) bool {
+	enabled := p.deps.Admission.Enabled
+	return enabled != nil && enabled() && r.Route.Sticky && len(r.Prompt) > 0 && r.Route.ObjectiveMs > 0
+}
+
+// demandOf returns the size of a request.
+func demandOf(r *opaque.Request) work.Demand {
+	told := work.Demand{}
+	if r.Dialect.DecodeDemand != nil {
+		told = r.Dialect.DecodeDemand(r.HTTP.Header)
+	}
+	return balance.DemandOf(told, r.Prompt)
+}
+
+// admissionRequest returns what the owner of an engine is asked, or nil if the request needs no admission. A request
+// that may have reached an upstream before, a trial request and a stream that the caller takes up are sent whatever the
+// load is: they would otherwise be refused late, or keep others waiting for what they show.
+func (s *retryLoop) admissionRequest() *balance.AdmissionRequest {
+	r, p := s.request, s.pipe
+	if !p.needsAdmission(r) {
+		return nil
+	}
+	demand := demandOf(r)
+	request := &balance.AdmissionRequest{
+		Demand: demand, OutputTokens: p.deps.Admission.ExpectOutput(r.Route.Name, demand),
+		Urgency: min(r.Priority(), maxUrgency), PatienceMs: r.RemainingMs(p.deps.Clock.Monotonic()),
+		Force: r.Sent > 0 || s.stream != nil || r.Trial || r.TakesUpStream(),
+	}
+	if r.Organisation != nil {
+		request.Organisation = r.Organisation.Name
+	}
+	if pool := r.State.Pool(r.Pool); pool != nil && pool.Engine != nil {
+		request.MemoryTokens = pool.Engine.CacheTokens
+	}
+	return request
+}
+
+// recordAdmission logs and counts how a pick was admitted or denied, if it needed admission.
+func (s *retryLoop) recordAdmission(lease *balance.Lease, err error) {
+	var overloaded *balance.OverloadedError
+	var a balance.Admission
+	var verdict string
+	switch {
+	case errors.As(err, &overloaded):
+		a, verdict = overloaded.Admission, admission.Denied.String()
+		if s.request.Context().Err() != nil {
+			verdict = verdictAbandoned
+		}
+	case err != nil:
+		return
+	default:
+		var needed bool
+		if a, needed = lease.Admission(); !needed {
+			return
+		}
+		verdict = verdictOf(a, lease.ID)
+	}
+	s.request.WaitedMs += a.WaitedMs
+	s.pipe.deps.Admission.OnDecided(verdict, a.WaitedMs)
+	s.pipe.deps.RecordEvent(s.admissionDecided(a, lease, verdict))
+}
+
+// verdictOf returns the verdict on a prompt that is sent to an upstream.
+func verdictOf(a balance.Admission, upstream string) string {
+	if a.Force {
+		return verdictForced
+	}
+	verdict := admission.Granted.String()
+	for _, asked := range a.Asked {
+		switch {
+		case asked.Upstream != upstream:
+		case asked.Unknown:
+			verdict = verdictUnknown
+		case asked.Answer.Late:
+			verdict = verdictLate
+		default:
+			verdict = admission.Granted.String()
+		}
+	}
+	return verdict
+}
+
+func (s *retryLoop) admissionDecided(a balance.Admission, lease *balance.Lease, verdict string) decision.AdmissionDecided {
+	e := decision.AdmissionDecided{
+		Request: s.request.ID, Pool: s.request.Pool, Verdict: verdict, WaitedMs: a.WaitedMs, Rechecked: a.Rechecked,
+		PrefillTokens: a.Tokens.Prefill, OwnTokens: a.Tokens.Own, SharedTokens: a.Tokens.Shared,
+	}
+	for _, asked := range a.Asked {
+		if lease == nil || asked.Upstream == lease.ID {
+			e.Upstream, e.StartInMs = asked.Upstream, asked.Answer.StartInMs
+		}
+		e.Answers = append(e.Answers, decision.AdmissionAnswer{
+			Upstream: asked.Upstream, Verdict: asked.Answer.Verdict.String(), StartInMs: asked.Answer.StartInMs,
+			DrainMs: asked.Answer.DrainMs, Unknown: asked.Unknown, OwnerAgeMs: asked.OwnerAgeMs,
+			Provisional: asked.Answer.Provisional,
+		})
+	}
+	return e
+}
+
+// recheckAfterWait returns an error if a request that waited to be admitted may not be sent any more. The state of the
+// upstream was checked when the wait ended.
+func (s *retryLoop) recheckAfterWait(lease *balance.Lease) error {
+	if a, needed := lease.Admission(); !needed || a.WaitedMs == 0 {
+		return nil
+	}
+	if err := s.pipe.deps.CheckBeforeSend(s.request); err != nil {
+		return err
+	}
+	return s.pipe.deps.Rescreen(s.request)
+}
+
+// refuseOverloaded returns the refusal of a request that no engine can serve in time.
+func (s *retryLoop) refuseOverloaded(e *balance.OverloadedError, err error) error {
+	remaining := s.request.RemainingMs(s.pipe.deps.Clock.Monotonic())
+	return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsOverloaded,
+		s.pipe.deps.Admission.RetryAfter(e, remaining), err)
+}
+
+// observeEvents records the number of events of a stream that one upstream sent completely.
+func (s *retryLoop) observeEvents(events int) {
+	r := s.request
+	if s.pipe.needsAdmission(r) && r.Sent == 1 && !r.TakesUpStream() {
+		s.pipe.deps.Admission.ObserveEvents(r.Route.Name, demandOf(r), events)
+	}
+}
+
+// startReader calls a function when the first byte is read.
+type startReader struct {
+	io.Reader
+	onStart func()
+}
+
+// Read implements io.Reader.
+func (r *startReader) Read(part []byte) (int, error) {
+	n, err := r.Reader.Read(part)
+	if n > 0 {
+		r.onStart()
+	}
+	return n, err
+}
+
+// isSuccess reports whether a response shows that an upstream processed the request. Others come without a prefill, and
+// would make prefills look short.
+func isSuccess(status int) bool { return status < http.StatusBadRequest }
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -239,6 +239,8 @@
 	recordsOrigin bool
 	// onPart is called for each part of a stream.
 	onPart func()
+	// onStart is called at the first byte of the body of a successful response, and may be called again after it.
+	onStart func()
 	// onBroken is called when a stream breaks.
 	onBroken func()
 	// mayHaveCrashed reports whether the source may have crashed that has just closed a connection in order.
@@ -261,6 +263,7 @@
 		origin:         originOf(lease),
 		recordsOrigin:  true,
 		onPart:         lease.RecordContact,
+		onStart:        lease.RecordFirstEvent,
 		onBroken:       lease.RecordBrokenStream,
 		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease) },
 	}
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -29,7 +29,11 @@
 // which the request may be retried.
 func (s *retryLoop) relayBuffered(from responseSource, resp *upstream.Response) *failure {
 	r := s.request
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
+	source := io.Reader(resp)
+	if isSuccess(resp.StatusCode) {
+		source = &startReader{Reader: resp, onStart: from.onStart}
+	}
+	body, err := io.ReadAll(io.LimitReader(source, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errTooLarge
 	}
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -68,7 +68,9 @@
 	OriginRetracted func(r *opaque.Request) bool
 	// CheckBeforeSend returns an error if the box may not send the request now.
 	CheckBeforeSend func(r *opaque.Request) error
-	Clock           clock.Clock
+	// Admission is how prompts are admitted to engines.
+	Admission Admission
+	Clock     clock.Clock
 }
 
 // Pipe sends opaque requests to upstreams.
@@ -100,7 +102,11 @@
 			return s.forward(s.lastFailureOr(&failure{err: err, execution: notSent}))
 		}
 		if err != nil {
-			return s.finish(s.lastFailureOr(&failure{err: err, execution: notSent}))
+			return s.finish(s.pickFailure(err))
+		}
+		if err := s.recheckAfterWait(lease); err != nil {
+			lease.Release(balance.Neutral)
+			return s.refuseSend(err)
 		}
 		failed := s.attempt(lease)
 		if failed == nil {
@@ -118,7 +124,19 @@
 	if s.failedDials >= maxFailedDials && s.canForward() {
 		return nil, balance.ErrPartitioned
 	}
-	return s.pipe.deps.Pick(s.ctx, s.pickRequest())
+	lease, err := s.pipe.deps.Pick(s.ctx, s.pickRequest())
+	s.recordAdmission(lease, err)
+	return lease, err
+}
+
+// pickFailure returns the failure that determines the response if no upstream was picked: that of the latest attempt,
+// if any, unless nothing was sent and the upstreams are overloaded.
+func (s *retryLoop) pickFailure(err error) *failure {
+	failed := &failure{err: err, execution: notSent}
+	if last := s.lastFailure; last != nil && last.execution == notSent && errors.Is(err, balance.ErrOverloaded) {
+		return failed
+	}
+	return s.lastFailureOr(failed)
 }
 
 // refuseSend ends a request that the box may not send now. If an attempt has failed before, its
@@ -166,7 +184,7 @@
 	request := balance.PickRequest{
 		Pool: r.Pool, Sticky: r.Route.Sticky, Prompt: r.Prompt, Tried: r.Tried,
 		ObjectiveMs: r.Route.ObjectiveMs, ElapsedMs: s.pipe.deps.Clock.Monotonic() - r.ArrivedMs,
-		MayRetry:  s.mayRetryAfterAttempt(),
+		MayRetry: s.mayRetryAfterAttempt(), Admission: s.admissionRequest(),
 		Transfers: pool != nil && pool.Engine != nil && pool.Engine.Transfers && r.Dialect.FetchFrom != "",
 	}
 	if r.Origin != nil {
@@ -232,6 +250,7 @@
 // the stream, or returns a refusal.
 func (s *retryLoop) finish(failed *failure) error {
 	r := s.request
+	var overloaded *balance.OverloadedError
 	s.recordBrokenStream()
 	if err := s.pipe.deps.Rescreen(r); err != nil && failed.execution == notSent && s.mayRefuse() {
 		return err
@@ -255,6 +274,8 @@
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsBackingOff, s.retryAfterMs(), failed.err)
 	case errors.Is(failed.err, balance.ErrAllEvacuated):
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsEvacuated, s.retryAfterMs(), failed.err)
+	case errors.As(failed.err, &overloaded):
+		return s.refuseOverloaded(overloaded, failed.err)
 	case errors.Is(failed.err, balance.ErrAllFull):
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsFull,
 			s.pipe.deps.RetryWithinObjective(r.Route.ObjectiveMs), failed.err)
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -90,6 +90,7 @@
 		event()
 		if n > 0 {
 			from.onPart()
+			from.onStart()
 		}
 		if writeErr := s.stream.write(buffer[:n]); writeErr != nil {
 			return &failure{err: writeErr, execution: mayHaveRun}
@@ -129,6 +130,7 @@
 		err = s.checkEnd(from, res)
 	}
 	if err == nil {
+		s.observeEvents(s.stream.events.Events())
 		return nil
 	}
 	from.onBroken()
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -35,7 +35,8 @@
 	elapsed := p.monotonic() - r.ArrivedMs
 	e := decision.RequestEnded{
 		Request: r.ID, Upstream: r.Upstream, Resumes: r.ResumedID(), AgeMs: p.stateAgeMs(), Status: r.Writer.Status(),
-		Framing: r.Framing, FromBox: r.FromBox, Attempts: len(r.Tried), Bytes: r.Writer.Written(), TookMs: elapsed,
+		Framing: r.Framing, FromBox: r.FromBox, Attempts: len(r.Tried), Bytes: r.Writer.Written(),
+		WaitedMs: r.WaitedMs, TookMs: elapsed,
 	}
 	if r.Fingerprint != 0 {
 		e.Fingerprint = r.Fingerprint.String()
