test(gateway): admission of prompts, its waits, refusals and rechecks

Cause: a request that waits may outlive its key, its engine or its quarantine.

Change: a request that waited is authorised again by the newest routing state; tests with fake owners for refusals (at once, true, Retry-After), waits, callers that leave, changes during a wait, owners that don't answer, what owners are told, and admission that is off.

--- /dev/null
+++ b/internal/balance/admission_test.go
@@ -0,0 +1,442 @@
+package balance
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/registry"
+	"dooryard.example/dooryard/internal/work"
+)
+
+// owners are the fake owners of a fixture's engines.
+type owners struct {
+	asked []string
+	asks  []admission.Ask
+	// reply answers an ask. It is called with the number of the ask, from 0.
+	reply             func(n int, upstream string, a admission.Ask) admission.Reply
+	started, released []string
+	served            int
+}
+
+func (o *owners) admit(_ context.Context, l *Lease, a admission.Ask) admission.Reply {
+	n := len(o.asked)
+	o.asked, o.asks = append(o.asked, l.ID), append(o.asks, a)
+	reply := o.reply(n, l.ID, a)
+	reply.Started = func() { o.started = append(o.started, l.ID) }
+	reply.Release = func(served bool) {
+		o.released = append(o.released, l.ID)
+		if served {
+			o.served++
+		}
+	}
+	return reply
+}
+
+// Replies of owners.
+func granted() admission.Reply {
+	return admission.Reply{Answer: admission.Answer{Verdict: admission.Granted, StartInMs: 90}}
+}
+
+func denied(startInMs, drainMs clock.Millis) admission.Reply {
+	return admission.Reply{Answer: admission.Answer{StartInMs: startInMs, DrainMs: drainMs}}
+}
+
+func unknown() admission.Reply { return admission.Reply{Unknown: true, OwnerAgeMs: 700} }
+
+// always has owners give the same reply.
+func always(reply admission.Reply) func(int, string, admission.Ask) admission.Reply {
+	return func(int, string, admission.Ask) admission.Reply { return reply }
+}
+
+const (
+	testObjectiveMs clock.Millis = 500
+	testPatienceMs  clock.Millis = 3000
+)
+
+// prompted returns a prompt of a session that needs admission.
+func prompted(session string) PickRequest {
+	request := sticky(session)
+	request.ObjectiveMs, request.ElapsedMs = testObjectiveMs, 20
+	request.Admission = &AdmissionRequest{
+		Demand: work.Demand{PromptTokens: 1010, SharedTokens: 1000}, OutputTokens: 90, Organisation: "one", Urgency: 2,
+		MemoryTokens: 333_000, PatienceMs: testPatienceMs,
+	}
+	return request
+}
+
+func (f *fixture) pickAdmitted(t *testing.T, o *owners, request PickRequest) *Lease {
+	t.Helper()
+	l, err := f.PickWithAdmission(t.Context(), request, o.admit)
+	require.NoError(t, err)
+	return l
+}
+
+// refusal returns the error of a pick that no engine admits.
+func (f *fixture) refusal(t *testing.T, o *owners, request PickRequest) *OverloadedError {
+	t.Helper()
+	_, err := f.PickWithAdmission(t.Context(), request, o.admit)
+	var overloaded *OverloadedError
+	require.ErrorAs(t, err, &overloaded)
+	require.ErrorIs(t, err, ErrOverloaded)
+	require.ErrorIs(t, err, ErrNoUpstream)
+	assert.Empty(t, f.InFlight(), "a refused prompt counts nowhere")
+	return overloaded
+}
+
+// finishPrefills teaches the box the time of a prefill.
+func (f *fixture) finishPrefills(t *testing.T, tookMs clock.Millis) {
+	t.Helper()
+	o := &owners{reply: always(granted())}
+	for i := range minPrefills {
+		l := f.pickAdmitted(t, o, prompted(string(rune('A'+i))))
+		f.now += tookMs
+		l.RecordFirstEvent()
+		l.Release(Succeeded)
+	}
+}
+
+// TestPickWithAdmission guards against prompts that are sent without their owner's grant, that wait where they would be
+// late, or that are refused although an engine would take them.
+func TestPickWithAdmission(t *testing.T) {
+	t.Run("the session's engine is asked first, with the work of the prompt", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(granted())}
+		first := f.pick(t, sticky("s"))
+		first.Release(Succeeded)
+		l := f.pickAdmitted(t, o, prompted("s"))
+		assert.Equal(t, first.ID, l.ID)
+		assert.Equal(t, []admission.Ask{{
+			Pool: namekey.Of("p"), Upstream: l.key, Organisation: namekey.Of("one"), Session: namekey.Of("s"), Urgency: 2,
+			PrefillTokens: 10, OwnTokens: 100, SharedTokens: 1000, Slots: 8, MemoryTokens: 333_000,
+			InTimeMs: 480, PatienceMs: testPatienceMs,
+		}}, o.asks)
+		cold := f.pickAdmitted(t, o, prompted("other"))
+		assert.Equal(t, 1010, o.asks[1].PrefillTokens, "nothing is cached")
+		assert.Len(t, f.InFlight(), 2)
+		cold.Release(Neutral)
+	})
+	t.Run("the owner learns of the first event once, and of the end", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(granted())}
+		l := f.pickAdmitted(t, o, prompted("s"))
+		l.RecordFirstEvent()
+		l.RecordFirstEvent()
+		assert.Equal(t, []string{l.ID}, o.started)
+		l.Release(Succeeded)
+		l.Release(Succeeded)
+		assert.Equal(t, []string{l.ID}, o.released)
+		assert.Equal(t, 1, o.served)
+		assert.Zero(t, l.unstartedTokens)
+		l = f.pickAdmitted(t, o, prompted("s"))
+		l.Release(Broken)
+		assert.Zero(t, l.unstartedTokens, "a prompt that ends without an event")
+		assert.Equal(t, 1, o.served)
+	})
+	t.Run("a denied prompt asks other engines, those first that cache its parts", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: func(n int, _ string, _ admission.Ask) admission.Reply {
+			if n < 3 {
+				return denied(100, 0)
+			}
+			return granted()
+		}}
+		order := rank("s", f.pools["p"])
+		order[9].parts.record(namekey.Of("s"), f.now)
+		l := f.pickAdmitted(t, o, prompted("s"))
+		assert.Equal(t, []string{order[0].ID, order[9].ID, order[1].ID, order[2].ID}, o.asked)
+		assert.Equal(t, order[2].ID, l.ID)
+		assert.Empty(t, o.released)
+		assert.Equal(t, map[namekey.Key]int{l.key: 1}, f.InFlight(), "engines that denied it don't count it")
+		a, needed := l.Admission()
+		assert.True(t, needed)
+		assert.Len(t, a.Asked, 4)
+	})
+	t.Run("if all deny, it waits at the engine that would start it first", func(t *testing.T) {
+		f := newFixture(t, 12)
+		starts := []clock.Millis{400, 300, 200, 310}
+		o := &owners{reply: func(n int, _ string, a admission.Ask) admission.Reply {
+			if n < len(starts) {
+				assert.False(t, a.MayQueue)
+				return denied(starts[n], 50)
+			}
+			assert.True(t, a.MayQueue)
+			f.now += 180
+			return granted()
+		}}
+		l := f.pickAdmitted(t, o, prompted("s"))
+		require.Len(t, o.asked, 5)
+		assert.Equal(t, o.asked[2], l.ID)
+		a, _ := l.Admission()
+		assert.EqualValues(t, 180, a.WaitedMs)
+		assert.Len(t, a.Asked, 4)
+	})
+	t.Run("the time that asks take counts", func(t *testing.T) {
+		f := newFixture(t, 12)
+		o := &owners{reply: func(int, string, admission.Ask) admission.Reply {
+			f.now += 20
+			return denied(9000, 1000)
+		}}
+		f.refusal(t, o, prompted("s"))
+		assert.EqualValues(t, 420, o.asks[3].InTimeMs)
+		assert.EqualValues(t, testPatienceMs-60, o.asks[3].PatienceMs)
+	})
+	t.Run("it is refused without a wait if no engine would start it while its caller waits", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(denied(testPatienceMs+1, 700))}
+		e := f.refusal(t, o, prompted("s"))
+		assert.Len(t, o.asked, maxAdmissionAsks)
+		assert.Len(t, e.Asked, maxAdmissionAsks)
+		assert.EqualValues(t, 700, e.DrainMs())
+		assert.Empty(t, o.released)
+	})
+	t.Run("it is refused if the owner that it waits at denies it", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(denied(600, 300))}
+		f.refusal(t, o, prompted("s"))
+		assert.Len(t, o.asked, maxAdmissionAsks+1)
+	})
+	t.Run("in a pool of one engine, that one is asked", func(t *testing.T) {
+		f, o := newFixture(t, 1), &owners{reply: always(denied(600, 300))}
+		f.refusal(t, o, prompted("s"))
+		assert.Equal(t, []string{"u0", "u0"}, o.asked)
+	})
+	t.Run("a forced request is sent whatever the owner answers", func(t *testing.T) {
+		for _, reply := range []admission.Reply{granted(), denied(9000, 900), unknown()} {
+			f, o := newFixture(t, 12), &owners{reply: always(reply)}
+			request := prompted("s")
+			request.Admission.Force = true
+			l := f.pickAdmitted(t, o, request)
+			assert.Equal(t, []string{l.ID}, o.asked)
+			assert.True(t, o.asks[0].Force)
+			assert.False(t, o.asks[0].MayQueue)
+			l.Release(Succeeded)
+			assert.Equal(t, []string{l.ID}, o.released)
+		}
+	})
+	t.Run("the request itself decides if no upstream takes work", func(t *testing.T) {
+		f, o := newFixture(t, 1), &owners{reply: always(granted())}
+		f.SetEvacuations(evacuated(0, "d0"))
+		_, err := f.PickWithAdmission(t.Context(), prompted("s"), o.admit)
+		require.ErrorIs(t, err, ErrAllEvacuated)
+		assert.Empty(t, o.asked)
+	})
+	t.Run("the load bound goes with the ask", func(t *testing.T) {
+		f, o := inLargeFleet(t, 120), &owners{reply: always(granted())}
+		f.pickAdmitted(t, o, prompted("s"))
+		assert.Equal(t, 17, o.asks[0].Bound, "as for a permit")
+	})
+}
+
+// TestAdmissionRecheck guards against a prompt that is sent to an engine that stopped taking work while the prompt was
+// asking or waiting.
+func TestAdmissionRecheck(t *testing.T) {
+	for name, change := range map[string]func(f *fixture, l *Member){
+		"evacuated": func(f *fixture, l *Member) { f.SetEvacuations(evacuated(-1, l.FailureDomain)) },
+		"draining": func(f *fixture, l *Member) {
+			for i := range f.list {
+				f.list[i].Draining = f.list[i].ID == l.ID
+			}
+			f.SetUpstreams(f.list)
+		},
+		"gone": func(f *fixture, l *Member) {
+			f.list = slices.DeleteFunc(slices.Clone(f.list), func(u registry.Upstream) bool { return u.ID == l.ID })
+			f.SetUpstreams(f.list)
+		},
+		"restarted": func(f *fixture, l *Member) {
+			for i := range f.list {
+				if f.list[i].ID == l.ID {
+					f.list[i].StartedMs++
+				}
+			}
+			f.SetUpstreams(f.list)
+		},
+		"backing off": func(f *fixture, l *Member) { l.backOff(f.now, f.now+5000, "1") },
+		"ejected":     func(f *fixture, l *Member) { l.setHealth(l.health.WithUnreachable(f.now, f.settings.Health), f.now) },
+		"cold": func(f *fixture, l *Member) {
+			f.SetColdStarts(map[string]ColdStart{"p": {RequestsPerSecond: 1, DurationMs: 60_000}})
+			f.SetFleetSize(1)
+			l.cold.entryUntilMs = f.now + 60_000
+			l.cold.sentMs = []clock.Millis{f.now}
+		},
+		"behind a partition": func(f *fixture, l *Member) { f.RecordProbe(l.FailureDomain, false) },
+	} {
+		for _, queued := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				f := newFixture(t, 12)
+				var changed *Member
+				o := &owners{}
+				o.reply = func(_ int, upstream string, a admission.Ask) admission.Reply {
+					if queued && !a.MayQueue && changed == nil {
+						return denied(100, 50)
+					}
+					if changed == nil {
+						changed = f.byID[upstream]
+						f.now += 100
+						change(f, changed)
+					}
+					return granted()
+				}
+				l := f.pickAdmitted(t, o, prompted("s"))
+				assert.NotSame(t, changed, l.Member)
+				assert.Equal(t, []string{changed.ID}, o.released, "the permit is returned")
+				a, _ := l.Admission()
+				assert.Equal(t, 1, a.Rechecked)
+				assert.Equal(t, map[namekey.Key]int{l.key: 1}, f.InFlight())
+			})
+		}
+	}
+	t.Run("it gives up after some engines", func(t *testing.T) {
+		f := newFixture(t, 12)
+		o := &owners{reply: func(_ int, upstream string, _ admission.Ask) admission.Reply {
+			f.byID[upstream].backOff(f.now, f.now+5000, "1")
+			return granted()
+		}}
+		e := f.refusal(t, o, prompted("s"))
+		assert.Len(t, o.released, maxAdmissionRounds)
+		assert.Equal(t, maxAdmissionRounds, e.Rechecked)
+	})
+	t.Run("a prompt whose caller left is not sent, and its permit is returned", func(t *testing.T) {
+		for _, queued := range []bool{false, true} {
+			f := newFixture(t, 12)
+			ctx, cancel := context.WithCancel(t.Context())
+			o := &owners{reply: func(_ int, _ string, a admission.Ask) admission.Reply {
+				if queued && !a.MayQueue {
+					return denied(100, 50)
+				}
+				cancel()
+				return granted()
+			}}
+			_, err := f.PickWithAdmission(ctx, prompted("s"), o.admit)
+			require.ErrorIs(t, err, context.Canceled)
+			assert.Len(t, o.released, 1)
+			assert.Empty(t, f.InFlight())
+		}
+	})
+	t.Run("asking uses up no part of the rate of a cold engine, and no trial request", func(t *testing.T) {
+		f, o := newFixture(t, 1), &owners{reply: always(denied(9000, 50))}
+		f.SetColdStarts(map[string]ColdStart{"p": {RequestsPerSecond: 1, DurationMs: 60_000}})
+		f.SetFleetSize(1)
+		f.byID["u0"].cold.entryUntilMs = f.now + 60_000
+		f.byID["u0"].probation = true
+		f.refusal(t, o, prompted("s"))
+		o.reply = always(granted())
+		f.pickAdmitted(t, o, prompted("s"))
+	})
+	t.Run("a trial request does not wait", func(t *testing.T) {
+		f, o := newFixture(t, 1), &owners{reply: always(denied(100, 50))}
+		f.byID["u0"].probation = true
+		f.refusal(t, o, prompted("s"))
+		assert.Len(t, o.asked, 1)
+	})
+}
+
+// TestAdmissionWithoutOwner guards against refusals by boxes that know nothing, and against boxes that fill an engine
+// whose owner does not answer.
+func TestAdmissionWithoutOwner(t *testing.T) {
+	t.Run("a box that knows nothing sends to the session's engine", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(unknown())}
+		l := f.pickAdmitted(t, o, prompted("s"))
+		assert.Equal(t, 0, l.Rank)
+		a, _ := l.Admission()
+		assert.True(t, a.Asked[0].Unknown)
+		assert.EqualValues(t, 700, a.Asked[0].OwnerAgeMs)
+		l.Release(Succeeded)
+		assert.Equal(t, []string{l.ID}, o.released, "the owner may have counted it")
+	})
+	t.Run("prompts of the box that have not started send others elsewhere", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(unknown())}
+		f.finishPrefills(t, 300)
+		first, second := f.pickAdmitted(t, o, prompted("s")), f.pickAdmitted(t, o, prompted("s"))
+		assert.Equal(t, first.ID, second.ID, "the parts are cached there by now")
+		first.Release(Neutral)
+		first = f.pickAdmitted(t, o, prompted("x"))
+		f.SetBoxesPerReport(func() float64 { return 2 })
+		third := f.pickAdmitted(t, o, prompted("x"))
+		assert.NotEqual(t, first.ID, third.ID, "300 ms of this box and as much of another one are ahead")
+		assert.Equal(t, []string{first.ID, first.ID}, []string{o.asked[2], o.asked[3]})
+		assert.Contains(t, o.released, first.ID, "its owner may have counted the prompt that went elsewhere")
+	})
+	t.Run("if no engine is in time, it is sent to the least loaded one", func(t *testing.T) {
+		f, o := newFixture(t, 3), &owners{reply: always(unknown())}
+		f.finishPrefills(t, 1000)
+		used := map[string]int{}
+		for range 6 {
+			used[f.pickAdmitted(t, o, prompted("s")).ID]++
+		}
+		assert.Len(t, used, 3)
+	})
+	t.Run("with an owner that denies it, the box knows something", func(t *testing.T) {
+		f := newFixture(t, 3)
+		f.finishPrefills(t, 1000)
+		o := &owners{reply: func(n int, _ string, _ admission.Ask) admission.Reply {
+			if n == 0 {
+				return unknown()
+			}
+			return denied(5000, 800)
+		}}
+		f.refusal(t, o, prompted("s"))
+		assert.Equal(t, o.asked[:1], o.released)
+	})
+	t.Run("a provisional grant counts with the box's own estimate of the load", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(granted())}
+		f.SetEnginePermits(true)
+		first := rank("s", f.pools["p"])[0]
+		f.SetOthersInFlight(map[namekey.Key]int{first.key: 30})
+		assert.Equal(t, first.ID, f.pickAdmitted(t, o, prompted("s")).ID, "an owner that has counted decides")
+		reply := granted()
+		reply.Answer.Provisional = true
+		o.reply = always(reply)
+		assert.NotEqual(t, first.ID, f.pickAdmitted(t, o, prompted("s")).ID)
+		assert.Equal(t, []string{first.ID}, o.released)
+	})
+}
+
+// TestRetryAfterOverload guards against callers that return before an engine can take them, all at once, or too late.
+func TestRetryAfterOverload(t *testing.T) {
+	f := newFixture(t, 1)
+	overload := func(drains ...clock.Millis) *OverloadedError {
+		e := &OverloadedError{FirstEventMs: 500}
+		for _, drainMs := range drains {
+			e.Asked = append(e.Asked, AskedUpstream{Answer: admission.Answer{DrainMs: drainMs}})
+		}
+		return e
+	}
+	for _, c := range []struct {
+		name            string
+		random          func(n int) int
+		e               *OverloadedError
+		remaining, want clock.Millis
+	}{
+		{"the least answer, a quarter sooner", func(int) int { return 0 }, overload(900, 400, 0, 600), 3000, 300},
+		{"a quarter later", func(n int) int { return n - 1 }, overload(900, 400, 0, 600), 3000, 500},
+		{"at least the duration of a short request", func(int) int { return 0 }, overload(20), 3000, minRetryAfterMs},
+		{"no answer", func(int) int { return 0 }, overload(), 3000, minRetryAfterMs},
+		{"just enough time left", func(int) int { return 0 }, overload(400), 800, 300},
+		{"too little time left", func(int) int { return 0 }, overload(400), 799, 0},
+		{"no time left", func(int) int { return 0 }, overload(), -5, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f.random = c.random
+			assert.Equal(t, c.want, f.RetryAfterOverload(c.e, c.remaining))
+		})
+	}
+	t.Run("the first event is expected by the learnt prefill times", func(t *testing.T) {
+		f, o := newFixture(t, 12), &owners{reply: always(denied(9000, 50))}
+		assert.Equal(t, testObjectiveMs, f.refusal(t, o, prompted("s")).FirstEventMs)
+		f.finishPrefills(t, 120)
+		assert.InDelta(t, 120, int(f.refusal(t, o, prompted("s")).FirstEventMs), 2)
+	})
+}
+
+// TestDemandOf guards against sizes that contradict the parts of the prompt.
+func TestDemandOf(t *testing.T) {
+	parts := prompt.Prompt{{ID: "a", Tokens: 100}, {ID: "own", Tokens: 10}}
+	assert.Equal(t, work.Demand{PromptTokens: 110, SharedTokens: 100}, DemandOf(work.Demand{}, parts))
+	told := work.Demand{PromptTokens: 150, SharedTokens: 100, MaxOutputTokens: 7, HintTokens: 3}
+	assert.Equal(t, told, DemandOf(told, parts))
+	huge := prompt.Prompt{{ID: "a", Tokens: 1 << 62}, {ID: "b", Tokens: 1 << 62}, {ID: "own", Tokens: 1}}
+	assert.Equal(t, work.Demand{PromptTokens: work.MaxTokens, SharedTokens: work.MaxTokens}, DemandOf(work.Demand{}, huge))
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -65,6 +65,8 @@
 	monotonicOffsetMs, wallOffsetMs atomic.Int64
 	// out receives the boxes' log lines.
 	out io.Writer
+	// admit stands for the owners of engines, if it is set.
+	admit admitFunc
 }
 
 // advanceMonotonic advances the boxes' monotonic clock, but not the timers that wait on the fake clock.
@@ -182,7 +184,7 @@
 		return f.store.source(name, c)
 	}}
 	b, err := New(settings, adapter, f.out, WithClock(f.clock), WithListen(h.Listen),
-		WithListenPackets(h.ListenPackets), WithDial(h.Dial))
+		WithListenPackets(h.ListenPackets), WithDial(h.Dial), func(b *Box) { b.askAdmission = f.admit })
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	r := &running{Box: b, fleet: f, settings: settings, stop: cancel, done: make(chan error, 1)}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -7,6 +7,7 @@
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/occupancy"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/pipe/dispatch"
 )
 
@@ -54,7 +55,11 @@
 // admission returns how the pipeline has prompts admitted.
 func (b *Box) admission() dispatch.Admission {
 	return dispatch.Admission{
-		Enabled: b.admissionEnabled, ExpectOutput: b.lengths.Expect, ObserveEvents: b.lengths.ObserveEvents,
+		Enabled: b.admissionEnabled,
+		Reauthorise: func(r *opaque.Request) error {
+			return b.steps.authorise.Reauthorise(r, b.routingState.State())
+		},
+		ExpectOutput: b.lengths.Expect, ObserveEvents: b.lengths.ObserveEvents,
 		OnDecided: b.metrics.AdmissionDecided, RetryAfter: b.balance.RetryAfterOverload,
 	}
 }
--- a/internal/pipe/authorise/authorise.go
+++ b/internal/pipe/authorise/authorise.go
@@ -8,6 +8,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/opaque"
+	"dooryard.example/dooryard/internal/routing"
 )
 
 // staleRetryMs is the Retry-After of requests refused for a stale routing state: the time for the
@@ -43,6 +44,18 @@
 	return nil
 }
 
+// Reauthorise refuses a request that waited after Run, if its key is not valid by a newer routing state or the state is
+// too old to trust its keys.
+func (p *Pipe) Reauthorise(r *opaque.Request, newest *routing.State) error {
+	if err := p.Recheck(r); err != nil {
+		return err
+	}
+	if r.Organisation == nil || newest.Organisation(r.Dialect.Key(r.HTTP.Header)) != nil {
+		return nil
+	}
+	return opaque.NewRefusal(http.StatusUnauthorized, opaque.UnknownKey, 0, nil)
+}
+
 // Run resolves the key of the request to its organisation.
 func (p *Pipe) Run(r *opaque.Request) error {
 	if r.Route.Public || !r.State.RequiresKey() {
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -17,6 +17,8 @@
 type Admission struct {
 	// Enabled reports whether the owners of engines admit prompts. Nil means that they don't.
 	Enabled func() bool
+	// Reauthorise returns a refusal if the key of a request that waited is not valid any more.
+	Reauthorise func(r *opaque.Request) error
 	// ExpectOutput returns the expected length of an output in tokens.
 	ExpectOutput func(route string, d work.Demand) int
 	// ObserveEvents records the number of events of a complete stream.
@@ -146,6 +148,9 @@
 	if err := s.pipe.deps.CheckBeforeSend(s.request); err != nil {
 		return err
 	}
+	if err := s.pipe.deps.Admission.Reauthorise(s.request); err != nil {
+		return err
+	}
 	return s.pipe.deps.Rescreen(s.request)
 }
 
