--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -378,11 +378,12 @@
 		runWithAdmission(t, 3, func(w http.ResponseWriter, _ *http.Request) {
 			if failures.Add(1) == 1 {
 				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, "failed")
 				return
 			}
 			_, _ = io.WriteString(w, "done")
-		}, func(_ context.Context, _ *admissionFleet, ask admission.Ask) admission.Reply {
-			if ask.Force {
+		}, func(_ context.Context, a *admissionFleet, _ admission.Ask) admission.Reply {
+			if failures.Load() > 0 {
 				return deniedReply
 			}
 			return grantedReply
@@ -393,6 +394,8 @@
 			assert.Equal(t, "done", body)
 			synctest.Wait()
 			require.Len(t, a.received, 2)
+			require.Len(t, a.asks, 2)
+			assert.True(t, a.asks[1].Force)
 			assert.Equal(t, a.received[1:], a.told(&a.started))
 			assert.Equal(t, a.received, a.told(&a.released))
 			assert.Equal(t, a.received[1:], a.told(&a.served))
