--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -15,9 +15,9 @@
 	"dooryard.example/dooryard/internal/work"
 )
 
-// With admission, the owner of an engine decides when a prompt may be sent there, by the work that is due at the engine.
-// A prompt asks the engines of its session's order one after another, and waits at the owner of one of them if all
-// would have it wait. If none can serve it in time, it is refused at once, so that its caller can return while it still
+// With admission, the owner of an engine decides when a prompt may be sent there, by the work that is due at it. A
+// prompt asks the engines of its session's order one after another, and waits at the owner of one of them if all would
+// have it wait. If none can serve it in time, it is refused at once, so that its caller can return while it still
 // has time, and engines spend none on prompts that come too late.
 //
 // This answers loads of prompts above what engines can prefill or hold, for seconds or minutes.
@@ -286,7 +286,8 @@
 	case e.ask.Force:
 		return true
 	case e.doubtful:
-		return e.startInMs <= e.ask.InTimeMs && !(e.lease.bound > 0 && e.lease.exceedsOwnBound(e.lease.bound))
+		withinBound := e.lease.bound == 0 || !e.lease.exceedsOwnBound(e.lease.bound)
+		return withinBound && e.startInMs <= e.ask.InTimeMs
 	default:
 		return e.reply.Answer.Verdict == admission.Granted
 	}
--- a/internal/balance/admission_test.go
+++ b/internal/balance/admission_test.go
@@ -80,7 +80,7 @@
 }
 
 // refusal returns the error of a pick that no engine admits.
-func (f *fixture) refusal(t *testing.T, o *owners, request PickRequest) *OverloadedError {
+func (f *fixture) refusal(t *testing.T, o *owners, request PickRequest) OverloadedError {
 	t.Helper()
 	_, err := f.PickWithAdmission(t.Context(), request, o.admit)
 	var overloaded *OverloadedError
@@ -88,7 +88,7 @@
 	require.ErrorIs(t, err, ErrOverloaded)
 	require.ErrorIs(t, err, ErrNoUpstream)
 	assert.Empty(t, f.InFlight(), "a refused prompt counts nowhere")
-	return overloaded
+	return *overloaded
 }
 
 // finishPrefills teaches the box the time of a prefill.
@@ -183,7 +183,7 @@
 		}}
 		f.refusal(t, o, prompted("s"))
 		assert.EqualValues(t, 420, o.asks[3].InTimeMs)
-		assert.EqualValues(t, testPatienceMs-60, o.asks[3].PatienceMs)
+		assert.Equal(t, testPatienceMs-60, o.asks[3].PatienceMs)
 	})
 	t.Run("it is refused without a wait if no engine would start it while its caller waits", func(t *testing.T) {
 		f, o := newFixture(t, 12), &owners{reply: always(denied(testPatienceMs+1, 700))}
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -382,7 +382,7 @@
 				return
 			}
 			_, _ = io.WriteString(w, "done")
-		}, func(_ context.Context, a *admissionFleet, _ admission.Ask) admission.Reply {
+		}, func(context.Context, *admissionFleet, admission.Ask) admission.Reply {
 			if failures.Load() > 0 {
 				return deniedReply
 			}
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -121,7 +121,9 @@
 	return verdict
 }
 
-func (s *retryLoop) admissionDecided(a balance.Admission, lease *balance.Lease, verdict string) decision.AdmissionDecided {
+func (s *retryLoop) admissionDecided(
+	a balance.Admission, lease *balance.Lease, verdict string,
+) decision.AdmissionDecided {
 	e := decision.AdmissionDecided{
 		Request: s.request.ID, Pool: s.request.Pool, Verdict: verdict, WaitedMs: a.WaitedMs, Rechecked: a.Rechecked,
 		PrefillTokens: a.Tokens.Prefill, OwnTokens: a.Tokens.Own, SharedTokens: a.Tokens.Shared,
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -40,8 +40,8 @@
 	Capacity   Capacity   `yaml:"capacity"`
 	LogLimits  LogLimits  `yaml:"lines"`
 	Admission  Admission  `yaml:"admission"`
-	// PlatformTerms are terms of the platform, some of which ask for features. Terms that the adapter doesn't know have no
-	// effect.
+	// PlatformTerms are terms of the platform, some of which ask for features. Terms that the adapter doesn't know have
+	// no effect.
 	PlatformTerms []string `yaml:"platform_terms"`
 }
 
