--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -440,7 +440,7 @@
 			f.upstream("u", respondWith("done"))
 			t := f.t
 			a := &admissionFleet{fleet: f, log: &logBuffer{}}
-			f.out = a.log
+			f.out, f.admit = a.log, noOwner
 			a.box = f.box(1, withAdmission)
 			_, body, err := a.prompt(t.Context(), "/sticky/")
 			require.NoError(t, err)
