fix(balance): a prompt waits only at an engine that would start it in time

Cause: prompts that were late when they began to wait stayed behind those in time until their callers gave up.

Change: a prompt waits only where the owner expects it in time, and 100 ms are left for a refusal.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -201,14 +201,14 @@
 }
 
 // wait has the prompt wait at the owner that would start it first. It returns an OverloadedError if none would start it
-// before its caller gives up. The owner decides whether the prompt may wait although it will be late.
+// in time: a prompt that waits although it will be late is mostly refused later, when its caller has no time left.
 func (w *admissionWalk) wait(ctx context.Context) (*Lease, error) {
 	if !slices.ContainsFunc(w.asked, func(e *askedEngine) bool { return !e.doubtful }) {
 		// Nothing is known of the engines, so that the prompt is sent to the least loaded one instead of being refused.
 		return w.commit(ctx, w.first(func(*askedEngine) bool { return true }))
 	}
 	queue := w.first(func(e *askedEngine) bool {
-		return !e.doubtful && !e.onProbation && e.startInMs <= e.ask.PatienceMs
+		return !e.doubtful && !e.onProbation && e.startInMs <= e.ask.InTimeMs
 	})
 	if queue != nil {
 		queue.ask.MayQueue = true
@@ -258,7 +258,7 @@
 	m := w.manager
 	elapsed := m.monotonic() - w.startMs
 	e.ask.InTimeMs = w.request.ObjectiveMs - w.request.ElapsedMs - elapsed
-	e.ask.PatienceMs = w.request.Admission.PatienceMs - elapsed
+	e.ask.PatienceMs = patienceMs(w.request.Admission.PatienceMs - elapsed)
 	e.reply = w.admit(ctx, e.lease, e.ask)
 	e.doubtful = e.reply.Unknown || e.reply.Answer.Verdict == admission.Granted && e.reply.Answer.Provisional
 	e.startInMs = e.reply.Answer.StartInMs
@@ -280,6 +280,12 @@
 	w.record.Asked = append(w.record.Asked, record)
 }
 
+// refusalMs is the time that is left for a refusal to reach its caller after a wait. It covers a round trip.
+const refusalMs clock.Millis = 100
+
+// patienceMs returns how long a prompt may wait if its caller gives up after a time.
+func patienceMs(remaining clock.Millis) clock.Millis { return max(remaining-refusalMs, remaining/2) }
+
 // accepts reports whether the prompt may be sent to an engine after its owner's reply.
 func (*admissionWalk) accepts(e *askedEngine) bool {
 	switch {
