--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -454,3 +454,8 @@
 		})
 	})
 }
+
+// noOwner is an admitFunc without owners.
+func noOwner(context.Context, string, admission.Ask) admission.Reply {
+	return admission.Reply{Unknown: true, OwnerAgeMs: -1, Started: func() {}, Release: func(bool) {}}
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -15,12 +15,7 @@
 type admitFunc func(ctx context.Context, failureDomain string, a admission.Ask) admission.Reply
 
 // askOwner returns the function that asks the owners of upstreams.
-func (*Box) askOwner() admitFunc { return noOwner } // ADMIT: return b.peering.mesh.Admit
-
-// noOwner is an admitFunc without owners.
-func noOwner(context.Context, string, admission.Ask) admission.Reply {
-	return admission.Reply{Unknown: true, OwnerAgeMs: -1, Started: func() {}, Release: func(bool) {}}
-}
+func (b *Box) askOwner() admitFunc { return b.peering.mesh.Admit }
 
 // pick chooses an upstream. It also acquires a permit from the box that owns the upstream, for a request to a plain
 // service with a latency objective and, except in a small fleet, for a prompt. With admission, owners admit prompts
