feat(balance): prefer upstreams at their usual pace

Cause: requests went to upstreams in a slow spell although these say so in their load header, or could be found out. Change: a slow engine goes to the end of a session's order, and pickLeastLoaded weighs the cost by the pace, while at most half of the pool is slow. A session stays at its engine where prefilling its parts elsewhere takes longer by the learnt time per token. Paces of upstreams that report none are learnt from times to the first byte, if pace.learn is set or another upstream reports its pace. Changes are logged, at most 10 in 10 s.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -12,6 +12,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/upstream"
 )
@@ -83,6 +84,7 @@
 	fleetSize int
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
 	departedSignals map[string]*upstreamSignals
+	paces           poolPace
 }
 
 // New returns a manager without upstreams. Monotonic is a monotonic clock, connect creates the client
@@ -130,6 +132,7 @@
 	maps.DeleteFunc(m.attempts, func(pool string, _ *attemptCounts) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.stalledSinceMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.stalledTrials, func(pool string, _ *stalledTrial) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.paces.times, func(pool string, _ *pace.Times) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.respondingMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 }
 
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -42,6 +42,7 @@
 	reportedMs       clock.Millis
 
 	ejection
+	memberPace
 	silence memberSilence
 	// signals are the backoff and draining signals from its responses.
 	signals *upstreamSignals
--- /dev/null
+++ b/internal/balance/pace.go
@@ -0,0 +1,398 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/pace"
+	"dooryard.example/dooryard/internal/prompt"
+)
+
+// Upstreams that share their machines with others are slow in spells. The pace of an upstream, which it reports or which
+// is learnt, moves requests to others while it is slow. It never ejects an upstream, and does not count for its health.
+// Without reports and with learning off, choices are as if there were no pace.
+
+const (
+	// paceRanks is among how many first engines of a session's order another one than a slow one is looked for. Further
+	// engines are less likely to have the session cached on any box.
+	paceRanks = 4
+	// minStayTokens and maxStayPercent say when a session stays at a slow engine while the time per token is not known: if
+	// it has cached more than this, and its pace is below this. Prefilling the tokens elsewhere takes longer than the
+	// spell costs then.
+	minStayTokens  = 4000
+	maxStayPercent = 300
+)
+
+// memberPace is the pace of an upstream.
+type memberPace struct {
+	pace pace.Tracker
+	// reportsPace is set once the upstream has reported a pace.
+	reportsPace bool
+	// foundSlowPercent and foundSlowMs are the newest finding of this box that the upstream is slow, and its time.
+	foundSlowPercent int
+	foundSlowMs      clock.Millis
+	// waiting is the number of requests waiting at the upstream according to its newest load report.
+	waiting int
+	learner pace.Learner
+	// awaiting is the number of this box's requests there that have got no response, and awaitingTokens what they
+	// prefill.
+	awaiting, awaitingTokens int
+}
+
+// poolPace is what a manager keeps of paces beside those of its members.
+type poolPace struct {
+	// used is set once an upstream was found to have another pace than the usual one, or paces are learnt.
+	used bool
+	// learn is set if paces are to be learnt, and reported is set once an upstream has reported its pace. Those of the
+	// others are learnt then, too.
+	learn, reported bool
+	// times are the times to the first byte, by pool.
+	times map[string]*pace.Times
+	// changes are those that the log has not taken. Their rate is bounded.
+	changes        []PaceChange
+	changesSinceMs clock.Millis
+	changesInSpan  int
+	omitted        int
+	// passedOver counts requests that passed over an upstream for its pace, and sentToSlow those that were sent to one
+	// that was known to be slow.
+	passedOver, sentToSlow int64
+}
+
+// Sources of paces.
+const (
+	paceReported = "reported"
+	paceLearnt   = "learnt"
+	paceFromBox  = "another box"
+)
+
+// PaceChange is the finding that an upstream turned slow, or is at its usual pace again.
+type PaceChange struct {
+	// Upstream is the incarnation.
+	Upstream, Pool string
+	// Percent is the pace in percent of the usual time. Slow is set if the upstream turned slow, for HoldMs.
+	Percent int
+	Slow    bool
+	HoldMs  clock.Millis
+	// Source is where the pace was learnt from.
+	Source string
+	// Omitted is the number of changes before this one that were not kept.
+	Omitted int
+}
+
+// RecordPace records what the upstream reports of its pace, in percent of the usual time, or 0 if it reports none, and
+// the number of requests that wait there. It returns a finding if other boxes should be told at once: the upstream was
+// found slow, and was not known to be at this moment.
+func (l *Lease) RecordPace(percent, waiting int) (finding pace.Finding, tell bool) {
+	m := l.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.waiting = waiting
+	if percent <= 0 {
+		return pace.Finding{}, false
+	}
+	l.reportsPace, m.paces.reported = true, true
+	known := l.pace.Held(m.monotonic()) && l.pace.FoundSlow()
+	m.findPace(l.Member, percent, paceReported)
+	if known {
+		return pace.Finding{}, false
+	}
+	return pace.NewFinding(l.key, percent, l.pace.HoldSteps(), 0)
+}
+
+// SetLearnPace sets whether the paces of upstreams that report none are learnt from their responses. They are learnt
+// anyway once an upstream has reported its pace.
+func (m *Manager) SetLearnPace(learn bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paces.learn = learn
+}
+
+// findPace records a pace that this box found.
+func (m *Manager) findPace(member *Member, percent int, source string) {
+	now := m.monotonic()
+	if percent > pace.SlowPercent {
+		member.foundSlowPercent, member.foundSlowMs = percent, now
+	}
+	m.paces.used = m.paces.used || percent > pace.UsualPercent
+	if m.paces.used && member.pace.Report(percent, now) {
+		m.recordPaceChange(member, percent, source)
+	}
+}
+
+// recordPaceChange records that the newest pace of a member made it slow, or usual again.
+func (m *Manager) recordPaceChange(member *Member, percent int, source string) {
+	m.paces.recordChange(PaceChange{
+		Upstream: member.Incarnation(), Pool: member.Pool, Percent: percent, Slow: percent > pace.SlowPercent,
+		HoldMs: member.pace.HoldMs(), Source: source,
+	}, m.monotonic())
+}
+
+// Bounds of the rate at which changes are kept for the log. Spells are frequent, and there may be dozens of upstreams.
+const (
+	maxPaceChanges = 10
+	paceSpanMs     = 10 * clock.Second
+)
+
+func (p *poolPace) recordChange(c PaceChange, now clock.Millis) {
+	if now-p.changesSinceMs >= paceSpanMs {
+		p.changesSinceMs, p.changesInSpan = now, 0
+	}
+	if p.changesInSpan >= maxPaceChanges {
+		p.omitted++
+		return
+	}
+	p.changesInSpan++
+	c.Omitted, p.omitted = p.omitted, 0
+	p.changes = append(p.changes, c)
+}
+
+// TakePaceChanges returns the changes since the last call, at most 10 in 10 s.
+func (m *Manager) TakePaceChanges() []PaceChange {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := m.paces.changes
+	m.paces.changes = nil
+	return taken
+}
+
+// PaceFindings returns the upstreams that this box itself found slow in the last second, the newest 16 at most.
+func (m *Manager) PaceFindings() []pace.Finding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.paces.used {
+		return nil
+	}
+	now, list := m.monotonic(), []pace.Finding{}
+	for _, member := range m.byID {
+		if finding, recent := pace.NewFinding(
+			member.key, member.foundSlowPercent, member.pace.HoldSteps(), now-member.foundSlowMs,
+		); recent {
+			list = append(list, finding)
+		}
+	}
+	slices.SortFunc(list, func(a, b pace.Finding) int {
+		return cmp.Or(cmp.Compare(a.AgeTens, b.AgeTens), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	return list[:min(pace.MaxFindings, len(list))]
+}
+
+// RecordPaceFindings records the upstreams that another box found slow. The key of an upstream names its incarnation, so
+// that a finding from before a restart is ignored.
+func (m *Manager) RecordPaceFindings(list []pace.Finding) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	for _, finding := range list[:min(pace.MaxFindings, len(list))] {
+		if member := m.byKey[finding.Upstream]; member != nil && finding.Valid() {
+			m.paces.used = true
+			if member.pace.Hear(int(finding.Percent), int(finding.HoldSteps), now-finding.AgeMs()) {
+				m.recordPaceChange(member, int(finding.Percent), paceFromBox)
+			}
+		}
+	}
+}
+
+// PaceCounts are counts for metrics.
+type PaceCounts struct {
+	// Slow is the number of upstreams that are slow now, by pool. Zeros are omitted.
+	Slow map[string]int `json:"slow"`
+	// PassedOver counts requests that passed over an upstream for its pace, and SentToSlow those that were sent to an
+	// upstream that was known to be slow.
+	PassedOver int64 `json:"passed_over"`
+	SentToSlow int64 `json:"sent_to_slow"`
+}
+
+// PaceCounts returns counts for metrics.
+func (m *Manager) PaceCounts() PaceCounts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.monotonic()
+	counts := PaceCounts{Slow: map[string]int{}, PassedOver: m.paces.passedOver, SentToSlow: m.paces.sentToSlow}
+	for _, member := range m.byID {
+		if member.pace.Slow(now) {
+			counts.Slow[member.Pool]++
+		}
+	}
+	return counts
+}
+
+// recordPaceSend counts a request that is about to be sent. It may be the trial of an upstream after its hold.
+func (l *Lease) recordPaceSend(now clock.Millis) {
+	p := &l.manager.paces
+	if l.pace.Slow(now) {
+		p.sentToSlow++
+	}
+	if l.passedSlow {
+		p.passedOver++
+	}
+	l.pace.RecordSend(now)
+	if l.prefillTokens > 0 {
+		// Engines prefill one prompt after another. Other upstreams run their requests side by side.
+		l.ahead, l.aheadTokens = l.Member.awaiting, l.Member.awaitingTokens
+	}
+	l.awaited = true
+	l.Member.awaiting++
+	l.Member.awaitingTokens += l.prefillTokens
+}
+
+// endAwait records that the request got a response or has ended.
+func (l *Lease) endAwait() {
+	if l.awaited {
+		l.awaited = false
+		l.Member.awaiting--
+		l.Member.awaitingTokens -= l.prefillTokens
+	}
+}
+
+// recordFirstByte learns from the time to the first byte of a response.
+func (l *Lease) recordFirstByte(now clock.Millis) {
+	m := l.manager
+	learning := m.paces.learn || m.paces.reported
+	if !learning && !m.paces.used || l.sentMs == 0 || l.responding {
+		return
+	}
+	times, took := m.timesOf(l.Pool), now-l.sentMs
+	if l.ahead == 0 {
+		times.Observe(l.prefillTokens, took, l.pace.Percent(now))
+	}
+	if !learning || l.reportsPace {
+		return
+	}
+	l.learner.Observe(pace.Sample{Tokens: l.prefillTokens + l.aheadTokens, Ahead: l.ahead, TookMs: took, AtMs: now})
+	p, known := l.learner.Percent(times, l.pace.FoundSlow(), now)
+	switch {
+	case known && p > pace.SlowPercent:
+		l.learner.Reset()
+		m.findPace(l.Member, p, paceLearnt)
+	case known && l.pace.FoundSlow():
+		m.findPace(l.Member, p, paceLearnt)
+	}
+}
+
+func (m *Manager) timesOf(pool string) *pace.Times {
+	if m.paces.times == nil {
+		m.paces.times = map[string]*pace.Times{}
+	}
+	t := m.paces.times[pool]
+	if t == nil {
+		t = &pace.Times{}
+		m.paces.times[pool] = t
+	}
+	return t
+}
+
+// paceApplies reports whether the paces of members count: some of them are slow, but at most half of them. If more are
+// slow, the others could not hold the load, and reports of that many are doubtful.
+func (m *Manager) paceApplies(members []*Member, now clock.Millis) bool {
+	if !m.paces.used {
+		return false
+	}
+	slow := 0
+	for _, member := range members {
+		if member.pace.Slow(now) {
+			slow++
+		}
+	}
+	return slow > 0 && 2*slow <= len(members) //nolint:mnd // Half.
+}
+
+// slowLast moves the slow engines of a session's order to its end, if another one of the first paceRanks engines, or one
+// that has the prompt's parts cached, is not slow. A session stays at its first engine, though slow, if prefilling its
+// parts elsewhere is expected to take longer. While the others can't hold the load and the reserve is in use, the order
+// remains as it is.
+func (m *Manager) slowLast(lease *Lease, order []*Member, request PickRequest, now clock.Millis) []*Member {
+	if !m.paceApplies(order, now) || slices.ContainsFunc(order, func(member *Member) bool { return member.evacuated }) {
+		return order
+	}
+	first, usual, slow := order[0], []*Member{}, []*Member{}
+	for _, member := range order {
+		if member.pace.Slow(now) {
+			slow = append(slow, member)
+		} else {
+			usual = append(usual, member)
+		}
+	}
+	if !first.pace.Slow(now) {
+		return append(usual, slow...)
+	}
+	target := m.paceTarget(order, usual, request, now)
+	if target == nil {
+		return order
+	}
+	if m.staysAtSlow(first, target, request, now) {
+		return slices.Concat(slow[:1], usual, slow[1:])
+	}
+	lease.passedSlow = true
+	usual = slices.DeleteFunc(usual, func(member *Member) bool { return member == target })
+	return slices.Concat([]*Member{target}, usual, slow)
+}
+
+// paceTarget returns the engine to which a request goes instead of a slow first one: the first of the order that is not
+// slow, or one that has clearly more of the prompt cached. It returns nil if neither is among the first engines or has
+// anything cached.
+func (m *Manager) paceTarget(order, usual []*Member, request PickRequest, now clock.Millis) *Member {
+	shared := request.Prompt.Shared().KeyedParts()
+	target, cached := usual[0], usual[0].parts.cachedTokens(shared, now)
+	for _, member := range usual[1:] {
+		if c := member.parts.cachedTokens(shared, now); c >= cached+minFetchTokens {
+			target, cached = member, c
+		}
+	}
+	if cached == 0 && !slices.Contains(order[:min(paceRanks, len(order))], target) {
+		return nil
+	}
+	return target
+}
+
+// staysAtSlow reports whether a session is served sooner at a slow engine that has its parts cached than at another one.
+func (m *Manager) staysAtSlow(slow, other *Member, request PickRequest, now clock.Millis) bool {
+	shared := request.Prompt.Shared().KeyedParts()
+	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
+	if request.Transfers {
+		// The other engine fetches the parts.
+		elsewhere = max(elsewhere, cached)
+	}
+	if cached <= elsewhere {
+		return false
+	}
+	times := m.timesOf(request.Pool)
+	if _, known := times.PerToken(); !known {
+		return cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
+	}
+	total := promptTokens(request.Prompt)
+	return slow.firstEventMs(times, total-cached, now) <= other.firstEventMs(times, total-elsewhere, now)
+}
+
+// firstEventMs returns the expected time to the first event of a request that prefills a number of tokens: the wait
+// behind the requests that wait at the engine, and its own prefill, at the engine's pace.
+func (m *Member) firstEventMs(times *pace.Times, tokens int, now clock.Millis) float64 {
+	expected, _ := times.Expect(tokens, 0)
+	if m.reportedMs > 0 && now-m.reportedMs < reportTTLMs {
+		expected += float64(m.waiting) * times.Mean()
+	}
+	return expected * float64(m.pace.Percent(now)) / pace.UsualPercent
+}
+
+// promptTokens returns the length of a prompt.
+func promptTokens(p prompt.Prompt) int {
+	sum := 0
+	for _, part := range p {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// ownTokens returns the length of the part of a prompt that is not shared.
+func ownTokens(p prompt.Prompt) int {
+	if len(p) == 0 {
+		return 0
+	}
+	return p[len(p)-1].Tokens
+}
+
+// pacedCost returns the cost of a member in proportion to the time that a request takes there: its load, and the request
+// itself, which counts as much as the load of a full server, times its pace.
+func (m *Manager) pacedCost(member *Member, now clock.Millis) int {
+	return (percent + m.cost(member, now)) * member.pace.Percent(now) / pace.UsualPercent
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -58,6 +58,14 @@
 	// FromReserve is set if the engine is in an evacuated failure domain, because the others can't hold the load.
 	FromReserve bool
 
+	// passedSlow is set if another upstream would have been chosen but for its pace.
+	passedSlow bool
+	// prefillTokens is the number of tokens that the engine is expected to prefill.
+	prefillTokens int
+	// ahead is the number of this box's requests that the engine was to prefill before this one when it was sent, and
+	// aheadTokens their tokens. awaited is set from then on until the request gets a response or ends.
+	ahead, aheadTokens int
+	awaited            bool
 	// newParts are the shared parts that the engine is to prefill and other boxes may not know of.
 	newParts []namekey.Key
 	manager  *Manager
@@ -127,6 +135,7 @@
 		m.chooseFetchSource(lease, request, shared, now)
 		lease.Prefill = m.estimatePrefill(lease, request, shared, now)
 		lease.Skipped = m.skippedEngine(lease, request, now)
+		lease.prefillTokens = ownTokens(request.Prompt) + lease.Prefill.Tokens
 	} else if !brittle {
 		if err := m.pickPlain(lease, members, request, now); err != nil {
 			return nil, err
@@ -222,6 +231,7 @@
 	if lease.Spread > 1 {
 		order = rotateFirst(ranked, m.random(lease.Spread), lease.Spread)
 	}
+	order = m.slowLast(lease, order, request, now)
 	lease.Member = order[0]
 	for _, member := range order {
 		if slices.Contains(request.Full, member.ID) {
@@ -281,16 +291,25 @@
 // pickLeastLoaded chooses the member with the lowest cost, which favors this failure domain. Among
 // members with the same cost it chooses the first one at or after a random position, wrapping around.
 func (m *Manager) pickLeastLoaded(lease *Lease, members []*Member, now clock.Millis) {
-	best, bestCost := 0, 0
 	first := m.random(len(members))
+	lease.Member = leastCost(members, first, now, m.cost)
+	if m.paceApplies(members, now) {
+		usual := leastCost(members, first, now, m.pacedCost)
+		lease.passedSlow = usual != lease.Member && lease.pace.Slow(now)
+		lease.Member = usual
+	}
+}
+
+func leastCost(members []*Member, first int, now clock.Millis, cost func(*Member, clock.Millis) int) *Member {
+	best, bestCost := 0, 0
 	for i := range members {
 		at := (first + i) % len(members)
-		cost := m.cost(members[at], now)
-		if i == 0 || cost < bestCost {
-			best, bestCost = at, cost
+		c := cost(members[at], now)
+		if i == 0 || c < bestCost {
+			best, bestCost = at, c
 		}
 	}
-	lease.Member = members[best]
+	return members[best]
 }
 
 // cost returns a member's load in percent of its slots, plus a surcharge for members of another
@@ -324,6 +343,7 @@
 	}
 	l.released = true
 	l.inFlight--
+	l.endAwait()
 	l.path.recordEnd()
 	delete(l.path.onPartition, l)
 	l.manager.retryScheduleFor(l.Pool).recordCompletion(l.manager.monotonic())
@@ -368,6 +388,7 @@
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	l.manager.recordResponseStart(l.Member)
+	l.recordFirstByte(l.manager.monotonic())
 	l.announceParts()
 	if !l.responding && !l.released {
 		l.responding = true
--- a/internal/balance/skipped.go
+++ b/internal/balance/skipped.go
@@ -41,6 +41,8 @@
 	// SkipSpread means that the session is spread over several engines and another one of them was
 	// chosen.
 	SkipSpread SkipReason = "one of several for a popular session"
+	// SkipSlow means that the engine is slow at this moment.
+	SkipSlow SkipReason = "slow"
 	// SkipOverloaded means that the engine has reached its load bound.
 	SkipOverloaded SkipReason = "over the load bound"
 )
@@ -79,6 +81,8 @@
 		return SkipStalled
 	case !member.acceptsRequest(now):
 		return SkipEjected
+	case m.paces.used && member.pace.Slow(now):
+		return SkipSlow
 	default:
 		return SkipOverloaded
 	}
--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -99,6 +99,7 @@
 	}
 	l.sentMs = now
 	l.silence.recordSent(now)
+	l.recordPaceSend(now)
 	l.manager.attemptsOf(l.Pool).recordStart(l.ID, now)
 }
 
@@ -107,6 +108,7 @@
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	l.silence.recordAnswer()
+	l.endAwait()
 	if l.sentMs > 0 {
 		l.manager.attemptsOf(l.Pool).recordAnswer(l.sentMs)
 	}
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -145,6 +145,7 @@
 		},
 	}, b.clock.Monotonic, b.connect, rand.IntN)
 	b.balance.SetFleetSize(minAssumedFleet)
+	b.balance.SetLearnPace(settings.Pace.Learn)
 	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation,
 		evacuation.WithConfirmationAge(b.routingState.AgeMs))
 	b.origins = newStreamOrigins(b)
@@ -164,6 +165,7 @@
 	b.metrics.Publish("quarantine_parts", func() any { return b.parts.Sizes() })
 	b.metrics.Publish("upstreams_brittle", func() any { return b.balance.Brittle() })
 	b.metrics.Publish("upstreams_cold", func() any { return b.balance.Cold() })
+	b.metrics.Publish("upstream_paces", func() any { return b.balance.PaceCounts() })
 	b.metrics.Publish("upstreams_at_rest", func() any { return b.balance.BackingOff() })
 	b.pauseDetector = newPauseDetector(b)
 	b.sink = b.newStoreSink(b.source.Name)
@@ -311,6 +313,7 @@
 	b.quarantine.Expire()
 	b.parts.Expire()
 	b.crashDetector.expire()
+	b.logPaceChanges()
 	b.budgets.SetReserve(max(1, int(float64(b.settings.Load().Budget.Slack)*localBudgetShare)/b.peering.mesh.Boxes()))
 }
 
@@ -318,6 +321,7 @@
 func (b *Box) Reload(settings config.Gateway) {
 	withDefaults := defaults(settings)
 	b.settings.Store(&withDefaults)
+	b.balance.SetLearnPace(withDefaults.Pace.Learn)
 	b.log.Record(decision.Process{What: "settings reloaded"})
 }
 
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -68,7 +68,8 @@
 		PartEventsSince: b.parts.EventsSince, RecordPartEvents: b.crashDetector.recordPartsFromPeer,
 		RecordOrigins: func(list []streams.Record) { b.origins.ledger.Add(list...) }, AnswerOrigin: b.origins.answer,
 		AttemptsBetween: b.balance.AttemptsBetween,
-		OnPeerState:     p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		PaceFindings:    b.balance.PaceFindings, RecordPaceFindings: b.balance.RecordPaceFindings,
+		OnPeerState: p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	b.peering = p
 	b.metrics.Publish("mesh", func() any { return p.mesh.Sizes() })
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -12,6 +12,9 @@
 func (b *Box) handleSignals(request string, lease *balance.Lease, signals opaque.Signals) {
 	if signals.HasLoad {
 		lease.RecordLoad(signals.InFlight)
+		if finding, tell := lease.RecordPace(signals.SlowPercent, signals.Waiting); tell {
+			b.peering.mesh.TellPace(finding)
+		}
 	}
 	if signals.Err != nil {
 		b.ReportInvalidInput("response headers of upstream "+lease.ID, signals.Err)
@@ -29,6 +32,16 @@
 	}
 }
 
+// logPaceChanges logs the upstreams that turned slow or are at their usual pace again.
+func (b *Box) logPaceChanges() {
+	for _, c := range b.balance.TakePaceChanges() {
+		b.log.Record(decision.UpstreamPace{
+			Upstream: c.Upstream, Pool: c.Pool, Percent: c.Percent, Slow: c.Slow, HoldMs: c.HoldMs, Source: c.Source,
+			Omitted: c.Omitted,
+		})
+	}
+}
+
 // handleRejection processes a rejection for want of room, and reports whether the upstream is brittle. The owner of a
 // brittle upstream then grants fewer permits there.
 func (b *Box) handleRejection(request string, lease *balance.Lease) bool {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/occupancy"
+	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/streams"
@@ -97,6 +98,8 @@
 	recordOrigins       func(list []streams.Record)
 	answerOrigin        func(id streams.ID, pool namekey.Key) streams.Answer
 	attemptsBetween     func(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int)
+	paceFindings        func() []pace.Finding
+	recordPaceFindings  func(list []pace.Finding)
 	onPeerState         func(a PeerState)
 	random              *rand.Rand
 
@@ -120,6 +123,7 @@
 	attemptInquiries *inquiries[attemptsReply]
 	// permitTimeouts counts permit requests that no owner answered in time.
 	permitTimeouts int64
+	paceTells      paceTells
 	// provisionalPermits counts permits that an owner without a complete count granted.
 	provisionalPermits int64
 }
@@ -162,6 +166,10 @@
 	// AttemptsBetween returns how many attempts of this box at a pool began within a span of ages, and how many of them
 	// have got a response.
 	AttemptsBetween func(pool namekey.Key, fromMs, toMs clock.Millis) (started, answered int)
+	// PaceFindings returns the upstreams that this box found slow in the last second, at most 16. RecordPaceFindings
+	// receives those that other boxes found slow.
+	PaceFindings       func() []pace.Finding
+	RecordPaceFindings func(list []pace.Finding)
 	// OnPeerState receives the state summary of another box. It must not block.
 	OnPeerState func(a PeerState)
 	Random      *rand.Rand
@@ -177,6 +185,7 @@
 		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents,
 		partEventsSince: d.PartEventsSince, recordPartEvents: d.RecordPartEvents, onPeerState: d.OnPeerState,
 		recordOrigins: d.RecordOrigins, answerOrigin: d.AnswerOrigin,
+		paceFindings: d.PaceFindings, recordPaceFindings: d.RecordPaceFindings,
 		random: d.Random, peers: map[string]*peer{},
 		pendingPermits:  permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
 		inquiries:       newInquiries[originReply](d.Random.Uint32()),
@@ -240,6 +249,9 @@
 	if len(p.PartEvents) > 0 {
 		m.recordPartEvents(p.PartEvents)
 	}
+	if len(p.PaceFindings) > 0 {
+		m.recordPaceFindings(p.PaceFindings)
+	}
 	switch p.Type {
 	case typePing:
 		m.send(from.String(), m.forReceiver(m.packet(typeReply, p.PingedMs), p.From.Box))
@@ -304,6 +316,9 @@
 		// would be outdated.
 		p.InFlight, p.InFlightByPool = nil, m.inFlightByPool()
 	}
+	if m.directPeers < smallFleetBoxes {
+		p.PaceFindings = m.paceFindings()
+	}
 	return p
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -15,6 +15,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
 	"dooryard.example/dooryard/internal/streams"
@@ -36,6 +37,8 @@
 	ledger        *quarantine.Ledger
 	parts         *quarantine.PartLedger
 	origins       *streams.Ledger
+	// slow are the upstreams that this box found slow, and heardSlow those that others did.
+	slow, heardSlow []pace.Finding
 }
 
 // recorded returns the number of streams whose origins the box was told.
@@ -164,6 +167,16 @@
 			b.questions++
 			return int(fromMs), int(toMs)
 		},
+		PaceFindings: func() []pace.Finding {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.slow
+		},
+		RecordPaceFindings: func(list []pace.Finding) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.heardSlow = append(b.heardSlow, list...)
+		},
 		Random: rand.New(rand.NewPCG(1, uint64(len(f.boxes)))),
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -268,6 +268,8 @@
 		}
 	case attemptsAsk, attemptsAnswer:
 		err = m.handleAttemptsMessage(data, from)
+	case paceTell:
+		err = m.handlePaceMessage(data)
 	default:
 		err = ErrInvalid
 	}
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -13,6 +13,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
@@ -98,6 +99,9 @@
 	PartEvents      []quarantine.PartEvent `cbor:"16,keyasint,omitempty"`
 	PartEventsNext  int64                  `cbor:"17,keyasint,omitempty"`
 	PartEventsAcked int64                  `cbor:"18,keyasint,omitempty"`
+	// PaceFindings are the upstreams that the sender found slow in the last second. Fleets of up to smallFleetBoxes boxes
+	// exchange them. Boxes of earlier releases ignore them.
+	PaceFindings []pace.Finding `cbor:"19,keyasint,omitempty"`
 }
 
 // maxPacketBytes is the size of the receive buffer. The limits on cached parts, crash reports and
--- /dev/null
+++ b/internal/pace/learner.go
@@ -0,0 +1,69 @@
+package pace
+
+import (
+	"math"
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+const (
+	// learnSpanMs is the age up to which samples count.
+	learnSpanMs = 3 * clock.Second
+	// maxSamples limits the samples of an upstream.
+	maxSamples = 8
+	// minSamples is the number of samples that are needed to find an upstream slow.
+	minSamples = 3
+	// minExcessMs is by how much a time must exceed the usual one to count as slow. A smaller excess may be a longer
+	// network path, and costs callers little.
+	minExcessMs = 20
+)
+
+// Sample is the time to the first byte of a response.
+type Sample struct {
+	// Tokens is the number of tokens that the request and those ahead of it prefill, and Ahead the number of the latter.
+	Tokens, Ahead int
+	TookMs        clock.Millis
+	AtMs          clock.Millis
+}
+
+// Learner learns the pace of one upstream that does not report it, from how its times to the first byte compare with
+// those of its pool. The zero value has no samples. It has no lock of its own.
+type Learner struct {
+	samples []Sample
+}
+
+// Observe adds a sample.
+func (l *Learner) Observe(s Sample) {
+	if len(l.samples) >= maxSamples {
+		l.samples = slices.Delete(l.samples, 0, 1)
+	}
+	l.samples = append(l.samples, s)
+}
+
+// Reset removes the samples, so that later ones decide whether the upstream is still slow.
+func (l *Learner) Reset() { l.samples = nil }
+
+// Percent returns the median pace of the samples of the last 3 s, in percent of the median of the pool. It is unknown
+// with less than three samples, or without any if the upstream was found slow before.
+func (l *Learner) Percent(times *Times, foundSlow bool, now clock.Millis) (percent int, known bool) {
+	ratios := []float64{}
+	for _, s := range l.samples {
+		usual, known := times.usualMs(s.Tokens, s.Ahead)
+		if !known || now-s.AtMs > learnSpanMs {
+			continue
+		}
+		ratio := float64(s.TookMs) / usual
+		if float64(s.TookMs)-usual < minExcessMs {
+			ratio = min(1, ratio)
+		}
+		ratios = append(ratios, ratio)
+	}
+	if len(ratios) == 0 || len(ratios) < minSamples && !foundSlow {
+		return 0, false
+	}
+	slices.Sort(ratios)
+	// Of an even number of samples, the lower one of the two in the middle counts.
+	median := ratios[(len(ratios)-1)/2]
+	return int(math.Min(MaxPercent, math.Max(UsualPercent, math.Round(median*UsualPercent)))), true
+}
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -24,7 +24,9 @@
 	maxHoldMs = 10 * clock.Second
 	// trialMs is how long the first request after a hold may take to bring a report. It is longer than a slow upstream
 	// usually takes to respond.
-	trialMs clock.Millis = 1000
+	trialMs = 2 * clock.Second
+	// maxHoldSteps is the number of times that a hold doubles.
+	maxHoldSteps = 5
 )
 
 // Tracker is the pace of one upstream. A report counts until its hold is over. The first request after that is a trial:
@@ -58,6 +60,32 @@
 	return wasSlow != (percent > SlowPercent)
 }
 
+// Hear records a slow pace that another box found at a time, and how often its hold had doubled. It is ignored if it is
+// older than the newest report. It returns whether the upstream was found to turn slow.
+func (t *Tracker) Hear(percent, holdSteps int, at clock.Millis) (changed bool) {
+	if percent <= SlowPercent || t.percent > 0 && at < t.reportMs {
+		return false
+	}
+	wasSlow := t.percent > SlowPercent
+	hold := min(maxHoldMs, minHoldMs<<min(maxHoldSteps, max(0, holdSteps)))
+	if wasSlow {
+		hold = max(hold, t.holdMs)
+	}
+	t.percent, t.holdMs, t.reportMs, t.untilMs, t.trialUntilMs = min(MaxPercent, percent), hold, at, at+hold, 0
+	return !wasSlow
+}
+
+// HoldSteps returns how often the hold has doubled.
+func (t *Tracker) HoldSteps() int {
+	steps := 0
+	for ; steps < maxHoldSteps && minHoldMs<<steps < t.holdMs; steps++ {
+	}
+	return steps
+}
+
+// Held reports whether the newest report still counts.
+func (t *Tracker) Held(now clock.Millis) bool { return t.percent > 0 && now < t.untilMs }
+
 // RecordSend records that a request was sent to the upstream. After a hold it becomes the trial.
 func (t *Tracker) RecordSend(now clock.Millis) {
 	if t.percent > SlowPercent && now >= t.untilMs && t.trialUntilMs == 0 {
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -33,6 +33,7 @@
 	Store     Store     `yaml:"store"`
 	Freshness Freshness `yaml:"freshness"`
 	Balance   Balance   `yaml:"balance"`
+	Pace      Pace      `yaml:"pace"`
 	Budget    Budget    `yaml:"retry_budget"`
 	// Quarantine configures the quarantine of requests that coincide with crashes of upstreams.
 	Quarantine Quarantine `yaml:"quarantine"`
@@ -92,6 +93,13 @@
 	ColdSlack  float64 `yaml:"cold_slack"`
 }
 
+// Pace configures how the pace of upstreams is found, by which requests avoid those that are slow at the moment.
+type Pace struct {
+	// Learn enables learning the pace of upstreams that report none from how long their responses take. It is enabled
+	// without this setting once an upstream reports its pace.
+	Learn bool `yaml:"learn"`
+}
+
 // Budget is the retry budget of each pool, shared by all boxes.
 type Budget struct {
 	// Ratio is the fraction of requests that may be retried.
