--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -9,9 +9,9 @@
 	"dooryard.example/dooryard/internal/prompt"
 )
 
-// Upstreams that share their machines with others are slow in spells. The pace of an upstream, which it reports or which
-// is learnt, moves requests to others while it is slow. It never ejects an upstream, and does not count for its health.
-// Without reports and with learning off, choices are as if there were no pace.
+// Upstreams that share their machines with others are slow in spells. The pace of an upstream, which it reports or
+// which is learnt, moves requests to others while it is slow. It never ejects an upstream, and does not count for its
+// health. Without reports and with learning off, choices are as if there were no pace.
 
 const (
 	// paceRanks is among how many first engines of a session's order another one than a slow one is looked for. Further
@@ -229,19 +229,19 @@
 	l.pace.RecordSend(now)
 	if l.prefillTokens > 0 {
 		// Engines prefill one prompt after another. Other upstreams run their requests side by side.
-		l.ahead, l.aheadTokens = l.Member.awaiting, l.Member.awaitingTokens
+		l.ahead, l.aheadTokens = l.awaiting, l.awaitingTokens
 	}
 	l.awaited = true
-	l.Member.awaiting++
-	l.Member.awaitingTokens += l.prefillTokens
+	l.awaiting++
+	l.awaitingTokens += l.prefillTokens
 }
 
 // endAwait records that the request got a response or has ended.
 func (l *Lease) endAwait() {
 	if l.awaited {
 		l.awaited = false
-		l.Member.awaiting--
-		l.Member.awaitingTokens -= l.prefillTokens
+		l.awaiting--
+		l.awaitingTokens -= l.prefillTokens
 	}
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -39,6 +39,7 @@
 	headerBackoffMs = "X-Rest-Ms"
 	headerDraining  = "X-Leaving"
 	headerBrittle   = "X-Brittle"
+	headerSlow      = "X-Slow"
 )
 
 // decodeSignals decodes what an upstream reports about itself in response headers.
@@ -46,6 +47,7 @@
 	holds, err := strconv.Atoi(header.Get("X-Load"))
 	w := opaque.Signals{Draining: header.Get(headerDraining) != "", InFlight: holds, HasLoad: err == nil}
 	w.MaxRejections, _ = strconv.Atoi(header.Get(headerBrittle))
+	w.SlowPercent, _ = strconv.Atoi(header.Get(headerSlow))
 	if value := header.Get(headerBackoffMs); value != "" {
 		var backoffMs int
 		backoffMs, w.Err = strconv.Atoi(value)
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -83,6 +83,37 @@
 			assert.EqualValues(f.t, 1, backingOff.Load())
 		})
 	})
+	t.Run("an upstream that says it is slow is passed over by all boxes for a while", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			var arrivals atomic.Int32
+			log := &logBuffer{}
+			f.out = log
+			f.upstream("u1", countRequests(&arrivals, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Load", "0")
+				w.Header().Set(headerSlow, "300")
+			}))
+			f.upstream("u2", func(http.ResponseWriter, *http.Request) {})
+			boxes := []*running{f.box(1), f.box(2)}
+			advance(f.t, 3*time.Second)
+			for range 20 {
+				for _, b := range boxes {
+					_, _, err := b.get("/unsafe/")
+					require.NoError(f.t, err)
+					advance(f.t, 5*time.Millisecond)
+				}
+			}
+			assert.EqualValues(f.t, 1, arrivals.Load())
+			advance(f.t, time.Second)
+			lines := withMessage(log.read(f.t), "upstream slow")
+			require.Len(f.t, lines, len(boxes))
+			assert.JSONEq(f.t, "300", string(lines[0].Fields["percent"]))
+			paces := ""
+			for _, b := range boxes {
+				paces += b.metrics.all.Get("upstream_paces").String()
+			}
+			assert.Regexp(f.t, `"passed_over":[1-9]`, paces)
+		})
+	})
 	t.Run("an invalid backoff is ignored, counted and logged once", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			var arrivals atomic.Int32
--- a/internal/mesh/origins_test.go
+++ b/internal/mesh/origins_test.go
@@ -122,7 +122,7 @@
 	t.Run("messages of the wrong form are ignored", func(t *testing.T) {
 		runInBubble(t, func(f *fixture) {
 			f.startStreamFleet(2)
-			for _, data := range [][]byte{{0x82, 16, 3}, {0x81, 17}, {0x84, 18, 1, 1, 1}, {0x80}, {0x82, 19, 3}, {0x82, 20, 0x80}} {
+			for _, data := range [][]byte{{0x82, 16, 3}, {0x81, 17}, {0x84, 18, 1, 1, 1}, {0x80}, {0x82, 19, 3}, {0x82, 20, 0x80}, {0x82, 22, 3}} {
 				before := f.boxes[0].Sizes().Ignored
 				_, err := f.boxes[1].write(f.boxes[0].self.Address, data)
 				require.NoError(f.t, err)
--- a/internal/pace/times.go
+++ b/internal/pace/times.go
@@ -16,8 +16,8 @@
 )
 
 // Times learns how long the upstreams of a pool take to the first byte at their usual pace, as a fixed part and a part
-// per prefilled token, by least squares. It addresses pools whose prompts differ in length, where a long prompt must not
-// be mistaken for a slow upstream. The zero value has no samples. It has no lock of its own.
+// per prefilled token, by least squares. It addresses pools whose prompts differ in length, where a long prompt must
+// not be mistaken for a slow upstream. The zero value has no samples. It has no lock of its own.
 type Times struct {
 	samples int
 	// weight is the sum of the weights of all samples; the others are weighted sums of their tokens and times.
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -31,8 +31,8 @@
 
 // Tracker is the pace of one upstream. A report counts until its hold is over. The first request after that is a trial:
 // until its response brings a report, the upstream remains slow for others, so that a spell that lasts costs one
-// request. If the report shows the upstream slow again, the hold doubles. The zero value is an upstream without reports.
-// A Tracker has no lock of its own.
+// request. If the report shows the upstream slow again, the hold doubles. The zero value is an upstream without
+// reports. A Tracker has no lock of its own.
 type Tracker struct {
 	percent  int
 	holdMs   clock.Millis
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -17,8 +17,9 @@
 
 func TestParseGateway(t *testing.T) {
 	t.Run("accepts a complete file", func(t *testing.T) {
-		settings, err := ParseGateway("f", []byte(gatewayFile+"freshness: {max_age_ms: 5000}\nretry_budget: {ratio: 0.2, slack: 58}\n"))
+		settings, err := ParseGateway("f", []byte(gatewayFile+"freshness: {max_age_ms: 5000}\nretry_budget: {ratio: 0.2, slack: 58}\npace: {learn: true}\n"))
 		require.NoError(t, err)
+		assert.True(t, settings.Pace.Learn)
 		assert.Equal(t, int64(5000), settings.Freshness.MaxAgeMs)
 	})
 	t.Run("accepts an empty value, which means the default", func(t *testing.T) {
