fix(pace): learn no slow pace from times that differ anyway

Cause: behind queues and with log-normal work, the median of three times exceeds 1.5 times the usual one often, so that a loaded upstream would be taken for a slow one. Change: a learnt pace is slow only above the ratio of the pool's median to its low quantile, to the power of 2.5. Learnt findings are told at once, too. With times of a log-normal spread of 1, no upstream of 12 is found slow (TestLearner).

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -50,7 +50,9 @@
 	// times are the times to the first byte, by pool.
 	times map[string]*pace.Times
 	// changes are those that the log has not taken. Their rate is bounded.
-	changes        []PaceChange
+	changes []PaceChange
+	// tells are the learnt findings that other boxes have not been told of at once.
+	tells          []pace.Finding
 	changesSinceMs clock.Millis
 	changesInSpan  int
 	omitted        int
@@ -92,12 +94,17 @@
 		return pace.Finding{}, false
 	}
 	l.reportsPace, m.paces.reported = true, true
-	known := l.pace.Held(m.monotonic()) && l.pace.FoundSlow()
-	m.findPace(l.Member, percent, paceReported)
+	return m.findPaceToTell(l.Member, percent, paceReported)
+}
+
+// findPaceToTell records a pace that this box found, and returns a finding if other boxes should be told at once.
+func (m *Manager) findPaceToTell(member *Member, percent int, source string) (finding pace.Finding, tell bool) {
+	known := member.pace.FoundSlow() && member.pace.Held(m.monotonic())
+	m.findPace(member, percent, source)
 	if known {
 		return pace.Finding{}, false
 	}
-	return pace.NewFinding(l.key, percent, l.pace.HoldSteps(), 0)
+	return pace.NewFinding(member.key, percent, member.pace.HoldSteps(), 0)
 }
 
 // SetLearnPace sets whether the paces of upstreams that report none are learnt from their responses. They are learnt
@@ -156,6 +163,15 @@
 	return taken
 }
 
+// TakePaceTells returns the learnt findings since the last call that other boxes should be told of at once.
+func (m *Manager) TakePaceTells() []pace.Finding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := m.paces.tells
+	m.paces.tells = nil
+	return taken
+}
+
 // PaceFindings returns the upstreams that this box itself found slow in the last second, the newest 16 at most.
 func (m *Manager) PaceFindings() []pace.Finding {
 	m.mu.Lock()
@@ -264,7 +280,9 @@
 	switch {
 	case known && p > pace.SlowPercent:
 		l.learner.Reset()
-		m.findPace(l.Member, p, paceLearnt)
+		if finding, tell := m.findPaceToTell(l.Member, p, paceLearnt); tell && len(m.paces.tells) < pace.MaxFindings {
+			m.paces.tells = append(m.paces.tells, finding)
+		}
 	case known && l.pace.FoundSlow():
 		m.findPace(l.Member, p, paceLearnt)
 	}
--- a/internal/balance/pace_load_test.go
+++ b/internal/balance/pace_load_test.go
@@ -29,6 +29,8 @@
 	slowObjectiveMs = 30
 	slowPingMs      = 250
 	slowNewsMs      = 2
+	// slowHousekeepingMs is how late boxes tell of what they learnt.
+	slowHousekeepingMs = 100
 )
 
 // slowEngine prefills one prompt at a time.
@@ -208,6 +210,11 @@
 		s.at(s.now+slowNewsMs, func() { s.tell(finding) })
 	}
 	lease.RecordResponseStart()
+	for _, finding := range lease.manager.TakePaceTells() {
+		if s.exchanges {
+			s.at(s.now+slowHousekeepingMs, func() { s.tell(finding) })
+		}
+	}
 	s.at(s.finish(lease.ID, s.now, slowDecodeMs), func() {
 		engine.running--
 		if firstMs-sentMs <= slowObjectiveMs {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -313,7 +313,7 @@
 	b.quarantine.Expire()
 	b.parts.Expire()
 	b.crashDetector.expire()
-	b.logPaceChanges()
+	b.reportPaces()
 	b.budgets.SetReserve(max(1, int(float64(b.settings.Load().Budget.Slack)*localBudgetShare)/b.peering.mesh.Boxes()))
 }
 
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -32,8 +32,12 @@
 	}
 }
 
-// logPaceChanges logs the upstreams that turned slow or are at their usual pace again.
-func (b *Box) logPaceChanges() {
+// reportPaces logs the upstreams that turned slow or are at their usual pace again, and tells other boxes of those that
+// were found slow by their responses.
+func (b *Box) reportPaces() {
+	for _, finding := range b.balance.TakePaceTells() {
+		b.peering.mesh.TellPace(finding)
+	}
 	for _, c := range b.balance.TakePaceChanges() {
 		b.log.Record(decision.UpstreamPace{
 			Upstream: c.Upstream, Pool: c.Pool, Percent: c.Percent, Slow: c.Slow, HoldMs: c.HoldMs, Source: c.Source,
--- a/internal/pace/learner.go
+++ b/internal/pace/learner.go
@@ -45,19 +45,14 @@
 func (l *Learner) Reset() { l.samples = nil }
 
 // Percent returns the median pace of the samples of the last 3 s, in percent of the median of the pool. It is unknown
-// with less than three samples, or without any if the upstream was found slow before.
+// with less than three samples, or without any if the upstream was found slow before. It is above SlowPercent only if
+// the times of the pool differ so little that this shows a slow upstream.
 func (l *Learner) Percent(times *Times, foundSlow bool, now clock.Millis) (percent int, known bool) {
 	ratios := []float64{}
 	for _, s := range l.samples {
-		usual, known := times.usualMs(s.Tokens, s.Ahead)
-		if !known || now-s.AtMs > learnSpanMs {
-			continue
+		if ratio, known := times.ratio(s); known && now-s.AtMs <= learnSpanMs {
+			ratios = append(ratios, ratio)
 		}
-		ratio := float64(s.TookMs) / usual
-		if float64(s.TookMs)-usual < minExcessMs {
-			ratio = min(1, ratio)
-		}
-		ratios = append(ratios, ratio)
 	}
 	if len(ratios) == 0 || len(ratios) < minSamples && !foundSlow {
 		return 0, false
@@ -65,5 +60,8 @@
 	slices.Sort(ratios)
 	// Of an even number of samples, the lower one of the two in the middle counts.
 	median := ratios[(len(ratios)-1)/2]
+	if median <= times.slowRatio() {
+		median = min(median, float64(SlowPercent)/UsualPercent)
+	}
 	return int(math.Min(MaxPercent, math.Max(UsualPercent, math.Round(median*UsualPercent)))), true
 }
--- a/internal/pace/learner_test.go
+++ b/internal/pace/learner_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -12,14 +13,14 @@
 // TestLearner plays responses of a pool whose upstreams take 20 ms and 0.05 ms per token, with some noise. It guards
 // against upstreams that are taken for slow because of what they are sent, and against slow ones that are not found.
 func TestLearner(t *testing.T) {
-	play := func(slow map[int]float64, tokens func(upstream int, r *rand.Rand) int) []int {
+	play := func(spread float64, slow map[int]float64, tokens func(upstream int, r *rand.Rand) int) []int {
 		random, times, learners := rand.New(rand.NewPCG(1, 1)), &Times{}, [12]Learner{}
 		now := clock.Millis(1000)
 		for range 100 {
 			now += 50
 			for i := range learners {
 				n := tokens(i, random)
-				took := (20 + 0.05*float64(n)) * (0.8 + 0.4*random.Float64()) * max(1, slow[i])
+				took := (20 + 0.05*float64(n)) * math.Exp(spread*random.NormFloat64()) * max(1, slow[i])
 				times.Observe(n, clock.Millis(took), UsualPercent)
 				learners[i].Observe(Sample{Tokens: n, TookMs: clock.Millis(took), AtMs: now})
 			}
@@ -36,12 +37,12 @@
 	}
 	short := func(_ int, r *rand.Rand) int { return 100 + r.IntN(1000) }
 	t.Run("slow upstreams are found, and no others", func(t *testing.T) {
-		for i, percent := range play(map[int]float64{0: 4, 1: 4, 2: 4}, short) {
+		for i, percent := range play(0.15, map[int]float64{0: 4, 1: 4, 2: 4}, short) {
 			assert.Equal(t, i < 3, percent > SlowPercent, "%d: %d", i, percent)
 		}
 	})
 	t.Run("an upstream that only serves long prompts is not slow", func(t *testing.T) {
-		percents := play(nil, func(upstream int, r *rand.Rand) int {
+		percents := play(0.15, nil, func(upstream int, r *rand.Rand) int {
 			if upstream == 0 {
 				return 10_000 + r.IntN(2000)
 			}
@@ -51,6 +52,11 @@
 			assert.LessOrEqual(t, percent, SlowPercent)
 		}
 	})
+	t.Run("times that differ much, as behind queues, make no upstream slow", func(t *testing.T) {
+		for _, percent := range play(1, nil, short) {
+			assert.LessOrEqual(t, percent, SlowPercent)
+		}
+	})
 	t.Run("three samples are needed, and one where the upstream was slow before", func(t *testing.T) {
 		var times Times
 		for range minTimesSamples {
--- a/internal/pace/times.go
+++ b/internal/pace/times.go
@@ -1,6 +1,10 @@
 package pace
 
-import "dooryard.example/dooryard/internal/clock"
+import (
+	"math"
+
+	"dooryard.example/dooryard/internal/clock"
+)
 
 const (
 	// timesDecay is the weight that the older samples keep with each new one: about the last 200 count.
@@ -22,28 +26,35 @@
 	samples int
 	// weight is the sum of the weights of all samples; the others are weighted sums of their tokens and times.
 	weight, tokens, times, tokensTokens, tokensTimes float64
-	// usual is an estimate of the median ratio of observed to expected times, less 1. It is below 0 while some upstreams
-	// are slow and raise the expectation.
-	usual float64
+	// median and low are estimates of the median and the lowQuantile of the ratios of observed to expected times. The
+	// median is below 1 while some upstreams are slow and raise the expectation.
+	median, low float64
 }
 
-// Steps by which the median ratio follows a sample. The first ones are larger, so that it settles within some seconds.
 const (
-	firstUsualStep   = 0.1
-	usualStep        = 0.02
-	firstUsualSteps  = 100
-	minUsualRatio    = 0.05
-	maxUsualRatio    = 20
-	usualRatioOffset = 1
+	// lowQuantile is the quantile by which the spread of the ratios is measured. Slow upstreams hardly change it.
+	lowQuantile = 0.2
+	// spreadExponent is how far from the median a time must be to count as slow, as an exponent of the ratio of the
+	// median to the low quantile. With log-normal times it is 2.1 standard deviations.
+	spreadExponent = 2.5
+	// firstStep and laterStep are how far an estimate follows a sample. The first ones are larger, so that it settles
+	// within some seconds.
+	firstStep  = 0.1
+	laterStep  = 0.02
+	firstSteps = 100
+	minRatio   = 0.01
 )
 
 // Observe adds the time to the first byte of a request at an upstream with a pace in percent of the usual time.
 func (s *Times) Observe(tokens int, took clock.Millis, percent int) {
 	x, y := float64(tokens), float64(took)*UsualPercent/float64(max(UsualPercent, percent))
 	if expected, known := s.Expect(tokens, 0); known {
-		s.followMedian(y / expected)
+		s.followRatio(y / expected)
 		y = min(maxOutlier*expected, max(expected/maxOutlier, y))
 	}
+	if s.samples == 0 {
+		s.median, s.low = 1, 1
+	}
 	s.samples++
 	s.weight = s.weight*timesDecay + 1
 	s.tokens = s.tokens*timesDecay + x
@@ -78,25 +89,40 @@
 	return max(1, fixed*float64(1+ahead)+perToken*float64(tokens)), true
 }
 
-// followMedian moves the median ratio a step towards a sample.
-func (s *Times) followMedian(ratio float64) {
-	step := usualStep
-	if s.samples < firstUsualSteps {
-		step = firstUsualStep
+// followRatio moves the estimates of quantiles a step towards a sample.
+func (s *Times) followRatio(ratio float64) {
+	step := laterStep
+	if s.samples < firstSteps {
+		step = firstStep
+	}
+	follow := func(estimate *float64, quantile float64) {
+		if ratio > *estimate {
+			*estimate *= math.Exp(step * quantile)
+		} else {
+			*estimate = max(minRatio, *estimate*math.Exp(step*(quantile-1)))
+		}
+	}
+	follow(&s.median, 0.5) //nolint:mnd // The median.
+	follow(&s.low, lowQuantile)
+}
+
+// ratio returns how a time to the first byte compares with the expected one, relative to the median of the pool.
+func (s *Times) ratio(sample Sample) (ratio float64, known bool) {
+	expected, known := s.Expect(sample.Tokens, sample.Ahead)
+	if !known {
+		return 0, false
 	}
-	usual := s.usual + usualRatioOffset
-	if ratio > usual {
-		usual *= 1 + step
-	} else {
-		usual /= 1 + step
+	usual, took := expected*s.median, float64(sample.TookMs)
+	if took-usual < minExcessMs {
+		return min(1, took/usual), true
 	}
-	s.usual = min(maxUsualRatio, max(minUsualRatio, usual)) - usualRatioOffset
+	return took / usual, true
 }
 
-// usualMs returns what a time to the first byte is when it is as far from the expected one as the median of the pool.
-func (s *Times) usualMs(tokens, ahead int) (ms float64, known bool) {
-	expected, known := s.Expect(tokens, ahead)
-	return expected * (s.usual + usualRatioOffset), known
+// slowRatio returns the ratio above which a time counts as slow. It is higher the more times differ anyway, because of
+// queues or of different work, so that a loaded upstream is not taken for a slow one.
+func (s *Times) slowRatio() float64 {
+	return max(float64(SlowPercent)/UsualPercent, math.Pow(s.median/min(s.low, s.median), spreadExponent))
 }
 
 // Mean returns the mean time to the first byte at the usual pace, in milliseconds, or 0 without samples.
