--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -17,8 +17,8 @@
 	// paceRanks is among how many first engines of a session's order another one than a slow one is looked for. Further
 	// engines are less likely to have the session cached on any box.
 	paceRanks = 4
-	// minStayTokens and maxStayPercent say when a session stays at a slow engine while the time per token is not known: if
-	// it has cached more than this, and its pace is below this. Prefilling the tokens elsewhere takes longer than the
+	// minStayTokens and maxStayPercent say when a session stays at a slow engine while the time per token is not known:
+	// if it has cached more than this, and its pace is below this. Prefilling the tokens elsewhere takes longer than the
 	// spell costs then.
 	minStayTokens  = 4000
 	maxStayPercent = 300
@@ -193,8 +193,8 @@
 	return list[:min(pace.MaxFindings, len(list))]
 }
 
-// RecordPaceFindings records the upstreams that another box found slow. The key of an upstream names its incarnation, so
-// that a finding from before a restart is ignored.
+// RecordPaceFindings records the upstreams that another box found slow. The key of an upstream names its incarnation,
+// so that a finding from before a restart is ignored.
 func (m *Manager) RecordPaceFindings(list []pace.Finding) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -315,8 +315,8 @@
 	return slow > 0 && 2*slow <= len(members) //nolint:mnd // Half.
 }
 
-// slowLast moves the slow engines of a session's order to its end, if another one of the first paceRanks engines, or one
-// that has the prompt's parts cached, is not slow. A session stays at its first engine, though slow, if prefilling its
+// slowLast moves the slow engines of a session's order to its end, if another one of the first paceRanks engines, or
+// one that has the prompt's parts cached, is not slow. A session stays at its first engine, though slow, if prefilling its
 // parts elsewhere is expected to take longer. While the others can't hold the load and the reserve is in use, the order
 // remains as it is.
 func (m *Manager) slowLast(lease *Lease, order []*Member, request PickRequest, now clock.Millis) []*Member {
