feat(pace): learn slow upstreams from the gaps of their streams, too

Each request counts with its newest sample only, so that one caller that reads slowly doesn't decide.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -132,7 +132,7 @@
 	maps.DeleteFunc(m.attempts, func(pool string, _ *attemptCounts) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.stalledSinceMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.stalledTrials, func(pool string, _ *stalledTrial) bool { return m.pools[pool] == nil })
-	maps.DeleteFunc(m.paces.times, func(pool string, _ *pace.Times) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.paces.times, func(pool string, _ *pace.PoolTimes) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.respondingMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 }
 
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/pace"
@@ -44,11 +45,15 @@
 type poolPace struct {
 	// used is set once an upstream was found to have another pace than the usual one, or paces are learnt.
 	used bool
-	// learn is set if paces are to be learnt, and reported is set once an upstream has reported its pace. Those of the
-	// others are learnt then, too.
-	learn, reported bool
-	// times are the times to the first byte, by pool.
-	times map[string]*pace.Times
+	// learning is set if paces are learnt: it is configured, or an upstream has reported its pace, in which case those of
+	// the others are learnt too. It is read without the lock.
+	learning atomic.Bool
+	// reported is set once an upstream has reported its pace.
+	reported bool
+	// times are the times of upstreams at their usual pace, by pool.
+	times map[string]*pace.PoolTimes
+	// requests numbers the requests that were sent.
+	requests uint64
 	// changes are those that the log has not taken. Their rate is bounded.
 	changes []PaceChange
 	// tells are the learnt findings that other boxes have not been told of at once.
@@ -94,6 +99,7 @@
 		return pace.Finding{}, false
 	}
 	l.reportsPace, m.paces.reported = true, true
+	m.paces.learning.Store(true)
 	return m.findPaceToTell(l.Member, percent, paceReported)
 }
 
@@ -112,7 +118,7 @@
 func (m *Manager) SetLearnPace(learn bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.paces.learn = learn
+	m.paces.learning.Store(learn || m.paces.reported)
 }
 
 // findPace records a pace that this box found.
@@ -247,7 +253,8 @@
 		// Engines prefill one prompt after another. Other upstreams run their requests side by side.
 		l.ahead, l.aheadTokens = l.awaiting, l.awaitingTokens
 	}
-	l.awaited = true
+	p.requests++
+	l.awaited, l.number = true, p.requests
 	l.awaiting++
 	l.awaitingTokens += l.prefillTokens
 }
@@ -264,19 +271,64 @@
 // recordFirstByte learns from the time to the first byte of a response.
 func (l *Lease) recordFirstByte(now clock.Millis) {
 	m := l.manager
-	learning := m.paces.learn || m.paces.reported
+	learning := m.paces.learning.Load()
 	if !learning && !m.paces.used || l.sentMs == 0 || l.responding {
 		return
 	}
-	times, took := m.timesOf(l.Pool), now-l.sentMs
+	took := now - l.sentMs
 	if l.ahead == 0 {
-		times.Observe(l.prefillTokens, took, l.pace.Percent(now))
+		m.timesOf(l.Pool).FirstByte.Observe(l.prefillTokens, took, l.pace.Percent(now))
 	}
-	if !learning || l.reportsPace {
+	l.learnPace(pace.Sample{Tokens: l.prefillTokens + l.aheadTokens, Ahead: l.ahead, TookMs: took}, now)
+}
+
+// gapSamples measures the gaps between the parts of a stream. The goroutine that reads the stream uses it.
+type gapSamples struct {
+	// parts is the number of parts since the beginning of the current sample, at sinceMs.
+	parts   int
+	sinceMs clock.Millis
+}
+
+// recordPart counts a part of a stream. It returns a time whenever pace.GapsPerSample gaps have passed.
+func (g *gapSamples) recordPart(now clock.Millis) (took clock.Millis, complete bool) {
+	if g.parts == 0 {
+		g.sinceMs = now
+	}
+	g.parts++
+	if g.parts <= pace.GapsPerSample {
+		return 0, false
+	}
+	took = now - g.sinceMs
+	g.parts, g.sinceMs = 1, now
+	return took, true
+}
+
+// recordGaps learns from the gaps between the parts of a stream. It is called for each part.
+func (l *Lease) recordGaps(now clock.Millis) {
+	m := l.manager
+	if !m.paces.learning.Load() {
+		return
+	}
+	took, complete := l.gaps.recordPart(now)
+	if !complete {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sample := pace.Sample{Gaps: true, Tokens: percent * l.load(now), TookMs: took}
+	m.timesOf(l.Pool).Gaps.Observe(sample.Tokens, took, l.pace.Percent(now))
+	l.learnPace(sample, now)
+}
+
+// learnPace judges the upstream's pace by a new sample, unless the upstream reports it.
+func (l *Lease) learnPace(sample pace.Sample, now clock.Millis) {
+	m := l.manager
+	if !m.paces.learning.Load() || l.reportsPace {
 		return
 	}
-	l.learner.Observe(pace.Sample{Tokens: l.prefillTokens + l.aheadTokens, Ahead: l.ahead, TookMs: took, AtMs: now})
-	p, known := l.learner.Percent(times, l.pace.FoundSlow(), now)
+	sample.Request, sample.AtMs = l.number, now
+	l.learner.Observe(sample)
+	p, known := l.learner.Percent(m.timesOf(l.Pool), l.pace.FoundSlow(), now)
 	switch {
 	case known && p > pace.SlowPercent:
 		l.learner.Reset()
@@ -288,13 +340,13 @@
 	}
 }
 
-func (m *Manager) timesOf(pool string) *pace.Times {
+func (m *Manager) timesOf(pool string) *pace.PoolTimes {
 	if m.paces.times == nil {
-		m.paces.times = map[string]*pace.Times{}
+		m.paces.times = map[string]*pace.PoolTimes{}
 	}
 	t := m.paces.times[pool]
 	if t == nil {
-		t = &pace.Times{}
+		t = &pace.PoolTimes{}
 		m.paces.times[pool] = t
 	}
 	return t
@@ -316,9 +368,9 @@
 }
 
 // slowLast moves the slow engines of a session's order to its end, if another one of the first paceRanks engines, or
-// one that has the prompt's parts cached, is not slow. A session stays at its first engine, though slow, if prefilling its
-// parts elsewhere is expected to take longer. While the others can't hold the load and the reserve is in use, the order
-// remains as it is.
+// one that has the prompt's parts cached, is not slow. A session stays at its first engine, though slow, if prefilling
+// its parts elsewhere is expected to take longer. While the others can't hold the load and the reserve is in use, the
+// order remains as it is.
 func (m *Manager) slowLast(lease *Lease, order []*Member, request PickRequest, now clock.Millis) []*Member {
 	if !m.paceApplies(order, now) || slices.ContainsFunc(order, func(member *Member) bool { return member.evacuated }) {
 		return order
@@ -363,7 +415,8 @@
 	return target
 }
 
-// staysAtSlow reports whether a session is served sooner at a slow engine that has its parts cached than at another one.
+// staysAtSlow reports whether a session is served sooner at a slow engine that has its parts cached than at another
+// one.
 func (m *Manager) staysAtSlow(slow, other *Member, request PickRequest, now clock.Millis) bool {
 	shared := request.Prompt.Shared().KeyedParts()
 	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
@@ -374,7 +427,7 @@
 	if cached <= elsewhere {
 		return false
 	}
-	times := m.timesOf(request.Pool)
+	times := &m.timesOf(request.Pool).FirstByte
 	if _, known := times.PerToken(); !known {
 		return cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
 	}
@@ -409,8 +462,8 @@
 	return p[len(p)-1].Tokens
 }
 
-// pacedCost returns the cost of a member in proportion to the time that a request takes there: its load, and the request
-// itself, which counts as much as the load of a full server, times its pace.
+// pacedCost returns the cost of a member in proportion to the time that a request takes there: its load, and the
+// request itself, which counts as much as the load of a full server, times its pace.
 func (m *Manager) pacedCost(member *Member, now clock.Millis) int {
 	return (percent + m.cost(member, now)) * member.pace.Percent(now) / pace.UsualPercent
 }
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -80,7 +80,7 @@
 			f, first := start(t, 6, withShared(c.tokens))
 			for i := range 40 * btoi(c.known) {
 				// 20 ms and 0.05 ms per token.
-				f.timesOf("p").Observe(1000*(i%2), clock.Millis(20+50*(i%2)), 100)
+				f.timesOf("p").FirstByte.Observe(1000*(i%2), clock.Millis(20+50*(i%2)), 100)
 			}
 			f.report(first.ID, c.percent)
 			assert.Equal(t, c.stays, f.pick(t, withShared(c.tokens)).ID == first.ID, "%+v", c)
@@ -175,6 +175,31 @@
 	})
 }
 
+// TestLearnedFromGaps guards against an upstream that is not found slow because its responses begin in time, and against
+// one whose gaps are longer because it runs more streams.
+func TestLearnedFromGaps(t *testing.T) {
+	f := newFixture(t, 12)
+	f.SetLearnPace(true)
+	streams, gapMs := map[int]int{1: 6}, map[int]clock.Millis{1: 20, 2: 30}
+	for range 40 {
+		for i, u := range f.list {
+			l := &Lease{Member: f.byID[u.ID], manager: f.Manager, path: f.pathTo(u.FailureDomain)}
+			l.recordSent(f.now)
+			l.inFlight = max(1, streams[i])
+			for range pace.GapsPerSample + 1 {
+				f.now += max(10, gapMs[i])
+				l.RecordContact()
+			}
+			l.endAwait()
+			f.now -= (pace.GapsPerSample + 1) * max(10, gapMs[i])
+		}
+		f.now += 500
+	}
+	for i, u := range f.list {
+		assert.Equal(t, i == 2, f.byID[u.ID].pace.FoundSlow(), u.ID)
+	}
+}
+
 // TestNothingChangesWithoutPace guards against choices that change where no upstream reports a pace and none is learnt.
 func TestNothingChangesWithoutPace(t *testing.T) {
 	f := newFixture(t, 6)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -66,6 +66,9 @@
 	// aheadTokens their tokens. awaited is set from then on until the request gets a response or ends.
 	ahead, aheadTokens int
 	awaited            bool
+	// number identifies the request among those that were sent.
+	number uint64
+	gaps   gapSamples
 	// newParts are the shared parts that the engine is to prefill and other boxes may not know of.
 	newParts []namekey.Key
 	manager  *Manager
@@ -381,6 +384,7 @@
 	now := l.manager.monotonic()
 	l.lastResponseMs.Store(int64(now))
 	l.path.recordResponse(now)
+	l.recordGaps(now)
 }
 
 // RecordResponseStart records that the response has started.
--- a/internal/pace/learner_test.go
+++ b/internal/pace/learner_test.go
@@ -14,15 +14,16 @@
 // against upstreams that are taken for slow because of what they are sent, and against slow ones that are not found.
 func TestLearner(t *testing.T) {
 	play := func(spread float64, slow map[int]float64, tokens func(upstream int, r *rand.Rand) int) []int {
-		random, times, learners := rand.New(rand.NewPCG(1, 1)), &Times{}, [12]Learner{}
-		now := clock.Millis(1000)
+		random, times, learners := rand.New(rand.NewPCG(1, 1)), &PoolTimes{}, [12]Learner{}
+		now, request := clock.Millis(1000), uint64(0)
 		for range 100 {
 			now += 50
 			for i := range learners {
 				n := tokens(i, random)
 				took := (20 + 0.05*float64(n)) * math.Exp(spread*random.NormFloat64()) * max(1, slow[i])
-				times.Observe(n, clock.Millis(took), UsualPercent)
-				learners[i].Observe(Sample{Tokens: n, TookMs: clock.Millis(took), AtMs: now})
+				times.FirstByte.Observe(n, clock.Millis(took), UsualPercent)
+				request++
+				learners[i].Observe(Sample{Request: request, Tokens: n, TookMs: clock.Millis(took), AtMs: now})
 			}
 		}
 		percents := []int{}
@@ -57,18 +58,27 @@
 			assert.LessOrEqual(t, percent, SlowPercent)
 		}
 	})
-	t.Run("three samples are needed, and one where the upstream was slow before", func(t *testing.T) {
-		var times Times
+	t.Run("samples of three requests are needed, and of one where the upstream was slow before", func(t *testing.T) {
+		var times PoolTimes
 		for range minTimesSamples {
-			times.Observe(0, 20, UsualPercent)
+			times.FirstByte.Observe(0, 20, UsualPercent)
+			times.Gaps.Observe(0, 200, UsualPercent)
 		}
 		var l Learner
-		l.Observe(Sample{TookMs: 100, AtMs: 1000})
-		l.Observe(Sample{TookMs: 100, AtMs: 1000})
-		_, known := l.Percent(&times, false, 1000)
-		assert.False(t, known)
+		observe := func(request uint64) (percent int, known bool) {
+			l.Observe(Sample{Request: request, TookMs: 100, AtMs: 1000})
+			l.Observe(Sample{Request: request, Gaps: true, TookMs: 600, AtMs: 1000})
+			return l.Percent(&times, false, 1000)
+		}
+		for _, request := range []uint64{1, 1, 1, 2} {
+			_, known := observe(request)
+			assert.False(t, known)
+		}
 		percent, known := l.Percent(&times, true, 1000)
 		assert.True(t, known)
-		assert.Greater(t, percent, SlowPercent)
+		assert.Equal(t, 300, percent)
+		percent, known = observe(3)
+		assert.True(t, known)
+		assert.Equal(t, 300, percent)
 	})
 }
--- a/internal/pace/times.go
+++ b/internal/pace/times.go
@@ -19,6 +19,22 @@
 	maxOutlier = 4
 )
 
+// PoolTimes are the times of a pool's upstreams at their usual pace.
+type PoolTimes struct {
+	// FirstByte are the times to the first byte, by the tokens to prefill.
+	FirstByte Times
+	// Gaps are the times of GapsPerSample gaps between parts of a stream, by a hundred times the load of the upstream,
+	// since engines that run more streams send each more slowly.
+	Gaps Times
+}
+
+func (p *PoolTimes) of(gaps bool) *Times {
+	if gaps {
+		return &p.Gaps
+	}
+	return &p.FirstByte
+}
+
 // Times learns how long the upstreams of a pool take to the first byte at their usual pace, as a fixed part and a part
 // per prefilled token, by least squares. It addresses pools whose prompts differ in length, where a long prompt must
 // not be mistaken for a slow upstream. The zero value has no samples. It has no lock of its own.
