--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -38,6 +38,8 @@
 // attemptCounts counts the attempts at the upstreams of a pool by the time at which they began.
 type attemptCounts struct {
 	buckets [attemptBuckets]attemptBucket
+	// firstByteMs is the mean time to the first byte of a response.
+	firstByteMs float64
 }
 
 func (c *attemptCounts) bucket(at clock.Millis) *attemptBucket {
@@ -110,7 +112,9 @@
 	l.silence.recordAnswer()
 	l.endAwait()
 	if l.sentMs > 0 {
-		l.manager.attemptsOf(l.Pool).recordAnswer(l.sentMs)
+		counts := l.manager.attemptsOf(l.Pool)
+		counts.recordAnswer(l.sentMs)
+		counts.recordFirstByte(l.manager.monotonic() - l.sentMs)
 	}
 }
 
