perf(balance): compare expected first events of slow and other engines with what waits there

Cause: near the capacity of a pool, sessions of slow engines all went to the next engine, although requests waited there and less at the slow one. Change: where the time per token is known, the engine with the earliest expected first event is chosen among the slow one, the usual ones of the first four and the one with the most parts cached: the requests that wait there by its load header, and the prefill, times its pace.

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -368,9 +368,9 @@
 }
 
 // slowLast moves the slow engines of a session's order to its end, if another one of the first paceRanks engines, or
-// one that has the prompt's parts cached, is not slow. A session stays at its first engine, though slow, if prefilling
-// its parts elsewhere is expected to take longer. While the others can't hold the load and the reserve is in use, the
-// order remains as it is.
+// one that has the prompt's parts cached, is not slow. A request stays at its first engine, though slow, if the others
+// are expected to respond later: they have to prefill its parts, or requests wait there. While the others can't hold
+// the load and the reserve is in use, the order remains as it is.
 func (m *Manager) slowLast(lease *Lease, order []*Member, request PickRequest, now clock.Millis) []*Member {
 	if !m.paceApplies(order, now) || slices.ContainsFunc(order, func(member *Member) bool { return member.evacuated }) {
 		return order
@@ -398,9 +398,10 @@
 	return slices.Concat([]*Member{target}, usual, slow)
 }
 
-// paceTarget returns the engine to which a request goes instead of a slow first one: the first of the order that is not
-// slow, or one that has clearly more of the prompt cached. It returns nil if neither is among the first engines or has
-// anything cached.
+// paceTarget returns the engine to which a request goes instead of a slow first one: the one of the first engines that
+// are not slow, or the one with the most of the prompt cached, that is expected to respond first. Until times are
+// known, it is the first of the order that is not slow, or one that has clearly more of the prompt cached. It returns
+// nil if none of the first engines is at its usual pace and no other one has anything cached.
 func (m *Manager) paceTarget(order, usual []*Member, request PickRequest, now clock.Millis) *Member {
 	shared := request.Prompt.Shared().KeyedParts()
 	target, cached := usual[0], usual[0].parts.cachedTokens(shared, now)
@@ -409,49 +410,47 @@
 			target, cached = member, c
 		}
 	}
-	if cached == 0 && !slices.Contains(order[:min(paceRanks, len(order))], target) {
+	near := order[:min(paceRanks, len(order))]
+	if cached == 0 && !slices.Contains(near, target) {
 		return nil
 	}
+	times := &m.timesOf(request.Pool).FirstByte
+	if _, known := times.PerToken(); !known {
+		return target
+	}
+	best := m.firstEventMs(target, times, request, now)
+	for _, member := range near {
+		if ms := m.firstEventMs(member, times, request, now); !member.pace.Slow(now) && ms < best {
+			target, best = member, ms
+		}
+	}
 	return target
 }
 
-// staysAtSlow reports whether a session is served sooner at a slow engine that has its parts cached than at another
-// one.
+// staysAtSlow reports whether a request is served sooner at a slow engine than at another one.
 func (m *Manager) staysAtSlow(slow, other *Member, request PickRequest, now clock.Millis) bool {
-	shared := request.Prompt.Shared().KeyedParts()
-	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
-	if request.Transfers {
-		// The other engine fetches the parts.
-		elsewhere = max(elsewhere, cached)
-	}
-	if cached <= elsewhere {
-		return false
-	}
 	times := &m.timesOf(request.Pool).FirstByte
-	if _, known := times.PerToken(); !known {
-		return cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
+	if _, known := times.PerToken(); known {
+		return m.firstEventMs(slow, times, request, now) <= m.firstEventMs(other, times, request, now)
 	}
-	total := promptTokens(request.Prompt)
-	return slow.firstEventMs(times, total-cached, now) <= other.firstEventMs(times, total-elsewhere, now)
+	shared := request.Prompt.Shared().KeyedParts()
+	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
+	return cached > elsewhere && cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
 }
 
-// firstEventMs returns the expected time to the first event of a request that prefills a number of tokens: the wait
-// behind the requests that wait at the engine, and its own prefill, at the engine's pace.
-func (m *Member) firstEventMs(times *pace.Times, tokens int, now clock.Millis) float64 {
-	expected, _ := times.Expect(tokens, 0)
-	if m.reportedMs > 0 && now-m.reportedMs < reportTTLMs {
-		expected += float64(m.waiting) * times.Mean()
+// firstEventMs returns the expected time to the first event of a request at an engine: the wait behind the requests
+// that wait there, and its own prefill, at the engine's pace. Parts that can be fetched don't count as prefilled.
+func (m *Manager) firstEventMs(member *Member, times *pace.Times, request PickRequest, now clock.Millis) float64 {
+	shared := request.Prompt.Shared().KeyedParts()
+	prefill := ownTokens(request.Prompt)
+	if !request.Transfers {
+		prefill += tokens(shared) - member.parts.cachedTokens(shared, now)
 	}
-	return expected * float64(m.pace.Percent(now)) / pace.UsualPercent
-}
-
-// promptTokens returns the length of a prompt.
-func promptTokens(p prompt.Prompt) int {
-	sum := 0
-	for _, part := range p {
-		sum += part.Tokens
+	expected, _ := times.Expect(prefill, 0)
+	if member.reportedMs > 0 && now-member.reportedMs < reportTTLMs {
+		expected += float64(member.waiting) * times.Mean()
 	}
-	return sum
+	return expected * float64(member.pace.Percent(now)) / pace.UsualPercent
 }
 
 // ownTokens returns the length of the part of a prompt that is not shared.
--- a/internal/balance/pace_load_test.go
+++ b/internal/balance/pace_load_test.go
@@ -57,6 +57,8 @@
 	report func(engine string) int
 	// exchanges is set if boxes tell each other of findings.
 	exchanges bool
+	// perSecond is the rate of requests per engine.
+	perSecond float64
 	// countedMs is from when requests sent to slow engines are counted.
 	countedMs clock.Millis
 
@@ -67,7 +69,7 @@
 	t.Helper()
 	s := &slowLoad{
 		t: t, now: 1000, random: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*slowEngine{}, tells: true,
-		exchanges: true,
+		exchanges: true, perSecond: 12,
 	}
 	monotonic := func() clock.Millis { return s.now }
 	for i := range slowEngines {
@@ -122,9 +124,9 @@
 	heap.Push(&s.events, simEvent{atMs: ms, order: s.order, run: run})
 }
 
-// play lets requests arrive at a rate per engine.
-func (s *slowLoad) play(span clock.Millis, perSecond float64) {
-	for at := 0.0; at < float64(span); at += s.random.ExpFloat64() * 1000 / (perSecond * slowEngines) {
+// play lets requests arrive.
+func (s *slowLoad) play(span clock.Millis) {
+	for at := 0.0; at < float64(span); at += s.random.ExpFloat64() * 1000 / (s.perSecond * slowEngines) {
 		s.at(s.now+clock.Millis(at), s.arrive)
 	}
 	for i := range s.boxes {
@@ -233,12 +235,12 @@
 
 func playSlow(t *testing.T, set func(s *slowLoad)) paceRow {
 	t.Helper()
-	const seeds, perSecond = 3, 12
+	const seeds = 3
 	row := paceRow{}
 	for seed := range uint64(seeds) {
 		s := newSlowLoad(t, seed+1)
 		set(s)
-		s.play(12*clock.Second, perSecond)
+		s.play(12 * clock.Second)
 		row.inTime += float64(s.inTime) / float64(s.asked) / seeds
 		row.toSlow += float64(s.toSlow) / float64(s.counted) / seeds
 	}
@@ -276,6 +278,12 @@
 			assert.Greater(t, alone.inTime, without.inTime, "a box without news from others goes by its own reports")
 		})
 	}
+	t.Run("near the capacity, slow engines still get what others would serve later", func(t *testing.T) {
+		loaded := func(s *slowLoad) { s.throughout(3, 250); s.perSecond = 45 }
+		row, without := playSlow(t, loaded), playSlow(t, func(s *slowLoad) { loaded(s); untold(s) })
+		t.Logf("%v; without pace: %v", row, without)
+		assert.Greater(t, row.inTime, without.inTime)
+	})
 	for _, c := range []struct {
 		name   string
 		report func(engine string, random *rand.Rand) int
