--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -101,6 +101,7 @@
 	}
 	l.sentMs = now
 	l.silence.recordSent(now)
+	l.recordPaceSend(now)
 	l.manager.attemptsOf(l.Pool).recordStart(l.ID, now)
 }
 
@@ -109,6 +110,7 @@
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	l.silence.recordAnswer()
+	l.endAwait()
 	if l.sentMs > 0 {
 		counts := l.manager.attemptsOf(l.Pool)
 		counts.recordAnswer(l.sentMs)
