--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -43,8 +44,19 @@
 
 // decodeSignals decodes what an upstream reports about itself in response headers.
 func decodeSignals(_ int, header http.Header) opaque.Signals {
-	holds, err := strconv.Atoi(header.Get("X-Load"))
-	w := opaque.Signals{Draining: header.Get(headerDraining) != "", InFlight: holds, HasLoad: err == nil}
+	w := opaque.Signals{Draining: header.Get(headerDraining) != ""}
+	// The load is the requests that run, and then those that wait, the slots and the pace if they are sent.
+	for i, part := range strings.Split(header.Get("X-Load"), ",") {
+		n, err := strconv.Atoi(part)
+		switch {
+		case i == 0:
+			w.InFlight, w.HasLoad = n, err == nil
+		case i == 1:
+			w.InFlight, w.Waiting = w.InFlight+n, n
+		case i == 3:
+			w.SlowPercent = n
+		}
+	}
 	w.MaxRejections, _ = strconv.Atoi(header.Get(headerBrittle))
 	if value := header.Get(headerBackoffMs); value != "" {
 		var backoffMs int
