feat(gateway): a bounded memory for what callers have not read

Cause: a buffered response takes up to 16 MiB with no common limit, so some slow callers use up a small box; and a stream's upstream waits for as long as its caller doesn't read, until it cuts the response off.

Change: buffered responses share a quarter of capacity.memory_mb. A response that would exceed it waits, up to 16 MiB are kept for the one that has waited for longest, and while any waits, requests whose responses are buffered are refused unsent (box_full). They are read into parts instead of one growing buffer. While the caller of a stream doesn't read, its connection holds up to 64 KiB, and all streams together at most half of the limit; a goroutine writes it once the caller reads again. A caller that takes nothing for 5 s, or nothing for 0.5 s from a full buffer, is cut off by a reset (caller_slow), its request at the upstream is canceled, and nothing is resumed or counted against the upstream.

A caller that reads steadily but more slowly than the upstream sends is not cut off when 64 KiB are held: large streams to slow connections worked before and still do.

Before: the upstream of a caller who reads nothing ended when the request's time was over.

Cost, caller reads at once: no goroutine, copy or allocation more.

--- /dev/null
+++ b/internal/exchange/memory.go
@@ -0,0 +1,208 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+)
+
+// ErrOverMemory means that a response needs more memory than all responses together may hold.
+var ErrOverMemory = errors.New("response exceeds the memory for responses")
+
+// maxReserveBytes is the size of the largest response that is buffered, and of the buffer that it ends in.
+const maxReserveBytes = 16<<20 + 64<<10
+
+// Memory limits the bytes that a box holds of responses that callers have not read: buffered responses, and streams
+// whose callers read slowly. Callers with slow connections and large responses would otherwise use up a small box.
+//
+// A part of the limit is reserved for one buffered response at a time, the one that has waited for longest. Otherwise
+// several that are half read could wait for each other.
+type Memory struct {
+	limit, reserve int64
+
+	mu sync.Mutex
+	// used includes streamBytes.
+	used, streamBytes int64
+	waiting           []*growth
+	// first may use the reserve.
+	first *Hold
+	sizes MemorySizes
+}
+
+// MemorySizes describes a Memory for metrics. The last four fields count since the start of the process.
+type MemorySizes struct {
+	LimitBytes  int64 `json:"limit_bytes"`
+	UsedBytes   int64 `json:"used_bytes"`
+	StreamBytes int64 `json:"stream_bytes"`
+	// Waiting is the number of responses that are not read further.
+	Waiting int `json:"waiting"`
+	// PeakBytes is the largest value of UsedBytes.
+	PeakBytes int64 `json:"peak_bytes"`
+	// Waits, Refused and CutOff count responses that had to wait, requests refused for want of memory, and callers that
+	// were cut off because they did not read.
+	Waits   int `json:"waits"`
+	Refused int `json:"refused"`
+	CutOff  int `json:"cut_off"`
+}
+
+type growth struct {
+	hold    *Hold
+	bytes   int64
+	granted chan struct{}
+}
+
+// NewMemory returns a memory with a limit in bytes.
+func NewMemory(limit int64) *Memory {
+	return &Memory{limit: limit, reserve: min(maxReserveBytes, limit/2)}
+}
+
+// Sizes returns the sizes for metrics.
+func (m *Memory) Sizes() MemorySizes {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.sizes
+	s.LimitBytes, s.UsedBytes, s.StreamBytes, s.Waiting = m.limit, m.used, m.streamBytes, len(m.waiting)
+	return s
+}
+
+// Refuse reports whether the limit is reached, so that a request with a buffered response must be refused, which it
+// counts.
+func (m *Memory) Refuse() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.waiting) == 0 && m.fits(nil, blockBytes) {
+		return false
+	}
+	m.sizes.Refused++
+	return true
+}
+
+// Hold returns an empty hold for a buffered response.
+func (m *Memory) Hold() *Hold { return &Hold{memory: m} }
+
+// Hold is the memory of one buffered response. It is used by one goroutine.
+type Hold struct {
+	memory *Memory
+	bytes  int64
+}
+
+// Grow takes further bytes. If the limit is reached, it calls onWait and waits until other responses have ended. It
+// returns an error if the context ends before, or if the response can never have as much.
+func (h *Hold) Grow(ctx context.Context, bytes int64, onWait func(MemorySizes)) error {
+	m := h.memory
+	m.mu.Lock()
+	switch {
+	case h.bytes+bytes > m.limit:
+		m.mu.Unlock()
+		return ErrOverMemory
+	case (m.first == h || len(m.waiting) == 0) && m.fits(h, bytes):
+		m.take(h, bytes)
+		m.mu.Unlock()
+		return nil
+	}
+	g := &growth{hold: h, bytes: bytes, granted: make(chan struct{})}
+	m.waiting = append(m.waiting, g)
+	m.sizes.Waits++
+	m.grant()
+	m.mu.Unlock()
+	select {
+	case <-g.granted:
+		return nil
+	default:
+	}
+	onWait(m.Sizes())
+	select {
+	case <-g.granted:
+		return nil
+	case <-ctx.Done():
+		return h.withdraw(ctx, g)
+	}
+}
+
+// withdraw ends a wait for memory.
+func (h *Hold) withdraw(ctx context.Context, g *growth) error {
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting = slices.DeleteFunc(m.waiting, func(other *growth) bool { return other == g })
+	m.grant()
+	return ctx.Err()
+}
+
+// Release gives back all bytes.
+func (h *Hold) Release() {
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used -= h.bytes
+	h.bytes = 0
+	if m.first == h {
+		m.first = nil
+	}
+	m.grant()
+}
+
+// takeStream takes bytes for a stream, and reports whether there are as many. Streams take at most half of the limit,
+// so that they leave some to buffered responses.
+func (m *Memory) takeStream(bytes int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.streamBytes+bytes > m.limit/2 || len(m.waiting) > 0 || !m.fits(nil, bytes) {
+		return false
+	}
+	m.streamBytes += bytes
+	m.add(bytes)
+	return true
+}
+
+func (m *Memory) releaseStream(bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.streamBytes -= bytes
+	m.used -= bytes
+	m.grant()
+}
+
+func (m *Memory) countCutOff() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sizes.CutOff++
+}
+
+// fits reports whether a response may take further bytes.
+func (m *Memory) fits(h *Hold, bytes int64) bool {
+	limit := m.limit
+	if h == nil || m.first != h {
+		limit -= m.reserve
+	}
+	return m.used+bytes <= limit
+}
+
+func (m *Memory) take(h *Hold, bytes int64) {
+	h.bytes += bytes
+	m.add(bytes)
+}
+
+func (m *Memory) add(bytes int64) {
+	m.used += bytes
+	m.sizes.PeakBytes = max(m.sizes.PeakBytes, m.used)
+}
+
+// grant gives memory to the responses that wait, in their order. The first of them gets the reserve, if no other has
+// it.
+func (m *Memory) grant() {
+	if m.first == nil && len(m.waiting) > 0 {
+		m.first = m.waiting[0].hold
+	}
+	blocked := false
+	m.waiting = slices.DeleteFunc(m.waiting, func(g *growth) bool {
+		if blocked && g.hold != m.first || !m.fits(g.hold, g.bytes) {
+			blocked = true
+			return false
+		}
+		m.take(g.hold, g.bytes)
+		close(g.granted)
+		return true
+	})
+}
--- a/internal/exchange/writer.go
+++ b/internal/exchange/writer.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -13,6 +14,8 @@
 	status     int
 	written    int64
 	recorder   func(data []byte)
+	// unread is the writing side of the connection, or nil if it doesn't hold unread data.
+	unread *Unread
 }
 
 // NewWriter wraps a response writer.
@@ -69,3 +72,34 @@
 
 // Written returns the number of body bytes written so far.
 func (w *Writer) Written() int64 { return w.written }
+
+// SetUnread sets the writing side of the connection, so that HoldUnread takes effect.
+func (w *Writer) SetUnread(u *Unread) { w.unread = u }
+
+// HoldUnread makes writes hold what the caller doesn't read, until AwaitRead. The onCut function is called if the
+// caller is cut off or has disconnected.
+func (w *Writer) HoldUnread(onCut func()) {
+	if w.unread != nil {
+		w.unread.Start(onCut)
+	}
+}
+
+// AwaitRead waits until the caller has taken all that was flushed. It returns an error if the caller doesn't.
+func (w *Writer) AwaitRead() error {
+	if w.unread == nil {
+		return nil
+	}
+	return w.unread.Await()
+}
+
+// CutOff returns an error that wraps ErrCallerSlow if the caller was cut off, and the bytes that were held for it then.
+func (w *Writer) CutOff() (heldBytes int, err error) {
+	if w.unread == nil {
+		return 0, nil
+	}
+	heldBytes, err = w.unread.Lost()
+	if !errors.Is(err, ErrCallerSlow) {
+		return 0, nil
+	}
+	return heldBytes, err
+}
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -19,6 +19,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/evacuation"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/logging"
 	"dooryard.example/dooryard/internal/mesh"
@@ -72,6 +73,8 @@
 	quarantine    *quarantine.Ledger
 	parts         *quarantine.PartLedger
 	origins       *streamOrigins
+	// responses limits what the box holds of responses.
+	responses *exchange.Memory
 
 	servers  []*http.Server
 	stopping atomic.Bool
@@ -135,6 +138,8 @@
 	}, b.clock, b.core)
 	b.routingState = routing.NewStateTracker(b.clock.Monotonic)
 	b.registry = registry.New(b.clock.Monotonic)
+	b.responses = exchange.NewMemory(settings.Capacity.MemoryMb * mebibyte / responseMemoryDivisor)
+	b.metrics.Publish("responses_held", func() any { return b.responses.Sizes() })
 	b.balance = balance.New(balance.Settings{
 		FailureDomain: settings.FailureDomain, BoundPercent: settings.Balance.BoundPercent,
 		PanicPercent: settings.Balance.PanicPercent, EvacuationMs: clock.Millis(settings.Freshness.MaxEvacuationMs),
@@ -251,6 +256,8 @@
 	// bodyMemoryDivisor is the divisor of the configured memory that yields the part for request bodies. The rest is
 	// left to connections and other buffers.
 	bodyMemoryDivisor = 4
+	// responseMemoryDivisor is the divisor that yields the part for responses which callers have not read.
+	responseMemoryDivisor = 4
 )
 
 // Run serves requests until the context ends, and then shuts down gracefully.
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/upstream"
 )
 
@@ -18,6 +19,9 @@
 	slots  chan struct{}
 	closed chan struct{}
 	close  func() error
+	// responses limits what is held for callers that don't read.
+	responses *exchange.Memory
+	clock     clock.Clock
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -25,10 +29,11 @@
 	waiting bool
 }
 
-func newCallerListener(l net.Listener, maxConns int) *callerListener {
+func newCallerListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *callerListener {
 	closed := make(chan struct{})
 	return &callerListener{
 		Listener: l, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*callerConn]struct{}{},
+		responses: responses, clock: c,
 		close: sync.OnceValue(func() error {
 			close(closed)
 			return l.Close()
@@ -65,6 +70,7 @@
 	l.waiting = false
 	c := &callerConn{Conn: conn, listener: l}
 	c.release = sync.OnceFunc(func() { l.remove(c) })
+	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
 	l.conns[c] = struct{}{}
 	return c
 }
@@ -128,6 +134,7 @@
 	net.Conn
 	listener    *callerListener
 	release     func()
+	unread      *exchange.Unread
 	state       atomic.Int32
 	idleSinceMs atomic.Int64
 	// broken makes Close reset the connection.
@@ -144,6 +151,11 @@
 	return n, err //nolint:wrapcheck // The server compares it.
 }
 
+// Write implements net.Conn. It holds what the caller of a stream doesn't read.
+func (c *callerConn) Write(data []byte) (int, error) {
+	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
+}
+
 // setIdle records that the caller keeps the connection without a request.
 func (c *callerConn) setIdle(now clock.Millis) {
 	c.idleSinceMs.Store(int64(now))
@@ -172,6 +184,13 @@
 	return c.Conn.Close()
 }
 
+// reset resets the connection.
+func (c *callerConn) reset() {
+	c.broken.Store(true)
+	// The caller was given up, whatever the error.
+	_ = c.Close()
+}
+
 // trackIdle returns a function that tells connections from callers when they become idle.
 func trackIdle(monotonic func() clock.Millis) func(c net.Conn, state http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
@@ -190,7 +209,13 @@
 
 // resetCallerConn makes the server reset the connection of a request, instead of closing it in order.
 func resetCallerConn(ctx context.Context) {
-	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+	if c := callerConnOf(ctx); c != nil {
 		c.broken.Store(true)
 	}
 }
+
+// callerConnOf returns the connection of a request, or nil if it has none.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
+}
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
 )
 
 // TestCallerConn guards against a broken response whose connection is closed in order on a real socket, where the
@@ -21,7 +24,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			listener := newCallerListener(inner, 1)
+			listener := newCallerListener(inner, 1, exchange.NewMemory(1<<20), clock.New())
 			caller, err := net.Dial("tcp", inner.Addr().String())
 			require.NoError(t, err)
 			conn, err := listener.Accept()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -117,7 +117,7 @@
 		return fmt.Errorf("%s listener: %w", name, err)
 	}
 	files := b.settings.Load().Capacity.OpenFiles
-	listener = newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor))
+	listener = newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn,
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -68,7 +68,7 @@
 			OnCompleted:    b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
-			Clock: b.clock,
+			Memory: b.responses, Clock: b.clock,
 		}),
 		record: record.New(b.log.Record, b.metrics.RequestEnded, b.routingState.AgeMs, b.clock.Monotonic),
 	}
@@ -79,8 +79,12 @@
 
 func (b *Box) newRequest(w http.ResponseWriter, hr *http.Request) *opaque.Request {
 	now := b.clock.Monotonic()
+	writer := exchange.NewWriter(w)
+	if c := callerConnOf(hr.Context()); c != nil {
+		writer.SetUnread(c.unread)
+	}
 	return &opaque.Request{
-		ID: hr.Header.Get(b.dialect.RequestID), HTTP: hr, Writer: exchange.NewWriter(w), Dialect: b.dialect,
+		ID: hr.Header.Get(b.dialect.RequestID), HTTP: hr, Writer: writer, Dialect: b.dialect,
 		Box: b.settings.Load().Box, ArrivedMs: now, ReceivedMs: now,
 	}
 }
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -161,7 +161,7 @@
 		return balance.Succeeded
 	case failed.execution == notRun && s.pipe.deps.OnRejected(s.request.ID, lease):
 		return balance.Rejected
-	case s.signals.BackoffMs > 0:
+	case s.signals.BackoffMs > 0 || s.callerCutOff():
 		return balance.Neutral
 	case failed.execution == wrongUpstream:
 		return balance.Unreachable
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/upstream"
 )
@@ -20,7 +22,9 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is the body in parts, so that a long one needs no larger buffer while it is read.
+	body [][]byte
+	size int
 	// notRun is set if the upstream proved that it did not run the request.
 	notRun bool
 }
@@ -29,10 +33,7 @@
 // which the request may be retried.
 func (s *retryLoop) relayBuffered(from responseSource, resp *upstream.Response) *failure {
 	r := s.request
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errTooLarge
-	}
+	body, size, err := s.readBody(resp)
 	if err == nil {
 		err = s.checkEnd(from, resp)
 	}
@@ -41,7 +42,7 @@
 		return &failure{err: err, execution: mayHaveRun}
 	}
 	w := &bufferedResponse{
-		status: resp.StatusCode, header: r.Dialect.ResponseHeader(resp.Header), body: body,
+		status: resp.StatusCode, header: r.Dialect.ResponseHeader(resp.Header), body: body, size: size,
 		notRun: resp.Header.Get(r.Dialect.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 	}
 	if failed := s.classify(w); failed != nil && !from.isFinal {
@@ -54,6 +55,72 @@
 	return nil
 }
 
+// Sizes of the buffers of a body. Most bodies of unknown length fit into the first one.
+const (
+	firstPartBytes = 4 << 10
+	maxPartBytes   = 64 << 10
+)
+
+// readBody reads a body. It takes the memory of each part before it is allocated, and waits while the box has none.
+func (s *retryLoop) readBody(resp *upstream.Response) (body [][]byte, size int, err error) {
+	s.releaseBody()
+	s.body = s.pipe.deps.Memory.Hold()
+	length := resp.ContentLength
+	if s.request.HTTP.Method == http.MethodHead {
+		length = 0
+	}
+	part, partBytes := []byte(nil), int64(firstPartBytes)
+	for err == nil && size <= maxResponseBytes {
+		if len(part) == cap(part) {
+			if length >= 0 {
+				// One more byte has room, so that the end is read along with the last ones.
+				partBytes = min(maxPartBytes, max(0, length-int64(size))+1)
+			}
+			if part, err = s.newPart(partBytes); err != nil {
+				return nil, 0, err
+			}
+			body = append(body, part)
+			partBytes = min(maxPartBytes, 2*partBytes)
+		}
+		var n int
+		n, err = resp.Read(part[len(part):cap(part)])
+		part, size = part[:len(part)+n], size+n
+		body[len(body)-1] = part
+	}
+	switch {
+	case size > maxResponseBytes:
+		return nil, 0, errTooLarge
+	case errors.Is(err, io.EOF):
+		return body, size, nil
+	default:
+		return nil, 0, err
+	}
+}
+
+// newPart returns an empty buffer once the box has memory for it.
+func (s *retryLoop) newPart(size int64) ([]byte, error) {
+	err := s.body.Grow(s.ctx, size, func(sizes exchange.MemorySizes) {
+		s.pipe.deps.RecordEvent(decision.ResponseDelayed{
+			Request: s.request.ID, Upstream: s.request.Upstream, UsedBytes: sizes.UsedBytes, LimitBytes: sizes.LimitBytes,
+		})
+	})
+	switch {
+	case errors.Is(err, exchange.ErrOverMemory):
+		return nil, fmt.Errorf("%w: %w", errTooLarge, err)
+	case err != nil:
+		return nil, fmt.Errorf("wait for memory: %w", err)
+	}
+	return make([]byte, 0, size), nil
+}
+
+// releaseBody releases the memory of the latest buffered response. The response may no longer be used.
+func (s *retryLoop) releaseBody() {
+	if s.body != nil {
+		s.body.Release()
+		s.body = nil
+	}
+}
+
 // classify returns the failure that a response stands for, or nil if the response is final.
 func (s *retryLoop) classify(w *bufferedResponse) *failure {
 	switch {
@@ -96,11 +163,15 @@
 	setResponseHeader(r.Writer.Header(), w.header)
 	r.SetHopHeaders()
 	if r.HTTP.Method != http.MethodHead {
-		r.Writer.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
+		r.Writer.Header().Set("Content-Length", strconv.Itoa(w.size))
 	}
 	r.Writer.WriteHeader(w.status)
-	// Write errors are ignored: the caller has disconnected and can't get a response.
-	_, _ = r.Writer.Write(w.body)
+	for _, part := range w.body {
+		// Write errors are ignored: the caller has disconnected or was cut off, which the writer knows.
+		if _, err := r.Writer.Write(part); err != nil {
+			return
+		}
+	}
 }
 
 // setResponseHeader copies an upstream's response headers. Missing Date and Content-Type headers
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -11,7 +11,9 @@
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/opaque"
+	"dooryard.example/dooryard/internal/routing"
 )
 
 // Dependencies are the parts of the box that the step uses.
@@ -68,7 +70,9 @@
 	OriginRetracted func(r *opaque.Request) bool
 	// CheckBeforeSend returns an error if the box may not send the request now.
 	CheckBeforeSend func(r *opaque.Request) error
-	Clock           clock.Clock
+	// Memory limits what the box holds of responses.
+	Memory *exchange.Memory
+	Clock  clock.Clock
 }
 
 // Pipe sends opaque requests to upstreams.
@@ -86,11 +90,28 @@
 func (p *Pipe) Run(r *opaque.Request) error {
 	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Monotonic())))
 	defer cancel()
+	if r.Route.Kind != routing.Stream && p.deps.Memory.Refuse() {
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxFull, memoryRetryMs, errNoMemory)
+	}
 	if r.FromBox == "" {
 		// The forwarding box has counted the request.
 		p.deps.OnFirstSend(r.Pool)
 	}
-	s := &retryLoop{pipe: p, request: r, ctx: ctx}
+	s := &retryLoop{pipe: p, request: r, ctx: ctx, cancel: cancel}
+	defer s.releaseBody()
+	return s.awaitCaller(s.run())
+}
+
+// memoryRetryMs is the Retry-After of a request that is refused because the box holds too much of other responses. It is
+// about the time that a response needs to reach its caller.
+const memoryRetryMs clock.Millis = 200
+
+// errNoMemory means that the responses that the box holds have reached their limit.
+var errNoMemory = errors.New("buffered responses have reached the memory limit")
+
+// run makes attempts and returns the error that the request ends with, or nil after a complete response.
+func (s *retryLoop) run() error {
+	r, p := s.request, s.pipe
 	for {
 		if err := p.deps.CheckBeforeSend(r); err != nil {
 			return s.refuseSend(err)
@@ -135,6 +156,10 @@
 	pipe    *Pipe
 	request *opaque.Request
 	ctx     context.Context
+	// cancel ends ctx.
+	cancel context.CancelFunc
+	// body is the memory of the latest buffered response.
+	body *exchange.Hold
 	// attempts counts all attempts, including those that sent nothing.
 	attempts int
 	// failedDials counts the upstreams that could not be connected to.
@@ -200,6 +225,8 @@
 func (s *retryLoop) retryDecision(failed *failure) retryDecision {
 	r := s.request
 	switch {
+	case s.callerCutOff():
+		return stopCallerSlow
 	case r.Context().Err() != nil:
 		return stopCallerDisconnected
 	case s.ctx.Err() != nil || r.RemainingMs(s.pipe.deps.Clock.Monotonic()) <= 0:
--- a/internal/pipe/dispatch/failure.go
+++ b/internal/pipe/dispatch/failure.go
@@ -36,6 +36,7 @@
 const (
 	retryAllowed           retryDecision = "another attempt"
 	stopCallerDisconnected retryDecision = "none: the caller left"
+	stopCallerSlow         retryDecision = "none: the caller did not read"
 	stopDeadline           retryDecision = "none: no time left"
 	stopResponseStarted    retryDecision = "none: the answer has begun"
 	stopMayHaveRun         retryDecision = "none: it may have run and may not run twice"
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -114,6 +114,7 @@
 	s.stream = &stream{request: r, completeOnly: r.Route.Resumable, onOrigin: s.pipe.deps.OnStreamOrigin}
 	setResponseHeader(r.Writer.Header(), r.Dialect.ResponseHeader(resp.Header))
 	r.SetHopHeaders()
+	r.Writer.HoldUnread(s.cancel)
 	r.Writer.WriteHeader(http.StatusOK)
 	// If the caller has disconnected, writing the first event fails.
 	_ = r.Writer.FlushNow()
