--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -104,7 +104,11 @@
 	t.Helper()
 	_, err := readResponse(conn)
 	require.Error(t, err, "a response that was cut off looks incomplete")
-	assert.Len(t, withMessage(log.read(t), "caller cut off"), 1)
+	lines := log.read(t)
+	assert.Len(t, withMessage(lines, "caller cut off"), 1)
+	for _, line := range withMessage(lines, "attempt failed") {
+		assert.JSONEq(t, `"none: the caller did not read"`, string(line.Fields["next"]))
+	}
 	sizes := b.responses.Sizes()
 	assert.Zero(t, sizes.UsedBytes)
 	assert.Equal(t, 1, sizes.CutOff)
