--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -361,10 +361,18 @@
 		PrefillTokens: max(0, a.Demand.PromptTokens-cached),
 		OwnTokens:     max(0, a.Demand.PromptTokens-a.Demand.SharedTokens) + a.OutputTokens,
 		SharedTokens:  a.Demand.SharedTokens,
-		Slots:         l.slots, MemoryTokens: a.MemoryTokens, Bound: l.bound,
+		Slots:         l.slots, MemoryTokens: a.MemoryTokens, Bound: l.bound, SlowPercent: l.heldPace(now),
 	}
 }
 
+// heldPace returns the pace of an upstream in percent of the usual time, or 0 if nothing recent is known of it.
+func (m *Member) heldPace(now clock.Millis) int {
+	if !m.pace.Held(now) {
+		return 0
+	}
+	return m.pace.Percent(now)
+}
+
 // fetchableTokens returns how many tokens at the beginning of the prompt the engine is to fetch.
 func (m *Manager) fetchableTokens(l *Lease, now clock.Millis) int {
 	if l.FetchFrom == "" {
