--- a/internal/pipe/dispatch/buffered_test.go
+++ b/internal/pipe/dispatch/buffered_test.go
@@ -64,7 +64,7 @@
 			s, _ := newLoop(b)
 			b.ReportAllocs()
 			for b.Loop() {
-				_, _, err := s.readBody(responseOf(bytes.NewReader(data), int64(size)))
+				_, _, err := s.readBody(responseOf(bytes.NewReader(data), int64(size)), func() {})
 				require.NoError(b, err)
 			}
 		})
