--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -30,8 +30,9 @@
 		RequestID: "X-Id", DeadlineMs: "X-Deadline", Organisation: "X-Organisation", ExpectUpstream: "X-Expect",
 		NotRun: "X-Not-Run", DecodeSignals: decodeSignals, BoxResponseHeaders: []string{"X-Load", "X-Not-Run"}, Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id", ResumedID: "X-Resumes",
 		FetchFrom: "X-Fetch", Reserved: []string{"X-Reserved"},
-		Key:        func(h http.Header) string { return h.Get("Authorization") },
-		RetryAfter: func(span clock.Millis) string { return strconv.FormatInt(int64(span), 10) + "ms" },
+		DecodeDemand: decodeDemand,
+		Key:          func(h http.Header) string { return h.Get("Authorization") },
+		RetryAfter:   func(span clock.Millis) string { return strconv.FormatInt(int64(span), 10) + "ms" },
 	}
 }
 
@@ -59,7 +60,9 @@
 		}
 	}
 	w.MaxRejections, _ = strconv.Atoi(header.Get(headerBrittle))
-	w.SlowPercent, _ = strconv.Atoi(header.Get(headerSlow))
+	if value := header.Get(headerSlow); value != "" {
+		w.SlowPercent, _ = strconv.Atoi(value)
+	}
 	if value := header.Get(headerBackoffMs); value != "" {
 		var backoffMs int
 		backoffMs, w.Err = strconv.Atoi(value)
--- a/internal/gateway/hardload_fixture_test.go
+++ b/internal/gateway/hardload_fixture_test.go
@@ -19,6 +19,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/internal/work"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -43,8 +44,16 @@
 )
 
 // withHardLoad enables what the load tests measure.
-func withHardLoad(*config.Gateway) {
-	// The settings of admission and of the learnt pace belong here.
+func withHardLoad(g *config.Gateway) { g.Admission.Enabled, g.Pace.Learn = true, true }
+
+// decodeDemand decodes what a caller tells of the size of a request.
+func decodeDemand(header http.Header) work.Demand {
+	prompt, output, _ := strings.Cut(header.Get(headerTokenCounts), ",")
+	var d work.Demand
+	d.PromptTokens, _ = strconv.Atoi(prompt)
+	d.MaxOutputTokens, _ = strconv.Atoi(output)
+	d.HintTokens, _ = strconv.Atoi(header.Get(headerLengthHint))
+	return d
 }
 
 // hardKind is a kind of callers. All prompts are new.
