--- a/internal/gateway/hardload_fixture_test.go
+++ b/internal/gateway/hardload_fixture_test.go
@@ -115,6 +115,8 @@
 	refusalMs []clock.Millis
 	// refusedIDs are the IDs of the requests that were refused as not run.
 	refusedIDs []string
+	// failures describe the requests that failed.
+	failures   []string
 	sent, slow int
 }
 
@@ -332,6 +334,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if result.failure != "" {
+		l.failures = append(l.failures, fmt.Sprintf("%s at %d ms, after %d ms: %s", id, startMs-l.startMs, result.tookMs, result.failure))
+	}
 	l.results[k.name]["all"]++
 	l.results[k.name][result.name]++
 	if result.name == "in time" || result.name == "late" && result.tookMs <= k.objectiveMs {
@@ -344,6 +349,8 @@
 	name string
 	// tookMs is the time from the request to the first event.
 	tookMs, retryAfterMs clock.Millis
+	// failure is the reason of a failure.
+	failure string
 }
 
 // try sends a request. Its result counts from when the caller first sent it.
@@ -361,7 +368,7 @@
 		},
 	})
 	if err != nil {
-		return hardResult{name: "failed"}
+		return hardResult{name: "failed", failure: err.Error(), tookMs: l.fleet.clock.Monotonic() - sentMs}
 	}
 	defer func() { _ = response.Body.Close() }()
 	first := make([]byte, 1)
@@ -379,6 +386,7 @@
 		l.mu.Unlock()
 	case cmp.Or(err, restErr) != nil || response.StatusCode != http.StatusOK || strings.Count(string(body), "data:") != k.events:
 		result.name = "failed"
+		result.failure = fmt.Sprintf("status %d, %v, %.150s", response.StatusCode, cmp.Or(err, restErr), body)
 	case now-firstMs > k.objectiveMs:
 		result.name = "late"
 	}
@@ -414,7 +422,7 @@
 		t.Logf("in time %q: %.3f, aim %.2f", kind, l.share(kind, "in time"), aim)
 		assert.GreaterOrEqual(t, l.share(kind, "in time"), aim, "in time %q", kind)
 	}
-	assert.Zero(t, l.share("", "failed"), "failures")
+	assert.Zero(t, l.share("", "failed"), "failures, such as %v", l.failures[:min(3, len(l.failures))])
 	for _, id := range l.refusedIDs {
 		assert.False(t, l.ran[id], "request %s was refused as not run", id)
 	}
