fix(admission): a caller that came back does not make queued asks late by their memory

Cause: whether a newcomer that goes ahead delays others was decided by its prefill time at two asks only. Where memory is short, what it holds delayed them by up to 750 ms, and they were denied after a wait.

Change: the expected start of each ask behind it is computed with the newcomer ahead. Running requests of more urgent kinds count as replaced by others in the estimate at the ask.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -13,11 +13,16 @@
 	return u.startInWith(r, share, now)
 }
 
+// startInWith returns it for a share of the engine's time that more urgent requests take.
 func (u *upstream) startInWith(r *request, moreUrgentShare float64, now clock.Millis) clock.Millis {
-	ahead := u.queue.ahead(r)
+	return u.startAfter(r, u.queue.ahead(r), moreUrgentShare, now)
+}
+
+// startAfter returns it for the queued work that is granted before the request.
+func (u *upstream) startAfter(r *request, ahead load, moreUrgentShare float64, now clock.Millis) clock.Millis {
 	ahead = ahead.plus(u.turnAhead(r, ahead))
 	waitMs := (u.backlogMs(now) + u.prefillMs(ahead)) / (1 - moreUrgentShare)
-	waitMs = max(waitMs, u.roomMs(r, ahead, now))
+	waitMs = max(waitMs, u.roomMs(r, ahead, moreUrgentShare > 0, now))
 	return clock.Millis(waitMs + u.prefillMs(prefillOf(r)))
 }
 
--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -1,6 +1,10 @@
 package admission
 
-import "dooryard.example/dooryard/internal/clock"
+import (
+	"slices"
+
+	"dooryard.example/dooryard/internal/clock"
+)
 
 // observe records since when more has been owed than the target, for each urgency. Nothing but waiting asks of the same
 // or a greater urgency and the engine's backlog delays a request. It is called before and after each change.
@@ -65,34 +69,30 @@
 
 // displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of a
 // caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of other
-// organisations don't count: what is fair between organisations takes precedence. Only the first and the last of those
-// behind are looked at, since each expected start takes time in proportion to the queue.
+// organisations don't count: what is fair between organisations takes precedence.
 func (u *upstream) displaces(r *request, now clock.Millis) bool {
 	organisation := u.queue.class(r.ask.Urgency).organisations.flows[r.ask.Organisation]
 	if organisation == nil {
 		return false
 	}
-	var first, last *request
+	var behind []*request
 	for _, session := range organisation.sessions.active {
 		for _, other := range session.asks {
-			if other.late || compareDeadlines(other, r) < 0 {
-				continue
-			}
-			if first == nil || compareDeadlines(other, first) < 0 {
-				first = other
-			}
-			if last == nil || compareDeadlines(other, last) > 0 {
-				last = other
+			if !other.late && compareDeadlines(other, r) > 0 {
+				behind = append(behind, other)
 			}
 		}
 	}
-	return first != nil && (u.delays(r, first, now) || u.delays(r, last, now))
-}
-
-// delays reports whether a queued ask is late only if a request goes ahead of it.
-func (u *upstream) delays(r, other *request, now clock.Millis) bool {
-	startIn := u.startInWith(other, 0, now)
-	return other.inTime(startIn, now) && !other.inTime(startIn+clock.Millis(u.prefillMs(prefillOf(r))), now)
+	slices.SortFunc(behind, compareDeadlines)
+	ahead, own := u.queue.ahead(r), r.load()
+	for _, other := range behind {
+		if !other.inTime(u.startAfter(other, ahead.plus(own), 0, now), now) &&
+			other.inTime(u.startAfter(other, ahead, 0, now), now) {
+			return true
+		}
+		ahead = ahead.plus(other.waitingLoad)
+	}
+	return false
 }
 
 // denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not accepted
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -100,6 +100,16 @@
 	return c != nil && c.urgency <= urgency
 }
 
+// waitsBelow reports whether less urgent asks than those of an urgency wait.
+func (q *queue) waitsBelow(urgency int) bool {
+	for _, c := range slices.Backward(q.classes) {
+		if c.waiting.requests > 0 {
+			return c.urgency > urgency
+		}
+	}
+	return false
+}
+
 // several reports whether asks of several urgencies wait.
 func (q *queue) several() bool {
 	count := 0
--- a/internal/admission/room.go
+++ b/internal/admission/room.go
@@ -47,7 +47,7 @@
 
 // roomMs returns the expected time until slots and memory suffice for the requests ahead and this one. It follows from
 // the expected ends of those that were granted: where few large requests share the memory, a mean rate is off by seconds.
-func (u *upstream) roomMs(r *request, ahead load, now clock.Millis) float64 {
+func (u *upstream) roomMs(r *request, ahead load, replaced bool, now clock.Millis) float64 {
 	slots, tokens := 0.0, 0.0
 	if u.slots > 0 {
 		slots = ahead.requests + 1 - float64(u.slots-u.inUse)
@@ -60,6 +60,9 @@
 	}
 	lastMs := 0.0
 	for _, other := range u.holders {
+		if replaced && other.ask.Urgency < r.ask.Urgency {
+			continue
+		}
 		slots--
 		tokens -= u.memory.share(other)
 		lastMs = max(lastMs, float64(other.expectedEnd(now)-now))
--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -29,10 +29,10 @@
 // request, which waits behind others. Engines are also chosen by this, and a turn of a long prompt delays urgent ones
 // by more than all other rules.
 func (u *upstream) turnAhead(r *request, ahead load) load {
-	if u.turns.grants+int(ahead.requests) < turnEvery-1 {
+	if u.turns.grants+int(ahead.requests) < turnEvery-1 || !u.queue.waitsBelow(r.ask.Urgency) {
 		return load{}
 	}
-	if turn := u.queue.longestWaiting(); turn != nil && turn.ask.Urgency > r.ask.Urgency {
+	if turn := u.queue.longestWaiting(); turn.ask.Urgency > r.ask.Urgency {
 		return turn.waitingLoad
 	}
 	return load{}
