test(mesh): faults in the exchange of asks that no test noticed

Change: the tests of Admit now fail if an answer of another box counts, if a start is told twice, if a draining box asks itself, if a grant at the owner itself takes a datagram, if an owner that has answered stays unasked, and if asks that are not repeated stay queued.

--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -120,13 +120,14 @@
 	*fixture
 	owner, asker *box
 	ledger       *fifoLedger
+	upstream     string
 }
 
 // runAdmissions runs a test after the boxes have met.
 func runAdmissions(t *testing.T, test func(f *admissions)) {
 	t.Helper()
 	runInBubble(t, func(base *fixture) {
-		f := &admissions{fixture: base, ledger: &fifoLedger{slots: 1}}
+		f := &admissions{fixture: base, ledger: &fifoLedger{slots: 1}, upstream: "u"}
 		f.owner, f.asker = f.start("d1"), f.start("d2")
 		f.owner.admissionOwner.ledger = f.ledger.functions()
 		// Tests begin between two rounds.
@@ -135,13 +136,24 @@
 	})
 }
 
-// askOf returns an ask of a caller that waits for 10 s.
-func askOf(mayQueue bool) admission.Ask {
-	return admission.Ask{Upstream: namekey.Of("u"), Bound: 1, MayQueue: mayQueue, InTimeMs: 500, PatienceMs: 10_000}
+// startSecond starts a box that becomes the owner if the first one is gone.
+func (f *admissions) startSecond() *box {
+	second := f.start("d1")
+	second.admissionOwner.ledger = (&fifoLedger{slots: 1}).functions()
+	advance(f.t, time.Second)
+	for first := second.self; first.Box == second.self.Box; first, _ = f.asker.owner(namekey.Of(f.upstream), "d1") {
+		f.upstream += "u"
+	}
+	return second
+}
+
+// ask returns an ask of a caller that waits for 10 s.
+func (f *admissions) ask(mayQueue bool) admission.Ask {
+	return admission.Ask{Upstream: namekey.Of(f.upstream), Bound: 1, MayQueue: mayQueue, InTimeMs: 500, PatienceMs: 10_000}
 }
 
 // admit returns the reply to an ask that may not be queued.
-func (f *admissions) admit(b *box) admission.Reply { return b.Admit(f.t.Context(), "d1", askOf(false)) }
+func (f *admissions) admit(b *box) admission.Reply { return b.Admit(f.t.Context(), "d1", f.ask(false)) }
 
 // waiting is a box that waits for a grant.
 type waiting struct {
@@ -156,7 +168,7 @@
 	w := &waiting{leave: cancel}
 	go func() {
 		begun := time.Now()
-		w.reply = b.Admit(ctx, "d1", askOf(true))
+		w.reply = b.Admit(ctx, "d1", f.ask(true))
 		w.took = time.Since(begun)
 	}()
 	synctest.Wait()
@@ -202,14 +214,21 @@
 		"a queued ask is granted": func(f *admissions) {
 			first, remote, local := f.admit(f.asker), f.enqueue(f.asker), f.enqueue(f.owner)
 			advance(f.t, time.Second)
+			number := f.ledger.queue[0].ID.Number
+			f.asker.resolveAdmission(number, "127.0.0.9:7000", admission.Answer{Verdict: admission.Granted})
 			f.assertSizes(1, 2)
+			assert.Zero(f.t, remote.took, "another box is not the owner")
+			first.Started()
 			first.Started()
 			first.Release(true)
 			f.assertSizes(1, 1)
+			assert.Equal(f.t, 1, f.ledger.starts)
 			assertVerdict(f.t, admission.Granted, remote.reply)
+			sent := f.owner.Sizes().SentBytes
 			remote.reply.Release(true)
 			f.assertSizes(1, 0)
 			assertVerdict(f.t, admission.Granted, local.reply)
+			assert.Equal(f.t, sent, f.owner.Sizes().SentBytes)
 			assert.Equal(f.t, int64(1), f.asker.Sizes().AdmissionsQueued)
 			assert.Equal(f.t, int64(2), f.asker.Sizes().AdmissionAsks)
 		},
@@ -229,10 +248,17 @@
 			f.lose(admissionAsk, 1)
 			lost := f.enqueue(f.asker)
 			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+			f.enqueue(f.asker)
 			advance(f.t, admissionTimeoutMs.Duration())
 			synctest.Wait()
 			assertUnknown(f.t, lost.reply, lost.took, admissionTimeoutMs.Duration())
 			assertVerdict(f.t, admission.Denied, f.admit(f.asker))
+			advance(f.t, time.Millisecond)
+			f.lose(admissionAsk, 1)
+			assertUnknown(f.t, f.admit(f.asker), 0, 0)
+			assertUnknown(f.t, f.admit(f.asker), 0, 0)
+			advance(f.t, admissionRepeatMs.Duration())
+			assertVerdict(f.t, admission.Denied, f.admit(f.asker))
 		},
 		"a lost answer": func(f *admissions) {
 			f.lose(admissionAnswer, 1)
@@ -320,7 +346,7 @@
 			}
 			expire()
 			f.assertSizes(1, 1)
-			f.asker.stop()
+			f.lose(0, -1)
 			next.leave()
 			expire()
 			f.assertSizes(1, 0)
@@ -334,24 +360,19 @@
 			f.assertSizes(0, 0)
 		},
 		"a partition": func(f *admissions) {
-			second := f.start("d1")
-			second.admissionOwner.ledger = (&fifoLedger{slots: 1}).functions()
-			advance(f.t, time.Second)
-			owner, other := f.owner, second
-			if first, _ := f.asker.ownerForAdmission(namekey.Of("u"), "d1"); first.Box == second.self.Box {
-				owner, other = second, f.owner
-			}
+			second := f.startSecond()
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
-			f.network.SetPartition(func(from, to string) bool { return (from == owner.self.Box) != (to == owner.self.Box) })
+			f.network.SetPartition(func(from, to string) bool { return (from == f.owner.self.Box) != (to == f.owner.self.Box) })
 			advance(f.t, minAliveMs.Duration()+time.Second)
 			synctest.Wait()
 			assertUnknown(f.t, next.reply, next.took, 3*admissionRepeatMs.Duration())
 			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
-			assert.Equal(f.t, 1, other.Sizes().Admissions.Permits)
-			assertVerdict(f.t, admission.Denied, f.admit(owner))
+			assert.Equal(f.t, 1, second.Sizes().Admissions.Permits)
+			assertVerdict(f.t, admission.Denied, f.admit(f.owner))
 		},
 		"a draining owner": func(f *admissions) {
+			second := f.startSecond()
 			first, local, remote := f.admit(f.asker), f.enqueue(f.owner), f.enqueue(f.asker)
 			f.owner.BroadcastDraining()
 			f.assertSizes(1, 1)
@@ -362,8 +383,7 @@
 			first.Release(true)
 			synctest.Wait()
 			assertVerdict(f.t, admission.Granted, local.reply)
-			second := f.start("d1")
-			advance(f.t, time.Second)
+			local.reply.Release(true)
 			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
 			assertVerdict(f.t, admission.Denied, f.admit(f.owner))
 			assert.Equal(f.t, 1, second.Sizes().Admissions.Permits, "the next owner is asked, also by the draining box")
@@ -435,7 +455,7 @@
 			var running sync.WaitGroup
 			for i := range 100 {
 				running.Go(func() {
-					reply := f.asker.Admit(f.t.Context(), "d1", askOf(true))
+					reply := f.asker.Admit(f.t.Context(), "d1", f.ask(true))
 					advance(f.t, time.Duration(i%7)*10*time.Millisecond)
 					reply.Started()
 					reply.Release(true)
