fix(balance): a prompt waits where its session is cached, and the load bound alone refuses nothing

Change: a prompt waits at the engine that caches at least 1,000 of its tokens if it can be in time there; after four denials the bound no longer counts, as for permits; the first engine of the session is the source of a fetch where no other is known.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -195,11 +195,30 @@
 			return w.commit(ctx, engine)
 		}
 		w.asked = append(w.asked, engine)
+		if w.waitsForHolder(engine) {
+			break
+		}
 		w.request.Full = append(w.request.Full, engine.lease.ID)
 	}
 	return w.wait(ctx)
 }
 
+// minMovedTokens is the number of tokens that another engine would have to prefill in addition for a prompt to wait at the
+// engine that caches them. Fewer take less time than the question to another owner saves.
+const minMovedTokens = 1000
+
+// waitsForHolder reports whether the prompt waits at the engine that was asked first and caches its shared parts,
+// instead of being prefilled elsewhere: in an overload, sessions that move make engines prefill the same parts again,
+// which takes capacity from other prompts.
+func (w *admissionWalk) waitsForHolder(e *askedEngine) bool {
+	cached := w.request.Admission.Demand.PromptTokens - e.ask.PrefillTokens
+	return len(w.asked) == 1 && e.lease.Rank == 0 && !e.doubtful && !e.onProbation &&
+		cached >= minMovedTokens && e.startInMs > 0 && e.startInMs+e.startInMs/holderMargin <= e.ask.InTimeMs
+}
+
+// holderMargin is the inverse of the margin by which a prompt must be expected in time to wait where it is cached.
+const holderMargin = 4
+
 // wait has the prompt wait at the owner that would start it first. It returns an OverloadedError if none would start it
 // in time: a prompt that waits although it will be late is mostly refused later, when its caller has no time left.
 func (w *admissionWalk) wait(ctx context.Context) (*Lease, error) {
@@ -211,7 +230,9 @@
 		return !e.doubtful && !e.onProbation && e.startInMs <= e.ask.InTimeMs
 	})
 	if queue != nil {
-		queue.ask.MayQueue = true
+		// After so many refusals the load bound no longer counts, as for permits: an engine with capacity is better than
+		// a refusal.
+		queue.ask.MayQueue, queue.ask.Bound = true, 0
 		sinceMs := w.manager.monotonic()
 		w.ask(ctx, queue)
 		w.record.WaitedMs += w.manager.monotonic() - sinceMs
--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -25,16 +25,18 @@
 		lease.FetchFrom = address
 		return
 	}
-	lease.FetchFrom = m.likelyHolder(lease, order, now)
+	if m.fleetInFlightByPool != nil || request.Admission != nil {
+		lease.FetchFrom = m.likelyHolder(lease, order, now)
+	}
 }
 
 // likelyHolder returns the address of the engine that ranks first for a session, if it is usable but
-// another engine was chosen, for example because the first one's owner refused a permit. In a large
-// fleet boxes don't announce what engines cache, but other boxes have likely sent the session to the
-// first engine. In smaller fleets it returns "".
+// another engine was chosen, for example because the first one's owner refused a permit. Other boxes have likely sent
+// the session to the first engine, although this box has not heard of it: in a large fleet boxes don't announce what
+// engines cache, and with admission sessions move more often than announcements arrive.
 func (m *Manager) likelyHolder(lease *Lease, order []*Member, now clock.Millis) string {
 	first := order[0]
-	if m.fleetInFlightByPool == nil || first == lease.Member || first.unavailable(now) || !m.usable(first, now) {
+	if first == lease.Member || first.unavailable(now) || !m.usable(first, now) {
 		return ""
 	}
 	return first.Address
