--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -64,7 +64,7 @@
 	demand := demandOf(r)
 	request := &balance.AdmissionRequest{
 		Demand: demand, OutputTokens: p.deps.Admission.ExpectOutput(r.Route.Name, demand),
-		Urgency: min(r.Priority(), maxUrgency), PatienceMs: r.RemainingMs(p.deps.Clock.Monotonic()),
+		Urgency: min(r.Priority(), maxUrgency), PatienceMs: patienceMs(r, p.deps.Clock.Monotonic()),
 		Force: r.Sent > 0 || s.stream != nil || r.Trial || r.TakesUpStream(),
 	}
 	if r.Organisation != nil {
@@ -76,6 +76,15 @@
 	return request
 }
 
+// patienceMs returns the time until the caller gives up if no event comes before.
+func patienceMs(r *opaque.Request, now clock.Millis) clock.Millis {
+	remaining := r.RemainingMs(now)
+	if r.Route.GiveUpMs > 0 {
+		remaining = min(remaining, r.ArrivedMs+r.Route.GiveUpMs-now)
+	}
+	return remaining
+}
+
 // recordAdmission logs and counts how a pick was admitted or denied, if it needed admission.
 func (s *retryLoop) recordAdmission(lease *balance.Lease, err error) {
 	var overloaded *balance.OverloadedError
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -52,6 +52,9 @@
 	ObjectiveMs clock.Millis `json:"objective_ms"`
 	// MaxGapMs is the maximum acceptable pause between two events of a stream.
 	MaxGapMs clock.Millis `json:"gap_ms"`
+	// GiveUpMs is how long callers usually wait for the next event of a stream, the first one included, or 0 if it is
+	// unknown.
+	GiveUpMs clock.Millis `json:"give_up_ms,omitempty"`
 	// Priority orders requests; 0 is the most urgent.
 	Priority int `json:"priority"`
 	// Public routes require no key.
