--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -24,12 +24,13 @@
 // inTime reports whether a request that is expected to start after a time is in time.
 func (r *request) inTime(startIn, now clock.Millis) bool { return now+startIn <= r.inTimeMs }
 
-// waitMargin is the inverse of the margin by which a request that waits must be expected in time. More urgent work comes
-// unevenly: without a margin, a tenth of the queued asks were denied after a wait.
+// waitMargin is the inverse of the margin by which a request that waits must be expected in time. More urgent work
+// comes unevenly: without a margin, a tenth of the queued asks were denied after a wait.
 const waitMargin = 6
 
 // lateTolerance is the inverse of the part of an objective by which a queued ask may become late before it is
-// reconsidered. The estimate varies by about as much, and a denial after a wait costs its caller more than a late event.
+// reconsidered. The estimate varies by about as much, and a denial after a wait costs its caller more than a late
+// event.
 const lateTolerance = 16
 
 // tolerance returns by how much a queued ask may become late before it is reconsidered. Waits for slots and memory vary
@@ -48,8 +49,9 @@
 }
 
 // acceptsLate reports whether a request is accepted although it can't be in time: while its upstream has been behind
-// for less than one objective, since a short burst drains by itself and a late response is better than none, and if its
-// caller still waits then. While times are unknown, nothing is denied because of them.
+// for less than one objective, since a short burst drains by itself and a late response is better than none, and if it
+// is late by less than one objective and its caller still waits then. While times are unknown, nothing is denied
+// because of them.
 func (u *upstream) acceptsLate(r *request, startIn, now clock.Millis) bool {
 	if !u.pool.times.mayDeny() {
 		return true
@@ -77,9 +79,9 @@
 	return max(0, startIn-clock.Millis(max(own, u.pool.objectives.targetMs(now))))
 }
 
-// displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of a
-// caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of other
-// organisations don't count: what is fair between organisations takes precedence.
+// displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of
+// a caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of
+// other organisations don't count: what is fair between organisations takes precedence.
 func (u *upstream) displaces(r *request, now clock.Millis) bool {
 	organisation := u.queue.class(r.ask.Urgency).organisations.flows[r.ask.Organisation]
 	if organisation == nil {
@@ -105,22 +107,20 @@
 	return false
 }
 
-// denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not accepted
-// late. Longest-waiting asks are looked at first: without those, later ones may be in time.
+// denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not
+// accepted late. Longest-waiting asks are looked at first: without those, later ones may be in time.
 func (u *upstream) denyHopeless(now clock.Millis) []Grant {
 	grants := []Grant{}
 	for _, r := range u.queue.all() {
 		if now >= r.giveUpMs || !u.reconsider(r, now) {
-			if r.ask.Urgency == 1 {
-			}
 			grants = append(grants, u.denyQueued(r, now))
 		}
 	}
 	return grants
 }
 
-// reconsider reports whether a queued ask is kept. One that was accepted late is kept while its caller waits: denying it
-// at the end of the burst would refuse it after seconds.
+// reconsider reports whether a queued ask is kept. One that was accepted late is kept while its caller waits: denying
+// it at the end of the burst would refuse it after seconds.
 func (u *upstream) reconsider(r *request, now clock.Millis) bool {
 	ahead := u.queue.ahead(r)
 	startIn := u.startAfter(r, ahead, false, now)
@@ -132,6 +132,7 @@
 	case !u.acceptsLate(r, startIn, now):
 		return false
 	}
+	// The order of a session's asks depends on the flag.
 	u.queue.remove(r, now)
 	r.late = true
 	u.queue.push(r)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -157,8 +157,8 @@
 }
 
 // schedule is a start-time fair queue of flows. The start tag of a flow that begins to wait is the finish tag of its
-// last request, but at least the virtual time, which is the largest start tag that was served. Flows with equal tags are
-// served by their earliest deadline, so that callers that came back go before new ones.
+// last request, but at least the virtual time, which is the largest start tag that was served. Flows with equal tags
+// are served by their earliest deadline, so that callers that came back go before new ones.
 type schedule struct {
 	virtual float64
 	flows   map[namekey.Key]*flow
@@ -244,8 +244,8 @@
 	return nil
 }
 
-// compareDeadlines orders asks of a session, and sessions and organisations with equal start tags. Those that are late in any
-// case go last: before others, they would make those late as well.
+// compareDeadlines orders asks of a session, and sessions and organisations with equal start tags. Those that are late
+// in any case go last: before others, they would make those late as well.
 func compareDeadlines(a, b *request) int {
 	if a.late != b.late {
 		if a.late {
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -67,8 +67,8 @@
 // cost is what fairness counts of the request: the tokens that it makes the upstream prefill and hold.
 func (r *request) cost() float64 { return float64(max(1, r.ask.PrefillTokens+r.ask.OwnTokens)) }
 
-// isRepeatedBy reports whether an ask with the same ID asks the same again. A queued ask whose box doesn't wait any more
-// is decided on anew.
+// isRepeatedBy reports whether an ask with the same ID asks the same again. A queued ask whose box doesn't wait any
+// more is decided on anew.
 func (r *request) isRepeatedBy(a Ask) bool {
 	return r.ask.Upstream == a.Upstream && (r.phase != waiting || a.MayQueue && !a.Force)
 }
--- a/internal/admission/room.go
+++ b/internal/admission/room.go
@@ -49,8 +49,8 @@
 	// rateWeight makes estimates follow from the mean rate of ends alone if the times of requests deviate by a quarter or
 	// more. Then the order in which requests end is hardly that of their starts.
 	rateWeight = 4
-	// deviationMargin is the margin of a wait at the ask for the deviation of the times of requests. With less, up to half
-	// of the refusals came after a wait.
+	// deviationMargin is the margin of a wait at the ask for the deviation of the times of requests. With less, up to
+	// half of the refusals came after a wait.
 	deviationMargin = 2
 )
 
