--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -24,22 +24,34 @@
 // inTime reports whether a request that is expected to start after a time is in time.
 func (r *request) inTime(startIn, now clock.Millis) bool { return now+startIn <= r.inTimeMs }
 
-// waitMargin is the inverse of the margin by which a request that waits must be expected in time. More urgent work comes
-// unevenly: without a margin, a tenth of the queued asks were denied after a wait.
+// waitMargin is the inverse of the margin by which a request that waits must be expected in time. More urgent work
+// comes unevenly: without a margin, a tenth of the queued asks were denied after a wait.
 const waitMargin = 6
 
 // lateTolerance is the inverse of the part of an objective by which a queued ask may become late before it is
-// reconsidered. The estimate varies by about as much, and a denial after a wait costs its caller more than a late event.
+// reconsidered. The estimate varies by about as much, and a denial after a wait costs its caller more than a late
+// event.
 const lateTolerance = 16
 
+// tolerance returns by how much a queued ask may become late before it is reconsidered. Waits for slots and memory vary
+// with the times for which requests run.
+func (u *upstream) tolerance(r *request, ahead load) clock.Millis {
+	tolerated := r.objectiveMs / lateTolerance
+	if slots, tokens := u.lacking(r, ahead); slots > 0 || tokens > 0 {
+		tolerated += clock.Millis(u.pool.holds.deviation(r.ask.Urgency) * float64(r.objectiveMs))
+	}
+	return tolerated
+}
+
 // safelyInTime reports whether a request that waits can be in time even if more urgent work comes than of late.
 func (r *request) safelyInTime(startIn, now clock.Millis) bool {
 	return r.inTime(startIn+startIn/waitMargin, now)
 }
 
 // acceptsLate reports whether a request is accepted although it can't be in time: while its upstream has been behind
-// for less than one objective, since a short burst drains by itself and a late response is better than none, and if its
-// caller still waits then. While times are unknown, nothing is denied because of them.
+// for less than one objective, since a short burst drains by itself and a late response is better than none, and if it
+// is late by less than one objective and its caller still waits then. While times are unknown, nothing is denied
+// because of them.
 func (u *upstream) acceptsLate(r *request, startIn, now clock.Millis) bool {
 	if !u.pool.times.mayDeny() {
 		return true
@@ -53,7 +65,7 @@
 // kind is not denied less often.
 func (u *upstream) deniedMoreUrgent(r *request, now clock.Millis) bool {
 	for urgency, deniedMs := range u.pool.deniedMs {
-		if urgency < r.ask.Urgency && now-deniedMs < r.objectiveMs {
+		if urgency < r.ask.Urgency && deniedMs > 0 && now-deniedMs < r.objectiveMs {
 			return true
 		}
 	}
@@ -67,9 +79,9 @@
 	return max(0, startIn-clock.Millis(max(own, u.pool.objectives.targetMs(now))))
 }
 
-// displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of a
-// caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of other
-// organisations don't count: what is fair between organisations takes precedence.
+// displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of
+// a caller that came back does. Denying the newcomer at once is better than denying the other after a wait. Those of
+// other organisations don't count: what is fair between organisations takes precedence.
 func (u *upstream) displaces(r *request, now clock.Millis) bool {
 	organisation := u.queue.class(r.ask.Urgency).organisations.flows[r.ask.Organisation]
 	if organisation == nil {
@@ -86,8 +98,8 @@
 	slices.SortFunc(behind, compareDeadlines)
 	ahead, own := u.queue.ahead(r), r.load()
 	for _, other := range behind {
-		if !other.inTime(u.startAfter(other, ahead.plus(own), 0, now), now) &&
-			other.inTime(u.startAfter(other, ahead, 0, now), now) {
+		if !other.inTime(u.startAfter(other, ahead.plus(own), false, now), now) &&
+			other.inTime(u.startAfter(other, ahead, false, now), now) {
 			return true
 		}
 		ahead = ahead.plus(other.waitingLoad)
@@ -95,33 +107,32 @@
 	return false
 }
 
-// denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not accepted
-// late. Longest-waiting asks are looked at first: without those, later ones may be in time.
+// denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not
+// accepted late. Longest-waiting asks are looked at first: without those, later ones may be in time.
 func (u *upstream) denyHopeless(now clock.Millis) []Grant {
 	grants := []Grant{}
 	for _, r := range u.queue.all() {
 		if now >= r.giveUpMs || !u.reconsider(r, now) {
-			if r.ask.Urgency == 1 {
-			}
 			grants = append(grants, u.denyQueued(r, now))
 		}
 	}
 	return grants
 }
 
-// reconsider reports whether a queued ask is kept. Unlike at the ask, more urgent work that may yet come does not count,
-// so that a queued ask isn't denied because of a rate that varies. One that was accepted late is kept while its caller
-// waits: denying it at the end of the burst would refuse it after seconds.
+// reconsider reports whether a queued ask is kept. One that was accepted late is kept while its caller waits: denying
+// it at the end of the burst would refuse it after seconds.
 func (u *upstream) reconsider(r *request, now clock.Millis) bool {
-	startIn := u.startInWith(r, 0, now)
+	ahead := u.queue.ahead(r)
+	startIn := u.startAfter(r, ahead, false, now)
 	switch {
 	case r.late:
 		return now+startIn < r.giveUpMs || !u.pool.times.mayDeny()
-	case r.inTime(startIn-r.objectiveMs/lateTolerance, now):
+	case r.inTime(startIn-u.tolerance(r, ahead), now):
 		return true
 	case !u.acceptsLate(r, startIn, now):
 		return false
 	}
+	// The order of a session's asks depends on the flag.
 	u.queue.remove(r, now)
 	r.late = true
 	u.queue.push(r)
@@ -136,16 +147,7 @@
 
 func (u *upstream) deny(r *request, startIn, now clock.Millis) Answer {
 	if r.ask.MayQueue {
-		u.pool.recordDenial(r.ask.Urgency, now)
+		u.pool.deniedMs[r.ask.Urgency] = now
 	}
 	return Answer{StartInMs: startIn, DrainMs: u.drainMs(r, startIn, now), Provisional: u.provisional(now)}
 }
-
-func (p *pool) recordDenial(urgency int, now clock.Millis) {
-	if p.deniedMs == nil {
-		p.deniedMs = map[int]clock.Millis{}
-	}
-	if _, found := p.deniedMs[urgency]; found || len(p.deniedMs) < maxClasses {
-		p.deniedMs[urgency] = now
-	}
-}
