fix(admission): a full queue gives way to urgent asks and other organisations

Cause: 64 queued asks of a less urgent kind, or of one organisation, had every other ask at the upstream denied.

Change: the last ask of a less urgent class, or of the organisation with more asks there, is denied instead. Files and functions are named after prefill times and capacity.

--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -69,9 +69,9 @@
 	times.observe(r.ask.PrefillTokens, interval/u.pace.reported())
 }
 
-// expireBacklog counts requests as started whose start is long overdue. They keep their slot and their memory until
+// expireLostStarts counts requests as started whose start is long overdue. They keep their slot and their memory until
 // their release or until the permit expires.
-func (u *upstream) expireBacklog(now clock.Millis) {
+func (u *upstream) expireLostStarts(now clock.Millis) {
 	for _, r := range slices.Clone(u.backlog.requests) {
 		if now >= r.lostMs {
 			u.backlog.remove(r, false, now)
--- a/internal/admission/room.go
+++ b/internal/admission/capacity.go
@@ -65,26 +65,28 @@
 	return slots, tokens
 }
 
-// roomMs returns the expected time until slots and memory suffice for the requests ahead and this one. If requests run
-// for equal times, it follows from the expected ends of those that were granted: where few large requests share the
-// memory, a mean rate is off by seconds. At the ask, it allows for the deviation of the times and for others that take
-// the place of more urgent requests.
-func (u *upstream) roomMs(r *request, ahead load, atAsk bool, now clock.Millis) float64 {
+// capacityWaitMs returns the expected time until slots and memory suffice for the requests ahead and this one. If
+// requests run for equal times, it follows from the expected ends of those that were granted: where few large requests
+// share the memory, a mean rate is off by seconds. At the ask, it allows for the deviation of the times and for others
+// that take the place of more urgent requests.
+func (u *upstream) capacityWaitMs(r *request, ahead load, atAsk bool, now clock.Millis) float64 {
 	slots, tokens := u.lacking(r, ahead)
 	if slots == 0 && tokens == 0 {
 		return 0
 	}
 	deviation := u.pool.holds.deviation(r.ask.Urgency)
 	weight := min(1, rateWeight*deviation)
-	ms := (1-weight)*u.endsMs(r, slots, tokens, atAsk, now) + weight*u.rateMs(slots, tokens)
+	ends, rate := u.waitByEndsMs(r, slots, tokens, atAsk, now), u.waitByRateMs(slots, tokens)
+	ms := (1-weight)*ends + weight*rate
 	if atAsk {
 		ms *= 1 + deviationMargin*deviation
 	}
 	return ms
 }
 
-// endsMs returns the expected time until so many slots and tokens become free, from the expected ends of requests.
-func (u *upstream) endsMs(r *request, slots, tokens float64, atAsk bool, now clock.Millis) float64 {
+// waitByEndsMs returns the expected time until so many slots and tokens become free, from the expected ends of
+// requests.
+func (u *upstream) waitByEndsMs(r *request, slots, tokens float64, atAsk bool, now clock.Millis) float64 {
 	lastMs := 0.0
 	for _, other := range u.holders {
 		if atAsk && other.ask.Urgency < r.ask.Urgency {
@@ -100,8 +102,8 @@
 	return lastMs + u.turnoverMs(r, slots, tokens)
 }
 
-// rateMs returns the same from the mean rate at which the requests there end.
-func (u *upstream) rateMs(slots, tokens float64) float64 {
+// waitByRateMs returns the same from the mean rate at which the requests there end.
+func (u *upstream) waitByRateMs(slots, tokens float64) float64 {
 	slotsPerMs, tokensPerMs := 0.0, 0.0
 	for _, other := range u.holders {
 		if ms := u.pool.holds.ms(other.ask.Urgency); ms > 0 {
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -21,7 +21,7 @@
 	}
 	ahead = ahead.plus(u.turnAhead(r, ahead))
 	waitMs := (u.backlogMs(now) + u.prefillMs(ahead)) / (1 - share)
-	waitMs = max(waitMs, u.roomMs(r, ahead, atAsk, now))
+	waitMs = max(waitMs, u.capacityWaitMs(r, ahead, atAsk, now))
 	return clock.Millis(waitMs + u.prefillMs(prefillOf(r)))
 }
 
--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -107,9 +107,9 @@
 	return false
 }
 
-// denyHopeless denies the queued asks whose callers have given up, or that can no longer be in time and are not
+// denyLate denies the queued asks whose callers have given up, or that can no longer be in time and are not
 // accepted late. Longest-waiting asks are looked at first: without those, later ones may be in time.
-func (u *upstream) denyHopeless(now clock.Millis) []Grant {
+func (u *upstream) denyLate(now clock.Millis) []Grant {
 	grants := []Grant{}
 	for _, r := range u.queue.all() {
 		if now >= r.giveUpMs || !u.reconsider(r, now) {
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -32,7 +32,7 @@
 
 // pool is what is common to the upstreams of a pool.
 type pool struct {
-	times      readTimes
+	times      prefillTimes
 	holds      holdTimes
 	objectives objectives
 	// deniedMs is when an ask of an urgency was last denied, or 0.
@@ -166,8 +166,8 @@
 	grants := []Grant{}
 	for _, u := range l.inOrder() {
 		u.observe(now)
-		u.expireBacklog(now)
-		denied := u.denyHopeless(now)
+		u.expireLostStarts(now)
+		denied := u.denyLate(now)
 		l.apply(denied)
 		grants = append(grants, denied...)
 		u.queue.forgetIdle(now)
--- a/internal/admission/readtimes.go
+++ b/internal/admission/prefilltimes.go
@@ -11,22 +11,22 @@
 	maxDeviation = 4
 )
 
-// readTimes learns how long engines of a pool take to prefill a prompt: a fixed part and a part per token, by weighted
-// least squares over the intervals between starts while an engine was busy.
-type readTimes struct {
+// prefillTimes learns how long engines of a pool take to prefill a prompt: a fixed part and a part per token, by
+// weighted least squares over the intervals between starts while an engine was busy.
+type prefillTimes struct {
 	starts, samples int
 	// Weighted sums over samples of tokens x and milliseconds y.
 	n, x, y, xx, xy float64
 	fixed, perToken float64
 }
 
-func (t *readTimes) known() bool { return t.samples >= minSamples }
+func (t *prefillTimes) known() bool { return t.samples >= minSamples }
 
 // mayDeny reports whether the times are known so well that asks may be denied because of them.
-func (t *readTimes) mayDeny() bool { return t.starts >= minStarts && t.known() }
+func (t *prefillTimes) mayDeny() bool { return t.starts >= minStarts && t.known() }
 
 // ms returns the expected time to prefill the prompts of a load one after the other, in milliseconds at the usual pace.
-func (t *readTimes) ms(w load) float64 {
+func (t *prefillTimes) ms(w load) float64 {
 	if !t.known() {
 		return 0
 	}
@@ -34,7 +34,7 @@
 }
 
 // observe adds a sample: the prefill of a number of tokens took so many milliseconds.
-func (t *readTimes) observe(tokens int, ms float64) {
+func (t *prefillTimes) observe(tokens int, ms float64) {
 	x := float64(tokens)
 	if expected := t.ms(load{requests: 1, prefill: x}); expected > 0 {
 		ms = min(ms, maxDeviation*expected+1)
@@ -50,7 +50,7 @@
 
 // fit derives both parts. Neither is negative, and prompts of one length say nothing about how they split: then all of
 // the time counts as time per token.
-func (t *readTimes) fit() {
+func (t *prefillTimes) fit() {
 	variance := t.n*t.xx - t.x*t.x
 	if variance > minRelativeVariance*t.n*t.xx {
 		t.perToken = (t.n*t.xy - t.x*t.y) / variance
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -60,16 +60,14 @@
 		}
 		u.queue.remove(r, now)
 	}
-	accepted := u.queue.length < max(minQueueLength, queuePerSlot*u.slots) &&
-		(r.safelyInTime(startIn, now) || u.acceptsLate(r, startIn, now))
+	accepted := (!u.full() || u.evictable(r) != nil) && (r.safelyInTime(startIn, now) || u.acceptsLate(r, startIn, now))
 	if !accepted || !r.ask.MayQueue || u.pool.times.mayDeny() && u.displaces(r, now) {
 		denial := u.deny(r, startIn, now)
 		denial.Late = accepted && answer.Late
 		return denial, grants
 	}
-	u.queue.push(r)
 	answer.Verdict = Queued
-	return answer, grants
+	return answer, append(grants, u.enqueue(r, now)...)
 }
 
 // grant counts a request as sent.
