feat(balance): Retry-After of denied prompts follows the share that is denied

Change: the delay is divided by the share of the pool's prompts of the last 2 s that were admitted, up to a third of the time that the caller has left.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -140,6 +140,7 @@
 		case err != nil && ctx.Err() != nil:
 			return nil, fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		default:
+			m.recordAdmission(request, err)
 			return lease, err
 		}
 		w.request.again = true
@@ -506,19 +507,6 @@
 	return clock.Millis(r.tookMs / r.tokens * tokens)
 }
 
-// RetryAfterOverload returns how long a caller whose prompt no engine can serve in time should wait before it returns:
-// until an owner expects to grant a prompt like it, varied by a quarter so that callers that were refused together
-// return apart. It is 0 if the caller would then have no time to be served.
-func (m *Manager) RetryAfterOverload(e *OverloadedError, remainingMs clock.Millis) clock.Millis {
-	span := e.DrainMs()
-	span += clock.Millis(m.random(int(span/2)+1)) - span/4 //nolint:mnd // A quarter either way.
-	span = max(minRetryAfterMs, span)
-	if span+e.FirstEventMs > remainingMs {
-		return 0
-	}
-	return span
-}
-
 // DemandOf completes what a caller tells of the size of a request from the parts of its prompt.
 func DemandOf(told work.Demand, p prompt.Prompt) work.Demand {
 	shared, all := boundedTokens(p.Shared()), boundedTokens(p)
--- a/internal/balance/admission_test.go
+++ b/internal/balance/admission_test.go
@@ -420,9 +420,23 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f.random = c.random
-			assert.Equal(t, c.want, f.RetryAfterOverload(c.e, c.remaining))
+			assert.Equal(t, c.want, f.RetryAfterOverload(c.e, "p", c.remaining))
 		})
 	}
+	t.Run("longer while most prompts are denied, up to a third of the time left", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.random = func(n int) int { return n / 2 }
+		for range 30 {
+			f.recordAdmission(PickRequest{Pool: "p"}, overload(400))
+		}
+		for range 9 {
+			f.recordAdmission(PickRequest{Pool: "p"}, nil)
+		}
+		assert.InDelta(t, 1600, int(f.RetryAfterOverload(overload(400), "p", 6000)), 2)
+		assert.InDelta(t, 1000, int(f.RetryAfterOverload(overload(400), "p", 3000)), 2)
+		f.now += 10 * denialWindowMs
+		assert.InDelta(t, 400, int(f.RetryAfterOverload(overload(400), "p", 6000)), 2)
+	})
 	t.Run("the first event is expected by the learnt prefill times", func(t *testing.T) {
 		f, o := newFixture(t, 12), &owners{reply: always(denied(9000, 50))}
 		assert.Equal(t, testObjectiveMs, f.refusal(t, o, prompted("s")).FirstEventMs)
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -84,6 +84,8 @@
 	fleetSize int
 	// prefillRates holds what this box has learnt of the time that prefills take, by pool.
 	prefillRates map[string]*prefillRate
+	// admissionShares holds the shares of recent prompts that were denied, by pool.
+	admissionShares map[string]*admissionShare
 	// boxesPerReport is the number of boxes for each one whose unstarted prompts this box knows.
 	boxesPerReport func() float64
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
@@ -105,7 +107,8 @@
 		brittle: map[string]brittlePool{}, attempts: map[string]*attemptCounts{},
 		stalledSinceMs: map[string]clock.Millis{}, respondingMs: map[string]clock.Millis{},
 		stalledTrials: map[string]*stalledTrial{}, prefillRates: map[string]*prefillRate{},
-		boxesPerReport: func() float64 { return 1 },
+		admissionShares: map[string]*admissionShare{},
+		boxesPerReport:  func() float64 { return 1 },
 	}
 }
 
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -26,7 +26,7 @@
 	// OnDecided counts a decision by its verdict, with the time that the request waited.
 	OnDecided func(verdict string, waitedMs clock.Millis)
 	// RetryAfter returns the Retry-After of a request that no engine can serve in time, or 0 to give none.
-	RetryAfter func(e *balance.OverloadedError, remainingMs clock.Millis) clock.Millis
+	RetryAfter func(e *balance.OverloadedError, pool string, remainingMs clock.Millis) clock.Millis
 }
 
 // Verdicts in log lines and metrics, beside those of the owners.
@@ -169,7 +169,7 @@
 func (s *retryLoop) refuseOverloaded(e *balance.OverloadedError, err error) error {
 	remaining := s.request.RemainingMs(s.pipe.deps.Clock.Monotonic())
 	return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsOverloaded,
-		s.pipe.deps.Admission.RetryAfter(e, remaining), err)
+		s.pipe.deps.Admission.RetryAfter(e, s.request.Pool, remaining), err)
 }
 
 // observeEvents records the number of events of a stream that one upstream sent completely.
