feat(work): prompts are admitted only if their streams can end in time

Cause: the owner of an engine was told the time until the request's limit as the time for the first event, so that prompts accepted late began and were cut off by their limit.

Change: the time that streams of the route take, twice the mean, is taken off.

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -55,6 +55,7 @@
 			return b.steps.authorise.Reauthorise(r, b.routingState.State())
 		},
 		ExpectOutput: b.lengths.Expect, ObserveEvents: b.lengths.ObserveEvents,
+		ObserveStream: b.lengths.ObserveStream, AllowForStream: b.lengths.AllowForStream,
 		OnDecided: b.metrics.AdmissionDecided, RetryAfter: b.balance.RetryAfterOverload,
 	}
 }
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -23,6 +23,10 @@
 	ExpectOutput func(route string, d work.Demand) int
 	// ObserveEvents records the number of events of a complete stream.
 	ObserveEvents func(route string, d work.Demand, events int)
+	// ObserveStream records the time from the first event of a complete stream to its end, and AllowForStream returns the
+	// time to allow for it, or 0 if it is unknown.
+	ObserveStream  func(route string, took clock.Millis)
+	AllowForStream func(route string) clock.Millis
 	// OnDecided counts a decision by its verdict, with the time that the request waited.
 	OnDecided func(verdict string, waitedMs clock.Millis)
 	// RetryAfter returns the Retry-After of a request that no engine can serve in time, or 0 to give none.
@@ -64,7 +68,7 @@
 	demand := demandOf(r)
 	request := &balance.AdmissionRequest{
 		Demand: demand, OutputTokens: p.deps.Admission.ExpectOutput(r.Route.Name, demand),
-		Urgency: min(r.Priority(), maxUrgency), PatienceMs: patienceMs(r, p.deps.Clock.Monotonic()),
+		Urgency: min(r.Priority(), maxUrgency), PatienceMs: p.patienceMs(r),
 		Force: r.Sent > 0 || s.stream != nil || r.Trial || r.TakesUpStream(),
 	}
 	if r.Organisation != nil {
@@ -76,9 +80,10 @@
 	return request
 }
 
-// patienceMs returns the time until the caller gives up if no event comes before.
-func patienceMs(r *opaque.Request, now clock.Millis) clock.Millis {
-	remaining := r.RemainingMs(now)
+// patienceMs returns the time within which the first event must come for the caller to get the whole response.
+func (p *Pipe) patienceMs(r *opaque.Request) clock.Millis {
+	now := p.deps.Clock.Monotonic()
+	remaining := r.RemainingMs(now) - p.deps.Admission.AllowForStream(r.Route.Name)
 	if r.Route.GiveUpMs > 0 {
 		remaining = min(remaining, r.ArrivedMs+r.Route.GiveUpMs-now)
 	}
@@ -172,11 +177,12 @@
 		s.pipe.deps.Admission.RetryAfter(e, s.request.Pool, remaining), err)
 }
 
-// observeEvents records the number of events of a stream that one upstream sent completely.
+// observeEvents records the length of a stream that one upstream sent completely.
 func (s *retryLoop) observeEvents(events int) {
 	r := s.request
 	if s.pipe.needsAdmission(r) && r.Sent == 1 && !r.TakesUpStream() {
 		s.pipe.deps.Admission.ObserveEvents(r.Route.Name, demandOf(r), events)
+		s.pipe.deps.Admission.ObserveStream(r.Route.Name, s.pipe.deps.Clock.Monotonic()-s.stream.startedMs)
 	}
 }
 
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/eventstream"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/streams"
@@ -21,6 +22,8 @@
 	request *opaque.Request
 	// completeOnly makes the stream relay complete events only.
 	completeOnly bool
+	// startedMs is when the response headers arrived.
+	startedMs clock.Millis
 	// dataSent is set once any event data was sent to the caller.
 	dataSent bool
 	// events finds the ends of events in the response of the current upstream.
@@ -112,7 +115,10 @@
 // the same after a resume.
 func (s *retryLoop) startStream(resp *upstream.Response) {
 	r := s.request
-	s.stream = &stream{request: r, completeOnly: r.Route.Resumable, onOrigin: s.pipe.deps.OnStreamOrigin}
+	s.stream = &stream{
+		request: r, startedMs: s.pipe.deps.Clock.Monotonic(), completeOnly: r.Route.Resumable,
+		onOrigin: s.pipe.deps.OnStreamOrigin,
+	}
 	setResponseHeader(r.Writer.Header(), r.Dialect.ResponseHeader(resp.Header))
 	r.SetHopHeaders()
 	r.Writer.HoldUnread(s.cancel)
--- a/internal/work/lengths.go
+++ b/internal/work/lengths.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sync"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 const (
@@ -19,8 +21,8 @@
 	eventRatios = 33
 )
 
-// Lengths learns how the lengths of outputs relate to callers' hints and maxima, by route. It is safe for concurrent
-// use.
+// Lengths learns how the lengths of outputs relate to callers' hints and maxima, and how long streams take, by route. It
+// is safe for concurrent use.
 //
 // This answers loads that fill the memory of engines: callers set maxima far above what they get.
 type Lengths struct {
@@ -32,6 +34,8 @@
 type routeLengths struct {
 	// perHint and perMaximum are the lengths of outputs as multiples of the hint, or of the maximum without one.
 	perHint, perMaximum average
+	// streamMs is the time from the first event of a stream to its end.
+	streamMs average
 	// perEvent holds the latest ratios of a hint to a number of events. Hints are right in the median, and so the median
 	// of the ratios is the number of tokens per event.
 	perEvent []float64
@@ -110,6 +114,29 @@
 	known.observe(d, sorted[len(sorted)/2]*float64(events))
 }
 
+// ObserveStream records the time from the first event of a complete stream to its end.
+func (l *Lengths) ObserveStream(route string, took clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.route(route); known != nil {
+		known.streamMs.record(float64(took))
+	}
+}
+
+// streamMargin is the time that is allowed for a stream in relation to the mean, because lengths vary.
+const streamMargin = 2
+
+// AllowForStream returns the time to allow from the first event of a stream to its end, or 0 while it is unknown.
+func (l *Lengths) AllowForStream(route string) clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.routes[route]
+	if known == nil {
+		return 0
+	}
+	return clock.Millis(streamMargin * known.streamMs.or(0))
+}
+
 func (r *routeLengths) observe(d Demand, outputTokens float64) {
 	switch {
 	case d.HintTokens > 0:
--- a/internal/work/lengths_test.go
+++ b/internal/work/lengths_test.go
@@ -52,3 +52,15 @@
 		assert.Equal(t, 500, l.Expect("r", unhinted))
 	})
 }
+
+// TestAllowForStream guards against prompts that are sent when their streams can't end before the caller gives up.
+func TestAllowForStream(t *testing.T) {
+	l := NewLengths()
+	assert.Zero(t, l.AllowForStream("r"), "an unknown route")
+	for range minLengths - 1 {
+		l.ObserveStream("r", 300)
+	}
+	assert.Zero(t, l.AllowForStream("r"), "too few streams")
+	l.ObserveStream("r", 300)
+	assert.InDelta(t, 600, int(l.AllowForStream("r")), 1)
+}
