--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -53,6 +53,10 @@
 				Name:  "stalls",
 				Usage: "also hold back the data between boxes and all servers, while connections open",
 			},
+			&cli.BoolFlag{
+				Name:  "overload",
+				Usage: "also send more long prompts than servers can read at a changing pace, with admission on",
+			},
 			&cli.BoolFlag{
 				Name:  "keep-versions",
 				Usage: "servers that restart under their id run the same software version as before",
@@ -97,7 +101,7 @@
 		Program: program, Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
-		Stalls: c.Bool("stalls"), KeepVersions: c.Bool("keep-versions"),
+		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,6 +48,9 @@
 	Partitions bool
 	// Stalls also holds back the data between some boxes and all servers for some time, while connections open.
 	Stalls bool
+	// Overload also sends long prompts to servers that read them one after the other, at a changing pace, and switches
+	// admission and learned paces on.
+	Overload bool
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
@@ -211,6 +214,9 @@
 		a.Box = s.link.ownerAt(a.Remote)
 		f.history.recordArrival(a)
 	})
+	if f.settings.Overload {
+		current.ReadPrompts(f.drawPace())
+	}
 	current.OnFatal(func(crashed *standin.Server, by standin.Fatal) { f.crashOnFatal(s, crashed, by) })
 	return current
 }
@@ -252,6 +258,9 @@
 		"retry_budget: {ratio: 0.2, slack: %d}\nshutdown: {grace_s: %d}\n",
 		b.name, i%domainCount, callersAddress, ip, readinessPort, ip, peersPort, contact, b.store.address(), maxAgeMs,
 		retrySlack, shutdownGraceS)
+	if f.settings.Overload {
+		settings += "admission: {enabled: true}\npace: {learn: true}\n"
+	}
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -73,6 +73,9 @@
 	if f.settings.Evacuations {
 		workers.Go(func() { f.injectEvacuations(clients) })
 	}
+	if f.settings.Overload {
+		workers.Go(func() { f.injectOverload(clients) })
+	}
 	if f.settings.Stalls {
 		workers.Go(func() { f.injectStalls(clients) })
 	}
