--- a/internal/balance/overloadretry.go
+++ b/internal/balance/overloadretry.go
@@ -10,6 +10,9 @@
 const (
 	// denialWindowMs is the time constant with which decisions on prompts are forgotten.
 	denialWindowMs = 2 * clock.Second
+	// priorDecisions is the number of admitted prompts that are assumed beside those seen, so that a single denial says
+	// little.
+	priorDecisions = 8
 	// maxDenialFactor bounds by how much the share of denied prompts lengthens a delay.
 	maxDenialFactor = 8
 	// patienceDivisor bounds a longer delay to a part of the time that the caller has left, so that it can still be served.
@@ -30,7 +33,7 @@
 // factor returns how many returns a caller would need on average until it is admitted.
 func (s *admissionShare) factor(now clock.Millis) float64 {
 	s.decay(now)
-	return min(maxDenialFactor, (s.decided+1)/(s.decided-s.denied+1))
+	return min(maxDenialFactor, (s.decided+priorDecisions)/(s.decided-s.denied+priorDecisions))
 }
 
 func (m *Manager) admissionShareOf(pool string) *admissionShare {
