fix(balance): the number of boxes is set from outside the balancer's lock

Cause: the balancer called the mesh under its own lock, and the mesh calls the balancer under its own when it sends announcements.

Change: housekeeping sets the number of boxes for each one whose unstarted prompts are known, as it does the size of the fleet.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -320,7 +320,7 @@
 			Admission: w.record, started: reply.Started, prefillTokens: e.ask.PrefillTokens, sentMs: now,
 		}
 		l.unstartedTokens += e.ask.PrefillTokens
-		l.admitted.aheadTokens = float64(l.unstartedTokens) * m.boxesPerReport()
+		l.admitted.aheadTokens = float64(l.unstartedTokens) * m.boxesPerReport
 	}
 	m.mu.Unlock()
 	if !usable {
@@ -438,7 +438,7 @@
 	if !rate.known() {
 		return 0
 	}
-	return rate.forTokens(float64(member.unstartedTokens)*m.boxesPerReport() + float64(prefillTokens))
+	return rate.forTokens(float64(member.unstartedTokens)*m.boxesPerReport + float64(prefillTokens))
 }
 
 func (m *Manager) prefillRateOf(pool string) *prefillRate {
--- a/internal/balance/admission_test.go
+++ b/internal/balance/admission_test.go
@@ -353,7 +353,7 @@
 		assert.Equal(t, first.ID, second.ID, "the parts are cached there by now")
 		first.Release(Neutral)
 		first = f.pickAdmitted(t, o, prompted("x"))
-		f.SetBoxesPerReport(func() float64 { return 2 })
+		f.SetBoxesPerReport(2)
 		third := f.pickAdmitted(t, o, prompted("x"))
 		assert.NotEqual(t, first.ID, third.ID, "300 ms of this box and as much of another one are ahead")
 		assert.Equal(t, []string{first.ID, first.ID}, []string{o.asked[2], o.asked[3]})
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -84,7 +84,7 @@
 	// prefillRates holds what this box has learnt of the time that prefills take, by pool.
 	prefillRates map[string]*prefillRate
 	// boxesPerReport is the number of boxes for each one whose unstarted prompts this box knows.
-	boxesPerReport func() float64
+	boxesPerReport float64
 	// departedSignals holds the signals of upstreams whose entries are gone, by ID.
 	departedSignals map[string]*upstreamSignals
 }
@@ -103,13 +103,16 @@
 		brittle: map[string]brittlePool{}, attempts: map[string]*attemptCounts{},
 		stalledSinceMs: map[string]clock.Millis{}, respondingMs: map[string]clock.Millis{},
 		stalledTrials: map[string]*stalledTrial{}, prefillRates: map[string]*prefillRate{},
-		boxesPerReport: func() float64 { return 1 },
+		boxesPerReport: 1,
 	}
 }
 
-// SetBoxesPerReport sets the function that returns the number of boxes for each one whose unstarted prompts this box
-// knows. Call it before the manager is used.
-func (m *Manager) SetBoxesPerReport(boxesPerReport func() float64) { m.boxesPerReport = boxesPerReport }
+// SetBoxesPerReport sets the number of boxes for each one whose unstarted prompts this box knows.
+func (m *Manager) SetBoxesPerReport(boxes float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.boxesPerReport = boxes
+}
 
 // SetUpstreams applies a newer list. Upstreams that stay keep their state.
 func (m *Manager) SetUpstreams(list []registry.Upstream) {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -151,7 +151,6 @@
 		},
 	}, b.clock.Monotonic, b.connect, rand.IntN)
 	b.balance.SetFleetSize(minAssumedFleet)
-	b.balance.SetBoxesPerReport(b.boxesPerReport)
 	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation,
 		evacuation.WithConfirmationAge(b.routingState.AgeMs))
 	b.origins = newStreamOrigins(b)
@@ -315,6 +314,7 @@
 	b.balance.SetEnginePermits(b.peering.mesh.EnginePermits())
 	b.balance.SetOthersInFlightAge(b.peering.mesh.OthersInFlightAgeMs())
 	b.balance.SetFleetSize(b.peering.fleetSizeBound())
+	b.balance.SetBoxesPerReport(b.boxesPerReport())
 	b.balance.Refresh()
 	b.forwarding.expire()
 	b.peering.mesh.ExpirePermits()
