--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,7 +16,7 @@
 	// session that was served goes after others. For longer, a chat would go after new sessions for as long as an
 	// overload lasts.
 	flowTTLMs = 2 * clock.Second
-	// maxClasses bounds the number of urgencies that are told apart.
+	// maxClasses is the number of urgencies that are told apart.
 	maxClasses = 16
 )
 
@@ -35,16 +35,12 @@
 	aboveMs clock.Millis
 }
 
-// class returns the class of an urgency. Beyond maxClasses, the least urgent one takes the others.
+// class returns the class of an urgency.
 func (q *queue) class(urgency int) *class {
 	i, found := slices.BinarySearchFunc(q.classes, urgency, func(c *class, u int) int { return c.urgency - u })
-	if found {
-		return q.classes[i]
+	if !found {
+		q.classes = slices.Insert(q.classes, i, &class{urgency: urgency, organisations: newSchedule()})
 	}
-	if len(q.classes) >= maxClasses {
-		return q.classes[min(i, len(q.classes)-1)]
-	}
-	q.classes = slices.Insert(q.classes, i, &class{urgency: urgency, organisations: newSchedule()})
 	return q.classes[i]
 }
 
@@ -100,6 +96,16 @@
 	return c != nil && c.urgency <= urgency
 }
 
+// waitsBelow reports whether less urgent asks than those of an urgency wait.
+func (q *queue) waitsBelow(urgency int) bool {
+	for _, c := range slices.Backward(q.classes) {
+		if c.waiting.requests > 0 {
+			return c.urgency > urgency
+		}
+	}
+	return false
+}
+
 // several reports whether asks of several urgencies wait.
 func (q *queue) several() bool {
 	count := 0
@@ -151,8 +157,8 @@
 }
 
 // schedule is a start-time fair queue of flows. The start tag of a flow that begins to wait is the finish tag of its
-// last request, but at least the virtual time, which is the largest start tag that was served. Flows with equal tags are
-// served by their earliest deadline, so that callers that came back go before new ones.
+// last request, but at least the virtual time, which is the largest start tag that was served. Flows with equal tags
+// are served by their earliest deadline, so that callers that came back go before new ones.
 type schedule struct {
 	virtual float64
 	flows   map[namekey.Key]*flow
@@ -238,8 +244,8 @@
 	return nil
 }
 
-// compareDeadlines orders asks of a session, and sessions and organisations with equal start tags. Those that are late in any
-// case go last: before others, they would make those late as well.
+// compareDeadlines orders asks of a session, and sessions and organisations with equal start tags. Those that are late
+// in any case go last: before others, they would make those late as well.
 func compareDeadlines(a, b *request) int {
 	if a.late != b.late {
 		if a.late {
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -42,6 +42,21 @@
 	lostMs, untilMs clock.Millis
 }
 
+const (
+	maxUrgency = maxClasses - 1
+	// maxTokens keeps sums of tokens exact.
+	maxTokens = 1 << 30
+)
+
+// bounded returns the ask with its numbers within bounds, since other boxes send them.
+func (a Ask) bounded() Ask {
+	a.Urgency = min(maxUrgency, max(0, a.Urgency))
+	for _, n := range []*int{&a.PrefillTokens, &a.OwnTokens, &a.SharedTokens, &a.MemoryTokens, &a.Slots} {
+		*n = min(maxTokens, max(0, *n))
+	}
+	return a
+}
+
 // load returns what the request adds to its upstream.
 func (r *request) load() load {
 	return load{
@@ -52,8 +67,8 @@
 // cost is what fairness counts of the request: the tokens that it makes the upstream prefill and hold.
 func (r *request) cost() float64 { return float64(max(1, r.ask.PrefillTokens+r.ask.OwnTokens)) }
 
-// isRepeatedBy reports whether an ask with the same ID asks the same again. A queued ask whose box doesn't wait any more
-// is decided on anew.
+// isRepeatedBy reports whether an ask with the same ID asks the same again. A queued ask whose box doesn't wait any
+// more is decided on anew.
 func (r *request) isRepeatedBy(a Ask) bool {
 	return r.ask.Upstream == a.Upstream && (r.phase != waiting || a.MayQueue && !a.Force)
 }
--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -140,6 +140,7 @@
 		case err != nil && ctx.Err() != nil:
 			return nil, fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		default:
+			m.recordAdmission(request, err)
 			return lease, err
 		}
 		w.request.again = true
@@ -195,11 +196,30 @@
 			return w.commit(ctx, engine)
 		}
 		w.asked = append(w.asked, engine)
+		if w.waitsForHolder(engine) {
+			break
+		}
 		w.request.Full = append(w.request.Full, engine.lease.ID)
 	}
 	return w.wait(ctx)
 }
 
+// minMovedTokens is the number of tokens that another engine would have to prefill in addition for a prompt to wait at the
+// engine that caches them. Fewer take less time than the question to another owner saves.
+const minMovedTokens = 1000
+
+// waitsForHolder reports whether the prompt waits at the engine that was asked first and caches its shared parts,
+// instead of being prefilled elsewhere: in an overload, sessions that move make engines prefill the same parts again,
+// which takes capacity from other prompts.
+func (w *admissionWalk) waitsForHolder(e *askedEngine) bool {
+	cached := w.request.Admission.Demand.PromptTokens - e.ask.PrefillTokens
+	return len(w.asked) == 1 && e.lease.Rank == 0 && !e.doubtful && !e.onProbation &&
+		cached >= minMovedTokens && e.startInMs > 0 && e.startInMs+e.startInMs/holderMargin <= e.ask.InTimeMs
+}
+
+// holderMargin is the inverse of the margin by which a prompt must be expected in time to wait where it is cached.
+const holderMargin = 4
+
 // wait has the prompt wait at the owner that would start it first. It returns an OverloadedError if none would start it
 // in time: a prompt that waits although it will be late is mostly refused later, when its caller has no time left.
 func (w *admissionWalk) wait(ctx context.Context) (*Lease, error) {
@@ -211,7 +231,9 @@
 		return !e.doubtful && !e.onProbation && e.startInMs <= e.ask.InTimeMs
 	})
 	if queue != nil {
-		queue.ask.MayQueue = true
+		// After so many refusals the load bound no longer counts, as for permits: an engine with capacity is better than
+		// a refusal.
+		queue.ask.MayQueue, queue.ask.Bound = true, 0
 		sinceMs := w.manager.monotonic()
 		w.ask(ctx, queue)
 		w.record.WaitedMs += w.manager.monotonic() - sinceMs
@@ -320,7 +342,7 @@
 			Admission: w.record, started: reply.Started, prefillTokens: e.ask.PrefillTokens, sentMs: now,
 		}
 		l.unstartedTokens += e.ask.PrefillTokens
-		l.admitted.aheadTokens = float64(l.unstartedTokens) * m.boxesPerReport()
+		l.admitted.aheadTokens = float64(l.unstartedTokens) * m.boxesPerReport
 	}
 	m.mu.Unlock()
 	if !usable {
@@ -446,7 +468,7 @@
 	if !rate.known() {
 		return 0
 	}
-	return rate.forTokens(float64(member.unstartedTokens)*m.boxesPerReport() + float64(prefillTokens))
+	return rate.forTokens(float64(member.unstartedTokens)*m.boxesPerReport + float64(prefillTokens))
 }
 
 func (m *Manager) prefillRateOf(pool string) *prefillRate {
@@ -485,19 +507,6 @@
 	return clock.Millis(r.tookMs / r.tokens * tokens)
 }
 
-// RetryAfterOverload returns how long a caller whose prompt no engine can serve in time should wait before it returns:
-// until an owner expects to grant a prompt like it, varied by a quarter so that callers that were refused together
-// return apart. It is 0 if the caller would then have no time to be served.
-func (m *Manager) RetryAfterOverload(e *OverloadedError, remainingMs clock.Millis) clock.Millis {
-	span := e.DrainMs()
-	span += clock.Millis(m.random(int(span/2)+1)) - span/4 //nolint:mnd // A quarter either way.
-	span = max(minRetryAfterMs, span)
-	if span+e.FirstEventMs > remainingMs {
-		return 0
-	}
-	return span
-}
-
 // DemandOf completes what a caller tells of the size of a request from the parts of its prompt.
 func DemandOf(told work.Demand, p prompt.Prompt) work.Demand {
 	shared, all := boundedTokens(p.Shared()), boundedTokens(p)
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -23,10 +23,14 @@
 	ExpectOutput func(route string, d work.Demand) int
 	// ObserveEvents records the number of events of a complete stream.
 	ObserveEvents func(route string, d work.Demand, events int)
+	// ObserveStream records the time from the first event of a complete stream to its end, and AllowForStream returns the
+	// time to allow for it, or 0 if it is unknown.
+	ObserveStream  func(route string, took clock.Millis)
+	AllowForStream func(route string) clock.Millis
 	// OnDecided counts a decision by its verdict, with the time that the request waited.
 	OnDecided func(verdict string, waitedMs clock.Millis)
 	// RetryAfter returns the Retry-After of a request that no engine can serve in time, or 0 to give none.
-	RetryAfter func(e *balance.OverloadedError, remainingMs clock.Millis) clock.Millis
+	RetryAfter func(e *balance.OverloadedError, pool string, remainingMs clock.Millis) clock.Millis
 }
 
 // Verdicts in log lines and metrics, beside those of the owners.
@@ -64,7 +68,7 @@
 	demand := demandOf(r)
 	request := &balance.AdmissionRequest{
 		Demand: demand, OutputTokens: p.deps.Admission.ExpectOutput(r.Route.Name, demand),
-		Urgency: min(r.Priority(), maxUrgency), PatienceMs: r.RemainingMs(p.deps.Clock.Monotonic()),
+		Urgency: min(r.Priority(), maxUrgency), PatienceMs: p.patienceMs(r),
 		Force: r.Sent > 0 || s.stream != nil || r.Trial || r.TakesUpStream(),
 	}
 	if r.Organisation != nil {
@@ -76,6 +80,16 @@
 	return request
 }
 
+// patienceMs returns the time within which the first event must come for the caller to get the whole response.
+func (p *Pipe) patienceMs(r *opaque.Request) clock.Millis {
+	now := p.deps.Clock.Monotonic()
+	remaining := r.RemainingMs(now) - p.deps.Admission.AllowForStream(r.Route.Name)
+	if r.Route.GiveUpMs > 0 {
+		remaining = min(remaining, r.ArrivedMs+r.Route.GiveUpMs-now)
+	}
+	return remaining
+}
+
 // recordAdmission logs and counts how a pick was admitted or denied, if it needed admission.
 func (s *retryLoop) recordAdmission(lease *balance.Lease, err error) {
 	var overloaded *balance.OverloadedError
@@ -160,14 +174,15 @@
 func (s *retryLoop) refuseOverloaded(e *balance.OverloadedError, err error) error {
 	remaining := s.request.RemainingMs(s.pipe.deps.Clock.Monotonic())
 	return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsOverloaded,
-		s.pipe.deps.Admission.RetryAfter(e, remaining), err)
+		s.pipe.deps.Admission.RetryAfter(e, s.request.Pool, remaining), err)
 }
 
-// observeEvents records the number of events of a stream that one upstream sent completely.
+// observeEvents records the length of a stream that one upstream sent completely.
 func (s *retryLoop) observeEvents(events int) {
 	r := s.request
 	if s.pipe.needsAdmission(r) && r.Sent == 1 && !r.TakesUpStream() {
 		s.pipe.deps.Admission.ObserveEvents(r.Route.Name, demandOf(r), events)
+		s.pipe.deps.Admission.ObserveStream(r.Route.Name, s.pipe.deps.Clock.Monotonic()-s.stream.startedMs)
 	}
 }
 
