fix(balance): the balancer asks the mesh nothing while it is locked

Cause: a pick that an owner admitted asked the mesh, under the balancer's lock, how many boxes it knows; the mesh asks the balancer for announcements under its own lock. A box whose two locks met this way stopped for ever.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -89,6 +89,8 @@
 	storeUnavailable atomic.Bool
 	// storeRestoredMs is when this box last found the store restored from an older snapshot, 0 if never.
 	storeRestoredMs atomic.Int64
+	// knownBoxes is the number of boxes that this box knows, as of the last housekeeping.
+	knownBoxes atomic.Int64
 	// synced is closed once the box has a routing state and a list of upstreams.
 	synced     chan struct{}
 	syncedOnce sync.Once
@@ -326,6 +328,7 @@
 	b.balance.SetFleetSize(b.peering.fleetSizeBound())
 	b.balance.SetBoxesPerReport(b.boxesPerReport())
 	b.balance.Refresh()
+	b.knownBoxes.Store(int64(b.peering.mesh.KnownBoxes()))
 	b.forwarding.expire()
 	b.peering.mesh.ExpirePermits()
 	b.quarantine.Expire()
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -61,5 +61,6 @@
 }
 
 // boxesPerReport returns the number of boxes for each one whose unstarted prompts this box knows. Boxes don't tell each
-// other of these, so that it knows its own only.
-func (b *Box) boxesPerReport() float64 { return float64(b.peering.mesh.KnownBoxes()) }
+// other of these, so that it knows its own only. The balancer calls it with its lock held, and the mesh calls the
+// balancer with its own, so that it must not ask the mesh.
+func (b *Box) boxesPerReport() float64 { return float64(max(1, b.knownBoxes.Load())) }
