--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -126,7 +126,7 @@
 	startIn := u.startAfter(r, ahead, false, now)
 	switch {
 	case r.late:
-		return now+startIn < r.giveUpMs || !u.pool.times.mayDeny()
+		return now+startIn+startIn/waitMargin < r.giveUpMs || !u.pool.times.mayDeny()
 	case r.inTime(startIn-u.tolerance(r, ahead), now):
 		return true
 	case !u.acceptsLate(r, startIn, now):
--- a/internal/work/lengths.go
+++ b/internal/work/lengths.go
@@ -123,6 +123,10 @@
 	}
 }
 
+// minStreams is the number of streams after which their time is used. With more, prompts of the first seconds of an
+// overload would be cut off at their limits.
+const minStreams = 4
+
 // streamMargin is the time that is allowed for a stream in relation to the mean, because lengths vary.
 const streamMargin = 2
 
@@ -131,10 +135,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.routes[route]
-	if known == nil {
+	if known == nil || known.streamMs.samples < minStreams {
 		return 0
 	}
-	return clock.Millis(streamMargin * known.streamMs.or(0))
+	return clock.Millis(streamMargin * known.streamMs.value)
 }
 
 func (r *routeLengths) observe(d Demand, outputTokens float64) {
