fix: findings of the review of placement, retries and slow readers

- A pool counts as slow by its last responses and by attempts without one, not by a mean that never ends; streams use at least the time of first bytes.
- The retry timer ignores a check that overlaps with progress or the end.
- The box's own want of memory is no fault of the upstream and isn't retried.
- A first event in time is asked for also where streams take long, whose time counts from the first data.
- A stalled pool forgets an unused trial request of its last stall.
- State of pools that are gone is removed; Retry-After ignores the caller's own denial (TestAdmissionRefusal).

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -117,33 +117,35 @@
 	return count > 1
 }
 
-// all returns the waiting asks, the longest-waiting first.
-func (q *queue) all() []*request {
-	all := make([]*request, 0, q.length)
+// each calls a function for each waiting ask.
+func (q *queue) each(visit func(r *request)) {
 	for _, c := range q.classes {
 		for _, organisation := range c.organisations.active {
 			for _, session := range organisation.sessions.active {
-				all = append(all, session.asks...)
+				for _, r := range session.asks {
+					visit(r)
+				}
 			}
 		}
 	}
+}
+
+// all returns the waiting asks, the longest-waiting first.
+func (q *queue) all() []*request {
+	all := make([]*request, 0, q.length)
+	q.each(func(r *request) { all = append(all, r) })
 	slices.SortFunc(all, func(a, b *request) int { return cmp.Compare(a.number, b.number) })
 	return all
 }
 
+// longestWaiting returns the longest-waiting ask, or nil if none waits.
 func (q *queue) longestWaiting() *request {
 	var oldest *request
-	for _, c := range q.classes {
-		for _, organisation := range c.organisations.active {
-			for _, session := range organisation.sessions.active {
-				for _, r := range session.asks {
-					if oldest == nil || r.number < oldest.number {
-						oldest = r
-					}
-				}
-			}
+	q.each(func(r *request) {
+		if oldest == nil || r.number < oldest.number {
+			oldest = r
 		}
-	}
+	})
 	return oldest
 }
 
--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -80,10 +80,7 @@
 // that a less urgent one doesn't take memory for which a more urgent one waits.
 func (u *upstream) next(now clock.Millis) *request {
 	if r := u.dueTurn(); r != nil && u.holdsTurn(r, now) {
-		if u.obstacle(r, now) != none {
-			return nil
-		}
-		return r
+		return u.unlessObstructed(r, now)
 	}
 	c := u.queue.first()
 	if c == nil {
@@ -114,6 +111,14 @@
 	return nil
 }
 
+// unlessObstructed returns an ask if it can be granted now, or nil.
+func (u *upstream) unlessObstructed(r *request, now clock.Millis) *request {
+	if u.obstacle(r, now) != none {
+		return nil
+	}
+	return r
+}
+
 // holdsTurn reports whether others wait for the longest-waiting ask. While that lacks memory they do so for at most the
 // target: the ends of running requests may take seconds, and urgent ones would be late.
 func (u *upstream) holdsTurn(r *request, now clock.Millis) bool {
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -49,16 +49,9 @@
 	if r.ask.Bound > 0 && u.inUse >= r.ask.Bound {
 		return u.deny(r, startIn, now), nil
 	}
-	var grants []Grant
-	if !answer.Late || !u.queue.waitsUpTo(r.ask.Urgency) {
-		u.queue.push(r)
-		grants = u.dispatch(now)
-		for i, g := range grants {
-			if g.ID == r.ask.ID {
-				return g.Answer, slices.Delete(grants, i, i+1)
-			}
-		}
-		u.queue.remove(r, now)
+	granted, grants := u.grantNow(r, now)
+	if granted != nil {
+		return *granted, grants
 	}
 	accepted := (!u.full() || u.evictable(r) != nil) && (r.safelyInTime(startIn, now) || u.acceptsLate(r, startIn, now))
 	if !accepted || !r.ask.MayQueue || u.pool.times.mayDeny() && u.displaces(r, now) {
@@ -70,6 +63,23 @@
 	return answer, append(grants, u.enqueue(r, now)...)
 }
 
+// grantNow grants a new ask if it is the next in the queue and nothing prevents it, unless it is late and others wait.
+// The answer is nil if it isn't granted.
+func (u *upstream) grantNow(r *request, now clock.Millis) (*Answer, []Grant) {
+	if r.late && u.queue.waitsUpTo(r.ask.Urgency) {
+		return nil, nil
+	}
+	u.queue.push(r)
+	grants := u.dispatch(now)
+	for i, g := range grants {
+		if g.ID == r.ask.ID {
+			return &g.Answer, slices.Delete(grants, i, i+1)
+		}
+	}
+	u.queue.remove(r, now)
+	return nil, grants
+}
+
 // grant counts a request as sent.
 func (u *upstream) grant(r *request, startIn, now clock.Millis) {
 	r.phase, r.startInMs = backlogged, startIn
--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -204,8 +204,8 @@
 	return w.wait(ctx)
 }
 
-// minMovedTokens is the number of tokens that another engine would have to prefill in addition for a prompt to wait at the
-// engine that caches them. Fewer take less time than the question to another owner saves.
+// minMovedTokens is the number of tokens that another engine would have to prefill in addition for a prompt to wait at
+// the engine that caches them. Fewer take less time than the question to another owner saves.
 const minMovedTokens = 1000
 
 // waitsForHolder reports whether the prompt waits at the engine that was asked first and caches its shared parts,
@@ -495,6 +495,9 @@
 }
 
 func (r *prefillRate) record(tookMs clock.Millis, tokens float64) {
+	if tokens <= 0 {
+		return
+	}
 	r.samples++
 	r.tookMs = prefillDecay*r.tookMs + float64(tookMs)
 	r.tokens = prefillDecay*r.tokens + tokens
--- a/internal/balance/admission_test.go
+++ b/internal/balance/admission_test.go
@@ -426,7 +426,7 @@
 	t.Run("longer while most prompts are denied, up to a third of the time left", func(t *testing.T) {
 		f := newFixture(t, 1)
 		f.random = func(n int) int { return n / 2 }
-		for range 51 {
+		for range 52 {
 			f.recordAdmission(PickRequest{Pool: "p"}, overload(400))
 		}
 		for range 9 {
--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -147,6 +147,8 @@
 	maps.DeleteFunc(m.stalledSinceMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.stalledTrials, func(pool string, _ *stalledTrial) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.paces.times, func(pool string, _ *pace.PoolTimes) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.prefillRates, func(pool string, _ *prefillRate) bool { return m.pools[pool] == nil })
+	maps.DeleteFunc(m.admissionShares, func(pool string, _ *admissionShare) bool { return m.pools[pool] == nil })
 	maps.DeleteFunc(m.respondingMs, func(pool string, _ clock.Millis) bool { return m.pools[pool] == nil })
 }
 
--- a/internal/balance/overloadretry.go
+++ b/internal/balance/overloadretry.go
@@ -15,7 +15,8 @@
 	priorDecisions = 8
 	// maxDenialFactor bounds by how much the share of denied prompts lengthens a delay.
 	maxDenialFactor = 8
-	// patienceDivisor bounds a longer delay to a part of the time that the caller has left, so that it can still be served.
+	// patienceDivisor bounds a longer delay to a part of the time that the caller has left, so that it can still be
+	// served.
 	patienceDivisor = 3
 )
 
@@ -30,10 +31,12 @@
 	s.denied, s.decided, s.atMs = s.denied*factor, s.decided*factor, now
 }
 
-// factor returns how many returns a caller would need on average until it is admitted.
+// factor returns how many returns a denied caller would need on average until it is admitted, by the decisions on
+// others.
 func (s *admissionShare) factor(now clock.Millis) float64 {
 	s.decay(now)
-	return min(maxDenialFactor, (s.decided+priorDecisions)/(s.decided-s.denied+priorDecisions))
+	others := max(0, s.decided-1)
+	return min(maxDenialFactor, (others+priorDecisions)/(s.decided-s.denied+priorDecisions))
 }
 
 func (m *Manager) admissionShareOf(pool string) *admissionShare {
--- a/internal/balance/slowpool.go
+++ b/internal/balance/slowpool.go
@@ -6,22 +6,36 @@
 // them work slowly. A request that waits there is not served sooner by another upstream.
 
 const (
-	// firstByteWeight makes the mean time to the first byte cover about the last 16 responses.
-	firstByteWeight = 1.0 / 16
 	// minSlowAttempts is how many attempts must be old enough to show that a pool is slow, and minSlowPercent how many
 	// of them must have no response.
-	minSlowAttempts = 5
+	minSlowAttempts = 3
 	minSlowPercent  = 50
+	// firstByteWeight makes the mean time to the first byte cover about the last 16 responses, and firstByteTTLMs is how
+	// long it is used after the last one.
+	firstByteWeight = 1.0 / 16
+	firstByteTTLMs  = 4 * clock.Second
 )
 
-// recordFirstByte updates the mean time that a pool's upstreams take to respond.
-func (c *attemptCounts) recordFirstByte(elapsed clock.Millis) {
-	c.firstByteMs += firstByteWeight * (float64(elapsed) - c.firstByteMs)
+// firstBytes is the mean time that a pool's upstreams take to respond.
+type firstBytes struct {
+	meanMs float64
+	atMs   clock.Millis
 }
 
-// RespondsWithin reports whether an attempt at another upstream of the pool would likely get a response within a time.
-// It says so unless the upstreams usually take longer than half of it, or have not responded in that time to most of
-// the attempts of the last seconds.
+func (f *firstBytes) recordFirstByte(elapsed, now clock.Millis) {
+	f.meanMs += firstByteWeight * (float64(elapsed) - f.meanMs)
+	f.atMs = now
+}
+
+// usuallyAfter reports whether the last responses came later than a time on average.
+func (f *firstBytes) usuallyAfter(within, now clock.Millis) bool {
+	return now-f.atMs < firstByteTTLMs && clock.Millis(f.meanMs) >= within
+}
+
+// RespondsWithin reports whether the upstreams of a pool respond to this box's attempts within a time. It says so
+// unless the last responses came later, or most attempts at several upstreams have no response of those that began
+// more than half of that time ago, either up to one and a half times ago or up to some seconds ago, where fewer
+// requests come.
 func (m *Manager) RespondsWithin(pool string, within clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -29,12 +43,13 @@
 	if c == nil {
 		return true
 	}
-	half := within / 2 //nolint:mnd // Half of the time.
-	if clock.Millis(c.firstByteMs) > half {
-		return false
-	}
-	now := m.monotonic()
-	sum := c.between(now-clock.Millis(attemptBuckets-1)*attemptBucketMs, now-half)
-	unanswered := sum.started - sum.answered
-	return sum.started < minSlowAttempts || percent*unanswered < minSlowPercent*sum.started
+	now, half := m.monotonic(), within/2 //nolint:mnd // Half of the time.
+	oldest := now - clock.Millis(attemptBuckets-1)*attemptBucketMs
+	return !c.usuallyAfter(within, now) && !c.between(now-within-half, now-half).mostlyUnanswered() && !c.between(oldest, now-half).mostlyUnanswered()
+}
+
+// mostlyUnanswered reports whether most of enough attempts at several upstreams have no response.
+func (s attemptSpan) mostlyUnanswered() bool {
+	unanswered := s.started - s.answered
+	return s.started >= minSlowAttempts && s.several && percent*unanswered >= minSlowPercent*s.started
 }
--- a/internal/balance/slowpool_test.go
+++ b/internal/balance/slowpool_test.go
@@ -30,19 +30,22 @@
 	t.Run("responses come early", func(t *testing.T) {
 		d := newDialed(3)
 		for range 20 {
-			respond(d, 100)
+			respond(d, 50)
+			send(d)
+			respond(d, 50)
 		}
-		send(d)
-		d.now += within
+		d.now += within / 2
 		assert.True(t, d.RespondsWithin("p", within), "one upstream is silent")
 	})
 	t.Run("responses come late", func(t *testing.T) {
 		d := newDialed(3)
-		for range 40 {
-			respond(d, 800)
+		for range 60 {
+			respond(d, 1200)
 		}
 		assert.False(t, d.RespondsWithin("p", within))
 		assert.True(t, d.RespondsWithin("p", 4*within))
+		d.now += firstByteTTLMs
+		assert.True(t, d.RespondsWithin("p", within), "what was seen before says nothing now")
 	})
 	t.Run("most attempts have no response", func(t *testing.T) {
 		d := newDialed(6)
--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -38,8 +38,7 @@
 // attemptCounts counts the attempts at the upstreams of a pool by the time at which they began.
 type attemptCounts struct {
 	buckets [attemptBuckets]attemptBucket
-	// firstByteMs is the mean time to the first byte of a response.
-	firstByteMs float64
+	firstBytes
 }
 
 func (c *attemptCounts) bucket(at clock.Millis) *attemptBucket {
@@ -112,9 +111,9 @@
 	l.silence.recordAnswer()
 	l.endAwait()
 	if l.sentMs > 0 {
-		counts := l.manager.attemptsOf(l.Pool)
+		counts, now := l.manager.attemptsOf(l.Pool), l.manager.monotonic()
 		counts.recordAnswer(l.sentMs)
-		counts.recordFirstByte(l.manager.monotonic() - l.sentMs)
+		counts.recordFirstByte(now-l.sentMs, now)
 	}
 }
 
@@ -205,6 +204,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stalledSinceMs[pool] = m.monotonic()
+	delete(m.stalledTrials, pool)
 	for _, member := range m.pools[pool] {
 		member.client.CloseIdle()
 	}
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -83,11 +83,13 @@
 // patienceMs returns the time within which the first event must come for the caller to get the whole response.
 func (p *Pipe) patienceMs(r *opaque.Request) clock.Millis {
 	now := p.deps.Clock.Monotonic()
-	remaining := r.RemainingMs(now) - p.deps.Admission.AllowForStream(r.Route.Name)
+	untilLimit := r.RemainingMs(now)
+	remaining := untilLimit - p.deps.Admission.AllowForStream(r.Route.Name)
 	if r.Route.GiveUpMs > 0 {
 		remaining = min(remaining, r.ArrivedMs+r.Route.GiveUpMs-now)
 	}
-	return remaining
+	// A first event in time is never refused for a stream that usually takes long.
+	return max(remaining, min(untilLimit, r.ArrivedMs+r.Route.ObjectiveMs-now))
 }
 
 // recordAdmission logs and counts how a pick was admitted or denied, if it needed admission.
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -101,9 +101,11 @@
 	return startRetryTimer(s.pipe.deps.Clock, span, func() bool { return helps(span) }, func() { cancel(errTimeout) })
 }
 
-// retryHelps reports whether another upstream would likely respond within a span to a retry, and the retry budget allows
-// one.
+// retryHelps reports whether another upstream would likely respond within a span to a retry, and the retry budget
+// allows one.
 func (s *retryLoop) retryHelps(span clock.Millis) bool {
+	// The pauses of a stream may be shorter than the time to its first byte.
+	span = max(span, firstByteTimeoutFactor*s.request.Route.ObjectiveMs)
 	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span)
 }
 
@@ -176,7 +178,7 @@
 		return balance.Succeeded
 	case failed.execution == notRun && s.pipe.deps.OnRejected(s.request.ID, lease):
 		return balance.Rejected
-	case s.signals.BackoffMs > 0 || s.callerCutOff():
+	case s.signals.BackoffMs > 0 || s.callerCutOff() || failed != nil && errors.Is(failed.err, errResponseMemory):
 		return balance.Neutral
 	case failed.execution == wrongUpstream:
 		return balance.Unreachable
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -61,7 +61,8 @@
 	maxPartBytes   = 64 << 10
 )
 
-// readBody reads a body, and calls onStart at the first byte of a successful response. It takes the memory of each part before it is allocated, and waits while the box has none.
+// readBody reads a body, and calls onStart at the first byte of a successful response. It takes the memory of each part
+// before it is allocated, and waits while the box has none.
 func (s *retryLoop) readBody(
 	resp *upstream.Response, onStart func(),
 ) (body [][]byte, size int, err error) {
@@ -103,6 +104,9 @@
 	}
 }
 
+// errResponseMemory means that the box had no memory for a response. It says nothing about the upstream.
+var errResponseMemory = errors.New("no memory for the response")
+
 // newPart returns an empty buffer once the box has memory for it.
 func (s *retryLoop) newPart(size int64) ([]byte, error) {
 	err := s.body.Grow(s.ctx, size, func(sizes exchange.MemorySizes) {
@@ -112,9 +116,9 @@
 	})
 	switch {
 	case errors.Is(err, exchange.ErrOverMemory):
-		return nil, fmt.Errorf("%w: %w", errTooLarge, err)
+		return nil, fmt.Errorf("%w: %w: %w", errResponseMemory, errTooLarge, err)
 	case err != nil:
-		return nil, fmt.Errorf("wait for memory: %w", err)
+		return nil, fmt.Errorf("%w: %w", errResponseMemory, err)
 	}
 	return make([]byte, 0, size), nil
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -253,6 +253,8 @@
 		return stopCallerDisconnected
 	case s.ctx.Err() != nil || r.RemainingMs(s.pipe.deps.Clock.Monotonic()) <= 0:
 		return stopDeadline
+	case errors.Is(failed.err, errResponseMemory):
+		return stopNoMemory
 	case s.stream != nil && !s.mayResume():
 		return stopResponseStarted
 	case !failed.execution.allowsRetry(r.Route.Repeatable()):
--- a/internal/pipe/dispatch/failure.go
+++ b/internal/pipe/dispatch/failure.go
@@ -39,6 +39,7 @@
 	stopCallerSlow         retryDecision = "none: the caller did not read"
 	stopDeadline           retryDecision = "none: no time left"
 	stopResponseStarted    retryDecision = "none: the answer has begun"
+	stopNoMemory           retryDecision = "none: the box has no memory for the response"
 	stopMayHaveRun         retryDecision = "none: it may have run and may not run twice"
 	stopMaxAttempts        retryDecision = "none: the route's attempts are used up"
 	stopQuarantined        retryDecision = "none: upstreams end under this request"
--- a/internal/pipe/dispatch/retrytimer.go
+++ b/internal/pipe/dispatch/retrytimer.go
@@ -19,32 +19,41 @@
 	helps  func() bool
 	expire func()
 
-	mu      sync.Mutex
-	timer   *clock.Timer
-	stopped bool
+	mu    sync.Mutex
+	timer *clock.Timer
+	// progress counts the calls of recordProgress and stop, so that a check that overlaps with one has no effect.
+	progress int
 }
 
-// recheckDivisor is the span in relation to the time after which a retry that would not have helped is considered again.
+// recheckDivisor is the span in relation to the time after which a retry that would not have helped is considered
+// again.
 const recheckDivisor = 4
 
-// startRetryTimer starts a timer that calls expire at most once, in a goroutine of its own.
+// startRetryTimer starts a timer, which calls expire in a goroutine of its own.
 func startRetryTimer(c clock.Clock, span clock.Millis, helps func() bool, expire func()) *retryTimer {
 	t := &retryTimer{clock: c, spanMs: span, helps: helps, expire: expire}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = c.AfterFunc(span, t.check)
+	t.startLocked(span)
 	return t
 }
 
-func (t *retryTimer) check() {
-	if t.helps() {
-		t.expire()
-		return
-	}
+// startLocked starts the timer that checks the progress recorded so far.
+func (t *retryTimer) startLocked(span clock.Millis) {
+	progress := t.progress
+	t.timer = t.clock.AfterFunc(max(1, span), func() { t.check(progress) })
+}
+
+func (t *retryTimer) check(progress int) {
+	helps := t.helps()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.stopped {
-		t.timer = t.clock.AfterFunc(max(1, t.spanMs/recheckDivisor), t.check)
+	switch {
+	case t.progress != progress:
+	case helps:
+		t.expire()
+	default:
+		t.startLocked(t.spanMs / recheckDivisor)
 	}
 }
 
@@ -52,14 +61,14 @@
 func (t *retryTimer) recordProgress() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.stopped {
-		t.timer.Reset(t.spanMs)
-	}
+	t.timer.Stop()
+	t.progress++
+	t.startLocked(t.spanMs)
 }
 
 func (t *retryTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped = true
 	t.timer.Stop()
+	t.progress++
 }
--- a/internal/pipe/dispatch/retrytimer_test.go
+++ b/internal/pipe/dispatch/retrytimer_test.go
@@ -14,13 +14,13 @@
 // TestRetryTimer guards against an attempt that is canceled too early, twice, or although no retry would help.
 func TestRetryTimer(t *testing.T) {
 	const span clock.Millis = 400
-	run := func(t *testing.T, test func(t *testing.T, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64)) {
+	run := func(t *testing.T, test func(timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64)) {
 		t.Helper()
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			helps, expired := &atomic.Bool{}, &atomic.Int64{}
 			timer := startRetryTimer(clock.New(), span, helps.Load, func() { expired.Add(1) })
 			defer timer.stop()
-			test(t, timer, helps, expired)
+			test(timer, helps, expired)
 		})
 	}
 	wait := func(ms clock.Millis) {
@@ -28,7 +28,7 @@
 		synctest.Wait()
 	}
 	t.Run("a retry helps at once", func(t *testing.T) {
-		run(t, func(t *testing.T, _ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(_ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			helps.Store(true)
 			wait(span - 1)
 			assert.Zero(t, expired.Load())
@@ -37,7 +37,7 @@
 		})
 	})
 	t.Run("a retry helps later", func(t *testing.T) {
-		run(t, func(t *testing.T, _ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(_ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			wait(5 * span)
 			assert.Zero(t, expired.Load())
 			helps.Store(true)
@@ -46,7 +46,7 @@
 		})
 	})
 	t.Run("progress starts the span anew", func(t *testing.T) {
-		run(t, func(t *testing.T, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			helps.Store(true)
 			wait(span - 1)
 			timer.recordProgress()
@@ -54,8 +54,22 @@
 			assert.Zero(t, expired.Load())
 		})
 	})
+	t.Run("progress while the check runs", func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
+			expired := atomic.Int64{}
+			var timer *retryTimer
+			timer = startRetryTimer(clock.New(), span, func() bool {
+				timer.recordProgress()
+				return true
+			}, func() { expired.Add(1) })
+			wait(span + span/2)
+			timer.stop()
+			wait(2 * span)
+			assert.Zero(t, expired.Load())
+		})
+	})
 	t.Run("none after the end", func(t *testing.T) {
-		run(t, func(t *testing.T, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			wait(2 * span)
 			timer.stop()
 			helps.Store(true)
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -22,8 +22,9 @@
 	request *opaque.Request
 	// completeOnly makes the stream relay complete events only.
 	completeOnly bool
-	// startedMs is when the response headers arrived.
+	// startedMs is when the first data arrived.
 	startedMs clock.Millis
+	now       func() clock.Millis
 	// dataSent is set once any event data was sent to the caller.
 	dataSent bool
 	// events finds the ends of events in the response of the current upstream.
@@ -116,7 +117,7 @@
 func (s *retryLoop) startStream(resp *upstream.Response) {
 	r := s.request
 	s.stream = &stream{
-		request: r, startedMs: s.pipe.deps.Clock.Monotonic(), completeOnly: r.Route.Resumable,
+		request: r, now: s.pipe.deps.Clock.Monotonic, completeOnly: r.Route.Resumable,
 		onOrigin: s.pipe.deps.OnStreamOrigin,
 	}
 	setResponseHeader(r.Writer.Header(), r.Dialect.ResponseHeader(resp.Header))
@@ -155,6 +156,7 @@
 		return nil
 	}
 	if !t.dataSent {
+		t.startedMs = t.now()
 		if t.request.Origin == nil {
 			t.request.Origin = t.origin
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -68,20 +68,7 @@
 	for i := range settings.Clients {
 		workers.Go(func() { f.runClient(clients, i) })
 	}
-	workers.Go(func() { f.runFatalClient(clients) })
-	workers.Go(func() { f.injectSignals(clients) })
-	if f.settings.Evacuations {
-		workers.Go(func() { f.injectEvacuations(clients) })
-	}
-	if f.settings.Overload {
-		workers.Go(func() { f.injectOverload(clients) })
-	}
-	if f.settings.Stalls {
-		workers.Go(func() { f.injectStalls(clients) })
-	}
-	if f.settings.Partitions {
-		workers.Go(func() { f.injectPartitions(clients) })
-	}
+	f.startInjections(clients, &workers)
 	workers.Go(func() { f.writeHeartbeats(clients) })
 	err = f.injectFaults(ctx, report.Faults)
 	stopClients()
@@ -102,6 +89,25 @@
 	return report, err
 }
 
+// startInjections starts the disturbances that have a schedule of their own beside the faults, until ctx ends.
+func (f *fleet) startInjections(ctx context.Context, workers *sync.WaitGroup) {
+	workers.Go(func() { f.runFatalClient(ctx) })
+	workers.Go(func() { f.injectSignals(ctx) })
+	for _, injection := range []struct {
+		enabled bool
+		inject  func(ctx context.Context)
+	}{
+		{f.settings.Evacuations, f.injectEvacuations},
+		{f.settings.Overload, f.injectOverload},
+		{f.settings.Stalls, f.injectStalls},
+		{f.settings.Partitions, f.injectPartitions},
+	} {
+		if injection.enabled {
+			workers.Go(func() { injection.inject(ctx) })
+		}
+	}
+}
+
 // injectFaults starts random faults one after the other and ends each after a random time.
 func (f *fleet) injectFaults(ctx context.Context, counts map[string]int) error {
 	random := rand.New(rand.NewPCG(f.settings.Seed, 2))
--- a/internal/work/lengths.go
+++ b/internal/work/lengths.go
@@ -21,8 +21,8 @@
 	eventRatios = 33
 )
 
-// Lengths learns how the lengths of outputs relate to callers' hints and maxima, and how long streams take, by route. It
-// is safe for concurrent use.
+// Lengths learns how the lengths of outputs relate to callers' hints and maxima, and how long streams take, by route.
+// It is safe for concurrent use.
 //
 // This answers loads that fill the memory of engines: callers set maxima far above what they get.
 type Lengths struct {
