fix(admission): starts that come late or while queued, unknown paces, denials that cross a repeat

Found by review. A start after the time at which it counts as lost was never learnt from: a pool with prefills of 2.5 s learnt nothing. A start of a prompt that the owner still had queued was dropped. A box that knows no pace reset the one that another had told. A denial that crossed the box's own repeat left a permit for 20 s. Retries no longer set the objective of their kind. Times from other boxes are bounded; the unused options go.

--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -61,6 +61,20 @@
 	interval := float64(now - u.backlog.progressMs)
 	u.backlog.remove(r, true, now)
 	u.run(r, now)
+	u.learn(r, interval)
+}
+
+// learnLateStart learns from the first event of a request whose start counted as lost, if the engine had nothing else to
+// prefill. Otherwise nothing would be learnt of engines that are slower than the time after which starts count as lost.
+func (u *upstream) learnLateStart(r *request, now clock.Millis) {
+	r.startLost = false
+	if r.alone {
+		u.learn(r, float64(now-r.grantedMs))
+	}
+}
+
+// learn learns from the time in milliseconds that a prompt took to prefill.
+func (u *upstream) learn(r *request, interval float64) {
 	times := &u.pool.times
 	if times.mayDeny() {
 		u.pace.observe(interval, times.ms(prefillOf(r))*u.pace.reported())
@@ -76,6 +90,7 @@
 		if now >= r.lostMs {
 			u.backlog.remove(r, false, now)
 			u.run(r, now)
+			r.startLost = true
 		}
 	}
 }
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -40,19 +40,12 @@
 	usedMs   clock.Millis
 }
 
-// Option configures a Ledger.
-type Option func(l *Ledger)
-
 // New returns an empty ledger. The clock is monotonic.
-func New(monotonic func() clock.Millis, options ...Option) *Ledger {
-	l := &Ledger{
+func New(monotonic func() clock.Millis) *Ledger {
+	return &Ledger{
 		monotonic: monotonic,
 		requests:  map[ID]*request{}, upstreams: map[namekey.Key]*upstream{}, pools: map[namekey.Key]*pool{},
 	}
-	for _, option := range options {
-		option(l)
-	}
-	return l
 }
 
 // Ask decides on an ask. Asking again under the same ID counts once. It also returns the grants that are due.
@@ -103,7 +96,7 @@
 	if a.MemoryTokens > 0 {
 		u.memory.capacity = a.MemoryTokens
 	}
-	u.pace.report(a.SlowPercent)
+	u.pace.report(a.SlowPercent, now)
 	return u
 }
 
@@ -112,15 +105,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[id]
-	if r == nil || r.phase != backlogged {
+	if r == nil {
 		return nil
 	}
 	now := l.monotonic()
+	if r.phase != backlogged {
+		return l.startedOtherwise(r, now)
+	}
 	r.upstream.observe(now)
 	r.upstream.start(r, now)
 	return l.dispatch(r.upstream, now)
 }
 
+// startedOtherwise handles the first event of a request whose start counted as lost, or that was sent although it still
+// waits here, because its box got no answer.
+func (l *Ledger) startedOtherwise(r *request, now clock.Millis) []Grant {
+	u := r.upstream
+	switch {
+	case r.phase == waiting:
+		u.observe(now)
+		u.queue.remove(r, now)
+		u.grant(r, 0, now)
+		u.backlog.remove(r, false, now)
+		u.run(r, now)
+	case r.startLost:
+		u.learnLateStart(r, now)
+	}
+	return l.dispatch(u, now)
+}
+
 // Release records that a request has ended, or withdraws a queued ask, and returns the grants that are due.
 func (l *Ledger) Release(id ID, served bool) []Grant {
 	l.mu.Lock()
--- a/internal/admission/ledger_test.go
+++ b/internal/admission/ledger_test.go
@@ -454,3 +454,54 @@
 		})
 	}
 }
+
+// TestUnexpectedStarts guards against starts that are ignored because the ledger took the request for another state.
+func TestUnexpectedStarts(t *testing.T) {
+	ask := func(number uint32) Ask {
+		return Ask{
+			ID: ID{Box: "a", Number: number}, Pool: 1, Upstream: 1, PrefillTokens: 50_000, Slots: 8,
+			InTimeMs: 20_000, PatienceMs: 30_000, MayQueue: true,
+		}
+	}
+	t.Run("a start after the time at which it counts as lost is learnt", func(t *testing.T) {
+		now := clock.Millis(1000)
+		l := New(func() clock.Millis { return now })
+		for i := range uint32(minStarts) {
+			answer, _ := l.Ask(ask(i))
+			require.Equal(t, Granted, answer.Verdict)
+			now += minLostMs + 500
+			l.Expire()
+			l.Started(ask(i).ID)
+			l.Release(ask(i).ID, true)
+		}
+		assert.True(t, l.pools[1].times.mayDeny())
+	})
+	t.Run("a request that was sent although it waits counts as running", func(t *testing.T) {
+		now := clock.Millis(1000)
+		l := New(func() clock.Millis { return now })
+		full := ask(1)
+		full.Slots = 1
+		l.Ask(full)
+		second := ask(2)
+		second.Slots = 1
+		answer, _ := l.Ask(second)
+		require.Equal(t, Queued, answer.Verdict)
+		l.Started(second.ID)
+		assert.Equal(t, Sizes{Upstreams: 1, Permits: 2}, l.Sizes())
+		l.Release(full.ID, true)
+		l.Release(second.ID, true)
+		assert.Equal(t, Sizes{Upstreams: 1}, l.Sizes())
+	})
+	t.Run("a box that knows no pace does not overwrite a report", func(t *testing.T) {
+		now := clock.Millis(1000)
+		l := New(func() clock.Millis { return now })
+		slow := ask(1)
+		slow.SlowPercent = 400
+		l.Ask(slow)
+		l.Ask(ask(2))
+		assert.Equal(t, 400, l.upstreams[1].pace.percent)
+		now += reportTTLMs
+		l.Ask(ask(3))
+		assert.Equal(t, usualPercent, l.upstreams[1].pace.percent)
+	})
+}
--- a/internal/admission/objectives.go
+++ b/internal/admission/objectives.go
@@ -36,6 +36,10 @@
 	}
 	k := kind{urgency: a.Urgency, slack: (a.PatienceMs - a.InTimeMs + kindStepMs/2) / kindStepMs}
 	known, found := o.kinds[k]
+	if !found && a.Force {
+		// What is left to a retry says nothing of the objective.
+		return max(0, a.InTimeMs)
+	}
 	if !found {
 		o.evict(now)
 		if len(o.kinds) >= maxKinds {
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -1,5 +1,7 @@
 package admission
 
+import "dooryard.example/dooryard/internal/clock"
+
 const (
 	usualPercent = 100
 	maxPercent   = 1000
@@ -13,11 +15,22 @@
 // corrected by what was observed, since reports can be wrong.
 type pace struct {
 	percent int
-	ratio   float64
+	// reportedMs is when percent was reported.
+	reportedMs clock.Millis
+	ratio      float64
 }
 
-func (p *pace) report(percent int) {
-	p.percent = min(maxPercent, max(usualPercent, percent))
+// reportTTLMs is how long a report counts: about as long as a slow spell of a shared machine.
+const reportTTLMs clock.Millis = 600
+
+// report records the pace that a box tells, or 0 if it knows none.
+func (p *pace) report(percent int, now clock.Millis) {
+	switch {
+	case percent > 0:
+		p.percent, p.reportedMs = min(maxPercent, max(usualPercent, percent)), now
+	case now-p.reportedMs >= reportTTLMs:
+		p.percent = usualPercent
+	}
 }
 
 func (p *pace) reported() float64 { return float64(p.percent) / usualPercent }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -37,6 +37,10 @@
 	startInMs clock.Millis
 	// startedMs and endMs are when the first event came and when the request is expected to end.
 	startedMs, endMs clock.Millis
+	// grantedMs is when the request was granted, alone is set if nothing else was to be prefilled then, and startLost if
+	// its start counted as lost.
+	grantedMs        clock.Millis
+	alone, startLost bool
 	// lostMs is when a backlogged request counts as started, since its start was lost, and untilMs when a granted one
 	// counts as ended.
 	lostMs, untilMs clock.Millis
@@ -46,6 +50,8 @@
 	maxUrgency = maxClasses - 1
 	// maxTokens keeps sums of tokens exact.
 	maxTokens = 1 << 30
+	// maxSpanMs keeps sums of times from overflowing. No caller waits for an hour.
+	maxSpanMs = 3600 * clock.Second
 )
 
 // bounded returns the ask with its numbers within bounds, since other boxes send them.
@@ -54,6 +60,9 @@
 	for _, n := range []*int{&a.PrefillTokens, &a.OwnTokens, &a.SharedTokens, &a.MemoryTokens, &a.Slots} {
 		*n = min(maxTokens, max(0, *n))
 	}
+	for _, span := range []*clock.Millis{&a.InTimeMs, &a.PatienceMs} {
+		*span = min(maxSpanMs, max(-maxSpanMs, *span))
+	}
 	return a
 }
 
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -85,6 +85,7 @@
 	r.phase, r.startInMs = backlogged, startIn
 	r.lostMs = now + max(minLostMs, lostFactor*startIn)
 	r.untilMs = now + permitTTLMs
+	r.grantedMs, r.alone = now, len(u.backlog.requests) == 0
 	u.inUse++
 	u.memory.add(r)
 	u.backlog.add(r, now)
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -196,7 +196,7 @@
 	m.admissions.count(func(c *admissionCounts) { c.queued++ })
 	ctx, cancel := m.clock.WithTimeout(ctx, left)
 	defer cancel()
-	unanswered, unansweredMs, span := 0, clock.Millis(0), admissionRepeatMs
+	unanswered, unansweredMs, span, repeated := 0, clock.Millis(0), admissionRepeatMs, false
 	for {
 		answer, err := q.next(ctx, span)
 		switch {
@@ -209,11 +209,16 @@
 			if unanswered++; unanswered == maxUnansweredRepeats {
 				span = admissionTimeoutMs
 			}
+			repeated = true
 			q.send()
 		case err != nil:
 			return q.withdraw(last)
 		case answer.Verdict == admission.Queued:
 			last, unanswered, span = answer, 0, admissionRepeatMs
+		case answer.Verdict == admission.Denied && repeated:
+			// The owner may have taken a repeat that crossed its denial for a new ask and granted it.
+			q.release(false)
+			return withoutEnd(admission.Reply{Answer: answer})
 		default:
 			return q.decided(answer)
 		}
