fix(balance): a session stays at a slow engine where it is in time

Change: a session stays where at least 1,000 more of its tokens are cached if the first event is expected within three quarters of what is left of the objective.

--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -64,8 +64,9 @@
 	u.learn(r, interval)
 }
 
-// learnLateStart learns from the first event of a request whose start counted as lost, if the engine had nothing else to
-// prefill. Otherwise nothing would be learnt of engines that are slower than the time after which starts count as lost.
+// learnLateStart learns from the first event of a request whose start counted as lost, if the engine had nothing else
+// to prefill. Otherwise nothing would be learnt of engines that are slower than the time after which starts count as
+// lost.
 func (u *upstream) learnLateStart(r *request, now clock.Millis) {
 	r.startLost = false
 	if r.alone {
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -427,14 +427,22 @@
 	return target
 }
 
-// staysAtSlow reports whether a request is served sooner at a slow engine than at another one.
+// stayObjectiveShare is the share of the latency objective in which a first event must be expected for a session to
+// stay at a slow engine. The rest is left for what varies.
+const stayObjectiveShare = 0.75
+
+// staysAtSlow reports whether a request stays at a slow engine: it is served sooner there than at another one, or in
+// time where its parts are cached, which another engine would have to prefill or to fetch.
 func (m *Manager) staysAtSlow(slow, other *Member, request PickRequest, now clock.Millis) bool {
 	times := &m.timesOf(request.Pool).FirstByte
-	if _, known := times.PerToken(); known {
-		return m.firstEventMs(slow, times, request, now) <= m.firstEventMs(other, times, request, now)
-	}
 	shared := request.Prompt.Shared().KeyedParts()
 	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
+	if _, known := times.PerToken(); known {
+		expected := m.firstEventMs(slow, times, request, now)
+		inTime := expected <= stayObjectiveShare*float64(request.ObjectiveMs-request.ElapsedMs)
+		return inTime && cached >= elsewhere+minMovedTokens ||
+			expected <= m.firstEventMs(other, times, request, now)
+	}
 	return cached > elsewhere && cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
 }
 
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -86,6 +86,18 @@
 			assert.Equal(t, c.stays, f.pick(t, withShared(c.tokens)).ID == first.ID, "%+v", c)
 		}
 	})
+	t.Run("a session stays where its parts are cached if it is in time there", func(t *testing.T) {
+		for objective, stays := range map[clock.Millis]bool{500: true, 60: false} {
+			request := withShared(3000)
+			request.Transfers, request.ObjectiveMs = true, objective
+			f, first := start(t, 6, request)
+			for i := range 40 {
+				f.timesOf("p").FirstByte.Observe(1000*(i%2), clock.Millis(20+50*(i%2)), 100)
+			}
+			f.report(first.ID, 250)
+			assert.Equal(t, stays, f.pick(t, request).ID == first.ID, "objective of %d ms", objective)
+		}
+	})
 	t.Run("if more than half are slow, none is passed over", func(t *testing.T) {
 		f, first := start(t, 5, sticky("s"))
 		for _, u := range f.list[:3] {
--- a/internal/balance/slowpool.go
+++ b/internal/balance/slowpool.go
@@ -45,7 +45,8 @@
 	}
 	now, half := m.monotonic(), within/2 //nolint:mnd // Half of the time.
 	oldest := now - clock.Millis(attemptBuckets-1)*attemptBucketMs
-	return !c.usuallyAfter(within, now) && !c.between(now-within-half, now-half).mostlyUnanswered() && !c.between(oldest, now-half).mostlyUnanswered()
+	return !c.usuallyAfter(within, now) && !c.between(now-within-half, now-half).mostlyUnanswered() &&
+		!c.between(oldest, now-half).mostlyUnanswered()
 }
 
 // mostlyUnanswered reports whether most of enough attempts at several upstreams have no response.
