--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -440,8 +440,11 @@
 	if _, known := times.PerToken(); known {
 		expected := m.firstEventMs(slow, times, request, now)
 		inTime := expected <= stayObjectiveShare*float64(request.ObjectiveMs-request.ElapsedMs)
-		return inTime && cached >= elsewhere+minMovedTokens ||
-			expected <= m.firstEventMs(other, times, request, now)
+		if elsewhere == 0 {
+			// The first engine of the order likely caches the parts, although this box may not have heard of it.
+			cached = tokens(shared)
+		}
+		return inTime && cached >= elsewhere+minMovedTokens || expected <= m.firstEventMs(other, times, request, now)
 	}
 	return cached > elsewhere && cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
 }
