--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -431,21 +431,20 @@
 // stay at a slow engine. The rest is left for what varies.
 const stayObjectiveShare = 0.75
 
-// staysAtSlow reports whether a request stays at a slow engine: it is served sooner there than at another one, or in
-// time where its parts are cached, which another engine would have to prefill or to fetch.
+// staysAtSlow reports whether a request stays at the slow first engine of its session: it is in time there, so that a
+// move would only make another engine prefill or fetch its parts, or it is served sooner there than at the other one.
 func (m *Manager) staysAtSlow(slow, other *Member, request PickRequest, now clock.Millis) bool {
 	times := &m.timesOf(request.Pool).FirstByte
-	shared := request.Prompt.Shared().KeyedParts()
-	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
+	expected := m.firstEventMs(slow, times, request, now)
+	if _, known := times.Expect(0, 0); known &&
+		expected <= stayObjectiveShare*float64(request.ObjectiveMs-request.ElapsedMs) {
+		return true
+	}
 	if _, known := times.PerToken(); known {
-		expected := m.firstEventMs(slow, times, request, now)
-		inTime := expected <= stayObjectiveShare*float64(request.ObjectiveMs-request.ElapsedMs)
-		if elsewhere == 0 {
-			// The first engine of the order likely caches the parts, although this box may not have heard of it.
-			cached = tokens(shared)
-		}
-		return inTime && cached >= elsewhere+minMovedTokens || expected <= m.firstEventMs(other, times, request, now)
+		return expected <= m.firstEventMs(other, times, request, now)
 	}
+	shared := request.Prompt.Shared().KeyedParts()
+	cached, elsewhere := slow.parts.cachedTokens(shared, now), other.parts.cachedTokens(shared, now)
 	return cached > elsewhere && cached > minStayTokens && slow.pace.Percent(now) < maxStayPercent
 }
 
--- a/internal/mesh/paces_test.go
+++ b/internal/mesh/paces_test.go
@@ -35,9 +35,7 @@
 			for i, b := range f.boxes {
 				assert.Equal(f.t, i != 1, len(b.heard()) == 1, b.self.Box)
 			}
-			f.boxes[0].mu.Lock()
-			f.boxes[0].slow = []pace.Finding{slowUpstream}
-			f.boxes[0].mu.Unlock()
+			f.boxes[0].setSlow(slowUpstream)
 			advance(f.t, 300*time.Millisecond)
 			for _, b := range f.boxes[1:] {
 				assert.Contains(f.t, b.heard(), slowUpstream, b.self.Box)
@@ -52,7 +50,7 @@
 	t.Run("above 32 boxes they are not exchanged", func(t *testing.T) {
 		runInBubble(t, func(f *fixture) {
 			for range smallFleetBoxes + 2 {
-				f.start("d").slow = []pace.Finding{slowUpstream}
+				f.start("d").setSlow(slowUpstream)
 			}
 			advance(f.t, 6*time.Second)
 			for _, b := range f.boxes {
@@ -100,3 +98,10 @@
 		assert.LessOrEqual(t, len(data), 12, "%x", data)
 	})
 }
+
+// setSlow sets the upstreams that a box found slow.
+func (b *box) setSlow(list ...pace.Finding) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slow = list
+}
--- a/internal/pipe/dispatch/retrytimer_test.go
+++ b/internal/pipe/dispatch/retrytimer_test.go
@@ -57,13 +57,13 @@
 	t.Run("progress while the check runs", func(t *testing.T) {
 		synctest.Test(t, func(*testing.T) {
 			expired := atomic.Int64{}
-			var timer *retryTimer
-			timer = startRetryTimer(clock.New(), span, func() bool {
-				timer.recordProgress()
+			timer := atomic.Pointer[retryTimer]{}
+			timer.Store(startRetryTimer(clock.New(), span, func() bool {
+				timer.Load().recordProgress()
 				return true
-			}, func() { expired.Add(1) })
+			}, func() { expired.Add(1) }))
 			wait(span + span/2)
-			timer.stop()
+			timer.Load().stop()
 			wait(2 * span)
 			assert.Zero(t, expired.Load())
 		})
