test(mesh): replace the ledger's function under its lock

The product never replaces it after the start, so only the test was at fault.

After: 20 runs of TestAdmit in the race detector, none failed.

--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -84,8 +84,10 @@
 	return admission.Ask{Upstream: namekey.Of(f.upstream), Slots: 1, MayQueue: mayQueue, InTimeMs: 500, PatienceMs: 10_000}
 }
 
-// onAsk calls a function with each ask that a box decides on, and the answer.
+// onAsk calls a function with each ask that a box decides on, and the answer. The box may receive asks already.
 func onAsk(b *box, call func(a admission.Ask, answer *admission.Answer)) {
+	b.admissionOwner.mu.Lock()
+	defer b.admissionOwner.mu.Unlock()
 	ask := b.admissionOwner.ledger.ask
 	b.admissionOwner.ledger.ask = func(a admission.Ask) (admission.Answer, []admission.Grant) {
 		answer, grants := ask(a)
