fix(admission): serve prompts that waited somewhat late instead of refusing them

The refused prompts had been queued as in time; when more urgent work came unevenly they were denied once they were late by a sixteenth of their objective, mostly shortly before it was over.

A queued prompt is now reconsidered once it is late by half of its objective, and it must be expected in time with a margin of a quarter instead of a sixth to be queued.

--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -25,13 +25,13 @@
 func (r *request) inTime(startIn, now clock.Millis) bool { return now+startIn <= r.inTimeMs }
 
 // waitMargin is the inverse of the margin by which a request that waits must be expected in time. More urgent work
-// comes unevenly: without a margin, a tenth of the queued asks were denied after a wait.
-const waitMargin = 6
+// comes unevenly: with a smaller margin, a fifth of the prompts that were queued in an overload became late.
+const waitMargin = 4
 
 // lateTolerance is the inverse of the part of an objective by which a queued ask may become late before it is
-// reconsidered. The estimate varies by about as much, and a denial after a wait costs its caller more than a late
-// event.
-const lateTolerance = 16
+// reconsidered. A request that has waited for its objective is served somewhat late rather than refused: at a
+// sixteenth, every fourteenth refusal came after a wait of a second or more.
+const lateTolerance = 2
 
 // tolerance returns by how much a queued ask may become late before it is reconsidered. Waits for slots and memory vary
 // with the times for which requests run.
