fix(admission): the turn of the longest-waiting ask is counted in prefill time

While asks of several urgencies wait, one grant in eight went to the one that has waited for longest. The turn is now due once seven times its own prefill time was granted before it, and estimates leave at most that much to more urgent work.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -2,9 +2,9 @@
 
 import "dooryard.example/dooryard/internal/clock"
 
-// maxMoreUrgentShare bounds the fraction of an engine's time that is left to more urgent work in an estimate: a share
-// near 1 would make any wait endless, while starvation bounds keep a part for less urgent work.
-const maxMoreUrgentShare = 0.85
+// maxMoreUrgentShare bounds the fraction of an engine's time that is left to more urgent work in an estimate: asks that
+// wait for longest get their turn.
+const maxMoreUrgentShare = 1 - 1.0/turnEvery
 
 // startIn returns the expected time to the first event of a request that is sent or queued now, allowing for more
 // urgent requests that arrive while it waits.
--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -31,7 +31,7 @@
 // lateTolerance is the inverse of the part of an objective by which a queued ask may become late before it is
 // reconsidered. A request that has waited for its objective is served somewhat late rather than refused: at a
 // sixteenth, every fourteenth refusal came after a wait of a second or more.
-const lateTolerance = 2
+const lateTolerance = 4
 
 // tolerance returns by how much a queued ask may become late before it is reconsidered. Waits for slots and memory vary
 // with the times for which requests run.
--- a/internal/admission/loads_test.go
+++ b/internal/admission/loads_test.go
@@ -64,3 +64,30 @@
 		})
 	}
 }
+
+// TestUrgentPrompts guards against large prompts of a less urgent kind that take the time of urgent ones. The bounds are
+// those of docs/HARD-LOAD.md: urgent prompts alone fit, and an eighth of the time is left to others.
+func TestUrgentPrompts(t *testing.T) {
+	for _, load := range []struct {
+		name              string
+		load, urgentShare float64
+	}{
+		{"half of 1.7 times what engines prefill is urgent", 1.7, 0.5},
+		{"a seventh of 4 times what engines prefill is urgent", 4, 0.15},
+		{"most of a slight overload is urgent", 1.2, 0.7},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			f := newFleet(6, 12, 1)
+			short, long := shortKind, longKind
+			short.share, long.share = load.urgentShare, 1-load.urgentShare
+			f.warm(short, long)
+			f.run(loadMs, func(float64) float64 { return load.load }, short, long)
+			f.report(t)
+			urgent, others := f.results["short"], f.results["long"]
+			assert.GreaterOrEqual(t, urgent.part(urgent.inTime), 0.95)
+			assert.LessOrEqual(t, urgent.part(urgent.refused), others.part(others.refused), "refused")
+			owed := load.load * long.share
+			assert.GreaterOrEqual(t, others.part(others.inTime+others.late), min(1, 1.0/turnEvery/owed))
+		})
+	}
+}
--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -3,36 +3,43 @@
 import "dooryard.example/dooryard/internal/clock"
 
 const (
-	// turnEvery is the number of grants of which one goes to the longest-waiting ask while several urgencies wait.
+	// turnEvery is the part of an engine's time, as its inverse, that the longest-waiting ask gets while more urgent ones
+	// wait. It is counted in prefill times: a large prompt takes the time of dozens of small ones, and a count of
+	// requests would give most of the engine to a less urgent kind of large prompts.
 	turnEvery = 8
 	// maxOvertaken is how many requests of its urgency may be granted before one that lacks memory.
 	maxOvertaken = 16
 )
 
-// turns counts grants, so that no urgency starves.
+// turns counts the work that goes before the longest-waiting ask, so that no urgency starves.
 type turns struct {
-	// grants counts those to more urgent asks since the urgency of the longest-waiting ask last had one.
-	grants int
+	// prefillMs is that of asks that were granted before it since the last one of its urgency.
+	prefillMs float64
 	// sinceMs is since when the longest-waiting ask has had its turn and lacked memory, or 0.
 	sinceMs clock.Millis
 }
 
 // dueTurn returns the longest-waiting ask if the next grant is for it.
 func (u *upstream) dueTurn() *request {
-	if u.turns.grants < turnEvery-1 || !u.queue.several() {
+	if u.turns.prefillMs == 0 || !u.queue.several() {
 		return nil
 	}
-	return u.queue.longestWaiting()
+	if r := u.queue.longestWaiting(); u.turns.prefillMs >= (turnEvery-1)*u.prefillMs(prefillOf(r)) {
+		return r
+	}
+	return nil
 }
 
 // turnAhead returns the longest-waiting ask if that is less urgent than a request and will have its turn before the
 // request, which waits behind others. Engines are also chosen by this, and a turn of a long prompt delays urgent ones
 // by more than all other rules.
 func (u *upstream) turnAhead(r *request, ahead load) load {
-	if u.turns.grants+int(ahead.requests) < turnEvery-1 || !u.queue.waitsBelow(r.ask.Urgency) {
+	if !u.queue.waitsBelow(r.ask.Urgency) {
 		return load{}
 	}
-	if turn := u.queue.longestWaiting(); turn.ask.Urgency > r.ask.Urgency {
+	turn := u.queue.longestWaiting()
+	due := u.turns.prefillMs+u.prefillMs(ahead) >= (turnEvery-1)*u.prefillMs(prefillOf(turn))
+	if turn.ask.Urgency > r.ask.Urgency && due {
 		return turn.waitingLoad
 	}
 	return load{}
@@ -73,7 +80,7 @@
 		u.turns = turns{}
 		return
 	}
-	u.turns.grants++
+	u.turns.prefillMs += u.prefillMs(prefillOf(r))
 }
 
 // next returns the queued ask that can be granted now, or nil. Only those of the most urgent class are looked at, so
