refactor(balance): split admission.go by concern

Cause: one file of 528 lines held the types of an admission, the search for an engine, the ask for it and the estimate of prefill times.

Change: code moved without edits. admission.go keeps the types and errors, admissionwalk.go the search, admissionask.go what an owner is told, prefillrate.go the box's own estimate.

--- /dev/null
+++ b/internal/balance/admissionask.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/prompt"
+	"dooryard.example/dooryard/internal/work"
+)
+
+// askFor returns the ask for a prompt at the chosen engine, without the times.
+func (m *Manager) askFor(l *Lease, request PickRequest) admission.Ask {
+	a, now := request.Admission, m.monotonic()
+	cached := max(l.parts.cachedTokens(l.shared, now), m.fetchableTokens(l, now))
+	return admission.Ask{
+		Pool: namekey.Of(l.Pool), Upstream: l.key,
+		Organisation: namekey.Of(a.Organisation), Session: namekey.Of(request.Prompt.Session()),
+		Urgency:       a.Urgency,
+		PrefillTokens: max(0, a.Demand.PromptTokens-cached),
+		OwnTokens:     max(0, a.Demand.PromptTokens-a.Demand.SharedTokens) + a.OutputTokens,
+		SharedTokens:  a.Demand.SharedTokens,
+		Slots:         l.slots, MemoryTokens: a.MemoryTokens, Bound: l.bound, SlowPercent: l.heldPace(now),
+	}
+}
+
+// heldPace returns the pace of an upstream in percent of the usual time, or 0 if nothing recent is known of it.
+func (m *Member) heldPace(now clock.Millis) int {
+	if !m.pace.Held(now) {
+		return 0
+	}
+	return m.pace.Percent(now)
+}
+
+// fetchableTokens returns how many tokens at the beginning of the prompt the engine is to fetch.
+func (m *Manager) fetchableTokens(l *Lease, now clock.Millis) int {
+	if l.FetchFrom == "" {
+		return 0
+	}
+	for _, members := range [][]*Member{m.pools[l.Pool], m.departed[l.Pool]} {
+		for _, member := range members {
+			if member.Address == l.FetchFrom {
+				return member.parts.cachedTokens(l.shared, now)
+			}
+		}
+	}
+	return 0
+}
+
+// DemandOf completes what a caller tells of the size of a request from the parts of its prompt.
+func DemandOf(told work.Demand, p prompt.Prompt) work.Demand {
+	shared, all := boundedTokens(p.Shared()), boundedTokens(p)
+	told.SharedTokens = max(told.SharedTokens, shared)
+	told.PromptTokens = max(told.PromptTokens, told.SharedTokens, all)
+	return told
+}
+
+// boundedTokens returns the length of some parts, at most work.MaxTokens.
+func boundedTokens(parts prompt.Prompt) int {
+	sum := 0
+	for _, part := range parts {
+		sum = min(work.MaxTokens, sum+min(work.MaxTokens, part.Tokens))
+	}
+	return sum
+}
