refactor(balance): plain names and comments in admission, Retry-After, slow pools and stalled trials

Cause: a newcomer could not tell what doubtful, first(matches), again or done stand for, a constant named margin was a divisor, and several constants had no unit or reason.

Change: doubtful is estimated, first is best, releaseDoubtful is releaseUnused, PickRequest.again is sessionCounted, admitted.done is prefillEnded, usuallyAfter is meanReaches, holderMargin is holderMarginDivisor. Comments state units, errors and where a figure comes from. No statement of code has changed otherwise.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -9,17 +9,18 @@
 	"dooryard.example/dooryard/internal/work"
 )
 
-// With admission, the owner of an engine decides when a prompt may be sent there, by the work that is due at it. A
-// prompt asks the engines of its session's order one after another, and waits at the owner of one of them if all would
-// have it wait. If none can serve it in time, it is refused at once, so that its caller can return while it still
-// has time, and engines spend none on prompts that come too late.
+// With admission, the owner of an engine decides when a prompt may be sent there, by the work that is due at it. The
+// owners of the engines in the session's order are asked one after another, and the prompt waits at one of them if all
+// would queue it. If none can serve it in time, it is refused at once, so that its caller can return while it still
+// has time and engines prefill no prompts whose responses come too late.
 //
-// This answers loads of prompts above what engines can prefill or hold, for seconds or minutes.
+// This handles loads of prompts above what engines can prefill or hold, for seconds or minutes
+// (docs/design/0015-admission.md).
 
 // ErrOverloaded means that no engine that would accept the prompt can serve it in time. It wraps ErrNoUpstream.
 var ErrOverloaded = fmt.Errorf("%w: they have too much work", ErrNoUpstream)
 
-// OverloadedError tells what the owners of engines answered to a prompt that none of them can serve in time. It wraps
+// OverloadedError holds the answers of the owners of engines to a prompt that none of them can serve in time. It wraps
 // ErrOverloaded.
 type OverloadedError struct {
 	Admission
@@ -35,7 +36,8 @@
 // Unwrap returns ErrOverloaded.
 func (*OverloadedError) Unwrap() error { return ErrOverloaded }
 
-// DrainMs returns the least time after which an owner expects to grant a prompt like this one, or 0 if none told it.
+// DrainMs returns the least time after which an owner expects to grant a prompt like this one, or 0 if no answer
+// states one.
 func (e *OverloadedError) DrainMs() clock.Millis {
 	least := clock.Millis(0)
 	for _, asked := range e.Asked {
@@ -58,16 +60,17 @@
 	MemoryTokens int
 	// PatienceMs is the time left until the caller gives up.
 	PatienceMs clock.Millis
-	// Force is set if the request is sent whatever the load is.
+	// Force is set if the request is sent regardless of the load. Owners count it and don't queue it.
 	Force bool
 }
 
-// forced reports whether the request is sent whatever the load is.
+// forced reports whether the request is sent regardless of the load.
 func (r *PickRequest) forced() bool { return r.Admission != nil && r.Admission.Force }
 
 // Admission is how a prompt was admitted or denied.
 type Admission struct {
-	// Asked are the engines whose owners were asked, in this order. One that was asked again has its last answer.
+	// Asked are the engines whose owners were asked, in this order. An engine that the prompt also waited at has the
+	// answer that ended the wait.
 	Asked []AskedUpstream
 	// Tokens are what the last engine asked would prefill and hold for the prompt.
 	Tokens AdmissionTokens
@@ -95,12 +98,13 @@
 type admitted struct {
 	Admission
 	started func()
-	// prefillTokens count at the engine until the first event. aheadTokens are those that all boxes were estimated to
-	// have there when the prompt was sent, this one included.
+	// prefillTokens count at the engine until the prefill has ended. aheadTokens are the estimated tokens of all boxes'
+	// prompts there, this one included, when it was sent at sentMs.
 	prefillTokens int
 	aheadTokens   float64
 	sentMs        clock.Millis
-	done          atomic.Bool
+	// prefillEnded is set by the first event, or when the request ends without one.
+	prefillEnded atomic.Bool
 }
 
 // Admission returns how the prompt was admitted, or false if it needed no admission.
--- a/internal/balance/admissionask.go
+++ b/internal/balance/admissionask.go
@@ -8,7 +8,8 @@
 	"dooryard.example/dooryard/internal/work"
 )
 
-// askFor returns the ask for a prompt at the chosen engine, without the times.
+// askFor returns the ask for a prompt at the chosen engine, without InTimeMs and PatienceMs, which are set when it is
+// sent.
 func (m *Manager) askFor(l *Lease, request PickRequest) admission.Ask {
 	a, now := request.Admission, m.monotonic()
 	cached := max(l.parts.cachedTokens(l.shared, now), m.fetchableTokens(l, now))
@@ -23,7 +24,7 @@
 	}
 }
 
-// heldPace returns the pace of an upstream in percent of the usual time, or 0 if nothing recent is known of it.
+// heldPace returns the pace of an upstream in percent of the usual time, or 0 if no report of it counts any more.
 func (m *Member) heldPace(now clock.Millis) int {
 	if !m.pace.Held(now) {
 		return 0
@@ -31,7 +32,8 @@
 	return m.pace.Percent(now)
 }
 
-// fetchableTokens returns how many tokens at the beginning of the prompt the engine is to fetch.
+// fetchableTokens returns the number of tokens at the beginning of the prompt that the engine is to fetch from another
+// one, which may have left the pool.
 func (m *Manager) fetchableTokens(l *Lease, now clock.Millis) int {
 	if l.FetchFrom == "" {
 		return 0
@@ -46,15 +48,15 @@
 	return 0
 }
 
-// DemandOf completes what a caller tells of the size of a request from the parts of its prompt.
-func DemandOf(told work.Demand, p prompt.Prompt) work.Demand {
+// DemandOf returns the size of a request as its caller states it, corrected where the parts of its prompt are longer.
+func DemandOf(stated work.Demand, p prompt.Prompt) work.Demand {
 	shared, all := boundedTokens(p.Shared()), boundedTokens(p)
-	told.SharedTokens = max(told.SharedTokens, shared)
-	told.PromptTokens = max(told.PromptTokens, told.SharedTokens, all)
-	return told
+	stated.SharedTokens = max(stated.SharedTokens, shared)
+	stated.PromptTokens = max(stated.PromptTokens, stated.SharedTokens, all)
+	return stated
 }
 
-// boundedTokens returns the length of some parts, at most work.MaxTokens.
+// boundedTokens returns the number of tokens in some parts, at most work.MaxTokens, so that sums don't overflow.
 func boundedTokens(parts prompt.Prompt) int {
 	sum := 0
 	for _, part := range parts {
--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -12,17 +12,21 @@
 )
 
 const (
-	// maxAdmissionAsks is how many engines a prompt asks whether it may be sent there at once.
+	// maxAdmissionAsks is the number of engines whose owners are asked for a prompt in one round, without a wait. Each
+	// ask takes a round trip and up to 82 bytes (docs/design/0015-admission.md), and 90% of the refusals are to come
+	// within 200 ms of arrival.
 	maxAdmissionAsks = 4
-	// maxAdmissionRounds is how often a prompt asks again after an engine that had admitted it became unusable.
+	// maxAdmissionRounds is the number of rounds, the first one included. Another one follows when an engine becomes
+	// unusable after it has admitted the prompt. The limit ends the search where engines fail one after another.
 	maxAdmissionRounds = 4
 )
 
-// AdmitFunc asks the owner of the lease's engine.
+// AdmitFunc asks the owner of the lease's engine. With MayQueue it may block until the context ends.
 type AdmitFunc func(ctx context.Context, lease *Lease, ask admission.Ask) admission.Reply
 
 // PickWithAdmission picks an engine like Pick for a request whose Admission is set, and has its owner admit the prompt.
-// It may wait until the context ends. The error is an OverloadedError if no engine can serve the prompt in time.
+// It may block until the context ends, and then returns an error that wraps the context's cause. The error is an
+// OverloadedError if no engine can serve the prompt in time, and otherwise one of those of Pick.
 func (m *Manager) PickWithAdmission(ctx context.Context, request PickRequest, admit AdmitFunc) (*Lease, error) {
 	w := &admissionWalk{manager: m, request: request, admit: admit, startMs: m.monotonic()}
 	w.record.Force = request.Admission.Force
@@ -37,7 +41,7 @@
 			m.recordAdmission(request, err)
 			return lease, err
 		}
-		w.request.again = true
+		w.request.sessionCounted = true
 	}
 	return nil, w.overloaded()
 }
@@ -62,10 +66,10 @@
 	ask    admission.Ask
 	reply  admission.Reply
 	record int
-	// doubtful is set if no owner that has counted for long enough answered. startInMs is then this box's estimate, and
-	// otherwise the owner's.
-	doubtful  bool
+	// startInMs is the expected time from the answer to the first event. estimated is set if no owner answered, or if
+	// one granted that has not counted for long enough; startInMs is then at least this box's own estimate.
 	startInMs clock.Millis
+	estimated bool
 	// onProbation is set if the engine gets only single trial requests, which don't wait.
 	onProbation bool
 }
@@ -73,7 +77,7 @@
 // round asks engines until one admits the prompt. If none does, it waits at the one that can start it first.
 func (w *admissionWalk) round(ctx context.Context) (*Lease, error) {
 	w.asked, w.request.Full = nil, nil
-	defer w.releaseDoubtful()
+	defer w.releaseUnused()
 	for len(w.asked) < maxAdmissionAsks {
 		engine, err := w.choose()
 		if err != nil && len(w.asked) == 0 {
@@ -98,35 +102,40 @@
 	return w.wait(ctx)
 }
 
-// minMovedTokens is the number of tokens that another engine would have to prefill in addition for a prompt to wait at
-// the engine that caches them. Fewer take less time than the question to another owner saves.
-const minMovedTokens = 1000
+const (
+	// minMovedTokens is the number of cached tokens from which on a prompt waits at the engine that caches them. Fewer
+	// can be prefilled elsewhere at little cost: 1,000 tokens take 25 ms at 40 tokens per ms, the rate of the engines in
+	// TestHardLoad.
+	minMovedTokens = 1000
+	// holderMarginDivisor is the divisor of the expected time to the first event that gives the margin, a quarter, by
+	// which a prompt must be expected in time to wait where it is cached. The margin covers more urgent work that
+	// arrives during the wait.
+	holderMarginDivisor = 4
+)
 
 // waitsForHolder reports whether the prompt waits at the engine that was asked first and caches its shared parts,
-// instead of being prefilled elsewhere: in an overload, sessions that move make engines prefill the same parts again,
-// which takes capacity from other prompts.
+// instead of being prefilled elsewhere. In an overload, sessions that move make engines prefill the same parts again,
+// which takes capacity from other prompts: 1.26 million tokens on the rush day, 0.99 million where prompts wait
+// (docs/design/0015-admission.md).
 func (w *admissionWalk) waitsForHolder(e *askedEngine) bool {
 	cached := w.request.Admission.Demand.PromptTokens - e.ask.PrefillTokens
-	return len(w.asked) == 1 && e.lease.Rank == 0 && !e.doubtful && !e.onProbation &&
-		cached >= minMovedTokens && e.startInMs > 0 && e.startInMs+e.startInMs/holderMargin <= e.ask.InTimeMs
+	return len(w.asked) == 1 && e.lease.Rank == 0 && !e.estimated && !e.onProbation &&
+		cached >= minMovedTokens && e.startInMs > 0 && e.startInMs+e.startInMs/holderMarginDivisor <= e.ask.InTimeMs
 }
 
-// holderMargin is the inverse of the margin by which a prompt must be expected in time to wait where it is cached.
-const holderMargin = 4
-
 // wait has the prompt wait at the owner that would start it first. It returns an OverloadedError if none would start it
-// in time: a prompt that waits although it will be late is mostly refused later, when its caller has no time left.
+// in time: most prompts that wait although they will be late are refused later, when their callers have no time left.
 func (w *admissionWalk) wait(ctx context.Context) (*Lease, error) {
-	if !slices.ContainsFunc(w.asked, func(e *askedEngine) bool { return !e.doubtful }) {
-		// Nothing is known of the engines, so that the prompt is sent to the least loaded one instead of being refused.
-		return w.commit(ctx, w.first(func(*askedEngine) bool { return true }))
+	if !slices.ContainsFunc(w.asked, func(e *askedEngine) bool { return !e.estimated }) {
+		// Nothing is known of the engines, so the prompt is sent to the least loaded one instead of being refused.
+		return w.commit(ctx, w.best(func(*askedEngine) bool { return true }))
 	}
-	queue := w.first(func(e *askedEngine) bool {
-		return !e.doubtful && !e.onProbation && e.startInMs <= e.ask.InTimeMs
+	queue := w.best(func(e *askedEngine) bool {
+		return !e.estimated && !e.onProbation && e.startInMs <= e.ask.InTimeMs
 	})
 	if queue != nil {
-		// After so many refusals the load bound no longer counts, as for permits: an engine with capacity is better than
-		// a refusal.
+		// After these denials the load bound no longer counts, as for permits: an uneven load is better than a refusal
+		// while an engine has capacity.
 		queue.ask.MayQueue, queue.ask.Bound = true, 0
 		sinceMs := w.manager.monotonic()
 		w.ask(ctx, queue)
@@ -135,16 +144,16 @@
 			return w.commit(ctx, queue)
 		}
 	}
-	// Of an engine that could start the prompt in time, only an estimated load above the bound is known.
-	idle := w.first(func(e *askedEngine) bool { return e.doubtful && e.startInMs <= e.ask.InTimeMs })
+	// An engine that this box expects to be in time was passed over only because its estimated load exceeds the bound.
+	idle := w.best(func(e *askedEngine) bool { return e.estimated && e.startInMs <= e.ask.InTimeMs })
 	if idle != nil {
 		return w.commit(ctx, idle)
 	}
 	return nil, w.overloaded()
 }
 
-// first returns the matching engine that would start the prompt first, the least loaded one of several, or nil.
-func (w *admissionWalk) first(matches func(e *askedEngine) bool) *askedEngine {
+// best returns the matching engine that would start the prompt first, the least loaded one of several, or nil.
+func (w *admissionWalk) best(matches func(e *askedEngine) bool) *askedEngine {
 	var best *askedEngine
 	for _, e := range w.asked {
 		if matches(e) && (best == nil || cmp.Or(cmp.Compare(e.startInMs, best.startInMs),
@@ -176,9 +185,9 @@
 	e.ask.InTimeMs = w.request.ObjectiveMs - w.request.ElapsedMs - elapsed
 	e.ask.PatienceMs = patienceMs(w.request.Admission.PatienceMs - elapsed)
 	e.reply = w.admit(ctx, e.lease, e.ask)
-	e.doubtful = e.reply.Unknown || e.reply.Answer.Verdict == admission.Granted && e.reply.Answer.Provisional
+	e.estimated = e.reply.Unknown || e.reply.Answer.Verdict == admission.Granted && e.reply.Answer.Provisional
 	e.startInMs = e.reply.Answer.StartInMs
-	if e.doubtful {
+	if e.estimated {
 		e.startInMs = max(e.startInMs, m.estimateStartMs(e.lease.Member, e.ask.PrefillTokens))
 	}
 	record := AskedUpstream{
@@ -196,10 +205,12 @@
 	w.record.Asked = append(w.record.Asked, record)
 }
 
-// refusalMs is the time that is left for a refusal to reach its caller after a wait. It covers a round trip.
+// refusalMs is the time that is left for a refusal to reach its caller after a wait, so that the caller doesn't give up
+// first. It covers a round trip.
 const refusalMs clock.Millis = 100
 
-// patienceMs returns how long a prompt may wait if its caller gives up after a time.
+// patienceMs returns how long a prompt may wait if its caller gives up after the remaining time: all of it but
+// refusalMs, or half of a shorter time.
 func patienceMs(remaining clock.Millis) clock.Millis { return max(remaining-refusalMs, remaining/2) }
 
 // accepts reports whether the prompt may be sent to an engine after its owner's reply.
@@ -207,7 +218,7 @@
 	switch {
 	case e.ask.Force:
 		return true
-	case e.doubtful:
+	case e.estimated:
 		withinBound := e.lease.bound == 0 || !e.lease.exceedsOwnBound(e.lease.bound)
 		return withinBound && e.startInMs <= e.ask.InTimeMs
 	default:
@@ -246,15 +257,17 @@
 	return l, nil
 }
 
-// releaseDoubtful returns the permits that owners may have counted for engines to which the prompt was not sent.
-func (w *admissionWalk) releaseDoubtful() {
+// releaseUnused returns the permits that owners may have counted for engines to which the prompt was not sent.
+func (w *admissionWalk) releaseUnused() {
 	for _, e := range w.asked {
-		if e.doubtful && e.reply.Release != nil {
+		if e.estimated && e.reply.Release != nil {
 			e.reply.Release(false)
 		}
 	}
 }
 
+// overloaded returns the OverloadedError of the prompt. Its FirstEventMs follows from the learnt prefill times, or is
+// the objective while they are unknown.
 func (w *admissionWalk) overloaded() error {
 	m := w.manager
 	m.mu.Lock()
--- a/internal/balance/overloadretry.go
+++ b/internal/balance/overloadretry.go
@@ -8,37 +8,40 @@
 )
 
 const (
-	// denialWindowMs is the time constant with which decisions on prompts are forgotten.
+	// denialWindowMs is the time constant of the exponential decay of past decisions on prompts. A longer one would keep
+	// delays long after an overload has ended.
 	denialWindowMs = 2 * clock.Second
-	// priorDecisions is the number of admitted prompts that are assumed beside those seen, so that a single denial says
-	// little.
+	// priorDecisions is the number of admitted prompts that are assumed in addition to those seen. Without it, the first
+	// denial at a box turned a drain of 400 ms into a delay of 751 ms.
 	priorDecisions = 8
-	// maxDenialFactor bounds by how much the share of denied prompts lengthens a delay.
+	// maxDenialFactor is the largest factor by which the share of denied prompts lengthens a delay.
 	maxDenialFactor = 8
-	// patienceDivisor bounds a longer delay to a part of the time that the caller has left, so that it can still be
-	// served.
+	// patienceDivisor limits a lengthened delay to a third of the time that the caller has left, so that it can still be
+	// served when it returns.
 	patienceDivisor = 3
 )
 
-// admissionShare is the share of a pool's recent prompts that were denied.
+// admissionShare counts the recent prompts of a pool, weighted by age.
 type admissionShare struct {
 	denied, decided float64
 	atMs            clock.Millis
 }
 
+// decay reduces the weight of the decisions so far by the time since the last call.
 func (s *admissionShare) decay(now clock.Millis) {
 	factor := math.Exp(-float64(now-s.atMs) / float64(denialWindowMs))
 	s.denied, s.decided, s.atMs = s.denied*factor, s.decided*factor, now
 }
 
-// factor returns how many returns a denied caller would need on average until it is admitted, by the decisions on
-// others.
+// factor returns the mean number of attempts until a prompt is admitted, the inverse of the share that is admitted. The
+// latest decision, a denial, does not count.
 func (s *admissionShare) factor(now clock.Millis) float64 {
 	s.decay(now)
 	others := max(0, s.decided-1)
 	return min(maxDenialFactor, (others+priorDecisions)/(s.decided-s.denied+priorDecisions))
 }
 
+// admissionShareOf returns the counts of a pool, which are created if there are none.
 func (m *Manager) admissionShareOf(pool string) *admissionShare {
 	s := m.admissionShares[pool]
 	if s == nil {
@@ -48,7 +51,7 @@
 	return s
 }
 
-// recordAdmission counts the decision on a prompt, unless it is sent whatever the load is.
+// recordAdmission counts the decision on a prompt, unless it is sent regardless of the load.
 func (m *Manager) recordAdmission(request PickRequest, err error) {
 	denied := errors.Is(err, ErrOverloaded)
 	if request.forced() || err != nil && !denied {
@@ -65,9 +68,9 @@
 }
 
 // RetryAfterOverload returns how long a caller whose prompt no engine can serve in time should wait before it returns:
-// until an owner expects to grant a prompt like it, longer while many prompts are denied, since others come meanwhile
-// and a caller that is refused again has waited in vain. It varies by a quarter so that callers that were refused
-// together return apart, and is 0 if the caller would then have no time to be served.
+// until an owner expects to grant a prompt like it, and longer while many prompts are denied, since the owner's time
+// leaves out prompts that arrive in the meantime. The delay is at least minRetryAfterMs, and varies by a quarter either
+// way so that callers that were refused together return apart. It is 0 if the caller would have no time to be served.
 func (m *Manager) RetryAfterOverload(e *OverloadedError, pool string, remainingMs clock.Millis) clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -37,8 +37,8 @@
 	// Admission is set if the owner of an engine must admit the prompt. It has no effect in Pick.
 	Admission *AdmissionRequest
 
-	// again is set if the request was counted in the recent requests of its session.
-	again bool
+	// sessionCounted is set if an earlier choice for the request was counted in the recent requests of its session.
+	sessionCounted bool
 }
 
 // Lease counts a request at an upstream until Release.
@@ -300,7 +300,7 @@
 		h = newSessionCounts(now)
 		m.hotSessions[request.Pool] = h
 	}
-	if len(request.Full) == 0 && !request.again {
+	if len(request.Full) == 0 && !request.sessionCounted {
 		h.record(request.Prompt.Session(), now)
 	}
 	return h.share(request.Prompt.Session())
--- a/internal/balance/slowpool.go
+++ b/internal/balance/slowpool.go
@@ -3,23 +3,26 @@
 import "dooryard.example/dooryard/internal/clock"
 
 // A pool is slow if most of its upstreams respond late, because more work arrives than they can do or because all of
-// them work slowly. A request that waits there is not served sooner by another upstream.
+// them work slowly. A retry at another upstream then doesn't serve a request sooner, and adds work.
 
 const (
-	// minSlowAttempts is how many attempts must be old enough to show that a pool is slow, and minSlowPercent how many
-	// of them must have no response.
+	// minSlowAttempts is the least number of attempts in a span that show that a pool is slow. One or two may be
+	// unanswered by chance.
 	minSlowAttempts = 3
-	minSlowPercent  = 50
-	// firstByteWeight makes the mean time to the first byte cover about the last 16 responses, and firstByteTTLMs is how
-	// long it is used after the last one.
+	// minSlowPercent is the least percentage of them that have no response.
+	minSlowPercent = 50
+	// firstByteWeight is the weight of a response in the mean time to the first byte, which covers about the last 16.
 	firstByteWeight = 1.0 / 16
-	firstByteTTLMs  = 4 * clock.Second
+	// firstByteTTLMs is how long the mean is used after the last response, as long as attempts are counted. Later, it
+	// says nothing of the current load.
+	firstByteTTLMs = 4 * clock.Second
 )
 
-// firstBytes is the mean time that a pool's upstreams take to respond.
+// firstBytes is the moving mean of the time that a pool's upstreams take to respond.
 type firstBytes struct {
 	meanMs float64
-	atMs   clock.Millis
+	// atMs is when the last response began.
+	atMs clock.Millis
 }
 
 func (f *firstBytes) recordFirstByte(elapsed, now clock.Millis) {
@@ -27,15 +30,15 @@
 	f.atMs = now
 }
 
-// usuallyAfter reports whether the last responses came later than a time on average.
-func (f *firstBytes) usuallyAfter(within, now clock.Millis) bool {
+// meanReaches reports whether recent responses took at least the time on average.
+func (f *firstBytes) meanReaches(within, now clock.Millis) bool {
 	return now-f.atMs < firstByteTTLMs && clock.Millis(f.meanMs) >= within
 }
 
-// RespondsWithin reports whether the upstreams of a pool respond to this box's attempts within a time. It says so
-// unless the last responses came later, or most attempts at several upstreams have no response of those that began
-// more than half of that time ago, either up to one and a half times ago or up to some seconds ago, where fewer
-// requests come.
+// RespondsWithin reports whether the upstreams of a pool usually respond to this box's attempts within a time. It is
+// false if recent responses took longer on average, or if most attempts of one of two spans, at several upstreams, have
+// no response. Both spans end half of the time ago. One begins one and a half times the time ago, and the other, for
+// pools with few requests, with the oldest counted attempts, almost 4 s ago.
 func (m *Manager) RespondsWithin(pool string, within clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -45,7 +48,7 @@
 	}
 	now, half := m.monotonic(), within/2 //nolint:mnd // Half of the time.
 	oldest := now - clock.Millis(attemptBuckets-1)*attemptBucketMs
-	return !c.usuallyAfter(within, now) && !c.between(now-within-half, now-half).mostlyUnanswered() &&
+	return !c.meanReaches(within, now) && !c.between(now-within-half, now-half).mostlyUnanswered() &&
 		!c.between(oldest, now-half).mostlyUnanswered()
 }
 
--- a/internal/balance/stalled_trial.go
+++ b/internal/balance/stalled_trial.go
@@ -3,16 +3,18 @@
 import "dooryard.example/dooryard/internal/clock"
 
 // stalledTrialIntervalMs is the time from the start of a stall until the first trial request, and between two of them.
+// Each trial request may get no response, and a longer interval would delay the return to the box's own upstreams.
 const stalledTrialIntervalMs = 2 * clock.Second
 
-// stalledTrial is a request that is sent to a stalled pool without health checks to learn whether it responds again. Of
-// all requests that arrive meanwhile one pays for it, and other boxes serve the others.
+// stalledTrial is a request that is sent to a stalled pool without health checks to find out whether it responds again.
+// Other boxes serve the requests that arrive in the meantime, so only one is delayed if the pool is still stalled.
 type stalledTrial struct {
+	// allowedMs is when a trial was allowed, and sent is set once a request has been sent as the trial.
 	allowedMs clock.Millis
 	sent      bool
 }
 
-// AllowStalledTrial lets one request go to a stalled pool that has no health checks, if a trial is due.
+// AllowStalledTrial allows one request to go to a stalled pool that has no health checks, if a trial is due.
 func (m *Manager) AllowStalledTrial(pool string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -28,8 +30,8 @@
 	}
 }
 
-// takeStalledTrial reports whether the request is the trial request of its pool. One that can be retried elsewhere if
-// there is no response is preferred for another interval.
+// takeStalledTrial reports whether the request is the trial request of its pool, and records it as sent. For one more
+// interval, only a request that can be retried elsewhere is taken, so that its caller is served in any case.
 func (m *Manager) takeStalledTrial(request PickRequest, eligible []*Member, now clock.Millis) bool {
 	t := m.stalledTrials[request.Pool]
 	if _, stalled := m.stalledSinceMs[request.Pool]; !stalled || t == nil || t.sent {
