docs(work,dispatch,route): state units and reasons in comments

Cause: comments used words of their own (told, takes up, sends anew), some constants had no unit or reason, and a multiple was named margin.

Change: comments in internal/work, internal/pipe/dispatch/{admission,retrytimer}.go and at InFlightAtReport in internal/route/view.go are put plainly; streamMargin, a factor, is streamTimeFactor; each verdict of a log line has a comment. No statement of code has changed otherwise.

--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -17,49 +17,54 @@
 type Admission struct {
 	// Enabled reports whether the owners of engines admit prompts. Nil means that they don't.
 	Enabled func() bool
-	// Reauthorise returns a refusal if the key of a request that waited is not valid any more.
+	// Reauthorise returns a refusal if the key of a request that has waited is no longer valid.
 	Reauthorise func(r *opaque.Request) error
 	// ExpectOutput returns the expected length of an output in tokens.
 	ExpectOutput func(route string, d work.Demand) int
 	// ObserveEvents records the number of events of a complete stream.
 	ObserveEvents func(route string, d work.Demand, events int)
-	// ObserveStream records the time from the first event of a complete stream to its end, and AllowForStream returns the
-	// time to allow for it, or 0 if it is unknown.
-	ObserveStream  func(route string, took clock.Millis)
+	// ObserveStream records the time from the first event of a complete stream to its end.
+	ObserveStream func(route string, took clock.Millis)
+	// AllowForStream returns the time to allow from the first event of a stream to its end, or 0 if it is unknown.
 	AllowForStream func(route string) clock.Millis
 	// OnDecided counts a decision by its verdict, with the time that the request waited.
 	OnDecided func(verdict string, waitedMs clock.Millis)
-	// RetryAfter returns the Retry-After of a request that no engine can serve in time, or 0 to give none.
+	// RetryAfter returns the Retry-After of a request that no engine can serve in time and whose time limit is over in
+	// remainingMs, or 0 to send none.
 	RetryAfter func(e *balance.OverloadedError, pool string, remainingMs clock.Millis) clock.Millis
 }
 
-// Verdicts in log lines and metrics, beside those of the owners.
+// Verdicts in log lines and metrics, in addition to those of the owners.
 const (
-	verdictLate    = "late"
+	// verdictLate is a grant although the prompt is expected to be late.
+	verdictLate = "late"
+	// verdictUnknown is this box's own decision, because no owner answered.
 	verdictUnknown = "unknown"
-	verdictForced  = "forced"
-	// verdictAbandoned is that on a prompt whose caller left before the decision.
+	// verdictForced is a prompt that is sent regardless of the load.
+	verdictForced = "forced"
+	// verdictAbandoned is a prompt whose caller disconnected before the decision.
 	verdictAbandoned = "abandoned"
 )
 
-// needsAdmission reports whether an engine's owner must admit the request: it is a prompt with a latency objective.
+// needsAdmission reports whether an engine's owner must admit the request, which is so for prompts with a latency
+// objective.
 func (p *Pipe) needsAdmission(r *opaque.Request) bool {
 	enabled := p.deps.Admission.Enabled
 	return enabled != nil && enabled() && r.Route.Sticky && len(r.Prompt) > 0 && r.Route.ObjectiveMs > 0
 }
 
-// demandOf returns the size of a request.
+// demandOf returns the size of a request by its headers and the parts of its prompt.
 func demandOf(r *opaque.Request) work.Demand {
-	told := work.Demand{}
+	stated := work.Demand{}
 	if r.Dialect.DecodeDemand != nil {
-		told = r.Dialect.DecodeDemand(r.HTTP.Header)
+		stated = r.Dialect.DecodeDemand(r.HTTP.Header)
 	}
-	return balance.DemandOf(told, r.Prompt)
+	return balance.DemandOf(stated, r.Prompt)
 }
 
 // admissionRequest returns what the owner of an engine is asked, or nil if the request needs no admission. A request
-// that may have reached an upstream before, a trial request and a stream that the caller takes up are sent whatever the
-// load is: they would otherwise be refused late, or keep others waiting for what they show.
+// that may have reached an upstream before, a stream that is resumed and a trial request are sent regardless of the
+// load: the first two would otherwise be refused late, and others wait for the result of a trial.
 func (s *retryLoop) admissionRequest() *balance.AdmissionRequest {
 	r, p := s.request, s.pipe
 	if !p.needsAdmission(r) {
@@ -80,7 +85,8 @@
 	return request
 }
 
-// patienceMs returns the time within which the first event must come for the caller to get the whole response.
+// patienceMs returns the time within which the first event must come for the caller to get the whole response: until
+// the caller is expected to give up, and until the time limit less the usual time of a stream.
 func (p *Pipe) patienceMs(r *opaque.Request) clock.Millis {
 	now := p.deps.Clock.Monotonic()
 	untilLimit := r.RemainingMs(now)
@@ -88,7 +94,7 @@
 	if r.Route.GiveUpMs > 0 {
 		remaining = min(remaining, r.ArrivedMs+r.Route.GiveUpMs-now)
 	}
-	// A first event in time is never refused for a stream that usually takes long.
+	// A prompt is never refused because streams usually take long while its first event can still be in time.
 	return max(remaining, min(untilLimit, r.ArrivedMs+r.Route.ObjectiveMs-now))
 }
 
@@ -137,6 +143,8 @@
 	return verdict
 }
 
+// admissionDecided returns the event of a decision. The lease is nil if the prompt was refused; the event then names
+// the engine that was asked last.
 func (s *retryLoop) admissionDecided(
 	a balance.Admission, lease *balance.Lease, verdict string,
 ) decision.AdmissionDecided {
@@ -157,8 +165,8 @@
 	return e
 }
 
-// recheckAfterWait returns an error if a request that waited to be admitted may not be sent any more. The state of the
-// upstream was checked when the wait ended.
+// recheckAfterWait returns an error if a request that waited to be admitted may no longer be sent. The state of the
+// upstream has been checked at the end of the wait.
 func (s *retryLoop) recheckAfterWait(lease *balance.Lease) error {
 	if a, needed := lease.Admission(); !needed || a.WaitedMs == 0 {
 		return nil
@@ -172,14 +180,14 @@
 	return s.pipe.deps.Rescreen(s.request)
 }
 
-// refuseOverloaded returns the refusal of a request that no engine can serve in time.
+// refuseOverloaded returns the refusal (503, upstreams_overloaded) of a request that no engine can serve in time.
 func (s *retryLoop) refuseOverloaded(e *balance.OverloadedError, err error) error {
 	remaining := s.request.RemainingMs(s.pipe.deps.Clock.Monotonic())
 	return opaque.NewRefusal(opaque.NotRunStatus, opaque.UpstreamsOverloaded,
 		s.pipe.deps.Admission.RetryAfter(e, s.request.Pool, remaining), err)
 }
 
-// observeEvents records the length of a stream that one upstream sent completely.
+// observeEvents records the length and the duration of a stream that one upstream sent completely.
 func (s *retryLoop) observeEvents(events int) {
 	r := s.request
 	if s.pipe.needsAdmission(r) && r.Sent == 1 && !r.TakesUpStream() {
@@ -188,7 +196,7 @@
 	}
 }
 
-// startReader calls a function when the first byte is read.
+// startReader calls onStart whenever bytes are read; balance.Lease.RecordFirstEvent ignores all calls but the first.
 type startReader struct {
 	io.Reader
 	onStart func()
@@ -203,6 +211,6 @@
 	return n, err
 }
 
-// isSuccess reports whether a response shows that an upstream processed the request. Others come without a prefill, and
-// would make prefills look short.
+// isSuccess reports whether a response shows that an upstream processed the request. Error responses come without a
+// prefill, and would make the learnt prefill times too short.
 func isSuccess(status int) bool { return status < http.StatusBadRequest }
--- a/internal/pipe/dispatch/retrytimer.go
+++ b/internal/pipe/dispatch/retrytimer.go
@@ -6,27 +6,28 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// retryTimer expires once an attempt has made no progress for a span and a retry would help. An attempt that is
-// canceled although no retry may follow, or although the other upstreams are as slow, is lost: the upstream has done a
-// part of the work, and its response would have come late rather than not at all.
+// retryTimer expires once an attempt has made no progress for a span and a retry would help. Canceling an attempt when
+// no retry may follow, or when the other upstreams are as slow, wastes the work that its upstream has done, and the
+// caller gets no response instead of a late one.
 //
-// This answers overload: engines that read more prompts than usual respond later than the timeout, and canceled
-// attempts would add work to the others until the retry budget is used up.
+// This handles overload: engines that prefill more prompts than usual respond after the timeout, and the retries of
+// canceled attempts add work at the others until the retry budget is used up.
 type retryTimer struct {
 	clock  clock.Clock
 	spanMs clock.Millis
-	// helps reports whether a retry would help now.
-	helps  func() bool
+	// helps reports whether a retry would help now. It is called without the lock.
+	helps func() bool
+	// expire is called with the lock held.
 	expire func()
 
 	mu    sync.Mutex
 	timer *clock.Timer
-	// progress counts the calls of recordProgress and stop, so that a check that overlaps with one has no effect.
+	// progress counts the calls of recordProgress and stop, so that a check that runs during one has no effect.
 	progress int
 }
 
-// recheckDivisor is the span in relation to the time after which a retry that would not have helped is considered
-// again.
+// recheckDivisor is the divisor of the span that gives the interval of further checks while a retry would not help. A
+// retry then starts at most a quarter of the span after it would help.
 const recheckDivisor = 4
 
 // startRetryTimer starts a timer, which calls expire in a goroutine of its own.
@@ -44,6 +45,7 @@
 	t.timer = t.clock.AfterFunc(max(1, span), func() { t.check(progress) })
 }
 
+// check expires the timer, or starts it again, unless there has been progress since the timer was started.
 func (t *retryTimer) check(progress int) {
 	helps := t.helps()
 	t.mu.Lock()
@@ -57,7 +59,7 @@
 	}
 }
 
-// recordProgress starts the span anew.
+// recordProgress restarts the span.
 func (t *retryTimer) recordProgress() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,6 +68,7 @@
 	t.startLocked(t.spanMs)
 }
 
+// stop prevents the timer from expiring. It doesn't wait for a check that runs.
 func (t *retryTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -25,10 +25,10 @@
 	InFlight int
 	// Used is the number of requests that this box has in flight on the member for all models.
 	Used int
-	// Reported is the last reported load from all boxes, which lags behind the actual load.
+	// Reported is the last reported number of requests from all boxes, which lags behind the actual one.
 	Reported int
-	// InFlightAtReport is the number of requests that this box had in flight on the member when Reported
-	// was measured.
+	// InFlightAtReport is the number of requests that this box had in flight on the member at the time
+	// of the report.
 	InFlightAtReport int
 	// Slots is the number of requests from all boxes that the upstream runs concurrently.
 	Slots int
--- a/internal/work/lengths.go
+++ b/internal/work/lengths.go
@@ -8,23 +8,30 @@
 )
 
 const (
-	// lengthWeight makes an average cover about the last 64 outputs of a route. Lengths vary by a factor of several, so
-	// that fewer would not give a stable mean.
+	// lengthWeight is the least weight of an output in an average, which covers about the last 64 of a route. Lengths
+	// vary by a factor of several, so fewer would not give a stable mean.
 	lengthWeight = 1.0 / 64
-	// minLengths is the number of outputs after which an average is used.
+	// minLengths is the number of outputs from which on an average is used. Before, single lengths would decide.
 	minLengths = 16
-	// maxHintFactor limits what one output contributes to the average, since hints are often far off.
+	// maxHintFactor is the largest multiple of its hint for which one output counts, since hints are often far too small.
 	maxHintFactor = 8
-	// maxLengthRoutes limits the number of routes of which lengths are kept.
+	// maxLengthRoutes is the number of routes for which lengths are kept. It limits the memory.
 	maxLengthRoutes = 1024
-	// eventRatios is the number of streams whose median gives the tokens per event.
+	// eventRatios is the number of streams whose median gives the tokens per event. It is odd, so that the median is one
+	// of the ratios.
 	eventRatios = 33
+	// minStreams is the number of streams from which on their time is used. With more, prompts of the first seconds of
+	// an overload would be cut off at their limits.
+	minStreams = 4
+	// streamTimeFactor is the time to allow for a stream in relation to the mean. It allows for lengths that vary.
+	streamTimeFactor = 2
 )
 
 // Lengths learns how the lengths of outputs relate to callers' hints and maxima, and how long streams take, by route.
 // It is safe for concurrent use.
 //
-// This answers loads that fill the memory of engines: callers set maxima far above what they get.
+// This handles loads that fill the memory of engines: callers set maxima far above the lengths of their outputs, and
+// engines would be left partly empty if the maxima were reserved.
 type Lengths struct {
 	mu     sync.Mutex
 	routes map[string]*routeLengths
@@ -36,12 +43,12 @@
 	perHint, perMaximum average
 	// streamMs is the time from the first event of a stream to its end.
 	streamMs average
-	// perEvent holds the latest ratios of a hint to a number of events. Hints are right in the median, and so the median
+	// perEvent holds the latest ratios of a hint to a number of events. Hints are correct at the median, so the median
 	// of the ratios is the number of tokens per event.
 	perEvent []float64
 }
 
-// average is a moving average.
+// average is a moving average, and the plain mean of the first samples.
 type average struct {
 	value   float64
 	samples int
@@ -63,8 +70,8 @@
 // NewLengths returns a Lengths without observations.
 func NewLengths() *Lengths { return &Lengths{routes: map[string]*routeLengths{}} }
 
-// Expect returns the expected length of the output in tokens, at most the maximum. Without observations this is the
-// hint, or half of the maximum without one.
+// Expect returns the expected length of the output in tokens, at most the maximum. Without observations, it is the
+// hint, or half of the maximum if there is no hint. It is 0 if neither is known.
 func (l *Lengths) Expect(route string, d Demand) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,8 +101,8 @@
 	}
 }
 
-// ObserveEvents records the number of events of a complete stream. While the number of tokens per event is unknown,
-// only that is learnt.
+// ObserveEvents records the number of events of a complete stream. While the number of tokens per event is unknown, the
+// events only contribute to that number, and no length is learnt.
 func (l *Lengths) ObserveEvents(route string, d Demand, events int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -123,13 +130,6 @@
 	}
 }
 
-// minStreams is the number of streams after which their time is used. With more, prompts of the first seconds of an
-// overload would be cut off at their limits.
-const minStreams = 4
-
-// streamMargin is the time that is allowed for a stream in relation to the mean, because lengths vary.
-const streamMargin = 2
-
 // AllowForStream returns the time to allow from the first event of a stream to its end, or 0 while it is unknown.
 func (l *Lengths) AllowForStream(route string) clock.Millis {
 	l.mu.Lock()
@@ -138,9 +138,10 @@
 	if known == nil || known.streamMs.samples < minStreams {
 		return 0
 	}
-	return clock.Millis(streamMargin * known.streamMs.value)
+	return clock.Millis(streamTimeFactor * known.streamMs.value)
 }
 
+// observe records the length of an output as a multiple of its hint, or of its maximum if it has no hint.
 func (r *routeLengths) observe(d Demand, outputTokens float64) {
 	switch {
 	case d.HintTokens > 0:
@@ -150,7 +151,7 @@
 	}
 }
 
-// route returns what is known of a route, or nil if there are too many.
+// route returns the entry of a route, which is created if there is none, or nil if maxLengthRoutes are known.
 func (l *Lengths) route(name string) *routeLengths {
 	known := l.routes[name]
 	if known == nil && len(l.routes) < maxLengthRoutes {
