test(balance): simulations and the fixture share their managers, upstreams and event loop

Cause: four fixtures built the same upstreams and managers, two simulations had an event queue each, and a pace test filled the same samples twice.

Change: newTestManager, testUpstreams and eventSimulation (internal/balance/simulation_test.go) replace what newFixture, newSimulation, newOverload and newSlowLoad repeated, and the heap of simEvent. slowLoad.tells and its checks of exchanges are merged into report and tell, and the samples of TestSlowIsPassedOver into observeTimes (btoi is gone: the cases state the number of samples). No case, bound or assertion has changed.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -8,11 +8,9 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/registry"
-	"dooryard.example/dooryard/internal/upstream"
 )
 
 type fixture struct {
@@ -23,18 +21,10 @@
 
 func newFixture(t *testing.T, count int) *fixture {
 	t.Helper()
-	f := &fixture{now: 1000}
-	monotonic := func() clock.Millis { return f.now }
-	f.Manager = New(
-		Settings{FailureDomain: "d0", BoundPercent: 140, PanicPercent: 60, Health: health.Limits{BaseMs: 1000, MaxMs: 8000}},
-		monotonic, func(address string) *upstream.Client { return upstream.New(address, monotonic) }, func(int) int { return 0 },
-	)
-	for i := range count {
-		f.list = append(f.list, registry.Upstream{
-			ID: fmt.Sprint("u", i), Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), FailureDomain: fmt.Sprint("d", i%3), Slots: 8,
-		})
-	}
-	f.SetUpstreams(f.list)
+	f := &fixture{now: 1000, list: testUpstreams("u", count, 8)}
+	f.Manager = newTestManager(&f.now, func(int) int { return 0 }, f.list, Settings{
+		FailureDomain: "d0", BoundPercent: 140, PanicPercent: 60,
+	})
 	return f
 }
 
--- a/internal/balance/overload_test.go
+++ b/internal/balance/overload_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -11,10 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/occupancy"
-	"dooryard.example/dooryard/internal/registry"
-	"dooryard.example/dooryard/internal/upstream"
 )
 
 // The simulation in this file plays an overload of a plain service on the decisions of all boxes: a few servers with
@@ -30,33 +26,6 @@
 	simOverheadMs = clock.Millis(6)
 )
 
-// simEvent is an arrival at a box or the end of work at a server.
-type simEvent struct {
-	atMs  clock.Millis
-	order int
-	run   func()
-}
-
-// events holds the events to come, the next one first.
-type events []simEvent
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	return e[i].atMs < e[j].atMs || e[i].atMs == e[j].atMs && e[i].order < e[j].order
-}
-
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-func (e *events) Push(x any) { *e = append(*e, x.(simEvent)) } //nolint:forcetypeassert // Only events are pushed.
-
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // simServer is a server with a bounded queue.
 type simServer struct {
 	busy  int
@@ -65,11 +34,7 @@
 
 // overload is one run.
 type overload struct {
-	now     clock.Millis
-	events  events
-	order   int
-	random  *rand.Rand
-	boxes   []*Manager
+	*eventSimulation
 	ledger  *occupancy.Ledger
 	servers map[string]*simServer
 	// limited makes boxes request permits. Without it they send whatever they get.
@@ -80,35 +45,17 @@
 }
 
 func newOverload(seed uint64, boxes, servers int, limited bool) *overload {
+	list := testUpstreams("s", servers, simSlots)
 	o := &overload{
-		now: 1000, random: rand.New(rand.NewPCG(seed, seed)), servers: map[string]*simServer{}, limited: limited,
-	}
-	monotonic := func() clock.Millis { return o.now }
-	o.ledger = occupancy.New(monotonic)
-	list := []registry.Upstream{}
-	for i := range servers {
-		id := fmt.Sprint("s", i)
-		o.servers[id] = &simServer{}
-		list = append(list, registry.Upstream{
-			ID: id, Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), FailureDomain: fmt.Sprint("d", i%3), Slots: simSlots,
-		})
+		eventSimulation: newEventSimulation(seed, boxes, list), servers: map[string]*simServer{}, limited: limited,
 	}
-	for i := range boxes {
-		m := New(Settings{
-			FailureDomain: fmt.Sprint("d", i%3), BoundPercent: 180, PanicPercent: 60,
-			Health: health.Limits{BaseMs: 1000, MaxMs: 8000},
-		}, monotonic, func(address string) *upstream.Client { return upstream.New(address, monotonic) }, o.random.IntN)
-		m.SetUpstreams(list)
-		o.boxes = append(o.boxes, m)
+	o.ledger = occupancy.New(func() clock.Millis { return o.now })
+	for _, u := range list {
+		o.servers[u.ID] = &simServer{}
 	}
 	return o
 }
 
-func (o *overload) at(ms clock.Millis, run func()) {
-	o.order++
-	heap.Push(&o.events, simEvent{atMs: ms, order: o.order, run: run})
-}
-
 // play lets requests arrive at a mean rate, in clumps of three and with a wave of 11 s.
 func (o *overload) play(t *testing.T, span clock.Millis, perSecond float64) {
 	t.Helper()
@@ -124,11 +71,7 @@
 	for second := range span / clock.Second {
 		o.at(o.now+second*clock.Second, o.ledger.Expire)
 	}
-	for o.events.Len() > 0 {
-		next := heap.Pop(&o.events).(simEvent) //nolint:forcetypeassert // Only events are pushed.
-		o.now = next.atMs
-		next.run()
-	}
+	o.playEvents()
 }
 
 // arrive sends a caller's request to a random box. If it is refused the first time, the caller returns.
--- a/internal/balance/pace_load_test.go
+++ b/internal/balance/pace_load_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,26 +9,25 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/registry"
-	"dooryard.example/dooryard/internal/upstream"
 )
 
 // The simulation in this file plays a light load on engines of which some are slow, on the decisions of several boxes.
 // Engines prefill one prompt at a time, and then send events for a while.
 const (
-	slowBoxes       = 6
-	slowEngines     = 12
-	slowSessions    = 300
+	slowBoxes    = 6
+	slowEngines  = 12
+	slowSessions = 300
+	// A prefill takes slowFixedMs and slowPerTokenMs for each token, and the events of a response slowDecodeMs.
 	slowFixedMs     = 5
 	slowPerTokenMs  = 0.01
 	slowDecodeMs    = 300
 	slowObjectiveMs = 30
 	slowPingMs      = 250
-	slowNewsMs      = 2
-	// slowHousekeepingMs is how late boxes tell of what they learnt.
+	// slowNewsMs is the delay of a message about a reported pace, and slowHousekeepingMs that about a learned one.
+	slowNewsMs         = 2
 	slowHousekeepingMs = 100
 )
 
@@ -42,19 +40,13 @@
 
 // slowLoad is one run.
 type slowLoad struct {
+	*eventSimulation
 	t       *testing.T
-	now     clock.Millis
-	events  events
-	order   int
-	random  *rand.Rand
-	boxes   []*Manager
 	engines map[string]*slowEngine
 	list    []registry.Upstream
-	// percent returns the pace of an engine at a time, and tells is set if engines report it.
+	// percent returns the pace of an engine at a time, and report the pace that it reports, or 0 for none.
 	percent func(engine string, at clock.Millis) int
-	tells   bool
-	// report returns what an engine reports instead, if it is set.
-	report func(engine string) int
+	report  func(engine string) int
 	// exchanges is set if boxes tell each other of findings.
 	exchanges bool
 	// perSecond is the rate of requests per engine.
@@ -67,25 +59,14 @@
 
 func newSlowLoad(t *testing.T, seed uint64) *slowLoad {
 	t.Helper()
+	list := testUpstreams("e", slowEngines, 16)
 	s := &slowLoad{
-		t: t, now: 1000, random: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*slowEngine{}, tells: true,
+		eventSimulation: newEventSimulation(seed, slowBoxes, list), t: t, list: list, engines: map[string]*slowEngine{},
 		exchanges: true, perSecond: 12,
 	}
-	monotonic := func() clock.Millis { return s.now }
-	for i := range slowEngines {
-		id := fmt.Sprint("e", i)
-		s.engines[id] = &slowEngine{cached: map[string]bool{}}
-		s.list = append(s.list, registry.Upstream{
-			ID: id, Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), FailureDomain: fmt.Sprint("d", i%3), Slots: 16,
-		})
-	}
-	for i := range slowBoxes {
-		m := New(Settings{
-			FailureDomain: fmt.Sprint("d", i%3), BoundPercent: 180, PanicPercent: 60,
-			Health: health.Limits{BaseMs: 1000, MaxMs: 8000},
-		}, monotonic, func(address string) *upstream.Client { return upstream.New(address, monotonic) }, s.random.IntN)
-		m.SetUpstreams(s.list)
-		s.boxes = append(s.boxes, m)
+	s.report = func(engine string) int { return s.percent(engine, s.now) }
+	for _, u := range list {
+		s.engines[u.ID] = &slowEngine{cached: map[string]bool{}}
 	}
 	return s
 }
@@ -119,12 +100,7 @@
 	}
 }
 
-func (s *slowLoad) at(ms clock.Millis, run func()) {
-	s.order++
-	heap.Push(&s.events, simEvent{atMs: ms, order: s.order, run: run})
-}
-
-// play lets requests arrive.
+// play plays requests and pings that arrive within a span.
 func (s *slowLoad) play(span clock.Millis) {
 	for at := 0.0; at < float64(span); at += s.random.ExpFloat64() * 1000 / (s.perSecond * slowEngines) {
 		s.at(s.now+clock.Millis(at), s.arrive)
@@ -134,11 +110,7 @@
 			s.at(s.now+at, func() { s.ping(i) })
 		}
 	}
-	for s.events.Len() > 0 {
-		next := heap.Pop(&s.events).(simEvent) //nolint:forcetypeassert // Only events are pushed.
-		s.now = next.atMs
-		next.run()
-	}
+	s.playEvents()
 }
 
 // ping has a box exchange findings with all others.
@@ -152,11 +124,16 @@
 	}
 }
 
-// tell has all boxes hear of a finding.
-func (s *slowLoad) tell(finding pace.Finding) {
-	for _, m := range s.boxes {
-		m.RecordPaceFindings([]pace.Finding{finding})
+// tell informs all boxes of a finding after a delay, if they exchange findings.
+func (s *slowLoad) tell(finding pace.Finding, delay clock.Millis) {
+	if !s.exchanges {
+		return
 	}
+	s.at(s.now+delay, func() {
+		for _, m := range s.boxes {
+			m.RecordPaceFindings([]pace.Finding{finding})
+		}
+	})
 }
 
 // finish returns when an amount of work ends at an engine.
@@ -199,23 +176,14 @@
 	firstMs := s.now
 	engine.waiting--
 	engine.running++
-	percent := 0
-	if s.tells {
-		percent = s.percent(lease.ID, s.now)
-	}
-	if s.report != nil {
-		percent = s.report(lease.ID)
-	}
 	lease.RecordAnswered()
 	lease.RecordLoad(engine.running + engine.waiting)
-	if finding, tell := lease.RecordPace(percent, engine.waiting); tell && s.exchanges {
-		s.at(s.now+slowNewsMs, func() { s.tell(finding) })
+	if finding, tell := lease.RecordPace(s.report(lease.ID), engine.waiting); tell {
+		s.tell(finding, slowNewsMs)
 	}
 	lease.RecordResponseStart()
 	for _, finding := range lease.manager.TakePaceTells() {
-		if s.exchanges {
-			s.at(s.now+slowHousekeepingMs, func() { s.tell(finding) })
-		}
+		s.tell(finding, slowHousekeepingMs)
 	}
 	s.at(s.finish(lease.ID, s.now, slowDecodeMs), func() {
 		engine.running--
@@ -250,9 +218,10 @@
 // TestSlowEngines plays light load on engines of which some are slow. It guards against requests that are late because
 // they are sent to an engine that was known to be slow, or could have been, and against upstreams that misreport.
 func TestSlowEngines(t *testing.T) {
-	untold := func(s *slowLoad) { s.tells = false }
+	untold := func(s *slowLoad) { s.report = func(string) int { return 0 } }
 	learnt := func(s *slowLoad) {
-		s.tells, s.countedMs = false, s.now+3*clock.Second
+		untold(s)
+		s.countedMs = s.now + 3*clock.Second
 		for _, m := range s.boxes {
 			m.SetLearnPace(true)
 		}
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -19,6 +19,13 @@
 	l.RecordPace(percent, 0)
 }
 
+// observeTimes records samples of a time to the first byte of 20 ms and 0.05 ms per token.
+func (f *fixture) observeTimes(samples int) {
+	for i := range samples {
+		f.timesOf("p").FirstByte.Observe(1000*(i%2), clock.Millis(20+50*(i%2)), 100)
+	}
+}
+
 // withShared returns a request of a session with shared parts of a length.
 func withShared(tokens int) PickRequest {
 	return PickRequest{Pool: "p", Sticky: true, Prompt: prompt.Prompt{{ID: "s", Tokens: tokens}, {ID: "own", Tokens: 100}}}
@@ -68,20 +75,17 @@
 	t.Run("a session stays where its parts are cached if that is sooner", func(t *testing.T) {
 		// Without times per token, it stays with more than 4,000 tokens at a pace below 300.
 		for _, c := range []struct {
-			tokens, percent int
-			known, stays    bool
+			tokens, percent, samples int
+			stays                    bool
 		}{
-			{5000, 200, false, true},
-			{5000, 300, false, false},
-			{3000, 200, false, false},
-			{3000, 200, true, true},
-			{300, 200, true, false},
+			{5000, 200, 0, true},
+			{5000, 300, 0, false},
+			{3000, 200, 0, false},
+			{3000, 200, 40, true},
+			{300, 200, 40, false},
 		} {
 			f, first := start(t, 6, withShared(c.tokens))
-			for i := range 40 * btoi(c.known) {
-				// 20 ms and 0.05 ms per token.
-				f.timesOf("p").FirstByte.Observe(1000*(i%2), clock.Millis(20+50*(i%2)), 100)
-			}
+			f.observeTimes(c.samples)
 			f.report(first.ID, c.percent)
 			assert.Equal(t, c.stays, f.pick(t, withShared(c.tokens)).ID == first.ID, "%+v", c)
 		}
@@ -91,9 +95,7 @@
 			request := withShared(3000)
 			request.Transfers, request.ObjectiveMs = true, objective
 			f, first := start(t, 6, request)
-			for i := range 40 {
-				f.timesOf("p").FirstByte.Observe(1000*(i%2), clock.Millis(20+50*(i%2)), 100)
-			}
+			f.observeTimes(40)
 			f.report(first.ID, 250)
 			assert.Equal(t, stays, f.pick(t, request).ID == first.ID, "objective of %d ms", objective)
 		}
@@ -117,13 +119,6 @@
 	})
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // TestPaceFindings guards against findings that boxes miss, or apply to another incarnation of an upstream.
 func TestPaceFindings(t *testing.T) {
 	t.Run("a box tells at once what it didn't know, and for a second with pings", func(t *testing.T) {
--- a/internal/balance/surge_test.go
+++ b/internal/balance/surge_test.go
@@ -9,10 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/registry"
-	"dooryard.example/dooryard/internal/upstream"
 )
 
 // These tests guard against overloaded engines during a surge. In a large deployment one
@@ -38,28 +36,15 @@
 	completions map[clock.Millis][]*Lease
 }
 
-// simDomains is the number of failure domains of the simulation.
-const simDomains = 3
-
 func newSimulation(boxes, engines int) *simulation {
 	s := &simulation{
 		now: 1000, random: rand.New(rand.NewPCG(1, 2)), engineLoad: map[string]int{},
-		completions: map[clock.Millis][]*Lease{},
-	}
-	monotonic := func() clock.Millis { return s.now }
-	for i := range engines {
-		s.engines = append(s.engines, registry.Upstream{
-			ID: fmt.Sprint("engine-", i), Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), Slots: 48,
-			FailureDomain: fmt.Sprint("d", i%simDomains),
-		})
+		engines: testUpstreams("engine-", engines, 48), completions: map[clock.Millis][]*Lease{},
 	}
 	for range boxes {
-		m := New(
-			Settings{FailureDomain: "d0", BoundPercent: 180, PanicPercent: 85, Health: health.Limits{BaseMs: 1000, MaxMs: 8000}},
-			monotonic, func(address string) *upstream.Client { return upstream.New(address, monotonic) }, s.random.IntN,
-		)
-		m.SetUpstreams(s.engines)
-		s.boxes = append(s.boxes, m)
+		s.boxes = append(s.boxes, newTestManager(&s.now, s.random.IntN, s.engines, Settings{
+			FailureDomain: "d0", BoundPercent: 180, PanicPercent: 85,
+		}))
 		s.reported = append(s.reported, make([]map[string]int, boxes))
 	}
 	return s
