--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -28,6 +29,13 @@
 	return f
 }
 
+// setEntry changes the registry entry of an upstream.
+func (f *fixture) setEntry(id string, change func(u *registry.Upstream)) {
+	f.list = slices.Clone(f.list)
+	change(&f.list[slices.IndexFunc(f.list, func(u registry.Upstream) bool { return u.ID == id })])
+	f.SetUpstreams(f.list)
+}
+
 func sticky(session string) PickRequest {
 	return PickRequest{Pool: "p", Sticky: true, Prompt: prompt.Prompt{{ID: session, Tokens: 1000}, {ID: "own", Tokens: 10}}}
 }
--- a/internal/balance/incarnation_test.go
+++ b/internal/balance/incarnation_test.go
@@ -19,14 +19,7 @@
 
 // restart restarts an upstream with the same ID and address.
 func (f *fixture) restart(id string) {
-	list := slices.Clone(f.list)
-	for i := range list {
-		if list[i].ID == id {
-			list[i].StartedMs += 1000
-		}
-	}
-	f.list = list
-	f.SetUpstreams(list)
+	f.setEntry(id, func(u *registry.Upstream) { u.StartedMs += 1000 })
 }
 
 // withStartTimes gives all upstreams a start time.
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -10,7 +11,6 @@
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/prompt"
-	"dooryard.example/dooryard/internal/registry"
 )
 
 // report has an upstream report a pace in the response to a request, which is not counted otherwise.
@@ -146,15 +146,11 @@
 		assert.Empty(t, f.PaceCounts().Slow)
 	})
 	t.Run("a restarted or new upstream has no pace", func(t *testing.T) {
-		f := newFixture(t, 4)
-		for i := range f.list {
-			f.list[i].StartedMs = 1
-		}
-		f.SetUpstreams(f.list)
+		f := newFixture(t, 4).withStartTimes()
 		before := f.pick(t, sticky("s"))
 		before.RecordPace(300, 0)
 		told := f.PaceFindings()
-		released := append([]registry.Upstream{}, f.list...)
+		released := slices.Clone(f.list)
 		for i := range released {
 			released[i].StartedMs = 2
 		}
--- a/internal/balance/skipped_test.go
+++ b/internal/balance/skipped_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/registry"
 )
 
 func TestSkippedEngine(t *testing.T) {
@@ -15,10 +16,7 @@
 		disrupt func(f *fixture, first *Lease)
 	}{
 		{SkipDraining, func(f *fixture, first *Lease) {
-			for i := range f.list {
-				f.list[i].Draining = f.list[i].ID == first.ID
-			}
-			f.SetUpstreams(f.list)
+			f.setEntry(first.ID, func(u *registry.Upstream) { u.Draining = true })
 		}},
 		{SkipEjected, func(_ *fixture, first *Lease) { first.Release(Unreachable) }},
 		{SkipDomainUnreachable, func(f *fixture, first *Lease) {
