test(admission): failures share their assertions, simulated messages their loss

Cause: each case of TestFailures repeated the checks of what is in time, the fleet sent starts and releases by the same lines, and fields of the simulation had no unit.

Change: play checks the shares of short and long prompts in time, with the bounds of each case as before (0 where a case had none); fleet.failed and steady replace repeated expressions; release and start share notifyOwner. Comments state units. Every case and bound remains.

--- a/internal/admission/failures_test.go
+++ b/internal/admission/failures_test.go
@@ -8,35 +8,37 @@
 	"dooryard.example/dooryard/internal/namekey"
 )
 
-const (
-	failureMs = 4000
-)
+// failureMs is when the failure happens.
+const failureMs = 4000
 
 // TestFailures guards against single failures that cost more than the requests that they hit.
 func TestFailures(t *testing.T) {
-	// play runs a load in which a failure happens, and checks that no ledger keeps anything of it.
-	play := func(t *testing.T, load float64, prepare, fail func(f *fleet)) (short, long *result, f *fleet) {
+	assertInTime := func(t *testing.T, r *result, least float64) {
+		t.Helper()
+		assert.GreaterOrEqual(t, r.part(r.inTime), least, "%v", r)
+	}
+	// play runs a load in which a failure happens, and checks the shares of short and long prompts that are in time, and
+	// that no ledger keeps a permit or an ask.
+	play := func(t *testing.T, load, short, long float64, prepare, fail func(f *fleet)) *fleet {
 		t.Helper()
-		f = newFleet(6, 12, 1)
+		f := newFleet(6, 12, 1)
 		f.warm(shortKind, longKind)
 		prepare(f)
 		f.after(failureMs, func() { fail(f) })
-		f.run(loadMs, func(float64) float64 { return load }, shortKind, longKind)
+		f.run(loadMs, steady(load), shortKind, longKind)
 		f.report(t)
+		assertInTime(t, f.results["short"], short)
+		assertInTime(t, f.results["long"], long)
 		f.now += float64(permitTTLMs)
 		for _, l := range f.ledgers {
 			l.Expire()
 			assert.Zero(t, l.Sizes().Permits+l.Sizes().Queued)
 		}
-		return f.results["short"], f.results["long"], f
+		return f
 	}
 	nothing := func(*fleet) {}
-	assertInTime := func(t *testing.T, r *result, least float64) {
-		t.Helper()
-		assert.GreaterOrEqual(t, r.part(r.inTime), least, "%v", r)
-	}
 	t.Run("the owner of two engines dies and another one starts counting", func(t *testing.T) {
-		short, long, _ := play(t, 0.8, nothing, func(f *fleet) {
+		f := play(t, 0.8, 0.95, 0.9, nothing, func(f *fleet) {
 			f.ledgers[0] = f.newLedger()
 			for _, c := range f.waiting {
 				if f.owner(c.engine) == f.ledgers[0] {
@@ -44,13 +46,11 @@
 				}
 			}
 		})
-		assertInTime(t, short, 0.95)
-		assertInTime(t, long, 0.9)
-		assert.Zero(t, short.failed+long.failed)
+		assert.Zero(t, f.failed())
 	})
 	t.Run("a third of the engines crashes", func(t *testing.T) {
 		hit := 0
-		short, long, _ := play(t, 0.8, nothing, func(f *fleet) {
+		f := play(t, 0.8, 0.95, 0.75, nothing, func(f *fleet) {
 			for _, e := range f.engines[:4] {
 				e.down = true
 			}
@@ -59,14 +59,12 @@
 					f.fail(c)
 				}
 			}
-			hit = f.results["short"].failed + f.results["long"].failed
+			hit = f.failed()
 		})
-		assert.Equal(t, hit, short.failed+long.failed)
-		assertInTime(t, short, 0.95)
-		assertInTime(t, long, 0.75)
+		assert.Equal(t, hit, f.failed())
 	})
 	t.Run("an asking box dies", func(t *testing.T) {
-		short, long, _ := play(t, 1, nothing, func(f *fleet) {
+		play(t, 1, 0.95, 0.75, nothing, func(f *fleet) {
 			for _, c := range f.waiting {
 				if c.id.Box == "box3" {
 					c.ended = true
@@ -78,32 +76,24 @@
 				}
 			})
 		})
-		assertInTime(t, short, 0.95)
-		assertInTime(t, long, 0.75)
 	})
 	t.Run("an organisation sends ten times its usual load", func(t *testing.T) {
-		_, _, f := play(t, 1.7, func(f *fleet) {
+		f := play(t, 1.7, 0, 0, func(f *fleet) {
 			f.orgOf = func() namekey.Key { return namekey.Key(min(1, f.random.IntN(11))) }
-		}, func(*fleet) {})
+		}, nothing)
 		t.Logf("usual %v; tenfold %v", f.byOrg[0], f.byOrg[1])
 		assertInTime(t, f.byOrg[0], 0.9)
 	})
 	t.Run("callers leave early", func(t *testing.T) {
-		short, long, _ := play(t, 1.2, func(f *fleet) { f.leaveAfter = 300 }, nothing)
-		assertInTime(t, short, 0.8)
-		assertInTime(t, long, 0.6)
+		play(t, 1.2, 0.8, 0.6, func(f *fleet) { f.leaveAfter = 300 }, nothing)
 	})
 	t.Run("one in twenty starts and releases is lost", func(t *testing.T) {
-		short, long, _ := play(t, 0.8, func(f *fleet) { f.lose = 0.05 }, nothing)
-		assertInTime(t, short, 0.95)
-		assertInTime(t, long, 0.8)
+		play(t, 0.8, 0.95, 0.8, func(f *fleet) { f.lose = 0.05 }, nothing)
 	})
 	t.Run("an engine reports a tenth of its pace, another one is four times slower", func(t *testing.T) {
-		short, long, f := play(t, 0.7, func(f *fleet) {
+		f := play(t, 0.7, 0.95, 0.85, func(f *fleet) {
 			f.engines[0].reported, f.engines[1].slow = 1000, 4
 		}, nothing)
 		t.Log(f.ledgers[1].upstreams[1].pace, f.ledgers[2].upstreams[2].pace)
-		assertInTime(t, short, 0.95)
-		assertInTime(t, long, 0.85)
 	})
 }
--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -10,21 +10,22 @@
 	"dooryard.example/dooryard/internal/namekey"
 )
 
-// event is something that happens at an instant of a simulated fleet.
+// event is a function that is called at a simulated time in milliseconds.
 type event struct {
 	at float64
 	do func()
 }
 
-// callerKind is a kind of request with the fraction of prefill work that it makes up.
+// callerKind is a kind of request. Its first event is to come within the objective, and its caller gives up at the
+// limit. A request with shared, own and output tokens runs for holdMs on average after its first event. The kind makes
+// up a share of the prefill work, and engines have cached the shared tokens if cached is set.
 type callerKind struct {
 	name                string
 	urgency             int
 	objective, limit    clock.Millis
 	shared, own, output int
 	holdMs, share       float64
-	// cached is set if engines have cached the shared part.
-	cached bool
+	cached              bool
 }
 
 func (k callerKind) prefillTokens() int {
@@ -43,7 +44,8 @@
 	longKind  = callerKind{"long", 1, 2000, 12_000, 10_512, 1300, 300, 3000, 0.85, false}
 )
 
-// simEngine prefills prompts one after the other and holds requests while they run.
+// simEngine prefills prompts one after the other and holds requests (inUse) and their tokens (held) while they run.
+// Prefills take longer by the factor slow, while boxes report the pace reported in percent.
 type simEngine struct {
 	key           namekey.Key
 	slots, memory int
@@ -54,6 +56,7 @@
 	reading, down bool
 }
 
+// call is a caller's request, which arrived first and was attempted last at these times. The caller gives up at leave.
 type call struct {
 	kind                    callerKind
 	id                      ID
@@ -65,8 +68,10 @@
 }
 
 const (
+	// A prefill takes simFixedMs and simPerToken milliseconds for each token.
 	simFixedMs, simPerToken = 10.0, 0.05
-	messageMs               = 1
+	// messageMs is how long a message between boxes takes.
+	messageMs = 1
 )
 
 // fleet plays callers, boxes, ledgers and engines. Fields are set before run.
@@ -80,14 +85,14 @@
 	waiting map[ID]*call
 	calls   []*call
 
+	// urgentFirst is set if engines prefill urgent prompts first.
 	urgentFirst bool
-	lose        float64
-	// varying is the range of the times for which requests run, as a fraction of their mean.
-	varying    float64
-	leaveAfter float64
-	orgOf      func() namekey.Key
-	results    map[string]*result
-	byOrg      map[namekey.Key]*result
+	// lose is the fraction of starts and releases that are lost, varying the range of the times for which requests run as
+	// a fraction of their mean, and leaveAfter the milliseconds after which a third of the callers give up, or 0.
+	lose, varying, leaveAfter float64
+	orgOf                     func() namekey.Key
+	results                   map[string]*result
+	byOrg                     map[namekey.Key]*result
 }
 
 // result counts outcomes of callers of a kind, and times from an attempt to its refusal.
@@ -115,10 +120,9 @@
 
 func newFleet(owners, engines int, seed uint64) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 2)), waiting: map[ID]*call{}, varying: 1,
+		now: 1000, random: rand.New(rand.NewPCG(seed, 2)), waiting: map[ID]*call{}, varying: 1,
 		orgOf: func() namekey.Key { return 1 },
 	}
-	f.now = 1000
 	f.forget()
 	for range owners {
 		f.ledgers = append(f.ledgers, f.newLedger())
@@ -137,13 +141,13 @@
 
 // warm lets the ledgers learn under a light load.
 func (f *fleet) warm(kinds ...callerKind) {
-	f.run(6000, func(float64) float64 { return 0.5 }, kinds...)
+	f.run(6000, steady(0.5), kinds...)
 	f.forget()
 }
 
 func (f *fleet) newLedger() *Ledger { return New(func() clock.Millis { return clock.Millis(f.now) }) }
 
-// after does something later. Events of one instant keep their order.
+// after calls a function at a later time. Events of one instant keep their order.
 func (f *fleet) after(ms float64, do func()) {
 	e := event{f.now + ms, do}
 	i, _ := slices.BinarySearchFunc(f.events, e, func(a, b event) int {
@@ -157,6 +161,9 @@
 
 func (f *fleet) owner(e *simEngine) *Ledger { return f.ledgers[int(e.key)%len(f.ledgers)] }
 
+// steady is a constant load.
+func steady(load float64) func(float64) float64 { return func(float64) float64 { return load } }
+
 // run plays arrivals of a span with a load, as a factor of what engines can prefill, and then lets calls end.
 func (f *fleet) run(spanMs float64, load func(ms float64) float64, kinds ...callerKind) {
 	begin := f.now
@@ -225,9 +232,16 @@
 func (f *fleet) release(c *call, served bool) {
 	delete(f.waiting, c.id)
 	c.released = true
-	if c.engine != nil && f.random.Float64() >= f.lose {
+	if c.engine != nil {
+		f.notifyOwner(c, func(l *Ledger, id ID) []Grant { return l.Release(id, served) })
+	}
+}
+
+// notifyOwner sends a message about a request to the owner of its engine, unless the message is lost.
+func (f *fleet) notifyOwner(c *call, message func(l *Ledger, id ID) []Grant) {
+	if f.random.Float64() >= f.lose {
 		l, id := f.owner(c.engine), c.id
-		f.after(messageMs, func() { f.deliver(l.Release(id, served)) })
+		f.after(messageMs, func() { f.deliver(message(l, id)) })
 	}
 }
 
@@ -250,7 +264,7 @@
 	return answer
 }
 
-// try asks up to four engines, as the balancer does, and then the best one with leave to queue.
+// try asks the owners of up to four engines, as the balancer does, and then the best one with MayQueue.
 func (f *fleet) try(c *call) {
 	c.attempt = f.now
 	candidates := slices.DeleteFunc(slices.Clone(f.engines), func(e *simEngine) bool { return e.down })
@@ -310,7 +324,7 @@
 	})
 }
 
-// deliver passes on the later answers to queued asks.
+// deliver sends the answers to queued asks to their boxes.
 func (f *fleet) deliver(grants []Grant) {
 	for _, g := range grants {
 		if c := f.waiting[g.ID]; c != nil {
@@ -338,6 +352,7 @@
 	f.read(c.engine)
 }
 
+// fail ends a request whose engine has crashed.
 func (f *fleet) fail(c *call) {
 	f.release(c, false)
 	f.end(c, func(r *result) { r.failed++ })
@@ -371,13 +386,10 @@
 	})
 }
 
-// start is the first event of a response, which then runs for a while.
+// start sends the first event of a response, which then runs for a while.
 func (f *fleet) start(c *call) {
 	e := c.engine
-	if f.random.Float64() >= f.lose {
-		l, id := f.owner(e), c.id
-		f.after(messageMs, func() { f.deliver(l.Started(id)) })
-	}
+	f.notifyOwner(c, (*Ledger).Started)
 	elapsed := f.now - c.arrived
 	f.end(c, func(r *result) {
 		if elapsed <= float64(c.kind.objective) {
@@ -402,3 +414,6 @@
 		t.Logf("%s %v", name, f.results[name])
 	}
 }
+
+// failed returns the number of callers that failed.
+func (f *fleet) failed() int { return f.results["short"].failed + f.results["long"].failed }
--- a/internal/admission/loads_test.go
+++ b/internal/admission/loads_test.go
@@ -6,12 +6,12 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// loadMs is the length of a load.
 const loadMs = 12_000
 
-// TestLoads guards against a fleet that answers an overload of prompts with late responses instead of prompt refusals.
+// TestLoads guards against a fleet that answers an overload of prompts with late responses instead of early refusals.
 // The bounds are those of docs/HARD-LOAD.md.
 func TestLoads(t *testing.T) {
-	steady := func(load float64) func(float64) float64 { return func(float64) float64 { return load } }
 	byTurns := func(ms float64) float64 {
 		if int(ms/3000)%2 == 0 {
 			return 1.7
@@ -81,7 +81,7 @@
 			short, long := shortKind, longKind
 			short.share, long.share = load.urgentShare, 1-load.urgentShare
 			f.warm(short, long)
-			f.run(loadMs, func(float64) float64 { return load.load }, short, long)
+			f.run(loadMs, steady(load.load), short, long)
 			f.report(t)
 			urgent, others := f.results["short"], f.results["long"]
 			assert.GreaterOrEqual(t, urgent.part(urgent.inTime), 0.95)
