test(gateway): load tests share boxes in failure domains, upstreams with slots and the slow cases

Cause: four fixtures started boxes in three failure domains by the same lines, two registered upstreams with slots of their own, three cases of TestHardLoad repeated a light load, and fields of the fixture had no unit.

Change: boxesInDomains and upstreamWithSlots (fixture_test.go) serve hardload, stalled, skewed and fatal_restart; the light cases of TestHardLoad are built by slowCase with the bounds as before; the seed is a constant. hardEngine.read is prefill, reader is prefilling; the cache needs no lock, since one prompt is prefilled at a time. Every case and bound remains.

--- a/internal/gateway/fatal_restart_test.go
+++ b/internal/gateway/fatal_restart_test.go
@@ -16,7 +16,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/registry"
-	"dooryard.example/dooryard/pkg/config"
 )
 
 const (
@@ -154,14 +153,7 @@
 	for number := range restartUpstreams {
 		r.start(number, "127.0.0.1:0")
 	}
-	boxes := []*running{}
-	for number := range restartBoxes {
-		change := []func(g *config.Gateway){func(g *config.Gateway) { g.FailureDomain = fmt.Sprint("d", number%restartDomains) }}
-		if number > 0 {
-			change = append(change, withContact(boxes[0]))
-		}
-		boxes = append(boxes, r.fleet.box(number+1, change...))
-	}
+	boxes := r.fleet.boxesInDomains(restartBoxes)
 	advance(r.fleet.t, 3*time.Second)
 	return boxes
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -156,12 +158,17 @@
 
 // upstreamIn starts a server in a failure domain and registers it.
 func (f *fleet) upstreamIn(id, domain string, handler http.HandlerFunc) {
+	f.t.Helper()
+	f.upstreamWithSlots(id, domain, 8, handler)
+}
+
+func (f *fleet) upstreamWithSlots(id, domain string, slots int, handler http.HandlerFunc) {
 	f.t.Helper()
 	address := f.server(id, func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["X-Id"] = r.Header["X-Id"]
 		handler(w, r)
 	})
-	f.store.put(registry.Upstream{ID: id, Pool: "p", Address: address, FailureDomain: domain, Slots: 8})
+	f.store.put(registry.Upstream{ID: id, Pool: "p", Address: address, FailureDomain: domain, Slots: slots})
 }
 
 func (f *fleet) server(name string, handler http.HandlerFunc) string {
@@ -230,6 +237,20 @@
 	return all
 }
 
+// boxesInDomains starts boxes in several failure domains that discover each other.
+func (f *fleet) boxesInDomains(count int, change ...func(g *config.Gateway)) []*running {
+	f.t.Helper()
+	all := []*running{}
+	for i := range count {
+		own := append(slices.Clone(change), withDomain(fmt.Sprint("d", i%restartDomains)))
+		if i > 0 {
+			own = append(own, withContact(all[0]))
+		}
+		all = append(all, f.box(i+1, own...))
+	}
+	return all
+}
+
 // call is a caller's request.
 type call struct {
 	method, path, id, key, body string
--- a/internal/gateway/hardload_fixture_test.go
+++ b/internal/gateway/hardload_fixture_test.go
@@ -17,23 +17,25 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/work"
 	"dooryard.example/dooryard/pkg/config"
 )
 
 const (
+	hardSeed    = 1
 	hardBoxes   = 6
 	hardEngines = 12
 	hardSlots   = 32
-	// hardTokensPerMs is how fast an engine reads prompts. A long prompt takes 295 ms and a short one 21 ms.
+	// hardTokensPerMs is how fast an engine prefills prompts. A long prompt takes 295 ms and a short one 21 ms.
 	hardTokensPerMs = 40
+	// hardEventTokens is the number of tokens of an event.
 	hardEventTokens = 40
 
+	// Requests are measured from hardWarmUpMs on, for hardRunMs.
 	hardWarmUpMs clock.Millis = 4000
 	hardRunMs    clock.Millis = 12_000
-	// usualPace is the pace of an engine that takes its usual time.
+	// usualPace is the pace, in percent of the usual time, of an engine that takes its usual time.
 	usualPace = 100
 )
 
@@ -43,10 +45,10 @@
 	headerLengthHint  = "X-Length-Hint"
 )
 
-// withHardLoad enables what the load tests measure.
+// withHardLoad enables admission and learned paces, which the load tests measure.
 func withHardLoad(g *config.Gateway) { g.Admission.Enabled, g.Pace.Learn = true, true }
 
-// decodeDemand decodes what a caller tells of the size of a request.
+// decodeDemand decodes the size of a request as its caller states it.
 func decodeDemand(header http.Header) work.Demand {
 	prompt, output, _ := strings.Cut(header.Get(headerTokenCounts), ",")
 	var d work.Demand
@@ -56,7 +58,7 @@
 	return d
 }
 
-// hardKind is a kind of callers. All prompts are new.
+// hardKind is a kind of callers. No two of them share parts of a prompt.
 type hardKind struct {
 	name                                     string
 	urgency, sharedTokens, ownTokens, events int
@@ -85,15 +87,15 @@
 	load func(ms clock.Millis) float64
 	// memoryTokens is the memory of an engine.
 	memoryTokens int
-	// firstEventMs passes between the end of reading and the first event. It does not hold up other prompts.
+	// firstEventMs passes between the end of the prefill and the first event. It does not delay other prompts.
 	firstEventMs clock.Millis
 	// pace returns how long work takes at an engine in percent of the usual.
 	pace func(r *rand.Rand) func(engine int, ms clock.Millis) int
 	// saysPace is set if engines report their pace.
 	saysPace bool
-	// minInTime are the aims by kind; "" stands for all kinds.
+	// minInTime are the least shares of callers that are served in time, by kind; "" stands for all kinds.
 	minInTime map[string]float64
-	// maxSlowShare limits the share of requests that slow engines get from slowAfterMs on, or is 0.
+	// maxSlowShare limits the share of requests that are sent to slow engines from slowAfterMs on, or is 0.
 	maxSlowShare float64
 	slowAfterMs  clock.Millis
 }
@@ -108,7 +110,7 @@
 	calling sync.WaitGroup
 
 	mu sync.Mutex
-	// ran holds the IDs of the requests that engines began to read.
+	// ran holds the IDs of the requests that engines began to prefill.
 	ran map[string]bool
 	// results count callers by kind and result.
 	results   map[string]map[string]int
@@ -122,19 +124,24 @@
 
 func (l *hardLoad) sinceStart() clock.Millis { return l.fleet.clock.Monotonic() - l.startMs }
 
-// hardEngine is an engine that reads prompts one after the other, and holds them in its memory until they end.
+// hardEngine is an engine that prefills prompts one after the other, and holds them in its memory until they end.
 type hardEngine struct {
 	load   *hardLoad
 	number int
-	reader chan struct{}
+	// prefilling holds a value while a prompt is prefilled.
+	prefilling chan struct{}
 
 	mu                    sync.Mutex
 	freeTokens, freeSlots int
-	notBegun              int
-	queue                 []*hardWaiter
-	cached                map[string]bool
+	// notBegun counts the requests that have arrived and whose prefill has not ended.
+	notBegun int
+	// queue are the requests that wait for a slot and memory, and cached the parts that were prefilled; only the request
+	// that is prefilled accesses cached.
+	queue  []*hardWaiter
+	cached map[string]bool
 }
 
+// hardWaiter is a request that waits until ready is closed.
 type hardWaiter struct {
 	tokens int
 	ready  chan struct{}
@@ -143,10 +150,11 @@
 // hold waits until there is a slot and memory. Later requests that fit go first.
 func (e *hardEngine) hold(ctx context.Context, tokens int) (release func(), err error) {
 	w := &hardWaiter{tokens: tokens, ready: make(chan struct{})}
+	free := func() { e.freeTokens, e.freeSlots = e.freeTokens+tokens, e.freeSlots+1 }
 	e.update(func() { e.queue, e.notBegun = append(e.queue, w), e.notBegun+1 })
 	select {
 	case <-w.ready:
-		return func() { e.update(func() { e.freeTokens, e.freeSlots = e.freeTokens+tokens, e.freeSlots+1 }) }, nil
+		return func() { e.update(free) }, nil
 	case <-ctx.Done():
 		e.update(func() {
 			e.notBegun--
@@ -154,7 +162,7 @@
 				e.queue = slices.Delete(e.queue, i, i+1)
 				return
 			}
-			e.freeTokens, e.freeSlots = e.freeTokens+tokens, e.freeSlots+1
+			free()
 		})
 		return nil, ctx.Err()
 	}
@@ -181,11 +189,11 @@
 	return e.load.fleet.clock.Sleep(ctx, clock.Millis(ms*float64(pace)/usualPace+1))
 }
 
-// read reads the parts that are not cached, after the prompts before it.
-func (e *hardEngine) read(ctx context.Context, id, parts string) error {
+// prefill prefills the parts that are not cached, after the prompts before it.
+func (e *hardEngine) prefill(ctx context.Context, id, parts string) error {
 	select {
-	case e.reader <- struct{}{}:
-		defer func() { <-e.reader }()
+	case e.prefilling <- struct{}{}:
+		defer func() { <-e.prefilling }()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -195,20 +203,16 @@
 	tokens := 0
 	for part := range strings.SplitSeq(parts, ",") {
 		name, count, _ := strings.Cut(part, ":")
-		n, _ := strconv.Atoi(count)
-		e.mu.Lock()
-		if !e.cached[name] {
+		if n, _ := strconv.Atoi(count); !e.cached[name] {
 			tokens += n
 		}
 		e.cached[name] = true
-		e.mu.Unlock()
 	}
 	return e.work(ctx, float64(tokens)/hardTokensPerMs)
 }
 
-// ServeHTTP streams events.
+// ServeHTTP holds and prefills a prompt, and streams its events.
 func (e *hardEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header()["X-Id"] = r.Header["X-Id"]
 	kind := slices.IndexFunc(e.load.kinds, func(k hardKind) bool { return strings.HasPrefix(r.URL.Path, "/"+k.name) })
 	if kind < 0 {
 		return
@@ -221,7 +225,7 @@
 		return
 	}
 	defer release()
-	err = e.read(r.Context(), r.Header.Get("X-Id"), r.Header.Get("X-Prompt"))
+	err = e.prefill(r.Context(), r.Header.Get("X-Id"), r.Header.Get("X-Prompt"))
 	e.update(func() { e.notBegun-- })
 	if err != nil || e.work(r.Context(), float64(e.load.firstEventMs)) != nil {
 		return
@@ -264,9 +268,9 @@
 }
 
 // newHardLoad starts the boxes and the engines of a case.
-func newHardLoad(f *fleet, c hardCase, seed uint64) *hardLoad {
+func newHardLoad(f *fleet, c hardCase) *hardLoad {
 	l := &hardLoad{
-		hardCase: c, fleet: f, paceOf: c.pace(rand.New(rand.NewPCG(seed, hardEngines))),
+		hardCase: c, fleet: f, paceOf: c.pace(rand.New(rand.NewPCG(hardSeed, hardEngines))),
 		ran: map[string]bool{}, results: map[string]map[string]int{},
 	}
 	state := content(1)
@@ -282,33 +286,23 @@
 	state.Pools[0].Engine = &routing.Engine{Slots: hardSlots, CacheTokens: c.memoryTokens}
 	f.store.setState(f.t, state)
 	for i := range hardEngines {
-		id := fmt.Sprint("u", i)
 		e := &hardEngine{
-			load: l, number: i, reader: make(chan struct{}, 1), freeTokens: c.memoryTokens, freeSlots: hardSlots,
+			load: l, number: i, prefilling: make(chan struct{}, 1), freeTokens: c.memoryTokens, freeSlots: hardSlots,
 			cached: map[string]bool{},
 		}
-		f.store.put(registry.Upstream{
-			ID: id, Pool: "p", Address: f.server(id, e.ServeHTTP), FailureDomain: fmt.Sprint("d", i%restartDomains),
-			Slots: hardSlots,
-		})
-	}
-	for i := range hardBoxes {
-		change := []func(g *config.Gateway){withDomain(fmt.Sprint("d", i%restartDomains)), withHardLoad}
-		if i > 0 {
-			change = append(change, withContact(l.boxes[0]))
-		}
-		l.boxes = append(l.boxes, f.box(i+1, change...))
+		f.upstreamWithSlots(fmt.Sprint("u", i), fmt.Sprint("d", i%restartDomains), hardSlots, e.ServeHTTP)
 	}
+	l.boxes = f.boxesInDomains(hardBoxes, withHardLoad)
 	advance(f.t, 2*time.Second)
 	l.startMs = f.clock.Monotonic() + hardWarmUpMs
 	return l
 }
 
 // run sends the requests of all kinds and waits until their callers are done. Each kind has a random source of its own,
-// so that a seed always gives the same requests.
-func (l *hardLoad) run(seed uint64) {
+// so that all runs send the same requests.
+func (l *hardLoad) run() {
 	for number, k := range l.kinds {
-		random := rand.New(rand.NewPCG(seed, uint64(number)))
+		random := rand.New(rand.NewPCG(hardSeed, uint64(number)))
 		l.calling.Go(func() {
 			for i := 0; l.sinceStart() < hardRunMs; i++ {
 				boxes := []*running{l.boxes[random.IntN(hardBoxes)], l.boxes[random.IntN(hardBoxes)]}
@@ -321,7 +315,7 @@
 	l.calling.Wait()
 }
 
-// call sends the request of a caller, who returns once, to the second box, if a refusal names a time.
+// call sends the request of a caller, who retries once, at the second box, if a refusal has a Retry-After.
 func (l *hardLoad) call(k hardKind, id string, boxes []*running) {
 	startMs, measured := l.fleet.clock.Monotonic(), l.sinceStart() >= 0
 	result := l.try(k, id, startMs, boxes[0])
@@ -335,7 +329,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if result.failure != "" {
-		l.failures = append(l.failures, fmt.Sprintf("%s at %d ms, after %d ms: %s", id, startMs-l.startMs, result.tookMs, result.failure))
+		l.failures = append(l.failures,
+			fmt.Sprintf("%s at %d ms, after %d ms: %s", id, startMs-l.startMs, result.tookMs, result.failure))
 	}
 	l.results[k.name]["all"]++
 	l.results[k.name][result.name]++
@@ -353,7 +348,7 @@
 	failure string
 }
 
-// try sends a request. Its result counts from when the caller first sent it.
+// try sends a request. Whether it is in time counts from when the caller first sent it.
 func (l *hardLoad) try(k hardKind, id string, firstMs clock.Millis, b *running) hardResult {
 	sentMs := l.fleet.clock.Monotonic()
 	left := firstMs + k.limitMs - sentMs
--- a/internal/gateway/hardload_test.go
+++ b/internal/gateway/hardload_test.go
@@ -52,14 +52,24 @@
 }
 
 // TestHardLoad guards against callers who get late responses, late refusals or none while prompts exceed what engines
-// can read or hold, or while some engines are slow. The aims are those of docs/HARD-LOAD.md.
+// can prefill or hold, or while some engines are slow. The aims are those of docs/HARD-LOAD.md.
 func TestHardLoad(t *testing.T) {
-	// At these rates, prompts owed are as many as the engines can read, a tenth of the tokens in short ones.
+	// At these rates, as many prompts arrive as the engines can prefill, a tenth of the tokens in short ones.
 	full := []hardKind{shortKind(57.9), longKind(36.6)}
 	held := []hardKind{shortKind(26), longKind(18.9)}
 	held[1].eventGapMs = 600
-	light := []hardKind{shortKind(120), longKind(2)}
+	// ampleTokens is the memory of the first customer's engines.
 	const ampleTokens = 425_013
+	// slowCase is a light load while some engines are slow.
+	slowCase := func(name string, pace func(*rand.Rand) func(int, clock.Millis) int, inTime, maxSlowShare float64) hardCase {
+		return hardCase{
+			name: name, kinds: []hardKind{shortKind(120), longKind(2)}, load: constantLoad(1, 1), firstEventMs: 170,
+			memoryTokens: ampleTokens, pace: pace, saysPace: true, minInTime: map[string]float64{"": inTime},
+			maxSlowShare: maxSlowShare,
+		}
+	}
+	unsaid := slowCase("three engines are slow and don't say so", someSlow, 0.95, 0.05)
+	unsaid.saysPace, unsaid.slowAfterMs = false, 3*clock.Second
 	for _, c := range []hardCase{
 		{
 			name: "prompts owed are 1.7 times what engines can read", kinds: full, load: constantLoad(0.5, 1.7),
@@ -74,30 +84,19 @@
 			}, memoryTokens: ampleTokens, pace: usualPaces, minInTime: map[string]float64{"short": 0.95, "long": 0.6},
 		},
 		{
-			// An engine holds four long prompts, each read for 0.3 s and answered for 3 s. Of those owed, 1.3 times as many
-			// would have to be held.
+			// An engine holds four long prompts, each prefilled for 0.3 s and answered for 3 s. To serve all in time, engines
+			// would have to hold 1.3 times as many.
 			name: "memory for tokens is short before slots are", kinds: held, load: constantLoad(0.5, 1),
 			memoryTokens: 52_500, pace: usualPaces, minInTime: map[string]float64{"short": 0.95, "long": 0.6},
 		},
-		{
-			name: "engines are slow in spells and say so", kinds: light, load: constantLoad(1, 1), firstEventMs: 170,
-			memoryTokens: ampleTokens, pace: slowSpells, saysPace: true, minInTime: map[string]float64{"": 0.96}, maxSlowShare: 0.06,
-		},
-		{
-			name: "three engines are slow and say so", kinds: light, load: constantLoad(1, 1), firstEventMs: 170,
-			memoryTokens: ampleTokens, pace: someSlow, saysPace: true, minInTime: map[string]float64{"": 0.98}, maxSlowShare: 0.06,
-		},
-		{
-			name: "three engines are slow and don't say so", kinds: light, load: constantLoad(1, 1), firstEventMs: 170,
-			memoryTokens: ampleTokens, pace: someSlow, minInTime: map[string]float64{"": 0.95},
-			maxSlowShare: 0.05, slowAfterMs: 3 * clock.Second,
-		},
+		slowCase("engines are slow in spells and say so", slowSpells, 0.96, 0.06),
+		slowCase("three engines are slow and say so", someSlow, 0.98, 0.06),
+		unsaid,
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runBesideOthers(t, func(f *fleet) {
-				const seed = 1
-				l := newHardLoad(f, c, seed)
-				l.run(seed)
+				l := newHardLoad(f, c)
+				l.run()
 				l.check(t)
 			})
 		})
--- a/internal/gateway/skewed_test.go
+++ b/internal/gateway/skewed_test.go
@@ -14,7 +14,6 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/registry"
 )
 
 const (
@@ -129,22 +128,9 @@
 		}
 		for i := range skewedUpstreams {
 			id := fmt.Sprint("u", i)
-			address := f.server(id, func(w http.ResponseWriter, r *http.Request) {
-				w.Header()["X-Id"] = r.Header["X-Id"]
-				s.respond(id)(w, r)
-			})
-			f.store.put(registry.Upstream{
-				ID: id, Pool: "p", Address: address, FailureDomain: fmt.Sprint("d", i%restartDomains), Slots: skewedSlots,
-			})
-		}
-		for i := range skewedBoxes {
-			domain := withDomain(fmt.Sprint("d", i%restartDomains))
-			if i == 0 {
-				s.boxes = append(s.boxes, f.box(1, domain))
-				continue
-			}
-			s.boxes = append(s.boxes, f.box(i+1, domain, withContact(s.boxes[0])))
+			f.upstreamWithSlots(id, fmt.Sprint("d", i%restartDomains), skewedSlots, s.respond(id))
 		}
+		s.boxes = f.boxesInDomains(skewedBoxes)
 		advance(f.t, 3*time.Second)
 		for number, favourite := range []int{-1, 0, 1} {
 			s.phase(number, favourite)
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/assert"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/pkg/config"
 )
 
 const (
@@ -60,13 +59,7 @@
 	for i := range stalledUpstreams {
 		f.upstreamIn(fmt.Sprint("u", i), fmt.Sprint("d", i%restartDomains), handler)
 	}
-	for i := range stalledBoxes {
-		change := []func(g *config.Gateway){withDomain(fmt.Sprint("d", i%restartDomains))}
-		if i > 0 {
-			change = append(change, withContact(d.boxes[0]))
-		}
-		d.boxes = append(d.boxes, f.box(i+1, change...))
-	}
+	d.boxes = f.boxesInDomains(stalledBoxes)
 	advance(f.t, 2*time.Second)
 	return d
 }
