test(admission,balance): simpler queues and counts in the simulations

Cause: the simulated engine searched its queue for the most urgent prompt, refusals were kept as a list of which only the share within 200 ms is used, and two patterns of slow engines repeated the same function.

Change: the queue is sorted, result counts refusals and those within 200 ms, events are inserted with sort.Search, and inSpells and throughout share slowWhen. No case, bound or assertion has changed.

--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -95,28 +96,19 @@
 	byOrg                     map[namekey.Key]*result
 }
 
-// result counts outcomes of callers of a kind, and times from an attempt to its refusal.
+// result counts callers of a kind by their outcome, refusals of single attempts, and those within 200 ms of the attempt.
 type result struct {
-	all, inTime, late, refused, failed int
-	refusals                           []float64
+	all, inTime, late, refused, failed, refusals, prompt int
 }
 
 func (r *result) String() string {
 	return fmt.Sprintf("%d: in time %.3f late %.3f refused %.3f failed %.3f; %d refusals, %.2f within 200 ms",
-		r.all, r.part(r.inTime), r.part(r.late), r.part(r.refused), r.part(r.failed), len(r.refusals), r.promptly())
+		r.all, r.part(r.inTime), r.part(r.late), r.part(r.refused), r.part(r.failed), r.refusals, r.promptly())
 }
 
 func (r *result) part(n int) float64 { return float64(n) / float64(max(1, r.all)) }
 
-func (r *result) promptly() float64 {
-	within := 0
-	for _, ms := range r.refusals {
-		if ms <= 200 {
-			within++
-		}
-	}
-	return float64(within) / float64(max(1, len(r.refusals)))
-}
+func (r *result) promptly() float64 { return float64(r.prompt) / float64(max(1, r.refusals)) }
 
 func newFleet(owners, engines int, seed uint64) *fleet {
 	f := &fleet{
@@ -150,12 +142,7 @@
 // after calls a function at a later time. Events of one instant keep their order.
 func (f *fleet) after(ms float64, do func()) {
 	e := event{f.now + ms, do}
-	i, _ := slices.BinarySearchFunc(f.events, e, func(a, b event) int {
-		if a.at <= b.at {
-			return -1
-		}
-		return 1
-	})
+	i := sort.Search(len(f.events), func(i int) bool { return f.events[i].at > e.at })
 	f.events = slices.Insert(f.events, i, e)
 }
 
@@ -310,7 +297,12 @@
 // refuse ends an attempt. The caller returns once, if it is told when.
 func (f *fleet) refuse(c *call, drain, startIn clock.Millis) {
 	c.engine = nil
-	f.count(c, func(r *result) { r.refusals = append(r.refusals, f.now-c.attempt) })
+	f.count(c, func(r *result) {
+		r.refusals++
+		if f.now-c.attempt <= 200 {
+			r.prompt++
+		}
+	})
 	wait := max(60, float64(drain)*(0.75+f.random.Float64()/2))
 	if c.returns > 0 || f.now+wait+float64(startIn) > c.leave {
 		f.end(c, func(r *result) { r.refused++ })
@@ -363,17 +355,14 @@
 	if e.reading || len(e.queue) == 0 || e.down {
 		return
 	}
-	next := 0
-	for i, c := range e.queue {
-		if f.urgentFirst && c.kind.urgency < e.queue[next].kind.urgency {
-			next = i
-		}
+	if f.urgentFirst {
+		slices.SortStableFunc(e.queue, func(a, b *call) int { return a.kind.urgency - b.kind.urgency })
 	}
-	c := e.queue[next]
+	c := e.queue[0]
 	if e.inUse > 0 && (e.inUse >= e.slots || e.held+c.kind.memory() > e.memory) {
 		return
 	}
-	e.queue = slices.Delete(e.queue, next, next+1)
+	e.queue = e.queue[1:]
 	e.reading = true
 	e.inUse++
 	e.held += c.kind.memory()
--- a/internal/balance/pace_load_test.go
+++ b/internal/balance/pace_load_test.go
@@ -78,12 +78,7 @@
 	for _, u := range s.list {
 		phases[u.ID] = clock.Millis(s.random.IntN(periodMs))
 	}
-	s.percent = func(engine string, at clock.Millis) int {
-		if (at+phases[engine])%periodMs < spellMs {
-			return percent
-		}
-		return 100
-	}
+	s.slowWhen(percent, func(engine string, at clock.Millis) bool { return (at+phases[engine])%periodMs < spellMs })
 }
 
 // throughout makes some engines slow all the time.
@@ -92,8 +87,12 @@
 	for _, u := range s.list[:count] {
 		slow[u.ID] = true
 	}
-	s.percent = func(engine string, _ clock.Millis) int {
-		if slow[engine] {
+	s.slowWhen(percent, func(engine string, _ clock.Millis) bool { return slow[engine] })
+}
+
+func (s *slowLoad) slowWhen(percent int, slow func(engine string, at clock.Millis) bool) {
+	s.percent = func(engine string, at clock.Millis) int {
+		if slow(engine, at) {
 			return percent
 		}
 		return 100
