--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -2,17 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/health"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/registry"
-	"dooryard.example/dooryard/internal/upstream"
 )
 
 type fixture struct {
@@ -23,21 +22,20 @@
 
 func newFixture(t *testing.T, count int) *fixture {
 	t.Helper()
-	f := &fixture{now: 1000}
-	monotonic := func() clock.Millis { return f.now }
-	f.Manager = New(
-		Settings{FailureDomain: "d0", BoundPercent: 140, PanicPercent: 60, Health: health.Limits{BaseMs: 1000, MaxMs: 8000}},
-		monotonic, func(address string) *upstream.Client { return upstream.New(address, monotonic) }, func(int) int { return 0 },
-	)
-	for i := range count {
-		f.list = append(f.list, registry.Upstream{
-			ID: fmt.Sprint("u", i), Pool: "p", Address: fmt.Sprint("127.0.0.1:", i+1), FailureDomain: fmt.Sprint("d", i%3), Slots: 8,
-		})
-	}
-	f.SetUpstreams(f.list)
+	f := &fixture{now: 1000, list: testUpstreams("u", count, 8)}
+	f.Manager = newTestManager(&f.now, func(int) int { return 0 }, f.list, Settings{
+		FailureDomain: "d0", BoundPercent: 140, PanicPercent: 60,
+	})
 	return f
 }
 
+// setEntry changes the registry entry of an upstream.
+func (f *fixture) setEntry(id string, change func(u *registry.Upstream)) {
+	f.list = slices.Clone(f.list)
+	change(&f.list[slices.IndexFunc(f.list, func(u registry.Upstream) bool { return u.ID == id })])
+	f.SetUpstreams(f.list)
+}
+
 func sticky(session string) PickRequest {
 	return PickRequest{Pool: "p", Sticky: true, Prompt: prompt.Prompt{{ID: session, Tokens: 1000}, {ID: "own", Tokens: 10}}}
 }
