fix(admission): a large prompt doesn't wait for an engine without backlog while nothing else waits

A prompt whose prefill alone exceeds the target was granted only at an engine without backlog. Engines whose first event comes some time after the prefill hardly ever have none under a light load, and since its turn is counted in prefill time, such a prompt waited up to 2 s, was refused then, or came late. It is now granted behind half of the target if no other ask waits and times are known.

--- a/internal/admission/ledger_test.go
+++ b/internal/admission/ledger_test.go
@@ -98,6 +98,12 @@
 		f.ask(t, f.long(), Granted)
 		f.ask(t, f.long(), Queued)
 	})
+	t.Run("a prompt beyond the target is granted behind a small backlog if nothing else waits", func(t *testing.T) {
+		f := learnt()
+		f.ask(t, f.short(), Granted)
+		f.ask(t, f.long(), Granted)
+		f.ask(t, f.long(), Queued)
+	})
 	t.Run("a box that doesn't wait isn't queued", func(t *testing.T) {
 		f := learnt()
 		f.busy(t)
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -136,8 +136,23 @@
 		if len(u.backlog.requests) >= unknownBacklog {
 			return lacksTime
 		}
-	case u.backlogMs(now)+u.prefillMs(prefillOf(r)) > u.pool.objectives.targetMs(now):
+	case !u.hasTime(r, now):
 		return lacksTime
 	}
 	return none
 }
+
+// largeBacklogDivisor is the divisor of the target that gives the backlog up to which a prompt is granted that exceeds
+// the target by itself, if no other ask waits and times are known. Engines whose responses begin some time after the prefill hardly ever
+// have no backlog, and such prompts would wait for seconds although the engine has time for them.
+const largeBacklogDivisor = 2
+
+// hasTime reports whether a request can be prefilled within the target, after the backlog.
+func (u *upstream) hasTime(r *request, now clock.Millis) bool {
+	backlogMs, targetMs := u.backlogMs(now), u.pool.objectives.targetMs(now)
+	own := u.prefillMs(prefillOf(r))
+	if own > targetMs && u.queue.length <= 1 && u.pool.times.mayDeny() {
+		return backlogMs <= targetMs/largeBacklogDivisor
+	}
+	return backlogMs+own <= targetMs
+}
