fix(gateway): a box that starts waits for the first confirmation of its state

TestFatalRequestAtStart/while_datagrams_arrive failed once beside busy processes: the request got an error where a response is expected. The box had applied its first routing state, which released the waiting request, and had not yet recorded the confirmation that follows. Without a confirmation no key is accepted, so the request was refused with stale_routing_state. Mostly the caller got the 503 of the wrong cause, and the test passed.

Requests that arrive in the first 400 ms after the start now also wait for a confirmation, within the same limit as for the state and the notes. Readiness is unchanged.

Ruled out: a shutdown or start of the listener beside the request, a connection that the stand-in closes early, and the wall clock.

TestStartBeforeConfirmation delays the confirmation by 50 ms; it failed with 503 before. TestFatalRequestAtStart now also checks that the cause of the refusal is the quarantine, which is stricter than the status.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -94,6 +94,10 @@
 	// synced is closed once the box has a routing state and a list of upstreams.
 	synced     chan struct{}
 	syncedOnce sync.Once
+	// confirmed is closed once the routing state was confirmed. A source adopts a state before it confirms it, and a
+	// request that is served in between is refused.
+	confirmed     chan struct{}
+	confirmedOnce sync.Once
 	// notesRead is closed once the box has tried to read the notes, or knows that there are none.
 	notesRead  chan struct{}
 	goroutines sync.WaitGroup
@@ -120,7 +124,8 @@
 		dialect: adapter.Dialect, readinessPath: adapter.ReadinessPath,
 		clock: clock.New(), out: out, listen: net.Listen, packets: net.ListenPacket,
 		features: adapter.Features, lengths: work.NewLengths(),
-		metrics: NewMetrics(), synced: make(chan struct{}), notesRead: make(chan struct{}),
+		metrics: NewMetrics(), synced: make(chan struct{}), confirmed: make(chan struct{}),
+		notesRead: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(b)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -307,8 +309,15 @@
 	assertRejected := func(t *testing.T, f *fleet, a *crashRecorder, change ...func(g *config.Gateway)) {
 		t.Helper()
 		sends := len(a.sendsMs)
-		statuses := a.resend([]*running{f.box(7, change...)}, "/safe/", 1, 0)
-		assert.Equal(t, []int{http.StatusServiceUnavailable}, statuses)
+		response, err := f.box(7, change...).send(context.Background(), call{
+			method: http.MethodPost, path: "/safe/", id: "x", key: key, body: fatalBody,
+		})
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		assert.Contains(t, string(body), opaque.Quarantined, "the cause of the refusal")
 		assert.Len(t, a.sendsMs, sends, "sends by the box that has just started")
 	}
 	run := func(t *testing.T, readDelayMs clock.Millis, check func(f *fleet, a *crashRecorder, first *running)) {
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -14,10 +14,11 @@
 const startupWaitMs clock.Millis = 400
 
 // awaitState returns the current routing state. If the box has just started or resumed from a pause, it waits a short
-// time for the state and for the notes, which tell which requests are quarantined.
+// time for the state, for its confirmation, without which no key is accepted, and for the notes, which tell which
+// requests are quarantined.
 func (b *Box) awaitState(ctx context.Context) *routing.State {
 	b.pauseDetector.awaitRefresh(ctx)
-	if b.isSynced() && isClosed(b.notesRead) {
+	if b.isSynced() && isClosed(b.confirmed) && isClosed(b.notesRead) {
 		return b.routingState.State()
 	}
 	if b.clock.Monotonic()-b.peering.startedMs >= startupWaitMs {
@@ -25,7 +26,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startupWaitMs.Duration())
 	defer cancel()
-	for _, awaited := range []chan struct{}{b.synced, b.notesRead} {
+	for _, awaited := range []chan struct{}{b.synced, b.confirmed, b.notesRead} {
 		select {
 		case <-awaited:
 		case <-ctx.Done():
@@ -53,6 +54,14 @@
 	}
 }
 
+// confirm records a confirmation of the routing state.
+func (b *Box) confirm(c routing.Confirmation) {
+	b.routingState.Confirm(c)
+	if _, ok := b.routingState.Confirmed(); ok {
+		b.confirmedOnce.Do(func() { close(b.confirmed) })
+	}
+}
+
 // Ready reports whether the box accepts new callers: it has a list of upstreams and a routing state whose keys it may
 // trust, and it is not shutting down.
 func (b *Box) Ready() bool {
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -144,7 +144,7 @@
 	s.mu.Lock()
 	version := s.version
 	s.mu.Unlock()
-	s.box.routingState.Confirm(routing.Confirmation{Version: version, Era: era, AtMs: atMs})
+	s.box.confirm(routing.Confirmation{Version: version, Era: era, AtMs: atMs})
 }
 
 func (s *storeSink) upstreams(changes []registry.Change) {
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -59,3 +59,17 @@
 		})
 	})
 }
+
+// TestStartBeforeConfirmation guards against requests that a box refuses because it has applied its first routing state
+// and not yet its confirmation.
+func TestStartBeforeConfirmation(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.upstream("u", respondWith("done"))
+		f.store.setConfirmDelay(50)
+		// The monotonic clock starts near zero, which counts as the time of the last confirmation.
+		advance(f.t, 2*maxAgeMs*time.Millisecond)
+		status, body, err := f.box(1).get("/safe/")
+		require.NoError(f.t, err)
+		assert.Equal(f.t, http.StatusOK, status, body)
+	})
+}
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -36,6 +36,8 @@
 	notes        map[string][]byte
 	// readDelayMs is how long each read takes.
 	readDelayMs clock.Millis
+	// confirmDelayMs is how long after a state a read confirms it.
+	confirmDelayMs clock.Millis
 }
 
 func newStore() *store {
@@ -119,6 +121,13 @@
 	s.readDelayMs = span
 }
 
+// setConfirmDelay delays the confirmation of each state that is read.
+func (s *store) setConfirmDelay(span clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmDelayMs = span
+}
+
 // setUnresponsive makes the store leave the reads of a box without a response.
 func (s *store) setUnresponsive(box string, unresponsive bool) {
 	s.mu.Lock()
@@ -206,7 +215,7 @@
 			evacuations.Evacuations = append(evacuations.Evacuations, evacuation.Evacuation{FailureDomain: domain, AgeMs: -1})
 		}
 	}
-	unresponsive, readDelayMs := s.unresponsive[box], s.readDelayMs
+	unresponsive, readDelayMs, confirmDelayMs := s.unresponsive[box], s.readDelayMs, s.confirmDelayMs
 	s.reads[box]++
 	s.mu.Unlock()
 	sentMs := c.Monotonic()
@@ -232,6 +241,8 @@
 	sink.AllUpstreams(changes, at)
 	if state != nil {
 		sink.Adopt(state, at.Era)
+		// The next poll handles the end of the context.
+		_ = c.Sleep(ctx, confirmDelayMs)
 		sink.Confirm(sentMs, at.Era)
 	}
 }
