fix(gateway): refusals read the rest of a short body before the connection closes

A request that was refused before its body was read, such as one without a valid key, could lose the refusal if its caller asked for the connection to be closed or spoke HTTP/1.0. net/http reads the rest of a body only on connections that it keeps; on others it closes the connection while the body still arrives, and the caller sees a reset or a failed write.

Such refusals now read up to 256 KiB of the body, within the 300 ms that refusals on kept connections already allow. Callers that send "Expect" are not asked for their body, and bodies that declare more are not read, as before.

TestRefusalBeforeBody failed for both kinds of connections before, and so did the new case of TestSlowBody.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -191,6 +191,14 @@
 			"the body of a caller without a key is waited for only briefly", "Content-Length: 10",
 			http.StatusUnauthorized, unreadBodyMs.Duration(),
 		},
+		{
+			"the body of a caller that closes its connection afterwards is waited for only briefly",
+			"Connection: close\r\nContent-Length: 10", http.StatusUnauthorized, unreadBodyMs.Duration(),
+		},
+		{
+			"a body that the caller sends only if asked is not asked for",
+			"Connection: close\r\nExpect: 100-continue\r\nContent-Length: 10", http.StatusUnauthorized, 0,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
@@ -214,6 +222,34 @@
 	}
 }
 
+// TestRefusalBeforeBody guards against refusals that callers lose because the box closes the connection while the body
+// of the request is still arriving.
+func TestRefusalBeforeBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"a connection that is kept":                   "HTTP/1.1",
+		"a connection that is closed after a request": "HTTP/1.1\r\nConnection: close",
+		"HTTP/1.0": "HTTP/1.0",
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				conn, err := f.network.Host("caller").Dial(t.Context(), "tcp", f.box(1).settings.CallersAddress)
+				require.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, "POST /unsafe/ "+head+"\r\nHost: "+host+"\r\nContent-Length: 4\r\n\r\n")
+				require.NoError(t, err)
+				advance(t, unreadBodyMs.Duration()/2)
+				_, err = io.WriteString(conn, "body")
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
+				require.NoError(t, response.Body.Close())
+			})
+		})
+	}
+}
+
 func TestCallerDisconnected(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
 		t := f.t
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -120,8 +121,22 @@
 	return nil
 }
 
-// unreadBodyMs is how long a refusal waits for a body that is not needed: long enough for data already in flight.
-const unreadBodyMs clock.Millis = 300
+const (
+	// unreadBodyMs is how long a refusal waits for a body that is not needed: long enough for data already in flight.
+	unreadBodyMs clock.Millis = 300
+	// maxDiscardBytes is the length from which a body is not read to its end. It is that of net/http.
+	maxDiscardBytes = 256 << 10
+)
+
+// discardLastBody reads the rest of a short body if the connection is closed after the response. The server doesn't,
+// and a connection that is closed while data arrives is reset, so that its caller may lose the response.
+func discardLastBody(hr *http.Request) {
+	if !hr.Close || hr.ContentLength >= maxDiscardBytes || hr.Header.Get("Expect") != "" {
+		return
+	}
+	// The response is the same if the body doesn't arrive.
+	_, _ = io.CopyN(io.Discard, hr.Body, maxDiscardBytes)
+}
 
 // refuse responds to a request whose pipeline ended with an error, unless a response was already sent.
 func (b *Box) refuse(r *opaque.Request, err error) {
@@ -130,8 +145,9 @@
 	case errors.Is(err, opaque.ErrAnswered) || abortsConnection(err):
 	case errors.As(err, &refusal):
 		if r.Body == nil && refusal.Cause != opaque.BodyTimeout {
-			// The server reads the rest of a short body before it responds.
+			// The server reads the rest of a short body before it responds, if it keeps the connection.
 			r.Writer.SetReadTimeout(unreadBodyMs.Duration())
+			discardLastBody(r.HTTP)
 		}
 		refusal.Write(r)
 	default:
