refactor(exchange): name the reserve's holder and the waiting holds

The fields first and growth of exchange.Memory did not say what they are: the hold that may use the reserve, and a hold that waits for bytes. No behaviour changes.

--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -24,10 +24,10 @@
 	mu sync.Mutex
 	// used includes streamBytes.
 	used, streamBytes int64
-	waiting           []*growth
-	// first may use the reserve.
-	first *Hold
-	sizes MemorySizes
+	waiting           []*waiter
+	// reserveHolder is the only hold that may use the reserve, or nil.
+	reserveHolder *Hold
+	sizes         MemorySizes
 }
 
 // MemorySizes describes a Memory for metrics. The last four fields count since the start of the process.
@@ -46,7 +46,8 @@
 	CutOff  int `json:"cut_off"`
 }
 
-type growth struct {
+// waiter is a hold that waits for further bytes.
+type waiter struct {
 	hold    *Hold
 	bytes   int64
 	granted chan struct{}
@@ -96,36 +97,36 @@
 	case h.bytes+bytes > m.limit:
 		m.mu.Unlock()
 		return ErrOverMemory
-	case (m.first == h || len(m.waiting) == 0) && m.fits(h, bytes):
+	case (m.reserveHolder == h || len(m.waiting) == 0) && m.fits(h, bytes):
 		m.take(h, bytes)
 		m.mu.Unlock()
 		return nil
 	}
-	g := &growth{hold: h, bytes: bytes, granted: make(chan struct{})}
-	m.waiting = append(m.waiting, g)
+	w := &waiter{hold: h, bytes: bytes, granted: make(chan struct{})}
+	m.waiting = append(m.waiting, w)
 	m.sizes.Waits++
 	m.grant()
 	m.mu.Unlock()
 	select {
-	case <-g.granted:
+	case <-w.granted:
 		return nil
 	default:
 	}
 	onWait(m.Sizes())
 	select {
-	case <-g.granted:
+	case <-w.granted:
 		return nil
 	case <-ctx.Done():
-		return h.withdraw(ctx, g)
+		return h.withdraw(ctx, w)
 	}
 }
 
 // withdraw ends a wait for memory.
-func (h *Hold) withdraw(ctx context.Context, g *growth) error {
+func (h *Hold) withdraw(ctx context.Context, w *waiter) error {
 	m := h.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.waiting = slices.DeleteFunc(m.waiting, func(other *growth) bool { return other == g })
+	m.waiting = slices.DeleteFunc(m.waiting, func(other *waiter) bool { return other == w })
 	m.grant()
 	return ctx.Err()
 }
@@ -137,8 +138,8 @@
 	defer m.mu.Unlock()
 	m.used -= h.bytes
 	h.bytes = 0
-	if m.first == h {
-		m.first = nil
+	if m.reserveHolder == h {
+		m.reserveHolder = nil
 	}
 	m.grant()
 }
@@ -173,7 +174,7 @@
 // fits reports whether a response may take further bytes.
 func (m *Memory) fits(h *Hold, bytes int64) bool {
 	limit := m.limit
-	if h == nil || m.first != h {
+	if h == nil || m.reserveHolder != h {
 		limit -= m.reserve
 	}
 	return m.used+bytes <= limit
@@ -192,17 +193,17 @@
 // grant gives memory to the responses that wait, in their order. The first of them gets the reserve, if no other has
 // it.
 func (m *Memory) grant() {
-	if m.first == nil && len(m.waiting) > 0 {
-		m.first = m.waiting[0].hold
+	if m.reserveHolder == nil && len(m.waiting) > 0 {
+		m.reserveHolder = m.waiting[0].hold
 	}
 	blocked := false
-	m.waiting = slices.DeleteFunc(m.waiting, func(g *growth) bool {
-		if blocked && g.hold != m.first || !m.fits(g.hold, g.bytes) {
+	m.waiting = slices.DeleteFunc(m.waiting, func(w *waiter) bool {
+		if blocked && w.hold != m.reserveHolder || !m.fits(w.hold, w.bytes) {
 			blocked = true
 			return false
 		}
-		m.take(g.hold, g.bytes)
-		close(g.granted)
+		m.take(w.hold, w.bytes)
+		close(w.granted)
 		return true
 	})
 }
