feat(exchange): cut off callers that read buffered responses below a minimum rate

Cause: a caller that read a few bytes now and then kept a buffered response of up to 16 MiB in the memory of the box for as long as it liked, since only 5 s without any progress counted.

Change: a buffered response must be read at 16 KiB/s on average from its first second on, and by its request's time limit and 5 s. The decision is exchange.readRate, which has no clock or I/O of its own. A caller that takes nothing at all between two checks is judged by the 5 s without progress, as before, so that a pause is made up for. The line 'caller cut off' has the field reason in place of err, and responses_held counts cut_off_reasons.

The tests of slow readers share one fixture; their checks are unchanged, and each also checks the reason.

After: cut off at 1 s and by 7 s; 0 bytes held, a new request is served. A caller at 20 KiB/s gets its response whole after the time limit, and one that pauses for 4.5 s, too.

--- a/internal/decision/callers.go
+++ b/internal/decision/callers.go
@@ -2,14 +2,15 @@
 
 import "go.uber.org/zap/zapcore"
 
-// CallerCutOff records that a caller was cut off because it did not read its response.
+// CallerCutOff records that a caller was cut off because it did not read its response in time.
 type CallerCutOff struct {
 	Request  string
 	Upstream string
 	// HeldBytes is how much of the response the box held for the caller, and SentBytes how much it sent before.
 	HeldBytes int
 	SentBytes int64
-	Err       string
+	// Reason is why: stalled, buffer_full, below_min_rate or overdue.
+	Reason string
 }
 
 // Name implements Event.
@@ -24,7 +25,7 @@
 	addIfSet(o, "upstream", e.Upstream)
 	o.AddInt("held_bytes", e.HeldBytes)
 	o.AddInt64("sent_bytes", e.SentBytes)
-	o.AddString("err", e.Err)
+	o.AddString("reason", e.Reason)
 	return nil
 }
 
--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -30,7 +31,7 @@
 	sizes         MemorySizes
 }
 
-// MemorySizes describes a Memory for metrics. The last four fields count since the start of the process.
+// MemorySizes describes a Memory for metrics. The fields from Waits on count since the start of the process.
 type MemorySizes struct {
 	LimitBytes  int64 `json:"limit_bytes"`
 	UsedBytes   int64 `json:"used_bytes"`
@@ -44,6 +45,8 @@
 	Waits   int `json:"waits"`
 	Refused int `json:"refused"`
 	CutOff  int `json:"cut_off"`
+	// CutOffReasons divides CutOff by reason.
+	CutOffReasons map[CutReason]int `json:"cut_off_reasons"`
 }
 
 // waiter is a hold that waits for further bytes.
@@ -55,7 +58,9 @@
 
 // NewMemory returns a memory with a limit in bytes.
 func NewMemory(limit int64) *Memory {
-	return &Memory{limit: limit, reserve: min(maxReserveBytes, limit/2)}
+	return &Memory{
+		limit: limit, reserve: min(maxReserveBytes, limit/2), sizes: MemorySizes{CutOffReasons: map[CutReason]int{}},
+	}
 }
 
 // Sizes returns the sizes for metrics.
@@ -63,6 +68,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.sizes
+	s.CutOffReasons = maps.Clone(s.CutOffReasons)
 	s.LimitBytes, s.UsedBytes, s.StreamBytes, s.Waiting = m.limit, m.used, m.streamBytes, len(m.waiting)
 	return s
 }
@@ -165,10 +171,11 @@
 	m.grant()
 }
 
-func (m *Memory) countCutOff() {
+func (m *Memory) countCutOff(reason CutReason) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sizes.CutOff++
+	m.sizes.CutOffReasons[reason]++
 }
 
 // fits reports whether a response may take further bytes.
--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -14,9 +14,6 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// ErrCallerSlow means that a caller was cut off because it did not read its response.
-var ErrCallerSlow = errors.New("caller does not read")
-
 const (
 	// unreadTimeoutMs is how long data may stay unread. Upstreams cut off responses that stay unread for some seconds.
 	unreadTimeoutMs clock.Millis = 5000
@@ -40,7 +37,7 @@
 // A caller that takes no data for some seconds is cut off: its connection is reset, so that the response doesn't look
 // complete.
 //
-// Only one goroutine may call Write, Start and Await at a time.
+// Only one goroutine may call Write, Start, Await and the methods for buffered responses at a time.
 type Unread struct {
 	conn   net.Conn
 	memory *Memory
@@ -55,6 +52,8 @@
 	writeErr error
 	// hasDeadline is set if the connection has a write deadline.
 	hasDeadline bool
+	// rate is how the caller reads the buffered response that is being written, or nil.
+	rate *readRate
 
 	mu sync.Mutex
 	// holding is set between Start and Await.
@@ -106,6 +105,15 @@
 	return u.err
 }
 
+// StartBuffered makes Write cut off a caller that reads a buffered response more slowly than at the minimum rate, or
+// that has not read it some seconds after the request's time limit, until EndBuffered.
+func (u *Unread) StartBuffered(remainingMs clock.Millis) {
+	u.rate = newReadRate(u.clock.Monotonic() + max(0, remainingMs) + overdueMs)
+}
+
+// EndBuffered ends what StartBuffered began.
+func (u *Unread) EndBuffered() { u.rate = nil }
+
 func (u *Unread) awaitDrain() {
 	u.mu.Lock()
 	drained := u.drained
@@ -149,18 +157,37 @@
 
 // writeThrough writes data to a caller that takes some of it in time.
 func (u *Unread) writeThrough(data []byte) (int, error) {
-	written, err := u.writeNow(data)
+	written, err := u.writeAtRate(data, func(data []byte, _ clock.Millis) (int, error) { return u.writeNow(data) })
+	for err == nil && written < len(data) {
+		var n int
+		n, err = u.writeAtRate(data[written:min(len(data), written+throughBytes)], u.writeWithin)
+		written += n
+	}
 	if err != nil {
 		return written, u.fail(err)
 	}
-	for written < len(data) {
-		n, err := u.writeWithin(data[written:min(len(data), written+throughBytes)], unreadTimeoutMs)
-		written += n
-		if err != nil && (n == 0 || !isTimeout(err)) {
-			return written, u.fail(err)
+	return written, nil
+}
+
+// writeAtRate writes data with a function, and returns an error if the caller is too slow.
+func (u *Unread) writeAtRate(
+	data []byte, write func(data []byte, span clock.Millis) (int, error),
+) (int, error) {
+	if u.rate == nil {
+		n, err := write(data, unreadTimeoutMs)
+		if n > 0 && isTimeout(err) {
+			err = nil
 		}
+		return n, err
 	}
-	return written, nil
+	start := u.clock.Monotonic()
+	n, err := write(data, u.rate.waitMs(start))
+	now := u.clock.Monotonic()
+	u.rate.record(n, now-start)
+	if isTimeout(err) {
+		err = u.rate.check(now)
+	}
+	return n, err
 }
 
 // writeNow writes as much data as the connection takes at once. A deadline would take longer to set than the data to
@@ -225,11 +252,14 @@
 			// There is no memory for even one block.
 			n, err := u.writeWithin(data, fullMs)
 			data = data[n:]
-			if err != nil && (n == 0 || !isTimeout(err)) {
+			switch {
+			case isTimeout(err) && n == 0:
+				return u.fail(&SlowCallerError{Reason: BufferFull})
+			case err != nil && !isTimeout(err):
 				return u.fail(err)
 			}
 		case !u.awaitRoom(drained):
-			return u.fail(os.ErrDeadlineExceeded)
+			return u.fail(&SlowCallerError{Reason: BufferFull})
 		}
 	}
 	return nil
@@ -333,8 +363,10 @@
 		return u.err
 	}
 	if isTimeout(err) {
-		err = fmt.Errorf("%w: %w", ErrCallerSlow, err)
-		u.memory.countCutOff()
+		err = &SlowCallerError{Reason: Stalled}
+	}
+	if slow := (*SlowCallerError)(nil); errors.As(err, &slow) {
+		u.memory.countCutOff(slow.Reason)
 	}
 	for _, block := range u.blocks {
 		u.cutBytes += len(block.data)
--- a/internal/exchange/writer.go
+++ b/internal/exchange/writer.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 // Writer writes the response to the caller. It records whether the response has started and counts
@@ -92,14 +94,28 @@
 	return w.unread.Await()
 }
 
-// CutOff returns an error that wraps ErrCallerSlow if the caller was cut off, and the bytes that were held for it then.
-func (w *Writer) CutOff() (heldBytes int, err error) {
+// StartBuffered makes writes cut off a caller that reads a buffered response too slowly, until EndBuffered.
+func (w *Writer) StartBuffered(remainingMs clock.Millis) {
+	if w.unread != nil {
+		w.unread.StartBuffered(remainingMs)
+	}
+}
+
+// EndBuffered ends what StartBuffered began.
+func (w *Writer) EndBuffered() {
+	if w.unread != nil {
+		w.unread.EndBuffered()
+	}
+}
+
+// CutOff returns the error with which the caller was cut off, or nil, and the bytes that were held for it then.
+func (w *Writer) CutOff() (heldBytes int, slow *SlowCallerError) {
 	if w.unread == nil {
 		return 0, nil
 	}
-	heldBytes, err = w.unread.Lost()
-	if !errors.Is(err, ErrCallerSlow) {
+	heldBytes, err := w.unread.Lost()
+	if !errors.As(err, &slow) {
 		return 0, nil
 	}
-	return heldBytes, err
+	return heldBytes, slow
 }
--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -42,12 +43,9 @@
 	return all.String()
 }
 
-// handler sends the stream from the event after Last-Event-Id on. It sets when the request "slow" ended.
-func (s eventStream) handler(f *fleet, endedMs *atomic.Int64) http.HandlerFunc {
+// handler sends the stream from the event after Last-Event-Id on.
+func (s eventStream) handler(f *fleet) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("X-Id") == "slow" {
-			defer func() { endedMs.Store(int64(f.clock.Monotonic())) }()
-		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		for i := after + 1; i <= s.events; i++ {
@@ -65,24 +63,49 @@
 	}
 }
 
-// slowStart starts two upstreams and a box, and sends a request on a connection that nobody reads.
-func slowStart(f *fleet, path string, s eventStream, change ...func(g *config.Gateway)) (
-	b *running, conn net.Conn, endedMs *atomic.Int64, arrivals *atomic.Int32,
-) {
+// slowReader is a box with two upstreams, and a connection with a request whose response nobody reads.
+type slowReader struct {
+	*running
+	log     *logBuffer
+	conn    net.Conn
+	startMs clock.Millis
+	// endedMs is when the request ended at an upstream, and arrivals is the number of all requests there.
+	endedMs  atomic.Int64
+	arrivals atomic.Int32
+}
+
+// startSlowReader starts a box and sends the request. The upstreams respond with the handler.
+func startSlowReader(f *fleet, path string, handler http.HandlerFunc, change ...func(g *config.Gateway)) *slowReader {
+	r := &slowReader{log: &logBuffer{}}
+	f.out = r.log
+	for _, id := range []string{"u1", "u2"} {
+		f.upstream(id, countRequests(&r.arrivals, func(w http.ResponseWriter, hr *http.Request) {
+			if hr.Header.Get("X-Id") == "slow" {
+				defer func() { r.endedMs.Store(int64(f.clock.Monotonic())) }()
+			}
+			handler(w, hr)
+		}))
+	}
+	r.running = f.box(1, change...)
+	advance(f.t, time.Second)
+	r.startMs = f.clock.Monotonic()
+	r.conn = r.sendRaw(slowRequest(path, "slow"))
+	return r
+}
+
+// startSlowStream starts a slow reader of a stream, whose requests may take 20 s.
+func startSlowStream(f *fleet, path string, s eventStream, change ...func(g *config.Gateway)) *slowReader {
 	state := content(1)
 	for i := range state.Routes {
 		state.Routes[i].TimeoutMs = 20 * clock.Second
 	}
 	f.store.setState(f.t, state)
-	endedMs, arrivals = &atomic.Int64{}, &atomic.Int32{}
-	for _, id := range []string{"u1", "u2"} {
-		f.upstream(id, countRequests(arrivals, s.handler(f, endedMs)))
-	}
-	b = f.box(1, change...)
-	advance(f.t, time.Second)
-	return b, b.sendRaw(slowRequest(path, "slow")), endedMs, arrivals
+	return startSlowReader(f, path, s.handler(f), change...)
 }
 
+// upstreamMs returns how long the request took at its upstream.
+func (r *slowReader) upstreamMs() clock.Millis { return clock.Millis(r.endedMs.Load()) - r.startMs }
+
 func slowRequest(path, id string) string {
 	return strings.Replace(requestHead(id, "Content-Length: 0"), "/unsafe/", path, 1)
 }
@@ -98,21 +121,27 @@
 	return string(data), err
 }
 
-// assertCutOff checks that the caller's response looks incomplete, and that nothing is left of it in the box.
-func assertCutOff(f *fleet, b *running, conn net.Conn, log *logBuffer) {
-	t := f.t
+// assertCutOff checks that the caller's response looks incomplete and was cut off for a reason, after a number of requests
+// to upstreams, and that nothing is left of it in the box.
+func (r *slowReader) assertCutOff(reason exchange.CutReason, arrivals int) {
+	t := r.fleet.t
 	t.Helper()
-	_, err := readResponse(conn)
+	_, err := readResponse(r.conn)
 	require.Error(t, err, "a response that was cut off looks incomplete")
-	lines := log.read(t)
-	assert.Len(t, withMessage(lines, "caller cut off"), 1)
+	lines := r.log.read(t)
+	cutOff := withMessage(lines, "caller cut off")
+	if assert.Len(t, cutOff, 1) {
+		assert.Equal(t, strconv.Quote(string(reason)), string(cutOff[0].Fields["reason"]))
+	}
 	for _, line := range withMessage(lines, "attempt failed") {
 		assert.JSONEq(t, `"none: the caller did not read"`, string(line.Fields["next"]))
 	}
-	sizes := b.responses.Sizes()
+	sizes := r.responses.Sizes()
 	assert.Zero(t, sizes.UsedBytes)
+	assert.Equal(t, map[exchange.CutReason]int{reason: 1}, sizes.CutOffReasons)
 	assert.Equal(t, 1, sizes.CutOff)
-	assert.Zero(t, f.inFlightAt(b), "requests at the upstream")
+	assert.Zero(t, r.fleet.inFlightAt(r.running), "requests at the upstream")
+	assert.EqualValues(t, arrivals, r.arrivals.Load(), "the response is not continued elsewhere")
 }
 
 // TestSlowReader guards against upstreams that wait for callers who don't read, and against responses that look complete
@@ -121,79 +150,64 @@
 	t.Run("a caller who reads nothing for 5 s is cut off beside others who get all", func(t *testing.T) {
 		for _, path := range []string{"/stream/", "/resumable/"} {
 			runWithFleet(t, func(f *fleet) {
-				log := &logBuffer{}
-				f.out = log
 				s := eventStream{events: 30, eventBytes: 100, gap: 100}
-				b, conn, endedMs, arrivals := slowStart(f, path, s)
-				startMs := f.clock.Monotonic()
+				r := startSlowStream(f, path, s)
 				var others sync.WaitGroup
 				for i := range 8 {
 					others.Go(func() {
-						other := b.sendRaw(slowRequest(path, fmt.Sprint("other-", i)))
+						other := r.sendRaw(slowRequest(path, fmt.Sprint("other-", i)))
 						defer func() { _ = other.Close() }()
 						body, err := readResponse(other)
 						assert.True(f.t, err == nil && body == s.all(), "%d bytes, %v", len(body), err)
 					})
 				}
 				others.Wait()
-				took := f.clock.Monotonic() - startMs
+				took := f.clock.Monotonic() - r.startMs
 				assert.LessOrEqual(f.t, took, clock.Millis(s.events+2)*s.gap, "others are not delayed")
 				advance(f.t, 3*time.Second)
-				assert.LessOrEqual(f.t, clock.Millis(endedMs.Load())-startMs, clock.Millis(s.events+2)*s.gap, "nor is the upstream")
-				assert.EqualValues(f.t, 9, arrivals.Load(), "the stream is not continued elsewhere")
-				assertCutOff(f, b, conn, log)
+				assert.LessOrEqual(f.t, r.upstreamMs(), clock.Millis(s.events+2)*s.gap, "nor is the upstream")
+				r.assertCutOff(exchange.Stalled, 9)
 			})
 		}
 	})
 	t.Run("the upstream's request of a caller who was cut off is canceled", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			log := &logBuffer{}
-			f.out = log
-			b, conn, endedMs, arrivals := slowStart(f, "/resumable/", eventStream{events: 35, eventBytes: 100, gap: 290})
-			startMs := f.clock.Monotonic()
+			r := startSlowStream(f, "/resumable/", eventStream{events: 35, eventBytes: 100, gap: 290})
 			advance(f.t, 6*time.Second)
-			assert.InDelta(f.t, 5000, endedMs.Load()-int64(startMs), 100)
-			assert.EqualValues(f.t, 1, arrivals.Load())
-			assertCutOff(f, b, conn, log)
+			assert.InDelta(f.t, 5000, int64(r.upstreamMs()), 100)
+			r.assertCutOff(exchange.Stalled, 1)
 		})
 	})
 	t.Run("a caller whose buffer stays full is cut off", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			log := &logBuffer{}
-			f.out = log
-			b, conn, endedMs, arrivals := slowStart(f, "/resumable/", eventStream{events: 200, eventBytes: 1000, gap: 1})
-			startMs := f.clock.Monotonic()
+			r := startSlowStream(f, "/resumable/", eventStream{events: 200, eventBytes: 1000, gap: 1})
 			advance(f.t, 50*time.Millisecond)
-			assert.Positive(f.t, b.responses.Sizes().StreamBytes)
+			assert.Positive(f.t, r.responses.Sizes().StreamBytes)
 			advance(f.t, time.Second)
-			assert.Less(f.t, endedMs.Load()-int64(startMs), int64(700))
-			assert.EqualValues(f.t, 1, arrivals.Load())
-			assertCutOff(f, b, conn, log)
+			assert.Less(f.t, r.upstreamMs(), clock.Millis(700))
+			r.assertCutOff(exchange.BufferFull, 1)
 		})
 	})
 	t.Run("a caller who leaves while data is held frees it", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			b, conn, endedMs, arrivals := slowStart(f, "/resumable/", eventStream{events: 100, eventBytes: 1000, gap: 100})
-			startMs := f.clock.Monotonic()
+			r := startSlowStream(f, "/resumable/", eventStream{events: 100, eventBytes: 1000, gap: 100})
 			advance(f.t, time.Second)
-			assert.Positive(f.t, b.responses.Sizes().StreamBytes)
-			require.NoError(f.t, conn.Close())
+			assert.Positive(f.t, r.responses.Sizes().StreamBytes)
+			require.NoError(f.t, r.conn.Close())
 			advance(f.t, 100*time.Millisecond)
-			assert.Zero(f.t, b.responses.Sizes().UsedBytes)
-			assert.Zero(f.t, b.responses.Sizes().CutOff)
-			assert.Less(f.t, endedMs.Load()-int64(startMs), int64(1200))
-			assert.EqualValues(f.t, 1, arrivals.Load())
+			assert.Zero(f.t, r.responses.Sizes().UsedBytes)
+			assert.Zero(f.t, r.responses.Sizes().CutOff)
+			assert.Less(f.t, r.upstreamMs(), clock.Millis(1200))
+			assert.EqualValues(f.t, 1, r.arrivals.Load())
 		})
 	})
 	t.Run("a caller with HTTP/1.0 who is cut off sees a reset", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			log := &logBuffer{}
-			f.out = log
-			b, conn, _, _ := slowStart(f, "/none/", eventStream{events: 30, eventBytes: 100, gap: 100})
-			_ = conn.Close()
-			conn = b.sendRaw(strings.Replace(slowRequest("/stream/", "old"), "HTTP/1.1", "HTTP/1.0", 1))
+			r := startSlowStream(f, "/none/", eventStream{events: 30, eventBytes: 100, gap: 100})
+			_ = r.conn.Close()
+			r.conn = r.sendRaw(strings.Replace(slowRequest("/stream/", "old"), "HTTP/1.1", "HTTP/1.0", 1))
 			advance(f.t, 10*time.Second)
-			assertCutOff(f, b, conn, log)
+			r.assertCutOff(exchange.Stalled, 1)
 		})
 	})
 }
@@ -223,18 +237,18 @@
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				// The upstream that continues a stream sends the rest after the event that it broke after.
-				b, conn, _, arrivals := slowStart(f, c.path, c.stream)
+				r := startSlowStream(f, c.path, c.stream)
 				advance(f.t, c.pause)
 				wantArrivals := 1
 				if c.stream.breakAfter > 0 && c.whole {
 					wantArrivals = 2
 				}
-				assert.EqualValues(f.t, wantArrivals, arrivals.Load())
-				body, err := readResponse(conn)
+				assert.EqualValues(f.t, wantArrivals, r.arrivals.Load())
+				body, err := readResponse(r.conn)
 				assert.Equal(f.t, c.whole, err == nil, "%v", err)
 				assert.Equal(f.t, whole.all()[:c.events*len(whole.event(10))-min(c.events, 9)], body)
-				assert.Zero(f.t, b.responses.Sizes().UsedBytes)
-				assert.Zero(f.t, b.responses.Sizes().CutOff)
+				assert.Zero(f.t, r.responses.Sizes().UsedBytes)
+				assert.Zero(f.t, r.responses.Sizes().CutOff)
 			})
 		})
 	}
@@ -248,20 +262,20 @@
 	runWithFleet(t, func(f *fleet) {
 		const slowCallers = 700
 		s := eventStream{events: 60, eventBytes: 1000, gap: 50}
-		b, conn, _, _ := slowStart(f, "/stream/", s, smallBox)
-		conns := []net.Conn{conn}
+		r := startSlowStream(f, "/stream/", s, smallBox)
+		conns := []net.Conn{r.conn}
 		for i := range slowCallers - 1 {
-			conns = append(conns, b.sendRaw(slowRequest("/stream/", fmt.Sprint("slow-", i))))
+			conns = append(conns, r.sendRaw(slowRequest("/stream/", fmt.Sprint("slow-", i))))
 		}
 		advance(f.t, 2*time.Second)
 		for i := range 10 {
-			other := b.sendRaw(slowRequest("/stream/", fmt.Sprint("other-", i)))
+			other := r.sendRaw(slowRequest("/stream/", fmt.Sprint("other-", i)))
 			body, err := readResponse(other)
 			require.NoError(f.t, err)
 			assert.Equal(f.t, s.all(), body)
 			require.NoError(f.t, other.Close())
 		}
-		sizes := b.responses.Sizes()
+		sizes := r.responses.Sizes()
 		f.t.Logf("%+v", sizes)
 		assert.LessOrEqual(f.t, sizes.PeakBytes, sizes.LimitBytes/2)
 		assert.Equal(f.t, slowCallers, sizes.CutOff)
@@ -303,71 +317,151 @@
 func TestResponseMemory(t *testing.T) {
 	const bodyBytes = 6 << 20
 	body := bytes.Repeat([]byte("0123456789abcdef"), bodyBytes/16)
-	start := func(f *fleet, arrivals *atomic.Int32) *running {
-		f.upstream("u1", countRequests(arrivals, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
-		b := f.box(1, smallBox)
-		advance(f.t, time.Second)
-		return b
+	respond := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }
+	// start starts a box with a number of requests.
+	start := func(f *fleet, requests int) (r *slowReader, conns []net.Conn) {
+		r = startSlowReader(f, "/safe/", respond, smallBox)
+		conns = []net.Conn{r.conn}
+		for i := range requests - 1 {
+			conns = append(conns, r.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
+		}
+		return r, conns
 	}
 	t.Run("responses wait and requests are refused unsent until callers have read", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			log := &logBuffer{}
-			f.out = log
-			var arrivals atomic.Int32
-			b := start(f, &arrivals)
-			conns := []net.Conn{}
-			for i := range 12 {
-				conns = append(conns, b.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
-			}
+			r, conns := start(f, 12)
 			advance(f.t, 200*time.Millisecond)
-			sizes := b.responses.Sizes()
+			sizes := r.responses.Sizes()
 			f.t.Logf("%+v", sizes)
 			assert.LessOrEqual(f.t, sizes.PeakBytes, sizes.LimitBytes)
 			assert.Positive(f.t, sizes.Waiting)
-			assert.NotEmpty(f.t, withMessage(log.read(f.t), "response delayed"))
-			before := arrivals.Load()
-			response, err := b.send(f.t.Context(), call{method: http.MethodGet, path: "/unsafe/", id: "new", key: key})
+			assert.NotEmpty(f.t, withMessage(r.log.read(f.t), "response delayed"))
+			before := r.arrivals.Load()
+			response, err := r.send(f.t.Context(), call{method: http.MethodGet, path: "/unsafe/", id: "new", key: key})
 			require.NoError(f.t, err)
 			assert.Equal(f.t, http.StatusServiceUnavailable, response.StatusCode)
 			assert.NotEmpty(f.t, response.Header.Get("Retry-After"))
 			_ = response.Body.Close()
-			assert.Equal(f.t, before, arrivals.Load(), "a refused request is not sent")
+			assert.Equal(f.t, before, r.arrivals.Load(), "a refused request is not sent")
 			statuses := readAll(f, conns, body)
 			assert.Equal(f.t, len(conns), statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], "%v", statuses)
-			assert.EqualValues(f.t, statuses[http.StatusOK], arrivals.Load())
-			assert.Zero(f.t, b.responses.Sizes().UsedBytes)
-			assert.LessOrEqual(f.t, b.responses.Sizes().PeakBytes, sizes.LimitBytes)
-			assertStatus(f.t, b, "/unsafe/", http.StatusOK)
+			assert.EqualValues(f.t, statuses[http.StatusOK], r.arrivals.Load())
+			assert.Zero(f.t, r.responses.Sizes().UsedBytes)
+			assert.LessOrEqual(f.t, r.responses.Sizes().PeakBytes, sizes.LimitBytes)
+			assertStatus(f.t, r.running, "/unsafe/", http.StatusOK)
 		})
 	})
 	t.Run("callers who don't read are cut off", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			log := &logBuffer{}
-			f.out = log
-			var arrivals atomic.Int32
-			b := start(f, &arrivals)
-			conn := b.sendRaw(slowRequest("/safe/", "slow"))
+			r, _ := start(f, 1)
 			advance(f.t, 4900*time.Millisecond)
-			assert.Positive(f.t, b.responses.Sizes().UsedBytes)
+			assert.Positive(f.t, r.responses.Sizes().UsedBytes)
 			advance(f.t, 200*time.Millisecond)
-			assertCutOff(f, b, conn, log)
-			assert.EqualValues(f.t, 1, arrivals.Load())
+			r.assertCutOff(exchange.Stalled, 1)
 		})
 	})
 	t.Run("responses that wait for longer than their requests may take are given up", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
-			var arrivals atomic.Int32
-			b := start(f, &arrivals)
-			conns := []net.Conn{}
-			for i := range 12 {
-				conns = append(conns, b.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
-			}
+			r, conns := start(f, 12)
 			advance(f.t, (timeoutMs+100)*time.Millisecond)
-			assert.Zero(f.t, b.responses.Sizes().Waiting)
+			assert.Zero(f.t, r.responses.Sizes().Waiting)
 			statuses := readAll(f, conns, body)
 			assert.Positive(f.t, statuses[http.StatusGatewayTimeout])
-			assert.EqualValues(f.t, statuses[http.StatusOK]+statuses[http.StatusGatewayTimeout], arrivals.Load(), "%v", statuses)
-			assert.Zero(f.t, b.responses.Sizes().UsedBytes)
+			assert.EqualValues(f.t, statuses[http.StatusOK]+statuses[http.StatusGatewayTimeout], r.arrivals.Load(), "%v", statuses)
+			assert.Zero(f.t, r.responses.Sizes().UsedBytes)
+		})
+	})
+}
+
+// readSlowly reads some bytes from a connection at each interval, until an error.
+func readSlowly(f *fleet, conn io.Reader, bytes int, interval clock.Millis) (data []byte, err error) {
+	buffer := make([]byte, bytes)
+	for err == nil {
+		var n int
+		n, err = io.ReadFull(conn, buffer)
+		data = append(data, buffer[:n]...)
+		if err == nil {
+			err = f.clock.Sleep(f.t.Context(), interval)
+		}
+	}
+	return data, err
+}
+
+// TestMinReadRate guards against callers who keep the memory of buffered responses by reading a few bytes now and then, and
+// against cutting off those who read at the minimum rate.
+func TestMinReadRate(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		bodyBytes    int
+		readBytes    int
+		interval     clock.Millis
+		reason       exchange.CutReason
+		minMs, maxMs clock.Millis
+	}{
+		{"16 bytes every 4 s", 6 << 20, 16, 4000, exchange.BelowMinRate, 0, 1100},
+		{"15 KiB/s", 6 << 20, 3 << 10, 200, exchange.BelowMinRate, 1000, 7000},
+		{"the time limit and 5 s are over", 6 << 20, 20 << 10, 1000, exchange.Overdue, 8900, 9200},
+		{"all after the time limit at 20 KiB/s", 160 << 10, 4 << 10, 200, "", 7000, 9000},
+		{"all after pauses of 4.5 s", 1 << 20, 512 << 10, 4500, "", 4500, 9100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				body := bytes.Repeat([]byte("x"), c.bodyBytes)
+				r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }, smallBox)
+				read := make(chan []byte, 1)
+				go func() {
+					data, _ := readSlowly(f, r.conn, c.readBytes, c.interval)
+					read <- data
+				}()
+				for r.responses.Sizes().UsedBytes == 0 {
+					advance(f.t, time.Millisecond)
+				}
+				took := clock.Millis(0)
+				for r.responses.Sizes().UsedBytes > 0 && took < 30*clock.Second {
+					advance(f.t, 10*time.Millisecond)
+					took = f.clock.Monotonic() - r.startMs
+				}
+				assert.GreaterOrEqual(f.t, took, c.minMs)
+				assert.LessOrEqual(f.t, took, c.maxMs)
+				if c.reason == "" {
+					advance(f.t, 5*time.Second)
+					require.NoError(f.t, r.conn.Close())
+					data := <-read
+					assert.True(f.t, bytes.HasSuffix(data, append([]byte("\r\n\r\n"), body...)), "%d bytes", len(data))
+					assert.Zero(f.t, r.responses.Sizes().CutOff)
+					return
+				}
+				<-read
+				r.assertCutOff(c.reason, 1)
+			})
+		})
+	}
+	t.Run("a box whose memory such callers have filled serves others again", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			body := bytes.Repeat([]byte("x"), 4<<20)
+			r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }, smallBox)
+			conns := []net.Conn{r.conn}
+			for i := range 40 {
+				conns = append(conns, r.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
+			}
+			for i, conn := range conns {
+				if i%2 == 0 {
+					go func() { _, _ = readSlowly(f, conn, 16, 2000) }()
+				}
+			}
+			advance(f.t, 500*time.Millisecond)
+			assertStatus(f.t, r.running, "/safe/", http.StatusServiceUnavailable)
+			advance(f.t, (timeoutMs+6000)*time.Millisecond)
+			sizes := r.responses.Sizes()
+			f.t.Logf("%+v", sizes)
+			assert.Zero(f.t, sizes.UsedBytes)
+			assert.LessOrEqual(f.t, sizes.PeakBytes, sizes.LimitBytes)
+			assert.Positive(f.t, sizes.CutOffReasons[exchange.BelowMinRate])
+			assert.Positive(f.t, sizes.CutOffReasons[exchange.Stalled])
+			assertStatus(f.t, r.running, "/safe/", http.StatusOK)
+			for _, conn := range conns {
+				_ = conn.Close()
+			}
 		})
 	})
 }
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -159,17 +159,21 @@
 // relay sends the upstream's error response to the caller. If its
 // status implies that the request did not run, the box replaces the Retry-After header with its own:
 // the upstream's value is meant for the box, which may know other upstreams with capacity.
-func (w *bufferedResponse) relay(r *opaque.Request, retryAfter func() clock.Millis) error {
+func (w *bufferedResponse) relay(r *opaque.Request, retryAfter func() clock.Millis, now clock.Millis) error {
 	if impliesNotRun(w.status) {
 		w.header.Set("Retry-After", r.Dialect.RetryAfter(retryAfter()))
 	}
-	w.write(r)
+	w.write(r, now)
 	return fmt.Errorf("%w: upstream returned status %d", opaque.ErrAnswered, w.status)
 }
 
-func (s *retryLoop) writeBuffered(w *bufferedResponse) { w.write(s.request) }
+func (s *retryLoop) writeBuffered(w *bufferedResponse) {
+	w.write(s.request, s.pipe.deps.Clock.Monotonic())
+}
 
-func (w *bufferedResponse) write(r *opaque.Request) {
+func (w *bufferedResponse) write(r *opaque.Request, now clock.Millis) {
+	r.Writer.StartBuffered(r.RemainingMs(now))
+	defer r.Writer.EndBuffered()
 	setResponseHeader(r.Writer.Header(), w.header)
 	r.SetHopHeaders()
 	if r.HTTP.Method != http.MethodHead {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -296,7 +296,7 @@
 	case failed.refusal != nil:
 		return failed.refusal
 	case failed.response != nil && failed.response.mayRelay(r):
-		return failed.response.relay(r, s.retryAfterMs)
+		return failed.response.relay(r, s.retryAfterMs, s.pipe.deps.Clock.Monotonic())
 	case r.MayHaveRun && s.ctx.Err() != nil:
 		return opaque.NewRefusal(http.StatusGatewayTimeout, opaque.DeadlineExceeded, 0, failed.err)
 	case r.MayHaveRun:
--- a/internal/pipe/dispatch/slowcaller.go
+++ b/internal/pipe/dispatch/slowcaller.go
@@ -11,8 +11,8 @@
 // callerCutOff reports whether the caller was cut off because it did not read. No other upstream may continue its
 // stream.
 func (s *retryLoop) callerCutOff() bool {
-	_, err := s.request.Writer.CutOff()
-	return err != nil
+	_, slow := s.request.Writer.CutOff()
+	return slow != nil
 }
 
 // awaitCaller waits until the caller has read the rest of a stream, while no upstream waits any more, and returns the
@@ -28,7 +28,7 @@
 	case slow != nil:
 		s.pipe.deps.RecordEvent(decision.CallerCutOff{
 			Request: r.ID, Upstream: r.Upstream, HeldBytes: held, SentBytes: r.Writer.Written() - int64(held),
-			Err: slow.Error(),
+			Reason: string(slow.Reason),
 		})
 		return opaque.NewRefusal(http.StatusOK, opaque.CallerSlow, 0, fmt.Errorf("%w: %w", opaque.ErrTruncated, slow))
 	case lost != nil:
