feat(dispatch): pass on responses that the reserve can't hold

Cause: with less than 128 MiB of process memory, the reserve for one buffered response is smaller than the largest response, so that two half-read responses could wait for each other until their time was over.

Change: a response whose declared length exceeds the reserve, or that outgrows it, is passed on as it is read, through a buffer of 4 KiB that isn't counted, under the same minimum rate. It isn't sent again once the caller has any of it; a break closes the caller's connection. A failure status of that size is retried without its body. Where the caller has delayed the response for more than 1 s, a break doesn't count against the upstream. Memory.Grow returns ErrOverReserve in place of ErrOverMemory. The metric responses_held counts them as unbuffered.

--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -8,8 +8,9 @@
 	"sync"
 )
 
-// ErrOverMemory means that a response needs more memory than all responses together may hold.
-var ErrOverMemory = errors.New("response exceeds the memory for responses")
+// ErrOverReserve means that a response needs more memory than the reserve has. It must be passed on as it is read: two
+// half-read responses of which neither fits into the reserve would wait for each other.
+var ErrOverReserve = errors.New("response exceeds the reserve for one response")
 
 // maxReserveBytes is the size of the largest response that is buffered, and of the buffer that it ends in.
 const maxReserveBytes = 16<<20 + 64<<10
@@ -45,6 +46,8 @@
 	Waits   int `json:"waits"`
 	Refused int `json:"refused"`
 	CutOff  int `json:"cut_off"`
+	// Unbuffered counts responses that were passed on as they were read, since the reserve can't hold them.
+	Unbuffered int `json:"unbuffered"`
 	// CutOffReasons divides CutOff by reason.
 	CutOffReasons map[CutReason]int `json:"cut_off_reasons"`
 }
@@ -85,6 +88,20 @@
 	return true
 }
 
+// Holds reports whether the reserve can hold a buffered response of a size, which is negative if it is unknown.
+func (m *Memory) Holds(size int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return size <= m.reserve
+}
+
+// CountUnbuffered counts a response that is passed on as it is read.
+func (m *Memory) CountUnbuffered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sizes.Unbuffered++
+}
+
 // Hold returns an empty hold for a buffered response.
 func (m *Memory) Hold() *Hold { return &Hold{memory: m} }
 
@@ -95,14 +112,14 @@
 }
 
 // Grow takes further bytes. If the limit is reached, it calls onWait and waits until other responses have ended. It
-// returns an error if the context ends before, or if the response can never have as much.
+// returns an error if the context ends before, or ErrOverReserve if the reserve can't hold the response.
 func (h *Hold) Grow(ctx context.Context, bytes int64, onWait func(MemorySizes)) error {
 	m := h.memory
 	m.mu.Lock()
 	switch {
-	case h.bytes+bytes > m.limit:
+	case h.bytes+bytes > m.reserve:
 		m.mu.Unlock()
-		return ErrOverMemory
+		return ErrOverReserve
 	case (m.reserveHolder == h || len(m.waiting) == 0) && m.fits(h, bytes):
 		m.take(h, bytes)
 		m.mu.Unlock()
--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -465,3 +465,76 @@
 		})
 	})
 }
+
+// TestUnbufferedResponses guards against large responses that wait for each other in a small box, and against passed-on
+// responses that look complete although they broke, or run twice.
+func TestUnbufferedResponses(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789abcdef"), 14<<16)
+	part := len(body) / 10 * 9
+	verySmall := func(g *config.Gateway) { g.Capacity.MemoryMb = 64 }
+	// sendPart sends a status and the larger part of the body, which the reserve can't hold.
+	sendPart := func(w http.ResponseWriter, declared bool, status int) {
+		if declared {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write(body[:part])
+		_ = http.NewResponseController(w).Flush()
+	}
+	for name, declared := range map[string]bool{"declared": true, "unknown": false} {
+		t.Run("half-read responses don't wait for each other, length "+name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				bothArrived := sync.WaitGroup{}
+				bothArrived.Add(2)
+				r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, hr *http.Request) {
+					bothArrived.Done()
+					bothArrived.Wait()
+					sendPart(w, declared, http.StatusOK)
+					_ = f.clock.Sleep(hr.Context(), 500)
+					_, _ = w.Write(body[part:])
+				}, verySmall)
+				conns := []net.Conn{r.conn, r.sendRaw(slowRequest("/safe/", "second"))}
+				assert.Equal(f.t, map[int]int{http.StatusOK: 2}, readAll(f, conns, body))
+				sizes := r.responses.Sizes()
+				f.t.Logf("%+v, %d ms", sizes, f.clock.Monotonic()-r.startMs)
+				assert.Equal(f.t, 2, sizes.Unbuffered)
+				assert.LessOrEqual(f.t, sizes.PeakBytes, sizes.LimitBytes)
+				assert.Zero(f.t, sizes.UsedBytes)
+				assert.EqualValues(f.t, 2, r.arrivals.Load())
+			})
+		})
+		t.Run("a break is not hidden and a failure is retried, length "+name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				failures := atomic.Int32{}
+				r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, hr *http.Request) {
+					if hr.Header.Get("X-Id") == "slow" {
+						sendPart(w, declared, http.StatusOK)
+						panic(http.ErrAbortHandler)
+					}
+					if failures.Add(1) == 1 {
+						sendPart(w, declared, http.StatusInternalServerError)
+					}
+					_, _ = w.Write(body[part:])
+				}, verySmall)
+				_, err := readResponse(r.conn)
+				require.Error(f.t, err)
+				assert.EqualValues(f.t, 1, r.arrivals.Load(), "a response that has begun is not sent again")
+				assertStatus(f.t, r.running, "/safe/", http.StatusOK)
+				assert.EqualValues(f.t, 3, r.arrivals.Load())
+				assert.Zero(f.t, r.responses.Sizes().UsedBytes)
+			})
+		})
+	}
+	t.Run("a caller that reads too slowly is cut off", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, _ *http.Request) {
+				sendPart(w, true, http.StatusOK)
+				_, _ = w.Write(body[part:])
+			}, verySmall)
+			_, _ = readSlowly(f, r.conn, 1<<10, 100)
+			advance(f.t, 50*time.Millisecond)
+			r.assertCutOff(exchange.BelowMinRate, 1)
+			assert.Less(f.t, r.upstreamMs(), 2*clock.Second)
+		})
+	})
+}
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -178,7 +178,7 @@
 		return balance.Succeeded
 	case failed.execution == notRun && s.pipe.deps.OnRejected(s.request.ID, lease):
 		return balance.Rejected
-	case s.signals.BackoffMs > 0 || s.callerCutOff() || failed != nil && errors.Is(failed.err, errResponseMemory):
+	case s.signals.BackoffMs > 0 || s.callerCutOff() || isNoUpstreamFault(failed.err):
 		return balance.Neutral
 	case failed.execution == wrongUpstream:
 		return balance.Unreachable
@@ -187,6 +187,11 @@
 	}
 }
 
+// isNoUpstreamFault reports whether an error says nothing about the upstream, since its response was not read in time.
+func isNoUpstreamFault(err error) bool {
+	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault)
+}
+
 // logPicked logs the selected upstream and counts the prompt tokens that it has to process.
 func (s *retryLoop) logPicked(lease *balance.Lease) {
 	r := s.request
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -255,7 +255,7 @@
 		return stopDeadline
 	case errors.Is(failed.err, errResponseMemory):
 		return stopNoMemory
-	case s.stream != nil && !s.mayResume():
+	case r.Writer.Started() && (s.stream == nil || !s.mayResume()):
 		return stopResponseStarted
 	case !failed.execution.allowsRetry(r.Route.Repeatable()):
 		return stopMayHaveRun
@@ -291,8 +291,8 @@
 	switch {
 	case r.Context().Err() != nil:
 		return opaque.NewRefusal(opaque.StatusCallerDisconnected, opaque.CallerDisconnected, 0, failed.err)
-	case s.stream != nil:
-		return s.stream.abort(failed.err)
+	case r.Writer.Started():
+		return abort(failed.err)
 	case failed.refusal != nil:
 		return failed.refusal
 	case failed.response != nil && failed.response.mayRelay(r):
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -55,6 +55,8 @@
 		return
 	case ctx.Err() != nil:
 		o.Evidence = RequestAbandoned
+	case errors.Is(err, errCallerFault):
+		return
 	case errors.Is(err, upstream.ErrBroken):
 		o.Evidence = ConnectionBroken
 	default:
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -211,6 +211,6 @@
 
 // abort returns an error that closes the caller's connection, so that an incomplete response does
 // not appear complete.
-func (t *stream) abort(err error) error {
+func abort(err error) error {
 	return opaque.NewRefusal(http.StatusOK, opaque.ResponseLost, 0, fmt.Errorf("%w: %w", opaque.ErrTruncated, err))
 }
