feat(gateway): apply a changed memory_mb to responses at a reload

Cause: the limit on the memory of responses was set once at the start, so that a reload of the settings changed the limit for request bodies but not the one for responses, nor the one of the garbage collector.

Change: Box.Reload sets the limit of exchange.Memory, and the settings watcher that of the garbage collector. Waiting responses get memory at once if the limit grows. If it shrinks, responses keep what they hold; waiting ones that the new reserve can't hold are passed on; the reserve's holder may take the whole reserve although more than the new limit is used, since otherwise it and the others would wait for each other.

TestResponseMemory: its requests now all reach the upstream before a response begins.

--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -60,4 +60,5 @@
 		return
 	}
 	b.Reload(settings)
+	limitMemory(settings)
 }
--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -54,16 +54,34 @@
 
 // waiter is a hold that waits for further bytes.
 type waiter struct {
-	hold    *Hold
-	bytes   int64
-	granted chan struct{}
+	hold  *Hold
+	bytes int64
+	// ended is closed at the end of the wait. If err is nil, the hold has the bytes.
+	ended chan struct{}
+	err   error
 }
 
 // NewMemory returns a memory with a limit in bytes.
 func NewMemory(limit int64) *Memory {
-	return &Memory{
-		limit: limit, reserve: min(maxReserveBytes, limit/2), sizes: MemorySizes{CutOffReasons: map[CutReason]int{}},
-	}
+	return &Memory{limit: limit, reserve: reserveOf(limit), sizes: MemorySizes{CutOffReasons: map[CutReason]int{}}}
+}
+
+func reserveOf(limit int64) int64 { return min(maxReserveBytes, limit/2) }
+
+// SetLimit changes the limit. Responses that hold more than a smaller limit permits keep it, and further ones wait.
+func (m *Memory) SetLimit(limit int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit, m.reserve = limit, reserveOf(limit)
+	m.waiting = slices.DeleteFunc(m.waiting, func(w *waiter) bool {
+		if w.hold.bytes+w.bytes <= m.reserve {
+			return false
+		}
+		w.err = ErrOverReserve
+		close(w.ended)
+		return true
+	})
+	m.grant()
 }
 
 // Sizes returns the sizes for metrics.
@@ -125,20 +143,20 @@
 		m.mu.Unlock()
 		return nil
 	}
-	w := &waiter{hold: h, bytes: bytes, granted: make(chan struct{})}
+	w := &waiter{hold: h, bytes: bytes, ended: make(chan struct{})}
 	m.waiting = append(m.waiting, w)
 	m.sizes.Waits++
 	m.grant()
 	m.mu.Unlock()
 	select {
-	case <-w.granted:
-		return nil
+	case <-w.ended:
+		return w.err
 	default:
 	}
 	onWait(m.Sizes())
 	select {
-	case <-w.granted:
-		return nil
+	case <-w.ended:
+		return w.err
 	case <-ctx.Done():
 		return h.withdraw(ctx, w)
 	}
@@ -195,13 +213,13 @@
 	m.sizes.CutOffReasons[reason]++
 }
 
-// fits reports whether a response may take further bytes.
+// fits reports whether a response may take further bytes. The reserve's holder may take the whole reserve even where a
+// reload of the settings has lowered the limit below what is used: the others may wait for it.
 func (m *Memory) fits(h *Hold, bytes int64) bool {
-	limit := m.limit
-	if h == nil || m.reserveHolder != h {
-		limit -= m.reserve
+	if h != nil && m.reserveHolder == h {
+		return m.used+bytes <= m.limit || h.bytes+bytes <= m.reserve
 	}
-	return m.used+bytes <= limit
+	return m.used+bytes <= m.limit-m.reserve
 }
 
 func (m *Memory) take(h *Hold, bytes int64) {
@@ -227,7 +245,7 @@
 			return false
 		}
 		m.take(w.hold, w.bytes)
-		close(w.granted)
+		close(w.ended)
 		return true
 	})
 }
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -151,7 +151,7 @@
 	}, b.clock, b.core)
 	b.routingState = routing.NewStateTracker(b.clock.Monotonic)
 	b.registry = registry.New(b.clock.Monotonic)
-	b.responses = exchange.NewMemory(settings.Capacity.MemoryMb * mebibyte / responseMemoryDivisor)
+	b.responses = exchange.NewMemory(responseMemory(settings))
 	b.metrics.Publish("responses_held", func() any { return b.responses.Sizes() })
 	b.balance = balance.New(balance.Settings{
 		FailureDomain: settings.FailureDomain, BoundPercent: settings.Balance.BoundPercent,
@@ -266,6 +266,11 @@
 	return b.settings.Load().Capacity.MemoryMb * mebibyte / bodyMemoryDivisor
 }
 
+// responseMemory returns how many bytes of memory responses may use that callers have not read.
+func responseMemory(settings config.Gateway) int64 {
+	return settings.Capacity.MemoryMb * mebibyte / responseMemoryDivisor
+}
+
 const (
 	mebibyte = 1 << 20
 	// bodyMemoryDivisor is the divisor of the configured memory that yields the part for request bodies. The rest is
@@ -348,6 +353,7 @@
 	withDefaults := defaults(settings)
 	b.settings.Store(&withDefaults)
 	b.balance.SetLearnPace(withDefaults.Pace.Learn)
+	b.responses.SetLimit(responseMemory(withDefaults))
 	b.log.Record(decision.Process{What: "settings reloaded"})
 }
 
--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -317,10 +317,12 @@
 func TestResponseMemory(t *testing.T) {
 	const bodyBytes = 6 << 20
 	body := bytes.Repeat([]byte("0123456789abcdef"), bodyBytes/16)
-	respond := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }
-	// start starts a box with a number of requests.
+	// start starts a box with a number of requests, all of which are sent before any response begins.
 	start := func(f *fleet, requests int) (r *slowReader, conns []net.Conn) {
-		r = startSlowReader(f, "/safe/", respond, smallBox)
+		r = startSlowReader(f, "/safe/", func(w http.ResponseWriter, hr *http.Request) {
+			_ = f.clock.Sleep(hr.Context(), 10)
+			_, _ = w.Write(body)
+		}, smallBox)
 		conns = []net.Conn{r.conn}
 		for i := range requests - 1 {
 			conns = append(conns, r.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
@@ -351,6 +353,30 @@
 			assertStatus(f.t, r.running, "/unsafe/", http.StatusOK)
 		})
 	})
+	for name, memoryMb := range map[string]int64{"raises": 1024, "lowers": 32} {
+		t.Run("a reload "+name+" the limit under responses that wait", func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				r, conns := start(f, 12)
+				advance(f.t, 200*time.Millisecond)
+				assert.Positive(f.t, r.responses.Sizes().Waiting)
+				r.settings.Capacity.MemoryMb = memoryMb
+				r.Reload(r.settings)
+				advance(f.t, 100*time.Millisecond)
+				sizes := r.responses.Sizes()
+				f.t.Logf("%+v", sizes)
+				assert.Equal(f.t, memoryMb<<20/responseMemoryDivisor, sizes.LimitBytes)
+				if name == "raises" {
+					assert.Zero(f.t, sizes.Waiting)
+					assertStatus(f.t, r.running, "/unsafe/", http.StatusOK)
+				}
+				statuses := readAll(f, conns, body)
+				assert.Equal(f.t, len(conns), statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], "%v", statuses)
+				assert.Zero(f.t, r.responses.Sizes().UsedBytes)
+				assertStatus(f.t, r.running, "/unsafe/", http.StatusOK)
+				assert.Equal(f.t, name == "lowers", r.responses.Sizes().Unbuffered > 0)
+			})
+		})
+	}
 	t.Run("callers who don't read are cut off", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			r, _ := start(f, 1)
