fix(dispatch): release a failed response before the request is sent again

Cause: a failed attempt's response, of up to 16 MiB, stayed in memory while the request was sent again. It was counted until the next response began, and kept without being counted after that, until that attempt had ended.

Change: retryLoop.dropFailedResponse drops it at the start of the next attempt or forward, whose outcome replaces it in any case. If no attempt follows, it is relayed as before.

--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -399,6 +399,36 @@
 	})
 }
 
+// TestFailedResponseMemory guards against failed responses that keep memory while their requests are sent again, so that
+// other requests are refused.
+func TestFailedResponseMemory(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		failure := make([]byte, 6<<20)
+		sent := sync.Map{}
+		r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, hr *http.Request) {
+			if _, again := sent.LoadOrStore(hr.Header.Get("X-Id"), true); !again {
+				_ = f.clock.Sleep(hr.Context(), 10)
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = w.Write(failure)
+				return
+			}
+			_ = f.clock.Sleep(hr.Context(), 900)
+			_, _ = io.WriteString(w, "done")
+		}, smallBox)
+		conns := []net.Conn{r.conn}
+		for i := range 5 {
+			conns = append(conns, r.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
+		}
+		advance(f.t, 500*time.Millisecond)
+		sizes := r.responses.Sizes()
+		f.t.Logf("%+v", sizes)
+		assert.EqualValues(f.t, 2*len(conns), r.arrivals.Load(), "all are sent again")
+		assert.Greater(f.t, sizes.PeakBytes, int64(len(failure)))
+		assert.Zero(f.t, sizes.UsedBytes)
+		assert.Equal(f.t, map[int]int{http.StatusOK: len(conns)}, readAll(f, conns, []byte("done")))
+	})
+}
+
 // readSlowly reads some bytes from a connection at each interval, until an error.
 func readSlowly(f *fleet, conn io.Reader, bytes int, interval clock.Millis) (data []byte, err error) {
 	buffer := make([]byte, bytes)
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -35,6 +35,7 @@
 // response.
 func (s *retryLoop) attempt(lease *balance.Lease) *failure {
 	s.attempts++
+	s.dropFailedResponse()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
 	s.signals = opaque.Signals{}
 	s.request.Upstream, s.request.Framing = lease.ID, ""
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -75,7 +75,6 @@
 func (s *retryLoop) readBody(
 	resp *upstream.Response, onStart func(),
 ) (body [][]byte, size int, err error) {
-	s.releaseBody()
 	s.body = s.pipe.deps.Memory.Hold()
 	length := resp.ContentLength
 	if s.request.HTTP.Method == http.MethodHead {
@@ -135,6 +134,15 @@
 	return make([]byte, 0, size), nil
 }
 
+// dropFailedResponse releases the response of the latest failed attempt before the request is sent again. The outcome
+// of the next attempt replaces it in any case, and the response could be as large as 16 MiB.
+func (s *retryLoop) dropFailedResponse() {
+	if s.lastFailure != nil {
+		s.lastFailure.response = nil
+	}
+	s.releaseBody()
+}
+
 // releaseBody releases the memory of the latest buffered response. The response may no longer be used.
 func (s *retryLoop) releaseBody() {
 	if s.body != nil {
--- a/internal/pipe/dispatch/buffered_test.go
+++ b/internal/pipe/dispatch/buffered_test.go
@@ -66,6 +66,7 @@
 			for b.Loop() {
 				_, _, err := s.readBody(responseOf(bytes.NewReader(data), int64(size)), func() {})
 				require.NoError(b, err)
+				s.releaseBody()
 			}
 		})
 		b.Run(fmt.Sprint("growing/", size), func(b *testing.B) {
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -66,6 +66,7 @@
 func (s *retryLoop) attemptForward(box Box) *failure {
 	r := s.request
 	s.attempts++
+	s.dropFailedResponse()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
 	s.signals = opaque.Signals{}
 	r.Upstream, r.Framing = "box "+box.Name, ""
