test: wait for events in place of sleeps in the tests of unread data and retry timers

Cause: TestUnread stopped its caller for 40 ms of real time, which on a busy machine may pass without any data being held. TestMemory and TestRetryTimer slept on the fake clock by time.Sleep, which the house rules exclude.

Change: the caller of TestUnread stops until data is held for it, and the test checks that some was. The others wait by clock.Clock.Sleep in their synctest bubbles.

--- a/internal/exchange/unread_test.go
+++ b/internal/exchange/unread_test.go
@@ -49,7 +49,15 @@
 		sent[i] = byte(random.Uint32())
 	}
 	u.Start(func() {})
-	got := make(chan []byte)
+	got, written := make(chan []byte), make(chan struct{}, 1)
+	// awaitHeld stops the caller until data is held for it, or all is written.
+	awaitHeld := func() {
+		for memory.Sizes().StreamBytes == 0 {
+			if _, writing := <-written; !writing {
+				return
+			}
+		}
+	}
 	go func() {
 		all, buffer := []byte{}, make([]byte, 16<<10)
 		for {
@@ -60,21 +68,27 @@
 				return
 			}
 			if len(all)%7 == 0 {
-				time.Sleep(2 * promptMs.Duration())
+				awaitHeld()
 			}
 		}
 	}()
 	for rest := sent; len(rest) > 0; {
 		n := min(len(rest), 1+random.IntN(12<<10))
-		written, err := u.Write(rest[:n])
+		count, err := u.Write(rest[:n])
 		require.NoError(t, err)
-		require.Equal(t, n, written)
+		require.Equal(t, n, count)
 		rest = rest[n:]
+		select {
+		case written <- struct{}{}:
+		default:
+		}
 	}
+	close(written)
 	require.NoError(t, u.Await())
 	require.NoError(t, box.Close())
 	assert.True(t, bytes.Equal(sent, <-got))
 	assert.Zero(t, memory.Sizes().UsedBytes)
+	assert.Positive(t, memory.Sizes().PeakBytes, "data was held")
 	t.Logf("%+v", memory.Sizes())
 }
 
@@ -95,11 +109,11 @@
 							t.Error(err)
 							return
 						}
-						time.Sleep(time.Millisecond)
+						assert.NoError(t, clock.New().Sleep(t.Context(), 1))
 					}
 				})
 			}
-			time.Sleep(time.Millisecond)
+			require.NoError(t, clock.New().Sleep(t.Context(), 1))
 			assert.True(t, m.Refuse() || m.Sizes().Waiting == 0)
 			responses.Wait()
 			assert.Zero(t, m.Sizes().UsedBytes)
--- a/internal/pipe/dispatch/retrytimer_test.go
+++ b/internal/pipe/dispatch/retrytimer_test.go
@@ -4,9 +4,9 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
 )
@@ -14,21 +14,25 @@
 // TestRetryTimer guards against an attempt that is canceled too early, twice, or although no retry would help.
 func TestRetryTimer(t *testing.T) {
 	const span clock.Millis = 400
-	run := func(t *testing.T, test func(timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64)) {
+	waitIn := func(t *testing.T) func(ms clock.Millis) {
 		t.Helper()
-		synctest.Test(t, func(*testing.T) {
+		return func(ms clock.Millis) {
+			require.NoError(t, clock.New().Sleep(t.Context(), ms))
+			synctest.Wait()
+		}
+	}
+	type waiting = func(ms clock.Millis)
+	run := func(t *testing.T, test func(wait waiting, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
 			helps, expired := &atomic.Bool{}, &atomic.Int64{}
 			timer := startRetryTimer(clock.New(), span, helps.Load, func() { expired.Add(1) })
 			defer timer.stop()
-			test(timer, helps, expired)
+			test(waitIn(t), timer, helps, expired)
 		})
 	}
-	wait := func(ms clock.Millis) {
-		time.Sleep(ms.Duration())
-		synctest.Wait()
-	}
 	t.Run("a retry helps at once", func(t *testing.T) {
-		run(t, func(_ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(wait waiting, _ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			helps.Store(true)
 			wait(span - 1)
 			assert.Zero(t, expired.Load())
@@ -37,7 +41,7 @@
 		})
 	})
 	t.Run("a retry helps later", func(t *testing.T) {
-		run(t, func(_ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(wait waiting, _ *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			wait(5 * span)
 			assert.Zero(t, expired.Load())
 			helps.Store(true)
@@ -46,7 +50,7 @@
 		})
 	})
 	t.Run("progress starts the span anew", func(t *testing.T) {
-		run(t, func(timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(wait waiting, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			helps.Store(true)
 			wait(span - 1)
 			timer.recordProgress()
@@ -55,9 +59,9 @@
 		})
 	})
 	t.Run("progress while the check runs", func(t *testing.T) {
-		synctest.Test(t, func(*testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			expired := atomic.Int64{}
-			timer := atomic.Pointer[retryTimer]{}
+			timer, wait := atomic.Pointer[retryTimer]{}, waitIn(t)
 			timer.Store(startRetryTimer(clock.New(), span, func() bool {
 				timer.Load().recordProgress()
 				return true
@@ -69,7 +73,7 @@
 		})
 	})
 	t.Run("none after the end", func(t *testing.T) {
-		run(t, func(timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
+		run(t, func(wait waiting, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			wait(2 * span)
 			timer.stop()
 			helps.Store(true)
