test(gateway): let callers below the minimum rate hold memory first

In the first run under the race detector, none of the callers that read a few bytes got memory in TestMinReadRate, so that the check for the reason below_min_rate failed: which of 41 responses got memory was left to the scheduler. Four such callers now hold memory before 37 others arrive, and exactly those four must be cut off for that reason.

--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -498,12 +498,14 @@
 			r := startSlowReader(f, "/safe/", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }, smallBox)
 			conns := []net.Conn{r.conn}
 			for i := range 40 {
+				if i == 3 {
+					// The first callers hold memory before the others, who read nothing.
+					advance(f.t, 50*time.Millisecond)
+				}
 				conns = append(conns, r.sendRaw(slowRequest("/safe/", fmt.Sprint(i))))
 			}
-			for i, conn := range conns {
-				if i%2 == 0 {
-					go func() { _, _ = readSlowly(f, conn, 16, 2000) }()
-				}
+			for _, conn := range conns[:4] {
+				go func() { _, _ = readSlowly(f, conn, 16, 2000) }()
 			}
 			advance(f.t, 500*time.Millisecond)
 			assertStatus(f.t, r.running, "/safe/", http.StatusServiceUnavailable)
@@ -512,7 +514,7 @@
 			f.t.Logf("%+v", sizes)
 			assert.Zero(f.t, sizes.UsedBytes)
 			assert.LessOrEqual(f.t, sizes.PeakBytes, sizes.LimitBytes)
-			assert.Positive(f.t, sizes.CutOffReasons[exchange.BelowMinRate])
+			assert.Equal(f.t, 4, sizes.CutOffReasons[exchange.BelowMinRate])
 			assert.Positive(f.t, sizes.CutOffReasons[exchange.Stalled])
 			assertStatus(f.t, r.running, "/safe/", http.StatusOK)
 			for _, conn := range conns {
