fix(exchange): count what the caller's machine acknowledges as progress

Cause: the kernel takes further data only when a third of its send buffer is free. A caller that reads a buffered response at 20 KiB/s may need more than 5 s for that, and was cut off as stalled although it reads at the required rate.

Change: each check of the read rate asks the kernel for the bytes in its send queue (SIOCOUTQ); acknowledged bytes are progress. Nothing is asked of callers that read at once.

--- a/internal/exchange/readrate.go
+++ b/internal/exchange/readrate.go
@@ -58,6 +58,8 @@
 	// at which the rate is checked next.
 	elapsedMs, progressMs, checkMs clock.Millis
 	takenBytes, checkedBytes       int64
+	// acknowledgedBytes is how much of the taken data the caller's machine had received at the latest check.
+	acknowledgedBytes int64
 }
 
 func newReadRate(untilMs clock.Millis) *readRate {
@@ -78,8 +80,13 @@
 	}
 }
 
-// check returns the error with which the caller is cut off, or nil.
-func (r *readRate) check(now clock.Millis) error {
+// check returns the error with which the caller is cut off, or nil. Queued is how much of the taken data the caller's
+// machine has not acknowledged. It counts, since the kernel takes further data only when a third of its buffer is free,
+// for which a caller at the minimum rate may need more than 5 s.
+func (r *readRate) check(now clock.Millis, queued int64) error {
+	if acknowledged := r.takenBytes - queued; acknowledged > r.acknowledgedBytes {
+		r.acknowledgedBytes, r.progressMs = acknowledged, r.elapsedMs
+	}
 	switch {
 	case now >= r.untilMs:
 		return &SlowCallerError{Reason: Overdue}
--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -185,11 +185,22 @@
 	now := u.clock.Monotonic()
 	u.rate.record(n, now-start)
 	if isTimeout(err) {
-		err = u.rate.check(now)
+		err = u.rate.check(now, u.queuedBytes())
 	}
 	return n, err
 }
 
+// queuedBytes returns how much data the kernel holds that the caller's machine has not acknowledged.
+func (u *Unread) queuedBytes() int64 {
+	if u.raw == nil {
+		return 0
+	}
+	queued := 0
+	// A connection that has failed has none; the next write reports it.
+	_ = u.raw.Control(func(fd uintptr) { queued, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return int64(queued)
+}
+
 // writeNow writes as much data as the connection takes at once. A deadline would take longer to set than the data to
 // write.
 func (u *Unread) writeNow(data []byte) (int, error) {
