feat(admission): renew permits of requests that run longer than 20 s

Cause: a granted request stopped counting 20 s after its grant, so an owner granted too much beside longer streams. Time limits above 65.5 s were cut on the wire, and kinds of request that differ only above that counted as one.

Change: each 9 s a box tells each owner which of its requests still run (kind 14, request numbers of 4 bytes, 344 in a message at most), and the owner counts them for 20 s from then. 9 s instead of 10 leave room for a round and the latency, so that the renewal after a lost one arrives before the 20 s are over. Unknown requests are ignored. Upstreams in use keep their pool's times. Times above 65.5 s go in a long ask (kind 13), which carries the time between objective and limit in tenths of a second, so that requests of one kind stay equal. Owners of earlier releases would not answer it, so it is sent only to a process whose answer had a flag that earlier releases ignore; until then, times are cut as before.

Measured: an ask takes 64 bytes at most as before, a long ask 64, an answer 19 (18 before), a renewal 7 bytes for one request and 1,381 for 344. A request of 60 s counts throughout at the owner (20 s before), also with every second renewal lost, and one of a box that died for 20 s after its last renewal.

TestAdmissionsExpire expected that a request which its running box never releases stops counting after 20 s. That is the fault that is mended here, so the test now stops the asking box: its request counts for 60 s before, and no longer than 21 s after. The test still fails without the tick of the owner.

--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// permitTTLMs is the maximum time for which a granted request counts. It outlasts most requests, and bounds the
-	// effect of a lost release.
+	// permitTTLMs is the time for which a granted request counts after its grant or its last renewal. It outlasts most
+	// requests, and bounds the effect of a lost release.
 	permitTTLMs = 20 * clock.Second
 	// settleMs is how long an owner counts before its count is complete.
 	settleMs = 3 * clock.Second
@@ -28,6 +28,8 @@
 	upstreams map[namekey.Key]*upstream
 	pools     map[namekey.Key]*pool
 	asks      uint64
+	// renewed counts renewals for metrics.
+	renewed int64
 }
 
 // pool is what is common to the upstreams of a pool.
@@ -151,6 +153,20 @@
 	return l.dispatch(r.upstream, now)
 }
 
+// Renew records that requests of a box still run, so that they count for permitTTLMs from now. Requests that aren't
+// counted are ignored, since neither their upstream nor their work is known.
+func (l *Ledger) Renew(box string, numbers []uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.monotonic()
+	for _, number := range numbers {
+		if r := l.requests[ID{Box: box, Number: number}]; r != nil && r.phase != waiting {
+			r.untilMs = now + permitTTLMs
+			l.renewed++
+		}
+	}
+}
+
 // ReleaseBox ends all requests of a box that has restarted, and returns the grants that are due.
 func (l *Ledger) ReleaseBox(box string) []Grant {
 	l.mu.Lock()
@@ -178,6 +194,10 @@
 	}
 	grants := []Grant{}
 	for _, u := range l.inOrder() {
+		if !u.unused() {
+			// Renewed requests may run for longer than a pool without asks is remembered.
+			u.pool.usedMs = now
+		}
 		u.observe(now)
 		u.expireLostStarts(now)
 		denied := u.denyLate(now)
@@ -251,13 +271,15 @@
 	Upstreams int `json:"upstreams"`
 	Permits   int `json:"permits"`
 	Queued    int `json:"queued"`
+	// Renewed counts how often a box told that a granted request still runs.
+	Renewed int64 `json:"renewed"`
 }
 
 // Sizes returns counts for metrics.
 func (l *Ledger) Sizes() Sizes {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sizes := Sizes{Upstreams: len(l.upstreams)}
+	sizes := Sizes{Upstreams: len(l.upstreams), Renewed: l.renewed}
 	for _, r := range l.requests {
 		if r.phase == waiting {
 			sizes.Queued++
--- a/internal/admission/lostmessages_test.go
+++ b/internal/admission/lostmessages_test.go
@@ -39,6 +39,27 @@
 		assert.Equal(t, Sizes{Upstreams: 1}, f.Sizes())
 		assert.Zero(t, f.upstreams[1].memory.held)
 	})
+	t.Run("a request that its box renews counts for longer than 20 s, and a box that died holds nothing", func(t *testing.T) {
+		f := learnt()
+		id := f.busy(t)
+		queued := f.long()
+		f.ask(t, queued, Queued)
+		for range 20 {
+			f.now += permitTTLMs / 2
+			f.Renew("box", []uint32{id.Number, queued.ID.Number, 1 << 30})
+			f.Renew("other", []uint32{id.Number})
+			f.Expire()
+			assert.Equal(t, 1, f.Sizes().Permits)
+			assert.Len(t, f.pools, 1)
+		}
+		assert.Zero(t, f.Sizes().Queued, "a renewal doesn't keep an ask in the queue")
+		f.now += permitTTLMs - 1
+		f.Expire()
+		assert.Equal(t, Sizes{Upstreams: 1, Permits: 1, Renewed: 20}, f.Sizes())
+		f.now++
+		f.Expire()
+		assert.Zero(t, f.Sizes().Permits)
+	})
 	t.Run("a box that restarted doesn't hold what it had", func(t *testing.T) {
 		f := learnt()
 		f.busy(t)
--- a/internal/gateway/admissions_test.go
+++ b/internal/gateway/admissions_test.go
@@ -11,16 +11,22 @@
 )
 
 // TestAdmissionsExpire guards against prompts whose end was never told and that count for ever, because nothing expires
-// them at the owner.
+// them at the owner, and against prompts that run and don't count, because nothing renews them.
 func TestAdmissionsExpire(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
-		owner := f.box(1).peering.mesh
-		for range 2 {
-			reply := owner.Admit(f.t.Context(), "d", admission.Ask{Upstream: namekey.Of("u"), Bound: 1})
+		box := f.box(1)
+		owner := box.peering.mesh
+		for number := range 2 {
+			asker := f.box(2+number, withContact(box), withDomain("other"))
+			advance(f.t, 3*time.Second)
+			reply := asker.peering.mesh.Admit(f.t.Context(), "d", admission.Ask{Upstream: namekey.Of("u"), Bound: 1})
 			assert.Equal(f.t, admission.Granted, reply.Answer.Verdict)
-			advance(f.t, 19*time.Second)
+			advance(f.t, 60*time.Second)
 			assert.Equal(f.t, 1, owner.Sizes().Admissions.Permits)
-			advance(f.t, 2*time.Second)
+			asker.stop()
+			advance(f.t, 10*time.Second)
+			assert.Equal(f.t, 1, owner.Sizes().Admissions.Permits)
+			advance(f.t, 11*time.Second)
 			assert.Zero(f.t, owner.Sizes().Admissions.Permits)
 		}
 	})
--- a/internal/mesh/admission_messages.go
+++ b/internal/mesh/admission_messages.go
@@ -1,8 +1,10 @@
 package mesh
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -26,6 +28,11 @@
 	// admissionRelease and admissionReleaseServed end a request. The former also withdraws a queued ask.
 	admissionRelease       admissionMessageKind = 11
 	admissionReleaseServed admissionMessageKind = 12
+	// admissionLongAsk is an ask with times above 65.5 s. It is sent only to owners whose answers have shown that they
+	// read it.
+	admissionLongAsk admissionMessageKind = 13
+	// admissionRenewal tells which requests of the sender still run.
+	admissionRenewal admissionMessageKind = 14
 )
 
 type (
@@ -38,14 +45,16 @@
 		Pool, Upstream, Organisation, Session                namekey.Key
 		PrefillTokens, OwnTokens, SharedTokens, MemoryTokens uint32
 		Slots, Bound                                         uint16
-		// InTimeMs and PatienceMs are limited to the range that takes three bytes, about 65 s. Repeated asks renew them.
-		InTimeMs    clock.Millis
-		PatienceMs  uint16
+		// InTime and Patience are in milliseconds and limited to the range that takes three bytes, about 65 s. Repeated
+		// asks renew them. In a long ask, Patience is the time from InTime on in tenths of a second, so that requests of
+		// one kind have equal values whenever they ask, and InTime is in tenths of a second if askTenths is set.
+		InTime      clock.Millis
+		Patience    uint16
 		SlowPercent uint16
 		// Flags holds the urgency above askFlagBits bits.
 		Flags uint8
 	}
-	// answerMessage is an admission.Answer in at most 18 bytes.
+	// answerMessage is an admission.Answer in at most 19 bytes.
 	answerMessage struct {
 		_                  struct{} `cbor:",toarray"`
 		Kind               admissionMessageKind
@@ -54,6 +63,13 @@
 		// Flags holds the verdict in the lowest answerFlagBits bits.
 		Flags uint8
 	}
+	// renewalMessage tells which requests still run, in at most 5 bytes and 4 for each.
+	renewalMessage struct {
+		_    struct{} `cbor:",toarray"`
+		Kind admissionMessageKind
+		// Numbers holds the numbers of the requests, 4 bytes each in big-endian order.
+		Numbers []byte
+	}
 	// endMessage tells of a start or an end in at most 7 bytes.
 	endMessage struct {
 		_      struct{} `cbor:",toarray"`
@@ -69,11 +85,28 @@
 	askFlagBits       = 2
 	// maxUrgency keeps the flags of an ask within two bytes. Less urgent requests count as equally urgent.
 	maxUrgency = math.MaxUint8 >> askFlagBits
+	// askTenths is set in a long ask if InTime is in tenths of a second.
+	askTenths uint8 = 1 << 6
+	// maxLongUrgency keeps the urgency of a long ask below askTenths. Owners tell apart no more urgencies.
+	maxLongUrgency = 15
 
 	answerVerdict     uint8 = 1<<answerFlagBits - 1
 	answerFlagBits          = 2
 	answerLate        uint8 = 1 << 2
 	answerProvisional uint8 = 1 << 3
+	// answerReadsLongAsks is set by owners that read long asks. Boxes of earlier releases ignore it.
+	answerReadsLongAsks uint8 = 1 << 4
+)
+
+const (
+	// tenthMs is the unit of the times of a long ask.
+	tenthMs clock.Millis = 100
+	// maxLongSpanMs limits the times of a long ask to those that an owner takes.
+	maxLongSpanMs = 3600 * clock.Second
+	// numberBytes is the size of a request number in a renewal, and maxRenewedNumbers keeps the message within 1,400
+	// bytes.
+	numberBytes       = 4
+	maxRenewedNumbers = (1400 - 24) / numberBytes
 )
 
 func newAskMessage(a admission.Ask) askMessage {
@@ -83,22 +116,47 @@
 		PrefillTokens: saturate[uint32](a.PrefillTokens), OwnTokens: saturate[uint32](a.OwnTokens),
 		SharedTokens: saturate[uint32](a.SharedTokens), MemoryTokens: saturate[uint32](a.MemoryTokens),
 		Slots: saturate[uint16](a.Slots), Bound: saturate[uint16](a.Bound),
-		InTimeMs:   min(max(a.InTimeMs, -math.MaxUint16), math.MaxUint16),
-		PatienceMs: saturate[uint16](a.PatienceMs), SlowPercent: saturate[uint16](a.SlowPercent),
+		InTime:   min(max(a.InTimeMs, -math.MaxUint16), math.MaxUint16),
+		Patience: saturate[uint16](a.PatienceMs), SlowPercent: saturate[uint16](a.SlowPercent),
 		Flags: uint8(min(max(a.Urgency, 0), maxUrgency))<<askFlagBits |
 			flag(a.MayQueue, askMayQueue) | flag(a.Force, askForce),
 	}
 }
 
+// isLong reports whether the times of an ask exceed the range of an askMessage.
+func isLong(a admission.Ask) bool { return max(a.PatienceMs, a.InTimeMs, -a.InTimeMs) > math.MaxUint16 }
+
+// newLongAskMessage returns an ask with times of up to an hour.
+func newLongAskMessage(a admission.Ask) askMessage {
+	a.Urgency = min(a.Urgency, maxLongUrgency)
+	a.InTimeMs = min(max(a.InTimeMs, -maxLongSpanMs), maxLongSpanMs)
+	p := newAskMessage(a)
+	p.Kind, p.InTime = admissionLongAsk, a.InTimeMs
+	p.Patience = saturate[uint16]((min(a.PatienceMs, maxLongSpanMs) - a.InTimeMs + tenthMs/2) / tenthMs)
+	if max(a.InTimeMs, -a.InTimeMs) > math.MaxUint16 {
+		p.InTime /= tenthMs
+		p.Flags |= askTenths
+	}
+	return p
+}
+
 // ask returns the ask of the box at an address.
 func (p askMessage) ask(box string) admission.Ask {
+	patienceMs := clock.Millis(p.Patience)
+	if p.Kind == admissionLongAsk {
+		if p.Flags&askTenths != 0 {
+			p.InTime = min(max(p.InTime, -math.MaxUint16), math.MaxUint16) * tenthMs
+		}
+		p.Flags &^= askTenths
+		patienceMs = p.InTime + patienceMs*tenthMs
+	}
 	return admission.Ask{
 		ID:   admission.ID{Box: box, Number: p.Number},
 		Pool: p.Pool, Upstream: p.Upstream, Organisation: p.Organisation, Session: p.Session,
 		Urgency: int(p.Flags >> askFlagBits), PrefillTokens: int(p.PrefillTokens),
 		OwnTokens: int(p.OwnTokens), SharedTokens: int(p.SharedTokens),
 		Slots: int(p.Slots), MemoryTokens: int(p.MemoryTokens), Bound: int(p.Bound),
-		InTimeMs: p.InTimeMs, PatienceMs: clock.Millis(p.PatienceMs), SlowPercent: int(p.SlowPercent),
+		InTimeMs: p.InTime, PatienceMs: patienceMs, SlowPercent: int(p.SlowPercent),
 		MayQueue: p.Flags&askMayQueue != 0, Force: p.Flags&askForce != 0,
 	}
 }
@@ -107,7 +165,8 @@
 	return answerMessage{
 		Kind: admissionAnswer, Number: number,
 		StartInMs: saturate[uint32](a.StartInMs), DrainMs: saturate[uint32](a.DrainMs),
-		Flags: uint8(a.Verdict)&answerVerdict | flag(a.Late, answerLate) | flag(a.Provisional, answerProvisional),
+		Flags: uint8(a.Verdict)&answerVerdict | flag(a.Late, answerLate) | flag(a.Provisional, answerProvisional) |
+			answerReadsLongAsks,
 	}
 }
 
@@ -123,6 +182,27 @@
 	}, nil
 }
 
+// newRenewalMessage returns the message that tells of at most maxRenewedNumbers requests.
+func newRenewalMessage(numbers []uint32) renewalMessage {
+	p := renewalMessage{Kind: admissionRenewal, Numbers: make([]byte, 0, numberBytes*len(numbers))}
+	for _, number := range numbers {
+		p.Numbers = binary.BigEndian.AppendUint32(p.Numbers, number)
+	}
+	return p
+}
+
+// numbers returns the numbers of the requests. It returns ErrInvalid if their encoding is incomplete.
+func (p renewalMessage) numbers() ([]uint32, error) {
+	if len(p.Numbers)%numberBytes != 0 {
+		return nil, fmt.Errorf("%w: %d bytes of request numbers", ErrInvalid, len(p.Numbers))
+	}
+	numbers := make([]uint32, 0, len(p.Numbers)/numberBytes)
+	for encoded := range slices.Chunk(p.Numbers, numberBytes) {
+		numbers = append(numbers, binary.BigEndian.Uint32(encoded))
+	}
+	return numbers, nil
+}
+
 // saturate converts a number to an unsigned type, limited to the range of the type.
 func saturate[U uint16 | uint32, N int | clock.Millis](n N) U {
 	return U(min(max(n, 0), N(^U(0))))
@@ -138,11 +218,11 @@
 // isAdmissionMessage reports whether a datagram is about admission. The second byte is the kind.
 func isAdmissionMessage(data []byte) bool {
 	return isPermitMessage(data) && len(data) > 1 &&
-		data[1] >= byte(admissionAsk) && data[1] <= byte(admissionReleaseServed)
+		data[1] >= byte(admissionAsk) && data[1] <= byte(admissionRenewal)
 }
 
 // decodeAdmission decodes a message about admission. It returns ErrInvalid if the form or a value is not that of T.
-func decodeAdmission[T askMessage | answerMessage | endMessage](data []byte) (T, error) {
+func decodeAdmission[T askMessage | answerMessage | endMessage | renewalMessage](data []byte) (T, error) {
 	var message T
 	if err := cbor.Unmarshal(data, &message); err != nil {
 		return message, fmt.Errorf("%w: %w", ErrInvalid, err)
--- a/internal/mesh/admission_owner.go
+++ b/internal/mesh/admission_owner.go
@@ -20,13 +20,15 @@
 	started    func(id admission.ID) []admission.Grant
 	release    func(id admission.ID, served bool) []admission.Grant
 	releaseBox func(box string) []admission.Grant
+	renew      func(box string, numbers []uint32)
 	expire     func() []admission.Grant
 	sizes      func() admission.Sizes
 }
 
 func newAdmissionLedger(l *admission.Ledger) admissionLedger {
 	return admissionLedger{
-		ask: l.Ask, started: l.Started, release: l.Release, releaseBox: l.ReleaseBox, expire: l.Expire, sizes: l.Sizes,
+		ask: l.Ask, started: l.Started, release: l.Release, releaseBox: l.ReleaseBox, renew: l.Renew,
+		expire: l.Expire, sizes: l.Sizes,
 	}
 }
 
@@ -121,6 +123,13 @@
 	})
 }
 
+// renew records that requests of a box still run.
+func (o *admissionOwner) renew(box string, numbers []uint32) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ledger.renew(box, numbers)
+}
+
 // expire removes what has expired, and asks that are not repeated any more, so that no capacity is granted to boxes
 // that don't use it. It returns the grants that are due, and whether anything may expire later.
 func (o *admissionOwner) expire() (grants []admission.Grant, more bool) {
@@ -155,7 +164,7 @@
 func (m *Mesh) handleAdmissionMessage(data []byte, from net.Addr) {
 	var err error
 	switch admissionMessageKind(data[1]) {
-	case admissionAsk:
+	case admissionAsk, admissionLongAsk:
 		var p askMessage
 		if p, err = decodeAdmission[askMessage](data); err == nil {
 			answer := m.decide(p.ask(from.String()))
@@ -163,6 +172,8 @@
 		}
 	case admissionAnswer:
 		err = m.handleAdmissionAnswer(data, from.String())
+	case admissionRenewal:
+		err = m.handleAdmissionRenewal(data, from.String())
 	default:
 		var p endMessage
 		if p, err = decodeAdmission[endMessage](data); err == nil {
--- /dev/null
+++ b/internal/mesh/admission_renewals_test.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/admission"
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// pass lets seconds pass, in which the owner expires what is due.
+func (f *admissions) pass(seconds int) {
+	f.t.Helper()
+	for range seconds {
+		advance(f.t, time.Second)
+		synctest.Wait()
+		f.owner.ExpireAdmissions()
+	}
+}
+
+// restartOwner replaces the owner by a new process at its address.
+func (f *admissions) restartOwner() {
+	f.owner.stop()
+	synctest.Wait()
+	asker := f.boxes[1]
+	f.boxes, f.restarts = f.boxes[:0], 1
+	f.owner = f.start("d1")
+	f.boxes = append(f.boxes, asker)
+}
+
+// TestAdmissionRenewal guards against requests that run uncounted after 20 s, and against requests that are counted for
+// more than 20 s after their box has died.
+func TestAdmissionRenewal(t *testing.T) {
+	for name, test := range map[string]func(f *admissions){
+		"requests of the owner and of another box count while they run": func(f *admissions) {
+			a := f.ask(false)
+			a.Slots = 2
+			remote, local := f.asker.Admit(f.t.Context(), "d1", a), f.owner.Admit(f.t.Context(), "d1", a)
+			f.pass(60)
+			f.assertSizes(2, 0)
+			assert.Positive(f.t, f.asker.Sizes().AdmissionsRenewed)
+			remote.Release(true)
+			local.Release(true)
+			f.assertSizes(0, 0)
+		},
+		"every second renewal is lost": func(f *admissions) {
+			f.admit(f.asker)
+			for range 4 {
+				f.lose(admissionRenewal, 1)
+				f.pass(18)
+				f.assertSizes(1, 0)
+			}
+		},
+		"the asking box dies": func(f *admissions) {
+			f.admit(f.asker)
+			f.pass(30)
+			f.asker.stop()
+			f.pass(21)
+			f.assertSizes(0, 0)
+		},
+		"the owner restarts and ignores requests that it doesn't know": func(f *admissions) {
+			f.admit(f.asker)
+			f.restartOwner()
+			f.pass(30)
+			f.assertSizes(0, 0)
+			assert.Zero(f.t, f.owner.Sizes().Ignored)
+			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
+		},
+		"another box renews under the same number": func(f *admissions) {
+			f.admit(f.asker)
+			f.lose(admissionRenewal, -1)
+			f.owner.admissionOwner.renew("127.0.0.9:7000", []uint32{f.asker.admissions.nextNumber})
+			f.pass(21)
+			f.assertSizes(0, 0)
+			assert.Zero(f.t, f.owner.Sizes().Admissions.Renewed)
+		},
+		"a queued ask is not renewed": func(f *admissions) {
+			f.admit(f.owner)
+			f.enqueue(f.asker)
+			f.pass(9)
+			assert.Zero(f.t, f.asker.Sizes().AdmissionsRenewed)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runAdmissions(t, test)
+		})
+	}
+}
+
+// Messages of the release before long asks and renewals, as its boxes decode them.
+type (
+	earlierAsk struct {
+		_                                                    struct{} `cbor:",toarray"`
+		Kind                                                 uint8
+		Number, Pool, Upstream, Organisation, Session        uint32
+		PrefillTokens, OwnTokens, SharedTokens, MemoryTokens uint32
+		Slots, Bound                                         uint16
+		InTimeMs                                             int64
+		PatienceMs, SlowPercent                              uint16
+		Flags                                                uint8
+	}
+	earlierAnswer struct {
+		_                          struct{} `cbor:",toarray"`
+		Kind                       uint8
+		Number, StartInMs, DrainMs uint32
+		Flags                      uint8
+	}
+)
+
+// TestEarlierReleases guards against messages that boxes of earlier releases can't read, and the other way round.
+func TestEarlierReleases(t *testing.T) {
+	ask, answer := earlierAsk{Kind: 8, Number: 7, InTimeMs: 500, PatienceMs: math.MaxUint16}, earlierAnswer{}
+	data, err := cbor.Marshal(ask)
+	require.NoError(t, err)
+	p, err := decodeAdmission[askMessage](data)
+	require.NoError(t, err)
+	assert.Equal(t, admission.Ask{ID: admission.ID{Box: "b", Number: 7}, InTimeMs: 500, PatienceMs: math.MaxUint16}, p.ask("b"))
+	long := p.ask("b")
+	long.PatienceMs = 120_000
+	data, err = cbor.Marshal(newAskMessage(long))
+	require.NoError(t, err)
+	got := earlierAsk{}
+	require.NoError(t, cbor.Unmarshal(data, &got))
+	assert.Equal(t, ask, got)
+	full := admission.Answer{Verdict: admission.Queued, StartInMs: 1, DrainMs: 2, Late: true, Provisional: true}
+	data, err = cbor.Marshal(newAnswerMessage(7, full))
+	require.NoError(t, err)
+	require.NoError(t, cbor.Unmarshal(data, &answer))
+	assert.Equal(t, []uint32{7, 1, 2}, []uint32{answer.Number, answer.StartInMs, answer.DrainMs})
+	assert.Equal(t, uint8(admission.Queued)|answerLate|answerProvisional, answer.Flags&(1<<4-1), "higher bits are not read")
+	answer.Flags &= 1<<4 - 1
+	data, err = cbor.Marshal(answer)
+	require.NoError(t, err)
+	read, err := decodeAdmission[answerMessage](data)
+	require.NoError(t, err)
+	decoded, err := read.answer()
+	require.NoError(t, err)
+	assert.Equal(t, full, decoded)
+}
+
+// TestLongTimes guards against time limits above 65.5 s that are cut short at owners that read them, and against asks
+// that owners of earlier releases can't read.
+func TestLongTimes(t *testing.T) {
+	long := func(f *admissions) admission.Ask {
+		a := f.ask(false)
+		a.PatienceMs = 120_000
+		return a
+	}
+	runAdmissions(t, func(f *admissions) {
+		asked := make(chan clock.Millis, 10)
+		onAsk(f.owner, func(a admission.Ask, _ *admission.Answer) { asked <- a.PatienceMs })
+		f.asker.Admit(f.t.Context(), "d1", long(f)).Release(true)
+		assert.Equal(f.t, clock.Millis(65_535), <-asked, "until the owner has answered, its release is unknown")
+		f.asker.Admit(f.t.Context(), "d1", long(f)).Release(true)
+		assert.Equal(f.t, clock.Millis(120_000), <-asked)
+		f.restartOwner()
+		onAsk(f.owner, func(a admission.Ask, _ *admission.Answer) { asked <- a.PatienceMs })
+		advance(f.t, time.Second)
+		reply := f.asker.Admit(f.t.Context(), "d1", long(f))
+		assertVerdict(f.t, admission.Granted, reply)
+		assert.Equal(f.t, clock.Millis(65_535), <-asked, "the new process may be of an earlier release")
+		// An owner of an earlier release sets no flag in its answers.
+		old := newAnswerMessage(f.asker.admissions.nextNumber, admission.Answer{Verdict: admission.Granted})
+		old.Flags &^= answerReadsLongAsks
+		assert.True(f.t, f.asker.readsLongAsks(f.owner.self.Box))
+		f.owner.sendMessage(f.asker.self.Address, old)
+		synctest.Wait()
+		assert.False(f.t, f.asker.readsLongAsks(f.owner.self.Box))
+	})
+}
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -40,10 +40,12 @@
 	nextNumber uint32
 	open       map[uint32]*admissionRequest
 	counts     admissionCounts
+	// renewedMs is when owners were last told of the requests that still run.
+	renewedMs clock.Millis
 }
 
 // admissionCounts are counters for metrics.
-type admissionCounts struct{ asked, queued, unanswered int64 }
+type admissionCounts struct{ asked, queued, unanswered, renewed int64 }
 
 // admissionRequest is one request, from its first ask to its end.
 type admissionRequest struct {
@@ -52,8 +54,9 @@
 	ask     admission.Ask
 	askedMs clock.Millis
 	answers chan admission.Answer
-	// started is set once the owner was told of the first event. It is guarded by admissionRequests.mu.
-	started bool
+	// sent is set once the request may run, and started once the owner was told of the first event. They are guarded by
+	// admissionRequests.mu.
+	sent, started bool
 }
 
 func (r *admissionRequests) start(m *Mesh, owner Identity, a admission.Ask) *admissionRequest {
@@ -162,6 +165,10 @@
 		m.resolveAdmission(a.ID.Number, m.self.Address, m.decide(a))
 		return
 	}
+	if isLong(a) && m.readsLongAsks(q.owner.Box) {
+		m.sendMessage(q.owner.Address, newLongAskMessage(a))
+		return
+	}
 	m.sendMessage(q.owner.Address, newAskMessage(a))
 }
 
@@ -249,6 +256,7 @@
 }
 
 func (q *admissionRequest) withEnd(r admission.Reply) admission.Reply {
+	q.mesh.admissions.recordSend(q.ask.ID.Number)
 	r.Started, r.Release = q.start, q.release
 	return r
 }
@@ -295,14 +303,17 @@
 	if err != nil {
 		return err
 	}
-	m.resolveAdmission(p.Number, from, answer)
+	if owner, found := m.resolveAdmission(p.Number, from, answer); found {
+		m.recordLongAskReader(owner, p.Flags&answerReadsLongAsks != 0)
+	}
 	return nil
 }
 
 // resolveAdmission delivers an owner's answer. If the request has ended or the ask was withdrawn, it releases what the
-// owner granted or queued. This also ends requests of an earlier process of this box.
-func (m *Mesh) resolveAdmission(number uint32, from string, answer admission.Answer) {
-	owner, found := m.admissions.resolve(number, from, answer)
+// owner granted or queued. This also ends requests of an earlier process of this box. It returns the box that answered,
+// and false if no request is open at that owner.
+func (m *Mesh) resolveAdmission(number uint32, from string, answer admission.Answer) (owner string, found bool) {
+	owner, found = m.admissions.resolve(number, from, answer)
 	switch {
 	case found:
 		m.recordAdmissionAnswer(owner)
@@ -312,6 +323,24 @@
 	default:
 		m.sendMessage(from, endMessage{Kind: admissionRelease, Number: number})
 	}
+	return owner, found
+}
+
+// recordLongAskReader records whether an owner reads long asks. Owners of earlier releases don't.
+func (m *Mesh) recordLongAskReader(owner string, reads bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[owner]; p != nil {
+		p.readsLongAsks = reads
+	}
+}
+
+// readsLongAsks reports whether the newest answer of an owner's process has shown that it reads long asks.
+func (m *Mesh) readsLongAsks(owner string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[owner]
+	return p != nil && p.readsLongAsks
 }
 
 // recordAdmissionAnswer records that an owner answers asks.
--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -259,12 +259,7 @@
 		"the owner restarts while an ask is queued": func(f *admissions) {
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
-			f.owner.stop()
-			synctest.Wait()
-			asker := f.boxes[1]
-			f.boxes, f.restarts = f.boxes[:0], 1
-			f.owner = f.start("d1")
-			f.boxes = append(f.boxes, asker)
+			f.restartOwner()
 			asks := make(chan admission.Ask, 1)
 			onAsk(f.owner, func(a admission.Ask, _ *admission.Answer) { asks <- a })
 			advance(f.t, admissionRepeatMs.Duration())
@@ -449,10 +444,13 @@
 		message any
 		limit   int
 	}{
-		"an ask":    {newAskMessage(larger), 64},
-		"a prompt":  {newAskMessage(admission.Ask{Pool: 1 << 31, Upstream: 1 << 31, Organisation: 1 << 31, Session: 1 << 31, PrefillTokens: 1300, OwnTokens: 1500, SharedTokens: 10_512, MemoryTokens: 425_013, Slots: 64, Bound: 80, InTimeMs: 2000, PatienceMs: 12_000, ID: admission.ID{Number: 1 << 31}}), 56},
-		"an answer": {newAnswerMessage(math.MaxUint32, answer), 18},
-		"an end":    {endMessage{Kind: admissionReleaseServed, Number: math.MaxUint32}, 7},
+		"an ask":                    {newAskMessage(larger), 64},
+		"a prompt":                  {newAskMessage(admission.Ask{Pool: 1 << 31, Upstream: 1 << 31, Organisation: 1 << 31, Session: 1 << 31, PrefillTokens: 1300, OwnTokens: 1500, SharedTokens: 10_512, MemoryTokens: 425_013, Slots: 64, Bound: 80, InTimeMs: 2000, PatienceMs: 12_000, ID: admission.ID{Number: 1 << 31}}), 56},
+		"a long ask":                {newLongAskMessage(larger), 64},
+		"an answer":                 {newAnswerMessage(math.MaxUint32, answer), 19},
+		"a renewal of one request":  {newRenewalMessage([]uint32{math.MaxUint32}), 24 + 4},
+		"a renewal of 344 requests": {newRenewalMessage(make([]uint32, maxRenewedNumbers)), 24 + 4*344},
+		"an end":                    {endMessage{Kind: admissionReleaseServed, Number: math.MaxUint32}, 7},
 	} {
 		t.Run(name+" is small and ignored by boxes of earlier releases", func(t *testing.T) {
 			data, err := cbor.Marshal(c.message)
@@ -475,9 +473,27 @@
 		require.NoError(t, err)
 		assert.Equal(t, answer, got)
 	})
+	t.Run("times of up to an hour arrive, and the time between them exactly enough to tell kinds of request", func(t *testing.T) {
+		for _, times := range [][2]clock.Millis{
+			{500, 120_000}, {437, 119_937}, {-80_000, 39_500}, {90_000, 3_600_000}, {-3_600_000, 100}, {2000, 1 << 40},
+		} {
+			asked := admission.Ask{Urgency: 63, MayQueue: true, Force: true, InTimeMs: times[0], PatienceMs: times[1]}
+			require.True(t, isLong(asked))
+			data, err := cbor.Marshal(newLongAskMessage(asked))
+			require.NoError(t, err)
+			p, err := decodeAdmission[askMessage](data)
+			require.NoError(t, err)
+			got, wantPatience := p.ask("b"), min(times[1], maxLongSpanMs)
+			assert.InDelta(t, int(times[0]), int(got.InTimeMs), float64(tenthMs))
+			assert.InDelta(t, int(wantPatience), int(got.PatienceMs), float64(tenthMs))
+			assert.InDelta(t, int(wantPatience-times[0]), int(got.PatienceMs-got.InTimeMs), float64(tenthMs)/2)
+			assert.Equal(t, []any{maxLongUrgency, true, true}, []any{got.Urgency, got.MayQueue, got.Force})
+		}
+		assert.False(t, isLong(admission.Ask{InTimeMs: -math.MaxUint16, PatienceMs: math.MaxUint16}))
+	})
 	t.Run("malformed messages are ignored", func(t *testing.T) {
 		runAdmissions(t, func(f *admissions) {
-			for i, data := range [][]byte{{0x85, 8, 1, 1, 1, 1}, {0x85, 9, 1, 1, 1, 3}, {0x82, 10, 0x20}} {
+			for i, data := range [][]byte{{0x85, 8, 1, 1, 1, 1}, {0x85, 9, 1, 1, 1, 3}, {0x82, 10, 0x20}, {0x82, 14, 0x43, 0, 0, 1}, {0x82, 14, 1}} {
 				f.owner.handleAdmissionMessage(data, &net.UDPAddr{})
 				assert.Equal(f.t, int64(i+1), f.owner.Sizes().Ignored)
 			}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -204,6 +204,7 @@
 	running.Go(m.receive)
 	for {
 		m.round()
+		m.renewAdmissions()
 		if m.clock.Sleep(ctx, m.Period()) != nil {
 			break
 		}
@@ -454,11 +455,13 @@
 	PermitTimeouts     int64           `json:"places_unanswered"`
 	ProvisionalPermits int64           `json:"places_provisional"`
 	// Admissions is the work that this box counts as an owner. AdmissionAsks counts this box's requests for which it
-	// asked an owner, AdmissionsQueued those that were queued, and AdmissionTimeouts those that no owner answered.
+	// asked an owner, AdmissionsQueued those that were queued, AdmissionTimeouts those that no owner answered, and
+	// AdmissionsRenewed how often an owner was told that one of them still runs.
 	Admissions        admission.Sizes `json:"admissions"`
 	AdmissionAsks     int64           `json:"admissions_asked"`
 	AdmissionsQueued  int64           `json:"admissions_queued"`
 	AdmissionTimeouts int64           `json:"admissions_unanswered"`
+	AdmissionsRenewed int64           `json:"admissions_renewed"`
 }
 
 // Sizes returns counts for metrics.
@@ -473,5 +476,6 @@
 		Permits: m.ledger.Sizes(), PermitTimeouts: m.permitTimeouts, ProvisionalPermits: m.provisionalPermits,
 		Admissions: m.admissionOwner.ledger.sizes(), AdmissionAsks: admissions.asked,
 		AdmissionsQueued: admissions.queued, AdmissionTimeouts: admissions.unanswered,
+		AdmissionsRenewed: admissions.renewed,
 	}
 }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -40,6 +40,8 @@
 	// admissionAnswerMs is when this box as an owner last answered an ask. admissionTimeoutMs is when it last did not
 	// answer one in time, unless it has answered one since. Both are 0 if there was none.
 	admissionAnswerMs, admissionTimeoutMs clock.Millis
+	// readsLongAsks is set if this process of the box has answered an ask in a form that tells that it reads long asks.
+	readsLongAsks bool
 }
 
 // recordPeer stores the sender of a datagram and the boxes that it names. If the sender has restarted, it returns the
@@ -64,6 +66,7 @@
 	}
 	if known != nil && known.Incarnation == p.From.Incarnation {
 		updated.admissionAnswerMs, updated.admissionTimeoutMs = known.admissionAnswerMs, known.admissionTimeoutMs
+		updated.readsLongAsks = known.readsLongAsks
 	}
 	updated.receivedCrashEvents = max(updated.receivedCrashEvents, p.CrashEventsNext)
 	updated.ackedCrashEvents = max(updated.ackedCrashEvents, p.CrashEventsAcked)
