feat(admission): owners tell boxes of slow upstreams in large fleets

Cause: in fleets of more than 32 boxes, boxes don't tell each other of slow upstreams, so each box finds out by itself.

Change: an owner that has counted for 3 s tells in its answers that an upstream is slow: by what other boxes reported with their asks or starts showed in the last 300 ms, or by a start that is overdue. Boxes count it as a finding of another box that is 300 ms old, where paces are learned. They don't tell it back, since owners and boxes would otherwise keep a finding alive.

The pace is in four free bits of the answer's flags in steps of 64 percent. A further field would make boxes of earlier releases reject the answer, since they require the number of fields.

An answer takes 19 bytes at most as before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -67,6 +67,8 @@
 	// Late is set if the request was granted or queued although its first event is expected to be late. In a denial of
 	// an ask without MayQueue, it is set if the request would be queued all the same.
 	Late bool
+	// SlowPercent is how long work takes at the upstream in percent of the usual, or 0 if it is usual or unknown.
+	SlowPercent int
 	// Provisional is set if the owner has counted for so short a time that requests of before may be missing.
 	Provisional bool
 }
--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -61,7 +61,7 @@
 	interval := float64(now - u.backlog.progressMs)
 	u.backlog.remove(r, true, now)
 	u.run(r, now)
-	u.learn(r, interval)
+	u.learn(r, interval, now)
 }
 
 // learnLateStart learns from the first event of a request whose start counted as lost, if the engine had nothing else
@@ -70,15 +70,15 @@
 func (u *upstream) learnLateStart(r *request, now clock.Millis) {
 	r.startLost = false
 	if r.alone {
-		u.learn(r, float64(now-r.grantedMs))
+		u.learn(r, float64(now-r.grantedMs), now)
 	}
 }
 
 // learn learns from the time in milliseconds that a prompt took to prefill.
-func (u *upstream) learn(r *request, interval float64) {
+func (u *upstream) learn(r *request, interval float64, now clock.Millis) {
 	times := &u.pool.times
 	if times.mayDeny() {
-		u.pace.observe(interval, times.ms(prefillOf(r))*u.pace.reported())
+		u.pace.observe(interval, times.ms(prefillOf(r))*u.pace.reported(), now)
 	}
 	times.starts++
 	times.observe(r.ask.PrefillTokens, interval/u.pace.reported())
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -58,7 +58,7 @@
 	a = a.bounded()
 	if r := l.requests[a.ID]; r != nil {
 		if r.isRepeatedBy(a) {
-			return r.repeatedAnswer(now), nil
+			return r.upstream.withPace(r.repeatedAnswer(now), a, now), nil
 		}
 		l.remove(r, now)
 	}
@@ -76,7 +76,7 @@
 		l.requests[a.ID] = r
 	}
 	u.observe(now)
-	return answer, grants
+	return u.withPace(answer, a, now), grants
 }
 
 // upstream returns the state of the upstream of an ask, with the capacity and the pace that the ask tells.
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -18,6 +18,8 @@
 	// reportedMs is when percent was reported.
 	reportedMs clock.Millis
 	ratio      float64
+	// observedMs is when ratio was last observed.
+	observedMs clock.Millis
 }
 
 // reportTTLMs is how long a report counts: about as long as a slow spell of a shared machine.
@@ -38,10 +40,55 @@
 func (p *pace) factor() float64 { return p.reported() * p.ratio }
 
 // observe compares an interval with what was expected at the reported pace.
-func (p *pace) observe(ms, expected float64) {
+func (p *pace) observe(ms, expected float64, now clock.Millis) {
 	if expected <= 0 {
 		return
 	}
 	observed := min(maxRatio, max(1.0/maxRatio, ms/expected))
 	p.ratio += ratioWeight * (observed - p.ratio)
+	p.observedMs = now
+}
+
+const (
+	// slowPercent is the pace above which asking boxes are told of it. It is pace.SlowPercent.
+	slowPercent = 150
+	// toldMs is the age up to which a report or an observation is told to asking boxes: half of the usual length of a
+	// spell. The boxes count it from this age on, so that their holds end no later than that of the box that reported.
+	toldMs = reportTTLMs / 2
+)
+
+// told returns the pace to tell the box of an ask, or 0 if the upstream is not known to be slow. A box that reported a
+// slow pace with the ask knows it already: told of its own report, it would avoid the upstream for longer.
+func (p *pace) told(a Ask, overdue float64, now clock.Millis) int {
+	if a.SlowPercent > slowPercent {
+		return 0
+	}
+	factor := 1.0
+	if now-p.reportedMs < toldMs {
+		factor = p.reported()
+	}
+	if p.observedMs > 0 && now-p.observedMs < toldMs {
+		factor *= p.ratio
+	}
+	percent := min(maxPercent, int(usualPercent*max(factor, overdue)))
+	if percent <= slowPercent {
+		return 0
+	}
+	return percent
+}
+
+// minOverdueMs is by how much a start must be overdue to show a slow pace. Messages and boxes delay starts.
+const minOverdueMs = 20
+
+// overdue returns the time since the engine's last progress as a factor of the time that the longest-waiting prompt
+// usually takes, or 0 if that prompt isn't overdue. In a spell, this shows the pace before a start does.
+func (u *upstream) overdue(now clock.Millis) float64 {
+	if len(u.backlog.requests) == 0 || !u.pool.times.mayDeny() {
+		return 0
+	}
+	elapsed, usual := float64(now-u.backlog.progressMs), u.pool.times.ms(prefillOf(u.backlog.requests[0]))
+	if usual <= 0 || elapsed < usual+minOverdueMs {
+		return 0
+	}
+	return elapsed / usual
 }
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -35,6 +35,15 @@
 
 func (u *upstream) provisional(now clock.Millis) bool { return now-u.sinceMs < settleMs }
 
+// withPace returns an answer with the pace that the box of an ask is told. An owner that has counted for a short time
+// knows none.
+func (u *upstream) withPace(answer Answer, a Ask, now clock.Millis) Answer {
+	if !u.provisional(now) {
+		answer.SlowPercent = u.pace.told(a, u.overdue(now), now)
+	}
+	return answer
+}
+
 func (u *upstream) unused() bool { return u.inUse == 0 && u.queue.length == 0 }
 
 // decide answers a new ask, and returns the grants to other asks that are due.
--- a/internal/balance/admissionask.go
+++ b/internal/balance/admissionask.go
@@ -20,7 +20,7 @@
 		PrefillTokens: max(0, a.Demand.PromptTokens-cached),
 		OwnTokens:     max(0, a.Demand.PromptTokens-a.Demand.SharedTokens) + a.OutputTokens,
 		SharedTokens:  a.Demand.SharedTokens,
-		Slots:         l.slots, MemoryTokens: a.MemoryTokens, Bound: l.bound, SlowPercent: l.heldPace(now),
+		Slots:         l.slots, MemoryTokens: a.MemoryTokens, Bound: l.bound, SlowPercent: l.paceForOwner(now),
 	}
 }
 
--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -58,6 +58,8 @@
 	record  Admission
 	// asked are the engines asked in this round that have not admitted the prompt.
 	asked []*askedEngine
+	// leftSlow is set once the prompt has returned the permit of an engine that its owner told to be slow.
+	leftSlow bool
 }
 
 // askedEngine is an engine that has not admitted the prompt.
@@ -90,6 +92,9 @@
 			return nil, w.overloaded()
 		}
 		w.ask(ctx, engine)
+		if w.leavesSlow(engine) {
+			continue
+		}
 		if w.accepts(engine) {
 			return w.commit(ctx, engine)
 		}
@@ -185,6 +190,7 @@
 	e.ask.InTimeMs = w.request.ObjectiveMs - w.request.ElapsedMs - elapsed
 	e.ask.PatienceMs = patienceMs(w.request.Admission.PatienceMs - elapsed)
 	e.reply = w.admit(ctx, e.lease, e.ask)
+	m.recordOwnerPace(e.lease.Member, e.reply)
 	e.estimated = e.reply.Unknown || e.reply.Answer.Verdict == admission.Granted && e.reply.Answer.Provisional
 	e.startInMs = e.reply.Answer.StartInMs
 	if e.estimated {
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -43,7 +43,8 @@
 
 	ejection
 	memberPace
-	silence memberSilence
+	ownerPace ownerPace
+	silence   memberSilence
 	// signals are the backoff and draining signals from its responses.
 	signals *upstreamSignals
 	cold    coldState
--- a/internal/mesh/admission_messages.go
+++ b/internal/mesh/admission_messages.go
@@ -11,6 +11,7 @@
 	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/pace"
 )
 
 // admissionMessageKind distinguishes messages about admission. Its values differ from those of permitMessageKind and
@@ -60,7 +61,8 @@
 		Kind               admissionMessageKind
 		Number             uint32
 		StartInMs, DrainMs uint32
-		// Flags holds the verdict in the lowest answerFlagBits bits.
+		// Flags holds the verdict in the lowest answerFlagBits bits, and the pace above answerPaceShift bits. A further
+		// field would make boxes of earlier releases reject the message.
 		Flags uint8
 	}
 	// renewalMessage tells which requests still run, in at most 5 bytes and 4 for each.
@@ -94,8 +96,12 @@
 	answerFlagBits          = 2
 	answerLate        uint8 = 1 << 2
 	answerProvisional uint8 = 1 << 3
-	// answerReadsLongAsks is set by owners that read long asks. Boxes of earlier releases ignore it.
-	answerReadsLongAsks uint8 = 1 << 4
+	// answerPaceShift bits are below the code of the pace: 0 from owners of earlier releases, answerPaceUsual if no slow
+	// pace is known, and above it a slow pace in steps of paceStep percent. Boxes of earlier releases ignore it.
+	answerPaceShift       = 4
+	answerPaceUsual uint8 = 1
+	maxAnswerPace   uint8 = math.MaxUint8 >> answerPaceShift
+	paceStep              = 64
 )
 
 const (
@@ -166,7 +172,7 @@
 		Kind: admissionAnswer, Number: number,
 		StartInMs: saturate[uint32](a.StartInMs), DrainMs: saturate[uint32](a.DrainMs),
 		Flags: uint8(a.Verdict)&answerVerdict | flag(a.Late, answerLate) | flag(a.Provisional, answerProvisional) |
-			answerReadsLongAsks,
+			paceCode(a.SlowPercent)<<answerPaceShift,
 	}
 }
 
@@ -179,9 +185,30 @@
 	return admission.Answer{
 		Verdict: verdict, StartInMs: clock.Millis(p.StartInMs), DrainMs: clock.Millis(p.DrainMs),
 		Late: p.Flags&answerLate != 0, Provisional: p.Flags&answerProvisional != 0,
+		SlowPercent: decodedPace(p.Flags >> answerPaceShift),
 	}, nil
 }
 
+// readsLongAsks reports whether the owner reads long asks. Those of earlier releases tell no pace.
+func (p answerMessage) readsLongAsks() bool { return p.Flags>>answerPaceShift >= answerPaceUsual }
+
+// paceCode returns the code of a pace in an answer, rounded to a step.
+func paceCode(percent int) uint8 {
+	if percent <= pace.SlowPercent {
+		return answerPaceUsual
+	}
+	steps := (percent - pace.UsualPercent + paceStep/2) / paceStep
+	return uint8(min(int(maxAnswerPace), int(answerPaceUsual)+steps))
+}
+
+// decodedPace returns the pace of a code, or 0 if none is told.
+func decodedPace(code uint8) int {
+	if code <= answerPaceUsual {
+		return 0
+	}
+	return pace.UsualPercent + int(code-answerPaceUsual)*paceStep
+}
+
 // newRenewalMessage returns the message that tells of at most maxRenewedNumbers requests.
 func newRenewalMessage(numbers []uint32) renewalMessage {
 	p := renewalMessage{Kind: admissionRenewal, Numbers: make([]byte, 0, numberBytes*len(numbers))}
--- a/internal/mesh/admission_owner.go
+++ b/internal/mesh/admission_owner.go
@@ -191,6 +191,10 @@
 func (m *Mesh) decide(a admission.Ask) admission.Answer {
 	answer, grants := m.admissionOwner.ask(a)
 	m.sendGrants(grants)
+	if m.exchangesPaces() {
+		// Boxes that tell each other of slow upstreams would only hear of them later, and avoid them for longer.
+		answer.SlowPercent = 0
+	}
 	return answer
 }
 
--- a/internal/mesh/admission_renewals_test.go
+++ b/internal/mesh/admission_renewals_test.go
@@ -34,6 +34,13 @@
 	f.boxes = append(f.boxes, asker)
 }
 
+// enlarge lets a box count as one of a large fleet.
+func (b *box) enlarge() {
+	b.Mesh.mu.Lock()
+	defer b.Mesh.mu.Unlock()
+	b.directPeers += smallFleetBoxes
+}
+
 // TestAdmissionRenewal guards against requests that run uncounted after 20 s, and against requests that are counted for
 // more than 20 s after their box has died.
 func TestAdmissionRenewal(t *testing.T) {
@@ -80,6 +87,26 @@
 			f.assertSizes(0, 0)
 			assert.Zero(f.t, f.owner.Sizes().Admissions.Renewed)
 		},
+		"a box is told the pace that another one reported, until the owner restarts": func(f *admissions) {
+			a := f.ask(false)
+			f.owner.Admit(f.t.Context(), "d1", a).Release(true)
+			f.pass(3)
+			a.SlowPercent = 420
+			f.owner.Admit(f.t.Context(), "d1", a).Release(true)
+			reply := f.admit(f.asker)
+			reply.Release(true)
+			assert.Zero(f.t, reply.Answer.SlowPercent, "boxes of a small fleet tell each other")
+			f.owner.enlarge()
+			f.owner.Admit(f.t.Context(), "d1", a).Release(true)
+			reply = f.admit(f.asker)
+			assert.InDelta(f.t, 420, reply.Answer.SlowPercent, paceStep/2)
+			reply.Release(true)
+			f.restartOwner()
+			f.owner.enlarge()
+			advance(f.t, time.Second)
+			f.owner.Admit(f.t.Context(), "d1", a).Release(true)
+			assert.Zero(f.t, f.admit(f.asker).Answer.SlowPercent, "the new process has counted for less than 3 s")
+		},
 		"a queued ask is not renewed": func(f *admissions) {
 			f.admit(f.owner)
 			f.enqueue(f.asker)
@@ -129,16 +156,19 @@
 	require.NoError(t, cbor.Unmarshal(data, &got))
 	assert.Equal(t, ask, got)
 	full := admission.Answer{Verdict: admission.Queued, StartInMs: 1, DrainMs: 2, Late: true, Provisional: true}
-	data, err = cbor.Marshal(newAnswerMessage(7, full))
+	paced := full
+	paced.SlowPercent = 1000
+	data, err = cbor.Marshal(newAnswerMessage(7, paced))
 	require.NoError(t, err)
 	require.NoError(t, cbor.Unmarshal(data, &answer))
 	assert.Equal(t, []uint32{7, 1, 2}, []uint32{answer.Number, answer.StartInMs, answer.DrainMs})
-	assert.Equal(t, uint8(admission.Queued)|answerLate|answerProvisional, answer.Flags&(1<<4-1), "higher bits are not read")
-	answer.Flags &= 1<<4 - 1
+	assert.Equal(t, uint8(admission.Queued)|answerLate|answerProvisional, answer.Flags&(1<<answerPaceShift-1), "higher bits are not read")
+	answer.Flags &= 1<<answerPaceShift - 1
 	data, err = cbor.Marshal(answer)
 	require.NoError(t, err)
 	read, err := decodeAdmission[answerMessage](data)
 	require.NoError(t, err)
+	assert.False(t, read.readsLongAsks())
 	decoded, err := read.answer()
 	require.NoError(t, err)
 	assert.Equal(t, full, decoded)
@@ -167,7 +197,7 @@
 		assert.Equal(f.t, clock.Millis(65_535), <-asked, "the new process may be of an earlier release")
 		// An owner of an earlier release sets no flag in its answers.
 		old := newAnswerMessage(f.asker.admissions.nextNumber, admission.Answer{Verdict: admission.Granted})
-		old.Flags &^= answerReadsLongAsks
+		old.Flags &= 1<<answerPaceShift - 1
 		assert.True(f.t, f.asker.readsLongAsks(f.owner.self.Box))
 		f.owner.sendMessage(f.asker.self.Address, old)
 		synctest.Wait()
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -304,7 +304,7 @@
 		return err
 	}
 	if owner, found := m.resolveAdmission(p.Number, from, answer); found {
-		m.recordLongAskReader(owner, p.Flags&answerReadsLongAsks != 0)
+		m.recordLongAskReader(owner, p.readsLongAsks())
 	}
 	return nil
 }
--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -18,6 +18,7 @@
 	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/pace"
 )
 
 // filteredConn loses or duplicates datagrams.
@@ -473,6 +474,18 @@
 		require.NoError(t, err)
 		assert.Equal(t, answer, got)
 	})
+	t.Run("a slow pace arrives within half a step, and no other one", func(t *testing.T) {
+		for percent := range pace.MaxPercent + 1 {
+			got, err := newAnswerMessage(1, admission.Answer{SlowPercent: percent}).answer()
+			require.NoError(t, err)
+			if percent <= pace.SlowPercent {
+				assert.Zero(t, got.SlowPercent)
+				continue
+			}
+			assert.InDelta(t, percent, got.SlowPercent, paceStep/2)
+			assert.Greater(t, got.SlowPercent, pace.SlowPercent)
+		}
+	})
 	t.Run("times of up to an hour arrive, and the time between them exactly enough to tell kinds of request", func(t *testing.T) {
 		for _, times := range [][2]clock.Millis{
 			{500, 120_000}, {437, 119_937}, {-80_000, 39_500}, {90_000, 3_600_000}, {-3_600_000, 100}, {2000, 1 << 40},
--- a/internal/mesh/paces.go
+++ b/internal/mesh/paces.go
@@ -60,6 +60,13 @@
 	return addresses
 }
 
+// exchangesPaces reports whether the boxes of the fleet tell each other of slow upstreams.
+func (m *Mesh) exchangesPaces() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.directPeers < smallFleetBoxes
+}
+
 func (m *Mesh) handlePaceMessage(data []byte) error {
 	var told paceTold
 	err := cbor.Unmarshal(data, &told)
