feat(admission): bound the state that other boxes make an owner keep

Cause: boxes choose the keys of upstreams, pools, organisations and sessions, and an owner kept all of them. A draining owner's denials told no times. An owner that always answers after 20 ms was asked again each time, since its late answers ended the pause.

Change: at most 4,096 upstreams and 256 pools; an ask beyond gets no answer, so that its box decides by its own estimate. Of organisations and sessions without waiting asks, 1,024 of a pool and 1,024 of an organisation are kept; those idle for longest are evicted. An organisation counts once for each upstream and urgency, as its usage is kept for each. A draining owner decides on asks as on those that may not wait, and denies its queue like other asks, the last ones first. After three asks in a row without an answer in time, late answers don't end the pause of 500 ms; asks that are open together count once. One lost message is tolerated as before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -52,10 +52,12 @@
 	Denied Verdict = iota
 	Granted
 	Queued
+	// Unanswered is the verdict if the owner keeps no more state. The box then gets no answer and decides by itself.
+	Unanswered
 )
 
 // String returns the name of the verdict in logs.
-func (v Verdict) String() string { return [...]string{"denied", "granted", "queued"}[v] }
+func (v Verdict) String() string { return [...]string{"denied", "granted", "queued", "unanswered"}[v] }
 
 // Answer is the owner's answer to an ask.
 type Answer struct {
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -17,6 +17,9 @@
 	settleMs = 3 * clock.Second
 	// idleTTLMs is how long an upstream or a pool without asks is remembered.
 	idleTTLMs = 60 * clock.Second
+	// maxUpstreams and maxPools bound what is remembered, since other boxes choose the keys.
+	maxUpstreams = 4096
+	maxPools     = 256
 )
 
 // Ledger counts the work at the upstreams that one box owns. It is safe for concurrent use.
@@ -28,8 +31,8 @@
 	upstreams map[namekey.Key]*upstream
 	pools     map[namekey.Key]*pool
 	asks      uint64
-	// renewed counts renewals for metrics.
-	renewed int64
+	// renewed, unanswered and evicted are counts for metrics.
+	renewed, unanswered, evicted int64
 }
 
 // pool is what is common to the upstreams of a pool.
@@ -40,6 +43,8 @@
 	// deniedMs is when an ask of an urgency was last denied, or 0.
 	deniedMs [maxClasses]clock.Millis
 	usedMs   clock.Millis
+	// organisations are those without waiting asks at the upstreams of the pool.
+	organisations idleFlows
 }
 
 // New returns an empty ledger. The clock is monotonic.
@@ -63,6 +68,10 @@
 		l.remove(r, now)
 	}
 	u := l.upstream(a, now)
+	if u == nil {
+		l.unanswered++
+		return Answer{Verdict: Unanswered}, nil
+	}
 	l.asks++
 	r := &request{
 		ask: a, upstream: u, number: l.asks,
@@ -79,19 +88,19 @@
 	return u.withPace(answer, a, now), grants
 }
 
-// upstream returns the state of the upstream of an ask, with the capacity and the pace that the ask tells.
+// upstream returns the state of the upstream of an ask, with the capacity and the pace that the ask tells. It returns
+// nil if the ledger is full.
 func (l *Ledger) upstream(a Ask, now clock.Millis) *upstream {
-	p := l.pools[a.Pool]
-	if p == nil {
-		p = &pool{}
-		l.pools[a.Pool] = p
-	}
 	u := l.upstreams[a.Upstream]
 	if u == nil {
+		p := l.pool(a.Pool)
+		if p == nil || len(l.upstreams) >= maxUpstreams {
+			return nil
+		}
 		u = newUpstream(p, now)
-		l.upstreams[a.Upstream] = u
+		l.upstreams[a.Upstream], l.pools[a.Pool] = u, p
 	}
-	p.usedMs, u.usedMs = now, now
+	u.pool.usedMs, u.usedMs = now, now
 	if a.Slots > 0 {
 		u.slots = a.Slots
 	}
@@ -102,6 +111,15 @@
 	return u
 }
 
+// pool returns a pool, which may be a new one, or nil if the ledger has too many.
+func (l *Ledger) pool(key namekey.Key) *pool {
+	p := l.pools[key]
+	if p == nil && len(l.pools) < maxPools {
+		p = &pool{organisations: idleFlows{limit: maxIdleOrganisations, evicted: &l.evicted}}
+	}
+	return p
+}
+
 // Started records that the first event of a request has come, and returns the grants that are due.
 func (l *Ledger) Started(id ID) []Grant {
 	l.mu.Lock()
@@ -206,26 +224,35 @@
 		u.queue.forgetIdle(now)
 	}
 	grants = append(grants, l.dispatchAll(now)...)
+	l.forgetIdle(now)
+	return grants
+}
+
+// forgetIdle forgets the upstreams and pools without recent asks.
+func (l *Ledger) forgetIdle(now clock.Millis) {
 	maps.DeleteFunc(l.upstreams, func(_ namekey.Key, u *upstream) bool {
 		return u.unused() && now-u.usedMs >= idleTTLMs
 	})
 	maps.DeleteFunc(l.pools, func(_ namekey.Key, p *pool) bool { return now-p.usedMs >= 2*idleTTLMs })
-	return grants
 }
 
-// DenyQueued denies all queued asks, so that their boxes go elsewhere when the owner shuts down.
-func (l *Ledger) DenyQueued() []Grant {
+// DenyQueued denies the queued asks of all boxes but one, so that these go elsewhere when the owner shuts down, and
+// returns the grants that are then due.
+func (l *Ledger) DenyQueued(exceptBox string) []Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.monotonic()
 	var grants []Grant
 	for _, u := range l.inOrder() {
-		for _, r := range u.queue.all() {
-			grants = append(grants, u.denyQueued(r, now))
+		// The last ones first, so that each is told a time that includes the asks ahead of it.
+		for _, r := range slices.Backward(u.queue.all()) {
+			if r.ask.ID.Box != exceptBox {
+				grants = append(grants, u.denyQueued(r, now))
+			}
 		}
 	}
 	l.apply(grants)
-	return grants
+	return append(grants, l.dispatchAll(now)...)
 }
 
 // inOrder returns the upstreams in the order of their keys, so that equal histories give equal grants.
@@ -273,13 +300,17 @@
 	Queued    int `json:"queued"`
 	// Renewed counts how often a box told that a granted request still runs.
 	Renewed int64 `json:"renewed"`
+	// Unanswered counts asks beyond the bounds on upstreams and pools, and Evicted the organisations and sessions whose
+	// usage was forgotten early.
+	Unanswered int64 `json:"unanswered"`
+	Evicted    int64 `json:"evicted"`
 }
 
 // Sizes returns counts for metrics.
 func (l *Ledger) Sizes() Sizes {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sizes := Sizes{Upstreams: len(l.upstreams), Renewed: l.renewed}
+	sizes := Sizes{Upstreams: len(l.upstreams), Renewed: l.renewed, Unanswered: l.unanswered, Evicted: l.evicted}
 	for _, r := range l.requests {
 		if r.phase == waiting {
 			sizes.Queued++
--- a/internal/admission/lostmessages_test.go
+++ b/internal/admission/lostmessages_test.go
@@ -85,7 +85,7 @@
 		f := learnt()
 		f.busy(t)
 		f.ask(t, f.long(), Queued)
-		require.Len(t, f.DenyQueued(), 1)
+		require.Len(t, f.DenyQueued(""), 1)
 		assert.Zero(t, f.Sizes().Queued)
 	})
 	t.Run("nonsense of another box doesn't harm", func(t *testing.T) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -22,8 +23,10 @@
 
 // queue holds the asks that wait for an upstream, by urgency.
 type queue struct {
-	classes []*class
-	length  int
+	// organisations are those of the pool without waiting asks.
+	organisations *idleFlows
+	classes       []*class
+	length        int
 }
 
 // class holds the asks of one urgency.
@@ -39,7 +42,7 @@
 func (q *queue) class(urgency int) *class {
 	i, found := slices.BinarySearchFunc(q.classes, urgency, func(c *class, u int) int { return c.urgency - u })
 	if !found {
-		q.classes = slices.Insert(q.classes, i, &class{urgency: urgency, organisations: newSchedule()})
+		q.classes = slices.Insert(q.classes, i, &class{urgency: urgency, organisations: newSchedule(q.organisations)})
 	}
 	return q.classes[i]
 }
@@ -165,6 +168,7 @@
 	virtual float64
 	flows   map[namekey.Key]*flow
 	active  []*flow
+	idle    *idleFlows
 }
 
 // flow is an organisation with its sessions, or a session with its asks, the earliest deadline first.
@@ -175,14 +179,18 @@
 	waiting  load
 	sessions *schedule
 	asks     []*request
+	// idle is the entry of the flow among the idle ones, or nil while asks wait.
+	idle *list.Element
 }
 
-func newSchedule() schedule { return schedule{flows: map[namekey.Key]*flow{}} }
+func newSchedule(idle *idleFlows) schedule {
+	return schedule{flows: map[namekey.Key]*flow{}, idle: idle}
+}
 
 func (s *schedule) flow(key namekey.Key) *flow {
 	f := s.flows[key]
 	if f == nil {
-		sessions := newSchedule()
+		sessions := newSchedule(&idleFlows{limit: maxIdleSessions, evicted: s.idle.evicted})
 		f = &flow{key: key, sessions: &sessions}
 		s.flows[key] = f
 	}
@@ -191,6 +199,7 @@
 
 func (s *schedule) activate(f *flow) {
 	if f.waiting.requests == 0 {
+		s.idle.remove(f)
 		f.start = max(f.start, s.virtual)
 		s.active = append(s.active, f)
 	}
@@ -203,6 +212,7 @@
 	f.idleMs = now
 	i := slices.Index(s.active, f)
 	s.active = slices.Delete(s.active, i, i+1)
+	s.idle.add(s, f)
 }
 
 func (s *schedule) charge(f *flow, cost float64) {
@@ -211,13 +221,18 @@
 }
 
 func (s *schedule) forgetIdle(now clock.Millis) {
-	for key, f := range s.flows {
+	for _, f := range s.flows {
 		if f.waiting.requests == 0 && now-f.idleMs >= flowTTLMs {
-			delete(s.flows, key)
+			s.forget(f)
 		}
 	}
 }
 
+func (s *schedule) forget(f *flow) {
+	s.idle.remove(f)
+	delete(s.flows, f.key)
+}
+
 // next returns the ask that is served next, without those that were passed over in this dispatch, and the start tag of
 // its flow.
 func (s *schedule) next(dispatch uint64) (best *request) {
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -29,7 +29,7 @@
 func newUpstream(p *pool, now clock.Millis) *upstream {
 	return &upstream{
 		pool: p, sinceMs: now, pace: pace{percent: usualPercent, ratio: 1},
-		memory: memory{sessions: map[namekey.Key]sharedParts{}},
+		memory: memory{sessions: map[namekey.Key]sharedParts{}}, queue: queue{organisations: &p.organisations},
 	}
 }
 
--- a/internal/mesh/admission_renewals_test.go
+++ b/internal/mesh/admission_limits_test.go
@@ -41,9 +41,9 @@
 	b.directPeers += smallFleetBoxes
 }
 
-// TestAdmissionRenewal guards against requests that run uncounted after 20 s, and against requests that are counted for
-// more than 20 s after their box has died.
-func TestAdmissionRenewal(t *testing.T) {
+// TestAdmissionLimits guards against requests that run uncounted after 20 s, against those that are counted for more than
+// 20 s after their box has died, and against boxes that wait for owners that don't answer.
+func TestAdmissionLimits(t *testing.T) {
 	for name, test := range map[string]func(f *admissions){
 		"requests of the owner and of another box count while they run": func(f *admissions) {
 			a := f.ask(false)
@@ -107,6 +107,65 @@
 			f.owner.Admit(f.t.Context(), "d1", a).Release(true)
 			assert.Zero(f.t, f.admit(f.asker).Answer.SlowPercent, "the new process has counted for less than 3 s")
 		},
+		"an owner that keeps no more state does not answer": func(f *admissions) {
+			onAsk(f.owner, func(_ admission.Ask, answer *admission.Answer) { answer.Verdict = admission.Unanswered })
+			for _, b := range []*box{f.asker, f.owner} {
+				begun := time.Now()
+				assertUnknown(f.t, f.admit(b), time.Since(begun), admissionTimeoutMs.Duration())
+			}
+		},
+		"an owner that always answers late is not asked for 500 ms": func(f *admissions) {
+			f.admit(f.asker).Release(true)
+			f.lose(admissionAnswer, -1)
+			granted := admission.Answer{Verdict: admission.Granted}
+			asks := func() (took time.Duration) {
+				begun := time.Now()
+				f.admit(f.asker)
+				took = time.Since(begun)
+				f.asker.resolveAdmission(f.asker.admissions.nextNumber, f.owner.self.Address, granted)
+				advance(f.t, time.Millisecond)
+				return took
+			}
+			for range maxAdmissionMisses {
+				assert.Equal(f.t, admissionTimeoutMs.Duration(), asks())
+			}
+			assert.Zero(f.t, asks())
+			advance(f.t, ownerRetryMs.Duration())
+			assert.Equal(f.t, admissionTimeoutMs.Duration(), asks(), "one ask tries the owner")
+			assert.Zero(f.t, asks())
+			advance(f.t, ownerRetryMs.Duration())
+			f.copies.Store(nil)
+			assert.Zero(f.t, asks())
+			f.lose(admissionAnswer, 1)
+			assert.Equal(f.t, admissionTimeoutMs.Duration(), asks())
+			assert.Zero(f.t, asks(), "an answer in time ends the row, and one lost answer does not begin a pause")
+			assert.False(f.t, f.asker.admissionOwnerUnresponsive(f.owner.self.Box))
+		},
+		"asks that are lost together count once": func(f *admissions) {
+			f.admit(f.asker).Release(true)
+			advance(f.t, time.Millisecond)
+			f.lose(admissionAsk, -1)
+			for range 2 * maxAdmissionMisses {
+				f.enqueue(f.asker)
+			}
+			advance(f.t, admissionTimeoutMs.Duration())
+			synctest.Wait()
+			f.asker.resolveAdmission(f.asker.admissions.nextNumber, f.owner.self.Address, admission.Answer{Verdict: admission.Queued})
+			assert.False(f.t, f.asker.admissionOwnerUnresponsive(f.owner.self.Box))
+		},
+		"denials of a draining owner tell its times": func(f *admissions) {
+			f.admit(f.owner)
+			next := f.enqueue(f.asker)
+			deny := f.owner.admissionOwner.ledger.denyQueued
+			f.owner.admissionOwner.ledger.denyQueued = func(box string) []admission.Grant {
+				grants := deny(box)
+				grants[0].Answer.StartInMs, grants[0].Answer.DrainMs = 600, 70
+				return grants
+			}
+			f.owner.BroadcastDraining()
+			f.assertSizes(1, 0)
+			assert.Equal(f.t, admission.Answer{StartInMs: 600, DrainMs: 70, Provisional: true}, next.reply.Answer)
+		},
 		"a queued ask is not renewed": func(f *admissions) {
 			f.admit(f.owner)
 			f.enqueue(f.asker)
--- a/internal/mesh/admission_owner.go
+++ b/internal/mesh/admission_owner.go
@@ -21,6 +21,7 @@
 	release    func(id admission.ID, served bool) []admission.Grant
 	releaseBox func(box string) []admission.Grant
 	renew      func(box string, numbers []uint32)
+	denyQueued func(exceptBox string) []admission.Grant
 	expire     func() []admission.Grant
 	sizes      func() admission.Sizes
 }
@@ -28,7 +29,7 @@
 func newAdmissionLedger(l *admission.Ledger) admissionLedger {
 	return admissionLedger{
 		ask: l.Ask, started: l.Started, release: l.Release, releaseBox: l.ReleaseBox, renew: l.Renew,
-		expire: l.Expire, sizes: l.Sizes,
+		denyQueued: l.DenyQueued, expire: l.Expire, sizes: l.Sizes,
 	}
 }
 
@@ -57,15 +58,13 @@
 func (o *admissionOwner) ask(a admission.Ask) (admission.Answer, []admission.Grant) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.draining && a.ID.Box != o.self {
+		a.MayQueue = false
+	}
 	answer, grants := o.ledger.ask(a)
 	delete(o.queued, a.ID)
 	if answer.Verdict == admission.Queued && a.ID.Box != o.self {
-		if o.draining {
-			answer.Verdict = admission.Denied
-			grants = append(grants, o.ledger.release(a.ID, false)...)
-		} else {
-			o.queued[a.ID] = 0
-		}
+		o.queued[a.ID] = 0
 	}
 	o.recordLocked(grants)
 	select {
@@ -150,13 +149,9 @@
 // drain denies the queued asks of other boxes, which would be lost when this process ends. Asks of this box stay, as
 // the process ends after its own requests.
 func (o *admissionOwner) drain() []admission.Grant {
-	return o.update(func(admissionLedger) []admission.Grant {
+	return o.update(func(l admissionLedger) []admission.Grant {
 		o.draining = true
-		due := []admission.Grant{}
-		for id := range o.queued {
-			due = append(append(due, admission.Grant{ID: id}), o.withdrawLocked(id)...)
-		}
-		return due
+		return l.denyQueued(o.self)
 	})
 }
 
@@ -167,8 +162,7 @@
 	case admissionAsk, admissionLongAsk:
 		var p askMessage
 		if p, err = decodeAdmission[askMessage](data); err == nil {
-			answer := m.decide(p.ask(from.String()))
-			m.sendMessage(from.String(), newAnswerMessage(p.Number, answer))
+			m.answerAsk(p, from.String())
 		}
 	case admissionAnswer:
 		err = m.handleAdmissionAnswer(data, from.String())
@@ -187,6 +181,13 @@
 	}
 }
 
+// answerAsk answers the ask of another box, unless this box keeps no more state.
+func (m *Mesh) answerAsk(p askMessage, from string) {
+	if answer := m.decide(p.ask(from)); answer.Verdict != admission.Unanswered {
+		m.sendMessage(from, newAnswerMessage(p.Number, answer))
+	}
+}
+
 // decide decides on an ask as the owner of the upstream, and sends the grants that are due.
 func (m *Mesh) decide(a admission.Ask) admission.Answer {
 	answer, grants := m.admissionOwner.ask(a)
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -29,6 +29,9 @@
 	answersBuffer = 4
 	// neverAnswered is the age of an owner that has not answered yet.
 	neverAnswered clock.Millis = -1
+	// maxAdmissionMisses is the number of asks in a row that were not answered within admissionTimeoutMs after which late
+	// answers don't make an owner count as responsive. Each of its answers would come late.
+	maxAdmissionMisses = 3
 )
 
 // errUnanswered is returned when no answer has arrived in time.
@@ -135,11 +138,12 @@
 		return q.unanswered(sentMs)
 	case err != nil:
 		return q.withdraw(answer)
-	case answer.Verdict == admission.Queued:
+	}
+	m.recordPromptAnswer(owner.Box)
+	if answer.Verdict == admission.Queued {
 		return q.wait(ctx, answer)
-	default:
-		return q.decided(answer)
 	}
+	return q.decided(answer)
 }
 
 // ownerForAdmission returns the owner of an upstream. A draining box asks another box if there is one, as all other
@@ -162,7 +166,9 @@
 	a.InTimeMs -= elapsed
 	a.PatienceMs -= elapsed
 	if q.owner.Box == m.self.Box {
-		m.resolveAdmission(a.ID.Number, m.self.Address, m.decide(a))
+		if answer := m.decide(a); answer.Verdict != admission.Unanswered {
+			m.resolveAdmission(a.ID.Number, m.self.Address, answer)
+		}
 		return
 	}
 	if isLong(a) && m.readsLongAsks(q.owner.Box) {
@@ -343,24 +349,45 @@
 	return p != nil && p.readsLongAsks
 }
 
-// recordAdmissionAnswer records that an owner answers asks.
+// recordAdmissionAnswer records that an owner answers asks, in time or late.
 func (m *Mesh) recordAdmissionAnswer(owner string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[owner]; p != nil {
-		p.admissionAnswerMs, p.admissionTimeoutMs = m.clock.Monotonic(), 0
+		p.admissionAnswerMs = m.clock.Monotonic()
+		if p.admissionMisses < maxAdmissionMisses {
+			p.admissionTimeoutMs = 0
+		}
+	}
+}
+
+// recordPromptAnswer records that an owner has answered an ask in time.
+func (m *Mesh) recordPromptAnswer(owner string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[owner]; p != nil {
+		p.admissionMisses, p.admissionTimeoutMs = 0, 0
 	}
 }
 
 // recordAdmissionTimeout records that an owner has not answered an ask that was sent at an instant, and returns how
 // long ago it last answered. If it has answered another ask since then, one message was lost, and the owner is still
-// asked.
+// asked, unless it has not answered several asks in a row in time. Asks that were open at the same time count once.
 func (m *Mesh) recordAdmissionTimeout(owner string, sentMs clock.Millis) clock.Millis {
 	m.admissions.count(func(c *admissionCounts) { c.unanswered++ })
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.peers[owner]; p != nil && p.admissionAnswerMs < sentMs {
-		p.admissionTimeoutMs = m.clock.Monotonic()
+	p := m.peers[owner]
+	if p == nil {
+		return neverAnswered
+	}
+	now := m.clock.Monotonic()
+	if sentMs >= p.admissionMissedMs {
+		p.admissionMisses++
+		p.admissionMissedMs = now
+	}
+	if p.admissionAnswerMs < sentMs || p.admissionMisses >= maxAdmissionMisses {
+		p.admissionTimeoutMs = now
 	}
 	return m.admissionOwnerAgeLocked(owner)
 }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -40,6 +40,9 @@
 	// admissionAnswerMs is when this box as an owner last answered an ask. admissionTimeoutMs is when it last did not
 	// answer one in time, unless it has answered one since. Both are 0 if there was none.
 	admissionAnswerMs, admissionTimeoutMs clock.Millis
+	// admissionMisses is the number of asks in a row that it did not answer in time, the last one at admissionMissedMs.
+	admissionMisses   int
+	admissionMissedMs clock.Millis
 	// readsLongAsks is set if this process of the box has answered an ask in a form that tells that it reads long asks.
 	readsLongAsks bool
 }
@@ -66,6 +69,7 @@
 	}
 	if known != nil && known.Incarnation == p.From.Incarnation {
 		updated.admissionAnswerMs, updated.admissionTimeoutMs = known.admissionAnswerMs, known.admissionTimeoutMs
+		updated.admissionMisses, updated.admissionMissedMs = known.admissionMisses, known.admissionMissedMs
 		updated.readsLongAsks = known.readsLongAsks
 	}
 	updated.receivedCrashEvents = max(updated.receivedCrashEvents, p.CrashEventsNext)
