--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,5 +1,5 @@
-// Package admission decides, as the owner of an upstream, when prompts may be sent there. It counts the work that is
-// owed at the upstream instead of requests only, and queues or denies prompts that can't be served in time.
+// Package admission decides, as the owner of an upstream, when prompts may be sent there. It counts the
+// outstanding work at the upstream instead of requests only, and queues or denies prompts that can't be served in time.
 //
 // This answers loads of prompts above what engines can read or hold, for seconds or minutes.
 package admission
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,7 +34,7 @@
 	urgency       int
 	organisations schedule
 	waiting       load
-	// aboveMs is since when more than the target has been owed to requests of this urgency, or 0.
+	// aboveMs is since when the work ahead of requests of this urgency has exceeded the target, or 0.
 	aboveMs clock.Millis
 }
 
--- a/internal/mesh/admission_limits_test.go
+++ b/internal/mesh/admission_limits_test.go
@@ -1,14 +1,11 @@
 package mesh
 
 import (
-	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
@@ -179,60 +176,6 @@
 	}
 }
 
-// Messages of the release before long asks and renewals, as its boxes decode them.
-type (
-	earlierAsk struct {
-		_                                                    struct{} `cbor:",toarray"`
-		Kind                                                 uint8
-		Number, Pool, Upstream, Organisation, Session        uint32
-		PrefillTokens, OwnTokens, SharedTokens, MemoryTokens uint32
-		Slots, Bound                                         uint16
-		InTimeMs                                             int64
-		PatienceMs, SlowPercent                              uint16
-		Flags                                                uint8
-	}
-	earlierAnswer struct {
-		_                          struct{} `cbor:",toarray"`
-		Kind                       uint8
-		Number, StartInMs, DrainMs uint32
-		Flags                      uint8
-	}
-)
-
-// TestEarlierReleases guards against messages that boxes of earlier releases can't read, and the other way round.
-func TestEarlierReleases(t *testing.T) {
-	ask, answer := earlierAsk{Kind: 8, Number: 7, InTimeMs: 500, PatienceMs: math.MaxUint16}, earlierAnswer{}
-	data, err := cbor.Marshal(ask)
-	require.NoError(t, err)
-	p, err := decodeAdmission[askMessage](data)
-	require.NoError(t, err)
-	assert.Equal(t, admission.Ask{ID: admission.ID{Box: "b", Number: 7}, InTimeMs: 500, PatienceMs: math.MaxUint16}, p.ask("b"))
-	long := p.ask("b")
-	long.PatienceMs = 120_000
-	data, err = cbor.Marshal(newAskMessage(long))
-	require.NoError(t, err)
-	got := earlierAsk{}
-	require.NoError(t, cbor.Unmarshal(data, &got))
-	assert.Equal(t, ask, got)
-	full := admission.Answer{Verdict: admission.Queued, StartInMs: 1, DrainMs: 2, Late: true, Provisional: true}
-	paced := full
-	paced.SlowPercent = 1000
-	data, err = cbor.Marshal(newAnswerMessage(7, paced))
-	require.NoError(t, err)
-	require.NoError(t, cbor.Unmarshal(data, &answer))
-	assert.Equal(t, []uint32{7, 1, 2}, []uint32{answer.Number, answer.StartInMs, answer.DrainMs})
-	assert.Equal(t, uint8(admission.Queued)|answerLate|answerProvisional, answer.Flags&(1<<answerPaceShift-1), "higher bits are not read")
-	answer.Flags &= 1<<answerPaceShift - 1
-	data, err = cbor.Marshal(answer)
-	require.NoError(t, err)
-	read, err := decodeAdmission[answerMessage](data)
-	require.NoError(t, err)
-	assert.False(t, read.readsLongAsks())
-	decoded, err := read.answer()
-	require.NoError(t, err)
-	assert.Equal(t, full, decoded)
-}
-
 // TestLongTimes guards against time limits above 65.5 s that are cut short at owners that read them, and against asks
 // that owners of earlier releases can't read.
 func TestLongTimes(t *testing.T) {
--- a/internal/mesh/admissions_test.go
+++ b/internal/mesh/admissions_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -11,14 +10,12 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
-	"dooryard.example/dooryard/internal/pace"
 )
 
 // filteredConn loses or duplicates datagrams.
@@ -181,7 +178,7 @@
 			assert.Equal(f.t, int64(1), f.asker.Sizes().AdmissionsQueued)
 			assert.Equal(f.t, int64(2), f.asker.Sizes().AdmissionAsks)
 		},
-		"a lost ask": func(f *admissions) {
+		"a box whose ask is lost gets no answer, and asks again after 500 ms": func(f *admissions) {
 			f.lose(admissionAsk, 1)
 			begun := time.Now()
 			reply := f.admit(f.asker)
@@ -193,7 +190,7 @@
 			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
 			assert.Equal(f.t, int64(1), f.asker.Sizes().AdmissionTimeouts)
 		},
-		"a lost ask among others": func(f *admissions) {
+		"a lost ask among answered ones does not make the owner count as silent for long": func(f *admissions) {
 			f.lose(admissionAsk, 1)
 			lost := f.enqueue(f.asker)
 			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
@@ -209,7 +206,7 @@
 			advance(f.t, admissionRepeatMs.Duration())
 			assertVerdict(f.t, admission.Denied, f.admit(f.asker))
 		},
-		"a lost answer": func(f *admissions) {
+		"a request whose answer is lost is released at its end": func(f *admissions) {
 			f.lose(admissionAnswer, 1)
 			reply := f.admit(f.asker)
 			assertUnknown(f.t, reply, 0, 0)
@@ -217,7 +214,7 @@
 			reply.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"a lost grant": func(f *admissions) {
+		"a grant that is lost is repeated for the repeated ask": func(f *admissions) {
 			first, next := f.admit(f.asker), f.enqueue(f.asker)
 			f.lose(admissionAnswer, 1)
 			first.Release(true)
@@ -225,7 +222,7 @@
 			f.assertSizes(1, 0)
 			assertVerdict(f.t, admission.Granted, next.reply)
 		},
-		"a lost start": func(f *admissions) {
+		"a request whose start is lost is released, and nothing is told after its end": func(f *admissions) {
 			reply := f.admit(f.asker)
 			f.lose(admissionStarted, 1)
 			reply.Started()
@@ -236,7 +233,7 @@
 			reply.Release(true)
 			assert.Equal(f.t, sent, f.asker.Sizes().SentBytes, "nothing is told after the end")
 		},
-		"a lost release": func(f *admissions) {
+		"a request whose release is lost expires": func(f *admissions) {
 			reply := f.admit(f.asker)
 			assert.True(f.t, reply.Answer.Provisional, "the owner has just begun to count")
 			assert.Len(f.t, f.owner.AdmissionsChanged(), 1, "the tick starts")
@@ -247,7 +244,7 @@
 			assert.False(f.t, f.owner.ExpireAdmissions(), "the tick may stop")
 			assertVerdict(f.t, admission.Granted, f.admit(f.asker))
 		},
-		"the owner dies while an ask is queued": func(f *admissions) {
+		"an ask at an owner that dies is given up after two repeats": func(f *admissions) {
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
 			advance(f.t, time.Second)
@@ -257,7 +254,7 @@
 			assertUnknown(f.t, next.reply, next.took, 1250*time.Millisecond)
 			assert.Positive(f.t, next.reply.OwnerAgeMs)
 		},
-		"the owner restarts while an ask is queued": func(f *admissions) {
+		"an ask at an owner that restarts is decided on anew with the time that is left": func(f *admissions) {
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
 			f.restartOwner()
@@ -271,7 +268,7 @@
 			assert.Equal(f.t, 10_000-admissionRepeatMs, a.PatienceMs, "the time that is left now")
 			assert.Equal(f.t, 500-admissionRepeatMs, a.InTimeMs)
 		},
-		"the asking box restarts": func(f *admissions) {
+		"the requests and asks of a box that restarted are released": func(f *admissions) {
 			f.admit(f.asker)
 			f.enqueue(f.asker)
 			next := f.enqueue(f.owner)
@@ -281,7 +278,7 @@
 			f.assertSizes(1, 0)
 			assertVerdict(f.t, admission.Granted, next.reply)
 		},
-		"the asking box dies while an ask is queued": func(f *admissions) {
+		"a queued ask that is not repeated is withdrawn": func(f *admissions) {
 			first, next := f.admit(f.owner), f.enqueue(f.asker)
 			expire := func() {
 				for range 2 * maxUnrepeated {
@@ -298,7 +295,7 @@
 			first.Release(true)
 			assert.False(f.t, f.owner.ExpireAdmissions())
 		},
-		"a grant for an earlier process is returned": func(f *admissions) {
+		"a grant for a request of an earlier process is released": func(f *admissions) {
 			first := f.admit(f.owner)
 			a := f.ask(true)
 			a.ID = admission.ID{Box: f.asker.self.Address, Number: 7}
@@ -306,7 +303,7 @@
 			first.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"a partition": func(f *admissions) {
+		"each side of a partition has an owner that counts what it sees": func(f *admissions) {
 			second := f.startSecond()
 			f.admit(f.asker)
 			next := f.enqueue(f.asker)
@@ -318,7 +315,7 @@
 			assert.Equal(f.t, 1, second.Sizes().Admissions.Permits)
 			assertVerdict(f.t, admission.Denied, f.admit(f.owner))
 		},
-		"a draining owner": func(f *admissions) {
+		"a draining owner denies the asks of other boxes, and the next owner is asked": func(f *admissions) {
 			second := f.startSecond()
 			first, local, remote := f.admit(f.asker), f.enqueue(f.owner), f.enqueue(f.asker)
 			f.owner.BroadcastDraining()
@@ -336,7 +333,7 @@
 			assertVerdict(f.t, admission.Denied, f.admit(f.owner))
 			assert.Equal(f.t, 1, second.Sizes().Admissions.Permits, "the next owner is asked, also by the draining box")
 		},
-		"an owner of an earlier release": func(f *admissions) {
+		"an owner of an earlier release that answers no asks still grants permits": func(f *admissions) {
 			f.lose(0, -1)
 			for range 3 {
 				reply := f.admit(f.asker)
@@ -350,7 +347,7 @@
 			assert.True(f.t, f.asker.AcquirePermit(f.t.Context(), permitAt("u", "d1", 1)).Granted)
 			assert.False(f.t, f.asker.AcquirePermit(f.t.Context(), permitAt("u", "d1", 1)).Granted, "its permits still count")
 		},
-		"a caller that leaves": func(f *admissions) {
+		"the asks of callers that leave are withdrawn": func(f *admissions) {
 			f.admit(f.asker)
 			remote, local := f.enqueue(f.asker), f.enqueue(f.owner)
 			f.assertSizes(1, 2)
@@ -360,7 +357,7 @@
 			assertVerdict(f.t, admission.Denied, remote.reply)
 			assertVerdict(f.t, admission.Denied, local.reply)
 		},
-		"a caller that gives up": func(f *admissions) {
+		"the ask of a caller that gives up is denied with the owner's last answer": func(f *admissions) {
 			f.admit(f.asker)
 			onAsk(f.owner, func(_ admission.Ask, answer *admission.Answer) { answer.DrainMs = 70 })
 			next := f.enqueue(f.asker)
@@ -370,7 +367,7 @@
 			assert.Equal(f.t, 10*time.Second, next.took)
 			assert.Equal(f.t, clock.Millis(70), next.reply.Answer.DrainMs, "the owner's last answer")
 		},
-		"a grant after the withdrawal": func(f *admissions) {
+		"a grant that arrives after the withdrawal is released": func(f *admissions) {
 			first, next := f.admit(f.asker), f.enqueue(f.asker)
 			f.lose(admissionRelease, 1)
 			next.leave()
@@ -378,7 +375,7 @@
 			first.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"duplicate datagrams": func(f *admissions) {
+		"duplicate datagrams count once": func(f *admissions) {
 			twice := func([]byte) int { return 2 }
 			f.copies.Store(&twice)
 			first, next := f.admit(f.asker), f.enqueue(f.asker)
@@ -388,7 +385,7 @@
 			next.reply.Release(true)
 			f.assertSizes(0, 0)
 		},
-		"every fifth datagram lost or sent twice": func(f *admissions) {
+		"no request remains when one datagram in ten is lost and one in ten sent twice": func(f *admissions) {
 			var mu sync.Mutex
 			random := rand.New(rand.NewPCG(1, 2))
 			copies := func(data []byte) int {
@@ -430,86 +427,3 @@
 		})
 	}
 }
-
-func TestAdmissionMessages(t *testing.T) {
-	largest := admission.Ask{
-		ID: admission.ID{Box: "b", Number: math.MaxUint32}, Pool: math.MaxUint32, Upstream: math.MaxUint32, Organisation: math.MaxUint32,
-		Session: math.MaxUint32, Urgency: maxUrgency, PrefillTokens: math.MaxUint32, OwnTokens: math.MaxUint32, SharedTokens: math.MaxUint32,
-		MemoryTokens: math.MaxUint32, Slots: math.MaxUint16, Bound: math.MaxUint16, InTimeMs: -math.MaxUint16, PatienceMs: math.MaxUint16,
-		SlowPercent: math.MaxUint16, MayQueue: true, Force: true,
-	}
-	answer := admission.Answer{Verdict: admission.Queued, StartInMs: math.MaxUint32, DrainMs: math.MaxUint32, Late: true, Provisional: true}
-	larger := largest
-	larger.Urgency, larger.OwnTokens, larger.Slots, larger.InTimeMs, larger.PatienceMs = 900, 1<<40, 1<<40, -1<<40, 1<<40
-	for name, c := range map[string]struct {
-		message any
-		limit   int
-	}{
-		"an ask":                    {newAskMessage(larger), 64},
-		"a prompt":                  {newAskMessage(admission.Ask{Pool: 1 << 31, Upstream: 1 << 31, Organisation: 1 << 31, Session: 1 << 31, PrefillTokens: 1300, OwnTokens: 1500, SharedTokens: 10_512, MemoryTokens: 425_013, Slots: 64, Bound: 80, InTimeMs: 2000, PatienceMs: 12_000, ID: admission.ID{Number: 1 << 31}}), 56},
-		"a long ask":                {newLongAskMessage(larger), 64},
-		"an answer":                 {newAnswerMessage(math.MaxUint32, answer), 19},
-		"a renewal of one request":  {newRenewalMessage([]uint32{math.MaxUint32}), 24 + 4},
-		"a renewal of 344 requests": {newRenewalMessage(make([]uint32, maxRenewedNumbers)), 24 + 4*344},
-		"an end":                    {endMessage{Kind: admissionReleaseServed, Number: math.MaxUint32}, 7},
-	} {
-		t.Run(name+" is small and ignored by boxes of earlier releases", func(t *testing.T) {
-			data, err := cbor.Marshal(c.message)
-			require.NoError(t, err)
-			t.Logf("%d bytes", len(data))
-			assert.LessOrEqual(t, len(data), c.limit)
-			assert.True(t, isAdmissionMessage(data))
-			assert.False(t, isOriginMessage(data))
-			_, err = decodePermitMessage(data)
-			require.ErrorIs(t, err, ErrInvalid)
-		})
-	}
-	t.Run("values arrive, limited to their ranges", func(t *testing.T) {
-		data, err := cbor.Marshal(newAskMessage(larger))
-		require.NoError(t, err)
-		p, err := decodeAdmission[askMessage](data)
-		require.NoError(t, err)
-		assert.Equal(t, largest, p.ask("b"))
-		got, err := newAnswerMessage(1, answer).answer()
-		require.NoError(t, err)
-		assert.Equal(t, answer, got)
-	})
-	t.Run("a slow pace arrives within half a step, and no other one", func(t *testing.T) {
-		for percent := range pace.MaxPercent + 1 {
-			got, err := newAnswerMessage(1, admission.Answer{SlowPercent: percent}).answer()
-			require.NoError(t, err)
-			if percent <= pace.SlowPercent {
-				assert.Zero(t, got.SlowPercent)
-				continue
-			}
-			assert.InDelta(t, percent, got.SlowPercent, paceStep/2)
-			assert.Greater(t, got.SlowPercent, pace.SlowPercent)
-		}
-	})
-	t.Run("times of up to an hour arrive, and the time between them exactly enough to tell kinds of request", func(t *testing.T) {
-		for _, times := range [][2]clock.Millis{
-			{500, 120_000}, {437, 119_937}, {-80_000, 39_500}, {90_000, 3_600_000}, {-3_600_000, 100}, {2000, 1 << 40},
-		} {
-			asked := admission.Ask{Urgency: 63, MayQueue: true, Force: true, InTimeMs: times[0], PatienceMs: times[1]}
-			require.True(t, isLong(asked))
-			data, err := cbor.Marshal(newLongAskMessage(asked))
-			require.NoError(t, err)
-			p, err := decodeAdmission[askMessage](data)
-			require.NoError(t, err)
-			got, wantPatience := p.ask("b"), min(times[1], maxLongSpanMs)
-			assert.InDelta(t, int(times[0]), int(got.InTimeMs), float64(tenthMs))
-			assert.InDelta(t, int(wantPatience), int(got.PatienceMs), float64(tenthMs))
-			assert.InDelta(t, int(wantPatience-times[0]), int(got.PatienceMs-got.InTimeMs), float64(tenthMs)/2)
-			assert.Equal(t, []any{maxLongUrgency, true, true}, []any{got.Urgency, got.MayQueue, got.Force})
-		}
-		assert.False(t, isLong(admission.Ask{InTimeMs: -math.MaxUint16, PatienceMs: math.MaxUint16}))
-	})
-	t.Run("malformed messages are ignored", func(t *testing.T) {
-		runAdmissions(t, func(f *admissions) {
-			for i, data := range [][]byte{{0x85, 8, 1, 1, 1, 1}, {0x85, 9, 1, 1, 1, 3}, {0x82, 10, 0x20}, {0x82, 14, 0x43, 0, 0, 1}, {0x82, 14, 1}} {
-				f.owner.handleAdmissionMessage(data, &net.UDPAddr{})
-				assert.Equal(f.t, int64(i+1), f.owner.Sizes().Ignored)
-			}
-		})
-	})
-}
