--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -152,8 +152,8 @@
 }
 
 // largeBacklogDivisor is the divisor of the target that gives the backlog up to which a prompt is granted that exceeds
-// the target by itself, if no other ask waits and times are known. Engines whose responses begin some time after the prefill hardly ever
-// have no backlog, and such prompts would wait for seconds although the engine has time for them.
+// the target by itself, if no other ask waits and times are known. Engines whose responses begin some time after the
+// prefill hardly ever have no backlog, and such prompts would wait for seconds although the engine has time for them.
 const largeBacklogDivisor = 2
 
 // hasTime reports whether a request can be prefilled within the target, after the backlog.
