fix(admission): a prompt whose caller gives up before the first event is refused, not cut off

Two causes: an owner granted a prompt at an idle engine without regard to the time at which its caller gives up, and a box told the owner the whole time that was left, without that of the stream, if it was shorter than the objective.

--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -55,7 +55,7 @@
 		u.grant(r, startIn, now)
 		return answer, nil
 	}
-	if r.ask.Bound > 0 && u.inUse >= r.ask.Bound {
+	if r.ask.Bound > 0 && u.inUse >= r.ask.Bound || u.tooLate(r, startIn, now) {
 		return u.deny(r, startIn, now), nil
 	}
 	granted, grants := u.grantNow(r, now)
@@ -72,6 +72,11 @@
 	return answer, append(grants, u.enqueue(r, now)...)
 }
 
+// tooLate reports whether a request is expected to start after its caller gives up. Its response would be cut off.
+func (u *upstream) tooLate(r *request, startIn, now clock.Millis) bool {
+	return now+startIn >= r.giveUpMs && u.pool.times.mayDeny()
+}
+
 // grantNow grants a new ask if it is the next in the queue and nothing prevents it, unless it is late and others wait.
 // The answer is nil if it isn't granted.
 func (u *upstream) grantNow(r *request, now clock.Millis) (*Answer, []Grant) {
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -94,8 +94,13 @@
 	if r.Route.GiveUpMs > 0 {
 		remaining = min(remaining, r.ArrivedMs+r.Route.GiveUpMs-now)
 	}
+	inTimeMs := r.ArrivedMs + r.Route.ObjectiveMs - now
+	if untilLimit < inTimeMs {
+		// A caller that returned shortly before its limit: a response that has begun would be cut off.
+		return remaining
+	}
 	// A prompt is never refused because streams usually take long while its first event can still be in time.
-	return max(remaining, min(untilLimit, r.ArrivedMs+r.Route.ObjectiveMs-now))
+	return max(remaining, inTimeMs)
 }
 
 // recordAdmission logs and counts how a pick was admitted or denied, if it needed admission.
