--- a/internal/balance/pace_load_test.go
+++ b/internal/balance/pace_load_test.go
@@ -181,7 +181,7 @@
 		s.tell(finding, slowNewsMs)
 	}
 	lease.RecordResponseStart()
-	for _, finding := range lease.manager.TakePaceTells() {
+	for _, finding := range lease.manager.TakeUnsentFindings() {
 		s.tell(finding, slowHousekeepingMs)
 	}
 	s.at(s.finish(lease.ID, s.now, slowDecodeMs), func() {
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -193,7 +193,7 @@
 				f.now += max(10, gapMs[i])
 				l.RecordContact()
 			}
-			l.endAwait()
+			l.endUnanswered()
 			f.now -= (pace.GapsPerSample + 1) * max(10, gapMs[i])
 		}
 		f.now += 500
@@ -218,6 +218,6 @@
 	assert.Empty(t, f.paces.times)
 	assert.Empty(t, f.TakePaceChanges())
 	for _, member := range f.byID {
-		assert.Zero(t, member.awaiting+member.awaitingTokens)
+		assert.Zero(t, member.unanswered+member.unansweredTokens)
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -68,9 +68,9 @@
 	// prefillTokens is the number of tokens that the engine is expected to prefill.
 	prefillTokens int
 	// ahead is the number of this box's requests that the engine was to prefill before this one when it was sent, and
-	// aheadTokens their tokens. awaited is set from then on until the request gets a response or ends.
+	// aheadTokens their tokens. isUnanswered is set from then on until the request gets a response or ends.
 	ahead, aheadTokens int
-	awaited            bool
+	isUnanswered       bool
 	// number identifies the request among those that were sent.
 	number uint64
 	gaps   gapSamples
@@ -374,7 +374,7 @@
 	}
 	l.released = true
 	l.inFlight--
-	l.endAwait()
+	l.endUnanswered()
 	l.path.recordEnd()
 	delete(l.path.onPartition, l)
 	l.manager.retryScheduleFor(l.Pool).recordCompletion(l.manager.monotonic())
--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -109,7 +109,7 @@
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
 	l.silence.recordAnswer()
-	l.endAwait()
+	l.endUnanswered()
 	if l.sentMs > 0 {
 		counts, now := l.manager.attemptsOf(l.Pool), l.manager.monotonic()
 		counts.recordAnswer(l.sentMs)
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -12,8 +12,8 @@
 func (b *Box) handleSignals(request string, lease *balance.Lease, signals opaque.Signals) {
 	if signals.HasLoad {
 		lease.RecordLoad(signals.InFlight)
-		if finding, tell := lease.RecordPace(signals.SlowPercent, signals.Waiting); tell {
-			b.peering.mesh.TellPace(finding)
+		if finding, isNew := lease.RecordPace(signals.SlowPercent, signals.Waiting); isNew {
+			b.peering.mesh.SendPaceFinding(finding)
 		}
 	}
 	if signals.Err != nil {
@@ -35,8 +35,8 @@
 // reportPaces logs the upstreams that turned slow or are at their usual pace again, and tells other boxes of those that
 // were found slow by their responses.
 func (b *Box) reportPaces() {
-	for _, finding := range b.balance.TakePaceTells() {
-		b.peering.mesh.TellPace(finding)
+	for _, finding := range b.balance.TakeUnsentFindings() {
+		b.peering.mesh.SendPaceFinding(finding)
 	}
 	for _, c := range b.balance.TakePaceChanges() {
 		b.log.Record(decision.UpstreamPace{
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -126,7 +126,7 @@
 	attemptInquiries *inquiries[attemptsReply]
 	// permitTimeouts counts permit requests that no owner answered in time.
 	permitTimeouts int64
-	paceTells      paceTells
+	sentFindings   sentFindings
 	// provisionalPermits counts permits that an owner without a complete count granted.
 	provisionalPermits int64
 }
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -268,7 +268,7 @@
 		}
 	case attemptsAsk, attemptsAnswer:
 		err = m.handleAttemptsMessage(data, from)
-	case paceTell:
+	case paceFindingKind:
 		err = m.handlePaceMessage(data)
 	default:
 		err = ErrInvalid
--- a/internal/mesh/paces.go
+++ b/internal/mesh/paces.go
@@ -7,50 +7,50 @@
 	"dooryard.example/dooryard/internal/pace"
 )
 
-// paceTell tells other boxes at once that an upstream was found slow. A slow spell is about as long as the boxes of a
-// small fleet take to hear of it by pings. Boxes of earlier releases ignore it.
-const paceTell originMessageKind = 22
+// paceFindingKind tells other boxes at once that an upstream was found slow. A slow spell is about as long as the boxes
+// of a small fleet take to hear of it by pings. Boxes of earlier releases ignore it.
+const paceFindingKind originMessageKind = 22
 
-// paceTold is a message of the kind paceTell.
-type paceTold struct {
+// paceFindingMessage is a message of the kind paceFindingKind.
+type paceFindingMessage struct {
 	_       struct{} `cbor:",toarray"`
 	Kind    originMessageKind
 	Finding pace.Finding
 }
 
-// Bounds of the rate at which a box tells findings at once; the others follow with pings. In a fleet of 32 boxes, a
+// Bounds of the rate at which a box sends findings at once; the others follow with pings. In a fleet of 32 boxes, a
 // finding takes 31 datagrams of 15 bytes.
 const (
-	maxPaceTells = 5
-	paceTellsMs  = clock.Second
+	maxSentFindings = 5
+	sentFindingsMs  = clock.Second
 )
 
-// paceTells counts the findings told in a span of time.
-type paceTells struct {
+// sentFindings counts the findings sent in a span of time.
+type sentFindings struct {
 	sinceMs clock.Millis
 	count   int
 }
 
-// TellPace tells the other boxes of a fleet of up to 32 that this box found an upstream slow.
-func (m *Mesh) TellPace(finding pace.Finding) {
+// SendPaceFinding tells the other boxes of a fleet of up to 32 that this box found an upstream slow.
+func (m *Mesh) SendPaceFinding(finding pace.Finding) {
 	for _, address := range m.paceListeners() {
-		m.sendOriginMessage(address, paceTold{Kind: paceTell, Finding: finding})
+		m.sendOriginMessage(address, paceFindingMessage{Kind: paceFindingKind, Finding: finding})
 	}
 }
 
 // paceListeners returns the addresses of the boxes to tell of a finding, or none if the fleet is too large or this box
-// has told too many.
+// has sent too many.
 func (m *Mesh) paceListeners() []string {
 	now := m.clock.Monotonic()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now-m.paceTells.sinceMs >= paceTellsMs {
-		m.paceTells = paceTells{sinceMs: now}
+	if now-m.sentFindings.sinceMs >= sentFindingsMs {
+		m.sentFindings = sentFindings{sinceMs: now}
 	}
-	if m.directPeers >= smallFleetBoxes || m.paceTells.count >= maxPaceTells {
+	if m.directPeers >= smallFleetBoxes || m.sentFindings.count >= maxSentFindings {
 		return nil
 	}
-	m.paceTells.count++
+	m.sentFindings.count++
 	addresses, aliveTimeout := []string{}, m.aliveTimeoutLocked()
 	for _, p := range m.peers {
 		if p.alive(now, aliveTimeout) {
@@ -61,10 +61,10 @@
 }
 
 func (m *Mesh) handlePaceMessage(data []byte) error {
-	var told paceTold
-	err := cbor.Unmarshal(data, &told)
+	var message paceFindingMessage
+	err := cbor.Unmarshal(data, &message)
 	if err == nil {
-		m.recordPaceFindings([]pace.Finding{told.Finding})
+		m.recordPaceFindings([]pace.Finding{message.Finding})
 	}
 	return err
 }
--- a/internal/mesh/paces_test.go
+++ b/internal/mesh/paces_test.go
@@ -30,7 +30,7 @@
 			}
 			advance(f.t, 3*time.Second)
 			told := pace.Finding{Upstream: 1, Percent: 200}
-			f.boxes[1].TellPace(told)
+			f.boxes[1].SendPaceFinding(told)
 			advance(f.t, 10*time.Millisecond)
 			for i, b := range f.boxes {
 				assert.Equal(f.t, i != 1, len(b.heard()) == 1, b.self.Box)
@@ -42,9 +42,9 @@
 			}
 			before := f.boxes[1].Sizes().SentBytes
 			for range 100 {
-				f.boxes[1].TellPace(told)
+				f.boxes[1].SendPaceFinding(told)
 			}
-			assert.LessOrEqual(f.t, f.boxes[1].Sizes().SentBytes-before, int64(maxPaceTells*5*16))
+			assert.LessOrEqual(f.t, f.boxes[1].Sizes().SentBytes-before, int64(maxSentFindings*5*16))
 		})
 	})
 	t.Run("above 32 boxes they are not exchanged", func(t *testing.T) {
@@ -58,7 +58,7 @@
 				b.heardSlow = nil
 				b.mu.Unlock()
 			}
-			f.boxes[0].TellPace(slowUpstream)
+			f.boxes[0].SendPaceFinding(slowUpstream)
 			advance(f.t, 3*time.Second)
 			for _, b := range f.boxes {
 				assert.Empty(f.t, b.heard(), b.self.Box)
@@ -85,8 +85,8 @@
 		runInBubble(t, func(f *fixture) {
 			old, b := f.start("d"), f.start("d")
 			advance(f.t, 3*time.Second)
-			// The kind after the newest one stands for paceTell at a box of an earlier release.
-			b.sendOriginMessage(old.self.Address, paceTold{Kind: paceTell + 1, Finding: slowUpstream})
+			// The kind after the newest one stands for this one at a box of an earlier release.
+			b.sendOriginMessage(old.self.Address, paceFindingMessage{Kind: paceFindingKind + 1, Finding: slowUpstream})
 			advance(f.t, time.Second)
 			assert.EqualValues(f.t, 1, old.Sizes().Ignored)
 			assert.Equal(f.t, 2, b.Boxes())
