feat(pace): overdue requests mark an upstream as slow

A slow upstream was found from its responses only, so a request that was sent into a spell told of it when the spell was over, and the trials after a hold took as long as the upstream is slow.

A request without a first byte for longer than 1.5 times its expected time, or more where the pool's times differ more, is now a finding of the box (source "overdue"). Expected are its prefill, this box's requests ahead of it, those that the upstream reports as waiting and the time that the owner told when it admitted the prompt. Time before the newest response at the usual pace does not count, so that an upstream that serves others is not slow. It takes effect where paces are learned. Requests are checked when one is picked and every 100 ms. Metric upstream_paces counts findings by source.

A finding needs something to have come from the failure domain since the request was sent, so that a stalled path is left to its own rules; each request makes one finding at most. Since an upstream that was found slow gets few attempts, it is due for a health check after 0.5 s of silence, without three attempts.

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -25,6 +26,11 @@
 	// unanswered is the number of this box's requests there that have got no response, and unansweredTokens what they
 	// prefill.
 	unanswered, unansweredTokens int
+	// usualMs is the newest time at which a response has shown it at its usual pace. Time before it does not make a
+	// request overdue.
+	usualMs clock.Millis
+	// overdueMs is when an overdue request last showed it to be slow, or 0.
+	overdueMs clock.Millis
 }
 
 // poolPace is what a manager keeps of paces beside those of its members.
@@ -38,6 +44,8 @@
 	reported bool
 	// times are the times of upstreams at their usual pace, by pool.
 	times map[string]*pace.PoolTimes
+	// overdue holds the requests that may become overdue, by pool.
+	overdue map[string]*overdueWatch
 	// requests numbers the requests that were sent.
 	requests uint64
 	// changes are those that the log has not taken. Their rate is bounded.
@@ -47,6 +55,8 @@
 	changesSinceMs clock.Millis
 	changesInSpan  int
 	omitted        int
+	// turnedSlow counts by source the findings that an upstream turned slow.
+	turnedSlow map[string]int64
 	// passedOver counts requests that passed over an upstream for its pace, and sentToSlow those that were sent to one
 	// that was known to be slow.
 	passedOver, sentToSlow int64
@@ -64,6 +74,8 @@
 type PaceCounts struct {
 	// Slow is the number of upstreams that are slow now, by pool. Zeros are omitted.
 	Slow map[string]int `json:"slow"`
+	// TurnedSlow counts by source the findings that an upstream turned slow.
+	TurnedSlow map[string]int64 `json:"turned_slow"`
 	// PassedOver counts requests that passed over an upstream for its pace, and SentToSlow those that were sent to an
 	// upstream that was known to be slow.
 	PassedOver int64 `json:"passed_over"`
@@ -75,7 +87,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.monotonic()
-	counts := PaceCounts{Slow: map[string]int{}, PassedOver: m.paces.passedOver, SentToSlow: m.paces.sentToSlow}
+	counts := PaceCounts{
+		Slow: map[string]int{}, TurnedSlow: map[string]int64{},
+		PassedOver: m.paces.passedOver, SentToSlow: m.paces.sentToSlow,
+	}
+	maps.Copy(counts.TurnedSlow, m.paces.turnedSlow)
 	for _, member := range m.byID {
 		if member.pace.Slow(now) {
 			counts.Slow[member.Pool]++
--- a/internal/balance/pace_findings.go
+++ b/internal/balance/pace_findings.go
@@ -12,6 +12,7 @@
 const (
 	paceReported = "reported"
 	paceLearnt   = "learnt"
+	paceOverdue  = "overdue"
 	paceFromBox  = "another box"
 )
 
@@ -52,6 +53,8 @@
 	known := member.pace.FoundSlow() && member.pace.Held(now)
 	if percent > pace.SlowPercent {
 		member.foundSlowPercent, member.foundSlowMs = percent, now
+	} else {
+		member.usualMs = now
 	}
 	m.paces.used = m.paces.used || percent > pace.UsualPercent
 	if m.paces.used && member.pace.Report(percent, now) {
@@ -72,6 +75,12 @@
 
 // recordPaceChange records that the newest pace of a member made it slow, or usual again.
 func (m *Manager) recordPaceChange(member *Member, percent int, source string) {
+	if percent > pace.SlowPercent {
+		if m.paces.turnedSlow == nil {
+			m.paces.turnedSlow = map[string]int64{}
+		}
+		m.paces.turnedSlow[source]++
+	}
 	m.paces.recordChange(PaceChange{
 		Upstream: member.Incarnation(), Pool: member.Pool, Percent: percent, Slow: percent > pace.SlowPercent,
 		HoldMs: member.pace.HoldMs(), Source: source,
--- a/internal/balance/pace_learning.go
+++ b/internal/balance/pace_learning.go
@@ -14,6 +14,7 @@
 	if l.passedSlow {
 		p.passedOver++
 	}
+	knownPercent := l.pace.Percent(now)
 	l.pace.RecordSend(now)
 	if l.prefillTokens > 0 {
 		// Engines prefill one prompt after another. Other upstreams run their requests side by side.
@@ -23,12 +24,16 @@
 	l.isUnanswered, l.number = true, p.requests
 	l.unanswered++
 	l.unansweredTokens += l.prefillTokens
+	l.watchOverdue(knownPercent, now)
 }
 
 // endUnanswered records that the request got a response or has ended.
 func (l *Lease) endUnanswered() {
 	if l.isUnanswered {
 		l.isUnanswered = false
+		if w := l.manager.paces.overdue[l.Pool]; w != nil {
+			delete(w.dueMs, l)
+		}
 		l.unanswered--
 		l.unansweredTokens -= l.prefillTokens
 	}
@@ -45,6 +50,10 @@
 	if l.ahead == 0 {
 		m.timesOf(l.Pool).FirstByte.Observe(l.prefillTokens, took, l.pace.Percent(now))
 	}
+	overdueMs, known := m.timesOf(l.Pool).FirstByte.OverdueMs(l.expected)
+	if learning && !l.reportsPace && known && took <= overdueMs {
+		l.usualMs = max(l.usualMs, l.sentMs)
+	}
 	l.learnPace(pace.Sample{Tokens: l.prefillTokens + l.aheadTokens, Ahead: l.ahead, TookMs: took}, now)
 }
 
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -47,7 +47,9 @@
 		require.NoError(t, second.CheckBeforeSend())
 		assert.NotEqual(t, first.ID, second.ID)
 		assert.Equal(t, Skipped{Upstream: first.ID, Reason: SkipSlow}, second.Skipped)
-		assert.Equal(t, PaceCounts{Slow: map[string]int{"p": 1}, PassedOver: 1}, f.PaceCounts())
+		assert.Equal(t, PaceCounts{
+			Slow: map[string]int{"p": 1}, TurnedSlow: map[string]int64{paceReported: 1}, PassedOver: 1,
+		}, f.PaceCounts())
 		f.now += 600
 		assert.Equal(t, first.ID, f.pick(t, sticky("s")).ID)
 	})
@@ -216,6 +218,7 @@
 	}
 	assert.False(t, f.paces.used)
 	assert.Empty(t, f.paces.times)
+	assert.Empty(t, f.paces.overdue)
 	assert.Empty(t, f.TakePaceChanges())
 	for _, member := range f.byID {
 		assert.Zero(t, member.unanswered+member.unansweredTokens)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -6,6 +6,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/route"
 )
@@ -71,6 +72,8 @@
 	// aheadTokens their tokens. isUnanswered is set from then on until the request gets a response or ends.
 	ahead, aheadTokens int
 	isUnanswered       bool
+	// expected is what the time to the first byte is expected from, to tell whether the request is overdue.
+	expected pace.Unanswered
 	// number identifies the request among those that were sent.
 	number uint64
 	gaps   gapSamples
@@ -144,6 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.findOverdue(request.Pool, now)
 	total := m.total(request.Pool, members, now)
 	shared := request.Prompt.Shared().KeyedParts()
 	lease := &Lease{manager: m, MeanPercent: percent * total / len(members), shared: shared}
--- a/internal/balance/stalled_member.go
+++ b/internal/balance/stalled_member.go
@@ -86,7 +86,9 @@
 // silentAlone reports whether an upstream has not responded for a while, although the others of its pool do.
 func (m *Manager) silentAlone(member *Member, now clock.Millis) bool {
 	s := &member.silence
-	if s.unanswered < minSilentAttempts || now-s.sinceMs < maxUpstreamSilenceMs {
+	// Few attempts are sent to an upstream that an overdue request has shown to be slow.
+	overdue := s.unanswered > 0 && member.overdueMs > s.sinceMs
+	if s.unanswered < minSilentAttempts && !overdue || now-s.sinceMs < maxUpstreamSilenceMs {
 		return false
 	}
 	sum := m.attemptsOf(member.Pool).between(s.sinceMs, now-maxUpstreamSilenceMs)
--- a/internal/decision/pace.go
+++ b/internal/decision/pace.go
@@ -15,7 +15,8 @@
 	// Slow is set if it turned slow. Other upstreams are preferred for HoldMs then.
 	Slow   bool
 	HoldMs clock.Millis
-	// Source is where the pace was learnt from: "reported", "learnt" or "another box".
+	// Source is where the pace was learnt from: "reported", "learnt", "overdue" (a request without a response) or
+	// "another box".
 	Source string
 	// Omitted is the number of changes before this one that are not logged.
 	Omitted int
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -33,8 +33,9 @@
 }
 
 // reportPaces logs the upstreams that turned slow or are at their usual pace again, and tells other boxes of those that
-// were found slow by their responses.
+// were found slow by their responses or by overdue requests.
 func (b *Box) reportPaces() {
+	b.balance.FindOverdue()
 	for _, finding := range b.balance.TakeUnsentFindings() {
 		b.peering.mesh.SendPaceFinding(finding)
 	}
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -101,6 +101,9 @@
 	return UsualPercent
 }
 
+// Newest returns the pace that the newest report showed, also after its hold.
+func (t *Tracker) Newest() int { return max(UsualPercent, t.percent) }
+
 // Slow reports whether the upstream is slow.
 func (t *Tracker) Slow(now clock.Millis) bool { return t.Percent(now) > SlowPercent }
 
