feat(pace): boxes tell each other that an upstream is at its usual pace again

A box that found a slow upstream at its usual pace again kept this to itself.

A box now sends a finding of the usual pace (100) when an upstream that was slow responds at it, with the same message and the same limit of five a second. Boxes of earlier releases ignore it.

--- a/internal/balance/pace_findings.go
+++ b/internal/balance/pace_findings.go
@@ -47,7 +47,9 @@
 }
 
 // findPace records a pace that this box found. It returns a finding if other boxes should be told at once: the upstream
-// was found slow, and was not known to be at this moment.
+// was found slow, and was not known to be at this moment, or it is at its usual pace again. Without the latter, boxes
+// that did not get the response pass over the upstream for up to a hold after a spell, and more than half of a pool may
+// count as slow.
 func (m *Manager) findPace(member *Member, percent int, source string) (finding pace.Finding, isNew bool) {
 	now := m.monotonic()
 	known := member.pace.FoundSlow() && member.pace.Held(now)
@@ -57,10 +59,14 @@
 		member.usualMs = now
 	}
 	m.paces.used = m.paces.used || percent > pace.UsualPercent
-	if m.paces.used && member.pace.Report(percent, now) {
+	changed := m.paces.used && member.pace.Report(percent, now)
+	if changed {
 		m.recordPaceChange(member, percent, source)
 	}
-	if known {
+	switch {
+	case changed && percent <= pace.SlowPercent:
+		return pace.NewUsualFinding(member.key), true
+	case known:
 		return pace.Finding{}, false
 	}
 	return pace.NewFinding(member.key, percent, member.pace.HoldSteps(), 0)
@@ -146,16 +152,20 @@
 	return list[:min(pace.MaxFindings, len(list))]
 }
 
-// RecordPaceFindings records the upstreams that another box found slow. The key of an upstream names its incarnation,
-// so that a finding from before a restart is ignored.
+// RecordPaceFindings records the upstreams that another box found slow, or at their usual pace again. The key of an
+// upstream names its incarnation, so that a finding from before a restart is ignored.
 func (m *Manager) RecordPaceFindings(list []pace.Finding) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.monotonic()
 	for _, finding := range list[:min(pace.MaxFindings, len(list))] {
 		if member := m.byKey[finding.Upstream]; member != nil && finding.Valid() {
-			m.paces.used = true
-			if member.pace.Hear(int(finding.Percent), int(finding.HoldSteps), now-finding.AgeMs()) {
+			m.paces.used = m.paces.used || finding.Slow()
+			at := now - finding.AgeMs()
+			if !finding.Slow() {
+				member.usualMs = max(member.usualMs, at)
+			}
+			if m.paces.used && member.pace.Hear(int(finding.Percent), int(finding.HoldSteps), at) {
 				m.recordPaceChange(member, int(finding.Percent), paceFromBox)
 			}
 		}
--- a/internal/balance/pace_overdue_test.go
+++ b/internal/balance/pace_overdue_test.go
@@ -75,6 +75,7 @@
 			if responds {
 				f.answer(t, "u0")
 				assert.Zero(t, f.slow())
+				assert.Equal(t, pace.NewUsualFinding(f.byID["u0"].key), f.TakeUnsentFindings()[1])
 			}
 			f.now += 600
 			for range 20 {
--- a/internal/pace/finding.go
+++ b/internal/pace/finding.go
@@ -5,7 +5,8 @@
 	"dooryard.example/dooryard/internal/namekey"
 )
 
-// Finding tells other boxes that an upstream was found slow. It takes at most 12 bytes.
+// Finding tells other boxes that an upstream was found slow, or at its usual pace after it was slow, which boxes of
+// earlier releases ignore. It takes at most 12 bytes.
 type Finding struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream namekey.Key
@@ -33,11 +34,21 @@
 	}, true
 }
 
+// NewUsualFinding returns the finding that an upstream is at its usual pace.
+func NewUsualFinding(upstream namekey.Key) Finding {
+	return Finding{Upstream: upstream, Percent: UsualPercent}
+}
+
 // AgeMs returns the age of the finding in milliseconds.
 func (f Finding) AgeMs() clock.Millis { return clock.Millis(f.AgeTens) * ageUnitMs }
 
-// Valid reports whether a received finding is a slow pace of a recent time.
-func (f Finding) Valid() bool { return int(f.Percent) > SlowPercent && f.AgeMs() <= maxFindingMs }
+// Slow reports whether the upstream was found slow.
+func (f Finding) Slow() bool { return int(f.Percent) > SlowPercent }
+
+// Valid reports whether a received finding is a slow or the usual pace of a recent time.
+func (f Finding) Valid() bool {
+	return (f.Slow() || int(f.Percent) == UsualPercent) && f.AgeMs() <= maxFindingMs
+}
 
 // MaxFindings limits the findings that a datagram carries.
 const MaxFindings = 16
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -60,10 +60,14 @@
 	return wasSlow != (percent > SlowPercent)
 }
 
-// Hear records a slow pace that another box found at a time, and how often its hold had doubled. It is ignored if it is
-// older than the newest report. It returns whether the upstream was found to turn slow.
+// Hear records a pace that another box found at a time, and how often its hold had doubled. It is ignored if it is
+// older than the newest report. It returns whether the upstream was found to turn slow, or to be at its usual pace
+// again.
 func (t *Tracker) Hear(percent, holdSteps int, at clock.Millis) (changed bool) {
-	if percent <= SlowPercent || t.percent > 0 && at < t.reportMs {
+	if percent <= SlowPercent {
+		return t.Report(percent, at)
+	}
+	if t.percent > 0 && at < t.reportMs {
 		return false
 	}
 	wasSlow := t.percent > SlowPercent
--- a/internal/pace/tracker_test.go
+++ b/internal/pace/tracker_test.go
@@ -49,6 +49,14 @@
 		assert.False(t, p.Report(400, 900))
 		assert.Equal(t, UsualPercent, p.Percent(1000))
 	})
+	t.Run("another box's finding of the usual pace ends an older slow one, and no newer one", func(t *testing.T) {
+		var p Tracker
+		p.Hear(300, 2, 1000)
+		assert.False(t, p.Hear(100, 0, 990))
+		assert.True(t, p.Slow(1010))
+		assert.True(t, p.Hear(100, 0, 1020))
+		assert.False(t, p.Slow(1020))
+	})
 	t.Run("an upstream that always says 100 is as one that says nothing", func(t *testing.T) {
 		var p Tracker
 		for now := clock.Millis(1000); now < 5000; now += 100 {
