feat(balance): prompts leave an engine that turned slow while they waited at its owner

An engine is chosen before its owner admits the prompt.

If the engine has turned slow in between, or its owner refuses the prompt after a wait and the engine is slow, other engines are asked once more. In the first case the prompt keeps its permit, and goes to the slow engine if none of the others admits it at once, so that nobody is refused for it.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -76,7 +76,7 @@
 	Tokens AdmissionTokens
 	// WaitedMs is how long the prompt waited at an owner.
 	WaitedMs clock.Millis
-	// Rechecked is the number of engines that became unusable after they had admitted the prompt.
+	// Rechecked is the number of engines that became unusable, or turned slow, after they had admitted the prompt.
 	Rechecked int
 	Force     bool
 }
--- a/internal/balance/admission_test.go
+++ b/internal/balance/admission_test.go
@@ -277,6 +277,21 @@
 			})
 		}
 	}
+	t.Run("a prompt leaves an engine that turned slow if another one admits it at once", func(t *testing.T) {
+		for _, others := range []admission.Reply{granted(), denied(100, 50)} {
+			f := withOwners(newFixture(t, 12), granted(), others)
+			f.onAsk = func(upstream *Member, _ admission.Ask) {
+				if len(f.asked) == 1 {
+					f.report(upstream.ID, 300)
+				}
+			}
+			l, left := f.pickAdmitted(t, prompted("s")), others.Answer.Verdict == admission.Granted
+			assert.Equal(t, left, l.ID != f.asked[0])
+			assert.Equal(t, left, len(f.released) == 1, "the permit is returned if it is not used")
+			assert.False(t, slices.ContainsFunc(f.asks, func(a admission.Ask) bool { return a.MayQueue }))
+			assert.Equal(t, map[namekey.Key]int{l.key: 1}, f.InFlight())
+		}
+	})
 	t.Run("it gives up after some engines", func(t *testing.T) {
 		f := withOwners(newFixture(t, 12), granted())
 		f.onAsk = func(upstream *Member, _ admission.Ask) { upstream.backOff(f.now, f.now+5000, "1") }
--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -31,7 +31,11 @@
 	w := &admissionWalk{manager: m, request: request, admit: admit, startMs: m.monotonic()}
 	w.record.Force = request.Admission.Force
 	for range maxAdmissionRounds {
+		slow := w.slow
 		lease, err := w.round(ctx)
+		if slow != nil {
+			lease, err = w.orSlow(ctx, lease, err)
+		}
 		switch {
 		case errors.Is(err, errNotUsable):
 			w.record.Rechecked++
@@ -46,7 +50,7 @@
 	return nil, w.overloaded()
 }
 
-// errNotUsable means that an engine became unusable after it had admitted the prompt.
+// errNotUsable means that an engine became unusable, or turned slow, after it had admitted the prompt.
 var errNotUsable = errors.New("the engine became unusable")
 
 // admissionWalk is the search of one prompt for an engine that admits it.
@@ -56,6 +60,11 @@
 	admit   AdmitFunc
 	startMs clock.Millis
 	record  Admission
+	// slow is an engine that turned slow after it had admitted the prompt. It gets the prompt if no other one admits it
+	// at once.
+	slow *askedEngine
+	// recheckedPace is set once the prompt has left an engine that turned slow.
+	recheckedPace bool
 	// asked are the engines asked in this round that have not admitted the prompt.
 	asked []*askedEngine
 }
@@ -70,6 +79,8 @@
 	// one granted that has not counted for long enough; startInMs is then at least this box's own estimate.
 	startInMs clock.Millis
 	estimated bool
+	// slow is set if the engine was known to be slow when it was chosen.
+	slow bool
 	// onProbation is set if the engine gets only single trial requests, which don't wait.
 	onProbation bool
 }
@@ -77,6 +88,9 @@
 // round asks engines until one admits the prompt. If none does, it waits at the one that can start it first.
 func (w *admissionWalk) round(ctx context.Context) (*Lease, error) {
 	w.asked, w.request.Full = nil, nil
+	if w.slow != nil {
+		w.request.Full = []string{w.slow.lease.ID}
+	}
 	defer w.releaseUnused()
 	for len(w.asked) < maxAdmissionAsks {
 		engine, err := w.choose()
@@ -126,6 +140,9 @@
 // wait has the prompt wait at the owner that would start it first. It returns an OverloadedError if none would start it
 // in time: most prompts that wait although they will be late are refused later, when their callers have no time left.
 func (w *admissionWalk) wait(ctx context.Context) (*Lease, error) {
+	if w.slow != nil {
+		return nil, w.overloaded()
+	}
 	if !slices.ContainsFunc(w.asked, func(e *askedEngine) bool { return !e.estimated }) {
 		// Nothing is known of the engines, so the prompt is sent to the least loaded one instead of being refused.
 		return w.commit(ctx, w.best(func(*askedEngine) bool { return true }))
@@ -143,6 +160,10 @@
 		if w.accepts(queue) {
 			return w.commit(ctx, queue)
 		}
+		if w.leavesSlow(queue) {
+			w.recheckedPace = true
+			return nil, errNotUsable
+		}
 	}
 	// An engine that this box expects to be in time was passed over only because its estimated load exceeds the bound.
 	idle := w.best(func(e *askedEngine) bool { return e.estimated && e.startInMs <= e.ask.InTimeMs })
@@ -173,7 +194,9 @@
 	if err != nil {
 		return nil, err
 	}
-	engine := &askedEngine{lease: lease, ask: m.askFor(lease, w.request), onProbation: lease.probation}
+	engine := &askedEngine{
+		lease: lease, ask: m.askFor(lease, w.request), onProbation: lease.probation, slow: lease.pace.Slow(m.monotonic()),
+	}
 	engine.ask.Force = w.request.Admission.Force || lease.stalledTrial
 	return engine, nil
 }
@@ -229,6 +252,10 @@
 // commit counts the request at an engine that admitted it, if the engine is still a candidate and the caller still
 // waits. Otherwise it returns the permit.
 func (w *admissionWalk) commit(ctx context.Context, e *askedEngine) (*Lease, error) {
+	if !e.slow && w.leavesSlow(e) {
+		w.slow, w.recheckedPace = e, true
+		return nil, errNotUsable
+	}
 	reply := e.reply
 	e.reply.Release = nil
 	if ctx.Err() != nil {
