--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -213,8 +213,8 @@
 	grants := []Grant{}
 	for _, u := range l.inOrder() {
 		if !u.unused() {
-			// Renewed requests may run for longer than a pool without asks is remembered.
-			u.pool.usedMs = now
+			// Renewed requests may run for longer than an upstream without asks is remembered.
+			u.usedMs, u.pool.usedMs = now, now
 		}
 		u.observe(now)
 		u.expireLostStarts(now)
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -50,24 +50,24 @@
 }
 
 const (
-	// slowPercent is the pace above which asking boxes are told of it. It is pace.SlowPercent.
+	// slowPercent is the pace above which answers contain it. It is pace.SlowPercent.
 	slowPercent = 150
-	// toldMs is the age up to which a report or an observation is told to asking boxes: half of the usual length of a
+	// maxAnsweredAgeMs is the age up to which answers contain a report or an observation: half of the usual length of a
 	// spell. The boxes count it from this age on, so that their holds end no later than that of the box that reported.
-	toldMs = reportTTLMs / 2
+	maxAnsweredAgeMs = reportTTLMs / 2
 )
 
-// told returns the pace to tell the box of an ask, or 0 if the upstream is not known to be slow. A box that reported a
-// slow pace with the ask knows it already: told of its own report, it would avoid the upstream for longer.
-func (p *pace) told(a Ask, overdue float64, now clock.Millis) int {
+// answered returns the pace for the answer to an ask, or 0 if the upstream is not known to be slow. A box that reported
+// a slow pace with the ask knows it already, and would avoid the upstream for longer if its own report came back.
+func (p *pace) answered(a Ask, overdue float64, now clock.Millis) int {
 	if a.SlowPercent > slowPercent {
 		return 0
 	}
 	factor := 1.0
-	if now-p.reportedMs < toldMs {
+	if now-p.reportedMs < maxAnsweredAgeMs {
 		factor = p.reported()
 	}
-	if p.observedMs > 0 && now-p.observedMs < toldMs {
+	if p.observedMs > 0 && now-p.observedMs < maxAnsweredAgeMs {
 		factor *= p.ratio
 	}
 	percent := min(maxPercent, int(usualPercent*max(factor, overdue)))
@@ -81,13 +81,14 @@
 const minOverdueMs = 20
 
 // overdue returns the time since the engine's last progress as a factor of the time that the longest-waiting prompt
-// usually takes, or 0 if that prompt isn't overdue. In a spell, this shows the pace before a start does.
+// usually takes, or 0 if that prompt isn't overdue. In a spell, this shows the pace before a start does. After a usual
+// spell it shows nothing more: the start may have been lost.
 func (u *upstream) overdue(now clock.Millis) float64 {
 	if len(u.backlog.requests) == 0 || !u.pool.times.mayDeny() {
 		return 0
 	}
 	elapsed, usual := float64(now-u.backlog.progressMs), u.pool.times.ms(prefillOf(u.backlog.requests[0]))
-	if usual <= 0 || elapsed < usual+minOverdueMs {
+	if usual <= 0 || elapsed < usual+minOverdueMs || elapsed >= usual+float64(reportTTLMs) {
 		return 0
 	}
 	return elapsed / usual
--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -25,7 +25,7 @@
 		assert.Zero(t, told(f, slowPercent))
 		assert.Zero(t, told(f, 0), "a usual pace")
 		assert.Zero(t, told(f, 300))
-		f.now += toldMs - 1
+		f.now += maxAnsweredAgeMs - 1
 		assert.InDelta(t, 300, told(f, 0), 30)
 		f.now++
 		assert.Zero(t, told(f, 0))
@@ -52,7 +52,7 @@
 		}
 		read(4)
 		assert.Greater(t, told(f, 0), 2*usualPercent)
-		f.now += toldMs
+		f.now += maxAnsweredAgeMs
 		assert.Zero(t, told(f, 0), "without prompts nothing new is known")
 		read(1)
 		assert.Zero(t, told(f, 0))
@@ -66,5 +66,7 @@
 		f.now += 80
 		assert.InDelta(t, 300, told(f, 0), 10)
 		assert.InDelta(t, 300, f.ask(t, a, Granted).SlowPercent, 10)
+		f.now += reportTTLMs - 100
+		assert.Zero(t, told(f, 0), "a lost start shows a slow engine for no longer than a spell")
 	})
 }
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -35,11 +35,11 @@
 
 func (u *upstream) provisional(now clock.Millis) bool { return now-u.sinceMs < settleMs }
 
-// withPace returns an answer with the pace that the box of an ask is told. An owner that has counted for a short time
+// withPace returns an answer with the pace for the box of an ask. An owner that has counted for a short time
 // knows none.
 func (u *upstream) withPace(answer Answer, a Ask, now clock.Millis) Answer {
 	if !u.provisional(now) {
-		answer.SlowPercent = u.pace.told(a, u.overdue(now), now)
+		answer.SlowPercent = u.pace.answered(a, u.overdue(now), now)
 	}
 	return answer
 }
--- a/internal/balance/ownerpace.go
+++ b/internal/balance/ownerpace.go
@@ -7,7 +7,9 @@
 )
 
 // In a fleet of more than 32 boxes, boxes don't tell each other of slow upstreams. The owner of an engine learns its
-// pace from the asks of all boxes and from the times of its prompts, and tells it in its answers.
+// pace from the asks of all boxes and from the times of its prompts, and its answers contain it. A prompt that was
+// granted such an engine asks others once (turnedSlow): a box rarely sends two prompts to an engine within a hold, so
+// that the finding would otherwise come too late.
 
 // paceFromOwner is the source of paces that owners tell.
 const paceFromOwner = "owner"
@@ -22,7 +24,7 @@
 	fromMs, untilMs clock.Millis
 }
 
-// recordOwnerPace records the pace of an engine that its owner told as a finding of another box, if paces are learned
+// recordOwnerPace records the pace of an engine in its owner's answer as a finding of another box, if paces are learned
 // or reported.
 func (m *Manager) recordOwnerPace(member *Member, reply admission.Reply) {
 	percent := reply.Answer.SlowPercent
@@ -48,19 +50,3 @@
 	}
 	return percent
 }
-
-// leavesSlow reports whether a prompt returns the permit of an engine that its owner told to be slow, because another
-// one is chosen now. It does so once. In a large fleet a box rarely sends two prompts to an engine within a hold, so
-// that what it is told would otherwise come too late.
-func (w *admissionWalk) leavesSlow(e *askedEngine) bool {
-	if w.leftSlow || e.reply.Answer.Verdict != admission.Granted || e.reply.Answer.SlowPercent == 0 || e.ask.Force {
-		return false
-	}
-	other, err := w.choose()
-	if err != nil || other.lease.Member == e.lease.Member {
-		return false
-	}
-	w.leftSlow = true
-	e.reply.Release(false)
-	return true
-}
--- a/internal/balance/ownerpace_test.go
+++ b/internal/balance/ownerpace_test.go
@@ -61,6 +61,17 @@
 			f, slow := start(t, learn, reply)
 			id, _ := next(t, f, slow)
 			assert.Equal(t, slow, id)
+			assert.Empty(t, f.released, "no permit is returned")
 		}
 	})
+	t.Run("a permit isn't returned because of other prompts if no paces are learned", func(t *testing.T) {
+		f := withOwners(newFixture(t, 12), slowReply)
+		f.onAsk = func(*Member, admission.Ask) {
+			for range 3 {
+				f.pick(t, sticky("s"))
+			}
+		}
+		f.pickAdmitted(t, prompted("s"))
+		assert.Empty(t, f.released)
+	})
 }
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -59,5 +60,8 @@
 	debug.SetGCPercent(gcPercent)
 	if settings.Capacity.MemoryMb > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Capacity.MemoryMb) * mebibyte * memoryShare))
+		return
 	}
+	// A reload may have removed the limit.
+	debug.SetMemoryLimit(math.MaxInt64)
 }
--- a/internal/mesh/admission_renewals.go
+++ b/internal/mesh/admission_renewals.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"slices"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -10,8 +11,8 @@
 // are renewed by the box that sent them. A lost renewal is made up for by the next one. A box that has died sends none,
 // and an owner ignores renewals of requests that it doesn't count.
 
-// renewalIntervalMs is the interval between renewals. It is less than half of the time for which an owner counts a
-// request by more than a round, so that a renewal that follows a lost one arrives in time.
+// renewalIntervalMs is the least interval between renewals. With a round of at most 1 s more, it is half of the time
+// for which an owner counts a request, so that one lost renewal does no harm.
 const renewalIntervalMs = 9 * clock.Second
 
 // recordSend records that a request may run from now on.
@@ -39,12 +40,17 @@
 			r.counts.renewed++
 		}
 	}
+	for _, numbers := range due {
+		slices.Sort(numbers)
+	}
 	return due
 }
 
 // renewAdmissions tells owners which requests of this box still run, if it is time to. It is called once a round.
 func (m *Mesh) renewAdmissions() {
-	for owner, numbers := range m.admissions.dueRenewals(m.clock.Monotonic()) {
+	due := m.admissions.dueRenewals(m.clock.Monotonic())
+	for _, owner := range slices.Sorted(maps.Keys(due)) {
+		numbers := due[owner]
 		if owner == m.self.Address {
 			m.admissionOwner.renew(owner, numbers)
 			continue
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -139,7 +139,7 @@
 	case err != nil:
 		return q.withdraw(answer)
 	}
-	m.recordPromptAnswer(owner.Box)
+	m.recordTimelyAnswer(owner.Box)
 	if answer.Verdict == admission.Queued {
 		return q.wait(ctx, answer)
 	}
@@ -361,8 +361,8 @@
 	}
 }
 
-// recordPromptAnswer records that an owner has answered an ask in time.
-func (m *Mesh) recordPromptAnswer(owner string) {
+// recordTimelyAnswer records that an owner has answered an ask in time.
+func (m *Mesh) recordTimelyAnswer(owner string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[owner]; p != nil {
--- a/internal/pipe/dispatch/unbuffered.go
+++ b/internal/pipe/dispatch/unbuffered.go
@@ -24,7 +24,7 @@
 func (s *retryLoop) relayUnbuffered(from responseSource, resp *upstream.Response, w *bufferedResponse) *failure {
 	r := s.request
 	if failed := s.classify(w); failed != nil && !from.isFinal {
-		// The body of a failure isn't worth a response that can't be retried.
+		// Failures are not relayed unbuffered, since that would rule out a retry.
 		failed.response = nil
 		s.releaseBody()
 		return failed
@@ -45,7 +45,7 @@
 		r.Writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	r.Writer.WriteHeader(w.status)
-	err := s.passOn(from, resp, w)
+	err := s.relayBody(from, resp, w)
 	if err == nil {
 		err = s.checkEnd(from, resp)
 	}
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// passOn sends the part of the body that was read, and then the rest as it is read.
-func (s *retryLoop) passOn(from responseSource, resp *upstream.Response, w *bufferedResponse) error {
+// relayBody sends the part of the body that was read, and then the rest as it is read.
+func (s *retryLoop) relayBody(from responseSource, resp *upstream.Response, w *bufferedResponse) error {
 	now := s.pipe.deps.Clock.Monotonic
 	startMs := now()
 	if err := w.writeBody(s.request); err != nil {
