test(gateway): the admission tests advance the fleet's clock instead of sleeping

Two waits called time.Sleep. They run inside a synctest bubble, so their verdict did not depend on the machine, but nothing in the test says so, and the tests beside them use advance.

Before and after: the admission tests of internal/gateway pass, after with -count=4 in the race detector. The checks are unchanged.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -311,7 +311,7 @@
 		}, status: http.StatusUnauthorized, cause: "unknown_key"},
 		"routing state too old": {change: func(a *admissionFleet, _ string) {
 			a.store.setUnavailable("box-1", true)
-			time.Sleep(time.Second)
+			advance(a.t, time.Second)
 		}, status: http.StatusServiceUnavailable, cause: "stale_routing_state"},
 	} {
 		t.Run("what changes meanwhile counts: "+name, func(t *testing.T) {
@@ -320,7 +320,7 @@
 				changed = engine
 				c.change(a, engine)
 				// The box learns of the change before the grant.
-				time.Sleep(time.Second)
+				advance(a.t, time.Second)
 			})
 			runWithAdmission(t, 4, respondWith("done"), answer, func(a *admissionFleet) {
 				t := a.t
