--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases.
+set -euo pipefail
+cd "$(dirname "$0")/stand"
+go build -o ../../target/review/stand .
