--- a/review/stand/case_pages.go
+++ b/review/stand/case_pages.go
@@ -106,6 +106,9 @@
 	case <-time.After(9 * time.Second):
 		return fmt.Errorf("%w: front-0 did not end", errCannotRun)
 	}
+	if err := restarting.endFirstStart(); err != nil {
+		return err
+	}
 	mu.Lock()
 	armed = true
 	mu.Unlock()
--- a/review/stand/env.go
+++ b/review/stand/env.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -161,6 +162,15 @@
 	settings           string
 }
 
+// endFirstStart changes the settings of a box to those of a later start.
+func (b *box) endFirstStart() error {
+	data, err := os.ReadFile(b.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(b.settings, bytes.Replace(data, []byte("first_start: true"), []byte("first_start: false"), 1), 0o600)
+}
+
 func (f *fleet) startBox(i int, zone, store string, firstStart bool) (*box, error) {
 	name := fmt.Sprintf("front-%d", i)
 	ip := f.ip(i)
