--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,9 +10,10 @@
 )
 
 var cases = map[string]func(e *env) error{
-	"truncated": truncated,
-	"pages":     pages,
-	"escaped":   escaped,
+	"truncated":   truncated,
+	"pages":       pages,
+	"escaped":     escaped,
+	"unconfirmed": unconfirmed,
 }
 
 func main() {
