--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,6 +14,7 @@
 	"pages":       pages,
 	"escaped":     escaped,
 	"unconfirmed": unconfirmed,
+	"echoed":      echoed,
 }
 
 func main() {
