--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Plays the case. 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves out the disruption.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review/stand escaped review/4/record.txt
+exec target/review/stand pages review/4/record.txt
