--- a/review/stand/case_truncated.go
+++ b/review/stand/case_truncated.go
@@ -22,7 +22,7 @@
 	var mu sync.Mutex
 	ran, answered := map[string]string{}, map[string]bool{}
 	servers := []*proc{}
-	for i := range 2 {
+	for i := range 4 {
 		s := &proc{id: fmt.Sprintf("i-%d", i), address: fmt.Sprintf("127.0.0.1:%d", freePort())}
 		onLine := func(line string) {
 			e.logf("server %s: %s", s.id, line)
@@ -41,7 +41,10 @@
 		st.putJSON(topicServers, s.id, entry("intake", s.address, "a", "ready", 6, 1))
 		servers = append(servers, s)
 	}
-	routes := []route{{name: "attach", prefix: "/attach/", kind: "unsafe", service: "intake", attempts: 1, timeoutMs: 3000}}
+	routes := []route{
+		{name: "attach", prefix: "/attach/", kind: "unsafe", service: "intake", attempts: 1, timeoutMs: 3000},
+		{name: "draft", prefix: "/draft/", kind: "streaming", service: "intake", attempts: 1, timeoutMs: 6000},
+	}
 	st.putJSON(topicOperators, "config", config(1, routes, []string{key(1)}))
 	f := newFleet(e)
 	b, err := f.startBox(0, "a", storeAddr, true)
@@ -54,14 +57,16 @@
 	time.Sleep(500 * time.Millisecond)
 
 	var clients sync.WaitGroup
-	answers := make([]answer, 6)
+	answers := make([]answer, 16)
 	for i := range answers {
+		c := call{id: fmt.Sprintf("report-%d", i), path: "/attach/file"}
+		if i%2 == 1 {
+			c = call{id: fmt.Sprintf("draft-%d", i), path: "/draft/text"}
+		}
+		c.method, c.host, c.key, c.body, c.deadlineMs = "POST", host, key(1), "crash report", 3000
 		clients.Go(func() {
-			answers[i] = send(b, call{
-				id: fmt.Sprintf("report-%d", i), method: "POST", path: "/attach/file", host: host, key: key(1),
-				body: "crash report", deadlineMs: 3000,
-			})
-			e.logf("client: report-%d: %v", i, answers[i])
+			answers[i] = send(b, c)
+			e.logf("client: %s: %v", c.id, answers[i])
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -81,8 +86,14 @@
 	}
 	for _, a := range answers {
 		whole := wholeBody(a.id)
+		if strings.HasPrefix(a.id, "draft") {
+			whole = ""
+			for n := range events {
+				whole += event(n + 1)
+			}
+		}
 		if a.status == 200 && a.complete && a.body != whole {
-			e.breaks("MIXED: %s got a success that looks complete (Content-Length %s) with %d of the %d bytes of the body of server %s",
+			e.breaks("MIXED: %s got a success that looks complete (Content-Length %q) with %d of the %d bytes of the body of server %s",
 				a.id, a.header.Get("Content-Length"), len(a.body), len(whole), ran[a.id])
 		}
 	}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -59,6 +59,26 @@
 	return b.String()
 }
 
+const (
+	// events is the number of events of a stream, and eventGap the pause between two.
+	events   = 16
+	eventGap = 100 * time.Millisecond
+)
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: word %d of %d\n\n", n, n, events) }
+
+// streamAlone writes a stream that lacks a length and ends with its connection.
+func streamAlone(conn net.Conn, id, attempt string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Response-Seal: "+
+		seal(id, attempt)+"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+	for n := range events {
+		if _, err := io.WriteString(conn, event(n+1)); err != nil {
+			return
+		}
+		time.Sleep(eventGap)
+	}
+}
+
 // answerTime is how long such a server takes to write an answer.
 const answerTime = 1600 * time.Millisecond
 
@@ -101,6 +121,10 @@
 					continue
 				}
 				say("run %s", attempt)
+				if strings.HasPrefix(r.URL.Path, "/draft/") {
+					streamAlone(conn, id, attempt)
+					return
+				}
 				body := wholeBody(attempt)
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Response-Seal: "+
 					seal(id, attempt)+"\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"+body[:len(body)/2])
