--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the cases.
 set -euo pipefail
-cd "$(dirname "$0")/stand"
-go build -o ../../target/review/stand .
+cd "$(dirname "$0")/.."
+go build -o target/review/stand ./review/stand
--- a/review/stand/case_truncated.go
+++ b/review/stand/case_truncated.go
@@ -2,99 +2,133 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
+const (
+	loneServers   = 4
+	longDeadline  = 3 * time.Second
+	drainAfter    = 200 * time.Millisecond
+	crashAfter    = 700 * time.Millisecond
+	truncatedSent = 16
+)
+
+// loneServerProcess is a loneServer as the case sees it.
+type loneServerProcess struct {
+	*process
+	id, address string
+}
+
+// runLog holds which server ran a request.
+type runLog struct {
+	mu  sync.Mutex
+	ran map[string]string
+}
+
+func (l *runLog) add(request, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran[request] = server
+}
+
+func (l *runLog) server(request string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ran[request]
+}
+
+func startLoneServer(e *env, id string, runs *runLog) (*loneServerProcess, error) {
+	address, err := freeAddress(e)
+	if err != nil {
+		return nil, err
+	}
+	onLine := func(line string) {
+		e.logf("server %s: %s", id, line)
+		if request, found := strings.CutPrefix(line, "run "); found {
+			runs.add(request, id)
+		}
+	}
+	p, err := e.spawn(id, onLine, nil, "target/review/stand", "server", address, id)
+	return &loneServerProcess{process: p, id: id, address: address}, err
+}
+
 // truncated: a server that is draining crashes while it writes answers that lack a length.
 func truncated(e *env) error {
-	st := newStore(500)
-	storeAddr, err := st.listen()
+	st := newStore()
+	storeAddress, err := st.listen(e.ctx)
 	if err != nil {
 		return err
 	}
-	type proc struct {
-		id, address string
-		p           *process
-	}
-	var mu sync.Mutex
-	ran, answered := map[string]string{}, map[string]bool{}
-	servers := []*proc{}
-	for i := range 4 {
-		s := &proc{id: fmt.Sprintf("i-%d", i), address: fmt.Sprintf("127.0.0.1:%d", freePort())}
-		onLine := func(line string) {
-			e.logf("server %s: %s", s.id, line)
-			word, request, _ := strings.Cut(line, " ")
-			mu.Lock()
-			defer mu.Unlock()
-			if word == "run" {
-				ran[request] = s.id
-			} else {
-				answered[request] = true
-			}
-		}
-		if s.p, err = e.spawn(s.id, onLine, nil, "target/review/stand", "server", s.address, s.id, "intake"); err != nil {
+	runs := &runLog{ran: map[string]string{}}
+	servers := []*loneServerProcess{}
+	for i := range loneServers {
+		s, err := startLoneServer(e, fmt.Sprintf("i-%d", i), runs)
+		if err != nil {
 			return err
 		}
-		st.putJSON(topicServers, s.id, entry("intake", s.address, "a", "ready", 6, 1))
+		st.putEntry(s.id, serviceIntake, s.address, "ready", 1)
 		servers = append(servers, s)
 	}
-	routes := []route{
-		{name: "attach", prefix: "/attach/", kind: "unsafe", service: "intake", attempts: 1, timeoutMs: 3000},
-		{name: "draft", prefix: "/draft/", kind: "streaming", service: "intake", attempts: 1, timeoutMs: 6000},
-	}
-	st.putJSON(topicOperators, "config", config(1, routes, []string{key(1)}))
-	f := newFleet(e)
-	b, err := f.startBox(0, "a", storeAddr, true)
+	upload, draft := attach, attach
+	upload.timeoutMs = 3000
+	draft.name, draft.prefix, draft.kind, draft.timeoutMs = "draft", "/draft/", "streaming", 6000
+	st.putConfig(1, []route{upload, draft}, key(1))
+	f, err := newFleet(e)
 	if err != nil {
 		return err
 	}
-	if err := b.awaitReady(10 * time.Second); err != nil {
+	boxes, err := f.startBoxes(storeAddress, zoneA)
+	if err != nil {
 		return err
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(answerGap)
+	answers := playTruncated(e, st, boxes[0], servers[0])
+	return checkTruncated(e, answers, runs)
+}
 
+// playTruncated sends calls and streams while a server leaves, and crashes if there is trouble.
+func playTruncated(e *env, st *store, b *box, leaving *loneServerProcess) []answer {
 	var clients sync.WaitGroup
-	answers := make([]answer, 16)
+	answers := make([]answer, truncatedSent)
 	for i := range answers {
-		c := call{id: fmt.Sprintf("report-%d", i), path: "/attach/file"}
+		c := call{id: fmt.Sprintf("report-%d", i), path: "/attach/file", key: key(1), deadline: longDeadline}
 		if i%2 == 1 {
-			c = call{id: fmt.Sprintf("draft-%d", i), path: "/draft/text"}
+			c.id, c.path = fmt.Sprintf("draft-%d", i), "/draft/text"
 		}
-		c.method, c.host, c.key, c.body, c.deadlineMs = "POST", host, key(1), "crash report", 3000
 		clients.Go(func() {
-			answers[i] = send(b, c)
+			answers[i] = send(e.ctx, b, c)
 			e.logf("client: %s: %v", c.id, answers[i])
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
-	leaving := servers[0]
-	st.putJSON(topicServers, leaving.id, entry("intake", leaving.address, "a", "draining", 6, 2))
+	time.Sleep(drainAfter)
+	st.putEntry(leaving.id, serviceIntake, leaving.address, "draining", 2)
 	e.logf("the store has acknowledged that %s is draining", leaving.id)
-	time.Sleep(700 * time.Millisecond)
+	time.Sleep(crashAfter)
 	if e.trouble {
-		leaving.p.signal(syscall.SIGKILL)
+		leaving.signal(syscall.SIGKILL)
 		e.logf("%s crashes (SIGKILL)", leaving.id)
 	}
 	clients.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	if len(ran) != len(answers) {
-		return fmt.Errorf("%w: %d of %d requests ran", errCannotRun, len(ran), len(answers))
-	}
+	return answers
+}
+
+func checkTruncated(e *env, answers []answer, runs *runLog) error {
 	for _, a := range answers {
+		server := runs.server(a.id)
+		if server == "" {
+			return fmt.Errorf("%w: %s did not run", errCannotRun, a.id)
+		}
 		whole := wholeBody(a.id)
 		if strings.HasPrefix(a.id, "draft") {
-			whole = ""
-			for n := range events {
-				whole += event(n + 1)
-			}
+			whole = wholeStream()
 		}
-		if a.status == 200 && a.complete && a.body != whole {
-			e.breaks("MIXED: %s got a success that looks complete (Content-Length %q) with %d of the %d bytes of the body of server %s",
-				a.id, a.header.Get("Content-Length"), len(a.body), len(whole), ran[a.id])
+		if a.status == http.StatusOK && a.complete && a.body != whole {
+			e.breaks("MIXED: %s got a success that looks complete (Content-Length %q) with %d of the %d bytes of the "+
+				"body of server %s", a.id, a.header.Get("Content-Length"), len(a.body), len(whole), server)
 		}
 	}
 	return nil
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"time"
 )
 
+const healthPath = "/health"
+
 // server is a stand-in of one server of a service, within this process.
 type server struct {
 	id, service, address string
@@ -21,19 +24,21 @@
 func seal(id, request string) string { return "seal." + id + "." + request }
 
 // startServer starts a server that answers every request at once.
-func startServer(id, service string, onRun func(s *server, r *http.Request)) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func startServer(
+	ctx context.Context, id, service string, onRun func(s *server, r *http.Request),
+) (*server, error) {
+	l, err := listenLoopback(ctx)
 	if err != nil {
 		return nil, err
 	}
 	s := &server{id: id, service: service, address: l.Addr().String(), onRun: onRun}
-	go func() { _ = http.Serve(l, s) }()
+	serve(l, s)
 	return s, nil
 }
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/health" {
+	if r.URL.Path == healthPath {
 		w.Header().Set("X-Instance-Id", s.id)
 		return
 	}
@@ -50,90 +55,108 @@
 	fmt.Fprintf(w, "answer of %s to %s", s.id, id)
 }
 
-// wholeBody is the body of an answer of a server that is a process of its own.
+const (
+	// lines is the number of lines of an answer of a loneServer, and answerTime how long it takes to write one.
+	lines      = 40
+	answerTime = 1600 * time.Millisecond
+	// events is the number of events of its streams, and eventGap the pause between two.
+	events   = 16
+	eventGap = 100 * time.Millisecond
+)
+
 func wholeBody(id string) string {
 	var b strings.Builder
-	for i := range 40 {
-		fmt.Fprintf(&b, "%s: line %d of 40 of the report\n", id, i+1)
+	for i := range lines {
+		fmt.Fprintf(&b, "%s: line %d of %d of the report\n", id, i+1, lines)
 	}
 	return b.String()
 }
 
-const (
-	// events is the number of events of a stream, and eventGap the pause between two.
-	events   = 16
-	eventGap = 100 * time.Millisecond
-)
-
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: word %d of %d\n\n", n, n, events) }
 
-// streamAlone writes a stream that lacks a length and ends with its connection.
-func streamAlone(conn net.Conn, id, attempt string) {
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Response-Seal: "+
-		seal(id, attempt)+"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+func wholeStream() string {
+	var b strings.Builder
 	for n := range events {
-		if _, err := io.WriteString(conn, event(n+1)); err != nil {
-			return
-		}
-		time.Sleep(eventGap)
+		b.WriteString(event(n + 1))
 	}
+	return b.String()
 }
 
-// answerTime is how long such a server takes to write an answer.
-const answerTime = 1600 * time.Millisecond
+// loneServer is a server that is a process of its own. Its answers lack a length and end with their connections.
+type loneServer struct {
+	id string
+	mu sync.Mutex
+}
 
-// serveAlone is a server as a process of its own. Its answers lack a length and end with their connections. It writes
-// half of the body as soon as it has it, and the other half at the end of its work.
-func serveAlone(address, id, service string) {
-	l, err := net.Listen("tcp", address)
+// serveAlone runs a loneServer until the process is killed.
+func serveAlone(ctx context.Context, address, id string) {
+	l, err := listenAt(ctx, address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	var mu sync.Mutex
-	say := func(format string, args ...any) {
-		mu.Lock()
-		defer mu.Unlock()
-		fmt.Printf(format+"\n", args...)
+		os.Exit(exitCannotRun)
 	}
+	s := &loneServer{id: id}
+	acceptAll(l, s.handle)
+}
+
+func (s *loneServer) say(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Printf(format+"\n", args...)
+}
+
+// handle serves the requests of one connection.
+func (s *loneServer) handle(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
 	for {
-		conn, err := l.Accept()
+		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		go func() {
-			defer conn.Close()
-			reader := bufio.NewReader(conn)
-			for {
-				r, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				if r.URL.Path == "/health" {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
-					continue
-				}
-				attempt := r.Header.Get("X-Attempt-Id")
-				if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
-					_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: "+attempt+
-						"\r\nX-Instance-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
-					continue
-				}
-				say("run %s", attempt)
-				if strings.HasPrefix(r.URL.Path, "/draft/") {
-					streamAlone(conn, id, attempt)
-					return
-				}
-				body := wholeBody(attempt)
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Response-Seal: "+
-					seal(id, attempt)+"\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"+body[:len(body)/2])
-				time.Sleep(answerTime)
-				if _, err := io.WriteString(conn, body[len(body)/2:]); err == nil {
-					say("answered %s", attempt)
-				}
-				return
-			}
-		}()
+		_, _ = io.Copy(io.Discard, r.Body)
+		attempt, expected := r.Header.Get("X-Attempt-Id"), r.Header.Get("X-Expect-Instance")
+		switch {
+		case r.URL.Path == healthPath:
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: "+s.id+"\r\nContent-Length: 0\r\n\r\n")
+		case expected != "" && expected != s.id:
+			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: "+attempt+
+				"\r\nX-Instance-Id: "+s.id+"\r\nContent-Length: 0\r\n\r\n")
+		case strings.HasPrefix(r.URL.Path, "/draft/"):
+			s.stream(conn, attempt)
+			return
+		default:
+			s.answer(conn, attempt)
+			return
+		}
+	}
+}
+
+func (s *loneServer) head(conn net.Conn, attempt, contentType string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Response-Seal: "+
+		seal(s.id, attempt)+"\r\nContent-Type: "+contentType+"\r\nConnection: close\r\n\r\n")
+}
+
+// answer writes half of the body as soon as it has it, and the other half at the end of its work.
+func (s *loneServer) answer(conn net.Conn, attempt string) {
+	s.say("run %s", attempt)
+	body := wholeBody(attempt)
+	half := len(body) / 2
+	s.head(conn, attempt, "text/plain")
+	_, _ = io.WriteString(conn, body[:half])
+	time.Sleep(answerTime)
+	if _, err := io.WriteString(conn, body[half:]); err == nil {
+		s.say("answered %s", attempt)
+	}
+}
+
+func (s *loneServer) stream(conn net.Conn, attempt string) {
+	s.say("run %s", attempt)
+	s.head(conn, attempt, "text/event-stream")
+	for n := range events {
+		if _, err := io.WriteString(conn, event(n+1)); err != nil {
+			return
+		}
+		time.Sleep(eventGap)
 	}
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -1,11 +1,11 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -18,6 +18,8 @@
 	topicServers   = "keyed.servers"
 	// storeAnswer is the usual time of an answer of the store.
 	storeAnswer = 4 * time.Millisecond
+	// maxPageItems is the largest number of items of a page.
+	maxPageItems = 500
 )
 
 type storeRecord struct {
@@ -35,12 +37,15 @@
 	changed chan struct{}
 }
 
-func newStore(pageItems int) *store {
-	return &store{pageItems: pageItems, topics: map[string][]storeRecord{}, changed: make(chan struct{})}
+func newStore() *store {
+	return &store{pageItems: maxPageItems, topics: map[string][]storeRecord{}, changed: make(chan struct{})}
 }
 
-// put appends a record and returns the time of the acknowledgement.
-func (s *store) put(topic, key string, value []byte) time.Time {
+// acknowledged is when the store has acknowledged a record.
+type acknowledged = time.Time
+
+// put appends a record.
+func (s *store) put(topic, key string, value []byte) acknowledged {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.topics[topic] = append(s.topics[topic], storeRecord{key, value})
@@ -49,7 +54,7 @@
 	return time.Now()
 }
 
-func (s *store) putJSON(topic, key string, value any) time.Time {
+func (s *store) putJSON(topic, key string, value any) acknowledged {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -58,8 +63,8 @@
 }
 
 // listen serves the store on a loopback address.
-func (s *store) listen() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (s *store) listen(ctx context.Context) (string, error) {
+	l, err := listenLoopback(ctx)
 	if err != nil {
 		return "", err
 	}
@@ -67,7 +72,7 @@
 	mux.HandleFunc("GET /api/log-read", s.read)
 	mux.HandleFunc("GET /api/log-newest", s.newest)
 	mux.HandleFunc("POST /api/log-append", s.append)
-	go func() { _ = http.Serve(l, mux) }()
+	serve(l, mux)
 	return l.Addr().String(), nil
 }
 
