--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -273,6 +273,7 @@
 	if usable {
 		l.count(now)
 		l.recordPrompt(now)
+		l.Permit = w.permit(e)
 		l.onRelease = reply.Release
 		l.admitted = &admitted{
 			Admission: w.record, started: reply.Started, prefillTokens: e.ask.PrefillTokens, sentMs: now,
@@ -288,6 +289,18 @@
 	return l, nil
 }
 
+// permit returns how the prompt is counted at an engine that admitted it.
+func (w *admissionWalk) permit(e *askedEngine) Permit {
+	if e.lease.bound == 0 {
+		return Permit{}
+	}
+	source := sourceOf(!e.reply.Unknown, e.reply.Answer.Provisional)
+	if e.ask.Bound == 0 || e.ask.Force {
+		source = UnboundedPermit
+	}
+	return e.lease.permit(source, len(w.request.Full))
+}
+
 // releaseUnused returns the permits that owners may have counted for engines to which the prompt was not sent.
 func (w *admissionWalk) releaseUnused() {
 	for _, e := range w.asked {
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -19,6 +19,44 @@
 // regardless of its load.
 const maxPermitRefusals = 4
 
+// PermitSource is who decided that a request may be sent to an engine under the load bound.
+type PermitSource string
+
+// Sources of permits.
+const (
+	// NoPermit means that the fleet is so small that boxes go by their own estimates of the load.
+	NoPermit PermitSource = ""
+	// OwnerPermit was granted by the engine's owner.
+	OwnerPermit PermitSource = "owner"
+	// ProvisionalPermit was granted by an owner whose count may be incomplete, and by this box's estimate.
+	ProvisionalPermit PermitSource = "provisional"
+	// EstimatedPermit follows from this box's estimate alone, since no owner answered.
+	EstimatedPermit PermitSource = "estimate"
+	// UnboundedPermit means that the bound was not applied, because owners had refused the request or it is forced.
+	UnboundedPermit PermitSource = "unbounded"
+)
+
+// Permit is how a request was counted against the load bound of its engine.
+type Permit struct {
+	Source PermitSource
+	// Bound is the maximum load that this box asked for, and OwnBound the one by its own estimate of the load.
+	Bound, OwnBound int
+	// Refusals is the number of engines whose owners refused the request before.
+	Refusals int
+}
+
+// sourceOf returns the source of a permit that an owner, if one answered, has granted.
+func sourceOf(answered, provisional bool) PermitSource {
+	switch {
+	case !answered:
+		return EstimatedPermit
+	case provisional:
+		return ProvisionalPermit
+	default:
+		return OwnerPermit
+	}
+}
+
 // PickWithPermit picks like Pick. If the engine has an owner, it also requests a permit; if the owner
 // refuses, it picks another engine, until a permit is granted. The function acquire requests a permit
 // from the owner of the lease's engine, who grants it while the engine's load is below the bound.
@@ -35,6 +73,10 @@
 			bound = maxPermits
 		}
 		reply := acquire(lease, bound)
+		lease.Permit = lease.permit(sourceOf(!reply.Unanswered, reply.Provisional), len(request.Full))
+		if bound == maxPermits {
+			lease.Permit.Source = UnboundedPermit
+		}
 		if lease.mayBeSent(reply, bound) {
 			lease.attachPermit(reply.Release)
 			return lease, nil
@@ -47,6 +89,11 @@
 	}
 }
 
+// permit returns the permit of a lease that has a bound.
+func (l *Lease) permit(source PermitSource, refusals int) Permit {
+	return Permit{Source: source, Bound: l.bound, OwnBound: l.ownBound, Refusals: refusals}
+}
+
 // mayBeSent reports whether the request may be sent after an owner replied to the request for a permit under a bound.
 func (l *Lease) mayBeSent(reply occupancy.Reply, bound int) bool {
 	if reply.Provisional && l.exceedsOwnBound(bound) {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -63,6 +63,8 @@
 	Skipped Skipped
 	// FromReserve is set if the engine is in an evacuated failure domain, because the others can't hold the load.
 	FromReserve bool
+	// Permit is how the request was counted against the load bound.
+	Permit Permit
 
 	// passedSlow is set if another upstream would have been chosen but for its pace.
 	passedSlow bool
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -44,6 +44,10 @@
 	SkipReason      string
 	// FromReserve is set if the upstream is in an evacuated failure domain, because the others can't hold the load.
 	FromReserve bool
+	// Permit is who decided that the load bound allows the request, or "" if no owner is asked. Bound is the bound that
+	// was asked for, OwnBound that of this box's estimate, and Refusals the number of owners that refused before.
+	Permit                    string
+	Bound, OwnBound, Refusals int
 	// FetchFrom is the engine from which to fetch cached prefixes.
 	FetchFrom string
 	// PrefillTokens is the estimated number of tokens of shared prefixes that the engine has
@@ -80,6 +84,12 @@
 	if e.FromReserve {
 		o.AddBool("reserve", true)
 	}
+	if e.Permit != "" {
+		o.AddString("permit", e.Permit)
+		o.AddInt("bound", e.Bound)
+		o.AddInt("own_bound", e.OwnBound)
+		o.AddInt("permit_refusals", e.Refusals)
+	}
 	addIfSet(o, "fetch_from", e.FetchFrom)
 	if e.PrefillTokens > 0 {
 		o.AddInt("read_tokens", e.PrefillTokens)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 )
 
@@ -67,6 +68,18 @@
 	m.all.Add("prompt_tokens_read_"+strings.ReplaceAll(reason, " ", "_"), int64(tokens))
 }
 
+// EnginePicked counts a request to an engine by the source of its permit, and whether the engine, by this box's estimate
+// of its load, is above the bound.
+func (m *Metrics) EnginePicked(permit balance.Permit, load int) {
+	if permit.Source == balance.NoPermit {
+		return
+	}
+	m.all.Add("engine_permits_"+string(permit.Source), 1)
+	if load+1 > permit.Bound {
+		m.all.Add("engine_picks_above_bound", 1)
+	}
+}
+
 // RequestEnded counts a finished request and records its duration.
 func (m *Metrics) RequestEnded(kind, outcome string, tookMs clock.Millis) {
 	name := "requests_" + kind + "_" + outcome
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -64,6 +64,7 @@
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
 			StateAgeMs:    b.routingState.AgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
+			OnPermit:   b.metrics.EnginePicked,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
 			Track: b.crashDetector.track, Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -121,13 +121,13 @@
 func (m *Mesh) AcquirePermit(ctx context.Context, r PermitRequest) occupancy.Reply {
 	owner, known := m.owner(r.Upstream, r.FailureDomain)
 	if !known {
-		return occupancy.Reply{Granted: true, Provisional: true}
+		return occupancy.Reply{Granted: true, Provisional: true, Unanswered: true}
 	}
 	if owner.Box == m.self.Box {
 		return m.acquireLocalPermit(r)
 	}
 	if m.ownerUnresponsive(owner.Box) {
-		return occupancy.Reply{Granted: true, Provisional: true}
+		return occupancy.Reply{Granted: true, Provisional: true, Unanswered: true}
 	}
 	number, answer := m.pendingPermits.start()
 	defer m.pendingPermits.finish(number)
@@ -139,7 +139,7 @@
 	timer := m.clock.AfterFunc(permitTimeoutMs, func() { close(timedOut) })
 	defer timer.Stop()
 	// Even without an answer the owner may have received the request and counted the permit.
-	reply := occupancy.Reply{Granted: true, Provisional: true, Release: func(served bool) {
+	reply := occupancy.Reply{Granted: true, Provisional: true, Unanswered: true, Release: func(served bool) {
 		release := permitMessage{Kind: permitRelease, Number: number}
 		if served {
 			release.Kind = permitReleaseServed
@@ -151,6 +151,7 @@
 		if kind == permitDenied {
 			return occupancy.Reply{}
 		}
+		reply.Unanswered = false
 		if reply.Provisional = kind == permitGrantedProvisionally; reply.Provisional {
 			m.recordProvisionalPermit()
 		}
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -36,6 +36,8 @@
 	// Provisional is set if no owner answered, or only one that has counted the requests there for a short time. The
 	// box must then also go by its own estimate of the load.
 	Provisional bool
+	// Unanswered is set if no owner answered.
+	Unanswered bool
 	// Release returns the permit, and tells whether the upstream served the request; nil if there is none to return.
 	Release func(served bool)
 }
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -199,12 +199,15 @@
 	if lease.Prefill.Tokens > 0 {
 		s.pipe.deps.OnPrefill(string(lease.Prefill.Reason), lease.Prefill.Tokens)
 	}
+	s.pipe.deps.OnPermit(lease.Permit, lease.Load)
 	s.pipe.deps.RecordEvent(decision.UpstreamPicked{
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Version: r.State.Version(), AgeMs: s.pipe.deps.StateAgeMs(),
 		Upstream: lease.ID, SoftwareVersion: lease.SoftwareVersion, Attempt: s.attempts, Rank: lease.Rank, Load: lease.Load,
 		MeanPercent: lease.MeanPercent, SkippedUpstream: lease.Skipped.Upstream, SkipReason: string(lease.Skipped.Reason),
 		FromReserve: lease.FromReserve,
-		FetchFrom:   lease.FetchFrom, PrefillTokens: lease.Prefill.Tokens, PrefillReason: string(lease.Prefill.Reason),
+		Permit:      string(lease.Permit.Source), Bound: lease.Permit.Bound, OwnBound: lease.Permit.OwnBound,
+		Refusals:  lease.Permit.Refusals,
+		FetchFrom: lease.FetchFrom, PrefillTokens: lease.Prefill.Tokens, PrefillReason: string(lease.Prefill.Reason),
 		ResumeAfter: s.lastEventID(), Resumes: r.ResumedID(),
 	})
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -47,6 +47,9 @@
 	// OnPrefill counts the tokens of shared prompt parts that an engine likely has to process, by
 	// reason.
 	OnPrefill func(reason string, tokens int)
+	// OnPermit counts a request to an engine by the source of its permit. The load is that of the engine before the
+	// request, as this box estimates it.
+	OnPermit func(permit balance.Permit, load int)
 	// RetryAfter returns the Retry-After of a refused request.
 	RetryAfter func(pool string, priority int) clock.Millis
 	// RetryWithinObjective returns the Retry-After of a request that was refused because it would be late.
