--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -24,46 +24,22 @@
 	defaultClients = 24
 )
 
+// errUsage means that flags exclude each other.
+var errUsage = errors.New("invalid flags")
+
 // New returns the command. It prints one JSON report per line to out.
 func New(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:    "dooryard-soak",
 		Usage:   "run real boxes as processes, inject faults from outside, and check the fleet's guarantees",
 		Version: version.String(),
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "gateway", Required: true, Usage: "path of the dooryard-gateway binary"},
-			&cli.StringFlag{Name: "keep", Value: "soak-logs", Usage: "directory for the logs of each seed"},
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
-			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
-			&cli.BoolFlag{Name: "regressions", Usage: "run one seed for each cause of a past failure, instead of --seeds"},
-			&cli.DurationFlag{Name: "span", Value: defaultSeconds * 1e9, Usage: "duration of fault injection per seed"},
-			&cli.IntFlag{Name: "boxes", Value: defaultBoxes, Usage: "number of boxes, each in its own process"},
-			&cli.IntFlag{Name: "servers", Value: defaultServers, Usage: "number of servers, in this process"},
-			&cli.BoolFlag{
-				Name:  "timed",
-				Usage: "check time bounds, too, with faults that leave most boxes unaffected; requires an idle machine",
-			},
-			&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
-			&cli.BoolFlag{
-				Name: "partitions",
-				Usage: "also separate boxes from all servers; servers also end responses with their connections, " +
-					"are brittle or silent",
-			},
-			&cli.BoolFlag{
-				Name:  "stalls",
-				Usage: "also hold back the data between boxes and all servers, while connections open",
-			},
-			&cli.BoolFlag{
-				Name:  "overload",
-				Usage: "also send more long prompts than servers can read at a changing pace, with admission on",
-			},
-			&cli.BoolFlag{
-				Name:  "keep-versions",
-				Usage: "servers that restart under their id run the same software version as before",
-			},
-			&cli.IntFlag{Name: "clients", Value: defaultClients, Usage: "number of clients, in this process"},
-		},
+		Flags:   flags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, other := range []string{"partitions", "stalls", "overload", "regressions"} {
+				if c.Bool("load") && c.Bool(other) {
+					return fmt.Errorf("%w: --load and --%s can't be combined", errUsage, other)
+				}
+			}
 			errs := []error{}
 			for _, seed := range selectedSeeds(c) {
 				// A cancelled run starts no more seeds: without faults they would test nothing.
@@ -77,6 +53,49 @@
 	}
 }
 
+func flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "gateway", Required: true, Usage: "path of the dooryard-gateway binary"},
+		&cli.StringFlag{Name: "keep", Value: "soak-logs", Usage: "directory for the logs of each seed"},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+		&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
+		&cli.BoolFlag{Name: "regressions", Usage: "run one seed for each cause of a past failure, instead of --seeds"},
+		&cli.DurationFlag{Name: "span", Value: defaultSeconds * 1e9, Usage: "duration of fault injection per seed"},
+		&cli.IntFlag{Name: "boxes", Value: defaultBoxes, Usage: "number of boxes, each in its own process"},
+		&cli.IntFlag{Name: "servers", Value: defaultServers, Usage: "number of servers, in this process"},
+		&cli.BoolFlag{
+			Name:  "timed",
+			Usage: "check time bounds, too, with faults that leave most boxes unaffected; requires an idle machine",
+		},
+		&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
+		&cli.BoolFlag{
+			Name: "partitions",
+			Usage: "also separate boxes from all servers; servers also end responses with their connections, " +
+				"are brittle or silent",
+		},
+		&cli.BoolFlag{
+			Name:  "stalls",
+			Usage: "also hold back the data between boxes and all servers, while connections open",
+		},
+		&cli.BoolFlag{
+			Name:  "overload",
+			Usage: "also send more long prompts than servers can read at a changing pace, with admission on",
+		},
+		&cli.BoolFlag{
+			Name: "load",
+			Usage: "send prompts at a swinging rate, with faults that disturb boxes only, and check the load bound " +
+				"of servers",
+		},
+		&cli.BoolFlag{Name: "admission", Usage: "run boxes with admission"},
+		&cli.BoolFlag{Name: "calm", Usage: "leave out the faults that have no flag of their own"},
+		&cli.BoolFlag{
+			Name:  "keep-versions",
+			Usage: "servers that restart under their id run the same software version as before",
+		},
+		&cli.IntFlag{Name: "clients", Value: defaultClients, Usage: "number of clients, in this process"},
+	}
+}
+
 // selectedSeeds returns the seeds selected by the flags.
 func selectedSeeds(c *cli.Command) []uint64 {
 	list := []uint64{}
@@ -102,6 +121,7 @@
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
+		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,8 +68,8 @@
 	m.all.Add("prompt_tokens_read_"+strings.ReplaceAll(reason, " ", "_"), int64(tokens))
 }
 
-// EnginePicked counts a request to an engine by the source of its permit, and whether the engine, by this box's estimate
-// of its load, is above the bound.
+// EnginePicked counts a request to an engine by the source of its permit, and whether the engine is above the bound by
+// this box's estimate of its load.
 func (m *Metrics) EnginePicked(permit balance.Permit, load int) {
 	if permit.Source == balance.NoPermit {
 		return
--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -13,7 +13,7 @@
 	for ctx.Err() == nil {
 		first := random.IntN(domainCount)
 		zones := []string{zoneName(first)}
-		if random.IntN(3) == 0 {
+		if random.IntN(3) == 0 && !f.settings.Load {
 			zones = append(zones, zoneName((first+1)%domainCount))
 		}
 		ends := []func(){}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,6 +18,17 @@
 	// fleetWide is set if the fault affects all boxes at once and is therefore left out of
 	// timed runs. The restore of the store is not marked, although it disturbs all boxes, too.
 	fleetWide bool
+	// boxesOnly is set if servers are not disturbed.
+	boxesOnly bool
+}
+
+// faults returns the faults that the run may draw.
+func (f *fleet) faults() []fault {
+	list := faults(!f.settings.Timed)
+	if f.settings.Load {
+		return slices.DeleteFunc(list, func(one fault) bool { return !one.boxesOnly })
+	}
+	return list
 }
 
 func noCleanup(*fleet) error { return nil }
@@ -27,11 +38,11 @@
 // time bounds apply to some box most of the time.
 func faults(withFleetWide bool) []fault {
 	list := []fault{
-		{name: "kill a box", begin: killBox},
-		{name: "pause a box", begin: pauseBox},
-		{name: "stop a box gracefully", begin: stopBox},
-		{name: "reload a box's settings", begin: reloadSettings},
-		{name: "kill all boxes", begin: killAllBoxes, fleetWide: true},
+		{name: "kill a box", begin: killBox, boxesOnly: true},
+		{name: "pause a box", begin: pauseBox, boxesOnly: true},
+		{name: "stop a box gracefully", begin: stopBox, boxesOnly: true},
+		{name: "reload a box's settings", begin: reloadSettings, boxesOnly: true},
+		{name: "kill all boxes", begin: killAllBoxes, fleetWide: true, boxesOnly: true},
 		{name: "compact the store's history", begin: func(f *fleet) (func(*fleet) error, error) {
 			f.store.Compact()
 			return noCleanup, nil
@@ -39,8 +50,8 @@
 		{name: "expire all entries", begin: expireEntries, fleetWide: true},
 		{name: "restore the store from a backup", begin: restoreStore},
 		{name: "revoke a key", begin: revokeKey},
-		{name: "change the configuration", begin: changeConfig},
-		{name: "pause a box repeatedly", begin: pauseBoxRepeatedly},
+		{name: "change the configuration", begin: changeConfig, boxesOnly: true},
+		{name: "pause a box repeatedly", begin: pauseBoxRepeatedly, boxesOnly: true},
 		{name: "crash a server", begin: crashServer(false)},
 		{name: "crash a server that keeps its id", begin: crashServer(true)},
 		{name: "another writer replaces an entry", begin: replaceEntry},
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -18,6 +18,7 @@
 	callersPort   = 21000
 	readinessPort = 21001
 	peersPort     = 21002
+	metricsPort   = 21003
 	// RevocationBoundMs is how long a key may still be used after its removal.
 	RevocationBoundMs = 5000
 	shutdownGraceS    = 4
@@ -51,6 +52,12 @@
 	// Overload also sends long prompts to servers that read them one after the other, at a changing pace, and switches
 	// admission and learned paces on.
 	Overload bool
+	// Load sends prompts at a swinging rate instead of the requests and the faults of servers, and checks the load bound.
+	Load bool
+	// Admission switches admission on.
+	Admission bool
+	// Calm leaves out the faults that have no schedule of their own.
+	Calm bool
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
@@ -66,7 +73,9 @@
 // server is an address at which successive incarnations of a server run.
 type server struct {
 	zone string
-	link *link
+	// link is nil if boxes connect to the server directly, at address.
+	link    *link
+	address string
 
 	mu      sync.Mutex
 	current *standin.Server
@@ -97,6 +106,7 @@
 	servers  []*server
 	closers  []func()
 	owners   *owners
+	loads    *serverLoads
 
 	// entriesMu is held while a server's entry is rewritten, or replaced by a new
 	// incarnation's entry.
@@ -131,6 +141,7 @@
 		evacuated: map[string]bool{},
 	}
 	f.owners = newOwners(f.connectionOwners)
+	f.loads = newServerLoads(settings.Servers)
 	f.history.timed = settings.Timed
 	for i := range tenantCount {
 		tenant := "tenant-" + strconv.Itoa(i)
@@ -185,9 +196,17 @@
 	if err != nil {
 		return err
 	}
+	s.address = address
+	if f.settings.Load {
+		// A link takes four descriptors for each connection, and there are thousands.
+		f.servers = append(f.servers, s)
+		f.startIncarnation(s)
+		return nil
+	}
 	if s.link, err = newLink(f.ip(linksHost), func() string { return address }, withOwners(f.owners.boxOf)); err != nil {
 		return err
 	}
+	s.address = s.link.address()
 	f.closers = append(f.closers, s.link.close)
 	f.servers = append(f.servers, s)
 	f.startIncarnation(s)
@@ -210,6 +229,13 @@
 // newServer returns an incarnation of a server, which crashes under fatal requests.
 func (f *fleet) newServer(s *server, id, version string) *standin.Server {
 	current := standin.NewServer(id, version, f.draw, f.history.recordRun)
+	if f.settings.Load {
+		current.StreamSlowly(loadEventInterval)
+		current.ReadPrompts(usualPace)
+		current.OnHold(func() func() { return f.loads.hold(s) })
+		current.OnArrival(func(a standin.Arrival) { f.loads.recordArrival(s, a) })
+		return current
+	}
 	current.OnArrival(func(a standin.Arrival) {
 		a.Box = s.link.ownerAt(a.Remote)
 		f.history.recordArrival(a)
@@ -227,7 +253,7 @@
 	current := s.current
 	s.mu.Unlock()
 	f.store.PutServer(standin.Entry{
-		ID: current.ID, Service: standin.Service, Address: s.link.address(), Zone: s.zone,
+		ID: current.ID, Service: standin.Service, Address: s.address, Zone: s.zone,
 		BornMs: current.BornMs, Version: current.Version, Draining: draining,
 	})
 }
@@ -259,7 +285,13 @@
 		b.name, i%domainCount, callersAddress, ip, readinessPort, ip, peersPort, contact, b.store.address(), maxAgeMs,
 		retrySlack, shutdownGraceS)
 	if f.settings.Overload {
-		settings += "admission: {enabled: true}\npace: {learn: true}\n"
+		settings += "pace: {learn: true}\n"
+	}
+	if f.settings.Overload || f.settings.Admission {
+		settings += "admission: {enabled: true}\n"
+	}
+	if f.settings.Load {
+		settings += fmt.Sprintf("balance: {load_cap: %d}\nmetrics_address: %s:%d\n", loadCap, ip, metricsPort)
 	}
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,8 @@
 	Falls      int
 	// Streams holds the streams that clients took up after they broke.
 	Streams streamStats
+	// Load holds the figures of the load bound.
+	Load loadStats
 }
 
 // Timing of a run.
@@ -65,8 +67,10 @@
 	report := Report{Seed: settings.Seed, Faults: map[string]int{}}
 	clients, stopClients := context.WithCancel(ctx)
 	var workers sync.WaitGroup
-	for i := range settings.Clients {
-		workers.Go(func() { f.runClient(clients, i) })
+	if settings.Load {
+		workers.Go(func() { f.sendLoad(clients) })
+	} else {
+		f.startRequests(clients, &workers)
 	}
 	f.startInjections(clients, &workers)
 	workers.Go(func() { f.writeHeartbeats(clients) })
@@ -83,16 +87,27 @@
 	report.Fatal, report.HeldBack = f.history.fatalStats(), f.history.heldBack()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
 	report.Streams = f.history.streamStats()
+	if settings.Load {
+		report.Load = f.loadStats()
+		report.Findings = append(report.Findings, report.Load.findings()...)
+	}
 	if err == nil && len(report.Findings) > 0 {
 		err = fmt.Errorf("%w: seed %d: %s", ErrGuaranteeViolated, settings.Seed, report.Findings[0])
 	}
 	return report, err
 }
 
-// startInjections starts the disturbances that have a schedule of their own beside the faults, until ctx ends.
-func (f *fleet) startInjections(ctx context.Context, workers *sync.WaitGroup) {
+// startRequests starts the clients, and the servers' signals, until ctx ends.
+func (f *fleet) startRequests(ctx context.Context, workers *sync.WaitGroup) {
+	for i := range f.settings.Clients {
+		workers.Go(func() { f.runClient(ctx, i) })
+	}
 	workers.Go(func() { f.runFatalClient(ctx) })
 	workers.Go(func() { f.injectSignals(ctx) })
+}
+
+// startInjections starts the disturbances that have a schedule of their own beside the faults, until ctx ends.
+func (f *fleet) startInjections(ctx context.Context, workers *sync.WaitGroup) {
 	for _, injection := range []struct {
 		enabled bool
 		inject  func(ctx context.Context)
@@ -111,10 +126,13 @@
 // injectFaults starts random faults one after the other and ends each after a random time.
 func (f *fleet) injectFaults(ctx context.Context, counts map[string]int) error {
 	random := rand.New(rand.NewPCG(f.settings.Seed, 2))
-	list := faults(!f.settings.Timed)
+	list := f.faults()
 	until := time.Now().Add(f.settings.Span)
 	var ends sync.WaitGroup
 	errs := make(chan error, maxEndErrors)
+	for f.settings.Calm && time.Now().Before(until) && ctx.Err() == nil {
+		sleep(ctx, time.Until(until))
+	}
 	for time.Now().Before(until) && ctx.Err() == nil && len(errs) == 0 {
 		chosen := list[random.IntN(len(list))]
 		duration := time.Duration(minDelayMs+random.IntN(faultRangeMs)) * time.Millisecond
