--- a/internal/balance/largefleet_test.go
+++ b/internal/balance/largefleet_test.go
@@ -73,6 +73,13 @@
 	atFirst, sent int
 	// lastSentMs is when a request was last sent to each failure domain.
 	lastSentMs map[string]clock.Millis
+	// pick chooses an engine at a box.
+	pick func(box *Manager, request PickRequest) (*Lease, error)
+	// session draws the session of a request of a kind, and rate the factor of the usual rate.
+	session func(kind int) string
+	rate    func() float64
+	// sources counts the requests to engines above the bound by the source of their permits.
+	sources map[PermitSource]int
 }
 
 func newLargeFleet(boxes, engines int) *largeFleet {
@@ -81,6 +88,12 @@
 		responseStarts: map[clock.Millis][]*Lease{}, kinds: kinds, lastSentMs: map[string]clock.Millis{},
 	}
 	f.gossip = f.gossipRunning
+	f.pick = func(box *Manager, request PickRequest) (*Lease, error) {
+		return box.PickWithPermit(request, f.acquirePermit)
+	}
+	f.session = func(kind int) string { return fmt.Sprint(kind, "-", f.random.IntN(f.kinds[kind].sessions)) }
+	f.rate = func() float64 { return 1 }
+	f.sources = map[PermitSource]int{}
 	f.ledger = occupancy.New(func() clock.Millis { return f.now })
 	f.random = rand.New(rand.NewPCG(3, 4))
 	for _, u := range f.engines {
@@ -92,11 +105,14 @@
 // send sends a request from a random box, and reports whether it went to an engine above the bound.
 func (f *largeFleet) send(t *testing.T, k requestKind, session string) (overBound bool) {
 	t.Helper()
-	lease, err := f.boxes[f.random.IntN(len(f.boxes))].PickWithPermit(PickRequest{
+	lease, err := f.pick(f.boxes[f.random.IntN(len(f.boxes))], PickRequest{
 		Pool: "p", Sticky: true, Prompt: prompt.Prompt{{ID: session, Tokens: k.tokens}, {ID: "own", Tokens: 300}},
-	}, f.acquirePermit)
+	})
 	require.NoError(t, err)
 	overBound = f.engineLoad[lease.ID]*len(f.engines) > 2*f.running+3*len(f.engines)
+	if overBound {
+		f.sources[lease.Permit.Source]++
+	}
 	f.engineLoad[lease.ID]++
 	f.running++
 	f.sent++
@@ -183,9 +199,9 @@
 			f.gossip()
 			f.completeDue()
 			for i, k := range f.kinds {
-				for range k.arrivals(f.random) {
+				for range k.arrivals(f.random, f.rate()) {
 					total++
-					if f.send(t, k, fmt.Sprint(i, "-", f.random.IntN(k.sessions))) {
+					if f.send(t, k, f.session(i)) {
 						overBound++
 					}
 				}
@@ -196,11 +212,11 @@
 	return fractions
 }
 
-// arrivals returns the number of requests that arrive within a millisecond.
-func (k requestKind) arrivals(random *rand.Rand) int {
+// arrivals returns the number of requests that arrive within a millisecond at a rate, as a factor of the usual one.
+func (k requestKind) arrivals(random *rand.Rand, rate float64) int {
 	count := 0
 	for range 4 {
-		if random.IntN(4*msPerSecond) < k.perSecond {
+		if random.IntN(4*msPerSecond) < int(rate*float64(k.perSecond)) {
 			count++
 		}
 	}
