--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,11 +24,10 @@
 
 // faults returns the faults that the run may draw.
 func (f *fleet) faults() []fault {
-	list := faults(!f.settings.Timed)
 	if f.settings.Load {
-		return slices.DeleteFunc(list, func(one fault) bool { return !one.boxesOnly })
+		return slices.DeleteFunc(faults(false), func(one fault) bool { return !one.boxesOnly })
 	}
-	return list
+	return faults(!f.settings.Timed)
 }
 
 func noCleanup(*fleet) error { return nil }
@@ -42,7 +41,7 @@
 		{name: "pause a box", begin: pauseBox, boxesOnly: true},
 		{name: "stop a box gracefully", begin: stopBox, boxesOnly: true},
 		{name: "reload a box's settings", begin: reloadSettings, boxesOnly: true},
-		{name: "kill all boxes", begin: killAllBoxes, fleetWide: true, boxesOnly: true},
+		{name: "kill all boxes", begin: killAllBoxes, fleetWide: true},
 		{name: "compact the store's history", begin: func(f *fleet) (func(*fleet) error, error) {
 			f.store.Compact()
 			return noCleanup, nil
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -232,6 +232,7 @@
 	if f.settings.Load {
 		current.StreamSlowly(loadEventInterval)
 		current.ReadPrompts(usualPace)
+		current.KeepParts()
 		current.OnHold(func() func() { return f.loads.hold(s) })
 		current.OnArrival(func(a standin.Arrival) { f.loads.recordArrival(s, a) })
 		return current
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -112,6 +112,7 @@
 		enabled bool
 		inject  func(ctx context.Context)
 	}{
+		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
 		{f.settings.Evacuations, f.injectEvacuations},
 		{f.settings.Overload, f.injectOverload},
 		{f.settings.Stalls, f.injectStalls},
--- a/internal/soak/steadyload.go
+++ b/internal/soak/steadyload.go
@@ -24,7 +24,9 @@
 	popularOneIn    = 3
 	popularSessions = 2
 	loadSessions    = 300
-	loadDeadlineMs  = 6000
+	// loadSessionTokens is the length of a session's part, so long that prompts wait at the server that has read it.
+	loadSessionTokens = 2000
+	loadDeadlineMs    = 6000
 )
 
 // sendLoad sends prompts to random boxes until ctx ends. It returns when all requests have ended.
@@ -44,7 +46,7 @@
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		call := standin.Call{
 			ID: fmt.Sprintf("%d-l%d", f.settings.Seed, sequence), Kind: standin.Stream, Key: f.drawKey(random),
-			DeadlineMs: loadDeadlineMs, Session: drawSession(random),
+			DeadlineMs: loadDeadlineMs, Session: drawSession(random), SessionTokens: loadSessionTokens,
 		}
 		client := clients[random.IntN(len(clients))]
 		sleep(ctx, time.Until(next))
@@ -59,3 +61,18 @@
 	}
 	return "s" + strconv.Itoa(random.IntN(loadSessions))
 }
+
+// allDownSpan is how long all boxes are down when they are restarted.
+const allDownSpan = time.Second
+
+// restartAllOnce kills and starts all boxes in the middle of the run.
+func (f *fleet) restartAllOnce(ctx context.Context) {
+	sleep(ctx, f.settings.Span/2) //nolint:mnd // The middle.
+	end, err := killAllBoxes(f)
+	if err != nil || ctx.Err() != nil {
+		return
+	}
+	time.Sleep(allDownSpan)
+	// A box that didn't start serves nothing, which the report shows.
+	_ = end(f)
+}
