fix(balance): the bound follows the load that is left, not that of a second ago

Cause: the mean load is estimated from what other boxes reported up to a second ago. A session with more requests than its engines hold then fills them to that bound.

The estimate is now reduced by what has ended if the load goes on falling as it did in the last 1.5 s; a rise isn't continued, since a bound that is too high overloads engines and one that is too low moves a few requests.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -62,6 +62,8 @@
 	// fleetInFlightByPool is the number of requests that all boxes run, by pool, in a fleet so
 	// large that boxes don't share their loads by upstream. It is nil in smaller fleets.
 	fleetInFlightByPool map[namekey.Key]int
+	// loadTrends holds how the loads of pools change.
+	loadTrends map[string]*loadTrend
 	// enginePermits is set if the owners of engines count the requests of all boxes there.
 	enginePermits bool
 	// othersAgeMs is the average age of the load reports from other boxes.
@@ -103,7 +105,8 @@
 		settings: settings, monotonic: monotonic, connect: connect, random: random,
 		byID: map[string]*Member{}, pools: map[string][]*Member{}, paths: map[string]*netPath{},
 		departed: map[string][]*Member{}, lostParts: partIndex{}, retries: map[string]*retrySchedule{},
-		departedSignals: map[string]*upstreamSignals{}, hotSessions: map[string]*sessionCounts{},
+		departedSignals: map[string]*upstreamSignals{},
+		loadTrends:      map[string]*loadTrend{}, hotSessions: map[string]*sessionCounts{},
 		brittle: map[string]brittlePool{}, attempts: map[string]*attemptCounts{},
 		stalledSinceMs: map[string]clock.Millis{}, respondingMs: map[string]clock.Millis{},
 		stalledTrials: map[string]*stalledTrial{}, prefillRates: map[string]*prefillRate{},
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -248,7 +248,10 @@
 func (m *Manager) pickSticky(
 	lease *Lease, members []*Member, request PickRequest, total int, now clock.Millis,
 ) (ownBound int) {
-	load := poolLoad{candidates: len(members), running: total, excluded: m.excluded(request.Pool, now)}
+	load := poolLoad{
+		candidates: len(members), running: m.withoutEnded(request.Pool, total, now),
+		excluded: m.excluded(request.Pool, now),
+	}
 	ranked := rank(request.Prompt.Session(), members)
 	if !m.canHold(load) {
 		reserve := m.reserve(request, now)
