fix(mesh): a box of a fleet of dozens asks owners from its first second on

After a start of all boxes each took the fleet for a small one until it had heard from 33 boxes itself, some 2 s, asked no owner, and sent all requests of a session to the same engine. Boxes that others named count now, too. TestEnginePermitsAtStart fails without it. Cost: a round trip a prompt in these seconds.

--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -268,11 +268,12 @@
 }
 
 // EnginePermits reports whether the fleet is so large that the boxes' reports are too old to bound the load of an
-// engine, so that the engine's owner has to count the requests there.
+// engine, so that the engine's owner has to count the requests there. Boxes that others named count, because a box
+// hears from most of them only seconds after its start.
 func (m *Mesh) EnginePermits() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.directPeers > smallFleetBoxes
+	return len(m.peers) > smallFleetBoxes
 }
 
 // largeLocked reports whether the fleet is so large that bandwidth is the limit.
