fix(mesh): owners count requests that are sent without their answer

An owner that doesn't answer within 20 ms isn't asked for half a second, and requests for its engines are sent by each box's own estimate. Nobody told the owner, so that its count lacked them and it granted more than the bound afterwards. Each request that is sent is now told to its owner: by the ask that it grants, or by one that only counts, under the same number, so that it counts once. Cost: one datagram of at most 64 bytes and its answer for each such request, as for any other.

--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -362,6 +362,9 @@
 		reply.Release(false)
 		return nil, errNotUsable
 	}
+	if reply.Count != nil {
+		reply.Count()
+	}
 	return l, nil
 }
 
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -85,7 +85,7 @@
 			lease.Permit.Source = UnboundedPermit
 		}
 		if lease.mayBeSent(reply, bound) {
-			lease.attachPermit(reply.Release)
+			lease.attachPermit(reply)
 			return lease, nil
 		}
 		if reply.Release != nil {
@@ -115,11 +115,14 @@
 	return l.withinMs == 0 && requested != maxPermits && l.Load+1 > l.ownBound
 }
 
-// attachPermit records that the lease holds a permit. Release returns the permit and may be nil.
-func (l *Lease) attachPermit(release func(served bool)) {
+// attachPermit records that the lease holds a permit, and has an owner count it that has not granted it.
+func (l *Lease) attachPermit(reply occupancy.Reply) {
+	if reply.Count != nil {
+		reply.Count()
+	}
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
-	l.onRelease = release
+	l.onRelease = reply.Release
 	l.recordPrompt(l.manager.monotonic())
 }
 
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -126,10 +126,10 @@
 	if !known {
 		return withoutEnd(admission.Reply{Unknown: true, OwnerAgeMs: neverAnswered})
 	}
+	q := m.admissions.start(m, owner, a)
 	if m.admissionOwnerUnresponsive(owner.Box) {
-		return withoutEnd(admission.Reply{Unknown: true, OwnerAgeMs: m.admissionOwnerAge(owner.Box)})
+		return q.unknown(m.admissionOwnerAge(owner.Box))
 	}
-	q := m.admissions.start(m, owner, a)
 	sentMs := q.askedMs
 	q.send()
 	answer, err := q.next(ctx, admissionTimeoutMs)
@@ -257,8 +257,17 @@
 // unanswered returns the reply for an ask that was not answered since an instant. The owner may have received it and
 // count the request, so its end is told.
 func (q *admissionRequest) unanswered(sinceMs clock.Millis) admission.Reply {
-	age := q.mesh.recordAdmissionTimeout(q.owner.Box, sinceMs)
-	return q.withEnd(admission.Reply{Unknown: true, OwnerAgeMs: age})
+	return q.unknown(q.mesh.recordAdmissionTimeout(q.owner.Box, sinceMs))
+}
+
+// unknown returns the reply for an ask without an answer of the owner, which last answered some time ago. If the
+// request is sent, the owner counts it all the same, or else its count would lack requests for as long as it answers
+// late.
+func (q *admissionRequest) unknown(ownerAgeMs clock.Millis) admission.Reply {
+	return q.withEnd(admission.Reply{Unknown: true, OwnerAgeMs: ownerAgeMs, Count: func() {
+		q.ask.Force, q.ask.MayQueue = true, false
+		q.send()
+	}})
 }
 
 func (q *admissionRequest) withEnd(r admission.Reply) admission.Reply {
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -126,11 +127,15 @@
 	if owner.Box == m.self.Box {
 		return m.acquireLocalPermit(r)
 	}
-	if m.ownerUnresponsive(owner.Box) {
-		return occupancy.Reply{Granted: true, Provisional: true, Unanswered: true}
-	}
 	number, answer := m.pendingPermits.start()
 	defer m.pendingPermits.finish(number)
+	reply := m.unansweredPermit(owner, number, r)
+	if m.ownerUnresponsive(owner.Box) {
+		if reply.Count == nil {
+			reply.Release = nil
+		}
+		return reply
+	}
 	m.sendPermitMessage(owner.Address, permitMessage{
 		Kind: permitAcquire, Number: number,
 		Upstream: r.Upstream, Bound: r.Bound, WithinMs: r.WithinMs,
@@ -138,20 +143,12 @@
 	timedOut := make(chan struct{})
 	timer := m.clock.AfterFunc(permitTimeoutMs, func() { close(timedOut) })
 	defer timer.Stop()
-	// Even without an answer the owner may have received the request and counted the permit.
-	reply := occupancy.Reply{Granted: true, Provisional: true, Unanswered: true, Release: func(served bool) {
-		release := permitMessage{Kind: permitRelease, Number: number}
-		if served {
-			release.Kind = permitReleaseServed
-		}
-		m.sendPermitMessage(owner.Address, release)
-	}}
 	select {
 	case kind := <-answer:
 		if kind == permitDenied {
 			return occupancy.Reply{}
 		}
-		reply.Unanswered = false
+		reply.Unanswered, reply.Count = false, nil
 		if reply.Provisional = kind == permitGrantedProvisionally; reply.Provisional {
 			m.recordProvisionalPermit()
 		}
@@ -162,6 +159,27 @@
 	return reply
 }
 
+// unansweredPermit returns the reply if the owner of an upstream doesn't answer in time. The owner counts the request
+// all the same if it is sent, or else its count would lack requests for as long as it answers late. It may have
+// received the request for the permit, or not have been asked.
+func (m *Mesh) unansweredPermit(owner Identity, number uint32, r PermitRequest) occupancy.Reply {
+	reply := occupancy.Reply{Granted: true, Provisional: true, Unanswered: true, Release: func(served bool) {
+		release := permitMessage{Kind: permitRelease, Number: number}
+		if served {
+			release.Kind = permitReleaseServed
+		}
+		m.sendPermitMessage(owner.Address, release)
+	}}
+	if r.WithinMs == 0 {
+		reply.Count = func() {
+			m.sendPermitMessage(owner.Address, permitMessage{
+				Kind: permitAcquire, Number: number, Upstream: r.Upstream, Bound: math.MaxInt16,
+			})
+		}
+	}
+	return reply
+}
+
 // ReportRejection tells the owner of an upstream that the upstream rejected a request for want of room.
 func (m *Mesh) ReportRejection(upstream namekey.Key, failureDomain string) {
 	owner, known := m.owner(upstream, failureDomain)
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -38,6 +38,9 @@
 	Provisional bool
 	// Unanswered is set if no owner answered.
 	Unanswered bool
+	// Count tells the owner of a request that is sent although the owner hasn't granted it in time; nil if there is no
+	// need to.
+	Count func()
 	// Release returns the permit, and tells whether the upstream served the request; nil if there is none to return.
 	Release func(served bool)
 }
