fix(mesh): an owner whose count other boxes may share says so

When boxes start, die or pause, upstreams get other owners, and boxes learn of it up to seconds apart. Two owners then counted a part each, and both answered as if they had counted all: an owner's count was taken for complete 3 s after its first request, whoever owned the engine meanwhile. An owner now answers provisionally for 3 s after the owners of its failure domain change in its view for that engine, after a pause, and while another box is the owner in its view; boxes then also go by their own estimates.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -88,8 +88,8 @@
 	Unknown bool
 	// OwnerAgeMs is the time since the owner last answered if the reply is Unknown, or -1 if it never did.
 	OwnerAgeMs clock.Millis
-	// Count tells the owner of a prompt that is sent although the owner hasn't answered in time. It is nil if the reply is
-	// not Unknown, or if no owner is known.
+	// Count tells the owner of a prompt that is sent although the owner hasn't answered in time. It is nil if the reply
+	// is not Unknown, or if no owner is known.
 	Count func()
 	// Started tells the owner of the first event. It is never nil.
 	Started func()
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -120,6 +120,17 @@
 	return p
 }
 
+// Unsettle makes the counts at upstreams incomplete from now on, because other boxes may have counted requests there.
+func (l *Ledger) Unsettle(isIncomplete func(upstream namekey.Key) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, u := range l.upstreams {
+		if isIncomplete(key) {
+			u.sinceMs = l.monotonic()
+		}
+	}
+}
+
 // Started records that the first event of a request has come, and returns the grants that are due.
 func (l *Ledger) Started(id ID) []Grant {
 	l.mu.Lock()
--- a/internal/mesh/admission_owner.go
+++ b/internal/mesh/admission_owner.go
@@ -6,6 +6,7 @@
 
 	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/namekey"
 )
 
 // maxUnrepeated is the number of calls of ExpireAdmissions, one each 50 ms, for which a queued ask of another box waits
@@ -21,6 +22,7 @@
 	release    func(id admission.ID, served bool) []admission.Grant
 	releaseBox func(box string) []admission.Grant
 	renew      func(box string, numbers []uint32)
+	unsettle   func(isIncomplete func(upstream namekey.Key) bool)
 	denyQueued func(exceptBox string) []admission.Grant
 	expire     func() []admission.Grant
 	sizes      func() admission.Sizes
@@ -28,7 +30,7 @@
 
 func newAdmissionLedger(l *admission.Ledger) admissionLedger {
 	return admissionLedger{
-		ask: l.Ask, started: l.Started, release: l.Release, releaseBox: l.ReleaseBox, renew: l.Renew,
+		ask: l.Ask, started: l.Started, release: l.Release, releaseBox: l.ReleaseBox, renew: l.Renew, unsettle: l.Unsettle,
 		denyQueued: l.DenyQueued, expire: l.Expire, sizes: l.Sizes,
 	}
 }
@@ -129,6 +131,13 @@
 	o.ledger.renew(box, numbers)
 }
 
+// unsettle makes the counts at upstreams incomplete from now on.
+func (o *admissionOwner) unsettle(isIncomplete func(upstream namekey.Key) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ledger.unsettle(isIncomplete)
+}
+
 // expire removes what has expired, and asks that are not repeated any more, so that no capacity is granted to boxes
 // that don't use it. It returns the grants that are due, and whether anything may expire later.
 func (o *admissionOwner) expire() (grants []admission.Grant, more bool) {
@@ -190,6 +199,7 @@
 
 // decide decides on an ask as the owner of the upstream, and sends the grants that are due.
 func (m *Mesh) decide(a admission.Ask) admission.Answer {
+	m.checkOwnership(a.Upstream)
 	answer, grants := m.admissionOwner.ask(a)
 	m.sendGrants(grants)
 	if m.exchangesPaces() {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -121,6 +121,7 @@
 	admissionOwner *admissionOwner
 	admissions     admissionRequests
 	pendingPermits permitRequests
+	ownerView      ownerView
 	inquiries      *inquiries[originReply]
 	// attemptInquiries are the questions about pools that may be stalled.
 	attemptInquiries *inquiries[attemptsReply]
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -368,8 +368,10 @@
 }
 
 // AddPause must be called after this process was paused. It extends the liveness deadlines of the
-// other boxes, because their silence during the pause says nothing about them.
+// other boxes, because their silence during the pause says nothing about them. Its counts are incomplete, because other
+// owners were asked.
 func (m *Mesh) AddPause(pause clock.Millis) {
+	m.unsettle(func(namekey.Key) bool { return true })
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -209,6 +209,7 @@
 
 // grant decides, as the owner of an upstream, whether to grant a permit, and returns the kind of the answer.
 func (m *Mesh) grant(id occupancy.PermitID, r PermitRequest) permitMessageKind {
+	m.checkOwnership(r.Upstream)
 	switch {
 	case r.WithinMs > 0 && m.ledger.AcquireWithin(id, r.Upstream, r.Bound, r.WithinMs):
 		return permitGranted
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -81,6 +81,17 @@
 	return u != nil && l.monotonic()-u.sinceMs >= settleMs
 }
 
+// Unsettle makes the counts at upstreams incomplete from now on, because other boxes may have counted requests there.
+func (l *Ledger) Unsettle(isIncomplete func(upstream namekey.Key) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, u := range l.upstreams {
+		if isIncomplete(key) {
+			u.sinceMs = l.monotonic()
+		}
+	}
+}
+
 // Acquire grants a permit at an upstream unless the bound is reached, and reports whether it did.
 func (l *Ledger) Acquire(id PermitID, upstream namekey.Key, bound int) bool {
 	return l.acquire(id, upstream, func(u *load) (permit, bool) {
