fix(balance): boxes don't all choose the same least loaded engine

Boxes have similar estimates, a second old, and asked the same two engines after the session's order; those filled up, refused, and got the requests without a bound. The engines of the lower half are now asked in random order, and the one that was asked last gets the prompt if all refuse it.

--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -157,20 +157,17 @@
 }
 
 // queueable returns the engine at which the prompt is to wait, or nil if none would start it in time. If the load bound
-// alone prevents it at some, it is the least loaded one of these, and else the one that would start it first.
+// alone prevents it at some, it is the last one of these, which was asked for its low load, and else the one that would
+// start it first.
 func (w *admissionWalk) queueable() *askedEngine {
 	inTime := func(e *askedEngine) bool {
 		return !e.estimated && !e.onProbation && e.startInMs <= e.ask.InTimeMs
 	}
-	var least *askedEngine
-	for _, e := range w.asked {
-		if inTime(e) && e.deniedForBound() && (least == nil || e.lease.Load < least.lease.Load) {
-			least = e
+	for _, e := range slices.Backward(w.asked) {
+		if inTime(e) && e.deniedForBound() {
+			return e
 		}
 	}
-	if least != nil {
-		return least
-	}
 	return w.best(inTime)
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -303,15 +303,20 @@
 	return order
 }
 
-// leastLoadedFirst orders engines by their load as this box estimates it. Those with equal loads are in random order,
-// so that boxes with equal estimates don't choose the same one.
+// leastLoadedFirst orders engines by their load as this box estimates it, but those of the lower half at random: boxes
+// have similar estimates, which are a second old, and would all choose the same engine.
 func (m *Manager) leastLoadedFirst(order []*Member, now clock.Millis) []*Member {
-	order = rotateFirst(order, m.random(len(order)), len(order))
 	loads := make(map[*Member]int, len(order))
 	for _, member := range order {
 		loads[member] = member.load(now)
 	}
-	slices.SortStableFunc(order, func(a, b *Member) int { return cmp.Compare(loads[a], loads[b]) })
+	order = slices.SortedStableFunc(slices.Values(rotateFirst(order, m.random(len(order)), len(order))),
+		func(a, b *Member) int { return cmp.Compare(loads[a], loads[b]) })
+	half := (len(order) + 1) / 2 //nolint:mnd // Half.
+	for i := range half {
+		j := i + m.random(half-i)
+		order[i], order[j] = order[j], order[i]
+	}
 	return order
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	time.Sleep(startupSpan)
+	time.Sleep(settings.startupSpan())
 	report := Report{Seed: settings.Seed, Faults: map[string]int{}}
 	clients, stopClients := context.WithCancel(ctx)
 	var workers sync.WaitGroup
@@ -97,6 +97,15 @@
 	return report, err
 }
 
+// startupSpan returns how long boxes run before requests are sent. With a load they know each other by then, as those of
+// the users do.
+func (s *Settings) startupSpan() time.Duration {
+	if s.Load {
+		return loadContactSpan
+	}
+	return startupSpan
+}
+
 // startRequests starts the clients, and the servers' signals, until ctx ends.
 func (f *fleet) startRequests(ctx context.Context, workers *sync.WaitGroup) {
 	for i := range f.settings.Clients {
