--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -97,8 +97,8 @@
 	return report, err
 }
 
-// startupSpan returns how long boxes run before requests are sent. With a load they know each other by then, as those of
-// the users do.
+// startupSpan returns how long boxes run before requests are sent. With a load they know each other by then, as those
+// of the users do.
 func (s *Settings) startupSpan() time.Duration {
 	if s.Load {
 		return loadContactSpan
