--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -80,10 +80,7 @@
 			bound = maxPermits
 		}
 		reply := acquire(lease, bound)
-		lease.Permit = lease.permit(sourceOf(!reply.Unanswered, reply.Provisional), len(request.Full))
-		if bound == maxPermits {
-			lease.Permit.Source = UnboundedPermit
-		}
+		lease.recordPermit(reply, bound, len(request.Full))
 		if lease.mayBeSent(reply, bound) {
 			lease.attachPermit(reply)
 			return lease, nil
@@ -96,6 +93,17 @@
 	}
 }
 
+// recordPermit records who decided on a request for a permit under a bound. Those of plain services have no load bound.
+func (l *Lease) recordPermit(reply occupancy.Reply, requested, refusals int) {
+	if l.withinMs > 0 {
+		return
+	}
+	l.Permit = l.permit(sourceOf(!reply.Unanswered, reply.Provisional), refusals)
+	if requested == maxPermits {
+		l.Permit.Source = UnboundedPermit
+	}
+}
+
 // permit returns the permit of a lease that has a bound.
 func (l *Lease) permit(source PermitSource, refusals int) Permit {
 	return Permit{Source: source, Bound: l.bound, OwnBound: l.ownBound, Refusals: refusals}
--- a/internal/balance/permitsource_test.go
+++ b/internal/balance/permitsource_test.go
@@ -34,6 +34,11 @@
 		require.NoError(t, err)
 		assert.Zero(t, lease.Permit)
 	})
+	t.Run("permits of plain services have no load bound", func(t *testing.T) {
+		lease, err := newFixture(t, 12).PickWithPermit(PickRequest{Pool: "p", ObjectiveMs: 100}, (&fakeOwner{}).acquire)
+		require.NoError(t, err)
+		assert.Zero(t, lease.Permit)
+	})
 	t.Run("the refusals before count", func(t *testing.T) {
 		lease, err := inLargeFleet(t, 120).PickWithPermit(sticky("s"), (&fakeOwner{refusals: 2}).acquire)
 		require.NoError(t, err)
