fix(balance): a wait for the bound leaves the first answer of the engine as it was

A prompt that waited in vain for the bound of the engine that caches it kept that denial's time to the first event, which includes the wait for the bound, so that the engine counted as too late if all others refused for their work. Found by reading; the new case of TestAdmissionWithinBound covers it. Comments say what is asked after the session's order.

--- a/internal/balance/admissionbound_test.go
+++ b/internal/balance/admissionbound_test.go
@@ -68,6 +68,15 @@
 		assert.Equal(t, 17, f.asks[1].Bound)
 		assert.Equal(t, f.asks[1].InTimeMs/2, f.asks[1].PatienceMs)
 	})
+	t.Run("if all others have too much work, it is sent there in the end", func(t *testing.T) {
+		f, holder := holding(t, overBound(), denied(9000, 0), denied(9000, 700))
+		f.onAsk = func(upstream *Member, a admission.Ask) {
+			if upstream.ID == holder && a.Bound == 0 {
+				f.replies = []admission.Reply{granted()}
+			}
+		}
+		assert.Equal(t, holder, f.pickAdmitted(t, prompted("s")).ID)
+	})
 	t.Run("and goes to another one if that takes too long", func(t *testing.T) {
 		f, holder := holding(t, overBound(), overBound(), granted())
 		f.onAsk = func(_ *Member, a admission.Ask) {
--- a/internal/balance/admissionwalk.go
+++ b/internal/balance/admissionwalk.go
@@ -142,7 +142,7 @@
 	return nil, errNotAdmitted
 }
 
-// maxAsks returns the number of engines to ask in this round. After those of the session's order, the least loaded ones
+// maxAsks returns the number of engines to ask in this round. After those of the session's order, some with a low load
 // are asked if the load bound prevents the prompt at one of the former.
 func (w *admissionWalk) maxAsks() int {
 	if len(w.asked) == maxAdmissionAsks && slices.ContainsFunc(w.asked, (*askedEngine).deniedForBound) {
@@ -151,7 +151,8 @@
 	return maxAdmissionAsks + w.leastLoaded
 }
 
-// deniedForBound reports whether the engine would start the prompt at once if its load were below the bound.
+// deniedForBound reports whether the engine would start the prompt at once if its load were below the bound. If its
+// work prevents that, the owner tells when it will be done.
 func (e *askedEngine) deniedForBound() bool {
 	return !e.estimated && e.lease.bound > 0 && e.reply.Answer.Verdict == admission.Denied && e.reply.Answer.DrainMs == 0
 }
@@ -196,7 +197,7 @@
 // its owner denies it. Where the bound is likely the reason, it waits for half of the time in which it is in time, so
 // that other engines can be asked in the rest.
 func (w *admissionWalk) waitWithinBound(ctx context.Context, e *askedEngine) (*Lease, error) {
-	first, patienceMs := e.reply, w.request.Admission.PatienceMs
+	first, patienceMs := *e, w.request.Admission.PatienceMs
 	if e.deniedForBound() || e.lease.exceedsOwnBound(e.lease.bound) {
 		elapsedMs := w.manager.monotonic() - w.startMs
 		w.patienceMs = min(patienceMs, elapsedMs+e.ask.InTimeMs/2+refusalMs) //nolint:mnd // Half.
@@ -206,7 +207,11 @@
 	if w.accepts(e) {
 		return w.commit(ctx, e)
 	}
-	e.ask.MayQueue, e.reply = false, first
+	e.ask.MayQueue = false
+	if !e.estimated {
+		// The time to the first event in the denial of a wait includes that until the engine is below the bound.
+		e.reply, e.startInMs = first.reply, first.startInMs
+	}
 	return nil, errNotAdmitted
 }
 
--- a/internal/balance/permits.go
+++ b/internal/balance/permits.go
@@ -16,13 +16,13 @@
 // evacuated or cold.
 
 const (
-	// maxPermitRefusals is how many engines of a session's order may refuse a permit before the least loaded ones of the
-	// pool are asked.
+	// maxPermitRefusals is how many engines of a session's order may refuse a permit before engines with a low load are
+	// asked.
 	maxPermitRefusals = 4
 	// maxLeastLoaded is how many of those are asked. Estimates are a second old, so the first one may have filled up.
 	maxLeastLoaded = 2
 	// maxBoundedPermits is how many engines may refuse a permit before a request goes to the next one regardless of its
-	// load. All refuse only while boxes underestimate the mean load, and the least loaded engine is then the best choice.
+	// load. All of them refuse if boxes underestimate the mean load, as they do for a second after it has risen.
 	maxBoundedPermits = maxPermitRefusals + maxLeastLoaded
 )
 
@@ -65,8 +65,9 @@
 }
 
 // PickWithPermit picks like Pick. If the engine has an owner, it also requests a permit; if the owner
-// refuses, it picks another engine, until a permit is granted. The function acquire requests a permit
-// from the owner of the lease's engine, who grants it while the engine's load is below the bound.
+// refuses, it picks another engine, until a permit is granted or maxBoundedPermits owners have refused.
+// The function acquire requests a permit from the owner of the lease's engine, who grants it while the
+// engine's load is below the bound.
 func (m *Manager) PickWithPermit(
 	request PickRequest, acquire func(lease *Lease, bound int) occupancy.Reply,
 ) (*Lease, error) {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -239,7 +239,7 @@
 // least loaded one. It passes over engines in request.Full, except that the first engine in the order
 // is chosen if no other one is below the bound or less loaded than it. If a session needs the capacity
 // of several engines (lease.Spread), the search starts at a random one of that many first engines. After owners of
-// maxPermitRefusals engines have refused the request, it goes to those with the least load.
+// maxPermitRefusals engines have refused the request, the search goes on among engines with a low load.
 //
 // If an owner decides on the engine next, only the requests of this box count here: its estimate of the
 // load is older than the owner's count, and would move sessions away from engines that have room.
