fix(gateway): a take-up without a name goes on only at a proved version

After all boxes were killed during a release, callers that took a stream up with Last-Event-Id but without Resumes got 200 and the rest of the text from another software version.

Cause: for such callers the box took the only version in its own view as the origin, without asking whether the view reached back far enough or was fresh. A box that has just started sees only the version that replaced the one that began the stream.

Evidence, before this change (the second version is the only one that the new boxes see; the callers that name the stream were refused already):

--- FAIL: TestStreamNotJoinedAfterAllBoxesRestart/callers_name_no_stream/the_older_servers_left_before_the_boxes_started expected: 503 actual : 200 Should be empty, but was [v2 v2]

Such a take-up is now decided like one whose stream nobody has recorded: the other boxes are asked for their views, and the version counts only if all who answer agree, one of them has known the upstreams for streams.WindowMs and its view is fresh, or all failure domains agree. Otherwise it is refused with 503.

Changed test: TestStreamVersionGone, "a caller that names no stream goes on while one version serves", required a box that had started at once to go on, which is the fault. It now requires a refusal at first, and the same going on after the window; the refusal beside a second version is unchanged.

--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -11,6 +11,7 @@
 
 	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/internal/streams"
 	"dooryard.example/dooryard/internal/why"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -198,6 +199,8 @@
 			f.pausingUpstreams("ua-v1", "ub-v1")
 			b := f.box(1)
 			unnamed := begun{version: "v1"}
+			assertStreamsRefused(f.t, b, []begun{unnamed})
+			advance(f.t, streams.WindowMs.Duration())
 			assertGoOn(f.t, b, []begun{unnamed})
 			f.pausingUpstreams("uc-v2")
 			advance(f.t, 2*time.Second)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -159,17 +159,12 @@
 func (o *streamOrigins) find(ctx context.Context, r *opaque.Request) streams.OriginKey {
 	startMs := o.box.clock.Monotonic()
 	event := decision.StreamTakenUp{Request: r.ID, Resumes: r.ResumedID(), Pool: r.Pool, After: r.LastEventID()}
-	key := o.ledger.Origin(streams.IDOf(r.ResumedID()))
-	switch {
-	case r.ResumedID() == "":
-		// Callers that name no stream expect that one version serves.
-		own := o.view(r.Pool)
-		key = own.Sole
-		event.OneVersion, event.Fresh = own.Sole != streams.Unknown, own.Fresh
-	case key != streams.Unknown:
+	id := takenUpID(r)
+	key := o.ledger.Origin(id)
+	if key != streams.Unknown {
 		event.Known = true
-	default:
-		inquiry := o.inquire(ctx, r)
+	} else {
+		inquiry := o.inquire(ctx, r, id)
 		key = inquiry.Origin()
 		event.Answers, event.AllDomains = len(inquiry.Answers), inquiry.AllDomains
 		event.OneVersion, event.Fresh = inquiry.Own.Sole != streams.Unknown, inquiry.Own.Fresh
@@ -182,10 +177,19 @@
 	return key
 }
 
-// inquire asks other boxes for the origin of the stream that a request takes up.
-func (o *streamOrigins) inquire(ctx context.Context, r *opaque.Request) streams.Inquiry {
+// takenUpID returns the ID of the stream that a request takes up. If the caller names no stream, it is an ID of which
+// nobody has a record, since no request ID contains a zero byte.
+func takenUpID(r *opaque.Request) streams.ID {
+	if r.ResumedID() == "" {
+		return streams.IDOf("\x00" + r.ID)
+	}
+	return streams.IDOf(r.ResumedID())
+}
+
+// inquire asks other boxes for the origin of the stream that a request takes up, and for their views of its pool.
+func (o *streamOrigins) inquire(ctx context.Context, r *opaque.Request, id streams.ID) streams.Inquiry {
 	i := streams.Inquiry{}
-	i.Answers, i.AllDomains = o.box.peering.mesh.AskOrigin(ctx, streams.IDOf(r.ResumedID()), namekey.Of(r.Pool))
+	i.Answers, i.AllDomains = o.box.peering.mesh.AskOrigin(ctx, id, namekey.Of(r.Pool))
 	if len(r.Route.Splits) == 1 {
 		// On a split route, the stream may have begun in any of the pools.
 		i.Own = o.view(r.Pool)
