fix(registry): a list read in pages does not skip records between them

A box that had just started, or started over, never learned of records that were written between two pages of the list of servers: it kept sending to a server that was leaving, and knew an older software version of a server that had come back under its id, so that streams could go on there at another version. Boxes that fetched from it missed the same records.

The reader goes on from the end that the first page shows, which is right, but the registry took the position of the newest record of any page for its own. follower.catchUp and the boxes that fetch from this one went on from that position and skipped what lies before.

Now a position of the registry means that every record before it was applied. A list moves it to the end that its first page showed; later records that the list holds are applied by their own offsets, and passed on to other boxes once the position has reached them. An update from another box moves it to the position that the update names.

Changed tests: TestHistories reads lists in two pages between which servers write, which is stricter; until the end of a history, when no server may write any more.

--- a/internal/registry/histories_test.go
+++ b/internal/registry/histories_test.go
@@ -60,6 +60,8 @@
 	log     modelLog
 	servers []*modelServer
 	boxes   []*modelBox
+	// settled is set once servers write no more.
+	settled bool
 }
 
 func newHistory(seed uint64) *history {
@@ -148,20 +150,34 @@
 	return r.at(era, offset)
 }
 
+// readWhole reads the newest record of each server in two pages, between which servers may write.
 func (h *history) readWhole(b *modelBox) {
+	b.at = position.At(h.log.era, int64(len(h.log.records)))
+	all := h.page(h.servers[:len(h.servers)/2])
+	for range h.random.IntN(4) {
+		if h.settled {
+			break
+		}
+		h.stepServer(h.servers[h.random.IntN(len(h.servers))])
+	}
+	all = append(all, h.page(h.servers[len(h.servers)/2:])...)
+	b.ApplySnapshot(all, b.at, reappearMs)
+	b.filled = true
+}
+
+// page returns the newest records of some servers.
+func (h *history) page(servers []*modelServer) []Change {
 	offsets := map[string]int64{}
 	for i, r := range h.log.records {
 		offsets[r.id] = int64(i)
 	}
-	all := []Change{}
-	for _, i := range offsets {
-		if r := h.log.records[i]; !r.removed {
-			all = append(all, r.copied(h.log.era, i+1))
+	list := []Change{}
+	for _, s := range servers {
+		if i, known := offsets[s.id]; known && !h.log.records[i].removed {
+			list = append(list, h.log.records[i].copied(h.log.era, i+1))
 		}
 	}
-	b.at = position.At(h.log.era, int64(len(h.log.records)))
-	b.ApplySnapshot(all, b.at, reappearMs)
-	b.filled = true
+	return list
 }
 
 // relay sends a box's newer changes to another box.
@@ -233,6 +249,7 @@
 			h.remove(s)
 		}
 	}
+	h.settled = true
 	h.read(h.boxes[0])
 	for _, b := range h.boxes[1:] {
 		h.relay(h.boxes[0], b)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -122,8 +122,17 @@
 // OnChange sets a function that is called after each change, without locks held.
 func (r *Registry) OnChange(call func()) { r.onChange = call }
 
-// Apply applies changes and returns those that were new.
+// Apply applies changes without a gap between them and the position of the registry, and returns those that were new.
 func (r *Registry) Apply(changes []Change) []Change {
+	upTo := position.Position{}
+	for _, c := range changes {
+		upTo = position.Max(upTo, c.Position)
+	}
+	return r.applyUpTo(changes, upTo)
+}
+
+// applyUpTo applies changes, after which the registry holds every change up to a position. Changes may be later.
+func (r *Registry) applyUpTo(changes []Change, upTo position.Position) []Change {
 	applied := []Change{}
 	r.mu.Lock()
 	r.upToDateMs = r.monotonic()
@@ -133,6 +142,7 @@
 			r.journal.add(c)
 		}
 	}
+	r.journal.advance(upTo)
 	r.mu.Unlock()
 	if len(applied) > 0 {
 		r.onChange()
@@ -183,7 +193,9 @@
 }
 
 // ApplySnapshot applies a complete list of the upstreams at a position, and returns the changes that
-// were new. Upstreams missing from the list are removed, but may reappear within graceMs.
+// were new. Upstreams missing from the list are removed, but may reappear within graceMs. A list that
+// was read in pages may hold later changes. The registry stays at the position nevertheless, since
+// changes between it and those may be missing.
 func (r *Registry) ApplySnapshot(all []Change, at position.Position, graceMs clock.Millis) []Change {
 	r.mu.Lock()
 	if at.Era < r.journal.position.Era {
@@ -194,7 +206,7 @@
 	// effect.
 	all = append(r.removals(all, at, graceMs), r.delayForeignRemovals(all, at, graceMs)...)
 	r.mu.Unlock()
-	applied := r.Apply(all)
+	applied := r.applyUpTo(all, position.Position{})
 	r.mu.Lock()
 	r.journal.skipTo(at)
 	r.synced = true
@@ -305,7 +317,7 @@
 	return known && !e.tombstone && e.upstream.StartedMs == u.StartedMs
 }
 
-// Position returns the newest position that was applied.
+// Position returns the position up to which every change was applied.
 func (r *Registry) Position() position.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -368,5 +380,5 @@
 	if u.Complete || !u.Position.IsZero() && r.Position().IsZero() {
 		return r.ApplySnapshot(u.Changes, u.Position, r.relayedGraceMs(u.Position))
 	}
-	return r.Apply(u.Changes)
+	return r.applyUpTo(u.Changes, u.Position)
 }
