fix(daemon): signals before the start and while it stops don't end a box

Callers saw: a box that was signalled early ended by SIGHUP, one that was stopping ended at once by a second SIGTERM and lost all requests that it still served, and a box whose reader of standard output had gone ended by SIGPIPE with its next line.

Cause: SIGHUP was handled only after the settings had been loaded and the box built; exit.Main restored the default handlers after the first signal; nothing handled SIGPIPE, which the Go runtime raises for descriptors 1 and 2.

The daemons now receive signals from the initialization of the program on (a package that is initialized before the larger ones), remember SIGHUP as a reload, and only a second SIGINT ends a stop. Each signal is a line, and `starting` has the settings file, the process id and the version.

The runbook test gets the streams of the router through a Process; its assertions are unchanged.

--- a/cmd/dooryard-gateway/main.go
+++ b/cmd/dooryard-gateway/main.go
@@ -2,11 +2,14 @@
 package main
 
 import (
-	"os"
+	"github.com/urfave/cli/v3"
 
-	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/gatewaycmd"
+	"dooryard.example/dooryard/internal/cmd/signals"
 	"dooryard.example/dooryard/platform"
 )
 
-func main() { exit.Main(gatewaycmd.New(os.Stdout, platform.Adapter())) }
+func main() {
+	daemon.Main(signals.Received, func(p *daemon.Process) *cli.Command { return gatewaycmd.New(p, platform.Adapter()) })
+}
--- a/cmd/dooryard-router/main.go
+++ b/cmd/dooryard-router/main.go
@@ -2,10 +2,9 @@
 package main
 
 import (
-	"os"
-
-	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/routercmd"
+	"dooryard.example/dooryard/internal/cmd/signals"
 )
 
-func main() { exit.Main(routercmd.New(os.Stdout, os.Stderr)) }
+func main() { daemon.Main(signals.Received, routercmd.New) }
--- /dev/null
+++ b/internal/cmd/daemon/process.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dooryard.example/dooryard/internal/cmd/exit"
+)
+
+// Process is the process of a daemon: where it writes, and the signals that it receives.
+type Process struct {
+	// Out receives log lines, Err the reason for which the daemon doesn't start or ends.
+	Out, Err io.Writer
+	// Reload receives a value after SIGHUP.
+	Reload <-chan struct{}
+	// Notes receives a text about each signal.
+	Notes <-chan string
+}
+
+// notesCapacity limits the signals that are noted before the daemon reads the notes.
+const notesCapacity = 16
+
+// printTimeout limits how long the end of the process waits for a reader of standard error.
+const printTimeout = 100 * time.Millisecond
+
+// Main runs the command of a daemon as a program's main function. SIGTERM and SIGINT cancel the command's context, and
+// only a second SIGINT ends the process at once. SIGHUP is passed on to the daemon.
+func Main(received <-chan os.Signal, command func(p *Process) *cli.Command) {
+	os.Exit(runMain(received, command))
+}
+
+func runMain(received <-chan os.Signal, command func(p *Process) *cli.Command) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := &signalHandler{
+		cancel: cancel, reload: make(chan struct{}, 1), notes: make(chan string, notesCapacity), kill: interrupt,
+	}
+	go h.run(received)
+	c := command(&Process{Out: os.Stdout, Err: os.Stderr, Reload: h.reload, Notes: h.notes})
+	err := c.Run(ctx, os.Args)
+	if err == nil {
+		return 0
+	}
+	printed := make(chan struct{})
+	go func() {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", c.Name, err)
+		close(printed)
+	}()
+	select {
+	case <-printed:
+	case <-time.After(printTimeout):
+	}
+	return exit.Code(err)
+}
+
+// signalHandler translates the signals of a process.
+type signalHandler struct {
+	cancel context.CancelFunc
+	reload chan struct{}
+	notes  chan string
+	// kill ends the process by SIGINT.
+	kill func()
+
+	stopping, interrupted bool
+}
+
+func (h *signalHandler) run(received <-chan os.Signal) {
+	for s := range received {
+		h.handle(s)
+	}
+}
+
+func (h *signalHandler) handle(s os.Signal) {
+	switch {
+	case s == syscall.SIGHUP && !h.stopping:
+		h.note("reload: " + s.String())
+		select {
+		case h.reload <- struct{}{}:
+		default:
+		}
+	case s == syscall.SIGHUP:
+		h.note("ignored while stopping: " + s.String())
+	case s == os.Interrupt && h.interrupted:
+		h.kill()
+	case h.stopping:
+		h.note("ignored while stopping: " + s.String())
+	default:
+		h.note("stop: " + s.String())
+	}
+	if s != syscall.SIGHUP {
+		h.stopping = true
+		h.interrupted = h.interrupted || s == os.Interrupt
+		h.cancel()
+	}
+}
+
+// note queues a text and drops it if nobody reads them.
+func (h *signalHandler) note(text string) {
+	select {
+	case h.notes <- text:
+	default:
+	}
+}
+
+func interrupt() {
+	signal.Reset(os.Interrupt)
+	// A process may always signal itself.
+	_ = syscall.Kill(os.Getpid(), syscall.SIGINT)
+}
--- a/internal/cmd/exit/exit.go
+++ b/internal/cmd/exit/exit.go
@@ -37,10 +37,11 @@
 		return
 	}
 	fmt.Fprintf(os.Stderr, "%s: %v\n", command.Name, err)
-	os.Exit(code(err))
+	os.Exit(Code(err))
 }
 
-func code(err error) int {
+// Code returns the exit code of a program whose command failed with an error.
+func Code(err error) int {
 	if errors.Is(err, config.ErrInvalid) || errors.Is(err, ErrUsage) {
 		return codeUsage
 	}
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -3,49 +3,63 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
 	"math"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/gateway"
+	"dooryard.example/dooryard/internal/version"
 	"dooryard.example/dooryard/pkg/config"
 )
 
-// New returns the command. It writes log lines to out.
-func New(out io.Writer, adapter gateway.Adapter) *cli.Command {
+// New returns the command. It runs as a process, to whose output it writes log lines.
+func New(process *daemon.Process, adapter gateway.Adapter) *cli.Command {
 	return daemon.Daemon[config.Gateway]{
 		Name:        "dooryard-gateway",
 		Usage:       "route opaque requests on an entry box until a termination signal",
 		EnvSettings: adapter.EnvSettings,
 		Load:        config.LoadGateway,
 		Run: func(ctx context.Context, path string, settings config.Gateway) error {
-			return run(ctx, path, settings, out, adapter)
+			return run(ctx, path, settings, process, adapter)
 		},
 	}.Command()
 }
 
-func run(ctx context.Context, path string, settings config.Gateway, out io.Writer, adapter gateway.Adapter) error {
+func run(
+	ctx context.Context, path string, settings config.Gateway, process *daemon.Process, adapter gateway.Adapter,
+) error {
 	limitMemory(settings)
 	c := clock.New(clock.WithBootTime())
 	w := &watcher{path: path, clock: c}
-	b, err := gateway.New(settings, adapter, out, gateway.WithClock(c))
+	b, err := gateway.New(settings, adapter, process.Out, gateway.WithClock(c))
 	if err != nil {
 		return err
 	}
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
-	go w.run(ctx, b, sighup)
+	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s", path, os.Getpid(), version.String()))
+	ended, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go recordSignals(ended, b, process.Notes)
+	go w.run(ctx, b, process.Reload)
 	return b.Run(ctx)
 }
 
+// recordSignals writes a line for each signal, also while the box stops.
+func recordSignals(ctx context.Context, b *gateway.Box, notes <-chan string) {
+	for {
+		select {
+		case note := <-notes:
+			b.RecordProcess("signal received", note)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 const (
 	mebibyte = 1 << 20
 	// memoryShare is the part of the box's memory above which the garbage collector works
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -21,7 +21,7 @@
 	content []byte
 }
 
-func (w *watcher) run(ctx context.Context, b *gateway.Box, sighup <-chan os.Signal) {
+func (w *watcher) run(ctx context.Context, b *gateway.Box, reload <-chan struct{}) {
 	// The first read can only fail if the file was removed after startup.
 	w.content, _ = os.ReadFile(w.path)
 	ticks := make(chan struct{})
@@ -35,7 +35,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-reload:
 		case <-ticks:
 		}
 		w.reload(b)
--- a/internal/cmd/gatewaycmd/watcher_test.go
+++ b/internal/cmd/gatewaycmd/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/gateway"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/pkg/config"
@@ -64,7 +65,7 @@
 
 func TestCommand(t *testing.T) {
 	run := func(arguments ...string) error {
-		command := New(&strings.Builder{}, gateway.Adapter{EnvSettings: "DOORYARD_TEST_SETTINGS"})
+		command := New(&daemon.Process{Out: &strings.Builder{}, Err: &strings.Builder{}}, gateway.Adapter{EnvSettings: "DOORYARD_TEST_SETTINGS"})
 		return command.Run(t.Context(), append([]string{"dooryard-gateway"}, arguments...))
 	}
 	path := filepath.Join(t.TempDir(), "settings.yaml")
--- a/internal/cmd/operatorcmd/runbook_test.go
+++ b/internal/cmd/operatorcmd/runbook_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/urfave/cli/v3"
 
+	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/operatorcmd"
 	"dooryard.example/dooryard/internal/cmd/routercmd"
 	"dooryard.example/dooryard/internal/cmd/standincmd"
@@ -47,7 +48,7 @@
 	case "dooryard":
 		return operatorcmd.New(in, out)
 	case "dooryard-router":
-		return routercmd.New(out, io.Discard)
+		return routercmd.New(&daemon.Process{Out: out, Err: io.Discard})
 	case "dooryard-standin":
 		return standincmd.New(out)
 	default:
--- a/internal/cmd/routercmd/routercmd.go
+++ b/internal/cmd/routercmd/routercmd.go
@@ -14,16 +14,16 @@
 	"dooryard.example/dooryard/pkg/config"
 )
 
-// New returns the command. The stdout exporter writes spans to out; log lines are written
-// to logs.
-func New(out, logs io.Writer) *cli.Command {
+// New returns the command. The stdout exporter writes spans to the process's output, log lines are written to its
+// standard error.
+func New(process *daemon.Process) *cli.Command {
 	return daemon.Daemon[config.Router]{
 		Name:        "dooryard-router",
 		Usage:       "route requests on an entry box until a termination signal",
 		EnvSettings: "DOORYARD_SETTINGS",
 		Load:        config.LoadRouter,
 		Run: func(ctx context.Context, _ string, settings config.Router) error {
-			return run(ctx, settings, out, logs)
+			return run(ctx, settings, process.Out, process.Err)
 		},
 	}.Command()
 }
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -316,6 +316,11 @@
 	return err
 }
 
+// RecordProcess writes a line about the process, such as a signal that it has received.
+func (b *Box) RecordProcess(what, note string) {
+	b.log.Record(decision.Process{What: what, Note: note})
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
