fix(decision): a stop doesn't wait for a reader of standard output

Callers saw: a box whose standard output was a full pipe that nobody reads went on running after SIGTERM, beyond its grace period, until it was killed.

Cause: the goroutine that writes lines was blocked in write, and the end of the box waits for all its goroutines.

At the end the queued lines are flushed for 150 ms at most. Lines that fail to be written, since the reader has gone, are counted as dropped.

Evidence: the new tests on the old log.go: TestRunEndsWithBlockedOutput: Run waits for a reader of its output TestLinesThatCanNotBeWrittenAreCounted: expected: 3, actual: 0 TestStopWithUnreadOutput: the process did not end (8 s, grace 4 s)

--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -83,6 +83,7 @@
 type process struct {
 	t        *testing.T
 	command  *exec.Cmd
+	at       addresses
 	settings string
 	stderr   syncBuffer
 	done     chan struct{}
@@ -110,11 +111,12 @@
 	return b.buffer.String()
 }
 
-func newProcess(t *testing.T, settings string) *process {
+func newProcess(t *testing.T, at addresses) *process {
 	t.Helper()
+	settings := at.settings()
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-	p := &process{t: t, settings: path, done: make(chan struct{}), added: make(chan struct{}, 1)}
+	p := &process{t: t, at: at, settings: path, done: make(chan struct{}), added: make(chan struct{}, 1)}
 	p.command = exec.CommandContext(context.WithoutCancel(t.Context()), os.Args[0])
 	p.command.Env = append(os.Environ(), envProcess+"=1", envSettings+"="+path)
 	p.command.Stderr = &p.stderr
@@ -198,6 +200,18 @@
 	return false
 }
 
+// awaitCallers waits until the process accepts connections from callers.
+func (p *process) awaitCallers() {
+	p.t.Helper()
+	require.Eventually(p.t, func() bool {
+		conn, err := net.Dial("tcp", p.at.callers)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	}, eventTimeout, 10*time.Millisecond)
+}
+
 func (p *process) signal(s os.Signal) {
 	p.t.Helper()
 	require.NoError(p.t, p.command.Process.Signal(s))
@@ -216,7 +230,7 @@
 
 func TestSignalsDoNotEndTheProcess(t *testing.T) {
 	t.Run("a hangup before the settings are read", func(t *testing.T) {
-		p := newProcess(t, freeAddresses(t).settings())
+		p := newProcess(t, freeAddresses(t))
 		fifo := filepath.Join(t.TempDir(), "settings.fifo")
 		require.NoError(t, syscall.Mkfifo(fifo, 0o600))
 		p.command.Env = append(p.command.Env, envSettings+"="+fifo)
@@ -234,7 +248,7 @@
 		p.awaitLine("started", "")
 	})
 	t.Run("a second termination signal and a hangup while it stops", func(t *testing.T) {
-		p := newProcess(t, freeAddresses(t).settings()).start()
+		p := newProcess(t, freeAddresses(t)).start()
 		p.awaitLine("started", "")
 		p.signal(syscall.SIGTERM)
 		p.awaitLine("signal received", "stop: terminated")
@@ -246,7 +260,7 @@
 		p.awaitLine("stopped", "")
 	})
 	t.Run("a line that is written when the reader of standard output has gone", func(t *testing.T) {
-		p := newProcess(t, freeAddresses(t).settings())
+		p := newProcess(t, freeAddresses(t))
 		out, in, err := os.Pipe()
 		require.NoError(t, err)
 		p.command.Stdout = in
@@ -261,10 +275,38 @@
 }
 
 func TestSecondInterruptEndsTheProcess(t *testing.T) {
-	p := newProcess(t, freeAddresses(t).settings()).start()
+	p := newProcess(t, freeAddresses(t)).start()
 	p.awaitLine("started", "")
 	p.signal(os.Interrupt)
 	p.awaitLine("signal received", "stop: interrupt")
 	p.signal(os.Interrupt)
 	assert.Equal(t, -1, p.awaitEnd())
 }
+
+func TestStopWithUnreadOutput(t *testing.T) {
+	p := newProcess(t, freeAddresses(t))
+	out, in, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { require.NoError(t, out.Close()) }()
+	fillPipe(t, in)
+	p.command.Stdout = in
+	p.start()
+	require.NoError(t, in.Close())
+	p.awaitCallers()
+	p.signal(syscall.SIGTERM)
+	assert.Zero(t, p.awaitEnd(), p.stderr.String())
+}
+
+// fillPipe writes to a pipe until it is full.
+func fillPipe(t *testing.T, in *os.File) {
+	t.Helper()
+	raw, err := in.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Write(func(fd uintptr) bool {
+		for {
+			if _, err := syscall.Write(int(fd), make([]byte, 4096)); err != nil {
+				return true
+			}
+		}
+	}))
+}
--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -68,8 +68,27 @@
 // DroppedLines returns the number of lines dropped since the log was created.
 func (l *Log) DroppedLines() int64 { return l.dropped.Load() }
 
-// Run writes events until the context ends, then flushes the queued ones.
+// flushTimeoutMs limits how long Run waits for a slow output after its context has ended.
+const flushTimeoutMs clock.Millis = 150
+
+// Run writes events until the context ends, then flushes the queued ones for a limited time. A write to an output that
+// nobody reads may outlast Run.
 func (l *Log) Run(ctx context.Context) {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		l.write(ctx)
+	}()
+	<-ctx.Done()
+	limit, cancel := l.clock.WithTimeout(context.WithoutCancel(ctx), flushTimeoutMs)
+	defer cancel()
+	select {
+	case <-flushed:
+	case <-limit.Done():
+	}
+}
+
+func (l *Log) write(ctx context.Context) {
 	w := &writer{log: l}
 	for {
 		select {
@@ -124,7 +143,9 @@
 		return
 	}
 	*used++
-	w.log.writeEntry(e)
+	if w.log.writeEntry(e) != nil {
+		w.log.countDropped(e)
+	}
 }
 
 func (w *writer) reportDropped() {
@@ -132,16 +153,18 @@
 	if all == w.reported {
 		return
 	}
-	w.log.writeEntry(LinesDropped{Lines: all - w.reported, RoutineLines: routine - w.reportedRoutine})
+	if w.log.writeEntry(LinesDropped{Lines: all - w.reported, RoutineLines: routine - w.reportedRoutine}) != nil {
+		return
+	}
 	w.reported, w.reportedRoutine = all, routine
 }
 
-func (l *Log) writeEntry(e Event) {
+// writeEntry writes a line. It fails if the reader of the output has gone.
+func (l *Log) writeEntry(e Event) error {
 	level := zapcore.InfoLevel
 	if !e.Routine() {
 		level = zapcore.WarnLevel
 	}
 	entry := zapcore.Entry{Level: level, Time: time.UnixMilli(int64(l.clock.Now())), Message: e.Name()}
-	// There is no other place to report a failed write to standard output.
-	_ = l.core.Write(entry, []zapcore.Field{zap.Inline(e)})
+	return l.core.Write(entry, []zapcore.Field{zap.Inline(e)})
 }
--- a/internal/decision/log_test.go
+++ b/internal/decision/log_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -91,3 +93,60 @@
 		})
 	})
 }
+
+// failingWriter is an output whose reader has gone until it is restored.
+type failingWriter struct {
+	restored bool
+	bytes.Buffer
+}
+
+func (w *failingWriter) Write(data []byte) (int, error) {
+	if !w.restored {
+		return 0, syscall.EPIPE
+	}
+	return w.Buffer.Write(data)
+}
+
+func TestRunEndsWithBlockedOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedWriter{unblock: make(chan struct{})}
+		defer close(out.unblock)
+		l := newLog(t, out, Settings{MaxLinesPerSecond: 1000, QueueCapacity: 4})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			l.Run(ctx)
+			close(ended)
+		}()
+		l.Record(Process{What: "stopping"})
+		synctest.Wait()
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(time.Second):
+			require.Fail(t, "Run waits for a reader of its output")
+		}
+	})
+}
+
+func TestLinesThatCanNotBeWrittenAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &failingWriter{}
+		logger, err := logging.New(out, "")
+		require.NoError(t, err)
+		l := New(Settings{MaxLinesPerSecond: 1000, QueueCapacity: 4}, clock.New(), logger.Core())
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		for range 3 {
+			l.Record(Process{What: "lost"})
+			time.Sleep(2 * time.Second)
+		}
+		assert.Equal(t, int64(3), l.DroppedLines())
+		out.restored = true
+		l.Record(Process{What: "written"})
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, []string{"lines dropped", "written"}, lines(t, &out.Buffer))
+	})
+}
