fix(gateway): a port that is taken for a moment doesn't end the start of a box

Callers saw: a box that did not start when another process (an earlier one of the same box, an outgoing connection) held one of its ports for a moment; even the port of the metrics ended it.

Cause: any error of a bind was permanent; all listeners were needed for a start.

EADDRINUSE and EADDRNOTAVAIL are retried for as long as an earlier process of the box may take to stop (its grace period, at least 10 s), with a line that names listener, address and error. All sockets are bound before any is served and before the box joins the mesh, readiness last. A stop ends the wait with status 0. Metrics are served in the background, and retried without end.

--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -142,13 +143,17 @@
 		read()
 		_ = p.command.Wait()
 	}()
-	p.t.Cleanup(func() {
-		_ = p.command.Process.Kill()
-		<-p.done
-	})
+	p.t.Cleanup(p.end)
 	return p
 }
 
+// end kills the process.
+func (p *process) end() {
+	// It may have ended already.
+	_ = p.command.Process.Kill()
+	<-p.done
+}
+
 func (p *process) add(line string) {
 	p.mu.Lock()
 	p.lines = append(p.lines, line)
@@ -310,3 +315,50 @@
 		}
 	}))
 }
+
+func TestStartWithTakenPort(t *testing.T) {
+	at := freeAddresses(t)
+	take := func(t *testing.T, network, address string) interface{ Close() error } {
+		t.Helper()
+		if network == "udp" {
+			taken, err := net.ListenPacket(network, address)
+			require.NoError(t, err)
+			return taken
+		}
+		taken, err := net.Listen(network, address)
+		require.NoError(t, err)
+		return taken
+	}
+	for name, port := range map[string]struct{ network, address string }{
+		"callers": {"tcp", at.callers}, "readiness": {"tcp", at.readiness},
+		"peers": {"tcp", at.peers}, "peers UDP": {"udp", at.peers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken := take(t, port.network, port.address)
+			p := newProcess(t, at).start()
+			p.awaitLine("listener retried", name+" listener at "+port.address)
+			require.NoError(t, taken.Close())
+			p.awaitLine("started", "")
+			p.end()
+		})
+	}
+	t.Run("a stop ends the wait for a port", func(t *testing.T) {
+		taken := take(t, "tcp", at.callers)
+		p := newProcess(t, at).start()
+		p.awaitLine("listener retried", "callers")
+		p.signal(syscall.SIGTERM)
+		assert.Zero(t, p.awaitEnd(), p.stderr.String())
+		require.NoError(t, taken.Close())
+	})
+	t.Run("a box runs without its metrics port", func(t *testing.T) {
+		taken := take(t, "tcp", at.metrics)
+		p := newProcess(t, at).start()
+		p.awaitLine("input ignored", "metrics address")
+		p.awaitLine("started", "")
+		require.NoError(t, taken.Close())
+		require.Eventually(t, func() bool {
+			response, err := http.Get("http://" + at.metrics + "/metrics")
+			return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
+		}, eventTimeout, 50*time.Millisecond)
+	})
+}
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -286,16 +286,11 @@
 	defer b.goroutines.Wait()
 	defer stopBackground()
 	b.goroutines.Go(func() { b.log.Run(background) })
-	if err := b.openPeering(); err != nil {
-		return err
-	}
-	if b.askAdmission == nil {
-		b.askAdmission = b.askOwner()
-	}
-	failed, err := b.openListeners()
+	failed, err := b.openSockets(ctx)
 	if err != nil {
-		return err
+		return b.endStart(ctx, err)
 	}
+	b.goroutines.Go(func() { b.serveMetrics(background) })
 	b.goroutines.Go(func() { b.peering.mesh.Run(background) })
 	b.goroutines.Go(func() { b.peering.run(background) })
 	b.goroutines.Go(func() { b.peering.expireAdmissions(background) })
@@ -316,6 +311,15 @@
 	return err
 }
 
+// endStart ends a box that could not open its sockets. It returns no error if the box was stopped meanwhile.
+func (b *Box) endStart(ctx context.Context, err error) error {
+	b.log.Record(decision.Process{What: "stopped", Note: err.Error()})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
 // RecordProcess writes a line about the process, such as a signal that it has received.
 func (b *Box) RecordProcess(what, note string) {
 	b.log.Record(decision.Process{What: what, Note: note})
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"time"
 
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -81,55 +85,116 @@
 	return g
 }
 
-// openListeners starts to serve on all configured addresses. The channel receives the error of a listener that fails.
-func (b *Box) openListeners() (<-chan error, error) {
+// minBindTimeoutMs is the minimum time for which a box waits for an address that is taken.
+const minBindTimeoutMs = 10 * clock.Second
+
+// binder returns the binder of the sockets without which the box can't run. It waits at least as long as an earlier
+// process of the box may take to stop.
+func (b *Box) binder() server.Binder {
+	return server.Binder{
+		Clock: b.clock, TimeoutMs: max(minBindTimeoutMs, shutdownGrace(b.Settings())),
+		OnRetry: func(err error) { b.RecordProcess("listener retried", err.Error()) },
+	}
+}
+
+// socket is an HTTP listener without which the box can't run.
+type socket struct {
+	name, address string
+	handler       http.Handler
+	listener      net.Listener
+}
+
+// openSockets opens all sockets without which the box can't run, and then serves them. The channel receives the error
+// of a listener that fails.
+func (b *Box) openSockets(ctx context.Context) (<-chan error, error) {
 	settings := b.settings.Load()
+	conn, err := b.binder().ListenPacket(ctx, "peers UDP", settings.PeersAddress, b.packets)
+	if err != nil {
+		return nil, err
+	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", b.metrics)
-	failed := make(chan error, maxListeners)
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"readiness", settings.ReadinessAddress, ready},
-		{"callers", settings.CallersAddress, b},
-		{"peers", settings.PeersAddress, b.peersHandler()},
-		{"metrics", settings.MetricsAddress, metrics},
-	} {
-		if l.address == "" {
-			continue
-		}
-		if err := b.open(l.name, l.address, l.handler, failed); err != nil {
-			b.closeListeners()
-			return nil, err
+	sockets := []*socket{
+		{name: "peers", address: settings.PeersAddress, handler: b.peersHandler()},
+		{name: "callers", address: settings.CallersAddress, handler: b},
+		{name: "readiness", address: settings.ReadinessAddress, handler: ready},
+	}
+	for i, s := range sockets {
+		if s.listener, err = b.binder().Listen(ctx, s.name, s.address, b.listen); err != nil {
+			errs := []error{err, conn.Close()}
+			for _, opened := range sockets[:i] {
+				errs = append(errs, opened.listener.Close())
+			}
+			return nil, errors.Join(errs...)
 		}
 	}
+	b.joinMesh(conn)
+	if b.askAdmission == nil {
+		b.askAdmission = b.askOwner()
+	}
+	failed := make(chan error, len(sockets))
+	for _, s := range sockets {
+		b.serveSocket(s, failed)
+	}
 	return failed, nil
 }
 
-const maxListeners = 8
+func (b *Box) serveSocket(s *socket, failed chan<- error) {
+	h := b.newServer(s.handler)
+	b.servers = append(b.servers, h)
+	b.goroutines.Go(func() {
+		if err := h.Serve(b.limitConnections(s.listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("%s listener at %s: %w", s.name, s.address, err)
+		}
+	})
+}
 
-func (b *Box) open(name, address string, handler http.Handler, failed chan<- error) error {
-	listener, err := b.listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("%s listener: %w", name, err)
-	}
-	files := b.settings.Load().Capacity.OpenFiles
-	listener = newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
-	s := &http.Server{
+func (b *Box) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn,
 		ConnState: trackIdle(b.clock.Monotonic),
 	}
-	b.servers = append(b.servers, s)
-	b.goroutines.Go(func() {
-		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("%s listener: %w", name, err)
+}
+
+func (b *Box) limitConnections(listener net.Listener) net.Listener {
+	files := b.settings.Load().Capacity.OpenFiles
+	return newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
+}
+
+// metricsRetryMs is the time between two attempts to serve metrics.
+const metricsRetryMs = clock.Second
+
+// serveMetrics serves metrics until the context ends. The box runs without them while their address can't be used.
+func (b *Box) serveMetrics(ctx context.Context) {
+	address := b.settings.Load().MetricsAddress
+	if address == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", b.metrics)
+	for {
+		err := b.serveMetricsOnce(ctx, address, mux)
+		if ctx.Err() != nil {
+			return
 		}
-	})
-	return nil
+		b.ReportInvalidInput("metrics address "+address, err)
+		if b.clock.Sleep(ctx, metricsRetryMs) != nil {
+			return
+		}
+	}
+}
+
+func (b *Box) serveMetricsOnce(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := b.listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := b.newServer(handler)
+	// A failure to close has no effect: the box ends.
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	return s.Serve(b.limitConnections(listener))
 }
 
 func (b *Box) closeListeners() {
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -43,13 +42,9 @@
 	startedMs clock.Millis
 }
 
-// openPeering opens the UDP socket for other boxes and creates the mesh.
-func (b *Box) openPeering() error {
+// joinMesh creates the mesh on a UDP socket.
+func (b *Box) joinMesh(conn net.PacketConn) {
 	settings := b.settings.Load()
-	conn, err := b.packets("udp", settings.PeersAddress)
-	if err != nil {
-		return fmt.Errorf("open UDP socket for peers: %w", err)
-	}
 	p := &peering{
 		box: b, client: relay.NewClient(b.dial),
 		peerStates: make(chan mesh.PeerState, peerStateQueueSize), startedMs: b.clock.Monotonic(),
@@ -73,7 +68,6 @@
 	})
 	b.peering = p
 	b.metrics.Publish("mesh", func() any { return p.mesh.Sizes() })
-	return nil
 }
 
 // contacts returns the configured contacts, with the port on which boxes reach each other.
