fix(daemon): a settings file that is being replaced doesn't end the start

Callers saw: a box that did not start when its settings file was half written, empty or missing for a moment.

Cause: the file was read once; a reload keeps the old settings, the start had none.

The start reads the file again for 3 s and says so on standard error. A stop ends the wait with status 0.

TestStartWhileSettingsAreReplaced plays these. The existing test of invalid settings now runs with a fake clock, its assertions are unchanged.

--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/urfave/cli/v3"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/exit"
 	"dooryard.example/dooryard/internal/version"
 )
@@ -20,6 +22,8 @@
 	EnvSettings string
 	// Load reads and validates a settings file.
 	Load func(path string) (T, error)
+	// Err receives a message if the settings file can't be used yet.
+	Err io.Writer
 	// Run runs the daemon until the context ends.
 	Run func(ctx context.Context, path string, settings T) error
 }
@@ -47,9 +51,40 @@
 	if path == "" {
 		return fmt.Errorf("%w: --settings: is missing", exit.ErrUsage)
 	}
-	settings, err := d.Load(path)
-	if err != nil || c.Bool("check") {
+	if c.Bool("check") {
+		_, err := d.Load(path)
 		return err
 	}
-	return d.Run(ctx, path, settings)
+	settings, err := d.load(ctx, path)
+	switch {
+	case ctx.Err() != nil:
+		// The process was stopped before it had started.
+		return nil
+	case err != nil:
+		return err
+	default:
+		return d.Run(ctx, path, settings)
+	}
+}
+
+const (
+	// settingsTimeoutMs is much longer than a file takes to be replaced.
+	settingsTimeoutMs = 3 * clock.Second
+	settingsRetryMs   = 50 * clock.Millis(1)
+)
+
+// load reads the settings file until it can be used, because it may be in the middle of being replaced.
+func (d Daemon[T]) load(ctx context.Context, path string) (T, error) {
+	c := clock.New()
+	startMs, last := c.Monotonic(), ""
+	for {
+		settings, err := d.Load(path)
+		if err == nil || c.Monotonic()-startMs >= settingsTimeoutMs || c.Sleep(ctx, settingsRetryMs) != nil {
+			return settings, err
+		}
+		if text := err.Error(); text != last {
+			last = text
+			fmt.Fprintf(d.Err, "%s: settings are read again for up to %d ms: %s\n", d.Name, settingsTimeoutMs, text)
+		}
+	}
 }
--- a/internal/cmd/daemon/daemon_test.go
+++ b/internal/cmd/daemon/daemon_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -16,10 +19,19 @@
 // run runs a daemon whose settings are the path of their file. It returns the settings that
 // the daemon ran with.
 func run(t *testing.T, arguments ...string) (ran []string, err error) {
+	t.Helper()
+	return runWith(t, func() error { return nil }, arguments...)
+}
+
+// runWith does so with a settings file that can't be read while fails returns an error.
+func runWith(t *testing.T, fails func() error, arguments ...string) (ran []string, err error) {
 	t.Helper()
 	d := Daemon[string]{
-		Name: "daemon", EnvSettings: "DOORYARD_TEST_SETTINGS",
+		Name: "daemon", EnvSettings: "DOORYARD_TEST_SETTINGS", Err: io.Discard,
 		Load: func(path string) (string, error) {
+			if err := fails(); err != nil {
+				return "", err
+			}
 			if path == "bad" {
 				return "", errInvalid
 			}
@@ -53,9 +65,33 @@
 		assert.Empty(t, ran)
 	})
 	t.Run("does not run with invalid settings", func(t *testing.T) {
-		ran, err := run(t, "--settings", "bad")
+		synctest.Test(t, func(t *testing.T) {
+			ran, err := run(t, "--settings", "bad")
+			require.ErrorIs(t, err, errInvalid)
+			assert.Empty(t, ran)
+		})
+	})
+	t.Run("runs once the settings file has been replaced", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			ran, err := runWith(t, func() error {
+				if time.Since(start) < time.Second {
+					return errInvalid
+				}
+				return nil
+			}, "--settings", "good")
+			require.NoError(t, err)
+			assert.Equal(t, []string{"good"}, ran)
+		})
+	})
+	t.Run("--check does not wait", func(t *testing.T) {
+		reads := 0
+		_, err := runWith(t, func() error {
+			reads++
+			return errInvalid
+		}, "--settings", "good", "--check")
 		require.ErrorIs(t, err, errInvalid)
-		assert.Empty(t, ran)
+		assert.Equal(t, 1, reads)
 	})
 	t.Run("requires a settings file", func(t *testing.T) {
 		_, err := run(t)
--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -362,3 +362,30 @@
 		}, eventTimeout, 50*time.Millisecond)
 	})
 }
+
+func TestStartWhileSettingsAreReplaced(t *testing.T) {
+	for name, damage := range map[string]func(path string, content []byte) error{
+		"half written": func(path string, content []byte) error { return os.WriteFile(path, content[:len(content)/3], 0o600) },
+		"empty":        func(path string, _ []byte) error { return os.WriteFile(path, nil, 0o600) },
+		"missing":      func(path string, _ []byte) error { return os.Remove(path) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newProcess(t, freeAddresses(t))
+			content, err := os.ReadFile(p.settings)
+			require.NoError(t, err)
+			require.NoError(t, damage(p.settings, content))
+			p.start()
+			require.Eventually(t, func() bool { return strings.Contains(p.stderr.String(), "settings are read again") },
+				eventTimeout, time.Millisecond)
+			require.NoError(t, os.WriteFile(p.settings, content, 0o600))
+			p.awaitLine("started", "")
+		})
+	}
+	t.Run("settings that stay invalid", func(t *testing.T) {
+		p := newProcess(t, freeAddresses(t))
+		require.NoError(t, os.WriteFile(p.settings, []byte("box: [\n"), 0o600))
+		p.start()
+		assert.Equal(t, 2, p.awaitEnd())
+		assert.Contains(t, p.stderr.String(), "invalid settings")
+	})
+}
--- a/internal/cmd/routercmd/routercmd.go
+++ b/internal/cmd/routercmd/routercmd.go
@@ -22,6 +22,7 @@
 		Usage:       "route requests on an entry box until a termination signal",
 		EnvSettings: "DOORYARD_SETTINGS",
 		Load:        config.LoadRouter,
+		Err:         process.Err,
 		Run: func(ctx context.Context, _ string, settings config.Router) error {
 			return run(ctx, settings, process.Out, process.Err)
 		},
