--- a/internal/gateway/responsememory_test.go
+++ b/internal/gateway/responsememory_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -320,6 +321,7 @@
 				}, verySmall)
 				conns := []net.Conn{r.conn, r.sendRaw(slowRequest("/safe/", "second"))}
 				assert.Equal(f.t, map[int]int{http.StatusOK: 2}, readAll(f, conns, body))
+				synctest.Wait()
 				sizes := r.responses.Sizes()
 				f.t.Logf("%+v, %d ms", sizes, f.clock.Monotonic()-r.startMs)
 				assert.Equal(f.t, 2, sizes.Unbuffered)
@@ -346,6 +348,7 @@
 				assert.EqualValues(f.t, 1, r.arrivals.Load(), "a response that has begun is not sent again")
 				assertStatus(f.t, r.running, "/safe/", http.StatusOK)
 				assert.EqualValues(f.t, 3, r.arrivals.Load())
+				synctest.Wait()
 				assert.Zero(f.t, r.responses.Sizes().UsedBytes)
 			})
 		})
