fix(mesh): an error of the UDP socket doesn't make a box deaf

Callers saw: nothing at once; a box whose socket returned one error (ENOBUFS, ECONNREFUSED, ENETDOWN) no longer heard from other boxes until it was restarted: no confirmations, no drains, no crash events, no permits.

Cause: the receive loop returned on any error of ReadFrom.

It ends only when the socket is closed. Other errors are counted (mesh.datagrams_unreceived), logged (`input ignored`, once in 10 s) and followed by a short backoff.

--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -64,7 +64,8 @@
 		RecordOrigins: func(list []streams.Record) { b.origins.ledger.Add(list...) }, AnswerOrigin: b.origins.answer,
 		AttemptsBetween: b.balance.AttemptsBetween,
 		PaceFindings:    b.balance.PaceFindings, RecordPaceFindings: b.balance.RecordPaceFindings,
-		OnPeerState: p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnReceiveError: func(err error) { b.ReportInvalidInput("datagrams of other boxes", err) },
+		OnPeerState:    p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	b.peering = p
 	b.metrics.Publish("mesh", func() any { return p.mesh.Sizes() })
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -102,6 +102,7 @@
 	paceFindings        func() []pace.Finding
 	recordPaceFindings  func(list []pace.Finding)
 	onPeerState         func(a PeerState)
+	onReceiveError      func(err error)
 	random              *rand.Rand
 
 	mu    sync.Mutex
@@ -117,6 +118,8 @@
 	ignored    int64
 	sentBytes  int64
 	sendErrors int64
+	// receiveErrors counts failed receives.
+	receiveErrors int64
 
 	admissionOwner *admissionOwner
 	admissions     admissionRequests
@@ -176,7 +179,9 @@
 	RecordPaceFindings func(list []pace.Finding)
 	// OnPeerState receives the state summary of another box. It must not block.
 	OnPeerState func(a PeerState)
-	Random      *rand.Rand
+	// OnReceiveError receives errors of the connection. It may be nil.
+	OnReceiveError func(err error)
+	Random         *rand.Rand
 }
 
 // New returns the mesh member of one box.
@@ -188,7 +193,8 @@
 		announcementsSince: d.AnnouncementsSince, recordAnnouncements: d.RecordAnnouncements,
 		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents,
 		partEventsSince: d.PartEventsSince, recordPartEvents: d.RecordPartEvents, onPeerState: d.OnPeerState,
-		recordOrigins: d.RecordOrigins, answerOrigin: d.AnswerOrigin,
+		onReceiveError: d.OnReceiveError,
+		recordOrigins:  d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		paceFindings: d.PaceFindings, recordPaceFindings: d.RecordPaceFindings,
 		random: d.Random, peers: map[string]*peer{},
 		admissionOwner:  newAdmissionOwner(d.Self.Address, d.Clock.Monotonic),
@@ -202,7 +208,7 @@
 // Run sends pings and answers messages until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(m.receive)
+	running.Go(func() { m.receive(ctx) })
 	for {
 		m.round()
 		m.renewAdmissions()
@@ -215,37 +221,7 @@
 	running.Wait()
 }
 
-func (m *Mesh) receive() {
-	buffer := make([]byte, maxPacketBytes)
-	for {
-		n, from, err := m.conn.ReadFrom(buffer)
-		if err != nil {
-			return
-		}
-		if isOriginMessage(buffer[:n]) {
-			m.handleOriginMessage(buffer[:n], from)
-			continue
-		}
-		if isAdmissionMessage(buffer[:n]) {
-			m.handleAdmissionMessage(buffer[:n], from)
-			continue
-		}
-		if isPermitMessage(buffer[:n]) {
-			m.handlePermitMessage(buffer[:n], from)
-			continue
-		}
-		p, err := decode(buffer[:n])
-		if err != nil {
-			m.mu.Lock()
-			m.ignored++
-			m.mu.Unlock()
-			continue
-		}
-		m.handle(p, from)
-	}
-}
-
-// handle processes one datagram.
+// handle processes a packet.
 func (m *Mesh) handle(p *packet, from net.Addr) {
 	if p.From.Box == m.self.Box || !m.fillSender(p) {
 		return
@@ -449,6 +425,8 @@
 	Ignored    int64 `json:"datagrams_ignored"`
 	SendErrors int64 `json:"datagrams_unsent"`
 	SentBytes  int64 `json:"datagram_bytes_sent"`
+	// ReceiveErrors counts failed receives of datagrams.
+	ReceiveErrors int64 `json:"datagrams_unreceived"`
 	// Permits are the permits that this box counts as an owner. PermitTimeouts counts this box's permit
 	// requests that no owner answered in time, and ProvisionalPermits those that an owner without a
 	// complete count granted.
@@ -473,7 +451,7 @@
 	defer m.mu.Unlock()
 	return Sizes{
 		Boxes: 1 + m.aliveCountLocked(m.clock.Monotonic()), Ignored: m.ignored,
-		SendErrors: m.sendErrors, SentBytes: m.sentBytes,
+		SendErrors: m.sendErrors, SentBytes: m.sentBytes, ReceiveErrors: m.receiveErrors,
 		Permits: m.ledger.Sizes(), PermitTimeouts: m.permitTimeouts, ProvisionalPermits: m.provisionalPermits,
 		Admissions: m.admissionOwner.ledger.sizes(), AdmissionAsks: admissions.asked,
 		AdmissionsQueued: admissions.queued, AdmissionTimeouts: admissions.unanswered,
