fix(gateway): an error of accept doesn't end a box

Callers saw: a box that ended at once, with all requests that it served, when one accept failed with an error that net/http takes for permanent (EPROTO, ENETDOWN, EPERM, ENOBUFS, ENOMEM); requests without a response and without a line when a handler panicked.

Cause: http.Server.Serve returns such errors, and the box ended on the first error of any listener without a drain. The messages of net/http, panics of handlers among them, were discarded.

Accepts are repeated with a backoff, whatever the error, and a dead socket is opened anew.

Evidence: TestLostListenerDrainsTheBox before: the box ended with "callers listener at 127.0.0.1:1000: bad file descriptor", without "stopping", and was still ready.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -303,9 +303,10 @@
 	b.goroutines.Go(func() { b.syncNotes(background) })
 	select {
 	case <-ctx.Done():
-		err = b.stop(background)
 	case err = <-failed:
+		b.log.Record(decision.Process{What: "listener lost", Note: err.Error()})
 	}
+	err = errors.Join(err, b.stop(background))
 	b.closeListeners()
 	b.log.Record(decision.Process{What: "stopped", Note: errorText(err)})
 	return err
--- /dev/null
+++ b/internal/gateway/faults_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/pkg/config"
+)
+
+// output collects log lines.
+type output struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (o *output) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.Write(data)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.String()
+}
+
+// breakableListener fails with an error once it is broken.
+type breakableListener struct {
+	net.Listener
+	broken chan struct{}
+}
+
+func (l *breakableListener) Accept() (net.Conn, error) {
+	type accepted struct {
+		conn net.Conn
+		err  error
+	}
+	result := make(chan accepted, 1)
+	go func() {
+		conn, err := l.Listener.Accept()
+		result <- accepted{conn, err}
+	}()
+	select {
+	case r := <-result:
+		return r.conn, r.err
+	case <-l.broken:
+		return nil, syscall.EBADF
+	}
+}
+
+func TestLostListenerDrainsTheBox(t *testing.T) {
+	for _, reopens := range []bool{true, false} {
+		t.Run("reopens: "+strconv.FormatBool(reopens), func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				f.upstream("u", respondWith("done"))
+				out, h, broken := &output{}, f.network.Host("box-1"), make(chan struct{})
+				opened := map[string]int{}
+				listen := func(network, address string) (net.Listener, error) {
+					opened[address]++
+					if opened[address] > 1 && !reopens {
+						return nil, syscall.EACCES
+					}
+					l, err := h.Listen(network, address)
+					if err != nil || address != "127.0.0.1:1000" || opened[address] > 1 {
+						return l, err
+					}
+					return &breakableListener{Listener: l, broken: broken}, nil
+				}
+				b, err := New(config.Gateway{
+					Box: "box-1", FailureDomain: "d", CallersAddress: "127.0.0.1:1000", ReadinessAddress: "127.0.0.1:1010",
+					PeersAddress: "127.0.0.1:1020", Shutdown: config.Shutdown{GraceS: 1},
+				}, Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
+					return f.store.source("box-1", c)
+				}}, out, WithClock(f.clock), WithListen(listen), WithListenPackets(h.ListenPackets), WithDial(h.Dial))
+				require.NoError(f.t, err)
+				ctx, cancel := context.WithCancel(f.t.Context())
+				done := make(chan error, 1)
+				go func() { done <- b.Run(ctx) }()
+				synctest.Wait()
+				close(broken)
+				advance(f.t, 100*time.Millisecond)
+				assert.Contains(f.t, out.String(), "listener failed")
+				assert.Equal(f.t, reopens, b.Ready())
+				cancel()
+				if err := <-done; reopens {
+					require.NoError(f.t, err)
+				} else {
+					require.ErrorIs(f.t, err, syscall.EACCES)
+				}
+			})
+		})
+	}
+}
+
+func TestPanicOfAHandlerIsLogged(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		out := &output{}
+		f.out = out
+		b := f.box(1)
+		s := b.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("broken handler") }))
+		l, err := f.network.Host("box-1").Listen("tcp", "127.0.0.1:2000")
+		require.NoError(f.t, err)
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close() }()
+		b.settings.CallersAddress = "127.0.0.1:2000"
+		_, _, err = b.get("/safe/")
+		require.Error(f.t, err)
+		synctest.Wait()
+		assert.Contains(f.t, out.String(), "broken handler")
+		assert.Contains(f.t, b.metrics.all.String(), `"handler_panics": 1`)
+	})
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"time"
@@ -141,9 +139,12 @@
 
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
 	h := b.newServer(s.handler)
+	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
+		return b.binder().Listen(ctx, s.name, s.address, b.listen)
+	}, func(err error) { b.reportListenerError(s.name, err) })
 	b.servers = append(b.servers, h)
 	b.goroutines.Go(func() {
-		if err := h.Serve(b.limitConnections(s.listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := h.Serve(b.limitConnections(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("%s listener at %s: %w", s.name, s.address, err)
 		}
 	})
@@ -152,7 +153,7 @@
 func (b *Box) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: b.newServerErrorLog(), ConnContext: withCallerConn,
 		ConnState: trackIdle(b.clock.Monotonic),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,15 @@
 // InputIgnored counts an invalid input.
 func (m *Metrics) InputIgnored() { m.all.Add("inputs_ignored", 1) }
 
+// ServerError counts a message of net/http, such as one about a broken connection.
+func (m *Metrics) ServerError() { m.all.Add("http_errors", 1) }
+
+// HandlerPanicked counts a panic while a request was served.
+func (m *Metrics) HandlerPanicked() { m.all.Add("handler_panics", 1) }
+
+// ListenerFailed counts an error of a listener's socket.
+func (m *Metrics) ListenerFailed() { m.all.Add("listener_errors", 1) }
+
 // UpstreamCrashed counts an upstream that crashed while it ran requests.
 func (m *Metrics) UpstreamCrashed() { m.all.Add("upstreams_ended", 1) }
 
--- /dev/null
+++ b/internal/server/listener.go
@@ -0,0 +1,110 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// Backoff of failed accepts.
+const (
+	minAcceptBackoffMs clock.Millis = 5
+	maxAcceptBackoffMs clock.Millis = 1000
+)
+
+// Listener is a listener that survives errors of its socket. A failed accept is repeated after a backoff, and a socket
+// that can't accept any more is opened anew. Accept fails only if that is impossible or the listener was closed.
+type Listener struct {
+	clock   clock.Clock
+	reopen  func(ctx context.Context) (net.Listener, error)
+	onError func(err error)
+	address net.Addr
+	closed  context.Context
+	close   context.CancelFunc
+
+	mu     sync.Mutex
+	socket net.Listener
+}
+
+// NewListener returns a listener on a socket. OnError is called with each error of the socket.
+func NewListener(
+	socket net.Listener, c clock.Clock, reopen func(ctx context.Context) (net.Listener, error), onError func(err error),
+) *Listener {
+	l := &Listener{clock: c, reopen: reopen, onError: onError, address: socket.Addr(), socket: socket}
+	l.closed, l.close = context.WithCancel(context.Background())
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for backoffMs := minAcceptBackoffMs; ; backoffMs = min(2*backoffMs, maxAcceptBackoffMs) {
+		socket := l.current()
+		conn, err := socket.Accept()
+		if err == nil {
+			return conn, nil
+		}
+		if l.closed.Err() != nil {
+			return nil, net.ErrClosed
+		}
+		l.onError(err)
+		if isDead(err) {
+			err = l.replace(socket)
+		} else {
+			err = l.clock.Sleep(l.closed, backoffMs)
+		}
+		if l.closed.Err() != nil {
+			return nil, net.ErrClosed
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// isDead reports whether a socket can't accept any more after an error.
+func isDead(err error) bool {
+	for _, dead := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
+		if errors.Is(err, dead) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Listener) current() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.socket
+}
+
+// replace closes a dead socket and opens another one.
+func (l *Listener) replace(dead net.Listener) error {
+	// It is dead, whatever the error.
+	_ = dead.Close()
+	socket, err := l.reopen(l.closed)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.socket = socket
+	if l.closed.Err() != nil {
+		return socket.Close()
+	}
+	return nil
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.close()
+	return l.socket.Close()
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.address }
