feat(gateway): log the stages of a stop and count the requests that it cuts

A stop whose requests outlasted the grace period returned the error of the shutdown's context, so the process ended with status 1 after an orderly stop, and nothing told how many requests were in flight at any stage.

A line for each stage (stopping, listeners close, requests cut, stopped) now has the requests in flight, and requests_cut_at_stop counts those that the end of the grace period cut. Only other errors of a shutdown are returned.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -83,6 +83,8 @@
 
 	servers  []*http.Server
 	stopping atomic.Bool
+	// requests counts the requests of callers and other boxes that the box is serving.
+	requests atomic.Int64
 	// applyingEvacuations orders the updates of the balancer's evacuations.
 	applyingEvacuations sync.Mutex
 	// storeUnavailable is set while any stream of the store can't be read.
@@ -308,7 +310,7 @@
 	}
 	err = errors.Join(err, b.stop(background))
 	b.closeListeners()
-	b.log.Record(decision.Process{What: "stopped", Note: errorText(err)})
+	b.recordStop("stopped", err)
 	return err
 }
 
@@ -376,20 +378,33 @@
 )
 
 // stop shuts the box down gracefully. The box reports not ready and continues to serve requests until the front load
-// balancer has stopped sending new ones, then lets running requests finish.
+// balancer has stopped sending new ones, then lets running requests finish. Requests that outlast the grace period are
+// cut, which is no error.
 func (b *Box) stop(ctx context.Context) error {
 	startMs := b.clock.Monotonic()
 	b.stopping.Store(true)
-	b.log.Record(decision.Process{What: "stopping"})
+	b.recordStop("stopping", nil)
 	b.peering.mesh.BroadcastDraining()
 	b.origins.tellAll()
 	_ = b.clock.Sleep(ctx, timingOf(b.Settings()).announceMs)
+	b.recordStop("listeners close", nil)
 	grace := shutdownGrace(b.Settings())
 	ctx, cancel := b.clock.WithTimeout(ctx, max(1, grace-exitReserveMs-(b.clock.Monotonic()-startMs)))
 	defer cancel()
 	errs := []error{}
 	for _, s := range b.servers {
-		errs = append(errs, s.Shutdown(ctx))
+		if err := s.Shutdown(ctx); ctx.Err() == nil {
+			errs = append(errs, err)
+		}
+	}
+	if cut := b.requests.Load(); cut > 0 {
+		b.metrics.RequestsCut(cut)
+		b.recordStop("requests cut", nil)
 	}
 	return errors.Join(errs...)
 }
+
+// recordStop records a stage of the stop with the requests in flight.
+func (b *Box) recordStop(stage string, err error) {
+	b.log.Record(decision.Stop{Stage: stage, InFlight: b.requests.Load(), Err: errorText(err)})
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -94,6 +94,11 @@
 // stepWallClock steps the boxes' wall clock.
 func (f *fleet) stepWallClock(span clock.Millis) { f.wallOffsetMs.Add(int64(span)) }
 
+// withGrace sets the grace period of a box's stop.
+func withGrace(seconds float64) func(g *config.Gateway) {
+	return func(g *config.Gateway) { g.Shutdown.GraceS = seconds }
+}
+
 // withConnectionLimit limits the open files of a box so that it accepts this number of callers' connections.
 func withConnectionLimit(connections int) func(g *config.Gateway) {
 	return func(g *config.Gateway) { g.Capacity.OpenFiles = reservedFiles + connections*connectionsDivisor }
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -94,6 +94,8 @@
 
 // serve runs a request through the pipeline.
 func (b *Box) serve(r *opaque.Request) {
+	b.requests.Add(1)
+	defer b.requests.Add(-1)
 	if b.stopping.Load() {
 		r.Writer.Header().Set("Connection", "close")
 	}
