fix(gateway): shut the listeners down at the same time

What callers saw: around a SIGTERM, requests that had been passed on to sound servers ended with a closed connection, streams as well as short requests.

Cause: stop shut the listeners down one after the other, readiness first, and http.Server.Shutdown waits for a new connection without a request for 5 s. One readiness check that connects and sends nothing (or a connection that a load balancer opens ahead) kept the listener for callers open: it accepted requests until the end of the grace period, and then cut all of them.

Evidence: TestStopBesideOpenConnection failed before: "An error is expected but got nil: a box that no longer serves new callers refuses their connections", and its request ended without a response.

Why it works: no listener waits for the connections of another one.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -391,12 +391,17 @@
 	grace := shutdownGrace(b.Settings())
 	ctx, cancel := b.clock.WithTimeout(ctx, max(1, grace-exitReserveMs-(b.clock.Monotonic()-startMs)))
 	defer cancel()
-	errs := []error{}
-	for _, s := range b.servers {
-		if err := s.Shutdown(ctx); ctx.Err() == nil {
-			errs = append(errs, err)
-		}
+	// One after the other, a connection to one listener would keep the others open.
+	errs := make([]error, len(b.servers))
+	shutdowns := sync.WaitGroup{}
+	for i, s := range b.servers {
+		shutdowns.Go(func() {
+			if err := s.Shutdown(ctx); ctx.Err() == nil {
+				errs[i] = err
+			}
+		})
 	}
+	shutdowns.Wait()
 	if cut := b.requests.Load(); cut > 0 {
 		b.metrics.RequestsCut(cut)
 		b.recordStop("requests cut", nil)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -58,3 +61,70 @@
 		}
 	})
 }
+
+// connect opens a connection to a box's address.
+func (r *running) connect(address string) *rawCaller {
+	r.fleet.t.Helper()
+	conn, err := r.fleet.network.Host("caller").Dial(r.fleet.t.Context(), "tcp", address)
+	require.NoError(r.fleet.t, err)
+	r.fleet.t.Cleanup(func() { _ = conn.Close() })
+	return &rawCaller{t: r.fleet.t, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// rawCaller writes requests to a connection as bytes.
+type rawCaller struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func requestText(path, more string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Id: 1\r\nAuthorization: " + key + "\r\n" + more + "\r\n"
+}
+
+func (c *rawCaller) write(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, text)
+	require.NoError(c.t, err)
+}
+
+// read reads a response.
+func (c *rawCaller) read() (status int, body string) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err)
+	data, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err)
+	require.NoError(c.t, response.Body.Close())
+	return response.StatusCode, string(data)
+}
+
+// assertServed checks that the response to a request is the upstream's.
+func (c *rawCaller) assertServed() {
+	c.t.Helper()
+	status, body := c.read()
+	assert.Equal(c.t, http.StatusOK, status)
+	assert.Equal(c.t, "done", body)
+}
+
+// TestStopBesideOpenConnection guards against a readiness check without an end that keeps the listener for callers open
+// until the end of the grace period, which then cuts the requests that came last.
+func TestStopBesideOpenConnection(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", func(w http.ResponseWriter, _ *http.Request) {
+			advance(t, time.Second)
+			_, _ = io.WriteString(w, "done")
+		})
+		b := f.box(1)
+		b.stop()
+		advance(t, maxAnnounceMs.Duration()-100*time.Millisecond)
+		b.connect(b.settings.ReadinessAddress)
+		caller := b.connect(b.settings.CallersAddress)
+		caller.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+		advance(t, 200*time.Millisecond)
+		_, err := f.network.Host("caller").Dial(t.Context(), "tcp", b.settings.CallersAddress)
+		require.Error(t, err, "a box that no longer serves new callers refuses their connections")
+		caller.assertServed()
+	})
+}
