test(soak): a process that ends without being asked is a finding

The soak started and killed boxes and ignored how they ended: a box that exited by itself, failed to start, ended by a signal or by a status other than 0 after SIGTERM, or outlived its grace and was then killed, passed.

Each exit is recorded now, with its status and what the run had asked the process for. Findings: an end that the run didn't ask for, a status other than 0 after SIGTERM, a process that still runs a second after the grace (it is killed then, as before), and lines of the output that begin like a panic, a fatal error or a data race of the Go runtime.

stopBox waited from the end of the fault and then killed whatever process the box had. It now waits from SIGTERM on, and leaves a process alone that another fault has started meanwhile.

--- /dev/null
+++ b/internal/soak/exits.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// stopSlack is how long after the grace period a process that got SIGTERM must have exited.
+const stopSlack = time.Second
+
+// askedEnd is what the run asked a process for that bears on its end.
+type askedEnd struct {
+	// killed is set once it was killed, terminated is when it first got SIGTERM.
+	killed     bool
+	terminated time.Time
+	// paused is set if it was stopped after SIGTERM, or has not been resumed since.
+	paused bool
+}
+
+// record records a signal that is about to be sent.
+func (a *askedEnd) record(s syscall.Signal, now time.Time) {
+	switch s {
+	case syscall.SIGKILL:
+		a.killed = true
+	case syscall.SIGTERM:
+		if a.terminated.IsZero() {
+			a.terminated = now
+		}
+	case syscall.SIGSTOP:
+		a.paused = true
+	case syscall.SIGCONT:
+		a.paused = !a.terminated.IsZero()
+	default:
+	}
+}
+
+// exit is the end of a process.
+type exit struct {
+	at    time.Time
+	ranMs int64
+	// status is the exit status or the signal, as text.
+	status string
+	ok     bool
+	killed bool
+	asked  askedEnd
+}
+
+// recordExit records the end of a process that was started at a time.
+func (p *process) recordExit(state *os.ProcessState, started time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	status, isStatus := state.Sys().(syscall.WaitStatus)
+	p.exits = append(p.exits, exit{
+		at: time.Now(), ranMs: time.Since(started).Milliseconds(), status: state.String(), ok: state.Success(),
+		killed: isStatus && status.Signaled() && status.Signal() == syscall.SIGKILL, asked: p.asked,
+	})
+}
+
+// kind returns by what the process was asked to end, and how it ended.
+func (e exit) kind() string {
+	switch {
+	case e.asked.killed && e.killed:
+		return "SIGKILL"
+	case !e.asked.terminated.IsZero():
+		return "SIGTERM: " + e.status
+	default:
+		return "not asked for: " + e.status
+	}
+}
+
+// faulty reports whether the process ended although the run hadn't asked for it, or failed after SIGTERM. One that
+// ended before a SIGKILL reached it ended by itself.
+func (e exit) faulty() bool {
+	if e.asked.killed && e.killed {
+		return false
+	}
+	return e.asked.terminated.IsZero() || !e.ok
+}
+
+// outputMarks begin the lines that the Go runtime writes when a program fails.
+func outputMarks() []string { return []string{"panic: ", "fatal error: ", "WARNING: DATA RACE"} }
+
+// findings returns what went wrong in the process's starts, ends and output.
+func (p *process) findings() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := append([]string(nil), p.problems...)
+	for _, e := range p.exits {
+		if e.faulty() {
+			list = append(list, fmt.Sprintf("%s: a process ended %d ms after its start, at %s: %s",
+				p.name, e.ranMs, e.at.Format("15:04:05.000"), e.kind()))
+		}
+	}
+	return append(list, p.outputFindings()...)
+}
+
+// outputFindings returns the lines of the log file that tell a failure of the Go runtime.
+func (p *process) outputFindings() []string {
+	file, err := os.Open(p.log)
+	if err != nil {
+		return []string{fmt.Sprintf("%s: its output is missing: %v", p.name, err)}
+	}
+	defer func() { _ = file.Close() }()
+	list := []string{}
+	reader := bufio.NewReader(file)
+	for err == nil {
+		var line string
+		line, err = reader.ReadString('\n')
+		for _, mark := range outputMarks() {
+			if strings.HasPrefix(line, mark) {
+				list = append(list, p.name+": "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return list
+}
+
+// processFindings returns the findings of all processes, and counts how they ended.
+func (f *fleet) processFindings() (findings []string, ends map[string]int) {
+	ends = map[string]int{}
+	for _, b := range f.boxes {
+		findings = append(findings, b.process.findings()...)
+		b.process.mu.Lock()
+		for _, e := range b.process.exits {
+			ends[e.kind()]++
+		}
+		b.process.mu.Unlock()
+	}
+	return findings, ends
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -165,15 +165,13 @@
 	return withDisturbance(f, b.name, resume, b.process.signal(syscall.SIGSTOP))
 }
 
-// stopBox sends SIGTERM to a box. At the end of the fault it waits for the process to exit,
-// kills it after the shutdown grace period, and restarts it.
+// stopBox sends SIGTERM to a box. At the end of the fault it waits for the process to exit and
+// restarts it.
 func stopBox(f *fleet) (func(*fleet) error, error) {
 	b := f.randomBox()
 	return withDisturbance(f, b.name, func(*fleet) error {
-		if !b.process.wait(shutdownGraceS * time.Second) {
-			if err := b.process.kill(); err != nil {
-				return err
-			}
+		if err := b.process.awaitStop(); err != nil {
+			return err
 		}
 		return b.process.start()
 	}, b.process.signal(syscall.SIGTERM))
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,20 +13,27 @@
 
 // process runs a box as a separate process.
 type process struct {
+	name     string
 	program  string
 	settings string
-	out      io.Writer
+	log      string
+	out      *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	paused  bool
+	// asked is what the most recently started process was asked for.
+	asked askedEnd
+	// exits are the ends of all processes, and problems what went wrong beside them.
+	exits    []exit
+	problems []string
 }
 
 // newProcess writes a box's settings file and creates the log file that all of the box's
 // processes append to.
 func newProcess(program, folder, name, settings string) (*process, error) {
-	out, err := os.Create(filepath.Join(folder, name+".log"))
+	log := filepath.Join(folder, name+".log")
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_TRUNC|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +41,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	return &process{program: program, settings: path, out: out}, nil
+	return &process{name: name, program: program, settings: path, log: log, out: out}, nil
 }
 
 // start starts the process unless it is running. Faults overlap, so two of them may restart the
@@ -51,13 +57,14 @@
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.program, err)
 	}
-	exited := make(chan struct{})
+	exited, started := make(chan struct{}), time.Now()
+	p.command, p.exited, p.asked = command, exited, askedEnd{}
 	go func() {
-		// The process log shows how it ended.
+		defer close(exited)
+		// The state tells how it ended.
 		_ = command.Wait()
-		close(exited)
+		p.recordExit(command.ProcessState, started)
 	}()
-	p.command, p.exited, p.paused = command, exited, false
 	return nil
 }
 
@@ -78,24 +85,42 @@
 func (p *process) signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
+	if !p.running() {
+		return nil
+	}
+	p.asked.record(s, time.Now())
 	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %v: %w", s, err)
 	}
 	return nil
 }
 
-// wait waits for the process to exit and reports whether it did so before the timeout.
-func (p *process) wait(timeout time.Duration) bool {
+// awaitStop waits until a process that got SIGTERM has exited. One that still runs after the grace period is recorded
+// and killed.
+func (p *process) awaitStop() error {
 	p.mu.Lock()
-	exited := p.exited
+	asked, exited := p.asked, p.exited
 	p.mu.Unlock()
+	if asked.terminated.IsZero() {
+		return nil
+	}
 	select {
 	case <-exited:
-		return true
-	case <-time.After(timeout):
-		return false
+		return nil
+	case <-time.After(time.Until(asked.terminated.Add(shutdownGraceS*time.Second + stopSlack))):
+	}
+	p.mu.Lock()
+	// Another fault may have killed and restarted the box, or paused the process.
+	overdue := p.exited == exited && p.running()
+	if overdue && !p.asked.paused {
+		p.problems = append(p.problems, fmt.Sprintf("%s: process %d still ran %s after SIGTERM, with a grace of %d s",
+			p.name, p.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS))
 	}
+	p.mu.Unlock()
+	if overdue {
+		return p.kill()
+	}
+	return nil
 }
 
 // kill kills the process and waits for it to exit.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,6 +35,8 @@
 	Streams streamStats
 	// Load holds the figures of the load bound.
 	Load loadStats
+	// Ends counts by what processes were asked to end, and how they did.
+	Ends map[string]int
 }
 
 // Timing of a run.
@@ -83,6 +85,8 @@
 	for _, found := range f.history.check() {
 		report.Findings = append(report.Findings, found.String())
 	}
+	ended, ends := f.processFindings()
+	report.Findings, report.Ends = append(report.Findings, ended...), ends
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
 	report.Fatal, report.HeldBack = f.history.fatalStats(), f.history.heldBack()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
