test(soak): signals in series, and files, ports and readers that fail for a moment

The soak reads the boxes' standard output by a pipe for that and writes the log file; standard error goes to the file directly. All boxes have a metrics address.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -67,6 +67,11 @@
 			Name:  "timed",
 			Usage: "check time bounds, too, with faults that leave most boxes unaffected; requires an idle machine",
 		},
+		&cli.BoolFlag{
+			Name: "processes",
+			Usage: "also send signals in series, and disturb settings files, ports and readers of standard output of " +
+				"boxes for some time",
+		},
 		&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
 		&cli.BoolFlag{
 			Name: "partitions",
@@ -121,7 +126,8 @@
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
-		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
+		Processes: c.Bool("processes"),
+		Load:      c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -60,6 +60,13 @@
 	})
 }
 
+// recordProblem records what went wrong with the process beside its exits.
+func (p *process) recordProblem(problem string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.problems = append(p.problems, p.name+": "+problem)
+}
+
 // kind returns by what the process was asked to end, and how it ended.
 func (e exit) kind() string {
 	switch {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -58,6 +58,9 @@
 	Admission bool
 	// Calm leaves out the faults that have no schedule of their own.
 	Calm bool
+	// Processes also injects faults around processes: signals in series, and settings files, ports and readers of
+	// standard output that fail for some time.
+	Processes bool
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
@@ -65,9 +68,12 @@
 // box is a box process, its link from the callers and its link to the store.
 type box struct {
 	name    string
+	ip      string
 	process *process
 	callers *link
 	store   *link
+	// changing is held while the settings file or a port of the box is not as it should be.
+	changing sync.Mutex
 }
 
 // server is an address at which successive incarnations of a server run.
@@ -268,7 +274,7 @@
 
 func (f *fleet) addBox(i int, storeAddress string) error {
 	ip := f.ip(i + 1)
-	b := &box{name: "box-" + strconv.Itoa(i)}
+	b := &box{name: "box-" + strconv.Itoa(i), ip: ip}
 	var err error
 	if b.store, err = newLink(f.ip(linksHost), func() string { return storeAddress }); err != nil {
 		return err
@@ -282,9 +288,9 @@
 	contact := net.JoinHostPort(f.ip(1), strconv.Itoa(peersPort))
 	settings := fmt.Sprintf("box: %s\nfailure_domain: zone-%d\ncallers_address: %s\nreadiness_address: %s:%d\n"+
 		"peers_address: %s:%d\ncontacts: [%q]\nstore: {address: %q}\nfreshness: {max_age_ms: %d}\n"+
-		"retry_budget: {ratio: 0.2, slack: %d}\nshutdown: {grace_s: %d}\n",
+		"retry_budget: {ratio: 0.2, slack: %d}\nshutdown: {grace_s: %d}\nmetrics_address: %s:%d\n",
 		b.name, i%domainCount, callersAddress, ip, readinessPort, ip, peersPort, contact, b.store.address(), maxAgeMs,
-		retrySlack, shutdownGraceS)
+		retrySlack, shutdownGraceS, ip, metricsPort)
 	if f.settings.Overload {
 		settings += "pace: {learn: true}\n"
 	}
@@ -292,7 +298,7 @@
 		settings += "admission: {enabled: true}\n"
 	}
 	if f.settings.Load {
-		settings += fmt.Sprintf("balance: {load_cap: %d}\nmetrics_address: %s:%d\n", loadCap, ip, metricsPort)
+		settings += fmt.Sprintf("balance: {load_cap: %d}\n", loadCap)
 	}
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -50,6 +50,8 @@
 	partitions []*partitionOf
 	// falls counts the brittle servers that fell over.
 	falls int
+	// processFaults counts the faults around processes by name.
+	processFaults map[string]int
 	// timed is set if time bounds are checked too.
 	timed bool
 }
@@ -60,6 +62,7 @@
 		served: map[string]int{}, draining: map[string]time.Time{}, disturbances: disturbances{},
 		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{},
 		zones: map[string]string{}, evacuations: map[string][]*interval{}, crashes: map[standin.Fatal][]time.Time{},
+		processFaults: map[string]int{},
 	}
 }
 
@@ -87,6 +90,12 @@
 	h.revoked[key] = time.Now()
 }
 
+func (h *history) countFault(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.processFaults[name]++
+}
+
 func (h *history) recordZone(server, zone string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -16,8 +16,10 @@
 	name     string
 	program  string
 	settings string
-	log      string
-	out      *os.File
+	// content is what the settings file holds when it is whole.
+	content string
+	log     string
+	out     *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -27,6 +29,9 @@
 	// exits are the ends of all processes, and problems what went wrong beside them.
 	exits    []exit
 	problems []string
+	// output is the reading side of the process's standard output, which is not read before stalledUntil.
+	output       *os.File
+	stalledUntil time.Time
 }
 
 // newProcess writes a box's settings file and creates the log file that all of the box's
@@ -41,7 +46,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	return &process{name: name, program: program, settings: path, log: log, out: out}, nil
+	return &process{name: name, program: program, settings: path, content: settings, log: log, out: out}, nil
 }
 
 // start starts the process unless it is running. Faults overlap, so two of them may restart the
@@ -53,10 +58,19 @@
 		return nil
 	}
 	command := exec.Command(p.program, "--settings", p.settings) //nolint:noctx // Its end is a part of the test.
-	command.Stdout, command.Stderr = p.out, p.out
-	if err := command.Start(); err != nil {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	command.Stdout, command.Stderr = writer, p.out
+	err = command.Start()
+	_ = writer.Close()
+	if err != nil {
+		_ = reader.Close()
 		return fmt.Errorf("start %s: %w", p.program, err)
 	}
+	p.output = reader
+	go p.copyOutput(reader)
 	exited, started := make(chan struct{}), time.Now()
 	p.command, p.exited, p.asked = command, exited, askedEnd{}
 	go func() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -80,6 +81,7 @@
 	stopClients()
 	workers.Wait()
 	f.background.Wait()
+	maps.Copy(report.Faults, f.history.processFaults)
 	// Rejected requests must not run later either.
 	time.Sleep(settleSpan)
 	for _, found := range f.history.check() {
@@ -126,6 +128,7 @@
 		inject  func(ctx context.Context)
 	}{
 		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
+		{f.settings.Processes, f.injectProcessFaults},
 		{f.settings.Evacuations, f.injectEvacuations},
 		{f.settings.Overload, f.injectOverload},
 		{f.settings.Stalls, f.injectStalls},
