test(soak): lost requests are findings, `--planned` plays planned work only

The soak looked at what clients got, but a request whose connection a box closed without a response passed: with links and boxes that fail, clients expect that. The users' rule tells which ones count, and is checked now from what clients saw (when the whole request was written, whether its connection was kept, when it ended) and servers did (from when to when they worked on it, and whether they or their link broke off): more than three requests of kept connections at an undisturbed box, and any beside a SIGTERM, a SIGHUP or a configuration, with the excuses of the rule.

`--planned` plays nothing but planned work, on kept connections whose requests follow each other until the processes are gone. With `--processes` such clients are added, too.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -35,10 +35,8 @@
 		Version: version.String(),
 		Flags:   flags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			for _, other := range []string{"partitions", "stalls", "overload", "regressions"} {
-				if c.Bool("load") && c.Bool(other) {
-					return fmt.Errorf("%w: --load and --%s can't be combined", errUsage, other)
-				}
+			if err := checkFlags(c); err != nil {
+				return err
 			}
 			errs := []error{}
 			for _, seed := range selectedSeeds(c) {
@@ -53,6 +51,21 @@
 	}
 }
 
+// checkFlags returns an error if flags exclude each other.
+func checkFlags(c *cli.Command) error {
+	for first, others := range map[string][]string{
+		"load":    {"partitions", "stalls", "overload", "regressions", "processes", "planned"},
+		"planned": {"partitions", "stalls", "overload", "regressions", "processes", "evacuations"},
+	} {
+		for _, other := range others {
+			if c.Bool(first) && c.Bool(other) {
+				return fmt.Errorf("%w: --%s and --%s can't be combined", errUsage, first, other)
+			}
+		}
+	}
+	return nil
+}
+
 func flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "gateway", Required: true, Usage: "path of the dooryard-gateway binary"},
@@ -72,6 +85,10 @@
 			Usage: "also send signals in series, and disturb settings files, ports and readers of standard output of " +
 				"boxes for some time",
 		},
+		&cli.BoolFlag{
+			Name:  "planned",
+			Usage: "play planned work only: stops, reloads, configurations and draining servers, with kept connections",
+		},
 		&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
 		&cli.BoolFlag{
 			Name: "partitions",
@@ -126,8 +143,8 @@
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
-		Processes: c.Bool("processes"),
-		Load:      c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
+		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
+		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	line, err := json.Marshal(report)
 	if err != nil {
--- a/internal/soak/disturbances.go
+++ b/internal/soak/disturbances.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // allBoxes is the name under which disturbances of all boxes are recorded, such as store faults.
 const allBoxes = ""
@@ -8,6 +11,8 @@
 // interval is a time during which something was disturbed. It is open while its end is zero.
 type interval struct {
 	from, to time.Time
+	// planned is set if it was planned work: an orderly stop until the start that follows.
+	planned bool
 }
 
 // disturbances records by name when boxes and servers were disturbed.
@@ -21,6 +26,15 @@
 	return s
 }
 
+// unplanned returns the disturbances that were not planned.
+func (d disturbances) unplanned() disturbances {
+	rest := disturbances{}
+	for name, list := range d {
+		rest[name] = slices.DeleteFunc(slices.Clone(list), func(s *interval) bool { return s.planned })
+	}
+	return rest
+}
+
 // undisturbed reports whether name was undisturbed during the whole given time.
 func (d disturbances) undisturbed(name string, from, to time.Time) bool {
 	for _, s := range d[name] {
@@ -33,11 +47,18 @@
 
 // disturb records that a box, a server or all boxes are disturbed from now on. The returned
 // function records the end.
-func (f *fleet) disturb(name string) (end func()) {
-	h := f.history
+func (f *fleet) disturb(name string) (end func()) { return f.history.beginDisturbance(name, false) }
+
+// disturbAsPlanned does the same for planned work.
+func (f *fleet) disturbAsPlanned(name string) (end func()) {
+	return f.history.beginDisturbance(name, true)
+}
+
+func (h *history) beginDisturbance(name string, planned bool) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.disturbances.begin(name, time.Now())
+	s.planned = planned
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -99,7 +99,7 @@
 	for _, e := range p.exits {
 		if e.faulty() {
 			list = append(list, fmt.Sprintf("%s: a process ended %d ms after its start, at %s: %s",
-				p.name, e.ranMs, e.at.Format("15:04:05.000"), e.kind()))
+				p.name, e.ranMs, e.at.Format(timeOfDay), e.kind()))
 		}
 	}
 	return append(list, p.outputFindings()...)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -169,12 +169,14 @@
 // restarts it.
 func stopBox(f *fleet) (func(*fleet) error, error) {
 	b := f.randomBox()
-	return withDisturbance(f, b.name, func(*fleet) error {
+	endDisturbance := f.disturbAsPlanned(b.name)
+	return func(*fleet) error {
+		defer endDisturbance()
 		if err := b.process.awaitStop(); err != nil {
 			return err
 		}
 		return b.process.start()
-	}, b.process.signal(syscall.SIGTERM))
+	}, b.process.signal(syscall.SIGTERM)
 }
 
 func reloadSettings(f *fleet) (func(*fleet) error, error) {
@@ -231,6 +233,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.config.Version += 1 + f.random.IntN(3)
+	defer f.history.recordConfig()()
 	f.store.PutConfig(f.config)
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"dooryard.example/dooryard/platform/standin"
@@ -61,6 +62,8 @@
 	// Processes also injects faults around processes: signals in series, and settings files, ports and readers of
 	// standard output that fail for some time.
 	Processes bool
+	// Planned plays planned work only: stops, reloads, configurations and draining servers, with kept connections.
+	Planned bool
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
@@ -82,6 +85,8 @@
 	// link is nil if boxes connect to the server directly, at address.
 	link    *link
 	address string
+	// beginWork records that the server got a request. It is nil if link is.
+	beginWork func(request, server string) (end func(brokeOff bool))
 
 	mu      sync.Mutex
 	current *standin.Server
@@ -91,17 +96,37 @@
 	draining, replaced bool
 }
 
-// ServeHTTP passes the request to the current incarnation.
+// ServeHTTP passes the request to the current incarnation, and records the work on it.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	current, down := s.current, s.down
 	s.mu.Unlock()
+	if id := r.Header.Get("X-Attempt-Id"); id != "" && s.beginWork != nil {
+		defer s.recordWork(id, current.ID)()
+	}
 	if down {
 		panic(http.ErrAbortHandler)
 	}
 	current.ServeHTTP(w, r)
 }
 
+// recordWork records work on a request until the returned function is called, which must be deferred.
+func (s *server) recordWork(request, server string) (end func()) {
+	endWork := s.beginWork(request, server)
+	_, changesBefore := s.link.state()
+	return func() {
+		panicked := recover()
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		faulty, changes := s.link.state()
+		endWork(panicked != nil || down || faulty || changes != changesBefore)
+		if panicked != nil {
+			panic(panicked)
+		}
+	}
+}
+
 // fleet holds the processes, fakes and recorded history of one run.
 type fleet struct {
 	settings Settings
@@ -127,6 +152,8 @@
 	starts int
 	// evacuated holds the zones that were ever evacuated, and whether they are now.
 	evacuated map[string]bool
+	// stopping is how many stops are under way.
+	stopping int
 }
 
 // zoneName returns the name of a zone.
@@ -212,7 +239,7 @@
 	if s.link, err = newLink(f.ip(linksHost), func() string { return address }, withOwners(f.owners.boxOf)); err != nil {
 		return err
 	}
-	s.address = s.link.address()
+	s.address, s.beginWork = s.link.address(), f.history.beginWork
 	f.closers = append(f.closers, s.link.close)
 	f.servers = append(f.servers, s)
 	f.startIncarnation(s)
@@ -243,6 +270,15 @@
 		current.OnArrival(func(a standin.Arrival) { f.loads.recordArrival(s, a) })
 		return current
 	}
+	if f.settings.Planned {
+		current = standin.NewServer(id, version, f.draw, func(run standin.Run) {
+			f.history.recordRun(run)
+			takeTime(run.RequestID)
+		})
+		if f.draw(slowServerOneIn) == 0 {
+			current.StreamSlowly(slowEventGap)
+		}
+	}
 	current.OnArrival(func(a standin.Arrival) {
 		a.Box = s.link.ownerAt(a.Remote)
 		f.history.recordArrival(a)
@@ -303,6 +339,7 @@
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
+	b.process.onPlanned = func(s syscall.Signal) { f.history.recordPlanned(b.name, s) }
 	f.mu.Lock()
 	f.boxes = append(f.boxes, b)
 	f.mu.Unlock()
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -50,6 +50,14 @@
 	partitions []*partitionOf
 	// falls counts the brittle servers that fell over.
 	falls int
+	// works holds what servers did on requests by id.
+	works map[string][]*work
+	// stops and reloads are the times at which boxes got SIGTERM, for the first time in a process, and SIGHUP. configs
+	// holds when configurations were written, under allBoxes.
+	stops, reloads map[string][]time.Time
+	configs        map[string][]*interval
+	lost           lostStats
+	otherCuts      []string
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
 	// timed is set if time bounds are checked too.
@@ -62,7 +70,8 @@
 		served: map[string]int{}, draining: map[string]time.Time{}, disturbances: disturbances{},
 		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{},
 		zones: map[string]string{}, evacuations: map[string][]*interval{}, crashes: map[standin.Fatal][]time.Time{},
-		processFaults: map[string]int{},
+		processFaults: map[string]int{}, works: map[string][]*work{}, stops: map[string][]time.Time{},
+		reloads: map[string][]time.Time{}, configs: map[string][]*interval{},
 	}
 }
 
@@ -127,6 +136,7 @@
 	violations = append(violations, h.checkFatal()...)
 	violations = append(violations, h.checkStreams()...)
 	violations = append(violations, h.checkPartitions()...)
+	violations = append(violations, h.checkLost()...)
 	return append(violations, h.checkSignals()...)
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -52,7 +52,9 @@
 	mu       sync.Mutex
 	listener net.Listener
 	fault    linkFault
-	conns    map[net.Conn]struct{}
+	// changes counts the changes of the fault.
+	changes int
+	conns   map[net.Conn]struct{}
 	// stale are the members of conns whose bytes are dropped.
 	stale map[net.Conn]struct{}
 	// ownerOf returns the box that opened a connection. It may be nil.
@@ -166,6 +168,7 @@
 		l.reopenListener()
 	}
 	l.fault = fault
+	l.changes++
 	conns := l.conns
 	if fault == linkStale {
 		maps.Copy(l.stale, conns)
@@ -194,6 +197,13 @@
 	return l.fault
 }
 
+// state returns whether the link has a fault, and how often that changed.
+func (l *link) state() (faulty bool, changes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault != linkHealthy, l.changes
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		// If linger can't be set, the following close sends a FIN instead of a reset.
--- /dev/null
+++ b/internal/soak/lost.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"dooryard.example/dooryard/platform/standin"
+)
+
+// Bounds of lost requests, as the users state them.
+const (
+	// maxLostOnKept is how many requests of kept connections an undisturbed box may pass on and leave without a response.
+	maxLostOnKept = 3
+	// lossSlack is how long after the last byte of a request its connection may still be closed, if the request was not
+	// passed on. A close may cross a request.
+	lossSlack = 200 * time.Millisecond
+	// stopSpan is how long after SIGTERM requests count. Of those sent later than lateSendSpan after it, servers that are
+	// still at work in the last part of the grace period excuse none.
+	stopSpan     = shutdownGraceS*time.Second + time.Second
+	lateSendSpan = 3 * time.Second
+	graceParts   = 6
+	// configSpan is how long after a SIGHUP or a configuration requests count, with configSlack for the latter.
+	configSpan  = 2 * time.Second
+	configSlack = time.Second
+	// cutRatio is how many times as often as otherwise a box must cut requests beside a configuration for them to count,
+	// which those that have used usedTimeParts of ten of their time don't.
+	cutRatio      = 3
+	usedTimeParts = 7
+	// endSlack is how much later than a client's end of a request the run may record the disturbance that caused it.
+	endSlack = time.Second
+)
+
+// work is what a server did on a request that it got.
+type work struct {
+	server   string
+	from, to time.Time
+	// brokeOff is set if the server or its link ended the connection, or the link was disturbed.
+	brokeOff bool
+}
+
+// beginWork records that a server got a request. The returned function records the end.
+func (h *history) beginWork(request, server string) (end func(brokeOff bool)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	one := &work{server: server, from: time.Now()}
+	h.works[request] = append(h.works[request], one)
+	return func(brokeOff bool) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		one.to, one.brokeOff = time.Now(), brokeOff
+	}
+}
+
+// atWork reports whether the server was at work at or after a time.
+func (w *work) atWork(at time.Time) bool { return w != nil && (w.to.IsZero() || w.to.After(at)) }
+
+// recordPlanned records a signal that is planned work, before it is sent.
+func (h *history) recordPlanned(box string, s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s == syscall.SIGTERM {
+		h.stops[box] = append(h.stops[box], time.Now())
+		return
+	}
+	h.reloads[box] = append(h.reloads[box], time.Now())
+}
+
+// recordConfig records that a configuration is written. The returned function records its acknowledgement.
+func (h *history) recordConfig() (acknowledged func()) {
+	return h.beginInterval(h.configs, allBoxes)
+}
+
+// lostStats counts requests that were sent whole and whose connections boxes closed without a complete response, though
+// neither the server, the client nor a time limit ended them, and no unplanned disturbance was near.
+type lostStats struct {
+	// OnKept are those on kept connections of undisturbed boxes, BesidePlanned those that planned work must not cut, and
+	// Others the rest, which other-cuts.txt in the run's folder lists.
+	OnKept, BesidePlanned, Others int
+}
+
+// lastWork returns the last work on a request, or nil.
+func (h *history) lastWork(o standin.Outcome) *work {
+	list := h.works[o.ID]
+	if len(list) == 0 {
+		return nil
+	}
+	return list[len(list)-1]
+}
+
+// cut reports whether the box closed the connection of a request that was sent whole without a complete response. It is
+// none if the close crossed the request.
+func (h *history) cut(o standin.Outcome) bool {
+	limit := time.Duration(min(o.DeadlineMs, standin.RouteTimeoutMs)) * time.Millisecond
+	if o.Written.IsZero() || o.Complete || cancelled(o) || o.Fatal() != standin.NotFatal ||
+		strings.Contains(o.Err, context.DeadlineExceeded.Error()) || o.Ended.Sub(o.Sent) >= limit {
+		return false
+	}
+	if last := h.lastWork(o); last != nil {
+		return !last.brokeOff
+	}
+	return o.Ended.Sub(o.Written) > lossSlack
+}
+
+// checkLost checks that boxes lost no request.
+func (h *history) checkLost() []violation {
+	violations, onKept := []violation{}, map[string][]standin.Outcome{}
+	stats, cutsBeside := lostStats{}, h.cutsBesideConfigs()
+	for _, o := range h.outcomes {
+		if !h.cut(o) {
+			continue
+		}
+		kept, beside := h.lostOnKept(o), h.lostBesidePlanned(o, cutsBeside)
+		if kept {
+			onKept[o.Box] = append(onKept[o.Box], o)
+			stats.OnKept++
+		}
+		if beside != "" {
+			stats.BesidePlanned++
+			violations = append(violations, violation{"no lost request beside planned work", o.ID, beside})
+		}
+		if !kept && beside == "" && h.noUnplanned(o) {
+			stats.Others++
+			h.otherCuts = append(h.otherCuts, o.ID+": "+h.describe(o))
+		}
+	}
+	for box, list := range onKept {
+		if len(list) > maxLostOnKept {
+			violations = append(violations, violation{
+				"no lost request on a kept connection", list[0].ID,
+				fmt.Sprintf("%s, the first of %d of this box", h.describe(list[0]), len(onKept[box])),
+			})
+		}
+	}
+	h.lost = stats
+	return violations
+}
+
+// lostOnKept reports whether an undisturbed box passed on a request of a kept connection and closed the connection
+// without a response.
+func (h *history) lostOnKept(o standin.Outcome) bool {
+	return o.Kept && o.Status == 0 && h.lastWork(o) != nil &&
+		!h.separated(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended) &&
+		h.disturbances.undisturbed(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended.Add(endSlack))
+}
+
+// noUnplanned reports whether no unplanned disturbance was near a request.
+func (h *history) noUnplanned(o standin.Outcome) bool {
+	from, to := o.Sent.Add(-undisturbedSpan), o.Ended.Add(endSlack)
+	for _, box := range h.senders(o) {
+		if h.separated(box, from, to) || !h.disturbances.unplanned().undisturbed(box, from, to) {
+			return false
+		}
+	}
+	return true
+}
+
+// lostBesidePlanned describes how planned work cut a request that it must not cut, or returns "". The request was cut.
+func (h *history) lostBesidePlanned(o standin.Outcome, cutsBeside map[string]bool) string {
+	if h.outlastedGrace(o) || !h.noUnplanned(o) {
+		return ""
+	}
+	for _, at := range h.stops[o.Box] {
+		if !o.Ended.Before(at) && !o.Ended.After(at.Add(stopSpan)) {
+			return fmt.Sprintf("%s, %s after SIGTERM", h.describe(o), millis(o.Ended.Sub(at)))
+		}
+	}
+	for _, at := range h.reloads[o.Box] {
+		if !o.Ended.Before(at) && !o.Sent.After(at.Add(configSpan)) {
+			return fmt.Sprintf("%s, %s after SIGHUP", h.describe(o), millis(o.Ended.Sub(at)))
+		}
+	}
+	if cutsBeside[o.Box] && h.besideConfig(o) && !usedItsTime(o) {
+		return h.describe(o) + ", beside a configuration"
+	}
+	return ""
+}
+
+// outlastedGrace reports whether a stop may have cut a request since its server was at work for too long.
+func (h *history) outlastedGrace(o standin.Outcome) bool {
+	return slices.ContainsFunc(h.stops[o.Box], func(at time.Time) bool {
+		lastPart := at.Add(shutdownGraceS * time.Second * (graceParts - 1) / graceParts)
+		return !o.Sent.After(at.Add(lateSendSpan)) && !o.Ended.Before(lastPart) && !o.Ended.After(at.Add(stopSpan)) &&
+			h.lastWork(o).atWork(lastPart)
+	})
+}
+
+// describe tells where a request was lost and when.
+func (h *history) describe(o standin.Outcome) string {
+	text := fmt.Sprintf("%s closed the connection at %s, %s after the request's last byte, %q",
+		o.Box, o.Ended.Format(timeOfDay), millis(o.Ended.Sub(o.Written)), o.Err)
+	if last := h.lastWork(o); last != nil {
+		text += fmt.Sprintf(", %s worked on it from %s to %s", last.server, last.from.Format(timeOfDay),
+			last.to.Format(timeOfDay))
+	}
+	return text
+}
+
+// timeOfDay is the layout of times in findings.
+const timeOfDay = "15:04:05.000"
+
+func millis(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// usedItsTime reports whether a request had used so much of its time that a configuration may be beside the point.
+func usedItsTime(o standin.Outcome) bool {
+	limit := time.Duration(min(o.DeadlineMs, standin.RouteTimeoutMs)) * time.Millisecond
+	return o.Ended.Sub(o.Sent) >= limit*usedTimeParts/10
+}
+
+// besideConfig reports whether a request ended beside a configuration.
+func (h *history) besideConfig(o standin.Outcome) bool {
+	return slices.ContainsFunc(h.configs[allBoxes], func(s *interval) bool {
+		return !o.Ended.Before(s.from) && (s.to.IsZero() || !o.Ended.After(s.to.Add(configSpan+configSlack)))
+	})
+}
+
+// cutsBesideConfigs tells which boxes cut requests over cutRatio times as often beside configurations as otherwise.
+func (h *history) cutsBesideConfigs() map[string]bool {
+	type counts struct{ requests, cuts int }
+	beside, otherwise := map[string]counts{}, map[string]counts{}
+	for _, o := range h.outcomes {
+		if o.Written.IsZero() {
+			continue
+		}
+		group := otherwise
+		if h.besideConfig(o) {
+			group = beside
+		}
+		c := group[o.Box]
+		c.requests++
+		c.cuts += boolInt(h.cut(o) && h.noUnplanned(o))
+		group[o.Box] = c
+	}
+	boxes := map[string]bool{}
+	for box, c := range beside {
+		other := otherwise[box]
+		boxes[box] = c.cuts*max(1, other.requests) > cutRatio*other.cuts*c.requests
+	}
+	return boxes
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,6 +29,8 @@
 	// exits are the ends of all processes, and problems what went wrong beside them.
 	exits    []exit
 	problems []string
+	// onPlanned is called before a signal that is planned work is sent: SIGHUP, or the first SIGTERM of a process.
+	onPlanned func(s syscall.Signal)
 	// output is the reading side of the process's standard output, which is not read before stalledUntil.
 	output       *os.File
 	stalledUntil time.Time
@@ -46,7 +48,10 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	return &process{name: name, program: program, settings: path, content: settings, log: log, out: out}, nil
+	return &process{
+		name: name, program: program, settings: path, content: settings, log: log, out: out,
+		onPlanned: func(syscall.Signal) {},
+	}, nil
 }
 
 // start starts the process unless it is running. Faults overlap, so two of them may restart the
@@ -102,6 +107,9 @@
 	if !p.running() {
 		return nil
 	}
+	if s == syscall.SIGHUP || s == syscall.SIGTERM && p.asked.terminated.IsZero() {
+		p.onPlanned(s)
+	}
 	p.asked.record(s, time.Now())
 	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %v: %w", s, err)
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -109,7 +109,11 @@
 // stopAndStart stops a box by SIGTERM, plays what is to happen during the stop, and starts the box again once it has
 // exited and been down for a time.
 func (f *fleet) stopAndStart(b *box, during func(b *box) error, down time.Duration) error {
-	defer f.disturb(b.name)()
+	if !f.beginStop() {
+		return nil
+	}
+	defer f.endStop()
+	defer f.disturbAsPlanned(b.name)()
 	if err := b.process.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -7,7 +7,9 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,8 @@
 	Streams streamStats
 	// Load holds the figures of the load bound.
 	Load loadStats
+	// Lost holds the requests whose connections boxes closed without a complete response.
+	Lost lostStats
 	// Ends counts by what processes were asked to end, and how they did.
 	Ends map[string]int
 }
@@ -75,15 +79,31 @@
 	} else {
 		f.startRequests(clients, &workers)
 	}
-	f.startInjections(clients, &workers)
+	injections, stopInjections := context.WithCancel(clients)
+	var injecting sync.WaitGroup
+	f.startInjections(injections, &injecting)
 	workers.Go(func() { f.writeHeartbeats(clients) })
 	err = f.injectFaults(ctx, report.Faults)
+	stopInjections()
+	injecting.Wait()
+	if settings.Planned {
+		f.stopAll()
+	}
 	stopClients()
 	workers.Wait()
 	f.background.Wait()
 	maps.Copy(report.Faults, f.history.processFaults)
 	// Rejected requests must not run later either.
 	time.Sleep(settleSpan)
+	f.fill(&report)
+	if err == nil && len(report.Findings) > 0 {
+		err = fmt.Errorf("%w: seed %d: %s", ErrGuaranteeViolated, settings.Seed, report.Findings[0])
+	}
+	return report, err
+}
+
+// fill fills in the report when everything has ended.
+func (f *fleet) fill(report *Report) {
 	for _, found := range f.history.check() {
 		report.Findings = append(report.Findings, found.String())
 	}
@@ -92,15 +112,14 @@
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
 	report.Fatal, report.HeldBack = f.history.fatalStats(), f.history.heldBack()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
-	report.Streams = f.history.streamStats()
-	if settings.Load {
+	report.Streams, report.Lost = f.history.streamStats(), f.history.lost
+	if f.settings.Load {
 		report.Load = f.loadStats()
 		report.Findings = append(report.Findings, report.Load.findings()...)
 	}
-	if err == nil && len(report.Findings) > 0 {
-		err = fmt.Errorf("%w: seed %d: %s", ErrGuaranteeViolated, settings.Seed, report.Findings[0])
-	}
-	return report, err
+	// The file only helps to trace what the report counts.
+	_ = os.WriteFile(filepath.Join(f.settings.Folder, "other-cuts.txt"),
+		[]byte(strings.Join(f.history.otherCuts, "\n")), 0o600)
 }
 
 // startupSpan returns how long boxes run before requests are sent. With a load they know each other by then, as those
@@ -114,6 +133,14 @@
 
 // startRequests starts the clients, and the servers' signals, until ctx ends.
 func (f *fleet) startRequests(ctx context.Context, workers *sync.WaitGroup) {
+	if f.settings.Planned || f.settings.Processes {
+		for i := range f.settings.Clients {
+			workers.Go(func() { f.runKeptClient(ctx, i) })
+		}
+	}
+	if f.settings.Planned {
+		return
+	}
 	for i := range f.settings.Clients {
 		workers.Go(func() { f.runClient(ctx, i) })
 	}
@@ -129,6 +156,7 @@
 	}{
 		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
 		{f.settings.Processes, f.injectProcessFaults},
+		{f.settings.Planned, f.injectPlanned},
 		{f.settings.Evacuations, f.injectEvacuations},
 		{f.settings.Overload, f.injectOverload},
 		{f.settings.Stalls, f.injectStalls},
@@ -147,7 +175,7 @@
 	until := time.Now().Add(f.settings.Span)
 	var ends sync.WaitGroup
 	errs := make(chan error, maxEndErrors)
-	for f.settings.Calm && time.Now().Before(until) && ctx.Err() == nil {
+	for (f.settings.Calm || f.settings.Planned) && time.Now().Before(until) && ctx.Err() == nil {
 		sleep(ctx, time.Until(until))
 	}
 	for time.Now().Before(until) && ctx.Err() == nil && len(errs) == 0 {
