fix(registry): boxes without the store do not confirm each other's upstreams

While no box could read the store, a stream of a server that had crashed and come back under its id at another version went on there 3 s later, joined from two versions.

Cause: a box took any other box at the same position of the list for a proof that there was no newer entry. Two boxes that both had lost the store thereby confirmed each other without end. The doubt about the version of a server that has failed ended 3 s after it responded again, and a view of the versions counted as fresh. Applying changes of another box, or the late response to a read, counted as a confirmation as of its arrival, too.

Now only a read of the store confirms the list, as of when it was sent. A box tells in its summary how long ago that was (UpstreamsAgeMs; absent at boxes of earlier releases, whose summaries confirm nothing), and another box that holds all changes up to that position takes the age over, counted back from when it asked. A fresh view is one whose list was confirmed within in_force_ms and two reads of it, since a read waits for changes longer than one of the routing state. In a summary this is one field of two to four bytes.

Changed tests: "a removed upstream is restored if the store keeps listing it" now names the time of the confirmation, and also requires that an earlier one does not suffice. TestHistories passes the times of its reads on. Fakes of the sink take the new argument.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -214,6 +214,9 @@
 	if confirmation, ok := b.routingState.Confirmed(); ok {
 		k.AgeMs, k.Era = b.clock.Monotonic()-confirmation.AtMs, confirmation.Era
 	}
+	if confirmedMs := b.registry.ConfirmedMs(); confirmedMs > 0 {
+		k.UpstreamsAgeMs = max(1, b.clock.Monotonic()-confirmedMs)
+	}
 	return k
 }
 
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -143,7 +143,6 @@
 	if !a.StateSummary.Position.IsZero() {
 		p.box.observeEra(max(a.StateSummary.Era, a.StateSummary.Position.Era), "box "+a.From.Box)
 	}
-	p.box.registry.Confirm(a.StateSummary.Position)
 	if a.StateSummary.Version > local.Version || local.Position.Before(a.StateSummary.Position) ||
 		!p.box.evacuations.Advance(a.StateSummary.Evacuations) {
 		if err := p.fetch(ctx, a, local); err != nil {
@@ -151,6 +150,9 @@
 			return
 		}
 	}
+	if a.PingedMs > 0 && a.StateSummary.UpstreamsAgeMs > 0 {
+		p.box.registry.Confirm(a.StateSummary.Position, a.PingedMs-a.StateSummary.UpstreamsAgeMs)
+	}
 	if a.PingedMs > 0 && a.StateSummary.AgeMs >= 0 {
 		p.box.confirm(routing.Confirmation{
 			Version: a.StateSummary.Version, Era: a.StateSummary.Era, AtMs: a.PingedMs - a.StateSummary.AgeMs,
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -28,10 +28,11 @@
 	// Confirm reports that the state last passed to Adopt was still the newest at an instant, according to a response of
 	// the store in an era.
 	Confirm func(atMs clock.Millis, era int64)
-	// Upstreams applies changes of the upstreams.
-	Upstreams func(changes []registry.Change)
-	// AllUpstreams replaces the list of upstreams with the complete list as of a position.
-	AllUpstreams func(all []registry.Change, at position.Position)
+	// Upstreams applies changes of the upstreams. At the instant confirmedMs there were no others, unless it is 0.
+	Upstreams func(changes []registry.Change, confirmedMs clock.Millis)
+	// AllUpstreams replaces the list of upstreams with the complete list as of a position. At the instant confirmedMs
+	// there were no changes after it.
+	AllUpstreams func(all []registry.Change, at position.Position, confirmedMs clock.Millis)
 	// Evacuations applies changes of the evacuated failure domains.
 	Evacuations func(changes []evacuation.Change)
 	// AllEvacuations replaces the evacuated failure domains with the complete list as of a position.
@@ -147,18 +148,21 @@
 	s.box.confirm(routing.Confirmation{Version: version, Era: era, AtMs: atMs})
 }
 
-func (s *storeSink) upstreams(changes []registry.Change) {
+func (s *storeSink) upstreams(changes []registry.Change, confirmedMs clock.Millis) {
 	span := s.removalGrace()
 	for i := range changes {
 		if !changes[i].Unusable {
 			changes[i].GraceMs = span
 		}
 	}
-	s.box.announceUpstreams(s.box.registry.Apply(changes), s.source)
+	registry := s.box.registry
+	s.box.announceUpstreams(registry.Apply(changes), s.source)
+	registry.Confirm(registry.Position(), confirmedMs)
 }
 
-func (s *storeSink) allUpstreams(all []registry.Change, at position.Position) {
+func (s *storeSink) allUpstreams(all []registry.Change, at position.Position, confirmedMs clock.Millis) {
 	s.box.announceUpstreams(s.box.registry.ApplySnapshot(all, at, s.removalGrace()), s.source)
+	s.box.registry.Confirm(at, confirmedMs)
 }
 
 // removalGrace returns how long an entry that disappears now may reappear before its upstream is removed. Entries of
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -238,7 +238,7 @@
 	}
 	sink.ObserveEra(at.Era)
 	sink.AllEvacuations(evacuations)
-	sink.AllUpstreams(changes, at)
+	sink.AllUpstreams(changes, at, sentMs)
 	if state != nil {
 		sink.Adopt(state, at.Era)
 		// The next poll handles the end of the context.
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -138,11 +138,13 @@
 	if !found {
 		return streams.View{}
 	}
-	maxAge := clock.Millis(b.settings.Load().Freshness.MaxPropagationMs)
+	settings := b.settings.Load()
+	// A read of the list of upstreams confirms it as of when it was sent, and the next one may wait as long.
+	maxAgeMs := clock.Millis(settings.Freshness.MaxPropagationMs) + 2*UpstreamsPollMs(*settings)
 	stable := b.clock.Monotonic()-clock.Millis(o.routesChangedMs.Load()) >= streams.WindowMs
 	return streams.View{
 		Sole: sole.Key(), Complete: complete && stable,
-		Fresh: !b.stateMayBeOutdated() && b.clock.Monotonic()-b.registry.ConfirmedMs() <= maxAge,
+		Fresh: !b.stateMayBeOutdated() && b.clock.Monotonic()-b.registry.ConfirmedMs() <= maxAgeMs,
 	}
 }
 
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -79,6 +79,15 @@
 // PollMs returns how long one read of the store waits for changes with these settings.
 func PollMs(g config.Gateway) clock.Millis { return timingOf(g).pollMs }
 
+// UpstreamsPolls is the wait of one read of the list of upstreams, as a multiple of the poll interval. Such a read
+// confirms no routing state when it returns, so it may wait longer. The wait is bounded, because a box must learn of a
+// draining upstream within three seconds plus the drain time after the store recovers, and a read that gets no response
+// must time out before that.
+const UpstreamsPolls = 2
+
+// UpstreamsPollMs returns how long one read of the list of upstreams waits for changes with these settings.
+func UpstreamsPollMs(g config.Gateway) clock.Millis { return UpstreamsPolls * PollMs(g) }
+
 // directReadAgeMs returns the age of the confirmation above which a box reads the store directly, even if others read
 // for it. Period is the current gossip period.
 func (t timing) directReadAgeMs(g config.Gateway, period clock.Millis) clock.Millis {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -47,6 +47,9 @@
 	Era int64 `cbor:"5,keyasint,omitempty" json:"era"`
 	// Evacuations summarizes the evacuated failure domains.
 	Evacuations evacuation.Summary `cbor:"7,keyasint" json:"evacuations"`
+	// UpstreamsAgeMs is the time since the store last showed that there is no change of the upstreams after Position. It
+	// is 0 if that is unknown, as at boxes of earlier releases, and else at least 1.
+	UpstreamsAgeMs clock.Millis `cbor:"8,keyasint,omitempty" json:"upstreams_age_ms"`
 }
 
 // packetType distinguishes the kinds of datagrams.
--- a/internal/registry/histories_test.go
+++ b/internal/registry/histories_test.go
@@ -141,6 +141,7 @@
 	}
 	b.Apply(changes)
 	b.at.Offset = end
+	b.Confirm(b.Position(), b.now)
 }
 
 func (r logRecord) change(era, offset int64) Change {
@@ -162,6 +163,7 @@
 	}
 	all = append(all, h.page(h.servers[len(h.servers)/2:])...)
 	b.ApplySnapshot(all, b.at, reappearMs)
+	b.Confirm(b.at, b.now)
 	b.filled = true
 }
 
@@ -185,6 +187,7 @@
 	if to.Position().Before(from.Position()) {
 		to.Merge(from.Since(to.Position()))
 		to.filled = to.filled || to.Synced()
+		to.Confirm(from.Position(), from.ConfirmedMs())
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -108,10 +108,9 @@
 	journal journal
 	// synced is set once a complete list of the upstreams has been applied.
 	synced bool
-	// upToDateMs is when changes were last passed to Apply, or when this box last learned that there
-	// are none after its position.
-	upToDateMs clock.Millis
-	onChange   func()
+	// confirmedMs is the latest time of which the store has shown that all changes until then were applied.
+	confirmedMs clock.Millis
+	onChange    func()
 }
 
 // New returns an empty registry.
@@ -135,7 +134,6 @@
 func (r *Registry) applyUpTo(changes []Change, upTo position.Position) []Change {
 	applied := []Change{}
 	r.mu.Lock()
-	r.upToDateMs = r.monotonic()
 	for _, c := range changes {
 		if r.apply(c) {
 			applied = append(applied, c)
@@ -236,21 +234,21 @@
 	return removed
 }
 
-// Confirm records that another box knew of nothing newer than a position. It has no effect
-// unless this is also the newest position that this box has applied.
-func (r *Registry) Confirm(at position.Position) {
+// Confirm records that, according to the store, there was no change after a position at a monotonic time. It has no
+// effect before this box has applied all changes up to the position.
+func (r *Registry) Confirm(at position.Position, confirmedMs clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at == r.journal.position {
-		r.upToDateMs = r.monotonic()
+	if at.Era == r.journal.position.Era && !r.journal.position.Before(at) {
+		r.confirmedMs = max(r.confirmedMs, confirmedMs)
 	}
 }
 
-// ConfirmedMs returns the monotonic time at which the registry was last known to hold all changes.
+// ConfirmedMs returns the latest monotonic time at which the registry is known to have held all changes, or 0.
 func (r *Registry) ConfirmedMs() clock.Millis {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.upToDateMs
+	return r.confirmedMs
 }
 
 // Synced reports whether a complete list of the upstreams has been applied, even an empty one.
@@ -267,7 +265,7 @@
 	changed := false
 	r.mu.Lock()
 	for id, e := range r.entries {
-		next, updated := e.afterTimeouts(now, r.upToDateMs)
+		next, updated := e.afterTimeouts(now, r.confirmedMs)
 		if updated {
 			r.entries[id] = next
 			changed = true
@@ -280,12 +278,12 @@
 }
 
 // afterTimeouts returns the entry after applying the timeouts that are due at now. The
-// argument upToDateMs is when the registry was last known to be up to date with the store.
-func (e entry) afterTimeouts(now, upToDateMs clock.Millis) (next entry, changed bool) {
+// argument confirmedMs is when the registry was last known to be up to date with the store.
+func (e entry) afterTimeouts(now, confirmedMs clock.Millis) (next entry, changed bool) {
 	switch {
 	case e.removeAtMs > 0 && now >= e.removeAtMs:
 		return entry{tombstone: true, position: e.position, startedMs: e.startedMs, sequence: e.sequence}, true
-	case e.stale != nil && upToDateMs >= e.stale.acceptAtMs:
+	case e.stale != nil && confirmedMs >= e.stale.acceptAtMs:
 		return entry{
 			upstream: e.stale.upstream, position: e.position, startedMs: e.startedMs,
 			sequence: e.stale.sequence, copied: true,
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -154,3 +154,20 @@
 	}
 	return list
 }
+
+// TestConfirm guards against a registry that counts as confirmed although no read of the store has shown it.
+func TestConfirm(t *testing.T) {
+	f := newFixture()
+	f.Apply([]Change{put("a", 4)})
+	assert.Zero(t, f.ConfirmedMs(), "changes alone confirm nothing")
+	f.Merge(Update{Position: position.At(0, 6), Changes: []Change{put("b", 5)}})
+	assert.Zero(t, f.ConfirmedMs(), "neither do those of another box")
+	f.Confirm(position.At(0, 7), 900)
+	assert.Zero(t, f.ConfirmedMs(), "a change may be missing")
+	f.Confirm(position.At(0, 6), 800)
+	assert.Equal(t, clock.Millis(800), f.ConfirmedMs())
+	f.Confirm(position.At(0, 4), 700)
+	assert.Equal(t, clock.Millis(800), f.ConfirmedMs(), "an earlier confirmation")
+	f.Confirm(position.At(0, 4), 850)
+	assert.Equal(t, clock.Millis(850), f.ConfirmedMs(), "of a position that was passed")
+}
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -92,7 +92,10 @@
 		f.now += staleRecordMs
 		f.Expire()
 		assertIDs(t, f.Registry)
-		f.Confirm(position.At(2, 5))
+		f.Confirm(position.At(2, 5), f.now-1)
+		f.Expire()
+		assertIDs(t, f.Registry)
+		f.Confirm(position.At(2, 5), f.now)
 		f.Expire()
 		assertIDs(t, f.Registry, "a")
 	})
