fix(streams): a pool whose entries have all lapsed has no known history

After the entries of all upstreams had lapsed for over 30 s, as while the store is away, the version that was listed again first counted at once as the only one that had served for 30 s. A stream of which no record is left (its boxes were killed, or it began more than a minute before) could go on there, though upstreams of another version had served it until then.

Cause: the time for which versions were known counted from the first list that the box ever saw, whatever became of the pool since. It now counts for each pool from when an upstream of it was first listed, anew if none was listed for streams.WindowMs.

Evidence, before this change:

--- FAIL: TestVersionsAfterAllEntriesLapsed Should be false (v1 may have served within the window)

The price: unrecorded streams of a new pool, or one whose entries come back after so long, are refused for 30 s.

--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -149,3 +149,25 @@
 	newer := registry.Upstream{ID: "v2", Pool: "q", SoftwareVersion: "v3"}
 	assert.Equal(t, Changes{Replaced: []string{"v2"}}, v.Observe([]registry.Upstream{newer}))
 }
+
+// TestVersionsAfterAllEntriesLapsed guards against a version that counts as the only one of the window because it is the
+// first to be listed again after the entries of all upstreams had lapsed for longer.
+func TestVersionsAfterAllEntriesLapsed(t *testing.T) {
+	c := &fakeClock{nowMs: 1}
+	v := NewVersions(c.monotonic)
+	upstream := func(version string) registry.Upstream {
+		return registry.Upstream{ID: version, Pool: "p", SoftwareVersion: version}
+	}
+	v.Observe([]registry.Upstream{upstream("v1"), upstream("v2")})
+	c.nowMs += 2 * WindowMs
+	v.Observe(nil)
+	c.nowMs += WindowMs + clock.Second
+	v.Observe([]registry.Upstream{upstream("v2")})
+	sole, complete, found := v.Sole("p")
+	assert.True(t, found)
+	assert.Equal(t, "v2", sole.Version)
+	assert.False(t, complete, "v1 may have served within the window")
+	c.nowMs += WindowMs
+	_, complete, _ = v.Sole("p")
+	assert.True(t, complete)
+}
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -15,10 +15,16 @@
 	monotonic func() clock.Millis
 
 	mu    sync.Mutex
-	pools map[string]map[string]*versionState
+	pools map[string]poolVersions
 	// byUpstream holds the version of each upstream, by ID.
 	byUpstream map[string]string
-	// sinceMs is when the first list of upstreams was observed, or 0.
+}
+
+// poolVersions are the software versions of a pool.
+type poolVersions struct {
+	states map[string]*versionState
+	// sinceMs is when an upstream of the pool was first listed, or first listed again after none had been for WindowMs:
+	// upstreams whose entries have lapsed go on with their streams.
 	sinceMs clock.Millis
 }
 
@@ -32,7 +38,7 @@
 
 // NewVersions returns an empty history.
 func NewVersions(monotonic func() clock.Millis) *Versions {
-	return &Versions{monotonic: monotonic, pools: map[string]map[string]*versionState{}}
+	return &Versions{monotonic: monotonic, pools: map[string]poolVersions{}}
 }
 
 // Changes are the changes that a list of upstreams brings.
@@ -48,12 +54,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.monotonic()
-	if v.sinceMs == 0 {
-		v.sinceMs = max(1, now)
-	}
 	v.expireLocked(now)
-	for _, versions := range v.pools {
-		for _, state := range versions {
+	for _, pool := range v.pools {
+		for _, state := range pool.states {
 			state.present = false
 		}
 	}
@@ -73,34 +76,34 @@
 
 // observeLocked records one upstream and reports whether its version is new in a pool that runs another one.
 func (v *Versions) observeLocked(u registry.Upstream, now clock.Millis) bool {
-	versions := v.pools[u.Pool]
-	if versions == nil {
-		versions = map[string]*versionState{}
-		v.pools[u.Pool] = versions
+	pool, known := v.pools[u.Pool]
+	if !known {
+		pool = poolVersions{states: map[string]*versionState{}, sinceMs: now}
+		v.pools[u.Pool] = pool
 	}
-	state := versions[u.SoftwareVersion]
+	state := pool.states[u.SoftwareVersion]
 	isNew := state == nil
 	if isNew {
 		state = &versionState{}
-		versions[u.SoftwareVersion] = state
+		pool.states[u.SoftwareVersion] = state
 	}
 	state.present, state.lastMs = true, now
-	return isNew && len(versions) > 1
+	return isNew && len(pool.states) > 1
 }
 
 // expireLocked removes versions that no upstream has run for WindowMs.
 func (v *Versions) expireLocked(now clock.Millis) {
-	for pool, versions := range v.pools {
-		for version, state := range versions {
+	for name, pool := range v.pools {
+		for version, state := range pool.states {
 			switch {
 			case state.present:
 				state.lastMs = now
 			case now-state.lastMs >= WindowMs:
-				delete(versions, version)
+				delete(pool.states, version)
 			}
 		}
-		if len(versions) == 0 {
-			delete(v.pools, pool)
+		if len(pool.states) == 0 {
+			delete(v.pools, name)
 		}
 	}
 }
@@ -122,7 +125,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, pool := range pools {
-		for version := range v.pools[pool] {
+		for version := range v.pools[pool].states {
 			if o := (Origin{Pool: pool, Version: version}); o.Key() == key {
 				return o, true
 			}
@@ -138,12 +141,12 @@
 	defer v.mu.Unlock()
 	now := v.monotonic()
 	v.expireLocked(now)
-	versions := v.pools[pool]
-	if len(versions) != 1 {
+	known := v.pools[pool]
+	if len(known.states) != 1 {
 		return Origin{}, false, false
 	}
-	for version := range versions {
+	for version := range known.states {
 		sole = Origin{Pool: pool, Version: version}
 	}
-	return sole, v.sinceMs > 0 && now-v.sinceMs >= WindowMs, true
+	return sole, now-known.sinceMs >= WindowMs, true
 }
