fix(gateway): a version that came and went between two reads counts

A box that had been without the store or was behind read the entries of a second version and their end at once, as after a release that was rolled back, and took the first version for the only one of the last 30 s. An unrecorded stream of the second one could go on at the first.

Cause: the history of versions was taken from the list of upstreams after a whole batch of changes. It now also takes the version of each change.

Evidence, before this change:

--- FAIL: TestStreamVersionWithinOneRead expected: 503 actual : 200 Should be empty, but was [v1 v1]

--- a/internal/gateway/stream_all_restarted_test.go
+++ b/internal/gateway/stream_all_restarted_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"dooryard.example/dooryard/internal/position"
+	"dooryard.example/dooryard/internal/registry"
 	"dooryard.example/dooryard/internal/streams"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -74,3 +76,22 @@
 		})
 	})
 }
+
+// TestStreamVersionWithinOneRead guards against a version that counts as the only one although the entries of another one
+// appeared and disappeared between two reads.
+func TestStreamVersionWithinOneRead(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.pausingUpstreams("ua-v1")
+		b := f.box(1)
+		advance(f.t, time.Minute)
+		unnamed := []begun{{version: "v1"}}
+		assertGoOn(f.t, b, unnamed)
+		at := b.registry.Position()
+		newer := registry.Upstream{ID: "ub-v2", Pool: "p", Address: "127.0.0.1:1", SoftwareVersion: "v2", Slots: 1}
+		b.sink.asSink().Upstreams([]registry.Change{
+			{Upstream: newer, Position: position.At(at.Era, at.Offset+1)},
+			{Upstream: registry.Upstream{ID: newer.ID}, Removed: true, Position: position.At(at.Era, at.Offset+2)},
+		}, f.clock.Monotonic())
+		assertStreamsRefused(f.t, b, unnamed)
+	})
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// observeChanges records the versions that changes of the upstreams name, even if no upstream runs them any more.
+func (o *streamOrigins) observeChanges(changes []registry.Change) {
+	for _, pool := range o.versions.ObserveChanges(changes) {
+		o.tellUntold(pool)
+	}
+}
+
 // observeRoutes records the pools of the streaming routes. If they have changed, the box tells the origins of its
 // recent streams, because these can't be found out from the routes any more.
 func (o *streamOrigins) observeRoutes(state *routing.State) {
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -66,6 +66,7 @@
 		if v.observeLocked(u, now) && !slices.Contains(changes.Mixed, u.Pool) {
 			changes.Mixed = append(changes.Mixed, u.Pool)
 		}
+		v.pools[u.Pool].states[u.SoftwareVersion].present = true
 		v.byUpstream[u.ID] = u.SoftwareVersion
 		if version, known := before[u.ID]; known && version != u.SoftwareVersion {
 			changes.Replaced = append(changes.Replaced, u.ID)
@@ -74,7 +75,21 @@
 	return changes
 }
 
-// observeLocked records one upstream and reports whether its version is new in a pool that runs another one.
+// ObserveChanges records the versions that changes name, also those that later changes among them have ended. It
+// returns the pools that run a version which was not in the history, besides another one.
+func (v *Versions) ObserveChanges(changes []registry.Change) (mixed []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.monotonic()
+	for _, c := range changes {
+		if !c.Removed && v.observeLocked(c.Upstream, now) && !slices.Contains(mixed, c.Upstream.Pool) {
+			mixed = append(mixed, c.Upstream.Pool)
+		}
+	}
+	return mixed
+}
+
+// observeLocked records the version of an upstream and reports whether it is new in a pool that runs another one.
 func (v *Versions) observeLocked(u registry.Upstream, now clock.Millis) bool {
 	pool, known := v.pools[u.Pool]
 	if !known {
@@ -87,7 +102,7 @@
 		state = &versionState{}
 		pool.states[u.SoftwareVersion] = state
 	}
-	state.present, state.lastMs = true, now
+	state.lastMs = now
 	return isNew && len(pool.states) > 1
 }
 
