test(soak): an end before the runtime handles signals is counted, no finding

Signals 0 to 20 ms after a start reach processes that run no code of the program yet: the kernel ends these by SIGHUP or SIGTERM, whatever the program does.

The soak looks at the handlers that are installed before it sends a signal in the first second. A program that never installs handlers, or whose runtime has them but that does not receive signals itself yet, is a finding as before.

--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -19,6 +21,24 @@
 	terminated time.Time
 	// paused is set if it was stopped after SIGTERM, or has not been resumed since.
 	paused bool
+	// early holds the signals that were sent before the process could handle them.
+	early []syscall.Signal
+}
+
+// earlySpan is how long after its start a process may not have installed any handler.
+const earlySpan = time.Second
+
+// catches reports whether a process has installed a handler of a signal. The Go runtime installs its handlers before it
+// initializes the program; until then the kernel ends the process.
+func catches(pid int, s syscall.Signal) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return true
+	}
+	_, after, _ := strings.Cut(string(status), "\nSigCgt:\t")
+	mask, _, _ := strings.Cut(after, "\n")
+	caught, err := strconv.ParseUint(mask, 16, 64)
+	return err != nil || caught&(1<<(s-1)) != 0
 }
 
 // record records a signal that is about to be sent.
@@ -45,7 +65,8 @@
 	// status is the exit status or the signal, as text.
 	status string
 	ok     bool
-	killed bool
+	// signal is the signal that ended the process, or -1.
+	signal syscall.Signal
 	asked  askedEnd
 }
 
@@ -53,11 +74,14 @@
 func (p *process) recordExit(state *os.ProcessState, started time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	status, isStatus := state.Sys().(syscall.WaitStatus)
-	p.exits = append(p.exits, exit{
+	e := exit{
 		at: time.Now(), ranMs: time.Since(started).Milliseconds(), status: state.String(), ok: state.Success(),
-		killed: isStatus && status.Signaled() && status.Signal() == syscall.SIGKILL, asked: p.asked,
-	})
+		signal: -1, asked: p.asked,
+	}
+	if status, isStatus := state.Sys().(syscall.WaitStatus); isStatus {
+		e.signal = status.Signal()
+	}
+	p.exits = append(p.exits, e)
 }
 
 // recordProblem records what went wrong with the process beside its exits.
@@ -70,8 +94,10 @@
 // kind returns by what the process was asked to end, and how it ended.
 func (e exit) kind() string {
 	switch {
-	case e.asked.killed && e.killed:
+	case e.asked.killed && e.signal == syscall.SIGKILL:
 		return "SIGKILL"
+	case slices.Contains(e.asked.early, e.signal):
+		return "before it could handle signals: " + e.status
 	case !e.asked.terminated.IsZero():
 		return "SIGTERM: " + e.status
 	default:
@@ -82,7 +108,7 @@
 // faulty reports whether the process ended although the run hadn't asked for it, or failed after SIGTERM. One that
 // ended before a SIGKILL reached it ended by itself.
 func (e exit) faulty() bool {
-	if e.asked.killed && e.killed {
+	if e.asked.killed && e.signal == syscall.SIGKILL || slices.Contains(e.asked.early, e.signal) {
 		return false
 	}
 	return e.asked.terminated.IsZero() || !e.ok
--- a/internal/soak/exits_test.go
+++ b/internal/soak/exits_test.go
@@ -37,12 +37,19 @@
 	}{
 		{"a process that exits by itself", "echo\n", "not asked for: exit status 0", 0},
 		{"a process that fails to start", "echo in use; exit 1\n", "not asked for: exit status 1", 0},
-		{"a signal that should not end it", "echo" + waitForSignal, "not asked for: signal: hangup", syscall.SIGHUP},
+		{
+			"a signal that should not end it", "trap 'trap - HUP; kill -HUP $$' HUP; echo" + waitForSignal,
+			"not asked for: signal: hangup", syscall.SIGHUP,
+		},
+		{"a signal before a handler is installed", "echo" + waitForSignal, "", syscall.SIGHUP},
 		{
 			"a status after SIGTERM", "trap 'exit 66' TERM; echo" + waitForSignal, "SIGTERM: exit status 66",
 			syscall.SIGTERM,
 		},
-		{"an end by SIGTERM itself", "echo" + waitForSignal, "SIGTERM: signal: terminated", syscall.SIGTERM},
+		{
+			"an end by SIGTERM itself", "trap 'trap - TERM; kill -TERM $$' TERM; echo" + waitForSignal,
+			"SIGTERM: signal: terminated", syscall.SIGTERM,
+		},
 		{"an orderly stop", "trap 'exit 0' TERM; echo" + waitForSignal, "", syscall.SIGTERM},
 		{"a kill", "echo" + waitForSignal, "", syscall.SIGKILL},
 		{"a panic", "echo 'panic: boom'\n" + waitForSignal, "panic: boom", syscall.SIGKILL},
@@ -67,6 +74,15 @@
 	}
 }
 
+// TestFindsSignalThatIsNeverHandled guards against programs that install no handlers at all.
+func TestFindsSignalThatIsNeverHandled(t *testing.T) {
+	p := startScript(t, "echo"+waitForSignal)
+	p.started = time.Now().Add(-earlySpan)
+	require.NoError(t, p.signal(syscall.SIGHUP))
+	<-p.exited
+	assert.Len(t, p.findings(), 1)
+}
+
 // TestFindsProcessThatOutlivesItsGrace guards against stops that end only by SIGKILL.
 func TestFindsProcessThatOutlivesItsGrace(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
+	started time.Time
 	exited  chan struct{}
 	// asked is what the most recently started process was asked for.
 	asked askedEnd
@@ -77,7 +78,7 @@
 	p.output = reader
 	go p.copyOutput(reader)
 	exited, started := make(chan struct{}), time.Now()
-	p.command, p.exited, p.asked = command, exited, askedEnd{}
+	p.command, p.started, p.exited, p.asked = command, started, exited, askedEnd{}
 	go func() {
 		defer close(exited)
 		// The state tells how it ended.
@@ -111,6 +112,9 @@
 		p.onPlanned(s)
 	}
 	p.asked.record(s, time.Now())
+	if time.Since(p.started) < earlySpan && !catches(p.command.Process.Pid, s) {
+		p.asked.early = append(p.asked.early, s)
+	}
 	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %v: %w", s, err)
 	}
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -151,7 +151,9 @@
 		if err := f.stopAndStart(b, signals{}.send, down); err != nil {
 			return err
 		}
-		return reloads.send(b)
+		err := reloads.send(b)
+		// A signal before the process can handle any ends it.
+		return errors.Join(err, b.process.start())
 	}
 }
 
