fix(balance): a box that has just started doubts versions it has not confirmed

After all boxes had been killed and started, streams went on at another version than the one that began them: a server had come back under its id at another version, and the boxes read its older entry until it wrote anew.

Cause: an upstream's version is doubtful after it has failed, but boxes that have just started have seen no failure.

A unit test shows the same:

--- FAIL: TestStreamNotContinuedAtStaleEntryAfterStart []string{"v2", "v2"} should not contain "v2"

Upstreams that tell their start time, which they need only if they keep their id over a restart, are now doubtful to a box until the registry was confirmed 3 s after its first confirmation: servers write their entries within two seconds while the store is available. Until then no stream goes on there, and those that begin are recorded as unknown. Servers with a new id at each start tell no start time and lose nothing.

--- a/internal/balance/manager.go
+++ b/internal/balance/manager.go
@@ -80,8 +80,9 @@
 	stalledSinceMs, respondingMs map[string]clock.Millis
 	// stalledTrials holds the latest trial requests of stalled pools without health checks.
 	stalledTrials map[string]*stalledTrial
-	// confirmedMs is when the entries of the upstreams were last known to be the newest.
-	confirmedMs clock.Millis
+	// confirmedMs is when the entries of the upstreams were last known to be the newest, and firstConfirmedMs when they
+	// first were, or 0.
+	confirmedMs, firstConfirmedMs clock.Millis
 	// fleetSize is an upper bound of the number of boxes that may send requests to a cold upstream.
 	fleetSize int
 	// prefillRates holds what this box has learnt of the time that prefills take, by pool.
--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -47,9 +47,13 @@
 // crashed, or 0.
 func (m *Member) lastFailureMs() clock.Millis { return max(m.client.Dials().FailedMs, m.crashedMs) }
 
-// versionDoubtful reports whether the upstream may run another version than its entry tells. It has failed, so it may
-// have restarted, and the entry was not confirmed since it responds again.
+// versionDoubtful reports whether the upstream may run another version than its entry tells: it has failed, so it may
+// have restarted, and the entry was not confirmed since it responds again; or this box has just started, so it has not
+// seen whether the upstream failed.
 func (m *Manager) versionDoubtful(member *Member) bool {
+	if member.keepsID() && (m.firstConfirmedMs == 0 || m.confirmedMs < m.firstConfirmedMs+versionDoubtMs) {
+		return true
+	}
 	failedMs := member.lastFailureMs()
 	if failedMs == 0 {
 		return false
@@ -57,6 +61,9 @@
 	return member.respondedAfterMs < failedMs || m.confirmedMs < member.respondedMs+versionDoubtMs
 }
 
+// keepsID reports whether the upstream may restart under its ID. Only then it needs a start time.
+func (m *Member) keepsID() bool { return m.StartedMs > 0 }
+
 // recordRespondedAgain records the first response of an upstream after it failed.
 func (m *Manager) recordRespondedAgain(member *Member) {
 	if failedMs := member.lastFailureMs(); failedMs > member.respondedAfterMs {
@@ -76,6 +83,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.confirmedMs = atMs
+	if m.firstConfirmedMs == 0 {
+		m.firstConfirmedMs = atMs
+	}
 }
 
 // certain returns the members whose version is not doubtful.
--- a/internal/gateway/stream_store_away_test.go
+++ b/internal/gateway/stream_store_away_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -47,3 +49,24 @@
 		}
 	})
 }
+
+// TestStreamNotContinuedAtStaleEntryAfterStart guards against a box that has just started and continues a stream at an
+// upstream whose entry still tells the version that it ran before it restarted.
+func TestStreamNotContinuedAtStaleEntryAfterStart(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.upstreamVersion("ua", "d", "v1", streamOf("v2", pause))
+		f.upstreamVersion("ub", "d", "v1", streamOf("v1", pause))
+		for _, id := range []string{"ua", "ub"} {
+			f.tellRestart(id, "v1")
+		}
+		boxes := f.boxes(2)
+		streams := boxes[0].beginEach("s", sampleStreams)
+		for i, s := range streams {
+			_, versions := boxes[i%2].takeUp(s)
+			assert.NotContains(f.t, versions, map[string]string{"v1": "v2", "v2": "v1"}[s.version])
+		}
+		f.tellRestart("ua", "v2")
+		advance(f.t, 10*time.Second)
+		assertGoOn(f.t, boxes[1], boxes[0].beginEach("later", sampleStreams))
+	})
+}
