feat(gateway): `stream taken up` tells how long the box has run and knew the versions

After a restart of all boxes nothing told whether a take-up was refused, or went on, because a box had known the upstreams for as long as streams can be taken up. `complete` tells whether this box or one that answered had, and `running_ms` how long this box has run.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -153,7 +153,11 @@
 	AllDomains bool
 	// OneVersion is set if this box knows of one version only, and Fresh if it knew all upstreams a moment ago.
 	OneVersion, Fresh bool
-	TookMs            clock.Millis
+	// Complete is set if this box or one that answered has known the upstreams for as long as streams can be taken up.
+	Complete bool
+	// RunningMs is how long this box has been running.
+	RunningMs clock.Millis
+	TookMs    clock.Millis
 }
 
 // Name implements Event.
@@ -176,6 +180,8 @@
 		o.AddBool("all_domains", e.AllDomains)
 		o.AddBool("one_version", e.OneVersion)
 		o.AddBool("fresh", e.Fresh)
+		o.AddBool("complete", e.Complete)
+		o.AddInt64("running_ms", int64(e.RunningMs))
 	}
 	o.AddInt64("took_ms", int64(e.TookMs))
 	return nil
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -221,6 +221,7 @@
 			fields := withMessage(story, "stream taken up")[0].Fields
 			for name, want := range map[string]string{
 				"resumes": `"never-begun"`, "unknown": "true", "answers": "1", "one_version": "false", "own_record": "false",
+				"complete": "false",
 			} {
 				assert.Equal(f.t, want, string(fields[name]), name)
 			}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -177,6 +177,7 @@
 		key = inquiry.Origin()
 		event.Answers, event.AllDomains = len(inquiry.Answers), inquiry.AllDomains
 		event.OneVersion, event.Fresh = inquiry.Own.Sole != streams.Unknown, inquiry.Own.Fresh
+		event.Complete, event.RunningMs = inquiry.Complete(), startMs-o.box.peering.startedMs
 	}
 	if origin, found := o.versions.Find(key, r.Pools()); found {
 		event.SoftwareVersion = origin.Version
--- a/internal/streams/decide.go
+++ b/internal/streams/decide.go
@@ -1,5 +1,7 @@
 package streams
 
+import "slices"
+
 // View is what a box knows about the software versions of a pool.
 type View struct {
 	_ struct{} `cbor:",toarray"`
@@ -28,11 +30,16 @@
 	AllDomains bool
 }
 
+// Complete reports whether this box or one that answered has known the upstreams for WindowMs.
+func (i Inquiry) Complete() bool {
+	return i.Own.Complete || slices.ContainsFunc(i.Answers, func(a Answer) bool { return a.View.Complete })
+}
+
 // Origin returns the origin of the stream, or Unknown. A box tells others of a stream unless one version has served
 // for WindowMs. So a stream of which nobody knows has begun at that version, if nobody knows of another one and either
 // a fresh view shows it or, while the store is away, boxes of all failure domains agree.
 func (i Inquiry) Origin() OriginKey {
-	complete, freshAndComplete := i.Own.Complete, i.Own.Complete && i.Own.Fresh
+	freshAndComplete := i.Own.Complete && i.Own.Fresh
 	for _, a := range i.Answers {
 		if a.Origin != Unknown {
 			return a.Origin
@@ -42,10 +49,9 @@
 		if a.View.Sole != i.Own.Sole {
 			return Unknown
 		}
-		complete = complete || a.View.Complete
 		freshAndComplete = freshAndComplete || a.View.Complete && a.View.Fresh
 	}
-	if freshAndComplete || complete && i.AllDomains && len(i.Answers) > 0 {
+	if freshAndComplete || i.Complete() && i.AllDomains && len(i.Answers) > 0 {
 		return i.Own.Sole
 	}
 	return Unknown
