fix(datagram): a UDP socket that fails doesn't keep the processor busy

Seen by reading: the receive loop of dooryard-router repeats a failed receive at once, so that a socket that goes on failing keeps a processor busy, without a line.

A short backoff follows a failed receive, and the first one in a row is a line.

Evidence: TestFailedReceivesDoNotKeepTheProcessorBusy on the old loop: panic: test timed out after 8s.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -12,6 +12,8 @@
 	"sync"
 
 	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 // Errors of received datagrams.
@@ -109,22 +111,31 @@
 	return channel, resolved
 }
 
+// receiveBackoffMs is the wait after a failed receive.
+const receiveBackoffMs clock.Millis = 20
+
 // Run dispatches messages to their channels until the context ends. It then closes the socket.
 func (s *Socket) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	buffer := make([]byte, MaxBytes+1)
+	c, failing := clock.New(), false
 	for {
 		length, from, err := s.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			if ctx.Err() != nil {
+			if !failing {
+				s.logger.Warn("receive failed", zap.Error(err))
+			}
+			failing = true
+			if c.Sleep(ctx, receiveBackoffMs) != nil {
 				return
 			}
 			continue
 		}
+		failing = false
 		s.receive(from.String(), buffer[:length])
 	}
 }
--- a/internal/datagram/datagram_test.go
+++ b/internal/datagram/datagram_test.go
@@ -1,10 +1,18 @@
 package datagram
 
 import (
+	"context"
+	"net"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 const (
@@ -45,3 +53,27 @@
 		}
 	})
 }
+
+// failingConn fails to receive until it is closed.
+type failingConn struct {
+	net.PacketConn
+	receives int
+}
+
+func (c *failingConn) ReadFrom([]byte) (int, net.Addr, error) {
+	c.receives++
+	return 0, nil, syscall.ENETDOWN
+}
+
+func (*failingConn) Close() error { return nil }
+
+func TestFailedReceivesDoNotKeepTheProcessorBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conn := &failingConn{}
+		s := New(conn, nil, nil, zap.NewNop())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		s.Run(ctx)
+		assert.LessOrEqual(t, conn.receives, int(clock.Second/receiveBackoffMs)+1)
+	})
+}
