fix(router): a taken port and an error of accept don't end a box

It shares the binder and the listener now. A stop during the wait for a port ends with status 0. The gateway's errors name a lost listener once.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -195,7 +195,7 @@
 	})
 }
 
-func (b *Box) openListeners(context.Context) error {
+func (b *Box) openListeners(ctx context.Context) error {
 	limits := server.LimitsOf(&b.settings)
 	b.callers = callers.New(callers.Dependencies{
 		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
@@ -219,7 +219,7 @@
 		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
 	}
 	for _, o := range opened {
-		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listen)
+		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listenWithRetries(ctx, o.name))
 		if err != nil {
 			b.closeListeners()
 			return err
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -69,9 +69,9 @@
 
 // openPeering opens the UDP socket that the boxes of a failure domain use for gossip and for
 // requesting slots from each other.
-func (b *Box) openPeering(context.Context) error {
+func (b *Box) openPeering(ctx context.Context) error {
 	config.SetDefault(&b.settings.Peers.PeriodMs, defaultGossipPeriodMs)
-	conn, err := b.packets("udp", b.settings.Peers.GossipAddress)
+	conn, err := b.binder().ListenPacket(ctx, "gossip", b.settings.Peers.GossipAddress, b.packets)
 	if err != nil {
 		return fmt.Errorf("peers.gossip_address: %w", err)
 	}
--- a/internal/cmd/routercmd/routercmd.go
+++ b/internal/cmd/routercmd/routercmd.go
@@ -37,6 +37,10 @@
 	}
 	c := clock.New(clock.WithBootTime())
 	b, err := box.New(ctx, settings, box.WithClock(c), box.WithLogger(logger), box.WithSpans(out))
+	if ctx.Err() != nil && err != nil {
+		// The process was stopped before it had started.
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -145,7 +144,7 @@
 	b.servers = append(b.servers, h)
 	b.goroutines.Go(func() {
 		if err := h.Serve(b.limitConnections(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("%s listener at %s: %w", s.name, s.address, err)
+			failed <- err
 		}
 	})
 }
