fix(gatewaycmd): a change of the settings during the start is applied

Seen by reading, now more likely since a start may wait for a port: the settings were loaded, and the watcher read the file again as the content that it compares with. A change in between was never applied.

The watcher compares its first read with the settings that were loaded.

Evidence: TestChangeOfSettingsDuringStartIsApplied before: expected: 7000, actual: 5000.

--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -36,7 +36,7 @@
 ) error {
 	limitMemory(settings)
 	c := clock.New(clock.WithBootTime())
-	w := &watcher{path: path, clock: c}
+	w := newWatcher(path, settings, c)
 	b, err := gateway.New(settings, adapter, process.Out, gateway.WithClock(c))
 	if err != nil {
 		return err
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"reflect"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/gateway"
@@ -16,14 +17,20 @@
 
 // watcher applies changes of the settings file to a running box.
 type watcher struct {
-	path    string
-	clock   clock.Clock
+	path  string
+	clock clock.Clock
+	// content is what was read last, nil before the first read.
 	content []byte
+	// loaded are the settings with which the box was started.
+	loaded config.Gateway
+}
+
+// newWatcher returns a watcher of a file from which the settings were loaded.
+func newWatcher(path string, loaded config.Gateway, c clock.Clock) *watcher {
+	return &watcher{path: path, clock: c, loaded: loaded}
 }
 
 func (w *watcher) run(ctx context.Context, b *gateway.Box, reload <-chan struct{}) {
-	// The first read can only fail if the file was removed after startup.
-	w.content, _ = os.ReadFile(w.path)
 	ticks := make(chan struct{})
 	go w.clock.Every(ctx, pollIntervalMs, func(clock.Millis) {
 		select {
@@ -53,12 +60,16 @@
 	if bytes.Equal(content, w.content) {
 		return
 	}
+	first := w.content == nil
 	w.content = content
 	settings, err := config.ParseGateway(w.path, content)
 	if err != nil {
 		b.ReportInvalidInput("settings file", err)
 		return
 	}
+	if first && reflect.DeepEqual(settings, w.loaded) {
+		return
+	}
 	b.Reload(settings)
 	limitMemory(settings)
 }
--- a/internal/cmd/gatewaycmd/watcher_test.go
+++ b/internal/cmd/gatewaycmd/watcher_test.go
@@ -81,3 +81,20 @@
 		require.ErrorContains(t, run(), "--settings")
 	})
 }
+
+func TestChangeOfSettingsDuringStartIsApplied(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(settingsFile), 0o600))
+	out := &strings.Builder{}
+	b := newBox(t, path, out)
+	settings, err := config.LoadGateway(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(settingsFile, "5000", "7000", 1)), 0o600))
+	w := newWatcher(path, settings, clock.New())
+	reload := make(chan struct{})
+	go w.run(t.Context(), b, reload)
+	// The second reload begins once the first one has ended.
+	reload <- struct{}{}
+	reload <- struct{}{}
+	assert.Equal(t, int64(7000), b.Settings().Freshness.MaxAgeMs)
+}
