fix(daemon): nobody has to read standard error

Cause: writes to standard error waited for its reader.

The daemons write to it through a bounded queue: writes never block, are dropped and counted when it is full, and are flushed for 100 ms at the end.

Evidence: TestFailedStartWithUnreadErrorsEnds before: the process did not end (8 s; 3 s are spent on the settings).

--- a/internal/cmd/daemon/process.go
+++ b/internal/cmd/daemon/process.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/logging"
 )
 
 // Process is the process of a daemon: where it writes, and the signals that it receives.
@@ -27,8 +28,8 @@
 // notesCapacity limits the signals that are noted before the daemon reads the notes.
 const notesCapacity = 16
 
-// printTimeout limits how long the end of the process waits for a reader of standard error.
-const printTimeout = 100 * time.Millisecond
+// flushTimeout limits how long the end of the process waits for a reader of standard error.
+const flushTimeout = 100 * time.Millisecond
 
 // Main runs the command of a daemon as a program's main function. SIGTERM and SIGINT cancel the command's context, and
 // only a second SIGINT ends the process at once. SIGHUP is passed on to the daemon.
@@ -43,20 +44,14 @@
 		cancel: cancel, reload: make(chan struct{}, 1), notes: make(chan string, notesCapacity), kill: interrupt,
 	}
 	go h.run(received)
-	c := command(&Process{Out: os.Stdout, Err: os.Stderr, Reload: h.reload, Notes: h.notes})
+	stderr := logging.NewAsyncWriter(os.Stderr)
+	defer stderr.Flush(flushTimeout)
+	c := command(&Process{Out: os.Stdout, Err: stderr, Reload: h.reload, Notes: h.notes})
 	err := c.Run(ctx, os.Args)
 	if err == nil {
 		return 0
 	}
-	printed := make(chan struct{})
-	go func() {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", c.Name, err)
-		close(printed)
-	}()
-	select {
-	case <-printed:
-	case <-time.After(printTimeout):
-	}
+	fmt.Fprintf(stderr, "%s: %v\n", c.Name, err)
 	return exit.Code(err)
 }
 
--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -302,6 +302,19 @@
 	assert.Zero(t, p.awaitEnd(), p.stderr.String())
 }
 
+func TestFailedStartWithUnreadErrorsEnds(t *testing.T) {
+	p := newProcess(t, freeAddresses(t))
+	require.NoError(t, os.WriteFile(p.settings, []byte("box: [\n"), 0o600))
+	out, in, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { require.NoError(t, out.Close()) }()
+	fillPipe(t, in)
+	p.command.Stderr = in
+	p.start()
+	require.NoError(t, in.Close())
+	assert.Equal(t, 2, p.awaitEnd())
+}
+
 // fillPipe writes to a pipe until it is full.
 func fillPipe(t *testing.T, in *os.File) {
 	t.Helper()
