test(soak): a process that ignores a signal handles it

The soak excused an end by any signal that had no handler yet; it looks at the ignored signals now as well, so that only signals before any code of the program are excused.

--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -28,17 +28,24 @@
 // earlySpan is how long after its start a process may not have installed any handler.
 const earlySpan = time.Second
 
-// catches reports whether a process has installed a handler of a signal. The Go runtime installs its handlers before it
-// initializes the program; until then the kernel ends the process.
-func catches(pid int, s syscall.Signal) bool {
+// handles reports whether a process has installed a handler of a signal or ignores it. Until the program does so, or
+// the Go runtime before it, the kernel ends the process.
+func handles(pid int, s syscall.Signal) bool {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return true
 	}
-	_, after, _ := strings.Cut(string(status), "\nSigCgt:\t")
-	mask, _, _ := strings.Cut(after, "\n")
-	caught, err := strconv.ParseUint(mask, 16, 64)
-	return err != nil || caught&(1<<(s-1)) != 0
+	handled := uint64(0)
+	for _, field := range []string{"SigIgn", "SigCgt"} {
+		_, after, _ := strings.Cut(string(status), "\n"+field+":\t")
+		mask, _, _ := strings.Cut(after, "\n")
+		signals, err := strconv.ParseUint(mask, 16, 64)
+		if err != nil {
+			return true
+		}
+		handled |= signals
+	}
+	return handled&(1<<(s-1)) != 0
 }
 
 // record records a signal that is about to be sent.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -112,7 +112,7 @@
 		p.onPlanned(s)
 	}
 	p.asked.record(s, time.Now())
-	if time.Since(p.started) < earlySpan && !catches(p.command.Process.Pid, s) {
+	if time.Since(p.started) < earlySpan && !handles(p.command.Process.Pid, s) {
 		p.asked.early = append(p.asked.early, s)
 	}
 	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
