test(soak): a request is lost only if no server on it broke off

The box's log shows the cause: the first server broke off (connection reset after four and three events), the second one refused to go on (status 503, it asked for a backoff), the retry budget was used up, and the box truncated the response. The users' rule doesn't count a request whose server broke off; the check looked at the last server only.

--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -99,8 +99,8 @@
 		strings.Contains(o.Err, context.DeadlineExceeded.Error()) || o.Ended.Sub(o.Sent) >= limit {
 		return false
 	}
-	if last := h.lastWork(o); last != nil {
-		return !last.brokeOff
+	if list := h.works[o.ID]; len(list) > 0 {
+		return !slices.ContainsFunc(list, func(w *work) bool { return w.brokeOff })
 	}
 	return o.Ended.Sub(o.Written) > lossSlack
 }
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -57,6 +57,10 @@
 			o.Complete, o.Status = true, http.StatusBadGateway
 		}},
 		{"a server that broke off", 0, 100 * ms, func(h *history, o *standin.Outcome) { h.works[o.ID][0].brokeOff = true }},
+		{"a server that broke off before another refused to go on", 0, 100 * ms, func(h *history, o *standin.Outcome) {
+			o.Status = http.StatusOK
+			h.works[o.ID] = append([]*work{{brokeOff: true}}, h.works[o.ID]...)
+		}},
 		{"a client that left", 0, 100 * ms, func(_ *history, o *standin.Outcome) { o.Err = "context canceled" }},
 		{"a deadline that was reached", 0, 100 * ms, func(_ *history, o *standin.Outcome) { o.DeadlineMs = 500 }},
 		{"a route's timeout that was reached", 0, 100 * ms, func(_ *history, o *standin.Outcome) {
