--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -56,7 +56,7 @@
 }
 
 // atWork reports whether the server was at work at or after a time.
-func (w *work) atWork(at time.Time) bool { return w != nil && (w.to.IsZero() || w.to.After(at)) }
+func (w *work) atWork(at time.Time) bool { return w.to.IsZero() || w.to.After(at) }
 
 // recordPlanned records a signal that is planned work, before it is sent.
 func (h *history) recordPlanned(box string, s syscall.Signal) {
@@ -82,15 +82,6 @@
 	OnKept, BesidePlanned, Others int
 }
 
-// lastWork returns the last work on a request, or nil.
-func (h *history) lastWork(o standin.Outcome) *work {
-	list := h.works[o.ID]
-	if len(list) == 0 {
-		return nil
-	}
-	return list[len(list)-1]
-}
-
 // cut reports whether the box closed the connection of a request that was sent whole without a complete response. It is
 // none if the close crossed the request.
 func (h *history) cut(o standin.Outcome) bool {
@@ -142,7 +133,7 @@
 // lostOnKept reports whether an undisturbed box passed on a request of a kept connection and closed the connection
 // without a response.
 func (h *history) lostOnKept(o standin.Outcome) bool {
-	return o.Kept && o.Status == 0 && h.lastWork(o) != nil &&
+	return o.Kept && o.Status == 0 && len(h.works[o.ID]) > 0 &&
 		!h.separated(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended) &&
 		h.disturbances.undisturbed(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended.Add(endSlack))
 }
@@ -184,7 +175,7 @@
 	return slices.ContainsFunc(h.stops[o.Box], func(at time.Time) bool {
 		lastPart := at.Add(shutdownGraceS * time.Second * (graceParts - 1) / graceParts)
 		return !o.Sent.After(at.Add(lateSendSpan)) && !o.Ended.Before(lastPart) && !o.Ended.After(at.Add(stopSpan)) &&
-			h.lastWork(o).atWork(lastPart)
+			slices.ContainsFunc(h.works[o.ID], func(w *work) bool { return w.atWork(lastPart) })
 	})
 }
 
@@ -192,9 +183,11 @@
 func (h *history) describe(o standin.Outcome) string {
 	text := fmt.Sprintf("%s closed the connection at %s, %s after the request's last byte, %q",
 		o.Box, o.Ended.Format(timeOfDay), millis(o.Ended.Sub(o.Written)), o.Err)
-	if last := h.lastWork(o); last != nil {
-		text += fmt.Sprintf(", %s worked on it from %s to %s", last.server, last.from.Format(timeOfDay),
-			last.to.Format(timeOfDay))
+	if !o.Kept {
+		text += ", a new connection"
+	}
+	for _, w := range h.works[o.ID] {
+		text += fmt.Sprintf(", %s worked on it from %s to %s", w.server, w.from.Format(timeOfDay), w.to.Format(timeOfDay))
 	}
 	return text
 }
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -70,6 +70,10 @@
 			h.works[o.ID][0].to = time.Time{}
 			o.Ended = o.Sent.Add(1000 * ms)
 		}},
+		{"another server that had ended its work", 0, 2900 * ms, func(h *history, o *standin.Outcome) {
+			h.works[o.ID] = append([]*work{{from: o.Sent}}, h.works[o.ID]...)
+			o.Ended = o.Sent.Add(1000 * ms)
+		}},
 		{"a SIGHUP beside such a server", 0, 2900 * ms, func(h *history, o *standin.Outcome) {
 			h.works[o.ID][0].to = time.Time{}
 			h.reloads["b"] = []time.Time{o.Sent}
