test(soak): standard output is not read until a stop must have ended

With the stop inside a stall of at most 5 s, a box that waits for its reader was read again before a second after its grace period, so it passed. The stall of such a fault lasts until after that now. A process that outlives its grace is reported once when two faults wait for it.

box-4: process 27525 still ran 5.001s after SIGTERM, with a grace of 4 s

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -138,9 +138,11 @@
 	p.mu.Lock()
 	// Another fault may have killed and restarted the box, or paused the process.
 	overdue := p.exited == exited && p.running()
-	if overdue && !p.asked.paused {
+	if overdue && !p.asked.paused && !p.asked.killed {
 		p.problems = append(p.problems, fmt.Sprintf("%s: process %d still ran %s after SIGTERM, with a grace of %d s",
 			p.name, p.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS))
+		// Another fault may wait for the same process.
+		p.asked.killed = true
 	}
 	p.mu.Unlock()
 	if overdue {
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -248,16 +248,18 @@
 
 func noEnd() error { return nil }
 
-// planStall stops reading a box's standard output for some time. In every other case the box is stopped meanwhile.
+// planStall stops reading a box's standard output for some time. In every other case the box is stopped meanwhile, and
+// nothing is read until the process must have exited.
 func planStall(f *fleet, b *box, random *rand.Rand) func() error {
 	span, stops := drawMs(random, minStallMs, stallRangeMs), random.IntN(2) == 0
 	down := drawMs(random, 0, maxDownMs)
 	return func() error {
-		b.process.stallOutput(span)
 		if !stops {
+			b.process.stallOutput(span)
 			return nil
 		}
-		time.Sleep(span / 4) //nolint:mnd // The stop ends in the stall.
+		b.process.stallOutput(span + stopSpan)
+		time.Sleep(span)
 		return f.stopAndStart(b, signals{}.send, down)
 	}
 }
