test(soak): a link that was disturbed until the end of a request excuses a cut

The soak compared a link's faults before and after the work of the server alone. Data that the server had written can still be on its way when the link is reset; the whole time until the client's end counts now.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -86,7 +86,9 @@
 	link    *link
 	address string
 	// beginWork records that the server got a request. It is nil if link is.
-	beginWork func(request, server string) (end func(brokeOff bool))
+	beginWork func(
+		request, server string, linkDisturbed func(from, to time.Time) bool,
+	) (end func(brokeOff bool))
 
 	mu      sync.Mutex
 	current *standin.Server
@@ -112,15 +114,13 @@
 
 // recordWork records work on a request until the returned function is called, which must be deferred.
 func (s *server) recordWork(request, server string) (end func()) {
-	endWork := s.beginWork(request, server)
-	_, changesBefore := s.link.state()
+	endWork := s.beginWork(request, server, s.link.disturbed)
 	return func() {
 		panicked := recover()
 		s.mu.Lock()
 		down := s.down
 		s.mu.Unlock()
-		faulty, changes := s.link.state()
-		endWork(panicked != nil || down || faulty || changes != changesBefore)
+		endWork(panicked != nil || down)
 		if panicked != nil {
 			panic(panicked)
 		}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -52,9 +52,9 @@
 	mu       sync.Mutex
 	listener net.Listener
 	fault    linkFault
-	// changes counts the changes of the fault.
-	changes int
-	conns   map[net.Conn]struct{}
+	// faults are the times at which the link had a fault.
+	faults []*interval
+	conns  map[net.Conn]struct{}
 	// stale are the members of conns whose bytes are dropped.
 	stale map[net.Conn]struct{}
 	// ownerOf returns the box that opened a connection. It may be nil.
@@ -168,7 +168,7 @@
 		l.reopenListener()
 	}
 	l.fault = fault
-	l.changes++
+	l.recordFault(fault != linkHealthy)
 	conns := l.conns
 	if fault == linkStale {
 		maps.Copy(l.stale, conns)
@@ -197,11 +197,23 @@
 	return l.fault
 }
 
-// state returns whether the link has a fault, and how often that changed.
-func (l *link) state() (faulty bool, changes int) {
+// recordFault records whether the link has a fault from now on. The caller holds the lock.
+func (l *link) recordFault(faulty bool) {
+	last := len(l.faults) - 1
+	open := last >= 0 && l.faults[last].to.IsZero()
+	switch now := time.Now(); {
+	case faulty && !open:
+		l.faults = append(l.faults, &interval{from: now})
+	case !faulty && open:
+		l.faults[last].to = now
+	}
+}
+
+// disturbed reports whether the link had a fault at any time in an interval.
+func (l *link) disturbed(from, to time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fault != linkHealthy, l.changes
+	return !disturbances{allBoxes: l.faults}.undisturbed(allBoxes, from, to)
 }
 
 func reset(c net.Conn) {
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -64,3 +65,21 @@
 	require.NoError(t, err)
 	assert.Empty(t, rest)
 }
+
+func TestLinkTellsWhenItWasDisturbed(t *testing.T) {
+	l, err := newLink("127.0.0.1", func() string { return "" })
+	require.NoError(t, err)
+	defer l.close()
+	start := time.Now()
+	l.set(linkDelayed)
+	later := time.Now()
+	assert.True(t, l.disturbed(later, time.Now()), "a fault that lasts")
+	l.set(linkReset)
+	inside := time.Now()
+	l.set(linkHealthy)
+	end := time.Now()
+	assert.True(t, l.disturbed(later, inside), "a fault that began before and ended after it")
+	assert.True(t, l.disturbed(start, end), "a fault in the interval")
+	assert.False(t, l.disturbed(start.Add(-time.Second), start), "a fault after it")
+	assert.False(t, l.disturbed(end, time.Now()), "a fault before it")
+}
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -38,15 +38,19 @@
 type work struct {
 	server   string
 	from, to time.Time
-	// brokeOff is set if the server or its link ended the connection, or the link was disturbed.
-	brokeOff bool
+	// brokeOff is set if the server ended the connection. linkDisturbed reports whether its link was disturbed in an
+	// interval.
+	brokeOff      bool
+	linkDisturbed func(from, to time.Time) bool
 }
 
 // beginWork records that a server got a request. The returned function records the end.
-func (h *history) beginWork(request, server string) (end func(brokeOff bool)) {
+func (h *history) beginWork(
+	request, server string, linkDisturbed func(from, to time.Time) bool,
+) (end func(brokeOff bool)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	one := &work{server: server, from: time.Now()}
+	one := &work{server: server, from: time.Now(), linkDisturbed: linkDisturbed}
 	h.works[request] = append(h.works[request], one)
 	return func(brokeOff bool) {
 		h.mu.Lock()
@@ -91,7 +95,9 @@
 		return false
 	}
 	if list := h.works[o.ID]; len(list) > 0 {
-		return !slices.ContainsFunc(list, func(w *work) bool { return w.brokeOff })
+		return !slices.ContainsFunc(list, func(w *work) bool {
+			return w.brokeOff || w.linkDisturbed(w.from, o.Ended)
+		})
 	}
 	return o.Ended.Sub(o.Written) > lossSlack
 }
