fix(gateway): serve requests on open connections while the box stops

What callers saw: around a SIGTERM, requests on new connections, and requests of which a part had arrived, ended with a closed connection.

Cause: once http.Server.Shutdown has begun, net/http closes each connection on which it has just read a request, without a response, and closes a connection as idle whose request it has read in part. A new connection without a request also held the stop up for 5 s, over the end of the grace period.

Why it works: the box closes its listeners itself, then idle connections in one atomic step with the beginning of a request, serves what arrives on the others and closes new connections that stay without a request for 1 s. The readiness and metrics listeners stay open until the end.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -81,7 +81,9 @@
 	// responses limits what the box holds of responses.
 	responses *exchange.Memory
 
-	servers  []*http.Server
+	servers []*http.Server
+	// drained are the listeners that requests arrive on.
+	drained  []*callerListener
 	stopping atomic.Bool
 	// requests counts the requests of callers and other boxes that the box is serving.
 	requests atomic.Int64
@@ -395,16 +397,12 @@
 	ctx, cancel := b.clock.WithTimeout(ctx, max(1, grace-exitReserveMs-(b.clock.Monotonic()-startMs)))
 	defer cancel()
 	// One after the other, a connection to one listener would keep the others open.
-	errs := make([]error, len(b.servers))
-	shutdowns := sync.WaitGroup{}
-	for i, s := range b.servers {
-		shutdowns.Go(func() {
-			if err := s.Shutdown(ctx); ctx.Err() == nil {
-				errs[i] = err
-			}
-		})
+	errs := make([]error, len(b.drained))
+	drains := sync.WaitGroup{}
+	for i, l := range b.drained {
+		drains.Go(func() { errs[i] = l.drain(ctx) })
 	}
-	shutdowns.Wait()
+	drains.Wait()
 	if cut := b.requests.Load(); cut > 0 {
 		b.metrics.RequestsCut(cut)
 		b.recordStop("requests cut", nil)
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -12,117 +11,11 @@
 	"dooryard.example/dooryard/internal/upstream"
 )
 
-// callerListener accepts at most a fixed number of connections at a time. When it is full, a new connection takes the
-// place of one that a caller keeps idle.
-type callerListener struct {
-	net.Listener
-	slots  chan struct{}
-	closed chan struct{}
-	close  func() error
-	// responses limits what is held for callers that don't read.
-	responses *exchange.Memory
-	clock     clock.Clock
-
-	mu    sync.Mutex
-	conns map[*callerConn]struct{}
-	// waiting is set while a new connection waits and none was idle.
-	waiting bool
-}
-
-func newCallerListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *callerListener {
-	closed := make(chan struct{})
-	return &callerListener{
-		Listener: l, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*callerConn]struct{}{},
-		responses: responses, clock: c,
-		close: sync.OnceValue(func() error {
-			close(closed)
-			return l.Close()
-		}),
-	}
-}
-
-// Accept implements net.Listener. The connection is a *callerConn. It is accepted before there is a slot for it, so
-// that no idle connection is closed without need.
-func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case l.slots <- struct{}{}:
-		return l.add(conn), nil
-	default:
-	}
-	l.makeRoom()
-	select {
-	case l.slots <- struct{}{}:
-		return l.add(conn), nil
-	case <-l.closed:
-		// The listener's error matters, not that of a connection that was never served.
-		_ = conn.Close()
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *callerListener) add(conn net.Conn) *callerConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.waiting = false
-	c := &callerConn{Conn: conn, listener: l}
-	c.release = sync.OnceFunc(func() { l.remove(c) })
-	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
-	l.conns[c] = struct{}{}
-	return c
-}
-
-func (l *callerListener) remove(c *callerConn) {
-	l.mu.Lock()
-	delete(l.conns, c)
-	l.mu.Unlock()
-	<-l.slots
-}
-
-// makeRoom closes the connection that has been idle for longest. If none is idle, the next one that becomes idle is
-// closed.
-func (l *callerListener) makeRoom() {
-	for {
-		longest := l.longestIdle()
-		if longest == nil || longest.evict() {
-			return
-		}
-	}
-}
-
-// longestIdle returns the connection that has been idle for longest. If it returns nil, a new connection counts as
-// waiting.
-func (l *callerListener) longestIdle() *callerConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var longest *callerConn
-	for c := range l.conns {
-		if c.state.Load() == connIdle && (longest == nil || c.idleSinceMs.Load() < longest.idleSinceMs.Load()) {
-			longest = c
-		}
-	}
-	l.waiting = longest == nil
-	return longest
-}
-
-// takeWaiting reports whether a new connection waits for an idle one. It does so once for each.
-func (l *callerListener) takeWaiting() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	waiting := l.waiting
-	l.waiting = false
-	return waiting
-}
-
-// Close implements net.Listener.
-func (l *callerListener) Close() error { return l.close() }
-
 // States of a connection from a caller.
 const (
-	connActive int32 = iota
+	// connNew means that nothing was read from the connection.
+	connNew int32 = iota
+	connActive
 	// connIdle means that the caller keeps the connection and no request has begun on it.
 	connIdle
 	// connEvicted means that the connection is closed in favour of another one.
@@ -145,12 +38,18 @@
 // read.
 func (c *callerConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 && !c.state.CompareAndSwap(connIdle, connActive) && c.state.Load() == connEvicted {
+	if n > 0 && !c.activate() {
 		return 0, net.ErrClosed
 	}
 	return n, err //nolint:wrapcheck // The server compares it.
 }
 
+// activate records that a request has begun, and returns false if the connection was evicted.
+func (c *callerConn) activate() bool {
+	return c.state.CompareAndSwap(connIdle, connActive) || c.state.CompareAndSwap(connNew, connActive) ||
+		c.state.Load() == connActive
+}
+
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *callerConn) Write(data []byte) (int, error) {
 	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
@@ -160,14 +59,14 @@
 func (c *callerConn) setIdle(now clock.Millis) {
 	c.idleSinceMs.Store(int64(now))
 	c.state.Store(connIdle)
-	if c.listener.takeWaiting() {
-		c.evict()
+	if c.listener.closesIdle() {
+		c.evict(connIdle)
 	}
 }
 
-// evict closes the connection if it is idle, and reports whether it was.
-func (c *callerConn) evict() bool {
-	if !c.state.CompareAndSwap(connIdle, connEvicted) {
+// evict closes the connection if it is in a state, and reports whether it was.
+func (c *callerConn) evict(state int32) bool {
+	if !c.state.CompareAndSwap(state, connEvicted) {
 		return false
 	}
 	// The caller tries again on another connection, whatever the error.
--- /dev/null
+++ b/internal/gateway/caller_listener.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+)
+
+// callerListener accepts at most a fixed number of connections at a time. When it is full, a new connection takes the
+// place of one that a caller keeps idle.
+type callerListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	// refused is closed once Accept accepts nothing more.
+	refused     chan struct{}
+	refusedOnce sync.Once
+	close       func() error
+	// responses limits what is held for callers that don't read.
+	responses *exchange.Memory
+	clock     clock.Clock
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+	// waiting is set while a new connection waits and none was idle.
+	waiting bool
+	// draining is set once idle connections are closed because the box stops.
+	draining bool
+	// drained is closed when the listener drains and has no connection left.
+	drained chan struct{}
+}
+
+func newCallerListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *callerListener {
+	closed := make(chan struct{})
+	return &callerListener{
+		Listener: l, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*callerConn]struct{}{},
+		responses: responses, clock: c, drained: make(chan struct{}), refused: make(chan struct{}),
+		close: sync.OnceValue(func() error {
+			close(closed)
+			return l.Close()
+		}),
+	}
+}
+
+// Accept implements net.Listener. The connection is a *callerConn. It is accepted before there is a slot for it, so
+// that no idle connection is closed without need.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		return nil, l.refuse()
+	}
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return l.add(conn), nil
+	default:
+	}
+	l.makeRoom()
+	select {
+	case l.slots <- struct{}{}:
+		return l.add(conn), nil
+	case <-l.closed:
+		// The listener's error matters, not that of a connection that was never served.
+		_ = conn.Close()
+		return nil, l.refuse()
+	}
+}
+
+// refuse records that no connection is accepted any more, and returns the error of Accept.
+func (l *callerListener) refuse() error {
+	l.refusedOnce.Do(func() { close(l.refused) })
+	return fmt.Errorf("%w: %w", http.ErrServerClosed, net.ErrClosed)
+}
+
+func (l *callerListener) add(conn net.Conn) *callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = false
+	c := &callerConn{Conn: conn, listener: l}
+	c.release = sync.OnceFunc(func() { l.remove(c) })
+	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
+	l.conns[c] = struct{}{}
+	return c
+}
+
+func (l *callerListener) remove(c *callerConn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.closeIfDrained()
+	l.mu.Unlock()
+	<-l.slots
+}
+
+// makeRoom closes the connection that has been idle for longest. If none is idle, the next one that becomes idle is
+// closed.
+func (l *callerListener) makeRoom() {
+	for {
+		longest := l.longestIdle()
+		if longest == nil || longest.evict(connIdle) {
+			return
+		}
+	}
+}
+
+// longestIdle returns the connection that has been idle for longest. If it returns nil, a new connection counts as
+// waiting.
+func (l *callerListener) longestIdle() *callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var longest *callerConn
+	for c := range l.conns {
+		if c.state.Load() == connIdle && (longest == nil || c.idleSinceMs.Load() < longest.idleSinceMs.Load()) {
+			longest = c
+		}
+	}
+	l.waiting = longest == nil
+	return longest
+}
+
+// closesIdle reports whether a connection that becomes idle is closed: because the box stops, or because a new
+// connection waits, which it reports once for each.
+func (l *callerListener) closesIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waiting := l.waiting
+	l.waiting = false
+	return waiting || l.draining
+}
+
+// newConnMs is how long a connection may stay open without a first request while the listener drains.
+const newConnMs clock.Millis = 1000
+
+// drain closes the listener and its idle connections, and waits until all other connections are closed or the context
+// ends. Unlike http.Server.Shutdown, it serves requests that arrive on new connections, or have arrived in part.
+func (l *callerListener) drain(ctx context.Context) error {
+	err := l.Close()
+	select {
+	case <-l.refused:
+	case <-ctx.Done():
+		return err
+	}
+	l.startDraining()
+	l.evictAll(connIdle)
+	timer := l.clock.AfterFunc(newConnMs, func() { l.evictAll(connNew) })
+	defer timer.Stop()
+	select {
+	case <-l.drained:
+	case <-ctx.Done():
+	}
+	return err
+}
+
+func (l *callerListener) startDraining() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	l.closeIfDrained()
+}
+
+// closeIfDrained closes drained if no connection is left. The mutex must be held.
+func (l *callerListener) closeIfDrained() {
+	if l.draining && len(l.conns) == 0 {
+		close(l.drained)
+	}
+}
+
+// evictAll closes the connections in a state.
+func (l *callerListener) evictAll(state int32) {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.evict(state)
+	}
+}
+
+// Close implements net.Listener.
+func (l *callerListener) Close() error { return l.close() }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -141,9 +141,13 @@
 	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
 		return b.binder().Listen(ctx, s.name, s.address, b.listen)
 	}, func(err error) { b.reportListenerError(s.name, err) })
+	conns := b.limitConnections(listener)
 	b.servers = append(b.servers, h)
+	if s.name == "callers" || s.name == "peers" {
+		b.drained = append(b.drained, conns)
+	}
 	b.goroutines.Go(func() {
-		if err := h.Serve(b.limitConnections(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := h.Serve(conns); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	})
@@ -157,7 +161,7 @@
 	}
 }
 
-func (b *Box) limitConnections(listener net.Listener) net.Listener {
+func (b *Box) limitConnections(listener net.Listener) *callerListener {
 	files := b.settings.Load().Capacity.OpenFiles
 	return newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -107,24 +107,84 @@
 	assert.Equal(c.t, "done", body)
 }
 
-// TestStopBesideOpenConnection guards against a readiness check without an end that keeps the listener for callers open
+// assertStopped checks that a box has stopped.
+func (r *running) assertStopped() {
+	r.fleet.t.Helper()
+	select {
+	case err := <-r.done:
+		require.NoError(r.fleet.t, err)
+		r.done <- nil
+	default:
+		assert.Fail(r.fleet.t, "the box still runs")
+	}
+}
+
+// TestStopBesideOpenConnection guards against a connection without a request that keeps the listener for callers open
 // until the end of the grace period, which then cuts the requests that came last.
 func TestStopBesideOpenConnection(t *testing.T) {
-	runWithFleet(t, func(f *fleet) {
-		t := f.t
-		f.upstream("u1", func(w http.ResponseWriter, _ *http.Request) {
-			advance(t, time.Second)
-			_, _ = io.WriteString(w, "done")
+	for _, name := range []string{"readiness", "callers", "peers"} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				f.upstream("u1", func(w http.ResponseWriter, _ *http.Request) {
+					advance(t, time.Second)
+					_, _ = io.WriteString(w, "done")
+				})
+				b := f.box(1)
+				address := map[string]string{
+					"readiness": b.settings.ReadinessAddress, "callers": b.settings.CallersAddress, "peers": b.settings.PeersAddress,
+				}[name]
+				b.stop()
+				advance(t, maxAnnounceMs.Duration()-100*time.Millisecond)
+				b.connect(address)
+				caller := b.connect(b.settings.CallersAddress)
+				caller.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+				advance(t, 200*time.Millisecond)
+				_, err := f.network.Host("caller").Dial(t.Context(), "tcp", b.settings.CallersAddress)
+				require.Error(t, err, "a box that no longer answers new callers refuses their connections")
+				caller.assertServed()
+				advance(t, time.Second)
+				b.assertStopped()
+			})
 		})
-		b := f.box(1)
-		b.stop()
-		advance(t, maxAnnounceMs.Duration()-100*time.Millisecond)
-		b.connect(b.settings.ReadinessAddress)
-		caller := b.connect(b.settings.CallersAddress)
-		caller.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
-		advance(t, 200*time.Millisecond)
-		_, err := f.network.Host("caller").Dial(t.Context(), "tcp", b.settings.CallersAddress)
-		require.Error(t, err, "a box that no longer serves new callers refuses their connections")
-		caller.assertServed()
-	})
+	}
+}
+
+// TestStopServesOpenConnections guards against a stop that closes the connection of a request that it has begun to
+// read, or that arrives on a new connection.
+func TestStopServesOpenConnections(t *testing.T) {
+	text := requestText("/unsafe/", "Content-Length: 0\r\n")
+	for _, c := range []struct {
+		name string
+		kept bool
+		// before and after are what the caller sends before and after the listeners close.
+		before, after string
+	}{
+		{"a new connection", false, "", text},
+		{"a new connection, the head in two parts", false, text[:9], text[9:]},
+		{"a kept connection, the head in two parts", true, text[:9], text[9:]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				f.upstream("u1", respondWith("done"))
+				b := f.box(1)
+				caller := b.connect(b.settings.CallersAddress)
+				if c.kept {
+					caller.write(text)
+					caller.assertServed()
+				}
+				b.stop()
+				advance(t, maxAnnounceMs.Duration()-100*time.Millisecond)
+				if c.before != "" {
+					caller.write(c.before)
+				}
+				advance(t, 200*time.Millisecond)
+				caller.write(c.after)
+				caller.assertServed()
+				advance(t, 100*time.Millisecond)
+				b.assertStopped()
+			})
+		})
+	}
 }
