fix(gateway): don't pass a request on whose connection was closed

What callers saw: when a box has as many connections as it may, a caller that sends requests without waiting for responses lost one that its server had run.

Cause: a connection that becomes idle is closed in favour of one that waits. The next request may have been read together with the one before; the server still served it from its buffer, and passed it on, on a closed connection.

Evidence: TestEvictedConnectionPassesNothingOn failed before: three requests reached the upstream instead of two.

Why it works: serving a request ends the idle state in the same atomic step that reading does, and fails on a connection that was closed, before anything is sent. The caller can send such a request again, since it has not run.

--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -94,6 +94,10 @@
 
 // serve runs a request through the pipeline.
 func (b *Box) serve(r *opaque.Request) {
+	if c := callerConnOf(r.Context()); c != nil && !c.activate() {
+		// Its caller can't get a response.
+		panic(http.ErrAbortHandler)
+	}
 	b.requests.Add(1)
 	defer b.requests.Add(-1)
 	if b.stopping.Load() {
