fix(gateway): close the connection with a response that begins during a stop

What callers saw: a caller whose request had begun before a SIGTERM sent its next one on a connection that the box then closed as idle.

Cause: whether the connection stays open was decided when the request arrived, which may be as long before the stop as a response takes.

Evidence: TestStopClosesConnectionOfRunningRequest failed before: "Should be true: the response tells the caller to close the connection".

Why it works: it is decided when the response begins.

--- a/internal/exchange/writer.go
+++ b/internal/exchange/writer.go
@@ -16,6 +16,8 @@
 	status     int
 	written    int64
 	recorder   func(data []byte)
+	// onStart is called before the response starts. It may be nil.
+	onStart func(header http.Header)
 	// unread is the writing side of the connection, or nil if it doesn't hold unread data.
 	unread *Unread
 }
@@ -27,17 +29,13 @@
 
 // WriteHeader starts the response.
 func (w *Writer) WriteHeader(status int) {
-	if w.status == 0 {
-		w.status = status
-	}
+	w.start(status)
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write sends a part of the response body.
 func (w *Writer) Write(data []byte) (int, error) {
-	if w.status == 0 {
-		w.status = http.StatusOK
-	}
+	w.start(http.StatusOK)
 	if w.recorder != nil {
 		w.recorder(data)
 	}
@@ -46,6 +44,19 @@
 	return n, err
 }
 
+func (w *Writer) start(status int) {
+	if w.status != 0 {
+		return
+	}
+	w.status = status
+	if w.onStart != nil {
+		w.onStart(w.Header())
+	}
+}
+
+// OnStart sets a function that may change the header right before the response starts.
+func (w *Writer) OnStart(onStart func(header http.Header)) { w.onStart = onStart }
+
 // Record sets a function that receives each part of the response body. Claims use it to store the
 // response.
 func (w *Writer) Record(recorder func(data []byte)) { w.recorder = recorder }
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -83,6 +83,12 @@
 func (b *Box) newRequest(w http.ResponseWriter, hr *http.Request) *opaque.Request {
 	now := b.clock.Monotonic()
 	writer := exchange.NewWriter(w)
+	// A request may begin long before the stop.
+	writer.OnStart(func(header http.Header) {
+		if b.stopping.Load() {
+			header.Set("Connection", "close")
+		}
+	})
 	if c := callerConnOf(hr.Context()); c != nil {
 		writer.SetUnread(c.unread)
 	}
@@ -100,9 +106,6 @@
 	}
 	b.requests.Add(1)
 	defer b.requests.Add(-1)
-	if b.stopping.Load() {
-		r.Writer.Header().Set("Connection", "close")
-	}
 	err := b.run(r)
 	b.steps.receive.Done(r)
 	b.steps.record.Run(r, err)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -188,3 +188,24 @@
 		})
 	}
 }
+
+// TestStopClosesConnectionOfRunningRequest guards against a caller that sends its next request on a connection which the
+// box is about to close, because the response before didn't say so.
+func TestStopClosesConnectionOfRunningRequest(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", func(w http.ResponseWriter, _ *http.Request) {
+			advance(t, time.Second)
+			_, _ = io.WriteString(w, "done")
+		})
+		b := f.box(1)
+		caller := b.connect(b.settings.CallersAddress)
+		caller.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+		synctest.Wait()
+		b.stop()
+		response, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(t, err)
+		assert.True(t, response.Close, "the response tells the caller to close the connection")
+		require.NoError(t, response.Body.Close())
+	})
+}
