fix(gateway): respond to requests that outlast the grace period

What callers saw: at the end of a stop, requests whose servers were still at work or whose bodies had not arrived ended with a closed connection, and requests that waited for an upstream too.

Cause: the end of the grace period closed the connections of callers; no request was told before.

Evidence: TestStopRefusesWhatOutlastsGrace; without the fix the caller's read ends in EOF.

Why it works: when the grace period ends, the attempts of all requests are cancelled and reads of bodies end. A request that was not sent gets 503, one that may have run 502, both with the cause box_stopping; responses that have begun are broken off as before. It takes at most 100 ms of the 250 ms that are reserved for the exit, so no server gets less time.

The signature in receive_test.go follows that of receive.New; its checks are the same.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -85,6 +85,9 @@
 	// drained are the listeners that requests arrive on.
 	drained  []*callerListener
 	stopping atomic.Bool
+	// graceEnded ends when the requests that still run must end, which endGrace does.
+	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
+	endGrace   context.CancelFunc
 	// requests counts the requests of callers and other boxes that the box is serving.
 	requests atomic.Int64
 	// applyingEvacuations orders the updates of the balancer's evacuations.
@@ -131,6 +134,7 @@
 		metrics: NewMetrics(), synced: make(chan struct{}), confirmed: make(chan struct{}),
 		notesRead: make(chan struct{}),
 	}
+	b.graceEnded, b.endGrace = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(b)
 	}
@@ -292,6 +296,7 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer b.goroutines.Wait()
 	defer stopBackground()
+	defer b.endGrace()
 	b.goroutines.Go(func() { b.log.Run(background) })
 	failed, err := b.openSockets(ctx)
 	if err != nil {
@@ -378,13 +383,15 @@
 const (
 	// exitReserveMs is the part of the grace period that is reserved for the exit of the process.
 	exitReserveMs clock.Millis = 250
+	// lastResponsesMs is the part of it in which requests that outlast the grace period are answered.
+	lastResponsesMs clock.Millis = 100
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
 )
 
 // stop shuts the box down gracefully. The box reports not ready and continues to serve requests until the front load
 // balancer has stopped sending new ones, then lets running requests finish. Requests that outlast the grace period are
-// cut, which is no error.
+// refused, or cut if their responses have begun, which is no error.
 func (b *Box) stop(ctx context.Context) error {
 	startMs := b.clock.Monotonic()
 	b.stopping.Store(true)
@@ -396,6 +403,20 @@
 	grace := shutdownGrace(b.Settings())
 	ctx, cancel := b.clock.WithTimeout(ctx, max(1, grace-exitReserveMs-(b.clock.Monotonic()-startMs)))
 	defer cancel()
+	err := b.drain(ctx)
+	if cut := b.requests.Load(); cut > 0 {
+		b.metrics.RequestsCut(cut)
+		b.recordStop("requests cut", nil)
+		b.endGrace()
+		ctx, cancel := b.clock.WithTimeout(context.WithoutCancel(ctx), lastResponsesMs)
+		defer cancel()
+		err = errors.Join(err, b.drain(ctx))
+	}
+	return err
+}
+
+// drain waits until the connections on which requests arrive are closed, or the context ends.
+func (b *Box) drain(ctx context.Context) error {
 	// One after the other, a connection to one listener would keep the others open.
 	errs := make([]error, len(b.drained))
 	drains := sync.WaitGroup{}
@@ -403,10 +424,6 @@
 		drains.Go(func() { errs[i] = l.drain(ctx) })
 	}
 	drains.Wait()
-	if cut := b.requests.Load(); cut > 0 {
-		b.metrics.RequestsCut(cut)
-		b.recordStop("requests cut", nil)
-	}
 	return errors.Join(errs...)
 }
 
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -34,8 +34,8 @@
 	broken atomic.Bool
 }
 
-// Read implements net.Conn. Data ends the idle state, so that a connection is not evicted once a request on it was read,
-// unless it was read together with the request before.
+// Read implements net.Conn. Data ends the idle state, so that a connection is not evicted once a request on it was
+// read, unless it was read together with the request before.
 func (c *callerConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n > 0 && !c.activate() {
--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -163,8 +163,10 @@
 func (l *callerListener) startDraining() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.draining = true
-	l.closeIfDrained()
+	if !l.draining {
+		l.draining = true
+		l.closeIfDrained()
+	}
 }
 
 // closeIfDrained closes drained if no connection is left. The mutex must be held.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,7 +68,7 @@
 // RequestFromBox counts a request that another box forwarded.
 func (m *Metrics) RequestFromBox() { m.all.Add("requests_from_boxes", 1) }
 
-// RequestsCut counts the requests that outlasted the grace period of a stop.
+// RequestsCut counts the requests that outlasted the grace period of a stop, also those that got a response then.
 func (m *Metrics) RequestsCut(count int64) { m.all.Add("requests_cut_at_stop", count) }
 
 // BrittleRejection counts a rejection by an upstream that is brittle.
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -53,7 +53,7 @@
 	b.steps = &steps{
 		match:     match.New(b.awaitState, b.stateMayBeOutdated),
 		authorise: authorise.New(b.routingState.AgeMs, b.maxAgeMs, b.stateMayBeOutdated),
-		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic),
+		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic, b.graceEnded),
 		screen: screen.New(screen.Dependencies{
 			RemainingMs: b.quarantine.QuarantineRemainingMs, ScreenParts: b.parts.Screen, RescreenParts: b.parts.Recheck,
 		}),
@@ -71,7 +71,7 @@
 			OnCompleted:    b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
-			Admission: b.admission(), Memory: b.responses, Clock: b.clock,
+			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
 		record: record.New(b.log.Record, b.metrics.RequestEnded, b.routingState.AgeMs, b.clock.Monotonic),
 	}
@@ -154,7 +154,7 @@
 	switch {
 	case errors.Is(err, opaque.ErrAnswered) || abortsConnection(err):
 	case errors.As(err, &refusal):
-		if r.Body == nil && refusal.Cause != opaque.BodyTimeout {
+		if r.Body == nil && refusal.Cause != opaque.BodyTimeout && refusal.Cause != opaque.BoxStopping {
 			// The server reads the rest of a short body before it responds, if it keeps the connection.
 			r.Writer.SetReadTimeout(unreadBodyMs.Duration())
 			discardLastBody(r.HTTP)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -55,7 +55,7 @@
 		require.NoError(t, <-b.done)
 		b.done <- nil
 		for _, stage := range []string{"stopping", "listeners close", "requests cut"} {
-			found := out.with(stage)
+			found := out.with(`"msg":"` + stage + `"`)
 			require.Len(t, found, 1, stage)
 			assert.Contains(t, found[0], `"in_flight":1`)
 		}
@@ -209,3 +209,30 @@
 		require.NoError(t, response.Body.Close())
 	})
 }
+
+// TestStopRefusesWhatOutlastsGrace guards against requests without a response at the end of the grace period.
+func TestStopRefusesWhatOutlastsGrace(t *testing.T) {
+	for _, c := range []struct {
+		name, more string
+		status     int
+	}{
+		{"a request that may have run", "Content-Length: 0\r\n", http.StatusBadGateway},
+		{"a request whose body has not arrived", "Content-Length: 9\r\n", http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				f.upstream("u1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+				b := f.box(1, withGrace(3))
+				caller := b.connect(b.settings.CallersAddress)
+				caller.write(requestText("/unsafe/", c.more))
+				synctest.Wait()
+				b.stop()
+				status, _ := caller.read()
+				assert.Equal(t, c.status, status)
+				advance(t, time.Second)
+				b.assertStopped()
+			})
+		})
+	}
+}
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -79,6 +79,8 @@
 	CheckBeforeSend func(r *opaque.Request) error
 	// Admission is how prompts are admitted to engines.
 	Admission Admission
+	// GraceEnded ends when a stopping box can't wait for responses any longer.
+	GraceEnded context.Context
 	// Memory limits what the box holds of responses.
 	Memory *exchange.Memory
 	Clock  clock.Clock
@@ -99,6 +101,7 @@
 func (p *Pipe) Run(r *opaque.Request) error {
 	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Monotonic())))
 	defer cancel()
+	defer context.AfterFunc(p.deps.GraceEnded, cancel)()
 	if r.Route.Kind != routing.Stream && p.deps.Memory.Refuse() {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxFull, memoryRetryMs, errNoMemory)
 	}
@@ -300,10 +303,10 @@
 		return failed.refusal
 	case failed.response != nil && failed.response.mayRelay(r):
 		return failed.response.relay(r, s.retryAfterMs, s.pipe.deps.Clock.Monotonic())
-	case r.MayHaveRun && s.ctx.Err() != nil:
-		return opaque.NewRefusal(http.StatusGatewayTimeout, opaque.DeadlineExceeded, 0, failed.err)
 	case r.MayHaveRun:
-		return opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, failed.err)
+		return s.refuseUnknown(failed.err)
+	case s.pipe.deps.GraceEnded.Err() != nil:
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxStopping, s.retryAfterMs(), failed.err)
 	case errors.Is(failed.err, balance.ErrVersionGone):
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.StreamVersionGone, 0, failed.err)
 	case allBackingOff(failed.err):
@@ -324,6 +327,18 @@
 	}
 }
 
+// refuseUnknown ends a request that may have run.
+func (s *retryLoop) refuseUnknown(err error) error {
+	switch {
+	case s.pipe.deps.GraceEnded.Err() != nil:
+		return opaque.NewRefusal(http.StatusBadGateway, opaque.BoxStopping, 0, err)
+	case s.ctx.Err() != nil:
+		return opaque.NewRefusal(http.StatusGatewayTimeout, opaque.DeadlineExceeded, 0, err)
+	default:
+		return opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, err)
+	}
+}
+
 // mayRefuse reports whether the request can be refused as not run.
 func (s *retryLoop) mayRefuse() bool {
 	return s.request.Context().Err() == nil && s.stream == nil && !s.request.MayHaveRun
--- a/internal/pipe/receive/receive.go
+++ b/internal/pipe/receive/receive.go
@@ -3,6 +3,7 @@
 package receive
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 
@@ -18,13 +19,15 @@
 type Pipe struct {
 	maxBufferedBytes int64
 	monotonic        func() clock.Millis
+	graceEnded       context.Context //nolint:containedctx // It is the box's, not that of a call.
 	bufferedBytes    atomic.Int64
 }
 
 // New returns the step. The maxBufferedBytes argument limits the total size of the buffers of all bodies that the box
-// holds or reads. The clock is monotonic.
-func New(maxBufferedBytes int64, monotonic func() clock.Millis) *Pipe {
-	return &Pipe{maxBufferedBytes: maxBufferedBytes, monotonic: monotonic}
+// holds or reads. The clock is monotonic. The graceEnded context ends when a stopping box can't wait for bodies any
+// longer.
+func New(maxBufferedBytes int64, monotonic func() clock.Millis, graceEnded context.Context) *Pipe {
+	return &Pipe{maxBufferedBytes: maxBufferedBytes, monotonic: monotonic, graceEnded: graceEnded}
 }
 
 // String returns the name of the step in logs.
@@ -43,7 +46,12 @@
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxFull, boxFullRetryMs, nil)
 	}
 	r.Writer.SetReadTimeout(max(1, r.RemainingMs(p.monotonic())).Duration())
+	stopWaiting := context.AfterFunc(p.graceEnded, func() { r.Writer.SetReadTimeout(1) })
 	body, err := p.readBody(r, limit)
+	if !stopWaiting() {
+		p.release(body)
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxStopping, boxFullRetryMs, err)
+	}
 	if err != nil {
 		// The read deadline stays in place, so that the server does not wait for the rest of the body.
 		return err
--- a/internal/pipe/receive/receive_test.go
+++ b/internal/pipe/receive/receive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -30,7 +31,9 @@
 	}
 }
 
-func newPipe(maxBytes int64) *Pipe { return New(maxBytes, func() clock.Millis { return 0 }) }
+func newPipe(maxBytes int64) *Pipe {
+	return New(maxBytes, func() clock.Millis { return 0 }, context.Background())
+}
 
 // slowBody has sent some bytes, and reports when more are awaited.
 type slowBody struct {
