fix(gateway): drain at once when a listener is lost

A lost listener ends Accept with an error other than net.ErrClosed, and drain waited for the other one until the end of the grace period before it closed idle connections. Found by reading, when the drain met the reopened sockets; no run showed it, and no test covers it yet.

--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -54,11 +54,8 @@
 // that no idle connection is closed without need.
 func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		return nil, l.refuse()
-	}
 	if err != nil {
-		return nil, err
+		return nil, l.refuse(err)
 	}
 	select {
 	case l.slots <- struct{}{}:
@@ -72,14 +69,17 @@
 	case <-l.closed:
 		// The listener's error matters, not that of a connection that was never served.
 		_ = conn.Close()
-		return nil, l.refuse()
+		return nil, l.refuse(net.ErrClosed)
 	}
 }
 
 // refuse records that no connection is accepted any more, and returns the error of Accept.
-func (l *callerListener) refuse() error {
+func (l *callerListener) refuse(err error) error {
 	l.refusedOnce.Do(func() { close(l.refused) })
-	return fmt.Errorf("%w: %w", http.ErrServerClosed, net.ErrClosed)
+	if errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("%w: %w", http.ErrServerClosed, err)
+	}
+	return err
 }
 
 func (l *callerListener) add(conn net.Conn) *callerConn {
