fix(gateway): open all ports or none

Callers saw: a box that waited for a port, such as readiness, had its callers' port open already. The peers' port had the same gap, and each socket had a timeout of its own.

Cause: openSockets opened the sockets one by one and kept the earlier ones open while it retried a later one.

Fix: Binder.OpenAll opens all sockets or closes those that it has opened before it waits. The next attempt begins with the socket that failed, so nothing else is bound while that one is taken. All share one timeout. Callers are opened last, and served before readiness.

TestStartWithTakenPort is unchanged but for the new case.

--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -355,6 +355,19 @@
 			p.end()
 		})
 	}
+	// A connection that is accepted now would be reset if the port stayed taken.
+	t.Run("no port is open while another is taken", func(t *testing.T) {
+		taken := take(t, "tcp", at.readiness)
+		p := newProcess(t, at).start()
+		p.awaitLine("listener retried", "readiness")
+		for _, address := range []string{at.callers, at.peers} {
+			_, err := net.Dial("tcp", address)
+			require.ErrorIs(t, err, syscall.ECONNREFUSED, address)
+		}
+		require.NoError(t, taken.Close())
+		p.awaitLine("started", "")
+		p.end()
+	})
 	t.Run("a stop ends the wait for a port", func(t *testing.T) {
 		taken := take(t, "tcp", at.callers)
 		p := newProcess(t, at).start()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -105,37 +107,45 @@
 // of a listener that fails.
 func (b *Box) openSockets(ctx context.Context) (<-chan error, error) {
 	settings := b.settings.Load()
-	conn, err := b.binder().ListenPacket(ctx, "peers UDP", settings.PeersAddress, b.packets)
-	if err != nil {
-		return nil, err
-	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
+	// Callers are opened last, so that none connects in vain, and served first, before the box says that it is ready.
 	sockets := []*socket{
+		{name: "readiness", address: settings.ReadinessAddress, handler: ready},
 		{name: "peers", address: settings.PeersAddress, handler: b.peersHandler()},
 		{name: "callers", address: settings.CallersAddress, handler: b},
-		{name: "readiness", address: settings.ReadinessAddress, handler: ready},
 	}
-	for i, s := range sockets {
-		if s.listener, err = b.binder().Listen(ctx, s.name, s.address, b.listen); err != nil {
-			errs := []error{err, conn.Close()}
-			for _, opened := range sockets[:i] {
-				errs = append(errs, opened.listener.Close())
-			}
-			return nil, errors.Join(errs...)
-		}
+	conn, err := b.bindSockets(ctx, settings.PeersAddress, sockets)
+	if err != nil {
+		return nil, err
 	}
 	b.joinMesh(conn)
 	if b.askAdmission == nil {
 		b.askAdmission = b.askOwner()
 	}
 	failed := make(chan error, len(sockets))
-	for _, s := range sockets {
+	for _, s := range slices.Backward(sockets) {
 		b.serveSocket(s, failed)
 	}
 	return failed, nil
 }
 
+// bindSockets opens the UDP socket for other boxes and the listeners, or none of them.
+func (b *Box) bindSockets(ctx context.Context, peers string, sockets []*socket) (conn net.PacketConn, err error) {
+	all := []server.Socket{{Name: "peers UDP", Address: peers, Open: func(address string) (_ io.Closer, err error) {
+		conn, err = b.packets("udp", address)
+		return conn, err
+	}}}
+	for _, s := range sockets {
+		open := func(address string) (_ io.Closer, err error) {
+			s.listener, err = b.listen("tcp", address)
+			return s.listener, err
+		}
+		all = append(all, server.Socket{Name: s.name, Address: s.address, Open: open})
+	}
+	return conn, b.binder().OpenAll(ctx, all...)
+}
+
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
 	h := b.newServer(s.handler)
 	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"slices"
 	"syscall"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -25,33 +27,86 @@
 
 // Listen opens a TCP listener. Errors name the listener and its address.
 func (b Binder) Listen(ctx context.Context, name, address string, listen Listen) (net.Listener, error) {
-	return bind(ctx, b, name, address, func() (net.Listener, error) { return listen("tcp", address) })
+	var listener net.Listener
+	err := b.bind(ctx, func() (err error) {
+		listener, err = listen("tcp", address)
+		return socketError(name, address, err)
+	})
+	return listener, err
 }
 
 // ListenPacket opens a UDP socket. Errors name the socket and its address.
 func (b Binder) ListenPacket(
 	ctx context.Context, name, address string, listen func(network, address string) (net.PacketConn, error),
 ) (net.PacketConn, error) {
-	return bind(ctx, b, name, address, func() (net.PacketConn, error) { return listen("udp", address) })
+	var conn net.PacketConn
+	err := b.bind(ctx, func() (err error) {
+		conn, err = listen("udp", address)
+		return socketError(name, address, err)
+	})
+	return conn, err
 }
 
-func bind[T any](ctx context.Context, b Binder, name, address string, open func() (T, error)) (T, error) {
+// Socket is one of several sockets that are opened together.
+type Socket struct {
+	Name, Address string
+	Open          func(address string) (io.Closer, error)
+}
+
+// OpenAll opens all sockets or none, in their order. While one of them can't be opened, the others are closed: an open
+// listener accepts connections that nobody serves yet.
+func (b Binder) OpenAll(ctx context.Context, sockets ...Socket) error {
+	return b.bind(ctx, func() error {
+		failed, err := openOnce(sockets)
+		if err != nil {
+			// The next attempt begins with the socket that failed, so that it opens no other one in vain.
+			sockets = slices.Concat(sockets[failed:], sockets[:failed])
+		}
+		return err
+	})
+}
+
+// openOnce opens all sockets. If one fails, it closes the others and returns the index of the failed one.
+func openOnce(sockets []Socket) (failed int, err error) {
+	opened := make([]io.Closer, 0, len(sockets))
+	for i, s := range sockets {
+		socket, err := s.Open(s.Address)
+		if err != nil {
+			errs := []error{socketError(s.Name, s.Address, err)}
+			for _, o := range opened {
+				errs = append(errs, o.Close())
+			}
+			return i, errors.Join(errs...)
+		}
+		opened = append(opened, socket)
+	}
+	return 0, nil
+}
+
+func socketError(name, address string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s listener at %s: %w", name, address, err)
+}
+
+// bind opens sockets and retries errors that may end by themselves.
+func (b Binder) bind(ctx context.Context, open func() error) error {
 	startMs, last := b.Clock.Monotonic(), ""
 	for {
-		socket, err := open()
+		err := open()
 		if err == nil {
-			return socket, nil
+			return nil
 		}
-		err = fmt.Errorf("%s listener at %s: %w", name, address, err)
 		if !mayBeReleased(err) || b.TimeoutMs > 0 && b.Clock.Monotonic()-startMs >= b.TimeoutMs {
-			return socket, err
+			return err
 		}
 		if text := err.Error(); text != last {
 			last = text
 			b.OnRetry(err)
 		}
 		if stopped := b.Clock.Sleep(ctx, bindRetryMs); stopped != nil {
-			return socket, errors.Join(stopped, err)
+			return errors.Join(stopped, err)
 		}
 	}
 }
--- a/internal/server/bind_test.go
+++ b/internal/server/bind_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -21,6 +23,66 @@
 
 type fakeListener struct{ net.Listener }
 
+// fakeSocket is open until it is closed.
+type fakeSocket struct{ open *int }
+
+func (s fakeSocket) Close() error {
+	*s.open--
+	return nil
+}
+
+// TestNoSocketIsOpenWhileAnotherIsTaken guards against connections that a box accepts and resets later because it could
+// not open another port.
+func TestNoSocketIsOpenWhileAnotherIsTaken(t *testing.T) {
+	// openAll opens four sockets, of which some are taken until a time each.
+	openAll := func(t *testing.T, takenMs map[string]clock.Millis) (open int, tookMs clock.Millis, err error) {
+		t.Helper()
+		openWhileWaiting := 0
+		c := clock.New(clock.WithSleep(func(_ context.Context, span clock.Millis) error {
+			openWhileWaiting += open
+			time.Sleep(span.Duration())
+			return nil
+		}))
+		startMs := c.Monotonic()
+		sockets := []Socket{}
+		for _, name := range []string{"peers UDP", "readiness", "peers", "callers"} {
+			sockets = append(sockets, Socket{Name: name, Address: "127.0.0.1:1", Open: func(string) (io.Closer, error) {
+				if c.Monotonic()-startMs < takenMs[name] {
+					return nil, bindError(syscall.EADDRINUSE)
+				}
+				open++
+				return fakeSocket{&open}, nil
+			}})
+		}
+		b := Binder{Clock: c, TimeoutMs: 5 * clock.Second, OnRetry: func(error) {
+			assert.Zero(t, open, "open sockets when a retry is reported")
+		}}
+		err = b.OpenAll(t.Context(), sockets...)
+		assert.Zero(t, openWhileWaiting, "open sockets while the binder waits")
+		return open, c.Monotonic() - startMs, err
+	}
+	for _, name := range []string{"peers UDP", "readiness", "peers", "callers"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				open, _, err := openAll(t, map[string]clock.Millis{name: 2 * clock.Second})
+				require.NoError(t, err)
+				assert.Equal(t, 4, open)
+			})
+		})
+	}
+	t.Run("all share one timeout", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			open, tookMs, err := openAll(t, map[string]clock.Millis{
+				"readiness": 4 * clock.Second, "callers": 8 * clock.Second,
+			})
+			require.ErrorIs(t, err, syscall.EADDRINUSE)
+			require.ErrorContains(t, err, "callers listener at 127.0.0.1:1")
+			assert.Zero(t, open)
+			assert.Equal(t, 5*clock.Second, tookMs)
+		})
+	})
+}
+
 func TestBind(t *testing.T) {
 	// listen binds an address whose first binds fail with the errors, the last of them for ever if it is repeated.
 	listen := func(ctx context.Context, repeat bool, failures ...error) (tries int, retried []string, err error) {
