fix(server): retry binds that fail for lack of descriptors or buffers

Callers saw: a momentary EMFILE, ENFILE, ENOBUFS or ENOMEM at a bind ended the start of a box, or, when a dead listener was opened anew, the whole box.

Cause: the binder retried EADDRINUSE and EADDRNOTAVAIL only.

Fix: it retries these errors too, within the same time and with the same line; if they last, the box ends as before.

Evidence: before, TestBind/a_momentary_lack_of_descriptors_or_buffers_is_ retried failed for each of the four errors with "Received unexpected error", and "a lasting lack" with ""1" is not greater than "1"" tries; after, go test -race ./internal/server ./internal/box passes.

--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -15,8 +15,9 @@
 // bindRetryMs is the time between two attempts to bind an address.
 const bindRetryMs clock.Millis = 100
 
-// Binder opens sockets. It retries while their address is taken or not yet configured, which may end by itself: another
-// process on the machine, such as an earlier one of the same box, may release it soon.
+// Binder opens sockets. It retries while their address is taken or not yet configured, or while descriptors or buffers
+// are exhausted, which may end by itself: another process on the machine, such as an earlier one of the same box, may
+// release them soon.
 type Binder struct {
 	Clock clock.Clock
 	// TimeoutMs is for how long it tries; 0 means until the context ends.
@@ -111,6 +112,15 @@
 	}
 }
 
+// mayBeReleased reports whether an error may end by itself: an address that is taken or not yet configured, or a lack
+// of descriptors or memory.
 func mayBeReleased(err error) bool {
-	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	for _, passing := range []error{
+		syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/server/bind_test.go
+++ b/internal/server/bind_test.go
@@ -113,6 +113,23 @@
 			}, retried)
 		})
 	})
+	for _, exhausted := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		t.Run("a momentary lack of descriptors or buffers is retried: "+exhausted.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tries, retried, err := listen(t.Context(), false, bindError(exhausted))
+				require.NoError(t, err)
+				assert.Equal(t, 2, tries)
+				assert.Len(t, retried, 1)
+			})
+		})
+		t.Run("a lasting lack of descriptors or buffers is an error: "+exhausted.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tries, _, err := listen(t.Context(), true, bindError(exhausted))
+				require.ErrorIs(t, err, exhausted)
+				assert.Greater(t, tries, 1)
+			})
+		})
+	}
 	t.Run("an address that stays taken is an error", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			_, _, err := listen(t.Context(), true, bindError(syscall.EADDRINUSE))
