fix(mesh): a reply to an earlier process confirms nothing

Callers saw revoked keys accepted in a later cut: a box that was restarted while another was frozen took the late replies to its earlier process as confirmations. The list of upstreams had the same fault since it is confirmed: a reply with a ping time of 30,000 at a clock of 100 gave a confirmation at 29,950, passed on as age 1.

Cause: the reply echoes a time of the pinging process' monotonic clock, which starts anew with each process, and nothing tied the reply to the process.

The time in a ping is now a token that holds the incarnation too. Only the sender of the ping interprets it, and boxes of every release echo it as it is, so that a rollout costs nothing: no field is needed and replies of the previous release are proofs too. Confirmations of the future are refused by the registry and by the routing state, whoever gives them.

The field was renamed in two literals of mesh_test.go; their assertions are unchanged.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -72,7 +72,7 @@
 type PeerState struct {
 	From         Identity
 	StateSummary StateSummary
-	// PingedMs is when this box sent its ping, or 0 for an unsolicited update.
+	// PingedMs is when this process sent the ping, or 0 for an update and for a reply to an earlier process.
 	PingedMs clock.Millis
 	// TellsVersions is set if the box tells the software versions of upstreams.
 	TellsVersions bool
@@ -243,10 +243,10 @@
 	}
 	switch p.Type {
 	case typePing:
-		m.send(from.String(), m.forReceiver(m.packet(typeReply, p.PingedMs), p.From.Box))
+		m.send(from.String(), m.forReceiver(m.packet(typeReply, p.PingToken), p.From.Box))
 	case typeReply:
 		m.onPeerState(PeerState{
-			From: p.From, StateSummary: p.StateSummary, PingedMs: p.PingedMs, TellsVersions: p.KeepsStreams,
+			From: p.From, StateSummary: p.StateSummary, PingedMs: m.pingedMs(p.PingToken), TellsVersions: p.KeepsStreams,
 		})
 	case typeUpdate:
 		m.onPeerState(PeerState{From: p.From, StateSummary: p.StateSummary, TellsVersions: p.KeepsStreams})
@@ -276,7 +276,7 @@
 // round pings the store readers of the failure domain and a few other boxes.
 func (m *Mesh) round() {
 	now := m.clock.Monotonic()
-	p := m.packet(typePing, now)
+	p := m.packet(typePing, m.pingToken(now))
 	for _, target := range m.targets(now) {
 		m.recordPing(target.box)
 		m.send(target.address, m.forReceiver(p, target.box))
@@ -292,9 +292,9 @@
 	}
 }
 
-func (m *Mesh) packet(t packetType, pingedMs clock.Millis) *packet {
+func (m *Mesh) packet(t packetType, pingToken int64) *packet {
 	p := &packet{
-		Type: t, From: m.self, PingedMs: pingedMs, StateSummary: m.stateSummary(), InFlight: m.inFlight(),
+		Type: t, From: m.self, PingToken: pingToken, StateSummary: m.stateSummary(), InFlight: m.inFlight(),
 		Unreachable: m.unreachable(), TakesForwarded: true, KeepsStreams: true,
 	}
 	m.mu.Lock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -354,7 +354,7 @@
 	t.Run("a reply from an unknown box is ignored", func(t *testing.T) {
 		runInBubble(t, func(f *fixture) {
 			one := f.start("d")
-			one.handle(&packet{Type: typeReply, From: Identity{Box: "unknown"}, PingedMs: 1}, nil)
+			one.handle(&packet{Type: typeReply, From: Identity{Box: "unknown"}, PingToken: 1}, nil)
 			assert.Equal(t, Sizes{Boxes: 1, Ignored: 1, SendErrors: one.Sizes().SendErrors, SentBytes: one.Sizes().SentBytes}, one.Sizes())
 		})
 	})
@@ -416,7 +416,7 @@
 		require.NoError(t, err)
 	})
 	t.Run("decodes what it encodes", func(t *testing.T) {
-		p := packet{Type: typeReply, From: whole, PingedMs: 7, StateSummary: StateSummary{Version: 3, AgeMs: -1}, InFlight: loads{"u": 2}.keyed()}
+		p := packet{Type: typeReply, From: whole, PingToken: 7, StateSummary: StateSummary{Version: 3, AgeMs: -1}, InFlight: loads{"u": 2}.keyed()}
 		data, err := p.encode()
 		require.NoError(t, err)
 		back, err := decode(data)
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -59,7 +59,7 @@
 const (
 	// typePing requests a reply.
 	typePing packetType = 1
-	// typeReply answers a ping and echoes its PingedMs.
+	// typeReply answers a ping and echoes its PingToken.
 	typeReply packetType = 2
 	// typeUpdate announces that the sender's state has changed.
 	typeUpdate packetType = 3
@@ -69,8 +69,8 @@
 type packet struct {
 	Type packetType `cbor:"1,keyasint"`
 	From Identity   `cbor:"2,keyasint"`
-	// PingedMs is the time of the ping on the sender's monotonic clock. The reply echoes it.
-	PingedMs     clock.Millis `cbor:"3,keyasint,omitempty"`
+	// PingToken is set by the sender of a ping, and the reply echoes it. Only the sender interprets it.
+	PingToken    int64        `cbor:"3,keyasint,omitempty"`
 	StateSummary StateSummary `cbor:"4,keyasint"`
 	// InFlight is the sender's requests in flight, by upstream.
 	InFlight map[namekey.Key]int `cbor:"5,keyasint,omitempty"`
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -235,11 +235,11 @@
 }
 
 // Confirm records that, according to the store, there was no change after a position at a monotonic time. It has no
-// effect before this box has applied all changes up to the position.
+// effect before this box has applied all changes up to the position, or for a time in the future.
 func (r *Registry) Confirm(at position.Position, confirmedMs clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.Era == r.journal.position.Era && !r.journal.position.Before(at) {
+	if at.Era == r.journal.position.Era && !r.journal.position.Before(at) && confirmedMs <= r.monotonic() {
 		r.confirmedMs = max(r.confirmedMs, confirmedMs)
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -170,4 +170,6 @@
 	assert.Equal(t, clock.Millis(800), f.ConfirmedMs(), "an earlier confirmation")
 	f.Confirm(position.At(0, 4), 850)
 	assert.Equal(t, clock.Millis(850), f.ConfirmedMs(), "of a position that was passed")
+	f.Confirm(position.At(0, 6), f.now+1)
+	assert.Equal(t, clock.Millis(850), f.ConfirmedMs(), "a time in the future")
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -92,4 +92,8 @@
 		b.Confirm(Confirmation{Version: 7, AtMs: 500})
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
+	t.Run("is not confirmed as of a time in the future", func(t *testing.T) {
+		b.Confirm(Confirmation{Version: 7, AtMs: now + 1})
+		assert.Equal(t, clock.Millis(100), b.AgeMs())
+	})
 }
--- a/internal/routing/state_tracker.go
+++ b/internal/routing/state_tracker.go
@@ -116,11 +116,11 @@
 // Confirm records a confirmation. A confirmation of a version lower than the current one
 // counts only if its era is not newer than the current state's, because a restored store may
 // hold a lower version. A confirmation of a higher version is ignored, and so is one from the
-// time in which operators may still have to write again what a restored store lost.
+// time in which operators may still have to write again what a restored store lost, or from the future.
 func (t *StateTracker) Confirm(p Confirmation) {
 	h := t.adopted.Load()
 	switch {
-	case h == nil || h.state.version < p.Version:
+	case h == nil || h.state.version < p.Version || p.AtMs > t.monotonic():
 		return
 	case h.state.version > p.Version && h.era < p.Era:
 		return
