fix(gateway): a summary gives an old state no new confirmation

A box told others "position 5, confirmed just now" while change 6 was known: the summary read the position first and the confirmation last, under separate locks, and a read that was applied in between was confirmed with the older position. The routing state's version and confirmation were read in the same order.

The confirmations are read first: an older one holds for a newer state too.

Before: TestSummaryWhileReadIsApplied "expected: 10000, actual: 1000" for the upstreams and "1000 is not greater than or equal to 10000" for the routing state.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -208,8 +208,11 @@
 	b.balance.SetUpstreams(list)
 }
 
-// stateSummary returns what the box currently knows, for other boxes and for metrics.
+// stateSummary returns what the box currently knows, for other boxes and for metrics. The confirmations are read first,
+// since one that is older than the state holds for it, and a newer one may not.
 func (b *Box) stateSummary() mesh.StateSummary {
+	upstreamsConfirmedMs := b.registry.ConfirmedMs()
+	confirmation, confirmed := b.routingState.Confirmed()
 	k := mesh.StateSummary{
 		Position: b.registry.Position(), AgeMs: -1, StoreUnavailable: b.storeUnavailable.Load(),
 		Evacuations: b.evacuations.Summary(),
@@ -217,11 +220,11 @@
 	if state := b.routingState.State(); state != nil {
 		k.Version = state.Version()
 	}
-	if confirmation, ok := b.routingState.Confirmed(); ok {
+	if confirmed {
 		k.AgeMs, k.Era = b.clock.Monotonic()-confirmation.AtMs, confirmation.Era
 	}
-	if confirmedMs := b.registry.ConfirmedMs(); confirmedMs > 0 {
-		k.UpstreamsAgeMs = max(1, b.clock.Monotonic()-confirmedMs)
+	if upstreamsConfirmedMs > 0 {
+		k.UpstreamsAgeMs = max(1, b.clock.Monotonic()-upstreamsConfirmedMs)
 	}
 	return k
 }
