fix(gateway): a read of the upstreams confirms its own position only

A long poll of era 1 that returned empty after another box had brought the list of era 2 confirmed era 2, as the box took its current position for the one that was read. Sink.Upstreams now takes the position up to which the read went, applies the changes up to it and confirms it; the registry refuses it if its era is another one.

Before, with the position of the registry: TestReadConfirmsItsPosition "Should be zero, but was 19950" (a read of the earlier era).

--- a/internal/gateway/confirmations_test.go
+++ b/internal/gateway/confirmations_test.go
@@ -56,3 +56,18 @@
 	assert.GreaterOrEqual(t, summary.AgeMs, clock.Millis(10_000))
 	assert.Equal(t, position.At(0, 6), b.registry.Position(), "the read was applied meanwhile")
 }
+
+// TestReadConfirmsItsPosition guards against a read that confirms what came from elsewhere while it waited.
+func TestReadConfirmsItsPosition(t *testing.T) {
+	b := newBoxWithClock(t, func() clock.Millis { return 20_000 })
+	sink := b.sink
+	b.registry.ApplySnapshot(upstreamAt(position.At(1, 5)), position.At(1, 5), 0)
+	restored := position.At(2, 3)
+	b.registry.Merge(registry.Update{Position: restored, Complete: true, Changes: upstreamAt(restored)})
+	sink.upstreams(nil, position.At(1, 5), 19_950)
+	assert.Zero(t, b.registry.ConfirmedMs(), "a read of the earlier era")
+	sink.upstreams(nil, restored, 19_960)
+	assert.Equal(t, clock.Millis(19_960), b.registry.ConfirmedMs())
+	sink.upstreams(nil, position.At(2, 4), 19_970)
+	assert.Equal(t, clock.Millis(19_970), b.registry.ConfirmedMs(), "a record that describes no upstream")
+}
--- a/internal/gateway/ignored_inputs_test.go
+++ b/internal/gateway/ignored_inputs_test.go
@@ -52,7 +52,7 @@
 			at.Offset++
 			return registry.Change{Upstream: registry.Upstream{ID: id}, Removed: true, Unusable: unusable, Position: at}
 		}
-		sink.Upstreams([]registry.Change{removal("u1", true), removal("u2", false)}, 0)
+		sink.Upstreams([]registry.Change{removal("u1", true), removal("u2", false)}, at, 0)
 		ids := []string{}
 		for _, u := range b.registry.All() {
 			ids = append(ids, u.ID)
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -28,8 +28,9 @@
 	// Confirm reports that the state last passed to Adopt was still the newest at an instant, according to a response of
 	// the store in an era.
 	Confirm func(atMs clock.Millis, era int64)
-	// Upstreams applies changes of the upstreams. At the instant confirmedMs there were no others, unless it is 0.
-	Upstreams func(changes []registry.Change, confirmedMs clock.Millis)
+	// Upstreams applies the changes of the upstreams that a read without a gap has shown, up to a position. At the
+	// instant confirmedMs there were none after it, unless it is 0.
+	Upstreams func(changes []registry.Change, upTo position.Position, confirmedMs clock.Millis)
 	// AllUpstreams replaces the list of upstreams with the complete list as of a position. At the instant confirmedMs
 	// there were no changes after it.
 	AllUpstreams func(all []registry.Change, at position.Position, confirmedMs clock.Millis)
@@ -148,7 +149,7 @@
 	s.box.confirm(routing.Confirmation{Version: version, Era: era, AtMs: atMs})
 }
 
-func (s *storeSink) upstreams(changes []registry.Change, confirmedMs clock.Millis) {
+func (s *storeSink) upstreams(changes []registry.Change, upTo position.Position, confirmedMs clock.Millis) {
 	span := s.removalGrace()
 	for i := range changes {
 		if !changes[i].Unusable {
@@ -156,8 +157,8 @@
 		}
 	}
 	registry := s.box.registry
-	s.box.announceUpstreams(registry.Apply(changes), s.source)
-	registry.Confirm(registry.Position(), confirmedMs)
+	s.box.announceUpstreams(registry.ApplyUpTo(changes, upTo), s.source)
+	registry.Confirm(upTo, confirmedMs)
 }
 
 func (s *storeSink) allUpstreams(all []registry.Change, at position.Position, confirmedMs clock.Millis) {
--- a/internal/gateway/stream_all_restarted_test.go
+++ b/internal/gateway/stream_all_restarted_test.go
@@ -91,7 +91,7 @@
 		b.sink.asSink().Upstreams([]registry.Change{
 			{Upstream: newer, Position: position.At(at.Era, at.Offset+1)},
 			{Upstream: registry.Upstream{ID: newer.ID}, Removed: true, Position: position.At(at.Era, at.Offset+2)},
-		}, f.clock.Monotonic())
+		}, position.At(at.Era, at.Offset+2), f.clock.Monotonic())
 		assertStreamsRefused(f.t, b, unnamed)
 	})
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -127,11 +127,12 @@
 	for _, c := range changes {
 		upTo = position.Max(upTo, c.Position)
 	}
-	return r.applyUpTo(changes, upTo)
+	return r.ApplyUpTo(changes, upTo)
 }
 
-// applyUpTo applies changes, after which the registry holds every change up to a position. Changes may be later.
-func (r *Registry) applyUpTo(changes []Change, upTo position.Position) []Change {
+// ApplyUpTo applies changes, after which the registry holds every change up to a position, and returns those that were
+// new. Changes may be later.
+func (r *Registry) ApplyUpTo(changes []Change, upTo position.Position) []Change {
 	applied := []Change{}
 	r.mu.Lock()
 	for _, c := range changes {
@@ -204,7 +205,7 @@
 	// effect.
 	all = append(r.removals(all, at, graceMs), r.delayForeignRemovals(all, at, graceMs)...)
 	r.mu.Unlock()
-	applied := r.applyUpTo(all, position.Position{})
+	applied := r.ApplyUpTo(all, position.Position{})
 	r.mu.Lock()
 	r.journal.skipTo(at)
 	r.synced = true
@@ -378,5 +379,5 @@
 	if u.Complete || !u.Position.IsZero() && r.Position().IsZero() {
 		return r.ApplySnapshot(u.Changes, u.Position, r.relayedGraceMs(u.Position))
 	}
-	return r.applyUpTo(u.Changes, u.Position)
+	return r.ApplyUpTo(u.Changes, u.Position)
 }
