--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -35,9 +35,9 @@
 // kernel has ended the process.
 const earlySpan = time.Second
 
-// receives reports whether the program receives a signal that is sent now. It receives SIGTERM and SIGINT before it writes
-// its first line; until then nothing of the box is open, and it may end by them. SIGHUP must not end it once any of its
-// code has run.
+// receives reports whether the program receives a signal that is sent now. It receives SIGTERM and SIGINT before it
+// writes its first line; until then nothing of the box is open, and it may end by them. SIGHUP must not end it once any
+// of its code has run.
 func (p *process) receives(s syscall.Signal) bool {
 	switch {
 	case time.Since(p.started) >= earlySpan:
