fix(streams): a list that may hide changes starts the history of versions anew

The registry tells when a complete list skips positions: it is of a later position, and not each position between has its entry in the list, or it is of a later era. The windows of all pools begin anew then.

Before: TestVersionBetweenLists "expected: false, actual: true" for an entry that may have been overwritten and for a restored store.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -177,6 +177,7 @@
 	b.origins = newStreamOrigins(b)
 	b.metrics.Publish("stream_origins", func() any { return b.origins.ledger.Size() })
 	b.registry.OnChange(b.applyUpstreams)
+	b.registry.OnSkip(b.origins.versions.Restart)
 	usablePercent := settings.Budget.Ratio * percent * localBudgetShare
 	window := clock.Millis(settings.Budget.WindowS * float64(clock.Second))
 	b.budgets = retry.NewBudgets(int(usablePercent*sustainedShare), retryReserve(settings.Budget.Slack),
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -111,16 +111,21 @@
 	// confirmedMs is the latest time of which the store has shown that all changes until then were applied.
 	confirmedMs clock.Millis
 	onChange    func()
+	onSkip      func()
 }
 
 // New returns an empty registry.
 func New(monotonic func() clock.Millis) *Registry {
-	return &Registry{monotonic: monotonic, entries: map[string]entry{}, onChange: func() {}}
+	return &Registry{monotonic: monotonic, entries: map[string]entry{}, onChange: func() {}, onSkip: func() {}}
 }
 
 // OnChange sets a function that is called after each change, without locks held.
 func (r *Registry) OnChange(call func()) { r.onChange = call }
 
+// OnSkip sets a function that is called, without locks held, before a complete list is applied that may hide changes:
+// upstreams may have changed several times since the position of the registry.
+func (r *Registry) OnSkip(call func()) { r.onSkip = call }
+
 // Apply applies changes without a gap between them and the position of the registry, and returns those that were new.
 func (r *Registry) Apply(changes []Change) []Change {
 	upTo := position.Position{}
@@ -201,10 +206,14 @@
 		r.mu.Unlock()
 		return nil
 	}
+	skips := r.skips(all, at)
 	// Removals are applied first, so that an outdated record of a removed upstream has no
 	// effect.
 	all = append(r.removals(all, at, graceMs), r.delayForeignRemovals(all, at, graceMs)...)
 	r.mu.Unlock()
+	if skips {
+		r.onSkip()
+	}
 	applied := r.ApplyUpTo(all, position.Position{})
 	r.mu.Lock()
 	r.journal.skipTo(at)
@@ -213,6 +222,22 @@
 	return applied
 }
 
+// skips reports whether a complete list at a position may hide changes after the position of the registry. It hides none
+// if it holds a change at each position between.
+func (r *Registry) skips(all []Change, at position.Position) bool {
+	from := r.journal.position
+	if from.IsZero() || !from.Before(at) {
+		return false
+	}
+	shown := map[position.Position]bool{}
+	for _, c := range all {
+		if from.Before(c.Position) && !at.Before(c.Position) {
+			shown[c.Position] = true
+		}
+	}
+	return at.Era != from.Era || int64(len(shown)) < at.Offset-from.Offset
+}
+
 // removals returns a removal for each upstream missing from a complete list at a position.
 func (r *Registry) removals(all []Change, at position.Position, graceMs clock.Millis) []Change {
 	listed := make(map[string]bool, len(all))
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -24,7 +24,7 @@
 type poolVersions struct {
 	states map[string]*versionState
 	// sinceMs is when an upstream of the pool was first listed, or first listed again after none had been for WindowMs:
-	// upstreams whose entries have lapsed go on with their streams.
+	// upstreams whose entries have lapsed go on with their streams. Restart sets it too.
 	sinceMs clock.Millis
 }
 
@@ -89,6 +89,18 @@
 	return mixed
 }
 
+// Restart lets the history of each pool begin anew, because versions may have come and gone unseen. The versions that
+// it holds stay in it.
+func (v *Versions) Restart() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.monotonic()
+	for name, pool := range v.pools {
+		pool.sinceMs = now
+		v.pools[name] = pool
+	}
+}
+
 // observeLocked records the version of an upstream and reports whether it is new in a pool that runs another one.
 func (v *Versions) observeLocked(u registry.Upstream, now clock.Millis) bool {
 	pool, known := v.pools[u.Pool]
