fix(gateway): versions within a read are known before its list is in use

Between the new list of upstreams and the record of the versions that came and went within the same read, a stream could be taken up as if its pool had had one version only: the registry showed the list first, and the changes were recorded when they were announced. The registry now passes the new changes to OnChange, and they are recorded before the list. Origins are still retracted before any are told.

Before: TestVersionBeforeList "expected: [true false], actual: [true true]".

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -202,10 +202,10 @@
 	b.buildSteps()
 }
 
-// applyUpstreams passes the upstreams to those who choose among them.
-func (b *Box) applyUpstreams() {
+// applyUpstreams passes the upstreams after changes to those who choose among them.
+func (b *Box) applyUpstreams(changes []registry.Change) {
 	list := b.registry.All()
-	b.origins.observeUpstreams(list)
+	b.origins.observeUpstreams(changes, list)
 	b.balance.SetUpstreams(list)
 }
 
--- a/internal/gateway/confirmations_test.go
+++ b/internal/gateway/confirmations_test.go
@@ -20,7 +20,7 @@
 	adapter := Adapter{Dialect: dialect(), Source: func(clock.Clock, func() config.Gateway) Source { return Source{} }}
 	b, err := New(config.Gateway{Box: "a"}, adapter, io.Discard, WithClock(clock.New(clock.WithMonotonic(monotonic))))
 	require.NoError(t, err)
-	b.registry.OnChange(func() {})
+	b.registry.OnChange(func([]registry.Change) {})
 	return b
 }
 
@@ -71,3 +71,20 @@
 	sink.upstreams(nil, position.At(2, 4), 19_970)
 	assert.Equal(t, clock.Millis(19_970), b.registry.ConfirmedMs(), "a record that describes no upstream")
 }
+
+// TestVersionBeforeList guards against a list that is in use before a version is known that came and went within a read.
+func TestVersionBeforeList(t *testing.T) {
+	b := newBoxWithClock(t, func() clock.Millis { return 20_000 })
+	sole := []bool{}
+	b.registry.OnChange(func(applied []registry.Change) {
+		b.applyUpstreams(applied)
+		_, _, found := b.origins.versions.Sole("p")
+		sole = append(sole, found)
+	})
+	b.registry.Apply(upstreamAt(position.At(0, 1)))
+	newer := upstreamAt(position.At(0, 2))
+	newer[0].Upstream.ID, newer[0].Upstream.SoftwareVersion = "n", "v2"
+	gone := registry.Change{Upstream: registry.Upstream{ID: "n"}, Removed: true, Position: position.At(0, 3)}
+	b.registry.Apply(append(newer, gone))
+	assert.Equal(t, []bool{true, false}, sole)
+}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -232,7 +232,6 @@
 			State:           upstreamState(c), ColdMs: c.Upstream.ColdMs, Source: source,
 		})
 	}
-	b.origins.observeChanges(changes)
 	b.crashDetector.handleChanges(changes)
 	if len(changes) > 0 {
 		b.updateSynced()
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -35,21 +36,17 @@
 	}
 }
 
-// observeUpstreams records the versions of the upstreams. If a pool has got a second version, the box tells the origins
-// of its recent streams. If an upstream has restarted at another version, it retracts those that may be of either.
-func (o *streamOrigins) observeUpstreams(list []registry.Upstream) {
-	changes := o.versions.Observe(list)
-	for _, upstream := range changes.Replaced {
+// observeUpstreams records the versions of the upstreams, and those that changes name even if no upstream runs them any
+// more. If a pool has got a second version, the box tells the origins of its recent streams. If an upstream has
+// restarted at another version, it retracts those that may be of either.
+func (o *streamOrigins) observeUpstreams(changes []registry.Change, list []registry.Upstream) {
+	// A version that came and went must be known before any stream goes on at the new list.
+	mixed := o.versions.ObserveChanges(changes)
+	observed := o.versions.Observe(list)
+	for _, upstream := range observed.Replaced {
 		o.tell(o.ledger.Retract(upstream))
 	}
-	for _, pool := range changes.Mixed {
-		o.tellUntold(pool)
-	}
-}
-
-// observeChanges records the versions that changes of the upstreams name, even if no upstream runs them any more.
-func (o *streamOrigins) observeChanges(changes []registry.Change) {
-	for _, pool := range o.versions.ObserveChanges(changes) {
+	for _, pool := range slices.Concat(mixed, observed.Mixed) {
 		o.tellUntold(pool)
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -110,17 +110,18 @@
 	synced bool
 	// confirmedMs is the latest time of which the store has shown that all changes until then were applied.
 	confirmedMs clock.Millis
-	onChange    func()
+	onChange    func(applied []Change)
 	onSkip      func()
 }
 
 // New returns an empty registry.
 func New(monotonic func() clock.Millis) *Registry {
-	return &Registry{monotonic: monotonic, entries: map[string]entry{}, onChange: func() {}, onSkip: func() {}}
+	return &Registry{monotonic: monotonic, entries: map[string]entry{}, onChange: func([]Change) {}, onSkip: func() {}}
 }
 
-// OnChange sets a function that is called after each change, without locks held.
-func (r *Registry) OnChange(call func()) { r.onChange = call }
+// OnChange sets a function that is called with new changes after they were applied, without locks held, and without any
+// after a timeout.
+func (r *Registry) OnChange(call func(applied []Change)) { r.onChange = call }
 
 // OnSkip sets a function that is called, without locks held, before a complete list is applied that may hide changes:
 // upstreams may have changed several times since the position of the registry.
@@ -149,7 +150,7 @@
 	r.journal.advance(upTo)
 	r.mu.Unlock()
 	if len(applied) > 0 {
-		r.onChange()
+		r.onChange(applied)
 	}
 	return applied
 }
@@ -222,8 +223,8 @@
 	return applied
 }
 
-// skips reports whether a complete list at a position may hide changes after the position of the registry. It hides none
-// if it holds a change at each position between.
+// skips reports whether a complete list at a position may hide changes after the position of the registry. It hides
+// none if it holds a change at each position between.
 func (r *Registry) skips(all []Change, at position.Position) bool {
 	from := r.journal.position
 	if from.IsZero() || !from.Before(at) {
@@ -299,7 +300,7 @@
 	}
 	r.mu.Unlock()
 	if changed {
-		r.onChange()
+		r.onChange(nil)
 	}
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -173,3 +173,16 @@
 	f.Confirm(position.At(0, 6), f.now+1)
 	assert.Equal(t, clock.Millis(850), f.ConfirmedMs(), "a time in the future")
 }
+
+// TestOnChange guards against a change that others see only after what a later one of the same read has made of it.
+func TestOnChange(t *testing.T) {
+	f := newFixture()
+	seen := []Change{}
+	f.OnChange(func(applied []Change) {
+		seen = append(seen, applied...)
+		assertIDs(t, f.Registry, "a")
+	})
+	read := []Change{put("a", 1), put("b", 2), removal("b", 3, 0)}
+	f.Apply(read)
+	assert.Equal(t, read, seen)
+}
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -81,6 +81,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.monotonic()
+	v.expireLocked(now)
 	for _, c := range changes {
 		if !c.Removed && v.observeLocked(c.Upstream, now) && !slices.Contains(mixed, c.Upstream.Pool) {
 			mixed = append(mixed, c.Upstream.Pool)
