fix(gateway): open a dead datagram socket anew

Callers saw: a box whose UDP socket had died (EBADF, EINVAL) heard nothing from other boxes until it was restarted; it stayed ready.

Cause: the mesh retried the receive on the same socket every 20 ms for ever. The listeners open a dead socket anew, the datagram socket did not.

Fix: server.PacketConn closes a dead socket and opens another one with the binder, with a line (listener failed) and listener_errors. If that fails, the box is lost as with a dead listener: not ready, drained, status 1. Errors that may pass go to the mesh as before.

Evidence: before, TestBoxWithDeadDatagramSocketIsNotDeaf failed: sockets opened "expected: 2 actual: 1", boxes known "expected: 2 actual: 1", and where it can't be opened the box stayed ready. After: go test -race ./internal/mesh ./internal/server, go test ./internal/gateway pass.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -105,6 +105,82 @@
 	}
 }
 
+// breakableConn fails with an error once it is broken.
+type breakableConn struct {
+	net.PacketConn
+	broken chan struct{}
+}
+
+func (c *breakableConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	type received struct {
+		n    int
+		from net.Addr
+		err  error
+	}
+	result := make(chan received, 1)
+	go func() {
+		n, from, err := c.PacketConn.ReadFrom(buffer)
+		result <- received{n, from, err}
+	}()
+	select {
+	case r := <-result:
+		return r.n, r.from, r.err
+	case <-c.broken:
+		return 0, nil, syscall.EBADF
+	}
+}
+
+// TestBoxWithDeadDatagramSocketIsNotDeaf guards against a box that receives nothing from others until it is restarted.
+func TestBoxWithDeadDatagramSocketIsNotDeaf(t *testing.T) {
+	for _, reopens := range []bool{true, false} {
+		t.Run("reopens: "+strconv.FormatBool(reopens), func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				f.upstream("u", respondWith("done"))
+				out, h, broken, opened := &output{}, f.network.Host("box-1"), make(chan struct{}), 0
+				packets := func(network, address string) (net.PacketConn, error) {
+					opened++
+					if opened > 1 && !reopens {
+						return nil, syscall.EACCES
+					}
+					conn, err := h.ListenPackets(network, address)
+					if err != nil || opened > 1 {
+						return conn, err
+					}
+					return &breakableConn{PacketConn: conn, broken: broken}, nil
+				}
+				b, err := New(config.Gateway{
+					Box: "box-1", FailureDomain: "d", CallersAddress: "127.0.0.1:1000", ReadinessAddress: "127.0.0.1:1010",
+					PeersAddress: "127.0.0.1:1020", Shutdown: config.Shutdown{GraceS: 1},
+				}, Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
+					return f.store.source("box-1", c)
+				}}, out, WithClock(f.clock), WithListen(h.Listen), WithListenPackets(packets), WithDial(h.Dial))
+				require.NoError(f.t, err)
+				ctx, cancel := context.WithCancel(f.t.Context())
+				done := make(chan error, 1)
+				go func() { done <- b.Run(ctx) }()
+				synctest.Wait()
+				close(broken)
+				advance(f.t, 100*time.Millisecond)
+				assert.Contains(f.t, out.String(), "peers UDP: bad file descriptor")
+				assert.Equal(f.t, reopens, b.Ready())
+				assert.Equal(f.t, 2, opened)
+				if reopens {
+					f.box(2)
+					advance(f.t, time.Second)
+					assert.Equal(f.t, 2, b.peering.mesh.Sizes().Boxes)
+				}
+				cancel()
+				if err := <-done; reopens {
+					require.NoError(f.t, err)
+				} else {
+					require.ErrorIs(f.t, err, syscall.EACCES)
+					assert.Contains(f.t, out.String(), "listener lost")
+				}
+			})
+		})
+	}
+}
+
 func TestPanicOfAHandlerIsLogged(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
 		out := &output{}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// peersUDP names the UDP socket for other boxes.
+const peersUDP = "peers UDP"
+
 // socket is an HTTP listener without which the box can't run.
 type socket struct {
 	name, address string
@@ -119,11 +122,11 @@
 	if err != nil {
 		return nil, err
 	}
-	b.joinMesh(conn)
+	failed := make(chan error, 1+len(sockets))
+	b.joinMesh(b.surviveErrors(conn, failed))
 	if b.askAdmission == nil {
 		b.askAdmission = b.askOwner()
 	}
-	failed := make(chan error, len(sockets))
 	for _, s := range slices.Backward(sockets) {
 		b.serveSocket(s, failed)
 	}
@@ -132,7 +135,7 @@
 
 // bindSockets opens the UDP socket for other boxes and the listeners, or none of them.
 func (b *Box) bindSockets(ctx context.Context, peers string, sockets []*socket) (conn net.PacketConn, err error) {
-	all := []server.Socket{{Name: "peers UDP", Address: peers, Open: func(address string) (_ io.Closer, err error) {
+	all := []server.Socket{{Name: peersUDP, Address: peers, Open: func(address string) (_ io.Closer, err error) {
 		conn, err = b.packets("udp", address)
 		return conn, err
 	}}}
@@ -146,6 +149,14 @@
 	return conn, b.binder().OpenAll(ctx, all...)
 }
 
+// surviveErrors returns a connection that opens the UDP socket for other boxes anew if it can't receive any more.
+func (b *Box) surviveErrors(conn net.PacketConn, failed chan<- error) net.PacketConn {
+	address := b.settings.Load().PeersAddress
+	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
+		return b.binder().ListenPacket(ctx, peersUDP, address, b.packets)
+	}, func(err error) { b.reportListenerError(peersUDP, err) }, func(err error) { failed <- err })
+}
+
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
 	h := b.newServer(s.handler)
 	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
--- /dev/null
+++ b/internal/server/packetconn.go
@@ -0,0 +1,113 @@
+package server
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// PacketConn is a UDP socket that survives errors: a socket that can't receive any more is opened anew. Other errors
+// are returned, and the next receive may succeed.
+type PacketConn struct {
+	clock   clock.Clock
+	reopen  func(ctx context.Context) (net.PacketConn, error)
+	onError func(err error)
+	onLost  func(err error)
+	address net.Addr
+	closed  context.Context
+	close   context.CancelFunc
+
+	mu     sync.Mutex
+	socket net.PacketConn
+}
+
+// NewPacketConn returns a connection on a socket. OnError is called with each error of a dead socket, and onLost if it
+// can't be opened anew; receives return net.ErrClosed then.
+func NewPacketConn(
+	socket net.PacketConn, c clock.Clock, reopen func(ctx context.Context) (net.PacketConn, error),
+	onError, onLost func(err error),
+) *PacketConn {
+	p := &PacketConn{
+		clock: c, reopen: reopen, onError: onError, onLost: onLost, address: socket.LocalAddr(), socket: socket,
+	}
+	p.closed, p.close = context.WithCancel(context.Background())
+	return p
+}
+
+// ReadFrom implements net.PacketConn.
+func (p *PacketConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	for backoffMs := minAcceptBackoffMs; ; backoffMs = min(2*backoffMs, maxAcceptBackoffMs) {
+		socket := p.current()
+		n, from, err := socket.ReadFrom(buffer)
+		if err == nil {
+			return n, from, nil
+		}
+		if p.closed.Err() != nil {
+			return 0, nil, net.ErrClosed
+		}
+		if !isDead(err) {
+			return n, from, err
+		}
+		p.onError(err)
+		if err := p.replace(socket); err != nil {
+			if p.closed.Err() == nil {
+				p.onLost(err)
+			}
+			return 0, nil, net.ErrClosed
+		}
+		if p.clock.Sleep(p.closed, backoffMs) != nil {
+			return 0, nil, net.ErrClosed
+		}
+	}
+}
+
+func (p *PacketConn) current() net.PacketConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.socket
+}
+
+// replace closes a dead socket and opens another one.
+func (p *PacketConn) replace(dead net.PacketConn) error {
+	// It is dead, whatever the error.
+	_ = dead.Close()
+	socket, err := p.reopen(p.closed)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.socket = socket
+	if p.closed.Err() != nil {
+		return socket.Close()
+	}
+	return nil
+}
+
+// WriteTo implements net.PacketConn.
+func (p *PacketConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	return p.current().WriteTo(data, to)
+}
+
+// Close implements net.PacketConn.
+func (p *PacketConn) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.close()
+	return p.socket.Close()
+}
+
+// LocalAddr implements net.PacketConn.
+func (p *PacketConn) LocalAddr() net.Addr { return p.address }
+
+// SetDeadline implements net.PacketConn, for the current socket.
+func (p *PacketConn) SetDeadline(at time.Time) error { return p.current().SetDeadline(at) }
+
+// SetReadDeadline implements net.PacketConn, for the current socket.
+func (p *PacketConn) SetReadDeadline(at time.Time) error { return p.current().SetReadDeadline(at) }
+
+// SetWriteDeadline implements net.PacketConn, for the current socket.
+func (p *PacketConn) SetWriteDeadline(at time.Time) error { return p.current().SetWriteDeadline(at) }
