test(gatewaycmd): use ports that no connection of another test takes

The ports came from listeners on port 0 that were closed again, one by one: an outgoing connection of another package could take one before the process or the test bound it, and two of one box could coincide. They are now on a loopback address of the test binary's own, below the ephemeral range, and given out once. No check is changed.

Evidence: go test -race ./internal/cmd/gatewaycmd passes (20.1 s). The collision itself was not reproduced.

--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -12,8 +12,10 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -56,13 +58,22 @@
 // addresses are free ports of one box.
 type addresses struct{ callers, readiness, peers, metrics string }
 
+// firstPort is below the ports that the kernel assigns to connections and to listeners on port 0.
+const firstPort = 21000
+
+var nextPort atomic.Int64
+
+// freeAddresses returns ports that nothing else takes: on a loopback address of this test binary, and given out once.
 func freeAddresses(t *testing.T) addresses {
 	t.Helper()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 64|pid>>16&63, pid>>8&255, pid&255)
 	free := func() string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := net.JoinHostPort(host, strconv.FormatInt(firstPort+nextPort.Add(1), 10))
+		l, err := net.Listen("tcp", address)
 		require.NoError(t, err)
-		defer func() { require.NoError(t, l.Close()) }()
-		return l.Addr().String()
+		require.NoError(t, l.Close())
+		return address
 	}
 	return addresses{free(), free(), free(), free()}
 }
