fix(dispatch): a stream that pauses isn't cut off when no other upstream may continue it

What callers saw: a resumable stream whose upstream paused for three times the route's longest pause was broken off in mid stream, although its upstream was at work and wrote it to the end: where the others ran another software version, were ejected or asked for a rest, and even where there was no other upstream at all.

Cause: the idle timeout canceled the attempt if the retry budget allowed a retry and the pool usually responded in time. Whether any upstream may continue this stream was found out only afterwards, by the pick that failed.

TestIdleStreamIsNotCutOff failed before in both cases: 'unexpected EOF', [v1] instead of [v1 v1].

Why it works: the attempt is canceled only if another upstream of the stream's version may receive it at that moment. A forwarded request goes on at another box as before.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -212,6 +212,17 @@
 	return members, nil
 }
 
+// HasCandidate reports whether an upstream may receive the request now.
+func (m *Manager) HasCandidate(request PickRequest) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := m.candidates(request, m.members(request), m.monotonic())
+	if request.Version != nil {
+		candidates = m.certain(candidates)
+	}
+	return len(candidates) > 0
+}
+
 // candidates returns the eligible members that may receive the request. It first excludes members that were
 // tried, are behind a partitioned path, are draining, evacuated or backing off, are cold and may get no
 // request from this box now, or are brittle and rejected one. Of the others it also excludes
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -59,7 +59,8 @@
 		}),
 		resume: resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
 		dispatch: dispatch.New(dispatch.Dependencies{
-			Pick: b.pick, MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
+			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
+			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
 			RespondsWithin: b.balance.RespondsWithin, OnFirstSend: b.budgets.RecordAttempt,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -20,6 +20,8 @@
 type Dependencies struct {
 	// Pick selects an upstream and counts the request in its load.
 	Pick func(ctx context.Context, pickRequest balance.PickRequest) (*balance.Lease, error)
+	// HasCandidate reports whether an upstream may receive the request now.
+	HasCandidate func(pickRequest balance.PickRequest) bool
 	// NextBox chooses another box to forward the request to, except those tried. It returns false if
 	// there is none.
 	NextBox func(r *opaque.Request, tried []string) (Box, bool)
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -69,16 +69,32 @@
 // startIdleTimeout cancels an attempt whose stream is idle for too long while another upstream may
 // continue it. The caller must call the event function after each read to restart the timeout, and
 // stop at the end.
-func (s *retryLoop) startIdleTimeout(cancel context.CancelCauseFunc) (event, stop func()) {
+func (s *retryLoop) startIdleTimeout(from responseSource, cancel context.CancelCauseFunc) (event, stop func()) {
 	r := s.request
 	timeout := streamIdleTimeoutFactor * r.Route.MaxGapMs
 	if !r.Route.Resumable || r.Sent >= r.Route.Attempts || timeout <= 0 {
 		return func() {}, func() {}
 	}
-	timer := s.startRetryTimer(timeout, s.retryHelps, cancel)
+	timer := s.startRetryTimer(timeout, s.continuationHelps(from), cancel)
 	return timer.recordProgress, timer.stop
 }
 
+// continuationHelps returns a function that reports whether another upstream may continue the stream now, and usually
+// responds within a span. Otherwise a canceled attempt would cut the response off.
+func (s *retryLoop) continuationHelps(from responseSource) func(span clock.Millis) bool {
+	next := s.pickRequest()
+	next.Tried = append(slices.Clone(next.Tried), s.request.Upstream)
+	if from.origin != nil {
+		next.Version = &from.origin.Version
+	}
+	// A request that was forwarded goes on at another box, which chooses the upstream.
+	forwarded := !from.recordsOrigin
+	return func(span clock.Millis) bool {
+		return s.retryHelps(span) && !s.pipe.deps.OriginRetracted(s.request) &&
+			(forwarded || s.pipe.deps.HasCandidate(next))
+	}
+}
+
 // relayStream relays events as they arrive.
 func (s *retryLoop) relayStream(from responseSource, res *upstream.Response, cancel context.CancelCauseFunc) *failure {
 	if s.stream == nil {
@@ -86,7 +102,7 @@
 	}
 	s.stream.events, s.stream.partial = eventstream.Scanner{}, nil
 	s.stream.origin, s.stream.recordsOrigin = from.origin, from.recordsOrigin
-	event, stop := s.startIdleTimeout(cancel)
+	event, stop := s.startIdleTimeout(from, cancel)
 	defer stop()
 	buffer := make([]byte, streamBufferBytes)
 	for {
