fix(mesh): a reader that can't confirm the upstreams doesn't read for others

During a rollout, boxes whose failure domain's reader ran the previous release never got their list of upstreams confirmed: such a reader does not tell how old the list is, and a box reads the store itself by the age of the routing state only. Take-ups were refused there, and versions stayed doubtful.

Boxes tell that they confirm the upstreams, and those of this release choose the reader among their own kind, as they did when versions of upstreams came up. The cost is bounded: one more reader in each failure domain while releases are mixed, and two bytes a ping and reply.

Before: TestStoreReaderOfEarlierRelease "[] should have 1 item(s), but has 0".

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -295,7 +295,7 @@
 func (m *Mesh) packet(t packetType, pingToken int64) *packet {
 	p := &packet{
 		Type: t, From: m.self, PingToken: pingToken, StateSummary: m.stateSummary(), InFlight: m.inFlight(),
-		Unreachable: m.unreachable(), TakesForwarded: true, KeepsStreams: true,
+		Unreachable: m.unreachable(), TakesForwarded: true, KeepsStreams: true, ConfirmsUpstreams: true,
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -105,6 +105,8 @@
 	// PaceFindings are the upstreams that the sender found slow in the last second. Fleets of up to smallFleetBoxes boxes
 	// exchange them. Boxes of earlier releases ignore them.
 	PaceFindings []pace.Finding `cbor:"19,keyasint,omitempty"`
+	// ConfirmsUpstreams is set by boxes that tell the age of the list of upstreams. Those of earlier releases don't.
+	ConfirmsUpstreams bool `cbor:"20,keyasint,omitempty"`
 }
 
 // maxPacketBytes is the size of the receive buffer. The limits on cached parts, crash reports and
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -22,7 +22,9 @@
 	unreachable    []namekey.Key
 	takesForwarded bool
 	keepsStreams   bool
-	draining       bool
+	// confirmsUpstreams is set if the box tells the age of its list of upstreams.
+	confirmsUpstreams bool
+	draining          bool
 	// unacked is the number of pings sent since the box's last message.
 	unacked int
 	// sentAnnouncements is the sequence number of the next cached prompt part to send to the box.
@@ -61,6 +63,7 @@
 		Identity: p.From, lastSeenMs: now, firstSeenMs: now, stateSummary: p.StateSummary, inFlight: p.InFlight,
 		inFlightByPool: p.InFlightByPool, draining: p.Draining,
 		unreachable: p.Unreachable, takesForwarded: p.TakesForwarded, keepsStreams: p.KeepsStreams,
+		confirmsUpstreams: p.ConfirmsUpstreams,
 	}
 	if known != nil && known.Incarnation == p.From.Incarnation && known.firstSeenMs > 0 {
 		updated.firstSeenMs, updated.sentAnnouncements = known.firstSeenMs, known.sentAnnouncements
@@ -445,7 +448,8 @@
 
 // storeReadersLocked returns the first boxes of this failure domain in the order of their name
 // hashes, among the live boxes that can read the store. If none of them can, it chooses among all
-// live boxes. Boxes of earlier releases read for their own kind, since they don't tell the versions of upstreams.
+// live boxes. Boxes of earlier releases read for their own kind, since they don't tell the versions of upstreams, or
+// how old their list of upstreams is.
 func (m *Mesh) storeReadersLocked(now clock.Millis) []Identity {
 	all, reachable := []Identity{m.self}, []Identity{}
 	if !m.stateSummary().StoreUnavailable {
@@ -454,7 +458,7 @@
 	aliveTimeout := m.aliveTimeoutLocked()
 	for _, p := range m.peers {
 		if !p.alive(now, aliveTimeout) || p.FailureDomain != m.self.FailureDomain || m.unresponsiveLocked(p) ||
-			!p.keepsStreams {
+			!p.confirmsUpstreams {
 			continue
 		}
 		all = append(all, p.Identity)
--- a/internal/mesh/store_readers_test.go
+++ b/internal/mesh/store_readers_test.go
@@ -1,10 +1,12 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // TestUnresponsiveStoreReader guards against a store reader that stops answering but is not
@@ -34,3 +36,35 @@
 		assert.Len(t, after, 2, "the isolated reader and its successor")
 	})
 }
+
+// TestStoreReaderOfEarlierRelease guards against a list of upstreams that nobody confirms while the only reader of a
+// failure domain runs a release that doesn't tell its age.
+func TestStoreReaderOfEarlierRelease(t *testing.T) {
+	runInBubble(t, func(f *fixture) {
+		t := f.t
+		for range 3 {
+			f.start("d1")
+		}
+		advance(t, 2*time.Second)
+		readers := func(of ...*box) []string {
+			names := []string{}
+			for _, b := range of {
+				if b.IsStoreReader() {
+					names = append(names, b.self.Box)
+				}
+			}
+			return names
+		}
+		before := readers(f.boxes...)
+		require.Len(t, before, 1)
+		rest := slices.DeleteFunc(slices.Clone(f.boxes), func(b *box) bool { return b.self.Box == before[0] })
+		for _, b := range rest {
+			b.mu.Lock()
+			b.Mesh.mu.Lock()
+			b.peers[before[0]].confirmsUpstreams = false
+			b.Mesh.mu.Unlock()
+			b.mu.Unlock()
+		}
+		assert.Len(t, readers(rest...), 1, "the boxes of this release choose one of their own")
+	})
+}
