--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -69,8 +69,8 @@
 
 const (
 	// settingsTimeoutMs is much longer than a file takes to be replaced.
-	settingsTimeoutMs = 3 * clock.Second
-	settingsRetryMs   = 50 * clock.Millis(1)
+	settingsTimeoutMs              = 3 * clock.Second
+	settingsRetryMs   clock.Millis = 50
 )
 
 // load reads the settings file until it can be used, because it may be in the middle of being replaced.
--- a/internal/cmd/signals/signals.go
+++ b/internal/cmd/signals/signals.go
@@ -11,8 +11,8 @@
 // capacity is more than the signals that arrive before the daemon reads them.
 const capacity = 16
 
-// Received receives SIGHUP, SIGINT and SIGTERM. A package variable is initialized before the larger packages of the
-// program are, so that an early signal doesn't end the process.
+// Received receives SIGHUP, SIGINT and SIGTERM from the initialization of this package on. It imports only packages of
+// the standard library, so that Go initializes it before most of the program.
 var Received = receive()
 
 func receive() <-chan os.Signal {
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -1,12 +1,11 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -19,24 +18,6 @@
 	"dooryard.example/dooryard/pkg/config"
 )
 
-// output collects log lines.
-type output struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (o *output) Write(data []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.buffer.Write(data)
-}
-
-func (o *output) String() string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.buffer.String()
-}
-
 // breakableListener fails with an error once it is broken.
 type breakableListener struct {
 	net.Listener
@@ -61,12 +42,29 @@
 	}
 }
 
+// runWithSockets runs a box with sockets of the test.
+func (f *fleet) runWithSockets(out io.Writer, sockets ...Option) (b *Box, stop func(), done <-chan error) {
+	f.t.Helper()
+	b, err := New(config.Gateway{
+		Box: "box-1", FailureDomain: "d", CallersAddress: "127.0.0.1:1000", ReadinessAddress: "127.0.0.1:1010",
+		PeersAddress: "127.0.0.1:1020", Shutdown: config.Shutdown{GraceS: 1},
+	}, Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
+		return f.store.source("box-1", c)
+	}}, out, append(sockets, WithClock(f.clock), WithDial(f.network.Host("box-1").Dial))...)
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run(ctx) }()
+	synctest.Wait()
+	return b, cancel, ended
+}
+
 func TestLostListenerDrainsTheBox(t *testing.T) {
 	for _, reopens := range []bool{true, false} {
 		t.Run("reopens: "+strconv.FormatBool(reopens), func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				f.upstream("u", respondWith("done"))
-				out, h, broken := &output{}, f.network.Host("box-1"), make(chan struct{})
+				out, h, broken := &logBuffer{}, f.network.Host("box-1"), make(chan struct{})
 				opened := map[string]int{}
 				listen := func(network, address string) (net.Listener, error) {
 					opened[address]++
@@ -79,17 +77,7 @@
 					}
 					return &breakableListener{Listener: l, broken: broken}, nil
 				}
-				b, err := New(config.Gateway{
-					Box: "box-1", FailureDomain: "d", CallersAddress: "127.0.0.1:1000", ReadinessAddress: "127.0.0.1:1010",
-					PeersAddress: "127.0.0.1:1020", Shutdown: config.Shutdown{GraceS: 1},
-				}, Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
-					return f.store.source("box-1", c)
-				}}, out, WithClock(f.clock), WithListen(listen), WithListenPackets(h.ListenPackets), WithDial(h.Dial))
-				require.NoError(f.t, err)
-				ctx, cancel := context.WithCancel(f.t.Context())
-				done := make(chan error, 1)
-				go func() { done <- b.Run(ctx) }()
-				synctest.Wait()
+				b, cancel, done := f.runWithSockets(out, WithListen(listen), WithListenPackets(h.ListenPackets))
 				close(broken)
 				advance(f.t, 100*time.Millisecond)
 				assert.Contains(f.t, out.String(), "listener failed")
@@ -136,7 +124,7 @@
 		t.Run("reopens: "+strconv.FormatBool(reopens), func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				f.upstream("u", respondWith("done"))
-				out, h, broken, opened := &output{}, f.network.Host("box-1"), make(chan struct{}), 0
+				out, h, broken, opened := &logBuffer{}, f.network.Host("box-1"), make(chan struct{}), 0
 				packets := func(network, address string) (net.PacketConn, error) {
 					opened++
 					if opened > 1 && !reopens {
@@ -148,17 +136,7 @@
 					}
 					return &breakableConn{PacketConn: conn, broken: broken}, nil
 				}
-				b, err := New(config.Gateway{
-					Box: "box-1", FailureDomain: "d", CallersAddress: "127.0.0.1:1000", ReadinessAddress: "127.0.0.1:1010",
-					PeersAddress: "127.0.0.1:1020", Shutdown: config.Shutdown{GraceS: 1},
-				}, Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
-					return f.store.source("box-1", c)
-				}}, out, WithClock(f.clock), WithListen(h.Listen), WithListenPackets(packets), WithDial(h.Dial))
-				require.NoError(f.t, err)
-				ctx, cancel := context.WithCancel(f.t.Context())
-				done := make(chan error, 1)
-				go func() { done <- b.Run(ctx) }()
-				synctest.Wait()
+				b, cancel, done := f.runWithSockets(out, WithListen(h.Listen), WithListenPackets(packets))
 				close(broken)
 				advance(f.t, 100*time.Millisecond)
 				assert.Contains(f.t, out.String(), "peers UDP: bad file descriptor")
@@ -183,7 +161,7 @@
 
 func TestPanicOfAHandlerIsLogged(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
-		out := &output{}
+		out := &logBuffer{}
 		f.out = out
 		b := f.box(1)
 		s := b.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("broken handler") }))
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -35,6 +35,13 @@
 	return l.data.Write(part)
 }
 
+// String returns what was written so far.
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.data.String()
+}
+
 // read returns the lines written so far.
 func (l *logBuffer) read(t *testing.T) []why.Line {
 	t.Helper()
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -156,9 +156,9 @@
 			changes[i].GraceMs = span
 		}
 	}
-	registry := s.box.registry
-	s.box.announceUpstreams(registry.ApplyUpTo(changes, upTo), s.source)
-	registry.Confirm(upTo, confirmedMs)
+	known := s.box.registry
+	s.box.announceUpstreams(known.ApplyUpTo(changes, upTo), s.source)
+	known.Confirm(upTo, confirmedMs)
 }
 
 func (s *storeSink) allUpstreams(all []registry.Change, at position.Position, confirmedMs clock.Millis) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,24 +14,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// lines collects log lines.
-type lines struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *lines) Write(data []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(data)
-}
-
 // with returns the lines that contain a text.
-func (l *lines) with(text string) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (l *logBuffer) with(text string) []string {
 	found := []string{}
-	for line := range strings.Lines(l.text.String()) {
+	for line := range strings.Lines(l.String()) {
 		if strings.Contains(line, text) {
 			found = append(found, line)
 		}
@@ -44,7 +29,7 @@
 func TestStopReportsCutRequests(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
 		t := f.t
-		out := &lines{}
+		out := &logBuffer{}
 		f.out = out
 		f.upstream("u1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 		b := f.box(1, withGrace(3))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -137,7 +137,7 @@
 }
 
 // ApplyUpTo applies changes, after which the registry holds every change up to a position, and returns those that were
-// new. Changes may be later.
+// new. They may include changes after the position.
 func (r *Registry) ApplyUpTo(changes []Change, upTo position.Position) []Change {
 	applied := []Change{}
 	r.mu.Lock()
