--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -19,6 +19,8 @@
 	// killed is set once it was killed, terminated is when it first got SIGTERM.
 	killed     bool
 	terminated time.Time
+	// dumped is set once it was made to write its goroutines, which ends it.
+	dumped bool
 	// paused is set if it was stopped after SIGTERM, or has not been resumed since.
 	paused bool
 	// early holds the signals that were sent before the program could receive them.
@@ -122,7 +124,7 @@
 // kind returns by what the process was asked to end, and how it ended.
 func (e exit) kind() string {
 	switch {
-	case e.asked.killed && e.signal == syscall.SIGKILL:
+	case e.endedByKill():
 		return "SIGKILL"
 	case e.tooEarly():
 		return "before it could receive signals: " + e.status
@@ -136,12 +138,17 @@
 // faulty reports whether the process ended although the run hadn't asked for it, or failed after SIGTERM. One that
 // ended before a SIGKILL reached it ended by itself.
 func (e exit) faulty() bool {
-	if e.asked.killed && e.signal == syscall.SIGKILL || e.tooEarly() {
+	if e.endedByKill() || e.tooEarly() {
 		return false
 	}
 	return e.asked.terminated.IsZero() || !e.ok
 }
 
+// endedByKill reports whether the run killed the process.
+func (e exit) endedByKill() bool {
+	return e.asked.killed && (e.signal == syscall.SIGKILL || e.asked.dumped)
+}
+
 // tooEarly reports whether a signal ended the process that was sent before the program could receive it.
 func (e exit) tooEarly() bool {
 	return slices.ContainsFunc(e.asked.early, func(s earlySignal) bool {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -149,12 +149,28 @@
 		p.asked.killed = true
 	}
 	p.mu.Unlock()
+	if overdue && !asked.paused {
+		p.dumpGoroutines(exited)
+	}
 	if overdue {
 		return p.kill()
 	}
 	return nil
 }
 
+// dumpGoroutines makes a process that should have exited write its goroutines to the log file, and waits for its exit.
+func (p *process) dumpGoroutines(exited <-chan struct{}) {
+	p.mu.Lock()
+	p.asked.dumped = true
+	// It may have exited meanwhile.
+	_ = p.command.Process.Signal(syscall.SIGQUIT)
+	p.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(stopSlack):
+	}
+}
+
 // kill kills the process and waits for it to exit.
 func (p *process) kill() error {
 	if err := p.signal(syscall.SIGKILL); err != nil {
