test(soak): a request that the soak's link held back counts from when it can have been sent

A request that was sent before the refusal then arrives after the 800 ms that the check allows for.

Ruled out: signals of an upstream are kept when its entry goes, comes back or changes, and when settings are read again (internal/balance/signals.go), and are checked again before a request is sent.

Change: the first request of a connection that arrives at once when the link begins to forward counts as sent when the link accepted the connection; all others count as before. The finding names the requests and times, so that the next one can be compared with the box's lines.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -280,7 +280,7 @@
 		}
 	}
 	current.OnArrival(func(a standin.Arrival) {
-		a.Box = s.link.ownerAt(a.Remote)
+		a.Box, a.EarliestSend = s.link.nextRequest(a.Remote, a.At)
 		f.history.recordArrival(a)
 	})
 	if f.settings.Overload {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -65,15 +65,33 @@
 	separated []string
 	// stalled holds the boxes whose connections open and pass nothing on.
 	stalled []string
-	// ownersByAddress maps the local addresses of outbound connections to the boxes that opened the inbound ones.
-	ownersByAddress map[string]string
+	// origins maps the local addresses of outbound connections to the origins of the inbound ones.
+	origins map[string]origin
 }
 
-// ownerAt returns the box whose connection arrives at the target from an address, or "".
-func (l *link) ownerAt(address string) string {
+// origin tells which box opened a connection, and when the link accepted it and began to forward its data.
+type origin struct {
+	box                  string
+	accepted, forwarding time.Time
+	used                 bool
+}
+
+// nextRequest returns the origin of a request that arrives at the target from an address: the box that sent it, or "",
+// and the earliest time at which it can have done so. The first request of a connection may have waited for the link.
+func (l *link) nextRequest(address string, arrived time.Time) (box string, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ownersByAddress[address]
+	o, known := l.origins[address]
+	if !known {
+		return "", arrived
+	}
+	first := !o.used
+	o.used = true
+	l.origins[address] = o
+	if first && arrived.Sub(o.forwarding) <= timingSlack {
+		return o.box, o.accepted
+	}
+	return o.box, arrived
 }
 
 // separate resets the open and new connections of some boxes, until it is called again.
@@ -129,7 +147,7 @@
 	l := &link{
 		listener: listener, addr: listener.Addr().String(), target: target,
 		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}, owners: map[net.Conn]string{},
-		ownersByAddress: map[string]string{},
+		origins: map[string]origin{},
 	}
 	for _, option := range options {
 		option(l)
@@ -236,6 +254,7 @@
 
 func (l *link) serve(inbound net.Conn) {
 	defer l.forget(inbound)
+	accepted := time.Now()
 	if currentFault := l.currentFault(); currentFault == linkReset || currentFault.refuses() || !l.admit(inbound) {
 		reset(inbound)
 		return
@@ -250,7 +269,7 @@
 	l.mu.Lock()
 	l.conns[inbound], l.conns[outbound] = struct{}{}, struct{}{}
 	owner := l.owners[inbound]
-	l.ownersByAddress[outbound.LocalAddr().String()] = owner
+	l.origins[outbound.LocalAddr().String()] = origin{box: owner, accepted: accepted, forwarding: time.Now()}
 	l.mu.Unlock()
 	var directions sync.WaitGroup
 	directions.Go(func() { l.copyDirection(inbound, outbound, owner, true) })
@@ -266,7 +285,7 @@
 	delete(l.conns, c)
 	delete(l.stale, c)
 	delete(l.owners, c)
-	delete(l.ownersByAddress, c.LocalAddr().String())
+	delete(l.origins, c.LocalAddr().String())
 }
 
 // copyDirection forwards the bytes of one direction. A fault may hold bytes back; they are
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -83,3 +83,21 @@
 	assert.False(t, l.disturbed(start.Add(-time.Second), start), "a fault after it")
 	assert.False(t, l.disturbed(end, time.Now()), "a fault before it")
 }
+
+func TestLinkTellsWhenAHeldBackRequestCanHaveBeenSent(t *testing.T) {
+	accepted := time.Now()
+	forwarding := accepted.Add(time.Second)
+	l := &link{origins: map[string]origin{
+		"held": {box: "b", accepted: accepted, forwarding: forwarding},
+		"idle": {box: "b", accepted: accepted, forwarding: forwarding},
+	}}
+	assertSent := func(address string, arrived, want time.Time) {
+		t.Helper()
+		box, sent := l.nextRequest(address, arrived)
+		assert.Equal(t, "b", box)
+		assert.Equal(t, want, sent)
+	}
+	assertSent("held", forwarding, accepted)
+	assertSent("held", forwarding, forwarding)
+	assertSent("idle", forwarding.Add(time.Second), forwarding.Add(time.Second))
+}
--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -139,10 +139,11 @@
 	violations := []violation{}
 	for pair, list := range h.deliveries() {
 		for _, v := range list {
-			if count := h.sendsInBackoff(pair, list, v); count > maxSendsInBackoff {
+			if sent := h.sendsInBackoff(pair, list, v); len(sent) > maxSendsInBackoff {
 				violations = append(violations, violation{
 					"Retry-After is respected", v.RequestID,
-					fmt.Sprintf("%s sent %s %d requests in a backoff of %d ms", pair.box, pair.server, count, v.BackoffMs),
+					fmt.Sprintf("%s sent %s %d requests in a backoff of %d ms from %s: %s", pair.box, pair.server, len(sent),
+						v.BackoffMs, v.At.Format(timeOfDay), strings.Join(sent, ", ")),
 				})
 			}
 		}
@@ -155,26 +156,34 @@
 	return violations
 }
 
-// sendsInBackoff counts the requests that arrived during the backoff that a server requested in
-// its refusal. It returns 0 if the box or the server's link was disturbed meanwhile, or if the client left: the box
-// closes its connection then, and may not receive the refusal. So it does with a request that was held back on its way.
-func (h *history) sendsInBackoff(pair boxServer, list []delivery, refusal delivery) int {
+// earliestSend returns the earliest time at which the box can have sent a request.
+func (v delivery) earliestSend() time.Time {
+	if v.EarliestSend.IsZero() {
+		return v.At
+	}
+	return v.EarliestSend
+}
+
+// sendsInBackoff returns the requests that were sent and arrived during the backoff that a server requested in its
+// refusal, with the times of their arrival. It returns none if the box or the server's link was disturbed meanwhile, or
+// if the client left: the box closes its connection then, and may not receive the refusal. So it does with a request
+// that was held back on its way.
+func (h *history) sendsInBackoff(pair boxServer, list []delivery, refusal delivery) (sent []string) {
 	if cancelled(refusal.outcome) || strings.Contains(refusal.outcome.Err, context.DeadlineExceeded.Error()) {
-		return 0
+		return nil
 	}
 	from := refusal.At.Add(backoffGrace + timingSlack)
 	until := refusal.At.Add(time.Duration(refusal.BackoffMs) * time.Millisecond)
 	if !until.After(from) || !h.noDisturbance(pair, refusal.At, until) ||
 		h.separated(pair.box, refusal.outcome.Sent, refusal.At) {
-		return 0
+		return nil
 	}
-	count := 0
 	for _, v := range list {
-		if v.At.After(from) && v.At.Before(until) {
-			count++
+		if v.earliestSend().After(from) && v.At.Before(until) {
+			sent = append(sent, v.RequestID+" at "+v.At.Format(timeOfDay))
 		}
 	}
-	return count
+	return sent
 }
 
 // lateAfterSignal returns the id of a request that a client sent too late after the box had
--- a/internal/soak/response_signals_test.go
+++ b/internal/soak/response_signals_test.go
@@ -63,6 +63,13 @@
 		h.partitions = []*partitionOf{{boxes: []string{"b"}, interval: interval{from: time.Now()}}}
 		assert.Empty(t, h.check())
 	})
+	t.Run("does not count a request sent before the backoff that a link held back", func(t *testing.T) {
+		h := historyWithSignal(8, backoff)
+		h.arrivals[7].EarliestSend = h.arrivals[0].At
+		assert.Empty(t, h.check())
+		h.arrivals[7].EarliestSend = h.arrivals[7].At.Add(-100 * time.Millisecond)
+		assertFinds(t, h, guarantee)
+	})
 	t.Run("finds a request sent too late after a Server-Leaving answer", func(t *testing.T) {
 		assertFinds(t, historyWithSignal(13, drains), "no new work after a Server-Leaving answer")
 		assert.Empty(t, historyWithSignal(12, drains).check())
