test(soak): links ask the kernel for the owner of one connection, not for all sockets

Change: the link asks for the inode of the one socket by netlink (SOCK_DIAG_BY_FAMILY) and reads the boxes' descriptors as before.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -173,7 +173,7 @@
 		config:    standin.Config{Version: 1, Keys: map[string][]string{}},
 		evacuated: map[string]bool{},
 	}
-	f.owners = newOwners(f.connectionOwners)
+	f.owners = newOwners(f.socketOwners)
 	f.loads = newServerLoads(settings.Servers)
 	f.history.timed = settings.Timed
 	for i := range tenantCount {
--- a/internal/soak/owner_test.go
+++ b/internal/soak/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -27,8 +28,9 @@
 	require.NoError(t, err)
 	inbound, err := listener.Accept()
 	require.NoError(t, err)
-	inode := socketInodes()[endpointsOf(inbound)]
+	inode := endpointsOf(inbound).inode()
 	require.NotEmpty(t, inode)
+	assert.Equal(t, inode, socketInodes()[endpointsOf(inbound)])
 	raw, ok := conn.(*net.TCPConn)
 	require.True(t, ok)
 	file, err := raw.File()
@@ -59,9 +61,13 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = inbound.Close() })
 		dialer.LocalAddr = conn.LocalAddr()
-		inodes[socketInodes()[endpointsOf(inbound)]] = true
+		inode := endpointsOf(inbound).inode()
+		inodes[inode] = true
+		assert.Equal(t, inode, socketInodes()[endpointsOf(inbound)])
 	}
 	assert.Len(t, inodes, 2)
+	gone := endpoints{local: netip.MustParseAddrPort("127.0.0.1:1"), remote: netip.MustParseAddrPort("127.0.0.1:2")}
+	assert.Empty(t, gone.inode())
 }
 
 // reuseAddress lets connections to different addresses share a local port.
@@ -73,21 +79,20 @@
 	return errors.Join(err, optionErr)
 }
 
-// TestOwnersShareScans guards against links that hold back connections for a second because each looks for its owner.
-func TestOwnersShareScans(t *testing.T) {
+// TestLookupsShareScans guards against links that hold back connections for a second because each looks for its owner.
+func TestLookupsShareScans(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const connections = 100
 		scans, release := 0, make(chan struct{})
-		o := newOwners(func() map[endpoints]string {
+		o := newSharedScan(func() string {
 			scans++
 			<-release
-			return map[endpoints]string{{}: "box"}
+			return "box"
 		})
 		var waiting sync.WaitGroup
 		for range connections {
 			waiting.Go(func() {
-				conn, _ := net.Pipe()
-				assert.Equal(t, "box", o.boxOf(conn))
+				assert.Equal(t, "box", o.get())
 			})
 		}
 		synctest.Wait()
