--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/server"
 )
 
 // TestCallerConn guards against a broken response whose connection is closed in order on a real socket, where the
@@ -47,6 +49,31 @@
 	}
 }
 
+// TestDrainAcceptsConnectionsThatWait guards against callers whose new connections are reset when a box stops.
+func TestDrainAcceptsConnectionsThatWait(t *testing.T) {
+	const connections = 50
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := newCallerListener(
+		server.NewListener(inner, clock.New(), nil, nil), connections, exchange.NewMemory(1<<20), clock.New())
+	for range connections {
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = caller.Close() })
+	}
+	accepted := 0
+	accepting := sync.WaitGroup{}
+	accepting.Go(func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			accepted++
+			assert.NoError(t, conn.Close())
+		}
+	})
+	require.NoError(t, listener.drain(t.Context()))
+	accepting.Wait()
+	assert.Equal(t, connections, accepted)
+}
+
 // TestEvictedConnectionPassesNothingOn guards against a request that is sent to an upstream although its connection was
 // closed in favour of another one.
 func TestEvictedConnectionPassesNothingOn(t *testing.T) {
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"dooryard.example/dooryard/internal/clock"
 )
 
@@ -98,6 +100,32 @@
 	return nil
 }
 
+// acceptPollMs is how often a listener checks whether connections wait to be accepted.
+const acceptPollMs clock.Millis = 1
+
+// AwaitAccepted waits until no connection waits to be accepted, or the context ends. Close resets those that wait.
+func (l *Listener) AwaitAccepted(ctx context.Context) {
+	for hasWaiting(l.current()) && l.clock.Sleep(ctx, acceptPollMs) == nil {
+	}
+}
+
+// hasWaiting reports whether a connection waits to be accepted at a socket.
+func hasWaiting(socket net.Listener) bool {
+	withDescriptor, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	err = raw.Control(func(fd uintptr) {
+		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && waiting > 0
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.mu.Lock()
