fix(routing): match routes on the path as it was sent

What callers saw: POST /files/notices%2Fcounty-7 ran at the service of the route /files/notices/ instead of that of /files/, with that route's kind and its keys: without the caller's organisation, and as a request that may be repeated.

Cause: match used URL.Path, which net/url has unescaped, so that %2F counted as a separator. EscapedPath would not do: it escapes Path again, and so loses %2F, if the path has a character that a URL can't have, say a raw "é" (a case of the test).

Change: paths and prefixes are compared in a form in which only escapes that mean the same as their character are decoded (RFC 3986, 6.2.2); %2F, %25 and the other reserved characters that are allowed in a path stay. Dot segments and double slashes are compared as they are sent, as PROTOCOL.md says of prefixes. Ruled out: the path that is passed on and the fingerprint already were the bytes that were sent; a path with an invalid escape already got 400.

--- a/internal/pipe/match/match.go
+++ b/internal/pipe/match/match.go
@@ -11,6 +11,7 @@
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/internal/urlpath"
 )
 
 // noStateRetryMs is the Retry-After of requests refused for a missing or stale routing state,
@@ -42,7 +43,7 @@
 	if r.State.Version() < r.MinVersion {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.StaleState, noStateRetryMs, nil)
 	}
-	r.Route = r.State.Match(r.HTTP.Host, r.HTTP.URL.Path)
+	r.Route = r.State.Match(r.HTTP.Host, urlpath.Sent(r.HTTP.URL))
 	switch {
 	case r.Route == nil && p.mayBeStale():
 		// The route may be newer than the state, and another box may have it.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/urlpath"
 )
 
 // ErrInvalid is returned for an unusable state; the message names the field.
@@ -158,17 +159,23 @@
 type State struct {
 	content Content
 	version int64
-	hosts   map[string][]*Route
+	hosts   map[string][]prefixedRoute
 	pools   map[string]*Pool
 	keys    map[string]*Organisation
 	keyed   bool
 	limits  Limits
 }
 
+// prefixedRoute is a route and the normal form of its prefix.
+type prefixedRoute struct {
+	prefix string
+	route  *Route
+}
+
 // New validates the content and returns its State.
 func New(c Content) (*State, error) {
 	s := &State{
-		content: c, version: c.Version, hosts: map[string][]*Route{}, pools: map[string]*Pool{},
+		content: c, version: c.Version, hosts: map[string][]prefixedRoute{}, pools: map[string]*Pool{},
 		keys: map[string]*Organisation{}, keyed: len(c.Organisations) > 0, limits: c.Limits,
 	}
 	for i := range c.Pools {
@@ -179,11 +186,11 @@
 		if err := r.check(); err != nil {
 			return nil, err
 		}
-		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+		s.hosts[r.Host] = append(s.hosts[r.Host], prefixedRoute{urlpath.Normal(r.PathPrefix), r})
 	}
 	for _, routes := range s.hosts {
 		// Sorts by descending prefix length, so that the longest match is found first.
-		slices.SortFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+		slices.SortFunc(routes, func(a, b prefixedRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
@@ -209,15 +216,16 @@
 // Pool returns a pool by name, or nil if there is none.
 func (s *State) Pool(name string) *Pool { return s.pools[name] }
 
-// Match returns the route with the longest prefix that matches the path, or nil if there is
-// none.
+// Match returns the route with the longest prefix that matches the path, or nil if there is none. The path is that of
+// the request line, not unescaped.
 func (s *State) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	path = urlpath.Normal(path)
 	for _, r := range s.hosts[host] {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route
 		}
 	}
 	return nil
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -40,6 +40,15 @@
 		assert.Nil(t, s.Match("b.example", "/x/"))
 		assert.Nil(t, s.Match("a.example", "/x"))
 	})
+	t.Run("a prefix with escapes or characters that a URL can't have", func(t *testing.T) {
+		for prefix, path := range map[string]string{
+			"/a%2fb/": "/a%2Fb/x", "/%61 b/": "/a%20b/x", "/é/": "/%C3%A9/x", "/50%/": "/50%25/x",
+		} {
+			c := content(1)
+			c.Routes[0].PathPrefix = prefix
+			assert.NotNil(t, mustNew(t, c).Match("a.example", path), prefix)
+		}
+	})
 	t.Run("a key belongs to its organisation only", func(t *testing.T) {
 		assert.Equal(t, "one", s.Organisation("k2").Name)
 		assert.Nil(t, s.Organisation(""))
