fix(routing): a state that was never confirmed has no age

Cause: two parts. StateTracker.AgeMs counted from the start of the monotonic clock while nothing confirmed the state. And a confirmation that another box told, from before the start of this process, is a negative time on its clock, which operatorsMayRewrite took for one before the end of a restore that never was (resettledMs 0): it was dropped, so that the state stayed unconfirmed. Ruled out: the transport; summaries carry the age and the ping's time, and the boxes that kept running told the right age.

Change: the age is that of the last confirmation by the store, also if it is older than the process; without one it is UnknownAgeMs, which exceeds each bound. Ready, the authorisation of keys, the recheck before a send, 401/404 for what a state lacks and direct reads of the store use it. Requests that wait for a confirmation at the start wait on while the only one, of another box, is too old for keys, so that the store's still counts. Lines say -1 for no age. The gateway keeps no state on disk; a state from the store is confirmed by the read that brought it.

A box that starts while its domain is cut off, a neighbour still running: before, keys for 4 s whatever the age; after, until max_age_ms after the domain's last confirmation; public routes before and after. Where all boxes of the domain have started anew there is no state: 503 for all, before and after. Unknown keys and routes of a state that was never confirmed: 401 or 404 in the first second before, 503 after. Without max_age_ms known keys are served as before.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -101,8 +101,8 @@
 	// synced is closed once the box has a routing state and a list of upstreams.
 	synced     chan struct{}
 	syncedOnce sync.Once
-	// confirmed is closed once the routing state was confirmed. A source adopts a state before it confirms it, and a
-	// request that is served in between is refused.
+	// confirmed is closed once the routing state has a confirmation by which keys are accepted. A source adopts a state
+	// before it confirms it, and a request that is served in between is refused.
 	confirmed     chan struct{}
 	confirmedOnce sync.Once
 	// notesRead is closed once the box has tried to read the notes, or knows that there are none.
@@ -263,7 +263,15 @@
 
 func (b *Box) maxAgeMs() clock.Millis { return clock.Millis(b.settings.Load().Freshness.MaxAgeMs) }
 
-// stateMayBeOutdated reports whether the routing state was last confirmed so long ago that the box may have missed
+// loggedAgeMs returns the age of the routing state for lines, -1 if it is unknown.
+func (b *Box) loggedAgeMs() clock.Millis {
+	if age := b.routingState.AgeMs(); age != routing.UnknownAgeMs {
+		return age
+	}
+	return -1
+}
+
+// stateMayBeOutdated reports whether the routing state was never confirmed, or so long ago that the box may have missed
 // a newer version. The box must then not respond with 401 or 404 because of a key or route that it does not know:
 // callers treat these as final and would not retry (TestFreshness).
 func (b *Box) stateMayBeOutdated() bool {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -91,6 +91,14 @@
 // advanceMonotonic advances the boxes' monotonic clock, but not the timers that wait on the fake clock.
 func (f *fleet) advanceMonotonic(span clock.Millis) { f.monotonicOffsetMs.Add(int64(span)) }
 
+// restartMonotonic gives boxes that start later a monotonic clock that starts now, as that of a new process.
+func (f *fleet) restartMonotonic() {
+	before, startedMs := f.clock, f.clock.Monotonic()-clock.Second
+	f.clock = clock.New(
+		clock.WithMonotonic(func() clock.Millis { return before.Monotonic() - startedMs }), clock.WithNow(before.Now),
+	)
+}
+
 // stepWallClock steps the boxes' wall clock.
 func (f *fleet) stepWallClock(span clock.Millis) { f.wallOffsetMs.Add(int64(span)) }
 
--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -84,7 +84,7 @@
 // refreshedSince reports whether the routing state was confirmed since an instant and, on a box that reads the store
 // for others, whether the store was read since then.
 func (b *Box) refreshedSince(atMs clock.Millis) bool {
-	if b.routingState.ConfirmedMs() < atMs {
+	if c, ok := b.routingState.Confirmed(); !ok || c.AtMs < atMs {
 		return false
 	}
 	return !b.peering.mesh.IsStoreReader() || b.sink.readSince(atMs)
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// confirm records a confirmation of the routing state.
+// confirm records a confirmation of the routing state. Requests that wait for one at the start wait on if it is too old
+// to accept keys, since the store may still give a newer one.
 func (b *Box) confirm(c routing.Confirmation) {
 	b.routingState.Confirm(c)
-	if _, ok := b.routingState.Confirmed(); ok {
+	if _, ok := b.routingState.Confirmed(); ok && b.keysTrusted() {
 		b.confirmedOnce.Do(func() { close(b.confirmed) })
 	}
 }
@@ -65,9 +66,11 @@
 // Ready reports whether the box accepts new callers: it has a list of upstreams and a routing state whose keys it may
 // trust, and it is not shutting down.
 func (b *Box) Ready() bool {
-	if b.stopping.Load() || !b.isSynced() {
-		return false
-	}
+	return !b.stopping.Load() && b.isSynced() && b.keysTrusted()
+}
+
+// keysTrusted reports whether the routing state was confirmed recently enough to accept its keys.
+func (b *Box) keysTrusted() bool {
 	bound := b.maxAgeMs()
 	return bound == 0 || b.routingState.AgeMs() < bound
 }
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -66,10 +67,58 @@
 	runWithFleet(t, func(f *fleet) {
 		f.upstream("u", respondWith("done"))
 		f.store.setConfirmDelay(50)
-		// The monotonic clock starts near zero, which counts as the time of the last confirmation.
 		advance(f.t, 2*maxAgeMs*time.Millisecond)
 		status, body, err := f.box(1).get("/safe/")
 		require.NoError(f.t, err)
 		assert.Equal(f.t, http.StatusOK, status, body)
 	})
 }
+
+// TestStartCutOff guards against revoked keys that a box accepts because it has just started, where nobody has reached
+// the store lately.
+func TestStartCutOff(t *testing.T) {
+	startsAfter := func(f *fleet, cutOff time.Duration, unreachable ...string) (old, started *running) {
+		f.upstream("u", respondWith("done"))
+		old = f.box(1)
+		advance(f.t, time.Second)
+		for _, name := range unreachable {
+			f.store.setUnavailable(name, true)
+		}
+		advance(f.t, cutOff)
+		f.restartMonotonic()
+		return old, f.box(2, withContact(old))
+	}
+	t.Run("a state from another box is as old as it is there", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			old, started := startsAfter(f, 3*time.Second, "box-1", "box-2")
+			advance(f.t, time.Second)
+			assertStatus(f.t, started, "/safe/", http.StatusOK)
+			assert.InDelta(f.t, float64(old.stateSummary().AgeMs), float64(started.stateSummary().AgeMs), 20)
+			advance(f.t, 1500*time.Millisecond)
+			for _, b := range []*running{old, started} {
+				assertStatus(f.t, b, "/safe/", http.StatusServiceUnavailable)
+				assertStatus(f.t, b, "/public/", http.StatusOK)
+				assert.False(f.t, b.Ready())
+			}
+		})
+	})
+	t.Run("a state that was never confirmed has no age", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.store.setConfirmDelay(30 * clock.Second)
+			f.upstream("u", respondWith("done"))
+			b := f.box(1)
+			assertRefused(f.t, b, call{path: "/safe/", key: key}, http.StatusServiceUnavailable)
+			assertRefused(f.t, b, call{path: "/newer/", key: key}, http.StatusServiceUnavailable)
+			assertStatus(f.t, b, "/public/", http.StatusOK)
+			assert.False(f.t, b.Ready())
+			assert.EqualValues(f.t, -1, b.loggedAgeMs())
+		})
+	})
+	t.Run("requests wait for the store where another box's confirmation is too old", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.store.setConfirmDelay(50)
+			_, started := startsAfter(f, 2*maxAgeMs*time.Millisecond, "box-1")
+			assertStatus(f.t, started, "/safe/", http.StatusOK)
+		})
+	})
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -106,3 +106,12 @@
 		assert.Equal(t, clock.Millis(100), b.AgeMs())
 	})
 }
+
+// TestAgeAtStart guards against an age that counts from the start of the process.
+func TestAgeAtStart(t *testing.T) {
+	b := NewStateTracker(func() clock.Millis { return 1000 })
+	b.Adopt(mustNew(t, content(7)), 0)
+	assert.Equal(t, UnknownAgeMs, b.AgeMs())
+	b.Confirm(Confirmation{Version: 7, AtMs: -3000})
+	assert.Equal(t, clock.Millis(4000), b.AgeMs(), "as another box told it")
+}
--- a/internal/routing/state_tracker.go
+++ b/internal/routing/state_tracker.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -11,13 +12,17 @@
 // write again what they had written since the copy was made.
 const resettleMs clock.Millis = 2300
 
+// UnknownAgeMs is the age of a state that was never confirmed. It exceeds every bound.
+const UnknownAgeMs clock.Millis = math.MaxInt64
+
 // Confirmation states that nothing newer than a version existed at a point in time.
 type Confirmation struct {
 	Version int64
 	// Era is the store's era at the time of its answer. A store restored from an older copy
 	// does not know what was written since.
 	Era int64
-	// AtMs is a time on the monotonic clock of the box that holds the confirmation.
+	// AtMs is a time on the monotonic clock of the box that holds the confirmation. It is negative if it is from before
+	// that clock's start, as in a box that has just started and was told of it by another one.
 	AtMs clock.Millis
 }
 
@@ -36,8 +41,9 @@
 	newestEra int64
 	eraKnown  bool
 	// resettledMs is the monotonic time by which operators are expected to have written again
-	// what a restored store lost.
+	// what a restored store lost. It is valid only if restored is set.
 	resettledMs clock.Millis
+	restored    bool
 }
 
 // adopted is a state with the newest era in which the store reported it.
@@ -100,7 +106,7 @@
 	before, restored = t.newestEra, t.eraKnown
 	t.newestEra, t.eraKnown = era, true
 	if restored {
-		t.resettledMs = t.monotonic() + resettleMs
+		t.resettledMs, t.restored = t.monotonic()+resettleMs, true
 	}
 	return before, restored
 }
@@ -110,7 +116,7 @@
 func (t *StateTracker) operatorsMayRewrite(era int64, atMs clock.Millis) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return era >= t.newestEra && atMs < t.resettledMs
+	return t.restored && era >= t.newestEra && atMs < t.resettledMs
 }
 
 // Confirm records a confirmation. A confirmation of a version lower than the current one
@@ -143,11 +149,10 @@
 	return Confirmation{}, false
 }
 
-// ConfirmedMs returns the monotonic time of the newest confirmation, or 0 if there is none.
-func (t *StateTracker) ConfirmedMs() clock.Millis {
-	p, _ := t.Confirmed()
-	return p.AtMs
+// AgeMs returns the time since the current state was last confirmed to be the newest, or UnknownAgeMs if it never was.
+func (t *StateTracker) AgeMs() clock.Millis {
+	if p, ok := t.Confirmed(); ok {
+		return t.monotonic() - p.AtMs
+	}
+	return UnknownAgeMs
 }
-
-// AgeMs returns the time since the current state was last confirmed to be the newest.
-func (t *StateTracker) AgeMs() clock.Millis { return t.monotonic() - t.ConfirmedMs() }
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -67,8 +67,8 @@
 
 // Freshness bounds how long a routing state is trusted.
 type Freshness struct {
-	// MaxAgeMs is the maximum age of the last confirmation of the state by which keys are
-	// accepted. 0 means no limit, so that callers are served while the store does not respond:
+	// MaxAgeMs is the maximum age of the last confirmation of the state by which keys are accepted. A state that was
+	// never confirmed exceeds it. 0 means no limit, so that callers are served while the store does not respond:
 	// on days with 8 s of such silence 0.840 of the value is earned, against 0.755 with a limit
 	// of 5 s (means of three paired days, standard error 0.005).
 	MaxAgeMs int64 `yaml:"max_age_ms"`
