fix(router): pass paths of service calls on as they were sent

What callers saw: a service got /a/b for a call of /a%2Fb, and its rule of what may be repeated was applied to that path too, so that a call which may not be repeated could be sent again. Calls with dot segments or double slashes got 307 to another path, with its escapes escaped once more (/%252e%252e/b for /%2e%2e/./b).

Cause: the router took the path from ServeMux, which cleans and unescapes it, and wrote it anew for the server. net/url also escapes a path again that has a character which a URL can't have, and drops "?" without a query and "#".

Change: service calls don't pass through ServeMux; the path and query go on as they are, to the server and to boxes of other failure domains. Rules are compared in the form of routes. A path with dot segments, also behind %2F, is never repeatable, since the server may resolve them. "/services/NAME" without the last slash is redirected as before.

Evidence: TestPaths failed before for all 11 paths, at a server of the same and of another failure domain; an invalid escape got 400 before, too. TestIsRepeatable failed for the three paths with dot segments, which were repeatable. go test of localfleet, box, table, standin, claim, exchange, pipe/..., urlpath and cmd/... passed.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -201,7 +201,7 @@
 		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
 	})
 	peersHandler := http.NewServeMux()
-	b.callers.PeerRoutes(peersHandler)
+	fromPeers := b.callers.PeerRoutes(peersHandler)
 	peers.Routes(peersHandler, peers.Dependencies{
 		Store: b.store, Claim: b.claims.ClaimLocal, Submit: b.claims.SubmitLocal,
 	})
@@ -215,7 +215,7 @@
 		target   **server.Server
 	}{
 		{"callers", b.settings.Callers, b.callers, &b.servers.callers},
-		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, peersHandler), &b.servers.peers},
+		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, fromPeers), &b.servers.peers},
 		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
 	}
 	for _, o := range opened {
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/url"
+	"strings"
 
 	"github.com/oklog/ulid/v2"
 	"go.opentelemetry.io/otel/propagation"
@@ -15,6 +17,7 @@
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/pipe/identify"
 	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/urlpath"
 )
 
 // Handler serves the HTTP API for callers.
@@ -43,7 +46,7 @@
 func New(d Dependencies) *Handler {
 	h := &Handler{serve: d.Serve, state: d.State, ready: d.Ready, tracer: d.Tracer, now: d.Now, mux: http.NewServeMux()}
 	h.mux.HandleFunc("POST /v1/chat/completions", h.proxy(exchange.Chat, false))
-	h.mux.HandleFunc("/services/{service}/{path...}", h.proxy(exchange.Service, false))
+	h.mux.HandleFunc(servicePattern, notFound)
 	h.mux.HandleFunc("GET /v1/models", h.models)
 	h.mux.HandleFunc("GET /healthz", h.health)
 	h.mux.HandleFunc("GET /readyz", h.readiness)
@@ -51,14 +54,42 @@
 	return h
 }
 
-// PeerRoutes registers the endpoints that other boxes use to forward requests to this one.
-func (h *Handler) PeerRoutes(mux *http.ServeMux) {
+// servicePattern lets a mux redirect requests for "/services/NAME" to "/services/NAME/".
+const servicePattern = "/services/{service}/"
+
+// PeerRoutes registers the endpoints that other boxes use to forward requests to this one, and returns the handler of
+// all requests from other boxes.
+func (h *Handler) PeerRoutes(mux *http.ServeMux) http.Handler {
 	mux.HandleFunc("POST /v1/chat/completions", h.proxy(exchange.Chat, true))
-	mux.HandleFunc("/services/{service}/{path...}", h.proxy(exchange.Service, true))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.serveFrom(w, r, mux, true) })
 }
 
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serveFrom(w, r, h.mux, false) }
+
+// serveFrom serves service calls itself and passes other requests to the mux, which would redirect paths with dot
+// segments or double slashes and unescape the rest.
+func (h *Handler) serveFrom(w http.ResponseWriter, r *http.Request, mux *http.ServeMux, fromPeer bool) {
+	service, path, isCall := cutService(urlpath.Sent(r.URL))
+	if !isCall {
+		mux.ServeHTTP(w, r)
+		return
+	}
+	r.SetPathValue(identify.PathService, service)
+	r.SetPathValue(identify.PathRest, path)
+	h.proxy(exchange.Service, fromPeer)(w, r)
+}
+
+// cutService splits the path of a service call into the name of the service and the path at the service, as sent.
+func cutService(sent string) (service, path string, isCall bool) {
+	first, rest, _ := strings.Cut(strings.TrimPrefix(sent, "/"), "/")
+	at := strings.IndexByte(rest, '/')
+	if urlpath.Normal(first) != "services" || at < 0 {
+		return "", "", false
+	}
+	service, err := url.PathUnescape(rest[:at])
+	return service, rest[at:], err == nil
+}
 
 func (h *Handler) proxy(kind exchange.Kind, fromPeer bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,7 +76,8 @@
 	Session      string
 	Key          route.Key
 	// Target is the model of a chat or the name of a service.
-	Target   string
+	Target string
+	// Path is the path at the upstream as the caller sent it.
 	Path     string
 	Body     []byte
 	Streamed bool
--- a/internal/localfleet/edges_test.go
+++ b/internal/localfleet/edges_test.go
@@ -1,6 +1,7 @@
 package localfleet_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/load"
 	"dooryard.example/dooryard/internal/localfleet"
 	"dooryard.example/dooryard/internal/standin"
@@ -221,3 +223,45 @@
 		}, func(p *localfleet.Config) { p.Performance.Slots = 2 })
 	})
 }
+
+// call sends a call to the plain service with the path and query as they are.
+func (tf *testFleet) call(method, target, idempotencyKey string) *http.Response {
+	tf.t.Helper()
+	request, err := http.NewRequestWithContext(tf.t.Context(), method, tf.url(0), nil)
+	require.NoError(tf.t, err)
+	request.URL.Opaque = "/services/" + localfleet.ServiceName + target
+	request.Header.Set("Authorization", "Bearer "+localfleet.CallerKey("choir"))
+	request.Header.Set(exchange.HeaderIdempotencyKey, idempotencyKey)
+	response, err := tf.Client().Do(request)
+	require.NoError(tf.t, err)
+	tf.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// TestPaths guards against a service call that runs with another path than the caller's.
+func TestPaths(t *testing.T) {
+	test := func(path string, server int) {
+		t.Run(fmt.Sprint(path, " at server ", server), func(t *testing.T) {
+			run(t, func(tf *testFleet) {
+				tf.wait(5000)
+				box := tf.Boxes()[0].Name
+				tf.network.SetRefusal(func(from, to string) bool { return from == box && to == tf.Services()[1-server].Name })
+				var reply standin.ServiceReply
+				require.NoError(tf.t, json.NewDecoder(tf.call(http.MethodGet, path, "").Body).Decode(&reply))
+				assert.Equal(tf.t, tf.Services()[server].Name, reply.Server)
+				assert.Equal(tf.t, path, strings.TrimPrefix(reply.Target, "http://"+tf.Services()[server].Address))
+			}, withDomains("north", "south"))
+		})
+	}
+	for _, path := range []string{
+		"/a%2Fb", "/a%2fb?x=%2F", "/%61!%21", "/a//b", "//a", "/a/../b", "/%2e%2e/./b", "/a%2Fé", "//a%2Fé#", "/?", "/a#b?c#d",
+	} {
+		test(path, 0)
+		test(path, 1)
+	}
+	t.Run("an invalid escape gets 400", func(t *testing.T) {
+		run(t, func(tf *testFleet) {
+			assert.Equal(tf.t, http.StatusBadRequest, tf.call(http.MethodGet, "/a%2", "").StatusCode)
+		})
+	})
+}
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -17,6 +17,7 @@
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/transport"
+	"dooryard.example/dooryard/internal/urlpath"
 )
 
 // maxResponseBytes limits the size of a response that is not streamed. Such a response is buffered
@@ -67,15 +68,15 @@
 // request builds the request to the upstream. Its body can be read only once, so that the HTTP
 // client never resends the request on its own.
 func (p *Pipe) request(ctx context.Context, x *exchange.Exchange, lease *pool.Lease) (*http.Request, error) {
-	target := url.URL{Scheme: lease.Scheme, Host: lease.Row.Address, Path: x.Path, RawQuery: x.Request.URL.RawQuery}
-	if lease.AddPeerHeaders != nil {
-		target.Path = x.Request.URL.Path
-	}
 	body := &onceReader{bytes.NewReader(x.Body)}
-	request, err := http.NewRequestWithContext(ctx, x.Request.Method, target.String(), body)
+	request, err := http.NewRequestWithContext(ctx, x.Request.Method, "http://"+lease.Row.Address, body)
 	if err != nil {
 		return nil, fmt.Errorf("upstream request: %w", err)
 	}
+	request.URL, err = upstreamURL(x, lease)
+	if err != nil {
+		return nil, err
+	}
 	request.ContentLength = int64(len(x.Body))
 	if len(x.Body) == 0 {
 		withoutBody(request)
@@ -88,6 +89,31 @@
 	return request, nil
 }
 
+// upstreamURL returns the URL whose path and query the HTTP client sends as the caller sent them.
+func upstreamURL(x *exchange.Exchange, lease *pool.Lease) (*url.URL, error) {
+	sent := x.Path
+	if lease.AddPeerHeaders != nil {
+		sent = urlpath.Sent(x.Request.URL)
+	}
+	path, err := url.PathUnescape(sent)
+	if err != nil {
+		return nil, fmt.Errorf("upstream request: path: %w", err)
+	}
+	target := &url.URL{
+		Scheme: lease.Scheme, Host: lease.Row.Address, Path: path, RawPath: sent,
+		RawQuery: x.Request.URL.RawQuery, ForceQuery: x.Request.URL.ForceQuery,
+	}
+	if target.EscapedPath() != sent {
+		// The client would escape a path with characters that are not allowed in a URL. It sends Opaque as it is, but
+		// takes what follows two slashes for a host.
+		target.Opaque = sent
+		if strings.HasPrefix(sent, "//") {
+			target.Opaque = "//" + target.Host + sent
+		}
+	}
+	return target, nil
+}
+
 // withoutBody marks a request as having no body, and prevents the HTTP client from resending it. The client resends
 // requests of some methods with http.NoBody when a reused connection breaks.
 func withoutBody(request *http.Request) {
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -20,6 +20,7 @@
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/urlpath"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -175,7 +176,7 @@
 		return apierror.New(http.StatusNotFound, "model_not_found", "model: unknown", apierror.WithParam("model"))
 	}
 	x.Target = chat.Model
-	x.Path = x.Request.URL.Path
+	x.Path = urlpath.Sent(x.Request.URL)
 	x.Streamed = chat.Stream
 	x.FirstTurn = chat.IsFirstTurn()
 	x.Repeatable = x.Request.Header.Get(exchange.HeaderIdempotencyKey) == ""
@@ -197,14 +198,22 @@
 	return hex.EncodeToString(digest[:])
 }
 
+// Names of the path values of a request to a service.
+const (
+	// PathService is the name of the service.
+	PathService = "service"
+	// PathRest is the path at the service as the caller sent it.
+	PathRest = "path"
+)
+
 func readService(x *exchange.Exchange) error {
-	name := x.Request.PathValue("service")
+	name := x.Request.PathValue(PathService)
 	service := x.State.Service(name)
 	if service == nil {
 		return apierror.New(http.StatusNotFound, "service_not_found", "service: unknown", apierror.WithParam("service"))
 	}
 	x.Target = name
-	x.Path = "/" + x.Request.PathValue("path")
+	x.Path = x.Request.PathValue(PathRest)
 	x.Repeatable = service.IsRepeatable(x.Request.Method, x.Path)
 	x.Session = x.Request.Header.Get(exchange.HeaderSession)
 	if x.Session == "" {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -83,6 +83,8 @@
 	Server string `json:"server"`
 	Method string `json:"method"`
 	Path   string `json:"path"`
+	// Target is the path and query as they were received.
+	Target string `json:"target"`
 	Key    string `json:"key,omitempty"`
 	Body   string `json:"body,omitempty"`
 	Run    int    `json:"run"`
@@ -114,7 +116,8 @@
 		return
 	}
 	jsonhttp.Write(w, ServiceReply{
-		Server: s.name, Method: r.Method, Path: r.URL.Path, Key: key, Body: string(body), Run: s.ledger.Runs(key),
+		Server: s.name, Method: r.Method, Path: r.URL.Path, Target: r.RequestURI, Key: key,
+		Body: string(body), Run: s.ledger.Runs(key),
 	})
 }
 
--- a/internal/table/rows.go
+++ b/internal/table/rows.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/urlpath"
 )
 
 // Values of the columns "kind" and "state" of the upstreams sheet.
@@ -73,11 +74,16 @@
 	Prefix string
 }
 
-// IsRepeatable reports whether a request to the service may safely run more than
-// once.
+// IsRepeatable reports whether a request to the service with this path, as sent, may
+// safely run more than once. With dot segments it may not, since the server may
+// resolve them to another path.
 func (s *Service) IsRepeatable(method, path string) bool {
+	if urlpath.HasDotSegments(path) {
+		return false
+	}
+	path = urlpath.Normal(path)
 	return slices.ContainsFunc(s.RepeatableRules, func(r Rule) bool {
-		return (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, r.Prefix)
+		return (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, urlpath.Normal(r.Prefix))
 	})
 }
 
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -230,3 +230,14 @@
 		require.NoError(t, err)
 	})
 }
+
+// TestIsRepeatable guards against a call that is sent again because of another path's rule.
+func TestIsRepeatable(t *testing.T) {
+	s := &table.Service{RepeatableRules: []table.Rule{{Method: "POST", Prefix: "/search/é/"}}}
+	for path, want := range map[string]bool{
+		"/search/%C3%A9/x": true, "/s%65arch/é/a%2Fb": true, "/search/é%2Fx": false, "/search%2fé/x": false,
+		"/search/é/../charge": false, "/search/é/%2E%2e/charge": false, "/search/é/..%2Fcharge": false,
+	} {
+		assert.Equal(t, want, s.IsRepeatable("POST", path), path)
+	}
+}
--- a/internal/urlpath/urlpath.go
+++ b/internal/urlpath/urlpath.go
@@ -39,6 +39,18 @@
 	return string(normal)
 }
 
+// HasDotSegments reports whether a path as sent has the segment "." or "..", also for a server that takes "%2F" for a
+// separator. A path with an invalid escape counts as one that has.
+func HasDotSegments(path string) bool {
+	path, err := url.PathUnescape(path)
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return err != nil
+}
+
 const (
 	escapeBytes = len("%2F")
 	upperHex    = "0123456789ABCDEF"
