fix(claim): a key's digest covers the path and the query as they were sent

What callers saw: a call that may not be repeated got the recorded answer of another call and did not run, if it reused the Idempotency-Key with another query, or with a path that differs only in escapes (/a%2Fb and /a/b). It should get 422 (key_reused).

Cause: the digest of a claim was that of the method, the unescaped path and the body.

Change: the digest takes the target of the request line. That of a target without query and escapes is the same as before. While boxes of both releases run, and for the hour for which a key is remembered, a repeat of a call with a query or escapes that the other release recorded gets 422; it does not run a second time.

Evidence: TestReusedKeys failed before for /a%2Fb and /a/b?x=1 (200 in place of 422). go test of localfleet, box, claim and pipe/... passed.

--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -104,9 +104,9 @@
 	return shortHash([]byte(organisation), []byte(idempotencyKey))
 }
 
-// NewDigest returns the digest of a request's content.
-func NewDigest(method, path string, body []byte) string {
-	return shortHash([]byte(method), []byte(path), body)
+// NewDigest returns the digest of a request's content. The target is the path and query as sent.
+func NewDigest(method, target string, body []byte) string {
+	return shortHash([]byte(method), []byte(target), body)
 }
 
 func shortHash(parts ...[]byte) string {
--- a/internal/localfleet/edges_test.go
+++ b/internal/localfleet/edges_test.go
@@ -265,3 +265,17 @@
 		})
 	})
 }
+
+// TestReusedKeys guards against a call that gets the answer of another call with the same key and does not run.
+func TestReusedKeys(t *testing.T) {
+	for _, target := range []string{"/a%2Fb", "/a/b?x=1", "/a/./b"} {
+		t.Run(target, func(t *testing.T) {
+			run(t, func(tf *testFleet) {
+				assert.Equal(tf.t, http.StatusOK, tf.call(http.MethodPost, "/a/b", "k").StatusCode)
+				assert.Equal(tf.t, http.StatusUnprocessableEntity, tf.call(http.MethodPost, target, "k").StatusCode)
+				assert.Equal(tf.t, http.StatusOK, tf.call(http.MethodPost, "/a/b", "k").StatusCode)
+				assert.Equal(tf.t, 1, tf.Ledger.Runs("k"))
+			})
+		})
+	}
+}
--- a/internal/pipe/claim/claim.go
+++ b/internal/pipe/claim/claim.go
@@ -67,7 +67,7 @@
 		Type:   claim.TypeClaim,
 		Key:    claim.NewKey(x.Organisation.Name, x.IdempotencyKey),
 		Owner:  x.ID,
-		Digest: claim.NewDigest(x.Request.Method, x.Request.URL.Path, x.Body),
+		Digest: claim.NewDigest(x.Request.Method, x.Request.RequestURI, x.Body),
 	}
 	start := p.now()
 	ctx, cancel := context.WithTimeout(x.Context(), clock.Millis(p.settings.TimeoutMs).Duration())
