fix(dispatch): a response that ends with its connection is whole only if its upstream outlived it

Cause: mayHaveCrashed left draining upstreams out, since they may end right after their last response. It also took a probe that got no response, and a process that had replaced the upstream at its address, for proof that the response was whole. Ruled out: a mark in the protocol. It has no end marker and no digest of the body, and X-Response-Seal is opaque. A second connection that watches the process during the response would be closed by a server that drains and takes one of its maxConns. A health check waits for a slot. Change: one rule, whatever the entry says of the upstream: the response is whole if, after its end, the upstream's address accepts a connection and no other incarnation has appeared there since the request was sent. Else the end is unknown: repeatable requests and resumable streams go on elsewhere, others break off or get 502. From a draining upstream an unknown end is still no evidence of a crash. A response to HEAD has no body to check. A response from another box is always framed. dooryard-router takes an upstream that doesn't accept connections for one that may have crashed, not only one that refuses them. Cost: the last responses without a length of a server that ends in order right after them break off or are sent again, as for servers that don't drain. Not known to the box is a replacement at the same address whose entry it has not read when it reads the end of the response.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -147,7 +147,7 @@
 	b.pools = pool.New(poolSettings, b.settings.FailureDomain, b.settings.Box, b.clock.Now)
 	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Now)
 	steps.Forward = forward.New(forward.Dependencies{
-		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report, HasCrashed: b.hasCrashed,
+		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report, MayHaveCrashed: b.mayHaveCrashed,
 		Metrics: b.metrics, Tracer: b.tracer, Logger: b.logger, Clock: b.clock,
 	})
 	b.admit = steps.Admit
@@ -163,8 +163,8 @@
 	return nil
 }
 
-// hasCrashed reports whether the host of an upstream refuses connections.
-func (b *Box) hasCrashed(ctx context.Context, address string) bool {
+// mayHaveCrashed reports whether an upstream accepts no connections.
+func (b *Box) mayHaveCrashed(ctx context.Context, address string) bool {
 	dial := b.dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -174,7 +174,7 @@
 		// Nothing was sent on it.
 		_ = conn.Close()
 	}
-	return found == upstream.Dead
+	return found != upstream.Alive
 }
 
 // deferredTransport is set after the pipeline steps have applied the defaults from which the
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -4,15 +4,16 @@
 	"context"
 
 	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/upstream"
 )
 
-// mayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order, as the
-// kernel does for a process that is gone. Its host refuses new connections then. So do the hosts of all upstreams
-// while this box is partitioned from them; that the response was whole is not known then either. An upstream that is
-// draining may end at any time once it has sent its last response, so a refusal proves nothing about it.
-func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease) bool {
-	return !lease.IsDraining() && lease.Client().ProbeLiveness(ctx) == upstream.Dead
+// mayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order, as the kernel does
+// for a process that is gone. It has not if its address accepts connections and no other incarnation has appeared there
+// since the request was sent. A failed probe may also mean that the process ended after its last response, or that this
+// box is partitioned from it: that the response was whole is not known then either.
+func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool {
+	return lease.Client().ProbeLiveness(ctx) != upstream.Alive || b.registry.AddressReused(lease.Identity(), sentMs)
 }
 
 // probeCrash determines whether an upstream's process is running, and whether it has crashed. A crash shows if its host
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -32,6 +32,8 @@
 type unframedServer struct {
 	listener net.Listener
 	arrivals atomic.Int32
+	// beforeEnd is called before the end of the first response of the fleet.
+	beforeEnd func()
 }
 
 // unframed starts an upstream that answers the first request of the fleet with this body and ending, and all others
@@ -40,19 +42,19 @@
 	f.t.Helper()
 	listener, err := f.network.Host(id).Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
-	u := &unframedServer{listener: listener}
+	u := &unframedServer{listener: listener, beforeEnd: func() {}}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
 		u.arrivals.Add(1)
 		conn, _, err := http.NewResponseController(w).Hijack()
 		assert.NoError(f.t, err)
-		part, how := whole, closed
+		part, how, beforeEnd := whole, closed, func() {}
 		if !answered.Swap(true) {
-			part, how = body, end
+			part, how, beforeEnd = body, end, u.beforeEnd
 		}
 		if resumeAfter := r.Header.Get("Last-Event-Id"); resumeAfter != "" {
 			_, part, _ = strings.Cut(part, "data: "+resumeAfter+"\n\n")
 		}
-		u.respond(conn, r.Header.Get("X-Id"), contentType, part, how)
+		u.respond(conn, r.Header.Get("X-Id"), contentType, part, beforeEnd, how)
 	})}
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
@@ -60,8 +62,9 @@
 	return u
 }
 
-func (u *unframedServer) respond(conn net.Conn, request, contentType, body string, end ending) {
+func (u *unframedServer) respond(conn net.Conn, request, contentType, body string, beforeEnd func(), end ending) {
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request+"\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+	beforeEnd()
 	switch end {
 	case reset:
 		upstream.ResetOnClose(conn)
@@ -133,6 +136,63 @@
 	}
 }
 
+// TestUnframedResponsesOfLeavingUpstreams guards against a broken response that passes for whole because its upstream
+// was leaving or replaced, and against a whole one that is withheld because its upstream was leaving.
+func TestUnframedResponsesOfLeavingUpstreams(t *testing.T) {
+	const plain, events, threeEvents = "text/plain", "text/event-stream", "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+	drain := func(f *fleet, u registry.Upstream) { u.Draining = true; f.store.put(u) }
+	vanish := func(f *fleet, u registry.Upstream) { f.store.remove(u.ID) }
+	restart := func(f *fleet, u registry.Upstream) { u.StartedMs++; f.store.put(u) }
+	readdress := func(f *fleet, u registry.Upstream) { u.ID = "u3"; f.store.put(u) }
+	silence := func(f *fleet, u registry.Upstream) {
+		f.network.SetBlackhole(func(from, to string) bool { return from == "box-1" && to == u.ID })
+	}
+	for _, leaving := range []struct {
+		name  string
+		leave func(f *fleet, u registry.Upstream)
+		end   ending
+		whole bool
+	}{
+		{"draining and alive", drain, closed, true},
+		{"draining, and crashes", drain, crashed, false},
+		{"gone from the store and alive", vanish, closed, true},
+		{"gone from the store, and crashes", vanish, crashed, false},
+		{"restarted under its id", restart, closed, false},
+		{"replaced at its address", readdress, closed, false},
+		{"silent to new connections", silence, closed, false},
+	} {
+		for _, c := range []struct{ path, contentType, part, whole string }{
+			{"/stream/", events, threeEvents, fiveEvents},
+			{"/resumable/", events, threeEvents, fiveEvents},
+			{"/safe/", plain, "do", "done"},
+			{"/unsafe2/", plain, "do", "done"},
+		} {
+			t.Run(c.path+" of an upstream that is "+leaving.name, func(t *testing.T) {
+				runWithFleet(t, func(f *fleet) {
+					body := c.part
+					if leaving.whole {
+						body = c.whole
+					}
+					var answered atomic.Bool
+					for _, id := range []string{"u1", "u2"} {
+						f.unframed(id, &answered, c.contentType, body, c.whole, leaving.end).beforeEnd = func() {
+							leaving.leave(f, f.store.entry(id))
+							assert.NoError(f.t, f.clock.Sleep(context.Background(), pollMs+3*sourceCheckIntervalMs))
+						}
+					}
+					status, got, err := f.box(1).get(c.path)
+					complete := err == nil && status == http.StatusOK
+					if complete {
+						assert.Equal(f.t, c.whole, got)
+					}
+					repeatable := c.path == "/resumable/" || c.path == "/safe/"
+					assert.Equal(f.t, leaving.whole || repeatable, complete, "status %d, %v", status, err)
+				})
+			})
+		}
+	}
+}
+
 // TestUnframedResponseAtPartitionedBox guards against a broken response that passes for whole because the box can't tell
 // a crash from its own partition, in which all upstreams refuse new connections.
 func TestUnframedResponseAtPartitionedBox(t *testing.T) {
@@ -212,3 +272,15 @@
 		assert.EqualValues(t, defaultMinCrashes, arrivals, "the request is held back after the third crash")
 	})
 }
+
+// TestUnframedResponseToHead guards against a response without a body that is withheld because its end is not known.
+func TestUnframedResponseToHead(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.unframed("u1", &atomic.Bool{}, "text/plain", "", "", crashed)
+		conn := f.box(1).sendRaw("HEAD /unsafe2/ HTTP/1.1\r\nHost: " + host + "\r\nX-Id: 1\r\nAuthorization: " + key + "\r\n\r\n")
+		defer func() { _ = conn.Close() }()
+		response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodHead})
+		require.NoError(f.t, err)
+		assert.Equal(f.t, http.StatusOK, response.StatusCode)
+	})
+}
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -269,7 +269,7 @@
 	onStart func()
 	// onBroken is called when a stream breaks.
 	onBroken func()
-	// mayHaveCrashed reports whether the source may have crashed that has just closed a connection in order.
+	// mayHaveCrashed reports whether the source may have crashed that has closed a connection in order.
 	mayHaveCrashed func() bool
 	// isFinal is set if no failure in a response may be retried, because the source has done so.
 	isFinal bool
@@ -291,7 +291,7 @@
 		onPart:         lease.RecordContact,
 		onStart:        lease.RecordFirstEvent,
 		onBroken:       lease.RecordBrokenStream,
-		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease) },
+		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease, s.attemptStartedMs) },
 	}
 }
 
@@ -303,15 +303,17 @@
 	return s.relayBuffered(from, resp)
 }
 
+// errEndUnknown means that a response without length or chunks is not known to be complete.
+var errEndUnknown = fmt.Errorf("%w: response has no length, and its upstream may have crashed", upstream.ErrBroken)
+
 // checkEnd returns an error if a body that was read to its end is not known to be complete. A crashed
 // upstream closes its connections in order, which looks the same as the end of a body that has neither
-// a length nor chunks.
-func (s *retryLoop) checkEnd(from responseSource, resp *upstream.Response) error {
-	if resp.Framing() != upstream.ByConnection || !from.mayHaveCrashed() {
+// a length nor chunks. A response to HEAD has no body.
+func checkEnd(from responseSource, resp *upstream.Response) error {
+	if resp.Framing() != upstream.ByConnection || resp.Body == http.NoBody || !from.mayHaveCrashed() {
 		return nil
 	}
-	return fmt.Errorf("%w: upstream may have crashed: its response has no length and its host refuses connections",
-		upstream.ErrBroken)
+	return errEndUnknown
 }
 
 func isEventStream(header http.Header) bool {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -65,8 +65,9 @@
 	Track func(o Observation) (done func())
 	// Observe handles evidence that an upstream may have crashed.
 	Observe func(o Observation)
-	// MayHaveCrashed reports whether an upstream may have crashed that has just closed a connection in order.
-	MayHaveCrashed func(ctx context.Context, lease *balance.Lease) bool
+	// MayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order. The request was
+	// sent at a monotonic time.
+	MayHaveCrashed func(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool
 	// OnCompleted records that a request got a complete response.
 	OnCompleted func(r *opaque.Request, status int)
 	// Rescreen returns a refusal if the request is quarantined by now.
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -110,8 +110,8 @@
 
 // boxSource is the source of a response from another box, which frames each response and makes the retries.
 func boxSource() responseSource {
-	ignore, never := func() {}, func() bool { return false }
-	return responseSource{onPart: ignore, onStart: ignore, onBroken: ignore, mayHaveCrashed: never, isFinal: true}
+	ignore, always := func() {}, func() bool { return true }
+	return responseSource{onPart: ignore, onStart: ignore, onBroken: ignore, mayHaveCrashed: always, isFinal: true}
 }
 
 // buildForward returns the request to another box. It names the box as the only one that may run it, so
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -45,7 +45,8 @@
 	Status int
 }
 
-// observeFailure reports evidence of an upstream crash from a failed attempt, if there is any.
+// observeFailure reports evidence of an upstream crash from a failed attempt, if there is any. An upstream that is
+// draining may end in order right after a response without length or chunks, which then proves no crash.
 func (s *retryLoop) observeFailure(ctx context.Context, lease *balance.Lease, err error) {
 	o := s.observation(lease)
 	switch {
@@ -55,7 +56,7 @@
 		return
 	case ctx.Err() != nil:
 		o.Evidence = RequestAbandoned
-	case errors.Is(err, errCallerFault):
+	case errors.Is(err, errCallerFault), errors.Is(err, errEndUnknown) && lease.IsDraining():
 		return
 	case errors.Is(err, upstream.ErrBroken):
 		o.Evidence = ConnectionBroken
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -151,7 +151,7 @@
 	if s.stream.events.InEvent() {
 		err = fmt.Errorf("%w: last event is incomplete", upstream.ErrBroken)
 	} else {
-		err = s.checkEnd(from, res)
+		err = checkEnd(from, res)
 	}
 	if err == nil {
 		s.observeEvents(s.stream.events.Events())
--- a/internal/pipe/dispatch/unbuffered.go
+++ b/internal/pipe/dispatch/unbuffered.go
@@ -47,7 +47,7 @@
 	r.Writer.WriteHeader(w.status)
 	err := s.relayBody(from, resp, w)
 	if err == nil {
-		err = s.checkEnd(from, resp)
+		err = checkEnd(from, resp)
 	}
 	if err != nil {
 		r.MayHaveRun = true
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -39,15 +39,15 @@
 	settings       config.Retry
 	writeTimeoutMs clock.Millis
 
-	client       *http.Client
-	nextUpstream func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
-	reportLoad   func(upstream string, inFlight int)
-	hasCrashed   func(ctx context.Context, address string) bool
-	budget       *retry.Budget
-	metrics      *metrics.Metrics
-	tracer       trace.Tracer
-	logger       *zap.Logger
-	clock        clock.Clock
+	client         *http.Client
+	nextUpstream   func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
+	reportLoad     func(upstream string, inFlight int)
+	mayHaveCrashed func(ctx context.Context, address string) bool
+	budget         *retry.Budget
+	metrics        *metrics.Metrics
+	tracer         trace.Tracer
+	logger         *zap.Logger
+	clock          clock.Clock
 }
 
 // Dependencies are the parts of the box that the step uses.
@@ -58,20 +58,20 @@
 	Next func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
 	// Report records the load that an upstream reports in a response.
 	Report func(upstream string, inFlight int)
-	// HasCrashed reports whether the upstream at an address has crashed that has just closed a
+	// MayHaveCrashed reports whether the upstream at an address may have crashed that has closed a
 	// connection in order.
-	HasCrashed func(ctx context.Context, address string) bool
-	Metrics    *metrics.Metrics
-	Tracer     trace.Tracer
-	Logger     *zap.Logger
-	Clock      clock.Clock
+	MayHaveCrashed func(ctx context.Context, address string) bool
+	Metrics        *metrics.Metrics
+	Tracer         trace.Tracer
+	Logger         *zap.Logger
+	Clock          clock.Clock
 }
 
 // New returns the step.
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		client:       &http.Client{Transport: d.Transport, CheckRedirect: noRedirect},
-		nextUpstream: d.Next, reportLoad: d.Report, hasCrashed: d.HasCrashed,
+		nextUpstream: d.Next, reportLoad: d.Report, mayHaveCrashed: d.MayHaveCrashed,
 		metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
 	}
 }
@@ -236,7 +236,7 @@
 	errNotRun     = errors.New("upstream did not run the request")
 	errTooLarge   = errors.New("response too large")
 	errNoLength   = errors.New("response of a box has neither a length nor chunks")
-	errCrashed    = errors.New("upstream crashed at the end of a response without length or chunks")
+	errCrashed    = errors.New("upstream may have crashed at the end of a response without length or chunks")
 	errStatus     = errors.New("upstream returned status")
 )
 
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -226,7 +226,7 @@
 	if len(body) > maxResponseBytes {
 		return &failure{cause: errTooLarge, upstreamFault: true}
 	}
-	if endsWithConnection && p.hasCrashed(ctx, lease.Row.Address) {
+	if endsWithConnection && p.mayHaveCrashed(ctx, lease.Row.Address) {
 		return &failure{cause: errCrashed, upstreamFault: true}
 	}
 	x.Outcome = exchange.Ran
--- a/internal/pipe/forward/unframed_test.go
+++ b/internal/pipe/forward/unframed_test.go
@@ -73,7 +73,7 @@
 			}
 			pipe := New(Dependencies{
 				Transport: unframedTransport{contentType: contentType, body: c.body}, Report: func(string, int) {},
-				HasCrashed: func(context.Context, string) bool { return c.crashed }, Metrics: metrics.New(),
+				MayHaveCrashed: func(context.Context, string) bool { return c.crashed }, Metrics: metrics.New(),
 				Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(), Clock: clock.New(),
 				Next: func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) { return nil, errNotRun },
 			})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -82,6 +82,8 @@
 	// coldUntilMs is the monotonic time until which the upstream is cold, at the latest: a record counts from its
 	// arrival.
 	coldUntilMs clock.Millis
+	// appearedMs is the monotonic time at which this incarnation appeared at its address.
+	appearedMs clock.Millis
 	// removeAtMs is the monotonic time at which the grace period of a removed entry ends, or 0.
 	removeAtMs clock.Millis
 	// tombstone is set on an entry that is kept only to reject older changes.
@@ -174,7 +176,12 @@
 		return false
 	case !c.Removed:
 		next.upstream, next.sequence = c.Upstream, c.Sequence
-		next.coldUntilMs = r.monotonic() + c.Upstream.ColdMs
+		next.appearedMs = r.monotonic()
+		next.coldUntilMs = next.appearedMs + c.Upstream.ColdMs
+		if !old.tombstone && old.upstream.Address == c.Upstream.Address &&
+			old.upstream.Incarnation() == c.Upstream.Incarnation() {
+			next.appearedMs = old.appearedMs
+		}
 	case !known || old.tombstone:
 		next.tombstone = true
 		// This is reported as a change because other boxes may hold a record that this box
@@ -185,7 +192,7 @@
 		next.tombstone, next.unusable = true, c.Unusable
 	default:
 		next.upstream, next.removeAtMs = old.upstream, r.monotonic()+c.GraceMs
-		next.coldUntilMs = old.coldUntilMs
+		next.coldUntilMs, next.appearedMs = old.coldUntilMs, old.appearedMs
 	}
 	r.entries[id] = next
 	return true
@@ -313,7 +320,7 @@
 	case e.stale != nil && confirmedMs >= e.stale.acceptAtMs:
 		return entry{
 			upstream: e.stale.upstream, position: e.position, startedMs: e.startedMs,
-			sequence: e.stale.sequence, copied: true,
+			sequence: e.stale.sequence, copied: true, appearedMs: now,
 		}, true
 	default:
 		return e, false
@@ -342,6 +349,19 @@
 	return known && !e.tombstone && e.upstream.StartedMs == u.StartedMs
 }
 
+// AddressReused reports whether another incarnation has appeared at the address of an upstream since a monotonic time.
+func (r *Registry) AddressReused(u Upstream, sinceMs clock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if !e.tombstone && e.appearedMs >= sinceMs && e.upstream.Address == u.Address &&
+			e.upstream.Incarnation() != u.Incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
 // Position returns the position up to which every change was applied.
 func (r *Registry) Position() position.Position {
 	r.mu.Lock()
