feat(gateway): a line on each pause of the process, with what tells its cause

The pause detector already finds a pause of over 0.5 s and corrects for it without a word. It now writes "process paused" with the length, the processor time that the process used meanwhile (getrusage) and the longest stop of the world by the garbage collector (runtime/metrics). A stop that is as long as a pause belongs to it, as no check runs meanwhile.

TestPauseIsLogged failed before: "[]" should have 1 item(s), but has 0.

--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/opaque"
 )
 
@@ -30,11 +32,17 @@
 	box *Box
 	// lastCheckMs is the time of the last check, resumedMs the time at which the newest pause was detected.
 	lastCheckMs, resumedMs atomic.Int64
+	// processorMs is the processor time that the process had used at the last check.
+	processorMs atomic.Int64
+
+	mu        sync.Mutex
+	collector collectorPauses
 }
 
 func newPauseDetector(b *Box) *pauseDetector {
 	p := &pauseDetector{box: b}
 	p.lastCheckMs.Store(int64(b.clock.Monotonic()))
+	p.processorMs.Store(int64(processorTimeMs()))
 	return p
 }
 
@@ -44,6 +52,8 @@
 func (p *pauseDetector) check() {
 	now := p.box.clock.Monotonic()
 	pause := now - clock.Millis(p.lastCheckMs.Swap(int64(now)))
+	used := processorTimeMs()
+	used -= clock.Millis(p.processorMs.Swap(int64(used)))
 	if pause <= pauseThresholdMs {
 		return
 	}
@@ -51,6 +61,17 @@
 	p.box.balance.ForgetSilence()
 	p.box.peering.mesh.AddPause(pause)
 	p.box.clock.Resumed()
+	p.record(pause, used)
+}
+
+// record writes a line on a pause. A stop by the garbage collector that is as long as a pause belongs to it, since no
+// check runs during the stop.
+func (p *pauseDetector) record(pause, used clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.box.log.Record(decision.ProcessPaused{
+		PauseMs: pause, ProcessorMs: max(0, used), CollectorMs: p.collector.longestMs(),
+	})
 }
 
 // awaitRefresh waits after a pause until the box has refreshed its state, for at most maxRefreshWaitMs.
