test(soak): a process that outlives its grace period tells what its threads do

The finding now has the threads by state (R runs or is ready, S sleeps, Z has exited) and for how long one of them has been ready without running since SIGTERM, from /proc. The check is the same.

--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -19,6 +19,8 @@
 	// killed is set once it was killed, terminated is when it first got SIGTERM.
 	killed     bool
 	terminated time.Time
+	// waited is for how long each of its threads had waited for a processor by then.
+	waited map[string]time.Duration
 	// dumped is set once it was made to write its goroutines, which ends it.
 	dumped bool
 	// paused is set if it was stopped after SIGTERM, or has not been resumed since.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -115,6 +115,9 @@
 	if s == syscall.SIGHUP || s == syscall.SIGTERM && p.asked.terminated.IsZero() {
 		p.onPlanned(s)
 	}
+	if s == syscall.SIGTERM && p.asked.terminated.IsZero() {
+		p.asked.waited = threadWaits(p.command.Process.Pid)
+	}
 	p.asked.record(s, time.Now())
 	if !p.receives(s) {
 		p.asked.early = append(p.asked.early, earlySignal{s, time.Now()})
@@ -143,8 +146,9 @@
 	// Another fault may have killed and restarted the box, or paused the process.
 	overdue := p.exited == exited && p.running()
 	if overdue && !p.asked.paused && !p.asked.killed {
-		p.problems = append(p.problems, fmt.Sprintf("%s: process %d still ran %s after SIGTERM, with a grace of %d s",
-			p.name, p.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS))
+		p.problems = append(p.problems, fmt.Sprintf("%s: process %d still ran %s after SIGTERM, with a grace of %d s; %s",
+			p.name, p.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS,
+			describeThreads(p.command.Process.Pid, asked.waited)))
 		// Another fault may wait for the same process.
 		p.asked.killed = true
 	}
