--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -132,7 +132,7 @@
 // and killed.
 func (p *process) awaitStop() error {
 	p.mu.Lock()
-	asked, exited := p.asked, p.exited
+	asked, exited, command := p.asked, p.exited, p.command
 	p.mu.Unlock()
 	if asked.terminated.IsZero() {
 		return nil
@@ -142,6 +142,11 @@
 		return nil
 	case <-time.After(time.Until(asked.terminated.Add(shutdownGraceS*time.Second + stopSlack))):
 	}
+	if hasExited(command.Process.Pid) {
+		// It is in time, however late its end is collected.
+		<-exited
+		return nil
+	}
 	p.mu.Lock()
 	// Another fault may have killed and restarted the box, or paused the process.
 	overdue := p.exited == exited && p.running()
--- a/internal/soak/threads.go
+++ b/internal/soak/threads.go
@@ -69,3 +69,6 @@
 	}
 	return longest
 }
+
+// hasExited reports whether a process has exited, also if its end was not collected yet.
+func hasExited(pid int) bool { return strings.Trim(threadStates(pid), "0123456789 Z") == "" }
--- a/internal/soak/threads_test.go
+++ b/internal/soak/threads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/exec"
 	"strconv"
 	"testing"
 	"time"
@@ -21,6 +22,17 @@
 func TestStatesOfThreadsTellAHangFromALackOfProcessors(t *testing.T) {
 	p := startScript(t, "echo; sleep 600\n")
 	assert.Regexp(t, "^1 [RSD]$", threadStates(p.command.Process.Pid))
+	assert.False(t, hasExited(p.command.Process.Pid))
 	require.NoError(t, p.kill())
 	assert.Empty(t, threadStates(p.command.Process.Pid))
 }
+
+// TestExitedProcessDoesNotOutliveItsGrace guards against a finding because the end of a process is collected late.
+func TestExitedProcessDoesNotOutliveItsGrace(t *testing.T) {
+	command := exec.Command("true")
+	require.NoError(t, command.Start())
+	assert.Eventually(t, func() bool { return threadStates(command.Process.Pid) == "1 Z" }, time.Minute, time.Millisecond)
+	assert.True(t, hasExited(command.Process.Pid))
+	require.NoError(t, command.Wait())
+	assert.True(t, hasExited(command.Process.Pid))
+}
