fix(evacuation): the age of an evacuation may exceed the process's

A box that starts where it gets its evacuations from another box told an evacuation of a minute ago as one that began with the process, and so counted engines of the evacuated domain as its reserve, and as sources of cached parts, for the time that an evacuation is granted, once more.

Change: the start is a time on the monotonic clock that may be negative; without a confirmation a change has no known age, and thus no reserve. Reads of the whole list from the store have told no age before, and don't now.

Ruled out as kin: Registry.Confirm drops a confirmation from before the start, which leaves the list unconfirmed and streams refused; View.Fresh of a list without a confirmation counts only after 30 s, when it is false.

The new case of TestTracker failed before (1,100 ms for 60,100 ms, 99 ms for none).

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -4,6 +4,7 @@
 package evacuation
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -46,11 +47,12 @@
 }
 
 // unknownStart is the start time of an evacuation whose start no box saw.
-const unknownStart clock.Millis = -1
+const unknownStart clock.Millis = math.MinInt64
 
 // status is what is known of an evacuation that is in effect.
 type status struct {
-	// startedMs is the earliest monotonic time at which it may have started, or unknownStart.
+	// startedMs is the earliest monotonic time at which it may have started, or unknownStart. It is negative if that is
+	// before this process.
 	startedMs clock.Millis
 	// endsMs is the monotonic time at which the evacuation ends because a restored store doesn't list
 	// it, or 0.
@@ -86,8 +88,8 @@
 // Option configures a tracker.
 type Option func(t *Tracker)
 
-// WithConfirmationAge makes a tracker ask how long ago the known evacuations were last confirmed to be the newest. A
-// change that it applies may be as old. Without it, changes are new.
+// WithConfirmationAge makes a tracker ask how long ago the known evacuations were last confirmed to be the newest, with
+// a negative age if they never were. A change that it applies may be as old. Without it, changes are new.
 func WithConfirmationAge(age func() clock.Millis) Option {
 	return func(t *Tracker) { t.confirmationAge = age }
 }
@@ -96,7 +98,7 @@
 // position have no effect.
 func (t *Tracker) Apply(changes []Change) {
 	events := []Change{}
-	startedMs := max(0, t.monotonic()-t.confirmationAge())
+	startedMs := t.earliestStart(t.confirmationAge())
 	t.mu.Lock()
 	for _, c := range changes {
 		if !t.position.Before(c.Position) {
@@ -128,11 +130,7 @@
 	listed := map[string]bool{}
 	for _, e := range u.Evacuations {
 		listed[e.FailureDomain] = true
-		startedMs := unknownStart
-		if e.AgeMs >= 0 {
-			startedMs = max(0, now-e.AgeMs)
-		}
-		events = t.startLocked(events, e.FailureDomain, startedMs)
+		events = t.startLocked(events, e.FailureDomain, t.earliestStart(e.AgeMs))
 	}
 	for domain, s := range t.active {
 		switch {
@@ -162,6 +160,14 @@
 	t.notify(events)
 }
 
+// earliestStart returns the earliest start of an evacuation with an age, which is negative if it is unknown.
+func (t *Tracker) earliestStart(age clock.Millis) clock.Millis {
+	if age < 0 {
+		return unknownStart
+	}
+	return t.monotonic() - age
+}
+
 // startLocked puts an evacuation into effect. An evacuation that is already in effect keeps its start
 // time.
 func (t *Tracker) startLocked(events []Change, domain string, startedMs clock.Millis) []Change {
@@ -240,7 +246,7 @@
 		if s.endsMs > 0 && !withGrace {
 			continue
 		}
-		e := Evacuation{FailureDomain: domain, AgeMs: unknownStart}
+		e := Evacuation{FailureDomain: domain, AgeMs: -1}
 		if s.startedMs != unknownStart {
 			e.AgeMs = now - s.startedMs
 		}
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -81,6 +81,14 @@
 		other.now += 100
 		assert.Equal(t, []Evacuation{{"new", 500}, {"old", -1}}, other.Active())
 	})
+	t.Run("it may exceed the time for which the process has run, and stays unknown without a confirmation", func(t *testing.T) {
+		f := newFixture()
+		f.Merge(Update{Position: position.At(0, 1), Evacuations: []Evacuation{{"a", 60_000}}})
+		f.confirmationAge = func() clock.Millis { return -1 }
+		f.Apply([]Change{start("b", position.At(0, 2))})
+		f.now += 100
+		assert.Equal(t, []Evacuation{{"a", 60_100}, {"b", -1}}, f.Active())
+	})
 }
 
 // TestStoreRestored guards against work for an evacuated failure domain after the store lost the evacuation, until
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -173,7 +173,7 @@
 	b.balance.SetFleetSize(minAssumedFleet)
 	b.balance.SetLearnPace(settings.Pace.Learn)
 	b.evacuations = evacuation.New(b.clock.Monotonic, b.onEvacuation,
-		evacuation.WithConfirmationAge(b.routingState.AgeMs))
+		evacuation.WithConfirmationAge(b.stateAgeMs))
 	b.origins = newStreamOrigins(b)
 	b.metrics.Publish("stream_origins", func() any { return b.origins.ledger.Size() })
 	b.registry.OnChange(b.applyUpstreams)
@@ -263,8 +263,8 @@
 
 func (b *Box) maxAgeMs() clock.Millis { return clock.Millis(b.settings.Load().Freshness.MaxAgeMs) }
 
-// loggedAgeMs returns the age of the routing state for lines, -1 if it is unknown.
-func (b *Box) loggedAgeMs() clock.Millis {
+// stateAgeMs returns the age of the routing state, or -1 if it is unknown.
+func (b *Box) stateAgeMs() clock.Millis {
 	if age := b.routingState.AgeMs(); age != routing.UnknownAgeMs {
 		return age
 	}
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -111,7 +111,7 @@
 			assertRefused(f.t, b, call{path: "/newer/", key: key}, http.StatusServiceUnavailable)
 			assertStatus(f.t, b, "/public/", http.StatusOK)
 			assert.False(f.t, b.Ready())
-			assert.EqualValues(f.t, -1, b.loggedAgeMs())
+			assert.EqualValues(f.t, -1, b.stateAgeMs())
 		})
 	})
 	t.Run("requests wait for the store where another box's confirmation is too old", func(t *testing.T) {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -64,7 +64,7 @@
 			RespondsWithin: b.balance.RespondsWithin, OnFirstSend: b.budgets.RecordAttempt,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
-			StateAgeMs:    b.loggedAgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
+			StateAgeMs:    b.stateAgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
 			OnPermit:   b.metrics.EnginePicked,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
@@ -74,7 +74,7 @@
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted, CheckBeforeSend: b.checkBeforeSend,
 			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
-		record: record.New(b.log.Record, b.metrics.RequestEnded, b.loggedAgeMs, b.clock.Monotonic),
+		record: record.New(b.log.Record, b.metrics.RequestEnded, b.stateAgeMs, b.clock.Monotonic),
 	}
 }
 
