fix(gateway): waiting connections are accepted also by a box that gets little processor time

Change: the looks are counted, 300 of at least 1 ms, in place of the time; the grace period ends them as before.

--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -144,7 +144,9 @@
 // drain closes the listener and its idle connections, and waits until all other connections are closed or the context
 // ends. Unlike http.Server.Shutdown, it serves requests that arrive on new connections, or have arrived in part.
 func (l *callerListener) drain(ctx context.Context) error {
-	l.awaitAccepted(ctx)
+	if listener, ok := l.Listener.(*server.Listener); ok {
+		listener.AwaitAccepted(ctx)
+	}
 	err := l.Close()
 	select {
 	case <-l.refused:
@@ -162,21 +164,6 @@
 	return err
 }
 
-// maxAcceptMs is how long a listener that drains still accepts the connections that wait.
-const maxAcceptMs clock.Millis = 500
-
-// awaitAccepted waits until all connections that callers have opened are accepted, since closing the listener resets
-// the others.
-func (l *callerListener) awaitAccepted(ctx context.Context) {
-	listener, ok := l.Listener.(*server.Listener)
-	if !ok {
-		return
-	}
-	ctx, cancel := l.clock.WithTimeout(ctx, maxAcceptMs)
-	defer cancel()
-	listener.AwaitAccepted(ctx)
-}
-
 func (l *callerListener) startDraining() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -100,12 +100,20 @@
 	return nil
 }
 
-// acceptPollMs is how often a listener checks whether connections wait to be accepted.
-const acceptPollMs clock.Millis = 1
+const (
+	// acceptPollMs is how often a listener checks whether connections wait to be accepted.
+	acceptPollMs clock.Millis = 1
+	// maxAcceptPolls limits the checks, not their time: a process that gets little processor time accepts more slowly.
+	maxAcceptPolls = 300
+)
 
-// AwaitAccepted waits until no connection waits to be accepted, or the context ends. Close resets those that wait.
+// AwaitAccepted waits until no connection waits to be accepted, which Close would reset. It gives up when the context
+// ends, or if connections still wait after many checks.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	for hasWaiting(l.current()) && l.clock.Sleep(ctx, acceptPollMs) == nil {
+	for range maxAcceptPolls {
+		if !hasWaiting(l.current()) || l.clock.Sleep(ctx, acceptPollMs) != nil {
+			return
+		}
 	}
 }
 
