fix(dispatch): a response whose attempt has just been canceled is not passed on

Class: a check and an act with a gap between them.

Cause: the first-byte timer cancels an attempt that it thinks can be repeated, and the connection is closed. If the headers and the first events had been read by then, but the goroutine that read them ran later, the attempt went on with this response: it sent 200 and the events to the caller, found the connection closed, and only then asked for a retry, which a stream that has begun is often not given (next: "none: the answer has begun", "none: the retry budget is used up", or an attempt without a candidate). The three lines say "use of closed network connection", which is the box's own close, 1057, 1162 and 1985 ms after the pick; the timer checks at 600 ms and every 150 ms from then on.

Ruled out: the idle timeout of streams (900 ms) in 72367 and 72386, since the server had begun only 374 and 503 ms before; a lost path or a stalled pool (no such lines); a stop.

Now a stream doesn't begin with the response of an attempt that was canceled: the attempt has failed before anything is sent to the caller, also for requests that are forwarded to another box. Signals in the headers and buffered responses are handled as before; if the whole request was canceled, nothing changes.

--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -61,7 +61,7 @@
 	if resp.StatusCode < http.StatusInternalServerError && s.signals.BackoffMs == 0 {
 		lease.RecordResponseStart()
 	}
-	failed := s.relay(upstreamSource(s, lease), resp, cancel)
+	failed := s.relay(ctx, upstreamSource(s, lease), resp, cancel)
 	switch {
 	case failed != nil:
 		s.observeFailure(ctx, lease, failed.err)
@@ -296,11 +296,20 @@
 }
 
 // relay relays a response whose headers have arrived.
-func (s *retryLoop) relay(from responseSource, resp *upstream.Response, cancel context.CancelCauseFunc) *failure {
-	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
+func (s *retryLoop) relay(
+	ctx context.Context, from responseSource, resp *upstream.Response, cancel context.CancelCauseFunc,
+) *failure {
+	switch {
+	case resp.StatusCode != http.StatusOK || !isEventStream(resp.Header):
+		return s.relayBuffered(from, resp)
+	case ctx.Err() != nil && s.ctx.Err() == nil:
+		// The attempt timed out when the headers had just been read: its connection is closed, and a stream that has
+		// begun may not be retried.
+		s.request.MayHaveRun = true
+		return &failure{err: fmt.Errorf("%w: %w", upstream.ErrBroken, context.Cause(ctx)), execution: mayHaveRun}
+	default:
 		return s.relayStream(from, resp, cancel)
 	}
-	return s.relayBuffered(from, resp)
 }
 
 // errEndUnknown means that a response without length or chunks is not known to be complete.
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -100,7 +100,7 @@
 	if hop.Refusal != nil {
 		return s.refusedBy(box, hop)
 	}
-	failed := s.relay(boxSource(), resp, cancel)
+	failed := s.relay(ctx, boxSource(), resp, cancel)
 	if failed != nil {
 		// The other box may have retried since it sent the header.
 		r.Sent = max(r.Sent, r.Route.Attempts)
