fix(dispatch): one lost probe withholds no whole response

If its SYN is lost, or this box is paused meanwhile, an unsafe request got 502 and a stream broke off although the response was whole.

Change: a probe without a response is repeated, three in all; a refusal decides at once. The router does the same. A server that stays silent withholds the response as before, after 300 ms.

Figures: TestAcceptsConnections is new; the tests of unframed responses pass before and after.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -169,12 +169,14 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	conn, found := upstream.ProbeAddress(ctx, upstream.Dial(dial), address)
-	if conn != nil {
-		// Nothing was sent on it.
-		_ = conn.Close()
-	}
-	return found != upstream.Alive
+	return !upstream.AcceptsConnections(func() upstream.Liveness {
+		conn, found := upstream.ProbeAddress(ctx, upstream.Dial(dial), address)
+		if conn != nil {
+			// Nothing was sent on it.
+			_ = conn.Close()
+		}
+		return found
+	})
 }
 
 // deferredTransport is set after the pipeline steps have applied the defaults from which the
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -10,10 +10,11 @@
 
 // mayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order, as the kernel does
 // for a process that is gone. It has not if its address accepts connections and no other incarnation has appeared there
-// since the request was sent. A failed probe may also mean that the process ended after its last response, or that this
+// since the request was sent. Failed probes may also mean that the process ended after its last response, or that this
 // box is partitioned from it: that the response was whole is not known then either.
 func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool {
-	return lease.Client().ProbeLiveness(ctx) != upstream.Alive || b.registry.AddressReused(lease.Identity(), sentMs)
+	accepts := upstream.AcceptsConnections(func() upstream.Liveness { return lease.Client().ProbeLiveness(ctx) })
+	return !accepts || b.registry.AddressReused(lease.Identity(), sentMs)
 }
 
 // probeCrash determines whether an upstream's process is running, and whether it has crashed. A crash shows if its host
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -338,3 +338,24 @@
 	require.NoError(t, err)
 	require.NoError(t, raw.Read(readable))
 }
+
+// TestAcceptsConnections guards against whole responses that are withheld because one probe was lost.
+func TestAcceptsConnections(t *testing.T) {
+	for _, c := range []struct {
+		found []Liveness
+		want  bool
+	}{
+		{[]Liveness{Alive}, true},
+		{[]Liveness{Dead}, false},
+		{[]Liveness{Unresponsive, Unresponsive, Alive}, true},
+		{[]Liveness{Unresponsive, Dead}, false},
+		{[]Liveness{Unresponsive, Unresponsive, Unresponsive}, false},
+	} {
+		probes := 0
+		assert.Equal(t, c.want, AcceptsConnections(func() Liveness {
+			probes++
+			return c.found[probes-1]
+		}), "%v", c.found)
+		assert.Len(t, c.found, probes)
+	}
+}
