fix(router): dot segments with parameters or backslashes are not repeatable

Cause: found by the review of: "/search/..;a=b/charge" and "/search/..%5Ccharge" counted as paths below /search/, which may be sent again, while servers that ignore parameters or take a backslash for a separator resolve them to /charge.

Change: parameters of a segment are ignored and backslashes separate where dot segments are looked for. The two cases of TestIsRepeatable failed before. A path whose dots are escaped twice still counts as it is sent.

--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -237,6 +237,7 @@
 	for path, want := range map[string]bool{
 		"/search/%C3%A9/x": true, "/s%65arch/é/a%2Fb": true, "/search/é%2Fx": false, "/search%2fé/x": false,
 		"/search/é/../charge": false, "/search/é/%2E%2e/charge": false, "/search/é/..%2Fcharge": false,
+		"/search/é/..;a=b/charge": false, "/search/é/..%5Ccharge": false, "/search/é/x;a=b": true,
 	} {
 		assert.Equal(t, want, s.IsRepeatable("POST", path), path)
 	}
--- a/internal/urlpath/urlpath.go
+++ b/internal/urlpath/urlpath.go
@@ -39,12 +39,14 @@
 	return string(normal)
 }
 
-// HasDotSegments reports whether a path as sent has the segment "." or "..", also for a server that takes "%2F" for a
-// separator. A path with an invalid escape counts as one that has.
+// HasDotSegments reports whether a path as sent has the segment "." or "..", also for a server that takes "%2F" or a
+// backslash for a separator, or ignores the parameters of a segment. A path with an invalid escape counts as one that
+// has.
 func HasDotSegments(path string) bool {
 	path, err := url.PathUnescape(path)
-	for segment := range strings.SplitSeq(path, "/") {
-		if segment == "." || segment == ".." {
+	for segment := range strings.SplitSeq(strings.ReplaceAll(path, `\`, "/"), "/") {
+		name, _, _ := strings.Cut(segment, ";")
+		if name == "." || name == ".." {
 			return true
 		}
 	}
