test(soak): boxOf is tested with and without queries, and drains look longer for waiting connections

The test of shared scans no longer called boxOf, so that a soak which ascribes all requests to no box passed its tests; at 20 ms an accept the drain closed the listener with 30 of 50 connections waiting.

Change: TestOwnerOfConnection asserts the box by the kernel's query and by the table of all sockets. A drain looks 200 times every 5 ms.

--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -102,9 +102,9 @@
 
 const (
 	// acceptPollMs is how often a listener checks whether connections wait to be accepted.
-	acceptPollMs clock.Millis = 1
+	acceptPollMs clock.Millis = 5
 	// maxAcceptPolls limits the checks, not their time: a process that gets little processor time accepts more slowly.
-	maxAcceptPolls = 300
+	maxAcceptPolls = 200
 )
 
 // AwaitAccepted waits until no connection waits to be accepted, which Close would reset. It gives up when the context
@@ -129,6 +129,7 @@
 	}
 	waiting := 0
 	err = raw.Control(func(fd uintptr) {
+		// After an error none counts as waiting.
 		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 	})
 	return err == nil && waiting > 0
--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -22,19 +22,21 @@
 type owners struct {
 	boxes  *sharedScan[map[string]string]
 	inodes *sharedScan[map[endpoints]string]
+	// inode asks the kernel for the inode of the socket that opened a connection.
+	inode func(connection endpoints) string
 	// queries is set once the kernel has answered a query for one socket. Some kernels can't.
 	queries atomic.Bool
 }
 
 // newOwners returns owners for which scan returns the boxes by the inodes of their sockets.
 func newOwners(scan func() map[string]string) *owners {
-	return &owners{boxes: newSharedScan(scan), inodes: newSharedScan(socketInodes)}
+	return &owners{boxes: newSharedScan(scan), inodes: newSharedScan(socketInodes), inode: endpoints.inode}
 }
 
 // boxOf returns the name of the box that opened a connection, or "".
 func (o *owners) boxOf(inbound net.Conn) string {
 	connection := endpointsOf(inbound)
-	inode := connection.inode()
+	inode := o.inode(connection)
 	if inode != "" {
 		o.queries.Store(true)
 	} else if !o.queries.Load() {
--- a/internal/soak/owner_test.go
+++ b/internal/soak/owner_test.go
@@ -79,6 +79,25 @@
 	return errors.Join(err, optionErr)
 }
 
+// TestOwnerOfConnection guards against requests that are ascribed to no box, also where the kernel answers no queries.
+func TestOwnerOfConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	inbound, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = inbound.Close() })
+	inode := socketInodes()[endpointsOf(inbound)]
+	o := newOwners(func() map[string]string { return map[string]string{inode: "box"} })
+	assert.Equal(t, "box", o.boxOf(inbound))
+	o = newOwners(o.boxes.scan)
+	o.inode = func(endpoints) string { return "" }
+	assert.Equal(t, "box", o.boxOf(inbound), "by the table of all sockets")
+}
+
 // TestLookupsShareScans guards against links that hold back connections for a second because each looks for its owner.
 func TestLookupsShareScans(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
