--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -142,7 +142,8 @@
 const newConnMs clock.Millis = 1000
 
 // drain accepts the connections that wait, closes the listener and its idle connections, and waits until all other
-// connections are closed or the context ends. Unlike http.Server.Shutdown, it serves requests that arrive on new connections, or have arrived in part.
+// connections are closed or the context ends. Unlike http.Server.Shutdown, it serves requests that arrive on new
+// connections, or have arrived in part.
 func (l *callerListener) drain(ctx context.Context) error {
 	if listener, ok := l.Listener.(*server.Listener); ok {
 		listener.AwaitAccepted(ctx)
--- a/internal/gateway/late_read_test.go
+++ b/internal/gateway/late_read_test.go
@@ -17,13 +17,13 @@
 // lateConn is a connection whose reader gets data some time after it was read, as on a machine without a free processor.
 type lateConn struct {
 	net.Conn
-	late time.Duration
+	wait func()
 }
 
 func (c lateConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n > 0 {
-		time.Sleep(c.late)
+		c.wait()
 	}
 	return n, err
 }
@@ -36,7 +36,7 @@
 		dial := b.dial
 		b.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
-			return lateConn{conn, 200 * time.Millisecond}, err
+			return lateConn{conn, func() { _ = f.clock.Sleep(context.Background(), 200) }}, err
 		}
 		var arrivals atomic.Int32
 		for _, id := range []string{"ua", "ub"} {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -322,8 +322,8 @@
 	}
 }
 
-// maxAcceptProbes is how many probes without a response show that an upstream may accept no connections: one may be lost,
-// or time out because this process was paused.
+// maxAcceptProbes is how many probes without a response show that an upstream may accept no connections: one may be
+// lost, or time out because this process was paused.
 const maxAcceptProbes = 3
 
 // AcceptsConnections reports whether a process is known to accept connections, by probes that are repeated while there
