--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -21,6 +21,7 @@
 	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/health"
+	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/logging"
 	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/opaque"
@@ -83,7 +84,7 @@
 
 	servers []*http.Server
 	// drained are the listeners that requests arrive on.
-	drained  []*callerListener
+	drained  []*inbound.Listener
 	stopping atomic.Bool
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
@@ -433,7 +434,7 @@
 	errs := make([]error, len(b.drained))
 	drains := sync.WaitGroup{}
 	for i, l := range b.drained {
-		drains.Go(func() { errs[i] = l.drain(ctx) })
+		drains.Go(func() { errs[i] = l.Drain(ctx) })
 	}
 	drains.Wait()
 	return errors.Join(errs...)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -177,14 +178,14 @@
 func (b *Box) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: b.newServerErrorLog(), ConnContext: withCallerConn,
-		ConnState: trackIdle(b.clock.Monotonic),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: b.newServerErrorLog(), ConnContext: inbound.WithConn,
+		ConnState: inbound.TrackIdle(b.clock.Monotonic),
 	}
 }
 
-func (b *Box) limitConnections(listener net.Listener) *callerListener {
+func (b *Box) limitConnections(listener net.Listener) *inbound.Listener {
 	files := b.settings.Load().Capacity.OpenFiles
-	return newCallerListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
+	return inbound.NewListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
 }
 
 // metricsRetryMs is the time between two attempts to serve metrics.
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -9,6 +9,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/pipe/authorise"
 	"dooryard.example/dooryard/internal/pipe/dispatch"
@@ -90,8 +91,8 @@
 			header.Set("Connection", "close")
 		}
 	})
-	if c := callerConnOf(hr.Context()); c != nil {
-		writer.SetUnread(c.unread)
+	if c := inbound.ConnOf(hr.Context()); c != nil {
+		writer.SetUnread(c.Unread())
 	}
 	return &opaque.Request{
 		ID: hr.Header.Get(b.dialect.RequestID), HTTP: hr, Writer: writer, Dialect: b.dialect,
@@ -101,7 +102,7 @@
 
 // serve runs a request through the pipeline.
 func (b *Box) serve(r *opaque.Request) {
-	if c := callerConnOf(r.Context()); c != nil && !c.activate() {
+	if c := inbound.ConnOf(r.Context()); c != nil && !c.Activate() {
 		// Its caller can't get a response.
 		panic(http.ErrAbortHandler)
 	}
@@ -113,7 +114,7 @@
 	if abortsConnection(err) {
 		if !r.HTTP.ProtoAtLeast(1, 1) {
 			// Without chunks, only a reset tells the caller that the response is not complete.
-			resetCallerConn(r.Context())
+			inbound.ResetOnClose(r.Context())
 		}
 		// The server closes the connection, so that the response can't be mistaken for a complete one.
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/caller_conn.go
+++ b/internal/inbound/conn.go
@@ -1,4 +1,6 @@
-package gateway
+// Package inbound holds the connections on which requests arrive: a listener that accepts a limited number of them, and
+// closes those that their callers keep idle when it is full or stops.
+package inbound
 
 import (
 	"context"
@@ -22,10 +24,10 @@
 	connEvicted
 )
 
-// callerConn is a connection from a caller.
-type callerConn struct {
+// Conn is a connection from a caller.
+type Conn struct {
 	net.Conn
-	listener    *callerListener
+	listener    *Listener
 	release     func()
 	unread      *exchange.Unread
 	state       atomic.Int32
@@ -36,27 +38,30 @@
 
 // Read implements net.Conn. Data ends the idle state, so that a connection is not evicted once a request on it was
 // read, unless it was read together with the request before.
-func (c *callerConn) Read(data []byte) (int, error) {
+func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 && !c.activate() {
+	if n > 0 && !c.Activate() {
 		return 0, net.ErrClosed
 	}
 	return n, err //nolint:wrapcheck // The server compares it.
 }
 
-// activate records that a request has begun, and returns false if the connection was evicted.
-func (c *callerConn) activate() bool {
+// Activate records that a request has begun, and returns false if the connection was evicted.
+func (c *Conn) Activate() bool {
 	return c.state.CompareAndSwap(connIdle, connActive) || c.state.CompareAndSwap(connNew, connActive) ||
 		c.state.Load() == connActive
 }
 
+// Unread returns the writing side of the connection.
+func (c *Conn) Unread() *exchange.Unread { return c.unread }
+
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
-func (c *callerConn) Write(data []byte) (int, error) {
+func (c *Conn) Write(data []byte) (int, error) {
 	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
 }
 
 // setIdle records that the caller keeps the connection without a request.
-func (c *callerConn) setIdle(now clock.Millis) {
+func (c *Conn) setIdle(now clock.Millis) {
 	c.idleSinceMs.Store(int64(now))
 	c.state.Store(connIdle)
 	if c.listener.closesIdle() {
@@ -65,7 +70,7 @@
 }
 
 // evict closes the connection if it is in a state, and reports whether it was.
-func (c *callerConn) evict(state int32) bool {
+func (c *Conn) evict(state int32) bool {
 	if !c.state.CompareAndSwap(state, connEvicted) {
 		return false
 	}
@@ -75,7 +80,7 @@
 }
 
 // Close closes the connection, or resets it if a response on it was broken off.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	defer c.release()
 	if c.broken.Load() {
 		upstream.ResetOnClose(c.Conn)
@@ -84,37 +89,37 @@
 }
 
 // reset resets the connection.
-func (c *callerConn) reset() {
+func (c *Conn) reset() {
 	c.broken.Store(true)
 	// The caller was given up, whatever the error.
 	_ = c.Close()
 }
 
-// trackIdle returns a function that tells connections from callers when they become idle.
-func trackIdle(monotonic func() clock.Millis) func(c net.Conn, state http.ConnState) {
+// TrackIdle returns a hook for http.Server.ConnState that tells connections when they become idle.
+func TrackIdle(monotonic func() clock.Millis) func(c net.Conn, state http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
-		if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
 			c.setIdle(monotonic())
 		}
 	}
 }
 
-type callerConnKey struct{}
+type connKey struct{}
 
-// withCallerConn adds the connection to the contexts of its requests.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+// WithConn is a hook for http.Server.ConnContext. It adds the connection to the contexts of its requests.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
 }
 
-// resetCallerConn makes the server reset the connection of a request, instead of closing it in order.
-func resetCallerConn(ctx context.Context) {
-	if c := callerConnOf(ctx); c != nil {
+// ResetOnClose makes the server reset the connection of a request, instead of closing it in order.
+func ResetOnClose(ctx context.Context) {
+	if c := ConnOf(ctx); c != nil {
 		c.broken.Store(true)
 	}
 }
 
-// callerConnOf returns the connection of a request, or nil if it has none.
-func callerConnOf(ctx context.Context) *callerConn {
-	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+// ConnOf returns the connection of a request, or nil if it has none.
+func ConnOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
 	return c
 }
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/inbound/conn_test.go
@@ -1,14 +1,11 @@
-package gateway
+package inbound
 
 import (
 	"io"
 	"net"
-	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -29,13 +26,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			listener := newCallerListener(inner, 1, exchange.NewMemory(1<<20), clock.New())
+			listener := NewListener(inner, 1, exchange.NewMemory(1<<20), clock.New())
 			caller, err := net.Dial("tcp", inner.Addr().String())
 			require.NoError(t, err)
 			conn, err := listener.Accept()
 			require.NoError(t, err)
 			if c.broken {
-				resetCallerConn(withCallerConn(t.Context(), conn))
+				ResetOnClose(WithConn(t.Context(), conn))
 			}
 			require.NoError(t, conn.Close())
 			_, err = io.ReadAll(caller)
@@ -54,7 +51,7 @@
 	const connections = 50
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := newCallerListener(
+	listener := NewListener(
 		server.NewListener(inner, clock.New(), nil, nil), connections, exchange.NewMemory(1<<20), clock.New())
 	for range connections {
 		caller, err := net.Dial("tcp", inner.Addr().String())
@@ -69,32 +66,7 @@
 			assert.NoError(t, conn.Close())
 		}
 	})
-	require.NoError(t, listener.drain(t.Context()))
+	require.NoError(t, listener.Drain(t.Context()))
 	accepting.Wait()
 	assert.Equal(t, connections, accepted)
 }
-
-// TestEvictedConnectionPassesNothingOn guards against a request that is sent to an upstream although its connection was
-// closed in favour of another one.
-func TestEvictedConnectionPassesNothingOn(t *testing.T) {
-	runWithFleet(t, func(f *fleet) {
-		t := f.t
-		served := atomic.Int64{}
-		f.upstream("u1", func(w http.ResponseWriter, _ *http.Request) {
-			served.Add(1)
-			advance(t, time.Second)
-			_, _ = io.WriteString(w, "done")
-		})
-		b := f.box(1, withConnectionLimit(1))
-		kept := b.connect(b.settings.CallersAddress)
-		text := requestText("/unsafe/", "Content-Length: 0\r\n")
-		kept.write(text + text)
-		waiting := b.connect(b.settings.CallersAddress)
-		kept.assertServed()
-		_, err := kept.reader.ReadByte()
-		require.Error(t, err, "the connection is closed in favour of the waiting one")
-		waiting.write(text)
-		waiting.assertServed()
-		assert.EqualValues(t, 2, served.Load(), "requests that reached the upstream")
-	})
-}
--- a/internal/gateway/caller_listener.go
+++ b/internal/inbound/listener.go
@@ -1,4 +1,4 @@
-package gateway
+package inbound
 
 import (
 	"context"
@@ -15,9 +15,9 @@
 	"dooryard.example/dooryard/internal/server"
 )
 
-// callerListener accepts at most a fixed number of connections at a time. When it is full, a new connection takes the
+// Listener accepts at most a fixed number of connections at a time. When it is full, a new connection takes the
 // place of one that a caller keeps idle.
-type callerListener struct {
+type Listener struct {
 	net.Listener
 	slots  chan struct{}
 	closed chan struct{}
@@ -30,7 +30,7 @@
 	clock     clock.Clock
 
 	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	conns map[*Conn]struct{}
 	// waiting is set while a new connection waits and none was idle.
 	waiting bool
 	// draining is set once idle connections are closed because the box stops.
@@ -39,10 +39,12 @@
 	drained chan struct{}
 }
 
-func newCallerListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *callerListener {
+// NewListener returns a listener that accepts at most maxConns connections at a time. Responses limits what it holds for
+// callers that don't read.
+func NewListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *Listener {
 	closed := make(chan struct{})
-	return &callerListener{
-		Listener: l, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*callerConn]struct{}{},
+	return &Listener{
+		Listener: l, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*Conn]struct{}{},
 		responses: responses, clock: c, drained: make(chan struct{}), refused: make(chan struct{}),
 		close: sync.OnceValue(func() error {
 			close(closed)
@@ -51,9 +53,9 @@
 	}
 }
 
-// Accept implements net.Listener. The connection is a *callerConn. It is accepted before there is a slot for it, so
+// Accept implements net.Listener. The connection is a *Conn. It is accepted before there is a slot for it, so
 // that no idle connection is closed without need.
-func (l *callerListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, l.refuse(err)
@@ -75,7 +77,7 @@
 }
 
 // refuse records that no connection is accepted any more, and returns the error of Accept.
-func (l *callerListener) refuse(err error) error {
+func (l *Listener) refuse(err error) error {
 	l.refusedOnce.Do(func() { close(l.refused) })
 	if errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("%w: %w", http.ErrServerClosed, err)
@@ -83,18 +85,18 @@
 	return err
 }
 
-func (l *callerListener) add(conn net.Conn) *callerConn {
+func (l *Listener) add(conn net.Conn) *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting = false
-	c := &callerConn{Conn: conn, listener: l}
+	c := &Conn{Conn: conn, listener: l}
 	c.release = sync.OnceFunc(func() { l.remove(c) })
 	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
 	l.conns[c] = struct{}{}
 	return c
 }
 
-func (l *callerListener) remove(c *callerConn) {
+func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	delete(l.conns, c)
 	l.closeIfDrained()
@@ -104,7 +106,7 @@
 
 // makeRoom closes the connection that has been idle for longest. If none is idle, the next one that becomes idle is
 // closed.
-func (l *callerListener) makeRoom() {
+func (l *Listener) makeRoom() {
 	for {
 		longest := l.longestIdle()
 		if longest == nil || longest.evict(connIdle) {
@@ -115,10 +117,10 @@
 
 // longestIdle returns the connection that has been idle for longest. If it returns nil, a new connection counts as
 // waiting.
-func (l *callerListener) longestIdle() *callerConn {
+func (l *Listener) longestIdle() *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var longest *callerConn
+	var longest *Conn
 	for c := range l.conns {
 		if c.state.Load() == connIdle && (longest == nil || c.idleSinceMs.Load() < longest.idleSinceMs.Load()) {
 			longest = c
@@ -130,7 +132,7 @@
 
 // closesIdle reports whether a connection that becomes idle is closed: because the box stops, or because a new
 // connection waits, which it reports once for each.
-func (l *callerListener) closesIdle() bool {
+func (l *Listener) closesIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	waiting := l.waiting
@@ -141,10 +143,10 @@
 // newConnMs is how long a connection may stay open without a first request while the listener drains.
 const newConnMs clock.Millis = 1000
 
-// drain accepts the connections that wait, closes the listener and its idle connections, and waits until all other
+// Drain accepts the connections that wait, closes the listener and its idle connections, and waits until all other
 // connections are closed or the context ends. Unlike http.Server.Shutdown, it serves requests that arrive on new
 // connections, or have arrived in part.
-func (l *callerListener) drain(ctx context.Context) error {
+func (l *Listener) Drain(ctx context.Context) error {
 	if listener, ok := l.Listener.(*server.Listener); ok {
 		listener.AwaitAccepted(ctx)
 	}
@@ -165,7 +167,7 @@
 	return err
 }
 
-func (l *callerListener) startDraining() {
+func (l *Listener) startDraining() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.draining {
@@ -175,14 +177,14 @@
 }
 
 // closeIfDrained closes drained if no connection is left. The mutex must be held.
-func (l *callerListener) closeIfDrained() {
+func (l *Listener) closeIfDrained() {
 	if l.draining && len(l.conns) == 0 {
 		close(l.drained)
 	}
 }
 
 // evictAll closes the connections in a state.
-func (l *callerListener) evictAll(state int32) {
+func (l *Listener) evictAll(state int32) {
 	l.mu.Lock()
 	conns := slices.Collect(maps.Keys(l.conns))
 	l.mu.Unlock()
@@ -192,4 +194,4 @@
 }
 
 // Close implements net.Listener.
-func (l *callerListener) Close() error { return l.close() }
+func (l *Listener) Close() error { return l.close() }
