--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -39,8 +39,8 @@
 	drained chan struct{}
 }
 
-// NewListener returns a listener that accepts at most maxConns connections at a time. Responses limits what it holds for
-// callers that don't read.
+// NewListener returns a listener that accepts at most maxConns connections at a time. Responses limits what it holds
+// for callers that don't read.
 func NewListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *Listener {
 	closed := make(chan struct{})
 	return &Listener{
