fix(inbound): callers that send a long body get the refusal, not a reset

What callers saw: one that sends its whole body before it reads got a reset while it sent, half a second after the box had refused the request (404, 401, 413). The answer is behind the reset; callers that take the failed write for the outcome have none.

Cause: net/http ends the writing side and waits half a second before it closes such a connection, but it finds no CloseWrite on the connection of a listener that wraps it, and it reads nothing while it waits. The kernel resets a connection that is closed with unread bytes, or that gets bytes after it was closed.

Change: a connection that is closed in order after a response lingers (RFC 9112, section 9.6): its writing side ends at once, and what arrives is discarded until the caller closes it, is silent for 1 s, or 5 s or 64 MiB have passed. It keeps its slot, so that their number is bounded by the listener's; a full box closes them first, and doesn't linger while a new connection waits. A stop waits for them within its grace period. Evicted, idle and broken connections, those whose callers have left and those that are closed with the server don't linger.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -34,12 +36,25 @@
 	idleSinceMs atomic.Int64
 	// broken makes Close reset the connection.
 	broken atomic.Bool
+	// reads is the number of calls of Read that have not returned.
+	reads atomic.Int32
+	// ended is set once the caller sends nothing more.
+	ended atomic.Bool
+	// responded is set once anything was written.
+	responded atomic.Bool
+	// lingering is set while the connection lingers.
+	lingering atomic.Bool
 }
 
 // Read implements net.Conn. Data ends the idle state, so that a connection is not evicted once a request on it was
 // read, unless it was read together with the request before.
 func (c *Conn) Read(data []byte) (int, error) {
+	c.reads.Add(1)
+	defer c.reads.Add(-1)
 	n, err := c.Conn.Read(data)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended.Store(true)
+	}
 	if n > 0 && !c.Activate() {
 		return 0, net.ErrClosed
 	}
@@ -57,6 +72,7 @@
 
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *Conn) Write(data []byte) (int, error) {
+	c.responded.Store(true)
 	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
 }
 
@@ -75,12 +91,19 @@
 		return false
 	}
 	// The caller tries again on another connection, whatever the error.
-	_ = c.Close()
+	_ = c.closeNow()
 	return true
 }
 
-// Close closes the connection, or resets it if a response on it was broken off.
+// Close closes the connection, at once or after it has lingered, or resets it if a response on it was broken off.
 func (c *Conn) Close() error {
+	if !c.broken.Load() && c.linger() {
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *Conn) closeNow() error {
 	defer c.release()
 	if c.broken.Load() {
 		upstream.ResetOnClose(c.Conn)
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -104,9 +104,12 @@
 	<-l.slots
 }
 
-// makeRoom closes the connection that has been idle for longest. If none is idle, the next one that becomes idle is
-// closed.
+// makeRoom closes a connection that lingers, or the one that has been idle for longest. If there is none, the next one
+// that becomes idle is closed.
 func (l *Listener) makeRoom() {
+	if l.endLingering() {
+		return
+	}
 	for {
 		longest := l.longestIdle()
 		if longest == nil || longest.evict(connIdle) {
