feat(soak): quotas of processor time, and callers that use connections in unusual ways

A quota is no pause: it excuses late decisions, but neither lost requests nor a late exit. The check counts each whole request that a box closed without a response over 200 ms after its last byte, at any time, and callers of a kind that get no responses.

A SIGCONT for a process that was gone counted as the pause of the next one and excused its late exit; it no longer does.

The tests of lost requests count the violations of the one guarantee that they are about, since a request now can violate several.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -33,7 +33,7 @@
 		Name:    "dooryard-soak",
 		Usage:   "run real boxes as processes, inject faults from outside, and check the fleet's guarantees",
 		Version: version.String(),
-		Flags:   flags(),
+		Flags:   append(flags(), processFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := checkFlags(c); err != nil {
 				return err
@@ -63,6 +63,11 @@
 			}
 		}
 	}
+	for _, added := range []string{"quotas", "callers"} {
+		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
+			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
+		}
+	}
 	return nil
 }
 
@@ -80,15 +85,6 @@
 			Name:  "timed",
 			Usage: "check time bounds, too, with faults that leave most boxes unaffected; requires an idle machine",
 		},
-		&cli.BoolFlag{
-			Name: "processes",
-			Usage: "also send signals in series, and disturb settings files, ports and readers of standard output of " +
-				"boxes for some time",
-		},
-		&cli.BoolFlag{
-			Name:  "planned",
-			Usage: "play planned work only: stops, reloads, configurations and draining servers, with kept connections",
-		},
 		&cli.BoolFlag{Name: "evacuations", Usage: "also evacuate zones, one or two at a time"},
 		&cli.BoolFlag{
 			Name: "partitions",
@@ -118,6 +114,30 @@
 	}
 }
 
+// processFlags returns the flags of faults around processes and their connections.
+func processFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{
+			Name: "processes",
+			Usage: "also send signals in series, and disturb settings files, ports and readers of standard output of " +
+				"boxes for some time",
+		},
+		&cli.BoolFlag{
+			Name:  "planned",
+			Usage: "play planned work only: stops, reloads, configurations and draining servers, with kept connections",
+		},
+		&cli.BoolFlag{
+			Name:  "quotas",
+			Usage: "also give boxes a share of processor time only; requires --planned or --processes",
+		},
+		&cli.BoolFlag{
+			Name: "callers",
+			Usage: "also send requests on connections that were idle for long, long bodies, and requests of clients that " +
+				"end their writing side; requires --planned or --processes",
+		},
+	}
+}
+
 // selectedSeeds returns the seeds selected by the flags.
 func selectedSeeds(c *cli.Command) []uint64 {
 	list := []uint64{}
@@ -144,6 +164,7 @@
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
+		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	line, err := json.Marshal(report)
--- a/internal/soak/disturbances.go
+++ b/internal/soak/disturbances.go
@@ -13,6 +13,8 @@
 	from, to time.Time
 	// planned is set if it was planned work: an orderly stop until the start that follows.
 	planned bool
+	// share is the time for which a box ran in each quotaPeriod, or 0 if it was not under a quota.
+	share time.Duration
 }
 
 // disturbances records by name when boxes and servers were disturbed.
@@ -26,11 +28,21 @@
 	return s
 }
 
-// unplanned returns the disturbances that were not planned.
+// unplanned returns the disturbances that were not planned, without quotas.
 func (d disturbances) unplanned() disturbances {
+	return d.without(func(s *interval) bool { return s.planned || s.share > 0 })
+}
+
+// withoutQuotas returns the disturbances except for quotas of processor time, which excuse late decisions, but no lost
+// requests: planned work loses nothing on a slow machine either.
+func (d disturbances) withoutQuotas() disturbances {
+	return d.without(func(s *interval) bool { return s.share > 0 })
+}
+
+func (d disturbances) without(excluded func(s *interval) bool) disturbances {
 	rest := disturbances{}
 	for name, list := range d {
-		rest[name] = slices.DeleteFunc(slices.Clone(list), func(s *interval) bool { return s.planned })
+		rest[name] = slices.DeleteFunc(slices.Clone(list), excluded)
 	}
 	return rest
 }
@@ -47,18 +59,20 @@
 
 // disturb records that a box, a server or all boxes are disturbed from now on. The returned
 // function records the end.
-func (f *fleet) disturb(name string) (end func()) { return f.history.beginDisturbance(name, false) }
+func (f *fleet) disturb(name string) (end func()) {
+	return f.history.beginDisturbance(name, interval{})
+}
 
 // disturbAsPlanned does the same for planned work.
 func (f *fleet) disturbAsPlanned(name string) (end func()) {
-	return f.history.beginDisturbance(name, true)
+	return f.history.beginDisturbance(name, interval{planned: true})
 }
 
-func (h *history) beginDisturbance(name string, planned bool) (end func()) {
+func (h *history) beginDisturbance(name string, kind interval) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.disturbances.begin(name, time.Now())
-	s.planned = planned
+	s.planned, s.share = kind.planned, kind.share
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -25,6 +25,8 @@
 	dumped bool
 	// paused is set if it was stopped after SIGTERM, or has not been resumed since.
 	paused bool
+	// held is set while it is stopped.
+	held bool
 	// early holds the signals that were sent before the program could receive them.
 	early []earlySignal
 }
@@ -44,7 +46,7 @@
 // of its code has run.
 func (p *process) receives(s syscall.Signal) bool {
 	switch {
-	case time.Since(p.started) >= earlySpan:
+	case time.Since(p.started)-p.withheld >= earlySpan:
 		return true
 	case s == syscall.SIGHUP:
 		return handles(p.command.Process.Pid, s)
@@ -83,9 +85,10 @@
 			a.terminated = now
 		}
 	case syscall.SIGSTOP:
-		a.paused = true
+		a.paused, a.held = true, true
 	case syscall.SIGCONT:
-		a.paused = !a.terminated.IsZero()
+		// It may belong to a pause of the process before.
+		a.paused, a.held = a.paused && !a.terminated.IsZero(), false
 	default:
 	}
 }
@@ -116,6 +119,17 @@
 	p.exits = append(p.exits, e)
 }
 
+// ends returns the times at which processes ended.
+func (p *process) ends() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []time.Time{}
+	for _, e := range p.exits {
+		list = append(list, e.at)
+	}
+	return list
+}
+
 // recordProblem records what went wrong with the process beside its exits.
 func (p *process) recordProblem(problem string) {
 	p.mu.Lock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -64,6 +64,9 @@
 	Processes bool
 	// Planned plays planned work only: stops, reloads, configurations and draining servers, with kept connections.
 	Planned bool
+	// Quotas also gives boxes only a share of processor time for some time, and Callers also sends requests of callers
+	// that use their connections in unusual ways. Both need Processes or Planned.
+	Quotas, Callers bool
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
@@ -182,6 +185,9 @@
 			f.addKey(tenant)
 		}
 	}
+	if settings.Callers {
+		f.config.IdleTimeoutMs = idleTimeoutMs
+	}
 	f.store.PutConfig(f.config)
 	storeAddress, err := f.serve("127.0.0.1:0", f.store)
 	if err != nil {
@@ -275,8 +281,11 @@
 			f.history.recordRun(run)
 			takeTime(run.RequestID)
 		})
-		if f.draw(slowServerOneIn) == 0 {
+		switch one := f.draw(slowServerOneIn); {
+		case one == 0:
 			current.StreamSlowly(slowEventGap)
+		case one == 1 && f.settings.Callers:
+			current.StreamSlowly(longEventGap)
 		}
 	}
 	current.OnArrival(func(a standin.Arrival) {
@@ -340,6 +349,7 @@
 		return err
 	}
 	b.process.onPlanned = func(s syscall.Signal) { f.history.recordPlanned(b.name, s) }
+	b.process.onKill = func() { f.history.recordKill(b.name) }
 	f.mu.Lock()
 	f.boxes = append(f.boxes, b)
 	f.mu.Unlock()
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -56,8 +56,14 @@
 	// holds when configurations were written, under allBoxes.
 	stops, reloads map[string][]time.Time
 	configs        map[string][]*interval
-	lost           lostStats
-	otherCuts      []string
+	// kills are the times at which boxes were killed, ends those at which their processes had ended, and changedStarts
+	// the intervals in which something else may have held their ports.
+	kills, ends   map[string][]time.Time
+	changedStarts map[string][]*interval
+	// interfered reports, by box, whether the link of its callers may have closed a connection from an address.
+	interfered map[string]func(address string, from, to time.Time) bool
+	lost       lostStats
+	otherCuts  []string
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
 	// timed is set if time bounds are checked too.
@@ -71,7 +77,9 @@
 		arrivalsByRequest: map[string][]standin.Arrival{}, replacements: map[string][]*interval{},
 		zones: map[string]string{}, evacuations: map[string][]*interval{}, crashes: map[standin.Fatal][]time.Time{},
 		processFaults: map[string]int{}, works: map[string][]*work{}, stops: map[string][]time.Time{},
-		reloads: map[string][]time.Time{}, configs: map[string][]*interval{},
+		reloads: map[string][]time.Time{}, configs: map[string][]*interval{}, kills: map[string][]time.Time{},
+		ends: map[string][]time.Time{}, changedStarts: map[string][]*interval{},
+		interfered: map[string]func(string, time.Time, time.Time) bool{},
 	}
 }
 
@@ -137,6 +145,7 @@
 	violations = append(violations, h.checkStreams()...)
 	violations = append(violations, h.checkPartitions()...)
 	violations = append(violations, h.checkLost()...)
+	violations = append(violations, h.checkCallers()...)
 	return append(violations, h.checkSignals()...)
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -65,6 +65,8 @@
 	separated []string
 	// stalled holds the boxes whose connections open and pass nothing on.
 	stalled []string
+	// unforwarded holds the addresses of connections that the link reset as they opened, or whose bytes it drops.
+	unforwarded map[string]struct{}
 	// origins maps the local addresses of outbound connections to the origins of the inbound ones.
 	origins map[string]origin
 }
@@ -147,7 +149,7 @@
 	l := &link{
 		listener: listener, addr: listener.Addr().String(), target: target,
 		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}, owners: map[net.Conn]string{},
-		origins: map[string]origin{},
+		origins: map[string]origin{}, unforwarded: map[string]struct{}{},
 	}
 	for _, option := range options {
 		option(l)
@@ -190,6 +192,9 @@
 	conns := l.conns
 	if fault == linkStale {
 		maps.Copy(l.stale, conns)
+		for c := range conns {
+			l.unforwarded[c.RemoteAddr().String()] = struct{}{}
+		}
 	}
 	if fault == linkReset || fault.refuses() {
 		l.conns = map[net.Conn]struct{}{}
@@ -234,6 +239,23 @@
 	return !disturbances{allBoxes: l.faults}.undisturbed(allBoxes, from, to)
 }
 
+// interfered reports whether the link, instead of its target, may have closed a connection from an address in an
+// interval.
+func (l *link) interfered(address string, from, to time.Time) bool {
+	l.mu.Lock()
+	_, unforwarded := l.unforwarded[address]
+	l.mu.Unlock()
+	return unforwarded || l.disturbed(from, to)
+}
+
+// refuse resets a connection that just opened.
+func (l *link) refuse(inbound net.Conn) {
+	l.mu.Lock()
+	l.unforwarded[inbound.RemoteAddr().String()] = struct{}{}
+	l.mu.Unlock()
+	reset(inbound)
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		// If linger can't be set, the following close sends a FIN instead of a reset.
@@ -256,14 +278,14 @@
 	defer l.forget(inbound)
 	accepted := time.Now()
 	if currentFault := l.currentFault(); currentFault == linkReset || currentFault.refuses() || !l.admit(inbound) {
-		reset(inbound)
+		l.refuse(inbound)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	outbound, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.target())
 	if err != nil {
-		reset(inbound)
+		l.refuse(inbound)
 		return
 	}
 	l.mu.Lock()
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -81,26 +81,64 @@
 // lostStats counts requests that were sent whole and whose connections boxes closed without a complete response, though
 // neither the server, the client nor a time limit ended them, and no unplanned disturbance was near.
 type lostStats struct {
-	// OnKept are those on kept connections of undisturbed boxes, BesidePlanned those that planned work must not cut, and
-	// Others the rest, which other-cuts.txt in the run's folder lists.
-	OnKept, BesidePlanned, Others int
+	// OnKept are those on kept connections of undisturbed boxes, BesidePlanned those that planned work must not cut,
+	// Unanswered those without any response later than lossSlack after their last byte, at any time, and Others the
+	// rest, which other-cuts.txt in the run's folder lists.
+	OnKept, BesidePlanned, Unanswered, Others int
+	// Callers counts the particular requests of callers, by kind and phase of the box.
+	Callers map[string]callerStats
 }
 
 // cut reports whether the box closed the connection of a request that was sent whole without a complete response. It is
 // none if the close crossed the request.
 func (h *history) cut(o standin.Outcome) bool {
+	if o.Written.IsZero() || o.Complete || h.endedOtherwise(o) {
+		return false
+	}
+	return len(h.works[o.ID]) > 0 || o.Ended.Sub(o.Written) > lossSlack
+}
+
+// endedOtherwise reports whether a request without a complete response was ended by its client, a server or a time
+// limit.
+func (h *history) endedOtherwise(o standin.Outcome) bool {
 	// Boxes count in whole milliseconds.
 	limit := time.Duration(min(o.DeadlineMs, standin.RouteTimeoutMs)-1) * time.Millisecond
-	if o.Written.IsZero() || o.Complete || cancelled(o) || o.Fatal() != standin.NotFatal ||
+	if cancelled(o) || o.Fatal() != standin.NotFatal ||
 		strings.Contains(o.Err, context.DeadlineExceeded.Error()) || o.Ended.Sub(o.Sent) >= limit {
-		return false
-	}
-	if list := h.works[o.ID]; len(list) > 0 {
-		return !slices.ContainsFunc(list, func(w *work) bool {
-			return w.brokeOff || w.linkDisturbed(w.from, o.Ended)
-		})
+		return true
 	}
-	return o.Ended.Sub(o.Written) > lossSlack
+	return slices.ContainsFunc(h.works[o.ID], func(w *work) bool {
+		return w.brokeOff || w.linkDisturbed(w.from, o.Ended)
+	})
+}
+
+// recordKill records that a box is about to be killed.
+func (h *history) recordKill(box string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.kills[box] = append(h.kills[box], time.Now())
+}
+
+// recordChangedStart records that a box starts in changed surroundings. The returned function records their end.
+func (h *history) recordChangedStart(box string) (end func()) {
+	return h.beginInterval(h.changedStarts, box)
+}
+
+// closedBySoak reports whether the soak itself closed a request's connection: it killed the box, held one of its ports
+// or disturbed the link.
+func (h *history) closedBySoak(o standin.Outcome) bool {
+	killed := slices.ContainsFunc(h.kills[o.Box], func(at time.Time) bool {
+		return !o.Sent.After(at) && !o.Ended.Before(at)
+	})
+	interfered := h.interfered[o.Box]
+	return killed || !disturbances(h.changedStarts).undisturbed(o.Box, o.Sent, o.Ended) ||
+		interfered != nil && interfered(o.Local, o.Sent, o.Ended) || h.separated(o.Box, o.Sent, o.Ended)
+}
+
+// unanswered reports whether the box closed the connection of a request that it cut without any response, late enough
+// that the close did not cross the request, whether the box had read it or not.
+func (h *history) unanswered(o standin.Outcome) bool {
+	return o.Status == 0 && o.Ended.Sub(o.Written) > lossSlack && !h.outlastedGrace(o) && !h.closedBySoak(o)
 }
 
 // checkLost checks that boxes lost no request.
@@ -120,11 +158,24 @@
 			stats.BesidePlanned++
 			violations = append(violations, violation{"no lost request beside planned work", o.ID, beside})
 		}
-		if !kept && beside == "" && h.noUnplanned(o) {
+		unanswered := h.unanswered(o)
+		stats.Unanswered += boolInt(unanswered)
+		switch {
+		case beside != "":
+		case unanswered:
+			violations = append(violations, violation{"a response to each whole request", o.ID, h.describe(o)})
+		case !kept && h.noUnplanned(o):
 			stats.Others++
 			h.otherCuts = append(h.otherCuts, o.ID+": "+h.describe(o))
 		}
 	}
+	h.lost = stats
+	return append(violations, h.keptViolations(onKept)...)
+}
+
+// keptViolations returns the violations of boxes that lost too many requests of kept connections.
+func (h *history) keptViolations(onKept map[string][]standin.Outcome) []violation {
+	violations := []violation{}
 	for box, list := range onKept {
 		if len(list) > maxLostOnKept {
 			violations = append(violations, violation{
@@ -133,7 +184,6 @@
 			})
 		}
 	}
-	h.lost = stats
 	return violations
 }
 
@@ -142,7 +192,7 @@
 func (h *history) lostOnKept(o standin.Outcome) bool {
 	return o.Kept && o.Status == 0 && len(h.works[o.ID]) > 0 &&
 		!h.separated(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended) &&
-		h.disturbances.undisturbed(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended.Add(endSlack))
+		h.disturbances.withoutQuotas().undisturbed(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended.Add(endSlack))
 }
 
 // noUnplanned reports whether no unplanned disturbance was near a request.
@@ -188,11 +238,27 @@
 
 // describe tells where a request was lost and when.
 func (h *history) describe(o standin.Outcome) string {
-	text := fmt.Sprintf("%s closed the connection at %s, %s after the request's last byte, %q",
-		o.Box, o.Ended.Format(timeOfDay), millis(o.Ended.Sub(o.Written)), o.Err)
+	age := millis(o.Ended.Sub(o.Written)).String() + " after the request's last byte"
+	if o.Written.IsZero() {
+		age = "before the request's last byte"
+	}
+	text := fmt.Sprintf("%s closed the connection at %s, %s, %q", o.Box, o.Ended.Format(timeOfDay), age, o.Err)
 	if !o.Kept {
 		text += ", a new connection"
 	}
+	if o.Caller != "" {
+		text += ", " + o.Caller
+	}
+	at, since := h.phaseOf(o)
+	text += ", sent while " + string(at)
+	if at != phaseServing {
+		text += fmt.Sprintf(", %s after SIGTERM", millis(since))
+	}
+	for _, s := range h.disturbances[o.Box] {
+		if s.share > 0 && s.from.Before(o.Ended) && (s.to.IsZero() || s.to.After(o.Sent)) {
+			text += fmt.Sprintf(", under a quota of %s in %s since %s", s.share, quotaPeriod, s.from.Format(timeOfDay))
+		}
+	}
 	for _, w := range h.works[o.ID] {
 		text += fmt.Sprintf(", %s worked on it from %s to %s", w.server, w.from.Format(timeOfDay), w.to.Format(timeOfDay))
 	}
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -17,8 +17,19 @@
 const (
 	keptRule    = "no lost request on a kept connection"
 	plannedRule = "no lost request beside planned work"
+	answerRule  = "a response to each whole request"
+	callerRule  = "a response to callers of each kind"
 )
 
+// countViolations counts the violations of a guarantee.
+func countViolations(h *history, guarantee string) int {
+	count := 0
+	for _, v := range h.check() {
+		count += boolInt(v.Guarantee == guarantee)
+	}
+	return count
+}
+
 func never(time.Time, time.Time) bool { return false }
 
 // lostRequest returns a request that was sent whole on a kept connection, passed on, and cut 500 ms later. A server was
@@ -94,6 +105,9 @@
 			h.works[o.ID][0].to = time.Time{}
 		}},
 		{"a kill", 0, 100 * ms, func(h *history, o *standin.Outcome) { h.disturbances.begin(o.Box, o.Ended) }},
+		{"a quota of processor time", 1, 100 * ms, func(h *history, o *standin.Outcome) {
+			h.disturbances.begin(o.Box, o.Sent).share = ms
+		}},
 		{"a planned stop", 1, 100 * ms, func(h *history, o *standin.Outcome) {
 			h.disturbances.begin(o.Box, o.Sent.Add(-100*ms)).planned = true
 		}},
@@ -126,10 +140,7 @@
 				c.change(h, o)
 			}
 			h.recordOutcome(*o)
-			found := h.check()
-			if assert.Len(t, found, c.found) && c.found > 0 {
-				assert.Equal(t, plannedRule, found[0].Guarantee)
-			}
+			assert.Equal(t, c.found, countViolations(h, plannedRule))
 		})
 	}
 }
@@ -151,6 +162,9 @@
 		{"a request that was not passed on", 0, maxLostOnKept + 1, func(h *history, o *standin.Outcome) { delete(h.works, o.ID) }},
 		{"a server that broke off", 0, maxLostOnKept + 1, func(h *history, o *standin.Outcome) { h.works[o.ID][0].brokeOff = true }},
 		{"another box", 0, maxLostOnKept + 1, func(_ *history, o *standin.Outcome) { o.Box = "other" }},
+		{"a box under a quota", 1, maxLostOnKept + 1, func(h *history, o *standin.Outcome) {
+			h.disturbances.begin(o.Box, o.Sent).share = time.Millisecond
+		}},
 		{"a disturbed box", 0, maxLostOnKept + 1, func(h *history, o *standin.Outcome) {
 			h.disturbances.begin(o.Box, o.Sent.Add(-time.Second))
 		}},
@@ -167,10 +181,108 @@
 				}
 				h.recordOutcome(*o)
 			}
-			found := h.check()
-			if assert.Len(t, found, c.found) && c.found > 0 {
-				assert.Equal(t, keptRule, found[0].Guarantee)
+			assert.Equal(t, c.found, countViolations(h, keptRule))
+		})
+	}
+}
+
+// TestFindsWholeRequestWithoutResponse guards against boxes that close connections of which they read nothing.
+func TestFindsWholeRequestWithoutResponse(t *testing.T) {
+	const ms = time.Millisecond
+	start := time.Now()
+	for _, c := range []struct {
+		name   string
+		found  int
+		change func(h *history, o *standin.Outcome)
+	}{
+		{"a request at any time", 1, nil},
+		{"a new connection", 1, func(_ *history, o *standin.Outcome) { o.Kept = false }},
+		{"a box under a quota", 1, func(h *history, o *standin.Outcome) {
+			h.disturbances.begin(o.Box, o.Sent).share = ms
+		}},
+		{"a paused box", 1, func(h *history, o *standin.Outcome) { h.disturbances.begin(o.Box, o.Sent) }},
+		{"a close that crossed the request", 0, func(_ *history, o *standin.Outcome) { o.Ended = o.Written.Add(lossSlack) }},
+		{"a request that was not sent whole", 0, func(_ *history, o *standin.Outcome) { o.Written = time.Time{} }},
+		{"a client that left", 0, func(_ *history, o *standin.Outcome) { o.Err = "context canceled" }},
+		{"a route's timeout that was reached", 0, func(_ *history, o *standin.Outcome) {
+			o.Ended = o.Sent.Add(standin.RouteTimeoutMs*ms - ms)
+		}},
+		{"a server that broke off", 0, func(h *history, o *standin.Outcome) { h.works[o.ID] = []*work{{brokeOff: true}} }},
+		{"a box that was killed", 0, func(h *history, o *standin.Outcome) {
+			h.kills[o.Box] = []time.Time{o.Sent.Add(-ms), o.Ended}
+		}},
+		{"a box that was killed before", 1, func(h *history, o *standin.Outcome) {
+			h.kills[o.Box] = []time.Time{o.Sent.Add(-ms)}
+		}},
+		{"a port that the soak held", 0, func(h *history, o *standin.Outcome) {
+			h.changedStarts[o.Box] = []*interval{{from: o.Sent, to: o.Sent.Add(ms)}}
+		}},
+		{"a link that closed the connection", 0, func(h *history, o *standin.Outcome) {
+			h.interfered[o.Box] = func(address string, _, to time.Time) bool { return address == o.Local && to.Equal(o.Ended) }
+		}},
+		{"a server at work until the end of the grace period", 0, func(h *history, o *standin.Outcome) {
+			h.stops[o.Box] = []time.Time{o.Ended.Add(-shutdownGraceS * time.Second)}
+			o.Sent = o.Sent.Add(-time.Second)
+			h.works[o.ID] = []*work{{from: o.Sent, linkDisturbed: never}}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			o := lostRequest(h, "1", start)
+			clear(h.works)
+			if c.change != nil {
+				c.change(h, o)
+			}
+			h.recordOutcome(*o)
+			assert.Equal(t, c.found, countViolations(h, answerRule))
+			assert.Equal(t, c.found, h.lost.Unanswered)
+		})
+	}
+}
+
+// TestFindsCallersWithoutResponses guards against boxes that never respond to one kind of caller.
+func TestFindsCallersWithoutResponses(t *testing.T) {
+	start := time.Now()
+	stopped := func(ago time.Duration) func(h *history, _ *standin.Outcome) {
+		return func(h *history, _ *standin.Outcome) { h.stops["b"] = []time.Time{start.Add(-ago)} }
+	}
+	for _, c := range []struct {
+		name                         string
+		found                        int
+		caller                       string
+		unanswered, answered, change int
+		changed                      func(h *history, o *standin.Outcome)
+	}{
+		{"long bodies that can't be written", 1, callerBody, 4, 100, 0, nil},
+		{"as many as may be", 0, callerBody, maxLostOnKept, 0, 0, nil},
+		{"callers that rest", 0, callerRests, 4, 0, 0, nil},
+		{"other callers", 0, "", 4, 0, 0, nil},
+		{"half-closed connections in a stop", 1, callerHalf, 4, 11, 1, stopped(time.Second)},
+		{"closes that cross some requests", 0, callerHalf, 4, 12, 1, stopped(time.Second)},
+		{"connections that end with their streams", 1, callerNext, 4, 11, 1, stopped(announceSpan)},
+		{"a new process", 1, callerNext, 4, 12, 1, func(h *history, _ *standin.Outcome) {
+			h.stops["b"], h.ends["b"] = []time.Time{start.Add(-3)}, []time.Time{start.Add(-2)}
+		}},
+		{"a box that was killed", 0, callerBody, 4, 0, 1, func(h *history, o *standin.Outcome) {
+			h.kills[o.Box] = []time.Time{o.Sent}
+		}},
+		{"servers that broke off", 0, callerHalf, 4, 0, 1, func(h *history, o *standin.Outcome) {
+			h.works[o.ID] = []*work{{brokeOff: true}}
+		}},
+		{"responses that were cut", 1, callerHalf, 4, 0, 4, func(_ *history, o *standin.Outcome) { o.Status = http.StatusOK }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			for i := range c.unanswered + c.answered {
+				o := lostRequest(h, strconv.Itoa(i), start)
+				delete(h.works, o.ID)
+				o.Caller, o.Written, o.Complete = c.caller, time.Time{}, i >= c.unanswered
+				if i < c.change {
+					c.changed(h, o)
+				}
+				h.recordOutcome(*o)
 			}
+			assert.Equal(t, c.found, countViolations(h, callerRule))
 		})
 	}
 }
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -29,9 +29,11 @@
 	// Streams of one server in slowServerOneIn outlast the grace period.
 	slowServerOneIn = 4
 	slowEventGap    = 400 * time.Millisecond
-	maxConfigs      = 5
-	configGapMs     = 300
-	minStopsApart   = 2
+	// longEventGap makes streams nearly as long as the route's timeout allows.
+	longEventGap  = 235 * time.Millisecond
+	maxConfigs    = 5
+	configGapMs   = 300
+	minStopsApart = 2
 )
 
 func plannedFaults() []processFault {
@@ -53,7 +55,7 @@
 
 // injectPlanned plays planned work until ctx ends.
 func (f *fleet) injectPlanned(ctx context.Context) {
-	f.play(ctx, rand.New(rand.NewPCG(f.settings.Seed, 9)), plannedFaults())
+	f.play(ctx, rand.New(rand.NewPCG(f.settings.Seed, 9)), plannedFaults(), faultGapMs)
 }
 
 func planStop(f *fleet, b *box, random *rand.Rand) func() error {
@@ -97,10 +99,14 @@
 	f.stopping--
 }
 
-// stopAll stops all boxes at the end of a run of planned work.
+// stopAll stops all boxes at the end of a run of planned work, with quotas half of them under one.
 func (f *fleet) stopAll() {
+	random := rand.New(rand.NewPCG(f.settings.Seed, 11))
 	var stops sync.WaitGroup
 	for _, b := range f.boxes {
+		if share := drawShare(random); f.settings.Quotas && random.IntN(2) == 0 {
+			stops.Go(func() { f.throttle(b, share, quotaToExitSpan) })
+		}
 		stops.Go(func() {
 			defer f.disturbAsPlanned(b.name)()
 			err := b.process.signal(syscall.SIGTERM)
@@ -117,11 +123,16 @@
 
 // keptClient returns a client that keeps a connection to a box.
 func (f *fleet) keptClient(b *box) *standin.Client {
+	return standin.NewClient(b.name, f.keptAddress(b))
+}
+
+// keptAddress returns the address of a box for kept connections.
+func (f *fleet) keptAddress(b *box) string {
 	if f.settings.Planned {
 		// Without a link in between, a connection ends when the box ends it.
-		return standin.NewClient(b.name, net.JoinHostPort(b.ip, strconv.Itoa(callersPort)))
+		return net.JoinHostPort(b.ip, strconv.Itoa(callersPort))
 	}
-	return standin.NewClient(b.name, b.callers.address())
+	return b.callers.address()
 }
 
 // runKeptClient sends requests back to back on a connection to one box until ctx ends. When that is gone, it goes to
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -31,12 +31,18 @@
 	exits    []exit
 	problems []string
 	// onPlanned is called before a signal that is planned work is sent: SIGHUP, or the first SIGTERM of a process.
+	// onKill is called before SIGKILL.
 	onPlanned func(s syscall.Signal)
+	onKill    func()
 	// output is the reading side of the process's standard output, which is not read before stalledUntil. wrote is set
 	// once the most recently started process has written to it.
 	output       *os.File
 	stalledUntil time.Time
 	wrote        bool
+	// throttled is set while a quota of processor time is in force. withheld is for how long quotas have kept the most
+	// recently started process from running.
+	throttled bool
+	withheld  time.Duration
 }
 
 // newProcess writes a box's settings file and creates the log file that all of the box's
@@ -53,7 +59,7 @@
 	}
 	return &process{
 		name: name, program: program, settings: path, content: settings, log: log, out: out,
-		onPlanned: func(syscall.Signal) {},
+		onPlanned: func(syscall.Signal) {}, onKill: func() {},
 	}, nil
 }
 
@@ -82,7 +88,7 @@
 	p.output, p.wrote = reader, false
 	go p.copyOutput(reader)
 	exited, started := make(chan struct{}), time.Now()
-	p.command, p.started, p.exited, p.asked = command, started, exited, askedEnd{}
+	p.command, p.started, p.exited, p.asked, p.withheld = command, started, exited, askedEnd{}, 0
 	go func() {
 		defer close(exited)
 		// The state tells how it ended.
@@ -115,6 +121,9 @@
 	if s == syscall.SIGHUP || s == syscall.SIGTERM && p.asked.terminated.IsZero() {
 		p.onPlanned(s)
 	}
+	if s == syscall.SIGKILL {
+		p.onKill()
+	}
 	if s == syscall.SIGTERM && p.asked.terminated.IsZero() {
 		p.asked.waited = threadWaits(p.command.Process.Pid)
 	}
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -56,11 +56,12 @@
 // injectProcessFaults starts one process fault after the other until ctx ends, and returns when all have ended.
 func (f *fleet) injectProcessFaults(ctx context.Context) {
 	random := rand.New(rand.NewPCG(f.settings.Seed, 8))
-	f.play(ctx, random, processFaults())
+	f.play(ctx, random, processFaults(), faultGapMs)
 }
 
-// play starts random process faults one after the other, at random boxes, until ctx ends.
-func (f *fleet) play(ctx context.Context, random *rand.Rand, list []processFault) {
+// play starts random process faults one after the other, at random boxes, less than minDelayMs + gapMs apart, until ctx
+// ends.
+func (f *fleet) play(ctx context.Context, random *rand.Rand, list []processFault, gapMs int) {
 	var playing sync.WaitGroup
 	defer playing.Wait()
 	for ctx.Err() == nil {
@@ -72,7 +73,7 @@
 				b.process.recordProblem(one.name + ": " + err.Error())
 			}
 		})
-		sleep(ctx, time.Duration(minDelayMs+random.IntN(faultGapMs))*time.Millisecond)
+		sleep(ctx, drawMs(random, minDelayMs, gapMs))
 	}
 }
 
@@ -201,6 +202,7 @@
 				return err
 			}
 			err := b.inSurroundings(change, choice, func(end func() error) error {
+				defer f.history.recordChangedStart(b.name)()
 				err := b.process.start()
 				time.Sleep(span)
 				return errors.Join(err, end())
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -104,6 +104,10 @@
 
 // fill fills in the report when everything has ended.
 func (f *fleet) fill(report *Report) {
+	for _, b := range f.boxes {
+		f.history.interfered[b.name] = b.callers.interfered
+		f.history.ends[b.name] = b.process.ends()
+	}
 	for _, found := range f.history.check() {
 		report.Findings = append(report.Findings, found.String())
 	}
@@ -138,6 +142,11 @@
 			workers.Go(func() { f.runKeptClient(ctx, i) })
 		}
 	}
+	if f.settings.Callers {
+		for i := range len(callerKinds()) * len(f.boxes) {
+			workers.Go(func() { f.runCaller(ctx, i) })
+		}
+	}
 	if f.settings.Planned {
 		return
 	}
@@ -157,6 +166,7 @@
 		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
 		{f.settings.Processes, f.injectProcessFaults},
 		{f.settings.Planned, f.injectPlanned},
+		{f.settings.Quotas, f.injectQuotas},
 		{f.settings.Evacuations, f.injectEvacuations},
 		{f.settings.Overload, f.injectOverload},
 		{f.settings.Stalls, f.injectStalls},
