fix(inbound): a connection on which a request waits is not closed as idle

What callers saw: with a tenth of the processor time, requests sent whole on kept connections during a stop were closed without a response 0.2 to 0.4 s later, and the box had no line of it.

Cause: the box decided by its own record, which changes when the connection's reader has run. With little processor time that is long after the kernel has the request.

Ruled out: that the requests were passed on (no server saw them).

Change: whoever closes an idle or new connection asks the kernel right before, in a stop, when a connection becomes idle and in favour of a new connection on a full box, and leaves one with unread bytes to its reader. The end is sent before the blocked reader has returned, so that little time lies between the question and the close. The lines of a stop and two counters tell how many connections were closed and how many kept.

Both tests fail without the question and pass with it.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -84,8 +84,10 @@
 
 	servers []*http.Server
 	// drained are the listeners that requests arrive on.
-	drained  []*inbound.Listener
-	stopping atomic.Bool
+	drained []*inbound.Listener
+	// evictions counts the connections that seemed idle when the box stopped or was full.
+	evictions inbound.Evictions
+	stopping  atomic.Bool
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
@@ -184,6 +186,8 @@
 	b.budgets = retry.NewBudgets(int(usablePercent*sustainedShare), retryReserve(settings.Budget.Slack),
 		retry.WithBurst(int(usablePercent*(1-sustainedShare)), window, b.clock.Monotonic))
 	b.metrics.Publish("routing_state", func() any { return b.stateSummary() })
+	b.metrics.Publish("connections_closed_idle", func() any { return b.evictions.Closed.Load() })
+	b.metrics.Publish("connections_kept_unread", func() any { return b.evictions.Unread.Load() })
 	b.metrics.Publish("evacuations", func() any { return b.evacuations.Active() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
@@ -442,5 +446,8 @@
 
 // recordStop records a stage of the stop with the requests in flight.
 func (b *Box) recordStop(stage string, err error) {
-	b.log.Record(decision.Stop{Stage: stage, InFlight: b.requests.Load(), Err: errorText(err)})
+	b.log.Record(decision.Stop{
+		Stage: stage, InFlight: b.requests.Load(), Err: errorText(err),
+		ClosedIdle: b.evictions.Closed.Load(), KeptUnread: b.evictions.Unread.Load(),
+	})
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -185,7 +185,8 @@
 
 func (b *Box) limitConnections(listener net.Listener) *inbound.Listener {
 	files := b.settings.Load().Capacity.OpenFiles
-	return inbound.NewListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock)
+	return inbound.NewListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock,
+		inbound.WithEvictions(&b.evictions))
 }
 
 // metricsRetryMs is the time between two attempts to serve metrics.
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -34,6 +34,8 @@
 	unread      *exchange.Unread
 	state       atomic.Int32
 	idleSinceMs atomic.Int64
+	// keptUnread is set once an eviction has found a request that waits to be read.
+	keptUnread atomic.Bool
 	// broken makes Close reset the connection.
 	broken atomic.Bool
 	// reads is the number of calls of Read that have not returned.
@@ -79,17 +81,30 @@
 // setIdle records that the caller keeps the connection without a request.
 func (c *Conn) setIdle(now clock.Millis) {
 	c.idleSinceMs.Store(int64(now))
+	c.keptUnread.Store(false)
 	c.state.Store(connIdle)
-	if c.listener.closesIdle() {
-		c.evict(connIdle)
-	}
+	c.listener.handleIdle(c)
 }
 
-// evict closes the connection if it is in a state, and reports whether it was.
+// evict closes the connection if it is in a state and no request waits to be read, and reports whether it did.
 func (c *Conn) evict(state int32) bool {
+	if c.state.Load() != state {
+		return false
+	}
+	if hasUnread(c.Conn) {
+		if c.keptUnread.CompareAndSwap(false, true) {
+			c.listener.evictions.Unread.Add(1)
+		}
+		return false
+	}
 	if !c.state.CompareAndSwap(state, connEvicted) {
 		return false
 	}
+	c.listener.evictions.Closed.Add(1)
+	if s, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		// A close takes effect only once the blocked reader has returned. Its caller is told at once.
+		_ = s.CloseWrite()
+	}
 	// The caller tries again on another connection, whatever the error.
 	_ = c.closeNow()
 	return true
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
@@ -28,6 +30,10 @@
 	// responses limits what is held for callers that don't read.
 	responses *exchange.Memory
 	clock     clock.Clock
+	evictions *Evictions
+
+	// evicting is held while idle connections are closed in favour of others, so that each new one closes one.
+	evicting sync.Mutex
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -39,18 +45,39 @@
 	drained chan struct{}
 }
 
+// Evictions counts the connections that were to be closed because their callers seemed to keep them without a request.
+type Evictions struct {
+	// Closed counts those that were closed.
+	Closed atomic.Int64
+	// Unread counts those that stayed open, as a request waited to be read.
+	Unread atomic.Int64
+}
+
+// Option configures a Listener.
+type Option func(*Listener)
+
+// WithEvictions sets where evictions are counted.
+func WithEvictions(e *Evictions) Option { return func(l *Listener) { l.evictions = e } }
+
 // NewListener returns a listener that accepts at most maxConns connections at a time. Responses limits what it holds
 // for callers that don't read.
-func NewListener(l net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock) *Listener {
+func NewListener(
+	socket net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock, options ...Option,
+) *Listener {
 	closed := make(chan struct{})
-	return &Listener{
-		Listener: l, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*Conn]struct{}{},
-		responses: responses, clock: c, drained: make(chan struct{}), refused: make(chan struct{}),
+	l := &Listener{
+		Listener: socket, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*Conn]struct{}{},
+		responses: responses, clock: c, evictions: &Evictions{},
+		drained: make(chan struct{}), refused: make(chan struct{}),
 		close: sync.OnceValue(func() error {
 			close(closed)
-			return l.Close()
+			return socket.Close()
 		}),
 	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
 }
 
 // Accept implements net.Listener. The connection is a *Conn. It is accepted before there is a slot for it, so
@@ -107,40 +134,54 @@
 // makeRoom closes a connection that lingers, or the one that has been idle for longest. If there is none, the next one
 // that becomes idle is closed.
 func (l *Listener) makeRoom() {
+	l.evicting.Lock()
+	defer l.evicting.Unlock()
 	if l.endLingering() {
 		return
 	}
-	for {
-		longest := l.longestIdle()
-		if longest == nil || longest.evict(connIdle) {
+	for _, c := range l.idleConns() {
+		if c.evict(connIdle) {
 			return
 		}
 	}
+	l.setWaiting(true)
+}
+
+// handleIdle closes a connection that has become idle if the box stops, or in favour of a new connection that waits.
+func (l *Listener) handleIdle(c *Conn) {
+	l.evicting.Lock()
+	defer l.evicting.Unlock()
+	if l.closesIdle() && c.evict(connIdle) {
+		l.setWaiting(false)
+	}
 }
 
-// longestIdle returns the connection that has been idle for longest. If it returns nil, a new connection counts as
-// waiting.
-func (l *Listener) longestIdle() *Conn {
+// idleConns returns the idle connections, first the one that has been idle for longest.
+func (l *Listener) idleConns() []*Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var longest *Conn
+	idle := []*Conn{}
 	for c := range l.conns {
-		if c.state.Load() == connIdle && (longest == nil || c.idleSinceMs.Load() < longest.idleSinceMs.Load()) {
-			longest = c
+		if c.state.Load() == connIdle {
+			idle = append(idle, c)
 		}
 	}
-	l.waiting = longest == nil
-	return longest
+	slices.SortFunc(idle, func(a, b *Conn) int { return cmp.Compare(a.idleSinceMs.Load(), b.idleSinceMs.Load()) })
+	return idle
 }
 
 // closesIdle reports whether a connection that becomes idle is closed: because the box stops, or because a new
-// connection waits, which it reports once for each.
+// connection waits.
 func (l *Listener) closesIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	waiting := l.waiting
-	l.waiting = false
-	return waiting || l.draining
+	return l.waiting || l.draining
+}
+
+func (l *Listener) setWaiting(waiting bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = waiting
 }
 
 // newConnMs is how long a connection may stay open without a first request while the listener drains.
--- /dev/null
+++ b/internal/inbound/listener_test.go
@@ -0,0 +1,115 @@
+package inbound
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+)
+
+// fixture is a listener on a real socket whose connections nobody reads unless the test does.
+type fixture struct {
+	t         *testing.T
+	listener  *Listener
+	evictions Evictions
+	trackIdle func(c net.Conn, state http.ConnState)
+}
+
+func newFixture(t *testing.T, maxConns int) *fixture {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fixture{t: t}
+	f.listener = NewListener(inner, maxConns, exchange.NewMemory(1<<20), clock.New(), WithEvictions(&f.evictions))
+	f.trackIdle = TrackIdle(clock.New().Monotonic)
+	t.Cleanup(func() { _ = f.listener.Close() })
+	return f
+}
+
+// connect returns both ends of a connection.
+func (f *fixture) connect() (caller net.Conn, conn *Conn) {
+	f.t.Helper()
+	caller = f.dial()
+	accepted, err := f.listener.Accept()
+	require.NoError(f.t, err)
+	conn, ok := accepted.(*Conn)
+	require.True(f.t, ok)
+	return caller, conn
+}
+
+func (f *fixture) dial() net.Conn {
+	f.t.Helper()
+	caller, err := net.Dial("tcp", f.listener.Addr().String())
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = caller.Close() })
+	return caller
+}
+
+// connectIdle returns both ends of a connection that its caller keeps idle.
+func (f *fixture) connectIdle() (caller net.Conn, conn *Conn) {
+	f.t.Helper()
+	caller, conn = f.connect()
+	f.trackIdle(conn, http.StateIdle)
+	return caller, conn
+}
+
+const request = "GET / HTTP/1.1\r\n\r\n"
+
+func send(t *testing.T, caller net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(caller, request)
+	require.NoError(t, err)
+}
+
+// assertReadable checks that a request which waits on a connection can be read.
+func assertReadable(t *testing.T, conn net.Conn) {
+	t.Helper()
+	text := make([]byte, len(request))
+	_, err := io.ReadFull(conn, text)
+	require.NoError(t, err)
+	assert.Equal(t, request, string(text))
+}
+
+func assertClosed(t *testing.T, caller net.Conn) {
+	t.Helper()
+	_, err := caller.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// TestEvictionLeavesUnreadRequests guards against a connection that is closed as idle while a request waits on it that
+// the box had no processor time to read.
+func TestEvictionLeavesUnreadRequests(t *testing.T) {
+	for state, connect := range map[int32]func(f *fixture) (net.Conn, *Conn){
+		connIdle: (*fixture).connectIdle, connNew: (*fixture).connect,
+	} {
+		f := newFixture(t, 1)
+		caller, conn := connect(f)
+		send(t, caller)
+		assert.False(t, conn.evict(state))
+		assert.False(t, conn.evict(state))
+		assertReadable(t, conn)
+		assert.EqualValues(t, 1, f.evictions.Unread.Load(), "connections left open")
+		f.trackIdle(conn, http.StateIdle)
+		assert.True(t, conn.evict(connIdle))
+		assertClosed(t, caller)
+		assert.EqualValues(t, 1, f.evictions.Closed.Load(), "connections closed")
+	}
+}
+
+// TestFullListenerClosesOnlyIdleConnections guards against a full box that closes the connection that was idle for
+// longest although a request waits on it.
+func TestFullListenerClosesOnlyIdleConnections(t *testing.T) {
+	f := newFixture(t, 2)
+	asking, askingConn := f.connectIdle()
+	silent, _ := f.connectIdle()
+	send(t, asking)
+	f.connect()
+	assertReadable(t, askingConn)
+	assertClosed(t, silent)
+}
