fix(inbound): a stop serves the next request on connections that nothing told to close

What callers saw: one whose response had begun before the stop, and that sent its next request on the same connection, got a close each time: the head of its response was sent without Connection: close. The same for a caller (or another box) that had a connection idle when the listeners closed.

Cause: the listener closed idle connections as soon as it drained, and each one the moment it became idle.

Change: a listener that drains keeps idle connections as long as others have requests, and for at least a second after it closed or the last request ended; the next request on one is served, and its response has Connection: close. Then all are closed together, each after the question to the kernel. A stop takes up to a second longer for it if connections are idle.

TestStopServesNextRequests: 3 of 3 subtests fail before, none after.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/opaque"
 )
 
 // with returns the lines that contain a text.
@@ -84,6 +86,17 @@
 	return response.StatusCode, string(data)
 }
 
+// response reads a response with its body.
+func (c *rawCaller) response() *http.Response {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(c.t, err)
+	require.NoError(c.t, response.Body.Close())
+	return response
+}
+
 // assertServed checks that the response to a request is the upstream's.
 func (c *rawCaller) assertServed() {
 	c.t.Helper()
@@ -195,6 +208,62 @@
 	})
 }
 
+// forwardedText returns the head of a request without a body that another box forwards.
+func forwardedText(path string) string {
+	header, text := http.Header{}, strings.Builder{}
+	opaque.Hop{Box: "box-2"}.SetHeader(header)
+	_ = header.Write(&text)
+	return requestText(path, text.String()+"Content-Length: 0\r\n")
+}
+
+// TestStopServesNextRequests guards against a caller whose next request is closed unread because the box stops, although
+// no response told the caller to change its connection.
+func TestStopServesNextRequests(t *testing.T) {
+	first := func(path string) string { return requestText(path, "Content-Length: 0\r\n") }
+	for _, c := range []struct {
+		name, path string
+		peers      bool
+		text       func(path string) string
+		// idle is how long the connection has no request before the stop.
+		idle time.Duration
+	}{
+		{"a stream that began before the stop", "/stream/", false, first, 0},
+		{"an idle connection", "/unsafe/", false, first, 5 * time.Second},
+		{"an idle connection of another box", "/unsafe/", true, forwardedText, 5 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				t := f.t
+				stream := eventStream{events: 28, eventBytes: 1, gap: 100}.handler(f)
+				f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/stream/" {
+						stream(w, r)
+					}
+				})
+				b := f.box(1)
+				address := b.settings.CallersAddress
+				if c.peers {
+					address = b.settings.PeersAddress
+				}
+				caller := b.connect(address)
+				caller.write(c.text(c.path))
+				advance(t, c.idle)
+				synctest.Wait()
+				stopped := time.Now()
+				b.stop()
+				assert.False(t, caller.response().Close, "the caller may send its next request here")
+				advance(t, time.Until(stopped.Add(maxAnnounceMs.Duration()+600*time.Millisecond)))
+				caller.write(c.text("/safe/"))
+				response := caller.response()
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+				assert.True(t, response.Close, "the response tells the caller to close the connection")
+				advance(t, 2*time.Second)
+				b.assertStopped()
+			})
+		})
+	}
+}
+
 // TestStopRefusesWhatOutlastsGrace guards against requests without a response at the end of the grace period.
 func TestStopRefusesWhatOutlastsGrace(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -40,7 +40,8 @@
 	// waiting is set while a new connection waits and none was idle.
 	waiting bool
 	// draining is set once idle connections are closed because the box stops.
-	draining bool
+	draining        bool
+	drainingSinceMs clock.Millis
 	// drained is closed when the listener drains and has no connection left.
 	drained chan struct{}
 }
@@ -147,11 +148,11 @@
 	l.setWaiting(true)
 }
 
-// handleIdle closes a connection that has become idle if the box stops, or in favour of a new connection that waits.
+// handleIdle closes a connection that has become idle in favour of a new connection that waits.
 func (l *Listener) handleIdle(c *Conn) {
 	l.evicting.Lock()
 	defer l.evicting.Unlock()
-	if l.closesIdle() && c.evict(connIdle) {
+	if l.isWaiting() && c.evict(connIdle) {
 		l.setWaiting(false)
 	}
 }
@@ -170,12 +171,11 @@
 	return idle
 }
 
-// closesIdle reports whether a connection that becomes idle is closed: because the box stops, or because a new
-// connection waits.
-func (l *Listener) closesIdle() bool {
+// isWaiting reports whether a new connection waits for a slot.
+func (l *Listener) isWaiting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.waiting || l.draining
+	return l.waiting
 }
 
 func (l *Listener) setWaiting(waiting bool) {
@@ -184,12 +184,17 @@
 	l.waiting = waiting
 }
 
-// newConnMs is how long a connection may stay open without a first request while the listener drains.
-const newConnMs clock.Millis = 1000
+const (
+	// keepIdleMs is how long a listener that drains keeps a connection without a request, since its caller may not know
+	// that the next request belongs on another connection.
+	keepIdleMs clock.Millis = 1000
+	// drainPollMs is how often it looks for connections without a request.
+	drainPollMs clock.Millis = 20
+)
 
-// Drain accepts the connections that wait, closes the listener and its idle connections, and waits until all other
-// connections are closed or the context ends. Unlike http.Server.Shutdown, it serves requests that arrive on new
-// connections, or have arrived in part.
+// Drain accepts the connections that wait, closes the listener, and waits until all connections are closed or the
+// context ends. Unlike http.Server.Shutdown, it serves requests that arrive on open connections. It closes those that
+// have no request for keepIdleMs, all of them once no other connection is left.
 func (l *Listener) Drain(ctx context.Context) error {
 	if listener, ok := l.Listener.(*server.Listener); ok {
 		listener.AwaitAccepted(ctx)
@@ -201,21 +206,75 @@
 		return err
 	}
 	l.startDraining()
-	l.evictAll(connIdle)
-	timer := l.clock.AfterFunc(newConnMs, func() { l.evictAll(connNew) })
-	defer timer.Stop()
-	select {
-	case <-l.drained:
-	case <-ctx.Done():
-	}
+	l.awaitDrained(ctx, func() {
+		if l.isIdle() {
+			l.closeIdle()
+		}
+	})
 	return err
 }
 
+// CloseIdle closes connections that have no request, and those that will have none, until no connection is left or the
+// context ends. The listener must be closed.
+func (l *Listener) CloseIdle(ctx context.Context) {
+	l.startDraining()
+	l.closeIdle()
+	l.awaitDrained(ctx, l.closeIdle)
+}
+
+// awaitDrained waits until no connection is left or the context ends, and calls a function in between.
+func (l *Listener) awaitDrained(ctx context.Context, poll func()) {
+	for {
+		passed := make(chan struct{})
+		timer := l.clock.AfterFunc(drainPollMs, func() { close(passed) })
+		select {
+		case <-l.drained:
+			timer.Stop()
+			return
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-passed:
+			poll()
+		}
+	}
+}
+
+// isIdle reports whether no connection has had a request for keepIdleMs.
+func (l *Listener) isIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	beforeMs := l.clock.Monotonic() - keepIdleMs
+	if l.drainingSinceMs > beforeMs {
+		return false
+	}
+	for c := range l.conns {
+		state := c.state.Load()
+		if state != connNew && (state != connIdle || c.idleSinceMs.Load() > int64(beforeMs)) {
+			return false
+		}
+	}
+	return true
+}
+
+// closeIdle closes the connections that have no request.
+func (l *Listener) closeIdle() {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns {
+		if !c.evict(connIdle) {
+			c.evict(connNew)
+		}
+	}
+}
+
 func (l *Listener) startDraining() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.draining {
 		l.draining = true
+		l.drainingSinceMs = l.clock.Monotonic()
 		l.closeIfDrained()
 	}
 }
@@ -227,15 +286,5 @@
 	}
 }
 
-// evictAll closes the connections in a state.
-func (l *Listener) evictAll(state int32) {
-	l.mu.Lock()
-	conns := slices.Collect(maps.Keys(l.conns))
-	l.mu.Unlock()
-	for _, c := range conns {
-		c.evict(state)
-	}
-}
-
 // Close implements net.Listener.
 func (l *Listener) Close() error { return l.close() }
