fix(gateway): what is read at the end of the grace period is answered, also if no other request runs

What callers saw: a request that became whole (or was read) only when the grace period ended was closed without a response.

Cause: the stop gave requests time for their last responses only if the box was serving some at that instant; the others, on connections with a part of a request or with bytes that the box had not read yet, were closed with the process.

Change: when the grace period ends, connections without a request are closed after the question to the kernel, and the rest has the same time as running requests: what becomes whole gets 503 with Connection: close and Retry-After. The stop has a file of its own. Whether it ends is bounded as before, by lastResponsesMs.

TestStopRefusesWhatArrivesLast fails on the code before (unexpected EOF) and passes now.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -88,6 +88,8 @@
 	// evictions counts the connections that seemed idle when the box stopped or was full.
 	evictions inbound.Evictions
 	stopping  atomic.Bool
+	// stopStartMs is when the stop began.
+	stopStartMs atomic.Int64
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
@@ -395,59 +397,3 @@
 	b.responses.SetLimit(responseMemory(withDefaults))
 	b.log.Record(decision.Process{What: "settings reloaded"})
 }
-
-// Timing of a graceful shutdown.
-const (
-	// exitReserveMs is the part of the grace period that is reserved for the exit of the process.
-	exitReserveMs clock.Millis = 250
-	// lastResponsesMs is the part of it in which requests that outlast the grace period are answered.
-	lastResponsesMs clock.Millis = 100
-	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
-	defaultGraceS = 10
-)
-
-// stop shuts the box down gracefully. The box reports not ready and continues to serve requests until the front load
-// balancer has stopped sending new ones, then lets running requests finish. Requests that outlast the grace period are
-// refused, or cut if their responses have begun, which is no error.
-func (b *Box) stop(ctx context.Context) error {
-	startMs := b.clock.Monotonic()
-	b.stopping.Store(true)
-	b.recordStop("stopping", nil)
-	b.peering.mesh.BroadcastDraining()
-	b.origins.tellAll()
-	_ = b.clock.Sleep(ctx, timingOf(b.Settings()).announceMs)
-	b.recordStop("listeners close", nil)
-	grace := shutdownGrace(b.Settings())
-	ctx, cancel := b.clock.WithTimeout(ctx, max(1, grace-exitReserveMs-(b.clock.Monotonic()-startMs)))
-	defer cancel()
-	err := b.drain(ctx)
-	if cut := b.requests.Load(); cut > 0 {
-		b.metrics.RequestsCut(cut)
-		b.recordStop("requests cut", nil)
-		b.endGrace()
-		ctx, cancel := b.clock.WithTimeout(context.WithoutCancel(ctx), lastResponsesMs)
-		defer cancel()
-		err = errors.Join(err, b.drain(ctx))
-	}
-	return err
-}
-
-// drain waits until the connections on which requests arrive are closed, or the context ends.
-func (b *Box) drain(ctx context.Context) error {
-	// One after the other, a connection to one listener would keep the others open.
-	errs := make([]error, len(b.drained))
-	drains := sync.WaitGroup{}
-	for i, l := range b.drained {
-		drains.Go(func() { errs[i] = l.Drain(ctx) })
-	}
-	drains.Wait()
-	return errors.Join(errs...)
-}
-
-// recordStop records a stage of the stop with the requests in flight.
-func (b *Box) recordStop(stage string, err error) {
-	b.log.Record(decision.Stop{
-		Stage: stage, InFlight: b.requests.Load(), Err: errorText(err),
-		ClosedIdle: b.evictions.Closed.Load(), KeptUnread: b.evictions.Unread.Load(),
-	})
-}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/opaque"
 )
 
@@ -290,3 +291,26 @@
 		})
 	}
 }
+
+// TestStopRefusesWhatArrivesLast guards against a request that is whole only at the end of the grace period, and whose
+// connection is closed without a response since no other request runs.
+func TestStopRefusesWhatArrivesLast(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", respondWith("done"))
+		b := f.box(1, withGrace(3))
+		caller := b.connect(b.settings.CallersAddress)
+		text := requestText("/unsafe/", "Content-Length: 0\r\n")
+		caller.write(text[:9])
+		synctest.Wait()
+		b.stop()
+		advance(t, (3*clock.Second - exitReserveMs + lastResponsesMs/2).Duration())
+		caller.write(text[9:])
+		response := caller.response()
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		assert.True(t, response.Close, "the response tells the caller to close the connection")
+		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		advance(t, time.Second)
+		b.assertStopped()
+	})
+}
