fix(inbound): a request that arrived in time is read after the deadline of its read

What callers saw: a request on a kept connection, or the rest of a head, sent while the box was paused across the end of its time limit, was reset when the box went on.

Cause: net/http's idle and header timeouts are read deadlines, and a read of Go checks its deadline before it asks the kernel. Which of the timer and the arrival wakes the reader is chance. Besides, both limits are fixed (60 s and 15 s), while operators set idleTimeoutMs and headerTimeoutMs: with a longer limit than the box's, a caller that keeps to it writes on a connection that the box closes.

Ruled out: extending the deadline by the time of the pause. What a caller sends meanwhile waits in the kernel's buffer, which is longer than most heads, so that it loses no time.

Change: a read that fails by its deadline while no request is handled goes on if bytes wait, or if the operators' limit in force is longer than the server's. Deadlines of bodies and of reads that the server ends are kept as they are.

A limit above 60 s was played with a fake clock only.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -49,10 +49,10 @@
 	logQueueSize = 512
 
 	// headerTimeout is several times what operators usually allow a caller for its request headers. It only closes
-	// stuck connections.
+	// stuck connections, and is longer if operators allow more.
 	headerTimeout = 15 * time.Second
 	// idleTimeout is longer than the idle time that operators usually allow a caller, so that no request arrives
-	// while its connection is being closed.
+	// while its connection is being closed. It is longer if operators allow more.
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is more than operators usually allow. Their own limit is part of the routing state and is
 	// enforced by the receive step.
@@ -166,7 +166,7 @@
 	options := []inbound.Option{}
 	if s.name == "callers" {
 		// A box that ends its side of a connection has left.
-		options = append(options, inbound.WithHeldEnds())
+		options = append(options, inbound.WithHeldEnds(), inbound.WithTimeouts(b.callerTimeouts))
 	}
 	conns := b.limitConnections(listener, options...)
 	b.servers = append(b.servers, h)
@@ -188,6 +188,16 @@
 	}
 }
 
+// callerTimeouts returns the operators' limits for callers.
+func (b *Box) callerTimeouts() inbound.Timeouts {
+	state := b.routingState.State()
+	if state == nil {
+		return inbound.Timeouts{}
+	}
+	limits := state.Limits()
+	return inbound.Timeouts{HeaderMs: limits.HeaderTimeoutMs, IdleMs: limits.IdleTimeoutMs}
+}
+
 func (b *Box) limitConnections(listener net.Listener, options ...inbound.Option) *inbound.Listener {
 	files := b.settings.Load().Capacity.OpenFiles
 	return inbound.NewListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock,
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -52,9 +52,12 @@
 	// committed is the number of attempts whose responses are awaited even if the caller seems to have left.
 	committed atomic.Int32
 
+	// handling is set from the end of a request's head until the connection is idle or closed.
+	handling atomic.Bool
+
 	mu sync.Mutex
-	// readDeadline is the time after which reads fail, or zero.
-	readDeadline time.Time
+	// readDeadline is the time after which reads fail, or zero, and readDeadlineSet is when it was set.
+	readDeadline, readDeadlineSet time.Time
 	// wake ends the wait of a held read. It is nil while none is held.
 	wake context.CancelFunc
 }
@@ -65,6 +68,9 @@
 	c.reads.Add(1)
 	defer c.reads.Add(-1)
 	n, err := c.Conn.Read(data)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
+		n, err = c.Conn.Read(data)
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.Store(true)
 	}
@@ -80,7 +86,7 @@
 // SetReadDeadline implements net.Conn. A deadline that has passed also ends a held read.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
-	c.readDeadline = deadline
+	c.readDeadline, c.readDeadlineSet = deadline, time.Now()
 	if c.wake != nil && c.readPassed() {
 		c.wake()
 	}
@@ -164,10 +170,16 @@
 	_ = c.Close()
 }
 
-// TrackIdle returns a hook for http.Server.ConnState that tells connections when they become idle.
+// TrackIdle returns a hook for http.Server.ConnState that tells connections when they become idle, and when a request
+// on them is handled.
 func TrackIdle(monotonic func() clock.Millis) func(c net.Conn, state http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
-		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c, ok := conn.(*Conn)
+		if !ok {
+			return
+		}
+		c.handling.Store(state == http.StateActive)
+		if state == http.StateIdle {
 			c.setIdle(monotonic())
 		}
 	}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -33,6 +33,8 @@
 	evictions *Evictions
 	// holdsEnds is set by WithHeldEnds.
 	holdsEnds bool
+	// timeouts is set by WithTimeouts, or nil.
+	timeouts func() Timeouts
 
 	// evicting is held while idle connections are closed in favour of others, so that each new one closes one.
 	evicting sync.Mutex
