fix(gateway): a request whose processing panics gets a response

What callers saw: a close without a response, also if the request had been passed on.

Cause: net/http closes the connection of a handler that panics.

Change: before the server does so, the box answers 502 with the cause upstream_lost, unless the response has begun. The line "handler panicked" and the counter stay as they are.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/pipe/match"
+	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -177,3 +179,14 @@
 		assert.Contains(f.t, b.metrics.all.String(), `"handler_panics": 1`)
 	})
 }
+
+// TestPanicIsAnswered guards against callers whose connections are closed without a response when the box panics.
+func TestPanicIsAnswered(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		b := f.box(1)
+		b.steps.match = match.New(func(context.Context) *routing.State { panic("broken step") }, nil)
+		assertStatus(f.t, b, "/safe/", http.StatusBadGateway)
+		synctest.Wait()
+		assert.Contains(f.t, b.metrics.all.String(), `"handler_panics": 1`)
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -110,7 +110,14 @@
 	}
 	b.requests.Add(1)
 	defer b.requests.Add(-1)
+	panicked := true
+	defer func() {
+		if panicked {
+			answerPanic(r)
+		}
+	}()
 	err := b.run(r)
+	panicked = false
 	b.steps.receive.Done(r)
 	b.steps.record.Run(r, err)
 	if abortsConnection(err) {
@@ -123,6 +130,17 @@
 	}
 }
 
+// answerPanic responds to a request whose processing panicked, unless a response has begun. The server then logs the
+// panic and closes the connection.
+func answerPanic(r *opaque.Request) {
+	if r.Writer.Started() {
+		return
+	}
+	opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, nil).Write(r)
+	// An error means that the caller has disconnected.
+	_ = r.Writer.FlushNow()
+}
+
 func (b *Box) run(r *opaque.Request) error {
 	for _, s := range b.steps.list() {
 		err := s.Run(r)
