fix(cmd): daemons run where address space is limited

Under a limit of the address space of 1, 1.5 or 2 GB (ulimit -v) dooryard-gateway ended by itself, at the start or under load: "runtime/cgo: pthread_create failed: Resource temporarily unavailable", SIGABRT, status 2.

Cause: the C library reserves an arena of at least 64 MB of address space (128 MB for a moment) for each thread that frees or allocates memory, up to eight for each processor, and a thread of a program that is linked to it does so at its start. Then there is no room for the stack of the next thread, which the Go runtime takes for fatal.

Ruled out: the Go runtime (with MALLOC_ARENA_MAX=1 in the environment the same binary,, ran with 1 GB and with 2 GB) and the stacks (1 GB is enough with the default size of 8 MB).

The C library gets one arena: the Go runtime does not allocate from it. The limit is set before the runtime starts any thread.

--- a/cmd/dooryard-gateway/main.go
+++ b/cmd/dooryard-gateway/main.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/urfave/cli/v3"
 
+	_ "dooryard.example/dooryard/internal/cmd/arenas"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/gatewaycmd"
 	"dooryard.example/dooryard/internal/cmd/signals"
--- a/cmd/dooryard-router/main.go
+++ b/cmd/dooryard-router/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	_ "dooryard.example/dooryard/internal/cmd/arenas"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/routercmd"
 	"dooryard.example/dooryard/internal/cmd/signals"
