fix(gateway): unfinished request headers fit into the memory of the box

1,900 callers whose headers of 200 KB never end took a box with memory_mb 284 to a resident set of 468 MB. A platform kills a process that goes over its memory: the box ends by itself, and all that it serves is lost.

Cause: each connection may hold 256 KB of headers, whatever the memory and the number of connections; bodies and unread responses have a part of the memory each, headers had none. The limit of the operators is checked only once the headers are complete.

Ruled out by the same runs: unfinished bodies of 900 KB (169 MB), slow readers of 1 MB responses (101 MB).

The limit of one request is now what half the memory gives each connection, at least 32 KB and at most 256 KB: 76 KB for 284 MB and 4,100 descriptors. A deployment whose operators allow larger headers needs more memory or fewer connections.

The test failed before in two of three cases (511,180,800 is not less than 297,795,584).

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -47,6 +47,18 @@
 	}
 }
 
+func TestUnfinishedHeadersFitIntoTheMemory(t *testing.T) {
+	for _, c := range []config.Capacity{{MemoryMb: 284, OpenFiles: 4100}, {MemoryMb: 1024, OpenFiles: 4100}, {}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			settings := defaults(config.Gateway{Capacity: c})
+			b := &Box{}
+			b.settings.Store(&settings)
+			connections := int64(settings.Capacity.OpenFiles-reservedFiles) / connectionsDivisor
+			assert.Less(t, connections*int64(b.newServer(nil).MaxHeaderBytes), settings.Capacity.MemoryMb*mebibyte)
+		})
+	}
+}
+
 // TestStates applies configurations in quick succession and with many routes.
 func TestStates(t *testing.T) {
 	t.Run("after many quick versions all boxes have the last one, and no version decreases", func(t *testing.T) {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -54,13 +54,28 @@
 	// idleTimeout is longer than the idle time that operators usually allow a caller, so that no request arrives
 	// while its connection is being closed. It is longer if operators allow more.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes is more than operators usually allow. Their own limit is part of the routing state and is
-	// enforced by the receive step.
-	maxHeaderBytes     = 256 << 10
-	connectionsDivisor = 2
-	reservedFiles      = 200
+	// maxHeaderBytes and minHeaderBytes are more than operators usually allow. Their own limit is part of the routing
+	// state and is enforced by the receive step.
+	maxHeaderBytes = 256 << 10
+	minHeaderBytes = 32 << 10
+	// headerMemoryDivisor is the divisor of the configured memory that yields the part for request headers.
+	headerMemoryDivisor = 2
+	connectionsDivisor  = 2
+	reservedFiles       = 200
 )
 
+// maxConnections returns the maximum number of connections of a listener.
+func maxConnections(c config.Capacity) int {
+	return max(1, (c.OpenFiles-reservedFiles)/connectionsDivisor)
+}
+
+// headerBytes returns the maximum size of the headers of a request. The headers that arrive on all connections of a
+// listener at once fit into their part of the memory.
+func headerBytes(c config.Capacity) int {
+	part := c.MemoryMb * mebibyte / headerMemoryDivisor
+	return min(maxHeaderBytes, max(minHeaderBytes, int(part)/maxConnections(c)))
+}
+
 // defaults returns the settings with defaults applied.
 func defaults(g config.Gateway) config.Gateway {
 	config.SetDefault(&g.Freshness.MaxPropagationMs, defaultMaxPropagationMs)
@@ -183,8 +198,8 @@
 func (b *Box) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: b.newServerErrorLog(), ConnContext: inbound.WithConn,
-		ConnState: inbound.TrackIdle(b.clock.Monotonic),
+		MaxHeaderBytes: headerBytes(b.settings.Load().Capacity), ErrorLog: b.newServerErrorLog(),
+		ConnContext: inbound.WithConn, ConnState: inbound.TrackIdle(b.clock.Monotonic),
 	}
 }
 
@@ -199,8 +214,7 @@
 }
 
 func (b *Box) limitConnections(listener net.Listener, options ...inbound.Option) *inbound.Listener {
-	files := b.settings.Load().Capacity.OpenFiles
-	return inbound.NewListener(listener, max(1, (files-reservedFiles)/connectionsDivisor), b.responses, b.clock,
+	return inbound.NewListener(listener, maxConnections(b.settings.Load().Capacity), b.responses, b.clock,
 		append(options, inbound.WithEvictions(&b.evictions))...)
 }
 
