fix(gateway): a start is not refused because of optional settings

A platform that fills the settings file from its own figures may give a value that the box does not take: a bound of 500 ms where 650 is the least, a retry ratio above 1, a contact without an IP address, an unknown key. The box ended after 3 s with status 2, at each start: the system did not start because of a value that it can do without.

Cause: what is optional was checked as strictly as what a box cannot run without. Class: a start that fails over a difference that the process could bridge.

A file that stays invalid for the 3 s in which it may be in the middle of being replaced is now read again without the values that cannot be used: numbers take the nearest value in range, others their default, unknown keys have no effect, and standard error names file, line, key and reason of each.

The subtests on .nan, .inf and 1e30 fail before; AdaptGateway did not exist.

Open: a reload that still has such a value is refused as a whole, so that other changes in it do not apply.

--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -22,7 +22,10 @@
 	EnvSettings string
 	// Load reads and validates a settings file.
 	Load func(path string) (T, error)
-	// Err receives a message if the settings file can't be used yet.
+	// Adapt reads a settings file without the optional values that Load refuses. The first error tells what it has
+	// changed. It is nil if the daemon needs valid settings.
+	Adapt func(path string) (settings T, changed, err error)
+	// Err receives a message if the settings file can't be used yet, or only in part.
 	Err io.Writer
 	// Run runs the daemon until the context ends.
 	Run func(ctx context.Context, path string, settings T) error
@@ -73,18 +76,36 @@
 	settingsRetryMs   clock.Millis = 50
 )
 
-// load reads the settings file until it can be used, because it may be in the middle of being replaced.
+// load reads the settings file until it can be used, because it may be in the middle of being replaced. If it stays
+// invalid, the daemon runs without the values that it can't use, if they are optional.
 func (d Daemon[T]) load(ctx context.Context, path string) (T, error) {
 	c := clock.New()
 	startMs, last := c.Monotonic(), ""
 	for {
 		settings, err := d.Load(path)
-		if err == nil || c.Monotonic()-startMs >= settingsTimeoutMs || c.Sleep(ctx, settingsRetryMs) != nil {
+		if err == nil || c.Monotonic()-startMs < settingsTimeoutMs && c.Sleep(ctx, settingsRetryMs) != nil {
 			return settings, err
 		}
+		if c.Monotonic()-startMs >= settingsTimeoutMs {
+			return d.adapt(path, err)
+		}
 		if text := err.Error(); text != last {
 			last = text
 			fmt.Fprintf(d.Err, "%s: settings are read again for up to %d ms: %s\n", d.Name, settingsTimeoutMs, text)
 		}
 	}
 }
+
+// adapt reads a settings file that Load refuses with an error.
+func (d Daemon[T]) adapt(path string, refused error) (T, error) {
+	if d.Adapt == nil {
+		var none T
+		return none, refused
+	}
+	settings, changed, err := d.Adapt(path)
+	if err != nil {
+		return settings, refused
+	}
+	fmt.Fprintf(d.Err, "%s: settings are used without invalid values: %v\n", d.Name, changed)
+	return settings, nil
+}
--- a/internal/cmd/daemon/daemon_test.go
+++ b/internal/cmd/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,6 +85,24 @@
 			assert.Equal(t, []string{"good"}, ran)
 		})
 	})
+	t.Run("runs without optional values that stay invalid", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			said, ran := strings.Builder{}, ""
+			d := Daemon[string]{
+				Name: "daemon", Err: &said,
+				Load:  func(string) (string, error) { return "", errInvalid },
+				Adapt: func(path string) (settings string, changed, err error) { return path + " adapted", errInvalid, nil },
+				Run: func(_ context.Context, _, settings string) error {
+					ran = settings
+					return nil
+				},
+			}
+			require.NoError(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f"}))
+			assert.Equal(t, "f adapted", ran)
+			assert.Contains(t, said.String(), "settings are used without invalid values: invalid settings")
+			require.ErrorIs(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f", "--check"}), errInvalid)
+		})
+	})
 	t.Run("--check does not wait", func(t *testing.T) {
 		reads := 0
 		_, err := runWith(t, func() error {
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -24,6 +24,7 @@
 		Usage:       "route opaque requests on an entry box until a termination signal",
 		EnvSettings: adapter.EnvSettings,
 		Load:        config.LoadGateway,
+		Adapt:       config.AdaptGateway,
 		Err:         process.Err,
 		Run: func(ctx context.Context, path string, settings config.Gateway) error {
 			return run(ctx, path, settings, process, adapter)
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 )
 
@@ -168,6 +169,17 @@
 	return settings, err
 }
 
+// AdaptGateway reads a gateway's settings file like LoadGateway. If it can't use optional values, it takes the default
+// or the nearest value in range in their place. The first error tells what it has changed.
+func AdaptGateway(path string) (settings Gateway, changed, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	changed, err = adapt(path, data, &settings)
+	return settings, changed, err
+}
+
 // Check implements Checker.
 func (g *Gateway) Check() error {
 	errs := []error{
@@ -185,53 +197,120 @@
 		errs = append(errs, checkAddress(fmt.Sprintf("contacts[%d]", i), contact))
 	}
 	for i, term := range g.PlatformTerms {
-		if term == "" {
-			errs = append(errs, &FieldError{Key: fmt.Sprintf("platform_terms[%d]", i), Reason: "is empty"})
-		}
+		errs = append(errs, checkTerm(fmt.Sprintf("platform_terms[%d]", i), term))
 	}
 	return errors.Join(append(errs, g.checkNumbers()...)...)
 }
 
+func checkTerm(key, term string) error {
+	if term == "" {
+		return &FieldError{Key: key, Reason: "is empty"}
+	}
+	return nil
+}
+
 func (g *Gateway) checkNumbers() []error {
 	errs := []error{}
-	for _, rule := range []rangeCheck{
-		{"store.poll_ms", g.Store.PollMs, 50, 30_000},
-		{"freshness.max_age_ms", g.Freshness.MaxAgeMs, 500, dayMs},
-		{"freshness.in_force_ms", g.Freshness.MaxPropagationMs, minFreshnessBoundMs, dayMs},
-		{"freshness.leave_ms", g.Freshness.MaxDrainNoticeMs, minFreshnessBoundMs, dayMs},
-		{"freshness.evacuate_ms", g.Freshness.MaxEvacuationMs, minFreshnessBoundMs, dayMs},
-		{"balance.bound_percent", int64(g.Balance.BoundPercent), 101, 1000},
-		{"balance.eject_base_ms", g.Balance.EjectBaseMs, 1, dayMs},
-		{"balance.eject_max_ms", g.Balance.EjectMaxMs, 1, dayMs},
-		{"balance.panic_percent", int64(g.Balance.PanicPercent), 1, 100},
-		{"quarantine.hold_ms", g.Quarantine.HoldMs, 1000, dayMs},
-		{"retry_budget.slack", int64(g.Budget.Slack), 1, million},
-		{"capacity.memory_mb", g.Capacity.MemoryMb, 16, million},
-		{"capacity.open_files", int64(g.Capacity.OpenFiles), 64, million},
-		{"lines.max_per_second", int64(g.LogLimits.MaxPerSecond), 1, million},
-	} {
-		errs = append(errs, rule.check())
+	for _, n := range g.numbers() {
+		errs = append(errs, n.check())
 	}
-	if g.Budget.Ratio < 0 || g.Budget.Ratio > 1 {
-		errs = append(errs, &FieldError{Key: "retry_budget.ratio", Reason: "is outside 0 to 1"})
+	return errs
+}
+
+// Adjust implements Adjuster.
+func (g *Gateway) Adjust() error {
+	errs := []error{}
+	for _, n := range g.numbers() {
+		if err := n.check(); err != nil {
+			errs = append(errs, err)
+			n.adjust()
+		}
 	}
-	if g.Budget.WindowS < 0 {
-		errs = append(errs, &FieldError{Key: "retry_budget.window_s", Reason: "is negative"})
+	return errors.Join(append(errs, g.dropOptional()...)...)
+}
+
+// dropOptional removes invalid addresses and terms that a gateway can run without.
+func (g *Gateway) dropOptional() []error {
+	errs := []error{}
+	if g.MetricsAddress != "" {
+		if err := checkAddress("metrics_address", g.MetricsAddress); err != nil {
+			errs = append(errs, err)
+			g.MetricsAddress = ""
+		}
 	}
-	if g.Balance.LoadCap < 0 || g.Balance.LoadCap > 0 && g.Balance.LoadCap <= 1 {
-		errs = append(errs, &FieldError{Key: "balance.load_cap", Reason: "is not above 1"})
+	valid := func(key string, values []string, check func(key, value string) error) []string {
+		kept := []string{}
+		for i, value := range values {
+			if err := check(fmt.Sprintf("%s[%d]", key, i), value); err != nil {
+				errs = append(errs, err)
+				continue
+			}
+			kept = append(kept, value)
+		}
+		return kept
 	}
-	if g.Balance.ColdFactor < 0 {
-		errs = append(errs, &FieldError{Key: "balance.cold_factor", Reason: "is negative"})
+	g.Contacts = valid("contacts", g.Contacts, checkAddress)
+	g.PlatformTerms = valid("platform_terms", g.PlatformTerms, checkTerm)
+	return errs
+}
+
+// number is an optional number of the settings. Zero is always allowed and means the default.
+type number interface {
+	check() error
+	// adjust sets it to the nearest value in range.
+	adjust()
+}
+
+// rangeOf is the allowed range of an optional number.
+type rangeOf[T int | int64 | float64] struct {
+	key       string
+	value     *T
+	low, high T
+}
+
+func (r rangeOf[T]) check() error {
+	if *r.value == 0 || *r.value >= r.low && *r.value <= r.high {
+		return nil
 	}
-	if g.Balance.ColdSlack < 0 {
-		errs = append(errs, &FieldError{Key: "balance.cold_slack", Reason: "is negative"})
+	return &FieldError{Key: r.key, Reason: fmt.Sprintf("%v is outside %v to %v", *r.value, r.low, r.high)}
+}
+
+func (r rangeOf[T]) adjust() {
+	if math.IsNaN(float64(*r.value)) {
+		*r.value = 0
+		return
 	}
-	if g.Quarantine.MinCrashes != nil && *g.Quarantine.MinCrashes < 0 {
-		errs = append(errs, &FieldError{Key: "quarantine.after_ends", Reason: "is negative"})
+	*r.value = min(max(*r.value, r.low), r.high)
+}
+
+// maxSeconds is the limit of settings in seconds.
+const maxSeconds = dayMs / 1000
+
+func (g *Gateway) numbers() []number {
+	numbers := []number{
+		rangeOf[int64]{"store.poll_ms", &g.Store.PollMs, 50, 30_000},
+		rangeOf[int64]{"freshness.max_age_ms", &g.Freshness.MaxAgeMs, 500, dayMs},
+		rangeOf[int64]{"freshness.in_force_ms", &g.Freshness.MaxPropagationMs, minFreshnessBoundMs, dayMs},
+		rangeOf[int64]{"freshness.leave_ms", &g.Freshness.MaxDrainNoticeMs, minFreshnessBoundMs, dayMs},
+		rangeOf[int64]{"freshness.evacuate_ms", &g.Freshness.MaxEvacuationMs, minFreshnessBoundMs, dayMs},
+		rangeOf[float64]{"balance.load_cap", &g.Balance.LoadCap, math.Nextafter(1, 2), million},
+		rangeOf[int]{"balance.bound_percent", &g.Balance.BoundPercent, 101, 1000},
+		rangeOf[int64]{"balance.eject_base_ms", &g.Balance.EjectBaseMs, 1, dayMs},
+		rangeOf[int64]{"balance.eject_max_ms", &g.Balance.EjectMaxMs, 1, dayMs},
+		rangeOf[int]{"balance.panic_percent", &g.Balance.PanicPercent, 1, 100},
+		rangeOf[float64]{"balance.cold_factor", &g.Balance.ColdFactor, 0, million},
+		rangeOf[float64]{"balance.cold_slack", &g.Balance.ColdSlack, 0, million},
+		rangeOf[int64]{"quarantine.hold_ms", &g.Quarantine.HoldMs, 1000, dayMs},
+		rangeOf[float64]{"retry_budget.ratio", &g.Budget.Ratio, 0, 1},
+		rangeOf[int]{"retry_budget.slack", &g.Budget.Slack, 1, million},
+		rangeOf[float64]{"retry_budget.window_s", &g.Budget.WindowS, 0, maxSeconds},
+		rangeOf[float64]{"shutdown.grace_s", &g.Shutdown.GraceS, 0, maxSeconds},
+		rangeOf[int64]{"capacity.memory_mb", &g.Capacity.MemoryMb, 16, million},
+		rangeOf[int]{"capacity.open_files", &g.Capacity.OpenFiles, 64, million},
+		rangeOf[int]{"lines.max_per_second", &g.LogLimits.MaxPerSecond, 1, million},
 	}
-	if g.Shutdown.GraceS < 0 {
-		errs = append(errs, &FieldError{Key: "shutdown.grace_s", Reason: "is negative"})
+	if g.Quarantine.MinCrashes != nil {
+		numbers = append(numbers, rangeOf[int]{"quarantine.after_ends", g.Quarantine.MinCrashes, 0, million})
 	}
-	return errs
+	return numbers
 }
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -1,6 +1,10 @@
 package config
 
 import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -55,6 +59,15 @@
 			assert.ErrorContains(t, err, c.want)
 		})
 	}
+	for _, line := range []string{
+		"balance: {load_cap: .nan}\n", "balance: {load_cap: .inf}\n", "shutdown: {grace_s: .nan}\n",
+		"retry_budget: {ratio: .nan}\n", "retry_budget: {window_s: 1e30}\n",
+	} {
+		t.Run("reports a number that is none: "+line, func(t *testing.T) {
+			_, err := ParseGateway("f", []byte(gatewayFile+line))
+			require.ErrorIs(t, err, ErrInvalid)
+		})
+	}
 	t.Run("reports missing keys", func(t *testing.T) {
 		_, err := ParseGateway("f", []byte("box: a\n"))
 		require.ErrorIs(t, err, ErrInvalid)
@@ -63,3 +76,60 @@
 		}
 	})
 }
+
+func adaptFile(t *testing.T, content string) (settings Gateway, changed, err error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "f")
+	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return AdaptGateway(path)
+}
+
+func TestAdaptedGatewayStartsWithoutInvalidOptionalValues(t *testing.T) {
+	for name, c := range map[string]struct {
+		line string
+		want func(g *Gateway)
+	}{
+		"number below its range": {"freshness: {leave_ms: 100}\n", func(g *Gateway) { g.Freshness.MaxDrainNoticeMs = 650 }},
+		"number above its range": {"capacity: {memory_mb: 2000000}\n", func(g *Gateway) { g.Capacity.MemoryMb = million }},
+		"ratio":                  {"retry_budget: {ratio: 2, slack: 7}\n", func(g *Gateway) { g.Budget = Budget{Ratio: 1, Slack: 7} }},
+		"load cap":               {"balance: {load_cap: 1}\n", func(g *Gateway) { g.Balance.LoadCap = math.Nextafter(1, 2) }},
+		"negative grace":         {"shutdown: {grace_s: -1}\n", func(*Gateway) {}},
+		"number that is none":    {"shutdown: {grace_s: .nan}\n", func(*Gateway) {}},
+		"integer too large":      {"capacity: {open_files: 1e30}\n", func(*Gateway) {}},
+		"text for a number":      {"capacity: {memory_mb: much, open_files: 70}\n", func(g *Gateway) { g.Capacity.OpenFiles = 70 }},
+		"text for a section":     {"balance: none\n", func(*Gateway) {}},
+		"unknown key":            {"speed: 1\nfirst_start: true\n", func(g *Gateway) { g.FirstStart = true }},
+		"contact":                {"contacts: [\"a:1\", \"127.0.0.1:1\"]\n", func(g *Gateway) { g.Contacts = []string{"127.0.0.1:1"} }},
+		"metrics address":        {"metrics_address: here\n", func(*Gateway) {}},
+		"empty term":             {"platform_terms: [\"\", \"a\"]\n", func(g *Gateway) { g.PlatformTerms = []string{"a"} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseGateway("f", []byte(gatewayFile+c.line))
+			require.ErrorIs(t, err, ErrInvalid, "it stays an error where settings are checked")
+			want, err := ParseGateway("f", []byte(gatewayFile))
+			require.NoError(t, err)
+			c.want(&want)
+			settings, changed, err := adaptFile(t, gatewayFile+c.line)
+			require.NoError(t, err)
+			require.ErrorContains(t, changed, "f:7: ")
+			for _, list := range []*[]string{&settings.Contacts, &settings.PlatformTerms} {
+				if len(*list) == 0 {
+					*list = nil
+				}
+			}
+			assert.Equal(t, want, settings)
+		})
+	}
+	for name, content := range map[string]string{
+		"no store":        strings.Replace(gatewayFile, "store: ", "balance: {load_cap: 0.5}\n#", 1),
+		"no address":      strings.Replace(gatewayFile, "callers_address: 127.0.0.1:1", "callers_address: 1", 1),
+		"empty":           "",
+		"no YAML":         gatewayFile + "balance: [\n",
+		"second document": gatewayFile + "---\nbox: b\n",
+	} {
+		t.Run("is refused: "+name, func(t *testing.T) {
+			_, _, err := adaptFile(t, content)
+			require.ErrorIs(t, err, ErrInvalid)
+		})
+	}
+}
