--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,7 +34,7 @@
 	restPoll        = 20 * time.Millisecond
 	announceRangeMs = 400
 	callersPerKind  = 3
-	restsPerCaller  = 2
+	restsPerCaller  = 5
 	// announceSpan is how long after SIGTERM a box announces its end, before it closes its listeners.
 	announceSpan = min(2600*time.Millisecond, shutdownGraceS*time.Second/2)
 	// maxUnansweredPart of the requests of a kind of caller may cross the closes of a stop.
@@ -108,8 +108,8 @@
 	case c.kind == callerBody && particular:
 		call.BodyBytes, call.Chunked = maxBodyBytes/2+c.random.IntN(bodyRangeBytes), c.random.IntN(2) == 0
 		call.Route = []string{"", unknownRoute}[c.random.IntN(2)]
-	case c.kind == callerHalf && particular:
-		call.HalfClose = true
+	case particular:
+		call.HalfClose = c.kind == callerHalf
 		call.Kind = []string{standin.Safe, standin.Unsafe, standin.Stream}[c.random.IntN(3)]
 	}
 	return call
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -348,6 +348,9 @@
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
+	if f.settings.Quotas && i%2 == 1 {
+		b.process.environment = oneProcessor
+	}
 	b.process.onPlanned = func(s syscall.Signal) { f.history.recordPlanned(b.name, s) }
 	b.process.onKill = func() { f.history.recordKill(b.name) }
 	f.mu.Lock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -19,7 +19,9 @@
 	// content is what the settings file holds when it is whole.
 	content string
 	log     string
-	out     *os.File
+	// environment is added to that of the run.
+	environment []string
+	out         *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -73,7 +75,7 @@
 	}
 	command := exec.Command(p.program, "--settings", p.settings) //nolint:noctx // Its end is a part of the test.
 	// A build with the race detector sleeps for a second before it exits otherwise.
-	command.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
+	command.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0"), p.environment...)
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		return err
--- a/internal/soak/quotas.go
+++ b/internal/soak/quotas.go
@@ -22,6 +22,9 @@
 	quotaToExitSpan = maxQuotaLeadMs*time.Millisecond + stopSpan + stopSlack
 )
 
+// oneProcessor makes every other box use one processor at most, so that it runs no goroutines at once in its slices.
+var oneProcessor = []string{"GOMAXPROCS=1"}
+
 func quotaFaults() []processFault {
 	return []processFault{
 		{"processor quota", planQuota},
