--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -260,7 +260,10 @@
 		}
 	}
 	for _, w := range h.works[o.ID] {
-		text += fmt.Sprintf(", %s worked on it from %s to %s", w.server, w.from.Format(timeOfDay), w.to.Format(timeOfDay))
+		text += fmt.Sprintf(", %s worked on it from %s", w.server, w.from.Format(timeOfDay))
+		if !w.to.IsZero() {
+			text += " to " + w.to.Format(timeOfDay)
+		}
 	}
 	return text
 }
