refactor(socket): the question whether bytes wait has a package of its own

Connections to upstreams need it as well as those of callers (internal/upstream is below internal/inbound). No logic changes; go test ./internal/inbound ./internal/socket passes.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -15,6 +15,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/socket"
 	"dooryard.example/dooryard/internal/upstream"
 )
 
@@ -127,7 +128,7 @@
 	if c.state.Load() != state {
 		return false
 	}
-	if hasUnread(c.Conn) {
+	if socket.HasUnread(c.Conn) {
 		if c.keptUnread.CompareAndSwap(false, true) {
 			c.listener.evictions.Unread.Add(1)
 		}
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -17,6 +17,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/testlib"
 )
 
 // halfClosedConn is the connection of a caller that has ended its writing side after its requests.
@@ -167,7 +168,7 @@
 func TestAcknowledgedBytes(t *testing.T) {
 	for name, left := range map[string]bool{"has ended its writing side": false, "has closed the connection": true} {
 		t.Run(name, func(t *testing.T) {
-			caller, conn := connect(t)
+			caller, conn := testlib.Connect(t)
 			socket, ok := caller.(*net.TCPConn)
 			require.True(t, ok)
 			require.NoError(t, socket.CloseWrite())
--- a/internal/inbound/timeouts.go
+++ b/internal/inbound/timeouts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // lateReadMs is the deadline of a read that failed by its deadline though bytes wait. It doesn't have to wait for them.
@@ -18,7 +19,9 @@
 
 // WithTimeouts makes connections outlast the server's own time limits while those that callers may use up are longer.
 // The function returns those in force.
-func WithTimeouts(timeouts func() Timeouts) Option { return func(l *Listener) { l.timeouts = timeouts } }
+func WithTimeouts(timeouts func() Timeouts) Option {
+	return func(l *Listener) { l.timeouts = timeouts }
+}
 
 // extendRead moves the deadline by which a read has failed while no request was handled, and returns false if the
 // caller has used up its time. Bytes that wait have arrived in time: the process may have been paused since, and a read
@@ -32,7 +35,7 @@
 	now := time.Now()
 	deadline := c.readDeadlineSet.Add(c.timeout().Duration())
 	switch {
-	case hasUnread(c.Conn):
+	case socket.HasUnread(c.Conn):
 		deadline = now.Add(lateReadMs.Duration())
 	case !now.Before(deadline):
 		return false
--- a/internal/inbound/unread.go
+++ b/internal/socket/unread.go
@@ -1,4 +1,5 @@
-package inbound
+// Package socket asks the kernel about connections.
+package socket
 
 import (
 	"net"
@@ -7,10 +8,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasUnread reports whether bytes of the caller wait to be read on a connection. It asks the kernel, which knows of
+// HasUnread reports whether bytes of the other side wait to be read on a connection. It asks the kernel, which knows of
 // them before a process that gets little processor time has read them. A connection without a socket may have a method
 // Buffered that returns their number.
-func hasUnread(c net.Conn) bool {
+func HasUnread(c net.Conn) bool {
 	if buffered, ok := c.(interface{ Buffered() int }); ok {
 		return buffered.Buffered() > 0
 	}
