fix(dispatch): a response that waits to be read is no silence of its upstream

What callers saw: streams and requests that a box with little processor time broke off, or sent once more, although their upstreams had responded in time.

Cause: the timers for the first byte and for the pauses of a stream compare times of this process. With a tenth of the processor the timer fires before the reader has run, while the next part has long been in the kernel. Class of the incident: a decision to close a connection, and the state of the connection, are apart in time; the same as idle connections of callers.

Change: before such a timer counts, the kernel is asked whether bytes of the upstream wait; if so, the timer starts again. An upstream whose response waits is not reported as silent.

Not played alone on real processes.

--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -38,6 +38,7 @@
 	s.dropFailedResponse()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
 	s.signals = opaque.Signals{}
+	s.hasUnread.Store(nil)
 	s.request.Upstream, s.request.Framing = lease.ID, ""
 	s.logPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
@@ -100,7 +101,15 @@
 func (s *retryLoop) startRetryTimer(
 	span clock.Millis, helps func(span clock.Millis) bool, cancel context.CancelCauseFunc,
 ) *retryTimer {
-	return startRetryTimer(s.pipe.deps.Clock, span, func() bool { return helps(span) }, func() { cancel(errTimeout) })
+	return startRetryTimer(s.pipe.deps.Clock, span,
+		func() bool { return !s.responseWaits() && helps(span) }, func() { cancel(errTimeout) })
+}
+
+// responseWaits reports whether the response of the latest attempt, or its next part, waits to be read. A process that
+// gets little processor time reads it long after it has arrived, which is no silence of the upstream.
+func (s *retryLoop) responseWaits() bool {
+	hasUnread := s.hasUnread.Load()
+	return hasUnread != nil && (*hasUnread)()
 }
 
 // retryHelps reports whether another upstream would likely respond within a span to a retry, and the retry budget
@@ -128,7 +137,11 @@
 	}
 	o := s.observation(lease)
 	o.Evidence = UpstreamSilent
-	timer := s.pipe.deps.Clock.AfterFunc(timeout, func() { s.pipe.deps.Observe(o) })
+	timer := s.pipe.deps.Clock.AfterFunc(timeout, func() {
+		if !s.responseWaits() {
+			s.pipe.deps.Observe(o)
+		}
+	})
 	return func() { timer.Stop() }
 }
 
@@ -252,6 +265,7 @@
 	return &upstream.Request{
 		Method: r.HTTP.Method, Target: r.HTTP.RequestURI, Host: r.HTTP.Host, Header: header, Body: r.Body,
 		Matches: func(resp http.Header) bool { return resp.Get(d.RequestID) == r.ID },
+		OnSend:  func(hasUnread func() bool) { s.hasUnread.Store(&hasUnread) },
 	}
 }
 
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
@@ -208,6 +209,8 @@
 	attemptStartedMs clock.Millis
 	// signals are the backoff, draining and load signals of the latest response.
 	signals opaque.Signals
+	// hasUnread reports whether bytes of the upstream of the latest attempt wait to be read.
+	hasUnread atomic.Pointer[func() bool]
 }
 
 // lastFailureOr returns the latest failure, or f if there is none.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -385,6 +385,9 @@
 		c.putUnused(cn)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if r.OnSend != nil {
+		r.OnSend(cn.hasUnread)
+	}
 	rt := &roundTrip{client: c, conn: cn, request: r}
 	rt.stopAfterFunc = context.AfterFunc(ctx, cn.abort)
 	startMs := c.monotonic()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
@@ -67,6 +68,9 @@
 	return err == nil && empty
 }
 
+// hasUnread reports whether bytes wait in the kernel to be read. It may be called beside a read.
+func (c *conn) hasUnread() bool { return socket.HasUnread(c.Conn) }
+
 // staysOpen reports whether a connection on which nothing was sent stays open and silent for a duration.
 func (c *conn) staysOpen(duration time.Duration) bool {
 	if err := c.SetReadDeadline(time.Now().Add(duration)); err != nil {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -28,6 +28,9 @@
 	BeforeSend func() error
 	// Matches reports whether a response with the given header belongs to this request.
 	Matches func(header http.Header) bool
+	// OnSend is called before the first byte is written, with a function that reports whether bytes of the upstream
+	// wait to be read, until the response is closed. It may be nil.
+	OnSend func(hasUnread func() bool)
 }
 
 func (r *Request) beforeSend() error {
