fix(dispatch): streams outlive a lost path if no other upstream may continue them, and starved probes prove nothing

What callers saw: resumable streams that a box broke off in the middle while their upstreams went on.

Cause, two faults in a row: - A path counted as down after a probe that timed out twice, although the box had not run during either probe: its own timeouts were taken for the silence of the others. - All attempts on a lost path are canceled so that their streams go on elsewhere, also those that nobody may continue (unknown or doubtful version, no other upstream).

Change: a probe during which the process was paused is repeated up to four times, and without any conclusive one the path stays as it was. A stream on a lost path is canceled only if another upstream may continue it; else it goes on, with its caller's and its own timeouts.

--- a/internal/balance/probes.go
+++ b/internal/balance/probes.go
@@ -129,6 +129,14 @@
 	return partitionMs, changed
 }
 
+// RecordProbeWithoutResult records that a probe has ended and tells nothing about the path.
+func (m *Manager) RecordProbeWithoutResult(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pathTo(name)
+	p.probing, p.probeEndedMs = false, m.monotonic()
+}
+
 // recordProbe records the result of a probe. If the path has become partitioned, it returns the
 // callbacks of the requests that use the path.
 func (m *Manager) recordProbe(name string, opened bool) (partitionMs clock.Millis, changed bool, callbacks []func()) {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -35,13 +35,15 @@
 	})
 }
 
+// maxPathProbes is how often a path is probed while this process is paused during each probe.
+const maxPathProbes = 4
+
 // probe checks whether connections to a failure domain open, and logs a change.
 func (b *Box) probe(ctx context.Context, probe balance.Probe) {
-	startMs := b.clock.Monotonic()
-	reachable := anyReachable(ctx, probe.Clients)
-	if !reachable && b.clock.Monotonic()-startMs > upstream.HostReachableTimeoutMs+checkDelayThresholdMs {
-		// This process was paused during the probe, so its timeouts prove nothing.
-		reachable = anyReachable(ctx, probe.Clients)
+	reachable, known := b.probePath(func() bool { return anyReachable(ctx, probe.Clients) })
+	if !known {
+		b.balance.RecordProbeWithoutResult(probe.FailureDomain)
+		return
 	}
 	if downMs, changed := b.balance.RecordProbe(probe.FailureDomain, reachable); changed {
 		b.log.Record(decision.Dependency{
@@ -50,6 +52,21 @@
 	}
 }
 
+// probePath probes a path until the result is known. The timeout of a probe during which this process was paused proves
+// nothing.
+func (b *Box) probePath(probe func() bool) (reachable, known bool) {
+	for range maxPathProbes {
+		startMs := b.clock.Monotonic()
+		if probe() {
+			return true, true
+		}
+		if b.clock.Monotonic()-startMs <= upstream.HostReachableTimeoutMs+checkDelayThresholdMs {
+			return false, true
+		}
+	}
+	return false, false
+}
+
 // anyReachable opens connections to some upstreams in parallel, and reports whether any of them opened.
 func anyReachable(ctx context.Context, clients []*upstream.Client) bool {
 	return anyOf(clients, func(c *upstream.Client) bool { return c.HostReachable(ctx) })
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -146,12 +146,19 @@
 }
 
 // cancelOnPathLoss cancels an attempt when the network path to the upstream's failure domain is
-// found to be down, if the request may be retried. A resumable stream then pauses for 0.2 s to 0.4 s
-// instead of the full idle timeout of three times its longest acceptable pause.
+// found to be down, if the request may be retried, or its stream may go on elsewhere. A resumable stream
+// then pauses for 0.2 s to 0.4 s instead of the full idle timeout of three times its longest acceptable
+// pause.
 func (s *retryLoop) cancelOnPathLoss(lease *balance.Lease, cancel context.CancelCauseFunc) {
-	if s.mayRetryAfterAttempt() {
-		lease.OnPartition(func() { cancel(errPathDown) })
+	s.mayContinue.Store(nil)
+	if !s.mayRetryAfterAttempt() {
+		return
 	}
+	lease.OnPartition(func() {
+		if mayContinue := s.mayContinue.Load(); mayContinue == nil || (*mayContinue)() {
+			cancel(errPathDown)
+		}
+	})
 }
 
 // failWithoutResponse releases the lease of an attempt that got no response and returns its failure.
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -211,6 +211,9 @@
 	signals opaque.Signals
 	// hasUnread reports whether bytes of the upstream of the latest attempt wait to be read.
 	hasUnread atomic.Pointer[func() bool]
+	// mayContinue reports whether another upstream may continue the stream of the latest attempt. It is nil until the
+	// stream has begun.
+	mayContinue atomic.Pointer[func() bool]
 }
 
 // lastFailureOr returns the latest failure, or f if there is none.
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -104,6 +104,9 @@
 	s.stream.origin, s.stream.recordsOrigin = from.origin, from.recordsOrigin
 	event, stop := s.startIdleTimeout(from, cancel)
 	defer stop()
+	helps := s.continuationHelps(from)
+	mayContinue := func() bool { return from.origin != nil && helps(0) }
+	s.mayContinue.Store(&mayContinue)
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := res.Read(buffer)
