--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -335,6 +335,20 @@
 			group.Wait()
 		})
 	})
+	t.Run("whose drain ends before the requests are no fault of the box", func(t *testing.T) {
+		run(t, func(tf *testFleet) {
+			var result load.Result
+			group := sync.WaitGroup{}
+			group.Go(func() {
+				result = tf.chat(0, "1", "a", func(r *load.ChatRequest) { r.Chat.MaxTokens = 4000 })
+			})
+			tf.wait(200)
+			tf.Boxes()[0].Drain()
+			require.NoError(tf.t, tf.Boxes()[0].Wait())
+			group.Wait()
+			assert.NotEqual(tf.t, load.Complete, result.Verdict, "the request must outlast the drain")
+		}, withSettings(func(r *config.Router) { r.Stop.DrainMs = 300 }))
+	})
 	t.Run("are announced to the other boxes immediately", func(t *testing.T) {
 		run(t, func(tf *testFleet) {
 			tf.wait(5000)
