fix(gateway): a stop counts from the signal, and refuses streams that it can't finish

What callers saw: streams sent over 3 s after SIGTERM were passed on and cut at the end of the grace period, and processes still ran when it ended.

Cause: a stop counted from when its signal was handled, which with little processor time is up to half a second after it was sent. And it passed on any request until its end, whatever it may take.

Change: a stop counts from the last housekeeping period before it, or earlier by four times the longest recent stall of the process, for the goroutines that handle a signal one after the other. From 3 s on it refuses streams at once with 503, Connection: close and Retry-After, unless their time is over before the grace period ends; likewise any request to a pool whose responses usually take longer than is left.

TestStopRefusesLateStreams: the late stream is passed on by the code before, and by this code if it counts from the handling.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -88,8 +88,9 @@
 	// evictions counts the connections that seemed idle when the box stopped or was full.
 	evictions inbound.Evictions
 	stopping  atomic.Bool
-	// stopStartMs is when the stop began.
+	// stopStartMs is when the stop began, or earlier.
 	stopStartMs atomic.Int64
+	stalls      stallMeter
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
@@ -316,6 +317,7 @@
 	defer b.goroutines.Wait()
 	defer stopBackground()
 	defer b.endGrace()
+	b.stalls.observe(b.clock.Monotonic())
 	b.goroutines.Go(func() { b.log.Run(background) })
 	failed, err := b.openSockets(ctx)
 	if err != nil {
@@ -369,6 +371,7 @@
 
 func (b *Box) housekeeping() {
 	b.pauseDetector.check()
+	b.stalls.observe(b.clock.Monotonic())
 	b.registry.Expire()
 	b.evacuations.Expire()
 	b.balance.SetConfirmed(b.registry.ConfirmedMs())
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -33,6 +33,7 @@
 	match     *match.Pipe
 	authorise *authorise.Pipe
 	receive   *receive.Pipe
+	stopCheck stopCheck
 	screen    *screen.Pipe
 	resume    *resume.Pipe
 	dispatch  *dispatch.Pipe
@@ -45,6 +46,7 @@
 		s.match,     // finds the route, the pool and the deadline
 		s.authorise, // checks the key, and whether keys may be trusted now
 		s.receive,   // reads the whole body
+		s.stopCheck, // refuses what a stopping box can't finish
 		s.screen,    // refuses quarantined requests
 		s.resume,    // finds the software version of a stream that the caller takes up
 		s.dispatch,  // sends the request to upstreams and returns the response
@@ -56,6 +58,7 @@
 		match:     match.New(b.awaitState, b.stateMayBeOutdated),
 		authorise: authorise.New(b.routingState.AgeMs, b.maxAgeMs, b.stateMayBeOutdated),
 		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic, b.graceEnded),
+		stopCheck: stopCheck{box: b},
 		screen: screen.New(screen.Dependencies{
 			RemainingMs: b.quarantine.QuarantineRemainingMs, ScreenParts: b.parts.Screen, RescreenParts: b.parts.Recheck,
 		}),
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -8,6 +8,8 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/inbound"
+	"dooryard.example/dooryard/internal/opaque"
+	"dooryard.example/dooryard/internal/routing"
 )
 
 // Timing of a graceful shutdown.
@@ -18,18 +20,27 @@
 	lastResponsesMs clock.Millis = 100
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
+	// maxStreamStartMs is how long after its beginning a stop accepts streams: by then callers know that the box stops,
+	// and streams often last for as long as the rest of the grace period.
+	maxStreamStartMs clock.Millis = 3000
+	// stoppingRetryMs is the Retry-After of a request that another box may serve at once.
+	stoppingRetryMs clock.Millis = 200
+	// signalHops is how many goroutines take part in handling a signal. Each may wait for one stall of the process.
+	signalHops = 4
+	// signalDelayDivisor limits the assumed delay of the signal to the grace period divided by this number.
+	signalDelayDivisor = 16
 )
 
 // stop shuts the box down gracefully. The box reports not ready and continues to serve requests until the front load
 // balancer has stopped sending new ones, then lets running requests finish. Requests that outlast the grace period are
 // refused, or cut if their responses have begun, which is no error.
 func (b *Box) stop(ctx context.Context) error {
-	b.stopStartMs.Store(int64(b.clock.Monotonic()))
+	b.stopStartMs.Store(int64(b.stopStart()))
 	b.stopping.Store(true)
 	b.recordStop("stopping", nil)
 	b.peering.mesh.BroadcastDraining()
 	b.origins.tellAll()
-	_ = b.clock.Sleep(ctx, timingOf(b.Settings()).announceMs)
+	_ = b.clock.Sleep(ctx, min(timingOf(b.Settings()).announceMs, max(0, b.graceLeftMs())))
 	b.recordStop("listeners close", nil)
 	grace, cancel := b.clock.WithTimeout(ctx, max(1, b.graceLeftMs()))
 	defer cancel()
@@ -48,6 +59,13 @@
 	return err
 }
 
+// stopStart returns the beginning of a stop: an instant at which the process had no signal. With little processor time
+// the signal is handled late, but its sender counts from when it was sent.
+func (b *Box) stopStart() clock.Millis {
+	delayMs := min(signalHops*b.stalls.recent(), shutdownGrace(b.Settings())/signalDelayDivisor)
+	return min(b.stalls.last(), b.clock.Monotonic()-delayMs)
+}
+
 // graceLeftMs returns for how long requests may still run in a stop.
 func (b *Box) graceLeftMs() clock.Millis {
 	endMs := clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - exitReserveMs
@@ -78,3 +96,28 @@
 		ClosedIdle: b.evictions.Closed.Load(), KeptUnread: b.evictions.Unread.Load(),
 	})
 }
+
+// stopCheck is the pipeline step that refuses requests of which a stopping box knows that it can't finish them.
+type stopCheck struct{ box *Box }
+
+// String returns the name of the step in logs.
+func (stopCheck) String() string { return "stop" }
+
+// Run checks whether the request can be finished. A stream that can't is cut at the end of the grace period, while
+// other requests are answered then.
+func (s stopCheck) Run(r *opaque.Request) error {
+	b := s.box
+	if !b.stopping.Load() {
+		return nil
+	}
+	now := b.clock.Monotonic()
+	leftMs := b.graceLeftMs()
+	if r.RemainingMs(now) <= leftMs {
+		return nil
+	}
+	late := r.Route.Kind == routing.Stream && now-clock.Millis(b.stopStartMs.Load()) > maxStreamStartMs
+	if !late && b.balance.RespondsWithin(r.Pool, max(1, leftMs)) {
+		return nil
+	}
+	return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxStopping, stoppingRetryMs, nil)
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -314,3 +314,36 @@
 		b.assertStopped()
 	})
 }
+
+// TestStopRefusesLateStreams guards against streams that begin late in a stop and are cut at its end.
+func TestStopRefusesLateStreams(t *testing.T) {
+	for _, c := range []struct {
+		name, more string
+		// afterMs is when the request is sent, counted from the signal, which the process handles late.
+		afterMs clock.Millis
+		want    int
+	}{
+		{"in time", "", 2500, http.StatusOK},
+		{"late", "", 3010, http.StatusServiceUnavailable},
+		{"late, but its deadline passes within the grace period", "X-Deadline: 2000\r\n", 3010, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				f.upstream("u1", eventStream{events: 3, eventBytes: 1, gap: 10}.handler(f))
+				b := f.box(1, withGrace(6.5))
+				caller := b.connect(b.settings.CallersAddress)
+				caller.write(requestText("/safe/", "Content-Length: 0\r\n"))
+				caller.response()
+				const handledLateMs = 90
+				f.advanceMonotonic(handledLateMs)
+				b.stop()
+				advance(f.t, (c.afterMs - handledLateMs).Duration())
+				caller.write(requestText("/stream/", c.more+"Content-Length: 0\r\n"))
+				response := caller.response()
+				assert.Equal(f.t, c.want, response.StatusCode)
+				assert.Equal(f.t, c.want != http.StatusOK, response.Header.Get("Retry-After") != "")
+				assert.True(f.t, response.Close, "the response tells the caller to close the connection")
+			})
+		})
+	}
+}
