--- a/internal/testlib/connect.go
+++ b/internal/testlib/connect.go
@@ -10,9 +10,9 @@
 // Connect returns both ends of a connection on real sockets.
 func Connect(t *testing.T) (caller, conn net.Conn) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	caller, err = net.Dial("tcp", listener.Addr().String())
+	caller, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
 	require.NoError(t, err)
 	conn, err = listener.Accept()
 	require.NoError(t, err)
