fix(inbound): half-closed streams live through their first event on a box with little processor time

What callers saw: one that ended its writing side and whose stream began just when the time for a sign of it was over got the head and a close, on a box that ran for 20 ms of each 100 ms: 22 of 370 such streams (a lab with stops and long bodies).

Cause: the time was counted by the clock only, so that few checks were made in it, and bytes that the caller's machine had not acknowledged yet counted as none.

Change: the wait ends after 250 ms and ten checks, later while bytes are under way, and after 400 ms at the latest, which leaves time to cancel a request within half a second of the end. The fake connection of the tests may be closed twice, as the server does; without it TestHalfClosed failed once with a panic of the test's own.

--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -18,8 +18,12 @@
 	// holdMs is how long the response to a caller that has ended its side is awaited without a sign of the caller. It is
 	// short, since most of them have left, and an upstream works in vain.
 	holdMs clock.Millis = 250
-	// holdCheckMs is the interval at which the kernel is asked for a sign.
+	// maxHoldMs is how long it is awaited while bytes are under way to the caller, or the process gets so little
+	// processor time that few checks were made. It leaves time to cancel a request within half a second.
+	maxHoldMs clock.Millis = 400
+	// holdCheckMs is the interval at which the kernel is asked for a sign, and holdChecks how often it is asked.
 	holdCheckMs clock.Millis = 25
+	holdChecks               = int(holdMs / holdCheckMs)
 )
 
 // WithHeldEnds makes connections hide from the server for a short time that a caller has ended its side while its
@@ -39,21 +43,22 @@
 // A caller that has closed its socket looks the same as one that has only ended its writing side and reads. But its
 // kernel resets the connection when data arrives, while that of a caller that reads acknowledges them.
 func (c *Conn) holdEnd() error {
-	acknowledged, open := acknowledgedBytes(c.Conn)
+	atEnd := signOf(c.Conn)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer c.endHold()
-	if !open || !c.startHold(cancel) {
+	if !atEnd.open || !c.startHold(cancel) {
 		cancel()
 	}
-	reads := false
-	for start := c.listener.clock.Monotonic(); open; {
+	start, reads := c.listener.clock.Monotonic(), false
+	for now, checks := atEnd, 0; now.open; checks++ {
 		if c.listener.clock.Sleep(ctx, holdCheckMs) != nil {
 			return os.ErrDeadlineExceeded
 		}
-		var now uint64
-		now, open = acknowledgedBytes(c.Conn)
-		reads = reads || now > acknowledged
-		if !reads && c.committed.Load() == 0 && c.listener.clock.Monotonic()-start >= holdMs {
+		now = signOf(c.Conn)
+		reads = reads || now.acknowledgedBytes > atEnd.acknowledgedBytes
+		elapsed := c.listener.clock.Monotonic() - start
+		unheard := elapsed >= holdMs && checks+1 >= holdChecks && !now.outstanding || elapsed >= maxHoldMs
+		if unheard && !reads && c.committed.Load() == 0 {
 			break
 		}
 	}
@@ -78,19 +83,27 @@
 	}
 }
 
-// acknowledgedBytes returns how many bytes the caller's machine has acknowledged, and false if the connection is
-// closed, was reset or has no socket. One without a socket may have a method Acknowledged.
-func acknowledgedBytes(c net.Conn) (bytes uint64, open bool) {
-	if known, ok := c.(interface{ Acknowledged() (uint64, bool) }); ok {
-		return known.Acknowledged()
+// sign is what the kernel knows of a caller.
+type sign struct {
+	// acknowledgedBytes is how much the caller's machine has acknowledged, and outstanding whether there is more.
+	acknowledgedBytes uint64
+	outstanding       bool
+	// open is set unless the connection is closed, was reset or has no socket.
+	open bool
+}
+
+// signOf asks the kernel. A connection without a socket may have a method Sign.
+func signOf(c net.Conn) sign {
+	if known, ok := c.(interface{ Sign() sign }); ok {
+		return known.Sign()
 	}
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return sign{}
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return 0, false
+		return sign{}
 	}
 	var info *unix.TCPInfo
 	err = raw.Control(func(fd uintptr) {
@@ -98,7 +111,7 @@
 		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err != nil || info == nil || info.State == unix.BPF_TCP_CLOSE {
-		return 0, false
+		return sign{}
 	}
-	return info.Bytes_acked, true
+	return sign{acknowledgedBytes: info.Bytes_acked, outstanding: info.Unacked > 0 || info.Notsent_bytes > 0, open: true}
 }
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -28,7 +28,9 @@
 	sent     bytes.Buffer
 	reads    bool
 	left     atomic.Bool
-	closed   chan struct{}
+	// closed is closed by Close, which the server may call twice.
+	closed chan struct{}
+	once   sync.Once
 }
 
 func (c *halfClosedConn) Read(data []byte) (int, error) { return c.requests.Read(data) }
@@ -40,17 +42,17 @@
 }
 
 func (c *halfClosedConn) Close() error {
-	close(c.closed)
+	c.once.Do(func() { close(c.closed) })
 	return nil
 }
 
-func (c *halfClosedConn) Acknowledged() (uint64, bool) {
+func (c *halfClosedConn) Sign() sign {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.reads {
-		return 0, !c.left.Load()
+		return sign{outstanding: c.sent.Len() > 0, open: !c.left.Load()}
 	}
-	return uint64(c.sent.Len()), !c.left.Load()
+	return sign{acknowledgedBytes: uint64(c.sent.Len()), open: !c.left.Load()}
 }
 
 func (*halfClosedConn) SetReadDeadline(time.Time) error { return nil }
@@ -135,7 +137,7 @@
 			func(http.ResponseWriter, *Conn) {},
 		},
 		{"a stream that the caller reads", clock.Second, clock.Second, &halfClosedConn{reads: true}, send},
-		{"a stream that the caller doesn't read", clock.Second, holdMs, &halfClosedConn{}, send},
+		{"a stream that the caller doesn't read", clock.Second, maxHoldMs, &halfClosedConn{}, send},
 		{
 			"a response that is awaited in any case", clock.Second, clock.Second, &halfClosedConn{},
 			func(_ http.ResponseWriter, c *Conn) { c.Commit() },
@@ -164,8 +166,8 @@
 	})
 }
 
-// TestAcknowledgedBytes guards against a caller that has left and counts as reading on real sockets, and the reverse.
-func TestAcknowledgedBytes(t *testing.T) {
+// TestSignOf guards against a caller that has left and counts as reading on real sockets, and the reverse.
+func TestSignOf(t *testing.T) {
 	for name, left := range map[string]bool{"has ended its writing side": false, "has closed the connection": true} {
 		t.Run(name, func(t *testing.T) {
 			caller, conn := testlib.Connect(t)
@@ -177,18 +179,19 @@
 			}
 			_, err := conn.Read(make([]byte, 1))
 			require.ErrorIs(t, err, io.EOF)
-			before, open := acknowledgedBytes(conn)
-			require.True(t, open)
+			before := signOf(conn)
+			require.True(t, before.open)
 			_, err = conn.Write([]byte("event"))
 			require.NoError(t, err)
 			now := before
-			for open && now == before {
+			for now.open && now.acknowledgedBytes == before.acknowledgedBytes {
 				runtime.Gosched()
-				now, open = acknowledgedBytes(conn)
+				now = signOf(conn)
 			}
-			assert.Equal(t, !left, open)
+			assert.Equal(t, !left, now.open)
 			if !left {
-				assert.Equal(t, before+uint64(len("event")), now)
+				assert.Equal(t, before.acknowledgedBytes+uint64(len("event")), now.acknowledgedBytes)
+				assert.False(t, now.outstanding)
 			}
 		})
 	}
