fix(router): a panic of a handler is logged and counted

The messages of net/http about panics are a line "handler panicked" now, with the trace, and counted in handler_panics. Its other messages, about broken connections of callers, are dropped as before.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 
+	"go.uber.org/zap"
+
 	"dooryard.example/dooryard/internal/backing"
 	"dooryard.example/dooryard/internal/callers"
 	"dooryard.example/dooryard/internal/claim"
@@ -221,7 +223,8 @@
 		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
 	}
 	for _, o := range opened {
-		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listenWithRetries(ctx, o.name))
+		opened, err := server.Open(
+			o.name, o.settings, limits, o.handler, b.listenWithRetries(ctx, o.name), server.WithOnPanic(b.handlerPanicked))
 		if err != nil {
 			b.closeListeners()
 			return err
@@ -230,3 +233,8 @@
 	}
 	return nil
 }
+
+func (b *Box) handlerPanicked(trace string) {
+	b.metrics.HandlerPanics.Add(1)
+	b.logger.Error("handler panicked", zap.String("box", b.settings.Box), zap.String("trace", trace))
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -2,6 +2,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -59,10 +60,19 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
+	onPanic  func(trace string)
 }
 
+// Option configures a Server in Open.
+type Option func(*Server)
+
+// WithOnPanic sets the function that is called with the trace of each handler that panicked.
+func WithOnPanic(onPanic func(trace string)) Option { return func(s *Server) { s.onPanic = onPanic } }
+
 // Open opens a listener. Requests are handled once Serve is called.
-func Open(name string, settings config.Listener, limits Limits, handler http.Handler, listen Listen) (*Server, error) {
+func Open(
+	name string, settings config.Listener, limits Limits, handler http.Handler, listen Listen, options ...Option,
+) (*Server, error) {
 	listener, err := listen("tcp", settings.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%s listener: %w", name, err)
@@ -75,23 +85,38 @@
 		}
 		listener = tls.NewListener(listener, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certificate.get})
 	}
-	return &Server{
-		name: name, listener: listener,
-		server: &http.Server{
-			Handler:           handler,
-			MaxHeaderBytes:    limits.MaxHeaderBytes,
-			ReadHeaderTimeout: limits.HeaderTimeoutMs.Duration(),
-			IdleTimeout:       limits.IdleTimeoutMs.Duration(),
-			ErrorLog:          log.New(discardWriter{}, "", 0),
-		},
-	}, nil
+	s := &Server{name: name, listener: listener, onPanic: func(string) {}}
+	for _, option := range options {
+		option(s)
+	}
+	s.server = &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.HeaderTimeoutMs.Duration(),
+		IdleTimeout:       limits.IdleTimeoutMs.Duration(),
+		ErrorLog:          log.New(panicWriter{onPanic: s.onPanic}, "", 0),
+	}
+	return s, nil
 }
 
-// discardWriter drops the log lines of net/http. They report broken connections of
-// callers and are not JSON, unlike the log of the process.
-type discardWriter struct{}
+const (
+	// panicPrefix begins the message of net/http about a handler that panicked.
+	panicPrefix = "http: panic serving"
+	// maxTraceBytes limits the trace of a panic.
+	maxTraceBytes = 4096
+)
+
+// panicWriter receives the log lines of net/http. It reports panics of handlers and drops the others, which report
+// broken connections of callers.
+type panicWriter struct{ onPanic func(trace string) }
 
-func (discardWriter) Write(line []byte) (int, error) { return len(line), nil }
+// Write implements io.Writer.
+func (w panicWriter) Write(line []byte) (int, error) {
+	if bytes.HasPrefix(line, []byte(panicPrefix)) {
+		w.onPanic(strings.TrimSpace(string(line[:min(len(line), maxTraceBytes)])))
+	}
+	return len(line), nil
+}
 
 // Address returns the address to which the listener is bound.
 func (s *Server) Address() string { return s.listener.Addr().String() }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -126,6 +126,25 @@
 
 func (*statusWriter) Write(data []byte) (int, error) { return len(data), nil }
 
+func TestPanicOfAHandlerIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := testlib.NewNetwork().Host("box")
+		traces := make(chan string, 1)
+		panics := func(http.ResponseWriter, *http.Request) { panic("a fault of the handler") }
+		s, err := Open("callers", config.Listener{Address: "127.0.0.1:0"}, testLimits(), http.HandlerFunc(panics), host.Listen,
+			WithOnPanic(func(trace string) { traces <- trace }))
+		require.NoError(t, err)
+		go func() { _ = s.Serve() }()
+		defer s.Close()
+		conn, err := host.Dial(t.Context(), "tcp", s.Address())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		assert.Contains(t, <-traces, "a fault of the handler")
+		require.NoError(t, conn.Close())
+	})
+}
+
 func TestTLS(t *testing.T) {
 	dir := t.TempDir()
 	files := config.TLS{CertificateFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key")}
