fix(gateway): the reserve of a stop follows the stalls of the process, and the last requests are refused

What callers saw: processes that get little processor time were killed at the end of the grace period with requests that nobody answered; requests that began in its last second were passed on and lost.

Cause: the quarter of a second that is reserved for the exit, and the tenth of it for last responses, are enough for a process that runs. With 10 ms of each 100 ms hardly anything of it is left.

Change: the reserve grows by three times the longest recent stall, up to a sixteenth of the grace period, and last responses have two fifths of it. The assumed delay of the signal may be a tenth of the grace period instead of a sixteenth, since stalls of 0.5 to 0.7 s were seen to delay it by 0.7 to 0.9 s. Requests other than streams are refused in the last second, too, unless their time is over before: another box can serve them, and one that is cut may have run.

TestStopRefusesWhatComesLate and TestStopReserve: the late request is passed on by the code before; the reserve with stalls of 80 ms was 250 ms.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -14,21 +14,30 @@
 
 // Timing of a graceful shutdown.
 const (
-	// exitReserveMs is the part of the grace period that is reserved for the exit of the process.
+	// exitReserveMs is the part of the grace period that is reserved for the exit of a process without stalls.
 	exitReserveMs clock.Millis = 250
-	// lastResponsesMs is the part of it in which requests that outlast the grace period are answered.
-	lastResponsesMs clock.Millis = 100
+	// reserveStalls is how many stalls of the process fit into the reserve beside exitReserveMs.
+	reserveStalls = 3
+	// reserveDivisor limits the reserve for stalls to the grace period divided by this number.
+	reserveDivisor = 16
+	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered.
+	lastResponsesPercent = 40
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
 	// maxStreamStartMs is how long after its beginning a stop accepts streams: by then callers know that the box stops,
 	// and streams often last for as long as the rest of the grace period.
 	maxStreamStartMs clock.Millis = 3000
+	// maxLastStartMs is how long before the end of the grace period the last requests of other kinds are accepted. Few
+	// requests take longer, and one that is cut may have run.
+	maxLastStartMs clock.Millis = 1000
+	// lastStartDivisor limits it to the grace period divided by this number.
+	lastStartDivisor = 8
 	// stoppingRetryMs is the Retry-After of a request that another box may serve at once.
 	stoppingRetryMs clock.Millis = 200
 	// signalHops is how many goroutines take part in handling a signal. Each may wait for one stall of the process.
 	signalHops = 4
 	// signalDelayDivisor limits the assumed delay of the signal to the grace period divided by this number.
-	signalDelayDivisor = 16
+	signalDelayDivisor = 10
 )
 
 // stop shuts the box down gracefully. The box reports not ready and continues to serve requests until the front load
@@ -53,7 +62,7 @@
 		b.recordStop("requests cut", nil)
 	}
 	b.endGrace()
-	last, cancel := b.clock.WithTimeout(ctx, lastResponsesMs)
+	last, cancel := b.clock.WithTimeout(ctx, b.exitReserve()*lastResponsesPercent/percent)
 	defer cancel()
 	b.eachListener(func(_ int, l *inbound.Listener) { l.CloseIdle(last) })
 	return err
@@ -66,9 +75,15 @@
 	return min(b.stalls.last(), b.clock.Monotonic()-delayMs)
 }
 
+// exitReserve returns the part of the grace period that is reserved for the exit of the process.
+func (b *Box) exitReserve() clock.Millis {
+	stallsMs := reserveStalls * b.stalls.recent()
+	return max(exitReserveMs, min(exitReserveMs+stallsMs, shutdownGrace(b.Settings())/reserveDivisor))
+}
+
 // graceLeftMs returns for how long requests may still run in a stop.
 func (b *Box) graceLeftMs() clock.Millis {
-	endMs := clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - exitReserveMs
+	endMs := clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - b.exitReserve()
 	return endMs - b.clock.Monotonic()
 }
 
@@ -115,7 +130,10 @@
 	if r.RemainingMs(now) <= leftMs {
 		return nil
 	}
-	late := r.Route.Kind == routing.Stream && now-clock.Millis(b.stopStartMs.Load()) > maxStreamStartMs
+	late := leftMs < min(maxLastStartMs, shutdownGrace(b.Settings())/lastStartDivisor)
+	if r.Route.Kind == routing.Stream {
+		late = late || now-clock.Millis(b.stopStartMs.Load()) > maxStreamStartMs
+	}
 	if !late && b.balance.RespondsWithin(r.Pool, max(1, leftMs)) {
 		return nil
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -304,7 +304,7 @@
 		caller.write(text[:9])
 		synctest.Wait()
 		b.stop()
-		advance(t, (3*clock.Second - exitReserveMs + lastResponsesMs/2).Duration())
+		advance(t, (3*clock.Second - exitReserveMs + exitReserveMs*lastResponsesPercent/percent/2).Duration())
 		caller.write(text[9:])
 		response := caller.response()
 		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
@@ -315,22 +315,25 @@
 	})
 }
 
-// TestStopRefusesLateStreams guards against streams that begin late in a stop and are cut at its end.
-func TestStopRefusesLateStreams(t *testing.T) {
+// TestStopRefusesWhatComesLate guards against requests that begin late in a stop and are cut at its end.
+func TestStopRefusesWhatComesLate(t *testing.T) {
 	for _, c := range []struct {
-		name, more string
+		name, path, more string
 		// afterMs is when the request is sent, counted from the signal, which the process handles late.
 		afterMs clock.Millis
 		want    int
 	}{
-		{"in time", "", 2500, http.StatusOK},
-		{"late", "", 3010, http.StatusServiceUnavailable},
-		{"late, but its deadline passes within the grace period", "X-Deadline: 2000\r\n", 3010, http.StatusOK},
+		{"a stream in time", "/stream/", "", 2500, http.StatusOK},
+		{"a late stream", "/stream/", "", 3010, http.StatusServiceUnavailable},
+		{"a late stream whose deadline passes within the grace period", "/stream/", "X-Deadline: 2000\r\n", 3010, http.StatusOK},
+		{"another late request", "/unsafe/", "", 5600, http.StatusServiceUnavailable},
+		{"another request in time", "/unsafe/", "", 4000, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				f.upstream("u1", eventStream{events: 3, eventBytes: 1, gap: 10}.handler(f))
 				b := f.box(1, withGrace(6.5))
+				b.connect(b.settings.CallersAddress).write("POST /a-part-keeps-the-box-waiting")
 				caller := b.connect(b.settings.CallersAddress)
 				caller.write(requestText("/safe/", "Content-Length: 0\r\n"))
 				caller.response()
@@ -338,7 +341,7 @@
 				f.advanceMonotonic(handledLateMs)
 				b.stop()
 				advance(f.t, (c.afterMs - handledLateMs).Duration())
-				caller.write(requestText("/stream/", c.more+"Content-Length: 0\r\n"))
+				caller.write(requestText(c.path, c.more+"Content-Length: 0\r\n"))
 				response := caller.response()
 				assert.Equal(f.t, c.want, response.StatusCode)
 				assert.Equal(f.t, c.want != http.StatusOK, response.Header.Get("Retry-After") != "")
@@ -347,3 +350,31 @@
 		})
 	}
 }
+
+// TestStopReserve guards against a process with little processor time that is killed before it has answered what
+// outlasts the grace period, and against one that ends much too early.
+func TestStopReserve(t *testing.T) {
+	const graceMs = 8 * clock.Second
+	for _, c := range []struct {
+		name           string
+		stallMs        clock.Millis
+		minMs, maxMs   clock.Millis
+		minLastWriteMs clock.Millis
+	}{
+		{"no stalls", 0, exitReserveMs, exitReserveMs, 100},
+		{"stalls of 80 ms", 80, 3 * 80, graceMs / 12, 2 * 80},
+		{"stalls of a second", 1000, exitReserveMs, graceMs / 12, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				b := f.box(1)
+				now := b.stalls.last()
+				b.stalls.observe(now + housekeepingIntervalMs + c.stallMs)
+				reserve := b.exitReserve()
+				assert.GreaterOrEqual(f.t, reserve, c.minMs)
+				assert.LessOrEqual(f.t, reserve, c.maxMs)
+				assert.GreaterOrEqual(f.t, reserve*lastResponsesPercent/percent, c.minLastWriteMs)
+			})
+		})
+	}
+}
