fix(server): a listener that stops is closed although new connections keep arriving

What callers saw: with little processor time a stopping box accepted new connections up to the end of its grace period, where those that waited were reset and requests cut.

Cause: the wait for the queue to become empty limits its checks, 200 at 5 ms apart. With 10 ms of each 100 ms each check takes up to 100 ms, and while callers keep connecting the queue is never empty.

Change: after ten checks the kernel drops new connections while one waits (listen with a backlog of 0), so that the queue empties and their callers find the listener closed when they try again; at most 50 checks in all.

--- /dev/null
+++ b/internal/server/await_test.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// startConnect begins to open a connection and doesn't wait for it.
+func startConnect(t *testing.T, address net.Addr) {
+	t.Helper()
+	tcp, ok := address.(*net.TCPAddr)
+	require.True(t, ok)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, unix.Close(fd)) })
+	require.ErrorIs(t, unix.Connect(fd, &unix.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}), unix.EINPROGRESS)
+}
+
+// TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
+// slowly than new ones arrive.
+func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, socket.Close()) })
+	accept := func() {
+		conn, err := socket.Accept()
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+	}
+	startConnect(t, socket.Addr())
+	c := clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
+		accept()
+		startConnect(t, socket.Addr())
+		startConnect(t, socket.Addr())
+		return nil
+	}))
+	NewListener(socket, c, nil, nil).AwaitAccepted(t.Context())
+	left := 0
+	for ; hasWaiting(socket); left++ {
+		accept()
+	}
+	assert.LessOrEqual(t, left, 2, "connections that wait to be accepted")
+}
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -103,20 +103,41 @@
 const (
 	// acceptPollMs is how often a listener checks whether connections wait to be accepted.
 	acceptPollMs clock.Millis = 5
+	// openAcceptPolls is how often it checks before the kernel takes no new connections.
+	openAcceptPolls = 10
 	// maxAcceptPolls limits the checks, not their time: a process that gets little processor time accepts more slowly.
-	maxAcceptPolls = 200
+	maxAcceptPolls = 50
 )
 
-// AwaitAccepted waits until no connection waits to be accepted, which Close would reset. It gives up when the context
-// ends, or if connections still wait after many checks.
+// AwaitAccepted waits until no connection waits to be accepted, which Close would reset. If there are always some, the
+// kernel drops new ones after some checks, so that their callers find the listener closed when they try again. It gives
+// up when the context ends, or if connections still wait after many checks.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	for range maxAcceptPolls {
-		if !hasWaiting(l.current()) || l.clock.Sleep(ctx, acceptPollMs) != nil {
+	for i := range maxAcceptPolls {
+		socket := l.current()
+		if i >= openAcceptPolls {
+			dropNew(socket)
+		}
+		if !hasWaiting(socket) || l.clock.Sleep(ctx, acceptPollMs) != nil {
 			return
 		}
 	}
 }
 
+// dropNew makes the kernel drop new connections while one waits to be accepted.
+func dropNew(socket net.Listener) {
+	withDescriptor, ok := socket.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		return
+	}
+	// After an error it takes new ones, as before.
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), 0) })
+}
+
 // hasWaiting reports whether a connection waits to be accepted at a socket.
 func hasWaiting(socket net.Listener) bool {
 	withDescriptor, ok := socket.(syscall.Conn)
