fix(gateway): a stop assumes the usual stall of the process, not the longest

Cause: the delay of the signal and the reserve were multiples of the longest recent stall, so that one long stall took 1.3 s of the grace period.

Change: they are multiples of the average over eight housekeeping periods. A pause that is still going on when the signal comes counts by the last housekeeping.

--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -8,11 +8,11 @@
 
 // stallMeter measures how long the process usually gets no processor time.
 type stallMeter struct {
-	lastMs, recentMs atomic.Int64
+	lastMs, usualMs atomic.Int64
 }
 
-// stallsKept is the number of housekeeping periods over which a stall is mostly forgotten.
-const stallsKept = 32
+// stallPeriods is the number of housekeeping periods over which stalls are averaged.
+const stallPeriods = 8
 
 // observe is called once in each housekeeping period.
 func (s *stallMeter) observe(now clock.Millis) {
@@ -20,12 +20,12 @@
 	if lastMs == 0 {
 		return
 	}
-	late := int64(now) - lastMs - int64(housekeepingIntervalMs)
-	s.recentMs.Store(max(0, late, s.recentMs.Load()*(stallsKept-1)/stallsKept))
+	lateMs := max(0, int64(now)-lastMs-int64(housekeepingIntervalMs))
+	s.usualMs.Store((lateMs + (stallPeriods-1)*s.usualMs.Load()) / stallPeriods)
 }
 
-// recent returns the length of the longest recent stall.
-func (s *stallMeter) recent() clock.Millis { return clock.Millis(s.recentMs.Load()) }
+// usual returns the usual length of a stall.
+func (s *stallMeter) usual() clock.Millis { return clock.Millis(s.usualMs.Load()) }
 
 // last returns when the process was last seen running.
 func (s *stallMeter) last() clock.Millis { return clock.Millis(s.lastMs.Load()) }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -71,13 +71,13 @@
 // stopStart returns the beginning of a stop: an instant at which the process had no signal. With little processor time
 // the signal is handled late, but its sender counts from when it was sent.
 func (b *Box) stopStart() clock.Millis {
-	delayMs := min(signalHops*b.stalls.recent(), shutdownGrace(b.Settings())/signalDelayDivisor)
+	delayMs := min(signalHops*b.stalls.usual(), shutdownGrace(b.Settings())/signalDelayDivisor)
 	return min(b.stalls.last(), b.clock.Monotonic()-delayMs)
 }
 
 // exitReserve returns the part of the grace period that is reserved for the exit of the process.
 func (b *Box) exitReserve() clock.Millis {
-	stallsMs := reserveStalls * b.stalls.recent()
+	stallsMs := reserveStalls * b.stalls.usual()
 	return max(exitReserveMs, min(exitReserveMs+stallsMs, shutdownGrace(b.Settings())/reserveDivisor))
 }
 
