fix(opaque): a request that a stopping box refuses may go to another box

What callers saw: a request that one box forwarded to a box that stops got its refusal, although others could serve it.

Cause: the cause box_stopping was not among those that say nothing about other boxes.

The subtest of TestForwarding on a stopping box fails without it.

--- a/internal/gateway/forwarding_test.go
+++ b/internal/gateway/forwarding_test.go
@@ -160,6 +160,18 @@
 			assert.Zero(f.t, f.runs.of("1"))
 		})
 	})
+	t.Run("that a stopping box can't finish may go to another one", func(t *testing.T) {
+		runForwarding(t, 2, func(f *forwardingFleet) {
+			other := f.boxes[1]
+			other.stopStartMs.Store(int64(other.clock.Monotonic() - shutdownGrace(other.Settings()) + 1000))
+			other.stopping.Store(true)
+			response := f.forwardTo(other, http.Header{"Authorization": {key}})
+			assert.Equal(f.t, http.StatusServiceUnavailable, response.StatusCode)
+			assert.EqualValues(f.t, opaque.BoxStopping, response.Header.Get("Dooryard-Cause"))
+			assert.True(f.t, opaque.BoxStopping.AnotherBoxMayServe())
+			assert.Zero(f.t, f.runs.of("1"))
+		})
+	})
 	t.Run("has the time that is left of the caller's, counted once", func(t *testing.T) {
 		runForwarding(t, 2, func(f *forwardingFleet) {
 			header := http.Header{"Authorization": {key}, "Dooryard-Elapsed-Ms": {"2000"}, "X-Deadline": {"2000"}}
--- a/internal/opaque/hop.go
+++ b/internal/opaque/hop.go
@@ -137,5 +137,5 @@
 
 // AnotherBoxMayServe reports whether a refusal with this cause says nothing about what other boxes would do.
 func (c Cause) AnotherBoxMayServe() bool {
-	return slices.Contains([]Cause{NoState, StaleState, BoxFull, NoUpstream}, c)
+	return slices.Contains([]Cause{NoState, StaleState, BoxFull, NoUpstream, BoxStopping}, c)
 }
