fix(inbound): a full box that stops accepts the connections that wait

What callers saw: with all slots of a box taken, requests sent whole on new connections were reset 0.2 to 0.6 s later, when the listener closed in a stop.

Cause: a connection needs a slot before it is served, so that the wait for the queue to become empty was in vain, and the close of the listener reset all that waited.

Change: once a listener drains, connections need no slot.

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -23,6 +23,9 @@
 	net.Listener
 	slots  chan struct{}
 	closed chan struct{}
+	// unlimited is closed once connections need no slot, because the listener accepts the last ones.
+	unlimited     chan struct{}
+	unlimitedOnce sync.Once
 	// refused is closed once Accept accepts nothing more.
 	refused     chan struct{}
 	refusedOnce sync.Once
@@ -73,7 +76,7 @@
 	l := &Listener{
 		Listener: socket, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*Conn]struct{}{},
 		responses: responses, clock: c, evictions: &Evictions{},
-		drained: make(chan struct{}), refused: make(chan struct{}),
+		drained: make(chan struct{}), refused: make(chan struct{}), unlimited: make(chan struct{}),
 		close: sync.OnceValue(func() error {
 			close(closed)
 			return socket.Close()
@@ -94,13 +97,15 @@
 	}
 	select {
 	case l.slots <- struct{}{}:
-		return l.add(conn), nil
+		return l.add(conn, true), nil
 	default:
 	}
 	l.makeRoom()
 	select {
 	case l.slots <- struct{}{}:
-		return l.add(conn), nil
+		return l.add(conn, true), nil
+	case <-l.unlimited:
+		return l.add(conn, false), nil
 	case <-l.closed:
 		// The listener's error matters, not that of a connection that was never served.
 		_ = conn.Close()
@@ -117,23 +122,25 @@
 	return err
 }
 
-func (l *Listener) add(conn net.Conn) *Conn {
+func (l *Listener) add(conn net.Conn, hasSlot bool) *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting = false
 	c := &Conn{Conn: conn, listener: l}
-	c.release = sync.OnceFunc(func() { l.remove(c) })
+	c.release = sync.OnceFunc(func() { l.remove(c, hasSlot) })
 	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
 	l.conns[c] = struct{}{}
 	return c
 }
 
-func (l *Listener) remove(c *Conn) {
+func (l *Listener) remove(c *Conn, hasSlot bool) {
 	l.mu.Lock()
 	delete(l.conns, c)
 	l.closeIfDrained()
 	l.mu.Unlock()
-	<-l.slots
+	if hasSlot {
+		<-l.slots
+	}
 }
 
 // makeRoom closes a connection that lingers, or the one that has been idle for longest. If there is none, the next one
@@ -196,10 +203,12 @@
 	drainPollMs clock.Millis = 20
 )
 
-// Drain accepts the connections that wait, closes the listener, and waits until all connections are closed or the
-// context ends. Unlike http.Server.Shutdown, it serves requests that arrive on open connections. It closes those that
-// have no request for keepIdleMs, all of them once no other connection is left.
+// Drain accepts the connections that wait, also beyond the limit, since the kernel would reset them. It closes the
+// listener and waits until all connections are closed or the context ends. Unlike http.Server.Shutdown, it serves
+// requests that arrive on open connections. It closes those that have no request for keepIdleMs, all of them once no
+// other connection is left.
 func (l *Listener) Drain(ctx context.Context) error {
+	l.unlimitedOnce.Do(func() { close(l.unlimited) })
 	if listener, ok := l.Listener.(*server.Listener); ok {
 		listener.AwaitAccepted(ctx)
 	}
