fix(decision): lines about requests do not crowd out the stages of a stop

A box that stops under load wrote "stopping" and nothing after it: whether its listeners had closed, how many requests were cut and whether it ended by itself or was killed could not be told from its log.

Cause: failed requests and the stages of a stop share a queue and half of the line rate, and a stop is when most requests fail.

Events of the process have a queue and a rate of their own now, 50 lines a second, so that series of signals stay limited too. The limits of the other lines are as before.

--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -13,22 +13,23 @@
 
 // Settings bounds the log's output.
 type Settings struct {
-	// MaxLinesPerSecond is the maximum number of lines written in each window of one
-	// second. Routine lines may use at most half of it.
+	// MaxLinesPerSecond is the maximum number of lines about requests and upstreams that are written in each window of
+	// one second. Routine lines may use at most half of it.
 	MaxLinesPerSecond int
-	// QueueCapacity is the capacity of each of the two event queues (important and
-	// routine).
+	// QueueCapacity is the capacity of each of the event queues.
 	QueueCapacity int
 }
 
 // Log queues events and writes them as JSON lines. Record never blocks: events are
 // dropped and counted when a queue is full or the line rate limit is exceeded.
 // Routine and important events have separate queues, each with half of the line rate,
-// so that routine events can't crowd out important ones.
+// so that routine events can't crowd out important ones. Events of the process have a
+// queue and a line rate of their own: neither can crowd out the stages of a stop.
 type Log struct {
 	settings  Settings
 	clock     clock.Clock
 	core      zapcore.Core
+	process   chan Event
 	important chan Event
 	routine   chan Event
 
@@ -40,6 +41,7 @@
 func New(settings Settings, c clock.Clock, core zapcore.Core) *Log {
 	return &Log{
 		settings: settings, clock: c, core: core,
+		process:   make(chan Event, settings.QueueCapacity),
 		important: make(chan Event, settings.QueueCapacity),
 		routine:   make(chan Event, settings.QueueCapacity),
 	}
@@ -48,7 +50,10 @@
 // Record queues an event for the writer and drops it if its queue is full.
 func (l *Log) Record(e Event) {
 	queue := l.important
-	if e.Routine() {
+	switch {
+	case isOfProcess(e):
+		queue = l.process
+	case e.Routine():
 		queue = l.routine
 	}
 	select {
@@ -58,6 +63,16 @@
 	}
 }
 
+// isOfProcess reports whether an event is about the process, not about a request or an upstream.
+func isOfProcess(e Event) bool {
+	switch e.(type) {
+	case Process, Stop, ProcessPaused:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *Log) countDropped(e Event) {
 	l.dropped.Add(1)
 	if e.Routine() {
@@ -92,6 +107,8 @@
 	w := &writer{log: l}
 	for {
 		select {
+		case e := <-l.process:
+			w.write(e)
 		case e := <-l.important:
 			w.write(e)
 		case e := <-l.routine:
@@ -106,6 +123,8 @@
 func (l *Log) flush(w *writer) {
 	for {
 		select {
+		case e := <-l.process:
+			w.write(e)
 		case e := <-l.important:
 			w.write(e)
 		case e := <-l.routine:
@@ -122,23 +141,30 @@
 type writer struct {
 	log             *Log
 	windowStartMs   clock.Millis
+	process         int
 	important       int
 	routine         int
 	reported        int64
 	reportedRoutine int64
 }
 
+// maxProcessLinesPerSecond is more than the lines of a stop and the signals that a process usually receives.
+const maxProcessLinesPerSecond = 50
+
 func (w *writer) write(e Event) {
 	now := w.log.clock.Monotonic()
 	if now-w.windowStartMs >= clock.Second {
-		w.windowStartMs, w.important, w.routine = now, 0, 0
+		w.windowStartMs, w.process, w.important, w.routine = now, 0, 0, 0
 		w.reportDropped()
 	}
-	used := &w.important
-	if e.Routine() {
+	used, limit := &w.important, max(1, w.log.settings.MaxLinesPerSecond/2)
+	switch {
+	case isOfProcess(e):
+		used, limit = &w.process, maxProcessLinesPerSecond
+	case e.Routine():
 		used = &w.routine
 	}
-	if *used >= max(1, w.log.settings.MaxLinesPerSecond/2) {
+	if *used >= limit {
 		w.log.countDropped(e)
 		return
 	}
--- a/internal/decision/log_test.go
+++ b/internal/decision/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -94,6 +95,33 @@
 	})
 }
 
+func TestStopIsNotCrowdedOutByRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedWriter{unblock: make(chan struct{})}
+		l := newLog(t, out, Settings{MaxLinesPerSecond: 10, QueueCapacity: 100})
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		stages := []string{"stopping", "listeners close", "requests cut", "stopped"}
+		for _, stage := range stages {
+			for range 100 {
+				l.Record(RequestEnded{Request: "bad", Cause: "no_route"})
+			}
+			l.Record(Stop{Stage: stage})
+		}
+		for range 100 {
+			l.Record(Process{What: "signal received"})
+		}
+		close(out.unblock)
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		messages := lines(t, &out.Buffer)
+		assert.Subset(t, messages, stages)
+		limited := slices.DeleteFunc(messages, func(message string) bool { return message == "lines dropped" })
+		assert.LessOrEqual(t, len(limited), 5+maxProcessLinesPerSecond, "the lines stay limited")
+	})
+}
+
 // failingWriter is an output whose reader has gone until it is restored.
 type failingWriter struct {
 	restored bool
