fix(gateway): a full box tells callers to close their connections while others wait

What callers saw: on a full box a kept connection was closed right after a response that had promised to keep it, while the next request was on its way.

Cause: the next connection that becomes idle is closed in favour of a new one that waits, but nothing said so before.

Change: a response that starts while a new connection waits for a slot has Connection: close. What began before is closed as before, after the question to the kernel.

--- a/internal/gateway/evicted_test.go
+++ b/internal/gateway/evicted_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -35,3 +36,22 @@
 		assert.EqualValues(t, 2, served.Load(), "requests that reached the upstream")
 	})
 }
+
+// TestFullBoxAnnouncesClose guards against a caller whose next request is not read since its connection is closed in
+// favour of another one.
+func TestFullBoxAnnouncesClose(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", func(http.ResponseWriter, *http.Request) { advance(t, time.Second) })
+		b := f.box(1, withConnectionLimit(1))
+		kept := b.connect(b.settings.CallersAddress)
+		kept.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+		assert.False(t, kept.response().Close, "no connection waits")
+		kept.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+		synctest.Wait()
+		waiting := b.connect(b.settings.CallersAddress)
+		assert.True(t, kept.response().Close, "another connection waits")
+		waiting.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+		assert.False(t, waiting.response().Close, "no connection waits")
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -90,13 +90,14 @@
 func (b *Box) newRequest(w http.ResponseWriter, hr *http.Request) *opaque.Request {
 	now := b.clock.Monotonic()
 	writer := exchange.NewWriter(w)
+	c := inbound.ConnOf(hr.Context())
 	// A request may begin long before the stop.
 	writer.OnStart(func(header http.Header) {
-		if b.stopping.Load() {
+		if b.stopping.Load() || c != nil && c.GivesWay() {
 			header.Set("Connection", "close")
 		}
 	})
-	if c := inbound.ConnOf(hr.Context()); c != nil {
+	if c != nil {
 		writer.SetUnread(c.Unread())
 	}
 	return &opaque.Request{
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -106,6 +106,10 @@
 		c.state.Load() == connActive
 }
 
+// GivesWay reports whether a new connection waits for the slot of the next one that is closed. A response should then
+// tell its caller to close the connection, so that it sends no request that is not read.
+func (c *Conn) GivesWay() bool { return c.listener.isWaiting() }
+
 // Unread returns the writing side of the connection.
 func (c *Conn) Unread() *exchange.Unread { return c.unread }
 
