--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -21,17 +21,13 @@
 	clock clock.Clock
 	// content is what was read last, nil before the first read.
 	content []byte
-	// readMs is when content was read first.
-	readMs clock.Millis
-	// used is set once the settings of content are active.
-	used bool
-	// loaded are the settings with which the box was started, nil once others are active.
-	loaded *config.Gateway
+	// loaded are the settings with which the box was started.
+	loaded config.Gateway
 }
 
 // newWatcher returns a watcher of a file from which the settings were loaded.
 func newWatcher(path string, loaded config.Gateway, c clock.Clock) *watcher {
-	return &watcher{path: path, clock: c, loaded: &loaded}
+	return &watcher{path: path, clock: c, loaded: loaded}
 }
 
 func (w *watcher) run(ctx context.Context, b *gateway.Box, reload <-chan struct{}) {
@@ -53,48 +49,27 @@
 	}
 }
 
-// reload reads the file and applies changed settings. If the file is unusable, the old settings stay active.
+// reload reads the file and applies changed settings. If the file is unusable, the old
+// settings stay active.
 func (w *watcher) reload(b *gateway.Box) {
 	content, err := os.ReadFile(w.path)
 	if err != nil {
 		b.ReportInvalidInput("settings file", err)
 		return
 	}
-	if !bytes.Equal(content, w.content) {
-		w.content, w.readMs, w.used = content, w.clock.Monotonic(), false
-	}
-	if w.used {
+	if bytes.Equal(content, w.content) {
 		return
 	}
-	settings, err := w.parse()
+	first := w.content == nil
+	w.content = content
+	settings, err := config.ParseGateway(w.path, content)
 	if err != nil {
 		b.ReportInvalidInput("settings file", err)
-	}
-	if settings == nil {
 		return
 	}
-	w.used = true
-	if w.loaded != nil && reflect.DeepEqual(*settings, *w.loaded) {
+	if first && reflect.DeepEqual(settings, w.loaded) {
 		return
 	}
-	w.loaded = nil
-	b.Reload(*settings)
-	limitMemory(*settings)
-}
-
-// parse returns the settings of the content, and what is invalid in them. It returns none while the content is invalid
-// and may be in the middle of being replaced, and if the box can't run with it.
-func (w *watcher) parse() (*config.Gateway, error) {
-	settings, err := config.ParseGateway(w.path, w.content)
-	if err == nil {
-		return &settings, nil
-	}
-	if w.clock.Monotonic()-w.readMs < pollIntervalMs {
-		return nil, err
-	}
-	settings, changed, err := config.ParseAdaptedGateway(w.path, w.content)
-	if err != nil {
-		return nil, err
-	}
-	return &settings, changed
+	b.Reload(settings)
+	limitMemory(settings)
 }
--- a/internal/cmd/gatewaycmd/watcher_test.go
+++ b/internal/cmd/gatewaycmd/watcher_test.go
@@ -6,8 +6,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"testing/synctest"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -47,7 +45,7 @@
 	write := func(content string) { require.NoError(t, os.WriteFile(path, []byte(content), 0o600)) }
 	write(settingsFile)
 	b := newBox(t, path, &strings.Builder{})
-	w := &watcher{path: path, clock: clock.New(), content: []byte(settingsFile), used: true}
+	w := &watcher{path: path, clock: clock.New(), content: []byte(settingsFile)}
 	t.Run("applies a changed file", func(t *testing.T) {
 		write(strings.Replace(settingsFile, "5000", "7000", 1))
 		w.reload(b)
@@ -65,30 +63,6 @@
 	})
 }
 
-func TestReloadWithInvalidOptionalValueAppliesTheOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		path := filepath.Join(t.TempDir(), "settings.yaml")
-		require.NoError(t, os.WriteFile(path, []byte(settingsFile), 0o600))
-		b := newBox(t, path, &strings.Builder{})
-		w := newWatcher(path, b.Settings(), clock.New())
-		w.reload(b)
-		changed := strings.Replace(settingsFile, "5000", "7000, leave_ms: 1", 1)
-		require.NoError(t, os.WriteFile(path, []byte(changed), 0o600))
-		w.reload(b)
-		w.reload(b)
-		assert.Equal(t, int64(5000), b.Settings().Freshness.MaxAgeMs, "the file may be in the middle of being replaced")
-		time.Sleep(pollIntervalMs.Duration())
-		w.reload(b)
-		assert.Equal(t, int64(7000), b.Settings().Freshness.MaxAgeMs)
-		assert.Equal(t, int64(650), b.Settings().Freshness.MaxDrainNoticeMs)
-		require.NoError(t, os.WriteFile(path, []byte("box: [\n"), 0o600))
-		w.reload(b)
-		time.Sleep(pollIntervalMs.Duration())
-		w.reload(b)
-		assert.Equal(t, int64(7000), b.Settings().Freshness.MaxAgeMs, "a box can't run with this file")
-	})
-}
-
 func TestCommand(t *testing.T) {
 	run := func(arguments ...string) error {
 		command := New(&daemon.Process{Out: &strings.Builder{}, Err: &strings.Builder{}}, gateway.Adapter{EnvSettings: "DOORYARD_TEST_SETTINGS"})
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -176,12 +176,7 @@
 	if err != nil {
 		return Gateway{}, nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	return ParseAdaptedGateway(path, data)
-}
-
-// ParseAdaptedGateway decodes the content of a gateway's settings file like AdaptGateway.
-func ParseAdaptedGateway(name string, data []byte) (settings Gateway, changed, err error) {
-	changed, err = adapt(name, data, &settings)
+	changed, err = adapt(path, data, &settings)
 	return settings, changed, err
 }
 
