fix(config): a start with other values than asked for never loosens a limit

What an operator would see: a box whose settings misspell freshness.max_age_ms, or give it a text, started without the limit after 3 s, and accepted revoked keys while the store is silent; one that asked for 100 ms ran with 500.

Cause: optional settings were all treated alike. Unknown keys and values of the wrong type had no effect, whatever they were meant to set.

Change: they end the start again, as before, and so does a max_age_ms out of range. Only numbers out of range and invalid contacts, terms and metrics addresses are replaced.

--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -22,8 +22,8 @@
 	EnvSettings string
 	// Load reads and validates a settings file.
 	Load func(path string) (T, error)
-	// Adapt reads a settings file without the optional values that Load refuses. The first error tells what it has
-	// changed. It is nil if the daemon needs valid settings.
+	// Adapt reads a settings file with other values for optional ones that Load refuses. The first error tells what it
+	// has changed. It is nil if the daemon needs valid settings.
 	Adapt func(path string) (settings T, changed, err error)
 	// Err receives a message if the settings file can't be used yet, or only in part.
 	Err io.Writer
@@ -77,7 +77,7 @@
 )
 
 // load reads the settings file until it can be used, because it may be in the middle of being replaced. If it stays
-// invalid, the daemon runs without the values that it can't use, if they are optional.
+// invalid, the daemon runs with other values for those that are optional and can be replaced.
 func (d Daemon[T]) load(ctx context.Context, path string) (T, error) {
 	c := clock.New()
 	startMs, last := c.Monotonic(), ""
@@ -106,6 +106,8 @@
 	if err != nil {
 		return settings, refused
 	}
-	fmt.Fprintf(d.Err, "%s: settings are used without invalid values: %v\n", d.Name, changed)
+	if changed != nil {
+		fmt.Fprintf(d.Err, "%s: settings are used with changed values: %v\n", d.Name, changed)
+	}
 	return settings, nil
 }
--- a/internal/cmd/daemon/daemon_test.go
+++ b/internal/cmd/daemon/daemon_test.go
@@ -99,7 +99,7 @@
 			}
 			require.NoError(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f"}))
 			assert.Equal(t, "f adapted", ran)
-			assert.Contains(t, said.String(), "settings are used without invalid values: invalid settings")
+			assert.Contains(t, said.String(), "settings are used with changed values: invalid settings")
 			require.ErrorIs(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f", "--check"}), errInvalid)
 		})
 	})
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -219,13 +219,15 @@
 
 // Adjust implements Adjuster.
 func (g *Gateway) Adjust() error {
-	errs := []error{}
+	errs, maxAgeMs := []error{}, g.Freshness.MaxAgeMs
 	for _, n := range g.numbers() {
 		if err := n.check(); err != nil {
 			errs = append(errs, err)
 			n.adjust()
 		}
 	}
+	// Keys must not be accepted for longer than asked for.
+	g.Freshness.MaxAgeMs = maxAgeMs
 	return errors.Join(append(errs, g.dropOptional()...)...)
 }
 
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -56,20 +56,20 @@
 // Adjuster is a settings type that can replace optional values that are invalid.
 type Adjuster interface {
 	Checker
-	// Adjust sets each optional number that is out of range to the nearest one in range, and returns a FieldError for
-	// each, joined by errors.Join.
+	// Adjust sets optional numbers that are out of range to the nearest one in range, and returns a FieldError for each,
+	// joined by errors.Join. It leaves those whose nearest value would loosen a limit that was asked for.
 	Adjust() error
 }
 
-// adapt decodes settings like parse. Optional values that it can't use are no error: it ignores unknown keys, sets
-// values of the wrong type to the default and numbers that are out of range to the nearest one in range. The first
-// error tells what it has changed.
+// adapt decodes settings like parse, but sets numbers that are out of range to the nearest one in range. The first error
+// tells what it has changed. Unknown keys and values of the wrong type are errors: what they were meant to set is not
+// known, and it may be a limit.
 func adapt(name string, data []byte, target Adjuster) (changed, err error) {
-	changed, err = decode(name, data, target)
-	if err != nil {
-		return nil, err
+	invalid, err := decode(name, data, target)
+	if err != nil || invalid != nil {
+		return nil, errors.Join(err, invalid)
 	}
-	changed = errors.Join(changed, locateFieldErrors(name, data, target.Adjust()))
+	changed = locateFieldErrors(name, data, target.Adjust())
 	return changed, locateFieldErrors(name, data, target.Check())
 }
 
