fix(inbound): a connection that is accepted after a drain does not end the process

What callers saw: nothing yet; found by the review and shown by its trial. A connection that Accept has returned may be added after the listener counted as drained. When it closed, the channel drained was closed a second time: a panic outside of net/http's recover, status 2 at the end of a stop, and all other requests cut.

Change: drained is closed once. TestConnectionAfterDrain panics without it ('close of closed channel').

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -49,8 +49,9 @@
 	// draining is set once idle connections are closed because the box stops.
 	draining        bool
 	drainingSinceMs clock.Millis
-	// drained is closed when the listener drains and has no connection left.
-	drained chan struct{}
+	// drained is closed when the listener drains and has no connection left for the first time.
+	drained     chan struct{}
+	drainedOnce sync.Once
 }
 
 // Evictions counts the connections that were to be closed because their callers seemed to keep them without a request.
@@ -292,10 +293,11 @@
 	}
 }
 
-// closeIfDrained closes drained if no connection is left. The mutex must be held.
+// closeIfDrained closes drained if no connection is left. The mutex must be held. A connection that was accepted before
+// the listener was closed may still be added afterwards.
 func (l *Listener) closeIfDrained() {
 	if l.draining && len(l.conns) == 0 {
-		close(l.drained)
+		l.drainedOnce.Do(func() { close(l.drained) })
 	}
 }
 
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -113,3 +114,18 @@
 	assertReadable(t, askingConn)
 	assertClosed(t, silent)
 }
+
+// TestConnectionAfterDrain guards against a process that panics since a connection is accepted when a stop is over.
+func TestConnectionAfterDrain(t *testing.T) {
+	inner := pipeListener{conns: make(chan net.Conn, 1)}
+	l := NewListener(inner, 1, exchange.NewMemory(1<<20), clock.New())
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, l.Drain(ended))
+	l.CloseIdle(ended)
+	near, _ := net.Pipe()
+	inner.conns <- pipeConn{near}
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	assert.NotPanics(t, func() { _ = conn.Close() })
+}
