fix(gateway): a stop cuts nothing before the last sixth of the grace period

What callers saw: nothing yet; found by the review, by reading. After one stall of a second before SIGTERM and with a grace period of 4 s, streams were cut after 2.75 s: the beginning of a stop was the last housekeeping, without a bound, and its other bounds were parts of the grace period that add up to more than the last sixth, in which callers expect a cut. After a start that waited for a port, a stop within 100 ms used up the whole grace period.

Change: the assumed delay of the signal and the reserve together take a sixth of the grace period at most, the first bound for every grace period. Stalls are measured once the sockets are open.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -317,12 +317,12 @@
 	defer b.goroutines.Wait()
 	defer stopBackground()
 	defer b.endGrace()
-	b.stalls.observe(b.clock.Monotonic())
 	b.goroutines.Go(func() { b.log.Run(background) })
 	failed, err := b.openSockets(ctx)
 	if err != nil {
 		return b.endStart(ctx, err)
 	}
+	b.stalls.observe(b.clock.Monotonic())
 	b.goroutines.Go(func() { b.serveMetrics(background) })
 	b.goroutines.Go(func() { b.peering.mesh.Run(background) })
 	b.goroutines.Go(func() { b.peering.run(background) })
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,14 +18,17 @@
 	exitReserveMs clock.Millis = 250
 	// reserveStalls is how many stalls of the process fit into the reserve beside exitReserveMs.
 	reserveStalls = 3
-	// reserveDivisor limits the reserve for stalls to the grace period divided by this number.
-	reserveDivisor = 16
+	// cutDivisor is the divisor of the grace period that gives the last part of it, in which callers expect requests that
+	// still run to be cut.
+	cutDivisor = 6
+	// reservePercent is the part of it that the reserve may take. The rest is for the delay of the signal.
+	reservePercent = 40
 	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered.
 	lastResponsesPercent = 40
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
-	// maxStreamStartMs is how long after its beginning a stop accepts streams: by then callers know that the box stops,
-	// and streams often last for as long as the rest of the grace period.
+	// maxStreamStartMs is how long after its beginning a stop accepts streams, if that is in the first half of the grace
+	// period: by then callers know that the box stops, and streams often last for as long as the rest of it.
 	maxStreamStartMs clock.Millis = 3000
 	// maxLastStartMs is how long before the end of the grace period the last requests of other kinds are accepted. Few
 	// requests take longer, and one that is cut may have run.
@@ -36,8 +39,6 @@
 	stoppingRetryMs clock.Millis = 200
 	// signalHops is how many goroutines take part in handling a signal. Each may wait for one stall of the process.
 	signalHops = 4
-	// signalDelayDivisor limits the assumed delay of the signal to the grace period divided by this number.
-	signalDelayDivisor = 10
 )
 
 // stop shuts the box down gracefully. The box reports not ready and continues to serve requests until the front load
@@ -71,16 +72,21 @@
 // stopStart returns the beginning of a stop: an instant at which the process had no signal. With little processor time
 // the signal is handled late, but its sender counts from when it was sent.
 func (b *Box) stopStart() clock.Millis {
-	delayMs := min(signalHops*b.stalls.usual(), shutdownGrace(b.Settings())/signalDelayDivisor)
-	return min(b.stalls.last(), b.clock.Monotonic()-delayMs)
+	now := b.clock.Monotonic()
+	delayMs := max(now-b.stalls.last(), signalHops*b.stalls.usual())
+	maxDelayMs := min(b.earliestCut()*(percent-reservePercent)/percent, b.earliestCut()-b.exitReserve())
+	return now - min(delayMs, max(0, maxDelayMs))
 }
 
 // exitReserve returns the part of the grace period that is reserved for the exit of the process.
 func (b *Box) exitReserve() clock.Millis {
-	stallsMs := reserveStalls * b.stalls.usual()
-	return max(exitReserveMs, min(exitReserveMs+stallsMs, shutdownGrace(b.Settings())/reserveDivisor))
+	return max(exitReserveMs, min(exitReserveMs+reserveStalls*b.stalls.usual(), b.earliestCut()*reservePercent/percent))
 }
 
+// earliestCut returns how long before the end of the grace period requests may be cut. It covers the assumed delay of
+// the signal and the reserve.
+func (b *Box) earliestCut() clock.Millis { return shutdownGrace(b.Settings()) / cutDivisor }
+
 // graceLeftMs returns for how long requests may still run in a stop.
 func (b *Box) graceLeftMs() clock.Millis {
 	endMs := clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - b.exitReserve()
@@ -132,7 +138,7 @@
 	}
 	late := leftMs < min(maxLastStartMs, shutdownGrace(b.Settings())/lastStartDivisor)
 	if r.Route.Kind == routing.Stream {
-		late = late || now-clock.Millis(b.stopStartMs.Load()) > maxStreamStartMs
+		late = late || now-clock.Millis(b.stopStartMs.Load()) > min(maxStreamStartMs, shutdownGrace(b.Settings())/2)
 	}
 	if !late && b.balance.RespondsWithin(r.Pool, max(1, leftMs)) {
 		return nil
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -379,3 +380,23 @@
 		})
 	}
 }
+
+// TestStopCutsInLastPart guards against requests that are cut before the last part of a grace period, whatever it is and
+// however long the process was stalled.
+func TestStopCutsInLastPart(t *testing.T) {
+	for _, graceS := range []float64{2, 3, 4, 8, 30} {
+		for _, stallMs := range []clock.Millis{0, 80, clock.Second, 5 * clock.Second} {
+			t.Run(fmt.Sprintf("grace %v s, stall %d ms", graceS, stallMs), func(t *testing.T) {
+				runWithFleet(t, func(f *fleet) {
+					b := f.box(1, withGrace(graceS))
+					f.advanceMonotonic(stallMs)
+					now := b.clock.Monotonic()
+					b.stopStartMs.Store(int64(b.stopStart()))
+					b.stalls.usualMs.Add(int64(stallMs))
+					assert.LessOrEqual(f.t, b.stopStart(), now)
+					assert.GreaterOrEqual(f.t, b.graceLeftMs(), shutdownGrace(b.Settings())*(cutDivisor-1)/cutDivisor)
+				})
+			})
+		}
+	}
+}
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -61,9 +61,9 @@
 	Adjust() error
 }
 
-// adapt decodes settings like parse, but sets numbers that are out of range to the nearest one in range. The first error
-// tells what it has changed. Unknown keys and values of the wrong type are errors: what they were meant to set is not
-// known, and it may be a limit.
+// adapt decodes settings like parse, but sets numbers that are out of range to the nearest one in range. The first
+// error tells what it has changed. Unknown keys and values of the wrong type are errors: what they were meant to set is
+// not known, and it may be a limit.
 func adapt(name string, data []byte, target Adjuster) (changed, err error) {
 	invalid, err := decode(name, data, target)
 	if err != nil || invalid != nil {
