fix(dispatch): no new attempt begins for a caller that has given no sign

A request that may not be repeated is awaited although its caller has ended its side, since its upstream works on in any case. But it was awaited from before the connection to the upstream was opened, and over all attempts, as the hold of the end saw no moment in between: after slow rejections or dials an attempt could be sent for a caller that had left over half a second before.

Change: a response is awaited from the first byte of its request on, and before each attempt the connection says whether its caller has given no sign for as long as the end is held (the request is refused then, as one whose caller has left).

The new subtest of TestHalfClosed covers the sign; that an attempt is not begun has no test of its own.

--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -7,6 +7,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/opaque"
 )
 
@@ -115,7 +116,11 @@
 // paused since the request was admitted, and the caller may have disconnected.
 func (b *Box) checkBeforeSend(r *opaque.Request) error {
 	b.pauseDetector.awaitRefresh(r.Context())
-	if err := r.Context().Err(); err != nil {
+	err := r.Context().Err()
+	if c := inbound.ConnOf(r.Context()); c != nil && c.Unheard() {
+		err = context.Canceled
+	}
+	if err != nil {
 		return opaque.NewRefusal(opaque.StatusCallerDisconnected, opaque.CallerDisconnected, 0, err)
 	}
 	if r.RemainingMs(b.clock.Monotonic()) <= 0 {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -52,6 +52,8 @@
 	lingering atomic.Bool
 	// committed is the number of attempts whose responses are awaited even if the caller seems to have left.
 	committed atomic.Int32
+	// unheard is what Unheard reports.
+	unheard atomic.Bool
 
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -38,6 +38,10 @@
 	return func() { c.committed.Add(-1) }
 }
 
+// Unheard reports whether the caller has ended its side and gave no sign for so long that it has probably left. Nothing
+// more should be done for it, though a response that is under way is awaited.
+func (c *Conn) Unheard() bool { return c.unheard.Load() }
+
 // holdEnd waits until the caller that has ended its side is known to have left, or the server ends the read. It returns
 // the error of the read.
 //
@@ -58,8 +62,9 @@
 		now = signOf(c.Conn)
 		reads = reads || now.acknowledgedBytes > atEnd.acknowledgedBytes
 		elapsed := c.listener.clock.Monotonic() - start
-		unheard := elapsed >= holdMs && checks+1 >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
-		if unheard && !reads && c.committed.Load() == 0 {
+		waited := elapsed >= holdMs && checks+1 >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
+		c.unheard.Store(waited && !reads)
+		if c.Unheard() && c.committed.Load() == 0 {
 			break
 		}
 	}
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -154,6 +154,20 @@
 			})
 		})
 	}
+	t.Run("a caller that gives no sign while a response is awaited", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			conn := atomic.Pointer[Conn]{}
+			var early, late atomic.Bool
+			time.AfterFunc((holdMs - 2*holdCheckMs).Duration(), func() { early.Store(conn.Load().Unheard()) })
+			time.AfterFunc((holdMs + 2*holdCheckMs).Duration(), func() { late.Store(conn.Load().Unheard()) })
+			serveHalfClosed(t, &halfClosedConn{}, time.Second, func(_ http.ResponseWriter, c *Conn) {
+				c.Commit()
+				conn.Store(c)
+			})
+			assert.False(t, early.Load())
+			assert.True(t, late.Load())
+		})
+	})
 	t.Run("a caller that resets the connection", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			caller := &halfClosedConn{}
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -35,10 +35,8 @@
 // response.
 func (s *retryLoop) attempt(lease *balance.Lease) *failure {
 	s.attempts++
-	s.dropFailedResponse()
+	s.forgetAttempt()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
-	s.signals = opaque.Signals{}
-	s.hasUnread.Store(nil)
 	s.request.Upstream, s.request.Framing = lease.ID, ""
 	s.logPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
@@ -47,8 +45,9 @@
 	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, s.retryHelps, cancel)
 	stopSilenceTimer := s.startSilenceTimer(lease)
 	defer s.pipe.deps.Track(s.observation(lease))()
-	defer s.pipe.deps.Commit(s.request)()
-	resp, err := lease.Client().Do(ctx, s.buildRequest(lease))
+	out, uncommit := s.buildCommitted(lease)
+	defer uncommit()
+	resp, err := lease.Client().Do(ctx, out)
 	stopTimer()
 	stopSilenceTimer()
 	if err != nil {
@@ -74,6 +73,14 @@
 	return failed
 }
 
+// forgetAttempt drops what is left of the attempt before.
+func (s *retryLoop) forgetAttempt() {
+	s.dropFailedResponse()
+	s.signals = opaque.Signals{}
+	s.hasUnread.Store(nil)
+	s.mayContinue.Store(nil)
+}
+
 // handleSignals decodes and reports the signals in the response headers. It ignores those of a
 // misdirected request: they describe the upstream that now has the address, not the selected one.
 func (s *retryLoop) handleSignals(lease *balance.Lease, resp *upstream.Response) {
@@ -150,7 +157,6 @@
 // then pauses for 0.2 s to 0.4 s instead of the full idle timeout of three times its longest acceptable
 // pause.
 func (s *retryLoop) cancelOnPathLoss(lease *balance.Lease, cancel context.CancelCauseFunc) {
-	s.mayContinue.Store(nil)
 	if !s.mayRetryAfterAttempt() {
 		return
 	}
@@ -255,6 +261,18 @@
 	return out
 }
 
+// buildCommitted returns the request to the upstream, whose response is awaited from its first byte on until the
+// returned function is called.
+func (s *retryLoop) buildCommitted(lease *balance.Lease) (out *upstream.Request, done func()) {
+	out = s.buildRequest(lease)
+	onSend, uncommit := out.OnSend, func() {}
+	out.OnSend = func(hasUnread func() bool) {
+		onSend(hasUnread)
+		uncommit = s.pipe.deps.Commit(s.request)
+	}
+	return out, func() { uncommit() }
+}
+
 // setHeader sets a header of the dialect, unless the dialect does not use it or it has no value.
 func setHeader(header http.Header, name, value string) {
 	if name != "" && value != "" {
