fix(server): a listener that stops is closed in time by a process that gets little processor time

Cause: the wait for the queue to become empty made up to 50 checks, each of which takes as long as the process is stalled, and ten of them before the kernel took no new connections. A backlog of 0 still lets one connection wait, so that the queue is never empty while callers keep connecting.

Change: the kernel drops new connections after ten checks or 100 ms, and ten checks later the socket is closed. A stop accepts streams for 2.8 s, since one that was sent 3.00 s after SIGTERM was picked 2.96 s after the box's beginning of the stop, and cut.

TestAwaitAcceptedBesideNewConnections: its second case fails on the code before (50 checks of 11).

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -29,7 +29,8 @@
 	defaultGraceS = 10
 	// maxStreamStartMs is how long after its beginning a stop accepts streams, if that is in the first half of the grace
 	// period: by then callers know that the box stops, and streams often last for as long as the rest of it.
-	maxStreamStartMs clock.Millis = 3000
+	// Signals are handled a little late also where no stall is known.
+	maxStreamStartMs = 3*clock.Second - 2*housekeepingIntervalMs
 	// maxLastStartMs is how long before the end of the grace period the last requests of other kinds are accepted. Few
 	// requests take longer, and one that is cut may have run.
 	maxLastStartMs clock.Millis = 1000
--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -26,25 +26,40 @@
 // TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
 // slowly than new ones arrive.
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { assert.NoError(t, socket.Close()) })
-	accept := func() {
-		conn, err := socket.Accept()
-		require.NoError(t, err)
-		require.NoError(t, conn.Close())
-	}
-	startConnect(t, socket.Addr())
-	c := clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
-		accept()
-		startConnect(t, socket.Addr())
-		startConnect(t, socket.Addr())
-		return nil
-	}))
-	NewListener(socket, c, nil, nil).AwaitAccepted(t.Context())
-	left := 0
-	for ; hasWaiting(socket); left++ {
-		accept()
+	for _, c := range []struct {
+		name     string
+		pollMs   clock.Millis
+		maxPolls int
+	}{
+		{"a process that runs", acceptPollMs, openAcceptPolls + lastAcceptPolls},
+		{"a process with little processor time", openAcceptMs, 1 + lastAcceptPolls},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			socket, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, socket.Close()) })
+			accept := func() {
+				conn, err := socket.Accept()
+				require.NoError(t, err)
+				require.NoError(t, conn.Close())
+			}
+			startConnect(t, socket.Addr())
+			polls, now := 0, clock.Millis(1)
+			fake := clock.New(clock.WithMonotonic(func() clock.Millis { return now }),
+				clock.WithSleep(func(context.Context, clock.Millis) error {
+					polls, now = polls+1, now+c.pollMs
+					accept()
+					startConnect(t, socket.Addr())
+					startConnect(t, socket.Addr())
+					return nil
+				}))
+			NewListener(socket, fake, nil, nil).AwaitAccepted(t.Context())
+			left := 0
+			for ; hasWaiting(socket); left++ {
+				accept()
+			}
+			assert.LessOrEqual(t, left, 2, "connections that wait to be accepted")
+			assert.LessOrEqual(t, polls, c.maxPolls)
+		})
 	}
-	assert.LessOrEqual(t, left, 2, "connections that wait to be accepted")
 }
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -103,21 +103,27 @@
 const (
 	// acceptPollMs is how often a listener checks whether connections wait to be accepted.
 	acceptPollMs clock.Millis = 5
-	// openAcceptPolls is how often it checks before the kernel takes no new connections.
-	openAcceptPolls = 10
-	// maxAcceptPolls limits the checks, not their time: a process that gets little processor time accepts more slowly.
-	maxAcceptPolls = 50
+	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel takes no new connections.
+	// A process that gets little processor time makes few checks.
+	openAcceptPolls              = 10
+	openAcceptMs    clock.Millis = 100
+	// lastAcceptPolls is how often it checks afterwards. These checks have no limit in time, since a process that gets
+	// little processor time accepts slowly.
+	lastAcceptPolls = 10
 )
 
 // AwaitAccepted waits until no connection waits to be accepted, which Close would reset. If there are always some, the
-// kernel drops new ones after some checks, so that their callers find the listener closed when they try again. It gives
+// kernel drops new ones after a moment, so that their callers find the listener closed when they try again. It gives
 // up when the context ends, or if connections still wait after many checks.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	for i := range maxAcceptPolls {
+	startMs, open := l.clock.Monotonic(), 0
+	for last := 0; last < lastAcceptPolls; {
 		socket := l.current()
-		if i >= openAcceptPolls {
+		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
 			dropNew(socket)
+			last++
 		}
+		open++
 		if !hasWaiting(socket) || l.clock.Sleep(ctx, acceptPollMs) != nil {
 			return
 		}
