test(soak): a request that only reached the soak's link, or a box that was being killed, is not lost

Trace: all are closes by the soak itself (the other check, which excuses these, counted none): the link between client and box accepts the client and can't open the connection to the box, whose listener is closed or drops new connections. Without the link the client could not have sent. Such a connection no longer counts beside planned work.

A kill excused requests sent before it only; it excuses those until the process has ended.

Each has a row in the tests; a connection that the link passed on, and a box that was killed before, still count.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -62,8 +62,10 @@
 	changedStarts map[string][]*interval
 	// interfered reports, by box, whether the link of its callers may have closed a connection from an address.
 	interfered map[string]func(address string, from, to time.Time) bool
-	lost       lostStats
-	otherCuts  []string
+	// forwarded reports, by box, whether the link of its callers passed on a connection from an address.
+	forwarded map[string]func(address string) bool
+	lost      lostStats
+	otherCuts []string
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
 	// timed is set if time bounds are checked too.
@@ -80,6 +82,7 @@
 		reloads: map[string][]time.Time{}, configs: map[string][]*interval{}, kills: map[string][]time.Time{},
 		ends: map[string][]time.Time{}, changedStarts: map[string][]*interval{},
 		interfered: map[string]func(string, time.Time, time.Time) bool{},
+		forwarded:  map[string]func(string) bool{},
 	}
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -242,10 +242,16 @@
 // interfered reports whether the link, instead of its target, may have closed a connection from an address in an
 // interval.
 func (l *link) interfered(address string, from, to time.Time) bool {
+	return !l.forwarded(address) || l.disturbed(from, to)
+}
+
+// forwarded reports whether the link passed on a connection from an address, or none came from there. One whose target
+// can't be connected to is reset although its client may have sent a request.
+func (l *link) forwarded(address string) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	_, unforwarded := l.unforwarded[address]
-	l.mu.Unlock()
-	return unforwarded || l.disturbed(from, to)
+	return !unforwarded
 }
 
 // refuse resets a connection that just opened.
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -128,13 +128,29 @@
 // or disturbed the link.
 func (h *history) closedBySoak(o standin.Outcome) bool {
 	killed := slices.ContainsFunc(h.kills[o.Box], func(at time.Time) bool {
-		return !o.Sent.After(at) && !o.Ended.Before(at)
+		return !o.Sent.After(h.endAfter(o.Box, at)) && !o.Ended.Before(at)
 	})
 	interfered := h.interfered[o.Box]
 	return killed || !disturbances(h.changedStarts).undisturbed(o.Box, o.Sent, o.Ended) ||
 		interfered != nil && interfered(o.Local, o.Sent, o.Ended) || h.separated(o.Box, o.Sent, o.Ended)
 }
 
+// reachedBox reports whether the connection of a request was opened to its box, not only to the link in between.
+func (h *history) reachedBox(o standin.Outcome) bool {
+	forwarded := h.forwarded[o.Box]
+	return forwarded == nil || forwarded(o.Local)
+}
+
+// endAfter returns when a box that was about to be killed at a time ended.
+func (h *history) endAfter(box string, killed time.Time) time.Time {
+	for _, at := range h.ends[box] {
+		if !at.Before(killed) {
+			return at
+		}
+	}
+	return killed
+}
+
 // unanswered reports whether the box closed the connection of a request that it cut without any response, late enough
 // that the close did not cross the request, whether the box had read it or not.
 func (h *history) unanswered(o standin.Outcome) bool {
@@ -208,7 +224,7 @@
 
 // lostBesidePlanned describes how planned work cut a request that it must not cut, or returns "". The request was cut.
 func (h *history) lostBesidePlanned(o standin.Outcome, cutsBeside map[string]bool) string {
-	if h.outlastedGrace(o) || !h.noUnplanned(o) {
+	if h.outlastedGrace(o) || !h.noUnplanned(o) || !h.reachedBox(o) {
 		return ""
 	}
 	for _, at := range h.stops[o.Box] {
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -105,6 +105,12 @@
 			h.works[o.ID][0].to = time.Time{}
 		}},
 		{"a kill", 0, 100 * ms, func(h *history, o *standin.Outcome) { h.disturbances.begin(o.Box, o.Ended) }},
+		{"a connection that only the link opened", 0, 100 * ms, func(h *history, o *standin.Outcome) {
+			h.forwarded[o.Box] = func(address string) bool { return address != o.Local }
+		}},
+		{"a connection that the link passed on", 1, 100 * ms, func(h *history, o *standin.Outcome) {
+			h.forwarded[o.Box] = func(address string) bool { return address == o.Local }
+		}},
 		{"a quota of processor time", 1, 100 * ms, func(h *history, o *standin.Outcome) {
 			h.disturbances.begin(o.Box, o.Sent).share = ms
 		}},
@@ -211,6 +217,9 @@
 		{"a box that was killed", 0, func(h *history, o *standin.Outcome) {
 			h.kills[o.Box] = []time.Time{o.Sent.Add(-ms), o.Ended}
 		}},
+		{"a box that was killed and had not ended", 0, func(h *history, o *standin.Outcome) {
+			h.kills[o.Box], h.ends[o.Box] = []time.Time{o.Sent.Add(-2 * ms)}, []time.Time{o.Sent.Add(-3 * ms), o.Sent}
+		}},
 		{"a box that was killed before", 1, func(h *history, o *standin.Outcome) {
 			h.kills[o.Box] = []time.Time{o.Sent.Add(-ms)}
 		}},
