--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -21,20 +21,20 @@
 	// cutDivisor is the divisor of the grace period that gives the last part of it, in which callers expect requests that
 	// still run to be cut.
 	cutDivisor = 6
-	// reservePercent is the part of it that the reserve may take. The rest is for the delay of the signal.
+	// reservePercent is the part of that last part which the reserve may take. The rest is for the delay of the signal.
 	reservePercent = 40
 	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered.
 	lastResponsesPercent = 40
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
 	// maxStreamStartMs is how long after its beginning a stop accepts streams, if that is in the first half of the grace
-	// period: by then callers know that the box stops, and streams often last for as long as the rest of it.
-	// Signals are handled a little late also where no stall is known.
+	// period: by then callers know that the box stops, and streams often last for as long as the rest of it. Signals are
+	// handled a little late also where no stall is known.
 	maxStreamStartMs = 3*clock.Second - 2*housekeepingIntervalMs
 	// maxLastStartMs is how long before the end of the grace period the last requests of other kinds are accepted. Few
 	// requests take longer, and one that is cut may have run.
 	maxLastStartMs clock.Millis = 1000
-	// lastStartDivisor limits it to the grace period divided by this number.
+	// lastStartDivisor limits maxLastStartMs to the grace period divided by this number.
 	lastStartDivisor = 8
 	// stoppingRetryMs is the Retry-After of a request that another box may serve at once.
 	stoppingRetryMs clock.Millis = 200
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -26,7 +26,7 @@
 	connActive
 	// connIdle means that the caller keeps the connection and no request has begun on it.
 	connIdle
-	// connEvicted means that the connection is closed in favour of another one.
+	// connEvicted means that the connection is closed without a request: the box stops, or another one takes its slot.
 	connEvicted
 )
 
