test(datagram): the fuzz target receives datagrams as the socket does

It opened a datagram with the channel of another prefix, which the socket never does: it finds the channel by the prefix.

--- a/internal/datagram/datagram_test.go
+++ b/internal/datagram/datagram_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"syscall"
 	"testing"
@@ -43,14 +44,21 @@
 	})
 }
 
-func FuzzOpen(f *testing.F) {
-	channel := Channel{Prefix: 'm', MACBytes: 8}
+func FuzzReceive(f *testing.F) {
+	channel := Channel{Prefix: 'm', MACBytes: 8, Received: &expvar.Int{}}
 	f.Add(seal(oldKey, channel, []byte("x")))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		body, err := open([]string{oldKey}, channel, data)
-		if err == nil {
+		rejected := expvar.Int{}
+		s, handled := New(nil, func() []string { return []string{oldKey} }, &rejected, zap.NewNop()), int64(0)
+		channel.Handle = func(_ string, body []byte) {
+			handled++
 			assert.Equal(t, data, seal(oldKey, channel, body))
 		}
+		s.AddChannel(channel)
+		s.receive("", data)
+		if len(data) > 0 {
+			assert.EqualValues(t, 1, handled+rejected.Value())
+		}
 	})
 }
 
