test(soak): tests set the signals that their scripts trap

With SIGHUP ignored by whoever starts them (nohup), the tests of internal/soak waited for ever: a POSIX shell can't trap a signal that it inherits as ignored, so the script of 'a signal that should not end it' never ended.

Seen: 'timeout 60 nohup go test ./internal/soak -v' was ended by the timeout in that subtest, after 1 m. No check changes.

--- a/internal/soak/exits_test.go
+++ b/internal/soak/exits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -14,6 +15,10 @@
 // startScript starts a shell script as a box and waits until it has written its first line.
 func startScript(t *testing.T, script string) *process {
 	t.Helper()
+	// A shell can't trap signals that it inherits as ignored. Those that this process receives are not.
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP, syscall.SIGINT)
+	t.Cleanup(func() { signal.Stop(received) })
 	program := filepath.Join(t.TempDir(), "program")
 	require.NoError(t, os.WriteFile(program, []byte("#!/bin/sh\n"+script), 0o700)) //nolint:gosec // It runs.
 	p, err := newProcess(program, t.TempDir(), "box", "")
