feat(soak): boxes run under limits and surroundings of whoever starts them

Users who started boxes by hand saw processes that ended by themselves and requests without a response; the soak's boxes only ever had the limits of the run itself. The soak launches itself, sets them and replaces itself by the box; until then the launcher's threads and handlers don't count as the box's.

--- a/cmd/dooryard-soak/main.go
+++ b/cmd/dooryard-soak/main.go
@@ -6,6 +6,10 @@
 
 	"dooryard.example/dooryard/internal/cmd/exit"
 	"dooryard.example/dooryard/internal/cmd/soakcmd"
+	"dooryard.example/dooryard/internal/soak"
 )
 
-func main() { exit.Main(soakcmd.New(os.Stdout)) }
+func main() {
+	soak.RunLimited()
+	exit.Main(soakcmd.New(os.Stdout))
+}
--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -63,7 +63,7 @@
 			}
 		}
 	}
-	for _, added := range []string{"quotas", "callers"} {
+	for _, added := range []string{"quotas", "callers", "limits"} {
 		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
@@ -130,6 +130,15 @@
 			Name:  "quotas",
 			Usage: "also give boxes a share of processor time only; requires --planned or --processes",
 		},
+		&cli.BoolFlag{
+			Name: "limits",
+			Usage: "run boxes under limits and in surroundings that whoever starts processes may have, as a user of their " +
+				"own if started as root; requires --planned or --processes",
+		},
+		&cli.IntFlag{
+			Name: "processors", Value: 1,
+			Usage: "with --limits, processors that the settings of boxes allow; 0 leaves the field out, for older programs",
+		},
 		&cli.BoolFlag{
 			Name: "callers",
 			Usage: "also send requests on connections that were idle for long, long bodies, and requests of clients that " +
@@ -165,6 +174,7 @@
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
 		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"),
+		Limits: c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	line, err := json.Marshal(report)
--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -49,30 +49,30 @@
 	case time.Since(p.started)-p.withheld >= earlySpan:
 		return true
 	case s == syscall.SIGHUP:
-		return handles(p.command.Process.Pid, s)
+		return p.replaced() && hasSignal(p.command.Process.Pid, s, "SigIgn", "SigCgt")
 	default:
 		return p.wrote
 	}
 }
 
-// handles reports whether a process has installed a handler of a signal or ignores it. Until the program does so, or
-// the Go runtime before it, the kernel ends the process.
-func handles(pid int, s syscall.Signal) bool {
+// hasSignal reports whether one of a process's sets has a signal: "SigCgt" has those with a handler, "SigIgn" those
+// that are ignored. Until the program, or the Go runtime before it, puts it into one, the kernel ends the process.
+func hasSignal(pid int, s syscall.Signal, sets ...string) bool {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return true
 	}
-	handled := uint64(0)
-	for _, field := range []string{"SigIgn", "SigCgt"} {
+	found := uint64(0)
+	for _, field := range sets {
 		_, after, _ := strings.Cut(string(status), "\n"+field+":\t")
 		mask, _, _ := strings.Cut(after, "\n")
 		signals, err := strconv.ParseUint(mask, 16, 64)
 		if err != nil {
 			return true
 		}
-		handled |= signals
+		found |= signals
 	}
-	return handled&(1<<(s-1)) != 0
+	return found&(1<<(s-1)) != 0
 }
 
 // record records a signal that is about to be sent.
@@ -173,13 +173,15 @@
 }
 
 // outputMarks begin the lines that the Go runtime writes when a program fails.
-func outputMarks() []string { return []string{"panic: ", "fatal error: ", "WARNING: DATA RACE"} }
+func outputMarks() []string {
+	return []string{"panic: ", "fatal error: ", "runtime/cgo: ", "WARNING: DATA RACE"}
+}
 
 // findings returns what went wrong in the process's starts, ends and output.
 func (p *process) findings() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := append([]string(nil), p.problems...)
+	list := append(p.limitFindings(), p.problems...)
 	for _, e := range p.exits {
 		if e.faulty() {
 			list = append(list, fmt.Sprintf("%s: a process ended %d ms after its start, at %s: %s",
--- a/internal/soak/exits_test.go
+++ b/internal/soak/exits_test.go
@@ -59,6 +59,7 @@
 		{"a kill", "echo" + waitForSignal, "", syscall.SIGKILL},
 		{"a panic", "echo 'panic: boom'\n" + waitForSignal, "panic: boom", syscall.SIGKILL},
 		{"a fatal error", "echo 'fatal error: all goroutines'\n" + waitForSignal, "fatal error: all", syscall.SIGKILL},
+		{"a thread too many", "echo 'runtime/cgo: pthread_create failed'\n" + waitForSignal, "runtime/cgo: pt", syscall.SIGKILL},
 		{"a data race", "echo 'WARNING: DATA RACE'\n" + waitForSignal, "WARNING: DATA RACE", syscall.SIGKILL},
 		{"a word in a log line", "echo '{\"msg\": \"panic: no\"}'\n" + waitForSignal, "", syscall.SIGKILL},
 	} {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -67,6 +68,10 @@
 	// Quotas also gives boxes only a share of processor time for some time, and Callers also sends requests of callers
 	// that use their connections in unusual ways. Both need Processes or Planned.
 	Quotas, Callers bool
+	// Limits runs boxes under limits and in surroundings that whoever starts processes may have, and Processors is what
+	// their settings allow, or 0 for a program whose settings don't have it. It needs Processes or Planned.
+	Limits     bool
+	Processors int
 	// KeepVersions makes servers that restart under their id run the same software version.
 	KeepVersions bool
 }
@@ -155,6 +160,8 @@
 	starts int
 	// evacuated holds the zones that were ever evacuated, and whether they are now.
 	evacuated map[string]bool
+	// folder is read by the user as whom boxes with limits run.
+	folder string
 	// stopping is how many stops are under way.
 	stopping int
 }
@@ -198,12 +205,7 @@
 			return f, err
 		}
 	}
-	for i := range settings.Boxes {
-		if err := f.addBox(i, storeAddress); err != nil {
-			return f, err
-		}
-	}
-	return f, nil
+	return f, f.addBoxes(storeAddress)
 }
 
 const (
@@ -317,6 +319,21 @@
 // multiple of 200.
 func (f *fleet) ip(host int) string { return fmt.Sprintf("127.0.%d.%d", f.settings.Seed%200+1, host) }
 
+func (f *fleet) addBoxes(storeAddress string) error {
+	if err := f.prepareLimits(); err != nil {
+		return err
+	}
+	for i := range f.settings.Boxes {
+		if err := f.addBox(i, storeAddress); err != nil {
+			return err
+		}
+	}
+	if f.settings.Limits {
+		return os.Chmod(f.folder, readOnly)
+	}
+	return nil
+}
+
 func (f *fleet) addBox(i int, storeAddress string) error {
 	ip := f.ip(i + 1)
 	b := &box{name: "box-" + strconv.Itoa(i), ip: ip}
@@ -345,12 +362,20 @@
 	if f.settings.Load {
 		settings += fmt.Sprintf("balance: {load_cap: %d}\n", loadCap)
 	}
+	if f.settings.Limits {
+		settings += f.settings.limitedSettings()
+	}
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
 	if f.settings.Quotas && i%2 == 1 {
 		b.process.environment = oneProcessor
 	}
+	if f.settings.Limits {
+		if err = f.limitBox(b.process, i); err != nil {
+			return err
+		}
+	}
 	b.process.onPlanned = func(s syscall.Signal) { f.history.recordPlanned(b.name, s) }
 	b.process.onKill = func() { f.history.recordKill(b.name) }
 	f.mu.Lock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,8 +13,12 @@
 
 // process runs a box as a separate process.
 type process struct {
-	name     string
-	program  string
+	name    string
+	program string
+	// launcher is the program that is started: the same, or this one if the process has limits.
+	launcher string
+	// limits is nil if the process inherits those of the run.
+	limits   *limits
 	settings string
 	// content is what the settings file holds when it is whole.
 	content string
@@ -41,6 +45,8 @@
 	output       *os.File
 	stalledUntil time.Time
 	wrote        bool
+	// threads is the largest number of threads that was counted.
+	threads int
 	// throttled is set while a quota of processor time is in force. withheld is for how long quotas have kept the most
 	// recently started process from running.
 	throttled bool
@@ -60,7 +66,7 @@
 		return nil, err
 	}
 	return &process{
-		name: name, program: program, settings: path, content: settings, log: log, out: out,
+		name: name, program: program, launcher: program, settings: path, content: settings, log: log, out: out,
 		onPlanned: func(syscall.Signal) {}, onKill: func() {},
 	}, nil
 }
@@ -73,7 +79,7 @@
 	if p.running() {
 		return nil
 	}
-	command := exec.Command(p.program, "--settings", p.settings) //nolint:noctx // Its end is a part of the test.
+	command := exec.Command(p.launcher, "--settings", p.settings) //nolint:noctx // Its end is a part of the test.
 	// A build with the race detector sleeps for a second before it exits otherwise.
 	command.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0"), p.environment...)
 	reader, writer, err := os.Pipe()
@@ -126,6 +132,7 @@
 	if s == syscall.SIGKILL {
 		p.onKill()
 	}
+	p.awaitHandler(s)
 	if s == syscall.SIGTERM && p.asked.terminated.IsZero() {
 		p.asked.waited = threadWaits(p.command.Process.Pid)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -42,6 +42,8 @@
 	Lost lostStats
 	// Ends counts by what processes were asked to end, and how they did.
 	Ends map[string]int
+	// Threads is the largest number of threads of a box with limits.
+	Threads int
 }
 
 // Timing of a run.
@@ -112,6 +114,9 @@
 	for _, found := range f.history.check() {
 		report.Findings = append(report.Findings, found.String())
 	}
+	for _, b := range f.boxes {
+		report.Threads = max(report.Threads, b.process.threads)
+	}
 	ended, ends := f.processFindings()
 	report.Findings, report.Ends = append(report.Findings, ended...), ends
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
@@ -168,6 +173,7 @@
 		{f.settings.Processes, f.injectProcessFaults},
 		{f.settings.Planned, f.injectPlanned},
 		{f.settings.Quotas, f.injectQuotas},
+		{f.settings.Limits, f.sampleThreads},
 		{f.settings.Evacuations, f.injectEvacuations},
 		{f.settings.Overload, f.injectOverload},
 		{f.settings.Stalls, f.injectStalls},
