fix(inbound): requests that were read together with another one are answered

What callers saw: requests that they had written behind another one on the same connection were closed without a response, most of them seconds after their last byte: in a stop and on a full box behind a response with `Connection: close`, and at the end of the grace period.

Cause: net/http reads up to 4 KiB at once, so that what follows a request is in a buffer of which nobody else knows. The gateway announced a close, and closed a connection that had become idle, while whole requests waited there. The state of the connection didn't change either when such a request was taken from the buffer. Ruled out: reloads (SIGHUP each 50 ms) and changes of the idle timeout each 100 ms, none of 5,630 requests on.

Change: a connection reads no further than the end of a request. Heads and chunked bodies end with a blank line, other bodies have a length that the handler tells; what a read of the socket returns beyond that is held by the connection and counts as unread. A stop announces a close only where nothing waits. A full box announces it once what was read is answered, so that a caller that always sends more doesn't keep its slot. While a request is handled, reads still go to the socket, which tells that the caller has left.

--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -93,7 +93,8 @@
 	c := inbound.ConnOf(hr.Context())
 	// A request may begin long before the stop.
 	writer.OnStart(func(header http.Header) {
-		if b.stopping.Load() || c != nil && c.GivesWay() {
+		stops := b.stopping.Load() && (c == nil || !c.Pipelined())
+		if stops || c != nil && c.GivesWay() {
 			header.Set("Connection", "close")
 		}
 	})
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -58,6 +58,10 @@
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
 
+	ahead readAhead
+	// aheadBytes is how much ahead holds, and bodyBytes how much of the body of a request was not read.
+	aheadBytes, bodyBytes atomic.Int64
+
 	mu sync.Mutex
 	// readDeadline is the time after which reads fail, or zero, and readDeadlineSet is when it was set.
 	readDeadline, readDeadlineSet time.Time
@@ -66,14 +70,11 @@
 }
 
 // Read implements net.Conn. Data ends the idle state, so that a connection is not evicted once a request on it was
-// read, unless it was read together with the request before.
+// read.
 func (c *Conn) Read(data []byte) (int, error) {
 	c.reads.Add(1)
 	defer c.reads.Add(-1)
-	n, err := c.Conn.Read(data)
-	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
-		n, err = c.Conn.Read(data)
-	}
+	n, err := c.readRequest(data)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.Store(true)
 	}
@@ -86,6 +87,15 @@
 	return n, err //nolint:wrapcheck // The server compares it.
 }
 
+// readSocket reads from the socket until the caller has used up its time.
+func (c *Conn) readSocket(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
+		n, err = c.Conn.Read(data)
+	}
+	return n, err //nolint:wrapcheck // The server compares it.
+}
+
 // SetReadDeadline implements net.Conn. A deadline that has passed also ends a held read.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -108,9 +118,10 @@
 		c.state.Load() == connActive
 }
 
-// GivesWay reports whether a new connection waits for the slot of the next one that is closed. A response should then
-// tell its caller to close the connection, so that it sends no request that is not read.
-func (c *Conn) GivesWay() bool { return c.listener.isWaiting() }
+// GivesWay reports whether a new connection waits for the slot of the next one that is closed, and no request that was
+// read waits on this one. A response should then tell its caller to close the connection, so that it sends no request
+// that is not read.
+func (c *Conn) GivesWay() bool { return c.listener.isWaiting() && !c.isAhead() }
 
 // Unread returns the writing side of the connection.
 func (c *Conn) Unread() *exchange.Unread { return c.unread }
@@ -134,7 +145,7 @@
 	if c.state.Load() != state {
 		return false
 	}
-	if socket.HasUnread(c.Conn) {
+	if c.aheadBytes.Load() > 0 || socket.HasUnread(c.Conn) {
 		if c.keptUnread.CompareAndSwap(false, true) {
 			c.listener.evictions.Unread.Add(1)
 		}
--- /dev/null
+++ b/internal/inbound/readahead.go
@@ -0,0 +1,97 @@
+package inbound
+
+import (
+	"bytes"
+	"net/http"
+
+	"dooryard.example/dooryard/internal/socket"
+)
+
+// readAhead holds what was read of a connection past the end of a request. The server's own buffer doesn't tell whether
+// another request waits in it. Only the goroutine that reads uses its fields.
+type readAhead struct {
+	data []byte
+	// inLine is set within a line that is not blank.
+	inLine bool
+}
+
+// Pipelined reports whether the caller has sent more than the current request. A connection that is closed after the
+// response to it would leave another one unanswered.
+func (c *Conn) Pipelined() bool {
+	return c.isAhead() || c.bodyBytes.Load() == 0 && socket.HasUnread(c.Conn)
+}
+
+// isAhead reports whether something past the end of the current request was read.
+func (c *Conn) isAhead() bool { return c.aheadBytes.Load() > c.bodyBytes.Load() }
+
+// TrackBodies returns a handler that tells connections how long the bodies of requests are.
+func TrackBodies(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Without a body, the server already reads ahead.
+		if c := ConnOf(r.Context()); c != nil && r.ContentLength > 0 {
+			c.bodyBytes.Store(r.ContentLength)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// readRequest reads no further than the end of a request. The rest of what a read of the socket returns is held.
+func (c *Conn) readRequest(data []byte) (int, error) {
+	held := len(c.ahead.data)
+	if held > 0 && (len(data) != readAheadBytes || !c.handling.Load()) {
+		n := c.endOf(c.ahead.data[:min(held, len(data))])
+		copy(data, c.ahead.data[:n])
+		c.hold(c.ahead.data[n:])
+		return n, nil
+	}
+	// While a request is handled, the server reads to learn that the caller has left, which only the socket tells.
+	n, err := c.readSocket(data)
+	switch {
+	case n == 0:
+	case held > 0:
+		c.hold(append(c.ahead.data, data[:n]...))
+		n = copy(data, c.ahead.data)
+		c.endOf(data[:n])
+		c.hold(c.ahead.data[n:])
+	default:
+		end := c.endOf(data[:n])
+		c.hold(bytes.Clone(data[end:n]))
+		n = end
+	}
+	return n, err
+}
+
+func (c *Conn) hold(data []byte) {
+	if len(data) == 0 {
+		data = nil
+	}
+	c.ahead.data = data
+	c.aheadBytes.Store(int64(len(data)))
+}
+
+// endOf returns how much of the data the server may have without reading past a request. Heads and chunked bodies end
+// with a blank line.
+func (c *Conn) endOf(data []byte) int {
+	if bodyBytes := c.bodyBytes.Load(); bodyBytes > 0 {
+		n := min(bodyBytes, int64(len(data)))
+		c.bodyBytes.Add(-n)
+		return int(n)
+	}
+	for n := 0; n < len(data); {
+		length := bytes.IndexByte(data[n:], '\n')
+		if length < 0 {
+			c.ahead.inLine = c.ahead.inLine || !isBlank(data[n:])
+			break
+		}
+		blank := !c.ahead.inLine && isBlank(data[n:n+length])
+		c.ahead.inLine = false
+		n += length + 1
+		if blank {
+			return n
+		}
+	}
+	return len(data)
+}
+
+// isBlank reports whether a line has no text.
+func isBlank(line []byte) bool { return len(line) == 0 || len(line) == 1 && line[0] == '\r' }
