fix(gateway): the kernel of a dead process does not vouch for the end of a response

Cause: checkEnd took one accepted connection for proof that the process runs. The kernel closes the sockets of a process that is gone one after the other, the connections before the listening socket, which was opened first; until then it accepts connections.

Change: upstream.OutlivesClose asks the process itself, with a health check that is sent after the end; any response proves that it runs. Without one (a pool without health checks, a check that waits for a slot, dooryard-router) connections must still be accepted 400 ms later. A safe or resumable request goes to another upstream as before; else the caller sees that the response broke.

Cost: a health check for each response without length or chunks, on the connection that the probe opened before, too. Whole responses of servers that don't answer the check are 0.4 s later.

The crash detector, which asks the same question, probes a second time after 100 ms, and a false Alive there only delays its finding.

The stand-in of the unframed tests answers health checks now, which it counted as requests.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -165,20 +165,21 @@
 	return nil
 }
 
-// mayHaveCrashed reports whether an upstream accepts no connections.
+// mayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order.
 func (b *Box) mayHaveCrashed(ctx context.Context, address string) bool {
 	dial := b.dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return !upstream.AcceptsConnections(func() upstream.Liveness {
+	probe := func() upstream.Liveness {
 		conn, found := upstream.ProbeAddress(ctx, upstream.Dial(dial), address)
 		if conn != nil {
 			// Nothing was sent on it.
 			_ = conn.Close()
 		}
 		return found
-	})
+	}
+	return !upstream.OutlivesClose(ctx, probe, func(context.Context) bool { return false })
 }
 
 // deferredTransport is set after the pipeline steps have applied the defaults from which the
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -9,12 +9,24 @@
 )
 
 // mayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order, as the kernel does
-// for a process that is gone. It has not if its address accepts connections and no other incarnation has appeared there
+// for a process that is gone. It has not if it is known to run on and no other incarnation has appeared at its address
 // since the request was sent. Failed probes may also mean that the process ended after its last response, or that this
 // box is partitioned from it: that the response was whole is not known then either.
 func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool {
-	accepts := upstream.AcceptsConnections(func() upstream.Liveness { return lease.Client().ProbeLiveness(ctx) })
-	return !accepts || b.registry.AddressReused(lease.Identity(), sentMs)
+	client, path := lease.Client(), b.healthPath(lease.Pool)
+	runs := upstream.OutlivesClose(ctx, func() upstream.Liveness { return client.ProbeLiveness(ctx) },
+		func(ctx context.Context) bool { return path != "" && client.RespondsTo(ctx, path) })
+	return !runs || b.registry.AddressReused(lease.Identity(), sentMs)
+}
+
+// healthPath returns the path of a pool's health checks, or none.
+func (b *Box) healthPath(pool string) string {
+	if state := b.routingState.State(); state != nil {
+		if p := state.Pool(pool); p != nil {
+			return p.HealthPath
+		}
+	}
+	return ""
 }
 
 // probeCrash determines whether an upstream's process is running, and whether it has crashed. A crash shows if its host
--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 
 	"dooryard.example/dooryard/internal/balance"
@@ -46,7 +45,7 @@
 		}
 	}
 	for _, silent := range s.box.balance.SilentMembers() {
-		if path := s.healthPath(silent.Pool); path != "" {
+		if path := s.box.healthPath(silent.Pool); path != "" {
 			running.Go(func() { s.checkMember(ctx, silent, path) })
 		}
 	}
@@ -96,7 +95,7 @@
 // probe sends health checks to upstreams of a stalled pool, and records whether it responds again. If the pool has no
 // health checks, one of the callers' requests is sent there now and then.
 func (s *stalledPools) probe(ctx context.Context, pool string) {
-	path := s.healthPath(pool)
+	path := s.box.healthPath(pool)
 	if path == "" {
 		s.box.balance.AllowStalledTrial(pool)
 		return
@@ -107,15 +106,6 @@
 	}
 }
 
-func (s *stalledPools) healthPath(pool string) string {
-	if state := s.box.routingState.State(); state != nil {
-		if p := state.Pool(pool); p != nil {
-			return p.HealthPath
-		}
-	}
-	return ""
-}
-
 // checkMember sends a health check to an upstream that doesn't respond, and records whether it is stalled.
 func (s *stalledPools) checkMember(ctx context.Context, silent balance.SilentMember, path string) {
 	responded := s.responds(ctx, silent.Client, path)
@@ -131,13 +121,5 @@
 func (s *stalledPools) responds(ctx context.Context, c *upstream.Client, path string) bool {
 	ctx, cancel := s.box.clock.WithTimeout(ctx, stalledCheckIntervalMs)
 	defer cancel()
-	response, err := c.Do(ctx, &upstream.Request{
-		Method: http.MethodGet, Target: path, Host: c.Address(), Header: http.Header{},
-		Matches: func(http.Header) bool { return true },
-	})
-	if err != nil {
-		return false
-	}
-	response.Close()
-	return true
+	return c.RespondsTo(ctx, path)
 }
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -26,12 +26,21 @@
 	reset
 	// crashed closes the upstream's listener and then the connection, as the kernel does for a process that is gone.
 	crashed
+	// dying closes the connection, and the listener only after dyingMs, until which the kernel accepts connections. It
+	// resets them then.
+	dying
 )
 
+// dyingMs is how long the kernel takes to close the sockets of a process that is gone, on a busy host.
+const dyingMs = 350
+
 // unframedServer is an upstream whose responses have neither a length nor chunks.
 type unframedServer struct {
 	listener net.Listener
 	arrivals atomic.Int32
+	// gone is closed when the listener is, if the process dies.
+	gone    chan struct{}
+	isDying atomic.Bool
 	// beforeEnd is called before the end of the first response of the fleet.
 	beforeEnd func()
 }
@@ -42,11 +51,24 @@
 	f.t.Helper()
 	listener, err := f.network.Host(id).Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
-	u := &unframedServer{listener: listener, beforeEnd: func() {}}
+	u := &unframedServer{listener: listener, gone: make(chan struct{}), beforeEnd: func() {}}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
-		u.arrivals.Add(1)
+		if r.URL.Path == "/health" && !u.isDying.Load() {
+			return
+		}
+		if r.URL.Path == "/hang" {
+			<-r.Context().Done()
+			return
+		}
 		conn, _, err := http.NewResponseController(w).Hijack()
 		assert.NoError(f.t, err)
+		if u.isDying.Load() {
+			<-u.gone
+			upstream.ResetOnClose(conn)
+			_ = conn.Close()
+			return
+		}
+		u.arrivals.Add(1)
 		part, how, beforeEnd := whole, closed, func() {}
 		if !answered.Swap(true) {
 			part, how, beforeEnd = body, end, u.beforeEnd
@@ -70,6 +92,12 @@
 		upstream.ResetOnClose(conn)
 	case crashed:
 		_ = u.listener.Close()
+	case dying:
+		u.isDying.Store(true)
+		time.AfterFunc(dyingMs*time.Millisecond, func() {
+			_ = u.listener.Close()
+			close(u.gone)
+		})
 	case closed:
 	}
 	_ = conn.Close()
@@ -106,17 +134,21 @@
 		{"a stream that is reset between events", "/stream/", events, threeEvents, fiveEvents, reset, broken},
 		{"a stream whose server crashes inside an event", "/stream/", events, cutEvent, fiveEvents, crashed, broken},
 		{"a stream whose server crashes between events", "/stream/", events, threeEvents, fiveEvents, crashed, broken},
+		{"a stream whose server dies slowly between events", "/stream/", events, threeEvents, fiveEvents, dying, broken},
 		{"a resumable stream that is whole", "/resumable/", events, fiveEvents, fiveEvents, closed, whole(fiveEvents, 1)},
 		{"a resumable stream that is whole, with CRLF", "/resumable/", events, crlfEvents, "", closed, whole(crlfEvents, 1)},
 		{"a resumable stream that ends inside an event", "/resumable/", events, cutEvent, fiveEvents, closed, whole(fiveEvents, 2)},
 		{"a resumable stream that is reset between events", "/resumable/", events, threeEvents, fiveEvents, reset, whole(fiveEvents, 2)},
 		{"a resumable stream whose server crashes between events", "/resumable/", events, threeEvents, fiveEvents, crashed, whole(fiveEvents, 2)},
+		{"a resumable stream whose server dies slowly between events", "/resumable/", events, threeEvents, fiveEvents, dying, whole(fiveEvents, 2)},
 		{"a safe response that is whole", "/safe/", plain, "done", "done", closed, whole("done", 1)},
 		{"a safe response that is reset", "/safe/", plain, "do", "done", reset, whole("done", 2)},
 		{"a safe response whose server crashes", "/safe/", plain, "do", "done", crashed, whole("done", 2)},
+		{"a safe response whose server dies slowly", "/safe/", plain, "do", "done", dying, whole("done", 2)},
 		{"an unsafe response that is whole", "/unsafe2/", plain, "done", "done", closed, whole("done", 1)},
 		{"an unsafe response that is reset", "/unsafe2/", plain, "do", "done", reset, lost},
 		{"an unsafe response whose server crashes", "/unsafe2/", plain, "do", "done", crashed, lost},
+		{"an unsafe response whose server dies slowly", "/unsafe2/", plain, "do", "done", dying, lost},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
@@ -155,6 +187,7 @@
 	}{
 		{"draining and alive", drain, closed, true},
 		{"draining, and crashes", drain, crashed, false},
+		{"draining, and dies slowly", drain, dying, false},
 		{"gone from the store and alive", vanish, closed, true},
 		{"gone from the store, and crashes", vanish, crashed, false},
 		{"restarted under its id", restart, closed, false},
@@ -193,6 +226,36 @@
 	}
 }
 
+// TestUnframedResponsesWithoutHealthCheck guards against half a response that passes for whole while the kernel of a dead
+// process still accepts connections, and against a whole one that is withheld, where no health check tells them apart.
+func TestUnframedResponsesWithoutHealthCheck(t *testing.T) {
+	for _, c := range []struct {
+		name, healthPath, body string
+		end                    ending
+		want                   int
+	}{
+		{"a whole response, no health checks", "", "done", closed, http.StatusOK},
+		{"a whole response, health checks are not answered", "/hang", "done", closed, http.StatusOK},
+		{"half a response, no health checks", "", "do", dying, http.StatusBadGateway},
+		{"half a response, health checks are not answered", "/hang", "do", dying, http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				state := content(2)
+				state.Pools[0].HealthPath = c.healthPath
+				f.store.setState(f.t, state)
+				var answered atomic.Bool
+				f.unframed("u1", &answered, "text/plain", c.body, "done", c.end)
+				f.unframed("u2", &answered, "text/plain", c.body, "done", c.end)
+				status, body, err := f.box(1).get("/unsafe2/")
+				require.NoError(f.t, err)
+				assert.Equal(f.t, c.want, status)
+				assert.Equal(f.t, c.want == http.StatusOK, body == "done")
+			})
+		})
+	}
+}
+
 // TestUnframedResponseAtPartitionedBox guards against a broken response that passes for whole because the box can't tell
 // a crash from its own partition, in which all upstreams refuse new connections.
 func TestUnframedResponseAtPartitionedBox(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -322,21 +322,6 @@
 	}
 }
 
-// maxAcceptProbes is how many probes without a response show that an upstream may accept no connections: one may be
-// lost, or time out because this process was paused.
-const maxAcceptProbes = 3
-
-// AcceptsConnections reports whether a process is known to accept connections, by probes that are repeated while there
-// is no response.
-func AcceptsConnections(probe func() Liveness) bool {
-	for range maxAcceptProbes {
-		if found := probe(); found != Unresponsive {
-			return found == Alive
-		}
-	}
-	return false
-}
-
 // probeSettleMs is how long a probed connection must stay open: long enough for a proxy to find out that it can't
 // reach the upstream.
 const probeSettleMs = 80
--- /dev/null
+++ b/internal/upstream/outlives.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// maxAcceptProbes is how many probes without a response show that an upstream may accept no connections: one may be
+// lost, or time out because this process was paused.
+const maxAcceptProbes = 3
+
+// AcceptsConnections reports whether a process is known to accept connections, by probes that are repeated while there
+// is no response.
+func AcceptsConnections(probe func() Liveness) bool {
+	for range maxAcceptProbes {
+		if found := probe(); found != Unresponsive {
+			return found == Alive
+		}
+	}
+	return false
+}
+
+// closeSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had some
+// hundred connections and the host is busy.
+const closeSettleMs clock.Millis = 400
+
+// OutlivesClose reports whether a process is known to run that has closed a connection in order. The kernel does the
+// same for a process that is gone, and may close its listening socket last: until then, the kernel accepts connections
+// for it. Only a response to a request that is sent now comes from the process itself; confirm reports whether there is
+// one, and may block until its context is done. Without one, connections must still be accepted once the kernel has had
+// time to close all sockets.
+func OutlivesClose(ctx context.Context, probe func() Liveness, confirm func(ctx context.Context) bool) bool {
+	if !AcceptsConnections(probe) {
+		return false
+	}
+	settling, cancel := context.WithTimeout(ctx, closeSettleMs.Duration())
+	defer cancel()
+	if confirm(settling) {
+		return true
+	}
+	<-settling.Done()
+	return ctx.Err() == nil && AcceptsConnections(probe)
+}
+
+// maxCheckBytes is the size of the body of a health check's response up to which its connection is used again.
+const maxCheckBytes = 4 << 10
+
+// RespondsTo reports whether the upstream responds to a health check, whatever it says.
+func (c *Client) RespondsTo(ctx context.Context, healthPath string) bool {
+	response, err := c.Do(ctx, &Request{
+		Method: http.MethodGet, Target: healthPath, Host: c.address, Header: http.Header{},
+		Matches: func(http.Header) bool { return true },
+	})
+	if err != nil {
+		return false
+	}
+	defer response.Close()
+	if response.Framing() == ByLength && response.ContentLength <= maxCheckBytes {
+		// Without the whole body, the connection is closed.
+		_, _ = io.Copy(io.Discard, response)
+	}
+	return true
+}
