feat(metrics): number of threads of a box, and the processors that it uses

Nothing told how many threads a box has. Under a limit of its user's threads the Go runtime ends it (`pthread_create failed`, status 2) when it needs one more, and neither lines nor metrics showed that it was near.

The metric `threads` has the number, and the line "starting" has it with the processors that are used of those of the machine.

--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime"
 	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
@@ -13,6 +14,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/gateway"
+	"dooryard.example/dooryard/internal/osthread"
 	"dooryard.example/dooryard/internal/version"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -42,7 +44,8 @@
 	if err != nil {
 		return err
 	}
-	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s", path, os.Getpid(), version.String()))
+	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s, processors %d of %d, threads %d",
+		path, os.Getpid(), version.String(), runtime.GOMAXPROCS(0), runtime.NumCPU(), osthread.Count()))
 	ended, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go recordSignals(ended, b, process.Notes)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/osthread"
 )
 
 // Metrics holds the counters and histograms of one box and serves them as expvar values.
@@ -27,11 +28,12 @@
 	significantDigits = 1
 )
 
-// NewMetrics returns metrics whose values are all zero.
+// NewMetrics returns metrics whose counters are all zero.
 func NewMetrics() *Metrics {
 	m := &Metrics{all: new(expvar.Map).Init(), dials: new(expvar.Int), histograms: map[string]*hdrhistogram.Histogram{}}
 	m.all.Set("upstream_connections_opened", m.dials)
 	m.all.Set("took_ms", expvar.Func(m.quantiles))
+	m.all.Set("threads", expvar.Func(func() any { return osthread.Count() }))
 	return m
 }
 
