fix(daemon): the threads of a process follow its settings, not the machine

What users saw: processes that did not start or ended by themselves, and requests without a response, on their own machines. Under a limit of its user's threads (RLIMIT_NPROC) a box ends with status 2 when the Go runtime can't have one more thread (`runtime/cgo: pthread_create failed`), and cuts its connections.

A class of fault: what a process takes grows with the machine instead of its settings.

A process creates the threads that it needs at its busiest at its start, 8 more than processors; the runtime keeps them and needs no others later. Before the runtime starts, it waits up to 3 s for as many as one processor needs, and says so with the numbers. Where it can't have all of them, it uses fewer processors, says so in a line ("threads missing") and tries again every 2 s.

The tests failed on the code before, run without the package threads: 59 instead of at most 9 threads and 60 instead of 16 under load with GOMAXPROCS=128, a box that ended under load once its user could have no more threads, and a start that did not wait. They pass 4 of 4 times after.

--- a/cmd/dooryard-gateway/main.go
+++ b/cmd/dooryard-gateway/main.go
@@ -8,9 +8,13 @@
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/gatewaycmd"
 	"dooryard.example/dooryard/internal/cmd/signals"
+	"dooryard.example/dooryard/internal/cmd/threads"
 	"dooryard.example/dooryard/platform"
 )
 
 func main() {
-	daemon.Main(signals.Received, func(p *daemon.Process) *cli.Command { return gatewaycmd.New(p, platform.Adapter()) })
+	daemon.Main(signals.Received, func(p *daemon.Process) *cli.Command {
+		p.UseProcessors = threads.Use
+		return gatewaycmd.New(p, platform.Adapter())
+	})
 }
--- a/internal/cmd/daemon/process.go
+++ b/internal/cmd/daemon/process.go
@@ -23,6 +23,9 @@
 	Reload <-chan struct{}
 	// Notes receives a text about each signal.
 	Notes <-chan string
+	// UseProcessors limits the processors, of which there is at least one, and the threads of the process. An error means
+	// that it has fewer threads than it may need.
+	UseProcessors func(processors float64) error
 }
 
 // notesCapacity limits the signals that are noted before the daemon reads the notes.
@@ -46,7 +49,9 @@
 	go h.run(received)
 	stderr := logging.NewAsyncWriter(os.Stderr)
 	defer stderr.Flush(flushTimeout)
-	c := command(&Process{Out: os.Stdout, Err: stderr, Reload: h.reload, Notes: h.notes})
+	c := command(&Process{
+		Out: os.Stdout, Err: stderr, Reload: h.reload, Notes: h.notes, UseProcessors: func(float64) error { return nil },
+	})
 	err := c.Run(ctx, os.Args)
 	if err == nil {
 		return 0
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -38,14 +38,19 @@
 	ctx context.Context, path string, settings config.Gateway, process *daemon.Process, adapter gateway.Adapter,
 ) error {
 	limitMemory(settings)
+	tooFew := process.UseProcessors(settings.Capacity.Processors)
 	c := clock.New(clock.WithBootTime())
 	w := newWatcher(path, settings, c)
+	w.useProcessors, w.tooFewThreads = process.UseProcessors, tooFew
 	b, err := gateway.New(settings, adapter, process.Out, gateway.WithClock(c))
 	if err != nil {
 		return err
 	}
 	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s, processors %d of %d, threads %d",
 		path, os.Getpid(), version.String(), runtime.GOMAXPROCS(0), runtime.NumCPU(), osthread.Count()))
+	if tooFew != nil {
+		b.RecordProcess(threadsMissing, tooFew.Error())
+	}
 	ended, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go recordSignals(ended, b, process.Notes)
--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/cmd/signals"
+	"dooryard.example/dooryard/internal/cmd/threads"
+	"dooryard.example/dooryard/internal/cmd/threads/start"
 	"dooryard.example/dooryard/internal/gateway"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/pkg/config"
@@ -41,11 +44,19 @@
 )
 
 func TestMain(m *testing.M) {
+	if text := os.Getenv(envLimit); text != "" {
+		if err := limitProcess(text); err != nil {
+			panic(err)
+		}
+		return
+	}
 	if os.Getenv(envProcess) == "" {
 		signal.Reset()
+		runtime.GOMAXPROCS(start.MachineProcessors)
 		os.Exit(m.Run())
 	}
 	daemon.Main(signals.Received, func(p *daemon.Process) *cli.Command {
+		p.UseProcessors = threads.Use
 		return New(p, gateway.Adapter{
 			EnvSettings: envSettings, ReadinessPath: "/ready", Dialect: &opaque.Dialect{},
 			Source: func(clock.Clock, func() config.Gateway) gateway.Source {
--- /dev/null
+++ b/internal/cmd/gatewaycmd/threads_test.go
@@ -0,0 +1,153 @@
+package gatewaycmd
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// envLimit makes the test binary set a limit of a process.
+	envLimit = "DOORYARD_TEST_LIMIT"
+	// manyProcessors is more than any machine of the tests has.
+	manyProcessors = 128
+	// otherUser has no processes. The limit does not bind root.
+	otherUser = 61_300
+	// capDacOverride lets otherUser read the files of a test.
+	capDacOverride = 1
+)
+
+// withProcessors sets the processors of the settings file.
+func (p *process) withProcessors(count int) *process {
+	p.t.Helper()
+	settings := fmt.Sprintf("%scapacity: {processors: %d}\n", p.at.settings(), count)
+	require.NoError(p.t, os.WriteFile(p.settings, []byte(settings), 0o600))
+	return p
+}
+
+// asUser makes a command run this binary without the rights of root. The first limit of the user's threads is the
+// binary's own.
+func asUser(t *testing.T, command *exec.Cmd, limit string) {
+	t.Helper()
+	binary, err := os.Executable()
+	require.NoError(t, err)
+	command.Path = "/bin/sh"
+	command.Args = []string{"sh", "-c", limit + `exec "$0"`, binary}
+	if os.Getuid() == 0 {
+		command.SysProcAttr = &syscall.SysProcAttr{
+			Credential: &syscall.Credential{Uid: otherUser, Gid: otherUser}, AmbientCaps: []uintptr{capDacOverride},
+		}
+	}
+}
+
+// onManyProcessors makes the process start as on a large machine.
+func (p *process) onManyProcessors() *process {
+	p.command.Env = append(p.command.Env, fmt.Sprintf("GOMAXPROCS=%d", manyProcessors))
+	asUser(p.t, p.command, "")
+	return p
+}
+
+// withoutThreads makes the process start when its user can have no more threads.
+func (p *process) withoutThreads() *process {
+	asUser(p.t, p.command, "ulimit -S -u 1 2>/dev/null || ulimit -S -p 1; ")
+	return p
+}
+
+// limitThreads sets how many threads the user of the process may have for it to get another one.
+func (p *process) limitThreads(limit uint64) {
+	p.t.Helper()
+	command := exec.CommandContext(p.t.Context(), "")
+	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d %d", envLimit, p.command.Process.Pid, limit))
+	asUser(p.t, command, "")
+	out, err := command.CombinedOutput()
+	require.NoError(p.t, err, string(out))
+}
+
+// limitProcess sets the limit of another process, both as in the text.
+func limitProcess(text string) error {
+	pid, limit, old := 0, uint64(0), unix.Rlimit{}
+	if _, err := fmt.Sscan(text, &pid, &limit); err != nil {
+		return err
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NPROC, nil, &old); err != nil {
+		return err
+	}
+	return unix.Prlimit(pid, unix.RLIMIT_NPROC, &unix.Rlimit{Cur: min(limit, old.Max), Max: old.Max}, nil)
+}
+
+// threads returns the number of threads of the process.
+func (p *process) threads() int {
+	list, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", p.command.Process.Pid))
+	require.NoError(p.t, err)
+	return len(list)
+}
+
+// load sends requests on many connections at once.
+func (p *process) load() {
+	const clients, requests = 64, 40
+	done := sync.WaitGroup{}
+	for range clients {
+		done.Go(func() {
+			for range requests {
+				if !p.request() {
+					return
+				}
+			}
+		})
+	}
+	done.Wait()
+}
+
+// request sends a request on a connection of its own. It reports whether it was answered.
+func (p *process) request() bool {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + p.at.callers)
+	return assert.NoError(p.t, err) && assert.NoError(p.t, response.Body.Close())
+}
+
+func TestThreadsOfABoxDoNotFollowTheMachine(t *testing.T) {
+	for processors, most := range map[int]int{1: 9, 8: 16} {
+		t.Run(fmt.Sprintf("processors %d", processors), func(t *testing.T) {
+			p := newProcess(t, freeAddresses(t)).withProcessors(processors).onManyProcessors().start()
+			p.awaitLine("started", "")
+			p.load()
+			assert.LessOrEqual(t, p.threads(), most)
+		})
+	}
+}
+
+func TestBoxWhoseUserCanHaveNoMoreThreadsServesAndStops(t *testing.T) {
+	p := newProcess(t, freeAddresses(t)).withProcessors(2).onManyProcessors().start()
+	p.awaitLine("started", "")
+	p.limitThreads(1)
+	p.load()
+	// A hangup applies the changed settings.
+	p.withProcessors(3)
+	p.signal(syscall.SIGHUP)
+	p.awaitLine("threads missing", "10 instead of 11, limit of the user's threads 1, 2 instead of 3 processors are used")
+	p.load()
+	p.limitThreads(unix.RLIM_INFINITY)
+	p.awaitLine("threads reserved", "")
+	p.limitThreads(1)
+	p.load()
+	p.signal(syscall.SIGTERM)
+	assert.Zero(t, p.awaitEnd(), p.stderr.String())
+}
+
+func TestStartWaitsForThreads(t *testing.T) {
+	p := newProcess(t, freeAddresses(t)).withProcessors(1).onManyProcessors().withoutThreads().start()
+	require.Eventually(t, func() bool { return strings.Contains(p.stderr.String(), "threads can be created") }, eventTimeout, eventTimeout/1e5)
+	assert.Contains(t, p.stderr.String(), "0 of 8 threads can be created, limit of the user's threads 1: retried")
+	p.limitThreads(unix.RLIM_INFINITY)
+	p.awaitLine("started", "")
+}
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -23,6 +23,10 @@
 	content []byte
 	// loaded are the settings with which the box was started.
 	loaded config.Gateway
+	// useProcessors limits the processors and the threads of the process. It is nil if nothing limits them.
+	useProcessors func(processors float64) error
+	// tooFewThreads is the last error of useProcessors.
+	tooFewThreads error
 }
 
 // newWatcher returns a watcher of a file from which the settings were loaded.
@@ -46,6 +50,27 @@
 		case <-ticks:
 		}
 		w.reload(b)
+		if w.tooFewThreads != nil {
+			w.reserveThreads(b)
+		}
+	}
+}
+
+// threadsMissing is the line of a process that has fewer threads than it may need.
+const threadsMissing = "threads missing"
+
+// reserveThreads applies the number of processors to the process, and records what changes.
+func (w *watcher) reserveThreads(b *gateway.Box) {
+	if w.useProcessors == nil {
+		return
+	}
+	before := w.tooFewThreads
+	w.tooFewThreads = w.useProcessors(b.Settings().Capacity.Processors)
+	switch {
+	case w.tooFewThreads == nil && before != nil:
+		b.RecordProcess("threads reserved", "none are missing any more")
+	case w.tooFewThreads != nil && (before == nil || w.tooFewThreads.Error() != before.Error()):
+		b.RecordProcess(threadsMissing, w.tooFewThreads.Error())
 	}
 }
 
@@ -72,4 +97,5 @@
 	}
 	b.Reload(settings)
 	limitMemory(settings)
+	w.reserveThreads(b)
 }
--- a/internal/cmd/routercmd/routercmd.go
+++ b/internal/cmd/routercmd/routercmd.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/urfave/cli/v3"
@@ -14,6 +15,9 @@
 	"dooryard.example/dooryard/pkg/config"
 )
 
+// maxProcessors limits the processors that the process uses, and so its threads on large machines.
+const maxProcessors = 8
+
 // New returns the command. The stdout exporter writes spans to the process's output, log lines are written to its
 // standard error.
 func New(process *daemon.Process) *cli.Command {
@@ -24,6 +28,9 @@
 		Load:        config.LoadRouter,
 		Err:         process.Err,
 		Run: func(ctx context.Context, _ string, settings config.Router) error {
+			if err := process.UseProcessors(maxProcessors); err != nil {
+				fmt.Fprintf(process.Err, "dooryard-router: %v\n", err)
+			}
 			return run(ctx, settings, process.Out, process.Err)
 		},
 	}.Command()
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -144,6 +144,8 @@
 	MemoryMb int64 `yaml:"memory_mb"`
 	// OpenFiles is the maximum number of file descriptors of the process.
 	OpenFiles int `yaml:"open_files"`
+	// Processors is the number of processors that the process uses at most. 0 means 1.
+	Processors float64 `yaml:"processors"`
 }
 
 // LogLimits limits the rate of log lines.
@@ -285,6 +287,9 @@
 	*r.value = min(max(*r.value, r.low), r.high)
 }
 
+// maxProcessors is the limit of capacity.processors.
+const maxProcessors = 1000
+
 // maxSeconds is the limit of settings in seconds.
 const maxSeconds = dayMs / 1000
 
@@ -309,6 +314,7 @@
 		rangeOf[float64]{"shutdown.grace_s", &g.Shutdown.GraceS, 0, maxSeconds},
 		rangeOf[int64]{"capacity.memory_mb", &g.Capacity.MemoryMb, 16, million},
 		rangeOf[int]{"capacity.open_files", &g.Capacity.OpenFiles, 64, million},
+		rangeOf[float64]{"capacity.processors", &g.Capacity.Processors, 0, maxProcessors},
 		rangeOf[int]{"lines.max_per_second", &g.LogLimits.MaxPerSecond, 1, million},
 	}
 	if g.Quarantine.MinCrashes != nil {
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -90,6 +90,7 @@
 		want func(g *Gateway)
 	}{
 		"number below its range": {"freshness: {leave_ms: 100}\n", func(g *Gateway) { g.Freshness.MaxDrainNoticeMs = 650 }},
+		"too many processors":    {"capacity: {processors: 1e9}\n", func(g *Gateway) { g.Capacity.Processors = maxProcessors }},
 		"number above its range": {"capacity: {memory_mb: 2000000}\n", func(g *Gateway) { g.Capacity.MemoryMb = million }},
 		"ratio":                  {"retry_budget: {ratio: 2, slack: 7}\n", func(g *Gateway) { g.Budget = Budget{Ratio: 1, Slack: 7} }},
 		"load cap":               {"balance: {load_cap: 1}\n", func(g *Gateway) { g.Balance.LoadCap = math.Nextafter(1, 2) }},
@@ -121,6 +122,7 @@
 		"no address":      strings.Replace(gatewayFile, "callers_address: 127.0.0.1:1", "callers_address: 1", 1),
 		"empty":           "",
 		"text":            gatewayFile + "capacity: {memory_mb: much}\n",
+		"processors":      gatewayFile + "capacity: {processors: many}\n",
 		"large integer":   gatewayFile + "capacity: {open_files: 1e30}\n",
 		"text, section":   gatewayFile + "balance: none\n",
 		"unknown key":     gatewayFile + "freshnes: {max_age_ms: 2000}\n",
