fix(soak): a link that crashes accepts no more connections beside the start of a process

Between fork and exec the child shares the sockets of the soak, so that a listener that the link has closed accepts connections until the child executes its program, while streams that began after the fork end at once.

Change: links shut their listeners down before they close them, and end connections that are closed in order by a shutdown, too, which the child doesn't hold up.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -183,7 +184,7 @@
 	l.mu.Lock()
 	switch {
 	case fault.refuses() && !l.fault.refuses():
-		_ = l.listener.Close()
+		closeListener(l.listener)
 	case !fault.refuses() && l.fault.refuses():
 		l.reopenListener()
 	}
@@ -204,7 +205,7 @@
 	l.mu.Unlock()
 	for c := range conns {
 		if fault == linkClosed {
-			_ = c.Close()
+			closeInOrder(c)
 			continue
 		}
 		reset(c)
@@ -262,6 +263,26 @@
 	reset(inbound)
 }
 
+// closeListener closes a listener also for a process that is being started, which shares it until it executes its
+// program. The kernel would accept connections until then.
+func closeListener(listener net.Listener) {
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			// The errors are ignored because the listener is closed in any case.
+			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+		}
+	}
+	_ = listener.Close()
+}
+
+// closeInOrder closes a connection in order, also for a process that is being started.
+func closeInOrder(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.Close()
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		// If linger can't be set, the following close sends a FIN instead of a reset.
@@ -362,7 +383,7 @@
 // because the link closed it.
 func (l *link) abort(c net.Conn) {
 	if l.currentFault() == linkClosed {
-		_ = c.Close()
+		closeInOrder(c)
 		return
 	}
 	reset(c)
@@ -381,5 +402,5 @@
 
 func (l *link) close() {
 	l.set(linkReset)
-	_ = l.listener.Close()
+	closeListener(l.listener)
 }
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,6 +68,44 @@
 	assert.Empty(t, rest)
 }
 
+// TestCrashedLinkBesideAStartOfAProcess guards against a link that accepts connections after its crash: a process that is
+// being started shares the link's sockets until it executes its program.
+func TestCrashedLinkBesideAStartOfAProcess(t *testing.T) {
+	type shared interface{ File() (*os.File, error) }
+	share := func(t *testing.T, socket any) {
+		t.Helper()
+		file, err := socket.(shared).File() //nolint:forcetypeassert // Each is a TCP socket.
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = file.Close() })
+	}
+	for _, fault := range []linkFault{linkRefused, linkClosed} {
+		t.Run(string(fault), func(t *testing.T) {
+			target := echo(t)
+			l, err := newLink("127.0.0.1", func() string { return target.Addr().String() })
+			require.NoError(t, err)
+			defer l.close()
+			conn, err := net.Dial("tcp", l.address())
+			require.NoError(t, err)
+			assertEchoes(t, conn)
+			share(t, l.listener)
+			if fault == linkClosed {
+				for c := range l.conns {
+					share(t, c)
+				}
+			}
+			l.set(fault)
+			_, err = net.Dial("tcp", l.address())
+			require.ErrorIs(t, err, syscall.ECONNREFUSED)
+			_, err = io.ReadAll(conn)
+			assert.Equal(t, fault == linkClosed, err == nil, "%v", err)
+			l.set(linkHealthy)
+			conn, err = net.Dial("tcp", l.address())
+			require.NoError(t, err)
+			assertEchoes(t, conn)
+		})
+	}
+}
+
 func TestLinkTellsWhenItWasDisturbed(t *testing.T) {
 	l, err := newLink("127.0.0.1", func() string { return "" })
 	require.NoError(t, err)
