test(operatorcmd): the router of the runbook has a function that limits its processors

TestRunbook panicked since (nil pointer in routercmd.New): the test builds the router's process itself and left out the function of the daemon that limits the processors. It changes nothing in the test binary, where other tests run.

--- a/internal/cmd/operatorcmd/runbook_test.go
+++ b/internal/cmd/operatorcmd/runbook_test.go
@@ -48,7 +48,9 @@
 	case "dooryard":
 		return operatorcmd.New(in, out)
 	case "dooryard-router":
-		return routercmd.New(&daemon.Process{Out: out, Err: io.Discard})
+		return routercmd.New(&daemon.Process{
+			Out: out, Err: io.Discard, UseProcessors: func(float64) error { return nil },
+		})
 	case "dooryard-standin":
 		return standincmd.New(out)
 	default:
