fix(inbound): half-closed streams are not cut while their response waits to be read

Cause: the wait for a sign of the caller ends by the clock, 400 ms at the latest, while the goroutine that would read the response, or the one that sends the request, has not run. The record of the caller's silence changed only with a check, so that requests were sent milliseconds before they were cut; it was asked when an upstream was picked, not after the connection was opened.

Change: a connection asks the kernel whether bytes of the upstream wait (as the timers for the first byte do) and whether anything was written since the check before, once more 2 ms later; silence is counted by the clock when it is asked, from 250 ms on, and asked right before the request is written. An attempt that is not sent for its caller's sake says nothing about its upstream.

The new cases of TestHalfClosed and TestHalfClosedWritesDuringTheLastCheck fail without the question and the confirming check (ended after 250 ms).

--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -116,15 +116,23 @@
 // paused since the request was admitted, and the caller may have disconnected.
 func (b *Box) checkBeforeSend(r *opaque.Request) error {
 	b.pauseDetector.awaitRefresh(r.Context())
-	err := r.Context().Err()
-	if c := inbound.ConnOf(r.Context()); c != nil && c.Unheard() {
-		err = context.Canceled
-	}
-	if err != nil {
-		return opaque.NewRefusal(opaque.StatusCallerDisconnected, opaque.CallerDisconnected, 0, err)
+	if err := checkCaller(r); err != nil {
+		return err
 	}
 	if r.RemainingMs(b.clock.Monotonic()) <= 0 {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.DeadlineExceededBeforeSend, 0, nil)
 	}
 	return b.steps.authorise.Recheck(r)
 }
+
+// checkCaller returns a refusal if the caller has disconnected, or given no sign for so long that it has probably left.
+func checkCaller(r *opaque.Request) error {
+	err := r.Context().Err()
+	if c := inbound.ConnOf(r.Context()); c != nil && c.Unheard() {
+		err = context.Canceled
+	}
+	if err == nil {
+		return nil
+	}
+	return opaque.NewRefusal(opaque.StatusCallerDisconnected, opaque.CallerDisconnected, 0, err)
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -77,7 +77,7 @@
 			OnCompleted:    b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted,
-			CheckBeforeSend: b.checkBeforeSend, Commit: b.commit,
+			CheckBeforeSend: b.checkBeforeSend, CheckCaller: checkCaller, Commit: b.commit, HoldWhile: holdWhile,
 			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
 		record: record.New(b.log.Record, b.metrics.RequestEnded, b.stateAgeMs, b.clock.Monotonic),
@@ -186,6 +186,14 @@
 	return c.Commit()
 }
 
+// holdWhile makes the connection of a request wait for a sign of its caller while the response waits to be read.
+func holdWhile(r *opaque.Request, waits func() bool) (done func()) {
+	if c := inbound.ConnOf(r.Context()); c != nil {
+		return c.HoldWhile(waits)
+	}
+	return func() {}
+}
+
 const (
 	// unreadBodyMs is how long a refusal waits for a body that is not needed: long enough for data already in flight.
 	unreadBodyMs clock.Millis = 300
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -46,14 +46,17 @@
 	reads atomic.Int32
 	// ended is set once the caller sends nothing more.
 	ended atomic.Bool
-	// responded is set once anything was written.
+	// responded is set once anything was written, and writes counts the calls of Write.
 	responded atomic.Bool
+	writes    atomic.Int64
 	// lingering is set while the connection lingers.
 	lingering atomic.Bool
 	// committed is the number of attempts whose responses are awaited even if the caller seems to have left.
 	committed atomic.Int32
-	// unheard is what Unheard reports.
-	unheard atomic.Bool
+	// unheardFromMs is from when on the caller is unheard if it gives no sign until then, or zero.
+	unheardFromMs atomic.Int64
+	// waits reports whether bytes of the response wait to be read, or is nil.
+	waits atomic.Pointer[func() bool]
 
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
@@ -129,6 +132,7 @@
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.responded.Store(true)
+	c.writes.Add(1)
 	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
 }
 
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -25,6 +25,9 @@
 	// least. It is half of what a process with enough processor time makes in holdMs.
 	holdCheckMs   clock.Millis = 25
 	minHoldChecks              = int(holdMs / holdCheckMs / 2)
+	// confirmMs is how long after a check another one confirms that the caller gives no sign. What was read from the
+	// upstream right before may not have been written to the caller.
+	confirmMs clock.Millis = 2
 )
 
 // WithHeldEnds makes connections hide from the server for a short time that a caller has ended its side while its
@@ -38,9 +41,37 @@
 	return func() { c.committed.Add(-1) }
 }
 
+// HoldWhile makes the connection wait for a sign of its caller while bytes of the response wait to be read, until the
+// returned function is called. A process that gets little processor time reads them long after they have arrived.
+func (c *Conn) HoldWhile(waits func() bool) (done func()) {
+	c.waits.Store(&waits)
+	return func() { c.waits.CompareAndSwap(&waits, nil) }
+}
+
+// responseWaits reports whether bytes of the response wait to be read.
+func (c *Conn) responseWaits() bool {
+	waits := c.waits.Load()
+	return waits != nil && (*waits)()
+}
+
 // Unheard reports whether the caller has ended its side and gave no sign for so long that it has probably left. Nothing
 // more should be done for it, though a response that is under way is awaited.
-func (c *Conn) Unheard() bool { return c.unheard.Load() }
+func (c *Conn) Unheard() bool {
+	from := c.unheardFromMs.Load()
+	return from != 0 && int64(c.listener.clock.Monotonic()) >= from
+}
+
+// setUnheardFrom sets from when on a caller that gives no sign is unheard.
+func (c *Conn) setUnheardFrom(start clock.Millis, now sign, reads bool) {
+	from := start + holdMs
+	switch {
+	case reads:
+		from = 0
+	case now.outstanding:
+		from = start + maxHoldMs
+	}
+	c.unheardFromMs.Store(int64(from))
+}
 
 // holdEnd waits until the caller that has ended its side is known to have left, or the server ends the read. It returns
 // the error of the read.
@@ -54,23 +85,53 @@
 	if !atEnd.open || !c.startHold(cancel) {
 		cancel()
 	}
-	start, reads := c.listener.clock.Monotonic(), false
-	for now, checks := atEnd, 0; now.open; checks++ {
-		if c.listener.clock.Sleep(ctx, holdCheckMs) != nil {
+	h := &hold{conn: c, atEnd: atEnd, startMs: c.listener.clock.Monotonic(), writes: c.writes.Load()}
+	c.setUnheardFrom(h.startMs, atEnd, false)
+	for span := holdCheckMs; atEnd.open; {
+		if c.listener.clock.Sleep(ctx, span) != nil {
 			return os.ErrDeadlineExceeded
 		}
-		now = signOf(c.Conn)
-		reads = reads || now.acknowledgedBytes > atEnd.acknowledgedBytes
-		elapsed := c.listener.clock.Monotonic() - start
-		waited := elapsed >= holdMs && checks+1 >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
-		c.unheard.Store(waited && !reads)
-		if c.Unheard() && c.committed.Load() == 0 {
+		confirms := span == confirmMs
+		now := signOf(c.Conn)
+		seemsLeft := h.check(now, !confirms)
+		if !now.open || confirms && seemsLeft {
 			break
 		}
+		span = holdCheckMs
+		if seemsLeft {
+			span = confirmMs
+		}
 	}
 	return io.EOF
 }
 
+// hold is the wait for a sign of a caller that has ended its side.
+type hold struct {
+	conn    *Conn
+	atEnd   sign
+	startMs clock.Millis
+	// checks is how often the kernel was asked, and writes how often the response was written to until the last time.
+	checks int
+	writes int64
+	reads  bool
+}
+
+// check reports whether the caller seems to have left. Only counted checks tell how much processor time the process
+// gets.
+func (h *hold) check(now sign, counts bool) bool {
+	c := h.conn
+	if counts {
+		h.checks++
+	}
+	h.reads = h.reads || now.acknowledgedBytes > h.atEnd.acknowledgedBytes
+	c.setUnheardFrom(h.startMs, now, h.reads)
+	before := h.writes
+	h.writes = c.writes.Load()
+	elapsed := c.listener.clock.Monotonic() - h.startMs
+	over := elapsed >= holdMs && h.checks >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
+	return over && !h.reads && h.writes == before && c.committed.Load() == 0 && !c.responseWaits()
+}
+
 // startHold makes SetReadDeadline and Close call a function, and returns false if the deadline has passed.
 func (c *Conn) startHold(wake context.CancelFunc) bool {
 	c.mu.Lock()
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -146,6 +146,23 @@
 			"a request that failed and is no longer awaited", clock.Second, holdMs, &halfClosedConn{},
 			func(_ http.ResponseWriter, c *Conn) { c.Commit()() },
 		},
+		{
+			"a response that waits to be read", clock.Second, clock.Second, &halfClosedConn{},
+			func(_ http.ResponseWriter, c *Conn) { c.HoldWhile(func() bool { return true }) },
+		},
+		{
+			"a response that waited to be read until the end of the hold", clock.Second, holdMs + holdCheckMs,
+			&halfClosedConn{}, func(_ http.ResponseWriter, c *Conn) {
+				waits := atomic.Bool{}
+				waits.Store(true)
+				time.AfterFunc((holdMs + holdCheckMs/2).Duration(), func() { waits.Store(false) })
+				c.HoldWhile(waits.Load)
+			},
+		},
+		{
+			"a response that nothing waits for any more", clock.Second, holdMs, &halfClosedConn{},
+			func(_ http.ResponseWriter, c *Conn) { c.HoldWhile(func() bool { return true })() },
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -180,6 +197,39 @@
 	})
 }
 
+// TestHalfClosedWritesDuringTheLastCheck guards against a response that is cut because it was read right before the last
+// check and written right after it.
+func TestHalfClosedWritesDuringTheLastCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := &halfClosedConn{reads: true}
+		ran := serveHalfClosed(t, caller, time.Second, func(w http.ResponseWriter, _ *Conn) {
+			<-time.After(holdMs.Duration() + time.Millisecond)
+			assert.NoError(t, http.NewResponseController(w).Flush())
+		})
+		assert.Equal(t, (holdMs + 1 + clock.Second).Duration(), ran)
+	})
+}
+
+// TestUnheard guards against requests that a process with little processor time sends on for callers that have probably
+// left, and cuts right afterwards.
+func TestUnheard(t *testing.T) {
+	now := clock.Millis(1000)
+	c := &Conn{listener: &Listener{clock: clock.New(clock.WithMonotonic(func() clock.Millis { return now }))}}
+	unheardAfter := func(span clock.Millis, at sign, reads bool) bool {
+		start := now
+		defer func() { now = start }()
+		c.setUnheardFrom(start, at, reads)
+		now += span
+		return c.Unheard()
+	}
+	assert.False(t, c.Unheard(), "before the end")
+	assert.False(t, unheardAfter(holdMs-1, sign{}, false))
+	assert.True(t, unheardAfter(holdMs, sign{}, false), "however often the kernel was asked")
+	assert.False(t, unheardAfter(holdMs, sign{outstanding: true}, false), "while bytes are under way")
+	assert.True(t, unheardAfter(maxHoldMs, sign{outstanding: true}, false))
+	assert.False(t, unheardAfter(maxHoldMs, sign{}, true), "a caller that reads")
+}
+
 // TestSignOf guards against a caller that has left and counts as reading on real sockets, and the reverse.
 func TestSignOf(t *testing.T) {
 	for name, left := range map[string]bool{"has ended its writing side": false, "has closed the connection": true} {
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -179,11 +179,13 @@
 		s.request.Sent++
 		s.request.MayHaveRun = true
 	}
-	if refusal := (*opaque.RefusalError)(nil); errors.As(err, &refusal) && !s.request.MayHaveRun {
+	refusal := (*opaque.RefusalError)(nil)
+	refused := errors.As(err, &refusal)
+	if refused && !s.request.MayHaveRun {
 		failed.refusal = refusal
 	}
 	switch {
-	case failed.refusal != nil:
+	case refused:
 		lease.Release(balance.Neutral)
 	case s.ctx.Err() != nil || errors.Is(err, balance.ErrBackingOff) || errors.Is(err, balance.ErrDraining) ||
 		errors.Is(err, balance.ErrEvacuated):
@@ -253,7 +255,7 @@
 		set(d.Urgency, strconv.Itoa(min(r.Priority(), maxUrgency)))
 	}
 	out.BeforeSend = func() error {
-		if err := s.pipe.deps.Rescreen(r); err != nil {
+		if err := errors.Join(s.pipe.deps.Rescreen(r), s.pipe.deps.CheckCaller(r)); err != nil {
 			return err
 		}
 		return lease.CheckBeforeSend()
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -81,9 +81,14 @@
 	OriginRetracted func(r *opaque.Request) bool
 	// CheckBeforeSend returns an error if the box may not send the request now.
 	CheckBeforeSend func(r *opaque.Request) error
+	// CheckCaller returns an error if the caller has probably left.
+	CheckCaller func(r *opaque.Request) error
 	// Commit makes a request that may not be repeated wait for its response though its caller seems to have left, until
 	// the returned function is called.
 	Commit func(r *opaque.Request) (done func())
+	// HoldWhile makes a request go on though its caller seems to have left, while bytes of its response wait to be read,
+	// until the returned function is called.
+	HoldWhile func(r *opaque.Request, waits func() bool) (done func())
 	// Admission is how prompts are admitted to engines.
 	Admission Admission
 	// GraceEnded ends when a stopping box can't wait for responses any longer.
@@ -118,6 +123,7 @@
 	}
 	s := &retryLoop{pipe: p, request: r, ctx: ctx, cancel: cancel}
 	defer s.releaseBody()
+	defer p.deps.HoldWhile(r, s.responseWaits)()
 	return s.awaitCaller(s.run())
 }
 
