fix(upstream): a connection that the upstream has answered does not time out

What callers saw: a box with little processor time refused requests (503 no_upstream, "none can be reached from this box") while all upstreams were sound and near.

Cause: opening a connection has 200 ms (100 ms for probes) by the clock of this process. The kernel opens it within a millisecond, but the goroutine that waits for it runs later than that; the dial fails, the upstream counts as unreachable, after a few of them all do, and paths to failure domains count as lost.

Change: when the time is over, the kernel is asked whether the connection still waits for the peer (SYN_SENT). If not, the dial goes on until the process learns of the outcome or the request ends. Peers that don't answer time out as before, and so do replaced dials.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -97,18 +97,6 @@
 // Address returns the address of the upstream.
 func (c *Client) Address() string { return c.address }
 
-// systemDial opens connections that time out when the peer stops acknowledging data, because a peer
-// that lost power or is behind a network partition never closes them.
-func systemDial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-		},
-		Control: setUserTimeout,
-	}
-	return dialer.DialContext(ctx, network, address)
-}
-
 // Close closes the idle connections. Requests in flight finish on their own connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -238,9 +226,7 @@
 
 // dialUpstream opens a connection and records the outcome, unless the caller gave up.
 func (c *Client) dialUpstream(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeoutMs.Duration())
-	defer cancel()
-	raw, err := c.dial(ctx, "tcp", c.address)
+	raw, err := dialWithin(ctx, c.dial, c.address, connectTimeoutMs)
 	c.recordDial(err)
 	if err == nil {
 		c.onDial()
@@ -269,9 +255,7 @@
 // HostReachable reports whether the upstream's host responds. If a connection opens, it is kept for
 // the next request. A refused connection also shows that the host is up.
 func (c *Client) HostReachable(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
-	defer cancel()
-	raw, err := c.dial(ctx, "tcp", c.address)
+	raw, err := dialWithin(ctx, c.dial, c.address, HostReachableTimeoutMs)
 	if err != nil {
 		c.recordDial(err)
 		return !noResponse(err)
@@ -309,9 +293,7 @@
 // ProbeAddress determines whether a process accepts connections at an address. It returns the connection
 // that it opened, or nil.
 func ProbeAddress(ctx context.Context, dial Dial, address string) (net.Conn, Liveness) {
-	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
-	defer cancel()
-	raw, err := dial(ctx, "tcp", address)
+	raw, err := dialWithin(ctx, dial, address, HostReachableTimeoutMs)
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		return nil, Dead
@@ -333,9 +315,7 @@
 // kernel of a host whose process can't be reached, may accept connections only to reset them. If the connection
 // stays open, it is kept for the next request.
 func (c *Client) ProbeReachable(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, HostReachableTimeoutMs.Duration())
-	defer cancel()
-	raw, err := c.dial(ctx, "tcp", c.address)
+	raw, err := dialWithin(ctx, c.dial, c.address, HostReachableTimeoutMs)
 	if err != nil {
 		c.recordDial(err)
 		return
@@ -387,15 +367,6 @@
 	return answer, nil
 }
 
-// setUserTimeout limits how long sent bytes may remain unacknowledged.
-func setUserTimeout(_, _ string, raw rawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedTimeoutMs)
-	})
-	return errors.Join(err, setErr)
-}
-
 // discardBody reads and discards the rest of the body of a skipped response.
 func discardBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxMismatchedBytes+1))
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -9,12 +9,8 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 )
 
-// rawConn is the connection that a dialer's control function receives.
-type rawConn = syscall.RawConn
-
 // Request is an opaque request. Header holds all headers except Host and Content-Length.
 type Request struct {
 	Method string
