fix(upstream): a dial times out as before where the kernel does not tell the connection's state

Where TCP_INFO fails or has no state, a connection to a silent peer counted as answered and was opened until the request ended. Seen by reading; without information the timeout holds again.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -53,17 +53,21 @@
 	return unanswered == nil || (*unanswered)()
 }
 
-// isUnanswered asks the kernel whether a connection waits for the peer.
+// isUnanswered asks the kernel whether a connection waits for the peer. A kernel that can't tell gives no reason to wait
+// any longer.
 func isUnanswered(raw syscall.RawConn) bool {
 	waits := false
 	// After an error the socket is closed, and the dial is about to return.
 	_ = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		waits = err == nil && info.State == unix.BPF_TCP_SYN_SENT
+		waits = err != nil || info.State == unix.BPF_TCP_SYN_SENT || info.State == stateUnknown
 	})
 	return waits
 }
 
+// stateUnknown is the state in the information of a kernel that does not give it.
+const stateUnknown = 0
+
 // dialWithin opens a connection to a peer that answers within a timeout. A process that gets little processor time may
 // learn of the answer long after it has arrived, so the kernel is asked when the timeout is over.
 func dialWithin(ctx context.Context, dial Dial, address string, timeoutMs clock.Millis) (net.Conn, error) {
