--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime"
 	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
@@ -13,6 +14,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/gateway"
+	"dooryard.example/dooryard/internal/osthread"
 	"dooryard.example/dooryard/internal/version"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -36,13 +38,19 @@
 	ctx context.Context, path string, settings config.Gateway, process *daemon.Process, adapter gateway.Adapter,
 ) error {
 	limitMemory(settings)
+	tooFew := process.UseProcessors(settings.Capacity.Processors)
 	c := clock.New(clock.WithBootTime())
 	w := newWatcher(path, settings, c)
+	w.useProcessors, w.tooFewThreads = process.UseProcessors, tooFew
 	b, err := gateway.New(settings, adapter, process.Out, gateway.WithClock(c))
 	if err != nil {
 		return err
 	}
-	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s", path, os.Getpid(), version.String()))
+	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s, processors %d of %d, threads %d",
+		path, os.Getpid(), version.String(), runtime.GOMAXPROCS(0), runtime.NumCPU(), osthread.Count()))
+	if tooFew != nil {
+		b.RecordProcess(threadsMissing, tooFew.Error())
+	}
 	ended, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go recordSignals(ended, b, process.Notes)
