fix(inbound): a connection whose request is being read is not closed as idle

What callers saw: not shown on real boxes.

Cause: between the system call that takes a request from the socket and the end of the connection's idle state, the kernel no longer knows of the bytes and the connection counts as idle. A goroutine that returns from a system call may wait there for a processor, which takes long in a process that gets little processor time. An eviction in between closes the connection of a request that was read.

Change: bytes are taken and end the idle state under a lock that an eviction holds while it asks whether any wait. What the connection holds of an earlier read is given out only after the idle state has ended.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -11,6 +11,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -58,6 +59,12 @@
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
 
+	// raw is nil if the connection is no socket.
+	raw syscall.RawConn
+	// taking is held while bytes are taken from the socket, and while an eviction asks whether any wait.
+	taking sync.Mutex
+	taken  taken
+
 	ahead readAhead
 	// aheadBytes is how much ahead holds, and bodyBytes how much of the body of a request was not read.
 	aheadBytes, bodyBytes atomic.Int64
@@ -89,11 +96,11 @@
 
 // readSocket reads from the socket until the caller has used up its time.
 func (c *Conn) readSocket(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
+	n, err := c.take(data)
 	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
-		n, err = c.Conn.Read(data)
+		n, err = c.take(data)
 	}
-	return n, err //nolint:wrapcheck // The server compares it.
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. A deadline that has passed also ends a held read.
@@ -142,16 +149,7 @@
 
 // evict closes the connection if it is in a state and no request waits to be read, and reports whether it did.
 func (c *Conn) evict(state int32) bool {
-	if c.state.Load() != state {
-		return false
-	}
-	if c.aheadBytes.Load() > 0 || socket.HasUnread(c.Conn) {
-		if c.keptUnread.CompareAndSwap(false, true) {
-			c.listener.evictions.Unread.Add(1)
-		}
-		return false
-	}
-	if !c.state.CompareAndSwap(state, connEvicted) {
+	if !c.endState(state) {
 		return false
 	}
 	c.listener.evictions.Closed.Add(1)
@@ -164,6 +162,22 @@
 	return true
 }
 
+// endState records that the connection is evicted if it is in a state and no request waits to be read.
+func (c *Conn) endState(state int32) bool {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if c.state.Load() != state {
+		return false
+	}
+	if c.aheadBytes.Load() > 0 || socket.HasUnread(c.Conn) {
+		if c.keptUnread.CompareAndSwap(false, true) {
+			c.listener.evictions.Unread.Add(1)
+		}
+		return false
+	}
+	return c.state.CompareAndSwap(state, connEvicted)
+}
+
 // Close closes the connection, at once or after it has lingered, or resets it if a response on it was broken off.
 func (c *Conn) Close() error {
 	if !c.broken.Load() && c.linger() {
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -128,6 +128,7 @@
 	defer l.mu.Unlock()
 	l.waiting = false
 	c := &Conn{Conn: conn, listener: l}
+	c.prepareTake()
 	c.release = sync.OnceFunc(func() { l.remove(c, hasSlot) })
 	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
 	l.conns[c] = struct{}{}
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 
 	"dooryard.example/dooryard/internal/socket"
@@ -39,6 +40,10 @@
 func (c *Conn) readRequest(data []byte) (int, error) {
 	held := len(c.ahead.data)
 	if held > 0 && (len(data) != readAheadBytes || !c.handling.Load()) {
+		// An eviction finds either held data or a connection that is active.
+		if !c.Activate() {
+			return 0, net.ErrClosed
+		}
 		n := c.endOf(c.ahead.data[:min(held, len(data))])
 		copy(data, c.ahead.data[:n])
 		c.hold(c.ahead.data[n:])
