--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -53,8 +53,7 @@
 	return unanswered == nil || (*unanswered)()
 }
 
-// isUnanswered asks the kernel whether a connection waits for the peer. A kernel that can't tell gives no reason to wait
-// any longer.
+// isUnanswered asks the kernel whether a connection waits for the peer. One of which the kernel tells nothing does.
 func isUnanswered(raw syscall.RawConn) bool {
 	waits := false
 	// After an error the socket is closed, and the dial is about to return.
