fix(dispatch): a stream that pauses is not canceled when nothing may continue it

What callers saw: resumable streams that ended in the middle, while their upstream was sound and only paused for longer than three times the route's longest acceptable pause, with no stop, reload or reset anywhere.

Cause: the timer that cancels a pausing stream, so that another upstream continues it, asked whether there is another upstream and budget, not whether the stream may go on at all. It may not if the request was forwarded, so that another box chose the upstream; if its origin is doubtful, after an upstream has refused connections and the store has not confirmed its entry since, or for a while after a start; if the events have no ids, or if the route is not repeatable. The attempt was canceled, the retry then refused ("none: the answer has begun") and the caller cut. Class: a decision to end something, and the conditions of what comes next, asked in two places.

Change: both ask the same (resumable and repeatable). Streams that can't go on elsewhere wait for their upstream, until the deadline or the timeout of the route.

Four of the six cases of TestPausingStreamIsCanceledOnlyToGoOn fail without the change.

--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/eventstream"
@@ -37,6 +38,8 @@
 	// then records it.
 	origin        *streams.Origin
 	recordsOrigin bool
+	// mayGoOn is what resumable reported after the latest write. Timers read it while the stream is relayed.
+	mayGoOn atomic.Bool
 	// onOrigin records the origin of a stream that the caller may take up.
 	onOrigin func(r *opaque.Request)
 }
@@ -80,7 +83,8 @@
 }
 
 // continuationHelps returns a function that reports whether another upstream may continue the stream now, and usually
-// responds within a span. Otherwise a canceled attempt would cut the response off.
+// responds within a span. Otherwise a canceled attempt would cut the response off. The conditions include those under
+// which a failed attempt is followed by another one.
 func (s *retryLoop) continuationHelps(from responseSource) func(span clock.Millis) bool {
 	next := s.pickRequest()
 	next.Tried = append(slices.Clone(next.Tried), s.request.Upstream)
@@ -90,8 +94,8 @@
 	// A request that was forwarded goes on at another box, which chooses the upstream.
 	forwarded := !from.recordsOrigin
 	return func(span clock.Millis) bool {
-		return s.retryHelps(span) && !s.pipe.deps.OriginRetracted(s.request) &&
-			(forwarded || s.pipe.deps.HasCandidate(next))
+		return s.request.Route.Repeatable() && s.stream.mayGoOn.Load() && !s.pipe.deps.OriginRetracted(s.request) &&
+			s.retryHelps(span) && (forwarded || s.pipe.deps.HasCandidate(next))
 	}
 }
 
@@ -102,6 +106,7 @@
 	}
 	s.stream.events, s.stream.partial = eventstream.Scanner{}, nil
 	s.stream.origin, s.stream.recordsOrigin = from.origin, from.recordsOrigin
+	s.stream.mayGoOn.Store(s.stream.resumable())
 	event, stop := s.startIdleTimeout(from, cancel)
 	defer stop()
 	helps := s.continuationHelps(from)
@@ -118,6 +123,7 @@
 		if writeErr := s.stream.write(buffer[:n]); writeErr != nil {
 			return &failure{err: writeErr, execution: mayHaveRun}
 		}
+		s.stream.mayGoOn.Store(s.stream.resumable())
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.finishStream(from, res)
--- /dev/null
+++ b/internal/pipe/dispatch/stream_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/opaque"
+	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/internal/streams"
+)
+
+// TestPausingStreamIsCanceledOnlyToGoOn guards against a stream that is broken off because it pauses, although nothing
+// may continue it.
+func TestPausingStreamIsCanceledOnlyToGoOn(t *testing.T) {
+	const gapMs clock.Millis = 300
+	known := &streams.Origin{Pool: "p", Version: "v1"}
+	for _, c := range []struct {
+		name, begin   string
+		kind          routing.Kind
+		origin        *streams.Origin
+		recordsOrigin bool
+		canceled      bool
+	}{
+		{"the origin is known", "id: 1\ndata: a\n\n", routing.Stream, known, true, true},
+		{"the origin is doubtful", "id: 1\ndata: a\n\n", routing.Stream, nil, true, false},
+		{"the origin is doubtful before the first event", "id: 1\n", routing.Stream, nil, true, true},
+		{"events have no ids", "data: a\n\n", routing.Stream, known, true, false},
+		{"another box chose the upstream", "id: 1\ndata: a\n\n", routing.Stream, nil, false, false},
+		{"it may not run twice", "id: 1\ndata: a\n\n", routing.Unsafe, known, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, _ := newLoop(t)
+				s.request.Route = &routing.Route{Kind: c.kind, Resumable: true, Attempts: 2, MaxGapMs: gapMs}
+				s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
+				s.request.State = &routing.State{}
+				yes := func() bool { return true }
+				s.pipe = New(Dependencies{
+					Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
+					CanRetry: func(string) bool { return true }, OnStreamOrigin: func(*opaque.Request) {},
+					RespondsWithin: func(string, clock.Millis) bool { return true },
+					HasCandidate:   func(balance.PickRequest) bool { return yes() },
+				})
+				ctx, cancel := context.WithCancelCause(t.Context())
+				body, rest := io.Pipe()
+				// The upstream pauses for ten times as long as is acceptable, or until its attempt is canceled.
+				go func() {
+					_ = clock.New().Sleep(ctx, 10*gapMs)
+					_ = rest.Close()
+				}()
+				response := responseOf(io.MultiReader(strings.NewReader(c.begin), body), -1)
+				from := responseSource{
+					origin: c.origin, recordsOrigin: c.recordsOrigin, onPart: func() {}, onStart: func() {},
+					onBroken: func() {}, mayHaveCrashed: func() bool { return false },
+				}
+				_ = s.relayStream(from, response, cancel)
+				assert.Equal(t, c.canceled, ctx.Err() != nil)
+				cancel(nil)
+			})
+		})
+	}
+}
