fix(upstream): errors about malformed responses hold nothing of them

A server that answers garbage got up to 4 KB of its bytes into the line "attempt failed", and into the "request ended" of the same request: the errors of net/http and net/textproto quote what they can't read. Lines may reach people who must not see responses, and at the usual rate they amount to megabytes.

Errors of the connection stay as they are; others of a response's head, and those of textproto in its trailer, become "malformed head or trailer of a response".

--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"sync/atomic"
 )
@@ -136,7 +137,23 @@
 
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
-	return http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
+	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
+	return response, withoutContent(err)
+}
+
+// errMalformed stands for errors that quote what the upstream sent.
+var errMalformed = errors.New("malformed head or trailer of a response")
+
+// withoutContent returns an error of a connection as it is, and errMalformed for others.
+func withoutContent(err error) error {
+	var network net.Error
+	switch {
+	case err == nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe),
+		errors.As(err, &network):
+		return err
+	default:
+		return errMalformed
+	}
 }
 
 // Framing is how the end of a response's body is marked.
@@ -192,6 +209,10 @@
 		return n, io.EOF
 	default:
 		a.failed = true
+		var quoting textproto.ProtocolError
+		if errors.As(err, &quoting) {
+			err = errMalformed
+		}
 		return n, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 }
