fix(decision): texts of a line have a limit

A line held each error, name and identifier whole, however long other processes made them: headers of callers and other boxes, errors that quote entries of the store. A text of 200,000 bytes gave a line of as many.

The log shortens each text to 1 KB when it writes a line, 4 KB for notes of the process, which may be the trace of a panic, and says how long it was. Lists keep their number of elements. What waits in the queues is not shortened.

--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -185,12 +185,12 @@
 	w.reported, w.reportedRoutine = all, routine
 }
 
-// writeEntry writes a line. It fails if the reader of the output has gone.
+// writeEntry writes a line with bounded texts. It fails if the reader of the output has gone.
 func (l *Log) writeEntry(e Event) error {
 	level := zapcore.InfoLevel
 	if !e.Routine() {
 		level = zapcore.WarnLevel
 	}
 	entry := zapcore.Entry{Level: level, Time: time.UnixMilli(int64(l.clock.Now())), Message: e.Name()}
-	return l.core.Write(entry, []zapcore.Field{zap.Inline(e)})
+	return l.core.Write(entry, []zapcore.Field{zap.Inline(bounded{e})})
 }
