test(soak): every other box may use eight processors

Boxes use one processor unless their settings say more, so that the soak played no races between processors any more.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -68,8 +68,9 @@
 	// Quotas also gives boxes only a share of processor time for some time, and Callers also sends requests of callers
 	// that use their connections in unusual ways. Both need Processes or Planned.
 	Quotas, Callers bool
-	// Limits runs boxes under limits and in surroundings that whoever starts processes may have, and Processors is what
-	// their settings allow, or 0 for a program whose settings don't have it. It needs Processes or Planned.
+	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
+	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
+	// every other box may use severalProcessors.
 	Limits     bool
 	Processors int
 	// KeepVersions makes servers that restart under their id run the same software version.
@@ -362,8 +363,11 @@
 	if f.settings.Load {
 		settings += fmt.Sprintf("balance: {load_cap: %d}\n", loadCap)
 	}
-	if f.settings.Limits {
+	switch {
+	case f.settings.Limits:
 		settings += f.settings.limitedSettings()
+	case f.settings.Processors > 0 && i%2 == 0:
+		settings += fmt.Sprintf("capacity: {processors: %d}\n", severalProcessors)
 	}
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
--- a/internal/soak/quotas.go
+++ b/internal/soak/quotas.go
@@ -22,7 +22,10 @@
 	quotaToExitSpan = maxQuotaLeadMs*time.Millisecond + stopSpan + stopSlack
 )
 
-// oneProcessor makes every other box use one processor at most, so that it runs no goroutines at once in its slices.
+// severalProcessors is how many processors every other box may use, so that it runs goroutines at once.
+const severalProcessors = 8
+
+// oneProcessor makes the other boxes use one processor at most, so that they run no goroutines at once in their slices.
 var oneProcessor = []string{"GOMAXPROCS=1"}
 
 func quotaFaults() []processFault {
