fix(inbound): callers that always send more hear of a close

Cause: each read of 4 KiB ends inside a request, so that something always waited; in a stop the kernel always had more.

Change: only the whole head of another request counts as read ahead. In a stop the kernel is asked in the first half of the grace period, and afterwards only what was read is answered before the close is announced.

TestEndlessPipelineGivesWay doesn't end without the change (ended after 60 s), and TestStopTellsEndlessPipelines was not run without it.

--- a/internal/gateway/evicted_test.go
+++ b/internal/gateway/evicted_test.go
@@ -76,3 +76,25 @@
 		}
 	})
 }
+
+// TestStopTellsEndlessPipelines guards against a caller that always sends more, hears nothing of a stop and is cut at its
+// end.
+func TestStopTellsEndlessPipelines(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", func(http.ResponseWriter, *http.Request) { advance(t, time.Second/8) })
+		b := f.box(1)
+		caller := b.connect(b.settings.CallersAddress)
+		text := requestText("/unsafe/", "Content-Length: 0\r\n")
+		go func() {
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(caller.conn, text)
+			}
+		}()
+		synctest.Wait()
+		b.stop()
+		for response := caller.response(); !response.Close; response = caller.response() {
+			assert.Equal(t, http.StatusOK, response.StatusCode)
+		}
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -93,8 +93,7 @@
 	c := inbound.ConnOf(hr.Context())
 	// A request may begin long before the stop.
 	writer.OnStart(func(header http.Header) {
-		stops := b.stopping.Load() && (c == nil || !c.Pipelined())
-		if stops || c != nil && c.GivesWay() {
+		if b.announcesClose(c) || c != nil && c.GivesWay() {
 			header.Set("Connection", "close")
 		}
 	})
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -94,6 +94,21 @@
 	return endMs - b.clock.Monotonic()
 }
 
+// announcesClose reports whether a response tells its caller that a stop closes the connection. In the first half of the
+// grace period, whatever waits on the connection is answered before, and then only what was read.
+func (b *Box) announcesClose(c *inbound.Conn) bool {
+	switch {
+	case !b.stopping.Load():
+		return false
+	case c == nil:
+		return true
+	case b.graceLeftMs() > shutdownGrace(b.Settings())/2:
+		return !c.Pipelined()
+	default:
+		return !c.IsAhead()
+	}
+}
+
 // drain waits until the connections on which requests arrive are closed, or the context ends.
 func (b *Box) drain(ctx context.Context) error {
 	errs := make([]error, len(b.drained))
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -71,6 +71,8 @@
 	ahead readAhead
 	// aheadBytes is how much ahead holds, and bodyBytes how much of the body of a request was not read.
 	aheadBytes, bodyBytes atomic.Int64
+	// headAhead is set while ahead may hold the whole head of a request.
+	headAhead atomic.Bool
 
 	mu sync.Mutex
 	// readDeadline is the time after which reads fail, or zero, and readDeadlineSet is when it was set.
@@ -131,7 +133,7 @@
 // GivesWay reports whether a new connection waits for the slot of the next one that is closed, and no request that was
 // read waits on this one. A response should then tell its caller to close the connection, so that it sends no request
 // that is not read.
-func (c *Conn) GivesWay() bool { return c.listener.isWaiting() && !c.isAhead() }
+func (c *Conn) GivesWay() bool { return c.listener.isWaiting() && !c.IsAhead() }
 
 // Unread returns the writing side of the connection.
 func (c *Conn) Unread() *exchange.Unread { return c.unread }
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -19,11 +19,12 @@
 // Pipelined reports whether the caller has sent more than the current request. A connection that is closed after the
 // response to it would leave another one unanswered.
 func (c *Conn) Pipelined() bool {
-	return c.isAhead() || c.bodyBytes.Load() == 0 && socket.HasUnread(c.Conn)
+	return c.IsAhead() || c.bodyBytes.Load() == 0 && socket.HasUnread(c.Conn)
 }
 
-// isAhead reports whether something past the end of the current request was read.
-func (c *Conn) isAhead() bool { return c.aheadBytes.Load() > c.bodyBytes.Load() }
+// IsAhead reports whether the head of another request was read past the end of the current one. A part of a head does
+// not count: a caller that always sends more would never be told to close the connection.
+func (c *Conn) IsAhead() bool { return c.headAhead.Load() && c.aheadBytes.Load() > c.bodyBytes.Load() }
 
 // TrackBodies returns a handler that tells connections how long the bodies of requests are.
 func TrackBodies(handler http.Handler) http.Handler {
@@ -71,6 +72,7 @@
 		data = nil
 	}
 	c.ahead.data = data
+	c.headAhead.Store(bytes.Contains(data, []byte("\n\r\n")) || bytes.Contains(data, []byte("\n\n")))
 	c.aheadBytes.Store(int64(len(data)))
 }
 
--- a/internal/inbound/readahead_test.go
+++ b/internal/inbound/readahead_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,3 +163,34 @@
 		}
 	})
 }
+
+// TestEndlessPipelineGivesWay guards against a caller that always sends more and keeps its slot of a full box.
+func TestEndlessPipelineGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		served := atomic.Int32{}
+		_, connect := servePipelined(t, func(w http.ResponseWriter, r *http.Request) {
+			served.Add(1)
+			<-time.After(time.Second)
+			if ConnOf(r.Context()).GivesWay() {
+				w.Header().Set("Connection", "close")
+			}
+		})
+		caller := connect()
+		go func() {
+			text := strings.Repeat(pipelined["no body"], 10)
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(caller, text)
+			}
+		}()
+		go func() { _, _ = io.Copy(io.Discard, caller) }()
+		synctest.Wait()
+		other := connect()
+		_, err := io.WriteString(other, pipelined["no body"])
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(other), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		// The server reads 4 KiB at once.
+		assert.LessOrEqual(t, int(served.Load()), 2+4096/len(pipelined["no body"]))
+	})
+}
