fix(gateway): a process that replaced the upstream does not vouch for the end of its response

Half of a response without a length passed for whole if the process crashed and another one answered at the address before the store told of it: any response to the health check that is sent afterwards counted. The health check now names the process that is meant, and 421 shows that it is gone.

A process that restarts under its own id, and one that ignores the name, can't be told apart before the store tells.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
@@ -14,9 +15,20 @@
 // box is partitioned from it: that the response was whole is not known then either.
 func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool {
 	client, path := lease.Client(), b.healthPath(lease.Pool)
+	header, replaced := http.Header{}, false
+	if b.dialect.ExpectUpstream != "" {
+		header.Set(b.dialect.ExpectUpstream, lease.ID)
+	}
 	runs := upstream.OutlivesClose(ctx, func() upstream.Liveness { return client.ProbeLiveness(ctx) },
-		func(ctx context.Context) bool { return path != "" && client.RespondsTo(ctx, path) })
-	return !runs || b.registry.AddressReused(lease.Identity(), sentMs)
+		func(ctx context.Context) bool {
+			status := 0
+			if path != "" {
+				status = client.CheckHealth(ctx, path, header)
+			}
+			replaced = status == http.StatusMisdirectedRequest
+			return status != 0
+		})
+	return !runs || replaced || b.registry.AddressReused(lease.Identity(), sentMs)
 }
 
 // healthPath returns the path of a pool's health checks, or none.
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -347,3 +347,28 @@
 		assert.Equal(f.t, http.StatusOK, response.StatusCode)
 	})
 }
+
+// TestUnframedResponseOfReplacedUpstream guards against half a response that passes for whole because another process
+// answers at the address, of which the store does not tell yet.
+func TestUnframedResponseOfReplacedUpstream(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		var answered atomic.Bool
+		u := f.unframed("u1", &answered, "text/plain", "do", "done", closed)
+		u.beforeEnd = func() {
+			address := u.listener.Addr().String()
+			assert.NoError(f.t, u.listener.Close())
+			listener, err := f.network.Host("u1").Listen("tcp", address)
+			assert.NoError(f.t, err)
+			other := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
+				if r.Header.Get("X-Expect") != "u2" {
+					w.WriteHeader(http.StatusMisdirectedRequest)
+				}
+			})}
+			f.t.Cleanup(func() { _ = other.Close() })
+			go func() { _ = other.Serve(listener) }()
+		}
+		status, _, err := f.box(1).get("/unsafe2/")
+		require.NoError(f.t, err)
+		assert.Equal(f.t, http.StatusBadGateway, status)
+	})
+}
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -50,17 +50,22 @@
 
 // RespondsTo reports whether the upstream responds to a health check, whatever it says.
 func (c *Client) RespondsTo(ctx context.Context, healthPath string) bool {
+	return c.CheckHealth(ctx, healthPath, http.Header{}) != 0
+}
+
+// CheckHealth returns the status with which the upstream responds to a health check, or 0 if it doesn't.
+func (c *Client) CheckHealth(ctx context.Context, healthPath string, header http.Header) (status int) {
 	response, err := c.Do(ctx, &Request{
-		Method: http.MethodGet, Target: healthPath, Host: c.address, Header: http.Header{},
+		Method: http.MethodGet, Target: healthPath, Host: c.address, Header: header,
 		Matches: func(http.Header) bool { return true },
 	})
 	if err != nil {
-		return false
+		return 0
 	}
 	defer response.Close()
 	if response.Framing() == ByLength && response.ContentLength <= maxCheckBytes {
 		// Without the whole body, the connection is closed.
 		_, _ = io.Copy(io.Discard, response)
 	}
-	return true
+	return response.StatusCode
 }
