--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -137,8 +137,8 @@
 		},
 		&cli.IntFlag{
 			Name: "processors", Value: 1,
-			Usage: "with --limits, processors that the settings of boxes allow; 0 leaves the field out of all settings, for " +
-				"older programs",
+			Usage: "with --limits, processors that the settings of boxes allow; 0 leaves the field out of all settings, " +
+				"for older programs",
 		},
 		&cli.BoolFlag{
 			Name: "callers",
--- a/internal/cmd/threads/threads.go
+++ b/internal/cmd/threads/threads.go
@@ -30,9 +30,9 @@
 // using is held while the number of processors changes.
 var using sync.Mutex
 
-// Use makes the process use at most a number of processors, at least one, and creates the threads that it then needs at
-// its busiest. The runtime keeps them. Where the user may not have as many threads, the process uses fewer processors,
-// and Use returns an error.
+// Use makes the process use at most a number of processors, at least one, and creates the threads that it then usually
+// needs. The runtime keeps them, and creates others only while other processes keep threads in system calls from
+// running. Where the user may not have as many threads, the process uses fewer processors, and Use returns an error.
 func Use(processors float64) error {
 	using.Lock()
 	defer using.Unlock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -94,8 +94,8 @@
 	return endMs - b.clock.Monotonic()
 }
 
-// announcesClose reports whether a response tells its caller that a stop closes the connection. In the first half of the
-// grace period, whatever waits on the connection is answered before, and then only what was read.
+// announcesClose reports whether a response tells its caller that a stop closes the connection. In the first half of
+// the grace period, whatever waits on the connection is answered before, and then only what was read.
 func (b *Box) announcesClose(c *inbound.Conn) bool {
 	switch {
 	case !b.stopping.Load():
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -363,12 +363,7 @@
 	if f.settings.Load {
 		settings += fmt.Sprintf("balance: {load_cap: %d}\n", loadCap)
 	}
-	switch {
-	case f.settings.Limits:
-		settings += f.settings.limitedSettings()
-	case f.settings.Processors > 0 && i%2 == 0:
-		settings += fmt.Sprintf("capacity: {processors: %d}\n", severalProcessors)
-	}
+	settings += f.settings.capacitySettings(i)
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -258,7 +258,19 @@
 	return errors.Join(os.WriteFile(f.settings.Program, content, sharedFile), os.Chmod(f.folder, sharedFile))
 }
 
-// limitedSettings are the settings of a box with limits.
+// capacitySettings are the settings of the capacity of a box.
+func (s *Settings) capacitySettings(box int) string {
+	switch {
+	case s.Limits:
+		return s.limitedSettings()
+	case s.Processors > 0 && box%2 == 0:
+		return fmt.Sprintf("capacity: {processors: %d}\n", severalProcessors)
+	default:
+		return ""
+	}
+}
+
+// limitedSettings are the settings of the capacity of a box with limits.
 func (s *Settings) limitedSettings() string {
 	processors := ""
 	if s.Processors > 0 {
