fix(gateway): the next process of a box serves while the one before drains

Cause: a process opens all its sockets or none, and the draining one kept three until its end that it did not need for its requests: readiness (TCP), metrics (TCP) and the UDP port for other boxes. Callers and peers (TCP) were closed in time.

Ruled out: connections of the old process on the ports of callers and peers (SO_REUSEADDR lets the next one listen beside them); the store and membership, which don't keep a process from serving; SO_REUSEPORT, which resets connections in the backlog that closes and hands datagrams to either process.

Change: with "listeners close" readiness and metrics end, and the mesh of the draining process goes on at a UDP port that the kernel chooses. Its datagrams say so, and it counts as a box of its own that drains: others and the next process know its requests, the next one doesn't count as draining, owners count its admissions and permits under the new address although they release those of the earlier process when they hear of the next one, and none of its news is taken for that of the next process. It adds nothing to the known boxes. Boxes of earlier releases take it for the box until they hear of the next process. A process tries its sockets every 50 ms, and the UDP socket always first, so that of several processes only the one that has it opens listeners. The wait for sockets is no pause of the process ("process paused" of 2.6 s before).

The network of the tests refuses an address that is taken. TestAdmissionsExpire counts its 20 s from when the stopping box tells of the prompt for the last time, which is now when it gives up its address; its bounds are the same.

--- a/internal/gateway/admissions_test.go
+++ b/internal/gateway/admissions_test.go
@@ -24,6 +24,8 @@
 			advance(f.t, 60*time.Second)
 			assert.Equal(f.t, 1, owner.Sizes().Admissions.Permits)
 			asker.stop()
+			// The box last tells of the prompt when it gives up its address.
+			advance(f.t, maxAnnounceMs.Duration())
 			advance(f.t, 10*time.Second)
 			assert.Equal(f.t, 1, owner.Sizes().Admissions.Permits)
 			advance(f.t, 11*time.Second)
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -82,7 +82,11 @@
 	// responses limits what the box holds of responses.
 	responses *exchange.Memory
 
-	servers []*http.Server
+	servers         []*http.Server
+	readinessServer *http.Server
+	peersSocket     *server.PacketConn
+	// endMetrics makes the box serve no more metrics.
+	endMetrics context.CancelFunc
 	// drained are the listeners that requests arrive on.
 	drained []*inbound.Listener
 	// evictions counts the connections that seemed idle when the box stopped or was full.
@@ -323,7 +327,9 @@
 		return b.endStart(ctx, err)
 	}
 	b.stalls.observe(b.clock.Monotonic())
-	b.goroutines.Go(func() { b.serveMetrics(background) })
+	served, endMetrics := context.WithCancel(background)
+	b.endMetrics = endMetrics
+	b.goroutines.Go(func() { b.serveMetrics(served) })
 	b.goroutines.Go(func() { b.peering.mesh.Run(background) })
 	b.goroutines.Go(func() { b.peering.run(background) })
 	b.goroutines.Go(func() { b.peering.expireAdmissions(background) })
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -138,8 +138,10 @@
 	if err != nil {
 		return nil, err
 	}
+	b.pauseDetector.begin()
 	failed := make(chan error, 1+len(sockets))
-	b.joinMesh(b.surviveErrors(conn, failed))
+	b.peersSocket = b.surviveErrors(conn, failed)
+	b.joinMesh(b.peersSocket)
 	if b.askAdmission == nil {
 		b.askAdmission = b.askOwner()
 	}
@@ -166,7 +168,7 @@
 }
 
 // surviveErrors returns a connection that opens the UDP socket for other boxes anew if it can't receive any more.
-func (b *Box) surviveErrors(conn net.PacketConn, failed chan<- error) net.PacketConn {
+func (b *Box) surviveErrors(conn net.PacketConn, failed chan<- error) *server.PacketConn {
 	address := b.settings.Load().PeersAddress
 	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
 		return b.binder().ListenPacket(ctx, peersUDP, address, b.packets)
@@ -185,7 +187,9 @@
 	}
 	conns := b.limitConnections(listener, options...)
 	b.servers = append(b.servers, h)
-	if s.name == "callers" || s.name == "peers" {
+	if s.name == "readiness" {
+		b.readinessServer = h
+	} else {
 		b.drained = append(b.drained, conns)
 	}
 	b.goroutines.Go(func() {
--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -42,11 +42,16 @@
 
 func newPauseDetector(b *Box) *pauseDetector {
 	p := &pauseDetector{box: b}
-	p.lastCheckMs.Store(int64(b.clock.Monotonic()))
-	p.processorMs.Store(int64(processorTimeMs()))
+	p.begin()
 	return p
 }
 
+// begin makes the time until now count as no pause.
+func (p *pauseDetector) begin() {
+	p.lastCheckMs.Store(int64(p.box.clock.Monotonic()))
+	p.processorMs.Store(int64(processorTimeMs()))
+}
+
 // check detects a pause since the last check and corrects everything that measures time: overdue timers fire, and the
 // time of the pause does not count as silence of the other boxes. Delays up to pauseThresholdMs are not corrected,
 // since boxes that have left would otherwise never expire on a machine that is slow all the time (TestSlowBox).
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -53,6 +53,7 @@
 	b.origins.tellAll()
 	_ = b.clock.Sleep(ctx, min(timingOf(b.Settings()).announceMs, max(0, b.graceLeftMs())))
 	b.recordStop("listeners close", nil)
+	b.handOver()
 	grace, cancel := b.clock.WithTimeout(ctx, max(1, b.graceLeftMs()))
 	defer cancel()
 	err := b.drain(grace)
--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -96,6 +96,27 @@
 	return true
 }
 
+// running returns the requests that run at upstreams of other owners.
+func (r *admissionRequests) running() []*admissionRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := []*admissionRequest{}
+	for _, q := range r.open {
+		if q.sent && q.owner.Box != q.mesh.self.Box {
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
+// runs reports whether a request has not ended, and whether its owner was told of the first event.
+func (r *admissionRequests) runs(number uint32) (runs, started bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.open[number]
+	return q != nil, q != nil && q.started
+}
+
 // resolve delivers an answer. It returns the box that answered, and false if no request is open at that owner.
 func (r *admissionRequests) resolve(number uint32, from string, answer admission.Answer) (owner string, found bool) {
 	r.mu.Lock()
@@ -131,7 +152,7 @@
 		return q.unknown(m.admissionOwnerAge(owner.Box))
 	}
 	sentMs := q.askedMs
-	q.send()
+	q.send(q.ask)
 	answer, err := q.next(ctx, admissionTimeoutMs)
 	switch {
 	case errors.Is(err, errUnanswered):
@@ -160,8 +181,8 @@
 
 // send asks the owner for the first time or again. The times left are those of now, so that an owner that has restarted
 // decides as the first one did.
-func (q *admissionRequest) send() {
-	m, a := q.mesh, q.ask
+func (q *admissionRequest) send(a admission.Ask) {
+	m := q.mesh
 	elapsed := m.clock.Monotonic() - q.askedMs
 	a.InTimeMs -= elapsed
 	a.PatienceMs -= elapsed
@@ -223,7 +244,7 @@
 				span = admissionTimeoutMs
 			}
 			repeated = true
-			q.send()
+			q.send(q.ask)
 		case err != nil:
 			return q.withdraw(last)
 		case answer.Verdict == admission.Queued:
@@ -264,10 +285,30 @@
 // request is sent, the owner counts it all the same, or else its count would lack requests for as long as it answers
 // late.
 func (q *admissionRequest) unknown(ownerAgeMs clock.Millis) admission.Reply {
-	return q.withEnd(admission.Reply{Unknown: true, OwnerAgeMs: ownerAgeMs, Count: func() {
-		q.ask.Force, q.ask.MayQueue = true, false
-		q.send()
-	}})
+	return q.withEnd(admission.Reply{Unknown: true, OwnerAgeMs: ownerAgeMs, Count: q.count})
+}
+
+// count makes the owner count the request, whatever the bounds.
+func (q *admissionRequest) count() {
+	a := q.ask
+	a.Force, a.MayQueue = true, false
+	q.send(a)
+}
+
+// recount makes the owner count a request that runs under the new address of this process.
+func (q *admissionRequest) recount() {
+	runs, started := q.mesh.admissions.runs(q.ask.ID.Number)
+	if !runs {
+		return
+	}
+	q.count()
+	if started {
+		q.tell(admissionStarted)
+	}
+	if runs, _ = q.mesh.admissions.runs(q.ask.ID.Number); !runs {
+		// It has ended meanwhile, perhaps before the owner counted it.
+		q.tell(admissionRelease)
+	}
 }
 
 func (q *admissionRequest) withEnd(r admission.Reply) admission.Reply {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -113,6 +113,10 @@
 	// streamDomains holds the boxes that may own streams.
 	streamDomains streamDomains
 	draining      bool
+	// movedTo is the address of this process once it has given up that of the box, or empty.
+	movedTo string
+	// formerPeers is the number of peers that have given up the address of their box.
+	formerPeers int
 	// toPing holds the boxes that are still to be pinged in this cycle.
 	toPing     []string
 	ignored    int64
@@ -197,9 +201,11 @@
 		recordOrigins:  d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		paceFindings: d.PaceFindings, recordPaceFindings: d.RecordPaceFindings,
 		random: d.Random, peers: map[string]*peer{},
-		admissionOwner:  newAdmissionOwner(d.Self.Address, d.Clock.Monotonic),
-		admissions:      admissionRequests{nextNumber: d.Random.Uint32(), open: map[uint32]*admissionRequest{}},
-		pendingPermits:  permitRequests{nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}},
+		admissionOwner: newAdmissionOwner(d.Self.Address, d.Clock.Monotonic),
+		admissions:     admissionRequests{nextNumber: d.Random.Uint32(), open: map[uint32]*admissionRequest{}},
+		pendingPermits: permitRequests{
+			nextNumber: d.Random.Uint32(), pending: map[uint32]chan permitMessageKind{}, held: map[uint32]heldPermit{},
+		},
 		inquiries:       newInquiries[originReply](d.Random.Uint32()),
 		attemptsBetween: d.AttemptsBetween, attemptInquiries: newInquiries[attemptsReply](d.Random.Uint32()),
 	}
@@ -241,6 +247,10 @@
 	if len(p.PaceFindings) > 0 {
 		m.recordPaceFindings(p.PaceFindings)
 	}
+	if p.GaveUpAddress && p.Type != typePing {
+		// It relays no state.
+		return
+	}
 	switch p.Type {
 	case typePing:
 		m.send(from.String(), m.forReceiver(m.packet(typeReply, p.PingToken), p.From.Box))
@@ -300,6 +310,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.Draining = m.draining
+	if m.movedTo != "" {
+		p.From.Address, p.GaveUpAddress = m.movedTo, true
+	}
 	if m.largeLocked() {
 		// In a large fleet, minutes pass between two messages from the same box, so loads by upstream
 		// would be outdated.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -19,12 +19,14 @@
 	"dooryard.example/dooryard/internal/pace"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
+	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/internal/streams"
 	"dooryard.example/dooryard/internal/testlib"
 )
 
 type box struct {
 	*Mesh
+	socket           *server.PacketConn
 	mu               sync.Mutex
 	unreachablePools []namekey.Key
 	// questions counts the questions about attempts.
@@ -119,11 +121,11 @@
 	address := "127.0." + strconv.Itoa(number/hosts) + "." + strconv.Itoa(number%hosts+1) + ":7000"
 	conn, err := f.network.Host(name).ListenPackets("udp", address)
 	require.NoError(f.t, err)
-	b := &box{inFlight: map[namekey.Key]int{}, ledger: newLedger(), origins: streams.NewLedger(clock.New().Monotonic)}
+	b := &box{socket: movable(conn), inFlight: map[namekey.Key]int{}, ledger: newLedger(), origins: streams.NewLedger(clock.New().Monotonic)}
 	b.parts = newPartLedger(func(part quarantine.PartKey) bool { return b.SendsTrials(part) })
 	b.Mesh = New(Dependencies{
 		Self:     Identity{Box: name, FailureDomain: domain, Address: address, Incarnation: 1 + f.restarts},
-		PeriodMs: 250, Clock: clock.New(), Conn: &filteredConn{PacketConn: conn, copies: &f.copies}, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
+		PeriodMs: 250, Clock: clock.New(), Conn: &filteredConn{PacketConn: b.socket, copies: &f.copies}, Contacts: func() []string { return []string{"127.0.0.1:7000"} },
 		StateSummary: func() StateSummary {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -107,6 +107,10 @@
 	PaceFindings []pace.Finding `cbor:"19,keyasint,omitempty"`
 	// ConfirmsUpstreams is set by boxes that tell the age of the list of upstreams. Those of earlier releases don't.
 	ConfirmsUpstreams bool `cbor:"20,keyasint,omitempty"`
+	// GaveUpAddress is set by a draining process that has left the address of the box to a later process. Its own address
+	// differs, and it counts as a box of its own until it ends. Boxes of earlier releases forget it when they hear of the
+	// later process.
+	GaveUpAddress bool `cbor:"21,keyasint,omitempty"`
 }
 
 // maxPacketBytes is the size of the receive buffer. The limits on cached parts, crash reports and
@@ -135,6 +139,9 @@
 			return nil, err
 		}
 	}
+	if p.GaveUpAddress {
+		p.From.Box = p.From.process()
+	}
 	return &p, nil
 }
 
@@ -146,6 +153,9 @@
 	return p.From.check()
 }
 
+// process returns a name of the process, which differs from that of the box.
+func (i Identity) process() string { return fmt.Sprintf("%s, process %d", i.Box, i.Incarnation) }
+
 func (i Identity) check() error {
 	if i.Box == "" || i.FailureDomain == "" {
 		return fmt.Errorf("%w: box and failure domain are required", ErrInvalid)
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -25,6 +25,8 @@
 	// confirmsUpstreams is set if the box tells the age of its list of upstreams.
 	confirmsUpstreams bool
 	draining          bool
+	// former is set if this process has given up the address of its box, which another process may have.
+	former bool
 	// unacked is the number of pings sent since the box's last message.
 	unacked int
 	// sentAnnouncements is the sequence number of the next cached prompt part to send to the box.
@@ -63,7 +65,7 @@
 		Identity: p.From, lastSeenMs: now, firstSeenMs: now, stateSummary: p.StateSummary, inFlight: p.InFlight,
 		inFlightByPool: p.InFlightByPool, draining: p.Draining,
 		unreachable: p.Unreachable, takesForwarded: p.TakesForwarded, keepsStreams: p.KeepsStreams,
-		confirmsUpstreams: p.ConfirmsUpstreams,
+		confirmsUpstreams: p.ConfirmsUpstreams, former: p.GaveUpAddress,
 	}
 	if known != nil && known.Incarnation == p.From.Incarnation && known.firstSeenMs > 0 {
 		updated.firstSeenMs, updated.sentAnnouncements = known.firstSeenMs, known.sentAnnouncements
@@ -79,7 +81,11 @@
 	updated.ackedCrashEvents = max(updated.ackedCrashEvents, p.CrashEventsAcked)
 	updated.receivedPartEvents = max(updated.receivedPartEvents, p.PartEventsNext)
 	updated.ackedPartEvents = max(updated.ackedPartEvents, p.PartEventsAcked)
-	if known == nil || known.firstSeenMs == 0 {
+	switch {
+	case updated.former && known == nil:
+		m.addFormerLocked(updated)
+	case updated.former:
+	case known == nil || known.firstSeenMs == 0:
 		m.directPeers++
 	}
 	if known != nil && known.Incarnation < p.From.Incarnation && known.firstSeenMs > 0 {
@@ -129,6 +135,10 @@
 			add("", contact)
 		}
 	}
+	if m.movedTo != "" {
+		// A later process of this box has to know what this one has in flight.
+		targets = append(targets, target{address: m.self.Address})
+	}
 	return targets
 }
 
@@ -171,19 +181,6 @@
 	return intervals
 }
 
-// forgetLocked removes boxes that have been silent for too long.
-func (m *Mesh) forgetLocked(now clock.Millis) {
-	after := max(forgetAfterMs, m.aliveTimeoutLocked())
-	for box, p := range m.peers {
-		if now-p.lastSeenMs > after {
-			delete(m.peers, box)
-			if p.firstSeenMs > 0 {
-				m.directPeers--
-			}
-		}
-	}
-}
-
 // nextPeerLocked returns the next box to ping. Each box is pinged once per cycle, in a random order
 // that changes with each cycle.
 func (m *Mesh) nextPeerLocked() *peer {
@@ -276,7 +273,7 @@
 func (m *Mesh) EnginePermits() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.peers) > smallFleetBoxes
+	return len(m.peers)-m.formerPeers > smallFleetBoxes
 }
 
 // largeLocked reports whether the fleet is so large that bandwidth is the limit.
@@ -422,7 +419,7 @@
 func (m *Mesh) KnownBoxes() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return 1 + len(m.peers)
+	return 1 + len(m.peers) - m.formerPeers
 }
 
 // IsStoreReader reports whether this box, according to its own view, reads the store on behalf of its
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -75,11 +76,18 @@
 	return p, nil
 }
 
-// permitRequests are this box's permit requests that wait for an answer.
+// permitRequests are this box's permit requests that wait for an answer, and those that other owners may count.
 type permitRequests struct {
 	mu         sync.Mutex
 	nextNumber uint32
 	pending    map[uint32]chan permitMessageKind
+	held       map[uint32]heldPermit
+}
+
+// heldPermit is a permit that the owner at an address may count.
+type heldPermit struct {
+	owner    string
+	upstream namekey.Key
 }
 
 func (r *permitRequests) start() (number uint32, answer chan permitMessageKind) {
@@ -97,6 +105,33 @@
 	delete(r.pending, number)
 }
 
+// hold records a permit that an owner may count, and drop that it was released.
+func (r *permitRequests) hold(number uint32, p heldPermit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[number] = p
+}
+
+func (r *permitRequests) drop(number uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.held, number)
+}
+
+// holds reports whether a permit is held, and all returns all that are.
+func (r *permitRequests) holds(number uint32) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, held := r.held[number]
+	return held
+}
+
+func (r *permitRequests) all() map[uint32]heldPermit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.held)
+}
+
 // resolve delivers an answer to the waiting request. Late answers are discarded.
 func (r *permitRequests) resolve(number uint32, kind permitMessageKind) {
 	r.mu.Lock()
@@ -149,6 +184,7 @@
 			return occupancy.Reply{}
 		}
 		reply.Unanswered, reply.Count = false, nil
+		m.pendingPermits.hold(number, heldPermit{owner: owner.Address, upstream: r.Upstream})
 		if reply.Provisional = kind == permitGrantedProvisionally; reply.Provisional {
 			m.recordProvisionalPermit()
 		}
@@ -164,6 +200,7 @@
 // received the request for the permit, or not have been asked.
 func (m *Mesh) unansweredPermit(owner Identity, number uint32, r PermitRequest) occupancy.Reply {
 	reply := occupancy.Reply{Granted: true, Provisional: true, Unanswered: true, Release: func(served bool) {
+		m.pendingPermits.drop(number)
 		release := permitMessage{Kind: permitRelease, Number: number}
 		if served {
 			release.Kind = permitReleaseServed
@@ -172,14 +209,20 @@
 	}}
 	if r.WithinMs == 0 {
 		reply.Count = func() {
-			m.sendPermitMessage(owner.Address, permitMessage{
-				Kind: permitAcquire, Number: number, Upstream: r.Upstream, Bound: math.MaxInt16,
-			})
+			m.pendingPermits.hold(number, heldPermit{owner: owner.Address, upstream: r.Upstream})
+			m.countPermit(number, heldPermit{owner: owner.Address, upstream: r.Upstream})
 		}
 	}
 	return reply
 }
 
+// countPermit makes an owner count a request, whatever the bounds.
+func (m *Mesh) countPermit(number uint32, p heldPermit) {
+	m.sendPermitMessage(p.owner, permitMessage{
+		Kind: permitAcquire, Number: number, Upstream: p.upstream, Bound: math.MaxInt16,
+	})
+}
+
 // ReportRejection tells the owner of an upstream that the upstream rejected a request for want of room.
 func (m *Mesh) ReportRejection(upstream namekey.Key, failureDomain string) {
 	owner, known := m.owner(upstream, failureDomain)
--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -12,8 +12,9 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// bindRetryMs is the time between two attempts to bind an address.
-const bindRetryMs clock.Millis = 100
+// bindRetryMs is the time between two attempts to bind an address. Callers find no listener for as long after another
+// process has closed its own.
+const bindRetryMs clock.Millis = 50
 
 // Binder opens sockets. It retries while their address is taken or not yet configured, or while descriptors or buffers
 // are exhausted, which may end by itself: another process on the machine, such as an earlier one of the same box, may
@@ -55,13 +56,14 @@
 }
 
 // OpenAll opens all sockets or none, in their order. While one of them can't be opened, the others are closed: an open
-// listener accepts connections that nobody serves yet.
+// listener accepts connections that nobody serves yet. The first socket should take no connections. It is always opened
+// first, so that of several processes only the one that has it opens the others.
 func (b Binder) OpenAll(ctx context.Context, sockets ...Socket) error {
 	return b.bind(ctx, func() error {
 		failed, err := openOnce(sockets)
-		if err != nil {
-			// The next attempt begins with the socket that failed, so that it opens no other one in vain.
-			sockets = slices.Concat(sockets[failed:], sockets[:failed])
+		if failed > 0 {
+			// The next attempt goes on with the socket that failed, so that it opens no other listener in vain.
+			sockets = slices.Concat(sockets[:1], sockets[failed:], sockets[1:failed])
 		}
 		return err
 	})
--- a/internal/server/packetconn.go
+++ b/internal/server/packetconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -19,6 +20,9 @@
 	address net.Addr
 	closed  context.Context
 	close   context.CancelFunc
+	// bound ends when the address is given up, also by Close.
+	bound  context.Context
+	unbind context.CancelFunc
 
 	mu     sync.Mutex
 	socket net.PacketConn
@@ -34,9 +38,28 @@
 		clock: c, reopen: reopen, onError: onError, onLost: onLost, address: socket.LocalAddr(), socket: socket,
 	}
 	p.closed, p.close = context.WithCancel(context.Background())
+	p.bound, p.unbind = context.WithCancel(p.closed)
 	return p
 }
 
+// Move gives up the address for another process and goes on with another socket, which is not opened anew if it fails.
+// If there is none, the connection is closed.
+func (p *PacketConn) Move(open func() (net.PacketConn, error)) error {
+	next, err := open()
+	if err != nil {
+		return errors.Join(err, p.Close())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unbind()
+	if p.closed.Err() != nil {
+		return next.Close()
+	}
+	before := p.socket
+	p.socket = next
+	return before.Close()
+}
+
 // ReadFrom implements net.PacketConn.
 func (p *PacketConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	for backoffMs := minAcceptBackoffMs; ; backoffMs = min(2*backoffMs, maxAcceptBackoffMs) {
@@ -48,38 +71,50 @@
 		if p.closed.Err() != nil {
 			return 0, nil, net.ErrClosed
 		}
+		if p.current() != socket {
+			continue
+		}
 		if !isDead(err) {
 			return n, from, err
 		}
 		p.onError(err)
-		if err := p.replace(socket); err != nil {
-			if p.closed.Err() == nil {
-				p.onLost(err)
-			}
-			return 0, nil, net.ErrClosed
-		}
-		if p.clock.Sleep(p.closed, backoffMs) != nil {
+		if !p.revive(socket, backoffMs) {
 			return 0, nil, net.ErrClosed
 		}
 	}
 }
 
+// revive replaces a dead socket, and backs off. It reports whether the connection can be used.
+func (p *PacketConn) revive(dead net.PacketConn, backoffMs clock.Millis) bool {
+	err := p.replace(dead)
+	if err != nil && p.closed.Err() == nil {
+		p.onLost(err)
+	}
+	return err == nil && p.clock.Sleep(p.closed, backoffMs) == nil
+}
+
 func (p *PacketConn) current() net.PacketConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.socket
 }
 
-// replace closes a dead socket and opens another one.
+// replace closes a dead socket and opens another one, unless the connection has moved to another address.
 func (p *PacketConn) replace(dead net.PacketConn) error {
 	// It is dead, whatever the error.
 	_ = dead.Close()
-	socket, err := p.reopen(p.closed)
-	if err != nil {
-		return err
-	}
+	socket, err := p.reopen(p.bound)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	moved := p.socket != dead
+	switch {
+	case moved && err == nil:
+		return socket.Close()
+	case moved:
+		return nil
+	case err != nil:
+		return err
+	}
 	p.socket = socket
 	if p.closed.Err() != nil {
 		return socket.Close()
--- a/internal/server/packetconn_test.go
+++ b/internal/server/packetconn_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/testlib"
 )
 
 // scriptedConn fails with its errors, and then receives datagrams until it is closed.
@@ -64,6 +65,34 @@
 		require.ErrorIs(t, err, net.ErrClosed)
 		assert.Equal(t, []error{syscall.EACCES}, lost)
 	})
+	t.Run("a receive goes on at the socket to which the connection moves", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			network := testlib.NewNetwork().Host("box")
+			first, err := network.ListenPackets("udp", "127.0.0.1:1")
+			require.NoError(t, err)
+			p := NewPacketConn(first, clock.New(), nil, func(err error) { assert.NoError(t, err) }, nil)
+			received := make(chan error)
+			go func() {
+				_, _, err := p.ReadFrom(make([]byte, 4))
+				received <- err
+			}()
+			synctest.Wait()
+			moved, err := network.ListenPackets("udp", "127.0.0.1:0")
+			require.NoError(t, err)
+			require.NoError(t, p.Move(func() (net.PacketConn, error) { return moved, nil }))
+			later, err := network.ListenPackets("udp", "127.0.0.1:1")
+			require.NoError(t, err, "another process can have the address")
+			_, err = later.WriteTo([]byte("data"), moved.LocalAddr())
+			require.NoError(t, err)
+			require.NoError(t, <-received)
+		})
+	})
+	t.Run("a connection that can't move is closed", func(t *testing.T) {
+		first := &scriptedConn{}
+		p := NewPacketConn(first, clock.New(), nil, nil, nil)
+		require.ErrorIs(t, p.Move(func() (net.PacketConn, error) { return nil, syscall.EMFILE }), syscall.EMFILE)
+		assert.True(t, first.closed)
+	})
 	t.Run("other errors are returned", func(t *testing.T) {
 		first := &scriptedConn{errs: []error{syscall.ENOBUFS}}
 		errs, _, err := receive(t, first, nil)
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -9,14 +9,16 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// Errors of dials and reads.
+// Errors of binds, dials and reads.
 var (
+	errTaken       = &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}
 	errRefused     = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	errReset       = &net.OpError{Op: "read", Err: syscall.ECONNRESET}
 	errUnreachable = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
@@ -164,9 +166,9 @@
 func (n *Network) Host(name string) Host { return Host{network: n, name: name} }
 
 func (n *Network) bind(address, owner string) string {
-	if address == "127.0.0.1:0" {
+	if host, found := strings.CutSuffix(address, ":0"); found {
 		n.port++
-		address = fmt.Sprintf("127.0.0.1:%d", n.port)
+		address = fmt.Sprintf("%s:%d", host, n.port)
 	}
 	n.hostByAddress[address] = owner
 	return address
@@ -177,6 +179,9 @@
 	n := h.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, errTaken
+	}
 	address = n.bind(address, h.name)
 	l := &listener{network: n, address: addr(address), accept: make(chan net.Conn), closed: make(chan struct{})}
 	n.listeners[address] = l
@@ -240,6 +245,9 @@
 	n := h.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.packets[address] != nil {
+		return nil, errTaken
+	}
 	address = n.bind(address, h.name)
 	p := &packetConn{
 		network: n, host: h.name, address: addr(address),
