fix(gateway): a process waits for its addresses until it is stopped

Callers saw: of three processes of a box, one that drains, one that serves next and one that was started meanwhile, the last ended with status 1 after 10 s ("address already in use"). When the second was stopped, nobody served.

Cause: the wait for a taken address ended after the grace period, at least 10 s. Whoever has it (an earlier process that gets no processor time, a process that was started twice, an outgoing connection from the port, an interface address that comes late) may release it later, and an end would only have whoever starts processes start the next one, which waits in the same way.

Change: at its start a box tries until it is stopped, with a line "listener retried" at the first error, at each other one and every 30 s; a bad or forbidden address still ends it at once. A socket that fails in a box that runs is tried for as long as before, as that box stops gracefully and others serve.

TestProcessesWaitForTheirTurn failed before (a process ended with EADDRINUSE).

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -57,3 +57,24 @@
 		assert.Empty(t, out.with("input ignored"))
 	})
 }
+
+// TestProcessesWaitForTheirTurn guards against processes of a box that end by themselves while another one serves, and
+// against callers without a box once that one stops.
+func TestProcessesWaitForTheirTurn(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u", respondWith("done"))
+		serves, stopped, waits := f.box(1), f.box(1), f.box(1)
+		advance(t, time.Minute)
+		assertStatus(t, serves, "/safe/", http.StatusOK)
+		stopped.stop()
+		synctest.Wait()
+		stopped.assertStopped()
+		serves.stop()
+		advance(t, maxAnnounceMs.Duration()+300*time.Millisecond)
+		assertStatus(t, waits, "/safe/", http.StatusOK)
+		advance(t, 2*time.Second)
+		serves.assertStopped()
+		assert.True(t, waits.Ready())
+	})
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -100,18 +100,25 @@
 	return g
 }
 
-// minBindTimeoutMs is the minimum time for which a box waits for an address that is taken.
-const minBindTimeoutMs = 10 * clock.Second
+// minRebindTimeoutMs is the minimum time for which a box that runs tries to open a socket anew.
+const minRebindTimeoutMs = 10 * clock.Second
 
-// binder returns the binder of the sockets without which the box can't run. It waits at least as long as an earlier
-// process of the box may take to stop.
+// binder returns the binder of the sockets without which the box can't run. At its start the box waits for them until
+// it is stopped: whatever has an address may release it at any time, and an end would only have the box start again.
 func (b *Box) binder() server.Binder {
 	return server.Binder{
-		Clock: b.clock, TimeoutMs: max(minBindTimeoutMs, shutdownGrace(b.Settings())),
-		OnRetry: func(err error) { b.RecordProcess("listener retried", err.Error()) },
+		Clock: b.clock, OnRetry: func(err error) { b.RecordProcess("listener retried", err.Error()) },
 	}
 }
 
+// rebinder returns the binder of sockets that have failed. The box stops gracefully if it can't open one for longer
+// than it would wait for an earlier process, since other boxes can serve its callers.
+func (b *Box) rebinder() server.Binder {
+	binder := b.binder()
+	binder.TimeoutMs = max(minRebindTimeoutMs, shutdownGrace(b.Settings()))
+	return binder
+}
+
 // peersUDP names the UDP socket for other boxes.
 const peersUDP = "peers UDP"
 
@@ -171,14 +178,14 @@
 func (b *Box) surviveErrors(conn net.PacketConn, failed chan<- error) *server.PacketConn {
 	address := b.settings.Load().PeersAddress
 	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
-		return b.binder().ListenPacket(ctx, peersUDP, address, b.packets)
+		return b.rebinder().ListenPacket(ctx, peersUDP, address, b.packets)
 	}, func(err error) { b.reportListenerError(peersUDP, err) }, func(err error) { failed <- err })
 }
 
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
 	h := b.newServer(s.handler)
 	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
-		return b.binder().Listen(ctx, s.name, s.address, b.listen)
+		return b.rebinder().Listen(ctx, s.name, s.address, b.listen)
 	}, func(err error) { b.reportListenerError(s.name, err) })
 	options := []inbound.Option{}
 	if s.name == "callers" {
--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -16,6 +16,9 @@
 // process has closed its own.
 const bindRetryMs clock.Millis = 50
 
+// bindReportMs is the time between two reports of an address that stays taken.
+const bindReportMs = 30 * clock.Second
+
 // Binder opens sockets. It retries while their address is taken or not yet configured, or while descriptors or buffers
 // are exhausted, which may end by itself: another process on the machine, such as an earlier one of the same box, may
 // release them soon.
@@ -23,7 +26,7 @@
 	Clock clock.Clock
 	// TimeoutMs is for how long it tries; 0 means until the context ends.
 	TimeoutMs clock.Millis
-	// OnRetry is called with the first error of a socket and whenever the error changes.
+	// OnRetry is called with the first error of a socket, whenever the error changes, and every 30 s.
 	OnRetry func(err error)
 }
 
@@ -95,7 +98,7 @@
 
 // bind opens sockets and retries errors that may end by themselves.
 func (b Binder) bind(ctx context.Context, open func() error) error {
-	startMs, last := b.Clock.Monotonic(), ""
+	startMs, last, reportedMs := b.Clock.Monotonic(), "", clock.Millis(0)
 	for {
 		err := open()
 		if err == nil {
@@ -104,8 +107,8 @@
 		if !mayBeReleased(err) || b.TimeoutMs > 0 && b.Clock.Monotonic()-startMs >= b.TimeoutMs {
 			return err
 		}
-		if text := err.Error(); text != last {
-			last = text
+		if text, now := err.Error(), b.Clock.Monotonic(); text != last || now-reportedMs >= bindReportMs {
+			last, reportedMs = text, now
 			b.OnRetry(err)
 		}
 		if stopped := b.Clock.Sleep(ctx, bindRetryMs); stopped != nil {
