fix(server): dooryard-router serves what waits on its connections before it stops

Callers of dooryard-router saw connections closed without a response in each stop, on a calm machine. Cause: http.Server.Shutdown resets connections that wait to be accepted, and closes those whose first request it has just read or that seem idle although a request waits. dooryard-gateway has internal/inbound for this, which dooryard-router did not use.

Change: the listeners for callers, peers and operators of dooryard-router are those of internal/inbound, over the listener that survives errors: Drain accepts what waits, serves what arrives on open connections, and asks the kernel before it closes an idle one. Responses announce the close from the signal on; callers that have ended only their side are answered; a full listener closes the connection that was idle for longest instead of letting new ones wait. Operators are served until the claims are written. TLS connections work too: what can't be seen in records (held ends, requests that were read together) is left out for them. Writes still wait for a caller for request.write_timeout_ms, so connections hold nothing (a nil Memory). Requests that outlast the drain have their contexts ended before connections are closed. The hooks of http.Server are shared (inbound.Attach).

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -210,22 +210,24 @@
 	peers.Routes(peersHandler, peers.Dependencies{
 		Store: b.store, Claim: b.claims.ClaimLocal, Submit: b.claims.SubmitLocal,
 	})
-	operatorsHandler := operators.New(operators.Dependencies{
+	operatorsHandler := server.RequireKey(b.keys.operators, operators.New(operators.Dependencies{
 		Store: b.store, Pools: b.pools, Status: func() any { return b.Status() }, Drain: b.Drain, Metrics: b.metrics,
-	})
+	}))
 	opened := []struct {
 		name     string
 		settings config.Listener
 		handler  http.Handler
 		target   **server.Server
+		options  []server.Option
 	}{
-		{"callers", b.settings.Callers, b.callers, &b.servers.callers},
-		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, fromPeers), &b.servers.peers},
-		{"operators", b.settings.Operators, server.RequireKey(b.keys.operators, operatorsHandler), &b.servers.operators},
+		// A box or an operator's tool that ends its side of a connection has left.
+		{"callers", b.settings.Callers, b.callers, &b.servers.callers, []server.Option{server.WithHeldEnds()}},
+		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, fromPeers), &b.servers.peers, nil},
+		{"operators", b.settings.Operators, operatorsHandler, &b.servers.operators, nil},
 	}
 	for _, o := range opened {
-		opened, err := server.Open(
-			o.name, o.settings, limits, o.handler, b.listenWithRetries(ctx, o.name), server.WithOnPanic(b.handlerPanicked))
+		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listenWithRetries(ctx, o.name),
+			append(o.options, server.WithClock(b.clock), server.WithOnPanic(b.handlerPanicked))...)
 		if err != nil {
 			b.closeListeners()
 			return err
--- a/internal/box/stop.go
+++ b/internal/box/stop.go
@@ -20,27 +20,39 @@
 	traceFlushMs      = 2 * clock.Second
 	// claimFlushMs is the time for claims of requests that were cut at the end of the drain.
 	claimFlushMs = 2 * clock.Second
+	// lastResponsesMs is the time for the responses to these requests. The call that cancels a request at its engine
+	// fits into it.
+	lastResponsesMs = 2500 * clock.Millis(1)
+	// operatorsDrainMs is the time for requests of operators, which are served until all others have ended.
+	operatorsDrainMs = 2 * clock.Second
 )
 
 // Drain starts a graceful shutdown.
 func (b *Box) Drain() { b.drainOnce.Do(func() { close(b.drain) }) }
 
-// stop shuts down gracefully: it withdraws readiness and announces the shutdown to peers,
-// waits for running requests, flushes claims, and then closes the listeners.
+// stop shuts down gracefully: it withdraws readiness and announces the shutdown to peers and callers, waits for running
+// requests, flushes claims, and then closes the listeners.
 func (b *Box) stop(ctx context.Context) error {
 	config.SetDefault(&b.settings.Stop.AnnounceMs, defaultAnnounceMs)
 	config.SetDefault(&b.settings.Stop.DrainMs, defaultDrainMs)
 	b.draining.Store(true)
 	b.gossip.Leave()
 	b.logger.Info("graceful shutdown started", zap.String("box", b.settings.Box))
-	_ = b.clock.Sleep(ctx, clock.Millis(b.settings.Stop.AnnounceMs))
-	drainMs := clock.Millis(b.settings.Stop.DrainMs)
+	announceMs, drainMs := clock.Millis(b.settings.Stop.AnnounceMs), clock.Millis(b.settings.Stop.DrainMs)
+	for _, s := range b.allServers() {
+		s.AnnounceClose(announceMs + drainMs)
+	}
+	_ = b.clock.Sleep(ctx, announceMs)
 	drain, endDrain := context.WithTimeout(ctx, drainMs.Duration())
 	defer endDrain()
-	flush, endFlush := context.WithTimeout(ctx, (drainMs + claimFlushMs).Duration())
+	flush, endFlush := context.WithTimeout(ctx, (drainMs + 2*lastResponsesMs + claimFlushMs).Duration())
 	defer endFlush()
+	// Other boxes have claims of their requests recorded here while those of callers run.
 	err := errors.Join(b.drainServer(drain, b.servers.callers), b.drainServer(drain, b.servers.peers))
 	err = errors.Join(err, b.flushClaims(flush))
+	last, endLast := context.WithTimeout(ctx, operatorsDrainMs.Duration())
+	defer endLast()
+	err = errors.Join(err, b.drainServer(last, b.servers.operators))
 	b.closeListeners()
 	b.logger.Info("stopped", zap.String("box", b.settings.Box), zap.Error(err))
 	return err
@@ -49,12 +61,14 @@
 // drainServer waits for the running requests of a server. It cuts those that outlast the drain, which is no fault of
 // the box.
 func (b *Box) drainServer(ctx context.Context, s *server.Server) error {
-	err := s.Shutdown(ctx)
+	err := s.Drain(ctx)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	b.logger.Warn("requests cut", zap.String("box", b.settings.Box), zap.Error(err))
-	s.Close()
+	last, endLast := context.WithTimeout(context.WithoutCancel(ctx), lastResponsesMs.Duration())
+	defer endLast()
+	s.Cut(last)
 	return nil
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,6 +55,9 @@
 // ErrAnswered stops the processing of a request that already has a response.
 var ErrAnswered = errors.New("already answered")
 
+// ErrStopping is the cause with which the context of a request ends that outlasts the stop of its box.
+var ErrStopping = errors.New("the box stops")
+
 // StatusCallerDisconnected is the status in logs and metrics for a request whose caller disconnected before
 // the response. It is never sent.
 const StatusCallerDisconnected = 499
@@ -115,6 +118,9 @@
 // Context returns a context that is done when the caller disconnects or the deadline passes.
 func (x *Exchange) Context() context.Context { return x.ctx }
 
+// Stopping reports whether the request was ended because it outlasts the stop of the box.
+func (x *Exchange) Stopping() bool { return errors.Is(context.Cause(x.ctx), ErrStopping) }
+
 // SetContext replaces the context by one derived from it.
 func (x *Exchange) SetContext(ctx context.Context) { x.ctx = ctx }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -196,11 +196,12 @@
 }
 
 func (b *Box) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: inbound.TrackBodies(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	s := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: headerBytes(b.settings.Load().Capacity), ErrorLog: b.newServerErrorLog(),
-		ConnContext: inbound.WithConn, ConnState: inbound.TrackIdle(b.clock.Monotonic),
 	}
+	inbound.Attach(s, b.clock.Monotonic)
+	return s
 }
 
 // callerTimeouts returns the operators' limits for callers.
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -34,8 +34,9 @@
 // Conn is a connection from a caller.
 type Conn struct {
 	net.Conn
-	listener    *Listener
-	release     func()
+	listener *Listener
+	release  func()
+	// unread is nil if writes wait for the caller.
 	unread      *exchange.Unread
 	state       atomic.Int32
 	idleSinceMs atomic.Int64
@@ -135,13 +136,16 @@
 // that is not read.
 func (c *Conn) GivesWay() bool { return c.listener.isWaiting() && !c.IsAhead() }
 
-// Unread returns the writing side of the connection.
+// Unread returns the writing side of the connection, or nil if writes wait for the caller.
 func (c *Conn) Unread() *exchange.Unread { return c.unread }
 
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.responded.Store(true)
 	c.writes.Add(1)
+	if c.unread == nil {
+		return c.Conn.Write(data) //nolint:wrapcheck // The server compares it.
+	}
 	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
 }
 
@@ -208,11 +212,16 @@
 	_ = c.Close()
 }
 
+// Attach makes a server tell the connections of a Listener what happens on them. The clock is monotonic.
+func Attach(s *http.Server, monotonic func() clock.Millis) {
+	s.Handler, s.ConnContext, s.ConnState = TrackBodies(s.Handler), WithConn, TrackIdle(monotonic)
+}
+
 // TrackIdle returns a hook for http.Server.ConnState that tells connections when they become idle, and when a request
 // on them is handled.
 func TrackIdle(monotonic func() clock.Millis) func(c net.Conn, state http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
-		c, ok := conn.(*Conn)
+		c, ok := belowTLS(conn).(*Conn)
 		if !ok {
 			return
 		}
@@ -223,11 +232,19 @@
 	}
 }
 
+// belowTLS returns the connection that carries the records of a TLS connection, or the connection itself.
+func belowTLS(conn net.Conn) net.Conn {
+	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return secured.NetConn()
+	}
+	return conn
+}
+
 type connKey struct{}
 
 // WithConn is a hook for http.Server.ConnContext. It adds the connection to the contexts of its requests.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, belowTLS(c))
 }
 
 // ResetOnClose makes the server reset the connection of a request, instead of closing it in order.
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -14,7 +14,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
-	"dooryard.example/dooryard/internal/server"
 )
 
 // Listener accepts at most a fixed number of connections at a time. When it is full, a new connection takes the
@@ -38,6 +37,8 @@
 	holdsEnds bool
 	// timeouts is set by WithTimeouts, or nil.
 	timeouts func() Timeouts
+	// encrypted is set by WithEncryption.
+	encrypted bool
 
 	// evicting is held while idle connections are closed in favour of others, so that each new one closes one.
 	evicting sync.Mutex
@@ -68,8 +69,11 @@
 // WithEvictions sets where evictions are counted.
 func WithEvictions(e *Evictions) Option { return func(l *Listener) { l.evictions = e } }
 
+// WithEncryption tells that connections carry TLS records, in which the end of a request can't be seen.
+func WithEncryption() Option { return func(l *Listener) { l.encrypted = true } }
+
 // NewListener returns a listener that accepts at most maxConns connections at a time. Responses limits what it holds
-// for callers that don't read.
+// for callers that don't read. If it is nil, writes wait for their callers, until the deadline that the server sets.
 func NewListener(
 	socket net.Listener, maxConns int, responses *exchange.Memory, c clock.Clock, options ...Option,
 ) *Listener {
@@ -130,7 +134,9 @@
 	c := &Conn{Conn: conn, listener: l}
 	c.prepareTake()
 	c.release = sync.OnceFunc(func() { l.remove(c, hasSlot) })
-	c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
+	if l.responses != nil {
+		c.unread = exchange.NewUnread(conn, l.responses, l.clock, c.reset)
+	}
 	l.conns[c] = struct{}{}
 	return c
 }
@@ -211,8 +217,8 @@
 // other connection is left.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.unlimitedOnce.Do(func() { close(l.unlimited) })
-	if listener, ok := l.Listener.(*server.Listener); ok {
-		listener.AwaitAccepted(ctx)
+	if socket, ok := l.Listener.(interface{ AwaitAccepted(ctx context.Context) }); ok {
+		socket.AwaitAccepted(ctx)
 	}
 	err := l.Close()
 	select {
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -39,6 +39,9 @@
 
 // readRequest reads no further than the end of a request. The rest of what a read of the socket returns is held.
 func (c *Conn) readRequest(data []byte) (int, error) {
+	if c.listener.encrypted {
+		return c.readSocket(data)
+	}
 	held := len(c.ahead.data)
 	if held > 0 && (len(data) != readAheadBytes || !c.handling.Load()) {
 		// An eviction finds either held data or a connection that is active.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,12 +12,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/secret"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -30,7 +31,8 @@
 	MaxHeaderBytes  int
 	HeaderTimeoutMs clock.Millis
 	IdleTimeoutMs   clock.Millis
-	// MaxConnections is the maximum number of simultaneous connections.
+	// MaxConnections is the maximum number of simultaneous connections. Beyond it, a new connection takes the place of
+	// one that its caller keeps idle.
 	MaxConnections int
 }
 
@@ -57,10 +59,18 @@
 
 // Server serves one listener with a handler.
 type Server struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
-	onPanic  func(trace string)
+	name    string
+	server  *http.Server
+	conns   *inbound.Listener
+	serves  net.Listener
+	clock   clock.Clock
+	onPanic func(trace string)
+	// holdsEnds is set by WithHeldEnds.
+	holdsEnds bool
+	// closingMs is until when responses close connections only if nothing waits on them, or zero while they close none.
+	closingMs atomic.Int64
+	// cut ends the contexts of all requests.
+	cut context.CancelCauseFunc
 }
 
 // Option configures a Server in Open.
@@ -69,36 +79,80 @@
 // WithOnPanic sets the function that is called with the trace of each handler that panicked.
 func WithOnPanic(onPanic func(trace string)) Option { return func(s *Server) { s.onPanic = onPanic } }
 
+// WithClock replaces the system clock.
+func WithClock(c clock.Clock) Option { return func(s *Server) { s.clock = c } }
+
+// WithHeldEnds answers callers that have ended their side of the connection while their request is processed, unless
+// they have left. It has no effect on TLS connections.
+func WithHeldEnds() Option { return func(s *Server) { s.holdsEnds = true } }
+
 // Open opens a listener. Requests are handled once Serve is called.
 func Open(
 	name string, settings config.Listener, limits Limits, handler http.Handler, listen Listen, options ...Option,
 ) (*Server, error) {
+	s := &Server{name: name, clock: clock.New(), onPanic: func(string) {}}
+	for _, option := range options {
+		option(s)
+	}
 	listener, err := listen("tcp", settings.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%s listener: %w", name, err)
 	}
-	listener = netutil.LimitListener(listener, limits.MaxConnections)
-	if settings.TLS.Enabled() {
-		certificate, err := newCertificateReloader(settings.TLS)
-		if err != nil {
-			return nil, errors.Join(fmt.Errorf("%s listener: %w", name, err), listener.Close())
-		}
-		listener = tls.NewListener(listener, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certificate.get})
-	}
-	s := &Server{name: name, listener: listener, onPanic: func(string) {}}
-	for _, option := range options {
-		option(s)
+	if err := s.setListener(listener, settings.TLS, limits.MaxConnections); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s listener: %w", name, err), listener.Close())
 	}
+	requests, cut := context.WithCancelCause(context.Background())
+	s.cut = cut
 	s.server = &http.Server{
-		Handler:           handler,
+		Handler:           s.announceClose(handler),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeoutMs.Duration(),
 		IdleTimeout:       limits.IdleTimeoutMs.Duration(),
 		ErrorLog:          log.New(panicWriter{onPanic: s.onPanic}, "", 0),
+		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
+	inbound.Attach(s.server, s.clock.Monotonic)
 	return s, nil
 }
 
+// setListener sets the listener that accepts connections, and the one that the HTTP server serves.
+func (s *Server) setListener(listener net.Listener, settings config.TLS, maxConnections int) error {
+	options := []inbound.Option{}
+	if s.holdsEnds {
+		options = append(options, inbound.WithHeldEnds())
+	}
+	if !settings.Enabled() {
+		s.conns = inbound.NewListener(listener, maxConnections, nil, s.clock, options...)
+		s.serves = s.conns
+		return nil
+	}
+	certificate, err := newCertificateReloader(settings)
+	if err != nil {
+		return err
+	}
+	s.conns = inbound.NewListener(listener, maxConnections, nil, s.clock, append(options, inbound.WithEncryption())...)
+	s.serves = tls.NewListener(s.conns, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certificate.get})
+	return nil
+}
+
+// announceClose returns a handler whose responses tell callers to close their connections once the server stops.
+func (s *Server) announceClose(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := inbound.ConnOf(r.Context())
+		announce := func(header http.Header) {
+			if c.GivesWay() || s.closes(c) {
+				header.Set("Connection", "close")
+			}
+		}
+		writer := exchange.NewWriter(w)
+		writer.OnStart(announce)
+		handler.ServeHTTP(writer, r)
+		if !writer.Started() {
+			announce(writer.Header())
+		}
+	})
+}
+
 const (
 	// panicPrefix begins the message of net/http about a handler that panicked.
 	panicPrefix = "http: panic serving"
@@ -119,25 +173,52 @@
 }
 
 // Address returns the address to which the listener is bound.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.conns.Addr().String() }
 
-// Serve handles requests until Shutdown or Close is called.
+// Serve handles requests until Drain or Close is called.
 func (s *Server) Serve() error {
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(s.serves)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("%s listener: %w", s.name, err)
 }
 
-// Shutdown closes the listener and waits for running requests to finish.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
+// closes reports whether the connection of a response is closed because the server stops.
+func (s *Server) closes(c *inbound.Conn) bool {
+	switch untilMs := s.closingMs.Load(); {
+	case untilMs == 0:
+		return false
+	case int64(s.clock.Monotonic()) < untilMs:
+		return !c.Pipelined()
+	default:
+		// A caller that always sends more would never be told.
+		return !c.IsAhead()
+	}
+}
+
+// AnnounceClose makes responses tell callers to close their connections. In the first half of the grace period,
+// whatever waits on a connection is answered before, and then only what was read.
+func (s *Server) AnnounceClose(grace clock.Millis) {
+	s.closingMs.Store(int64(s.clock.Monotonic() + max(1, grace/2)))
+}
+
+// Drain closes the listener and serves the requests that have arrived and those that arrive on open connections, until
+// no connection is left. It returns the context's error if that ends before.
+func (s *Server) Drain(ctx context.Context) error {
+	if err := errors.Join(s.conns.Drain(ctx), ctx.Err()); err != nil {
 		return fmt.Errorf("%s listener: %w", s.name, err)
 	}
 	return nil
 }
 
+// Cut ends the contexts of requests with exchange.ErrStopping as their cause, and waits for their last responses until
+// no connection is left or the context ends.
+func (s *Server) Cut(ctx context.Context) {
+	s.cut(exchange.ErrStopping)
+	s.conns.CloseIdle(ctx)
+}
+
 // Close closes the listener and all connections immediately.
 func (s *Server) Close() { _ = s.server.Close() }
 
