fix(pipeline): requests that outlast the stop of dooryard-router get a response

Callers whose requests outlasted stop.drain_ms saw their connection closed without a response, also while a body still arrived. Cause: the server closed all connections, and each step took the end of the request's context for a caller that had left. Change: the context ends with the cause exchange.ErrStopping; the pipeline responds with 503 (not run) or 502 (unknown), box_stopping and a Retry-After; a begun stream ends with its error event; a claimed request, which outlives its caller, ends too, so that its claim is recorded as unknown. The reading of a body ends.

--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -349,6 +349,23 @@
 			assert.NotEqual(tf.t, load.Complete, result.Verdict, "the request must outlast the drain")
 		}, withSettings(func(r *config.Router) { r.Stop.DrainMs = 300 }))
 	})
+	t.Run("whose drain ends before the requests answer them", func(t *testing.T) {
+		for _, key := range []string{"", "k"} {
+			run(t, func(tf *testFleet) {
+				tf.Services()[0].SetFaults(func(f *standin.ServerFaults) { f.DelayMs = 10_000 })
+				group := sync.WaitGroup{}
+				group.Go(func() {
+					result := tf.file(0, key)
+					assert.Equal(tf.t, 502, result.Status, "%+v", result)
+					assert.EqualValues(tf.t, "unknown", result.Outcome)
+				})
+				tf.wait(200)
+				tf.Boxes()[0].Drain()
+				require.NoError(tf.t, tf.Boxes()[0].Wait())
+				group.Wait()
+			}, withSettings(func(r *config.Router) { r.Stop.DrainMs = 300 }))
+		}
+	})
 	t.Run("are announced to the other boxes immediately", func(t *testing.T) {
 		run(t, func(tf *testFleet) {
 			tf.wait(5000)
--- a/internal/pipe/claim/claim.go
+++ b/internal/pipe/claim/claim.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"dooryard.example/dooryard/internal/apierror"
@@ -123,12 +124,23 @@
 }
 
 // detach keeps the request running after its caller disconnects, so that the response is
-// recorded for the caller's next attempt.
+// recorded for the caller's next attempt. The end of the box's stop still ends it.
 func (p *Pipe) detach(x *exchange.Exchange) {
 	remaining := x.RemainingMs(p.now()).Duration()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.Context()), remaining)
+	detached, end := context.WithCancelCause(context.WithoutCancel(x.Context()))
+	attached := x.Context()
+	stopWaiting := context.AfterFunc(attached, func() {
+		if cause := context.Cause(attached); errors.Is(cause, exchange.ErrStopping) {
+			end(cause)
+		}
+	})
+	ctx, cancel := context.WithTimeout(detached, remaining)
 	x.SetContext(ctx)
-	x.OnSettle(func(*exchange.Exchange) { cancel() })
+	x.OnSettle(func(*exchange.Exchange) {
+		stopWaiting()
+		cancel()
+		end(context.Canceled)
+	})
 }
 
 // sendWindowDivisor limits sending to the first half of the claim window, so that the owner of a
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -193,7 +193,7 @@
 	if failed.responseStarted || x.Writer.Started() {
 		return errors.Join(exchange.ErrAnswered, failed)
 	}
-	if errors.Is(x.Context().Err(), context.Canceled) {
+	if errors.Is(x.Context().Err(), context.Canceled) && !x.Stopping() {
 		p.metrics.CallerDisconnects.Add(1)
 		return apierror.New(exchange.StatusCallerDisconnected, "caller_gone", "the caller left", apierror.WithCause(failed))
 	}
--- a/internal/pipe/forward/stream.go
+++ b/internal/pipe/forward/stream.go
@@ -180,18 +180,19 @@
 // event, so that it does not appear complete.
 func (s *streamRelay) abort(cause error) *failure {
 	s.cancelUpstream()
-	if errors.Is(cause, errCallerDisconnected) || s.x.Context().Err() != nil && !s.x.Writer.Started() {
+	if errors.Is(cause, errCallerDisconnected) ||
+		s.x.Context().Err() != nil && !s.x.Writer.Started() && !s.x.Stopping() {
 		s.p.metrics.CallerDisconnects.Add(1)
 		return &failure{cause: cause, responseStarted: s.x.Writer.Started()}
 	}
 	if !s.x.Writer.Started() {
-		return &failure{cause: cause, upstreamFault: true}
+		return &failure{cause: cause, upstreamFault: !s.x.Stopping()}
 	}
 	s.p.metrics.TruncatedStreams.Add(1)
 	s.x.Outcome = exchange.Unknown
 	// Write errors are ignored: the caller has disconnected and can't get the event.
 	_ = s.write(errorFrame())
-	return &failure{cause: cause, upstreamFault: true, responseStarted: true}
+	return &failure{cause: cause, upstreamFault: !s.x.Stopping(), responseStarted: true}
 }
 
 // errorFrame returns the error event that ends an incomplete stream.
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -145,7 +145,9 @@
 	// The error is ignored: only response writers of tests do not support deadlines, and tests have no
 	// slow callers.
 	_ = controller.SetReadDeadline((p.now() + clock.Millis(p.settings.BodyTimeoutMs)).Time())
+	stopWaiting := context.AfterFunc(x.Context(), func() { x.Writer.SetReadTimeout(1) })
 	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, p.settings.MaxBodyBytes))
+	stopWaiting()
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -4,10 +4,12 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/apierror"
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/pipe"
 	"dooryard.example/dooryard/internal/pipe/admit"
@@ -93,11 +95,27 @@
 	if x.Writer.Started() {
 		return false
 	}
+	if x.Stopping() {
+		err = stopping(x, err)
+	}
 	x.SetOutcomeHeaders()
 	apierror.From(err).Write(x.Writer)
 	return false
 }
 
+// stoppingRetryMs is the Retry-After of a request that another box may serve at once.
+const stoppingRetryMs = clock.Second
+
+// stopping returns the response error for a request that outlasts the stop of the box.
+func stopping(x *exchange.Exchange, cause error) error {
+	status := http.StatusBadGateway
+	if x.Outcome == exchange.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	return apierror.New(status, "box_stopping", "this box stops; outcome: "+string(x.Outcome),
+		apierror.WithRetryAfter(stoppingRetryMs), apierror.WithCause(cause))
+}
+
 // runLast runs the last step.
 func (p *Pipeline) runLast(x *exchange.Exchange) {
 	if err := p.last.Run(x); err != nil {
