fix(config): a key of another release does not keep a box from starting

Cause: unknown keys were errors, since one may be a misspelt limit. Of the limits only freshness.max_age_ms has no safe default.

Ruled out: ignoring them always (`freshnes: {max_age_ms: 2000}` would accept revoked keys), and waiting 3 s as for other values: a file that is being written lacks its rest, which is waited for.

--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -25,6 +25,8 @@
 	// Adapt reads a settings file with other values for optional ones that Load refuses. The first error tells what it
 	// has changed. It is nil if the daemon needs valid settings.
 	Adapt func(path string) (settings T, changed, err error)
+	// IsFinal reports whether an error of Load doesn't end when a file that is being written is complete. It may be nil.
+	IsFinal func(err error) bool
 	// Err receives a message if the settings file can't be used yet, or only in part.
 	Err io.Writer
 	// Run runs the daemon until the context ends.
@@ -83,16 +85,22 @@
 	startMs, last := c.Monotonic(), ""
 	for {
 		settings, err := d.Load(path)
-		if err == nil || c.Monotonic()-startMs < settingsTimeoutMs && c.Sleep(ctx, settingsRetryMs) != nil {
-			return settings, err
+		if err == nil {
+			return settings, nil
 		}
-		if c.Monotonic()-startMs >= settingsTimeoutMs {
-			return d.adapt(path, err)
+		if over := c.Monotonic()-startMs >= settingsTimeoutMs; over || d.IsFinal != nil && d.IsFinal(err) {
+			adapted, refused := d.adapt(path, err)
+			if over || refused == nil {
+				return adapted, refused
+			}
 		}
 		if text := err.Error(); text != last {
 			last = text
 			fmt.Fprintf(d.Err, "%s: settings are read again for up to %d ms: %s\n", d.Name, settingsTimeoutMs, text)
 		}
+		if c.Sleep(ctx, settingsRetryMs) != nil {
+			return settings, err
+		}
 	}
 }
 
--- a/internal/cmd/daemon/daemon_test.go
+++ b/internal/cmd/daemon/daemon_test.go
@@ -105,6 +105,32 @@
 			require.ErrorIs(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f", "--check"}), errInvalid)
 		})
 	})
+	t.Run("does not wait for a file that is complete", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start, ran := time.Now(), ""
+			d := Daemon[string]{
+				Name: "daemon", Err: io.Discard,
+				Load:    func(string) (string, error) { return "", errInvalid },
+				Adapt:   func(string) (settings string, changed, err error) { return "adapted", errInvalid, nil },
+				IsFinal: func(err error) bool { return errors.Is(err, errInvalid) },
+				Run: func(_ context.Context, _, settings string) error {
+					ran = settings
+					return nil
+				},
+			}
+			require.NoError(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f"}))
+			assert.Equal(t, "adapted", ran)
+			assert.Zero(t, time.Since(start))
+			d.Adapt = func(string) (settings string, changed, err error) {
+				if time.Since(start) < time.Second {
+					return "", nil, errInvalid
+				}
+				return "complete", errInvalid, nil
+			}
+			require.NoError(t, d.Command().Run(t.Context(), []string{"daemon", "--settings", "f"}))
+			assert.Equal(t, "complete", ran, "a file whose rest is missing is read again")
+		})
+	})
 	t.Run("--check does not wait", func(t *testing.T) {
 		reads := 0
 		_, err := runWith(t, func() error {
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"os"
 	"reflect"
 
@@ -87,9 +88,11 @@
 	}
 	first := w.content == nil
 	w.content = content
-	settings, err := config.ParseGateway(w.path, content)
-	if err != nil {
+	settings, ignored, err := config.ParseKnown(w.path, content)
+	if err = errors.Join(ignored, err); err != nil {
 		b.ReportInvalidInput("settings file", err)
+	}
+	if ignored == nil && err != nil {
 		return
 	}
 	if first && reflect.DeepEqual(settings, w.loaded) {
--- a/internal/cmd/gatewaycmd/watcher_test.go
+++ b/internal/cmd/gatewaycmd/watcher_test.go
@@ -51,6 +51,13 @@
 		w.reload(b)
 		assert.Equal(t, int64(7000), b.Settings().Freshness.MaxAgeMs)
 	})
+	t.Run("ignores keys of other releases", func(t *testing.T) {
+		write(strings.Replace(settingsFile, "5000", "6000", 1) + "sidecar: x\n")
+		w.reload(b)
+		assert.Equal(t, int64(6000), b.Settings().Freshness.MaxAgeMs)
+		write(strings.Replace(settingsFile, "5000", "7000", 1))
+		w.reload(b)
+	})
 	t.Run("keeps the old settings if the file is invalid", func(t *testing.T) {
 		write("box: [\n")
 		w.reload(b)
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -172,7 +172,8 @@
 }
 
 // AdaptGateway reads a gateway's settings file like LoadGateway. If it can't use optional values, it takes the default
-// or the nearest value in range in their place. The first error tells what it has changed.
+// or the nearest value in range in their place, and it ignores the keys of other releases. The first error tells what
+// it has changed.
 func AdaptGateway(path string) (settings Gateway, changed, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -182,6 +183,21 @@
 	return settings, changed, err
 }
 
+// ParseKnown decodes the content of a gateway's settings file like ParseGateway, but ignores the keys of other
+// releases. The first error tells which.
+func ParseKnown(name string, data []byte) (settings Gateway, ignored, err error) {
+	settings, err = ParseGateway(name, data)
+	if !OnlyUnknownKeys(err) {
+		return settings, nil, err
+	}
+	var adapted Gateway
+	ignored, refused := adapt(name, data, &adapted)
+	if refused != nil || !OnlyUnknownKeys(ignored) {
+		return settings, nil, err
+	}
+	return adapted, ignored, nil
+}
+
 // Check implements Checker.
 func (g *Gateway) Check() error {
 	errs := []error{
@@ -219,6 +235,10 @@
 	return errs
 }
 
+// Guards implements Adjuster. Without a bound on the age of the routing state, revoked keys are accepted for as long as
+// the store does not respond.
+func (g *Gateway) Guards() []string { return []string{"freshness.max_age_ms"} }
+
 // Adjust implements Adjuster.
 func (g *Gateway) Adjust() error {
 	errs, maxAgeMs := []error{}, g.Freshness.MaxAgeMs
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -138,3 +138,49 @@
 		})
 	}
 }
+
+// TestSettingsOfOtherReleases guards against a box that does not start, or does not reload, because of a key that a newer
+// release has added.
+func TestSettingsOfOtherReleases(t *testing.T) {
+	const bound = gatewayFile + "freshness: {max_age_ms: 5000}\n"
+	want, err := ParseGateway("f", []byte(bound))
+	require.NoError(t, err)
+	assertIgnored := func(t *testing.T, content string) {
+		t.Helper()
+		_, err := ParseGateway("f", []byte(content))
+		require.ErrorIs(t, err, ErrInvalid, "it stays an error where settings are checked")
+		require.True(t, OnlyUnknownKeys(err))
+		settings, changed, err := adaptFile(t, content)
+		require.NoError(t, err)
+		require.ErrorContains(t, changed, ": field ")
+		assert.Equal(t, want.Freshness, settings.Freshness)
+		parsed, ignored, err := ParseKnown("f", []byte(content))
+		require.NoError(t, err)
+		assert.True(t, OnlyUnknownKeys(ignored))
+		assert.Equal(t, settings.Freshness, parsed.Freshness)
+	}
+	for name, line := range map[string]string{
+		"value":                "sidecar: x\n",
+		"section":              "sidecar: {port: 1, names: [a, b]}\n",
+		"key of a section":     "capacity: {accelerators: 2}\n",
+		"several":              "sidecar: x\ncapacity: {accelerators: 2}\n",
+		"section without keys": "sidecar:\n",
+	} {
+		t.Run(name, func(t *testing.T) { assertIgnored(t, bound+line) })
+	}
+	t.Run("beside no limit, which is said", func(t *testing.T) {
+		settings, _, err := adaptFile(t, gatewayFile+"freshness: {max_age_ms: 0}\nsidecar: x\n")
+		require.NoError(t, err)
+		assert.Zero(t, settings.Freshness.MaxAgeMs)
+	})
+	for name, line := range map[string]string{
+		"wrong type":   "sidecar: x\ncapacity: {memory_mb: much}\n",
+		"out of range": "sidecar: x\ncapacity: {memory_mb: 2000000}\n",
+	} {
+		t.Run("a reload is refused: "+name, func(t *testing.T) {
+			_, ignored, err := ParseKnown("f", []byte(bound+line))
+			require.ErrorIs(t, err, ErrInvalid)
+			assert.NoError(t, ignored)
+		})
+	}
+}
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -21,6 +22,8 @@
 type FieldError struct {
 	Key    string
 	Reason string
+	// Unknown is set if the file has a key that this release doesn't know.
+	Unknown bool
 }
 
 // Error implements error.
@@ -59,20 +62,45 @@
 	// Adjust sets optional numbers that are out of range to the nearest one in range, and returns a FieldError for each,
 	// joined by errors.Join. It leaves those whose nearest value would loosen a limit that was asked for.
 	Adjust() error
+	// Guards returns the keys of limits that have no safe default.
+	Guards() []string
 }
 
-// adapt decodes settings like parse, but sets numbers that are out of range to the nearest one in range. The first
-// error tells what it has changed. Unknown keys and values of the wrong type are errors: what they were meant to set is
-// not known, and it may be a limit.
+// adapt decodes settings like parse, but sets numbers that are out of range to the nearest one in range, and ignores
+// keys that another release may know. The first error tells what it has changed. Values of the wrong type are errors,
+// and so is an unknown key while a guard is not set, which it may be meant to set.
 func adapt(name string, data []byte, target Adjuster) (changed, err error) {
 	invalid, err := decode(name, data, target)
-	if err != nil || invalid != nil {
+	ignorable := invalid == nil || OnlyUnknownKeys(invalid) && setsAll(data, target.Guards())
+	if err != nil || !ignorable {
 		return nil, errors.Join(err, invalid)
 	}
-	changed = locateFieldErrors(name, data, target.Adjust())
+	changed = errors.Join(invalid, locateFieldErrors(name, data, target.Adjust()))
 	return changed, locateFieldErrors(name, data, target.Check())
 }
 
+// OnlyUnknownKeys reports whether an error of a settings file is about unknown keys and nothing else.
+func OnlyUnknownKeys(err error) bool {
+	return err != nil && !slices.ContainsFunc(fieldErrors(err), func(e *FieldError) bool { return !e.Unknown })
+}
+
+// setsAll reports whether a file sets each of the keys.
+func setsAll(data []byte, keys []string) bool {
+	var document yaml.Node
+	if yaml.Unmarshal(data, &document) != nil || len(document.Content) == 0 {
+		return false
+	}
+	for _, key := range keys {
+		node := document.Content[0]
+		for part := range strings.SplitSeq(key, ".") {
+			if node, _ = child(node, part); node == nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func parse(name string, data []byte, target Checker) error {
 	invalid, err := decode(name, data, target)
 	if err != nil || invalid != nil {
@@ -102,7 +130,11 @@
 	return invalid, nil
 }
 
-var linePattern = regexp.MustCompile(`^line (\d+): (.*)$`)
+var (
+	linePattern = regexp.MustCompile(`^line (\d+): (.*)$`)
+	// unknownPattern matches what the decoder says of a key that the settings don't have.
+	unknownPattern = regexp.MustCompile(`^field \S+ not found in type `)
+)
 
 // locateDecodeErrors adds the file, the line and the key to each error of the decoder.
 func locateDecodeErrors(name string, data []byte, err error) error {
@@ -119,7 +151,9 @@
 			continue
 		}
 		line, _ := strconv.Atoi(parts[1])
-		field := &FieldError{Key: keyAt(&document, line, ""), Reason: parts[2]}
+		field := &FieldError{
+			Key: keyAt(&document, line, ""), Reason: parts[2], Unknown: unknownPattern.MatchString(parts[2]),
+		}
 		located = append(located, fmt.Errorf("%s:%d: %w", name, line, field))
 	}
 	return errors.Join(located...)
