test(mesh): the test of a store reader of an earlier release takes one lock

Cause: a deadlock of the test, found in the dump of a play that stood still. The test locked the box of the fixture and then its mesh. A round of the mesh holds its own lock while it calls back, and the callback locks the box of the fixture. After two seconds on the bubble's clock the rounds of that instant run beside the test, so that each could hold one lock and wait for the other. Goroutines that wait for a mutex aren't durably blocked, so that the bubble waits too instead of reporting a deadlock. For the same reason a message of that instant could undo what the test had set, so that no reader was chosen.

Ruled out: the runtime, and the product. No other test takes both locks (grep for Mesh.mu), and callbacks of the mesh always run below its lock.

The test waits until the rounds have ended, and takes the mesh's lock only, which guards the field that it changes. Its assertions are unchanged.

--- a/internal/mesh/store_readers_test.go
+++ b/internal/mesh/store_readers_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -58,12 +59,11 @@
 		before := readers(f.boxes...)
 		require.Len(t, before, 1)
 		rest := slices.DeleteFunc(slices.Clone(f.boxes), func(b *box) bool { return b.self.Box == before[0] })
+		synctest.Wait()
 		for _, b := range rest {
-			b.mu.Lock()
 			b.Mesh.mu.Lock()
 			b.peers[before[0]].confirmsUpstreams = false
 			b.Mesh.mu.Unlock()
-			b.mu.Unlock()
 		}
 		assert.Len(t, readers(rest...), 1, "the boxes of this release choose one of their own")
 	})
