fix(balance): a backoff lasts to its end, and single trial requests follow

Three causes, found by reading, each with a test that fails before:

- Readings of the clock are rounded down to whole milliseconds, so that a backoff ended up to a millisecond before the upstream's own count of it (999.1 ms of 1,000 ms in the test).
The gateway adds the clock's resolution.
- The response to a request from before the backoff ended the probation that follows it, so that all waiting requests were sent at its end.
An upstream that is overloaded still answers what it accepted before.
Only the response to a request that was picked after the backoff ends the probation now.
- Requests that were picked before the backoff and whose connections opened only after it were all sent.
One of them is now sent as the trial request, and the others are picked again.

Ruled out: the boxes' admission walk, which checks the candidate again under the lock in which it counts the request; permits, which count before they ask; and several boxes, since all four requests came from one.

Unchanged: where nearly all upstreams of a pool are on probation (panic_percent), none is left out, so that the first one whose backoff ends gets more than single requests; callers are spread over time by Retry-After there. The comment of BackOff now says so.

--- a/internal/balance/ejection.go
+++ b/internal/balance/ejection.go
@@ -19,9 +19,11 @@
 
 // acceptsRequest reports whether a request may be sent.
 func (e *ejection) acceptsRequest(now clock.Millis) bool {
-	if e.health.Ejected(now) {
-		return false
-	}
+	return !e.health.Ejected(now) && e.trialDue(now)
+}
+
+// trialDue reports whether probation leaves room for a request.
+func (e *ejection) trialDue(now clock.Millis) bool {
 	return !e.probation || now-e.lastTrialMs >= trialIntervalMs
 }
 
--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -154,12 +154,14 @@
 	}
 }
 
-// recordResponseStart records that the upstream started to respond. This ends its probation and counts
-// as contact with its failure domain. It does not end a partition: only a probe decides whether a
-// partitioned path has recovered.
-func (m *Manager) recordResponseStart(member *Member) {
+// recordResponseStart records that the upstream started to respond to a request that was counted there at a time. This
+// ends its probation, unless the request is older than the end of a backoff, and counts as contact with its failure
+// domain. It does not end a partition: only a probe decides whether a partitioned path has recovered.
+func (m *Manager) recordResponseStart(member *Member, countedMs clock.Millis) {
 	m.recordRespondedAgain(member)
-	member.probation = false
+	if countedMs >= member.signals.backoffUntilMs {
+		member.probation = false
+	}
 	member.lastResponseMs.Store(int64(m.monotonic()))
 	m.pathTo(member.FailureDomain).recordResponse(m.monotonic())
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -97,6 +97,8 @@
 	withinMs clock.Millis
 	// onRelease returns the permit to the engine's owner; nil if there is none.
 	onRelease func(served bool)
+	// countedMs is when the request was counted at the upstream, before a connection was opened for it.
+	countedMs clock.Millis
 	// sentMs is when the request was sent, or 0.
 	sentMs clock.Millis
 	// responding is set while the response is being received.
@@ -187,10 +189,16 @@
 	}
 	l.inFlight++
 	l.path.recordSend(now)
-	l.recordSend(now)
+	l.recordTrial(now)
 	l.manager.recordColdSend(l.Member, now)
 }
 
+// recordTrial records that the request may serve as a trial request.
+func (l *Lease) recordTrial(now clock.Millis) {
+	l.recordSend(now)
+	l.countedMs = now
+}
+
 const percent = 100
 
 // candidatesOrError returns the members that may receive the request, or the reason why there are none.
@@ -467,7 +475,7 @@
 func (l *Lease) RecordResponseStart() {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
-	l.manager.recordResponseStart(l.Member)
+	l.manager.recordResponseStart(l.Member, l.countedMs)
 	l.recordFirstByte(l.manager.monotonic())
 	l.announceParts()
 	if !l.responding && !l.released {
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -86,7 +86,7 @@
 // It reports whether the upstream was not backing off before. If several backoffs overlap, the one
 // that ends last applies. After the backoff the upstream receives single trial requests, as after an
 // ejection, until it answers one: if all waiting requests were sent at once, they would overload it
-// again.
+// again. Only if nearly all of its pool is on probation (Settings.PanicPercent), it receives all.
 func (l *Lease) BackOff(duration clock.Millis, request string) bool {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
@@ -131,21 +131,24 @@
 
 // CheckBeforeSend returns an error if the request must not be sent once its connection is open: the
 // upstream may have asked for a backoff, or announced that it is draining, since it was picked. Otherwise it counts the
-// request as sent.
+// request as sent. If a backoff has begun and ended since, the request is sent only as a trial request.
 func (l *Lease) CheckBeforeSend() error {
 	l.manager.mu.Lock()
 	defer l.manager.mu.Unlock()
+	now := l.manager.monotonic()
+	afterBackoff := l.countedMs < l.signals.backoffUntilMs
 	switch {
 	case l.draining():
 		return ErrDraining
 	case l.evacuated && !l.mayUseReserve():
 		return ErrEvacuated
-	case l.signals.backingOff(l.manager.monotonic()):
+	case l.signals.backingOff(now), afterBackoff && !l.trialDue(now):
 		return ErrBackingOff
-	default:
-		l.recordSent(l.manager.monotonic())
-		return nil
+	case afterBackoff:
+		l.recordTrial(now)
 	}
+	l.recordSent(now)
+	return nil
 }
 
 // BackingOff returns the number of upstreams that are backing off, by pool. Zeros are omitted.
--- a/internal/balance/signals_test.go
+++ b/internal/balance/signals_test.go
@@ -128,6 +128,18 @@
 		f.now += backoffMs
 		require.NoError(t, two.CheckBeforeSend())
 	})
+	t.Run("of requests that were picked before a backoff, one at a time is sent after it", func(t *testing.T) {
+		f := newFixture(t, 3)
+		one, two, three := f.pick(t, sticky("s")), f.pick(t, sticky("s")), f.pick(t, sticky("s"))
+		require.Equal(t, []string{one.ID, one.ID}, []string{two.ID, three.ID})
+		one.BackOff(backoffMs, "r")
+		f.now += backoffMs
+		require.NoError(t, two.CheckBeforeSend())
+		require.ErrorIs(t, three.CheckBeforeSend(), ErrBackingOff)
+		assert.NotEqual(t, one.ID, f.pick(t, sticky("s")).ID)
+		two.RecordResponseStart()
+		require.NoError(t, three.CheckBeforeSend())
+	})
 	t.Run("nothing is fetched from an upstream that is backing off", func(t *testing.T) {
 		f := newFixture(t, 6)
 		ask := sticky("s")
@@ -149,6 +161,18 @@
 		trial.RecordResponseStart()
 		assert.Equal(t, first.ID, f.pick(t, sticky("s")).ID)
 	})
+	t.Run("a response to a request from before a backoff does not end the trials after it", func(t *testing.T) {
+		f := newFixture(t, 6)
+		earlier, refused := f.pick(t, sticky("s")), f.pick(t, sticky("s"))
+		require.Equal(t, earlier.ID, refused.ID)
+		refused.BackOff(backoffMs, "r")
+		refused.Release(Neutral)
+		earlier.RecordResponseStart()
+		earlier.Release(Succeeded)
+		f.now += backoffMs
+		assert.Equal(t, earlier.ID, f.pick(t, sticky("s")).ID)
+		assert.NotEqual(t, earlier.ID, f.pick(t, sticky("s")).ID)
+	})
 	t.Run("a response that arrives while the entry is gone, or later, counts", func(t *testing.T) {
 		f := newFixture(t, 3).withStartTimes()
 		one, two := f.pick(t, sticky("s")), f.pick(t, sticky("s"))
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -14,6 +14,10 @@
 // Second is one second.
 const Second Millis = 1000
 
+// Resolution is by how much readings of a clock may be rounded down. A span that must not end early has to be longer by
+// it.
+const Resolution Millis = 1
+
 // Duration returns the duration as a time.Duration.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -273,6 +273,26 @@
 			assert.Equal(f.t, 12, a.usedSince(startMs+overloadEndMs), "all take part again")
 		})
 	})
+	t.Run("a backoff that is asked for within a millisecond lasts to its end", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			const backoffMs, tick = 1000, 100 * time.Microsecond
+			received := []time.Time{}
+			f.upstream("u0", func(w http.ResponseWriter, r *http.Request) {
+				received = append(received, time.Now())
+				w.Header().Set(headerBackoffMs, strconv.Itoa(backoffMs))
+				respondNotRun(w, r)
+			})
+			b := f.box(1)
+			<-time.After(9 * tick)
+			for range (backoffMs + 10) * time.Millisecond / tick {
+				_, _, err := b.get("/safe/")
+				require.NoError(f.t, err)
+				<-time.After(tick)
+			}
+			require.Len(f.t, received, 2)
+			assert.GreaterOrEqual(f.t, received[1].Sub(received[0]), backoffMs*time.Millisecond)
+		})
+	})
 	t.Run("the longest backoff counts, despite edits, an expired entry and a suspension", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			a := newSignalingUpstreams(f, 3)
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -2,6 +2,7 @@
 
 import (
 	"dooryard.example/dooryard/internal/balance"
+	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/opaque"
 )
@@ -25,7 +26,7 @@
 		b.metrics.DrainingAnnounced()
 		b.log.Record(event)
 	}
-	if signals.BackoffMs > 0 && lease.BackOff(signals.BackoffMs, request) {
+	if signals.BackoffMs > 0 && lease.BackOff(signals.BackoffMs+clock.Resolution, request) {
 		b.metrics.BackoffRequested()
 		event.BackoffMs = signals.BackoffMs
 		b.log.Record(event)
