test(soak): restarts that overlap

Whoever restarts a box need not wait for the end of the process before it: the next one is started at its SIGTERM or a little later. The soak held one process per box and always waited, so it could not show what a start beside a draining process does.

A box of the soak now holds all processes that were started, each with what it was asked for: signals go to the latest one, pauses and kills to all, and quotas stay with the process that they began with (they would have left the earlier one stopped). Each end counts.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -63,7 +63,7 @@
 			}
 		}
 	}
-	for _, added := range []string{"quotas", "callers", "limits"} {
+	for _, added := range []string{"quotas", "callers", "limits", "overlaps"} {
 		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
@@ -130,6 +130,10 @@
 			Name:  "quotas",
 			Usage: "also give boxes a share of processor time only; requires --planned or --processes",
 		},
+		&cli.BoolFlag{
+			Name:  "overlaps",
+			Usage: "also start the next process of a box before the one before has ended; requires --planned or --processes",
+		},
 		&cli.BoolFlag{
 			Name: "limits",
 			Usage: "run boxes under limits and in surroundings that whoever starts processes may have, as a user of their " +
@@ -174,7 +178,7 @@
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
-		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"),
+		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"), Overlaps: c.Bool("overlaps"),
 		Limits: c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -44,14 +44,14 @@
 // receives reports whether the program receives a signal that is sent now. It receives SIGTERM and SIGINT before it
 // writes its first line; until then nothing of the box is open, and it may end by them. SIGHUP must not end it once any
 // of its code has run.
-func (p *process) receives(s syscall.Signal) bool {
+func (p *process) receives(i *incarnation, s syscall.Signal) bool {
 	switch {
-	case time.Since(p.started)-p.withheld >= earlySpan:
+	case time.Since(i.started)-i.withheld >= earlySpan:
 		return true
 	case s == syscall.SIGHUP:
-		return p.replaced() && hasSignal(p.command.Process.Pid, s, "SigIgn", "SigCgt")
+		return p.replaced(i) && hasSignal(i.command.Process.Pid, s, "SigIgn", "SigCgt")
 	default:
-		return p.wrote
+		return i.wrote
 	}
 }
 
@@ -105,13 +105,14 @@
 	asked  askedEnd
 }
 
-// recordExit records the end of a process that was started at a time.
-func (p *process) recordExit(state *os.ProcessState, started time.Time) {
+// recordExit records the end of a process.
+func (p *process) recordExit(i *incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	state := i.command.ProcessState
 	e := exit{
-		at: time.Now(), ranMs: time.Since(started).Milliseconds(), status: state.String(), ok: state.Success(),
-		signal: -1, asked: p.asked,
+		at: time.Now(), ranMs: time.Since(i.started).Milliseconds(), status: state.String(), ok: state.Success(),
+		signal: -1, asked: i.asked,
 	}
 	if status, isStatus := state.Sys().(syscall.WaitStatus); isStatus {
 		e.signal = status.Signal()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -68,6 +68,8 @@
 	// Quotas also gives boxes only a share of processor time for some time, and Callers also sends requests of callers
 	// that use their connections in unusual ways. Both need Processes or Planned.
 	Quotas, Callers bool
+	// Overlaps also starts the next process of a box before the one before it has ended. It needs Processes or Planned.
+	Overlaps bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -386,7 +388,7 @@
 // close kills all processes that the run started and closes its listeners.
 func (f *fleet) close() {
 	for _, b := range f.boxes {
-		if b.process != nil && b.process.command != nil {
+		if b.process != nil {
 			// The process may have exited before; there is nothing to handle.
 			_ = b.process.kill()
 		}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -66,6 +66,8 @@
 	forwarded map[string]func(address string) bool
 	lost      lostStats
 	otherCuts []string
+	// refusals are the times in which boxes refused connections beside restarts that overlap.
+	refusals []refusal
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
 	// timed is set if time bounds are checked too.
@@ -149,6 +151,7 @@
 	violations = append(violations, h.checkPartitions()...)
 	violations = append(violations, h.checkLost()...)
 	violations = append(violations, h.checkCallers()...)
+	violations = append(violations, h.checkRefusals()...)
 	return append(violations, h.checkSignals()...)
 }
 
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -70,9 +70,9 @@
 	Nice, Mask   int
 }
 
-// drawLimits returns limits and surroundings for one of a number of boxes, which run as a user of their own. If user is
-// 0, they run as that of the run, whose threads have no limit since other processes count towards it.
-func drawLimits(random *rand.Rand, user, boxes, threads int) limits {
+// drawLimits returns limits and surroundings for one of a number of processes, which run as a user of their own. If
+// user is 0, they run as that of the run, whose threads have no limit since other processes count towards it.
+func drawLimits(random *rand.Rand, user, processes, threads int) limits {
 	seldom := func() bool { return random.IntN(unusualOneIn) == 0 }
 	l := limits{
 		User: user, Threads: threads,
@@ -85,7 +85,7 @@
 		Draw: random.Int(),
 	}
 	if user != 0 {
-		l.Limits[unix.RLIMIT_NPROC] = uint64(boxes * threads)
+		l.Limits[unix.RLIMIT_NPROC] = uint64(processes * threads)
 	}
 	if seldom() {
 		l.Nice = lowerNice
@@ -287,7 +287,11 @@
 	if os.Geteuid() == 0 {
 		user = firstUser + int(f.settings.Seed%userCount)
 	}
-	l := drawLimits(random, user, f.settings.Boxes, maxThreads(f.settings.Processors))
+	processes := f.settings.Boxes
+	if f.settings.Overlaps {
+		processes += f.settings.Boxes * maxOverlaps / minStopsApart
+	}
+	l := drawLimits(random, user, processes, maxThreads(f.settings.Processors))
 	p.settings = filepath.Join(f.folder, p.name+".yaml")
 	err := os.WriteFile(p.settings, []byte(p.content), 0o600)
 	if err == nil && user != 0 {
@@ -332,7 +336,7 @@
 func (p *process) sampleThreads() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.running() || !p.replaced() {
+	if !p.running() || !p.replaced(p.incarnation) {
 		return
 	}
 	p.threads = max(p.threads, len(readThreads(p.command.Process.Pid, "comm")))
@@ -347,18 +351,18 @@
 }
 
 // awaitHandler waits until the program handles a signal that it has inherited as ignored, because it would be lost.
-func (p *process) awaitHandler(s syscall.Signal) {
+func (p *process) awaitHandler(i *incarnation, s syscall.Signal) {
 	if p.limits == nil || !slices.Contains(p.limits.Ignored, s) {
 		return
 	}
-	handled := func() bool { return p.replaced() && hasSignal(p.command.Process.Pid, s, "SigCgt") }
-	for time.Since(p.started) < earlySpan && p.running() && !handled() {
+	handled := func() bool { return p.replaced(i) && hasSignal(i.command.Process.Pid, s, "SigCgt") }
+	for time.Since(i.started) < earlySpan && i.running() && !handled() {
 		time.Sleep(linkPollInterval)
 	}
 }
 
 // replaced reports whether a process runs its own program and not its launcher's any more.
-func (p *process) replaced() bool {
-	program, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", p.command.Process.Pid))
+func (p *process) replaced(i *incarnation) bool {
+	program, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", i.command.Process.Pid))
 	return p.limits == nil || err == nil && program == p.program
 }
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -87,6 +87,8 @@
 	OnKept, BesidePlanned, Unanswered, Others int
 	// Callers counts the particular requests of callers, by kind and phase of the box.
 	Callers map[string]callerStats
+	// LongestRefusalMs is the longest time for which a box refused connections beside a restart that overlaps.
+	LongestRefusalMs int64
 }
 
 // cut reports whether the box closed the connection of a request that was sent whole without a complete response. It is
--- a/internal/soak/output.go
+++ b/internal/soak/output.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"os"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -12,15 +11,15 @@
 
 // copyOutput appends what a process writes to its standard output to the log file, until the process has exited or the
 // reader is closed.
-func (p *process) copyOutput(reader *os.File) {
-	defer func() { _ = reader.Close() }()
+func (p *process) copyOutput(i *incarnation) {
+	defer func() { _ = i.output.Close() }()
 	buffer := make([]byte, linkBuffer)
 	for {
 		for p.outputStalled() {
 			time.Sleep(linkPollInterval)
 		}
-		n, err := reader.Read(buffer)
-		p.recordOutput(reader, n)
+		n, err := i.output.Read(buffer)
+		p.recordOutput(i, n)
 		// A log that lacks lines only makes a finding harder to trace.
 		_, _ = p.out.Write(buffer[:n])
 		if err != nil {
@@ -30,10 +29,10 @@
 }
 
 // recordOutput records that bytes were read from the standard output of a process.
-func (p *process) recordOutput(reader *os.File, count int) {
+func (p *process) recordOutput(i *incarnation, count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wrote = p.wrote || count > 0 && p.output == reader
+	i.wrote = i.wrote || count > 0
 }
 
 func (p *process) outputStalled() bool {
--- /dev/null
+++ b/internal/soak/overlaps_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestFindsEndsOfOverlappingProcesses guards against a start that ends by itself, or an orderly stop that fails, and is
+// not found since another process of the box runs.
+func TestFindsEndsOfOverlappingProcesses(t *testing.T) {
+	for _, c := range []struct {
+		name, next, finds string
+	}{
+		{"a next process that does not wait", "exit 1", "not asked for: exit status 1"},
+		{"a next process that fails when it is stopped", "trap 'exit 3' TERM; echo" + waitForSignal, "SIGTERM: exit status 3"},
+		{"a next process that is stopped in order", "trap 'exit 0' TERM; echo" + waitForSignal, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			isFirst := "if ! mkdir \"$0.first\" 2>&-; then "
+			p := startScript(t, isFirst+c.next+"\nfi\ntrap 'sleep 0.1; exit 0' TERM; echo"+waitForSignal)
+			first := p.current()
+			require.NoError(t, p.signal(syscall.SIGTERM))
+			require.NoError(t, p.startBeside())
+			assert.NotEqual(t, first.command.Process.Pid, p.command.Process.Pid)
+			require.Eventually(t, func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return !p.running() || p.wrote
+			}, time.Minute, time.Millisecond)
+			require.NoError(t, p.signal(syscall.SIGTERM))
+			require.NoError(t, p.awaitStopOf(first))
+			require.NoError(t, p.awaitStop())
+			assert.Len(t, p.exits, 2)
+			if c.finds == "" {
+				assert.Empty(t, p.findings())
+			} else if found := p.findings(); assert.Len(t, found, 1) {
+				assert.Contains(t, found[0], c.finds)
+			}
+		})
+	}
+}
+
+// TestEarlierProcessesAreNotForgotten guards against processes that outlive their run, or stay paused, since another one
+// was started meanwhile.
+func TestEarlierProcessesAreNotForgotten(t *testing.T) {
+	p := startScript(t, "echo"+waitForSignal)
+	first := p.current()
+	require.NoError(t, p.signal(syscall.SIGSTOP))
+	require.NoError(t, p.startBeside())
+	require.NoError(t, p.signal(syscall.SIGCONT))
+	assert.NotContains(t, threadStates(first.command.Process.Pid), "T")
+	require.NoError(t, p.kill())
+	assert.False(t, first.running())
+	assert.Empty(t, p.findings())
+}
+
+// TestFindsRefusedConnections guards against a next process that takes over late.
+func TestFindsRefusedConnections(t *testing.T) {
+	const ms = time.Millisecond
+	bound := maxRefused + timingSlack
+	start := time.Now()
+	for _, c := range []struct {
+		name    string
+		refused time.Duration
+		found   int
+		change  func(h *history, r *refusal)
+	}{
+		{"a late process", bound + ms, 1, nil},
+		{"one in time", bound, 0, nil},
+		{"one that waited for a processor", bound + ms, 0, func(_ *history, r *refusal) { r.waited = ms }},
+		{"planned work", bound + ms, 1, func(h *history, _ *refusal) {
+			h.disturbances["b"] = []*interval{{from: start, planned: true}}
+		}},
+		{"a pause", bound + ms, 0, func(h *history, _ *refusal) { h.disturbances["b"] = []*interval{{from: start}} }},
+		{"a store that fails", bound + ms, 0, func(h *history, _ *refusal) {
+			h.disturbances[allBoxes] = []*interval{{from: start}}
+		}},
+		{"a quota", bound + ms, 0, func(h *history, _ *refusal) {
+			h.disturbances["b"] = []*interval{{from: start, share: ms}}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			serves := true
+			p := prober{
+				box: "b", serves: func(time.Time) bool { return serves }, waits: func() map[string]time.Duration { return nil },
+				record: func(r refusal) {
+					if c.change != nil {
+						c.change(h, &r)
+					}
+					h.recordRefusal(r)
+				},
+			}
+			p.observe(start, false)
+			p.observe(start.Add(ms), false)
+			p.observe(start.Add(c.refused), true)
+			// Nobody is to serve from here on.
+			serves = false
+			p.observe(start.Add(c.refused+time.Second), false)
+			p.observe(start.Add(c.refused+time.Hour), true)
+			assert.Len(t, h.check(), c.found)
+			assert.Equal(t, c.refused.Milliseconds(), h.lost.LongestRefusalMs)
+		})
+	}
+}
--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -219,17 +219,18 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(bytes), uint16(number))
 }
 
-// sockets returns the inodes of the process's sockets.
+// sockets returns the inodes of the sockets of the box's processes.
 func (p *process) sockets() []string {
-	p.mu.Lock()
-	running, pid := p.running(), 0
-	if running {
-		pid = p.command.Process.Pid
-	}
-	p.mu.Unlock()
-	if !running {
-		return nil
+	inodes := []string{}
+	for _, i := range p.all() {
+		if i.running() {
+			inodes = append(inodes, socketsOf(i.command.Process.Pid)...)
+		}
 	}
+	return inodes
+}
+
+func socketsOf(pid int) []string {
 	folder := filepath.Join("/proc", strconv.Itoa(pid), "fd")
 	files, err := os.ReadDir(folder)
 	if err != nil {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,12 +28,10 @@
 	environment []string
 	out         *os.File
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	started time.Time
-	exited  chan struct{}
-	// asked is what the most recently started process was asked for.
-	asked askedEnd
+	mu sync.Mutex
+	// The most recently started process is embedded. earlier are those that were still running when it was started.
+	*incarnation
+	earlier []*incarnation
 	// exits are the ends of all processes, and problems what went wrong beside them.
 	exits    []exit
 	problems []string
@@ -40,15 +39,24 @@
 	// onKill is called before SIGKILL.
 	onPlanned func(s syscall.Signal)
 	onKill    func()
-	// output is the reading side of the process's standard output, which is not read before stalledUntil. wrote is set
-	// once the most recently started process has written to it.
-	output       *os.File
+	// Standard output is not read before stalledUntil.
 	stalledUntil time.Time
-	wrote        bool
 	// threads is the largest number of threads that was counted.
 	threads int
-	// throttled is set while a quota of processor time is in force. withheld is for how long quotas have kept the most
-	// recently started process from running.
+}
+
+// incarnation is one process of a box. Before the first start it has no command.
+type incarnation struct {
+	command *exec.Cmd
+	started time.Time
+	exited  chan struct{}
+	// asked is what the process was asked for.
+	asked askedEnd
+	// output is the reading side of the process's standard output. wrote is set once the process has written to it.
+	output *os.File
+	wrote  bool
+	// throttled is set while a quota of processor time is in force. withheld is for how long quotas have kept the
+	// process from running.
 	throttled bool
 	withheld  time.Duration
 }
@@ -67,7 +75,7 @@
 	}
 	return &process{
 		name: name, program: program, launcher: program, settings: path, content: settings, log: log, out: out,
-		onPlanned: func(syscall.Signal) {}, onKill: func() {},
+		incarnation: &incarnation{}, onPlanned: func(syscall.Signal) {}, onKill: func() {},
 	}, nil
 }
 
@@ -79,6 +87,17 @@
 	if p.running() {
 		return nil
 	}
+	return p.startNext()
+}
+
+// startBeside starts the next process, also if the one before it is still running.
+func (p *process) startBeside() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startNext()
+}
+
+func (p *process) startNext() error {
 	command := exec.Command(p.launcher, "--settings", p.settings) //nolint:noctx // Its end is a part of the test.
 	// A build with the race detector sleeps for a second before it exits otherwise.
 	command.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0"), p.environment...)
@@ -93,119 +112,154 @@
 		_ = reader.Close()
 		return fmt.Errorf("start %s: %w", p.program, err)
 	}
-	p.output, p.wrote = reader, false
-	go p.copyOutput(reader)
-	exited, started := make(chan struct{}), time.Now()
-	p.command, p.started, p.exited, p.asked, p.withheld = command, started, exited, askedEnd{}, 0
+	p.earlier = slices.DeleteFunc(append(p.earlier, p.incarnation), func(i *incarnation) bool { return !i.running() })
+	one := &incarnation{command: command, started: time.Now(), exited: make(chan struct{}), output: reader}
+	p.incarnation = one
+	go p.copyOutput(one)
 	go func() {
-		defer close(exited)
+		defer close(one.exited)
 		// The state tells how it ended.
 		_ = command.Wait()
-		p.recordExit(command.ProcessState, started)
+		p.recordExit(one)
 	}()
 	return nil
 }
 
-// running reports whether the most recently started process is still running.
-func (p *process) running() bool {
-	if p.command == nil {
-		return false
-	}
+// running reports whether the process is still running.
+func (i *incarnation) running() bool {
+	return i.command != nil && !isClosed(i.exited)
+}
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-p.exited:
-		return false
-	default:
+	case <-c:
 		return true
+	default:
+		return false
 	}
 }
 
-// signal sends a signal to the most recently started process, by its process id.
+// current returns the most recently started process.
+func (p *process) current() *incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.incarnation
+}
+
+// all returns the processes that may be running.
+func (p *process) all() []*incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append(slices.Clone(p.earlier), p.incarnation)
+}
+
+// signal sends a signal to the most recently started process, by its process id. A box is paused and resumed with all
+// its processes.
 func (p *process) signal(s syscall.Signal) error {
+	if s != syscall.SIGSTOP && s != syscall.SIGCONT {
+		return p.signalTo(p.current(), s)
+	}
+	errs := []error{}
+	for _, i := range p.all() {
+		errs = append(errs, p.signalTo(i, s))
+	}
+	return errors.Join(errs...)
+}
+
+func (p *process) signalTo(i *incarnation, s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.running() {
+	if !i.running() {
 		return nil
 	}
-	if s == syscall.SIGHUP || s == syscall.SIGTERM && p.asked.terminated.IsZero() {
+	if s == syscall.SIGHUP || s == syscall.SIGTERM && i.asked.terminated.IsZero() {
 		p.onPlanned(s)
 	}
 	if s == syscall.SIGKILL {
 		p.onKill()
 	}
-	p.awaitHandler(s)
-	if s == syscall.SIGTERM && p.asked.terminated.IsZero() {
-		p.asked.waited = threadWaits(p.command.Process.Pid)
+	p.awaitHandler(i, s)
+	if s == syscall.SIGTERM && i.asked.terminated.IsZero() {
+		i.asked.waited = threadWaits(i.command.Process.Pid)
 	}
-	p.asked.record(s, time.Now())
-	if !p.receives(s) {
-		p.asked.early = append(p.asked.early, earlySignal{s, time.Now()})
+	i.asked.record(s, time.Now())
+	if !p.receives(i, s) {
+		i.asked.early = append(i.asked.early, earlySignal{s, time.Now()})
 	}
-	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+	if err := i.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %v: %w", s, err)
 	}
 	return nil
 }
 
-// awaitStop waits until a process that got SIGTERM has exited. One that still runs after the grace period is recorded
+// awaitStop waits until the most recently started process has exited, if it got SIGTERM.
+func (p *process) awaitStop() error { return p.awaitStopOf(p.current()) }
+
+// awaitStopOf waits until a process that got SIGTERM has exited. One that still runs after the grace period is recorded
 // and killed.
-func (p *process) awaitStop() error {
+func (p *process) awaitStopOf(i *incarnation) error {
 	p.mu.Lock()
-	asked, exited, command := p.asked, p.exited, p.command
+	asked := i.asked
 	p.mu.Unlock()
 	if asked.terminated.IsZero() {
 		return nil
 	}
 	select {
-	case <-exited:
+	case <-i.exited:
 		return nil
 	case <-time.After(time.Until(asked.terminated.Add(shutdownGraceS*time.Second + stopSlack))):
 	}
-	if hasExited(command.Process.Pid) {
+	if hasExited(i.command.Process.Pid) {
 		// It is in time, however late its end is collected.
-		<-exited
+		<-i.exited
 		return nil
 	}
 	p.mu.Lock()
-	// Another fault may have killed and restarted the box, or paused the process.
-	overdue := p.exited == exited && p.running()
-	if overdue && !p.asked.paused && !p.asked.killed {
+	// Another fault may have killed the process, or paused it.
+	overdue := i.running()
+	if overdue && !i.asked.paused && !i.asked.killed {
 		p.problems = append(p.problems, fmt.Sprintf("%s: process %d still ran %s after SIGTERM, with a grace of %d s; %s",
-			p.name, p.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS,
-			describeThreads(p.command.Process.Pid, asked.waited)))
+			p.name, i.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS,
+			describeThreads(i.command.Process.Pid, asked.waited)))
 		// Another fault may wait for the same process.
-		p.asked.killed = true
+		i.asked.killed = true
 	}
 	p.mu.Unlock()
-	if overdue && !asked.paused {
-		p.dumpGoroutines(exited)
+	if !overdue {
+		return nil
 	}
-	if overdue {
-		return p.kill()
+	if !asked.paused {
+		p.dumpGoroutines(i)
 	}
-	return nil
+	return p.killOne(i)
 }
 
 // dumpGoroutines makes a process that should have exited write its goroutines to the log file, and waits for its exit.
-func (p *process) dumpGoroutines(exited <-chan struct{}) {
+func (p *process) dumpGoroutines(i *incarnation) {
 	p.mu.Lock()
-	p.asked.dumped = true
+	i.asked.dumped = true
 	// It may have exited meanwhile.
-	_ = p.command.Process.Signal(syscall.SIGQUIT)
+	_ = i.command.Process.Signal(syscall.SIGQUIT)
 	p.mu.Unlock()
 	select {
-	case <-exited:
+	case <-i.exited:
 	case <-time.After(stopSlack):
 	}
 }
 
-// kill kills the process and waits for it to exit.
+// kill kills all processes that are running and waits for them to exit.
 func (p *process) kill() error {
-	if err := p.signal(syscall.SIGKILL); err != nil {
+	errs := []error{}
+	for _, i := range p.all() {
+		errs = append(errs, p.killOne(i))
+	}
+	return errors.Join(errs...)
+}
+
+func (p *process) killOne(i *incarnation) error {
+	if err := p.signalTo(i, syscall.SIGKILL); err != nil || i.command == nil {
 		return err
 	}
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
-	<-exited
+	<-i.exited
 	return nil
 }
--- a/internal/soak/quotas.go
+++ b/internal/soak/quotas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os/exec"
 	"sync"
 	"syscall"
 	"time"
@@ -85,18 +84,18 @@
 // throttle lets the current process of a box run for a share of each quotaPeriod, until a span has passed or the
 // process is gone.
 func (f *fleet) throttle(b *box, share, span time.Duration) {
-	command, exited, begun := b.process.beginQuota()
+	one, begun := b.process.beginQuota()
 	if !begun {
 		return
 	}
-	defer b.process.endQuota()
+	defer b.process.endQuota(one)
 	defer f.history.beginDisturbance(b.name, interval{share: share})()
 	for until := time.Now().Add(span); time.Now().Before(until); {
-		if !b.process.withhold(command, quotaPeriod-share) {
+		if !b.process.withhold(one, quotaPeriod-share) {
 			return
 		}
 		select {
-		case <-exited:
+		case <-one.exited:
 			return
 		case <-time.After(share):
 		}
@@ -104,45 +103,45 @@
 }
 
 // beginQuota returns the current process, unless none is running or it is under a quota already.
-func (p *process) beginQuota() (command *exec.Cmd, exited <-chan struct{}, begun bool) {
+func (p *process) beginQuota() (one *incarnation, begun bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.running() || p.throttled {
-		return nil, nil, false
+		return nil, false
 	}
 	p.throttled = true
-	return p.command, p.exited, true
+	return p.incarnation, true
 }
 
-func (p *process) endQuota() {
+func (p *process) endQuota(i *incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.throttled = false
+	i.throttled = false
 }
 
 // withhold stops a process for some time. It reports whether the process is to be kept under its quota.
-func (p *process) withhold(command *exec.Cmd, span time.Duration) bool {
-	if !p.sendSlice(command, syscall.SIGSTOP) {
+func (p *process) withhold(i *incarnation, span time.Duration) bool {
+	if !p.sendSlice(i, syscall.SIGSTOP) {
 		return false
 	}
 	time.Sleep(span)
 	p.mu.Lock()
-	p.withheld += span
+	i.withheld += span
 	p.mu.Unlock()
-	return p.sendSlice(command, syscall.SIGCONT)
+	return p.sendSlice(i, syscall.SIGCONT)
 }
 
 // sendSlice sends a signal of a quota, which does not count as a pause. It reports whether the process is running and
 // to be kept under its quota.
-func (p *process) sendSlice(command *exec.Cmd, s syscall.Signal) bool {
+func (p *process) sendSlice(i *incarnation, s syscall.Signal) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command != command || !p.running() || s == syscall.SIGSTOP && p.asked.dumped {
+	if !i.running() || s == syscall.SIGSTOP && i.asked.dumped {
 		return false
 	}
-	if s == syscall.SIGCONT && p.asked.held {
+	if s == syscall.SIGCONT && i.asked.held {
 		return true
 	}
 	// A process that has ended was collected by Wait, which os.Process knows.
-	return command.Process.Signal(s) == nil
+	return i.command.Process.Signal(s) == nil
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -172,6 +172,7 @@
 		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
 		{f.settings.Processes, f.injectProcessFaults},
 		{f.settings.Planned, f.injectPlanned},
+		{f.settings.Overlaps, f.injectOverlaps},
 		{f.settings.Quotas, f.injectQuotas},
 		{f.settings.Limits, f.sampleThreads},
 		{f.settings.Evacuations, f.injectEvacuations},
