fix(box): the next process of dooryard-router serves while the one before drains

Until then it had opened the port of callers, so that connections were accepted, not served, and reset.

Cause: the listeners were opened one after the other, callers first, each tried for 10 s, while the process before kept peers, operators and the UDP port until its requests had ended, up to 120 s.

Change: a process opens all its sockets or none, the UDP port first and callers last, and waits for them until it is stopped. A process that stops closes all listeners at once and serves what arrives on open connections as before; those of operators until the claims are written. It exchanges no datagrams any more, since owners of upstreams count by the name of the box: it decides by itself then, as without an answer. Claims of other boxes reach the next process, or are recorded where they come from, as when a coordinator does not answer.

Ruled out: a UDP port of its own as for dooryard-gateway: the counts that owners keep are absolute and by name, and would overwrite those of the next process.

"leave the addresses to the next process of the box" failed before (address already in use). TestListenersSurviveTakenPortsAndAcceptErrors opens all sockets now, with as many failures before.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -79,13 +79,16 @@
 	engineHTTP         *http.Client
 	fleet              *fleetView
 
-	servers   servers
-	draining  atomic.Bool
-	drain     chan struct{}
-	drainOnce sync.Once
-	killed    chan struct{}
-	killOnce  sync.Once
-	running   sync.WaitGroup
+	sockets sockets
+	servers servers
+	// endPeering ends the exchange with other boxes by UDP.
+	endPeering context.CancelFunc
+	draining   atomic.Bool
+	drain      chan struct{}
+	drainOnce  sync.Once
+	killed     chan struct{}
+	killOnce   sync.Once
+	running    sync.WaitGroup
 }
 
 type keys struct {
@@ -128,9 +131,10 @@
 		option(b)
 	}
 	for _, step := range []func(context.Context) error{
-		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.openListeners, b.openPeering, b.buildLease,
+		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.bindSockets, b.openListeners, b.openPeering, b.buildLease,
 	} {
 		if err := step(ctx); err != nil {
+			b.closeSockets()
 			return nil, err
 		}
 	}
@@ -219,8 +223,10 @@
 	b.running.Go(func() { b.catchUp(ctx) })
 	b.running.Go(func() { b.snapshotLoop(ctx) })
 	b.running.Go(func() { b.claims.Run(ctx) })
-	b.running.Go(func() { b.socket.Run(ctx) })
-	b.running.Go(func() { b.gossip.Run(ctx) })
+	peering, endPeering := context.WithCancel(ctx)
+	b.endPeering = endPeering
+	b.running.Go(func() { b.socket.Run(peering) })
+	b.running.Go(func() { b.gossip.Run(peering) })
 	b.running.Go(func() { b.pollLists(ctx) })
 	b.running.Go(func() { b.domainSumsLoop(ctx) })
 	b.running.Go(func() { b.lease.Run(ctx) })
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -200,7 +200,7 @@
 	})
 }
 
-func (b *Box) openListeners(ctx context.Context) error {
+func (b *Box) openListeners(context.Context) error {
 	limits := server.LimitsOf(&b.settings)
 	b.callers = callers.New(callers.Dependencies{
 		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
@@ -221,12 +221,12 @@
 		options  []server.Option
 	}{
 		// A box or an operator's tool that ends its side of a connection has left.
-		{"callers", b.settings.Callers, b.callers, &b.servers.callers, []server.Option{server.WithHeldEnds()}},
-		{"peers", b.settings.Peers.Listener, server.RequireKey(b.keys.peers, fromPeers), &b.servers.peers, nil},
-		{"operators", b.settings.Operators, operatorsHandler, &b.servers.operators, nil},
+		{callersSocket, b.settings.Callers, b.callers, &b.servers.callers, []server.Option{server.WithHeldEnds()}},
+		{peersSocket, b.settings.Peers.Listener, server.RequireKey(b.keys.peers, fromPeers), &b.servers.peers, nil},
+		{operatorsSocket, b.settings.Operators, operatorsHandler, &b.servers.operators, nil},
 	}
 	for _, o := range opened {
-		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.listenWithRetries(ctx, o.name),
+		opened, err := server.Open(o.name, o.settings, limits, o.handler, b.survivingListener(o.name),
 			append(o.options, server.WithClock(b.clock), server.WithOnPanic(b.handlerPanicked))...)
 		if err != nil {
 			b.closeListeners()
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -67,15 +66,11 @@
 	}
 }
 
-// openPeering opens the UDP socket that the boxes of a failure domain use for gossip and for
+// openPeering prepares the UDP socket that the boxes of a failure domain use for gossip and for
 // requesting slots from each other.
-func (b *Box) openPeering(ctx context.Context) error {
+func (b *Box) openPeering(context.Context) error {
 	config.SetDefault(&b.settings.Peers.PeriodMs, defaultGossipPeriodMs)
-	conn, err := b.binder().ListenPacket(ctx, "gossip", b.settings.Peers.GossipAddress, b.packets)
-	if err != nil {
-		return fmt.Errorf("peers.gossip_address: %w", err)
-	}
-	b.socket = datagram.New(conn, b.keys.peers.All, b.metrics.GossipRejected, b.logger)
+	b.socket = datagram.New(b.sockets.gossip, b.keys.peers.All, b.metrics.GossipRejected, b.logger)
 	b.openGossip()
 	b.gossip.SetContacts(b.settings.Peers.Contacts)
 	b.openGrants()
--- a/internal/box/sockets.go
+++ b/internal/box/sockets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 
 	"go.uber.org/zap"
@@ -10,26 +11,74 @@
 	"dooryard.example/dooryard/internal/server"
 )
 
-// bindTimeoutMs is about the time that an earlier process of the box needs to release its addresses.
-const bindTimeoutMs = 10 * clock.Second
+// rebindTimeoutMs is how long a box that runs tries to open a listener anew before it stops.
+const rebindTimeoutMs = 10 * clock.Second
 
+// Names of the listeners, and of the UDP socket.
+const (
+	callersSocket   = "callers"
+	peersSocket     = "peers"
+	operatorsSocket = "operators"
+	gossipSocket    = "gossip"
+)
+
+// sockets are those without which the box can't run.
+type sockets struct {
+	gossip    net.PacketConn
+	listeners map[string]net.Listener
+}
+
+// binder returns a binder that waits for addresses until its context ends, as an earlier process of the box releases
+// them when its listeners close.
 func (b *Box) binder() server.Binder {
-	return server.Binder{Clock: b.clock, TimeoutMs: bindTimeoutMs, OnRetry: func(err error) {
+	return server.Binder{Clock: b.clock, OnRetry: func(err error) {
 		b.logger.Warn("listener retried", zap.String("box", b.settings.Box), zap.Error(err))
 	}}
 }
 
-// listenWithRetries returns a function that opens a named listener, which survives errors of its socket.
-func (b *Box) listenWithRetries(ctx context.Context, name string) server.Listen {
-	return func(_, address string) (net.Listener, error) {
-		open := func(ctx context.Context) (net.Listener, error) {
-			return b.binder().Listen(ctx, name, address, b.listen)
+// bindSockets opens all sockets or none. Callers are opened last, so that none connects in vain.
+func (b *Box) bindSockets(ctx context.Context) error {
+	b.sockets.listeners = map[string]net.Listener{}
+	all := []server.Socket{{
+		Name: gossipSocket, Address: b.settings.Peers.GossipAddress, Open: func(address string) (_ io.Closer, err error) {
+			b.sockets.gossip, err = b.packets("udp", address)
+			return b.sockets.gossip, err
+		},
+	}}
+	for _, s := range []server.Socket{
+		{Name: peersSocket, Address: b.settings.Peers.Address},
+		{Name: operatorsSocket, Address: b.settings.Operators.Address},
+		{Name: callersSocket, Address: b.settings.Callers.Address},
+	} {
+		s.Open = func(address string) (_ io.Closer, err error) {
+			b.sockets.listeners[s.Name], err = b.listen("tcp", address)
+			return b.sockets.listeners[s.Name], err
 		}
-		socket, err := open(ctx)
-		if err != nil {
-			return nil, err
+		all = append(all, s)
+	}
+	return b.binder().OpenAll(ctx, all...)
+}
+
+// closeSockets closes the sockets of a box that can't be built. Their errors have no effect.
+func (b *Box) closeSockets() {
+	if b.sockets.gossip != nil {
+		_ = b.sockets.gossip.Close()
+	}
+	for _, l := range b.sockets.listeners {
+		if l != nil {
+			_ = l.Close()
 		}
-		return server.NewListener(socket, b.clock, open, func(err error) {
+	}
+}
+
+// survivingListener returns a function that returns a named listener, which survives errors of its socket.
+func (b *Box) survivingListener(name string) server.Listen {
+	return func(_, address string) (net.Listener, error) {
+		return server.NewListener(b.sockets.listeners[name], b.clock, func(ctx context.Context) (net.Listener, error) {
+			binder := b.binder()
+			binder.TimeoutMs = rebindTimeoutMs
+			return binder.Listen(ctx, name, address, b.listen)
+		}, func(err error) {
 			b.logger.Warn("listener failed", zap.String("box", b.settings.Box), zap.String("listener", name), zap.Error(err))
 		}), nil
 	}
--- a/internal/box/sockets_test.go
+++ b/internal/box/sockets_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/testlib"
 )
 
 // brokenOnce is a listener whose first accept fails.
@@ -38,10 +39,11 @@
 				return nil, syscall.EADDRINUSE
 			}
 			return socket, nil
-		}}
-		l, err := b.listenWithRetries(t.Context(), "callers")("tcp", "127.0.0.1:1")
+		}, packets: testlib.NewNetwork().Host("box").ListenPackets}
+		require.NoError(t, b.bindSockets(t.Context()))
+		assert.Equal(t, 2+3, tries)
+		l, err := b.survivingListener(callersSocket)("tcp", "127.0.0.1:1")
 		require.NoError(t, err)
-		assert.Equal(t, 3, tries)
 		_, err = l.Accept()
 		require.NoError(t, err)
 		assert.Equal(t, 2, socket.accepts)
--- a/internal/box/stop.go
+++ b/internal/box/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -47,22 +48,42 @@
 	defer endDrain()
 	flush, endFlush := context.WithTimeout(ctx, (drainMs + 2*lastResponsesMs + claimFlushMs).Duration())
 	defer endFlush()
-	// Other boxes have claims of their requests recorded here while those of callers run.
-	err := errors.Join(b.drainServer(drain, b.servers.callers), b.drainServer(drain, b.servers.peers))
-	err = errors.Join(err, b.flushClaims(flush))
-	last, endLast := context.WithTimeout(ctx, operatorsDrainMs.Duration())
+	b.logger.Info("listeners close", zap.String("box", b.settings.Box))
+	// All addresses are given up at once: the next process of the box opens all of them or none. Owners of upstreams know
+	// this box by its name, so questions of this process would mix its requests with those of the next one.
+	b.endPeering()
+	last, endLast := context.WithCancel(ctx)
 	defer endLast()
-	err = errors.Join(err, b.drainServer(last, b.servers.operators))
+	operators := b.drainServers(last, b.servers.operators)
+	err := errors.Join(<-b.drainServers(drain, b.servers.callers, b.servers.peers), b.flushClaims(flush))
+	b.clock.AfterFunc(operatorsDrainMs, endLast)
+	err = errors.Join(err, <-operators)
 	b.closeListeners()
 	b.logger.Info("stopped", zap.String("box", b.settings.Box), zap.Error(err))
 	return err
 }
 
+// drainServers closes the listeners of servers at once, and returns a channel that gets a value when their running
+// requests have ended.
+func (b *Box) drainServers(ctx context.Context, list ...*server.Server) <-chan error {
+	errs := make([]error, len(list))
+	var running sync.WaitGroup
+	for i, s := range list {
+		running.Go(func() { errs[i] = b.drainServer(ctx, s) })
+	}
+	drained := make(chan error, 1)
+	go func() {
+		running.Wait()
+		drained <- errors.Join(errs...)
+	}()
+	return drained
+}
+
 // drainServer waits for the running requests of a server. It cuts those that outlast the drain, which is no fault of
 // the box.
 func (b *Box) drainServer(ctx context.Context, s *server.Server) error {
 	err := s.Drain(ctx)
-	if !errors.Is(err, context.DeadlineExceeded) {
+	if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
 		return err
 	}
 	b.logger.Warn("requests cut", zap.String("box", b.settings.Box), zap.Error(err))
--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dooryard.example/dooryard/internal/box"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/load"
@@ -366,6 +368,35 @@
 			}, withSettings(func(r *config.Router) { r.Stop.DrainMs = 300 }))
 		}
 	})
+	t.Run("leave the addresses to the next process of the box", func(t *testing.T) {
+		var next *box.Addresses
+		run(t, func(tf *testFleet) {
+			drains, ended := tf.Boxes()[0], atomic.Bool{}
+			group := sync.WaitGroup{}
+			group.Go(func() {
+				result := tf.chat(0, "1", "a", func(r *load.ChatRequest) { r.Chat.MaxTokens = 4000 })
+				assert.Equal(tf.t, load.Complete, result.Verdict, "%+v", result)
+				ended.Store(true)
+			})
+			tf.wait(200)
+			addresses := drains.Addresses()
+			next = &addresses
+			drains.Drain()
+			_, err := tf.StartBox(drains.Domain, drains.Name)
+			require.NoError(tf.t, err)
+			tf.wait(200)
+			result := tf.chat(2, "2", "b")
+			assert.Equal(tf.t, load.Complete, result.Verdict, "%+v", result)
+			assert.False(tf.t, ended.Load(), "a request must outlast the start of the next process")
+			require.NoError(tf.t, drains.Wait())
+			group.Wait()
+		}, withSettings(func(r *config.Router) {
+			if next != nil {
+				r.Callers.Address, r.Peers.Address = next.Callers, next.Peers
+				r.Operators.Address, r.Peers.GossipAddress = next.Operators, next.Gossip
+			}
+		}))
+	})
 	t.Run("are announced to the other boxes immediately", func(t *testing.T) {
 		run(t, func(tf *testFleet) {
 			tf.wait(5000)
