fix(gateway): a few slow responses don't make a pool count as stalled

Cause, two parts:

- The decision.
Three attempts without a response for 0.5 s were enough if four fifths of the attempts at other boxes got one.
Where one response in five is slow, three slow ones in a row, and then no request for half a second, happen by chance.
A box now also asks how probable that is: if its attempts got responses as often as those of the others, all of them being slow must be less probable than one in a thousand.
Few witnesses count as a small sample.
Where all others get responses, three or four attempts are still enough.
Its subtests run in parallel and drew from one random source, so that the scheduler of the machine decided which responses were slow, and each run was another one.
Each subtest now has a source of its own with a seed.

Ruled out: real clocks and processor time in decisions (the one reading of processor time goes only into a log line), GOMAXPROCS of 1, 2 and 8.

TestFewSlowResponses fails before (pool stalled after three slow requests, ten of twelve answered elsewhere).

--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"dooryard.example/dooryard/internal/balance"
@@ -20,6 +21,9 @@
 	// have got a response, for a pool to be stalled for this box.
 	minWitnessAttempts = 5
 	minWitnessPercent  = 80
+	// maxSilenceChance is the greatest probability at which this box's attempts may all be slow by chance for the pool to
+	// count as stalled.
+	maxSilenceChance = 1e-3
 )
 
 // stalledPools finds the pools and single upstreams to which connections open although nothing comes back. Other boxes
@@ -70,7 +74,8 @@
 // ask asks other boxes about a silent pool, and records that it is stalled if they got responses.
 func (s *stalledPools) ask(ctx context.Context, silent balance.SilentPool) {
 	others := sumOfWitnesses(s.box.peering.mesh.AskAttempts(ctx, namekey.Of(silent.Pool), silent.FromMs, silent.ToMs))
-	if others.Started < minWitnessAttempts || percent*others.Answered < minWitnessPercent*others.Started {
+	if others.Started < minWitnessAttempts || percent*others.Answered < minWitnessPercent*others.Started ||
+		silenceChance(others, silent.Attempts) > maxSilenceChance {
 		return
 	}
 	s.box.balance.SetStalled(silent.Pool)
@@ -80,6 +85,13 @@
 	})
 }
 
+// silenceChance returns the probability that a number of attempts all get no response in time if each one gets one as
+// often as those of the other boxes, of which a few are a small sample (rule of succession).
+func silenceChance(others mesh.Attempts, attempts int) float64 {
+	unanswered := float64(others.Started-others.Answered+1) / float64(others.Started+2) //nolint:mnd // Two outcomes.
+	return math.Pow(unanswered, float64(attempts))
+}
+
 // sumOfWitnesses adds up the attempts of the boxes that got responses. The pool may be stalled for the others, too.
 func sumOfWitnesses(answers []mesh.Attempts) mesh.Attempts {
 	sum := mesh.Attempts{}
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -170,32 +170,30 @@
 
 // TestSlowPools guards against taking a slow pool, or a stopped upstream, for a stalled path.
 func TestSlowPools(t *testing.T) {
-	random := rand.New(rand.NewPCG(53, 2))
-	var mu sync.Mutex
-	between := func(from, to int) clock.Millis {
-		mu.Lock()
-		defer mu.Unlock()
-		return clock.Millis(from + random.IntN(to-from))
+	always := func(ms clock.Millis) func(func(int) int) clock.Millis {
+		return func(func(int) int) clock.Millis { return ms }
 	}
 	for _, c := range []struct {
-		name    string
-		handler http.HandlerFunc
+		name string
+		// takes returns how long a response takes, by the subtest's random numbers below n.
+		takes func(random func(n int) int) clock.Millis
 		// stopped is the upstream that accepts connections and answers nobody.
 		stopped string
 	}{
-		{"all responses take 1.5 s", respondAfter(1500), ""},
-		{"all responses take 3 s", respondAfter(3000), ""},
-		{"responses take up to 3 s", func(w http.ResponseWriter, r *http.Request) { respondAfter(between(0, 3000))(w, r) }, ""},
-		{"one in five responses takes 3 s", func(w http.ResponseWriter, r *http.Request) {
-			respondAfter(map[bool]clock.Millis{true: 3000}[between(0, 5) == 0])(w, r)
+		{"all responses take 1.5 s", always(1500), ""},
+		{"all responses take 3 s", always(3000), ""},
+		{"responses take up to 3 s", func(random func(n int) int) clock.Millis { return clock.Millis(random(3000)) }, ""},
+		{"one in five responses takes 3 s", func(random func(n int) int) clock.Millis {
+			return map[bool]clock.Millis{true: 3000}[random(5) == 0]
 		}, ""},
-		{"one upstream is stopped", respondAfter(30), "u1"},
+		{"one upstream is stopped", always(30), "u1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runBesideOthers(t, func(f *fleet) {
 				log := &logBuffer{}
 				f.out = log
-				d := newStallDay(f, c.handler)
+				random := seededRandom(53)
+				d := newStallDay(f, func(w http.ResponseWriter, r *http.Request) { respondAfter(c.takes(random))(w, r) })
 				f.network.SetStall(func(from, to string) bool { return c.stopped != "" && (from == c.stopped || to == c.stopped) })
 				start := d.sendFor(12 * time.Second)
 				share := d.share(func(int) bool { return true }, start, f.clock.Monotonic())
@@ -207,6 +205,45 @@
 	}
 }
 
+// TestFewSlowResponses guards against taking a pool for stalled because the few attempts of a box in some time were slow.
+func TestFewSlowResponses(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		requests, stalled int
+	}{
+		{"three requests of a box are slow like one in six of the others", 3, 0},
+		{"ten requests of a box get no response", 10, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runBesideOthers(t, func(f *fleet) {
+				log := &logBuffer{}
+				f.out = log
+				d := newStallDay(f, func(w http.ResponseWriter, r *http.Request) {
+					respondAfter(map[bool]clock.Millis{true: 3000}[strings.HasPrefix(r.Header.Get("X-Id"), "slow")])(w, r)
+				})
+				var sending sync.WaitGroup
+				send := func(b *running, id string) {
+					sending.Go(func() {
+						response, err := b.send(f.t.Context(), call{method: http.MethodPost, path: "/unsafe2/", id: id, key: key, body: "x"})
+						if assert.NoError(f.t, err) {
+							_ = response.Body.Close()
+						}
+					})
+				}
+				for i := range 100 {
+					send(d.boxes[1+i%5], map[bool]string{true: "slow"}[i%6 == 0]+fmt.Sprint(i))
+					if i >= 20 && i < 20+c.requests {
+						send(d.boxes[0], fmt.Sprint("slow-", i))
+					}
+					advance(f.t, 20*time.Millisecond)
+				}
+				sending.Wait()
+				assert.Len(f.t, withMessage(log.read(t), "pool stalled"), c.stalled)
+			})
+		})
+	}
+}
+
 // TestAllPathsStalled guards against requests that go from box to box when all boxes have lost their paths.
 func TestAllPathsStalled(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
@@ -224,6 +261,17 @@
 	})
 }
 
+// seededRandom returns a source of random numbers below n, for concurrent use.
+func seededRandom(seed uint64) func(n int) int {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 2))
+	return func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+}
+
 // respondAfter responds after some milliseconds.
 func respondAfter(ms clock.Millis) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
