test(gateway): a stop tells endless pipelines also where more always waits

TestStopTellsEndlessPipelines passed without either part of: its caller wrote one request at a time, so that a read ended with a request; the connections of testlib told no bytes that wait; and the refusal at the end of the grace period also closes the connection. Now the reads end within a request, the connections tell how many bytes of a blocked write wait (as a kernel does), the response that announces the close must be the upstream's, and it comes in the first half of the grace period or a second after it.

--- a/internal/gateway/evicted_test.go
+++ b/internal/gateway/evicted_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 // TestEvictedConnectionPassesNothingOn guards against a request that is sent to an upstream although its connection was
@@ -82,10 +85,11 @@
 func TestStopTellsEndlessPipelines(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
 		t := f.t
-		f.upstream("u1", func(http.ResponseWriter, *http.Request) { advance(t, time.Second/8) })
+		f.upstream("u1", func(http.ResponseWriter, *http.Request) { advance(t, time.Second/50) })
 		b := f.box(1)
 		caller := b.connect(b.settings.CallersAddress)
-		text := requestText("/unsafe/", "Content-Length: 0\r\n")
+		// Each read of the server ends inside a request, and more waits.
+		text := strings.Repeat(requestText("/unsafe/", "Content-Length: 0\r\n"), 100)
 		go func() {
 			for err := error(nil); err == nil; {
 				_, err = io.WriteString(caller.conn, text)
@@ -93,8 +97,14 @@
 		}()
 		synctest.Wait()
 		b.stop()
-		for response := caller.response(); !response.Close; response = caller.response() {
+		stopped := time.Now()
+		response := caller.response()
+		for ; !response.Close; response = caller.response() {
 			assert.Equal(t, http.StatusOK, response.StatusCode)
 		}
+		assert.Equal(t, http.StatusOK, response.StatusCode, "the caller is told before its requests are refused")
+		halfMs := shutdownGrace(b.Settings()) / 2
+		// The requests of one read of the server, some 40, are answered before.
+		assert.LessOrEqual(t, time.Since(stopped), (halfMs + clock.Second).Duration())
 	})
 }
--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -205,11 +205,13 @@
 	near, far := net.Pipe()
 	local, reset := addr("127.0.0.1:1"), &atomic.Bool{}
 	wrapped := &conn{Conn: near, network: n, from: h.name, to: owner, local: local, remote: l.address, reset: reset}
+	accepted := &conn{Conn: far, network: n, from: owner, to: h.name, local: l.address, remote: local, reset: reset}
+	wrapped.peer, accepted.peer = accepted, wrapped
 	n.mu.Lock()
 	n.conns[wrapped] = struct{}{}
 	n.mu.Unlock()
 	select {
-	case l.accept <- &conn{Conn: far, network: n, from: owner, to: h.name, local: l.address, remote: local, reset: reset}:
+	case l.accept <- accepted:
 		if resetOpen {
 			_ = wrapped.SetLinger(0)
 			_ = wrapped.Conn.Close()
@@ -293,8 +295,14 @@
 	local, remote addr
 	// reset is shared by both ends. It is set once either end resets the connection.
 	reset *atomic.Bool
+	// peer is the other end, and unread how many bytes of it wait to be read.
+	peer   *conn
+	unread atomic.Int64
 }
 
+// Buffered returns how many bytes wait to be read.
+func (c *conn) Buffered() int { return int(c.unread.Load()) }
+
 // SetLinger makes Close reset the connection if seconds is 0, like the method of net.TCPConn.
 func (c *conn) SetLinger(seconds int) error {
 	c.reset.Store(seconds == 0)
@@ -303,6 +311,7 @@
 
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	c.unread.Add(-int64(n))
 	if errors.Is(err, io.EOF) && c.reset.Load() {
 		return n, errReset
 	}
@@ -317,7 +326,10 @@
 	if c.network.drops(c.from, c.to) {
 		return len(data), nil
 	}
-	return c.Conn.Write(data)
+	c.peer.unread.Add(int64(len(data)))
+	n, err := c.Conn.Write(data)
+	c.peer.unread.Add(-int64(len(data) - n))
+	return n, err
 }
 
 func (c *conn) Close() error {
