fix(inbound): a stream to an HTTP/1.0 caller does not look complete when the process is gone

Callers over HTTP/1.0 take the end of the connection for the end of a response without a length. A handler that gives up resets the connection, but when the process ends without it (SIGKILL at the end of a grace period, a crash), the kernel closes the connection in order.

Change: from its start until it is complete, such a response leaves its socket with SO_LINGER of zero seconds, so that any end is a reset. Both programs use it. TestUnframedResponseOfProcessThatEnds is new, with the method that it tests; without the socket option its first case fails (no error instead of a reset).

--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -96,6 +96,7 @@
 		if b.announcesClose(c) || c != nil && c.GivesWay() {
 			header.Set("Connection", "close")
 		}
+		c.BeginResponse(hr, header)
 	})
 	if c != nil {
 		writer.SetUnread(c.Unread())
@@ -132,6 +133,7 @@
 		// The server closes the connection, so that the response can't be mistaken for a complete one.
 		panic(http.ErrAbortHandler)
 	}
+	inbound.ConnOf(r.Context()).EndResponse(r.Writer.FlushNow)
 }
 
 // answerPanic responds to a request whose processing panicked, unless a response has begun. The server then logs the
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -42,8 +42,10 @@
 	idleSinceMs atomic.Int64
 	// keptUnread is set once an eviction has found a request that waits to be read.
 	keptUnread atomic.Bool
-	// broken makes Close reset the connection.
-	broken atomic.Bool
+	// broken makes Close reset the connection. unframed is set while a response that ends with it is not complete; only
+	// the handler uses it.
+	broken   atomic.Bool
+	unframed bool
 	// reads is the number of calls of Read that have not returned.
 	reads atomic.Int32
 	// ended is set once the caller sends nothing more.
--- /dev/null
+++ b/internal/inbound/unframed_test.go
@@ -0,0 +1,45 @@
+package inbound
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestUnframedResponseOfProcessThatEnds guards against a response that looks complete, since the kernel closes the
+// connections of a process that is gone.
+func TestUnframedResponseOfProcessThatEnds(t *testing.T) {
+	flushed := func() error { return nil }
+	for _, c := range []struct {
+		name   string
+		minor  int
+		header http.Header
+		ended  bool
+		want   error
+	}{
+		{"HTTP/1.0, incomplete", 0, http.Header{}, false, syscall.ECONNRESET},
+		{"HTTP/1.0, complete", 0, http.Header{}, true, nil},
+		{"HTTP/1.0 with a length", 0, http.Header{"Content-Length": {"9"}}, false, nil},
+		{"HTTP/1.1", 1, http.Header{}, false, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			caller, conn := newFixture(t, 1).connect()
+			conn.BeginResponse(&http.Request{ProtoMajor: 1, ProtoMinor: c.minor}, c.header)
+			_, err := io.WriteString(conn, "a part")
+			require.NoError(t, err)
+			if c.ended {
+				conn.EndResponse(flushed)
+			}
+			socket, ok := conn.Conn.(*net.TCPConn)
+			require.True(t, ok)
+			require.NoError(t, socket.Close())
+			_, err = io.ReadAll(caller)
+			assert.ErrorIs(t, err, c.want)
+		})
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -104,7 +104,7 @@
 	requests, cut := context.WithCancelCause(context.Background())
 	s.cut = cut
 	s.server = &http.Server{
-		Handler:           s.announceClose(handler),
+		Handler:           s.onConnections(handler),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeoutMs.Duration(),
 		IdleTimeout:       limits.IdleTimeoutMs.Duration(),
@@ -135,8 +135,9 @@
 	return nil
 }
 
-// announceClose returns a handler whose responses tell callers to close their connections once the server stops.
-func (s *Server) announceClose(handler http.Handler) http.Handler {
+// onConnections returns a handler whose responses tell callers to close their connections once the server stops, and
+// never look complete when they are not.
+func (s *Server) onConnections(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := inbound.ConnOf(r.Context())
 		announce := func(header http.Header) {
@@ -145,11 +146,15 @@
 			}
 		}
 		writer := exchange.NewWriter(w)
-		writer.OnStart(announce)
+		writer.OnStart(func(header http.Header) {
+			announce(header)
+			c.BeginResponse(r, header)
+		})
 		handler.ServeHTTP(writer, r)
 		if !writer.Started() {
 			announce(writer.Header())
 		}
+		c.EndResponse(writer.FlushNow)
 	})
 }
 
