fix(dispatch): a stream goes on only at the process of the entry

A server had restarted under its id at another version, and the box that continued the stream had neither read its new entry nor lost a connection to it.

Cause: the id that a request names (X-Expect-Instance) is the same before and after such a restart, and responses tell no version.

A line tells of it. An upstream that doesn't answer, or tells no start time, is used as before. Upstreams that get a new id with each start aren't asked.

Ruled out: the age of the connection as a proof, since most continuations are sent on a new connection, and would be refused for 3 s.

Cost: one small request and a round trip for each continuation at such upstreams. Remaining: a stream that begins at such a server before its entry is read; the server that restarts between the answer and the request (docs/design/0012).

--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -78,6 +78,21 @@
 	return l.manager.versionDoubtful(l.Member)
 }
 
+// RecordStart records the start time that the process of the upstream tells, and reports whether it is the one of its
+// entry. Another one may run another version.
+func (l *Lease) RecordStart(startedMs clock.Millis) (matches bool) {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	if startedMs == l.StartedMs {
+		return true
+	}
+	l.crashedMs = l.manager.monotonic()
+	return false
+}
+
+// MayKeepID reports whether the upstream may restart under its ID.
+func (l *Lease) MayKeepID() bool { return l.keepsID() }
+
 // SetConfirmed sets when the entries of the upstreams were last known to be the newest.
 func (m *Manager) SetConfirmed(atMs clock.Millis) {
 	m.mu.Lock()
--- a/internal/decision/upstreams.go
+++ b/internal/decision/upstreams.go
@@ -41,6 +41,28 @@
 	return nil
 }
 
+// UpstreamRestarted records that a stream does not go on at an upstream whose process is not the one of its entry.
+type UpstreamRestarted struct {
+	Request, Upstream, Pool string
+	// StartedMs is the start time that the process tells.
+	StartedMs clock.Millis
+}
+
+// Name implements Event.
+func (UpstreamRestarted) Name() string { return "upstream restarted before its entry" }
+
+// Routine implements Event.
+func (UpstreamRestarted) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e UpstreamRestarted) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddString("request", e.Request)
+	o.AddString("upstream", e.Upstream)
+	o.AddString("pool", e.Pool)
+	o.AddInt64("started_ms", int64(e.StartedMs))
+	return nil
+}
+
 // UpstreamSignaled records the first response in which an upstream asked this box to back off
 // or announced that it is draining.
 type UpstreamSignaled struct {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -32,9 +32,9 @@
 		RequestID: "X-Id", DeadlineMs: "X-Deadline", Organisation: "X-Organisation", ExpectUpstream: "X-Expect",
 		NotRun: "X-Not-Run", DecodeSignals: decodeSignals, BoxResponseHeaders: []string{"X-Load", "X-Not-Run"}, Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id", ResumedID: "X-Resumes",
 		FetchFrom: "X-Fetch", Reserved: []string{"X-Reserved"},
-		DecodeDemand: decodeDemand,
-		Key:          func(h http.Header) string { return h.Get("Authorization") },
-		RetryAfter:   func(span clock.Millis) string { return strconv.FormatInt(int64(span), 10) + "ms" },
+		DecodeDemand: decodeDemand, ReportPath: reportPath, DecodeStart: decodeStart,
+		Key:        func(h http.Header) string { return h.Get("Authorization") },
+		RetryAfter: func(span clock.Millis) string { return strconv.FormatInt(int64(span), 10) + "ms" },
 	}
 }
 
@@ -46,6 +46,14 @@
 	headerSlow      = "X-Slow"
 )
 
+// reportPath is where the tests' upstreams tell their start time.
+const reportPath = "/report"
+
+func decodeStart(report []byte) clock.Millis {
+	startedMs, _ := strconv.Atoi(string(report))
+	return clock.Millis(startedMs)
+}
+
 // decodeSignals decodes what an upstream reports about itself in response headers.
 func decodeSignals(_ int, header http.Header) opaque.Signals {
 	w := opaque.Signals{Draining: header.Get(headerDraining) != ""}
--- a/internal/gateway/stream_restarts_test.go
+++ b/internal/gateway/stream_restarts_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -41,6 +42,30 @@
 			}
 		})
 	})
+	t.Run("is not taken up at an upstream whose process is not the one of its entry", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			runs := func(version, startedMs string) http.HandlerFunc {
+				stream := streamOf(version, pause)
+				return func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == reportPath {
+						_, _ = io.WriteString(w, startedMs)
+						return
+					}
+					stream(w, r)
+				}
+			}
+			restart := f.upstreamVersion("ua", "d", "v1", runs("v1", "1"))
+			f.tellRestart("ua", "v1")
+			f.pausingUpstreams("uc-v2")
+			boxes := f.boxes(2)
+			advance(f.t, 10*time.Second)
+			streams := ofVersion("v1", boxes[0].beginEach("s", 2*sampleStreams))
+			require.NotEmpty(f.t, streams)
+			assertGoOn(f.t, boxes[1], streams)
+			restart(runs("v2", "2"))
+			assertStreamsRefused(f.t, boxes[1], streams)
+		})
+	})
 	t.Run("does not go on at the older version within its response", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			told := make(chan struct{})
--- a/internal/opaque/dialect.go
+++ b/internal/opaque/dialect.go
@@ -48,6 +48,10 @@
 	Reserved []string
 	// Key returns the key of a request from its headers.
 	Key func(header http.Header) string
+	// ReportPath is where upstreams tell about themselves, without a key and beside their requests, or "".
+	ReportPath string
+	// DecodeStart decodes the start time of an upstream's process from its report. It returns 0 if the report has none.
+	DecodeStart func(report []byte) clock.Millis
 	// RetryAfter formats a duration as the value of a Retry-After header.
 	RetryAfter func(span clock.Millis) string
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -168,9 +168,14 @@
 	if s.failedDials >= maxFailedDials && s.canForward() {
 		return nil, balance.ErrPartitioned
 	}
-	lease, err := s.pipe.deps.Pick(s.ctx, s.pickRequest())
-	s.recordAdmission(lease, err)
-	return lease, err
+	for {
+		lease, err := s.pipe.deps.Pick(s.ctx, s.pickRequest())
+		s.recordAdmission(lease, err)
+		if err != nil || s.mayContinueAt(lease) {
+			return lease, err
+		}
+		lease.Release(balance.Neutral)
+	}
 }
 
 // pickFailure returns the failure that determines the response if no upstream was picked: that of the latest attempt,
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -45,6 +45,31 @@
 	return ctx.Err() == nil && AcceptsConnections(probe)
 }
 
+// maxReportBytes bounds what is read of an upstream's report on itself, which lists its requests.
+const maxReportBytes = 64 << 10
+
+// Report returns what an upstream tells about itself at a path, or nil if it responds with another status than 200.
+func (c *Client) Report(ctx context.Context, path string) []byte {
+	response, err := c.get(ctx, path, http.Header{})
+	if err != nil {
+		return nil
+	}
+	defer response.Close()
+	body, err := io.ReadAll(io.LimitReader(response, maxReportBytes))
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	return body
+}
+
+// get sends a request that belongs to no caller.
+func (c *Client) get(ctx context.Context, path string, header http.Header) (*Response, error) {
+	return c.Do(ctx, &Request{
+		Method: http.MethodGet, Target: path, Host: c.address, Header: header,
+		Matches: func(http.Header) bool { return true },
+	})
+}
+
 // maxCheckBytes is the size of the body of a health check's response up to which its connection is used again.
 const maxCheckBytes = 4 << 10
 
@@ -55,10 +80,7 @@
 
 // CheckHealth returns the status with which the upstream responds to a health check, or 0 if it doesn't.
 func (c *Client) CheckHealth(ctx context.Context, healthPath string, header http.Header) (status int) {
-	response, err := c.Do(ctx, &Request{
-		Method: http.MethodGet, Target: healthPath, Host: c.address, Header: header,
-		Matches: func(http.Header) bool { return true },
-	})
+	response, err := c.get(ctx, healthPath, header)
 	if err != nil {
 		return 0
 	}
