fix(inbound): the kernel of a half-closed caller is asked instead of a time limit

What callers saw: one that ended only its writing side after its request got 502 or a cut stream whenever the response took longer than 250 ms, or its end took that long to confirm.

Cause: a caller that has closed its socket and one that has ended its side look the same until data arrives, and there was none before the response. The caller was given up after 250 to 400 ms.

Change: 100 ms after the end, if the response has not begun, the caller gets an interim response (100 Continue, RFC 9110, section 15.2). The kernel of one that has closed its socket resets the connection, that of one that reads acknowledges it. It is asked again each 300 ms, for callers that close later, and for proxies that pass on only the end of a caller's side (their first write to a caller that has left succeeds). The interim response is written only while all that was written before is acknowledged, and never once the final one has begun. Callers by HTTP/1.0, and those in the midst of a response, are not asked; callers whose machine does not acknowledge within 400 ms are given up, as before.

A caller counts as unheard only if the kernel has acknowledged nothing by then: the latest check may be long ago.

Ruled out: a part of a chunk size (leading zeros) as a question in the midst of a response: if the response is broken off then, a lenient caller may take the zero for the last chunk.

TestAskedCallers fails without the question (five of eight subtests).

--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -155,6 +156,20 @@
 	return len(data), nil
 }
 
+// WriteWhole writes data that the kernel takes at once, for a caller that has all that was written before. It may be
+// called beside all methods but Write.
+func (u *Unread) WriteWhole(data []byte) error {
+	n, err := u.writeNow(data)
+	if err == nil && n < len(data) {
+		err = io.ErrShortWrite
+	}
+	if n > 0 && err != nil {
+		// What is written next would be taken for the rest.
+		return u.fail(err)
+	}
+	return err
+}
+
 // writeThrough writes data to a caller that takes some of it in time.
 func (u *Unread) writeThrough(data []byte) (int, error) {
 	written, err := u.writeAtRate(data, func(data []byte, _ clock.Millis) (int, error) { return u.writeNow(data) })
--- a/internal/exchange/unread_test.go
+++ b/internal/exchange/unread_test.go
@@ -168,3 +168,18 @@
 		})
 	}
 }
+
+// TestWriteWhole guards against a response that begins in the middle of data that the kernel has taken a part of.
+func TestWriteWhole(t *testing.T) {
+	box, caller := connect(t)
+	u := newUnread(box, NewMemory(1<<20))
+	require.NoError(t, u.WriteWhole([]byte("whole")))
+	got := make([]byte, len("whole"))
+	_, err := io.ReadFull(caller, got)
+	require.NoError(t, err)
+	assert.Equal(t, "whole", string(got))
+	require.ErrorIs(t, u.WriteWhole(make([]byte, 16<<20)), io.ErrShortWrite)
+	_, err = u.Write([]byte("response"))
+	require.ErrorIs(t, err, io.ErrShortWrite)
+	require.NoError(t, caller.Close())
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -197,7 +197,7 @@
 
 func (b *Box) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: inbound.TrackBodies(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: inbound.TrackRequests(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: headerBytes(b.settings.Load().Capacity), ErrorLog: b.newServerErrorLog(),
 		ConnContext: inbound.WithConn, ConnState: inbound.TrackIdle(b.clock.Monotonic),
 	}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -54,11 +54,15 @@
 	lingering atomic.Bool
 	// committed is the number of attempts whose responses are awaited even if the caller seems to have left.
 	committed atomic.Int32
-	// unheardFromMs is from when on the caller is unheard if it gives no sign until then, or zero.
-	unheardFromMs atomic.Int64
+	// unheardFromMs is from when on the caller is unheard if it gives no sign until then, or zero. acknowledgedAtEnd is
+	// how much its machine had acknowledged when it ended its side.
+	unheardFromMs     atomic.Int64
+	acknowledgedAtEnd atomic.Uint64
 	// waits reports whether bytes of the response wait to be read, or is nil.
 	waits atomic.Pointer[func() bool]
 
+	interim interim
+
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
 
@@ -140,6 +144,7 @@
 
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *Conn) Write(data []byte) (int, error) {
+	c.interim.handleWrite(data)
 	c.responded.Store(true)
 	c.writes.Add(1)
 	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"os"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
 )
@@ -21,6 +17,11 @@
 	// maxHoldMs is how long it is awaited while bytes are under way to the caller, or the process gets so little
 	// processor time that few checks were made. It leaves time to cancel a request within half a second.
 	maxHoldMs clock.Millis = 400
+	// askMs is how long after the end the caller is asked for a sign. A response that is ready before is one itself.
+	askMs clock.Millis = 100
+	// askAgainMs is how long after a question the next one follows. The kernel of a caller that reads and closes its
+	// socket later sends nothing by itself, as it has sent the end before.
+	askAgainMs clock.Millis = 300
 	// holdCheckMs is the interval at which the kernel is asked for a sign, and minHoldChecks how often it is asked at
 	// least. It is half of what a process with enough processor time makes in holdMs.
 	holdCheckMs   clock.Millis = 25
@@ -58,7 +59,12 @@
 // more should be done for it, though a response that is under way is awaited.
 func (c *Conn) Unheard() bool {
 	from := c.unheardFromMs.Load()
-	return from != 0 && int64(c.listener.clock.Monotonic()) >= from
+	if from == 0 || int64(c.listener.clock.Monotonic()) < from {
+		return false
+	}
+	// The latest check may be long ago.
+	now := signOf(c.Conn)
+	return !now.open || now.acknowledgedBytes <= c.acknowledgedAtEnd.Load()
 }
 
 // setUnheardFrom sets from when on a caller that gives no sign is unheard.
@@ -77,7 +83,8 @@
 // the error of the read.
 //
 // A caller that has closed its socket looks the same as one that has only ended its writing side and reads. But its
-// kernel resets the connection when data arrives, while that of a caller that reads acknowledges them.
+// kernel resets the connection when data arrives, while that of a caller that reads acknowledges them. While there are
+// none of the response, the caller is asked with an interim one.
 func (c *Conn) holdEnd() error {
 	atEnd := signOf(c.Conn)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -85,7 +92,9 @@
 	if !atEnd.open || !c.startHold(cancel) {
 		cancel()
 	}
-	h := &hold{conn: c, atEnd: atEnd, startMs: c.listener.clock.Monotonic(), writes: c.writes.Load()}
+	now := c.listener.clock.Monotonic()
+	h := &hold{conn: c, atEnd: atEnd, startMs: now, nextAskMs: now + askMs, writes: c.writes.Load()}
+	c.acknowledgedAtEnd.Store(atEnd.acknowledgedBytes)
 	c.setUnheardFrom(h.startMs, atEnd, false)
 	for span := holdCheckMs; atEnd.open; {
 		if c.listener.clock.Sleep(ctx, span) != nil {
@@ -107,9 +116,12 @@
 
 // hold is the wait for a sign of a caller that has ended its side.
 type hold struct {
-	conn    *Conn
-	atEnd   sign
+	conn  *Conn
+	atEnd sign
+	// startMs is when the end was read, or later if the caller could not be asked in time.
 	startMs clock.Millis
+	// nextAskMs is when the caller is asked next.
+	nextAskMs clock.Millis
 	// checks is how often the kernel was asked, and writes how often the response was written to until the last time.
 	checks int
 	writes int64
@@ -124,6 +136,7 @@
 		h.checks++
 	}
 	h.reads = h.reads || now.acknowledgedBytes > h.atEnd.acknowledgedBytes
+	now.outstanding = h.ask(now) || now.outstanding
 	c.setUnheardFrom(h.startMs, now, h.reads)
 	before := h.writes
 	h.writes = c.writes.Load()
@@ -132,6 +145,18 @@
 	return over && !h.reads && h.writes == before && c.committed.Load() == 0 && !c.responseWaits()
 }
 
+// ask asks the caller for a sign if it is time to, and reports whether it did. One that is asked late has as long to
+// give it.
+func (h *hold) ask(now sign) bool {
+	atMs := h.conn.listener.clock.Monotonic()
+	if atMs < h.nextAskMs || now.outstanding || !now.open || !h.conn.interim.send(h.conn.unread) {
+		return false
+	}
+	h.nextAskMs = atMs + askAgainMs
+	h.startMs = max(h.startMs, atMs-askMs)
+	return true
+}
+
 // startHold makes SetReadDeadline and Close call a function, and returns false if the deadline has passed.
 func (c *Conn) startHold(wake context.CancelFunc) bool {
 	c.mu.Lock()
@@ -149,36 +174,3 @@
 		c.wake = nil
 	}
 }
-
-// sign is what the kernel knows of a caller.
-type sign struct {
-	// acknowledgedBytes is how much the caller's machine has acknowledged, and outstanding whether there is more.
-	acknowledgedBytes uint64
-	outstanding       bool
-	// open is set unless the connection is closed, was reset or has no socket.
-	open bool
-}
-
-// signOf asks the kernel. A connection without a socket may have a method Sign.
-func signOf(c net.Conn) sign {
-	if known, ok := c.(interface{ Sign() sign }); ok {
-		return known.Sign()
-	}
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return sign{}
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return sign{}
-	}
-	var info *unix.TCPInfo
-	err = raw.Control(func(fd uintptr) {
-		// Without information, the connection counts as closed.
-		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if err != nil || info == nil || info.State == unix.BPF_TCP_CLOSE {
-		return sign{}
-	}
-	return sign{acknowledgedBytes: info.Bytes_acked, outstanding: info.Unacked > 0 || info.Notsent_bytes > 0, open: true}
-}
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,10 @@
 	sent     bytes.Buffer
 	reads    bool
 	left     atomic.Bool
+	// closesAt is when the caller closes its socket, so that later data resets the connection. It is zero if it never does.
+	closesAt time.Time
+	// version is that of the request. If it is empty, the connection is not told of the request.
+	version string
 	// closed is closed by Close, which the server may call twice.
 	closed chan struct{}
 	once   sync.Once
@@ -38,6 +43,7 @@
 func (c *halfClosedConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.left.Store(c.left.Load() || !c.closesAt.IsZero() && !time.Now().Before(c.closesAt))
 	return c.sent.Write(data)
 }
 
@@ -68,7 +74,7 @@
 	t *testing.T, caller *halfClosedConn, takes time.Duration, start func(w http.ResponseWriter, c *Conn),
 ) (ran time.Duration) {
 	t.Helper()
-	caller.requests = bytes.NewReader([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	caller.requests = bytes.NewReader([]byte("GET / " + cmp.Or(caller.version, "HTTP/1.1") + "\r\nHost: h\r\n\r\n"))
 	caller.closed = make(chan struct{})
 	inner := pipeListener{conns: make(chan net.Conn, 1)}
 	inner.conns <- caller
@@ -77,18 +83,21 @@
 	require.NoError(t, err)
 	once := make(chan net.Conn, 1)
 	once <- accepted
+	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began := time.Now()
+		start(w, ConnOf(r.Context()))
+		select {
+		case <-r.Context().Done():
+		case <-time.After(takes):
+		}
+		ran = time.Since(began)
+		_, _ = io.WriteString(w, "response")
+	}))
+	if caller.version != "" {
+		handler = TrackRequests(handler)
+	}
 	server := http.Server{
-		ConnContext: WithConn, ConnState: TrackIdle(clock.New().Monotonic), ReadHeaderTimeout: time.Minute,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			began := time.Now()
-			start(w, ConnOf(r.Context()))
-			select {
-			case <-r.Context().Done():
-			case <-time.After(takes):
-			}
-			ran = time.Since(began)
-			_, _ = io.WriteString(w, "response")
-		}),
+		ConnContext: WithConn, ConnState: TrackIdle(clock.New().Monotonic), ReadHeaderTimeout: time.Minute, Handler: handler,
 	}
 	go func() { _ = server.Serve(onceListener{conns: once}) }()
 	<-caller.closed
@@ -228,6 +237,12 @@
 	assert.False(t, unheardAfter(holdMs, sign{outstanding: true}, false), "while bytes are under way")
 	assert.True(t, unheardAfter(maxHoldMs, sign{outstanding: true}, false))
 	assert.False(t, unheardAfter(maxHoldMs, sign{}, true), "a caller that reads")
+	reading := &halfClosedConn{reads: true}
+	c.Conn = reading
+	assert.True(t, unheardAfter(holdMs, sign{}, false), "no data to acknowledge")
+	_, err := reading.Write([]byte("data"))
+	require.NoError(t, err)
+	assert.False(t, unheardAfter(holdMs, sign{}, false), "acknowledged since the latest check")
 }
 
 // TestSignOf guards against a caller that has left and counts as reading on real sockets, and the reverse.
--- /dev/null
+++ b/internal/inbound/interim_test.go
@@ -0,0 +1,68 @@
+package inbound
+
+import (
+	"cmp"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// TestAskedCallers guards against slow responses that are lost for callers that have ended only their writing side, and
+// against upstreams that work on for callers that have closed the connection.
+func TestAskedCallers(t *testing.T) {
+	const takes = 5 * clock.Second
+	begin := func(w http.ResponseWriter, _ *Conn) {
+		<-time.After(time.Millisecond)
+		assert.NoError(t, http.NewResponseController(w).Flush())
+	}
+	commit := func(_ http.ResponseWriter, c *Conn) { c.Commit() }
+	for _, c := range []struct {
+		name    string
+		version string
+		reads   bool
+		// closesAfter is when the caller closes its socket, or 0 if it doesn't.
+		closesAfter clock.Millis
+		start       func(w http.ResponseWriter, c *Conn)
+		takes, runs clock.Millis
+		questions   int
+	}{
+		{name: "that reads", reads: true, takes: askAgainMs, runs: askAgainMs, questions: 1},
+		{name: "whose response is soon ready", reads: true, takes: askMs - holdCheckMs, runs: askMs - holdCheckMs},
+		{name: "whose response has begun", reads: true, start: begin, takes: takes, runs: takes},
+		{name: "that has left", closesAfter: 1, takes: takes, runs: askMs + holdCheckMs, questions: 1},
+		{
+			name: "that has left after a request that may not be repeated", closesAfter: 1, start: commit,
+			takes: takes, runs: askMs + holdCheckMs, questions: 1,
+		},
+		{
+			name: "that leaves later", reads: true, closesAfter: askMs + holdCheckMs,
+			takes: takes, runs: askMs + askAgainMs + holdCheckMs, questions: 2,
+		},
+		{name: "that can't be reached", takes: takes, runs: maxHoldMs, questions: 1},
+		{name: "that accepts no interim response", version: "HTTP/1.0", reads: true, takes: takes, runs: holdMs},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := &halfClosedConn{reads: c.reads, version: cmp.Or(c.version, "HTTP/1.1")}
+				if c.closesAfter > 0 {
+					caller.closesAt = time.Now().Add(c.closesAfter.Duration())
+				}
+				if c.start == nil {
+					c.start = func(http.ResponseWriter, *Conn) {}
+				}
+				ran := serveHalfClosed(t, caller, c.takes.Duration(), c.start)
+				assert.Equal(t, c.runs.Duration(), ran.Round(holdCheckMs.Duration()))
+				sent := caller.sent.String()
+				asked := strings.Repeat(interimResponse, c.questions)
+				assert.True(t, strings.HasPrefix(sent, asked+caller.version+" 200 OK\r\n"), "interim responses first: %q", sent)
+				assert.Equal(t, c.questions, strings.Count(sent, interimResponse))
+			})
+		})
+	}
+}
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -26,17 +26,27 @@
 // not count: a caller that always sends more would never be told to close the connection.
 func (c *Conn) IsAhead() bool { return c.headAhead.Load() && c.aheadBytes.Load() > c.bodyBytes.Load() }
 
-// TrackBodies returns a handler that tells connections how long the bodies of requests are.
-func TrackBodies(handler http.Handler) http.Handler {
+// TrackRequests returns a handler that tells connections how long the bodies of requests are, and whether their callers
+// accept interim responses.
+func TrackRequests(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// Without a body, the server already reads ahead.
-		if c := ConnOf(r.Context()); c != nil && r.ContentLength > 0 {
-			c.bodyBytes.Store(r.ContentLength)
+		if c := ConnOf(r.Context()); c != nil {
+			c.trackRequest(r)
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+func (c *Conn) trackRequest(r *http.Request) {
+	if r.ContentLength > 0 {
+		// Without a body, the server already reads ahead.
+		c.bodyBytes.Store(r.ContentLength)
+	}
+	if r.ProtoAtLeast(1, 1) {
+		c.interim.accept()
+	}
+}
+
 // readRequest reads no further than the end of a request. The rest of what a read of the socket returns is held.
 func (c *Conn) readRequest(data []byte) (int, error) {
 	held := len(c.ahead.data)
--- a/internal/inbound/readahead_test.go
+++ b/internal/inbound/readahead_test.go
@@ -56,7 +56,7 @@
 	inner := closableListener{pipeListener{conns: make(chan net.Conn, 1)}, make(chan struct{})}
 	l = NewListener(inner, 1, exchange.NewMemory(1<<20), clock.New())
 	server := http.Server{
-		ConnContext: WithConn, ConnState: TrackIdle(clock.New().Monotonic), Handler: TrackBodies(handler),
+		ConnContext: WithConn, ConnState: TrackIdle(clock.New().Monotonic), Handler: TrackRequests(handler),
 		ReadHeaderTimeout: time.Minute,
 	}
 	go func() { _ = server.Serve(l) }()
