--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -42,13 +42,17 @@
 		// Without a body, the server already reads ahead.
 		c.bodyBytes.Store(r.ContentLength)
 	}
-	if r.ProtoAtLeast(1, 1) {
+	if r.ProtoAtLeast(1, 1) && r.TLS == nil {
+		// Below TLS, an interim response would have to be a record.
 		c.interim.accept()
 	}
 }
 
 // readRequest reads no further than the end of a request. The rest of what a read of the socket returns is held.
 func (c *Conn) readRequest(data []byte) (int, error) {
+	if c.listener.encrypted {
+		return c.readSocket(data)
+	}
 	held := len(c.ahead.data)
 	if held > 0 && (len(data) != readAheadBytes || !c.handling.Load()) {
 		// An eviction finds either held data or a connection that is active.
