test(soak): callers in unusual forms, and callers that leave

The soak sent requests as the HTTP client of Go does, and half-closed ones to servers that give a length or chunks.

Work for callers that have left is checked for the first time: half a second after the close servers may work on a quarter of the requests that would have run so long. A work on an unframed response whose process has been replaced counts as broken off by its server, as the soak replaces servers in place.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -63,7 +63,7 @@
 			}
 		}
 	}
-	for _, added := range []string{"quotas", "callers", "limits", "overlaps"} {
+	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire"} {
 		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
@@ -134,6 +134,11 @@
 			Name:  "overlaps",
 			Usage: "also start the next process of a box before the one before has ended; requires --planned or --processes",
 		},
+		&cli.BoolFlag{
+			Name: "wire",
+			Usage: "also send requests over HTTP/1.0, in pieces, with Expect, half-closed and of callers that leave, and " +
+				"have servers respond without a length; requires --planned or --processes",
+		},
 		&cli.BoolFlag{
 			Name: "limits",
 			Usage: "run boxes under limits and in surroundings that whoever starts processes may have, as a user of their " +
@@ -178,7 +183,7 @@
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
-		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"), Overlaps: c.Bool("overlaps"),
+		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"), Overlaps: c.Bool("overlaps"), Wire: c.Bool("wire"),
 		Limits: c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -60,8 +60,7 @@
 }
 
 // runCaller opens one connection to a box after the other, until ctx ends.
-func (f *fleet) runCaller(ctx context.Context, number int) {
-	kinds := callerKinds()
+func (f *fleet) runCaller(ctx context.Context, number int, kinds []string) {
 	c := caller{
 		kind: kinds[number%len(kinds)], number: number,
 		random: rand.New(rand.NewPCG(f.settings.Seed, uint64(firstCallerStream+number))),
@@ -103,6 +102,8 @@
 func (c *caller) call(particular bool) standin.Call {
 	call := standin.Call{Kind: []string{standin.Safe, standin.Unsafe}[c.random.IntN(2)], DeadlineMs: keptDeadlineMs}
 	switch {
+	case particular && isForm(c.kind):
+		call.Form, call.Kind = standin.Form(c.kind), []string{standin.Safe, standin.Stream}[c.random.IntN(2)]
 	case c.kind == callerNext && !particular:
 		call.Kind = standin.Stream
 	case c.kind == callerBody && particular:
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -70,6 +70,9 @@
 	Quotas, Callers bool
 	// Overlaps also starts the next process of a box before the one before it has ended. It needs Processes or Planned.
 	Overlaps bool
+	// Wire also sends requests of callers in unusual forms, and makes servers respond without a length. It needs
+	// Processes or Planned.
+	Wire bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -98,7 +101,7 @@
 	address string
 	// beginWork records that the server got a request. It is nil if link is.
 	beginWork func(
-		request, server string, linkDisturbed func(from, to time.Time) bool,
+		ctx context.Context, request, server string, linkDisturbed func(from, to time.Time) bool,
 	) (end func(brokeOff bool))
 
 	mu      sync.Mutex
@@ -115,7 +118,7 @@
 	current, down := s.current, s.down
 	s.mu.Unlock()
 	if id := r.Header.Get("X-Attempt-Id"); id != "" && s.beginWork != nil {
-		defer s.recordWork(id, current.ID)()
+		defer s.recordWork(r.Context(), id, current)()
 	}
 	if down {
 		panic(http.ErrAbortHandler)
@@ -124,14 +127,15 @@
 }
 
 // recordWork records work on a request until the returned function is called, which must be deferred.
-func (s *server) recordWork(request, server string) (end func()) {
-	endWork := s.beginWork(request, server, s.link.disturbed)
+func (s *server) recordWork(ctx context.Context, request string, by *standin.Server) (end func()) {
+	endWork := s.beginWork(ctx, request, by.ID, s.link.disturbed)
 	return func() {
 		panicked := recover()
 		s.mu.Lock()
-		down := s.down
+		// Nobody vouches for the end of an unframed response when its process has been replaced.
+		brokeOff := s.down || by.Unframed() && s.current != by
 		s.mu.Unlock()
-		endWork(panicked != nil || down)
+		endWork(panicked != nil || brokeOff)
 		if panicked != nil {
 			panic(panicked)
 		}
@@ -293,6 +297,9 @@
 			current.StreamSlowly(longEventGap)
 		}
 	}
+	if f.settings.Wire {
+		current.SetUnframed(f.draw(unframedServerOneIn) == 0)
+	}
 	current.OnArrival(func(a standin.Arrival) {
 		a.Box, a.EarliestSend = s.link.nextRequest(a.Remote, a.At)
 		f.history.recordArrival(a)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -152,6 +152,7 @@
 	violations = append(violations, h.checkLost()...)
 	violations = append(violations, h.checkCallers()...)
 	violations = append(violations, h.checkRefusals()...)
+	violations = append(violations, h.checkGone()...)
 	return append(violations, h.checkSignals()...)
 }
 
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -40,17 +40,25 @@
 	from, to time.Time
 	// brokeOff is set if the server ended the connection. linkDisturbed reports whether its link was disturbed in an
 	// interval.
-	brokeOff      bool
+	brokeOff bool
+	// canceled is when the box closed the connection or, if it did not, when the work had ended.
+	canceled      time.Time
 	linkDisturbed func(from, to time.Time) bool
 }
 
-// beginWork records that a server got a request. The returned function records the end.
+// beginWork records that a server got a request, whose context ends when the box closes the connection. The returned
+// function records the end.
 func (h *history) beginWork(
-	request, server string, linkDisturbed func(from, to time.Time) bool,
+	ctx context.Context, request, server string, linkDisturbed func(from, to time.Time) bool,
 ) (end func(brokeOff bool)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	one := &work{server: server, from: time.Now(), linkDisturbed: linkDisturbed}
+	context.AfterFunc(ctx, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		one.canceled = time.Now()
+	})
 	h.works[request] = append(h.works[request], one)
 	return func(brokeOff bool) {
 		h.mu.Lock()
@@ -87,6 +95,8 @@
 	OnKept, BesidePlanned, Unanswered, Others int
 	// Callers counts the particular requests of callers, by kind and phase of the box.
 	Callers map[string]callerStats
+	// Gone counts the work on requests whose callers had left.
+	Gone goneStats
 	// LongestRefusalMs is the longest time for which a box refused connections beside a restart that overlaps.
 	LongestRefusalMs int64
 }
--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -249,7 +249,9 @@
 }
 
 // cancelled reports whether the client left before the response was complete.
-func cancelled(o standin.Outcome) bool { return strings.Contains(o.Err, context.Canceled.Error()) }
+func cancelled(o standin.Outcome) bool {
+	return !o.Left.IsZero() || strings.Contains(o.Err, context.Canceled.Error())
+}
 
 // partitionFigures adds up the requests of all partitions.
 func (h *history) partitionFigures() partitionStats {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -150,7 +150,12 @@
 	}
 	if f.settings.Callers {
 		for i := range len(callerKinds()) * len(f.boxes) {
-			workers.Go(func() { f.runCaller(ctx, i) })
+			workers.Go(func() { f.runCaller(ctx, i, callerKinds()) })
+		}
+	}
+	if f.settings.Wire {
+		for i := range len(wireKinds()) * len(f.boxes) {
+			workers.Go(func() { f.runCaller(ctx, firstWireCaller+i, wireKinds()) })
 		}
 	}
 	if f.settings.Planned {
