fix(inbound): callers of dooryard-router are asked for a sign, too

What callers would have seen: dooryard-router ends with a panic when one of its callers ends its writing side and its response takes longer than 100 ms.

Change: without an Unread the question is written to the connection itself, which has taken all that was written before.

TestAskedCallers/that_writes_wait_for fails before: nil pointer dereference.

--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -149,7 +149,7 @@
 // give it.
 func (h *hold) ask(now sign) bool {
 	atMs := h.conn.listener.clock.Monotonic()
-	if atMs < h.nextAskMs || now.outstanding || !now.open || !h.conn.interim.send(h.conn.unread) {
+	if atMs < h.nextAskMs || now.outstanding || !now.open || !h.conn.interim.send(h.conn.writeWhole) {
 		return false
 	}
 	h.nextAskMs = atMs + askAgainMs
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -31,6 +31,8 @@
 	left     atomic.Bool
 	// closesAt is when the caller closes its socket, so that later data resets the connection. It is zero if it never does.
 	closesAt time.Time
+	// holdsNothing makes writes wait for the caller.
+	holdsNothing bool
 	// version is that of the request. If it is empty, the connection is not told of the request.
 	version string
 	// closed is closed by Close, which the server may call twice.
@@ -78,7 +80,11 @@
 	caller.closed = make(chan struct{})
 	inner := pipeListener{conns: make(chan net.Conn, 1)}
 	inner.conns <- caller
-	l := NewListener(inner, 1, exchange.NewMemory(1<<20), clock.New(), WithHeldEnds())
+	responses := exchange.NewMemory(1 << 20)
+	if caller.holdsNothing {
+		responses = nil
+	}
+	l := NewListener(inner, 1, responses, clock.New(), WithHeldEnds())
 	accepted, err := l.Accept()
 	require.NoError(t, err)
 	once := make(chan net.Conn, 1)
--- a/internal/inbound/interim.go
+++ b/internal/inbound/interim.go
@@ -1,10 +1,6 @@
 package inbound
 
-import (
-	"sync"
-
-	"dooryard.example/dooryard/internal/exchange"
-)
+import "sync"
 
 // interimResponse is a response before the final one, which any caller by HTTP/1.1 accepts (RFC 9110, section 15.2).
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -34,8 +30,21 @@
 }
 
 // send sends an interim response to a caller that has all that was written before, and reports whether it did.
-func (i *interim) send(to *exchange.Unread) bool {
+func (i *interim) send(write func(data []byte) error) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.accepted && to.WriteWhole([]byte(interimResponse)) == nil
+	return i.accepted && write([]byte(interimResponse)) == nil
+}
+
+// writeWhole writes data that the kernel takes at once.
+func (c *Conn) writeWhole(data []byte) error {
+	if c.unread != nil {
+		return c.unread.WriteWhole(data)
+	}
+	n, err := c.Conn.Write(data)
+	if n > 0 && err != nil {
+		// What is written next would be taken for the rest.
+		c.reset()
+	}
+	return err
 }
--- a/internal/inbound/interim_test.go
+++ b/internal/inbound/interim_test.go
@@ -31,8 +31,11 @@
 		start       func(w http.ResponseWriter, c *Conn)
 		takes, runs clock.Millis
 		questions   int
+		// holdsNothing makes writes wait for the caller.
+		holdsNothing bool
 	}{
 		{name: "that reads", reads: true, takes: askAgainMs, runs: askAgainMs, questions: 1},
+		{name: "that writes wait for", reads: true, holdsNothing: true, takes: askAgainMs, runs: askAgainMs, questions: 1},
 		{name: "whose response is soon ready", reads: true, takes: askMs - holdCheckMs, runs: askMs - holdCheckMs},
 		{name: "whose response has begun", reads: true, start: begin, takes: takes, runs: takes},
 		{name: "that has left", closesAfter: 1, takes: takes, runs: askMs + holdCheckMs, questions: 1},
@@ -49,7 +52,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				caller := &halfClosedConn{reads: c.reads, version: cmp.Or(c.version, "HTTP/1.1")}
+				caller := &halfClosedConn{reads: c.reads, holdsNothing: c.holdsNothing, version: cmp.Or(c.version, "HTTP/1.1")}
 				if c.closesAfter > 0 {
 					caller.closesAt = time.Now().Add(c.closesAfter.Duration())
 				}
