--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -42,8 +42,10 @@
 	idleSinceMs atomic.Int64
 	// keptUnread is set once an eviction has found a request that waits to be read.
 	keptUnread atomic.Bool
-	// broken makes Close reset the connection.
-	broken atomic.Bool
+	// broken makes Close reset the connection. unframed is set while a response that ends with it is not complete; only
+	// the handler uses it.
+	broken   atomic.Bool
+	unframed bool
 	// reads is the number of calls of Read that have not returned.
 	reads atomic.Int32
 	// ended is set once the caller sends nothing more.
@@ -55,11 +57,15 @@
 	lingering atomic.Bool
 	// committed is the number of attempts whose responses are awaited even if the caller seems to have left.
 	committed atomic.Int32
-	// unheardFromMs is from when on the caller is unheard if it gives no sign until then, or zero.
-	unheardFromMs atomic.Int64
+	// unheardFromMs is from when on the caller is unheard if it gives no sign until then, or zero. acknowledgedAtEnd is
+	// how much its machine had acknowledged when it ended its side.
+	unheardFromMs     atomic.Int64
+	acknowledgedAtEnd atomic.Uint64
 	// waits reports whether bytes of the response wait to be read, or is nil.
 	waits atomic.Pointer[func() bool]
 
+	interim interim
+
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
 
@@ -141,6 +147,7 @@
 
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *Conn) Write(data []byte) (int, error) {
+	c.interim.handleWrite(data)
 	c.responded.Store(true)
 	c.writes.Add(1)
 	if c.unread == nil {
@@ -214,7 +221,7 @@
 
 // Attach makes a server tell the connections of a Listener what happens on them. The clock is monotonic.
 func Attach(s *http.Server, monotonic func() clock.Millis) {
-	s.Handler, s.ConnContext, s.ConnState = TrackBodies(s.Handler), WithConn, TrackIdle(monotonic)
+	s.Handler, s.ConnContext, s.ConnState = TrackRequests(s.Handler), WithConn, TrackIdle(monotonic)
 }
 
 // TrackIdle returns a hook for http.Server.ConnState that tells connections when they become idle, and when a request
