fix(threads): the stacks of threads take half a megabyte, not the stack limit

Callers saw: a box with `processors: 8` and a limit of data of 160 MB (`ulimit -d`) ended with status 2 at its start (`pthread_create failed: Resource temporarily unavailable`), although it uses some 10 MB.

Cause: each of its 9 to 16 threads has a stack of the size of the stack limit, 8 MB by default, all of which counts against limits of data and address space. So what the process took followed the limits of whoever started it.

Change: before the Go runtime starts, the default size is set to 512 KB (glibc). The runtime uses these stacks for itself and for calls of C, not for goroutines.

Played: an idle box with one processor under swept limits, one play each, start and SIGTERM: of data 128 and 96 MB ended with status 2 before, 64 MB and less still do (the heap's first block has 64 MB); of address space 750 MB ended before, 700 MB still does (what the runtime reserves). No difference at 256 MB and 800 MB and above. Also with a stack limit of 64 KB and none: status 0.

TestStacksOfThreadsAreSmall failed before (14 such stacks), also passes with the race detector; a trial with `ulimit -d` itself failed before and passed 3 times, but the race detector can't run under that limit.

--- a/internal/cmd/gatewaycmd/threads_test.go
+++ b/internal/cmd/gatewaycmd/threads_test.go
@@ -126,6 +126,35 @@
 	}
 }
 
+// mappings returns how many writable mappings of the process have a size in KB, up to a page more or less.
+func (p *process) mappings(sizeKB int64) int {
+	maps, err := os.ReadFile(fmt.Sprintf("/proc/%d/maps", p.command.Process.Pid))
+	require.NoError(p.t, err)
+	count, pageKB := 0, int64(os.Getpagesize()/1024)
+	for line := range strings.Lines(string(maps)) {
+		var from, to int64
+		var rights string
+		_, err := fmt.Sscanf(line, "%x-%x %s", &from, &to, &rights)
+		require.NoError(p.t, err)
+		if kb := (to - from) / 1024; rights == "rw-p" && kb >= sizeKB-pageKB && kb <= sizeKB+pageKB {
+			count++
+		}
+	}
+	return count
+}
+
+// TestStacksOfThreadsAreSmall guards against a box that ends since it can't create a thread where what it may use is
+// limited (ulimit -d, ulimit -v), because each stack takes as much as the stack limit, 8 MB by default.
+func TestStacksOfThreadsAreSmall(t *testing.T) {
+	const unusualStackKB = 7772
+	p := newProcess(t, freeAddresses(t)).withProcessors(8)
+	asUser(t, p.command, fmt.Sprintf("ulimit -s %d; ", unusualStackKB))
+	p.start()
+	p.awaitLine("started", "")
+	p.load()
+	assert.Zero(t, p.mappings(unusualStackKB))
+}
+
 func TestBoxWhoseUserCanHaveNoMoreThreadsServesAndStops(t *testing.T) {
 	p := newProcess(t, freeAddresses(t)).withProcessors(2).onManyProcessors().start()
 	p.awaitLine("started", "")
--- a/internal/cmd/threads/await.go
+++ b/internal/cmd/threads/await.go
@@ -1,6 +1,7 @@
 package threads
 
 /*
+#define _GNU_SOURCE
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -16,6 +17,10 @@
 #define RETRY_NS 50000000
 #define RETRIES 60
 
+// The default is the stack limit, usually 8 MB, which counts against limits of address space and of data as a whole.
+// The Go runtime uses these stacks for itself and for calls of C, not for goroutines.
+#define RUNTIME_STACK_BYTES (512 << 10)
+
 static pthread_mutex_t gate = PTHREAD_MUTEX_INITIALIZER;
 
 static void *wait_at_gate(void *unused) {
@@ -57,9 +62,20 @@
 	if (n > 0 && poll(&errors, 1, 0) == 1 && (errors.revents & POLLOUT)) n = write(STDERR_FILENO, line, n);
 }
 
+// Limits the stacks of the Go runtime's threads. After an error they have the default size.
+static void limit_stacks(void) {
+#ifdef __GLIBC__
+	pthread_attr_t attributes;
+	if (pthread_attr_init(&attributes) != 0) return;
+	if (pthread_attr_setstacksize(&attributes, RUNTIME_STACK_BYTES) == 0) pthread_setattr_default_np(&attributes);
+	pthread_attr_destroy(&attributes);
+#endif
+}
+
 // Runs before the Go runtime starts, which ends the process when it can't create a thread.
 __attribute__((constructor)) static void await_threads(void) {
 	struct timespec pause = {0, RETRY_NS};
+	limit_stacks();
 	int threads = creatable(START_THREADS);
 	if (threads == START_THREADS) return;
 	say(threads, "retried for up to 3 s");
