--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -41,8 +41,10 @@
 	idleSinceMs atomic.Int64
 	// keptUnread is set once an eviction has found a request that waits to be read.
 	keptUnread atomic.Bool
-	// broken makes Close reset the connection.
-	broken atomic.Bool
+	// broken makes Close reset the connection. unframed is set while a response that ends with it is not complete; only
+	// the handler uses it.
+	broken   atomic.Bool
+	unframed bool
 	// reads is the number of calls of Read that have not returned.
 	reads atomic.Int32
 	// ended is set once the caller sends nothing more.
@@ -149,12 +151,11 @@
 	c.interim.handleWrite(data)
 	c.responded.Store(true)
 	c.writes.Add(1)
+	defer c.sentSinceEnd.Store(true)
 	if c.unread == nil {
 		return c.Conn.Write(data) //nolint:wrapcheck // The server compares it.
 	}
-	n, err := c.unread.Write(data)
-	c.sentSinceEnd.Store(true)
-	return n, err //nolint:wrapcheck // The server compares it.
+	return c.unread.Write(data) //nolint:wrapcheck // The server compares it.
 }
 
 // setIdle records that the caller keeps the connection without a request.
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -165,7 +165,7 @@
 	if atMs < h.nextAskMs || now.outstanding || !now.open {
 		return false
 	}
-	sent, err := c.interim.send(c.unread)
+	sent, err := c.interim.send(c.writeWhole)
 	h.failed = err != nil
 	if !sent {
 		return false
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -35,6 +35,8 @@
 	closesAt time.Time
 	// untold is set if the kernel tells nothing of the caller. Only writes then fail after a reset.
 	untold bool
+	// holdsNothing makes writes wait for the caller.
+	holdsNothing bool
 	// version is that of the request. If it is empty, the connection is not told of the request.
 	version string
 	// closed is closed by Close, which the server may call twice.
@@ -88,7 +90,11 @@
 	caller.closed = make(chan struct{})
 	inner := pipeListener{conns: make(chan net.Conn, 1)}
 	inner.conns <- caller
-	l := NewListener(inner, 1, exchange.NewMemory(1<<20), clock.New(), WithHeldEnds())
+	responses := exchange.NewMemory(1 << 20)
+	if caller.holdsNothing {
+		responses = nil
+	}
+	l := NewListener(inner, 1, responses, clock.New(), WithHeldEnds())
 	accepted, err := l.Accept()
 	require.NoError(t, err)
 	once := make(chan net.Conn, 1)
--- a/internal/inbound/interim.go
+++ b/internal/inbound/interim.go
@@ -1,10 +1,6 @@
 package inbound
 
-import (
-	"sync"
-
-	"dooryard.example/dooryard/internal/exchange"
-)
+import "sync"
 
 // interimResponse is a response before the final one, which any caller by HTTP/1.1 accepts (RFC 9110, section 15.2).
 const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -35,12 +31,25 @@
 
 // send sends an interim response to a caller that has all that was written before, and reports whether it did. An error
 // means that nothing can be sent any more.
-func (i *interim) send(to *exchange.Unread) (sent bool, err error) {
+func (i *interim) send(write func(data []byte) error) (sent bool, err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.accepted {
 		return false, nil
 	}
-	err = to.WriteWhole([]byte(interimResponse))
-	return err == nil, err //nolint:wrapcheck // It is not reported.
+	err = write([]byte(interimResponse))
+	return err == nil, err
+}
+
+// writeWhole writes data that the kernel takes at once.
+func (c *Conn) writeWhole(data []byte) error {
+	if c.unread != nil {
+		return c.unread.WriteWhole(data)
+	}
+	n, err := c.Conn.Write(data)
+	if n > 0 && err != nil {
+		// What is written next would be taken for the rest.
+		c.reset()
+	}
+	return err
 }
