fix(server): connections that come while a listener closes are not reset unread

Callers that connect while a box closes its listener had an open connection, sent their request, and got a reset up to 0.3 s later. Cause: beside a steady flow of new connections the kernel was made to drop new ones by listen(fd, 0). That drops the packet that ends the opening of a connection, too, when one waits already: the caller takes it for open, the box never sees it, and it is reset when the listener closes. With little processor time each of up to 10 checks, 0.1 s apart, also let one more in. And what opened between the last check and the close was reset.

Change: once none waits, or after 0.1 s, a filter on the listening socket drops just the packets that open connections; what has begun to open is accepted, however slowly, and the queue has an end. The fallback without filters is as before. Multipath TCP, which net.Listen takes where the kernel has it, has no filters, so listeners are plain TCP ones; a caller over Multipath TCP falls back by itself. A dropped caller waits for its kernel's next try, a second, as it did before.

Its bounds are those of the queue now: a process that runs may check 21 times instead of 20, as it accepts all of the 21 that were taken; with little processor time it is 3 instead of 11, and how many the kernel took is new.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -121,7 +121,7 @@
 // New opens the listeners and builds the box. No request is served before Run.
 func New(ctx context.Context, settings config.Router, options ...Option) (*Box, error) {
 	b := &Box{
-		settings: settings, clock: clock.New(), logger: zap.NewNop(), listen: net.Listen, packets: net.ListenPacket,
+		settings: settings, clock: clock.New(), logger: zap.NewNop(), listen: server.ListenTCP, packets: net.ListenPacket,
 		spans: io.Discard, metrics: metrics.New(), drain: make(chan struct{}), killed: make(chan struct{}),
 	}
 	for _, option := range options {
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -135,7 +135,7 @@
 func New(settings config.Gateway, adapter Adapter, out io.Writer, options ...Option) (*Box, error) {
 	b := &Box{
 		dialect: adapter.Dialect, readinessPath: adapter.ReadinessPath,
-		clock: clock.New(), out: out, listen: net.Listen, packets: net.ListenPacket,
+		clock: clock.New(), out: out, listen: server.ListenTCP, packets: net.ListenPacket,
 		features: adapter.Features, lengths: work.NewLengths(),
 		metrics: NewMetrics(), synced: make(chan struct{}), confirmed: make(chan struct{}),
 		notesRead: make(chan struct{}),
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -149,7 +149,7 @@
 func WithBeforeBoxes(call func(f *Fleet)) Option { return func(f *Fleet) { f.beforeBoxes = call } }
 
 func loopback(string) Network {
-	return Network{Listen: net.Listen, Packets: net.ListenPacket, Dial: (&net.Dialer{}).DialContext}
+	return Network{Listen: server.ListenTCP, Packets: net.ListenPacket, Dial: (&net.Dialer{}).DialContext}
 }
 
 const (
--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -13,7 +13,7 @@
 )
 
 // startConnect begins to open a connection and doesn't wait for it.
-func startConnect(t *testing.T, address net.Addr) {
+func startConnect(t *testing.T, address net.Addr) (fd int) {
 	t.Helper()
 	tcp, ok := address.(*net.TCPAddr)
 	require.True(t, ok)
@@ -21,36 +21,48 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, unix.Close(fd)) })
 	require.ErrorIs(t, unix.Connect(fd, &unix.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}), unix.EINPROGRESS)
+	return fd
+}
+
+// isOpen reports whether a connection is open for its caller.
+func isOpen(t *testing.T, fd int) bool {
+	t.Helper()
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	require.NoError(t, err)
+	return info.State != unix.BPF_TCP_SYN_SENT
 }
 
 // TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
 // slowly than new ones arrive.
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
 	for _, c := range []struct {
-		name     string
-		pollMs   clock.Millis
-		maxPolls int
+		name   string
+		pollMs clock.Millis
+		// openPolls is how often it checks while the kernel takes new connections.
+		openPolls int
 	}{
-		{"a process that runs", acceptPollMs, openAcceptPolls + lastAcceptPolls},
-		{"a process with little processor time", openAcceptMs, 1 + lastAcceptPolls},
+		{"a process that runs", acceptPollMs, openAcceptPolls},
+		{"a process with little processor time", openAcceptMs, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			socket, err := net.Listen("tcp", "127.0.0.1:0")
+			socket, err := ListenTCP("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			t.Cleanup(func() { assert.NoError(t, socket.Close()) })
+			callers := []int{}
+			connect := func() { callers = append(callers, startConnect(t, socket.Addr())) }
 			accept := func() {
 				conn, err := socket.Accept()
 				require.NoError(t, err)
 				require.NoError(t, conn.Close())
 			}
-			startConnect(t, socket.Addr())
+			connect()
 			polls, now := 0, clock.Millis(1)
 			fake := clock.New(clock.WithMonotonic(func() clock.Millis { return now }),
 				clock.WithSleep(func(context.Context, clock.Millis) error {
 					polls, now = polls+1, now+c.pollMs
 					accept()
-					startConnect(t, socket.Addr())
-					startConnect(t, socket.Addr())
+					connect()
+					connect()
 					return nil
 				}))
 			NewListener(socket, fake, nil, nil).AwaitAccepted(t.Context())
@@ -58,8 +70,16 @@
 			for ; hasWaiting(socket); left++ {
 				accept()
 			}
+			open := 0
+			for _, fd := range callers {
+				if isOpen(t, fd) {
+					open++
+				}
+			}
 			assert.LessOrEqual(t, left, 2, "connections that wait to be accepted")
-			assert.LessOrEqual(t, polls, c.maxPolls)
+			maxOpen := 1 + 2*c.openPolls
+			assert.LessOrEqual(t, open, maxOpen, "connections that the kernel took")
+			assert.LessOrEqual(t, polls, maxOpen, "one is accepted after each check")
 		})
 	}
 }
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -53,6 +53,8 @@
 	}
 	limits := testLimits()
 	limits.IdleTimeoutMs, limits.HeaderTimeoutMs = clock.Second*60, clock.Second*60
+	// No idle connection is closed in favour of another one.
+	limits.MaxConnections = 10_000
 	s, err := Open("callers", config.Listener{Address: "127.0.0.1:0", TLS: secured}, limits, handler, listen)
 	require.NoError(t, err)
 	go func() { _ = s.Serve() }()
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -107,41 +108,65 @@
 	// A process that gets little processor time makes few checks.
 	openAcceptPolls              = 10
 	openAcceptMs    clock.Millis = 100
-	// lastAcceptPolls is how often it checks afterwards. These checks have no limit in time, since a process that gets
-	// little processor time accepts slowly.
+	// lastAcceptPolls is how often it checks afterwards if the kernel still takes some.
 	lastAcceptPolls = 10
 )
 
-// AwaitAccepted waits until no connection waits to be accepted, which Close would reset. If there are always some, the
-// kernel drops new ones after a moment, so that their callers find the listener closed when they try again. It gives
-// up when the context ends, or if connections still wait after many checks.
+// AwaitAccepted waits until no connection waits to be accepted, which Close would reset. It then makes the kernel drop
+// new ones, also if there were some all the time. Their callers find the listener closed when they try again. It gives
+// up when the context ends.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	startMs, open := l.clock.Monotonic(), 0
-	for last := 0; last < lastAcceptPolls; {
-		socket := l.current()
-		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
-			dropNew(socket)
-			last++
+	startMs := l.clock.Monotonic()
+	for open := 0; open < openAcceptPolls && l.clock.Monotonic()-startMs < openAcceptMs; open++ {
+		if !hasWaiting(l.current()) {
+			break
+		}
+		if l.clock.Sleep(ctx, acceptPollMs) != nil {
+			return
 		}
-		open++
-		if !hasWaiting(socket) || l.clock.Sleep(ctx, acceptPollMs) != nil {
+	}
+	// A connection may have come since the last check.
+	drops := dropNew(l.current())
+	for last := 0; drops || last < lastAcceptPolls; last++ {
+		if !hasWaiting(l.current()) || l.clock.Sleep(ctx, acceptPollMs) != nil {
 			return
 		}
 	}
 }
 
-// dropNew makes the kernel drop new connections while one waits to be accepted.
-func dropNew(socket net.Listener) {
+// Parts of a TCP header.
+const (
+	tcpFlagsOffset = 13
+	tcpSyn         = 0x02
+)
+
+// dropNew makes the kernel drop the packets that open connections, and reports whether it does. Where filters are not
+// available, it drops them while a connection waits to be accepted.
+func dropNew(socket net.Listener) bool {
 	withDescriptor, ok := socket.(syscall.Conn)
 	if !ok {
-		return
+		return false
 	}
 	raw, err := withDescriptor.SyscallConn()
 	if err != nil {
-		return
+		return false
+	}
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpSyn, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
 	}
-	// After an error it takes new ones, as before.
-	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), 0) })
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	drops := false
+	err = raw.Control(func(fd uintptr) {
+		drops = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program) == nil
+		if !drops {
+			// After an error it takes new ones, as before.
+			_ = unix.Listen(int(fd), 0)
+		}
+	})
+	return drops && err == nil
 }
 
 // hasWaiting reports whether a connection waits to be accepted at a socket.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,6 +26,13 @@
 // Listen opens a listener. Tests replace it.
 type Listen func(network, address string) (net.Listener, error)
 
+// ListenTCP opens a listener without Multipath TCP, whose sockets can't drop new connections.
+func ListenTCP(network, address string) (net.Listener, error) {
+	c := net.ListenConfig{}
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), network, address) //nolint:wrapcheck // Callers name the listener.
+}
+
 // Limits holds the limits of every listener of a box.
 type Limits struct {
 	MaxHeaderBytes  int
