--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -12,8 +12,12 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// bindRetryMs is the time between two attempts to bind an address.
-const bindRetryMs clock.Millis = 100
+// bindRetryMs is the time between two attempts to bind an address. Callers find no listener for as long after another
+// process has closed its own.
+const bindRetryMs clock.Millis = 50
+
+// bindReportMs is the time between two reports of an address that stays taken.
+const bindReportMs = 30 * clock.Second
 
 // Binder opens sockets. It retries while their address is taken or not yet configured, or while descriptors or buffers
 // are exhausted, which may end by itself: another process on the machine, such as an earlier one of the same box, may
@@ -22,7 +26,7 @@
 	Clock clock.Clock
 	// TimeoutMs is for how long it tries; 0 means until the context ends.
 	TimeoutMs clock.Millis
-	// OnRetry is called with the first error of a socket and whenever the error changes.
+	// OnRetry is called with the first error of a socket, whenever the error changes, and every 30 s.
 	OnRetry func(err error)
 }
 
@@ -55,13 +59,14 @@
 }
 
 // OpenAll opens all sockets or none, in their order. While one of them can't be opened, the others are closed: an open
-// listener accepts connections that nobody serves yet.
+// listener accepts connections that nobody serves yet. The first socket should take no connections. It is always opened
+// first, so that of several processes only the one that has it opens the others.
 func (b Binder) OpenAll(ctx context.Context, sockets ...Socket) error {
 	return b.bind(ctx, func() error {
 		failed, err := openOnce(sockets)
-		if err != nil {
-			// The next attempt begins with the socket that failed, so that it opens no other one in vain.
-			sockets = slices.Concat(sockets[failed:], sockets[:failed])
+		if failed > 0 {
+			// The next attempt goes on with the socket that failed, so that it opens no other listener in vain.
+			sockets = slices.Concat(sockets[:1], sockets[failed:], sockets[1:failed])
 		}
 		return err
 	})
@@ -93,7 +98,7 @@
 
 // bind opens sockets and retries errors that may end by themselves.
 func (b Binder) bind(ctx context.Context, open func() error) error {
-	startMs, last := b.Clock.Monotonic(), ""
+	startMs, last, reportedMs := b.Clock.Monotonic(), "", clock.Millis(0)
 	for {
 		err := open()
 		if err == nil {
@@ -102,8 +107,8 @@
 		if !mayBeReleased(err) || b.TimeoutMs > 0 && b.Clock.Monotonic()-startMs >= b.TimeoutMs {
 			return err
 		}
-		if text := err.Error(); text != last {
-			last = text
+		if text, now := err.Error(), b.Clock.Monotonic(); text != last || now-reportedMs >= bindReportMs {
+			last, reportedMs = text, now
 			b.OnRetry(err)
 		}
 		if stopped := b.Clock.Sleep(ctx, bindRetryMs); stopped != nil {
