--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -68,12 +68,19 @@
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
 	}
+	if c.String("earlier") != "" && c.Bool("limits") {
+		return fmt.Errorf("%w: --earlier and --limits can't be combined", errUsage)
+	}
 	return nil
 }
 
 func flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "gateway", Required: true, Usage: "path of the dooryard-gateway binary"},
+		&cli.StringFlag{
+			Name:  "earlier",
+			Usage: "path of the dooryard-gateway of another release, which every other start uses; not with --limits",
+		},
 		&cli.StringFlag{Name: "keep", Value: "soak-logs", Usage: "directory for the logs of each seed"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 		&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
@@ -177,8 +184,15 @@
 	if err != nil {
 		return err
 	}
+	earlier := c.String("earlier")
+	if earlier != "" {
+		if earlier, err = filepath.Abs(earlier); err != nil {
+			return err
+		}
+	}
 	report, runErr := soak.Run(ctx, soak.Settings{
-		Program: program, Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
+		Program: program, Earlier: earlier,
+		Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
 		Boxes: c.Int("boxes"), Servers: c.Int("servers"), Clients: c.Int("clients"), Span: c.Duration("span"),
 		Timed: c.Bool("timed"), Evacuations: c.Bool("evacuations"), Partitions: c.Bool("partitions"),
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -102,7 +102,9 @@
 	ok     bool
 	// signal is the signal that ended the process, or -1.
 	signal syscall.Signal
-	asked  askedEnd
+	// program is what was run.
+	program string
+	asked   askedEnd
 }
 
 // recordExit records the end of a process.
@@ -112,7 +114,7 @@
 	state := i.command.ProcessState
 	e := exit{
 		at: time.Now(), ranMs: time.Since(i.started).Milliseconds(), status: state.String(), ok: state.Success(),
-		signal: -1, asked: i.asked,
+		signal: -1, asked: i.asked, program: i.command.Path,
 	}
 	if status, isStatus := state.Sys().(syscall.WaitStatus); isStatus {
 		e.signal = status.Signal()
@@ -185,8 +187,12 @@
 	list := append(p.limitFindings(), p.problems...)
 	for _, e := range p.exits {
 		if e.faulty() {
-			list = append(list, fmt.Sprintf("%s: a process ended %d ms after its start, at %s: %s",
-				p.name, e.ranMs, e.at.Format(timeOfDay), e.kind()))
+			program := ""
+			if e.program == p.earlierProgram {
+				program = " of the earlier program"
+			}
+			list = append(list, fmt.Sprintf("%s: a process%s ended %d ms after its start, at %s: %s",
+				p.name, program, e.ranMs, e.at.Format(timeOfDay), e.kind()))
 		}
 	}
 	return append(list, p.outputFindings()...)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -33,6 +33,8 @@
 type Settings struct {
 	// Program is the path of dooryard-gateway.
 	Program string
+	// Earlier is the path of a dooryard-gateway of another release, which every other start of a process uses, or empty.
+	Earlier string
 	// Folder is where the run writes logs and settings files.
 	Folder string
 	Seed   uint64
@@ -192,7 +194,7 @@
 	}
 	f.owners = newOwners(f.socketOwners)
 	f.loads = newServerLoads(settings.Servers)
-	f.history.timed = settings.Timed
+	f.history.timed, f.history.releases = settings.Timed, settings.Earlier != ""
 	for i := range tenantCount {
 		tenant := "tenant-" + strconv.Itoa(i)
 		for range keysPerTenant {
@@ -376,13 +378,8 @@
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
 	}
-	if f.settings.Quotas && i%2 == 1 {
-		b.process.environment = oneProcessor
-	}
-	if f.settings.Limits {
-		if err = f.limitBox(b.process, i); err != nil {
-			return err
-		}
+	if err = f.changeStarts(b.process, i); err != nil {
+		return err
 	}
 	b.process.onPlanned = func(s syscall.Signal) { f.history.recordPlanned(b.name, s) }
 	b.process.onKill = func() { f.history.recordKill(b.name) }
@@ -392,6 +389,21 @@
 	return b.process.start()
 }
 
+// changeStarts makes the starts of a box differ from those of others, as the settings of the run ask.
+func (f *fleet) changeStarts(p *process, box int) error {
+	if f.settings.Earlier != "" {
+		// Half of the boxes begin with it.
+		p.earlierProgram, p.starts = f.settings.Earlier, box%2
+	}
+	if f.settings.Quotas && box%2 == 1 {
+		p.environment = oneProcessor
+	}
+	if f.settings.Limits {
+		return f.limitBox(p, box)
+	}
+	return nil
+}
+
 // close kills all processes that the run started and closes its listeners.
 func (f *fleet) close() {
 	for _, b := range f.boxes {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -70,6 +70,8 @@
 	refusals []refusal
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
+	// releases is set if boxes run two releases by turns.
+	releases bool
 	// timed is set if time bounds are checked too.
 	timed bool
 }
--- a/internal/soak/threads.go
+++ b/internal/soak/threads.go
@@ -34,10 +34,8 @@
 func threadStates(pid int) string {
 	counts := map[string]int{}
 	for _, content := range readThreads(pid, "stat") {
-		// The name of the thread, in parentheses, may contain any character.
-		fields := strings.Fields(content[strings.LastIndex(content, ")")+1:])
-		if len(fields) > 0 {
-			counts[fields[0]]++
+		if state := threadState(content); state != "" {
+			counts[state]++
 		}
 	}
 	list := []string{}
@@ -47,6 +45,16 @@
 	return strings.Join(list, ", ")
 }
 
+// threadState returns the state of a thread from its "stat" file, or "".
+func threadState(content string) string {
+	// The name of the thread, in parentheses, may contain any character.
+	fields := strings.Fields(content[strings.LastIndex(content, ")")+1:])
+	if len(fields) == 0 {
+		return ""
+	}
+	return fields[0]
+}
+
 // readThreads returns the content of a file of each thread of a process, by thread ID.
 func readThreads(pid int, name string) map[string]string {
 	contents := map[string]string{}
