test(soak): no process is started beside one that nobody stops

A restart that overlaps started its next process also when another fault had killed and restarted the box meanwhile.

The next process is started only after the one that got the SIGTERM.

--- a/internal/soak/overlaps.go
+++ b/internal/soak/overlaps.go
@@ -71,7 +71,7 @@
 		}
 		stopped = append(stopped, last)
 		time.Sleep(one.start)
-		if err := b.process.startBeside(); err != nil {
+		if err := b.process.startBeside(last); err != nil {
 			return err
 		}
 		if i+1 < len(list) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -93,10 +93,14 @@
 	return p.startNext()
 }
 
-// startBeside starts the next process, also if the one before it is still running.
-func (p *process) startBeside() error {
+// startBeside starts the next process after one that may still be running, unless another fault has done so: nobody
+// would stop the process that it has started.
+func (p *process) startBeside(last *incarnation) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.incarnation != last {
+		return nil
+	}
 	return p.startNext()
 }
 
