--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -63,7 +63,7 @@
 			}
 		}
 	}
-	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire"} {
+	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire", "strangers"} {
 		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
@@ -141,6 +141,11 @@
 			Name:  "overlaps",
 			Usage: "also start the next process of a box before the one before has ended; requires --planned or --processes",
 		},
+		&cli.BoolFlag{
+			Name: "strangers",
+			Usage: "also send endless headers, pipelines and random bytes to each port of boxes, and have the store " +
+				"garble, cut and repeat responses; requires --planned or --processes",
+		},
 		&cli.BoolFlag{
 			Name: "wire",
 			Usage: "also send requests over HTTP/1.0, in pieces, with Expect, half-closed and of callers that leave, and " +
@@ -198,7 +203,8 @@
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
 		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"), Overlaps: c.Bool("overlaps"), Wire: c.Bool("wire"),
-		Limits: c.Bool("limits"), Processors: c.Int("processors"),
+		Strangers: c.Bool("strangers"),
+		Limits:    c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	line, err := json.Marshal(report)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -75,6 +75,9 @@
 	// Wire also sends requests of callers in unusual forms, and makes servers respond without a length. It needs
 	// Processes or Planned.
 	Wire bool
+	// Strangers also sends what is no request to each port of boxes, and has the store send garbled, torn and old
+	// responses. It needs Processes or Planned.
+	Strangers bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -299,7 +302,8 @@
 			current.StreamSlowly(longEventGap)
 		}
 	}
-	if f.settings.Wire {
+	if f.settings.Wire && f.settings.Planned {
+		// Nobody vouches for the end of such a response after a crash.
 		current.SetUnframed(f.draw(unframedServerOneIn) == 0)
 	}
 	current.OnArrival(func(a standin.Arrival) {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -351,7 +351,7 @@
 			}
 		}
 		if err != nil {
-			l.closeDirection(to, err)
+			l.closeDirection(to, err, l.isStale(from))
 			return
 		}
 	}
@@ -389,10 +389,11 @@
 	reset(c)
 }
 
-// closeDirection forwards the end of a direction in kind: a half-close or a reset.
-func (l *link) closeDirection(to net.Conn, err error) {
+// closeDirection forwards the end of a direction in kind: a half-close or a reset. After bytes that were dropped no end
+// in order can arrive.
+func (l *link) closeDirection(to net.Conn, err error, dropped bool) {
 	tcp, ok := to.(*net.TCPConn)
-	if ok && err == io.EOF { //nolint:errorlint // Read returns it bare.
+	if ok && !dropped && err == io.EOF { //nolint:errorlint // Read returns it bare.
 		// The other direction stays open.
 		_ = tcp.CloseWrite()
 		return
