fix(standin): a stand-in waits for its address

Whoever plays restarts against it sees a server that does not start.

It now waits for its address as the gateway and the router do, says so once on its output, and ends with status 0 if it is stopped meanwhile.

Ruled out: accepts (net/http retries those that fail for want of descriptors).

--- a/internal/cmd/standincmd/standincmd.go
+++ b/internal/cmd/standincmd/standincmd.go
@@ -15,6 +15,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/internal/standin"
 	"dooryard.example/dooryard/internal/version"
 )
@@ -90,15 +91,24 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return fmt.Errorf("%w: --address: %q is not an IP address and port", exit.ErrUsage, address)
 	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	// A stand-in that is restarted may find its address taken by the process before.
+	binder := server.Binder{Clock: clock.New(), OnRetry: func(err error) {
+		fmt.Fprintf(out, "%s waits for its address: %v\n", c.Name, err)
+	}}
+	listener, err := binder.Listen(ctx, c.Name, address, func(network, address string) (net.Listener, error) {
+		return (&net.ListenConfig{}).Listen(ctx, network, address)
+	})
+	if ctx.Err() != nil {
+		return nil //nolint:nilerr // It was stopped while it waited.
+	}
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeoutMs.Duration()}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeoutMs.Duration()}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
 	defer stop()
 	fmt.Fprintf(out, "%s listens on %s\n", c.Name, listener.Addr())
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := h.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
