--- a/internal/inbound/interim.go
+++ b/internal/inbound/interim.go
@@ -29,11 +29,16 @@
 	}
 }
 
-// send sends an interim response to a caller that has all that was written before, and reports whether it did.
-func (i *interim) send(write func(data []byte) error) bool {
+// send sends an interim response to a caller that has all that was written before, and reports whether it did. An error
+// means that nothing can be sent any more.
+func (i *interim) send(write func(data []byte) error) (sent bool, err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.accepted && write([]byte(interimResponse)) == nil
+	if !i.accepted {
+		return false, nil
+	}
+	err = write([]byte(interimResponse))
+	return err == nil, err
 }
 
 // writeWhole writes data that the kernel takes at once.
