fix(balance): an upstream whose address another one has is never a last resort

Cause: an upstream that answers 421 is ejected, but where nearly all upstreams that don't back off are ejected, none counts as ejected (panic_percent), since an ejection is only a guess. A 421 is none: the process of that entry no longer has the address.

Change: such an upstream gets nothing for the time of its ejection, also then. Its entry may be right again later (a store that was restored), so that single trials follow, as before. A new entry is a new upstream and isn't affected.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -52,6 +52,8 @@
 	evacuated bool
 	// rejectedUntilMs is until when the upstream gets nothing because it is brittle and rejected a request.
 	rejectedUntilMs clock.Millis
+	// replacedUntilMs is until when the upstream gets nothing because another one has responded at its address.
+	replacedUntilMs clock.Millis
 	// connectionLost is set once a connection to it broke or could not be opened.
 	connectionLost bool
 	// crashedMs is when a box last found it to have crashed, or 0.
--- a/internal/balance/netpath.go
+++ b/internal/balance/netpath.go
@@ -142,9 +142,12 @@
 			m.closeIdleConnections(member.FailureDomain)
 			p.probeRequested = true
 		}
-	case Unreachable:
+	case Unreachable, Replaced:
 		member.connectionLost = true
 		member.setHealth(member.health.WithUnreachable(now, limits), now)
+		if result == Replaced {
+			member.replacedUntilMs = member.health.UntilMs()
+		}
 		member.client.CloseIdle()
 		if correlated(p.dialErrors, member.ID, now) {
 			m.closeIdleConnections(member.FailureDomain)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -125,6 +125,8 @@
 	Broken
 	// Unreachable is a connection that could not be opened.
 	Unreachable
+	// Replaced is a response by another incarnation, which now has the upstream's address.
+	Replaced
 	// Rejected is a rejection for want of room by a brittle upstream.
 	Rejected
 )
@@ -233,14 +235,15 @@
 
 // candidates returns the eligible members that may receive the request. It first excludes members that were
 // tried, are behind a partitioned path, are draining, evacuated or backing off, are cold and may get no
-// request from this box now, or are brittle and rejected one. Of the others it also excludes
+// request from this box now, are brittle and rejected one, or are replaced. Of the others it also excludes
 // those that are ejected or were sent a trial request recently, unless these are more than PanicPercent
 // of the others.
 func (m *Manager) candidates(request PickRequest, eligible []*Member, now clock.Millis) []*Member {
 	healthy, all := []*Member{}, []*Member{}
 	for _, member := range eligible {
 		if member.unavailable(now) || m.pathTo(member.FailureDomain).partitioned ||
-			slices.Contains(request.Tried, member.ID) || m.coldDelayMs(member, now) > 0 || now < member.rejectedUntilMs {
+			slices.Contains(request.Tried, member.ID) || m.coldDelayMs(member, now) > 0 || now < member.rejectedUntilMs ||
+			now < member.replacedUntilMs {
 			continue
 		}
 		all = append(all, member)
@@ -436,7 +439,7 @@
 	if l.responding {
 		l.path.responding--
 	}
-	if result == Unreachable || result == Broken {
+	if result == Unreachable || result == Replaced || result == Broken {
 		l.discardNewParts()
 	}
 	l.clearNewParts()
--- a/internal/balance/signals_test.go
+++ b/internal/balance/signals_test.go
@@ -248,6 +248,20 @@
 		assert.Equal(t, "r1", all.RefusedRequest)
 		assert.Equal(t, map[string]int{"p": 3}, f.BackingOff())
 	})
+	t.Run("an upstream whose address another one has gets nothing while the others back off", func(t *testing.T) {
+		f := newBackoffPool(t, 4000, 2000)
+		f.list = append(f.list, registry.Upstream{ID: "u9", Pool: "p", Address: "127.0.0.1:50", FailureDomain: "d0", Slots: 8})
+		f.SetUpstreams(f.list)
+		l := f.pick(t, PickRequest{Pool: "p"})
+		assert.Equal(t, "u9", l.ID)
+		l.Release(Replaced)
+		_, err := f.Pick(PickRequest{Pool: "p"})
+		var all *AllBackingOffError
+		require.ErrorAs(t, err, &all)
+		assert.Equal(t, 2, all.Upstreams)
+		f.now += 1000
+		assert.Equal(t, "u9", f.pick(t, PickRequest{Pool: "p"}).ID, "its entry may be right again")
+	})
 	t.Run("callers retry one after the other once the first backoff ends", func(t *testing.T) {
 		f := newBackoffPool(t, 8000, 7000)
 		last := clock.Millis(0)
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -211,7 +211,7 @@
 	case s.signals.BackoffMs > 0 || s.callerCutOff() || isNoUpstreamFault(failed.err):
 		return balance.Neutral
 	case failed.execution == wrongUpstream:
-		return balance.Unreachable
+		return balance.Replaced
 	default:
 		return balance.Failed
 	}
