fix(match): the largest deadlines don't overflow

Cause: the time of arrival plus the header's value overflowed to the far past. The value is now compared with what the route leaves instead of being added.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -85,6 +85,20 @@
 	})
 }
 
+// TestLargestDeadline guards against a deadline that has passed because a sum overflowed.
+func TestLargestDeadline(t *testing.T) {
+	for _, deadlineMs := range []string{"9223372036854775807", "9223372036854775808", "1000000000000"} {
+		runWithFleet(t, func(f *fleet) {
+			f.upstream("u1", respondAfter(20))
+			response, err := f.box(1).send(f.t.Context(), call{
+				method: http.MethodGet, path: "/safe/", key: key, header: http.Header{"X-Deadline": {deadlineMs}},
+			})
+			require.NoError(f.t, err)
+			assert.Equal(f.t, http.StatusOK, response.StatusCode, deadlineMs)
+		})
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/pipe/match/match.go
+++ b/internal/pipe/match/match.go
@@ -75,5 +75,9 @@
 	if err != nil || requestedMs <= 0 {
 		return latestMs
 	}
-	return min(latestMs, r.ReceivedMs+clock.Millis(requestedMs))
+	// The difference is compared, since the sum may overflow.
+	if clock.Millis(requestedMs) >= latestMs-r.ReceivedMs {
+		return latestMs
+	}
+	return r.ReceivedMs + clock.Millis(requestedMs)
 }
