fix(registry): concurrent changes of the upstreams arrive in order

Cause: each change reports itself without a lock. A report that had read the list before the other change could pass it on after the other report.

Change: reports don't overlap, so that the last one has read the newest list.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -112,8 +112,10 @@
 	synced bool
 	// confirmedMs is the latest time of which the store has shown that all changes until then were applied.
 	confirmedMs clock.Millis
-	onChange    func(applied []Change)
-	onSkip      func()
+	// notifyMu is held while onChange runs.
+	notifyMu sync.Mutex
+	onChange func(applied []Change)
+	onSkip   func()
 }
 
 // New returns an empty registry.
@@ -121,8 +123,8 @@
 	return &Registry{monotonic: monotonic, entries: map[string]entry{}, onChange: func([]Change) {}, onSkip: func() {}}
 }
 
-// OnChange sets a function that is called with new changes after they were applied, without locks held, and without any
-// after a timeout.
+// OnChange sets a function that is called with new changes after they were applied, and without any after a timeout.
+// Its calls don't overlap. It may read the registry but not change it.
 func (r *Registry) OnChange(call func(applied []Change)) { r.onChange = call }
 
 // OnSkip sets a function that is called, without locks held, before a complete list is applied that may hide changes:
@@ -152,11 +154,19 @@
 	r.journal.advance(upTo)
 	r.mu.Unlock()
 	if len(applied) > 0 {
-		r.onChange(applied)
+		r.notify(applied)
 	}
 	return applied
 }
 
+// notify reports changes that were applied. Without the lock, a call that has read the list of upstreams before a
+// concurrent change could pass it on after the call for that change.
+func (r *Registry) notify(applied []Change) {
+	r.notifyMu.Lock()
+	defer r.notifyMu.Unlock()
+	r.onChange(applied)
+}
+
 func (r *Registry) apply(c Change) bool {
 	id := c.Upstream.ID
 	old, known := r.entries[id]
@@ -307,7 +317,7 @@
 	}
 	r.mu.Unlock()
 	if changed {
-		r.onChange(nil)
+		r.notify(nil)
 	}
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,10 @@
 package registry
 
 import (
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -37,6 +41,29 @@
 	assert.ElementsMatch(t, want, ids)
 }
 
+// TestConcurrentChanges guards against a list of upstreams that lacks the newer one of two concurrent changes until the
+// next change.
+func TestConcurrentChanges(t *testing.T) {
+	const changes = 100
+	for range 20 {
+		f := newFixture()
+		var latest atomic.Pointer[[]Upstream]
+		f.OnChange(func([]Change) {
+			list := f.All()
+			for range len(list) % 7 {
+				runtime.Gosched()
+			}
+			latest.Store(&list)
+		})
+		var applied sync.WaitGroup
+		for i := range changes {
+			applied.Go(func() { f.Apply([]Change{put(fmt.Sprint("u", i), int64(i+1))}) })
+		}
+		applied.Wait()
+		assert.Len(t, *latest.Load(), len(f.All()))
+	}
+}
+
 func TestApply(t *testing.T) {
 	t.Run("an older change is ignored, whatever the order of arrival", func(t *testing.T) {
 		f := newFixture()
