--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -16,7 +16,6 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
-	"dooryard.example/dooryard/internal/socket"
 	"dooryard.example/dooryard/internal/upstream"
 )
 
@@ -61,6 +60,8 @@
 	// how much its machine had acknowledged when it ended its side.
 	unheardFromMs     atomic.Int64
 	acknowledgedAtEnd atomic.Uint64
+	// sentSinceEnd is set once anything was sent after the caller has ended its side.
+	sentSinceEnd atomic.Bool
 	// waits reports whether bytes of the response wait to be read, or is nil.
 	waits atomic.Pointer[func() bool]
 
@@ -150,6 +151,7 @@
 	c.interim.handleWrite(data)
 	c.responded.Store(true)
 	c.writes.Add(1)
+	defer c.sentSinceEnd.Store(true)
 	if c.unread == nil {
 		return c.Conn.Write(data) //nolint:wrapcheck // The server compares it.
 	}
@@ -186,7 +188,7 @@
 	if c.state.Load() != state {
 		return false
 	}
-	if c.aheadBytes.Load() > 0 || socket.HasUnread(c.Conn) {
+	if c.aheadBytes.Load() > 0 || c.listener.kernel.HasUnread(c.Conn) {
 		if c.keptUnread.CompareAndSwap(false, true) {
 			c.listener.evictions.Unread.Add(1)
 		}
