fix(server): a listener without descriptors is closed within a second of a stop

Callers saw: a box that has no descriptors left (a lower ulimit -n than capacity.open_files) and gets a SIGTERM kept the address of callers for its whole grace period. Nobody was accepted there, new connections hung as their first packets were dropped, and the next process of the box waited for the address.

Cause: since new connections are dropped by a filter, the wait for those in the queue has no limit but the grace period. Connections without a request keep their descriptors until the listener is closed, so none of the queue could be accepted.

Change: while accepts fail, the wait ends after about as long as the longest backoff of accepts, 1 s.

Ruled out: the limit of 50 ms of the case without a filter: an accept that has failed may be tried again only a second later, when requests have ended and descriptors are free.

TestAwaitAcceptedWithoutDescriptors failed before (it waited until the context ended).

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -104,3 +105,43 @@
 	assert.LessOrEqual(t, polls, openAcceptPolls+lastAcceptPolls)
 	assert.GreaterOrEqual(t, polls, lastAcceptPolls)
 }
+
+// failingListener is a socket whose accepts fail, as the process has no descriptors left.
+type failingListener struct{ *net.TCPListener }
+
+func (failingListener) Accept() (net.Conn, error) { return nil, unix.EMFILE }
+
+// TestAwaitAcceptedWithoutDescriptors guards against a stop that keeps its listener for its whole grace period because
+// a connection waits that can't be accepted.
+func TestAwaitAcceptedWithoutDescriptors(t *testing.T) {
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	startConnect(t, inner.Addr())
+	tcp, ok := inner.(*net.TCPListener)
+	require.True(t, ok)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	failed, polls := make(chan struct{}), 0
+	fake := clock.New(clock.WithSleep(func(slept context.Context, span clock.Millis) error {
+		if span == minAcceptBackoffMs && slept != ctx {
+			close(failed)
+			<-slept.Done()
+			return slept.Err()
+		}
+		if polls++; polls == 10*failedAcceptPolls {
+			cancel()
+		}
+		return ctx.Err()
+	}))
+	l := NewListener(failingListener{tcp}, fake, nil, func(error) {})
+	accepting := sync.WaitGroup{}
+	accepting.Go(func() {
+		_, err := l.Accept()
+		assert.ErrorIs(t, err, net.ErrClosed)
+	})
+	<-failed
+	l.AwaitAccepted(ctx)
+	require.NoError(t, l.Close())
+	accepting.Wait()
+	assert.NoError(t, ctx.Err(), "it waits until the context ends")
+}
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -30,6 +31,8 @@
 	address net.Addr
 	closed  context.Context
 	close   context.CancelFunc
+	// failing is set from a failed accept until the next one that does not fail.
+	failing atomic.Bool
 
 	mu     sync.Mutex
 	socket net.Listener
@@ -51,6 +54,7 @@
 	for backoffMs := minAcceptBackoffMs; ; backoffMs = min(2*backoffMs, maxAcceptBackoffMs) {
 		socket := l.current()
 		conn, err := socket.Accept()
+		l.failing.Store(err != nil)
 		if err == nil {
 			return conn, nil
 		}
@@ -114,11 +118,14 @@
 	openAcceptMs    clock.Millis = 100
 	// lastAcceptPolls is how often it checks afterwards if the kernel still takes some.
 	lastAcceptPolls = 10
+	// failedAcceptPolls is how often it checks while accepts fail. It covers the longest backoff.
+	failedAcceptPolls = int(maxAcceptBackoffMs / acceptPollMs)
 )
 
 // AwaitAccepted waits until no connection waits to be accepted, which Close would reset. It then makes the kernel drop
 // new ones, also if there were some all the time. Their callers find the listener closed when they try again. It gives
-// up when the context ends.
+// up when the context ends, or if accepts fail: until the listener is closed, connections without a request keep their
+// descriptors, and the next process waits for the address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
 	startMs := l.clock.Monotonic()
 	for open := 0; open < openAcceptPolls && l.clock.Monotonic()-startMs < openAcceptMs; open++ {
@@ -130,11 +137,22 @@
 		}
 	}
 	// A connection may have come since the last check.
-	drops := dropNew(l.current())
-	for last := 0; ; last++ {
+	l.awaitLast(ctx, dropNew(l.current()))
+}
+
+// awaitLast waits until no connection waits to be accepted. It makes a limited number of checks if the kernel still
+// takes new ones or doesn't tell, and while accepts fail.
+func (l *Listener) awaitLast(ctx context.Context, drops bool) {
+	for last, failed := 0, 0; ; last++ {
 		waiting, known := l.kernel.HasWaiting(l.current())
 		bounded := !drops || !known
-		if known && !waiting || bounded && last == lastAcceptPolls || l.clock.Sleep(ctx, acceptPollMs) != nil {
+		if l.failing.Load() {
+			failed++
+		}
+		if known && !waiting || bounded && last == lastAcceptPolls || failed > failedAcceptPolls {
+			return
+		}
+		if l.clock.Sleep(ctx, acceptPollMs) != nil {
 			return
 		}
 	}
