test(soak): servers without a link record what they work on, too

The check is unchanged.

The case "directly" of TestRecordsCanceledWork fails before (no work is recorded).

--- a/internal/soak/wire_test.go
+++ b/internal/soak/wire_test.go
@@ -62,8 +62,15 @@
 
 // TestRecordsCanceledWork guards against work that counts as ended although the box waits for its response.
 func TestRecordsCanceledWork(t *testing.T) {
+	for name, l := range map[string]*link{"by a link": {}, "directly": nil} {
+		t.Run(name, func(t *testing.T) { testRecordsCanceledWork(t, l) })
+	}
+}
+
+func testRecordsCanceledWork(t *testing.T, l *link) {
+	t.Helper()
 	h := newHistory()
-	s := &server{link: &link{}, beginWork: h.beginWork}
+	s := &server{link: l, beginWork: h.beginWork}
 	ctx, leave := context.WithCancel(t.Context())
 	s.current = standin.NewServer("s", "v1", func(int) int { return 1 }, func(standin.Run) {
 		assert.Zero(t, h.works["one"][0].canceled)
