--- a/internal/soak/wire_test.go
+++ b/internal/soak/wire_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/platform/standin"
 )
@@ -62,15 +63,8 @@
 
 // TestRecordsCanceledWork guards against work that counts as ended although the box waits for its response.
 func TestRecordsCanceledWork(t *testing.T) {
-	for name, l := range map[string]*link{"by a link": {}, "directly": nil} {
-		t.Run(name, func(t *testing.T) { testRecordsCanceledWork(t, l) })
-	}
-}
-
-func testRecordsCanceledWork(t *testing.T, l *link) {
-	t.Helper()
 	h := newHistory()
-	s := &server{link: l, beginWork: h.beginWork}
+	s := &server{link: &link{}, beginWork: h.beginWork}
 	ctx, leave := context.WithCancel(t.Context())
 	s.current = standin.NewServer("s", "v1", func(int) int { return 1 }, func(standin.Run) {
 		assert.Zero(t, h.works["one"][0].canceled)
@@ -86,3 +80,22 @@
 	s.ServeHTTP(httptest.NewRecorder(), r)
 	assert.False(t, h.works["one"][0].to.IsZero())
 }
+
+// TestRecordsWorkOfDirectServers guards against cuts that count as lost because the soak does not know that the server of
+// a steady load was at work.
+func TestRecordsWorkOfDirectServers(t *testing.T) {
+	f, err := newFleet(Settings{Load: true, Folder: t.TempDir()})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		for _, closeOne := range f.closers {
+			closeOne()
+		}
+	})
+	require.NoError(t, f.addServer(0))
+	s := f.servers[0]
+	s.down = true
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/", nil)
+	r.Header.Set("X-Attempt-Id", "one")
+	assert.Panics(t, func() { s.ServeHTTP(httptest.NewRecorder(), r) }, "a crashed server breaks off")
+	assert.Len(t, f.history.works["one"], 1)
+}
