fix(dispatch): a slow request is not canceled where no other upstream may receive it

What callers saw: 502 (upstream_lost) for a request that may be repeated whose upstream takes more than twice the latency objective to respond, in a pool with one sound upstream, while the upstream works on it.

Cause: the attempt is canceled for the sake of a retry once the pool usually responds in time and the retry budget allows one, but the retry may not use the upstreams that were tried; without others it fails, and so does the request.

Change: the attempt is canceled only while another upstream may receive the request.

--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -42,7 +43,7 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	s.cancelOnPathLoss(lease, cancel)
-	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, s.retryHelps, cancel)
+	stopTimer := s.startFirstByteTimeout(firstByteTimeoutFactor, s.anotherHelps(lease), cancel)
 	stopSilenceTimer := s.startSilenceTimer(lease)
 	defer s.pipe.deps.Track(s.observation(lease))()
 	out, uncommit := s.buildCommitted(lease)
@@ -127,6 +128,14 @@
 	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span)
 }
 
+// anotherHelps returns a function that reports whether another upstream may receive the request now, and would likely
+// respond within a span. Otherwise a canceled attempt would end the request.
+func (s *retryLoop) anotherHelps(lease *balance.Lease) func(span clock.Millis) bool {
+	next := s.pickRequest()
+	next.Tried = append(slices.Clone(next.Tried), lease.ID)
+	return func(span clock.Millis) bool { return s.retryHelps(span) && s.pipe.deps.HasCandidate(next) }
+}
+
 func (s *retryLoop) budgetAllowsRetry(clock.Millis) bool { return s.pipe.deps.CanRetry(s.request.Pool) }
 
 // mayRetryAfterAttempt reports whether the route allows another attempt if the current one is sent and fails.
