--- a/internal/inbound/interim_test.go
+++ b/internal/inbound/interim_test.go
@@ -77,3 +77,27 @@
 		})
 	}
 }
+
+// TestInterimAfterExpected guards against callers that expect an interim response and are not asked with another one,
+// and against one within the final response.
+func TestInterimAfterExpected(t *testing.T) {
+	i := interim{}
+	sent := 0
+	send := func() bool {
+		accepted, err := i.send(func([]byte) error {
+			sent++
+			return nil
+		})
+		assert.NoError(t, err)
+		return accepted
+	}
+	assert.False(t, send(), "before a request")
+	i.accept()
+	i.handleWrite([]byte(interimResponse))
+	assert.True(t, send(), "after the one that was expected")
+	i.handleWrite([]byte("HTTP/1.1 200 OK\r\n"))
+	assert.False(t, send(), "after the response has begun")
+	i.accept()
+	assert.True(t, send(), "the next request")
+	assert.Equal(t, 2, sent)
+}
