--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -14,7 +14,7 @@
 )
 
 // startConnect begins to open a connection and doesn't wait for it.
-func startConnect(t *testing.T, address net.Addr) {
+func startConnect(t *testing.T, address net.Addr) (fd int) {
 	t.Helper()
 	tcp, ok := address.(*net.TCPAddr)
 	require.True(t, ok)
@@ -22,45 +22,85 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, unix.Close(fd)) })
 	require.ErrorIs(t, unix.Connect(fd, &unix.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}), unix.EINPROGRESS)
+	return fd
+}
+
+// isOpen reports whether a connection is open for its caller.
+func isOpen(t *testing.T, fd int) bool {
+	t.Helper()
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	require.NoError(t, err)
+	return info.State != unix.BPF_TCP_SYN_SENT
 }
 
 // TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
 // slowly than new ones arrive.
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
 	for _, c := range []struct {
-		name     string
-		pollMs   clock.Millis
-		maxPolls int
+		name   string
+		pollMs clock.Millis
+		// openPolls is how often it checks while the kernel takes new connections.
+		openPolls int
 	}{
-		{"a process that runs", acceptPollMs, openAcceptPolls + lastAcceptPolls},
-		{"a process with little processor time", openAcceptMs, 1 + lastAcceptPolls},
+		{"a process that runs", acceptPollMs, openAcceptPolls},
+		{"a process with little processor time", openAcceptMs, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			inner, err := ListenTCP("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			t.Cleanup(func() { assert.NoError(t, inner.Close()) })
+			callers := []int{}
+			connect := func() { callers = append(callers, startConnect(t, inner.Addr())) }
 			accept := func() {
 				conn, err := inner.Accept()
 				require.NoError(t, err)
 				require.NoError(t, conn.Close())
 			}
-			startConnect(t, inner.Addr())
+			connect()
 			polls, now := 0, clock.Millis(1)
 			fake := clock.New(clock.WithMonotonic(func() clock.Millis { return now }),
 				clock.WithSleep(func(context.Context, clock.Millis) error {
 					polls, now = polls+1, now+c.pollMs
 					accept()
-					startConnect(t, inner.Addr())
-					startConnect(t, inner.Addr())
+					connect()
+					connect()
 					return nil
 				}))
 			NewListener(inner, fake, nil, nil).AwaitAccepted(t.Context())
 			left := 0
-			for ; socket.System().MayHaveWaiting(inner); left++ {
-				accept()
+			for waiting := true; waiting; {
+				if waiting, _ = socket.System().HasWaiting(inner); waiting {
+					accept()
+					left++
+				}
+			}
+			open := 0
+			for _, fd := range callers {
+				if isOpen(t, fd) {
+					open++
+				}
 			}
 			assert.LessOrEqual(t, left, 2, "connections that wait to be accepted")
-			assert.LessOrEqual(t, polls, c.maxPolls)
+			maxOpen := 1 + 2*c.openPolls
+			assert.LessOrEqual(t, open, maxOpen, "connections that the kernel took")
+			assert.LessOrEqual(t, polls, maxOpen, "one is accepted after each check")
 		})
 	}
 }
+
+// TestAwaitAcceptedWhereNothingTells guards against a stop that lasts for its whole grace period because the kernel
+// doesn't tell whether connections wait.
+func TestAwaitAcceptedWhereNothingTells(t *testing.T) {
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, inner.Close()) })
+	polls := 0
+	l := NewListener(inner, clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
+		polls++
+		return nil
+	})), nil, nil)
+	l.kernel = &socket.Kernel{Ready: func(int, int16) (int16, error) { return 0, unix.EPERM }}
+	l.AwaitAccepted(t.Context())
+	assert.LessOrEqual(t, polls, openAcceptPolls+lastAcceptPolls)
+	assert.GreaterOrEqual(t, polls, lastAcceptPolls)
+}
--- a/internal/socket/kernel.go
+++ b/internal/socket/kernel.go
@@ -125,17 +125,19 @@
 	return connecting
 }
 
-// MayHaveWaiting reports whether a connection may wait to be accepted at a listener. One of which the kernel tells
-// nothing may have.
-func (k *Kernel) MayHaveWaiting(listener net.Listener) (waiting bool) {
-	if raw := rawOf(listener); raw != nil {
-		// On a closed socket, none wait.
-		_ = raw.Control(func(fd uintptr) {
-			ready, err := k.Ready(int(fd), unix.POLLIN)
-			waiting = err != nil || ready != 0
-		})
+// HasWaiting reports whether a connection waits to be accepted at a listener, and whether the kernel tells.
+func (k *Kernel) HasWaiting(listener net.Listener) (waiting, known bool) {
+	raw := rawOf(listener)
+	if raw == nil {
+		return false, true
 	}
-	return waiting
+	known = true
+	// On a closed socket, none wait.
+	_ = raw.Control(func(fd uintptr) {
+		ready, err := k.Ready(int(fd), unix.POLLIN)
+		waiting, known = ready != 0, err == nil
+	})
+	return waiting && known, known
 }
 
 // rawOf gives access to the descriptor of a connection or listener, or is nil if it has none.
--- a/internal/socket/kernel_test.go
+++ b/internal/socket/kernel_test.go
@@ -75,18 +75,23 @@
 	}
 }
 
-// TestMayHaveWaiting guards against a listener that is closed with connections that wait, where the kernel tells nothing.
-func TestMayHaveWaiting(t *testing.T) {
+// TestHasWaiting guards against a listener that is closed with connections that wait, where the kernel tells nothing.
+func TestHasWaiting(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	assert.False(t, System().MayHaveWaiting(listener))
-	assert.True(t, silent().MayHaveWaiting(listener))
+	assertWaiting := func(k *Kernel, wantWaiting, wantKnown bool) {
+		t.Helper()
+		waiting, known := k.HasWaiting(listener)
+		assert.Equal(t, [2]bool{wantWaiting, wantKnown}, [2]bool{waiting, known})
+	}
+	assertWaiting(System(), false, true)
+	assertWaiting(silent(), false, false)
 	caller, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close() })
-	assert.True(t, System().MayHaveWaiting(listener))
+	assertWaiting(System(), true, true)
 	require.NoError(t, listener.Close())
-	assert.False(t, silent().MayHaveWaiting(listener))
+	assertWaiting(silent(), false, true)
 }
 
 // TestIsConnecting guards against a peer that drops connections and counts as having answered, and the reverse.
