--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -154,6 +154,15 @@
 	}
 }
 
+// describeWaits tells how long a process waited for a processor before it got SIGTERM, which tells one that could not
+// have begun to run from one that ignores signals.
+func (e exit) describeWaits() string {
+	if waited := longestWait(nil, e.asked.waited); waited > 0 {
+		return fmt.Sprintf("; one of its threads had waited %s for a processor before", millis(waited))
+	}
+	return ""
+}
+
 // faulty reports whether the process ended although the run hadn't asked for it, or failed after SIGTERM. One that
 // ended before a SIGKILL reached it ended by itself.
 func (e exit) faulty() bool {
@@ -191,8 +200,8 @@
 			if e.program == p.earlierProgram {
 				program = " of the earlier program"
 			}
-			list = append(list, fmt.Sprintf("%s: a process%s ended %d ms after its start, at %s: %s",
-				p.name, program, e.ranMs, e.at.Format(timeOfDay), e.kind()))
+			list = append(list, fmt.Sprintf("%s: a process%s ended %d ms after its start, at %s: %s%s",
+				p.name, program, e.ranMs, e.at.Format(timeOfDay), e.kind(), e.describeWaits()))
 		}
 	}
 	return append(list, p.outputFindings()...)
