fix(server): a box that stops takes no new connections, however little processor time it gets

Cause: it first slept up to 0.1 s for a moment at which no connection waits, and that sleep lasted for over a second among the goroutines of its requests. Change: the filter is set at once, then what has come is accepted, with a check each millisecond. The way without filters keeps its order and bounds.

TestAwaitAcceptedBesideNewConnections plays both ways; on the code before, the first two cases fail (21 and 3 connections taken instead of 1).

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -37,12 +37,21 @@
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
 	for _, c := range []struct {
 		name   string
+		await  func(l *Listener, ctx context.Context)
 		pollMs clock.Millis
-		// openPolls is how often it checks while the kernel takes new connections.
-		openPolls int
+		// polls is how often it checks, and open how many connections the kernel takes, at most.
+		polls, open int
 	}{
-		{"a process that runs", acceptPollMs, openAcceptPolls},
-		{"a process with little processor time", openAcceptMs, 1},
+		{"a process that runs", (*Listener).AwaitAccepted, filteredPollMs, 1, 1},
+		{"a process with little processor time", (*Listener).AwaitAccepted, openAcceptMs, 1, 1},
+		{
+			"no filter, a process that runs", (*Listener).awaitAcceptedUnfiltered, acceptPollMs,
+			openAcceptPolls + lastAcceptPolls, 1 + 2*openAcceptPolls + 2*lastAcceptPolls,
+		},
+		{
+			"no filter, a process with little processor time", (*Listener).awaitAcceptedUnfiltered, openAcceptMs,
+			1 + lastAcceptPolls, 3 + 2*lastAcceptPolls,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			socket, err := ListenTCP("tcp", "127.0.0.1:0")
@@ -65,7 +74,7 @@
 					connect()
 					return nil
 				}))
-			NewListener(socket, fake, nil, nil).AwaitAccepted(t.Context())
+			c.await(NewListener(socket, fake, nil, nil), t.Context())
 			left := 0
 			for ; hasWaiting(socket); left++ {
 				accept()
@@ -77,9 +86,8 @@
 				}
 			}
 			assert.LessOrEqual(t, left, 2, "connections that wait to be accepted")
-			maxOpen := 1 + 2*c.openPolls
-			assert.LessOrEqual(t, open, maxOpen, "connections that the kernel took")
-			assert.LessOrEqual(t, polls, maxOpen, "one is accepted after each check")
+			assert.LessOrEqual(t, open, c.open, "connections that the kernel took")
+			assert.LessOrEqual(t, polls, c.polls)
 		})
 	}
 }
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -102,32 +102,45 @@
 }
 
 const (
-	// acceptPollMs is how often a listener checks whether connections wait to be accepted.
+	// filteredPollMs is how often a listener checks whether connections wait to be accepted while the kernel drops new
+	// ones. It is short, since callers try again only after a second.
+	filteredPollMs clock.Millis = 1
+	// acceptPollMs is how often it checks without a filter.
 	acceptPollMs clock.Millis = 5
-	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel takes no new connections.
-	// A process that gets little processor time makes few checks.
+	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel is made to drop new
+	// connections without a filter. A process that gets little processor time makes few checks.
 	openAcceptPolls              = 10
 	openAcceptMs    clock.Millis = 100
-	// lastAcceptPolls is how often it checks afterwards if the kernel still takes some.
+	// lastAcceptPolls is how often it checks afterwards. These checks have no limit in time, since a process that gets
+	// little processor time accepts slowly.
 	lastAcceptPolls = 10
 )
 
-// AwaitAccepted waits until no connection waits to be accepted, which Close would reset. It then makes the kernel drop
-// new ones, also if there were some all the time. Their callers find the listener closed when they try again. It gives
-// up when the context ends.
+// AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
+// reset. Callers whose connections are dropped find the listener closed when they try again. It gives up when the
+// context ends.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	startMs := l.clock.Monotonic()
-	for open := 0; open < openAcceptPolls && l.clock.Monotonic()-startMs < openAcceptMs; open++ {
-		if !hasWaiting(l.current()) {
-			break
-		}
-		if l.clock.Sleep(ctx, acceptPollMs) != nil {
-			return
+	if dropNew(l.current()) {
+		for hasWaiting(l.current()) && l.clock.Sleep(ctx, filteredPollMs) == nil {
 		}
+		return
 	}
-	// A connection may have come since the last check.
-	drops := dropNew(l.current())
-	for last := 0; drops || last < lastAcceptPolls; last++ {
+	l.awaitAcceptedUnfiltered(ctx)
+}
+
+// awaitAcceptedUnfiltered waits until no connection waits to be accepted. If there are always some, the kernel drops
+// new ones while one waits. It gives up if connections still wait after many checks.
+func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
+	startMs, open := l.clock.Monotonic(), 0
+	for last := 0; last < lastAcceptPolls; {
+		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
+			control(l.current(), func(fd int) {
+				// After an error it takes new ones, as before.
+				_ = unix.Listen(fd, 0)
+			})
+			last++
+		}
+		open++
 		if !hasWaiting(l.current()) || l.clock.Sleep(ctx, acceptPollMs) != nil {
 			return
 		}
@@ -140,17 +153,8 @@
 	tcpSyn         = 0x02
 )
 
-// dropNew makes the kernel drop the packets that open connections, and reports whether it does. Where filters are not
-// available, it drops them while a connection waits to be accepted.
+// dropNew makes the kernel drop the packets that open connections, and reports whether it does.
 func dropNew(socket net.Listener) bool {
-	withDescriptor, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := withDescriptor.SyscallConn()
-	if err != nil {
-		return false
-	}
 	filter := []unix.SockFilter{
 		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
 		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpSyn, Jf: 1},
@@ -159,32 +163,34 @@
 	}
 	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
 	drops := false
-	err = raw.Control(func(fd uintptr) {
-		drops = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program) == nil
-		if !drops {
-			// After an error it takes new ones, as before.
-			_ = unix.Listen(int(fd), 0)
-		}
+	control(socket, func(fd int) {
+		drops = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program) == nil
 	})
-	return drops && err == nil
+	return drops
 }
 
 // hasWaiting reports whether a connection waits to be accepted at a socket.
 func hasWaiting(socket net.Listener) bool {
+	waiting := 0
+	control(socket, func(fd int) {
+		// After an error none counts as waiting.
+		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return waiting > 0
+}
+
+// control calls a function with the descriptor of a socket, unless it has none.
+func control(socket net.Listener, call func(fd int)) {
 	withDescriptor, ok := socket.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	raw, err := withDescriptor.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	waiting := 0
-	err = raw.Control(func(fd uintptr) {
-		// After an error none counts as waiting.
-		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return err == nil && waiting > 0
+	// A socket that is closed has no descriptor.
+	_ = raw.Control(func(fd uintptr) { call(int(fd)) })
 }
 
 // Close implements net.Listener.
