--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // startConnect begins to open a connection and doesn't wait for it.
@@ -54,13 +55,13 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			socket, err := ListenTCP("tcp", "127.0.0.1:0")
+			inner, err := ListenTCP("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			t.Cleanup(func() { assert.NoError(t, socket.Close()) })
+			t.Cleanup(func() { assert.NoError(t, inner.Close()) })
 			callers := []int{}
-			connect := func() { callers = append(callers, startConnect(t, socket.Addr())) }
+			connect := func() { callers = append(callers, startConnect(t, inner.Addr())) }
 			accept := func() {
-				conn, err := socket.Accept()
+				conn, err := inner.Accept()
 				require.NoError(t, err)
 				require.NoError(t, conn.Close())
 			}
@@ -74,10 +75,13 @@
 					connect()
 					return nil
 				}))
-			c.await(NewListener(socket, fake, nil, nil), t.Context())
+			c.await(NewListener(inner, fake, nil, nil), t.Context())
 			left := 0
-			for ; hasWaiting(socket); left++ {
-				accept()
+			for waiting := true; waiting; {
+				if waiting, _ = socket.System().HasWaiting(inner); waiting {
+					accept()
+					left++
+				}
 			}
 			open := 0
 			for _, fd := range callers {
@@ -91,3 +95,20 @@
 		})
 	}
 }
+
+// TestAwaitAcceptedWhereNothingTells guards against a stop that lasts for its whole grace period because the kernel
+// doesn't tell whether connections wait.
+func TestAwaitAcceptedWhereNothingTells(t *testing.T) {
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, inner.Close()) })
+	polls := 0
+	l := NewListener(inner, clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
+		polls++
+		return nil
+	})), nil, nil)
+	l.kernel = &socket.Kernel{Ready: func(int, int16) (int16, error) { return 0, unix.EPERM }}
+	l.AwaitAccepted(t.Context())
+	assert.LessOrEqual(t, polls, openAcceptPolls+lastAcceptPolls)
+	assert.GreaterOrEqual(t, polls, lastAcceptPolls)
+}
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // Backoff of failed accepts.
@@ -23,6 +24,7 @@
 // that can't accept any more is opened anew. Accept fails only if that is impossible or the listener was closed.
 type Listener struct {
 	clock   clock.Clock
+	kernel  *socket.Kernel
 	reopen  func(ctx context.Context) (net.Listener, error)
 	onError func(err error)
 	address net.Addr
@@ -35,9 +37,11 @@
 
 // NewListener returns a listener on a socket. OnError is called with each error of the socket.
 func NewListener(
-	socket net.Listener, c clock.Clock, reopen func(ctx context.Context) (net.Listener, error), onError func(err error),
+	inner net.Listener, c clock.Clock, reopen func(ctx context.Context) (net.Listener, error), onError func(err error),
 ) *Listener {
-	l := &Listener{clock: c, reopen: reopen, onError: onError, address: socket.Addr(), socket: socket}
+	l := &Listener{
+		clock: c, kernel: socket.System(), reopen: reopen, onError: onError, address: inner.Addr(), socket: inner,
+	}
 	l.closed, l.close = context.WithCancel(context.Background())
 	return l
 }
@@ -105,7 +109,7 @@
 	// filteredPollMs is how often a listener checks whether connections wait to be accepted while the kernel drops new
 	// ones. It is short, since callers try again only after a second.
 	filteredPollMs clock.Millis = 1
-	// acceptPollMs is how often it checks without a filter.
+	// acceptPollMs is how often it checks without a filter, or where the kernel doesn't tell.
 	acceptPollMs clock.Millis = 5
 	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel is made to drop new
 	// connections without a filter. A process that gets little processor time makes few checks.
@@ -118,14 +122,23 @@
 
 // AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
 // reset. Callers whose connections are dropped find the listener closed when they try again. It gives up when the
-// context ends.
+// context ends, and after many checks where the kernel doesn't tell what waits.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	if dropNew(l.current()) {
-		for hasWaiting(l.current()) && l.clock.Sleep(ctx, filteredPollMs) == nil {
-		}
+	if !dropNew(l.current()) {
+		l.awaitAcceptedUnfiltered(ctx)
 		return
 	}
-	l.awaitAcceptedUnfiltered(ctx)
+	for unknown := 0; unknown < lastAcceptPolls; {
+		waiting, known := l.kernel.HasWaiting(l.current())
+		pollMs := filteredPollMs
+		if !known {
+			pollMs = acceptPollMs
+			unknown++
+		}
+		if known && !waiting || l.clock.Sleep(ctx, pollMs) != nil {
+			return
+		}
+	}
 }
 
 // awaitAcceptedUnfiltered waits until no connection waits to be accepted. If there are always some, the kernel drops
@@ -141,7 +154,8 @@
 			last++
 		}
 		open++
-		if !hasWaiting(l.current()) || l.clock.Sleep(ctx, acceptPollMs) != nil {
+		waiting, known := l.kernel.HasWaiting(l.current())
+		if known && !waiting || l.clock.Sleep(ctx, acceptPollMs) != nil {
 			return
 		}
 	}
@@ -169,16 +183,6 @@
 	return drops
 }
 
-// hasWaiting reports whether a connection waits to be accepted at a socket.
-func hasWaiting(socket net.Listener) bool {
-	waiting := 0
-	control(socket, func(fd int) {
-		// After an error none counts as waiting.
-		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return waiting > 0
-}
-
 // control calls a function with the descriptor of a socket, unless it has none.
 func control(socket net.Listener, call func(fd int)) {
 	withDescriptor, ok := socket.(syscall.Conn)
