--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -104,7 +104,7 @@
 	// link is nil if boxes connect to the server directly, at address.
 	link    *link
 	address string
-	// beginWork records that the server got a request. It is nil if link is.
+	// beginWork records that the server got a request.
 	beginWork func(
 		ctx context.Context, request, server string, linkDisturbed func(from, to time.Time) bool,
 	) (end func(brokeOff bool))
@@ -122,7 +122,7 @@
 	s.mu.Lock()
 	current, down := s.current, s.down
 	s.mu.Unlock()
-	if id := r.Header.Get("X-Attempt-Id"); id != "" && s.beginWork != nil {
+	if id := r.Header.Get("X-Attempt-Id"); id != "" {
 		defer s.recordWork(r.Context(), id, current)()
 	}
 	if down {
@@ -133,7 +133,11 @@
 
 // recordWork records work on a request until the returned function is called, which must be deferred.
 func (s *server) recordWork(ctx context.Context, request string, by *standin.Server) (end func()) {
-	endWork := s.beginWork(ctx, request, by.ID, s.link.disturbed)
+	linkDisturbed := func(time.Time, time.Time) bool { return false }
+	if s.link != nil {
+		linkDisturbed = s.link.disturbed
+	}
+	endWork := s.beginWork(ctx, request, by.ID, linkDisturbed)
 	return func() {
 		panicked := recover()
 		s.mu.Lock()
@@ -244,7 +248,7 @@
 }
 
 func (f *fleet) addServer(i int) error {
-	s := &server{zone: zoneName(i)}
+	s := &server{zone: zoneName(i), beginWork: f.history.beginWork}
 	address, err := f.serve("127.0.0.1:0", s)
 	if err != nil {
 		return err
@@ -259,7 +263,7 @@
 	if s.link, err = newLink(f.ip(linksHost), func() string { return address }, withOwners(f.owners.boxOf)); err != nil {
 		return err
 	}
-	s.address, s.beginWork = s.link.address(), f.history.beginWork
+	s.address = s.link.address()
 	f.closers = append(f.closers, s.link.close)
 	f.servers = append(f.servers, s)
 	f.startIncarnation(s)
--- a/internal/soak/wire_test.go
+++ b/internal/soak/wire_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/platform/standin"
 )
@@ -79,3 +80,22 @@
 	s.ServeHTTP(httptest.NewRecorder(), r)
 	assert.False(t, h.works["one"][0].to.IsZero())
 }
+
+// TestRecordsWorkOfDirectServers guards against cuts that count as lost because the soak does not know that the server of
+// a steady load was at work.
+func TestRecordsWorkOfDirectServers(t *testing.T) {
+	f, err := newFleet(Settings{Load: true, Folder: t.TempDir()})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		for _, closeOne := range f.closers {
+			closeOne()
+		}
+	})
+	require.NoError(t, f.addServer(0))
+	s := f.servers[0]
+	s.down = true
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/", nil)
+	r.Header.Set("X-Attempt-Id", "one")
+	assert.Panics(t, func() { s.ServeHTTP(httptest.NewRecorder(), r) }, "a crashed server breaks off")
+	assert.Len(t, f.history.works["one"], 1)
+}
