test(mesh): the test of a former process reads the peers after all datagrams are processed

TestFormerProcess read the peers of a box without its lock while that box could still process a datagram of the same instant: go test -race ./internal/mesh failed once in one whole run, and once in 40 runs of the test, at a load of 40. It waits for all goroutines now.

--- a/internal/mesh/former_test.go
+++ b/internal/mesh/former_test.go
@@ -55,6 +55,7 @@
 			}
 			former.stop()
 			advance(f.t, 3*time.Second)
+			synctest.Wait()
 			assert.Equal(f.t, 1, other.OthersInFlight()[namekey.Of("u")])
 			assert.Len(f.t, other.peers, 1)
 			assert.Zero(f.t, other.formerPeers)
