fix(inbound): a box without descriptors closes idle connections for those that wait

Cause: a listener that can't accept for want of descriptors only backed off, up to a second, while a listener that is full by its settings closes an idle connection.

Change: it does the same then: each failed accept (each 20 ms) closes the connection that is idle for longest, or else one that lingers, and responses announce the close until a connection was accepted. The test of the filter takes the bounds without one where the kernel allows filters to root only, as on this machine (EPERM for another user).

--- a/internal/inbound/drain_test.go
+++ b/internal/inbound/drain_test.go
@@ -1,9 +1,16 @@
 package inbound_test
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -58,3 +65,66 @@
 	accepting.Wait()
 	assert.Len(t, accepted, connections)
 }
+
+// scarceListener has descriptors for a few connections.
+type scarceListener struct {
+	conns       chan net.Conn
+	descriptors atomic.Int32
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if l.descriptors.Load() == 0 {
+		return nil, syscall.EMFILE
+	}
+	conn, open := <-l.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	l.descriptors.Add(-1)
+	return &scarceConn{Conn: conn, listener: l}, nil
+}
+
+func (l *scarceListener) Close() error {
+	close(l.conns)
+	return nil
+}
+
+func (*scarceListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+type scarceConn struct {
+	net.Conn
+	listener *scarceListener
+	once     sync.Once
+}
+
+func (c *scarceConn) Close() error {
+	c.once.Do(func() { c.listener.descriptors.Add(1) })
+	return c.Conn.Close()
+}
+
+// TestExhaustedDescriptors guards against callers that are not served because others keep idle connections open.
+func TestExhaustedDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scarce := &scarceListener{conns: make(chan net.Conn, 2)}
+		scarce.descriptors.Store(1)
+		listener := inbound.NewListener(
+			server.NewListener(scarce, clock.New(), nil, func(error) {}), 10, exchange.NewMemory(1<<20), clock.New())
+		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		inbound.Attach(s, clock.New().Monotonic)
+		t.Cleanup(func() { assert.NoError(t, s.Close()) })
+		go func() { _ = s.Serve(listener) }()
+		request := func() {
+			caller, box := net.Pipe()
+			t.Cleanup(func() { _ = caller.Close() })
+			require.NoError(t, caller.SetDeadline(time.Now().Add(time.Second)))
+			scarce.conns <- box
+			_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+		}
+		request()
+		request()
+	})
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -49,6 +49,8 @@
 	conns map[*Conn]struct{}
 	// waiting is set while a new connection waits and none was idle.
 	waiting bool
+	// exhausted is set while no connection can be accepted for want of descriptors or memory.
+	exhausted bool
 	// draining is set once idle connections are closed because the box stops.
 	draining        bool
 	drainingSinceMs clock.Millis
@@ -92,6 +94,9 @@
 	for _, option := range options {
 		option(l)
 	}
+	if socket, ok := inner.(interface{ OnExhausted(makeRoom func()) }); ok {
+		socket.OnExhausted(l.handleExhausted)
+	}
 	return l
 }
 
@@ -132,7 +137,7 @@
 func (l *Listener) add(conn net.Conn, hasSlot bool) *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.waiting = false
+	l.waiting, l.exhausted = false, false
 	c := &Conn{Conn: conn, listener: l}
 	c.prepareTake()
 	c.release = sync.OnceFunc(func() { l.remove(c, hasSlot) })
@@ -153,20 +158,37 @@
 	}
 }
 
-// makeRoom closes a connection that lingers, or the one that has been idle for longest. If there is none, the next one
-// that becomes idle is closed.
+// makeRoom closes a connection that carries no request. If there is none, the next one that becomes idle is closed.
 func (l *Listener) makeRoom() {
 	l.evicting.Lock()
 	defer l.evicting.Unlock()
-	if l.endLingering() {
-		return
-	}
-	for _, c := range l.idleConns() {
-		if c.evict(connIdle) {
-			return
-		}
+	if !l.evictOne() {
+		l.setWaiting(true)
 	}
-	l.setWaiting(true)
+}
+
+// handleExhausted closes a connection that carries no request, since the process has no descriptor or memory for
+// another one. Until a connection can be accepted, responses tell callers to close theirs.
+func (l *Listener) handleExhausted() {
+	l.evicting.Lock()
+	defer l.evicting.Unlock()
+	l.mu.Lock()
+	l.exhausted = true
+	l.mu.Unlock()
+	l.evictOne()
+}
+
+// evictOne closes the connection that has been idle for longest, or one that lingers, and reports whether there was
+// any. A caller whose connection lingers may not have read its response yet. The mutex evicting must be held.
+func (l *Listener) evictOne() bool {
+	return slices.ContainsFunc(l.idleConns(), func(c *Conn) bool { return c.evict(connIdle) }) || l.endLingering()
+}
+
+// needsRoom reports whether a new connection waits for another one to be closed.
+func (l *Listener) needsRoom() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting || l.exhausted
 }
 
 // handleIdle closes a connection that has become idle in favour of a new connection that waits.
--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -34,9 +34,22 @@
 	return info.State != unix.BPF_TCP_SYN_SENT
 }
 
+// mayFilter reports whether this process may filter what its sockets receive. Some kernels allow it to root only.
+func mayFilter(t *testing.T) bool {
+	t.Helper()
+	listener, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { assert.NoError(t, listener.Close()) }()
+	return dropNew(listener)
+}
+
 // TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
 // slowly than new ones arrive.
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
+	filteredPolls, filteredOpen := 1, 1
+	if !mayFilter(t) {
+		filteredPolls, filteredOpen = openAcceptPolls+lastAcceptPolls, 1+2*openAcceptPolls+2*lastAcceptPolls
+	}
 	for _, c := range []struct {
 		name   string
 		await  func(l *Listener, ctx context.Context)
@@ -44,8 +57,8 @@
 		// polls is how often it checks, and open how many connections the kernel takes, at most.
 		polls, open int
 	}{
-		{"a process that runs", (*Listener).AwaitAccepted, filteredPollMs, 1, 1},
-		{"a process with little processor time", (*Listener).AwaitAccepted, openAcceptMs, 1, 1},
+		{"a process that runs", (*Listener).AwaitAccepted, filteredPollMs, filteredPolls, filteredOpen},
+		{"a process with little processor time", (*Listener).AwaitAccepted, openAcceptMs, filteredPolls, filteredOpen},
 		{
 			"no filter, a process that runs", (*Listener).awaitAcceptedUnfiltered, acceptPollMs,
 			openAcceptPolls + lastAcceptPolls, 1 + 2*openAcceptPolls + 2*lastAcceptPolls,
@@ -114,6 +127,28 @@
 	assert.GreaterOrEqual(t, polls, lastAcceptPolls)
 }
 
+// TestAwaitAcceptedWhileExhausted guards against connections that are reset since a box that stops has no descriptors to
+// accept them with.
+func TestAwaitAcceptedWhileExhausted(t *testing.T) {
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, inner.Close()) })
+	startConnect(t, inner.Addr())
+	const freeAfter = 10 * lastAcceptPolls
+	polls := 0
+	l := NewListener(inner, clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
+		if polls++; polls == freeAfter {
+			conn, err := inner.Accept()
+			require.NoError(t, err)
+			return conn.Close()
+		}
+		return nil
+	})), nil, nil)
+	l.failing.Store(true)
+	l.awaitAcceptedUnfiltered(t.Context())
+	assert.Equal(t, freeAfter, polls)
+}
+
 // failingListener is a socket whose accepts fail, as the process has no descriptors left.
 type failingListener struct{ *net.TCPListener }
 
@@ -136,7 +171,7 @@
 			<-slept.Done()
 			return slept.Err()
 		}
-		if polls++; polls == 10*failedAcceptPolls {
+		if polls++; polls == 10*int(stuckMs) {
 			cancel()
 		}
 		return ctx.Err()
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -19,6 +19,9 @@
 const (
 	minAcceptBackoffMs clock.Millis = 5
 	maxAcceptBackoffMs clock.Millis = 1000
+	// maxExhaustedBackoffMs is the longest one while descriptors or memory are exhausted, which any connection that ends
+	// may change.
+	maxExhaustedBackoffMs clock.Millis = 20
 )
 
 // Listener is a listener that survives errors of its socket. A failed accept is repeated after a backoff, and a socket
@@ -31,8 +34,11 @@
 	address net.Addr
 	closed  context.Context
 	close   context.CancelFunc
-	// failing is set from a failed accept until the next one that does not fail.
-	failing atomic.Bool
+	// makeRoom is set by OnExhausted, or does nothing.
+	makeRoom func()
+	// failing is set from a failed accept until the next one that does not fail, and accepted counts those.
+	failing  atomic.Bool
+	accepted atomic.Int64
 
 	mu     sync.Mutex
 	socket net.Listener
@@ -46,9 +52,14 @@
 		clock: c, kernel: socket.System(), reopen: reopen, onError: onError, address: inner.Addr(), socket: inner,
 	}
 	l.closed, l.close = context.WithCancel(context.Background())
+	l.makeRoom = func() {}
 	return l
 }
 
+// OnExhausted sets a function that is called when a connection can't be accepted because descriptors or memory are
+// exhausted. It must be called before Accept.
+func (l *Listener) OnExhausted(makeRoom func()) { l.makeRoom = makeRoom }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for backoffMs := minAcceptBackoffMs; ; backoffMs = min(2*backoffMs, maxAcceptBackoffMs) {
@@ -56,15 +67,20 @@
 		conn, err := socket.Accept()
 		l.failing.Store(err != nil)
 		if err == nil {
+			l.accepted.Add(1)
 			return conn, nil
 		}
 		if l.closed.Err() != nil {
 			return nil, net.ErrClosed
 		}
 		l.onError(err)
-		if isDead(err) {
+		switch {
+		case isDead(err):
 			err = l.replace(socket)
-		} else {
+		case isExhausted(err):
+			l.makeRoom()
+			err = l.clock.Sleep(l.closed, min(backoffMs, maxExhaustedBackoffMs))
+		default:
 			err = l.clock.Sleep(l.closed, backoffMs)
 		}
 		if l.closed.Err() != nil {
@@ -86,6 +102,16 @@
 	return false
 }
 
+// isExhausted reports whether a socket can accept again once connections have ended.
+func isExhausted(err error) bool {
+	for _, exhausted := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, exhausted) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Listener) current() net.Listener {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,30 +148,27 @@
 	// lastAcceptPolls is how often it checks afterwards. These checks have no limit in time, since a process that gets
 	// little processor time accepts slowly.
 	lastAcceptPolls = 10
-	// failedAcceptPolls is how often it checks while accepts fail. It covers the longest backoff of an accept.
-	failedAcceptPolls = int(maxAcceptBackoffMs / filteredPollMs)
+	// stuckMs is for how long accepts may fail. It covers the longest backoff of an accept.
+	stuckMs = maxAcceptBackoffMs
 )
 
 // AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
 // reset. Callers whose connections are dropped find the listener closed when they try again. It gives up when the
 // context ends, after many checks where the kernel doesn't tell what waits, and while accepts fail: until the listener
-// is closed, connections without a request keep their descriptors, and the next process waits for the address.
+// is closed, the next process waits for the address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
 	if !dropNew(l.current()) {
 		l.awaitAcceptedUnfiltered(ctx)
 		return
 	}
-	failed := 0
-	for unknown := 0; unknown < lastAcceptPolls && failed < failedAcceptPolls; {
+	isStuck := l.stuckAfter(filteredPollMs)
+	for unknown := 0; unknown < lastAcceptPolls && !isStuck(); {
 		waiting, known := l.kernel.HasWaiting(l.current())
 		pollMs := filteredPollMs
 		if !known {
 			pollMs = acceptPollMs
 			unknown++
 		}
-		if l.failing.Load() {
-			failed++
-		}
 		if known && !waiting || l.clock.Sleep(ctx, pollMs) != nil {
 			return
 		}
@@ -153,16 +176,18 @@
 }
 
 // awaitAcceptedUnfiltered waits until no connection waits to be accepted. If there are always some, the kernel drops
-// new ones while one waits. It gives up if connections still wait after many checks.
+// new ones while one waits. It gives up if connections still wait after many checks at which some could be accepted.
 func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
-	startMs, open := l.clock.Monotonic(), 0
-	for last := 0; last < lastAcceptPolls; {
+	startMs, open, isStuck := l.clock.Monotonic(), 0, l.stuckAfter(acceptPollMs)
+	for last := 0; last < lastAcceptPolls && !isStuck(); {
 		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
 			control(l.current(), func(fd int) {
 				// After an error it takes new ones, as before.
 				_ = unix.Listen(fd, 0)
 			})
-			last++
+			if !l.failing.Load() {
+				last++
+			}
 		}
 		open++
 		waiting, known := l.kernel.HasWaiting(l.current())
@@ -172,6 +197,20 @@
 	}
 }
 
+// stuckAfter returns a function that is called once a poll, and reports whether accepts have failed for stuckMs and
+// none has succeeded meanwhile.
+func (l *Listener) stuckAfter(pollMs clock.Millis) func() bool {
+	accepted, failedMs := l.accepted.Load(), clock.Millis(0)
+	return func() bool {
+		if now := l.accepted.Load(); now != accepted || !l.failing.Load() {
+			accepted, failedMs = now, 0
+			return false
+		}
+		failedMs += pollMs
+		return failedMs > stuckMs
+	}
+}
+
 // Parts of a TCP header.
 const (
 	tcpFlagsOffset = 13
--- a/internal/server/listener_test.go
+++ b/internal/server/listener_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -127,3 +128,22 @@
 		})
 	})
 }
+
+// TestExhaustedListener guards against callers that wait for up to a second after descriptors have become free.
+func TestExhaustedListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const failures = 100
+		exhausted := acceptError(syscall.EMFILE)
+		errs := []error{}
+		for range failures {
+			errs = append(errs, exhausted)
+		}
+		roomMade, start := 0, time.Now()
+		l := NewListener(newScriptedListener(errs...), clock.New(), nil, func(error) {})
+		l.OnExhausted(func() { roomMade++ })
+		_, err := l.Accept()
+		require.NoError(t, err)
+		assert.Equal(t, failures, roomMade)
+		assert.LessOrEqual(t, time.Since(start), failures*maxExhaustedBackoffMs.Duration())
+	})
+}
