fix(mesh): a handover does not give the slots of running requests away

Found by the review, by a test: an owner with a queue granted the slots of a box's running requests when the box gave up its address, since they were released there before they were counted at the new address. Each restart under overload could put as many requests on top at their upstreams (LIMIT).

Change: they are counted at the new address first, and released from the former socket, which is closed afterwards. The next process gets the address some milliseconds later.

The new case of TestFormerProcessAtOwners fails with the order before: two permits and no request that waits, instead of one each.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,17 +21,17 @@
 	}
 }
 
-// movePeersSocket moves the UDP socket for other boxes to a port that the kernel chooses.
-func (b *Box) movePeersSocket() (address string, err error) {
+// movePeersSocket moves the UDP socket for other boxes to a port that the kernel chooses. It returns the former socket.
+func (b *Box) movePeersSocket() (address string, former net.PacketConn, err error) {
 	host, _, err := net.SplitHostPort(b.settings.Load().PeersAddress)
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
-	err = b.peersSocket.Move(func() (conn net.PacketConn, err error) {
+	former, err = b.peersSocket.Move(func() (conn net.PacketConn, err error) {
 		if conn, err = b.packets("udp", net.JoinHostPort(host, "0")); err == nil {
 			address = conn.LocalAddr().String()
 		}
 		return conn, err
 	})
-	return address, err
+	return address, former, err
 }
--- a/internal/mesh/former.go
+++ b/internal/mesh/former.go
@@ -1,23 +1,22 @@
 package mesh
 
-import "dooryard.example/dooryard/internal/clock"
+import (
+	"net"
+
+	"dooryard.example/dooryard/internal/clock"
+)
 
 // A process that drains may still run requests when a later process of the same box takes over its address. It then
 // goes on at another address, and counts as a box of its own: the others know its requests until it ends, and don't
 // take what it sends for news of the later process.
 
 // GiveUpAddress makes the mesh go on at another address, so that a later process of this box can use that of the box.
-// Move closes the socket and opens another one. The box must be draining. After an error it hears nothing more.
-func (m *Mesh) GiveUpAddress(move func() (address string, err error)) error {
+// Move opens another socket and returns its address and the former socket, which GiveUpAddress closes. The box must be
+// draining. After an error it hears nothing more.
+func (m *Mesh) GiveUpAddress(move func() (address string, former net.PacketConn, err error)) error {
 	// Owners know requests by the address from which they were asked.
 	running, permits := m.admissions.running(), m.pendingPermits.all()
-	for _, q := range running {
-		q.tell(admissionRelease)
-	}
-	for number, p := range permits {
-		m.sendPermitMessage(p.owner, permitMessage{Kind: permitRelease, Number: number})
-	}
-	address, err := move()
+	address, former, err := move()
 	if err != nil {
 		return err
 	}
@@ -31,7 +30,14 @@
 	for number, p := range permits {
 		m.recountPermit(number, p)
 	}
-	return nil
+	// An owner gives a slot away once it is released, so those of the new address are counted before.
+	for _, q := range running {
+		m.sendFrom(former, q.owner.Address, endMessage{Kind: admissionRelease, Number: q.ask.ID.Number})
+	}
+	for number, p := range permits {
+		m.sendFrom(former, p.owner, permitMessage{Kind: permitRelease, Number: number})
+	}
+	return former.Close() //nolint:wrapcheck // The caller names the socket.
 }
 
 // recountPermit makes an owner count a request that runs under the new address of this process.
--- a/internal/mesh/former_test.go
+++ b/internal/mesh/former_test.go
@@ -19,10 +19,11 @@
 	f.t.Helper()
 	former = f.boxes[number]
 	former.BroadcastDraining()
-	require.NoError(f.t, former.GiveUpAddress(func() (string, error) {
+	require.NoError(f.t, former.GiveUpAddress(func() (string, net.PacketConn, error) {
 		conn, err := f.network.Host(former.self.Box).ListenPackets("udp", "127.0.0.1:0")
 		require.NoError(f.t, err)
-		return conn.LocalAddr().String(), former.socket.Move(func() (net.PacketConn, error) { return conn, nil })
+		before, err := former.socket.Move(func() (net.PacketConn, error) { return conn, nil })
+		return conn.LocalAddr().String(), before, err
 	}))
 	others := f.boxes
 	f.boxes, f.restarts = others[:number:number], f.restarts+1
@@ -91,6 +92,21 @@
 			f.assertSizes(0, 0)
 		})
 	})
+	t.Run("the slots of admissions are not given to those that wait", func(t *testing.T) {
+		runAdmissions(t, func(f *admissions) {
+			reply := f.admit(f.asker)
+			waiting := f.start("d2")
+			advance(f.t, time.Second)
+			f.enqueue(waiting)
+			f.assertSizes(1, 1)
+			f.replace(1)
+			advance(f.t, time.Second)
+			f.assertSizes(1, 1)
+			reply.Release(true)
+			advance(f.t, time.Second)
+			f.assertSizes(1, 0)
+		})
+	})
 	t.Run("permits", func(t *testing.T) {
 		runInBubble(t, func(f *fixture) {
 			owner, asker := f.start("d1"), f.start("d2")
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -387,11 +387,15 @@
 }
 
 func (m *Mesh) write(address string, data []byte) (int, error) {
+	return writeFrom(m.conn, address, data)
+}
+
+func writeFrom(conn net.PacketConn, address string, data []byte) (int, error) {
 	target, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return 0, fmt.Errorf("box address: %w", err)
 	}
-	return m.conn.WriteTo(data, net.UDPAddrFromAddrPort(target))
+	return conn.WriteTo(data, net.UDPAddrFromAddrPort(target))
 }
 
 // Broadcast notifies the other boxes of the failure domain that this box's state has changed.
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -358,11 +358,14 @@
 
 // sendMessage sends a datagram that is encoded as an array. A failure is counted and otherwise treated
 // like packet loss.
-func (m *Mesh) sendMessage(address string, message any) {
+func (m *Mesh) sendMessage(address string, message any) { m.sendFrom(m.conn, address, message) }
+
+// sendFrom sends a datagram like sendMessage, from a socket.
+func (m *Mesh) sendFrom(conn net.PacketConn, address string, message any) {
 	data, err := cbor.Marshal(message)
 	sent := 0
 	if err == nil {
-		sent, err = m.write(address, data)
+		sent, err = writeFrom(conn, address, data)
 	}
 	m.recordSent(sent, err)
 }
--- a/internal/server/packetconn.go
+++ b/internal/server/packetconn.go
@@ -43,21 +43,22 @@
 }
 
 // Move gives up the address for another process and goes on with another socket, which is not opened anew if it fails.
-// If there is none, the connection is closed.
-func (p *PacketConn) Move(open func() (net.PacketConn, error)) error {
+// It returns the former socket, which the caller closes; until then, receives may still use it. If there is no other
+// socket, the connection is closed.
+func (p *PacketConn) Move(open func() (net.PacketConn, error)) (former net.PacketConn, err error) {
 	next, err := open()
 	if err != nil {
-		return errors.Join(err, p.Close())
+		return nil, errors.Join(err, p.Close())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unbind()
 	if p.closed.Err() != nil {
-		return next.Close()
+		return nil, errors.Join(net.ErrClosed, next.Close())
 	}
-	before := p.socket
+	former = p.socket
 	p.socket = next
-	return before.Close()
+	return former, nil
 }
 
 // ReadFrom implements net.PacketConn.
--- a/internal/server/packetconn_test.go
+++ b/internal/server/packetconn_test.go
@@ -79,7 +79,9 @@
 			synctest.Wait()
 			moved, err := network.ListenPackets("udp", "127.0.0.1:0")
 			require.NoError(t, err)
-			require.NoError(t, p.Move(func() (net.PacketConn, error) { return moved, nil }))
+			former, err := p.Move(func() (net.PacketConn, error) { return moved, nil })
+			require.NoError(t, err)
+			require.NoError(t, former.Close())
 			later, err := network.ListenPackets("udp", "127.0.0.1:1")
 			require.NoError(t, err, "another process can have the address")
 			_, err = later.WriteTo([]byte("data"), moved.LocalAddr())
@@ -90,7 +92,8 @@
 	t.Run("a connection that can't move is closed", func(t *testing.T) {
 		first := &scriptedConn{}
 		p := NewPacketConn(first, clock.New(), nil, nil, nil)
-		require.ErrorIs(t, p.Move(func() (net.PacketConn, error) { return nil, syscall.EMFILE }), syscall.EMFILE)
+		_, err := p.Move(func() (net.PacketConn, error) { return nil, syscall.EMFILE })
+		require.ErrorIs(t, err, syscall.EMFILE)
 		assert.True(t, first.closed)
 	})
 	t.Run("other errors are returned", func(t *testing.T) {
