fix(server): a socket that fails after a handover does not take the address back

Found by the review, by reading. A draining process whose moved UDP socket died would have opened the address of its box anew, if that was free, and kept the next process from it: the retries ask once before they look at the ended context.

The new case of TestPacketConn fails before (the address is opened).

--- a/internal/server/packetconn.go
+++ b/internal/server/packetconn.go
@@ -104,6 +104,12 @@
 func (p *PacketConn) replace(dead net.PacketConn) error {
 	// It is dead, whatever the error.
 	_ = dead.Close()
+	if given := p.bound.Err(); given != nil {
+		if p.current() != dead {
+			return nil
+		}
+		return given
+	}
 	socket, err := p.reopen(p.bound)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/server/packetconn_test.go
+++ b/internal/server/packetconn_test.go
@@ -89,6 +89,19 @@
 			require.NoError(t, <-received)
 		})
 	})
+	t.Run("a socket that fails after a move is not opened anew", func(t *testing.T) {
+		moved := &scriptedConn{errs: []error{syscall.EBADF}}
+		lost := []error{}
+		p := NewPacketConn(&scriptedConn{}, clock.New(), func(context.Context) (net.PacketConn, error) {
+			assert.Fail(t, "the address belongs to another process")
+			return nil, net.ErrClosed
+		}, func(error) {}, func(err error) { lost = append(lost, err) })
+		_, err := p.Move(func() (net.PacketConn, error) { return moved, nil })
+		require.NoError(t, err)
+		_, _, err = p.ReadFrom(make([]byte, 4))
+		require.ErrorIs(t, err, net.ErrClosed)
+		assert.Len(t, lost, 1)
+	})
 	t.Run("a connection that can't move is closed", func(t *testing.T) {
 		first := &scriptedConn{}
 		p := NewPacketConn(first, clock.New(), nil, nil, nil)
