fix(inbound): requests that may not be repeated run to their end, and a kernel short of memory cancels none

A caller that has closed its connection was asked for a sign also while the response to a request that may not be repeated was awaited. The question makes its kernel reset the connection, so that the request was canceled while its server worked on it: a report that is filed would be dropped halfway, and nobody may repeat it. Callers that only half-closed get the response all the same. Where another box serves the request, its box does not know that, and cancels it, as before.

An error of the question counted as the caller's end whatever it was, also EAGAIN or ENOBUFS. Only errors of a closed connection do.

--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"os"
+	"syscall"
 
 	"dooryard.example/dooryard/internal/clock"
 )
@@ -158,15 +161,15 @@
 }
 
 // ask asks the caller for a sign if it is time to, and reports whether it did. One that is asked late has as long to
-// give it.
+// give it. One whose response is awaited in any case is not asked, since its kernel could reset the connection.
 func (h *hold) ask(now sign) bool {
 	c := h.conn
 	atMs := c.listener.clock.Monotonic()
-	if atMs < h.nextAskMs || now.outstanding || !now.open {
+	if atMs < h.nextAskMs || now.outstanding || !now.open || c.committed.Load() > 0 {
 		return false
 	}
 	sent, err := c.interim.send(c.writeWhole)
-	h.failed = err != nil
+	h.failed = isClosed(err)
 	if !sent {
 		return false
 	}
@@ -176,6 +179,16 @@
 	return true
 }
 
+// isClosed reports whether an error of a write tells that the connection is closed. Others may pass.
+func isClosed(err error) bool {
+	for _, closed := range []error{syscall.EPIPE, syscall.ECONNRESET, syscall.ETIMEDOUT, net.ErrClosed} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
+
 // startHold makes SetReadDeadline and Close call a function, and returns false if the deadline has passed.
 func (c *Conn) startHold(wake context.CancelFunc) bool {
 	c.mu.Lock()
--- a/internal/inbound/interim.go
+++ b/internal/inbound/interim.go
@@ -29,8 +29,7 @@
 	}
 }
 
-// send sends an interim response to a caller that has all that was written before, and reports whether it did. An error
-// means that nothing can be sent any more.
+// send sends an interim response to a caller that has all that was written before, and reports whether it did.
 func (i *interim) send(write func(data []byte) error) (sent bool, err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
