--- a/internal/mesh/former.go
+++ b/internal/mesh/former.go
@@ -12,7 +12,7 @@
 
 // GiveUpAddress makes the mesh go on at another address, so that a later process of this box can use that of the box.
 // Move opens another socket and returns its address and the former socket, which GiveUpAddress closes. The box must be
-// draining. After an error it hears nothing more.
+// draining. After an error it receives nothing more.
 func (m *Mesh) GiveUpAddress(move func() (address string, former net.PacketConn, err error)) error {
 	// Owners know requests by the address from which they were asked.
 	running, permits := m.admissions.running(), m.pendingPermits.all()
