test(soak): a stop counts from when its signal is sent

The soak recorded a planned signal, and then read what each thread of the process has waited, which takes long on a busy machine.

Planned signals are recorded right before they are sent. No check is narrowed: what counts from the signal counts from when it is sent. TestRecordsPlannedSignalsWhenTheyAreSent fails before.

--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -296,6 +296,19 @@
 	}
 }
 
+// TestRecordsPlannedSignalsWhenTheyAreSent guards against a stop that seems to have begun long before its signal was
+// sent, since what the soak reads of the process before takes long on a busy machine.
+func TestRecordsPlannedSignalsWhenTheyAreSent(t *testing.T) {
+	p := startScript(t, "trap '' TERM; echo"+waitForSignal)
+	planned := false
+	p.onPlanned = func(syscall.Signal) {
+		planned = true
+		assert.NotNil(t, p.asked.waited, "the process was read before")
+	}
+	require.NoError(t, p.signal(syscall.SIGTERM))
+	assert.True(t, planned)
+}
+
 // TestRecordsPlannedSignals guards against a repeated SIGTERM that counts as a stop of its own.
 func TestRecordsPlannedSignals(t *testing.T) {
 	h := newHistory()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -184,20 +184,21 @@
 	if !i.running() {
 		return nil
 	}
-	if s == syscall.SIGHUP || s == syscall.SIGTERM && i.asked.terminated.IsZero() {
-		p.onPlanned(s)
-	}
-	if s == syscall.SIGKILL {
-		p.onKill()
-	}
 	p.awaitHandler(i, s)
 	if s == syscall.SIGTERM && i.asked.terminated.IsZero() {
 		i.asked.waited = threadWaits(i.command.Process.Pid)
 	}
-	i.asked.record(s, time.Now())
 	if !p.receives(i, s) {
 		i.asked.early = append(i.asked.early, earlySignal{s, time.Now()})
 	}
+	// What comes before may take long on a busy machine.
+	if s == syscall.SIGHUP || s == syscall.SIGTERM && i.asked.terminated.IsZero() {
+		p.onPlanned(s)
+	}
+	if s == syscall.SIGKILL {
+		p.onKill()
+	}
+	i.asked.record(s, time.Now())
 	if err := i.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %v: %w", s, err)
 	}
