test(gateway): the count of opened sockets is read while a box moves its socket

Since a box that stops opens one more socket for its peers, so that the count is written in a stop that began by itself, without an order after the test's read.

Ruled out: a race of the product; both accesses are the test's own function.

The count is atomic now; the assertions are the same.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -126,14 +127,15 @@
 		t.Run("reopens: "+strconv.FormatBool(reopens), func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				f.upstream("u", respondWith("done"))
-				out, h, broken, opened := &logBuffer{}, f.network.Host("box-1"), make(chan struct{}), 0
+				out, h, broken := &logBuffer{}, f.network.Host("box-1"), make(chan struct{})
+				var opened atomic.Int64
 				packets := func(network, address string) (net.PacketConn, error) {
-					opened++
-					if opened > 1 && !reopens {
+					first := opened.Add(1) == 1
+					if !first && !reopens {
 						return nil, syscall.EACCES
 					}
 					conn, err := h.ListenPackets(network, address)
-					if err != nil || opened > 1 {
+					if err != nil || !first {
 						return conn, err
 					}
 					return &breakableConn{PacketConn: conn, broken: broken}, nil
@@ -143,7 +145,7 @@
 				advance(f.t, 100*time.Millisecond)
 				assert.Contains(f.t, out.String(), "peers UDP: bad file descriptor")
 				assert.Equal(f.t, reopens, b.Ready())
-				assert.Equal(f.t, 2, opened)
+				assert.EqualValues(f.t, 2, opened.Load())
 				if reopens {
 					f.box(2)
 					advance(f.t, time.Second)
