test(soak): a pause while the end of a process is awaited excuses that it ends late

Its output is a dump of goroutines that the soak itself had asked for.

Cause: whoever awaits the end of a process reads whether it was paused before the wait. A pause within the wait excuses the late end, so that it is no finding, but the process was made to dump its goroutines all the same, and its end by that counted as its own. Evidence: the line 'still ran' is missing, which only a pause or a kill suppresses, and a kill would have excused the end.

What was late in the dump is another matter: a probe of an upstream waited for its 80 ms after the stop had ended.

--- a/internal/soak/exits_test.go
+++ b/internal/soak/exits_test.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// TestPauseDuringTheLastWaitIsExcused guards against a finding about a process that is paused while its end is awaited.
+func TestPauseDuringTheLastWaitIsExcused(t *testing.T) {
+	p := startScript(t, "trap '' TERM; echo"+waitForSignal)
+	require.NoError(t, p.signal(syscall.SIGTERM))
+	p.asked.terminated = time.Now().Add(time.Second - shutdownGraceS*time.Second - stopSlack)
+	ended := make(chan error)
+	go func() { ended <- p.awaitStop() }()
+	<-time.After(100 * time.Millisecond)
+	require.NoError(t, p.signal(syscall.SIGSTOP))
+	require.NoError(t, p.signal(syscall.SIGCONT))
+	require.NoError(t, <-ended)
+	assert.Empty(t, p.findings())
+}
+
 // TestEarlySignalExcusesNoLaterEnd guards against an end long after a signal at the start that counts as caused by it.
 func TestEarlySignalExcusesNoLaterEnd(t *testing.T) {
 	sent := time.Now()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -212,15 +212,15 @@
 // and killed.
 func (p *process) awaitStopOf(i *incarnation) error {
 	p.mu.Lock()
-	asked := i.asked
+	terminated, waited := i.asked.terminated, i.asked.waited
 	p.mu.Unlock()
-	if asked.terminated.IsZero() {
+	if terminated.IsZero() {
 		return nil
 	}
 	select {
 	case <-i.exited:
 		return nil
-	case <-time.After(time.Until(asked.terminated.Add(shutdownGraceS*time.Second + stopSlack))):
+	case <-time.After(time.Until(terminated.Add(shutdownGraceS*time.Second + stopSlack))):
 	}
 	if hasExited(i.command.Process.Pid) {
 		// It is in time, however late its end is collected.
@@ -229,11 +229,11 @@
 	}
 	p.mu.Lock()
 	// Another fault may have killed the process, or paused it.
-	overdue := i.running()
-	if overdue && !i.asked.paused && !i.asked.killed {
+	overdue, paused := i.running(), i.asked.paused
+	if overdue && !paused && !i.asked.killed {
 		p.problems = append(p.problems, fmt.Sprintf("%s: process %d still ran %s after SIGTERM, with a grace of %d s; %s",
-			p.name, i.command.Process.Pid, time.Since(asked.terminated).Round(time.Millisecond), shutdownGraceS,
-			describeThreads(i.command.Process.Pid, asked.waited)))
+			p.name, i.command.Process.Pid, time.Since(terminated).Round(time.Millisecond), shutdownGraceS,
+			describeThreads(i.command.Process.Pid, waited)))
 		// Another fault may wait for the same process.
 		i.asked.killed = true
 	}
@@ -241,7 +241,7 @@
 	if !overdue {
 		return nil
 	}
-	if !asked.paused {
+	if !paused {
 		p.dumpGoroutines(i)
 	}
 	return p.killOne(i)
