test(inbound): callers that end their side while a stream pauses, and those of HTTP/1.0

A caller that ends its writing side after the first event of a stream, or that sends its request by HTTP/1.0, is cut after 250 ms without a byte of the response, as it can't be told from one that has left. The case of HTTP/1.0 that stated the limit (cut after 250 ms) now asks for the response; all cases parse the response as a caller does.

--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -37,6 +37,8 @@
 	untold bool
 	// holdsNothing makes writes wait for the caller.
 	holdsNothing bool
+	// endsAfter is how long after its requests the caller ends its side.
+	endsAfter time.Duration
 	// version is that of the request. If it is empty, the connection is not told of the request.
 	version string
 	// closed is closed by Close, which the server may call twice.
@@ -44,7 +46,13 @@
 	once   sync.Once
 }
 
-func (c *halfClosedConn) Read(data []byte) (int, error) { return c.requests.Read(data) }
+func (c *halfClosedConn) Read(data []byte) (int, error) {
+	n, err := c.requests.Read(data)
+	if err != nil {
+		time.Sleep(c.endsAfter)
+	}
+	return n, err
+}
 
 func (c *halfClosedConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/inbound/interim_test.go
+++ b/internal/inbound/interim_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bufio"
 	"cmp"
 	"io"
 	"net"
@@ -39,6 +40,8 @@
 		questions   int
 		// holdsNothing makes writes wait for the caller.
 		holdsNothing bool
+		// endsAfter is how long after the request the caller ends its side.
+		endsAfter clock.Millis
 	}{
 		{name: "that reads", reads: true, takes: askAgainMs, runs: askAgainMs, questions: 1},
 		{name: "that writes wait for", reads: true, holdsNothing: true, takes: askAgainMs, runs: askAgainMs, questions: 1},
@@ -58,12 +61,34 @@
 			name: "that has left, untold", untold: true, closesAfter: 1, takes: takes, runs: askMs + askAgainMs, questions: 1,
 		},
 		{name: "that can't be reached", takes: takes, runs: maxHoldMs, questions: 1},
-		{name: "that accepts no interim response", version: "HTTP/1.0", reads: true, takes: takes, runs: holdMs},
+		{name: "that accepts no interim response", version: "HTTP/1.0", reads: true, takes: takes, runs: takes},
+		{
+			name: "that accepts no interim response and has left", version: "HTTP/1.0", closesAfter: 1,
+			takes: takes, runs: askMs + holdCheckMs,
+		},
+		{
+			name: "that ends its side while a stream pauses", reads: true, start: begin, endsAfter: clock.Second,
+			takes: takes, runs: takes,
+		},
+		{
+			name: "that leaves while a stream pauses", start: begin, reads: true, endsAfter: clock.Second, closesAfter: clock.Second,
+			takes: takes, runs: clock.Second + askMs + holdCheckMs,
+		},
+		{
+			name: "that leaves later while a stream pauses", start: begin, reads: true, endsAfter: clock.Second,
+			closesAfter: clock.Second + askMs + holdCheckMs,
+			takes:       takes, runs: clock.Second + askMs + askAgainMs + holdCheckMs,
+		},
+		{
+			name: "that can't be reached while a stream pauses", start: begin, endsAfter: clock.Second,
+			takes: takes, runs: clock.Second + maxHoldMs,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				caller := &halfClosedConn{
 					reads: c.reads, untold: c.untold, holdsNothing: c.holdsNothing, version: cmp.Or(c.version, "HTTP/1.1"),
+					endsAfter: c.endsAfter.Duration(),
 				}
 				if c.closesAfter > 0 {
 					caller.closesAt = time.Now().Add(c.closesAfter.Duration())
@@ -77,6 +102,13 @@
 				asked := strings.Repeat(interimResponse, c.questions)
 				assert.True(t, strings.HasPrefix(sent, asked+caller.version+" 200 OK\r\n"), "interim responses first: %q", sent)
 				assert.Equal(t, c.questions, strings.Count(sent, interimResponse))
+				response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(strings.TrimPrefix(sent, asked))), nil)
+				if assert.NoError(t, err) {
+					body, err := io.ReadAll(response.Body)
+					assert.NoError(t, err)
+					assert.NoError(t, response.Body.Close())
+					assert.Equal(t, "response", string(body))
+				}
 			})
 		})
 	}
