fix(inbound): callers that have ended their side are asked while a stream pauses, and by HTTP/1.0

What callers saw: a stream whose caller ended its writing side after the first event was cut, if the next event came more than 250 ms later. So was the response of an HTTP/1.0 caller that took as long.

Cause: a caller that has only ended its writing side can't be told from one that has left without bytes that its kernel acknowledges or resets. An interim response asks before the response begins, and only by HTTP/1.1.

Ruled out: keepalive probes and other segments without new data (the kernel of a caller that has left acknowledges or drops them alike), urgent data (out of band for most receivers, but in band for some and behind some middleboxes), chunks of our own (an empty one ends the response), chunk extensions (need the size that follows), comments in event streams (the body is the server's).

Change: bytes that come next whatever the server writes are sent ahead and left out of what it writes later. Between two chunks that is a zero that leads the size of the next one (RFC 9112, section 7.1; also of the last one), before a response by HTTP/1.0 the next byte of "HTTP/1.0 ". What net/http passes to the connection is followed byte by byte, so its own buffers play no part; nothing is sent within a head, a size or a chunk, after the last chunk, for a length, below TLS, while a write runs or while bytes are held for the caller. At most 8 zeros lead a size, as parsers accept 16 digits. Some parsers take a lone zero before the end of the connection for the last chunk, so that the connection is reset instead of closed while a byte is ahead, also by the end of the process. A write within the last 100 ms is a question itself.

Behind a proxy the second question comes too late.

--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -172,6 +172,13 @@
 	return err
 }
 
+// Holds reports whether anything is held that the caller has not taken.
+func (u *Unread) Holds() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.drained != nil || len(u.blocks) > 0
+}
+
 // writeThrough writes data to a caller that takes some of it in time.
 func (u *Unread) writeThrough(data []byte) (int, error) {
 	written, err := u.writeAtRate(data, func(data []byte, _ clock.Millis) (int, error) { return u.writeNow(data) })
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -67,6 +67,12 @@
 
 	interim interim
 
+	// writing is held while anything is written. It protects framing and torn.
+	writing sync.Mutex
+	framing framing
+	// torn is set while bytes were sent ahead of a part of the response that was not written.
+	torn bool
+
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
 
@@ -152,6 +158,22 @@
 	c.responded.Store(true)
 	c.writes.Add(1)
 	defer c.sentSinceEnd.Store(true)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	sent, fits := c.framing.follow(data)
+	if !fits {
+		c.reset()
+		return 0, net.ErrClosed
+	}
+	n, err := c.write(data[sent:])
+	if err != nil {
+		c.framing = framing{stage: unknownPart}
+	}
+	c.mend()
+	return sent + n, err
+}
+
+func (c *Conn) write(data []byte) (int, error) {
 	if c.unread == nil {
 		return c.Conn.Write(data) //nolint:wrapcheck // The server compares it.
 	}
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -97,7 +97,7 @@
 //
 // A caller that has closed its socket looks the same as one that has only ended its writing side and reads. But its
 // kernel resets the connection when data arrives, while that of a caller that reads acknowledges them. While there are
-// none of the response, the caller is asked with an interim one.
+// none of the response, the caller is asked with an interim one, or with a byte of the response that is known.
 func (c *Conn) holdEnd() error {
 	atEnd := signOf(c.listener.kernel, c.Conn)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,6 +155,10 @@
 	c.setUnheardFrom(h.startMs, now, h.reads)
 	before := h.writes
 	h.writes = c.writes.Load()
+	if h.writes != before {
+		// What was written is a question itself.
+		h.nextAskMs = max(h.nextAskMs, c.listener.clock.Monotonic()+askMs)
+	}
 	elapsed := c.listener.clock.Monotonic() - h.startMs
 	over := elapsed >= holdMs && h.checks >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
 	return over && !h.reads && h.writes == before && c.committed.Load() == 0 && !c.responseWaits()
@@ -168,7 +172,7 @@
 	if atMs < h.nextAskMs || now.outstanding || !now.open || c.committed.Load() > 0 {
 		return false
 	}
-	sent, err := c.interim.send(c.writeWhole)
+	sent, err := c.ask()
 	h.failed = isClosed(err)
 	if !sent {
 		return false
--- a/internal/inbound/interim.go
+++ b/internal/inbound/interim.go
@@ -39,16 +39,3 @@
 	err = write([]byte(interimResponse))
 	return err == nil, err
 }
-
-// writeWhole writes data that the kernel takes at once.
-func (c *Conn) writeWhole(data []byte) error {
-	if c.unread != nil {
-		return c.unread.WriteWhole(data)
-	}
-	n, err := c.Conn.Write(data)
-	if n > 0 && err != nil {
-		// What is written next would be taken for the rest.
-		c.reset()
-	}
-	return err
-}
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -40,6 +40,9 @@
 		// Without a body, the server already reads ahead.
 		c.bodyBytes.Store(r.ContentLength)
 	}
+	c.writing.Lock()
+	c.framing.begin(r)
+	c.writing.Unlock()
 	if r.ProtoAtLeast(1, 1) && r.TLS == nil {
 		// Below TLS, an interim response would have to be a record.
 		c.interim.accept()
--- a/internal/inbound/unframed.go
+++ b/internal/inbound/unframed.go
@@ -27,11 +27,16 @@
 		return
 	}
 	c.unframed = false
-	if flush() != nil {
-		return
-	}
-	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && socket.SetLinger(keepLinger) != nil {
+	if flush() != nil || c.setLinger(keepLinger) != nil {
 		return
 	}
 	c.broken.Store(false)
 }
+
+// setLinger sets for how many seconds a close waits until what was written is sent.
+func (c *Conn) setLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds) //nolint:wrapcheck // Callers compare it with nil.
+	}
+	return nil
+}
