test(inbound): callers that have left behind a proxy

A proxy learns that its caller has left by the first data that it passes on, and tells with the second.

--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -33,6 +33,9 @@
 	left     atomic.Bool
 	// closesAt is when the caller closes its socket, so that later data resets the connection. It is zero if it never does.
 	closesAt time.Time
+	// proxied is set if it is behind a proxy, which learns by the first data that it has closed, and passes it on with the
+	// second.
+	proxied bool
 	// untold is set if the kernel tells nothing of the caller. Only writes then fail after a reset.
 	untold bool
 	// holdsNothing makes writes wait for the caller.
@@ -60,7 +63,9 @@
 	if c.untold && c.left.Load() && string(data) == interimResponse {
 		return 0, syscall.EPIPE
 	}
-	c.left.Store(c.left.Load() || !c.closesAt.IsZero() && !time.Now().Before(c.closesAt))
+	closed := !c.closesAt.IsZero() && !time.Now().Before(c.closesAt)
+	c.left.Store(c.left.Load() || closed && !c.proxied)
+	c.proxied = c.proxied && !closed
 	return c.sent.Write(data)
 }
 
--- a/internal/inbound/interim_test.go
+++ b/internal/inbound/interim_test.go
@@ -40,6 +40,8 @@
 		questions   int
 		// holdsNothing makes writes wait for the caller.
 		holdsNothing bool
+		// proxied is set if the caller is behind a proxy.
+		proxied bool
 		// endsAfter is how long after the request the caller ends its side.
 		endsAfter clock.Millis
 	}{
@@ -48,6 +50,14 @@
 		{name: "whose response is soon ready", reads: true, takes: askMs - holdCheckMs, runs: askMs - holdCheckMs},
 		{name: "whose response has begun", reads: true, start: begin, takes: takes, runs: takes},
 		{name: "that has left", closesAfter: 1, takes: takes, runs: askMs + holdCheckMs, questions: 1},
+		{
+			name: "that has left behind a proxy", closesAfter: 1, reads: true, proxied: true,
+			takes: takes, runs: 2*askMs + holdCheckMs, questions: 2,
+		},
+		{
+			name: "that has left behind a proxy while a stream pauses", closesAfter: clock.Second, reads: true, proxied: true, start: begin,
+			endsAfter: clock.Second, takes: takes, runs: clock.Second + 2*askMs + holdCheckMs,
+		},
 		{
 			name: "that has left after a request that may not be repeated, which runs to its end", closesAfter: 1, start: commit,
 			takes: takes, runs: takes,
@@ -88,6 +98,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				caller := &halfClosedConn{
 					reads: c.reads, untold: c.untold, holdsNothing: c.holdsNothing, version: cmp.Or(c.version, "HTTP/1.1"),
+					proxied:   c.proxied,
 					endsAfter: c.endsAfter.Duration(),
 				}
 				if c.closesAfter > 0 {
