fix(inbound): callers are asked twice at once, so that a proxy tells that they have left

What was seen: servers worked for over half a second on requests of callers that had left behind a proxy.

Cause: a proxy that passes on the end of its caller's side learns by the first question that its caller has left, and passes that on with the second one, which followed 300 ms later.

Change: the second question follows 100 ms after the first.

--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -20,9 +20,11 @@
 	// maxHoldMs is how long it is awaited while bytes are under way to the caller, or the process gets so little
 	// processor time that few checks were made. It leaves time to cancel a request within half a second.
 	maxHoldMs clock.Millis = 400
-	// askMs is how long after the end the caller is asked for a sign. A response that is ready before is one itself.
+	// askMs is how long after the end the caller is asked for a sign, and how long after that once more. A response that
+	// is ready before is a sign itself. A proxy acknowledges the first question, and learns by it that its caller has
+	// left.
 	askMs clock.Millis = 100
-	// askAgainMs is how long after a question the next one follows. The kernel of a caller that reads and closes its
+	// askAgainMs is how long after other questions the next one follows. The kernel of a caller that reads and closes its
 	// socket later sends nothing by itself, as it has sent the end before.
 	askAgainMs clock.Millis = 300
 	// holdCheckMs is the interval at which the kernel is asked for a sign, and minHoldChecks how often it is asked at
@@ -105,6 +107,15 @@
 	if !atEnd.open || !c.startHold(cancel) {
 		cancel()
 	}
+	if c.awaitLeft(ctx, atEnd) {
+		return io.EOF
+	}
+	return os.ErrDeadlineExceeded
+}
+
+// awaitLeft waits until a caller that gave a sign at its end is known to have left, or the context ends, which it
+// returns false for.
+func (c *Conn) awaitLeft(ctx context.Context, atEnd sign) bool {
 	now := c.listener.clock.Monotonic()
 	h := &hold{conn: c, startMs: now, nextAskMs: now + askMs, writes: c.writes.Load()}
 	c.acknowledgedAtEnd.Store(atEnd.acknowledgedBytes)
@@ -112,7 +123,7 @@
 	c.setUnheardFrom(h.startMs, atEnd, false)
 	for span := holdCheckMs; atEnd.open; {
 		if c.listener.clock.Sleep(ctx, span) != nil {
-			return os.ErrDeadlineExceeded
+			return false
 		}
 		confirms := span == confirmMs
 		now := signOf(c.listener.kernel, c.Conn)
@@ -125,7 +136,7 @@
 			span = confirmMs
 		}
 	}
-	return io.EOF
+	return true
 }
 
 // hold is the wait for a sign of a caller that has ended its side.
@@ -133,8 +144,9 @@
 	conn *Conn
 	// startMs is when the end was read, or later if the caller could not be asked in time.
 	startMs clock.Millis
-	// nextAskMs is when the caller is asked next.
+	// nextAskMs is when the caller is asked next, and asked is set once it was asked.
 	nextAskMs clock.Millis
+	asked     bool
 	// checks is how often the kernel was asked, and writes how often the response was written to until the last time.
 	checks int
 	writes int64
@@ -178,7 +190,11 @@
 		return false
 	}
 	c.sentSinceEnd.Store(true)
-	h.nextAskMs = atMs + askAgainMs
+	h.nextAskMs = atMs + askMs
+	if h.asked {
+		h.nextAskMs = atMs + askAgainMs
+	}
+	h.asked = true
 	h.startMs = max(h.startMs, atMs-askMs)
 	return true
 }
