fix(inbound): callers by TLS that end only their side get their responses

Cause: the end of the TLS connection is read above the connection that holds the ends of other callers, and net/http cancels the request at once.

Ruled out: holding the read (net/http serves *tls.Conn itself, and the end arrives within a record); asking such a caller (nothing but a record could be sent, and net/http may write one at the same time).

Change: the context of a request by TLS outlasts the end as long as the response to a caller without TLS is awaited; while the caller keeps its side of the socket open, however long it takes, since one that leaves closes that as well. A stop of the server still cancels it.

A caller that has also ended its side of the socket, and whose response takes more than 250 ms, is still cut.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -35,6 +35,8 @@
 	net.Conn
 	listener *Listener
 	release  func()
+	// base ends when the server cancels the requests on the connection.
+	base context.Context //nolint:containedctx // The server doesn't tell it to handlers.
 	// unread is nil if writes wait for the caller.
 	unread      *exchange.Unread
 	state       atomic.Int32
@@ -275,7 +277,11 @@
 
 // WithConn is a hook for http.Server.ConnContext. It adds the connection to the contexts of its requests.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, belowTLS(c))
+	below := belowTLS(c)
+	if conn, ok := below.(*Conn); ok {
+		conn.base = ctx
+	}
+	return context.WithValue(ctx, connKey{}, below)
 }
 
 // ResetOnClose makes the server reset the connection of a request, instead of closing it in order.
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -162,6 +162,10 @@
 	if counts {
 		h.checks++
 	}
+	if c.listener.encrypted && !now.ended {
+		// A caller that leaves ends its side of the socket as well.
+		h.startMs, h.checks = c.listener.clock.Monotonic(), 0
+	}
 	h.reads = h.reads || c.hasAcknowledged(now)
 	now.outstanding = h.ask(now) || now.outstanding
 	c.setUnheardFrom(h.startMs, now, h.reads)
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -24,12 +24,17 @@
 // not count: a caller that always sends more would never be told to close the connection.
 func (c *Conn) IsAhead() bool { return c.headAhead.Load() && c.aheadBytes.Load() > c.bodyBytes.Load() }
 
-// TrackRequests returns a handler that tells connections how long the bodies of requests are, and whether their callers
-// accept interim responses.
+// TrackRequests returns a handler that tells connections how long the bodies of requests are and how their callers
+// can be asked, and holds the ends of callers by TLS.
 func TrackRequests(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := ConnOf(r.Context()); c != nil {
 			c.trackRequest(r)
+			if r.TLS != nil && c.listener.holdsEnds {
+				held, done := c.holdRequest(r)
+				defer done()
+				r = held
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
--- a/internal/inbound/sign.go
+++ b/internal/inbound/sign.go
@@ -13,6 +13,8 @@
 	outstanding       bool
 	// open is set unless the connection is closed, was reset or has no socket.
 	open bool
+	// ended is set once the caller has ended its side of the socket.
+	ended bool
 }
 
 // signOf asks the kernel. A connection without a socket may have a method Sign.
@@ -21,5 +23,5 @@
 		return known.Sign()
 	}
 	s := kernel.State(c)
-	return sign{acknowledgedBytes: s.AcknowledgedBytes, outstanding: s.Outstanding, open: s.Open}
+	return sign{acknowledgedBytes: s.AcknowledgedBytes, outstanding: s.Outstanding, open: s.Open, ended: s.Ended}
 }
--- a/internal/socket/kernel.go
+++ b/internal/socket/kernel.go
@@ -50,6 +50,8 @@
 	Outstanding bool
 	// Open is set unless the connection is closed, was reset or has no socket.
 	Open bool
+	// Ended is set once the other side is known to have ended its own.
+	Ended bool
 }
 
 // State returns the state of a connection.
@@ -66,13 +68,14 @@
 	if err == nil && info.State != stateUnknown {
 		return State{
 			AcknowledgedBytes: info.Bytes_acked, Outstanding: info.Unacked > 0 || info.Notsent_bytes > 0,
-			Open: info.State != unix.BPF_TCP_CLOSE,
+			Open: info.State != unix.BPF_TCP_CLOSE, Ended: info.State == unix.BPF_TCP_CLOSE_WAIT,
 		}
 	}
-	ready, err := k.Ready(fd, 0)
+	ready, err := k.Ready(fd, unix.POLLRDHUP)
 	failed := err == nil && ready&(unix.POLLERR|unix.POLLHUP|unix.POLLNVAL) != 0
+	ended := err == nil && ready&unix.POLLRDHUP != 0
 	queued, err := k.Queued(fd)
-	return State{Outstanding: err == nil && queued > 0, Open: !failed}
+	return State{Outstanding: err == nil && queued > 0, Open: !failed, Ended: ended}
 }
 
 // stateUnknown is the state of a connection of which the kernel does not tell it.
--- a/internal/socket/kernel_test.go
+++ b/internal/socket/kernel_test.go
@@ -62,6 +62,20 @@
 	assert.Equal(t, State{Open: true}, silent().State(conn), "a kernel that tells nothing")
 }
 
+// TestStateOfEndedSide guards against a caller that has closed its connection and counts as one that may still send.
+func TestStateOfEndedSide(t *testing.T) {
+	for name, kernel := range kernels() {
+		t.Run(name, func(t *testing.T) {
+			caller, conn := testlib.Connect(t)
+			assert.False(t, kernel.State(conn).Ended)
+			require.NoError(t, caller.(*net.TCPConn).CloseWrite()) //nolint:forcetypeassert // It is one.
+			_, err := io.ReadAll(conn)
+			require.NoError(t, err)
+			assert.Equal(t, State{Open: true, Ended: true}, kernel.State(conn))
+		})
+	}
+}
+
 // TestHasUnreadWhereRefused guards against a connection that is closed with an unread request, where a kernel tells less.
 func TestHasUnreadWhereRefused(t *testing.T) {
 	for name, kernel := range kernels() {
