fix(mesh): a box that got no processor time reads the answers that have arrived before it counts an owner as silent

What was seen: a box that stalls for longer than the 20 ms in which owners answer counts an owner as silent whose answer waits in its own socket, sends the request by its own estimate, and asks that owner no more for a while. If the answer and the end of the time were seen together, either was taken at random.

Cause: the wait is measured by the box's own clock, and its timers fire before what has arrived is read.

Ruled out: longer waits for all (they delay each request whose owner is gone); questions to the kernel about the socket (a datagram may be of anyone).

Change: a timer that fires at least 5 ms late gives the box 10 ms to read on. An answer that is there counts, whatever else is. Asks and permits wait by one function. Questions about streams and attempts wait for 40 ms with repeats, and an answer that is missed there costs no count; they stay.

--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -34,9 +34,6 @@
 	maxAdmissionMisses = 3
 )
 
-// errUnanswered is returned when no answer has arrived in time.
-var errUnanswered = errors.New("owner has not answered")
-
 // admissionRequests are this box's requests that owners may count or have queued.
 type admissionRequests struct {
 	mu         sync.Mutex
@@ -207,17 +204,7 @@
 		return answer, nil
 	default:
 	}
-	timedOut := make(chan struct{})
-	timer := q.mesh.clock.AfterFunc(span, func() { close(timedOut) })
-	defer timer.Stop()
-	select {
-	case answer := <-q.answers:
-		return answer, nil
-	case <-timedOut:
-		return admission.Answer{}, errUnanswered
-	case <-ctx.Done():
-		return admission.Answer{}, ctx.Err()
-	}
+	return awaitAnswer(ctx, q.mesh.clock, q.answers, span)
 }
 
 // wait waits for the grant or denial of a queued ask, and repeats the ask.
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math"
@@ -175,22 +176,19 @@
 		Kind: permitAcquire, Number: number,
 		Upstream: r.Upstream, Bound: r.Bound, WithinMs: r.WithinMs,
 	})
-	timedOut := make(chan struct{})
-	timer := m.clock.AfterFunc(permitTimeoutMs, func() { close(timedOut) })
-	defer timer.Stop()
-	select {
-	case kind := <-answer:
-		if kind == permitDenied {
-			return occupancy.Reply{}
-		}
+	kind, err := awaitAnswer(ctx, m.clock, answer, permitTimeoutMs)
+	switch {
+	case errors.Is(err, errUnanswered):
+		m.recordPermitTimeout(owner.Box)
+	case err != nil:
+	case kind == permitDenied:
+		return occupancy.Reply{}
+	default:
 		reply.Unanswered, reply.Count = false, nil
 		m.pendingPermits.hold(number, heldPermit{owner: owner.Address, upstream: r.Upstream})
 		if reply.Provisional = kind == permitGrantedProvisionally; reply.Provisional {
 			m.recordProvisionalPermit()
 		}
-	case <-timedOut:
-		m.recordPermitTimeout(owner.Box)
-	case <-ctx.Done():
 	}
 	return reply
 }
