fix(socket): a call of a socket that is slow takes no further thread

What users saw: a box that ends by itself with status 2 (pthread_create failed) where its user may have few threads and other processes compete for its processor. Cause: reads, writes and questions to the kernel never block here, but the Go scheduler was told of each as of one that may. A thread that other processes keep from running within such a call is replaced by another one after 20 us to 10 ms, and the C part of the runtime ends the process when there is none. In the dump of one end, 3 of 5 goroutines behind a call were in writes of responses, and 2 in readings of the clock. Ruled out: files, log writes, names, random numbers, netlink and locked threads (in none of the goroutines of the dump); a larger reserve, which other boxes of the user would lack; a wait within pthread_create, during which the only processor of the scheduler is bound to the thread that does not exist. Change: reads and writes of connections from callers, the check of idle connections to upstreams, and questions to the kernel are made without telling the scheduler. As before, all are on descriptors that do not wait.

Accepts, closes, dials, requests to upstreams and datagrams still tell the scheduler.

--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -250,7 +250,7 @@
 // writeOnce writes as much of u.data as the kernel takes.
 func (u *Unread) writeOnce(fd uintptr) bool {
 	for u.written < len(u.data) {
-		n, err := unix.Write(int(fd), u.data[u.written:])
+		n, err := socket.Write(int(fd), u.data[u.written:])
 		switch {
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
--- a/internal/inbound/take.go
+++ b/internal/inbound/take.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // taken is what takeOnce has read. It is part of the connection, since a closure would be allocated for each read.
@@ -52,9 +54,9 @@
 	c.taking.Lock()
 	defer c.taking.Unlock()
 	t := &c.taken
-	n, err := unix.Read(int(fd), t.data)
+	n, err := socket.Read(int(fd), t.data)
 	for errors.Is(err, unix.EINTR) {
-		n, err = unix.Read(int(fd), t.data)
+		n, err = socket.Read(int(fd), t.data)
 	}
 	switch {
 	case errors.Is(err, unix.EAGAIN):
--- a/internal/socket/direct.go
+++ b/internal/socket/direct.go
@@ -1,9 +1,67 @@
 package socket
 
-import "golang.org/x/sys/unix"
+import (
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
 
 // Read is unix.Read for a descriptor that never blocks.
-func Read(fd int, data []byte) (int, error) { return unix.Read(fd, data) }
+//
+// The Go scheduler is not told of the calls of this file. Otherwise it would hand the processor of a thread that other
+// processes keep from running within a call to a further thread, and create that one if there is none: the number of
+// threads would follow the load of the machine, and the process would end where its user may have no more.
+func Read(fd int, data []byte) (int, error) { return transfer(unix.SYS_READ, fd, data) }
 
 // Write is unix.Write for a descriptor that never blocks.
-func Write(fd int, data []byte) (int, error) { return unix.Write(fd, data) }
+func Write(fd int, data []byte) (int, error) { return transfer(unix.SYS_WRITE, fd, data) }
+
+func transfer(call uintptr, fd int, data []byte) (int, error) {
+	n, _, code := unix.RawSyscall(call, uintptr(fd), uintptr(unsafe.Pointer(unsafe.SliceData(data))), uintptr(len(data)))
+	if code != 0 {
+		return 0, code
+	}
+	return int(n), nil
+}
+
+// peek returns whether a byte waits to be read, as a number.
+func peek(fd int) (int, error) {
+	var one [1]byte
+	n, _, code := unix.RawSyscall6(unix.SYS_RECVFROM, uintptr(fd), uintptr(unsafe.Pointer(&one)), uintptr(len(one)),
+		unix.MSG_PEEK|unix.MSG_DONTWAIT, 0, 0)
+	if code != 0 {
+		return 0, code
+	}
+	return int(n), nil
+}
+
+func tcpInfo(fd int) (*unix.TCPInfo, error) {
+	info, size := &unix.TCPInfo{}, uint32(unix.SizeofTCPInfo)
+	_, _, code := unix.RawSyscall6(unix.SYS_GETSOCKOPT, uintptr(fd), unix.IPPROTO_TCP, unix.TCP_INFO,
+		uintptr(unsafe.Pointer(info)), uintptr(unsafe.Pointer(&size)), 0)
+	if code != 0 {
+		return nil, code
+	}
+	return info, nil
+}
+
+func queued(fd int) (int, error) {
+	var n int32
+	_, _, code := unix.RawSyscall(unix.SYS_IOCTL, uintptr(fd), unix.SIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	if code != 0 {
+		return 0, code
+	}
+	return int(n), nil
+}
+
+// readyFor returns for which of some events a descriptor is ready, and whether it has failed, without waiting.
+func readyFor(fd int, events int16) (int16, error) {
+	one := unix.PollFd{Fd: int32(fd), Events: events} //nolint:gosec // A descriptor is a C int.
+	var noWait unix.Timespec
+	_, _, code := unix.RawSyscall6(unix.SYS_PPOLL, uintptr(unsafe.Pointer(&one)), 1, uintptr(unsafe.Pointer(&noWait)),
+		0, 0, 0)
+	if code != 0 {
+		return 0, code
+	}
+	return one.Revents, nil
+}
--- a/internal/socket/direct_test.go
+++ b/internal/socket/direct_test.go
@@ -32,6 +32,7 @@
 func TestSlowCallsOfSocketsTakeNoMoreThreads(t *testing.T) {
 	const calls, others = 24, 8
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	before := osthread.Count()
 	for name, call := range map[string]func(fd int, data []byte) (int, error){"read": Read, "write": Write} {
 		t.Run(name, func(t *testing.T) {
 			pair := slowPair(t)
@@ -40,7 +41,7 @@
 					_, err = unix.Write(pair[0], make([]byte, 1<<16))
 				}
 			}
-			before, running := osthread.Count(), sync.WaitGroup{}
+			running := sync.WaitGroup{}
 			for range calls {
 				running.Go(func() {
 					_, err := call(pair[0], make([]byte, 1))
--- a/internal/socket/kernel.go
+++ b/internal/socket/kernel.go
@@ -25,22 +25,7 @@
 // System returns the questions to the kernel of this process.
 func System() *Kernel { return &system }
 
-var system = Kernel{
-	TCPInfo: func(fd int) (*unix.TCPInfo, error) {
-		return unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	},
-	Queued: func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) },
-	Ready: func(fd int, events int16) (int16, error) {
-		list := []unix.PollFd{{Fd: int32(fd), Events: events}} //nolint:gosec // A descriptor is a C int.
-		_, err := unix.Poll(list, 0)
-		return list[0].Revents, err
-	},
-	Peek: func(fd int) (int, error) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return n, err
-	},
-}
+var system = Kernel{TCPInfo: tcpInfo, Queued: queued, Ready: readyFor, Peek: peek}
 
 // State is what the kernel tells about a connection.
 type State struct {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -61,7 +61,7 @@
 	empty := false
 	err = control.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, readErr := syscall.Read(int(fd), one[:])
+		_, readErr := socket.Read(int(fd), one[:])
 		empty = errors.Is(readErr, syscall.EAGAIN)
 		return true
 	})
