--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -53,6 +53,9 @@
 
 // checkFlags returns an error if flags exclude each other.
 func checkFlags(c *cli.Command) error {
+	if (c.String("gateway") == "") == (c.String("router") == "") {
+		return fmt.Errorf("%w: either --gateway or --router is required", errUsage)
+	}
 	for first, others := range map[string][]string{
 		"load":    {"partitions", "stalls", "overload", "regressions", "processes", "planned"},
 		"planned": {"partitions", "stalls", "overload", "regressions", "processes", "evacuations"},
@@ -76,7 +79,12 @@
 
 func flags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "gateway", Required: true, Usage: "path of the dooryard-gateway binary"},
+		&cli.StringFlag{Name: "gateway", Usage: "path of the dooryard-gateway binary"},
+		&cli.StringFlag{
+			Name: "router",
+			Usage: "path of a dooryard-router binary: stop and replace its processes under clients without a pause, instead " +
+				"of all else; with --seed, --seeds, --span, --clients and --keep",
+		},
 		&cli.StringFlag{
 			Name:  "earlier",
 			Usage: "path of the dooryard-gateway of another release, which every other start uses; not with --limits",
@@ -185,6 +193,9 @@
 }
 
 func runSeed(ctx context.Context, c *cli.Command, out io.Writer, seed uint64) error {
+	if c.String("router") != "" {
+		return runRouterSeed(ctx, c, out, seed)
+	}
 	program, err := filepath.Abs(c.String("gateway"))
 	if err != nil {
 		return err
@@ -207,10 +218,26 @@
 		Limits:    c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
+	return errors.Join(printReport(out, report), runErr)
+}
+
+func runRouterSeed(ctx context.Context, c *cli.Command, out io.Writer, seed uint64) error {
+	program, err := filepath.Abs(c.String("router"))
+	if err != nil {
+		return err
+	}
+	report, runErr := soak.RunRouter(ctx, soak.Settings{
+		Program: program, Folder: filepath.Join(c.String("keep"), strconv.FormatUint(seed, 10)), Seed: seed,
+		Clients: c.Int("clients"), Span: c.Duration("span"),
+	})
+	return errors.Join(printReport(out, report), runErr)
+}
+
+func printReport(out io.Writer, report any) error {
 	line, err := json.Marshal(report)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "%s\n", line)
-	return runErr
+	return nil
 }
