--- a/internal/localfleet/edges_test.go
+++ b/internal/localfleet/edges_test.go
@@ -279,3 +279,35 @@
 		})
 	}
 }
+
+// TestStarts guards against sound keys that a box refuses for good until it has read the table.
+func TestStarts(t *testing.T) {
+	start := func(tf *testFleet, faults func(f *standin.LogFaults)) {
+		tf.Platform.Log.SetFaults(faults)
+		_, err := tf.StartBox("north", "north-box-0")
+		require.NoError(tf.t, err)
+	}
+	t.Run("hold requests until the table is read", func(t *testing.T) {
+		run(t, func(tf *testFleet) {
+			start(tf, func(f *standin.LogFaults) { f.DelayMs = 300 })
+			result := tf.chat(0, "s", "a")
+			assert.Equal(tf.t, load.Complete, result.Verdict, "%+v", result)
+		}, withBoxes(0))
+	})
+	t.Run("refuse requests for now while the table can't be read", func(t *testing.T) {
+		run(t, func(tf *testFleet) {
+			start(tf, func(f *standin.LogFaults) { f.Down = true })
+			result := tf.chat(0, "s", "a")
+			assert.Equal(tf.t, http.StatusServiceUnavailable, result.Status, "%+v", result)
+			assert.Equal(tf.t, exchange.NotRun, result.Outcome)
+			assert.NotEmpty(tf.t, result.RetryAfter)
+			request, err := http.NewRequestWithContext(tf.t.Context(), http.MethodGet, tf.url(0)+"/v1/models", nil)
+			require.NoError(tf.t, err)
+			request.Header.Set("Authorization", "Bearer "+localfleet.CallerKey("choir"))
+			response, err := tf.Client().Do(request)
+			require.NoError(tf.t, err)
+			require.NoError(tf.t, response.Body.Close())
+			assert.Equal(tf.t, http.StatusServiceUnavailable, response.StatusCode)
+		}, withBoxes(0))
+	})
+}
