fix(identify): requests that come before the first table wait for it, and are not refused for good

Callers of a dooryard-router that had just started got 401 unknown_key for keys that are valid, and do not send such a request again. Cause: its listeners open before it has read the table, and a key that no table has is unknown. Beside a restart that overlaps all callers meet the new process in its first milliseconds. Readiness is 503 meanwhile, but callers without a load balancer don't ask; dooryard-gateway refuses for now (503) when what it knows is not confirmed. Ruled out: a table that loses its keys (the log's first edit is applied 4 to 10 ms after the start).

Change: the first step waits for the table for up to a second. Without one, callers get 503 no_table with Retry-After, also for GET /v1/models.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -130,10 +130,13 @@
 	b.metrics.EditsRejected.Add(1)
 }
 
+// awaitTable waits until a table has been read.
+func (b *Box) awaitTable(ctx context.Context) error { return b.store.WaitFor(ctx, 1) }
+
 func (b *Box) buildSteps(context.Context) error {
 	upstreams := &deferredTransport{}
 	steps := pipeline.Steps{
-		Identify: identify.New(b.store.State, b.clock.Now),
+		Identify: identify.New(b.store.State, b.awaitTable, b.clock.Now),
 		Claim: claimpipe.New(claimpipe.Claims{
 			Claim:  func(ctx context.Context, r claim.Record) (claim.Verdict, error) { return b.claims.Claim(ctx, r) },
 			Submit: func(r claim.Record) { b.claims.Submit(r) },
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -35,19 +35,27 @@
 	defaultMaxDeadlineMs  = 600_000
 )
 
+const (
+	// firstTableMs is how long requests wait for the first table after a start, which usually takes milliseconds.
+	firstTableMs = clock.Second
+	// noTableRetryMs is the Retry-After of requests that come before the first table.
+	noTableRetryMs = clock.Second
+)
+
 // maxKeyHeaderBytes limits the length of a session name and of an idempotency key.
 const maxKeyHeaderBytes = 512
 
 // Pipe authenticates and parses requests.
 type Pipe struct {
-	settings config.Request
-	state    func() *table.State
-	now      func() clock.Millis
+	settings  config.Request
+	state     func() *table.State
+	awaitRead func(ctx context.Context) error
+	now       func() clock.Millis
 }
 
-// New returns the step. The state function returns the active table.
-func New(state func() *table.State, now func() clock.Millis) *Pipe {
-	return &Pipe{state: state, now: now}
+// New returns the step. The state function returns the active table, and awaitRead waits until one has been read.
+func New(state func() *table.State, awaitRead func(ctx context.Context) error, now func() clock.Millis) *Pipe {
+	return &Pipe{state: state, awaitRead: awaitRead, now: now}
 }
 
 // String returns the name of the step in logs.
@@ -68,7 +76,7 @@
 
 // Run authenticates and parses the request of an exchange.
 func (p *Pipe) Run(x *exchange.Exchange) error {
-	x.State = p.state()
+	x.State = p.firstState(x.Context())
 	if err := p.checkHeaders(x.Request); err != nil {
 		return err
 	}
@@ -88,6 +96,21 @@
 	return p.readDeadline(x)
 }
 
+// firstState returns the active table. It waits for the first one, since the process before may have
+// closed its listeners.
+func (p *Pipe) firstState(ctx context.Context) *table.State {
+	if !read(p.state()) {
+		ctx, cancel := context.WithTimeout(ctx, firstTableMs.Duration())
+		defer cancel()
+		// Without a table the request is refused.
+		_ = p.awaitRead(ctx)
+	}
+	return p.state()
+}
+
+// read reports whether a table has been read.
+func read(state *table.State) bool { return state.Offset() > 0 }
+
 func (p *Pipe) checkHeaders(r *http.Request) error {
 	count := 0
 	for _, values := range r.Header {
@@ -122,6 +145,10 @@
 		return nil, apierror.New(http.StatusUnauthorized, "missing_key", "Authorization: a bearer key is needed")
 	}
 	organisation := state.OrganisationByKeyHash(table.HashKey(key))
+	if organisation == nil && !read(state) {
+		return nil, apierror.New(http.StatusServiceUnavailable, "no_table", "this box has not read the table yet",
+			apierror.WithRetryAfter(noTableRetryMs))
+	}
 	if organisation == nil {
 		return nil, apierror.New(http.StatusUnauthorized, "unknown_key", "Authorization: no organisation has this key")
 	}
