--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -82,8 +82,8 @@
 		&cli.StringFlag{Name: "gateway", Usage: "path of the dooryard-gateway binary"},
 		&cli.StringFlag{
 			Name: "router",
-			Usage: "path of a dooryard-router binary: stop and replace its processes under clients without a pause, instead " +
-				"of all else; with --seed, --seeds, --span, --clients and --keep",
+			Usage: "path of a dooryard-router binary: stop and replace its processes under clients without a pause, " +
+				"instead of all else; with --seed, --seeds, --span, --clients and --keep",
 		},
 		&cli.StringFlag{
 			Name:  "earlier",
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -280,22 +280,22 @@
 	if _, err := io.WriteString(conn, r.request()); err != nil {
 		return false
 	}
-	_, err = readWhole(bufio.NewReader(conn))
+	_, _, err = readWhole(bufio.NewReader(conn))
 	return err == nil
 }
 
-// readWhole reads a response with its body.
-func readWhole(reader *bufio.Reader) (*http.Response, error) {
+// readWhole reads a response with its body, and returns its status and whether it announces the close.
+func readWhole(reader *bufio.Reader) (status int, closes bool, err error) {
 	response, err := http.ReadResponse(reader, nil)
 	for err == nil && response.StatusCode < http.StatusOK {
 		response, err = http.ReadResponse(reader, nil)
 	}
 	if err != nil {
-		return nil, err
+		return 0, true, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response, err
+	return response.StatusCode, response.Close, err
 }
 
 // probe observes for how long the router does not answer while a process should serve, until ctx ends.
@@ -341,25 +341,25 @@
 		err = conn.CloseWrite()
 	}
 	for range count {
-		var response *http.Response
+		status, closes := 0, true
 		if err == nil {
-			response, err = readWhole(reader)
+			status, closes, err = readWhole(reader)
 		}
-		r.record(kind, sent, response, err)
+		r.record(kind, sent, status, err)
 		// By the protocol what follows a response that announces the close isn't processed, and may be sent again.
-		if err != nil || response.Close {
+		if err != nil || closes {
 			return false
 		}
 	}
 	return conn.SetDeadline(time.Now().Add(routerReadTimeout)) == nil
 }
 
-func (r *routerRun) record(kind routerCaller, sent time.Time, response *http.Response, err error) {
+func (r *routerRun) record(kind routerCaller, sent time.Time, status int, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests++
 	if err == nil {
-		r.report.Statuses[response.StatusCode]++
+		r.report.Statuses[status]++
 		return
 	}
 	r.report.Unanswered[kind]++
@@ -381,7 +381,8 @@
 	}
 	if len(r.lost) > maxLostOnKept {
 		r.report.Findings = append(r.report.Findings,
-			fmt.Sprintf("%d of %d requests without a complete response, the first: %s", len(r.lost), r.report.Requests, r.lost[0]))
+			fmt.Sprintf("%d of %d requests without a complete response, the first: %s",
+				len(r.lost), r.report.Requests, r.lost[0]))
 	}
 	for _, one := range r.refusals {
 		span := one.to.Sub(one.from)
--- a/internal/soak/router_test.go
+++ b/internal/soak/router_test.go
@@ -22,24 +22,24 @@
 		finds string
 	}{
 		{"a sound run", func(r *routerRun) {
-			r.record(routerNew, sent, &http.Response{StatusCode: http.StatusOK}, nil)
-			r.record(routerNew, sent, &http.Response{StatusCode: http.StatusServiceUnavailable}, nil)
+			r.record(routerNew, sent, http.StatusOK, nil)
+			r.record(routerNew, sent, http.StatusServiceUnavailable, nil)
 			r.recordChat(shortChatTokens, load.Result{Verdict: load.Complete}, -time.Hour)
 			r.recordChat(outlastsTokens, load.Result{Verdict: load.Refused}, drained)
 			r.refusals = []refusal{{"router", sent, sent.Add(maxRefused + timingSlack), 0}}
 		}, ""},
 		{"as many lost requests as may cross a close", func(r *routerRun) {
 			for range maxLostOnKept {
-				r.record(routerKept, sent, nil, errors.New("EOF"))
+				r.record(routerKept, sent, 0, errors.New("EOF"))
 			}
 		}, ""},
 		{"one more", func(r *routerRun) {
 			for range maxLostOnKept + 1 {
-				r.record(routerKept, sent, nil, errors.New("EOF"))
+				r.record(routerKept, sent, 0, errors.New("EOF"))
 			}
 		}, "4 of 4 requests without a complete response"},
 		{"a sound request with another status", func(r *routerRun) {
-			r.record(routerNew, sent, &http.Response{StatusCode: http.StatusUnauthorized}, nil)
+			r.record(routerNew, sent, http.StatusUnauthorized, nil)
 		}, "1 of 1 sound requests got the status 401"},
 		{"a long chat that breaks", func(r *routerRun) {
 			r.recordChat(outlastsTokens, load.Result{Verdict: load.ConnectionFailed}, drained)
