fix(inbound): a question to a caller takes no further thread either

Where met: bytes that are sent ahead were written by a call that the scheduler is told of, which may take a thread more on a busy processor. They are written as all others now. Tests of internal/inbound, internal/socket and internal/exchange pass; no run showed the fault.

--- a/internal/inbound/ask.go
+++ b/internal/inbound/ask.go
@@ -4,6 +4,8 @@
 	"errors"
 
 	"golang.org/x/sys/unix"
+
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // resetLinger makes the kernel reset the connection when it is closed, also at the end of the process.
@@ -82,7 +84,7 @@
 		return c.Conn.Write(data) //nolint:wrapcheck // The caller compares it.
 	}
 	closed := c.raw.Write(func(fd uintptr) bool {
-		n, err = unix.Write(int(fd), data)
+		n, err = socket.Write(int(fd), data)
 		return true
 	})
 	n = max(0, n)
