fix(mesh): a permit that is granted during a handover moves with the others

Found by the review: a request that is granted while a draining process gives up the address of its box was not counted under the new address, and its end was unknown to the owner (a slot held for ever, or one request too many).

Cause: the requests to be counted anew were listed before the socket moves, and answers to questions under way still arrive at the former one. Ruled out: holding questions back during the move (they would time out at a box with little processor time). The list is made after the move. Answers that arrive after the list was made and before the former socket is closed, some microseconds later, are still missed.

--- a/internal/mesh/former.go
+++ b/internal/mesh/former.go
@@ -14,8 +14,6 @@
 // Move opens another socket and returns its address and the former socket, which GiveUpAddress closes. The box must be
 // draining. After an error it receives nothing more.
 func (m *Mesh) GiveUpAddress(move func() (address string, former net.PacketConn, err error)) error {
-	// Owners know requests by the address from which they were asked.
-	running, permits := m.admissions.running(), m.pendingPermits.all()
 	address, former, err := move()
 	if err != nil {
 		return err
@@ -23,6 +21,9 @@
 	m.mu.Lock()
 	m.movedTo = address
 	m.mu.Unlock()
+	// Owners know requests by the address from which they were asked. Some were granted during the move. Those that were
+	// asked from the new address are counted once, too.
+	running, permits := m.admissions.running(), m.pendingPermits.all()
 	m.broadcast(func(*peer) bool { return true })
 	for _, q := range running {
 		q.recount()
