fix(gateway): a handover keeps the peers' address of the start

Found by the review: after a reload with another peers' address, which takes effect at the next start, a draining process opened its next UDP socket at the new host. Where this machine doesn't have that, the socket was closed, and other boxes forgot the requests that still ran.

Cause: the host came from the settings in force, not from the socket. It is that of the socket now. TestHandoverAfterReload fails before, holds in 10 of 10 runs with the race detector now.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -23,7 +23,8 @@
 
 // movePeersSocket moves the UDP socket for other boxes to a port that the kernel chooses. It returns the former socket.
 func (b *Box) movePeersSocket() (address string, former net.PacketConn, err error) {
-	host, _, err := net.SplitHostPort(b.settings.Load().PeersAddress)
+	// The settings may have another address since the start.
+	host, _, err := net.SplitHostPort(b.peersSocket.LocalAddr().String())
 	if err != nil {
 		return "", nil, err
 	}
