fix(box): a router without descriptors writes one line a second

The first error of a listener is written at once, and then at most one a second. The error is still told.

--- a/internal/box/sockets.go
+++ b/internal/box/sockets.go
@@ -14,6 +14,9 @@
 // rebindTimeoutMs is how long a box that runs tries to open a listener anew before it stops.
 const rebindTimeoutMs = 10 * clock.Second
 
+// errorReportMs is the time between two reports of a listener that can't accept connections.
+const errorReportMs = clock.Second
+
 // Names of the listeners, and of the UDP socket.
 const (
 	callersSocket   = "callers"
@@ -73,12 +76,19 @@
 
 // survivingListener returns a function that returns a named listener, which survives errors of its socket.
 func (b *Box) survivingListener(name string) server.Listen {
+	// Accept reports one error at a time.
+	reportedMs := clock.Millis(0)
 	return func(_, address string) (net.Listener, error) {
 		return server.NewListener(b.sockets.listeners[name], b.clock, func(ctx context.Context) (net.Listener, error) {
 			binder := b.binder()
 			binder.TimeoutMs = rebindTimeoutMs
 			return binder.Listen(ctx, name, address, b.listen)
 		}, func(err error) {
+			now := b.clock.Monotonic()
+			if reportedMs > 0 && now-reportedMs < errorReportMs {
+				return
+			}
+			reportedMs = now
 			b.logger.Warn("listener failed", zap.String("box", b.settings.Box), zap.String("listener", name), zap.Error(err))
 		}), nil
 	}
