fix(gateway): a box that waits for an address takes the one of reloaded settings

With a wrong callers_address (EADDRNOTAVAIL) it tried that one for ever, also after the file was mended and a SIGHUP sent; 'settings reloaded' was its last line.

Cause: addresses were read once. Ruled out: an end of the process (it would be a FAULT of its own, and a supervisor may not start it again). A reload ends the wait, and the box goes on with the addresses of the new settings, one set for all sockets and for the mesh.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -47,13 +47,15 @@
 // Box is one router process. Create it with New, then call Run once.
 type Box struct {
 	settings atomic.Pointer[config.Gateway]
-	dialect  *opaque.Dialect
-	clock    clock.Clock
-	out      io.Writer
-	listen   server.Listen
-	packets  ListenPackets
-	dial     upstream.Dial
-	source   Source
+	// endBind ends the wait for addresses at the start.
+	endBind atomic.Pointer[context.CancelCauseFunc]
+	dialect *opaque.Dialect
+	clock   clock.Clock
+	out     io.Writer
+	listen  server.Listen
+	packets ListenPackets
+	dial    upstream.Dial
+	source  Source
 	// readinessPath is the URL path of the readiness check.
 	readinessPath string
 
@@ -398,10 +400,13 @@
 	b.budgets.SetReserve(max(1, int(float64(b.settings.Load().Budget.Slack)*localBudgetShare)/b.peering.mesh.Boxes()))
 }
 
-// Reload applies changed settings. Listeners keep their addresses until the process restarts.
+// Reload applies changed settings. Listeners that are open keep their addresses until the process restarts.
 func (b *Box) Reload(settings config.Gateway) {
 	withDefaults := defaults(settings)
 	b.settings.Store(&withDefaults)
+	if end := b.endBind.Load(); end != nil {
+		(*end)(errReloaded)
+	}
 	b.balance.SetLearnPace(withDefaults.Pace.Learn)
 	b.responses.SetLimit(responseMemory(withDefaults))
 	b.log.Record(decision.Process{What: "settings reloaded"})
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -132,23 +132,14 @@
 // openSockets opens all sockets without which the box can't run, and then serves them. The channel receives the error
 // of a listener that fails.
 func (b *Box) openSockets(ctx context.Context) (<-chan error, error) {
-	settings := b.settings.Load()
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
-	// Callers are opened last, so that none connects in vain, and served first, before the box says that it is ready.
-	sockets := []*socket{
-		{name: "readiness", address: settings.ReadinessAddress, handler: ready},
-		{name: "peers", address: settings.PeersAddress, handler: b.peersHandler()},
-		{name: "callers", address: settings.CallersAddress, handler: b},
-	}
-	conn, err := b.bindSockets(ctx, settings.PeersAddress, sockets)
+	settings, conn, sockets, err := b.bindWithReloads(ctx)
 	if err != nil {
 		return nil, err
 	}
 	b.pauseDetector.begin()
 	failed := make(chan error, 1+len(sockets))
-	b.peersSocket = b.surviveErrors(conn, failed)
-	b.joinMesh(b.peersSocket)
+	b.peersSocket = b.surviveErrors(conn, settings.PeersAddress, failed)
+	b.joinMesh(b.peersSocket, settings)
 	if b.askAdmission == nil {
 		b.askAdmission = b.askOwner()
 	}
@@ -158,6 +149,35 @@
 	return failed, nil
 }
 
+// errReloaded ends the wait for addresses when the settings have changed.
+var errReloaded = errors.New("settings reloaded")
+
+// bindWithReloads opens all sockets at the addresses of the current settings, which it returns. A reload while it waits
+// for an address may mend that.
+func (b *Box) bindWithReloads(
+	ctx context.Context,
+) (settings *config.Gateway, conn net.PacketConn, sockets []*socket, err error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
+	for {
+		attempt, end := context.WithCancelCause(ctx)
+		b.endBind.Store(&end)
+		settings = b.settings.Load()
+		// Callers are opened last, so that none connects in vain, and served first, before the box says that it is ready.
+		sockets = []*socket{
+			{name: "readiness", address: settings.ReadinessAddress, handler: ready},
+			{name: "peers", address: settings.PeersAddress, handler: b.peersHandler()},
+			{name: "callers", address: settings.CallersAddress, handler: b},
+		}
+		conn, err = b.bindSockets(attempt, settings.PeersAddress, sockets)
+		reloaded := errors.Is(context.Cause(attempt), errReloaded)
+		end(nil)
+		if err == nil || !reloaded {
+			return settings, conn, sockets, err
+		}
+	}
+}
+
 // bindSockets opens the UDP socket for other boxes and the listeners, or none of them.
 func (b *Box) bindSockets(ctx context.Context, peers string, sockets []*socket) (conn net.PacketConn, err error) {
 	all := []server.Socket{{Name: peersUDP, Address: peers, Open: func(address string) (_ io.Closer, err error) {
@@ -175,8 +195,7 @@
 }
 
 // surviveErrors returns a connection that opens the UDP socket for other boxes anew if it can't receive any more.
-func (b *Box) surviveErrors(conn net.PacketConn, failed chan<- error) *server.PacketConn {
-	address := b.settings.Load().PeersAddress
+func (b *Box) surviveErrors(conn net.PacketConn, address string, failed chan<- error) *server.PacketConn {
 	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
 		return b.rebinder().ListenPacket(ctx, peersUDP, address, b.packets)
 	}, func(err error) { b.reportListenerError(peersUDP, err) }, func(err error) { failed <- err })
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -13,6 +13,7 @@
 	"dooryard.example/dooryard/internal/relay"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/streams"
+	"dooryard.example/dooryard/pkg/config"
 )
 
 // ListenPackets opens a UDP socket; tests replace it.
@@ -43,8 +44,7 @@
 }
 
 // joinMesh creates the mesh on a UDP socket.
-func (b *Box) joinMesh(conn net.PacketConn) {
-	settings := b.settings.Load()
+func (b *Box) joinMesh(conn net.PacketConn, settings *config.Gateway) {
 	p := &peering{
 		box: b, client: relay.NewClient(b.dial),
 		peerStates: make(chan mesh.PeerState, peerStateQueueSize), startedMs: b.clock.Monotonic(),
