fix(mesh): a box that restarts after its clock was set back is not ignored

What users saw: nothing; found by a search for wall clocks in decisions. The number that orders the processes of a box is the wall clock at its start. After the clock of a machine was set back, the next process had a lower one, and others ignored it for a minute: its load did not count (limits of upstreams), it was partitioned or, if its earlier process had been stopped, draining to them, and no requests were forwarded to it. Ruled out: dropping the order (a late datagram would bring the earlier process back); a number kept in a file (a box writes nothing). Change: a lower number counts once the later process has been silent for as long as a box counts as alive, and releases what the one before held. Other wall clocks in decisions of dooryard-gateway: the ages of notes in the store (a clock that is ahead makes a crash older, one that is behind makes it new; bounded by the hold of the quarantine), numbers of crash events (only compared for equality of a process). Deadlines, backoffs, retries and leases of upstreams use the monotonic clock.

--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -58,7 +58,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := m.peers[p.From.Box]
-	if known != nil && known.Incarnation > p.From.Incarnation {
+	if known != nil && known.Incarnation > p.From.Incarnation && now-known.lastSeenMs < m.aliveTimeoutLocked() {
+		// A late datagram of an earlier process. One that comes when the later process is silent is of a box whose clock
+		// was set back before it restarted.
 		return ""
 	}
 	updated := &peer{
@@ -88,7 +90,7 @@
 	case known == nil || known.firstSeenMs == 0:
 		m.directPeers++
 	}
-	if known != nil && known.Incarnation < p.From.Incarnation && known.firstSeenMs > 0 {
+	if known != nil && known.Incarnation != p.From.Incarnation && known.firstSeenMs > 0 {
 		restarted = known.Address
 		m.ledger.ReleaseBox(restarted)
 	}
