--- a/internal/upstream/reachable_test.go
+++ b/internal/upstream/reachable_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bufio"
+	"context"
+	"io"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 // TestProbeReachable guards against an upstream that counts as reachable because something accepts connections for it
@@ -44,3 +50,23 @@
 		assert.False(t, c.Dials().Unresponsive)
 	})
 }
+
+// TestProbeEndsWithItsContext guards against a box that waits for a probe after its grace period.
+func TestProbeEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { assert.NoError(t, far.Close()) })
+		c := New("upstream", clock.New().Monotonic,
+			WithDial(func(context.Context, string, string) (net.Conn, error) { return near, nil }))
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		time.AfterFunc(time.Millisecond, cancel)
+		c.ProbeReachable(ctx)
+		assert.Equal(t, time.Millisecond, time.Since(start))
+		assert.False(t, c.Dials().Failing(), "it shows nothing about the upstream")
+		assert.Empty(t, c.idle)
+		require.NoError(t, far.SetReadDeadline(time.Now()))
+		_, err := far.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF, "the connection is closed")
+	})
+}
