fix(upstream): a probe of an upstream ends with its context

The reserve for the exit is 250 ms, and a box with 10 ms of each 100 ms wakes up once a period.

Cause: the wait was a read deadline, which the context does not end. The dial before it, the checks of stalled pools and the questions to other boxes end with theirs (read).

Change: the connection is closed when the context ends, and neither an opened connection nor a failed dial is recorded: nothing is known about the upstream.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -313,7 +313,7 @@
 
 // ProbeReachable opens a connection and records whether it opened and stayed open for a moment. A proxy, or the
 // kernel of a host whose process can't be reached, may accept connections only to reset them. If the connection
-// stays open, it is kept for the next request.
+// stays open, it is kept for the next request. If the context ends before that is known, nothing is recorded.
 func (c *Client) ProbeReachable(ctx context.Context) {
 	raw, err := dialWithin(ctx, c.dial, c.address, HostReachableTimeoutMs)
 	if err != nil {
@@ -322,13 +322,14 @@
 	}
 	c.onDial()
 	cn := newConn(raw)
-	if !cn.staysOpen(probeSettleMs * time.Millisecond) {
+	switch {
+	case cn.staysOpen(ctx, probeSettleMs*time.Millisecond):
+		c.recordDial(nil)
+		c.keepIdle(cn, defaultIdleTimeoutMs)
+	case ctx.Err() == nil:
 		c.recordDial(errNotKept)
 		_ = cn.Close()
-		return
 	}
-	c.recordDial(nil)
-	c.keepIdle(cn, defaultIdleTimeoutMs)
 }
 
 // noResponse reports whether a dial error means that the host did not respond.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -71,13 +72,16 @@
 // hasUnread reports whether bytes wait in the kernel to be read. It may be called beside a read.
 func (c *conn) hasUnread() bool { return socket.HasUnread(c.Conn) }
 
-// staysOpen reports whether a connection on which nothing was sent stays open and silent for a duration.
-func (c *conn) staysOpen(duration time.Duration) bool {
+// staysOpen reports whether a connection on which nothing was sent stays open and silent for a duration. If the context
+// ends before, it returns false and the connection is closed.
+func (c *conn) staysOpen(ctx context.Context, duration time.Duration) bool {
 	if err := c.SetReadDeadline(time.Now().Add(duration)); err != nil {
 		return false
 	}
+	// A failure to close has no effect: nothing was sent.
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_, err := c.reader.Peek(1)
-	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // keepAliveTimeout returns how long the upstream promises to keep an idle connection open, according
--- a/internal/upstream/reachable_test.go
+++ b/internal/upstream/reachable_test.go
@@ -56,6 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		t.Cleanup(func() { assert.NoError(t, far.Close()) })
+		require.NoError(t, far.SetReadDeadline(time.Now().Add(time.Second)))
 		c := New("upstream", clock.New().Monotonic,
 			WithDial(func(context.Context, string, string) (net.Conn, error) { return near, nil }))
 		ctx, cancel := context.WithCancel(t.Context())
@@ -65,7 +66,6 @@
 		assert.Equal(t, time.Millisecond, time.Since(start))
 		assert.False(t, c.Dials().Failing(), "it shows nothing about the upstream")
 		assert.Empty(t, c.idle)
-		require.NoError(t, far.SetReadDeadline(time.Now()))
 		_, err := far.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF, "the connection is closed")
 	})
