--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -129,3 +132,41 @@
 	require.NoError(t, err)
 	assert.NotPanics(t, func() { _ = conn.Close() })
 }
+
+// TestDrainWakesRarely guards against a box that needs its few slices of processor time to look in vain for connections
+// without a request.
+func TestDrainWakesRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, readings := clock.New(), atomic.Int64{}
+		monotonic := func() clock.Millis {
+			readings.Add(1)
+			return system.Monotonic()
+		}
+		inner := pipeListener{conns: make(chan net.Conn, 2)}
+		l := NewListener(inner, 2, exchange.NewMemory(1<<20), clock.New(clock.WithMonotonic(monotonic)))
+		conns := [2]*Conn{}
+		for i := range conns {
+			near, _ := net.Pipe()
+			inner.conns <- pipeConn{near}
+			accepted, err := l.Accept()
+			require.NoError(t, err)
+			conns[i], _ = accepted.(*Conn)
+			require.True(t, conns[i].Activate())
+		}
+		require.ErrorIs(t, l.refuse(net.ErrClosed), http.ErrServerClosed)
+		drained := make(chan error, 1)
+		go func() { drained <- l.Drain(t.Context()) }()
+		const seconds, readingsOfWake = 10, 5
+		time.Sleep(seconds * time.Second)
+		synctest.Wait()
+		assert.LessOrEqual(t, readings.Load(), int64((seconds+1)*readingsOfWake), "a wake a second")
+		conns[0].setIdle(system.Monotonic())
+		time.Sleep(2 * keepIdleMs.Duration())
+		synctest.Wait()
+		assert.Equal(t, connIdle, conns[0].state.Load(), "another one has a request")
+		require.NoError(t, conns[1].Close())
+		synctest.Wait()
+		assert.Equal(t, connEvicted, conns[0].state.Load(), "closed with the last request")
+		require.NoError(t, <-drained)
+	})
+}
