fix(inbound): a listener that drains wakes when a connection may be closed

Cause: each listener that drains woke every 20 ms, 100 times a second for both, to look for connections without a request. Ruled out: the end itself.

Change: the listener knows when no connection can have been without a request for keepIdleMs, and waits until then, or until a connection is closed. One more effect: the last idle connections are closed with the last request instead of up to 20 ms later. The last phase, at most 100 ms, polls as before. TestPipelinedRequests calls CloseIdle, which does what the test put together.

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -54,6 +54,8 @@
 	// draining is set once idle connections are closed because the box stops.
 	draining        bool
 	drainingSinceMs clock.Millis
+	// removed receives a value after a connection was closed.
+	removed chan struct{}
 	// drained is closed when the listener drains and has no connection left for the first time.
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -85,7 +87,7 @@
 	l := &Listener{
 		Listener: inner, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*Conn]struct{}{},
 		responses: responses, clock: c, kernel: socket.System(), evictions: &Evictions{},
-		drained: make(chan struct{}), refused: make(chan struct{}), unlimited: make(chan struct{}),
+		drained: make(chan struct{}), removed: make(chan struct{}, 1), refused: make(chan struct{}), unlimited: make(chan struct{}),
 		close: sync.OnceValue(func() error {
 			close(closed)
 			return inner.Close()
@@ -153,6 +155,10 @@
 	delete(l.conns, c)
 	l.closeIfDrained()
 	l.mu.Unlock()
+	select {
+	case l.removed <- struct{}{}:
+	default:
+	}
 	if hasSlot {
 		<-l.slots
 	}
@@ -231,7 +237,7 @@
 	// keepIdleMs is how long a listener that drains keeps a connection without a request, since its caller may not know
 	// that the next request belongs on another connection.
 	keepIdleMs clock.Millis = 1000
-	// drainPollMs is how often it looks for connections without a request.
+	// drainPollMs is how often it tries to close connections that may be closed.
 	drainPollMs clock.Millis = 20
 )
 
@@ -251,11 +257,7 @@
 		return err
 	}
 	l.startDraining()
-	l.awaitDrained(ctx, func() {
-		if l.isIdle() {
-			l.closeIdle()
-		}
-	})
+	l.awaitDrained(ctx, l.closeAllIdle)
 	return err
 }
 
@@ -263,15 +265,18 @@
 // context ends. The listener must be closed.
 func (l *Listener) CloseIdle(ctx context.Context) {
 	l.startDraining()
-	l.closeIdle()
-	l.awaitDrained(ctx, l.closeIdle)
+	l.awaitDrained(ctx, func() clock.Millis {
+		l.closeIdle()
+		return drainPollMs
+	})
 }
 
-// awaitDrained waits until no connection is left or the context ends, and calls a function in between.
-func (l *Listener) awaitDrained(ctx context.Context, poll func()) {
+// awaitDrained waits until no connection is left or the context ends. It calls a function that returns when to call it
+// again, and also does so after a connection was closed: a process with little processor time is not woken in vain.
+func (l *Listener) awaitDrained(ctx context.Context, poll func() (next clock.Millis)) {
 	for {
 		passed := make(chan struct{})
-		timer := l.clock.AfterFunc(drainPollMs, func() { close(passed) })
+		timer := l.clock.AfterFunc(poll(), func() { close(passed) })
 		select {
 		case <-l.drained:
 			timer.Stop()
@@ -279,27 +284,39 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return
+		case <-l.removed:
+			timer.Stop()
 		case <-passed:
-			poll()
 		}
 	}
 }
 
-// isIdle reports whether no connection has had a request for keepIdleMs.
-func (l *Listener) isIdle() bool {
+// closeAllIdle closes all connections once none has had a request for keepIdleMs. It returns when this may next be so,
+// unless a connection is closed before.
+func (l *Listener) closeAllIdle() (next clock.Millis) {
+	if leftMs := l.busyLeftMs(); leftMs > 0 {
+		return leftMs
+	}
+	l.closeIdle()
+	return drainPollMs
+}
+
+// busyLeftMs returns how long it takes at least until no connection has had a request for keepIdleMs.
+func (l *Listener) busyLeftMs() clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	beforeMs := l.clock.Monotonic() - keepIdleMs
-	if l.drainingSinceMs > beforeMs {
-		return false
-	}
+	now := l.clock.Monotonic()
+	lastMs := l.drainingSinceMs
 	for c := range l.conns {
-		state := c.state.Load()
-		if state != connNew && (state != connIdle || c.idleSinceMs.Load() > int64(beforeMs)) {
-			return false
+		switch c.state.Load() {
+		case connNew:
+		case connIdle:
+			lastMs = max(lastMs, clock.Millis(c.idleSinceMs.Load()))
+		default:
+			return keepIdleMs
 		}
 	}
-	return true
+	return lastMs + keepIdleMs - now
 }
 
 // closeIdle closes the connections that have no request.
