--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -14,14 +16,21 @@
 	"dooryard.example/dooryard/internal/socket"
 )
 
+// usualHops is how many hops the packets of most systems may take.
+const usualHops = 64
+
+// nearHops is the most that they may have left, on the same link.
+const nearHops = 255
+
 // startConnect begins to open a connection and doesn't wait for it.
-func startConnect(t *testing.T, address net.Addr) (fd int) {
+func startConnect(t *testing.T, address net.Addr, hops int) (fd int) {
 	t.Helper()
 	tcp, ok := address.(*net.TCPAddr)
 	require.True(t, ok)
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, unix.Close(fd)) })
+	require.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_TTL, hops))
 	require.ErrorIs(t, unix.Connect(fd, &unix.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}), unix.EINPROGRESS)
 	return fd
 }
@@ -46,26 +55,31 @@
 // TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
 // slowly than new ones arrive.
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
-	filteredPolls, filteredOpen := 1, 1
+	const manyPolls, manyOpen = openAcceptPolls + lastAcceptPolls, 1 + 2*openAcceptPolls + 2*lastAcceptPolls
+	nearPolls, nearOpen := 1, 1
 	if !mayFilter(t) {
-		filteredPolls, filteredOpen = openAcceptPolls+lastAcceptPolls, 1+2*openAcceptPolls+2*lastAcceptPolls
+		nearPolls, nearOpen = manyPolls, manyOpen
 	}
 	for _, c := range []struct {
 		name   string
 		await  func(l *Listener, ctx context.Context)
 		pollMs clock.Millis
+		hops   int
 		// polls is how often it checks, and open how many connections the kernel takes, at most.
 		polls, open int
 	}{
-		{"a process that runs", (*Listener).AwaitAccepted, filteredPollMs, filteredPolls, filteredOpen},
-		{"a process with little processor time", (*Listener).AwaitAccepted, openAcceptMs, filteredPolls, filteredOpen},
+		{"a process that runs", (*Listener).AwaitAccepted, filteredPollMs, usualHops, 1, 1},
+		{"a process with little processor time", (*Listener).AwaitAccepted, openAcceptMs, usualHops, 1, 1},
+		{"callers on the same link", (*Listener).AwaitAccepted, filteredPollMs, nearHops, nearPolls, nearOpen},
+		{"no filter, a process that runs", (*Listener).awaitAcceptedUnfiltered, acceptPollMs, usualHops, 1, 1},
+		{"no filter, little processor time", (*Listener).awaitAcceptedUnfiltered, openAcceptMs, usualHops, 1, 1},
 		{
-			"no filter, a process that runs", (*Listener).awaitAcceptedUnfiltered, acceptPollMs,
-			openAcceptPolls + lastAcceptPolls, 1 + 2*openAcceptPolls + 2*lastAcceptPolls,
+			"no filter, callers on the same link", (*Listener).awaitAcceptedUnfiltered, acceptPollMs, nearHops,
+			manyPolls, manyOpen,
 		},
 		{
-			"no filter, a process with little processor time", (*Listener).awaitAcceptedUnfiltered, openAcceptMs,
-			1 + lastAcceptPolls, 3 + 2*lastAcceptPolls,
+			"no filter, callers on the same link, little processor time", (*Listener).awaitAcceptedUnfiltered, openAcceptMs,
+			nearHops, 1 + lastAcceptPolls, 3 + 2*lastAcceptPolls,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -73,7 +87,7 @@
 			require.NoError(t, err)
 			t.Cleanup(func() { assert.NoError(t, inner.Close()) })
 			callers := []int{}
-			connect := func() { callers = append(callers, startConnect(t, inner.Addr())) }
+			connect := func() { callers = append(callers, startConnect(t, inner.Addr(), c.hops)) }
 			accept := func() {
 				conn, err := inner.Accept()
 				require.NoError(t, err)
@@ -110,6 +124,43 @@
 	}
 }
 
+// TestConnectionThatOpensLate guards against requests that never arrive on connections which have begun to open when a
+// listener takes no new ones.
+func TestConnectionThatOpensLate(t *testing.T) {
+	for name, await := range map[string]func(l *Listener, ctx context.Context){
+		"with a filter, where it is allowed": (*Listener).AwaitAccepted, "without": (*Listener).awaitAcceptedUnfiltered,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inner, err := ListenTCP("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			control(inner, func(fd int) {
+				// The kernel holds connections until their callers have sent something.
+				assert.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 1))
+			})
+			l := NewListener(inner, clock.New(), nil, nil)
+			t.Cleanup(func() { assert.NoError(t, l.Close()) })
+			caller, err := net.Dial("tcp", inner.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, caller.Close()) })
+			await(l, t.Context())
+			send := func() {
+				_, err := caller.Write([]byte("sent"))
+				require.NoError(t, err)
+			}
+			send()
+			conn, err := l.Accept()
+			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, conn.Close()) })
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+			for range 2 {
+				_, err = io.ReadFull(conn, make([]byte, len("sent")))
+				require.NoError(t, err)
+				send()
+			}
+		})
+	}
+}
+
 // TestAwaitAcceptedWhereNothingTells guards against a stop that lasts for its whole grace period because the kernel
 // doesn't tell whether connections wait.
 func TestAwaitAcceptedWhereNothingTells(t *testing.T) {
@@ -133,7 +184,7 @@
 	inner, err := ListenTCP("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, inner.Close()) })
-	startConnect(t, inner.Addr())
+	startConnect(t, inner.Addr(), usualHops)
 	const freeAfter = 10 * lastAcceptPolls
 	polls := 0
 	l := NewListener(inner, clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
@@ -159,7 +210,7 @@
 func TestAwaitAcceptedWithoutDescriptors(t *testing.T) {
 	inner, err := ListenTCP("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	startConnect(t, inner.Addr())
+	startConnect(t, inner.Addr(), usualHops)
 	tcp, ok := inner.(*net.TCPListener)
 	require.True(t, ok)
 	ctx, cancel := context.WithCancel(t.Context())
