fix(server): a listener that closes takes no new connections where filters are refused

Cause: between the check that none waits and the close another one opens; and listen(fd, 0) still takes one at a time. Ruled out, by the kernel's rules without a play: TCP_DEFER_ACCEPT (the caller is open from the SYN-ACK on, its data then meets no listener), shutdown of the listener (it resets its queue), a queue that is filled by connections of our own (it also drops what completes the opening), SO_REUSEPORT and handing the listener over (the next process is not there in a plain stop, and what the closed one has queued is reset).

Change: the listener takes only packets that have 255 hops left (IP_MINTTL, IPV6_MINHOPCOUNT), which any user may set. The kernel checks it for packets that open a connection, not for those that complete the opening. A connection that opens then inherits it, so it is taken back when it is accepted; what arrives in between is sent again after 0.2 s. Callers on the same link that send with 255 hops are handled as before, and the limit of the checks stays.

With the inherited limit left in force, TestConnectionThatOpensLate fails.

Conclusion: the window is closed for plain users, too, but for callers with 255 hops.

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -19,9 +19,6 @@
 // usualHops is how many hops the packets of most systems may take.
 const usualHops = 64
 
-// nearHops is the most that they may have left, on the same link.
-const nearHops = 255
-
 // startConnect begins to open a connection and doesn't wait for it.
 func startConnect(t *testing.T, address net.Addr, hops int) (fd int) {
 	t.Helper()
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -39,6 +39,8 @@
 	// failing is set from a failed accept until the next one that does not fail, and accepted counts those.
 	failing  atomic.Bool
 	accepted atomic.Int64
+	// nearOnly is set once connections may inherit nearHops from the socket.
+	nearOnly atomic.Bool
 
 	mu     sync.Mutex
 	socket net.Listener
@@ -68,6 +70,9 @@
 		l.failing.Store(err != nil)
 		if err == nil {
 			l.accepted.Add(1)
+			if l.nearOnly.Load() {
+				setMinHops(conn, anyHops)
+			}
 			return conn, nil
 		}
 		if l.closed.Err() != nil {
@@ -175,9 +180,12 @@
 	}
 }
 
-// awaitAcceptedUnfiltered waits until no connection waits to be accepted. If there are always some, the kernel drops
-// new ones while one waits. It gives up if connections still wait after many checks at which some could be accepted.
+// awaitAcceptedUnfiltered waits until no connection waits to be accepted, where the kernel allows no filter. If there
+// are always some, the kernel drops new ones while one waits. It gives up if connections still wait after many checks at
+// which some could be accepted.
 func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
+	l.nearOnly.Store(true)
+	setMinHops(l.current(), nearHops)
 	startMs, open, isStuck := l.clock.Monotonic(), 0, l.stuckAfter(acceptPollMs)
 	for last := 0; last < lastAcceptPolls && !isStuck(); {
 		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
@@ -211,6 +219,23 @@
 	}
 }
 
+// Values of IP_MINTTL and IPV6_MINHOPCOUNT, which any user may set. The kernel drops packets with fewer hops left, but
+// those that complete the opening of a connection only once the connection is there.
+const (
+	anyHops = 0
+	// nearHops is what only packets from the same link can have left, if their sender sets as much. Few do.
+	nearHops = 255
+)
+
+// setMinHops makes the kernel drop what arrives at a socket with fewer hops left. A connection inherits it.
+func setMinHops(socket any, hops int) {
+	control(socket, func(fd int) {
+		// One of them fails if the socket is not of that family. After an error the kernel drops nothing, as before.
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_MINTTL, hops)
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_IPV6, unix.IPV6_MINHOPCOUNT, hops)
+	})
+}
+
 // Parts of a TCP header.
 const (
 	tcpFlagsOffset = 13
@@ -234,7 +259,7 @@
 }
 
 // control calls a function with the descriptor of a socket, unless it has none.
-func control(socket net.Listener, call func(fd int)) {
+func control(socket any, call func(fd int)) {
 	withDescriptor, ok := socket.(syscall.Conn)
 	if !ok {
 		return
