test(server): a listener that closes waits for what opens connections

Failing, with and without a filter: a connection that is open for its caller, and whose last packet is on its way, finds the listener closed.

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -158,6 +158,41 @@
 	}
 }
 
+// TestAwaitAcceptedWaitsForCallersAnswers guards against connections that are open for their callers and reset, since
+// what opens them was on its way when the listener was closed.
+func TestAwaitAcceptedWaitsForCallersAnswers(t *testing.T) {
+	for name, await := range map[string]func(l *Listener, ctx context.Context){
+		"with a filter, where it is allowed": (*Listener).AwaitAccepted, "without": (*Listener).awaitAcceptedUnfiltered,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inner, err := ListenTCP("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			control(inner, func(fd int) {
+				assert.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 1))
+			})
+			caller, err := net.Dial("tcp", inner.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, caller.Close()) })
+			l := NewListener(inner, clock.New(clock.WithSleep(func(_ context.Context, span clock.Millis) error {
+				assert.GreaterOrEqual(t, span, acceptPollMs)
+				_, err := caller.Write([]byte("sent"))
+				return err
+			})), nil, nil)
+			accepted := make(chan error, 1)
+			go func() {
+				conn, err := l.Accept()
+				if err == nil {
+					err = conn.Close()
+				}
+				accepted <- err
+			}()
+			await(l, t.Context())
+			require.NoError(t, l.Close())
+			require.NoError(t, <-accepted)
+		})
+	}
+}
+
 // TestAwaitAcceptedWhereNothingTells guards against a stop that lasts for its whole grace period because the kernel
 // doesn't tell whether connections wait.
 func TestAwaitAcceptedWhereNothingTells(t *testing.T) {
