fix(server): a listener that closes waits for connections that are open for their callers

Cause: a listener that takes no new connections was closed at once if none waited to be accepted. A caller counts its connection as open from the SYN-ACK on, half a round trip before the box does: its last packet met no listener, and the connection was reset. On the loopback network the round trip is too short to be played; TCP_DEFER_ACCEPT holds such a connection (TestAwaitAcceptedWaitsForCallersAnswers, fails before with and without a filter).

Change: the first check comes after 5 ms, a round trip between failure domains. Without a filter it counts as one of the checks.

Conclusion: callers that are further away than 5 ms may still meet a closed listener.

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -173,12 +173,16 @@
 			caller, err := net.Dial("tcp", inner.Addr().String())
 			require.NoError(t, err)
 			t.Cleanup(func() { assert.NoError(t, caller.Close()) })
+			accepted, once := make(chan error, 1), sync.Once{}
 			l := NewListener(inner, clock.New(clock.WithSleep(func(_ context.Context, span clock.Millis) error {
-				assert.GreaterOrEqual(t, span, acceptPollMs)
-				_, err := caller.Write([]byte("sent"))
-				return err
+				once.Do(func() {
+					assert.GreaterOrEqual(t, span, acceptPollMs)
+					_, err := caller.Write([]byte("sent"))
+					require.NoError(t, err)
+					accepted <- <-accepted
+				})
+				return nil
 			})), nil, nil)
-			accepted := make(chan error, 1)
 			go func() {
 				conn, err := l.Accept()
 				if err == nil {
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -146,6 +146,9 @@
 	filteredPollMs clock.Millis = 1
 	// acceptPollMs is how often it checks without a filter, or where the kernel doesn't tell.
 	acceptPollMs clock.Millis = 5
+	// openingMs is the time before the first check, longer than a round trip between failure domains: connections that
+	// are open for their callers wait to be accepted by then.
+	openingMs = acceptPollMs
 	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel is made to drop new
 	// connections without a filter. A process that gets little processor time makes few checks.
 	openAcceptPolls              = 10
@@ -158,15 +161,18 @@
 )
 
 // AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
-// reset. Callers whose connections are dropped find the listener closed when they try again. It gives up when the
-// context ends, after many checks where the kernel doesn't tell what waits, and while accepts fail: until the listener
-// is closed, the next process waits for the address.
+// reset. It also waits for connections that are open on their callers' side only. Callers whose connections are dropped
+// find the listener closed when they try again. It gives up when the context ends, after many checks where the kernel
+// doesn't tell what waits, and while accepts fail: until the listener is closed, the next process waits for the address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
 	if !dropNew(l.current()) {
 		l.awaitAcceptedUnfiltered(ctx)
 		return
 	}
 	isStuck := l.stuckAfter(filteredPollMs)
+	if l.clock.Sleep(ctx, openingMs) != nil {
+		return
+	}
 	for unknown := 0; unknown < lastAcceptPolls && !isStuck(); {
 		waiting, known := l.kernel.HasWaiting(l.current())
 		pollMs := filteredPollMs
@@ -186,7 +192,11 @@
 func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
 	l.nearOnly.Store(true)
 	setMinHops(l.current(), nearHops)
-	startMs, open, isStuck := l.clock.Monotonic(), 0, l.stuckAfter(acceptPollMs)
+	startMs, isStuck := l.clock.Monotonic(), l.stuckAfter(acceptPollMs)
+	if l.clock.Sleep(ctx, openingMs) != nil {
+		return
+	}
+	open := 1
 	for last := 0; last < lastAcceptPolls && !isStuck(); {
 		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
 			control(l.current(), func(fd int) {
