--- a/internal/gateway/forwarding_test.go
+++ b/internal/gateway/forwarding_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,6 +174,52 @@
 			assert.Zero(f.t, f.runs.of("1"))
 		})
 	})
+	t.Run("is served while the boxes that forwarded ones go to stop one after the other", func(t *testing.T) {
+		runForwarding(t, 3, func(f *forwardingFleet) {
+			long := atomic.Bool{}
+			f.respond(func(w http.ResponseWriter, r *http.Request) {
+				if long.Load() {
+					<-time.After(2900 * time.Millisecond)
+				}
+				respondInKind(w, r)
+			})
+			requests, statuses, sent := sync.WaitGroup{}, make(chan int, 1000), 0
+			sendFor := func(span time.Duration) {
+				for end := time.Now().Add(span); time.Now().Before(end); advance(f.t, 50*time.Millisecond) {
+					sent++
+					id := strconv.Itoa(sent)
+					requests.Go(func() {
+						response, err := f.boxes[0].send(f.t.Context(), call{method: http.MethodPost, path: "/unsafe2/", id: id, key: key})
+						if !assert.NoError(f.t, err) {
+							return
+						}
+						assert.NoError(f.t, response.Body.Close())
+						statuses <- response.StatusCode
+					})
+				}
+			}
+			for _, stops := range f.boxes[1:] {
+				sendFor(time.Second)
+				long.Store(true)
+				sendFor(300 * time.Millisecond)
+				stops.stop()
+				long.Store(false)
+				sendFor(shutdownGrace(stops.Settings()).Duration())
+				stops.assertStopped()
+				assert.Positive(f.t, stops.count("requests_from_boxes"))
+				f.box(len(f.boxes)+1, withContact(f.boxes[0]))
+				sendFor(time.Second)
+			}
+			requests.Wait()
+			close(statuses)
+			counts := map[int]int{}
+			for status := range statuses {
+				counts[status]++
+			}
+			assert.Len(f.t, counts, 1, counts)
+			assert.Positive(f.t, counts[http.StatusOK])
+		})
+	})
 	t.Run("has the time that is left of the caller's, counted once", func(t *testing.T) {
 		runForwarding(t, 2, func(f *forwardingFleet) {
 			header := http.Header{"Authorization": {key}, "Dooryard-Elapsed-Ms": {"2000"}, "X-Deadline": {"2000"}}
