--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -172,6 +172,13 @@
 	return err
 }
 
+// Holds reports whether anything is held that the caller has not taken.
+func (u *Unread) Holds() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.drained != nil || len(u.blocks) > 0
+}
+
 // writeThrough writes data to a caller that takes some of it in time.
 func (u *Unread) writeThrough(data []byte) (int, error) {
 	written, err := u.writeAtRate(data, func(data []byte, _ clock.Millis) (int, error) { return u.writeNow(data) })
@@ -250,7 +257,7 @@
 // writeOnce writes as much of u.data as the kernel takes.
 func (u *Unread) writeOnce(fd uintptr) bool {
 	for u.written < len(u.data) {
-		n, err := unix.Write(int(fd), u.data[u.written:])
+		n, err := socket.Write(int(fd), u.data[u.written:])
 		switch {
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -35,6 +35,8 @@
 	net.Conn
 	listener *Listener
 	release  func()
+	// base ends when the server cancels the requests on the connection.
+	base context.Context //nolint:containedctx // The server doesn't tell it to handlers.
 	// unread is nil if writes wait for the caller.
 	unread      *exchange.Unread
 	state       atomic.Int32
@@ -67,6 +69,12 @@
 
 	interim interim
 
+	// writing is held while anything is written. It protects framing and torn.
+	writing sync.Mutex
+	framing framing
+	// torn is set while bytes were sent ahead of a part of the response that was not written.
+	torn bool
+
 	// handling is set from the end of a request's head until the connection is idle or closed.
 	handling atomic.Bool
 
@@ -152,6 +160,22 @@
 	c.responded.Store(true)
 	c.writes.Add(1)
 	defer c.sentSinceEnd.Store(true)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	sent, fits := c.framing.follow(data)
+	if !fits {
+		c.reset()
+		return 0, net.ErrClosed
+	}
+	n, err := c.write(data[sent:])
+	if err != nil {
+		c.framing = framing{stage: unknownPart}
+	}
+	c.mend()
+	return sent + n, err
+}
+
+func (c *Conn) write(data []byte) (int, error) {
 	if c.unread == nil {
 		return c.Conn.Write(data) //nolint:wrapcheck // The server compares it.
 	}
@@ -253,7 +277,11 @@
 
 // WithConn is a hook for http.Server.ConnContext. It adds the connection to the contexts of its requests.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, belowTLS(c))
+	below := belowTLS(c)
+	if conn, ok := below.(*Conn); ok {
+		conn.base = ctx
+	}
+	return context.WithValue(ctx, connKey{}, below)
 }
 
 // ResetOnClose makes the server reset the connection of a request, instead of closing it in order.
