--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -87,7 +87,8 @@
 	l := &Listener{
 		Listener: inner, slots: make(chan struct{}, maxConns), closed: closed, conns: map[*Conn]struct{}{},
 		responses: responses, clock: c, kernel: socket.System(), evictions: &Evictions{},
-		drained: make(chan struct{}), removed: make(chan struct{}, 1), refused: make(chan struct{}), unlimited: make(chan struct{}),
+		drained: make(chan struct{}), removed: make(chan struct{}, 1),
+		refused: make(chan struct{}), unlimited: make(chan struct{}),
 		close: sync.OnceValue(func() error {
 			close(closed)
 			return inner.Close()
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -163,7 +163,8 @@
 // AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
 // reset. It also waits for connections that are open on their callers' side only. Callers whose connections are dropped
 // find the listener closed when they try again. It gives up when the context ends, after many checks where the kernel
-// doesn't tell what waits, and while accepts fail: until the listener is closed, the next process waits for the address.
+// doesn't tell what waits, and while accepts fail: until the listener is closed, the next process waits for the
+// address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
 	if !dropNew(l.current()) {
 		l.awaitAcceptedUnfiltered(ctx)
@@ -187,8 +188,8 @@
 }
 
 // awaitAcceptedUnfiltered waits until no connection waits to be accepted, where the kernel allows no filter. If there
-// are always some, the kernel drops new ones while one waits. It gives up if connections still wait after many checks at
-// which some could be accepted.
+// are always some, the kernel drops new ones while one waits. It gives up if connections still wait after many checks
+// at which some could be accepted.
 func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
 	l.nearOnly.Store(true)
 	setMinHops(l.current(), nearHops)
