--- a/internal/inbound/unframed_test.go
+++ b/internal/inbound/unframed_test.go
@@ -43,3 +43,34 @@
 		})
 	}
 }
+
+// TestUnframedResponseThatIsBrokenOff guards against a response that looks complete, since its connection lingers or its
+// start was sent ahead.
+func TestUnframedResponseThatIsBrokenOff(t *testing.T) {
+	old := &http.Request{ProtoMajor: 1, ProtoMinor: 0}
+	t.Run("the box closes the connection", func(t *testing.T) {
+		caller, conn := newFixture(t, 1).connect()
+		require.True(t, conn.Activate())
+		conn.BeginResponse(old, http.Header{})
+		_, err := io.WriteString(conn, "a part")
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		_, err = io.ReadAll(caller)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	})
+	t.Run("the process ends after its caller was asked", func(t *testing.T) {
+		caller, conn := newFixture(t, 1).connect()
+		conn.framing.begin(old)
+		sent, err := conn.sendAhead()
+		require.NoError(t, err)
+		require.True(t, sent)
+		conn.BeginResponse(old, http.Header{})
+		_, err = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\na part")
+		require.NoError(t, err)
+		socket, ok := conn.Conn.(*net.TCPConn)
+		require.True(t, ok)
+		require.NoError(t, socket.Close())
+		_, err = io.ReadAll(caller)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	})
+}
