test(inbound): callers are asked when a write deadline has passed

Fails on: dooryard-router sets a deadline with each write to a stream (30 s by default), and leaves it. sendAhead fails with an i/o timeout in a pause that is longer. With the default settings the idle timeout of streams, also 30 s, ends such a pause first.

--- a/internal/inbound/framing_test.go
+++ b/internal/inbound/framing_test.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -268,3 +269,25 @@
 	}
 	return 0
 }
+
+// connectUnheld returns both ends of a connection whose writes wait for the caller, while a stream on it pauses.
+func connectUnheld(t *testing.T) (caller net.Conn, conn *Conn) {
+	t.Helper()
+	f := newFixture(t, 1)
+	f.listener.responses = nil
+	caller, conn = f.connect()
+	conn.trackRequest(&http.Request{ProtoMajor: 1, ProtoMinor: 1})
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+	require.NoError(t, err)
+	return caller, conn
+}
+
+// TestAskingLongAfterWrite guards against callers that are not asked, since the write deadline of what was written last
+// has passed while a stream pauses.
+func TestAskingLongAfterWrite(t *testing.T) {
+	_, conn := connectUnheld(t)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
+	sent, err := conn.sendAhead()
+	require.NoError(t, err)
+	assert.True(t, sent)
+}
