test(inbound): a write that fails behind a byte that was sent ahead

Fails on: Write calls mend also after an error, so that the connection ends in order behind the zero. Expected a reset, got none.

--- a/internal/inbound/framing_test.go
+++ b/internal/inbound/framing_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -291,3 +292,19 @@
 	require.NoError(t, err)
 	assert.True(t, sent)
 }
+
+// TestFailedWriteBehindByteAhead guards against a response that some callers take for complete, since the connection
+// ended in order behind a byte that was sent ahead of a write that failed.
+func TestFailedWriteBehindByteAhead(t *testing.T) {
+	caller, conn := connectUnheld(t)
+	sent, err := conn.sendAhead()
+	require.NoError(t, err)
+	require.True(t, sent)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
+	_, err = io.WriteString(conn, "1\r\nb\r\n")
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	conn.ended.Store(true)
+	require.NoError(t, conn.Close())
+	_, err = io.ReadAll(caller)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
