--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -170,9 +170,10 @@
 	n, err := c.write(data[sent:])
 	if err != nil {
 		c.framing = framing{stage: unknownPart}
+		return sent + n, err
 	}
 	c.mend()
-	return sent + n, err
+	return sent + n, nil
 }
 
 func (c *Conn) write(data []byte) (int, error) {
