fix(mesh): requests of a process that gives up its address count once

Causes: a handover counts anew what was taken by a goroutine, not what was granted; the sender of a late datagram was taken for the box again, beside its former process. Requests count as running from the arrival of their grant, and such datagrams are dropped.

--- a/internal/mesh/admissions.go
+++ b/internal/mesh/admissions.go
@@ -54,9 +54,9 @@
 	ask     admission.Ask
 	askedMs clock.Millis
 	answers chan admission.Answer
-	// sent is set once the request may run, and started once the owner was told of the first event. They are guarded by
-	// admissionRequests.mu.
-	sent, started bool
+	// granted is set once the owner's grant has arrived, sent once the request may run, and started once the owner was
+	// told of the first event. They are guarded by admissionRequests.mu.
+	granted, sent, started bool
 }
 
 func (r *admissionRequests) start(m *Mesh, owner Identity, a admission.Ask) *admissionRequest {
@@ -93,13 +93,13 @@
 	return true
 }
 
-// running returns the requests that run at upstreams of other owners.
+// running returns the requests that run at upstreams of other owners, or are about to.
 func (r *admissionRequests) running() []*admissionRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := []*admissionRequest{}
 	for _, q := range r.open {
-		if q.sent && q.owner.Box != q.mesh.self.Box {
+		if (q.granted || q.sent) && q.owner.Box != q.mesh.self.Box {
 			list = append(list, q)
 		}
 	}
@@ -124,6 +124,7 @@
 	}
 	select {
 	case q.answers <- answer:
+		q.granted = q.granted || answer.Verdict == admission.Granted
 	default:
 	}
 	return q.owner.Box, true
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -58,9 +58,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := m.peers[p.From.Box]
-	if known != nil && known.Incarnation > p.From.Incarnation && now-known.lastSeenMs < m.aliveTimeoutLocked() {
-		// A late datagram of an earlier process. One that comes when the later process is silent is of a box whose clock
-		// was set back before it restarted.
+	if m.isLateLocked(p, known, now) {
 		return ""
 	}
 	updated := &peer{
@@ -104,6 +102,20 @@
 	return restarted
 }
 
+// isLateLocked reports whether a datagram of a known box is of an earlier process, or from before its process gave up
+// the address of the box. One that comes when the later process is silent is of a box whose clock was set back before it
+// restarted.
+func (m *Mesh) isLateLocked(p *packet, known *peer, now clock.Millis) bool {
+	if known != nil && known.Incarnation > p.From.Incarnation && now-known.lastSeenMs < m.aliveTimeoutLocked() {
+		return true
+	}
+	if m.formerPeers == 0 || p.GaveUpAddress {
+		return false
+	}
+	former := m.peers[p.From.process()]
+	return former != nil && former.former
+}
+
 // target is a box to ping. Its name is empty when only its address is known.
 type target struct{ box, address string }
 
