test(server): the tests of drains use the listener that programs use

openOnSocket opened its socket by net.Listen, which takes Multipath TCP where the kernel has it. The way without filters keeps TestAwaitAcceptedBesideNewConnections.

--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -44,11 +44,11 @@
 	require.NoError(t, err)
 }
 
-// openOnSocket returns a server on a real socket.
+// openOnSocket returns a server on a real socket of the kind that programs open, which can drop new connections.
 func openOnSocket(t *testing.T, secured config.TLS, handler http.HandlerFunc) *Server {
 	t.Helper()
 	listen := func(network, address string) (net.Listener, error) {
-		socket, err := net.Listen(network, address)
+		socket, err := ListenTCP(network, address)
 		return NewListener(socket, clock.New(), nil, nil), err
 	}
 	limits := testLimits()
