--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -103,8 +103,8 @@
 }
 
 // isLateLocked reports whether a datagram of a known box is of an earlier process, or from before its process gave up
-// the address of the box. One that comes when the later process is silent is of a box whose clock was set back before it
-// restarted.
+// the address of the box. One that comes when the later process is silent is of a box whose clock was set back before
+// it restarted.
 func (m *Mesh) isLateLocked(p *packet, known *peer, now clock.Millis) bool {
 	if known != nil && known.Incarnation > p.From.Incarnation && now-known.lastSeenMs < m.aliveTimeoutLocked() {
 		return true
