--- a/internal/cmd/gatewaycmd/threads_test.go
+++ b/internal/cmd/gatewaycmd/threads_test.go
@@ -180,3 +180,13 @@
 	p.limitThreads(unix.RLIM_INFINITY)
 	p.awaitLine("started", "")
 }
+
+// TestStopOfAStartThatWaitsForThreads guards against a process that SIGTERM ends by itself, since it came before the
+// program handled signals.
+func TestStopOfAStartThatWaitsForThreads(t *testing.T) {
+	p := newProcess(t, freeAddresses(t)).withProcessors(1).onManyProcessors().withoutThreads().start()
+	require.Eventually(t, func() bool { return strings.Contains(p.stderr.String(), "threads can be created") }, eventTimeout, eventTimeout/1e5)
+	p.signal(syscall.SIGTERM)
+	p.limitThreads(unix.RLIM_INFINITY)
+	assert.Zero(t, p.awaitEnd(), p.stderr.String())
+}
