fix(signals): SIGTERM before the Go runtime starts is not lost and does not end the process

What users saw: a process that ends by itself (by the signal) when it is stopped within the first milliseconds of its start, or while its start waits for threads. Cause: until the Go program handles SIGTERM, its default action applies. Change: a handler of the first constructor records it, and the program receives it as its first signal. Conclusion: exec, the dynamic linker, and the time from the start of the runtime until the program handles signals are left.

--- a/internal/cmd/signals/signals.go
+++ b/internal/cmd/signals/signals.go
@@ -18,6 +18,9 @@
 func receive() <-chan os.Signal {
 	received := make(chan os.Signal, capacity)
 	signal.Notify(received, syscall.SIGHUP, os.Interrupt, syscall.SIGTERM)
+	if wasTerminated() {
+		received <- syscall.SIGTERM
+	}
 	// Otherwise a write to standard output or standard error whose reader has gone ends the process.
 	signal.Ignore(syscall.SIGPIPE)
 	return received
