--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -39,6 +39,8 @@
 	// failing is set from a failed accept until the next one that does not fail, and accepted counts those.
 	failing  atomic.Bool
 	accepted atomic.Int64
+	// nearOnly is set once connections may inherit nearHops from the socket.
+	nearOnly atomic.Bool
 
 	mu     sync.Mutex
 	socket net.Listener
@@ -68,6 +70,9 @@
 		l.failing.Store(err != nil)
 		if err == nil {
 			l.accepted.Add(1)
+			if l.nearOnly.Load() {
+				setMinHops(conn, anyHops)
+			}
 			return conn, nil
 		}
 		if l.closed.Err() != nil {
@@ -141,6 +146,9 @@
 	filteredPollMs clock.Millis = 1
 	// acceptPollMs is how often it checks without a filter, or where the kernel doesn't tell.
 	acceptPollMs clock.Millis = 5
+	// openingMs is the time before the first check, longer than most round trips: connections that are open for their
+	// callers wait to be accepted by then. Callers who connect meanwhile try again after a second.
+	openingMs clock.Millis = 50
 	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel is made to drop new
 	// connections without a filter. A process that gets little processor time makes few checks.
 	openAcceptPolls              = 10
@@ -153,15 +161,19 @@
 )
 
 // AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
-// reset. Callers whose connections are dropped find the listener closed when they try again. It gives up when the
-// context ends, after many checks where the kernel doesn't tell what waits, and while accepts fail: until the listener
-// is closed, the next process waits for the address.
+// reset. It also waits for connections that are open on their callers' side only. Callers whose connections are dropped
+// find the listener closed when they try again. It gives up when the context ends, after many checks where the kernel
+// doesn't tell what waits, and while accepts fail: until the listener is closed, the next process waits for the
+// address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
 	if !dropNew(l.current()) {
 		l.awaitAcceptedUnfiltered(ctx)
 		return
 	}
 	isStuck := l.stuckAfter(filteredPollMs)
+	if l.clock.Sleep(ctx, openingMs) != nil {
+		return
+	}
 	for unknown := 0; unknown < lastAcceptPolls && !isStuck(); {
 		waiting, known := l.kernel.HasWaiting(l.current())
 		pollMs := filteredPollMs
@@ -175,10 +187,17 @@
 	}
 }
 
-// awaitAcceptedUnfiltered waits until no connection waits to be accepted. If there are always some, the kernel drops
-// new ones while one waits. It gives up if connections still wait after many checks at which some could be accepted.
+// awaitAcceptedUnfiltered waits until no connection waits to be accepted, where the kernel allows no filter. If there
+// are always some, the kernel drops new ones while one waits. It gives up if connections still wait after many checks
+// at which some could be accepted.
 func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
-	startMs, open, isStuck := l.clock.Monotonic(), 0, l.stuckAfter(acceptPollMs)
+	l.nearOnly.Store(true)
+	setMinHops(l.current(), nearHops)
+	startMs, isStuck := l.clock.Monotonic(), l.stuckAfter(acceptPollMs)
+	if l.clock.Sleep(ctx, openingMs) != nil {
+		return
+	}
+	open := 1
 	for last := 0; last < lastAcceptPolls && !isStuck(); {
 		if open >= openAcceptPolls || l.clock.Monotonic()-startMs >= openAcceptMs {
 			control(l.current(), func(fd int) {
@@ -211,6 +230,23 @@
 	}
 }
 
+// Values of IP_MINTTL and IPV6_MINHOPCOUNT, which any user may set. The kernel drops packets with fewer hops left, but
+// those that complete the opening of a connection only once the connection is there.
+const (
+	anyHops = 0
+	// nearHops is what only packets from the same link can have left, if their sender sets as much. Few do.
+	nearHops = 255
+)
+
+// setMinHops makes the kernel drop what arrives at a socket with fewer hops left. A connection inherits it.
+func setMinHops(socket any, hops int) {
+	control(socket, func(fd int) {
+		// One of them fails if the socket is not of that family. After an error the kernel drops nothing, as before.
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_MINTTL, hops)
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_IPV6, unix.IPV6_MINHOPCOUNT, hops)
+	})
+}
+
 // Parts of a TCP header.
 const (
 	tcpFlagsOffset = 13
@@ -234,7 +270,7 @@
 }
 
 // control calls a function with the descriptor of a socket, unless it has none.
-func control(socket net.Listener, call func(fd int)) {
+func control(socket any, call func(fd int)) {
 	withDescriptor, ok := socket.(syscall.Conn)
 	if !ok {
 		return
