fix(inbound): callers are asked long after the last write, and a write that fails behind a byte sent ahead ends in a reset

What was seen by the tests of the review: dooryard-router, whose writes have deadlines, did not ask callers once the deadline of an earlier write had passed; and a connection whose write failed behind a zero was closed in order.

Cause: a raw write fails behind a passed deadline; the connection was mended whether the write succeeded or not.

Change: the question is written without regard to deadlines, and only a write that succeeds ends what makes a close a reset.

--- a/internal/inbound/ask.go
+++ b/internal/inbound/ask.go
@@ -83,10 +83,8 @@
 	if c.raw == nil {
 		return c.Conn.Write(data) //nolint:wrapcheck // The caller compares it.
 	}
-	closed := c.raw.Write(func(fd uintptr) bool {
-		n, err = socket.Write(int(fd), data)
-		return true
-	})
+	// Write instead of Control would fail once the deadline of an earlier write has passed.
+	closed := c.raw.Control(func(fd uintptr) { n, err = socket.Write(int(fd), data) })
 	n = max(0, n)
 	if err == nil && n < len(data) {
 		err = unix.EAGAIN
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -169,10 +169,12 @@
 	}
 	n, err := c.write(data[sent:])
 	if err != nil {
+		// What was sent ahead may still be the last that the caller has.
 		c.framing = framing{stage: unknownPart}
+		return sent + n, err
 	}
 	c.mend()
-	return sent + n, err
+	return sent + n, nil
 }
 
 func (c *Conn) write(data []byte) (int, error) {
