--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -169,7 +169,6 @@
 	}
 	n, err := c.write(data[sent:])
 	if err != nil {
-		// What was sent ahead may still be the last that the caller has.
 		c.framing = framing{stage: unknownPart}
 		return sent + n, err
 	}
