--- a/internal/inbound/unframed.go
+++ b/internal/inbound/unframed.go
@@ -17,6 +17,8 @@
 		return
 	}
 	c.unframed = true
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	c.broken.Store(true)
 	upstream.ResetOnClose(c.Conn)
 }
@@ -27,10 +29,14 @@
 		return
 	}
 	c.unframed = false
-	if flush() != nil || c.setLinger(keepLinger) != nil {
+	if flush() != nil {
 		return
 	}
-	c.broken.Store(false)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.setLinger(keepLinger) == nil {
+		c.broken.Store(false)
+	}
 }
 
 // setLinger sets for how many seconds a close waits until what was written is sent.
