--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -35,7 +35,9 @@
 
 // peering exchanges state with the other boxes of the fleet.
 type peering struct {
-	box        *Box
+	box *Box
+	// address is that of the start, which a reload does not change.
+	address    string
 	mesh       *mesh.Mesh
 	client     *relay.Client
 	peerStates chan mesh.PeerState
@@ -46,7 +48,7 @@
 // joinMesh creates the mesh on a UDP socket.
 func (b *Box) joinMesh(conn net.PacketConn, settings *config.Gateway) {
 	p := &peering{
-		box: b, client: relay.NewClient(b.dial),
+		box: b, address: settings.PeersAddress, client: relay.NewClient(b.dial),
 		peerStates: make(chan mesh.PeerState, peerStateQueueSize), startedMs: b.clock.Monotonic(),
 	}
 	p.mesh = mesh.New(mesh.Dependencies{
@@ -201,7 +203,7 @@
 // because they may run on the other side of a network partition.
 func (p *peering) fleetSizeBound() int {
 	known := p.mesh.KnownBoxes()
-	others := slices.ContainsFunc(p.contacts(), func(c string) bool { return c != p.box.settings.Load().PeersAddress })
+	others := slices.ContainsFunc(p.contacts(), func(c string) bool { return c != p.address })
 	if known == 1 && others || p.box.clock.Monotonic()-p.startedMs < fleetSettleMs {
 		return max(known, minAssumedFleet)
 	}
@@ -221,7 +223,7 @@
 func (p *peering) readsAtStart() bool {
 	settings := p.box.settings.Load()
 	contacts := p.contacts()
-	return !settings.FirstStart || len(contacts) == 0 || slices.Contains(contacts, settings.PeersAddress) ||
+	return !settings.FirstStart || len(contacts) == 0 || slices.Contains(contacts, p.address) ||
 		p.box.clock.Monotonic()-p.startedMs >= firstStartWaitMs
 }
 
