--- a/internal/box/sockets.go
+++ b/internal/box/sockets.go
@@ -77,7 +77,7 @@
 // survivingListener returns a function that returns a named listener, which survives errors of its socket.
 func (b *Box) survivingListener(name string) server.Listen {
 	// Accept reports one error at a time.
-	reportedMs := clock.Millis(0)
+	reportedMs, reported := clock.Millis(0), ""
 	return func(_, address string) (net.Listener, error) {
 		return server.NewListener(b.sockets.listeners[name], b.clock, func(ctx context.Context) (net.Listener, error) {
 			binder := b.binder()
@@ -85,10 +85,10 @@
 			return binder.Listen(ctx, name, address, b.listen)
 		}, func(err error) {
 			now := b.clock.Monotonic()
-			if reportedMs > 0 && now-reportedMs < errorReportMs {
+			if err.Error() == reported && now-reportedMs < errorReportMs {
 				return
 			}
-			reportedMs = now
+			reportedMs, reported = now, err.Error()
 			b.logger.Warn("listener failed", zap.String("box", b.settings.Box), zap.String("listener", name), zap.Error(err))
 		}), nil
 	}
