fix(gateway): a box serves callers whatever other process has its peers' or readiness port

Cause: a start opened all sockets or none, though callers need only their own listener, and boxes knew a single port for each other: the platform's settings give a range, of which the template passed the first port.

Fix: a start waits for the listener for callers alone, which is now what only one of several processes of a box has. The ports for other boxes follow: the usual one, for which it tries for 0.5 s since the process before closes its two listeners independently; else the next free one up to the new setting peers_last_port, UDP and TCP at the same one; else one that the kernel chooses, from where the box finds its contacts; else, while the host has no address or descriptors are exhausted, none until there is one. Boxes look for a contact where no live box is known at the ports of the range in turn, one a round, after four rounds: at most one more datagram a contact and round, and only while fewer than six boxes are alive. Whether a contact is the box itself is told by the host. A readiness port is tried until the box stops. Lines: `peers port replaced`, `peers port missing`.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -103,8 +102,9 @@
 // minRebindTimeoutMs is the minimum time for which a box that runs tries to open a socket anew.
 const minRebindTimeoutMs = 10 * clock.Second
 
-// binder returns the binder of the sockets without which the box can't run. At its start the box waits for them until
-// it is stopped: whatever has an address may release it at any time, and an end would only have the box start again.
+// binder returns the binder of the listener for callers, without which the box can't run. At its start the box waits
+// for it until it is stopped: whatever has the address may release it at any time, and an end would only have the box
+// start again.
 func (b *Box) binder() server.Binder {
 	return server.Binder{
 		Clock: b.clock, OnRetry: func(err error) { b.RecordProcess("listener retried", err.Error()) },
@@ -119,101 +119,118 @@
 	return binder
 }
 
-// peersUDP names the UDP socket for other boxes.
-const peersUDP = "peers UDP"
+// reopenBinder returns a function that returns the binder for the next opening of a socket. One that could not be
+// opened at the start is tried until the box stops, which serves callers meanwhile.
+func (b *Box) reopenBinder(socket io.Closer) func() server.Binder {
+	opened := !server.IsUnopened(socket)
+	return func() server.Binder {
+		if opened {
+			return b.rebinder()
+		}
+		opened = true
+		binder := b.binder()
+		binder.RetriesAll = true
+		return binder
+	}
+}
 
-// socket is an HTTP listener without which the box can't run.
+// Names of the listeners, and of the UDP socket for other boxes.
+const (
+	callersSocket   = "callers"
+	readinessSocket = "readiness"
+	peersSocket     = "peers"
+	peersUDP        = "peers UDP"
+)
+
+// socket is an HTTP listener.
 type socket struct {
 	name, address string
 	handler       http.Handler
 	listener      net.Listener
 }
 
-// openSockets opens all sockets without which the box can't run, and then serves them. The channel receives the error
-// of a listener that fails.
+// openSockets opens the listener for callers, for which it waits, and then whatever it can of the others, and serves
+// them. Of several processes of the box only the one that has the first opens the others. The channel receives the
+// error of a listener that fails.
 func (b *Box) openSockets(ctx context.Context) (<-chan error, error) {
-	settings, conn, sockets, err := b.bindWithReloads(ctx)
+	settings, callers, err := b.listenWithReloads(ctx)
 	if err != nil {
 		return nil, err
 	}
+	peers := b.openPeers(ctx, settings)
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
+	// Callers are served first, before the box says that it is ready.
+	sockets := []*socket{
+		{name: callersSocket, address: settings.CallersAddress, handler: b, listener: callers},
+		{name: peersSocket, address: peers.address, handler: b.peersHandler(), listener: peers.listener},
+		{
+			name: readinessSocket, address: settings.ReadinessAddress, handler: ready,
+			listener: b.listenOnce(settings.ReadinessAddress),
+		},
+	}
 	b.pauseDetector.begin()
 	failed := make(chan error, 1+len(sockets))
-	b.peersSocket = b.surviveErrors(conn, settings.PeersAddress, failed)
-	b.joinMesh(b.peersSocket, settings)
+	b.peersSocket = b.surviveErrors(peers.conn, peers.address, failed)
+	b.joinMesh(b.peersSocket, settings, peers.address)
 	if b.askAdmission == nil {
 		b.askAdmission = b.askOwner()
 	}
-	for _, s := range slices.Backward(sockets) {
+	for _, s := range sockets {
 		b.serveSocket(s, failed)
 	}
 	return failed, nil
 }
 
-// errReloaded ends the wait for addresses when the settings have changed.
+// errReloaded ends the wait for an address when the settings have changed.
 var errReloaded = errors.New("settings reloaded")
 
-// bindWithReloads opens all sockets at the addresses of the current settings, which it returns. A reload while it waits
-// for an address may mend that.
-func (b *Box) bindWithReloads(
-	ctx context.Context,
-) (settings *config.Gateway, conn net.PacketConn, sockets []*socket, err error) {
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
+// listenWithReloads opens the listener for callers at the address of the current settings, which it returns. A reload
+// while it waits for the address may mend that.
+func (b *Box) listenWithReloads(ctx context.Context) (*config.Gateway, net.Listener, error) {
 	for {
 		attempt, end := context.WithCancelCause(ctx)
 		b.endBind.Store(&end)
-		settings = b.settings.Load()
-		// Callers are opened last, so that none connects in vain, and served first, before the box says that it is ready.
-		sockets = []*socket{
-			{name: "readiness", address: settings.ReadinessAddress, handler: ready},
-			{name: "peers", address: settings.PeersAddress, handler: b.peersHandler()},
-			{name: "callers", address: settings.CallersAddress, handler: b},
-		}
-		conn, err = b.bindSockets(attempt, settings.PeersAddress, sockets)
+		settings := b.settings.Load()
+		listener, err := b.binder().Listen(attempt, callersSocket, settings.CallersAddress, b.listen)
 		reloaded := errors.Is(context.Cause(attempt), errReloaded)
 		end(nil)
 		if err == nil || !reloaded {
-			return settings, conn, sockets, err
+			return settings, listener, err
 		}
 	}
 }
 
-// bindSockets opens the UDP socket for other boxes and the listeners, or none of them.
-func (b *Box) bindSockets(ctx context.Context, peers string, sockets []*socket) (conn net.PacketConn, err error) {
-	all := []server.Socket{{Name: peersUDP, Address: peers, Open: func(address string) (_ io.Closer, err error) {
-		conn, err = b.packets("udp", address)
-		return conn, err
-	}}}
-	for _, s := range sockets {
-		open := func(address string) (_ io.Closer, err error) {
-			s.listener, err = b.listen("tcp", address)
-			return s.listener, err
-		}
-		all = append(all, server.Socket{Name: s.name, Address: s.address, Open: open})
+// listenOnce opens a listener that the box can do without for a while.
+func (b *Box) listenOnce(address string) net.Listener {
+	listener, err := b.listen("tcp", address)
+	if err != nil {
+		return server.NewUnopened(address, err)
 	}
-	return conn, b.binder().OpenAll(ctx, all...)
+	return listener
 }
 
 // surviveErrors returns a connection that opens the UDP socket for other boxes anew if it can't receive any more.
 func (b *Box) surviveErrors(conn net.PacketConn, address string, failed chan<- error) *server.PacketConn {
+	binder := b.reopenBinder(conn)
 	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
-		return b.rebinder().ListenPacket(ctx, peersUDP, address, b.packets)
+		return binder().ListenPacket(ctx, peersUDP, address, b.packets)
 	}, func(err error) { b.reportListenerError(peersUDP, err) }, func(err error) { failed <- err })
 }
 
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
-	h := b.newServer(s.handler)
+	h, binder := b.newServer(s.handler), b.reopenBinder(s.listener)
 	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
-		return b.rebinder().Listen(ctx, s.name, s.address, b.listen)
+		return binder().Listen(ctx, s.name, s.address, b.listen)
 	}, func(err error) { b.reportListenerError(s.name, err) })
 	options := []inbound.Option{}
-	if s.name == "callers" {
+	if s.name == callersSocket {
 		// A box that ends its side of a connection has left.
 		options = append(options, inbound.WithHeldEnds(), inbound.WithTimeouts(b.callerTimeouts))
 	}
 	conns := b.limitConnections(listener, options...)
 	b.servers = append(b.servers, h)
-	if s.name == "readiness" {
+	if s.name == readinessSocket {
 		b.readinessServer = h
 	} else {
 		b.drained = append(b.drained, conns)
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
@@ -36,7 +37,7 @@
 // peering exchanges state with the other boxes of the fleet.
 type peering struct {
 	box *Box
-	// address is that of the start, which a reload does not change.
+	// address is where other boxes reach this one, which a reload does not change.
 	address    string
 	mesh       *mesh.Mesh
 	client     *relay.Client
@@ -45,15 +46,15 @@
 	startedMs clock.Millis
 }
 
-// joinMesh creates the mesh on a UDP socket.
-func (b *Box) joinMesh(conn net.PacketConn, settings *config.Gateway) {
+// joinMesh creates the mesh on a UDP socket. Other boxes reach this one at an address.
+func (b *Box) joinMesh(conn net.PacketConn, settings *config.Gateway, address string) {
 	p := &peering{
-		box: b, address: settings.PeersAddress, client: relay.NewClient(b.dial),
+		box: b, address: address, client: relay.NewClient(b.dial),
 		peerStates: make(chan mesh.PeerState, peerStateQueueSize), startedMs: b.clock.Monotonic(),
 	}
 	p.mesh = mesh.New(mesh.Dependencies{
 		Self: mesh.Identity{
-			Box: settings.Box, FailureDomain: settings.FailureDomain, Address: settings.PeersAddress,
+			Box: settings.Box, FailureDomain: settings.FailureDomain, Address: address,
 			Incarnation: int64(b.clock.Now()),
 		},
 		Clock: b.clock, PeriodMs: timingOf(*settings).periodMs, Conn: conn,
@@ -73,20 +74,34 @@
 	b.metrics.Publish("mesh", func() any { return p.mesh.Sizes() })
 }
 
-// contacts returns the configured contacts, with the port on which boxes reach each other.
-func (p *peering) contacts() []string {
+// contacts returns the configured contacts, with the ports at which boxes may listen for each other.
+func (p *peering) contacts() []mesh.Contact {
 	settings := p.box.settings.Load()
-	_, port, err := net.SplitHostPort(settings.PeersAddress)
-	if err != nil {
-		return nil
-	}
-	addresses := []string{}
+	ports := settings.PeersPorts()
+	contacts := []mesh.Contact{}
 	for _, contact := range settings.Contacts {
-		if host, _, err := net.SplitHostPort(contact); err == nil {
-			addresses = append(addresses, net.JoinHostPort(host, port))
+		host, _, err := net.SplitHostPort(contact)
+		if err != nil {
+			continue
 		}
+		addresses := mesh.Contact{}
+		for _, port := range ports {
+			address := net.JoinHostPort(host, strconv.Itoa(port))
+			if address == p.address && len(addresses) > 0 {
+				// Whatever was started before has the ports below.
+				break
+			}
+			addresses = append(addresses, address)
+		}
+		contacts = append(contacts, addresses)
 	}
-	return addresses
+	return contacts
+}
+
+// isHost reports whether a contact is at the IP address of this box.
+func (p *peering) isHost(contact mesh.Contact) bool {
+	host, _, err := net.SplitHostPort(p.address)
+	return err == nil && contact.Host() == host
 }
 
 // enqueue queues the state of another box. If the queue is full the state is dropped, since a later one carries the
@@ -203,7 +218,7 @@
 // because they may run on the other side of a network partition.
 func (p *peering) fleetSizeBound() int {
 	known := p.mesh.KnownBoxes()
-	others := slices.ContainsFunc(p.contacts(), func(c string) bool { return c != p.address })
+	others := slices.ContainsFunc(p.contacts(), func(c mesh.Contact) bool { return !p.isHost(c) })
 	if known == 1 && others || p.box.clock.Monotonic()-p.startedMs < fleetSettleMs {
 		return max(known, minAssumedFleet)
 	}
@@ -223,7 +238,7 @@
 func (p *peering) readsAtStart() bool {
 	settings := p.box.settings.Load()
 	contacts := p.contacts()
-	return !settings.FirstStart || len(contacts) == 0 || slices.Contains(contacts, p.address) ||
+	return !settings.FirstStart || len(contacts) == 0 || slices.ContainsFunc(contacts, p.isHost) ||
 		p.box.clock.Monotonic()-p.startedMs >= firstStartWaitMs
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -84,7 +84,7 @@
 	clock               clock.Clock
 	period              clock.Millis
 	conn                net.PacketConn
-	contacts            func() []string
+	contacts            func() []Contact
 	stateSummary        func() StateSummary
 	inFlight            func() map[namekey.Key]int
 	inFlightByPool      func() map[namekey.Key]int
@@ -118,10 +118,12 @@
 	// formerPeers is the number of peers that have given up the address of their box.
 	formerPeers int
 	// toPing holds the boxes that are still to be pinged in this cycle.
-	toPing     []string
-	ignored    int64
-	sentBytes  int64
-	sendErrors int64
+	toPing []string
+	// contactRounds is the number of rounds in a row in which no live box was known at a contact that was pinged.
+	contactRounds int
+	ignored       int64
+	sentBytes     int64
+	sendErrors    int64
 	// receiveErrors counts failed receives.
 	receiveErrors int64
 
@@ -146,8 +148,8 @@
 	// PeriodMs is the time between two rounds unless the fleet is large.
 	PeriodMs clock.Millis
 	Conn     net.PacketConn
-	// Contacts returns addresses to ping while few boxes are known.
-	Contacts func() []string
+	// Contacts returns the boxes to ping while few are known.
+	Contacts func() []Contact
 	// StateSummary returns the state summary of this box.
 	StateSummary func() StateSummary
 	// InFlight returns this box's requests in flight, by upstream.
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -145,8 +145,8 @@
 		}
 	}
 	if m.aliveCountLocked(now) < minFanout {
-		for _, contact := range m.contacts() {
-			add("", contact)
+		for _, address := range m.contactAddressesLocked(now) {
+			add("", address)
 		}
 	}
 	if m.movedTo != "" {
--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -26,6 +26,8 @@
 	Clock clock.Clock
 	// TimeoutMs is for how long it tries; 0 means until the context ends.
 	TimeoutMs clock.Millis
+	// RetriesAll makes it retry other errors, too.
+	RetriesAll bool
 	// OnRetry is called with the first error of a socket, whenever the error changes, and every 30 s.
 	OnRetry func(err error)
 }
@@ -63,7 +65,7 @@
 // first, so that of several processes only the one that has it opens the others.
 func (b Binder) OpenAll(ctx context.Context, sockets ...Socket) error {
 	return b.bind(ctx, func() error {
-		failed, err := openOnce(sockets)
+		failed, err := openAll(sockets)
 		if failed > 0 {
 			// The next attempt goes on with the socket that failed, so that it opens no other listener in vain.
 			sockets = slices.Concat(sockets[:1], sockets[failed:], sockets[1:failed])
@@ -72,8 +74,14 @@
 	})
 }
 
-// openOnce opens all sockets. If one fails, it closes the others and returns the index of the failed one.
-func openOnce(sockets []Socket) (failed int, err error) {
+// OpenAll opens all sockets or none, in their order, without a retry.
+func OpenAll(sockets ...Socket) error {
+	_, err := openAll(sockets)
+	return err
+}
+
+// openAll opens all sockets. If one fails, it closes the others and returns the index of the failed one.
+func openAll(sockets []Socket) (failed int, err error) {
 	opened := make([]io.Closer, 0, len(sockets))
 	for i, s := range sockets {
 		socket, err := s.Open(s.Address)
@@ -104,7 +112,7 @@
 		if err == nil {
 			return nil
 		}
-		if !mayBeReleased(err) || b.TimeoutMs > 0 && b.Clock.Monotonic()-startMs >= b.TimeoutMs {
+		if !b.RetriesAll && !mayBeReleased(err) || b.TimeoutMs > 0 && b.Clock.Monotonic()-startMs >= b.TimeoutMs {
 			return err
 		}
 		if text, now := err.Error(), b.Clock.Monotonic(); text != last || now-reportedMs >= bindReportMs {
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -99,7 +99,7 @@
 
 // isDead reports whether a socket can't accept any more after an error.
 func isDead(err error) bool {
-	for _, dead := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
+	for _, dead := range []error{errUnopened, net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
 		if errors.Is(err, dead) {
 			return true
 		}
@@ -166,6 +166,9 @@
 // doesn't tell what waits, and while accepts fail: until the listener is closed, the next process waits for the
 // address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
+	if IsUnopened(l.current()) {
+		return
+	}
 	if !dropNew(l.current()) {
 		l.awaitAcceptedUnfiltered(ctx)
 		return
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -4,7 +4,10 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/netip"
 	"os"
+	"strconv"
 )
 
 // Gateway is the settings file of dooryard-gateway, the router of opaque
@@ -22,10 +25,13 @@
 	ReadinessAddress string `yaml:"readiness_address"`
 	// PeersAddress is the listen address for the fleet's other boxes.
 	PeersAddress string `yaml:"peers_address"`
+	// PeersLastPort is the last of the ports, from that of PeersAddress on, at which a box may listen for others if
+	// another process has the ones before. The default is the port of PeersAddress.
+	PeersLastPort int `yaml:"peers_last_port"`
 	// MetricsAddress is the listen address for counters and histograms; empty disables it.
 	MetricsAddress string `yaml:"metrics_address"`
 	// Contacts are the addresses of a few seed boxes, any of which may be down. Only the IP
-	// addresses are used: all boxes use the same peers' port.
+	// addresses are used: all boxes have the same range of peers' ports.
 	Contacts []string `yaml:"contacts"`
 
 	// FirstStart is set at the first start of the whole fleet, before there are callers.
@@ -278,6 +284,44 @@
 	return errs
 }
 
+const (
+	maxPort = 65_535
+	// maxPeersPorts limits the ports that boxes try in turn where they look for each other.
+	maxPeersPorts = 256
+)
+
+// firstPeersPort returns the port of PeersAddress, or 0 if that is invalid.
+func (g *Gateway) firstPeersPort() int {
+	address, err := netip.ParseAddrPort(g.PeersAddress)
+	if err != nil {
+		return 0
+	}
+	return int(address.Port())
+}
+
+// PeersPorts returns the ports at which a box may listen for others, the usual one first.
+func (g *Gateway) PeersPorts() []int {
+	first := g.firstPeersPort()
+	ports := []int{first}
+	for port := first + 1; port <= g.PeersLastPort; port++ {
+		ports = append(ports, port)
+	}
+	return ports
+}
+
+// PeersAddresses returns the addresses at which this box may listen for others, the usual one first.
+func (g *Gateway) PeersAddresses() []string {
+	addresses := []string{g.PeersAddress}
+	host, _, err := net.SplitHostPort(g.PeersAddress)
+	if err != nil {
+		return addresses
+	}
+	for _, port := range g.PeersPorts()[1:] {
+		addresses = append(addresses, net.JoinHostPort(host, strconv.Itoa(port)))
+	}
+	return addresses
+}
+
 // number is an optional number of the settings. Zero is always allowed and means the default.
 type number interface {
 	check() error
@@ -314,7 +358,9 @@
 const maxSeconds = dayMs / 1000
 
 func (g *Gateway) numbers() []number {
+	firstPort := g.firstPeersPort()
 	numbers := []number{
+		rangeOf[int]{"peers_last_port", &g.PeersLastPort, firstPort, min(firstPort+maxPeersPorts-1, maxPort)},
 		rangeOf[int64]{"store.poll_ms", &g.Store.PollMs, 50, 30_000},
 		rangeOf[int64]{"freshness.max_age_ms", &g.Freshness.MaxAgeMs, 500, dayMs},
 		rangeOf[int64]{"freshness.in_force_ms", &g.Freshness.MaxPropagationMs, minFreshnessBoundMs, dayMs},
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -89,16 +89,18 @@
 		line string
 		want func(g *Gateway)
 	}{
-		"number below its range": {"freshness: {leave_ms: 100}\n", func(g *Gateway) { g.Freshness.MaxDrainNoticeMs = 650 }},
-		"too many processors":    {"capacity: {processors: 1e9}\n", func(g *Gateway) { g.Capacity.Processors = maxProcessors }},
-		"number above its range": {"capacity: {memory_mb: 2000000}\n", func(g *Gateway) { g.Capacity.MemoryMb = million }},
-		"ratio":                  {"retry_budget: {ratio: 2, slack: 7}\n", func(g *Gateway) { g.Budget = Budget{Ratio: 1, Slack: 7} }},
-		"load cap":               {"balance: {load_cap: 1}\n", func(g *Gateway) { g.Balance.LoadCap = math.Nextafter(1, 2) }},
-		"negative grace":         {"shutdown: {grace_s: -1}\n", func(*Gateway) {}},
-		"number that is none":    {"shutdown: {grace_s: .nan}\n", func(*Gateway) {}},
-		"contact":                {"contacts: [\"a:1\", \"127.0.0.1:1\"]\n", func(g *Gateway) { g.Contacts = []string{"127.0.0.1:1"} }},
-		"metrics address":        {"metrics_address: here\n", func(*Gateway) {}},
-		"empty term":             {"platform_terms: [\"\", \"a\"]\n", func(g *Gateway) { g.PlatformTerms = []string{"a"} }},
+		"last port below the first": {"peers_last_port: 2\n", func(g *Gateway) { g.PeersLastPort = 3 }},
+		"last port far above it":    {"peers_last_port: 70000\n", func(g *Gateway) { g.PeersLastPort = 258 }},
+		"number below its range":    {"freshness: {leave_ms: 100}\n", func(g *Gateway) { g.Freshness.MaxDrainNoticeMs = 650 }},
+		"too many processors":       {"capacity: {processors: 1e9}\n", func(g *Gateway) { g.Capacity.Processors = maxProcessors }},
+		"number above its range":    {"capacity: {memory_mb: 2000000}\n", func(g *Gateway) { g.Capacity.MemoryMb = million }},
+		"ratio":                     {"retry_budget: {ratio: 2, slack: 7}\n", func(g *Gateway) { g.Budget = Budget{Ratio: 1, Slack: 7} }},
+		"load cap":                  {"balance: {load_cap: 1}\n", func(g *Gateway) { g.Balance.LoadCap = math.Nextafter(1, 2) }},
+		"negative grace":            {"shutdown: {grace_s: -1}\n", func(*Gateway) {}},
+		"number that is none":       {"shutdown: {grace_s: .nan}\n", func(*Gateway) {}},
+		"contact":                   {"contacts: [\"a:1\", \"127.0.0.1:1\"]\n", func(g *Gateway) { g.Contacts = []string{"127.0.0.1:1"} }},
+		"metrics address":           {"metrics_address: here\n", func(*Gateway) {}},
+		"empty term":                {"platform_terms: [\"\", \"a\"]\n", func(g *Gateway) { g.PlatformTerms = []string{"a"} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := ParseGateway("f", []byte(gatewayFile+c.line))
@@ -184,3 +186,23 @@
 		})
 	}
 }
+
+func TestPeersPorts(t *testing.T) {
+	for line, want := range map[string][]string{
+		"":                     {"127.0.0.1:3"},
+		"peers_last_port:\n":   {"127.0.0.1:3"},
+		"peers_last_port: 3\n": {"127.0.0.1:3"},
+		"peers_last_port: 5\n": {"127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"},
+	} {
+		t.Run(line, func(t *testing.T) {
+			settings, err := ParseGateway("f", []byte(gatewayFile+line))
+			require.NoError(t, err)
+			assert.Equal(t, want, settings.PeersAddresses())
+			assert.Len(t, settings.PeersPorts(), len(want))
+		})
+	}
+	t.Run("an error names the field, its value and what is allowed", func(t *testing.T) {
+		_, err := ParseGateway("f", []byte(gatewayFile+"peers_last_port: 2\n"))
+		require.ErrorContains(t, err, "peers_last_port: 2 is outside 3 to 258")
+	})
+}
