test(soak): boxes of which another process has a port from a start on

`--held-ports` stops a box, takes its readiness port or one of three ports for other boxes (TCP or UDP) before the next start and until the run ends, and checks that the box answers a request within 3 s of its start, beside the longest wait of its threads for a processor. All other guarantees are checked as usual; nothing is excused by a held port. The port for metrics and that for peers change places in the soak, since a range follows the latter.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -66,7 +66,7 @@
 			}
 		}
 	}
-	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire", "strangers"} {
+	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire", "strangers", "held-ports"} {
 		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
@@ -154,6 +154,11 @@
 			Usage: "also send endless headers, pipelines and random bytes to each port of boxes, and have the store " +
 				"garble, cut and repeat responses; requires --planned or --processes",
 		},
+		&cli.BoolFlag{
+			Name: "held-ports",
+			Usage: "also restart boxes of which another process takes the port of the readiness check or one for other " +
+				"boxes until the end; requires --planned or --processes",
+		},
 		&cli.BoolFlag{
 			Name: "wire",
 			Usage: "also send requests over HTTP/1.0, in pieces, with Expect, half-closed and of callers that leave, and " +
@@ -214,8 +219,8 @@
 		Stalls: c.Bool("stalls"), Overload: c.Bool("overload"), KeepVersions: c.Bool("keep-versions"),
 		Processes: c.Bool("processes"), Planned: c.Bool("planned"),
 		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"), Overlaps: c.Bool("overlaps"), Wire: c.Bool("wire"),
-		Strangers: c.Bool("strangers"),
-		Limits:    c.Bool("limits"), Processors: c.Int("processors"),
+		Strangers: c.Bool("strangers"), HeldPorts: c.Bool("held-ports"),
+		Limits: c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
 	})
 	return errors.Join(printReport(out, report), runErr)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -19,8 +19,8 @@
 const (
 	callersPort   = 21000
 	readinessPort = 21001
-	peersPort     = 21002
-	metricsPort   = 21003
+	metricsPort   = 21002
+	peersPort     = 21003
 	// RevocationBoundMs is how long a key may still be used after its removal.
 	RevocationBoundMs = 5000
 	shutdownGraceS    = 4
@@ -78,6 +78,9 @@
 	// Strangers also sends what is no request to each port of boxes, and has the store send garbled, torn and old
 	// responses. It needs Processes or Planned.
 	Strangers bool
+	// HeldPorts also restarts boxes of which another process takes a port until the run ends, and gives boxes several
+	// ports for each other. It needs Processes or Planned.
+	HeldPorts bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -382,6 +385,9 @@
 	if f.settings.Load {
 		settings += fmt.Sprintf("balance: {load_cap: %d}\n", loadCap)
 	}
+	if f.settings.HeldPorts {
+		settings += fmt.Sprintf("peers_last_port: %d\n", lastPeersPort)
+	}
 	settings += f.settings.capacitySettings(i)
 	if b.process, err = newProcess(f.settings.Program, f.settings.Folder, b.name, settings); err != nil {
 		return err
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -68,6 +68,8 @@
 	otherCuts []string
 	// refusals are the times in which boxes refused connections beside restarts that overlap.
 	refusals []refusal
+	// services are the times from the starts of processes to their first responses.
+	services []service
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
 	// releases is set if boxes run two releases by turns.
@@ -154,6 +156,7 @@
 	violations = append(violations, h.checkLost()...)
 	violations = append(violations, h.checkCallers()...)
 	violations = append(violations, h.checkRefusals()...)
+	violations = append(violations, h.checkServices()...)
 	violations = append(violations, h.checkGone()...)
 	return append(violations, h.checkSignals()...)
 }
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -99,6 +99,8 @@
 	Gone goneStats
 	// LongestRefusalMs is the longest time for which a box refused connections beside a restart that overlaps.
 	LongestRefusalMs int64
+	// LongestStartMs is the longest time from the start of a process, one of whose ports is held, to its first response.
+	LongestStartMs int64
 }
 
 // cut reports whether the box closed the connection of a request that was sent whole without a complete response. It is
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -235,12 +235,16 @@
 // meanwhile keeps its port.
 func (b *box) takePort(choice int) (end func() error, err error) {
 	chosen := boxPorts()[choice%len(boxPorts())]
-	address := net.JoinHostPort(b.ip, strconv.Itoa(chosen.port))
+	return b.takeOne(chosen.network, chosen.port)
+}
+
+func (b *box) takeOne(network string, port int) (end func() error, err error) {
+	address := net.JoinHostPort(b.ip, strconv.Itoa(port))
 	var closer io.Closer
-	if chosen.network == "udp" {
-		closer, err = (&net.ListenConfig{}).ListenPacket(context.Background(), chosen.network, address)
+	if network == "udp" {
+		closer, err = (&net.ListenConfig{}).ListenPacket(context.Background(), network, address)
 	} else {
-		closer, err = (&net.ListenConfig{}).Listen(context.Background(), chosen.network, address)
+		closer, err = (&net.ListenConfig{}).Listen(context.Background(), network, address)
 	}
 	if err != nil {
 		return noEnd, nil //nolint:nilerr // The port is in use, as it is to be.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -179,6 +179,7 @@
 		{f.settings.Planned, f.injectPlanned},
 		{f.settings.Overlaps, f.injectOverlaps},
 		{f.settings.Strangers, f.injectStrangers},
+		{f.settings.HeldPorts, f.injectHeldPorts},
 		{f.settings.Quotas, f.injectQuotas},
 		{f.settings.Limits, f.sampleThreads},
 		{f.settings.Evacuations, f.injectEvacuations},
