--- a/internal/cmd/gatewaycmd/threads_test.go
+++ b/internal/cmd/gatewaycmd/threads_test.go
@@ -127,12 +127,12 @@
 }
 
 // mappings returns how many writable mappings of the process have a size in KB, up to a page more or less.
-func (p *process) mappings(sizeKB int64) int {
+func (p *process) mappings(sizeKB uint64) int {
 	maps, err := os.ReadFile(fmt.Sprintf("/proc/%d/maps", p.command.Process.Pid))
 	require.NoError(p.t, err)
-	count, pageKB := 0, int64(os.Getpagesize()/1024)
+	count, pageKB := 0, uint64(os.Getpagesize()/1024)
 	for line := range strings.Lines(string(maps)) {
-		var from, to int64
+		var from, to uint64
 		var rights string
 		_, err := fmt.Sscanf(line, "%x-%x %s", &from, &to, &rights)
 		require.NoError(p.t, err)
