build: programs build and run without cgo

Where Go found no C compiler, or with CGO_ENABLED=0, nothing built: bootMonotonic, wasTerminated and creatable were undefined, and package arenas had no Go file. A cross build (GOARCH=arm64 on x86-64) failed in the same way, since Go then switches cgo off.

Three tests hold only where code runs before the Go runtime; they are in files with the build tag cgo, unchanged (TestHangupBeforeTheRuntimeStartsDoesNotEndTheProcess, TestStartWaitsForThreads, TestStopOfAStartThatWaitsForThreads). Without cgo they fail: the hangup ends the process, and no line of the start comes.

--- a/internal/cmd/arenas/arenas.go
+++ b/internal/cmd/arenas/arenas.go
@@ -1,12 +1,3 @@
 // Package arenas limits the address space that the C library reserves. Only the main packages of daemons import it.
+// Builds without cgo have no C library, which leaves nothing to limit.
 package arenas
-
-/*
-#include <malloc.h>
-
-// By default, each thread may reserve an arena of at least 64 MB. The Go runtime allocates from its own heap.
-#ifdef M_ARENA_MAX
-__attribute__((constructor)) static void limit_arenas(void) { mallopt(M_ARENA_MAX, 1); }
-#endif
-*/
-import "C"
--- a/internal/cmd/signals/early_test.go
+++ b/internal/cmd/signals/early_cgo_test.go
@@ -1,3 +1,5 @@
+//go:build cgo
+
 package signals
 
 import (
