fix(signals): SIGTERM while the runtime starts ends a process with status 0

Whoever stops a box or a router right after its start saw it end by the signal: from the moment at which the Go runtime has replaced the early handler until the program receives signals, the runtime finds nobody who wants SIGTERM and ends the process by it.

The runtime unblocks the signal itself, so that a mask doesn't help (ruled out before). But it raises the signal again to end the process, and forwards this one to the handler that it found at its start, which is ours. If ours finds itself replaced, it ends the process with status 0: nothing is open then.

What is left is the time in exec and the dynamic linker, when the kernel ends the process before any of its code has run.

--- a/internal/cmd/signals/early.go
+++ b/internal/cmd/signals/early.go
@@ -2,11 +2,19 @@
 
 /*
 #include <signal.h>
+#include <stddef.h>
+#include <unistd.h>
 
 static volatile sig_atomic_t terminated;
 
+// Once the runtime has replaced the handler, it forwards SIGTERM only to end the process by the signal, because nobody
+// receives it yet. Nothing is open then.
 static void record_termination(int unused) {
 	(void)unused;
+	struct sigaction current;
+	if (sigaction(SIGTERM, NULL, &current) == 0 && current.sa_handler != record_termination) {
+		_exit(0);
+	}
 	terminated = 1;
 }
 
--- a/internal/cmd/signals/early_test.go
+++ b/internal/cmd/signals/early_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"runtime"
 	"strconv"
 	"strings"
 	"syscall"
@@ -34,6 +35,50 @@
 	}
 }
 
+// TestTerminationWhileTheRuntimeStarts guards against starts that a SIGTERM ends by the signal, before any code of the program runs.
+func TestTerminationWhileTheRuntimeStarts(t *testing.T) {
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _, _ = read.Close(), write.Close() }()
+	fill(t, write)
+	command := exec.CommandContext(t.Context(), os.Args[0])
+	// The runtime reports the first package that it initializes, and blocks.
+	command.Env = append(os.Environ(), envProcess+"=1", "GODEBUG=inittrace=1")
+	command.Stderr = write
+	require.NoError(t, command.Start())
+	for !catches(t, command.Process.Pid, syscall.SIGURG) {
+		runtime.Gosched()
+	}
+	require.NoError(t, command.Process.Signal(syscall.SIGTERM))
+	assert.NoError(t, command.Wait())
+}
+
+// fill writes to a pipe until it is full.
+func fill(t *testing.T, pipe *os.File) {
+	t.Helper()
+	raw, err := pipe.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		require.NoError(t, syscall.SetNonblock(int(fd), true))
+		for err := error(nil); err == nil; {
+			_, err = syscall.Write(int(fd), []byte{0})
+		}
+		require.NoError(t, syscall.SetNonblock(int(fd), false))
+	}))
+}
+
+// catches reports whether a process has a handler for a signal.
+func catches(t *testing.T, pid int, s syscall.Signal) bool {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(status), "SigCgt:")
+	require.True(t, found)
+	mask, err := strconv.ParseUint(strings.Fields(rest)[0], 16, 64)
+	require.NoError(t, err)
+	return mask>>(s-1)&1 == 1
+}
+
 func TestHangupBeforeTheRuntimeStartsDoesNotEndTheProcess(t *testing.T) {
 	require.NotNil(t, Received, "a signal that this process ignored would be ignored by the other one as well")
 	command := exec.CommandContext(t.Context(), os.Args[0])
