fix(mesh): an only contact that returns at another port, or late, finds a fleet of more than six boxes

What callers saw: nothing at once.

Cause: boxes pinged contacts only while fewer than six others were alive. Those that know enough boxes looked for none, and the contact itself has nobody to ask. One count of rounds for all contacts also had a contact that is gone for good, or a contact's search of its own host, slow the search for another one.

Fix: in fleets of up to 128 boxes that know each other, a box also looks for a contact where no live box is known, with one datagram each eighth round to any of its ports, so that all boxes together soon try each port. Rounds are counted by host.

Larger fleets (over 128 boxes) are unchanged.

--- a/internal/gateway/peers_port_test.go
+++ b/internal/gateway/peers_port_test.go
@@ -140,6 +140,38 @@
 	})
 }
 
+// TestOnlyContactReturnsToLargerFleet guards against a box that stays alone, as a fleet of its own, if it knows no other
+// contact than itself and the others know enough boxes without it.
+func TestOnlyContactReturnsToLargerFleet(t *testing.T) {
+	const boxes = 9
+	for _, c := range []struct {
+		name string
+		away time.Duration
+		held bool
+	}{{"at another port", 0, true}, {"long after it left", 2 * time.Minute, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				f.upstream("u", respondWith("done"))
+				all := []*running{}
+				for i := range boxes {
+					all = append(all, f.box(i+1, withPorts(4)))
+				}
+				advance(f.t, 6*time.Second)
+				assertKnowEachOther(f.t, all...)
+				all[0].stop()
+				advance(f.t, 5*time.Second+c.away)
+				all[0].assertStopped()
+				if c.held {
+					f.hold("udp", "127.0.0.1:1020")
+				}
+				all[0] = f.box(1, withPorts(4))
+				advance(f.t, 6*time.Second)
+				assertKnowEachOther(f.t, all...)
+			})
+		})
+	}
+}
+
 // TestNextProcessOfMovedBox guards against a process that takes a port for other boxes, and the name of its box, while
 // the process before serves, and against requests that nobody counts once it follows.
 func TestNextProcessOfMovedBox(t *testing.T) {
--- a/internal/mesh/contacts.go
+++ b/internal/mesh/contacts.go
@@ -37,36 +37,52 @@
 	contactSearchPause  = 8
 )
 
-// contactAddressesLocked returns the addresses of contacts to ping in a round: the usual one of each, and, for a
-// contact where no live box is known, one of the others in turn.
+// contactAddressesLocked returns the addresses of contacts to ping in a round. While few boxes are alive, they are the
+// usual one of each, and, for a contact where no live box is known, one of the others in turn. Otherwise only such
+// contacts are looked for, at any of their ports: a box that knows no other contact than itself can't find the others.
 func (m *Mesh) contactAddressesLocked(now clock.Millis) []string {
-	live, aliveTimeout := map[string]bool{}, m.aliveTimeoutLocked()
-	for _, p := range m.peers {
-		if p.alive(now, aliveTimeout) {
-			live[hostOf(p.Address)], live[p.Address] = true, true
-		}
+	few := m.aliveCountLocked(now) < minFanout
+	if !few && m.largeLocked() {
+		return nil
 	}
-	turn, searches := contactSearch(m.contactRounds)
-	addresses, missing := []string{}, false
+	addresses, live := []string{}, m.liveAddressesLocked(now)
 	for _, c := range m.contacts() {
+		host := c.Host()
 		switch {
-		case len(c) == 0 || live[c.Host()] && !live[c[0]]:
-			continue
-		case !live[c[0]] && len(c) > 1:
-			missing = true
-			if searches {
+		case len(c) == 0:
+		case live[host]:
+			delete(m.contactRounds, host)
+			if few && live[c[0]] {
+				addresses = append(addresses, c[0])
+			}
+		case few:
+			if turn, searches := contactSearch(m.contactRounds[host]); searches && len(c) > 1 {
 				addresses = append(addresses, c[1+turn%(len(c)-1)])
 			}
+			addresses = append(addresses, c[0])
+			m.contactRounds[host]++
+		case host != hostOf(m.self.Address):
+			if m.contactRounds[host]%contactSearchPause == 0 {
+				// Not in turn, so that all boxes together soon try each port.
+				addresses = append(addresses, c[m.random.IntN(len(c))])
+			}
+			m.contactRounds[host]++
 		}
-		addresses = append(addresses, c[0])
-	}
-	m.contactRounds++
-	if !missing {
-		m.contactRounds = 0
 	}
 	return addresses
 }
 
+// liveAddressesLocked returns the addresses of live boxes and their hosts.
+func (m *Mesh) liveAddressesLocked(now clock.Millis) map[string]bool {
+	live, aliveTimeout := map[string]bool{}, m.aliveTimeoutLocked()
+	for _, p := range m.peers {
+		if p.alive(now, aliveTimeout) {
+			live[hostOf(p.Address)], live[p.Address] = true, true
+		}
+	}
+	return live
+}
+
 // contactSearch returns which of the other ports of a contact is tried after some rounds without a box there, and
 // whether one is.
 func contactSearch(rounds int) (turn int, searches bool) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -119,8 +119,8 @@
 	formerPeers int
 	// toPing holds the boxes that are still to be pinged in this cycle.
 	toPing []string
-	// contactRounds is the number of rounds in a row in which no live box was known at a contact that was pinged.
-	contactRounds int
+	// contactRounds is the number of rounds in a row in which no live box was known at a contact, by its host.
+	contactRounds map[string]int
 	ignored       int64
 	sentBytes     int64
 	sendErrors    int64
@@ -148,7 +148,7 @@
 	// PeriodMs is the time between two rounds unless the fleet is large.
 	PeriodMs clock.Millis
 	Conn     net.PacketConn
-	// Contacts returns the boxes to ping while few are known.
+	// Contacts returns the boxes to ping while few are known, and where to look for missing ones later.
 	Contacts func() []Contact
 	// StateSummary returns the state summary of this box.
 	StateSummary func() StateSummary
@@ -202,7 +202,7 @@
 		onReceiveError: d.OnReceiveError,
 		recordOrigins:  d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		paceFindings: d.PaceFindings, recordPaceFindings: d.RecordPaceFindings,
-		random: d.Random, peers: map[string]*peer{},
+		random: d.Random, peers: map[string]*peer{}, contactRounds: map[string]int{},
 		admissionOwner: newAdmissionOwner(d.Self.Address, d.Clock.Monotonic),
 		admissions:     admissionRequests{nextNumber: d.Random.Uint32(), open: map[uint32]*admissionRequest{}},
 		pendingPermits: permitRequests{
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -144,10 +144,8 @@
 			add(p.Box, p.Address)
 		}
 	}
-	if m.aliveCountLocked(now) < minFanout {
-		for _, address := range m.contactAddressesLocked(now) {
-			add("", address)
-		}
+	for _, address := range m.contactAddressesLocked(now) {
+		add("", address)
 	}
 	if m.movedTo != "" {
 		// A later process of this box has to know what this one has in flight.
