fix(config): a range of more than 256 peers' ports delays no start

Cause: the number counted as invalid, and a start reads an invalid file again for 3 s, since it may be cut.

Fix: any port up to 65535 is allowed; of a larger range the first 256 are used, which is what came out before, too.

--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -286,7 +286,8 @@
 
 const (
 	maxPort = 65_535
-	// maxPeersPorts limits the ports that boxes try in turn where they look for each other.
+	// maxPeersPorts limits the ports that boxes try in turn where they look for each other. Of a larger range they use
+	// the first ones.
 	maxPeersPorts = 256
 )
 
@@ -303,7 +304,7 @@
 func (g *Gateway) PeersPorts() []int {
 	first := g.firstPeersPort()
 	ports := []int{first}
-	for port := first + 1; port <= g.PeersLastPort; port++ {
+	for port := first + 1; port <= min(g.PeersLastPort, first+maxPeersPorts-1); port++ {
 		ports = append(ports, port)
 	}
 	return ports
@@ -360,7 +361,7 @@
 func (g *Gateway) numbers() []number {
 	firstPort := g.firstPeersPort()
 	numbers := []number{
-		rangeOf[int]{"peers_last_port", &g.PeersLastPort, firstPort, min(firstPort+maxPeersPorts-1, maxPort)},
+		rangeOf[int]{"peers_last_port", &g.PeersLastPort, firstPort, maxPort},
 		rangeOf[int64]{"store.poll_ms", &g.Store.PollMs, 50, 30_000},
 		rangeOf[int64]{"freshness.max_age_ms", &g.Freshness.MaxAgeMs, 500, dayMs},
 		rangeOf[int64]{"freshness.in_force_ms", &g.Freshness.MaxPropagationMs, minFreshnessBoundMs, dayMs},
