--- a/internal/mesh/contacts.go
+++ b/internal/mesh/contacts.go
@@ -56,10 +56,7 @@
 				addresses = append(addresses, c[0])
 			}
 		case few:
-			if turn, searches := contactSearch(m.contactRounds[host]); searches && len(c) > 1 {
-				addresses = append(addresses, c[1+turn%(len(c)-1)])
-			}
-			addresses = append(addresses, c[0])
+			addresses = append(addresses, c.searched(m.contactRounds[host])...)
 			m.contactRounds[host]++
 		case host != hostOf(m.self.Address):
 			if m.contactRounds[host]%contactSearchPause == 0 {
@@ -72,6 +69,14 @@
 	return addresses
 }
 
+// searched returns the addresses to ping after some rounds without a box at the contact.
+func (c Contact) searched(rounds int) []string {
+	if turn, searches := contactSearch(rounds); searches && len(c) > 1 {
+		return []string{c[1+turn%(len(c)-1)], c[0]}
+	}
+	return c[:1]
+}
+
 // liveAddressesLocked returns the addresses of live boxes and their hosts.
 func (m *Mesh) liveAddressesLocked(now clock.Millis) map[string]bool {
 	live, aliveTimeout := map[string]bool{}, m.aliveTimeoutLocked()
