fix(inbound): await responses whose callers end their side in the midst of them

Callers that ended only their writing side while a response paused, and had nothing left to be asked with, lost the rest: a stream by HTTP/1.0 was reset, a response with a length that a small box passes on unbuffered was torn. Boxes with memory for it hold such responses back until they are whole; there the length case cannot occur.

Cause: after 250 ms without a sign the caller counted as gone, though a sign could only come with the next bytes of the response.

Such a caller is awaited now. If it has left, its kernel resets the connection when the next bytes arrive. No further attempt is made for it meanwhile, as before.

--- a/internal/inbound/ask.go
+++ b/internal/inbound/ask.go
@@ -42,6 +42,17 @@
 	return true, nil
 }
 
+// isMute reports whether the caller can't be asked, since a response has begun of which no byte is known before it is
+// written.
+func (c *Conn) isMute() bool {
+	if !c.writing.TryLock() {
+		// What is being written is a question itself.
+		return false
+	}
+	defer c.writing.Unlock()
+	return c.framing.stage == unframedRest
+}
+
 // tear makes any end of the connection a reset, until mend is called. The lock for writing must be held.
 func (c *Conn) tear() error {
 	if c.torn {
--- a/internal/inbound/framing.go
+++ b/internal/inbound/framing.go
@@ -33,6 +33,8 @@
 	// chunkSize is the line before a chunk, and chunk its data and their line end.
 	chunkSize
 	chunk
+	// unframedRest means that the head was written, and that no byte of the rest is known.
+	unframedRest
 )
 
 // framing follows a response as it is written, to know of bytes that come next whatever the server writes. They may be
@@ -79,7 +81,7 @@
 		switch f.stage {
 		case oldHead:
 			sent = f.ahead
-			*f = framing{stage: unknownPart}
+			*f = framing{stage: unframedRest}
 			return sent, bytes.HasPrefix(data, []byte(oldVersion[:sent]))
 		case head:
 			data = f.followHead(data)
@@ -106,7 +108,7 @@
 	}
 	end := bytes.Index(data, []byte(headEnd))
 	if end < 0 || !bytes.Contains(data[:end+len(lineEnd)], []byte(chunkedField)) {
-		*f = framing{stage: unknownPart}
+		*f = framing{stage: unframedRest}
 		return nil
 	}
 	*f = framing{stage: chunkSize}
--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -99,7 +99,8 @@
 //
 // A caller that has closed its socket looks the same as one that has only ended its writing side and reads. But its
 // kernel resets the connection when data arrives, while that of a caller that reads acknowledges them. While there are
-// none of the response, the caller is asked with an interim one, or with a byte of the response that is known.
+// none of the response, the caller is asked with an interim one, or with a byte of the response that is known. If there
+// is nothing to ask with, the rest of the response is awaited.
 func (c *Conn) holdEnd() error {
 	atEnd := signOf(c.listener.kernel, c.Conn)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -168,6 +169,8 @@
 	}
 	h.reads = h.reads || c.hasAcknowledged(now)
 	now.outstanding = h.ask(now) || now.outstanding
+	// The next bytes of the response tell whether it reads.
+	awaited := !now.outstanding && c.isMute()
 	c.setUnheardFrom(h.startMs, now, h.reads)
 	before := h.writes
 	h.writes = c.writes.Load()
@@ -177,7 +180,7 @@
 	}
 	elapsed := c.listener.clock.Monotonic() - h.startMs
 	over := elapsed >= holdMs && h.checks >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
-	return over && !h.reads && h.writes == before && c.committed.Load() == 0 && !c.responseWaits()
+	return over && !h.reads && !awaited && h.writes == before && c.committed.Load() == 0 && !c.responseWaits()
 }
 
 // ask asks the caller for a sign if it is time to, and reports whether it did. One that is asked late has as long to
