fix(server): keep idle connections of a box that has used its last descriptor

A box that had used its last descriptor closed a connection that its caller kept idle, and announced the close in its responses, though no other connection waited.

Cause: an accept takes a descriptor before it looks for a connection, so that it fails for want of one also if there is nothing to accept. The kernel is asked now whether a connection waits.

TestExhaustedWithoutWaitingConnections fails before (room made 10 times without need).

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -275,3 +276,33 @@
 	accepting.Wait()
 	assert.NoError(t, ctx.Err(), "it waits until the context ends")
 }
+
+// TestExhaustedWithoutWaitingConnections guards against idle connections that are closed because a box has used its last
+// descriptor, though no other connection waits.
+func TestExhaustedWithoutWaitingConnections(t *testing.T) {
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	tcp, ok := inner.(*net.TCPListener)
+	require.True(t, ok)
+	const sleeps = 10
+	slept, roomMade, roomMadeBefore := 0, 0, 0
+	var l *Listener
+	l = NewListener(failingListener{tcp}, clock.New(clock.WithSleep(func(context.Context, clock.Millis) error {
+		switch slept++; slept {
+		case sleeps:
+			roomMadeBefore = roomMade
+			startConnect(t, inner.Addr(), usualHops)
+			for waiting := false; !waiting; runtime.Gosched() {
+				waiting, _ = l.kernel.HasWaiting(inner)
+			}
+		case 2 * sleeps:
+			return l.Close()
+		}
+		return nil
+	})), nil, func(error) {})
+	l.OnExhausted(func() { roomMade++ })
+	_, err = l.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+	assert.Zero(t, roomMadeBefore)
+	assert.Equal(t, sleeps, roomMade)
+}
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -83,7 +83,7 @@
 		case isDead(err):
 			err = l.replace(socket)
 		case isExhausted(err):
-			l.makeRoom()
+			l.makeRoomIn(socket)
 			err = l.clock.Sleep(l.closed, min(backoffMs, maxExhaustedBackoffMs))
 		default:
 			err = l.clock.Sleep(l.closed, backoffMs)
@@ -97,6 +97,16 @@
 	}
 }
 
+// makeRoomIn makes room unless no connection waits at a socket. An accept needs a descriptor also if none does.
+func (l *Listener) makeRoomIn(inner net.Listener) {
+	if _, ok := inner.(syscall.Conn); ok {
+		if waiting, known := l.kernel.HasWaiting(inner); known && !waiting {
+			return
+		}
+	}
+	l.makeRoom()
+}
+
 // isDead reports whether a socket can't accept any more after an error.
 func isDead(err error) bool {
 	for _, dead := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
