--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -104,6 +104,8 @@
 	switch {
 	case particular && isForm(c.kind):
 		call.Form, call.Kind = standin.Form(c.kind), []string{standin.Safe, standin.Stream}[c.random.IntN(2)]
+		// Each connection by HTTP/1.0 carries a usual request before, and this one is the last.
+		call.HalfCloseLate = call.Form == standin.FormHTTP10 && c.sequence%4 == 3
 	case c.kind == callerNext && !particular:
 		call.Kind = standin.Stream
 	case c.kind == callerBody && particular:
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -278,6 +278,9 @@
 		{"servers that broke off", 0, callerHalf, 4, 0, 1, func(h *history, o *standin.Outcome) {
 			h.works[o.ID] = []*work{{brokeOff: true}}
 		}},
+		{"responses cut in the midst", 1, string(standin.FormHTTP10), 4, 100, 4, func(_ *history, o *standin.Outcome) {
+			o.Status = http.StatusOK
+		}},
 		{"responses that were cut", 1, callerHalf, 4, 0, 4, func(_ *history, o *standin.Outcome) { o.Status = http.StatusOK }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
