fix(inbound): callers whose kernel acknowledges late keep their response

Cause: the time without a sign was counted from the caller's end. An event that is written 0.4 s later or more is not acknowledged for up to 40 ms, and the check in between found the time used up. It is counted from the write now, if the caller could not be asked before.

TestEndInTheMidstOfAResponse, 'a caller that acknowledges late', fails before (3.025 s instead of 8 s). The events of its other cases are written right before a check now, so that they end 25 ms earlier.

--- a/internal/inbound/halfclosed.go
+++ b/internal/inbound/halfclosed.go
@@ -152,6 +152,8 @@
 	checks int
 	writes int64
 	reads  bool
+	// awaited is set if the caller could not be asked at the last check.
+	awaited bool
 	// failed is set once nothing can be sent to the caller.
 	failed bool
 }
@@ -177,7 +179,11 @@
 	if h.writes != before {
 		// What was written is a question itself.
 		h.nextAskMs = max(h.nextAskMs, c.listener.clock.Monotonic()+askMs)
+		if h.awaited {
+			h.startMs, h.checks = c.listener.clock.Monotonic(), 0
+		}
 	}
+	h.awaited = awaited
 	elapsed := c.listener.clock.Monotonic() - h.startMs
 	over := elapsed >= holdMs && h.checks >= minHoldChecks && !now.outstanding || elapsed >= maxHoldMs
 	return over && !h.reads && !awaited && h.writes == before && c.committed.Load() == 0 && !c.responseWaits()
--- a/internal/inbound/halfclosed_test.go
+++ b/internal/inbound/halfclosed_test.go
@@ -44,6 +44,10 @@
 	endsAfter time.Duration
 	// version is that of the request. If it is empty, the connection is not told of the request.
 	version string
+	// acksAfter is how long the caller's kernel takes to acknowledge what was written last, at wroteAt, to it.
+	acksAfter time.Duration
+	wroteAt   time.Time
+	acked     int
 	// closed is closed by Close, which the server may call twice.
 	closed chan struct{}
 	once   sync.Once
@@ -66,6 +70,7 @@
 	closed := !c.closesAt.IsZero() && !time.Now().Before(c.closesAt)
 	c.left.Store(c.left.Load() || closed && !c.proxied)
 	c.proxied = c.proxied && !closed
+	c.wroteAt, c.acked = time.Now(), c.sent.Len()
 	return c.sent.Write(data)
 }
 
@@ -83,6 +88,9 @@
 	if !c.reads {
 		return sign{outstanding: c.sent.Len() > 0, open: !c.left.Load()}
 	}
+	if time.Since(c.wroteAt) < c.acksAfter {
+		return sign{acknowledgedBytes: uint64(c.acked), outstanding: true, open: !c.left.Load()}
+	}
 	return sign{acknowledgedBytes: uint64(c.sent.Len()), open: !c.left.Load()}
 }
 
--- a/internal/inbound/midst_test.go
+++ b/internal/inbound/midst_test.go
@@ -28,17 +28,19 @@
 	for _, c := range []struct {
 		name, version, length string
 		closes, unread        bool
-		runs                  clock.Millis
+		acksAfter, runs       clock.Millis
 	}{
 		{name: "a length", version: "HTTP/1.1", length: "12", runs: pauseMs + takes},
 		{name: "HTTP/1.0", version: "HTTP/1.0", runs: pauseMs + takes},
-		{name: "a length, a caller that has left", version: "HTTP/1.1", length: "12", closes: true, runs: pauseMs + holdCheckMs},
-		{name: "HTTP/1.0, a caller that has left", version: "HTTP/1.0", closes: true, runs: pauseMs + holdCheckMs},
+		{name: "a length, a caller that has left", version: "HTTP/1.1", length: "12", closes: true, runs: pauseMs},
+		{name: "HTTP/1.0, a caller that has left", version: "HTTP/1.0", closes: true, runs: pauseMs},
+		{name: "a caller that acknowledges late", version: "HTTP/1.0", acksAfter: 40, runs: pauseMs + takes},
 		{name: "a length, a caller that can't be reached", version: "HTTP/1.1", length: "12", unread: true, runs: pauseMs},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				caller := &halfClosedConn{reads: !c.unread, version: c.version, endsAfter: endsMs.Duration()}
+				caller.acksAfter = c.acksAfter.Duration()
 				if c.closes {
 					caller.closesAt = time.Now().Add(endsMs.Duration())
 				}
@@ -48,8 +50,8 @@
 					}
 					<-time.After(time.Millisecond)
 					write(w, "")
-					// It ends between two checks.
-					<-time.After((pauseMs + holdCheckMs/3).Duration())
+					// It ends right before a check.
+					<-time.After((pauseMs - 2).Duration())
 					write(w, "part")
 				})
 				assert.Equal(t, c.runs.Duration(), ran.Round(holdCheckMs.Duration()))
