refactor(server): a listener that closes limits hops everywhere, and filters no packets

A listener that closes had two devices: a filter that drops SYN packets, and where the kernel refuses it, a hop limit of 255 (IP_MINTTL). On Linux 6.18 the filter is refused to plain users (EPERM for SO_ATTACH_FILTER, uid 65534) and allowed to root, the hop limit works for both, by IPv4, IPv6 and on sockets of both. The loop behind the filter had no bound in time: where a kernel accepts a filter without effect, it would have waited for as long as callers come (known, by reading).

Tests: the cases of both devices become those of one. For callers with 255 hops left a filter of root's gave the bound of 1 connection, where the tests of plain users had the bound of the loop: that one holds for both now, which is what such a caller meets on either. The other bounds are as before, and each line of the wait that is taken out fails a test.

--- a/internal/server/await_test.go
+++ b/internal/server/await_test.go
@@ -40,43 +40,23 @@
 	return info.State != unix.BPF_TCP_SYN_SENT
 }
 
-// mayFilter reports whether this process may filter what its sockets receive. Some kernels allow it to root only.
-func mayFilter(t *testing.T) bool {
-	t.Helper()
-	listener, err := ListenTCP("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { assert.NoError(t, listener.Close()) }()
-	return dropNew(listener)
-}
-
 // TestAwaitAcceptedBesideNewConnections guards against connections that are reset since a box that stops accepts more
 // slowly than new ones arrive.
 func TestAwaitAcceptedBesideNewConnections(t *testing.T) {
 	const manyPolls, manyOpen = openAcceptPolls + lastAcceptPolls, 1 + 2*openAcceptPolls + 2*lastAcceptPolls
-	nearPolls, nearOpen := 1, 1
-	if !mayFilter(t) {
-		nearPolls, nearOpen = manyPolls, manyOpen
-	}
 	for _, c := range []struct {
 		name   string
-		await  func(l *Listener, ctx context.Context)
 		pollMs clock.Millis
 		hops   int
 		// polls is how often it checks, and open how many connections the kernel takes, at most.
 		polls, open int
 	}{
-		{"a process that runs", (*Listener).AwaitAccepted, filteredPollMs, usualHops, 1, 1},
-		{"a process with little processor time", (*Listener).AwaitAccepted, openAcceptMs, usualHops, 1, 1},
-		{"callers on the same link", (*Listener).AwaitAccepted, filteredPollMs, nearHops, nearPolls, nearOpen},
-		{"no filter, a process that runs", (*Listener).awaitAcceptedUnfiltered, acceptPollMs, usualHops, 1, 1},
-		{"no filter, little processor time", (*Listener).awaitAcceptedUnfiltered, openAcceptMs, usualHops, 1, 1},
+		{"a process that runs", acceptPollMs, usualHops, 1, 1},
+		{"a process with little processor time", openAcceptMs, usualHops, 1, 1},
+		{"callers on the same link", acceptPollMs, nearHops, manyPolls, manyOpen},
 		{
-			"no filter, callers on the same link", (*Listener).awaitAcceptedUnfiltered, acceptPollMs, nearHops,
-			manyPolls, manyOpen,
-		},
-		{
-			"no filter, callers on the same link, little processor time", (*Listener).awaitAcceptedUnfiltered, openAcceptMs,
-			nearHops, 1 + lastAcceptPolls, 3 + 2*lastAcceptPolls,
+			"callers on the same link, little processor time", openAcceptMs, nearHops, 1 + lastAcceptPolls,
+			3 + 2*lastAcceptPolls,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -100,7 +80,7 @@
 					connect()
 					return nil
 				}))
-			c.await(NewListener(inner, fake, nil, nil), t.Context())
+			NewListener(inner, fake, nil, nil).AwaitAccepted(t.Context())
 			left := 0
 			for waiting := true; waiting; {
 				if waiting, _ = socket.System().HasWaiting(inner); waiting {
@@ -124,77 +104,65 @@
 // TestConnectionThatOpensLate guards against requests that never arrive on connections which have begun to open when a
 // listener takes no new ones.
 func TestConnectionThatOpensLate(t *testing.T) {
-	for name, await := range map[string]func(l *Listener, ctx context.Context){
-		"with a filter, where it is allowed": (*Listener).AwaitAccepted, "without": (*Listener).awaitAcceptedUnfiltered,
-	} {
-		t.Run(name, func(t *testing.T) {
-			inner, err := ListenTCP("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			control(inner, func(fd int) {
-				// The kernel holds connections until their callers have sent something.
-				assert.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 1))
-			})
-			l := NewListener(inner, clock.New(), nil, nil)
-			t.Cleanup(func() { assert.NoError(t, l.Close()) })
-			caller, err := net.Dial("tcp", inner.Addr().String())
-			require.NoError(t, err)
-			t.Cleanup(func() { assert.NoError(t, caller.Close()) })
-			await(l, t.Context())
-			send := func() {
-				_, err := caller.Write([]byte("sent"))
-				require.NoError(t, err)
-			}
-			send()
-			conn, err := l.Accept()
-			require.NoError(t, err)
-			t.Cleanup(func() { assert.NoError(t, conn.Close()) })
-			require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
-			for range 2 {
-				_, err = io.ReadFull(conn, make([]byte, len("sent")))
-				require.NoError(t, err)
-				send()
-			}
-		})
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	control(inner, func(fd int) {
+		// The kernel holds connections until their callers have sent something.
+		assert.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 1))
+	})
+	l := NewListener(inner, clock.New(), nil, nil)
+	t.Cleanup(func() { assert.NoError(t, l.Close()) })
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, caller.Close()) })
+	l.AwaitAccepted(t.Context())
+	send := func() {
+		_, err := caller.Write([]byte("sent"))
+		require.NoError(t, err)
+	}
+	send()
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, conn.Close()) })
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	for range 2 {
+		_, err = io.ReadFull(conn, make([]byte, len("sent")))
+		require.NoError(t, err)
+		send()
 	}
 }
 
 // TestAwaitAcceptedWaitsForCallersAnswers guards against connections that are open for their callers and reset, since
 // what opens them was on its way when the listener was closed.
 func TestAwaitAcceptedWaitsForCallersAnswers(t *testing.T) {
-	for name, await := range map[string]func(l *Listener, ctx context.Context){
-		"with a filter, where it is allowed": (*Listener).AwaitAccepted, "without": (*Listener).awaitAcceptedUnfiltered,
-	} {
-		t.Run(name, func(t *testing.T) {
-			inner, err := ListenTCP("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			control(inner, func(fd int) {
-				assert.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 1))
-			})
-			caller, err := net.Dial("tcp", inner.Addr().String())
+	inner, err := ListenTCP("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	control(inner, func(fd int) {
+		assert.NoError(t, unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 1))
+	})
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, caller.Close()) })
+	accepted, once := make(chan error, 1), sync.Once{}
+	l := NewListener(inner, clock.New(clock.WithSleep(func(_ context.Context, span clock.Millis) error {
+		once.Do(func() {
+			assert.Equal(t, openingMs, span)
+			_, err := caller.Write([]byte("sent"))
 			require.NoError(t, err)
-			t.Cleanup(func() { assert.NoError(t, caller.Close()) })
-			accepted, once := make(chan error, 1), sync.Once{}
-			l := NewListener(inner, clock.New(clock.WithSleep(func(_ context.Context, span clock.Millis) error {
-				once.Do(func() {
-					assert.Equal(t, openingMs, span)
-					_, err := caller.Write([]byte("sent"))
-					require.NoError(t, err)
-					accepted <- <-accepted
-				})
-				return nil
-			})), nil, nil)
-			go func() {
-				conn, err := l.Accept()
-				if err == nil {
-					err = conn.Close()
-				}
-				accepted <- err
-			}()
-			await(l, t.Context())
-			require.NoError(t, l.Close())
-			require.NoError(t, <-accepted)
+			accepted <- <-accepted
 		})
-	}
+		return nil
+	})), nil, nil)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			err = conn.Close()
+		}
+		accepted <- err
+	}()
+	l.AwaitAccepted(t.Context())
+	require.NoError(t, l.Close())
+	require.NoError(t, <-accepted)
 }
 
 // TestAwaitAcceptedWhereNothingTells guards against a stop that lasts for its whole grace period because the kernel
@@ -232,7 +200,7 @@
 		return nil
 	})), nil, nil)
 	l.failing.Store(true)
-	l.awaitAcceptedUnfiltered(t.Context())
+	l.AwaitAccepted(t.Context())
 	assert.Equal(t, freeAfter, polls)
 }
 
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -141,16 +140,13 @@
 }
 
 const (
-	// filteredPollMs is how often a listener checks whether connections wait to be accepted while the kernel drops new
-	// ones. It is short, since callers try again only after a second.
-	filteredPollMs clock.Millis = 1
-	// acceptPollMs is how often it checks without a filter, or where the kernel doesn't tell.
+	// acceptPollMs is how often a listener that closes checks whether connections wait to be accepted.
 	acceptPollMs clock.Millis = 5
 	// openingMs is the time before the first check, longer than most round trips: connections that are open for their
 	// callers wait to be accepted by then. Callers who connect meanwhile try again after a second.
 	openingMs clock.Millis = 50
 	// openAcceptPolls is how often, and openAcceptMs for how long it checks before the kernel is made to drop new
-	// connections without a filter. A process that gets little processor time makes few checks.
+	// connections while one waits. A process that gets little processor time makes few checks.
 	openAcceptPolls              = 10
 	openAcceptMs    clock.Millis = 100
 	// lastAcceptPolls is how often it checks afterwards. These checks have no limit in time, since a process that gets
@@ -161,39 +157,16 @@
 )
 
 // AwaitAccepted makes the kernel drop new connections, and waits until none waits to be accepted, which Close would
-// reset. It also waits for connections that are open on their callers' side only. Callers whose connections are dropped
-// find the listener closed when they try again. It gives up when the context ends, after many checks where the kernel
-// doesn't tell what waits, and while accepts fail: until the listener is closed, the next process waits for the
-// address.
+// reset. It also waits for those that are open on their callers' side only. Callers whose connections are dropped find
+// the listener closed when they try again.
+//
+// If there are always some, from callers with nearHops or where the kernel sets no limit of hops, it drops new ones
+// while one waits. It gives up when the context ends, if connections still wait after many checks at which some could
+// be accepted, and while accepts fail: until the listener is closed, the next process waits for the address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
-	if !dropNew(l.current()) {
-		l.awaitAcceptedUnfiltered(ctx)
-		return
-	}
-	isStuck := l.stuckAfter(filteredPollMs)
-	if l.clock.Sleep(ctx, openingMs) != nil {
-		return
-	}
-	for unknown := 0; unknown < lastAcceptPolls && !isStuck(); {
-		waiting, known := l.kernel.HasWaiting(l.current())
-		pollMs := filteredPollMs
-		if !known {
-			pollMs = acceptPollMs
-			unknown++
-		}
-		if known && !waiting || l.clock.Sleep(ctx, pollMs) != nil {
-			return
-		}
-	}
-}
-
-// awaitAcceptedUnfiltered waits until no connection waits to be accepted, where the kernel allows no filter. If there
-// are always some, the kernel drops new ones while one waits. It gives up if connections still wait after many checks
-// at which some could be accepted.
-func (l *Listener) awaitAcceptedUnfiltered(ctx context.Context) {
 	l.nearOnly.Store(true)
 	setMinHops(l.current(), nearHops)
-	startMs, isStuck := l.clock.Monotonic(), l.stuckAfter(acceptPollMs)
+	startMs, isStuck := l.clock.Monotonic(), l.stuckAfter()
 	if l.clock.Sleep(ctx, openingMs) != nil {
 		return
 	}
@@ -218,20 +191,21 @@
 
 // stuckAfter returns a function that is called once a poll, and reports whether accepts have failed for stuckMs and
 // none has succeeded meanwhile.
-func (l *Listener) stuckAfter(pollMs clock.Millis) func() bool {
+func (l *Listener) stuckAfter() func() bool {
 	accepted, failedMs := l.accepted.Load(), clock.Millis(0)
 	return func() bool {
 		if now := l.accepted.Load(); now != accepted || !l.failing.Load() {
 			accepted, failedMs = now, 0
 			return false
 		}
-		failedMs += pollMs
+		failedMs += acceptPollMs
 		return failedMs > stuckMs
 	}
 }
 
-// Values of IP_MINTTL and IPV6_MINHOPCOUNT, which any user may set. The kernel drops packets with fewer hops left, but
-// those that complete the opening of a connection only once the connection is there.
+// Values of IP_MINTTL and IPV6_MINHOPCOUNT, which any user may set, while some kernels allow a filter of packets to
+// root only. The kernel drops packets with fewer hops left, but those that complete the opening of a connection only
+// once the connection is there.
 const (
 	anyHops = 0
 	// nearHops is what only packets from the same link can have left, if their sender sets as much. Few do.
@@ -247,28 +221,6 @@
 	})
 }
 
-// Parts of a TCP header.
-const (
-	tcpFlagsOffset = 13
-	tcpSyn         = 0x02
-)
-
-// dropNew makes the kernel drop the packets that open connections, and reports whether it does.
-func dropNew(socket net.Listener) bool {
-	filter := []unix.SockFilter{
-		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
-		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpSyn, Jf: 1},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
-		{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
-	}
-	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
-	drops := false
-	control(socket, func(fd int) {
-		drops = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program) == nil
-	})
-	return drops
-}
-
 // control calls a function with the descriptor of a socket, unless it has none.
 func control(socket any, call func(fd int)) {
 	withDescriptor, ok := socket.(syscall.Conn)
