refactor(inbound): interim responses are a stage of the framing, under one lock

Callers that have ended their side are asked by an interim response before the first byte of their response, and by bytes ahead of it later. The former had a file, a field and a lock of its own, which recorded the same as the framing of the response does: that the caller accepts interim responses and has nothing of the final one (the stage `head`).

What callers see is the same.

TestInterimAfterExpected now asks a connection on a socket instead of the type that is gone, and compares all bytes that its caller gets; it fails if the interim response that the server sends itself ends the stage. TestAskedCallers is unchanged, and fails without the stage. The tests of bytes ahead call ask, as programs do.

--- a/internal/inbound/ask.go
+++ b/internal/inbound/ask.go
@@ -14,22 +14,27 @@
 // ask sends the caller something that its kernel acknowledges or refuses and that changes no response, and reports
 // whether there was anything to send.
 func (c *Conn) ask() (sent bool, err error) {
-	if sent, err = c.interim.send(c.writeWhole); sent || err != nil {
-		return sent, err
+	if !c.writing.TryLock() {
+		// What is being written is a question itself.
+		return false, nil
+	}
+	defer c.writing.Unlock()
+	if c.unread != nil && c.unread.Holds() {
+		return false, nil
+	}
+	if c.framing.stage == head {
+		err = c.writeWhole([]byte(interimResponse))
+		return err == nil, err
 	}
 	return c.sendAhead()
 }
 
 // sendAhead sends a byte of the response that is known before the server writes it. Some callers take a response that
-// ends behind such a byte for a complete one, so that a connection that ends there is reset.
+// ends behind such a byte for a complete one, so that a connection that ends there is reset. The lock for writing must
+// be held.
 func (c *Conn) sendAhead() (sent bool, err error) {
-	if !c.writing.TryLock() {
-		// What is being written is a question itself.
-		return false, nil
-	}
-	defer c.writing.Unlock()
 	next := c.framing.next()
-	if next == "" || c.unread != nil && c.unread.Holds() || c.tear() != nil {
+	if next == "" || c.tear() != nil {
 		return false, nil
 	}
 	if err = c.writeWhole([]byte(next)); err != nil {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -67,8 +67,6 @@
 	// waits reports whether bytes of the response wait to be read, or is nil.
 	waits atomic.Pointer[func() bool]
 
-	interim interim
-
 	// writing is held while anything is written. It protects framing and torn.
 	writing sync.Mutex
 	framing framing
@@ -156,7 +154,6 @@
 
 // Write implements net.Conn. It holds what the caller of a stream doesn't read.
 func (c *Conn) Write(data []byte) (int, error) {
-	c.interim.handleWrite(data)
 	c.responded.Store(true)
 	c.writes.Add(1)
 	defer c.sentSinceEnd.Store(true)
--- a/internal/inbound/framing.go
+++ b/internal/inbound/framing.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// interimResponse is a response before the final one, which any caller by HTTP/1.1 accepts, also if it expects none
+	// (RFC 9110, section 15.2). Only callers that have ended their side get one unasked.
+	interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 	// maxLeadingZeros is how many zeros may lead the size of a chunk, and maxSizeDigits how many digits follow them.
 	// Parsers accept 16, and 8 are enough for 4 GiB.
 	maxLeadingZeros = 8
@@ -27,7 +30,8 @@
 const (
 	// unknownPart means that no byte of what comes next is known.
 	unknownPart framingStage = iota
-	// oldHead is the head of a response to a caller by HTTP/1.0, and head that of another one.
+	// oldHead is the head of a response to a caller by HTTP/1.0, and head that of another one, which may follow interim
+	// responses.
 	oldHead
 	head
 	// chunkSize is the line before a chunk, and chunk its data and their line end.
@@ -51,7 +55,7 @@
 func (f *framing) begin(r *http.Request) {
 	switch {
 	case r.TLS != nil:
-		// Below TLS, bytes would have to be records.
+		// Below TLS, all bytes would have to be records.
 		*f = framing{stage: unknownPart}
 	case !r.ProtoAtLeast(1, 1):
 		*f = framing{stage: oldHead}
@@ -102,6 +106,7 @@
 // followHead records a head, and returns what follows it.
 func (f *framing) followHead(data []byte) (rest []byte) {
 	if string(data) == interimResponse {
+		// The server sends it to a caller that expects it.
 		return nil
 	}
 	end := bytes.Index(data, []byte(headEnd))
--- a/internal/inbound/framing_test.go
+++ b/internal/inbound/framing_test.go
@@ -85,7 +85,7 @@
 		asking := sync.WaitGroup{}
 		asking.Go(func() {
 			for ctx.Err() == nil {
-				if sent, err := conn.sendAhead(); sent && err == nil {
+				if sent, err := conn.ask(); sent && err == nil {
 					asked.Add(1)
 				}
 				runtime.Gosched()
@@ -249,7 +249,7 @@
 			write(c.before)
 			sent := 0
 			for range c.asks {
-				ahead, err := conn.sendAhead()
+				ahead, err := conn.ask()
 				require.NoError(t, err)
 				sent += boolInt(ahead)
 			}
@@ -268,7 +268,7 @@
 func TestOtherBytesThanAhead(t *testing.T) {
 	caller, conn := newFixture(t, 1).connect()
 	conn.trackRequest(&http.Request{ProtoMajor: 1})
-	sent, err := conn.sendAhead()
+	sent, err := conn.ask()
 	require.NoError(t, err)
 	require.True(t, sent)
 	_, err = io.WriteString(conn, "no response")
@@ -302,7 +302,7 @@
 func TestAskingLongAfterWrite(t *testing.T) {
 	_, conn := connectUnheld(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
-	sent, err := conn.sendAhead()
+	sent, err := conn.ask()
 	require.NoError(t, err)
 	assert.True(t, sent)
 }
@@ -311,7 +311,7 @@
 // ended in order behind a byte that was sent ahead of a write that failed.
 func TestFailedWriteBehindByteAhead(t *testing.T) {
 	caller, conn := connectUnheld(t)
-	sent, err := conn.sendAhead()
+	sent, err := conn.ask()
 	require.NoError(t, err)
 	require.True(t, sent)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
--- a/internal/inbound/interim_test.go
+++ b/internal/inbound/interim_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
 )
@@ -132,25 +133,30 @@
 // TestInterimAfterExpected guards against callers that expect an interim response and are not asked with another one,
 // and against one within the final response.
 func TestInterimAfterExpected(t *testing.T) {
-	i := interim{}
-	sent := 0
-	send := func() bool {
-		accepted, err := i.send(func([]byte) error {
-			sent++
-			return nil
-		})
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+	caller, conn := newFixture(t, 1).connect()
+	asked := func() bool {
+		sent, err := conn.ask()
+		assert.NoError(t, err)
+		return sent
+	}
+	write := func(data string) {
+		_, err := io.WriteString(conn, data)
 		assert.NoError(t, err)
-		return accepted
 	}
-	assert.False(t, send(), "before a request")
-	i.accept()
-	i.handleWrite([]byte(interimResponse))
-	assert.True(t, send(), "after the one that was expected")
-	i.handleWrite([]byte("HTTP/1.1 200 OK\r\n"))
-	assert.False(t, send(), "after the response has begun")
-	i.accept()
-	assert.True(t, send(), "the next request")
-	assert.Equal(t, 2, sent)
+	assert.False(t, asked(), "before a request")
+	request := &http.Request{ProtoMajor: 1, ProtoMinor: 1}
+	conn.trackRequest(request)
+	write(interimResponse)
+	assert.True(t, asked(), "after the one that was expected")
+	write(final)
+	assert.False(t, asked(), "after the response has begun")
+	conn.trackRequest(request)
+	assert.True(t, asked(), "the next request")
+	require.NoError(t, conn.Conn.Close())
+	got, err := io.ReadAll(caller)
+	require.NoError(t, err)
+	assert.Equal(t, interimResponse+interimResponse+final+interimResponse, string(got))
 }
 
 // TestTransientWriteError guards against a caller that counts as having left because the kernel was short of memory.
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -48,10 +48,6 @@
 	c.writing.Lock()
 	c.framing.begin(r)
 	c.writing.Unlock()
-	if r.ProtoAtLeast(1, 1) && r.TLS == nil {
-		// Below TLS, an interim response would have to be a record.
-		c.interim.accept()
-	}
 }
 
 // readRequest reads no further than the end of a request. The rest of what a read of the socket returns is held.
