--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -98,7 +98,7 @@
 
 // isDead reports whether a socket can't accept any more after an error.
 func isDead(err error) bool {
-	for _, dead := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
+	for _, dead := range []error{errUnopened, net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK} {
 		if errors.Is(err, dead) {
 			return true
 		}
@@ -164,6 +164,9 @@
 // while one waits. It gives up when the context ends, if connections still wait after many checks at which some could
 // be accepted, and while accepts fail: until the listener is closed, the next process waits for the address.
 func (l *Listener) AwaitAccepted(ctx context.Context) {
+	if IsUnopened(l.current()) {
+		return
+	}
 	l.nearOnly.Store(true)
 	setMinHops(l.current(), nearHops)
 	startMs, isStuck := l.clock.Monotonic(), l.stuckAfter()
