fix(box): dooryard-router serves callers whatever other process has its ports for boxes and operators

Fix: the listener for callers is opened first and alone, and is what only one of several processes of the box has. The gossip socket and the peers' listener are tried for 0.5 s each and then opened at a port of the kernel: gossip tells the others both addresses, and the box pings its contacts from there. Operators' port, and one that the host has no address for yet, are tried until the box stops.

TestCallersAreServedWithoutOtherPorts fails before: bindSockets does not return while a port is held, by its loop. No test is changed.

--- a/internal/box/sockets.go
+++ b/internal/box/sockets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 
 	"go.uber.org/zap"
@@ -14,6 +13,9 @@
 // rebindTimeoutMs is how long a box that runs tries to open a listener anew before it stops.
 const rebindTimeoutMs = 10 * clock.Second
 
+// peersPortWaitMs is how long a start waits for each address for other boxes.
+const peersPortWaitMs clock.Millis = 500
+
 // errorReportMs is the time between two reports of a listener that can't accept connections.
 const errorReportMs = clock.Second
 
@@ -25,41 +27,118 @@
 	gossipSocket    = "gossip"
 )
 
-// sockets are those without which the box can't run.
+// sockets are those that the box opens at its start.
 type sockets struct {
 	gossip    net.PacketConn
 	listeners map[string]net.Listener
 }
 
-// binder returns a binder that waits for addresses until its context ends, as an earlier process of the box releases
-// them when its listeners close.
+// binder returns a binder that waits for an address until its context ends, as an earlier process of the box releases
+// it when its listeners close.
 func (b *Box) binder() server.Binder {
 	return server.Binder{Clock: b.clock, OnRetry: func(err error) {
 		b.logger.Warn("listener retried", zap.String("box", b.settings.Box), zap.Error(err))
 	}}
 }
 
-// bindSockets opens all sockets or none. Callers are opened last, so that none connects in vain.
+// bindSockets opens the listener for callers, for which it waits, and then whatever it can of the others. Of several
+// processes of the box only the one that has the first opens the others.
 func (b *Box) bindSockets(ctx context.Context) error {
-	b.sockets.listeners = map[string]net.Listener{}
-	all := []server.Socket{{
-		Name: gossipSocket, Address: b.settings.Peers.GossipAddress, Open: func(address string) (_ io.Closer, err error) {
-			b.sockets.gossip, err = b.packets("udp", address)
-			return b.sockets.gossip, err
-		},
-	}}
-	for _, s := range []server.Socket{
-		{Name: peersSocket, Address: b.settings.Peers.Address},
-		{Name: operatorsSocket, Address: b.settings.Operators.Address},
-		{Name: callersSocket, Address: b.settings.Callers.Address},
-	} {
-		s.Open = func(address string) (_ io.Closer, err error) {
-			b.sockets.listeners[s.Name], err = b.listen("tcp", address)
-			return b.sockets.listeners[s.Name], err
+	callers, err := b.binder().Listen(ctx, callersSocket, b.settings.Callers.Address, b.listen)
+	if err != nil {
+		return err
+	}
+	b.sockets.gossip = b.openGossipSocket(ctx)
+	b.sockets.listeners = map[string]net.Listener{
+		callersSocket: callers, peersSocket: b.openPeersListener(ctx),
+		operatorsSocket: b.listenOnce(b.settings.Operators.Address),
+	}
+	return nil
+}
+
+// peersBinder returns the binder of the sockets for other boxes. They are tried for a while, since an earlier process
+// of the box gives them up independently of the listener for callers, which wait meanwhile.
+func (b *Box) peersBinder() server.Binder {
+	binder := b.binder()
+	binder.TimeoutMs = peersPortWaitMs
+	return binder
+}
+
+// openGossipSocket opens the UDP socket for other boxes: at its address or, if that stays taken, at a port that the
+// kernel chooses, which the box tells the others. If there is none yet, it is opened later.
+func (b *Box) openGossipSocket(ctx context.Context) net.PacketConn {
+	address := b.settings.Peers.GossipAddress
+	conn, err := b.peersBinder().ListenPacket(ctx, gossipSocket, address, b.packets)
+	if err == nil {
+		return conn
+	}
+	if other, otherErr := b.packets("udp", withAnyPort(address)); otherErr == nil {
+		b.reportReplaced(gossipSocket, address, other.LocalAddr(), err)
+		return other
+	}
+	return server.NewPacketConn(server.NewUnopened(address, err), b.clock,
+		func(ctx context.Context) (net.PacketConn, error) {
+			return b.patientBinder().ListenPacket(ctx, gossipSocket, address, b.packets)
+		}, func(error) {}, func(error) {})
+}
+
+// openPeersListener does the same for the listener for other boxes.
+func (b *Box) openPeersListener(ctx context.Context) net.Listener {
+	address := b.settings.Peers.Address
+	listener, err := b.peersBinder().Listen(ctx, peersSocket, address, b.listen)
+	if err == nil {
+		return listener
+	}
+	if other, otherErr := b.listen("tcp", withAnyPort(address)); otherErr == nil {
+		b.reportReplaced(peersSocket, address, other.Addr(), err)
+		return other
+	}
+	return server.NewUnopened(address, err)
+}
+
+// listenOnce opens a listener, or returns one that is opened later.
+func (b *Box) listenOnce(address string) net.Listener {
+	listener, err := b.listen("tcp", address)
+	if err != nil {
+		return server.NewUnopened(address, err)
+	}
+	return listener
+}
+
+func (b *Box) reportReplaced(name, usual string, used net.Addr, err error) {
+	b.logger.Warn("peers port replaced", zap.String("box", b.settings.Box), zap.String("listener", name),
+		zap.String("usual", usual), zap.Stringer("used", used), zap.Error(err))
+}
+
+// withAnyPort returns an address with a port that the kernel chooses.
+func withAnyPort(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return net.JoinHostPort(host, "0")
+}
+
+// patientBinder returns the binder of a socket that could not be opened at the start. It is tried until the box stops,
+// which serves callers meanwhile.
+func (b *Box) patientBinder() server.Binder {
+	binder := b.binder()
+	binder.RetriesAll = true
+	return binder
+}
+
+// reopenBinder returns a function that returns the binder for the next opening of a listener.
+func (b *Box) reopenBinder(listener net.Listener) func() server.Binder {
+	opened := !server.IsUnopened(listener)
+	return func() server.Binder {
+		if !opened {
+			opened = true
+			return b.patientBinder()
 		}
-		all = append(all, s)
+		binder := b.binder()
+		binder.TimeoutMs = rebindTimeoutMs
+		return binder
 	}
-	return b.binder().OpenAll(ctx, all...)
 }
 
 // closeSockets closes the sockets of a box that can't be built. Their errors have no effect.
@@ -79,10 +158,9 @@
 	// Accept reports one error at a time.
 	reportedMs, reported := clock.Millis(0), ""
 	return func(_, address string) (net.Listener, error) {
+		reopen := b.reopenBinder(b.sockets.listeners[name])
 		return server.NewListener(b.sockets.listeners[name], b.clock, func(ctx context.Context) (net.Listener, error) {
-			binder := b.binder()
-			binder.TimeoutMs = rebindTimeoutMs
-			return binder.Listen(ctx, name, address, b.listen)
+			return reopen().Listen(ctx, name, address, b.listen)
 		}, func(err error) {
 			now := b.clock.Monotonic()
 			if err.Error() == reported && now-reportedMs < errorReportMs {
--- a/internal/box/sockets_test.go
+++ b/internal/box/sockets_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net"
+	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -49,3 +52,93 @@
 		assert.Equal(t, 2, socket.accepts)
 	})
 }
+
+// TestCallersAreServedWithoutOtherPorts guards against a box that serves no callers because another process has a port
+// that they don't need, and against a process that takes ports while another one of the box serves.
+func TestCallersAreServedWithoutOtherPorts(t *testing.T) {
+	const callers, gossip, peers, operators = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"
+	bind := func(t *testing.T, h testlib.Host) *Box {
+		t.Helper()
+		b := &Box{clock: clock.New(), logger: zap.NewNop(), listen: h.Listen, packets: h.ListenPackets}
+		b.settings.Callers.Address, b.settings.Operators.Address = callers, operators
+		b.settings.Peers.GossipAddress, b.settings.Peers.Address = gossip, peers
+		return b
+	}
+	t.Run("gossip, peers and operators are held", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := testlib.NewNetwork().Host("box")
+			_, err := h.ListenPackets("udp", gossip)
+			require.NoError(t, err)
+			_, err = h.Listen("tcp", peers)
+			require.NoError(t, err)
+			held, err := h.Listen("tcp", operators)
+			require.NoError(t, err)
+			b, start := bind(t, h), clock.New().Monotonic()
+			require.NoError(t, b.bindSockets(t.Context()))
+			assert.LessOrEqual(t, clock.New().Monotonic()-start, 2*peersPortWaitMs+2*clock.Millis(50))
+			assert.Contains(t, b.sockets.gossip.LocalAddr().String(), "127.0.0.1:")
+			assert.NotEqual(t, gossip, b.sockets.gossip.LocalAddr().String())
+			assert.NotEqual(t, peers, b.sockets.listeners[peersSocket].Addr().String())
+			l, err := b.survivingListener(operatorsSocket)("tcp", operators)
+			require.NoError(t, err)
+			accepted := make(chan error, 1)
+			go func() {
+				_, err := l.Accept()
+				accepted <- err
+			}()
+			time.Sleep(time.Hour)
+			require.NoError(t, held.Close())
+			time.Sleep(time.Second)
+			_, err = h.Dial(t.Context(), "tcp", operators)
+			require.NoError(t, err)
+			require.NoError(t, <-accepted)
+		})
+	})
+	t.Run("callers are held", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := testlib.NewNetwork().Host("box")
+			held, err := h.Listen("tcp", callers)
+			require.NoError(t, err)
+			b, bound := bind(t, h), make(chan error, 1)
+			go func() { bound <- b.bindSockets(t.Context()) }()
+			time.Sleep(time.Hour)
+			for _, address := range []string{peers, operators} {
+				_, err := h.Dial(t.Context(), "tcp", address)
+				require.ErrorIs(t, err, syscall.ECONNREFUSED, address)
+			}
+			other, err := h.ListenPackets("udp", gossip)
+			require.NoError(t, err)
+			require.NoError(t, other.Close())
+			require.NoError(t, held.Close())
+			require.NoError(t, <-bound)
+			assert.Equal(t, gossip, b.sockets.gossip.LocalAddr().String())
+		})
+	})
+	t.Run("no address for other boxes yet", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h, configured := testlib.NewNetwork().Host("box"), atomic.Bool{}
+			b := bind(t, h)
+			b.packets = func(network, address string) (net.PacketConn, error) {
+				if !configured.Load() {
+					return nil, syscall.EADDRNOTAVAIL
+				}
+				return h.ListenPackets(network, address)
+			}
+			require.NoError(t, b.bindSockets(t.Context()))
+			received := make(chan error, 1)
+			go func() {
+				_, _, err := b.sockets.gossip.ReadFrom(make([]byte, 1))
+				received <- err
+			}()
+			time.Sleep(time.Hour)
+			configured.Store(true)
+			time.Sleep(time.Second)
+			other, err := h.ListenPackets("udp", "127.0.0.1:5")
+			require.NoError(t, err)
+			_, err = other.WriteTo([]byte("x"), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(gossip)))
+			require.NoError(t, err)
+			require.NoError(t, <-received)
+			require.NoError(t, b.sockets.gossip.Close())
+		})
+	})
+}
