--- a/internal/soak/heldports.go
+++ b/internal/soak/heldports.go
@@ -30,7 +30,7 @@
 }
 
 func planHeldPort(f *fleet, b *box, random *rand.Rand) func() error {
-	choice, port := 1+random.IntN(3), peersPort+random.IntN(lastPeersPort-peersPort+1)
+	chosen := boxPorts()[1+random.IntN(3)]
 	return func() error {
 		b.changing.Lock()
 		defer b.changing.Unlock()
@@ -39,7 +39,8 @@
 			if err := b.process.awaitStop(); err != nil {
 				return err
 			}
-			return f.holdPort(b, choice, port)
+			f.holdPort(b, chosen.network, chosen.port)
+			return nil
 		}, 0)
 		if next := b.process.current(); next != before {
 			f.awaitService(b, next)
@@ -48,18 +49,24 @@
 	}
 }
 
-// holdPort takes the readiness port of a box, or one of those for other boxes by TCP or UDP, until the run ends.
-func (f *fleet) holdPort(b *box, choice, peers int) error {
-	chosen := boxPorts()[choice]
-	if chosen.port == peersPort {
-		chosen.port = peers
+// holdPort takes the readiness port of a box, or the first one for other boxes that is free, until the run ends.
+func (f *fleet) holdPort(b *box, network string, port int) {
+	last := port
+	if port == peersPort {
+		last = lastPeersPort
+	}
+	for ; port <= last; port++ {
+		held, err := b.listenOn(network, port)
+		if err != nil {
+			// It is held already.
+			continue
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		// The run has ended when it is released.
+		f.closers = append(f.closers, func() { _ = held.Close() })
+		return
 	}
-	end, err := b.takeOne(chosen.network, chosen.port)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	// The run has ended when it is released.
-	f.closers = append(f.closers, func() { _ = end() })
-	return err
 }
 
 // service is the time from the start of a process to its first response to a caller.
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -235,21 +235,20 @@
 // meanwhile keeps its port.
 func (b *box) takePort(choice int) (end func() error, err error) {
 	chosen := boxPorts()[choice%len(boxPorts())]
-	return b.takeOne(chosen.network, chosen.port)
+	taken, err := b.listenOn(chosen.network, chosen.port)
+	if err != nil {
+		return noEnd, nil //nolint:nilerr // The port is in use, as it is to be.
+	}
+	return taken.Close, nil
 }
 
-func (b *box) takeOne(network string, port int) (end func() error, err error) {
+// listenOn listens on a port of a box.
+func (b *box) listenOn(network string, port int) (io.Closer, error) {
 	address := net.JoinHostPort(b.ip, strconv.Itoa(port))
-	var closer io.Closer
 	if network == "udp" {
-		closer, err = (&net.ListenConfig{}).ListenPacket(context.Background(), network, address)
-	} else {
-		closer, err = (&net.ListenConfig{}).Listen(context.Background(), network, address)
-	}
-	if err != nil {
-		return noEnd, nil //nolint:nilerr // The port is in use, as it is to be.
+		return (&net.ListenConfig{}).ListenPacket(context.Background(), network, address)
 	}
-	return closer.Close, nil
+	return (&net.ListenConfig{}).Listen(context.Background(), network, address)
 }
 
 func noEnd() error { return nil }
