test(soak): a caller may be told late, by a disturbed link, that its box was killed

The new process served others meanwhile. The connections were those of the killed process; a link of the soak held up its last response and its end, so that callers sent their next request and met the end. The check excuses a kill only for requests that were sent before the process had ended.

A kill now also excuses a request on a connection that was opened before the killed process had ended, if the link was disturbed between the kill and the end of the request. Both are recorded by the link. As strict: without a disturbance of the link, or on a connection that was opened later, it remains a finding (a case of the test each); the first case fails without the change.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -62,6 +62,8 @@
 	changedStarts map[string][]*interval
 	// interfered reports, by box, whether the link of its callers may have closed a connection from an address.
 	interfered map[string]func(address string, from, to time.Time) bool
+	// openedBy reports, by box, whether a connection from an address to the link of its callers was open at a time.
+	openedBy map[string]func(address string, at time.Time) bool
 	// forwarded reports, by box, whether the link of its callers passed on a connection from an address.
 	forwarded map[string]func(address string) bool
 	lost      lostStats
@@ -88,6 +90,7 @@
 		reloads: map[string][]time.Time{}, configs: map[string][]*interval{}, kills: map[string][]time.Time{},
 		ends: map[string][]time.Time{}, changedStarts: map[string][]*interval{},
 		interfered: map[string]func(string, time.Time, time.Time) bool{},
+		openedBy:   map[string]func(string, time.Time) bool{},
 		forwarded:  map[string]func(string) bool{},
 	}
 }
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -68,6 +68,8 @@
 	stalled []string
 	// unforwarded holds the addresses of connections that the link reset as they opened, or whose bytes it drops.
 	unforwarded map[string]struct{}
+	// opened maps the addresses of inbound connections to the times at which they were accepted.
+	opened map[string]time.Time
 	// origins maps the local addresses of outbound connections to the origins of the inbound ones.
 	origins map[string]origin
 }
@@ -150,7 +152,7 @@
 	l := &link{
 		listener: listener, addr: listener.Addr().String(), target: target,
 		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}, owners: map[net.Conn]string{},
-		origins: map[string]origin{}, unforwarded: map[string]struct{}{},
+		origins: map[string]origin{}, unforwarded: map[string]struct{}{}, opened: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(l)
@@ -255,6 +257,14 @@
 	return !unforwarded
 }
 
+// openedBy reports whether the newest connection from an address was open at a time.
+func (l *link) openedBy(address string, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	opened, known := l.opened[address]
+	return known && opened.Before(at)
+}
+
 // refuse resets a connection that just opened.
 func (l *link) refuse(inbound net.Conn) {
 	l.mu.Lock()
@@ -317,6 +327,7 @@
 	}
 	l.mu.Lock()
 	l.conns[inbound], l.conns[outbound] = struct{}{}, struct{}{}
+	l.opened[inbound.RemoteAddr().String()] = accepted
 	owner := l.owners[inbound]
 	l.origins[outbound.LocalAddr().String()] = origin{box: owner, accepted: accepted, forwarding: time.Now()}
 	l.mu.Unlock()
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -142,13 +142,21 @@
 // or disturbed the link.
 func (h *history) closedBySoak(o standin.Outcome) bool {
 	killed := slices.ContainsFunc(h.kills[o.Box], func(at time.Time) bool {
-		return !o.Sent.After(h.endAfter(o.Box, at)) && !o.Ended.Before(at)
+		end := h.endAfter(o.Box, at)
+		return !o.Ended.Before(at) && (!o.Sent.After(end) || h.heldEnd(o, at, end))
 	})
 	interfered := h.interfered[o.Box]
 	return killed || !disturbances(h.changedStarts).undisturbed(o.Box, o.Sent, o.Ended) ||
 		interfered != nil && interfered(o.Local, o.Sent, o.Ended) || h.separated(o.Box, o.Sent, o.Ended)
 }
 
+// heldEnd reports whether a request was sent on a connection of a process that was killed at a time and had ended,
+// which a disturbed link may have told its caller only now.
+func (h *history) heldEnd(o standin.Outcome, killed, ended time.Time) bool {
+	openedBy, interfered := h.openedBy[o.Box], h.interfered[o.Box]
+	return openedBy != nil && openedBy(o.Local, ended) && interfered != nil && interfered(o.Local, killed, o.Ended)
+}
+
 // reachedBox reports whether the connection of a request was opened to its box, not only to the link in between.
 func (h *history) reachedBox(o standin.Outcome) bool {
 	forwarded := h.forwarded[o.Box]
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -192,6 +192,20 @@
 	}
 }
 
+// killedBefore has a box killed 3 ms before it got a request, whose connection was opened, and whose link was disturbed,
+// at times relative to the end of the box, 1 ms before the request, and to the request.
+func killedBefore(opened, disturbed time.Duration) func(h *history, o *standin.Outcome) {
+	return func(h *history, o *standin.Outcome) {
+		killed, ended := o.Sent.Add(-3*time.Millisecond), o.Sent.Add(-time.Millisecond)
+		openedAt, disturbedAt := ended.Add(opened), o.Sent.Add(disturbed)
+		h.kills[o.Box], h.ends[o.Box] = []time.Time{killed}, []time.Time{ended}
+		h.openedBy[o.Box] = func(address string, at time.Time) bool { return address == o.Local && openedAt.Before(at) }
+		h.interfered[o.Box] = func(_ string, from, to time.Time) bool {
+			return !disturbedAt.Before(from) && !disturbedAt.After(to)
+		}
+	}
+}
+
 // TestFindsWholeRequestWithoutResponse guards against boxes that close connections of which they read nothing.
 func TestFindsWholeRequestWithoutResponse(t *testing.T) {
 	const ms = time.Millisecond
@@ -223,6 +237,9 @@
 		{"a box that was killed before", 1, func(h *history, o *standin.Outcome) {
 			h.kills[o.Box] = []time.Time{o.Sent.Add(-ms)}
 		}},
+		{"a box that was killed before, on a connection whose end the link held up", 0, killedBefore(-2*ms, -2*ms)},
+		{"a box that was killed before, on a connection that was opened since", 1, killedBefore(0, -2*ms)},
+		{"a box that was killed before, with an undisturbed link", 1, killedBefore(-2*ms, -4*ms)},
 		{"a port that the soak held", 0, func(h *history, o *standin.Outcome) {
 			h.changedStarts[o.Box] = []*interval{{from: o.Sent, to: o.Sent.Add(ms)}}
 		}},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -108,6 +108,7 @@
 func (f *fleet) fill(report *Report) {
 	for _, b := range f.boxes {
 		f.history.interfered[b.name] = b.callers.interfered
+		f.history.openedBy[b.name] = b.callers.openedBy
 		f.history.forwarded[b.name] = b.callers.forwarded
 		f.history.ends[b.name] = b.process.ends()
 	}
