--- a/internal/box/sockets_test.go
+++ b/internal/box/sockets_test.go
@@ -86,9 +86,9 @@
 				_, err := l.Accept()
 				accepted <- err
 			}()
-			time.Sleep(time.Hour)
+			<-time.After(time.Hour)
 			require.NoError(t, held.Close())
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 			_, err = h.Dial(t.Context(), "tcp", operators)
 			require.NoError(t, err)
 			require.NoError(t, <-accepted)
@@ -101,7 +101,7 @@
 			require.NoError(t, err)
 			b, bound := bind(t, h), make(chan error, 1)
 			go func() { bound <- b.bindSockets(t.Context()) }()
-			time.Sleep(time.Hour)
+			<-time.After(time.Hour)
 			for _, address := range []string{peers, operators} {
 				_, err := h.Dial(t.Context(), "tcp", address)
 				require.ErrorIs(t, err, syscall.ECONNREFUSED, address)
@@ -130,9 +130,9 @@
 				_, _, err := b.sockets.gossip.ReadFrom(make([]byte, 1))
 				received <- err
 			}()
-			time.Sleep(time.Hour)
+			<-time.After(time.Hour)
 			configured.Store(true)
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 			other, err := h.ListenPackets("udp", "127.0.0.1:5")
 			require.NoError(t, err)
 			_, err = other.WriteTo([]byte("x"), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(gossip)))
