feat(inbound): connections tell when the first byte of a request arrived, and their round trip

Nothing uses it yet. Recorded per connection: when it was accepted, when the first byte of the current and of the next request was read, also if it was read ahead; the kernel's shortest round trip, since the smoothed one includes delayed acknowledgements.

--- /dev/null
+++ b/internal/inbound/arrival.go
@@ -0,0 +1,76 @@
+package inbound
+
+import (
+	"sync/atomic"
+
+	"dooryard.example/dooryard/internal/clock"
+)
+
+// openingMs is how long after its connection was accepted the first request counts as the one it was opened for.
+// Callers that open connections in advance count from when they send.
+const openingMs clock.Millis = 100
+
+// Arrival is when and how a request arrived.
+type Arrival struct {
+	// StartMs is the monotonic time from which the caller counts, as far as the box knows: when the first byte of the
+	// request was read, or its connection accepted if it was opened for the request.
+	StartMs clock.Millis
+	// New is set if the connection was opened for the request.
+	New bool
+	// RoundTripMs is the round trip that the kernel measured on the connection, rounded up, or 0 if it doesn't tell.
+	RoundTripMs clock.Millis
+}
+
+// arrivals records when the first bytes of requests were read on a connection.
+type arrivals struct {
+	acceptedMs clock.Millis
+	// reused is set once a request was answered.
+	reused atomic.Bool
+	// currentMs and nextMs are when the first byte was read of the request that is handled or awaited, and of the one
+	// behind it, or 0. heldMs is when the oldest of the bytes that are read ahead was read.
+	currentMs, nextMs, heldMs atomic.Int64
+}
+
+// Arrival returns when and how the request arrived that is handled.
+func (c *Conn) Arrival() Arrival {
+	a := Arrival{
+		StartMs: clock.Millis(c.arrivals.currentMs.Load()), New: !c.arrivals.reused.Load(),
+		RoundTripMs: clock.FromDuration(c.listener.kernel.RoundTrip(c.Conn)),
+	}
+	if a.StartMs == 0 {
+		// Its first bytes were read along with those of another request.
+		a.StartMs = c.listener.clock.Monotonic()
+	}
+	a.New = a.New && a.StartMs-c.arrivals.acceptedMs <= openingMs
+	if a.New {
+		a.StartMs = c.arrivals.acceptedMs
+	}
+	return a
+}
+
+// recordRead records that bytes were read into a buffer of the server.
+func (a *arrivals) recordRead(now clock.Millis, bufferBytes int, handling bool) {
+	switch {
+	case !handling:
+		a.currentMs.CompareAndSwap(0, int64(now))
+	case bufferBytes == readAheadBytes:
+		a.nextMs.CompareAndSwap(0, int64(now))
+	}
+}
+
+// recordHeld records how many bytes are held that were read past the end of a request.
+func (a *arrivals) recordHeld(now clock.Millis, heldBytes int) {
+	if heldBytes == 0 {
+		// They were a part of the current request.
+		a.nextMs.CompareAndSwap(a.heldMs.Swap(0), 0)
+		return
+	}
+	a.heldMs.CompareAndSwap(0, int64(now))
+	a.nextMs.CompareAndSwap(0, a.heldMs.Load())
+}
+
+// recordIdle records that the request that was handled has its response.
+func (a *arrivals) recordIdle() {
+	a.reused.Store(true)
+	a.currentMs.Store(a.nextMs.Swap(0))
+}
--- /dev/null
+++ b/internal/inbound/arrival_test.go
@@ -0,0 +1,116 @@
+package inbound
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
+)
+
+const (
+	firstPart = "POST / HTTP/1.1\r\nHost: h\r\n"
+	lastPart  = "Content-Length: 3\r\n\r\nred"
+)
+
+// TestRequestsCountFromTheirFirstByte guards against deadlines that count from the end of a head that takes long to
+// arrive.
+func TestRequestsCountFromTheirFirstByte(t *testing.T) {
+	play := func(t *testing.T, handlerTakes time.Duration, send func(conn net.Conn)) (startsMs []clock.Millis, areNew []bool) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			c := clock.New()
+			begin := c.Monotonic()
+			inner := closableListener{pipeListener{conns: make(chan net.Conn, 1)}, make(chan struct{})}
+			l := NewListener(inner, 1, exchange.NewMemory(1<<20), c)
+			server := &http.Server{
+				ReadHeaderTimeout: time.Minute,
+				Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					arrival := ConnOf(r.Context()).Arrival()
+					startsMs, areNew = append(startsMs, arrival.StartMs-begin), append(areNew, arrival.New)
+					_, err := io.Copy(io.Discard, r.Body)
+					assert.NoError(t, err)
+					time.Sleep(handlerTakes)
+				}),
+			}
+			Attach(server, c.Monotonic)
+			go func() { _ = server.Serve(l) }()
+			here, there := net.Pipe()
+			inner.conns <- there
+			go func() {
+				for in := bufio.NewReader(here); ; {
+					if _, err := http.ReadResponse(in, nil); err != nil {
+						return
+					}
+				}
+			}()
+			send(here)
+			time.Sleep(5 * time.Second)
+			require.NoError(t, here.Close())
+			require.NoError(t, server.Close())
+		})
+		return startsMs, areNew
+	}
+	write := func(t *testing.T, conn net.Conn, data string) {
+		t.Helper()
+		_, err := io.WriteString(conn, data)
+		require.NoError(t, err)
+	}
+	t.Run("a head that takes long", func(t *testing.T) {
+		startsMs, areNew := play(t, 0, func(conn net.Conn) {
+			time.Sleep(20 * time.Millisecond)
+			write(t, conn, firstPart)
+			time.Sleep(800 * time.Millisecond)
+			write(t, conn, lastPart)
+		})
+		assert.Equal(t, []clock.Millis{0}, startsMs, "from the connect")
+		assert.Equal(t, []bool{true}, areNew)
+	})
+	t.Run("a connection that was opened in advance", func(t *testing.T) {
+		startsMs, areNew := play(t, 0, func(conn net.Conn) {
+			time.Sleep(500 * time.Millisecond)
+			write(t, conn, firstPart)
+			time.Sleep(800 * time.Millisecond)
+			write(t, conn, lastPart)
+		})
+		assert.Equal(t, []clock.Millis{500}, startsMs)
+		assert.Equal(t, []bool{false}, areNew)
+	})
+	t.Run("the next request on a connection", func(t *testing.T) {
+		startsMs, areNew := play(t, 0, func(conn net.Conn) {
+			write(t, conn, firstPart+lastPart)
+			time.Sleep(time.Second)
+			write(t, conn, firstPart)
+			time.Sleep(800 * time.Millisecond)
+			write(t, conn, lastPart)
+		})
+		assert.Equal(t, []clock.Millis{0, 1000}, startsMs)
+		assert.Equal(t, []bool{true, false}, areNew)
+	})
+	t.Run("one that is sent while another is handled", func(t *testing.T) {
+		startsMs, areNew := play(t, 400*time.Millisecond, func(conn net.Conn) {
+			write(t, conn, firstPart+lastPart)
+			time.Sleep(100 * time.Millisecond)
+			write(t, conn, firstPart)
+			time.Sleep(100 * time.Millisecond)
+			write(t, conn, lastPart)
+		})
+		assert.Equal(t, []clock.Millis{0, 100}, startsMs)
+		assert.Equal(t, []bool{true, false}, areNew)
+	})
+	t.Run("three at once", func(t *testing.T) {
+		startsMs, areNew := play(t, 400*time.Millisecond, func(conn net.Conn) {
+			write(t, conn, firstPart+lastPart+firstPart+lastPart+firstPart+lastPart)
+		})
+		assert.Equal(t, []clock.Millis{0, 0, 0}, startsMs)
+		assert.Equal(t, []bool{true, false, false}, areNew)
+	})
+}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -83,6 +83,8 @@
 	taking sync.Mutex
 	taken  taken
 
+	arrivals arrivals
+
 	ahead readAhead
 	// aheadBytes is how much ahead holds, and bodyBytes how much of the body of a request was not read.
 	aheadBytes, bodyBytes atomic.Int64
@@ -102,6 +104,9 @@
 	c.reads.Add(1)
 	defer c.reads.Add(-1)
 	n, err := c.readRequest(data)
+	if n > 0 {
+		c.arrivals.recordRead(c.listener.clock.Monotonic(), len(data), c.handling.Load())
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.Store(true)
 	}
@@ -185,6 +190,7 @@
 func (c *Conn) setIdle(now clock.Millis) {
 	c.quietSinceMs.Store(int64(now))
 	c.keptUnread.Store(false)
+	c.arrivals.recordIdle()
 	c.state.Store(connIdle)
 	c.listener.handleIdle(c)
 }
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -142,6 +142,7 @@
 	defer l.mu.Unlock()
 	l.waiting, l.exhausted = false, false
 	c := &Conn{Conn: conn, listener: l}
+	c.arrivals.acceptedMs = l.clock.Monotonic()
 	c.prepareTake()
 	c.release = sync.OnceFunc(func() { l.remove(c, hasSlot) })
 	if l.responses != nil {
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -88,6 +88,7 @@
 		data = nil
 	}
 	c.ahead.data = data
+	c.arrivals.recordHeld(c.listener.clock.Monotonic(), len(data))
 	c.headAhead.Store(bytes.Contains(data, []byte("\n\r\n")) || bytes.Contains(data, []byte("\n\n")))
 	c.aheadBytes.Store(int64(len(data)))
 }
--- a/internal/socket/kernel.go
+++ b/internal/socket/kernel.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -63,6 +65,30 @@
 	return State{Outstanding: err == nil && queued > 0, Open: !failed, Ended: ended}
 }
 
+// unknownRoundTrip is what some kernels tell of a connection without a measured round trip.
+const unknownRoundTrip = math.MaxUint32
+
+// RoundTrip returns the shortest round trip that was measured lately on a connection, or 0 if the kernel doesn't tell.
+// The usual one includes the time for which the other side delays its acknowledgements.
+func (k *Kernel) RoundTrip(c net.Conn) (roundTrip time.Duration) {
+	raw := rawOf(c)
+	if raw == nil {
+		return 0
+	}
+	// After an error, the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		info, err := k.TCPInfo(int(fd))
+		switch {
+		case err != nil || info.State == stateUnknown:
+		case info.Min_rtt != 0 && info.Min_rtt != unknownRoundTrip:
+			roundTrip = time.Duration(info.Min_rtt) * time.Microsecond
+		default:
+			roundTrip = time.Duration(info.Rtt) * time.Microsecond
+		}
+	})
+	return roundTrip
+}
+
 // stateUnknown is the state of a connection of which the kernel does not tell it.
 const stateUnknown = 0
 
--- a/internal/socket/kernel_test.go
+++ b/internal/socket/kernel_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -145,3 +146,23 @@
 	require.NoError(t, dropped.Close())
 	assert.False(t, kernel.IsConnecting(raw), "a closed socket")
 }
+
+func TestRoundTrip(t *testing.T) {
+	kernel := func(info unix.TCPInfo) *Kernel {
+		return &Kernel{TCPInfo: func(int) (*unix.TCPInfo, error) { return &info, nil }}
+	}
+	_, conn := testlib.Connect(t)
+	for _, c := range []struct {
+		name   string
+		kernel *Kernel
+		want   time.Duration
+	}{
+		{"the shortest one", kernel(unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Min_rtt: 9000, Rtt: 40_000}), 9 * time.Millisecond},
+		{"only the usual one", kernel(unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Rtt: 9000}), 9 * time.Millisecond},
+		{"none yet", kernel(unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Min_rtt: unknownRoundTrip}), 0},
+		{"a kernel that tells nothing", silent(), 0},
+		{"without fields", kernel(unix.TCPInfo{}), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.want, c.kernel.RoundTrip(conn)) })
+	}
+}
