feat(gateway): by how much responses leave before their callers' deadlines

Nothing told whether a 504 left before or after its caller's deadline, how far the caller is, or how late the process itself acts. The line of a request's end has deadline_lead_ms, round_trip_ms and lateness_ms, and the metrics count responses after their deadline and record leads and lags of last responses. A refusal is flushed before its line is written, so that the line tells when it was handed to the kernel.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -266,6 +266,10 @@
 	// WaitedMs is how long the request waited to be admitted to an engine.
 	WaitedMs clock.Millis
 	TookMs   clock.Millis
+	// Timed is set if the response was sent and has a deadline. LeadMs is by how much it was sent before that, RoundTripMs
+	// the measured round trip to the caller, if any, and LatenessMs by how much the box was late lately.
+	Timed                           bool
+	LeadMs, RoundTripMs, LatenessMs clock.Millis
 }
 
 // Name implements Event.
@@ -296,6 +300,11 @@
 		o.AddInt64("waited_ms", int64(e.WaitedMs))
 	}
 	o.AddInt64("took_ms", int64(e.TookMs))
+	if e.Timed {
+		o.AddInt64("deadline_lead_ms", int64(e.LeadMs))
+		o.AddInt64("round_trip_ms", int64(e.RoundTripMs))
+		o.AddInt64("lateness_ms", int64(e.LatenessMs))
+	}
 	return nil
 }
 
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -17,6 +17,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/exchange"
@@ -97,6 +98,8 @@
 	// stopStartMs is when the stop began, or earlier.
 	stopStartMs atomic.Int64
 	stalls      stallMeter
+	// lateness is by how much this process acts late.
+	lateness deadline.Lateness
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
@@ -198,6 +201,7 @@
 	b.metrics.Publish("connections_closed_idle", func() any { return b.evictions.Closed.Load() })
 	b.metrics.Publish("connections_kept_unread", func() any { return b.evictions.Unread.Load() })
 	b.metrics.Publish("evacuations", func() any { return b.evacuations.Active() })
+	b.metrics.Publish("lateness_ms", func() any { return b.latenessMs() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
@@ -339,6 +343,7 @@
 	b.goroutines.Go(func() { b.source.Run(background, b.sink.asSink()) })
 	b.goroutines.Go(func() { b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() }) })
 	b.goroutines.Go(func() { b.watchPaths(background) })
+	b.goroutines.Go(func() { b.measureLateness(background) })
 	b.goroutines.Go(func() { b.forwarding.run(background) })
 	b.goroutines.Go(func() { b.crashDetector.run(background) })
 	b.goroutines.Go(func() { b.syncNotes(background) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -101,6 +101,21 @@
 	m.recordTook(name, tookMs)
 }
 
+// ResponseSent counts a response that was sent after its caller's deadline, and records by how much a last response was
+// sent before or after it. A last response was made by the box since the time of the request was over.
+func (m *Metrics) ResponseSent(leadMs clock.Millis, isLast bool) {
+	if leadMs < 0 {
+		m.all.Add("responses_after_deadline", 1)
+	}
+	switch {
+	case !isLast:
+	case leadMs < 0:
+		m.recordTook("last_response_lag", -leadMs)
+	default:
+		m.recordTook("last_response_lead", leadMs)
+	}
+}
+
 // AdmissionDecided counts a decision on the admission of a prompt by its verdict, and records how long the prompt
 // waited, if it did.
 func (m *Metrics) AdmissionDecided(verdict string, waitedMs clock.Millis) {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -80,7 +80,10 @@
 			CheckBeforeSend: b.checkBeforeSend, CheckCaller: checkCaller, Commit: b.commit, HoldWhile: holdWhile,
 			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
-		record: record.New(b.log.Record, b.metrics.RequestEnded, b.stateAgeMs, b.clock.Monotonic),
+		record: record.New(record.Dependencies{
+			LogEvent: b.log.Record, CountOutcome: b.metrics.RequestEnded, CountLead: b.metrics.ResponseSent,
+			StateAgeMs: b.stateAgeMs, LatenessMs: b.latenessMs, Monotonic: b.clock.Monotonic,
+		}),
 	}
 }
 
@@ -98,13 +101,15 @@
 		}
 		c.BeginResponse(hr, header)
 	})
-	if c != nil {
-		writer.SetUnread(c.Unread())
-	}
-	return &opaque.Request{
+	r := &opaque.Request{
 		ID: hr.Header.Get(b.dialect.RequestID), HTTP: hr, Writer: writer, Dialect: b.dialect,
 		Box: b.settings.Load().Box, ArrivedMs: now, ReceivedMs: now,
 	}
+	if c != nil {
+		writer.SetUnread(c.Unread())
+		r.RoundTripMs = c.Arrival().RoundTripMs
+	}
+	return r
 }
 
 // serve runs a request through the pipeline.
@@ -224,6 +229,8 @@
 			discardLastBody(r.HTTP)
 		}
 		refusal.Write(r)
+		// It must not wait for what follows in this process. An error means that the caller has disconnected.
+		_ = r.Writer.FlushNow()
 	default:
 		b.log.Record(decision.InputIgnored{Input: "request " + r.ID, Err: err.Error()})
 		opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, err).Write(r)
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -26,8 +26,10 @@
 	// ReceivedMs is when this box read the header. It is later than ArrivedMs if another box forwarded the
 	// request.
 	ReceivedMs clock.Millis
-	// DeadlineMs is the monotonic time by which the final response is due.
+	// DeadlineMs is the monotonic time until which the caller waits for the response, or 0 while it is unknown.
 	DeadlineMs clock.Millis
+	// RoundTripMs is the measured round trip to the caller, or 0 if it is unknown.
+	RoundTripMs clock.Millis
 
 	State        *routing.State
 	Route        *routing.Route
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -9,32 +9,40 @@
 	"dooryard.example/dooryard/internal/opaque"
 )
 
+// Dependencies are the parts of the box that the step uses.
+type Dependencies struct {
+	// LogEvent logs an event.
+	LogEvent func(e decision.Event)
+	// CountOutcome counts an outcome.
+	CountOutcome func(kind, outcome string, elapsedMs clock.Millis)
+	// CountLead counts by how much a response was sent before its caller's deadline. A last response was made by the box
+	// since the time of the request was over.
+	CountLead func(leadMs clock.Millis, isLast bool)
+	// StateAgeMs returns the age of the routing state.
+	StateAgeMs func() clock.Millis
+	// LatenessMs returns by how much the box was late lately when it acted at a set time.
+	LatenessMs func() clock.Millis
+	// Monotonic reads the monotonic clock.
+	Monotonic func() clock.Millis
+}
+
 // Pipe records the outcomes of requests.
 type Pipe struct {
-	logEvent     func(e decision.Event)
-	countOutcome func(kind, outcome string, elapsedMs clock.Millis)
-	stateAgeMs   func() clock.Millis
-	monotonic    func() clock.Millis
+	deps Dependencies
 }
 
-// New returns the step. The functions log an event, count an outcome, return the age of the
-// routing state, and read the monotonic clock.
-func New(
-	logEvent func(e decision.Event),
-	countOutcome func(kind, outcome string, elapsedMs clock.Millis),
-	stateAgeMs, monotonic func() clock.Millis,
-) *Pipe {
-	return &Pipe{logEvent: logEvent, countOutcome: countOutcome, stateAgeMs: stateAgeMs, monotonic: monotonic}
-}
+// New returns the step.
+func New(d Dependencies) *Pipe { return &Pipe{deps: d} }
 
 // String returns the name of the step in logs.
 func (*Pipe) String() string { return "record" }
 
 // Run records the outcome of a request; err is the error that stopped its steps, or nil.
 func (p *Pipe) Run(r *opaque.Request, err error) {
-	elapsed := p.monotonic() - r.ArrivedMs
+	now := p.deps.Monotonic()
+	elapsed := now - r.ArrivedMs
 	e := decision.RequestEnded{
-		Request: r.ID, Upstream: r.Upstream, Resumes: r.ResumedID(), AgeMs: p.stateAgeMs(), Status: r.Writer.Status(),
+		Request: r.ID, Upstream: r.Upstream, Resumes: r.ResumedID(), AgeMs: p.deps.StateAgeMs(), Status: r.Writer.Status(),
 		Framing: r.Framing, FromBox: r.FromBox, Attempts: len(r.Tried), Bytes: r.Writer.Written(),
 		WaitedMs: r.WaitedMs, TookMs: elapsed,
 	}
@@ -64,6 +72,10 @@
 		e.Cause, e.Err = "upstream_failed", err.Error()
 		outcome = e.Cause
 	}
-	p.logEvent(e)
-	p.countOutcome(kind, outcome, elapsed)
+	if r.DeadlineMs != 0 && r.Writer.Started() {
+		e.Timed, e.LeadMs, e.RoundTripMs, e.LatenessMs = true, r.DeadlineMs-now, r.RoundTripMs, p.deps.LatenessMs()
+		p.deps.CountLead(e.LeadMs, refusal != nil && refusal.Cause.EndsTime())
+	}
+	p.deps.LogEvent(e)
+	p.deps.CountOutcome(kind, outcome, elapsed)
 }
