fix(gateway): last responses leave in time to be read by their callers' deadlines

What callers saw: a request that no upstream responds to got its 504 at its deadline by the box's clock, counted from the end of its head. A caller that waits for exactly as long as it says reads nothing: the way there and back, the time that the head takes and the lateness of the box come on top. The same held for what waits elsewhere until the deadline: bodies, queues, requests that another box serves, response memory. A request with a short deadline waited up to 400 ms for a routing state, however short.

Cause: the deadline was taken as the time to act, not as the time by which the caller needs the response.

Change: a request has two instants. DeadlineMs is until when the caller waits, counted from its first byte. RespondByMs is when the last response leaves: earlier by the round trip to the caller (measured by the kernel, at least deadline.round_trip_ms, twice on a new connection), and by the lateness of the process, which ticks and the requests' own timers observe. All waits for a response that has not begun end at RespondByMs, and upstreams are told the time until then. A response that has begun goes on until DeadlineMs, so that no sound one is ended for this; upstreams of streaming routes are told the time until DeadlineMs. A request whose time is over when it is read is refused as not run. A box that another one forwards to needs no assumed round trip, since boxes connect directly.

Ruled out: ending begun responses at RespondByMs as well, which gives their callers nothing.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -266,8 +266,8 @@
 	// WaitedMs is how long the request waited to be admitted to an engine.
 	WaitedMs clock.Millis
 	TookMs   clock.Millis
-	// Timed is set if the response was sent and has a deadline. LeadMs is by how much it was sent before that, RoundTripMs
-	// the measured round trip to the caller, if any, and LatenessMs by how much the box was late lately.
+	// Timed is set if the response was sent and has a deadline. LeadMs is by how much it was sent before that,
+	// RoundTripMs the measured round trip to the caller, if any, and LatenessMs by how much the box was late lately.
 	Timed                           bool
 	LeadMs, RoundTripMs, LatenessMs clock.Millis
 }
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -201,7 +201,6 @@
 	b.metrics.Publish("connections_closed_idle", func() any { return b.evictions.Closed.Load() })
 	b.metrics.Publish("connections_kept_unread", func() any { return b.evictions.Unread.Load() })
 	b.metrics.Publish("evacuations", func() any { return b.evacuations.Active() })
-	b.metrics.Publish("lateness_ms", func() any { return b.latenessMs() })
 	b.metrics.Publish("lines_dropped", func() any { return b.log.DroppedLines() })
 	b.quarantine = quarantine.New(b.clock.Monotonic, b.quarantineSettings, int64(b.clock.Now()))
 	b.metrics.Publish("quarantine", func() any { return b.quarantine.Sizes() })
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -146,6 +146,8 @@
 	key       = "secret"
 	maxAgeMs  = 5000
 	timeoutMs = 4000
+	// newLeadMs is by how much the last response on a new connection leaves before the deadline.
+	newLeadMs = 2*defaultRoundTripMs + int(clock.Resolution)
 )
 
 // content returns a routing state with a route of each kind, a resumable, a public and a sticky one.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -96,6 +96,9 @@
 	config.SetDefault(&g.Budget.Slack, defaultSlack)
 	config.SetDefault(&g.Budget.WindowS, defaultWindowS)
 	config.SetDefault(&g.Shutdown.GraceS, defaultGraceS)
+	config.SetDefault(&g.Deadline.RoundTripMs, defaultRoundTripMs)
+	config.SetDefault(&g.Deadline.MaxLeadMs, defaultMaxLeadMs)
+	config.SetDefault(&g.Deadline.MaxLeadPercent, defaultMaxLeadPercent)
 	return g
 }
 
--- a/internal/gateway/pause_detector.go
+++ b/internal/gateway/pause_detector.go
@@ -119,8 +119,8 @@
 
 // checkBeforeSend decides, right before a request is sent, whether it may still be sent. The process may have been
 // paused since the request was admitted, and the caller may have disconnected.
-func (b *Box) checkBeforeSend(r *opaque.Request) error {
-	b.pauseDetector.awaitRefresh(r.Context())
+func (b *Box) checkBeforeSend(ctx context.Context, r *opaque.Request) error {
+	b.pauseDetector.awaitRefresh(ctx)
 	if err := checkCaller(r); err != nil {
 		return err
 	}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/inbound"
@@ -43,7 +44,7 @@
 // list returns the steps of the pipeline in the order in which they run.
 func (s *steps) list() []step {
 	return []step{
-		s.match,     // finds the route, the pool and the deadline
+		s.match,     // finds the route, the pool and the deadline, and refuses what comes too late
 		s.authorise, // checks the key, and whether keys may be trusted now
 		s.receive,   // reads the whole body
 		s.stopCheck, // refuses what a stopping box can't finish
@@ -55,7 +56,9 @@
 
 func (b *Box) buildSteps() {
 	b.steps = &steps{
-		match:     match.New(b.awaitState, b.stateMayBeOutdated),
+		match: match.New(match.Dependencies{
+			State: b.awaitState, MayBeStale: b.stateMayBeOutdated, LeadMs: b.leadMs, Clock: b.clock,
+		}),
 		authorise: authorise.New(b.routingState.AgeMs, b.maxAgeMs, b.stateMayBeOutdated),
 		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic, b.graceEnded),
 		stopCheck: stopCheck{box: b},
@@ -67,6 +70,7 @@
 			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
 			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
 			RespondsWithin: b.balance.RespondsWithin, OnFirstSend: b.budgets.RecordAttempt,
+			OnDue: b.handleDue,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
 			StateAgeMs:    b.stateAgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
@@ -91,8 +95,7 @@
 func (b *Box) ServeHTTP(w http.ResponseWriter, hr *http.Request) { b.serve(b.newRequest(w, hr)) }
 
 func (b *Box) newRequest(w http.ResponseWriter, hr *http.Request) *opaque.Request {
-	now := b.clock.Monotonic()
-	writer := exchange.NewWriter(w)
+	writer, now := exchange.NewWriter(w), b.clock.Monotonic()
 	c := inbound.ConnOf(hr.Context())
 	// A request may begin long before the stop.
 	writer.OnStart(func(header http.Header) {
@@ -107,7 +110,9 @@
 	}
 	if c != nil {
 		writer.SetUnread(c.Unread())
-		r.RoundTripMs = c.Arrival().RoundTripMs
+		arrival := c.Arrival()
+		r.ArrivedMs, r.ReceivedMs = arrival.StartMs, arrival.StartMs
+		r.Path = deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New}
 	}
 	return r
 }
@@ -207,6 +212,14 @@
 	maxDiscardBytes = 256 << 10
 )
 
+// unreadBodyMs returns how long the refusal of a request waits for its body.
+func (b *Box) unreadBodyMs(r *opaque.Request) clock.Millis {
+	if r.DeadlineMs == 0 {
+		return unreadBodyMs
+	}
+	return max(1, min(unreadBodyMs, r.RemainingMs(b.clock.Monotonic())))
+}
+
 // discardLastBody reads the rest of a short body if the connection is closed after the response. The server doesn't,
 // and a connection that is closed while data arrives is reset, so that its caller may lose the response.
 func discardLastBody(hr *http.Request) {
@@ -225,7 +238,7 @@
 	case errors.As(err, &refusal):
 		if r.Body == nil && refusal.Cause != opaque.BodyTimeout && refusal.Cause != opaque.BoxStopping {
 			// The server reads the rest of a short body before it responds, if it keeps the connection.
-			r.Writer.SetReadTimeout(unreadBodyMs.Duration())
+			r.Writer.SetReadTimeout(b.unreadBodyMs(r).Duration())
 			discardLastBody(r.HTTP)
 		}
 		refusal.Write(r)
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/prompt"
 	"dooryard.example/dooryard/internal/quarantine"
@@ -21,15 +22,18 @@
 	Writer  *exchange.Writer
 	Dialect *Dialect
 
-	// ArrivedMs is the monotonic time at which the header of the caller's request was read.
+	// ArrivedMs is the monotonic time at which the caller's request began to arrive.
 	ArrivedMs clock.Millis
-	// ReceivedMs is when this box read the header. It is later than ArrivedMs if another box forwarded the
-	// request.
+	// ReceivedMs is when the request began to arrive at this box. It is later than ArrivedMs if another box forwarded
+	// the request.
 	ReceivedMs clock.Millis
 	// DeadlineMs is the monotonic time until which the caller waits for the response, or 0 while it is unknown.
 	DeadlineMs clock.Millis
-	// RoundTripMs is the measured round trip to the caller, or 0 if it is unknown.
-	RoundTripMs clock.Millis
+	// RespondByMs is the monotonic time by which the last response must leave so that the caller has it by DeadlineMs.
+	// Waits for a response that has not begun end then.
+	RespondByMs clock.Millis
+	// Path is the way between this box and the sender of the request.
+	Path deadline.Path
 
 	State        *routing.State
 	Route        *routing.Route
@@ -126,5 +130,13 @@
 	return r.Route.Priority
 }
 
-// RemainingMs returns the time until the final response is due.
-func (r *Request) RemainingMs(now clock.Millis) clock.Millis { return r.DeadlineMs - now }
+// RemainingMs returns the time until the last response must leave.
+func (r *Request) RemainingMs(now clock.Millis) clock.Millis { return r.RespondByMs - now }
+
+// UpstreamTimeMs returns the time for upstreams to respond. Responses in parts are relayed until the deadline.
+func (r *Request) UpstreamTimeMs(now clock.Millis) clock.Millis {
+	if r.Route.Kind == routing.Stream {
+		return r.DeadlineMs - now
+	}
+	return r.RemainingMs(now)
+}
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -176,7 +176,7 @@
 	if a, needed := lease.Admission(); !needed || a.WaitedMs == 0 {
 		return nil
 	}
-	if err := s.pipe.deps.CheckBeforeSend(s.request); err != nil {
+	if err := s.pipe.deps.CheckBeforeSend(s.ctx, s.request); err != nil {
 		return err
 	}
 	if err := s.pipe.deps.Admission.Reauthorise(s.request); err != nil {
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -56,6 +56,7 @@
 		return s.failWithoutResponse(lease, err, context.Cause(ctx))
 	}
 	defer resp.Close()
+	s.responding.Store(true)
 	lease.RecordAnswered()
 	s.request.Sent++
 	s.request.Framing = string(resp.Framing())
@@ -78,7 +79,6 @@
 func (s *retryLoop) forgetAttempt() {
 	s.dropFailedResponse()
 	s.signals = opaque.Signals{}
-	s.hasUnread.Store(nil)
 	s.mayContinue.Store(nil)
 }
 
@@ -295,7 +295,7 @@
 func (s *retryLoop) newRequest() *upstream.Request {
 	r, d := s.request, s.request.Dialect
 	header := d.RequestHeader(r.HTTP.Header)
-	remaining := max(1, r.RemainingMs(s.pipe.deps.Clock.Monotonic()))
+	remaining := max(1, r.UpstreamTimeMs(s.pipe.deps.Clock.Monotonic()))
 	setHeader(header, d.DeadlineMs, strconv.FormatInt(int64(remaining), 10))
 	setHeader(header, d.LastEventID, s.lastEventID())
 	return &upstream.Request{
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -120,7 +120,7 @@
 
 // newPart returns an empty buffer once the box has memory for it.
 func (s *retryLoop) newPart(size int64) ([]byte, error) {
-	err := s.body.Grow(s.ctx, size, func(sizes exchange.MemorySizes) {
+	err := s.body.Grow(s.beforeDue, size, func(sizes exchange.MemorySizes) {
 		s.pipe.deps.RecordEvent(decision.ResponseDelayed{
 			Request: s.request.ID, Upstream: s.request.Upstream, UsedBytes: sizes.UsedBytes, LimitBytes: sizes.LimitBytes,
 		})
@@ -192,7 +192,7 @@
 }
 
 func (w *bufferedResponse) write(r *opaque.Request, now clock.Millis) {
-	r.Writer.StartBuffered(r.RemainingMs(now))
+	r.Writer.StartBuffered(r.DeadlineMs - now)
 	defer r.Writer.EndBuffered()
 	setResponseHeader(r.Writer.Header(), w.header)
 	r.SetHopHeaders()
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -40,6 +40,8 @@
 	CanRetry func(pool string) bool
 	// RespondsWithin reports whether another upstream of the pool would likely respond within a time.
 	RespondsWithin func(pool string, within clock.Millis) bool
+	// OnDue is called when the last response to a request must leave.
+	OnDue func(r *opaque.Request)
 	// OnFirstSend counts the first attempt of a request in the retry budget of a pool.
 	OnFirstSend func(pool string)
 	// StateAgeMs returns the time since the routing state was last confirmed to be the newest, for
@@ -79,8 +81,8 @@
 	// OriginRetracted reports whether the recorded origin of a stream turned out to be doubtful. Nothing may continue it
 	// then.
 	OriginRetracted func(r *opaque.Request) bool
-	// CheckBeforeSend returns an error if the box may not send the request now.
-	CheckBeforeSend func(r *opaque.Request) error
+	// CheckBeforeSend returns an error if the box may not send the request now. It may wait until the context ends.
+	CheckBeforeSend func(ctx context.Context, r *opaque.Request) error
 	// CheckCaller returns an error if the caller has probably left.
 	CheckCaller func(r *opaque.Request) error
 	// Commit makes a request that may not be repeated wait for its response though its caller seems to have left, until
@@ -111,9 +113,12 @@
 
 // Run makes attempts until the caller has a response or no further attempt is allowed.
 func (p *Pipe) Run(r *opaque.Request) error {
-	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Monotonic())))
+	now := p.deps.Clock.Monotonic()
+	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.DeadlineMs-now))
 	defer cancel()
 	defer context.AfterFunc(p.deps.GraceEnded, cancel)()
+	beforeDue, endDue := p.deps.Clock.WithTimeout(ctx, max(1, r.RemainingMs(now)))
+	defer endDue()
 	if r.Route.Kind != routing.Stream && p.deps.Memory.Refuse() {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.BoxFull, memoryRetryMs, errNoMemory)
 	}
@@ -121,12 +126,22 @@
 		// The forwarding box has counted the request.
 		p.deps.OnFirstSend(r.Pool)
 	}
-	s := &retryLoop{pipe: p, request: r, ctx: ctx, cancel: cancel}
+	s := &retryLoop{pipe: p, request: r, ctx: ctx, beforeDue: beforeDue, cancel: cancel}
+	defer context.AfterFunc(beforeDue, s.endUnbegun)()
 	defer s.releaseBody()
 	defer p.deps.HoldWhile(r, s.responseWaits)()
 	return s.awaitCaller(s.run())
 }
 
+// endUnbegun is called when the last response must leave. It ends all waits for a response, unless one has begun, which
+// may reach the caller in time.
+func (s *retryLoop) endUnbegun() {
+	s.pipe.deps.OnDue(s.request)
+	if !s.responding.Load() && !s.responseWaits() {
+		s.cancel()
+	}
+}
+
 // memoryRetryMs is the Retry-After of a request that is refused because the box holds too much of other responses. It
 // is about the time that a response needs to reach its caller.
 const memoryRetryMs clock.Millis = 200
@@ -138,7 +153,7 @@
 func (s *retryLoop) run() error {
 	r, p := s.request, s.pipe
 	for {
-		if err := p.deps.CheckBeforeSend(r); err != nil {
+		if err := p.deps.CheckBeforeSend(s.ctx, r); err != nil {
 			return s.refuseSend(err)
 		}
 		lease, err := s.pick()
@@ -201,9 +216,14 @@
 type retryLoop struct {
 	pipe    *Pipe
 	request *opaque.Request
-	ctx     context.Context
+	// ctx ends at the caller's deadline, or when the last response must leave and none has begun.
+	ctx context.Context
 	// cancel ends ctx.
 	cancel context.CancelFunc
+	// beforeDue ends when the last response must leave.
+	beforeDue context.Context
+	// responding is set while an attempt's response arrives, and once the caller has a part of a stream.
+	responding atomic.Bool
 	// body is the memory of the latest buffered response.
 	body *exchange.Hold
 	// attempts counts all attempts, including those that sent nothing.
@@ -254,6 +274,8 @@
 // recordFailure logs a failed attempt and reports whether another attempt follows.
 func (s *retryLoop) recordFailure(target string, failed *failure) bool {
 	s.lastFailure = failed
+	s.responding.Store(s.stream != nil)
+	s.hasUnread.Store(nil)
 	verdict := s.retryDecision(failed)
 	s.pipe.deps.RecordEvent(decision.AttemptFailed{
 		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: target,
@@ -280,7 +302,7 @@
 		return stopCallerSlow
 	case r.Context().Err() != nil:
 		return stopCallerDisconnected
-	case s.ctx.Err() != nil || r.RemainingMs(s.pipe.deps.Clock.Monotonic()) <= 0:
+	case s.timeOver():
 		return stopDeadline
 	case errors.Is(failed.err, errResponseMemory):
 		return stopNoMemory
@@ -303,6 +325,17 @@
 	}
 }
 
+// remainingMs returns the time for the next attempt. A stream that has begun goes on until the deadline.
+func (s *retryLoop) remainingMs() clock.Millis {
+	now := s.pipe.deps.Clock.Monotonic()
+	if s.stream != nil {
+		return s.request.DeadlineMs - now
+	}
+	return s.request.RemainingMs(now)
+}
+
+func (s *retryLoop) timeOver() bool { return s.ctx.Err() != nil || s.remainingMs() <= 0 }
+
 // maxConnectAttempts limits all attempts of one request, including those that could not connect. A
 // refused connection costs a few milliseconds, so a request can try many upstreams when a large
 // part of a pool is down.
@@ -355,7 +388,7 @@
 	switch {
 	case s.pipe.deps.GraceEnded.Err() != nil:
 		return opaque.NewRefusal(http.StatusBadGateway, opaque.BoxStopping, 0, err)
-	case s.ctx.Err() != nil:
+	case s.timeOver():
 		return opaque.NewRefusal(http.StatusGatewayTimeout, opaque.DeadlineExceeded, 0, err)
 	default:
 		return opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, err)
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -87,6 +87,7 @@
 		return s.failForward(err)
 	}
 	defer resp.Close()
+	s.responding.Store(true)
 	r.Framing = string(resp.Framing())
 	hop, err := opaque.ParseHopResponse(resp.StatusCode, resp.Header)
 	switch {
@@ -130,7 +131,7 @@
 		hop.Origin = r.Origin.Key()
 	}
 	hop.SetHeader(request.Header)
-	request.BeforeSend = func() error { return s.pipe.deps.CheckBeforeSend(r) }
+	request.BeforeSend = func() error { return s.pipe.deps.CheckBeforeSend(s.ctx, r) }
 	return request
 }
 
--- a/internal/pipe/dispatch/unbuffered.go
+++ b/internal/pipe/dispatch/unbuffered.go
@@ -37,7 +37,7 @@
 		return &failure{err: errTooLarge, execution: mayHaveRun}
 	}
 	s.pipe.deps.Memory.CountUnbuffered()
-	r.Writer.StartBuffered(r.RemainingMs(s.pipe.deps.Clock.Monotonic()))
+	r.Writer.StartBuffered(r.DeadlineMs - s.pipe.deps.Clock.Monotonic())
 	defer r.Writer.EndBuffered()
 	setResponseHeader(r.Writer.Header(), w.header)
 	r.SetHopHeaders()
--- a/internal/pipe/match/match.go
+++ b/internal/pipe/match/match.go
@@ -18,25 +18,33 @@
 // about the time that a box needs to load its first one.
 const noStateRetryMs clock.Millis = 300
 
+// Dependencies are the parts of the box that the step uses.
+type Dependencies struct {
+	// State returns the active routing state, or nil if there is none; it may block while a box that has just started
+	// loads one.
+	State func(ctx context.Context) *routing.State
+	// MayBeStale reports whether a newer state may exist that the box has not received.
+	MayBeStale func() bool
+	// LeadMs returns by how much the last response has to leave before the deadline of a caller that waits for waitMs.
+	LeadMs func(r *opaque.Request, waitMs clock.Millis) clock.Millis
+	Clock  clock.Clock
+}
+
 // Pipe matches requests to routes.
 type Pipe struct {
-	state      func(ctx context.Context) *routing.State
-	mayBeStale func() bool
+	deps Dependencies
 }
 
-// New returns the step. The state function returns the active routing state, or nil if there
-// is none; it may block while a box that has just started loads one. The mayBeStale function
-// reports whether a newer state may exist that the box has not received.
-func New(state func(ctx context.Context) *routing.State, mayBeStale func() bool) *Pipe {
-	return &Pipe{state: state, mayBeStale: mayBeStale}
-}
+// New returns the step.
+func New(d Dependencies) *Pipe { return &Pipe{deps: d} }
 
 // String returns the name of the step in logs.
 func (*Pipe) String() string { return "match" }
 
 // Run selects the route. The request keeps the routing state that it was matched against.
 func (p *Pipe) Run(r *opaque.Request) error {
-	r.State = p.state(r.Context())
+	p.setRequestedDeadline(r)
+	r.State = p.awaitState(r)
 	if r.State == nil {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.NoState, noStateRetryMs, nil)
 	}
@@ -45,7 +53,7 @@
 	}
 	r.Route = r.State.Match(r.HTTP.Host, urlpath.Sent(r.HTTP.URL))
 	switch {
-	case r.Route == nil && p.mayBeStale():
+	case r.Route == nil && p.deps.MayBeStale():
 		// The route may be newer than the state, and another box may have it.
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.StaleState, noStateRetryMs, nil)
 	case r.Route == nil:
@@ -53,10 +61,25 @@
 	}
 	r.Prompt = opaque.ParsePrompt(r.HTTP.Header.Get(r.Dialect.Prompt))
 	r.Pool = r.Route.PoolFor(splitHash(r))
-	r.DeadlineMs = deadlineMs(r)
+	if latestMs := r.ArrivedMs + r.Route.TimeoutMs; r.DeadlineMs == 0 || latestMs < r.DeadlineMs {
+		p.setDeadline(r, latestMs)
+	}
+	if r.RemainingMs(p.deps.Clock.Monotonic()) <= 0 {
+		return opaque.NewRefusal(opaque.NotRunStatus, opaque.DeadlineExceededBeforeSend, 0, nil)
+	}
 	return nil
 }
 
+// awaitState returns the routing state. It does not wait longer than the caller does.
+func (p *Pipe) awaitState(r *opaque.Request) *routing.State {
+	if r.DeadlineMs == 0 {
+		return p.deps.State(r.Context())
+	}
+	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Monotonic())))
+	defer cancel()
+	return p.deps.State(ctx)
+}
+
 // splitHash returns the hash that selects a pool in a weighted split. On sticky routes it is the same
 // for all requests of a session, so that they go to the same pool. Prompts of a single part are
 // distributed by request.
@@ -67,17 +90,19 @@
 	return route.HashName(r.ID)
 }
 
-// deadlineMs returns the deadline of the request: that of the route, or the one in the deadline header if it
-// is earlier. The header counts from when this box received the request.
-func deadlineMs(r *opaque.Request) clock.Millis {
-	latestMs := r.ArrivedMs + r.Route.TimeoutMs
+// maxRequestedMs limits the time in the deadline header, so that sums with it don't overflow.
+const maxRequestedMs = 24 * 60 * 60 * clock.Second
+
+// setRequestedDeadline sets the deadline by the deadline header, if there is one. The header counts from when the
+// request began to arrive at this box.
+func (p *Pipe) setRequestedDeadline(r *opaque.Request) {
 	requestedMs, err := strconv.ParseInt(r.HTTP.Header.Get(r.Dialect.DeadlineMs), 10, 64)
-	if err != nil || requestedMs <= 0 {
-		return latestMs
+	if err == nil && requestedMs > 0 {
+		p.setDeadline(r, r.ReceivedMs+min(clock.Millis(requestedMs), maxRequestedMs))
 	}
-	// The difference is compared, since the sum may overflow.
-	if clock.Millis(requestedMs) >= latestMs-r.ReceivedMs {
-		return latestMs
-	}
-	return r.ReceivedMs + clock.Millis(requestedMs)
+}
+
+func (p *Pipe) setDeadline(r *opaque.Request, deadlineMs clock.Millis) {
+	r.DeadlineMs = deadlineMs
+	r.RespondByMs = deadlineMs - p.deps.LeadMs(r, deadlineMs-r.ReceivedMs)
 }
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -73,7 +73,7 @@
 		outcome = e.Cause
 	}
 	if r.DeadlineMs != 0 && r.Writer.Started() {
-		e.Timed, e.LeadMs, e.RoundTripMs, e.LatenessMs = true, r.DeadlineMs-now, r.RoundTripMs, p.deps.LatenessMs()
+		e.Timed, e.LeadMs, e.RoundTripMs, e.LatenessMs = true, r.DeadlineMs-now, r.Path.RoundTripMs, p.deps.LatenessMs()
 		p.deps.CountLead(e.LeadMs, refusal != nil && refusal.Cause.EndsTime())
 	}
 	p.deps.LogEvent(e)
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -45,6 +45,7 @@
 	// Quarantine configures the quarantine of requests that coincide with crashes of upstreams.
 	Quarantine Quarantine `yaml:"quarantine"`
 	Shutdown   Shutdown   `yaml:"shutdown"`
+	Deadline   Deadline   `yaml:"deadline"`
 	Capacity   Capacity   `yaml:"capacity"`
 	LogLimits  LogLimits  `yaml:"lines"`
 	Admission  Admission  `yaml:"admission"`
@@ -144,6 +145,16 @@
 	GraceS float64 `yaml:"grace_s"`
 }
 
+// Deadline configures by how much last responses leave before their callers' deadlines, so that they arrive in time.
+type Deadline struct {
+	// RoundTripMs is the round trip to callers that is assumed at least. Connections from a balancer do not tell it.
+	RoundTripMs int64 `yaml:"round_trip_ms"`
+	// MaxLeadMs is the maximum lead, which grows with the measured round trip and the lateness of the process.
+	MaxLeadMs int64 `yaml:"max_lead_ms"`
+	// MaxLeadPercent is the maximum lead, in percent of the time that the caller waits.
+	MaxLeadPercent int `yaml:"max_lead_percent"`
+}
+
 // Capacity describes the resources of the process.
 type Capacity struct {
 	// MemoryMb is the memory of the process in mebibytes.
@@ -379,6 +390,9 @@
 		rangeOf[int]{"retry_budget.slack", &g.Budget.Slack, 1, million},
 		rangeOf[float64]{"retry_budget.window_s", &g.Budget.WindowS, 0, maxSeconds},
 		rangeOf[float64]{"shutdown.grace_s", &g.Shutdown.GraceS, 0, maxSeconds},
+		rangeOf[int64]{"deadline.round_trip_ms", &g.Deadline.RoundTripMs, 1, 10_000},
+		rangeOf[int64]{"deadline.max_lead_ms", &g.Deadline.MaxLeadMs, 1, 60_000},
+		rangeOf[int]{"deadline.max_lead_percent", &g.Deadline.MaxLeadPercent, 1, 50},
 		rangeOf[int64]{"capacity.memory_mb", &g.Capacity.MemoryMb, 16, million},
 		rangeOf[int]{"capacity.open_files", &g.Capacity.OpenFiles, 64, million},
 		rangeOf[float64]{"capacity.processors", &g.Capacity.Processors, 0, maxProcessors},
