fix(inbound): requests count from when they arrived, not from when a late process read them

What callers saw: a box with little processor time (a quota, a busy machine, a stop) counts their deadlines from its read, so that last responses are late by as long as the requests had waited in the kernel.

Cause: the arrival was the time of the first read. The kernel knows when the last data arrived, which is no earlier than the first byte of the request that was read with it.

Change: Arrival asks for it. It counts only what exceeds a timer tick, and no time of over 30 s, which a kernel without the field may tell.

Evidence: TestRequestsCountWhileTheyWaitToBeRead, which gives 99998 instead of 99210 for a request that had waited 800 ms on the code before.

--- a/internal/inbound/arrival.go
+++ b/internal/inbound/arrival.go
@@ -10,10 +10,18 @@
 // Callers that open connections in advance count from when they send.
 const openingMs clock.Millis = 100
 
+const (
+	// kernelTickMs is by how much the kernel's times may be too long. They count timer ticks.
+	kernelTickMs clock.Millis = 10
+	// maxUnreadMs is how long a request waits at most to be read. A kernel that tells more has no such time.
+	maxUnreadMs = 30 * clock.Second
+)
+
 // Arrival is when and how a request arrived.
 type Arrival struct {
 	// StartMs is the monotonic time from which the caller counts, as far as the box knows: when the first byte of the
-	// request was read, or its connection accepted if it was opened for the request.
+	// request was read, or its connection accepted if it was opened for the request. It is earlier if the request then
+	// had waited to be read.
 	StartMs clock.Millis
 	// New is set if the connection was opened for the request.
 	New bool
@@ -45,6 +53,11 @@
 	if a.New {
 		a.StartMs = c.arrivals.acceptedMs
 	}
+	unreadMs := clock.FromDuration(c.listener.kernel.SinceReceived(c.Conn))
+	if unreadMs <= maxUnreadMs {
+		// The head arrived with the last data or before.
+		a.StartMs = min(a.StartMs, c.listener.clock.Monotonic()-max(0, unreadMs-kernelTickMs))
+	}
 	return a
 }
 
--- a/internal/inbound/arrival_test.go
+++ b/internal/inbound/arrival_test.go
@@ -11,9 +11,12 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/socket"
+	"dooryard.example/dooryard/internal/testlib"
 )
 
 const (
@@ -114,3 +117,30 @@
 		assert.Equal(t, []bool{true, false, false}, areNew)
 	})
 }
+
+// TestRequestsCountWhileTheyWaitToBeRead guards against deadlines that begin when a process that had no processor time
+// reads the request.
+func TestRequestsCountWhileTheyWaitToBeRead(t *testing.T) {
+	const nowMs = 100 * clock.Second
+	for _, c := range []struct {
+		name   string
+		unread uint32
+		want   clock.Millis
+	}{
+		{"a request that was read at once", 0, nowMs - 2},
+		{"one that may have waited for a tick", 12, nowMs - 2},
+		{"one that waited", 800, nowMs - 800 + kernelTickMs},
+		{"a kernel that tells no such time", 4_000_000_000, nowMs - 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, conn := testlib.Connect(t)
+			kernel := &socket.Kernel{TCPInfo: func(int) (*unix.TCPInfo, error) {
+				return &unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Last_data_recv: c.unread}, nil
+			}}
+			l := &Listener{kernel: kernel, clock: clock.New(clock.WithMonotonic(func() clock.Millis { return nowMs }))}
+			request := &Conn{Conn: conn, listener: l}
+			request.arrivals.recordRead(nowMs-2, 0, false)
+			assert.Equal(t, c.want, request.Arrival().StartMs)
+		})
+	}
+}
--- a/internal/socket/kernel.go
+++ b/internal/socket/kernel.go
@@ -89,6 +89,22 @@
 	return roundTrip
 }
 
+// SinceReceived returns how long ago the last data arrived on a connection, in steps of a timer tick, or 0 if the
+// kernel doesn't tell.
+func (k *Kernel) SinceReceived(c net.Conn) (span time.Duration) {
+	raw := rawOf(c)
+	if raw == nil {
+		return 0
+	}
+	// After an error, the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := k.TCPInfo(int(fd)); err == nil && info.State != stateUnknown {
+			span = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return span
+}
+
 // stateUnknown is the state of a connection of which the kernel does not tell it.
 const stateUnknown = 0
 
