fix(gateway): no retry with less time than upstreams usually need

What callers saw: an attempt fails shortly before the deadline, a retry follows that can't end in time, and the caller gets a 504 at its deadline instead of the failure at once.

Cause: a retry only needed any time to be left.

Change: no retry follows, also no continuation of a stream, if the pool's recent responses took at least the time that is left on average. Attempts that sent nothing or met another upstream are followed as before, since nothing has run yet.

Evidence: TestNoRetryThatComesTooLate, upstreams that take 400 ms and fail, 700 ms: on the code before two attempts and a 504 after 700 ms, now the 500 after 400 ms; with 1,000 ms two attempts as before.

Ruled out: RespondsWithin, which also counts attempts without a response: in a pool with many dark upstreams it would forbid retries early, when one that responds would still be in time.

--- a/internal/balance/slowpool.go
+++ b/internal/balance/slowpool.go
@@ -52,6 +52,15 @@
 		!c.between(oldest, now-half).mostlyUnanswered()
 }
 
+// UsuallyTakes reports whether the upstreams of a pool recently took at least a time to respond to this box's attempts
+// on average.
+func (m *Manager) UsuallyTakes(pool string, span clock.Millis) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.attempts[pool]
+	return c != nil && c.meanReaches(span, m.monotonic())
+}
+
 // mostlyUnanswered reports whether most of enough attempts at several upstreams have no response.
 func (s attemptSpan) mostlyUnanswered() bool {
 	unanswered := s.started - s.answered
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/pkg/config"
 )
 
 // deadlineCaller is a caller that waits exactly as long as it says.
@@ -186,3 +187,33 @@
 		})
 	})
 }
+
+// TestNoRetryThatComesTooLate guards against retries that begin with less time than upstreams need, so that their callers
+// wait for nothing.
+func TestNoRetryThatComesTooLate(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		const takesMs = 400
+		var arrivals atomic.Int32
+		for _, id := range []string{"u1", "u2"} {
+			f.upstream(id, countRequests(&arrivals, func(w http.ResponseWriter, r *http.Request) {
+				_ = clock.New().Sleep(r.Context(), takesMs)
+				if r.URL.Path == "/safe/fails" {
+					w.WriteHeader(http.StatusInternalServerError)
+				}
+			}))
+		}
+		b := f.box(1, func(g *config.Gateway) { g.Budget.Slack = 100 })
+		caller := &deadlineCaller{fleet: f, box: b}
+		for range 40 {
+			status, _ := caller.send("/safe/", "")
+			require.Equal(f.t, http.StatusOK, status)
+		}
+		for deadlineMs, attempts := range map[int]int32{700: 1, 1000: 2} {
+			arrivals.Store(0)
+			status, took := caller.send("/safe/fails", fmt.Sprintf("X-Deadline: %d\r\n", deadlineMs))
+			assert.Equal(f.t, http.StatusInternalServerError, status)
+			assert.Equal(f.t, attempts, arrivals.Load())
+			assert.Equal(f.t, time.Duration(attempts)*takesMs*time.Millisecond, took)
+		}
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -69,8 +69,8 @@
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
 			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
-			RespondsWithin: b.balance.RespondsWithin, OnFirstSend: b.budgets.RecordAttempt,
-			OnDue: b.handleDue,
+			RespondsWithin: b.balance.RespondsWithin, UsuallyTakes: b.balance.UsuallyTakes,
+			OnFirstSend: b.budgets.RecordAttempt, OnDue: b.handleDue,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
 			StateAgeMs:    b.stateAgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
