fix(gateway): requests that outlast the grace period are answered whatever their number and the processor time

Callers whose requests still ran at the end of a stop's grace period saw their connections closed without a response, and the process was sometimes killed in the midst of it.

Cause: a stop answered them in 40 percent of the reserve for the exit, 100 ms, whatever their number and whatever the processor time that the process gets (class: a limit in time where an amount of work decides). Now the stop measures for which part of the time it gets a processor, by the lateness of a tick of 5 ms, and begins with the last responses earlier by what those of the requests in flight take. It doesn't begin before the last sixth of the grace period, in which callers expect requests to be cut. The window ends when it did before, or when all are answered.

TestStopCutsInLastPart also has 10,000 requests in flight.

Ruled out: longer responses (each is 123 bytes).

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -94,6 +94,8 @@
 	out io.Writer
 	// admit stands for the owners of engines, if it is set.
 	admit admitFunc
+	// wrapListener changes the listeners of boxes, if it is set.
+	wrapListener func(l net.Listener) net.Listener
 }
 
 // advanceMonotonic advances the boxes' monotonic clock, but not the timers that wait on the fake clock.
@@ -228,7 +230,14 @@
 	adapter := Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
 		return f.store.source(name, c)
 	}}
-	b, err := New(settings, adapter, f.out, WithClock(f.clock), WithListen(h.Listen),
+	listen := func(network, address string) (net.Listener, error) {
+		l, err := h.Listen(network, address)
+		if err == nil && f.wrapListener != nil {
+			l = f.wrapListener(l)
+		}
+		return l, err
+	}
+	b, err := New(settings, adapter, f.out, WithClock(f.clock), WithListen(listen),
 		WithListenPackets(h.ListenPackets), WithDial(h.Dial), func(b *Box) { b.askAdmission = f.admit })
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -46,16 +46,19 @@
 // balancer has stopped sending new ones, then lets running requests finish. Requests that outlast the grace period are
 // refused, or cut if their responses have begun, which is no error.
 func (b *Box) stop(ctx context.Context) error {
-	b.stopStartMs.Store(int64(b.stopStart()))
-	b.stopping.Store(true)
+	b.beginStop()
 	b.recordStop("stopping", nil)
 	b.peering.mesh.BroadcastDraining()
 	b.origins.tellAll()
-	_ = b.clock.Sleep(ctx, min(timingOf(b.Settings()).announceMs, max(0, b.graceLeftMs())))
+	grace, end := context.WithCancel(ctx)
+	defer end()
+	b.goroutines.Go(func() {
+		defer end()
+		b.awaitGraceEnd(grace)
+	})
+	_ = b.clock.Sleep(grace, min(timingOf(b.Settings()).announceMs, max(0, b.graceLeftMs())))
 	b.recordStop("listeners close", nil)
 	b.handOver()
-	grace, cancel := b.clock.WithTimeout(ctx, max(1, b.graceLeftMs()))
-	defer cancel()
 	err := b.drain(grace)
 	if grace.Err() == nil {
 		return err
@@ -64,13 +67,21 @@
 		b.metrics.RequestsCut(cut)
 		b.recordStop("requests cut", nil)
 	}
+	lastMs := b.finalGraceMs() - b.clock.Monotonic() + b.exitReserve()*lastResponsesPercent/percent
 	b.endGrace()
-	last, cancel := b.clock.WithTimeout(ctx, b.exitReserve()*lastResponsesPercent/percent)
+	last, cancel := b.clock.WithTimeout(ctx, max(1, lastMs))
 	defer cancel()
 	b.eachListener(func(_ int, l *inbound.Listener) { l.CloseIdle(last) })
 	return err
 }
 
+// beginStop records when the stop began.
+func (b *Box) beginStop() {
+	b.stopHandledMs.Store(int64(b.clock.Monotonic()))
+	b.stopStartMs.Store(int64(b.stopStart()))
+	b.stopping.Store(true)
+}
+
 // stopStart returns the beginning of a stop: an instant at which the process had no signal. With little processor time
 // the signal is handled late, but its sender counts from when it was sent.
 func (b *Box) stopStart() clock.Millis {
@@ -89,10 +100,17 @@
 // the signal and the reserve.
 func (b *Box) earliestCut() clock.Millis { return shutdownGrace(b.Settings()) / cutDivisor }
 
-// graceLeftMs returns for how long requests may still run in a stop.
+// graceLeftMs returns for how long requests may still run in a stop. Many requests are answered earlier than a few, but
+// not before callers expect it.
 func (b *Box) graceLeftMs() clock.Millis {
-	endMs := clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - b.exitReserve()
-	return endMs - b.clock.Monotonic()
+	endMs := b.finalGraceMs()
+	earliestMs := clock.Millis(b.stopHandledMs.Load()) + shutdownGrace(b.Settings()) - b.earliestCut()
+	return max(min(endMs, earliestMs), endMs-b.lastResponsesMs()) - b.clock.Monotonic()
+}
+
+// finalGraceMs returns when the last request must be answered in a stop.
+func (b *Box) finalGraceMs() clock.Millis {
+	return clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - b.exitReserve()
 }
 
 // announcesClose reports whether a response tells its caller that a stop closes the connection. In the first half of
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -382,8 +384,9 @@
 }
 
 // TestStopCutsInLastPart guards against requests that are cut before the last part of a grace period, whatever it is and
-// however long the process was stalled.
+// however long the process was stalled and however many requests run.
 func TestStopCutsInLastPart(t *testing.T) {
+	const manyRequests = 10_000
 	for _, graceS := range []float64{2, 3, 4, 8, 30} {
 		for _, stallMs := range []clock.Millis{0, 80, clock.Second, 5 * clock.Second} {
 			t.Run(fmt.Sprintf("grace %v s, stall %d ms", graceS, stallMs), func(t *testing.T) {
@@ -391,12 +394,83 @@
 					b := f.box(1, withGrace(graceS))
 					f.advanceMonotonic(stallMs)
 					now := b.clock.Monotonic()
-					b.stopStartMs.Store(int64(b.stopStart()))
+					b.beginStop()
 					b.stalls.usualMs.Add(int64(stallMs))
 					assert.LessOrEqual(f.t, b.stopStart(), now)
-					assert.GreaterOrEqual(f.t, b.graceLeftMs(), shutdownGrace(b.Settings())*(cutDivisor-1)/cutDivisor)
+					leastMs := shutdownGrace(b.Settings()) * (cutDivisor - 1) / cutDivisor
+					assert.GreaterOrEqual(f.t, b.graceLeftMs(), leastMs)
+					b.requests.Add(manyRequests)
+					defer b.requests.Add(-manyRequests)
+					b.supply.observe(stallMs)
+					assert.GreaterOrEqual(f.t, b.graceLeftMs(), leastMs)
 				})
 			})
 		}
 	}
 }
+
+// slowListener returns connections whose first writes take a time each, one after the other.
+type slowListener struct {
+	net.Listener
+	turn  chan struct{}
+	write time.Duration
+	ended <-chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &slowConn{Conn: conn, awaitTurn: sync.OnceFunc(l.awaitTurn)}, err
+}
+
+func (l slowListener) awaitTurn() {
+	select {
+	case l.turn <- struct{}{}:
+		time.Sleep(l.write)
+		<-l.turn
+	case <-l.ended:
+	}
+}
+
+type slowConn struct {
+	net.Conn
+	awaitTurn func()
+}
+
+// Write implements net.Conn.
+func (c *slowConn) Write(data []byte) (int, error) {
+	c.awaitTurn()
+	return c.Conn.Write(data)
+}
+
+// TestStopAnswersAllThatOutlastGrace guards against requests without a response since more outlast the grace period
+// than the process can answer in a fixed time.
+func TestStopAnswersAllThatOutlastGrace(t *testing.T) {
+	const requests = 1000
+	runWithFleet(t, func(f *fleet) {
+		turn := make(chan struct{}, 1)
+		f.wrapListener = func(l net.Listener) net.Listener {
+			return slowListener{Listener: l, turn: turn, write: 200 * time.Microsecond, ended: f.t.Context().Done()}
+		}
+		f.upstreamWithSlots("u1", "d", requests, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		b := f.box(1, withGrace(6))
+		answered := atomic.Int64{}
+		send := func() {
+			caller := b.connect(b.settings.CallersAddress)
+			caller.write(requestText("/unsafe/", "X-Deadline: 60000\r\nContent-Length: 0\r\n"))
+			go func() {
+				if _, err := http.ReadResponse(caller.reader, nil); err == nil {
+					answered.Add(1)
+				}
+			}()
+		}
+		b.stop()
+		advance(f.t, 2500*time.Millisecond)
+		for range requests {
+			send()
+		}
+		advance(f.t, 3500*time.Millisecond)
+		b.assertStopped()
+		assert.EqualValues(f.t, requests, answered.Load())
+	})
+}
