fix(gateway): a process that handles its signal late accepts nothing that it can't answer any more

Cause: a stop counts from an instant that is at most three fifths of the last sixth of the grace period earlier, since requests must not be cut before that part. The same instant decided what is refused, and the time for which listeners stay open counted from when the signal was handled. Besides, the stall was forgotten if housekeeping saw its end first (class: one estimate for two decisions with opposite safe sides). Now refusals and the listeners count from the earliest instant at which the signal may have been sent, with what the load balancer has seen of the stall; listeners stay open for half of the usual time at least. The cut still counts from the other one.

Evidence: TestStopRefusesWhatComesLate fails for a stream and another request after a stall of 1.5 s (200 instead of 503), TestStopClosesListenersBySignal for each late signal.

TestStopRefusesWhatComesLate has its cases as they were, and three more.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -94,10 +94,11 @@
 	// evictions counts the connections that seemed idle when the box stopped or was full.
 	evictions inbound.Evictions
 	stopping  atomic.Bool
-	// stopStartMs is when the stop began, or earlier, and stopHandledMs when its signal was handled.
-	stopStartMs, stopHandledMs atomic.Int64
-	stalls                     stallMeter
-	supply                     supplyMeter
+	// stopStartMs is when the stop began, or earlier, from which requests are cut. stopEarliestMs is when its signal may
+	// have been sent at the earliest, and stopHandledMs when it was handled.
+	stopStartMs, stopEarliestMs, stopHandledMs atomic.Int64
+	stalls                                     stallMeter
+	supply                                     supplyMeter
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -38,6 +38,8 @@
 	lastStartDivisor = 8
 	// stoppingRetryMs is the Retry-After of a request that another box may serve at once.
 	stoppingRetryMs clock.Millis = 200
+	// usualSignalDelayMs is the delay of a signal that a process without stalls can't rule out.
+	usualSignalDelayMs = 2 * housekeepingIntervalMs
 	// signalHops is how many goroutines take part in handling a signal. Each may wait for one stall of the process.
 	signalHops = 4
 )
@@ -56,7 +58,7 @@
 		defer end()
 		b.awaitGraceEnd(grace)
 	})
-	_ = b.clock.Sleep(grace, min(timingOf(b.Settings()).announceMs, max(0, b.graceLeftMs())))
+	_ = b.clock.Sleep(grace, b.announceLeftMs())
 	b.recordStop("listeners close", nil)
 	b.handOver()
 	err := b.drain(grace)
@@ -79,16 +81,30 @@
 func (b *Box) beginStop() {
 	b.stopHandledMs.Store(int64(b.clock.Monotonic()))
 	b.stopStartMs.Store(int64(b.stopStart()))
+	b.stopEarliestMs.Store(int64(b.clock.Monotonic() - b.signalDelay()))
 	b.stopping.Store(true)
 }
 
-// stopStart returns the beginning of a stop: an instant at which the process had no signal. With little processor time
-// the signal is handled late, but its sender counts from when it was sent.
+// signalDelay returns how long ago the signal to stop may have been sent. With little processor time it is handled
+// late, but its sender counts from when it was sent.
+func (b *Box) signalDelay() clock.Millis {
+	return max(b.clock.Monotonic()-b.stalls.before(), signalHops*b.stalls.usual())
+}
+
+// stopStart returns the beginning of a stop: an instant at which the process had no signal, unless that would have
+// requests cut before callers expect it.
 func (b *Box) stopStart() clock.Millis {
-	now := b.clock.Monotonic()
-	delayMs := max(now-b.stalls.last(), signalHops*b.stalls.usual())
 	maxDelayMs := min(b.earliestCut()*(percent-reservePercent)/percent, b.earliestCut()-b.exitReserve())
-	return now - min(delayMs, max(0, maxDelayMs))
+	return b.clock.Monotonic() - min(b.signalDelay(), max(0, maxDelayMs))
+}
+
+// announceLeftMs returns for how long the listeners stay open in a stop. If the signal may have been sent long ago, the
+// front load balancer had no response meanwhile, and needs less time.
+func (b *Box) announceLeftMs() clock.Millis {
+	announceMs, handledMs := timingOf(b.Settings()).announceMs, clock.Millis(b.stopHandledMs.Load())
+	lateMs := max(0, handledMs-clock.Millis(b.stopEarliestMs.Load())-usualSignalDelayMs)
+	endMs := handledMs + announceMs - min(lateMs, announceMs/2)
+	return max(0, min(endMs-b.clock.Monotonic(), b.graceLeftMs()))
 }
 
 // exitReserve returns the part of the grace period that is reserved for the exit of the process.
@@ -166,14 +182,14 @@
 	if !b.stopping.Load() {
 		return nil
 	}
-	now := b.clock.Monotonic()
-	leftMs := b.graceLeftMs()
+	now, earliestMs := b.clock.Monotonic(), clock.Millis(b.stopEarliestMs.Load())
+	leftMs := b.graceLeftMs() - max(0, clock.Millis(b.stopStartMs.Load())-earliestMs)
 	if r.RemainingMs(now) <= leftMs {
 		return nil
 	}
 	late := leftMs < min(maxLastStartMs, shutdownGrace(b.Settings())/lastStartDivisor)
 	if r.Route.Kind == routing.Stream {
-		late = late || now-clock.Millis(b.stopStartMs.Load()) > min(maxStreamStartMs, shutdownGrace(b.Settings())/2)
+		late = late || now-earliestMs > min(maxStreamStartMs, shutdownGrace(b.Settings())/2)
 	}
 	if !late && b.balance.RespondsWithin(r.Pool, max(1, leftMs)) {
 		return nil
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -323,14 +323,17 @@
 	for _, c := range []struct {
 		name, path, more string
 		// afterMs is when the request is sent, counted from the signal, which the process handles late.
-		afterMs clock.Millis
-		want    int
+		afterMs, handledLateMs clock.Millis
+		want                   int
 	}{
-		{"a stream in time", "/stream/", "", 2500, http.StatusOK},
-		{"a late stream", "/stream/", "", 3010, http.StatusServiceUnavailable},
-		{"a late stream whose deadline passes within the grace period", "/stream/", "X-Deadline: 2000\r\n", 3010, http.StatusOK},
-		{"another late request", "/unsafe/", "", 5600, http.StatusServiceUnavailable},
-		{"another request in time", "/unsafe/", "", 4000, http.StatusOK},
+		{"a stream in time", "/stream/", "", 2500, 90, http.StatusOK},
+		{"a late stream", "/stream/", "", 3010, 90, http.StatusServiceUnavailable},
+		{"a late stream whose deadline passes within the grace period", "/stream/", "X-Deadline: 2000\r\n", 3010, 90, http.StatusOK},
+		{"another late request", "/unsafe/", "", 5600, 90, http.StatusServiceUnavailable},
+		{"another request in time", "/unsafe/", "", 4000, 90, http.StatusOK},
+		{"a late stream after a stall", "/stream/", "", 3010, 1500, http.StatusServiceUnavailable},
+		{"another late request after a stall", "/unsafe/", "", 5600, 1500, http.StatusServiceUnavailable},
+		{"another request in time after a stall", "/unsafe/", "", 4000, 1500, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
@@ -340,10 +343,9 @@
 				caller := b.connect(b.settings.CallersAddress)
 				caller.write(requestText("/safe/", "Content-Length: 0\r\n"))
 				caller.response()
-				const handledLateMs = 90
-				f.advanceMonotonic(handledLateMs)
+				f.advanceMonotonic(c.handledLateMs)
 				b.stop()
-				advance(f.t, (c.afterMs - handledLateMs).Duration())
+				advance(f.t, (c.afterMs - c.handledLateMs).Duration())
 				caller.write(requestText(c.path, c.more+"Content-Length: 0\r\n"))
 				response := caller.response()
 				assert.Equal(f.t, c.want, response.StatusCode)
@@ -354,6 +356,43 @@
 	}
 }
 
+// TestStopClosesListenersBySignal guards against a process that handles its signal late, and accepts connections in the
+// part of the grace period in which it can't answer them any more.
+func TestStopClosesListenersBySignal(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		handledLateMs clock.Millis
+		// observed is set if the stall was seen before the signal was handled.
+		observed bool
+		closedMs clock.Millis
+	}{
+		{"in time", 0, false, maxAnnounceMs},
+		{"late", 1000, false, maxAnnounceMs + usualSignalDelayMs},
+		{"late, after the stall was seen", 1000, true, maxAnnounceMs + usualSignalDelayMs},
+		{"very late", 3000, false, 3000 + maxAnnounceMs/2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				b := f.box(1)
+				advance(f.t, 10*housekeepingIntervalMs.Duration())
+				f.advanceMonotonic(c.handledLateMs)
+				if c.observed {
+					b.stalls.observe(b.clock.Monotonic())
+				}
+				b.stop()
+				const slackMs = 2 * housekeepingIntervalMs
+				advance(f.t, (c.closedMs - c.handledLateMs - slackMs).Duration())
+				accepted, err := f.network.Host("caller").Dial(f.t.Context(), "tcp", b.settings.CallersAddress)
+				require.NoError(f.t, err)
+				require.NoError(f.t, accepted.Close())
+				advance(f.t, (2 * slackMs).Duration())
+				_, err = f.network.Host("caller").Dial(f.t.Context(), "tcp", b.settings.CallersAddress)
+				require.Error(f.t, err)
+			})
+		})
+	}
+}
+
 // TestStopReserve guards against a process with little processor time that is killed before it has answered what
 // outlasts the grace period, and against one that ends much too early.
 func TestStopReserve(t *testing.T) {
