--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -95,9 +95,11 @@
 	// evictions counts the connections that seemed idle when the box stopped or was full.
 	evictions inbound.Evictions
 	stopping  atomic.Bool
-	// stopStartMs is when the stop began, or earlier.
-	stopStartMs atomic.Int64
-	stalls      stallMeter
+	// stopStartMs is when the stop began, or earlier, from which requests are cut. stopEarliestMs is when its signal may
+	// have been sent at the earliest, and stopHandledMs when it was handled.
+	stopStartMs, stopEarliestMs, stopHandledMs atomic.Int64
+	stalls                                     stallMeter
+	supply                                     supplyMeter
 	// lateness is by how much this process acts late.
 	lateness deadline.Lateness
 	// graceEnded ends when the requests that still run must end, which endGrace does.
