--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -374,8 +374,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				b := f.box(1)
-				// Between two of the box's own observations, whose order with this one is open.
-				advance(f.t, (10*housekeepingIntervalMs + housekeepingIntervalMs/2).Duration())
+				// At no instant at which the box itself may detect the stall.
+				const offTicksMs = 37
+				advance(f.t, (10*housekeepingIntervalMs + offTicksMs).Duration())
 				f.advanceMonotonic(c.handledLateMs)
 				if c.observed {
 					b.stalls.observe(b.clock.Monotonic())
