fix(deadline): one long delay doesn't make a box give up responses early for seconds

Now the lateness that 2 percent of the observations exceed counts, up to a twentieth of the caller's time.

--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -33,9 +33,26 @@
 	l := &Lateness{}
 	l.Observe(1000, 30)
 	l.Observe(2000, 10)
-	assert.Equal(t, clock.Millis(30), l.MaxMs(3000))
+	assert.Equal(t, clock.Millis(30), l.UsualMs(3000))
 	l.Observe(7000, 5)
-	assert.Equal(t, clock.Millis(30), l.MaxMs(9000), "the span before counts")
-	assert.Equal(t, clock.Millis(5), l.MaxMs(13_000))
-	assert.Zero(t, l.MaxMs(40_000))
+	assert.Equal(t, clock.Millis(30), l.UsualMs(9000), "the span before counts")
+	assert.Equal(t, clock.Millis(5), l.UsualMs(13_000))
+	assert.Zero(t, l.UsualMs(40_000))
+}
+
+// TestRareDelaysAreNotUsual guards against sound responses that are given up for seconds after one long delay.
+func TestRareDelaysAreNotUsual(t *testing.T) {
+	l := &Lateness{}
+	for range 100 {
+		l.Observe(1000, 2)
+	}
+	l.Observe(1000, 300)
+	assert.Equal(t, clock.Millis(2), l.UsualMs(1000))
+	for range 10 {
+		l.Observe(1000, 40)
+	}
+	assert.Equal(t, clock.Millis(40), l.UsualMs(1000))
+	l.Observe(1000, 1_000_000)
+	l.Observe(1000, -1)
+	assert.Equal(t, clock.Millis(40), l.UsualMs(1000), "values out of range")
 }
--- a/internal/deadline/lateness.go
+++ b/internal/deadline/lateness.go
@@ -6,16 +6,28 @@
 	"dooryard.example/dooryard/internal/clock"
 )
 
-// latenessSpanMs is how long an observed lateness counts at least. It counts for up to twice as long.
-const latenessSpanMs = 5 * clock.Second
+const (
+	// latenessSpanMs is how long an observed lateness counts at least. It counts for up to twice as long.
+	latenessSpanMs = 5 * clock.Second
+	// maxLatenessMs is the highest lateness that is told apart from higher ones.
+	maxLatenessMs clock.Millis = 500
+	// exceedingPercent is the share of the observations that may exceed the usual lateness. A single long delay would
+	// otherwise have sound responses given up for seconds.
+	exceedingPercent = 2
+)
 
-// Lateness is by how much this process is late when it acts at a set time: the highest value that was observed lately.
-// The zero value is ready to use.
+// Lateness is by how much this process is late when it acts at a set time. The zero value is ready to use.
 type Lateness struct {
 	mu      sync.Mutex
 	sinceMs clock.Millis
-	// current is the highest value since sinceMs, and previous that of the span before.
-	current, previous clock.Millis
+	// current counts the observations since sinceMs, and previous those of the span before.
+	current, previous latenessCounts
+}
+
+// latenessCounts counts observations by whole milliseconds.
+type latenessCounts struct {
+	total  int
+	counts [maxLatenessMs + 1]int
 }
 
 // Observe records that the process acted late at a monotonic time.
@@ -23,15 +35,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	l.current = max(l.current, lateMs)
+	l.current.total++
+	l.current.counts[max(0, min(lateMs, maxLatenessMs))]++
 }
 
-// MaxMs returns the highest lateness that was observed lately.
-func (l *Lateness) MaxMs(now clock.Millis) clock.Millis {
+// UsualMs returns the lateness that the process rarely exceeded lately.
+func (l *Lateness) UsualMs(now clock.Millis) clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	return max(l.current, l.previous)
+	exceeding := (l.current.total + l.previous.total) * exceedingPercent / percent
+	for lateMs := maxLatenessMs; lateMs > 0; lateMs-- {
+		exceeding -= l.current.counts[lateMs] + l.previous.counts[lateMs]
+		if exceeding < 0 {
+			return lateMs
+		}
+	}
+	return 0
 }
 
 // advance begins a new span once the current one is over. The mutex must be held.
@@ -42,7 +62,7 @@
 	case elapsed < 2*latenessSpanMs:
 		l.previous = l.current
 	default:
-		l.previous = 0
+		l.previous = latenessCounts{}
 	}
-	l.current, l.sinceMs = 0, now
+	l.current, l.sinceMs = latenessCounts{}, now
 }
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -19,7 +19,7 @@
 	// defaultMaxLeadMs covers a round trip around the world.
 	defaultMaxLeadMs = 250
 	// defaultMaxLeadPercent leaves most of a short deadline for the response.
-	defaultMaxLeadPercent = 10
+	defaultMaxLeadPercent = 5
 )
 
 // measureLateness observes by how much this process acts late, until the context ends.
@@ -56,5 +56,5 @@
 	return limits.LeadMs(waitMs, r.Path, b.latenessMs())
 }
 
-// latenessMs returns the highest lateness that was observed lately.
-func (b *Box) latenessMs() clock.Millis { return b.lateness.MaxMs(b.clock.Monotonic()) }
+// latenessMs returns the lateness that this process rarely exceeded lately.
+func (b *Box) latenessMs() clock.Millis { return b.lateness.UsualMs(b.clock.Monotonic()) }
