fix(gateway): responses to callers that wait longer than the route's timeout are not ended early

The lead now counts back from when the caller stops waiting, and the timeout limits what is left. Callers that send no deadline are expected to wait for the timeout, as before.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -188,6 +188,16 @@
 	})
 }
 
+// TestCallersThatWaitLongerThanTheRoute guards against responses that are ended early although their callers wait on.
+func TestCallersThatWaitLongerThanTheRoute(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		f.upstream("u1", silentUpstream)
+		status, took := (&deadlineCaller{fleet: f, box: f.box(1)}).send("/unsafe/", fmt.Sprintf("X-Deadline: %d\r\n", 2*timeoutMs))
+		assert.Equal(f.t, http.StatusGatewayTimeout, status)
+		assert.Equal(f.t, timeoutMs*time.Millisecond, took)
+	})
+}
+
 // TestNoRetryThatComesTooLate guards against retries that begin with less time than upstreams need, so that their callers
 // wait for nothing.
 func TestNoRetryThatComesTooLate(t *testing.T) {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -214,7 +214,7 @@
 
 // unreadBodyMs returns how long the refusal of a request waits for its body.
 func (b *Box) unreadBodyMs(r *opaque.Request) clock.Millis {
-	if r.DeadlineMs == 0 {
+	if r.WaitsUntilMs == 0 {
 		return unreadBodyMs
 	}
 	return max(1, min(unreadBodyMs, r.RemainingMs(b.clock.Monotonic())))
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -27,10 +27,13 @@
 	// ReceivedMs is when the request began to arrive at this box. It is later than ArrivedMs if another box forwarded
 	// the request.
 	ReceivedMs clock.Millis
-	// DeadlineMs is the monotonic time until which the caller waits for the response, or 0 while it is unknown.
+	// WaitsUntilMs is the monotonic time until which the caller waits, as far as the box knows, or 0 while it is unknown.
+	WaitsUntilMs clock.Millis
+	// DeadlineMs is when a response that has begun ends: at the timeout of the route, or at WaitsUntilMs if that is
+	// earlier.
 	DeadlineMs clock.Millis
-	// RespondByMs is the monotonic time by which the last response must leave so that the caller has it by DeadlineMs.
-	// Waits for a response that has not begun end then.
+	// RespondByMs is when the last response must leave so that the caller has it by WaitsUntilMs, at DeadlineMs at the
+	// latest. Waits for a response that has not begun end then.
 	RespondByMs clock.Millis
 	// Path is the way between this box and the sender of the request.
 	Path deadline.Path
--- a/internal/pipe/match/match.go
+++ b/internal/pipe/match/match.go
@@ -61,9 +61,7 @@
 	}
 	r.Prompt = opaque.ParsePrompt(r.HTTP.Header.Get(r.Dialect.Prompt))
 	r.Pool = r.Route.PoolFor(splitHash(r))
-	if latestMs := r.ArrivedMs + r.Route.TimeoutMs; r.DeadlineMs == 0 || latestMs < r.DeadlineMs {
-		p.setDeadline(r, latestMs)
-	}
+	p.limitToRoute(r)
 	if r.RemainingMs(p.deps.Clock.Monotonic()) <= 0 {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.DeadlineExceededBeforeSend, 0, nil)
 	}
@@ -72,7 +70,7 @@
 
 // awaitState returns the routing state. It does not wait longer than the caller does.
 func (p *Pipe) awaitState(r *opaque.Request) *routing.State {
-	if r.DeadlineMs == 0 {
+	if r.WaitsUntilMs == 0 {
 		return p.deps.State(r.Context())
 	}
 	ctx, cancel := p.deps.Clock.WithTimeout(r.Context(), max(1, r.RemainingMs(p.deps.Clock.Monotonic())))
@@ -102,7 +100,17 @@
 	}
 }
 
+// limitToRoute limits the times of a request to the timeout of its route. A caller that sends no deadline is expected to
+// wait as long.
+func (p *Pipe) limitToRoute(r *opaque.Request) {
+	timeoutMs := r.ArrivedMs + r.Route.TimeoutMs
+	if r.WaitsUntilMs == 0 {
+		p.setDeadline(r, timeoutMs)
+	}
+	r.DeadlineMs, r.RespondByMs = min(r.DeadlineMs, timeoutMs), min(r.RespondByMs, timeoutMs)
+}
+
 func (p *Pipe) setDeadline(r *opaque.Request, deadlineMs clock.Millis) {
-	r.DeadlineMs = deadlineMs
+	r.WaitsUntilMs, r.DeadlineMs = deadlineMs, deadlineMs
 	r.RespondByMs = deadlineMs - p.deps.LeadMs(r, deadlineMs-r.ReceivedMs)
 }
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -72,8 +72,8 @@
 		e.Cause, e.Err = "upstream_failed", err.Error()
 		outcome = e.Cause
 	}
-	if r.DeadlineMs != 0 && r.Writer.Started() {
-		e.Timed, e.LeadMs, e.RoundTripMs, e.LatenessMs = true, r.DeadlineMs-now, r.Path.RoundTripMs, p.deps.LatenessMs()
+	if r.WaitsUntilMs != 0 && r.Writer.Started() {
+		e.Timed, e.LeadMs, e.RoundTripMs, e.LatenessMs = true, r.WaitsUntilMs-now, r.Path.RoundTripMs, p.deps.LatenessMs()
 		p.deps.CountLead(e.LeadMs, refusal != nil && refusal.Cause.EndsTime())
 	}
 	p.deps.LogEvent(e)
