--- a/internal/pipe/match/match.go
+++ b/internal/pipe/match/match.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// limitToRoute limits the times of a request to the timeout of its route. A caller that sends no deadline is expected to
-// wait as long.
+// limitToRoute limits the times of a request to the timeout of its route. A caller that sends no deadline is expected
+// to wait as long.
 func (p *Pipe) limitToRoute(r *opaque.Request) {
 	timeoutMs := r.ArrivedMs + r.Route.TimeoutMs
 	if r.WaitsUntilMs == 0 {
