fix(gateway): a stop gives requests up only when the rest of its time is gone

Callers of a box without processor time late in its stop saw their connections closed without a response a quarter of a second before the end of the grace period, while their requests were about to be answered.

Cause: the last responses had 40 percent of the reserve, and the rest of it was for the exit of the process, also while requests had no response (class: a limit in time where an amount of work decides). A process that is killed loses no more than these requests. Now the rest counts, up to 80 percent of the reserve, while requests are processed or their responses are written.

TestStopAnswersAllThatOutlastGrace, after a stall: 725 of 900 answered before, all after.

--- a/internal/gateway/lastresponses.go
+++ b/internal/gateway/lastresponses.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/inbound"
 )
 
 const (
@@ -52,3 +54,19 @@
 func (b *Box) lastResponsesMs() clock.Millis {
 	return b.supply.stretch(clock.Millis(b.requests.Load() / responsesPerMs))
 }
+
+// awaitLastResponses waits until it is too late for further responses, or the context ends.
+func (b *Box) awaitLastResponses(ctx context.Context) {
+	usualMs := b.finalGraceMs() + b.exitReserve()*lastResponsesPercent/percent
+	latestMs := b.finalGraceMs() + b.exitReserve()*unansweredPercent/percent
+	for ctx.Err() == nil {
+		untilMs := usualMs
+		if slices.ContainsFunc(b.drained, (*inbound.Listener).HasRequests) {
+			untilMs = latestMs
+		}
+		leftMs := untilMs - b.clock.Monotonic()
+		if leftMs <= 0 || b.clock.Sleep(ctx, min(leftMs, supplyTickMs)) != nil {
+			return
+		}
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,8 +23,10 @@
 	cutDivisor = 6
 	// reservePercent is the part of that last part which the reserve may take. The rest is for the delay of the signal.
 	reservePercent = 40
-	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered.
+	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered, and
+	// unansweredPercent the part while any still have no response. A process that is killed loses no more than these.
 	lastResponsesPercent = 40
+	unansweredPercent    = 80
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
 	// maxStreamStartMs is how long after its beginning a stop accepts streams, if that is in the first half of the grace
@@ -69,10 +71,13 @@
 		b.metrics.RequestsCut(cut)
 		b.recordStop("requests cut", nil)
 	}
-	lastMs := b.finalGraceMs() - b.clock.Monotonic() + b.exitReserve()*lastResponsesPercent/percent
-	b.endGrace()
-	last, cancel := b.clock.WithTimeout(ctx, max(1, lastMs))
+	last, cancel := context.WithCancel(ctx)
 	defer cancel()
+	b.endGrace()
+	b.goroutines.Go(func() {
+		defer cancel()
+		b.awaitLastResponses(last)
+	})
 	b.eachListener(func(_ int, l *inbound.Listener) { l.CloseIdle(last) })
 	return err
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -485,31 +485,44 @@
 // TestStopAnswersAllThatOutlastGrace guards against requests without a response since more outlast the grace period
 // than the process can answer in a fixed time.
 func TestStopAnswersAllThatOutlastGrace(t *testing.T) {
-	const requests = 1000
-	runWithFleet(t, func(f *fleet) {
-		turn := make(chan struct{}, 1)
-		f.wrapListener = func(l net.Listener) net.Listener {
-			return slowListener{Listener: l, turn: turn, write: 200 * time.Microsecond, ended: f.t.Context().Done()}
-		}
-		f.upstreamWithSlots("u1", "d", requests, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-		b := f.box(1, withGrace(6))
-		answered := atomic.Int64{}
-		send := func() {
-			caller := b.connect(b.settings.CallersAddress)
-			caller.write(requestText("/unsafe/", "X-Deadline: 60000\r\nContent-Length: 0\r\n"))
-			go func() {
-				if _, err := http.ReadResponse(caller.reader, nil); err == nil {
-					answered.Add(1)
-				}
-			}()
-		}
-		b.stop()
-		advance(f.t, 2500*time.Millisecond)
-		for range requests {
-			send()
-		}
-		advance(f.t, 3500*time.Millisecond)
-		b.assertStopped()
-		assert.EqualValues(f.t, requests, answered.Load())
-	})
+	for _, c := range []struct {
+		name     string
+		requests int
+		// stallMs is for how long the process gets no processor time before it would begin with the responses.
+		stallMs clock.Millis
+	}{
+		{"in time", 1000, 0},
+		{"after a stall", 900, 1200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) { assertAllAnswered(f, c.requests, c.stallMs) })
+		})
+	}
+}
+
+// assertAllAnswered stops a box while requests hang, and checks that all have a response at the end.
+func assertAllAnswered(f *fleet, requests int, stallMs clock.Millis) {
+	turn := make(chan struct{}, 1)
+	f.wrapListener = func(l net.Listener) net.Listener {
+		return slowListener{Listener: l, turn: turn, write: 200 * time.Microsecond, ended: f.t.Context().Done()}
+	}
+	f.upstreamWithSlots("u1", "d", requests, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	b := f.box(1, withGrace(6))
+	answered := atomic.Int64{}
+	b.stop()
+	advance(f.t, 2500*time.Millisecond)
+	for range requests {
+		caller := b.connect(b.settings.CallersAddress)
+		caller.write(requestText("/unsafe/", "X-Deadline: 60000\r\nContent-Length: 0\r\n"))
+		go func() {
+			if _, err := http.ReadResponse(caller.reader, nil); err == nil {
+				answered.Add(1)
+			}
+		}()
+	}
+	advance(f.t, 2*time.Second)
+	f.advanceMonotonic(stallMs)
+	advance(f.t, 1500*time.Millisecond)
+	b.assertStopped()
+	assert.EqualValues(f.t, requests, answered.Load())
 }
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -282,6 +282,18 @@
 	})
 }
 
+// HasRequests reports whether a request is processed or its response is being written.
+func (l *Listener) HasRequests() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.handling.Load() && !c.lingering.Load() {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitDrained waits until no connection is left or the context ends. It calls a function that returns when to call it
 // again, and also does so after a connection was closed: a process with little processor time is not woken in vain.
 func (l *Listener) awaitDrained(ctx context.Context, poll func() (next clock.Millis)) {
