--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -17,6 +17,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/exchange"
@@ -99,6 +100,8 @@
 	stopStartMs, stopEarliestMs, stopHandledMs atomic.Int64
 	stalls                                     stallMeter
 	supply                                     supplyMeter
+	// lateness is by how much this process acts late.
+	lateness deadline.Lateness
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
@@ -341,6 +344,7 @@
 	b.goroutines.Go(func() { b.source.Run(background, b.sink.asSink()) })
 	b.goroutines.Go(func() { b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() }) })
 	b.goroutines.Go(func() { b.watchPaths(background) })
+	b.goroutines.Go(func() { b.measureLateness(background) })
 	b.goroutines.Go(func() { b.forwarding.run(background) })
 	b.goroutines.Go(func() { b.crashDetector.run(background) })
 	b.goroutines.Go(func() { b.syncNotes(background) })
