fix(router): last responses leave before their callers' deadlines, by the monotonic clock

Deadlines were also instants of the wall clock: a step of 600 s forward ended calls in flight whose next attempt was due, and one back told engines 600 s more.

Requests now count from the first byte, or from the accept of a connection that was opened for them, by the monotonic clock, and have a second instant by which a response must have begun (package deadline, as in dooryard-gateway). What waits for a response ends then: the first table, the body, the queue, claims, attempts, and streams without an event; servers are told that time. A stream that has begun, and the rest of a buffered response, go on until the deadline.

Ruled out: the write itself (all 504 were sent within 5 ms of the timer).

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -79,7 +79,10 @@
 	return values, nil
 }
 
-const allocationRuns = 200
+const (
+	allocationRuns = 200
+	dayMs          = 24 * 60 * 60 * clock.Second
+)
 
 // forwardAllocations returns the number of allocations of the forward step for a small
 // response, without those of the HTTP client.
@@ -88,14 +91,16 @@
 	pipe := forward.New(forward.Dependencies{
 		Transport: stubTransport{}, Report: func(string, int) {}, Metrics: metrics.New(),
 		Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(), Clock: clock.New(),
-		Next: func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) { return nil, route.ErrNoUpstream },
+		OnDue: func(*exchange.Exchange) {},
+		Next:  func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) { return nil, route.ErrNoUpstream },
 	})
 	pipe.Default(&config.Router{})
 	request := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/v1/chat/completions", http.NoBody)
 	return testing.AllocsPerRun(allocationRuns, func() {
 		x := exchange.New(request.Context(), "id", httptest.NewRecorder(), request, exchange.Chat, 0)
 		x.Organisation = &table.Organisation{Name: "o"}
-		x.Deadline = 1 << 60
+		x.Deadline = dayMs
+		x.RespondBy = dayMs
 		x.Body = []byte("{}")
 		x.Lease = pool.NewRemoteLease(row.Name, row.Address, nil, func(bool) {})
 		_ = pipe.Run(x)
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -19,6 +19,7 @@
 	"dooryard.example/dooryard/internal/claim"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/datagram"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/lease"
@@ -84,11 +85,13 @@
 	// endPeering ends the exchange with other boxes by UDP.
 	endPeering context.CancelFunc
 	draining   atomic.Bool
-	drain      chan struct{}
-	drainOnce  sync.Once
-	killed     chan struct{}
-	killOnce   sync.Once
-	running    sync.WaitGroup
+	// lateness is by how much this process acts late.
+	lateness  deadline.Lateness
+	drain     chan struct{}
+	drainOnce sync.Once
+	killed    chan struct{}
+	killOnce  sync.Once
+	running   sync.WaitGroup
 }
 
 type keys struct {
@@ -232,6 +235,7 @@
 	b.running.Go(func() { b.lease.Run(ctx) })
 	b.running.Go(func() { b.pollEngines(ctx) })
 	b.running.Go(func() { b.sendOrders(ctx) })
+	b.running.Go(func() { b.measureLateness(ctx) })
 	b.running.Go(func() {
 		b.clock.Every(ctx, clock.Second, func(clock.Millis) {
 			b.updateDemand()
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -136,12 +136,16 @@
 func (b *Box) buildSteps(context.Context) error {
 	upstreams := &deferredTransport{}
 	steps := pipeline.Steps{
-		Identify: identify.New(b.store.State, b.awaitTable, b.clock.Now),
+		Identify: identify.New(identify.Dependencies{
+			State: b.store.State, AwaitRead: b.awaitTable, LatenessMs: b.latenessMs, Monotonic: b.clock.Monotonic,
+		}),
 		Claim: claimpipe.New(claimpipe.Claims{
 			Claim:  func(ctx context.Context, r claim.Record) (claim.Verdict, error) { return b.claims.Claim(ctx, r) },
 			Submit: func(r claim.Record) { b.claims.Submit(r) },
-		}, b.metrics, b.clock.Now),
-		Settle: settle.New(b.metrics, b.logger, b.clock.Now),
+		}, b.metrics, b.clock.Monotonic),
+		Settle: settle.New(settle.Dependencies{
+			Metrics: b.metrics, Logger: b.logger, LatenessMs: b.latenessMs, Monotonic: b.clock.Monotonic,
+		}),
 	}
 	steps.Route = routepipe.New(b.acquire, b.acquireRemote)
 	steps.Route.Default(&b.settings)
@@ -150,9 +154,10 @@
 		return err
 	}
 	b.pools = pool.New(poolSettings, b.settings.FailureDomain, b.settings.Box, b.clock.Now)
-	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Now)
+	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Monotonic)
 	steps.Forward = forward.New(forward.Dependencies{
 		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report, MayHaveCrashed: b.mayHaveCrashed,
+		OnDue:   b.handleDue,
 		Metrics: b.metrics, Tracer: b.tracer, Logger: b.logger, Clock: b.clock,
 	})
 	b.admit = steps.Admit
@@ -206,7 +211,7 @@
 func (b *Box) openListeners(context.Context) error {
 	limits := server.LimitsOf(&b.settings)
 	b.callers = callers.New(callers.Dependencies{
-		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Now: b.clock.Now,
+		Serve: b.serve, State: b.store.State, Ready: b.Ready, Tracer: b.tracer, Monotonic: b.clock.Monotonic,
 	})
 	peersHandler := http.NewServeMux()
 	fromPeers := b.callers.PeerRoutes(peersHandler)
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -334,7 +334,7 @@
 		header.Set(exchange.HeaderRepeatable, strconv.FormatBool(x.Repeatable))
 		header.Set(exchange.HeaderOrganisation, x.Organisation.Name)
 		header.Set(exchange.HeaderSession, x.Session)
-		header.Set(exchange.HeaderDeadline, strconv.FormatInt(int64(x.RemainingMs(b.clock.Now())), 10))
+		header.Set(exchange.HeaderDeadline, strconv.FormatInt(int64(max(1, x.UpstreamMs(b.clock.Monotonic()))), 10))
 	}, func(failed bool) {
 		if failed {
 			b.peerFailed(chosen.Name)
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -14,7 +14,9 @@
 
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/pipe/identify"
 	"dooryard.example/dooryard/internal/table"
 	"dooryard.example/dooryard/internal/urlpath"
@@ -26,8 +28,9 @@
 	state  func() *table.State
 	ready  func() bool
 	tracer trace.Tracer
-	now    func() clock.Millis
-	mux    *http.ServeMux
+	// monotonic reads the monotonic clock.
+	monotonic func() clock.Millis
+	mux       *http.ServeMux
 }
 
 // Dependencies holds what a Handler needs from its box.
@@ -39,12 +42,15 @@
 	// Ready reports whether the box accepts new requests.
 	Ready  func() bool
 	Tracer trace.Tracer
-	Now    func() clock.Millis
+	// Monotonic reads the monotonic clock.
+	Monotonic func() clock.Millis
 }
 
 // New returns a handler for the API for callers.
 func New(d Dependencies) *Handler {
-	h := &Handler{serve: d.Serve, state: d.State, ready: d.Ready, tracer: d.Tracer, now: d.Now, mux: http.NewServeMux()}
+	h := &Handler{
+		serve: d.Serve, state: d.State, ready: d.Ready, tracer: d.Tracer, monotonic: d.Monotonic, mux: http.NewServeMux(),
+	}
 	h.mux.HandleFunc("POST /v1/chat/completions", h.proxy(exchange.Chat, false))
 	h.mux.HandleFunc(servicePattern, notFound)
 	h.mux.HandleFunc("GET /v1/models", h.models)
@@ -100,7 +106,11 @@
 		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := h.tracer.Start(ctx, "router "+string(kind), trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		x := exchange.New(ctx, id, w, r, kind, h.now())
+		x := exchange.New(ctx, id, w, r, kind, h.monotonic())
+		if c := inbound.ConnOf(r.Context()); c != nil {
+			arrival := c.Arrival()
+			x.Arrived, x.Caller = arrival.StartMs, deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New}
+		}
 		x.FromPeer = fromPeer
 		if fromPeer {
 			w.Header().Set(headerRequestID, id)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/route"
 	"dooryard.example/dooryard/internal/table"
@@ -70,8 +71,10 @@
 	Writer   *Writer
 	Request  *http.Request
 	Kind     Kind
-	Arrived  clock.Millis
 	FromPeer bool
+	// Arrived is the monotonic time at which the request began to arrive, and Caller the way to its caller.
+	Arrived clock.Millis
+	Caller  deadline.Path
 
 	// Set by identify.
 	State        *table.State
@@ -88,9 +91,11 @@
 	FirstTurn      bool
 	Repeatable     bool
 	IdempotencyKey string
-	Deadline       clock.Millis
+	// Deadline is the monotonic time until which the caller waits, or 0 while it is unknown. RespondBy is the one by which
+	// a response has to leave that no upstream has begun.
+	Deadline, RespondBy clock.Millis
 
-	// Set by claim. SendBefore is the time after which the request must not be sent, or 0.
+	// Set by claim. SendBefore is the monotonic time after which the request must not be sent, or 0.
 	SendBefore clock.Millis
 
 	// Set by route and forward.
@@ -144,8 +149,24 @@
 	return pool.Name(table.KindService, x.Target)
 }
 
-// RemainingMs returns the time left before the deadline.
-func (x *Exchange) RemainingMs(now clock.Millis) clock.Millis { return x.Deadline - now }
+// RemainingMs returns the time left in which an upstream may begin a response.
+func (x *Exchange) RemainingMs(now clock.Millis) clock.Millis { return x.RespondBy - now }
+
+// UpstreamMs returns the time left for an upstream. A stream that has begun goes on until the deadline.
+func (x *Exchange) UpstreamMs(now clock.Millis) clock.Millis {
+	if x.Streamed {
+		return x.Deadline - now
+	}
+	return x.RemainingMs(now)
+}
+
+// Awaiting returns a context for what has to end before a response has begun.
+func (x *Exchange) Awaiting(now clock.Millis) (context.Context, context.CancelFunc) {
+	if x.Deadline == 0 {
+		return context.WithCancel(x.ctx)
+	}
+	return context.WithTimeout(x.ctx, x.RemainingMs(now).Duration())
+}
 
 // SetOutcomeHeaders sets the headers that every response has, unless the response has already
 // started.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,14 +43,16 @@
 	SnapshotsMade       *expvar.Int
 	SnapshotAlarms      *expvar.Int
 	HandlerPanics       *expvar.Int
+	// ResponsesAfterDeadline counts responses that were sent after their callers' deadlines.
+	ResponsesAfterDeadline *expvar.Int
 }
 
 // New returns counters set to zero.
 func New() *Metrics {
 	m := &Metrics{all: new(expvar.Map).Init()}
 	for name, target := range map[string]**expvar.Int{
-		"handler_panics": &m.HandlerPanics,
-		"requests":       &m.Requests, "outcome_ran": &m.OutcomeRan, "outcome_not_run": &m.OutcomeNotRun,
+		"handler_panics": &m.HandlerPanics, "responses_after_deadline": &m.ResponsesAfterDeadline,
+		"requests": &m.Requests, "outcome_ran": &m.OutcomeRan, "outcome_not_run": &m.OutcomeNotRun,
 		"outcome_unknown": &m.OutcomeUnknown, "upstream_attempts": &m.Attempts,
 		"retries": &m.Retries, "retries_denied": &m.RetriesDenied,
 		"stream_resumes": &m.Resumes, "streams_cut": &m.TruncatedStreams,
--- a/internal/pipe/admit/admit.go
+++ b/internal/pipe/admit/admit.go
@@ -39,7 +39,7 @@
 	queues map[string]*limit.Queue
 }
 
-// New returns the step.
+// New returns the step. The clock is monotonic.
 func New(
 	organisations *limit.Organisations, pools *pool.Manager, m *metrics.Metrics, now func() clock.Millis,
 ) *Pipe {
@@ -87,7 +87,9 @@
 func (p *Pipe) waitInQueue(x *exchange.Exchange) error {
 	flow := limit.Flow{Name: x.Organisation.Name, Weight: x.Organisation.Weight, Priority: x.Organisation.Priority}
 	queue := p.queue(x.PoolName())
-	slot, err := queue.Acquire(x.Context(), flow, x.Deadline)
+	ctx, cancel := x.Awaiting(p.now())
+	defer cancel()
+	slot, err := queue.Acquire(ctx, flow, x.RespondBy)
 	if err != nil {
 		p.metrics.QueueRejected.Add(1)
 		return p.rejection(x, queue, flow, err)
--- a/internal/pipe/claim/claim.go
+++ b/internal/pipe/claim/claim.go
@@ -39,7 +39,7 @@
 	now      func() clock.Millis
 }
 
-// New returns the step.
+// New returns the step. The clock is monotonic.
 func New(claims Claims, m *metrics.Metrics, now func() clock.Millis) *Pipe {
 	return &Pipe{claims: claims, metrics: m, now: now}
 }
@@ -71,7 +71,9 @@
 		Digest: claim.NewDigest(x.Request.Method, x.Request.RequestURI, x.Body),
 	}
 	start := p.now()
-	ctx, cancel := context.WithTimeout(x.Context(), clock.Millis(p.settings.TimeoutMs).Duration())
+	awaiting, cancelAwaiting := x.Awaiting(start)
+	defer cancelAwaiting()
+	ctx, cancel := context.WithTimeout(awaiting, clock.Millis(p.settings.TimeoutMs).Duration())
 	defer cancel()
 	verdict, err := p.claims.Claim(ctx, record)
 	if err != nil {
@@ -126,7 +128,7 @@
 // detach keeps the request running after its caller disconnects, so that the response is
 // recorded for the caller's next attempt. The end of the box's stop still ends it.
 func (p *Pipe) detach(x *exchange.Exchange) {
-	remaining := x.RemainingMs(p.now()).Duration()
+	remaining := (x.Deadline - p.now()).Duration()
 	detached, end := context.WithCancelCause(context.WithoutCancel(x.Context()))
 	attached := x.Context()
 	stopWaiting := context.AfterFunc(attached, func() {
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -43,6 +43,7 @@
 	nextUpstream   func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
 	reportLoad     func(upstream string, inFlight int)
 	mayHaveCrashed func(ctx context.Context, address string) bool
+	onDue          func(x *exchange.Exchange)
 	budget         *retry.Budget
 	metrics        *metrics.Metrics
 	tracer         trace.Tracer
@@ -61,17 +62,19 @@
 	// MayHaveCrashed reports whether the upstream at an address may have crashed that has closed a
 	// connection in order.
 	MayHaveCrashed func(ctx context.Context, address string) bool
-	Metrics        *metrics.Metrics
-	Tracer         trace.Tracer
-	Logger         *zap.Logger
-	Clock          clock.Clock
+	// OnDue is called when an attempt ends since a response has to leave now.
+	OnDue   func(x *exchange.Exchange)
+	Metrics *metrics.Metrics
+	Tracer  trace.Tracer
+	Logger  *zap.Logger
+	Clock   clock.Clock
 }
 
 // New returns the step.
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		client:       &http.Client{Transport: d.Transport, CheckRedirect: noRedirect},
-		nextUpstream: d.Next, reportLoad: d.Report, mayHaveCrashed: d.MayHaveCrashed,
+		nextUpstream: d.Next, reportLoad: d.Report, mayHaveCrashed: d.MayHaveCrashed, onDue: d.OnDue,
 		metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
 	}
 }
@@ -158,7 +161,7 @@
 	switch {
 	case failed.responseStarted || x.Writer.Started():
 		return p.finish(x, failed)
-	case x.Context().Err() != nil || x.RemainingMs(p.clock.Now()) <= 0:
+	case x.Context().Err() != nil || x.RemainingMs(p.clock.Monotonic()) <= 0:
 		return p.finish(x, failed)
 	case !x.Repeatable && !failed.notRun:
 		return p.finish(x, failed)
@@ -197,7 +200,7 @@
 		p.metrics.CallerDisconnects.Add(1)
 		return apierror.New(exchange.StatusCallerDisconnected, "caller_gone", "the caller left", apierror.WithCause(failed))
 	}
-	if x.RemainingMs(p.clock.Now()) <= 0 || x.Context().Err() != nil {
+	if x.RemainingMs(p.clock.Monotonic()) <= 0 || x.Context().Err() != nil {
 		return apierror.New(http.StatusGatewayTimeout, "deadline_passed",
 			"the deadline passed; outcome: "+string(x.Outcome), apierror.WithCause(failed))
 	}
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
@@ -28,25 +29,30 @@
 func (p *Pipe) send(ctx context.Context, x *exchange.Exchange, lease *pool.Lease) *failure {
 	watch := &transport.AttemptTracker{}
 	if x.SendBefore > 0 {
-		watch.Expired = func() bool { return p.clock.Now() > x.SendBefore }
+		watch.Expired = func() bool { return p.clock.Monotonic() > x.SendBefore }
 	}
 	ctx, cancel := context.WithCancel(watch.Context(ctx))
 	defer cancel()
+	due := time.AfterFunc(max(1, x.RemainingMs(p.clock.Monotonic())).Duration(), func() {
+		p.onDue(x)
+		cancel()
+	})
+	defer due.Stop()
 	request, err := p.request(ctx, x, lease)
 	if err != nil {
 		return &failure{cause: err, notRun: true}
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		callerFault := x.Context().Err() != nil
+		ended := ctx.Err() != nil
 		nothingSent := watch.Abort()
 		return &failure{
-			cause: err, notRun: nothingSent, upstreamFault: !callerFault,
-			unreachable: nothingSent && !callerFault && !watch.Connected(),
+			cause: err, notRun: nothingSent, upstreamFault: !ended,
+			unreachable: nothingSent && !ended && !watch.Connected(),
 		}
 	}
 	defer func() { _ = response.Body.Close() }()
-	failed := p.relay(ctx, x, lease, response)
+	failed := p.relay(ctx, x, lease, response, due)
 	if failed != nil {
 		// A connection with an abandoned response must not be reused for another request.
 		watch.Abort()
@@ -55,13 +61,17 @@
 }
 
 // relay checks a response and relays it to the caller.
-func (p *Pipe) relay(ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response) *failure {
+func (p *Pipe) relay(
+	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *time.Timer,
+) *failure {
 	if failed := p.checkResponse(x, lease, response); failed != nil {
 		return failed
 	}
 	if x.Kind == exchange.Chat && isEventStream(response) {
-		return p.stream(ctx, x, lease, response)
+		return p.stream(ctx, x, lease, response, due)
 	}
+	// The rest of the response arrives soon.
+	due.Stop()
 	return p.relayBuffered(ctx, x, lease, response)
 }
 
@@ -139,7 +149,7 @@
 func (p *Pipe) setRouterHeaders(ctx context.Context, header http.Header, x *exchange.Exchange) {
 	header.Set(engine.HeaderRequestID, x.ID)
 	header.Set(engine.HeaderPriority, strconv.Itoa(x.Organisation.Priority))
-	header.Set(engine.HeaderDeadline, strconv.FormatInt(int64(x.RemainingMs(p.clock.Now())), 10))
+	header.Set(engine.HeaderDeadline, strconv.FormatInt(int64(max(1, x.UpstreamMs(p.clock.Monotonic()))), 10))
 	if x.IdempotencyKey != "" {
 		header[idempotencyKeyWireHeader] = []string{x.IdempotencyKey}
 	}
--- a/internal/pipe/forward/stream.go
+++ b/internal/pipe/forward/stream.go
@@ -48,12 +48,17 @@
 	// eventsHaveOffsets is set as long as all events have offsets, so that the stream can be resumed.
 	eventsHaveOffsets bool
 	frame             []byte
+	// ctx ends with the attempt. The timer due ends it unless a response to the caller has begun.
+	ctx context.Context //nolint:containedctx // It belongs to the attempt, like the relay.
+	due *time.Timer
 }
 
 // stream relays the events of a response. A broken stream is resumed at its offset. If that is
 // not possible, the response to the caller ends with an error event.
-func (p *Pipe) stream(ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response) *failure {
-	s := &streamRelay{p: p, x: x, lease: lease, eventsHaveOffsets: true}
+func (p *Pipe) stream(
+	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *time.Timer,
+) *failure {
+	s := &streamRelay{p: p, x: x, lease: lease, eventsHaveOffsets: true, ctx: ctx, due: due}
 	err := s.relayEvents(response.Body)
 	for idle := 0; s.resumable(err) && idle < maxIdleResumes; {
 		p.metrics.Resumes.Add(1)
@@ -72,7 +77,7 @@
 }
 
 func (s *streamRelay) resumable(err error) bool {
-	return err != nil && s.eventsHaveOffsets && !errors.Is(err, errCallerDisconnected) && s.x.Context().Err() == nil
+	return err != nil && s.eventsHaveOffsets && !errors.Is(err, errCallerDisconnected) && s.ctx.Err() == nil
 }
 
 // relayEvents relays events until the body ends. Nothing is sent to the caller before the first
@@ -115,6 +120,7 @@
 
 // startResponse sends the response headers to the caller.
 func (s *streamRelay) startResponse() {
+	s.due.Stop()
 	s.x.Outcome = exchange.Ran
 	header := s.x.Writer.Header()
 	header.Set("Content-Type", "text/event-stream")
@@ -151,7 +157,7 @@
 func (p *Pipe) extendWriteDeadline(x *exchange.Exchange) {
 	// The error is ignored: only response writers of tests do not support deadlines, and tests have no
 	// slow callers.
-	_ = http.NewResponseController(x.Writer).SetWriteDeadline((p.clock.Now() + p.writeTimeoutMs).Time())
+	_ = http.NewResponseController(x.Writer).SetWriteDeadline(time.Now().Add(p.writeTimeoutMs.Duration()))
 }
 
 // resume requests the rest of the stream from the same engine.
@@ -181,7 +187,7 @@
 func (s *streamRelay) abort(cause error) *failure {
 	s.cancelUpstream()
 	if errors.Is(cause, errCallerDisconnected) ||
-		s.x.Context().Err() != nil && !s.x.Writer.Started() && !s.x.Stopping() {
+		s.ctx.Err() != nil && !s.x.Writer.Started() && !s.x.Stopping() {
 		s.p.metrics.CallerDisconnects.Add(1)
 		return &failure{cause: cause, responseStarted: s.x.Writer.Started()}
 	}
--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -12,10 +12,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/route"
@@ -33,6 +33,12 @@
 	defaultBodyTimeoutMs  = 30_000
 	defaultDeadlineMs     = 120_000
 	defaultMaxDeadlineMs  = 600_000
+	// defaultRoundTripMs is a round trip between data centers of a region, with a balancer in between.
+	defaultRoundTripMs = 10
+	// defaultMaxLeadMs covers a round trip around the world.
+	defaultMaxLeadMs = 250
+	// defaultMaxLeadPercent leaves most of a short deadline for the response.
+	defaultMaxLeadPercent = 10
 )
 
 const (
@@ -47,17 +53,26 @@
 
 // Pipe authenticates and parses requests.
 type Pipe struct {
-	settings  config.Request
-	state     func() *table.State
-	awaitRead func(ctx context.Context) error
-	now       func() clock.Millis
+	settings config.Request
+	leads    deadline.Limits
+	deps     Dependencies
 }
 
-// New returns the step. The state function returns the active table, and awaitRead waits until one has been read.
-func New(state func() *table.State, awaitRead func(ctx context.Context) error, now func() clock.Millis) *Pipe {
-	return &Pipe{state: state, awaitRead: awaitRead, now: now}
+// Dependencies are the parts of the box that the step uses.
+type Dependencies struct {
+	// State returns the active table.
+	State func() *table.State
+	// AwaitRead waits until a table has been read.
+	AwaitRead func(ctx context.Context) error
+	// LatenessMs returns by how much the box was late lately when it acted at a set time.
+	LatenessMs func() clock.Millis
+	// Monotonic reads the monotonic clock.
+	Monotonic func() clock.Millis
 }
 
+// New returns the step.
+func New(d Dependencies) *Pipe { return &Pipe{deps: d} }
+
 // String returns the name of the step in logs.
 func (*Pipe) String() string { return "identify" }
 
@@ -72,14 +87,24 @@
 	config.SetDefault(&r.DefaultDeadlineMs, defaultDeadlineMs)
 	config.SetDefault(&r.MaxDeadlineMs, defaultMaxDeadlineMs)
 	p.settings = *r
+	d := &settings.Deadline
+	config.SetDefault(&d.RoundTripMs, defaultRoundTripMs)
+	config.SetDefault(&d.MaxLeadMs, defaultMaxLeadMs)
+	config.SetDefault(&d.MaxLeadPercent, defaultMaxLeadPercent)
+	p.leads = deadline.Limits{
+		RoundTripMs: clock.Millis(d.RoundTripMs), MaxLeadMs: clock.Millis(d.MaxLeadMs), MaxLeadPercent: d.MaxLeadPercent,
+	}
 }
 
 // Run authenticates and parses the request of an exchange.
 func (p *Pipe) Run(x *exchange.Exchange) error {
-	x.State = p.firstState(x.Context())
 	if err := p.checkHeaders(x.Request); err != nil {
 		return err
 	}
+	if err := p.readDeadline(x); err != nil {
+		return err
+	}
+	x.State = p.firstState(x)
 	if err := p.identifyOrganisation(x); err != nil {
 		return err
 	}
@@ -93,19 +118,24 @@
 		x.Repeatable = x.Repeatable && x.Request.Header.Get(exchange.HeaderRepeatable) == "true"
 	}
 	x.IdempotencyKey = x.Request.Header.Get(exchange.HeaderIdempotencyKey)
-	return p.readDeadline(x)
+	if x.Deadline == 0 {
+		return p.setDeadline(x, p.defaultTimeout(x))
+	}
+	return p.checkDeadline(x)
 }
 
 // firstState returns the active table. It waits for the first one, since the process before may have
 // closed its listeners.
-func (p *Pipe) firstState(ctx context.Context) *table.State {
-	if !read(p.state()) {
-		ctx, cancel := context.WithTimeout(ctx, firstTableMs.Duration())
+func (p *Pipe) firstState(x *exchange.Exchange) *table.State {
+	if !read(p.deps.State()) {
+		awaiting, cancel := x.Awaiting(p.deps.Monotonic())
 		defer cancel()
+		ctx, cancelFirst := context.WithTimeout(awaiting, firstTableMs.Duration())
+		defer cancelFirst()
 		// Without a table the request is refused.
-		_ = p.awaitRead(ctx)
+		_ = p.deps.AwaitRead(ctx)
 	}
-	return p.state()
+	return p.deps.State()
 }
 
 // read reports whether a table has been read.
@@ -168,14 +198,20 @@
 }
 
 func (p *Pipe) readBody(x *exchange.Exchange) error {
-	controller := http.NewResponseController(x.Writer)
-	// The error is ignored: only response writers of tests do not support deadlines, and tests have no
-	// slow callers.
-	_ = controller.SetReadDeadline((p.now() + clock.Millis(p.settings.BodyTimeoutMs)).Time())
+	timeoutMs := clock.Millis(p.settings.BodyTimeoutMs)
+	if x.Deadline != 0 {
+		timeoutMs = max(1, min(timeoutMs, x.RemainingMs(p.deps.Monotonic())))
+	}
+	x.Writer.SetReadTimeout(timeoutMs.Duration())
 	stopWaiting := context.AfterFunc(x.Context(), func() { x.Writer.SetReadTimeout(1) })
 	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, p.settings.MaxBodyBytes))
 	stopWaiting()
-	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		// The server would wait for the rest of a short body before it sends the response.
+		x.Writer.SetReadTimeout(1)
+	} else {
+		x.Writer.SetReadTimeout(0)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return apierror.New(http.StatusRequestEntityTooLarge, "body_too_large",
@@ -252,24 +288,44 @@
 	return nil
 }
 
+// readDeadline sets the deadline that the caller asks for, if it asks for one.
 func (p *Pipe) readDeadline(x *exchange.Exchange) error {
-	timeout := p.defaultTimeout(x)
-	if value := x.Request.Header.Get(exchange.HeaderDeadline); value != "" {
-		requested, err := strconv.ParseInt(value, 10, 64)
-		if err != nil || requested <= 0 {
-			return apierror.New(http.StatusBadRequest, "bad_deadline",
-				exchange.HeaderDeadline+": must be a whole number of milliseconds above 0",
-				apierror.WithParam(exchange.HeaderDeadline))
-		}
-		timeout = clock.Millis(requested)
+	value := x.Request.Header.Get(exchange.HeaderDeadline)
+	if value == "" {
+		return nil
 	}
-	x.Deadline = x.Arrived + min(timeout, clock.Millis(p.settings.MaxDeadlineMs))
-	if x.RemainingMs(p.now()) <= 0 {
-		return apierror.New(http.StatusGatewayTimeout, "deadline_passed", "the deadline passed before the request ran")
+	requested, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || requested <= 0 {
+		return apierror.New(http.StatusBadRequest, "bad_deadline",
+			exchange.HeaderDeadline+": must be a whole number of milliseconds above 0",
+			apierror.WithParam(exchange.HeaderDeadline))
+	}
+	return p.setDeadline(x, clock.Millis(requested))
+}
+
+// setDeadline sets the deadline of a request whose sender waits for a time from its arrival.
+func (p *Pipe) setDeadline(x *exchange.Exchange, timeout clock.Millis) error {
+	timeout = min(timeout, clock.Millis(p.settings.MaxDeadlineMs))
+	limits := p.leads
+	if x.FromPeer {
+		// Boxes connect to each other directly.
+		limits.RoundTripMs = 0
 	}
-	ctx, cancel := context.WithTimeout(x.Context(), x.RemainingMs(p.now()).Duration())
+	x.Deadline = x.Arrived + timeout
+	x.RespondBy = x.Deadline - limits.LeadMs(timeout, x.Caller, p.deps.LatenessMs())
+	ctx, cancel := context.WithTimeout(x.Context(), (x.Deadline - p.deps.Monotonic()).Duration())
 	x.SetContext(ctx)
 	x.OnSettle(func(*exchange.Exchange) { cancel() })
+	return p.checkDeadline(x)
+}
+
+// checkDeadline refuses a request that can't be served in time.
+func (p *Pipe) checkDeadline(x *exchange.Exchange) error {
+	if x.RemainingMs(p.deps.Monotonic()) <= 0 {
+		// The server would wait for a short body before it sends the response.
+		x.Writer.SetReadTimeout(1)
+		return apierror.New(http.StatusGatewayTimeout, "deadline_passed", "the deadline passed before the request ran")
+	}
 	return nil
 }
 
--- a/internal/pipe/settle/settle.go
+++ b/internal/pipe/settle/settle.go
@@ -12,16 +12,20 @@
 )
 
 // Pipe releases, counts and logs finished requests.
-type Pipe struct {
-	metrics *metrics.Metrics
-	logger  *zap.Logger
-	now     func() clock.Millis
+type Pipe struct{ deps Dependencies }
+
+// Dependencies are the parts of the box that the step uses.
+type Dependencies struct {
+	Metrics *metrics.Metrics
+	Logger  *zap.Logger
+	// LatenessMs returns by how much the box was late lately when it acted at a set time.
+	LatenessMs func() clock.Millis
+	// Monotonic reads the monotonic clock.
+	Monotonic func() clock.Millis
 }
 
 // New returns the step.
-func New(m *metrics.Metrics, logger *zap.Logger, now func() clock.Millis) *Pipe {
-	return &Pipe{metrics: m, logger: logger, now: now}
-}
+func New(d Dependencies) *Pipe { return &Pipe{deps: d} }
 
 // String returns the name of the step in logs.
 func (*Pipe) String() string { return "settle" }
@@ -32,21 +36,25 @@
 // Run releases the resources of the exchange and records its outcome.
 func (p *Pipe) Run(x *exchange.Exchange) error {
 	x.Settle()
-	p.metrics.Requests.Add(1)
+	now := p.deps.Monotonic()
+	p.deps.Metrics.Requests.Add(1)
 	switch x.Outcome {
 	case exchange.Ran:
-		p.metrics.OutcomeRan.Add(1)
+		p.deps.Metrics.OutcomeRan.Add(1)
 	case exchange.NotRun:
-		p.metrics.OutcomeNotRun.Add(1)
+		p.deps.Metrics.OutcomeNotRun.Add(1)
 	case exchange.Unknown:
-		p.metrics.OutcomeUnknown.Add(1)
+		p.deps.Metrics.OutcomeUnknown.Add(1)
+	}
+	if x.Deadline != 0 && x.Writer.Started() && now > x.Deadline {
+		p.deps.Metrics.ResponsesAfterDeadline.Add(1)
 	}
-	p.log(x)
+	p.log(x, now)
 	return nil
 }
 
-func (p *Pipe) log(x *exchange.Exchange) {
-	if !p.logger.Core().Enabled(zap.InfoLevel) {
+func (p *Pipe) log(x *exchange.Exchange, now clock.Millis) {
+	if !p.deps.Logger.Core().Enabled(zap.InfoLevel) {
 		return
 	}
 	organisation, upstream := "", ""
@@ -56,11 +64,16 @@
 	if x.Lease != nil {
 		upstream = x.Lease.Row.Name
 	}
-	p.logger.Info("request",
+	fields := []zap.Field{
 		zap.String("request", x.ID), zap.String("organisation", organisation),
 		zap.String("target", x.Target), zap.String("upstream", upstream),
 		zap.String("outcome", string(x.Outcome)), zap.Int("status", x.Writer.Status()),
 		zap.Int("attempts", x.Attempts), zap.Int64("bytes", x.Writer.Written()),
-		zap.Int64("took_ms", int64(p.now()-x.Arrived)),
-	)
+		zap.Int64("took_ms", int64(now-x.Arrived)),
+	}
+	if x.Deadline != 0 {
+		fields = append(fields, zap.Int64("deadline_lead_ms", int64(x.Deadline-now)),
+			zap.Int64("round_trip_ms", int64(x.Caller.RoundTripMs)), zap.Int64("lateness_ms", int64(p.deps.LatenessMs())))
+	}
+	p.deps.Logger.Info("request", fields...)
 }
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -22,6 +22,7 @@
 
 	Platform Platform `yaml:"platform"`
 	Request  Request  `yaml:"request"`
+	Deadline Deadline `yaml:"deadline"`
 	Route    Route    `yaml:"route"`
 	Admit    Admit    `yaml:"admit"`
 	Retry    Retry    `yaml:"retry"`
@@ -92,6 +93,16 @@
 	MaxDeadlineMs     int64 `yaml:"max_deadline_ms"`
 }
 
+// Deadline configures by how much last responses leave before their callers' deadlines, so that they arrive in time.
+type Deadline struct {
+	// RoundTripMs is the round trip to callers that is assumed at least. Connections from a balancer do not tell it.
+	RoundTripMs int64 `yaml:"round_trip_ms"`
+	// MaxLeadMs is the maximum lead, which grows with the measured round trip and the lateness of the process.
+	MaxLeadMs int64 `yaml:"max_lead_ms"`
+	// MaxLeadPercent is the maximum lead, in percent of the time that the caller waits.
+	MaxLeadPercent int `yaml:"max_lead_percent"`
+}
+
 // Route configures load balancing.
 type Route struct {
 	// Policy is one of the names that route.Policies lists.
@@ -226,6 +237,9 @@
 		{"request.write_timeout_ms", r.Request.WriteTimeoutMs, 1, dayMs},
 		{"request.default_deadline_ms", r.Request.DefaultDeadlineMs, 1, dayMs},
 		{"request.max_deadline_ms", r.Request.MaxDeadlineMs, 1, dayMs},
+		{"deadline.round_trip_ms", r.Deadline.RoundTripMs, 1, 10_000},
+		{"deadline.max_lead_ms", r.Deadline.MaxLeadMs, 1, 60_000},
+		{"deadline.max_lead_percent", int64(r.Deadline.MaxLeadPercent), 1, 50},
 		{"route.load_bound_percent", int64(r.Route.LoadBoundPercent), 101, 1000},
 		{"route.slow_start_ms", r.Route.SlowStartMs, 1, dayMs},
 		{"route.eject_base_ms", r.Route.EjectBaseMs, 1, dayMs},
