--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -91,8 +91,8 @@
 	FirstTurn      bool
 	Repeatable     bool
 	IdempotencyKey string
-	// Deadline is the monotonic time until which the caller waits, or 0 while it is unknown. RespondBy is the one by which
-	// a response has to leave that no upstream has begun.
+	// Deadline is the monotonic time until which the caller waits, or 0 while it is unknown. RespondBy is the one by
+	// which a response has to leave that no upstream has begun.
 	Deadline, RespondBy clock.Millis
 
 	// Set by claim. SendBefore is the monotonic time after which the request must not be sent, or 0.
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -93,16 +93,6 @@
 	MaxDeadlineMs     int64 `yaml:"max_deadline_ms"`
 }
 
-// Deadline configures by how much last responses leave before their callers' deadlines, so that they arrive in time.
-type Deadline struct {
-	// RoundTripMs is the round trip to callers that is assumed at least. Connections from a balancer do not tell it.
-	RoundTripMs int64 `yaml:"round_trip_ms"`
-	// MaxLeadMs is the maximum lead, which grows with the measured round trip and the lateness of the process.
-	MaxLeadMs int64 `yaml:"max_lead_ms"`
-	// MaxLeadPercent is the maximum lead, in percent of the time that the caller waits.
-	MaxLeadPercent int `yaml:"max_lead_percent"`
-}
-
 // Route configures load balancing.
 type Route struct {
 	// Policy is one of the names that route.Policies lists.
