fix(inbound): a response that has begun goes on until its caller's deadline, counted from the first byte

Cause: the time of a connection's first request counted from its accept, since some callers count from their connect; the same instant ended responses that had begun. Now requests count from the first byte, and the time for which the connection was open before makes only the lead longer. TestResponsesUntilTheDeadline, a connection opened 20 ms before: unexpected EOF before, whole after.

--- a/internal/box/lateness.go
+++ b/internal/box/lateness.go
@@ -35,5 +35,5 @@
 // handleDue is called when the last response to a request must leave.
 func (b *Box) handleDue(x *exchange.Exchange) { b.observeLateness(x.RespondBy) }
 
-// latenessMs returns the highest lateness that was observed lately.
-func (b *Box) latenessMs() clock.Millis { return b.lateness.MaxMs(b.clock.Monotonic()) }
+// latenessMs returns the lateness that this process rarely exceeded lately.
+func (b *Box) latenessMs() clock.Millis { return b.lateness.UsualMs(b.clock.Monotonic()) }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -109,7 +109,10 @@
 		x := exchange.New(ctx, id, w, r, kind, h.monotonic())
 		if c := inbound.ConnOf(r.Context()); c != nil {
 			arrival := c.Arrival()
-			x.Arrived, x.Caller = arrival.StartMs, deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New}
+			x.Arrived = arrival.StartMs
+			x.Caller = deadline.Path{
+				RoundTripMs: arrival.RoundTripMs, New: arrival.New, OpeningMs: arrival.OpeningMs,
+			}
 		}
 		x.FromPeer = fromPeer
 		if fromPeer {
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -20,8 +20,10 @@
 type Path struct {
 	// RoundTripMs is the measured round trip, or 0 if it is unknown.
 	RoundTripMs clock.Millis
-	// New is set if the connection was opened for the request. The caller then counts from its first packet.
-	New bool
+	// New is set if the connection was opened for the request, and OpeningMs is for how long it was open before the
+	// request began to arrive. Callers may then count from their first packet.
+	New       bool
+	OpeningMs clock.Millis
 }
 
 const percent = 100
@@ -29,11 +31,11 @@
 // LeadMs returns the lead of a last response. The caller waits for waitMs from its first byte on; the box is late by
 // latenessMs when it acts and writes.
 func (l Limits) LeadMs(waitMs clock.Millis, path Path, latenessMs clock.Millis) clock.Millis {
-	roundTripMs := max(l.RoundTripMs, path.RoundTripMs)
+	wayMs := max(l.RoundTripMs, path.RoundTripMs)
 	if path.New {
 		// The handshake takes another round trip before the first byte can be sent.
-		roundTripMs *= 2
+		wayMs = 2*wayMs + path.OpeningMs
 	}
 	shareMs := waitMs * clock.Millis(l.MaxLeadPercent) / percent
-	return max(0, min(roundTripMs+latenessMs+clock.Resolution, l.MaxLeadMs, shareMs))
+	return max(0, min(wayMs+latenessMs+clock.Resolution, l.MaxLeadMs, shareMs))
 }
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -19,6 +19,7 @@
 		{"a near caller on a kept connection", 3000, Path{RoundTripMs: 1}, 0, 11},
 		{"a far one", 3000, Path{RoundTripMs: 30}, 0, 31},
 		{"the connection was opened for the request", 3000, Path{RoundTripMs: 30, New: true}, 0, 61},
+		{"the caller took its time after the handshake", 3000, Path{RoundTripMs: 30, New: true, OpeningMs: 20}, 0, 81},
 		{"the box is late", 3000, Path{}, 40, 51},
 		{"a short deadline limits the lead to a share of it", 100, Path{RoundTripMs: 30}, 40, 5},
 		{"the setting limits it", 60_000, Path{RoundTripMs: 300, New: true}, 40, 250},
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -178,6 +178,15 @@
 			})
 		})
 	}
+	t.Run("on a connection that was opened some time before", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			const oneWay = 20 * time.Millisecond
+			f.upstream("u1", parts("text/event-stream"))
+			status, took := (&deadlineCaller{fleet: f, box: f.box(1), oneWay: oneWay}).send("/stream/", deadlineLine)
+			assert.Equal(f.t, http.StatusOK, status)
+			assert.Equal(f.t, 4*oneWay+endsMs*time.Millisecond, took)
+		})
+	})
 	t.Run("streaming upstreams have the time until the deadline", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			var told atomic.Value
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -112,7 +112,7 @@
 		writer.SetUnread(c.Unread())
 		arrival := c.Arrival()
 		r.ArrivedMs, r.ReceivedMs = arrival.StartMs, arrival.StartMs
-		r.Path = deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New}
+		r.Path = deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New, OpeningMs: arrival.OpeningMs}
 	}
 	return r
 }
--- a/internal/inbound/arrival.go
+++ b/internal/inbound/arrival.go
@@ -19,12 +19,12 @@
 
 // Arrival is when and how a request arrived.
 type Arrival struct {
-	// StartMs is the monotonic time from which the caller counts, as far as the box knows: when the first byte of the
-	// request was read, or its connection accepted if it was opened for the request. It is earlier if the request then
-	// had waited to be read.
+	// StartMs is the monotonic time at which the first byte of the request arrived.
 	StartMs clock.Millis
-	// New is set if the connection was opened for the request.
-	New bool
+	// New is set if the connection was opened for the request, and OpeningMs is how long before StartMs it was accepted
+	// then. Some callers count from when they began to connect.
+	New       bool
+	OpeningMs clock.Millis
 	// RoundTripMs is the round trip that the kernel measured on the connection, rounded up, or 0 if it doesn't tell.
 	RoundTripMs clock.Millis
 }
@@ -49,9 +49,10 @@
 		// Its first bytes were read along with those of another request.
 		a.StartMs = c.listener.clock.Monotonic()
 	}
-	a.New = a.New && a.StartMs-c.arrivals.acceptedMs <= openingMs
+	openedMs := a.StartMs - c.arrivals.acceptedMs
+	a.New = a.New && openedMs <= openingMs
 	if a.New {
-		a.StartMs = c.arrivals.acceptedMs
+		a.OpeningMs = openedMs
 	}
 	unreadMs := clock.FromDuration(c.listener.kernel.SinceReceived(c.Conn))
 	if unreadMs <= maxUnreadMs {
