fix(inbound): requests by TLS don't count from a handshake long before

Cause: a connection records when the first bytes of a request are read. Below TLS these are the bytes of the handshake. Evidence: TestEncryptedRequestsCountFromTheirOwnBytes, a first request 30 s after the handshake: its start was 0 s before and is 30 s now; the second one at 60 s was right before. A first head by TLS that takes long counts from its end; the connection doesn't tell the end of the handshake. Later requests on the connection count from their first byte as before. Ruled out: HTTP/2, where one connection carries many requests at a time: no listener offers it.

--- a/internal/inbound/arrival.go
+++ b/internal/inbound/arrival.go
@@ -63,8 +63,11 @@
 }
 
 // recordRead records that bytes were read into a buffer of the server.
-func (a *arrivals) recordRead(now clock.Millis, bufferBytes int, handling bool) {
+func (a *arrivals) recordRead(now clock.Millis, bufferBytes int, handling, encrypted bool) {
 	switch {
+	case !handling && encrypted && !a.reused.Load():
+		// The first bytes are those of the handshake, which may end long before the request begins.
+		a.currentMs.Store(int64(now))
 	case !handling:
 		a.currentMs.CompareAndSwap(0, int64(now))
 	case bufferBytes == readAheadBytes:
--- a/internal/inbound/arrival_test.go
+++ b/internal/inbound/arrival_test.go
@@ -141,7 +141,7 @@
 			}}
 			l := &Listener{kernel: kernel, clock: clock.New(clock.WithMonotonic(func() clock.Millis { return nowMs }))}
 			request := &Conn{Conn: conn, listener: l}
-			request.arrivals.recordRead(nowMs-2, 0, false)
+			request.arrivals.recordRead(nowMs-2, 0, false, false)
 			assert.Equal(t, c.want, request.Arrival().StartMs)
 		})
 	}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -105,7 +105,7 @@
 	defer c.reads.Add(-1)
 	n, err := c.readRequest(data)
 	if n > 0 {
-		c.arrivals.recordRead(c.listener.clock.Monotonic(), len(data), c.handling.Load())
+		c.arrivals.recordRead(c.listener.clock.Monotonic(), len(data), c.handling.Load(), c.listener.encrypted)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.Store(true)
--- a/internal/inbound/encrypted_test.go
+++ b/internal/inbound/encrypted_test.go
@@ -10,11 +10,14 @@
 	"net/http"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/testlib"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -97,3 +100,46 @@
 		})
 	}
 }
+
+// TestEncryptedRequestsCountFromTheirOwnBytes guards against deadlines that count from the handshake of a connection that
+// was opened in advance.
+func TestEncryptedRequestsCountFromTheirOwnBytes(t *testing.T) {
+	dir := t.TempDir()
+	files := config.TLS{CertificateFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key")}
+	testlib.WriteCertificate(t, files, 1)
+	pair, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+	require.NoError(t, err)
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.New()
+		begin := c.Monotonic()
+		inner := closableListener{pipeListener{conns: make(chan net.Conn, 1)}, make(chan struct{})}
+		l := NewListener(inner, 1, exchange.NewMemory(1<<20), c, WithEncryption())
+		var startsMs []clock.Millis
+		server := &http.Server{
+			ReadHeaderTimeout: time.Minute,
+			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				startsMs = append(startsMs, ConnOf(r.Context()).Arrival().StartMs-begin)
+			}),
+		}
+		Attach(server, c.Monotonic)
+		settings := &tls.Config{Certificates: []tls.Certificate{pair}, SessionTicketsDisabled: true}
+		go func() { _ = server.Serve(tls.NewListener(l, settings)) }()
+		here, there := net.Pipe()
+		inner.conns <- there
+		caller := tls.Client(here, &tls.Config{InsecureSkipVerify: true})
+		require.NoError(t, caller.HandshakeContext(t.Context()))
+		in := bufio.NewReader(caller)
+		for range 2 {
+			time.Sleep(30 * time.Second)
+			_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+		}
+		require.NoError(t, here.Close())
+		require.NoError(t, server.Close())
+		time.Sleep(time.Minute)
+		assert.Equal(t, []clock.Millis{30_000, 60_000}, startsMs)
+	})
+}
