fix(inbound): the end of a line behind a body is not the beginning of the next request

Cause: requests count from the first byte that is read after the one before, and the line was taken for it. Evidence: TestRequestsCountFromTheirFirstByte, the next request 1 s behind a line that comes with the body: its start was 0 ms, now 1,000; behind a line that comes while the first request is handled (taken from the pipe at 400 ms): 100 ms, now 1,400. Why this works: a request never begins with the end of a line, so that reads and held bytes of nothing else don't set its start.

--- a/internal/inbound/arrival.go
+++ b/internal/inbound/arrival.go
@@ -75,10 +75,10 @@
 	}
 }
 
-// recordHeld records how many bytes are held that were read past the end of a request.
-func (a *arrivals) recordHeld(now clock.Millis, heldBytes int) {
-	if heldBytes == 0 {
-		// They were a part of the current request.
+// recordHeld records whether a part of a request is held that was read past the end of another.
+func (a *arrivals) recordHeld(now clock.Millis, holds bool) {
+	if !holds {
+		// What was held was a part of the current request.
 		a.nextMs.CompareAndSwap(a.heldMs.Swap(0), 0)
 		return
 	}
--- a/internal/inbound/arrival_test.go
+++ b/internal/inbound/arrival_test.go
@@ -111,6 +111,24 @@
 		assert.Equal(t, []clock.Millis{0, 100}, startsMs)
 		assert.Equal(t, []bool{true, false}, areNew)
 	})
+	t.Run("one behind a line after a body", func(t *testing.T) {
+		startsMs, _, _ := play(t, 0, func(conn net.Conn) {
+			write(t, conn, firstPart+lastPart+"\r\n")
+			time.Sleep(time.Second)
+			write(t, conn, firstPart+lastPart)
+		})
+		assert.Equal(t, []clock.Millis{0, 1000}, startsMs)
+	})
+	t.Run("one behind a line that is sent while another is handled", func(t *testing.T) {
+		startsMs, _, _ := play(t, 400*time.Millisecond, func(conn net.Conn) {
+			write(t, conn, firstPart+lastPart)
+			time.Sleep(100 * time.Millisecond)
+			write(t, conn, "\r\n")
+			time.Sleep(time.Second)
+			write(t, conn, firstPart+lastPart)
+		})
+		assert.Equal(t, []clock.Millis{0, 1400}, startsMs, "the pipe takes the whole line after 0.4 s")
+	})
 	t.Run("three at once", func(t *testing.T) {
 		startsMs, _, areNew := play(t, 400*time.Millisecond, func(conn net.Conn) {
 			write(t, conn, firstPart+lastPart+firstPart+lastPart+firstPart+lastPart)
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -104,7 +104,7 @@
 	c.reads.Add(1)
 	defer c.reads.Add(-1)
 	n, err := c.readRequest(data)
-	if n > 0 {
+	if !areLineEnds(data[:n]) {
 		c.arrivals.recordRead(c.listener.clock.Monotonic(), len(data), c.handling.Load(), c.listener.encrypted)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -88,7 +88,7 @@
 		data = nil
 	}
 	c.ahead.data = data
-	c.arrivals.recordHeld(c.listener.clock.Monotonic(), len(data))
+	c.arrivals.recordHeld(c.listener.clock.Monotonic(), !areLineEnds(data))
 	c.headAhead.Store(bytes.Contains(data, []byte("\n\r\n")) || bytes.Contains(data, []byte("\n\n")))
 	c.aheadBytes.Store(int64(len(data)))
 }
@@ -119,3 +119,7 @@
 
 // isBlank reports whether a line has no text.
 func isBlank(line []byte) bool { return len(line) == 0 || len(line) == 1 && line[0] == '\r' }
+
+// areLineEnds reports whether data are only the ends of lines, or empty. Some callers send one behind a body, so that a
+// request has not begun with it.
+func areLineEnds(data []byte) bool { return len(bytes.Trim(data, "\r\n")) == 0 }
