fix(gateway): a few slow responses don't take retries from callers that wait for less

Cause: one estimate for two decisions with opposite safe sides. RespondsWithin's mean tells that it is useless to wait; a retry was refused by the same mean, which one response of 1.5 s raises by 94 ms. Ruled out: 503 promises by this decision. What may have run ends as 502 response_lost or with the upstream's own response.

--- a/internal/balance/slowpool.go
+++ b/internal/balance/slowpool.go
@@ -52,13 +52,13 @@
 		!c.between(oldest, now-half).mostlyUnanswered()
 }
 
-// UsuallyTakes reports whether the upstreams of a pool recently took at least a time to respond to this box's attempts
-// on average.
-func (m *Manager) UsuallyTakes(pool string, span clock.Millis) bool {
+// NoneWithin reports whether the upstreams of a pool recently took at least a time for each response to this box's
+// attempts. The mean alone would be raised by a few responses that take long.
+func (m *Manager) NoneWithin(pool string, span clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.attempts[pool]
-	return c != nil && c.meanReaches(span, m.monotonic())
+	c, now := m.attempts[pool], m.monotonic()
+	return c != nil && c.meanReaches(span, now) && !c.anyWithin(span, now)
 }
 
 // mostlyUnanswered reports whether most of enough attempts at several upstreams have no response.
--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -33,6 +33,8 @@
 	// upstream is the first upstream that got one, and several is set if others did, too.
 	upstream string
 	several  bool
+	// fastestMs is the shortest time that one of the answered took to get its response.
+	fastestMs clock.Millis
 }
 
 // attemptCounts counts the attempts at the upstreams of a pool by the time at which they began.
@@ -60,11 +62,24 @@
 }
 
 // recordAnswer counts the response to an attempt that began at a time, unless that is too long ago.
-func (c *attemptCounts) recordAnswer(startedMs clock.Millis) {
+func (c *attemptCounts) recordAnswer(startedMs, now clock.Millis) {
 	number := int64(startedMs / attemptBucketMs)
-	if b := &c.buckets[number%attemptBuckets]; b.number == number {
-		b.answered++
+	b := &c.buckets[number%attemptBuckets]
+	if b.number != number {
+		return
+	}
+	if elapsed := now - startedMs; b.answered == 0 || elapsed < b.fastestMs {
+		b.fastestMs = elapsed
 	}
+	b.answered++
+}
+
+// anyWithin reports whether a recent attempt got its response in less than a time.
+func (c *attemptCounts) anyWithin(span, now clock.Millis) bool {
+	oldest := now - clock.Millis(attemptBuckets-1)*attemptBucketMs
+	return slices.ContainsFunc(c.buckets[:], func(b attemptBucket) bool {
+		return b.answered > 0 && b.fastestMs < span && clock.Millis(b.number)*attemptBucketMs >= oldest
+	})
 }
 
 // attemptSpan is the sum of the buckets of a span.
@@ -112,7 +127,7 @@
 	l.endUnanswered()
 	if l.sentMs > 0 {
 		counts, now := l.manager.attemptsOf(l.Pool), l.manager.monotonic()
-		counts.recordAnswer(l.sentMs)
+		counts.recordAnswer(l.sentMs, now)
 		counts.recordFirstByte(now-l.sentMs, now)
 	}
 }
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -236,3 +236,31 @@
 		}
 	})
 }
+
+// TestRetriesInPoolsWithSomeSlowResponses guards against callers that get no retry, which would be in time, since a few
+// responses of the pool took long.
+func TestRetriesInPoolsWithSomeSlowResponses(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		const slowMs, deadlineMs = 1500, 150
+		var failed atomic.Bool
+		for _, id := range []string{"u1", "u2"} {
+			f.upstream(id, func(w http.ResponseWriter, r *http.Request) {
+				switch r.URL.Path {
+				case "/safe/slow":
+					_ = clock.New().Sleep(r.Context(), slowMs)
+				case "/safe/fails":
+					if failed.CompareAndSwap(false, true) {
+						w.WriteHeader(http.StatusInternalServerError)
+					}
+				}
+			})
+		}
+		caller := &deadlineCaller{fleet: f, box: f.box(1, func(g *config.Gateway) { g.Budget.Slack = 100 })}
+		for _, path := range []string{"/safe/slow", "/safe/slow", "/safe/slow", "/safe/", "/safe/", "/safe/"} {
+			status, _ := caller.send(path, "")
+			require.Equal(f.t, http.StatusOK, status)
+		}
+		status, _ := caller.send("/safe/fails", fmt.Sprintf("X-Deadline: %d\r\n", deadlineMs))
+		assert.Equal(f.t, http.StatusOK, status)
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -69,7 +69,7 @@
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
 			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
-			RespondsWithin: b.balance.RespondsWithin, UsuallyTakes: b.balance.UsuallyTakes,
+			RespondsWithin: b.balance.RespondsWithin, NoneWithin: b.balance.NoneWithin,
 			OnFirstSend: b.budgets.RecordAttempt, OnDue: b.handleDue,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -40,8 +40,8 @@
 	CanRetry func(pool string) bool
 	// RespondsWithin reports whether another upstream of the pool would likely respond within a time.
 	RespondsWithin func(pool string, within clock.Millis) bool
-	// UsuallyTakes reports whether the upstreams of a pool recently took at least a time to respond on average.
-	UsuallyTakes func(pool string, span clock.Millis) bool
+	// NoneWithin reports whether the upstreams of a pool recently took at least a time for each response.
+	NoneWithin func(pool string, span clock.Millis) bool
 	// OnDue is called when the last response to a request must leave.
 	OnDue func(r *opaque.Request)
 	// OnFirstSend counts the first attempt of a request in the retry budget of a pool.
@@ -320,7 +320,7 @@
 		return retryAllowed
 	case failed.execution != wrongUpstream && r.Sent >= r.Route.Attempts:
 		return stopMaxAttempts
-	case failed.execution != wrongUpstream && s.pipe.deps.UsuallyTakes(r.Pool, s.remainingMs()):
+	case failed.execution != wrongUpstream && s.pipe.deps.NoneWithin(r.Pool, s.remainingMs()):
 		return stopTooLate
 	case !s.pipe.deps.MayRetry(r.Pool):
 		return stopRetryBudget
--- a/internal/pipe/dispatch/failure.go
+++ b/internal/pipe/dispatch/failure.go
@@ -38,7 +38,7 @@
 	stopCallerDisconnected retryDecision = "none: the caller left"
 	stopCallerSlow         retryDecision = "none: the caller did not read"
 	stopDeadline           retryDecision = "none: no time left"
-	stopTooLate            retryDecision = "none: upstreams usually need more time than is left"
+	stopTooLate            retryDecision = "none: upstreams need more time than is left"
 	stopResponseStarted    retryDecision = "none: the answer has begun"
 	stopNoMemory           retryDecision = "none: the box has no memory for the response"
 	stopMayHaveRun         retryDecision = "none: it may have run and may not run twice"
