--- a/internal/pipe/dispatch/left_test.go
+++ b/internal/pipe/dispatch/left_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -51,3 +55,39 @@
 	assert.True(t, held)
 	assert.True(t, done)
 }
+
+// TestOnDueOnlyWhenDue guards against callers that leave early and are counted as if the box had acted on time.
+func TestOnDueOnlyWhenDue(t *testing.T) {
+	for name, c := range map[string]struct {
+		leavesAfter time.Duration
+		due         int32
+	}{"a caller that leaves": {20 * time.Millisecond, 0}, "one that stays": {time.Minute, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, memory := newLoop(t)
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				defer time.AfterFunc(c.leavesAfter, leave).Stop()
+				var due atomic.Int32
+				now := clock.New()
+				p := New(Dependencies{
+					Clock: now, Memory: memory, GraceEnded: t.Context(), OnFirstSend: func(string) {},
+					OnDue: func(*opaque.Request) { due.Add(1) },
+					CheckBeforeSend: func(ctx context.Context, _ *opaque.Request) error {
+						<-ctx.Done()
+						return ctx.Err()
+					},
+					HoldWhile: func(*opaque.Request, func() bool) func() { return func() {} },
+				})
+				s.request.Route = &routing.Route{}
+				s.request.HTTP = httptest.NewRequestWithContext(ctx, http.MethodGet, "/", http.NoBody)
+				s.request.Writer = exchange.NewWriter(httptest.NewRecorder())
+				s.request.DeadlineMs = now.Monotonic() + clock.Second
+				s.request.RespondByMs = s.request.DeadlineMs
+				require.Error(t, p.Run(s.request))
+				synctest.Wait()
+				assert.Equal(t, c.due, due.Load())
+			})
+		})
+	}
+}
