fix(dispatch): streams that break shortly before the deadline go on elsewhere again

Cause: a begun stream may go on until its deadline, but two checks on the way to the next attempt, the one before each send and the one of admission, counted until the last response must leave. Evidence: TestStreamsResumeUntilTheDeadline, a stream that breaks 395 ms after its beginning with a deadline of 400: unexpected EOF; on and now whole. Why this works: the time that is left is defined once, by whether the caller has begun to receive a response. The fixture newLoop gets a writer, as all requests have; no check is changed.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -264,3 +264,26 @@
 		assert.Equal(f.t, http.StatusOK, status)
 	})
 }
+
+// TestStreamsResumeUntilTheDeadline guards against streams that break shortly before the deadline and don't go on,
+// though another upstream has the rest.
+func TestStreamsResumeUntilTheDeadline(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		const breaksMs, deadlineMs = 395, 400
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") == "3" {
+				writeEvents(4, 5, endStream)(w, r)
+				return
+			}
+			writeEvents(1, 3, func(w http.ResponseWriter, r *http.Request) {
+				_ = http.NewResponseController(w).Flush()
+				_ = clock.New().Sleep(r.Context(), breaksMs)
+				abortMidEvent(w, r)
+			})(w, r)
+		}
+		f.upstream("u1", handler)
+		f.upstream("u2", handler)
+		status, _ := (&deadlineCaller{fleet: f, box: f.box(1)}).send("/resumable/", fmt.Sprintf("X-Deadline: %d\r\n", deadlineMs))
+		assert.Equal(f.t, http.StatusOK, status)
+	})
+}
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -133,8 +133,14 @@
 	return r.Route.Priority
 }
 
-// RemainingMs returns the time until the last response must leave.
-func (r *Request) RemainingMs(now clock.Millis) clock.Millis { return r.RespondByMs - now }
+// RemainingMs returns the time until the last response must leave. A response that the caller has begun to receive goes
+// on until the deadline.
+func (r *Request) RemainingMs(now clock.Millis) clock.Millis {
+	if r.Writer.Started() {
+		return r.DeadlineMs - now
+	}
+	return r.RespondByMs - now
+}
 
 // UpstreamTimeMs returns the time for upstreams to respond. Responses in parts are relayed until the deadline.
 func (r *Request) UpstreamTimeMs(now clock.Millis) clock.Millis {
--- a/internal/pipe/dispatch/buffered_test.go
+++ b/internal/pipe/dispatch/buffered_test.go
@@ -22,7 +22,10 @@
 	memory := exchange.NewMemory(64 << 20)
 	return &retryLoop{
 		pipe: New(Dependencies{Memory: memory}), ctx: tb.Context(),
-		request: &opaque.Request{HTTP: httptest.NewRequestWithContext(tb.Context(), http.MethodGet, "/", nil)},
+		request: &opaque.Request{
+			HTTP:   httptest.NewRequestWithContext(tb.Context(), http.MethodGet, "/", nil),
+			Writer: exchange.NewWriter(httptest.NewRecorder()),
+		},
 	}, memory
 }
 
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -333,13 +333,9 @@
 	}
 }
 
-// remainingMs returns the time for the next attempt. A stream that has begun goes on until the deadline.
+// remainingMs returns the time for the next attempt.
 func (s *retryLoop) remainingMs() clock.Millis {
-	now := s.pipe.deps.Clock.Monotonic()
-	if s.stream != nil {
-		return s.request.DeadlineMs - now
-	}
-	return s.request.RemainingMs(now)
+	return s.request.RemainingMs(s.pipe.deps.Clock.Monotonic())
 }
 
 func (s *retryLoop) timeOver() bool { return s.ctx.Err() != nil || s.remainingMs() <= 0 }
--- a/internal/pipe/dispatch/left_test.go
+++ b/internal/pipe/dispatch/left_test.go
@@ -15,7 +15,6 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
-	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
 )
@@ -50,7 +49,6 @@
 			return func() { done = true }
 		},
 	})
-	s.request.Writer = exchange.NewWriter(httptest.NewRecorder())
 	require.Error(t, p.Run(s.request))
 	assert.True(t, held)
 	assert.True(t, done)
@@ -81,7 +79,6 @@
 				})
 				s.request.Route = &routing.Route{}
 				s.request.HTTP = httptest.NewRequestWithContext(ctx, http.MethodGet, "/", http.NoBody)
-				s.request.Writer = exchange.NewWriter(httptest.NewRecorder())
 				s.request.DeadlineMs = now.Monotonic() + clock.Second
 				s.request.RespondByMs = s.request.DeadlineMs
 				require.Error(t, p.Run(s.request))
