test(admission): owners take the time between first events for that of a prefill

The owner expects 715 ms instead of 800 for a long prompt alone and 1.65 times too much for a short one behind another.

--- a/internal/admission/fleet_test.go
+++ b/internal/admission/fleet_test.go
@@ -88,6 +88,8 @@
 
 	// urgentFirst is set if engines prefill urgent prompts first.
 	urgentFirst bool
+	// firstEventMs passes between the end of a prefill and the first event. It does not delay other prompts.
+	firstEventMs float64
 	// lose is the fraction of starts and releases that are lost, varying the range of the times for which requests run as
 	// a fraction of their mean, and leaveAfter the milliseconds after which a third of the callers give up, or 0.
 	lose, varying, leaveAfter float64
@@ -369,12 +371,21 @@
 	f.after(c.kind.prefillMs()*e.slow, func() {
 		e.reading = false
 		if !e.down {
-			f.start(c)
+			f.startLater(c)
 			f.read(e)
 		}
 	})
 }
 
+// startLater starts a response some time after its prefill.
+func (f *fleet) startLater(c *call) {
+	if f.firstEventMs == 0 {
+		f.start(c)
+		return
+	}
+	f.after(f.firstEventMs*c.engine.slow, func() { f.start(c) })
+}
+
 // start sends the first event of a response, which then runs for a while.
 func (f *fleet) start(c *call) {
 	e := c.engine
