fix(gateway): a running box outlives its sockets

What callers saw: a box that runs loses a listener or its UDP socket while another process takes the port. If that lasts for over 10 s, the box drains and ends by itself with status 1, though callers need only their own listener.

Cause: openings of sockets in a running box had a limit in time (10 s, or the grace period), and Run ended with the first that was not opened anew.

A UDP socket can't be killed so in a real process: shutdown(2) makes it deaf without an error; its loss is played by the seams only.

The fix: a running box opens each socket anew until it stops, whatever the error, as a start does. Without its listener for callers it says that it is not ready, serves open connections on, and takes new ones once the port is free: a next process would find the same port taken, and an end would cut what runs. Sockets for other boxes go on, both together, at another port after 0.5 s, as at a start, and the mesh tells the others under the same incarnation. What ends a box by itself now: a callers' address that can't be opened at its start for another reason than being taken or missing (as before), and settings that can't be used.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -87,6 +87,7 @@
 	servers         []*http.Server
 	readinessServer *http.Server
 	peersSocket     *server.PacketConn
+	callersListener *server.Listener
 	// endMetrics makes the box serve no more metrics.
 	endMetrics context.CancelFunc
 	// drained are the listeners that requests arrive on.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -99,41 +98,22 @@
 	return g
 }
 
-// minRebindTimeoutMs is the minimum time for which a box that runs tries to open a socket anew.
-const minRebindTimeoutMs = 10 * clock.Second
-
-// binder returns the binder of the listener for callers, without which the box can't run. At its start the box waits
-// for it until it is stopped: whatever has the address may release it at any time, and an end would only have the box
-// start again.
+// binder returns the binder of the listener for callers, without which the box can't start. It waits until the box is
+// stopped: whatever has the address may release it at any time, and an end would only have the box start again.
 func (b *Box) binder() server.Binder {
 	return server.Binder{
 		Clock: b.clock, OnRetry: func(err error) { b.RecordProcess("listener retried", err.Error()) },
 	}
 }
 
-// rebinder returns the binder of sockets that have failed. The box stops gracefully if it can't open one for longer
-// than it would wait for an earlier process, since other boxes can serve its callers.
+// rebinder returns the binder of sockets that a box that runs has not, or has no more. It retries all errors until the
+// box stops, which serves on those that it has: its next process would find the same address taken.
 func (b *Box) rebinder() server.Binder {
 	binder := b.binder()
-	binder.TimeoutMs = max(minRebindTimeoutMs, shutdownGrace(b.Settings()))
+	binder.RetriesAll = true
 	return binder
 }
 
-// reopenBinder returns a function that returns the binder for the next opening of a socket. One that could not be
-// opened at the start is tried until the box stops, which serves callers meanwhile.
-func (b *Box) reopenBinder(socket io.Closer) func() server.Binder {
-	opened := !server.IsUnopened(socket)
-	return func() server.Binder {
-		if opened {
-			return b.rebinder()
-		}
-		opened = true
-		binder := b.binder()
-		binder.RetriesAll = true
-		return binder
-	}
-}
-
 // Names of the listeners, and of the UDP socket for other boxes.
 const (
 	callersSocket   = "callers"
@@ -144,9 +124,9 @@
 
 // socket is an HTTP listener.
 type socket struct {
-	name, address string
-	handler       http.Handler
-	listener      net.Listener
+	name     string
+	handler  http.Handler
+	listener net.Listener
 }
 
 // openSockets opens the listener for callers, for which it waits, and then whatever it can of the others, and serves
@@ -157,21 +137,22 @@
 	if err != nil {
 		return nil, err
 	}
-	peers := b.openPeers(ctx, settings)
+	peers := b.keepPeers(settings, b.openPeers(ctx, settings))
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+b.readinessPath, b.readiness)
 	// Callers are served first, before the box says that it is ready.
+	b.callersListener = b.surviveErrors(callersSocket, settings.CallersAddress, callers)
 	sockets := []*socket{
-		{name: callersSocket, address: settings.CallersAddress, handler: b, listener: callers},
-		{name: peersSocket, address: peers.address, handler: b.peersHandler(), listener: peers.listener},
+		{name: callersSocket, handler: b, listener: b.callersListener},
+		{name: peersSocket, handler: b.peersHandler(), listener: peers.listener},
 		{
-			name: readinessSocket, address: settings.ReadinessAddress, handler: ready,
-			listener: b.listenOnce(settings.ReadinessAddress),
+			name: readinessSocket, handler: ready,
+			listener: b.surviveErrors(readinessSocket, settings.ReadinessAddress, b.listenOnce(settings.ReadinessAddress)),
 		},
 	}
 	b.pauseDetector.begin()
-	failed := make(chan error, 1+len(sockets))
-	b.peersSocket = b.surviveErrors(peers.conn, peers.address, failed)
+	failed := make(chan error, len(sockets))
+	b.peersSocket = peers.conn
 	b.joinMesh(b.peersSocket, settings, peers.address)
 	if b.askAdmission == nil {
 		b.askAdmission = b.askOwner()
@@ -210,25 +191,21 @@
 	return listener
 }
 
-// surviveErrors returns a connection that opens the UDP socket for other boxes anew if it can't receive any more.
-func (b *Box) surviveErrors(conn net.PacketConn, address string, failed chan<- error) *server.PacketConn {
-	binder := b.reopenBinder(conn)
-	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
-		return binder().ListenPacket(ctx, peersUDP, address, b.packets)
-	}, func(err error) { b.reportListenerError(peersUDP, err) }, func(err error) { failed <- err })
+// surviveErrors returns a listener that opens its socket anew, at the same address, if it can't accept any more.
+func (b *Box) surviveErrors(name, address string, listener net.Listener) *server.Listener {
+	return server.NewListener(listener, b.clock, func(ctx context.Context) (net.Listener, error) {
+		return b.rebinder().Listen(ctx, name, address, b.listen)
+	}, func(err error) { b.reportListenerError(name, err) })
 }
 
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
-	h, binder := b.newServer(s.handler), b.reopenBinder(s.listener)
-	listener := server.NewListener(s.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
-		return binder().Listen(ctx, s.name, s.address, b.listen)
-	}, func(err error) { b.reportListenerError(s.name, err) })
+	h := b.newServer(s.handler)
 	options := []inbound.Option{}
 	if s.name == callersSocket {
 		// A box that ends its side of a connection has left.
 		options = append(options, inbound.WithHeldEnds(), inbound.WithTimeouts(b.callerTimeouts))
 	}
-	conns := b.limitConnections(listener, options...)
+	conns := b.limitConnections(s.listener, options...)
 	b.servers = append(b.servers, h)
 	if s.name == readinessSocket {
 		b.readinessServer = h
--- a/internal/gateway/peers_sockets.go
+++ b/internal/gateway/peers_sockets.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -92,3 +94,125 @@
 	}
 	return net.JoinHostPort(host, port)
 }
+
+// peersKeeper opens the sockets for other boxes anew if they fail, both at another port if one can't be opened at the
+// same port.
+type peersKeeper struct {
+	box      *Box
+	settings *config.Gateway
+	conn     *server.PacketConn
+	listener *server.Listener
+
+	// reopening holds a value while a socket is opened anew, which may wait, and guards what follows.
+	reopening chan struct{}
+	// address is where other boxes reach this one.
+	address string
+	// reported is set once a line tells that there is no port.
+	reported bool
+}
+
+// keepPeers returns the keeper of sockets for other boxes.
+func (b *Box) keepPeers(settings *config.Gateway, opened peersSockets) *peersKeeper {
+	k := &peersKeeper{
+		box: b, settings: settings, reopening: make(chan struct{}, 1), address: opened.address,
+		reported: server.IsUnopened(opened.conn),
+	}
+	reportUDP := func(err error) { b.reportListenerError(peersUDP, err) }
+	k.conn = server.NewPacketConn(opened.conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
+		return reopenPeers(ctx, k, peersUDP, k.conn.IsOpen, func() (net.PacketConn, error) {
+			return b.packets("udp", k.address)
+		})
+	}, reportUDP, reportUDP)
+	k.listener = server.NewListener(opened.listener, b.clock, func(ctx context.Context) (net.Listener, error) {
+		return reopenPeers(ctx, k, peersSocket, k.listener.IsOpen, func() (net.Listener, error) {
+			return b.listen("tcp", k.address)
+		})
+	}, func(err error) { b.reportListenerError(peersSocket, err) })
+	return k
+}
+
+// errPeersMoved is returned if both sockets have moved to another port.
+var errPeersMoved = errors.New("sockets for other boxes moved to another port")
+
+// reopenPeers opens a lost socket for other boxes at the same port, or both sockets at another one.
+func reopenPeers[T io.Closer](
+	ctx context.Context, k *peersKeeper, name string, isOpen func() bool, open func() (T, error),
+) (T, error) {
+	var reopened T
+	select {
+	case k.reopening <- struct{}{}:
+		defer func() { <-k.reopening }()
+	case <-ctx.Done():
+		return reopened, ctx.Err()
+	}
+	if isOpen() {
+		return reopened, errPeersMoved
+	}
+	reopen := func() (err error) {
+		if reopened, err = open(); err != nil {
+			return fmt.Errorf("%s listener at %s: %w", name, k.address, err)
+		}
+		return nil
+	}
+	binder := k.box.binder()
+	binder.TimeoutMs = peersPortWaitMs
+	if err := binder.Retry(ctx, reopen); err == nil || ctx.Err() != nil {
+		return reopened, err
+	}
+	moved := false
+	err := k.box.rebinder().Retry(ctx, func() error {
+		err := reopen()
+		if err == nil {
+			return nil
+		}
+		if moved = k.move(err); moved {
+			return nil
+		}
+		k.report(decision.PeersPort{Usual: k.settings.PeersAddress, Err: err.Error()})
+		return err
+	})
+	if moved {
+		err = errPeersMoved
+	}
+	return reopened, err
+}
+
+// move opens both sockets at another port, and makes the other boxes use it. It reports whether it has.
+func (k *peersKeeper) move(because error) bool {
+	if k.box.stopping.Load() {
+		return false
+	}
+	opened := peersSockets{}
+	for _, address := range append([]string{k.settings.PeersAddress}, otherPeersAddresses(k.settings)...) {
+		if server.OpenAll(k.box.peersPair(address, &opened)...) == nil {
+			k.use(opened)
+			k.report(decision.PeersPort{Usual: k.settings.PeersAddress, Used: k.address, Err: because.Error()})
+			return true
+		}
+	}
+	return false
+}
+
+// use makes the box use sockets at another port. A box that stops meanwhile closes them.
+func (k *peersKeeper) use(opened peersSockets) {
+	if err := k.listener.Switch(opened.listener); err != nil {
+		k.box.reportListenerError(peersSocket, err)
+	}
+	former, err := k.conn.Switch(opened.conn)
+	if err != nil {
+		k.box.reportListenerError(peersUDP, err)
+		return
+	}
+	k.address = opened.address
+	k.box.peering.mesh.Moved(opened.address, former)
+	// It may be dead.
+	_ = former.Close()
+}
+
+// report records at which port other boxes reach this one, once while there is none.
+func (k *peersKeeper) report(e decision.PeersPort) {
+	if missing := e.Used == ""; !missing || !k.reported {
+		k.box.log.Record(e)
+		k.reported = missing
+	}
+}
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -64,9 +64,9 @@
 }
 
 // Ready reports whether the box accepts new callers: it has a list of upstreams and a routing state whose keys it may
-// trust, and it is not shutting down.
+// trust, it has a listener for them, and it is not shutting down.
 func (b *Box) Ready() bool {
-	return !b.stopping.Load() && b.isSynced() && b.keysTrusted()
+	return !b.stopping.Load() && b.isSynced() && b.keysTrusted() && b.callersListener.IsOpen()
 }
 
 // keysTrusted reports whether the routing state was confirmed recently enough to accept its keys.
--- a/internal/mesh/former.go
+++ b/internal/mesh/former.go
@@ -19,8 +19,28 @@
 		return err
 	}
 	m.mu.Lock()
-	m.movedTo = address
+	m.movedTo, m.gaveUpAddress = address, true
 	m.mu.Unlock()
+	m.tellMove(former)
+	return former.Close() //nolint:wrapcheck // The caller names the socket.
+}
+
+// Moved makes the other boxes use another address of this process, to which its connection has moved. The former socket
+// may be dead.
+func (m *Mesh) Moved(address string, former net.PacketConn) {
+	m.mu.Lock()
+	gaveUp := m.gaveUpAddress
+	if !gaveUp {
+		m.movedTo = address
+	}
+	m.mu.Unlock()
+	if !gaveUp {
+		m.tellMove(former)
+	}
+}
+
+// tellMove tells the other boxes the address of this process, and moves its requests there.
+func (m *Mesh) tellMove(former net.PacketConn) {
 	// Owners know requests by the address from which they were asked. Some were granted during the move. Those that were
 	// asked from the new address are counted once, too.
 	running, permits := m.admissions.running(), m.pendingPermits.all()
@@ -38,7 +58,6 @@
 	for number, p := range permits {
 		m.sendFrom(former, p.owner, permitMessage{Kind: permitRelease, Number: number})
 	}
-	return former.Close() //nolint:wrapcheck // The caller names the socket.
 }
 
 // recountPermit makes an owner count a request that runs under the new address of this process.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -113,8 +113,10 @@
 	// streamDomains holds the boxes that may own streams.
 	streamDomains streamDomains
 	draining      bool
-	// movedTo is the address of this process once it has given up that of the box, or empty.
-	movedTo string
+	// movedTo is the address of this process once it has left its first one, or empty. gaveUpAddress is set if it has
+	// left that to a later process of the box.
+	movedTo       string
+	gaveUpAddress bool
 	// formerPeers is the number of peers that have given up the address of their box.
 	formerPeers int
 	// toPing holds the boxes that are still to be pinged in this cycle.
@@ -313,7 +315,7 @@
 	defer m.mu.Unlock()
 	p.Draining = m.draining
 	if m.movedTo != "" {
-		p.From.Address, p.GaveUpAddress = m.movedTo, true
+		p.From.Address, p.GaveUpAddress = m.movedTo, m.gaveUpAddress
 	}
 	if m.largeLocked() {
 		// In a large fleet, minutes pass between two messages from the same box, so loads by upstream
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -126,7 +126,7 @@
 	targets := []target{}
 	add := func(box, address string) {
 		known := slices.ContainsFunc(targets, func(t target) bool { return t.address == address })
-		if address != m.self.Address && !known {
+		if address != m.self.Address && address != m.movedTo && !known {
 			targets = append(targets, target{box: box, address: address})
 		}
 	}
@@ -147,7 +147,7 @@
 	for _, address := range m.contactAddressesLocked(now) {
 		add("", address)
 	}
-	if m.movedTo != "" {
+	if m.gaveUpAddress {
 		// A later process of this box has to know what this one has in flight.
 		targets = append(targets, target{address: m.self.Address})
 	}
--- a/internal/server/bind.go
+++ b/internal/server/bind.go
@@ -35,7 +35,7 @@
 // Listen opens a TCP listener. Errors name the listener and its address.
 func (b Binder) Listen(ctx context.Context, name, address string, listen Listen) (net.Listener, error) {
 	var listener net.Listener
-	err := b.bind(ctx, func() (err error) {
+	err := b.Retry(ctx, func() (err error) {
 		listener, err = listen("tcp", address)
 		return socketError(name, address, err)
 	})
@@ -47,7 +47,7 @@
 	ctx context.Context, name, address string, listen func(network, address string) (net.PacketConn, error),
 ) (net.PacketConn, error) {
 	var conn net.PacketConn
-	err := b.bind(ctx, func() (err error) {
+	err := b.Retry(ctx, func() (err error) {
 		conn, err = listen("udp", address)
 		return socketError(name, address, err)
 	})
@@ -64,7 +64,7 @@
 // listener accepts connections that nobody serves yet. The first socket should take no connections. It is always opened
 // first, so that of several processes only the one that has it opens the others.
 func (b Binder) OpenAll(ctx context.Context, sockets ...Socket) error {
-	return b.bind(ctx, func() error {
+	return b.Retry(ctx, func() error {
 		failed, err := openAll(sockets)
 		if failed > 0 {
 			// The next attempt goes on with the socket that failed, so that it opens no other listener in vain.
@@ -104,8 +104,8 @@
 	return fmt.Errorf("%s listener at %s: %w", name, address, err)
 }
 
-// bind opens sockets and retries errors that may end by themselves.
-func (b Binder) bind(ctx context.Context, open func() error) error {
+// Retry opens sockets and retries errors that may end by themselves.
+func (b Binder) Retry(ctx context.Context, open func() error) error {
 	startMs, last, reportedMs := b.Clock.Monotonic(), "", clock.Millis(0)
 	for {
 		err := open()
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -77,16 +77,11 @@
 		if l.closed.Err() != nil {
 			return nil, net.ErrClosed
 		}
-		l.onError(err)
-		switch {
-		case isDead(err):
-			err = l.replace(socket)
-		case isExhausted(err):
-			l.makeRoomIn(socket)
-			err = l.clock.Sleep(l.closed, min(backoffMs, maxExhaustedBackoffMs))
-		default:
-			err = l.clock.Sleep(l.closed, backoffMs)
+		if l.current() != socket {
+			continue
 		}
+		l.onError(err)
+		err = l.recoverFrom(socket, err, backoffMs)
 		if l.closed.Err() != nil {
 			return nil, net.ErrClosed
 		}
@@ -96,6 +91,19 @@
 	}
 }
 
+// recoverFrom replaces a socket that is dead after a failed accept, or backs off.
+func (l *Listener) recoverFrom(socket net.Listener, failure error, backoffMs clock.Millis) error {
+	switch {
+	case isDead(failure):
+		return l.replace(socket, failure)
+	case isExhausted(failure):
+		l.makeRoomIn(socket)
+		return l.clock.Sleep(l.closed, min(backoffMs, maxExhaustedBackoffMs))
+	default:
+		return l.clock.Sleep(l.closed, backoffMs)
+	}
+}
+
 // makeRoomIn makes room unless no connection waits at a socket. An accept needs a descriptor also if none does.
 func (l *Listener) makeRoomIn(inner net.Listener) {
 	if _, ok := inner.(syscall.Conn); ok {
@@ -132,23 +140,58 @@
 	return l.socket
 }
 
-// replace closes a dead socket and opens another one.
-func (l *Listener) replace(dead net.Listener) error {
+// replace closes a socket that is dead because of an error, and opens another one unless there is one already.
+func (l *Listener) replace(dead net.Listener, because error) error {
 	// It is dead, whatever the error.
 	_ = dead.Close()
+	missing := NewUnopened(l.address.String(), because)
+	if !l.exchange(dead, missing) {
+		return nil
+	}
 	socket, err := l.reopen(l.closed)
-	if err != nil {
+	switch {
+	case l.current() != missing:
+		// Whatever was opened in vain is closed without effect.
+		if err == nil {
+			_ = socket.Close()
+		}
+		return nil
+	case err != nil:
 		return err
 	}
+	if !l.exchange(missing, socket) || l.closed.Err() != nil {
+		return socket.Close()
+	}
+	return nil
+}
+
+// exchange replaces a socket by another one, and reports whether the listener had the former.
+func (l *Listener) exchange(former, next net.Listener) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.socket != former {
+		return false
+	}
+	l.socket = next
+	return true
+}
+
+// Switch makes the listener go on with another socket, and closes the former one.
+func (l *Listener) Switch(next net.Listener) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.socket = socket
 	if l.closed.Err() != nil {
-		return socket.Close()
+		return errors.Join(net.ErrClosed, next.Close())
 	}
+	// The former one may be dead.
+	_ = l.socket.Close()
+	l.socket = next
 	return nil
 }
 
+// IsOpen reports whether the listener has a socket.
+func (l *Listener) IsOpen() bool { return !IsUnopened(l.current()) }
+
 const (
 	// acceptPollMs is how often a listener that closes checks whether connections wait to be accepted.
 	acceptPollMs clock.Millis = 5
--- a/internal/server/packetconn.go
+++ b/internal/server/packetconn.go
@@ -53,7 +53,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unbind()
-	if p.closed.Err() != nil {
+	return p.switchLocked(p.closed, next)
+}
+
+// Switch goes on with another socket, and returns the former one, which the caller closes. It fails once the address is
+// given up.
+func (p *PacketConn) Switch(next net.PacketConn) (former net.PacketConn, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.switchLocked(p.bound, next)
+}
+
+func (p *PacketConn) switchLocked(while context.Context, next net.PacketConn) (former net.PacketConn, err error) {
+	if while.Err() != nil {
 		return nil, errors.Join(net.ErrClosed, next.Close())
 	}
 	former = p.socket
@@ -61,6 +73,9 @@
 	return former, nil
 }
 
+// IsOpen reports whether the connection has a socket.
+func (p *PacketConn) IsOpen() bool { return !IsUnopened(p.current()) }
+
 // ReadFrom implements net.PacketConn.
 func (p *PacketConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	for backoffMs := minAcceptBackoffMs; ; backoffMs = min(2*backoffMs, maxAcceptBackoffMs) {
@@ -79,15 +94,15 @@
 			return n, from, err
 		}
 		p.onError(err)
-		if !p.revive(socket, backoffMs) {
+		if !p.revive(socket, err, backoffMs) {
 			return 0, nil, net.ErrClosed
 		}
 	}
 }
 
 // revive replaces a dead socket, and backs off. It reports whether the connection can be used.
-func (p *PacketConn) revive(dead net.PacketConn, backoffMs clock.Millis) bool {
-	err := p.replace(dead)
+func (p *PacketConn) revive(dead net.PacketConn, because error, backoffMs clock.Millis) bool {
+	err := p.replace(dead, because)
 	if err != nil && p.closed.Err() == nil {
 		p.onLost(err)
 	}
@@ -100,8 +115,8 @@
 	return p.socket
 }
 
-// replace closes a dead socket and opens another one, unless the connection has moved to another address.
-func (p *PacketConn) replace(dead net.PacketConn) error {
+// replace closes a socket that is dead because of an error, and opens another one unless there is one already.
+func (p *PacketConn) replace(dead net.PacketConn, because error) error {
 	// It is dead, whatever the error.
 	_ = dead.Close()
 	if given := p.bound.Err(); given != nil {
@@ -110,25 +125,38 @@
 		}
 		return given
 	}
+	missing := NewUnopened(p.address.String(), because)
+	if !p.exchange(dead, missing) {
+		return nil
+	}
 	socket, err := p.reopen(p.bound)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	moved := p.socket != dead
 	switch {
-	case moved && err == nil:
-		return socket.Close()
-	case moved:
+	case p.current() != missing:
+		// Whatever was opened in vain is closed without effect.
+		if err == nil {
+			_ = socket.Close()
+		}
 		return nil
 	case err != nil:
 		return err
 	}
-	p.socket = socket
-	if p.closed.Err() != nil {
+	if !p.exchange(missing, socket) || p.closed.Err() != nil {
 		return socket.Close()
 	}
 	return nil
 }
 
+// exchange replaces a socket by another one, and reports whether the connection had the former.
+func (p *PacketConn) exchange(former, next net.PacketConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.socket != former {
+		return false
+	}
+	p.socket = next
+	return true
+}
+
 // WriteTo implements net.PacketConn.
 func (p *PacketConn) WriteTo(data []byte, to net.Addr) (int, error) {
 	return p.current().WriteTo(data, to)
