fix(router): a running box outlives its sockets

The socket for gossip, once open, was not opened anew at all: the box heard from no other one until its next start.

Listeners now are opened anew until the box stops, at the port that the others know; without the one for callers the box is not ready. It does not move to another port while it runs.

The new test fails on the code before in its four cases.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -81,6 +81,8 @@
 
 	sockets sockets
 	servers servers
+	// callersListener is the one below the server for callers.
+	callersListener *server.Listener
 	// endPeering ends the exchange with other boxes by UDP.
 	endPeering context.CancelFunc
 	draining   atomic.Bool
@@ -164,8 +166,10 @@
 // Store returns the box's table store.
 func (b *Box) Store() *tablestore.Store { return b.store }
 
-// Ready reports whether the box accepts new requests: it has a table and is not draining.
-func (b *Box) Ready() bool { return b.store.State().Offset() > 0 && !b.draining.Load() }
+// Ready reports whether the box accepts new requests: it has a table and a listener for them, and is not draining.
+func (b *Box) Ready() bool {
+	return b.store.State().Offset() > 0 && !b.draining.Load() && b.callersListener.IsOpen()
+}
 
 func (b *Box) allServers() []*server.Server {
 	return []*server.Server{b.servers.callers, b.servers.peers, b.servers.operators}
--- a/internal/box/sockets.go
+++ b/internal/box/sockets.go
@@ -10,9 +10,6 @@
 	"dooryard.example/dooryard/internal/server"
 )
 
-// rebindTimeoutMs is how long a box that runs tries to open a listener anew before it stops.
-const rebindTimeoutMs = 10 * clock.Second
-
 // peersPortWaitMs is how long a start waits for each address for other boxes.
 const peersPortWaitMs clock.Millis = 500
 
@@ -69,17 +66,20 @@
 func (b *Box) openGossipSocket(ctx context.Context) net.PacketConn {
 	address := b.settings.Peers.GossipAddress
 	conn, err := b.peersBinder().ListenPacket(ctx, gossipSocket, address, b.packets)
-	if err == nil {
-		return conn
-	}
-	if other, otherErr := b.packets("udp", withAnyPort(address)); otherErr == nil {
-		b.reportReplaced(gossipSocket, address, other.LocalAddr(), err)
-		return other
+	if err != nil {
+		if other, otherErr := b.packets("udp", withAnyPort(address)); otherErr == nil {
+			b.reportReplaced(gossipSocket, address, other.LocalAddr(), err)
+			conn = other
+		} else {
+			conn = server.NewUnopened(address, err)
+		}
 	}
-	return server.NewPacketConn(server.NewUnopened(address, err), b.clock,
-		func(ctx context.Context) (net.PacketConn, error) {
-			return b.patientBinder().ListenPacket(ctx, gossipSocket, address, b.packets)
-		}, func(error) {}, func(error) {})
+	// The others know the port that it has.
+	address = conn.LocalAddr().String()
+	report := b.listenerReport(gossipSocket)
+	return server.NewPacketConn(conn, b.clock, func(ctx context.Context) (net.PacketConn, error) {
+		return b.patientBinder().ListenPacket(ctx, gossipSocket, address, b.packets)
+	}, report, report)
 }
 
 // openPeersListener does the same for the listener for other boxes.
@@ -119,28 +119,14 @@
 	return net.JoinHostPort(host, "0")
 }
 
-// patientBinder returns the binder of a socket that could not be opened at the start. It is tried until the box stops,
-// which serves callers meanwhile.
+// patientBinder returns the binder of a socket that could not be opened at the start, or has failed. It is tried until
+// the box stops, which serves on those that it has: its next process would find the same address taken.
 func (b *Box) patientBinder() server.Binder {
 	binder := b.binder()
 	binder.RetriesAll = true
 	return binder
 }
 
-// reopenBinder returns a function that returns the binder for the next opening of a listener.
-func (b *Box) reopenBinder(listener net.Listener) func() server.Binder {
-	opened := !server.IsUnopened(listener)
-	return func() server.Binder {
-		if !opened {
-			opened = true
-			return b.patientBinder()
-		}
-		binder := b.binder()
-		binder.TimeoutMs = rebindTimeoutMs
-		return binder
-	}
-}
-
 // closeSockets closes the sockets of a box that can't be built. Their errors have no effect.
 func (b *Box) closeSockets() {
 	if b.sockets.gossip != nil {
@@ -155,19 +141,29 @@
 
 // survivingListener returns a function that returns a named listener, which survives errors of its socket.
 func (b *Box) survivingListener(name string) server.Listen {
-	// Accept reports one error at a time.
+	return func(string, string) (net.Listener, error) {
+		inner := b.sockets.listeners[name]
+		// The others know the port that it has.
+		address := inner.Addr().String()
+		l := server.NewListener(inner, b.clock, func(ctx context.Context) (net.Listener, error) {
+			return b.patientBinder().Listen(ctx, name, address, b.listen)
+		}, b.listenerReport(name))
+		if name == callersSocket {
+			b.callersListener = l
+		}
+		return l, nil
+	}
+}
+
+// listenerReport returns a function that logs errors of a listener, one at a time, at a limited rate.
+func (b *Box) listenerReport(name string) func(err error) {
 	reportedMs, reported := clock.Millis(0), ""
-	return func(_, address string) (net.Listener, error) {
-		reopen := b.reopenBinder(b.sockets.listeners[name])
-		return server.NewListener(b.sockets.listeners[name], b.clock, func(ctx context.Context) (net.Listener, error) {
-			return reopen().Listen(ctx, name, address, b.listen)
-		}, func(err error) {
-			now := b.clock.Monotonic()
-			if err.Error() == reported && now-reportedMs < errorReportMs {
-				return
-			}
-			reportedMs, reported = now, err.Error()
-			b.logger.Warn("listener failed", zap.String("box", b.settings.Box), zap.String("listener", name), zap.Error(err))
-		}), nil
+	return func(err error) {
+		now := b.clock.Monotonic()
+		if err.Error() == reported && now-reportedMs < errorReportMs {
+			return
+		}
+		reportedMs, reported = now, err.Error()
+		b.logger.Warn("listener failed", zap.String("box", b.settings.Box), zap.String("listener", name), zap.Error(err))
 	}
 }
--- a/internal/box/sockets_test.go
+++ b/internal/box/sockets_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/internal/testlib"
 )
 
@@ -142,3 +143,84 @@
 		})
 	})
 }
+
+// TestRunningBoxOutlivesItsSockets guards against a box that ends by itself because a socket dies and stays taken, and
+// against one that hears nothing from others any more.
+func TestRunningBoxOutlivesItsSockets(t *testing.T) {
+	const callers, gossip, peers, operators = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"
+	run := func(t *testing.T, test func(t *testing.T, h testlib.Host, b *Box, taken *atomic.Bool)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			h, taken := testlib.NewNetwork().Host("box"), &atomic.Bool{}
+			b := &Box{clock: clock.New(), logger: zap.NewNop(), listen: func(network, address string) (net.Listener, error) {
+				if taken.Load() {
+					return nil, syscall.EACCES
+				}
+				return h.Listen(network, address)
+			}, packets: func(network, address string) (net.PacketConn, error) {
+				if taken.Load() {
+					return nil, syscall.EADDRINUSE
+				}
+				return h.ListenPackets(network, address)
+			}}
+			b.settings.Callers.Address, b.settings.Operators.Address = callers, operators
+			b.settings.Peers.GossipAddress, b.settings.Peers.Address = gossip, peers
+			require.NoError(t, b.bindSockets(t.Context()))
+			test(t, h, b, taken)
+		})
+	}
+	for name, address := range map[string]string{callersSocket: callers, peersSocket: peers, operatorsSocket: operators} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, h testlib.Host, b *Box, taken *atomic.Bool) {
+				t.Helper()
+				l, err := b.survivingListener(name)("tcp", address)
+				require.NoError(t, err)
+				accepted := make(chan error, 1)
+				go func() {
+					_, err := l.Accept()
+					accepted <- err
+				}()
+				synctest.Wait()
+				taken.Store(true)
+				require.NoError(t, b.sockets.listeners[name].Close())
+				<-time.After(time.Hour)
+				assert.Empty(t, accepted)
+				if name == callersSocket {
+					assert.False(t, b.callersListener.IsOpen(), "the box is not ready")
+				}
+				taken.Store(false)
+				<-time.After(time.Second)
+				_, err = h.Dial(t.Context(), "tcp", address)
+				require.NoError(t, err)
+				require.NoError(t, <-accepted)
+			})
+		})
+	}
+	t.Run(gossipSocket, func(t *testing.T) {
+		run(t, func(t *testing.T, h testlib.Host, b *Box, taken *atomic.Bool) {
+			t.Helper()
+			received := make(chan error, 1)
+			go func() {
+				_, _, err := b.sockets.gossip.ReadFrom(make([]byte, 1))
+				received <- err
+			}()
+			synctest.Wait()
+			conn, ok := b.sockets.gossip.(*server.PacketConn)
+			require.True(t, ok)
+			taken.Store(true)
+			former, err := conn.Switch(server.NewUnopened(gossip, syscall.ENETDOWN))
+			require.NoError(t, err)
+			require.NoError(t, former.Close())
+			<-time.After(time.Hour)
+			assert.Empty(t, received)
+			taken.Store(false)
+			<-time.After(time.Second)
+			other, err := h.ListenPackets("udp", "127.0.0.1:5")
+			require.NoError(t, err)
+			_, err = other.WriteTo([]byte("x"), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(gossip)))
+			require.NoError(t, err)
+			require.NoError(t, <-received)
+			require.NoError(t, conn.Close())
+		})
+	})
+}
