fix(config): settings out of range delay no start

Cause: a start reads a file again for 3 s if it isn't valid, since it may be cut, also where what is wrong is whole in the file. The class: a wait in time where the content tells.

The fix: a value that is wrong is final unless it ends the file without a line break, or the file lacks the bound on the age of the routing state, for which there is no safe default (as for unknown keys before). What the start adapted from a file whose rest was missing yet is corrected at the first read of the running box, which adapts as the start does. Empty, cut and missing files are waited for as before (TestStartWhileSettingsAreReplaced), and later reloads of invalid files are refused as before.

TestWholeValues and TestFirstReadAdaptsSettings can't be built without the change.

--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -25,7 +25,7 @@
 	// Adapt reads a settings file with other values for optional ones that Load refuses. The first error tells what it
 	// has changed. It is nil if the daemon needs valid settings.
 	Adapt func(path string) (settings T, changed, err error)
-	// IsFinal reports whether an error of Load doesn't end when a file that is being written is complete. It may be nil.
+	// IsFinal reports whether an error of Load is about what a file that is being written has already. It may be nil.
 	IsFinal func(err error) bool
 	// Err receives a message if the settings file can't be used yet, or only in part.
 	Err io.Writer
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -27,7 +27,7 @@
 		EnvSettings: adapter.EnvSettings,
 		Load:        config.LoadGateway,
 		Adapt:       config.AdaptGateway,
-		IsFinal:     config.OnlyUnknownKeys,
+		IsFinal:     config.HasWholeValues,
 		Err:         process.Err,
 		Run: func(ctx context.Context, path string, settings config.Gateway) error {
 			return run(ctx, path, settings, process, adapter)
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -88,11 +88,11 @@
 	}
 	first := w.content == nil
 	w.content = content
-	settings, ignored, err := config.ParseKnown(w.path, content)
-	if err = errors.Join(ignored, err); err != nil {
-		b.ReportInvalidInput("settings file", err)
+	settings, changed, err := w.parse(first)
+	if all := errors.Join(changed, err); all != nil {
+		b.ReportInvalidInput("settings file", all)
 	}
-	if ignored == nil && err != nil {
+	if err != nil {
 		return
 	}
 	if first && reflect.DeepEqual(settings, w.loaded) {
@@ -102,3 +102,17 @@
 	limitMemory(settings)
 	w.reserveThreads(b)
 }
+
+// parse decodes what was read last. The first error tells what it has changed. The first read adapts settings as the
+// start did, perhaps with a file that was not complete yet.
+func (w *watcher) parse(first bool) (settings config.Gateway, changed, err error) {
+	settings, changed, err = config.ParseKnown(w.path, w.content)
+	if err == nil || !first {
+		return settings, changed, err
+	}
+	adapted, changed, refused := config.AdaptGateway(w.path)
+	if refused != nil {
+		return settings, nil, err
+	}
+	return adapted, changed, nil
+}
--- a/internal/cmd/gatewaycmd/watcher_test.go
+++ b/internal/cmd/gatewaycmd/watcher_test.go
@@ -70,6 +70,23 @@
 	})
 }
 
+// TestFirstReadAdaptsSettings guards against a box that keeps a part of its settings, which was all that a file being
+// written had at the start.
+func TestFirstReadAdaptsSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(content string) { require.NoError(t, os.WriteFile(path, []byte(content), 0o600)) }
+	write(settingsFile)
+	b := newBox(t, path, &strings.Builder{})
+	w := newWatcher(path, b.Settings(), clock.New())
+	write(settingsFile + "capacity: {memory_mb: 1}\nshutdown: {grace_s: 7}\n")
+	w.reload(b)
+	assert.Equal(t, int64(16), b.Settings().Capacity.MemoryMb)
+	assert.InDelta(t, 7, b.Settings().Shutdown.GraceS, 0)
+	write(settingsFile + "capacity: {memory_mb: 1}\nshutdown: {grace_s: 8}\n")
+	w.reload(b)
+	assert.InDelta(t, 7, b.Settings().Shutdown.GraceS, 0, "later ones are refused")
+}
+
 func TestCommand(t *testing.T) {
 	run := func(arguments ...string) error {
 		command := New(&daemon.Process{Out: &strings.Builder{}, Err: &strings.Builder{}}, gateway.Adapter{EnvSettings: "DOORYARD_TEST_SETTINGS"})
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -187,6 +187,33 @@
 	}
 }
 
+// TestWholeValues guards against starts that wait for the rest of a file that is complete, or don't wait for one that is
+// being written.
+func TestWholeValues(t *testing.T) {
+	const bound = gatewayFile + "freshness: {max_age_ms: 5000}\n"
+	for name, c := range map[string]struct {
+		content string
+		whole   bool
+	}{
+		"number out of range":     {bound + "peers_last_port: 2\n", true},
+		"several":                 {bound + "peers_last_port: 2\ncapacity: {memory_mb: 2000000}\nmetrics_address: here\n", true},
+		"unknown key":             {bound + "sidecar: x", true},
+		"cut number":              {bound + "peers_last_port: 2", false},
+		"cut before the guard":    {gatewayFile + "peers_last_port: 2\n", false},
+		"missing guard, section":  {gatewayFile + "peers_last_port: 2\nfreshness:\n  in_force_ms: 5000\n", false},
+		"cut section":             {bound + "capacity: {memory_mb: 2", false},
+		"empty":                   {"", false},
+		"second document, a part": {bound + "---\nbo", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseGateway("f", []byte(c.content))
+			require.ErrorIs(t, err, ErrInvalid)
+			assert.Equal(t, c.whole, HasWholeValues(err))
+		})
+	}
+	assert.False(t, HasWholeValues(nil))
+}
+
 func TestPeersPorts(t *testing.T) {
 	for line, want := range map[string][]string{
 		"":                     {"127.0.0.1:3"},
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -24,6 +24,8 @@
 	Reason string
 	// Unknown is set if the file has a key that this release doesn't know.
 	Unknown bool
+	// Partial is set if the file may be a part of the whole: it ends with the value, or lacks a guard of its settings.
+	Partial bool
 }
 
 // Error implements error.
@@ -84,6 +86,12 @@
 	return err != nil && !slices.ContainsFunc(fieldErrors(err), func(e *FieldError) bool { return !e.Unknown })
 }
 
+// HasWholeValues reports whether an error of a settings file is about values that are whole in the file, and does not
+// end when a file that is being written is complete.
+func HasWholeValues(err error) bool {
+	return err != nil && !slices.ContainsFunc(fieldErrors(err), func(e *FieldError) bool { return e.Partial })
+}
+
 // setsAll reports whether a file sets each of the keys.
 func setsAll(data []byte, keys []string) bool {
 	var document yaml.Node
@@ -106,7 +114,13 @@
 	if err != nil || invalid != nil {
 		return errors.Join(err, invalid)
 	}
-	return locateFieldErrors(name, data, target.Check())
+	err = target.Check()
+	if adjuster, ok := target.(Adjuster); err != nil && ok && !setsAll(data, adjuster.Guards()) {
+		for _, field := range fieldErrors(err) {
+			field.Partial = true
+		}
+	}
+	return locateFieldErrors(name, data, err)
 }
 
 // decode decodes a file with one document. The first error tells which keys are unknown and which values have the wrong
@@ -200,6 +214,7 @@
 	located := []error{}
 	for _, field := range fieldErrors(err) {
 		line := lineOf(&document, field.Key)
+		field.Partial = field.Partial || line > bytes.Count(data, []byte("\n"))
 		located = append(located, fmt.Errorf("%s:%d: %w", name, line, field))
 	}
 	return errors.Join(located...)
@@ -217,7 +232,7 @@
 	if errors.As(err, &field) {
 		return []*FieldError{field}
 	}
-	return []*FieldError{{Key: "(file)", Reason: err.Error()}}
+	return []*FieldError{{Key: "(file)", Reason: err.Error(), Partial: true}}
 }
 
 // lineOf returns the line of the longest prefix of the key that exists in the file.
