--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -78,8 +78,8 @@
 	// Strangers also sends what is no request to each port of boxes, and has the store send garbled, torn and old
 	// responses. It needs Processes or Planned.
 	Strangers bool
-	// HeldPorts also restarts boxes of which another process takes a port until the run ends, and gives boxes several
-	// ports for each other. It needs Processes or Planned.
+	// HeldPorts also restarts boxes of which another process takes a port until the run ends, takes listeners from boxes
+	// that run, and gives boxes several ports for each other. It needs Processes or Planned.
 	HeldPorts bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -181,6 +181,7 @@
 		{f.settings.Overlaps, f.injectOverlaps},
 		{f.settings.Strangers, f.injectStrangers},
 		{f.settings.HeldPorts, f.injectHeldPorts},
+		{f.settings.HeldPorts, f.injectLostSockets},
 		{f.settings.Quotas, f.injectQuotas},
 		{f.settings.Limits, f.sampleThreads},
 		{f.settings.Evacuations, f.injectEvacuations},
