--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -96,6 +96,8 @@
 	admit admitFunc
 	// options are those of boxes that start, beside the usual ones.
 	options []Option
+	// wrapListener changes the listeners of boxes, if it is set.
+	wrapListener func(l net.Listener) net.Listener
 }
 
 // advanceMonotonic advances the boxes' monotonic clock, but not the timers that wait on the fake clock.
@@ -148,6 +150,8 @@
 	key       = "secret"
 	maxAgeMs  = 5000
 	timeoutMs = 4000
+	// newLeadMs is by how much the last response on a new connection leaves before the deadline.
+	newLeadMs = 2*defaultRoundTripMs + int(clock.Resolution)
 )
 
 // content returns a routing state with a route of each kind, a resumable, a public and a sticky one.
@@ -230,8 +234,15 @@
 	adapter := Adapter{ReadinessPath: "/ready", Dialect: dialect(), Source: func(c clock.Clock, _ func() config.Gateway) Source {
 		return f.store.source(name, c)
 	}}
+	listen := func(network, address string) (net.Listener, error) {
+		l, err := h.Listen(network, address)
+		if err == nil && f.wrapListener != nil {
+			l = f.wrapListener(l)
+		}
+		return l, err
+	}
 	options := append([]Option{
-		WithClock(f.clock), WithListen(h.Listen), WithListenPackets(h.ListenPackets), WithDial(h.Dial),
+		WithClock(f.clock), WithListen(listen), WithListenPackets(h.ListenPackets), WithDial(h.Dial),
 		func(b *Box) { b.askAdmission = f.admit },
 	}, f.options...)
 	b, err := New(settings, adapter, f.out, options...)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -321,14 +323,17 @@
 	for _, c := range []struct {
 		name, path, more string
 		// afterMs is when the request is sent, counted from the signal, which the process handles late.
-		afterMs clock.Millis
-		want    int
+		afterMs, handledLateMs clock.Millis
+		want                   int
 	}{
-		{"a stream in time", "/stream/", "", 2500, http.StatusOK},
-		{"a late stream", "/stream/", "", 3010, http.StatusServiceUnavailable},
-		{"a late stream whose deadline passes within the grace period", "/stream/", "X-Deadline: 2000\r\n", 3010, http.StatusOK},
-		{"another late request", "/unsafe/", "", 5600, http.StatusServiceUnavailable},
-		{"another request in time", "/unsafe/", "", 4000, http.StatusOK},
+		{"a stream in time", "/stream/", "", 2500, 90, http.StatusOK},
+		{"a late stream", "/stream/", "", 3010, 90, http.StatusServiceUnavailable},
+		{"a late stream whose deadline passes within the grace period", "/stream/", "X-Deadline: 2000\r\n", 3010, 90, http.StatusOK},
+		{"another late request", "/unsafe/", "", 5600, 90, http.StatusServiceUnavailable},
+		{"another request in time", "/unsafe/", "", 4000, 90, http.StatusOK},
+		{"a late stream after a stall", "/stream/", "", 3010, 1500, http.StatusServiceUnavailable},
+		{"another late request after a stall", "/unsafe/", "", 5600, 1500, http.StatusServiceUnavailable},
+		{"another request in time after a stall", "/unsafe/", "", 4000, 1500, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
@@ -338,10 +343,9 @@
 				caller := b.connect(b.settings.CallersAddress)
 				caller.write(requestText("/safe/", "Content-Length: 0\r\n"))
 				caller.response()
-				const handledLateMs = 90
-				f.advanceMonotonic(handledLateMs)
+				f.advanceMonotonic(c.handledLateMs)
 				b.stop()
-				advance(f.t, (c.afterMs - handledLateMs).Duration())
+				advance(f.t, (c.afterMs - c.handledLateMs).Duration())
 				caller.write(requestText(c.path, c.more+"Content-Length: 0\r\n"))
 				response := caller.response()
 				assert.Equal(f.t, c.want, response.StatusCode)
@@ -352,6 +356,45 @@
 	}
 }
 
+// TestStopClosesListenersBySignal guards against a process that handles its signal late, and accepts connections in the
+// part of the grace period in which it can't answer them any more.
+func TestStopClosesListenersBySignal(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		handledLateMs clock.Millis
+		// observed is set if the stall was seen before the signal was handled.
+		observed bool
+		closedMs clock.Millis
+	}{
+		{"in time", 0, false, maxAnnounceMs},
+		{"late", 1000, false, maxAnnounceMs + usualSignalDelayMs},
+		{"late, after the stall was seen", 1000, true, maxAnnounceMs + usualSignalDelayMs},
+		{"very late", 3000, false, 3000 + maxAnnounceMs/2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				b := f.box(1)
+				// At no instant at which the box itself may detect the stall.
+				const offTicksMs = 37
+				advance(f.t, (10*housekeepingIntervalMs + offTicksMs).Duration())
+				f.advanceMonotonic(c.handledLateMs)
+				if c.observed {
+					b.stalls.observe(b.clock.Monotonic())
+				}
+				b.stop()
+				const slackMs = 2 * housekeepingIntervalMs
+				advance(f.t, (c.closedMs - c.handledLateMs - slackMs).Duration())
+				accepted, err := f.network.Host("caller").Dial(f.t.Context(), "tcp", b.settings.CallersAddress)
+				require.NoError(f.t, err)
+				require.NoError(f.t, accepted.Close())
+				advance(f.t, (2 * slackMs).Duration())
+				_, err = f.network.Host("caller").Dial(f.t.Context(), "tcp", b.settings.CallersAddress)
+				require.Error(f.t, err)
+			})
+		})
+	}
+}
+
 // TestStopReserve guards against a process with little processor time that is killed before it has answered what
 // outlasts the grace period, and against one that ends much too early.
 func TestStopReserve(t *testing.T) {
@@ -382,8 +425,9 @@
 }
 
 // TestStopCutsInLastPart guards against requests that are cut before the last part of a grace period, whatever it is and
-// however long the process was stalled.
+// however long the process was stalled and however many requests run.
 func TestStopCutsInLastPart(t *testing.T) {
+	const manyRequests = 10_000
 	for _, graceS := range []float64{2, 3, 4, 8, 30} {
 		for _, stallMs := range []clock.Millis{0, 80, clock.Second, 5 * clock.Second} {
 			t.Run(fmt.Sprintf("grace %v s, stall %d ms", graceS, stallMs), func(t *testing.T) {
@@ -391,12 +435,96 @@
 					b := f.box(1, withGrace(graceS))
 					f.advanceMonotonic(stallMs)
 					now := b.clock.Monotonic()
-					b.stopStartMs.Store(int64(b.stopStart()))
+					b.beginStop()
 					b.stalls.usualMs.Add(int64(stallMs))
 					assert.LessOrEqual(f.t, b.stopStart(), now)
-					assert.GreaterOrEqual(f.t, b.graceLeftMs(), shutdownGrace(b.Settings())*(cutDivisor-1)/cutDivisor)
+					leastMs := shutdownGrace(b.Settings()) * (cutDivisor - 1) / cutDivisor
+					assert.GreaterOrEqual(f.t, b.graceLeftMs(), leastMs)
+					b.requests.Add(manyRequests)
+					defer b.requests.Add(-manyRequests)
+					b.supply.observe(stallMs)
+					assert.GreaterOrEqual(f.t, b.graceLeftMs(), leastMs)
 				})
 			})
 		}
 	}
 }
+
+// slowListener returns connections whose first writes take a time each, one after the other.
+type slowListener struct {
+	net.Listener
+	turn  chan struct{}
+	write time.Duration
+	ended <-chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &slowConn{Conn: conn, awaitTurn: sync.OnceFunc(l.awaitTurn)}, err
+}
+
+func (l slowListener) awaitTurn() {
+	select {
+	case l.turn <- struct{}{}:
+		time.Sleep(l.write)
+		<-l.turn
+	case <-l.ended:
+	}
+}
+
+type slowConn struct {
+	net.Conn
+	awaitTurn func()
+}
+
+// Write implements net.Conn.
+func (c *slowConn) Write(data []byte) (int, error) {
+	c.awaitTurn()
+	return c.Conn.Write(data)
+}
+
+// TestStopAnswersAllThatOutlastGrace guards against requests without a response since more outlast the grace period
+// than the process can answer in a fixed time.
+func TestStopAnswersAllThatOutlastGrace(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		requests int
+		// stallMs is for how long the process gets no processor time before it would begin with the responses.
+		stallMs clock.Millis
+	}{
+		{"in time", 1000, 0},
+		{"after a stall", 900, 1200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) { assertAllAnswered(f, c.requests, c.stallMs) })
+		})
+	}
+}
+
+// assertAllAnswered stops a box while requests hang, and checks that all have a response at the end.
+func assertAllAnswered(f *fleet, requests int, stallMs clock.Millis) {
+	turn := make(chan struct{}, 1)
+	f.wrapListener = func(l net.Listener) net.Listener {
+		return slowListener{Listener: l, turn: turn, write: 200 * time.Microsecond, ended: f.t.Context().Done()}
+	}
+	f.upstreamWithSlots("u1", "d", requests, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	b := f.box(1, withGrace(6))
+	answered := atomic.Int64{}
+	b.stop()
+	advance(f.t, 2500*time.Millisecond)
+	for range requests {
+		caller := b.connect(b.settings.CallersAddress)
+		caller.write(requestText("/unsafe/", "X-Deadline: 60000\r\nContent-Length: 0\r\n"))
+		go func() {
+			if _, err := http.ReadResponse(caller.reader, nil); err == nil {
+				answered.Add(1)
+			}
+		}()
+	}
+	advance(f.t, 2*time.Second)
+	f.advanceMonotonic(stallMs)
+	advance(f.t, 1500*time.Millisecond)
+	b.assertStopped()
+	assert.EqualValues(f.t, requests, answered.Load())
+}
