--- a/internal/soak/lostsockets.go
+++ b/internal/soak/lostsockets.go
@@ -92,6 +92,10 @@
 			return false, fmt.Errorf("descriptor: %w", err)
 		}
 		fd, err := unix.PidfdGetfd(process, number, 0)
+		if errors.Is(err, unix.EBADF) {
+			// It has been closed meanwhile.
+			continue
+		}
 		if err != nil {
 			return false, fmt.Errorf("descriptor: %w", err)
 		}
