--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -19,6 +19,7 @@
 	"dooryard.example/dooryard/internal/claim"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/datagram"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/grant"
 	"dooryard.example/dooryard/internal/lease"
@@ -81,14 +82,18 @@
 
 	sockets sockets
 	servers servers
+	// callersListener is the one below the server for callers.
+	callersListener *server.Listener
 	// endPeering ends the exchange with other boxes by UDP.
 	endPeering context.CancelFunc
 	draining   atomic.Bool
-	drain      chan struct{}
-	drainOnce  sync.Once
-	killed     chan struct{}
-	killOnce   sync.Once
-	running    sync.WaitGroup
+	// lateness is by how much this process acts late.
+	lateness  deadline.Lateness
+	drain     chan struct{}
+	drainOnce sync.Once
+	killed    chan struct{}
+	killOnce  sync.Once
+	running   sync.WaitGroup
 }
 
 type keys struct {
@@ -164,8 +169,10 @@
 // Store returns the box's table store.
 func (b *Box) Store() *tablestore.Store { return b.store }
 
-// Ready reports whether the box accepts new requests: it has a table and is not draining.
-func (b *Box) Ready() bool { return b.store.State().Offset() > 0 && !b.draining.Load() }
+// Ready reports whether the box accepts new requests: it has a table and a listener for them, and is not draining.
+func (b *Box) Ready() bool {
+	return b.store.State().Offset() > 0 && !b.draining.Load() && b.callersListener.IsOpen()
+}
 
 func (b *Box) allServers() []*server.Server {
 	return []*server.Server{b.servers.callers, b.servers.peers, b.servers.operators}
@@ -232,6 +239,7 @@
 	b.running.Go(func() { b.lease.Run(ctx) })
 	b.running.Go(func() { b.pollEngines(ctx) })
 	b.running.Go(func() { b.sendOrders(ctx) })
+	b.running.Go(func() { b.measureLateness(ctx) })
 	b.running.Go(func() {
 		b.clock.Every(ctx, clock.Second, func(clock.Millis) {
 			b.updateDemand()
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -17,6 +17,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/evacuation"
 	"dooryard.example/dooryard/internal/exchange"
@@ -87,6 +88,7 @@
 	servers         []*http.Server
 	readinessServer *http.Server
 	peersSocket     *server.PacketConn
+	callersListener *server.Listener
 	// endMetrics makes the box serve no more metrics.
 	endMetrics context.CancelFunc
 	// drained are the listeners that requests arrive on.
@@ -94,9 +96,13 @@
 	// evictions counts the connections that seemed idle when the box stopped or was full.
 	evictions inbound.Evictions
 	stopping  atomic.Bool
-	// stopStartMs is when the stop began, or earlier.
-	stopStartMs atomic.Int64
-	stalls      stallMeter
+	// stopStartMs is when the stop began, or earlier, from which requests are cut. stopEarliestMs is when its signal may
+	// have been sent at the earliest, and stopHandledMs when it was handled.
+	stopStartMs, stopEarliestMs, stopHandledMs atomic.Int64
+	stalls                                     stallMeter
+	supply                                     supplyMeter
+	// lateness is by how much this process acts late.
+	lateness deadline.Lateness
 	// graceEnded ends when the requests that still run must end, which endGrace does.
 	graceEnded context.Context //nolint:containedctx // It is the box's, not that of a call.
 	endGrace   context.CancelFunc
@@ -339,6 +345,7 @@
 	b.goroutines.Go(func() { b.source.Run(background, b.sink.asSink()) })
 	b.goroutines.Go(func() { b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() }) })
 	b.goroutines.Go(func() { b.watchPaths(background) })
+	b.goroutines.Go(func() { b.measureLateness(background) })
 	b.goroutines.Go(func() { b.forwarding.run(background) })
 	b.goroutines.Go(func() { b.crashDetector.run(background) })
 	b.goroutines.Go(func() { b.syncNotes(background) })
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/deadline"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/inbound"
@@ -43,7 +44,7 @@
 // list returns the steps of the pipeline in the order in which they run.
 func (s *steps) list() []step {
 	return []step{
-		s.match,     // finds the route, the pool and the deadline
+		s.match,     // finds the route, the pool and the deadline, and refuses what comes too late
 		s.authorise, // checks the key, and whether keys may be trusted now
 		s.receive,   // reads the whole body
 		s.stopCheck, // refuses what a stopping box can't finish
@@ -55,7 +56,9 @@
 
 func (b *Box) buildSteps() {
 	b.steps = &steps{
-		match:     match.New(b.awaitState, b.stateMayBeOutdated),
+		match: match.New(match.Dependencies{
+			State: b.awaitState, MayBeStale: b.stateMayBeOutdated, LeadMs: b.leadMs, Clock: b.clock,
+		}),
 		authorise: authorise.New(b.routingState.AgeMs, b.maxAgeMs, b.stateMayBeOutdated),
 		receive:   receive.New(b.bodyMemory(), b.clock.Monotonic, b.graceEnded),
 		stopCheck: stopCheck{box: b},
@@ -66,7 +69,8 @@
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
 			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
-			RespondsWithin: b.balance.RespondsWithin, OnFirstSend: b.budgets.RecordAttempt,
+			RespondsWithin: b.balance.RespondsWithin, UsuallyTakes: b.balance.UsuallyTakes,
+			OnFirstSend: b.budgets.RecordAttempt, OnDue: b.handleDue,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
 			UnreachableMs: b.forwarding.unreachableMs,
 			StateAgeMs:    b.stateAgeMs, RecordEvent: b.log.Record, OnPrefill: b.metrics.PromptTokensPrefilled,
@@ -80,7 +84,10 @@
 			CheckBeforeSend: b.checkBeforeSend, CheckCaller: checkCaller, Commit: b.commit, HoldWhile: holdWhile,
 			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
-		record: record.New(b.log.Record, b.metrics.RequestEnded, b.stateAgeMs, b.clock.Monotonic),
+		record: record.New(record.Dependencies{
+			LogEvent: b.log.Record, CountOutcome: b.metrics.RequestEnded, CountLead: b.metrics.ResponseSent,
+			StateAgeMs: b.stateAgeMs, LatenessMs: b.latenessMs, Monotonic: b.clock.Monotonic,
+		}),
 	}
 }
 
@@ -88,8 +95,7 @@
 func (b *Box) ServeHTTP(w http.ResponseWriter, hr *http.Request) { b.serve(b.newRequest(w, hr)) }
 
 func (b *Box) newRequest(w http.ResponseWriter, hr *http.Request) *opaque.Request {
-	now := b.clock.Monotonic()
-	writer := exchange.NewWriter(w)
+	writer, now := exchange.NewWriter(w), b.clock.Monotonic()
 	c := inbound.ConnOf(hr.Context())
 	// A request may begin long before the stop.
 	writer.OnStart(func(header http.Header) {
@@ -98,13 +104,17 @@
 		}
 		c.BeginResponse(hr, header)
 	})
-	if c != nil {
-		writer.SetUnread(c.Unread())
-	}
-	return &opaque.Request{
+	r := &opaque.Request{
 		ID: hr.Header.Get(b.dialect.RequestID), HTTP: hr, Writer: writer, Dialect: b.dialect,
 		Box: b.settings.Load().Box, ArrivedMs: now, ReceivedMs: now,
 	}
+	if c != nil {
+		writer.SetUnread(c.Unread())
+		arrival := c.Arrival()
+		r.ArrivedMs, r.ReceivedMs = arrival.StartMs, arrival.StartMs
+		r.Path = deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New, OpeningMs: arrival.OpeningMs}
+	}
+	return r
 }
 
 // serve runs a request through the pipeline.
@@ -202,6 +212,14 @@
 	maxDiscardBytes = 256 << 10
 )
 
+// unreadBodyMs returns how long the refusal of a request waits for its body.
+func (b *Box) unreadBodyMs(r *opaque.Request) clock.Millis {
+	if r.WaitsUntilMs == 0 {
+		return unreadBodyMs
+	}
+	return max(1, min(unreadBodyMs, r.RemainingMs(b.clock.Monotonic())))
+}
+
 // discardLastBody reads the rest of a short body if the connection is closed after the response. The server doesn't,
 // and a connection that is closed while data arrives is reset, so that its caller may lose the response.
 func discardLastBody(hr *http.Request) {
@@ -220,10 +238,12 @@
 	case errors.As(err, &refusal):
 		if r.Body == nil && refusal.Cause != opaque.BodyTimeout && refusal.Cause != opaque.BoxStopping {
 			// The server reads the rest of a short body before it responds, if it keeps the connection.
-			r.Writer.SetReadTimeout(unreadBodyMs.Duration())
+			r.Writer.SetReadTimeout(b.unreadBodyMs(r).Duration())
 			discardLastBody(r.HTTP)
 		}
 		refusal.Write(r)
+		// It must not wait for what follows in this process. An error means that the caller has disconnected.
+		_ = r.Writer.FlushNow()
 	default:
 		b.log.Record(decision.InputIgnored{Input: "request " + r.ID, Err: err.Error()})
 		opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, err).Write(r)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,8 +23,10 @@
 	cutDivisor = 6
 	// reservePercent is the part of that last part which the reserve may take. The rest is for the delay of the signal.
 	reservePercent = 40
-	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered.
+	// lastResponsesPercent is the part of the reserve in which requests that outlast the grace period are answered, and
+	// unansweredPercent the part while any still have no response. A process that is killed loses no more than these.
 	lastResponsesPercent = 40
+	unansweredPercent    = 80
 	// defaultGraceS is a common interval between SIGTERM and SIGKILL.
 	defaultGraceS = 10
 	// maxStreamStartMs is how long after its beginning a stop accepts streams, if that is in the first half of the grace
@@ -38,6 +40,8 @@
 	lastStartDivisor = 8
 	// stoppingRetryMs is the Retry-After of a request that another box may serve at once.
 	stoppingRetryMs clock.Millis = 200
+	// usualSignalDelayMs is the delay of a signal that a process without stalls can't rule out.
+	usualSignalDelayMs = 2 * housekeepingIntervalMs
 	// signalHops is how many goroutines take part in handling a signal. Each may wait for one stall of the process.
 	signalHops = 4
 )
@@ -46,16 +50,19 @@
 // balancer has stopped sending new ones, then lets running requests finish. Requests that outlast the grace period are
 // refused, or cut if their responses have begun, which is no error.
 func (b *Box) stop(ctx context.Context) error {
-	b.stopStartMs.Store(int64(b.stopStart()))
-	b.stopping.Store(true)
+	b.beginStop()
 	b.recordStop("stopping", nil)
 	b.peering.mesh.BroadcastDraining()
 	b.origins.tellAll()
-	_ = b.clock.Sleep(ctx, min(timingOf(b.Settings()).announceMs, max(0, b.graceLeftMs())))
+	grace, end := context.WithCancel(ctx)
+	defer end()
+	b.goroutines.Go(func() {
+		defer end()
+		b.awaitGraceEnd(grace)
+	})
+	_ = b.clock.Sleep(grace, b.announceLeftMs())
 	b.recordStop("listeners close", nil)
 	b.handOver()
-	grace, cancel := b.clock.WithTimeout(ctx, max(1, b.graceLeftMs()))
-	defer cancel()
 	err := b.drain(grace)
 	if grace.Err() == nil {
 		return err
@@ -64,20 +71,45 @@
 		b.metrics.RequestsCut(cut)
 		b.recordStop("requests cut", nil)
 	}
-	b.endGrace()
-	last, cancel := b.clock.WithTimeout(ctx, b.exitReserve()*lastResponsesPercent/percent)
+	last, cancel := context.WithCancel(ctx)
 	defer cancel()
+	b.endGrace()
+	b.goroutines.Go(func() {
+		defer cancel()
+		b.awaitLastResponses(last)
+	})
 	b.eachListener(func(_ int, l *inbound.Listener) { l.CloseIdle(last) })
 	return err
 }
 
-// stopStart returns the beginning of a stop: an instant at which the process had no signal. With little processor time
-// the signal is handled late, but its sender counts from when it was sent.
+// beginStop records when the stop began.
+func (b *Box) beginStop() {
+	b.stopHandledMs.Store(int64(b.clock.Monotonic()))
+	b.stopStartMs.Store(int64(b.stopStart()))
+	b.stopEarliestMs.Store(int64(b.clock.Monotonic() - b.signalDelay()))
+	b.stopping.Store(true)
+}
+
+// signalDelay returns how long ago the signal to stop may have been sent. With little processor time it is handled
+// late, but its sender counts from when it was sent.
+func (b *Box) signalDelay() clock.Millis {
+	return max(b.clock.Monotonic()-b.stalls.before(), signalHops*b.stalls.usual())
+}
+
+// stopStart returns the beginning of a stop: an instant at which the process had no signal, unless that would have
+// requests cut before callers expect it.
 func (b *Box) stopStart() clock.Millis {
-	now := b.clock.Monotonic()
-	delayMs := max(now-b.stalls.last(), signalHops*b.stalls.usual())
 	maxDelayMs := min(b.earliestCut()*(percent-reservePercent)/percent, b.earliestCut()-b.exitReserve())
-	return now - min(delayMs, max(0, maxDelayMs))
+	return b.clock.Monotonic() - min(b.signalDelay(), max(0, maxDelayMs))
+}
+
+// announceLeftMs returns for how long the listeners stay open in a stop. If the signal may have been sent long ago, the
+// front load balancer had no response meanwhile, and needs less time.
+func (b *Box) announceLeftMs() clock.Millis {
+	announceMs, handledMs := timingOf(b.Settings()).announceMs, clock.Millis(b.stopHandledMs.Load())
+	lateMs := max(0, handledMs-clock.Millis(b.stopEarliestMs.Load())-usualSignalDelayMs)
+	endMs := handledMs + announceMs - min(lateMs, announceMs/2)
+	return max(0, min(endMs-b.clock.Monotonic(), b.graceLeftMs()))
 }
 
 // exitReserve returns the part of the grace period that is reserved for the exit of the process.
@@ -89,10 +121,17 @@
 // the signal and the reserve.
 func (b *Box) earliestCut() clock.Millis { return shutdownGrace(b.Settings()) / cutDivisor }
 
-// graceLeftMs returns for how long requests may still run in a stop.
+// graceLeftMs returns for how long requests may still run in a stop. Many requests are answered earlier than a few, but
+// not before callers expect it.
 func (b *Box) graceLeftMs() clock.Millis {
-	endMs := clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - b.exitReserve()
-	return endMs - b.clock.Monotonic()
+	endMs := b.finalGraceMs()
+	earliestMs := clock.Millis(b.stopHandledMs.Load()) + shutdownGrace(b.Settings()) - b.earliestCut()
+	return max(min(endMs, earliestMs), endMs-b.lastResponsesMs()) - b.clock.Monotonic()
+}
+
+// finalGraceMs returns when the last request must be answered in a stop.
+func (b *Box) finalGraceMs() clock.Millis {
+	return clock.Millis(b.stopStartMs.Load()) + shutdownGrace(b.Settings()) - b.exitReserve()
 }
 
 // announcesClose reports whether a response tells its caller that a stop closes the connection. In the first half of
@@ -148,14 +187,14 @@
 	if !b.stopping.Load() {
 		return nil
 	}
-	now := b.clock.Monotonic()
-	leftMs := b.graceLeftMs()
+	now, earliestMs := b.clock.Monotonic(), clock.Millis(b.stopEarliestMs.Load())
+	leftMs := b.graceLeftMs() - max(0, clock.Millis(b.stopStartMs.Load())-earliestMs)
 	if r.RemainingMs(now) <= leftMs {
 		return nil
 	}
 	late := leftMs < min(maxLastStartMs, shutdownGrace(b.Settings())/lastStartDivisor)
 	if r.Route.Kind == routing.Stream {
-		late = late || now-clock.Millis(b.stopStartMs.Load()) > min(maxStreamStartMs, shutdownGrace(b.Settings())/2)
+		late = late || now-earliestMs > min(maxStreamStartMs, shutdownGrace(b.Settings())/2)
 	}
 	if !late && b.balance.RespondsWithin(r.Pool, max(1, leftMs)) {
 		return nil
