--- a/internal/inbound/arrival_test.go
+++ b/internal/inbound/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -24,6 +25,9 @@
 	lastPart  = "Content-Length: 3\r\n\r\nred"
 )
 
+// pass waits in simulated time.
+func pass(span time.Duration) { _ = clock.New().Sleep(context.Background(), clock.FromDuration(span)) }
+
 // TestRequestsCountFromTheirFirstByte guards against deadlines that count from the end of a head that takes long to
 // arrive.
 func TestRequestsCountFromTheirFirstByte(t *testing.T) {
@@ -42,7 +46,7 @@
 					openingsMs = append(openingsMs, arrival.OpeningMs)
 					_, err := io.Copy(io.Discard, r.Body)
 					assert.NoError(t, err)
-					time.Sleep(handlerTakes)
+					pass(handlerTakes)
 				}),
 			}
 			Attach(server, c.Monotonic)
@@ -57,7 +61,7 @@
 				}
 			}()
 			send(here)
-			time.Sleep(5 * time.Second)
+			pass(5 * time.Second)
 			require.NoError(t, here.Close())
 			require.NoError(t, server.Close())
 		})
@@ -70,9 +74,9 @@
 	}
 	t.Run("a head that takes long", func(t *testing.T) {
 		startsMs, openingsMs, areNew := play(t, 0, func(conn net.Conn) {
-			time.Sleep(20 * time.Millisecond)
+			pass(20 * time.Millisecond)
 			write(t, conn, firstPart)
-			time.Sleep(800 * time.Millisecond)
+			pass(800 * time.Millisecond)
 			write(t, conn, lastPart)
 		})
 		assert.Equal(t, []clock.Millis{20}, startsMs)
@@ -81,9 +85,9 @@
 	})
 	t.Run("a connection that was opened in advance", func(t *testing.T) {
 		startsMs, _, areNew := play(t, 0, func(conn net.Conn) {
-			time.Sleep(500 * time.Millisecond)
+			pass(500 * time.Millisecond)
 			write(t, conn, firstPart)
-			time.Sleep(800 * time.Millisecond)
+			pass(800 * time.Millisecond)
 			write(t, conn, lastPart)
 		})
 		assert.Equal(t, []clock.Millis{500}, startsMs)
@@ -92,9 +96,9 @@
 	t.Run("the next request on a connection", func(t *testing.T) {
 		startsMs, _, areNew := play(t, 0, func(conn net.Conn) {
 			write(t, conn, firstPart+lastPart)
-			time.Sleep(time.Second)
+			pass(time.Second)
 			write(t, conn, firstPart)
-			time.Sleep(800 * time.Millisecond)
+			pass(800 * time.Millisecond)
 			write(t, conn, lastPart)
 		})
 		assert.Equal(t, []clock.Millis{0, 1000}, startsMs)
@@ -103,9 +107,9 @@
 	t.Run("one that is sent while another is handled", func(t *testing.T) {
 		startsMs, _, areNew := play(t, 400*time.Millisecond, func(conn net.Conn) {
 			write(t, conn, firstPart+lastPart)
-			time.Sleep(100 * time.Millisecond)
+			pass(100 * time.Millisecond)
 			write(t, conn, firstPart)
-			time.Sleep(100 * time.Millisecond)
+			pass(100 * time.Millisecond)
 			write(t, conn, lastPart)
 		})
 		assert.Equal(t, []clock.Millis{0, 100}, startsMs)
