test(soak): callers that wait for exactly as long as they tell

The kernel tells when a response arrived. The bounds follow from the aim that every caller reads a response: all but one and one of each hundred, apart from what the box's threads waited for a processor; and that no sound response is replaced that a server sent before the greatest lead.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"strconv"
 
 	"github.com/urfave/cli/v3"
@@ -33,7 +34,7 @@
 		Name:    "dooryard-soak",
 		Usage:   "run real boxes as processes, inject faults from outside, and check the fleet's guarantees",
 		Version: version.String(),
-		Flags:   append(flags(), processFlags()...),
+		Flags:   slices.Concat(flags(), processFlags(), []cli.Flag{exactFlag()}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := checkFlags(c); err != nil {
 				return err
@@ -57,6 +58,7 @@
 		return fmt.Errorf("%w: either --gateway or --router is required", errUsage)
 	}
 	for first, others := range map[string][]string{
+		"exact":   {"load", "partitions", "stalls", "overload", "regressions", "callers", "wire"},
 		"load":    {"partitions", "stalls", "overload", "regressions", "processes", "planned"},
 		"planned": {"partitions", "stalls", "overload", "regressions", "processes", "evacuations"},
 	} {
@@ -66,10 +68,8 @@
 			}
 		}
 	}
-	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire", "strangers", "held-ports"} {
-		if c.Bool(added) && !c.Bool("planned") && !c.Bool("processes") {
-			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
-		}
+	if err := checkAdded(c); err != nil {
+		return err
 	}
 	if c.String("earlier") != "" && c.Bool("limits") {
 		return fmt.Errorf("%w: --earlier and --limits can't be combined", errUsage)
@@ -77,6 +77,18 @@
 	return nil
 }
 
+// checkAdded returns an error if a flag adds to a play that is not selected.
+func checkAdded(c *cli.Command) error {
+	plays := c.Bool("planned") || c.Bool("processes")
+	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire", "strangers", "held-ports"} {
+		allowed := plays || added == "quotas" && c.Bool("exact")
+		if c.Bool(added) && !allowed {
+			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
+		}
+	}
+	return nil
+}
+
 func flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "gateway", Usage: "path of the dooryard-gateway binary"},
@@ -143,7 +155,7 @@
 		},
 		&cli.BoolFlag{
 			Name:  "quotas",
-			Usage: "also give boxes a share of processor time only; requires --planned or --processes",
+			Usage: "also give boxes a share of processor time only; requires --planned, --processes or --exact",
 		},
 		&cli.BoolFlag{
 			Name:  "overlaps",
@@ -182,6 +194,14 @@
 	}
 }
 
+func exactFlag() cli.Flag {
+	return &cli.BoolFlag{
+		Name: "exact",
+		Usage: "send requests of clients that wait for exactly as long as they tell, near and milliseconds away, to " +
+			"servers that are silent or respond shortly before; without other clients and faults",
+	}
+}
+
 // selectedSeeds returns the seeds selected by the flags.
 func selectedSeeds(c *cli.Command) []uint64 {
 	list := []uint64{}
@@ -221,7 +241,7 @@
 		Quotas: c.Bool("quotas"), Callers: c.Bool("callers"), Overlaps: c.Bool("overlaps"), Wire: c.Bool("wire"),
 		Strangers: c.Bool("strangers"), HeldPorts: c.Bool("held-ports"),
 		Limits: c.Bool("limits"), Processors: c.Int("processors"),
-		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"),
+		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"), Exact: c.Bool("exact"),
 	})
 	return errors.Join(printReport(out, report), runErr)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -68,7 +68,7 @@
 	// Planned plays planned work only: stops, reloads, configurations and draining servers, with kept connections.
 	Planned bool
 	// Quotas also gives boxes only a share of processor time for some time, and Callers also sends requests of callers
-	// that use their connections in unusual ways. Both need Processes or Planned.
+	// that use their connections in unusual ways. Both need Processes or Planned, or Quotas Exact.
 	Quotas, Callers bool
 	// Overlaps also starts the next process of a box before the one before it has ended. It needs Processes or Planned.
 	Overlaps bool
@@ -81,6 +81,9 @@
 	// HeldPorts also restarts boxes of which another process takes a port until the run ends, and gives boxes several
 	// ports for each other. It needs Processes or Planned.
 	HeldPorts bool
+	// Exact sends requests of callers that wait for exactly as long as they tell instead of the usual ones and of the
+	// faults that have no schedule of their own.
+	Exact bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -111,6 +114,8 @@
 	beginWork func(
 		ctx context.Context, request, server string, linkDisturbed func(from, to time.Time) bool,
 	) (end func(brokeOff bool))
+	// recordExactResponse records a response to an exact caller.
+	recordExactResponse func(id string)
 
 	mu      sync.Mutex
 	current *standin.Server
@@ -131,6 +136,10 @@
 	if down {
 		panic(http.ErrAbortHandler)
 	}
+	if r.Header.Get(exactHeader) != "" {
+		s.serveExact(w, r, s.recordExactResponse)
+		return
+	}
 	current.ServeHTTP(w, r)
 }
 
@@ -251,7 +260,7 @@
 }
 
 func (f *fleet) addServer(i int) error {
-	s := &server{zone: zoneName(i), beginWork: f.history.beginWork}
+	s := &server{zone: zoneName(i), beginWork: f.history.beginWork, recordExactResponse: f.history.recordExactResponse}
 	address, err := f.serve("127.0.0.1:0", s)
 	if err != nil {
 		return err
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -72,6 +72,10 @@
 	refusals []refusal
 	// services are the times from the starts of processes to their first responses.
 	services []service
+	// exactCalls are the requests of exact callers, and exactResponses when servers responded to them.
+	exactCalls     []*exactCall
+	exactResponses map[string]time.Time
+	exact          exactStats
 	// processFaults counts the faults around processes by name.
 	processFaults map[string]int
 	// releases is set if boxes run two releases by turns.
@@ -91,7 +95,7 @@
 		ends: map[string][]time.Time{}, changedStarts: map[string][]*interval{},
 		interfered: map[string]func(string, time.Time, time.Time) bool{},
 		openedBy:   map[string]func(string, time.Time) bool{},
-		forwarded:  map[string]func(string) bool{},
+		forwarded:  map[string]func(string) bool{}, exactResponses: map[string]time.Time{},
 	}
 }
 
@@ -161,6 +165,7 @@
 	violations = append(violations, h.checkRefusals()...)
 	violations = append(violations, h.checkServices()...)
 	violations = append(violations, h.checkGone()...)
+	violations = append(violations, h.checkExact()...)
 	return append(violations, h.checkSignals()...)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,6 +40,8 @@
 	Load loadStats
 	// Lost holds the requests whose connections boxes closed without a complete response.
 	Lost lostStats
+	// Exact holds the requests of callers that wait for exactly as long as they tell.
+	Exact exactStats
 	// Ends counts by what processes were asked to end, and how they did.
 	Ends map[string]int
 	// Threads is the largest number of threads of a box with limits.
@@ -123,7 +125,7 @@
 	report.Requests, report.Served, report.Calls = len(f.history.outcomes), f.history.served, f.store.Calls()
 	report.Fatal, report.HeldBack = f.history.fatalStats(), f.history.heldBack()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
-	report.Streams, report.Lost = f.history.streamStats(), f.history.lost
+	report.Streams, report.Lost, report.Exact = f.history.streamStats(), f.history.lost, f.history.exact
 	if f.settings.Load {
 		report.Load = f.loadStats()
 		report.Findings = append(report.Findings, report.Load.findings()...)
@@ -144,6 +146,12 @@
 
 // startRequests starts the clients, and the servers' signals, until ctx ends.
 func (f *fleet) startRequests(ctx context.Context, workers *sync.WaitGroup) {
+	if f.settings.Exact {
+		for i := range exactPerBox * len(f.boxes) {
+			workers.Go(func() { f.runExact(ctx, i) })
+		}
+		return
+	}
 	if f.settings.Planned || f.settings.Processes {
 		for i := range f.settings.Clients {
 			workers.Go(func() { f.runKeptClient(ctx, i) })
@@ -201,7 +209,7 @@
 	until := time.Now().Add(f.settings.Span)
 	var ends sync.WaitGroup
 	errs := make(chan error, maxEndErrors)
-	for (f.settings.Calm || f.settings.Planned) && time.Now().Before(until) && ctx.Err() == nil {
+	for (f.settings.Calm || f.settings.Planned || f.settings.Exact) && time.Now().Before(until) && ctx.Err() == nil {
 		sleep(ctx, time.Until(until))
 	}
 	for time.Now().Before(until) && ctx.Err() == nil && len(errs) == 0 {
