--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -112,7 +112,7 @@
 		writer.SetUnread(c.Unread())
 		arrival := c.Arrival()
 		r.ArrivedMs, r.ReceivedMs = arrival.StartMs, arrival.StartMs
-		r.Path = deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New}
+		r.Path = deadline.Path{RoundTripMs: arrival.RoundTripMs, New: arrival.New, OpeningMs: arrival.OpeningMs}
 	}
 	return r
 }
@@ -214,7 +214,7 @@
 
 // unreadBodyMs returns how long the refusal of a request waits for its body.
 func (b *Box) unreadBodyMs(r *opaque.Request) clock.Millis {
-	if r.DeadlineMs == 0 {
+	if r.WaitsUntilMs == 0 {
 		return unreadBodyMs
 	}
 	return max(1, min(unreadBodyMs, r.RemainingMs(b.clock.Monotonic())))
