--- a/internal/pipe/identify/identify.go
+++ b/internal/pipe/identify/identify.go
@@ -33,8 +33,8 @@
 	defaultBodyTimeoutMs  = 30_000
 	defaultDeadlineMs     = 120_000
 	defaultMaxDeadlineMs  = 600_000
-	// defaultRoundTripMs is a round trip between data centers of a region, with a balancer in between.
-	defaultRoundTripMs = 10
+	// defaultRoundTripMs is a round trip between data centers of a region through a balancer.
+	defaultRoundTripMs = 15
 	// defaultMaxLeadMs covers a round trip around the world.
 	defaultMaxLeadMs = 250
 	// defaultMaxLeadPercent leaves most of a short deadline for the response.
