--- a/internal/balance/pace_overdue.go
+++ b/internal/balance/pace_overdue.go
@@ -53,17 +53,14 @@
 }
 
 // ownersStartMs returns in how long the engine's owner expected the prefill to end when it admitted the prompt, at the
-// usual pace, or 0. The owner's estimate contains the pace that the engine was last found to have, and the time from
-// the prefill to the first event, which is the fixed part of the time to the first byte.
+// usual pace, or 0. The owner's estimate contains the pace that the engine was last found to have.
 func (l *Lease) ownersStartMs() clock.Millis {
 	if l.admitted == nil {
 		return 0
 	}
-	fixedMs, _ := l.manager.timesOf(l.Pool).FirstByte.Expect(0, 0)
 	for _, asked := range l.admitted.Asked {
 		if asked.Upstream == l.ID {
-			startMs := asked.Answer.StartInMs * pace.UsualPercent / clock.Millis(l.pace.Newest())
-			return max(0, startMs-clock.Millis(fixedMs))
+			return asked.Answer.StartInMs * pace.UsualPercent / clock.Millis(l.pace.Newest())
 		}
 	}
 	return 0
