--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -96,10 +96,8 @@
 // learn learns from the first event of a request.
 func (u *upstream) learn(r *request, progressMs, now clock.Millis) {
 	times, s, reported := &u.pool.times, r.sample(progressMs, now), u.pace.reported()
-	slow := s.ms > times.startMs(s)+minOverdueMs && s.ms > times.startMs(s)*slowPercent/usualPercent
 	s.ms, s.overlapMs = s.ms/reported, s.overlapMs/reported
 	if times.mayDeny() {
-		u.pace.slowStart = slow
 		u.pace.observe(s.ms, times.startMs(s), now)
 	}
 	times.starts++
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -20,8 +20,6 @@
 	ratio      float64
 	// observedMs is when ratio was last observed.
 	observedMs clock.Millis
-	// slowStart is set if the newest start took longer than at the usual pace.
-	slowStart bool
 }
 
 // reportTTLMs is how long a report counts: about as long as a slow spell of a shared machine.
@@ -96,10 +94,3 @@
 	}
 	return elapsed / usual
 }
-
-// suspect reports whether the engine is likely slow at this moment: its longest-waiting prompt is overdue, or its
-// newest start was slow and another prompt is to show whether it still is. Asks without MayQueue are denied then, so
-// that boxes ask other engines first.
-func (u *upstream) suspect(now clock.Millis) bool {
-	return len(u.backlog.requests) > 0 && (u.pace.slowStart || u.overdue(now) > 0)
-}
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -55,7 +55,7 @@
 		u.grant(r, startIn, now)
 		return answer, nil
 	}
-	if !r.ask.MayQueue && (u.atBound(r) || u.suspect(now)) || u.tooLate(r, startIn, now) {
+	if !r.ask.MayQueue && u.atBound(r) || u.tooLate(r, startIn, now) {
 		return u.deny(r, startIn, now), nil
 	}
 	granted, grants := u.grantNow(r, now)
