--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -45,35 +45,23 @@
 // prefillMs returns the expected time to prefill a load at the upstream.
 func (u *upstream) prefillMs(w load) float64 { return u.pool.times.ms(w) * u.pace.factor() }
 
-// afterPrefillMs returns the expected time from the end of a prefill at the upstream to the first event.
-func (u *upstream) afterPrefillMs() float64 { return u.pool.times.after * u.pace.factor() }
-
-// firstEventMs returns the expected time to the first event of a request whose prefill begins after a wait.
-func (u *upstream) firstEventMs(r *request, waitMs float64) clock.Millis {
-	return clock.Millis(waitMs + u.prefillMs(prefillOf(r)) + u.afterPrefillMs())
-}
-
-// backlogMs returns the expected time until the engine has prefilled all granted prompts, one after the other. It ended
-// the one before them at its last progress, less the time from a prefill to the first event. If the longest-waiting one
-// is overdue, it is expected to start now.
+// backlogMs returns the expected time until the engine has prefilled all granted prompts. The time since its last
+// progress counts as spent on the longest-waiting one: the order of the others makes no difference to the sum.
 func (u *upstream) backlogMs(now clock.Millis) float64 {
-	afterMs := u.afterPrefillMs()
-	endMs := float64(u.backlog.progressMs) - afterMs
-	for i, r := range u.backlog.requests {
-		endMs = max(endMs, float64(r.grantedMs)) + u.prefillMs(prefillOf(r))
-		if i == 0 {
-			endMs = max(endMs, float64(now)-afterMs)
-		}
+	b := &u.backlog
+	if len(b.requests) == 0 {
+		return 0
 	}
-	return max(0, endMs-float64(now))
+	done := min(float64(now-b.progressMs), u.prefillMs(prefillOf(b.requests[0])))
+	return max(0, u.prefillMs(b.sum)-done)
 }
 
 // start moves a request from the backlog to the running ones and learns from the interval since the last progress.
 func (u *upstream) start(r *request, now clock.Millis) {
-	progressMs := u.backlog.progressMs
+	interval := float64(now - u.backlog.progressMs)
 	u.backlog.remove(r, true, now)
 	u.run(r, now)
-	u.learn(r, progressMs, now)
+	u.learn(r, interval, now)
 }
 
 // learnLateStart learns from the first event of a request whose start counted as lost, if the engine had nothing else
@@ -82,26 +70,18 @@
 func (u *upstream) learnLateStart(r *request, now clock.Millis) {
 	r.startLost = false
 	if r.alone {
-		u.learn(r, r.grantedMs, now)
-	}
-}
-
-// sample returns the sample of a request that starts now, with the last progress of the engine before that.
-func (r *request) sample(progressMs, now clock.Millis) prefillSample {
-	return prefillSample{
-		tokens: float64(r.ask.PrefillTokens), ms: float64(now - progressMs), overlapMs: float64(progressMs - r.grantedMs),
+		u.learn(r, float64(now-r.grantedMs), now)
 	}
 }
 
-// learn learns from the first event of a request.
-func (u *upstream) learn(r *request, progressMs, now clock.Millis) {
-	times, s, reported := &u.pool.times, r.sample(progressMs, now), u.pace.reported()
-	s.ms, s.overlapMs = s.ms/reported, s.overlapMs/reported
+// learn learns from the time in milliseconds that a prompt took to prefill.
+func (u *upstream) learn(r *request, interval float64, now clock.Millis) {
+	times := &u.pool.times
 	if times.mayDeny() {
-		u.pace.observe(s.ms, times.startMs(s), now)
+		u.pace.observe(interval, times.ms(prefillOf(r))*u.pace.reported(), now)
 	}
 	times.starts++
-	times.observe(s)
+	times.observe(r.ask.PrefillTokens, interval/u.pace.reported())
 }
 
 // expireLostStarts counts requests as started whose start is long overdue. They keep their slot and their memory until
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -87,8 +87,7 @@
 	if len(u.backlog.requests) == 0 || !u.pool.times.mayDeny() {
 		return 0
 	}
-	s := u.backlog.requests[0].sample(u.backlog.progressMs, now)
-	elapsed, usual := s.ms, u.pool.times.startMs(s)
+	elapsed, usual := float64(now-u.backlog.progressMs), u.pool.times.ms(prefillOf(u.backlog.requests[0]))
 	if usual <= 0 || elapsed < usual+minOverdueMs || elapsed >= usual+float64(reportTTLMs) {
 		return 0
 	}
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -167,19 +167,9 @@
 // prefill hardly ever have no backlog, and such prompts would wait for seconds although the engine has time for them.
 const largeBacklogDivisor = 2
 
-// minTargetShare is the least part of the target that is left where first events come long after prefills.
-const minTargetShare = 0.25
-
-// targetMs returns the target of the pool, without half of the time from a prefill to the first event: that takes part
-// of the objective of each request, which half of the target is for.
-func (u *upstream) targetMs(now clock.Millis) float64 {
-	target := u.pool.objectives.targetMs(now)
-	return max(minTargetShare*target, target-u.pool.times.after/2) //nolint:mnd // Half.
-}
-
 // hasTime reports whether a request can be prefilled within the target, after the backlog.
 func (u *upstream) hasTime(r *request, now clock.Millis) bool {
-	backlogMs, targetMs := u.backlogMs(now), u.targetMs(now)
+	backlogMs, targetMs := u.backlogMs(now), u.pool.objectives.targetMs(now)
 	own := u.prefillMs(prefillOf(r))
 	if own > targetMs && u.queue.length <= 1 && u.pool.times.mayDeny() {
 		return backlogMs <= targetMs/largeBacklogDivisor
