fix(dispatch): requests that end early are no observations of the box's lateness

What callers saw: with many callers that leave, or short requests that a stop ends, a late box counts as punctual, so that its last responses leave too late. Cause: endUnbegun also runs when the context ends for another reason, and observed a negative lateness then, which counts as none in the share of observations that the usual lateness may be exceeded by.

Evidence: TestEndOfUnbegunResponses/a_caller_that_has_left failed before (observed). It also guards responses that have begun or wait to be read at that instant.

--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -135,9 +135,13 @@
 	return s.awaitCaller(s.run())
 }
 
-// endUnbegun is called when the last response must leave. It ends all waits for a response, unless one has begun, which
-// may reach the caller in time.
+// endUnbegun is called at the end of beforeDue. Once the last response must leave, it ends all waits for a response,
+// unless one has begun, which may reach the caller in time.
 func (s *retryLoop) endUnbegun() {
+	if !errors.Is(context.Cause(s.beforeDue), context.DeadlineExceeded) {
+		// The request has ended before.
+		return
+	}
 	s.pipe.deps.OnDue(s.request)
 	if !s.responding.Load() && !s.responseWaits() {
 		s.cancel()
