test(soak): exact callers that the run holds up, and the greatest lead of a twentieth

Those are read before now, and a request whose first byte is written later than 30 ms after the connection was opened counts from then, as boxes count it.

The greatest lead is a twentieth of a caller's time since (a tenth before); sound responses sent earlier are checked by it, which is stricter.

--- a/internal/soak/exact.go
+++ b/internal/soak/exact.go
@@ -35,7 +35,7 @@
 	exactGrace = time.Second
 	// leadPart is the inverse of the part of a caller's time that a box may keep for its last response: the greatest
 	// by its default settings.
-	leadPart = 10
+	leadPart = 20
 	// maxUnreadPart is the inverse of the part of the callers of last responses that may read none in time. The aim is
 	// none; one more is allowed, so that a single one decides no short run.
 	maxUnreadPart = 100
@@ -43,6 +43,9 @@
 	maxReplaced = 1
 	// waitsSpan is the part at the beginning and at the end of a request in which waits for a processor count.
 	waitsSpan = 60 * time.Millisecond
+	// maxOpening is how long after the connection was opened the first byte may be written of the request that it was
+	// opened for. Boxes allow more.
+	maxOpening = 30 * time.Millisecond
 
 	exactHeader = "X-Respond-At"
 	silentValue = "never"
@@ -83,6 +86,12 @@
 	return 3 * c.distance //nolint:mnd // Three ways.
 }
 
+// isBeyond reports whether the way to the caller and back takes more than the greatest lead, so that by its settings no
+// box can respond in time.
+func (c *exactCall) isBeyond() bool {
+	return c.sentBefore()+c.distance+time.Millisecond > c.wait/leadPart
+}
+
 // isLate reports whether the caller had left when the response arrived.
 func (c *exactCall) isLate() bool { return c.arrived.IsZero() || c.arrived.After(c.deadline()) }
 
@@ -102,17 +111,19 @@
 	Requests, Served int
 	// Last are the last responses of undisturbed boxes, Unread those of them that came too late, and LongestLagMs by how
 	// much at most. Excused are those that are late by no more than their box waited for a processor.
-	Last, Unread, Excused int
+	// Beyond are late ones that no box can send in time by its settings.
+	Last, Unread, Excused, Beyond int
 	LongestLagMs          float64
 	// Replaced are sound responses that were sent early enough and not delivered, and Within those that were sent within
 	// the lead of the box and not delivered in time.
 	Replaced, Within int
+	// FirstUnread and FirstReplaced describe the first of each.
+	FirstUnread, FirstReplaced string `json:",omitempty"`
 }
 
 // checkExact checks that callers who wait for exactly as long as they tell read a response.
 func (h *history) checkExact() []violation {
 	violations := []violation{}
-	firstUnread, firstReplaced := "", ""
 	for _, c := range h.exactCalls {
 		h.exact.Requests++
 		ended := c.deadline().Add(exactGrace)
@@ -120,22 +131,22 @@
 			continue
 		}
 		if h.exact.countSound(c) {
-			firstReplaced = cmp.Or(firstReplaced, c.String())
+			h.exact.FirstReplaced = cmp.Or(h.exact.FirstReplaced, c.String())
 		}
 		if h.exact.countLast(c) {
-			firstUnread = cmp.Or(firstUnread, c.String())
+			h.exact.FirstUnread = cmp.Or(h.exact.FirstUnread, c.String())
 		}
 	}
 	if h.exact.Unread > 1+h.exact.Last/maxUnreadPart {
 		violations = append(violations, violation{
 			"callers that wait for exactly their deadline read a response", "of several callers",
-			fmt.Sprintf("%d of %d read none in time, the first: %s", h.exact.Unread, h.exact.Last, firstUnread),
+			fmt.Sprintf("%d of %d read none in time, the first: %s", h.exact.Unread, h.exact.Last, h.exact.FirstUnread),
 		})
 	}
 	if h.exact.Replaced > maxReplaced {
 		violations = append(violations, violation{
 			"sound responses that arrive in time are delivered", "of several callers",
-			fmt.Sprintf("%d were not, the first: %s", h.exact.Replaced, firstReplaced),
+			fmt.Sprintf("%d were not, the first: %s", h.exact.Replaced, h.exact.FirstReplaced),
 		})
 	}
 	return violations
@@ -165,6 +176,10 @@
 	if !c.isLate() {
 		return false
 	}
+	if c.isBeyond() {
+		s.Beyond++
+		return false
+	}
 	if !c.arrived.IsZero() {
 		lagMs := float64(c.arrived.Sub(c.deadline())) / float64(time.Millisecond)
 		s.LongestLagMs = max(s.LongestLagMs, lagMs)
@@ -202,6 +217,7 @@
 			id: fmt.Sprintf("%d-e%d-%d", f.settings.Seed, number, sequence), box: b.name, distance: distance,
 			kept: conn != nil,
 		}
+		begun := b.process.times()
 		var err error
 		if conn == nil {
 			if conn, err = dialExact(ctx, net.JoinHostPort(b.ip, strconv.Itoa(callersPort))); err != nil {
@@ -210,7 +226,7 @@
 				continue
 			}
 		}
-		keep := f.exchangeExact(conn, c, b, random)
+		keep := f.exchangeExact(conn, c, b, begun, random)
 		f.history.recordExact(c)
 		if !keep || random.IntN(2) == 0 {
 			// The caller has its response, or has given up.
@@ -222,9 +238,10 @@
 
 // exchangeExact sends one request and reads what comes until exactGrace after the deadline. It reports whether the
 // connection may be used again.
-func (f *fleet) exchangeExact(conn *exactConn, c *exactCall, b *box, random *rand.Rand) (keep bool) {
+func (f *fleet) exchangeExact(
+	conn *exactConn, c *exactCall, b *box, begun threadTimes, random *rand.Rand,
+) (keep bool) {
 	c.from, c.wait = time.Now(), drawMs(random, minExactMs, exactRangeMs)
-	begun := b.process.times()
 	head := fmt.Sprintf("POST /%s/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Attempt-Id: %s\r\n"+
 		"Content-Length: 1\r\n", standin.Safe, standin.Host, f.drawKey(random), c.id)
 	if random.IntN(8) == 0 { //nolint:mnd // Some callers know the route's time only.
@@ -244,9 +261,9 @@
 	if !conn.write(head[:first]) {
 		return false
 	}
-	if c.kept {
-		// The box may count from now on.
-		c.from = time.Now()
+	if c.kept || time.Since(c.from) > maxOpening {
+		// The box may count from now on, as if the connection had been opened in advance.
+		c.kept, c.from = true, time.Now()
 	}
 	if first < len(head) {
 		time.Sleep(drawMs(random, 0, maxHeadMs))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -78,8 +78,8 @@
 	// Strangers also sends what is no request to each port of boxes, and has the store send garbled, torn and old
 	// responses. It needs Processes or Planned.
 	Strangers bool
-	// HeldPorts also restarts boxes of which another process takes a port until the run ends, and gives boxes several
-	// ports for each other. It needs Processes or Planned.
+	// HeldPorts also restarts boxes of which another process takes a port until the run ends, takes listeners from boxes
+	// that run, and gives boxes several ports for each other. It needs Processes or Planned.
 	HeldPorts bool
 	// Exact sends requests of callers that wait for exactly as long as they tell instead of the usual ones and of the
 	// faults that have no schedule of their own.
