--- a/internal/soak/exact.go
+++ b/internal/soak/exact.go
@@ -113,7 +113,7 @@
 	// much at most. Excused are those that are late by no more than their box waited for a processor.
 	// Beyond are late ones that no box can send in time by its settings.
 	Last, Unread, Excused, Beyond int
-	LongestLagMs          float64
+	LongestLagMs                  float64
 	// Replaced are sound responses that were sent early enough and not delivered, and Within those that were sent within
 	// the lead of the box and not delivered in time.
 	Replaced, Within int
