--- a/internal/inbound/arrival.go
+++ b/internal/inbound/arrival.go
@@ -63,8 +63,11 @@
 }
 
 // recordRead records that bytes were read into a buffer of the server.
-func (a *arrivals) recordRead(now clock.Millis, bufferBytes int, handling bool) {
+func (a *arrivals) recordRead(now clock.Millis, bufferBytes int, handling, encrypted bool) {
 	switch {
+	case !handling && encrypted && !a.reused.Load():
+		// The first bytes are those of the handshake, which may end long before the request begins.
+		a.currentMs.Store(int64(now))
 	case !handling:
 		a.currentMs.CompareAndSwap(0, int64(now))
 	case bufferBytes == readAheadBytes:
@@ -72,10 +75,10 @@
 	}
 }
 
-// recordHeld records how many bytes are held that were read past the end of a request.
-func (a *arrivals) recordHeld(now clock.Millis, heldBytes int) {
-	if heldBytes == 0 {
-		// They were a part of the current request.
+// recordHeld records whether a part of a request is held that was read past the end of another.
+func (a *arrivals) recordHeld(now clock.Millis, holds bool) {
+	if !holds {
+		// What was held was a part of the current request.
 		a.nextMs.CompareAndSwap(a.heldMs.Swap(0), 0)
 		return
 	}
