--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -40,8 +40,8 @@
 	CanRetry func(pool string) bool
 	// RespondsWithin reports whether another upstream of the pool would likely respond within a time.
 	RespondsWithin func(pool string, within clock.Millis) bool
-	// UsuallyTakes reports whether the upstreams of a pool recently took at least a time to respond on average.
-	UsuallyTakes func(pool string, span clock.Millis) bool
+	// NoneWithin reports whether the upstreams of a pool recently took at least a time for each response.
+	NoneWithin func(pool string, span clock.Millis) bool
 	// OnDue is called when the last response to a request must leave.
 	OnDue func(r *opaque.Request)
 	// OnFirstSend counts the first attempt of a request in the retry budget of a pool.
@@ -135,9 +135,13 @@
 	return s.awaitCaller(s.run())
 }
 
-// endUnbegun is called when the last response must leave. It ends all waits for a response, unless one has begun, which
-// may reach the caller in time.
+// endUnbegun is called at the end of beforeDue. Once the last response must leave, it ends all waits for a response,
+// unless one has begun, which may reach the caller in time.
 func (s *retryLoop) endUnbegun() {
+	if !errors.Is(context.Cause(s.beforeDue), context.DeadlineExceeded) {
+		// The request has ended before.
+		return
+	}
 	s.pipe.deps.OnDue(s.request)
 	if !s.responding.Load() && !s.responseWaits() {
 		s.cancel()
@@ -320,7 +324,7 @@
 		return retryAllowed
 	case failed.execution != wrongUpstream && r.Sent >= r.Route.Attempts:
 		return stopMaxAttempts
-	case failed.execution != wrongUpstream && s.pipe.deps.UsuallyTakes(r.Pool, s.remainingMs()):
+	case failed.execution != wrongUpstream && s.pipe.deps.NoneWithin(r.Pool, s.remainingMs()):
 		return stopTooLate
 	case !s.pipe.deps.MayRetry(r.Pool):
 		return stopRetryBudget
@@ -329,13 +333,9 @@
 	}
 }
 
-// remainingMs returns the time for the next attempt. A stream that has begun goes on until the deadline.
+// remainingMs returns the time for the next attempt.
 func (s *retryLoop) remainingMs() clock.Millis {
-	now := s.pipe.deps.Clock.Monotonic()
-	if s.stream != nil {
-		return s.request.DeadlineMs - now
-	}
-	return s.request.RemainingMs(now)
+	return s.request.RemainingMs(s.pipe.deps.Clock.Monotonic())
 }
 
 func (s *retryLoop) timeOver() bool { return s.ctx.Err() != nil || s.remainingMs() <= 0 }
