fix(dispatch): a response that stalls after its head ends in time for a last one; the lead may take a tenth

Cause: a response whose head had arrived went on until the deadline, so that no sound one is ended. Now it goes on while parts of it have arrived within 100 ms, once it has arrived whole, or once the caller has a part of it.

The play's count of such callers (Beyond), which excused them, is gone: all have to read a response.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -126,6 +126,19 @@
 			assertInTime(f.t, took, 300)
 		})
 	})
+	t.Run("a response that stalls", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", "10")
+				_, _ = io.WriteString(w, "half")
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			})
+			status, took := (&deadlineCaller{fleet: f, box: f.box(1)}).send("/unsafe/", deadlineLine)
+			assert.Equal(f.t, http.StatusGatewayTimeout, status)
+			assertInTime(f.t, took, silentAfterMs)
+		})
+	})
 	t.Run("a box that is late", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			const lateMs = 60
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -19,7 +19,7 @@
 	// defaultMaxLeadMs covers a round trip around the world.
 	defaultMaxLeadMs = 250
 	// defaultMaxLeadPercent leaves most of a short deadline for the response.
-	defaultMaxLeadPercent = 5
+	defaultMaxLeadPercent = 10
 )
 
 // measureLateness observes by how much this process acts late, until the context ends.
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -56,7 +56,7 @@
 		return s.failWithoutResponse(lease, err, context.Cause(ctx))
 	}
 	defer resp.Close()
-	s.responding.Store(true)
+	s.recordProgress()
 	lease.RecordAnswered()
 	s.request.Sent++
 	s.request.Framing = string(resp.Framing())
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -102,6 +102,7 @@
 		}
 		var n int
 		n, err = source.Read(part[len(part):cap(part)])
+		s.recordProgress()
 		part, size = part[:len(part)+n], size+n
 		body[len(body)-1] = part
 	}
@@ -109,6 +110,7 @@
 	case size > maxResponseBytes:
 		return nil, 0, errTooLarge
 	case errors.Is(err, io.EOF):
+		s.responding.Store(true)
 		return body, size, nil
 	default:
 		return nil, 0, err
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -143,11 +143,27 @@
 		return
 	}
 	s.pipe.deps.OnDue(s.request)
-	if !s.responding.Load() && !s.responseWaits() {
+	if !s.responds() && !s.responseWaits() {
 		s.cancel()
 	}
 }
 
+// stalledMs is the pause after which a response that is not a stream hardly arrives whole within the lead of a last
+// response.
+const stalledMs clock.Millis = 100
+
+// responds reports whether the caller has a part of the response, or the whole one has arrived, or a part of it lately.
+func (s *retryLoop) responds() bool {
+	if s.responding.Load() {
+		return true
+	}
+	progressMs := clock.Millis(s.progressMs.Load())
+	return progressMs != 0 && s.pipe.deps.Clock.Monotonic()-progressMs < stalledMs
+}
+
+// recordProgress records that a part of the response has arrived.
+func (s *retryLoop) recordProgress() { s.progressMs.Store(int64(s.pipe.deps.Clock.Monotonic())) }
+
 // memoryRetryMs is the Retry-After of a request that is refused because the box holds too much of other responses. It
 // is about the time that a response needs to reach its caller.
 const memoryRetryMs clock.Millis = 200
@@ -228,8 +244,10 @@
 	cancel context.CancelFunc
 	// beforeDue ends when the last response must leave.
 	beforeDue context.Context
-	// responding is set while an attempt's response arrives, and once the caller has a part of a stream.
+	// responding is set once the caller has a part of the response, and once the whole one of an attempt has arrived.
 	responding atomic.Bool
+	// progressMs is when the latest part of an attempt's response arrived, or 0.
+	progressMs atomic.Int64
 	// body is the memory of the latest buffered response.
 	body *exchange.Hold
 	// attempts counts all attempts, including those that sent nothing.
@@ -281,6 +299,7 @@
 func (s *retryLoop) recordFailure(target string, failed *failure) bool {
 	s.lastFailure = failed
 	s.responding.Store(s.stream != nil)
+	s.progressMs.Store(0)
 	s.hasUnread.Store(nil)
 	verdict := s.retryDecision(failed)
 	s.pipe.deps.RecordEvent(decision.AttemptFailed{
--- a/internal/pipe/dispatch/due_test.go
+++ b/internal/pipe/dispatch/due_test.go
@@ -20,10 +20,14 @@
 		name              string
 		leavesMs          clock.Millis
 		responding, waits bool
-		observed, ended   bool
+		// silentMs is since when a response that has not arrived whole is silent when the last one must leave.
+		silentMs        clock.Millis
+		observed, ended bool
 	}{
 		{name: "a silent upstream", observed: true, ended: true},
 		{name: "a response that has begun", responding: true, observed: true},
+		{name: "a part of one that has just arrived", silentMs: stalledMs - 1, observed: true},
+		{name: "one that stalls", silentMs: stalledMs, observed: true, ended: true},
 		{name: "one that waits to be read", waits: true, observed: true},
 		{name: "a caller that has left", leavesMs: dueMs / 2},
 	} {
@@ -34,6 +38,9 @@
 				s.pipe = New(Dependencies{Clock: clock.New(), OnDue: func(*opaque.Request) { observed = true }})
 				s.cancel = func() { ended = true }
 				s.responding.Store(c.responding)
+				if c.silentMs > 0 {
+					s.progressMs.Store(int64(s.pipe.deps.Clock.Monotonic() + dueMs - c.silentMs))
+				}
 				hasUnread := func() bool { return c.waits }
 				s.hasUnread.Store(&hasUnread)
 				caller, leave := context.WithCancel(t.Context())
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -87,7 +87,7 @@
 		return s.failForward(err)
 	}
 	defer resp.Close()
-	s.responding.Store(true)
+	s.recordProgress()
 	r.Framing = string(resp.Framing())
 	hop, err := opaque.ParseHopResponse(resp.StatusCode, resp.Header)
 	switch {
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -147,6 +147,7 @@
 	}
 	setResponseHeader(r.Writer.Header(), r.Dialect.ResponseHeader(resp.Header))
 	r.SetHopHeaders()
+	s.responding.Store(true)
 	r.Writer.HoldUnread(s.cancel)
 	r.Writer.WriteHeader(http.StatusOK)
 	// If the caller has disconnected, writing the first event fails.
--- a/internal/pipe/dispatch/unbuffered.go
+++ b/internal/pipe/dispatch/unbuffered.go
@@ -36,6 +36,7 @@
 		r.MayHaveRun = true
 		return &failure{err: errTooLarge, execution: mayHaveRun}
 	}
+	s.responding.Store(true)
 	s.pipe.deps.Memory.CountUnbuffered()
 	r.Writer.StartBuffered(r.DeadlineMs - s.pipe.deps.Clock.Monotonic())
 	defer r.Writer.EndBuffered()
--- a/internal/soak/exact.go
+++ b/internal/soak/exact.go
@@ -35,7 +35,7 @@
 	exactGrace = time.Second
 	// leadPart is the inverse of the part of a caller's time that a box may keep for its last response: the greatest
 	// by its default settings.
-	leadPart = 20
+	leadPart = 10
 	// maxUnreadPart is the inverse of the part of the callers of last responses that may read none in time. The aim is
 	// none; one more is allowed, so that a single one decides no short run.
 	maxUnreadPart = 100
@@ -86,12 +86,6 @@
 	return 3 * c.distance //nolint:mnd // Three ways.
 }
 
-// isBeyond reports whether the way to the caller and back takes more than the greatest lead, so that by its settings no
-// box can respond in time.
-func (c *exactCall) isBeyond() bool {
-	return c.sentBefore()+c.distance+time.Millisecond > c.wait/leadPart
-}
-
 // isLate reports whether the caller had left when the response arrived.
 func (c *exactCall) isLate() bool { return c.arrived.IsZero() || c.arrived.After(c.deadline()) }
 
@@ -111,9 +105,8 @@
 	Requests, Served int
 	// Last are the last responses of undisturbed boxes, Unread those of them that came too late, and LongestLagMs by how
 	// much at most. Excused are those that are late by no more than their box waited for a processor.
-	// Beyond are late ones that no box can send in time by its settings.
-	Last, Unread, Excused, Beyond int
-	LongestLagMs                  float64
+	Last, Unread, Excused int
+	LongestLagMs          float64
 	// Replaced are sound responses that were sent early enough and not delivered, and Within those that were sent within
 	// the lead of the box and not delivered in time.
 	Replaced, Within int
@@ -176,10 +169,6 @@
 	if !c.isLate() {
 		return false
 	}
-	if c.isBeyond() {
-		s.Beyond++
-		return false
-	}
 	if !c.arrived.IsZero() {
 		lagMs := float64(c.arrived.Sub(c.deadline())) / float64(time.Millisecond)
 		s.LongestLagMs = max(s.LongestLagMs, lagMs)
