--- a/internal/pipe/dispatch/left_test.go
+++ b/internal/pipe/dispatch/left_test.go
@@ -43,7 +43,7 @@
 	s.request.Route = &routing.Route{}
 	p := New(Dependencies{
 		Clock: clock.New(), Memory: memory, GraceEnded: t.Context(), OnFirstSend: func(string) {},
-		OnDue: func(*opaque.Request) {},
+		OnDue:           func(*opaque.Request) {},
 		CheckBeforeSend: func(context.Context, *opaque.Request) error { return errors.New("not now") },
 		HoldWhile: func(_ *opaque.Request, waits func() bool) func() {
 			held = !waits()
