fix(socket): asking for unread bytes leaves a reset to the reader

Callers saw a truncated response as whole: one whose end is marked by the end of its connection, of which a part had arrived when the upstream reset it.

Cause: the kernel reports the failure of a connection once, to the call that asks first. Retry timers, the idle timeout of streams and the check for silence asked with recv(MSG_PEEK) whether bytes wait. After a reset, that call got ECONNRESET, and the read that followed found the end of the input (EOF). Unread bytes are now asked for with SIOCINQ, which tells no error, and with poll where that is refused.

Evidence: TestHasUnreadLeavesReset fails on for three of four kernels (no error instead of ECONNRESET) and passes now. Ruled out: TCP_INFO and poll, which leave the error in place.

--- a/internal/socket/direct.go
+++ b/internal/socket/direct.go
@@ -24,16 +24,9 @@
 	return int(n), nil
 }
 
-// peek returns whether a byte waits to be read, as a number.
-func peek(fd int) (int, error) {
-	var one [1]byte
-	n, _, code := unix.RawSyscall6(unix.SYS_RECVFROM, uintptr(fd), uintptr(unsafe.Pointer(&one)), uintptr(len(one)),
-		unix.MSG_PEEK|unix.MSG_DONTWAIT, 0, 0)
-	if code != 0 {
-		return 0, code
-	}
-	return int(n), nil
-}
+// unread returns how many bytes wait to be read. Unlike a read with MSG_PEEK, it leaves an error of the connection to the
+// reader.
+func unread(fd int) (int, error) { return control(fd, unix.SIOCINQ) }
 
 func tcpInfo(fd int) (*unix.TCPInfo, error) {
 	info, size := &unix.TCPInfo{}, uint32(unix.SizeofTCPInfo)
@@ -45,9 +38,13 @@
 	return info, nil
 }
 
-func queued(fd int) (int, error) {
+// queued returns how many bytes were written that the other side has not acknowledged.
+func queued(fd int) (int, error) { return control(fd, unix.SIOCOUTQ) }
+
+// control returns the number that a request to a device or socket writes.
+func control(fd int, request uintptr) (int, error) {
 	var n int32
-	_, _, code := unix.RawSyscall(unix.SYS_IOCTL, uintptr(fd), unix.SIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	_, _, code := unix.RawSyscall(unix.SYS_IOCTL, uintptr(fd), request, uintptr(unsafe.Pointer(&n)))
 	if code != 0 {
 		return 0, code
 	}
--- a/internal/socket/kernel.go
+++ b/internal/socket/kernel.go
@@ -20,14 +20,14 @@
 	Queued func(fd int) (int, error)
 	// Ready returns for which of some events a socket is ready, and whether it has failed, without waiting.
 	Ready func(fd int, events int16) (ready int16, err error)
-	// Peek returns whether a byte waits to be read, as a number.
-	Peek func(fd int) (int, error)
+	// Unread returns how many bytes wait to be read.
+	Unread func(fd int) (int, error)
 }
 
 // System returns the questions to the kernel of this process.
 func System() *Kernel { return &system }
 
-var system = Kernel{TCPInfo: tcpInfo, Queued: queued, Ready: readyFor, Peek: peek}
+var system = Kernel{TCPInfo: tcpInfo, Queued: queued, Ready: readyFor, Unread: unread}
 
 // State is what the kernel tells about a connection.
 type State struct {
@@ -123,7 +123,7 @@
 }
 
 func (k *Kernel) hasUnread(fd int) bool {
-	n, err := k.Peek(fd)
+	n, err := k.Unread(fd)
 	if !isRefused(err) {
 		return n > 0
 	}
@@ -134,7 +134,7 @@
 
 // isRefused reports whether a question failed though the socket has not.
 func isRefused(err error) bool {
-	refusals := []error{unix.EPERM, unix.EACCES, unix.ENOSYS, unix.EOPNOTSUPP, unix.EINVAL, unix.ENOPROTOOPT}
+	refusals := []error{unix.EPERM, unix.EACCES, unix.ENOSYS, unix.EOPNOTSUPP, unix.EINVAL, unix.ENOPROTOOPT, unix.ENOTTY}
 	return slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
 }
 
--- a/internal/socket/kernel_test.go
+++ b/internal/socket/kernel_test.go
@@ -18,13 +18,13 @@
 
 // kernels returns kernels each of which tells enough to answer for a connection.
 func kernels() map[string]*Kernel {
-	noTCPInfo, noFields, noPeek := *System(), *System(), *System()
+	noTCPInfo, noFields, noUnread := *System(), *System(), *System()
 	noTCPInfo.TCPInfo = func(int) (*unix.TCPInfo, error) { return &unix.TCPInfo{}, unix.ENOPROTOOPT }
 	noFields.TCPInfo = func(int) (*unix.TCPInfo, error) { return &unix.TCPInfo{}, nil }
-	noPeek.Peek = func(int) (int, error) { return 0, unix.EPERM }
+	noUnread.Unread = func(int) (int, error) { return 0, unix.EPERM }
 	return map[string]*Kernel{
 		"one that tells all": System(), "without TCP_INFO": &noTCPInfo, "with an empty TCP_INFO": &noFields,
-		"without MSG_PEEK": &noPeek,
+		"without SIOCINQ": &noUnread,
 	}
 }
 
@@ -34,7 +34,7 @@
 		TCPInfo: func(int) (*unix.TCPInfo, error) { return nil, unix.EPERM },
 		Queued:  func(int) (int, error) { return 0, unix.EPERM },
 		Ready:   func(int, int16) (int16, error) { return 0, unix.ENOSYS },
-		Peek:    func(int) (int, error) { return 0, unix.EPERM },
+		Unread:  func(int) (int, error) { return 0, unix.EPERM },
 	}
 }
 
@@ -90,6 +90,23 @@
 	}
 }
 
+// TestHasUnreadLeavesReset guards against a reset that a reader takes for an orderly end, since the kernel tells it once.
+func TestHasUnreadLeavesReset(t *testing.T) {
+	for name, kernel := range kernels() {
+		t.Run(name, func(t *testing.T) {
+			caller, conn := testlib.Connect(t)
+			require.NoError(t, caller.(*net.TCPConn).SetLinger(0)) //nolint:forcetypeassert // It is one.
+			require.NoError(t, caller.Close())
+			for kernel.State(conn).Open {
+				runtime.Gosched()
+			}
+			kernel.HasUnread(conn)
+			_, err := io.ReadAll(conn)
+			assert.ErrorIs(t, err, syscall.ECONNRESET)
+		})
+	}
+}
+
 // TestHasWaiting guards against a listener that is closed with connections that wait, where the kernel tells nothing.
 func TestHasWaiting(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
