fix(upstream,transport): a reset during an upload is no end of the response

Callers got a part of a response as a whole one (MIXED): the upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written.

Cause: the kernel reports a reset once, to the call that asks first. Long bodies are written beside the reading, so the write got ECONNRESET, and the read that followed found the end of the input. The error of the write was dropped.

Change: a connection keeps the failure that a write was told, and its reads return it instead of io.EOF. The same for dooryard-router's transport.

--- a/internal/socket/direct.go
+++ b/internal/socket/direct.go
@@ -24,8 +24,8 @@
 	return int(n), nil
 }
 
-// unread returns how many bytes wait to be read. Unlike a read with MSG_PEEK, it leaves an error of the connection to the
-// reader.
+// unread returns how many bytes wait to be read. Unlike a read with MSG_PEEK, it leaves an error of the connection to
+// the reader.
 func unread(fd int) (int, error) { return control(fd, unix.SIOCINQ) }
 
 func tcpInfo(fd int) (*unix.TCPInfo, error) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // errAborted is returned by writes to a connection whose attempt was aborted or
@@ -68,6 +69,8 @@
 // rejects writes after its attempt was aborted.
 type trackedConn struct {
 	net.Conn
+	// failure makes reads fail after a reset that a write was told.
+	failure socket.WriteFailure
 
 	mu      sync.Mutex
 	started int64
@@ -81,9 +84,12 @@
 	if err := c.startWrite(len(data)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(data)
+	return c.failure.Write(c.Conn, data)
 }
 
+// Read implements net.Conn. It returns io.EOF only after an orderly end.
+func (c *trackedConn) Read(data []byte) (int, error) { return c.failure.Read(c.Conn, data) }
+
 // startWrite counts bytes that are about to be written, unless the write is no
 // longer allowed.
 func (c *trackedConn) startWrite(count int) error {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,7 +1,10 @@
 package transport
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/testlib"
 )
 
 func newClient() *http.Client {
@@ -29,6 +33,31 @@
 	return err
 }
 
+// TestResetDuringUpload guards against a part of a response that counts as whole, since a reset was told to the write of
+// the request's body.
+func TestResetDuringUpload(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = conn.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // It is one.
+		_ = conn.Close()
+	}()
+	client := &http.Client{Transport: New(Settings{Dial: testlib.DialWriteFirst})}
+	response, err := client.Post("http://"+listener.Addr().String(), "text/plain", bytes.NewReader(make([]byte, 16<<20)))
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+	}
+	require.Error(t, err)
+}
+
 func TestWatch(t *testing.T) {
 	t.Run("reports that nothing was sent if no connection opened", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// failure makes reads fail after a reset that a write was told.
+	failure socket.WriteFailure
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
 }
@@ -27,9 +29,17 @@
 const readBufferBytes = 2048
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	cn := &conn{Conn: c}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn
 }
 
+// Read implements net.Conn. It returns io.EOF only after an orderly end.
+func (c *conn) Read(data []byte) (int, error) { return c.failure.Read(c.Conn, data) }
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) { return c.failure.Write(c.Conn, data) }
+
 // ResetOnClose makes Close reset a connection. If it fails, the connection is closed in order, as it would be without
 // it.
 func ResetOnClose(c net.Conn) {
