fix(upstream): responses with a malformed head are no responses

Cause: heads were taken as net/http parses them, which accepts more than a recipient can rely on. Class: input of an upstream that is parsed, not checked.

Change: headcheck refuses statuses beyond 100 to 599, other major versions, 101 (never asked for) and names that are no tokens; heads of HTTP/1.0 with Transfer-Encoding are refused by the bytes read, as net/http drops the field. Such a response is a broken attempt: repeatable requests go elsewhere, others get 502.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,8 @@
 	reader *bufio.Reader
 	// failure makes reads fail after a reset that a write was told.
 	failure socket.WriteFailure
+	// recording receives what is read while the head of a response of HTTP/1.0 is read.
+	recording *[]byte
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
 }
@@ -35,7 +37,13 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only after an orderly end.
-func (c *conn) Read(data []byte) (int, error) { return c.failure.Read(c.Conn, data) }
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.failure.Read(c.Conn, data)
+	if c.recording != nil {
+		*c.recording = append(*c.recording, data[:n]...)
+	}
+	return n, err
+}
 
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) { return c.failure.Write(c.Conn, data) }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -41,3 +41,39 @@
 		})
 	}
 }
+
+// TestMalformedHeads guards against a malformed response that is taken for a response, or whose body is another one than
+// the upstream sent.
+func TestMalformedHeads(t *testing.T) {
+	const id, body = "X-Id: 1\r\n", "\r\n4\r\nbody\r\n0\r\n\r\n"
+	filler := "X-Filler: " + strings.Repeat("f", 3*readBufferBytes) + "\r\n"
+	for name, response := range map[string]string{
+		"status 000":                    "HTTP/1.1 000 \r\n" + id + "Content-Length: 0\r\n\r\n",
+		"status 000 before a response":  "HTTP/1.1 000 \r\n" + id + "\r\n" + okResponse("1", "one"),
+		"status 600":                    "HTTP/1.1 600 \r\n" + id + "Content-Length: 0\r\n\r\n",
+		"switch of protocols":           "HTTP/1.1 101 Switching Protocols\r\n" + id + "\r\n",
+		"major version":                 "HTTP/2.0 200 OK\r\n" + id + "Content-Length: 0\r\n\r\n",
+		"blank in a name":               "HTTP/1.1 200 OK\r\n" + id + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
+		"control byte in a name":        "HTTP/1.1 200 OK\r\n" + id + "X\x01: 1\r\nContent-Length: 0\r\n\r\n",
+		"control byte in a value":       "HTTP/1.1 200 OK\r\n" + id + "X: \x01\r\nContent-Length: 0\r\n\r\n",
+		"chunks behind a blank":         "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding : chunked\r\n" + body,
+		"length behind a blank":         "HTTP/1.1 200 OK\r\n" + id + "Content-Length : 4\r\n\r\nbody and more",
+		"chunks of HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n" + body,
+		"chunks of HTTP/1.0, long head": "HTTP/1.0 200 OK\r\n" + id + filler + "transfer-encoding: chunked\r\n" + body,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := readAll(t, startUpstream(t, respondEach(response)).client(), request("1"))
+			require.ErrorIs(t, err, ErrBroken)
+		})
+	}
+	t.Run("a response of HTTP/1.0 without chunks is sound", func(t *testing.T) {
+		s := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+			_, _ = http.ReadRequest(requests)
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n"+id+filler+"\r\nTransfer-Encoding: body")
+			_ = conn.Close()
+		})
+		got, err := readAll(t, s.client(), request("1"))
+		require.NoError(t, err)
+		assert.Equal(t, "Transfer-Encoding: body", got)
+	})
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 	"strconv"
 	"sync/atomic"
+
+	"dooryard.example/dooryard/internal/headcheck"
 )
 
 // Request is an opaque request. Header holds all headers except Host and Content-Length.
@@ -111,8 +113,8 @@
 	return err
 }
 
-// receive reads the header of the response. It skips interim (1xx) responses except 101, and at most
-// maxMismatched responses to other requests, which a reused connection may still deliver.
+// receive reads the header of the response. It skips interim (1xx) responses, and at most maxMismatched responses to
+// other requests, which a reused connection may still deliver.
 func (rt *roundTrip) receive() (*Response, error) {
 	mismatched := 0
 	for {
@@ -121,7 +123,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		switch {
-		case response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols:
+		case response.StatusCode < http.StatusOK:
 		case rt.request.Matches(response.Header):
 			return &Response{Response: response, roundTrip: rt}, nil
 		case mismatched == maxMismatched || framing(response) == ByConnection:
@@ -137,8 +139,16 @@
 
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
+	recorded := rt.conn.recordOldHead()
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	return response, withoutContent(err)
+	rt.conn.recording = nil
+	if err != nil {
+		return nil, withoutContent(err)
+	}
+	if headcheck.Response(response) != nil || recorded != nil && hasTransferEncoding(*recorded) {
+		return nil, errMalformed
+	}
+	return response, nil
 }
 
 // errMalformed stands for errors that quote what the upstream sent.
