fix(forward): dooryard-router refuses responses with a malformed head

An upstream's status 000 ended the request with a panic (invalid WriteHeader code 0), a field name with a blank was read as another field, so that the body could be another one than the upstream sent. The head is checked as the gateway's is, before anything else of it is used.

Evidence: TestMalformedHeads panics on the commit before and passes now. The fake transport of TestUnframedResponses gets the version that real responses have.

--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -16,6 +16,7 @@
 
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/headcheck"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/transport"
 	"dooryard.example/dooryard/internal/urlpath"
@@ -187,6 +188,9 @@
 // checkResponse checks the response headers. It returns a failure if the response does not belong to
 // this request, if the upstream did not run the request, or if a repeatable request got a 5xx status.
 func (p *Pipe) checkResponse(x *exchange.Exchange, lease *pool.Lease, response *http.Response) *failure {
+	if err := headcheck.Response(response); err != nil {
+		return &failure{cause: err, upstreamFault: true}
+	}
 	echoed := response.Header.Get(engine.HeaderRequestID)
 	if echoed != x.ID && (echoed != "" || x.Kind == exchange.Chat) {
 		p.metrics.MismatchedResponses.Add(1)
--- a/internal/pipe/forward/unframed_test.go
+++ b/internal/pipe/forward/unframed_test.go
@@ -34,7 +34,10 @@
 		"Content-Type": {t.contentType}, "Connection": {"close, x-for-this-hop"}, "X-For-This-Hop": {"1"},
 	}
 	header.Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
-	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: -1, Body: io.NopCloser(t.body), Request: r}, nil
+	return &http.Response{
+		ProtoMajor: 1, ProtoMinor: 1, StatusCode: http.StatusOK, Header: header, ContentLength: -1,
+		Body: io.NopCloser(t.body), Request: r,
+	}, nil
 }
 
 // resetReader ends a body with a reset of its connection.
@@ -71,24 +74,64 @@
 			if c.events {
 				contentType = "text/event-stream"
 			}
-			pipe := New(Dependencies{
-				Transport: unframedTransport{contentType: contentType, body: c.body}, Report: func(string, int) {},
-				MayHaveCrashed: func(context.Context, string) bool { return c.crashed }, Metrics: metrics.New(),
-				Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(), Clock: clock.New(),
-				OnDue: func(*exchange.Exchange) {},
-				Next:  func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) { return nil, errNotRun },
-			})
-			pipe.Default(&config.Router{})
-			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
-			caller := httptest.NewRecorder()
-			x := exchange.New(t.Context(), "id", caller, request, c.kind, 0)
-			x.Organisation, x.Deadline = &table.Organisation{Name: "o"}, clock.New().Now()
-			x.RespondBy = x.Deadline
-			x.Lease = pool.NewRemoteLease("u", "127.0.0.1:1", nil, func(bool) {})
-			_ = pipe.Run(x)
+			crashed := func(context.Context, string) bool { return c.crashed }
+			x, caller := runPipe(t, c.kind, unframedTransport{contentType: contentType, body: c.body}, crashed)
 			assert.Equal(t, c.outcome, x.Outcome)
 			assert.Equal(t, c.status, x.Writer.Status())
 			assert.NotContains(t, caller.Header(), "X-For-This-Hop")
 		})
 	}
 }
+
+// malformedTransport answers each request with a status or a field that no response has.
+type malformedTransport struct {
+	status int
+	field  string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t malformedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	header := http.Header{t.field: {"1"}}
+	header.Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+	return &http.Response{
+		ProtoMajor: 1, ProtoMinor: 1, StatusCode: t.status, Header: header, Body: http.NoBody, Request: r,
+	}, nil
+}
+
+// TestMalformedHeads guards against a malformed response that is delivered, or that ends the request with a panic.
+func TestMalformedHeads(t *testing.T) {
+	for name, malformed := range map[string]malformedTransport{
+		"status 000":          {status: 0, field: "X-Field"},
+		"status 600":          {status: 600, field: "X-Field"},
+		"blank behind a name": {status: http.StatusOK, field: "Content-Length "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, _ := runPipe(t, exchange.Service, malformed, func(context.Context, string) bool { return false })
+			assert.Equal(t, exchange.Unknown, x.Outcome)
+			assert.Zero(t, x.Writer.Status())
+		})
+	}
+}
+
+// runPipe runs a pipe with one request.
+func runPipe(
+	t *testing.T, kind exchange.Kind, through http.RoundTripper, mayHaveCrashed func(context.Context, string) bool,
+) (*exchange.Exchange, *httptest.ResponseRecorder) {
+	t.Helper()
+	pipe := New(Dependencies{
+		Transport: through, Report: func(string, int) {},
+		MayHaveCrashed: mayHaveCrashed, Metrics: metrics.New(),
+		Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(), Clock: clock.New(),
+		OnDue: func(*exchange.Exchange) {},
+		Next:  func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) { return nil, errNotRun },
+	})
+	pipe.Default(&config.Router{})
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
+	caller := httptest.NewRecorder()
+	x := exchange.New(t.Context(), "id", caller, request, kind, 0)
+	x.Organisation, x.Deadline = &table.Organisation{Name: "o"}, clock.New().Now()
+	x.RespondBy = x.Deadline
+	x.Lease = pool.NewRemoteLease("u", "127.0.0.1:1", nil, func(bool) {})
+	_ = pipe.Run(x)
+	return x, caller
+}
