fix(dispatch): streams and requests are given up for another attempt only once the budget has paid for it

What callers saw: resumable streams whose server pauses for over three times the route's longest gap were broken off (connection closed in the midst of chunks, `cause` response_lost, next "none: the retry budget is used up"), though the server would have gone on. Silence is no reason to end a response sooner.

Cause: an attempt was canceled if the budget had a retry, which was taken only after the cancel. All streams of a server that pauses have their timers at about the same time, and after a pause of the process at the same time: all of them see the last retry, one gets it, and the rest is cut. The loss of a path cancels all streams of a failure domain at once. Two more conditions differed before and after the cancel: whether upstreams respond in the time that is left (the timer asked only for the span), so that a stream that paused late in its time was cut for lack of time; and a box that forwarded a request canceled the stream before its first event, though nothing follows a response of another box.

Change: the timer and the loss of a path take the retry before they cancel, and don't cancel without one; a retry that is not used is given back. The timers ask for the time that is left, and a box leaves a forwarded stream to the other one.

Requests whose response has not begun got a 502 in the same way, and now wait for their server.

Ruled out: asking the budget more often, since any number of timers may ask before the first takes.

Changed tests: the expiry of the retry timer returns whether it canceled; a stream's test has a deadline.

--- a/internal/gateway/forwarding_test.go
+++ b/internal/gateway/forwarding_test.go
@@ -292,6 +292,20 @@
 			assert.Equal(f.t, 2, f.runs.of("1"))
 		})
 	})
+	t.Run("a resumable stream whose first event takes long is not given up by the box that forwarded it", func(t *testing.T) {
+		runForwarding(t, 2, func(f *forwardingFleet) {
+			f.respond(func(w http.ResponseWriter, r *http.Request) {
+				writeEvents(1, 0, func(w http.ResponseWriter, r *http.Request) {
+					_ = http.NewResponseController(w).Flush()
+					_ = f.clock.Sleep(r.Context(), 1500)
+				})(w, r)
+				writeEvents(1, 5, endStream)(w, r)
+			})
+			_, body, err := f.boxes[0].get("/resumable/")
+			require.NoError(f.t, err)
+			assert.Equal(f.t, fiveEvents, body)
+		})
+	})
 	t.Run("a resumable stream that the partition cut goes on through another box", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			handler := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -68,7 +68,7 @@
 		resume: resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
-			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
+			MayRetry: b.budgets.TryRetry, ReturnRetry: b.budgets.ReturnRetry, CanRetry: b.budgets.CanRetry,
 			RespondsWithin: b.balance.RespondsWithin, NoneWithin: b.balance.NoneWithin,
 			OnFirstSend: b.budgets.RecordAttempt, OnDue: b.handleDue,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -110,7 +110,8 @@
 	span clock.Millis, helps func(span clock.Millis) bool, cancel context.CancelCauseFunc,
 ) *retryTimer {
 	return startRetryTimer(s.pipe.deps.Clock, span,
-		func() bool { return !s.responseWaits() && helps(span) }, func() { cancel(errTimeout) })
+		func() bool { return !s.responseWaits() && helps(span) },
+		func() bool { return s.cancelToRetry(errTimeout, cancel) })
 }
 
 // responseWaits reports whether the response of the latest attempt, or its next part, waits to be read. A process that
@@ -125,7 +126,21 @@
 func (s *retryLoop) retryHelps(span clock.Millis) bool {
 	// The pauses of a stream may be shorter than the time to its first byte.
 	span = max(span, firstByteTimeoutFactor*s.request.Route.ObjectiveMs)
-	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span)
+	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span) && !s.tooLate(s.retryTimeMs())
+}
+
+// tooLate reports whether upstreams need more time for a response than is left.
+func (s *retryLoop) tooLate(leftMs clock.Millis) bool {
+	return leftMs <= 0 || s.pipe.deps.NoneWithin(s.request.Pool, leftMs)
+}
+
+// retryTimeMs is remainingMs for timers, which run beside the goroutine that writes the response.
+func (s *retryLoop) retryTimeMs() clock.Millis {
+	untilMs := s.request.RespondByMs
+	if s.responding.Load() {
+		untilMs = s.request.DeadlineMs
+	}
+	return untilMs - s.pipe.deps.Clock.Monotonic()
 }
 
 // anotherHelps returns a function that reports whether another upstream may receive the request now, and would likely
@@ -171,7 +186,7 @@
 	}
 	lease.OnPartition(func() {
 		if mayContinue := s.mayContinue.Load(); mayContinue == nil || (*mayContinue)() {
-			cancel(errPathDown)
+			s.cancelToRetry(errPathDown, cancel)
 		}
 	})
 }
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	// MayRetry takes one retry from the pool's retry budget. It returns false if the budget is used
 	// up.
 	MayRetry func(pool string) bool
+	// ReturnRetry gives back a retry that was taken and is not used.
+	ReturnRetry func(pool string)
 	// CanRetry reports whether MayRetry would return true, without taking a retry.
 	CanRetry func(pool string) bool
 	// RespondsWithin reports whether another upstream of the pool would likely respond within a time.
@@ -129,6 +131,7 @@
 		p.deps.OnFirstSend(r.Pool)
 	}
 	s := &retryLoop{pipe: p, request: r, ctx: ctx, beforeDue: beforeDue, cancel: cancel}
+	defer s.returnReserved()
 	defer context.AfterFunc(beforeDue, s.endUnbegun)()
 	defer s.releaseBody()
 	defer p.deps.HoldWhile(r, s.responseWaits)()
@@ -252,6 +255,8 @@
 	body *exchange.Hold
 	// attempts counts all attempts, including those that sent nothing.
 	attempts int
+	// reserved is the retry for which the latest attempt was canceled.
+	reserved reservedRetry
 	// failedDials counts the upstreams that could not be connected to.
 	failedDials int
 	// boxesTried are the names of the boxes that the request was forwarded to.
@@ -343,7 +348,9 @@
 		return retryAllowed
 	case failed.execution != wrongUpstream && r.Sent >= r.Route.Attempts:
 		return stopMaxAttempts
-	case failed.execution != wrongUpstream && s.pipe.deps.NoneWithin(r.Pool, s.remainingMs()):
+	case s.reserved.use():
+		return retryAllowed
+	case failed.execution != wrongUpstream && s.tooLate(s.remainingMs()):
 		return stopTooLate
 	case !s.pipe.deps.MayRetry(r.Pool):
 		return stopRetryBudget
--- a/internal/pipe/dispatch/retrytimer.go
+++ b/internal/pipe/dispatch/retrytimer.go
@@ -17,8 +17,8 @@
 	spanMs clock.Millis
 	// helps reports whether a retry would help now. It is called without the lock.
 	helps func() bool
-	// expire is called with the lock held.
-	expire func()
+	// expire reports whether the attempt was canceled. It is called with the lock held.
+	expire func() bool
 
 	mu    sync.Mutex
 	timer *clock.Timer
@@ -31,7 +31,7 @@
 const recheckDivisor = 4
 
 // startRetryTimer starts a timer, which calls expire in a goroutine of its own.
-func startRetryTimer(c clock.Clock, span clock.Millis, helps func() bool, expire func()) *retryTimer {
+func startRetryTimer(c clock.Clock, span clock.Millis, helps, expire func() bool) *retryTimer {
 	t := &retryTimer{clock: c, spanMs: span, helps: helps, expire: expire}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,8 +52,7 @@
 	defer t.mu.Unlock()
 	switch {
 	case t.progress != progress:
-	case helps:
-		t.expire()
+	case helps && t.expire():
 	default:
 		t.startLocked(t.spanMs / recheckDivisor)
 	}
--- a/internal/pipe/dispatch/retrytimer_test.go
+++ b/internal/pipe/dispatch/retrytimer_test.go
@@ -26,7 +26,7 @@
 		t.Helper()
 		synctest.Test(t, func(t *testing.T) {
 			helps, expired := &atomic.Bool{}, &atomic.Int64{}
-			timer := startRetryTimer(clock.New(), span, helps.Load, func() { expired.Add(1) })
+			timer := startRetryTimer(clock.New(), span, helps.Load, func() bool { return expired.Add(1) > 0 })
 			defer timer.stop()
 			test(waitIn(t), timer, helps, expired)
 		})
@@ -49,6 +49,23 @@
 			assert.EqualValues(t, 1, expired.Load())
 		})
 	})
+	t.Run("the last retry was taken meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			left, expired := atomic.Bool{}, atomic.Int64{}
+			timer := startRetryTimer(clock.New(), span, func() bool { return true }, func() bool {
+				if left.Load() {
+					expired.Add(1)
+				}
+				return left.Load()
+			})
+			defer timer.stop()
+			wait := waitIn(t)
+			wait(3 * span)
+			left.Store(true)
+			wait(3 * span)
+			assert.EqualValues(t, 1, expired.Load())
+		})
+	})
 	t.Run("progress starts the span anew", func(t *testing.T) {
 		run(t, func(wait waiting, timer *retryTimer, helps *atomic.Bool, expired *atomic.Int64) {
 			helps.Store(true)
@@ -65,7 +82,7 @@
 			timer.Store(startRetryTimer(clock.New(), span, func() bool {
 				timer.Load().recordProgress()
 				return true
-			}, func() { expired.Add(1) }))
+			}, func() bool { return expired.Add(1) > 0 }))
 			wait(span + span/2)
 			timer.Load().stop()
 			wait(2 * span)
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -71,11 +71,11 @@
 
 // startIdleTimeout cancels an attempt whose stream is idle for too long while another upstream may
 // continue it. The caller must call the event function after each read to restart the timeout, and
-// stop at the end.
+// stop at the end. A box that the request was forwarded to does the same itself, and nothing follows its response.
 func (s *retryLoop) startIdleTimeout(from responseSource, cancel context.CancelCauseFunc) (event, stop func()) {
 	r := s.request
 	timeout := streamIdleTimeoutFactor * r.Route.MaxGapMs
-	if !r.Route.Resumable || r.Sent >= r.Route.Attempts || timeout <= 0 {
+	if from.isFinal || !r.Route.Resumable || r.Sent >= r.Route.Attempts || timeout <= 0 {
 		return func() {}, func() {}
 	}
 	timer := s.startRetryTimer(timeout, s.continuationHelps(from), cancel)
@@ -91,11 +91,9 @@
 	if from.origin != nil {
 		next.Version = &from.origin.Version
 	}
-	// A request that was forwarded goes on at another box, which chooses the upstream.
-	forwarded := !from.recordsOrigin
 	return func(span clock.Millis) bool {
 		return s.request.Route.Repeatable() && s.stream.mayGoOn.Load() && !s.pipe.deps.OriginRetracted(s.request) &&
-			s.retryHelps(span) && (forwarded || s.pipe.deps.HasCandidate(next))
+			s.retryHelps(span) && s.pipe.deps.HasCandidate(next)
 	}
 }
 
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -28,25 +28,30 @@
 		kind          routing.Kind
 		origin        *streams.Origin
 		recordsOrigin bool
+		tooLate       bool
 		canceled      bool
 	}{
-		{"the origin is known", "id: 1\ndata: a\n\n", routing.Stream, known, true, true},
-		{"the origin is doubtful", "id: 1\ndata: a\n\n", routing.Stream, nil, true, false},
-		{"the origin is doubtful before the first event", "id: 1\n", routing.Stream, nil, true, true},
-		{"events have no ids", "data: a\n\n", routing.Stream, known, true, false},
-		{"another box chose the upstream", "id: 1\ndata: a\n\n", routing.Stream, nil, false, false},
-		{"it may not run twice", "id: 1\ndata: a\n\n", routing.Unsafe, known, true, false},
+		{"the origin is known", "id: 1\ndata: a\n\n", routing.Stream, known, true, false, true},
+		{"the origin is doubtful", "id: 1\ndata: a\n\n", routing.Stream, nil, true, false, false},
+		{"the origin is doubtful before the first event", "id: 1\n", routing.Stream, nil, true, false, true},
+		{"events have no ids", "data: a\n\n", routing.Stream, known, true, false, false},
+		{"another box chose the upstream", "id: 1\ndata: a\n\n", routing.Stream, nil, false, false, false},
+		{"upstreams need more time than is left", "id: 1\ndata: a\n\n", routing.Stream, known, true, true, false},
+		{"another box chose the upstream, before the first event", "id: 1\n", routing.Stream, nil, false, false, false},
+		{"it may not run twice", "id: 1\ndata: a\n\n", routing.Unsafe, known, true, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, _ := newLoop(t)
 				s.request.Route = &routing.Route{Kind: c.kind, Resumable: true, Attempts: 2, MaxGapMs: gapMs}
 				s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
-				s.request.State = &routing.State{}
+				used := clock.New()
+				s.request.State, s.request.DeadlineMs = &routing.State{}, used.Monotonic()+20*gapMs
 				yes := func() bool { return true }
 				s.pipe = New(Dependencies{
-					Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
-					CanRetry: func(string) bool { return true }, OnStreamOrigin: func(*opaque.Request) {},
+					Clock: used, OriginRetracted: func(*opaque.Request) bool { return false },
+					CanRetry: func(string) bool { return true }, MayRetry: func(string) bool { return true },
+					OnStreamOrigin: func(*opaque.Request) {}, NoneWithin: func(string, clock.Millis) bool { return c.tooLate },
 					RespondsWithin: func(string, clock.Millis) bool { return true },
 					HasCandidate:   func(balance.PickRequest) bool { return yes() },
 				})
@@ -59,7 +64,7 @@
 				}()
 				response := responseOf(io.MultiReader(strings.NewReader(c.begin), body), -1)
 				from := responseSource{
-					origin: c.origin, recordsOrigin: c.recordsOrigin, onPart: func() {}, onStart: func() {},
+					origin: c.origin, recordsOrigin: c.recordsOrigin, isFinal: !c.recordsOrigin, onPart: func() {}, onStart: func() {},
 					onBroken: func() {}, mayHaveCrashed: func() bool { return false },
 				}
 				_ = s.relayStream(from, response, cancel)
--- a/internal/pipe/dispatch/unread_response_test.go
+++ b/internal/pipe/dispatch/unread_response_test.go
@@ -20,7 +20,8 @@
 	const span clock.Millis = 400
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := newLoop(t)
-		s.pipe, s.request.Dialect, s.request.Route = New(Dependencies{Clock: clock.New()}), &opaque.Dialect{}, &routing.Route{}
+		s.pipe = New(Dependencies{Clock: clock.New(), MayRetry: func(string) bool { return true }})
+		s.request.Dialect, s.request.Route = &opaque.Dialect{}, &routing.Route{}
 		waits, canceled := atomic.Bool{}, atomic.Bool{}
 		hasUnread := waits.Load
 		s.newRequest().OnSend(hasUnread)
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -24,6 +24,9 @@
 // TryRetry spends one retry from the pool's budget. It returns false if the balance is too low.
 func (b *Budgets) TryRetry(pool string) bool { return b.forPool(pool).TryRetry() }
 
+// ReturnRetry gives back a retry of TryRetry that was not made.
+func (b *Budgets) ReturnRetry(pool string) { b.forPool(pool).ReturnRetry() }
+
 // CanRetry reports whether the pool's budget allows a retry now, without spending it.
 func (b *Budgets) CanRetry(pool string) bool { return b.forPool(pool).CanRetry() }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -93,6 +93,13 @@
 	return true
 }
 
+// ReturnRetry gives back a retry of TryRetry that was not made.
+func (b *Budget) ReturnRetry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = min(b.balance+retryCost, b.capacity())
+}
+
 // CanRetry reports whether the balance allows a retry now, without spending it.
 func (b *Budget) CanRetry() bool {
 	b.mu.Lock()
