fix(dispatch): streams are not given up while the box may send nothing for their key

What callers saw: while a box has no way to the store for so long that it trusts no key, resumable streams whose server pauses were broken off, though the server would have gone on.

Cause: the idle timer didn't ask for what is checked before each send, so that the stream was canceled and its continuation refused (stale_state).

TestIdleStreamKeepsItsUpstreamWhileKeysAreStale: unexpected EOF before, five events now.

--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -81,7 +81,8 @@
 			OnCompleted:    b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted,
-			CheckBeforeSend: b.checkBeforeSend, CheckCaller: checkCaller, Commit: b.commit, HoldWhile: holdWhile,
+			CheckBeforeSend: b.checkBeforeSend, RecheckKey: b.recheckKey, CheckCaller: checkCaller,
+			Commit: b.commit, HoldWhile: holdWhile,
 			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
 		record: record.New(record.Dependencies{
@@ -187,6 +188,9 @@
 	}
 }
 
+// recheckKey returns a refusal if the routing state is too old to trust the key of a request.
+func (b *Box) recheckKey(r *opaque.Request) error { return b.steps.authorise.Recheck(r) }
+
 // commit makes the connection of a request wait for the response until done is called, if the request may not be
 // repeated. Its upstream works on whether the caller reads the response or not.
 func (b *Box) commit(r *opaque.Request) (done func()) {
--- a/internal/gateway/stream_retry_budget_test.go
+++ b/internal/gateway/stream_retry_budget_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -49,3 +50,23 @@
 		})
 	}
 }
+
+// TestIdleStreamKeepsItsUpstreamWhileKeysAreStale guards against a stream that is given up although nothing may be sent
+// for it, as the box can't know whether its key is still valid.
+func TestIdleStreamKeepsItsUpstreamWhileKeysAreStale(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		for _, id := range []string{"ua", "ub"} {
+			f.upstreamIn(id, "d", streamOf(id, func(w http.ResponseWriter, r *http.Request) {
+				_ = f.clock.Sleep(r.Context(), 2000)
+				_, _ = w.Write([]byte("id: 4\ndata: end\n\nid: 5\ndata: end\n\n"))
+			}))
+		}
+		b := f.box(1, withManyRetries)
+		advance(f.t, time.Second)
+		f.store.setUnavailable("box-1", true)
+		advance(f.t, maxAgeMs*time.Millisecond-500*time.Millisecond)
+		_, body, err := b.get("/resumable/")
+		require.NoError(f.t, err)
+		assert.Len(f.t, versionsIn(body), 5)
+	})
+}
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -87,6 +87,8 @@
 	OriginRetracted func(r *opaque.Request) bool
 	// CheckBeforeSend returns an error if the box may not send the request now. It may wait until the context ends.
 	CheckBeforeSend func(ctx context.Context, r *opaque.Request) error
+	// RecheckKey returns an error if the box can't know whether the key of a request is valid now.
+	RecheckKey func(r *opaque.Request) error
 	// CheckCaller returns an error if the caller has probably left.
 	CheckCaller func(r *opaque.Request) error
 	// Commit makes a request that may not be repeated wait for its response though its caller seems to have left, until
--- a/internal/pipe/dispatch/reservedretry.go
+++ b/internal/pipe/dispatch/reservedretry.go
@@ -29,8 +29,12 @@
 	return held
 }
 
-// cancelToRetry cancels an attempt if the budget has a retry for the next one, and reports whether it did.
+// cancelToRetry cancels an attempt if the request may be sent once more and the budget has a retry for that. It reports
+// whether it did.
 func (s *retryLoop) cancelToRetry(cause error, cancel context.CancelCauseFunc) bool {
+	if s.pipe.deps.RecheckKey(s.request) != nil {
+		return false
+	}
 	if !s.reserved.reserve(func() bool { return s.pipe.deps.MayRetry(s.request.Pool) }) {
 		return false
 	}
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -50,7 +50,8 @@
 				yes := func() bool { return true }
 				s.pipe = New(Dependencies{
 					Clock: used, OriginRetracted: func(*opaque.Request) bool { return false },
-					CanRetry: func(string) bool { return true }, MayRetry: func(string) bool { return true },
+					RecheckKey: func(*opaque.Request) error { return nil },
+					CanRetry:   func(string) bool { return true }, MayRetry: func(string) bool { return true },
 					OnStreamOrigin: func(*opaque.Request) {}, NoneWithin: func(string, clock.Millis) bool { return c.tooLate },
 					RespondsWithin: func(string, clock.Millis) bool { return true },
 					HasCandidate:   func(balance.PickRequest) bool { return yes() },
--- a/internal/pipe/dispatch/unread_response_test.go
+++ b/internal/pipe/dispatch/unread_response_test.go
@@ -20,7 +20,10 @@
 	const span clock.Millis = 400
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := newLoop(t)
-		s.pipe = New(Dependencies{Clock: clock.New(), MayRetry: func(string) bool { return true }})
+		s.pipe = New(Dependencies{
+			Clock: clock.New(), MayRetry: func(string) bool { return true },
+			RecheckKey: func(*opaque.Request) error { return nil },
+		})
 		s.request.Dialect, s.request.Route = &opaque.Dialect{}, &routing.Route{}
 		waits, canceled := atomic.Bool{}, atomic.Bool{}
 		hasUnread := waits.Load
