feat(gateway): log by which check a response was taken for complete

A stream that ended early as whole left no trace: `request ended` is the same for a last chunk and for a connection that was closed by a process of which nothing more is known.

`request ended` now has the check (`end`), the events that the caller has and the ID of the last one, and how many upstreams may have received the request (`sent`); `attempt failed` has the events too. `end unconfirmed` (warn) is written when a response without length or chunks is taken for complete only because connections are accepted at the address of its upstream. `responses_end_CHECK` counts all ends. No decision changes.

--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -201,6 +201,9 @@
 	// Framing is how the end of the upstream's response is marked; empty if none has arrived.
 	Framing string
 	Err     string
+	// Events is the number of events of the stream that the caller has, and LastEventID the ID of the last one.
+	Events      int
+	LastEventID string
 	// Next is the next step: another attempt, or the reason why there is none.
 	Next string
 	// BackoffMs is the backoff that the upstream asked of this box, or 0.
@@ -228,6 +231,7 @@
 	}
 	addIfSet(o, "framing", e.Framing)
 	addIfSet(o, "error", e.Err)
+	addEvents(o, e.Events, e.LastEventID)
 	o.AddString("next", e.Next)
 	if e.BackoffMs > 0 {
 		o.AddInt64("asked_rest_ms", int64(e.BackoffMs))
@@ -256,13 +260,19 @@
 	Status  int
 	// Framing is how the end of the upstream's last response is marked; empty if none has arrived.
 	Framing string
+	// End is the check by which the upstream's response was taken for complete; empty if it was not.
+	End string
+	// Events is the number of events of a stream that the caller has, and LastEventID the ID of the last one.
+	Events      int
+	LastEventID string
 	// Cause is set when the router generated the response or the response was cut off.
 	Cause string
 	Err   string
 	// FromBox is the box that forwarded the request, if any.
-	FromBox  string
-	Attempts int
-	Bytes    int64
+	FromBox string
+	// Attempts is the number of failed attempts, and Sent how many upstreams may have received the request.
+	Attempts, Sent int
+	Bytes          int64
 	// WaitedMs is how long the request waited to be admitted to an engine.
 	WaitedMs clock.Millis
 	TookMs   clock.Millis
@@ -291,10 +301,15 @@
 	o.AddInt64("version_age_ms", int64(e.AgeMs))
 	o.AddInt("status", e.Status)
 	addIfSet(o, "framing", e.Framing)
+	addIfSet(o, "end", e.End)
+	addEvents(o, e.Events, e.LastEventID)
 	addIfSet(o, "cause", e.Cause)
 	addIfSet(o, "error", e.Err)
 	addIfSet(o, "from_box", e.FromBox)
 	o.AddInt("attempts", e.Attempts)
+	if e.Sent > 0 {
+		o.AddInt("sent", e.Sent)
+	}
 	o.AddInt64("bytes", e.Bytes)
 	if e.WaitedMs > 0 {
 		o.AddInt64("waited_ms", int64(e.WaitedMs))
@@ -475,6 +490,13 @@
 	return nil
 }
 
+func addEvents(o zapcore.ObjectEncoder, events int, lastID string) {
+	if events > 0 {
+		o.AddInt("events", events)
+	}
+	addIfSet(o, "last_event_id", lastID)
+}
+
 func addIfSet(o zapcore.ObjectEncoder, key, value string) {
 	if value != "" {
 		o.AddString(key, value)
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -9,17 +9,17 @@
 	"dooryard.example/dooryard/internal/upstream"
 )
 
-// mayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order, as the kernel does
-// for a process that is gone. It has not if it is known to run on and no other incarnation has appeared at its address
-// since the request was sent. Failed probes may also mean that the process ended after its last response, or that this
-// box is partitioned from it: that the response was whole is not known then either.
-func (b *Box) mayHaveCrashed(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool {
+// survival returns what is known of an upstream that has closed a connection in order, as the kernel does for a
+// process that is gone. It has survived if it runs on and no other incarnation has appeared at its address since the
+// request was sent. Failed probes may also mean that the process ended after its last response, or that this box is
+// partitioned from it: that the response was whole is not known then either.
+func (b *Box) survival(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) upstream.Survival {
 	client, path := lease.Client(), b.healthPath(lease.Pool)
 	header, replaced := http.Header{}, false
 	if b.dialect.ExpectUpstream != "" {
 		header.Set(b.dialect.ExpectUpstream, lease.ID)
 	}
-	runs := upstream.OutlivesClose(ctx, func() upstream.Liveness { return client.ProbeLiveness(ctx) },
+	found := upstream.SurvivesClose(ctx, func() upstream.Liveness { return client.ProbeLiveness(ctx) },
 		func(ctx context.Context) bool {
 			status := 0
 			if path != "" {
@@ -28,7 +28,10 @@
 			replaced = status == http.StatusMisdirectedRequest
 			return status != 0
 		})
-	return !runs || replaced || b.registry.AddressReused(lease.Identity(), sentMs)
+	if replaced || b.registry.AddressReused(lease.Identity(), sentMs) {
+		return upstream.Gone
+	}
+	return found
 }
 
 // healthPath returns the path of a pool's health checks, or none.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/osthread"
 )
 
@@ -101,6 +102,9 @@
 	m.recordTook(name, tookMs)
 }
 
+// ResponseEnded counts a response that was read to its end, by the check by which it was taken for complete.
+func (m *Metrics) ResponseEnded(check opaque.EndCheck) { m.all.Add("responses_end_"+string(check), 1) }
+
 // ResponseSent counts a response that was sent after its caller's deadline, and records by how much a last response was
 // sent before or after it. A last response was made by the box since the time of the request was over.
 func (m *Metrics) ResponseSent(leadMs clock.Millis, isLast bool) {
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -256,6 +256,28 @@
 	}
 }
 
+// TestUnframedResponsesTellTheirCheck guards against an end of a connection that no line tells from the end of a body.
+func TestUnframedResponsesTellTheirCheck(t *testing.T) {
+	for healthPath, want := range map[string]string{"/health": `"end":"upstream_responds"`, "/hang": `"msg":"end unconfirmed"`} {
+		t.Run(healthPath, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				out := &logBuffer{}
+				f.out = out
+				state := content(2)
+				state.Pools[0].HealthPath = healthPath
+				f.store.setState(f.t, state)
+				f.unframed("u1", &atomic.Bool{}, "text/event-stream", "id: 7\ndata: 7\n\n", "", closed)
+				_, _, err := f.box(1).get("/stream/")
+				require.NoError(f.t, err)
+				advance(f.t, time.Second)
+				assert.Contains(f.t, out.String(), want)
+				assert.Contains(f.t, out.String(), `"framing":"connection","end":"upstream_`)
+				assert.Contains(f.t, out.String(), `"events":1,`)
+			})
+		})
+	}
+}
+
 // TestUnframedResponseAtPartitionedBox guards against a broken response that passes for whole because the box can't tell
 // a crash from its own partition, in which all upstreams refuse new connections.
 func TestUnframedResponseAtPartitionedBox(t *testing.T) {
--- a/internal/opaque/request.go
+++ b/internal/opaque/request.go
@@ -83,6 +83,11 @@
 	Upstream string
 	// Framing is how the end of the upstream's last response is marked, for the log.
 	Framing string
+	// End is the check by which the response was taken for complete, or "" if it was not.
+	End EndCheck
+	// Events is the number of events sent to the caller, and RelayedID the ID of the last one that has an ID.
+	Events    int
+	RelayedID string
 	// Cause is the reason why the request ended without an upstream's response.
 	Cause string
 }
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -38,7 +38,7 @@
 	s.attempts++
 	s.forgetAttempt()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
-	s.request.Upstream, s.request.Framing = lease.ID, ""
+	s.request.Upstream, s.request.Framing, s.request.End = lease.ID, "", ""
 	s.logPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
@@ -320,8 +320,8 @@
 	onStart func()
 	// onBroken is called when a stream breaks.
 	onBroken func()
-	// mayHaveCrashed reports whether the source may have crashed that has closed a connection in order.
-	mayHaveCrashed func() bool
+	// survival returns what is known of the source once it has closed a connection in order.
+	survival func() upstream.Survival
 	// isFinal is set if no failure in a response may be retried, because the source has done so.
 	isFinal bool
 }
@@ -337,12 +337,12 @@
 
 func upstreamSource(s *retryLoop, lease *balance.Lease) responseSource {
 	return responseSource{
-		origin:         originOf(lease),
-		recordsOrigin:  true,
-		onPart:         lease.RecordContact,
-		onStart:        lease.RecordFirstEvent,
-		onBroken:       lease.RecordBrokenStream,
-		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease, s.attemptStartedMs) },
+		origin:        originOf(lease),
+		recordsOrigin: true,
+		onPart:        lease.RecordContact,
+		onStart:       lease.RecordFirstEvent,
+		onBroken:      lease.RecordBrokenStream,
+		survival:      func() upstream.Survival { return s.pipe.deps.Survival(s.ctx, lease, s.attemptStartedMs) },
 	}
 }
 
@@ -363,19 +363,6 @@
 	}
 }
 
-// errEndUnknown means that a response without length or chunks is not known to be complete.
-var errEndUnknown = fmt.Errorf("%w: response has no length, and its upstream may have crashed", upstream.ErrBroken)
-
-// checkEnd returns an error if a body that was read to its end is not known to be complete. A crashed
-// upstream closes its connections in order, which looks the same as the end of a body that has neither
-// a length nor chunks. A response to HEAD has no body.
-func checkEnd(from responseSource, resp *upstream.Response) error {
-	if resp.Framing() != upstream.ByConnection || resp.Body == http.NoBody || !from.mayHaveCrashed() {
-		return nil
-	}
-	return errEndUnknown
-}
-
 func isEventStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -38,7 +38,7 @@
 		return s.relayUnbuffered(from, resp, s.newBufferedResponse(resp, body, size))
 	}
 	if err == nil {
-		err = checkEnd(from, resp)
+		err = s.checkEnd(from, resp)
 	}
 	if err != nil {
 		r.MayHaveRun = true
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 // Dependencies are the parts of the box that the step uses.
@@ -70,9 +71,11 @@
 	Track func(o Observation) (done func())
 	// Observe handles evidence that an upstream may have crashed.
 	Observe func(o Observation)
-	// MayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order. The request was
-	// sent at a monotonic time.
-	MayHaveCrashed func(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) bool
+	// Survival returns what is known of an upstream that has closed a connection in order. The request was sent at a
+	// monotonic time.
+	Survival func(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) upstream.Survival
+	// OnEnd counts a response that was read to its end, by the check by which it was taken for complete.
+	OnEnd func(check opaque.EndCheck)
 	// OnCompleted records that a request got a complete response.
 	OnCompleted func(r *opaque.Request, status int)
 	// Rescreen returns a refusal if the request is quarantined by now.
@@ -305,7 +308,8 @@
 	s.pipe.deps.RecordEvent(decision.AttemptFailed{
 		Request: s.request.ID, Fingerprint: s.request.Fingerprint.String(), Upstream: target,
 		Attempt: s.attempts, Proof: string(failed.execution),
-		Status: failed.status(), Framing: s.request.Framing, Err: errorText(failed.err), Next: string(verdict),
+		Status: failed.status(), Framing: s.request.Framing, Err: errorText(failed.err),
+		Events: s.request.Events, LastEventID: s.request.RelayedID, Next: string(verdict),
 		BackoffMs: s.signals.BackoffMs, Draining: s.signals.Draining,
 		TookMs: s.pipe.deps.Clock.Monotonic() - s.attemptStartedMs,
 	})
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -69,7 +69,7 @@
 	s.dropFailedResponse()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
 	s.signals = opaque.Signals{}
-	r.Upstream, r.Framing = "box "+box.Name, ""
+	r.Upstream, r.Framing, r.End = "box "+box.Name, "", ""
 	s.pipe.deps.OnForward()
 	s.pipe.deps.RecordEvent(decision.RequestForwarded{
 		Request: r.ID, Route: r.Route.Name, Pool: r.Pool, Box: box.Name, Attempt: s.attempts, Sent: r.Sent,
@@ -109,10 +109,13 @@
 	return failed
 }
 
-// boxSource is the source of a response from another box, which frames each response and makes the retries.
+// unframedBox is the survival of a box, which frames each response.
+func unframedBox() upstream.Survival { return upstream.Gone }
+
+// boxSource is the source of a response from another box, which makes the retries.
 func boxSource() responseSource {
-	ignore, always := func() {}, func() bool { return true }
-	return responseSource{onPart: ignore, onStart: ignore, onBroken: ignore, mayHaveCrashed: always, isFinal: true}
+	ignore := func() {}
+	return responseSource{onPart: ignore, onStart: ignore, onBroken: ignore, survival: unframedBox, isFinal: true}
 }
 
 // buildForward returns the request to another box. It names the box as the only one that may run it, so
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,8 +33,6 @@
 	events eventstream.Scanner
 	// partial is the beginning of an incomplete event, if completeOnly is set.
 	partial []byte
-	// lastID is the ID of the last event sent to the caller, or "".
-	lastID string
 	// origin is the origin of the current upstream, or nil if it is doubtful or another box chose the upstream, which
 	// then records it.
 	origin        *streams.Origin
@@ -49,15 +48,12 @@
 // lastEventID returns the ID of the last event that the caller has: of this response, or else the one that the
 // caller sent to take up a stream. It returns "" if there is none.
 func (s *retryLoop) lastEventID() string {
-	if s.stream != nil && s.stream.lastID != "" {
-		return s.stream.lastID
-	}
-	return s.request.LastEventID()
+	return cmp.Or(s.request.RelayedID, s.request.LastEventID())
 }
 
 // resumable reports whether another upstream may continue the stream. Before the first event, it may have any origin.
 func (t *stream) resumable() bool {
-	return t.completeOnly && (!t.dataSent || t.lastID != "" && t.request.Origin != nil)
+	return t.completeOnly && (!t.dataSent || t.request.RelayedID != "" && t.request.Origin != nil)
 }
 
 // mayResume reports whether another upstream may continue the stream now.
@@ -161,7 +157,7 @@
 	if s.stream.events.InEvent() {
 		err = fmt.Errorf("%w: last event is incomplete", upstream.ErrBroken)
 	} else {
-		err = checkEnd(from, res)
+		err = s.checkEnd(from, res)
 	}
 	if err == nil {
 		s.observeEvents(s.stream.events.Events())
@@ -174,6 +170,7 @@
 
 // write sends received data to the caller.
 func (t *stream) write(part []byte) error {
+	before := t.events.Events()
 	end := t.events.Scan(part)
 	if t.completeOnly {
 		part = t.completeEvents(part, end)
@@ -189,6 +186,7 @@
 		t.recordOrigin()
 	}
 	t.dataSent = true
+	t.request.Events += t.events.Events() - before
 	if _, err := t.request.Writer.Write(part); err != nil {
 		return fmt.Errorf("%w: %w", errCallerDisconnected, err)
 	}
@@ -219,7 +217,7 @@
 	return complete
 }
 
-// recordLastID sets lastID to the ID of the last event that has one.
+// recordLastID records the ID of the last event that has one.
 func (t *stream) recordLastID(events []byte) {
 	start := bytes.LastIndex(events, []byte("id:"))
 	for start > 0 && events[start-1] != '\n' && events[start-1] != '\r' {
@@ -232,7 +230,7 @@
 	if end := bytes.IndexAny(value, "\r\n"); end >= 0 {
 		value = value[:end]
 	}
-	t.lastID = string(bytes.TrimSpace(value))
+	t.request.RelayedID = string(bytes.TrimSpace(value))
 }
 
 // abort returns an error that closes the caller's connection, so that an incomplete response does
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -16,6 +16,7 @@
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/streams"
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 // TestPausingStreamIsCanceledOnlyToGoOn guards against a stream that is broken off because it pauses, although nothing
@@ -46,7 +47,7 @@
 				yes := func() bool { return true }
 				s.pipe = New(Dependencies{
 					Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
-					CanRetry: func(string) bool { return true }, OnStreamOrigin: func(*opaque.Request) {},
+					CanRetry: func(string) bool { return true }, OnStreamOrigin: func(*opaque.Request) {}, OnEnd: func(opaque.EndCheck) {},
 					RespondsWithin: func(string, clock.Millis) bool { return true },
 					HasCandidate:   func(balance.PickRequest) bool { return yes() },
 				})
@@ -60,7 +61,7 @@
 				response := responseOf(io.MultiReader(strings.NewReader(c.begin), body), -1)
 				from := responseSource{
 					origin: c.origin, recordsOrigin: c.recordsOrigin, onPart: func() {}, onStart: func() {},
-					onBroken: func() {}, mayHaveCrashed: func() bool { return false },
+					onBroken: func() {}, survival: func() upstream.Survival { return upstream.Responding },
 				}
 				_ = s.relayStream(from, response, cancel)
 				assert.Equal(t, c.canceled, ctx.Err() != nil)
--- a/internal/pipe/dispatch/unbuffered.go
+++ b/internal/pipe/dispatch/unbuffered.go
@@ -48,7 +48,7 @@
 	r.Writer.WriteHeader(w.status)
 	err := s.relayBody(from, resp, w)
 	if err == nil {
-		err = checkEnd(from, resp)
+		err = s.checkEnd(from, resp)
 	}
 	if err != nil {
 		r.MayHaveRun = true
--- a/internal/pipe/record/record.go
+++ b/internal/pipe/record/record.go
@@ -43,7 +43,8 @@
 	elapsed := now - r.ArrivedMs
 	e := decision.RequestEnded{
 		Request: r.ID, Upstream: r.Upstream, Resumes: r.ResumedID(), AgeMs: p.deps.StateAgeMs(), Status: r.Writer.Status(),
-		Framing: r.Framing, FromBox: r.FromBox, Attempts: len(r.Tried), Bytes: r.Writer.Written(),
+		Framing: r.Framing, End: string(r.End), Events: r.Events, LastEventID: r.RelayedID, FromBox: r.FromBox,
+		Attempts: len(r.Tried), Sent: r.Sent, Bytes: r.Writer.Written(),
 		WaitedMs: r.WaitedMs, TookMs: elapsed,
 	}
 	if r.Fingerprint != 0 {
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -27,22 +27,37 @@
 // hundred connections and the host is busy.
 const closeSettleMs clock.Millis = 400
 
-// OutlivesClose reports whether a process is known to run that has closed a connection in order. The kernel does the
-// same for a process that is gone, and may close its listening socket last: until then, the kernel accepts connections
-// for it. Only a response to a request that is sent now comes from the process itself; confirm reports whether there is
-// one, and may block until its context is done. Without one, connections must still be accepted once the kernel has had
-// time to close all sockets.
-func OutlivesClose(ctx context.Context, probe func() Liveness, confirm func(ctx context.Context) bool) bool {
+// Survival is what is known of a process that has closed a connection in order. Its text is written to the log.
+type Survival string
+
+const (
+	// Gone means that the process may be gone.
+	Gone Survival = "may be gone"
+	// Accepting means that connections are accepted at its address, by the process or by another one.
+	Accepting Survival = "accepts connections"
+	// Responding means that the process has responded to a request that was sent after the close.
+	Responding Survival = "responds"
+)
+
+// SurvivesClose returns what is known of a process that has closed a connection in order. The kernel does the same for
+// a process that is gone, and may close its listening socket last: until then, the kernel accepts connections for it.
+// Only a response to a request that is sent now comes from the process itself; confirm reports whether there is one, and
+// may block until its context is done. Without one, connections must still be accepted once the kernel has had time to
+// close all sockets.
+func SurvivesClose(ctx context.Context, probe func() Liveness, confirm func(ctx context.Context) bool) Survival {
 	if !AcceptsConnections(probe) {
-		return false
+		return Gone
 	}
 	settling, cancel := context.WithTimeout(ctx, closeSettleMs.Duration())
 	defer cancel()
 	if confirm(settling) {
-		return true
+		return Responding
 	}
 	<-settling.Done()
-	return ctx.Err() == nil && AcceptsConnections(probe)
+	if ctx.Err() != nil || !AcceptsConnections(probe) {
+		return Gone
+	}
+	return Accepting
 }
 
 // maxReportBytes bounds what is read of an upstream's report on itself, which lists its requests.
--- a/internal/upstream/outlives_test.go
+++ b/internal/upstream/outlives_test.go
@@ -14,21 +14,21 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOutlivesClose guards against taking the kernel of a process that is gone for the process, since the kernel accepts
+// TestSurvivesClose guards against taking the kernel of a process that is gone for the process, since the kernel accepts
 // connections until it has closed the listening socket.
-func TestOutlivesClose(t *testing.T) {
+func TestSurvivesClose(t *testing.T) {
 	const never = time.Hour
 	for _, c := range []struct {
 		name                      string
 		listens, confirms, cancel time.Duration
-		want                      bool
+		want                      Survival
 		took                      time.Duration
 	}{
-		{"a process that responds", never, time.Millisecond, never, true, time.Millisecond},
-		{"a process that accepts connections and never responds", never, never, never, true, closeSettleMs.Duration()},
-		{"a process whose listener goes first", 0, never, never, false, 0},
-		{"a process whose listener goes last", closeSettleMs.Duration() - 1, never, never, false, closeSettleMs.Duration()},
-		{"a request that is given up", never, never, time.Millisecond, false, time.Millisecond},
+		{"a process that responds", never, time.Millisecond, never, Responding, time.Millisecond},
+		{"a process that accepts connections and never responds", never, never, never, Accepting, closeSettleMs.Duration()},
+		{"a process whose listener goes first", 0, never, never, Gone, 0},
+		{"a process whose listener goes last", closeSettleMs.Duration() - 1, never, never, Gone, closeSettleMs.Duration()},
+		{"a request that is given up", never, never, time.Millisecond, Gone, time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -49,7 +49,7 @@
 						return true
 					}
 				}
-				assert.Equal(t, c.want, OutlivesClose(ctx, accepts, responds))
+				assert.Equal(t, c.want, SurvivesClose(ctx, accepts, responds))
 				assert.Equal(t, c.took, time.Since(start))
 			})
 		})
