--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -16,6 +16,7 @@
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/streams"
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 // TestPausingStreamIsCanceledOnlyToGoOn guards against a stream that is broken off because it pauses, although nothing
@@ -53,6 +54,7 @@
 					RecheckKey: func(*opaque.Request) error { return nil },
 					CanRetry:   func(string) bool { return true }, MayRetry: func(string) bool { return true },
 					OnStreamOrigin: func(*opaque.Request) {}, NoneWithin: func(string, clock.Millis) bool { return c.tooLate },
+					OnEnd:          func(opaque.EndCheck) {},
 					RespondsWithin: func(string, clock.Millis) bool { return true },
 					HasCandidate:   func(balance.PickRequest) bool { return yes() },
 				})
@@ -66,7 +68,7 @@
 				response := responseOf(io.MultiReader(strings.NewReader(c.begin), body), -1)
 				from := responseSource{
 					origin: c.origin, recordsOrigin: c.recordsOrigin, isFinal: !c.recordsOrigin, onPart: func() {}, onStart: func() {},
-					onBroken: func() {}, mayHaveCrashed: func() bool { return false },
+					onBroken: func() {}, survival: func() upstream.Survival { return upstream.Responding },
 				}
 				_ = s.relayStream(from, response, cancel)
 				assert.Equal(t, c.canceled, ctx.Err() != nil)
