fix(upstream): heads of responses are limited to 64 KiB

Cause: http.ReadResponse reads a head of any size; only net/http's transport limits it, which the gateway doesn't use. Class: input of an upstream that is read into memory without a limit.

Change: a connection reads at most 64 KiB for the heads of the responses to one request, interim and mismatched ones included, and fails then.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -22,13 +23,23 @@
 	reader *bufio.Reader
 	// failure makes reads fail after a reset that a write was told.
 	failure socket.WriteFailure
+	// inHead is set while heads of responses are read, of which headBytes were read since the request.
+	inHead    bool
+	headBytes int
 	// recording receives what is read while the head of a response of HTTP/1.0 is read.
 	recording *[]byte
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
 }
 
-const readBufferBytes = 2048
+const (
+	readBufferBytes = 2048
+	// maxHeadBytes limits the heads of the responses to one request. A box reads hundreds of them at a time.
+	maxHeadBytes = 64 << 10
+)
+
+// errHeadTooLong means that the heads of responses exceed their limit.
+var errHeadTooLong = fmt.Errorf("head of a response exceeds %d bytes", maxHeadBytes)
 
 func newConn(c net.Conn) *conn {
 	cn := &conn{Conn: c}
@@ -38,7 +49,13 @@
 
 // Read implements net.Conn. It returns io.EOF only after an orderly end.
 func (c *conn) Read(data []byte) (int, error) {
+	if c.inHead && c.headBytes > maxHeadBytes {
+		return 0, errHeadTooLong
+	}
 	n, err := c.failure.Read(c.Conn, data)
+	if c.inHead {
+		c.headBytes += n
+	}
 	if c.recording != nil {
 		*c.recording = append(*c.recording, data[:n]...)
 	}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
 // TestErrorsHoldNothingOfMalformedResponses guards against log lines with the content of responses.
@@ -77,3 +80,47 @@
 		assert.Equal(t, "Transfer-Encoding: body", got)
 	})
 }
+
+// TestEndlessHeads guards against heads that an upstream never ends and that fill the memory of the box.
+func TestEndlessHeads(t *testing.T) {
+	for name, part := range map[string]string{
+		"one line":          strings.Repeat("f", 1<<10),
+		"many fields":       "\r\nX-Filler: 1",
+		"interim responses": "\r\n\r\nHTTP/1.1 103 Early Hints",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+				_, err := http.ReadRequest(requests)
+				if err == nil {
+					_, err = io.WriteString(conn, "HTTP/1.1 103 OK\r\nX-Filler: ")
+				}
+				for sent := 0; err == nil && sent < 16<<20; sent += 64 * len(part) {
+					_, err = io.WriteString(conn, strings.Repeat(part, 64))
+				}
+				_ = conn.Close()
+			})
+			counted := &countedReads{}
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+				var err error
+				counted.Conn, err = (&net.Dialer{}).DialContext(ctx, network, address)
+				return counted, err
+			}
+			_, err := readAll(t, New(s.listener.Addr().String(), clock.New().Monotonic, WithDial(dial)), request("1"))
+			require.ErrorIs(t, err, ErrBroken)
+			assert.Less(t, counted.bytes, 2*maxHeadBytes)
+		})
+	}
+}
+
+// countedReads is a connection that counts the bytes that were read.
+type countedReads struct {
+	net.Conn
+	bytes int
+}
+
+// Read implements net.Conn.
+func (c *countedReads) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes += n
+	return n, err
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -117,6 +117,7 @@
 // other requests, which a reused connection may still deliver.
 func (rt *roundTrip) receive() (*Response, error) {
 	mismatched := 0
+	rt.conn.headBytes = 0
 	for {
 		response, err := rt.readHead() //nolint:bodyclose // It is read to its end, or closed with the connection.
 		if err != nil {
@@ -139,9 +140,10 @@
 
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
+	rt.conn.inHead = true
 	recorded := rt.conn.recordOldHead()
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	rt.conn.recording = nil
+	rt.conn.inHead, rt.conn.recording = false, nil
 	if err != nil {
 		return nil, withoutContent(err)
 	}
@@ -159,7 +161,7 @@
 	var network net.Error
 	switch {
 	case err == nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe),
-		errors.As(err, &network):
+		errors.Is(err, errHeadTooLong), errors.As(err, &network):
 		return err
 	default:
 		return errMalformed
