fix(dispatch): an event of a resumable stream is held up to 1 MiB

Cause: the held part of an event had no limit, and isn't counted among the responses that the box holds.

Change: beyond 1 MiB, the limit of dooryard-router, the stream breaks, and goes on at another upstream if it may.

Ruled out by reading, for the same class: bodies of responses (16 MiB each, of memory that is taken first), reports (64 KiB), skipped responses (1 MiB), lines and trailers of chunks (limits of net/http), answers of the store and of other boxes (limits of the calls), dooryard-router's events (1 MiB) and heads (10 MiB, the default of net/http's transport, or its setting).

TestEndlessEventIsNotHeld fails before.

--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -45,6 +45,12 @@
 
 const streamBufferBytes = 4 << 10
 
+// maxEventBytes is the maximum size of an event of a resumable stream, which is held until it is complete.
+const maxEventBytes = 1 << 20
+
+// errEventTooLong means that an event exceeds its limit.
+var errEventTooLong = fmt.Errorf("%w: event exceeds %d bytes", upstream.ErrBroken, maxEventBytes)
+
 // lastEventID returns the ID of the last event that the caller has: of this response, or else the one that the
 // caller sent to take up a stream. It returns "" if there is none.
 func (s *retryLoop) lastEventID() string {
@@ -118,6 +124,9 @@
 			return &failure{err: writeErr, execution: mayHaveRun}
 		}
 		s.stream.mayGoOn.Store(s.stream.resumable())
+		if len(s.stream.partial) > maxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.finishStream(from, res)
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
@@ -77,3 +78,35 @@
 		})
 	}
 }
+
+// endlessEvent is a body of one event that never ends, of which it counts the bytes.
+type endlessEvent struct{ bytes int }
+
+// Read implements io.Reader.
+func (e *endlessEvent) Read(data []byte) (int, error) {
+	if e.bytes > 2*maxEventBytes {
+		return 0, io.EOF
+	}
+	for i := range data {
+		data[i] = 'x'
+	}
+	e.bytes += len(data)
+	return len(data), nil
+}
+
+// TestEndlessEventIsNotHeld guards against an event that an upstream never ends and that fills the memory of the box.
+func TestEndlessEventIsNotHeld(t *testing.T) {
+	s, _ := newLoop(t)
+	s.request.Route = &routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 1}
+	s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
+	s.request.State = &routing.State{}
+	s.pipe = New(Dependencies{
+		Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
+		OnStreamOrigin: func(*opaque.Request) {}, OnEnd: func(opaque.EndCheck) {},
+	})
+	body := &endlessEvent{}
+	from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
+	failed := s.relayStream(from, responseOf(body, -1), func(error) {})
+	require.ErrorIs(t, failed.err, errEventTooLong)
+	assert.Less(t, body.bytes, maxEventBytes+2*streamBufferBytes)
+}
