fix(gateway): don't take the successor of an upstream for the one that closed a connection

Callers got a part of a stream as a whole one, and no line said so: the upstream's process had ended, its kernel had closed the connection in order, and 0.4 s later connections were accepted at its address, by the next process. The health check that should have told them apart was sent once; while a process ends, its kernel accepts the connection and resets it, and the box then asked no more. A health response with another ID, or of a process restarted under the same ID, counted as well.

An orderly close now counts as the end of a response only with a sign of the process itself: a response to a health check (repeated each 0.1 s while connections break) that names the upstream, an idle connection from before the request that is still open, or the start time of its entry in its report. Health checks that are all broken off, another ID and another start time show that it is gone. Without any sign, another upstream continues a resumable stream after its last event, or repeats a safe response; a resumable stream that can't go on breaks if health checks exist, so that its caller can take it up. Other responses are taken for complete with the line `end unconfirmed`: a false alarm would lose them.

Evidence: before, TestUnframedStreamOfReplacedUpstream (4 of 5 cases) and TestUnframedResponseOfReplacedUpstream ("which tells its own ID") failed.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -187,7 +187,7 @@
 		}
 		return found
 	}
-	return upstream.SurvivesClose(ctx, probe, func(context.Context) bool { return false }) == upstream.Gone
+	return upstream.SurvivesClose(ctx, probe, nil) == upstream.Gone
 }
 
 // deferredTransport is set after the pipeline steps have applied the defaults from which the
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -14,24 +14,68 @@
 // request was sent. Failed probes may also mean that the process ended after its last response, or that this box is
 // partitioned from it: that the response was whole is not known then either.
 func (b *Box) survival(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) upstream.Survival {
-	client, path := lease.Client(), b.healthPath(lease.Pool)
-	header, replaced := http.Header{}, false
+	client := lease.Client()
+	probe := func() upstream.Liveness { return client.ProbeLiveness(ctx) }
+	found := upstream.SurvivesClose(ctx, probe, b.askForLife(lease))
+	switch {
+	case found == upstream.Gone || b.registry.AddressReused(lease.Identity(), sentMs):
+		return upstream.Gone
+	case client.KeepsConnection(ctx, sentMs):
+		return upstream.Responding
+	default:
+		return b.checkStart(ctx, lease, found)
+	}
+}
+
+// startTimeoutMs is how long a process has for telling its start time, a few round trips.
+const startTimeoutMs clock.Millis = 250
+
+// checkStart returns what is known of an upstream once its process has told its start time, which shows a restart under
+// its ID, or what was found before if it doesn't tell.
+func (b *Box) checkStart(ctx context.Context, lease *balance.Lease, found upstream.Survival) upstream.Survival {
+	if b.dialect.ReportPath == "" || !lease.MayKeepID() {
+		return found
+	}
+	ctx, cancel := b.clock.WithTimeout(ctx, startTimeoutMs)
+	defer cancel()
+	startedMs := b.dialect.DecodeStart(lease.Client().Report(ctx, b.dialect.ReportPath))
+	switch {
+	case startedMs == 0:
+		return found
+	case lease.RecordStart(startedMs):
+		return upstream.Responding
+	default:
+		return upstream.Gone
+	}
+}
+
+// askForLife returns a function that asks the process of an upstream for a sign of life, or nil if its pool has no
+// health checks.
+func (b *Box) askForLife(lease *balance.Lease) func(ctx context.Context) upstream.Confirmation {
+	path := b.healthPath(lease.Pool)
+	if path == "" {
+		return nil
+	}
+	header := http.Header{}
 	if b.dialect.ExpectUpstream != "" {
 		header.Set(b.dialect.ExpectUpstream, lease.ID)
 	}
-	found := upstream.SurvivesClose(ctx, func() upstream.Liveness { return client.ProbeLiveness(ctx) },
-		func(ctx context.Context) bool {
-			status := 0
-			if path != "" {
-				status = client.CheckHealth(ctx, path, header)
-			}
-			replaced = status == http.StatusMisdirectedRequest
-			return status != 0
-		})
-	if replaced || b.registry.AddressReused(lease.Identity(), sentMs) {
-		return upstream.Gone
+	return func(ctx context.Context) upstream.Confirmation {
+		status, response := lease.Client().CheckHealth(ctx, path, header)
+		id := response.Get(b.dialect.UpstreamID)
+		switch {
+		case ctx.Err() != nil && status == 0:
+			return upstream.NoResponse
+		case status == 0:
+			return upstream.BrokenOff
+		case status == http.StatusMisdirectedRequest || id != "" && id != lease.ID:
+			return upstream.FromAnother
+		case id == "" && status == http.StatusOK && b.dialect.UpstreamID != "":
+			return upstream.FromUnknown
+		default:
+			return upstream.FromProcess
+		}
 	}
-	return found
 }
 
 // healthPath returns the path of a pool's health checks, or none.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -29,7 +29,7 @@
 // dialect returns the HTTP headers of the tests' callers and upstreams.
 func dialect() *opaque.Dialect {
 	return &opaque.Dialect{
-		RequestID: "X-Id", DeadlineMs: "X-Deadline", Organisation: "X-Organisation", ExpectUpstream: "X-Expect",
+		RequestID: "X-Id", DeadlineMs: "X-Deadline", Organisation: "X-Organisation", ExpectUpstream: "X-Expect", UpstreamID: "X-Upstream",
 		NotRun: "X-Not-Run", DecodeSignals: decodeSignals, BoxResponseHeaders: []string{"X-Load", "X-Not-Run"}, Urgency: "X-Urgency", Prompt: "X-Prompt", LastEventID: "Last-Event-Id", ResumedID: "X-Resumes",
 		FetchFrom: "X-Fetch", Reserved: []string{"X-Reserved"},
 		DecodeDemand: decodeDemand, ReportPath: reportPath, DecodeStart: decodeStart,
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -247,6 +247,18 @@
 	}
 }
 
+// idAt returns the ID of the entry that was put last for an address.
+func (s *store) idAt(address string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range slices.Backward(s.changes) {
+		if c.Upstream.Address == address {
+			return c.Upstream.ID
+		}
+	}
+	return ""
+}
+
 // entry returns an upstream's newest entry.
 func (s *store) entry(id string) registry.Upstream {
 	s.mu.Lock()
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -54,6 +54,7 @@
 	u := &unframedServer{listener: listener, gone: make(chan struct{}), beforeEnd: func() {}}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
 		if r.URL.Path == "/health" && !u.isDying.Load() {
+			w.Header().Set("X-Upstream", f.store.idAt(listener.Addr().String()))
 			return
 		}
 		if r.URL.Path == "/hang" {
@@ -370,31 +371,122 @@
 	})
 }
 
+// replaceBy makes another process respond at the address of an upstream.
+func (u *unframedServer) replaceBy(f *fleet, id string, respond http.HandlerFunc) {
+	address := u.listener.Addr().String()
+	// It is replaced, whatever the error.
+	_ = u.listener.Close()
+	listener, err := f.network.Host(id).Listen("tcp", address)
+	if err != nil {
+		assert.Fail(f.t, "listen", err)
+		return
+	}
+	other := &http.Server{Handler: respond} //nolint:gosec // No network that could stall it.
+	f.t.Cleanup(func() { _ = other.Close() })
+	go func() { _ = other.Serve(listener) }()
+}
+
+// Responses of a process that has replaced an upstream.
+func rejectOther(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Expect") != "new" {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}
+}
+
+func tellID(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Upstream", "new") }
+
+func resetAll(w http.ResponseWriter, _ *http.Request) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		upstream.ResetOnClose(conn)
+		_ = conn.Close()
+	}
+}
+
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
 // TestUnframedResponseOfReplacedUpstream guards against half a response that passes for whole because another process
 // answers at the address, of which the store does not tell yet.
 func TestUnframedResponseOfReplacedUpstream(t *testing.T) {
-	runWithFleet(t, func(f *fleet) {
-		var answered atomic.Bool
-		u := f.unframed("u1", &answered, "text/plain", "do", "done", closed)
-		u.beforeEnd = func() {
-			address := u.listener.Addr().String()
-			// It is replaced, whatever the error.
-			_ = u.listener.Close()
-			listener, err := f.network.Host("u1").Listen("tcp", address)
-			if err != nil {
-				assert.Fail(f.t, "listen", err)
-				return
-			}
-			other := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // No network that could stall it.
-				if r.Header.Get("X-Expect") != "u2" {
-					w.WriteHeader(http.StatusMisdirectedRequest)
+	for _, c := range []struct {
+		name    string
+		respond http.HandlerFunc
+	}{{"which rejects other requests", rejectOther}, {"which tells its own ID", tellID}} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				var answered atomic.Bool
+				u := f.unframed("u1", &answered, "text/plain", "do", "done", closed)
+				u.beforeEnd = func() { u.replaceBy(f, "u1", c.respond) }
+				status, _, err := f.box(1).get("/unsafe2/")
+				require.NoError(f.t, err)
+				assert.Equal(f.t, http.StatusBadGateway, status)
+			})
+		})
+	}
+}
+
+// TestUnframedStreamOfReplacedUpstream guards against a part of a stream that passes for whole because another process
+// accepts connections at the address of an upstream that is gone, of which the store does not tell yet.
+func TestUnframedStreamOfReplacedUpstream(t *testing.T) {
+	const threeEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+	for _, c := range []struct {
+		name, healthPath string
+		respond          http.HandlerFunc
+	}{
+		{"no health checks", "", rejectOther},
+		{"health checks are rejected", "/health", rejectOther},
+		{"health checks tell another ID", "/health", tellID},
+		{"health checks are reset", "/health", resetAll},
+		{"health checks are not answered", "/health", hang},
+		{"health checks tell no ID", "/health", func(http.ResponseWriter, *http.Request) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				state := content(2)
+				state.Pools[0].HealthPath = c.healthPath
+				f.store.setState(f.t, state)
+				var answered atomic.Bool
+				for _, id := range []string{"u1", "u2"} {
+					u := f.unframed(id, &answered, "text/event-stream", threeEvents, fiveEvents, closed)
+					u.beforeEnd = func() { u.replaceBy(f, id, c.respond) }
 				}
-			})}
-			f.t.Cleanup(func() { _ = other.Close() })
-			go func() { _ = other.Serve(listener) }()
-		}
-		status, _, err := f.box(1).get("/unsafe2/")
-		require.NoError(f.t, err)
-		assert.Equal(f.t, http.StatusBadGateway, status)
-	})
+				status, body, err := f.box(1).get("/resumable/")
+				require.NoError(f.t, err)
+				assert.Equal(f.t, http.StatusOK, status)
+				assert.Equal(f.t, fiveEvents, body)
+			})
+		})
+	}
+}
+
+// TestUnconfirmedResponsesWithoutSubstitute guards against a part of a stream that passes for whole because no other
+// upstream continues it, and against whole responses that are withheld although nothing could ever confirm them.
+func TestUnconfirmedResponsesWithoutSubstitute(t *testing.T) {
+	for _, c := range []struct {
+		path, healthPath string
+		complete         bool
+	}{
+		{"/resumable/", "/hang", false},
+		{"/resumable/", "", true},
+		{"/stream/", "/hang", true},
+		{"/stream/", "", true},
+		{"/safe/", "/hang", true},
+		{"/safe/", "", true},
+	} {
+		t.Run(c.path+c.healthPath, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				state := content(2)
+				state.Pools[0].HealthPath = c.healthPath
+				f.store.setState(f.t, state)
+				contentType := "text/event-stream"
+				if c.path == "/safe/" {
+					contentType = "text/plain"
+				}
+				u := f.unframed("u1", &atomic.Bool{}, contentType, fiveEvents, "", closed)
+				_, body, err := f.box(1).get(c.path)
+				assert.Equal(f.t, c.complete, err == nil, "%v", err)
+				assert.Equal(f.t, fiveEvents, body)
+				assert.EqualValues(f.t, 1, u.arrivals.Load())
+			})
+		})
+	}
 }
--- a/internal/opaque/dialect.go
+++ b/internal/opaque/dialect.go
@@ -23,6 +23,8 @@
 	Organisation string
 	// ExpectUpstream carries the only upstream incarnation that may run the request.
 	ExpectUpstream string
+	// UpstreamID carries the incarnation of the upstream that responds to a health check.
+	UpstreamID string
 	// NotRun is set on responses of upstreams that did not run any part of the request.
 	NotRun string
 	// DecodeSignals decodes the signals that an upstream sends in the header of a response.
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -226,9 +226,10 @@
 	}
 }
 
-// isNoUpstreamFault reports whether an error says nothing about the upstream, since its response was not read in time.
+// isNoUpstreamFault reports whether an error says nothing about the upstream, since its response was not read in time
+// or may be complete.
 func isNoUpstreamFault(err error) bool {
-	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault)
+	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault) || errors.Is(err, errEndUnconfirmed)
 }
 
 // logPicked logs the selected upstream and counts the prompt tokens that it has to process.
--- a/internal/pipe/dispatch/observation.go
+++ b/internal/pipe/dispatch/observation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"golang.org/x/sys/unix"
 
@@ -60,6 +61,8 @@
 		return
 	case errors.Is(err, upstream.ErrBroken):
 		o.Evidence = ConnectionBroken
+	case errors.Is(err, errEndUnconfirmed) && !lease.IsDraining():
+		o.Evidence, o.Status = ResponseUnframed, http.StatusOK
 	default:
 		return
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -193,6 +194,40 @@
 	}
 }
 
+// newConn returns a connection that has just been opened.
+func (c *Client) newConn(raw net.Conn) *conn {
+	cn := newConn(raw)
+	cn.openedMs = c.monotonic()
+	return cn
+}
+
+// KeepsConnection reports whether an idle connection is open that was opened before a monotonic time. Its process runs
+// on, since the kernel closes all connections of a process that is gone.
+func (c *Client) KeepsConnection(ctx context.Context, beforeMs clock.Millis) bool {
+	for cn := c.takeOlder(beforeMs); cn != nil; cn = c.takeOlder(beforeMs) {
+		if cn.staysOpen(ctx, time.Millisecond) {
+			c.putUnused(cn)
+			return true
+		}
+		// Nothing is in flight on it.
+		_ = cn.Close()
+	}
+	return false
+}
+
+// takeOlder takes an idle connection that was opened before a monotonic time, or returns nil.
+func (c *Client) takeOlder(beforeMs clock.Millis) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.idle, func(cn *conn) bool { return cn.openedMs < beforeMs })
+	if i < 0 {
+		return nil
+	}
+	cn := c.idle[i]
+	c.idle = slices.Delete(c.idle, i, i+1)
+	return cn
+}
+
 func (c *Client) connect(ctx context.Context) (*conn, error) {
 	if cn := c.popIdle(); cn != nil {
 		return cn, nil
@@ -201,7 +236,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	return newConn(raw), nil
+	return c.newConn(raw), nil
 }
 
 // Dials are the monotonic times of the latest dials to an upstream that opened a connection and that
@@ -261,7 +296,7 @@
 		return !noResponse(err)
 	}
 	c.onDial()
-	c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
+	c.keepIdle(c.newConn(raw), defaultIdleTimeoutMs)
 	return true
 }
 
@@ -285,7 +320,7 @@
 	raw, found := ProbeAddress(ctx, c.dial, c.address)
 	if raw != nil {
 		c.onDial()
-		c.keepIdle(newConn(raw), defaultIdleTimeoutMs)
+		c.keepIdle(c.newConn(raw), defaultIdleTimeoutMs)
 	}
 	return found
 }
@@ -321,7 +356,7 @@
 		return
 	}
 	c.onDial()
-	cn := newConn(raw)
+	cn := c.newConn(raw)
 	switch {
 	case cn.staysOpen(ctx, probeSettleMs*time.Millisecond):
 		c.recordDial(nil)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,8 @@
 	reader *bufio.Reader
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
+	// openedMs is the monotonic time at which the connection was open at the latest.
+	openedMs clock.Millis
 }
 
 const readBufferBytes = 2048
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"dooryard.example/dooryard/internal/clock"
 )
@@ -23,41 +24,95 @@
 	return false
 }
 
-// closeSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had some
-// hundred connections and the host is busy.
-const closeSettleMs clock.Millis = 400
+const (
+	// closeSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had
+	// some hundred connections and the host is busy.
+	closeSettleMs clock.Millis = 400
+	// confirmIntervalMs is the time between two requests for a sign of life within closeSettleMs.
+	confirmIntervalMs clock.Millis = 100
+)
 
-// Survival is what is known of a process that has closed a connection in order. Its text is written to the log.
-type Survival string
+// Survival is what is known of a process that has closed a connection in order.
+type Survival int
 
 const (
 	// Gone means that the process may be gone.
-	Gone Survival = "may be gone"
-	// Accepting means that connections are accepted at its address, by the process or by another one.
-	Accepting Survival = "accepts connections"
+	Gone Survival = iota
+	// Unchecked means that connections are accepted at its address, by the process or by another one, and that there is
+	// no response by which to tell them apart.
+	Unchecked
+	// Unanswered means that connections are accepted at its address, and that no process has responded.
+	Unanswered
 	// Responding means that the process has responded to a request that was sent after the close.
-	Responding Survival = "responds"
+	Responding
+)
+
+// Confirmation is the outcome of a request that asks a process for a sign of life.
+type Confirmation int
+
+const (
+	// NoResponse means that no response has come in time.
+	NoResponse Confirmation = iota
+	// BrokenOff means that the connection was refused, or ended without a response.
+	BrokenOff
+	// FromUnknown means that a process has responded that doesn't tell which one it is.
+	FromUnknown
+	// FromProcess means that the process has responded.
+	FromProcess
+	// FromAnother means that another process has responded.
+	FromAnother
 )
 
 // SurvivesClose returns what is known of a process that has closed a connection in order. The kernel does the same for
-// a process that is gone, and may close its listening socket last: until then, the kernel accepts connections for it.
-// Only a response to a request that is sent now comes from the process itself; confirm reports whether there is one, and
-// may block until its context is done. Without one, connections must still be accepted once the kernel has had time to
-// close all sockets.
-func SurvivesClose(ctx context.Context, probe func() Liveness, confirm func(ctx context.Context) bool) Survival {
+// a process that is gone, and may close its listening socket last: until then, the kernel accepts connections for it,
+// and another process may soon accept them at the same address. Only a response to a request that is sent now comes
+// from a process. confirm sends one and may block until its context is done; it is nil if there is no such request.
+// Without a response, connections must still be accepted once the kernel has had time to close all sockets.
+func SurvivesClose(
+	ctx context.Context, probe func() Liveness, confirm func(ctx context.Context) Confirmation,
+) Survival {
 	if !AcceptsConnections(probe) {
 		return Gone
 	}
 	settling, cancel := context.WithTimeout(ctx, closeSettleMs.Duration())
 	defer cancel()
-	if confirm(settling) {
+	last := NoResponse
+	if confirm != nil {
+		last = awaitConfirmation(settling, confirm)
+	}
+	switch last {
+	case FromProcess:
 		return Responding
+	case FromAnother:
+		return Gone
+	case NoResponse, BrokenOff, FromUnknown:
 	}
 	<-settling.Done()
-	if ctx.Err() != nil || !AcceptsConnections(probe) {
+	switch {
+	case ctx.Err() != nil || last == BrokenOff || !AcceptsConnections(probe):
 		return Gone
+	case confirm == nil || last == FromUnknown:
+		return Unchecked
+	default:
+		return Unanswered
+	}
+}
+
+// awaitConfirmation asks for a sign of life until there is a response or the context is done, and returns the latest
+// outcome.
+func awaitConfirmation(ctx context.Context, confirm func(ctx context.Context) Confirmation) Confirmation {
+	for {
+		if found := confirm(ctx); found != BrokenOff {
+			return found
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmIntervalMs.Duration()):
+		}
+		if ctx.Err() != nil {
+			return BrokenOff
+		}
 	}
-	return Accepting
 }
 
 // maxReportBytes bounds what is read of an upstream's report on itself, which lists its requests.
@@ -90,19 +145,22 @@
 
 // RespondsTo reports whether the upstream responds to a health check, whatever it says.
 func (c *Client) RespondsTo(ctx context.Context, healthPath string) bool {
-	return c.CheckHealth(ctx, healthPath, http.Header{}) != 0
+	status, _ := c.CheckHealth(ctx, healthPath, http.Header{})
+	return status != 0
 }
 
-// CheckHealth returns the status with which the upstream responds to a health check, or 0 if it doesn't.
-func (c *Client) CheckHealth(ctx context.Context, healthPath string, header http.Header) (status int) {
+// CheckHealth returns the status and the header with which the upstream responds to a health check, or 0 if it doesn't.
+func (c *Client) CheckHealth(
+	ctx context.Context, healthPath string, header http.Header,
+) (status int, responseHeader http.Header) {
 	response, err := c.get(ctx, healthPath, header)
 	if err != nil {
-		return 0
+		return 0, nil
 	}
 	defer response.Close()
 	if response.Framing() == ByLength && response.ContentLength <= maxCheckBytes {
 		// Without the whole body, the connection is closed.
 		_, _ = io.Copy(io.Discard, response)
 	}
-	return response.StatusCode
+	return response.StatusCode, response.Header
 }
--- a/internal/upstream/outlives_test.go
+++ b/internal/upstream/outlives_test.go
@@ -12,44 +12,57 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
 )
 
-// TestSurvivesClose guards against taking the kernel of a process that is gone for the process, since the kernel accepts
-// connections until it has closed the listening socket.
+// TestSurvivesClose guards against taking the kernel of a process that is gone, or its successor, for the process.
 func TestSurvivesClose(t *testing.T) {
-	const never = time.Hour
+	const never, settle, ms = time.Hour, 400 * time.Millisecond, time.Millisecond
 	for _, c := range []struct {
 		name                      string
 		listens, confirms, cancel time.Duration
+		found                     []Confirmation
 		want                      Survival
 		took                      time.Duration
 	}{
-		{"a process that responds", never, time.Millisecond, never, Responding, time.Millisecond},
-		{"a process that accepts connections and never responds", never, never, never, Accepting, closeSettleMs.Duration()},
-		{"a process whose listener goes first", 0, never, never, Gone, 0},
-		{"a process whose listener goes last", closeSettleMs.Duration() - 1, never, never, Gone, closeSettleMs.Duration()},
-		{"a request that is given up", never, never, time.Millisecond, Gone, time.Millisecond},
+		{"a process that responds", never, ms, never, []Confirmation{FromProcess}, Responding, ms},
+		{"a process that never responds", never, never, never, []Confirmation{FromProcess}, Unanswered, settle},
+		{"a process that responds once connections have broken", never, 0, never, []Confirmation{BrokenOff, BrokenOff, FromProcess}, Responding, 200 * ms},
+		{"a process that does not tell which one it is", never, ms, never, []Confirmation{FromUnknown}, Unchecked, settle},
+		{"another process that responds", never, ms, never, []Confirmation{FromAnother}, Gone, ms},
+		{"another process that responds once connections have broken", never, 0, never, []Confirmation{BrokenOff, FromAnother}, Gone, 100 * ms},
+		{"a process whose connections break", never, 0, never, []Confirmation{BrokenOff}, Gone, settle},
+		{"a process that can't be asked", never, 0, never, nil, Unchecked, settle},
+		{"a process whose listener goes first", 0, never, never, []Confirmation{FromProcess}, Gone, 0},
+		{"a process whose listener goes last", settle - 1, never, never, []Confirmation{FromProcess}, Gone, settle},
+		{"a process that can't be asked, whose listener goes last", settle - 1, 0, never, nil, Gone, settle},
+		{"a request that is given up", never, never, ms, []Confirmation{FromProcess}, Gone, ms},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithTimeout(t.Context(), c.cancel)
 				defer cancel()
-				start := time.Now()
+				start, asked := time.Now(), 0
 				accepts := func() Liveness {
 					if time.Since(start) < c.listens {
 						return Alive
 					}
 					return Dead
 				}
-				responds := func(ctx context.Context) bool {
+				confirm := func(ctx context.Context) Confirmation {
 					select {
 					case <-ctx.Done():
-						return false
+						return NoResponse
 					case <-time.After(c.confirms):
-						return true
+						asked++
+						return c.found[min(asked, len(c.found))-1]
 					}
 				}
-				assert.Equal(t, c.want, SurvivesClose(ctx, accepts, responds))
+				if c.found == nil {
+					confirm = nil
+				}
+				assert.Equal(t, c.want, SurvivesClose(ctx, accepts, confirm))
 				assert.Equal(t, c.took, time.Since(start))
 			})
 		})
@@ -80,3 +93,28 @@
 		assert.Empty(t, c.idle)
 	})
 }
+
+// TestKeepsConnection guards against taking another process for the one that has accepted an earlier connection.
+func TestKeepsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		openedMs, sentMs clock.Millis
+		closes, want     bool
+	}{
+		{"opened before and open", 1, 2, false, true},
+		{"opened before and closed", 1, 2, true, false},
+		{"opened later", 2, 2, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startUpstream(t, func(net.Conn, *bufio.Reader) {})
+			client := New(s.listener.Addr().String(), func() clock.Millis { return c.openedMs })
+			require.Equal(t, Alive, client.ProbeLiveness(t.Context()))
+			conn := <-s.conns
+			if c.closes {
+				require.NoError(t, conn.Close())
+			}
+			assert.Equal(t, c.want, client.KeepsConnection(t.Context(), c.sentMs))
+			assert.Equal(t, c.want, client.KeepsConnection(t.Context(), c.sentMs), "it is kept idle")
+		})
+	}
+}
