--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -34,7 +34,7 @@
 		Name:    "dooryard-soak",
 		Usage:   "run real boxes as processes, inject faults from outside, and check the fleet's guarantees",
 		Version: version.String(),
-		Flags:   slices.Concat(flags(), processFlags(), []cli.Flag{exactFlag()}),
+		Flags:   slices.Concat(flags(), processFlags(), []cli.Flag{exactFlag(), endsFlag()}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := checkFlags(c); err != nil {
 				return err
@@ -58,7 +58,10 @@
 		return fmt.Errorf("%w: either --gateway or --router is required", errUsage)
 	}
 	for first, others := range map[string][]string{
-		"exact":   {"load", "partitions", "stalls", "overload", "regressions", "callers", "wire"},
+		"exact": {"load", "partitions", "stalls", "overload", "regressions", "callers", "wire"},
+		"ends": {
+			"exact", "load", "partitions", "stalls", "overload", "regressions", "processes", "planned", "evacuations",
+		},
 		"load":    {"partitions", "stalls", "overload", "regressions", "processes", "planned"},
 		"planned": {"partitions", "stalls", "overload", "regressions", "processes", "evacuations"},
 	} {
@@ -81,7 +84,7 @@
 func checkAdded(c *cli.Command) error {
 	plays := c.Bool("planned") || c.Bool("processes")
 	for _, added := range []string{"quotas", "callers", "limits", "overlaps", "wire", "strangers", "held-ports"} {
-		allowed := plays || added == "quotas" && c.Bool("exact")
+		allowed := plays || added == "quotas" && c.Bool("exact") || added == "overlaps" && c.Bool("ends")
 		if c.Bool(added) && !allowed {
 			return fmt.Errorf("%w: --%s requires --planned or --processes", errUsage, added)
 		}
@@ -202,6 +205,14 @@
 	}
 }
 
+func endsFlag() cli.Flag {
+	return &cli.BoolFlag{
+		Name: "ends",
+		Usage: "have servers end streams and other responses in all ways, crash and be replaced, for boxes with a part " +
+			"of one processor that are stopped and killed; without other clients and faults",
+	}
+}
+
 // selectedSeeds returns the seeds selected by the flags.
 func selectedSeeds(c *cli.Command) []uint64 {
 	list := []uint64{}
@@ -242,6 +253,7 @@
 		Strangers: c.Bool("strangers"), HeldPorts: c.Bool("held-ports"),
 		Limits: c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"), Exact: c.Bool("exact"),
+		Ends: c.Bool("ends"),
 	})
 	return errors.Join(printReport(out, report), runErr)
 }
--- /dev/null
+++ b/internal/soak/endserver.go
@@ -0,0 +1,494 @@
+package soak
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dooryard.example/dooryard/platform/standin"
+)
+
+const (
+	// endServersHost is the last octet of the IP address of the servers.
+	endServersHost = 249
+	endPieces      = 8
+	endAttempts    = 2
+	// A server that has served for minLife may crash. The next one has its address less than replacedMs later, its entry
+	// appears less than entryMs after that, and the entry before goes less than lapseMs after the crash.
+	minLife    = 1500 * time.Millisecond
+	replacedMs = 100
+	entryMs    = 1000
+	lapseMs    = 2000
+	// A server reads the rest of a long body less than readOnMs after an early response.
+	readOnMs  = 300
+	endGapMs  = 800
+	shortMs   = 40
+	longMs    = 250
+	writeSpan = 10 * time.Second
+	// receiveBytes is small enough that boxes can't write a long body at once.
+	receiveBytes = 16 << 10
+)
+
+// framing is how the end of a response is marked.
+type framing string
+
+const (
+	byChunks     framing = "chunks"
+	byLength     framing = "length"
+	byConnection framing = "connection"
+)
+
+// endKind is how a server ends a response.
+type endKind string
+
+const (
+	endWhole endKind = "whole"
+	// endClosed and endReset end the connection, and endCrash and endCrashReset those of all responses of the server.
+	endClosed     endKind = "closed"
+	endReset      endKind = "reset"
+	endCrash      endKind = "crash"
+	endCrashReset endKind = "crash that resets"
+	// endDrained is the end of a server that drained, beside a response.
+	endDrained endKind = "end after a drain"
+)
+
+// garbles are faults of heads of responses. The value is the name in reports.
+const (
+	garbledStatus  = "status 000"
+	garbledBlank   = "blank in a field name"
+	garbledControl = "control byte in a field name"
+	garbledColon   = "blank before a colon"
+	garbledVersion = "HTTP/1.0 with chunks"
+	garbledLengths = "two lengths"
+)
+
+// ending is the way in which a server responds to a request.
+type ending struct {
+	framing framing
+	status  int
+	// garbled is the fault of the head, or empty.
+	garbled string
+	// early is set if the response comes before the server has read the body of the request.
+	early bool
+	// pieces is how many pieces are sent, and torn is set if a part of the next one follows.
+	pieces int
+	torn   bool
+	end    endKind
+	pause  time.Duration
+}
+
+// drawEnding draws a response of some pieces to a stream or another request.
+func drawEnding(random *rand.Rand, pieces int, stream, upload, mayCrash bool) ending {
+	pick := func(n int) int { return random.IntN(n) }
+	e := ending{
+		framing: []framing{byChunks, byLength, byConnection}[pick(3)], status: http.StatusOK, pieces: pieces, end: endWhole,
+		early: upload && pick(2) == 0, pause: drawMs(random, 0, []int{shortMs, shortMs, longMs}[pick(3)]),
+	}
+	switch choice := pick(20); { //nolint:mnd // Shares of the ways.
+	case choice < 8: //nolint:mnd // Whole.
+	case choice < 9: //nolint:mnd // Another status.
+		e.framing, e.pieces = byLength, 0
+		e.status = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusNotFound}[pick(3)]
+	case choice < 11: //nolint:mnd // A garbled head.
+		e.garbled = []string{
+			garbledStatus, garbledBlank, garbledControl, garbledColon, garbledVersion, garbledLengths,
+		}[pick(6)]
+		e.framing = byLength
+		if e.garbled == garbledColon || e.garbled == garbledVersion {
+			e.framing = byChunks
+		}
+	default:
+		e.pieces = pick(pieces + 1)
+		e.torn = e.pieces < pieces && pick(2) == 0
+		e.end = []endKind{endClosed, endReset, endReset, endCrash, endCrash, endCrashReset}[pick(6)]
+		if !mayCrash && (e.end == endCrash || e.end == endCrashReset) {
+			e.end = endReset
+		}
+		if e.end == endClosed && e.framing == byConnection && (!stream || !e.torn) {
+			// A server that lives and closes such a connection in order says that this is all.
+			e.end = endReset
+		}
+	}
+	return e
+}
+
+// String names the way in reports.
+func (e ending) String() string {
+	name := string(e.framing) + ", " + cmp.Or(e.garbled, string(e.end))
+	if e.status != http.StatusOK {
+		name = "status " + strconv.Itoa(e.status)
+	}
+	if e.torn {
+		name += " within a piece"
+	}
+	if e.early {
+		name += ", before the request was read"
+	}
+	return name
+}
+
+// content returns the body that a server sends, in pieces, for a request that is resumed after a piece.
+func content(id, kind string, after int) []string {
+	list := []string{}
+	if isStream(kind) {
+		for i := after + 1; i <= endPieces; i++ {
+			list = append(list, standin.Event(id, "v1", i))
+		}
+		return list
+	}
+	size := 1 + int(hashOf(id)%receiveBytes)
+	for i := range endPieces {
+		list = append(list, strings.Repeat(fmt.Sprintf("%s-%d ", id, i), 1+size/endPieces/len(id)))
+	}
+	return list
+}
+
+func isStream(kind string) bool { return kind == standin.Stream || kind == standin.Resumable }
+
+func hashOf(text string) uint64 {
+	sum := fnv.New64a()
+	_, _ = io.WriteString(sum, text)
+	return sum.Sum64()
+}
+
+// endRun is a response that a server began.
+type endRun struct {
+	ending
+
+	server string
+	after  int
+	// finished is when the last byte was written, or zero.
+	finished time.Time
+}
+
+// endServer is an address at which one server after the other responds in all ways.
+type endServer struct {
+	fleet         *fleet
+	zone, address string
+
+	mu      sync.Mutex
+	current *endLife
+}
+
+// endLife is one incarnation of an endServer.
+type endLife struct {
+	of       *endServer
+	id       string
+	born     time.Time
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns map[*net.TCPConn]struct{}
+	// ended is how the incarnation has ended, or empty.
+	ended endKind
+}
+
+func (f *fleet) addEndServers() error {
+	for i := range f.settings.Servers {
+		s := &endServer{fleet: f, zone: zoneName(i), address: net.JoinHostPort(f.ip(endServersHost), "0")}
+		if err := s.begin(); err != nil {
+			return err
+		}
+		s.writeEntry(s.current, false)
+		f.endServers = append(f.endServers, s)
+		f.closers = append(f.closers, func() { s.life().close(endCrashReset) })
+	}
+	return nil
+}
+
+func (s *endServer) life() *endLife {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// begin starts an incarnation at the address.
+func (s *endServer) begin() error {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.fleet.mu.Lock()
+	s.fleet.incarnations++
+	id := fmt.Sprintf("server-%d-%d", s.fleet.settings.Seed, s.fleet.incarnations)
+	s.fleet.mu.Unlock()
+	l := &endLife{of: s, id: id, born: time.Now(), listener: listener, conns: map[*net.TCPConn]struct{}{}}
+	s.mu.Lock()
+	s.current, s.address = l, listener.Addr().String()
+	s.mu.Unlock()
+	go l.accept()
+	return nil
+}
+
+func (s *endServer) writeEntry(l *endLife, draining bool) {
+	s.fleet.store.PutServer(standin.Entry{
+		ID: l.id, Service: standin.Service, Address: s.address, Zone: s.zone, BornMs: l.born.UnixMilli(), Version: "v1",
+		Draining: draining,
+	})
+}
+
+// end ends the current incarnation and replaces it, unless it has ended.
+func (s *endServer) end(l *endLife, kind endKind) {
+	if !l.close(kind) {
+		return
+	}
+	draw := func(n int) time.Duration { return time.Duration(s.fleet.draw(n)) * time.Millisecond }
+	s.fleet.background.Go(func() {
+		time.Sleep(draw(lapseMs))
+		s.fleet.store.RemoveServer(l.id)
+	})
+	s.fleet.background.Go(func() {
+		time.Sleep(draw(replacedMs))
+		if err := s.begin(); err != nil {
+			s.fleet.endings.report("the soak's server starts again", l.id, err.Error())
+			return
+		}
+		time.Sleep(draw(entryMs))
+		s.writeEntry(s.life(), false)
+	})
+}
+
+// injectEnds crashes and drains servers, until ctx ends.
+func (f *fleet) injectEnds(ctx context.Context) {
+	random := rand.New(rand.NewPCG(f.settings.Seed, 14))
+	for ctx.Err() == nil {
+		s := f.endServers[random.IntN(len(f.endServers))]
+		l := s.life()
+		kind := []endKind{endCrash, endCrashReset, endDrained}[random.IntN(3)]
+		f.history.countFault("end a server: " + string(kind))
+		if kind == endDrained {
+			s.writeEntry(l, true)
+			f.background.Go(func() {
+				time.Sleep(drainSpan)
+				s.end(l, kind)
+			})
+		} else {
+			s.end(l, kind)
+		}
+		sleep(ctx, drawMs(random, minDelayMs, endGapMs))
+	}
+}
+
+// close ends the incarnation as the kernel does: its connections are closed in order, or reset. It reports whether it
+// had not ended.
+func (l *endLife) close(kind endKind) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended != "" {
+		return false
+	}
+	l.ended = kind
+	closeListener(l.listener)
+	for c := range l.conns {
+		if kind == endCrashReset {
+			_ = c.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	return true
+}
+
+func (l *endLife) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		tcp, _ := conn.(*net.TCPConn)
+		_ = tcp.SetReadBuffer(receiveBytes)
+		l.mu.Lock()
+		l.conns[tcp] = struct{}{}
+		ended := l.ended
+		l.mu.Unlock()
+		if ended != "" {
+			_ = tcp.Close()
+			return
+		}
+		go l.serve(tcp)
+	}
+}
+
+// serve responds to the requests of a connection.
+func (l *endLife) serve(conn *net.TCPConn) {
+	defer func() {
+		l.mu.Lock()
+		delete(l.conns, conn)
+		l.mu.Unlock()
+		_ = conn.Close()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		_ = conn.SetDeadline(time.Time{})
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			l.checkGone("a whole request", "", err)
+			return
+		}
+		_ = conn.SetDeadline(time.Now().Add(writeSpan))
+		if !l.respond(conn, r) {
+			return
+		}
+	}
+}
+
+// checkGone records a violation unless an error means that the connection has ended.
+func (l *endLife) checkGone(due, id string, err error) {
+	gone := slices.ContainsFunc([]error{
+		io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE,
+	}, func(one error) bool { return errors.Is(err, one) })
+	var netErr net.Error
+	late := errors.As(err, &netErr) && netErr.Timeout()
+	if !gone && !late {
+		l.of.fleet.endings.report("servers receive "+due, id, l.id+": "+err.Error())
+	}
+}
+
+// respond responds to a request. It reports whether the connection goes on.
+func (l *endLife) respond(conn *net.TCPConn, r *http.Request) bool {
+	id := r.Header.Get("X-Attempt-Id")
+	if r.Method == http.MethodGet {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 2\r\n\r\n{}", l.id)
+		return err == nil
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != l.id {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"+
+			"Content-Length: 0\r\n\r\n", id)
+		return err == nil && l.readBody(r, id)
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	pieces := content(id, kind, after)
+	run := &endRun{server: l.id, after: after}
+	seal, attempt := l.of.fleet.endings.begin(id, run)
+	random := rand.New(rand.NewPCG(l.of.fleet.settings.Seed, hashOf(id)+attempt))
+	isUpload, mayCrash := r.ContentLength != int64(len(id)), time.Since(l.born) > minLife
+	run.ending = drawEnding(random, len(pieces), isStream(kind), isUpload, mayCrash)
+	if !run.early && !l.readBody(r, id) {
+		return false
+	}
+	written := run.write(conn, run.head(id, seal, kind, pieces), pieces)
+	if written && l.finish(conn, r, id, run, random) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !written || run.end == endWhole {
+		l.of.fleet.endings.endBeside(run, l.ended)
+	}
+	return false
+}
+
+// readBody reads the body of a request and checks it. It reports whether it is whole.
+func (l *endLife) readBody(r *http.Request, id string) bool {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		l.checkGone("the body of the request", id, err)
+		return false
+	}
+	if at := strings.IndexFunc(string(data), func(c rune) bool { return c != 'x' }); at >= 0 {
+		l.of.fleet.endings.report("servers receive the body of the request", id,
+			fmt.Sprintf("%s: byte %d of %d differs", l.id, at, len(data)))
+	}
+	return true
+}
+
+// head returns the head of a response.
+func (e *ending) head(id, seal, kind string, pieces []string) string {
+	version, status := "HTTP/1.1", strconv.Itoa(e.status)
+	b := &strings.Builder{}
+	field := func(name, value string) { fmt.Fprintf(b, "%s: %s\r\n", name, value) }
+	if isStream(kind) {
+		field("Content-Type", "text/event-stream")
+	}
+	length := len(strings.Join(pieces, ""))
+	switch {
+	case e.status != http.StatusOK:
+		length = 0
+		if e.status == http.StatusServiceUnavailable {
+			field("X-Not-Executed", "1")
+		}
+	case e.garbled == garbledStatus:
+		status = "000"
+	case e.garbled == garbledBlank:
+		field("X Server", "1")
+	case e.garbled == garbledControl:
+		field("X\x01Server", "1")
+	case e.garbled == garbledColon:
+		b.WriteString("Transfer-Encoding : chunked\r\n")
+	case e.garbled == garbledVersion:
+		version = "HTTP/1.0"
+	case e.garbled == garbledLengths:
+		field("Content-Length", strconv.Itoa(length/2)) //nolint:mnd // Half of it.
+	}
+	switch {
+	case e.framing == byLength:
+		field("Content-Length", strconv.Itoa(length))
+	case e.framing == byChunks && e.garbled != garbledColon:
+		field("Transfer-Encoding", "chunked")
+	}
+	return fmt.Sprintf("%s %s S\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s\r\n%s\r\n", version, status, id, seal, b)
+}
+
+// write writes the head and the pieces of a response.
+func (e *ending) write(conn *net.TCPConn, head string, pieces []string) bool {
+	_, err := io.WriteString(conn, head)
+	for i, piece := range pieces[:min(len(pieces), e.pieces+1)] {
+		if i == e.pieces {
+			if !e.torn {
+				break
+			}
+			piece = piece[:len(piece)/2]
+		}
+		time.Sleep(e.pause)
+		if e.framing == byChunks {
+			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		}
+		if err == nil {
+			_, err = io.WriteString(conn, piece)
+		}
+		if err != nil {
+			e.pieces, e.torn = i, false
+			return false
+		}
+	}
+	return err == nil
+}
+
+// finish ends a response. It reports whether the connection goes on.
+func (l *endLife) finish(conn *net.TCPConn, r *http.Request, id string, run *endRun, random *rand.Rand) bool {
+	switch run.end {
+	case endWhole:
+		if run.framing == byChunks {
+			if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+				return false
+			}
+		}
+		if run.early {
+			time.Sleep(drawMs(random, 0, readOnMs))
+			if !l.readBody(r, id) {
+				return false
+			}
+		}
+		l.of.fleet.endings.finish(run)
+		return run.framing != byConnection && run.garbled == ""
+	case endReset:
+		_ = conn.SetLinger(0)
+	case endCrash, endCrashReset:
+		l.of.end(l, run.end)
+	case endClosed, endDrained:
+	}
+	return false
+}
--- a/internal/soak/exact.go
+++ b/internal/soak/exact.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -194,6 +195,13 @@
 		c.distance, c.kept, c.wait, c.status, since(c.arrived), since(c.responded), c.deadline().Sub(c.from), c.waited)
 }
 
+// startExact starts the exact callers, until ctx ends.
+func (f *fleet) startExact(ctx context.Context, workers *sync.WaitGroup) {
+	for i := range exactPerBox * len(f.boxes) {
+		workers.Go(func() { f.runExact(ctx, i) })
+	}
+}
+
 // runExact sends requests of an exact caller, until ctx ends.
 func (f *fleet) runExact(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(f.settings.Seed, uint64(firstExactStream+number)))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -70,7 +70,8 @@
 	// Quotas also gives boxes only a share of processor time for some time, and Callers also sends requests of callers
 	// that use their connections in unusual ways. Both need Processes or Planned, or Quotas Exact.
 	Quotas, Callers bool
-	// Overlaps also starts the next process of a box before the one before it has ended. It needs Processes or Planned.
+	// Overlaps also starts the next process of a box before the one before it has ended. It needs Processes, Planned or
+	// Ends.
 	Overlaps bool
 	// Wire also sends requests of callers in unusual forms, and makes servers respond without a length. It needs
 	// Processes or Planned.
@@ -84,6 +85,9 @@
 	// Exact sends requests of callers that wait for exactly as long as they tell instead of the usual ones and of the
 	// faults that have no schedule of their own.
 	Exact bool
+	// Ends has servers end in all ways, with boxes that have a part of one processor and are stopped and killed, instead
+	// of the usual clients, servers and faults.
+	Ends bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -174,6 +178,9 @@
 	closers  []func()
 	owners   *owners
 	loads    *serverLoads
+	// endServers and endings are those of a play of ends.
+	endServers []*endServer
+	endings    *endings
 
 	// entriesMu is held while a server's entry is rewritten, or replaced by a new
 	// incarnation's entry.
@@ -209,7 +216,7 @@
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)), store: standin.NewStore(),
 		history:   newHistory(),
 		config:    standin.Config{Version: 1, Keys: map[string][]string{}},
-		evacuated: map[string]bool{},
+		evacuated: map[string]bool{}, endings: newEndings(),
 	}
 	f.owners = newOwners(f.socketOwners)
 	f.loads = newServerLoads(settings.Servers)
@@ -223,11 +230,20 @@
 	if settings.Callers {
 		f.config.IdleTimeoutMs = idleTimeoutMs
 	}
+	if settings.Ends {
+		f.config.Attempts, f.config.NoHealthPath = endAttempts, settings.Seed%2 == 1
+	}
 	f.store.PutConfig(f.config)
 	storeAddress, err := f.serve("127.0.0.1:0", f.store)
 	if err != nil {
 		return f, err
 	}
+	if settings.Ends {
+		if err := f.addEndServers(); err != nil {
+			return f, err
+		}
+		return f, f.addBoxes(storeAddress)
+	}
 	for i := range settings.Servers {
 		if err := f.addServer(i); err != nil {
 			return f, err
@@ -418,7 +434,7 @@
 		// Half of the boxes begin with it.
 		p.earlierProgram, p.starts = f.settings.Earlier, box%2
 	}
-	if f.settings.Quotas && box%2 == 1 {
+	if f.settings.Quotas && box%2 == 1 || f.settings.Ends {
 		p.environment = oneProcessor
 	}
 	if f.settings.Limits {
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -128,7 +128,7 @@
 
 // keptAddress returns the address of a box for kept connections.
 func (f *fleet) keptAddress(b *box) string {
-	if f.settings.Planned {
+	if f.settings.Planned || f.settings.Ends {
 		// Without a link in between, a connection ends when the box ends it.
 		return net.JoinHostPort(b.ip, strconv.Itoa(callersPort))
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -42,6 +42,8 @@
 	Lost lostStats
 	// Exact holds the requests of callers that wait for exactly as long as they tell.
 	Exact exactStats
+	// Endings holds the requests of a play of ends.
+	Endings endStats
 	// Ends counts by what processes were asked to end, and how they did.
 	Ends map[string]int
 	// Threads is the largest number of threads of a box with limits.
@@ -126,6 +128,11 @@
 	report.Fatal, report.HeldBack = f.history.fatalStats(), f.history.heldBack()
 	report.Partitions, report.Falls = f.history.partitionFigures(), f.history.falls
 	report.Streams, report.Lost, report.Exact = f.history.streamStats(), f.history.lost, f.history.exact
+	if f.settings.Ends {
+		report.Findings = append(report.Findings, f.endFindings()...)
+		report.Endings = f.endings.stats
+		report.Requests = report.Endings.Requests
+	}
 	if f.settings.Load {
 		report.Load = f.loadStats()
 		report.Findings = append(report.Findings, report.Load.findings()...)
@@ -147,9 +154,11 @@
 // startRequests starts the clients, and the servers' signals, until ctx ends.
 func (f *fleet) startRequests(ctx context.Context, workers *sync.WaitGroup) {
 	if f.settings.Exact {
-		for i := range exactPerBox * len(f.boxes) {
-			workers.Go(func() { f.runExact(ctx, i) })
-		}
+		f.startExact(ctx, workers)
+		return
+	}
+	if f.settings.Ends {
+		f.startEnds(ctx, workers)
 		return
 	}
 	if f.settings.Planned || f.settings.Processes {
@@ -184,6 +193,7 @@
 		inject  func(ctx context.Context)
 	}{
 		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
+		{f.settings.Ends, f.injectEnds},
 		{f.settings.Processes, f.injectProcessFaults},
 		{f.settings.Planned, f.injectPlanned},
 		{f.settings.Overlaps, f.injectOverlaps},
@@ -210,7 +220,8 @@
 	until := time.Now().Add(f.settings.Span)
 	var ends sync.WaitGroup
 	errs := make(chan error, maxEndErrors)
-	for (f.settings.Calm || f.settings.Planned || f.settings.Exact) && time.Now().Before(until) && ctx.Err() == nil {
+	none := f.settings.Calm || f.settings.Planned || f.settings.Exact || f.settings.Ends
+	for none && time.Now().Before(until) && ctx.Err() == nil {
 		sleep(ctx, time.Until(until))
 	}
 	for time.Now().Before(until) && ctx.Err() == nil && len(errs) == 0 {
