--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -97,7 +97,7 @@
 }
 
 // check checks that each response ends as that of the server did.
-func (e *endings) check() []violation {
+func (e *endings) check(disturbing disturbances) []violation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := slices.Clone(e.reported)
@@ -113,6 +113,9 @@
 		e.stats.Requests++
 		e.stats.Streams += boolInt(isStream(o.Kind))
 		guarantee, detail := e.violated(o)
+		if guarantee == "" && e.isLost(o, disturbing) {
+			guarantee, detail = "a whole response is delivered", e.received(o)
+		}
 		if guarantee == "" {
 			e.count(o)
 			continue
@@ -135,12 +138,10 @@
 // violated returns the guarantee that a response violates, or "".
 func (e *endings) violated(o standin.Outcome) (guarantee, detail string) {
 	run := e.sealed[o.Seal]
-	whole := strings.Join(content(o.ID, o.Kind, 0), "")
-	received := fmt.Sprintf("%s got status %d (in %s) with %d of %d bytes, %d pieces, at %s", o.Kind, o.Status, o.Framing,
-		len(o.Answer), len(whole), strings.Count(o.Answer, "\n\n"), o.Ended.Format(timeOfDay))
+	whole, received := strings.Join(content(o.ID, o.Kind, 0), ""), e.received(o)
 	switch {
 	case strings.Contains(o.Err, "malformed") || o.Complete && o.Status < http.StatusContinue:
-		return "bytes that are a response", received + ", " + o.Err
+		return "bytes that are a response", received
 	case o.Seal != "" && (run == nil || o.Echo != o.ID):
 		return "the response to its own request", received
 	case run != nil && run.status != o.Status:
@@ -159,6 +160,33 @@
 	return "", ""
 }
 
+// received describes what a client got.
+func (*endings) received(o standin.Outcome) string {
+	return fmt.Sprintf("%s got status %d (in %s) with %d of %d bytes, %d pieces, from %s to %s, %q", o.Kind, o.Status,
+		o.Framing, len(o.Answer), len(strings.Join(content(o.ID, o.Kind, 0), "")), strings.Count(o.Answer, "\n\n"),
+		o.Sent.Format(timeOfDay), o.Ended.Format(timeOfDay), o.Err)
+}
+
+// isLost reports whether a server sent a whole response that shows its end, early enough, and the caller got none.
+func (e *endings) isLost(o standin.Outcome, disturbing disturbances) bool {
+	runs := e.runs[o.ID]
+	if len(runs) == 0 || o.Complete && o.Status < http.StatusInternalServerError {
+		return false
+	}
+	last := runs[len(runs)-1]
+	early := last.finished.Before(o.Sent.Add(standin.RouteTimeoutMs*time.Millisecond - soundSpan))
+	return last.isSound() && early && disturbing.undisturbed(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended)
+}
+
+// isSound reports whether the response was whole, and shows that without its connection, some time before its server
+// ended.
+func (r *endRun) isSound() bool {
+	if r.finished.IsZero() || r.framing == byConnection || r.status != http.StatusOK || r.garbled != "" {
+		return false
+	}
+	return r.life.outlived(r.finished.Add(soundSpan))
+}
+
 // malformed reports whether no recipient may take the response for one.
 func (e *ending) malformed() bool { return e.garbled != "" && e.garbled != garbledVersion }
 
@@ -193,7 +221,7 @@
 	}
 	lines := map[string][]why.Line{}
 	list := []string{}
-	for _, v := range f.endings.check() {
+	for _, v := range f.endings.check(f.history.disturbances.unplanned()) {
 		name := boxes[v.Request]
 		if _, read := lines[name]; !read {
 			lines[name] = f.linesOf(name)
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -20,6 +20,8 @@
 // TestFindsEndsOfResponses guards against a play of ends that reports nothing.
 func TestFindsEndsOfResponses(t *testing.T) {
 	whole := content("one", standin.Stream, 0)
+	start := time.Now()
+	lost := func(o *standin.Outcome, _ *endRun) { *o = standin.Outcome{Call: o.Call, Sent: start, Ended: start} }
 	const complete, order = "a complete response is the whole one", "pieces of one response in order"
 	for _, c := range []struct {
 		name   string
@@ -30,8 +32,8 @@
 		{"a decoded one of a server that is not to send chunks", func(_ *standin.Outcome, run *endRun) {
 			run.garbled = garbledVersion
 		}, ""},
-		{"a part that breaks off", func(o *standin.Outcome, _ *endRun) {
-			o.Answer, o.Complete = whole[0], false
+		{"a part that breaks off", func(o *standin.Outcome, run *endRun) {
+			o.Answer, o.Complete, run.finished = whole[0], false, time.Time{}
 		}, ""},
 		{"a part as a whole", func(o *standin.Outcome, _ *endRun) { o.Answer = whole[0] }, complete},
 		{"nothing as a whole", func(o *standin.Outcome, _ *endRun) { o.Answer = "" }, complete},
@@ -61,18 +63,39 @@
 		{"what is no response", func(o *standin.Outcome, _ *endRun) {
 			*o = standin.Outcome{Call: o.Call, Err: "malformed HTTP response"}
 		}, "bytes that are a response"},
+		{"a whole response that does not arrive", lost, "a whole response is delivered"},
+		{"one of a server that did not write it whole", func(o *standin.Outcome, run *endRun) {
+			lost(o, run)
+			run.finished = time.Time{}
+		}, ""},
+		{"one that only the end of its connection shows", func(o *standin.Outcome, run *endRun) {
+			lost(o, run)
+			run.framing = byConnection
+		}, ""},
+		{"one of a server that ended right after it", func(o *standin.Outcome, run *endRun) {
+			lost(o, run)
+			run.life.ended, run.life.endedAt = endCrashReset, run.finished.Add(soundSpan)
+		}, ""},
+		{"one shortly before the time of the route", func(o *standin.Outcome, run *endRun) {
+			lost(o, run)
+			run.finished = start.Add(standin.RouteTimeoutMs*time.Millisecond - soundSpan)
+		}, ""},
+		{"one of a box that was killed", func(o *standin.Outcome, run *endRun) {
+			lost(o, run)
+			o.Box = "killed"
+		}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newEndings()
-			run := &endRun{ending: ending{status: http.StatusOK}, server: "server-1"}
+			run := &endRun{ending: ending{status: http.StatusOK}, server: "server-1", life: &endLife{}, finished: start}
 			seal, _ := e.begin("one", run)
 			o := standin.Outcome{
 				Call: standin.Call{ID: "one", Kind: standin.Stream}, Status: http.StatusOK, Complete: true,
-				Answer: strings.Join(whole, ""), Seal: seal, Echo: "one",
+				Answer: strings.Join(whole, ""), Seal: seal, Echo: "one", Sent: start, Ended: start,
 			}
 			c.change(&o, run)
 			e.record(o)
-			found := e.check()
+			found := e.check(disturbances{"killed": {{from: start.Add(-undisturbedSpan)}}})
 			if c.finds == "" {
 				assert.Empty(t, found)
 				return
@@ -136,7 +159,7 @@
 			s, conn := endedServer(t, request)
 			// The response doesn't matter.
 			_, _ = io.Copy(io.Discard, conn)
-			assert.Eventually(t, func() bool { return len(s.fleet.endings.check()) == 1 }, time.Minute, time.Millisecond)
+			assert.Eventually(t, func() bool { return len(s.fleet.endings.check(nil)) == 1 }, time.Minute, time.Millisecond)
 		})
 	}
 }
--- a/internal/soak/endserver.go
+++ b/internal/soak/endserver.go
@@ -33,8 +33,11 @@
 	entryMs    = 1000
 	lapseMs    = 2000
 	// A server reads the rest of a long body less than readOnMs after an early response.
-	readOnMs  = 300
-	endGapMs  = 800
+	readOnMs = 300
+	endGapMs = 800
+	// A response that was whole for soundSpan when its server ended, and soundSpan before the route's timeout, is to be
+	// delivered.
+	soundSpan = time.Second
 	shortMs   = 40
 	longMs    = 250
 	writeSpan = 10 * time.Second
@@ -170,8 +173,9 @@
 
 	server string
 	after  int
-	// finished is when the last byte was written, or zero.
+	// finished is when the last byte was written, or zero. life is the server.
 	finished time.Time
+	life     *endLife
 }
 
 // endServer is an address at which one server after the other responds in all ways.
@@ -192,8 +196,9 @@
 
 	mu    sync.Mutex
 	conns map[*net.TCPConn]struct{}
-	// ended is how the incarnation has ended, or empty.
-	ended endKind
+	// ended is how the incarnation has ended, or empty, at endedAt.
+	ended   endKind
+	endedAt time.Time
 }
 
 func (f *fleet) addEndServers() error {
@@ -290,7 +295,7 @@
 	if l.ended != "" {
 		return false
 	}
-	l.ended = kind
+	l.ended, l.endedAt = kind, time.Now()
 	closeListener(l.listener)
 	for c := range l.conns {
 		if kind == endCrashReset {
@@ -301,6 +306,13 @@
 	return true
 }
 
+// outlived reports whether the incarnation had not ended at a time.
+func (l *endLife) outlived(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended == "" || l.endedAt.After(at)
+}
+
 func (l *endLife) accept() {
 	for {
 		conn, err := l.listener.Accept()
@@ -358,12 +370,14 @@
 
 // respond responds to a request. It reports whether the connection goes on.
 func (l *endLife) respond(conn *net.TCPConn, r *http.Request) bool {
-	id := r.Header.Get("X-Attempt-Id")
-	if r.Method == http.MethodGet {
+	id, expected := r.Header.Get("X-Attempt-Id"), r.Header.Get("X-Expect-Instance")
+	isOther := expected != "" && expected != l.id
+	// Half of the servers tell only by their ids that a check is for another one.
+	if r.Method == http.MethodGet && (!isOther || hashOf(l.id)%2 == 0) {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 2\r\n\r\n{}", l.id)
 		return err == nil
 	}
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != l.id {
+	if isOther {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"+
 			"Content-Length: 0\r\n\r\n", id)
 		return err == nil && l.readBody(r, id)
@@ -371,7 +385,7 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	pieces := content(id, kind, after)
-	run := &endRun{server: l.id, after: after}
+	run := &endRun{server: l.id, after: after, life: l}
 	seal, attempt := l.of.fleet.endings.begin(id, run)
 	random := rand.New(rand.NewPCG(l.of.fleet.settings.Seed, hashOf(id)+attempt))
 	isUpload, mayCrash := r.ContentLength != int64(len(id)), time.Since(l.born) > minLife
