--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -68,7 +68,7 @@
 		resume: resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
 		dispatch: dispatch.New(dispatch.Dependencies{
 			Pick: b.pick, HasCandidate: b.balance.HasCandidate,
-			MayRetry: b.budgets.TryRetry, CanRetry: b.budgets.CanRetry,
+			MayRetry: b.budgets.TryRetry, ReturnRetry: b.budgets.ReturnRetry, CanRetry: b.budgets.CanRetry,
 			RespondsWithin: b.balance.RespondsWithin, NoneWithin: b.balance.NoneWithin,
 			OnFirstSend: b.budgets.RecordAttempt, OnDue: b.handleDue,
 			NextBox: b.forwarding.next, OnForward: b.metrics.RequestForwarded, OnBoxFailed: b.forwarding.avoid,
@@ -77,11 +77,12 @@
 			OnPermit:   b.metrics.EnginePicked,
 			RetryAfter: b.balance.RetryAfterMs, RetryWithinObjective: b.balance.RetryWithinObjectiveMs,
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
-			Track: b.crashDetector.track, Observe: b.crashDetector.observe, MayHaveCrashed: b.mayHaveCrashed,
-			OnCompleted:    b.crashDetector.handleCompleted,
+			Track: b.crashDetector.track, Observe: b.crashDetector.observe, Survival: b.survival,
+			OnEnd: b.metrics.ResponseEnded, OnCompleted: b.crashDetector.handleCompleted,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted,
-			CheckBeforeSend: b.checkBeforeSend, CheckCaller: checkCaller, Commit: b.commit, HoldWhile: holdWhile,
+			CheckBeforeSend: b.checkBeforeSend, RecheckKey: b.recheckKey, CheckCaller: checkCaller,
+			Commit: b.commit, HoldWhile: holdWhile,
 			Admission: b.admission(), Memory: b.responses, GraceEnded: b.graceEnded, Clock: b.clock,
 		}),
 		record: record.New(record.Dependencies{
@@ -187,6 +188,9 @@
 	}
 }
 
+// recheckKey returns a refusal if the routing state is too old to trust the key of a request.
+func (b *Box) recheckKey(r *opaque.Request) error { return b.steps.authorise.Recheck(r) }
+
 // commit makes the connection of a request wait for the response until done is called, if the request may not be
 // repeated. Its upstream works on whether the caller reads the response or not.
 func (b *Box) commit(r *opaque.Request) (done func()) {
