fix(dispatch): don't take the stop of an upstream at its deadline for the end of a stream

Callers got a stream as complete, in chunks, before its last event, and no line said so. An upstream stops working at the deadline that it is given, and may end its response in order then. The box gives it the deadline at which its own timer breaks the stream; a box that gets little processor time reads the last chunk before the timer has fired, or both are ready at once, and passes the end on.

A stream that has ended at or after the deadline that its upstream was given now breaks, whatever marks its end, and so does any response that ends with its connection then. The timer would have broken the stream in the same millisecond, so that no response is lost that was sure to arrive. The upstream is not blamed.

Evidence: TestStreamThatEndsAtTheDeadline ("at the deadline", "later") failed before. Whether the users' servers end streams in order at their deadline isn't known.

--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -229,7 +229,8 @@
 // isNoUpstreamFault reports whether an error says nothing about the upstream, since its response was not read in time
 // or may be complete.
 func isNoUpstreamFault(err error) bool {
-	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault) || errors.Is(err, errEndUnconfirmed)
+	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault) ||
+		errors.Is(err, errEndUnconfirmed) || errors.Is(err, errEndAtDeadline)
 }
 
 // logPicked logs the selected upstream and counts the prompt tokens that it has to process.
@@ -296,7 +297,9 @@
 func (s *retryLoop) newRequest() *upstream.Request {
 	r, d := s.request, s.request.Dialect
 	header := d.RequestHeader(r.HTTP.Header)
-	remaining := max(1, r.UpstreamTimeMs(s.pipe.deps.Clock.Monotonic()))
+	now := s.pipe.deps.Clock.Monotonic()
+	remaining := max(1, r.UpstreamTimeMs(now))
+	s.upstreamDeadlineMs = now + remaining
 	setHeader(header, d.DeadlineMs, strconv.FormatInt(int64(remaining), 10))
 	setHeader(header, d.LastEventID, s.lastEventID())
 	return &upstream.Request{
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -265,6 +265,8 @@
 	lastFailure *failure
 	// attemptStartedMs is the start time of the latest attempt.
 	attemptStartedMs clock.Millis
+	// upstreamDeadlineMs is the deadline that the upstream of the latest attempt was given.
+	upstreamDeadlineMs clock.Millis
 	// signals are the backoff, draining and load signals of the latest response.
 	signals opaque.Signals
 	// hasUnread reports whether bytes of the upstream of the latest attempt wait to be read.
--- a/internal/pipe/dispatch/ending.go
+++ b/internal/pipe/dispatch/ending.go
@@ -17,12 +17,17 @@
 	// errEndUnconfirmed means that such a response is not known to be complete, and that another upstream can repeat or
 	// continue it.
 	errEndUnconfirmed = errors.New("response has no length, and its upstream is not known to run on")
+	// errEndAtDeadline means that a response has ended when its upstream may have stopped working on it.
+	errEndAtDeadline = errors.New("response ended at the deadline that its upstream was given")
 )
 
 // checkEnd returns an error if a body that was read to its end is not known to be complete. A crashed
 // upstream closes its connections in order, which looks the same as the end of a body that has neither
 // a length nor chunks. A response to HEAD has no body.
 func (s *retryLoop) checkEnd(from responseSource, resp *upstream.Response) error {
+	if s.endsAtDeadline(resp) {
+		return errEndAtDeadline
+	}
 	check, err := s.endCheck(from, resp)
 	if err != nil {
 		return err
@@ -35,6 +40,13 @@
 	return nil
 }
 
+// endsAtDeadline reports whether a response that can end in order at any time has ended when its upstream, which stops
+// working at the deadline, may have stopped. This process may see that before its own timer.
+func (s *retryLoop) endsAtDeadline(resp *upstream.Response) bool {
+	endsAnywhere := s.stream != nil || resp.Framing() == upstream.ByConnection && resp.Body != http.NoBody
+	return endsAnywhere && s.pipe.deps.Clock.Monotonic() >= s.upstreamDeadlineMs
+}
+
 // endCheck returns the check by which a body that was read to its end is taken for complete.
 func (s *retryLoop) endCheck(from responseSource, resp *upstream.Response) (opaque.EndCheck, error) {
 	switch {
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -163,7 +163,9 @@
 		s.observeEvents(s.stream.events.Events())
 		return nil
 	}
-	from.onBroken()
+	if !errors.Is(err, errEndAtDeadline) {
+		from.onBroken()
+	}
 	s.request.MayHaveRun = true
 	return &failure{err: err, execution: mayHaveRun}
 }
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -19,6 +19,45 @@
 	"dooryard.example/dooryard/internal/upstream"
 )
 
+// TestStreamThatEndsAtTheDeadline guards against the part of a stream that an upstream has made until the deadline, at
+// which it stops in order, and that passes for whole because this process ran late.
+func TestStreamThatEndsAtTheDeadline(t *testing.T) {
+	const deadlineMs clock.Millis = 3000
+	for _, c := range []struct {
+		name     string
+		endMs    clock.Millis
+		complete bool
+	}{
+		{"ends before", deadlineMs - 1, true},
+		{"ends at the deadline", deadlineMs, false},
+		{"ends later", deadlineMs + 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, _ := newLoop(t)
+				s.request.Route = &routing.Route{Kind: routing.Stream}
+				s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
+				s.request.State = &routing.State{}
+				now := clock.New()
+				s.pipe = New(Dependencies{Clock: now, OnEnd: func(opaque.EndCheck) {}})
+				s.request.DeadlineMs = now.Monotonic() + deadlineMs
+				s.newRequest()
+				body, rest := io.Pipe()
+				go func() {
+					_ = now.Sleep(t.Context(), c.endMs)
+					_ = rest.Close()
+				}()
+				response := responseOf(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), body), -1)
+				response.TransferEncoding = []string{"chunked"}
+				ignore := func() {}
+				from := responseSource{onPart: ignore, onStart: ignore, onBroken: ignore}
+				failed := s.relayStream(from, response, func(error) {})
+				assert.Equal(t, c.complete, failed == nil)
+			})
+		})
+	}
+}
+
 // TestPausingStreamIsCanceledOnlyToGoOn guards against a stream that is broken off because it pauses, although nothing
 // may continue it.
 func TestPausingStreamIsCanceledOnlyToGoOn(t *testing.T) {
