fix(gateway): a panic in a goroutine of the box no longer ends it with all requests

Cause: nothing recovered them.

Change: internal/guard recovers panics once the process has set a handler (without one, programs and tests crash as before). The gateway logs the part, the value and the trace (`part panicked`, `part_panics`) and goes on: an input that panics is dropped (a datagram, a read of the store, after which all keys are read again so that no state is confirmed without its last change, the state of another box, a reload), a part of the box is run again after 0.1 s. After 30 restarts within a minute the state of the process isn't to be trusted: the box drains as on SIGTERM and ends with status 1 (`part lost`). Inputs don't count there, since every box may get the same one.

Evidence: TestPanicIsLoggedAndTheProcessStops fails without the handler (exit status 2 after `starting` and `started`, the trace on standard error only), as do the others by crashing; all pass with -race.

Not changed: fatal errors of the runtime (concurrent map access, no thread) end the process; a part that panics while it holds a lock without a deferred unlock keeps it. dooryard-router sets no handler.

--- a/internal/clock/timer.go
+++ b/internal/clock/timer.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // Timer calls a function after a span of the monotonic time. Go's timers don't count the time
@@ -54,7 +56,7 @@
 	}
 	t.timers.mu.Unlock()
 	if due {
-		t.call()
+		guard.Do("timer", t.call)
 	}
 }
 
--- a/internal/cmd/daemon/process.go
+++ b/internal/cmd/daemon/process.go
@@ -13,6 +13,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/exit"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/logging"
 )
 
@@ -82,7 +83,7 @@
 
 func (h *signalHandler) run(received <-chan os.Signal) {
 	for s := range received {
-		h.handle(s)
+		guard.Do("signal", func() { h.handle(s) })
 	}
 }
 
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -14,6 +14,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/daemon"
 	"dooryard.example/dooryard/internal/gateway"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/osthread"
 	"dooryard.example/dooryard/internal/version"
 	"dooryard.example/dooryard/pkg/config"
@@ -47,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	defer guard.Handle(b.HandlePanic)()
 	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s, processors %d of %d, threads %d",
 		path, os.Getpid(), version.String(), runtime.GOMAXPROCS(0), runtime.NumCPU(), osthread.Count()))
 	if tooFew != nil {
--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -40,6 +40,8 @@
 	// envProcess makes the test binary run as dooryard-gateway.
 	envProcess  = "DOORYARD_TEST_PROCESS"
 	envSettings = "DOORYARD_TEST_SETTINGS"
+	// envPanic makes a part of the box panic at each start.
+	envPanic = "DOORYARD_TEST_PANIC"
 	// eventTimeout is much longer than any event takes.
 	eventTimeout = 60 * time.Second
 )
@@ -61,7 +63,12 @@
 		return New(p, gateway.Adapter{
 			EnvSettings: envSettings, ReadinessPath: "/ready", Dialect: &opaque.Dialect{},
 			Source: func(clock.Clock, func() config.Gateway) gateway.Source {
-				return gateway.Source{Run: func(ctx context.Context, _ gateway.Sink) { <-ctx.Done() }}
+				return gateway.Source{Run: func(ctx context.Context, _ gateway.Sink) {
+					if os.Getenv(envPanic) != "" {
+						panic("broken store")
+					}
+					<-ctx.Done()
+				}}
 			},
 		})
 	})
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -9,6 +9,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/gateway"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -50,10 +51,12 @@
 		case <-reload:
 		case <-ticks:
 		}
-		w.reload(b)
-		if w.tooFewThreads != nil {
-			w.reserveThreads(b)
-		}
+		guard.Do("reload of settings", func() {
+			w.reload(b)
+			if w.tooFewThreads != nil {
+				w.reserveThreads(b)
+			}
+		})
 	}
 }
 
--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // Settings bounds the log's output.
@@ -63,6 +65,9 @@
 	}
 }
 
+// errPanicked is the error of a line whose event could not be encoded.
+var errPanicked = errors.New("panic while a line was written")
+
 // isOfProcess reports whether an event is about the process, not about a request or an upstream.
 func isOfProcess(e Event) bool {
 	switch e.(type) {
@@ -169,7 +174,9 @@
 		return
 	}
 	*used++
-	if w.log.writeEntry(e) != nil {
+	err := errPanicked
+	guard.Do("log line", func() { err = w.log.writeEntry(e) })
+	if err != nil {
 		w.log.countDropped(e)
 	}
 }
--- a/internal/exchange/unread.go
+++ b/internal/exchange/unread.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/socket"
 )
 
@@ -345,7 +346,7 @@
 			u.taken = make(chan struct{}, 1)
 		}
 		u.drained = make(chan struct{})
-		go u.drain()
+		guard.Go("unread response", u.drain)
 	}
 	return n, u.drained, nil
 }
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -126,6 +126,7 @@
 	// notesRead is closed once the box has tried to read the notes, or knows that there are none.
 	notesRead  chan struct{}
 	goroutines sync.WaitGroup
+	restarts   *partRestarts
 }
 
 // Option configures a Box in New.
@@ -150,7 +151,7 @@
 		clock: clock.New(), out: out, listen: server.ListenTCP, packets: net.ListenPacket,
 		features: adapter.Features, lengths: work.NewLengths(),
 		metrics: NewMetrics(), synced: make(chan struct{}), confirmed: make(chan struct{}),
-		notesRead: make(chan struct{}),
+		notesRead: make(chan struct{}), restarts: newPartRestarts(),
 	}
 	b.graceEnded, b.endGrace = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -337,22 +338,26 @@
 	b.stalls.observe(b.clock.Monotonic())
 	served, endMetrics := context.WithCancel(background)
 	b.endMetrics = endMetrics
-	b.goroutines.Go(func() { b.serveMetrics(served) })
-	b.goroutines.Go(func() { b.peering.mesh.Run(background) })
-	b.goroutines.Go(func() { b.peering.run(background) })
-	b.goroutines.Go(func() { b.peering.expireAdmissions(background) })
+	b.runPart(served, "metrics", func() { b.serveMetrics(served) })
+	b.runPart(background, "mesh", func() { b.peering.mesh.Run(background) })
+	b.runPart(background, "states of other boxes", func() { b.peering.run(background) })
+	b.runPart(background, "admissions", func() { b.peering.expireAdmissions(background) })
 	b.log.Record(decision.Process{What: "started"})
-	b.goroutines.Go(func() { b.source.Run(background, b.sink.asSink()) })
-	b.goroutines.Go(func() { b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() }) })
-	b.goroutines.Go(func() { b.watchPaths(background) })
-	b.goroutines.Go(func() { b.measureLateness(background) })
-	b.goroutines.Go(func() { b.forwarding.run(background) })
-	b.goroutines.Go(func() { b.crashDetector.run(background) })
-	b.goroutines.Go(func() { b.syncNotes(background) })
+	b.runPart(background, "store", func() { b.source.Run(background, b.sink.asSink()) })
+	b.runPart(background, "housekeeping", func() {
+		b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() })
+	})
+	b.runPart(background, "paths", func() { b.watchPaths(background) })
+	b.runPart(background, "lateness", func() { b.measureLateness(background) })
+	b.runPart(background, "forwarding", func() { b.forwarding.run(background) })
+	b.runPart(background, "crash detector", func() { b.crashDetector.run(background) })
+	b.runPart(background, "notes", func() { b.syncNotes(background) })
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 		b.log.Record(decision.Process{What: "listener lost", Note: err.Error()})
+	case err = <-b.restarts.tooMany:
+		b.log.Record(decision.Process{What: "part lost", Note: err.Error()})
 	}
 	err = errors.Join(err, b.stop(background))
 	b.closeListeners()
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -9,6 +9,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/pipe/dispatch"
 	"dooryard.example/dooryard/internal/quarantine"
@@ -141,14 +142,10 @@
 		case o := <-d.observed:
 			switch {
 			case o.Evidence == dispatch.ConnectionRefused && d.hasSuspects(o.Member.ID):
-				probing.Go(func() {
-					if !d.box.refusedByOthers(ctx, o.Member) {
-						d.handleCrash(o.Member.ID, "", true)
-					}
-				})
+				probing.Go(func() { guard.Do("check of an upstream", func() { d.checkRefusal(ctx, o) }) })
 			case o.Evidence == dispatch.ConnectionRefused:
 			case d.addSuspect(o):
-				probing.Go(func() { d.probeUpstream(ctx, o) })
+				probing.Go(func() { guard.Do("probe of an upstream", func() { d.probeUpstream(ctx, o) }) })
 			}
 		case <-ctx.Done():
 			return
@@ -156,6 +153,13 @@
 	}
 }
 
+// checkRefusal handles the crash of an upstream that refuses connections, unless its whole host is gone.
+func (d *crashDetector) checkRefusal(ctx context.Context, o dispatch.Observation) {
+	if !d.box.refusedByOthers(ctx, o.Member) {
+		d.handleCrash(o.Member.ID, "", true)
+	}
+}
+
 // hasSuspects reports whether requests may have crashed an upstream.
 func (d *crashDetector) hasSuspects(id string) bool {
 	d.mu.Lock()
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -9,6 +9,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/opaque"
@@ -117,7 +118,7 @@
 	f.box.clock.Every(ctx, reachabilityIntervalMs, func(clock.Millis) {
 		f.box.pauseDetector.check()
 		for _, client := range f.box.balance.ReachabilityProbes() {
-			probing.Go(func() { client.ProbeReachable(ctx) })
+			probing.Go(func() { guard.Do("reachability probe", func() { client.ProbeReachable(ctx) }) })
 		}
 		f.stalled.check(ctx, &probing)
 		f.recordUnreachable(f.box.balance.Unreachable())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -49,6 +49,9 @@
 // HandlerPanicked counts a panic while a request was served.
 func (m *Metrics) HandlerPanicked() { m.all.Add("handler_panics", 1) }
 
+// PartPanicked counts a panic outside of the handlers of requests.
+func (m *Metrics) PartPanicked() { m.all.Add("part_panics", 1) }
+
 // ListenerFailed counts an error of a listener's socket.
 func (m *Metrics) ListenerFailed() { m.all.Add("listener_errors", 1) }
 
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -7,6 +7,7 @@
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/upstream"
 )
 
@@ -30,7 +31,7 @@
 		paused := now-lastMs > pathCheckIntervalMs+checkDelayThresholdMs
 		lastMs = now
 		for _, probe := range b.balance.Probes(b.peering.mesh.DomainPingIntervals(), paused) {
-			probing.Go(func() { b.probe(ctx, probe) })
+			probing.Go(func() { guard.Do("probe of a path", func() { b.probe(ctx, probe) }) })
 		}
 	})
 }
@@ -76,7 +77,11 @@
 func anyOf(clients []*upstream.Client, check func(c *upstream.Client) bool) bool {
 	results := make(chan bool, len(clients))
 	for _, client := range clients {
-		go func() { results <- check(client) }()
+		go func() {
+			succeeded := false
+			guard.Do("check of an upstream", func() { succeeded = check(client) })
+			results <- succeeded
+		}()
 	}
 	for range clients {
 		if <-results {
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -9,6 +9,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/position"
 	"dooryard.example/dooryard/internal/relay"
@@ -118,7 +119,7 @@
 	for {
 		select {
 		case a := <-p.peerStates:
-			p.applyPeerState(ctx, a)
+			guard.Do("state of another box", func() { p.applyPeerState(ctx, a) })
 		case <-ctx.Done():
 			return
 		}
--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -8,6 +8,7 @@
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/upstream"
@@ -45,17 +46,17 @@
 func (s *stalledPools) check(ctx context.Context, running *sync.WaitGroup) {
 	for _, silent := range s.box.balance.SilentPools() {
 		if s.isDue(silent.Pool) {
-			running.Go(func() { s.ask(ctx, silent) })
+			running.Go(func() { guard.Do("question about a pool", func() { s.ask(ctx, silent) }) })
 		}
 	}
 	for _, silent := range s.box.balance.SilentMembers() {
 		if path := s.box.healthPath(silent.Pool); path != "" {
-			running.Go(func() { s.checkMember(ctx, silent, path) })
+			running.Go(func() { guard.Do("health check", func() { s.checkMember(ctx, silent, path) }) })
 		}
 	}
 	for pool := range s.box.balance.StalledPools() {
 		if s.isDue(pool) {
-			running.Go(func() { s.probe(ctx, pool) })
+			running.Go(func() { guard.Do("probe of a pool", func() { s.probe(ctx, pool) }) })
 		}
 	}
 }
--- a/internal/inbound/linger.go
+++ b/internal/inbound/linger.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 )
 
 const (
@@ -41,7 +42,7 @@
 		c.lingering.Store(false)
 		return false
 	}
-	go c.discard()
+	guard.Go("lingering connection", c.discard)
 	return true
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/admission"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/occupancy"
 	"dooryard.example/dooryard/internal/pace"
@@ -220,8 +221,10 @@
 	var running sync.WaitGroup
 	running.Go(func() { m.receive(ctx) })
 	for {
-		m.round()
-		m.renewAdmissions()
+		guard.Do("gossip round", func() {
+			m.round()
+			m.renewAdmissions()
+		})
 		if m.clock.Sleep(ctx, m.Period()) != nil {
 			break
 		}
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/namekey"
 	"dooryard.example/dooryard/internal/streams"
 )
@@ -158,11 +159,13 @@
 // resends returns a channel that gets a value each time a question is to be repeated, until the context ends.
 func (m *Mesh) resends(ctx context.Context) <-chan struct{} {
 	resend := make(chan struct{})
-	go m.clock.Every(ctx, originResendMs, func(clock.Millis) {
-		select {
-		case resend <- struct{}{}:
-		case <-ctx.Done():
-		}
+	guard.Go("questions about streams", func() {
+		m.clock.Every(ctx, originResendMs, func(clock.Millis) {
+			select {
+			case resend <- struct{}{}:
+			case <-ctx.Done():
+			}
+		})
 	})
 	return resend
 }
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // receiveBackoffMs is the wait after a failed receive.
@@ -27,7 +28,7 @@
 			}
 			continue
 		}
-		m.process(buffer[:n], from)
+		guard.Do("datagram of another box", func() { m.process(buffer[:n], from) })
 	}
 }
 
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/socket"
 )
 
@@ -60,7 +61,7 @@
 	d := &dialing{}
 	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, dialingKey{}, d))
 	defer cancel(nil)
-	go func() {
+	guard.Go("timeout of a connection", func() {
 		ticker := time.NewTicker(timeoutMs.Duration())
 		defer ticker.Stop()
 		for {
@@ -73,7 +74,7 @@
 				}
 			}
 		}
-	}()
+	})
 	conn, err := dial(ctx, "tcp", address)
 	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 	"strconv"
 	"sync/atomic"
+
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // Request is an opaque request. Header holds all headers except Host and Content-Length.
@@ -93,12 +95,12 @@
 	if n, err := rt.conn.Write(head); err != nil {
 		return sendError(n, err)
 	}
-	go func() {
+	guard.Go("body of a request", func() {
 		_, err := rt.conn.Write(rt.request.Body)
 		// A write error needs no handling here: either reading the response fails too, or the
 		// upstream responded before it read the whole body.
 		rt.written.Store(err == nil)
-	}()
+	})
 	return nil
 }
 
