--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -38,7 +38,7 @@
 	s.attempts++
 	s.forgetAttempt()
 	s.attemptStartedMs = s.pipe.deps.Clock.Monotonic()
-	s.request.Upstream, s.request.Framing = lease.ID, ""
+	s.request.Upstream, s.request.Framing, s.request.End = lease.ID, "", ""
 	s.logPicked(lease)
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
@@ -110,7 +110,8 @@
 	span clock.Millis, helps func(span clock.Millis) bool, cancel context.CancelCauseFunc,
 ) *retryTimer {
 	return startRetryTimer(s.pipe.deps.Clock, span,
-		func() bool { return !s.responseWaits() && helps(span) }, func() { cancel(errTimeout) })
+		func() bool { return !s.responseWaits() && helps(span) },
+		func() bool { return s.cancelToRetry(errTimeout, cancel) })
 }
 
 // responseWaits reports whether the response of the latest attempt, or its next part, waits to be read. A process that
@@ -125,7 +126,21 @@
 func (s *retryLoop) retryHelps(span clock.Millis) bool {
 	// The pauses of a stream may be shorter than the time to its first byte.
 	span = max(span, firstByteTimeoutFactor*s.request.Route.ObjectiveMs)
-	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span)
+	return s.budgetAllowsRetry(span) && s.pipe.deps.RespondsWithin(s.request.Pool, span) && !s.tooLate(s.retryTimeMs())
+}
+
+// tooLate reports whether upstreams need more time for a response than is left.
+func (s *retryLoop) tooLate(leftMs clock.Millis) bool {
+	return leftMs <= 0 || s.pipe.deps.NoneWithin(s.request.Pool, leftMs)
+}
+
+// retryTimeMs is remainingMs for timers, which run beside the goroutine that writes the response.
+func (s *retryLoop) retryTimeMs() clock.Millis {
+	untilMs := s.request.RespondByMs
+	if s.responding.Load() {
+		untilMs = s.request.DeadlineMs
+	}
+	return untilMs - s.pipe.deps.Clock.Monotonic()
 }
 
 // anotherHelps returns a function that reports whether another upstream may receive the request now, and would likely
@@ -171,7 +186,7 @@
 	}
 	lease.OnPartition(func() {
 		if mayContinue := s.mayContinue.Load(); mayContinue == nil || (*mayContinue)() {
-			cancel(errPathDown)
+			s.cancelToRetry(errPathDown, cancel)
 		}
 	})
 }
@@ -226,9 +241,10 @@
 	}
 }
 
-// isNoUpstreamFault reports whether an error says nothing about the upstream, since its response was not read in time.
+// isNoUpstreamFault reports whether an error says nothing about the upstream, since its response was not read in time
+// or may be complete.
 func isNoUpstreamFault(err error) bool {
-	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault)
+	return errors.Is(err, errResponseMemory) || errors.Is(err, errCallerFault) || errors.Is(err, errEndUnconfirmed)
 }
 
 // logPicked logs the selected upstream and counts the prompt tokens that it has to process.
@@ -320,8 +336,8 @@
 	onStart func()
 	// onBroken is called when a stream breaks.
 	onBroken func()
-	// mayHaveCrashed reports whether the source may have crashed that has closed a connection in order.
-	mayHaveCrashed func() bool
+	// survival returns what is known of the source once it has closed a connection in order.
+	survival func() upstream.Survival
 	// isFinal is set if no failure in a response may be retried, because the source has done so.
 	isFinal bool
 }
@@ -337,12 +353,12 @@
 
 func upstreamSource(s *retryLoop, lease *balance.Lease) responseSource {
 	return responseSource{
-		origin:         originOf(lease),
-		recordsOrigin:  true,
-		onPart:         lease.RecordContact,
-		onStart:        lease.RecordFirstEvent,
-		onBroken:       lease.RecordBrokenStream,
-		mayHaveCrashed: func() bool { return s.pipe.deps.MayHaveCrashed(s.ctx, lease, s.attemptStartedMs) },
+		origin:        originOf(lease),
+		recordsOrigin: true,
+		onPart:        lease.RecordContact,
+		onStart:       lease.RecordFirstEvent,
+		onBroken:      lease.RecordBrokenStream,
+		survival:      func() upstream.Survival { return s.pipe.deps.Survival(s.ctx, lease, s.attemptStartedMs) },
 	}
 }
 
@@ -363,19 +379,6 @@
 	}
 }
 
-// errEndUnknown means that a response without length or chunks is not known to be complete.
-var errEndUnknown = fmt.Errorf("%w: response has no length, and its upstream may have crashed", upstream.ErrBroken)
-
-// checkEnd returns an error if a body that was read to its end is not known to be complete. A crashed
-// upstream closes its connections in order, which looks the same as the end of a body that has neither
-// a length nor chunks. A response to HEAD has no body.
-func checkEnd(from responseSource, resp *upstream.Response) error {
-	if resp.Framing() != upstream.ByConnection || resp.Body == http.NoBody || !from.mayHaveCrashed() {
-		return nil
-	}
-	return errEndUnknown
-}
-
 func isEventStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"dooryard.example/dooryard/internal/guard"
+	"dooryard.example/dooryard/internal/headcheck"
 )
 
 // Request is an opaque request. Header holds all headers except Host and Content-Length.
@@ -113,17 +114,18 @@
 	return err
 }
 
-// receive reads the header of the response. It skips interim (1xx) responses except 101, and at most
-// maxMismatched responses to other requests, which a reused connection may still deliver.
+// receive reads the header of the response. It skips interim (1xx) responses, and at most maxMismatched responses to
+// other requests, which a reused connection may still deliver.
 func (rt *roundTrip) receive() (*Response, error) {
 	mismatched := 0
+	rt.conn.headBytes = 0
 	for {
 		response, err := rt.readHead() //nolint:bodyclose // It is read to its end, or closed with the connection.
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		switch {
-		case response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols:
+		case response.StatusCode < http.StatusOK:
 		case rt.request.Matches(response.Header):
 			return &Response{Response: response, roundTrip: rt}, nil
 		case mismatched == maxMismatched || framing(response) == ByConnection:
@@ -139,8 +141,17 @@
 
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
+	rt.conn.inHead = true
+	recorded := rt.conn.recordOldHead()
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	return response, withoutContent(err)
+	rt.conn.inHead, rt.conn.recording = false, nil
+	if err != nil {
+		return nil, withoutContent(err)
+	}
+	if headcheck.Response(response) != nil || recorded != nil && hasTransferEncoding(*recorded) {
+		return nil, errMalformed
+	}
+	return response, nil
 }
 
 // errMalformed stands for errors that quote what the upstream sent.
@@ -151,7 +162,7 @@
 	var network net.Error
 	switch {
 	case err == nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe),
-		errors.As(err, &network):
+		errors.Is(err, errHeadTooLong), errors.As(err, &network):
 		return err
 	default:
 		return errMalformed
