feat(gateway): connections that are cut write a line and are counted by reason

A report of requests that end without a response had no line of ours. Requests that the pipeline breaks off wrote `request ended`, but connections that end below it (a head that is not complete, bytes that arrive as a connection is closed, a response whose end is never acknowledged, requests in flight when a stop ends) wrote nothing.

Change: the line `connection cut` names the caller, the request processed last, how much of its response was written, whether its end was acknowledged, and a reason; the metrics `connections_cut_REASON` count them, and those that their callers had left, which write no line. `attempt failed` of a stream that the box gave up itself says why ("upstream timed out while a retry was possible"), not only that its connection was closed.

TestCuts has each reason, TestCutConnectionsAreLogged the line.

--- a/internal/decision/callers.go
+++ b/internal/decision/callers.go
@@ -51,3 +51,36 @@
 	o.AddInt64("limit_bytes", e.LimitBytes)
 	return nil
 }
+
+// ConnectionCut records that the box closed a connection before all requests on it had a response.
+type ConnectionCut struct {
+	// Request is the request that was processed last, if any.
+	Request string
+	// Caller is the address of the caller, and Listener the name of the listener.
+	Caller, Listener string
+	// Reason is what the connection had then: head_incomplete, unread, no_response, response_incomplete or
+	// unacknowledged.
+	Reason string
+	// SentBytes is how much of the response was written. Outstanding is set if the caller's machine has not acknowledged
+	// all of it, and Reset if the connection is not closed in order.
+	SentBytes          int64
+	Outstanding, Reset bool
+}
+
+// Name implements Event.
+func (ConnectionCut) Name() string { return "connection cut" }
+
+// Routine implements Event.
+func (ConnectionCut) Routine() bool { return false }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e ConnectionCut) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	addIfSet(o, "request", e.Request)
+	o.AddString("caller", e.Caller)
+	o.AddString("listener", e.Listener)
+	o.AddString("reason", e.Reason)
+	o.AddInt64("sent_bytes", e.SentBytes)
+	o.AddBool("outstanding", e.Outstanding)
+	o.AddBool("reset", e.Reset)
+	return nil
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/pkg/config"
@@ -203,7 +204,7 @@
 
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
 	h := b.newServer(s.handler)
-	options := []inbound.Option{}
+	options := []inbound.Option{inbound.WithCuts(func(c inbound.Cut) { b.recordCut(s.name, c) })}
 	if s.name == callersSocket {
 		// A box that ends its side of a connection has left.
 		options = append(options, inbound.WithHeldEnds(), inbound.WithTimeouts(b.callerTimeouts))
@@ -222,6 +223,18 @@
 	})
 }
 
+// recordCut records that a connection was closed before all requests on it had a response.
+func (b *Box) recordCut(listener string, c inbound.Cut) {
+	b.metrics.ConnectionCut(string(c.Reason))
+	if c.Reason == inbound.CallerLeft {
+		return
+	}
+	b.log.Record(decision.ConnectionCut{
+		Request: c.Request, Caller: c.Caller, Listener: listener, Reason: string(c.Reason), SentBytes: c.SentBytes,
+		Outstanding: c.Outstanding, Reset: c.Reset,
+	})
+}
+
 func (b *Box) newServer(handler http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -73,6 +73,9 @@
 // RequestsCut counts the requests that outlasted the grace period of a stop, also those that got a response then.
 func (m *Metrics) RequestsCut(count int64) { m.all.Add("requests_cut_at_stop", count) }
 
+// ConnectionCut counts a connection that was closed before all requests on it had a response.
+func (m *Metrics) ConnectionCut(reason string) { m.all.Add("connections_cut_"+reason, 1) }
+
 // BrittleRejection counts a rejection by an upstream that is brittle.
 func (m *Metrics) BrittleRejection() { m.all.Add("brittle_rejections", 1) }
 
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -126,6 +126,7 @@
 	}
 	b.requests.Add(1)
 	defer b.requests.Add(-1)
+	inbound.ConnOf(r.Context()).BeginRequest(r.ID)
 	panicked := true
 	defer func() {
 		if panicked {
@@ -145,6 +146,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	inbound.ConnOf(r.Context()).EndResponse(r.Writer.FlushNow)
+	inbound.ConnOf(r.Context()).EndRequest()
 }
 
 // answerPanic responds to a request whose processing panicked, unless a response has begun. The server then logs the
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -85,6 +85,8 @@
 
 	arrivals arrivals
 
+	pending pending
+
 	ahead readAhead
 	// aheadBytes is how much ahead holds, and bodyBytes how much of the body of a request was not read.
 	aheadBytes, bodyBytes atomic.Int64
@@ -171,6 +173,7 @@
 		return 0, net.ErrClosed
 	}
 	n, err := c.write(data[sent:])
+	c.pending.sentBytes.Add(int64(sent + n))
 	if err != nil {
 		c.framing = framing{stage: unknownPart}
 		return sent + n, err
@@ -191,6 +194,8 @@
 	c.quietSinceMs.Store(int64(now))
 	c.keptUnread.Store(false)
 	c.arrivals.recordIdle()
+	c.pending.sentBytes.Store(0)
+	c.pending.handled.Store(false)
 	c.state.Store(connIdle)
 	c.listener.handleIdle(c)
 }
@@ -228,6 +233,7 @@
 
 // Close closes the connection, at once or after it has lingered, or resets it if a response on it was broken off.
 func (c *Conn) Close() error {
+	c.reportCut()
 	if !c.broken.Load() && c.linger() {
 		return nil
 	}
@@ -236,6 +242,7 @@
 
 func (c *Conn) closeNow() error {
 	defer c.release()
+	c.reportCut()
 	c.endHold()
 	if c.broken.Load() {
 		upstream.ResetOnClose(c.Conn)
--- a/internal/inbound/linger.go
+++ b/internal/inbound/linger.go
@@ -62,6 +62,7 @@
 		}
 		discarded += n
 	}
+	c.reportUnacknowledged()
 	// The caller has the response or was waited for, whatever the error.
 	_ = c.closeNow()
 }
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -35,6 +35,8 @@
 	clock     clock.Clock
 	kernel    *socket.Kernel
 	evictions *Evictions
+	// onCut is set by WithCuts, or nil.
+	onCut func(c Cut)
 	// holdsEnds is set by WithHeldEnds.
 	holdsEnds bool
 	// timeouts is set by WithTimeouts, or nil.
--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -41,6 +41,7 @@
 }
 
 func (c *Conn) trackRequest(r *http.Request) {
+	c.pending.handled.Store(true)
 	if r.ContentLength > 0 {
 		// Without a body, the server already reads ahead.
 		c.bodyBytes.Store(r.ContentLength)
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -193,10 +193,7 @@
 
 // failWithoutResponse releases the lease of an attempt that got no response and returns its failure.
 func (s *retryLoop) failWithoutResponse(lease *balance.Lease, err, cause error) *failure {
-	failed := &failure{err: err, execution: mayHaveRun}
-	if errors.Is(cause, errTimeout) || errors.Is(cause, errPathDown) {
-		failed.err = fmt.Errorf("%w: %w", cause, err)
-	}
+	failed := &failure{err: withCause(err, cause), execution: mayHaveRun}
 	if upstream.NothingSent(err) {
 		failed.execution = notSent
 	} else {
@@ -223,6 +220,14 @@
 	return failed
 }
 
+// withCause adds to the error of an attempt why it was canceled, if that was to retry it.
+func withCause(err, cause error) error {
+	if errors.Is(cause, errTimeout) || errors.Is(cause, errPathDown) {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
+
 // healthResult returns the result of an attempt that got a response, for the upstream's health. An
 // upstream that asks for backoff is healthy: it gets requests again when the requested backoff is
 // over and is not ejected for growing periods.
@@ -364,6 +369,16 @@
 // relay relays a response whose headers have arrived.
 func (s *retryLoop) relay(
 	ctx context.Context, from responseSource, resp *upstream.Response, cancel context.CancelCauseFunc,
+) *failure {
+	failed := s.relayByKind(ctx, from, resp, cancel)
+	if failed != nil {
+		failed.err = withCause(failed.err, context.Cause(ctx))
+	}
+	return failed
+}
+
+func (s *retryLoop) relayByKind(
+	ctx context.Context, from responseSource, resp *upstream.Response, cancel context.CancelCauseFunc,
 ) *failure {
 	switch {
 	case resp.StatusCode != http.StatusOK || !isEventStream(resp.Header):
