feat(why): what became of a request's upstreams after it ended

A stream that was taken for whole has a line that tells by which check (end="upstream_accepts"), but what shows that its upstream had ended comes later: another upstream at the same address, up to a second after it in the store. `dooryard why` ended at the request's last line, so that the next step was a search by hand.

--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -20,6 +20,7 @@
 	Box      string    `json:"box"`
 	Request  string    `json:"request"`
 	Upstream string    `json:"upstream"`
+	Address  string    `json:"address"`
 	// Part is the key of a prompt's part that is held back, and Parts are those of the requests on a crashed upstream.
 	Part  string   `json:"part"`
 	Parts []string `json:"parts"`
@@ -28,7 +29,7 @@
 	Fingerprints []string `json:"fingerprints"`
 	// BackoffMs is how long the logged backoff stays in effect, or 0 if the line logs none.
 	BackoffMs int64 `json:"rest_ms"`
-	// Fields holds the remaining fields as raw JSON. Upstream and BackoffMs are in it, too.
+	// Fields holds the remaining fields as raw JSON. Upstream, Address and BackoffMs are in it, too.
 	Fields map[string]json.RawMessage `json:"-"`
 	raw    []byte
 }
@@ -82,7 +83,9 @@
 // RequestLines returns the lines of a request and the state changes that its boxes logged from the
 // span before its first line up to its last line, ordered by time. Earlier state changes are
 // included if they were still in effect, such as the backoff of an upstream, and, of all boxes, the
-// crashes and quarantines of the request's fingerprint or of the part for which it was held back.
+// crashes and quarantines of the request's fingerprint or of the part for which it was held back. Later
+// ones are included for the same span if they tell what became of one of the request's upstreams, or
+// which upstream has its address.
 func RequestLines(lines []Line, request string, before time.Duration) []Line {
 	own := []Line{}
 	boxes, held := map[string]bool{}, map[string]bool{}
@@ -99,12 +102,16 @@
 	}
 	sortByTime(own)
 	first, last := own[0].Time.Add(-before), own[len(own)-1].Time
+	isNews := newsOf(own, lines)
+	bears := func(line Line) bool {
+		if line.Time.After(last) {
+			return boxes[line.Box] && !line.Time.After(last.Add(before)) && isNews(line)
+		}
+		return boxes[line.Box] && !line.validUntil().Before(first) || line.concerns(held)
+	}
 	story := own
 	for _, line := range lines {
-		if line.Request != "" || line.Time.After(last) {
-			continue
-		}
-		if boxes[line.Box] && !line.validUntil().Before(first) || line.concerns(held) {
+		if line.Request == "" && bears(line) {
 			story = append(story, line)
 		}
 	}
@@ -112,6 +119,28 @@
 	return story
 }
 
+// newsOf returns a function that reports whether a line names an upstream of a request, or the address of one.
+func newsOf(own, lines []Line) func(Line) bool {
+	upstreams, addresses := map[string]bool{}, map[string]bool{}
+	for _, line := range own {
+		upstreams[line.Upstream] = true
+	}
+	for _, line := range lines {
+		if upstreams[line.upstreamID()] {
+			addresses[line.Address] = true
+		}
+	}
+	delete(upstreams, "")
+	delete(addresses, "")
+	return func(line Line) bool { return upstreams[line.upstreamID()] || addresses[line.Address] }
+}
+
+// upstreamID returns the ID of the upstream without its incarnation.
+func (l Line) upstreamID() string {
+	id, _, _ := strings.Cut(l.Upstream, "@")
+	return id
+}
+
 func sortByTime(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
--- a/internal/why/why_test.go
+++ b/internal/why/why_test.go
@@ -53,6 +53,21 @@
 		assert.Equal(t, []string{"b upstream ended", "a prompt part quarantined", "a request ended"}, messages(RequestLines(more, "r3", 0)))
 		assert.Equal(t, []string{"b upstream ended", "a request ended"}, messages(RequestLines(more, "r4", 0)))
 	})
+	t.Run("includes what became of an upstream and of its address after the request ended", func(t *testing.T) {
+		more, err := Read(nil, strings.NewReader(log+
+			`{"time":"2026-01-01T00:00:00Z","msg":"upstream changed","box":"a","upstream":"u1","address":"10.0.0.1:1","state":"taking work"}
+{"time":"2026-01-01T00:00:04Z","msg":"upstream ended","box":"a","upstream":"u1@7"}
+{"time":"2026-01-01T00:00:05Z","msg":"upstream changed","box":"a","upstream":"u2","address":"10.0.0.1:1","state":"taking work"}
+{"time":"2026-01-01T00:00:05Z","msg":"upstream changed","box":"a","upstream":"u3","address":"10.0.0.1:2","state":"taking work"}
+{"time":"2026-01-01T00:00:05Z","msg":"upstream changed","box":"b","upstream":"u1","state":"gone"}
+{"time":"2026-01-01T00:00:07Z","msg":"upstream changed","box":"a","upstream":"u1","state":"gone"}
+`))
+		require.NoError(t, err)
+		story := RequestLines(more, "r1", 3*time.Second)
+		assert.Equal(t, []string{"a upstream ended", "a upstream changed"}, messages(story[len(story)-2:]))
+		assert.Equal(t, "u2", story[len(story)-1].Upstream)
+		assert.Equal(t, "a attempt failed", messages(story)[len(story)-3])
+	})
 	t.Run("returns nothing for an unknown request", func(t *testing.T) {
 		assert.Empty(t, RequestLines(lines, "r9", time.Hour))
 	})
