fix(soak): a process that the run ended before it could receive signals serves nobody

Its next process had been ended by a SIGHUP of the soak before any of its code ran (allowed), and shouldServe took it for one that serves until the next start.

Why the check was wrong: it asks only whether the newest process was asked to stop. A process that a signal of the run ended before the program could receive it is excused as an end already (tooEarly), but its refusals were still counted.

As strict: only an end that tooEarly excuses counts, and only from that end on: until then the process counts as one that serves, so that a refusal before it is measured up to it, and after the next start all is measured as before. Ends by themselves, by later signals and with a status count as before.

--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -119,6 +119,7 @@
 	if status, isStatus := state.Sys().(syscall.WaitStatus); isStatus {
 		e.signal = status.Signal()
 	}
+	i.endedEarly = e.tooEarly()
 	p.exits = append(p.exits, e)
 }
 
--- a/internal/soak/overlaps.go
+++ b/internal/soak/overlaps.go
@@ -156,11 +156,12 @@
 	}
 }
 
-// shouldServe reports whether the most recently started process was not asked to stop and had the time to start.
+// shouldServe reports whether the most recently started process was not asked to stop and had the time to start. Once
+// the run has ended one that could not receive signals yet, nothing serves until the next start.
 func (p *process) shouldServe(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.asked.terminated.IsZero() && !p.asked.killed && now.Sub(p.started) > startSpan
+	return !p.endedEarly && p.asked.terminated.IsZero() && !p.asked.killed && now.Sub(p.started) > startSpan
 }
 
 // threadTimes are the threads of a box. The kernel counts a wait for a processor once it has ended.
--- a/internal/soak/overlaps_test.go
+++ b/internal/soak/overlaps_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -78,6 +79,49 @@
 	assert.Empty(t, p.findings())
 }
 
+// TestProcessEndedBeforeItReceivesSignalsServesNobody guards against refusals that count for a next process which the run
+// itself has ended, and against other ends that excuse them.
+func TestProcessEndedBeforeItReceivesSignalsServesNobody(t *testing.T) {
+	for _, c := range []struct {
+		name, next string
+		signal     syscall.Signal
+		late       bool
+		serves     bool
+	}{
+		{"a signal before it can receive any", ":", syscall.SIGHUP, false, false},
+		{"a signal that it should have received", ":", syscall.SIGHUP, true, true},
+		{"a signal that it receives", "trap 'exit 3' HUP", syscall.SIGHUP, false, true},
+		{"an end by itself", "exit 1", 0, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			isNext := "if [ ! -e \"$0.first\" ]; then : > \"$0.first\"; echo first; else\n"
+			p := startScript(t, isNext+c.next+"\nfi"+waitForSignal)
+			first := p.current()
+			require.NoError(t, p.startBeside(first))
+			next, later := p.current(), time.Now().Add(startSpan+time.Hour)
+			assert.True(t, p.shouldServe(later), "until it has ended")
+			if strings.HasPrefix(c.next, "trap") {
+				require.Eventually(t, func() bool {
+					return hasSignal(next.command.Process.Pid, c.signal, "SigCgt")
+				}, time.Minute, time.Millisecond)
+			}
+			if c.late {
+				p.mu.Lock()
+				next.started = next.started.Add(-earlySpan)
+				p.mu.Unlock()
+			}
+			if c.signal != 0 {
+				require.NoError(t, p.signalTo(next, c.signal))
+			}
+			<-next.exited
+			assert.Equal(t, c.serves, p.shouldServe(later))
+			require.NoError(t, p.start())
+			assert.False(t, p.shouldServe(p.started.Add(startSpan)))
+			assert.True(t, p.shouldServe(p.started.Add(startSpan+time.Millisecond)), "the next start")
+		})
+	}
+}
+
 // TestFindsRefusedConnections guards against a next process that takes over late.
 func TestFindsRefusedConnections(t *testing.T) {
 	const ms = time.Millisecond
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -58,6 +58,8 @@
 	// output is the reading side of the process's standard output. wrote is set once the process has written to it.
 	output *os.File
 	wrote  bool
+	// endedEarly is set once a signal has ended the process that was sent before the program could receive it.
+	endedEarly bool
 	// throttled is set while a quota of processor time is in force. withheld is for how long quotas have kept the
 	// process from running.
 	throttled bool
