fix(upstream): refuse responses whose head has a folded line

Callers got a body that was not the upstream's: a field that is sent behind a blank at the beginning of its line (" Transfer-Encoding: chunked", "\tContent-Length: 4") is taken by net/http for a part of the field before it. Chunks were then passed on undecoded as a body that ends with the connection, and bytes behind a length were passed on as a part of the body. The check of field names sees only blanks behind and within a name.

The beginnings of lines are checked on the raw head, as the transfer encoding of HTTP/1.0 was. RFC 9112, 5.2 lets a gateway refuse such a response.

Four cases of TestMalformedHeads fail without the change (whole responses "body and more", undecoded chunks). Its servers now close the connection after the response, so that a body without an end fails the test at once and not by its timeout.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -26,8 +26,8 @@
 	// inHead is set while heads of responses are read, of which headBytes were read since the request.
 	inHead    bool
 	headBytes int
-	// recording receives what is read while the head of a response of HTTP/1.0 is read.
-	recording *[]byte
+	// head is the head of the response that is read.
+	head rawHead
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
 	// openedMs is the monotonic time at which the connection was open at the latest.
@@ -58,8 +58,8 @@
 	if c.inHead {
 		c.headBytes += n
 	}
-	if c.recording != nil {
-		*c.recording = append(*c.recording, data[:n]...)
+	if c.head.recorded != nil {
+		c.head.recorded = append(c.head.recorded, data[:n]...)
 	}
 	return n, err
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -61,24 +61,37 @@
 		"control byte in a value":       "HTTP/1.1 200 OK\r\n" + id + "X: \x01\r\nContent-Length: 0\r\n\r\n",
 		"chunks behind a blank":         "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding : chunked\r\n" + body,
 		"length behind a blank":         "HTTP/1.1 200 OK\r\n" + id + "Content-Length : 4\r\n\r\nbody and more",
+		"folded chunks":                 "HTTP/1.1 200 OK\r\n" + id + "X: 1\r\n Transfer-Encoding: chunked\r\n" + body,
+		"folded length":                 "HTTP/1.1 200 OK\r\n" + id + "X: 1\n\tContent-Length: 4\n\nbody and more",
+		"folded length, long head":      "HTTP/1.1 200 OK\r\n" + id + filler + " Content-Length: 4\r\n\r\nbody and more",
+		"folded chunks of HTTP/1.0":     "HTTP/1.0 200 OK\r\n" + id + "X: 1\r\n Transfer-Encoding: chunked\r\n" + body,
 		"chunks of HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n" + body,
 		"chunks of HTTP/1.0, long head": "HTTP/1.0 200 OK\r\n" + id + filler + "transfer-encoding: chunked\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := readAll(t, startUpstream(t, respondEach(response)).client(), request("1"))
+			_, err := readAll(t, startUpstream(t, respondAndClose(response)).client(), request("1"))
 			require.ErrorIs(t, err, ErrBroken)
 		})
 	}
-	t.Run("a response of HTTP/1.0 without chunks is sound", func(t *testing.T) {
-		s := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
-			_, _ = http.ReadRequest(requests)
-			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n"+id+filler+"\r\nTransfer-Encoding: body")
-			_ = conn.Close()
+	for _, head := range []string{"HTTP/1.0 200 OK\r\n" + id, "HTTP/1.1 200 OK\n" + id + filler} {
+		t.Run("a response whose body looks like a malformed head is sound", func(t *testing.T) {
+			s := startUpstream(t, respondAndClose(head+"\r\nTransfer-Encoding: body\r\n folded"))
+			got, err := readAll(t, s.client(), request("1"))
+			require.NoError(t, err)
+			assert.Equal(t, "Transfer-Encoding: body\r\n folded", got)
 		})
-		got, err := readAll(t, s.client(), request("1"))
-		require.NoError(t, err)
-		assert.Equal(t, "Transfer-Encoding: body", got)
-	})
+	}
+}
+
+// respondAndClose sends a raw response to one request and closes the connection.
+func respondAndClose(response string) func(conn net.Conn, requests *bufio.Reader) {
+	return func(conn net.Conn, requests *bufio.Reader) {
+		if r, err := http.ReadRequest(requests); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		_, _ = io.WriteString(conn, response)
+		_ = conn.Close()
+	}
 }
 
 // TestEndlessHeads guards against heads that an upstream never ends and that fill the memory of the box.
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -141,13 +141,14 @@
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
 	rt.conn.inHead = true
-	recorded := rt.conn.recordOldHead()
+	head := rt.conn.startHead()
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	rt.conn.inHead, rt.conn.recording = false, nil
+	rt.conn.inHead = false
+	isFaulty := head.isFaulty()
 	if err != nil {
 		return nil, withoutContent(err)
 	}
-	if headcheck.Response(response) != nil || recorded != nil && hasTransferEncoding(*recorded) {
+	if headcheck.Response(response) != nil || isFaulty {
 		return nil, errMalformed
 	}
 	return response, nil
