fix(upstream): a connection is open only if the kernel says so after its deadline

A deadline that has passed fails a read before the kernel is asked (poll.FD.Read). On a box that was paused between setting the deadline of 1 ms and reading, as by a quota of processor time, a connection that its upstream had closed counted as one that stays open: its process as running on (Client.KeepsConnection), so that a part of a response passed for whole, and a proxy's reset connection as reachable (ProbeReachable).

TestKeepsConnectionAfterPause fails without the change (want false, got true).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -118,7 +118,8 @@
 	// A failure to close has no effect: nothing was sent.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_, err := c.reader.Peek(1)
-	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+	// If the process was paused until the deadline, the read has not asked the kernel.
+	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil && c.reusable()
 }
 
 // keepAliveTimeout returns how long the upstream promises to keep an idle connection open, according
--- a/internal/upstream/outlives_test.go
+++ b/internal/upstream/outlives_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // TestSurvivesClose guards against taking the kernel of a process that is gone, or its successor, for the process.
@@ -118,3 +120,38 @@
 		})
 	}
 }
+
+// pausedConn is a connection whose process is paused after it has set a deadline for reads, until the deadline has passed.
+type pausedConn struct{ *net.TCPConn }
+
+// SetReadDeadline implements net.Conn.
+func (c pausedConn) SetReadDeadline(deadline time.Time) error {
+	if !deadline.IsZero() {
+		deadline = time.Unix(1, 0)
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// TestKeepsConnectionAfterPause guards against a closed connection that counts as open, since a deadline that has passed
+// fails a read before the kernel is asked.
+func TestKeepsConnectionAfterPause(t *testing.T) {
+	for closes, want := range map[bool]bool{true: false, false: true} {
+		s := startUpstream(t, func(net.Conn, *bufio.Reader) {})
+		var raw net.Conn
+		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+			var err error
+			raw, err = (&net.Dialer{}).DialContext(ctx, network, address)
+			return pausedConn{raw.(*net.TCPConn)}, err //nolint:forcetypeassert // It is one.
+		}
+		client := New(s.listener.Addr().String(), func() clock.Millis { return 1 }, WithDial(dial))
+		require.Equal(t, Alive, client.ProbeLiveness(t.Context()))
+		conn := <-s.conns
+		if closes {
+			require.NoError(t, conn.Close())
+			for !socket.System().State(raw).Ended {
+				runtime.Gosched()
+			}
+		}
+		assert.Equal(t, want, client.KeepsConnection(t.Context(), 2))
+	}
+}
