--- a/internal/headcheck/headcheck.go
+++ b/internal/headcheck/headcheck.go
@@ -18,9 +18,9 @@
 	maxStatus = 599
 )
 
-// Response returns an error that wraps ErrMalformed unless the status line and the names of the fields of a response are
-// valid. With a blank in its name, a field that frames the body would count as another one. A response of another major
-// version is not read as it is meant, and a switch of protocols was not asked for.
+// Response returns an error that wraps ErrMalformed unless the status line and the names of the fields of a response
+// are valid. With a blank in its name, a field that frames the body would count as another one. A response of another
+// major version is not read as it is meant, and a switch of protocols was not asked for.
 func Response(r *http.Response) error {
 	switch {
 	case r.ProtoMajor != 1:
