--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -45,6 +45,12 @@
 
 const streamBufferBytes = 4 << 10
 
+// maxEventBytes is the maximum size of an event of a resumable stream, which is held until it is complete.
+const maxEventBytes = 1 << 20
+
+// errEventTooLong means that an event exceeds its limit.
+var errEventTooLong = fmt.Errorf("%w: event exceeds %d bytes", upstream.ErrBroken, maxEventBytes)
+
 // lastEventID returns the ID of the last event that the caller has: of this response, or else the one that the
 // caller sent to take up a stream. It returns "" if there is none.
 func (s *retryLoop) lastEventID() string {
@@ -67,11 +73,11 @@
 
 // startIdleTimeout cancels an attempt whose stream is idle for too long while another upstream may
 // continue it. The caller must call the event function after each read to restart the timeout, and
-// stop at the end.
+// stop at the end. A box that the request was forwarded to does the same itself, and nothing follows its response.
 func (s *retryLoop) startIdleTimeout(from responseSource, cancel context.CancelCauseFunc) (event, stop func()) {
 	r := s.request
 	timeout := streamIdleTimeoutFactor * r.Route.MaxGapMs
-	if !r.Route.Resumable || r.Sent >= r.Route.Attempts || timeout <= 0 {
+	if from.isFinal || !r.Route.Resumable || r.Sent >= r.Route.Attempts || timeout <= 0 {
 		return func() {}, func() {}
 	}
 	timer := s.startRetryTimer(timeout, s.continuationHelps(from), cancel)
@@ -87,11 +93,9 @@
 	if from.origin != nil {
 		next.Version = &from.origin.Version
 	}
-	// A request that was forwarded goes on at another box, which chooses the upstream.
-	forwarded := !from.recordsOrigin
 	return func(span clock.Millis) bool {
 		return s.request.Route.Repeatable() && s.stream.mayGoOn.Load() && !s.pipe.deps.OriginRetracted(s.request) &&
-			s.retryHelps(span) && (forwarded || s.pipe.deps.HasCandidate(next))
+			s.retryHelps(span) && s.pipe.deps.HasCandidate(next)
 	}
 }
 
@@ -120,6 +124,9 @@
 			return &failure{err: writeErr, execution: mayHaveRun}
 		}
 		s.stream.mayGoOn.Store(s.stream.resumable())
+		if len(s.stream.partial) > maxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.finishStream(from, res)
