fix(gateway): upstreams without health checks are told apart by their reports

Callers got a part of a response as a whole one from pools without a health path, and `end unconfirmed` was logged: the upstream had crashed in the midst of a response that ends with its connection, another process accepted connections at its address 0.4 s later, and no other upstream could repeat or continue the response.

An upstream of such a pool is now asked for its report, which runs nothing: 421, another ID or a broken connection shows that it is gone, its own ID that it runs on. A report that isn't answered or names nobody proves nothing, as before.

Evidence: TestUnframedResponseOfReplacedUpstream, "without health checks" (two cases) failed before.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 
@@ -49,10 +50,11 @@
 	}
 }
 
-// askForLife returns a function that asks the process of an upstream for a sign of life, or nil if its pool has no
-// health checks.
+// askForLife returns a function that asks the process of an upstream for a sign of life: by a health check, or else by
+// its report. It returns nil if there is neither.
 func (b *Box) askForLife(lease *balance.Lease) func(ctx context.Context) upstream.Confirmation {
-	path := b.healthPath(lease.Pool)
+	healthPath := b.healthPath(lease.Pool)
+	path := cmp.Or(healthPath, b.dialect.ReportPath)
 	if path == "" {
 		return nil
 	}
@@ -64,13 +66,16 @@
 		status, response := lease.Client().CheckHealth(ctx, path, header)
 		id := response.Get(b.dialect.UpstreamID)
 		switch {
-		case ctx.Err() != nil && status == 0:
+		case status == 0 && ctx.Err() != nil && healthPath == "":
+			// It may have no report.
+			return upstream.FromUnknown
+		case status == 0 && ctx.Err() != nil:
 			return upstream.NoResponse
 		case status == 0:
 			return upstream.BrokenOff
 		case status == http.StatusMisdirectedRequest || id != "" && id != lease.ID:
 			return upstream.FromAnother
-		case id == "" && status == http.StatusOK && b.dialect.UpstreamID != "":
+		case id == "" && (healthPath == "" || status == http.StatusOK && b.dialect.UpstreamID != ""):
 			return upstream.FromUnknown
 		default:
 			return upstream.FromProcess
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -57,6 +57,10 @@
 			w.Header().Set("X-Upstream", f.store.idAt(listener.Addr().String()))
 			return
 		}
+		if r.URL.Path == reportPath && !u.isDying.Load() {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
 		if r.URL.Path == "/hang" {
 			<-r.Context().Done()
 			return
@@ -409,10 +413,19 @@
 func TestUnframedResponseOfReplacedUpstream(t *testing.T) {
 	for _, c := range []struct {
 		name    string
+		path    string
 		respond http.HandlerFunc
-	}{{"which rejects other requests", rejectOther}, {"which tells its own ID", tellID}} {
+	}{
+		{"which rejects other requests", "/health", rejectOther},
+		{"which tells its own ID", "/health", tellID},
+		{"which rejects other requests, without health checks", "", rejectOther},
+		{"which tells its own ID, without health checks", "", tellID},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
+				state := content(2)
+				state.Pools[0].HealthPath = c.path
+				f.store.setState(f.t, state)
 				var answered atomic.Bool
 				u := f.unframed("u1", &answered, "text/plain", "do", "done", closed)
 				u.beforeEnd = func() { u.replaceBy(f, "u1", c.respond) }
@@ -433,6 +446,8 @@
 		respond          http.HandlerFunc
 	}{
 		{"no health checks", "", rejectOther},
+		{"no health checks, and reports tell nothing", "", func(http.ResponseWriter, *http.Request) {}},
+		{"no health checks, and reports are not answered", "", hang},
 		{"health checks are rejected", "/health", rejectOther},
 		{"health checks tell another ID", "/health", tellID},
 		{"health checks are reset", "/health", resetAll},
