--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -26,8 +26,8 @@
 	// inHead is set while heads of responses are read, of which headBytes were read since the request.
 	inHead    bool
 	headBytes int
-	// recording receives what is read while the head of a response of HTTP/1.0 is read.
-	recording *[]byte
+	// head is the head of the response that is read.
+	head rawHead
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
 	// openedMs is the monotonic time at which the connection was open at the latest.
@@ -58,8 +58,8 @@
 	if c.inHead {
 		c.headBytes += n
 	}
-	if c.recording != nil {
-		*c.recording = append(*c.recording, data[:n]...)
+	if c.head.recorded != nil {
+		c.head.recorded = append(c.head.recorded, data[:n]...)
 	}
 	return n, err
 }
@@ -118,7 +118,8 @@
 	// A failure to close has no effect: nothing was sent.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_, err := c.reader.Peek(1)
-	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+	// If the process was paused until the deadline, the read has not asked the kernel.
+	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil && c.reusable()
 }
 
 // keepAliveTimeout returns how long the upstream promises to keep an idle connection open, according
