fix(gateway): bytes that have arrived and were not read fit into a quarter of the memory

What callers saw: where unread bytes count as memory of the process, a box of 284 MB that gets many long uploads at once is killed without a line, with all its requests.

Cause: the box bounds what it holds itself (a quarter of the memory each for bodies and responses, the garbage collector's limit at 0.7), but the kernel lets the window of each connection grow to megabytes while the box, short of processor time or of memory for bodies, doesn't read it.

Change: the listeners set SO_RCVBUF, which connections inherit, so that the unread bytes of all connections of a listener fit into a quarter of the memory (37 KB each with 284 MB and 4,100 descriptors; at least 16 KB, at most 1 MB). A kernel that refuses it keeps its own limits.

Ruled out as a cause of memory beyond the limit: bursts of connections (135), slow readers of large responses (85), streams (39), half heads (112), in plays of one kind each.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -148,16 +148,17 @@
 func New(settings config.Gateway, adapter Adapter, out io.Writer, options ...Option) (*Box, error) {
 	b := &Box{
 		dialect: adapter.Dialect, readinessPath: adapter.ReadinessPath,
-		clock: clock.New(), out: out, listen: server.ListenTCP, packets: net.ListenPacket,
+		clock: clock.New(), out: out, packets: net.ListenPacket,
 		features: adapter.Features, lengths: work.NewLengths(),
 		metrics: NewMetrics(), synced: make(chan struct{}), confirmed: make(chan struct{}),
 		notesRead: make(chan struct{}), restarts: newPartRestarts(),
 	}
 	b.graceEnded, b.endGrace = context.WithCancel(context.Background())
+	withDefaults := defaults(settings)
+	b.listen = server.ListenBuffered(unreadBytes(withDefaults.Capacity))
 	for _, option := range options {
 		option(b)
 	}
-	withDefaults := defaults(settings)
 	b.settings.Store(&withDefaults)
 	logger, err := logging.New(out, "")
 	if err != nil {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -59,7 +59,13 @@
 	// headerMemoryDivisor is the divisor of the configured memory that yields the part for request headers.
 	headerMemoryDivisor = 2
 	connectionsDivisor  = 2
-	reservedFiles       = 200
+	// unreadMemoryDivisor is the divisor that yields the part for bytes that have arrived and were not read.
+	unreadMemoryDivisor = 4
+	// maxUnreadBytes fill a link of 1 Gbit/s for 8 ms, more than a round trip to nearby callers takes. With
+	// minUnreadBytes an upload still passes 1 MB/s over a round trip of 16 ms.
+	maxUnreadBytes = 1 << 20
+	minUnreadBytes = 16 << 10
+	reservedFiles  = 200
 )
 
 // maxConnections returns the maximum number of connections of a listener.
@@ -67,6 +73,13 @@
 	return max(1, (c.OpenFiles-reservedFiles)/connectionsDivisor)
 }
 
+// unreadBytes returns how many bytes of a connection the kernel may hold that the box has not read. Those of all
+// connections of a listener at once fit into their part of the memory.
+func unreadBytes(c config.Capacity) int {
+	part := c.MemoryMb * mebibyte / unreadMemoryDivisor
+	return min(maxUnreadBytes, max(minUnreadBytes, int(part)/maxConnections(c)))
+}
+
 // headerBytes returns the maximum size of the headers of a request. The headers that arrive on all connections of a
 // listener at once fit into their part of the memory.
 func headerBytes(c config.Capacity) int {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,8 +13,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
@@ -28,7 +31,23 @@
 
 // ListenTCP opens a listener without Multipath TCP, whose sockets can't drop new connections.
 func ListenTCP(network, address string) (net.Listener, error) {
-	c := net.ListenConfig{}
+	return listenTCP(net.ListenConfig{}, network, address)
+}
+
+// ListenBuffered opens listeners as ListenTCP does. The kernel holds at most about this number of bytes of a connection
+// that were not read; otherwise it may hold megabytes of each.
+func ListenBuffered(unreadBytes int) Listen {
+	return func(network, address string) (net.Listener, error) {
+		return listenTCP(net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Connections inherit it. A kernel that refuses it uses its own limits.
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, unreadBytes)
+			})
+		}}, network, address)
+	}
+}
+
+func listenTCP(c net.ListenConfig, network, address string) (net.Listener, error) {
 	c.SetMultipathTCP(false)
 	return c.Listen(context.Background(), network, address) //nolint:wrapcheck // Callers name the listener.
 }
