feat(gateway): memory of the process in metrics, and a line when it nears the limit

A process that is killed for its memory leaves no line; nothing in lines or metrics told its size before.

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -349,6 +349,7 @@
 		b.clock.Every(background, housekeepingIntervalMs, func(clock.Millis) { b.housekeeping() })
 	})
 	b.runPart(background, "paths", func() { b.watchPaths(background) })
+	b.runPart(background, "memory", func() { b.watchMemory(background) })
 	b.runPart(background, "lateness", func() { b.measureLateness(background) })
 	b.runPart(background, "forwarding", func() { b.forwarding.run(background) })
 	b.runPart(background, "crash detector", func() { b.crashDetector.run(background) })
--- a/internal/gateway/panics_test.go
+++ b/internal/gateway/panics_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,14 +31,14 @@
 func TestPanicOutsideOfHandlers(t *testing.T) {
 	t.Run("the part is run again", func(t *testing.T) {
 		runGuarded(t, func(f *fleet, b *running, out *logBuffer) {
-			runs := 0
+			runs := atomic.Int64{}
 			b.runPart(f.t.Context(), "part", func() {
-				if runs++; runs < 3 {
+				if runs.Add(1) < 3 {
 					panic("broken")
 				}
 			})
 			advance(f.t, time.Second)
-			assert.Equal(f.t, 3, runs)
+			assert.EqualValues(f.t, 3, runs.Load())
 			assert.Len(f.t, out.with("part panicked"), 1)
 			assert.Contains(f.t, out.with("part panicked")[0], "panics_test.go")
 			assertStatus(f.t, b, "/safe/", http.StatusOK)
