fix(router): a response that stalls after its head ends in time for a last one

Cause: the timer of the last response was stopped by the head.

The service stand-in can stall between head and body.

--- a/internal/localfleet/deadlines_test.go
+++ b/internal/localfleet/deadlines_test.go
@@ -115,6 +115,14 @@
 			r.send(deadlineRequest("POST /services/"+localfleet.ServiceName+"/x", deadlineMs, "Content-Length: 2\r\n"))
 			r.assertResponse(http.StatusRequestTimeout, deadlineMs-newLeadMs)
 		}, nil},
+		{"to a response that stalls after its head", func(tf *testFleet) {
+			for _, s := range tf.Services() {
+				s.SetFaults(func(f *standin.ServerFaults) { f.DelayMs, f.StallMs = deadlineMs/2, 20*deadlineMs })
+			}
+			r := tf.connect()
+			r.send(call)
+			r.assertResponse(http.StatusGatewayTimeout, deadlineMs-newLeadMs)
+		}, nil},
 		{"of a queue", func(tf *testFleet) {
 			first := tf.connect()
 			first.send(call)
@@ -143,6 +151,15 @@
 			r.send(call)
 			r.assertResponse(http.StatusOK, readyMs)
 		}, nil},
+		{"but a response whose head has just arrived goes on", func(tf *testFleet) {
+			headMs := deadlineMs - newLeadMs - 20
+			for _, s := range tf.Services() {
+				s.SetFaults(func(f *standin.ServerFaults) { f.DelayMs, f.StallMs = headMs, 30 })
+			}
+			r := tf.connect()
+			r.send(call)
+			r.assertResponse(http.StatusOK, headMs+30)
+		}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(tf *testFleet) {
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
@@ -33,11 +32,11 @@
 	}
 	ctx, cancel := context.WithCancel(watch.Context(ctx))
 	defer cancel()
-	due := time.AfterFunc(max(1, x.RemainingMs(p.clock.Monotonic())).Duration(), func() {
+	due := startDue(p.clock, x.RemainingMs(p.clock.Monotonic()), func() {
 		p.onDue(x)
 		cancel()
 	})
-	defer due.Stop()
+	defer due.stop()
 	request, err := p.request(ctx, x, lease)
 	if err != nil {
 		return &failure{cause: err, notRun: true}
@@ -62,7 +61,7 @@
 
 // relay checks a response and relays it to the caller.
 func (p *Pipe) relay(
-	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *time.Timer,
+	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *dueTimer,
 ) *failure {
 	if failed := p.checkResponse(x, lease, response); failed != nil {
 		return failed
@@ -70,9 +69,8 @@
 	if x.Kind == exchange.Chat && isEventStream(response) {
 		return p.stream(ctx, x, lease, response, due)
 	}
-	// The rest of the response arrives soon.
-	due.Stop()
-	return p.relayBuffered(ctx, x, lease, response)
+	due.recordProgress()
+	return p.relayBuffered(ctx, x, lease, response, due)
 }
 
 // request builds the request to the upstream. Its body can be read only once, so that the HTTP
@@ -222,14 +220,14 @@
 
 // relayBuffered relays a response that is not streamed. It buffers the complete response first.
 func (p *Pipe) relayBuffered(
-	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response,
+	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *dueTimer,
 ) *failure {
 	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
 		x.Request.Method != http.MethodHead
 	if endsWithConnection && lease.AddPeerHeaders != nil {
 		return &failure{cause: errNoLength, upstreamFault: true}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := due.read(response.Body, maxResponseBytes+1)
 	if err != nil {
 		return &failure{cause: fmt.Errorf("response truncated: %w", err), upstreamFault: true}
 	}
--- a/internal/pipe/forward/stream.go
+++ b/internal/pipe/forward/stream.go
@@ -50,13 +50,13 @@
 	frame             []byte
 	// ctx ends with the attempt. The timer due ends it unless a response to the caller has begun.
 	ctx context.Context //nolint:containedctx // It belongs to the attempt, like the relay.
-	due *time.Timer
+	due *dueTimer
 }
 
 // stream relays the events of a response. A broken stream is resumed at its offset. If that is
 // not possible, the response to the caller ends with an error event.
 func (p *Pipe) stream(
-	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *time.Timer,
+	ctx context.Context, x *exchange.Exchange, lease *pool.Lease, response *http.Response, due *dueTimer,
 ) *failure {
 	s := &streamRelay{p: p, x: x, lease: lease, eventsHaveOffsets: true, ctx: ctx, due: due}
 	err := s.relayEvents(response.Body)
@@ -120,7 +120,7 @@
 
 // startResponse sends the response headers to the caller.
 func (s *streamRelay) startResponse() {
-	s.due.Stop()
+	s.due.stop()
 	s.x.Outcome = exchange.Ran
 	header := s.x.Writer.Header()
 	header.Set("Content-Type", "text/event-stream")
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -28,6 +29,8 @@
 	DropAnswer bool `json:"drop_answer"`
 	// Fail runs the call, then answers with status 500.
 	Fail bool `json:"fail"`
+	// StallMs is the time between the head of an answer and its body.
+	StallMs clock.Millis `json:"stall_ms"`
 	// NoEcho omits the request's id from the answer.
 	NoEcho bool `json:"no_echo"`
 }
@@ -115,10 +118,26 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	jsonhttp.Write(w, ServiceReply{
+	reply := ServiceReply{
 		Server: s.name, Method: r.Method, Path: r.URL.Path, Target: r.RequestURI, Key: key,
 		Body: string(body), Run: s.ledger.Runs(key),
-	})
+	}
+	if faults.StallMs > 0 {
+		s.stall(w, r, faults.StallMs, reply)
+		return
+	}
+	jsonhttp.Write(w, reply)
+}
+
+// stall writes the head of an answer, and the body some time later.
+func (s *Server) stall(w http.ResponseWriter, r *http.Request, span clock.Millis, reply ServiceReply) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	if http.NewResponseController(w).Flush() != nil || s.clock.Sleep(r.Context(), span) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	// A write error means that the client is gone, so it cannot be reported.
+	_ = json.NewEncoder(w).Encode(reply)
 }
 
 func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
