--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/osthread"
 )
 
@@ -49,6 +50,9 @@
 // HandlerPanicked counts a panic while a request was served.
 func (m *Metrics) HandlerPanicked() { m.all.Add("handler_panics", 1) }
 
+// PartPanicked counts a panic outside of the handlers of requests.
+func (m *Metrics) PartPanicked() { m.all.Add("part_panics", 1) }
+
 // ListenerFailed counts an error of a listener's socket.
 func (m *Metrics) ListenerFailed() { m.all.Add("listener_errors", 1) }
 
@@ -104,6 +108,9 @@
 	m.recordTook(name, tookMs)
 }
 
+// ResponseEnded counts a response that was read to its end, by the check by which it was taken for complete.
+func (m *Metrics) ResponseEnded(check opaque.EndCheck) { m.all.Add("responses_end_"+string(check), 1) }
+
 // ResponseSent counts a response that was sent after its caller's deadline, and records by how much a last response was
 // sent before or after it. A last response was made by the box since the time of the request was over.
 func (m *Metrics) ResponseSent(leadMs clock.Millis, isLast bool) {
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
@@ -16,8 +17,48 @@
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/streams"
+	"dooryard.example/dooryard/internal/upstream"
 )
 
+// TestStreamThatEndsAtTheDeadline guards against the part of a stream that an upstream has made until the deadline, at
+// which it stops in order, and that passes for whole because this process ran late.
+func TestStreamThatEndsAtTheDeadline(t *testing.T) {
+	const deadlineMs clock.Millis = 3000
+	for _, c := range []struct {
+		name     string
+		endMs    clock.Millis
+		complete bool
+	}{
+		{"ends before", deadlineMs - 1, true},
+		{"ends at the deadline", deadlineMs, false},
+		{"ends later", deadlineMs + 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, _ := newLoop(t)
+				s.request.Route = &routing.Route{Kind: routing.Stream}
+				s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
+				s.request.State = &routing.State{}
+				now := clock.New()
+				s.pipe = New(Dependencies{Clock: now, OnEnd: func(opaque.EndCheck) {}})
+				s.request.DeadlineMs = now.Monotonic() + deadlineMs
+				s.newRequest()
+				body, rest := io.Pipe()
+				go func() {
+					_ = now.Sleep(t.Context(), c.endMs)
+					_ = rest.Close()
+				}()
+				response := responseOf(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), body), -1)
+				response.TransferEncoding = []string{"chunked"}
+				ignore := func() {}
+				from := responseSource{onPart: ignore, onStart: ignore, onBroken: ignore}
+				failed := s.relayStream(from, response, func(error) {})
+				assert.Equal(t, c.complete, failed == nil)
+			})
+		})
+	}
+}
+
 // TestPausingStreamIsCanceledOnlyToGoOn guards against a stream that is broken off because it pauses, although nothing
 // may continue it.
 func TestPausingStreamIsCanceledOnlyToGoOn(t *testing.T) {
@@ -53,6 +94,7 @@
 					RecheckKey: func(*opaque.Request) error { return nil },
 					CanRetry:   func(string) bool { return true }, MayRetry: func(string) bool { return true },
 					OnStreamOrigin: func(*opaque.Request) {}, NoneWithin: func(string, clock.Millis) bool { return c.tooLate },
+					OnEnd:          func(opaque.EndCheck) {},
 					RespondsWithin: func(string, clock.Millis) bool { return true },
 					HasCandidate:   func(balance.PickRequest) bool { return yes() },
 				})
@@ -66,7 +108,7 @@
 				response := responseOf(io.MultiReader(strings.NewReader(c.begin), body), -1)
 				from := responseSource{
 					origin: c.origin, recordsOrigin: c.recordsOrigin, isFinal: !c.recordsOrigin, onPart: func() {}, onStart: func() {},
-					onBroken: func() {}, mayHaveCrashed: func() bool { return false },
+					onBroken: func() {}, survival: func() upstream.Survival { return upstream.Responding },
 				}
 				_ = s.relayStream(from, response, cancel)
 				assert.Equal(t, c.canceled, ctx.Err() != nil)
@@ -75,3 +117,35 @@
 		})
 	}
 }
+
+// endlessEvent is a body of one event that never ends, of which it counts the bytes.
+type endlessEvent struct{ bytes int }
+
+// Read implements io.Reader.
+func (e *endlessEvent) Read(data []byte) (int, error) {
+	if e.bytes > 2*maxEventBytes {
+		return 0, io.EOF
+	}
+	for i := range data {
+		data[i] = 'x'
+	}
+	e.bytes += len(data)
+	return len(data), nil
+}
+
+// TestEndlessEventIsNotHeld guards against an event that an upstream never ends and that fills the memory of the box.
+func TestEndlessEventIsNotHeld(t *testing.T) {
+	s, _ := newLoop(t)
+	s.request.Route = &routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 1}
+	s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
+	s.request.State = &routing.State{}
+	s.pipe = New(Dependencies{
+		Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
+		OnStreamOrigin: func(*opaque.Request) {}, OnEnd: func(opaque.EndCheck) {},
+	})
+	body := &endlessEvent{}
+	from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
+	failed := s.relayStream(from, responseOf(body, -1), func(error) {})
+	require.ErrorIs(t, failed.err, errEventTooLong)
+	assert.Less(t, body.bytes, maxEventBytes+2*streamBufferBytes)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -20,16 +21,52 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// failure makes reads fail after a reset that a write was told.
+	failure socket.WriteFailure
+	// inHead is set while heads of responses are read, of which headBytes were read since the request.
+	inHead    bool
+	headBytes int
+	// head is the head of the response that is read.
+	head rawHead
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
+	// openedMs is the monotonic time at which the connection was open at the latest.
+	openedMs clock.Millis
 }
 
-const readBufferBytes = 2048
+const (
+	readBufferBytes = 2048
+	// maxHeadBytes limits the heads of the responses to one request. A box reads hundreds of them at a time.
+	maxHeadBytes = 64 << 10
+)
+
+// errHeadTooLong means that the heads of responses exceed their limit.
+var errHeadTooLong = fmt.Errorf("head of a response exceeds %d bytes", maxHeadBytes)
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	cn := &conn{Conn: c}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn
+}
+
+// Read implements net.Conn. It returns io.EOF only after an orderly end.
+func (c *conn) Read(data []byte) (int, error) {
+	if c.inHead && c.headBytes > maxHeadBytes {
+		return 0, errHeadTooLong
+	}
+	n, err := c.failure.Read(c.Conn, data)
+	if c.inHead {
+		c.headBytes += n
+	}
+	if c.head.recorded != nil {
+		c.head.recorded = append(c.head.recorded, data[:n]...)
+	}
+	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) { return c.failure.Write(c.Conn, data) }
+
 // ResetOnClose makes Close reset a connection. If it fails, the connection is closed in order, as it would be without
 // it.
 func ResetOnClose(c net.Conn) {
@@ -81,7 +118,8 @@
 	// A failure to close has no effect: nothing was sent.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_, err := c.reader.Peek(1)
-	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+	// If the process was paused until the deadline, the read has not asked the kernel.
+	return stop() && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil && c.reusable()
 }
 
 // keepAliveTimeout returns how long the upstream promises to keep an idle connection open, according
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -10,6 +10,9 @@
 	"net/textproto"
 	"strconv"
 	"sync/atomic"
+
+	"dooryard.example/dooryard/internal/guard"
+	"dooryard.example/dooryard/internal/headcheck"
 )
 
 // Request is an opaque request. Header holds all headers except Host and Content-Length.
@@ -93,12 +96,12 @@
 	if n, err := rt.conn.Write(head); err != nil {
 		return sendError(n, err)
 	}
-	go func() {
+	guard.Go("body of a request", func() {
 		_, err := rt.conn.Write(rt.request.Body)
 		// A write error needs no handling here: either reading the response fails too, or the
 		// upstream responded before it read the whole body.
 		rt.written.Store(err == nil)
-	}()
+	})
 	return nil
 }
 
@@ -111,17 +114,18 @@
 	return err
 }
 
-// receive reads the header of the response. It skips interim (1xx) responses except 101, and at most
-// maxMismatched responses to other requests, which a reused connection may still deliver.
+// receive reads the header of the response. It skips interim (1xx) responses, and at most maxMismatched responses to
+// other requests, which a reused connection may still deliver.
 func (rt *roundTrip) receive() (*Response, error) {
 	mismatched := 0
+	rt.conn.headBytes = 0
 	for {
 		response, err := rt.readHead() //nolint:bodyclose // It is read to its end, or closed with the connection.
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		switch {
-		case response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols:
+		case response.StatusCode < http.StatusOK:
 		case rt.request.Matches(response.Header):
 			return &Response{Response: response, roundTrip: rt}, nil
 		case mismatched == maxMismatched || framing(response) == ByConnection:
@@ -137,8 +141,18 @@
 
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
+	rt.conn.inHead = true
+	head := rt.conn.startHead()
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	return response, withoutContent(err)
+	rt.conn.inHead = false
+	isFaulty := head.isFaulty()
+	if err != nil {
+		return nil, withoutContent(err)
+	}
+	if headcheck.Response(response) != nil || isFaulty {
+		return nil, errMalformed
+	}
+	return response, nil
 }
 
 // errMalformed stands for errors that quote what the upstream sent.
@@ -149,7 +163,7 @@
 	var network net.Error
 	switch {
 	case err == nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe),
-		errors.As(err, &network):
+		errors.Is(err, errHeadTooLong), errors.As(err, &network):
 		return err
 	default:
 		return errMalformed
