fix(gateway): a handler that panics leaves nothing behind, and a response of any announced length panics none

What callers saw: an upstream that announces `Content-Length:` made the handler panic (makeslice: cap out of range). Worse, each panic kept the memory of the request's body and the count of the request at its upstream for ever: after some dozen long bodies the box refused all requests (503 box_full) until its next start, and the load of the upstream never went down.

Cause: the length plus one overflowed; and what ends a request (body memory, lease, its line) ran only without a panic.

Change: a length beyond the limit of a response is refused at once, as such responses were before once 16 MiB were read; the lease is released, the body is uncounted and `request ended` is written also after a panic, whose response announces the close.

TestAnnouncedLengthPanicsNoHandler: one panic before, none now. TestHandlerPanicLeavesNothingBehind: 503 from the 6th or so of 32 requests on before, 502 for all of them with `Connection: close`, and 200 once nothing panics.

--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -130,7 +130,7 @@
 	panicked := true
 	defer func() {
 		if panicked {
-			answerPanic(r)
+			b.endPanicked(r)
 		}
 	}()
 	err := b.run(r)
@@ -149,15 +149,21 @@
 	inbound.ConnOf(r.Context()).EndRequest()
 }
 
-// answerPanic responds to a request whose processing panicked, unless a response has begun. The server then logs the
-// panic and closes the connection.
-func answerPanic(r *opaque.Request) {
-	if r.Writer.Started() {
-		return
+var errPanicked = errors.New("handler panicked")
+
+// endPanicked ends a request whose processing panicked, and responds to it unless a response has begun. The server then
+// logs the panic and closes the connection.
+func (b *Box) endPanicked(r *opaque.Request) {
+	b.steps.receive.Done(r)
+	refusal := opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, errPanicked)
+	if !r.Writer.Started() {
+		r.Writer.Header().Set("Connection", "close")
+		refusal.Write(r)
+		// An error means that the caller has disconnected.
+		_ = r.Writer.FlushNow()
+		inbound.ConnOf(r.Context()).EndRequest()
 	}
-	opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, nil).Write(r)
-	// An error means that the caller has disconnected.
-	_ = r.Writer.FlushNow()
+	b.steps.record.Run(r, refusal)
 }
 
 func (b *Box) run(r *opaque.Request) error {
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -80,7 +80,10 @@
 	if s.request.HTTP.Method == http.MethodHead {
 		length = 0
 	}
-	if !s.pipe.deps.Memory.Holds(length + 1) {
+	switch {
+	case length > maxResponseBytes:
+		return nil, 0, errTooLarge
+	case !s.pipe.deps.Memory.Holds(length + 1):
 		return nil, 0, exchange.ErrOverReserve
 	}
 	source := io.Reader(resp)
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -197,7 +197,7 @@
 			lease.Release(balance.Neutral)
 			return s.refuseSend(err)
 		}
-		failed := s.attempt(lease)
+		failed := s.attemptAt(lease)
 		if failed == nil {
 			return nil
 		}
@@ -208,6 +208,12 @@
 	}
 }
 
+// attemptAt makes an attempt, and releases its lease also if it panics.
+func (s *retryLoop) attemptAt(lease *balance.Lease) *failure {
+	defer lease.Release(balance.Neutral)
+	return s.attempt(lease)
+}
+
 // pick selects an upstream. After some failed dials it assumes that this box can't reach the others either.
 func (s *retryLoop) pick() (*balance.Lease, error) {
 	if s.failedDials >= maxFailedDials && s.canForward() {
