--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -24,6 +24,9 @@
 	minUploadBytes   = 10 << 10
 	uploadRangeBytes = 1<<20 - minUploadBytes
 	uploadGapMs      = 8
+	// One request in shortOneIn has a deadline of minDeadlineMs to shortRangeMs more.
+	shortOneIn   = 4
+	shortRangeMs = 1000
 	// endShare is the share of each quotaPeriod for which boxes run.
 	endShare    = 40 * time.Millisecond
 	endQuota    = time.Second
@@ -74,20 +77,11 @@
 	return seal, attempt
 }
 
-// finish records that a server has written a whole response.
-func (e *endings) finish(run *endRun) {
+// complete records how a response of a server ended.
+func (e *endings) complete(recorded *endRun, run endRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	run.finished = time.Now()
-}
-
-// endBeside records that the server of a response ended before that was whole.
-func (e *endings) endBeside(run *endRun, kind endKind) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if kind != "" && run.finished.IsZero() {
-		run.end = kind
-	}
+	*recorded = run
 }
 
 func (e *endings) record(o standin.Outcome) {
@@ -174,7 +168,8 @@
 		return false
 	}
 	last := runs[len(runs)-1]
-	early := last.finished.Before(o.Sent.Add(standin.RouteTimeoutMs*time.Millisecond - soundSpan))
+	timeout := time.Duration(min(o.DeadlineMs, standin.RouteTimeoutMs)) * time.Millisecond
+	early := last.finished.Before(o.Sent.Add(timeout - soundSpan))
 	return last.isSound() && early && disturbing.undisturbed(o.Box, o.Sent.Add(-undisturbedSpan), o.Ended)
 }
 
@@ -303,6 +298,9 @@
 			ID:   fmt.Sprintf("%d-n%d-%d", f.settings.Seed, number, sequence),
 			Kind: kinds[random.IntN(len(kinds))], Key: f.drawKey(random), DeadlineMs: keptDeadlineMs,
 		}
+		if random.IntN(shortOneIn) == 0 {
+			call.DeadlineMs = minDeadlineMs + random.IntN(shortRangeMs)
+		}
 		if random.IntN(uploadOneIn) == 0 {
 			call.BodyBytes, call.Chunked = minUploadBytes+random.IntN(uploadRangeBytes), random.IntN(2) == 0
 			call.BodyGap = drawMs(random, 0, uploadGapMs)
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -90,7 +90,7 @@
 			run := &endRun{ending: ending{status: http.StatusOK}, server: "server-1", life: &endLife{}, finished: start}
 			seal, _ := e.begin("one", run)
 			o := standin.Outcome{
-				Call: standin.Call{ID: "one", Kind: standin.Stream}, Status: http.StatusOK, Complete: true,
+				Call: standin.Call{ID: "one", Kind: standin.Stream, DeadlineMs: keptDeadlineMs}, Status: http.StatusOK, Complete: true,
 				Answer: strings.Join(whole, ""), Seal: seal, Echo: "one", Sent: start, Ended: start,
 			}
 			c.change(&o, run)
--- a/internal/soak/endserver.go
+++ b/internal/soak/endserver.go
@@ -35,8 +35,8 @@
 	// A server reads the rest of a long body less than readOnMs after an early response.
 	readOnMs = 300
 	endGapMs = 800
-	// A response that was whole for soundSpan when its server ended, and soundSpan before the route's timeout, is to be
-	// delivered.
+	// A response that was whole for soundSpan when its server ended, and soundSpan before the caller's deadline and the
+	// route's timeout, is to be delivered.
 	soundSpan = time.Second
 	shortMs   = 40
 	longMs    = 250
@@ -64,6 +64,8 @@
 	endReset      endKind = "reset"
 	endCrash      endKind = "crash"
 	endCrashReset endKind = "crash that resets"
+	// endStopped is the orderly end of a stream at the deadline that the server was handed.
+	endStopped endKind = "stop at the deadline"
 	// endDrained is the end of a server that drained, beside a response.
 	endDrained endKind = "end after a drain"
 )
@@ -91,6 +93,9 @@
 	torn   bool
 	end    endKind
 	pause  time.Duration
+	// deadline is until when the server works on the request, and lateEnd how it ends the response then.
+	deadline time.Time
+	lateEnd  endKind
 }
 
 // drawEnding draws a response of some pieces to a stream or another request.
@@ -370,41 +375,58 @@
 
 // respond responds to a request. It reports whether the connection goes on.
 func (l *endLife) respond(conn *net.TCPConn, r *http.Request) bool {
-	id, expected := r.Header.Get("X-Attempt-Id"), r.Header.Get("X-Expect-Instance")
-	isOther := expected != "" && expected != l.id
-	// Half of the servers tell only by their ids that a check is for another one.
-	if r.Method == http.MethodGet && (!isOther || hashOf(l.id)%2 == 0) {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 2\r\n\r\n{}", l.id)
-		return err == nil
-	}
-	if isOther {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"+
-			"Content-Length: 0\r\n\r\n", id)
-		return err == nil && l.readBody(r, id)
+	id := r.Header.Get("X-Attempt-Id")
+	if expected := r.Header.Get("X-Expect-Instance"); r.Method == http.MethodGet || expected != "" && expected != l.id {
+		return l.respondAtOnce(conn, r, expected)
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	pieces := content(id, kind, after)
-	run := &endRun{server: l.id, after: after, life: l}
-	seal, attempt := l.of.fleet.endings.begin(id, run)
+	recorded := &endRun{server: l.id, after: after, life: l}
+	seal, attempt := l.of.fleet.endings.begin(id, recorded)
+	run := *recorded
+	defer func() { l.of.fleet.endings.complete(recorded, run) }()
 	random := rand.New(rand.NewPCG(l.of.fleet.settings.Seed, hashOf(id)+attempt))
 	isUpload, mayCrash := r.ContentLength != int64(len(id)), time.Since(l.born) > minLife
+	deadlineMs, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		l.of.fleet.endings.report("servers receive a deadline", id, err.Error())
+	}
+	arrived := time.Now()
 	run.ending = drawEnding(random, len(pieces), isStream(kind), isUpload, mayCrash)
+	run.deadline, run.lateEnd = arrived.Add(time.Duration(deadlineMs)*time.Millisecond), endReset
+	if isStream(kind) {
+		run.lateEnd = endStopped
+	}
 	if !run.early && !l.readBody(r, id) {
 		return false
 	}
 	written := run.write(conn, run.head(id, seal, kind, pieces), pieces)
-	if written && l.finish(conn, r, id, run, random) {
+	if written && l.finish(conn, r, id, &run, random) {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !written || run.end == endWhole {
-		l.of.fleet.endings.endBeside(run, l.ended)
+	if l.ended != "" && run.finished.IsZero() && (!written || run.end == endWhole) {
+		// The server ended beside this response.
+		run.end = l.ended
 	}
 	return false
 }
 
+// respondAtOnce responds to a health check, or to a request for another server.
+func (l *endLife) respondAtOnce(conn *net.TCPConn, r *http.Request, expected string) bool {
+	// Half of the servers tell only by their ids that a check is for another one.
+	if r.Method == http.MethodGet && (expected == "" || expected == l.id || hashOf(l.id)%2 == 0) {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 2\r\n\r\n{}", l.id)
+		return err == nil
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"+
+		"Content-Length: 0\r\n\r\n", id)
+	return err == nil && l.readBody(r, id)
+}
+
 // readBody reads the body of a request and checks it. It reports whether it is whole.
 func (l *endLife) readBody(r *http.Request, id string) bool {
 	data, err := io.ReadAll(r.Body)
@@ -466,7 +488,10 @@
 			}
 			piece = piece[:len(piece)/2]
 		}
-		time.Sleep(e.pause)
+		if time.Sleep(min(e.pause, time.Until(e.deadline))); !time.Now().Before(e.deadline) {
+			e.pieces, e.torn, e.end = i, false, e.lateEnd
+			return err == nil
+		}
 		if e.framing == byChunks {
 			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
 		}
@@ -481,14 +506,23 @@
 	return err == nil
 }
 
+// writeEnd writes what marks the end of a response.
+func (e *ending) writeEnd(conn *net.TCPConn) bool {
+	if e.framing != byChunks {
+		return true
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
 // finish ends a response. It reports whether the connection goes on.
 func (l *endLife) finish(conn *net.TCPConn, r *http.Request, id string, run *endRun, random *rand.Rand) bool {
 	switch run.end {
+	case endStopped:
+		run.writeEnd(conn)
 	case endWhole:
-		if run.framing == byChunks {
-			if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
-				return false
-			}
+		if !run.writeEnd(conn) {
+			return false
 		}
 		if run.early {
 			time.Sleep(drawMs(random, 0, readOnMs))
@@ -496,7 +530,7 @@
 				return false
 			}
 		}
-		l.of.fleet.endings.finish(run)
+		run.finished = time.Now()
 		return run.framing != byConnection && run.garbled == ""
 	case endReset:
 		_ = conn.SetLinger(0)
