--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -22,7 +22,7 @@
 	ahead = ahead.plus(u.turnAhead(r, ahead))
 	waitMs := (u.backlogMs(now) + u.prefillMs(ahead)) / (1 - share)
 	waitMs = max(waitMs, u.capacityWaitMs(r, ahead, atAsk, now))
-	return clock.Millis(waitMs + u.prefillMs(prefillOf(r)))
+	return u.firstEventMs(r, waitMs)
 }
 
 // ahead returns the queued work that is expected to be granted before a request, which may itself be queued or not.
--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -9,7 +9,7 @@
 // observe records since when more has been owed than the target, for each urgency. Nothing but waiting asks of the same
 // or a greater urgency and the engine's backlog delays a request. It is called before and after each change.
 func (u *upstream) observe(now clock.Millis) {
-	owed := u.backlogMs(now) > u.pool.objectives.targetMs(now)
+	owed := u.backlogMs(now) > u.targetMs(now)
 	for _, c := range u.queue.classes {
 		owed = owed || c.waiting.requests > 0
 		switch {
@@ -76,7 +76,7 @@
 // into the target together with it, or is done.
 func (u *upstream) drainMs(r *request, startIn, now clock.Millis) clock.Millis {
 	own := u.prefillMs(prefillOf(r))
-	return max(0, startIn-clock.Millis(max(own, u.pool.objectives.targetMs(now))))
+	return max(0, startIn-clock.Millis(u.afterPrefillMs()+max(own, u.targetMs(now))))
 }
 
 // displaces reports whether a request would make a queued ask of its organisation late by going ahead of it, as one of
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -20,6 +20,8 @@
 	ratio      float64
 	// observedMs is when ratio was last observed.
 	observedMs clock.Millis
+	// slowStart is set if the newest start took longer than at the usual pace.
+	slowStart bool
 }
 
 // reportTTLMs is how long a report counts: about as long as a slow spell of a shared machine.
@@ -87,9 +89,17 @@
 	if len(u.backlog.requests) == 0 || !u.pool.times.mayDeny() {
 		return 0
 	}
-	elapsed, usual := float64(now-u.backlog.progressMs), u.pool.times.ms(prefillOf(u.backlog.requests[0]))
+	s := u.backlog.requests[0].sample(u.backlog.progressMs, now)
+	elapsed, usual := s.ms, u.pool.times.startMs(s)
 	if usual <= 0 || elapsed < usual+minOverdueMs || elapsed >= usual+float64(reportTTLMs) {
 		return 0
 	}
 	return elapsed / usual
 }
+
+// suspect reports whether the engine is likely slow at this moment: its longest-waiting prompt is overdue, or its
+// newest start was slow and another prompt is to show whether it still is. Asks without MayQueue are denied then, so
+// that boxes ask other engines first.
+func (u *upstream) suspect(now clock.Millis) bool {
+	return len(u.backlog.requests) > 0 && (u.pace.slowStart || u.overdue(now) > 0)
+}
--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -70,3 +70,37 @@
 		assert.Zero(t, told(f, 0), "a lost start shows a slow engine for no longer than a spell")
 	})
 }
+
+// TestSuspectEngines guards against boxes that each send a prompt to an engine that may still be slow.
+func TestSuspectEngines(t *testing.T) {
+	first := func(f *fixture) Ask {
+		a := f.short()
+		a.MayQueue = false
+		return a
+	}
+	t.Run("after a slow start, one prompt at a time shows whether the engine still is", func(t *testing.T) {
+		f := learnt()
+		slow, trial := first(f), first(f)
+		f.ask(t, slow, Granted)
+		f.now += 300
+		f.Started(slow.ID)
+		f.ask(t, trial, Granted)
+		f.ask(t, first(f), Denied)
+		f.ask(t, f.short(), Granted)
+		f.now += 50
+		f.Started(trial.ID)
+		f.ask(t, first(f), Granted)
+	})
+	t.Run("prompts are sent elsewhere while a start is overdue", func(t *testing.T) {
+		f := learnt()
+		overdue := first(f)
+		f.ask(t, overdue, Granted)
+		f.now += 50 + minOverdueMs - 1
+		f.ask(t, first(f), Granted)
+		f.now++
+		f.ask(t, first(f), Denied)
+		f.ask(t, f.short(), Granted)
+		f.Started(overdue.ID)
+		f.ask(t, first(f), Granted)
+	})
+}
--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -60,7 +60,7 @@
 			}
 		}
 		u.countTurn(r)
-		startIn := clock.Millis(u.backlogMs(now) + u.prefillMs(prefillOf(r)))
+		startIn := u.firstEventMs(r, u.backlogMs(now))
 		u.queue.charge(r)
 		u.queue.remove(r, now)
 		u.grant(r, startIn, now)
@@ -137,7 +137,7 @@
 	if u.turns.sinceMs == 0 {
 		u.turns.sinceMs = now
 	}
-	if float64(now-u.turns.sinceMs) < u.pool.objectives.targetMs(now) {
+	if float64(now-u.turns.sinceMs) < u.targetMs(now) {
 		return true
 	}
 	u.turns = turns{}
--- a/internal/admission/upstream.go
+++ b/internal/admission/upstream.go
@@ -55,7 +55,7 @@
 		u.grant(r, startIn, now)
 		return answer, nil
 	}
-	if !r.ask.MayQueue && u.atBound(r) || u.tooLate(r, startIn, now) {
+	if !r.ask.MayQueue && (u.atBound(r) || u.suspect(now)) || u.tooLate(r, startIn, now) {
 		return u.deny(r, startIn, now), nil
 	}
 	granted, grants := u.grantNow(r, now)
@@ -99,7 +99,7 @@
 
 // grant counts a request as sent.
 func (u *upstream) grant(r *request, startIn, now clock.Millis) {
-	r.phase, r.startInMs = backlogged, startIn
+	r.phase, r.startInMs, r.expected = backlogged, startIn, u.expect(r, now)
 	r.lostMs = now + max(minLostMs, lostFactor*startIn)
 	r.untilMs = now + permitTTLMs
 	r.grantedMs, r.alone = now, len(u.backlog.requests) == 0
@@ -167,9 +167,19 @@
 // prefill hardly ever have no backlog, and such prompts would wait for seconds although the engine has time for them.
 const largeBacklogDivisor = 2
 
+// minTargetShare is the least part of the target that is left where first events come long after prefills.
+const minTargetShare = 0.25
+
+// targetMs returns the target of the pool, without half of the time from a prefill to the first event: that takes part
+// of the objective of each request, which half of the target is for.
+func (u *upstream) targetMs(now clock.Millis) float64 {
+	target := u.pool.objectives.targetMs(now)
+	return max(minTargetShare*target, target-u.pool.times.after/2) //nolint:mnd // Half.
+}
+
 // hasTime reports whether a request can be prefilled within the target, after the backlog.
 func (u *upstream) hasTime(r *request, now clock.Millis) bool {
-	backlogMs, targetMs := u.backlogMs(now), u.pool.objectives.targetMs(now)
+	backlogMs, targetMs := u.backlogMs(now), u.targetMs(now)
 	own := u.prefillMs(prefillOf(r))
 	if own > targetMs && u.queue.length <= 1 && u.pool.times.mayDeny() {
 		return backlogMs <= targetMs/largeBacklogDivisor
