fix(admission): tell the time after a prefill from that of the prefill, unless starts contradict it

Change: owners keep both models. At the grant they note what each expects, and at the start which was nearer; the time after prefills is used while three of the last four starts or more came nearer to it. At first it isn't used.

--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -16,7 +16,6 @@
 // backlog holds the requests that were granted and have not started, in the order of their grants.
 type backlog struct {
 	requests []*request
-	sum      load
 	// progressMs is when the engine last finished a prompt, or began to be busy.
 	progressMs clock.Millis
 }
@@ -26,7 +25,6 @@
 		b.progressMs = now
 	}
 	b.requests = append(b.requests, r)
-	b.sum = b.sum.plus(prefillOf(r))
 }
 
 // remove takes out a request that started, or whose caller left. Only the start of a request, or the end of the
@@ -34,7 +32,6 @@
 func (b *backlog) remove(r *request, started bool, now clock.Millis) {
 	i := slices.Index(b.requests, r)
 	b.requests = slices.Delete(b.requests, i, i+1)
-	b.sum = b.sum.minus(prefillOf(r))
 	if started || i == 0 {
 		b.progressMs = now
 	}
@@ -53,9 +50,7 @@
 	return clock.Millis(waitMs + u.prefillMs(prefillOf(r)) + u.afterPrefillMs())
 }
 
-// backlogMs returns the expected time until the engine has prefilled all granted prompts, one after the other. It ended
-// the one before them at its last progress, less the time from a prefill to the first event. If the longest-waiting one
-// is overdue, it is expected to start now.
+// backlogMs returns the expected time until the engine has prefilled all granted prompts.
 func (u *upstream) backlogMs(now clock.Millis) float64 {
 	if !u.pool.times.known() {
 		return 0
@@ -63,7 +58,9 @@
 	return u.backlog.ms(u.pool.times.prefillModel, u.pace.factor(), now)
 }
 
-// ms returns what backlogMs does, by a model at a pace.
+// ms returns the time until an engine of some pace has prefilled all prompts, one after the other. It ended the one
+// before them at its last progress, less the time from a prefill to the first event. If the longest-waiting one is
+// overdue, it is expected to start now.
 func (b *backlog) ms(m prefillModel, pace float64, now clock.Millis) float64 {
 	afterMs := m.after * pace
 	endMs := float64(b.progressMs) - afterMs
--- a/internal/admission/prefilltimes.go
+++ b/internal/admission/prefilltimes.go
@@ -15,12 +15,16 @@
 	// maxPrefillSamples is the number of newest starts that tell the time after prefills.
 	maxPrefillSamples = 128
 	// minGroup is the number of samples that are needed to tell the time of a prefill from that after it.
-	minGroup = 4
+	minGroup = 2
 	// minAfterMs is the least time after prefills. Less may be the time that messages between boxes take.
 	minAfterMs = minOverdueMs
 	// maxFits and fitStepMs end the search for the time after prefills.
 	maxFits   = 8
 	fitStepMs = 1
+	// nearerWeight makes the choice of the model follow about the last 16 starts, of which minSplitNearer must have come
+	// nearer to what the split model expected.
+	nearerWeight   = 1.0 / 16
+	minSplitNearer = 0.75
 	// maxDeviation bounds a sample by what was expected. An interval that contains a lost start is longer.
 	maxDeviation = 4
 )
@@ -35,8 +39,8 @@
 }
 
 // prefillTimes learns how long engines of a pool take to prefill a prompt, a fixed part and a part per token, and how
-// long the first event takes after that, while the engine prefills other prompts. As long as no time after prefills
-// shows, each interval between starts while an engine had granted requests is the time of a prefill.
+// long the first event takes after that, while the engine prefills other prompts. Each interval between starts while an
+// engine had granted requests is the time of a prefill, unless starts show a time after it.
 type prefillTimes struct {
 	starts, samples int
 	// all are the sums over all samples. Older ones count less.
@@ -44,22 +48,14 @@
 	// newest are the newest samples. The oldest one is at index next once all places are taken.
 	newest []prefillSample
 	next   int
-	// The model in force is embedded: plain takes each interval for the time of a prefill, and split knows the time after
-	// it. It is plain if there is none.
+	// The model in use is embedded. It is plain, which takes each interval for the time of a prefill, or split, which
+	// tells the time after prefills from it.
 	prefillModel
 	plain, split prefillModel
-	// plainNearer is for which part of the newest starts the split model told the time more exactly.
+	// splitNearer is the share of the newest starts that the split model expected more exactly.
 	splitNearer float64
 }
 
-// prefillModel tells the times of engines in milliseconds: fixed and perToken are the time of a prefill, and after is that
-// from its end to the first event.
-type prefillModel struct {
-	fixed, perToken, after float64
-}
-
-func (m prefillModel) ms(w load) float64 { return max(0, m.fixed*w.requests+m.perToken*w.prefill) }
-
 func (t *prefillTimes) known() bool { return t.samples >= minSamples }
 
 // mayDeny reports whether the times are known so well that asks may be denied because of them.
@@ -98,18 +94,13 @@
 	t.choose()
 }
 
-// nearerWeight makes the choice of the model follow the last 16 starts.
-const nearerWeight = 1.0 / 16
-
-const minSplitNearer = 0.75
-
 // expectedStart is the time to the first event that each model expected at the grant, in milliseconds.
 type expectedStart struct {
 	plain, split float64
 }
 
-// compare learns which model expected a start more exactly. An engine that prefills several prompts in one step seems to
-// prefill all but the first in no time: then the time of a step isn't time after prefills.
+// compare learns which model expected a start more exactly. The split model takes engines that prefill several prompts
+// in one step for fast ones with a time after prefills. In an overload, prompts start much later than it expects.
 func (t *prefillTimes) compare(e expectedStart, ms float64) {
 	plain, split := math.Abs(e.plain-ms), math.Abs(e.split-ms)
 	switch {
@@ -121,6 +112,7 @@
 	t.choose()
 }
 
+// choose puts a model in use.
 func (t *prefillTimes) choose() {
 	t.prefillModel = t.plain
 	if t.splitNearer >= minSplitNearer {
@@ -201,6 +193,15 @@
 	return max(0, times[len(times)/2])
 }
 
+// prefillModel tells the times of engines, in milliseconds at the usual pace: fixed and perToken are the time of a
+// prefill, and after is that from its end to the first event.
+type prefillModel struct {
+	fixed, perToken, after float64
+}
+
+// ms returns the time to prefill the prompts of a load one after the other.
+func (m prefillModel) ms(w load) float64 { return max(0, m.fixed*w.requests+m.perToken*w.prefill) }
+
 // sums are those of the tokens x and the milliseconds y of n samples.
 type sums struct {
 	n, x, y, xx, xy float64
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -35,7 +35,8 @@
 	waitingLoad load
 	// startInMs is the time to the first event that was expected when the request was granted.
 	startInMs clock.Millis
-	expected  expectedStart
+	// expected is what the models alone expected then.
+	expected expectedStart
 	// startedMs and endMs are when the first event came and when the request is expected to end.
 	startedMs, endMs clock.Millis
 	// grantedMs is when the request was granted, alone is set if nothing else was to be prefilled then, and startLost if
