fix(soak): a refusal that comes after the box closed its connection is no backoff that it knows of

Why the check was wrong: it excuses refusals whose caller left, since the box closes its connection then, but not attempts that the box gave up by itself.

As strict: the link, not the box, tells that the box's side was closed, and a refusal is excused only if that was before the server decided on it. A box that closes after that, or whose connection the link ends, is judged as before; boxes close no direction of a connection to an upstream alone. Requests sent in a backoff count whether or not they were given up later.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -324,6 +324,7 @@
 	}
 	current.OnArrival(func(a standin.Arrival) {
 		a.Box, a.EarliestSend = s.link.nextRequest(a.Remote, a.At)
+		a.Abandoned = s.link.leftBefore(a.Remote, a.At)
 		f.history.recordArrival(a)
 	})
 	if f.settings.Overload {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net"
@@ -72,6 +73,8 @@
 	opened map[string]time.Time
 	// origins maps the local addresses of outbound connections to the origins of the inbound ones.
 	origins map[string]origin
+	// left maps them to the times at which the boxes closed the inbound connections.
+	left map[string]time.Time
 }
 
 // origin tells which box opened a connection, and when the link accepted it and began to forward its data.
@@ -99,6 +102,25 @@
 	return o.box, arrived
 }
 
+// leftBefore reports whether a box had closed the connection that comes to the target from an address, so that nobody
+// reads a response. Boxes don't close one direction alone.
+func (l *link) leftBefore(address string, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left, known := l.left[address]
+	return known && left.Before(at)
+}
+
+// recordLeft records that a box closed its connection, unless the link did.
+func (l *link) recordLeft(outbound net.Conn, err error) {
+	if errors.Is(err, net.ErrClosed) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left[outbound.LocalAddr().String()] = time.Now()
+}
+
 // separate resets the open and new connections of some boxes, until it is called again.
 func (l *link) separate(boxes []string) {
 	l.mu.Lock()
@@ -153,6 +175,7 @@
 		listener: listener, addr: listener.Addr().String(), target: target,
 		conns: map[net.Conn]struct{}{}, stale: map[net.Conn]struct{}{}, owners: map[net.Conn]string{},
 		origins: map[string]origin{}, unforwarded: map[string]struct{}{}, opened: map[string]time.Time{},
+		left: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(l)
@@ -329,6 +352,7 @@
 	l.conns[inbound], l.conns[outbound] = struct{}{}, struct{}{}
 	l.opened[inbound.RemoteAddr().String()] = accepted
 	owner := l.owners[inbound]
+	delete(l.left, outbound.LocalAddr().String())
 	l.origins[outbound.LocalAddr().String()] = origin{box: owner, accepted: accepted, forwarding: time.Now()}
 	l.mu.Unlock()
 	var directions sync.WaitGroup
@@ -354,6 +378,9 @@
 	buffer := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(buffer)
+		if err != nil && forward {
+			l.recordLeft(to, err)
+		}
 		l.applyFault(owner, forward)
 		if n > 0 && !l.isStale(from) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -141,3 +141,43 @@
 	assertSent("held", forwarding, forwarding)
 	assertSent("idle", forwarding.Add(time.Second), forwarding.Add(time.Second))
 }
+
+// TestLinkKnowsWhenABoxLeft guards against refusals that count as received although the box had closed its connection, and
+// against ends by the link that count as the box's.
+func TestLinkKnowsWhenABoxLeft(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(l *link, box net.Conn) error
+		left bool
+	}{
+		{"closed by the box", func(_ *link, box net.Conn) error { return box.Close() }, true},
+		{"reset by the box", func(_ *link, box net.Conn) error { reset(box); return nil }, true},
+		{"reset by the link", func(l *link, _ net.Conn) error { l.set(linkReset); return nil }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = target.Close() }()
+			l, err := newLink("127.0.0.1", func() string { return target.Addr().String() })
+			require.NoError(t, err)
+			defer l.close()
+			box, err := net.Dial("tcp", l.address())
+			require.NoError(t, err)
+			defer func() { _ = box.Close() }()
+			server, err := target.Accept()
+			require.NoError(t, err)
+			defer func() { _ = server.Close() }()
+			address, before := server.RemoteAddr().String(), time.Now()
+			require.Eventually(t, func() bool {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				return l.origins[address] != origin{}
+			}, time.Minute, time.Millisecond)
+			assert.False(t, l.leftBefore(address, time.Now()), "while it is open")
+			require.NoError(t, c.end(l, box))
+			_, _ = io.ReadAll(server)
+			assert.Equal(t, c.left, l.leftBefore(address, time.Now()))
+			assert.False(t, l.leftBefore(address, before))
+		})
+	}
+}
--- a/internal/soak/response_signals.go
+++ b/internal/soak/response_signals.go
@@ -167,9 +167,10 @@
 // sendsInBackoff returns the requests that were sent and arrived during the backoff that a server requested in its
 // refusal, with the times of their arrival. It returns none if the box or the server's link was disturbed meanwhile, or
 // if the client left: the box closes its connection then, and may not receive the refusal. So it does with a request
-// that was held back on its way.
+// that was held back on its way, and with an attempt that it has given up.
 func (h *history) sendsInBackoff(pair boxServer, list []delivery, refusal delivery) (sent []string) {
-	if cancelled(refusal.outcome) || strings.Contains(refusal.outcome.Err, context.DeadlineExceeded.Error()) {
+	timedOut := strings.Contains(refusal.outcome.Err, context.DeadlineExceeded.Error())
+	if refusal.Abandoned || cancelled(refusal.outcome) || timedOut {
 		return nil
 	}
 	from := refusal.At.Add(backoffGrace + timingSlack)
--- a/internal/soak/response_signals_test.go
+++ b/internal/soak/response_signals_test.go
@@ -63,6 +63,14 @@
 		h.partitions = []*partitionOf{{boxes: []string{"b"}, interval: interval{from: time.Now()}}}
 		assert.Empty(t, h.check())
 	})
+	t.Run("does not apply to a refusal of an attempt that the box had given up", func(t *testing.T) {
+		h := historyWithSignal(8, backoff)
+		h.arrivals[0].Abandoned = true
+		assert.Empty(t, h.check())
+		h = historyWithSignal(8, backoff)
+		h.arrivals[7].Abandoned = true
+		assertFinds(t, h, guarantee)
+	})
 	t.Run("does not count a request sent before the backoff that a link held back", func(t *testing.T) {
 		h := historyWithSignal(8, backoff)
 		h.arrivals[7].EarliestSend = h.arrivals[0].At
