fix(soak): the grace period of a stop doesn't count time for which the process got no processor

Seen: beside a soak that keeps all processors busy, boxes still run a second after their grace period; in 17 dumps no goroutine hangs.

Why the check was wrong: checks of starts and refusals add the time for which a thread waited for a processor to their bounds; the check of stops only printed it.

As strict: what counts is the kernel's count of the thread that waited longest since SIGTERM, less all time for which the process ran itself, so that neither a hang (no waits), nor a busy loop, nor threads that wait for each other move the bound. While a wait has not ended (the kernel counts it then), it counts only if no thread of the process has run since the look before. After a minute a process is overdue whatever it waits for.

--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -11,16 +11,21 @@
 	"time"
 )
 
-// stopSlack is how long after the grace period a process that got SIGTERM must have exited.
-const stopSlack = time.Second
+const (
+	// stopSlack is how long after the grace period a process that got SIGTERM must have exited.
+	stopSlack = time.Second
+	// maxStopWait is how long after SIGTERM a process must have exited even if it waits for a processor.
+	maxStopWait = time.Minute
+)
 
 // askedEnd is what the run asked a process for that bears on its end.
 type askedEnd struct {
 	// killed is set once it was killed, terminated is when it first got SIGTERM.
 	killed     bool
 	terminated time.Time
-	// waited is for how long each of its threads had waited for a processor by then.
+	// waited is for how long each of its threads had waited for a processor by then, and ran for how long all had run.
 	waited map[string]time.Duration
+	ran    time.Duration
 	// dumped is set once it was made to write its goroutines, which ends it.
 	dumped bool
 	// paused is set if it was stopped after SIGTERM, or has not been resumed since.
--- a/internal/soak/overlaps.go
+++ b/internal/soak/overlaps.go
@@ -169,6 +169,8 @@
 	waits map[string]time.Duration
 	// ready holds what the kernel tells of the threads that run or wait at this time.
 	ready map[string]string
+	// ran is for how long all threads of one process have run.
+	ran time.Duration
 }
 
 // times returns the threads of the processes that are running.
@@ -178,14 +180,9 @@
 		if !i.running() {
 			continue
 		}
-		pid := i.command.Process.Pid
-		maps.Copy(t.waits, threadWaits(pid))
-		times := readThreads(pid, "schedstat")
-		for thread, content := range readThreads(pid, "stat") {
-			if threadState(content) == "R" {
-				t.ready[thread] = times[thread]
-			}
-		}
+		one := timesOf(i.command.Process.Pid)
+		maps.Copy(t.waits, one.waits)
+		maps.Copy(t.ready, one.ready)
 	}
 	return t
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -188,7 +188,7 @@
 	}
 	p.awaitHandler(i, s)
 	if s == syscall.SIGTERM && i.asked.terminated.IsZero() {
-		i.asked.waited = threadWaits(i.command.Process.Pid)
+		i.asked.waited, i.asked.ran = threadWaits(i.command.Process.Pid), processorTime(i.command.Process.Pid)
 	}
 	if !p.receives(i, s) {
 		i.asked.early = append(i.asked.early, earlySignal{s, time.Now()})
@@ -214,16 +214,12 @@
 // and killed.
 func (p *process) awaitStopOf(i *incarnation) error {
 	p.mu.Lock()
-	terminated, waited := i.asked.terminated, i.asked.waited
+	asked := i.asked
 	p.mu.Unlock()
-	if terminated.IsZero() {
+	terminated, waited := asked.terminated, asked.waited
+	if terminated.IsZero() || i.exitsInTime(asked) {
 		return nil
 	}
-	select {
-	case <-i.exited:
-		return nil
-	case <-time.After(time.Until(terminated.Add(shutdownGraceS*time.Second + stopSlack))):
-	}
 	if hasExited(i.command.Process.Pid) {
 		// It is in time, however late its end is collected.
 		<-i.exited
--- a/internal/soak/threads.go
+++ b/internal/soak/threads.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -78,5 +79,22 @@
 	return longest
 }
 
+// ticksPerSecond is the unit of the processor times in the "stat" file of a process.
+const ticksPerSecond = 100
+
+// processorTime returns for how long all threads of a process have run.
+func processorTime(pid int) time.Duration {
+	// The errors leave a time of 0.
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	const userField = 11
+	fields := strings.Fields(string(content[strings.LastIndex(string(content), ")")+1:]))
+	if len(fields) <= userField+1 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[userField])
+	system, _ := strconv.Atoi(fields[userField+1])
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
 // hasExited reports whether a process has exited, also if its end was not collected yet.
 func hasExited(pid int) bool { return strings.Trim(threadStates(pid), "0123456789 Z") == "" }
