fix(upstream): requests in flight show that their upstream runs on

Whole streams that end with their connection were withheld (errEndUnconfirmed) at a full upstream: its health check waits for a slot for longer than 0.4 s, and only idle connections counted as a sign that the process runs on, of which an upstream that ends each response with its connection has none. A connection on which another request is in flight shows the same: the kernel closes all connections of a process that is gone. It counts only while no bytes wait to be read, since an end could wait behind them for room.

TestKeepsConnectionInUse fails without the change (opened before and open: want true, got false).

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,8 +69,10 @@
 	monotonic func() clock.Millis
 	dial      Dial
 
-	mu     sync.Mutex
-	idle   []*conn
+	mu   sync.Mutex
+	idle []*conn
+	// busy are the connections that carry a request.
+	busy   map[*conn]struct{}
 	closed bool
 	// dials are the outcomes of the latest dials.
 	dials  Dials
@@ -88,7 +90,7 @@
 
 // New returns a client for the upstream at an address.
 func New(address string, monotonic func() clock.Millis, options ...Option) *Client {
-	c := &Client{address: address, monotonic: monotonic, dial: systemDial, onDial: func() {}}
+	c := &Client{address: address, monotonic: monotonic, dial: systemDial, onDial: func() {}, busy: map[*conn]struct{}{}}
 	for _, option := range options {
 		option(c)
 	}
@@ -201,8 +203,8 @@
 	return cn
 }
 
-// KeepsConnection reports whether an idle connection is open that was opened before a monotonic time. Its process runs
-// on, since the kernel closes all connections of a process that is gone.
+// KeepsConnection reports whether a connection is open that was opened before a monotonic time. Its process runs on,
+// since the kernel closes all connections of a process that is gone.
 func (c *Client) KeepsConnection(ctx context.Context, beforeMs clock.Millis) bool {
 	for cn := c.takeOlder(beforeMs); cn != nil; cn = c.takeOlder(beforeMs) {
 		if cn.staysOpen(ctx, time.Millisecond) {
@@ -212,7 +214,30 @@
 		// Nothing is in flight on it.
 		_ = cn.Close()
 	}
-	return false
+	return slices.ContainsFunc(c.busyOlder(beforeMs), (*conn).staysInUse)
+}
+
+// busyOlder returns the connections in use that were opened before a monotonic time.
+func (c *Client) busyOlder(beforeMs clock.Millis) (older []*conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for cn := range c.busy {
+		if cn.openedMs < beforeMs {
+			older = append(older, cn)
+		}
+	}
+	return older
+}
+
+// setBusy records whether a connection carries a request.
+func (c *Client) setBusy(cn *conn, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if busy {
+		c.busy[cn] = struct{}{}
+		return
+	}
+	delete(c.busy, cn)
 }
 
 // takeOlder takes an idle connection that was opened before a monotonic time, or returns nil.
@@ -389,6 +414,7 @@
 	if r.OnSend != nil {
 		r.OnSend(cn.hasUnread)
 	}
+	c.setBusy(cn, true)
 	rt := &roundTrip{client: c, conn: cn, request: r}
 	rt.stopAfterFunc = context.AfterFunc(ctx, cn.abort)
 	startMs := c.monotonic()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -109,6 +109,13 @@
 // hasUnread reports whether bytes wait in the kernel to be read. It may be called beside a read.
 func (c *conn) hasUnread() bool { return socket.HasUnread(c.Conn) }
 
+// staysInUse reports whether the other side of a connection in use has not ended it. An end that waits behind bytes for
+// which the kernel has no room can't be told.
+func (c *conn) staysInUse() bool {
+	state := socket.System().State(c.Conn)
+	return state.Open && !state.Ended && !c.hasUnread()
+}
+
 // staysOpen reports whether a connection on which nothing was sent stays open and silent for a duration. If the context
 // ends before, it returns false and the connection is closed.
 func (c *conn) staysOpen(ctx context.Context, duration time.Duration) bool {
--- a/internal/upstream/outlives_test.go
+++ b/internal/upstream/outlives_test.go
@@ -155,3 +155,48 @@
 		assert.Equal(t, want, client.KeepsConnection(t.Context(), 2))
 	}
 }
+
+// TestKeepsConnectionInUse guards against a process that counts as gone though it works on other requests, and against
+// one that counts as running on since what it sent before is not read yet.
+func TestKeepsConnectionInUse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"
+	for _, c := range []struct {
+		name           string
+		sentMs         clock.Millis
+		unread, closes bool
+		want           bool
+	}{
+		{"opened before and open", 2, false, false, true},
+		{"opened before and closed", 2, false, true, false},
+		{"opened later", 1, false, false, false},
+		{"with bytes behind which its end may wait", 2, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+				_, _ = http.ReadRequest(requests)
+				_, _ = io.WriteString(conn, head)
+			})
+			client := New(s.listener.Addr().String(), func() clock.Millis { return 1 })
+			response, err := client.Do(t.Context(), request("1"))
+			require.NoError(t, err)
+			conn := <-s.conns
+			if c.unread {
+				_, err := io.WriteString(conn, "part")
+				require.NoError(t, err)
+				for !response.roundTrip.conn.hasUnread() {
+					runtime.Gosched()
+				}
+			}
+			if c.closes {
+				require.NoError(t, conn.Close())
+				for !socket.System().State(response.roundTrip.conn.Conn).Ended {
+					runtime.Gosched()
+				}
+			}
+			assert.Equal(t, c.want, client.KeepsConnection(t.Context(), c.sentMs))
+			response.Close()
+			assert.False(t, client.KeepsConnection(t.Context(), c.sentMs), "it is no longer in use")
+			assert.Empty(t, client.busy)
+		})
+	}
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -194,6 +194,7 @@
 
 // abort resets the connection.
 func (rt *roundTrip) abort() {
+	rt.client.setBusy(rt.conn, false)
 	rt.stopAfterFunc()
 	rt.conn.abort()
 }
@@ -237,6 +238,7 @@
 	}
 	a.closed = true
 	rt := a.roundTrip
+	rt.client.setBusy(rt.conn, false)
 	stopped := rt.stopAfterFunc()
 	reusable := stopped && a.eof && !a.failed && a.Framing() != ByConnection && !a.Response.Close &&
 		rt.written.Load() && rt.conn.reader.Buffered() == 0
