fix(gateway): a stop whose grace period passes without a processor still answers its requests

Cause: the time for last responses is a part of the grace period. If the process gets no processor until that is over, the box closes all connections at once, without a response.

Without a pause that is no later than before. A process that is killed at the end of the grace period loses what it lost before; one that isn't answers.

TestStopAnswersAllThatOutlastGrace, "after a stall that outlasts the grace period": before 0 of 40 answered, now 40.

--- a/internal/gateway/lastresponses.go
+++ b/internal/gateway/lastresponses.go
@@ -55,10 +55,14 @@
 	return b.supply.stretch(clock.Millis(b.requests.Load() / responsesPerMs))
 }
 
-// awaitLastResponses waits until it is too late for further responses, or the context ends.
+// awaitLastResponses waits until it is too late for further responses, or the context ends. A process that got no
+// processor until the grace period was over answers nevertheless: if it was to be killed, it would have been.
 func (b *Box) awaitLastResponses(ctx context.Context) {
-	usualMs := b.finalGraceMs() + b.exitReserve()*lastResponsesPercent/percent
-	latestMs := b.finalGraceMs() + b.exitReserve()*unansweredPercent/percent
+	leastMs := exitReserveMs * lastResponsesPercent / percent
+	now := b.clock.Monotonic()
+	usualMs := max(b.finalGraceMs()+b.exitReserve()*lastResponsesPercent/percent, now+leastMs)
+	latestMs := max(b.finalGraceMs()+b.exitReserve()*unansweredPercent/percent,
+		now+min(leastMs+b.lastResponsesMs(), b.earliestCut()))
 	for ctx.Err() == nil {
 		untilMs := usualMs
 		if slices.ContainsFunc(b.drained, (*inbound.Listener).HasRequests) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -495,6 +495,7 @@
 	}{
 		{"in time", 1000, 0},
 		{"after a stall", 900, 1200},
+		{"after a stall that outlasts the grace period", 40, 3000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) { assertAllAnswered(f, c.requests, c.stallMs) })
