feat(metrics): text format of Prometheus for clients that ask for it

Operators' scrapers read Prometheus' text format or OpenMetrics; a box told its figures in expvar's JSON alone. Values are converted at each scrape, and the registry is made at the first one.

--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -469,6 +470,18 @@
 			response, err := http.Get("http://" + at.metrics + "/metrics")
 			return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
 		}, eventTimeout, 50*time.Millisecond)
+		for accept, kind := range map[string]string{"": "application/json", "text/plain;version=0.0.4": "text/plain"} {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+at.metrics+"/metrics", nil)
+			require.NoError(t, err)
+			request.Header.Set("Accept", accept)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, errors.Join(err, response.Body.Close()))
+			assert.Contains(t, response.Header.Get("Content-Type"), kind)
+			assert.Equal(t, kind == "application/json", json.Valid(body))
+			assert.Contains(t, string(body), "threads")
+		}
 	})
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,12 +11,15 @@
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/osthread"
+	"dooryard.example/dooryard/internal/textmetrics"
 )
 
 // Metrics holds the counters and histograms of one box and serves them as expvar values.
 type Metrics struct {
 	all   *expvar.Map
 	dials *expvar.Int
+	// text returns the handler of scrapes. It takes no memory before the first one.
+	text func() http.Handler
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
@@ -31,6 +34,7 @@
 // NewMetrics returns metrics whose counters are all zero.
 func NewMetrics() *Metrics {
 	m := &Metrics{all: new(expvar.Map).Init(), dials: new(expvar.Int), histograms: map[string]*hdrhistogram.Histogram{}}
+	m.text = sync.OnceValue(func() http.Handler { return textmetrics.Handler(m.all, admissionWaiting) })
 	m.all.Set("upstream_connections_opened", m.dials)
 	m.all.Set("took_ms", expvar.Func(m.quantiles))
 	m.all.Set("threads", expvar.Func(func() any { return osthread.Count() }))
@@ -127,8 +131,11 @@
 	}
 }
 
+// admissionWaiting is the name of a number that also falls.
+const admissionWaiting = "admission_waiting"
+
 // AdmissionWaiting changes the number of prompts of this box that wait at owners.
-func (m *Metrics) AdmissionWaiting(change int64) { m.all.Add("admission_waiting", change) }
+func (m *Metrics) AdmissionWaiting(change int64) { m.all.Add(admissionWaiting, change) }
 
 // recordTook records a duration in a histogram.
 func (m *Metrics) recordTook(name string, tookMs clock.Millis) {
@@ -159,8 +166,12 @@
 	return out
 }
 
-// ServeHTTP responds with all values as JSON.
-func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+// ServeHTTP responds with all values as JSON, or as text of Prometheus to clients that ask for it.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if textmetrics.Requested(r) {
+		m.text().ServeHTTP(w, r)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	// A write error means that the client has disconnected.
 	_, _ = w.Write([]byte(m.all.String()))
