fix(soak): boxes without servers are compared with the others at the same time

By the boxes' lines in slices of half a second, the stalled boxes served 70% and the others 74% before all servers asked for backoff, 1% and 1% of some 280 and 880 requests in it, 43% and 41%, then 57% and 51% after it.

Why the check was wrong: it compares shares over the whole partition. Refused callers send several times as often, so that the share tells how many requests a box got while nobody was served (Simpson's paradox).

As strict: the same two thirds, of what would have been served at the others' share in each quarter of a second, or at their share of the whole where they had no request. The same counts are required. It finds a box that serves less than two thirds as often and had fewer refusals, which the old check passed: TestPartitionsAreComparedAtTheSameTime fails in three of four cases with the old one. TestCheckPartitions stays as it was.

--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -214,6 +214,9 @@
 	partitionNoticeSpan = 2 * time.Second
 	// minPartitionRequests is how many requests a box must have got for its share of served ones to count.
 	minPartitionRequests = 20
+	// partitionSlice is the time within which requests of separated and other boxes are compared. Servers that all ask
+	// for backoff do so for longer.
+	partitionSlice = 250 * time.Millisecond
 )
 
 // separated reports whether a box was separated from the servers at any time in an interval.
@@ -226,9 +229,26 @@
 // partitionStats counts the requests in partitions, after partitionNoticeSpan: those of separated boxes and of others.
 type partitionStats struct{ Separated, SeparatedServed, Others, OthersServed int }
 
-// partitionServed counts the requests that undisturbed boxes got during a partition.
-func (h *history) partitionServed(p *partitionOf) partitionStats {
-	stats := partitionStats{}
+func (s partitionStats) plus(other partitionStats) partitionStats {
+	return partitionStats{
+		s.Separated + other.Separated, s.SeparatedServed + other.SeparatedServed,
+		s.Others + other.Others, s.OthersServed + other.OthersServed,
+	}
+}
+
+// expected returns how many requests of separated boxes would have been served at the share of the others, or at a
+// usual one if the others had none.
+func (s partitionStats) expected(usualShare float64) float64 {
+	if s.Others == 0 {
+		return usualShare * float64(s.Separated)
+	}
+	return float64(s.Separated) * float64(s.OthersServed) / float64(s.Others)
+}
+
+// partitionServed counts the requests that undisturbed boxes got during a partition, by the slice in which they were
+// sent.
+func (h *history) partitionServed(p *partitionOf) map[time.Duration]partitionStats {
+	stats := map[time.Duration]partitionStats{}
 	from := p.from.Add(partitionNoticeSpan)
 	for _, o := range h.outcomes {
 		if o.Fatal() != standin.NotFatal || o.Sent.Before(from) || !o.Sent.Before(p.to) || cancelled(o) ||
@@ -236,14 +256,14 @@
 			!h.disturbances.undisturbed(o.Box, p.from.Add(-undisturbedSpan), o.Ended) {
 			continue
 		}
-		served := o.Complete && o.Status == http.StatusOK
+		served, one := boolInt(o.Complete && o.Status == http.StatusOK), partitionStats{}
 		if slices.Contains(p.boxes, o.Box) {
-			stats.Separated++
-			stats.SeparatedServed += boolInt(served)
-			continue
+			one.Separated, one.SeparatedServed = 1, served
+		} else {
+			one.Others, one.OthersServed = 1, served
 		}
-		stats.Others++
-		stats.OthersServed += boolInt(served)
+		slice := o.Sent.Sub(from).Truncate(partitionSlice)
+		stats[slice] = stats[slice].plus(one)
 	}
 	return stats
 }
@@ -259,28 +279,33 @@
 	defer h.mu.Unlock()
 	sum := partitionStats{}
 	for _, p := range h.partitions {
-		s := h.partitionServed(p)
-		sum.Separated += s.Separated
-		sum.SeparatedServed += s.SeparatedServed
-		sum.Others += s.Others
-		sum.OthersServed += s.OthersServed
+		for _, s := range h.partitionServed(p) {
+			sum = sum.plus(s)
+		}
 	}
 	return sum
 }
 
-// checkPartitions checks, with time bounds, that separated boxes served at least two thirds as often as the others.
+// checkPartitions checks, with time bounds, that separated boxes served at least two thirds as often as the others did
+// at the same time. Callers that are refused send more often, so that a time in which all refuse would count for most.
 func (h *history) checkPartitions() []violation {
 	violations := []violation{}
 	for _, p := range h.partitions {
-		s := h.partitionServed(p)
-		if !h.timed || s.Separated < minPartitionRequests || s.Others < minPartitionRequests {
+		sum, expected, stats := partitionStats{}, 0.0, h.partitionServed(p)
+		for _, s := range stats {
+			sum = sum.plus(s)
+		}
+		for _, s := range stats {
+			expected += s.expected(float64(sum.OthersServed) / float64(max(1, sum.Others)))
+		}
+		if !h.timed || sum.Separated < minPartitionRequests || sum.Others < minPartitionRequests {
 			continue
 		}
-		if 3*s.SeparatedServed*s.Others < 2*s.OthersServed*s.Separated {
+		if 3*float64(sum.SeparatedServed) < 2*expected {
 			violations = append(violations, violation{
 				"boxes without servers serve through others", "-",
-				fmt.Sprintf("%v served %d of %d, the others %d of %d",
-					p.boxes, s.SeparatedServed, s.Separated, s.OthersServed, s.Others),
+				fmt.Sprintf("%v served %d of %d, the others %d of %d; at their share at the same time it would be %.0f",
+					p.boxes, sum.SeparatedServed, sum.Separated, sum.OthersServed, sum.Others, expected),
 			})
 		}
 	}
--- a/internal/soak/partitions_test.go
+++ b/internal/soak/partitions_test.go
@@ -49,6 +49,41 @@
 	}
 }
 
+// TestPartitionsAreComparedAtTheSameTime guards against callers that are refused, and send more, in a time in which nobody
+// is served: they would hide a box that serves worse before, or make one that serves as well a finding.
+func TestPartitionsAreComparedAtTheSameTime(t *testing.T) {
+	start := time.Now().Add(-time.Minute)
+	for _, c := range []struct {
+		name string
+		// refusedA and refusedB are the requests in the time in which nobody is served.
+		served, refusedA, refusedB, found int
+	}{
+		{"as well, with more refusals", 60, 600, 60, 0},
+		{"two thirds as often", 40, 600, 60, 0},
+		{"less than that, with more refusals", 39, 600, 60, 1},
+		{"less than that, with fewer refusals", 39, 60, 600, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			h.timed = true
+			h.partitions = []*partitionOf{{boxes: []string{"a"}, interval: interval{from: start, to: start.Add(5 * time.Second)}}}
+			sent := start.Add(partitionNoticeSpan)
+			for i := range 60 {
+				h.recordOutcome(outcomeAt("a", sent, i < c.served))
+				h.recordOutcome(outcomeAt("b", sent, true))
+			}
+			for range c.refusedA {
+				h.recordOutcome(outcomeAt("a", sent.Add(partitionSlice), false))
+			}
+			for range c.refusedB {
+				h.recordOutcome(outcomeAt("b", sent.Add(partitionSlice), false))
+			}
+			assert.Len(t, h.checkPartitions(), c.found)
+		})
+	}
+	assert.InDelta(t, 5, partitionStats{Separated: 10}.expected(0.5), 0, "a time in which the others had no request")
+}
+
 func outcomeAt(box string, sent time.Time, served bool) standin.Outcome {
 	o := standin.Outcome{Box: box, Sent: sent, Ended: sent.Add(time.Millisecond), Status: 503}
 	if served {
