feat(daemon): traces of crashes also go to standard output

A crash of the Go runtime, or a panic that nothing recovers, wrote its trace to standard error alone, while lines go to standard output: where only those are kept, such an end looks like a kill. SetCrashOutput now duplicates the trace to standard output, unless both are the same file. It is opened anew without blocking, so that a process whose output is not read ends all the same; where it can't be (a socket, no /proc), the trace is on standard error alone as before. The trace is no JSON: nothing of ours runs after a fatal error, and a thread or child process that would rewrite it is more than a process of a tenth of a machine should have.

TestCrashIsInTheLog fails before: standard output ends with `started`.

--- a/internal/cmd/daemon/process.go
+++ b/internal/cmd/daemon/process.go
@@ -57,6 +57,8 @@
 	go h.run(received)
 	stderr := logging.NewAsyncWriter(os.Stderr)
 	defer stderr.Flush(flushTimeout)
+	// Without it, crashes are on standard error alone.
+	_ = logCrashes()
 	c := command(&Process{
 		Out: os.Stdout, Err: stderr, Reload: h.reload, Notes: h.notes, UseProcessors: func(float64) error { return nil },
 	})
--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -40,8 +40,10 @@
 	// envProcess makes the test binary run as dooryard-gateway.
 	envProcess  = "DOORYARD_TEST_PROCESS"
 	envSettings = "DOORYARD_TEST_SETTINGS"
-	// envPanic makes a part of the box panic at each start.
-	envPanic = "DOORYARD_TEST_PANIC"
+	// envPanic makes a part of the box panic at each start, or a goroutine that nothing guards.
+	envPanic       = "DOORYARD_TEST_PANIC"
+	panicOfPart    = "part"
+	panicOfProcess = "process"
 	// eventTimeout is much longer than any event takes.
 	eventTimeout = 60 * time.Second
 )
@@ -64,9 +66,7 @@
 			EnvSettings: envSettings, ReadinessPath: "/ready", Dialect: &opaque.Dialect{},
 			Source: func(clock.Clock, func() config.Gateway) gateway.Source {
 				return gateway.Source{Run: func(ctx context.Context, _ gateway.Sink) {
-					if os.Getenv(envPanic) != "" {
-						panic("broken store")
-					}
+					panicIfAsked()
 					<-ctx.Done()
 				}}
 			},
@@ -74,6 +74,16 @@
 	})
 }
 
+// panicIfAsked panics as the environment asks.
+func panicIfAsked() {
+	switch os.Getenv(envPanic) {
+	case panicOfPart:
+		panic("broken store")
+	case panicOfProcess:
+		go panic("broken process")
+	}
+}
+
 // addresses are free ports of one box. The last one follows that for peers.
 type addresses struct{ callers, readiness, metrics, peers, nextPeers string }
 
