test(soak): a panic that a box survives is a finding

Panics of parts of a box no longer end its process, so that a run would have passed over them; those of handlers were passed over before, too. Stricter: lines `part panicked`, `part lost` and `handler panicked` are findings.

--- a/internal/soak/exits.go
+++ b/internal/soak/exits.go
@@ -195,6 +195,17 @@
 	return []string{"panic: ", "fatal error: ", "runtime/cgo: ", "WARNING: DATA RACE"}
 }
 
+// lineMarks are in the lines of programs that have survived a panic.
+func lineMarks() []string {
+	return []string{`"msg":"part panicked"`, `"msg":"part lost"`, `"msg":"handler panicked"`}
+}
+
+// tellsFailure reports whether a line of a program's output tells a failure of the program.
+func tellsFailure(line string) bool {
+	return slices.ContainsFunc(outputMarks(), func(mark string) bool { return strings.HasPrefix(line, mark) }) ||
+		slices.ContainsFunc(lineMarks(), func(mark string) bool { return strings.Contains(line, mark) })
+}
+
 // findings returns what went wrong in the process's starts, ends and output.
 func (p *process) findings() []string {
 	p.mu.Lock()
@@ -213,7 +224,7 @@
 	return append(list, p.outputFindings()...)
 }
 
-// outputFindings returns the lines of the log file that tell a failure of the Go runtime.
+// outputFindings returns the lines of the log file that tell a failure of the program.
 func (p *process) outputFindings() []string {
 	file, err := os.Open(p.log)
 	if err != nil {
@@ -225,10 +236,8 @@
 	for err == nil {
 		var line string
 		line, err = reader.ReadString('\n')
-		for _, mark := range outputMarks() {
-			if strings.HasPrefix(line, mark) {
-				list = append(list, p.name+": "+strings.TrimSpace(line))
-			}
+		if tellsFailure(line) {
+			list = append(list, p.name+": "+strings.TrimSpace(line))
 		}
 	}
 	return list
--- a/internal/soak/exits_test.go
+++ b/internal/soak/exits_test.go
@@ -141,3 +141,15 @@
 		})
 	}
 }
+
+// TestOutputTellsFailures guards against runs that pass though their boxes have panicked.
+func TestOutputTellsFailures(t *testing.T) {
+	for _, line := range []string{
+		"panic: broken", "fatal error: concurrent map writes", "runtime/cgo: pthread_create failed: Resource temporarily unavailable",
+		"WARNING: DATA RACE", `{"level":"warn","msg":"part panicked","box":"box-0"}`, `{"level":"warn","msg":"part lost"}`,
+		`{"level":"warn","msg":"handler panicked"}`,
+	} {
+		assert.True(t, tellsFailure(line), line)
+	}
+	assert.False(t, tellsFailure(`{"level":"warn","msg":"stopped","error":"panic: no"}`))
+}
