fix(router): a request whose step panics gets a response, and its lease is released

Change: 502 with the outcome unknown and `Connection: close`; the lease of an attempt is released also after a panic.

TestPanicIsAnswered: status 200 without a body from the recorder before, 502 now. No input is known that panics there.

--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -129,8 +129,7 @@
 	p.metrics.Attempts.Add(1)
 	ctx, span := p.tracer.Start(x.Context(), "upstream "+lease.Row.Name, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	failed := p.send(ctx, x, lease)
-	lease.Release(healthResult(failed))
+	failed := p.sendLeased(ctx, x, lease)
 	if failed != nil {
 		span.RecordError(failed)
 		p.logger.Debug("attempt failed", zap.String("request", x.ID),
@@ -139,6 +138,15 @@
 	return failed
 }
 
+// sendLeased makes an attempt, and releases its lease also if it panics.
+func (p *Pipe) sendLeased(ctx context.Context, x *exchange.Exchange, lease *pool.Lease) (failed *failure) {
+	result := pool.Neutral
+	defer func() { lease.Release(result) }()
+	failed = p.send(ctx, x, lease)
+	result = healthResult(failed)
+	return failed
+}
+
 // healthResult returns the result of an attempt for the upstream's health.
 func healthResult(failed *failure) pool.Result {
 	switch {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -67,9 +67,20 @@
 	return &Pipeline{steps: ordered, last: last, logger: logger}
 }
 
-// Serve runs the steps for a request. The last step runs even if an earlier one fails.
+// Serve runs the steps for a request. The last step runs even if an earlier one fails or panics.
 func (p *Pipeline) Serve(x *exchange.Exchange) {
 	defer p.runLast(x)
+	panicked := true
+	defer func() {
+		if panicked {
+			answerPanic(x)
+		}
+	}()
+	p.runSteps(x)
+	panicked = false
+}
+
+func (p *Pipeline) runSteps(x *exchange.Exchange) {
 	for _, step := range p.steps {
 		if !p.handleResult(x, step, step.Run(x)) {
 			return
@@ -77,6 +88,20 @@
 	}
 }
 
+// answerPanic responds to a request of which a step panicked, unless a response has begun. The server then logs the
+// panic and closes the connection.
+func answerPanic(x *exchange.Exchange) {
+	if x.Writer.Started() {
+		return
+	}
+	x.Outcome = exchange.Unknown
+	x.SetOutcomeHeaders()
+	x.Writer.Header().Set("Connection", "close")
+	apierror.New(http.StatusBadGateway, "internal", "internal error; outcome: "+string(x.Outcome)).Write(x.Writer)
+	// An error means that the caller has disconnected.
+	_ = x.Writer.FlushNow()
+}
+
 // handleResult handles the result of a step, responds with its error if needed, and reports whether
 // the next step runs.
 func (p *Pipeline) handleResult(x *exchange.Exchange, step Step, err error) bool {
