--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/headcheck"
 )
 
@@ -95,12 +96,12 @@
 	if n, err := rt.conn.Write(head); err != nil {
 		return sendError(n, err)
 	}
-	go func() {
+	guard.Go("body of a request", func() {
 		_, err := rt.conn.Write(rt.request.Body)
 		// A write error needs no handling here: either reading the response fails too, or the
 		// upstream responded before it read the whole body.
 		rt.written.Store(err == nil)
-	}()
+	})
 	return nil
 }
 
@@ -141,13 +142,14 @@
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
 	rt.conn.inHead = true
-	recorded := rt.conn.recordOldHead()
+	head := rt.conn.startHead()
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	rt.conn.inHead, rt.conn.recording = false, nil
+	rt.conn.inHead = false
+	isFaulty := head.isFaulty()
 	if err != nil {
 		return nil, withoutContent(err)
 	}
-	if headcheck.Response(response) != nil || recorded != nil && hasTransferEncoding(*recorded) {
+	if headcheck.Response(response) != nil || isFaulty {
 		return nil, errMalformed
 	}
 	return response, nil
