fix(gateway): an upstream that has broken off another response is not taken for alive by its successor

Where a pool has no health checks, or none are answered, a part of a response passed for whole once any process accepted connections at the address, 0.4 s after the close (`end unconfirmed`): the successor of a process that ended.

A process that is gone closes all its connections at once. If none that was opened before the request stays open, and another response of the same upstream with a length or chunks broke off since the request was sent and at most 0.4 s before this end, the response is broken as well. An upstream that cuts off single responses keeps its other connections, which are checked first.

TestUnframedResponseBesideBrokenOne fails without the change (want 502, got 200).

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -13,8 +13,11 @@
 // process that is gone. It has survived if it runs on and no other incarnation has appeared at its address since the
 // request was sent. Failed probes may also mean that the process ended after its last response, or that this box is
 // partitioned from it: that the response was whole is not known then either.
+//
+// If nothing of the process can be asked, it counts as gone once all its connections have ended, and another response
+// with them.
 func (b *Box) survival(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) upstream.Survival {
-	client := lease.Client()
+	client, endedMs := lease.Client(), b.clock.Monotonic()
 	probe := func() upstream.Liveness { return client.ProbeLiveness(ctx) }
 	found := upstream.SurvivesClose(ctx, probe, b.askForLife(lease))
 	switch {
@@ -22,6 +25,8 @@
 		return upstream.Gone
 	case client.KeepsConnection(ctx, sentMs):
 		return upstream.Responding
+	case found != upstream.Responding && client.HasBroken(max(sentMs, endedMs-upstream.CloseSettleMs)):
+		return upstream.Gone
 	default:
 		return b.checkStart(ctx, lease, found)
 	}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -490,3 +490,43 @@
 		})
 	}
 }
+
+// TestUnframedResponseBesideBrokenOne guards against half a response that passes for whole where no health check tells,
+// though the process has cut off another response as well, and against a whole one that is withheld for an earlier cut.
+func TestUnframedResponseBesideBrokenOne(t *testing.T) {
+	for pause, want := range map[time.Duration]int{0: http.StatusBadGateway, time.Second: http.StatusOK} {
+		t.Run(pause.String(), func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				state := content(2)
+				state.Pools[0].HealthPath = ""
+				f.store.setState(f.t, state)
+				begun, end, status := make(chan struct{}), make(chan struct{}), make(chan int)
+				f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					assert.NoError(f.t, err)
+					head := "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n"
+					if r.URL.Path == "/unsafe2/" {
+						_, _ = io.WriteString(conn, head+"Content-Type: text/plain\r\n\r\ndo")
+						close(begun)
+						<-end
+					} else {
+						_, _ = io.WriteString(conn, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n99\r\nda")
+					}
+					_ = conn.Close()
+				})
+				b := f.box(1)
+				go func() {
+					got, _, err := b.get("/unsafe2/")
+					assert.NoError(f.t, err)
+					status <- got
+				}()
+				<-begun
+				_, _, err := b.get("/stream/")
+				require.Error(f.t, err)
+				advance(f.t, pause)
+				close(end)
+				assert.Equal(f.t, want, <-status)
+			})
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,6 +74,8 @@
 	// busy are the connections that carry a request.
 	busy   map[*conn]struct{}
 	closed bool
+	// brokenMs is the monotonic time at which the upstream last broke off a response that had begun, or 0.
+	brokenMs clock.Millis
 	// dials are the outcomes of the latest dials.
 	dials  Dials
 	onDial func()
@@ -229,6 +231,21 @@
 	return older
 }
 
+// HasBroken reports whether the upstream has broken off a response since a monotonic time.
+func (c *Client) HasBroken(sinceMs clock.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.brokenMs > 0 && c.brokenMs >= sinceMs
+}
+
+// recordBroken records that the upstream has broken off a response.
+func (c *Client) recordBroken() {
+	now := c.monotonic()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.brokenMs = now
+}
+
 // setBusy records whether a connection carries a request.
 func (c *Client) setBusy(cn *conn, busy bool) {
 	c.mu.Lock()
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -25,10 +25,10 @@
 }
 
 const (
-	// closeSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had
+	// CloseSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had
 	// some hundred connections and the host is busy.
-	closeSettleMs clock.Millis = 400
-	// confirmIntervalMs is the time between two requests for a sign of life within closeSettleMs.
+	CloseSettleMs clock.Millis = 400
+	// confirmIntervalMs is the time between two requests for a sign of life within CloseSettleMs.
 	confirmIntervalMs clock.Millis = 100
 )
 
@@ -74,7 +74,7 @@
 	if !AcceptsConnections(probe) {
 		return Gone
 	}
-	settling, cancel := context.WithTimeout(ctx, closeSettleMs.Duration())
+	settling, cancel := context.WithTimeout(ctx, CloseSettleMs.Duration())
 	defer cancel()
 	last := NoResponse
 	if confirm != nil {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 
 	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/headcheck"
@@ -224,6 +225,9 @@
 		return n, io.EOF
 	default:
 		a.failed = true
+		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+			a.roundTrip.client.recordBroken()
+		}
 		var quoting textproto.ProtocolError
 		if errors.As(err, &quoting) {
 			err = errMalformed
