--- a/internal/upstream/rawhead.go
+++ b/internal/upstream/rawhead.go
@@ -14,20 +14,19 @@
 	recorded []byte
 }
 
-// startHead waits for a response and begins to check its head.
-func (c *conn) startHead() *rawHead {
+// startHead waits for a response and begins to check its head. The reader tells an error only once.
+func (c *conn) startHead() error {
 	h := &c.head
 	*h = rawHead{}
-	// After an error, reading the response fails as well.
 	if _, err := c.reader.Peek(1); err != nil {
-		return h
+		return err //nolint:wrapcheck // It is the error of the connection.
 	}
 	// All of it was read already, so that there is no error.
 	read, _ := c.reader.Peek(c.reader.Buffered())
 	if h.check(read); !h.complete {
 		h.recorded = bytes.Clone(read)
 	}
-	return h
+	return nil
 }
 
 // isFaulty reports whether the head is malformed, once it was read.
--- a/internal/upstream/resetinupload_test.go
+++ b/internal/upstream/resetinupload_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -29,3 +30,16 @@
 	require.ErrorIs(t, err, ErrBroken)
 	assert.Contains(t, []string{"", "part"}, body)
 }
+
+// TestResetBeforeResponse guards against a reset that counts as an orderly end, since the reader tells it once.
+func TestResetBeforeResponse(t *testing.T) {
+	s := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+		if r, err := http.ReadRequest(requests); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		closeWithReset(conn)
+	})
+	_, err := readAll(t, s.client(), request("1"))
+	require.ErrorIs(t, err, ErrBroken)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -143,10 +143,15 @@
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
 	rt.conn.inHead = true
-	head := rt.conn.startHead()
+	defer func() { rt.conn.inHead = false }()
+	switch err := rt.conn.startHead(); {
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, withoutContent(err)
+	}
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	rt.conn.inHead = false
-	isFaulty := head.isFaulty()
+	isFaulty := rt.conn.head.isFaulty()
 	if err != nil {
 		return nil, withoutContent(err)
 	}
