fix(upstream): a new connection that is closed without a response is a broken response too

A part of a response framed by its connection still passed for whole where the other requests of the process that was gone had no response yet. An orderly end of a new connection to which a request was sent counts like a response that breaks off; resets (an upstream without room) and reused connections (idle for too long) don't.

TestHasBroken: the case of a new connection fails without the change.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,7 +74,8 @@
 	// busy are the connections that carry a request.
 	busy   map[*conn]struct{}
 	closed bool
-	// brokenMs is the monotonic time at which the upstream last broke off a response that had begun, or 0.
+	// brokenMs is the monotonic time at which the upstream last broke off a response, or closed a new connection
+	// without one, or 0.
 	brokenMs clock.Millis
 	// dials are the outcomes of the latest dials.
 	dials  Dials
@@ -437,6 +438,10 @@
 	startMs := c.monotonic()
 	answer, err := rt.run()
 	if err != nil {
+		// An upstream resets a connection that it has no room for, and closes an idle one.
+		if cn.idleUntilMs == 0 && errors.Is(err, io.ErrUnexpectedEOF) {
+			c.recordBroken()
+		}
 		if cn.idleUntilMs == 0 && ctx.Err() == nil && c.monotonic()-startMs < HostReachableTimeoutMs {
 			c.recordDial(errNotKept)
 		}
--- a/internal/upstream/outlives_test.go
+++ b/internal/upstream/outlives_test.go
@@ -200,3 +200,53 @@
 		})
 	}
 }
+
+// TestHasBroken guards against a process that is gone and whose other broken responses are overlooked, and against one
+// that counts as gone for what sound processes do.
+func TestHasBroken(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	const whole = head + "Content-Length: 2\r\n\r\nok"
+	closes := func(conn net.Conn) { _ = conn.Close() }
+	for _, c := range []struct {
+		name      string
+		responses []string
+		end       func(conn net.Conn)
+		cancel    bool
+		want      bool
+	}{
+		{"a length that is not reached", []string{head + "Content-Length: 9\r\n\r\npart"}, closes, false, true},
+		{"chunks without the last one", []string{head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}, closes, false, true},
+		{"a new connection without a response", []string{""}, closes, false, true},
+		{"a whole response", []string{whole}, closes, false, false},
+		{"a new connection that is reset", []string{""}, closeWithReset, false, false},
+		{"a reused connection without a response", []string{whole, ""}, closes, false, false},
+		{"a response that was given up", []string{head + "Content-Length: 9\r\n\r\npart"}, func(net.Conn) {}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+				for _, response := range c.responses {
+					if r, err := http.ReadRequest(requests); err == nil {
+						_, _ = io.Copy(io.Discard, r.Body)
+					}
+					_, _ = io.WriteString(conn, response)
+				}
+				c.end(conn)
+			})
+			client := s.client()
+			for range c.responses {
+				ctx, cancel := context.WithCancel(t.Context())
+				response, err := client.Do(ctx, request("1"))
+				if c.cancel {
+					cancel()
+				}
+				if err == nil {
+					_, _ = io.Copy(io.Discard, response)
+					response.Close()
+				}
+				cancel()
+			}
+			assert.Equal(t, c.want, client.HasBroken(0))
+			assert.False(t, client.HasBroken(clock.New().Monotonic()+1))
+		})
+	}
+}
