--- a/internal/admission/prefilltimes_test.go
+++ b/internal/admission/prefilltimes_test.go
@@ -11,7 +11,7 @@
 	observe := func(r *prefillTimes, fixed, perToken float64, tokens ...int) {
 		for range 400 {
 			for _, n := range tokens {
-				r.observe(n, fixed+perToken*float64(n))
+				r.observe(prefillSample{tokens: float64(n), ms: fixed + perToken*float64(n)})
 			}
 		}
 	}
@@ -62,3 +62,49 @@
 		})
 	}
 }
+
+// TestOverloadedStepsAreNoTimeAfterPrefills guards against owners that take the step in which an engine prefills several
+// prompts for time after prefills, and accept prompts in an overload that can't be in time.
+func TestOverloadedStepsAreNoTimeAfterPrefills(t *testing.T) {
+	const stepMs, perStep, backlog, steps = 100, 4, 12, 16
+	f, owed := newFixture(), []ID{}
+	send := func() Answer {
+		a := f.short()
+		a.Force = true
+		owed = append(owed, a.ID)
+		return f.ask(t, a, Granted)
+	}
+	// The newest prompt of a step starts first.
+	step := func() {
+		f.now += stepMs
+		last := len(owed) - 1
+		owed = append([]ID{owed[last]}, owed[:last]...)
+		started := owed[:min(perStep, len(owed))]
+		owed = owed[len(started):]
+		for _, id := range started {
+			f.Started(id)
+			f.Release(id, true)
+		}
+	}
+	for range minStarts {
+		send()
+		step()
+		f.now += stepMs
+		send()
+		f.now++
+		send()
+		step()
+		f.now += stepMs
+	}
+	for range steps {
+		for len(owed) < backlog {
+			f.now++
+			send()
+		}
+		step()
+	}
+	for len(owed) < backlog {
+		send()
+	}
+	assert.InEpsilon(t, (backlog/perStep+1)*stepMs, float64(send().StartInMs), 0.5)
+}
