fix(dispatch): an unconfirmed end is rejected only once another attempt is paid

Callers of pools whose upstreams can't be identified lost whole streams: the end of a response by its connection was rejected although nothing could follow. A box that has just started holds the origin of all streams for doubtful, which was taken for a restart of the upstream; and another request could take the last retry of the budget in between.

Only an origin that was known when the attempt began and was retracted since counts as a restart, and the retry is reserved before a response is rejected for it.

--- a/internal/pipe/dispatch/ending.go
+++ b/internal/pipe/dispatch/ending.go
@@ -77,13 +77,13 @@
 	r := s.request
 	switch {
 	case s.stream == nil:
-		return found == upstream.Unanswered && s.repetitionHelps()
+		return found == upstream.Unanswered && s.repetitionHelps() && s.reserveRetry()
 	case !s.stream.completeOnly:
 		return false
-	case found == upstream.Unanswered || s.pipe.deps.OriginRetracted(r):
+	case found == upstream.Unanswered || from.origin != nil && s.pipe.deps.OriginRetracted(r):
 		return true
 	default:
-		return r.Sent < r.Route.Attempts && s.continuationHelps(from)(0)
+		return r.Sent < r.Route.Attempts && s.continuationHelps(from)(0) && s.reserveRetry()
 	}
 }
 
--- a/internal/pipe/dispatch/reservedretry.go
+++ b/internal/pipe/dispatch/reservedretry.go
@@ -29,13 +29,16 @@
 	return held
 }
 
-// cancelToRetry cancels an attempt if the request may be sent once more and the budget has a retry for that. It reports
+// reserveRetry takes a retry if the request may be sent once more and the budget has a retry for that. It reports
 // whether it did.
+func (s *retryLoop) reserveRetry() bool {
+	return s.pipe.deps.RecheckKey(s.request) == nil &&
+		s.reserved.reserve(func() bool { return s.pipe.deps.MayRetry(s.request.Pool) })
+}
+
+// cancelToRetry cancels an attempt if a retry can be reserved. It reports whether it did.
 func (s *retryLoop) cancelToRetry(cause error, cancel context.CancelCauseFunc) bool {
-	if s.pipe.deps.RecheckKey(s.request) != nil {
-		return false
-	}
-	if !s.reserved.reserve(func() bool { return s.pipe.deps.MayRetry(s.request.Pool) }) {
+	if !s.reserveRetry() {
 		return false
 	}
 	cancel(cause)
