fix(inbound): a panic while a connection is read or accepted, or a request's time ends, ends no process

What callers saw: the same as before internal/guard: all requests of a box gone, without a line.

Cause, found by looking for the class elsewhere: net/http reads one byte ahead of a handler in a goroutine of its own, which runs our Conn.Read (read-ahead, held ends of callers) and recovers nothing; it accepts connections in another one; and the end of a request's time runs beside its handler. No panic of these is known.

Change: a read that panics returns an error, which ends its connection alone; a listener that panics is a lost one, after which the box drains as before (`listener lost`); the end of a request's time is guarded.

Evidence: TestPanicInReadEndsOnlyTheConnection panics before.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/pkg/config"
@@ -215,6 +217,9 @@
 	}, func(err error) { b.reportListenerError(name, err) })
 }
 
+// errListenerPanicked ends a box that has lost a listener.
+var errListenerPanicked = errors.New("panic while connections were accepted")
+
 func (b *Box) serveSocket(s *socket, failed chan<- error) {
 	h := b.newServer(s.handler)
 	options := []inbound.Option{inbound.WithCuts(func(c inbound.Cut) { b.recordCut(s.name, c) })}
@@ -230,7 +235,10 @@
 		b.drained = append(b.drained, conns)
 	}
 	b.goroutines.Go(func() {
-		if err := h.Serve(conns); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		// The server closes its listener in a panic.
+		err := fmt.Errorf("%w: %s listener", errListenerPanicked, s.name)
+		guard.Do(s.name+" listener", func() { err = h.Serve(conns) })
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	})
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -16,6 +16,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/upstream"
 )
 
@@ -100,9 +101,20 @@
 	wake context.CancelFunc
 }
 
-// Read implements net.Conn. Data ends the idle state, so that a connection is not evicted once a request on it was
-// read.
-func (c *Conn) Read(data []byte) (int, error) {
+// errReadPanicked ends a connection.
+var errReadPanicked = errors.New("panic while a connection was read")
+
+// Read implements net.Conn. The server also reads in a goroutine of its own, in which a panic would end the process.
+func (c *Conn) Read(data []byte) (n int, err error) {
+	if !guard.Do("read of a connection", func() { n, err = c.readActive(data) }) {
+		return 0, errReadPanicked
+	}
+	return n, err
+}
+
+// readActive reads from the connection. Data ends the idle state, so that a connection is not evicted once a request on
+// it was read.
+func (c *Conn) readActive(data []byte) (int, error) {
 	c.reads.Add(1)
 	defer c.reads.Add(-1)
 	n, err := c.readRequest(data)
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/upstream"
@@ -137,7 +138,7 @@
 	}
 	s := &retryLoop{pipe: p, request: r, ctx: ctx, beforeDue: beforeDue, cancel: cancel}
 	defer s.returnReserved()
-	defer context.AfterFunc(beforeDue, s.endUnbegun)()
+	defer context.AfterFunc(beforeDue, func() { guard.Do("end of a request's time", s.endUnbegun) })()
 	defer s.releaseBody()
 	defer p.deps.HoldWhile(r, s.responseWaits)()
 	return s.awaitCaller(s.run())
