--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,6 +74,9 @@
 	// busy are the connections that carry a request.
 	busy   map[*conn]struct{}
 	closed bool
+	// brokenMs is the monotonic time at which the upstream last broke off a response, or closed a new connection
+	// without one, or 0.
+	brokenMs clock.Millis
 	// dials are the outcomes of the latest dials.
 	dials  Dials
 	onDial func()
@@ -229,6 +232,21 @@
 	return older
 }
 
+// HasBroken reports whether the upstream has broken off a response since a monotonic time.
+func (c *Client) HasBroken(sinceMs clock.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.brokenMs > 0 && c.brokenMs >= sinceMs
+}
+
+// recordBroken records that the upstream has broken off a response.
+func (c *Client) recordBroken() {
+	now := c.monotonic()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.brokenMs = now
+}
+
 // setBusy records whether a connection carries a request.
 func (c *Client) setBusy(cn *conn, busy bool) {
 	c.mu.Lock()
@@ -420,6 +438,10 @@
 	startMs := c.monotonic()
 	answer, err := rt.run()
 	if err != nil {
+		// An upstream resets a connection that it has no room for, and closes an idle one.
+		if cn.idleUntilMs == 0 && errors.Is(err, io.ErrUnexpectedEOF) {
+			c.recordBroken()
+		}
 		if cn.idleUntilMs == 0 && ctx.Err() == nil && c.monotonic()-startMs < HostReachableTimeoutMs {
 			c.recordDial(errNotKept)
 		}
