fix(gateway): connections that a full upstream resets don't withhold its whole responses

An upstream without room resets new connections, health checks among them, and SurvivesClose took that for the end of its process: whole responses framed by their connection were withheld (502, or a broken stream) although other connections of the box to it stayed open.

In the same place: silence after connections that broke off counted as an upstream that accepts connections, so that a part of a response that nobody can repeat passed for whole; it now counts like the breaks before it.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -26,6 +26,8 @@
 		return upstream.Gone
 	case client.KeepsConnection(ctx, sentMs):
 		return upstream.Responding
+	case found == upstream.Rejecting:
+		return upstream.Gone
 	case found != upstream.Responding && client.HasBroken(max(sentMs, endedMs-upstream.CloseSettleMs)):
 		return upstream.Gone
 	default:
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -545,3 +546,43 @@
 		})
 	}
 }
+
+// TestUnframedResponseOfFullUpstream guards against a whole response that is withheld since its upstream has no room for
+// new connections and resets them.
+func TestUnframedResponseOfFullUpstream(t *testing.T) {
+	const conns = 6
+	runWithFleet(t, func(f *fleet) {
+		var arrivals sync.WaitGroup
+		arrivals.Add(conns)
+		f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/health":
+				time.Sleep(10 * time.Millisecond)
+				resetAll(w, r)
+			case "/safe/":
+				arrivals.Done()
+				arrivals.Wait()
+				w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			default:
+				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\ndone")
+					_ = conn.Close()
+				}
+			}
+		})
+		b := f.box(1)
+		var kept sync.WaitGroup
+		for range conns {
+			kept.Go(func() {
+				status, _, _ := b.get("/safe/")
+				assert.Equal(f.t, http.StatusOK, status)
+			})
+		}
+		kept.Wait()
+		advance(f.t, 10*time.Millisecond)
+		status, body, err := b.get("/unsafe2/")
+		require.NoError(f.t, err)
+		assert.Equal(f.t, http.StatusOK, status)
+		assert.Equal(f.t, "done", body)
+	})
+}
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -38,6 +38,9 @@
 const (
 	// Gone means that the process may be gone.
 	Gone Survival = iota
+	// Rejecting means that connections are accepted at its address and broken off, by the process for lack of room or by
+	// another one.
+	Rejecting
 	// Unchecked means that connections are accepted at its address, by the process or by another one, and that there is
 	// no response by which to tell them apart.
 	Unchecked
@@ -89,8 +92,10 @@
 	}
 	<-settling.Done()
 	switch {
-	case ctx.Err() != nil || last == BrokenOff || !AcceptsConnections(probe):
+	case ctx.Err() != nil || !AcceptsConnections(probe):
 		return Gone
+	case last == BrokenOff:
+		return Rejecting
 	case confirm == nil || last == FromUnknown:
 		return Unchecked
 	default:
@@ -99,10 +104,14 @@
 }
 
 // awaitConfirmation asks for a sign of life until there is a response or the context is done, and returns the latest
-// outcome.
+// outcome. Silence after connections have broken off is no sign of life: another process may have begun to accept them.
 func awaitConfirmation(ctx context.Context, confirm func(ctx context.Context) Confirmation) Confirmation {
-	for {
-		if found := confirm(ctx); found != BrokenOff {
+	for last := NoResponse; ; last = BrokenOff {
+		switch found := confirm(ctx); found {
+		case BrokenOff:
+		case NoResponse:
+			return last
+		case FromUnknown, FromProcess, FromAnother:
 			return found
 		}
 		select {
