fix(inbound): a stop that runs too late still accepts the connections that wait

Cause: Drain accepts what waits in the kernel before it closes the listener, but not once the grace period is over. A process that got no processor until then accepts none, and the kernel resets all.

Change: connections are accepted for 100 ms at least.

TestDrainAcceptsConnectionsThatWait, "a box that ran too late": before 0 of 50 accepted, now 50.

--- a/internal/inbound/drain_test.go
+++ b/internal/inbound/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,11 +26,14 @@
 // full one.
 func TestDrainAcceptsConnectionsThatWait(t *testing.T) {
 	const connections = 50
-	t.Run("room for all", func(t *testing.T) { testDrainAccepts(t, connections, connections) })
-	t.Run("a full box", func(t *testing.T) { testDrainAccepts(t, connections, 1) })
+	ended, end := context.WithCancel(t.Context())
+	end()
+	t.Run("room for all", func(t *testing.T) { testDrainAccepts(t.Context(), t, connections, connections) })
+	t.Run("a full box", func(t *testing.T) { testDrainAccepts(t.Context(), t, connections, 1) })
+	t.Run("a box that ran too late", func(t *testing.T) { testDrainAccepts(ended, t, connections, connections) })
 }
 
-func testDrainAccepts(t *testing.T, connections, maxConns int) {
+func testDrainAccepts(ctx context.Context, t *testing.T, connections, maxConns int) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -61,7 +65,7 @@
 			assert.NoError(t, conn.Close())
 		}
 	})
-	require.NoError(t, listener.Drain(t.Context()))
+	require.NoError(t, listener.Drain(ctx))
 	accepting.Wait()
 	assert.Len(t, accepted, connections)
 }
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -254,15 +254,33 @@
 	drainPollMs clock.Millis = 20
 )
 
+// lastAcceptMs is for how long connections that wait are accepted at least. A process that got no processor until the
+// time of its stop was over has accepted none.
+const lastAcceptMs clock.Millis = 100
+
+// awaitAccepted waits until no connection waits to be accepted or the context ends, but not before lastAcceptMs.
+func (l *Listener) awaitAccepted(ctx context.Context) {
+	socket, ok := l.Listener.(interface{ AwaitAccepted(ctx context.Context) })
+	if !ok {
+		return
+	}
+	least, end := l.clock.WithTimeout(context.WithoutCancel(ctx), lastAcceptMs)
+	defer end()
+	if ctx.Err() == nil {
+		socket.AwaitAccepted(ctx)
+	}
+	if ctx.Err() != nil && least.Err() == nil {
+		socket.AwaitAccepted(least)
+	}
+}
+
 // Drain accepts the connections that wait, also beyond the limit, since the kernel would reset them. It closes the
 // listener and waits until all connections are closed or the context ends. Unlike http.Server.Shutdown, it serves
 // requests that arrive on open connections. It closes those that have no request for keepIdleMs, all of them once no
 // other connection is left.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.unlimitedOnce.Do(func() { close(l.unlimited) })
-	if socket, ok := l.Listener.(interface{ AwaitAccepted(ctx context.Context) }); ok {
-		socket.AwaitAccepted(ctx)
-	}
+	l.awaitAccepted(ctx)
 	err := l.Close()
 	select {
 	case <-l.refused:
