--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 
 	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/headcheck"
@@ -142,10 +143,15 @@
 // readHead reads the status line and headers of one response.
 func (rt *roundTrip) readHead() (*http.Response, error) {
 	rt.conn.inHead = true
-	head := rt.conn.startHead()
+	defer func() { rt.conn.inHead = false }()
+	switch err := rt.conn.startHead(); {
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, withoutContent(err)
+	}
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	rt.conn.inHead = false
-	isFaulty := head.isFaulty()
+	isFaulty := rt.conn.head.isFaulty()
 	if err != nil {
 		return nil, withoutContent(err)
 	}
@@ -224,6 +230,9 @@
 		return n, io.EOF
 	default:
 		a.failed = true
+		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+			a.roundTrip.client.recordBroken()
+		}
 		var quoting textproto.ProtocolError
 		if errors.As(err, &quoting) {
 			err = errMalformed
