fix(inbound): a nearly full box announces closes instead of closing connections that callers keep

What callers saw: a box with more callers than room for connections closed the one that had rested for longest for each new one.

Cause: responses announced the close only while a new connection waited and none was idle, which is never the case as long as some are idle.

TestNearlyFullBoxKeepsConnections: read on a closed connection before.

--- a/internal/gateway/evicted_test.go
+++ b/internal/gateway/evicted_test.go
@@ -61,6 +61,33 @@
 	})
 }
 
+// TestNearlyFullBoxKeepsConnections guards against callers whose next request has no response since their connections are
+// closed in favour of new ones.
+func TestNearlyFullBoxKeepsConnections(t *testing.T) {
+	const room = 16
+	runWithFleet(t, func(f *fleet) {
+		t := f.t
+		f.upstream("u1", respondWith("done"))
+		b := f.box(1, withConnectionLimit(room))
+		kept := []*rawCaller{}
+		for range 3 * room {
+			caller := b.connect(b.settings.CallersAddress)
+			caller.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+			if !caller.response().Close {
+				kept = append(kept, caller)
+				continue
+			}
+			require.NoError(t, caller.conn.Close())
+			synctest.Wait()
+		}
+		assert.GreaterOrEqual(t, len(kept), room/2)
+		for _, caller := range kept {
+			caller.write(requestText("/unsafe/", "Content-Length: 0\r\n"))
+			caller.assertServed()
+		}
+	})
+}
+
 // TestStopAnswersPipelinedRequests guards against requests that wait behind a response which announces a close.
 func TestStopAnswersPipelinedRequests(t *testing.T) {
 	runWithFleet(t, func(f *fleet) {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -152,9 +152,8 @@
 		c.state.Load() == connActive
 }
 
-// GivesWay reports whether a new connection waits for the next one that is closed, and no request that was read waits
-// on this one. A response should then tell its caller to close the connection, so that it sends no request that is not
-// read.
+// GivesWay reports whether new connections need the room of this one, and no request that was read waits on it. A
+// response should then tell its caller to close the connection, so that it sends no request that is not read.
 func (c *Conn) GivesWay() bool { return c.listener.needsRoom() && !c.IsAhead() }
 
 // Unread returns the writing side of the connection, or nil if writes wait for the caller.
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -203,11 +203,16 @@
 	}) || l.endLingering(sinceMs)
 }
 
-// needsRoom reports whether a new connection waits for another one to be closed.
+// reserveDivisor is the divisor of the limit of a listener that gives the connections kept free for new ones. A small
+// listener reserves none.
+const reserveDivisor = 8
+
+// needsRoom reports whether a new connection waits for another one to be closed, or soon might: one that is closed
+// while its caller keeps it may have a request on its way.
 func (l *Listener) needsRoom() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.waiting || l.exhausted
+	return l.waiting || l.exhausted || len(l.slots) > cap(l.slots)-cap(l.slots)/reserveDivisor
 }
 
 // handleIdle closes a connection that has become idle in favour of a new connection that waits.
