fix(inbound): the time limit of a body that was read doesn't end the requests of a connection

What callers saw: after one request whose time was nearly over, or that was refused (404, 401), all further requests on a kept connection were refused (503, caller_disconnected), if the box got no processor for a moment between the time limit that it sets for the body and its removal or the end of the handler: 1 ms for requests whose time is over, 300 ms for other refusals. Found by reading.

Cause: net/http reads ahead while a handler runs. A deadline that passes then is an error of that read, by which it cancels the context of the connection, also for all later requests.

Change: such a read drops a deadline that is not one in the past, by which the server ends it.

TestHandlerOutlastsReadDeadline: both requests of a connection had a context that had ended, now none.

TestCuts no longer limits the time of whole heads to a millisecond, which failed once at a load of 66.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -124,7 +124,7 @@
 // readSocket reads from the socket until the caller has used up its time.
 func (c *Conn) readSocket(data []byte) (int, error) {
 	n, err := c.take(data)
-	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && (c.extendRead() || len(data) == readAheadBytes && c.dropDeadline()) {
 		n, err = c.take(data)
 	}
 	return n, err
--- a/internal/inbound/cut_test.go
+++ b/internal/inbound/cut_test.go
@@ -50,7 +50,11 @@
 			require.NoError(t, err)
 			cuts := make(chan Cut, 2)
 			l := NewListener(inner, 1, nil, clock.New(), WithCuts(func(c Cut) { cuts <- c }))
-			server := http.Server{ReadHeaderTimeout: time.Millisecond, Handler: http.HandlerFunc(
+			headerTimeout := time.Minute
+			if c.sent != wholeHead {
+				headerTimeout = time.Millisecond
+			}
+			server := http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(
 				func(w http.ResponseWriter, r *http.Request) {
 					ConnOf(r.Context()).BeginRequest("7")
 					c.handler(w, r)
--- a/internal/inbound/timeouts.go
+++ b/internal/inbound/timeouts.go
@@ -42,6 +42,22 @@
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
 
+// dropDeadline removes the deadline of a read by which the server learns, while a handler runs, that the caller has
+// left. It was set for the body, which was read, and the server would take its end for that of the caller, also for all
+// later requests. It returns false if no handler runs, or if the server has ended the read by a deadline in the past.
+func (c *Conn) dropDeadline() bool {
+	if !c.handling.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.readDeadline.IsZero() && c.readDeadline.Before(c.readDeadlineSet) {
+		return false
+	}
+	c.readDeadline = time.Time{}
+	return c.Conn.SetReadDeadline(c.readDeadline) == nil
+}
+
 // timeout returns how long the caller may take for what the server waits for.
 func (c *Conn) timeout() clock.Millis {
 	switch {
--- a/internal/inbound/timeouts_test.go
+++ b/internal/inbound/timeouts_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
@@ -132,3 +133,48 @@
 		})
 	})
 }
+
+// TestHandlerOutlastsReadDeadline guards against a caller that is taken for one that has left, with all requests on its
+// connection, since the time limit of a body ends while a handler runs that has read it.
+func TestHandlerOutlastsReadDeadline(t *testing.T) {
+	for name, text := range map[string]string{
+		"without a body": "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"with a body":    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				inner := pipeListener{conns: make(chan net.Conn, 1)}
+				inner.conns <- near
+				accepted, err := NewListener(inner, 1, exchange.NewMemory(1<<20), clock.New()).Accept()
+				require.NoError(t, err)
+				once := make(chan net.Conn, 1)
+				once <- accepted
+				server := http.Server{
+					ReadHeaderTimeout: testHeaderTimeout,
+					Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						deadline := time.Now().Add(time.Second)
+						assert.NoError(t, http.NewResponseController(w).SetReadDeadline(deadline))
+						_, _ = io.Copy(io.Discard, r.Body)
+						<-time.After(2 * time.Second)
+						if r.Context().Err() != nil {
+							w.WriteHeader(http.StatusInternalServerError)
+						}
+					}),
+				}
+				Attach(&server, clock.New().Monotonic)
+				go func() { _ = server.Serve(onceListener{conns: once}) }()
+				reader := bufio.NewReader(far)
+				for range 2 {
+					_, err = io.WriteString(far, text)
+					require.NoError(t, err)
+					response, err := http.ReadResponse(reader, nil)
+					require.NoError(t, err)
+					require.NoError(t, response.Body.Close())
+					assert.Equal(t, http.StatusOK, response.StatusCode)
+				}
+				require.NoError(t, far.Close())
+			})
+		})
+	}
+}
