feat(upstream): errors tell what is malformed in the head of a response

The line now names the fault, for those that the box finds by itself, without the content: `malformed head of a response: the name of a field is no token`. What net/http rejects, such as two lengths, keeps the line.

TestErrorsTellWhatIsMalformed failed before in all of its four cases; TestErrorsHoldNothingOfMalformedResponses holds.

--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// TestErrorsTellWhatIsMalformed guards against log lines by which faults of heads can't be told apart.
+func TestErrorsTellWhatIsMalformed(t *testing.T) {
+	for head, want := range map[string]string{
+		"HTTP/1.1 000 \r\n":                                 "status 0, 100 to 599 are allowed",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n":                     "the name of a field is no token",
+		"HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n":              "folded line",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n": "Transfer-Encoding in HTTP/1.0",
+	} {
+		t.Run(want, func(t *testing.T) {
+			_, err := readAll(t, startUpstream(t, respondAndClose(head+"\r\n")).client(), request("1"))
+			assert.EqualError(t, err, "connection broke: malformed head of a response: "+want)
+		})
+	}
+}
+
 // respondAndClose sends a raw response to one request and closes the connection.
 func respondAndClose(response string) func(conn net.Conn, requests *bufio.Reader) {
 	return func(conn net.Conn, requests *bufio.Reader) {
--- a/internal/upstream/rawhead.go
+++ b/internal/upstream/rawhead.go
@@ -1,6 +1,11 @@
 package upstream
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+
+	"dooryard.example/dooryard/internal/headcheck"
+)
 
 // oldVersion begins responses in which net/http passes over Transfer-Encoding, so that chunks would be taken for the
 // body.
@@ -8,8 +13,9 @@
 
 // rawHead is the beginning of a response as it was sent. net/http does not tell all that makes its body another one.
 type rawHead struct {
-	// fault is set if the head is malformed, and complete if all of it was checked.
-	fault, complete bool
+	// fault is what is malformed in the head, or empty, and complete is set if all of it was checked.
+	fault    string
+	complete bool
 	// recorded receives what is read, from the first byte on, unless the head was read already.
 	recorded []byte
 }
@@ -29,13 +35,16 @@
 	return nil
 }
 
-// isFaulty reports whether the head is malformed, once it was read.
-func (h *rawHead) isFaulty() bool {
+// err returns an error if the head is malformed, once it was read.
+func (h *rawHead) err() error {
 	if !h.complete {
 		h.check(h.recorded)
 		h.recorded = nil
 	}
-	return h.fault
+	if h.fault == "" {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", headcheck.ErrMalformed, h.fault)
 }
 
 // check looks for a folded line, which would be taken for a part of the field before it although other recipients take
@@ -48,8 +57,11 @@
 			return
 		}
 		name, _, found := bytes.Cut(line, []byte(":"))
-		if line[0] == ' ' || line[0] == '\t' || isOld && found && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-			h.fault = true
+		switch {
+		case line[0] == ' ' || line[0] == '\t':
+			h.fault = "folded line"
+		case isOld && found && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			h.fault = "Transfer-Encoding in " + oldVersion
 		}
 	}
 }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -151,12 +152,12 @@
 		return nil, withoutContent(err)
 	}
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	isFaulty := rt.conn.head.isFaulty()
+	fault := rt.conn.head.err()
 	if err != nil {
 		return nil, withoutContent(err)
 	}
-	if headcheck.Response(response) != nil || isFaulty {
-		return nil, errMalformed
+	if err := cmp.Or(fault, headcheck.Response(response)); err != nil {
+		return nil, err
 	}
 	return response, nil
 }
