--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -586,3 +587,34 @@
 		assert.Equal(f.t, "done", body)
 	})
 }
+
+// TestUnframedResponseOfRestartedUpstream guards against half a response that passes for whole because a process that was
+// restarted under the same ID responds, of which the store does not tell yet.
+func TestUnframedResponseOfRestartedUpstream(t *testing.T) {
+	const startedMs = 5
+	for name, c := range map[string]struct{ startedMs, want int }{
+		"restarted": {startedMs + 1, http.StatusBadGateway},
+		"running":   {startedMs, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				var answered atomic.Bool
+				u := f.unframed("u1", &answered, "text/plain", "do", "done", closed)
+				entry := f.store.entry("u1")
+				entry.StartedMs = startedMs
+				f.store.put(entry)
+				u.beforeEnd = func() {
+					u.replaceBy(f, "u1", func(w http.ResponseWriter, r *http.Request) {
+						w.Header().Set("X-Upstream", "u1")
+						if r.URL.Path == reportPath {
+							_, _ = io.WriteString(w, strconv.Itoa(c.startedMs))
+						}
+					})
+				}
+				status, _, err := f.box(1).get("/unsafe2/")
+				require.NoError(f.t, err)
+				assert.Equal(f.t, c.want, status)
+			})
+		})
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -33,6 +34,28 @@
 	return err
 }
 
+// TestConnReadAfterFailedWrite guards against a reset that was told to a write, and that reads take for an orderly end.
+func TestConnReadAfterFailedWrite(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(conn, make([]byte, 1))
+		_ = conn.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // It is one.
+		_ = conn.Close()
+	}()
+	conn, err := trackedDial((&net.Dialer{}).DialContext)(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = conn.Write(make([]byte, 32<<20))
+	require.Error(t, err)
+	_, err = io.ReadAll(conn)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // TestResetDuringUpload guards against a part of a response that counts as whole, since a reset was told to the write of
 // the request's body.
 func TestResetDuringUpload(t *testing.T) {
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -125,6 +126,23 @@
 	}
 }
 
+// TestHeadsOfKeptConnection guards against a kept connection that breaks once the heads of many responses, together or
+// with their interim responses, exceed the limit of one request.
+func TestHeadsOfKeptConnection(t *testing.T) {
+	const requests = 4
+	filler := "X-Filler: " + strings.Repeat("f", maxHeadBytes/3) + "\r\n"
+	response := "HTTP/1.1 103 Early Hints\r\n" + filler + "\r\n" +
+		strings.Replace(okResponse("1", "one"), "\r\n\r\n", "\r\n"+filler+"\r\n", 1)
+	s := startUpstream(t, respondEach(slices.Repeat([]string{response}, requests)...))
+	c := s.client()
+	for range requests {
+		body, err := readAll(t, c, request("1"))
+		require.NoError(t, err)
+		assert.Equal(t, "one", body)
+	}
+	assert.Len(t, s.conns, 1)
+}
+
 // countedReads is a connection that counts the bytes that were read.
 type countedReads struct {
 	net.Conn
