fix(forward): the rest of a stream is not taken from a malformed response

dooryard-router checked the heads of first responses only: a stream that broke went on with the body of a response whose head names no framing that can be relied on ("Transfer-Encoding : chunked"), and was recorded as whole. Heads of resumed streams are checked as well.

TestMalformedHeadOfResumedStream fails without the change (outcome "ran", the rest delivered).

--- a/internal/pipe/forward/stream.go
+++ b/internal/pipe/forward/stream.go
@@ -16,6 +16,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/headcheck"
 	"dooryard.example/dooryard/internal/pool"
 )
 
@@ -175,6 +176,9 @@
 		return fmt.Errorf("resume: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := headcheck.Response(response); err != nil {
+		return fmt.Errorf("resume: %w", err)
+	}
 	if response.StatusCode != http.StatusOK || response.Header.Get(engine.HeaderRequestID) != s.x.ID {
 		s.eventsHaveOffsets = false
 		return fmt.Errorf("resume: %w %s", errStatus, statusText(response.StatusCode))
--- a/internal/pipe/forward/unframed_test.go
+++ b/internal/pipe/forward/unframed_test.go
@@ -113,6 +113,35 @@
 	}
 }
 
+// resumedTransport answers the first request with a stream that breaks, and all others with the rest and a malformed head.
+type resumedTransport struct{ resumes *int }
+
+// RoundTrip implements http.RoundTripper.
+func (t resumedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPost {
+		broken := io.MultiReader(strings.NewReader("id: 0\ndata: a\n\n"), resetReader{})
+		return unframedTransport{contentType: "text/event-stream", body: broken}.RoundTrip(r)
+	}
+	if r.Method == http.MethodGet {
+		*t.resumes++
+	}
+	rest := strings.NewReader("id: 1\ndata: [DONE]\n\n")
+	response, err := unframedTransport{contentType: "text/event-stream", body: rest}.RoundTrip(r)
+	_, id, _ := strings.Cut(r.URL.Path, "/v1/streams/")
+	response.Header.Set(engine.HeaderRequestID, id)
+	response.Header["Transfer-Encoding "] = []string{"chunked"}
+	return response, err
+}
+
+// TestMalformedHeadOfResumedStream guards against the rest of a stream that is taken from a malformed response.
+func TestMalformedHeadOfResumedStream(t *testing.T) {
+	resumes := 0
+	x, caller := runPipe(t, exchange.Chat, resumedTransport{&resumes}, func(context.Context, string) bool { return false })
+	assert.Equal(t, exchange.Unknown, x.Outcome)
+	assert.NotContains(t, caller.Body.String(), "[DONE]")
+	assert.Equal(t, maxIdleResumes, resumes)
+}
+
 // runPipe runs a pipe with one request.
 func runPipe(
 	t *testing.T, kind exchange.Kind, through http.RoundTripper, mayHaveCrashed func(context.Context, string) bool,
