fix(daemon): traces of crashes reach a standard output that belongs to another user

Where a process runs as a user of its own, it can't open its standard output anew, so that its crashes were on standard error alone, as before: seen with a box whose `pthread_create failed`. It is then used as it is; a crash waits for a reader there, as it does for that of standard error.

Evidence: a box as another user with an abort: nothing on standard output before, `SIGABRT: abort` and the trace now.

--- a/internal/cmd/daemon/crash.go
+++ b/internal/cmd/daemon/crash.go
@@ -21,7 +21,8 @@
 	// Without a reader, a write to the same open file would keep the process from ending.
 	fd, err := unix.Open(standardOutput, unix.O_WRONLY|unix.O_APPEND|unix.O_NONBLOCK|unix.O_CLOEXEC, 0)
 	if err != nil {
-		return os.NewSyscallError("open "+standardOutput, err)
+		// It may belong to another user, who started the process.
+		return debug.SetCrashOutput(os.Stdout, debug.CrashOptions{})
 	}
 	file := os.NewFile(uintptr(fd), standardOutput)
 	err = debug.SetCrashOutput(file, debug.CrashOptions{})
