--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -83,6 +84,21 @@
 	}
 }
 
+// TestErrorsTellWhatIsMalformed guards against log lines by which faults of heads can't be told apart.
+func TestErrorsTellWhatIsMalformed(t *testing.T) {
+	for head, want := range map[string]string{
+		"HTTP/1.1 000 \r\n":                                 "status 0, 100 to 599 are allowed",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n":                     "the name of a field is no token",
+		"HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n":              "folded line",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n": "Transfer-Encoding in HTTP/1.0",
+	} {
+		t.Run(want, func(t *testing.T) {
+			_, err := readAll(t, startUpstream(t, respondAndClose(head+"\r\n")).client(), request("1"))
+			assert.EqualError(t, err, "connection broke: malformed head of a response: "+want)
+		})
+	}
+}
+
 // respondAndClose sends a raw response to one request and closes the connection.
 func respondAndClose(response string) func(conn net.Conn, requests *bufio.Reader) {
 	return func(conn net.Conn, requests *bufio.Reader) {
@@ -125,6 +141,23 @@
 	}
 }
 
+// TestHeadsOfKeptConnection guards against a kept connection that breaks once the heads of many responses, together or
+// with their interim responses, exceed the limit of one request.
+func TestHeadsOfKeptConnection(t *testing.T) {
+	const requests = 4
+	filler := "X-Filler: " + strings.Repeat("f", maxHeadBytes/3) + "\r\n"
+	response := "HTTP/1.1 103 Early Hints\r\n" + filler + "\r\n" +
+		strings.Replace(okResponse("1", "one"), "\r\n\r\n", "\r\n"+filler+"\r\n", 1)
+	s := startUpstream(t, respondEach(slices.Repeat([]string{response}, requests)...))
+	c := s.client()
+	for range requests {
+		body, err := readAll(t, c, request("1"))
+		require.NoError(t, err)
+		assert.Equal(t, "one", body)
+	}
+	assert.Len(t, s.conns, 1)
+}
+
 // countedReads is a connection that counts the bytes that were read.
 type countedReads struct {
 	net.Conn
