--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -40,8 +41,10 @@
 	// envProcess makes the test binary run as dooryard-gateway.
 	envProcess  = "DOORYARD_TEST_PROCESS"
 	envSettings = "DOORYARD_TEST_SETTINGS"
-	// envPanic makes a part of the box panic at each start.
-	envPanic = "DOORYARD_TEST_PANIC"
+	// envPanic makes a part of the box panic at each start, or a goroutine that nothing guards.
+	envPanic       = "DOORYARD_TEST_PANIC"
+	panicOfPart    = "part"
+	panicOfProcess = "process"
 	// eventTimeout is much longer than any event takes.
 	eventTimeout = 60 * time.Second
 )
@@ -64,9 +67,7 @@
 			EnvSettings: envSettings, ReadinessPath: "/ready", Dialect: &opaque.Dialect{},
 			Source: func(clock.Clock, func() config.Gateway) gateway.Source {
 				return gateway.Source{Run: func(ctx context.Context, _ gateway.Sink) {
-					if os.Getenv(envPanic) != "" {
-						panic("broken store")
-					}
+					panicIfAsked()
 					<-ctx.Done()
 				}}
 			},
@@ -74,6 +75,16 @@
 	})
 }
 
+// panicIfAsked panics as the environment asks.
+func panicIfAsked() {
+	switch os.Getenv(envPanic) {
+	case panicOfPart:
+		panic("broken store")
+	case panicOfProcess:
+		go panic("broken process")
+	}
+}
+
 // addresses are free ports of one box. The last one follows that for peers.
 type addresses struct{ callers, readiness, metrics, peers, nextPeers string }
 
@@ -476,6 +487,18 @@
 			response, err := http.Get("http://" + at.metrics + "/metrics")
 			return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
 		}, eventTimeout, 50*time.Millisecond)
+		for accept, kind := range map[string]string{"": "application/json", "text/plain;version=0.0.4": "text/plain"} {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+at.metrics+"/metrics", nil)
+			require.NoError(t, err)
+			request.Header.Set("Accept", accept)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, errors.Join(err, response.Body.Close()))
+			assert.Contains(t, response.Header.Get("Content-Type"), kind)
+			assert.Equal(t, kind == "application/json", json.Valid(body))
+			assert.Contains(t, string(body), "threads")
+		}
 	})
 }
 
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -505,3 +506,83 @@
 		})
 	}
 }
+
+// TestUnframedResponseBesideBrokenOne guards against half a response that passes for whole where no health check tells,
+// though the process has cut off another response as well, and against a whole one that is withheld for an earlier cut.
+func TestUnframedResponseBesideBrokenOne(t *testing.T) {
+	for pause, want := range map[time.Duration]int{0: http.StatusBadGateway, time.Second: http.StatusOK} {
+		t.Run(pause.String(), func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				state := content(2)
+				state.Pools[0].HealthPath = ""
+				f.store.setState(f.t, state)
+				begun, end, status := make(chan struct{}), make(chan struct{}), make(chan int)
+				f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					assert.NoError(f.t, err)
+					head := "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n"
+					if r.URL.Path == "/unsafe2/" {
+						_, _ = io.WriteString(conn, head+"Content-Type: text/plain\r\n\r\ndo")
+						close(begun)
+						<-end
+					} else {
+						_, _ = io.WriteString(conn, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n99\r\nda")
+					}
+					_ = conn.Close()
+				})
+				b := f.box(1)
+				go func() {
+					got, _, err := b.get("/unsafe2/")
+					assert.NoError(f.t, err)
+					status <- got
+				}()
+				<-begun
+				_, _, err := b.get("/stream/")
+				require.Error(f.t, err)
+				advance(f.t, pause)
+				close(end)
+				assert.Equal(f.t, want, <-status)
+			})
+		})
+	}
+}
+
+// TestUnframedResponseOfFullUpstream guards against a whole response that is withheld since its upstream has no room for
+// new connections and resets them.
+func TestUnframedResponseOfFullUpstream(t *testing.T) {
+	const conns = 6
+	runWithFleet(t, func(f *fleet) {
+		var arrivals sync.WaitGroup
+		arrivals.Add(conns)
+		f.upstream("u1", func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/health":
+				time.Sleep(10 * time.Millisecond)
+				resetAll(w, r)
+			case "/safe/":
+				arrivals.Done()
+				arrivals.Wait()
+				w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			default:
+				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\ndone")
+					_ = conn.Close()
+				}
+			}
+		})
+		b := f.box(1)
+		var kept sync.WaitGroup
+		for range conns {
+			kept.Go(func() {
+				status, _, _ := b.get("/safe/")
+				assert.Equal(f.t, http.StatusOK, status)
+			})
+		}
+		kept.Wait()
+		advance(f.t, 10*time.Millisecond)
+		status, body, err := b.get("/unsafe2/")
+		require.NoError(f.t, err)
+		assert.Equal(f.t, http.StatusOK, status)
+		assert.Equal(f.t, "done", body)
+	})
+}
--- a/internal/upstream/outlives.go
+++ b/internal/upstream/outlives.go
@@ -25,10 +25,10 @@
 }
 
 const (
-	// closeSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had
+	// CloseSettleMs is how long the kernel may take to close the sockets of a process that is gone, if the process had
 	// some hundred connections and the host is busy.
-	closeSettleMs clock.Millis = 400
-	// confirmIntervalMs is the time between two requests for a sign of life within closeSettleMs.
+	CloseSettleMs clock.Millis = 400
+	// confirmIntervalMs is the time between two requests for a sign of life within CloseSettleMs.
 	confirmIntervalMs clock.Millis = 100
 )
 
@@ -38,6 +38,9 @@
 const (
 	// Gone means that the process may be gone.
 	Gone Survival = iota
+	// Rejecting means that connections are accepted at its address and broken off, by the process for lack of room or by
+	// another one.
+	Rejecting
 	// Unchecked means that connections are accepted at its address, by the process or by another one, and that there is
 	// no response by which to tell them apart.
 	Unchecked
@@ -74,7 +77,7 @@
 	if !AcceptsConnections(probe) {
 		return Gone
 	}
-	settling, cancel := context.WithTimeout(ctx, closeSettleMs.Duration())
+	settling, cancel := context.WithTimeout(ctx, CloseSettleMs.Duration())
 	defer cancel()
 	last := NoResponse
 	if confirm != nil {
@@ -89,8 +92,10 @@
 	}
 	<-settling.Done()
 	switch {
-	case ctx.Err() != nil || last == BrokenOff || !AcceptsConnections(probe):
+	case ctx.Err() != nil || !AcceptsConnections(probe):
 		return Gone
+	case last == BrokenOff:
+		return Rejecting
 	case confirm == nil || last == FromUnknown:
 		return Unchecked
 	default:
@@ -99,10 +104,14 @@
 }
 
 // awaitConfirmation asks for a sign of life until there is a response or the context is done, and returns the latest
-// outcome.
+// outcome. Silence after connections have broken off is no sign of life: another process may have begun to accept them.
 func awaitConfirmation(ctx context.Context, confirm func(ctx context.Context) Confirmation) Confirmation {
-	for {
-		if found := confirm(ctx); found != BrokenOff {
+	for last := NoResponse; ; last = BrokenOff {
+		switch found := confirm(ctx); found {
+		case BrokenOff:
+		case NoResponse:
+			return last
+		case FromUnknown, FromProcess, FromAnother:
 			return found
 		}
 		select {
