--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -149,7 +149,7 @@
 
 // TestFindsOtherBytesAtServers guards against bytes in the place of a request, or of its body, that nobody reports.
 func TestFindsOtherBytesAtServers(t *testing.T) {
-	const head = "POST /safe/ HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: "
+	const head = "POST /safe/ HTTP/1.1\r\nHost: a\r\n" + standin.HeaderRequestID + ": "
 	for name, request := range map[string]string{
 		"a body":    head + "o\r\nContent-Length: 3\r\n\r\noxy",
 		"a chunk":   head + "o\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
--- a/internal/soak/endserver.go
+++ b/internal/soak/endserver.go
@@ -375,8 +375,9 @@
 
 // respond responds to a request. It reports whether the connection goes on.
 func (l *endLife) respond(conn *net.TCPConn, r *http.Request) bool {
-	id := r.Header.Get("X-Attempt-Id")
-	if expected := r.Header.Get("X-Expect-Instance"); r.Method == http.MethodGet || expected != "" && expected != l.id {
+	id := r.Header.Get(standin.HeaderRequestID)
+	expected := r.Header.Get(standin.HeaderExpectUpstream)
+	if r.Method == http.MethodGet || expected != "" && expected != l.id {
 		return l.respondAtOnce(conn, r, expected)
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -388,7 +389,7 @@
 	defer func() { l.of.fleet.endings.complete(recorded, run) }()
 	random := rand.New(rand.NewPCG(l.of.fleet.settings.Seed, hashOf(id)+attempt))
 	isUpload, mayCrash := r.ContentLength != int64(len(id)), time.Since(l.born) > minLife
-	deadlineMs, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	deadlineMs, err := strconv.Atoi(r.Header.Get(standin.HeaderDeadlineMs))
 	if err != nil {
 		l.of.fleet.endings.report("servers receive a deadline", id, err.Error())
 	}
@@ -414,17 +415,14 @@
 	return false
 }
 
-// reportPath is where a server reports on itself, without its id.
-const reportPath = "/api/report"
-
 // respondAtOnce responds to a health check, to a question for a report, or to a request for another server.
 func (l *endLife) respondAtOnce(conn *net.TCPConn, r *http.Request, expected string) bool {
 	isOther := expected != "" && expected != l.id
 	// Half of the servers tell only by the ids in health checks that one is for another server, and have no reports.
 	onlyHealth := hashOf(l.id)%2 == 0
 	if r.Method == http.MethodGet && (!isOther || onlyHealth) {
-		status, head := "200 OK", "X-Instance-Id: "+l.id+"\r\n"
-		if r.URL.Path == reportPath {
+		status, head := "200 OK", standin.HeaderUpstreamID+": "+l.id+"\r\n"
+		if r.URL.Path == standin.ReportPath {
 			head = ""
 			if onlyHealth {
 				status = "404 Not Found"
@@ -433,8 +431,9 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%sContent-Length: 2\r\n\r\n{}", status, head)
 		return err == nil
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"+
+	id := r.Header.Get(standin.HeaderRequestID)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n"+
+		standin.HeaderRequestID+": %s\r\n"+standin.HeaderNotRun+": 1\r\n"+
 		"Content-Length: 0\r\n\r\n", id)
 	return err == nil && l.readBody(r, id)
 }
@@ -467,7 +466,7 @@
 	case e.status != http.StatusOK:
 		length = 0
 		if e.status == http.StatusServiceUnavailable {
-			field("X-Not-Executed", "1")
+			field(standin.HeaderNotRun, "1")
 		}
 	case e.garbled == garbledStatus:
 		status = "000"
@@ -488,7 +487,8 @@
 	case e.framing == byChunks && e.garbled != garbledColon:
 		field("Transfer-Encoding", "chunked")
 	}
-	return fmt.Sprintf("%s %s S\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s\r\n%s\r\n", version, status, id, seal, b)
+	format := "%s %s S\r\n" + standin.HeaderRequestID + ": %s\r\n" + standin.HeaderSeal + ": %s\r\n%s\r\n"
+	return fmt.Sprintf(format, version, status, id, seal, b)
 }
 
 // write writes the head and the pieces of a response.
--- a/internal/soak/exact.go
+++ b/internal/soak/exact.go
@@ -239,12 +239,12 @@
 	conn *exactConn, c *exactCall, b *box, begun threadTimes, random *rand.Rand,
 ) (keep bool) {
 	c.from, c.wait = time.Now(), drawMs(random, minExactMs, exactRangeMs)
-	head := fmt.Sprintf("POST /%s/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Attempt-Id: %s\r\n"+
-		"Content-Length: 1\r\n", standin.Safe, standin.Host, f.drawKey(random), c.id)
+	head := fmt.Sprintf("POST /%s/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n"+
+		standin.HeaderRequestID+": %s\r\nContent-Length: 1\r\n", standin.Safe, standin.Host, f.drawKey(random), c.id)
 	if random.IntN(8) == 0 { //nolint:mnd // Some callers know the route's time only.
 		c.wait = standin.RouteTimeoutMs * time.Millisecond
 	} else {
-		head += fmt.Sprintf("X-Deadline-Ms: %d\r\n", c.wait.Milliseconds())
+		head += fmt.Sprintf(standin.HeaderDeadlineMs+": %d\r\n", c.wait.Milliseconds())
 	}
 	respondAt := silentValue
 	switch random.IntN(3) { //nolint:mnd // Silent, shortly before the deadline, and usual.
@@ -306,7 +306,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	id, at := r.Header.Get("X-Attempt-Id"), r.Header.Get(exactHeader)
+	id, at := r.Header.Get(standin.HeaderRequestID), r.Header.Get(exactHeader)
 	nanos, err := strconv.ParseInt(at, 10, 64)
 	if err != nil {
 		<-r.Context().Done()
@@ -317,7 +317,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	record(id)
-	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set(standin.HeaderRequestID, id)
 	// A box that has gone doesn't read it.
 	_, _ = io.WriteString(w, "done")
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -134,7 +134,7 @@
 	s.mu.Lock()
 	current, down := s.current, s.down
 	s.mu.Unlock()
-	if id := r.Header.Get("X-Attempt-Id"); id != "" {
+	if id := r.Header.Get(standin.HeaderRequestID); id != "" {
 		defer s.recordWork(r.Context(), id, current)()
 	}
 	if down {
--- a/internal/soak/wire_test.go
+++ b/internal/soak/wire_test.go
@@ -76,7 +76,7 @@
 		}, time.Minute, time.Millisecond)
 	})
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/safe/", nil)
-	r.Header.Set("X-Attempt-Id", "one")
+	r.Header.Set(standin.HeaderRequestID, "one")
 	s.ServeHTTP(httptest.NewRecorder(), r)
 	assert.False(t, h.works["one"][0].to.IsZero())
 }
@@ -95,7 +95,7 @@
 	s := f.servers[0]
 	s.down = true
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/", nil)
-	r.Header.Set("X-Attempt-Id", "one")
+	r.Header.Set(standin.HeaderRequestID, "one")
 	assert.Panics(t, func() { s.ServeHTTP(httptest.NewRecorder(), r) }, "a crashed server breaks off")
 	assert.Len(t, f.history.works["one"], 1)
 }
