fix(transport,headcheck): heads of responses are checked as they were sent, also by dooryard-router

Callers of dooryard-router got bodies that their upstream had not sent: the chunks of `Transfer-Encoding: chunked` by HTTP/1.0 as they stand, and everything up to the close after a folded `Content-Length` or `Transfer-Encoding`. net/http joins folded lines and passes over the encoding, and its transport reads the head itself, so that only the parsed head was checked.

The check of the gateway's rawHead is headcheck.Scanner now, which follows the bytes as they are read. A connection of internal/transport gives it what it reads from the time on at which a request gets the connection, and returns the fault instead of the bytes: the request fails, and the connection is not used again. Calls to the platform and to other boxes use the same transport.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -196,7 +196,7 @@
 
 const maxIdlePerUpstream = 256
 
-func (b *Box) upstreamTransport() *http.Transport {
+func (b *Box) upstreamTransport() http.RoundTripper {
 	return transport.New(transport.Settings{
 		ConnectTimeoutMs:   clock.Millis(b.settings.Retry.ConnectTimeoutMs),
 		FirstByteTimeoutMs: clock.Millis(b.settings.Retry.FirstByteTimeoutMs),
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/headcheck"
 	"dooryard.example/dooryard/internal/socket"
 )
 
@@ -38,13 +39,13 @@
 
 // New returns a transport whose attempts an AttemptTracker can track. It uses HTTP/1.1,
 // where abandoning a response closes its connection, so that no later request can read
-// the rest of that response.
-func New(settings Settings) *http.Transport {
+// the rest of that response. Its requests fail if the head of their response is malformed.
+func New(settings Settings) http.RoundTripper {
 	dial := settings.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: settings.ConnectTimeoutMs.Duration()}).DialContext
 	}
-	return &http.Transport{
+	return checkedTransport{&http.Transport{
 		DialContext:            trackedDial(dial),
 		ResponseHeaderTimeout:  settings.FirstByteTimeoutMs.Duration(),
 		IdleConnTimeout:        settings.IdleTimeoutMs.Duration(),
@@ -52,7 +53,7 @@
 		MaxResponseHeaderBytes: settings.MaxHeaderBytes,
 		DisableCompression:     true,
 		TLSClientConfig:        settings.TLS,
-	}
+	}}
 }
 
 func trackedDial(dial Dial) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -77,6 +78,9 @@
 	aborted bool
 	// expired, if set, reports whether writes are no longer allowed.
 	expired func() bool
+	// head checks the response to the latest request, once there is one.
+	head       headcheck.Scanner
+	checksHead bool
 }
 
 // Write implements net.Conn.
@@ -87,8 +91,15 @@
 	return c.failure.Write(c.Conn, data)
 }
 
-// Read implements net.Conn. It returns io.EOF only after an orderly end.
-func (c *trackedConn) Read(data []byte) (int, error) { return c.failure.Read(c.Conn, data) }
+// Read implements net.Conn. It returns io.EOF only after an orderly end, and an error that wraps headcheck.ErrMalformed
+// instead of bytes by which the head of a response is malformed.
+func (c *trackedConn) Read(data []byte) (int, error) {
+	n, err := c.failure.Read(c.Conn, data)
+	if malformed := c.scan(data[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
 
 // startWrite counts bytes that are about to be written, unless the write is no
 // longer allowed.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/headcheck"
 	"dooryard.example/dooryard/internal/socket"
 )
 
@@ -26,8 +27,8 @@
 	// inHead is set while heads of responses are read, of which headBytes were read since the request.
 	inHead    bool
 	headBytes int
-	// head is the head of the response that is read.
-	head rawHead
+	// head checks the head of the response that is read.
+	head headcheck.Scanner
 	// idleUntilMs is the monotonic time from which the upstream may close the idle connection.
 	idleUntilMs clock.Millis
 	// openedMs is the monotonic time at which the connection was open at the latest.
@@ -58,12 +59,23 @@
 	if c.inHead {
 		c.headBytes += n
 	}
-	if c.head.recorded != nil {
-		c.head.recorded = append(c.head.recorded, data[:n]...)
-	}
+	// Its error is returned with the head.
+	_ = c.head.Scan(data[:n])
 	return n, err
 }
 
+// startHead waits for a response and begins to check its head. The reader tells an error only once.
+func (c *conn) startHead() error {
+	if _, err := c.reader.Peek(1); err != nil {
+		return err //nolint:wrapcheck // It is the error of the connection.
+	}
+	// All of it was read already, so that there is no error.
+	read, _ := c.reader.Peek(c.reader.Buffered())
+	c.head = headcheck.Scanner{}
+	_ = c.head.Scan(read)
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) { return c.failure.Write(c.Conn, data) }
 
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -152,7 +152,7 @@
 		return nil, withoutContent(err)
 	}
 	response, err := http.ReadResponse(rt.conn.reader, &http.Request{Method: rt.request.Method})
-	fault := rt.conn.head.err()
+	fault := rt.conn.head.Err()
 	if err != nil {
 		return nil, withoutContent(err)
 	}
