--- a/internal/headcheck/scanner.go
+++ b/internal/headcheck/scanner.go
@@ -20,12 +20,13 @@
 	line             []byte
 	inHead           bool
 	isOld, isInterim bool
-	// complete is set at the end of the head.
-	complete bool
+	// started is set once bytes were scanned, and complete at the end of the head.
+	started, complete bool
 }
 
 // Scan checks the next bytes of a connection. It returns an error that wraps ErrMalformed once the head is malformed.
 func (s *Scanner) Scan(data []byte) error {
+	s.started = s.started || len(data) > 0
 	for line := range bytes.Lines(data) {
 		if s.complete {
 			break
@@ -50,6 +51,9 @@
 	return fmt.Errorf("%w: %s", ErrMalformed, s.fault)
 }
 
+// Started reports whether bytes were scanned.
+func (s *Scanner) Started() bool { return s.started }
+
 // scanLine looks for a folded line, which would be taken for a part of the field before it although other recipients
 // take it for a field, and for a transfer encoding of HTTP/1.0.
 func (s *Scanner) scanLine(line []byte) {
--- a/internal/transport/heads_test.go
+++ b/internal/transport/heads_test.go
@@ -3,9 +3,14 @@
 import (
 	"bufio"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -83,3 +88,61 @@
 		})
 	}
 }
+
+// respondTwice sends two responses to each request, each with the id of the request.
+func respondTwice(t *testing.T) (url string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		requests := bufio.NewReader(conn)
+		for r, err := http.ReadRequest(requests); err == nil; r, err = http.ReadRequest(requests) {
+			response := "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(conn, response+response)
+		}
+	}
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go serve(conn)
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// TestResponseBeforeItsRequest guards against a response that answers another request than the one that gets it.
+func TestResponseBeforeItsRequest(t *testing.T) {
+	const senders, requests = 4, 2000
+	// net/http logs each second response.
+	log.SetOutput(io.Discard)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	client, url := newClient(), respondTwice(t)
+	var ids, own, others atomic.Int64
+	send := func() {
+		id := strconv.FormatInt(ids.Add(1), 10)
+		request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, url, http.NoBody)
+		request.Header.Set("X-Id", id)
+		response, err := client.Do(request)
+		if err != nil {
+			return
+		}
+		_ = response.Body.Close()
+		if response.Header.Get("X-Id") == id {
+			own.Add(1)
+			return
+		}
+		others.Add(1)
+	}
+	var sending sync.WaitGroup
+	for range senders {
+		sending.Go(func() {
+			for range requests {
+				send()
+			}
+		})
+	}
+	sending.Wait()
+	assert.NotZero(t, own.Load())
+	assert.Zero(t, others.Load(), "responses to other requests")
+}
