fix(box,supervisor): a panic outside of handlers doesn't end dooryard-router

Callers lost all requests of a box of dooryard-router, without a line on its log, once any of its own goroutines panicked: the control loops, the handling of datagrams and of records of the log, timers, listeners. A record or a datagram that does so ends each box that reads it, and each that is started again. Only the gateway handled panics.

The runs and restarts of parts are taken out of internal/gateway into internal/supervisor, and dooryard-router's loops run in it: a part runs again after 0.1 s, and after 30 restarts in 60 s the box drains and ends with an error. What an input causes restarts nothing: a datagram or a record of the log is dropped, the latter like a malformed one, so that the table doesn't stand still. `part panicked` has the part and the trace, at most five lines in 10 s, and `part_panics` counts all. Membership unlocks its state also if it panics.

Tests on: a datagram, a record of the log, a listener of the table and a part beside a running router each end the test's process (`panic: broken`); now each goes on with the next, and the line is written. No panic of these parts is known.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -34,6 +34,7 @@
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/secret"
 	"dooryard.example/dooryard/internal/server"
+	"dooryard.example/dooryard/internal/supervisor"
 	"dooryard.example/dooryard/internal/tablestore"
 	"dooryard.example/dooryard/internal/trace"
 	"dooryard.example/dooryard/internal/transport"
@@ -94,6 +95,9 @@
 	killed    chan struct{}
 	killOnce  sync.Once
 	running   sync.WaitGroup
+	// supervisor runs the control loops, and panicLogger writes lines at a limited rate.
+	supervisor  *supervisor.Supervisor
+	panicLogger *zap.Logger
 }
 
 type keys struct {
@@ -135,6 +139,7 @@
 	for _, option := range options {
 		option(b)
 	}
+	b.supervisor, b.panicLogger = supervisor.New(b.clock, &b.running), limitedLogger(b.logger)
 	for _, step := range []func(context.Context) error{
 		b.openKeys, b.openTracer, b.buildState, b.buildSteps, b.bindSockets, b.openListeners, b.openPeering, b.buildLease,
 	} {
@@ -187,8 +192,8 @@
 }
 
 // Run serves requests until the context ends or Drain is called, and then shuts down
-// gracefully: running requests finish first. If a listener fails, Run shuts down as well
-// and returns the error.
+// gracefully: running requests finish first. If a listener fails, or a part panics again and
+// again, Run shuts down as well and returns the error.
 func (b *Box) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
@@ -222,25 +227,29 @@
 		return ErrKilled
 	case err := <-failed:
 		return err
+	case err := <-b.supervisor.Failed():
+		b.logger.Error("part lost", zap.String("box", b.settings.Box), zap.Error(err))
+		return err
 	}
 }
 
 func (b *Box) startBackground(ctx context.Context) {
-	b.running.Go(func() { b.followTable(ctx) })
-	b.running.Go(func() { b.catchUp(ctx) })
-	b.running.Go(func() { b.snapshotLoop(ctx) })
-	b.running.Go(func() { b.claims.Run(ctx) })
 	peering, endPeering := context.WithCancel(ctx)
 	b.endPeering = endPeering
-	b.running.Go(func() { b.socket.Run(peering) })
-	b.running.Go(func() { b.gossip.Run(peering) })
-	b.running.Go(func() { b.pollLists(ctx) })
-	b.running.Go(func() { b.domainSumsLoop(ctx) })
-	b.running.Go(func() { b.lease.Run(ctx) })
-	b.running.Go(func() { b.pollEngines(ctx) })
-	b.running.Go(func() { b.sendOrders(ctx) })
-	b.running.Go(func() { b.measureLateness(ctx) })
-	b.running.Go(func() {
+	run := b.supervisor.Run
+	run(ctx, "table", func() { b.followTable(ctx) })
+	run(ctx, "tables of other boxes", func() { b.catchUp(ctx) })
+	run(ctx, "snapshots", func() { b.snapshotLoop(ctx) })
+	run(ctx, "claims", func() { b.claims.Run(ctx) })
+	run(peering, "datagrams", func() { b.socket.Run(peering) })
+	run(peering, "gossip", func() { b.gossip.Run(peering) })
+	run(ctx, "box lists", func() { b.pollLists(ctx) })
+	run(ctx, "domain facts", func() { b.domainSumsLoop(ctx) })
+	run(ctx, "lease", func() { b.lease.Run(ctx) })
+	run(ctx, "engines", func() { b.pollEngines(ctx) })
+	run(ctx, "orders", func() { b.sendOrders(ctx) })
+	run(ctx, "lateness", func() { b.measureLateness(ctx) })
+	run(ctx, "housekeeping", func() {
 		b.clock.Every(ctx, clock.Second, func(clock.Millis) {
 			b.updateDemand()
 			b.updateShares()
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"os"
 
-	"go.uber.org/zap"
-
 	"dooryard.example/dooryard/internal/backing"
 	"dooryard.example/dooryard/internal/callers"
 	"dooryard.example/dooryard/internal/claim"
@@ -244,8 +242,3 @@
 	}
 	return nil
 }
-
-func (b *Box) handlerPanicked(trace string) {
-	b.metrics.HandlerPanics.Add(1)
-	b.logger.Error("handler panicked", zap.String("box", b.settings.Box), zap.String("trace", trace))
-}
--- a/internal/box/stop.go
+++ b/internal/box/stop.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/server"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -69,7 +70,7 @@
 	errs := make([]error, len(list))
 	var running sync.WaitGroup
 	for i, s := range list {
-		running.Go(func() { errs[i] = b.drainServer(ctx, s) })
+		running.Go(func() { guard.Do("drain of a listener", func() { errs[i] = b.drainServer(ctx, s) }) })
 	}
 	drained := make(chan error, 1)
 	go func() {
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/logstream"
 )
 
@@ -104,15 +105,21 @@
 	}
 	s.submitting++
 	s.group.Go(func() {
-		if _, forwarded := s.forward(ctx, Shard(record.Key), record); !forwarded {
-			s.SubmitLocal(record)
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.submitting--
+		defer s.endSubmit()
+		guard.Do("record of a claim", func() {
+			if _, forwarded := s.forward(ctx, Shard(record.Key), record); !forwarded {
+				s.SubmitLocal(record)
+			}
+		})
 	})
 }
 
+func (s *Service) endSubmit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submitting--
+}
+
 // SubmitLocal queues a record in this box's own stream, also on behalf of other boxes.
 func (s *Service) SubmitLocal(record Record) {
 	s.stream(Shard(record.Key)).Submit(record)
--- a/internal/claim/stream.go
+++ b/internal/claim/stream.go
@@ -11,6 +11,7 @@
 	"dooryard.example/dooryard/internal/backing"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/logstream"
+	"dooryard.example/dooryard/internal/supervisor"
 )
 
 // Settings configure a Stream.
@@ -50,8 +51,8 @@
 // Run follows the stream and appends batches until the context ends.
 func (s *Stream) Run(ctx context.Context) {
 	group := sync.WaitGroup{}
-	group.Go(func() { s.follow(ctx) })
-	group.Go(func() { s.flushLoop(ctx) })
+	group.Go(func() { supervisor.Repeat(ctx, s.clock, "claims of others", func() { s.follow(ctx) }) })
+	group.Go(func() { supervisor.Repeat(ctx, s.clock, "own claims", func() { s.flushLoop(ctx) }) })
 	group.Wait()
 }
 
--- a/internal/cmd/routercmd/routercmd.go
+++ b/internal/cmd/routercmd/routercmd.go
@@ -11,6 +11,7 @@
 	"dooryard.example/dooryard/internal/box"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/cmd/daemon"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/logging"
 	"dooryard.example/dooryard/pkg/config"
 )
@@ -51,5 +52,6 @@
 	if err != nil {
 		return err
 	}
+	defer guard.Handle(b.HandlePanic)()
 	return b.Run(ctx)
 }
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // Errors of received datagrams.
@@ -136,7 +137,7 @@
 			continue
 		}
 		failing = false
-		s.receive(from.String(), buffer[:length])
+		guard.Do("datagram of another box", func() { s.receive(from.String(), buffer[:length]) })
 	}
 }
 
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -31,6 +31,7 @@
 	"dooryard.example/dooryard/internal/retry"
 	"dooryard.example/dooryard/internal/routing"
 	"dooryard.example/dooryard/internal/server"
+	"dooryard.example/dooryard/internal/supervisor"
 	"dooryard.example/dooryard/internal/upstream"
 	"dooryard.example/dooryard/internal/work"
 	"dooryard.example/dooryard/pkg/config"
@@ -126,7 +127,7 @@
 	// notesRead is closed once the box has tried to read the notes, or knows that there are none.
 	notesRead  chan struct{}
 	goroutines sync.WaitGroup
-	restarts   *partRestarts
+	supervisor *supervisor.Supervisor
 }
 
 // Option configures a Box in New.
@@ -151,7 +152,7 @@
 		clock: clock.New(), out: out, packets: net.ListenPacket,
 		features: adapter.Features, lengths: work.NewLengths(),
 		metrics: NewMetrics(), synced: make(chan struct{}), confirmed: make(chan struct{}),
-		notesRead: make(chan struct{}), restarts: newPartRestarts(),
+		notesRead: make(chan struct{}),
 	}
 	b.graceEnded, b.endGrace = context.WithCancel(context.Background())
 	withDefaults := defaults(settings)
@@ -159,6 +160,7 @@
 	for _, option := range options {
 		option(b)
 	}
+	b.supervisor = supervisor.New(b.clock, &b.goroutines)
 	b.settings.Store(&withDefaults)
 	logger, err := logging.New(out, "")
 	if err != nil {
@@ -358,7 +360,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 		b.log.Record(decision.Process{What: "listener lost", Note: err.Error()})
-	case err = <-b.restarts.tooMany:
+	case err = <-b.supervisor.Failed():
 		b.log.Record(decision.Process{What: "part lost", Note: err.Error()})
 	}
 	err = errors.Join(err, b.stop(background))
--- a/internal/gateway/panics_test.go
+++ b/internal/gateway/panics_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/guard"
+	"dooryard.example/dooryard/internal/supervisor"
 )
 
 // runGuarded runs a box whose panics are handled as in its own process.
@@ -48,12 +49,12 @@
 		runGuarded(t, func(f *fleet, b *running, out *logBuffer) {
 			ctx, cancel := context.WithCancel(f.t.Context())
 			b.runPart(ctx, "part", func() { panic("broken") })
-			advance(f.t, (maxRestarts-2)*partRestartMs.Duration())
+			advance(f.t, (supervisor.MaxRestarts-2)*supervisor.RestartMs.Duration())
 			assert.Empty(f.t, out.with("part lost"))
 			assertStatus(f.t, b, "/safe/", http.StatusOK)
-			advance(f.t, 2*partRestartMs.Duration())
+			advance(f.t, 2*supervisor.RestartMs.Duration())
 			cancel()
-			require.ErrorIs(f.t, <-b.done, errPartFails)
+			require.ErrorIs(f.t, <-b.done, supervisor.ErrFails)
 			b.done <- nil
 			for _, stage := range []string{"part lost", "stopping", "listeners close", "stopped"} {
 				assert.Len(f.t, out.with(`"msg":"`+stage+`"`), 1, stage)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -3,6 +3,7 @@
 package guard
 
 import (
+	"fmt"
 	"runtime/debug"
 	"sync/atomic"
 )
@@ -17,6 +18,14 @@
 	Trace []byte
 }
 
+// maxTraceBytes limits the trace in a text.
+const maxTraceBytes = 4096
+
+// String returns the part, the value and the beginning of the trace.
+func (p Panic) String() string {
+	return fmt.Sprintf("%s: %v: %s", p.Part, p.Value, p.Trace[:min(len(p.Trace), maxTraceBytes)])
+}
+
 // handler receives the panics of the process, or is nil.
 var handler atomic.Pointer[func(p Panic)]
 
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -10,6 +10,7 @@
 	"dooryard.example/dooryard/internal/backing"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/logstream"
+	"dooryard.example/dooryard/internal/supervisor"
 )
 
 // Times of a lease.
@@ -59,8 +60,12 @@
 // lease once this box no longer wants it.
 func (k *Keeper) Run(ctx context.Context) {
 	group := sync.WaitGroup{}
-	group.Go(func() { k.follow(ctx) })
-	group.Go(func() { k.clock.Every(ctx, clock.Second, func(clock.Millis) { k.maintain(ctx) }) })
+	group.Go(func() { supervisor.Repeat(ctx, k.clock, "lease of others", func() { k.follow(ctx) }) })
+	group.Go(func() {
+		supervisor.Repeat(ctx, k.clock, "own lease", func() {
+			k.clock.Every(ctx, clock.Second, func(clock.Millis) { k.maintain(ctx) })
+		})
+	})
 	group.Wait()
 }
 
--- a/internal/logstream/follower.go
+++ b/internal/logstream/follower.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/backing"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // Limits of one read, and the backoff between failed reads.
@@ -151,7 +152,8 @@
 		if record.Offset > f.Next() {
 			return fmt.Errorf("%w: expected offset %d, got %d", ErrGap, f.Next(), record.Offset)
 		}
-		f.record(record)
+		// Read again, it would panic again, at each box.
+		guard.Do("record of the log", func() { f.record(record) })
 		f.Advance(record.Offset + 1)
 	}
 	return nil
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -65,21 +65,22 @@
 const factsEvery = 4
 
 func (g *Gossip) tick(now clock.Millis) {
+	g.send(g.tickNode(now))
+	g.report()
+}
+
+func (g *Gossip) tickNode(now clock.Millis) []Outgoing {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.node.period%factsEvery == 0 {
 		g.node.SetFacts(g.facts())
 	}
-	out := g.node.Tick(now)
-	g.mu.Unlock()
-	g.send(out)
-	g.report()
+	return g.node.Tick(now)
 }
 
 // Receive processes a message.
 func (g *Gossip) Receive(from string, body []byte) {
-	g.mu.Lock()
-	out, err := g.node.Receive(g.clock.Now(), from, body)
-	g.mu.Unlock()
+	out, err := g.receiveNode(from, body)
 	if err != nil {
 		g.logger.Debug("message dropped", zap.String("from", from), zap.Error(err))
 		return
@@ -88,6 +89,12 @@
 	g.report()
 }
 
+func (g *Gossip) receiveNode(from string, body []byte) ([]Outgoing, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Receive(g.clock.Now(), from, body)
+}
+
 func (g *Gossip) send(out []Outgoing) {
 	for _, o := range out {
 		g.socket.Send(ChannelPrefix, o.Address, o.Body)
@@ -95,16 +102,18 @@
 }
 
 func (g *Gossip) report() {
-	g.mu.Lock()
-	changed := g.node.TakeChanged()
-	live := g.node.Live()
-	g.mu.Unlock()
-	if changed {
+	if live, changed := g.takeChanged(); changed {
 		g.logger.Info("live boxes changed", zap.Strings("live", live))
 		g.onChange(live)
 	}
 }
 
+func (g *Gossip) takeChanged() (live []string, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Live(), g.node.TakeChanged()
+}
+
 // SetContacts sets the addresses that are contacted while this box knows no other box of its
 // failure domain, or no box of another one.
 func (g *Gossip) SetContacts(addresses []string) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,7 @@
 	SnapshotsMade       *expvar.Int
 	SnapshotAlarms      *expvar.Int
 	HandlerPanics       *expvar.Int
+	PartPanics          *expvar.Int
 	// ResponsesAfterDeadline counts responses that were sent after their callers' deadlines.
 	ResponsesAfterDeadline *expvar.Int
 }
@@ -51,8 +52,9 @@
 func New() *Metrics {
 	m := &Metrics{all: new(expvar.Map).Init()}
 	for name, target := range map[string]**expvar.Int{
-		"handler_panics": &m.HandlerPanics, "responses_after_deadline": &m.ResponsesAfterDeadline,
-		"requests": &m.Requests, "outcome_ran": &m.OutcomeRan, "outcome_not_run": &m.OutcomeNotRun,
+		"handler_panics": &m.HandlerPanics, "part_panics": &m.PartPanics,
+		"responses_after_deadline": &m.ResponsesAfterDeadline,
+		"requests":                 &m.Requests, "outcome_ran": &m.OutcomeRan, "outcome_not_run": &m.OutcomeNotRun,
 		"outcome_unknown": &m.OutcomeUnknown, "upstream_attempts": &m.Attempts,
 		"retries": &m.Retries, "retries_denied": &m.RetriesDenied,
 		"stream_resumes": &m.Resumes, "streams_cut": &m.TruncatedStreams,
--- a/internal/pipe/forward/due.go
+++ b/internal/pipe/forward/due.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 )
 
 // stalledMs is the pause after which the rest of a response hardly arrives within the lead of a last response.
@@ -24,7 +25,7 @@
 	d := &dueTimer{clock: c}
 	d.timer = time.AfterFunc(max(1, span).Duration(), func() {
 		if !d.arrives() {
-			end()
+			guard.Do("end of a request's time", end)
 		}
 	})
 	return d
--- a/internal/pipe/forward/stream.go
+++ b/internal/pipe/forward/stream.go
@@ -16,6 +16,7 @@
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/headcheck"
 	"dooryard.example/dooryard/internal/pool"
 )
@@ -239,8 +240,10 @@
 		fired:   make(chan struct{}),
 	}
 	t.timer = time.AfterFunc(t.timeout, func() {
-		close(t.fired)
-		_ = body.Close()
+		guard.Do("timeout of a stream", func() {
+			close(t.fired)
+			_ = body.Close()
+		})
 	})
 	return t
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,6 +21,7 @@
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/secret"
 	"dooryard.example/dooryard/pkg/config"
@@ -206,9 +207,14 @@
 // Address returns the address to which the listener is bound.
 func (s *Server) Address() string { return s.conns.Addr().String() }
 
+// errPanicked means that a listener is closed after a panic.
+var errPanicked = errors.New("listener panicked")
+
 // Serve handles requests until Drain or Close is called.
 func (s *Server) Serve() error {
-	err := s.server.Serve(s.serves)
+	err := errPanicked
+	// The HTTP server closes its listener in a panic.
+	guard.Do(s.name+" listener", func() { err = s.server.Serve(s.serves) })
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/tablestore/store.go
+++ b/internal/tablestore/store.go
@@ -14,6 +14,7 @@
 
 	"dooryard.example/dooryard/internal/backing"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/logstream"
 	"dooryard.example/dooryard/internal/table"
 )
@@ -102,7 +103,7 @@
 	if record.Offset != s.state.Offset() {
 		return
 	}
-	next, verdict := s.state.Apply(record.Offset, record.Data)
+	next, verdict := s.apply(record)
 	s.tail.Add(record)
 	if verdict.ID != "" {
 		s.logVerdict(verdict)
@@ -111,6 +112,15 @@
 	s.publish(next)
 }
 
+// apply returns the table after a record. A record whose application panics does so at each box, and changes nothing,
+// like a malformed one.
+func (s *Store) apply(record backing.Record) (next *table.State, verdict table.Verdict) {
+	if !guard.Do("record of the table", func() { next, verdict = s.state.Apply(record.Offset, record.Data) }) {
+		return s.state.Apply(record.Offset, nil)
+	}
+	return next, verdict
+}
+
 func (s *Store) logVerdict(verdict table.Verdict) {
 	s.logger.Info("edit", zap.String("id", verdict.ID), zap.Int64("offset", verdict.Offset),
 		zap.String("result", string(verdict.Result)))
@@ -132,7 +142,7 @@
 	s.state = state
 	s.changedMs = s.clock.Now()
 	for _, listener := range s.listeners {
-		listener(state)
+		guard.Do("listener of the table", func() { listener(state) })
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/headcheck"
 	"dooryard.example/dooryard/internal/socket"
 )
@@ -20,6 +21,9 @@
 // whose deadline for writes has passed.
 var errAborted = errors.New("attempt aborted")
 
+// errPanicked ends a connection whose read has panicked.
+var errPanicked = errors.New("read panicked")
+
 // Dial opens a connection. Tests replace it.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -94,6 +98,13 @@
 // Read implements net.Conn. It returns io.EOF only after an orderly end, and an error that wraps headcheck.ErrMalformed
 // instead of bytes by which the head of a response is malformed.
 func (c *trackedConn) Read(data []byte) (int, error) {
+	n, err := 0, errPanicked
+	// It is called by a goroutine of net/http.
+	guard.Do("read of an upstream's connection", func() { n, err = c.read(data) })
+	return n, err
+}
+
+func (c *trackedConn) read(data []byte) (int, error) {
 	n, err := c.failure.Read(c.Conn, data)
 	if malformed := c.scan(data[:n]); malformed != nil {
 		return 0, malformed
