fix(gateway): a connection on which nothing is sent shows that an upstream without health checks has gone

Callers got a part of a response as a whole one: it had neither a length nor chunks, its upstream crashed in order in the midst of it, and another process accepted connections at the address 0.4 s later. Without a health path and without a word of the processes nothing told them apart, unless a connection from before the request or another response had broken off with it.

While such responses are under way in a pool without a health path, the box keeps one more connection to the upstream (upstream.Witness). The kernel closes it with the response's own if the process has gone: if it ends in order within 50 ms of the response, the response broke off. That it stays open proves nothing, as before: the kernel may take 0.4 s, and a proxy keeps it.

Sound upstreams close unused connections, too. A witness is renewed after 4 s, as long as idle connections are kept, or after half of the time after which the upstream once closed one alone; one that is open for less than 20 ms, is reset or is told something proves nothing. Responses that end in the same millisecond prove nothing either, since upstreams that work in batches end them together. Cost: one connection for each such upstream, until 4 s after the latest such response began.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -15,8 +15,8 @@
 // request was sent. Failed probes may also mean that the process ended after its last response, or that this box is
 // partitioned from it: that the response was whole is not known then either.
 //
-// If nothing of the process can be asked, it counts as gone once all its connections have ended, and another response
-// with them.
+// If nothing of the process can be asked, it counts as gone once all its connections have ended, and with them another
+// response or a witness.
 func (b *Box) survival(ctx context.Context, lease *balance.Lease, sentMs clock.Millis) upstream.Survival {
 	client, endedMs := lease.Client(), b.clock.Monotonic()
 	probe := func() upstream.Liveness { return client.ProbeLiveness(ctx) }
@@ -28,7 +28,8 @@
 		return upstream.Responding
 	case found == upstream.Rejecting:
 		return upstream.Gone
-	case found != upstream.Responding && client.HasBroken(max(sentMs, endedMs-upstream.CloseSettleMs)):
+	case found != upstream.Responding &&
+		(client.HasBroken(max(sentMs, endedMs-upstream.CloseSettleMs)) || client.Witness().ShowsGone(endedMs)):
 		return upstream.Gone
 	default:
 		return b.checkStart(ctx, lease, found)
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -56,10 +56,7 @@
 		return s.failWithoutResponse(lease, err, context.Cause(ctx))
 	}
 	defer resp.Close()
-	s.recordProgress()
-	lease.RecordAnswered()
-	s.request.Sent++
-	s.request.Framing = string(resp.Framing())
+	s.recordHead(lease, resp)
 	s.handleSignals(lease, resp)
 	if resp.StatusCode < http.StatusInternalServerError && s.signals.BackoffMs == 0 {
 		lease.RecordResponseStart()
@@ -75,6 +72,17 @@
 	return failed
 }
 
+// recordHead records that the head of a response has arrived.
+func (s *retryLoop) recordHead(lease *balance.Lease, resp *upstream.Response) {
+	s.recordProgress()
+	lease.RecordAnswered()
+	s.request.Sent++
+	s.request.Framing = string(resp.Framing())
+	if pool := s.request.State.Pool(lease.Pool); pool != nil && pool.HealthPath == "" {
+		resp.AddWitness()
+	}
+}
+
 // forgetAttempt drops what is left of the attempt before.
 func (s *retryLoop) forgetAttempt() {
 	s.dropFailedResponse()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -68,6 +68,7 @@
 	address   string
 	monotonic func() clock.Millis
 	dial      Dial
+	witness   Witness
 
 	mu   sync.Mutex
 	idle []*conn
@@ -97,13 +98,26 @@
 	for _, option := range options {
 		option(c)
 	}
+	c.witness.monotonic, c.witness.dial = monotonic, c.dialWitness
 	return c
 }
 
+// dialWitness opens a connection on which nothing is sent. Its outcome says little of the upstream.
+func (c *Client) dialWitness(ctx context.Context) (net.Conn, error) {
+	raw, err := dialWithin(ctx, c.dial, c.address, connectTimeoutMs)
+	if err == nil {
+		c.onDial()
+	}
+	return raw, err
+}
+
+// Witness shows whether the upstream's process has gone, by responses for which it was asked.
+func (c *Client) Witness() *Witness { return &c.witness }
+
 // Address returns the address of the upstream.
 func (c *Client) Address() string { return c.address }
 
-// Close closes the idle connections. Requests in flight finish on their own connections.
+// Close closes the connections that carry no request. Requests in flight finish on their own connections.
 func (c *Client) Close() {
 	c.mu.Lock()
 	idle := c.idle
@@ -111,6 +125,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	closeAll(idle)
+	c.witness.Close()
 }
 
 // CloseIdle closes the idle connections, for example when they are probably dead.
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -214,11 +214,22 @@
 	eof       bool
 	failed    bool
 	closed    bool
+	// isWitnessed is set if the client's Witness counts the response.
+	isWitnessed bool
 }
 
 // Framing returns how the end of the body is marked.
 func (a *Response) Framing() Framing { return framing(a.Response) }
 
+// AddWitness has the client's Witness show whether the upstream's process has gone once the response ends, if it ends
+// with its connection.
+func (a *Response) AddWitness() {
+	a.isWitnessed = a.Framing() == ByConnection && a.Body != http.NoBody
+	if a.isWitnessed {
+		a.roundTrip.client.witness.Begin()
+	}
+}
+
 // Read reads from the body. It returns io.EOF at the end of a complete body and an error that wraps
 // ErrBroken if the body was truncated.
 func (a *Response) Read(part []byte) (int, error) {
@@ -228,6 +239,9 @@
 		return n, nil
 	case errors.Is(err, io.EOF):
 		a.eof = true
+		if a.isWitnessed {
+			a.roundTrip.client.witness.RecordEnd()
+		}
 		return n, io.EOF
 	default:
 		a.failed = true
@@ -250,6 +264,9 @@
 	a.closed = true
 	rt := a.roundTrip
 	rt.client.setBusy(rt.conn, false)
+	if a.isWitnessed {
+		rt.client.witness.Finish()
+	}
 	stopped := rt.stopAfterFunc()
 	reusable := stopped && a.eof && !a.failed && a.Framing() != ByConnection && !a.Response.Close &&
 		rt.written.Load() && rt.conn.reader.Buffered() == 0
