fix(transport,forward): a given-up attempt closes no connection that serves another request

A request of dooryard-router got 502 and was not repeated because another one was refused: a response without a body is complete when its head is read, and net/http puts the connection back, and may give it to the next request, before the attempt sees the head. An attempt that then gives the response up (503, `X-Not-Run`) closed the connection.

Abort leaves a connection alone that another request uses by now, and a refusal no longer closes a connection that can be kept: net/http closes those whose body was not read. What an attempt allows is dropped with the next request, so that a passed instant of one doesn't end another.

TestRefusalKeepsItsConnection: 3 connections for 3 refusals before, now 1.

--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -228,6 +228,8 @@
 	unreachable bool
 	// responseStarted is set if the caller has received part of a response or an error event.
 	responseStarted bool
+	// sound is set if the response is one to this request. Its connection is closed with its body, unless that was read.
+	sound bool
 }
 
 func (f *failure) Error() string { return f.cause.Error() }
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -53,7 +53,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	failed := p.relay(ctx, x, lease, response, due)
-	if failed != nil {
+	if failed != nil && !failed.sound {
 		// A connection with an abandoned response must not be reused for another request.
 		watch.Abort()
 	}
@@ -201,10 +201,12 @@
 		return p.checkRemote(response)
 	}
 	if response.Header.Get(engine.HeaderNotExecuted) == "true" {
-		return &failure{cause: errNotRun, notRun: true, upstreamFault: true}
+		return &failure{cause: errNotRun, notRun: true, upstreamFault: true, sound: true}
 	}
 	if response.StatusCode >= http.StatusInternalServerError && x.Repeatable {
-		return &failure{cause: fmt.Errorf("%w %s", errStatus, statusText(response.StatusCode)), upstreamFault: true}
+		return &failure{
+			cause: fmt.Errorf("%w %s", errStatus, statusText(response.StatusCode)), upstreamFault: true, sound: true,
+		}
 	}
 	return nil
 }
@@ -214,10 +216,10 @@
 	p.metrics.RemoteForwarded.Add(1)
 	outcome := exchange.Outcome(response.Header.Get(exchange.HeaderOutcome))
 	if outcome == exchange.NotRun {
-		return &failure{cause: errNotRun, notRun: true}
+		return &failure{cause: errNotRun, notRun: true, sound: true}
 	}
 	if outcome != exchange.Ran {
-		return &failure{cause: errStatus}
+		return &failure{cause: errStatus, sound: true}
 	}
 	return nil
 }
--- a/internal/pipe/forward/send_test.go
+++ b/internal/pipe/forward/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/table"
@@ -85,3 +87,26 @@
 		})
 	}
 }
+
+// TestRefusalKeepsItsConnection guards against requests that fail because their connection is closed after the refusal of
+// another one.
+func TestRefusalKeepsItsConnection(t *testing.T) {
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(engine.HeaderNotExecuted, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	through := transport.New(transport.Settings{ConnectTimeoutMs: 1000, MaxIdlePerHost: 1})
+	for range 3 {
+		x, _ := runPipeTo(t, server.Listener.Addr().String(), exchange.Service, through, nil)
+		assert.Equal(t, exchange.NotRun, x.Outcome)
+	}
+	assert.EqualValues(t, 1, opened.Load())
+}
--- a/internal/pipe/forward/unframed_test.go
+++ b/internal/pipe/forward/unframed_test.go
@@ -145,6 +145,14 @@
 // runPipe runs a pipe with one request.
 func runPipe(
 	t *testing.T, kind exchange.Kind, through http.RoundTripper, mayHaveCrashed func(context.Context, string) bool,
+) (*exchange.Exchange, *httptest.ResponseRecorder) {
+	t.Helper()
+	return runPipeTo(t, "127.0.0.1:1", kind, through, mayHaveCrashed)
+}
+
+func runPipeTo(
+	t *testing.T, address string, kind exchange.Kind, through http.RoundTripper,
+	mayHaveCrashed func(context.Context, string) bool,
 ) (*exchange.Exchange, *httptest.ResponseRecorder) {
 	t.Helper()
 	pipe := New(Dependencies{
@@ -160,7 +168,7 @@
 	x := exchange.New(t.Context(), "id", caller, request, kind, 0)
 	x.Organisation, x.Deadline = &table.Organisation{Name: "o"}, clock.New().Now()
 	x.RespondBy = x.Deadline
-	x.Lease = pool.NewRemoteLease("u", "127.0.0.1:1", nil, func(bool) {})
+	x.Lease = pool.NewRemoteLease("u", address, nil, func(bool) {})
 	_ = pipe.Run(x)
 	return x, caller
 }
--- a/internal/transport/heads.go
+++ b/internal/transport/heads.go
@@ -25,15 +25,14 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			got, _ := info.Conn.(*trackedConn)
 			if conn.Store(got); got != nil {
-				got.startHead()
+				got.startRequest()
 			}
 		},
 		// It is called before the head is read, so that no other request gets the connection before it is closed.
 		GotFirstResponseByte: func() {
 			if got := conn.Load(); got != nil && !got.inHead() {
 				early.Store(true)
-				got.abort()
-				_ = got.Close()
+				got.closeForAll()
 			}
 		},
 	})
@@ -48,11 +47,19 @@
 // CloseIdleConnections closes the idle connections.
 func (t checkedTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
-// startHead begins to check the head of the response to the next request.
-func (c *trackedConn) startHead() {
+// startRequest begins to check the head of the response to the next request, before that has a tracker.
+func (c *trackedConn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checksHead, c.head = true, headcheck.Scanner{}
+	c.checksHead, c.head, c.attempt = true, headcheck.Scanner{}, nil
+}
+
+// closeForAll closes the connection for each request that uses it or is about to, so that nothing more is written.
+func (c *trackedConn) closeForAll() {
+	c.mu.Lock()
+	c.aborted = true
+	c.mu.Unlock()
+	_ = c.Close()
 }
 
 // scan checks bytes that were read.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -80,8 +80,8 @@
 	mu      sync.Mutex
 	started int64
 	aborted bool
-	// expired, if set, reports whether writes are no longer allowed.
-	expired func() bool
+	// attempt tracks the request that uses the connection, or is nil.
+	attempt *AttemptTracker
 	// head checks the response to the latest request, once there is one.
 	head       headcheck.Scanner
 	checksHead bool
@@ -117,7 +117,7 @@
 func (c *trackedConn) startWrite(count int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted || c.expired != nil && c.expired() {
+	if c.aborted || c.attempt.isExpired() {
 		return errAborted
 	}
 	c.started += int64(count)
@@ -130,18 +130,22 @@
 	return c.started
 }
 
-func (c *trackedConn) setExpired(expired func() bool) {
+func (c *trackedConn) setAttempt(attempt *AttemptTracker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expired = expired
+	c.attempt = attempt
 }
 
-// abort makes further writes fail and returns the final count.
-func (c *trackedConn) abort() int64 {
+// abort closes the connection, and makes further writes fail. It does nothing if another attempt than the given one
+// uses it.
+func (c *trackedConn) abort(attempt *AttemptTracker) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.aborted = true
-	return c.started
+	uses := c.attempt == attempt
+	c.aborted = c.aborted || uses
+	c.mu.Unlock()
+	if uses {
+		_ = c.Close()
+	}
 }
 
 // AttemptTracker tracks the connections that one attempt uses.
@@ -180,10 +184,12 @@
 		w.untracked = true
 		return
 	}
-	conn.setExpired(w.Expired)
+	conn.setAttempt(w)
 	w.conns = append(w.conns, attemptConn{conn: conn, before: conn.startedBytes()})
 }
 
+func (w *AttemptTracker) isExpired() bool { return w != nil && w.Expired != nil && w.Expired() }
+
 // Connected reports whether the attempt got a connection.
 func (w *AttemptTracker) Connected() bool {
 	w.mu.Lock()
@@ -200,17 +206,17 @@
 }
 
 // Abort aborts a failed attempt and reports whether it is certain that no byte of
-// it was sent. After the call, no more bytes can be sent. It must not be called
-// for an attempt that got a complete response.
+// it was sent. After the call, no more bytes can be sent. A connection that another
+// request uses after a complete response stays open.
 func (w *AttemptTracker) Abort() (nothingSent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	nothingSent = !w.untracked
 	for _, attempt := range w.conns {
-		if attempt.conn.abort() != attempt.before {
+		attempt.conn.abort(w)
+		if attempt.conn.startedBytes() != attempt.before {
 			nothingSent = false
 		}
-		_ = attempt.conn.Close()
 	}
 	return nothingSent
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -113,3 +113,32 @@
 		assert.Equal(t, 1, requests)
 	})
 }
+
+// TestAbortOfAnAttemptWhoseConnectionServesAnother guards against a request that fails because another attempt was given
+// up, whose response had no body, so that its connection was already in use again.
+func TestAbortOfAnAttemptWhoseConnectionServesAnother(t *testing.T) {
+	arrived, respond := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refused" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		close(arrived)
+		<-respond
+	}))
+	defer server.Close()
+	client, refused, served := newClient(), &AttemptTracker{}, make(chan error, 1)
+	require.NoError(t, post(refused.Context(t.Context()), t, client, server.URL+"/refused"))
+	go func() {
+		request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader("body"))
+		response, err := client.Do(request)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		served <- err
+	}()
+	<-arrived
+	assert.False(t, refused.Abort())
+	close(respond)
+	require.NoError(t, <-served)
+}
