fix(forward): an attempt that begins too late sends nothing

An upstream of dooryard-router got a request whose response could not reach the caller in time: the time that is left was looked at before an upstream was picked, which may take a while, and a paused process could send later still. The caller, whose request had been refused by every upstream before, was told that it may have run, and the upstream worked for nobody.

The time is looked at right before the first write, like that of a claim, and the upstream isn't blamed for a write that was not allowed.

--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -27,10 +27,8 @@
 
 // send makes one attempt. It returns nil if the caller has the complete response.
 func (p *Pipe) send(ctx context.Context, x *exchange.Exchange, lease *pool.Lease) *failure {
-	watch := &transport.AttemptTracker{}
-	if x.SendBefore > 0 {
-		watch.Expired = func() bool { return p.clock.Monotonic() > x.SendBefore }
-	}
+	window := &sendWindow{x: x, clock: p.clock}
+	watch := &transport.AttemptTracker{Expired: window.isOver}
 	ctx, cancel := context.WithCancel(watch.Context(ctx))
 	defer cancel()
 	due := startDue(p.clock, x.RemainingMs(p.clock.Monotonic()), func() {
@@ -44,7 +42,7 @@
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		ended := ctx.Err() != nil
+		ended := ctx.Err() != nil || window.over.Load()
 		nothingSent := watch.Abort()
 		return &failure{
 			cause: err, notRun: nothingSent, upstreamFault: !ended,
--- a/internal/pipe/forward/send_test.go
+++ b/internal/pipe/forward/send_test.go
@@ -11,13 +11,17 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
 
+	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/engine"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/metrics"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/table"
 	"dooryard.example/dooryard/internal/transport"
+	"dooryard.example/dooryard/pkg/config"
 )
 
 // TestCopyHeader guards against forwarding headers that the sender meant for this connection only.
@@ -110,3 +114,38 @@
 	}
 	assert.EqualValues(t, 1, opened.Load())
 }
+
+// TestNoAttemptBeginsAfterItsTime guards against a request that an upstream gets when its response can't arrive in time, so
+// that it may have run although every upstream before had refused it.
+func TestNoAttemptBeginsAfterItsTime(t *testing.T) {
+	var received atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		received.Add(1)
+		w.Header().Set(engine.HeaderNotExecuted, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	var now atomic.Int64
+	p := New(Dependencies{
+		Transport: transport.New(transport.Settings{ConnectTimeoutMs: 1000, MaxIdlePerHost: 1}),
+		Report:    func(string, int) {}, OnDue: func(*exchange.Exchange) {}, Metrics: metrics.New(),
+		Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(),
+		Clock: clock.New(clock.WithMonotonic(func() clock.Millis { return clock.Millis(now.Load()) })),
+		Next: func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) {
+			now.Store(1000)
+			return pool.NewRemoteLease("second", address, nil, func(bool) {}), nil
+		},
+	})
+	p.Default(&config.Router{})
+	incoming := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
+	x := exchange.New(t.Context(), "id", httptest.NewRecorder(), incoming, exchange.Service, 0)
+	x.Organisation, x.Deadline, x.RespondBy = &table.Organisation{Name: "o"}, 1100, 1000
+	x.Lease = pool.NewRemoteLease("first", address, nil, func(bool) {})
+	err := p.Run(x)
+	var response *apierror.Error
+	require.ErrorAs(t, err, &response)
+	assert.Equal(t, http.StatusGatewayTimeout, response.Status)
+	assert.Equal(t, exchange.NotRun, x.Outcome)
+	assert.EqualValues(t, 1, received.Load())
+}
