feat(mesh): the next start of a box tells how its last process ended

Other boxes heard from the process until its end, but forget a silent box after 60 s, and a process that drained and one that was killed in its drain look alike.

Change: a stop ends with a message to all boxes (phase 22 of a datagram). Boxes remember the last four processes of each box for ten minutes, with their phases and when they were heard last, and name them (23) in what they send to a new process in its first 3 s, as ages. After 2 s the new process logs "last process ended" (in order, without leaving, while stopping; last heard, by whom, ran for), also of processes that ended before they could do so. Up to three boxes log "box restarted", those of its failure domain first, one in a fleet of over 128; all count it. A process that has given up its address to the next one is told once it has ended. Boxes of the release before ignore both fields; of their drains nothing more is known, so they count as in order.

The mesh's tests play kills, stops, kills in a drain, two kills within 0.7 s, clocks set back, fleets of 6 and 168, replaced processes; that of gatewaycmd real processes.

Not in dooryard-router, whose membership is another package.

--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -71,7 +71,7 @@
 // isOfProcess reports whether an event is about the process, not about a request or an upstream.
 func isOfProcess(e Event) bool {
 	switch e.(type) {
-	case Process, Stop, ProcessPaused, MemoryNearLimit:
+	case Process, Stop, ProcessPaused, MemoryNearLimit, LastProcessEnded:
 		return true
 	default:
 		return false
--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -365,6 +365,7 @@
 	}
 	err = errors.Join(err, b.stop(background))
 	b.closeListeners()
+	b.peering.mesh.BroadcastEnd()
 	b.recordStop("stopped", err)
 	return err
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/mesh"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/osthread"
 	"dooryard.example/dooryard/internal/textmetrics"
@@ -63,6 +64,18 @@
 // UpstreamCrashed counts an upstream that crashed while it ran requests.
 func (m *Metrics) UpstreamCrashed() { m.all.Add("upstreams_ended", 1) }
 
+// BoxRestarted counts a restart of another box whose last process did not end in order.
+func (m *Metrics) BoxRestarted(ending mesh.Ending) {
+	m.all.Add("boxes_restarted_"+metricName(ending), 1)
+}
+
+// LastProcessEnded counts an earlier process of this box, of whose end other boxes told.
+func (m *Metrics) LastProcessEnded(ending mesh.Ending) {
+	m.all.Add("last_process_ended_"+metricName(ending), 1)
+}
+
+func metricName(ending mesh.Ending) string { return strings.ReplaceAll(string(ending), " ", "_") }
+
 // StoreRestored counts a restoration of the store from an older snapshot.
 func (m *Metrics) StoreRestored() { m.all.Add("store_restored", 1) }
 
--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -69,7 +69,8 @@
 		AttemptsBetween: b.balance.AttemptsBetween,
 		PaceFindings:    b.balance.PaceFindings, RecordPaceFindings: b.balance.RecordPaceFindings,
 		OnReceiveError: func(err error) { b.ReportInvalidInput("datagrams of other boxes", err) },
-		OnPeerState:    p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnRestart:      b.reportRestart, OnProcessEnd: b.reportProcessEnd,
+		OnPeerState: p.enqueue, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	b.peering = p
 	b.metrics.Publish("mesh", func() any { return p.mesh.Sizes() })
--- a/internal/mesh/former.go
+++ b/internal/mesh/former.go
@@ -86,6 +86,7 @@
 // forgetLocked removes boxes that have been silent for too long. A process that has given up its address has ended.
 func (m *Mesh) forgetLocked(now clock.Millis) {
 	aliveTimeout := m.aliveTimeoutLocked()
+	m.forgetLifetimesLocked(now, aliveTimeout)
 	after := max(forgetAfterMs, aliveTimeout)
 	for box, p := range m.peers {
 		switch silentMs := now - p.lastSeenMs; {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -104,6 +104,8 @@
 	recordPaceFindings  func(list []pace.Finding)
 	onPeerState         func(a PeerState)
 	onReceiveError      func(err error)
+	onRestart           func(r Restart)
+	onProcessEnd        func(e ProcessEnd)
 	random              *rand.Rand
 
 	mu    sync.Mutex
@@ -140,6 +142,7 @@
 	// permitTimeouts counts permit requests that no owner answered in time.
 	permitTimeouts int64
 	sentFindings   sentFindings
+	lifetimes      lifetimes
 	// provisionalPermits counts permits that an owner without a complete count granted.
 	provisionalPermits int64
 }
@@ -190,7 +193,11 @@
 	OnPeerState func(a PeerState)
 	// OnReceiveError receives errors of the connection. It may be nil.
 	OnReceiveError func(err error)
-	Random         *rand.Rand
+	// OnRestart receives the restarts of other boxes whose last process did not end in order, and OnProcessEnd the ends
+	// of earlier processes of this box. They may be nil and must not block.
+	OnRestart    func(r Restart)
+	OnProcessEnd func(e ProcessEnd)
+	Random       *rand.Rand
 }
 
 // New returns the mesh member of one box.
@@ -202,8 +209,9 @@
 		announcementsSince: d.AnnouncementsSince, recordAnnouncements: d.RecordAnnouncements,
 		crashEventsSince: d.CrashEventsSince, recordCrashEvents: d.RecordCrashEvents,
 		partEventsSince: d.PartEventsSince, recordPartEvents: d.RecordPartEvents, onPeerState: d.OnPeerState,
-		onReceiveError: d.OnReceiveError,
-		recordOrigins:  d.RecordOrigins, answerOrigin: d.AnswerOrigin,
+		onReceiveError: d.OnReceiveError, onRestart: d.OnRestart, onProcessEnd: d.OnProcessEnd,
+		lifetimes:     lifetimes{known: map[string][]knownLifetime{}, startedMs: d.Clock.Monotonic()},
+		recordOrigins: d.RecordOrigins, answerOrigin: d.AnswerOrigin,
 		paceFindings: d.PaceFindings, recordPaceFindings: d.RecordPaceFindings,
 		random: d.Random, peers: map[string]*peer{}, contactRounds: map[string]int{},
 		admissionOwner: newAdmissionOwner(d.Self.Address, d.Clock.Monotonic),
@@ -224,6 +232,7 @@
 		guard.Do("gossip round", func() {
 			m.round()
 			m.renewAdmissions()
+			m.reportProcessEnds()
 		})
 		if m.clock.Sleep(ctx, m.Period()) != nil {
 			break
@@ -239,6 +248,7 @@
 	if p.From.Box == m.self.Box || !m.fillSender(p) {
 		return
 	}
+	m.observeLifetime(p)
 	if restarted := m.recordPeer(p); restarted != "" {
 		m.sendGrants(m.admissionOwner.releaseBox(restarted))
 	}
@@ -316,7 +326,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p.Draining = m.draining
+	p.Draining, p.Phase = m.draining, m.phaseLocked()
 	if m.movedTo != "" {
 		p.From.Address, p.GaveUpAddress = m.movedTo, m.gaveUpAddress
 	}
@@ -353,6 +363,7 @@
 	}
 	if receiver != nil {
 		m.addCrashEventsLocked(&out, receiver)
+		m.addPredecessorsLocked(&out, receiver)
 	}
 	return &out
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -42,6 +42,9 @@
 	origins       *streams.Ledger
 	// slow are the upstreams that this box found slow, and heardSlow those that others did.
 	slow, heardSlow []pace.Finding
+	// restartsSeen are the restarts of other boxes that this box reported, and ends those of its earlier processes.
+	restartsSeen []Restart
+	ends         []ProcessEnd
 }
 
 // recorded returns the number of streams whose origins the box was told.
@@ -184,6 +187,16 @@
 			defer b.mu.Unlock()
 			b.heardSlow = append(b.heardSlow, list...)
 		},
+		OnRestart: func(r Restart) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.restartsSeen = append(b.restartsSeen, r)
+		},
+		OnProcessEnd: func(e ProcessEnd) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.ends = append(b.ends, e)
+		},
 		Random: rand.New(rand.NewPCG(1, uint64(len(f.boxes)))),
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -111,6 +111,11 @@
 	// differs, and it counts as a box of its own until it ends. Boxes of earlier releases forget it when they hear of the
 	// later process.
 	GaveUpAddress bool `cbor:"21,keyasint,omitempty"`
+	// Phase is that of the sender. Boxes of earlier releases don't tell it.
+	Phase phase `cbor:"22,keyasint,omitempty"`
+	// Predecessors are earlier processes of the receiver, of which it is told at its start. Boxes of earlier releases
+	// ignore them.
+	Predecessors []lifetime `cbor:"23,keyasint,omitempty"`
 }
 
 // maxPacketBytes is the size of the receive buffer. The limits on cached parts, crash reports and
@@ -139,6 +144,11 @@
 			return nil, err
 		}
 	}
+	for _, l := range p.Predecessors {
+		if err := l.check(); err != nil {
+			return nil, err
+		}
+	}
 	if p.GaveUpAddress {
 		p.From.Box = p.From.process()
 	}
