feat(gatewaycmd): the line of a start tells the limits of the process

Change: `starting` ends with the memory by the settings and the soft limits of address space, data, threads of the user and open files. internal/cmd/rlimit reads one; internal/cmd/threads uses it, too.

Test: TestStartTellsLimits, a real process with memory_mb 300, fails before (no such text). gatewaycmd's tests of threads, limits and lifetimes pass.

--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -49,8 +49,9 @@
 		return err
 	}
 	defer guard.Handle(b.HandlePanic)()
-	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s, processors %d of %d, threads %d",
-		path, os.Getpid(), version.String(), runtime.GOMAXPROCS(0), runtime.NumCPU(), osthread.Count()))
+	b.RecordProcess("starting", fmt.Sprintf("settings %s, process %d, version %s, processors %d of %d, threads %d, %s",
+		path, os.Getpid(), version.String(), runtime.GOMAXPROCS(0), runtime.NumCPU(), osthread.Count(),
+		limits(settings.Capacity)))
 	if tooFew != nil {
 		b.RecordProcess(threadsMissing, tooFew.Error())
 	}
--- a/internal/cmd/threads/threads.go
+++ b/internal/cmd/threads/threads.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"dooryard.example/dooryard/internal/cmd/rlimit"
 	"dooryard.example/dooryard/internal/cmd/threads/start"
 	"dooryard.example/dooryard/internal/osthread"
 )
@@ -52,7 +53,7 @@
 		return nil
 	}
 	return fmt.Errorf("%w: %d instead of %d, limit of the user's threads %s, %d instead of %d processors are used",
-		errTooFewThreads, had+runtimeThreads, wanted+runtimeThreads, userLimit(), used, n)
+		errTooFewThreads, had+runtimeThreads, wanted+runtimeThreads, rlimit.Text(unix.RLIMIT_NPROC), used, n)
 }
 
 // limited returns the number of processors to use of those of the machine.
@@ -77,15 +78,3 @@
 	close(release)
 	ended.Wait()
 }
-
-func userLimit() string {
-	var limit unix.Rlimit
-	switch err := unix.Getrlimit(unix.RLIMIT_NPROC, &limit); {
-	case err != nil:
-		return err.Error()
-	case limit.Cur == math.MaxUint64:
-		return "none"
-	default:
-		return fmt.Sprint(limit.Cur)
-	}
-}
