fix(socket): reads and writes of all connections keep their thread's processor

A box whose user may have no more threads ends without a line of its own once the Go runtime needs one more (pthread_create failed). A thread that loses its processor within a call that package syscall announces is replaced by another one, and threads stay. Callers' reads before and writes of responses were made without an announcement before; the bytes that callers still send after their response (discard), connections to upstreams and to the store were not.

Cause, by perf on (one box on one processor of the machine, 1,900 connections and uploads of 4 MB in 2 s beside 30 reloads, load 19, a trial): 813 of some 1,500 switches away from a thread of the box that could go on were in the announced read of discard.

Change: socket.Conn, a TCP connection whose reads and writes are not announced, for callers, upstreams and the store. The race detector takes them for ordered as it does those of package syscall.

Tests that named the type of a connection name the new one.

--- a/internal/inbound/framing_test.go
+++ b/internal/inbound/framing_test.go
@@ -25,6 +25,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // readChunks reads a body in chunks as strictly as RFC 9112 allows, and returns the zeros that led their sizes.
@@ -255,9 +256,9 @@
 			}
 			assert.LessOrEqual(t, sent, max(maxLeadingZeros, len(oldVersion)))
 			write(c.after)
-			socket, ok := conn.Conn.(*net.TCPConn)
+			direct, ok := conn.Conn.(*socket.Conn)
 			require.True(t, ok)
-			require.NoError(t, socket.Close())
+			require.NoError(t, direct.Close())
 			_, err := io.ReadAll(caller)
 			assert.ErrorIs(t, err, c.want)
 		})
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -139,7 +139,8 @@
 	return err
 }
 
-func (l *Listener) add(conn net.Conn, hasSlot bool) *Conn {
+func (l *Listener) add(accepted net.Conn, hasSlot bool) *Conn {
+	conn := socket.Direct(accepted)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting, l.exhausted = false, false
--- a/internal/inbound/unframed_test.go
+++ b/internal/inbound/unframed_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // TestUnframedResponseOfProcessThatEnds guards against a response that looks complete, since the kernel closes the
@@ -35,9 +36,9 @@
 			if c.ended {
 				conn.EndResponse(flushed)
 			}
-			socket, ok := conn.Conn.(*net.TCPConn)
+			direct, ok := conn.Conn.(*socket.Conn)
 			require.True(t, ok)
-			require.NoError(t, socket.Close())
+			require.NoError(t, direct.Close())
 			_, err = io.ReadAll(caller)
 			assert.ErrorIs(t, err, c.want)
 		})
@@ -67,9 +68,9 @@
 		conn.BeginResponse(old, http.Header{})
 		_, err = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\na part")
 		require.NoError(t, err)
-		socket, ok := conn.Conn.(*net.TCPConn)
+		direct, ok := conn.Conn.(*socket.Conn)
 		require.True(t, ok)
-		require.NoError(t, socket.Close())
+		require.NoError(t, direct.Close())
 		_, err = io.ReadAll(caller)
 		assert.ErrorIs(t, err, syscall.ECONNRESET)
 	})
--- a/internal/socket/direct.go
+++ b/internal/socket/direct.go
@@ -11,10 +11,19 @@
 // The Go scheduler is not told of the calls of this file. Otherwise it would hand the processor of a thread that other
 // processes keep from running within a call to a further thread, and create that one if there is none: the number of
 // threads would follow the load of the machine, and the process would end where its user may have no more.
-func Read(fd int, data []byte) (int, error) { return transfer(unix.SYS_READ, fd, data) }
+func Read(fd int, data []byte) (int, error) {
+	n, err := transfer(unix.SYS_READ, fd, data)
+	if err == nil {
+		acquire(fd)
+	}
+	return n, err
+}
 
 // Write is unix.Write for a descriptor that never blocks.
-func Write(fd int, data []byte) (int, error) { return transfer(unix.SYS_WRITE, fd, data) }
+func Write(fd int, data []byte) (int, error) {
+	release()
+	return transfer(unix.SYS_WRITE, fd, data)
+}
 
 func transfer(call uintptr, fd int, data []byte) (int, error) {
 	n, _, code := unix.RawSyscall(call, uintptr(fd), uintptr(unsafe.Pointer(unsafe.SliceData(data))), uintptr(len(data)))
--- a/internal/socket/direct_test.go
+++ b/internal/socket/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 
@@ -33,10 +34,14 @@
 	const calls, others = 24, 8
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	before := osthread.Count()
-	for name, call := range map[string]func(fd int, data []byte) (int, error){"read": Read, "write": Write} {
+	for name, call := range map[string]func(fd int, data []byte) (int, error){
+		"read": Read, "write": Write,
+		"read of a connection":  callOfConn(func(c *Conn) (*transferState, func(fd uintptr) bool) { return &c.reads, c.readOnce }),
+		"write of a connection": callOfConn(func(c *Conn) (*transferState, func(fd uintptr) bool) { return &c.written, c.writeOnce }),
+	} {
 		t.Run(name, func(t *testing.T) {
 			pair := slowPair(t)
-			if name == "write" {
+			if strings.HasPrefix(name, "write") {
 				for err := error(nil); err == nil; {
 					_, err = unix.Write(pair[0], make([]byte, 1<<16))
 				}
@@ -55,6 +60,20 @@
 	}
 }
 
+// callOfConn returns a call that a connection makes once its socket is ready.
+func callOfConn(
+	choose func(c *Conn) (*transferState, func(fd uintptr) bool),
+) func(fd int, data []byte) (int, error) {
+	return func(fd int, data []byte) (int, error) {
+		s, try := choose(&Conn{})
+		s.data = data
+		if !try(uintptr(fd)) {
+			return 0, unix.EAGAIN
+		}
+		return s.n, s.err
+	}
+}
+
 func TestReadAndWrite(t *testing.T) {
 	pair := slowPair(t)
 	n, err := Write(pair[0], []byte("ab"))
--- /dev/null
+++ b/internal/socket/norace.go
@@ -0,0 +1,7 @@
+//go:build !race
+
+package socket
+
+func release() {}
+
+func acquire(int) {}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 // testUpstream is an upstream that accepts connections on a local TCP port.
@@ -332,9 +333,9 @@
 // waitReadable waits until the kernel has data to read on a connection, without reading it.
 func waitReadable(t *testing.T, c *conn) {
 	t.Helper()
-	tcp, ok := c.Conn.(*net.TCPConn)
+	direct, ok := c.Conn.(*socket.Conn)
 	require.True(t, ok)
-	raw, err := tcp.SyscallConn()
+	raw, err := direct.SyscallConn()
 	require.NoError(t, err)
 	require.NoError(t, raw.Read(readable))
 }
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -30,7 +30,7 @@
 			return setUserTimeout(raw)
 		},
 	}
-	return dialer.DialContext(ctx, network, address)
+	return socket.DirectDial(dialer.DialContext)(ctx, network, address)
 }
 
 // setUserTimeout limits how long sent bytes may remain unacknowledged.
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 const (
@@ -26,9 +27,9 @@
 
 func readTimers(t *testing.T, conn net.Conn) socketTimers {
 	t.Helper()
-	tcp, ok := conn.(*net.TCPConn)
+	direct, ok := conn.(*socket.Conn)
 	require.True(t, ok)
-	raw, err := tcp.SyscallConn()
+	raw, err := direct.SyscallConn()
 	require.NoError(t, err)
 	option := func(name int) int {
 		value := 0
