--- a/internal/cmd/gatewaycmd/process_test.go
+++ b/internal/cmd/gatewaycmd/process_test.go
@@ -68,6 +68,7 @@
 			Source: func(clock.Clock, func() config.Gateway) gateway.Source {
 				return gateway.Source{Run: func(ctx context.Context, _ gateway.Sink) {
 					panicIfAsked()
+					takeThreadsIfAsked()
 					<-ctx.Done()
 				}}
 			},
--- a/internal/cmd/gatewaycmd/threads_cgo_test.go
+++ b/internal/cmd/gatewaycmd/threads_cgo_test.go
@@ -37,3 +37,31 @@
 	p.limitThreads(unix.RLIM_INFINITY)
 	assert.Zero(t, p.awaitEnd(), p.stderr.String())
 }
+
+// TestBoxAwaitsAThread guards against a box that ends without a line as soon as it can't have another thread.
+func TestBoxAwaitsAThread(t *testing.T) {
+	begin := func(t *testing.T) *process {
+		t.Helper()
+		p := newProcess(t, freeAddresses(t)).withProcessors(1).onManyProcessors()
+		p.command.Env = append(p.command.Env, envTakeThreads+"=1")
+		p.start()
+		p.awaitLine("started", "")
+		p.limitThreads(1)
+		p.awaitLine("threads missing", "none can be created, limit of the user's threads 1: retried for up to 3 s")
+		return p
+	}
+	t.Run("that it gets", func(t *testing.T) {
+		p := begin(t)
+		p.limitThreads(unix.RLIM_INFINITY)
+		p.awaitLine("threads missing", "one was created")
+		p.load()
+		p.signal(syscall.SIGTERM)
+		assert.Zero(t, p.awaitEnd(), p.stderr.String())
+	})
+	t.Run("that it does not get", func(t *testing.T) {
+		p := begin(t)
+		p.awaitLine("threads missing", "the process ends")
+		assert.NotZero(t, p.awaitEnd())
+		assert.Contains(t, p.stderr.String(), "pthread_create failed")
+	})
+}
--- a/internal/cmd/gatewaycmd/threads_test.go
+++ b/internal/cmd/gatewaycmd/threads_test.go
@@ -6,10 +6,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -19,6 +21,9 @@
 const (
 	// envLimit makes the test binary set a limit of a process.
 	envLimit = "DOORYARD_TEST_LIMIT"
+	// envTakeThreads makes a box need more threads than it has reserved, once its user may have no more.
+	envTakeThreads = "DOORYARD_TEST_TAKE_THREADS"
+	takenThreads   = 32
 	// manyProcessors is more than any machine of the tests has.
 	manyProcessors = 128
 	// otherUser has no processes. The limit does not bind root.
@@ -79,6 +84,22 @@
 	return unix.Prlimit(pid, unix.RLIMIT_NPROC, &unix.Rlimit{Cur: min(limit, old.Max), Max: old.Max}, nil)
 }
 
+// takeThreadsIfAsked needs many threads at once as soon as the limit is that of limitThreads(1).
+func takeThreadsIfAsked() {
+	if os.Getenv(envTakeThreads) == "" {
+		return
+	}
+	for limit := (unix.Rlimit{}); limit.Cur != 1; time.Sleep(time.Millisecond) {
+		_ = unix.Getrlimit(unix.RLIMIT_NPROC, &limit)
+	}
+	for range takenThreads {
+		go func() {
+			runtime.LockOSThread()
+			select {}
+		}()
+	}
+}
+
 // threads returns the number of threads of the process.
 func (p *process) threads() int {
 	list, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", p.command.Process.Pid))
