fix(dispatch): long events of resumable streams count among the memory of responses

A box that relays many resumable streams with long events was killed without a line for its memory, with the requests of all callers: the beginning of an event is held until the event is complete, up to 1 MiB for each stream, and was neither counted nor limited together. A part more was held while an event was put together.

What exceeds 8 KiB of the beginning of an event is taken from the memory for responses (a quarter of the box's) before it is read, as for buffered responses: a stream waits while there is none, and the one that has waited for longest goes on with the reserve. Bytes that wait in the kernel keep the timers of retries from canceling it. An event that is complete in the part that was read is no longer copied.

Unread bytes of upstreams have no limit yet.

TestLongEventsFitIntoTheMemory fails before (nothing is counted).

--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -125,20 +126,33 @@
 
 // newPart returns an empty buffer once the box has memory for it.
 func (s *retryLoop) newPart(size int64) ([]byte, error) {
-	err := s.body.Grow(s.beforeDue, size, func(sizes exchange.MemorySizes) {
-		s.pipe.deps.RecordEvent(decision.ResponseDelayed{
-			Request: s.request.ID, Upstream: s.request.Upstream, UsedBytes: sizes.UsedBytes, LimitBytes: sizes.LimitBytes,
-		})
-	})
-	switch {
+	switch err := s.growHold(s.beforeDue, s.body, size); {
 	case errors.Is(err, exchange.ErrOverReserve):
-		return nil, err //nolint:wrapcheck // The caller compares it.
+		return nil, err
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", errResponseMemory, err)
 	}
 	return make([]byte, 0, size), nil
 }
 
+// takeMemory takes bytes for a stream, until the request ends.
+func (s *retryLoop) takeMemory(hold *exchange.Hold, size int64) error {
+	if err := s.growHold(s.ctx, hold, size); err != nil {
+		return fmt.Errorf("%w: %w", errResponseMemory, err)
+	}
+	return nil
+}
+
+// growHold takes bytes for a hold, and waits for them while the box has none.
+func (s *retryLoop) growHold(ctx context.Context, hold *exchange.Hold, size int64) error {
+	//nolint:wrapcheck // The caller compares it.
+	return hold.Grow(ctx, size, func(sizes exchange.MemorySizes) {
+		s.pipe.deps.RecordEvent(decision.ResponseDelayed{
+			Request: s.request.ID, Upstream: s.request.Upstream, UsedBytes: sizes.UsedBytes, LimitBytes: sizes.LimitBytes,
+		})
+	})
+}
+
 // dropFailedResponse releases the response of the latest failed attempt before the request is sent again. The outcome
 // of the next attempt replaces it in any case, and the response could be as large as 16 MiB.
 func (s *retryLoop) dropFailedResponse() {
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -32,7 +32,7 @@
 	// events finds the ends of events in the response of the current upstream.
 	events eventstream.Scanner
 	// partial is the beginning of an incomplete event, if completeOnly is set.
-	partial []byte
+	partial partialEvent
 	// origin is the origin of the current upstream, or nil if it is doubtful or another box chose the upstream, which
 	// then records it.
 	origin        *streams.Origin
@@ -104,7 +104,9 @@
 	if s.stream == nil {
 		s.startStream(res)
 	}
-	s.stream.events, s.stream.partial = eventstream.Scanner{}, nil
+	s.stream.events = eventstream.Scanner{}
+	s.stream.partial = partialEvent{hold: s.pipe.deps.Memory.Hold(), take: s.takeMemory}
+	defer s.stream.partial.restart(nil)
 	s.stream.origin, s.stream.recordsOrigin = from.origin, from.recordsOrigin
 	s.stream.mayGoOn.Store(s.stream.resumable())
 	event, stop := s.startIdleTimeout(from, cancel)
@@ -124,7 +126,7 @@
 			return &failure{err: writeErr, execution: mayHaveRun}
 		}
 		s.stream.mayGoOn.Store(s.stream.resumable())
-		if len(s.stream.partial) > maxEventBytes {
+		if len(s.stream.partial.data) > maxEventBytes {
 			err = errEventTooLong
 		}
 		switch {
@@ -179,11 +181,31 @@
 
 // write sends received data to the caller.
 func (t *stream) write(part []byte) error {
+	if !t.completeOnly {
+		before := t.events.Events()
+		t.events.Scan(part)
+		return t.relay(part, t.events.Events()-before)
+	}
+	if err := t.partial.grow(len(part)); err != nil {
+		return err
+	}
 	before := t.events.Events()
 	end := t.events.Scan(part)
-	if t.completeOnly {
-		part = t.completeEvents(part, end)
+	if end == 0 {
+		t.partial.add(part)
+		return nil
 	}
+	complete := t.partial.complete(part[:end])
+	t.recordLastID(complete)
+	if err := t.relay(complete, t.events.Events()-before); err != nil {
+		return err
+	}
+	t.partial.restart(part[end:])
+	return nil
+}
+
+// relay sends events, or parts of them, to the caller.
+func (t *stream) relay(part []byte, events int) error {
 	if len(part) == 0 {
 		return nil
 	}
@@ -195,7 +217,7 @@
 		t.recordOrigin()
 	}
 	t.dataSent = true
-	t.request.Events += t.events.Events() - before
+	t.request.Events += events
 	if _, err := t.request.Writer.Write(part); err != nil {
 		return fmt.Errorf("%w: %w", errCallerDisconnected, err)
 	}
@@ -213,19 +235,6 @@
 	}
 }
 
-// completeEvents returns the complete events received so far, of which the last one ends at an offset of
-// part, and keeps the rest for the next call.
-func (t *stream) completeEvents(part []byte, end int) []byte {
-	if end == 0 {
-		t.partial = append(t.partial, part...)
-		return nil
-	}
-	complete := slices.Concat(t.partial, part[:end])
-	t.partial = bytes.Clone(part[end:])
-	t.recordLastID(complete)
-	return complete
-}
-
 // recordLastID records the ID of the last event that has one.
 func (t *stream) recordLastID(events []byte) {
 	start := bytes.LastIndex(events, []byte("id:"))
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -13,6 +15,7 @@
 
 	"dooryard.example/dooryard/internal/balance"
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/routing"
@@ -135,17 +138,63 @@
 
 // TestEndlessEventIsNotHeld guards against an event that an upstream never ends and that fills the memory of the box.
 func TestEndlessEventIsNotHeld(t *testing.T) {
+	s := newResumableStream(t, exchange.NewMemory(64<<20))
+	body := &endlessEvent{}
+	from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
+	failed := s.relayStream(from, responseOf(body, -1), func(error) {})
+	require.ErrorIs(t, failed.err, errEventTooLong)
+	assert.Less(t, body.bytes, maxEventBytes+2*streamBufferBytes)
+}
+
+// newResumableStream returns the loop of a request for a resumable stream.
+func newResumableStream(t *testing.T, memory *exchange.Memory) *retryLoop {
+	t.Helper()
 	s, _ := newLoop(t)
 	s.request.Route = &routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 1}
 	s.request.Dialect, s.request.Writer = &opaque.Dialect{}, exchange.NewWriter(httptest.NewRecorder())
 	s.request.State = &routing.State{}
 	s.pipe = New(Dependencies{
-		Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
-		OnStreamOrigin: func(*opaque.Request) {}, OnEnd: func(opaque.EndCheck) {},
+		Memory: memory, Clock: clock.New(), OriginRetracted: func(*opaque.Request) bool { return false },
+		OnStreamOrigin: func(*opaque.Request) {}, OnEnd: func(opaque.EndCheck) {}, RecordEvent: func(decision.Event) {},
+	})
+	return s
+}
+
+// TestLongEventsFitIntoTheMemory guards against a box whose memory is used up by streams with long events.
+func TestLongEventsFitIntoTheMemory(t *testing.T) {
+	const streams, limit = 40, 4 << 20
+	synctest.Test(t, func(t *testing.T) {
+		memory, recorders := exchange.NewMemory(limit), [streams]*httptest.ResponseRecorder{}
+		event := "id: 1\ndata: " + strings.Repeat("x", maxEventBytes*3/4) + "\n\n"
+		var running sync.WaitGroup
+		for i := range streams {
+			recorders[i] = httptest.NewRecorder()
+			running.Go(func() {
+				s := newResumableStream(t, memory)
+				s.request.Writer = exchange.NewWriter(recorders[i])
+				s.request.DeadlineMs = clock.New().Monotonic() + 60*clock.Second
+				s.newRequest()
+				body, sent := io.Pipe()
+				go func() {
+					for part := range slices.Chunk([]byte(event+event), 64<<10) {
+						_ = clock.New().Sleep(t.Context(), 10)
+						_, _ = sent.Write(part)
+					}
+					_ = sent.Close()
+				}()
+				response := responseOf(body, -1)
+				response.TransferEncoding = []string{"chunked"}
+				from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
+				assert.Nil(t, s.relayStream(from, response, func(error) {}))
+			})
+		}
+		running.Wait()
+		for _, r := range recorders {
+			assert.Equal(t, 2*len(event), r.Body.Len())
+		}
+		sizes := memory.Sizes()
+		assert.Zero(t, sizes.UsedBytes)
+		assert.Positive(t, sizes.Waits)
+		assert.LessOrEqual(t, sizes.PeakBytes, int64(limit))
 	})
-	body := &endlessEvent{}
-	from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
-	failed := s.relayStream(from, responseOf(body, -1), func(error) {})
-	require.ErrorIs(t, failed.err, errEventTooLong)
-	assert.Less(t, body.bytes, maxEventBytes+2*streamBufferBytes)
 }
