fix(upstream): a witness connection is renewed only while responses are under way

It was kept for up to 8 s after the latest response that ends with its connection, by reading: opened for one, renewed after 4 s for the same. An upstream that many boxes use one after the other would hold a connection for each of them. Now it goes at most 4 s after it was opened, unless a response is under way.

--- a/internal/upstream/witness.go
+++ b/internal/upstream/witness.go
@@ -25,9 +25,9 @@
 )
 
 // Witness shows whether the process of an upstream has gone when a response ends with its connection. It keeps another
-// connection open on which nothing is sent, one for all such responses, until maxWitnessMs after the latest one began:
-// the kernel closes it with theirs. That it stays open proves nothing, since a proxy may have accepted it. A Witness is
-// safe for concurrent use.
+// connection open on which nothing is sent, one for all such responses, for maxWitnessMs, and then another one if some
+// are under way: the kernel closes it with theirs. That it stays open proves little, since a proxy may have accepted
+// it. A Witness is safe for concurrent use.
 type Witness struct {
 	dial      func(ctx context.Context) (net.Conn, error)
 	monotonic func() clock.Millis
@@ -119,8 +119,7 @@
 
 // isDue reports whether a connection is to be open.
 func (w *Witness) isDue(now clock.Millis) bool {
-	return !w.closed && (w.underWay > 0 || now-w.begunMs < maxWitnessMs) && w.lifeMs() > minWitnessMs &&
-		!near(w.last.atMs, now)
+	return !w.closed && w.underWay > 0 && w.lifeMs() > minWitnessMs && !near(w.last.atMs, now)
 }
 
 // learn adjusts how long connections are kept, if the upstream has ended the latest one though no response ended, or
--- a/internal/upstream/witness_test.go
+++ b/internal/upstream/witness_test.go
@@ -170,9 +170,10 @@
 		response := u.begin(t)
 		u.end(t, response)
 		response.Close()
-		time.Sleep(3 * maxWitnessMs.Duration())
+		time.Sleep(maxWitnessMs.Duration())
 		opened, ended := u.counts()
-		assert.Equal(t, opened, ended)
+		assert.Equal(t, 1, opened)
+		assert.Equal(t, 1, ended)
 	})
 	run("none of a client that is closed", func(t *testing.T, u *witnessedUpstream) {
 		t.Helper()
