fix(dispatch): a witness is open before the head of a response that may end with its connection

What was left of parts of responses that pass for whole in pools without a health path: an upstream that crashed right after the head, or after a first part that came with it, before the witness connection was open for 20 ms. Once a response of such a pool has ended with its connection, witnesses of its upstreams are now opened when a request is sent, for as long as the latest such response is less than 4 s old.

TestUnframedResponseWhoseProcessEndsAtOnce fails without the change (want 502, got 200).

--- a/internal/gateway/witness_test.go
+++ b/internal/gateway/witness_test.go
@@ -20,6 +20,8 @@
 type process struct {
 	f        *fleet
 	listener net.Listener
+	// thinks is how long the head of a response takes.
+	thinks time.Duration
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -59,6 +61,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		time.Sleep(p.thinks)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Type: text/plain\r\n\r\ndone")
 		beforeEnd(p, conn)
 		return
@@ -129,3 +132,33 @@
 		})
 	}
 }
+
+// TestUnframedResponseWhoseProcessEndsAtOnce guards against the head of a response that passes for the whole since its
+// process ends before a connection can show that, in a pool whose responses end with their connections.
+func TestUnframedResponseWhoseProcessEndsAtOnce(t *testing.T) {
+	runWithFleet(t, func(f *fleet) {
+		state := content(2)
+		state.Pools[0].HealthPath = ""
+		f.store.setState(f.t, state)
+		put := func(id, address string) {
+			f.store.put(registry.Upstream{ID: id, Pool: "p", Address: address, FailureDomain: "d", Slots: 8})
+			advance(f.t, time.Second)
+		}
+		first := f.process("127.0.0.1:0", func(*process, net.Conn) {})
+		put("u1", first.listener.Addr().String())
+		b := f.box(1)
+		status, _, err := b.get("/unsafe2/")
+		require.NoError(f.t, err)
+		require.Equal(f.t, http.StatusOK, status)
+		f.store.remove("u1")
+		second := f.process("127.0.0.1:0", func(p *process, _ net.Conn) {
+			p.end()
+			p.f.process(p.listener.Addr().String(), nil)
+		})
+		second.thinks = 100 * time.Millisecond
+		put("u2", second.listener.Addr().String())
+		status, _, err = b.get("/unsafe2/")
+		require.NoError(f.t, err)
+		assert.Equal(f.t, http.StatusBadGateway, status)
+	})
+}
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -78,9 +78,7 @@
 	lease.RecordAnswered()
 	s.request.Sent++
 	s.request.Framing = string(resp.Framing())
-	if pool := s.request.State.Pool(lease.Pool); pool != nil && pool.HealthPath == "" {
-		resp.AddWitness()
-	}
+	s.witnessEnd(lease, resp)
 }
 
 // forgetAttempt drops what is left of the attempt before.
@@ -306,12 +304,12 @@
 // returned function is called.
 func (s *retryLoop) buildCommitted(lease *balance.Lease) (out *upstream.Request, done func()) {
 	out = s.buildRequest(lease)
-	onSend, uncommit := out.OnSend, func() {}
+	onSend, uncommit, finish := out.OnSend, func() {}, func() {}
 	out.OnSend = func(hasUnread func() bool) {
 		onSend(hasUnread)
-		uncommit = s.pipe.deps.Commit(s.request)
+		uncommit, finish = s.pipe.deps.Commit(s.request), s.expectEnd(lease)
 	}
-	return out, func() { uncommit() }
+	return out, func() { uncommit(); finish() }
 }
 
 // setHeader sets a header of the dialect, unless the dialect does not use it or it has no value.
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -112,11 +112,12 @@
 
 // Pipe sends opaque requests to upstreams.
 type Pipe struct {
-	deps Dependencies
+	deps     Dependencies
+	unframed *unframedPools
 }
 
 // New returns the step.
-func New(d Dependencies) *Pipe { return &Pipe{deps: d} }
+func New(d Dependencies) *Pipe { return &Pipe{deps: d, unframed: newUnframedPools(d.Clock)} }
 
 // String returns the name of the step in logs.
 func (*Pipe) String() string { return "dispatch" }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -222,12 +222,13 @@
 func (a *Response) Framing() Framing { return framing(a.Response) }
 
 // AddWitness has the client's Witness show whether the upstream's process has gone once the response ends, if it ends
-// with its connection.
-func (a *Response) AddWitness() {
+// with its connection. It reports whether it does.
+func (a *Response) AddWitness() bool {
 	a.isWitnessed = a.Framing() == ByConnection && a.Body != http.NoBody
 	if a.isWitnessed {
 		a.roundTrip.client.witness.Begin()
 	}
+	return a.isWitnessed
 }
 
 // Read reads from the body. It returns io.EOF at the end of a complete body and an error that wraps
