fix(forward): dooryard-router doesn't take the next process for the one that ended a response

Its upstreams get a witness connection now, as those of the gateway (upstream.Witnesses, one for each address).

TestUnframedResponseWhoseProcessEnds fails without the change (want unknown, got ran).

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -155,6 +155,7 @@
 	steps.Admit = admit.New(b.organisations, b.pools, b.metrics, b.clock.Monotonic)
 	steps.Forward = forward.New(forward.Dependencies{
 		Transport: upstreams, Next: steps.Route.Next, Report: b.pools.Report, MayHaveCrashed: b.mayHaveCrashed,
+		Witness: upstream.NewWitnesses(b.dialUpstream, b.clock.Monotonic).At,
 		OnDue:   b.handleDue,
 		Metrics: b.metrics, Tracer: b.tracer, Logger: b.logger, Clock: b.clock,
 	})
@@ -171,14 +172,18 @@
 	return nil
 }
 
+// dialUpstream opens a connection to an upstream.
+func (b *Box) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	if b.dial != nil {
+		return b.dial(ctx, network, address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 // mayHaveCrashed reports whether an upstream may have crashed that has closed a connection in order.
 func (b *Box) mayHaveCrashed(ctx context.Context, address string) bool {
-	dial := b.dial
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
 	probe := func() upstream.Liveness {
-		conn, found := upstream.ProbeAddress(ctx, upstream.Dial(dial), address)
+		conn, found := upstream.ProbeAddress(ctx, b.dialUpstream, address)
 		if conn != nil {
 			// Nothing was sent on it.
 			_ = conn.Close()
--- a/internal/pipe/forward/forward.go
+++ b/internal/pipe/forward/forward.go
@@ -18,6 +18,7 @@
 	"dooryard.example/dooryard/internal/metrics"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/retry"
+	"dooryard.example/dooryard/internal/upstream"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -43,6 +44,7 @@
 	nextUpstream   func(x *exchange.Exchange, tried pool.Tried) (*pool.Lease, error)
 	reportLoad     func(upstream string, inFlight int)
 	mayHaveCrashed func(ctx context.Context, address string) bool
+	witness        func(address string) *upstream.Witness
 	onDue          func(x *exchange.Exchange)
 	budget         *retry.Budget
 	metrics        *metrics.Metrics
@@ -62,6 +64,8 @@
 	// MayHaveCrashed reports whether the upstream at an address may have crashed that has closed a
 	// connection in order.
 	MayHaveCrashed func(ctx context.Context, address string) bool
+	// Witness shows whether the process of the upstream at an address has gone.
+	Witness func(address string) *upstream.Witness
 	// OnDue is called when an attempt ends since a response has to leave now.
 	OnDue   func(x *exchange.Exchange)
 	Metrics *metrics.Metrics
@@ -74,7 +78,8 @@
 func New(d Dependencies) *Pipe {
 	return &Pipe{
 		client:       &http.Client{Transport: d.Transport, CheckRedirect: noRedirect},
-		nextUpstream: d.Next, reportLoad: d.Report, mayHaveCrashed: d.MayHaveCrashed, onDue: d.OnDue,
+		nextUpstream: d.Next, reportLoad: d.Report, mayHaveCrashed: d.MayHaveCrashed,
+		witness: d.Witness, onDue: d.OnDue,
 		metrics: d.Metrics, tracer: d.Tracer, logger: d.Logger, clock: d.Clock,
 	}
 }
--- a/internal/pipe/forward/send.go
+++ b/internal/pipe/forward/send.go
@@ -231,6 +231,12 @@
 	if endsWithConnection && lease.AddPeerHeaders != nil {
 		return &failure{cause: errNoLength, upstreamFault: true}
 	}
+	whole := func(context.Context) bool { return true }
+	if endsWithConnection {
+		var done func()
+		whole, done = p.watchEnd(lease.Row.Address)
+		defer done()
+	}
 	body, err := due.read(response.Body, maxResponseBytes+1)
 	if err != nil {
 		return &failure{cause: fmt.Errorf("response truncated: %w", err), upstreamFault: true}
@@ -238,7 +244,7 @@
 	if len(body) > maxResponseBytes {
 		return &failure{cause: errTooLarge, upstreamFault: true}
 	}
-	if endsWithConnection && p.mayHaveCrashed(ctx, lease.Row.Address) {
+	if !whole(ctx) {
 		return &failure{cause: errCrashed, upstreamFault: true}
 	}
 	x.Outcome = exchange.Ran
@@ -255,6 +261,18 @@
 	return nil
 }
 
+// watchEnd watches the process of an upstream until done is called, during a response that ends with its connection.
+// Whole is called at the end, and reports whether the process is not known to have crashed.
+func (p *Pipe) watchEnd(address string) (whole func(ctx context.Context) bool, done func()) {
+	witness := p.witness(address)
+	witness.Begin()
+	return func(ctx context.Context) bool {
+		endedMs := p.clock.Monotonic()
+		witness.RecordEnd()
+		return !p.mayHaveCrashed(ctx, address) && !witness.ShowsGone(endedMs)
+	}, witness.Finish
+}
+
 // contentLength returns the Content-Length of the response to the caller: the upstream's own for a
 // HEAD request, otherwise the length of the body.
 func contentLength(x *exchange.Exchange, response *http.Response, length int) string {
--- a/internal/pipe/forward/unframed_test.go
+++ b/internal/pipe/forward/unframed_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -19,6 +23,7 @@
 	"dooryard.example/dooryard/internal/metrics"
 	"dooryard.example/dooryard/internal/pool"
 	"dooryard.example/dooryard/internal/table"
+	"dooryard.example/dooryard/internal/upstream"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -113,6 +118,39 @@
 	}
 }
 
+// readerFunc is a function that reads.
+type readerFunc func(data []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(data []byte) (int, error) { return f(data) }
+
+// TestUnframedResponseWhoseProcessEnds guards against half a response that is recorded as complete since the next process
+// accepts connections, and against a whole one that is withheld.
+func TestUnframedResponseWhoseProcessEnds(t *testing.T) {
+	for ends, want := range map[bool]exchange.Outcome{true: exchange.Unknown, false: exchange.Ran} {
+		synctest.Test(t, func(t *testing.T) {
+			own, far := net.Pipe()
+			end := readerFunc(func([]byte) (int, error) {
+				time.Sleep(100 * time.Millisecond)
+				if ends {
+					_ = far.Close()
+				}
+				return 0, io.EOF
+			})
+			through := unframedTransport{contentType: "text/plain", body: io.MultiReader(strings.NewReader("do"), end)}
+			dial := func(context.Context, string, string) (net.Conn, error) { return own, nil }
+			accepts := func(context.Context, string) bool {
+				time.Sleep(upstream.CloseSettleMs.Duration())
+				return false
+			}
+			x, _ := runWitnessedPipe(t, "127.0.0.1:1", exchange.Service, through, accepts, dial)
+			assert.Equal(t, want, x.Outcome)
+			_ = far.Close()
+			synctest.Wait()
+		})
+	}
+}
+
 // resumedTransport answers the first request with a stream that breaks, and all others with the rest and a malformed head.
 type resumedTransport struct{ resumes *int }
 
@@ -153,10 +191,21 @@
 func runPipeTo(
 	t *testing.T, address string, kind exchange.Kind, through http.RoundTripper,
 	mayHaveCrashed func(context.Context, string) bool,
+) (*exchange.Exchange, *httptest.ResponseRecorder) {
+	t.Helper()
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	return runWitnessedPipe(t, address, kind, through, mayHaveCrashed, refuse)
+}
+
+// runWitnessedPipe runs a pipe whose witnesses' connections a function opens.
+func runWitnessedPipe(
+	t *testing.T, address string, kind exchange.Kind, through http.RoundTripper,
+	mayHaveCrashed func(context.Context, string) bool, dial upstream.Dial,
 ) (*exchange.Exchange, *httptest.ResponseRecorder) {
 	t.Helper()
 	pipe := New(Dependencies{
 		Transport: through, Report: func(string, int) {},
+		Witness:        upstream.NewWitnesses(dial, clock.New().Monotonic).At,
 		MayHaveCrashed: mayHaveCrashed, Metrics: metrics.New(),
 		Tracer: noop.NewTracerProvider().Tracer(""), Logger: zap.NewNop(), Clock: clock.New(),
 		OnDue: func(*exchange.Exchange) {},
