fix(gateway): a response that broke off earlier doesn't withhold whole ones of a process that runs on

In pools without a health path, whole responses without a length or chunks were withheld (502, or a broken stream) if the same upstream had broken off another response up to 0.4 s before or after, as a handler does that fails; only a connection from before the request spoke against it, and there is none where all responses end with their connections. If a witness is open from before the break, a process runs on, and only a break within 50 ms of the end counts, as for a process behind a proxy or one of several.

TestUnframedResponseBesideBrokenOne, "200ms", fails without the change (want 200, got 502).

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -29,7 +29,7 @@
 	case found == upstream.Rejecting:
 		return upstream.Gone
 	case found != upstream.Responding &&
-		(client.HasBroken(max(sentMs, endedMs-upstream.CloseSettleMs)) || client.Witness().ShowsGone(endedMs)):
+		(client.BrokeWith(max(sentMs, endedMs-upstream.CloseSettleMs), endedMs) || client.Witness().ShowsGone(endedMs)):
 		return upstream.Gone
 	default:
 		return b.checkStart(ctx, lease, found)
--- a/internal/gateway/unframed_replaced_test.go
+++ b/internal/gateway/unframed_replaced_test.go
@@ -149,7 +149,9 @@
 // TestUnframedResponseBesideBrokenOne guards against half a response that passes for whole where no health check tells,
 // though the process has cut off another response as well, and against a whole one that is withheld for an earlier cut.
 func TestUnframedResponseBesideBrokenOne(t *testing.T) {
-	for pause, want := range map[time.Duration]int{0: http.StatusBadGateway, time.Second: http.StatusOK} {
+	for pause, want := range map[time.Duration]int{
+		0: http.StatusBadGateway, 200 * time.Millisecond: http.StatusOK, time.Second: http.StatusOK,
+	} {
 		t.Run(pause.String(), func(t *testing.T) {
 			runWithFleet(t, func(f *fleet) {
 				state := content(2)
@@ -176,6 +178,7 @@
 					status <- got
 				}()
 				<-begun
+				advance(f.t, 50*time.Millisecond)
 				_, _, err := b.get("/stream/")
 				require.Error(f.t, err)
 				advance(f.t, pause)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -254,6 +254,16 @@
 	return c.brokenMs > 0 && c.brokenMs >= sinceMs
 }
 
+// BrokeWith reports whether the upstream has broken off a response since a monotonic time, which may have to do with
+// the end of another one. If the Witness shows that a process has run on since then, only a break with that end counts:
+// the process may be a proxy, or one of several.
+func (c *Client) BrokeWith(sinceMs, endedMs clock.Millis) bool {
+	c.mu.Lock()
+	brokenMs := c.brokenMs
+	c.mu.Unlock()
+	return c.HasBroken(sinceMs) && (near(brokenMs, endedMs) || !c.witness.isOpenSince(brokenMs))
+}
+
 // recordBroken records that the upstream has broken off a response.
 func (c *Client) recordBroken() {
 	now := c.monotonic()
--- a/internal/upstream/witness.go
+++ b/internal/upstream/witness.go
@@ -37,6 +37,8 @@
 	watching bool
 	conn     net.Conn
 	closed   bool
+	// openMs is since when a connection is open, or 0.
+	openMs clock.Millis
 	// underWay is the number of responses under way. The latest began at begunMs, and the latest that has ended in order
 	// did so at endedMs.
 	underWay         int
@@ -98,6 +100,13 @@
 	return w.last.inOrder && w.last.openMs >= minWitnessMs && near(w.last.atMs, aroundMs)
 }
 
+// isOpenSince reports whether a connection is open that was open at a monotonic time.
+func (w *Witness) isOpenSince(ms clock.Millis) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.openMs > 0 && w.openMs < ms
+}
+
 // Close closes the connection. No other one is opened.
 func (w *Witness) Close() {
 	w.mu.Lock()
@@ -157,6 +166,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.monotonic()
+	w.openMs = 0
 	switch {
 	case w.closed:
 		return false
@@ -174,11 +184,11 @@
 func (w *Witness) add(conn net.Conn) (openedMs, lifeMs clock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.conn = conn
+	w.conn, w.openMs = conn, w.monotonic()
 	if w.closed {
-		return w.monotonic(), 0
+		return w.openMs, 0
 	}
-	return w.monotonic(), w.lifeMs()
+	return w.openMs, w.lifeMs()
 }
 
 // awaitEnd returns the error with which a connection ends, that of its deadline if it is open after some time, or nil
