--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -279,6 +279,7 @@
 
 // newClient returns a client of an upstream or of another box.
 func (b *Box) newClient(address string, options ...upstream.Option) *upstream.Client {
+	options = append(options, upstream.WithUnreadBytes(unreadBytes(b.settings.Load().Capacity)))
 	if b.dial != nil {
 		options = append(options, upstream.WithDial(b.dial))
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -77,7 +77,7 @@
 }
 
 // unreadBytes returns how many bytes of a connection the kernel may hold that the box has not read. Those of all
-// connections of a listener at once fit into their part of the memory.
+// connections of a listener at once fit into their part of the memory, and those of as many connections to upstreams.
 func unreadBytes(c config.Capacity) int {
 	part := c.MemoryMb * mebibyte / unreadMemoryDivisor
 	return min(maxUnreadBytes, max(minUnreadBytes, int(part)/maxConnections(c)))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,14 +16,13 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
 	"dooryard.example/dooryard/internal/guard"
 	"dooryard.example/dooryard/internal/inbound"
 	"dooryard.example/dooryard/internal/secret"
+	"dooryard.example/dooryard/internal/socket"
 	"dooryard.example/dooryard/pkg/config"
 )
 
@@ -40,10 +39,9 @@
 func ListenBuffered(unreadBytes int) Listen {
 	return func(network, address string) (net.Listener, error) {
 		return listenTCP(net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// Connections inherit it. A kernel that refuses it uses its own limits.
-				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, unreadBytes)
-			})
+			// Connections inherit it. A kernel that refuses it uses its own limits.
+			_ = socket.SetUnreadBytes(raw, unreadBytes)
+			return nil
 		}}, network, address)
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -89,6 +89,14 @@
 // WithDial replaces the function that opens connections.
 func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
 
+// WithUnreadBytes limits what the kernel holds of a connection that was not read; otherwise it may hold megabytes. It
+// replaces the function that opens connections.
+func WithUnreadBytes(unreadBytes int) Option {
+	return WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialBuffered(ctx, network, address, unreadBytes)
+	})
+}
+
 // WithOnDial sets a function that is called for each connection that was opened.
 func WithOnDial(call func()) Option { return func(c *Client) { c.onDial = call } }
 
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -18,6 +18,12 @@
 // systemDial opens connections that time out when the peer stops acknowledging data, because a peer
 // that lost power or is behind a network partition never closes them.
 func systemDial(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialBuffered(ctx, network, address, 0)
+}
+
+// dialBuffered opens connections as systemDial does. The kernel holds at most about a number of bytes of each that were
+// not read, unless it is 0.
+func dialBuffered(ctx context.Context, network, address string, unreadBytes int) (net.Conn, error) {
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
@@ -27,6 +33,10 @@
 				unanswered := func() bool { return socket.System().IsConnecting(raw) }
 				d.unanswered.Store(&unanswered)
 			}
+			if unreadBytes > 0 {
+				// A kernel that refuses it uses its own limits.
+				_ = socket.SetUnreadBytes(raw, unreadBytes)
+			}
 			return setUserTimeout(raw)
 		},
 	}
--- a/internal/upstream/unread_test.go
+++ b/internal/upstream/unread_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/testlib"
 )
 
 // TestOnSend guards against a response that counts as late although it waits in the kernel.
@@ -54,3 +57,18 @@
 	response.Close()
 	close(part)
 }
+
+// TestUnreadBytesAreBounded guards against processes that are killed for what the kernel holds of many responses which
+// they have not read.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	const unreadBytes = 32 << 10
+	s := startUpstream(t, respondEach(okResponse("1", "one")))
+	c := New(s.listener.Addr().String(), clock.New().Monotonic, WithUnreadBytes(unreadBytes))
+	body, err := readAll(t, c, request("1"))
+	require.NoError(t, err)
+	assert.Equal(t, "one", body)
+	require.Len(t, c.idle, 1)
+	// Linux doubles the size, for what it needs itself.
+	assert.LessOrEqual(t, testlib.ReceiveBuffer(t, c.idle[0].Conn), 2*unreadBytes)
+	assert.GreaterOrEqual(t, testlib.ReceiveBuffer(t, c.idle[0].Conn), unreadBytes)
+}
