fix(mesh): boxes that drain hear of the stops of others

Cause: what a process broadcasts of its stop (its drain, the move to another address, its end) went only to boxes that don't drain. Where several boxes were replaced at a time, those that drained heard from the next process of a box before the last ping of the one before, and logged `box restarted` with "while stopping" or, in the mesh's test, "without leaving" for boxes that had handed over in order; a new process that only they could tell was told so, too.

Change: these three broadcasts reach all boxes that were heard within the alive timeout. News of states and crashes go to the same boxes as before. `stopped` is recorded before the end is sent, which takes a datagram for each box.

Tests: TestReplacedProcess, two cases, fail before (20 restarts seen, none expected; "without leaving" for "in order").

--- a/internal/gateway/box.go
+++ b/internal/gateway/box.go
@@ -366,8 +366,8 @@
 	}
 	err = errors.Join(err, b.stop(background))
 	b.closeListeners()
-	b.peering.mesh.BroadcastEnd()
 	b.recordStop("stopped", err)
+	b.peering.mesh.BroadcastEnd()
 	return err
 }
 
--- a/internal/mesh/lifetimes.go
+++ b/internal/mesh/lifetimes.go
@@ -125,6 +125,9 @@
 
 // box returns the name of the sender's box.
 func (p *packet) box() string {
+	if !p.GaveUpAddress {
+		return p.From.Box
+	}
 	return strings.TrimSuffix(p.From.Box, Identity{Incarnation: p.From.Incarnation}.process())
 }
 
--- a/internal/mesh/lifetimes_test.go
+++ b/internal/mesh/lifetimes_test.go
@@ -209,6 +209,34 @@
 			assert.Empty(f.t, f.restartsSeen())
 		})
 	})
+	t.Run("is no restart at boxes that drain themselves", func(t *testing.T) {
+		runInBubble(t, func(f *fixture) {
+			f.startFleet(6)
+			for _, b := range f.boxes[3:] {
+				b.BroadcastDraining()
+			}
+			for range 8 {
+				// The rounds of boxes begin at different times after this one.
+				advance(f.t, 1030*time.Millisecond)
+				f.replace(2)
+			}
+			advance(f.t, time.Second)
+			assert.Empty(f.t, f.restartsSeen())
+		})
+	})
+	t.Run("has ended in order among boxes that drain themselves", func(t *testing.T) {
+		runInBubble(t, func(f *fixture) {
+			f.startFleet(3)
+			for _, b := range f.boxes[:2] {
+				b.BroadcastDraining()
+			}
+			advance(f.t, time.Second)
+			f.boxes[2].leave()
+			next := f.restartAfter(2, time.Second)
+			advance(f.t, 5*time.Second)
+			assert.Equal(f.t, []Ending{EndedInOrder}, next.endings())
+		})
+	})
 	t.Run("was killed", func(t *testing.T) {
 		runInBubble(t, func(f *fixture) {
 			f.startFleet(6)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -418,13 +418,13 @@
 
 // Broadcast notifies the other boxes of the failure domain that this box's state has changed.
 func (m *Mesh) Broadcast() {
-	m.broadcast(func(p *peer) bool { return p.FailureDomain == m.self.FailureDomain })
+	m.broadcast(func(p *peer) bool { return !p.draining && p.FailureDomain == m.self.FailureDomain })
 }
 
 // BroadcastCrashEvents immediately sends new reports of crashed upstreams to all boxes. In a large
 // fleet the reports spread with the rounds instead.
 func (m *Mesh) BroadcastCrashEvents() {
-	m.broadcast(func(*peer) bool { return !m.largeLocked() })
+	m.broadcast(func(p *peer) bool { return !p.draining && !m.largeLocked() })
 }
 
 // BroadcastDraining notifies all boxes that this box is about to stop, and denies their queued asks. The box continues
@@ -444,7 +444,7 @@
 	aliveTimeout := m.aliveTimeoutLocked()
 	targets := []target{}
 	for _, other := range m.peers {
-		if other.alive(now, aliveTimeout) && to(other) {
+		if other.heard(now, aliveTimeout) && to(other) {
 			targets = append(targets, target{box: other.Box, address: other.Address})
 		}
 	}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -249,7 +249,12 @@
 
 // alive reports whether the box is alive and not draining.
 func (p *peer) alive(now, aliveTimeout clock.Millis) bool {
-	return p.firstSeenMs > 0 && !p.draining && now-p.lastSeenMs < aliveTimeout
+	return !p.draining && p.heard(now, aliveTimeout)
+}
+
+// heard reports whether the box has sent a message within the alive timeout.
+func (p *peer) heard(now, aliveTimeout clock.Millis) bool {
+	return p.firstSeenMs > 0 && now-p.lastSeenMs < aliveTimeout
 }
 
 // samplePeersLocked returns a few live boxes. In a large fleet half of them are owners of
