fix(quarantine): a response that goes on for a second clears the parts of its prompt

Only complete responses told boxes that a part doesn't crash upstreams. A part that had come up less than one response ago was held back for 60 s once three upstreams had crashed beside it, though others went on to stream on it; if all requests share the part, nearly all were refused.

A fatal part crashes each upstream that begins to write on it, within 0.1 s. A successful response whose parts arrive at least twice half a second apart after its first bytes therefore clears the parts of its prompt as a complete one does. One sign isn't enough, since a box that stood still reads late what came before the crash.

Tests of fatal parts, crashes and fatal requests in internal/gateway with -race pass.

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 
@@ -328,15 +327,14 @@
 	d.handleAnswer(r.Fingerprint, r.Parts, status)
 }
 
-// handleAnswer processes a complete response to a request. If this ends a quarantine, it logs the release. Only a
-// success shows that an upstream has begun to write a response on the parts of the prompt.
+// handleAnswer processes a complete response to a request. If this ends a quarantine, it logs the release.
 func (d *crashDetector) handleAnswer(fingerprint quarantine.Fingerprint, parts quarantine.Parts, status int) {
 	if d.box.quarantine.RecordAnswer(fingerprint) {
 		d.box.log.Record(decision.Quarantined{
 			Fingerprint: fingerprint.String(), Quarantine: decision.Quarantine{Source: thisBox},
 		})
 	}
-	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+	if isPartAnswer(status) {
 		d.recordPartAnswer(parts)
 	}
 }
--- a/internal/gateway/fatal_parts_fixture_test.go
+++ b/internal/gateway/fatal_parts_fixture_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -62,6 +63,9 @@
 	end          crashEnd
 	// unframed is set if sound responses have neither a length nor chunks, too.
 	unframed bool
+	// takesMs is the time until sound responses begin, or 0 for the usual one, and soundResponse writes them, if it is set.
+	takesMs       clock.Millis
+	soundResponse http.HandlerFunc
 	// interval is the time between fatal requests, soundInterval that between sound ones.
 	interval, soundInterval time.Duration
 	span                    time.Duration
@@ -163,12 +167,15 @@
 	d.recordArrival(r.Header.Get("X-Id"), prompt, r.Header.Get("X-Box"))
 	w.Header()["X-Id"] = r.Header["X-Id"]
 	if !isFatal(prompt) {
-		_ = f.clock.Sleep(r.Context(), clock.Millis(30+d.intn(200)))
-		if d.unframed {
+		_ = f.clock.Sleep(r.Context(), cmp.Or(d.takesMs, clock.Millis(30+d.intn(200))))
+		switch {
+		case d.unframed:
 			d.respondUnframed(w, r, nil)
-			return
+		case d.soundResponse != nil:
+			d.soundResponse(w, r)
+		default:
+			respondInKind(w, r)
 		}
-		respondInKind(w, r)
 		return
 	}
 	_ = f.clock.Sleep(r.Context(), clock.Millis(20+d.intn(60)))
--- a/internal/gateway/part_crashes.go
+++ b/internal/gateway/part_crashes.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"net/http"
 	"slices"
 
 	"dooryard.example/dooryard/internal/decision"
 	"dooryard.example/dooryard/internal/namekey"
+	"dooryard.example/dooryard/internal/opaque"
 	"dooryard.example/dooryard/internal/quarantine"
 )
 
@@ -26,6 +28,19 @@
 	return urgent
 }
 
+// isPartAnswer reports whether a response shows that an upstream has begun to write one on the parts of a prompt.
+func isPartAnswer(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// handleOutlived processes a response that an upstream still writes after a fatal part of the prompt would have crashed
+// it.
+func (d *crashDetector) handleOutlived(r *opaque.Request, status int) {
+	if isPartAnswer(status) {
+		d.recordPartAnswer(r.Parts)
+	}
+}
+
 // recordPartAnswer records that an upstream answered a request with some parts. Other boxes learn at once of a
 // quarantine that ends by this.
 func (d *crashDetector) recordPartAnswer(parts quarantine.Parts) {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -79,6 +79,7 @@
 			OnSignals: b.handleSignals, OnRejected: b.handleRejection,
 			Track: b.crashDetector.track, Observe: b.crashDetector.observe, Survival: b.survival,
 			OnEnd: b.metrics.ResponseEnded, OnCompleted: b.crashDetector.handleCompleted,
+			OnOutlived:     b.crashDetector.handleOutlived,
 			Rescreen:       func(r *opaque.Request) error { return b.steps.screen.Rescreen(r) },
 			OnStreamOrigin: b.origins.record, OriginRetracted: b.origins.retracted,
 			CheckBeforeSend: b.checkBeforeSend, RecheckKey: b.recheckKey, CheckCaller: checkCaller,
--- a/internal/pipe/dispatch/admission.go
+++ b/internal/pipe/dispatch/admission.go
@@ -201,17 +201,17 @@
 	}
 }
 
-// startReader calls onStart whenever bytes are read; balance.Lease.RecordFirstEvent ignores all calls but the first.
-type startReader struct {
+// bodyReader calls onBody whenever bytes are read.
+type bodyReader struct {
 	io.Reader
-	onStart func()
+	onBody func()
 }
 
 // Read implements io.Reader.
-func (r *startReader) Read(part []byte) (int, error) {
+func (r *bodyReader) Read(part []byte) (int, error) {
 	n, err := r.Reader.Read(part)
 	if n > 0 {
-		r.onStart()
+		r.onBody()
 	}
 	return n, err
 }
--- a/internal/pipe/dispatch/attempt.go
+++ b/internal/pipe/dispatch/attempt.go
@@ -61,7 +61,7 @@
 	if resp.StatusCode < http.StatusInternalServerError && s.signals.BackoffMs == 0 {
 		lease.RecordResponseStart()
 	}
-	failed := s.relay(ctx, upstreamSource(s, lease), resp, cancel)
+	failed := s.relay(ctx, upstreamSource(s, lease, resp.StatusCode), resp, cancel)
 	switch {
 	case failed != nil:
 		s.observeFailure(ctx, lease, failed.err)
@@ -346,8 +346,8 @@
 	recordsOrigin bool
 	// onPart is called for each part of a stream.
 	onPart func()
-	// onStart is called at the first byte of the body of a successful response, and may be called again after it.
-	onStart func()
+	// onBody is called for each part of the body of a successful response.
+	onBody func()
 	// onBroken is called when a stream breaks.
 	onBroken func()
 	// survival returns what is known of the source once it has closed a connection in order.
@@ -365,14 +365,20 @@
 	return &streams.Origin{Pool: lease.Pool, Version: lease.SoftwareVersion}
 }
 
-func upstreamSource(s *retryLoop, lease *balance.Lease) responseSource {
+func upstreamSource(s *retryLoop, lease *balance.Lease, status int) responseSource {
+	signs := lifeSigns{}
 	return responseSource{
 		origin:        originOf(lease),
 		recordsOrigin: true,
 		onPart:        lease.RecordContact,
-		onStart:       lease.RecordFirstEvent,
-		onBroken:      lease.RecordBrokenStream,
-		survival:      func() upstream.Survival { return s.pipe.deps.Survival(s.ctx, lease, s.attemptStartedMs) },
+		onBody: func() {
+			lease.RecordFirstEvent()
+			if signs.record(s.pipe.deps.Clock.Monotonic()) {
+				s.pipe.deps.OnOutlived(s.request, status)
+			}
+		},
+		onBroken: lease.RecordBrokenStream,
+		survival: func() upstream.Survival { return s.pipe.deps.Survival(s.ctx, lease, s.attemptStartedMs) },
 	}
 }
 
--- a/internal/pipe/dispatch/buffered.go
+++ b/internal/pipe/dispatch/buffered.go
@@ -34,7 +34,7 @@
 // which the request may be retried.
 func (s *retryLoop) relayBuffered(from responseSource, resp *upstream.Response) *failure {
 	r := s.request
-	body, size, err := s.readBody(resp, from.onStart)
+	body, size, err := s.readBody(resp, from.onBody)
 	if errors.Is(err, exchange.ErrOverReserve) {
 		return s.relayUnbuffered(from, resp, s.newBufferedResponse(resp, body, size))
 	}
@@ -70,11 +70,11 @@
 	maxPartBytes   = 64 << 10
 )
 
-// readBody reads a body, and calls onStart at the first byte of a successful response. It takes the memory of each part
-// before it is allocated, and waits while the box has none. With exchange.ErrOverReserve, the body is the part that was
-// read.
+// readBody reads a body, and calls onBody for each part of that of a successful response. It takes the memory of each
+// part before it is allocated, and waits while the box has none. With exchange.ErrOverReserve, the body is the part
+// that was read.
 func (s *retryLoop) readBody(
-	resp *upstream.Response, onStart func(),
+	resp *upstream.Response, onBody func(),
 ) (body [][]byte, size int, err error) {
 	s.body = s.pipe.deps.Memory.Hold()
 	length := resp.ContentLength
@@ -89,7 +89,7 @@
 	}
 	source := io.Reader(resp)
 	if isSuccess(resp.StatusCode) {
-		source = &startReader{Reader: resp, onStart: onStart}
+		source = &bodyReader{Reader: resp, onBody: onBody}
 	}
 	part, partBytes := []byte(nil), int64(firstPartBytes)
 	for err == nil && size <= maxResponseBytes {
--- a/internal/pipe/dispatch/dispatch.go
+++ b/internal/pipe/dispatch/dispatch.go
@@ -83,6 +83,8 @@
 	OnCompleted func(r *opaque.Request, status int)
 	// Rescreen returns a refusal if the request is quarantined by now.
 	Rescreen func(r *opaque.Request) error
+	// OnOutlived records that an upstream lives on some time after it has begun to respond to a request.
+	OnOutlived func(r *opaque.Request, status int)
 	// OnStreamOrigin records the origin of a resumable stream, before its first event is sent to the caller and when the
 	// response breaks.
 	OnStreamOrigin func(r *opaque.Request)
--- a/internal/pipe/dispatch/forward.go
+++ b/internal/pipe/dispatch/forward.go
@@ -115,7 +115,7 @@
 // boxSource is the source of a response from another box, which makes the retries.
 func boxSource() responseSource {
 	ignore := func() {}
-	return responseSource{onPart: ignore, onStart: ignore, onBroken: ignore, survival: unframedBox, isFinal: true}
+	return responseSource{onPart: ignore, onBody: ignore, onBroken: ignore, survival: unframedBox, isFinal: true}
 }
 
 // buildForward returns the request to another box. It names the box as the only one that may run it, so
--- a/internal/pipe/dispatch/stream.go
+++ b/internal/pipe/dispatch/stream.go
@@ -120,7 +120,7 @@
 		event()
 		if n > 0 {
 			from.onPart()
-			from.onStart()
+			from.onBody()
 		}
 		if writeErr := s.stream.write(buffer[:n]); writeErr != nil {
 			return &failure{err: writeErr, execution: mayHaveRun}
--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -54,7 +54,7 @@
 				response := responseOf(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), body), -1)
 				response.TransferEncoding = []string{"chunked"}
 				ignore := func() {}
-				from := responseSource{onPart: ignore, onStart: ignore, onBroken: ignore}
+				from := responseSource{onPart: ignore, onBody: ignore, onBroken: ignore}
 				failed := s.relayStream(from, response, func(error) {})
 				assert.Equal(t, c.complete, failed == nil)
 			})
@@ -110,7 +110,7 @@
 				}()
 				response := responseOf(io.MultiReader(strings.NewReader(c.begin), body), -1)
 				from := responseSource{
-					origin: c.origin, recordsOrigin: c.recordsOrigin, isFinal: !c.recordsOrigin, onPart: func() {}, onStart: func() {},
+					origin: c.origin, recordsOrigin: c.recordsOrigin, isFinal: !c.recordsOrigin, onPart: func() {}, onBody: func() {},
 					onBroken: func() {}, survival: func() upstream.Survival { return upstream.Responding },
 				}
 				_ = s.relayStream(from, response, cancel)
@@ -140,7 +140,7 @@
 func TestEndlessEventIsNotHeld(t *testing.T) {
 	s := newResumableStream(t, exchange.NewMemory(64<<20))
 	body := &endlessEvent{}
-	from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
+	from := responseSource{onPart: func() {}, onBody: func() {}, onBroken: func() {}}
 	failed := s.relayStream(from, responseOf(body, -1), func(error) {})
 	require.ErrorIs(t, failed.err, errEventTooLong)
 	assert.Less(t, body.bytes, maxEventBytes+2*streamBufferBytes)
@@ -184,7 +184,7 @@
 				}()
 				response := responseOf(body, -1)
 				response.TransferEncoding = []string{"chunked"}
-				from := responseSource{onPart: func() {}, onStart: func() {}, onBroken: func() {}}
+				from := responseSource{onPart: func() {}, onBody: func() {}, onBroken: func() {}}
 				assert.Nil(t, s.relayStream(from, response, func(error) {}))
 			})
 		}
--- a/internal/pipe/dispatch/unbuffered.go
+++ b/internal/pipe/dispatch/unbuffered.go
@@ -73,7 +73,7 @@
 		n, readErr := resp.Read(buffer)
 		size += n
 		if n > 0 && isSuccess(w.status) {
-			from.onStart()
+			from.onBody()
 		}
 		startMs = now()
 		if _, err := s.request.Writer.Write(buffer[:n]); err != nil {
