fix(quarantine): a part of nearly all requests is tried after 2 s, not after 60 s

Any upstream that crashes by itself runs requests with a part that all callers share. What would have cleared it was held back too.

Boxes now count the requests to a pool that have a held part. If eight or more have it and at most one in eight doesn't, the crashes don't speak against it: its first hold is 2 s, and its owner then sends one trial request. A crash under that holds it for 60 s, 240 s and so on, one trial more than other parts have: three later requests in 20 minutes, which is what operators allow. A trial request that reaches no upstream is followed by another a second later instead of five.

TestPartHolds screened requests with the fatal part alone, which is now the case of a common part: it screens as many others now, its expectations are unchanged, and TestCommonParts bounds the trials of a part of all requests.

--- a/internal/gateway/common_parts_test.go
+++ b/internal/gateway/common_parts_test.go
@@ -41,36 +41,49 @@
 // themselves.
 func TestPartOfAllRequests(t *testing.T) {
 	const (
-		// crashMs is when the upstreams crash, and backMs when requests must begin again.
-		crashMs = 6 * clock.Second
-		backMs  = crashMs + upstreamRestartMs + 3*clock.Second
-		// newFrom is a request that is sent 1.5 s before the crash.
-		newFrom = 25
+		// crashMs is when the upstreams crash, and newMs when the first requests with a new part are sent.
+		crashMs = 7 * clock.Second
+		newMs   = crashMs - 1500
+		// Boxes may notice the crashes when the upstreams are back. Then comes a hold of holdMs, and a trial request, to which
+		// an upstream responds after slowMs.
+		slowMs = 2 * clock.Second
+		holdMs = 2 * clock.Second
+		backMs = crashMs + upstreamRestartMs + holdMs + slowMs + clock.Second
 	)
 	for _, c := range []struct {
-		name   string
-		count  int
-		from   int
-		takes  clock.Millis
-		stream clock.Millis
+		name       string
+		count      int
+		newMs      clock.Millis
+		intervalMs clock.Millis
+		takesMs    clock.Millis
+		streamMs   clock.Millis
 	}{
-		{"all upstreams crash at once", partUpstreams, 1 << 30, 0, 0},
-		{"half of the upstreams crash at once while they stream the first responses to the part", partUpstreams / 2, newFrom, 0, 15 * clock.Second},
-		{"nearly all upstreams crash at once while they stream the first responses to the part", partUpstreams - 1, newFrom, 0, 15 * clock.Second},
+		{"all upstreams crash at once", partUpstreams, clock.FromDuration(time.Hour), 25, 0, 0},
+		{"all upstreams crash at once before any responds to the part", partUpstreams, newMs, 25, slowMs, 0},
+		{
+			"half of the upstreams crash at once while they stream the first responses to the part",
+			partUpstreams / 2, newMs, 100, 0, 15 * clock.Second,
+		},
+		{
+			"nearly all upstreams crash at once while they stream the first responses to the part",
+			partUpstreams - 1, newMs, 100, 0, 15 * clock.Second,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runBesideOthers(t, func(f *fleet) {
 				d := newPartDay(onPath("/stream/"), func(d *partDay) {
-					d.fatal, d.sound, d.span = nil, commonPart(c.from), 18*time.Second
-					d.crashEvery, d.crashCount, d.takesMs, d.soundInterval = time.Minute, c.count, c.takes, 100*time.Millisecond
-					if c.stream > 0 {
-						d.soundResponse = streamFor(f.clock, c.stream)
+					const startMs = 3 * clock.Second
+					d.fatal, d.sound, d.span = nil, commonPart(int((c.newMs-startMs)/c.intervalMs)), 18*time.Second
+					d.crashEvery, d.crashCount = time.Minute, c.count
+					d.soundInterval, d.takesMs = c.intervalMs.Duration(), c.takesMs
+					if c.streamMs > 0 {
+						d.soundResponse = streamFor(f.clock, c.streamMs)
 					}
 				})
 				d.run(f)
 				d.mu.Lock()
 				defer d.mu.Unlock()
-				before, after := d.soundShare(0, crashMs-clock.Second), d.soundShare(backMs, f.clock.Monotonic()-2*clock.Second)
+				before, after := d.soundShare(0, crashMs-clock.Second), d.soundShare(backMs, f.clock.Monotonic()-clock.Second)
 				f.t.Logf("%d crashes; sound requests begin %.3f before, %.3f after, %d of %d held back",
 					len(d.othersMs), before, after, d.heldBack, len(d.calls))
 				assert.GreaterOrEqual(f.t, after, 0.9*before)
--- a/internal/gateway/fatal_parts_test.go
+++ b/internal/gateway/fatal_parts_test.go
@@ -78,6 +78,11 @@
 	t.Run("refused requests return at once", func(t *testing.T) {
 		runPartDay(t, func(d *partDay) { d.returns = 3 })
 	})
+	t.Run("nearly all requests have it", func(t *testing.T) {
+		runPartDay(t, func(d *partDay) {
+			d.interval, d.soundInterval, d.span = 100*time.Millisecond, 2*time.Second, 90*time.Second
+		})
+	})
 	t.Run("sound requests had the part until it became fatal", func(t *testing.T) {
 		runPartDay(t, func(d *partDay) {
 			d.sound = func(i int) string {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -64,6 +64,7 @@
 		stopCheck: stopCheck{box: b},
 		screen: screen.New(screen.Dependencies{
 			RemainingMs: b.quarantine.QuarantineRemainingMs, ScreenParts: b.parts.Screen, RescreenParts: b.parts.Recheck,
+			ReturnTrial: b.parts.ReturnTrial,
 		}),
 		resume: resume.New(resume.Dependencies{Find: b.origins.find, Locate: b.origins.versions.Find}),
 		dispatch: dispatch.New(dispatch.Dependencies{
@@ -137,6 +138,7 @@
 	err := b.run(r)
 	panicked = false
 	b.steps.receive.Done(r)
+	b.steps.screen.Done(r)
 	b.steps.record.Run(r, err)
 	if abortsConnection(err) {
 		if !r.HTTP.ProtoAtLeast(1, 1) {
@@ -156,6 +158,7 @@
 // logs the panic and closes the connection.
 func (b *Box) endPanicked(r *opaque.Request) {
 	b.steps.receive.Done(r)
+	b.steps.screen.Done(r)
 	refusal := opaque.NewRefusal(http.StatusBadGateway, opaque.ResponseLost, 0, errPanicked)
 	if !r.Writer.Started() {
 		r.Writer.Header().Set("Connection", "close")
--- a/internal/pipe/screen/screen.go
+++ b/internal/pipe/screen/screen.go
@@ -16,6 +16,8 @@
 	// ScreenParts decides on a request by the parts of its prompt. RescreenParts does so again later.
 	ScreenParts   func(parts quarantine.Parts) quarantine.Verdict
 	RescreenParts func(parts quarantine.Parts) quarantine.Verdict
+	// ReturnTrial lets another request be the trial request with a part.
+	ReturnTrial func(part quarantine.PartKey)
 }
 
 // Pipe refuses quarantined requests.
@@ -55,6 +57,13 @@
 	return refusalOf(v)
 }
 
+// Done lets another request be the trial request if this one reached no upstream.
+func (p *Pipe) Done(r *opaque.Request) {
+	if r.Trial && r.Sent == 0 {
+		p.deps.ReturnTrial(r.HeldPart)
+	}
+}
+
 func (p *Pipe) screenContent(r *opaque.Request) error {
 	if remaining := p.deps.RemainingMs(r.Fingerprint); remaining > 0 {
 		return opaque.NewRefusal(opaque.NotRunStatus, opaque.Quarantined, remaining, nil)
--- a/internal/quarantine/part_ledger.go
+++ b/internal/quarantine/part_ledger.go
@@ -39,6 +39,8 @@
 	// answered holds when upstreams last answered requests with a part.
 	answered recent[poolPart]
 	events   eventLog[PartEvent]
+	// screened counts the requests to each pool while there were parts with crashes.
+	screened map[namekey.Key]int64
 }
 
 // suspectPart is a part with crashes that no answer has cleared.
@@ -46,6 +48,8 @@
 	crashes map[namekey.Key]partCrash
 	// nextTrialMs is when this box may send the next trial request.
 	nextTrialMs clock.Millis
+	// shares holds how many requests to a pool have the part.
+	shares map[namekey.Key]partShare
 }
 
 // partCrash is the crash of one upstream.
@@ -77,6 +81,7 @@
 	return &PartLedger{
 		monotonic: monotonic, settings: settings, sendsTrials: sendsTrials, parts: map[PartKey]*suspectPart{},
 		answered: newRecent[poolPart](maxAnsweredParts), events: eventLog[PartEvent]{nextSeq: firstSeq},
+		screened: map[namekey.Key]int64{},
 	}
 }
 
@@ -150,7 +155,7 @@
 	s := l.parts[a.part]
 	if s == nil {
 		l.evict()
-		s = &suspectPart{crashes: map[namekey.Key]partCrash{}}
+		s = &suspectPart{crashes: map[namekey.Key]partCrash{}, shares: map[namekey.Key]partShare{}}
 		l.parts[a.part] = s
 	}
 	if _, again := s.crashes[upstream]; again {
@@ -284,9 +289,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	settings := l.settings()
-	oldest := l.monotonic() - settings.retentionMs()
+	oldest, spans := l.monotonic()-settings.retentionMs(), holdSpansOf(settings, false, false)
 	maps.DeleteFunc(l.parts, func(_ PartKey, s *suspectPart) bool {
-		return s.newest() <= oldest && holdEnd(s.times(), settings.MinCrashes, firstHoldMs(settings, false)) <= oldest
+		return s.newest() <= oldest && holdEnd(s.times(), settings.MinCrashes, spans) <= oldest
 	})
 }
 
--- a/internal/quarantine/part_ledger_test.go
+++ b/internal/quarantine/part_ledger_test.go
@@ -191,6 +191,7 @@
 	start, trials := f.now, []clock.Millis{}
 	for f.now < start+1200*clock.Second {
 		f.now += clock.Second
+		f.Screen(partsIn("p", "other"))
 		if f.Screen(partsIn("p", "fatal")).Trial {
 			trials = append(trials, f.now-start)
 			f.crash([]string{"fatal"})
@@ -202,6 +203,79 @@
 	assert.GreaterOrEqual(t, trials[1]-trials[0], holdGrowth*first)
 }
 
+// TestPartTrialNotSent guards against a part that is held back for seconds because a trial request reached no upstream.
+func TestPartTrialNotSent(t *testing.T) {
+	f := newPartFixture(t)
+	f.crashes(3, "fatal")
+	f.now += 60 * clock.Second
+	f.assertTrial("fatal")
+	f.ReturnTrial(PartKeyOf("fatal"))
+	f.assertRefused("fatal")
+	f.now += unsentTrialMs
+	f.assertTrial("fatal")
+	f.ReturnTrial(PartKeyOf("unknown"))
+	f.assertRefused("fatal")
+}
+
+// screenRequests screens requests with a part, and others, over a time. It returns when one with the part was a trial
+// request, since the start.
+func (f *partFixture) screenRequests(span clock.Millis, with, others int, onTrial func()) (trials []clock.Millis) {
+	const each = 100
+	start := f.now
+	for f.now < start+span {
+		f.now += each
+		for range others {
+			f.Screen(partsIn("p", "other"))
+		}
+		for range with {
+			if v := f.Screen(partsIn("p", "common")); v.Trial {
+				trials = append(trials, f.now-start)
+				onTrial()
+			}
+		}
+	}
+	return trials
+}
+
+// TestCommonParts guards against a sound part of most requests that is held back for long since upstreams crashed by
+// themselves, and against many crashes by trial requests if it is fatal.
+func TestCommonParts(t *testing.T) {
+	t.Run("are tried early and pass once they are answered", func(t *testing.T) {
+		f := newPartFixture(t)
+		f.crashes(5, "common")
+		trials := f.screenRequests(10*clock.Second, 9, 1, func() { f.answer("common") })
+		assert.Len(t, trials, 1)
+		assert.LessOrEqual(t, trials[0], presumedHoldMs+clock.Second)
+		f.assertPasses("common")
+	})
+	t.Run("are tried early once", func(t *testing.T) {
+		f := newPartFixture(t)
+		f.crashes(3, "common")
+		trials := f.screenRequests(20*60*clock.Second, 9, 1, func() { f.crash([]string{"common"}) })
+		assert.LessOrEqual(t, len(trials), 3, "operators allow three later requests")
+	})
+	t.Run("bring callers back early", func(t *testing.T) {
+		f := newPartFixture(t)
+		f.sendsTrials = false
+		f.crashes(3, "common")
+		f.screenRequests(clock.Second, 9, 1, func() {})
+		assert.LessOrEqual(t, f.Screen(partsIn("p", "common")).RemainingMs, presumedHoldMs)
+	})
+	t.Run("are not those of a smaller share of requests", func(t *testing.T) {
+		f := newPartFixture(t)
+		f.crashes(3, "common")
+		assert.Empty(t, f.screenRequests(59*clock.Second, 4, 1, func() {}))
+	})
+	t.Run("are not those of few requests", func(t *testing.T) {
+		f := newPartFixture(t)
+		f.crashes(3, "common")
+		f.now += presumedHoldMs
+		for range minCommonRequests - 1 {
+			f.assertRefused("common")
+		}
+	})
+}
+
 // TestPartHoldAfterManyCrashes guards against a part that is tried again and again because its crashes no longer fit into
 // the ledger.
 func TestPartHoldAfterManyCrashes(t *testing.T) {
--- a/internal/quarantine/part_screen.go
+++ b/internal/quarantine/part_screen.go
@@ -15,6 +15,8 @@
 	// trialIntervalMs is the time between two trial requests after the hold of a part. By then the outcome of the first
 	// one is known, also if its upstream crashed without closing connections.
 	trialIntervalMs = 5 * clock.Second
+	// unsentTrialMs is the time after a trial request that reached no upstream until the next one.
+	unsentTrialMs = clock.Second
 )
 
 // Verdict is the decision on a request by the parts of its prompt. The zero value lets it pass.
@@ -55,6 +57,15 @@
 	return true
 }
 
+// ReturnTrial lets another trial request with a part go out soon, because one reached no upstream.
+func (l *PartLedger) ReturnTrial(part PartKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.parts[part]; s != nil {
+		s.nextTrialMs = min(s.nextTrialMs, l.monotonic()+unsentTrialMs)
+	}
+}
+
 // Recheck decides again whether a request may be sent that Screen has let pass, but not as a trial request.
 func (l *PartLedger) Recheck(parts Parts) Verdict { return l.screen(parts, false) }
 
@@ -65,11 +76,17 @@
 		return Verdict{}
 	}
 	trial := Verdict{}
+	if mayTry {
+		l.screened[parts.Pool]++
+	}
 	for _, key := range parts.Keys {
 		s := l.parts[key]
 		if s == nil || !l.isHeld(s) {
 			continue
 		}
+		if mayTry {
+			s.countRequest(parts.Pool, l.screened[parts.Pool])
+		}
 		v := l.screenPart(s, poolPart{part: key, pool: parts.Pool}, parts, mayTry)
 		if v.Refused() {
 			return v
@@ -90,7 +107,8 @@
 	}
 	crashes := s.crashesIn(a.pool, presumed)
 	unexplained := l.unexplained(crashes, parts)
-	end := holdEnd(crashes.times(), settings.MinCrashes, firstHoldMs(settings, presumed))
+	spans := holdSpansOf(settings, presumed, s.isCommon(a.pool, l.screened[a.pool]))
+	end := holdEnd(crashes.times(), settings.MinCrashes, spans)
 	interval := trialIntervalMs
 	if unexplained == 0 {
 		interval = companionTrialMs
