--- a/internal/clock/boot.go
+++ b/internal/clock/boot.go
@@ -23,7 +23,8 @@
 // no system call, but the scheduler would replace a thread that loses its processor within it.
 func bootTime() time.Duration {
 	var t unix.Timespec
-	if _, _, code := unix.RawSyscall(unix.SYS_CLOCK_GETTIME, unix.CLOCK_BOOTTIME, uintptr(unsafe.Pointer(&t)), 0); code != 0 {
+	_, _, code := unix.RawSyscall(unix.SYS_CLOCK_GETTIME, unix.CLOCK_BOOTTIME, uintptr(unsafe.Pointer(&t)), 0)
+	if code != 0 {
 		return -1
 	}
 	return time.Duration(t.Nano())
