fix(server): accepted connections inherit their keep-alive options

The listener's socket has the options instead, and its connections inherit them, with the same values.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dooryard.example/dooryard/internal/apierror"
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/exchange"
@@ -31,22 +33,42 @@
 
 // ListenTCP opens a listener without Multipath TCP, whose sockets can't drop new connections.
 func ListenTCP(network, address string) (net.Listener, error) {
-	return listenTCP(net.ListenConfig{}, network, address)
+	return listenTCP(network, address, func(syscall.RawConn) {})
 }
 
 // ListenBuffered opens listeners as ListenTCP does. The kernel holds at most about this number of bytes of a connection
 // that were not read; otherwise it may hold megabytes of each.
 func ListenBuffered(unreadBytes int) Listen {
 	return func(network, address string) (net.Listener, error) {
-		return listenTCP(net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-			// Connections inherit it. A kernel that refuses it uses its own limits.
+		return listenTCP(network, address, func(raw syscall.RawConn) {
+			// A kernel that refuses it uses its own limits.
 			_ = socket.SetUnreadBytes(raw, unreadBytes)
-			return nil
-		}}, network, address)
+		})
 	}
 }
 
-func listenTCP(c net.ListenConfig, network, address string) (net.Listener, error) {
+// Keep-alive probes, as package net sets them on accepted connections.
+const (
+	keepAliveS      = 15
+	keepAliveProbes = 9
+)
+
+// listenTCP opens a listener. Connections inherit the options of its socket, so that each accept needs fewer calls.
+func listenTCP(network, address string, setOptions func(raw syscall.RawConn)) (net.Listener, error) {
+	c := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		setOptions(raw)
+		return raw.Control(func(fd uintptr) {
+			for option, value := range map[[2]int]int{
+				{unix.SOL_SOCKET, unix.SO_KEEPALIVE}:   1,
+				{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE}:  keepAliveS,
+				{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL}: keepAliveS,
+				{unix.IPPROTO_TCP, unix.TCP_KEEPCNT}:   keepAliveProbes,
+			} {
+				// Without an option, those of the system hold.
+				_ = unix.SetsockoptInt(int(fd), option[0], option[1], value)
+			}
+		})
+	}}
 	c.SetMultipathTCP(false)
 	return c.Listen(context.Background(), network, address) //nolint:wrapcheck // Callers name the listener.
 }
