fix(threads): four threads more in reserve, and a line before they run out

Where the limit of the user's threads is 4096 or higher, four more are reserved, which last if other processes use the limit up later. Below, other processes may need each thread, and the reserve stays as it was.

threads near limit has the number of threads, how many the user may have more, and the limit, when a box has more threads than ever before and the limit leaves fewer than four. Its count takes no system call; the user's threads are counted only when it has grown.

The soak allows one thread more than the reserve, as before: with a limit 10 of one processor's box, without one 14.

--- a/cmd/dooryard-gateway/main.go
+++ b/cmd/dooryard-gateway/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	daemon.Main(signals.Received, func(p *daemon.Process) *cli.Command {
-		p.UseProcessors = threads.Use
+		p.UseProcessors, p.ThreadsNearLimit = threads.Use, threads.NearLimit
 		return gatewaycmd.New(p, platform.Adapter())
 	})
 }
--- a/internal/cmd/daemon/process.go
+++ b/internal/cmd/daemon/process.go
@@ -28,6 +28,8 @@
 	// UseProcessors limits the processors, of which there is at least one, and the threads of the process. An error means
 	// that it has fewer threads than it may need.
 	UseProcessors func(processors float64) error
+	// ThreadsNearLimit returns how many threads the process has and may have, if it may have few more, or else "".
+	ThreadsNearLimit func() string
 }
 
 // notesCapacity limits the signals that are noted before the daemon reads the notes.
@@ -61,6 +63,7 @@
 	_ = logCrashes()
 	c := command(&Process{
 		Out: os.Stdout, Err: stderr, Reload: h.reload, Notes: h.notes, UseProcessors: func(float64) error { return nil },
+		ThreadsNearLimit: func() string { return "" },
 	})
 	err := c.Run(ctx, os.Args)
 	if err == nil {
--- a/internal/cmd/gatewaycmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd/gatewaycmd.go
@@ -44,6 +44,7 @@
 	c := clock.New(clock.WithBootTime())
 	w := newWatcher(path, settings, c)
 	w.useProcessors, w.tooFewThreads = process.UseProcessors, tooFew
+	w.threadsNearLimit = process.ThreadsNearLimit
 	b, err := gateway.New(settings, adapter, process.Out, gateway.WithClock(c))
 	if err != nil {
 		return err
--- a/internal/cmd/gatewaycmd/watcher.go
+++ b/internal/cmd/gatewaycmd/watcher.go
@@ -29,6 +29,9 @@
 	useProcessors func(processors float64) error
 	// tooFewThreads is the last error of useProcessors.
 	tooFewThreads error
+	// threadsNearLimit returns how many threads the process has and may have, if it may have few more, or else "". It is
+	// nil if nothing limits them.
+	threadsNearLimit func() string
 }
 
 // newWatcher returns a watcher of a file from which the settings were loaded.
@@ -56,6 +59,7 @@
 			if w.tooFewThreads != nil {
 				w.reserveThreads(b)
 			}
+			w.checkThreads(b)
 		})
 	}
 }
@@ -78,6 +82,17 @@
 	}
 }
 
+// checkThreads records that the process may have few more threads. The Go runtime ends it when it needs one that it
+// can't have.
+func (w *watcher) checkThreads(b *gateway.Box) {
+	if w.threadsNearLimit == nil {
+		return
+	}
+	if near := w.threadsNearLimit(); near != "" {
+		b.RecordProcess("threads near limit", near)
+	}
+}
+
 // reload reads the file and applies changed settings. If the file is unusable, the old
 // settings stay active.
 func (w *watcher) reload(b *gateway.Box) {
--- a/internal/cmd/threads/threads.go
+++ b/internal/cmd/threads/threads.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"runtime"
+	"runtime/metrics"
 	"sync"
 
 	"golang.org/x/sys/unix"
@@ -21,6 +22,8 @@
 	// blockedThreads is how many threads may be in system calls at once, beside those that run Go code. They wait for
 	// files, standard output and standard error, or for their turn on a busy machine.
 	blockedThreads = 4
+	// spareThreads are reserved beyond those where the user may have plenty. They last if other processes use them up.
+	spareThreads = 4
 	// runtimeThreads are the runtime's monitor, its template for other threads, the receiver of signals, and the one that
 	// waits for the network.
 	runtimeThreads = 4
@@ -28,25 +31,35 @@
 
 var errTooFewThreads = errors.New("too few threads")
 
-// using is held while the number of processors changes.
-var using sync.Mutex
+var (
+	// using is held while the number of processors changes.
+	using sync.Mutex
+	// growth begins with the threads that are reserved.
+	growth watch
+)
 
 // Use makes the process use at most a number of processors, at least one, and creates the threads that it then usually
-// needs. The runtime keeps them, and creates others only while other processes keep threads in system calls from
-// running. Where the user may not have as many threads, the process uses fewer processors, and Use returns an error.
+// needs, and a few more where the user may have plenty. The runtime keeps them, and creates others only while other
+// processes keep threads in system calls from running. Where the user may not have as many threads, the process uses
+// fewer processors, and Use returns an error.
 func Use(processors float64) error {
 	using.Lock()
 	defer using.Unlock()
 	n := limited(processors, start.MachineProcessors)
 	wanted, had := n+blockedThreads, osthread.Count()-runtimeThreads
-	if had < wanted {
-		if possible := creatable(wanted - had); possible > 0 {
+	most := wanted
+	if hasPlenty() {
+		most += spareThreads
+	}
+	if had < most {
+		if possible := creatable(most - had); possible > 0 {
 			had += possible
 			// With several processors, the runtime would start a thread for each that rests.
 			runtime.GOMAXPROCS(1)
 			reserve(had - 1)
 		}
 	}
+	growth.highest = max(growth.highest, count())
 	used := max(1, min(n, had-blockedThreads))
 	runtime.GOMAXPROCS(used)
 	if had >= wanted {
@@ -56,6 +69,21 @@
 		errTooFewThreads, had+runtimeThreads, wanted+runtimeThreads, rlimit.Text(unix.RLIMIT_NPROC), used, n)
 }
 
+// NearLimit returns how many threads the process has, and how many more its user may have, if these are few, or else
+// "". It looks once the process has needed more threads than ever before.
+func NearLimit() string {
+	using.Lock()
+	defer using.Unlock()
+	return growth.nearLimit(count(), left)
+}
+
+// count returns the number of threads of the runtime, without a system call.
+func count() int {
+	samples := []metrics.Sample{{Name: "/sched/threads/total:threads"}}
+	metrics.Read(samples)
+	return int(samples[0].Value.Uint64())
+}
+
 // limited returns the number of processors to use of those of the machine.
 func limited(processors float64, ofMachine int) int {
 	return int(max(1, min(math.Ceil(processors), float64(ofMachine))))
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -20,6 +20,8 @@
 const (
 	// otherThreads is how many threads a box may have beside one for each processor in its settings.
 	otherThreads = 9
+	// spareThreads is how many more it may have if its user's threads have no low limit, since it reserves as many more.
+	spareThreads = 4
 	// openFiles is what the settings of boxes with limits allow.
 	openFiles = 1024
 	// fewestFiles bounds how often the limit of open files is halved.
@@ -291,7 +293,11 @@
 	if f.settings.Overlaps {
 		processes += f.settings.Boxes * maxOverlaps / minStopsApart
 	}
-	l := drawLimits(random, user, processes, maxThreads(f.settings.Processors))
+	threads := maxThreads(f.settings.Processors)
+	if user == 0 {
+		threads += spareThreads
+	}
+	l := drawLimits(random, user, processes, threads)
 	p.settings = filepath.Join(f.folder, p.name+".yaml")
 	err := os.WriteFile(p.settings, []byte(p.content), 0o600)
 	if err == nil && user != 0 {
