--- a/internal/cmd/threads/threads.go
+++ b/internal/cmd/threads/threads.go
@@ -59,7 +59,7 @@
 			reserve(had - 1)
 		}
 	}
-	growth.highest = max(growth.highest, count())
+	growth.highest = max(growth.highest, had+runtimeThreads)
 	used := max(1, min(n, had-blockedThreads))
 	runtime.GOMAXPROCS(used)
 	if had >= wanted {
