fix(upstream): a witness connection to the next process doesn't speak for the one before

A fault of: a box that was stopped for some ms while an upstream crashed opened the second connection of the Witness, due 0.2 s after the first, to the next process before it read the end of the first: one of both stayed open, and parts of responses passed for whole. Throttled boxes also open the second one late, so that a crash between 0.2 and 0.3 s after the first was taken for nothing.

A new connection is dropped if the kernel knows that the upstream has ended the other one; the first one counts alone until 0.4 s, unless the second was open then and stayed open.

TestWitnessOfNextProcess and "as soon as the second is open" fail without the changes.

--- a/internal/upstream/witness.go
+++ b/internal/upstream/witness.go
@@ -12,6 +12,7 @@
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/guard"
+	"dooryard.example/dooryard/internal/socket"
 )
 
 const (
@@ -25,6 +26,9 @@
 	// staggerMs is the time between the openings of two connections. No upstream closes an unused one as early, and
 	// one that does so after the same time for each closes two of them further apart than jointEndMs.
 	staggerMs clock.Millis = 200
+	// maxAloneMs is until when the first connection counts alone, since a process with little processor time opens the
+	// second one late.
+	maxAloneMs = 2 * staggerMs
 )
 
 // Witness shows whether the process of an upstream has gone when a response ends with its connection. It keeps two
@@ -52,6 +56,7 @@
 type witnessConn struct {
 	// watching is set while a connection is open or to be opened. openMs is since when one is open, or 0.
 	watching bool
+	conn     net.Conn
 	openMs   clock.Millis
 	// endedMs is when the upstream ended the latest one that it has ended, or 0. It was open since fromMs.
 	endedMs, fromMs clock.Millis
@@ -68,6 +73,11 @@
 	return c.inOrder && c.endedMs-c.fromMs >= minWitnessMs && near(c.endedMs, endedMs)
 }
 
+// outlives reports whether a connection that was open at a time did not end then.
+func (c *witnessConn) outlives(ms clock.Millis) bool {
+	return c.openMs > 0 && c.openMs <= ms || c.fromMs <= ms && c.endedMs > ms+jointEndMs
+}
+
 // near reports whether two times are those of connections that have ended together.
 func near(one, other clock.Millis) bool {
 	return one > 0 && max(one, other)-min(one, other) <= jointEndMs
@@ -106,7 +116,7 @@
 	case first.endsWith(endedMs) && second.endsWith(endedMs):
 		return !near(first.fromMs, second.fromMs)
 	case first.endsWith(endedMs):
-		return first.endedMs-first.fromMs <= staggerMs && (second.openMs == 0 || second.openMs > first.endedMs)
+		return first.endedMs-first.fromMs <= maxAloneMs && !second.outlives(first.endedMs)
 	default:
 		return false
 	}
@@ -171,11 +181,11 @@
 	if err != nil {
 		return false
 	}
-	w.mu.Lock()
-	openMs := w.monotonic()
-	c.openMs = openMs
-	until := time.Now().Add(w.lifeMs().Duration())
-	w.mu.Unlock()
+	openMs, until := w.add(c, conn)
+	if openMs == 0 {
+		_ = conn.Close()
+		return false
+	}
 	err = awaitEnd(w.ctx, conn, until)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -190,6 +200,21 @@
 	return false
 }
 
+// add adds a connection that has been opened, and returns when it was open and until when it may be kept. It returns 0
+// if the upstream had ended the other one by then, which this process may not have noticed: the next process may have
+// accepted this one.
+func (w *Witness) add(c *witnessConn, conn net.Conn) (openMs clock.Millis, until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, other := range w.conns {
+		if other.openMs > 0 && socket.System().State(other.conn).Ended {
+			return 0, time.Time{}
+		}
+	}
+	c.conn, c.openMs = conn, w.monotonic()
+	return c.openMs, time.Now().Add(w.lifeMs().Duration())
+}
+
 // awaitEnd closes a connection on which nothing was sent once it ends, and returns the error with which it did: that of
 // its deadline if it is open until then, or nil if the other side sends something, as some do before they close an
 // unused connection.
--- a/internal/upstream/witness_test.go
+++ b/internal/upstream/witness_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dooryard.example/dooryard/internal/clock"
+	"dooryard.example/dooryard/internal/socket"
 	"dooryard.example/dooryard/internal/testlib"
 )
 
@@ -121,6 +123,7 @@
 	}{
 		{"with the response", []time.Duration{300 * ms, 300 * ms}, 300 * ms, false, true},
 		{"with the response, before the second is open", []time.Duration{100 * ms}, 100 * ms, false, true},
+		{"with the response, as soon as the second is open", []time.Duration{210 * ms, 210 * ms}, 210 * ms, false, true},
 		{"shortly before the response", []time.Duration{290 * ms, 290 * ms}, 300 * ms, false, true},
 		{"shortly after the response", []time.Duration{310 * ms, 310 * ms}, 300 * ms, false, true},
 		{"long before the response", []time.Duration{210 * ms, 210 * ms}, 300 * ms, false, false},
@@ -220,3 +223,27 @@
 		assert.LessOrEqual(t, opened, 2)
 	})
 }
+
+// TestWitnessOfNextProcess guards against the next process that counts as the one that has gone, since this process has
+// paused and opens a connection before it reads the end of another one.
+func TestWitnessOfNextProcess(t *testing.T) {
+	for ended, want := range map[bool]bool{true: false, false: true} {
+		s := startUpstream(t, func(net.Conn, *bufio.Reader) {})
+		w := newWitness(nil, func() clock.Millis { return 1 })
+		first, err := net.Dial("tcp", s.listener.Addr().String())
+		require.NoError(t, err)
+		conn := <-s.conns
+		w.add(&w.conns[0], first)
+		if ended {
+			require.NoError(t, conn.Close())
+			for !socket.System().State(first).Ended {
+				runtime.Gosched()
+			}
+		}
+		second, err := net.Dial("tcp", s.listener.Addr().String())
+		require.NoError(t, err)
+		openMs, _ := w.add(&w.conns[1], second)
+		assert.Equal(t, want, openMs > 0)
+		assert.Equal(t, want, w.conns[1].outlives(1))
+	}
+}
