fix(upstream): witness connections don't keep requests from an upstream that serves one connection after the other

A fault of: the two connections on which nothing is sent stayed open for up to 4 s after the response for which they were opened.

They are closed now once no response is under way that ends with its connection. If requests wait whose response may become one, others are opened then, which the kernel queues behind theirs (Witness.Expect). The second is not opened for responses shorter than 0.2 s.

TestWitnessesAreBounded, "none some time after the last response", counted those that were kept for 4 s; it now allows none right after each response. TestWitnessNeedsConnectionsOfTwoTimes: no test failed without that rule.

What stays: a process with as few workers as it has responses and witnesses under way; there a request may still wait for up to 4 s.

--- a/internal/pipe/dispatch/stream_test.go
+++ b/internal/pipe/dispatch/stream_test.go
@@ -138,12 +138,16 @@
 
 // TestEndlessEventIsNotHeld guards against an event that an upstream never ends and that fills the memory of the box.
 func TestEndlessEventIsNotHeld(t *testing.T) {
-	s := newResumableStream(t, exchange.NewMemory(64<<20))
+	memory := exchange.NewMemory(64 << 20)
+	s := newResumableStream(t, memory)
 	body := &endlessEvent{}
 	from := responseSource{onPart: func() {}, onBody: func() {}, onBroken: func() {}}
 	failed := s.relayStream(from, responseOf(body, -1), func(error) {})
 	require.ErrorIs(t, failed.err, errEventTooLong)
 	assert.Less(t, body.bytes, maxEventBytes+2*streamBufferBytes)
+	sizes := memory.Sizes()
+	assert.Positive(t, sizes.PeakBytes)
+	assert.Zero(t, sizes.UsedBytes)
 }
 
 // newResumableStream returns the loop of a request for a resumable stream.
--- a/internal/pipe/dispatch/unframed.go
+++ b/internal/pipe/dispatch/unframed.go
@@ -46,8 +46,8 @@
 		return func() {}
 	}
 	witness := lease.Client().Witness()
-	witness.Begin()
-	return witness.Finish
+	witness.Expect()
+	return witness.Unexpect
 }
 
 // witnessEnd has a witness of the upstream opened if nothing else may tell whether the response has been complete.
--- a/internal/upstream/witness.go
+++ b/internal/upstream/witness.go
@@ -34,7 +34,8 @@
 // Witness shows whether the process of an upstream has gone when a response ends with its connection. It keeps two
 // other connections open on which nothing is sent, for all such responses, each for maxWitnessMs, and then another one
 // if some are under way: the kernel closes them with theirs. That they stay open proves little, since a proxy may have
-// accepted them. A Witness is safe for concurrent use.
+// accepted them. They are closed once no response is under way, because a process that serves one connection after the
+// other would wait for them. A Witness is safe for concurrent use.
 type Witness struct {
 	dial      func(ctx context.Context) (net.Conn, error)
 	monotonic func() clock.Millis
@@ -45,19 +46,21 @@
 
 	mu    sync.Mutex
 	conns [2]witnessConn
-	// underWay is the number of responses under way. The latest began at begunMs.
-	underWay int
-	begunMs  clock.Millis
+	// underWay is the number of responses under way, and expected that of requests whose response may become one. The
+	// latest of them began at begunMs.
+	underWay, expected int
+	begunMs            clock.Millis
 	// aloneMs is the shortest time after which the upstream ended one connection alone, or 0.
 	aloneMs clock.Millis
 }
 
 // witnessConn is one of the connections of a Witness, or a series of them.
 type witnessConn struct {
-	// watching is set while a connection is open or to be opened. openMs is since when one is open, or 0.
-	watching bool
-	conn     net.Conn
-	openMs   clock.Millis
+	// stop ends the watch of a connection that is open or to be opened. It is nil if there is none.
+	stop context.CancelFunc
+	conn net.Conn
+	// openMs is since when a connection is open, or 0.
+	openMs clock.Millis
 	// endedMs is when the upstream ended the latest one that it has ended, or 0. It was open since fromMs.
 	endedMs, fromMs clock.Millis
 	inOrder         bool
@@ -84,27 +87,58 @@
 }
 
 // Begin counts a response that ends with its connection, and opens connections unless they are open.
-func (w *Witness) Begin() {
+func (w *Witness) Begin() { w.open(&w.underWay) }
+
+// Expect counts a request whose response may end with its connection, and opens connections unless they are open.
+func (w *Witness) Expect() { w.open(&w.expected) }
+
+func (w *Witness) open(count *int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.underWay++
+	*count++
 	w.begunMs = w.monotonic()
 	w.learn(w.begunMs)
 	for i := range w.conns {
 		c := &w.conns[i]
-		if c.watching || !w.isDue(c, w.begunMs) {
+		if c.stop != nil || !w.isDue(c, w.begunMs) {
 			continue
 		}
-		c.watching = true
-		guard.Go("witness of responses", func() { w.watch(c, clock.Millis(i)*staggerMs) })
+		ctx := w.startLocked(c)
+		guard.Go("witness of responses", func() { w.watch(ctx, c, clock.Millis(i)*staggerMs) })
 	}
 }
 
-// Finish ends what Begin has begun.
+// Finish ends what Begin has begun. After the last response the connections are closed. For requests that wait others
+// are opened, behind theirs.
 func (w *Witness) Finish() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.underWay--
+	if w.underWay--; w.underWay == 0 {
+		w.stopLocked()
+	}
+}
+
+// Unexpect ends what Expect has begun.
+func (w *Witness) Unexpect() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.expected--; w.underWay == 0 {
+		w.stopLocked()
+	}
+}
+
+// startLocked returns the context of a watch.
+func (w *Witness) startLocked(c *witnessConn) (ctx context.Context) {
+	ctx, c.stop = context.WithCancel(w.ctx)
+	return ctx
+}
+
+func (w *Witness) stopLocked() {
+	for i := range w.conns {
+		if stop := w.conns[i].stop; stop != nil {
+			stop()
+		}
+	}
 }
 
 // ShowsGone reports whether the process has gone, if a response ended at about a monotonic time.
@@ -147,7 +181,7 @@
 
 // isDue reports whether a connection is to be open.
 func (w *Witness) isDue(c *witnessConn, now clock.Millis) bool {
-	return w.ctx.Err() == nil && w.underWay > 0 && w.lifeMs() > minWitnessMs && !near(c.endedMs, now)
+	return w.ctx.Err() == nil && w.underWay+w.expected > 0 && w.lifeMs() > minWitnessMs && !near(c.endedMs, now)
 }
 
 // learn adjusts how long connections are kept, if the upstream has ended one of them alone, or too soon.
@@ -163,21 +197,34 @@
 }
 
 // watch opens one connection after the other, the first one after a delay, until the upstream ends one or none is due.
-func (w *Witness) watch(c *witnessConn, delayMs clock.Millis) {
-	select {
-	case <-w.ctx.Done():
-	case <-time.After(delayMs.Duration()):
-		for w.watchOnce(c) {
+func (w *Witness) watch(ctx context.Context, c *witnessConn, delayMs clock.Millis) {
+	for ctx != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(delayMs.Duration()):
+			for w.watchOnce(ctx, c) {
+			}
 		}
+		ctx = w.endWatch(ctx, c)
 	}
+}
+
+// endWatch ends a watch. It returns the context of another one if this one was stopped and a connection is due, or nil.
+func (w *Witness) endWatch(ctx context.Context, c *witnessConn) context.Context {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c.watching = false
+	stopped := ctx.Err() != nil
+	c.stop()
+	c.stop = nil
+	if stopped && w.isDue(c, w.monotonic()) {
+		return w.startLocked(c)
+	}
+	return nil
 }
 
 // watchOnce opens a connection and closes it once it ends. It reports whether another one is due.
-func (w *Witness) watchOnce(c *witnessConn) bool {
-	conn, err := w.dial(w.ctx)
+func (w *Witness) watchOnce(ctx context.Context, c *witnessConn) bool {
+	conn, err := w.dial(ctx)
 	if err != nil {
 		return false
 	}
@@ -186,7 +233,7 @@
 		_ = conn.Close()
 		return false
 	}
-	err = awaitEnd(w.ctx, conn, until)
+	err = awaitEnd(ctx, conn, until)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.monotonic()
@@ -194,7 +241,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return w.isDue(c, now)
-	case w.ctx.Err() == nil:
+	case ctx.Err() == nil:
 		c.fromMs, c.endedMs, c.inOrder = openMs, now, errors.Is(err, io.EOF)
 	}
 	return false
--- a/internal/upstream/witness_test.go
+++ b/internal/upstream/witness_test.go
@@ -151,6 +151,18 @@
 	}
 }
 
+// TestWitnessNeedsConnectionsOfTwoTimes guards against a process that counts as gone since it closes two connections on
+// which nothing is sent after the same time, of which the opening of the first took long.
+func TestWitnessNeedsConnectionsOfTwoTimes(t *testing.T) {
+	for fromMs, want := range map[clock.Millis]bool{1000: false, 1000 + jointEndMs: false, 1000 + staggerMs: true} {
+		w := newWitness(nil, clock.New().Monotonic)
+		w.conns = [2]witnessConn{
+			{fromMs: 1000, endedMs: 5000, inOrder: true}, {fromMs: fromMs, endedMs: 5000, inOrder: true},
+		}
+		assert.Equal(t, want, w.ShowsGone(5000), "the second is open since %d", fromMs)
+	}
+}
+
 // TestWitnessesAreBounded guards against connections that cost upstreams more than the responses need.
 func TestWitnessesAreBounded(t *testing.T) {
 	run := func(name string, test func(t *testing.T, u *witnessedUpstream)) {
@@ -177,18 +189,60 @@
 		opened, ended := u.counts()
 		assert.Equal(t, 2, opened-ended)
 	})
-	run("none some time after the last response", func(t *testing.T, u *witnessedUpstream) {
+	run("none after the last response", func(t *testing.T, u *witnessedUpstream) {
 		t.Helper()
-		for range 2 {
+		for i := range 2 {
 			response := u.begin(t)
 			time.Sleep(time.Second)
 			u.end(t, response)
 			response.Close()
+			opened, ended := u.counts()
+			assert.Equal(t, 2*(i+1), opened)
+			assert.Equal(t, opened, ended)
 		}
-		time.Sleep(maxWitnessMs.Duration() + staggerMs.Duration() - 2*time.Second)
+		time.Sleep(maxWitnessMs.Duration())
+		opened, _ := u.counts()
+		assert.Equal(t, 4, opened)
+	})
+	run("one for a response that ends before the second is due", func(t *testing.T, u *witnessedUpstream) {
+		t.Helper()
+		response := u.begin(t)
+		time.Sleep(staggerMs.Duration() / 2)
+		u.end(t, response)
+		response.Close()
+		time.Sleep(maxWitnessMs.Duration())
 		opened, ended := u.counts()
+		assert.Equal(t, 1, opened)
+		assert.Equal(t, 1, ended)
+	})
+	run("two at different times after a response that ends before the second is due", func(t *testing.T, u *witnessedUpstream) {
+		t.Helper()
+		first := u.begin(t)
+		time.Sleep(staggerMs.Duration() - time.Millisecond)
+		u.end(t, first)
+		first.Close()
+		defer u.begin(t).Close()
+		time.Sleep(staggerMs.Duration() - time.Millisecond)
+		opened, _ := u.counts()
 		assert.Equal(t, 2, opened)
+		time.Sleep(time.Millisecond)
+		opened, ended := u.counts()
+		assert.Equal(t, 2, opened-ended)
+	})
+	run("others for requests that wait, after the last response", func(t *testing.T, u *witnessedUpstream) {
+		t.Helper()
+		u.client.Witness().Expect()
+		response := u.begin(t)
+		time.Sleep(time.Second)
+		u.end(t, response)
+		response.Close()
+		time.Sleep(time.Second)
+		opened, ended := u.counts()
+		assert.Equal(t, 2, opened-ended)
 		assert.Equal(t, 2, ended)
+		u.client.Witness().Unexpect()
+		opened, ended = u.counts()
+		assert.Equal(t, opened, ended)
 	})
 	run("none of a client that is closed", func(t *testing.T, u *witnessedUpstream) {
 		t.Helper()
--- a/internal/upstream/witnesses.go
+++ b/internal/upstream/witnesses.go
@@ -46,5 +46,5 @@
 func (w *Witness) unusedSince(sinceMs clock.Millis) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.underWay == 0 && w.begunMs < sinceMs
+	return w.underWay+w.expected == 0 && w.begunMs < sinceMs
 }
