fix(stalled): a stall that began in a backoff of all upstreams is noticed as soon as others are served

A box whose path to a pool passes nothing on asks other boxes how their attempts fared in the oldest span in which its own got no response. Once that ended 2 s ago, younger ones weren't asked about. If all upstreams had asked for backoff, nobody had sent in that span, so that no box was a witness, and the box sent its callers' requests into the stalled path for up to 2.3 s after the others were served again. Now a span in which the others sent fewer than five attempts is followed by the next one; one in which they sent enough decides, as before, so that a slow pool gets no second chance to look stalled.

TestSilentPools compares the same span, now one of a list.

--- a/internal/balance/stalled.go
+++ b/internal/balance/stalled.go
@@ -150,37 +150,38 @@
 	Attempts int
 }
 
-// SilentPools returns the pools that may be stalled for this box.
-func (m *Manager) SilentPools() []SilentPool {
+// SilentPools returns the pools that may be stalled for this box, with the spans in which they have not responded. The
+// span that ends first comes first.
+func (m *Manager) SilentPools() map[string][]SilentPool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.monotonic()
-	list := []SilentPool{}
+	all := map[string][]SilentPool{}
 	for pool, counts := range m.attempts {
 		if _, stalled := m.stalledSinceMs[pool]; stalled || m.unreachable(m.pools[pool], now) {
 			continue
 		}
-		if s, silent := m.silentPool(pool, counts, now); silent {
-			list = append(list, s)
+		if spans := m.silentSpans(pool, counts, now); len(spans) > 0 {
+			all[pool] = spans
 		}
 	}
-	return list
+	return all
 }
 
-func (m *Manager) silentPool(pool string, counts *attemptCounts, now clock.Millis) (SilentPool, bool) {
+func (m *Manager) silentSpans(pool string, counts *attemptCounts, now clock.Millis) []SilentPool {
 	oldest := now - clock.Millis(attemptBuckets-1)*attemptBucketMs
 	if counts.between(oldest, now).started < minSilentAttempts {
-		return SilentPool{}, false
+		return nil
 	}
 	// An attempt within the bucket of the last response may have begun before it.
-	since := max(oldest, m.lastResponseMs(pool)+attemptBucketMs)
+	since, spans := max(oldest, m.lastResponseMs(pool)+attemptBucketMs), []SilentPool{}
 	for _, age := range silenceAgesMs() {
 		sum := counts.between(since, now-age)
 		if sum.answered == 0 && sum.started >= minSilentAttempts && (sum.several || len(m.pools[pool]) == 1) {
-			return SilentPool{Pool: pool, FromMs: now - sum.firstMs, ToMs: age, Attempts: sum.started}, true
+			spans = append(spans, SilentPool{Pool: pool, FromMs: now - sum.firstMs, ToMs: age, Attempts: sum.started})
 		}
 	}
-	return SilentPool{}, false
+	return spans
 }
 
 // lastResponseMs returns when this box last received something from an upstream of a pool, or found that the pool
--- a/internal/balance/stalled_test.go
+++ b/internal/balance/stalled_test.go
@@ -33,12 +33,14 @@
 		d.now += maxUpstreamSilenceMs
 		assert.Empty(t, d.SilentPools(), "too early")
 		d.now += 2 * attemptBucketMs
-		want := []SilentPool{{Pool: "p", FromMs: d.now - 1000, ToMs: maxUpstreamSilenceMs, Attempts: minSilentAttempts}}
+		want := map[string][]SilentPool{
+			"p": {{Pool: "p", FromMs: d.now - 1000, ToMs: maxUpstreamSilenceMs, Attempts: minSilentAttempts}},
+		}
 		assert.Equal(t, want, d.SilentPools())
-		started, answered := d.AttemptsBetween(namekey.Of("p"), want[0].FromMs, want[0].ToMs)
+		started, answered := d.AttemptsBetween(namekey.Of("p"), want["p"][0].FromMs, want["p"][0].ToMs)
 		assert.Equal(t, []int{minSilentAttempts, 0}, []int{started, answered})
 		leases[0].RecordAnswered()
-		_, answered = d.AttemptsBetween(namekey.Of("p"), want[0].FromMs, want[0].ToMs)
+		_, answered = d.AttemptsBetween(namekey.Of("p"), want["p"][0].FromMs, want["p"][0].ToMs)
 		assert.Equal(t, 1, answered)
 		assert.Empty(t, d.SilentPools())
 	})
--- a/internal/gateway/stalled_pools.go
+++ b/internal/gateway/stalled_pools.go
@@ -44,9 +44,9 @@
 
 // check starts the questions and probes that are due.
 func (s *stalledPools) check(ctx context.Context, running *sync.WaitGroup) {
-	for _, silent := range s.box.balance.SilentPools() {
-		if s.isDue(silent.Pool) {
-			running.Go(func() { guard.Do("question about a pool", func() { s.ask(ctx, silent) }) })
+	for pool, spans := range s.box.balance.SilentPools() {
+		if s.isDue(pool) {
+			running.Go(func() { guard.Do("question about a pool", func() { s.ask(ctx, spans) }) })
 		}
 	}
 	for _, silent := range s.box.balance.SilentMembers() {
@@ -72,10 +72,21 @@
 	return true
 }
 
-// ask asks other boxes about a silent pool, and records that it is stalled if they got responses.
-func (s *stalledPools) ask(ctx context.Context, silent balance.SilentPool) {
-	others := sumOfWitnesses(s.box.peering.mesh.AskAttempts(ctx, namekey.Of(silent.Pool), silent.FromMs, silent.ToMs))
-	if others.Started < minWitnessAttempts || percent*others.Answered < minWitnessPercent*others.Started ||
+// ask asks other boxes about a silent pool, and records that it is stalled if they got responses. Of a span in which
+// they sent too little, as while all upstreams asked for backoff, they tell nothing. The next one ends later.
+func (s *stalledPools) ask(ctx context.Context, spans []balance.SilentPool) {
+	for _, silent := range spans {
+		answers := s.box.peering.mesh.AskAttempts(ctx, namekey.Of(silent.Pool), silent.FromMs, silent.ToMs)
+		if others := sumOfWitnesses(answers); others.Started >= minWitnessAttempts {
+			s.judge(silent, others)
+			return
+		}
+	}
+}
+
+// judge records that a silent pool is stalled if the attempts of other boxes show it.
+func (s *stalledPools) judge(silent balance.SilentPool, others mesh.Attempts) {
+	if percent*others.Answered < minWitnessPercent*others.Started ||
 		silenceChance(others, silent.Attempts) > maxSilenceChance {
 		return
 	}
--- a/internal/gateway/stalled_test.go
+++ b/internal/gateway/stalled_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,6 +169,50 @@
 	}
 }
 
+// TestStalledPathsInBackoff guards against boxes whose paths stall while all upstreams ask for backoff, so that no box is
+// a witness, and that notice it long after the others are served again.
+func TestStalledPathsInBackoff(t *testing.T) {
+	const (
+		backoffMs = 4 * clock.Second
+		// noticeMs is how long after the backoff a stall is noticed, and checkedMs how long the boxes are then watched.
+		noticeMs  = clock.Second
+		checkedMs = 1500
+	)
+	for _, after := range []time.Duration{500 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(fmt.Sprint(after, " into the backoff"), func(t *testing.T) {
+			runBesideOthers(t, func(f *fleet) {
+				state := content(1)
+				state.Pools[0].HealthPath = "/health"
+				f.store.setState(t, state)
+				var asksBackoff atomic.Bool
+				d := newStallDay(f, func(w http.ResponseWriter, r *http.Request) {
+					if asksBackoff.Load() && r.URL.Path != state.Pools[0].HealthPath {
+						w.Header().Set(headerBackoffMs, fmt.Sprint(backoffMs))
+						respondNotRun(w, r)
+						return
+					}
+					respondAfter(30)(w, r)
+				})
+				d.sendFor(4 * time.Second)
+				names := map[string]bool{d.boxes[0].settings.Box: true, d.boxes[3].settings.Box: true}
+				asksBackoff.Store(true)
+				time.AfterFunc(time.Second, func() { asksBackoff.Store(false) })
+				time.AfterFunc(after, func() {
+					f.network.SetStall(func(from, to string) bool {
+						return names[from] && strings.HasPrefix(to, "u") || names[to] && strings.HasPrefix(from, "u")
+					})
+				})
+				from := d.sendFor(8*time.Second) + backoffMs + noticeMs
+				stalled := func(box int) bool { return box == 0 || box == 3 }
+				there := d.share(stalled, from, from+checkedMs)
+				others := d.share(func(box int) bool { return !stalled(box) }, from, from+checkedMs)
+				f.t.Logf("served after the backoff: %.3f at stalled boxes, %.3f at others", there, others)
+				assert.GreaterOrEqual(f.t, there, minSettledShare*others)
+			})
+		})
+	}
+}
+
 // TestSlowPools guards against taking a slow pool, or a stopped upstream, for a stalled path.
 func TestSlowPools(t *testing.T) {
 	always := func(ms clock.Millis) func(func(int) int) clock.Millis {
