--- a/internal/cmd/routercmd/routercmd_test.go
+++ b/internal/cmd/routercmd/routercmd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	library "log"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,7 +44,8 @@
 	return l.all.String()
 }
 
-// TestPanicIsLoggedAndTheProcessRunsOn guards against processes that end at once and without a line when a part panics.
+// TestPanicIsLoggedAndTheProcessRunsOn guards against processes that end at once and without a line when a part panics,
+// and against lines of libraries on standard error, where a write may block.
 func TestPanicIsLoggedAndTheProcessRunsOn(t *testing.T) {
 	key := filepath.Join(t.TempDir(), "key")
 	require.NoError(t, os.WriteFile(key, []byte("a-key-of-boxes-and-operators\n"), 0o600))
@@ -61,6 +63,8 @@
 	<-log.written
 	guard.Do("part", func() { panic("broken") })
 	assert.Contains(t, log.String(), "part panicked")
+	library.Print("line of a library")
+	assert.Contains(t, log.String(), "line of a library")
 	stop()
 	require.NoError(t, <-ended)
 }
--- a/internal/pipe/forward/send_test.go
+++ b/internal/pipe/forward/send_test.go
@@ -134,7 +134,9 @@
 		Clock: clock.New(clock.WithMonotonic(func() clock.Millis { return clock.Millis(now.Load()) })),
 		Next: func(*exchange.Exchange, pool.Tried) (*pool.Lease, error) {
 			now.Store(1000)
-			return pool.NewRemoteLease("second", address, nil, func(bool) {}), nil
+			return pool.NewRemoteLease("second", address, nil, func(failed bool) {
+				assert.False(t, failed, "it got nothing")
+			}), nil
 		},
 	})
 	p.Default(&config.Router{})
