fix(tablestore): a verdict whose callback panics doesn't freeze the table

TestListenerThatPanics has verdicts now (its records had none, and so called no callback), and a callback that panics: without the change the panic leaves ApplyRecord.

--- a/internal/tablestore/store.go
+++ b/internal/tablestore/store.go
@@ -107,7 +107,7 @@
 	s.tail.Add(record)
 	if verdict.ID != "" {
 		s.logVerdict(verdict)
-		s.onVerdict(verdict)
+		guard.Do("verdict of the table", func() { s.onVerdict(verdict) })
 	}
 	s.publish(next)
 }
--- a/internal/tablestore/store_test.go
+++ b/internal/tablestore/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -17,14 +18,15 @@
 func TestListenerThatPanics(t *testing.T) {
 	panics, others := 0, 0
 	defer guard.Handle(func(guard.Panic) { panics++ })()
-	s := New(nil)
+	s := New(nil, WithVerdictCallback(func(table.Verdict) { panic("broken") }))
 	s.OnChange(func(*table.State) { panic("broken") })
 	s.OnChange(func(*table.State) { others++ })
 	for offset := range int64(3) {
-		s.ApplyRecord(backing.Record{Offset: offset, Data: json.RawMessage("{}")})
+		edit := fmt.Sprintf(`{"id":"%d","operator":"o","changes":[{"sheet":"s","row":"r","remove":true}]}`, offset)
+		s.ApplyRecord(backing.Record{Offset: offset, Data: json.RawMessage(edit)})
 	}
 	assert.EqualValues(t, 3, s.State().Offset())
 	require.NoError(t, s.WaitFor(t.Context(), 3))
-	assert.Equal(t, 3, panics)
+	assert.Equal(t, 2*3, panics)
 	assert.Equal(t, 3, others)
 }
