--- a/internal/gateway/witness_test.go
+++ b/internal/gateway/witness_test.go
@@ -25,6 +25,7 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	ended bool
 }
 
 // process starts a process at an address, which responds after beforeEnd.
@@ -40,15 +41,26 @@
 			if err != nil {
 				return
 			}
-			p.mu.Lock()
-			p.conns = append(p.conns, conn)
-			p.mu.Unlock()
-			go p.serve(conn, beforeEnd)
+			if p.add(conn) {
+				go p.serve(conn, beforeEnd)
+			}
 		}
 	}()
 	return p
 }
 
+// add reports whether the process still runs. Otherwise it closes the connection, as the kernel does.
+func (p *process) add(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		_ = conn.Close()
+		return false
+	}
+	p.conns = append(p.conns, conn)
+	return true
+}
+
 func (p *process) serve(conn net.Conn, beforeEnd func(p *process, carrying net.Conn)) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
@@ -71,6 +83,9 @@
 // end closes all connections in order, as the kernel does for a process that is gone.
 func (p *process) end() {
 	_ = p.listener.Close()
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
 	p.closeUnused(nil)
 }
 
