--- a/internal/inbound/cut_test.go
+++ b/internal/inbound/cut_test.go
@@ -51,8 +51,12 @@
 			cuts := make(chan Cut, 2)
 			l := NewListener(inner, 1, nil, clock.New(), WithCuts(func(c Cut) { cuts <- c }))
 			headerTimeout := time.Minute
-			if c.sent != wholeHead {
+			switch c.sent {
+			case wholeHead:
+			case "":
 				headerTimeout = time.Millisecond
+			default:
+				headerTimeout = time.Second
 			}
 			server := http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(
 				func(w http.ResponseWriter, r *http.Request) {
@@ -61,11 +65,12 @@
 				},
 			)}
 			Attach(&server, clock.New().Monotonic)
-			go func() { _ = server.Serve(l) }()
 			caller, err := net.Dial("tcp", inner.Addr().String())
 			require.NoError(t, err)
 			_, err = io.WriteString(caller, c.sent)
 			require.NoError(t, err)
+			// What was sent waits in the kernel, so that the time limit of a head does not end before it can be read.
+			go func() { _ = server.Serve(l) }()
 			if c.leaves {
 				_, err = caller.Read(make([]byte, 1))
 				require.NoError(t, err)
