fix(relay): news of other boxes don't wait for a connection that has gone silent

A box that gets its news from another one lost a second on each connection between them that had gone silent for good, and with it the confirmations of all others, since states are applied one after the other: a server's leaving was known up to a second later than at the box that reads the store (DRAIN), when connections to the store and between boxes go silent at once.

Cause: the client kept an idle connection to each box for 20 s, and a call on it fails after 1 s. Change: each call opens a connection. Boxes call each other only when something has changed.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,7 +36,6 @@
 	maxLongReplies = 2
 	// longReplyChanges is the number of changes above which a reply counts as long.
 	longReplyChanges = 200
-	idleConnTimeout  = 20 * time.Second
 )
 
 // Reply contains what the requester does not have yet.
@@ -127,9 +126,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: connectMs * time.Millisecond}).DialContext
 	}
-	return &Client{client: &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
-	}}}
+	// A connection that was idle may have gone silent, and the call would take up the time within which a box must
+	// learn of a draining upstream.
+	return &Client{client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
 }
 
 // Fetch requests everything that is newer than a version and a position from the box at an address.
