fix(routing): a box that starts after the store was restored doesn't trust what it reads at once

All processes of a fleet may be replaced meanwhile, so that nobody remembers the newer version.

Cause: only a box that has seen the store's era change knows of a restore. The first era that a box sees was taken for no restore at all, although an era above zero says that there was one, and not when.

Change: confirmations by a box's own reads count from 2.3 s after it first knew of an era above zero, the time that operators have to write again. What another box tells counts at once, since that one has accepted it: a box beside others is ready as soon as before. A store that was never restored, also one that tells no era, changes nothing. Price: where all boxes start anew in a store that was ever restored, they answer 503 for 2.3 s longer.

TestStartAfterRestore and TestStoreRestored/a_box_that_starts_after_the_restoration_accepts_no_key_by_the_snapshot_alone fail without the change (200 where 503 is due).

--- a/internal/gateway/peering.go
+++ b/internal/gateway/peering.go
@@ -175,6 +175,7 @@
 	if a.PingedMs > 0 && a.StateSummary.AgeMs >= 0 {
 		p.box.confirm(routing.Confirmation{
 			Version: a.StateSummary.Version, Era: a.StateSummary.Era, AtMs: a.PingedMs - a.StateSummary.AgeMs,
+			Relayed: true,
 		})
 	}
 }
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -93,6 +93,40 @@
 			assertStatus(t, startedBox, "/safe/", http.StatusUnauthorized)
 		})
 	})
+	t.Run("a box that starts after the restoration accepts no key by the snapshot alone", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			t := f.t
+			f.upstream("u1", respondWith("done"))
+			older := f.store.copy()
+			f.store.setState(t, contentWithoutKey(2))
+			f.store.restore(older)
+			b := f.box(1)
+			advance(t, time.Second)
+			f.store.setUnavailable("box-1", true)
+			for range 20 {
+				assertStatus(t, b, "/safe/", http.StatusServiceUnavailable)
+				assertStatus(t, b, "/public/", http.StatusOK)
+				advance(t, 500*time.Millisecond)
+			}
+			f.store.setState(t, contentWithoutKey(2))
+			f.store.setUnavailable("box-1", false)
+			advance(t, 4*time.Second)
+			assertStatus(t, b, "/safe/", http.StatusUnauthorized)
+		})
+	})
+	t.Run("a box that starts long after the restoration accepts keys by the word of another one", func(t *testing.T) {
+		runWithFleet(t, func(f *fleet) {
+			t := f.t
+			f.upstream("u1", respondWith("done"))
+			first := f.box(1)
+			advance(t, time.Second)
+			f.store.restore(f.store.copy())
+			advance(t, 5*time.Second)
+			startedBox := f.box(9, withContact(first))
+			advance(t, 600*time.Millisecond)
+			assertStatus(t, startedBox, "/safe/", http.StatusOK)
+		})
+	})
 	t.Run("a draining upstream stays draining, and one that writes its entry again is kept", func(t *testing.T) {
 		runWithFleet(t, func(f *fleet) {
 			t := f.t
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -107,6 +107,40 @@
 	})
 }
 
+// TestStartAfterRestore guards against keys that are accepted because a box has started right after the store was
+// restored to a state in which they had not been removed yet.
+func TestStartAfterRestore(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		era       int64
+		confirmed Confirmation
+		accepted  bool
+	}{
+		{"a store that was never restored", 0, Confirmation{Version: 1, AtMs: 1000}, true},
+		{"a restored store", 2, Confirmation{Version: 1, Era: 2, AtMs: 1000}, false},
+		{
+			"a restored store, before the operators must have written again", 2,
+			Confirmation{Version: 1, Era: 2, AtMs: 1000 + resettleMs - 1},
+			false,
+		},
+		{"a restored store, afterwards", 2, Confirmation{Version: 1, Era: 2, AtMs: 1000 + resettleMs}, true},
+		{"the word of another box", 2, Confirmation{Version: 1, Era: 2, AtMs: 1000, Relayed: true}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := clock.Millis(1000)
+			tracker := NewStateTracker(func() clock.Millis { return now })
+			state, err := New(Content{Version: 1})
+			require.NoError(t, err)
+			tracker.ObserveEra(test.era)
+			tracker.Adopt(state, test.era)
+			now += 2 * resettleMs
+			tracker.Confirm(test.confirmed)
+			_, confirmed := tracker.Confirmed()
+			assert.Equal(t, test.accepted, confirmed)
+		})
+	}
+}
+
 // TestAgeAtStart guards against an age that counts from the start of the process.
 func TestAgeAtStart(t *testing.T) {
 	b := NewStateTracker(func() clock.Millis { return 1000 })
--- a/internal/routing/state_tracker.go
+++ b/internal/routing/state_tracker.go
@@ -24,6 +24,8 @@
 	// AtMs is a time on the monotonic clock of the box that holds the confirmation. It is negative if it is from before
 	// that clock's start, as in a box that has just started and was told of it by another one.
 	AtMs clock.Millis
+	// Relayed is set if another box told of it, which had accepted it.
+	Relayed bool
 }
 
 // StateTracker holds a box's current routing state, and the time at which it was last confirmed to
@@ -41,9 +43,11 @@
 	newestEra int64
 	eraKnown  bool
 	// resettledMs is the monotonic time by which operators are expected to have written again
-	// what a restored store lost. It is valid only if restored is set.
+	// what a restored store lost. It is valid only if restored or maybeRestored is set.
 	resettledMs clock.Millis
 	restored    bool
+	// maybeRestored is set if the store was restored before this box knew of its era: nobody tells how long before.
+	maybeRestored bool
 }
 
 // adopted is a state with the newest era in which the store reported it.
@@ -96,7 +100,7 @@
 
 // ObserveEra records an era of the store. If the era is newer than the newest one observed so far,
 // the store has been restored from an older copy, and it returns that previous era and true. For
-// the first era it returns false.
+// the first era it returns false, although the store may have been restored just before if it ever was.
 func (t *StateTracker) ObserveEra(era int64) (before int64, restored bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,18 +109,20 @@
 	}
 	before, restored = t.newestEra, t.eraKnown
 	t.newestEra, t.eraKnown = era, true
-	if restored {
-		t.resettledMs, t.restored = t.monotonic()+resettleMs, true
+	if restored || era > 0 {
+		t.resettledMs, t.restored, t.maybeRestored = t.monotonic()+resettleMs, restored, !restored
 	}
 	return before, restored
 }
 
-// operatorsMayRewrite reports whether, at a point in time in an era, operators may still have
-// to write again what the restored store lost.
-func (t *StateTracker) operatorsMayRewrite(era int64, atMs clock.Millis) bool {
+// operatorsMayRewrite reports whether, at the time of a confirmation, operators may still have
+// to write again what the restored store lost. A box that was told by another one relies on it for a restore before
+// it knew of the era itself.
+func (t *StateTracker) operatorsMayRewrite(p Confirmation) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.restored && era >= t.newestEra && atMs < t.resettledMs
+	doubted := t.restored || t.maybeRestored && !p.Relayed
+	return doubted && p.Era >= t.newestEra && p.AtMs < t.resettledMs
 }
 
 // Confirm records a confirmation. A confirmation of a version lower than the current one
@@ -130,7 +136,7 @@
 		return
 	case h.state.version > p.Version && h.era < p.Era:
 		return
-	case t.operatorsMayRewrite(p.Era, p.AtMs):
+	case t.operatorsMayRewrite(p):
 		return
 	}
 	for {
