test(soak): keys and servers that leave all the time, in touch or cut off

--leavings plays what docs/SOAK.md says in its row, four plays by turns, and checks both bounds for each request: a removed key at any box, a leaving at boxes that were undisturbed for the 3 s (and 0.3 s) before the request reached the server. The list of the store's stand-in has pages.

--- a/internal/cmd/soakcmd/soakcmd.go
+++ b/internal/cmd/soakcmd/soakcmd.go
@@ -34,7 +34,7 @@
 		Name:    "dooryard-soak",
 		Usage:   "run real boxes as processes, inject faults from outside, and check the fleet's guarantees",
 		Version: version.String(),
-		Flags:   slices.Concat(flags(), processFlags(), []cli.Flag{exactFlag(), endsFlag()}),
+		Flags:   slices.Concat(flags(), processFlags(), []cli.Flag{exactFlag(), endsFlag(), leavingsFlag()}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := checkFlags(c); err != nil {
 				return err
@@ -62,6 +62,9 @@
 		"ends": {
 			"exact", "load", "partitions", "stalls", "overload", "regressions", "processes", "planned", "evacuations",
 		},
+		"leavings": {
+			"exact", "ends", "load", "partitions", "stalls", "overload", "regressions", "processes", "planned", "evacuations",
+		},
 		"load":    {"partitions", "stalls", "overload", "regressions", "processes", "planned"},
 		"planned": {"partitions", "stalls", "overload", "regressions", "processes", "evacuations"},
 	} {
@@ -213,6 +216,15 @@
 	}
 }
 
+func leavingsFlag() cli.Flag {
+	return &cli.BoolFlag{
+		Name: "leavings",
+		Usage: "remove keys and have servers leave all the time, while boxes are killed, frozen, stopped and replaced, " +
+			"and their ways to the store are cut, held back and silent, one by one and a failure domain at a time; checks " +
+			"both bounds for each request; without other faults",
+	}
+}
+
 // selectedSeeds returns the seeds selected by the flags.
 func selectedSeeds(c *cli.Command) []uint64 {
 	list := []uint64{}
@@ -253,7 +265,7 @@
 		Strangers: c.Bool("strangers"), HeldPorts: c.Bool("held-ports"),
 		Limits: c.Bool("limits"), Processors: c.Int("processors"),
 		Load: c.Bool("load"), Admission: c.Bool("admission"), Calm: c.Bool("calm"), Exact: c.Bool("exact"),
-		Ends: c.Bool("ends"),
+		Ends: c.Bool("ends"), Leavings: c.Bool("leavings"),
 	})
 	return errors.Join(printReport(out, report), runErr)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -324,21 +324,12 @@
 }
 
 func drainServer(f *fleet) (func(*fleet) error, error) {
-	s := f.randomServer()
-	old := s.id()
-	s.setDraining(true)
-	f.writeEntry(s, true)
-	f.history.recordDraining(old)
-	began := time.Now()
-	return func(f *fleet) error {
+	began, end := time.Now(), f.beginLeaving(f.randomServer(), true)
+	return func(*fleet) error {
 		// The server continues to serve for longer than boxes may send it work, so that late
 		// work is recorded.
 		time.Sleep(time.Until(began.Add(drainSpan)))
-		f.entriesMu.Lock()
-		defer f.entriesMu.Unlock()
-		f.store.RemoveServer(old)
-		s.setDraining(false)
-		f.startIncarnation(s)
+		end()
 		return nil
 	}, nil
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -88,6 +88,9 @@
 	// Ends has servers end in all ways, with boxes that have a part of one processor and are stopped and killed, instead
 	// of the usual clients, servers and faults.
 	Ends bool
+	// Leavings removes keys and has servers leave all the time, with disturbances of boxes and of their ways to the
+	// store, instead of the faults that have no schedule of their own. It checks both bounds for each request.
+	Leavings bool
 	// Limits runs boxes under limits and in surroundings that whoever starts processes may have. It needs Processes or
 	// Planned. Processors is what their settings allow, or 0 for a program whose settings don't have it. Without Limits,
 	// every other box may use severalProcessors.
@@ -221,6 +224,10 @@
 	f.owners = newOwners(f.socketOwners)
 	f.loads = newServerLoads(settings.Servers)
 	f.history.timed, f.history.releases = settings.Timed, settings.Earlier != ""
+	f.history.leavings = settings.Leavings
+	if settings.Leavings {
+		f.store.SetPageItems(leavingPageItems)
+	}
 	for i := range tenantCount {
 		tenant := "tenant-" + strconv.Itoa(i)
 		for range keysPerTenant {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -82,6 +82,8 @@
 	releases bool
 	// timed is set if time bounds are checked too.
 	timed bool
+	// leavings is set if the leaving of servers is checked for each request by boxes in touch.
+	leavings bool
 }
 
 func newHistory() *history {
@@ -241,7 +243,13 @@
 func (h *history) lateAfterDraining(o standin.Outcome, run standin.Run) time.Duration {
 	at, draining := h.draining[run.Server]
 	late := run.StartedAt.Sub(at)
-	if !h.timed || !draining || late <= maxPropagation+timingSlack {
+	if !h.timed && !h.leavings || !draining || late <= maxPropagation+timingSlack {
+		return 0
+	}
+	if h.leavings {
+		if h.inTouch(o, run) {
+			return late
+		}
 		return 0
 	}
 	for _, name := range append(h.senders(o), allBoxes, run.Server) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,6 +46,8 @@
 	Endings endStats
 	// Ends counts by what processes were asked to end, and how they did.
 	Ends map[string]int
+	// Leavings holds the figures of a play of leavings.
+	Leavings leavingStats
 	// Threads is the largest number of threads of a box with limits.
 	Threads int
 }
@@ -133,6 +135,9 @@
 		report.Endings = f.endings.stats
 		report.Requests = report.Endings.Requests
 	}
+	if f.settings.Leavings {
+		report.Leavings = f.history.leavingStats()
+	}
 	if f.settings.Load {
 		report.Load = f.loadStats()
 		report.Findings = append(report.Findings, report.Load.findings()...)
@@ -161,7 +166,7 @@
 		f.startEnds(ctx, workers)
 		return
 	}
-	if f.settings.Planned || f.settings.Processes {
+	if f.settings.Planned || f.settings.Processes || f.settings.Leavings {
 		for i := range f.settings.Clients {
 			workers.Go(func() { f.runKeptClient(ctx, i) })
 		}
@@ -182,7 +187,10 @@
 	for i := range f.settings.Clients {
 		workers.Go(func() { f.runClient(ctx, i) })
 	}
-	workers.Go(func() { f.runFatalClient(ctx) })
+	if !f.settings.Leavings {
+		// A server that crashed would write again that it takes work.
+		workers.Go(func() { f.runFatalClient(ctx) })
+	}
 	workers.Go(func() { f.injectSignals(ctx) })
 }
 
@@ -194,6 +202,7 @@
 	}{
 		{f.settings.Load && !f.settings.Calm, f.restartAllOnce},
 		{f.settings.Ends, f.injectEnds},
+		{f.settings.Leavings, f.injectLeavings},
 		{f.settings.Processes, f.injectProcessFaults},
 		{f.settings.Planned, f.injectPlanned},
 		{f.settings.Overlaps, f.injectOverlaps},
@@ -220,7 +229,7 @@
 	until := time.Now().Add(f.settings.Span)
 	var ends sync.WaitGroup
 	errs := make(chan error, maxEndErrors)
-	none := f.settings.Calm || f.settings.Planned || f.settings.Exact || f.settings.Ends
+	none := f.settings.Calm || f.settings.Planned || f.settings.Exact || f.settings.Ends || f.settings.Leavings
 	for none && time.Now().Before(until) && ctx.Err() == nil {
 		sleep(ctx, time.Until(until))
 	}
@@ -278,13 +287,19 @@
 
 // drawKey returns a random key that is valid or was revoked.
 func (f *fleet) drawKey(random *rand.Rand) string {
+	oneIn, since := 5, time.Time{}
+	if f.settings.Leavings {
+		oneIn, since = removedKeyOneIn, time.Now().Add(-removedKeySpan)
+	}
 	f.history.mu.Lock()
 	revokedKeys := make([]string, 0, len(f.history.revoked))
-	for key := range f.history.revoked {
-		revokedKeys = append(revokedKeys, key)
+	for key, at := range f.history.revoked {
+		if at.After(since) {
+			revokedKeys = append(revokedKeys, key)
+		}
 	}
 	f.history.mu.Unlock()
-	if len(revokedKeys) > 0 && random.IntN(5) == 0 {
+	if len(revokedKeys) > 0 && random.IntN(oneIn) == 0 {
 		return revokedKeys[random.IntN(len(revokedKeys))]
 	}
 	f.mu.Lock()
