--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -33,5 +33,10 @@
 			Cause: "fault in the soak: boxes were to respect a backoff that they never received, because the server's " +
 				"link was silent (9000, with partitions) or the client had left (9112)",
 		},
+		{
+			Seeds: []uint64{95045},
+			Cause: "boxes that started right after a restore of the store trusted the keys of the backup (with " +
+				"--processes --overlaps and a span of 30 s)",
+		},
 	}
 }
