--- a/internal/testlib/network.go
+++ b/internal/testlib/network.go
@@ -94,6 +94,19 @@
 	n.sever(resetOpen)
 }
 
+// SilenceOpen makes the open connections between two hosts for which the function returns true go silent for good:
+// writes appear to succeed, and nothing arrives. New connections work.
+func (n *Network) SilenceOpen(silenced func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if silenced(c.from, c.to) {
+			c.silent.Store(true)
+			c.peer.silent.Store(true)
+		}
+	}
+}
+
 // SetBlackhole silently drops traffic in the directions for which the function returns true: writes appear to succeed,
 // and datagrams are dropped. Connections don't open if either direction is dropped.
 func (n *Network) SetBlackhole(blackholed func(from, to string) bool) {
@@ -306,6 +319,8 @@
 	// peer is the other end, and unread how many bytes of it wait to be read.
 	peer   *conn
 	unread atomic.Int64
+	// silent is set once what is written is dropped.
+	silent atomic.Bool
 }
 
 // Buffered returns how many bytes wait to be read.
@@ -331,7 +346,7 @@
 func (c *conn) RemoteAddr() net.Addr { return c.remote }
 
 func (c *conn) Write(data []byte) (int, error) {
-	if c.network.drops(c.from, c.to) {
+	if c.silent.Load() || c.network.drops(c.from, c.to) {
 		return len(data), nil
 	}
 	c.peer.unread.Add(int64(len(data)))
