fix(gateway): a box whose IP address is configured late takes no other port for it

Cause: the box tries its usual port, then others. The usual one failed since the host lacked the address (EADDRNOTAVAIL), and a port that the kernel chooses was tried a moment later, when it had it. Nobody looks for a box there; one without contacts stays alone.

Change: while the host lacks the address only the usual port is tried, at the start and later; another port can't help then.

TestPeersAddressConfiguredBetweenTries lets the address appear after each of 40 tries: 12 of 40 failed before, none after. The former test: 5 to 8 of 240 before, none of 240 after. Price: none; a port that is taken is replaced as before.

--- a/internal/gateway/peers_port_test.go
+++ b/internal/gateway/peers_port_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -230,6 +231,37 @@
 	})
 }
 
+// TestPeersAddressConfiguredBetweenTries guards against a box that takes another port, at which nobody looks for it,
+// because its address for other boxes was configured after a try of the usual port.
+func TestPeersAddressConfiguredBetweenTries(t *testing.T) {
+	const tries = 40
+	for failing := range tries {
+		t.Run(strconv.Itoa(failing), func(t *testing.T) {
+			runWithFleet(t, func(f *fleet) {
+				h, tried := f.network.Host("box-1"), atomic.Int64{}
+				configured := func() bool { return tried.Add(1) > int64(failing) }
+				b, cancel, done := f.runWithSockets(io.Discard, WithListen(func(network, address string) (net.Listener, error) {
+					if address != "127.0.0.1:1000" && address != "127.0.0.1:1010" && !configured() {
+						return nil, syscall.EADDRNOTAVAIL
+					}
+					return h.Listen(network, address)
+				}), WithListenPackets(func(network, address string) (net.PacketConn, error) {
+					if !configured() {
+						return nil, syscall.EADDRNOTAVAIL
+					}
+					return h.ListenPackets(network, address)
+				}))
+				other := f.box(2, func(g *config.Gateway) { g.Contacts = []string{"127.0.0.1:9"} })
+				advance(f.t, time.Minute)
+				assert.Equal(f.t, 2, other.peering.mesh.Boxes())
+				assert.Equal(f.t, 2, b.peering.mesh.Boxes())
+				cancel()
+				require.NoError(f.t, <-done)
+			})
+		})
+	}
+}
+
 // TestBoxServesBeforeItsPeersAddress guards against a box that serves no callers, or never joins the others, because its
 // address for other boxes is configured late.
 func TestBoxServesBeforeItsPeersAddress(t *testing.T) {
--- a/internal/gateway/peers_sockets.go
+++ b/internal/gateway/peers_sockets.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"slices"
+	"syscall"
 
 	"dooryard.example/dooryard/internal/clock"
 	"dooryard.example/dooryard/internal/decision"
@@ -40,7 +41,7 @@
 	if err == nil {
 		return opened
 	}
-	for _, address := range otherPeersAddresses(settings) {
+	for _, address := range otherPeersAddresses(settings, err) {
 		if server.OpenAll(b.peersPair(address, &opened)...) == nil {
 			b.log.Record(decision.PeersPort{Usual: usual, Used: opened.address, Err: err.Error()})
 			return opened
@@ -51,9 +52,12 @@
 	return peersSockets{address: usual, conn: unopened, listener: unopened}
 }
 
-// otherPeersAddresses returns the addresses to try if the usual port is taken, the last ones with a port that the
-// kernel chooses.
-func otherPeersAddresses(settings *config.Gateway) []string {
+// otherPeersAddresses returns the addresses to try after the usual one failed, the last ones with a port that the
+// kernel chooses. There are none while the host lacks the IP address: once it has it, the usual port is likely free.
+func otherPeersAddresses(settings *config.Gateway, usual error) []string {
+	if errors.Is(usual, syscall.EADDRNOTAVAIL) {
+		return nil
+	}
 	others := slices.DeleteFunc(settings.PeersAddresses()[1:], func(address string) bool {
 		return address == settings.ReadinessAddress || address == settings.MetricsAddress
 	})
@@ -183,7 +187,7 @@
 		return false
 	}
 	opened := peersSockets{}
-	for _, address := range append([]string{k.settings.PeersAddress}, otherPeersAddresses(k.settings)...) {
+	for _, address := range append([]string{k.settings.PeersAddress}, otherPeersAddresses(k.settings, because)...) {
 		if server.OpenAll(k.box.peersPair(address, &opened)...) == nil {
 			k.use(opened)
 			k.report(decision.PeersPort{Usual: k.settings.PeersAddress, Used: k.address, Err: because.Error()})
