fix(lease): a lease doesn't outlast its time when the time of day is set back

Two boxes of a failure domain could take themselves for the holder of its lease, and both send orders to engines: a box whose time of day was set back after it had acquired or renewed the lease held it by as much longer than the others counted (2 s are allowed for). Set forward, it gave the lease up early. Fencing tokens kept engines that check them from obeying both.

Cause: the age of the confirmation was counted in the time of day of the record, as of which it was read back, and the last check before an order is written read the same clock.

Change: a keeper remembers by its monotonic clock when it appended each record, and counts the lease from there; a record that it doesn't know prolongs nothing. The deadline of a send is taken to the monotonic clock when it is set. Stream, status and settings are as before.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 
 	"go.uber.org/zap"
@@ -39,21 +40,27 @@
 
 	mu    sync.Mutex
 	state State
-	// heldUntilMs is the end of this box's lease by its own clock. It is counted from before the
+	// heldUntilMs is the end of this box's lease by its monotonic clock. It is counted from before the
 	// append that acquired or renewed the lease, and reduced by clockMarginMs.
 	heldUntilMs clock.Millis
+	// requests maps the times of day in the records that this box has appended lately to its monotonic clock. The time
+	// of day may be set back meanwhile, and would prolong the lease.
+	requests map[clock.Millis]clock.Millis
 	// released is set once this box has decided to release the lease. Renewals from before must not prolong it.
 	released bool
-	// lastAppendMs is the time of the latest attempt to append a record.
+	// lastAppendMs is the monotonic time of the latest attempt to append a record, or 0.
 	lastAppendMs clock.Millis
-	// sinceMs is when this box first held the lease under the current token.
+	// sinceMs is the monotonic time at which this box first held the lease under the current token.
 	sinceMs clock.Millis
 }
 
 // NewKeeper returns a keeper for a holder. The function wants reports whether this box
 // should try to hold the lease.
 func NewKeeper(stream, holder string, log logstream.Log, wants func() bool, c clock.Clock, logger *zap.Logger) *Keeper {
-	return &Keeper{stream: stream, holder: holder, log: log, wants: wants, clock: c, logger: logger}
+	return &Keeper{
+		stream: stream, holder: holder, log: log, wants: wants, clock: c, logger: logger,
+		requests: map[clock.Millis]clock.Millis{},
+	}
 }
 
 // Run follows the lease, and acquires and renews it until the context ends. It releases the
@@ -96,12 +103,27 @@
 		return
 	}
 	if k.state.token != before.token {
-		k.sinceMs, k.released = k.clock.Now(), false
+		k.sinceMs, k.released, k.heldUntilMs = k.clock.Monotonic(), false, 0
 	}
-	if k.released || r.Action == Release {
+	requestedMs, known := k.requests[r.RequestedMs]
+	if k.released || r.Action == Release || !known {
 		return
 	}
-	k.heldUntilMs = r.RequestedMs + DurationMs - clockMarginMs
+	k.heldUntilMs = max(k.heldUntilMs, requestedMs+DurationMs-clockMarginMs)
+}
+
+// request returns the time of day for a record that is appended now, and remembers when that is.
+func (k *Keeper) request() (timeMs clock.Millis) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	nowMs := k.clock.Monotonic()
+	maps.DeleteFunc(k.requests, func(_, atMs clock.Millis) bool { return nowMs-atMs >= DurationMs })
+	timeMs = k.clock.Now()
+	for _, taken := k.requests[timeMs]; taken; _, taken = k.requests[timeMs] {
+		timeMs++
+	}
+	k.requests[timeMs], k.lastAppendMs = nowMs, nowMs
+	return timeMs
 }
 
 // maintain acquires a free lease, and renews or releases a held one.
@@ -110,11 +132,9 @@
 	if !due {
 		return
 	}
-	requested := k.clock.Now()
-	k.mu.Lock()
-	k.lastAppendMs = requested
-	k.mu.Unlock()
-	data, err := json.Marshal(Record{Action: action, Holder: k.holder, DurationMs: DurationMs, RequestedMs: requested})
+	data, err := json.Marshal(Record{
+		Action: action, Holder: k.holder, DurationMs: DurationMs, RequestedMs: k.request(),
+	})
 	if err != nil {
 		return
 	}
@@ -127,19 +147,19 @@
 // clock. This is safe even if the clocks differ, because an acquire record that is appended too early
 // has no effect.
 func (k *Keeper) due() (Action, bool) {
-	now := k.clock.Now()
+	now, nowMs := k.clock.Now(), k.clock.Monotonic()
 	wants := k.wants()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	holds := k.state.holder == k.holder && now < k.heldUntilMs
+	holds := k.state.holder == k.holder && nowMs < k.heldUntilMs
 	switch {
 	case holds && !wants:
 		k.heldUntilMs, k.released = 0, true
 		return Release, true
 	case holds:
-		return Renew, now >= k.lastAppendMs+renewIntervalMs
+		return Renew, nowMs >= k.lastAppendMs+renewIntervalMs
 	case wants && now >= k.state.untilMs:
-		return Acquire, now >= k.lastAppendMs+renewIntervalMs
+		return Acquire, k.lastAppendMs == 0 || nowMs >= k.lastAppendMs+renewIntervalMs
 	default:
 		return "", false
 	}
@@ -160,10 +180,11 @@
 func (k *Keeper) Held() (Held, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.state.holder != k.holder || k.clock.Now() >= k.heldUntilMs {
+	now, nowMs := k.clock.Now(), k.clock.Monotonic()
+	if k.state.holder != k.holder || nowMs >= k.heldUntilMs {
 		return Held{}, false
 	}
-	return Held{Token: k.state.token, UntilMs: k.heldUntilMs, SinceMs: k.sinceMs}, true
+	return Held{Token: k.state.token, UntilMs: now + k.heldUntilMs - nowMs, SinceMs: now - (nowMs - k.sinceMs)}, true
 }
 
 // State returns the lease as known to this box.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -201,7 +201,9 @@
 // instant. The clock is read right before each write, so that a process that was
 // paused after all other checks sends nothing late.
 func WithSendDeadline(ctx context.Context, c clock.Clock, instant clock.Millis) context.Context {
-	watch := &AttemptTracker{Expired: func() bool { return c.Now() >= instant }}
+	// The time of day may be set back meanwhile.
+	untilMs := c.Monotonic() + instant - c.Now()
+	watch := &AttemptTracker{Expired: func() bool { return c.Monotonic() >= untilMs }}
 	return watch.Context(ctx)
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -112,6 +112,19 @@
 		require.Error(t, post(WithSendDeadline(t.Context(), c, 10), t, client, server.URL))
 		assert.Equal(t, 1, requests)
 	})
+	t.Run("sends nothing after an instant although the time of day was set back", func(t *testing.T) {
+		requests := 0
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests++ }))
+		defer server.Close()
+		now, monotonic := clock.Millis(5), clock.Millis(100)
+		c := clock.New(
+			clock.WithNow(func() clock.Millis { return now }), clock.WithMonotonic(func() clock.Millis { return monotonic }),
+		)
+		ctx := WithSendDeadline(t.Context(), c, 10)
+		now, monotonic = -50, 105
+		require.Error(t, post(ctx, t, newClient(), server.URL))
+		assert.Zero(t, requests)
+	})
 }
 
 // TestAbortOfAnAttemptWhoseConnectionServesAnother guards against a request that fails because another attempt was given
