--- a/review/stand-2/callers.go
+++ b/review/stand-2/callers.go
@@ -48,7 +48,7 @@
 		extra += fmt.Sprintf("X-Model: m\r\nX-Token-Counts: 80,40\r\nX-Prompt-Prefix: %x:40,%s:40\r\n", len(id)+box, id)
 	}
 	c.line("client sends %s to box %d", id, box)
-	status, header, body, err := exchange(c.fleet.callers(box), attempt("POST", path+"x", id, clientTimeout, extra),
+	status, header, body, err := exchange(c.callersOf(box), attempt("POST", path+"x", id, clientTimeout, extra),
 		clientTimeout+time.Second)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,13 +66,14 @@
 	case string(body) != whole:
 		c.succeeded++
 		c.broken++
-		c.line("BROKEN: %s got a success of %d bytes that looks complete; the server's whole body has %d", id, len(body), len(whole))
+		c.line("BROKEN: %s got a success of %d bytes that looks complete; the server's whole body has %d",
+			id, len(body), len(whole))
 	default:
 		c.succeeded++
 	}
 }
 
 func (c *callers) summary() string {
-	return fmt.Sprintf("%d answers with success, %d of them cut short and complete to the client; %d other answers, %d without a whole one",
-		c.succeeded, c.broken, c.refused, c.failed)
+	return fmt.Sprintf("%d answers with success, %d of them cut short and complete to the client; "+
+		"%d other answers, %d without a whole one", c.succeeded, c.broken, c.refused, c.failed)
 }
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -64,8 +65,8 @@
 
 // start starts a process. Its standard output goes to a function, line by line. It ends with the test.
 func start(name string, onLine func(line string), env []string, program string, args ...string) *process {
-	cmd := exec.Command(program, args...)
-	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}, env...)
+	cmd := exec.CommandContext(context.Background(), program, args...)
+	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StdoutPipe()
 	if err == nil {
@@ -154,7 +155,8 @@
 // newNetwork finds a part of the loopback network on which nothing listens at the ports.
 func newNetwork(boxes int) *network {
 	for range 100 {
-		n := &network{prefix: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)), port: 20000 + rand.IntN(12000)}
+		prefix := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
+		n := &network{prefix: prefix, port: 20000 + rand.IntN(12000)}
 		if n.free(boxes) {
 			return n
 		}
@@ -166,7 +168,7 @@
 func (n *network) free(boxes int) bool {
 	for box := range boxes {
 		for port := range portsPerBox {
-			l, err := net.Listen("tcp", n.box(box, port))
+			l, err := listen(n.box(box, port))
 			if err != nil {
 				return false
 			}
@@ -183,7 +185,7 @@
 // listen opens a listener at an address of its own.
 func (n *network) listen() net.Listener {
 	n.next++
-	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", n.prefix, 100+n.next))
+	l, err := listen(fmt.Sprintf("%s%d:0", n.prefix, 100+n.next))
 	if err != nil {
 		cantRun("listen: %v", err)
 	}
@@ -199,8 +201,6 @@
 	address string
 	zones   []string
 	boxes   []*process
-	// options are further lines of the settings.
-	options string
 }
 
 // newFleet returns a fleet of a box for each of the zones.
@@ -210,8 +210,8 @@
 		cantRun("%v", err)
 	}
 	f := &fleet{
-		record: newRecord(filepath.Join(folder, "record.txt")), dir: dir, network: newNetwork(len(zones)), store: newStore(),
-		zones: zones, boxes: make([]*process, len(zones)),
+		record: newRecord(filepath.Join(folder, "record.txt")), dir: dir, network: newNetwork(len(zones)),
+		store: newStore(), zones: zones, boxes: make([]*process, len(zones)),
 	}
 	l := f.network.listen()
 	f.address = l.Addr().String()
@@ -279,7 +279,7 @@
 	if err := os.WriteFile(path, []byte(f.settings(box, first)), 0o600); err != nil {
 		cantRun("%v", err)
 	}
-	log, err := os.OpenFile(filepath.Join(f.dir, fmt.Sprintf("box-%d.log", box)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("box-%d.log", box)))
 	if err != nil {
 		cantRun("%v", err)
 	}
@@ -301,7 +301,8 @@
 
 // ready reports whether a box calls itself ready.
 func (f *fleet) ready(box int) bool {
-	status, _, _, err := exchange(f.network.box(box, portReadiness), "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", time.Second)
+	const question = "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	status, _, _, err := exchange(f.network.box(box, portReadiness), question, time.Second)
 	return err == nil && status == 200
 }
 
@@ -315,4 +316,4 @@
 	cantRun("box %d is not ready", box)
 }
 
-func (f *fleet) callers(box int) string { return f.network.box(box, portCallers) }
+func (f *fleet) callersOf(box int) string { return f.network.box(box, portCallers) }
--- a/review/stand-2/link.go
+++ b/review/stand-2/link.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"dooryard.example/dooryard/internal/upstream"
 )
 
 // link is the way from boxes to a server: what listens at the server's address, and passes bytes on to its process.
@@ -43,7 +45,7 @@
 	var s net.Conn
 	err := errCut
 	if k.cutFrom(box) == nil {
-		s, err = net.DialTimeout("tcp", k.target, time.Second)
+		s, err = dial(k.target)
 	}
 	if err != nil {
 		// A dead port resets, and so does the way during a cut.
@@ -57,7 +59,7 @@
 var errCut = errors.New("the way is cut")
 
 func reset(c net.Conn) {
-	_ = c.(*net.TCPConn).SetLinger(0)
+	upstream.ResetOnClose(c)
 	_ = c.Close()
 }
 
@@ -75,7 +77,9 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			_ = to.(*net.TCPConn).CloseWrite()
+			if half, ok := to.(interface{ CloseWrite() error }); ok {
+				_ = half.CloseWrite()
+			}
 			return
 		default:
 			// A reset is passed on as one.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,6 +1,6 @@
-// Command stand plays the scripts of an independent review: it starts boxes as processes, stand-ins for the platform,
-// servers and clients, and disturbs them. It exits with 1 if the rule of the case was broken, with 0 if it held and with
-// 2 if the case could not run. With TROUBLE=0 in its environment it disturbs nothing.
+// Command stand-2 plays the scripts of an independent review: it starts boxes as processes, stand-ins for the platform,
+// servers and clients, and disturbs them. It exits with 1 if the rule of the case was broken, with 0 if it held and
+// with 2 if the case could not run. With TROUBLE=0 in its environment it disturbs nothing.
 package main
 
 import (
@@ -11,7 +11,7 @@
 
 func main() {
 	if len(os.Args) < 3 {
-		fmt.Println("usage: stand CASE FOLDER")
+		fmt.Println("usage: stand-2 CASE FOLDER")
 		os.Exit(exitCantRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
--- a/review/stand-2/restarted_server.go
+++ b/review/stand-2/restarted_server.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// lateBy is how long after the end of a cut the last of what was under way arrives. The kernel sends again what was lost
-// in the cut when the timer of the connection is over. The timers begin at different times and double each time.
+// lateBy is how long after the end of a cut the last of what was under way arrives. The kernel sends again what was
+// lost in the cut when the timer of the connection is over. The timers begin at different times and double each time.
 const lateBy = 300 * time.Millisecond
 
 // newService returns a plain service or one of model servers, in a fleet of four boxes in three zones.
@@ -16,9 +16,9 @@
 	return s
 }
 
-// restartedServer is the case of servers that are cut off from the store and a box for less than two seconds. Behind the
-// cut their processes crash and are started again. Answers that were under way are cut short by the crash, and must not
-// look complete.
+// restartedServer is the case of servers that are cut off from the store and a box for less than two seconds. Behind
+// the cut their processes crash and are started again. Answers that were under way are cut short by the crash, and must
+// not look complete.
 func (s *service) restartedServer(trouble bool, lateBy time.Duration) {
 	s.startServers(5, lateBy)
 	kind, perSecond := "unsafe", 40
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -13,12 +13,12 @@
 	"time"
 )
 
-// upstreamServer is the process of a server. Its answers have no length and end with their connections. It tells of each
-// run on its standard output.
+// upstreamServer is the process of a server. Its answers have no length and end with their connections. It tells of
+// each run on its standard output.
 type upstreamServer struct {
 	id string
-	// bornMs is the start that it tells, as model servers do in their reports, or 0 for a server of a plain service, which
-	// has no such page.
+	// bornMs is the start that it tells, as model servers do in their reports, or 0 for a server of a plain service,
+	// which has no such page.
 	bornMs int64
 	pieces int
 	gap    time.Duration
@@ -36,7 +36,7 @@
 	s := &upstreamServer{id: args[1], bornMs: bornMs, pieces: pieces, gap: time.Duration(gapMs) * time.Millisecond}
 	warmMs, _ := strconv.Atoi(args[5])
 	s.warmUntil = time.Now().Add(time.Duration(warmMs) * time.Millisecond)
-	l, err := net.Listen("tcp", args[0])
+	l, err := listen(args[0])
 	if err != nil {
 		fmt.Println("listen:", err)
 		os.Exit(exitCantRun)
@@ -83,11 +83,13 @@
 	case r.URL.Path == "/health":
 		return s.write(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
 	case expected != "" && expected != s.id:
-		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, s.id)
+		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\n"+
+			"Content-Length: 0\r\n\r\n", id, s.id)
 	case r.URL.Path == "/api/report" && s.bornMs > 0:
-		report := fmt.Sprintf(`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":1,`+
-			`"queued":0,"running":0,"kvUsed":0,"kvTotal":232000,"handles":0,"born":%d}`, s.bornMs)
-		return s.write(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+		report := fmt.Sprintf(`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,`+
+			`"sequence":1,"queued":0,"running":0,"kvUsed":0,"kvTotal":232000,"handles":0,"born":%d}`, s.bornMs)
+		return s.write(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+			len(report), report)
 	case id == "":
 		// It has no such page, and runs nothing without an id.
 		return s.write(c, "HTTP/1.1 404 Not Found\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -97,8 +99,8 @@
 	if s.bornMs > 0 {
 		contentType = "text/event-stream"
 	}
-	if !s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n",
-		id, id, contentType) {
+	if !s.write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-%s\r\nContent-Type: %s\r\n"+
+		"Connection: close\r\n\r\n", id, id, contentType) {
 		return false
 	}
 	for piece := range s.pieces {
--- a/review/stand-2/service.go
+++ b/review/stand-2/service.go
@@ -43,8 +43,8 @@
 func (s *service) startServers(count int, lateBy time.Duration) {
 	for i := range count {
 		l, target := s.network.listen(), s.network.listen()
-		v := &supervised{name: fmt.Sprintf("i-%s-%d", s.name, i), zone: s.zones[i%len(s.zones)], target: target.Addr().String()}
-		v.id = v.name
+		name := fmt.Sprintf("i-%s-%d", s.name, i)
+		v := &supervised{name: name, id: name, zone: s.zones[i%len(s.zones)], target: target.Addr().String()}
 		_ = target.Close()
 		v.link = newLink(s.fleet, l, v.target, lateBy)
 		s.startProcess(v, 0)
@@ -74,8 +74,8 @@
 			close(listening)
 		}
 		s.line("server %s: %s", v.id, line)
-	}, nil, selfPath(), "server", v.target, v.id, fmt.Sprint(told), fmt.Sprint(s.pieces), fmt.Sprint(s.gap.Milliseconds()),
-		fmt.Sprint(warmUp.Milliseconds()))
+	}, nil, selfPath(), "server", v.target, v.id, fmt.Sprint(told), fmt.Sprint(s.pieces),
+		fmt.Sprint(s.gap.Milliseconds()), fmt.Sprint(warmUp.Milliseconds()))
 	<-listening
 }
 
@@ -106,7 +106,8 @@
 	cutRest      = 1000 * time.Millisecond
 )
 
-// crashBehindCut cuts a server off from a box and from the store. Behind the cut its process is killed and started again.
+// crashBehindCut cuts a server off from a box and from the store. Behind the cut its process is killed and started
+// again.
 func (s *service) crashBehindCut(v *supervised, box int) {
 	s.line("cut of server %s from box %d begins", v.id, box)
 	v.setSilent(true)
