--- a/review/stand-2/link.go
+++ b/review/stand-2/link.go
@@ -42,13 +42,15 @@
 
 func (k *link) pass(c net.Conn) {
 	box := ownerOf(c, k.boxes)
-	var s net.Conn
-	err := errCut
-	if k.cutFrom(box) == nil {
-		s, err = dial(k.target)
+	if healed := k.cutFrom(box); healed != nil {
+		// It stays silent, and nothing that is sent on it ever arrives: it would not have been opened.
+		<-healed
+		reset(c)
+		return
 	}
+	s, err := dial(k.target)
 	if err != nil {
-		// A dead port resets, and so does the way during a cut.
+		// A dead port resets.
 		reset(c)
 		return
 	}
@@ -56,8 +58,6 @@
 	go k.copy(box, c, s)
 }
 
-var errCut = errors.New("the way is cut")
-
 func reset(c net.Conn) {
 	upstream.ResetOnClose(c)
 	_ = c.Close()
@@ -110,7 +110,7 @@
 	}
 }
 
-// cut makes open connections between a box and the server silent, and refuses new ones.
+// cut makes open and new connections between a box and the server silent.
 func (k *link) cut(box int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -9,12 +9,18 @@
 	"time"
 )
 
+// timeLimit is how long a case may take.
+const timeLimit = 110 * time.Second
+
 func main() {
 	if len(os.Args) < 3 {
 		fmt.Println("usage: stand-2 CASE FOLDER")
 		os.Exit(exitCantRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
+	if os.Args[1] != "server" {
+		time.AfterFunc(timeLimit, func() { cantRun("not over after %v", timeLimit) })
+	}
 	switch os.Args[1] {
 	case "server":
 		runServer(os.Args[2:])
--- a/review/stand-2/service.go
+++ b/review/stand-2/service.go
@@ -32,7 +32,9 @@
 	process *process
 	id      string
 	bornMs  int64
-	beats   int
+	// warmUntil is until when the process is slow after its start.
+	warmUntil time.Time
+	beats     int
 	// silent is set while the server can't reach the store.
 	silent bool
 }
@@ -63,7 +65,7 @@
 func (s *service) startProcess(v *supervised, warmUp time.Duration) {
 	listening := make(chan struct{})
 	v.mu.Lock()
-	v.bornMs, v.beats = time.Now().UnixMilli(), 0
+	v.bornMs, v.beats, v.warmUntil = time.Now().UnixMilli(), 0, time.Now().Add(warmUp)
 	v.mu.Unlock()
 	told := int64(0)
 	if s.streams {
@@ -89,7 +91,7 @@
 	v.beats++
 	s.store.putJSON(topicServers, v.id, map[string]any{
 		"service": s.name, "address": v.link.address, "zone": v.zone, "version": "1", "slots": 64, "state": "ready",
-		"coldLeftMs": 0, "sequence": v.beats, "born": v.bornMs,
+		"coldLeftMs": max(0, time.Until(v.warmUntil).Milliseconds()), "sequence": v.beats, "born": v.bornMs,
 	})
 }
 
